Serve a request end to end: entry, agent, stand-ins, policy and tools

Cause: there was nothing yet. The whole path runs as separate processes: a caller's request goes over HTTP to an entry, as a bid over TCP to agents, is called, bound once, and streamed back from a stand-in engine.

Ruled out: cbor-x with a decoder without a structures list; records of the second frame came back as raw tags.

--- /dev/null
+++ b/.ci/count-tests.mjs
@@ -0,0 +1,29 @@
+// Prints the real count of tests as the last line; fails unless every failure is listed as known.
+import { existsSync, readFileSync } from 'node:fs';
+
+const MAX_KNOWN_RED = 3;
+const [outputFile, knownFile, status] = process.argv.slice(2);
+const output = readFileSync(outputFile, 'utf8');
+const known = existsSync(knownFile)
+  ? readFileSync(knownFile, 'utf8')
+      .split('\n')
+      .filter((line) => line.trim() !== '')
+  : [];
+const failures = [...output.matchAll(/^\s*✘ \[fail\]: (.+?)(?: Error.*| Rejected.*)?$/gm)].map(
+  (match) => match[1].trim(),
+);
+const passed = Number(/(\d+) tests? passed/.exec(output)?.[1] ?? 0);
+const failed = [
+  ...output.matchAll(
+    /(\d+) (?:tests? failed|uncaught exceptions?|unhandled rejections?|tests? remained)/g,
+  ),
+].reduce((sum, match) => sum + Number(match[1]), 0);
+const unknown = failures.filter((title) => !known.some((line) => line.startsWith(title)));
+for (const line of known) {
+  console.log(`known red: ${line}`);
+}
+const isExplained =
+  failed === failures.length && unknown.length === 0 && known.length <= MAX_KNOWN_RED;
+const isGreen = passed > 0 && (Number(status) === 0 || (failed > 0 && isExplained));
+console.log(`${passed} passed, ${failed} failed`);
+process.exit(isGreen ? 0 : 1);
--- /dev/null
+++ b/src/agent/agent-events.ts
@@ -0,0 +1,61 @@
+/** What happens to an agent, and what it does about it. */
+import type { Decision, Measurement } from '../decision.js';
+import type { PolicyUpdate } from '../policy/replica.js';
+import type { BindMessage, Frame, HelloMessage, Message } from '../protocol/messages.js';
+import type { RequestId } from '../request/request-id.js';
+
+/** Token counts and times that the back end reports at the end of an answer. */
+export interface EngineUsage {
+  readonly promptTokens: number;
+  readonly cachedPromptTokens: number;
+  readonly outputTokens: number;
+  readonly prefillMs: number;
+  readonly decodeMs: number;
+}
+
+/** What the back end says of a request that was handed to it. */
+export type EngineEvent =
+  | {
+      readonly kind: 'engine-started';
+      readonly id: RequestId;
+      readonly status: number;
+      readonly contentType: string;
+    }
+  | { readonly kind: 'engine-chunk'; readonly id: RequestId; readonly data: string | Uint8Array }
+  | { readonly kind: 'engine-ended'; readonly id: RequestId; readonly usage: EngineUsage }
+  | {
+      readonly kind: 'engine-failed';
+      readonly id: RequestId;
+      /** True when the back end was certainly never handed the request. */
+      readonly isNotStarted: boolean;
+      readonly detail: string;
+    };
+
+/** Anything that happens to an agent; `peer` is the incarnation of an entry. */
+export type AgentEvent =
+  | EngineEvent
+  | { readonly kind: 'peer-connected'; readonly hello: HelloMessage }
+  | {
+      readonly kind: 'peer-disconnected';
+      readonly peer: string;
+      readonly connectionNumber: number;
+    }
+  | {
+      readonly kind: 'frame';
+      readonly peer: string;
+      readonly connectionNumber: number;
+      readonly frame: Frame;
+    }
+  | { readonly kind: 'policy'; readonly update: PolicyUpdate }
+  | { readonly kind: 'tick' }
+  | { readonly kind: 'leave' };
+
+/** Anything that an agent does. */
+export type AgentEffect =
+  | { readonly kind: 'send'; readonly peer: string; readonly message: Message }
+  | { readonly kind: 'disconnect'; readonly peer: string; readonly connectionNumber: number }
+  | { readonly kind: 'engine-start'; readonly request: BindMessage }
+  | { readonly kind: 'engine-pause' | 'engine-resume' | 'engine-cancel'; readonly id: RequestId }
+  | { readonly kind: 'decision'; readonly decision: Decision }
+  | { readonly kind: 'measure'; readonly measurement: Measurement }
+  | { readonly kind: 'left' };
--- /dev/null
+++ b/src/agent/commands/start-request.ts
@@ -0,0 +1,116 @@
+/** Commands: start a bound request on the engine, or certify that it is never started. */
+import { decideEligibility } from '../../policy/eligibility.js';
+import type { BindMessage, BindRefusalReason } from '../../protocol/messages.js';
+import type { AgentTurn, EngineRequest } from '../agent-state.js';
+import { countTakenSlots, findPreemptible } from '../queries/engine-load.js';
+import { hasRoomForPaused } from './call-bids.js';
+import { failRequest } from './stream-answer.js';
+
+/** Starts a bound request if policy in force here permits it and the engine has room. */
+export function receiveBind(turn: AgentTurn, peer: string, request: BindMessage): void {
+  const { state } = turn;
+  const { id } = request;
+  state.bids.remove(id);
+  if (state.engineRequests.has(id) || state.pendingBinds.has(id)) {
+    return;
+  }
+  if (state.records.isRefused(id)) {
+    refuseBind(turn, peer, id, 'never-received');
+    return;
+  }
+  if (state.replica.generation < request.generation) {
+    state.calls.delete(id);
+    state.pendingBinds.set(id, { request, peer, receivedAtMs: turn.nowMs });
+    return;
+  }
+  startOrRefuse(turn, peer, request);
+}
+
+/** Starts binds that waited for policy, or refuses those that waited too long. */
+export function reviewPendingBinds(turn: AgentTurn): void {
+  const { state } = turn;
+  for (const [id, pending] of state.pendingBinds) {
+    if (state.replica.generation >= pending.request.generation) {
+      state.pendingBinds.delete(id);
+      startOrRefuse(turn, pending.peer, pending.request);
+    } else if (turn.nowMs - pending.receivedAtMs >= state.options.policyWaitMs) {
+      state.pendingBinds.delete(id);
+      refuseBind(turn, pending.peer, id, 'policy-unknown');
+    }
+  }
+}
+
+/** Certifies that `id` was not started, and records it so that it never will be. */
+export function refuseBind(
+  turn: AgentTurn,
+  peer: string,
+  id: string,
+  reason: BindRefusalReason,
+): void {
+  turn.state.calls.delete(id);
+  turn.state.records.refuse(id, turn.nowMs);
+  turn.send(peer, { kind: 'bind-refused', id, reason });
+  turn.count('bind.refused', 1, { reason });
+}
+
+function startOrRefuse(turn: AgentTurn, peer: string, request: BindMessage): void {
+  const { state } = turn;
+  state.calls.delete(request.id);
+  if (state.isLeaving) {
+    refuseBind(turn, peer, request.id, 'leaving');
+    return;
+  }
+  const decision = decideEligibility(state.replica.policy, request, state.identity.name);
+  if (!decision.allowed) {
+    refuseBind(turn, peer, request.id, 'not-permitted');
+    return;
+  }
+  if (!makeRoom(turn, request)) {
+    refuseBind(turn, peer, request.id, 'full');
+    return;
+  }
+  startRequest(turn, peer, request, decision.selector);
+}
+
+/** Pauses a running request of a lower tier if there is no free slot. */
+function makeRoom(turn: AgentTurn, request: BindMessage): boolean {
+  const { state } = turn;
+  if (countTakenSlots(state) < state.options.capacity) {
+    return true;
+  }
+  const lowest = findPreemptible(state, request.tier);
+  if (lowest === undefined) {
+    return false;
+  }
+  preempt(turn, lowest, request);
+  return true;
+}
+
+function preempt(turn: AgentTurn, lowest: EngineRequest, request: BindMessage): void {
+  turn.count('request.preempted', 1, { tier: `${lowest.request.tier}` });
+  if (hasRoomForPaused(turn.state)) {
+    lowest.phase = 'paused';
+    turn.emit({ kind: 'engine-pause', id: lowest.request.id });
+    turn.decide('pause', lowest.request, `makes room for ${request.id} of tier ${request.tier}`);
+    return;
+  }
+  turn.emit({ kind: 'engine-cancel', id: lowest.request.id });
+  turn.decide('cancel', lowest.request, `makes room for ${request.id}; no room to pause`);
+  failRequest(turn, lowest, 'preempted', 'a higher tier took the engine');
+}
+
+function startRequest(turn: AgentTurn, peer: string, request: BindMessage, selector: string): void {
+  turn.state.engineRequests.set(request.id, {
+    request,
+    peer,
+    startedAtMs: turn.nowMs,
+    phase: 'running',
+    answer: [],
+    chunkCount: 0,
+    finishedAtMs: undefined,
+    orphanedAtMs: turn.state.peers.has(peer) ? undefined : turn.nowMs,
+  });
+  turn.emit({ kind: 'engine-start', request });
+  turn.count('request.started', 1, { tier: `${request.tier}` });
+  turn.decide('start', request, `permitted by ${selector}`);
+}
--- /dev/null
+++ b/src/cli/program.ts
@@ -0,0 +1,151 @@
+/** The command-line tool: every command and query with its help. */
+import { randomBytes } from 'node:crypto';
+import { Command } from 'commander';
+import { hashApiKey } from '../policy/api-key.js';
+import {
+  applyPolicyFile,
+  setLabels,
+  setSelector,
+  unsetLabels,
+  unsetSelector,
+} from './commands/change-policy.js';
+import type { GlobalOptions } from './context.js';
+import { EXIT_CODE_HELP } from './exit-codes.js';
+import {
+  checkPolicyFile,
+  diffPolicyFile,
+  explain,
+  showHistory,
+  showPolicy,
+} from './queries/show-policy.js';
+import type { ExplainOptions } from './queries/show-policy.js';
+import { checkSettings, showSettings, showSettingsReference } from './queries/show-settings.js';
+import { showStatus } from './queries/show-status.js';
+
+const SALT_BYTES = 8;
+
+/** Creates the tool. */
+export function createProgram(): Command {
+  const program = new Command('weirvale')
+    .description('Operates weirvale: policy, labels, selectors, settings, explanations')
+    .option('--platform <url>', "base URL of the platform's key-value service")
+    .option('--json', 'print queries as JSON')
+    .addHelpText('after', EXIT_CODE_HELP);
+  addSettings(program);
+  addPolicy(program);
+  addLabels(program);
+  addSelectors(program);
+  addExplain(program);
+  addStatus(program);
+  return program;
+}
+
+function addSettings(program: Command): void {
+  const settings = program.command('settings').description('settings files of daemons');
+  settings
+    .command('check <file>')
+    .description('name every fault of a settings file')
+    .action((file: string) => checkSettings(file, program.opts<GlobalOptions>()));
+  settings
+    .command('show <file>')
+    .description('show the effective values, defaults included')
+    .action((file: string) => showSettings(file, program.opts<GlobalOptions>()));
+  settings
+    .command('reference')
+    .description('print the reference page of all settings')
+    .action(() => showSettingsReference());
+}
+
+function addPolicy(program: Command): void {
+  const policy = program.command('policy').description('the policy in force');
+  policy
+    .command('check <file>')
+    .description('check a policy file; the platform is not asked')
+    .action((file: string) => checkPolicyFile(file, program.opts<GlobalOptions>()));
+  policy
+    .command('diff <file>')
+    .description('show what applying a file would change')
+    .action((file: string) => diffPolicyFile(file, program.opts<GlobalOptions>()));
+  policy
+    .command('apply <file>')
+    .description('put a file in force, as one change')
+    .addHelpText(
+      'after',
+      '\nExample:\n  weirvale --platform http://10.0.0.1:4000 policy apply shop.ini',
+    )
+    .action((file: string) => applyPolicyFile(file, program.opts<GlobalOptions>()));
+  policy
+    .command('show')
+    .description('show the policy in force, in the form that apply reads')
+    .action(() => showPolicy(program.opts<GlobalOptions>()));
+  policy
+    .command('history')
+    .description('show the latest accepted changes')
+    .action(() => showHistory(program.opts<GlobalOptions>()));
+}
+
+function addLabels(program: Command): void {
+  const label = program.command('label').description('labels of engines, places, models, tenants');
+  label
+    .command('set <entry> <pairs...>')
+    .description('set labels of an entry')
+    .addHelpText('after', '\nExample:\n  weirvale label set engine.hall-a-1 drained=yes')
+    .action((entry: string, pairs: string[]) =>
+      setLabels(entry, pairs, program.opts<GlobalOptions>()),
+    );
+  label
+    .command('unset <entry> <keys...>')
+    .description('remove labels of an entry')
+    .action((entry: string, keys: string[]) =>
+      unsetLabels(entry, keys, program.opts<GlobalOptions>()),
+    );
+}
+
+function addSelectors(program: Command): void {
+  const selector = program
+    .command('selector')
+    .description('selectors: which requests may go where');
+  selector
+    .command('set <name> <pairs...>')
+    .description('put a selector in force, in place of one of the same name')
+    .addHelpText(
+      'after',
+      '\nExample:\n  weirvale selector set invoices effect=allow tier=1 data.class=invoice place.approved=yes',
+    )
+    .action((name: string, pairs: string[]) =>
+      setSelector(name, pairs, program.opts<GlobalOptions>()),
+    );
+  selector
+    .command('unset <name>')
+    .description('remove a selector')
+    .action((name: string) => unsetSelector(name, program.opts<GlobalOptions>()));
+}
+
+function addExplain(program: Command): void {
+  const collect = (value: string, values: string[]) => [...values, value];
+  program
+    .command('explain')
+    .description('which engines a request may use, at what tier, and why not the others')
+    .requiredOption('--tenant <name>', 'tenant of the request')
+    .requiredOption('--model <name>', 'model or plain service')
+    .option('--label <key=value>', 'data label of the request, may be repeated', collect, [])
+    .addHelpText(
+      'after',
+      '\nExample:\n  weirvale explain --tenant underwriting --model risk --label class=invoice',
+    )
+    .action((options: ExplainOptions) => explain({ ...program.opts<GlobalOptions>(), ...options }));
+}
+
+function addStatus(program: Command): void {
+  program
+    .command('status <urls...>')
+    .description("state of running processes, by the URLs of their operators' interfaces")
+    .action((urls: string[]) => showStatus(urls, program.opts<GlobalOptions>()));
+  program
+    .command('hash-key <key>')
+    .description("print an API key in the salted form that a tenant's keys take in the policy")
+    .action((key: string) => {
+      const salt = randomBytes(SALT_BYTES).toString('hex');
+      process.stdout.write(`${hashApiKey(key, salt)}\n`);
+    });
+}
--- /dev/null
+++ b/src/cli/queries/show-status.ts
@@ -0,0 +1,28 @@
+/** Query: the state of running processes, from their operators' interfaces. */
+import { request } from 'undici';
+import { CommandFailure, print } from '../context.js';
+import type { GlobalOptions } from '../context.js';
+import { EXIT } from '../exit-codes.js';
+
+const TIMEOUT_MS = 3_000;
+
+/** Shows the status of each process whose operators' URL is given. */
+export async function showStatus(urls: readonly string[], options: GlobalOptions): Promise<void> {
+  const statuses: unknown[] = [];
+  for (const url of urls) {
+    statuses.push(await readStatus(url));
+  }
+  print(options, statuses, JSON.stringify(statuses, null, 2));
+}
+
+async function readStatus(url: string): Promise<unknown> {
+  try {
+    const response = await request(`${url}/status`, {
+      headersTimeout: TIMEOUT_MS,
+      bodyTimeout: TIMEOUT_MS,
+    });
+    return await response.body.json();
+  } catch (cause) {
+    throw new CommandFailure(EXIT.failed, `${url} does not answer: ${(cause as Error).message}`);
+  }
+}
--- /dev/null
+++ b/src/demo/demo-report.ts
@@ -0,0 +1,149 @@
+/** The table at the end of the demo, and the faults that make it fail. */
+import { request } from 'undici';
+import type { CallerOutcome } from './demo-caller.js';
+import type { WorkloadClass } from './fleet-file.js';
+import type { FleetProcess } from './local-fleet.js';
+
+/** What a back end was handed, by its own account. */
+export interface BackendAccount {
+  readonly name: string;
+  readonly place: string;
+  readonly ids: readonly string[];
+  readonly keysRun: readonly string[];
+  readonly wastedPrefillTokens: number;
+  readonly prefilledTokens: number;
+}
+
+/** Asks a stand-in back end what it was handed. */
+export async function readAccount(backend: FleetProcess): Promise<BackendAccount> {
+  const response = await request(`http://127.0.0.1:${backend.port}/handed`);
+  const account = (await response.body.json()) as {
+    handed: Array<{ id: string }>;
+    keysRun?: string[];
+    wastedPrefillTokens?: number;
+    prefilledTokens?: number;
+  };
+  return {
+    name: backend.name,
+    place: backend.place,
+    ids: account.handed.map((handed) => handed.id),
+    keysRun: account.keysRun ?? [],
+    wastedPrefillTokens: account.wastedPrefillTokens ?? 0,
+    prefilledTokens: account.prefilledTokens ?? 0,
+  };
+}
+
+/** Every breach of a promise that the outcomes and the back ends' accounts show. */
+export function findFaults(
+  workload: readonly WorkloadClass[],
+  outcomes: readonly CallerOutcome[],
+  accounts: readonly BackendAccount[],
+  isKillExpected: boolean,
+): string[] {
+  const faults: string[] = [];
+  const placesById = groupPlaces(accounts);
+  for (const [id, places] of placesById) {
+    if (places.length > 1) {
+      faults.push(`${id} was dispatched ${places.length} times`);
+    }
+  }
+  for (const outcome of outcomes) {
+    const permitted = workload.find(({ name }) => name === outcome.className)?.places ?? [];
+    const places = placesById.get(outcome.id) ?? [];
+    if (outcome.kind === 'wrong-answer') {
+      faults.push(`${outcome.id} got a wrong or cut answer`);
+    }
+    if (outcome.kind === 'connection-lost' && !isKillExpected) {
+      faults.push(`${outcome.className}: answer lost: ${outcome.reason}`);
+    }
+    if (outcome.ran === 'no' && places.length > 0) {
+      faults.push(`${outcome.id} was told it was not run, but ran`);
+    }
+    if (places.some((place) => !permitted.includes(place))) {
+      faults.push(`${outcome.id} (${outcome.className}) ran in a place that policy forbids`);
+    }
+  }
+  const keys = accounts.flatMap((account) => account.keysRun);
+  if (new Set(keys).size < keys.length) {
+    faults.push('an operation that may not be repeated ran twice');
+  }
+  return faults;
+}
+
+/** The table of the demo. */
+export function formatReport(
+  workload: readonly WorkloadClass[],
+  outcomes: readonly CallerOutcome[],
+  accounts: readonly BackendAccount[],
+): string {
+  const placesById = groupPlaces(accounts);
+  const lines = [
+    row('class', 'sent', 'in time', 'late', 'refused', 'lost', 'median ms', 'ran in'),
+    ...workload.map((one) => formatClass(one, outcomes, placesById)),
+    '',
+    `refusals by reason: ${formatCounts(outcomes.map((outcome) => outcome.reason))}`,
+    formatPrefill(accounts),
+  ];
+  return lines.join('\n');
+}
+
+function formatClass(
+  workload: WorkloadClass,
+  outcomes: readonly CallerOutcome[],
+  placesById: ReadonlyMap<string, readonly string[]>,
+): string {
+  const own = outcomes.filter((outcome) => outcome.className === workload.name);
+  const answered = own.filter((outcome) => outcome.kind === 'answered');
+  const inTime = answered.filter((outcome) => outcome.isInTime);
+  const durations = answered
+    .map((outcome) => outcome.durationMs)
+    .sort((left, right) => left - right);
+  const median = durations[Math.floor(durations.length / 2)] ?? 0;
+  const refused = own.filter((outcome) => outcome.kind === 'refused');
+  const lost = own.length - answered.length - refused.length;
+  const places = formatCounts(own.flatMap((outcome) => placesById.get(outcome.id) ?? []));
+  return row(
+    workload.name,
+    `${own.length}`,
+    `${inTime.length}`,
+    `${answered.length - inTime.length}`,
+    `${refused.length}`,
+    `${lost}`,
+    median.toFixed(0),
+    places,
+  );
+}
+
+function formatPrefill(accounts: readonly BackendAccount[]): string {
+  const wasted = accounts.reduce((sum, account) => sum + account.wastedPrefillTokens, 0);
+  const all = accounts.reduce((sum, account) => sum + account.prefilledTokens, 0);
+  return `wasted prefill: ${wasted} of ${all} tokens`;
+}
+
+function formatCounts(values: readonly string[]): string {
+  const counts = new Map<string, number>();
+  for (const value of values.filter((text) => text !== '')) {
+    counts.set(value, (counts.get(value) ?? 0) + 1);
+  }
+  const text = [...counts]
+    .sort()
+    .map(([value, count]) => `${value} ${count}`)
+    .join(', ');
+  return text === '' ? 'none' : text;
+}
+
+function groupPlaces(accounts: readonly BackendAccount[]): Map<string, string[]> {
+  const placesById = new Map<string, string[]>();
+  for (const account of accounts) {
+    for (const id of account.ids) {
+      placesById.set(id, [...(placesById.get(id) ?? []), account.place]);
+    }
+  }
+  return placesById;
+}
+
+function row(name: string, ...cells: string[]): string {
+  const NAME_WIDTH = 18;
+  const CELL_WIDTH = 10;
+  return name.padEnd(NAME_WIDTH) + cells.map((cell) => cell.padEnd(CELL_WIDTH)).join('');
+}
--- /dev/null
+++ b/src/entry/commands/bind-request.ts
@@ -0,0 +1,106 @@
+/** Commands: answer an agent's call, and take back a request that the agent certainly did not start. */
+import type { BindMessage, BindRefusalReason } from '../../protocol/messages.js';
+import type { RequestId } from '../../request/request-id.js';
+import type { AgentPeer, EntryTurn, HeldRequest } from '../entry-state.js';
+import { isCandidate, refusalKey } from '../queries/rank-agents.js';
+import { enterPhase, withdrawBids } from './finish-request.js';
+import { beginWaiting } from './accept-request.js';
+import { placeBids } from './place-bids.js';
+
+/** Binds the called request to the calling agent, once; or says that it is gone. */
+export function answerCall(turn: EntryTurn, agent: string, peer: AgentPeer, id: RequestId): void {
+  const held = turn.state.requests.get(id);
+  if (held === undefined || held.phase !== 'waiting' || !isCandidate(turn.state, held, agent)) {
+    held?.bids.delete(agent);
+    peer.bids.delete(id);
+    turn.send(agent, { kind: 'decline-call', id });
+    turn.count('call.declined');
+    return;
+  }
+  bindRequest(turn, held, agent, peer);
+}
+
+/** Takes back a request that `agent` certified it did not and will not start. */
+export function takeBackRequest(
+  turn: EntryTurn,
+  agent: string,
+  peer: AgentPeer,
+  id: RequestId,
+  reason: BindRefusalReason,
+): void {
+  const held = turn.state.requests.get(id);
+  if (held === undefined || held.phase !== 'bound' || held.binding?.agent !== agent) {
+    return;
+  }
+  peer.bound.delete(id);
+  held.binding = undefined;
+  held.refusedBy.add(refusalKey(agent, peer));
+  turn.count('bind.refused', 1, { reason });
+  logBinding(turn, held, 'take-back', agent, `not started: ${reason}`);
+  beginWaiting(turn, held);
+}
+
+/** Takes note that an agent will not call a bid, and offers the request elsewhere. */
+export function moveBid(turn: EntryTurn, agent: string, peer: AgentPeer, id: RequestId): void {
+  const held = turn.state.requests.get(id);
+  peer.bids.delete(id);
+  if (held === undefined || !held.bids.delete(agent)) {
+    return;
+  }
+  held.refusedBy.add(refusalKey(agent, peer));
+  if (held.phase === 'waiting') {
+    placeBids(turn, held);
+  }
+}
+
+function bindRequest(turn: EntryTurn, held: HeldRequest, agent: string, peer: AgentPeer): void {
+  const { id, tier } = held.description;
+  withdrawBids(turn, held, agent);
+  enterPhase(turn, held, 'bound');
+  held.binding = {
+    agent,
+    incarnation: peer.incarnation ?? '',
+    boundAtMs: turn.nowMs,
+    contactLostAtMs: undefined,
+  };
+  peer.bound.add(id);
+  turn.send(agent, createBind(turn, held));
+  turn.count('request.bound', 1, { tier: `${tier}` });
+  turn.timing('request.wait', turn.nowMs - held.arrivedAtMs, { tier: `${tier}` });
+  logBinding(turn, held, 'bind', agent, 'first permitted agent to call');
+}
+
+function createBind(turn: EntryTurn, held: HeldRequest): BindMessage {
+  const { description } = held;
+  return {
+    kind: 'bind',
+    id: description.id,
+    tenant: description.tenant,
+    model: description.model,
+    dataLabels: description.dataLabels,
+    tier: description.tier,
+    deadlineInMs: description.deadlineAtMs - turn.nowMs,
+    promptTokens: description.promptTokens,
+    maxOutputTokens: description.maxOutputTokens,
+    prefixHash: description.prefixHash,
+    isRepeatable: description.isRepeatable,
+    idempotencyKey: description.idempotencyKey,
+    payload: description.payload,
+    generation: turn.state.replica.generation,
+  };
+}
+
+function logBinding(
+  turn: EntryTurn,
+  held: HeldRequest,
+  action: string,
+  agent: string,
+  reason: string,
+): void {
+  const { id, tenant, tier } = held.description;
+  const { generation } = turn.state.replica;
+  turn.emit({
+    kind: 'decision',
+    decision: { action, id, tenant, tier, chosen: [agent], reason, generation },
+  });
+}
--- /dev/null
+++ b/src/entry/entry-events.ts
@@ -0,0 +1,96 @@
+/** What happens to an entry, and what it does about it. */
+import type { Decision, Measurement } from '../decision.js';
+import type { Machine } from '../membership/machine.js';
+import type { PolicyUpdate } from '../policy/replica.js';
+import type { Frame, HelloMessage, Message } from '../protocol/messages.js';
+import type { Refusal } from '../request/refusal.js';
+import type { Labels, RequestPayload } from '../request/request.js';
+import type { RequestId } from '../request/request-id.js';
+import type { Tier } from '../request/tier.js';
+
+/** A request as the caller's interface hands it over. */
+export interface ArrivedRequest {
+  readonly id: RequestId;
+  readonly tenant: string;
+  readonly model: string;
+  readonly dataLabels: Labels;
+  /** The caller may ask for a lower tier than policy gives, never for a higher one. */
+  readonly requestedTier?: Tier;
+  /** Time from arrival until the answer is of no more use, in milliseconds. */
+  readonly deadlineInMs: number;
+  readonly promptTokens: number;
+  readonly maxOutputTokens: number;
+  readonly prefixHash: string;
+  /** False when the caller marked the request as not repeatable. */
+  readonly isRepeatable: boolean;
+  readonly idempotencyKey?: string;
+  readonly payload: RequestPayload;
+}
+
+/** How the claim of an idempotency key ended. */
+export type ClaimOutcome = 'claimed' | 'taken' | 'unavailable';
+
+/** Anything that happens to an entry. */
+export type EntryEvent =
+  | { readonly kind: 'request-arrived'; readonly request: ArrivedRequest }
+  | { readonly kind: 'caller-gone'; readonly id: RequestId }
+  | { readonly kind: 'claim-resolved'; readonly id: RequestId; readonly outcome: ClaimOutcome }
+  | {
+      readonly kind: 'peer-connected';
+      readonly peer: string;
+      readonly connectionNumber: number;
+      readonly hello: HelloMessage;
+    }
+  | {
+      readonly kind: 'peer-disconnected';
+      readonly peer: string;
+      readonly connectionNumber: number;
+    }
+  | {
+      readonly kind: 'frame';
+      readonly peer: string;
+      readonly connectionNumber: number;
+      readonly frame: Frame;
+    }
+  | { readonly kind: 'fleet'; readonly machines: readonly Machine[] }
+  | { readonly kind: 'policy'; readonly update: PolicyUpdate }
+  | { readonly kind: 'tick' }
+  | { readonly kind: 'leave' };
+
+/** Token counts and times of a whole answer. */
+export interface AnswerUsage {
+  readonly engine: string;
+  readonly promptTokens: number;
+  readonly cachedPromptTokens: number;
+  readonly outputTokens: number;
+}
+
+/** Anything that an entry does. */
+export type EntryEffect =
+  | { readonly kind: 'send'; readonly peer: string; readonly message: Message }
+  | {
+      readonly kind: 'connect';
+      readonly peer: string;
+      readonly address: string;
+      readonly port: number;
+      readonly connectionNumber: number;
+    }
+  | { readonly kind: 'disconnect'; readonly peer: string; readonly connectionNumber: number }
+  | {
+      readonly kind: 'answer-start';
+      readonly id: RequestId;
+      readonly status: number;
+      readonly contentType: string;
+    }
+  | { readonly kind: 'answer-chunk'; readonly id: RequestId; readonly data: string | Uint8Array }
+  | { readonly kind: 'answer-end'; readonly id: RequestId; readonly usage: AnswerUsage }
+  | { readonly kind: 'refuse'; readonly id: RequestId; readonly refusal: Refusal }
+  | {
+      readonly kind: 'claim' | 'release-claim';
+      readonly id: RequestId;
+      readonly tenant: string;
+      readonly key: string;
+    }
+  | { readonly kind: 'decision'; readonly decision: Decision }
+  | { readonly kind: 'measure'; readonly measurement: Measurement }
+  | { readonly kind: 'left' };
--- /dev/null
+++ b/src/platform/http-key-value.ts
@@ -0,0 +1,103 @@
+/** The platform's key-value service over HTTP. */
+import { request } from 'undici';
+import { z } from 'zod';
+import { err, ok } from '../result.js';
+import type { Result } from '../result.js';
+import { PlatformAnswerLostError, PlatformUnavailableError } from './errors.js';
+import type { PlatformError } from './errors.js';
+import type { KeyValueClient, KeyValueEntry, LeaseGrant, SwapOutcome } from './key-value.js';
+
+const entrySchema = z.object({ value: z.unknown(), revision: z.number() });
+const getSchema = z.object({ entry: entrySchema.nullable() });
+const swapSchema = z.object({
+  swapped: z.boolean(),
+  revision: z.number().optional(),
+  current: entrySchema.nullable().optional(),
+});
+const leaseSchema = z.object({
+  grant: z
+    .object({ holder: z.string(), fencingNumber: z.number(), durationMs: z.number() })
+    .nullable(),
+});
+
+const HTTP_OK = 200;
+
+/** The platform's key-value service over HTTP. */
+export class HttpKeyValueClient implements KeyValueClient {
+  constructor(
+    private readonly baseUrl: string,
+    private readonly timeoutMs: number,
+  ) {}
+
+  async get(key: string): Promise<Result<KeyValueEntry | undefined, PlatformError>> {
+    const answer = await this.call({ operation: 'get', key }, this.timeoutMs, getSchema);
+    return answer.ok ? ok(answer.val.entry ?? undefined) : err(answer.val);
+  }
+
+  async compareAndSwap(
+    key: string,
+    expectedRevision: number,
+    value: unknown,
+  ): Promise<Result<SwapOutcome, PlatformError>> {
+    const body = { operation: 'compare-and-swap', key, expectedRevision, value };
+    const answer = await this.call(body, this.timeoutMs, swapSchema);
+    if (!answer.ok) {
+      return err(answer.val);
+    }
+    const { swapped, revision, current } = answer.val;
+    return swapped
+      ? ok({ swapped: true, revision: revision ?? 0 })
+      : ok({ swapped: false, current: current ?? undefined });
+  }
+
+  async watch(
+    key: string,
+    afterRevision: number,
+    waitMs: number,
+  ): Promise<Result<KeyValueEntry | undefined, PlatformError>> {
+    const body = { operation: 'watch', key, afterRevision, waitMs };
+    const answer = await this.call(body, waitMs + this.timeoutMs, getSchema);
+    return answer.ok ? ok(answer.val.entry ?? undefined) : err(answer.val);
+  }
+
+  async acquireLease(
+    name: string,
+    holder: string,
+    durationMs: number,
+  ): Promise<Result<LeaseGrant | undefined, PlatformError>> {
+    const body = { operation: 'acquire-lease', name, holder, durationMs };
+    const answer = await this.call(body, this.timeoutMs, leaseSchema);
+    return answer.ok ? ok(answer.val.grant ?? undefined) : err(answer.val);
+  }
+
+  private async call<Schema extends z.ZodType>(
+    body: object,
+    timeoutMs: number,
+    schema: Schema,
+  ): Promise<Result<z.infer<Schema>, PlatformError>> {
+    try {
+      const response = await request(`${this.baseUrl}/key-value`, {
+        method: 'POST',
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify(body),
+        headersTimeout: timeoutMs,
+        bodyTimeout: timeoutMs,
+      });
+      const text = await response.body.text();
+      if (response.statusCode !== HTTP_OK) {
+        return err(new PlatformUnavailableError(`the service answered ${response.statusCode}`));
+      }
+      return ok(schema.parse(JSON.parse(text)));
+    } catch (cause) {
+      return err(classify(cause));
+    }
+  }
+}
+
+/** A connection that was refused did nothing; after any other failure the call may have had effect. */
+function classify(cause: unknown): PlatformError {
+  const isRefused = (cause as { code?: string }).code === 'ECONNREFUSED';
+  return isRefused
+    ? new PlatformUnavailableError('the service cannot be reached')
+    : new PlatformAnswerLostError(String(cause));
+}
--- /dev/null
+++ b/src/policy/eligibility.ts
@@ -0,0 +1,163 @@
+/** Query: may a request run on an engine, at what tier, and which selector says so. */
+import type { CompiledPolicy, NamedSelector } from './compiled-policy.js';
+import type { Conditions, EngineEntry } from './document.js';
+import { canonicalJson } from './compiled-policy.js';
+import { NAME_CONDITION } from './validate.js';
+import type { Labels, RequestAttributes } from '../request/request.js';
+import { LOWEST_TIER } from '../request/tier.js';
+import type { Tier } from '../request/tier.js';
+
+/** Why an engine is not permitted for a request. */
+export type DenialReason =
+  | 'unknown-tenant'
+  | 'unknown-model'
+  | 'unknown-engine'
+  | 'model-not-on-engine'
+  | 'denied-by-selector'
+  | 'no-selector-allows';
+
+/** The decision for one request on one engine. */
+export type EligibilityDecision =
+  | { readonly allowed: true; readonly tier: Tier; readonly selector: string }
+  | { readonly allowed: false; readonly reason: DenialReason; readonly selector?: string };
+
+/** The engines that a request may use, and the tier it has. */
+export interface PermittedEngines {
+  readonly engines: readonly string[];
+  readonly engineSet: ReadonlySet<string>;
+  /** The highest tier that any permitted engine's selector gives. */
+  readonly tier: Tier;
+  readonly selector: string;
+}
+
+/** Decides whether `attributes` may run on `engineName`; default is deny, and a deny wins. */
+export function decideEligibility(
+  policy: CompiledPolicy,
+  attributes: RequestAttributes,
+  engineName: string,
+): EligibilityDecision {
+  if (!policy.tenants.has(attributes.tenant)) {
+    return { allowed: false, reason: 'unknown-tenant' };
+  }
+  if (!policy.models.has(attributes.model)) {
+    return { allowed: false, reason: 'unknown-model' };
+  }
+  const engine = policy.engines.get(engineName);
+  if (engine === undefined) {
+    return { allowed: false, reason: 'unknown-engine' };
+  }
+  if (!engine.models.includes(attributes.model)) {
+    return { allowed: false, reason: 'model-not-on-engine' };
+  }
+  return decideBySelectors(policy, attributes, engineName, engine);
+}
+
+function decideBySelectors(
+  policy: CompiledPolicy,
+  attributes: RequestAttributes,
+  engineName: string,
+  engine: EngineEntry,
+): EligibilityDecision {
+  const selector = policy.selectors.find(
+    (candidate) =>
+      matchesRequest(policy, candidate, attributes) &&
+      matchesEngine(policy, candidate, engineName, engine),
+  );
+  if (selector === undefined) {
+    return { allowed: false, reason: 'no-selector-allows' };
+  }
+  if (selector.effect === 'deny') {
+    return { allowed: false, reason: 'denied-by-selector', selector: selector.name };
+  }
+  return { allowed: true, tier: selector.tier, selector: selector.name };
+}
+
+function matchesRequest(
+  policy: CompiledPolicy,
+  selector: NamedSelector,
+  attributes: RequestAttributes,
+): boolean {
+  const tenantLabels = policy.tenants.get(attributes.tenant)?.labels ?? {};
+  const modelLabels = policy.models.get(attributes.model)?.labels ?? {};
+  return (
+    matchesConditions(selector.tenant, attributes.tenant, tenantLabels) &&
+    matchesConditions(selector.model, attributes.model, modelLabels) &&
+    matchesConditions(selector.data, '', attributes.dataLabels)
+  );
+}
+
+function matchesEngine(
+  policy: CompiledPolicy,
+  selector: NamedSelector,
+  engineName: string,
+  engine: EngineEntry,
+): boolean {
+  const placeLabels = policy.places.get(engine.place)?.labels ?? {};
+  return (
+    matchesConditions(selector.engine, engineName, engine.labels) &&
+    matchesConditions(selector.place, engine.place, placeLabels)
+  );
+}
+
+function matchesConditions(conditions: Conditions, name: string, labels: Labels): boolean {
+  for (const key in conditions) {
+    const actual = key === NAME_CONDITION ? name : labels[key];
+    if (actual === undefined || !conditions[key]!.includes(actual)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+/**
+ * Remembers the permitted engines of each class of request under one policy,
+ * so that the cost of a request does not grow with the fleet.
+ */
+export class PermittedEnginesCache {
+  private readonly byClass = new Map<string, PermittedEngines>();
+  private static readonly MAX_CLASSES = 10_000;
+
+  constructor(private readonly policy: CompiledPolicy) {}
+
+  /** The engines that requests with `attributes` may use. */
+  find(attributes: RequestAttributes): PermittedEngines {
+    const key = classKeyOf(attributes);
+    const known = this.byClass.get(key);
+    if (known !== undefined) {
+      return known;
+    }
+    if (this.byClass.size >= PermittedEnginesCache.MAX_CLASSES) {
+      this.byClass.clear();
+    }
+    const found = findPermittedEngines(this.policy, attributes);
+    this.byClass.set(key, found);
+    return found;
+  }
+}
+
+/** A text that is equal for requests which policy cannot tell apart. */
+export function classKeyOf(attributes: RequestAttributes): string {
+  return `${attributes.tenant}|${attributes.model}|${canonicalJson(attributes.dataLabels)}`;
+}
+
+/** The engines that requests with `attributes` may use, decided afresh. */
+export function findPermittedEngines(
+  policy: CompiledPolicy,
+  attributes: RequestAttributes,
+): PermittedEngines {
+  const engines: string[] = [];
+  let tier = LOWEST_TIER;
+  let selector = '';
+  for (const engineName of policy.enginesByModel.get(attributes.model) ?? []) {
+    const decision = decideEligibility(policy, attributes, engineName);
+    if (!decision.allowed) {
+      continue;
+    }
+    engines.push(engineName);
+    if (selector === '' || decision.tier < tier) {
+      tier = decision.tier;
+      selector = decision.selector;
+    }
+  }
+  return { engines, engineSet: new Set(engines), tier, selector };
+}
--- /dev/null
+++ b/src/server/listen.ts
@@ -0,0 +1,27 @@
+/** Starting and stopping listeners. */
+import type { Server } from 'node:net';
+import type { AddressInfo } from 'node:net';
+import { WeirvaleError } from '../request/errors.js';
+import { err, ok } from '../result.js';
+import type { Result } from '../result.js';
+
+/** A listener could not be started, for instance because another process has its port. */
+export class ListenError extends WeirvaleError {
+  readonly code = 'listen-failed';
+}
+
+/** Starts `server`; the port is chosen by the system when `port` is 0. */
+export function listen(
+  server: Server,
+  address: string,
+  port: number,
+): Promise<Result<number, ListenError>> {
+  return new Promise((resolve) => {
+    server.once('error', (cause) => {
+      resolve(err(new ListenError(`cannot listen on ${address}:${port}: ${cause.message}`)));
+    });
+    server.listen(port, address, () => {
+      resolve(ok((server.address() as AddressInfo).port));
+    });
+  });
+}
