Follow policy as a reader at once when the list makes a process one

Cause: a process that read the policy before it knew the list slept a whole poll (30 s) although it had become a reader of its zone; seen by the test that changes policy over real daemons, which took 31.8 s. Ruled out: the watch itself; it answered at once when it stood.

--- a/src/policy/follower.ts
+++ b/src/policy/follower.ts
@@ -77,7 +77,11 @@
 
   /** Takes the live list, from which the readers of each zone follow. */
   setFleet(fleet: readonly Machine[]): void {
+    const wasReader = this.isReader();
     this.fleet = fleet;
+    if (!wasReader && this.isReader() && this.timer !== undefined) {
+      this.scheduleNext();
+    }
   }
 
   /** Whether this process keeps a watch; with no list known, everybody polls. */
@@ -102,7 +106,11 @@
     const { clock, random, options } = this.parts;
     const delayMs = this.nextDelayMs();
     const jittered = withJitter(random, Math.min(options.pollMs, delayMs), JITTER);
-    this.timer = clock.setTimeout(() => void this.step(), jittered);
+    clock.clearTimeout(this.timer);
+    this.timer = clock.setTimeout(() => {
+      this.timer = undefined;
+      void this.step();
+    }, jittered);
   }
 
   private nextDelayMs(): number {
