--- a/src/agent/agent-core.ts
+++ b/src/agent/agent-core.ts
@@ -81,6 +81,11 @@
           this.onPolicyInstalled(turn);
         }
         break;
+      case 'fleet':
+        if (event.isLeaving) {
+          this.leave(turn);
+        }
+        break;
       case 'tick':
         this.tick(turn);
         break;
--- a/src/agent/agent-events.ts
+++ b/src/agent/agent-events.ts
@@ -47,6 +47,8 @@
       readonly frame: Frame;
     }
   | { readonly kind: 'policy'; readonly update: PolicyUpdate }
+  /** The list of machines was read; `isLeaving` is what it says of this one. */
+  | { readonly kind: 'fleet'; readonly isLeaving: boolean }
   | { readonly kind: 'tick' }
   | { readonly kind: 'leave' };
 
--- a/src/bin/standin.ts
+++ b/src/bin/standin.ts
@@ -35,6 +35,7 @@
   .option('--step <ms>', 'time of one decode step', '3')
   .option('--capacity <count>', 'requests that run at once', '8')
   .option('--cache <tokens>', 'prompt tokens that the prefix cache holds', '20000')
+  .option('--chunk <tokens>', 'tokens that one event of the stream carries', '8')
   .option('--lag <ms>', 'lag of the load report', '2000')
   .action((options: Record<string, string>) =>
     serve(
@@ -44,6 +45,7 @@
         capacity: Number(options['capacity']),
         prefixCacheTokens: Number(options['cache']),
         loadLagMs: Number(options['lag']),
+        tokensPerChunk: Number(options['chunk']),
       }),
       options['port'] ?? '0',
     ),
--- a/src/entry/commands/accept-request.ts
+++ b/src/entry/commands/accept-request.ts
@@ -5,6 +5,7 @@
 import { sizeOf } from '../../request/request.js';
 import type { RequestDescription } from '../../request/request.js';
 import type { ArrivedRequest } from '../entry-events.js';
+import { permittedEngines } from '../queries/rank-agents.js';
 import { countWaiting } from '../entry-state.js';
 import type { EntryTurn, HeldRequest } from '../entry-state.js';
 import { enterPhase, refuseRequest } from './finish-request.js';
@@ -67,6 +68,7 @@
     binding: undefined,
     nextChunk: 0,
     hasStartedAnswer: false,
+    permitted: undefined,
     hasClaim: false,
   };
   const { heldByTenant } = turn.state;
@@ -84,7 +86,7 @@
   if (replica.generation === 0) {
     return notRun('platform-unavailable', 'no policy is known here yet', options.retryAfterMs);
   }
-  if (replica.permitted.find(description).engines.length === 0) {
+  if (permittedEngines(turn.state, held).engines.length === 0) {
     return notRun('not-permitted', 'no selector permits this request on any engine');
   }
   if (!description.isRepeatable && description.idempotencyKey === undefined) {
@@ -123,7 +125,7 @@
 }
 
 function isLowerTierServed(turn: EntryTurn, held: HeldRequest): boolean {
-  const permitted = turn.state.replica.permitted.find(held.description).engineSet;
+  const permitted = permittedEngines(turn.state, held).engineSet;
   for (const [name, peer] of turn.state.peers) {
     const lowest = peer.load?.lowestTierServed ?? 0;
     if (permitted.has(name) && isHigherTier(held.description.tier, lowest)) {
--- a/src/entry/entry-core.ts
+++ b/src/entry/entry-core.ts
@@ -32,6 +32,7 @@
   refreshPeers,
 } from './commands/manage-peers.js';
 import { checkWaitingRequest } from './commands/place-bids.js';
+import { permittedEngines } from './queries/rank-agents.js';
 import { EngineSpeeds } from './engine-speeds.js';
 import type { ClaimOutcome, EntryEffect, EntryEvent } from './entry-events.js';
 import { EntryTurn } from './entry-state.js';
@@ -256,7 +257,7 @@
 
   private reviewUnderNewPolicy(turn: EntryTurn, held: HeldRequest): void {
     const isUnbound = held.phase !== 'bound';
-    if (isUnbound && this.state.replica.permitted.find(held.description).engines.length === 0) {
+    if (isUnbound && permittedEngines(this.state, held).engines.length === 0) {
       const detail = 'policy changed and no longer permits this request on any engine';
       refuseRequest(turn, held, notRun('not-permitted', detail));
     }
--- a/src/entry/entry-state.ts
+++ b/src/entry/entry-state.ts
@@ -3,6 +3,7 @@
 import type { Machine, ProcessIdentity } from '../membership/machine.js';
 import type { EntryOptions } from '../options.js';
 import type { PolicyExchange } from '../policy/exchange.js';
+import type { PermittedEngines } from '../policy/eligibility.js';
 import type { PolicyReplica } from '../policy/replica.js';
 import type { LoadMessage, Message } from '../protocol/messages.js';
 import type { RandomSource } from '../random.js';
@@ -46,6 +47,8 @@
   /** Number of the next chunk to hand to the caller. */
   nextChunk: number;
   hasStartedAnswer: boolean;
+  /** The engines permitted under the policy of `generation`; found anew when that changes. */
+  permitted: { readonly generation: number; readonly engines: PermittedEngines } | undefined;
   /** Whether the idempotency key is claimed for this request. */
   hasClaim: boolean;
 }
--- a/src/entry/queries/rank-agents.ts
+++ b/src/entry/queries/rank-agents.ts
@@ -1,4 +1,5 @@
 /** Query: the reachable permitted agents for a request, best first. */
+import type { PermittedEngines } from '../../policy/eligibility.js';
 import { withJitter } from '../../random.js';
 import type { AgentPeer, EntryState, HeldRequest } from '../entry-state.js';
 
@@ -12,6 +13,15 @@
   readonly expectedMs: number;
 }
 
+/** The engines that policy in force permits for the request. */
+export function permittedEngines(state: EntryState, held: HeldRequest): PermittedEngines {
+  const { generation, permitted } = state.replica;
+  if (held.permitted?.generation !== generation) {
+    held.permitted = { generation, engines: permitted.find(held.description) };
+  }
+  return held.permitted.engines;
+}
+
 /** Whether policy in force permits the request on `agentName`, and the agent can take it. */
 export function isCandidate(state: EntryState, held: HeldRequest, agentName: string): boolean {
   const peer = state.peers.get(agentName);
@@ -21,7 +31,7 @@
   if (held.refusedBy.has(refusalKey(agentName, peer))) {
     return false;
   }
-  return state.replica.permitted.find(held.description).engineSet.has(agentName);
+  return permittedEngines(state, held).engineSet.has(agentName);
 }
 
 /** The name under which a refusal by this incarnation of an agent is remembered. */
--- a/src/policy/eligibility.ts
+++ b/src/policy/eligibility.ts
@@ -1,7 +1,6 @@
 /** Query: may a request run on an engine, at what tier, and which selector says so. */
 import type { CompiledPolicy, NamedSelector } from './compiled-policy.js';
 import type { Conditions, EngineEntry } from './document.js';
-import { canonicalJson } from './compiled-policy.js';
 import { NAME_CONDITION } from './validate.js';
 import type { Labels, RequestAttributes } from '../request/request.js';
 import { LOWEST_TIER } from '../request/tier.js';
@@ -137,7 +136,8 @@
 
 /** A text that is equal for requests which policy cannot tell apart. */
 export function classKeyOf(attributes: RequestAttributes): string {
-  return `${attributes.tenant}|${attributes.model}|${canonicalJson(attributes.dataLabels)}`;
+  const labels = Object.entries(attributes.dataLabels).map(([key, value]) => `${key}=${value}`);
+  return `${attributes.tenant}|${attributes.model}|${labels.sort().join(',')}`;
 }
 
 /** The engines that requests with `attributes` may use, decided afresh. */
--- a/src/server/agent-role.ts
+++ b/src/server/agent-role.ts
@@ -6,13 +6,14 @@
 import { describeLoad } from '../agent/queries/engine-load.js';
 import { SYSTEM_CLOCK } from '../clock.js';
 import type { PolicyReplica, PolicyUpdate } from '../policy/replica.js';
+import { checkHello } from '../protocol/hello.js';
 import { PROTOCOL_VERSION } from '../protocol/messages.js';
 import type { Frame, HelloMessage } from '../protocol/messages.js';
 import { err, ok } from '../result.js';
 import type { Result } from '../result.js';
 import type { Machine } from '../membership/machine.js';
 import type { DaemonContext, DaemonPorts, DaemonRole } from './daemon.js';
-import { checkHello, ConnectionTable, FrameConnection } from './frame-connection.js';
+import { ConnectionTable, FrameConnection } from './frame-connection.js';
 import { HttpBackend } from './http-backend.js';
 import { listen } from './listen.js';
 import type { ListenError } from './listen.js';
@@ -51,9 +52,7 @@
   onFleet(machines: readonly Machine[]): void {
     const { name } = this.context.identity;
     const self = machines.find((machine) => machine.name === name);
-    if (self?.state === 'leaving') {
-      this.handle({ kind: 'leave' });
-    }
+    this.handle({ kind: 'fleet', isLeaving: self?.state === 'leaving' });
   }
 
   onPolicy(update: PolicyUpdate): void {
--- a/src/server/entry-role.ts
+++ b/src/server/entry-role.ts
@@ -7,13 +7,14 @@
 import { countWaiting } from '../entry/entry-state.js';
 import type { Machine } from '../membership/machine.js';
 import type { PolicyReplica, PolicyUpdate } from '../policy/replica.js';
+import { checkHello } from '../protocol/hello.js';
 import { PROTOCOL_VERSION } from '../protocol/messages.js';
 import type { Frame } from '../protocol/messages.js';
 import { err, ok } from '../result.js';
 import type { Result } from '../result.js';
 import { CallerServer } from './caller-server.js';
 import type { DaemonContext, DaemonPorts, DaemonRole } from './daemon.js';
-import { checkHello, ConnectionTable, FrameConnection } from './frame-connection.js';
+import { ConnectionTable, FrameConnection } from './frame-connection.js';
 import { listen } from './listen.js';
 import type { ListenError } from './listen.js';
 
--- a/src/server/frame-connection.ts
+++ b/src/server/frame-connection.ts
@@ -1,12 +1,8 @@
 /** One TCP connection between processes: frames in, messages out, one write for each turn of the loop. */
 import type { Socket } from 'node:net';
-import { HelloRefusedError } from '../protocol/errors.js';
 import type { ProtocolError } from '../protocol/errors.js';
 import { FrameDecoder, FrameEncoder } from '../protocol/framing.js';
-import { PROTOCOL_VERSION } from '../protocol/messages.js';
-import type { Frame, HelloMessage, Message } from '../protocol/messages.js';
-import { err, ok } from '../result.js';
-import type { Result } from '../result.js';
+import type { Frame, Message } from '../protocol/messages.js';
 
 /** Who hears of a connection. */
 export interface FrameConnectionHandlers {
@@ -130,25 +126,3 @@
     }
   }
 }
-
-/** Checks that the first message of a connection is a hello of this version from the expected role. */
-export function checkHello(
-  frame: Frame,
-  expectedRole: HelloMessage['role'],
-  expectedName?: string,
-): Result<HelloMessage, HelloRefusedError> {
-  const hello = frame.messages[0];
-  if (hello?.kind !== 'hello') {
-    return err(new HelloRefusedError('the first message is no hello'));
-  }
-  if (hello.version !== PROTOCOL_VERSION) {
-    return err(new HelloRefusedError(`version ${hello.version} is not ${PROTOCOL_VERSION}`));
-  }
-  if (hello.role !== expectedRole) {
-    return err(new HelloRefusedError(`role ${hello.role} is not ${expectedRole}`));
-  }
-  if (expectedName !== undefined && hello.name !== expectedName) {
-    return err(new HelloRefusedError(`name ${hello.name} is not ${expectedName}`));
-  }
-  return ok(hello);
-}
--- a/src/standin/answer-text.ts
+++ b/src/standin/answer-text.ts
@@ -10,15 +10,19 @@
   return Math.max(1, Math.round(maxOutputTokens * share));
 }
 
-/** The token at `index` of the answer to `prompt`. */
-export function answerToken(prompt: string, index: number): string {
-  return `${hashText(prompt).toString(36)}.${index} `;
+/** The tokens from `first` up to, but not including, `end` of the answer to `prompt`. */
+export function answerTokens(prompt: string, first: number, end: number): string {
+  const mark = hashText(prompt).toString(36);
+  let text = '';
+  for (let index = first; index < end; index += 1) {
+    text += `${mark}.${index} `;
+  }
+  return text;
 }
 
 /** The whole answer to `prompt`. */
 export function answerText(prompt: string, maxOutputTokens: number): string {
-  const length = answerLength(prompt, maxOutputTokens);
-  return Array.from({ length }, (_, index) => answerToken(prompt, index)).join('');
+  return answerTokens(prompt, 0, answerLength(prompt, maxOutputTokens));
 }
 
 /** What a stand-in plain service answers to a call. */
--- a/src/standin/engine-model.ts
+++ b/src/standin/engine-model.ts
@@ -3,7 +3,7 @@
  * limited size, pause, resume, cancel, and a load report that lags.
  */
 import type { Clock, TimerHandle } from '../clock.js';
-import { answerLength, answerToken } from './answer-text.js';
+import { answerLength, answerTokens } from './answer-text.js';
 
 /** Speed and size of a stand-in engine. */
 export interface EngineModelOptions {
@@ -17,6 +17,8 @@
   readonly prefixCacheTokens: number;
   /** Lag of the load report, in milliseconds. */
   readonly loadLagMs: number;
+  /** Tokens that one event of the stream carries. */
+  readonly tokensPerChunk: number;
 }
 
 /** A request as the engine gets it. */
@@ -53,8 +55,6 @@
   timer: TimerHandle | undefined;
 }
 
-/** Tokens that one event of the stream carries. */
-const TOKENS_PER_CHUNK = 8;
 /** How much each further running request slows a step. */
 const BATCH_SLOWDOWN = 0.03;
 const CACHED_PREFILL_SHARE = 0.1;
@@ -166,11 +166,8 @@
   private advance(running: RunningJob): void {
     running.isPrefilled = true;
     const { job, listener, outputTokens } = running;
-    const end = Math.min(outputTokens, running.producedTokens + TOKENS_PER_CHUNK);
-    let text = '';
-    for (let index = running.producedTokens; index < end; index += 1) {
-      text += answerToken(job.prompt, index);
-    }
+    const end = Math.min(outputTokens, running.producedTokens + this.options.tokensPerChunk);
+    const text = answerTokens(job.prompt, running.producedTokens, end);
     running.producedTokens = end;
     const isDone = end === outputTokens;
     if (isDone) {
@@ -194,7 +191,7 @@
   }
 
   private chunkMs(): number {
-    return TOKENS_PER_CHUNK * this.options.stepMs * this.crowdFactor() * this.slowFactor;
+    return this.options.tokensPerChunk * this.options.stepMs * this.crowdFactor() * this.slowFactor;
   }
 
   /** Beyond its capacity the engine serves everybody more slowly. */
--- a/test/protocol.test.ts
+++ b/test/protocol.test.ts
@@ -2,7 +2,7 @@
 import * as fc from 'fast-check';
 import { FrameDecoder, FrameEncoder } from '../src/protocol/framing.js';
 import type { Frame } from '../src/protocol/messages.js';
-import { checkHello } from '../src/server/frame-connection.js';
+import { checkHello } from '../src/protocol/hello.js';
 
 const HELLO: Frame = {
   generation: 3,
--- a/test/support/local-system.ts
+++ b/test/support/local-system.ts
@@ -55,6 +55,7 @@
       capacity: 4,
       prefixCacheTokens: 10_000,
       loadLagMs: 100,
+      tokensPerChunk: 8,
     });
     return this.startAgent(name, 'engine', server);
   }
