--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -20,6 +20,8 @@
 } from './queries/show-policy.js';
 import type { ExplainOptions } from './queries/show-policy.js';
 import { checkSettings, showSettings, showSettingsReference } from './queries/show-settings.js';
+import { replaySimulation, runOne, search } from './queries/run-simulation.js';
+import type { SimulationArguments } from './queries/run-simulation.js';
 import { showStatus } from './queries/show-status.js';
 
 const SALT_BYTES = 8;
@@ -37,6 +39,7 @@
   addSelectors(program);
   addExplain(program);
   addStatus(program);
+  addSimulation(program);
   return program;
 }
 
@@ -149,3 +152,38 @@
       process.stdout.write(`${hashApiKey(key, salt)}\n`);
     });
 }
+
+function addSimulation(program: Command): void {
+  const simulation = program.command('sim').description('the simulator: proofs under failure');
+  const withOptions = (command: Command) =>
+    command
+      .option('--deployment <name>', 'factoring or guild', 'factoring')
+      .option('--duration <seconds>', 'virtual time in which callers send', '12')
+      .option('--load <share>', 'work asked as a share of what the engines can do', '0.8')
+      .option(
+        '--faults <set>',
+        'none, all, crash, freeze, network, platform, overload, leave, policy',
+        'all',
+      )
+      .option('--max-faults <count>', 'most faults of a run', '6');
+  const globals = () => program.opts<GlobalOptions>();
+  withOptions(simulation.command('run'))
+    .description('run one seed')
+    .option('--seed <number>', 'seed of the run', '1')
+    .action((options: SimulationArguments) => runOne({ ...globals(), ...options }));
+  withOptions(simulation.command('search'))
+    .description(
+      'run a range of seeds, stop at the first that breaks a promise, shrink its schedule',
+    )
+    .option('--seeds <range>', 'FIRST..LAST', '1..20')
+    .option('--jobs <count>', 'seeds that run at once', '4')
+    .addHelpText(
+      'after',
+      '\nExample:\n  weirvale sim search --deployment guild --seeds 1..200 --faults all',
+    )
+    .action((options: SimulationArguments) => search({ ...globals(), ...options }));
+  simulation
+    .command('replay <file>')
+    .description('run the schedule that a search wrote')
+    .action((file: string) => replaySimulation(file, globals()));
+}
--- a/src/entry/commands/manage-peers.ts
+++ b/src/entry/commands/manage-peers.ts
@@ -46,6 +46,7 @@
   if (peer.incarnation !== hello.incarnation) {
     peer.isLeaving = false;
     peer.load = undefined;
+    peer.loadReceivedAtMs = Number.NEGATIVE_INFINITY;
   }
   peer.incarnation = hello.incarnation;
   turn.count('peer.connected');
@@ -127,6 +128,7 @@
     nextConnectAtMs: turn.nowMs,
     reconnectDelayMs: turn.state.options.reconnectMinMs,
     load: undefined,
+    loadReceivedAtMs: Number.NEGATIVE_INFINITY,
     bids: new Set(),
     bound: new Set(),
   });
--- a/src/entry/commands/place-bids.ts
+++ b/src/entry/commands/place-bids.ts
@@ -1,29 +1,30 @@
 /** Command: offer a waiting request to agents. */
 import type { BidMessage } from '../../protocol/messages.js';
 import { notRun } from '../../request/refusal.js';
+import { isHigherTier } from '../../request/tier.js';
 import type { EntryTurn, HeldRequest } from '../entry-state.js';
 import { bestServiceMs, rankAgents } from '../queries/rank-agents.js';
 import { refuseRequest, scheduleCheck } from './finish-request.js';
 
 const WIDEN_INTERVAL_MS = 500;
+/** Age up to which an agent's word of what it serves is relied on. */
+const FRESH_LOAD_MS = 500;
 
 /** Offers the request to the best agents until it has as many bids as its age and tier earn. */
 export function placeBids(turn: EntryTurn, held: HeldRequest): void {
   const { state } = turn;
   const isUrgent = held.urgentSinceMs !== undefined;
-  const width = isUrgent ? Number.POSITIVE_INFINITY : bidWidthOf(turn, held);
-  const missing = width - held.bids.size;
-  const chosen = missing > 0 ? rankAgents(state, held).slice(0, missing) : [];
-  for (const agent of chosen) {
-    sendBid(turn, held, agent.name, isUrgent);
+  const ranked = rankAgents(state, held).map((agent) => agent.name);
+  const missing = Math.max(0, bidWidthOf(turn, held) - held.bids.size);
+  const chosen = ranked.slice(0, missing);
+  if (isUrgent) {
+    chosen.push(...ranked.slice(missing).filter((name) => mayMakeRoom(turn, held, name)));
+  }
+  for (const name of chosen) {
+    sendBid(turn, held, name, isUrgent);
   }
   if (chosen.length > 0) {
-    logBids(
-      turn,
-      held,
-      chosen.map((agent) => agent.name),
-      isUrgent,
-    );
+    logBids(turn, held, chosen, isUrgent);
   }
   updateReachability(turn, held);
 }
@@ -51,18 +52,31 @@
   scheduleCheck(turn, held, nextCheckMs(turn, held, latestStartMs));
 }
 
-/** Makes the request's bids urgent at every reachable permitted agent. */
+/** Makes the request's bids urgent, and offers it to every agent that may have a lower tier to make room. */
 export function makeUrgent(turn: EntryTurn, held: HeldRequest): void {
   if (held.urgentSinceMs !== undefined) {
     return;
   }
   held.urgentSinceMs = turn.nowMs;
   for (const agent of held.bids) {
-    turn.send(agent, createBid(turn, held, true));
+    if (mayMakeRoom(turn, held, agent)) {
+      turn.send(agent, createBid(turn, held, true));
+    }
   }
   placeBids(turn, held);
 }
 
+/**
+ * Whether the agent may be serving a lower tier. One that lately told of none need not hear of
+ * the request: under overload that would be a bid to every agent for every request.
+ */
+function mayMakeRoom(turn: EntryTurn, held: HeldRequest, agent: string): boolean {
+  const peer = turn.state.peers.get(agent);
+  const isHintFresh = turn.nowMs - (peer?.loadReceivedAtMs ?? 0) < FRESH_LOAD_MS;
+  const lowestTierServed = peer?.load?.lowestTierServed ?? 0;
+  return !isHintFresh || isHigherTier(held.description.tier, lowestTierServed);
+}
+
 function isPastHope(turn: EntryTurn, held: HeldRequest, latestStartMs: number): boolean {
   if (turn.nowMs >= held.description.deadlineAtMs) {
     return true;
@@ -143,7 +157,9 @@
       tenant,
       tier,
       chosen,
-      reason: isUrgent ? 'urgent: every reachable permitted engine' : 'least expected completion',
+      reason: isUrgent
+        ? 'urgent: wherever a lower tier may make room'
+        : 'least expected completion',
       generation: turn.state.replica.generation,
     },
   });
--- a/src/entry/entry-core.ts
+++ b/src/entry/entry-core.ts
@@ -160,6 +160,7 @@
         break;
       case 'load':
         peer.load = message;
+        peer.loadReceivedAtMs = turn.nowMs;
         break;
       case 'policy-request':
         this.answerPolicyRequest(turn, agent, message.generation);
--- a/src/entry/entry-state.ts
+++ b/src/entry/entry-state.ts
@@ -69,6 +69,7 @@
   nextConnectAtMs: number;
   reconnectDelayMs: number;
   load: LoadMessage | undefined;
+  loadReceivedAtMs: number;
   readonly bids: Set<RequestId>;
   readonly bound: Set<RequestId>;
 }
--- a/src/policy/replica.ts
+++ b/src/policy/replica.ts
@@ -74,7 +74,8 @@
       return undefined;
     }
     const missing = this.recent.filter((record) => record.generation > generation);
-    const isContiguous = missing.length === this.generation - generation;
+    // A peer that asks from generation 0 has nothing that a delta could be applied to.
+    const isContiguous = generation > 0 && missing.length === this.generation - generation;
     if (isContiguous && missing.every((record) => record.edits !== null)) {
       return { form: 'delta', records: missing };
     }
--- a/src/sim/sim-callers.ts
+++ b/src/sim/sim-callers.ts
@@ -111,7 +111,9 @@
     observations.attempts.push(attempt);
     network.transmit(CALLER_ADDRESS, entry.machine, () => {
       if (!entry.isAlive || entry.isLeaving) {
-        network.transmit(entry.machine, CALLER_ADDRESS, () => this.finish(operation, attempt, 'lost'));
+        network.transmit(entry.machine, CALLER_ADDRESS, () =>
+          this.finish(operation, attempt, 'lost'),
+        );
         return;
       }
       entry.deliver(entry.startCount, () => this.arrive(operation, attempt, entry));
--- a/src/sim/sim-platform.ts
+++ b/src/sim/sim-platform.ts
@@ -1,7 +1,12 @@
 /** The platform as simulated processes reach it: with latency, outages, cuts and lost answers. */
 import { PlatformAnswerLostError, PlatformUnavailableError } from '../platform/errors.js';
 import type { PlatformError } from '../platform/errors.js';
-import type { KeyValueClient, KeyValueEntry, LeaseGrant, SwapOutcome } from '../platform/key-value.js';
+import type {
+  KeyValueClient,
+  KeyValueEntry,
+  LeaseGrant,
+  SwapOutcome,
+} from '../platform/key-value.js';
 import type { Machine } from '../membership/machine.js';
 import { err, ok } from '../result.js';
 import type { Result } from '../result.js';
@@ -114,7 +119,10 @@
           resolve(result);
           clock.notePromise();
         });
-      clock.setTimeout(() => settle(err(new PlatformAnswerLostError('no answer in time'))), timeoutMs);
+      clock.setTimeout(
+        () => settle(err(new PlatformAnswerLostError('no answer in time'))),
+        timeoutMs,
+      );
       network.transmit(address, PLATFORM_ADDRESS, () => {
         if (!model.admit(kind)) {
           const refusal = err(new PlatformUnavailableError('down or over the rate'));
--- a/test/policy.test.ts
+++ b/test/policy.test.ts
@@ -131,6 +131,15 @@
   t.is(replica.generation, 1);
 });
 
+test('a peer that asks for everything gets the whole document, however few the changes', (t) => {
+  const ahead = new PolicyReplica();
+  const [first] = recordOf(1, {}, [
+    { entry: 'place.hall-c', after: { kind: 'place', labels: {} } },
+  ]);
+  ahead.install({ form: 'delta', records: [first] });
+  t.is(ahead.updateFor(0)?.form, 'full');
+});
+
 test('a tenant is found by its key; an unknown key finds nobody', (t) => {
   const replica = new PolicyReplica();
   replica.install({ form: 'full', generation: 1, document: smallPolicy(), recent: [] });
