Bind ahead under permits; let a leaving agent refuse what is under way

An agent with free slots now sends a permit with the end of an answer; the entry binds its next request under it without asking. Ruled out: permits that reserve a slot; with many entries an idle permit would block bids. A late bind is refused as certainly not started instead.

Ruled out: the entry's side, which stops binding on 'leaving'.

--- a/src/agent/agent-core.ts
+++ b/src/agent/agent-core.ts
@@ -49,6 +49,7 @@
       pendingBinds: new Map(),
       engineRequests: new Map(),
       records: new RequestRecords(),
+      permitExpiriesMs: [],
       isLeaving: false,
       hasLeft: false,
     };
@@ -111,6 +112,7 @@
       lastReceivedAtMs: turn.nowMs,
       lastSentAtMs: turn.nowMs,
       lastLoadSentAtMs: turn.nowMs,
+      hasAcknowledgedLeave: false,
     });
     for (const held of this.state.engineRequests.values()) {
       if (held.peer === hello.incarnation) {
@@ -182,6 +184,9 @@
       case 'acknowledge':
         acknowledgeAnswer(turn, message.id);
         break;
+      case 'leaving-acknowledged':
+        this.acknowledgeLeave(peer);
+        break;
       case 'cancel':
         cancelRequest(turn, message.id, 'caller-gone');
         break;
@@ -263,8 +268,17 @@
     }
   }
 
+  private acknowledgeLeave(peerName: string): void {
+    const peer = this.state.peers.get(peerName);
+    if (peer !== undefined) {
+      peer.hasAcknowledgedLeave = true;
+    }
+  }
+
+  /** The process stays until no bind can be under way to it: a bind that nobody refuses is lost. */
   private finishLeaving(turn: AgentTurn): void {
-    const isIdle = this.state.engineRequests.size === 0;
+    const isHeard = [...this.state.peers.values()].every((peer) => peer.hasAcknowledgedLeave);
+    const isIdle = this.state.engineRequests.size === 0 && isHeard;
     if (this.state.isLeaving && !this.state.hasLeft && isIdle) {
       this.state.hasLeft = true;
       turn.emit({ kind: 'left' });
--- a/src/agent/agent-state.ts
+++ b/src/agent/agent-state.ts
@@ -18,6 +18,8 @@
   lastReceivedAtMs: number;
   lastSentAtMs: number;
   lastLoadSentAtMs: number;
+  /** Whether the entry has heard that this agent leaves. */
+  hasAcknowledgedLeave: boolean;
 }
 
 /** A bid that was called and waits for its bind. */
@@ -67,6 +69,8 @@
   readonly pendingBinds: Map<RequestId, PendingBind>;
   readonly engineRequests: Map<RequestId, EngineRequest>;
   readonly records: RequestRecords;
+  /** When the permits that entries hold lapse, oldest first. */
+  readonly permitExpiriesMs: number[];
   isLeaving: boolean;
   hasLeft: boolean;
 }
--- a/src/agent/commands/start-request.ts
+++ b/src/agent/commands/start-request.ts
@@ -3,7 +3,9 @@
 import type { BindMessage, BindRefusalReason } from '../../protocol/messages.js';
 import type { AgentTurn, EngineRequest } from '../agent-state.js';
 import { countTakenSlots, findPreemptible } from '../queries/engine-load.js';
+import { isHigherTier } from '../../request/tier.js';
 import { hasRoomForPaused } from './call-bids.js';
+import { spendPermit } from './issue-permits.js';
 import { failRequest } from './stream-answer.js';
 
 /** Starts a bound request if policy in force here permits it and the engine has room. */
@@ -65,13 +67,23 @@
     refuseBind(turn, peer, request.id, 'not-permitted');
     return;
   }
-  if (!makeRoom(turn, request)) {
+  const mayStart = request.isByPermit ? hasRoomForPermit(turn, request) : makeRoom(turn, request);
+  if (!mayStart) {
     refuseBind(turn, peer, request.id, 'full');
     return;
   }
   startRequest(turn, peer, request, decision.selector);
 }
 
+/** A permit gives no right to make room, nor to pass a bid of a higher tier. */
+function hasRoomForPermit(turn: AgentTurn, request: BindMessage): boolean {
+  const { state } = turn;
+  spendPermit(turn);
+  const next = state.bids.peek();
+  const isBehindHigherTier = next !== undefined && isHigherTier(next.tier, request.tier);
+  return !isBehindHigherTier && countTakenSlots(state) < state.options.capacity;
+}
+
 /** Pauses a running request of a lower tier if there is no free slot. */
 function makeRoom(turn: AgentTurn, request: BindMessage): boolean {
   const { state } = turn;
--- a/src/agent/commands/stream-answer.ts
+++ b/src/agent/commands/stream-answer.ts
@@ -2,6 +2,7 @@
 import type { AnswerFailedMessage, Message } from '../../protocol/messages.js';
 import type { EngineEvent } from '../agent-events.js';
 import type { AgentTurn, EngineRequest } from '../agent-state.js';
+import { issuePermit } from './issue-permits.js';
 import { refuseBind } from './start-request.js';
 
 /** Takes what the engine says of one request. */
@@ -27,6 +28,7 @@
     case 'engine-ended':
       finish(turn, held);
       passOn(turn, held, { kind: 'answer-end', id, chunkCount: held.chunkCount, ...event.usage });
+      issuePermit(turn, held.peer);
       break;
     case 'engine-failed':
       handleEngineFailure(turn, held, event.isNotStarted, event.detail);
--- a/src/entry/commands/accept-request.ts
+++ b/src/entry/commands/accept-request.ts
@@ -9,6 +9,7 @@
 import { countWaiting } from '../entry-state.js';
 import type { EntryTurn, HeldRequest } from '../entry-state.js';
 import { enterPhase, refuseRequest } from './finish-request.js';
+import { bindUnderPermit } from './use-permit.js';
 import { checkWaitingRequest } from './place-bids.js';
 
 /** Share of the limits by which higher tiers may pass them while lower tiers make room. */
@@ -34,7 +35,9 @@
 /** Puts a request whose claim is settled, or needs none, among the waiting ones. */
 export function beginWaiting(turn: EntryTurn, held: HeldRequest): void {
   enterPhase(turn, held, 'waiting');
-  checkWaitingRequest(turn, held);
+  if (!bindUnderPermit(turn, held)) {
+    checkWaitingRequest(turn, held);
+  }
 }
 
 function describe(turn: EntryTurn, arrived: ArrivedRequest): RequestDescription {
--- a/src/entry/commands/bind-request.ts
+++ b/src/entry/commands/bind-request.ts
@@ -17,7 +17,7 @@
     turn.count('call.declined');
     return;
   }
-  bindRequest(turn, held, agent, peer);
+  bindRequest(turn, held, agent, peer, 'call');
 }
 
 /** Takes back a request that `agent` certified it did not and will not start. */
@@ -53,7 +53,14 @@
   }
 }
 
-function bindRequest(turn: EntryTurn, held: HeldRequest, agent: string, peer: AgentPeer): void {
+/** Gives a waiting request to `agent`, once and for all. */
+export function bindRequest(
+  turn: EntryTurn,
+  held: HeldRequest,
+  agent: string,
+  peer: AgentPeer,
+  by: 'call' | 'permit',
+): void {
   const { id, tier } = held.description;
   withdrawBids(turn, held, agent);
   enterPhase(turn, held, 'bound');
@@ -64,13 +71,14 @@
     contactLostAtMs: undefined,
   };
   peer.bound.add(id);
-  turn.send(agent, createBind(turn, held));
+  turn.send(agent, createBind(turn, held, by === 'permit'));
   turn.count('request.bound', 1, { tier: `${tier}` });
   turn.timing('request.wait', turn.nowMs - held.arrivedAtMs, { tier: `${tier}` });
-  logBinding(turn, held, 'bind', agent, 'first permitted agent to call');
+  const reason = by === 'call' ? 'first permitted agent to call' : 'permit of the agent';
+  logBinding(turn, held, 'bind', agent, reason);
 }
 
-function createBind(turn: EntryTurn, held: HeldRequest): BindMessage {
+function createBind(turn: EntryTurn, held: HeldRequest, isByPermit: boolean): BindMessage {
   const { description } = held;
   return {
     kind: 'bind',
@@ -86,6 +94,7 @@
     isRepeatable: description.isRepeatable,
     idempotencyKey: description.idempotencyKey,
     payload: description.payload,
+    isByPermit,
     generation: turn.state.replica.generation,
   };
 }
--- a/src/entry/commands/manage-peers.ts
+++ b/src/entry/commands/manage-peers.ts
@@ -63,6 +63,7 @@
 export function disconnectPeer(turn: EntryTurn, name: string, peer: AgentPeer): void {
   const { options, random } = turn.state;
   peer.connectivity = 'disconnected';
+  peer.permitExpiriesMs = [];
   peer.nextConnectAtMs = turn.nowMs + withJitter(random, peer.reconnectDelayMs, RECONNECT_SPREAD);
   peer.reconnectDelayMs = Math.min(options.reconnectMaxMs, peer.reconnectDelayMs * 2);
   turn.count('peer.disconnected');
@@ -129,6 +130,7 @@
     reconnectDelayMs: turn.state.options.reconnectMinMs,
     load: undefined,
     loadReceivedAtMs: Number.NEGATIVE_INFINITY,
+    permitExpiriesMs: [],
     bids: new Set(),
     bound: new Set(),
   });
--- a/src/entry/entry-core.ts
+++ b/src/entry/entry-core.ts
@@ -157,11 +157,15 @@
         break;
       case 'leaving':
         markLeaving(turn, agent, peer);
+        turn.send(agent, { kind: 'leaving-acknowledged' });
         break;
       case 'load':
         peer.load = message;
         peer.loadReceivedAtMs = turn.nowMs;
         break;
+      case 'permit':
+        peer.permitExpiriesMs.push(turn.nowMs + message.validForMs);
+        break;
       case 'policy-request':
         this.answerPolicyRequest(turn, agent, message.generation);
         break;
--- a/src/entry/entry-state.ts
+++ b/src/entry/entry-state.ts
@@ -70,6 +70,8 @@
   reconnectDelayMs: number;
   load: LoadMessage | undefined;
   loadReceivedAtMs: number;
+  /** When the permits of this agent lapse, oldest first. */
+  permitExpiriesMs: number[];
   readonly bids: Set<RequestId>;
   readonly bound: Set<RequestId>;
 }
--- a/src/entry/queries/rank-agents.ts
+++ b/src/entry/queries/rank-agents.ts
@@ -73,7 +73,8 @@
     : state.speeds.expectedServiceMs(name, held.description);
 }
 
-function expectedCompletionMs(
+/** Expected time from now to the end of the answer on one agent's engine. */
+export function expectedCompletionMs(
   state: EntryState,
   held: HeldRequest,
   name: string,
--- a/src/options.ts
+++ b/src/options.ts
@@ -61,6 +61,8 @@
   readonly callTimeoutMs: number;
   /** How long a higher-tier bid waits before a running lower tier makes room, in milliseconds. Default 200. */
   readonly preemptAfterMs: number;
+  /** How long an entry may use a permit, in milliseconds; 0 issues none. Default 4,000. */
+  readonly permitLifetimeMs: number;
   /** How long finished answers wait to be acknowledged, in milliseconds. Default 60,000. */
   readonly answerRetentionMs: number;
   /** How long a request runs on while its entry is not connected, in milliseconds; longer than the entries' resume timeout. Default 15,000. */
@@ -80,6 +82,7 @@
   maxBids: 2_000,
   callTimeoutMs: 1_000,
   preemptAfterMs: 200,
+  permitLifetimeMs: 4_000,
   answerRetentionMs: 60_000,
   orphanTimeoutMs: 15_000,
   policyWaitMs: 2_000,
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -80,6 +80,8 @@
     contentType: z.string(),
     body: z.string(),
   }),
+  /** True when the bind follows a permit and not a call. */
+  isByPermit: z.boolean(),
   /** Policy generation under which the entry found the agent's engine permitted. */
   generation: z.number().int(),
 });
@@ -158,6 +160,9 @@
 /** The agent takes no new work. */
 export const leavingSchema = z.object({ kind: z.literal('leaving') });
 
+/** The entry has heard that the agent leaves: no bind of its follows this message. */
+export const leavingAcknowledgedSchema = z.object({ kind: z.literal('leaving-acknowledged') });
+
 /** What the agent's engine does now; a hint for ranking and for early refusals. */
 export const loadSchema = z.object({
   kind: z.literal('load'),
@@ -168,6 +173,9 @@
   lowestTierServed: z.number().int(),
 });
 
+/** The entry may bind one request without a bid, within `validForMs`. */
+export const permitSchema = z.object({ kind: z.literal('permit'), validForMs: z.number() });
+
 /** Keeps an idle connection alive. */
 export const pingSchema = z.object({ kind: z.literal('ping') });
 
@@ -201,7 +209,9 @@
   acknowledgeSchema,
   cancelSchema,
   leavingSchema,
+  leavingAcknowledgedSchema,
   loadSchema,
+  permitSchema,
   pingSchema,
   policyRequestSchema,
   policyUpdateMessageSchema,
--- a/src/server/settings-schema.ts
+++ b/src/server/settings-schema.ts
@@ -186,6 +186,13 @@
     agentDefaults.preemptAfterMs,
     'How long a higher-tier bid waits before a lower tier makes room',
   ),
+  permitLifetimeMs: wholeNumber(
+    agentDefaults.permitLifetimeMs,
+    'ms',
+    'How long an entry may bind without a bid after a request of its ended; 0 for never',
+    0,
+    MAX_MS,
+  ),
   answerRetentionMs: milliseconds(
     agentDefaults.answerRetentionMs,
     'How long a finished answer waits to be acknowledged',
