--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -4,28 +4,10 @@
 import { applyEdits, policyDigest } from '../src/policy/change.js';
 import type { ChangeRecord } from '../src/policy/change.js';
 import { fitLine, median } from './fit.js';
-import type { Line, Point } from './fit.js';
+import { updatePage } from './capacity-page.js';
+import type { CapacityResults, MessageCounts, Slope } from './capacity-page.js';
 import { createLargePolicy, HollowAgent, HollowEntry } from './hollow-fleet.js';
 
-interface Slope {
-  readonly name: string;
-  readonly unit: string;
-  readonly x: string;
-  readonly points: readonly Point[];
-  readonly fit: Line;
-}
-
-type MessageCounts = Record<string, { messages: number; bytes: number }>;
-
-interface Results {
-  readonly quick: boolean;
-  readonly slopes: readonly Slope[];
-  readonly messagesPerRequest: { readonly bids: MessageCounts; readonly permits: MessageCounts };
-  readonly fullPolicyBytes: number;
-  readonly deltaBytes: number;
-  readonly nodeResidentMb: number;
-}
-
 const isQuick = process.argv.includes('--quick');
 const isRecorded = process.argv.includes('--record');
 const REPEATS = isQuick ? 3 : 7;
@@ -188,7 +170,7 @@
 }
 
 const largest = createReplica(5_100);
-const results: Results = {
+const results: CapacityResults = {
   quick: isQuick,
   slopes,
   messagesPerRequest: { bids: countMessages(false), permits: countMessages(true) },
@@ -209,4 +191,5 @@
 if (isRecorded) {
   mkdirSync('docs/results', { recursive: true });
   writeFileSync(RESULTS_FILE, `${JSON.stringify(results, null, 2)}\n`);
+  updatePage(results);
 }
