--- a/src/sim/sim-backend.ts
+++ b/src/sim/sim-backend.ts
@@ -18,7 +18,6 @@
   /** Whether the back end accepts connections. */
   isUp = true;
   readonly engine: EngineModel | undefined;
-  /** Prompt tokens prefilled for requests that no caller got an answer to. */
   private readonly open = new Map<string, { record: HandedRequest; sink: EngineEventSink }>();
 
   constructor(
@@ -134,7 +133,7 @@
     let firstAtMs: number | undefined;
     sink({ kind: 'engine-started', id, status: 200, contentType: 'text/event-stream' });
     engine.submit(
-      { id, prompt, promptTokens, maxOutputTokens, prefixHash },
+      { id, prompt, promptTokens, maxOutputTokens, prefixHash, priority: bind.tier },
       {
         onTokens: (data) => {
           firstAtMs ??= this.clock.now();
--- a/src/standin/engine-model.ts
+++ b/src/standin/engine-model.ts
@@ -28,6 +28,8 @@
   readonly promptTokens: number;
   readonly maxOutputTokens: number;
   readonly prefixHash: string;
+  /** Jobs with a lower number start first when the engine is full. */
+  readonly priority: number;
 }
 
 /** Token counts at the end of a job. */
@@ -46,6 +48,7 @@
 
 interface RunningJob {
   readonly job: EngineJob;
+  hasStarted: boolean;
   readonly listener: EngineJobListener;
   readonly outputTokens: number;
   cachedPromptTokens: number;
@@ -88,17 +91,17 @@
     }
     const running: RunningJob = {
       job,
+      hasStarted: false,
       listener,
       outputTokens: answerLength(job.prompt, job.maxOutputTokens),
-      cachedPromptTokens: this.useCachedPrefix(job),
+      cachedPromptTokens: 0,
       producedTokens: 0,
       isPrefilled: false,
       isPaused: false,
       timer: undefined,
     };
     this.jobs.set(job.id, running);
-    this.prefilledTokens += job.promptTokens - running.cachedPromptTokens;
-    this.schedule(running, this.prefillMs(running));
+    this.startWaiting();
   }
 
   /** Stops a job for a while; its KV stays. */
@@ -107,6 +110,7 @@
     if (running !== undefined && !running.isPaused) {
       running.isPaused = true;
       this.clock.clearTimeout(running.timer);
+      this.startWaiting();
     }
   }
 
@@ -115,6 +119,10 @@
     const running = this.jobs.get(id);
     if (running?.isPaused) {
       running.isPaused = false;
+      if (!running.hasStarted) {
+        this.startWaiting();
+        return;
+      }
       this.schedule(running, running.isPrefilled ? this.chunkMs() : this.prefillMs(running));
     }
   }
@@ -125,7 +133,10 @@
     if (running !== undefined) {
       this.clock.clearTimeout(running.timer);
       this.jobs.delete(id);
-      this.wastedPrefillTokens += running.job.promptTokens - running.cachedPromptTokens;
+      if (running.hasStarted) {
+        this.wastedPrefillTokens += running.job.promptTokens - running.cachedPromptTokens;
+      }
+      this.startWaiting();
     }
   }
 
@@ -138,16 +149,14 @@
     this.prefixTokens = 0;
   }
 
-  /** Jobs that run now, paused ones not counted. */
+  /** Jobs that run now; paused ones and those that wait inside the engine are not counted. */
   get runningCount(): number {
-    return [...this.jobs.values()].filter((running) => !running.isPaused).length;
+    return this.running().length;
   }
 
-  /** Identifiers of the jobs that run now, paused ones not counted. */
+  /** Identifiers of the jobs that run now. */
   runningIds(): string[] {
-    return [...this.jobs.values()]
-      .filter((running) => !running.isPaused)
-      .map((running) => running.job.id);
+    return this.running().map((running) => running.job.id);
   }
 
   /** The load as the engine reports it: up to `loadLagMs` old. */
@@ -159,6 +168,26 @@
     return this.reportedLoad;
   }
 
+  private running(): RunningJob[] {
+    return [...this.jobs.values()].filter((job) => job.hasStarted && !job.isPaused);
+  }
+
+  /** Starts jobs that wait inside the engine, by priority, while there is room in the batch. */
+  private startWaiting(): void {
+    while (this.runningCount < this.options.capacity) {
+      const next = [...this.jobs.values()]
+        .filter((waiting) => !waiting.hasStarted && !waiting.isPaused)
+        .sort((left, right) => left.job.priority - right.job.priority)[0];
+      if (next === undefined) {
+        return;
+      }
+      next.hasStarted = true;
+      next.cachedPromptTokens = this.useCachedPrefix(next.job);
+      this.prefilledTokens += next.job.promptTokens - next.cachedPromptTokens;
+      this.schedule(next, this.prefillMs(next));
+    }
+  }
+
   private schedule(running: RunningJob, delayMs: number): void {
     running.timer = this.clock.setTimeout(() => this.advance(running), delayMs);
   }
@@ -172,6 +201,7 @@
     const isDone = end === outputTokens;
     if (isDone) {
       this.jobs.delete(job.id);
+      this.startWaiting();
     } else {
       this.schedule(running, this.chunkMs());
     }
@@ -194,7 +224,7 @@
     return this.options.tokensPerChunk * this.options.stepMs * this.crowdFactor() * this.slowFactor;
   }
 
-  /** Beyond its capacity the engine serves everybody more slowly. */
+  /** A full batch serves everybody more slowly, also while a resumed job passes the capacity. */
   private crowdFactor(): number {
     const running = this.runningCount;
     const overload = Math.max(1, running / this.options.capacity);
--- a/src/standin/engine-server.ts
+++ b/src/standin/engine-server.ts
@@ -48,7 +48,8 @@
   } else if (request.url === '/v1/chat/completions') {
     const id = String(request.headers['x-request-id']);
     handed.push({ id, atMs: SYSTEM_CLOCK.now() });
-    streamAnswer(model, id, body, response);
+    const priority = Number(request.headers['x-request-priority'] ?? '1');
+    streamAnswer(model, id, priority, body, response);
   } else if (request.url === '/load') {
     writeJson(response, HTTP_OK, { running: model.reportLoad() });
   } else if (request.url === '/handed') {
@@ -65,6 +66,7 @@
 function streamAnswer(
   model: EngineModel,
   id: string,
+  priority: number,
   body: string,
   response: ServerResponse,
 ): void {
@@ -84,6 +86,7 @@
     promptTokens: estimateTokens(prompt),
     maxOutputTokens: chat.max_tokens,
     prefixHash: prefixHashOf(prompt),
+    priority,
   };
   model.submit(job, {
     onTokens: (text) => writeEvent(response, { choices: [{ index: 0, delta: { content: text } }] }),
