--- a/src/agent/agent-core.ts
+++ b/src/agent/agent-core.ts
@@ -15,7 +15,12 @@
 import type { AgentState } from './agent-state.js';
 import { BidQueue } from './bid-queue.js';
 import { callBids, expireCalls, holdBid } from './commands/call-bids.js';
-import { receiveBind, refuseBind, reviewPendingBinds } from './commands/start-request.js';
+import {
+  noticePause,
+  receiveBind,
+  refuseBind,
+  reviewPendingBinds,
+} from './commands/start-request.js';
 import {
   acknowledgeAnswer,
   cancelRequest,
@@ -50,6 +55,8 @@
       engineRequests: new Map(),
       records: new RequestRecords(),
       permitExpiriesMs: [],
+      lastTickAtMs: undefined,
+      distrustBindsUntilMs: 0,
       isLeaving: false,
       hasLeft: false,
     };
@@ -249,6 +256,8 @@
   }
 
   private tick(turn: AgentTurn): void {
+    noticePause(turn);
+    this.state.lastTickAtMs = turn.nowMs;
     expireCalls(turn);
     reviewPendingBinds(turn);
     expireAnswers(turn);
--- a/src/agent/agent-state.ts
+++ b/src/agent/agent-state.ts
@@ -71,6 +71,10 @@
   readonly records: RequestRecords;
   /** When the permits that entries hold lapse, oldest first. */
   readonly permitExpiriesMs: number[];
+  /** Time of the last tick; undefined before the first. */
+  lastTickAtMs: number | undefined;
+  /** Until then, binds are refused: they may be older than a leave that was not heard of yet. */
+  distrustBindsUntilMs: number;
   isLeaving: boolean;
   hasLeft: boolean;
 }
--- a/src/agent/commands/start-request.ts
+++ b/src/agent/commands/start-request.ts
@@ -8,11 +8,27 @@
 import { spendPermit } from './issue-permits.js';
 import { failRequest } from './stream-answer.js';
 
+/** A gap between ticks that only a pause of the process explains. */
+const PAUSE_MS = 1_000;
+/** How long it may take until signals that came during a pause are heard. */
+const SIGNAL_DELAY_MS = 200;
+
+/** Distrusts binds for a while after the process was paused. */
+export function noticePause(turn: AgentTurn): void {
+  const { state, nowMs } = turn;
+  if (state.lastTickAtMs !== undefined && nowMs - state.lastTickAtMs >= PAUSE_MS) {
+    state.distrustBindsUntilMs = nowMs + SIGNAL_DELAY_MS;
+    state.lastTickAtMs = nowMs;
+    turn.count('process.paused');
+  }
+}
+
 /** Starts a bound request if policy in force here permits it and the engine has room. */
 export function receiveBind(turn: AgentTurn, peer: string, request: BindMessage): void {
   const { state } = turn;
   const { id } = request;
   state.bids.remove(id);
+  noticePause(turn);
   if (state.engineRequests.has(id) || state.pendingBinds.has(id)) {
     return;
   }
@@ -20,6 +36,10 @@
     refuseBind(turn, peer, id, 'never-received');
     return;
   }
+  if (turn.nowMs < state.distrustBindsUntilMs) {
+    refuseBind(turn, peer, id, 'was-paused');
+    return;
+  }
   if (state.replica.generation < request.generation) {
     state.calls.delete(id);
     state.pendingBinds.set(id, { request, peer, receivedAtMs: turn.nowMs });
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -97,6 +97,7 @@
   'never-received',
   'policy-unknown',
   'engine-unreachable',
+  'was-paused',
 ]);
 
 /** The agent did not start the request and never will. */
--- a/test/agent.test.ts
+++ b/test/agent.test.ts
@@ -140,6 +140,14 @@
   t.deepEqual(kinds(send(core, { kind: 'leaving-acknowledged' })), ['left']);
 });
 
+test('a bind that waited while the process was paused is refused, a later one is not', (t) => {
+  const core = createAgent();
+  core.handle({ kind: 'tick' }, 100);
+  t.deepEqual(kinds(send(core, bind(1, 1), 30_000)), ['bind-refused']);
+  core.handle({ kind: 'tick' }, 30_050);
+  t.deepEqual(kinds(send(core, bind(2, 1), 30_300)), ['engine-start']);
+});
+
 test('an idle agent that leaves still refuses a bind that was under way', (t) => {
   const core = createAgent();
   t.deepEqual(kinds(core.handle({ kind: 'leave' }, 2)), ['leaving']);
