--- a/src/agent/agent-core.ts
+++ b/src/agent/agent-core.ts
@@ -7,6 +7,7 @@
 import type { ProcessIdentity } from '../membership/machine.js';
 import type { AgentOptions } from '../options.js';
 import { PolicyExchange } from '../policy/exchange.js';
+import type { PolicyMessage } from '../policy/exchange.js';
 import { PolicyReplica } from '../policy/replica.js';
 import type { HelloMessage, Message } from '../protocol/messages.js';
 import { entryIncarnationOf } from '../request/request-id.js';
@@ -198,10 +199,8 @@
         cancelRequest(turn, message.id, 'caller-gone');
         break;
       case 'policy-request':
-        this.answerPolicyRequest(turn, peer, message.generation);
-        break;
       case 'policy-update':
-        this.installFromPeer(turn, peer, message.json);
+        this.handlePolicy(turn, peer, message);
         break;
       default:
         break;
@@ -217,18 +216,12 @@
     }
   }
 
-  private answerPolicyRequest(turn: AgentTurn, peer: string, generation: number): void {
-    const update = this.state.exchange.onPolicyRequest(generation);
-    if (update !== undefined) {
-      turn.send(peer, update);
+  private handlePolicy(turn: AgentTurn, peer: string, message: PolicyMessage): void {
+    const { reply, isInstalled } = this.state.exchange.take(message);
+    if (reply !== undefined) {
+      turn.send(peer, reply);
     }
-  }
-
-  private installFromPeer(turn: AgentTurn, peer: string, json: string): void {
-    const outcome = this.state.exchange.onPolicyUpdate(json);
-    if (outcome === 'needs-full') {
-      turn.send(peer, this.state.exchange.requestFull());
-    } else if (outcome === 'installed') {
+    if (isInstalled) {
       this.onPolicyInstalled(turn);
     }
   }
--- a/src/entry/commands/bind-request.ts
+++ b/src/entry/commands/bind-request.ts
@@ -2,6 +2,7 @@
 import type { BindMessage, BindRefusalReason } from '../../protocol/messages.js';
 import type { RequestId } from '../../request/request-id.js';
 import type { AgentPeer, EntryTurn, HeldRequest } from '../entry-state.js';
+import { describeForAgent } from '../queries/describe-request.js';
 import { isCandidate, refusalKey } from '../queries/rank-agents.js';
 import { enterPhase, withdrawBids } from './finish-request.js';
 import { beginWaiting } from './accept-request.js';
@@ -36,7 +37,7 @@
   held.binding = undefined;
   held.refusedBy.add(refusalKey(agent, peer));
   turn.count('bind.refused', 1, { reason });
-  logBinding(turn, held, 'take-back', agent, `not started: ${reason}`);
+  turn.decide('take-back', held, `not started: ${reason}`, [agent]);
   beginWaiting(turn, held);
 }
 
@@ -75,41 +76,19 @@
   turn.count('request.bound', 1, { tier: `${tier}` });
   turn.timing('request.wait', turn.nowMs - held.arrivedAtMs, { tier: `${tier}` });
   const reason = by === 'call' ? 'first permitted agent to call' : 'permit of the agent';
-  logBinding(turn, held, 'bind', agent, reason);
+  turn.decide('bind', held, reason, [agent]);
 }
 
 function createBind(turn: EntryTurn, held: HeldRequest, isByPermit: boolean): BindMessage {
-  const { description } = held;
+  const { prefixHash, isRepeatable, idempotencyKey, payload } = held.description;
   return {
     kind: 'bind',
-    id: description.id,
-    tenant: description.tenant,
-    model: description.model,
-    dataLabels: description.dataLabels,
-    tier: description.tier,
-    deadlineInMs: description.deadlineAtMs - turn.nowMs,
-    promptTokens: description.promptTokens,
-    maxOutputTokens: description.maxOutputTokens,
-    prefixHash: description.prefixHash,
-    isRepeatable: description.isRepeatable,
-    idempotencyKey: description.idempotencyKey,
-    payload: description.payload,
+    ...describeForAgent(turn, held),
+    prefixHash,
+    isRepeatable,
+    idempotencyKey,
+    payload,
     isByPermit,
     generation: turn.state.replica.generation,
   };
 }
-
-function logBinding(
-  turn: EntryTurn,
-  held: HeldRequest,
-  action: string,
-  agent: string,
-  reason: string,
-): void {
-  const { id, tenant, tier } = held.description;
-  const { generation } = turn.state.replica;
-  turn.emit({
-    kind: 'decision',
-    decision: { action, id, tenant, tier, chosen: [agent], reason, generation },
-  });
-}
--- a/src/entry/commands/finish-request.ts
+++ b/src/entry/commands/finish-request.ts
@@ -44,17 +44,7 @@
   forgetRequest(turn, held);
   turn.emit({ kind: 'refuse', id, refusal });
   turn.count('request.refused', 1, { reason: refusal.reason, ran: refusal.ran, tier: `${tier}` });
-  turn.emit({
-    kind: 'decision',
-    decision: {
-      action: 'refuse',
-      id,
-      tier,
-      tenant,
-      reason: `${refusal.reason}: ${refusal.detail}`,
-      generation: turn.state.replica.generation,
-    },
-  });
+  turn.decide('refuse', held, `${refusal.reason}: ${refusal.detail}`);
 }
 
 /** Drops all that is held of a request. */
--- a/src/entry/commands/place-bids.ts
+++ b/src/entry/commands/place-bids.ts
@@ -3,6 +3,7 @@
 import { notRun } from '../../request/refusal.js';
 import { isHigherTier } from '../../request/tier.js';
 import type { EntryTurn, HeldRequest } from '../entry-state.js';
+import { describeForAgent } from '../queries/describe-request.js';
 import { bestServiceMs, rankAgents } from '../queries/rank-agents.js';
 import { refuseRequest, scheduleCheck } from './finish-request.js';
 
@@ -24,7 +25,11 @@
     sendBid(turn, held, name, isUrgent);
   }
   if (chosen.length > 0) {
-    logBids(turn, held, chosen, isUrgent);
+    const reason = isUrgent
+      ? 'urgent: wherever a lower tier may make room'
+      : 'least expected completion';
+    turn.count('bid.sent', chosen.length);
+    turn.decide('bid', held, reason, chosen);
   }
   updateReachability(turn, held);
 }
@@ -131,36 +136,5 @@
 }
 
 function createBid(turn: EntryTurn, held: HeldRequest, isUrgent: boolean): BidMessage {
-  const { description } = held;
-  return {
-    kind: 'bid',
-    id: description.id,
-    tenant: description.tenant,
-    model: description.model,
-    dataLabels: description.dataLabels,
-    tier: description.tier,
-    deadlineInMs: description.deadlineAtMs - turn.nowMs,
-    promptTokens: description.promptTokens,
-    maxOutputTokens: description.maxOutputTokens,
-    isUrgent,
-  };
-}
-
-function logBids(turn: EntryTurn, held: HeldRequest, chosen: string[], isUrgent: boolean): void {
-  const { id, tenant, tier } = held.description;
-  turn.count('bid.sent', chosen.length);
-  turn.emit({
-    kind: 'decision',
-    decision: {
-      action: 'bid',
-      id,
-      tenant,
-      tier,
-      chosen,
-      reason: isUrgent
-        ? 'urgent: wherever a lower tier may make room'
-        : 'least expected completion',
-      generation: turn.state.replica.generation,
-    },
-  });
+  return { kind: 'bid', ...describeForAgent(turn, held), isUrgent };
 }
--- a/src/entry/entry-core.ts
+++ b/src/entry/entry-core.ts
@@ -8,6 +8,7 @@
 import type { ProcessIdentity } from '../membership/machine.js';
 import type { EntryOptions } from '../options.js';
 import { PolicyExchange } from '../policy/exchange.js';
+import type { PolicyMessage } from '../policy/exchange.js';
 import { PolicyReplica } from '../policy/replica.js';
 import type { Message } from '../protocol/messages.js';
 import type { RandomSource } from '../random.js';
@@ -167,10 +168,8 @@
         peer.permitExpiriesMs.push(turn.nowMs + message.validForMs);
         break;
       case 'policy-request':
-        this.answerPolicyRequest(turn, agent, message.generation);
-        break;
       case 'policy-update':
-        this.installFromPeer(turn, agent, message.json);
+        this.handlePolicy(turn, agent, message);
         break;
       default:
         break;
@@ -236,18 +235,12 @@
     beginWaiting(turn, held);
   }
 
-  private answerPolicyRequest(turn: EntryTurn, agent: string, generation: number): void {
-    const update = this.state.exchange.onPolicyRequest(generation);
-    if (update !== undefined) {
-      turn.send(agent, update);
+  private handlePolicy(turn: EntryTurn, agent: string, message: PolicyMessage): void {
+    const { reply, isInstalled } = this.state.exchange.take(message);
+    if (reply !== undefined) {
+      turn.send(agent, reply);
     }
-  }
-
-  private installFromPeer(turn: EntryTurn, agent: string, json: string): void {
-    const outcome = this.state.exchange.onPolicyUpdate(json);
-    if (outcome === 'needs-full') {
-      turn.send(agent, this.state.exchange.requestFull());
-    } else if (outcome === 'installed') {
+    if (isInstalled) {
       this.onPolicyInstalled(turn);
     }
   }
--- a/src/entry/entry-state.ts
+++ b/src/entry/entry-state.ts
@@ -131,6 +131,16 @@
     this.emit({ kind: 'measure', measurement: { metric, value, type: 'count', tags } });
   }
 
+  /** Logs a decision about a request. */
+  decide(action: string, held: HeldRequest, reason: string, chosen?: readonly string[]): void {
+    const { id, tenant, tier } = held.description;
+    const { generation } = this.state.replica;
+    this.emit({
+      kind: 'decision',
+      decision: { action, id, tenant, tier, chosen, reason, generation },
+    });
+  }
+
   /** Records a duration in milliseconds under `metric`. */
   timing(metric: string, value: number, tags?: Readonly<Record<string, string>>): void {
     this.emit({ kind: 'measure', measurement: { metric, value, type: 'timing', tags } });
--- a/src/policy/exchange.ts
+++ b/src/policy/exchange.ts
@@ -6,6 +6,9 @@
 /** Shortest time between two requests for missing changes, in milliseconds. */
 const REQUEST_INTERVAL_MS = 500;
 
+/** A message about policy. */
+export type PolicyMessage = Extract<Message, { kind: 'policy-request' | 'policy-update' }>;
+
 /** Asks peers for what this process's replica misses and answers peers that are behind. */
 export class PolicyExchange {
   private lastRequestAtMs = Number.NEGATIVE_INFINITY;
@@ -22,24 +25,31 @@
     return { kind: 'policy-request', generation: this.replica.generation };
   }
 
-  /** The answer to a peer that asked for what is newer than `generation`. */
-  onPolicyRequest(generation: number): Message | undefined {
+  /** Takes a peer's request or update; says what to send back and whether a newer policy came into force. */
+  take(message: PolicyMessage): {
+    readonly reply: Message | undefined;
+    readonly isInstalled: boolean;
+  } {
+    if (message.kind === 'policy-request') {
+      return { reply: this.answerRequest(message.generation), isInstalled: false };
+    }
+    const outcome = this.install(message.json);
+    const reply: Message | undefined =
+      outcome === 'needs-full' ? { kind: 'policy-request', generation: 0 } : undefined;
+    return { reply, isInstalled: outcome === 'installed' };
+  }
+
+  private answerRequest(generation: number): Message | undefined {
     const update = this.replica.updateFor(generation);
     return update === undefined
       ? undefined
       : { kind: 'policy-update', json: JSON.stringify(update) };
   }
 
-  /** Installs what a peer sent. */
-  onPolicyUpdate(json: string): InstallOutcome | 'malformed' {
+  private install(json: string): InstallOutcome | 'malformed' {
     const parsed = policyUpdateSchema.safeParse(parseJson(json));
     return parsed.success ? this.replica.install(parsed.data) : 'malformed';
   }
-
-  /** The request for the whole document, after a delta that did not fit. */
-  requestFull(): Message {
-    return { kind: 'policy-request', generation: 0 };
-  }
 }
 
 function parseJson(text: string): unknown {
