--- a/src/entry/entry-core.ts
+++ b/src/entry/entry-core.ts
@@ -67,7 +67,6 @@
       waitingBytes: 0,
       isLeaving: false,
       hasLeft: false,
-      nextUpkeepAtMs: 0,
     };
   }
 
--- a/src/entry/entry-state.ts
+++ b/src/entry/entry-state.ts
@@ -99,7 +99,6 @@
   waitingBytes: number;
   isLeaving: boolean;
   hasLeft: boolean;
-  nextUpkeepAtMs: number;
 }
 
 /** One turn of an entry: its state, the time, and the effects so far. */
--- a/src/policy/validate.ts
+++ b/src/policy/validate.ts
@@ -97,7 +97,7 @@
   });
 }
 
-/** Engines, models and tenants of a document that nothing refers to or that nothing can reach. */
+/** Number of entries by kind. */
 export function countEntries(document: PolicyDocument): Record<string, number> {
   const kinds = ['label', 'place', 'engine', 'model', 'tenant', 'selector'] as const;
   return Object.fromEntries(kinds.map((kind) => [kind, entriesOfKind(document, kind).length]));
--- a/src/sim/inject-fault.ts
+++ b/src/sim/inject-fault.ts
@@ -28,15 +28,11 @@
 
 /** Schedules every fault of a run. */
 export function scheduleFaults(world: World, faults: readonly Fault[]): void {
-  const startMs = world.clock.now();
   for (const fault of faults) {
-    world.clock.setTimeout(
-      () => {
-        world.observations.log(world.clock.now(), `fault ${fault.kind} ${fault.target}`);
-        INJECTORS[fault.kind](world, fault);
-      },
-      startMs + fault.atMs - world.clock.now(),
-    );
+    world.clock.setTimeout(() => {
+      world.observations.log(world.clock.now(), `fault ${fault.kind} ${fault.target}`);
+      INJECTORS[fault.kind](world, fault);
+    }, fault.atMs);
   }
 }
 
--- a/src/sim/search.ts
+++ b/src/sim/search.ts
@@ -1,4 +1,5 @@
 /** Searches seeds for a run that breaks a promise, several at a time, and shrinks what it finds. */
+import { once } from 'node:events';
 import { Worker } from 'node:worker_threads';
 import * as fc from 'fast-check';
 import type { Violation } from './checks/violation.js';
@@ -93,10 +94,10 @@
   return new Worker(new URL('./search-worker.js', import.meta.url));
 }
 
-function askWorker(worker: Worker, run: SeedRun): Promise<SeedResult> {
-  return new Promise((resolve, reject) => {
-    worker.once('message', resolve);
-    worker.once('error', reject);
-    worker.postMessage(run);
-  });
+/** Rejects if the thread fails. */
+async function askWorker(worker: Worker, run: SeedRun): Promise<SeedResult> {
+  const answer = once(worker, 'message');
+  worker.postMessage(run);
+  const [result] = (await answer) as [SeedResult];
+  return result;
 }
--- a/src/sim/sim-daemon.ts
+++ b/src/sim/sim-daemon.ts
@@ -11,7 +11,7 @@
 import type { RandomSource } from '../random.js';
 import type { Observations } from './observations.js';
 import type { SimNetwork } from './sim-network.js';
-import { SimKeyValueClient } from './sim-platform.js';
+import { PLATFORM_ADDRESS, SimKeyValueClient } from './sim-platform.js';
 import type { SimPlatform } from './sim-platform.js';
 import { SimProcess } from './sim-process.js';
 import type { VirtualClock } from './virtual-clock.js';
@@ -130,10 +130,9 @@
 
   private pollList(startCount: number): void {
     const { network, platform } = this.parts;
-    const address = { name: 'platform', zone: 'platform' };
-    network.transmit(this.machine, address, () => {
+    network.transmit(this.machine, PLATFORM_ADDRESS, () => {
       const machines = platform.listMachines();
-      network.transmit(address, this.machine, () =>
+      network.transmit(PLATFORM_ADDRESS, this.machine, () =>
         this.deliver(startCount, () => {
           this.fleet = machines;
           this.follower?.setFleet(machines);
