Heed a leave by list only after the list showed the process as live

Entries too kept what the list had shown. Ruled out: the spread of policy; every other process had generation 2.

--- a/src/agent/agent-core.ts
+++ b/src/agent/agent-core.ts
@@ -4,7 +4,7 @@
  * The daemon and the simulator drive this very class; it has no clock, socket
  * or random source of its own.
  */
-import type { ProcessIdentity } from '../membership/machine.js';
+import type { Machine, ProcessIdentity } from '../membership/machine.js';
 import type { AgentOptions } from '../options.js';
 import { PolicyExchange } from '../policy/exchange.js';
 import type { PolicyMessage } from '../policy/exchange.js';
@@ -58,6 +58,7 @@
       permitExpiriesMs: [],
       lastTickAtMs: undefined,
       distrustBindsUntilMs: 0,
+      wasListedLive: false,
       isLeaving: false,
       hasLeft: false,
     };
@@ -92,9 +93,7 @@
         }
         break;
       case 'fleet':
-        if (event.isLeaving) {
-          this.leave(turn);
-        }
+        this.heedList(turn, event.ownState);
         break;
       case 'tick':
         this.tick(turn);
@@ -232,6 +231,18 @@
     reviewPendingBinds(turn);
   }
 
+  /**
+   * A list that lags still shows a replaced process as leaving: that was the start before this
+   * one. Only a process that was shown as live can be shown as leaving.
+   */
+  private heedList(turn: AgentTurn, ownState: Machine['state'] | undefined): void {
+    if (ownState === 'live') {
+      this.state.wasListedLive = true;
+    } else if (ownState === 'leaving' && this.state.wasListedLive) {
+      this.leave(turn);
+    }
+  }
+
   private leave(turn: AgentTurn): void {
     if (this.state.isLeaving) {
       return;
--- a/src/agent/agent-events.ts
+++ b/src/agent/agent-events.ts
@@ -1,5 +1,6 @@
 /** What happens to an agent, and what it does about it. */
 import type { Decision, Measurement } from '../decision.js';
+import type { Machine } from '../membership/machine.js';
 import type { PolicyUpdate } from '../policy/replica.js';
 import type { BindMessage, Frame, HelloMessage, Message } from '../protocol/messages.js';
 import type { RequestId } from '../request/request-id.js';
@@ -47,8 +48,8 @@
       readonly frame: Frame;
     }
   | { readonly kind: 'policy'; readonly update: PolicyUpdate }
-  /** The list of machines was read; `isLeaving` is what it says of this one. */
-  | { readonly kind: 'fleet'; readonly isLeaving: boolean }
+  /** The list of machines was read; `ownState` is what it says of this one, if anything. */
+  | { readonly kind: 'fleet'; readonly ownState: Machine['state'] | undefined }
   | { readonly kind: 'tick' }
   | { readonly kind: 'leave' };
 
--- a/src/agent/agent-state.ts
+++ b/src/agent/agent-state.ts
@@ -75,6 +75,8 @@
   lastTickAtMs: number | undefined;
   /** Until then, binds are refused: they may be older than a leave that was not heard of yet. */
   distrustBindsUntilMs: number;
+  /** Whether the list has shown this start of the process as live. */
+  wasListedLive: boolean;
   isLeaving: boolean;
   hasLeft: boolean;
 }
--- a/src/entry/commands/manage-peers.ts
+++ b/src/entry/commands/manage-peers.ts
@@ -23,9 +23,7 @@
     state.fleet.filter((machine) => machine.state === 'leaving').map((machine) => machine.name),
   );
   for (const [name, peer] of state.peers) {
-    if (leaving.has(name)) {
-      markLeaving(turn, name, peer);
-    }
+    markListed(turn, name, peer, leaving.has(name));
     if (!selected.has(name) && peer.bound.size === 0) {
       dropPeer(turn, name, peer);
     }
@@ -112,6 +110,15 @@
   }
 }
 
+/** The list may lag behind a replacement, so what it shows is taken back when it changes. */
+function markListed(turn: EntryTurn, name: string, peer: AgentPeer, isLeaving: boolean): void {
+  const wasLeaving = peer.isListedLeaving;
+  peer.isListedLeaving = isLeaving;
+  if (isLeaving && !wasLeaving) {
+    moveAllBids(turn, name, peer);
+  }
+}
+
 function keepPeer(turn: EntryTurn, machine: Machine): void {
   const known = turn.state.peers.get(machine.name);
   if (known !== undefined) {
@@ -124,6 +131,7 @@
     connectionNumber: 0,
     incarnation: undefined,
     isLeaving: false,
+    isListedLeaving: false,
     lastReceivedAtMs: turn.nowMs,
     lastSentAtMs: turn.nowMs,
     nextConnectAtMs: turn.nowMs,
--- a/src/entry/entry-state.ts
+++ b/src/entry/entry-state.ts
@@ -63,7 +63,10 @@
   connectionNumber: number;
   /** Incarnation at the last hello. */
   incarnation: string | undefined;
+  /** Whether this incarnation said that it leaves. */
   isLeaving: boolean;
+  /** Whether the list shows the machine as leaving. */
+  isListedLeaving: boolean;
   lastReceivedAtMs: number;
   lastSentAtMs: number;
   nextConnectAtMs: number;
--- a/src/entry/queries/rank-agents.ts
+++ b/src/entry/queries/rank-agents.ts
@@ -25,7 +25,10 @@
 /** Whether policy in force permits the request on `agentName`, and the agent can take it. */
 export function isCandidate(state: EntryState, held: HeldRequest, agentName: string): boolean {
   const peer = state.peers.get(agentName);
-  if (peer === undefined || peer.connectivity !== 'connected' || peer.isLeaving) {
+  if (peer === undefined || peer.connectivity !== 'connected') {
+    return false;
+  }
+  if (peer.isLeaving || peer.isListedLeaving) {
     return false;
   }
   if (held.refusedBy.has(refusalKey(agentName, peer))) {
--- a/src/server/agent-role.ts
+++ b/src/server/agent-role.ts
@@ -52,7 +52,7 @@
   onFleet(machines: readonly Machine[]): void {
     const { name } = this.context.identity;
     const self = machines.find((machine) => machine.name === name);
-    this.handle({ kind: 'fleet', isLeaving: self?.state === 'leaving' });
+    this.handle({ kind: 'fleet', ownState: self?.state });
   }
 
   onPolicy(update: PolicyUpdate): void {
--- a/src/sim/sim-agent.ts
+++ b/src/sim/sim-agent.ts
@@ -65,7 +65,7 @@
 
   protected override onFleetChange(): void {
     const self = this.fleet.find((machine) => machine.name === this.machine.name);
-    this.handle({ kind: 'fleet', isLeaving: self?.state === 'leaving' });
+    this.handle({ kind: 'fleet', ownState: self?.state });
   }
 
   protected override onPolicyRead(update: Parameters<typeof this.replica.install>[0]): void {
--- a/test/agent.test.ts
+++ b/test/agent.test.ts
@@ -140,6 +140,13 @@
   t.deepEqual(kinds(send(core, { kind: 'leaving-acknowledged' })), ['left']);
 });
 
+test('a list that lags does not make a replaced process leave', (t) => {
+  const core = createAgent();
+  t.deepEqual(kinds(core.handle({ kind: 'fleet', ownState: 'leaving' }, 1)), []);
+  core.handle({ kind: 'fleet', ownState: 'live' }, 2);
+  t.deepEqual(kinds(core.handle({ kind: 'fleet', ownState: 'leaving' }, 3)), ['leaving']);
+});
+
 test('a bind that waited while the process was paused is refused, a later one is not', (t) => {
   const core = createAgent();
   core.handle({ kind: 'tick' }, 100);
--- a/test/support/broken-variants.ts
+++ b/test/support/broken-variants.ts
@@ -171,7 +171,7 @@
           if (event.kind === 'leave') {
             return undefined;
           }
-          return event.kind === 'fleet' ? { ...event, isLeaving: false } : event;
+          return event.kind === 'fleet' ? { ...event, ownState: 'live' } : event;
         }),
       onEntryCore: (core) =>
         wrapEntry(core, (event) =>
