--- a/src/entry/commands/use-permit.ts
+++ b/src/entry/commands/use-permit.ts
@@ -5,6 +5,8 @@
 
 /** A permit is used only where the request is not expected to take much longer than elsewhere. */
 const MAX_SLOWDOWN = 1.5;
+/** An agent that was silent for longer may be frozen; a bid would show it, a permit does not. */
+const MAX_SILENCE_MS = 1_000;
 
 /** Binds `held` under the best fitting permit; false if there is none. */
 export function bindUnderPermit(turn: EntryTurn, held: HeldRequest): boolean {
@@ -32,6 +34,9 @@
 
 function hasPermit(turn: EntryTurn, peer: AgentPeer): boolean {
   const { permitExpiriesMs } = peer;
+  if (turn.nowMs - peer.lastReceivedAtMs > MAX_SILENCE_MS) {
+    return false;
+  }
   while (permitExpiriesMs.length > 0 && permitExpiriesMs[0]! <= turn.nowMs) {
     permitExpiriesMs.shift();
   }
