--- a/src/cli/context.ts
+++ b/src/cli/context.ts
@@ -1,7 +1,7 @@
 /** What the commands of the tool share: the platform, output, and the way failures end a command. */
 import { readFileSync } from 'node:fs';
-import { HttpKeyValueClient } from '../platform/http-key-value.js';
-import type { KeyValueClient } from '../platform/key-value.js';
+import { HttpKeyValueClient } from '../key-value/http-key-value.js';
+import type { KeyValueClient } from '../key-value/key-value.js';
 import { compilePolicy } from '../policy/compiled-policy.js';
 import type { CompiledPolicy } from '../policy/compiled-policy.js';
 import type { PolicyDocument } from '../policy/document.js';
--- /dev/null
+++ b/src/cluster/peer-mesh.ts
@@ -0,0 +1,192 @@
+/**
+ * Connections among gateways: each speaks on the connections that it opened and
+ * hears on those that others opened to it.
+ *
+ * Addresses come from the settings' seeds and from what peers pass on.
+ */
+import { connect, createServer } from 'node:net';
+import type { Server, Socket } from 'node:net';
+import type { Clock } from '../clock.js';
+import { MessageChannel } from '../protocol/message-channel.js';
+import type { RandomSource } from '../random.js';
+import { withJitter } from '../random.js';
+import type { PeerHello, PeerMessage } from './peer-messages.js';
+
+/** Who hears of peers. */
+export interface PeerMeshHandlers {
+  /** A peer said something; `peer` names its incarnation. */
+  onMessage(peer: string, message: PeerMessage): void;
+  /** A connection to a peer was opened by this process; what it must know is sent now. */
+  onOpened(send: (message: PeerMessage) => void): void;
+  /** A peer was heard for the first time, or is gone. */
+  onPeer(peer: string, isPresent: boolean): void;
+}
+
+/** Times of the mesh, in milliseconds. */
+export interface PeerMeshOptions {
+  /** First and longest pause before connecting again. Defaults 200 and 3,000. */
+  readonly retryMinMs: number;
+  readonly retryMaxMs: number;
+  /** Longest time for a connection to come up. Default 1,000. */
+  readonly connectTimeoutMs: number;
+  /** Failed tries in a row after which an address that is no seed is forgotten. Default 8. */
+  readonly maxFailures: number;
+}
+
+/** Defaults of the mesh. */
+export const DEFAULT_PEER_MESH_OPTIONS: PeerMeshOptions = {
+  retryMinMs: 200,
+  retryMaxMs: 3_000,
+  connectTimeoutMs: 1_000,
+  maxFailures: 8,
+};
+
+const RETRY_SPREAD = 0.3;
+
+interface OutgoingPeer {
+  readonly address: string;
+  channel: MessageChannel<PeerMessage, PeerMessage> | undefined;
+  isOpen: boolean;
+  failures: number;
+}
+
+/** Connections among gateways. */
+export class PeerMesh {
+  private readonly outgoing = new Map<string, OutgoingPeer>();
+  /** Incarnations heard on open incoming connections, by name. */
+  private readonly heard = new Map<string, string>();
+  private readonly server: Server;
+  private isStopped = false;
+
+  constructor(
+    private readonly self: PeerHello,
+    private readonly seeds: readonly string[],
+    private readonly handlers: PeerMeshHandlers,
+    private readonly clock: Clock,
+    private readonly random: RandomSource,
+    private readonly options: PeerMeshOptions = DEFAULT_PEER_MESH_OPTIONS,
+  ) {
+    this.server = createServer((socket) => this.accept(socket));
+    this.server.on('error', () => undefined);
+  }
+
+  /** Gateways known, this one included. */
+  get size(): number {
+    return Math.max(this.outgoing.size, this.heard.size) + 1;
+  }
+
+  /** Listens, and connects to the seeds. */
+  start(host: string, port: number): void {
+    this.server.listen(port, host);
+    this.learnAddresses(this.seeds);
+  }
+
+  /** Says `message` to every peer. */
+  broadcast(message: PeerMessage): void {
+    for (const { channel, isOpen } of this.outgoing.values()) {
+      if (isOpen) {
+        channel?.send(message);
+      }
+    }
+  }
+
+  /** Ends every connection. */
+  stop(): void {
+    this.isStopped = true;
+    this.server.close();
+    for (const { channel } of this.outgoing.values()) {
+      channel?.flush();
+      channel?.close();
+    }
+  }
+
+  private learnAddresses(addresses: readonly string[]): void {
+    for (const address of addresses) {
+      if (address === '' || address === this.self.address || this.outgoing.has(address)) {
+        continue;
+      }
+      const peer: OutgoingPeer = { address, channel: undefined, isOpen: false, failures: 0 };
+      this.outgoing.set(address, peer);
+      this.open(peer);
+      this.broadcast({ kind: 'addresses', addresses: [address] });
+    }
+  }
+
+  private open(peer: OutgoingPeer): void {
+    if (this.isStopped) {
+      return;
+    }
+    const colon = peer.address.lastIndexOf(':');
+    const socket = connect(Number(peer.address.slice(colon + 1)), peer.address.slice(0, colon));
+    const timer = this.clock.setTimeout(() => socket.destroy(), this.options.connectTimeoutMs);
+    const channel = new MessageChannel<PeerMessage, PeerMessage>(socket, {
+      onMessage: () => undefined,
+      onClose: () => {
+        this.clock.clearTimeout(timer);
+        this.closeOutgoing(peer);
+      },
+    });
+    peer.channel = channel;
+    socket.once('connect', () => {
+      this.clock.clearTimeout(timer);
+      this.greet(peer, channel);
+    });
+  }
+
+  private greet(peer: OutgoingPeer, channel: MessageChannel<PeerMessage, PeerMessage>): void {
+    peer.isOpen = true;
+    peer.failures = 0;
+    channel.send(this.self);
+    channel.send({ kind: 'addresses', addresses: [this.self.address, ...this.outgoing.keys()] });
+    this.handlers.onOpened((message) => channel.send(message));
+  }
+
+  private closeOutgoing(peer: OutgoingPeer): void {
+    peer.isOpen = false;
+    peer.failures += 1;
+    if (peer.failures > this.options.maxFailures && !this.seeds.includes(peer.address)) {
+      this.outgoing.delete(peer.address);
+      return;
+    }
+    const { retryMinMs, retryMaxMs } = this.options;
+    const delayMs = Math.min(retryMaxMs, retryMinMs * 2 ** (peer.failures - 1));
+    this.clock.setTimeout(() => this.open(peer), withJitter(this.random, delayMs, RETRY_SPREAD));
+  }
+
+  private accept(socket: Socket): void {
+    let hello: PeerHello | undefined;
+    new MessageChannel<PeerMessage, PeerMessage>(socket, {
+      onMessage: (message) => {
+        if (message.kind === 'hello') {
+          hello = message;
+          this.hear(message);
+        } else if (hello !== undefined) {
+          this.receive(hello, message);
+        }
+      },
+      onClose: () => undefined,
+    });
+  }
+
+  private hear(hello: PeerHello): void {
+    const earlier = this.heard.get(hello.name);
+    if (earlier !== undefined && earlier !== hello.incarnation) {
+      this.handlers.onPeer(earlier, false);
+    }
+    this.heard.set(hello.name, hello.incarnation);
+    this.handlers.onPeer(hello.incarnation, true);
+    this.learnAddresses([hello.address]);
+  }
+
+  private receive(hello: PeerHello, message: PeerMessage): void {
+    if (message.kind === 'addresses') {
+      this.learnAddresses(message.addresses);
+      return;
+    }
+    if (message.kind === 'leaving' && this.heard.get(hello.name) === hello.incarnation) {
+      this.heard.delete(hello.name);
+      this.handlers.onPeer(hello.incarnation, false);
+    }
+    this.handlers.onMessage(hello.incarnation, message);
+  }
+}
--- /dev/null
+++ b/src/cluster/store-follower.ts
@@ -0,0 +1,138 @@
+/** Follows the cluster's store: one listing, then watches, and a new listing whenever history is gone. */
+import type { Clock } from '../clock.js';
+import { sleep } from '../clock.js';
+import type { RandomSource } from '../random.js';
+import { withJitter } from '../random.js';
+import type { Result } from '../result.js';
+import { WeirvaleError } from '../request/errors.js';
+import type { StoreRecord } from './replicated-records.js';
+
+/** The store refused, was silent, or gave an answer that is none. */
+export class StoreUnavailableError extends WeirvaleError {
+  readonly code = 'store-unavailable';
+}
+
+/** The store no longer keeps the history that a watch needs. */
+export class StoreHistoryGoneError extends WeirvaleError {
+  readonly code = 'store-history-gone';
+}
+
+/** Records and the store's revision that they were read at. */
+export interface StoreRead {
+  readonly records: readonly StoreRecord[];
+  readonly revision: number;
+}
+
+/** The calls of the store that a follower makes. */
+export interface ClusterStore {
+  /** Reads every record. */
+  list(): Promise<Result<StoreRead, StoreUnavailableError>>;
+  /** Waits up to `waitMs` for changes after `revision`. */
+  watch(
+    revision: number,
+    waitMs: number,
+  ): Promise<Result<StoreRead, StoreUnavailableError | StoreHistoryGoneError>>;
+}
+
+/** Who hears of what the follower learned. */
+export interface StoreFollowerHandlers {
+  /** A whole listing was read. */
+  onListing(read: StoreRead): void;
+  /** Changes were seen. */
+  onChanges(read: StoreRead): void;
+  /** The store answers again, or no longer. */
+  onReachable(isReachable: boolean, reason: string): void;
+}
+
+/** Times of a follower, in milliseconds. */
+export interface StoreFollowerOptions {
+  /** Longest wait of one watch. Default 5,000. */
+  readonly watchMs: number;
+  /** First and longest pause after a failed call. Defaults 50 and 800. */
+  readonly retryMinMs: number;
+  readonly retryMaxMs: number;
+}
+
+/** Defaults of a follower. */
+export const DEFAULT_STORE_FOLLOWER_OPTIONS: StoreFollowerOptions = {
+  watchMs: 5_000,
+  retryMinMs: 50,
+  retryMaxMs: 800,
+};
+
+const RETRY_SPREAD = 0.3;
+
+/** Follows the store until it is stopped. */
+export class StoreFollower {
+  private isStopped = false;
+  private isReachable: boolean | undefined;
+  private retryMs: number;
+
+  constructor(
+    private readonly store: ClusterStore,
+    private readonly handlers: StoreFollowerHandlers,
+    private readonly clock: Clock,
+    private readonly random: RandomSource,
+    private readonly options: StoreFollowerOptions = DEFAULT_STORE_FOLLOWER_OPTIONS,
+  ) {
+    this.retryMs = options.retryMinMs;
+  }
+
+  /** Runs until `stop` is called. */
+  async run(): Promise<void> {
+    let revision: number | undefined;
+    while (!this.isStopped) {
+      revision = revision === undefined ? await this.list() : await this.watch(revision);
+    }
+  }
+
+  /** Ends the run after the call under way. */
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  private async list(): Promise<number | undefined> {
+    const read = await this.store.list();
+    if (!read.ok) {
+      await this.pause(read.val);
+      return undefined;
+    }
+    this.succeed();
+    this.handlers.onListing(read.val);
+    return read.val.revision;
+  }
+
+  private async watch(revision: number): Promise<number | undefined> {
+    const read = await this.store.watch(revision, this.options.watchMs);
+    if (read.ok) {
+      this.succeed();
+      if (read.val.records.length > 0) {
+        this.handlers.onChanges(read.val);
+      }
+      return read.val.revision;
+    }
+    if (read.val instanceof StoreHistoryGoneError) {
+      return undefined;
+    }
+    await this.pause(read.val);
+    return revision;
+  }
+
+  private succeed(): void {
+    this.retryMs = this.options.retryMinMs;
+    this.tell(true, 'answered');
+  }
+
+  private async pause(error: WeirvaleError): Promise<void> {
+    this.tell(false, error.message);
+    await sleep(this.clock, withJitter(this.random, this.retryMs, RETRY_SPREAD));
+    this.retryMs = Math.min(this.retryMs * 2, this.options.retryMaxMs);
+  }
+
+  private tell(isReachable: boolean, reason: string): void {
+    if (this.isReachable !== isReachable) {
+      this.isReachable = isReachable;
+      this.handlers.onReachable(isReachable, reason);
+    }
+  }
+}
--- a/src/entry/claim-store.ts
+++ b/src/entry/claim-store.ts
@@ -4,7 +4,7 @@
  */
 import { createHash } from 'node:crypto';
 import { z } from 'zod';
-import type { KeyValueClient } from '../platform/key-value.js';
+import type { KeyValueClient } from '../key-value/key-value.js';
 import type { RequestId } from '../request/request-id.js';
 import type { ClaimOutcome } from './entry-events.js';
 
--- /dev/null
+++ b/src/gateway/dispatcher.ts
@@ -0,0 +1,364 @@
+/**
+ * Binds waiting requests to back ends, without I/O.
+ *
+ * A request goes out at once while a permitted back end has a free slot. When
+ * none has, it waits in order of tier, and the agents beside the back ends are
+ * told what waits; an agent grants a slot the moment one is free, and the
+ * gateway then binds whichever request comes first by that time.
+ */
+import type { Backend } from '../routing/backend.js';
+import type { AgentToGateway, GatewayToAgent, WaitingRank } from '../slot-agent/slot-messages.js';
+import type { AttemptOutcome } from './backend-health.js';
+import { KnownBackend } from './known-backend.js';
+
+/** A request that wants a back end. */
+export interface DispatchRequest {
+  readonly service: string;
+  /** Lower numbers go first. */
+  readonly tier: number;
+  /** Order inside a tier: lower numbers go first. */
+  readonly rankInTier: number;
+  readonly arrivedAtMs: number;
+  /** Size of the work, in any unit that is the same for the service. */
+  readonly units: number;
+  /** Back ends that must not be used. */
+  readonly excluded: ReadonlySet<string>;
+  /** Called once, when a back end is bound. */
+  onPlaced(backend: Backend, nowMs: number): void;
+}
+
+/** Options of a dispatcher. */
+export interface DispatcherOptions {
+  /** Waiting requests that agents are told of. Default 8. */
+  readonly demandLength: number;
+  /** Share of an engine's slots that a gateway uses while no agent tells. Default 0.5. */
+  readonly shareWithoutAgent: number;
+  /** How long a back end that left the list is used where no other is left, in milliseconds. Default 1,500. */
+  readonly unlistedGraceMs: number;
+  /** How long a back end that left the list is remembered, in milliseconds. Default 30,000. */
+  readonly rememberMs: number;
+}
+
+/** Defaults of a dispatcher. */
+export const DEFAULT_DISPATCHER_OPTIONS: DispatcherOptions = {
+  demandLength: 8,
+  shareWithoutAgent: 0.5,
+  unlistedGraceMs: 1_500,
+  rememberMs: 30_000,
+};
+
+/** What a dispatcher does to its surroundings. */
+export interface DispatcherPorts {
+  /** Sends a message to the agent beside a back end. */
+  sendToAgent(backendId: string, message: GatewayToAgent): void;
+  /** A back end was ejected for its failures. */
+  onEjected(backendId: string): void;
+  /** Whether a service's back ends are engines, which serve in batches. */
+  isEngine(service: string): boolean;
+}
+
+const NONE: ReadonlySet<string> = new Set();
+
+/** Binds waiting requests to back ends. */
+export class Dispatcher {
+  private readonly backends = new Map<string, KnownBackend>();
+  private readonly waiting = new Map<string, DispatchRequest[]>();
+
+  constructor(
+    private readonly ports: DispatcherPorts,
+    private readonly options: DispatcherOptions = DEFAULT_DISPATCHER_OPTIONS,
+  ) {}
+
+  /** Every back end that is known. */
+  list(): KnownBackend[] {
+    return [...this.backends.values()];
+  }
+
+  /** One back end. */
+  find(backendId: string): KnownBackend | undefined {
+    return this.backends.get(backendId);
+  }
+
+  /** Back ends of a service that are listed as taking requests, those in `excluded` left out. */
+  countReady(service: string, excluded: ReadonlySet<string> = NONE): number {
+    return this.list().filter(
+      ({ backend, isReady }) => backend.service === service && isReady && !excluded.has(backend.id),
+    ).length;
+  }
+
+  /** Requests that wait for a service. */
+  countWaiting(service: string): number {
+    return this.waiting.get(service)?.length ?? 0;
+  }
+
+  /** Takes in a back end's newest announcement; undefined when it left the list. */
+  updateBackend(backendId: string, backend: Backend | undefined, nowMs: number): void {
+    const known = this.backends.get(backendId);
+    if (backend === undefined) {
+      if (known !== undefined) {
+        known.unlistedAtMs ??= nowMs;
+      }
+      this.forgetOld(nowMs);
+      return;
+    }
+    if (known === undefined) {
+      this.backends.set(backendId, new KnownBackend(backend));
+    } else {
+      known.backend = backend;
+      known.unlistedAtMs = undefined;
+    }
+    this.serve(backend.service, nowMs);
+  }
+
+  /** Binds the request now if a slot is free; otherwise it waits in order. */
+  submit(request: DispatchRequest, nowMs: number): void {
+    const chosen = this.hasWaitingBefore(request) ? undefined : this.choose(request, nowMs);
+    if (chosen !== undefined) {
+      this.bind(request, chosen, nowMs, false);
+      return;
+    }
+    this.insert(request);
+    this.tellDemand(request.service, nowMs);
+  }
+
+  /** Takes a waiting request back. */
+  withdraw(request: DispatchRequest, nowMs: number): void {
+    if (this.remove(request)) {
+      this.tellDemand(request.service, nowMs);
+    }
+  }
+
+  /** An attempt ended. */
+  finish(backendId: string, outcome: AttemptOutcome, nowMs: number): void {
+    const known = this.backends.get(backendId);
+    if (known === undefined) {
+      return;
+    }
+    known.outstanding = Math.max(0, known.outstanding - 1);
+    if (known.health.learn(outcome, nowMs)) {
+      this.ports.onEjected(backendId);
+    }
+    this.sendToAgent(backendId, known, { kind: 'released' });
+    this.serve(known.backend.service, nowMs);
+  }
+
+  /** Learns a back end's speed from a whole answer. */
+  learnSpeed(backendId: string, units: number, elapsedMs: number): void {
+    this.backends.get(backendId)?.learnSpeed(units, elapsedMs);
+  }
+
+  /** A connection to the agent of a back end stands. */
+  connectAgent(backendId: string, nowMs: number): void {
+    const known = this.backends.get(backendId);
+    if (known === undefined) {
+      return;
+    }
+    known.agent = {
+      occupied: known.outstanding,
+      messagesSent: 0,
+      takenUnseen: [],
+      grantsSeen: 0,
+      lastDemand: '',
+    };
+    this.tellDemand(known.backend.service, nowMs);
+  }
+
+  /** The connection to the agent of a back end is gone. */
+  disconnectAgent(backendId: string, nowMs: number): void {
+    const known = this.backends.get(backendId);
+    if (known !== undefined) {
+      known.agent = undefined;
+      this.serve(known.backend.service, nowMs);
+    }
+  }
+
+  /** Takes a message of the agent of a back end. */
+  receiveFromAgent(backendId: string, message: AgentToGateway, nowMs: number): void {
+    const known = this.backends.get(backendId);
+    if (known?.agent === undefined) {
+      return;
+    }
+    if (message.kind === 'state') {
+      known.agent.occupied = message.occupied;
+      const { messagesSeen } = message;
+      known.agent.takenUnseen = known.agent.takenUnseen.filter((number) => number > messagesSeen);
+      this.serve(known.backend.service, nowMs);
+      return;
+    }
+    known.agent.grantsSeen += 1;
+    this.useGrant(backendId, known, nowMs);
+  }
+
+  /** Serves what waits; to be called now and then, since ejections end with time alone. */
+  tick(nowMs: number): void {
+    for (const service of this.waiting.keys()) {
+      this.serve(service, nowMs);
+    }
+  }
+
+  private useGrant(backendId: string, known: KnownBackend, nowMs: number): void {
+    const queue = this.waiting.get(known.backend.service) ?? [];
+    const isUsable = known.isReady && !known.health.isEjected(nowMs);
+    const request = isUsable
+      ? queue.find((candidate) => !candidate.excluded.has(backendId))
+      : undefined;
+    if (request === undefined) {
+      this.sendToAgent(backendId, known, { kind: 'released' });
+      return;
+    }
+    this.remove(request);
+    this.bind(request, known, nowMs, true);
+    this.tellDemand(known.backend.service, nowMs);
+  }
+
+  private serve(service: string, nowMs: number): void {
+    const queue = this.waiting.get(service);
+    if (queue === undefined || queue.length === 0) {
+      return;
+    }
+    for (const request of [...queue]) {
+      const chosen = this.choose(request, nowMs);
+      if (chosen !== undefined && this.remove(request)) {
+        this.bind(request, chosen, nowMs, false);
+      } else if (request.excluded.size === 0) {
+        break;
+      }
+    }
+    this.tellDemand(service, nowMs);
+  }
+
+  private bind(
+    request: DispatchRequest,
+    known: KnownBackend,
+    nowMs: number,
+    isGranted: boolean,
+  ): void {
+    known.outstanding += 1;
+    if (!isGranted && known.agent !== undefined) {
+      this.sendToAgent(known.backend.id, known, { kind: 'taken' });
+      known.agent.takenUnseen.push(known.agent.messagesSent);
+    }
+    request.onPlaced(known.backend, nowMs);
+  }
+
+  private choose(request: DispatchRequest, nowMs: number): KnownBackend | undefined {
+    const candidates = this.candidates(request, nowMs).filter((known) => this.hasRoom(known));
+    let best: KnownBackend | undefined;
+    let bestCost = Infinity;
+    const usualMs = meanMsPerUnit(candidates);
+    for (const known of candidates) {
+      const cost = (known.occupied + 1) * (known.msPerUnit ?? usualMs);
+      if (cost < bestCost) {
+        best = known;
+        bestCost = cost;
+      }
+    }
+    return best;
+  }
+
+  /** Back ends that the request may be bound to: healthy ones if there are any. */
+  private candidates(request: DispatchRequest, nowMs: number): KnownBackend[] {
+    const ofService = this.list().filter(
+      (known) =>
+        known.backend.service === request.service && !request.excluded.has(known.backend.id),
+    );
+    const ready = ofService.filter((known) => known.isReady);
+    if (ready.length === 0) {
+      return ofService.filter((known) => this.isUnlistedLately(known, nowMs));
+    }
+    const healthy = ready.filter((known) => !known.health.isEjected(nowMs));
+    return healthy.length > 0 ? healthy : ready;
+  }
+
+  private isUnlistedLately(known: KnownBackend, nowMs: number): boolean {
+    const { unlistedAtMs, backend } = known;
+    const isRecent =
+      unlistedAtMs !== undefined && nowMs - unlistedAtMs < this.options.unlistedGraceMs;
+    return isRecent && backend.state === 'ready';
+  }
+
+  private hasRoom(known: KnownBackend): boolean {
+    if (known.health.isProbing && known.outstanding > 0) {
+      return false;
+    }
+    const { slots } = known.backend;
+    const isShared = known.agent === undefined && this.ports.isEngine(known.backend.service);
+    const limit = isShared ? Math.ceil(slots * this.options.shareWithoutAgent) : slots;
+    return known.occupied < limit;
+  }
+
+  private hasWaitingBefore(request: DispatchRequest): boolean {
+    const first = this.waiting.get(request.service)?.[0];
+    return first !== undefined && first.excluded.size === 0 && compare(first, request) <= 0;
+  }
+
+  private insert(request: DispatchRequest): void {
+    const queue = this.waiting.get(request.service) ?? [];
+    this.waiting.set(request.service, queue);
+    let index = queue.length;
+    while (index > 0 && compare(queue[index - 1]!, request) > 0) {
+      index -= 1;
+    }
+    queue.splice(index, 0, request);
+  }
+
+  private remove(request: DispatchRequest): boolean {
+    const queue = this.waiting.get(request.service);
+    const index = queue?.indexOf(request) ?? -1;
+    if (queue === undefined || index < 0) {
+      return false;
+    }
+    queue.splice(index, 1);
+    return true;
+  }
+
+  private tellDemand(service: string, nowMs: number): void {
+    const queue = this.waiting.get(service) ?? [];
+    const first = queue.slice(0, this.options.demandLength);
+    const signature = first.map(({ tier, arrivedAtMs }) => `${tier}:${arrivedAtMs}`).join();
+    for (const [backendId, known] of this.backends) {
+      const { agent } = known;
+      const isAsked = known.backend.service === service && agent !== undefined && known.isReady;
+      if (!isAsked || agent.lastDemand === signature) {
+        continue;
+      }
+      agent.lastDemand = signature;
+      const ranks: WaitingRank[] = first.map(({ tier, arrivedAtMs }) => ({
+        tier,
+        waitedMs: nowMs - arrivedAtMs,
+      }));
+      this.sendToAgent(backendId, known, { kind: 'demand', ranks, grantsSeen: agent.grantsSeen });
+    }
+  }
+
+  private sendToAgent(backendId: string, known: KnownBackend, message: GatewayToAgent): void {
+    if (known.agent !== undefined) {
+      known.agent.messagesSent += 1;
+      this.ports.sendToAgent(backendId, message);
+    }
+  }
+
+  private forgetOld(nowMs: number): void {
+    for (const [id, known] of this.backends) {
+      const isOld =
+        known.unlistedAtMs !== undefined && nowMs - known.unlistedAtMs > this.options.rememberMs;
+      if (isOld && known.outstanding === 0) {
+        this.backends.delete(id);
+      }
+    }
+  }
+}
+
+/** Order of waiting requests: tier, then rank inside it, then age. */
+function compare(left: DispatchRequest, right: DispatchRequest): number {
+  return (
+    left.tier - right.tier ||
+    left.rankInTier - right.rankInTier ||
+    left.arrivedAtMs - right.arrivedAtMs
+  );
+}
+
+function meanMsPerUnit(candidates: readonly KnownBackend[]): number {
+  const known = candidates.flatMap(({ msPerUnit }) => (msPerUnit === undefined ? [] : [msPerUnit]));
+  return known.length === 0 ? 1 : known.reduce((sum, value) => sum + value, 0) / known.length;
+}
--- /dev/null
+++ b/src/gateway/gateway-refusal.ts
@@ -0,0 +1,51 @@
+/** Answers of the gateway's own: why a request gets no back end's answer. */
+
+/** Why the gateway itself answers. */
+export type GatewayRefusalReason =
+  | 'no-configuration'
+  | 'no-route'
+  | 'unknown-key'
+  | 'body-too-long'
+  | 'header-too-long'
+  | 'quota-spent'
+  | 'overloaded'
+  | 'no-backend'
+  | 'stopping'
+  | 'not-started-in-time'
+  | 'backend-refused'
+  | 'backend-failed'
+  | 'timed-out';
+
+/** An answer of the gateway's own. */
+export interface GatewayRefusal {
+  readonly reason: GatewayRefusalReason;
+  /** When the caller may usefully try again, in milliseconds. */
+  readonly retryAfterMs?: number;
+}
+
+/**
+ * HTTP status by reason.
+ *
+ * 429 and 503 promise that the request was not and will not be run; 502 and
+ * 504 promise nothing.
+ */
+const STATUS_BY_REASON: Record<GatewayRefusalReason, number> = {
+  'no-configuration': 503,
+  'no-route': 404,
+  'unknown-key': 401,
+  'body-too-long': 413,
+  'header-too-long': 431,
+  'quota-spent': 429,
+  overloaded: 503,
+  'no-backend': 503,
+  stopping: 503,
+  'not-started-in-time': 503,
+  'backend-refused': 503,
+  'backend-failed': 502,
+  'timed-out': 504,
+};
+
+/** The HTTP status that carries a refusal. */
+export function statusOfRefusal(refusal: GatewayRefusal): number {
+  return STATUS_BY_REASON[refusal.reason];
+}
--- /dev/null
+++ b/src/gateway/gateway-role.ts
@@ -0,0 +1,500 @@
+/** The gateway: joins the cluster's state, the dispatcher and the listeners. */
+import { createServer } from 'node:http';
+import { PeerMesh } from '../cluster/peer-mesh.js';
+import type { PeerMessage } from '../cluster/peer-messages.js';
+import { ReplicatedRecords } from '../cluster/replicated-records.js';
+import type { StoreRecord } from '../cluster/replicated-records.js';
+import { StoreFollower } from '../cluster/store-follower.js';
+import type { Clock } from '../clock.js';
+import type { RandomSource } from '../random.js';
+import { DEFAULT_CALLER_LIMITS } from '../routing/configuration.js';
+import type { Route, RoutingConfiguration, Tenant } from '../routing/configuration.js';
+import { pickService, RoutingTable } from '../routing/routing-table.js';
+import type { DecisionLog } from '../telemetry/decision-log.js';
+import type { CallerReply } from './attempt.js';
+import { CallerListener } from './caller-listener.js';
+import type { PendingBody, ReceivedHead } from './caller-listener.js';
+import type { CallerRequestHead } from './caller-protocol.js';
+import { Dispatcher } from './dispatcher.js';
+import type { GatewayAdapter } from './gateway-adapter.js';
+import type { GatewayMetrics } from './gateway-metrics.js';
+import type { GatewayRefusal } from './gateway-refusal.js';
+import { statusOfRefusal } from './gateway-refusal.js';
+import type { GatewaySettings } from './gateway-settings.js';
+import { HttpBackendSender, splitAddress } from './http-backend-sender.js';
+import { DEFAULT_REQUEST_OPTIONS, ProxiedRequest } from './proxied-request.js';
+import type { AcceptedRequest, RequestEnd, RequestPorts } from './proxied-request.js';
+import { RetryBudget } from './retry-budget.js';
+import { SlotAgentLinks } from './slot-agent-links.js';
+import { TokenQuotas } from './token-quota.js';
+
+/** What a gateway is made from. */
+export interface GatewayParts {
+  readonly settings: GatewaySettings;
+  readonly adapter: GatewayAdapter;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: DecisionLog;
+  readonly metrics: GatewayMetrics;
+}
+
+const MS_PER_S = 1_000;
+const TICK_MS = 100;
+const USE_BEAT_TICKS = 5;
+const DROPPED_REPORT_TICKS = 50;
+/** Time after the stop signal in which new requests are still served, in milliseconds. */
+const STOP_ACCEPT_MS = 3_000;
+/** Time left before the kill at which the process ends whatever runs, in milliseconds. */
+const STOP_MARGIN_MS = 350;
+/** Work of one generated token, in prompt tokens: decoding is that much slower than prefill. */
+const OUTPUT_TOKEN_UNITS = 150;
+const QUOTA_SILENCE_MS = 1_200;
+const QUOTA_FORGET_MS = 20_000;
+
+/** The gateway. */
+export class GatewayRole {
+  private readonly records = new ReplicatedRecords();
+  private readonly dispatcher: Dispatcher;
+  private readonly sender = new HttpBackendSender();
+  private readonly listener: CallerListener;
+  private readonly mesh: PeerMesh;
+  private readonly links: SlotAgentLinks;
+  private readonly follower: StoreFollower;
+  private readonly quotas: TokenQuotas;
+  private readonly budget: RetryBudget;
+  private readonly requestPorts: RequestPorts;
+  private readonly active = new Set<AcceptedRequest>();
+  private table: RoutingTable | undefined;
+  private stopRequestedAtMs: number | undefined;
+  private ticks = 0;
+  private isUseUntold = false;
+  private onStopped: (() => void) | undefined;
+
+  constructor(private readonly parts: GatewayParts) {
+    const { settings, adapter, clock, random } = parts;
+    const { name } = settings.process;
+    const incarnation = `${name}.${Math.floor(random.next() * 2 ** 32).toString(36)}`;
+    const isEngine = (service: string) => this.table?.findService(service)?.isEngine ?? false;
+    this.dispatcher = new Dispatcher({
+      sendToAgent: (backendId, message) => this.links.send(backendId, message),
+      onEjected: (backendId) => parts.log.write('backend-ejected', 'state', { backend: backendId }),
+      isEngine,
+    });
+    const agentOptions = {
+      port: settings.listen.slotAgentPort,
+      silenceMs: 1_800,
+      retryMinMs: 250,
+      retryMaxMs: 4_000,
+    };
+    this.links = new SlotAgentLinks(
+      incarnation,
+      () => this.dispatcher,
+      isEngine,
+      clock,
+      agentOptions,
+    );
+    this.listener = new CallerListener(
+      (head, reply) => this.take(head, reply),
+      () => this.limits.maxBodyBytes,
+    );
+    const hello = { kind: 'hello', name, incarnation, address: settings.listen.peers } as const;
+    this.mesh = new PeerMesh(
+      hello,
+      settings.cluster.seeds,
+      {
+        onMessage: (peer, message) => this.hearPeer(peer, message),
+        onOpened: (send) => this.greetPeer(send),
+        onPeer: (peer, isPresent) => this.notePeer(peer, isPresent),
+      },
+      clock,
+      random,
+    );
+    const { limits } = settings;
+    this.quotas = new TokenQuotas(
+      {
+        slackTokens: limits.quotaSlack,
+        overShare: limits.quotaOver,
+        silenceMs: QUOTA_SILENCE_MS,
+        forgetMs: QUOTA_FORGET_MS,
+      },
+      clock.now(),
+    );
+    this.budget = new RetryBudget({
+      ratio: limits.retryRatio,
+      windowMs: limits.retryWindowS * MS_PER_S,
+      slack: limits.retrySlack,
+    });
+    this.follower = new StoreFollower(
+      adapter.store,
+      {
+        onListing: ({ records, revision }) =>
+          this.takeRecords(this.records.applyListing(records, revision)),
+        onChanges: ({ records }) =>
+          this.takeRecords(records.filter((record) => this.records.apply(record))),
+        onReachable: (isReachable, reason) => this.noteStore(isReachable, reason),
+      },
+      clock,
+      random,
+    );
+    this.requestPorts = {
+      clock,
+      dispatcher: this.dispatcher,
+      sender: this.sender,
+      protocol: adapter.protocol,
+      takeRepeat: (service) => this.takeRepeat(service),
+      onEnd: (request, end) => this.noteEnd(request, end),
+    };
+  }
+
+  private get limits() {
+    return this.table?.configuration.limits ?? DEFAULT_CALLER_LIMITS;
+  }
+
+  private get isReady(): boolean {
+    return this.table !== undefined && this.stopRequestedAtMs === undefined;
+  }
+
+  /** Starts the listeners and follows the store. */
+  start(): void {
+    const { settings, log, metrics } = this.parts;
+    const callers = splitAddress(settings.listen.callers);
+    this.listener.server.listen(callers.port, callers.host);
+    this.serveReadiness();
+    if (settings.listen.peers !== '') {
+      const peers = splitAddress(settings.listen.peers);
+      this.mesh.start(peers.host, peers.port);
+    }
+    if (settings.listen.metricsPort > 0) {
+      metrics.serve(settings.process.address, settings.listen.metricsPort);
+    }
+    void this.follower.run();
+    this.scheduleTick();
+    log.write('started', 'state', { ...settings.listen });
+  }
+
+  /** Stops taking requests, ends those that run, then calls back. */
+  stop(onStopped: () => void): void {
+    if (this.stopRequestedAtMs !== undefined) {
+      return;
+    }
+    const { clock, log, settings } = this.parts;
+    this.stopRequestedAtMs = clock.now();
+    this.onStopped = onStopped;
+    this.listener.announceClose();
+    log.write('stopping', 'state', { active: this.active.size });
+    clock.setTimeout(() => {
+      this.listener.stopListening();
+      this.endIfIdle();
+    }, STOP_ACCEPT_MS);
+    const lastMs = Math.max(STOP_ACCEPT_MS, settings.limits.stopGraceS * MS_PER_S - STOP_MARGIN_MS);
+    clock.setTimeout(() => this.end(), lastMs);
+  }
+
+  private serveReadiness(): void {
+    const { host, port } = splitAddress(this.parts.settings.listen.readiness);
+    const server = createServer((_request, response) => {
+      response.writeHead(this.isReady ? 200 : 503, { 'Content-Length': '0' });
+      response.end();
+    });
+    server.keepAliveTimeout = 30_000;
+    server.on('error', () => undefined);
+    server.listen(port, host);
+  }
+
+  private endIfIdle(): void {
+    const { stopRequestedAtMs } = this;
+    const isLate =
+      stopRequestedAtMs !== undefined &&
+      this.parts.clock.now() - stopRequestedAtMs >= STOP_ACCEPT_MS;
+    if (isLate && this.active.size === 0) {
+      this.end();
+    }
+  }
+
+  private end(): void {
+    const { onStopped } = this;
+    if (onStopped === undefined) {
+      return;
+    }
+    this.onStopped = undefined;
+    this.follower.stop();
+    this.mesh.broadcast({ kind: 'leaving' });
+    this.mesh.stop();
+    this.links.stop();
+    this.parts.log.write('stopped', 'state', { active: this.active.size });
+    this.parts.log.flush();
+    onStopped();
+  }
+
+  private scheduleTick(): void {
+    this.parts.clock.setTimeout(() => {
+      this.tick();
+      this.scheduleTick();
+    }, TICK_MS);
+  }
+
+  private tick(): void {
+    this.ticks += 1;
+    this.dispatcher.tick(this.parts.clock.now());
+    this.links.maintain();
+    if (this.isUseUntold || this.ticks % USE_BEAT_TICKS === 0) {
+      this.isUseUntold = false;
+      this.mesh.broadcast(this.useMessage());
+    }
+    if (this.ticks % DROPPED_REPORT_TICKS === 0) {
+      this.parts.log.reportDropped();
+    }
+  }
+
+  private useMessage(): PeerMessage {
+    return { kind: 'use', used: Object.fromEntries(this.quotas.use()) };
+  }
+
+  private greetPeer(send: (message: PeerMessage) => void): void {
+    send({ kind: 'records', records: this.records.snapshot() });
+    send(this.useMessage());
+  }
+
+  private hearPeer(peer: string, message: PeerMessage): void {
+    if (message.kind === 'records') {
+      this.takeRecords(message.records.filter((record) => this.records.apply(record)));
+    } else if (message.kind === 'use') {
+      this.quotas.hear(peer, new Map(Object.entries(message.used)), this.parts.clock.now());
+    }
+  }
+
+  private notePeer(peer: string, isPresent: boolean): void {
+    if (!isPresent) {
+      this.quotas.forget(peer);
+    }
+    this.parts.log.write(isPresent ? 'peer-heard' : 'peer-gone', 'state', { peer });
+  }
+
+  private noteStore(isReachable: boolean, reason: string): void {
+    this.parts.metrics.storeReachable.set(isReachable ? 1 : 0);
+    this.parts.log.write(isReachable ? 'store-regained' : 'store-lost', 'state', { reason });
+  }
+
+  /** Takes in records that are news, and passes them on. */
+  private takeRecords(news: readonly StoreRecord[]): void {
+    if (news.length === 0) {
+      return;
+    }
+    this.mesh.broadcast({ kind: 'records', records: news });
+    for (const record of news) {
+      this.takeRecord(record);
+    }
+    this.links.maintain();
+  }
+
+  private takeRecord(record: StoreRecord): void {
+    const { adapter, log, metrics, clock } = this.parts;
+    const decoded = adapter.decode(record);
+    if (decoded.kind === 'configuration') {
+      this.install(decoded.configuration, record.revision);
+    } else if (decoded.kind === 'backend') {
+      const { id, backend } = decoded;
+      const event = backend === undefined ? 'backend-gone' : 'backend-learned';
+      log.write(event, 'state', {
+        backend: id,
+        state: backend?.state,
+        service: backend?.service,
+        address: backend?.address,
+        revision: record.revision,
+      });
+      this.dispatcher.updateBackend(id, backend, clock.now());
+      metrics.backendsReady.set(this.dispatcher.list().filter((known) => known.isReady).length);
+    } else if (decoded.kind === 'invalid') {
+      const { problem } = decoded;
+      log.write('configuration-refused', 'state', { problem, revision: record.revision });
+    }
+  }
+
+  private install(configuration: RoutingConfiguration, revision: number): void {
+    const known = this.table?.configuration.version;
+    if (known !== undefined && configuration.version <= known) {
+      return;
+    }
+    this.table = new RoutingTable(configuration);
+    this.listener.applyLimits(configuration.limits);
+    this.parts.metrics.configurationVersion.set(configuration.version);
+    this.parts.log.write('configuration-installed', 'state', {
+      version: configuration.version,
+      revision,
+      routes: configuration.routes.length,
+    });
+  }
+
+  private take(head: ReceivedHead, reply: CallerReply): PendingBody {
+    const arrivedAtMs = this.parts.clock.now();
+    const caller = this.parts.adapter.protocol.readRequest(head.headers);
+    let proxied: ProxiedRequest | undefined;
+    return {
+      onBody: (body) => {
+        proxied = this.admit({ head, caller, body, arrivedAtMs }, reply);
+      },
+      onTooLong: () => {
+        this.refuse(caller, reply, { reason: 'body-too-long' });
+      },
+      onCallerLeft: () => proxied?.callerLeft(),
+    };
+  }
+
+  private admit(received: ReceivedRequest, reply: CallerReply): ProxiedRequest | undefined {
+    const checked = this.check(received);
+    if ('refusal' in checked) {
+      this.refuse(received.caller, reply, checked.refusal);
+      return undefined;
+    }
+    const { request } = checked;
+    this.budget.countRequest(request.service, this.parts.clock.now());
+    const proxied = new ProxiedRequest(request, reply, this.requestPorts, DEFAULT_REQUEST_OPTIONS);
+    this.active.add(request);
+    proxied.begin();
+    return proxied;
+  }
+
+  private check(
+    received: ReceivedRequest,
+  ): { refusal: GatewayRefusal } | { request: AcceptedRequest } {
+    const { table } = this;
+    const retryAfterMs = DEFAULT_REQUEST_OPTIONS.retryAfterMs;
+    if (table === undefined) {
+      return { refusal: { reason: 'no-configuration', retryAfterMs } };
+    }
+    if (this.isLateInStop()) {
+      return { refusal: { reason: 'stopping', retryAfterMs: 0 } };
+    }
+    const { head, caller } = received;
+    if (headerBytes(head.rawHeaders) > table.configuration.limits.maxHeaderBytes) {
+      return { refusal: { reason: 'header-too-long' } };
+    }
+    const route = table.findRoute(head.host, head.path);
+    if (route === undefined) {
+      return { refusal: { reason: 'no-route' } };
+    }
+    const tenant = caller.apiKey === undefined ? undefined : table.findTenant(caller.apiKey);
+    if (table.needsKey && !route.allowsAnonymous && tenant === undefined) {
+      return { refusal: { reason: 'unknown-key' } };
+    }
+    const spent = this.spendQuota(tenant, caller);
+    if (spent !== undefined) {
+      return { refusal: spent };
+    }
+    return { request: this.describe(received, route, tenant) };
+  }
+
+  private isLateInStop(): boolean {
+    const { stopRequestedAtMs } = this;
+    return (
+      stopRequestedAtMs !== undefined &&
+      this.parts.clock.now() - stopRequestedAtMs > STOP_ACCEPT_MS - TICK_MS
+    );
+  }
+
+  private spendQuota(
+    tenant: Tenant | undefined,
+    caller: CallerRequestHead,
+  ): GatewayRefusal | undefined {
+    if (tenant?.quota === undefined) {
+      return undefined;
+    }
+    const { quota, name } = tenant;
+    const { tokens } = caller;
+    const tokenCost = tokens === undefined ? quota.plainTokens : tokens.prompt + tokens.output;
+    const cost = quota.unit === 'tokens' ? tokenCost : 1;
+    if (this.quotas.take(name, quota, cost, this.parts.clock.now())) {
+      this.isUseUntold = true;
+      return undefined;
+    }
+    return { reason: 'quota-spent', retryAfterMs: this.quotas.waitMs(name, quota) };
+  }
+
+  private describe(
+    received: ReceivedRequest,
+    route: Route,
+    tenant: Tenant | undefined,
+  ): AcceptedRequest {
+    const { head, caller, body, arrivedAtMs } = received;
+    const { random } = this.parts;
+    const { tokens } = caller;
+    const longestMs = Math.min(route.timeoutMs, caller.deadlineMs ?? route.timeoutMs);
+    return {
+      requestId: caller.requestId ?? '',
+      route,
+      service: pickService(route.services, random.next()) ?? '',
+      tenant: tenant?.name,
+      tier: tenant?.priority ?? route.priority,
+      rankInTier: route.priority,
+      arrivedAtMs,
+      endsAtMs: arrivedAtMs + longestMs,
+      units: tokens === undefined ? 1 : tokens.prompt + tokens.output * OUTPUT_TOKEN_UNITS,
+      method: head.method,
+      path: head.path,
+      headers: head.rawHeaders,
+      body,
+      lastEventId: caller.lastEventId,
+    };
+  }
+
+  private takeRepeat(service: string): boolean {
+    const isAllowed = this.budget.takeRepeat(service, this.mesh.size, this.parts.clock.now());
+    if (!isAllowed) {
+      this.parts.metrics.repeatsDenied.inc({ service });
+    }
+    return isAllowed;
+  }
+
+  private refuse(caller: CallerRequestHead, reply: CallerReply, refusal: GatewayRefusal): void {
+    const { adapter, log, metrics } = this.parts;
+    const status = statusOfRefusal(refusal);
+    const body = Buffer.from(JSON.stringify({ error: refusal.reason }));
+    const headers = adapter.protocol.ownAnswerHeaders(caller.requestId, refusal.retryAfterMs);
+    headers.push('Content-Type', 'application/json', 'Content-Length', `${body.length}`);
+    reply.start(status, headers);
+    reply.end(body);
+    metrics.requests.inc({ route: '', status: `${status}`, reason: refusal.reason });
+    log.write('request-refused', 'failure', {
+      request: caller.requestId,
+      ...refusal,
+      status,
+      configuration: this.table?.configuration.version,
+    });
+  }
+
+  private noteEnd(request: AcceptedRequest, end: RequestEnd): void {
+    const { metrics, log } = this.parts;
+    this.active.delete(request);
+    const { status, reason, attempts } = end;
+    metrics.requests.inc({ route: request.route.name, status: `${status}`, reason });
+    metrics.attempts.inc({ service: request.service }, attempts);
+    metrics.waitSeconds.observe(end.waitedMs / MS_PER_S);
+    if (end.firstByteMs !== undefined) {
+      metrics.firstByteSeconds.observe(end.firstByteMs / MS_PER_S);
+    }
+    metrics.totalSeconds.observe(end.totalMs / MS_PER_S);
+    log.write('request-ended', reason === 'answered' && status < 400 ? 'success' : 'failure', {
+      request: request.requestId,
+      route: request.route.name,
+      service: request.service,
+      tenant: request.tenant,
+      tier: request.tier,
+      ...end,
+      waiting: this.dispatcher.countWaiting(request.service),
+      configuration: this.table?.configuration.version,
+    });
+    this.endIfIdle();
+  }
+}
+
+interface ReceivedRequest {
+  readonly head: ReceivedHead;
+  readonly caller: CallerRequestHead;
+  readonly body: Buffer;
+  readonly arrivedAtMs: number;
+}
+
+function headerBytes(rawHeaders: readonly string[]): number {
+  const SEPARATOR_BYTES = 2;
+  return rawHeaders.reduce((sum, text) => sum + text.length + SEPARATOR_BYTES, 0);
+}
--- /dev/null
+++ b/src/gateway/http-backend-sender.ts
@@ -0,0 +1,204 @@
+/** Sends requests to back ends over HTTP and keeps their connections. */
+import { Agent, request as httpRequest } from 'node:http';
+import type { ClientRequest, IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
+import type {
+  AttemptFailure,
+  AttemptHandle,
+  AttemptHandlers,
+  BackendSender,
+  OutgoingAttempt,
+} from './attempt.js';
+
+/** Limits of the connections to back ends. */
+export interface BackendSenderOptions {
+  /** Longest time for a connection to come up, in milliseconds. Default 400. */
+  readonly connectTimeoutMs: number;
+  /** Longest rest of a connection, in milliseconds, where the back end names none. Default 20,000. */
+  readonly idleMs: number;
+  /** Most resting connections to one back end. Default 32. */
+  readonly maxIdlePerBackend: number;
+}
+
+/** Defaults of the connections to back ends. */
+export const DEFAULT_BACKEND_SENDER_OPTIONS: BackendSenderOptions = {
+  connectTimeoutMs: 400,
+  idleMs: 20_000,
+  maxIdlePerBackend: 32,
+};
+
+/** Share of the rest that a back end grants which is used, so that it does not close first. */
+const IDLE_SHARE = 0.6;
+
+/**
+ * Keeps resting connections, but none on which anything arrives while no
+ * request is under way: such bytes belong to no request.
+ */
+class GuardedAgent extends Agent {
+  constructor(private readonly limits: BackendSenderOptions) {
+    super({
+      keepAlive: true,
+      maxFreeSockets: limits.maxIdlePerBackend,
+      timeout: limits.idleMs,
+      scheduling: 'lifo',
+    });
+  }
+
+  override keepSocketAlive(stream: Duplex): boolean {
+    const socket = stream as Socket;
+    // The typings leave out that the base class answers whether the socket may be kept.
+    const isKept = (super.keepSocketAlive as (kept: Duplex) => unknown)(stream) !== false;
+    if (!isKept || socket.readableLength > 0) {
+      return false;
+    }
+    const grantedMs =
+      socket.timeout === undefined || socket.timeout === 0 ? Infinity : socket.timeout;
+    socket.setTimeout(Math.min(grantedMs * IDLE_SHARE, this.limits.idleMs));
+    socket.on('data', destroySocket);
+    return true;
+  }
+
+  override reuseSocket(stream: Duplex, request: ClientRequest): void {
+    stream.removeListener('data', destroySocket);
+    super.reuseSocket(stream, request);
+  }
+}
+
+function destroySocket(this: Socket): void {
+  this.destroy();
+}
+
+/** Sends requests to back ends over HTTP. */
+export class HttpBackendSender implements BackendSender {
+  private readonly agent: GuardedAgent;
+
+  constructor(private readonly options = DEFAULT_BACKEND_SENDER_OPTIONS) {
+    this.agent = new GuardedAgent(options);
+  }
+
+  /** Closes resting connections. */
+  close(): void {
+    this.agent.destroy();
+  }
+
+  send(attempt: OutgoingAttempt, handlers: AttemptHandlers): AttemptHandle {
+    return new HttpAttempt(attempt, handlers, this.agent, this.options.connectTimeoutMs);
+  }
+}
+
+/** One request under way. */
+class HttpAttempt implements AttemptHandle {
+  private readonly request: ClientRequest;
+  private response: IncomingMessage | undefined;
+  private isConnected = false;
+  private isOver = false;
+  private connectTimer: NodeJS.Timeout | undefined;
+
+  constructor(
+    attempt: OutgoingAttempt,
+    private readonly handlers: AttemptHandlers,
+    agent: Agent,
+    connectTimeoutMs: number,
+  ) {
+    const { host, port } = splitAddress(attempt.backend.address);
+    const { method, path, body } = attempt;
+    const headers = withLength(attempt.headers, method, body);
+    this.request = httpRequest({ host, port, method, path, headers, agent, setHost: false });
+    this.request.on('socket', (socket) => this.onSocket(socket, connectTimeoutMs));
+    this.request.on('response', (response) => this.onResponse(response));
+    this.request.on('error', (error) => this.fail(error.message));
+    this.request.end(body.length > 0 ? body : undefined);
+  }
+
+  cancel(): void {
+    this.isOver = true;
+    clearTimeout(this.connectTimer);
+    this.request.destroy();
+  }
+
+  pause(): void {
+    this.response?.pause();
+  }
+
+  resume(): void {
+    this.response?.resume();
+  }
+
+  private onSocket(socket: Socket, connectTimeoutMs: number): void {
+    socket.setNoDelay(true);
+    if (!socket.connecting) {
+      this.isConnected = true;
+      return;
+    }
+    this.connectTimer = setTimeout(() => this.request.destroy(), connectTimeoutMs);
+    socket.once('connect', () => {
+      this.isConnected = true;
+      clearTimeout(this.connectTimer);
+    });
+  }
+
+  private onResponse(response: IncomingMessage): void {
+    this.response = response;
+    response.on('data', (bytes: Buffer) => {
+      if (!this.isOver) {
+        this.handlers.onData(bytes);
+      }
+    });
+    response.on('end', () => this.endAnswer(response));
+    response.on('error', (error) => this.fail(error.message));
+    response.on('close', () => this.fail('the connection closed inside the answer'));
+    if (!this.isOver) {
+      this.handlers.onHead({
+        status: response.statusCode ?? 0,
+        rawHeaders: response.rawHeaders,
+        headers: response.headers,
+      });
+    }
+  }
+
+  private endAnswer(response: IncomingMessage): void {
+    if (this.isOver) {
+      return;
+    }
+    if (!response.complete) {
+      this.fail('the answer is not complete');
+      return;
+    }
+    this.isOver = true;
+    if (!this.request.writableFinished) {
+      // The back end answered before it had read the whole body: its connection is of no more use.
+      this.request.destroy();
+    }
+    this.handlers.onEnd();
+  }
+
+  private fail(detail: string): void {
+    if (this.isOver) {
+      return;
+    }
+    this.isOver = true;
+    clearTimeout(this.connectTimer);
+    this.request.destroy();
+    const failure: AttemptFailure = { mayHaveRun: this.isConnected, detail };
+    this.handlers.onFailure(failure);
+  }
+}
+
+/** Splits `IP:PORT`. */
+export function splitAddress(address: string): { host: string; port: number } {
+  const colon = address.lastIndexOf(':');
+  return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
+}
+
+/** The body is sent whole, so its length is known whatever the caller's framing was. */
+function withLength(headers: readonly string[], method: string, body: Buffer): string[] {
+  const kept: string[] = [];
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    if (headers[index]!.toLowerCase() !== 'content-length') {
+      kept.push(headers[index]!, headers[index + 1]!);
+    }
+  }
+  const isBodyless = body.length === 0 && (method === 'GET' || method === 'HEAD');
+  return isBodyless ? kept : [...kept, 'Content-Length', `${body.length}`];
+}
--- /dev/null
+++ b/src/gateway/known-backend.ts
@@ -0,0 +1,57 @@
+/** What a gateway knows of one back end: its announcement, its health, its speed and its slots. */
+import type { Backend } from '../routing/backend.js';
+import { BackendHealth } from './backend-health.js';
+
+const SPEED_SMOOTHING = 0.15;
+
+/** The gateway's side of its connection to the agent beside a back end. */
+export interface SlotAgentLink {
+  /** Occupied slots as the agent told last. */
+  occupied: number;
+  /** Messages sent to the agent after the hello. */
+  messagesSent: number;
+  /** Numbers of the messages by which free slots were taken and that `occupied` does not reflect. */
+  takenUnseen: number[];
+  /** Grants received on this connection. */
+  grantsSeen: number;
+  /** The demand that was sent last, as text. */
+  lastDemand: string;
+}
+
+/** One back end as a gateway knows it. */
+export class KnownBackend {
+  readonly health = new BackendHealth();
+  /** Requests of this gateway that are there now. */
+  outstanding = 0;
+  /** Undefined while no agent is connected. */
+  agent: SlotAgentLink | undefined;
+  /** When it left the list; undefined while it is listed. */
+  unlistedAtMs: number | undefined;
+  private learnedMsPerUnit: number | undefined;
+
+  constructor(public backend: Backend) {}
+
+  /** Whether it is listed as taking new requests. */
+  get isReady(): boolean {
+    return this.unlistedAtMs === undefined && this.backend.state === 'ready';
+  }
+
+  /** Learned time for a unit of work, in milliseconds; undefined before the first answer. */
+  get msPerUnit(): number | undefined {
+    return this.learnedMsPerUnit;
+  }
+
+  /** Learns from a whole answer. */
+  learnSpeed(units: number, elapsedMs: number): void {
+    const sample = elapsedMs / Math.max(1, units);
+    const known = this.learnedMsPerUnit ?? sample;
+    this.learnedMsPerUnit = known + SPEED_SMOOTHING * (sample - known);
+  }
+
+  /** Requests that are there, of this gateway and, where an agent tells, of others. */
+  get occupied(): number {
+    return this.agent === undefined
+      ? this.outstanding
+      : Math.max(this.outstanding, this.agent.occupied + this.agent.takenUnseen.length);
+  }
+}
--- /dev/null
+++ b/src/gateway/proxied-request.ts
@@ -0,0 +1,524 @@
+/**
+ * The life of one request in a gateway, without I/O: waiting, attempts, answer.
+ *
+ * A request that was sent is never sent again unless it may be repeated or it
+ * is certain that no back end ran it.
+ */
+import type { Clock, TimerHandle } from '../clock.js';
+import type { Backend } from '../routing/backend.js';
+import type { Route } from '../routing/configuration.js';
+import type {
+  AnswerHead,
+  AttemptFailure,
+  AttemptHandle,
+  BackendSender,
+  CallerReply,
+} from './attempt.js';
+import type { AttemptOutcome } from './backend-health.js';
+import { endToEndHeaders } from './caller-protocol.js';
+import type { CallerProtocol, RawHeaders } from './caller-protocol.js';
+import type { Dispatcher, DispatchRequest } from './dispatcher.js';
+import { EventSplitter } from './event-stream.js';
+import { statusOfRefusal } from './gateway-refusal.js';
+import type { GatewayRefusal } from './gateway-refusal.js';
+
+/** A request as the front of a gateway hands it over, its body read whole. */
+export interface AcceptedRequest {
+  readonly requestId: string;
+  readonly route: Route;
+  readonly service: string;
+  readonly tenant: string | undefined;
+  readonly tier: number;
+  readonly rankInTier: number;
+  readonly arrivedAtMs: number;
+  /** When the caller's deadline or the route's time-out ends it, whichever comes first. */
+  readonly endsAtMs: number;
+  readonly units: number;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: RawHeaders;
+  readonly body: Buffer;
+  /** Id of the last event that the caller has, where it continues a stream. */
+  readonly lastEventId: string | undefined;
+}
+
+/** How a request ended, for counters and the log. */
+export interface RequestEnd {
+  /** Status of the answer; 0 when the caller left before one. */
+  readonly status: number;
+  readonly reason: string;
+  readonly attempts: number;
+  readonly backendIds: readonly string[];
+  readonly waitedMs: number;
+  readonly firstByteMs: number | undefined;
+  readonly totalMs: number;
+}
+
+/** What a request needs from its surroundings. */
+export interface RequestPorts {
+  readonly clock: Clock;
+  readonly dispatcher: Dispatcher;
+  readonly sender: BackendSender;
+  readonly protocol: CallerProtocol;
+  /** Takes one repeat from the budget of a service. */
+  takeRepeat(service: string): boolean;
+  /** Called once. */
+  onEnd(request: AcceptedRequest, end: RequestEnd): void;
+}
+
+/** Times and limits of requests. */
+export interface RequestOptions {
+  /** Share of the target latency that a request below the highest tier may wait. Default 1. */
+  readonly waitShare: number;
+  /** Share of the target latency after which a safe request is tried elsewhere. Default 0.6. */
+  readonly safeHeadShare: number;
+  /** Silence after which a resumable stream is continued elsewhere, in milliseconds. Default 1,200. */
+  readonly streamSilenceMs: number;
+  /** Retry-After of refusals, in milliseconds. Default 300. */
+  readonly retryAfterMs: number;
+}
+
+/** Defaults of requests. */
+export const DEFAULT_REQUEST_OPTIONS: RequestOptions = {
+  waitShare: 1,
+  safeHeadShare: 0.6,
+  streamSilenceMs: 1_200,
+  retryAfterMs: 300,
+};
+
+const MAX_CONNECT_FAILURES = 4;
+const MAX_BUFFERED_ANSWER_BYTES = 256 * 1024;
+const MIN_TIME_FOR_ATTEMPT_MS = 5;
+const HTTP_ERROR = 400;
+const HTTP_SERVER_ERROR = 500;
+const FRAMING_HEADERS = new Set(['content-length']);
+const NO_HEADERS = new Set<string>();
+
+type Phase = 'waiting' | 'sent' | 'streaming' | 'done';
+
+/** One request from its acceptance to its end. */
+export class ProxiedRequest {
+  private phase: Phase = 'waiting';
+  private placement: DispatchRequest | undefined;
+  private backend: Backend | undefined;
+  private attempt: AttemptHandle | undefined;
+  private attemptStartedAtMs = 0;
+  private attempts = 0;
+  private connectFailures = 0;
+  private readonly excluded = new Set<string>();
+  private readonly backendIds: string[] = [];
+  private head: AnswerHead | undefined;
+  private hasStartedReply = false;
+  private buffered: Buffer[] = [];
+  private bufferedBytes = 0;
+  private splitter = new EventSplitter();
+  private lastEventId: string | undefined;
+  private firstPlacedAtMs: number | undefined;
+  private firstByteAtMs: number | undefined;
+  /** Whether some back end may have run the request. */
+  private mayHaveRun = false;
+  private lastAnswer: { head: AnswerHead; body: Buffer } | undefined;
+  private readonly endTimer: TimerHandle;
+  private stepTimer: TimerHandle | undefined;
+
+  constructor(
+    private readonly request: AcceptedRequest,
+    private readonly reply: CallerReply,
+    private readonly ports: RequestPorts,
+    private readonly options: RequestOptions,
+  ) {
+    this.lastEventId = request.lastEventId;
+    const leftMs = Math.max(0, request.endsAtMs - ports.clock.now());
+    this.endTimer = ports.clock.setTimeout(() => this.timeOut(), leftMs);
+  }
+
+  /** Whether its end has come. */
+  get isDone(): boolean {
+    return this.phase === 'done';
+  }
+
+  /** Offers the request to the back ends. */
+  begin(): void {
+    this.waitForBackend();
+  }
+
+  /** The caller closed its connection. */
+  callerLeft(): void {
+    if (this.phase === 'done') {
+      return;
+    }
+    const waitedForHeadMs = this.ports.clock.now() - this.attemptStartedAtMs;
+    const isBackendSilent =
+      this.phase === 'sent' && waitedForHeadMs > this.request.route.targetLatencyMs * 2;
+    this.dropAttempt(isBackendSilent ? 'failed' : 'unknown');
+    this.finish(0, 'caller-left');
+  }
+
+  private waitForBackend(): void {
+    const { request, ports } = this;
+    const nowMs = ports.clock.now();
+    this.phase = 'waiting';
+    this.head = undefined;
+    this.placement = {
+      service: request.service,
+      tier: request.tier,
+      rankInTier: request.rankInTier,
+      arrivedAtMs: request.arrivedAtMs,
+      units: request.units,
+      excluded: this.excluded,
+      onPlaced: (backend, placedAtMs) => this.send(backend, placedAtMs),
+    };
+    const waitMs = this.longestWaitMs(nowMs);
+    this.setStepTimer(waitMs, () => this.giveUpWaiting());
+    ports.dispatcher.submit(this.placement, nowMs);
+  }
+
+  private longestWaitMs(nowMs: number): number {
+    const { request, ports, options } = this;
+    const leftMs = request.endsAtMs - nowMs;
+    const isUrgent = request.tier === 0 && ports.dispatcher.countReady(request.service) > 0;
+    return isUrgent ? leftMs : Math.min(leftMs, request.route.targetLatencyMs * options.waitShare);
+  }
+
+  private giveUpWaiting(): void {
+    if (this.phase !== 'waiting') {
+      return;
+    }
+    const hasBackends = this.ports.dispatcher.countReady(this.request.service) > 0;
+    this.answerFailure(hasBackends ? 'overloaded' : 'no-backend');
+  }
+
+  private send(backend: Backend, nowMs: number): void {
+    const { request, ports } = this;
+    this.placement = undefined;
+    this.phase = 'sent';
+    this.backend = backend;
+    this.attempts += 1;
+    this.backendIds.push(backend.id);
+    this.attemptStartedAtMs = nowMs;
+    this.firstPlacedAtMs ??= nowMs;
+    this.buffered = [];
+    this.bufferedBytes = 0;
+    this.splitter = new EventSplitter();
+    const headers = ports.protocol.attemptHeaders(endToEndHeaders(request.headers, NO_HEADERS), {
+      requestId: request.requestId,
+      remainingMs: Math.max(1, Math.floor(request.endsAtMs - nowMs)),
+      backendId: backend.id,
+      tenant: request.tenant,
+      lastEventId: this.lastEventId,
+    });
+    const { method, path, body } = request;
+    this.armSilenceTimer();
+    this.attempt = ports.sender.send(
+      { backend, method, path, headers, body },
+      {
+        onHead: (head) => this.receiveHead(head),
+        onData: (bytes) => this.receiveData(bytes),
+        onEnd: () => this.receiveEnd(),
+        onFailure: (failure) => this.fail(failure),
+      },
+    );
+  }
+
+  /** A request that may be tried elsewhere does not wait for a silent back end until its end. */
+  private armSilenceTimer(): void {
+    const { route } = this.request;
+    this.clearStepTimer();
+    if (!this.mayRepeat() || this.attempts >= route.maxAttempts) {
+      return;
+    }
+    const { safeHeadShare, streamSilenceMs } = this.options;
+    const silenceMs =
+      route.kind === 'safe' ? route.targetLatencyMs * safeHeadShare : streamSilenceMs;
+    this.setStepTimer(silenceMs, () => this.giveUpSilentBackend());
+  }
+
+  private giveUpSilentBackend(): void {
+    if (!this.canRepeatElsewhere() || !this.takeRepeat()) {
+      return;
+    }
+    const failedId = this.backend!.id;
+    this.mayHaveRun = true;
+    this.dropAttempt('failed');
+    this.moveOn(failedId);
+  }
+
+  private receiveHead(head: AnswerHead): void {
+    const answer = this.ports.protocol.readAnswer(head.status, head.headers);
+    if (answer.requestId !== undefined && answer.requestId !== this.request.requestId) {
+      this.attempt?.cancel();
+      this.fail({ mayHaveRun: true, detail: 'the answer is for another request' });
+      return;
+    }
+    if (answer.isNotExecuted || answer.isMisdirected) {
+      this.dropRefused(answer.isMisdirected);
+      return;
+    }
+    this.head = head;
+  }
+
+  /** The back end declined: the connection may be kept, but its answer is of no use. */
+  private dropRefused(isMisdirected: boolean): void {
+    const backendId = this.backend!.id;
+    this.dropAttempt(isMisdirected ? 'failed' : 'refused');
+    if (isMisdirected) {
+      this.attempts -= 1;
+    }
+    const canRepeat = this.attempts < this.request.route.maxAttempts && this.hasTime();
+    if (canRepeat && this.ports.takeRepeat(this.request.service)) {
+      this.moveOn(backendId);
+      return;
+    }
+    this.answerFailure('backend-refused');
+  }
+
+  private receiveData(bytes: Buffer): void {
+    if (this.head === undefined) {
+      return;
+    }
+    if (this.isStreamAnswer()) {
+      this.receiveStreamData(bytes);
+      return;
+    }
+    if (this.hasStartedReply) {
+      this.forward(bytes);
+      return;
+    }
+    this.buffered.push(bytes);
+    this.bufferedBytes += bytes.length;
+    if (this.bufferedBytes > MAX_BUFFERED_ANSWER_BYTES) {
+      this.startReply();
+      this.forward(Buffer.concat(this.buffered));
+      this.buffered = [];
+    }
+  }
+
+  private isStreamAnswer(): boolean {
+    return this.request.route.kind === 'stream' && this.head!.status < HTTP_ERROR;
+  }
+
+  private receiveStreamData(bytes: Buffer): void {
+    const events = this.splitter.push(bytes);
+    if (this.splitter.isOverlong) {
+      this.attempt?.cancel();
+      this.fail({ mayHaveRun: true, detail: 'an event is too long' });
+      return;
+    }
+    if (events.length === 0) {
+      return;
+    }
+    this.startReply();
+    this.phase = 'streaming';
+    this.armSilenceTimer();
+    for (const { id } of events) {
+      this.lastEventId = id ?? this.lastEventId;
+    }
+    this.forward(Buffer.concat(events.map((event) => event.bytes)));
+  }
+
+  private startReply(): void {
+    if (this.hasStartedReply) {
+      return;
+    }
+    this.hasStartedReply = true;
+    this.firstByteAtMs = this.ports.clock.now();
+    const dropped = this.request.route.kind === 'stream' ? FRAMING_HEADERS : NO_HEADERS;
+    this.reply.start(this.head!.status, endToEndHeaders(this.head!.rawHeaders, dropped));
+  }
+
+  private forward(bytes: Buffer): void {
+    if (this.reply.write(bytes)) {
+      return;
+    }
+    const { attempt } = this;
+    attempt?.pause();
+    this.reply.onceDrained(() => attempt?.resume());
+  }
+
+  private receiveEnd(): void {
+    const { head } = this;
+    if (head === undefined) {
+      this.fail({ mayHaveRun: true, detail: 'no answer' });
+      return;
+    }
+    if (this.isStreamAnswer() && this.splitter.hasPartialEvent) {
+      this.fail({ mayHaveRun: true, detail: 'the stream ended inside an event' });
+      return;
+    }
+    this.mayHaveRun = true;
+    const isServerError = head.status >= HTTP_SERVER_ERROR;
+    const backendId = this.backend!.id;
+    if (!isServerError) {
+      const elapsedMs = this.ports.clock.now() - this.attemptStartedAtMs;
+      this.ports.dispatcher.learnSpeed(backendId, this.request.units, elapsedMs);
+    }
+    this.endAttempt(isServerError ? 'failed' : 'answered');
+    if (isServerError && this.canRepeatElsewhere() && this.takeRepeat()) {
+      this.lastAnswer = { head, body: Buffer.concat(this.buffered) };
+      this.moveOn(backendId);
+      return;
+    }
+    this.endReply(head, Buffer.concat(this.buffered));
+  }
+
+  private endReply(head: AnswerHead, body: Buffer): void {
+    if (this.hasStartedReply) {
+      this.reply.end();
+    } else {
+      this.firstByteAtMs = this.ports.clock.now();
+      this.reply.start(head.status, this.wholeAnswerHeaders(head, body));
+      this.reply.end(body);
+    }
+    this.finish(head.status, 'answered');
+  }
+
+  private wholeAnswerHeaders(head: AnswerHead, body: Buffer): string[] {
+    const kept = endToEndHeaders(head.rawHeaders, FRAMING_HEADERS);
+    const isHead = this.request.method === 'HEAD';
+    const length = isHead ? head.headers['content-length'] : `${body.length}`;
+    return typeof length === 'string' ? [...kept, 'Content-Length', length] : kept;
+  }
+
+  private fail(failure: AttemptFailure): void {
+    if (this.phase === 'done' || this.phase === 'waiting') {
+      return;
+    }
+    const backendId = this.backend!.id;
+    this.endAttempt('failed');
+    if (!failure.mayHaveRun) {
+      this.attempts -= 1;
+      this.connectFailures += 1;
+      if (this.connectFailures <= MAX_CONNECT_FAILURES && this.hasTime()) {
+        this.moveOn(backendId);
+        return;
+      }
+      this.answerFailure('no-backend');
+      return;
+    }
+    this.mayHaveRun = true;
+    if (this.canRepeatElsewhere() && this.takeRepeat()) {
+      this.moveOn(backendId);
+      return;
+    }
+    this.answerFailure('backend-failed');
+  }
+
+  private mayRepeat(): boolean {
+    const { kind, isResumable } = this.request.route;
+    if (kind === 'safe') {
+      return !this.hasStartedReply;
+    }
+    return kind === 'stream' && isResumable;
+  }
+
+  private canRepeatElsewhere(): boolean {
+    const { route, service } = this.request;
+    const others = new Set([...this.excluded, this.backend!.id]);
+    const hasOther = this.ports.dispatcher.countReady(service, others) > 0;
+    return hasOther && this.mayRepeat() && this.attempts < route.maxAttempts && this.hasTime();
+  }
+
+  private hasTime(): boolean {
+    return this.request.endsAtMs - this.ports.clock.now() > MIN_TIME_FOR_ATTEMPT_MS;
+  }
+
+  private takeRepeat(): boolean {
+    return this.ports.takeRepeat(this.request.service);
+  }
+
+  private moveOn(fromBackendId: string): void {
+    this.excluded.add(fromBackendId);
+    this.waitForBackend();
+  }
+
+  private timeOut(): void {
+    if (this.phase === 'done') {
+      return;
+    }
+    if (this.phase === 'waiting') {
+      this.answerFailure(this.mayHaveRun ? 'timed-out' : 'not-started-in-time');
+      return;
+    }
+    this.mayHaveRun = true;
+    this.dropAttempt(this.phase === 'sent' ? 'failed' : 'unknown');
+    this.answerFailure('timed-out');
+  }
+
+  /** Ends the request with the last answer of a back end if there is one, else with the gateway's own. */
+  private answerFailure(reason: GatewayRefusal['reason']): void {
+    if (this.hasStartedReply) {
+      this.reply.abort();
+      this.finish(0, reason);
+      return;
+    }
+    if (this.lastAnswer !== undefined) {
+      this.endReply(this.lastAnswer.head, this.lastAnswer.body);
+      return;
+    }
+    if (!this.mayHaveRun) {
+      this.refuse({ reason, retryAfterMs: this.options.retryAfterMs });
+      return;
+    }
+    this.refuse({ reason: reason === 'timed-out' ? reason : 'backend-failed' });
+  }
+
+  private refuse(refusal: GatewayRefusal): void {
+    const body = Buffer.from(JSON.stringify({ error: refusal.reason }));
+    const status = statusOfRefusal(refusal);
+    const headers = this.ports.protocol.ownAnswerHeaders(
+      this.request.requestId,
+      refusal.retryAfterMs,
+    );
+    headers.push('Content-Type', 'application/json', 'Content-Length', `${body.length}`);
+    this.reply.start(status, headers);
+    this.reply.end(body);
+    this.finish(status, refusal.reason);
+  }
+
+  private dropAttempt(outcome: AttemptOutcome): void {
+    this.attempt?.cancel();
+    this.endAttempt(outcome);
+  }
+
+  private endAttempt(outcome: AttemptOutcome): void {
+    this.clearStepTimer();
+    if (this.attempt === undefined || this.backend === undefined) {
+      return;
+    }
+    this.attempt = undefined;
+    this.ports.dispatcher.finish(this.backend.id, outcome, this.ports.clock.now());
+  }
+
+  private finish(status: number, reason: string): void {
+    const { clock, dispatcher } = this.ports;
+    const nowMs = clock.now();
+    const { arrivedAtMs } = this.request;
+    this.phase = 'done';
+    clock.clearTimeout(this.endTimer);
+    this.clearStepTimer();
+    if (this.placement !== undefined) {
+      dispatcher.withdraw(this.placement, nowMs);
+    }
+    this.ports.onEnd(this.request, {
+      status,
+      reason,
+      attempts: this.attempts,
+      backendIds: this.backendIds,
+      waitedMs: (this.firstPlacedAtMs ?? nowMs) - arrivedAtMs,
+      firstByteMs: this.firstByteAtMs === undefined ? undefined : this.firstByteAtMs - arrivedAtMs,
+      totalMs: nowMs - arrivedAtMs,
+    });
+  }
+
+  private setStepTimer(delayMs: number, callback: () => void): void {
+    this.clearStepTimer();
+    this.stepTimer = this.ports.clock.setTimeout(callback, Math.max(0, delayMs));
+  }
+
+  private clearStepTimer(): void {
+    if (this.stepTimer !== undefined) {
+      this.ports.clock.clearTimeout(this.stepTimer);
+      this.stepTimer = undefined;
+    }
+  }
+}
--- /dev/null
+++ b/src/gateway/slot-agent-links.ts
@@ -0,0 +1,128 @@
+/** A gateway's connections to the agents beside engines. */
+import { connect } from 'node:net';
+import type { Clock } from '../clock.js';
+import { MessageChannel } from '../protocol/message-channel.js';
+import type { AgentToGateway, GatewayToAgent } from '../slot-agent/slot-messages.js';
+import type { Dispatcher } from './dispatcher.js';
+import { splitAddress } from './http-backend-sender.js';
+
+/** Times of the connections, in milliseconds. */
+export interface SlotAgentLinkOptions {
+  /** Port that agents listen on, on the machine of their back end. */
+  readonly port: number;
+  /** Silence after which a connection is given up. Default 1,800. */
+  readonly silenceMs: number;
+  /** First and longest pause before connecting again. Defaults 250 and 4,000. */
+  readonly retryMinMs: number;
+  readonly retryMaxMs: number;
+}
+
+interface Link {
+  readonly backendId: string;
+  readonly host: string;
+  channel: MessageChannel<GatewayToAgent, AgentToGateway> | undefined;
+  heardAtMs: number;
+  retryAtMs: number;
+  retryMs: number;
+}
+
+/** A gateway's connections to agents. */
+export class SlotAgentLinks {
+  private readonly links = new Map<string, Link>();
+
+  constructor(
+    private readonly gatewayName: string,
+    private readonly dispatcher: () => Dispatcher,
+    private readonly isEngine: (service: string) => boolean,
+    private readonly clock: Clock,
+    private readonly options: SlotAgentLinkOptions,
+  ) {}
+
+  /** Sends a message to the agent beside a back end. */
+  send(backendId: string, message: GatewayToAgent): void {
+    this.links.get(backendId)?.channel?.send(message);
+  }
+
+  /** Opens and closes connections as back ends come and go; to be called now and then. */
+  maintain(): void {
+    const nowMs = this.clock.now();
+    const wanted = new Set<string>();
+    for (const { backend, unlistedAtMs } of this.dispatcher().list()) {
+      if (unlistedAtMs === undefined && this.isEngine(backend.service)) {
+        wanted.add(backend.id);
+        this.keep(backend.id, splitAddress(backend.address).host, nowMs);
+      }
+    }
+    for (const [backendId, link] of this.links) {
+      if (!wanted.has(backendId)) {
+        this.links.delete(backendId);
+        link.channel?.close();
+      }
+    }
+  }
+
+  /** Ends every connection. */
+  stop(): void {
+    for (const link of this.links.values()) {
+      link.channel?.flush();
+      link.channel?.close();
+    }
+  }
+
+  private keep(backendId: string, host: string, nowMs: number): void {
+    const { retryMinMs: retryMs } = this.options;
+    const link: Link = this.links.get(backendId) ?? {
+      backendId,
+      host,
+      channel: undefined,
+      heardAtMs: nowMs,
+      retryAtMs: nowMs,
+      retryMs,
+    };
+    this.links.set(backendId, link);
+    if (link.channel === undefined) {
+      if (nowMs >= link.retryAtMs) {
+        this.open(link);
+      }
+    } else if (nowMs - link.heardAtMs > this.options.silenceMs) {
+      link.channel.close();
+    }
+  }
+
+  private open(link: Link): void {
+    const socket = connect(this.options.port, link.host);
+    link.heardAtMs = this.clock.now();
+    const channel = new MessageChannel<GatewayToAgent, AgentToGateway>(socket, {
+      onMessage: (message) => {
+        link.heardAtMs = this.clock.now();
+        this.dispatcher().receiveFromAgent(link.backendId, message, link.heardAtMs);
+      },
+      onClose: () => this.close(link, channel),
+    });
+    link.channel = channel;
+    socket.once('connect', () => this.greet(link, channel));
+  }
+
+  private greet(link: Link, channel: MessageChannel<GatewayToAgent, AgentToGateway>): void {
+    const known = this.dispatcher().find(link.backendId);
+    if (known === undefined || link.channel !== channel) {
+      channel.close();
+      return;
+    }
+    link.retryMs = this.options.retryMinMs;
+    const { outstanding: held, backend } = known;
+    channel.send({ kind: 'hello', gateway: this.gatewayName, held, slots: backend.slots });
+    this.dispatcher().connectAgent(link.backendId, this.clock.now());
+  }
+
+  private close(link: Link, channel: MessageChannel<GatewayToAgent, AgentToGateway>): void {
+    if (link.channel !== channel) {
+      return;
+    }
+    link.channel = undefined;
+    const nowMs = this.clock.now();
+    link.retryAtMs = nowMs + link.retryMs;
+    link.retryMs = Math.min(link.retryMs * 2, this.options.retryMaxMs);
+    this.dispatcher().disconnectAgent(link.backendId, nowMs);
+  }
+}
--- /dev/null
+++ b/src/gateway/token-quota.ts
@@ -0,0 +1,138 @@
+/**
+ * Tenants' quotas over all gateways, without a word needed from others.
+ *
+ * Each gateway keeps a bucket per tenant that its own use and the use its
+ * peers report both drain. A peer that fell silent is taken to use an equal
+ * share of the rate, so that gateways that cannot hear each other stay within
+ * the limit together.
+ */
+import type { TenantQuota } from '../routing/configuration.js';
+
+/** Bounds of the quotas. */
+export interface TokenQuotaOptions {
+  /** Tokens above a tenant's rate and burst that the bound allows over all gateways. */
+  readonly slackTokens: number;
+  /** Share above a tenant's rate that the bound allows. */
+  readonly overShare: number;
+  /** Silence after which a peer counts as not heard, in milliseconds. Default 600. */
+  readonly silenceMs: number;
+  /** Silence after which a peer is forgotten, in milliseconds. Default 20,000. */
+  readonly forgetMs: number;
+}
+
+interface TenantBucket {
+  level: number;
+  filledAtMs: number;
+}
+
+interface PeerUse {
+  heardAtMs: number;
+  /** Tokens used since the peer started, by tenant. */
+  readonly usedByTenant: Map<string, number>;
+}
+
+/** Share of the slack that a bucket may hold beside the burst. */
+const SLACK_SHARE_IN_BUCKET = 0.35;
+/** Share of the allowed surplus of rate that is used. */
+const OVER_SHARE_USED = 0.5;
+const MS_PER_S = 1_000;
+
+/** Tenants' quotas of one gateway. */
+export class TokenQuotas {
+  private readonly buckets = new Map<string, TenantBucket>();
+  private readonly ownUse = new Map<string, number>();
+  private readonly peers = new Map<string, PeerUse>();
+
+  constructor(
+    private readonly options: TokenQuotaOptions,
+    private readonly startedAtMs: number,
+  ) {}
+
+  /** Takes `cost` tokens of a tenant; false when its quota is spent. */
+  take(tenant: string, quota: TenantQuota, cost: number, nowMs: number): boolean {
+    const bucket = this.fill(tenant, quota, nowMs);
+    if (bucket.level <= 0) {
+      return false;
+    }
+    bucket.level -= cost;
+    this.ownUse.set(tenant, (this.ownUse.get(tenant) ?? 0) + cost);
+    return true;
+  }
+
+  /** Gives back what a request took that no back end ran. */
+  giveBack(tenant: string, cost: number): void {
+    const bucket = this.buckets.get(tenant);
+    if (bucket !== undefined) {
+      bucket.level += cost;
+    }
+    this.ownUse.set(tenant, (this.ownUse.get(tenant) ?? 0) - cost);
+  }
+
+  /** Time until a tenant that was refused may spend again, in milliseconds. */
+  waitMs(tenant: string, quota: TenantQuota): number {
+    const level = this.buckets.get(tenant)?.level ?? 0;
+    return quota.ratePerS <= 0 ? MS_PER_S : Math.max(0, (-level / quota.ratePerS) * MS_PER_S);
+  }
+
+  /** Tokens used here since the start, by tenant; what peers are told. */
+  use(): ReadonlyMap<string, number> {
+    return this.ownUse;
+  }
+
+  /** Takes in what a peer used since it started. */
+  hear(peer: string, used: ReadonlyMap<string, number>, nowMs: number): void {
+    const known = this.peers.get(peer);
+    this.peers.set(peer, { heardAtMs: nowMs, usedByTenant: new Map(used) });
+    if (known === undefined) {
+      return;
+    }
+    for (const [tenant, tokens] of used) {
+      const bucket = this.buckets.get(tenant);
+      if (bucket !== undefined) {
+        bucket.level -= tokens - (known.usedByTenant.get(tenant) ?? 0);
+      }
+    }
+  }
+
+  /** A peer stopped for good. */
+  forget(peer: string): void {
+    this.peers.delete(peer);
+  }
+
+  private fill(tenant: string, quota: TenantQuota, nowMs: number): TenantBucket {
+    const rate = quota.ratePerS * (1 + this.options.overShare * OVER_SHARE_USED);
+    const capacity = quota.burst + this.options.slackTokens * SLACK_SHARE_IN_BUCKET;
+    const known = this.buckets.get(tenant);
+    if (known === undefined) {
+      const bucket = { level: this.firstLevel(rate, capacity, nowMs), filledAtMs: nowMs };
+      this.buckets.set(tenant, bucket);
+      return bucket;
+    }
+    const elapsedMs = nowMs - known.filledAtMs;
+    const share = this.heardShare(nowMs);
+    known.level = Math.min(capacity, known.level + (rate * share * elapsedMs) / MS_PER_S);
+    known.filledAtMs = nowMs;
+    return known;
+  }
+
+  /** A process that just started may follow one that had spent everything. */
+  private firstLevel(rate: number, capacity: number, nowMs: number): number {
+    const earned = (rate * this.heardShare(nowMs) * (nowMs - this.startedAtMs)) / MS_PER_S;
+    const start = (this.options.slackTokens * SLACK_SHARE_IN_BUCKET) / (this.peers.size + 1);
+    return Math.min(capacity, start + earned);
+  }
+
+  /** Share of a tenant's rate that is not set aside for peers that fell silent. */
+  private heardShare(nowMs: number): number {
+    let silent = 0;
+    for (const [name, peer] of this.peers) {
+      const silenceMs = nowMs - peer.heardAtMs;
+      if (silenceMs > this.options.forgetMs) {
+        this.peers.delete(name);
+      } else if (silenceMs > this.options.silenceMs) {
+        silent += 1;
+      }
+    }
+    return 1 - silent / (this.peers.size + 1);
+  }
+}
--- a/src/placement/order-executor.ts
+++ b/src/placement/order-executor.ts
@@ -9,7 +9,7 @@
  */
 import { sleep } from '../clock.js';
 import type { Clock } from '../clock.js';
-import type { KeyValueClient } from '../platform/key-value.js';
+import type { KeyValueClient } from '../key-value/key-value.js';
 import { err, ok } from '../result.js';
 import type { Result } from '../result.js';
 import { LeaseHeldError, LeaseUnavailableError, OrderUnsettledError } from './errors.js';
--- a/src/policy/follower.ts
+++ b/src/policy/follower.ts
@@ -7,7 +7,7 @@
 import type { Clock, TimerHandle } from '../clock.js';
 import type { Machine, ProcessIdentity } from '../membership/machine.js';
 import { pickByRendezvous } from '../membership/rendezvous.js';
-import type { KeyValueClient } from '../platform/key-value.js';
+import type { KeyValueClient } from '../key-value/key-value.js';
 import { withJitter } from '../random.js';
 import type { RandomSource } from '../random.js';
 import {
--- a/src/policy/store.ts
+++ b/src/policy/store.ts
@@ -5,8 +5,8 @@
 import { z } from 'zod';
 import { err, ok } from '../result.js';
 import type { Result } from '../result.js';
-import type { KeyValueClient } from '../platform/key-value.js';
-import type { PlatformError } from '../platform/errors.js';
+import type { KeyValueClient } from '../key-value/key-value.js';
+import type { PlatformError } from '../key-value/errors.js';
 import { applyEdits, changeRecordSchema, digestAfterEdits, policyDigest } from './change.js';
 import type { ChangeRecord, PolicyEdit } from './change.js';
 import { canonicalJson, digestOf } from './compiled-policy.js';
--- a/src/result.ts
+++ b/src/result.ts
@@ -1,21 +1,21 @@
 /**
  * The result type of every operation that can fail in a foreseen way.
  *
- * `ts-results` loads only through its default export from an ES module, so this
- * module is the one place that imports it.
+ * `ts-results` loads only through its default export from an ES module and
+ * cannot be bundled; its kin `ts-results-es` has the same interface.
  */
-import tsResults from 'ts-results';
-import type { Result as ResultOf, Ok as OkOf, Err as ErrOf } from 'ts-results';
+import { Err, Ok } from 'ts-results-es';
+import type { Result as ResultOf } from 'ts-results-es';
 
 /** Either `Ok<Value>` or `Err<Failure>`. */
 export type Result<Value, Failure> = ResultOf<Value, Failure>;
 
 /** Wraps the value of an operation that succeeded. */
-export function ok<Value>(value: Value): OkOf<Value> {
-  return tsResults.Ok(value);
+export function ok<Value>(value: Value): Ok<Value> {
+  return Ok(value);
 }
 
 /** Wraps the failure of an operation that did not succeed. */
-export function err<Failure>(failure: Failure): ErrOf<Failure> {
-  return tsResults.Err(failure);
+export function err<Failure>(failure: Failure): Err<Failure> {
+  return Err(failure);
 }
--- /dev/null
+++ b/src/routing/backend.ts
@@ -0,0 +1,17 @@
+/** A back end as it announces itself to the cluster's store. */
+
+/** Whether a back end takes new requests. */
+export type BackendState = 'ready' | 'draining';
+
+/** One incarnation of a back end. */
+export interface Backend {
+  /** Names this incarnation; a restart has another. */
+  readonly id: string;
+  readonly service: string;
+  /** IPv4 address and port. */
+  readonly address: string;
+  readonly zone: string;
+  /** Requests that it works on at once. */
+  readonly slots: number;
+  readonly state: BackendState;
+}
--- a/src/server/platform-link.ts
+++ b/src/server/platform-link.ts
@@ -1,8 +1,8 @@
 /** A daemon's dealings with the platform: its place in the list of machines, the fleet, the policy. */
 import type { Clock, TimerHandle } from '../clock.js';
 import type { Machine, ProcessIdentity } from '../membership/machine.js';
-import type { LiveListClient } from '../platform/http-live-list.js';
-import type { KeyValueClient } from '../platform/key-value.js';
+import type { LiveListClient } from '../key-value/http-live-list.js';
+import type { KeyValueClient } from '../key-value/key-value.js';
 import { PolicyFollower } from '../policy/follower.js';
 import type { PolicyFollowerOptions } from '../policy/follower.js';
 import type { PolicyUpdate } from '../policy/replica.js';
--- a/src/server/settings.ts
+++ b/src/server/settings.ts
@@ -1,60 +1,17 @@
 /** Reads a daemon's settings from INI text and names every fault of it at once. */
-import { parseIniSections } from '../ini-sections.js';
-import type { IniSection } from '../ini-sections.js';
-import { WeirvaleError } from '../request/errors.js';
-import { err, ok } from '../result.js';
 import type { Result } from '../result.js';
+import { readSettings } from '../settings-file.js';
+import type { InvalidSettingsError, SettingsProblem } from '../settings-file.js';
 import { SETTINGS_SECTIONS, settingsSchema } from './settings-schema.js';
 import type { SettingMeta, Settings } from './settings-schema.js';
 
-/** One fault of a settings file. */
-export interface SettingsProblem {
-  readonly section: string;
-  readonly key: string;
-  /** Line in the file; undefined for something that is missing. */
-  readonly line: number | undefined;
-  readonly problem: string;
-}
-
-/** The settings cannot be used; holds every fault. */
-export class InvalidSettingsError extends WeirvaleError {
-  readonly code = 'invalid-settings';
-
-  constructor(readonly problems: readonly SettingsProblem[]) {
-    super(problems.map(describeSettingsProblem).join('\n'));
-  }
-}
-
-/** One fault as a line for a person. */
-export function describeSettingsProblem(problem: SettingsProblem): string {
-  const line = problem.line === undefined ? '' : `line ${problem.line}: `;
-  const key = problem.key === '' ? '' : ` ${problem.key}`;
-  return `${line}[${problem.section}]${key}: ${problem.problem}`;
-}
-
 /**
  * Reads settings.
  *
  * @returns complete settings, or InvalidSettingsError with every fault and its line
  */
 export function parseSettings(text: string): Result<Settings, InvalidSettingsError> {
-  const sections = parseIniSections(text);
-  const problems = findDuplicates(sections);
-  const parsed = settingsSchema.safeParse(toObject(sections));
-  if (!parsed.success) {
-    for (const issue of parsed.error.issues) {
-      const path = issue.path.map(String);
-      const unknownKeys = issue.code === 'unrecognized_keys' ? issue.keys : [undefined];
-      for (const unknown of unknownKeys) {
-        problems.push(problemAt(sections, path, unknown, issue.message));
-      }
-    }
-  } else {
-    problems.push(...findClashes(parsed.data, sections));
-  }
-  return problems.length > 0 || !parsed.success
-    ? err(new InvalidSettingsError(problems))
-    : ok(parsed.data);
+  return readSettings(text, settingsSchema, findClashes);
 }
 
 /** The reference page of every setting, in Markdown. */
@@ -87,66 +44,13 @@
     .join('\n');
 }
 
-function toObject(sections: readonly IniSection[]): Record<string, Record<string, string>> {
-  const settings: Record<string, Record<string, string>> = {};
-  for (const section of sections) {
-    const values = settings[section.name] ?? {};
-    for (const pair of section.pairs) {
-      values[pair.key] = pair.value;
-    }
-    settings[section.name] = values;
-  }
-  return settings;
-}
-
-function findDuplicates(sections: readonly IniSection[]): SettingsProblem[] {
-  const seen = new Set<string>();
-  const problems: SettingsProblem[] = [];
-  for (const section of sections) {
-    for (const pair of section.pairs) {
-      const name = `${section.name}.${pair.key}`;
-      if (seen.has(name)) {
-        const { line, key } = pair;
-        problems.push({ section: section.name, key, line, problem: 'is set twice' });
-      }
-      seen.add(name);
-    }
-  }
-  return problems;
-}
-
-function problemAt(
-  sections: readonly IniSection[],
-  path: readonly string[],
-  unknownKey: string | undefined,
-  message: string,
-): SettingsProblem {
-  const [section, key] = unknownKey === undefined ? path : [...path, unknownKey];
-  const problem = unknownKey === undefined ? message : 'is no setting of weirvale';
-  return {
-    section: section ?? '',
-    key: key ?? '',
-    line: lineOf(sections, section, key),
-    problem,
-  };
-}
-
-function lineOf(
-  sections: readonly IniSection[],
-  sectionName: string | undefined,
-  key: string | undefined,
-): number | undefined {
-  const section = sections.find((candidate) => candidate.name === sectionName);
-  if (key === undefined) {
-    return section?.line;
-  }
-  return section?.pairs.find((pair) => pair.key === key)?.line;
-}
-
-function findClashes(settings: Settings, sections: readonly IniSection[]): SettingsProblem[] {
+function findClashes(
+  settings: Settings,
+  at: (section: string, key: string, problem: string) => SettingsProblem,
+): SettingsProblem[] {
   const problems: SettingsProblem[] = [];
   const clash = (section: keyof Settings, key: string, problem: string) =>
-    problems.push({ section, key, line: lineOf(sections, section, key), problem });
+    problems.push(at(section, key, problem));
   if (settings.process.role === 'agent' && settings.agent.backendUrl === '') {
     clash('agent', 'backendUrl', 'an agent needs the URL of its back end');
   }
--- /dev/null
+++ b/src/settings-file.ts
@@ -0,0 +1,129 @@
+/** Reads INI settings against a schema and names every fault with its section and line. */
+import type { z } from 'zod';
+import { parseIniSections } from './ini-sections.js';
+import type { IniSection } from './ini-sections.js';
+import { WeirvaleError } from './request/errors.js';
+import { err, ok } from './result.js';
+import type { Result } from './result.js';
+
+/** One fault of a settings file. */
+export interface SettingsProblem {
+  readonly section: string;
+  readonly key: string;
+  /** Line in the file; undefined for something that is missing. */
+  readonly line: number | undefined;
+  readonly problem: string;
+}
+
+/** The settings cannot be used; holds every fault. */
+export class InvalidSettingsError extends WeirvaleError {
+  readonly code = 'invalid-settings';
+
+  constructor(readonly problems: readonly SettingsProblem[]) {
+    super(problems.map(describeSettingsProblem).join('\n'));
+  }
+}
+
+/** One fault as a line for a person. */
+export function describeSettingsProblem(problem: SettingsProblem): string {
+  const line = problem.line === undefined ? '' : `line ${problem.line}: `;
+  const key = problem.key === '' ? '' : ` ${problem.key}`;
+  return `${line}[${problem.section}]${key}: ${problem.problem}`;
+}
+
+/** Finds faults that no single value shows; `at` makes one of them. */
+export type ClashFinder<Value> = (
+  value: Value,
+  at: (section: string, key: string, problem: string) => SettingsProblem,
+) => SettingsProblem[];
+
+/**
+ * Reads settings.
+ *
+ * Keys that a strict schema does not know are faults; other schemas ignore them.
+ *
+ * @returns complete settings, or InvalidSettingsError with every fault and its line
+ */
+export function readSettings<Schema extends z.ZodType>(
+  text: string,
+  schema: Schema,
+  findClashes: ClashFinder<z.infer<Schema>> = () => [],
+): Result<z.infer<Schema>, InvalidSettingsError> {
+  const sections = parseIniSections(text);
+  const problems = findDuplicates(sections);
+  const parsed = schema.safeParse(toObject(sections));
+  if (!parsed.success) {
+    for (const issue of parsed.error.issues) {
+      const path = issue.path.map(String);
+      const unknownKeys = issue.code === 'unrecognized_keys' ? issue.keys : [undefined];
+      for (const unknown of unknownKeys) {
+        problems.push(problemAt(sections, path, unknown, issue.message));
+      }
+    }
+    return err(new InvalidSettingsError(problems));
+  }
+  const at = (section: string, key: string, problem: string) => ({
+    section,
+    key,
+    line: lineOf(sections, section, key),
+    problem,
+  });
+  problems.push(...findClashes(parsed.data, at));
+  return problems.length > 0 ? err(new InvalidSettingsError(problems)) : ok(parsed.data);
+}
+
+function toObject(sections: readonly IniSection[]): Record<string, Record<string, string>> {
+  const settings: Record<string, Record<string, string>> = {};
+  for (const section of sections) {
+    const values = settings[section.name] ?? {};
+    for (const pair of section.pairs) {
+      values[pair.key] = pair.value;
+    }
+    settings[section.name] = values;
+  }
+  return settings;
+}
+
+function findDuplicates(sections: readonly IniSection[]): SettingsProblem[] {
+  const seen = new Set<string>();
+  const problems: SettingsProblem[] = [];
+  for (const section of sections) {
+    for (const pair of section.pairs) {
+      const name = `${section.name}.${pair.key}`;
+      if (seen.has(name)) {
+        const { line, key } = pair;
+        problems.push({ section: section.name, key, line, problem: 'is set twice' });
+      }
+      seen.add(name);
+    }
+  }
+  return problems;
+}
+
+function problemAt(
+  sections: readonly IniSection[],
+  path: readonly string[],
+  unknownKey: string | undefined,
+  message: string,
+): SettingsProblem {
+  const [section, key] = unknownKey === undefined ? path : [...path, unknownKey];
+  const problem = unknownKey === undefined ? message : 'is no setting of weirvale';
+  return {
+    section: section ?? '',
+    key: key ?? '',
+    line: lineOf(sections, section, key),
+    problem,
+  };
+}
+
+function lineOf(
+  sections: readonly IniSection[],
+  sectionName: string | undefined,
+  key: string | undefined,
+): number | undefined {
+  const section = sections.find((candidate) => candidate.name === sectionName);
+  if (key === undefined) {
+    return section?.line;
+  }
+  return section?.pairs.find((pair) => pair.key === key)?.line;
+}
--- a/src/sim/sim-platform.ts
+++ b/src/sim/sim-platform.ts
@@ -1,12 +1,12 @@
 /** The platform as simulated processes reach it: with latency, outages, cuts and lost answers. */
-import { PlatformAnswerLostError, PlatformUnavailableError } from '../platform/errors.js';
-import type { PlatformError } from '../platform/errors.js';
+import { PlatformAnswerLostError, PlatformUnavailableError } from '../key-value/errors.js';
+import type { PlatformError } from '../key-value/errors.js';
 import type {
   KeyValueClient,
   KeyValueEntry,
   LeaseGrant,
   SwapOutcome,
-} from '../platform/key-value.js';
+} from '../key-value/key-value.js';
 import type { Machine } from '../membership/machine.js';
 import { err, ok } from '../result.js';
 import type { Result } from '../result.js';
--- /dev/null
+++ b/src/slot-agent/slot-messages.ts
@@ -0,0 +1,56 @@
+/** What gateways and slot agents say to each other. */
+
+/** Order of a waiting request: a lower tier number first, then the longer wait. */
+export interface WaitingRank {
+  readonly tier: number;
+  /** How long the request has waited, in milliseconds. */
+  readonly waitedMs: number;
+}
+
+/** A gateway's first message on a connection. */
+export interface SlotHello {
+  readonly kind: 'hello';
+  readonly gateway: string;
+  /** Slots that the gateway's requests occupy at this back end. */
+  readonly held: number;
+  /** Slots of the back end, as it announced them. */
+  readonly slots: number;
+}
+
+/** The requests that wait in a gateway; replaces what it said before. */
+export interface SlotDemand {
+  readonly kind: 'demand';
+  /** The first in order, best first. */
+  readonly ranks: readonly WaitingRank[];
+  /** Grants that the gateway had received when it said so. */
+  readonly grantsSeen: number;
+}
+
+/** The gateway began a request on a slot that it took for free. */
+export interface SlotTaken {
+  readonly kind: 'taken';
+}
+
+/** The gateway gives back a slot: a request ended, or a grant came too late. */
+export interface SlotReleased {
+  readonly kind: 'released';
+}
+
+/** Anything that a gateway says. */
+export type GatewayToAgent = SlotHello | SlotDemand | SlotTaken | SlotReleased;
+
+/** The agent grants one slot to the gateway. */
+export interface SlotGranted {
+  readonly kind: 'granted';
+}
+
+/** How many slots are occupied. */
+export interface SlotState {
+  readonly kind: 'state';
+  readonly occupied: number;
+  /** Messages of this gateway (after its hello) that the count reflects. */
+  readonly messagesSeen: number;
+}
+
+/** Anything that an agent says. */
+export type AgentToGateway = SlotGranted | SlotState;
--- a/src/standin/key-value-model.ts
+++ b/src/standin/key-value-model.ts
@@ -1,6 +1,6 @@
 /** Stand-in for the platform's key-value service: compare-and-swap, leases, watches, rates, outages, lost answers. */
 import type { Clock } from '../clock.js';
-import type { KeyValueEntry, LeaseGrant, SwapOutcome } from '../platform/key-value.js';
+import type { KeyValueEntry, LeaseGrant, SwapOutcome } from '../key-value/key-value.js';
 
 /** Rates that the service bears. */
 export interface KeyValueLimits {
--- /dev/null
+++ b/src/telemetry/decision-log.ts
@@ -0,0 +1,86 @@
+/**
+ * Structured log of one process: one line for each decision that touches a
+ * request or changes what the process believes. docs/LOGS.md lists the lines.
+ */
+import bunyan from 'bunyan';
+import type { Clock } from '../clock.js';
+import { BoundedOutput } from './bounded-output.js';
+import { LineBudget } from './line-budget.js';
+import type { LinePriority } from './line-budget.js';
+
+/** Names every line; docs/LOGS.md explains each. */
+export const LOG_EVENTS = [
+  'started',
+  'stopping',
+  'stopped',
+  'settings-reloaded',
+  'settings-refused',
+  'configuration-installed',
+  'configuration-refused',
+  'backend-learned',
+  'backend-gone',
+  'backend-ejected',
+  'store-lost',
+  'store-regained',
+  'peer-heard',
+  'peer-gone',
+  'agent-connected',
+  'agent-lost',
+  'request-refused',
+  'request-ended',
+  'lines-dropped',
+] as const;
+
+/** The name of a line. */
+export type LogEvent = (typeof LOG_EVENTS)[number];
+
+/** Values of a line. */
+export type LogFields = Readonly<Record<string, unknown>>;
+
+/** Who writes. */
+export interface LogIdentity {
+  readonly role: string;
+  readonly process: string;
+  readonly zone: string;
+}
+
+/** Structured log of one process. */
+export class DecisionLog {
+  private readonly logger: bunyan;
+  private readonly budget: LineBudget;
+  private readonly output: BoundedOutput;
+
+  constructor(
+    identity: LogIdentity,
+    linesPerS: number,
+    private readonly clock: Clock,
+  ) {
+    this.budget = new LineBudget({ linesPerS });
+    this.output = new BoundedOutput(() => this.budget.countLost());
+    this.logger = bunyan.createLogger({
+      name: 'weirvaled',
+      ...identity,
+      streams: [{ type: 'stream', level: 'info', stream: this.output as never }],
+    });
+  }
+
+  /** Writes a line, if the budget allows it. */
+  write(event: LogEvent, priority: LinePriority, fields: LogFields = {}): void {
+    if (this.budget.take(priority, this.clock.now())) {
+      this.logger.info({ event, ...fields }, event);
+    }
+  }
+
+  /** Says how many lines were dropped since it last did; to be called now and then. */
+  reportDropped(): void {
+    const dropped = this.budget.takeDropped();
+    if (dropped > 0) {
+      this.logger.info({ event: 'lines-dropped', dropped }, 'lines-dropped');
+    }
+  }
+
+  /** Begins to write what waits. */
+  flush(): void {
+    this.output.flush();
+  }
+}
--- a/test/support/local-system.ts
+++ b/test/support/local-system.ts
@@ -2,7 +2,7 @@
 import { readStoredPolicy, changePolicy } from '../../src/policy/store.js';
 import { findEdits } from '../../src/policy/change.js';
 import type { PolicyDocument } from '../../src/policy/document.js';
-import { HttpKeyValueClient } from '../../src/platform/http-key-value.js';
+import { HttpKeyValueClient } from '../../src/key-value/http-key-value.js';
 import { AgentRole } from '../../src/server/agent-role.js';
 import { createDaemonContext, Daemon } from '../../src/server/daemon.js';
 import type { DaemonPorts } from '../../src/server/daemon.js';
