Take a reset inside an answer without a length for a broken answer

Change: at the end of an answer without a length the socket is asked for its peer, which a reset connection no longer has. Test: test/backend-sender.test.ts, seen failing before.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -16,7 +16,7 @@
 };
 
 export default tseslint.config(
-  { ignores: ['dist/**', 'node_modules/**', 'coverage/**'] },
+  { ignores: ['dist/**', 'target/**', 'journal/**', 'node_modules/**', 'coverage/**'] },
   ...tseslint.configs.recommended,
   {
     files: ['src/**/*.ts', 'bench/**/*.ts'],
--- a/src/gateway/http-backend-sender.ts
+++ b/src/gateway/http-backend-sender.ts
@@ -140,6 +140,11 @@
 
   private onResponse(response: IncomingMessage): void {
     this.response = response;
+    const { socket, headers } = response;
+    const isFramed = headers['content-length'] ?? headers['transfer-encoding'];
+    if (isFramed === undefined) {
+      socket.prependOnceListener('end', () => this.checkReset(socket));
+    }
     response.on('data', (bytes: Buffer) => {
       if (!this.isOver) {
         this.handlers.onData(bytes);
@@ -157,6 +162,17 @@
     }
   }
 
+  /**
+   * A reset that arrives together with the last bytes is reported as an
+   * ordinary end of input (libuv reads no further once the poll says that the
+   * peer hung up). The peer's name tells them apart: a reset connection has none.
+   */
+  private checkReset(socket: Socket): void {
+    if (socket.remoteAddress === undefined) {
+      this.fail('the connection was reset inside the answer');
+    }
+  }
+
   private endAnswer(response: IncomingMessage): void {
     if (this.isOver) {
       return;
--- /dev/null
+++ b/test/backend-sender.test.ts
@@ -0,0 +1,115 @@
+import { createServer } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
+import test from 'ava';
+import type { AnswerHead, AttemptFailure } from '../src/gateway/attempt.js';
+import { HttpBackendSender } from '../src/gateway/http-backend-sender.js';
+
+interface Outcome {
+  readonly head?: AnswerHead;
+  readonly body: string;
+  readonly failure?: AttemptFailure;
+}
+
+/** A back end that does with each received request what `act` says, byte by byte. */
+async function startBackend(
+  act: (socket: Socket, requestNumber: number) => void,
+): Promise<{ server: Server; address: string }> {
+  let requests = 0;
+  const server = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.on('data', () => {
+      requests += 1;
+      act(socket, requests);
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  return { server, address: `127.0.0.1:${(server.address() as AddressInfo).port}` };
+}
+
+function sendTo(sender: HttpBackendSender, address: string): Promise<Outcome> {
+  const backend = { id: 'b', service: 's', address, zone: 'z', slots: 1, state: 'ready' } as const;
+  const attempt = { backend, method: 'GET', path: '/', headers: [], body: Buffer.alloc(0) };
+  return new Promise((resolve) => {
+    let head: AnswerHead | undefined;
+    let body = '';
+    sender.send(attempt, {
+      onHead: (received) => {
+        head = received;
+      },
+      onData: (bytes) => {
+        body += bytes.toString();
+      },
+      onEnd: () => resolve({ head, body }),
+      onFailure: (failure) => resolve({ head, body, failure }),
+    });
+  });
+}
+
+async function outcomeOf(act: (socket: Socket) => void): Promise<Outcome> {
+  const { server, address } = await startBackend(act);
+  const sender = new HttpBackendSender();
+  const outcome = await sendTo(sender, address);
+  sender.close();
+  server.close();
+  return outcome;
+}
+
+const UNFRAMED = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n';
+const FRAMED = 'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n';
+
+test('an answer without a length that ends with its connection is whole', async (t) => {
+  const outcome = await outcomeOf((socket) => socket.end(`${UNFRAMED}whole`));
+  t.is(outcome.failure, undefined);
+  t.is(outcome.body, 'whole');
+});
+
+test('an answer without a length that is reset is not whole', async (t) => {
+  const outcome = await outcomeOf((socket) => {
+    socket.write(`${UNFRAMED}par`);
+    setTimeout(() => socket.resetAndDestroy(), 20);
+  });
+  t.true(outcome.failure?.mayHaveRun);
+});
+
+test('an answer without a length whose reset arrives with its bytes is not whole', async (t) => {
+  const outcome = await outcomeOf((socket) => {
+    socket.write(`${UNFRAMED}par`, () => socket.resetAndDestroy());
+  });
+  t.true(outcome.failure?.mayHaveRun);
+});
+
+test('an answer shorter than its length is not whole', async (t) => {
+  const outcome = await outcomeOf((socket) => socket.end(`${FRAMED}par`));
+  t.true(outcome.failure?.mayHaveRun);
+});
+
+test('bytes that are no answer are a failure after which the request may have run', async (t) => {
+  const outcome = await outcomeOf((socket) => socket.end('what is this\r\n\r\n'));
+  t.true(outcome.failure?.mayHaveRun);
+});
+
+test('a refused connection is a failure after which the request has not run', async (t) => {
+  const { server, address } = await startBackend(() => undefined);
+  await new Promise((resolve) => server.close(resolve));
+  const outcome = await sendTo(new HttpBackendSender(), address);
+  t.false(outcome.failure?.mayHaveRun);
+});
+
+test('a second answer behind the first is never taken for the answer to the next request', async (t) => {
+  const { server, address } = await startBackend((socket, requestNumber) => {
+    socket.write(`${FRAMED}a-0${requestNumber}`);
+    setTimeout(() => socket.write(`${FRAMED}late`), 10);
+  });
+  const sender = new HttpBackendSender();
+  t.is((await sendTo(sender, address)).body, 'a-01');
+  await new Promise((resolve) => setTimeout(resolve, 40));
+  t.is((await sendTo(sender, address)).body, 'a-02');
+  sender.close();
+  server.close();
+});
+
+test('a second answer in the same bytes as the first leaves the first whole', async (t) => {
+  const outcome = await outcomeOf((socket) => socket.write(`${FRAMED}a-01${FRAMED}a-02`));
+  t.is(outcome.failure, undefined);
+  t.is(outcome.body, 'a-01');
+});
