--- /dev/null
+++ b/test/dispatcher.test.ts
@@ -0,0 +1,114 @@
+import test from 'ava';
+import { backendOf, GatewayWorld, routeOf } from './support/gateway.js';
+
+const SECOND = routeOf({ kind: 'unsafe', priority: 2, targetLatencyMs: 1_000 });
+const FIRST = routeOf({ kind: 'unsafe', priority: 0 });
+
+function usedBackends(world: GatewayWorld): string[] {
+  return world.attempts.map(({ backend }) => backend.id);
+}
+
+/** A gateway before one engine whose agent is connected and tells that every slot is taken. */
+function worldWithFullEngine(): GatewayWorld {
+  const world = new GatewayWorld(backendOf('a'));
+  world.engines = true;
+  world.dispatcher.connectAgent('a', 0);
+  world.dispatcher.receiveFromAgent('a', { kind: 'state', occupied: 2, messagesSeen: 0 }, 0);
+  return world;
+}
+
+test('requests go to the back end that does the work soonest', (t) => {
+  const world = new GatewayWorld(backendOf('slow'), backendOf('fast'));
+  world.dispatcher.learnSpeed('slow', 1, 50);
+  world.dispatcher.learnSpeed('fast', 1, 10);
+  world.request();
+  world.request();
+  t.deepEqual(usedBackends(world), ['fast', 'fast']);
+});
+
+test('a back end that drains or left the list gets nothing while others are ready', (t) => {
+  const world = new GatewayWorld(backendOf('a'), backendOf('b'), backendOf('c'));
+  world.dispatcher.updateBackend('a', backendOf('a', { state: 'draining' }), 0);
+  world.dispatcher.updateBackend('b', undefined, 0);
+  world.request();
+  world.request();
+  t.deepEqual(usedBackends(world), ['c', 'c']);
+});
+
+test('when every back end left the list at once they are used for a moment longer', async (t) => {
+  const world = new GatewayWorld(backendOf('a'));
+  world.dispatcher.updateBackend('a', undefined, 0);
+  world.request();
+  t.deepEqual(usedBackends(world), ['a']);
+  await world.clock.runUntil(1_600);
+  world.request();
+  t.is(world.attempts.length, 1);
+});
+
+test('a draining back end that left the list is never used', (t) => {
+  const world = new GatewayWorld(backendOf('a', { state: 'draining' }));
+  world.dispatcher.updateBackend('a', undefined, 0);
+  world.request();
+  t.is(world.attempts.length, 0);
+});
+
+test('a freed slot goes to the highest tier that waits', (t) => {
+  const world = new GatewayWorld(backendOf('a', { slots: 1 }));
+  world.request({ requestId: 'running' });
+  world.request({ route: SECOND, path: '/second' });
+  world.request({ route: FIRST, path: '/first' });
+  world.answer(0, 200, '');
+  t.is(world.attempts[1]!.path, '/first');
+});
+
+test('a full engine is asked for a slot, and its grant serves the first that waits by then', (t) => {
+  const world = worldWithFullEngine();
+  world.request({ route: SECOND, path: '/second' });
+  t.deepEqual(world.toAgents.at(-1)?.[1].kind, 'demand');
+  world.request({ route: FIRST, path: '/first' });
+  world.dispatcher.receiveFromAgent('a', { kind: 'granted' }, 0);
+  t.deepEqual(
+    world.attempts.map(({ path }) => path),
+    ['/first'],
+  );
+});
+
+test('a grant that nobody waits for any more is given back', (t) => {
+  const world = worldWithFullEngine();
+  world.dispatcher.receiveFromAgent('a', { kind: 'granted' }, 0);
+  t.deepEqual(world.toAgents.at(-1), ['a', { kind: 'released' }]);
+});
+
+test('slots taken since an older count was sent are not taken twice', (t) => {
+  const world = new GatewayWorld(backendOf('a'));
+  world.engines = true;
+  world.dispatcher.connectAgent('a', 0);
+  world.request({ route: SECOND });
+  world.request({ route: SECOND });
+  world.dispatcher.receiveFromAgent('a', { kind: 'state', occupied: 1, messagesSeen: 1 }, 0);
+  world.request({ route: SECOND });
+  t.is(world.attempts.length, 2);
+});
+
+test('without its agent an engine is given only a share of its slots', (t) => {
+  const world = new GatewayWorld(backendOf('a', { slots: 4 }));
+  world.engines = true;
+  for (let index = 0; index < 4; index += 1) {
+    world.request({ route: SECOND });
+  }
+  t.is(world.attempts.length, 2);
+});
+
+test('a back end that keeps failing is left alone, but never the last one', (t) => {
+  const world = new GatewayWorld(backendOf('bad', { slots: 9 }), backendOf('good', { slots: 9 }));
+  for (let index = 0; index < 5; index += 1) {
+    world.dispatcher.finish('bad', 'failed', 0);
+  }
+  world.request({ route: SECOND });
+  t.deepEqual(usedBackends(world), ['good']);
+  for (let index = 0; index < 5; index += 1) {
+    world.dispatcher.finish('good', 'failed', 0);
+  }
+  world.request({ route: SECOND });
+  t.is(world.attempts.length, 2);
+});
--- /dev/null
+++ b/test/proxied-request.test.ts
@@ -0,0 +1,167 @@
+import test from 'ava';
+import { backendOf, GatewayWorld, routeOf } from './support/gateway.js';
+
+const UNSAFE = routeOf({ kind: 'unsafe' });
+const STREAM = routeOf({ kind: 'stream', targetLatencyMs: 500 });
+const RESUMABLE = routeOf({ kind: 'stream', isResumable: true, targetLatencyMs: 500 });
+const EVENT_1 = 'id: 1\ndata: a\n\n';
+const EVENT_2 = 'id: 2\ndata: b\n\n';
+
+function twoBackends(): GatewayWorld {
+  return new GatewayWorld(backendOf('a'), backendOf('b'));
+}
+
+test('an answer reaches the caller with its status and body', (t) => {
+  const world = twoBackends();
+  const { reply } = world.request();
+  world.answer(0, 200, 'hello');
+  t.deepEqual([reply.status, reply.body, reply.isEnded], [200, 'hello', true]);
+});
+
+test('a request without an answer is ended at its time-out, as one that may have run', async (t) => {
+  const world = twoBackends();
+  const { reply } = world.request({ route: UNSAFE });
+  await world.clock.runUntil(2_010);
+  t.is(reply.status, 504);
+  t.true(world.attempts[0]!.isCancelled);
+});
+
+test('a request that was never sent is told when to come back', async (t) => {
+  const world = new GatewayWorld();
+  const { reply } = world.request({ route: UNSAFE });
+  await world.clock.runUntil(2_010);
+  t.is(reply.status, 503);
+  t.true(reply.headers.includes('retry-after-ms'));
+});
+
+test('a request that may not be repeated is not sent again after a broken answer', (t) => {
+  const world = twoBackends();
+  const { reply } = world.request({ route: UNSAFE });
+  world.attempts[0]!.handlers.onFailure({ mayHaveRun: true, detail: 'reset' });
+  t.is(world.attempts.length, 1);
+  t.is(reply.status, 502);
+});
+
+test('a request that may not be repeated is sent elsewhere when nothing was sent', (t) => {
+  const world = twoBackends();
+  world.request({ route: UNSAFE });
+  world.attempts[0]!.handlers.onFailure({ mayHaveRun: false, detail: 'refused' });
+  t.not(world.attempts[1]!.backend.id, world.attempts[0]!.backend.id);
+});
+
+test('a back end that did not run the request is a promise, if no other is allowed', (t) => {
+  const world = twoBackends();
+  const { reply } = world.request({ route: routeOf({ kind: 'unsafe', maxAttempts: 1 }) });
+  world.answer(0, 503, '', { 'not-run': '1' });
+  t.is(reply.status, 503);
+  t.true(reply.headers.includes('retry-after-ms'));
+});
+
+test('an answer with the id of another request is never passed on', (t) => {
+  const world = twoBackends();
+  const { reply } = world.request({ route: UNSAFE });
+  world.answer(0, 200, 'for somebody else', { request: 'other' });
+  t.is(reply.status, 502);
+  t.false(reply.body.includes('somebody'));
+  t.true(world.attempts[0]!.isCancelled);
+});
+
+test('a safe request is tried once more elsewhere after an error', (t) => {
+  const world = twoBackends();
+  const { reply } = world.request();
+  world.answer(0, 500, 'bad');
+  world.answer(1, 200, 'good');
+  t.deepEqual([reply.status, reply.body], [200, 'good']);
+});
+
+test('a safe request whose tries all fail gets the last answer of a back end', (t) => {
+  const world = twoBackends();
+  const { reply } = world.request();
+  world.answer(0, 500, 'bad');
+  world.answer(1, 500, 'worse');
+  t.deepEqual([reply.status, reply.body], [500, 'worse']);
+});
+
+test('without budget a safe request is not tried again', (t) => {
+  const world = twoBackends();
+  world.repeatsLeft = 0;
+  const { reply } = world.request();
+  world.answer(0, 500, 'bad');
+  t.deepEqual([reply.status, reply.body, world.attempts.length], [500, 'bad', 1]);
+});
+
+test('a safe request leaves a silent back end', async (t) => {
+  const world = twoBackends();
+  const { reply } = world.request();
+  await world.clock.runUntil(70);
+  t.true(world.attempts[0]!.isCancelled);
+  world.answer(1, 200, 'good');
+  t.is(reply.status, 200);
+});
+
+test('a stream passes on whole events only', (t) => {
+  const world = twoBackends();
+  const { reply } = world.request({ route: STREAM });
+  const { handlers } = world.attempts[0]!;
+  handlers.onHead({ status: 200, rawHeaders: [], headers: {} });
+  handlers.onData(Buffer.from(`${EVENT_1}id: 2\nda`));
+  t.is(reply.body, EVENT_1);
+});
+
+test('a broken stream that may not be resumed looks broken to its caller', (t) => {
+  const world = twoBackends();
+  const { reply } = world.request({ route: STREAM });
+  const { handlers } = world.attempts[0]!;
+  handlers.onHead({ status: 200, rawHeaders: [], headers: {} });
+  handlers.onData(Buffer.from(EVENT_1));
+  handlers.onFailure({ mayHaveRun: true, detail: 'reset' });
+  t.true(reply.isAborted);
+  t.false(reply.isEnded);
+  t.is(world.attempts.length, 1);
+});
+
+test('a stream that ends inside an event is not ended as whole', (t) => {
+  const world = twoBackends();
+  const { reply } = world.request({ route: STREAM });
+  world.answer(0, 200, `${EVENT_1}id: 2`);
+  t.true(reply.isAborted);
+  t.false(reply.isEnded);
+});
+
+test('a resumable stream goes on elsewhere after its last whole event, inside one answer', (t) => {
+  const world = twoBackends();
+  const { reply } = world.request({ route: RESUMABLE });
+  const { handlers } = world.attempts[0]!;
+  handlers.onHead({ status: 200, rawHeaders: ['seal', 'first'], headers: {} });
+  handlers.onData(Buffer.from(`${EVENT_1}id: 2\nda`));
+  handlers.onFailure({ mayHaveRun: true, detail: 'reset' });
+  t.deepEqual(world.attempts[1]!.headers.slice(-2), ['last-event', '1']);
+  world.answer(1, 200, EVENT_2);
+  t.deepEqual([reply.body, reply.isEnded], [EVENT_1 + EVENT_2, true]);
+  t.deepEqual(reply.headers, ['seal', 'first']);
+});
+
+test('each try is handed what is left of the time', async (t) => {
+  const world = twoBackends();
+  world.request();
+  await world.clock.runUntil(70);
+  const left = Number(world.attempts[1]!.headers[1]);
+  t.true(left > 1_900 && left <= 1_940);
+});
+
+test('a caller that leaves ends the work at once', (t) => {
+  const world = twoBackends();
+  const { request } = world.request();
+  request.callerLeft();
+  t.true(world.attempts[0]!.isCancelled);
+  t.is(world.ends[0]?.reason, 'caller-left');
+});
+
+test('a request below the highest tier is refused at once when it has waited too long', async (t) => {
+  const world = new GatewayWorld(backendOf('a', { slots: 1 }));
+  world.request();
+  const { reply } = world.request({ route: routeOf({ priority: 2 }) });
+  await world.clock.runUntil(110);
+  t.is(reply.status, 503);
+  t.is(world.ends.find(({ reason }) => reason === 'overloaded')?.attempts, 0);
+});
--- /dev/null
+++ b/test/replicated-records.test.ts
@@ -0,0 +1,58 @@
+import fc from 'fast-check';
+import test from 'ava';
+import { ReplicatedRecords } from '../src/cluster/replicated-records.js';
+import type { StoreRecord } from '../src/cluster/replicated-records.js';
+
+function recordOf(key: string, revision: number, value: string | undefined = 'v'): StoreRecord {
+  return { key, revision, value };
+}
+
+test('an older revision never replaces a newer one', (t) => {
+  const records = new ReplicatedRecords();
+  t.true(records.apply(recordOf('a', 5, 'new')));
+  t.false(records.apply(recordOf('a', 4, 'old')));
+  t.is(records.snapshot()[0]?.value, 'new');
+});
+
+test('a listing removes what it lacks, unless a later change is known', (t) => {
+  const records = new ReplicatedRecords();
+  records.apply(recordOf('gone', 3));
+  records.apply(recordOf('later', 9));
+  const news = records.applyListing([recordOf('here', 4)], 7);
+  t.deepEqual(
+    news.map(({ key, value }) => [key, value]),
+    [
+      ['here', 'v'],
+      ['gone', undefined],
+    ],
+  );
+});
+
+test('a removal is not undone by an old announcement that a peer still passes on', (t) => {
+  const records = new ReplicatedRecords();
+  records.apply(recordOf('a', 3));
+  records.apply({ key: 'a', revision: 6, value: undefined });
+  t.false(records.apply(recordOf('a', 3)));
+  t.is(records.snapshot()[0]?.value, undefined);
+});
+
+test('whatever the order of arrival, the newest record of each key remains', (t) => {
+  const change = fc.record({
+    key: fc.constantFrom('a', 'b', 'c'),
+    revision: fc.integer({ min: 1, max: 50 }),
+  });
+  fc.assert(
+    fc.property(fc.array(change, { maxLength: 60 }), (changes) => {
+      const records = new ReplicatedRecords();
+      for (const { key, revision } of changes) {
+        records.apply(recordOf(key, revision, `${key}${revision}`));
+      }
+      return records
+        .snapshot()
+        .every(({ key, revision }) =>
+          changes.every((other) => other.key !== key || other.revision <= revision),
+        );
+    }),
+  );
+  t.pass();
+});
--- /dev/null
+++ b/test/routing-table.test.ts
@@ -0,0 +1,68 @@
+import test from 'ava';
+import { DEFAULT_CALLER_LIMITS } from '../src/routing/configuration.js';
+import type { Route } from '../src/routing/configuration.js';
+import { pickService, RoutingTable } from '../src/routing/routing-table.js';
+
+function route(pathPrefix: string, host = 'a.example'): Route {
+  return {
+    name: `${host}${pathPrefix}`,
+    host,
+    pathPrefix,
+    kind: 'safe',
+    isResumable: false,
+    timeoutMs: 1_000,
+    targetLatencyMs: 100,
+    maxAttempts: 2,
+    priority: 0,
+    allowsAnonymous: false,
+    services: [{ service: 's', weight: 1 }],
+  };
+}
+
+function tableOf(routes: Route[]): RoutingTable {
+  const tenant = { name: 't', apiKeys: ['k'], priority: undefined, quota: undefined };
+  return new RoutingTable({
+    version: 1,
+    routes,
+    services: [],
+    tenants: [tenant],
+    limits: DEFAULT_CALLER_LIMITS,
+  });
+}
+
+test('the longest prefix of the path wins, whatever the order of routes', (t) => {
+  const table = tableOf([route('/a/'), route('/a/b/'), route('/')]);
+  t.is(table.findRoute('a.example', '/a/b/c')?.pathPrefix, '/a/b/');
+  t.is(table.findRoute('a.example', '/a/bc')?.pathPrefix, '/a/');
+  t.is(table.findRoute('a.example', '/x')?.pathPrefix, '/');
+});
+
+test('a slash in the query does not choose a route', (t) => {
+  const table = tableOf([route('/a/'), route('/a/b/')]);
+  t.is(table.findRoute('a.example', '/a/?next=/a/b/')?.pathPrefix, '/a/');
+});
+
+test('hosts differ by name, not by case or port', (t) => {
+  const table = tableOf([route('/a/')]);
+  t.truthy(table.findRoute('A.Example:8080', '/a/'));
+  t.is(table.findRoute('b.example', '/a/'), undefined);
+});
+
+test('a path outside every prefix has no route', (t) => {
+  t.is(tableOf([route('/a/')]).findRoute('a.example', '/b/'), undefined);
+});
+
+test('keys name their tenant', (t) => {
+  t.is(tableOf([]).findTenant('k')?.name, 't');
+  t.is(tableOf([]).findTenant('other'), undefined);
+});
+
+test('weighted services are drawn in proportion', (t) => {
+  const services = [
+    { service: 'a', weight: 90 },
+    { service: 'b', weight: 10 },
+  ];
+  t.is(pickService(services, 0.89), 'a');
+  t.is(pickService(services, 0.91), 'b');
+  t.is(pickService([], 0.5), undefined);
+});
--- /dev/null
+++ b/test/support/gateway.ts
@@ -0,0 +1,188 @@
+import type {
+  AnswerHead,
+  AttemptHandlers,
+  BackendSender,
+  CallerReply,
+  OutgoingAttempt,
+} from '../../src/gateway/attempt.js';
+import type { CallerProtocol } from '../../src/gateway/caller-protocol.js';
+import { Dispatcher } from '../../src/gateway/dispatcher.js';
+import type { DispatcherPorts } from '../../src/gateway/dispatcher.js';
+import { DEFAULT_REQUEST_OPTIONS, ProxiedRequest } from '../../src/gateway/proxied-request.js';
+import type { AcceptedRequest, RequestEnd } from '../../src/gateway/proxied-request.js';
+import type { Backend } from '../../src/routing/backend.js';
+import type { Route } from '../../src/routing/configuration.js';
+import { VirtualClock } from '../../src/sim/virtual-clock.js';
+import type { GatewayToAgent } from '../../src/slot-agent/slot-messages.js';
+
+/** A back end with defaults. */
+export function backendOf(id: string, changes: Partial<Backend> = {}): Backend {
+  return {
+    id,
+    service: 's',
+    address: `${id}:1`,
+    zone: 'z',
+    slots: 2,
+    state: 'ready',
+    ...changes,
+  };
+}
+
+/** A route with defaults. */
+export function routeOf(changes: Partial<Route> = {}): Route {
+  return {
+    name: 'r',
+    host: 'a.example',
+    pathPrefix: '/a/',
+    kind: 'safe',
+    isResumable: false,
+    timeoutMs: 2_000,
+    targetLatencyMs: 100,
+    maxAttempts: 2,
+    priority: 1,
+    allowsAnonymous: true,
+    services: [{ service: 's', weight: 1 }],
+    ...changes,
+  };
+}
+
+/** One send as the test's back ends see it. */
+export interface SeenAttempt extends OutgoingAttempt {
+  readonly handlers: AttemptHandlers;
+  isCancelled: boolean;
+}
+
+/** What a caller received. */
+export class SeenReply implements CallerReply {
+  status = 0;
+  headers: readonly string[] = [];
+  body = '';
+  isEnded = false;
+  isAborted = false;
+
+  start(status: number, headers: readonly string[]): void {
+    this.status = status;
+    this.headers = headers;
+  }
+
+  write(bytes: Buffer): boolean {
+    this.body += bytes.toString();
+    return true;
+  }
+
+  end(bytes?: Buffer): void {
+    this.body += bytes?.toString() ?? '';
+    this.isEnded = true;
+  }
+
+  abort(): void {
+    this.isAborted = true;
+  }
+
+  onceDrained(): void {
+    // The test's callers read everything at once.
+  }
+}
+
+/** Header names of no platform; the request's id and what is left are all that tests look at. */
+export const PLAIN_PROTOCOL: CallerProtocol = {
+  readRequest: () => ({
+    requestId: undefined,
+    deadlineMs: undefined,
+    apiKey: undefined,
+    tokens: undefined,
+    lastEventId: undefined,
+  }),
+  attemptHeaders: (_received, attempt) => [
+    'remaining',
+    `${attempt.remainingMs}`,
+    'last-event',
+    attempt.lastEventId ?? '',
+  ],
+  readAnswer: (status, headers) => ({
+    requestId: headers['request'] as string | undefined,
+    isNotExecuted: headers['not-run'] !== undefined,
+    isMisdirected: status === 421,
+  }),
+  ownAnswerHeaders: (_requestId, retryAfterMs) =>
+    retryAfterMs === undefined ? [] : ['retry-after-ms', `${retryAfterMs}`],
+};
+
+/** The core of a gateway on a virtual clock, with back ends and agents that the test plays. */
+export class GatewayWorld implements BackendSender, DispatcherPorts {
+  readonly clock = new VirtualClock();
+  readonly attempts: SeenAttempt[] = [];
+  readonly toAgents: Array<[string, GatewayToAgent]> = [];
+  readonly ends: RequestEnd[] = [];
+  readonly dispatcher = new Dispatcher(this);
+  repeatsLeft = 10;
+  engines = false;
+
+  constructor(...backends: Backend[]) {
+    for (const backend of backends) {
+      this.dispatcher.updateBackend(backend.id, backend, 0);
+    }
+  }
+
+  isEngine(): boolean {
+    return this.engines;
+  }
+
+  sendToAgent(backendId: string, message: GatewayToAgent): void {
+    this.toAgents.push([backendId, message]);
+  }
+
+  onEjected(): void {
+    // Tests look at where requests go instead.
+  }
+
+  send(attempt: OutgoingAttempt, handlers: AttemptHandlers) {
+    const seen: SeenAttempt = { ...attempt, handlers, isCancelled: false };
+    this.attempts.push(seen);
+    const ignore = () => undefined;
+    return { cancel: () => void (seen.isCancelled = true), pause: ignore, resume: ignore };
+  }
+
+  /** Hands a request to the gateway. */
+  request(changes: Partial<AcceptedRequest> = {}): { reply: SeenReply; request: ProxiedRequest } {
+    const reply = new SeenReply();
+    const route = changes.route ?? routeOf();
+    const arrivedAtMs = this.clock.now();
+    const accepted: AcceptedRequest = {
+      requestId: 'q',
+      route,
+      service: 's',
+      tenant: undefined,
+      tier: route.priority,
+      rankInTier: 0,
+      arrivedAtMs,
+      endsAtMs: arrivedAtMs + route.timeoutMs,
+      units: 1,
+      method: 'GET',
+      path: '/a/',
+      headers: [],
+      body: Buffer.alloc(0),
+      lastEventId: undefined,
+      ...changes,
+    };
+    const ports = {
+      clock: this.clock,
+      dispatcher: this.dispatcher,
+      sender: this,
+      protocol: PLAIN_PROTOCOL,
+      takeRepeat: () => this.repeatsLeft-- > 0,
+      onEnd: (_request: AcceptedRequest, end: RequestEnd) => this.ends.push(end),
+    };
+    const request = new ProxiedRequest(accepted, reply, ports, DEFAULT_REQUEST_OPTIONS);
+    request.begin();
+    return { reply, request };
+  }
+
+  /** A back end's whole answer to its nth attempt. */
+  answer(index: number, status: number, body: string, headers: AnswerHead['headers'] = {}): void {
+    const { handlers } = this.attempts[index]!;
+    handlers.onHead({ status, rawHeaders: [], headers });
+    handlers.onData(Buffer.from(body));
+    handlers.onEnd();
+  }
+}
