Use only the latest incarnation at an address; a 421 ends the one it was meant for

Cause: after a loss of power the store still lists the ended incarnations for three heartbeats; requests to them got 421, which used up their only attempt and was told to the caller as 503. Agents' links of both incarnations evicted each other. Ruled out: connection failures (none in the log); quotas (18 of 126 refusals). Tests: test/dispatcher.test.ts, two, seen failing before.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -107,9 +107,19 @@
       known.backend = backend;
       known.unlistedAtMs = undefined;
     }
+    this.markReplaced(backend.address);
     this.serve(backend.service, nowMs);
   }
 
+  /** Another incarnation answered at the address of this one, which therefore has ended. */
+  noteMisdirected(backendId: string): void {
+    const known = this.backends.get(backendId);
+    if (known !== undefined) {
+      known.hasEnded = true;
+      this.markReplaced(known.backend.address);
+    }
+  }
+
   /** Binds the request now if a slot is free; otherwise it waits in order. */
   submit(request: DispatchRequest, nowMs: number): void {
     const chosen = this.hasWaitingBefore(request) ? undefined : this.choose(request, nowMs);
@@ -196,6 +206,17 @@
     }
   }
 
+  /** Of several incarnations announced at one address only the latest can be there. */
+  private markReplaced(address: string): void {
+    const there = this.list().filter((known) => known.backend.address === address);
+    const latest = Math.max(
+      ...there.filter((known) => !known.hasEnded).map((known) => known.backend.revision),
+    );
+    for (const known of there) {
+      known.isReplaced = known.hasEnded || known.backend.revision < latest;
+    }
+  }
+
   private useGrant(backendId: string, known: KnownBackend, nowMs: number): void {
     const queue = this.waiting.get(known.backend.service) ?? [];
     const isUsable = known.isReady && !known.health.isEjected(nowMs);
@@ -274,7 +295,7 @@
     const { unlistedAtMs, backend } = known;
     const isRecent =
       unlistedAtMs !== undefined && nowMs - unlistedAtMs < this.options.unlistedGraceMs;
-    return isRecent && backend.state === 'ready';
+    return isRecent && backend.state === 'ready' && !known.isReplaced;
   }
 
   private hasRoom(known: KnownBackend): boolean {
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -1,5 +1,5 @@
 /** Settings of a gateway and of a slot agent: every option with its unit and default. */
-import { z } from 'zod';
+import * as z from 'zod/mini';
 import type { Result } from '../result.js';
 import { readSettings } from '../settings-file.js';
 import type { InvalidSettingsError } from '../settings-file.js';
@@ -7,24 +7,30 @@
 const MAX_NUMBER = 1_000_000_000;
 
 function number(fallback: number) {
-  return z
-    .string()
-    .regex(/^\d+(\.\d+)?$/, 'must be a number')
-    .transform(Number)
-    .pipe(z.number().min(0).max(MAX_NUMBER))
-    .default(fallback);
+  const value = z.pipe(
+    z.string().check(z.regex(/^\d+(\.\d+)?$/, 'must be a number')),
+    z.transform((text: string) => Number(text)),
+  );
+  const bounded = z.pipe(value, z.number().check(z.minimum(0), z.maximum(MAX_NUMBER)));
+  return z._default(bounded, fallback);
 }
 
 function address() {
-  return z.string().regex(/^(\d{1,3}(\.\d{1,3}){3}:\d{1,5})?$/, 'must be IP:PORT');
+  const value = z.string().check(z.regex(/^(\d{1,3}(\.\d{1,3}){3}:\d{1,5})?$/, 'must be IP:PORT'));
+  return z._default(value, '');
+}
+
+function requiredText() {
+  return z.string().check(z.minLength(1));
 }
 
 function list() {
-  return z
-    .string()
-    .default('')
-    .transform((text) => text.split(',').map((item) => item.trim()))
-    .transform((items) => items.filter((item) => item !== ''));
+  const split = (text: string) =>
+    text
+      .split(',')
+      .map((item) => item.trim())
+      .filter((item) => item !== '');
+  return z.pipe(z._default(z.string(), ''), z.transform(split));
 }
 
 const settingsSchema = z.object({
@@ -32,43 +38,46 @@
     /** What this process does. */
     role: z.literal(['gateway', 'slot-agent']),
     /** Unique name of the process. */
-    name: z.string().min(1),
-    zone: z.string().min(1),
+    name: requiredText(),
+    zone: requiredText(),
     /** IPv4 address that listeners bind to. */
-    address: z.string().min(1),
+    address: requiredText(),
   }),
-  listen: z
-    .object({
+  listen: z.prefault(
+    z.object({
       /** Callers' interface, IP:PORT (gateway). */
-      callers: address().default(''),
+      callers: address(),
       /** Readiness, IP:PORT (gateway). */
-      readiness: address().default(''),
+      readiness: address(),
       /** Other gateways, IP:PORT (gateway). */
-      peers: address().default(''),
+      peers: address(),
       /** Port that agents listen on. */
       slotAgentPort: number(7_600),
       /** Port of the metrics; 0 for none. */
       metricsPort: number(0),
-    })
-    .prefault({}),
-  cluster: z
-    .object({
+    }),
+    {},
+  ),
+  cluster: z.prefault(
+    z.object({
       /** Addresses of gateways to begin with, IP:PORT, separated by commas. */
       seeds: list(),
       /** The store, IP:PORT. */
-      store: address().default(''),
+      store: address(),
       /** Longest time for a call of the store beside its wait, in milliseconds. Default 1,500. */
       storeTimeoutMs: number(1_500),
-    })
-    .prefault({}),
-  engine: z
-    .object({
+    }),
+    {},
+  ),
+  engine: z.prefault(
+    z.object({
       /** The engine beside a slot agent, IP:PORT. */
-      address: address().default(''),
-    })
-    .prefault({}),
-  limits: z
-    .object({
+      address: address(),
+    }),
+    {},
+  ),
+  limits: z.prefault(
+    z.object({
       /** Repeats allowed for each request of a service. Default 0.2. */
       retryRatio: number(0.2),
       /** Window of the retry limit, in seconds. Default 10. */
@@ -81,14 +90,16 @@
       quotaSlack: number(10_000),
       /** Time from the stop signal to the kill, in seconds. Default 8. */
       stopGraceS: number(8),
-    })
-    .prefault({}),
-  log: z
-    .object({
+    }),
+    {},
+  ),
+  log: z.prefault(
+    z.object({
       /** Most log lines a second. Default 200. */
       linesPerS: number(200),
-    })
-    .prefault({}),
+    }),
+    {},
+  ),
 });
 
 /** Settings of a gateway or slot agent, complete. */
--- a/src/gateway/known-backend.ts
+++ b/src/gateway/known-backend.ts
@@ -27,13 +27,22 @@
   agent: SlotAgentLink | undefined;
   /** When it left the list; undefined while it is listed. */
   unlistedAtMs: number | undefined;
+  /** Whether another incarnation was found at its address. */
+  hasEnded = false;
+  /** Whether it has ended, or another incarnation announced itself at its address later. */
+  isReplaced = false;
   private learnedMsPerUnit: number | undefined;
 
   constructor(public backend: Backend) {}
 
+  /** Whether it is listed and still the incarnation at its address. */
+  get isCurrent(): boolean {
+    return this.unlistedAtMs === undefined && !this.isReplaced;
+  }
+
   /** Whether it is listed as taking new requests. */
   get isReady(): boolean {
-    return this.unlistedAtMs === undefined && this.backend.state === 'ready';
+    return this.isCurrent && this.backend.state === 'ready';
   }
 
   /** Learned time for a unit of work, in milliseconds; undefined before the first answer. */
--- a/src/gateway/proxied-request.ts
+++ b/src/gateway/proxied-request.ts
@@ -263,6 +263,7 @@
     this.dropAttempt(isMisdirected ? 'failed' : 'refused');
     if (isMisdirected) {
       this.attempts -= 1;
+      this.ports.dispatcher.noteMisdirected(backendId);
     }
     const canRepeat = this.attempts < this.request.route.maxAttempts && this.hasTime();
     if (canRepeat && this.ports.takeRepeat(this.request.service)) {
--- a/src/gateway/slot-agent-links.ts
+++ b/src/gateway/slot-agent-links.ts
@@ -47,8 +47,8 @@
   maintain(): void {
     const nowMs = this.clock.now();
     const wanted = new Set<string>();
-    for (const { backend, unlistedAtMs } of this.dispatcher().list()) {
-      if (unlistedAtMs === undefined && this.isEngine(backend.service)) {
+    for (const { backend, isCurrent } of this.dispatcher().list()) {
+      if (isCurrent && this.isEngine(backend.service)) {
         wanted.add(backend.id);
         this.keep(backend.id, splitAddress(backend.address).host, nowMs);
       }
--- a/src/routing/backend.ts
+++ b/src/routing/backend.ts
@@ -14,4 +14,6 @@
   /** Requests that it works on at once. */
   readonly slots: number;
   readonly state: BackendState;
+  /** The store's revision of the announcement: of two at one address the later one is in force. */
+  readonly revision: number;
 }
--- a/src/settings-file.ts
+++ b/src/settings-file.ts
@@ -1,5 +1,6 @@
 /** Reads INI settings against a schema and names every fault with its section and line. */
-import type { z } from 'zod';
+import { safeParse } from 'zod/v4/core';
+import type { $ZodType, output } from 'zod/v4/core';
 import { parseIniSections } from './ini-sections.js';
 import type { IniSection } from './ini-sections.js';
 import { WeirvaleError } from './request/errors.js';
@@ -44,14 +45,14 @@
  *
  * @returns complete settings, or InvalidSettingsError with every fault and its line
  */
-export function readSettings<Schema extends z.ZodType>(
+export function readSettings<Schema extends $ZodType>(
   text: string,
   schema: Schema,
-  findClashes: ClashFinder<z.infer<Schema>> = () => [],
-): Result<z.infer<Schema>, InvalidSettingsError> {
+  findClashes: ClashFinder<output<Schema>> = () => [],
+): Result<output<Schema>, InvalidSettingsError> {
   const sections = parseIniSections(text);
   const problems = findDuplicates(sections);
-  const parsed = schema.safeParse(toObject(sections));
+  const parsed = safeParse(schema, toObject(sections));
   if (!parsed.success) {
     for (const issue of parsed.error.issues) {
       const path = issue.path.map(String);
--- a/test/backend-sender.test.ts
+++ b/test/backend-sender.test.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo, Server, Socket } from 'node:net';
 import test from 'ava';
 import type { AnswerHead, AttemptFailure } from '../src/gateway/attempt.js';
+import { backendOf } from './support/gateway.js';
 import { HttpBackendSender } from '../src/gateway/http-backend-sender.js';
 
 interface Outcome {
@@ -27,7 +28,7 @@
 }
 
 function sendTo(sender: HttpBackendSender, address: string): Promise<Outcome> {
-  const backend = { id: 'b', service: 's', address, zone: 'z', slots: 1, state: 'ready' } as const;
+  const backend = backendOf('b', { address });
   const attempt = { backend, method: 'GET', path: '/', headers: [], body: Buffer.alloc(0) };
   return new Promise((resolve) => {
     let head: AnswerHead | undefined;
--- a/test/dispatcher.test.ts
+++ b/test/dispatcher.test.ts
@@ -112,3 +112,26 @@
   world.request({ route: SECOND });
   t.is(world.attempts.length, 2);
 });
+
+test('of two incarnations at one address only the one announced later is used', (t) => {
+  const world = new GatewayWorld(
+    backendOf('new', { address: '10.0.0.1:80', revision: 8 }),
+    backendOf('old', { address: '10.0.0.1:80', revision: 5 }),
+  );
+  world.request();
+  world.request();
+  t.deepEqual(usedBackends(world), ['new', 'new']);
+});
+
+test('an incarnation that another answered for is never used again, however late its announcement', (t) => {
+  const world = new GatewayWorld(
+    backendOf('alive', { address: '10.0.0.1:80', revision: 5 }),
+    backendOf('ended', { address: '10.0.0.1:80', revision: 8 }),
+  );
+  const { reply } = world.request({ route: SECOND });
+  world.answer(0, 421, '');
+  world.answer(1, 200, 'good');
+  world.request();
+  t.is(reply.body, 'good');
+  t.deepEqual(usedBackends(world), ['ended', 'alive', 'alive']);
+});
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -24,6 +24,7 @@
     zone: 'z',
     slots: 2,
     state: 'ready',
+    revision: 1,
     ...changes,
   };
 }
@@ -180,9 +181,11 @@
 
   /** A back end's whole answer to its nth attempt. */
   answer(index: number, status: number, body: string, headers: AnswerHead['headers'] = {}): void {
-    const { handlers } = this.attempts[index]!;
-    handlers.onHead({ status, rawHeaders: [], headers });
-    handlers.onData(Buffer.from(body));
-    handlers.onEnd();
+    const attempt = this.attempts[index]!;
+    attempt.handlers.onHead({ status, rawHeaders: [], headers });
+    if (!attempt.isCancelled) {
+      attempt.handlers.onData(Buffer.from(body));
+      attempt.handlers.onEnd();
+    }
   }
 }
