Inside a rank, requests that can be in time go before late ones

Cause: after a restart of all, hopeless requests stood before fresh ones. Ruled out: serving by first arrival (late answers earn a tenth here).

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -18,6 +18,8 @@
   readonly tier: number;
   /** Order inside a tier: lower numbers go first. */
   readonly rankInTier: number;
+  /** Goes behind those of its rank that can still be answered in time. */
+  readonly isLate: boolean;
   readonly arrivedAtMs: number;
   /** Size of the work, in any unit that is the same for the service. */
   readonly units: number;
@@ -370,11 +372,12 @@
   }
 }
 
-/** Order of waiting requests: tier, then rank inside it, then age. */
+/** Order of waiting requests: tier, then rank inside it, those in time before late ones, then age. */
 function compare(left: DispatchRequest, right: DispatchRequest): number {
   return (
     left.tier - right.tier ||
     left.rankInTier - right.rankInTier ||
+    Number(left.isLate) - Number(right.isLate) ||
     left.arrivedAtMs - right.arrivedAtMs
   );
 }
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -426,6 +426,7 @@
       tenant: tenant?.name,
       tier: tenant?.priority ?? route.priority,
       rankInTier: route.priority,
+      isLate: route.timeoutMs - longestMs > route.targetLatencyMs,
       arrivedAtMs,
       endsAtMs: arrivedAtMs + longestMs,
       units: tokens === undefined ? 1 : tokens.prompt + tokens.output * OUTPUT_TOKEN_UNITS,
--- a/src/gateway/proxied-request.ts
+++ b/src/gateway/proxied-request.ts
@@ -30,6 +30,8 @@
   readonly tenant: string | undefined;
   readonly tier: number;
   readonly rankInTier: number;
+  /** Whether its time left shows that it can no longer be answered within the target latency. */
+  readonly isLate: boolean;
   readonly arrivedAtMs: number;
   /** When the caller's deadline or the route's time-out ends it, whichever comes first. */
   readonly endsAtMs: number;
@@ -70,6 +72,8 @@
 export interface RequestOptions {
   /** Share of the target latency that a request below the highest tier may wait. Default 1. */
   readonly waitShare: number;
+  /** The same for a request that is late already. Default 3. */
+  readonly lateWaitShare: number;
   /** Share of the target latency after which a safe request is tried elsewhere. Default 0.6. */
   readonly safeHeadShare: number;
   /** Silence after which a resumable stream is continued elsewhere, in milliseconds. Default 1,200. */
@@ -81,6 +85,7 @@
 /** Defaults of requests. */
 export const DEFAULT_REQUEST_OPTIONS: RequestOptions = {
   waitShare: 1,
+  lateWaitShare: 3,
   safeHeadShare: 0.6,
   streamSilenceMs: 1_200,
   retryAfterMs: 300,
@@ -163,6 +168,7 @@
       service: request.service,
       tier: request.tier,
       rankInTier: request.rankInTier,
+      isLate: request.isLate,
       arrivedAtMs: request.arrivedAtMs,
       units: request.units,
       excluded: this.excluded,
@@ -177,7 +183,8 @@
     const { request, ports, options } = this;
     const leftMs = request.endsAtMs - nowMs;
     const isUrgent = request.tier === 0 && ports.dispatcher.countReady(request.service) > 0;
-    return isUrgent ? leftMs : Math.min(leftMs, request.route.targetLatencyMs * options.waitShare);
+    const waitShare = request.isLate ? options.lateWaitShare : options.waitShare;
+    return isUrgent ? leftMs : Math.min(leftMs, request.route.targetLatencyMs * waitShare);
   }
 
   private giveUpWaiting(): void {
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -156,6 +156,7 @@
       tenant: undefined,
       tier: route.priority,
       rankInTier: 0,
+      isLate: false,
       arrivedAtMs,
       endsAtMs: arrivedAtMs + route.timeoutMs,
       units: 1,
