--- a/src/gateway/proxied-request.ts
+++ b/src/gateway/proxied-request.ts
@@ -36,6 +36,8 @@
   /** When the caller's deadline or the route's time-out ends it, whichever comes first. */
   readonly endsAtMs: number;
   readonly units: number;
+  /** Tokens of the prompt; 0 for a request that names none. */
+  readonly promptTokens: number;
   readonly method: string;
   readonly path: string;
   readonly headers: RawHeaders;
@@ -54,6 +56,8 @@
   readonly waitedMs: number;
   readonly firstByteMs: number | undefined;
   readonly totalMs: number;
+  /** Longest pause between two parts of the answer, in milliseconds; 0 for a single part. */
+  readonly longestPauseMs: number;
 }
 
 /** What a request needs from its surroundings. */
@@ -120,6 +124,8 @@
   private lastEventId: string | undefined;
   private firstPlacedAtMs: number | undefined;
   private firstByteAtMs: number | undefined;
+  private lastEventAtMs: number | undefined;
+  private longestPauseMs = 0;
   /** Whether some back end may have run the request. */
   private mayHaveRun = false;
   private lastAnswer: { head: AnswerHead; body: Buffer } | undefined;
@@ -317,6 +323,7 @@
     }
     this.startReply();
     this.phase = 'streaming';
+    this.notePause();
     this.armSilenceTimer();
     for (const { id } of events) {
       this.lastEventId = id ?? this.lastEventId;
@@ -324,6 +331,13 @@
     this.forward(Buffer.concat(events.map((event) => event.bytes)));
   }
 
+  private notePause(): void {
+    const nowMs = this.ports.clock.now();
+    const pauseMs = nowMs - (this.lastEventAtMs ?? nowMs);
+    this.longestPauseMs = Math.max(this.longestPauseMs, pauseMs);
+    this.lastEventAtMs = nowMs;
+  }
+
   private startReply(): void {
     if (this.hasStartedReply) {
       return;
@@ -515,6 +529,7 @@
       waitedMs: (this.firstPlacedAtMs ?? nowMs) - arrivedAtMs,
       firstByteMs: this.firstByteAtMs === undefined ? undefined : this.firstByteAtMs - arrivedAtMs,
       totalMs: nowMs - arrivedAtMs,
+      longestPauseMs: this.longestPauseMs,
     });
   }
 
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -160,6 +160,7 @@
       arrivedAtMs,
       endsAtMs: arrivedAtMs + route.timeoutMs,
       units: 1,
+      promptTokens: 0,
       method: 'GET',
       path: '/a/',
       headers: [],
