Agents keep a replica of the store's records for gateways that start while the store is dark

Cause: all gateways were killed while the store was silent; until it answered they knew no configuration (76 refusals of one gateway in two seconds). Ruled out: seeds (they name only gateways, which had all been killed).

--- a/src/cluster/peer-mesh.ts
+++ b/src/cluster/peer-mesh.ts
@@ -75,9 +75,13 @@
     return Math.max(this.outgoing.size, this.heard.size) + 1;
   }
 
-  /** Listens, and connects to the seeds. */
-  start(host: string, port: number): void {
+  /** Takes connections of others. */
+  listen(host: string, port: number): void {
     this.server.listen(port, host);
+  }
+
+  /** Connects to the seeds. */
+  start(): void {
     this.learnAddresses(this.seeds);
   }
 
@@ -100,7 +104,8 @@
     }
   }
 
-  private learnAddresses(addresses: readonly string[]): void {
+  /** Connects to gateways that were not known. */
+  learnAddresses(addresses: readonly string[]): void {
     for (const address of addresses) {
       if (address === '' || address === this.self.address || this.outgoing.has(address)) {
         continue;
@@ -169,6 +174,9 @@
   }
 
   private hear(hello: PeerHello): void {
+    if (hello.role === 'replica') {
+      return;
+    }
     const earlier = this.heard.get(hello.name);
     if (earlier !== undefined && earlier !== hello.incarnation) {
       this.handlers.onPeer(earlier, false);
--- a/src/cluster/peer-messages.ts
+++ b/src/cluster/peer-messages.ts
@@ -1,13 +1,20 @@
 /** What gateways say to each other. */
 import type { StoreRecord } from './replicated-records.js';
 
-/** A gateway's first message on a connection that it opened. */
+/**
+ * What a process is to the mesh: a gateway, or the holder of a replica of the
+ * records that only hands it on.
+ */
+export type PeerRole = 'gateway' | 'replica';
+
+/** A process's first message on a connection that it opened. */
 export interface PeerHello {
   readonly kind: 'hello';
+  readonly role: PeerRole;
   readonly name: string;
   /** Differs after each start of the process. */
   readonly incarnation: string;
-  /** Address that others reach it at, IP:PORT. */
+  /** Address that others reach it at, IP:PORT; empty for one that takes no connections. */
   readonly address: string;
 }
 
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -7,7 +7,7 @@
  * gateway then binds whichever request comes first by that time.
  */
 import type { Backend } from '../routing/backend.js';
-import type { AgentToGateway, GatewayToAgent, WaitingRank } from '../slot-agent/slot-messages.js';
+import type { AgentToGateway, SlotMessage, WaitingRank } from '../slot-agent/slot-messages.js';
 import type { AttemptOutcome } from './backend-health.js';
 import { KnownBackend } from './known-backend.js';
 
@@ -71,7 +71,7 @@
 /** What a dispatcher does to its surroundings. */
 export interface DispatcherPorts {
   /** Sends a message to the agent beside a back end. */
-  sendToAgent(backendId: string, message: GatewayToAgent): void;
+  sendToAgent(backendId: string, message: SlotMessage): void;
   /** A back end was ejected for its failures. */
   onEjected(backendId: string): void;
   /** Whether a service's back ends are engines, which serve in batches. */
@@ -479,7 +479,7 @@
     return demand;
   }
 
-  private sendToAgent(backendId: string, known: KnownBackend, message: GatewayToAgent): void {
+  private sendToAgent(backendId: string, known: KnownBackend, message: SlotMessage): void {
     if (known.agent !== undefined) {
       known.agent.messagesSent += 1;
       this.ports.sendToAgent(backendId, message);
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -85,6 +85,7 @@
     });
     const agentOptions = {
       port: settings.listen.slotAgentPort,
+      peersAddress: settings.listen.peers,
       silenceMs: 1_800,
       retryMinMs: 250,
       retryMaxMs: 4_000,
@@ -92,6 +93,7 @@
     this.links = new SlotAgentLinks(
       incarnation,
       () => this.dispatcher,
+      () => this.records.snapshot(),
       isEngine,
       clock,
       agentOptions,
@@ -100,7 +102,8 @@
       (head, reply) => this.take(head, reply),
       () => this.limits.maxBodyBytes,
     );
-    const hello = { kind: 'hello', name, incarnation, address: settings.listen.peers } as const;
+    const address = settings.listen.peers;
+    const hello = { kind: 'hello', role: 'gateway', name, incarnation, address } as const;
     this.mesh = new PeerMesh(
       hello,
       settings.cluster.seeds,
@@ -166,8 +169,9 @@
     this.serveReadiness();
     if (settings.listen.peers !== '') {
       const peers = splitAddress(settings.listen.peers);
-      this.mesh.start(peers.host, peers.port);
+      this.mesh.listen(peers.host, peers.port);
     }
+    this.mesh.start();
     if (settings.listen.metricsPort > 0) {
       metrics.serve(settings.process.address, settings.listen.metricsPort);
     }
@@ -285,6 +289,7 @@
       return;
     }
     this.mesh.broadcast({ kind: 'records', records: news });
+    this.links.spread(news);
     for (const record of news) {
       this.takeRecord(record);
     }
--- a/src/gateway/slot-agent-links.ts
+++ b/src/gateway/slot-agent-links.ts
@@ -1,5 +1,6 @@
 /** A gateway's connections to the agents beside engines. */
 import { connect } from 'node:net';
+import type { StoreRecord } from '../cluster/replicated-records.js';
 import type { Clock } from '../clock.js';
 import { MessageChannel } from '../protocol/message-channel.js';
 import type { AgentToGateway, GatewayToAgent } from '../slot-agent/slot-messages.js';
@@ -10,6 +11,8 @@
 export interface SlotAgentLinkOptions {
   /** Port that agents listen on, on the machine of their back end. */
   readonly port: number;
+  /** Address that this gateway takes connections of peers at, IP:PORT. */
+  readonly peersAddress: string;
   /** Silence after which a connection is given up. Default 1,800. */
   readonly silenceMs: number;
   /** First and longest pause before connecting again. Defaults 250 and 4,000. */
@@ -33,6 +36,7 @@
   constructor(
     private readonly gatewayName: string,
     private readonly dispatcher: () => Dispatcher,
+    private readonly records: () => readonly StoreRecord[],
     private readonly isEngine: (service: string) => boolean,
     private readonly clock: Clock,
     private readonly options: SlotAgentLinkOptions,
@@ -43,6 +47,13 @@
     this.links.get(backendId)?.channel?.send(message);
   }
 
+  /** Hands records that are news to every agent. */
+  spread(records: readonly StoreRecord[]): void {
+    for (const { channel } of this.links.values()) {
+      channel?.send({ kind: 'records', records });
+    }
+  }
+
   /** Opens and closes connections as back ends come and go; to be called now and then. */
   maintain(): void {
     const nowMs = this.clock.now();
@@ -111,7 +122,10 @@
     }
     link.retryMs = this.options.retryMinMs;
     const { outstanding: held, backend } = known;
-    channel.send({ kind: 'hello', gateway: this.gatewayName, held, slots: backend.slots });
+    const { peersAddress } = this.options;
+    const { slots } = backend;
+    channel.send({ kind: 'hello', gateway: this.gatewayName, peersAddress, held, slots });
+    channel.send({ kind: 'records', records: this.records() });
     this.dispatcher().connectAgent(link.backendId, this.clock.now());
   }
 
--- a/src/slot-agent/slot-agent-role.ts
+++ b/src/slot-agent/slot-agent-role.ts
@@ -1,8 +1,16 @@
-/** The agent beside one engine: its listener for gateways, and looks at the engine's own report. */
+/**
+ * The agent beside one engine: its listener for gateways, and looks at the engine's own report.
+ *
+ * It also keeps a replica of the store's records and hands it to gateways that
+ * start: when all of them were killed while the store is dark, nobody else knows.
+ */
 import { createServer } from 'node:net';
 import type { Server, Socket } from 'node:net';
+import { DEFAULT_PEER_MESH_OPTIONS, PeerMesh } from '../cluster/peer-mesh.js';
+import { ReplicatedRecords } from '../cluster/replicated-records.js';
 import type { Clock } from '../clock.js';
 import { MessageChannel } from '../protocol/message-channel.js';
+import type { RandomSource } from '../random.js';
 import { SlotLedger } from './slot-ledger.js';
 import type { AgentToGateway, GatewayToAgent } from './slot-messages.js';
 
@@ -17,6 +25,16 @@
   readonly beatMs: number;
 }
 
+/** Who an agent is. */
+export interface SlotAgentIdentity {
+  readonly name: string;
+  /** Addresses of gateways to begin with, IP:PORT. */
+  readonly seeds: readonly string[];
+}
+
+/** Gateways that were killed start within a second; the replica must not come much later. */
+const REPLICA_MESH_OPTIONS = { ...DEFAULT_PEER_MESH_OPTIONS, retryMaxMs: 600, maxFailures: 100 };
+
 /** Defaults of an agent. */
 export const DEFAULT_SLOT_AGENT_OPTIONS: SlotAgentOptions = { reportMs: 60, beatMs: 600 };
 
@@ -25,31 +43,60 @@
   private readonly server: Server;
   private readonly channels = new Map<number, MessageChannel<AgentToGateway, GatewayToAgent>>();
   private readonly ledger: SlotLedger;
+  private readonly records = new ReplicatedRecords();
+  private readonly mesh: PeerMesh;
   private nextConnection = 1;
   private isLooking = false;
+  private isStopped = false;
 
   constructor(
+    identity: SlotAgentIdentity,
     private readonly readReport: EngineReport,
     private readonly clock: Clock,
+    random: RandomSource,
     private readonly options: SlotAgentOptions = DEFAULT_SLOT_AGENT_OPTIONS,
   ) {
     this.ledger = new SlotLedger((connection, message) =>
       this.channels.get(connection)?.send(message),
     );
     this.server = createServer((socket) => this.accept(socket));
+    const { name, seeds } = identity;
+    this.mesh = new PeerMesh(
+      { kind: 'hello', role: 'replica', name, incarnation: name, address: '' },
+      seeds,
+      {
+        onMessage: () => undefined,
+        onOpened: (send) => send({ kind: 'records', records: this.records.snapshot() }),
+        onPeer: () => undefined,
+      },
+      clock,
+      random,
+      REPLICA_MESH_OPTIONS,
+    );
   }
 
   /** Listens for gateways. */
   start(host: string, port: number): void {
     this.server.listen(port, host);
+    this.mesh.start();
     this.beat();
   }
 
+  /** Ends every connection. */
+  stop(): void {
+    this.isStopped = true;
+    this.server.close();
+    this.mesh.stop();
+    for (const channel of this.channels.values()) {
+      channel.close();
+    }
+  }
+
   private accept(socket: Socket): void {
     const connection = this.nextConnection;
     this.nextConnection += 1;
     const channel = new MessageChannel<AgentToGateway, GatewayToAgent>(socket, {
-      onMessage: (message) => this.ledger.receive(connection, message, this.clock.now()),
+      onMessage: (message) => this.receive(connection, message),
       onClose: () => {
         this.channels.delete(connection);
         this.ledger.disconnect(connection);
@@ -59,7 +106,23 @@
     this.channels.set(connection, channel);
   }
 
+  private receive(connection: number, message: GatewayToAgent): void {
+    if (message.kind === 'records') {
+      for (const record of message.records) {
+        this.records.apply(record);
+      }
+      return;
+    }
+    if (message.kind === 'hello') {
+      this.mesh.learnAddresses([message.peersAddress]);
+    }
+    this.ledger.receive(connection, message, this.clock.now());
+  }
+
   private beat(): void {
+    if (this.isStopped) {
+      return;
+    }
     this.ledger.tellAll();
     this.clock.setTimeout(() => this.beat(), this.options.beatMs);
   }
--- a/src/slot-agent/slot-ledger.ts
+++ b/src/slot-agent/slot-ledger.ts
@@ -6,7 +6,7 @@
  * a gateway whose connection broke stay occupied until the back end's own
  * report shows fewer requests.
  */
-import type { AgentToGateway, GatewayToAgent, WaitingRank } from './slot-messages.js';
+import type { AgentToGateway, SlotMessage, WaitingRank } from './slot-messages.js';
 
 interface GatewayAccount {
   readonly name: string;
@@ -54,7 +54,7 @@
   }
 
   /** Takes a message of the gateway on `connection`. */
-  receive(connection: number, message: GatewayToAgent, nowMs: number): void {
+  receive(connection: number, message: SlotMessage, nowMs: number): void {
     if (message.kind === 'hello') {
       this.admit(connection, message.gateway, message.held, message.slots);
     } else {
@@ -99,7 +99,7 @@
 
   private receiveFromKnown(
     connection: number,
-    message: Exclude<GatewayToAgent, { kind: 'hello' }>,
+    message: Exclude<SlotMessage, { kind: 'hello' }>,
     nowMs: number,
   ): void {
     const account = this.accounts.get(connection);
--- a/src/slot-agent/slot-messages.ts
+++ b/src/slot-agent/slot-messages.ts
@@ -7,12 +7,16 @@
   readonly waitedMs: number;
 }
 
+import type { StoreRecord } from '../cluster/replicated-records.js';
+
 /** A gateway's first message on a connection. */
 export interface SlotHello {
   readonly kind: 'hello';
   readonly gateway: string;
   /** Slots that the gateway's requests occupy at this back end. */
   readonly held: number;
+  /** Address that the gateway takes connections of peers at, IP:PORT; may be empty. */
+  readonly peersAddress: string;
   /** Slots of the back end, as it announced them. */
   readonly slots: number;
 }
@@ -36,8 +40,17 @@
   readonly kind: 'released';
 }
 
+/** Anything that a gateway says of slots. */
+export type SlotMessage = SlotHello | SlotDemand | SlotTaken | SlotReleased;
+
+/** Records of the store, which the agent keeps for gateways that start while the store is dark. */
+export interface ReplicaRecords {
+  readonly kind: 'records';
+  readonly records: readonly StoreRecord[];
+}
+
 /** Anything that a gateway says. */
-export type GatewayToAgent = SlotHello | SlotDemand | SlotTaken | SlotReleased;
+export type GatewayToAgent = SlotMessage | ReplicaRecords;
 
 /** The agent grants one slot to the gateway. */
 export interface SlotGranted {
--- a/test/slot-ledger.test.ts
+++ b/test/slot-ledger.test.ts
@@ -1,16 +1,22 @@
 import test from 'ava';
 import { SlotLedger } from '../src/slot-agent/slot-ledger.js';
-import type { AgentToGateway, GatewayToAgent } from '../src/slot-agent/slot-messages.js';
+import type { AgentToGateway, SlotMessage } from '../src/slot-agent/slot-messages.js';
 
 class Agent {
   readonly sent: Array<[number, AgentToGateway]> = [];
   readonly ledger = new SlotLedger((connection, message) => this.sent.push([connection, message]));
 
   admit(connection: number, held = 0, slots = 2): void {
-    this.hear(connection, { kind: 'hello', gateway: `g${connection}`, held, slots });
+    this.hear(connection, {
+      kind: 'hello',
+      gateway: `g${connection}`,
+      peersAddress: '',
+      held,
+      slots,
+    });
   }
 
-  hear(connection: number, message: GatewayToAgent, nowMs = 0): void {
+  hear(connection: number, message: SlotMessage, nowMs = 0): void {
     this.ledger.receive(connection, message, nowMs);
   }
 
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -14,7 +14,7 @@
 import type { Backend } from '../../src/routing/backend.js';
 import type { Route } from '../../src/routing/configuration.js';
 import { VirtualClock } from '../../src/sim/virtual-clock.js';
-import type { GatewayToAgent } from '../../src/slot-agent/slot-messages.js';
+import type { SlotMessage } from '../../src/slot-agent/slot-messages.js';
 
 /** A back end with defaults. */
 export function backendOf(id: string, changes: Partial<Backend> = {}): Backend {
@@ -115,7 +115,7 @@
 export class GatewayWorld implements BackendSender, DispatcherPorts {
   readonly clock = new VirtualClock();
   readonly attempts: SeenAttempt[] = [];
-  readonly toAgents: Array<[string, GatewayToAgent]> = [];
+  readonly toAgents: Array<[string, SlotMessage]> = [];
   readonly ends: RequestEnd[] = [];
   readonly dispatcher = new Dispatcher(this);
   repeatsLeft = 10;
@@ -135,7 +135,7 @@
     return this.engines;
   }
 
-  sendToAgent(backendId: string, message: GatewayToAgent): void {
+  sendToAgent(backendId: string, message: SlotMessage): void {
     this.toAgents.push([backendId, message]);
   }
 
