List the store again after a watch was cut

Ruled out: peers (all four were cut in the same millisecond); a 410 (none came). Test: test/store-follower.test.ts, seen failing before.

--- a/src/cluster/store-follower.ts
+++ b/src/cluster/store-follower.ts
@@ -114,8 +114,9 @@
     if (read.val instanceof StoreHistoryGoneError) {
       return undefined;
     }
+    // A watch that was cut may have missed changes whose history is gone since: read afresh.
     await this.pause(read.val);
-    return revision;
+    return undefined;
   }
 
   private succeed(): void {
--- /dev/null
+++ b/test/store-follower.test.ts
@@ -0,0 +1,83 @@
+import test from 'ava';
+import {
+  StoreFollower,
+  StoreHistoryGoneError,
+  StoreUnavailableError,
+} from '../src/cluster/store-follower.js';
+import type { ClusterStore, StoreRead } from '../src/cluster/store-follower.js';
+import { SeededRandom } from '../src/random.js';
+import { err, ok } from '../src/result.js';
+import type { Result } from '../src/result.js';
+import { VirtualClock } from '../src/sim/virtual-clock.js';
+
+type Answer = Result<StoreRead, StoreUnavailableError | StoreHistoryGoneError> | 'never';
+
+/** A store that answers as the script says and notes its calls. */
+class ScriptedStore implements ClusterStore {
+  readonly calls: string[] = [];
+
+  constructor(
+    private readonly clock: VirtualClock,
+    private readonly script: Answer[],
+  ) {}
+
+  async list(): Promise<Result<StoreRead, StoreUnavailableError>> {
+    return (await this.next('list')) as Result<StoreRead, StoreUnavailableError>;
+  }
+
+  watch(revision: number): Promise<Result<StoreRead, StoreUnavailableError>> {
+    return this.next(`watch ${revision}`) as Promise<Result<StoreRead, StoreUnavailableError>>;
+  }
+
+  private next(call: string): Promise<Answer> {
+    this.calls.push(call);
+    const answer = this.script.shift() ?? 'never';
+    this.clock.notePromise();
+    return answer === 'never' ? new Promise(() => undefined) : Promise.resolve(answer);
+  }
+}
+
+const READ_AT_4 = ok({ records: [{ key: 'k', revision: 4, value: 'v' }], revision: 4 });
+const NOTHING_AT_4 = ok({ records: [], revision: 4 });
+const FAILED = err(new StoreUnavailableError('cut'));
+const FORGOTTEN = err(new StoreHistoryGoneError('gone'));
+
+async function callsOf(script: Answer[]): Promise<{ calls: string[]; reachable: boolean[] }> {
+  const clock = new VirtualClock();
+  const store = new ScriptedStore(clock, script);
+  const reachable: boolean[] = [];
+  const handlers = {
+    onListing: () => undefined,
+    onChanges: () => undefined,
+    onReachable: (isReachable: boolean) => void reachable.push(isReachable),
+  };
+  void new StoreFollower(store, handlers, clock, new SeededRandom(1)).run();
+  clock.notePromise();
+  for (let turn = 1; turn <= 40; turn += 1) {
+    clock.notePromise();
+    await clock.runUntil(turn * 100);
+  }
+  return { calls: store.calls, reachable };
+}
+
+test('a listing is followed by watches from its revision', async (t) => {
+  const { calls } = await callsOf([READ_AT_4, NOTHING_AT_4]);
+  t.deepEqual(calls, ['list', 'watch 4', 'watch 4']);
+});
+
+test('a watch that was cut is followed by a listing, since history may be gone', async (t) => {
+  const { calls, reachable } = await callsOf([READ_AT_4, FAILED, READ_AT_4]);
+  t.deepEqual(calls, ['list', 'watch 4', 'list', 'watch 4']);
+  t.deepEqual(reachable, [true, false, true]);
+});
+
+test('history that is gone is followed by a listing at once', async (t) => {
+  const { calls, reachable } = await callsOf([READ_AT_4, FORGOTTEN, READ_AT_4]);
+  t.deepEqual(calls, ['list', 'watch 4', 'list', 'watch 4']);
+  t.deepEqual(reachable, [true]);
+});
+
+test('a store that does not answer is asked again', async (t) => {
+  const { calls } = await callsOf([FAILED, FAILED, READ_AT_4]);
+  t.deepEqual(calls, ['list', 'list', 'list', 'watch 4']);
+});
