--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -1,73 +1,59 @@
-/** Counters and histograms of a gateway, served as text. */
+/**
+ * Counters and histograms of a gateway, served as text.
+ *
+ * Their library is loaded after the start, which it would lengthen; what is
+ * recorded before then is kept.
+ */
 import { createServer } from 'node:http';
-import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import type { ServerResponse } from 'node:http';
+import type { MetricInstruments } from './metric-instruments.js';
 
-const LATENCY_BUCKETS_S = [0.01, 0.03, 0.1, 0.2, 0.4, 0.6, 1, 2, 4, 8, 16];
+/** Changes the instruments. */
+export type MetricUpdate = (instruments: MetricInstruments) => void;
+
+const HTTP_OK = 200;
+const HTTP_UNAVAILABLE = 503;
 
 /** Counters and histograms of a gateway. */
 export class GatewayMetrics {
-  private readonly registry = new Registry();
-  readonly requests = new Counter({
-    name: 'weirvale_requests_total',
-    help: 'Requests that ended, by route, status and reason',
-    labelNames: ['route', 'status', 'reason'],
-    registers: [this.registry],
-  });
-  readonly attempts = new Counter({
-    name: 'weirvale_attempts_total',
-    help: 'Sends to back ends, by service',
-    labelNames: ['service'],
-    registers: [this.registry],
-  });
-  readonly repeatsDenied = new Counter({
-    name: 'weirvale_repeats_denied_total',
-    help: 'Repeats that the retry budget did not allow, by service',
-    labelNames: ['service'],
-    registers: [this.registry],
-  });
-  readonly waitSeconds = new Histogram({
-    name: 'weirvale_wait_seconds',
-    help: 'Time from arrival to the first back end',
-    buckets: LATENCY_BUCKETS_S,
-    registers: [this.registry],
-  });
-  readonly firstByteSeconds = new Histogram({
-    name: 'weirvale_first_byte_seconds',
-    help: 'Time from arrival to the first byte of the answer',
-    buckets: LATENCY_BUCKETS_S,
-    registers: [this.registry],
-  });
-  readonly totalSeconds = new Histogram({
-    name: 'weirvale_total_seconds',
-    help: 'Time from arrival to the end of the answer',
-    buckets: LATENCY_BUCKETS_S,
-    registers: [this.registry],
-  });
-  readonly storeReachable = new Gauge({
-    name: 'weirvale_store_reachable',
-    help: '1 while the store answers',
-    registers: [this.registry],
-  });
-  readonly configurationVersion = new Gauge({
-    name: 'weirvale_configuration_version',
-    help: 'Version of the configuration in force',
-    registers: [this.registry],
-  });
-  readonly backendsReady = new Gauge({
-    name: 'weirvale_backends_ready',
-    help: 'Back ends that are listed as ready',
-    registers: [this.registry],
-  });
+  private instruments: MetricInstruments | undefined;
+  private updatesBeforeLoad: MetricUpdate[] = [];
+
+  /** Records something. */
+  record(update: MetricUpdate): void {
+    if (this.instruments === undefined) {
+      this.updatesBeforeLoad.push(update);
+    } else {
+      update(this.instruments);
+    }
+  }
+
+  /** Loads the library and records what was kept. */
+  async load(): Promise<void> {
+    const loaded = await import('./metric-instruments.js');
+    this.instruments = new loaded.MetricInstruments();
+    for (const update of this.updatesBeforeLoad) {
+      update(this.instruments);
+    }
+    this.updatesBeforeLoad = [];
+  }
 
   /** Serves the metrics on every path of `port`. */
   serve(host: string, port: number): void {
-    const server = createServer((_request, response) => {
-      void this.registry.metrics().then((text) => {
-        response.writeHead(200, { 'Content-Type': this.registry.contentType });
-        response.end(text);
-      });
-    });
+    const server = createServer((_request, response) => void this.answer(response));
     server.on('error', () => undefined);
     server.listen(port, host);
   }
+
+  private async answer(response: ServerResponse): Promise<void> {
+    if (this.instruments === undefined) {
+      response.writeHead(HTTP_UNAVAILABLE);
+      response.end();
+      return;
+    }
+    const { registry } = this.instruments;
+    const text = await registry.metrics();
+    response.writeHead(HTTP_OK, { 'Content-Type': registry.contentType });
+    response.end(text);
+  }
 }
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -18,12 +18,14 @@
 import { Dispatcher } from './dispatcher.js';
 import type { GatewayAdapter } from './gateway-adapter.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
+import type { MetricInstruments } from './metric-instruments.js';
 import type { GatewayRefusal } from './gateway-refusal.js';
 import { statusOfRefusal } from './gateway-refusal.js';
 import type { GatewaySettings } from './gateway-settings.js';
 import { HttpBackendSender, splitAddress } from './http-backend-sender.js';
-import { DEFAULT_REQUEST_OPTIONS, ProxiedRequest } from './proxied-request.js';
-import type { AcceptedRequest, RequestEnd, RequestPorts } from './proxied-request.js';
+import { ProxiedRequest } from './proxied-request.js';
+import { DEFAULT_REQUEST_OPTIONS } from './request-model.js';
+import type { AcceptedRequest, RequestEnd, RequestPorts } from './request-model.js';
 import { RetryBudget } from './retry-budget.js';
 import { SlotAgentLinks } from './slot-agent-links.js';
 import { TokenQuotas } from './token-quota.js';
@@ -50,6 +52,8 @@
 const OUTPUT_TOKEN_UNITS = 150;
 /** Share of the route's time-out that must be gone at arrival for a request to count as tried before. */
 const RETURNING_SHARE = 0.02;
+/** Time from the start until the library of the metrics is loaded, in milliseconds. */
+const METRICS_LOAD_MS = 3_000;
 const QUOTA_SILENCE_MS = 1_200;
 const QUOTA_FORGET_MS = 20_000;
 
@@ -175,6 +179,7 @@
     if (settings.listen.metricsPort > 0) {
       metrics.serve(settings.process.address, settings.listen.metricsPort);
     }
+    this.parts.clock.setTimeout(() => void metrics.load(), METRICS_LOAD_MS);
     void this.follower.run();
     this.scheduleTick();
     log.write('started', 'state', { ...settings.listen });
@@ -279,7 +284,7 @@
   }
 
   private noteStore(isReachable: boolean, reason: string): void {
-    this.parts.metrics.storeReachable.set(isReachable ? 1 : 0);
+    this.parts.metrics.record(({ storeReachable }) => storeReachable.set(isReachable ? 1 : 0));
     this.parts.log.write(isReachable ? 'store-regained' : 'store-lost', 'state', { reason });
   }
 
@@ -312,7 +317,8 @@
         revision: record.revision,
       });
       this.dispatcher.updateBackend(id, backend, clock.now());
-      metrics.backendsReady.set(this.dispatcher.list().filter((known) => known.isReady).length);
+      const ready = this.dispatcher.list().filter((known) => known.isReady).length;
+      metrics.record(({ backendsReady }) => backendsReady.set(ready));
     } else if (decoded.kind === 'invalid') {
       const { problem } = decoded;
       log.write('configuration-refused', 'state', { problem, revision: record.revision });
@@ -326,7 +332,8 @@
     }
     this.table = new RoutingTable(configuration);
     this.listener.applyLimits(configuration.limits);
-    this.parts.metrics.configurationVersion.set(configuration.version);
+    const { version } = configuration;
+    this.parts.metrics.record(({ configurationVersion }) => configurationVersion.set(version));
     this.parts.log.write('configuration-installed', 'state', {
       version: configuration.version,
       revision,
@@ -452,7 +459,7 @@
   private takeRepeat(service: string): boolean {
     const isAllowed = this.budget.takeRepeat(service, this.mesh.size, this.parts.clock.now());
     if (!isAllowed) {
-      this.parts.metrics.repeatsDenied.inc({ service });
+      this.parts.metrics.record(({ repeatsDenied }) => repeatsDenied.inc({ service }));
     }
     return isAllowed;
   }
@@ -465,7 +472,8 @@
     headers.push('Content-Type', 'application/json', 'Content-Length', `${body.length}`);
     reply.start(status, headers);
     reply.end(body);
-    metrics.requests.inc({ route: '', status: `${status}`, reason: refusal.reason });
+    const labels = { route: '', status: `${status}`, reason: refusal.reason };
+    metrics.record(({ requests }) => requests.inc(labels));
     log.write('request-refused', 'failure', {
       request: caller.requestId,
       ...refusal,
@@ -477,14 +485,8 @@
   private noteEnd(request: AcceptedRequest, end: RequestEnd): void {
     const { metrics, log } = this.parts;
     this.active.delete(request);
-    const { status, reason, attempts } = end;
-    metrics.requests.inc({ route: request.route.name, status: `${status}`, reason });
-    metrics.attempts.inc({ service: request.service }, attempts);
-    metrics.waitSeconds.observe(end.waitedMs / MS_PER_S);
-    if (end.firstByteMs !== undefined) {
-      metrics.firstByteSeconds.observe(end.firstByteMs / MS_PER_S);
-    }
-    metrics.totalSeconds.observe(end.totalMs / MS_PER_S);
+    const { status, reason } = end;
+    metrics.record((instruments) => recordEnd(instruments, request, end));
     log.write('request-ended', reason === 'answered' && status < 400 ? 'success' : 'failure', {
       request: request.requestId,
       route: request.route.name,
@@ -507,6 +509,21 @@
   readonly arrivedAtMs: number;
 }
 
+function recordEnd(
+  instruments: MetricInstruments,
+  request: AcceptedRequest,
+  end: RequestEnd,
+): void {
+  const { status, reason, attempts } = end;
+  instruments.requests.inc({ route: request.route.name, status: `${status}`, reason });
+  instruments.attempts.inc({ service: request.service }, attempts);
+  instruments.waitSeconds.observe(end.waitedMs / MS_PER_S);
+  if (end.firstByteMs !== undefined) {
+    instruments.firstByteSeconds.observe(end.firstByteMs / MS_PER_S);
+  }
+  instruments.totalSeconds.observe(end.totalMs / MS_PER_S);
+}
+
 function headerBytes(rawHeaders: readonly string[]): number {
   const SEPARATOR_BYTES = 2;
   return rawHeaders.reduce((sum, text) => sum + text.length + SEPARATOR_BYTES, 0);
--- /dev/null
+++ b/src/gateway/metric-instruments.ts
@@ -0,0 +1,60 @@
+/** The counters, gauges and histograms of a gateway. */
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+
+const LATENCY_BUCKETS_S = [0.01, 0.03, 0.1, 0.2, 0.4, 0.6, 1, 2, 4, 8, 16];
+
+/** The counters, gauges and histograms of a gateway. */
+export class MetricInstruments {
+  readonly registry = new Registry();
+  readonly requests = new Counter({
+    name: 'weirvale_requests_total',
+    help: 'Requests that ended, by route, status and reason',
+    labelNames: ['route', 'status', 'reason'],
+    registers: [this.registry],
+  });
+  readonly attempts = new Counter({
+    name: 'weirvale_attempts_total',
+    help: 'Sends to back ends, by service',
+    labelNames: ['service'],
+    registers: [this.registry],
+  });
+  readonly repeatsDenied = new Counter({
+    name: 'weirvale_repeats_denied_total',
+    help: 'Repeats that the retry budget did not allow, by service',
+    labelNames: ['service'],
+    registers: [this.registry],
+  });
+  readonly waitSeconds = new Histogram({
+    name: 'weirvale_wait_seconds',
+    help: 'Time from arrival to the first back end',
+    buckets: LATENCY_BUCKETS_S,
+    registers: [this.registry],
+  });
+  readonly firstByteSeconds = new Histogram({
+    name: 'weirvale_first_byte_seconds',
+    help: 'Time from arrival to the first byte of the answer',
+    buckets: LATENCY_BUCKETS_S,
+    registers: [this.registry],
+  });
+  readonly totalSeconds = new Histogram({
+    name: 'weirvale_total_seconds',
+    help: 'Time from arrival to the end of the answer',
+    buckets: LATENCY_BUCKETS_S,
+    registers: [this.registry],
+  });
+  readonly storeReachable = new Gauge({
+    name: 'weirvale_store_reachable',
+    help: '1 while the store answers',
+    registers: [this.registry],
+  });
+  readonly configurationVersion = new Gauge({
+    name: 'weirvale_configuration_version',
+    help: 'Version of the configuration in force',
+    registers: [this.registry],
+  });
+  readonly backendsReady = new Gauge({
+    name: 'weirvale_backends_ready',
+    help: 'Back ends that are listed as ready',
+    registers: [this.registry],
+  });
+}
--- a/src/gateway/proxied-request.ts
+++ b/src/gateway/proxied-request.ts
@@ -4,105 +4,17 @@
  * A request that was sent is never sent again unless it may be repeated or it
  * is certain that no back end ran it.
  */
-import type { Clock, TimerHandle } from '../clock.js';
-import type { RandomSource } from '../random.js';
+import type { TimerHandle } from '../clock.js';
 import type { Backend } from '../routing/backend.js';
-import type { Route } from '../routing/configuration.js';
-import type {
-  AnswerHead,
-  AttemptFailure,
-  AttemptHandle,
-  BackendSender,
-  CallerReply,
-} from './attempt.js';
+import type { AnswerHead, AttemptFailure, AttemptHandle, CallerReply } from './attempt.js';
 import type { AttemptOutcome } from './backend-health.js';
 import { endToEndHeaders } from './caller-protocol.js';
-import type { CallerProtocol, RawHeaders } from './caller-protocol.js';
-import type { Dispatcher, DispatchRequest } from './dispatcher.js';
+import { AttemptProgress } from './attempt-progress.js';
+import type { DispatchRequest } from './dispatcher.js';
 import { EventSplitter } from './event-stream.js';
 import { statusOfRefusal } from './gateway-refusal.js';
 import type { GatewayRefusal } from './gateway-refusal.js';
-
-/** A request as the front of a gateway hands it over, its body read whole. */
-export interface AcceptedRequest {
-  readonly requestId: string;
-  readonly route: Route;
-  readonly service: string;
-  readonly tenant: string | undefined;
-  readonly tier: number;
-  readonly rankInTier: number;
-  /** Whether its time left shows that it can no longer be answered within the target latency. */
-  readonly isLate: boolean;
-  /** Whether its time left shows that the caller tried before. */
-  readonly isReturning: boolean;
-  readonly arrivedAtMs: number;
-  /** When the caller's deadline or the route's time-out ends it, whichever comes first. */
-  readonly endsAtMs: number;
-  readonly units: number;
-  /** Tokens of the prompt; 0 for a request that names none. */
-  readonly promptTokens: number;
-  readonly method: string;
-  readonly path: string;
-  readonly headers: RawHeaders;
-  readonly body: Buffer;
-  /** Id of the last event that the caller has, where it continues a stream. */
-  readonly lastEventId: string | undefined;
-}
-
-/** How a request ended, for counters and the log. */
-export interface RequestEnd {
-  /** Status of the answer; 0 when the caller left before one. */
-  readonly status: number;
-  readonly reason: string;
-  readonly attempts: number;
-  readonly backendIds: readonly string[];
-  readonly waitedMs: number;
-  readonly firstByteMs: number | undefined;
-  readonly totalMs: number;
-  /** Longest pause between two parts of the answer, in milliseconds; 0 for a single part. */
-  readonly longestPauseMs: number;
-}
-
-/** What a request needs from its surroundings. */
-export interface RequestPorts {
-  readonly clock: Clock;
-  readonly dispatcher: Dispatcher;
-  readonly sender: BackendSender;
-  readonly protocol: CallerProtocol;
-  readonly random: RandomSource;
-  /** Takes one repeat from the budget of a service. */
-  takeRepeat(service: string): boolean;
-  /** Called once. */
-  onEnd(request: AcceptedRequest, end: RequestEnd): void;
-}
-
-/** Times and limits of requests. */
-export interface RequestOptions {
-  /** Share of the target latency after which a request that cannot be in time is refused. Default 0.2. */
-  readonly earlyRefusalShare: number;
-  /** How often the target latency a request may wait that was refused before. Default 3. */
-  readonly lateWaitShare: number;
-  /** Share of the target latency after which a safe request is tried elsewhere. Default 0.6. */
-  readonly safeHeadShare: number;
-  /** Silence after which a resumable stream is continued elsewhere, in milliseconds. Default 1,200. */
-  readonly streamSilenceMs: number;
-  /** Retry-After of refusals, in milliseconds. Default 300. */
-  readonly retryAfterMs: number;
-  /** Shortest Retry-After, and what is added at random, when engines are full, in milliseconds. Defaults 1,000 and 1,500. */
-  readonly overloadRetryMs: number;
-  readonly overloadRetrySpreadMs: number;
-}
-
-/** Defaults of requests. */
-export const DEFAULT_REQUEST_OPTIONS: RequestOptions = {
-  earlyRefusalShare: 0.2,
-  lateWaitShare: 3,
-  safeHeadShare: 0.6,
-  streamSilenceMs: 1_200,
-  retryAfterMs: 300,
-  overloadRetryMs: 1_000,
-  overloadRetrySpreadMs: 1_500,
-};
+import type { AcceptedRequest, RequestOptions, RequestPorts } from './request-model.js';
 
 const MAX_CONNECT_FAILURES = 4;
 const MAX_BUFFERED_ANSWER_BYTES = 256 * 1024;
@@ -133,11 +45,8 @@
   private lastEventId: string | undefined;
   private firstPlacedAtMs: number | undefined;
   private firstByteAtMs: number | undefined;
-  private lastEventAtMs: number | undefined;
   private longestPauseMs = 0;
-  private attemptEvents = 0;
-  private attemptFirstAtMs = 0;
-  private isPromptRead = false;
+  private progress: AttemptProgress | undefined;
   /** Whether some back end may have run the request. */
   private mayHaveRun = false;
   private lastAnswer: { head: AnswerHead; body: Buffer } | undefined;
@@ -251,8 +160,13 @@
     this.buffered = [];
     this.bufferedBytes = 0;
     this.splitter = new EventSplitter();
-    this.attemptEvents = 0;
-    this.isPromptRead = false;
+    this.progress = new AttemptProgress(
+      ports.dispatcher,
+      backend.id,
+      request.promptTokens,
+      nowMs,
+      this.progress?.lastEventAtMs,
+    );
     const headers = ports.protocol.attemptHeaders(endToEndHeaders(request.headers, NO_HEADERS), {
       requestId: request.requestId,
       remainingMs: Math.max(1, Math.floor(request.endsAtMs - nowMs)),
@@ -363,7 +277,7 @@
     }
     this.startReply();
     this.phase = 'streaming';
-    this.notePause(events.length);
+    this.progress!.noteEvents(events.length, this.ports.clock.now());
     this.armSilenceTimer();
     for (const { id } of events) {
       this.lastEventId = id ?? this.lastEventId;
@@ -371,27 +285,6 @@
     this.forward(Buffer.concat(events.map((event) => event.bytes)));
   }
 
-  private notePause(newEvents: number): void {
-    const nowMs = this.ports.clock.now();
-    if (this.attemptEvents === 0) {
-      this.attemptFirstAtMs = nowMs;
-      this.notePromptRead();
-      const firstMs = nowMs - this.attemptStartedAtMs;
-      this.ports.dispatcher.learnFirst(this.backend!.id, this.request.promptTokens, firstMs);
-    }
-    this.attemptEvents += newEvents;
-    const pauseMs = nowMs - (this.lastEventAtMs ?? nowMs);
-    this.longestPauseMs = Math.max(this.longestPauseMs, pauseMs);
-    this.lastEventAtMs = nowMs;
-  }
-
-  private notePromptRead(): void {
-    if (!this.isPromptRead) {
-      this.isPromptRead = true;
-      this.ports.dispatcher.notePromptRead(this.backend!.id, this.request.promptTokens);
-    }
-  }
-
   private startReply(): void {
     if (this.hasStartedReply) {
       return;
@@ -427,7 +320,7 @@
     if (!isServerError) {
       const elapsedMs = this.ports.clock.now() - this.attemptStartedAtMs;
       this.ports.dispatcher.learnSpeed(backendId, this.request.units, elapsedMs);
-      this.learnPause(backendId);
+      this.progress!.noteWhole(this.ports.clock.now());
     }
     this.endAttempt(isServerError ? 'failed' : 'answered');
     if (isServerError && this.canRepeatElsewhere() && this.takeRepeat()) {
@@ -438,14 +331,6 @@
     this.endReply(head, Buffer.concat(this.buffered));
   }
 
-  private learnPause(backendId: string): void {
-    const pauses = this.attemptEvents - 1;
-    if (pauses > 0) {
-      const streamedMs = this.ports.clock.now() - this.attemptFirstAtMs;
-      this.ports.dispatcher.learnPause(backendId, streamedMs / pauses);
-    }
-  }
-
   private endReply(head: AnswerHead, body: Buffer): void {
     if (this.hasStartedReply) {
       this.reply.end();
@@ -579,7 +464,8 @@
       return;
     }
     this.attempt = undefined;
-    this.notePromptRead();
+    this.progress?.noteOver();
+    this.longestPauseMs = Math.max(this.longestPauseMs, this.progress?.longestPauseMs ?? 0);
     this.ports.dispatcher.finish(this.backend.id, outcome, this.ports.clock.now());
   }
 
--- /dev/null
+++ b/src/gateway/request-model.ts
@@ -0,0 +1,88 @@
+/** A request in a gateway: what it is, what it needs, and how it may end. */
+import type { Clock } from '../clock.js';
+import type { RandomSource } from '../random.js';
+import type { Route } from '../routing/configuration.js';
+import type { BackendSender } from './attempt.js';
+import type { CallerProtocol, RawHeaders } from './caller-protocol.js';
+import type { Dispatcher } from './dispatcher.js';
+
+/** A request as the front of a gateway hands it over, its body read whole. */
+export interface AcceptedRequest {
+  readonly requestId: string;
+  readonly route: Route;
+  readonly service: string;
+  readonly tenant: string | undefined;
+  readonly tier: number;
+  readonly rankInTier: number;
+  /** Whether its time left shows that it can no longer be answered within the target latency. */
+  readonly isLate: boolean;
+  /** Whether its time left shows that the caller tried before. */
+  readonly isReturning: boolean;
+  readonly arrivedAtMs: number;
+  /** When the caller's deadline or the route's time-out ends it, whichever comes first. */
+  readonly endsAtMs: number;
+  readonly units: number;
+  /** Tokens of the prompt; 0 for a request that names none. */
+  readonly promptTokens: number;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: RawHeaders;
+  readonly body: Buffer;
+  /** Id of the last event that the caller has, where it continues a stream. */
+  readonly lastEventId: string | undefined;
+}
+
+/** How a request ended, for counters and the log. */
+export interface RequestEnd {
+  /** Status of the answer; 0 when the caller left before one. */
+  readonly status: number;
+  readonly reason: string;
+  readonly attempts: number;
+  readonly backendIds: readonly string[];
+  readonly waitedMs: number;
+  readonly firstByteMs: number | undefined;
+  readonly totalMs: number;
+  /** Longest pause between two parts of the answer, in milliseconds; 0 for a single part. */
+  readonly longestPauseMs: number;
+}
+
+/** What a request needs from its surroundings. */
+export interface RequestPorts {
+  readonly clock: Clock;
+  readonly dispatcher: Dispatcher;
+  readonly sender: BackendSender;
+  readonly protocol: CallerProtocol;
+  readonly random: RandomSource;
+  /** Takes one repeat from the budget of a service. */
+  takeRepeat(service: string): boolean;
+  /** Called once. */
+  onEnd(request: AcceptedRequest, end: RequestEnd): void;
+}
+
+/** Times and limits of requests. */
+export interface RequestOptions {
+  /** Share of the target latency after which a request that cannot be in time is refused. Default 0.2. */
+  readonly earlyRefusalShare: number;
+  /** How often the target latency a request may wait that was refused before. Default 3. */
+  readonly lateWaitShare: number;
+  /** Share of the target latency after which a safe request is tried elsewhere. Default 0.6. */
+  readonly safeHeadShare: number;
+  /** Silence after which a resumable stream is continued elsewhere, in milliseconds. Default 1,200. */
+  readonly streamSilenceMs: number;
+  /** Retry-After of refusals, in milliseconds. Default 300. */
+  readonly retryAfterMs: number;
+  /** Shortest Retry-After, and what is added at random, when engines are full, in milliseconds. Defaults 1,000 and 1,500. */
+  readonly overloadRetryMs: number;
+  readonly overloadRetrySpreadMs: number;
+}
+
+/** Defaults of requests. */
+export const DEFAULT_REQUEST_OPTIONS: RequestOptions = {
+  earlyRefusalShare: 0.2,
+  lateWaitShare: 3,
+  safeHeadShare: 0.6,
+  streamSilenceMs: 1_200,
+  retryAfterMs: 300,
+  overloadRetryMs: 1_000,
+  overloadRetrySpreadMs: 1_500,
+};
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -8,8 +8,9 @@
 import type { CallerProtocol } from '../../src/gateway/caller-protocol.js';
 import { Dispatcher } from '../../src/gateway/dispatcher.js';
 import type { DispatcherPorts } from '../../src/gateway/dispatcher.js';
-import { DEFAULT_REQUEST_OPTIONS, ProxiedRequest } from '../../src/gateway/proxied-request.js';
-import type { AcceptedRequest, RequestEnd } from '../../src/gateway/proxied-request.js';
+import { ProxiedRequest } from '../../src/gateway/proxied-request.js';
+import { DEFAULT_REQUEST_OPTIONS } from '../../src/gateway/request-model.js';
+import type { AcceptedRequest, RequestEnd } from '../../src/gateway/request-model.js';
 import { SeededRandom } from '../../src/random.js';
 import type { Backend } from '../../src/routing/backend.js';
 import type { Route } from '../../src/routing/configuration.js';
