Test the gateway and the adapter end to end against a stand-in of the platform

Store with pages, watches, forgotten history, refusals and silence; workers that answer 421. A gateway that has stopped keeps no timer.

--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -54,6 +54,9 @@
 const RETURNING_SHARE = 0.02;
 /** Time from the start until the library of the metrics is loaded, in milliseconds. */
 const METRICS_LOAD_MS = 3_000;
+const READINESS_IDLE_MS = 30_000;
+const HTTP_OK = 200;
+const HTTP_UNAVAILABLE = 503;
 const QUOTA_SILENCE_MS = 1_200;
 const QUOTA_FORGET_MS = 20_000;
 
@@ -72,6 +75,11 @@
   private readonly active = new Set<AcceptedRequest>();
   private table: RoutingTable | undefined;
   private stopRequestedAtMs: number | undefined;
+  private readonly readinessServer = createServer((_request, response) => {
+    response.writeHead(this.isReady ? HTTP_OK : HTTP_UNAVAILABLE, { 'Content-Length': '0' });
+    response.end();
+  });
+  private hasEnded = false;
   private ticks = 0;
   private isUseUntold = false;
   private onStopped: (() => void) | undefined;
@@ -205,13 +213,9 @@
 
   private serveReadiness(): void {
     const { host, port } = splitAddress(this.parts.settings.listen.readiness);
-    const server = createServer((_request, response) => {
-      response.writeHead(this.isReady ? 200 : 503, { 'Content-Length': '0' });
-      response.end();
-    });
-    server.keepAliveTimeout = 30_000;
-    server.on('error', () => undefined);
-    server.listen(port, host);
+    this.readinessServer.keepAliveTimeout = READINESS_IDLE_MS;
+    this.readinessServer.on('error', () => undefined);
+    this.readinessServer.listen(port, host);
   }
 
   private endIfIdle(): void {
@@ -230,6 +234,9 @@
       return;
     }
     this.onStopped = undefined;
+    this.hasEnded = true;
+    this.readinessServer.close();
+    this.sender.close();
     this.follower.stop();
     this.mesh.broadcast({ kind: 'leaving' });
     this.mesh.stop();
@@ -241,8 +248,10 @@
 
   private scheduleTick(): void {
     this.parts.clock.setTimeout(() => {
-      this.tick();
-      this.scheduleTick();
+      if (!this.hasEnded) {
+        this.tick();
+        this.scheduleTick();
+      }
     }, TICK_MS);
   }
 
--- /dev/null
+++ b/test/platform.test.ts
@@ -0,0 +1,321 @@
+import { connect, createServer } from 'node:net';
+import type { AddressInfo } from 'node:net';
+import type { ServerResponse } from 'node:http';
+import test from 'ava';
+import { request } from 'undici';
+import { PLATFORM_PROTOCOL } from '../platform/header-names.js';
+import { decodeRecord } from '../platform/record-formats.js';
+import { PlatformStore } from '../platform/store-client.js';
+import { SYSTEM_CLOCK } from '../src/clock.js';
+import { GatewayMetrics } from '../src/gateway/gateway-metrics.js';
+import { GatewayRole } from '../src/gateway/gateway-role.js';
+import { parseGatewaySettings } from '../src/gateway/gateway-settings.js';
+import { SeededRandom } from '../src/random.js';
+import { DecisionLog } from '../src/telemetry/decision-log.js';
+import { StandinStore, StandinWorker } from './support/platform-standin.js';
+
+const HOST = '127.0.0.1';
+const KEY = 'secret-key';
+
+async function freePort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
+  const { port } = server.address() as AddressInfo;
+  await new Promise((resolve) => server.close(resolve));
+  return port;
+}
+
+async function until(isTrue: () => Promise<boolean> | boolean): Promise<void> {
+  const endAt = Date.now() + 8_000;
+  while (!(await isTrue())) {
+    if (Date.now() > endAt) {
+      throw new Error('did not come true in 8 s');
+    }
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+}
+
+interface RunningGateway {
+  readonly gateway: GatewayRole;
+  readonly callers: string;
+  readonly readiness: string;
+  readonly peers: string;
+}
+
+async function startGateway(
+  name: string,
+  storeAddress: string,
+  seeds: string[] = [],
+): Promise<RunningGateway> {
+  const [callers, readiness, peers] = [await freePort(), await freePort(), await freePort()];
+  const text = [
+    '[process]',
+    'role = gateway',
+    `name = ${name}`,
+    'zone = z',
+    `address = ${HOST}`,
+    '[listen]',
+    `callers = ${HOST}:${callers}`,
+    `readiness = ${HOST}:${readiness}`,
+    `peers = ${HOST}:${peers}`,
+    '[cluster]',
+    `seeds = ${seeds.join(',')}`,
+    `store = ${storeAddress}`,
+    'storeTimeoutMs = 300',
+    '[log]',
+    'linesPerS = 0',
+  ].join('\n');
+  const settings = parseGatewaySettings(text).unwrap();
+  const gateway = new GatewayRole({
+    settings,
+    adapter: {
+      protocol: PLATFORM_PROTOCOL,
+      store: new PlatformStore(storeAddress, settings.cluster.storeTimeoutMs),
+      decode: decodeRecord,
+    },
+    clock: SYSTEM_CLOCK,
+    random: new SeededRandom(peers),
+    log: new DecisionLog({ role: 'gateway', process: name, zone: 'z' }, 0, SYSTEM_CLOCK),
+    metrics: new GatewayMetrics(),
+  });
+  gateway.start();
+  return {
+    gateway,
+    callers: `http://${HOST}:${callers}`,
+    readiness: `http://${HOST}:${readiness}/-/ready`,
+    peers: `${HOST}:${peers}`,
+  };
+}
+
+function configuration(version: number, changes: object = {}): object {
+  return {
+    version,
+    routes: [
+      {
+        name: 'r',
+        host: 'a.example',
+        pathPrefix: '/a/',
+        kind: 'safe',
+        timeoutMs: 2_000,
+        targetLatencyMs: 500,
+        maxAttempts: 2,
+        service: 's',
+      },
+    ],
+    services: [{ name: 's', maxConnections: 9 }],
+    tenants: [{ name: 'shop', apiKeys: [KEY] }],
+    ...changes,
+  };
+}
+
+function call(gateway: RunningGateway, headers: Record<string, string> = {}, path = '/a/x?y=1') {
+  return request(`${gateway.callers}${path}`, {
+    method: 'POST',
+    body: 'the body',
+    headers: {
+      host: 'a.example',
+      authorization: `Bearer ${KEY}`,
+      'x-weirvale-attempt-id': 'id-1',
+      'x-weirvale-deadline-ms': '1500',
+      'x-weirvale-tenant': 'forged',
+      'x-weirvale-expect-instance': 'forged',
+      ...headers,
+    },
+  });
+}
+
+async function statusOf(gateway: RunningGateway, headers: Record<string, string> = {}) {
+  const answer = await call(gateway, headers);
+  await answer.body.dump();
+  return answer.statusCode;
+}
+
+async function isReady({ readiness }: RunningGateway): Promise<boolean> {
+  const answer = await request(readiness);
+  await answer.body.dump();
+  return answer.statusCode === 200;
+}
+
+function answerWell(_seen: unknown, response: ServerResponse): void {
+  response.writeHead(200, { 'X-Weirvale-Server-Seal': 'seal' });
+  response.end('good');
+}
+
+test('a request reaches its worker unchanged, under the key’s tenant and what is left of the time', async (t) => {
+  const store = new StandinStore();
+  const worker = new StandinWorker('w-1', answerWell);
+  store.put('op/config', configuration(1));
+  store.put('servers/w-1', { service: 's', address: await worker.start(), slots: 2 });
+  const gateway = await startGateway('g', await store.start());
+  await until(() => isReady(gateway));
+  const answer = await call(gateway);
+  t.is(answer.statusCode, 200);
+  t.is(await answer.body.text(), 'good');
+  t.is(answer.headers['x-weirvale-server-seal'], 'seal');
+  const seen = worker.received[0]!;
+  t.deepEqual([seen.method, seen.path, seen.body], ['POST', '/a/x?y=1', 'the body']);
+  t.is(seen.headers['x-weirvale-attempt-id'], 'id-1');
+  t.is(seen.headers['x-weirvale-tenant'], 'shop');
+  t.is(seen.headers['x-weirvale-expect-instance'], 'w-1');
+  t.is(seen.headers.authorization, undefined);
+  const leftMs = Number(seen.headers['x-weirvale-deadline-ms']);
+  t.true(leftMs > 1_000 && leftMs <= 1_500);
+  gateway.gateway.stop(() => undefined);
+  worker.stop();
+  store.stop();
+});
+
+test('no configuration, no route and an unknown key have their typed answers', async (t) => {
+  const store = new StandinStore();
+  const gateway = await startGateway('g', await store.start());
+  t.false(await isReady(gateway));
+  t.is(await statusOf(gateway), 503);
+  store.put('op/config', configuration(1));
+  await until(() => isReady(gateway));
+  t.is(await statusOf(gateway, { host: 'other.example' }), 404);
+  t.is(await statusOf(gateway, { authorization: 'Bearer other' }), 401);
+  gateway.gateway.stop(() => undefined);
+  store.stop();
+});
+
+test('a configuration that cannot be read leaves the last one in force, and versions never fall', async (t) => {
+  const store = new StandinStore();
+  store.put('op/config', configuration(3));
+  const gateway = await startGateway('g', await store.start());
+  await until(() => isReady(gateway));
+  store.put('op/config', { version: 'four', routes: 7 });
+  store.put('op/config', configuration(2, { tenants: [{ name: 'old', apiKeys: ['old-key'] }] }));
+  await new Promise((resolve) => setTimeout(resolve, 200));
+  t.is(await statusOf(gateway, { authorization: 'Bearer old-key' }), 401);
+  t.not(await statusOf(gateway), 401);
+  gateway.gateway.stop(() => undefined);
+  store.stop();
+});
+
+test('a change made while the watch was cut and its history dropped is in force within a second', async (t) => {
+  const store = new StandinStore();
+  store.put('op/config', configuration(1));
+  const gateway = await startGateway('g', await store.start());
+  await until(() => isReady(gateway));
+  store.mood = 'silent';
+  store.put('op/config', configuration(2, { tenants: [{ name: 'shop', apiKeys: ['new'] }] }));
+  store.forgetHistory();
+  store.mood = 'answers';
+  const startedAt = Date.now();
+  await until(async () => (await statusOf(gateway)) === 401);
+  t.true(Date.now() - startedAt < 1_000);
+  gateway.gateway.stop(() => undefined);
+  store.stop();
+});
+
+test('a gateway that the store turns away learns of drains and configurations from its peers', async (t) => {
+  const [store, darkStore] = [new StandinStore(), new StandinStore()];
+  darkStore.mood = 'refuses';
+  const [leaving, staying] = [
+    new StandinWorker('w-1', answerWell),
+    new StandinWorker('w-2', answerWell),
+  ];
+  const leavingAddress = await leaving.start();
+  store.put('op/config', configuration(1));
+  store.put('servers/w-1', { service: 's', address: leavingAddress, slots: 2 });
+  const informed = await startGateway('g-1', await store.start());
+  const dark = await startGateway('g-2', await darkStore.start(), [informed.peers]);
+  await until(() => isReady(dark));
+  t.is(await statusOf(dark), 200);
+  store.put('servers/w-2', { service: 's', address: await staying.start(), slots: 2 });
+  store.put('servers/w-1', {
+    service: 's',
+    address: leavingAddress,
+    slots: 2,
+    state: 'draining',
+  });
+  await until(async () => (await statusOf(dark)) === 200 && staying.received.length > 0);
+  const before = leaving.received.length;
+  for (let index = 0; index < 5; index += 1) {
+    t.is(await statusOf(dark), 200);
+  }
+  t.is(leaving.received.length, before);
+  [informed, dark].forEach(({ gateway }) => gateway.stop(() => undefined));
+  [leaving, staying].forEach((worker) => worker.stop());
+  [store, darkStore].forEach((each) => each.stop());
+});
+
+test('a worker found to be another one is not asked for the same again, and the request goes on', async (t) => {
+  const store = new StandinStore();
+  const worker = new StandinWorker('w-new', answerWell);
+  const address = await worker.start();
+  store.put('op/config', configuration(1));
+  store.put('servers/w-new', { service: 's', address, slots: 2 });
+  store.put('servers/w-old', { service: 's', address, slots: 2 });
+  const gateway = await startGateway('g', await store.start());
+  await until(() => isReady(gateway));
+  t.is(await statusOf(gateway), 200);
+  t.is(await statusOf(gateway), 200);
+  t.is(worker.received.length, 3);
+  gateway.gateway.stop(() => undefined);
+  worker.stop();
+  store.stop();
+});
+
+test('a planned stop turns readiness off at once, serves on, and ends what runs', async (t) => {
+  const store = new StandinStore();
+  const worker = new StandinWorker('w-1', (_seen, response) => {
+    setTimeout(() => answerWell(undefined, response), 300);
+  });
+  store.put('op/config', configuration(1));
+  store.put('servers/w-1', { service: 's', address: await worker.start(), slots: 2 });
+  const gateway = await startGateway('g', await store.start());
+  await until(() => isReady(gateway));
+  const running = statusOf(gateway);
+  let hasStopped = false;
+  gateway.gateway.stop(() => {
+    hasStopped = true;
+  });
+  t.false(await isReady(gateway));
+  t.is(await running, 200);
+  const late = await call(gateway);
+  t.is(await late.body.text(), 'good');
+  t.is(late.headers.connection, 'close');
+  await until(() => hasStopped);
+  worker.stop();
+  store.stop();
+});
+
+test('a request smuggled behind a body reaches no worker', async (t) => {
+  const store = new StandinStore();
+  const worker = new StandinWorker('w-1', answerWell);
+  store.put('op/config', configuration(1));
+  store.put('servers/w-1', { service: 's', address: await worker.start(), slots: 2 });
+  const gateway = await startGateway('g', await store.start());
+  await until(() => isReady(gateway));
+  const [, , authority] = gateway.callers.split('/');
+  const [host, port] = authority!.split(':');
+  const answer = await new Promise<string>((resolve) => {
+    const socket = connect(Number(port), host);
+    let text = '';
+    socket.on('data', (bytes) => (text += bytes.toString()));
+    socket.on('close', () => resolve(text));
+    socket.write(
+      `POST /a/ HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer ${KEY}\r\n` +
+        'Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n' +
+        `GET /a/smuggled HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer ${KEY}\r\n\r\n`,
+    );
+  });
+  t.true(answer.startsWith('HTTP/1.1 400'));
+  t.is(worker.received.length, 0);
+  gateway.gateway.stop(() => undefined);
+  worker.stop();
+  store.stop();
+});
+
+test('records of the store are read in pages', async (t) => {
+  const standin = new StandinStore();
+  for (let index = 0; index < 8; index += 1) {
+    standin.put(`servers/w-${index}`, { service: 's', address: '10.0.0.1:1' });
+  }
+  standin.remove('servers/w-3');
+  const read = (await new PlatformStore(await standin.start(), 500).list()).unwrap();
+  t.is(read.records.length, 7);
+  t.is(read.revision, 9);
+  standin.stop();
+});
--- /dev/null
+++ b/test/support/platform-standin.ts
@@ -0,0 +1,200 @@
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+
+interface Item {
+  readonly key: string;
+  readonly revision: number;
+  readonly value?: string;
+  readonly gone?: boolean;
+}
+
+/** What the store does with calls. */
+export type StoreMood = 'answers' | 'refuses' | 'silent' | 'resets';
+
+const PAGE_ITEMS = 3;
+
+/** A stand-in of the platform's store: listings in pages, watches, history that can be forgotten. */
+export class StandinStore {
+  mood: StoreMood = 'answers';
+  readonly calls: string[] = [];
+  private revision = 0;
+  private oldestHistory = 0;
+  private readonly items = new Map<string, Item>();
+  private history: Item[] = [];
+  private readonly watches = new Set<() => void>();
+  private readonly sockets = new Set<Socket>();
+  private readonly server: Server;
+
+  constructor() {
+    this.server = createServer((request, response) => this.answer(request, response));
+    this.server.on('connection', (socket) => {
+      this.sockets.add(socket);
+      socket.on('close', () => this.sockets.delete(socket));
+    });
+  }
+
+  async start(): Promise<string> {
+    await new Promise<void>((resolve) => this.server.listen(0, '127.0.0.1', resolve));
+    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+  }
+
+  stop(): void {
+    this.cutAll();
+    this.server.close();
+  }
+
+  put(key: string, value: object): void {
+    this.revision += 1;
+    const text = Buffer.from(JSON.stringify(value)).toString('base64');
+    this.record({ key, revision: this.revision, value: text });
+  }
+
+  remove(key: string): void {
+    this.revision += 1;
+    this.record({ key, revision: this.revision, gone: true });
+  }
+
+  /** Drops the history and cuts every connection. */
+  forgetHistory(): void {
+    this.history = [];
+    this.oldestHistory = this.revision;
+    this.cutAll();
+  }
+
+  cutAll(): void {
+    for (const socket of this.sockets) {
+      socket.resetAndDestroy();
+    }
+  }
+
+  private record(item: Item): void {
+    this.history.push(item);
+    if (item.gone === true) {
+      this.items.delete(item.key);
+    } else {
+      this.items.set(item.key, item);
+    }
+    for (const wake of [...this.watches]) {
+      wake();
+    }
+  }
+
+  private answer(request: IncomingMessage, response: ServerResponse): void {
+    const url = new URL(request.url ?? '/', 'http://store');
+    this.calls.push(url.pathname);
+    if (this.mood === 'silent') {
+      return;
+    }
+    if (this.mood === 'resets') {
+      request.socket.resetAndDestroy();
+      return;
+    }
+    if (this.mood === 'refuses') {
+      reply(response, 503, { error: 'busy' });
+      return;
+    }
+    if (url.pathname === '/-/kv-range') {
+      this.answerRange(url, response);
+    } else if (url.pathname === '/-/kv-watch') {
+      this.answerWatch(url, response);
+    } else {
+      reply(response, 404, {});
+    }
+  }
+
+  private answerRange(url: URL, response: ServerResponse): void {
+    const after = url.searchParams.get('afterRevision') ?? '';
+    const prefix = url.searchParams.get('pathPrefix') ?? '';
+    const rest = [...this.items.values()]
+      .filter(({ key }) => key.startsWith(prefix) && key > after)
+      .sort((left, right) => (left.key < right.key ? -1 : 1));
+    const items = rest.slice(0, PAGE_ITEMS);
+    reply(response, 200, { items, more: rest.length > PAGE_ITEMS, at: this.revision });
+  }
+
+  private answerWatch(url: URL, response: ServerResponse): void {
+    const after = Number(url.searchParams.get('afterRevision'));
+    if (after < this.oldestHistory) {
+      reply(response, 410, {});
+      return;
+    }
+    const end = () => {
+      const events = this.history.filter(({ revision }) => revision > after);
+      if (events.length > 0 || !this.watches.has(end)) {
+        this.watches.delete(end);
+        clearTimeout(timer);
+        reply(response, 200, { events, at: this.revision });
+      }
+    };
+    const timer = setTimeout(
+      () => {
+        this.watches.delete(end);
+        end();
+      },
+      Number(url.searchParams.get('waitMs')),
+    );
+    response.on('close', () => {
+      this.watches.delete(end);
+      clearTimeout(timer);
+    });
+    this.watches.add(end);
+    if (this.history.some(({ revision }) => revision > after)) {
+      end();
+    }
+  }
+}
+
+function reply(response: ServerResponse, status: number, body: object): void {
+  response.writeHead(status, { 'Content-Type': 'application/json' });
+  response.end(JSON.stringify(body));
+}
+
+/** A request as a stand-in worker received it. */
+export interface WorkerRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: IncomingMessage['headers'];
+  readonly body: string;
+}
+
+/** A stand-in worker: answers as its handler says and keeps what it received. */
+export class StandinWorker {
+  readonly received: WorkerRequest[] = [];
+  readonly server: Server;
+
+  constructor(
+    readonly id: string,
+    handler: (request: WorkerRequest, response: ServerResponse) => void,
+  ) {
+    this.server = createServer((request, response) => {
+      const chunks: Buffer[] = [];
+      request.on('data', (bytes: Buffer) => chunks.push(bytes));
+      request.on('end', () => {
+        const { method = '', url = '', headers } = request;
+        const seen = { method, path: url, headers, body: Buffer.concat(chunks).toString() };
+        this.received.push(seen);
+        const requestId = headers['x-weirvale-attempt-id'];
+        if (requestId !== undefined) {
+          response.setHeader('X-Weirvale-Attempt-Id', requestId);
+        }
+        if (headers['x-weirvale-expect-instance'] !== id) {
+          response.writeHead(421);
+          response.end();
+          return;
+        }
+        handler(seen, response);
+      });
+    });
+  }
+
+  async start(): Promise<string> {
+    await new Promise<void>((resolve) => this.server.listen(0, '127.0.0.1', resolve));
+    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+  }
+
+  stop(): void {
+    this.server.closeAllConnections();
+    this.server.close();
+  }
+}
