--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -65,6 +65,8 @@
 const MAX_BIND_INTERVAL_MS = 500;
 /** Weight of the whole work against the time to the first event when a back end is chosen. */
 const WORK_WEIGHT = 0.5;
+/** Cost for each request at a back end of unknown speed: it is tried with one at a time. */
+const UNKNOWN_SPEED_COST_MS = 1_000;
 /** Added to the cost of a back end that would be late, or make others late. */
 const LATE_COST_MS = 100_000;
 
@@ -163,13 +165,8 @@
 
   /** Binds the request now if a slot is free; otherwise it waits in order. */
   submit(request: DispatchRequest, nowMs: number): void {
-    const chosen = this.hasWaitingBefore(request) ? undefined : this.choose(request, nowMs);
-    if (chosen !== undefined) {
-      this.bind(request, chosen, nowMs, false);
-      return;
-    }
     this.insert(request);
-    this.tellDemand(request.service, nowMs);
+    this.serve(request.service, nowMs);
   }
 
   /** Takes a waiting request back. */
@@ -190,6 +187,9 @@
       this.ports.onEjected(backendId);
     }
     this.sendToAgent(backendId, known, { kind: 'released' });
+    if (outcome === 'answered') {
+      this.sendToAgent(backendId, known, { kind: 'speed', speed: known.learned });
+    }
     this.serve(known.backend.service, nowMs);
   }
 
@@ -249,6 +249,7 @@
     }
     if (message.kind === 'state') {
       known.agent.occupied = message.occupied;
+      known.adopt(message.speed);
       const { messagesSeen } = message;
       known.agent.takenUnseen = known.agent.takenUnseen.filter((number) => number > messagesSeen);
       this.serve(known.backend.service, nowMs);
@@ -306,7 +307,9 @@
       }
       const chosen = this.choose(request, nowMs);
       if (chosen !== undefined && this.remove(request)) {
-        this.noteBindInterval(service, nowMs);
+        if (request.arrivedAtMs < nowMs) {
+          this.noteBindInterval(service, nowMs);
+        }
         this.bind(request, chosen, nowMs, false);
       }
     }
@@ -333,11 +336,11 @@
     const candidates = permitted.filter(
       (known) => this.hasRoom(known) && !this.harms(request, known, known.occupied),
     );
-    const usualMs = meanMsPerUnit(permitted);
+    const usual = usualSpeed(permitted);
     let best: KnownBackend | undefined;
     let bestCost = Infinity;
     for (const known of candidates) {
-      const cost = this.costOf(request, known, usualMs, nowMs);
+      const cost = this.costOf(request, known, usual, nowMs);
       if (cost < bestCost) {
         best = known;
         bestCost = cost;
@@ -349,16 +352,18 @@
   private costOf(
     request: DispatchRequest,
     known: KnownBackend,
-    usualMsPerUnit: number,
+    usual: UsualSpeed,
     nowMs: number,
   ): number {
-    const workMs = (known.msPerUnit ?? usualMsPerUnit) * request.units;
+    const workMs = (known.msPerUnit ?? usual.msPerUnit) * request.units;
     if (request.promptTokens === 0) {
       return (known.occupied + 1) * workMs;
     }
-    const firstMs = known.speed.expectedFirstMs(known.pendingPromptTokens + request.promptTokens);
+    const tokens = known.pendingPromptTokens + request.promptTokens;
+    const firstMs = known.speed.expectedFirstMs(tokens, usual.prefillMsPerToken);
+    const trialMs = known.speed.isKnown ? 0 : known.occupied * UNKNOWN_SPEED_COST_MS;
     const isLate = !request.isLate && nowMs + firstMs > request.firstDueAtMs;
-    return firstMs + workMs * WORK_WEIGHT + (isLate ? LATE_COST_MS : 0);
+    return firstMs + workMs * WORK_WEIGHT + trialMs + (isLate ? LATE_COST_MS : 0);
   }
 
   /** Whether reading the prompt there would make the streams of `others` requests pause too long. */
@@ -371,9 +376,7 @@
   }
 
   private hasAnyRoom(service: string): boolean {
-    return this.list().some(
-      (known) => known.backend.service === service && known.isReady && this.hasRoom(known),
-    );
+    return this.list().some((known) => known.backend.service === service && this.hasRoom(known));
   }
 
   private noteBindInterval(service: string, nowMs: number): void {
@@ -418,11 +421,6 @@
     return known.occupied < limit;
   }
 
-  private hasWaitingBefore(request: DispatchRequest): boolean {
-    const first = this.waiting.get(request.service)?.[0];
-    return first !== undefined && first.excluded.size === 0 && compare(first, request) <= 0;
-  }
-
   private insert(request: DispatchRequest): void {
     const queue = this.waiting.get(request.service) ?? [];
     this.waiting.set(request.service, queue);
@@ -507,7 +505,23 @@
   );
 }
 
-function meanMsPerUnit(candidates: readonly KnownBackend[]): number {
-  const known = candidates.flatMap(({ msPerUnit }) => (msPerUnit === undefined ? [] : [msPerUnit]));
-  return known.length === 0 ? 1 : known.reduce((sum, value) => sum + value, 0) / known.length;
+/** What is assumed of a back end of which nothing was learned. */
+interface UsualSpeed {
+  readonly msPerUnit: number;
+  readonly prefillMsPerToken: number;
+}
+
+function usualSpeed(backends: readonly KnownBackend[]): UsualSpeed {
+  const learned = backends.map((known) => known.learned);
+  return {
+    msPerUnit: mean(learned.map(({ msPerUnit }) => msPerUnit)) ?? 1,
+    prefillMsPerToken: mean(learned.map(({ prefillMsPerToken }) => prefillMsPerToken)) ?? 0,
+  };
+}
+
+function mean(values: ReadonlyArray<number | undefined>): number | undefined {
+  const known = values.filter((value) => value !== undefined);
+  return known.length === 0
+    ? undefined
+    : known.reduce((sum, value) => sum + value, 0) / known.length;
 }
--- a/src/gateway/engine-speed.ts
+++ b/src/gateway/engine-speed.ts
@@ -1,4 +1,5 @@
 /** Learned speed of one engine: how fast it reads prompts, and how far apart its events are. */
+import type { LearnedSpeed } from '../slot-agent/slot-messages.js';
 
 const FASTER_SMOOTHING = 0.3;
 const SLOWER_SMOOTHING = 0.05;
@@ -27,14 +28,30 @@
     this.eventMs = smoothDown(this.eventMs, pauseMs);
   }
 
+  /** What was learned so far. */
+  get learned(): LearnedSpeed {
+    const { prefillMsPerToken, eventMs } = this;
+    return { prefillMsPerToken, eventMs };
+  }
+
+  /** Takes over what others learned, where nothing was learned here. */
+  adopt(learned: LearnedSpeed): void {
+    this.prefillMsPerToken ??= learned.prefillMsPerToken;
+    this.eventMs ??= learned.eventMs;
+  }
+
   /** Whether anything was learned of how it reads prompts. */
   get isKnown(): boolean {
     return this.prefillMsPerToken !== undefined;
   }
 
-  /** Expected time to the first event behind `tokens` of prompts, in milliseconds; 0 while unknown. */
-  expectedFirstMs(tokens: number): number {
-    return tokens === 0 ? 0 : FIXED_FIRST_MS + tokens * (this.prefillMsPerToken ?? 0);
+  /**
+   * Expected time to the first event behind `tokens` of prompts, in milliseconds;
+   * `usualMsPerToken` stands for what is not known yet.
+   */
+  expectedFirstMs(tokens: number, usualMsPerToken = 0): number {
+    const msPerToken = this.prefillMsPerToken ?? usualMsPerToken;
+    return tokens === 0 ? 0 : FIXED_FIRST_MS + tokens * msPerToken;
   }
 
   /** Longest pause that reading a prompt is expected to cause in the streams beside it, in milliseconds. */
--- a/src/gateway/known-backend.ts
+++ b/src/gateway/known-backend.ts
@@ -1,5 +1,6 @@
 /** What a gateway knows of one back end: its announcement, its health, its speed and its slots. */
 import type { Backend } from '../routing/backend.js';
+import type { LearnedSpeed } from '../slot-agent/slot-messages.js';
 import { BackendHealth } from './backend-health.js';
 import { EngineSpeed } from './engine-speed.js';
 
@@ -61,6 +62,17 @@
     this.learnedMsPerUnit = known + SPEED_SMOOTHING * (sample - known);
   }
 
+  /** What was learned of it so far. */
+  get learned(): LearnedSpeed {
+    return { ...this.speed.learned, msPerUnit: this.learnedMsPerUnit };
+  }
+
+  /** Takes over what others learned, where nothing was learned here. */
+  adopt(learned: LearnedSpeed): void {
+    this.speed.adopt(learned);
+    this.learnedMsPerUnit ??= learned.msPerUnit;
+  }
+
   /** Requests that are there, of this gateway and, where an agent tells, of others. */
   get occupied(): number {
     return this.agent === undefined
--- a/src/slot-agent/slot-ledger.ts
+++ b/src/slot-agent/slot-ledger.ts
@@ -6,7 +6,7 @@
  * a gateway whose connection broke stay occupied until the back end's own
  * report shows fewer requests.
  */
-import type { AgentToGateway, SlotMessage, WaitingRank } from './slot-messages.js';
+import type { AgentToGateway, LearnedSpeed, SlotMessage, WaitingRank } from './slot-messages.js';
 
 interface GatewayAccount {
   readonly name: string;
@@ -27,6 +27,7 @@
   /** Slots occupied by requests of gateways that are no longer connected. */
   private unaccounted = 0;
   private lastToldOccupied = -1;
+  private speed: LearnedSpeed = {};
 
   constructor(private readonly send: SendToGateway) {}
 
@@ -115,6 +116,9 @@
           nowMs,
         );
         break;
+      case 'speed':
+        this.speed = { ...this.speed, ...message.speed };
+        break;
       case 'taken':
         account.held += 1;
         break;
@@ -170,7 +174,7 @@
     const { occupied } = this;
     this.lastToldOccupied = occupied;
     for (const [connection, { messagesSeen }] of this.accounts) {
-      this.send(connection, { kind: 'state', occupied, messagesSeen });
+      this.send(connection, { kind: 'state', occupied, messagesSeen, speed: this.speed });
     }
   }
 }
--- a/src/slot-agent/slot-messages.ts
+++ b/src/slot-agent/slot-messages.ts
@@ -40,8 +40,24 @@
   readonly kind: 'released';
 }
 
+/** What gateways learned of an engine's speed; each value is missing until something was learned. */
+export interface LearnedSpeed {
+  /** Time to read one token of a prompt, in milliseconds. */
+  readonly prefillMsPerToken?: number;
+  /** Pause between two events of a stream, in milliseconds. */
+  readonly eventMs?: number;
+  /** Time for one unit of work, in milliseconds. */
+  readonly msPerUnit?: number;
+}
+
+/** What a gateway has learned so far; the agent hands it to gateways that start. */
+export interface SpeedLearned {
+  readonly kind: 'speed';
+  readonly speed: LearnedSpeed;
+}
+
 /** Anything that a gateway says of slots. */
-export type SlotMessage = SlotHello | SlotDemand | SlotTaken | SlotReleased;
+export type SlotMessage = SlotHello | SlotDemand | SlotTaken | SlotReleased | SpeedLearned;
 
 /** Records of the store, which the agent keeps for gateways that start while the store is dark. */
 export interface ReplicaRecords {
@@ -63,6 +79,8 @@
   readonly occupied: number;
   /** Messages of this gateway (after its hello) that the count reflects. */
   readonly messagesSeen: number;
+  /** What gateways learned of the engine. */
+  readonly speed: LearnedSpeed;
 }
 
 /** Anything that an agent says. */
--- a/test/dispatcher.test.ts
+++ b/test/dispatcher.test.ts
@@ -13,7 +13,11 @@
   const world = new GatewayWorld(backendOf('a'));
   world.engines = true;
   world.dispatcher.connectAgent('a', 0);
-  world.dispatcher.receiveFromAgent('a', { kind: 'state', occupied: 2, messagesSeen: 0 }, 0);
+  world.dispatcher.receiveFromAgent(
+    'a',
+    { kind: 'state', occupied: 2, messagesSeen: 0, speed: {} },
+    0,
+  );
   return world;
 }
 
@@ -85,7 +89,11 @@
   world.dispatcher.connectAgent('a', 0);
   world.request({ route: SECOND });
   world.request({ route: SECOND });
-  world.dispatcher.receiveFromAgent('a', { kind: 'state', occupied: 1, messagesSeen: 1 }, 0);
+  world.dispatcher.receiveFromAgent(
+    'a',
+    { kind: 'state', occupied: 1, messagesSeen: 1, speed: {} },
+    0,
+  );
   world.request({ route: SECOND });
   t.is(world.attempts.length, 2);
 });
@@ -135,3 +143,37 @@
   t.is(reply.body, 'good');
   t.deepEqual(usedBackends(world), ['ended', 'alive', 'alive']);
 });
+
+test('a prompt goes where others learned that it is read fast', (t) => {
+  const world = new GatewayWorld(backendOf('slow'), backendOf('fast'));
+  world.engines = true;
+  for (const [id, prefillMsPerToken] of [
+    ['slow', 0.09],
+    ['fast', 0.02],
+  ] as const) {
+    world.dispatcher.connectAgent(id, 0);
+    const speed = { prefillMsPerToken };
+    world.dispatcher.receiveFromAgent(
+      id,
+      { kind: 'state', occupied: 0, messagesSeen: 0, speed },
+      0,
+    );
+  }
+  world.request({ route: SECOND, promptTokens: 4_000 });
+  t.deepEqual(usedBackends(world), ['fast']);
+});
+
+test('a long prompt is not sent where it would hold up the streams of others', async (t) => {
+  const world = new GatewayWorld(backendOf('a'));
+  world.engines = true;
+  const route = routeOf({ kind: 'stream', targetLatencyMs: 900, maxPauseMs: 200 });
+  world.dispatcher.connectAgent('a', 0);
+  const speed = { prefillMsPerToken: 0.09, eventMs: 50 };
+  world.dispatcher.receiveFromAgent('a', { kind: 'state', occupied: 1, messagesSeen: 0, speed }, 0);
+  world.request({ route, promptTokens: 4_000, path: '/long' });
+  world.request({ route, promptTokens: 500, path: '/short' });
+  t.deepEqual(
+    world.attempts.map(({ path }) => path),
+    ['/short'],
+  );
+});
--- a/test/slot-ledger.test.ts
+++ b/test/slot-ledger.test.ts
@@ -85,5 +85,15 @@
   const agent = new Agent();
   agent.admit(1);
   agent.hear(1, { kind: 'taken' });
-  t.deepEqual(agent.sent.at(-1), [1, { kind: 'state', occupied: 1, messagesSeen: 1 }]);
+  t.deepEqual(agent.sent.at(-1), [1, { kind: 'state', occupied: 1, messagesSeen: 1, speed: {} }]);
+});
+
+test('a gateway that connects is told what others learned of the engine', (t) => {
+  const agent = new Agent();
+  agent.admit(1);
+  agent.hear(1, { kind: 'speed', speed: { prefillMsPerToken: 0.02 } });
+  agent.admit(2);
+  const [to, message] = agent.sent.at(-1)!;
+  t.is(to, 2);
+  t.deepEqual(message.kind === 'state' ? message.speed : undefined, { prefillMsPerToken: 0.02 });
 });
