Log each try with what was believed of its back end; explain a request from the logs

weirvale logs explain joins the lines of one request over files with the changes of belief before it.

--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -22,6 +22,7 @@
 import { checkSettings, showSettings, showSettingsReference } from './queries/show-settings.js';
 import { replaySimulation, runOne, search } from './queries/run-simulation.js';
 import type { SimulationArguments } from './queries/run-simulation.js';
+import { explainLogs } from './queries/explain-logs.js';
 import { showStatus } from './queries/show-status.js';
 
 const SALT_BYTES = 8;
@@ -39,6 +40,7 @@
   addSelectors(program);
   addExplain(program);
   addStatus(program);
+  addLogs(program);
   addSimulation(program);
   return program;
 }
@@ -59,6 +61,15 @@
     .action(() => showSettingsReference());
 }
 
+function addLogs(program: Command): void {
+  const logs = program.command('logs').description('log files of gateways');
+  logs
+    .command('explain <id> <files...>')
+    .description('tell what happened to a request, and which beliefs decided it')
+    .addHelpText('after', '\nExample:\n  weirvale logs explain 9c41d07be2a35f68 edge-*.log')
+    .action((id: string, files: string[]) => explainLogs(id, files, program.opts<GlobalOptions>()));
+}
+
 function addPolicy(program: Command): void {
   const policy = program.command('policy').description('the policy in force');
   policy
--- /dev/null
+++ b/src/cli/queries/explain-logs.ts
@@ -0,0 +1,137 @@
+/** Query: what happened to one request, from the log files of several processes. */
+import { readFileSync } from 'node:fs';
+import { CommandFailure, print } from '../context.js';
+import type { GlobalOptions } from '../context.js';
+import { EXIT } from '../exit-codes.js';
+
+/** A line of a log, as far as it matters here. */
+interface LogLine {
+  readonly time: string;
+  readonly process?: string;
+  readonly event?: string;
+  readonly request?: string;
+  readonly [field: string]: unknown;
+}
+
+/** One try of a request in its line. */
+interface LoggedTry {
+  readonly backend: string;
+  readonly afterMs: number;
+  readonly occupied: number;
+  readonly slots: number;
+  readonly outcome: string;
+  readonly detail: string;
+}
+
+/** Changes of belief that say why a request went as it did. */
+const BELIEF_EVENTS = new Set([
+  'started',
+  'stopping',
+  'store-lost',
+  'store-regained',
+  'configuration-installed',
+  'backend-gone',
+  'backend-ejected',
+  'agent-lost',
+  'peer-gone',
+]);
+/** How far before the request's end such changes are told, in milliseconds. */
+const BELIEF_WINDOW_MS = 5_000;
+
+const REASONS: Readonly<Record<string, string>> = {
+  answered: 'a back end answered',
+  'caller-left': 'the caller closed its connection first',
+  'no-configuration': 'this process had learned no configuration yet',
+  'no-route': 'no route of the configuration matches host and path',
+  'unknown-key': 'no tenant of the configuration holds the key',
+  'quota-spent': 'the tenant had spent its quota',
+  overloaded: 'no slot was free in time',
+  'no-backend': 'no back end of the service was listed as ready, or none could be reached',
+  stopping: 'the process was stopping',
+  'not-started-in-time': 'its time was over before a back end was free',
+  'backend-refused': 'the back end said that it did not run it, and no other try was allowed',
+  'backend-failed': 'the back end failed, and it could not be tried again',
+  'timed-out': 'its time was over while a back end had it',
+};
+
+/** Tells what happened to the request `id`, in order over all files. */
+export function explainLogs(id: string, files: readonly string[], options: GlobalOptions): void {
+  const lines = files.flatMap(readLogFile);
+  lines.sort((left, right) => (left.time < right.time ? -1 : 1));
+  const own = lines.filter((line) => line.request === id);
+  if (own.length === 0) {
+    throw new CommandFailure(EXIT.failed, `no line of these files names the request ${id}`);
+  }
+  const beliefs = own.flatMap((line) => findBeliefs(lines, line));
+  const text = [...beliefs.map(describeBelief), ...own.flatMap(describeRequest)].join('\n');
+  print(options, { request: own, beliefs }, text);
+}
+
+function readLogFile(file: string): LogLine[] {
+  let text: string;
+  try {
+    text = readFileSync(file, 'utf8');
+  } catch (cause) {
+    throw new CommandFailure(EXIT.badInput, `${file}: ${(cause as Error).message}`);
+  }
+  return text.split('\n').flatMap(parseLine);
+}
+
+/** Anything may stand before the JSON of a line; lines without any are passed over. */
+function parseLine(text: string): LogLine[] {
+  const start = text.indexOf('{"name"');
+  if (start < 0) {
+    return [];
+  }
+  try {
+    return [JSON.parse(text.slice(start)) as LogLine];
+  } catch {
+    return [];
+  }
+}
+
+function findBeliefs(lines: readonly LogLine[], end: LogLine): LogLine[] {
+  const endMs = Date.parse(end.time);
+  const fromMs = endMs - Math.max(BELIEF_WINDOW_MS, Number(end['totalMs'] ?? 0));
+  const asked = new Set(triesOf(end).map(({ backend }) => backend));
+  return lines.filter((line) => {
+    const atMs = Date.parse(line.time);
+    const concerns = line['backend'] === undefined || asked.has(String(line['backend']));
+    const isNear = line.process === end.process && atMs >= fromMs && atMs <= endMs;
+    return isNear && concerns && BELIEF_EVENTS.has(line.event ?? '');
+  });
+}
+
+function triesOf(line: LogLine): LoggedTry[] {
+  return (line['tries'] as LoggedTry[] | undefined) ?? [];
+}
+
+function describeBelief(line: LogLine): string {
+  const subject = line['backend'] ?? line['version'] ?? line['reason'] ?? line['peer'] ?? '';
+  return `${line.time} ${line.process}: ${line.event} ${String(subject)}`.trimEnd();
+}
+
+function describeRequest(line: LogLine): string[] {
+  const reason = String(line['reason']);
+  const status = Number(line['status']);
+  const ended = status === 0 ? 'ended without a whole answer' : `was answered ${status}`;
+  const words = [`${line.time} ${line.process}: ${ended}: ${REASONS[reason] ?? reason}`];
+  if (line['totalMs'] !== undefined) {
+    words.push(
+      `  route ${line['route']}, service ${line['service']}, tenant ${line['tenant'] ?? 'none'}, tier ${line['tier']}`,
+      `  waited ${line['waitedMs']} ms, first byte after ${line['firstByteMs'] ?? 'none'} ms, ended after ${line['totalMs']} ms, longest pause ${line['longestPauseMs']} ms`,
+    );
+  }
+  for (const tried of triesOf(line)) {
+    words.push(
+      `  after ${Math.round(tried.afterMs)} ms to ${tried.backend} (${tried.occupied} of ${tried.slots} slots believed taken): ${tried.outcome}, ${tried.detail}`,
+    );
+  }
+  if (line['retryAfterMs'] !== undefined) {
+    words.push(`  told to come back after ${line['retryAfterMs']} ms`);
+  }
+  words.push(
+    `  under configuration ${line['configuration'] ?? 'none'}, ${line['waiting'] ?? 'unknown'} waiting, last word of the store ${line['storeAgeMs'] ?? 'unknown'} ms old`,
+  );
+  return words;
+}
--- a/src/cluster/store-follower.ts
+++ b/src/cluster/store-follower.ts
@@ -65,6 +65,8 @@
 /** Follows the store until it is stopped. */
 export class StoreFollower {
   private isStopped = false;
+  /** When the store answered last; undefined before its first answer. */
+  lastAnsweredAtMs: number | undefined;
   private isReachable: boolean | undefined;
   private retryMs: number;
 
@@ -121,6 +123,7 @@
 
   private succeed(): void {
     this.retryMs = this.options.retryMinMs;
+    this.lastAnsweredAtMs = this.clock.now();
     this.tell(true, 'answered');
   }
 
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -7,6 +7,7 @@
 import { createServer } from 'node:http';
 import type { ServerResponse } from 'node:http';
 import type { MetricInstruments } from './metric-instruments.js';
+import type { AcceptedRequest, RequestEnd } from './request-model.js';
 
 /** Changes the instruments. */
 export type MetricUpdate = (instruments: MetricInstruments) => void;
@@ -28,6 +29,11 @@
     }
   }
 
+  /** Records how a request ended. */
+  recordEnd(request: AcceptedRequest, end: RequestEnd): void {
+    this.record((instruments) => instruments.recordEnd(request, end));
+  }
+
   /** Loads the library and records what was kept. */
   async load(): Promise<void> {
     const loaded = await import('./metric-instruments.js');
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -18,7 +18,6 @@
 import { Dispatcher } from './dispatcher.js';
 import type { GatewayAdapter } from './gateway-adapter.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
-import type { MetricInstruments } from './metric-instruments.js';
 import type { GatewayRefusal } from './gateway-refusal.js';
 import { statusOfRefusal } from './gateway-refusal.js';
 import type { GatewaySettings } from './gateway-settings.js';
@@ -107,6 +106,8 @@
       () => this.dispatcher,
       () => this.records.snapshot(),
       isEngine,
+      (backend, isConnected) =>
+        parts.log.write(isConnected ? 'agent-connected' : 'agent-lost', 'state', { backend }),
       clock,
       agentOptions,
     );
@@ -491,11 +492,17 @@
     });
   }
 
+  /** How old the newest word of the store is, in milliseconds. */
+  private storeAgeMs(): number | undefined {
+    const { lastAnsweredAtMs } = this.follower;
+    return lastAnsweredAtMs === undefined ? undefined : this.parts.clock.now() - lastAnsweredAtMs;
+  }
+
   private noteEnd(request: AcceptedRequest, end: RequestEnd): void {
     const { metrics, log } = this.parts;
     this.active.delete(request);
     const { status, reason } = end;
-    metrics.record((instruments) => recordEnd(instruments, request, end));
+    metrics.recordEnd(request, end);
     log.write('request-ended', reason === 'answered' && status < 400 ? 'success' : 'failure', {
       request: request.requestId,
       route: request.route.name,
@@ -505,6 +512,7 @@
       promptTokens: request.promptTokens,
       ...end,
       waiting: this.dispatcher.countWaiting(request.service),
+      storeAgeMs: this.storeAgeMs(),
       configuration: this.table?.configuration.version,
     });
     this.endIfIdle();
@@ -518,21 +526,6 @@
   readonly arrivedAtMs: number;
 }
 
-function recordEnd(
-  instruments: MetricInstruments,
-  request: AcceptedRequest,
-  end: RequestEnd,
-): void {
-  const { status, reason, attempts } = end;
-  instruments.requests.inc({ route: request.route.name, status: `${status}`, reason });
-  instruments.attempts.inc({ service: request.service }, attempts);
-  instruments.waitSeconds.observe(end.waitedMs / MS_PER_S);
-  if (end.firstByteMs !== undefined) {
-    instruments.firstByteSeconds.observe(end.firstByteMs / MS_PER_S);
-  }
-  instruments.totalSeconds.observe(end.totalMs / MS_PER_S);
-}
-
 function headerBytes(rawHeaders: readonly string[]): number {
   const SEPARATOR_BYTES = 2;
   return rawHeaders.reduce((sum, text) => sum + text.length + SEPARATOR_BYTES, 0);
--- a/src/gateway/metric-instruments.ts
+++ b/src/gateway/metric-instruments.ts
@@ -1,6 +1,9 @@
 /** The counters, gauges and histograms of a gateway. */
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
+import type { AcceptedRequest, RequestEnd } from './request-model.js';
+
+const MS_PER_S = 1_000;
 const LATENCY_BUCKETS_S = [0.01, 0.03, 0.1, 0.2, 0.4, 0.6, 1, 2, 4, 8, 16];
 
 /** The counters, gauges and histograms of a gateway. */
@@ -57,4 +60,16 @@
     help: 'Back ends that are listed as ready',
     registers: [this.registry],
   });
+
+  /** Records how a request ended. */
+  recordEnd(request: AcceptedRequest, end: RequestEnd): void {
+    const { status, reason, attempts } = end;
+    this.requests.inc({ route: request.route.name, status: `${status}`, reason });
+    this.attempts.inc({ service: request.service }, attempts);
+    this.waitSeconds.observe(end.waitedMs / MS_PER_S);
+    if (end.firstByteMs !== undefined) {
+      this.firstByteSeconds.observe(end.firstByteMs / MS_PER_S);
+    }
+    this.totalSeconds.observe(end.totalMs / MS_PER_S);
+  }
 }
--- a/src/gateway/proxied-request.ts
+++ b/src/gateway/proxied-request.ts
@@ -14,7 +14,7 @@
 import { EventSplitter } from './event-stream.js';
 import { statusOfRefusal } from './gateway-refusal.js';
 import type { GatewayRefusal } from './gateway-refusal.js';
-import type { AcceptedRequest, RequestOptions, RequestPorts } from './request-model.js';
+import type { AcceptedRequest, RequestOptions, RequestPorts, RequestTry } from './request-model.js';
 
 const MAX_CONNECT_FAILURES = 4;
 const MAX_BUFFERED_ANSWER_BYTES = 256 * 1024;
@@ -36,7 +36,7 @@
   private attempts = 0;
   private connectFailures = 0;
   private readonly excluded = new Set<string>();
-  private readonly backendIds: string[] = [];
+  private readonly tries: RequestTry[] = [];
   private head: AnswerHead | undefined;
   private hasStartedReply = false;
   private buffered: Buffer[] = [];
@@ -82,7 +82,7 @@
     const waitedForHeadMs = this.ports.clock.now() - this.attemptStartedAtMs;
     const isBackendSilent =
       this.phase === 'sent' && waitedForHeadMs > this.request.route.targetLatencyMs * 2;
-    this.dropAttempt(isBackendSilent ? 'failed' : 'unknown');
+    this.dropAttempt(isBackendSilent ? 'failed' : 'unknown', 'the caller left');
     this.finish(0, 'caller-left');
   }
 
@@ -154,7 +154,14 @@
     this.phase = 'sent';
     this.backend = backend;
     this.attempts += 1;
-    this.backendIds.push(backend.id);
+    this.tries.push({
+      backend: backend.id,
+      afterMs: nowMs - request.arrivedAtMs,
+      occupied: ports.dispatcher.find(backend.id)?.occupied ?? 0,
+      slots: backend.slots,
+      outcome: 'under-way',
+      detail: '',
+    });
     this.attemptStartedAtMs = nowMs;
     this.firstPlacedAtMs ??= nowMs;
     this.buffered = [];
@@ -206,7 +213,7 @@
     }
     const failedId = this.backend!.id;
     this.mayHaveRun = true;
-    this.dropAttempt('failed');
+    this.dropAttempt('failed', 'silent');
     this.moveOn(failedId);
   }
 
@@ -227,7 +234,8 @@
   /** The back end declined: the connection may be kept, but its answer is of no use. */
   private dropRefused(isMisdirected: boolean): void {
     const backendId = this.backend!.id;
-    this.dropAttempt(isMisdirected ? 'failed' : 'refused');
+    const detail = isMisdirected ? 'another one is at its address' : 'it did not run the request';
+    this.dropAttempt(isMisdirected ? 'failed' : 'refused', detail);
     if (isMisdirected) {
       this.attempts -= 1;
       this.ports.dispatcher.noteMisdirected(backendId);
@@ -322,7 +330,7 @@
       this.ports.dispatcher.learnSpeed(backendId, this.request.units, elapsedMs);
       this.progress!.noteWhole(this.ports.clock.now());
     }
-    this.endAttempt(isServerError ? 'failed' : 'answered');
+    this.endAttempt(isServerError ? 'failed' : 'answered', `status ${head.status}`);
     if (isServerError && this.canRepeatElsewhere() && this.takeRepeat()) {
       this.lastAnswer = { head, body: Buffer.concat(this.buffered) };
       this.moveOn(backendId);
@@ -354,7 +362,7 @@
       return;
     }
     const backendId = this.backend!.id;
-    this.endAttempt('failed');
+    this.endAttempt('failed', failure.detail);
     if (!failure.mayHaveRun) {
       this.attempts -= 1;
       this.connectFailures += 1;
@@ -410,7 +418,7 @@
       return;
     }
     this.mayHaveRun = true;
-    this.dropAttempt(this.phase === 'sent' ? 'failed' : 'unknown');
+    this.dropAttempt(this.phase === 'sent' ? 'failed' : 'unknown', 'the time was over');
     this.answerFailure('timed-out');
   }
 
@@ -453,17 +461,20 @@
     this.finish(status, refusal.reason);
   }
 
-  private dropAttempt(outcome: AttemptOutcome): void {
+  private dropAttempt(outcome: AttemptOutcome, detail: string): void {
     this.attempt?.cancel();
-    this.endAttempt(outcome);
+    this.endAttempt(outcome, detail);
   }
 
-  private endAttempt(outcome: AttemptOutcome): void {
+  private endAttempt(outcome: AttemptOutcome, detail: string): void {
     this.clearStepTimer();
     if (this.attempt === undefined || this.backend === undefined) {
       return;
     }
     this.attempt = undefined;
+    const tried = this.tries.at(-1)!;
+    tried.outcome = outcome;
+    tried.detail = detail;
     this.progress?.noteOver();
     this.longestPauseMs = Math.max(this.longestPauseMs, this.progress?.longestPauseMs ?? 0);
     this.ports.dispatcher.finish(this.backend.id, outcome, this.ports.clock.now());
@@ -483,7 +494,7 @@
       status,
       reason,
       attempts: this.attempts,
-      backendIds: this.backendIds,
+      tries: this.tries,
       waitedMs: (this.firstPlacedAtMs ?? nowMs) - arrivedAtMs,
       firstByteMs: this.firstByteAtMs === undefined ? undefined : this.firstByteAtMs - arrivedAtMs,
       totalMs: nowMs - arrivedAtMs,
--- a/src/gateway/request-model.ts
+++ b/src/gateway/request-model.ts
@@ -3,6 +3,7 @@
 import type { RandomSource } from '../random.js';
 import type { Route } from '../routing/configuration.js';
 import type { BackendSender } from './attempt.js';
+import type { AttemptOutcome } from './backend-health.js';
 import type { CallerProtocol, RawHeaders } from './caller-protocol.js';
 import type { Dispatcher } from './dispatcher.js';
 
@@ -32,13 +33,25 @@
   readonly lastEventId: string | undefined;
 }
 
+/** One back end that was asked, for the log. */
+export interface RequestTry {
+  readonly backend: string;
+  /** Time from the request's arrival to the send, in milliseconds. */
+  readonly afterMs: number;
+  /** Slots that were believed to be occupied at the choice, and how many there are. */
+  readonly occupied: number;
+  readonly slots: number;
+  outcome: AttemptOutcome | 'under-way';
+  detail: string;
+}
+
 /** How a request ended, for counters and the log. */
 export interface RequestEnd {
   /** Status of the answer; 0 when the caller left before one. */
   readonly status: number;
   readonly reason: string;
   readonly attempts: number;
-  readonly backendIds: readonly string[];
+  readonly tries: readonly RequestTry[];
   readonly waitedMs: number;
   readonly firstByteMs: number | undefined;
   readonly totalMs: number;
--- a/src/gateway/slot-agent-links.ts
+++ b/src/gateway/slot-agent-links.ts
@@ -24,6 +24,7 @@
   readonly backendId: string;
   readonly host: string;
   channel: MessageChannel<GatewayToAgent, AgentToGateway> | undefined;
+  isGreeted: boolean;
   heardAtMs: number;
   retryAtMs: number;
   retryMs: number;
@@ -38,6 +39,7 @@
     private readonly dispatcher: () => Dispatcher,
     private readonly records: () => readonly StoreRecord[],
     private readonly isEngine: (service: string) => boolean,
+    private readonly onAgent: (backendId: string, isConnected: boolean) => void,
     private readonly clock: Clock,
     private readonly options: SlotAgentLinkOptions,
   ) {}
@@ -86,6 +88,7 @@
       backendId,
       host,
       channel: undefined,
+      isGreeted: false,
       heardAtMs: nowMs,
       retryAtMs: nowMs,
       retryMs,
@@ -126,6 +129,8 @@
     const { slots } = backend;
     channel.send({ kind: 'hello', gateway: this.gatewayName, peersAddress, held, slots });
     channel.send({ kind: 'records', records: this.records() });
+    link.isGreeted = true;
+    this.onAgent(link.backendId, true);
     this.dispatcher().connectAgent(link.backendId, this.clock.now());
   }
 
@@ -134,6 +139,10 @@
       return;
     }
     link.channel = undefined;
+    if (link.isGreeted) {
+      link.isGreeted = false;
+      this.onAgent(link.backendId, false);
+    }
     const nowMs = this.clock.now();
     link.retryAtMs = nowMs + link.retryMs;
     link.retryMs = Math.min(link.retryMs * 2, this.options.retryMaxMs);
--- a/src/telemetry/decision-log.ts
+++ b/src/telemetry/decision-log.ts
@@ -67,7 +67,7 @@
   /** Writes a line, if the budget allows it. */
   write(event: LogEvent, priority: LinePriority, fields: LogFields = {}): void {
     if (this.budget.take(priority, this.clock.now())) {
-      this.logger.info({ event, ...fields }, event);
+      this.logger.info({ event, ...roundNumbers(fields) }, event);
     }
   }
 
@@ -84,3 +84,14 @@
     this.output.flush();
   }
 }
+
+/** Times are told to a tenth of a millisecond. */
+function roundNumbers(fields: LogFields): Record<string, unknown> {
+  const TENTHS = 10;
+  return Object.fromEntries(
+    Object.entries(fields).map(([name, value]) => [
+      name,
+      typeof value === 'number' ? Math.round(value * TENTHS) / TENTHS : value,
+    ]),
+  );
+}
--- /dev/null
+++ b/test/logs.test.ts
@@ -0,0 +1,78 @@
+import { execFileSync, spawn } from 'node:child_process';
+import { mkdtempSync, readFileSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import test from 'ava';
+import { LOG_EVENTS } from '../src/telemetry/decision-log.js';
+import { LineBudget } from '../src/telemetry/line-budget.js';
+
+test('docs/LOGS.md lists every line and no other', (t) => {
+  const page = readFileSync('docs/LOGS.md', 'utf8');
+  const listed = [...page.matchAll(/^\| `([a-z-]+)`/gm)].map(([, name]) => name);
+  t.deepEqual(listed, [...LOG_EVENTS]);
+});
+
+test('changes of belief are logged when successes have used up their share', (t) => {
+  const budget = new LineBudget({ linesPerS: 10 });
+  const taken = Array.from({ length: 20 }, () => budget.take('success', 0)).filter(Boolean).length;
+  t.is(taken, 6);
+  t.true(budget.take('failure', 0));
+  t.true(budget.take('state', 0));
+  t.is(budget.takeDropped(), 14);
+  t.true(budget.take('success', 1_001));
+});
+
+test('a reader that stopped costs lines, never time', async (t) => {
+  const writer = spawn('node', ['dist/test/support/write-many-lines.js'], {
+    stdio: ['ignore', 'pipe', 'pipe'],
+  });
+  writer.stdout.pause();
+  let told = '';
+  writer.stderr.on('data', (bytes: Buffer) => (told += bytes.toString()));
+  await new Promise((resolve) => writer.stderr.on('end', resolve));
+  const { lost, longestPauseMs } = JSON.parse(told) as { lost: number; longestPauseMs: number };
+  t.true(lost > 1_000);
+  t.true(longestPauseMs < 200);
+});
+
+const ENDED = {
+  name: 'weirvaled',
+  process: 'edge-1',
+  event: 'request-ended',
+  request: 'q-1',
+  route: 'r',
+  service: 's',
+  tier: 1,
+  status: 502,
+  reason: 'backend-failed',
+  waitedMs: 2,
+  totalMs: 40,
+  longestPauseMs: 0,
+  waiting: 0,
+  configuration: 7,
+  storeAgeMs: 900,
+  tries: [
+    { backend: 'w-1', afterMs: 2, occupied: 1, slots: 4, outcome: 'failed', detail: 'reset' },
+  ],
+  time: '2026-01-01T00:00:02.000Z',
+};
+const EJECTED = {
+  name: 'weirvaled',
+  process: 'edge-1',
+  event: 'backend-ejected',
+  backend: 'w-1',
+  time: '2026-01-01T00:00:01.000Z',
+};
+
+test('logs explain tells the cause, the tries and the beliefs before them', (t) => {
+  const file = join(mkdtempSync(join(tmpdir(), 'weirvale-logs-')), 'edge.log');
+  const lines = [`  1.0 edge-1 ${JSON.stringify(ENDED)}`, 'no line', JSON.stringify(EJECTED)];
+  writeFileSync(file, lines.join('\n'));
+  const tool = 'dist/src/bin/weirvale.js';
+  const text = execFileSync('node', [tool, 'logs', 'explain', 'q-1', file], { encoding: 'utf8' });
+  t.regex(text, /backend-ejected w-1/);
+  t.regex(text, /was answered 502: the back end failed/);
+  t.regex(text, /to w-1 \(1 of 4 slots believed taken\): failed, reset/);
+  t.regex(text, /configuration 7/);
+  t.throws(() => execFileSync('node', [tool, 'logs', 'explain', 'other', file], { stdio: 'pipe' }));
+});
