--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -7,9 +7,10 @@
 import { StoreFollower } from '../cluster/store-follower.js';
 import type { Clock } from '../clock.js';
 import type { RandomSource } from '../random.js';
+import { err } from '../result.js';
 import { DEFAULT_CALLER_LIMITS } from '../routing/configuration.js';
-import type { Route, RoutingConfiguration, Tenant } from '../routing/configuration.js';
-import { pickService, RoutingTable } from '../routing/routing-table.js';
+import type { RoutingConfiguration } from '../routing/configuration.js';
+import { RoutingTable } from '../routing/routing-table.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { CallerReply } from './attempt.js';
 import { CallerListener } from './caller-listener.js';
@@ -19,13 +20,15 @@
 import type { GatewayAdapter } from './gateway-adapter.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
 import type { GatewayRefusal } from './gateway-refusal.js';
-import { statusOfRefusal } from './gateway-refusal.js';
 import type { GatewaySettings } from './gateway-settings.js';
 import { HttpBackendSender, splitAddress } from './http-backend-sender.js';
 import { ProxiedRequest } from './proxied-request.js';
 import { DEFAULT_REQUEST_OPTIONS } from './request-model.js';
 import type { AcceptedRequest, RequestEnd, RequestPorts } from './request-model.js';
+import { RequestAdmission } from './request-admission.js';
+import type { ReceivedRequest } from './request-admission.js';
 import { RetryBudget } from './retry-budget.js';
+import { sendRefusal } from './send-refusal.js';
 import { SlotAgentLinks } from './slot-agent-links.js';
 import { TokenQuotas } from './token-quota.js';
 
@@ -47,10 +50,6 @@
 const STOP_ACCEPT_MS = 3_000;
 /** Time left before the kill at which the process ends whatever runs, in milliseconds. */
 const STOP_MARGIN_MS = 350;
-/** Work of one generated token, in prompt tokens: decoding is that much slower than prefill. */
-const OUTPUT_TOKEN_UNITS = 150;
-/** Share of the route's time-out that must be gone at arrival for a request to count as tried before. */
-const RETURNING_SHARE = 0.02;
 /** Time from the start until the library of the metrics is loaded, in milliseconds. */
 const METRICS_LOAD_MS = 3_000;
 const READINESS_IDLE_MS = 30_000;
@@ -69,6 +68,7 @@
   private readonly links: SlotAgentLinks;
   private readonly follower: StoreFollower;
   private readonly quotas: TokenQuotas;
+  private readonly admission: RequestAdmission;
   private readonly budget: RetryBudget;
   private readonly requestPorts: RequestPorts;
   private readonly active = new Set<AcceptedRequest>();
@@ -80,7 +80,6 @@
   });
   private hasEnded = false;
   private ticks = 0;
-  private isUseUntold = false;
   private onStopped: (() => void) | undefined;
 
   constructor(private readonly parts: GatewayParts) {
@@ -138,6 +137,7 @@
       },
       clock.now(),
     );
+    this.admission = new RequestAdmission(this.quotas, clock, random);
     this.budget = new RetryBudget({
       ratio: limits.retryRatio,
       windowMs: limits.retryWindowS * MS_PER_S,
@@ -260,8 +260,8 @@
     this.ticks += 1;
     this.dispatcher.tick(this.parts.clock.now());
     this.links.maintain();
-    if (this.isUseUntold || this.ticks % USE_BEAT_TICKS === 0) {
-      this.isUseUntold = false;
+    const hasNews = this.quotas.takeHasNews();
+    if (hasNews || this.ticks % USE_BEAT_TICKS === 0) {
       this.mesh.broadcast(this.useMessage());
     }
     if (this.ticks % DROPPED_REPORT_TICKS === 0) {
@@ -367,12 +367,14 @@
   }
 
   private admit(received: ReceivedRequest, reply: CallerReply): ProxiedRequest | undefined {
-    const checked = this.check(received);
-    if ('refusal' in checked) {
-      this.refuse(received.caller, reply, checked.refusal);
+    const admitted = this.isLateInStop()
+      ? err<GatewayRefusal>({ reason: 'stopping', retryAfterMs: 0 })
+      : this.admission.admit(received, this.table);
+    if (!admitted.ok) {
+      this.refuse(received.caller, reply, admitted.val);
       return undefined;
     }
-    const { request } = checked;
+    const request = admitted.val;
     this.budget.countRequest(request.service, this.parts.clock.now());
     const proxied = new ProxiedRequest(request, reply, this.requestPorts, DEFAULT_REQUEST_OPTIONS);
     this.active.add(request);
@@ -380,36 +382,6 @@
     return proxied;
   }
 
-  private check(
-    received: ReceivedRequest,
-  ): { refusal: GatewayRefusal } | { request: AcceptedRequest } {
-    const { table } = this;
-    const retryAfterMs = DEFAULT_REQUEST_OPTIONS.retryAfterMs;
-    if (table === undefined) {
-      return { refusal: { reason: 'no-configuration', retryAfterMs } };
-    }
-    if (this.isLateInStop()) {
-      return { refusal: { reason: 'stopping', retryAfterMs: 0 } };
-    }
-    const { head, caller } = received;
-    if (headerBytes(head.rawHeaders) > table.configuration.limits.maxHeaderBytes) {
-      return { refusal: { reason: 'header-too-long' } };
-    }
-    const route = table.findRoute(head.host, head.path);
-    if (route === undefined) {
-      return { refusal: { reason: 'no-route' } };
-    }
-    const tenant = caller.apiKey === undefined ? undefined : table.findTenant(caller.apiKey);
-    if (table.needsKey && !route.allowsAnonymous && tenant === undefined) {
-      return { refusal: { reason: 'unknown-key' } };
-    }
-    const spent = this.spendQuota(tenant, caller);
-    if (spent !== undefined) {
-      return { refusal: spent };
-    }
-    return { request: this.describe(received, route, tenant) };
-  }
-
   private isLateInStop(): boolean {
     const { stopRequestedAtMs } = this;
     return (
@@ -418,54 +390,6 @@
     );
   }
 
-  private spendQuota(
-    tenant: Tenant | undefined,
-    caller: CallerRequestHead,
-  ): GatewayRefusal | undefined {
-    if (tenant?.quota === undefined) {
-      return undefined;
-    }
-    const { quota, name } = tenant;
-    const { tokens } = caller;
-    const tokenCost = tokens === undefined ? quota.plainTokens : tokens.prompt + tokens.output;
-    const cost = quota.unit === 'tokens' ? tokenCost : 1;
-    if (this.quotas.take(name, quota, cost, this.parts.clock.now())) {
-      this.isUseUntold = true;
-      return undefined;
-    }
-    return { reason: 'quota-spent', retryAfterMs: this.quotas.waitMs(name, quota) };
-  }
-
-  private describe(
-    received: ReceivedRequest,
-    route: Route,
-    tenant: Tenant | undefined,
-  ): AcceptedRequest {
-    const { head, caller, body, arrivedAtMs } = received;
-    const { random } = this.parts;
-    const { tokens } = caller;
-    const longestMs = Math.min(route.timeoutMs, caller.deadlineMs ?? route.timeoutMs);
-    return {
-      requestId: caller.requestId ?? '',
-      route,
-      service: pickService(route.services, random.next()) ?? '',
-      tenant: tenant?.name,
-      tier: tenant?.priority ?? route.priority,
-      rankInTier: route.priority,
-      isLate: route.timeoutMs - longestMs > route.targetLatencyMs,
-      isReturning: route.timeoutMs - longestMs > route.timeoutMs * RETURNING_SHARE,
-      arrivedAtMs,
-      endsAtMs: arrivedAtMs + longestMs,
-      units: tokens === undefined ? 1 : tokens.prompt + tokens.output * OUTPUT_TOKEN_UNITS,
-      promptTokens: tokens?.prompt ?? 0,
-      method: head.method,
-      path: head.path,
-      headers: head.rawHeaders,
-      body,
-      lastEventId: caller.lastEventId,
-    };
-  }
-
   private takeRepeat(service: string): boolean {
     const isAllowed = this.budget.takeRepeat(service, this.mesh.size, this.parts.clock.now());
     if (!isAllowed) {
@@ -476,12 +400,7 @@
 
   private refuse(caller: CallerRequestHead, reply: CallerReply, refusal: GatewayRefusal): void {
     const { adapter, log, metrics } = this.parts;
-    const status = statusOfRefusal(refusal);
-    const body = Buffer.from(JSON.stringify({ error: refusal.reason }));
-    const headers = adapter.protocol.ownAnswerHeaders(caller.requestId, refusal.retryAfterMs);
-    headers.push('Content-Type', 'application/json', 'Content-Length', `${body.length}`);
-    reply.start(status, headers);
-    reply.end(body);
+    const status = sendRefusal(reply, adapter.protocol, caller.requestId, refusal);
     const labels = { route: '', status: `${status}`, reason: refusal.reason };
     metrics.record(({ requests }) => requests.inc(labels));
     log.write('request-refused', 'failure', {
@@ -518,15 +437,3 @@
     this.endIfIdle();
   }
 }
-
-interface ReceivedRequest {
-  readonly head: ReceivedHead;
-  readonly caller: CallerRequestHead;
-  readonly body: Buffer;
-  readonly arrivedAtMs: number;
-}
-
-function headerBytes(rawHeaders: readonly string[]): number {
-  const SEPARATOR_BYTES = 2;
-  return rawHeaders.reduce((sum, text) => sum + text.length + SEPARATOR_BYTES, 0);
-}
--- a/src/gateway/proxied-request.ts
+++ b/src/gateway/proxied-request.ts
@@ -12,8 +12,8 @@
 import { AttemptProgress } from './attempt-progress.js';
 import type { DispatchRequest } from './dispatcher.js';
 import { EventSplitter } from './event-stream.js';
-import { statusOfRefusal } from './gateway-refusal.js';
 import type { GatewayRefusal } from './gateway-refusal.js';
+import { sendRefusal } from './send-refusal.js';
 import type { AcceptedRequest, RequestOptions, RequestPorts, RequestTry } from './request-model.js';
 
 const MAX_CONNECT_FAILURES = 4;
@@ -449,15 +449,8 @@
   }
 
   private refuse(refusal: GatewayRefusal): void {
-    const body = Buffer.from(JSON.stringify({ error: refusal.reason }));
-    const status = statusOfRefusal(refusal);
-    const headers = this.ports.protocol.ownAnswerHeaders(
-      this.request.requestId,
-      refusal.retryAfterMs,
-    );
-    headers.push('Content-Type', 'application/json', 'Content-Length', `${body.length}`);
-    this.reply.start(status, headers);
-    this.reply.end(body);
+    const { requestId } = this.request;
+    const status = sendRefusal(this.reply, this.ports.protocol, requestId, refusal);
     this.finish(status, refusal.reason);
   }
 
--- /dev/null
+++ b/src/gateway/request-admission.ts
@@ -0,0 +1,126 @@
+/** Decides whether a request is taken, and describes it: route, key, quota, and what is left of its time. */
+import type { Clock } from '../clock.js';
+import type { RandomSource } from '../random.js';
+import { err, ok } from '../result.js';
+import type { Result } from '../result.js';
+import type { Route, Tenant } from '../routing/configuration.js';
+import { pickService } from '../routing/routing-table.js';
+import type { RoutingTable } from '../routing/routing-table.js';
+import type { ReceivedHead } from './caller-listener.js';
+import type { CallerRequestHead } from './caller-protocol.js';
+import type { GatewayRefusal } from './gateway-refusal.js';
+import { DEFAULT_REQUEST_OPTIONS } from './request-model.js';
+import type { AcceptedRequest } from './request-model.js';
+import type { TokenQuotas } from './token-quota.js';
+
+/** A request whose body was read whole. */
+export interface ReceivedRequest {
+  readonly head: ReceivedHead;
+  readonly caller: CallerRequestHead;
+  readonly body: Buffer;
+  readonly arrivedAtMs: number;
+}
+
+/** Work of one generated token, in prompt tokens: decoding is that much slower than prefill. */
+const OUTPUT_TOKEN_UNITS = 150;
+/** Share of the route's time-out that must be gone at arrival for a request to count as tried before. */
+const RETURNING_SHARE = 0.02;
+/** Shortest Retry-After of a spent quota, and what is added at random, in milliseconds. */
+const QUOTA_RETRY_MS = 300;
+const QUOTA_RETRY_SPREAD_MS = 900;
+/** Bytes between a header's name and value, and behind it. */
+const HEADER_SEPARATOR_BYTES = 2;
+
+/** Decides whether requests are taken. */
+export class RequestAdmission {
+  constructor(
+    private readonly quotas: TokenQuotas,
+    private readonly clock: Clock,
+    private readonly random: RandomSource,
+  ) {}
+
+  /** Checks a request under the configuration in force; it has spent its quota when it is taken. */
+  admit(
+    received: ReceivedRequest,
+    table: RoutingTable | undefined,
+  ): Result<AcceptedRequest, GatewayRefusal> {
+    if (table === undefined) {
+      const { retryAfterMs } = DEFAULT_REQUEST_OPTIONS;
+      return err({ reason: 'no-configuration', retryAfterMs });
+    }
+    const { head, caller } = received;
+    if (headerBytes(head.rawHeaders) > table.configuration.limits.maxHeaderBytes) {
+      return err({ reason: 'header-too-long' });
+    }
+    const route = table.findRoute(head.host, head.path);
+    if (route === undefined) {
+      return err({ reason: 'no-route' });
+    }
+    const tenant = caller.apiKey === undefined ? undefined : table.findTenant(caller.apiKey);
+    if (table.needsKey && !route.allowsAnonymous && tenant === undefined) {
+      return err({ reason: 'unknown-key' });
+    }
+    const spent = this.spendQuota(tenant, caller, isReturning(route, caller));
+    return spent === undefined ? ok(this.describe(received, route, tenant)) : err(spent);
+  }
+
+  private spendQuota(
+    tenant: Tenant | undefined,
+    caller: CallerRequestHead,
+    hasComeBack: boolean,
+  ): GatewayRefusal | undefined {
+    if (tenant?.quota === undefined) {
+      return undefined;
+    }
+    const { quota, name } = tenant;
+    const { tokens } = caller;
+    const tokenCost = tokens === undefined ? quota.plainTokens : tokens.prompt + tokens.output;
+    const cost = quota.unit === 'tokens' ? tokenCost : 1;
+    if (this.quotas.take(name, quota, cost, this.clock.now(), hasComeBack)) {
+      return undefined;
+    }
+    const spreadMs = QUOTA_RETRY_MS + this.random.next() * QUOTA_RETRY_SPREAD_MS;
+    return {
+      reason: 'quota-spent',
+      retryAfterMs: Math.max(spreadMs, this.quotas.waitMs(name, quota)),
+    };
+  }
+
+  private describe(
+    received: ReceivedRequest,
+    route: Route,
+    tenant: Tenant | undefined,
+  ): AcceptedRequest {
+    const { head, caller, body, arrivedAtMs } = received;
+    const { tokens } = caller;
+    const longestMs = Math.min(route.timeoutMs, caller.deadlineMs ?? route.timeoutMs);
+    return {
+      requestId: caller.requestId ?? '',
+      route,
+      service: pickService(route.services, this.random.next()) ?? '',
+      tenant: tenant?.name,
+      tier: tenant?.priority ?? route.priority,
+      rankInTier: route.priority,
+      isLate: route.timeoutMs - longestMs > route.targetLatencyMs,
+      isReturning: isReturning(route, caller),
+      arrivedAtMs,
+      endsAtMs: arrivedAtMs + longestMs,
+      units: tokens === undefined ? 1 : tokens.prompt + tokens.output * OUTPUT_TOKEN_UNITS,
+      promptTokens: tokens?.prompt ?? 0,
+      method: head.method,
+      path: head.path,
+      headers: head.rawHeaders,
+      body,
+      lastEventId: caller.lastEventId,
+    };
+  }
+}
+
+function isReturning(route: Route, caller: CallerRequestHead): boolean {
+  const goneMs = route.timeoutMs - (caller.deadlineMs ?? route.timeoutMs);
+  return goneMs > route.timeoutMs * RETURNING_SHARE;
+}
+
+function headerBytes(rawHeaders: readonly string[]): number {
+  return rawHeaders.reduce((sum, text) => sum + text.length + HEADER_SEPARATOR_BYTES, 0);
+}
--- a/src/gateway/token-quota.ts
+++ b/src/gateway/token-quota.ts
@@ -35,12 +35,15 @@
 const SLACK_SHARE_IN_BUCKET = 0.35;
 /** Share of the allowed surplus of rate that is used. */
 const OVER_SHARE_USED = 0.5;
+/** Share of the burst that is kept for requests that come back. */
+const RESERVE_SHARE = 0.15;
 const MS_PER_S = 1_000;
 
 /** Tenants' quotas of one gateway. */
 export class TokenQuotas {
   private readonly buckets = new Map<string, TenantBucket>();
   private readonly ownUse = new Map<string, number>();
+  private hasNews = false;
   private readonly peers = new Map<string, PeerUse>();
 
   constructor(
@@ -48,13 +51,26 @@
     private readonly startedAtMs: number,
   ) {}
 
-  /** Takes `cost` tokens of a tenant; false when its quota is spent. */
-  take(tenant: string, quota: TenantQuota, cost: number, nowMs: number): boolean {
+  /**
+   * Takes `cost` tokens of a tenant; false when its quota is spent.
+   *
+   * The last part of a bucket is kept for requests that were refused before and
+   * came back, so that a tenant far over its rate is not refused twice as often.
+   */
+  take(
+    tenant: string,
+    quota: TenantQuota,
+    cost: number,
+    nowMs: number,
+    isReturning = false,
+  ): boolean {
     const bucket = this.fill(tenant, quota, nowMs);
-    if (bucket.level <= 0) {
+    const reserve = isReturning ? 0 : quota.burst * RESERVE_SHARE;
+    if (bucket.level <= reserve) {
       return false;
     }
     bucket.level -= cost;
+    this.hasNews = true;
     this.ownUse.set(tenant, (this.ownUse.get(tenant) ?? 0) + cost);
     return true;
   }
@@ -79,6 +95,13 @@
     return this.ownUse;
   }
 
+  /** Whether anything was used since this was asked last. */
+  takeHasNews(): boolean {
+    const { hasNews } = this;
+    this.hasNews = false;
+    return hasNews;
+  }
+
   /** Takes in what a peer used since it started. */
   hear(peer: string, used: ReadonlyMap<string, number>, nowMs: number): void {
     const known = this.peers.get(peer);
