Take back the reserve of quotas and the longer Retry-After of a spent quota

Tried: the last 15 in 100 of a burst kept for requests that come back, and 0.3 to 1.2 s of Retry-After in place of the reckoned wait. Conclusion: a smaller burst refuses what is owed.

--- a/src/gateway/request-admission.ts
+++ b/src/gateway/request-admission.ts
@@ -25,9 +25,6 @@
 const OUTPUT_TOKEN_UNITS = 150;
 /** Share of the route's time-out that must be gone at arrival for a request to count as tried before. */
 const RETURNING_SHARE = 0.02;
-/** Shortest Retry-After of a spent quota, and what is added at random, in milliseconds. */
-const QUOTA_RETRY_MS = 300;
-const QUOTA_RETRY_SPREAD_MS = 900;
 /** Bytes between a header's name and value, and behind it. */
 const HEADER_SEPARATOR_BYTES = 2;
 
@@ -60,14 +57,13 @@
     if (table.needsKey && !route.allowsAnonymous && tenant === undefined) {
       return err({ reason: 'unknown-key' });
     }
-    const spent = this.spendQuota(tenant, caller, isReturning(route, caller));
+    const spent = this.spendQuota(tenant, caller);
     return spent === undefined ? ok(this.describe(received, route, tenant)) : err(spent);
   }
 
   private spendQuota(
     tenant: Tenant | undefined,
     caller: CallerRequestHead,
-    hasComeBack: boolean,
   ): GatewayRefusal | undefined {
     if (tenant?.quota === undefined) {
       return undefined;
@@ -76,14 +72,10 @@
     const { tokens } = caller;
     const tokenCost = tokens === undefined ? quota.plainTokens : tokens.prompt + tokens.output;
     const cost = quota.unit === 'tokens' ? tokenCost : 1;
-    if (this.quotas.take(name, quota, cost, this.clock.now(), hasComeBack)) {
+    if (this.quotas.take(name, quota, cost, this.clock.now())) {
       return undefined;
     }
-    const spreadMs = QUOTA_RETRY_MS + this.random.next() * QUOTA_RETRY_SPREAD_MS;
-    return {
-      reason: 'quota-spent',
-      retryAfterMs: Math.max(spreadMs, this.quotas.waitMs(name, quota)),
-    };
+    return { reason: 'quota-spent', retryAfterMs: this.quotas.waitMs(name, quota) };
   }
 
   private describe(
--- a/src/gateway/token-quota.ts
+++ b/src/gateway/token-quota.ts
@@ -35,8 +35,6 @@
 const SLACK_SHARE_IN_BUCKET = 0.35;
 /** Share of the allowed surplus of rate that is used. */
 const OVER_SHARE_USED = 0.5;
-/** Share of the burst that is kept for requests that come back. */
-const RESERVE_SHARE = 0.15;
 const MS_PER_S = 1_000;
 
 /** Tenants' quotas of one gateway. */
@@ -51,22 +49,10 @@
     private readonly startedAtMs: number,
   ) {}
 
-  /**
-   * Takes `cost` tokens of a tenant; false when its quota is spent.
-   *
-   * The last part of a bucket is kept for requests that were refused before and
-   * came back, so that a tenant far over its rate is not refused twice as often.
-   */
-  take(
-    tenant: string,
-    quota: TenantQuota,
-    cost: number,
-    nowMs: number,
-    isReturning = false,
-  ): boolean {
+  /** Takes `cost` tokens of a tenant; false when its quota is spent. */
+  take(tenant: string, quota: TenantQuota, cost: number, nowMs: number): boolean {
     const bucket = this.fill(tenant, quota, nowMs);
-    const reserve = isReturning ? 0 : quota.burst * RESERVE_SHARE;
-    if (bucket.level <= reserve) {
+    if (bucket.level <= 0) {
       return false;
     }
     bucket.level -= cost;
