--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -165,7 +165,7 @@
 
   /** Binds the request now if a slot is free; otherwise it waits in order. */
   submit(request: DispatchRequest, nowMs: number): void {
-    this.insert(request);
+    this.insert(request, nowMs);
     this.serve(request.service, nowMs);
   }
 
@@ -421,9 +421,14 @@
     return known.occupied < limit;
   }
 
-  private insert(request: DispatchRequest): void {
+  private insert(request: DispatchRequest, nowMs: number): void {
     const queue = this.waiting.get(request.service) ?? [];
     this.waiting.set(request.service, queue);
+    const interval = this.bindIntervals.get(request.service);
+    if (queue.length === 0 && interval !== undefined) {
+      // Time in which nobody waited says nothing of how fast slots are freed.
+      interval.lastAtMs = nowMs;
+    }
     let index = queue.length;
     while (index > 0 && compare(queue[index - 1]!, request) > 0) {
       index -= 1;
--- a/test/dispatcher.test.ts
+++ b/test/dispatcher.test.ts
@@ -177,3 +177,32 @@
     ['/short'],
   );
 });
+
+test('time in which nobody waited does not count as time to wait', async (t) => {
+  const world = new GatewayWorld(backendOf('a', { slots: 1 }));
+  for (let round = 0; round < 12; round += 1) {
+    world.request({ route: SECOND });
+    world.request({ route: SECOND });
+    const running = world.attempts.length - 1;
+    await world.clock.runUntil(world.clock.now() + 10);
+    world.answer(running, 200, '');
+    world.answer(running + 1, 200, '');
+    await world.clock.runUntil(world.clock.now() + 5_000);
+  }
+  world.request({ route: SECOND });
+  const waiting = {
+    service: 's',
+    tier: 2,
+    rankInTier: 0,
+    isLate: false,
+    arrivedAtMs: world.clock.now(),
+    units: 1,
+    promptTokens: 0,
+    firstDueAtMs: 0,
+    maxPauseMs: 0,
+    excluded: new Set<string>(),
+    onPlaced: () => undefined,
+  };
+  world.dispatcher.submit(waiting, world.clock.now());
+  t.true(world.dispatcher.expectedWaitMs(waiting) < 20);
+});
