--- a/src/cluster/store-follower.ts
+++ b/src/cluster/store-follower.ts
@@ -48,6 +48,8 @@
 export interface StoreFollowerOptions {
   /** Longest wait of one watch. Default 5,000. */
   readonly watchMs: number;
+  /** Pause after a watch that saw changes, in which further ones gather. Default 150. */
+  readonly gatherMs: number;
   /** First and longest pause after a failed call. Defaults 50 and 800. */
   readonly retryMinMs: number;
   readonly retryMaxMs: number;
@@ -56,6 +58,7 @@
 /** Defaults of a follower. */
 export const DEFAULT_STORE_FOLLOWER_OPTIONS: StoreFollowerOptions = {
   watchMs: 5_000,
+  gatherMs: 150,
   retryMinMs: 50,
   retryMaxMs: 800,
 };
@@ -110,6 +113,7 @@
       this.succeed();
       if (read.val.records.length > 0) {
         this.handlers.onChanges(read.val);
+        await sleep(this.clock, this.options.gatherMs);
       }
       return read.val.revision;
     }
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -208,7 +208,15 @@
 
   /** Learns how fast a back end reads prompts. */
   learnFirst(backendId: string, promptTokens: number, firstMs: number): void {
-    this.backends.get(backendId)?.speed.learnFirst(promptTokens, firstMs);
+    const known = this.backends.get(backendId);
+    if (known === undefined) {
+      return;
+    }
+    const wasKnown = known.speed.isKnown;
+    known.speed.learnFirst(promptTokens, firstMs);
+    if (!wasKnown && known.speed.isKnown) {
+      this.sendToAgent(backendId, known, { kind: 'speed', speed: known.learned });
+    }
   }
 
   /** Learns how far apart the events of a back end are. */
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -45,6 +45,9 @@
 const MS_PER_S = 1_000;
 const TICK_MS = 100;
 const USE_BEAT_TICKS = 5;
+/** Gateways from which on use is told every other tick: each message goes to all of them. */
+const LARGE_MESH = 8;
+const LARGE_MESH_USE_TICKS = 2;
 const DROPPED_REPORT_TICKS = 50;
 /** Time after the stop signal in which new requests are still served, in milliseconds. */
 const STOP_ACCEPT_MS = 3_000;
@@ -80,6 +83,7 @@
   });
   private hasEnded = false;
   private ticks = 0;
+  private ticksSinceUse = 0;
   private onStopped: (() => void) | undefined;
 
   constructor(private readonly parts: GatewayParts) {
@@ -260,22 +264,28 @@
     this.ticks += 1;
     this.dispatcher.tick(this.parts.clock.now());
     this.links.maintain();
-    const hasNews = this.quotas.takeHasNews();
-    if (hasNews || this.ticks % USE_BEAT_TICKS === 0) {
-      this.mesh.broadcast(this.useMessage());
+    const pauseTicks = this.mesh.size > LARGE_MESH ? LARGE_MESH_USE_TICKS : 1;
+    if (this.ticks % pauseTicks === 0) {
+      this.tellUse();
     }
     if (this.ticks % DROPPED_REPORT_TICKS === 0) {
       this.parts.log.reportDropped();
     }
   }
 
-  private useMessage(): PeerMessage {
-    return { kind: 'use', used: Object.fromEntries(this.quotas.use()) };
+  /** Tells peers what was used, and now and then that this process lives. */
+  private tellUse(): void {
+    const news = this.quotas.takeNews();
+    this.ticksSinceUse += 1;
+    if (news.size > 0 || this.ticksSinceUse >= USE_BEAT_TICKS) {
+      this.ticksSinceUse = 0;
+      this.mesh.broadcast({ kind: 'use', used: Object.fromEntries(news) });
+    }
   }
 
   private greetPeer(send: (message: PeerMessage) => void): void {
     send({ kind: 'records', records: this.records.snapshot() });
-    send(this.useMessage());
+    send({ kind: 'use', used: Object.fromEntries(this.quotas.use()) });
   }
 
   private hearPeer(peer: string, message: PeerMessage): void {
--- a/src/gateway/token-quota.ts
+++ b/src/gateway/token-quota.ts
@@ -41,7 +41,7 @@
 export class TokenQuotas {
   private readonly buckets = new Map<string, TenantBucket>();
   private readonly ownUse = new Map<string, number>();
-  private hasNews = false;
+  private readonly tenantsWithNews = new Set<string>();
   private readonly peers = new Map<string, PeerUse>();
 
   constructor(
@@ -56,7 +56,7 @@
       return false;
     }
     bucket.level -= cost;
-    this.hasNews = true;
+    this.tenantsWithNews.add(tenant);
     this.ownUse.set(tenant, (this.ownUse.get(tenant) ?? 0) + cost);
     return true;
   }
@@ -67,6 +67,7 @@
     if (bucket !== undefined) {
       bucket.level += cost;
     }
+    this.tenantsWithNews.add(tenant);
     this.ownUse.set(tenant, (this.ownUse.get(tenant) ?? 0) - cost);
   }
 
@@ -81,25 +82,29 @@
     return this.ownUse;
   }
 
-  /** Whether anything was used since this was asked last. */
-  takeHasNews(): boolean {
-    const { hasNews } = this;
-    this.hasNews = false;
-    return hasNews;
+  /** Use since the start of the tenants that used more since this was asked last. */
+  takeNews(): Map<string, number> {
+    const news = new Map(
+      [...this.tenantsWithNews].map((name) => [name, this.ownUse.get(name) ?? 0]),
+    );
+    this.tenantsWithNews.clear();
+    return news;
   }
 
-  /** Takes in what a peer used since it started. */
+  /** Takes in what a peer used since it started; tenants that are left out used no more. */
   hear(peer: string, used: ReadonlyMap<string, number>, nowMs: number): void {
     const known = this.peers.get(peer);
-    this.peers.set(peer, { heardAtMs: nowMs, usedByTenant: new Map(used) });
     if (known === undefined) {
+      this.peers.set(peer, { heardAtMs: nowMs, usedByTenant: new Map(used) });
       return;
     }
+    known.heardAtMs = nowMs;
     for (const [tenant, tokens] of used) {
       const bucket = this.buckets.get(tenant);
       if (bucket !== undefined) {
         bucket.level -= tokens - (known.usedByTenant.get(tenant) ?? 0);
       }
+      known.usedByTenant.set(tenant, tokens);
     }
   }
 
--- a/src/slot-agent/slot-ledger.ts
+++ b/src/slot-agent/slot-ledger.ts
@@ -117,7 +117,7 @@
         );
         break;
       case 'speed':
-        this.speed = { ...this.speed, ...message.speed };
+        this.learnSpeed(message.speed);
         break;
       case 'taken':
         account.held += 1;
@@ -128,6 +128,16 @@
     }
   }
 
+  /** What is learned first is told at once; what changes later goes with the next count. */
+  private learnSpeed(speed: LearnedSpeed): void {
+    const isNew =
+      this.speed.prefillMsPerToken === undefined && speed.prefillMsPerToken !== undefined;
+    this.speed = { ...this.speed, ...speed };
+    if (isNew) {
+      this.lastToldOccupied = -1;
+    }
+  }
+
   private grant(): void {
     while (this.occupied < this.slots) {
       const next = this.findFirstWaiting();
--- a/test/store-follower.test.ts
+++ b/test/store-follower.test.ts
@@ -81,3 +81,24 @@
   const { calls } = await callsOf([FAILED, FAILED, READ_AT_4]);
   t.deepEqual(calls, ['list', 'list', 'list', 'watch 4']);
 });
+
+test('changes that follow each other are gathered into one call', async (t) => {
+  const change = (revision: number) =>
+    ok({ records: [{ key: 'k', revision, value: 'v' }], revision });
+  const clock = new VirtualClock();
+  const store = new ScriptedStore(clock, [READ_AT_4, change(5), change(9)]);
+  const seenAtMs: number[] = [];
+  const handlers = {
+    onListing: () => undefined,
+    onChanges: () => void seenAtMs.push(clock.now()),
+    onReachable: () => undefined,
+  };
+  void new StoreFollower(store, handlers, clock, new SeededRandom(1)).run();
+  for (let turn = 1; turn <= 10; turn += 1) {
+    clock.notePromise();
+    await clock.runUntil(turn * 100);
+  }
+  t.deepEqual(store.calls, ['list', 'watch 4', 'watch 5', 'watch 9']);
+  const pauseMs = seenAtMs[1]! - seenAtMs[0]!;
+  t.true(pauseMs >= 150 && pauseMs <= 300);
+});
