A randomized soak of the real programs: faults by signals and a loopback proxy

Gateways and slot agents as separate processes, store and back ends as stand-ins; kills, stops, pauses, reloads, links that are delayed, reset or cut one way, a store that refuses, resets, is silent or forgets; back ends that fail or are replaced. Checked from callers and back ends: at most once, told not run, whole and own answers, tenant, time-outs at untouched gateways, service after the faults.

--- /dev/null
+++ b/bench/soak.ts
@@ -0,0 +1,39 @@
+/** Runs soaks: `node dist/bench/soak.js --seeds 50 --from 1`; stops by itself. */
+import { Command } from 'commander';
+import { runSoak } from './soak/soak-run.js';
+
+const program = new Command('soak')
+  .description('randomized faults against the real programs on loopback')
+  .option('--from <seed>', 'first seed', '1')
+  .option('--seeds <count>', 'number of seeds', '1')
+  .option('--gateways <count>', 'gateways', '3')
+  .option('--engines <count>', 'engines, each with its agent', '4')
+  .option('--callers <count>', 'callers', '12')
+  .option('--seconds <count>', 'time with faults, of each seed', '10')
+  .option('--port <base>', 'first port', '21000');
+program.parse();
+const options = program.opts<Record<string, string>>();
+let failed = 0;
+for (let offset = 0; offset < Number(options['seeds']); offset += 1) {
+  const report = await runSoak({
+    seed: Number(options['from']) + offset,
+    sizes: { gateways: Number(options['gateways']), engines: Number(options['engines']) },
+    callers: Number(options['callers']),
+    faultsMs: Number(options['seconds']) * 1_000,
+    basePort: Number(options['port']) + (offset % 50) * 10,
+  });
+  const { seed, requests, answered, faults, violations, folder } = report;
+  console.log(`seed ${seed}: ${requests} requests, ${answered} served, ${faults.length} faults`);
+  if (violations.length > 0) {
+    failed += 1;
+    console.log(`  logs in ${folder}\n  faults: ${faults.join('; ')}`);
+    console.log(
+      violations
+        .slice(0, 10)
+        .map((violation) => `  VIOLATION ${violation}`)
+        .join('\n'),
+    );
+  }
+}
+console.log(`${options['seeds']} seeds, ${failed} with a violation`);
+process.exit(failed === 0 ? 0 : 1);
--- /dev/null
+++ b/bench/soak/soak-fleet.ts
@@ -0,0 +1,225 @@
+/** The real programs as separate processes on loopback, with the store and the back ends as stand-ins. */
+import { spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+import { mkdtempSync, openSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import type { RandomSource } from '../../src/random.js';
+import { StandinStore } from '../../test/support/platform-standin.js';
+import { LoopbackProxy } from './loopback-proxy.js';
+import { SoakBackend } from './soak-backend.js';
+import type { BackendRun } from './soak-backend.js';
+
+/** Sizes of a soak. */
+export interface SoakSizes {
+  readonly gateways: number;
+  readonly engines: number;
+}
+
+/** Longest time that a request may be held, in milliseconds. */
+export const SOAK_TIMEOUT_MS = 2_500;
+/** Key of the one tenant. */
+export const SOAK_KEY = 'soak-key';
+
+const PROGRAM = 'target/weirvale.cjs';
+const GRACE_S = 4;
+const PORTS = { callers: 1, readiness: 2, peers: 3, storeProxy: 4, agent: 5, backend: 6, real: 7 };
+
+/** One program that can be signalled and started again. */
+export class SoakProcess {
+  /** Until when its requests may fail because of what was done to it, in milliseconds. */
+  disturbedUntilMs = 0;
+  private child: ChildProcess | undefined;
+  private isWanted = true;
+
+  constructor(
+    readonly name: string,
+    private readonly settingsPath: string,
+    private readonly logPath: string,
+  ) {}
+
+  start(): void {
+    const log = openSync(this.logPath, 'a');
+    const child = spawn(process.execPath, [PROGRAM], {
+      env: { PATH: process.env['PATH'], WEIRVALE_SETTINGS: this.settingsPath },
+      stdio: ['ignore', log, log],
+    });
+    this.child = child;
+    child.on('exit', () => {
+      if (this.isWanted && this.child === child) {
+        setTimeout(() => this.isWanted && this.start(), 150);
+      }
+    });
+  }
+
+  /** Signals the process that this object started, by its id. */
+  signal(name: NodeJS.Signals): void {
+    this.child?.kill(name);
+  }
+
+  stop(): void {
+    this.isWanted = false;
+    this.signal('SIGCONT');
+    this.signal('SIGKILL');
+  }
+}
+
+/** Everything that a soak starts. */
+export class SoakFleet {
+  readonly store = new StandinStore();
+  readonly gateways: SoakProcess[] = [];
+  readonly agents: SoakProcess[] = [];
+  readonly storeProxies: LoopbackProxy[] = [];
+  readonly backendProxies: LoopbackProxy[] = [];
+  readonly backends: SoakBackend[] = [];
+  readonly folder = mkdtempSync(join(tmpdir(), 'weirvale-soak-'));
+  private version = 0;
+
+  constructor(
+    private readonly sizes: SoakSizes,
+    private readonly basePort: number,
+    private readonly random: RandomSource,
+    private readonly onRun: (run: BackendRun) => void,
+  ) {}
+
+  /** Base URL of a gateway's callers' interface. */
+  callersAddress(index: number): { host: string; port: number } {
+    return { host: gatewayHost(index), port: this.basePort + PORTS.callers };
+  }
+
+  /** URL of a gateway's readiness. */
+  readinessUrl(index: number): string {
+    return `http://${gatewayHost(index)}:${this.basePort + PORTS.readiness}/-/ready`;
+  }
+
+  async start(): Promise<void> {
+    const [storeHost, storePort] = (await this.store.start()).split(':');
+    this.changeConfiguration();
+    for (let index = 0; index < this.sizes.engines; index += 1) {
+      await this.startBackend(index);
+    }
+    for (let index = 0; index < this.sizes.gateways; index += 1) {
+      const proxy = new LoopbackProxy(storeHost!, Number(storePort));
+      await proxy.start(gatewayHost(index), this.basePort + PORTS.storeProxy);
+      this.storeProxies.push(proxy);
+      this.gateways.push(this.startProcess(`gateway-${index}`, this.gatewaySettings(index)));
+    }
+  }
+
+  stop(): void {
+    [...this.gateways, ...this.agents].forEach((each) => each.stop());
+    [...this.storeProxies, ...this.backendProxies].forEach((proxy) => proxy.stop());
+    this.backends.forEach((backend) => backend.stop());
+    this.store.stop();
+  }
+
+  /** Puts a new version of the configuration in force. */
+  changeConfiguration(): void {
+    this.version += 1;
+    const route = (name: string, kind: string, resumable: boolean) => ({
+      name,
+      host: 'soak.example',
+      pathPrefix: `/${name}/`,
+      kind,
+      resumable,
+      timeoutMs: SOAK_TIMEOUT_MS,
+      targetLatencyMs: 800,
+      gapAimMs: 500,
+      maxAttempts: kind === 'unsafe' ? 1 : 2,
+      priority: 1,
+      service: 'engines',
+    });
+    this.store.put('op/config', {
+      version: this.version,
+      routes: [
+        route('safe', 'safe', false),
+        route('unsafe', 'unsafe', false),
+        route('stream', 'streaming', true),
+      ],
+      services: [{ name: 'engines', maxConnections: 200, engine: { stride: 3 } }],
+      tenants: [{ name: 'shop', apiKeys: [SOAK_KEY] }],
+    });
+  }
+
+  /** Announces a back end. */
+  announce(index: number, state: 'ready' | 'draining'): void {
+    const address = `${backendHost(index)}:${this.basePort + PORTS.backend}`;
+    const { id } = this.backends[index]!;
+    this.store.put(`servers/${id}`, { service: 'engines', address, slots: 6, state });
+  }
+
+  /** Gives the back end at an address another incarnation. */
+  replaceBackend(index: number): void {
+    const backend = this.backends[index]!;
+    this.store.remove(`servers/${backend.id}`);
+    backend.id = `${backend.id}x`;
+    this.announce(index, 'ready');
+  }
+
+  private async startBackend(index: number): Promise<void> {
+    const backend = new SoakBackend(`e-${index}`, this.random, this.onRun);
+    await backend.start(backendHost(index), this.basePort + PORTS.real);
+    const proxy = new LoopbackProxy(backendHost(index), this.basePort + PORTS.real);
+    await proxy.start(backendHost(index), this.basePort + PORTS.backend);
+    this.backends.push(backend);
+    this.backendProxies.push(proxy);
+    this.announce(index, 'ready');
+    this.agents.push(this.startProcess(`agent-${index}`, this.agentSettings(index)));
+  }
+
+  private startProcess(name: string, settings: string): SoakProcess {
+    const path = join(this.folder, `${name}.ini`);
+    writeFileSync(path, settings);
+    const started = new SoakProcess(name, path, join(this.folder, `${name}.log`));
+    started.start();
+    return started;
+  }
+
+  private gatewaySettings(index: number): string {
+    const at = (port: number) => `${gatewayHost(index)}:${this.basePort + port}`;
+    const lines = [
+      ...this.processSettings('gateway', `gateway-${index}`, gatewayHost(index)),
+      '[listen]',
+      `callers = ${at(PORTS.callers)}`,
+      `readiness = ${at(PORTS.readiness)}`,
+      `peers = ${at(PORTS.peers)}`,
+      `slotAgentPort = ${this.basePort + PORTS.agent}`,
+      '[cluster]',
+      `seeds = ${this.seeds()}`,
+      `store = ${at(PORTS.storeProxy)}`,
+      'storeTimeoutMs = 700',
+      '[limits]',
+      `stopGraceS = ${GRACE_S}`,
+    ];
+    return lines.join('\n');
+  }
+
+  private agentSettings(index: number): string {
+    const lines = [
+      ...this.processSettings('slot-agent', `agent-${index}`, backendHost(index)),
+      '[listen]',
+      `slotAgentPort = ${this.basePort + PORTS.agent}`,
+      '[cluster]',
+      `seeds = ${this.seeds()}`,
+      '[engine]',
+      `address = ${backendHost(index)}:${this.basePort + PORTS.real}`,
+    ];
+    return lines.join('\n');
+  }
+
+  private processSettings(role: string, name: string, address: string): string[] {
+    return ['[process]', `role = ${role}`, `name = ${name}`, 'zone = z', `address = ${address}`];
+  }
+
+  private seeds(): string {
+    return [0, 1].map((index) => `${gatewayHost(index)}:${this.basePort + PORTS.peers}`).join(',');
+  }
+}
+
+function gatewayHost(index: number): string {
+  return `127.0.1.${10 + index}`;
+}
+
+function backendHost(index: number): string {
+  return `127.0.2.${10 + index}`;
+}
--- /dev/null
+++ b/bench/soak/soak-run.ts
@@ -0,0 +1,206 @@
+/** One soak: callers press, faults strike, and the promises are checked from what callers and back ends saw. */
+import { Agent, request } from 'node:http';
+import { request as readinessOf } from 'undici';
+import { SeededRandom, randomInteger } from '../../src/random.js';
+import { expectedAnswer } from './soak-backend.js';
+import type { BackendRun } from './soak-backend.js';
+import { doFault } from './soak-faults.js';
+import { SOAK_KEY, SOAK_TIMEOUT_MS, SoakFleet } from './soak-fleet.js';
+import type { SoakSizes } from './soak-fleet.js';
+
+/** What a soak is to do. */
+export interface SoakPlan {
+  readonly seed: number;
+  readonly sizes: SoakSizes;
+  readonly callers: number;
+  /** Time with faults, in milliseconds. */
+  readonly faultsMs: number;
+  readonly basePort: number;
+}
+
+/** How a soak ended. */
+export interface SoakReport {
+  readonly seed: number;
+  readonly requests: number;
+  readonly answered: number;
+  readonly faults: readonly string[];
+  readonly violations: readonly string[];
+  /** Where the logs of its processes are. */
+  readonly folder: string;
+}
+
+type Kind = 'safe' | 'unsafe' | 'stream';
+
+/** One request as its caller saw it. */
+interface SeenRequest {
+  readonly id: string;
+  readonly kind: Kind;
+  readonly gateway: number;
+  readonly sentAtMs: number;
+  endedAtMs: number;
+  /** 0 when no whole answer came. */
+  status: number;
+  body: string;
+}
+
+const RECOVERY_MS = 4_500;
+const CALM_MS = 1_500;
+const CALM_SHARE = 0.95;
+const LATE_MS = 700;
+const PROMISE_STATUSES = new Set([408, 421, 429, 503]);
+
+/** Runs one soak. */
+export async function runSoak(plan: SoakPlan): Promise<SoakReport> {
+  const random = new SeededRandom(plan.seed);
+  const runs: BackendRun[] = [];
+  const seen: SeenRequest[] = [];
+  const late: string[] = [];
+  const faults: string[] = [];
+  const fleet = new SoakFleet(plan.sizes, plan.basePort, new SeededRandom(plan.seed + 1), (run) =>
+    runs.push(run),
+  );
+  await fleet.start();
+  await waitUntilReady(fleet, plan.sizes.gateways);
+  const stopAtMs = performance.now() + plan.faultsMs + RECOVERY_MS + CALM_MS;
+  const callers = Array.from({ length: plan.callers }, (_none, index) =>
+    press(fleet, index, plan.sizes.gateways, stopAtMs, seen, late),
+  );
+  const faultsEndAtMs = performance.now() + plan.faultsMs;
+  while (performance.now() < faultsEndAtMs) {
+    await sleepMs(randomInteger(random, 100, 700));
+    faults.push(doFault(fleet, random));
+  }
+  await Promise.all(callers);
+  fleet.stop();
+  const calmFromMs = stopAtMs - CALM_MS;
+  const violations = [...late, ...check(seen, runs, calmFromMs)];
+  const answered = seen.filter(({ status }) => status === 200).length;
+  const { folder } = fleet;
+  return { seed: plan.seed, requests: seen.length, answered, faults, violations, folder };
+}
+
+async function waitUntilReady(fleet: SoakFleet, gateways: number): Promise<void> {
+  for (let index = 0; index < gateways; index += 1) {
+    for (;;) {
+      const answer = await readinessOf(fleet.readinessUrl(index)).catch(() => undefined);
+      await answer?.body.dump();
+      if (answer?.statusCode === 200) {
+        break;
+      }
+      await sleepMs(50);
+    }
+  }
+}
+
+/** One caller: keeps its connection as long as it lasts and sends one request after the other. */
+async function press(
+  fleet: SoakFleet,
+  caller: number,
+  gateways: number,
+  stopAtMs: number,
+  seen: SeenRequest[],
+  late: string[],
+): Promise<void> {
+  const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+  const kinds: readonly Kind[] = ['safe', 'unsafe', 'stream'];
+  const gateway = caller % gateways;
+  for (let number = 0; performance.now() < stopAtMs; number += 1) {
+    const kind = kinds[(caller + number) % kinds.length]!;
+    const one = await send(fleet, agent, `c${caller}-${number}`, kind, gateway);
+    seen.push(one);
+    const heldMs = one.endedAtMs - one.sentAtMs;
+    const isTouched = fleet.gateways[gateway]!.disturbedUntilMs > one.sentAtMs;
+    if (heldMs > SOAK_TIMEOUT_MS + LATE_MS && !isTouched) {
+      late.push(
+        `${one.id} (${kind}) was held for ${Math.round(heldMs)} ms by an untouched gateway`,
+      );
+    }
+    await sleepMs(one.status === 0 ? 100 : 20);
+  }
+  agent.destroy();
+}
+
+function send(
+  fleet: SoakFleet,
+  agent: Agent,
+  id: string,
+  kind: Kind,
+  gateway: number,
+): Promise<SeenRequest> {
+  const sentAtMs = performance.now();
+  const one: SeenRequest = { id, kind, gateway, sentAtMs, endedAtMs: 0, status: 0, body: '' };
+  return new Promise((resolve) => {
+    const end = (status: number) => {
+      if (one.endedAtMs === 0) {
+        one.endedAtMs = performance.now();
+        one.status = status;
+        resolve(one);
+      }
+    };
+    const call = request({
+      ...fleet.callersAddress(gateway),
+      agent,
+      method: 'POST',
+      path: `/${kind}/${id}`,
+      headers: {
+        Host: 'soak.example',
+        Authorization: `Bearer ${SOAK_KEY}`,
+        'X-Weirvale-Attempt-Id': id,
+        'X-Weirvale-Deadline-Ms': SOAK_TIMEOUT_MS,
+        'X-Weirvale-Token-Counts': '100,24',
+      },
+    });
+    call.setTimeout(SOAK_TIMEOUT_MS * 2, () => call.destroy());
+    call.on('error', () => end(0));
+    call.on('response', (response) => {
+      response.on('data', (bytes: Buffer) => (one.body += bytes.toString()));
+      response.on('end', () => end(response.complete ? (response.statusCode ?? 0) : 0));
+      response.on('error', () => end(0));
+      response.on('close', () => end(0));
+    });
+    call.end('body');
+  });
+}
+
+/** The promises, from what callers and back ends saw. */
+function check(
+  seen: readonly SeenRequest[],
+  runs: readonly BackendRun[],
+  calmFromMs: number,
+): string[] {
+  const runsById = new Map<string, BackendRun[]>();
+  for (const run of runs) {
+    runsById.set(run.requestId, [...(runsById.get(run.requestId) ?? []), run]);
+  }
+  const violations: string[] = [];
+  for (const one of seen) {
+    violations.push(...checkRequest(one, runsById.get(one.id) ?? []));
+  }
+  const calm = seen.filter(({ sentAtMs }) => sentAtMs >= calmFromMs);
+  const well = calm.filter(({ status }) => status === 200).length;
+  if (calm.length === 0 || well / calm.length < CALM_SHARE) {
+    violations.push(`after the faults only ${well} of ${calm.length} requests were served`);
+  }
+  return violations;
+}
+
+function checkRequest(one: SeenRequest, runs: readonly BackendRun[]): string[] {
+  const violations: string[] = [];
+  if (one.kind === 'unsafe' && runs.length > 1) {
+    violations.push(`${one.id} may not be repeated and ran ${runs.length} times`);
+  }
+  if (one.kind === 'unsafe' && PROMISE_STATUSES.has(one.status) && runs.length > 0) {
+    violations.push(`${one.id} was told ${one.status} and ran`);
+  }
+  if (one.status === 200 && one.body !== expectedAnswer(one.id, one.kind === 'stream')) {
+    violations.push(`${one.id} was given an answer as whole that is not its own or not whole`);
+  }
+  if (runs.some(({ tenant }) => tenant !== 'shop')) {
+    violations.push(`${one.id} ran under another tenant`);
+  }
+  return violations;
+}
+
+function sleepMs(delayMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, delayMs));
+}
