--- a/bench/soak/soak-run.ts
+++ b/bench/soak/soak-run.ts
@@ -32,7 +32,7 @@
 type Kind = 'safe' | 'unsafe' | 'stream';
 
 /** One request as its caller saw it. */
-interface SeenRequest {
+export interface SeenRequest {
   readonly id: string;
   readonly kind: Kind;
   readonly gateway: number;
@@ -73,7 +73,7 @@
   await Promise.all(callers);
   fleet.stop();
   const calmFromMs = stopAtMs - CALM_MS;
-  const violations = [...late, ...check(seen, runs, calmFromMs)];
+  const violations = [...late, ...findViolations(seen, runs, calmFromMs)];
   const answered = seen.filter(({ status }) => status === 200).length;
   const { folder } = fleet;
   return { seed: plan.seed, requests: seen.length, answered, faults, violations, folder };
@@ -162,8 +162,8 @@
   });
 }
 
-/** The promises, from what callers and back ends saw. */
-function check(
+/** The promises that were broken, from what callers and back ends saw. */
+export function findViolations(
   seen: readonly SeenRequest[],
   runs: readonly BackendRun[],
   calmFromMs: number,
