--- a/src/server/settings.ts
+++ b/src/server/settings.ts
@@ -35,7 +35,7 @@
 }
 
 /** Complete settings as INI. */
-export function formatSettings(settings: Settings): string {
+export function formatSettings(settings: Readonly<Record<string, object>>): string {
   return Object.entries(settings)
     .map(([section, values]) => {
       const lines = Object.entries(values).map(([key, value]) => `${key} = ${value}`);
--- /dev/null
+++ b/test/gateway-settings.test.ts
@@ -0,0 +1,70 @@
+import { execFileSync } from 'node:child_process';
+import { mkdtempSync, readFileSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import test from 'ava';
+import * as fc from 'fast-check';
+import { parseGatewaySettings } from '../src/gateway/gateway-settings.js';
+
+const GOOD = `[process]
+role = gateway
+name = g
+zone = z
+address = 127.0.0.1
+[listen]
+callers = 127.0.0.1:1
+readiness = 127.0.0.1:2
+[cluster]
+store = 127.0.0.1:3
+`;
+
+test('defaults fill what a file leaves out, and lists are split', (t) => {
+  const settings = parseGatewaySettings(`${GOOD}seeds = 10.0.0.1:1, 10.0.0.2:1\n`).unwrap();
+  t.deepEqual(settings.cluster.seeds, ['10.0.0.1:1', '10.0.0.2:1']);
+  t.is(settings.limits.retryRatio, 0.2);
+  t.is(settings.cluster.storeTimeoutMs, 1_500);
+});
+
+test('fields that are not known are ignored', (t) => {
+  t.true(parseGatewaySettings(`${GOOD}colour = red\n[garden]\nx = 1\n`).ok);
+});
+
+test('wrong values are named with section and line', (t) => {
+  const result = parseGatewaySettings(`${GOOD}[limits]\nretryRatio = many\nquotaSlack = -1\n`);
+  const faults = result.ok
+    ? []
+    : result.val.problems.map(({ section, key, line }) => `${line} ${section} ${key}`);
+  t.deepEqual(faults.sort(), ['12 limits retryRatio', '13 limits quotaSlack']);
+});
+
+test('what a role needs must be set', (t) => {
+  const withoutStore = parseGatewaySettings(GOOD.replace('store = 127.0.0.1:3', ''));
+  t.deepEqual(withoutStore.ok ? [] : withoutStore.val.problems.map(({ key }) => key), ['store']);
+  const agent = parseGatewaySettings(GOOD.replace('role = gateway', 'role = slot-agent'));
+  t.deepEqual(agent.ok ? [] : agent.val.problems.map(({ key }) => key), ['address']);
+});
+
+test('any text gives settings or a typed error, never a throw', (t) => {
+  fc.assert(fc.property(fc.string(), (text) => typeof parseGatewaySettings(text).ok === 'boolean'));
+  t.pass();
+});
+
+test('the tool checks and shows settings of gateways', (t) => {
+  const file = join(mkdtempSync(join(tmpdir(), 'weirvale-settings-')), 'g.ini');
+  writeFileSync(file, GOOD);
+  const tool = 'dist/src/bin/weirvale.js';
+  const shown = execFileSync('node', [tool, 'settings', 'show', file], { encoding: 'utf8' });
+  t.regex(shown, /\[limits\]\nretryRatio = 0.2/);
+  const checked = execFileSync('node', [tool, 'settings', 'check', file], { encoding: 'utf8' });
+  t.regex(checked, /usable: gateway/);
+});
+
+test('the template for the platform sets only what the schema knows', (t) => {
+  const template = readFileSync('platform/settings.ini.template', 'utf8');
+  const filled = template
+    .replaceAll('{{role}}', 'gateway')
+    .replaceAll(/\{\{(listen|provider)[^}]*\}\}/g, '10.0.0.1:80')
+    .replaceAll('{{app}}', '10.0.0.1:80')
+    .replaceAll(/\{\{[^}]*\}\}/g, '7');
+  t.true(parseGatewaySettings(filled).ok);
+});
