Split the choice of a back end from the dispatcher; empty settings take their defaults

A deployment that names no quota or retry bounds leaves empty values in the filled template, which kept a process from starting (test first). The soak ends what it started when it is ended itself: three processes outlived one that was stopped by hand.

--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -13,6 +13,8 @@
   .option('--port <base>', 'first port', '21000');
 program.parse();
 const options = program.opts<Record<string, string>>();
+process.once('SIGTERM', () => process.exit(1));
+process.once('SIGINT', () => process.exit(1));
 let failed = 0;
 for (let offset = 0; offset < Number(options['seeds']); offset += 1) {
   const report = await runSoak({
--- a/bench/soak/soak-fleet.ts
+++ b/bench/soak/soak-fleet.ts
@@ -93,6 +93,8 @@
   }
 
   async start(): Promise<void> {
+    // Whatever ends the soak, nothing that it started outlives it.
+    process.once('exit', () => this.stop());
     const [storeHost, storePort] = (await this.store.start()).split(':');
     this.changeConfiguration();
     for (let index = 0; index < this.sizes.engines; index += 1) {
--- /dev/null
+++ b/src/gateway/backend-choice.ts
@@ -0,0 +1,64 @@
+/** Query: what it costs to bind a request to a back end, and whom that would hold up. */
+import type { DispatchRequest } from './dispatch-request.js';
+import type { EngineSpeed } from './engine-speed.js';
+import type { KnownBackend } from './known-backend.js';
+
+/** Weight of the whole work against the time to the first event when a back end is chosen. */
+const WORK_WEIGHT = 0.5;
+/** Cost for each request at a back end of unknown speed: it is tried with one at a time. */
+const UNKNOWN_SPEED_COST_MS = 1_000;
+/** Added to the cost of a back end that would be late, or make others late. */
+const LATE_COST_MS = 100_000;
+
+/** Cost of binding `request` to a back end, in milliseconds; the lowest is chosen. */
+export function costOf(
+  request: DispatchRequest,
+  known: KnownBackend,
+  usual: UsualSpeed,
+  nowMs: number,
+): number {
+  const workMs = (known.msPerUnit ?? usual.msPerUnit) * request.units;
+  if (request.promptTokens === 0) {
+    return (known.occupied + 1) * workMs;
+  }
+  const tokens = known.pendingPromptTokens + request.promptTokens;
+  const firstMs = known.speed.expectedFirstMs(tokens, usual.prefillMsPerToken);
+  const trialMs = known.speed.isKnown ? 0 : known.occupied * UNKNOWN_SPEED_COST_MS;
+  const isLate = !request.isLate && nowMs + firstMs > request.firstDueAtMs;
+  return firstMs + workMs * WORK_WEIGHT + trialMs + (isLate ? LATE_COST_MS : 0);
+}
+
+/** Whether reading the prompt there would make the streams of `others` requests pause too long. */
+export function harmsOthers(
+  request: DispatchRequest,
+  speed: EngineSpeed,
+  others: number,
+  tokensPerEvent: number,
+): boolean {
+  if (request.promptTokens === 0 || request.maxPauseMs === 0 || others <= 0) {
+    return false;
+  }
+  return speed.expectedPauseMs(request.promptTokens, tokensPerEvent) > request.maxPauseMs;
+}
+
+/** What is assumed of a back end of which nothing was learned. */
+export interface UsualSpeed {
+  readonly msPerUnit: number;
+  readonly prefillMsPerToken: number;
+}
+
+/** The means of what was learned of `backends`. */
+export function usualSpeed(backends: readonly KnownBackend[]): UsualSpeed {
+  const learned = backends.map((known) => known.learned);
+  return {
+    msPerUnit: mean(learned.map(({ msPerUnit }) => msPerUnit)) ?? 1,
+    prefillMsPerToken: mean(learned.map(({ prefillMsPerToken }) => prefillMsPerToken)) ?? 0,
+  };
+}
+
+function mean(values: ReadonlyArray<number | undefined>): number | undefined {
+  const known = values.filter((value) => value !== undefined);
+  return known.length === 0
+    ? undefined
+    : known.reduce((sum, value) => sum + value, 0) / known.length;
+}
--- /dev/null
+++ b/src/gateway/dispatch-request.ts
@@ -0,0 +1,26 @@
+/** What a dispatcher has to know of a request. */
+import type { Backend } from '../routing/backend.js';
+
+/** A request that wants a back end. */
+export interface DispatchRequest {
+  readonly service: string;
+  /** Lower numbers go first. */
+  readonly tier: number;
+  /** Order inside a tier: lower numbers go first. */
+  readonly rankInTier: number;
+  /** Goes behind those of its rank that can still be answered in time. */
+  readonly isLate: boolean;
+  readonly arrivedAtMs: number;
+  /** Size of the work, in any unit that is the same for the service. */
+  readonly units: number;
+  /** Tokens of the prompt; 0 for a plain service. */
+  readonly promptTokens: number;
+  /** When its first event is due to be in time. */
+  readonly firstDueAtMs: number;
+  /** Longest pause between events that is in time, in milliseconds; 0 for no bound. */
+  readonly maxPauseMs: number;
+  /** Back ends that must not be used. */
+  readonly excluded: ReadonlySet<string>;
+  /** Called once, when a back end is bound. */
+  onPlaced(backend: Backend, nowMs: number): void;
+}
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -9,32 +9,10 @@
 import type { Backend } from '../routing/backend.js';
 import type { AgentToGateway, SlotMessage, WaitingRank } from '../slot-agent/slot-messages.js';
 import type { AttemptOutcome } from './backend-health.js';
+import { costOf, harmsOthers, usualSpeed } from './backend-choice.js';
+import type { DispatchRequest } from './dispatch-request.js';
 import { KnownBackend } from './known-backend.js';
 
-/** A request that wants a back end. */
-export interface DispatchRequest {
-  readonly service: string;
-  /** Lower numbers go first. */
-  readonly tier: number;
-  /** Order inside a tier: lower numbers go first. */
-  readonly rankInTier: number;
-  /** Goes behind those of its rank that can still be answered in time. */
-  readonly isLate: boolean;
-  readonly arrivedAtMs: number;
-  /** Size of the work, in any unit that is the same for the service. */
-  readonly units: number;
-  /** Tokens of the prompt; 0 for a plain service. */
-  readonly promptTokens: number;
-  /** When its first event is due to be in time. */
-  readonly firstDueAtMs: number;
-  /** Longest pause between events that is in time, in milliseconds; 0 for no bound. */
-  readonly maxPauseMs: number;
-  /** Back ends that must not be used. */
-  readonly excluded: ReadonlySet<string>;
-  /** Called once, when a back end is bound. */
-  onPlaced(backend: Backend, nowMs: number): void;
-}
-
 /** Options of a dispatcher. */
 export interface DispatcherOptions {
   /** Waiting requests that agents are told of. Default 8. */
@@ -63,13 +41,6 @@
 
 const BIND_INTERVAL_SMOOTHING = 0.1;
 const MAX_BIND_INTERVAL_MS = 500;
-/** Weight of the whole work against the time to the first event when a back end is chosen. */
-const WORK_WEIGHT = 0.5;
-/** Cost for each request at a back end of unknown speed: it is tried with one at a time. */
-const UNKNOWN_SPEED_COST_MS = 1_000;
-/** Added to the cost of a back end that would be late, or make others late. */
-const LATE_COST_MS = 100_000;
-
 /** What a dispatcher does to its surroundings. */
 export interface DispatcherPorts {
   /** Sends a message to the agent beside a back end. */
@@ -348,7 +319,7 @@
     let best: KnownBackend | undefined;
     let bestCost = Infinity;
     for (const known of candidates) {
-      const cost = this.costOf(request, known, usual, nowMs);
+      const cost = costOf(request, known, usual, nowMs);
       if (cost < bestCost) {
         best = known;
         bestCost = cost;
@@ -357,30 +328,9 @@
     return best;
   }
 
-  private costOf(
-    request: DispatchRequest,
-    known: KnownBackend,
-    usual: UsualSpeed,
-    nowMs: number,
-  ): number {
-    const workMs = (known.msPerUnit ?? usual.msPerUnit) * request.units;
-    if (request.promptTokens === 0) {
-      return (known.occupied + 1) * workMs;
-    }
-    const tokens = known.pendingPromptTokens + request.promptTokens;
-    const firstMs = known.speed.expectedFirstMs(tokens, usual.prefillMsPerToken);
-    const trialMs = known.speed.isKnown ? 0 : known.occupied * UNKNOWN_SPEED_COST_MS;
-    const isLate = !request.isLate && nowMs + firstMs > request.firstDueAtMs;
-    return firstMs + workMs * WORK_WEIGHT + trialMs + (isLate ? LATE_COST_MS : 0);
-  }
-
-  /** Whether reading the prompt there would make the streams of `others` requests pause too long. */
   private harms(request: DispatchRequest, known: KnownBackend, others: number): boolean {
-    if (request.promptTokens === 0 || request.maxPauseMs === 0 || others <= 0) {
-      return false;
-    }
     const tokensPerEvent = this.ports.tokensPerEvent(request.service);
-    return known.speed.expectedPauseMs(request.promptTokens, tokensPerEvent) > request.maxPauseMs;
+    return harmsOthers(request, known.speed, others, tokensPerEvent);
   }
 
   private hasAnyRoom(service: string): boolean {
@@ -517,24 +467,3 @@
     left.arrivedAtMs - right.arrivedAtMs
   );
 }
-
-/** What is assumed of a back end of which nothing was learned. */
-interface UsualSpeed {
-  readonly msPerUnit: number;
-  readonly prefillMsPerToken: number;
-}
-
-function usualSpeed(backends: readonly KnownBackend[]): UsualSpeed {
-  const learned = backends.map((known) => known.learned);
-  return {
-    msPerUnit: mean(learned.map(({ msPerUnit }) => msPerUnit)) ?? 1,
-    prefillMsPerToken: mean(learned.map(({ prefillMsPerToken }) => prefillMsPerToken)) ?? 0,
-  };
-}
-
-function mean(values: ReadonlyArray<number | undefined>): number | undefined {
-  const known = values.filter((value) => value !== undefined);
-  return known.length === 0
-    ? undefined
-    : known.reduce((sum, value) => sum + value, 0) / known.length;
-}
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -6,10 +6,11 @@
 
 const MAX_NUMBER = 1_000_000_000;
 
+/** A number; an empty value, as a template leaves it for what a deployment does not name, is the default. */
 function number(fallback: number) {
   const value = z.pipe(
-    z.string().check(z.regex(/^\d+(\.\d+)?$/, 'must be a number')),
-    z.transform((text: string) => Number(text)),
+    z.string().check(z.regex(/^(\d+(\.\d+)?)?$/, 'must be a number')),
+    z.transform((text: string) => (text === '' ? fallback : Number(text))),
   );
   const bounded = z.pipe(value, z.number().check(z.minimum(0), z.maximum(MAX_NUMBER)));
   return z._default(bounded, fallback);
--- a/src/gateway/proxied-request.ts
+++ b/src/gateway/proxied-request.ts
@@ -10,12 +10,14 @@
 import type { AttemptOutcome } from './backend-health.js';
 import { endToEndHeaders } from './caller-protocol.js';
 import { AttemptProgress } from './attempt-progress.js';
-import type { DispatchRequest } from './dispatcher.js';
+import type { DispatchRequest } from './dispatch-request.js';
 import { EventSplitter } from './event-stream.js';
 import type { GatewayRefusal } from './gateway-refusal.js';
 import { sendRefusal } from './send-refusal.js';
 import type { AcceptedRequest, RequestOptions, RequestPorts, RequestTry } from './request-model.js';
 
+/** Allowed pauses in a row after which a stream counts as silent. */
+const SILENT_PAUSES = 5;
 const MAX_CONNECT_FAILURES = 4;
 const MAX_BUFFERED_ANSWER_BYTES = 256 * 1024;
 const MIN_TIME_FOR_ATTEMPT_MS = 5;
@@ -79,13 +81,19 @@
     if (this.phase === 'done') {
       return;
     }
-    const waitedForHeadMs = this.ports.clock.now() - this.attemptStartedAtMs;
-    const isBackendSilent =
-      this.phase === 'sent' && waitedForHeadMs > this.request.route.targetLatencyMs * 2;
+    const lastSignAtMs = this.progress?.lastEventAtMs ?? this.attemptStartedAtMs;
+    const silentMs = this.ports.clock.now() - Math.max(lastSignAtMs, this.attemptStartedAtMs);
+    const isBackendSilent = silentMs > this.longestSilenceMs();
     this.dropAttempt(isBackendSilent ? 'failed' : 'unknown', 'the caller left');
     this.finish(0, 'caller-left');
   }
 
+  /** Silence from which on the back end is to blame when a caller leaves, in milliseconds. */
+  private longestSilenceMs(): number {
+    const { targetLatencyMs, maxPauseMs } = this.request.route;
+    return this.phase === 'streaming' ? maxPauseMs * SILENT_PAUSES : targetLatencyMs * 2;
+  }
+
   private waitForBackend(): void {
     const { request, ports } = this;
     const nowMs = ports.clock.now();
--- a/test/gateway-settings.test.ts
+++ b/test/gateway-settings.test.ts
@@ -29,6 +29,12 @@
   t.true(parseGatewaySettings(`${GOOD}colour = red\n[garden]\nx = 1\n`).ok);
 });
 
+test('an empty value, as the template leaves it for an unnamed bound, is the default', (t) => {
+  const settings = parseGatewaySettings(`${GOOD}[limits]\nquotaOver =\nretryWindowS = \n`).unwrap();
+  t.is(settings.limits.quotaOver, 0.1);
+  t.is(settings.limits.retryWindowS, 10);
+});
+
 test('wrong values are named with section and line', (t) => {
   const result = parseGatewaySettings(`${GOOD}[limits]\nretryRatio = many\nquotaSlack = -1\n`);
   const faults = result.ok
