Take back that a silent stream whose caller leaves counts against its back end

Tried: a stream silent for five allowed pauses when its caller leaves is a failure of its back end. Conclusion: after a loss of power it ejects engines that are coming back.

--- a/src/gateway/proxied-request.ts
+++ b/src/gateway/proxied-request.ts
@@ -16,8 +16,6 @@
 import { sendRefusal } from './send-refusal.js';
 import type { AcceptedRequest, RequestOptions, RequestPorts, RequestTry } from './request-model.js';
 
-/** Allowed pauses in a row after which a stream counts as silent. */
-const SILENT_PAUSES = 5;
 const MAX_CONNECT_FAILURES = 4;
 const MAX_BUFFERED_ANSWER_BYTES = 256 * 1024;
 const MIN_TIME_FOR_ATTEMPT_MS = 5;
@@ -81,19 +79,13 @@
     if (this.phase === 'done') {
       return;
     }
-    const lastSignAtMs = this.progress?.lastEventAtMs ?? this.attemptStartedAtMs;
-    const silentMs = this.ports.clock.now() - Math.max(lastSignAtMs, this.attemptStartedAtMs);
-    const isBackendSilent = silentMs > this.longestSilenceMs();
+    const waitedForHeadMs = this.ports.clock.now() - this.attemptStartedAtMs;
+    const isBackendSilent =
+      this.phase === 'sent' && waitedForHeadMs > this.request.route.targetLatencyMs * 2;
     this.dropAttempt(isBackendSilent ? 'failed' : 'unknown', 'the caller left');
     this.finish(0, 'caller-left');
   }
 
-  /** Silence from which on the back end is to blame when a caller leaves, in milliseconds. */
-  private longestSilenceMs(): number {
-    const { targetLatencyMs, maxPauseMs } = this.request.route;
-    return this.phase === 'streaming' ? maxPauseMs * SILENT_PAUSES : targetLatencyMs * 2;
-  }
-
   private waitForBackend(): void {
     const { request, ports } = this;
     const nowMs = ports.clock.now();
