Give the tests of gateways ports that nobody else takes

A port found by listening on 0 and closing was taken by another test file in between. Ruled out: the gateway itself (the exception is the test's listener's port). Change: ports below the range that the system hands out, on an address of each file's own; the assertions are as they were.

--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -1,5 +1,4 @@
-import { connect, createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
+import { connect } from 'node:net';
 import type { ServerResponse } from 'node:http';
 import test from 'ava';
 import { request } from 'undici';
@@ -14,15 +13,14 @@
 import { DecisionLog } from '../src/telemetry/decision-log.js';
 import { StandinStore, StandinWorker } from './support/platform-standin.js';
 
-const HOST = '127.0.0.1';
+const HOST = '127.0.3.1';
+/** Ports below those that the system hands out, on an address of this file's own: nobody else takes them. */
+let lastPort = 28_000;
 const KEY = 'secret-key';
 
-async function freePort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
-  const { port } = server.address() as AddressInfo;
-  await new Promise((resolve) => server.close(resolve));
-  return port;
+function nextPort(): number {
+  lastPort += 1;
+  return lastPort;
 }
 
 async function until(isTrue: () => Promise<boolean> | boolean): Promise<void> {
@@ -47,7 +45,7 @@
   storeAddress: string,
   seeds: string[] = [],
 ): Promise<RunningGateway> {
-  const [callers, readiness, peers] = [await freePort(), await freePort(), await freePort()];
+  const [callers, readiness, peers] = [nextPort(), nextPort(), nextPort()];
   const text = [
     '[process]',
     'role = gateway',
--- a/test/replica.test.ts
+++ b/test/replica.test.ts
@@ -1,5 +1,4 @@
-import { connect, createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
+import { connect } from 'node:net';
 import test from 'ava';
 import { SYSTEM_CLOCK } from '../src/clock.js';
 import { PeerMesh } from '../src/cluster/peer-mesh.js';
@@ -10,16 +9,14 @@
 import { SlotAgentRole } from '../src/slot-agent/slot-agent-role.js';
 import type { AgentToGateway, GatewayToAgent } from '../src/slot-agent/slot-messages.js';
 
-const HOST = '127.0.0.1';
+const HOST = '127.0.4.1';
+/** Ports below those that the system hands out, on an address of this file's own: nobody else takes them. */
+let lastPort = 28_500;
 const RECORD: StoreRecord = { key: 'k', revision: 3, value: 'v' };
 
-/** A port that was free a moment ago. */
-async function freePort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
-  const { port } = server.address() as AddressInfo;
-  await new Promise((resolve) => server.close(resolve));
-  return port;
+function nextPort(): number {
+  lastPort += 1;
+  return lastPort;
 }
 
 function helloOf(name: string, port: number): PeerHello {
@@ -53,7 +50,7 @@
 }
 
 test('gateways hand records to each other and learn of third ones', async (t) => {
-  const [portA, portB, portC] = [await freePort(), await freePort(), await freePort()];
+  const [portA, portB, portC] = [nextPort(), nextPort(), nextPort()];
   const a = startMesh(helloOf('a', portA), [], (send) =>
     send({ kind: 'records', records: [RECORD] }),
   );
@@ -65,7 +62,7 @@
 });
 
 test('an agent hands the records of a gateway that died to one that starts', async (t) => {
-  const [agentPort, gatewayPort] = [await freePort(), await freePort()];
+  const [agentPort, gatewayPort] = [nextPort(), nextPort()];
   const seeds = [`${HOST}:${gatewayPort}`];
   const agent = new SlotAgentRole(
     { name: 'agent', seeds },
