Replicas of the store compare revisions and fetch what they lack, in place of pushing every record

Ruled out: heartbeats of back ends (an entry only changes when more than its sequence changes), quota use, slot messages. Change: a beat carries the revision through which the sender's replica is complete; who is behind asks for what it lacks, at once while the store is dark for it, otherwise after 300 ms, in which the change comes from the store. Agents hand their replica to three gateways instead of all.

--- a/src/cluster/peer-mesh.ts
+++ b/src/cluster/peer-mesh.ts
@@ -1,6 +1,7 @@
 /**
  * Connections among gateways: each speaks on the connections that it opened and
- * hears on those that others opened to it.
+ * hears on those that others opened to it. Only questions and their answers go
+ * back on the connection that they came on.
  *
  * Addresses come from the settings' seeds and from what peers pass on.
  */
@@ -12,17 +13,22 @@
 import { withJitter } from '../random.js';
 import type { PeerHello, PeerMessage } from './peer-messages.js';
 
+/** Sends a message to one peer. */
+export type SendToPeer = (message: PeerMessage) => void;
+
 /** Who hears of peers. */
 export interface PeerMeshHandlers {
-  /** A peer said something; `peer` names its incarnation. */
-  onMessage(peer: string, message: PeerMessage): void;
+  /** A peer said something; `peer` names its incarnation, `reply` goes back to it. */
+  onMessage(peer: string, message: PeerMessage, reply: SendToPeer): void;
+  /** A peer answered on a connection that this process opened. */
+  onReply(message: PeerMessage, reply: SendToPeer): void;
   /** A connection to a peer was opened by this process; what it must know is sent now. */
-  onOpened(send: (message: PeerMessage) => void): void;
+  onOpened(send: SendToPeer): void;
   /** A peer was heard for the first time, or is gone. */
   onPeer(peer: string, isPresent: boolean): void;
 }
 
-/** Times of the mesh, in milliseconds. */
+/** Times of the mesh, in milliseconds, and its size. */
 export interface PeerMeshOptions {
   /** First and longest pause before connecting again. Defaults 200 and 3,000. */
   readonly retryMinMs: number;
@@ -31,6 +37,8 @@
   readonly connectTimeoutMs: number;
   /** Failed tries in a row after which an address that is no seed is forgotten. Default 8. */
   readonly maxFailures: number;
+  /** Most connections that are opened; further addresses stand in for those that fail. Default: no limit. */
+  readonly maxConnections: number;
 }
 
 /** Defaults of the mesh. */
@@ -39,6 +47,7 @@
   retryMaxMs: 3_000,
   connectTimeoutMs: 1_000,
   maxFailures: 8,
+  maxConnections: Infinity,
 };
 
 const RETRY_SPREAD = 0.3;
@@ -46,6 +55,8 @@
 interface OutgoingPeer {
   readonly address: string;
   channel: MessageChannel<PeerMessage, PeerMessage> | undefined;
+  /** Whether a connection stands or is being opened. */
+  isWanted: boolean;
   isOpen: boolean;
   failures: number;
 }
@@ -110,11 +121,38 @@
       if (address === '' || address === this.self.address || this.outgoing.has(address)) {
         continue;
       }
-      const peer: OutgoingPeer = { address, channel: undefined, isOpen: false, failures: 0 };
-      this.outgoing.set(address, peer);
-      this.open(peer);
+      this.outgoing.set(address, {
+        address,
+        channel: undefined,
+        isWanted: false,
+        isOpen: false,
+        failures: 0,
+      });
       this.broadcast({ kind: 'addresses', addresses: [address] });
     }
+    this.openWanted();
+  }
+
+  /** Opens connections up to the limit, first to the addresses that failed least. */
+  private openWanted(): void {
+    const peers = [...this.outgoing.values()];
+    const idle = peers.filter(({ isWanted }) => !isWanted);
+    const free = this.options.maxConnections - (peers.length - idle.length);
+    idle.sort((left, right) => left.failures - right.failures);
+    for (const peer of idle.slice(0, Math.max(0, free))) {
+      peer.isWanted = true;
+      this.openLater(peer);
+    }
+  }
+
+  private openLater(peer: OutgoingPeer): void {
+    if (peer.failures === 0) {
+      this.open(peer);
+      return;
+    }
+    const { retryMinMs, retryMaxMs } = this.options;
+    const delayMs = Math.min(retryMaxMs, retryMinMs * 2 ** (peer.failures - 1));
+    this.clock.setTimeout(() => this.open(peer), withJitter(this.random, delayMs, RETRY_SPREAD));
   }
 
   private open(peer: OutgoingPeer): void {
@@ -125,7 +163,7 @@
     const socket = connect(Number(peer.address.slice(colon + 1)), peer.address.slice(0, colon));
     const timer = this.clock.setTimeout(() => socket.destroy(), this.options.connectTimeoutMs);
     const channel = new MessageChannel<PeerMessage, PeerMessage>(socket, {
-      onMessage: () => undefined,
+      onMessage: (message) => this.handlers.onReply(message, (answer) => channel.send(answer)),
       onClose: () => {
         this.clock.clearTimeout(timer);
         this.closeOutgoing(peer);
@@ -148,25 +186,23 @@
 
   private closeOutgoing(peer: OutgoingPeer): void {
     peer.isOpen = false;
+    peer.isWanted = false;
     peer.failures += 1;
     if (peer.failures > this.options.maxFailures && !this.seeds.includes(peer.address)) {
       this.outgoing.delete(peer.address);
-      return;
     }
-    const { retryMinMs, retryMaxMs } = this.options;
-    const delayMs = Math.min(retryMaxMs, retryMinMs * 2 ** (peer.failures - 1));
-    this.clock.setTimeout(() => this.open(peer), withJitter(this.random, delayMs, RETRY_SPREAD));
+    this.openWanted();
   }
 
   private accept(socket: Socket): void {
     let hello: PeerHello | undefined;
-    new MessageChannel<PeerMessage, PeerMessage>(socket, {
+    const channel = new MessageChannel<PeerMessage, PeerMessage>(socket, {
       onMessage: (message) => {
         if (message.kind === 'hello') {
           hello = message;
           this.hear(message);
         } else if (hello !== undefined) {
-          this.receive(hello, message);
+          this.receive(hello, message, (answer) => channel.send(answer));
         }
       },
       onClose: () => undefined,
@@ -186,7 +222,7 @@
     this.learnAddresses([hello.address]);
   }
 
-  private receive(hello: PeerHello, message: PeerMessage): void {
+  private receive(hello: PeerHello, message: PeerMessage, reply: SendToPeer): void {
     if (message.kind === 'addresses') {
       this.learnAddresses(message.addresses);
       return;
@@ -195,6 +231,6 @@
       this.heard.delete(hello.name);
       this.handlers.onPeer(hello.incarnation, false);
     }
-    this.handlers.onMessage(hello.incarnation, message);
+    this.handlers.onMessage(hello.incarnation, message, reply);
   }
 }
--- a/src/cluster/peer-messages.ts
+++ b/src/cluster/peer-messages.ts
@@ -1,5 +1,5 @@
 /** What gateways say to each other. */
-import type { StoreRecord } from './replicated-records.js';
+import type { RecordsAnswer, RecordsFetch } from './record-exchange.js';
 
 /**
  * What a process is to the mesh: a gateway, or the holder of a replica of the
@@ -24,16 +24,13 @@
   readonly addresses: readonly string[];
 }
 
-/** Records of the store that the sender learned. */
-export interface PeerRecords {
-  readonly kind: 'records';
-  readonly records: readonly StoreRecord[];
-}
-
-/** Tokens that the sender let pass since it started, by tenant; also shows that it lives. */
-export interface PeerUse {
-  readonly kind: 'use';
+/** Shows that the sender lives, what it let pass, and how far its replica of the store reaches. */
+export interface PeerBeat {
+  readonly kind: 'beat';
+  /** Tokens that it let pass since it started, by tenant; tenants that are left out used no more. */
   readonly used: Readonly<Record<string, number>>;
+  /** Revision of the store through which its records are complete. */
+  readonly revision: number;
 }
 
 /** The sender stops for good, or until it is started again. */
@@ -42,4 +39,5 @@
 }
 
 /** Anything that a gateway says to another. */
-export type PeerMessage = PeerHello | PeerAddresses | PeerRecords | PeerUse | PeerLeaving;
+export type PeerMessage =
+  PeerHello | PeerAddresses | PeerBeat | RecordsFetch | RecordsAnswer | PeerLeaving;
--- a/src/cluster/replicated-records.ts
+++ b/src/cluster/replicated-records.ts
@@ -3,7 +3,9 @@
  *
  * The store numbers every change with one rising revision, so that records
  * learned from the store and from peers merge without agreement: for each key
- * the newest revision wins, and a removal is a record too.
+ * the newest revision wins, and a removal is a record too. Beside the records
+ * the replica knows the revision through which it is complete, by which two
+ * replicas find out at the price of one number whether one lacks anything.
  */
 
 /** One key of the store at its last known change. */
@@ -14,11 +16,30 @@
   readonly value: string | undefined;
 }
 
+/** What a replica holds beyond a revision. */
+export interface RecordsUpdate {
+  /** The revision that was asked from; the receiver had to be complete through it. */
+  readonly since: number;
+  /** The revision through which the receiver is complete once it took this in. */
+  readonly completeTo: number;
+  /** Whether these are all records that exist: keys that it lacks were removed. */
+  readonly isWhole: boolean;
+  readonly records: readonly StoreRecord[];
+}
+
 const MAX_REMOVED_RECORDS = 2_000;
 
 /** Records by key; a lower revision never replaces a higher one. */
 export class ReplicatedRecords {
   private readonly records = new Map<string, StoreRecord>();
+  private completeRevision = 0;
+  /** Highest revision of a removal that was dropped to bound the memory. */
+  private forgottenTo = 0;
+
+  /** Revision through which every change is known; 0 before the first listing. */
+  get completeTo(): number {
+    return this.completeRevision;
+  }
 
   /** Takes a record in; says whether it was news. */
   apply(record: StoreRecord): boolean {
@@ -32,6 +53,19 @@
     return true;
   }
 
+  /**
+   * Takes in every change from `since` to `revision`.
+   *
+   * @returns the records that were news
+   */
+  applyChanges(changes: readonly StoreRecord[], since: number, revision: number): StoreRecord[] {
+    const news = changes.filter((record) => this.apply(record));
+    if (this.completeRevision >= since) {
+      this.completeRevision = Math.max(this.completeRevision, revision);
+    }
+    return news;
+  }
+
   /**
    * Takes in a whole listing read at `revision`.
    *
@@ -51,9 +85,32 @@
         news.push(removal);
       }
     }
+    this.completeRevision = Math.max(this.completeRevision, revision);
     return news;
   }
 
+  /**
+   * Takes in what another replica holds.
+   *
+   * @returns the records that were news
+   */
+  applyUpdate(update: RecordsUpdate): StoreRecord[] {
+    const { records, since, completeTo, isWhole } = update;
+    return isWhole
+      ? this.applyListing(records, completeTo)
+      : this.applyChanges(records, since, completeTo);
+  }
+
+  /** What a replica lacks that is complete through `since`. */
+  updateSince(since: number): RecordsUpdate {
+    const isWhole = since < this.forgottenTo;
+    const all = this.snapshot();
+    const records = isWhole
+      ? all.filter(({ value }) => value !== undefined)
+      : all.filter(({ revision }) => revision > since);
+    return { since, completeTo: this.completeRevision, isWhole, records };
+  }
+
   /** Every record, removals included, oldest news first. */
   snapshot(): StoreRecord[] {
     return [...this.records.values()];
@@ -66,6 +123,7 @@
     for (const record of this.records.values()) {
       if (record.value === undefined) {
         this.records.delete(record.key);
+        this.forgottenTo = Math.max(this.forgottenTo, record.revision);
         return;
       }
     }
--- a/src/cluster/store-follower.ts
+++ b/src/cluster/store-follower.ts
@@ -38,8 +38,8 @@
 export interface StoreFollowerHandlers {
   /** A whole listing was read. */
   onListing(read: StoreRead): void;
-  /** Changes were seen. */
-  onChanges(read: StoreRead): void;
+  /** All changes after revision `since` were seen. */
+  onChanges(read: StoreRead, since: number): void;
   /** The store answers again, or no longer. */
   onReachable(isReachable: boolean, reason: string): void;
 }
@@ -70,7 +70,7 @@
   private isStopped = false;
   /** When the store answered last; undefined before its first answer. */
   lastAnsweredAtMs: number | undefined;
-  private isReachable: boolean | undefined;
+  private reachable: boolean | undefined;
   private retryMs: number;
 
   constructor(
@@ -91,6 +91,11 @@
     }
   }
 
+  /** Whether the store answered its last call; undefined before the first. */
+  get isReachable(): boolean | undefined {
+    return this.reachable;
+  }
+
   /** Ends the run after the call under way. */
   stop(): void {
     this.isStopped = true;
@@ -111,8 +116,8 @@
     const read = await this.store.watch(revision, this.options.watchMs);
     if (read.ok) {
       this.succeed();
+      this.handlers.onChanges(read.val, revision);
       if (read.val.records.length > 0) {
-        this.handlers.onChanges(read.val);
         await sleep(this.clock, this.options.gatherMs);
       }
       return read.val.revision;
@@ -138,8 +143,8 @@
   }
 
   private tell(isReachable: boolean, reason: string): void {
-    if (this.isReachable !== isReachable) {
-      this.isReachable = isReachable;
+    if (this.reachable !== isReachable) {
+      this.reachable = isReachable;
       this.handlers.onReachable(isReachable, reason);
     }
   }
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -7,7 +7,7 @@
  * gateway then binds whichever request comes first by that time.
  */
 import type { Backend } from '../routing/backend.js';
-import type { AgentToGateway, SlotMessage, WaitingRank } from '../slot-agent/slot-messages.js';
+import type { SlotAnswer, SlotMessage, WaitingRank } from '../slot-agent/slot-messages.js';
 import type { AttemptOutcome } from './backend-health.js';
 import { costOf, harmsOthers, usualSpeed } from './backend-choice.js';
 import type { DispatchRequest } from './dispatch-request.js';
@@ -221,7 +221,7 @@
   }
 
   /** Takes a message of the agent of a back end. */
-  receiveFromAgent(backendId: string, message: AgentToGateway, nowMs: number): void {
+  receiveFromAgent(backendId: string, message: SlotAnswer, nowMs: number): void {
     const known = this.backends.get(backendId);
     if (known?.agent === undefined) {
       return;
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -1,7 +1,9 @@
 /** The gateway: joins the cluster's state, the dispatcher and the listeners. */
 import { createServer } from 'node:http';
 import { PeerMesh } from '../cluster/peer-mesh.js';
+import type { SendToPeer } from '../cluster/peer-mesh.js';
 import type { PeerMessage } from '../cluster/peer-messages.js';
+import { RecordExchange } from '../cluster/record-exchange.js';
 import { ReplicatedRecords } from '../cluster/replicated-records.js';
 import type { StoreRecord } from '../cluster/replicated-records.js';
 import { StoreFollower } from '../cluster/store-follower.js';
@@ -44,10 +46,12 @@
 
 const MS_PER_S = 1_000;
 const TICK_MS = 100;
-const USE_BEAT_TICKS = 5;
-/** Gateways from which on use is told every other tick: each message goes to all of them. */
+const IDLE_BEAT_TICKS = 5;
+/** Gateways from which on beats are sent every other tick: each goes to all of them. */
 const LARGE_MESH = 8;
-const LARGE_MESH_USE_TICKS = 2;
+const LARGE_MESH_BEAT_TICKS = 2;
+/** Pause between two words to agents on how far the replica reaches, in ticks. */
+const AGENT_REVISION_TICKS = 3;
 const DROPPED_REPORT_TICKS = 50;
 /** Time after the stop signal in which new requests are still served, in milliseconds. */
 const STOP_ACCEPT_MS = 3_000;
@@ -64,6 +68,7 @@
 /** The gateway. */
 export class GatewayRole {
   private readonly records = new ReplicatedRecords();
+  private readonly exchange: RecordExchange;
   private readonly dispatcher: Dispatcher;
   private readonly sender = new HttpBackendSender();
   private readonly listener: CallerListener;
@@ -83,7 +88,8 @@
   });
   private hasEnded = false;
   private ticks = 0;
-  private ticksSinceUse = 0;
+  private ticksSinceBeat = 0;
+  private beatRevision = 0;
   private onStopped: (() => void) | undefined;
 
   constructor(private readonly parts: GatewayParts) {
@@ -91,6 +97,14 @@
     const { name } = settings.process;
     const incarnation = `${name}.${Math.floor(random.next() * 2 ** 32).toString(36)}`;
     const isEngine = (service: string) => this.table?.findService(service)?.isEngine ?? false;
+    this.exchange = new RecordExchange(
+      this.records,
+      {
+        isStoreReachable: () => this.follower.isReachable ?? false,
+        onNews: (news) => this.takeRecords(news),
+      },
+      clock,
+    );
     this.dispatcher = new Dispatcher({
       sendToAgent: (backendId, message) => this.links.send(backendId, message),
       onEjected: (backendId) => parts.log.write('backend-ejected', 'state', { backend: backendId }),
@@ -107,7 +121,8 @@
     this.links = new SlotAgentLinks(
       incarnation,
       () => this.dispatcher,
-      () => this.records.snapshot(),
+      this.records,
+      this.exchange,
       isEngine,
       (backend, isConnected) =>
         parts.log.write(isConnected ? 'agent-connected' : 'agent-lost', 'state', { backend }),
@@ -124,7 +139,12 @@
       hello,
       settings.cluster.seeds,
       {
-        onMessage: (peer, message) => this.hearPeer(peer, message),
+        onMessage: (peer, message, reply) => this.hearPeer(peer, message, reply),
+        onReply: (message, reply) => {
+          if (message.kind === 'fetch') {
+            reply(this.exchange.answer(message));
+          }
+        },
         onOpened: (send) => this.greetPeer(send),
         onPeer: (peer, isPresent) => this.notePeer(peer, isPresent),
       },
@@ -152,8 +172,8 @@
       {
         onListing: ({ records, revision }) =>
           this.takeRecords(this.records.applyListing(records, revision)),
-        onChanges: ({ records }) =>
-          this.takeRecords(records.filter((record) => this.records.apply(record))),
+        onChanges: ({ records, revision }, since) =>
+          this.takeRecords(this.records.applyChanges(records, since, revision)),
         onReachable: (isReachable, reason) => this.noteStore(isReachable, reason),
       },
       clock,
@@ -264,35 +284,42 @@
     this.ticks += 1;
     this.dispatcher.tick(this.parts.clock.now());
     this.links.maintain();
-    const pauseTicks = this.mesh.size > LARGE_MESH ? LARGE_MESH_USE_TICKS : 1;
+    const pauseTicks = this.mesh.size > LARGE_MESH ? LARGE_MESH_BEAT_TICKS : 1;
     if (this.ticks % pauseTicks === 0) {
-      this.tellUse();
+      this.beat();
+    }
+    if (this.ticks % AGENT_REVISION_TICKS === 0) {
+      this.links.tellRevision();
     }
     if (this.ticks % DROPPED_REPORT_TICKS === 0) {
       this.parts.log.reportDropped();
     }
   }
 
-  /** Tells peers what was used, and now and then that this process lives. */
-  private tellUse(): void {
+  /** Tells peers what was used and how far the replica reaches, and now and then that this process lives. */
+  private beat(): void {
     const news = this.quotas.takeNews();
-    this.ticksSinceUse += 1;
-    if (news.size > 0 || this.ticksSinceUse >= USE_BEAT_TICKS) {
-      this.ticksSinceUse = 0;
-      this.mesh.broadcast({ kind: 'use', used: Object.fromEntries(news) });
+    const revision = this.records.completeTo;
+    this.ticksSinceBeat += 1;
+    const hasNews = news.size > 0 || revision !== this.beatRevision;
+    if (hasNews || this.ticksSinceBeat >= IDLE_BEAT_TICKS) {
+      this.ticksSinceBeat = 0;
+      this.beatRevision = revision;
+      this.mesh.broadcast({ kind: 'beat', used: Object.fromEntries(news), revision });
     }
   }
 
-  private greetPeer(send: (message: PeerMessage) => void): void {
-    send({ kind: 'records', records: this.records.snapshot() });
-    send({ kind: 'use', used: Object.fromEntries(this.quotas.use()) });
+  private greetPeer(send: SendToPeer): void {
+    const used = Object.fromEntries(this.quotas.use());
+    send({ kind: 'beat', used, revision: this.records.completeTo });
   }
 
-  private hearPeer(peer: string, message: PeerMessage): void {
+  private hearPeer(peer: string, message: PeerMessage, reply: SendToPeer): void {
     if (message.kind === 'records') {
-      this.takeRecords(message.records.filter((record) => this.records.apply(record)));
-    } else if (message.kind === 'use') {
+      this.exchange.receive(message);
+    } else if (message.kind === 'beat') {
       this.quotas.hear(peer, new Map(Object.entries(message.used)), this.parts.clock.now());
+      this.exchange.hearRevision(message.revision, reply);
     }
   }
 
@@ -308,13 +335,11 @@
     this.parts.log.write(isReachable ? 'store-regained' : 'store-lost', 'state', { reason });
   }
 
-  /** Takes in records that are news, and passes them on. */
+  /** Takes in records that are news. */
   private takeRecords(news: readonly StoreRecord[]): void {
     if (news.length === 0) {
       return;
     }
-    this.mesh.broadcast({ kind: 'records', records: news });
-    this.links.spread(news);
     for (const record of news) {
       this.takeRecord(record);
     }
--- a/src/gateway/slot-agent-links.ts
+++ b/src/gateway/slot-agent-links.ts
@@ -1,6 +1,7 @@
 /** A gateway's connections to the agents beside engines. */
 import { connect } from 'node:net';
-import type { StoreRecord } from '../cluster/replicated-records.js';
+import type { RecordExchange } from '../cluster/record-exchange.js';
+import type { ReplicatedRecords } from '../cluster/replicated-records.js';
 import type { Clock } from '../clock.js';
 import { MessageChannel } from '../protocol/message-channel.js';
 import type { AgentToGateway, GatewayToAgent } from '../slot-agent/slot-messages.js';
@@ -33,11 +34,13 @@
 /** A gateway's connections to agents. */
 export class SlotAgentLinks {
   private readonly links = new Map<string, Link>();
+  private toldRevision = 0;
 
   constructor(
     private readonly gatewayName: string,
     private readonly dispatcher: () => Dispatcher,
-    private readonly records: () => readonly StoreRecord[],
+    private readonly records: ReplicatedRecords,
+    private readonly exchange: RecordExchange,
     private readonly isEngine: (service: string) => boolean,
     private readonly onAgent: (backendId: string, isConnected: boolean) => void,
     private readonly clock: Clock,
@@ -49,10 +52,17 @@
     this.links.get(backendId)?.channel?.send(message);
   }
 
-  /** Hands records that are news to every agent. */
-  spread(records: readonly StoreRecord[]): void {
-    for (const { channel } of this.links.values()) {
-      channel?.send({ kind: 'records', records });
+  /** Tells every agent how far the replica of the store reaches, if that changed. */
+  tellRevision(): void {
+    const revision = this.records.completeTo;
+    if (revision === this.toldRevision) {
+      return;
+    }
+    this.toldRevision = revision;
+    for (const { channel, isGreeted } of this.links.values()) {
+      if (isGreeted) {
+        channel?.send({ kind: 'revision', revision });
+      }
     }
   }
 
@@ -109,6 +119,10 @@
     const channel = new MessageChannel<GatewayToAgent, AgentToGateway>(socket, {
       onMessage: (message) => {
         link.heardAtMs = this.clock.now();
+        if (message.kind === 'fetch') {
+          channel.send(this.exchange.answer(message));
+          return;
+        }
         this.dispatcher().receiveFromAgent(link.backendId, message, link.heardAtMs);
       },
       onClose: () => this.close(link, channel),
@@ -128,7 +142,7 @@
     const { peersAddress } = this.options;
     const { slots } = backend;
     channel.send({ kind: 'hello', gateway: this.gatewayName, peersAddress, held, slots });
-    channel.send({ kind: 'records', records: this.records() });
+    channel.send({ kind: 'revision', revision: this.records.completeTo });
     link.isGreeted = true;
     this.onAgent(link.backendId, true);
     this.dispatcher().connectAgent(link.backendId, this.clock.now());
--- a/src/slot-agent/slot-agent-role.ts
+++ b/src/slot-agent/slot-agent-role.ts
@@ -7,6 +7,7 @@
 import { createServer } from 'node:net';
 import type { Server, Socket } from 'node:net';
 import { DEFAULT_PEER_MESH_OPTIONS, PeerMesh } from '../cluster/peer-mesh.js';
+import { RecordExchange } from '../cluster/record-exchange.js';
 import { ReplicatedRecords } from '../cluster/replicated-records.js';
 import type { Clock } from '../clock.js';
 import { MessageChannel } from '../protocol/message-channel.js';
@@ -32,8 +33,16 @@
   readonly seeds: readonly string[];
 }
 
-/** Gateways that were killed start within a second; the replica must not come much later. */
-const REPLICA_MESH_OPTIONS = { ...DEFAULT_PEER_MESH_OPTIONS, retryMaxMs: 600, maxFailures: 100 };
+/**
+ * Gateways that were killed start within a second; the replica must not come
+ * much later. A few gateways are enough, since they tell the others.
+ */
+const REPLICA_MESH_OPTIONS = {
+  ...DEFAULT_PEER_MESH_OPTIONS,
+  retryMaxMs: 600,
+  maxFailures: 100,
+  maxConnections: 3,
+};
 
 /** Defaults of an agent. */
 export const DEFAULT_SLOT_AGENT_OPTIONS: SlotAgentOptions = { reportMs: 60, beatMs: 600 };
@@ -44,6 +53,7 @@
   private readonly channels = new Map<number, MessageChannel<AgentToGateway, GatewayToAgent>>();
   private readonly ledger: SlotLedger;
   private readonly records = new ReplicatedRecords();
+  private readonly exchange: RecordExchange;
   private readonly mesh: PeerMesh;
   private nextConnection = 1;
   private isLooking = false;
@@ -60,13 +70,23 @@
       this.channels.get(connection)?.send(message),
     );
     this.server = createServer((socket) => this.accept(socket));
+    this.exchange = new RecordExchange(
+      this.records,
+      { isStoreReachable: () => false, onNews: () => undefined },
+      clock,
+    );
     const { name, seeds } = identity;
     this.mesh = new PeerMesh(
       { kind: 'hello', role: 'replica', name, incarnation: name, address: '' },
       seeds,
       {
         onMessage: () => undefined,
-        onOpened: (send) => send({ kind: 'records', records: this.records.snapshot() }),
+        onReply: (message, reply) => {
+          if (message.kind === 'fetch') {
+            reply(this.exchange.answer(message));
+          }
+        },
+        onOpened: (send) => send({ kind: 'beat', used: {}, revision: this.records.completeTo }),
         onPeer: () => undefined,
       },
       clock,
@@ -108,15 +128,17 @@
 
   private receive(connection: number, message: GatewayToAgent): void {
     if (message.kind === 'records') {
-      for (const record of message.records) {
-        this.records.apply(record);
+      this.exchange.receive(message);
+    } else if (message.kind === 'revision') {
+      this.exchange.hearRevision(message.revision, (fetch) =>
+        this.channels.get(connection)?.send(fetch),
+      );
+    } else {
+      if (message.kind === 'hello') {
+        this.mesh.learnAddresses([message.peersAddress]);
       }
-      return;
-    }
-    if (message.kind === 'hello') {
-      this.mesh.learnAddresses([message.peersAddress]);
+      this.ledger.receive(connection, message, this.clock.now());
     }
-    this.ledger.receive(connection, message, this.clock.now());
   }
 
   private beat(): void {
--- a/src/slot-agent/slot-ledger.ts
+++ b/src/slot-agent/slot-ledger.ts
@@ -6,7 +6,7 @@
  * a gateway whose connection broke stay occupied until the back end's own
  * report shows fewer requests.
  */
-import type { AgentToGateway, LearnedSpeed, SlotMessage, WaitingRank } from './slot-messages.js';
+import type { LearnedSpeed, SlotAnswer, SlotMessage, WaitingRank } from './slot-messages.js';
 
 interface GatewayAccount {
   readonly name: string;
@@ -18,7 +18,7 @@
 }
 
 /** Sends a message to a connected gateway. */
-export type SendToGateway = (connection: number, message: AgentToGateway) => void;
+export type SendToGateway = (connection: number, message: SlotAnswer) => void;
 
 /** The slots of one back end. */
 export class SlotLedger {
--- a/src/slot-agent/slot-messages.ts
+++ b/src/slot-agent/slot-messages.ts
@@ -1,4 +1,5 @@
 /** What gateways and slot agents say to each other. */
+import type { RecordsAnswer, RecordsFetch } from '../cluster/record-exchange.js';
 
 /** Order of a waiting request: a lower tier number first, then the longer wait. */
 export interface WaitingRank {
@@ -7,8 +8,6 @@
   readonly waitedMs: number;
 }
 
-import type { StoreRecord } from '../cluster/replicated-records.js';
-
 /** A gateway's first message on a connection. */
 export interface SlotHello {
   readonly kind: 'hello';
@@ -59,14 +58,14 @@
 /** Anything that a gateway says of slots. */
 export type SlotMessage = SlotHello | SlotDemand | SlotTaken | SlotReleased | SpeedLearned;
 
-/** Records of the store, which the agent keeps for gateways that start while the store is dark. */
-export interface ReplicaRecords {
-  readonly kind: 'records';
-  readonly records: readonly StoreRecord[];
+/** How far the gateway's replica of the store reaches; the agent asks for what it lacks. */
+export interface ReplicaRevision {
+  readonly kind: 'revision';
+  readonly revision: number;
 }
 
 /** Anything that a gateway says. */
-export type GatewayToAgent = SlotMessage | ReplicaRecords;
+export type GatewayToAgent = SlotMessage | ReplicaRevision | RecordsAnswer;
 
 /** The agent grants one slot to the gateway. */
 export interface SlotGranted {
@@ -83,5 +82,8 @@
   readonly speed: LearnedSpeed;
 }
 
+/** Anything that an agent says of slots. */
+export type SlotAnswer = SlotGranted | SlotState;
+
 /** Anything that an agent says. */
-export type AgentToGateway = SlotGranted | SlotState;
+export type AgentToGateway = SlotAnswer | RecordsFetch;
--- a/test/replica.test.ts
+++ b/test/replica.test.ts
@@ -1,8 +1,11 @@
 import { connect } from 'node:net';
 import test from 'ava';
 import { SYSTEM_CLOCK } from '../src/clock.js';
-import { PeerMesh } from '../src/cluster/peer-mesh.js';
+import { DEFAULT_PEER_MESH_OPTIONS, PeerMesh } from '../src/cluster/peer-mesh.js';
+import type { PeerMeshHandlers } from '../src/cluster/peer-mesh.js';
 import type { PeerHello, PeerMessage } from '../src/cluster/peer-messages.js';
+import { RecordExchange } from '../src/cluster/record-exchange.js';
+import { ReplicatedRecords } from '../src/cluster/replicated-records.js';
 import type { StoreRecord } from '../src/cluster/replicated-records.js';
 import { MessageChannel } from '../src/protocol/message-channel.js';
 import { SeededRandom } from '../src/random.js';
@@ -24,23 +27,39 @@
   return { kind: 'hello', role: 'gateway', name, incarnation: `${name}.1`, address };
 }
 
-/** A gateway's mesh; resolves with the first records that it hears. */
+/** A gateway's mesh and replica; resolves with the first records that it learns of others. */
 function startMesh(
   hello: PeerHello,
   seeds: string[],
-  onOpened: (send: (message: PeerMessage) => void) => void = () => undefined,
+  known: StoreRecord[] = [],
 ): { mesh: PeerMesh; heard: Promise<readonly StoreRecord[]>; peers: string[] } {
   const peers: string[] = [];
+  const records = new ReplicatedRecords();
+  records.applyListing(known, Math.max(0, ...known.map(({ revision }) => revision)));
   let mesh: PeerMesh | undefined;
   const heard = new Promise<readonly StoreRecord[]>((resolve) => {
-    const handlers = {
-      onMessage: (_peer: string, message: PeerMessage) => {
+    const exchange = new RecordExchange(
+      records,
+      { isStoreReachable: () => false, onNews: resolve },
+      SYSTEM_CLOCK,
+    );
+    const beat = (): PeerMessage => ({ kind: 'beat', used: {}, revision: records.completeTo });
+    const handlers: PeerMeshHandlers = {
+      onMessage: (_peer, message, reply) => {
         if (message.kind === 'records') {
-          resolve(message.records);
+          exchange.receive(message);
+          mesh!.broadcast(beat());
+        } else if (message.kind === 'beat') {
+          exchange.hearRevision(message.revision, reply);
         }
       },
-      onOpened,
-      onPeer: (peer: string) => void peers.push(peer),
+      onReply: (message, reply) => {
+        if (message.kind === 'fetch') {
+          reply(exchange.answer(message));
+        }
+      },
+      onOpened: (send) => send(beat()),
+      onPeer: (peer) => void peers.push(peer),
     };
     mesh = new PeerMesh(hello, seeds, handlers, SYSTEM_CLOCK, new SeededRandom(1));
     mesh.listen(HOST, Number(hello.address.split(':')[1]));
@@ -51,9 +70,7 @@
 
 test('gateways hand records to each other and learn of third ones', async (t) => {
   const [portA, portB, portC] = [nextPort(), nextPort(), nextPort()];
-  const a = startMesh(helloOf('a', portA), [], (send) =>
-    send({ kind: 'records', records: [RECORD] }),
-  );
+  const a = startMesh(helloOf('a', portA), [], [RECORD]);
   const b = startMesh(helloOf('b', portB), [`${HOST}:${portA}`]);
   const c = startMesh(helloOf('c', portC), [`${HOST}:${portB}`]);
   t.deepEqual(await c.heard, [RECORD]);
@@ -61,6 +78,51 @@
   [a, b, c].forEach(({ mesh }) => mesh.stop());
 });
 
+test('a mesh with a limit of connections takes another address when one fails', async (t) => {
+  const [portA, portB, deadPort] = [nextPort(), nextPort(), nextPort()];
+  const a = startMesh(helloOf('a', portA), [], [RECORD]);
+  const handlers = {
+    onMessage: () => undefined,
+    onReply: () => undefined,
+    onPeer: () => undefined,
+  };
+  const opened = new Promise<void>((resolve) => {
+    const limited = new PeerMesh(
+      { ...helloOf('b', portB), role: 'replica', address: '' },
+      [`${HOST}:${deadPort}`, `${HOST}:${portA}`],
+      { ...handlers, onOpened: () => resolve(limited.stop()) },
+      SYSTEM_CLOCK,
+      new SeededRandom(1),
+      { ...DEFAULT_PEER_MESH_OPTIONS, maxConnections: 1 },
+    );
+    limited.start();
+  });
+  await opened;
+  t.pass();
+  a.mesh.stop();
+});
+
+/** Plays a gateway that hands its records to an agent and dies once the agent has taken them in. */
+function handRecordsToAgent(port: number): Promise<void> {
+  return new Promise((resolve) => {
+    const channel = new MessageChannel<GatewayToAgent, AgentToGateway>(connect(port, HOST), {
+      onMessage: (message) => {
+        if (message.kind === 'fetch') {
+          const { since } = message;
+          const answer = { since, completeTo: 3, isWhole: false, records: [RECORD] };
+          channel.send({ kind: 'records', ...answer });
+          // Messages are taken in order: the answer to this one shows that the records arrived.
+          channel.send({ kind: 'hello', gateway: 'dead', peersAddress: '', held: 0, slots: 1 });
+        } else {
+          channel.close();
+        }
+      },
+      onClose: resolve,
+    });
+    channel.send({ kind: 'revision', revision: 3 });
+  });
+}
+
 test('an agent hands the records of a gateway that died to one that starts', async (t) => {
   const [agentPort, gatewayPort] = [nextPort(), nextPort()];
   const seeds = [`${HOST}:${gatewayPort}`];
@@ -71,14 +133,7 @@
     new SeededRandom(2),
   );
   agent.start(HOST, agentPort);
-  const socket = connect(agentPort, HOST);
-  const dead = new MessageChannel<GatewayToAgent, AgentToGateway>(socket, {
-    onMessage: () => undefined,
-    onClose: () => undefined,
-  });
-  dead.send({ kind: 'records', records: [RECORD] });
-  await new Promise((resolve) => setTimeout(resolve, 50));
-  dead.close();
+  await handRecordsToAgent(agentPort);
   const started = startMesh(helloOf('g', gatewayPort), []);
   t.deepEqual(await started.heard, [RECORD]);
   t.deepEqual(started.peers, []);
--- a/test/replicated-records.test.ts
+++ b/test/replicated-records.test.ts
@@ -56,3 +56,44 @@
   );
   t.pass();
 });
+
+test('a replica that is behind takes over what another holds beyond its revision', (t) => {
+  const ahead = new ReplicatedRecords();
+  ahead.applyListing([recordOf('a', 3), recordOf('b', 4)], 5);
+  ahead.applyChanges([recordOf('c', 7), { key: 'a', revision: 8, value: undefined }], 5, 8);
+  const behind = new ReplicatedRecords();
+  behind.applyListing([recordOf('a', 3), recordOf('b', 4)], 5);
+  const update = ahead.updateSince(behind.completeTo);
+  t.deepEqual(
+    update.records.map(({ key }) => key),
+    ['c', 'a'],
+  );
+  t.is(behind.applyUpdate(update).length, 2);
+  t.is(behind.completeTo, 8);
+});
+
+test('changes after a gap do not make a replica complete', (t) => {
+  const records = new ReplicatedRecords();
+  records.applyListing([recordOf('a', 3)], 5);
+  records.applyChanges([recordOf('b', 9)], 8, 9);
+  t.is(records.completeTo, 5);
+});
+
+test('a replica behind removals that were forgotten takes over the whole', (t) => {
+  const ahead = new ReplicatedRecords();
+  ahead.applyListing([recordOf('kept', 1), recordOf('removed', 2)], 2);
+  const removals = Array.from({ length: 2_100 }, (_unused, index) => ({
+    key: index === 0 ? 'removed' : `k${index}`,
+    revision: 3 + index,
+    value: undefined,
+  }));
+  ahead.applyChanges(removals, 2, 2_102);
+  const behind = new ReplicatedRecords();
+  behind.applyListing([recordOf('kept', 1), recordOf('removed', 2)], 2);
+  const update = ahead.updateSince(behind.completeTo);
+  t.true(update.isWhole);
+  t.deepEqual(
+    behind.applyUpdate(update).map(({ key, value }) => [key, value]),
+    [['removed', undefined]],
+  );
+});
