Metrics: quota use, repeats left, store calls, back ends by believed state, loop delay, memory, descriptors

The list of the users' on-call engineers was not met: quota use, budget left, store calls by kind and result, state of back ends as believed, ages of store and configuration, loop delay, memory and descriptors lacked. Gauges are read only when they are asked for, so they cost nothing between readings. weirvale_backends_ready gives way to weirvale_backends{service,state}. Test: gateway-metrics.

--- a/src/cluster/store-follower.ts
+++ b/src/cluster/store-follower.ts
@@ -34,6 +34,12 @@
   ): Promise<Result<StoreRead, StoreUnavailableError | StoreHistoryGoneError>>;
 }
 
+/** A kind of call of the store. */
+export type StoreCall = 'list' | 'watch';
+
+/** How a call of the store ended. */
+export type StoreCallResult = 'answered' | 'history-gone' | 'failed';
+
 /** Who hears of what the follower learned. */
 export interface StoreFollowerHandlers {
   /** A whole listing was read. */
@@ -47,6 +53,8 @@
   onChanges(read: StoreRead, since: number): void;
   /** The store answers again, or no longer. */
   onReachable(isReachable: boolean, reason: string): void;
+  /** A call of the store ended. */
+  onCall(call: StoreCall, result: StoreCallResult): void;
 }
 
 /** Times of a follower, in milliseconds. */
@@ -123,6 +131,7 @@
   private async list(): Promise<number | undefined> {
     const startedAtMs = this.clock.now();
     const read = await this.store.list();
+    this.handlers.onCall('list', read.ok ? 'answered' : 'failed');
     if (!read.ok) {
       await this.pause(read.val, startedAtMs);
       return undefined;
@@ -152,6 +161,7 @@
     const untilRelistMs = (this.relistAtMs ?? Infinity) - startedAtMs;
     const waitMs = Math.round(Math.max(1, Math.min(this.options.watchMs, untilRelistMs)));
     const read = await this.store.watch(revision, waitMs);
+    this.handlers.onCall('watch', watchResult(read));
     if (read.ok) {
       this.succeed();
       this.handlers.onChanges(read.val, revision);
@@ -190,3 +200,12 @@
     }
   }
 }
+
+function watchResult(
+  read: Result<StoreRead, StoreUnavailableError | StoreHistoryGoneError>,
+): StoreCallResult {
+  if (read.ok) {
+    return 'answered';
+  }
+  return read.val instanceof StoreHistoryGoneError ? 'history-gone' : 'failed';
+}
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -100,6 +100,11 @@
     return (Math.max(0, ahead) + 1) * (this.bindIntervals.get(request.service)?.meanMs ?? 0);
   }
 
+  /** Requests that wait, by service. */
+  waitingByService(): Map<string, number> {
+    return new Map([...this.waiting].map(([service, queue]) => [service, queue.length]));
+  }
+
   /** Requests that wait for a service. */
   countWaiting(service: string): number {
     return this.waiting.get(service)?.length ?? 0;
--- /dev/null
+++ b/src/gateway/gateway-gauges.ts
@@ -0,0 +1,104 @@
+/** Gauges of a gateway that are read only when the metrics are asked for. */
+import { readdirSync } from 'node:fs';
+import { Gauge } from 'prom-client';
+import type { Registry } from 'prom-client';
+import type { GatewaySnapshot } from './gateway-snapshot.js';
+
+/** Where the system lists the descriptors that are open in this process. */
+const OPEN_DESCRIPTORS = '/proc/self/fd';
+const MS_PER_S = 1_000;
+
+/** Registers the gauges; `read` is called once each time that they are asked for. */
+export function registerGauges(registry: Registry, read: () => GatewaySnapshot): void {
+  let snapshot: GatewaySnapshot | undefined;
+  const current = () => {
+    // All gauges of one reading show the same moment; it is over when the loop turns.
+    if (snapshot === undefined) {
+      snapshot = read();
+      setImmediate(() => (snapshot = undefined));
+    }
+    return snapshot;
+  };
+  const plain = (name: string, help: string, value: () => number | undefined) =>
+    new Gauge({
+      name,
+      help,
+      registers: [registry],
+      collect() {
+        this.set(value() ?? NaN);
+      },
+    });
+  const byName = (
+    name: string,
+    help: string,
+    label: string,
+    values: () => ReadonlyMap<string, number>,
+  ) =>
+    new Gauge({
+      name,
+      help,
+      labelNames: [label],
+      registers: [registry],
+      collect() {
+        this.reset();
+        for (const [key, value] of values()) {
+          this.set({ [label]: key }, value);
+        }
+      },
+    });
+  plain('weirvale_store_age_seconds', 'Time since the store answered last', () =>
+    inSeconds(current().storeAgeMs),
+  );
+  plain('weirvale_configuration_age_seconds', 'Time since the configuration came into force', () =>
+    inSeconds(current().configurationAgeMs),
+  );
+  plain(
+    'weirvale_loop_delay_seconds',
+    'Longest delay of the event loop since the last reading',
+    () => inSeconds(current().loopDelayMs),
+  );
+  plain('weirvale_resident_bytes', 'Memory of the process', () => process.memoryUsage.rss());
+  plain('weirvale_open_descriptors', 'Descriptors open in the process', countDescriptors);
+  byName(
+    'weirvale_repeats_left',
+    'Repeats that the retry budget still allows',
+    'service',
+    () => current().repeatsLeft,
+  );
+  byName(
+    'weirvale_quota_used_tokens',
+    'Tokens of quotas let pass here since the start',
+    'tenant',
+    () => current().quotaUse,
+  );
+  byName(
+    'weirvale_waiting_requests',
+    'Requests that wait for a back end',
+    'service',
+    () => current().waiting,
+  );
+  new Gauge({
+    name: 'weirvale_backends',
+    help: 'Back ends by the state that they are believed to be in',
+    labelNames: ['service', 'state'],
+    registers: [registry],
+    collect() {
+      this.reset();
+      for (const { service, state, count } of current().backends) {
+        this.set({ service, state }, count);
+      }
+    },
+  });
+}
+
+function inSeconds(timeMs: number | undefined): number | undefined {
+  return timeMs === undefined ? undefined : timeMs / MS_PER_S;
+}
+
+function countDescriptors(): number | undefined {
+  try {
+    return readdirSync(OPEN_DESCRIPTORS).length;
+  } catch {
+    return undefined;
+  }
+}
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -6,6 +6,7 @@
  */
 import { createServer } from 'node:http';
 import type { ServerResponse } from 'node:http';
+import type { GatewaySnapshot } from './gateway-snapshot.js';
 import type { MetricInstruments } from './metric-instruments.js';
 import type { AcceptedRequest, RequestEnd } from './request-model.js';
 
@@ -34,10 +35,10 @@
     this.record((instruments) => instruments.recordEnd(request, end));
   }
 
-  /** Loads the library and records what was kept. */
-  async load(): Promise<void> {
+  /** Loads the library and records what was kept; `readSnapshot` is asked for each reading. */
+  async load(readSnapshot: () => GatewaySnapshot): Promise<void> {
     const loaded = await import('./metric-instruments.js');
-    this.instruments = new loaded.MetricInstruments();
+    this.instruments = new loaded.MetricInstruments(readSnapshot);
     for (const update of this.updatesBeforeLoad) {
       update(this.instruments);
     }
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -20,6 +20,8 @@
 import type { CallerRequestHead } from './caller-protocol.js';
 import { Dispatcher } from './dispatcher.js';
 import type { GatewayAdapter } from './gateway-adapter.js';
+import { countBackends } from './gateway-snapshot.js';
+import type { GatewaySnapshot } from './gateway-snapshot.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
 import type { GatewayRefusal } from './gateway-refusal.js';
 import type { GatewaySettings } from './gateway-settings.js';
@@ -81,6 +83,7 @@
   private readonly requestPorts: RequestPorts;
   private readonly active = new Set<AcceptedRequest>();
   private table: RoutingTable | undefined;
+  private configuredAtMs: number | undefined;
   private stopRequestedAtMs: number | undefined;
   private readonly readinessServer = createServer((_request, response) => {
     response.writeHead(this.isReady ? HTTP_OK : HTTP_UNAVAILABLE, { 'Content-Length': '0' });
@@ -88,6 +91,7 @@
   });
   private hasEnded = false;
   private ticks = 0;
+  private loopDelayMs = 0;
   private ticksSinceBeat = 0;
   private beatRevision = 0;
   private onStopped: (() => void) | undefined;
@@ -177,6 +181,8 @@
         onChanges: ({ records, revision }, since) =>
           this.takeRecords(this.records.applyChanges(records, since, revision)),
         onReachable: (isReachable, reason) => this.noteStore(isReachable, reason),
+        onCall: (call, result) =>
+          parts.metrics.record(({ storeCalls }) => storeCalls.inc({ call, result })),
       },
       clock,
       random,
@@ -214,7 +220,7 @@
     if (settings.listen.metricsPort > 0) {
       metrics.serve(settings.process.address, settings.listen.metricsPort);
     }
-    this.parts.clock.setTimeout(() => void metrics.load(), METRICS_LOAD_MS);
+    this.parts.clock.setTimeout(() => void metrics.load(() => this.snapshot()), METRICS_LOAD_MS);
     void this.follower.run();
     this.scheduleTick();
     log.write('started', 'state', { ...settings.listen });
@@ -274,7 +280,9 @@
   }
 
   private scheduleTick(): void {
+    const dueAtMs = this.parts.clock.now() + TICK_MS;
     this.parts.clock.setTimeout(() => {
+      this.loopDelayMs = Math.max(this.loopDelayMs, this.parts.clock.now() - dueAtMs);
       if (!this.hasEnded) {
         this.tick();
         this.scheduleTick();
@@ -294,7 +302,8 @@
       this.links.tellRevision();
     }
     if (this.ticks % DROPPED_REPORT_TICKS === 0) {
-      this.parts.log.reportDropped();
+      const dropped = this.parts.log.reportDropped();
+      this.parts.metrics.record(({ linesDropped }) => linesDropped.inc(dropped));
     }
   }
 
@@ -349,7 +358,7 @@
   }
 
   private takeRecord(record: StoreRecord): void {
-    const { adapter, log, metrics, clock } = this.parts;
+    const { adapter, log, clock } = this.parts;
     const decoded = adapter.decode(record);
     if (decoded.kind === 'configuration') {
       this.install(decoded.configuration, record.revision);
@@ -364,8 +373,6 @@
         revision: record.revision,
       });
       this.dispatcher.updateBackend(id, backend, clock.now());
-      const ready = this.dispatcher.list().filter((known) => known.isReady).length;
-      metrics.record(({ backendsReady }) => backendsReady.set(ready));
     } else if (decoded.kind === 'invalid') {
       const { problem } = decoded;
       log.write('configuration-refused', 'state', { problem, revision: record.revision });
@@ -378,6 +385,7 @@
       return;
     }
     this.table = new RoutingTable(configuration);
+    this.configuredAtMs = this.parts.clock.now();
     this.listener.applyLimits(configuration.limits);
     const { version } = configuration;
     this.parts.metrics.record(({ configurationVersion }) => configurationVersion.set(version));
@@ -454,6 +462,22 @@
     return lastAnsweredAtMs === undefined ? undefined : this.parts.clock.now() - lastAnsweredAtMs;
   }
 
+  /** What the metrics show of the moment. */
+  private snapshot(): GatewaySnapshot {
+    const nowMs = this.parts.clock.now();
+    const { loopDelayMs, configuredAtMs } = this;
+    this.loopDelayMs = 0;
+    return {
+      storeAgeMs: this.storeAgeMs(),
+      configurationAgeMs: configuredAtMs === undefined ? undefined : nowMs - configuredAtMs,
+      backends: countBackends(this.dispatcher.list(), nowMs),
+      repeatsLeft: this.budget.repeatsLeft(this.mesh.size, nowMs),
+      quotaUse: this.quotas.use(),
+      waiting: this.dispatcher.waitingByService(),
+      loopDelayMs,
+    };
+  }
+
   private noteEnd(request: AcceptedRequest, end: RequestEnd): void {
     const { metrics, log } = this.parts;
     this.active.delete(request);
--- /dev/null
+++ b/src/gateway/gateway-snapshot.ts
@@ -0,0 +1,49 @@
+/** What a gateway believes at the moment, as its metrics show it. */
+import type { KnownBackend } from './known-backend.js';
+
+/** State that a back end is believed to be in; an ejected one is listed as ready but left alone. */
+export type BelievedState = 'ready' | 'draining' | 'ejected' | 'gone';
+
+/** Back ends of a service that are believed to be in one state. */
+export interface BackendCount {
+  readonly service: string;
+  readonly state: BelievedState;
+  readonly count: number;
+}
+
+/** What a gateway believes at the moment; times in milliseconds, undefined where nothing is known. */
+export interface GatewaySnapshot {
+  readonly storeAgeMs: number | undefined;
+  readonly configurationAgeMs: number | undefined;
+  readonly backends: readonly BackendCount[];
+  /** Repeats that the retry budget still allows, by service. */
+  readonly repeatsLeft: ReadonlyMap<string, number>;
+  /** Tokens of quotas that this gateway let pass since it started, by tenant. */
+  readonly quotaUse: ReadonlyMap<string, number>;
+  /** Requests that wait for a back end, by service. */
+  readonly waiting: ReadonlyMap<string, number>;
+  /** Longest delay of the event loop since this was asked last. */
+  readonly loopDelayMs: number;
+}
+
+/** Counts back ends by service and believed state. */
+export function countBackends(backends: readonly KnownBackend[], nowMs: number): BackendCount[] {
+  const counts = new Map<string, BackendCount>();
+  for (const known of backends) {
+    const { service } = known.backend;
+    const state = believedState(known, nowMs);
+    const key = `${service} ${state}`;
+    counts.set(key, { service, state, count: (counts.get(key)?.count ?? 0) + 1 });
+  }
+  return [...counts.values()];
+}
+
+function believedState(known: KnownBackend, nowMs: number): BelievedState {
+  if (!known.isCurrent) {
+    return 'gone';
+  }
+  if (known.backend.state === 'draining') {
+    return 'draining';
+  }
+  return known.health.isEjected(nowMs) ? 'ejected' : 'ready';
+}
--- a/src/gateway/metric-instruments.ts
+++ b/src/gateway/metric-instruments.ts
@@ -1,6 +1,8 @@
 /** The counters, gauges and histograms of a gateway. */
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
+import { registerGauges } from './gateway-gauges.js';
+import type { GatewaySnapshot } from './gateway-snapshot.js';
 import type { AcceptedRequest, RequestEnd } from './request-model.js';
 
 const MS_PER_S = 1_000;
@@ -55,11 +57,21 @@
     help: 'Version of the configuration in force',
     registers: [this.registry],
   });
-  readonly backendsReady = new Gauge({
-    name: 'weirvale_backends_ready',
-    help: 'Back ends that are listed as ready',
+  readonly storeCalls = new Counter({
+    name: 'weirvale_store_calls_total',
+    help: 'Calls of the store, by kind and result',
+    labelNames: ['call', 'result'],
     registers: [this.registry],
   });
+  readonly linesDropped = new Counter({
+    name: 'weirvale_log_lines_dropped_total',
+    help: 'Log lines that were dropped to bound their volume',
+    registers: [this.registry],
+  });
+
+  constructor(readSnapshot: () => GatewaySnapshot) {
+    registerGauges(this.registry, readSnapshot);
+  }
 
   /** Records how a request ended. */
   recordEnd(request: AcceptedRequest, end: RequestEnd): void {
--- a/src/gateway/retry-budget.ts
+++ b/src/gateway/retry-budget.ts
@@ -62,19 +62,32 @@
     this.budgetOf(service).add({ atMs: nowMs, isRepeat: false });
   }
 
+  /** Repeats that the budget of `gateways` gateways still allows, by service. */
+  repeatsLeft(gateways: number, nowMs: number): Map<string, number> {
+    const left = new Map<string, number>();
+    for (const [service, budget] of this.services) {
+      const counted = budget.count(nowMs - this.options.windowMs);
+      left.set(service, this.allowed(counted.requests, gateways) - counted.repeats);
+    }
+    return left;
+  }
+
   /** Takes one repeat if the budget of `gateways` gateways allows it. */
   takeRepeat(service: string, gateways: number, nowMs: number): boolean {
     const budget = this.budgetOf(service);
     const { requests, repeats } = budget.count(nowMs - this.options.windowMs);
-    const { ratio, slack } = this.options;
-    const allowed = (ratio * requests + slack / Math.max(1, gateways)) * SAFETY_SHARE;
-    if (repeats + 1 > allowed) {
+    if (repeats + 1 > this.allowed(requests, gateways)) {
       return false;
     }
     budget.add({ atMs: nowMs, isRepeat: true });
     return true;
   }
 
+  private allowed(requests: number, gateways: number): number {
+    const { ratio, slack } = this.options;
+    return (ratio * requests + slack / Math.max(1, gateways)) * SAFETY_SHARE;
+  }
+
   private budgetOf(service: string): ServiceBudget {
     const known = this.services.get(service);
     if (known !== undefined) {
--- a/src/telemetry/decision-log.ts
+++ b/src/telemetry/decision-log.ts
@@ -71,12 +71,13 @@
     }
   }
 
-  /** Says how many lines were dropped since it last did; to be called now and then. */
-  reportDropped(): void {
+  /** Says, and returns, how many lines were dropped since it last did; to be called now and then. */
+  reportDropped(): number {
     const dropped = this.budget.takeDropped();
     if (dropped > 0) {
       this.logger.info({ event: 'lines-dropped', dropped }, 'lines-dropped');
     }
+    return dropped;
   }
 
   /** Begins to write what waits. */
--- /dev/null
+++ b/test/gateway-metrics.test.ts
@@ -0,0 +1,76 @@
+import { once } from 'node:events';
+import { get } from 'node:http';
+import test from 'ava';
+import { GatewayMetrics } from '../src/gateway/gateway-metrics.js';
+import { countBackends } from '../src/gateway/gateway-snapshot.js';
+import type { GatewaySnapshot } from '../src/gateway/gateway-snapshot.js';
+import { KnownBackend } from '../src/gateway/known-backend.js';
+import { backendOf } from './support/gateway.js';
+
+const HOST = '127.0.4.9';
+const PORT = 28_900;
+
+const SNAPSHOT: GatewaySnapshot = {
+  storeAgeMs: 1_500,
+  configurationAgeMs: undefined,
+  backends: [{ service: 's', state: 'ejected', count: 2 }],
+  repeatsLeft: new Map([['s', 7]]),
+  quotaUse: new Map([['tenant', 1_200]]),
+  waiting: new Map([['s', 3]]),
+  loopDelayMs: 20,
+};
+
+async function readMetrics(): Promise<string> {
+  const [response] = (await once(get(`http://${HOST}:${PORT}/metrics`), 'response')) as [
+    AsyncIterable<Buffer>,
+  ];
+  let text = '';
+  for await (const bytes of response) {
+    text += bytes.toString();
+  }
+  return text;
+}
+
+test('the metrics show what was recorded before they were loaded, and what is believed now', async (t) => {
+  const metrics = new GatewayMetrics();
+  metrics.serve(HOST, PORT);
+  metrics.record(({ storeCalls }) => storeCalls.inc({ call: 'watch', result: 'failed' }));
+  await metrics.load(() => SNAPSHOT);
+  const text = await readMetrics();
+  const lines = [
+    'weirvale_store_calls_total{call="watch",result="failed"} 1',
+    'weirvale_store_age_seconds 1.5',
+    'weirvale_configuration_age_seconds Nan',
+    'weirvale_backends{service="s",state="ejected"} 2',
+    'weirvale_repeats_left{service="s"} 7',
+    'weirvale_quota_used_tokens{tenant="tenant"} 1200',
+    'weirvale_waiting_requests{service="s"} 3',
+    'weirvale_loop_delay_seconds 0.02',
+  ];
+  for (const line of lines) {
+    t.true(text.includes(line), line);
+  }
+  t.regex(text, /weirvale_open_descriptors [1-9]/);
+  t.regex(text, /weirvale_resident_bytes [1-9]/);
+});
+
+test('back ends are counted by service and the state that they are believed to be in', (t) => {
+  const ejected = new KnownBackend(backendOf('a'));
+  while (!ejected.health.learn('failed', 10)) {
+    // Fails until it is ejected.
+  }
+  const gone = new KnownBackend(backendOf('b'));
+  gone.unlistedAtMs = 5;
+  const draining = new KnownBackend(backendOf('c', { state: 'draining' }));
+  const ready = [new KnownBackend(backendOf('d')), new KnownBackend(backendOf('e'))];
+  const counts = countBackends([ejected, gone, draining, ...ready], 20);
+  t.deepEqual(
+    counts.map(({ state, count }) => [state, count]),
+    [
+      ['ejected', 1],
+      ['gone', 1],
+      ['draining', 1],
+      ['ready', 2],
+    ],
+  );
+});
--- a/test/store-follower.test.ts
+++ b/test/store-follower.test.ts
@@ -54,6 +54,7 @@
     onListingAfterOutage: () => void listings.push('after an outage'),
     onChanges: () => undefined,
     onReachable: (isReachable: boolean) => void reachable.push(isReachable),
+    onCall: () => undefined,
   };
   void new StoreFollower(store, handlers, clock, new SeededRandom(1)).run();
   clock.notePromise();
@@ -97,6 +98,7 @@
     onListingAfterOutage: () => undefined,
     onChanges: () => void seenAtMs.push(clock.now()),
     onReachable: () => undefined,
+    onCall: () => undefined,
   };
   void new StoreFollower(store, handlers, clock, new SeededRandom(1)).run();
   for (let turn = 1; turn <= 10; turn += 1) {
