A gateway works with the engines of its zone and a few of each other one; the directory of back ends split from the dispatcher

Change: rendezvous subset (own zone up to 32, two of each other zone, all where there are 16 or fewer); beats go every ceil(gateways / 8) ticks. The small deployments are as before. Back ends are indexed by service. Test: engine-subset.

--- /dev/null
+++ b/src/gateway/backend-directory.ts
@@ -0,0 +1,149 @@
+/** The back ends that a gateway knows, by service, and which of the engines it works with. */
+import type { Backend } from '../routing/backend.js';
+import { chooseEngines, DEFAULT_ENGINE_SUBSET_OPTIONS } from './engine-subset.js';
+import type { EngineSubsetOptions, SubsetOwner } from './engine-subset.js';
+import { KnownBackend } from './known-backend.js';
+
+/** What a directory needs from its surroundings. */
+export interface BackendDirectoryPorts {
+  /** Whether a service's back ends are engines, which serve in batches. */
+  isEngine(service: string): boolean;
+}
+
+/** Bounds of a directory. */
+export interface BackendDirectoryOptions {
+  /** How long a back end that left the list is remembered, in milliseconds. Default 30,000. */
+  readonly rememberMs: number;
+  readonly subset: EngineSubsetOptions;
+}
+
+/** Defaults of a directory. */
+export const DEFAULT_BACKEND_DIRECTORY_OPTIONS: BackendDirectoryOptions = {
+  rememberMs: 30_000,
+  subset: DEFAULT_ENGINE_SUBSET_OPTIONS,
+};
+
+const NOTHING: ReadonlySet<string> = new Set();
+
+/** The back ends that a gateway knows. */
+export class BackendDirectory {
+  private readonly backends = new Map<string, KnownBackend>();
+  private byService = new Map<string, KnownBackend[]>();
+
+  constructor(
+    private readonly owner: SubsetOwner,
+    private readonly ports: BackendDirectoryPorts,
+    private readonly options: BackendDirectoryOptions = DEFAULT_BACKEND_DIRECTORY_OPTIONS,
+  ) {}
+
+  /** Every back end that is known. */
+  list(): KnownBackend[] {
+    return [...this.backends.values()];
+  }
+
+  /** Those of one service. */
+  ofService(service: string): readonly KnownBackend[] {
+    return this.byService.get(service) ?? [];
+  }
+
+  /** One back end. */
+  find(backendId: string): KnownBackend | undefined {
+    return this.backends.get(backendId);
+  }
+
+  /** Back ends of a service that are listed as taking requests, those in `excluded` left out. */
+  countReady(service: string, excluded: ReadonlySet<string> = NOTHING): number {
+    return this.ofService(service).filter(
+      ({ backend, isReady }) => isReady && !excluded.has(backend.id),
+    ).length;
+  }
+
+  /** Shortest expected time to the first event among the ready back ends, in milliseconds. */
+  expectedFirstMs(service: string, promptTokens: number): number {
+    const expected = this.ofService(service)
+      .filter(({ isReady, speed }) => isReady && speed.isKnown)
+      .map(({ speed }) => speed.expectedFirstMs(promptTokens));
+    return expected.length === 0 ? 0 : Math.min(...expected);
+  }
+
+  /** Takes in a back end's newest announcement; undefined when it left the list. */
+  update(backendId: string, backend: Backend | undefined, nowMs: number): void {
+    const known = this.backends.get(backendId);
+    if (backend === undefined) {
+      if (known !== undefined) {
+        known.unlistedAtMs ??= nowMs;
+      }
+      this.forgetOld(nowMs);
+    } else if (known === undefined) {
+      this.backends.set(backendId, new KnownBackend(backend));
+    } else {
+      known.backend = backend;
+      known.unlistedAtMs = undefined;
+    }
+    if (backend !== undefined) {
+      this.markReplaced(backend.address);
+    }
+    this.index();
+    const service = backend?.service ?? known?.backend.service;
+    if (service !== undefined) {
+      this.assign(service);
+    }
+  }
+
+  /** Another incarnation answered at the address of this one, which therefore has ended. */
+  noteMisdirected(backendId: string): void {
+    const known = this.backends.get(backendId);
+    if (known !== undefined) {
+      known.hasEnded = true;
+      this.markReplaced(known.backend.address);
+      this.assign(known.backend.service);
+    }
+  }
+
+  /** Chooses anew which engines of a service this gateway works with. */
+  assign(service: string): void {
+    if (!this.ports.isEngine(service)) {
+      return;
+    }
+    const ready = this.ofService(service).filter(({ isReady }) => isReady);
+    const chosen = chooseEngines(
+      ready.map(({ backend }) => backend),
+      this.owner,
+      this.options.subset,
+    );
+    for (const known of ready) {
+      known.isAssigned = chosen.has(known.backend.id);
+    }
+  }
+
+  /** Of several incarnations announced at one address only the latest can be there. */
+  private markReplaced(address: string): void {
+    const there = this.list().filter((known) => known.backend.address === address);
+    const latest = Math.max(
+      ...there.filter((known) => !known.hasEnded).map((known) => known.backend.revision),
+    );
+    for (const known of there) {
+      known.isReplaced = known.hasEnded || known.backend.revision < latest;
+    }
+  }
+
+  private index(): void {
+    this.byService = new Map();
+    for (const known of this.backends.values()) {
+      const { service } = known.backend;
+      const ofService = this.byService.get(service) ?? [];
+      ofService.push(known);
+      this.byService.set(service, ofService);
+    }
+  }
+
+  private forgetOld(nowMs: number): void {
+    for (const [id, known] of this.backends) {
+      const isOld =
+        known.unlistedAtMs !== undefined && nowMs - known.unlistedAtMs > this.options.rememberMs;
+      if (isOld && known.outstanding === 0) {
+        this.backends.delete(id);
+      }
+    }
+  }
+}
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -6,12 +6,13 @@
  * told what waits; an agent grants a slot the moment one is free, and the
  * gateway then binds whichever request comes first by that time.
  */
+import type { BackendDirectory } from './backend-directory.js';
 import type { Backend } from '../routing/backend.js';
 import type { SlotAnswer, SlotMessage, WaitingRank } from '../slot-agent/slot-messages.js';
 import type { AttemptOutcome } from './backend-health.js';
 import { costOf, harmsOthers, usualSpeed } from './backend-choice.js';
 import type { DispatchRequest } from './dispatch-request.js';
-import { KnownBackend } from './known-backend.js';
+import type { KnownBackend } from './known-backend.js';
 
 /** Options of a dispatcher. */
 export interface DispatcherOptions {
@@ -21,8 +22,6 @@
   readonly shareWithoutAgent: number;
   /** How long a back end that left the list is used where no other is left, in milliseconds. Default 1,500. */
   readonly unlistedGraceMs: number;
-  /** How long a back end that left the list is remembered, in milliseconds. Default 30,000. */
-  readonly rememberMs: number;
 }
 
 /** Defaults of a dispatcher. */
@@ -30,7 +29,6 @@
   demandLength: 8,
   shareWithoutAgent: 0.5,
   unlistedGraceMs: 1_500,
-  rememberMs: 30_000,
 };
 
 /** Learned time between two bindings. */
@@ -53,47 +51,18 @@
   tokensPerEvent(service: string): number;
 }
 
-const NONE: ReadonlySet<string> = new Set();
-
 /** Binds waiting requests to back ends. */
 export class Dispatcher {
-  private readonly backends = new Map<string, KnownBackend>();
   private readonly waiting = new Map<string, DispatchRequest[]>();
   /** Time between two bindings of requests that had waited, by service. */
   private readonly bindIntervals = new Map<string, BindInterval>();
 
   constructor(
+    private readonly directory: BackendDirectory,
     private readonly ports: DispatcherPorts,
     private readonly options: DispatcherOptions = DEFAULT_DISPATCHER_OPTIONS,
   ) {}
 
-  /** Every back end that is known. */
-  list(): KnownBackend[] {
-    return [...this.backends.values()];
-  }
-
-  /** One back end. */
-  find(backendId: string): KnownBackend | undefined {
-    return this.backends.get(backendId);
-  }
-
-  /** Back ends of a service that are listed as taking requests, those in `excluded` left out. */
-  countReady(service: string, excluded: ReadonlySet<string> = NONE): number {
-    return this.list().filter(
-      ({ backend, isReady }) => backend.service === service && isReady && !excluded.has(backend.id),
-    ).length;
-  }
-
-  /** Shortest expected time to the first event among the ready back ends, in milliseconds. */
-  expectedFirstMs(service: string, promptTokens: number): number {
-    const expected = this.list()
-      .filter(
-        ({ backend, isReady, speed }) => backend.service === service && isReady && speed.isKnown,
-      )
-      .map(({ speed }) => speed.expectedFirstMs(promptTokens));
-    return expected.length === 0 ? 0 : Math.min(...expected);
-  }
-
   /** Expected time until a waiting request is bound, in milliseconds. */
   expectedWaitMs(request: DispatchRequest): number {
     const ahead = this.waiting.get(request.service)?.indexOf(request) ?? 0;
@@ -112,30 +81,9 @@
 
   /** Takes in a back end's newest announcement; undefined when it left the list. */
   updateBackend(backendId: string, backend: Backend | undefined, nowMs: number): void {
-    const known = this.backends.get(backendId);
-    if (backend === undefined) {
-      if (known !== undefined) {
-        known.unlistedAtMs ??= nowMs;
-      }
-      this.forgetOld(nowMs);
-      return;
-    }
-    if (known === undefined) {
-      this.backends.set(backendId, new KnownBackend(backend));
-    } else {
-      known.backend = backend;
-      known.unlistedAtMs = undefined;
-    }
-    this.markReplaced(backend.address);
-    this.serve(backend.service, nowMs);
-  }
-
-  /** Another incarnation answered at the address of this one, which therefore has ended. */
-  noteMisdirected(backendId: string): void {
-    const known = this.backends.get(backendId);
-    if (known !== undefined) {
-      known.hasEnded = true;
-      this.markReplaced(known.backend.address);
+    this.directory.update(backendId, backend, nowMs);
+    if (backend !== undefined) {
+      this.serve(backend.service, nowMs);
     }
   }
 
@@ -154,7 +102,7 @@
 
   /** An attempt ended. */
   finish(backendId: string, outcome: AttemptOutcome, nowMs: number): void {
-    const known = this.backends.get(backendId);
+    const known = this.directory.find(backendId);
     if (known === undefined) {
       return;
     }
@@ -171,7 +119,7 @@
 
   /** The first event came, or never will: the prompt no longer stands before others. */
   notePromptRead(backendId: string, promptTokens: number): void {
-    const known = this.backends.get(backendId);
+    const known = this.directory.find(backendId);
     if (known !== undefined) {
       known.pendingPromptTokens = Math.max(0, known.pendingPromptTokens - promptTokens);
     }
@@ -179,12 +127,12 @@
 
   /** Learns a back end's speed from a whole answer. */
   learnSpeed(backendId: string, units: number, elapsedMs: number): void {
-    this.backends.get(backendId)?.learnSpeed(units, elapsedMs);
+    this.directory.find(backendId)?.learnSpeed(units, elapsedMs);
   }
 
   /** Learns how fast a back end reads prompts. */
   learnFirst(backendId: string, promptTokens: number, firstMs: number): void {
-    const known = this.backends.get(backendId);
+    const known = this.directory.find(backendId);
     if (known === undefined) {
       return;
     }
@@ -197,12 +145,12 @@
 
   /** Learns how far apart the events of a back end are. */
   learnPause(backendId: string, pauseMs: number): void {
-    this.backends.get(backendId)?.speed.learnPause(pauseMs);
+    this.directory.find(backendId)?.speed.learnPause(pauseMs);
   }
 
   /** A connection to the agent of a back end stands. */
   connectAgent(backendId: string, nowMs: number): void {
-    const known = this.backends.get(backendId);
+    const known = this.directory.find(backendId);
     if (known === undefined) {
       return;
     }
@@ -218,7 +166,7 @@
 
   /** The connection to the agent of a back end is gone. */
   disconnectAgent(backendId: string, nowMs: number): void {
-    const known = this.backends.get(backendId);
+    const known = this.directory.find(backendId);
     if (known !== undefined) {
       known.agent = undefined;
       this.serve(known.backend.service, nowMs);
@@ -227,7 +175,7 @@
 
   /** Takes a message of the agent of a back end. */
   receiveFromAgent(backendId: string, message: SlotAnswer, nowMs: number): void {
-    const known = this.backends.get(backendId);
+    const known = this.directory.find(backendId);
     if (known?.agent === undefined) {
       return;
     }
@@ -250,17 +198,6 @@
     }
   }
 
-  /** Of several incarnations announced at one address only the latest can be there. */
-  private markReplaced(address: string): void {
-    const there = this.list().filter((known) => known.backend.address === address);
-    const latest = Math.max(
-      ...there.filter((known) => !known.hasEnded).map((known) => known.backend.revision),
-    );
-    for (const known of there) {
-      known.isReplaced = known.hasEnded || known.backend.revision < latest;
-    }
-  }
-
   private useGrant(backendId: string, known: KnownBackend, nowMs: number): void {
     const queue = this.waiting.get(known.backend.service) ?? [];
     const isUsable = known.isReady && !known.health.isEjected(nowMs);
@@ -339,7 +276,7 @@
   }
 
   private hasAnyRoom(service: string): boolean {
-    return this.list().some((known) => known.backend.service === service && this.hasRoom(known));
+    return this.directory.ofService(service).some((known) => this.hasRoom(known));
   }
 
   private noteBindInterval(service: string, nowMs: number): void {
@@ -353,17 +290,23 @@
     known.lastAtMs = nowMs;
   }
 
-  /** Back ends that the request may be bound to: healthy ones if there are any. */
+  /**
+   * Back ends that the request may be bound to: healthy ones of those that this
+   * gateway works with if there are any, then other healthy ones.
+   */
   private candidates(request: DispatchRequest, nowMs: number): KnownBackend[] {
-    const ofService = this.list().filter(
-      (known) =>
-        known.backend.service === request.service && !request.excluded.has(known.backend.id),
-    );
-    const ready = ofService.filter((known) => known.isReady);
+    const permitted = this.directory
+      .ofService(request.service)
+      .filter((known) => !request.excluded.has(known.backend.id));
+    const ready = permitted.filter((known) => known.isReady);
     if (ready.length === 0) {
-      return ofService.filter((known) => this.isUnlistedLately(known, nowMs));
+      return permitted.filter((known) => this.isUnlistedLately(known, nowMs));
     }
     const healthy = ready.filter((known) => !known.health.isEjected(nowMs));
+    const assigned = healthy.filter((known) => known.isAssigned);
+    if (assigned.length > 0) {
+      return assigned;
+    }
     return healthy.length > 0 ? healthy : ready;
   }
 
@@ -411,9 +354,9 @@
 
   private tellDemand(service: string, nowMs: number): void {
     const queue = this.waiting.get(service) ?? [];
-    for (const [backendId, known] of this.backends) {
+    for (const known of this.directory.ofService(service)) {
       const { agent } = known;
-      if (known.backend.service !== service || agent === undefined || !known.isReady) {
+      if (agent === undefined || !known.isReady) {
         continue;
       }
       const first = this.findDemand(queue, known);
@@ -426,7 +369,11 @@
         tier,
         waitedMs: nowMs - arrivedAtMs,
       }));
-      this.sendToAgent(backendId, known, { kind: 'demand', ranks, grantsSeen: agent.grantsSeen });
+      this.sendToAgent(known.backend.id, known, {
+        kind: 'demand',
+        ranks,
+        grantsSeen: agent.grantsSeen,
+      });
     }
   }
 
@@ -451,16 +398,6 @@
       this.ports.sendToAgent(backendId, message);
     }
   }
-
-  private forgetOld(nowMs: number): void {
-    for (const [id, known] of this.backends) {
-      const isOld =
-        known.unlistedAtMs !== undefined && nowMs - known.unlistedAtMs > this.options.rememberMs;
-      if (isOld && known.outstanding === 0) {
-        this.backends.delete(id);
-      }
-    }
-  }
 }
 
 /** Order of waiting requests: tier, then rank inside it, those in time before late ones, then age. */
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -18,6 +18,7 @@
 import { CallerListener } from './caller-listener.js';
 import type { PendingBody, ReceivedHead } from './caller-listener.js';
 import type { CallerRequestHead } from './caller-protocol.js';
+import { BackendDirectory } from './backend-directory.js';
 import { Dispatcher } from './dispatcher.js';
 import type { GatewayAdapter } from './gateway-adapter.js';
 import { countBackends } from './gateway-snapshot.js';
@@ -49,9 +50,8 @@
 const MS_PER_S = 1_000;
 const TICK_MS = 100;
 const IDLE_BEAT_TICKS = 5;
-/** Gateways from which on beats are sent every other tick: each goes to all of them. */
-const LARGE_MESH = 8;
-const LARGE_MESH_BEAT_TICKS = 2;
+/** Gateways that beats may go to in each tick; where there are more, beats are rarer. */
+const PEERS_PER_BEAT_TICK = 8;
 /** Pause between two words to agents on how far the replica reaches, in ticks. */
 const AGENT_REVISION_TICKS = 3;
 const DROPPED_REPORT_TICKS = 50;
@@ -71,6 +71,7 @@
 export class GatewayRole {
   private readonly records = new ReplicatedRecords();
   private readonly exchange: RecordExchange;
+  private readonly directory: BackendDirectory;
   private readonly dispatcher: Dispatcher;
   private readonly sender = new HttpBackendSender();
   private readonly listener: CallerListener;
@@ -92,7 +93,7 @@
   private hasEnded = false;
   private ticks = 0;
   private loopDelayMs = 0;
-  private ticksSinceBeat = 0;
+  private lastBeatTick = 0;
   private beatRevision = 0;
   private onStopped: (() => void) | undefined;
 
@@ -109,7 +110,8 @@
       },
       clock,
     );
-    this.dispatcher = new Dispatcher({
+    this.directory = new BackendDirectory(settings.process, { isEngine });
+    this.dispatcher = new Dispatcher(this.directory, {
       sendToAgent: (backendId, message) => this.links.send(backendId, message),
       onEjected: (backendId) => parts.log.write('backend-ejected', 'state', { backend: backendId }),
       isEngine,
@@ -124,6 +126,7 @@
     };
     this.links = new SlotAgentLinks(
       incarnation,
+      this.directory,
       () => this.dispatcher,
       this.records,
       this.exchange,
@@ -190,6 +193,7 @@
     this.requestPorts = {
       clock,
       random,
+      directory: this.directory,
       dispatcher: this.dispatcher,
       sender: this.sender,
       protocol: adapter.protocol,
@@ -294,8 +298,7 @@
     this.ticks += 1;
     this.dispatcher.tick(this.parts.clock.now());
     this.links.maintain();
-    const pauseTicks = this.mesh.size > LARGE_MESH ? LARGE_MESH_BEAT_TICKS : 1;
-    if (this.ticks % pauseTicks === 0) {
+    if (this.ticks % Math.ceil(this.mesh.size / PEERS_PER_BEAT_TICK) === 0) {
       this.beat();
     }
     if (this.ticks % AGENT_REVISION_TICKS === 0) {
@@ -311,10 +314,9 @@
   private beat(): void {
     const news = this.quotas.takeNews();
     const revision = this.records.completeTo;
-    this.ticksSinceBeat += 1;
     const hasNews = news.size > 0 || revision !== this.beatRevision;
-    if (hasNews || this.ticksSinceBeat >= IDLE_BEAT_TICKS) {
-      this.ticksSinceBeat = 0;
+    if (hasNews || this.ticks - this.lastBeatTick >= IDLE_BEAT_TICKS) {
+      this.lastBeatTick = this.ticks;
       this.beatRevision = revision;
       this.mesh.broadcast({ kind: 'beat', used: Object.fromEntries(news), revision });
     }
@@ -388,6 +390,10 @@
     this.configuredAtMs = this.parts.clock.now();
     this.listener.applyLimits(configuration.limits);
     const { version } = configuration;
+    for (const { name } of configuration.services) {
+      // Which services are engines is known only from now on.
+      this.directory.assign(name);
+    }
     this.parts.metrics.record(({ configurationVersion }) => configurationVersion.set(version));
     this.parts.log.write('configuration-installed', 'state', {
       version: configuration.version,
@@ -470,7 +476,7 @@
     return {
       storeAgeMs: this.storeAgeMs(),
       configurationAgeMs: configuredAtMs === undefined ? undefined : nowMs - configuredAtMs,
-      backends: countBackends(this.dispatcher.list(), nowMs),
+      backends: countBackends(this.directory.list(), nowMs),
       repeatsLeft: this.budget.repeatsLeft(this.mesh.size, nowMs),
       quotaUse: this.quotas.use(),
       waiting: this.dispatcher.waitingByService(),
--- a/src/gateway/known-backend.ts
+++ b/src/gateway/known-backend.ts
@@ -28,6 +28,8 @@
   pendingPromptTokens = 0;
   /** Requests of this gateway that are there now. */
   outstanding = 0;
+  /** Whether this gateway works with it; others are used only when none of its own is left. */
+  isAssigned = true;
   /** Undefined while no agent is connected. */
   agent: SlotAgentLink | undefined;
   /** When it left the list; undefined while it is listed. */
--- a/src/gateway/proxied-request.ts
+++ b/src/gateway/proxied-request.ts
@@ -136,7 +136,7 @@
     if (request.isReturning) {
       return Math.min(endsAtMs - nowMs, route.targetLatencyMs * options.lateWaitShare - waitedMs);
     }
-    const firstMs = ports.dispatcher.expectedFirstMs(service, promptTokens);
+    const firstMs = ports.directory.expectedFirstMs(service, promptTokens);
     return Math.min(endsAtMs - nowMs, route.targetLatencyMs - firstMs - waitedMs);
   }
 
@@ -144,7 +144,7 @@
     if (this.phase !== 'waiting') {
       return;
     }
-    const hasBackends = this.ports.dispatcher.countReady(this.request.service) > 0;
+    const hasBackends = this.ports.directory.countReady(this.request.service) > 0;
     this.answerFailure(hasBackends ? 'overloaded' : 'no-backend');
   }
 
@@ -157,7 +157,7 @@
     this.tries.push({
       backend: backend.id,
       afterMs: nowMs - request.arrivedAtMs,
-      occupied: ports.dispatcher.find(backend.id)?.occupied ?? 0,
+      occupied: ports.directory.find(backend.id)?.occupied ?? 0,
       slots: backend.slots,
       outcome: 'under-way',
       detail: '',
@@ -238,7 +238,7 @@
     this.dropAttempt(isMisdirected ? 'failed' : 'refused', detail);
     if (isMisdirected) {
       this.attempts -= 1;
-      this.ports.dispatcher.noteMisdirected(backendId);
+      this.ports.directory.noteMisdirected(backendId);
     }
     const canRepeat = this.attempts < this.request.route.maxAttempts && this.hasTime();
     if (canRepeat && this.ports.takeRepeat(this.request.service)) {
@@ -392,7 +392,7 @@
   private canRepeatElsewhere(): boolean {
     const { route, service } = this.request;
     const others = new Set([...this.excluded, this.backend!.id]);
-    const hasOther = this.ports.dispatcher.countReady(service, others) > 0;
+    const hasOther = this.ports.directory.countReady(service, others) > 0;
     return hasOther && this.mayRepeat() && this.attempts < route.maxAttempts && this.hasTime();
   }
 
--- a/src/gateway/request-model.ts
+++ b/src/gateway/request-model.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '../clock.js';
 import type { RandomSource } from '../random.js';
 import type { Route } from '../routing/configuration.js';
+import type { BackendDirectory } from './backend-directory.js';
 import type { BackendSender } from './attempt.js';
 import type { AttemptOutcome } from './backend-health.js';
 import type { CallerProtocol, RawHeaders } from './caller-protocol.js';
@@ -62,6 +63,7 @@
 /** What a request needs from its surroundings. */
 export interface RequestPorts {
   readonly clock: Clock;
+  readonly directory: BackendDirectory;
   readonly dispatcher: Dispatcher;
   readonly sender: BackendSender;
   readonly protocol: CallerProtocol;
--- a/src/gateway/slot-agent-links.ts
+++ b/src/gateway/slot-agent-links.ts
@@ -5,8 +5,10 @@
 import type { Clock } from '../clock.js';
 import { MessageChannel } from '../protocol/message-channel.js';
 import type { AgentToGateway, GatewayToAgent } from '../slot-agent/slot-messages.js';
+import type { BackendDirectory } from './backend-directory.js';
 import type { Dispatcher } from './dispatcher.js';
 import { splitAddress } from './http-backend-sender.js';
+import type { KnownBackend } from './known-backend.js';
 
 /** Times of the connections, in milliseconds. */
 export interface SlotAgentLinkOptions {
@@ -38,6 +40,7 @@
 
   constructor(
     private readonly gatewayName: string,
+    private readonly directory: BackendDirectory,
     private readonly dispatcher: () => Dispatcher,
     private readonly records: ReplicatedRecords,
     private readonly exchange: RecordExchange,
@@ -70,8 +73,9 @@
   maintain(): void {
     const nowMs = this.clock.now();
     const wanted = new Set<string>();
-    for (const { backend, isCurrent } of this.dispatcher().list()) {
-      if (isCurrent && this.isEngine(backend.service)) {
+    for (const known of this.directory.list()) {
+      const { backend } = known;
+      if (isWorkedWith(known) && this.isEngine(backend.service)) {
         wanted.add(backend.id);
         this.keep(backend.id, splitAddress(backend.address).host, nowMs);
       }
@@ -132,7 +136,7 @@
   }
 
   private greet(link: Link, channel: MessageChannel<GatewayToAgent, AgentToGateway>): void {
-    const known = this.dispatcher().find(link.backendId);
+    const known = this.directory.find(link.backendId);
     if (known === undefined || link.channel !== channel) {
       channel.close();
       return;
@@ -163,3 +167,8 @@
     this.dispatcher().disconnectAgent(link.backendId, nowMs);
   }
 }
+
+/** Requests that still run at an engine are accounted for also after it is no longer assigned. */
+function isWorkedWith(known: KnownBackend): boolean {
+  return known.isCurrent && (known.isAssigned || known.outstanding > 0);
+}
--- /dev/null
+++ b/test/engine-subset.test.ts
@@ -0,0 +1,75 @@
+import test from 'ava';
+import { chooseEngines } from '../src/gateway/engine-subset.js';
+import type { SubsetEngine } from '../src/gateway/engine-subset.js';
+import { GatewayWorld, backendOf } from './support/gateway.js';
+
+function enginesOf(zones: number, perZone: number): SubsetEngine[] {
+  return Array.from({ length: zones * perZone }, (_unused, index) => ({
+    id: `e${index}`,
+    zone: `z${index % zones}`,
+  }));
+}
+
+const OWNER = { name: 'g1', zone: 'z0' };
+
+test('a small deployment is worked with whole', (t) => {
+  t.is(chooseEngines(enginesOf(3, 5), OWNER).size, 15);
+});
+
+test('a gateway works with the engines of its zone and two of each other one', (t) => {
+  const engines = enginesOf(4, 20);
+  const chosen = engines.filter(({ id }) => chooseEngines(engines, OWNER).has(id));
+  t.is(chosen.filter(({ zone }) => zone === 'z0').length, 20);
+  t.is(chosen.length, 20 + 3 * 2);
+});
+
+test('a large zone is worked with in part, and each engine by about as many gateways', (t) => {
+  const engines = enginesOf(1, 196);
+  const counts = new Map<string, number>();
+  for (let index = 0; index < 37; index += 1) {
+    const chosen = chooseEngines(engines, { name: `g${index}`, zone: 'z0' });
+    t.is(chosen.size, 32);
+    for (const id of chosen) {
+      counts.set(id, (counts.get(id) ?? 0) + 1);
+    }
+  }
+  t.true(counts.size >= 190);
+  t.true(Math.max(...counts.values()) <= 16);
+});
+
+test('a gateway whose zone has no engine works with enough of the others', (t) => {
+  t.is(chooseEngines(enginesOf(4, 20), { name: 'g', zone: 'elsewhere' }).size, 16);
+});
+
+test('an engine that leaves changes one choice', (t) => {
+  const engines = enginesOf(1, 100);
+  const before = chooseEngines(engines, OWNER);
+  const [left] = before;
+  const after = chooseEngines(
+    engines.filter(({ id }) => id !== left),
+    OWNER,
+  );
+  t.is([...after].filter((id) => !before.has(id)).length, 1);
+});
+
+test('requests keep to the engines that the gateway works with, until none of these is left', (t) => {
+  const backends = Array.from({ length: 40 }, (_unused, index) =>
+    backendOf(`b${index}`, { zone: index < 20 ? 'z' : 'far', slots: 1 }),
+  );
+  const world = new GatewayWorld();
+  world.engines = true;
+  backends.forEach((backend) => world.directory.update(backend.id, backend, 0));
+  const assigned = new Set(
+    world.directory.list().flatMap(({ backend, isAssigned }) => (isAssigned ? [backend.id] : [])),
+  );
+  t.is(assigned.size, 22);
+  for (let count = 0; count < 22; count += 1) {
+    world.request();
+  }
+  t.true(world.attempts.every(({ backend }) => assigned.has(backend.id)));
+  for (const id of assigned) {
+    world.directory.update(id, undefined, 0);
+  }
+  world.request();
+  t.false(assigned.has(world.attempts.at(-1)!.backend.id));
+});
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -6,6 +6,7 @@
   OutgoingAttempt,
 } from '../../src/gateway/attempt.js';
 import type { CallerProtocol } from '../../src/gateway/caller-protocol.js';
+import { BackendDirectory } from '../../src/gateway/backend-directory.js';
 import { Dispatcher } from '../../src/gateway/dispatcher.js';
 import type { DispatcherPorts } from '../../src/gateway/dispatcher.js';
 import { ProxiedRequest } from '../../src/gateway/proxied-request.js';
@@ -118,7 +119,8 @@
   readonly attempts: SeenAttempt[] = [];
   readonly toAgents: Array<[string, SlotMessage]> = [];
   readonly ends: RequestEnd[] = [];
-  readonly dispatcher = new Dispatcher(this);
+  readonly directory = new BackendDirectory({ name: 'g', zone: 'z' }, this);
+  readonly dispatcher = new Dispatcher(this.directory, this);
   repeatsLeft = 10;
   engines = false;
 
@@ -179,6 +181,7 @@
     const ports = {
       clock: this.clock,
       random: new SeededRandom(1),
+      directory: this.directory,
       dispatcher: this.dispatcher,
       sender: this,
       protocol: PLAIN_PROTOCOL,
