Gather changes of the store for longer where many gateways tell each other

What one of them saw reaches the others by revisions within a second. Change: the pause after a watch that saw changes grows with the gateways (150 ms up to 4 of them, 1.2 s at most, spread at random). Deployments of four gateways ask as before. Test: store-follower.

--- a/src/cluster/store-follower.ts
+++ b/src/cluster/store-follower.ts
@@ -53,6 +53,8 @@
   onChanges(read: StoreRead, since: number): void;
   /** The store answers again, or no longer. */
   onReachable(isReachable: boolean, reason: string): void;
+  /** How many processes follow the store and tell each other, this one included. */
+  countFollowers(): number;
   /** A call of the store ended. */
   onCall(call: StoreCall, result: StoreCallResult): void;
 }
@@ -61,8 +63,15 @@
 export interface StoreFollowerOptions {
   /** Longest wait of one watch. Default 5,000. */
   readonly watchMs: number;
-  /** Pause after a watch that saw changes, in which further ones gather. Default 150. */
+  /** Pause after a watch that saw changes, in which further ones gather, for a few followers. Default 150. */
   readonly gatherMs: number;
+  /**
+   * Followers from which on the pause grows with their number: what one of them saw reaches
+   * the others by revisions, so that each need not ask for each change. Default 4.
+   */
+  readonly gatherFollowers: number;
+  /** Longest pause. Default 1,200. */
+  readonly gatherMaxMs: number;
   /** First and longest pause after a failed call. Defaults 50 and 800. */
   readonly retryMinMs: number;
   readonly retryMaxMs: number;
@@ -79,6 +88,8 @@
 export const DEFAULT_STORE_FOLLOWER_OPTIONS: StoreFollowerOptions = {
   watchMs: 5_000,
   gatherMs: 150,
+  gatherFollowers: 4,
+  gatherMaxMs: 1_200,
   retryMinMs: 50,
   retryMaxMs: 800,
   outageMs: 500,
@@ -86,6 +97,7 @@
 };
 
 const RETRY_SPREAD = 0.3;
+const GATHER_SPREAD = 0.6;
 
 /** Follows the store until it is stopped. */
 export class StoreFollower {
@@ -166,7 +178,7 @@
       this.succeed();
       this.handlers.onChanges(read.val, revision);
       if (read.val.records.length > 0) {
-        await sleep(this.clock, this.options.gatherMs);
+        await sleep(this.clock, this.gatherPauseMs());
       }
       return read.val.revision;
     }
@@ -178,6 +190,14 @@
     return undefined;
   }
 
+  /** Spread at random, so that of many followers some ask at any moment. */
+  private gatherPauseMs(): number {
+    const { gatherMs, gatherFollowers, gatherMaxMs } = this.options;
+    const groups = Math.max(1, this.handlers.countFollowers() / gatherFollowers);
+    const pauseMs = Math.min(gatherMaxMs, gatherMs * groups);
+    return groups === 1 ? pauseMs : withJitter(this.random, pauseMs, GATHER_SPREAD);
+  }
+
   private succeed(): void {
     this.retryMs = this.options.retryMinMs;
     this.lastAnsweredAtMs = this.clock.now();
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -184,6 +184,7 @@
         onChanges: ({ records, revision }, since) =>
           this.takeRecords(this.records.applyChanges(records, since, revision)),
         onReachable: (isReachable, reason) => this.noteStore(isReachable, reason),
+        countFollowers: () => this.mesh.size,
         onCall: (call, result) =>
           parts.metrics.record(({ storeCalls }) => storeCalls.inc({ call, result })),
       },
--- a/test/store-follower.test.ts
+++ b/test/store-follower.test.ts
@@ -54,6 +54,7 @@
     onListingAfterOutage: () => void listings.push('after an outage'),
     onChanges: () => undefined,
     onReachable: (isReachable: boolean) => void reachable.push(isReachable),
+    countFollowers: () => 1,
     onCall: () => undefined,
   };
   void new StoreFollower(store, handlers, clock, new SeededRandom(1)).run();
@@ -87,7 +88,10 @@
   t.deepEqual(calls, ['list', 'list', 'list', 'watch 4']);
 });
 
-test('changes that follow each other are gathered into one call', async (t) => {
+/** Times of the watches' answers while `followers` processes follow the store. */
+async function changesSeenAtMs(
+  followers: number,
+): Promise<{ calls: string[]; seenAtMs: number[] }> {
   const change = (revision: number) =>
     ok({ records: [{ key: 'k', revision, value: 'v' }], revision });
   const clock = new VirtualClock();
@@ -98,18 +102,32 @@
     onListingAfterOutage: () => undefined,
     onChanges: () => void seenAtMs.push(clock.now()),
     onReachable: () => undefined,
+    countFollowers: () => followers,
     onCall: () => undefined,
   };
   void new StoreFollower(store, handlers, clock, new SeededRandom(1)).run();
-  for (let turn = 1; turn <= 10; turn += 1) {
+  for (let turn = 1; turn <= 30; turn += 1) {
     clock.notePromise();
     await clock.runUntil(turn * 100);
   }
-  t.deepEqual(store.calls, ['list', 'watch 4', 'watch 5', 'watch 9']);
+  return { calls: store.calls, seenAtMs };
+}
+
+test('changes that follow each other are gathered into one call', async (t) => {
+  const { calls, seenAtMs } = await changesSeenAtMs(1);
+  t.deepEqual(calls, ['list', 'watch 4', 'watch 5', 'watch 9']);
   const pauseMs = seenAtMs[1]! - seenAtMs[0]!;
   t.true(pauseMs >= 150 && pauseMs <= 300);
 });
 
+test('of many followers each gathers for longer, up to a bound', async (t) => {
+  for (const followers of [31, 970]) {
+    const { seenAtMs } = await changesSeenAtMs(followers);
+    const pauseMs = seenAtMs[1]! - seenAtMs[0]!;
+    t.true(pauseMs >= 400 && pauseMs <= 2_000, `${pauseMs}`);
+  }
+});
+
 test('after an outage a listing does not remove what may have lapsed, until owners had time', async (t) => {
   const failures = Array.from({ length: 6 }, () => FAILED);
   const watches = Array.from({ length: 80 }, () => READ_AT_4);
