Rest connections to back ends for less where they are found forgotten

Change: a reset within 25 ms of a send on a connection that had rested for 150 ms or more lowers the limit of rest to 0.6 of that rest for all connections and ends those beyond it; it doubles every 10 s without one. A reset later than that is a failed run and says nothing of rests.

--- a/src/gateway/http-backend-sender.ts
+++ b/src/gateway/http-backend-sender.ts
@@ -10,6 +10,7 @@
   BackendSender,
   OutgoingAttempt,
 } from './attempt.js';
+import { DEFAULT_REST_LIMIT_OPTIONS, RestLimit } from './rest-limit.js';
 
 /** Limits of the connections to back ends. */
 export interface BackendSenderOptions {
@@ -30,19 +31,46 @@
 
 /** Share of the rest that a back end grants which is used, so that it does not close first. */
 const IDLE_SHARE = 0.6;
+/** Longest time from a send to the reset by which a forgotten connection shows, in milliseconds. */
+const FORGOTTEN_RESET_MS = 25;
+/** Shortest rest after which a reset says that connections are forgotten, in milliseconds. */
+const MIN_FORGOTTEN_REST_MS = 150;
 
 /**
  * Keeps resting connections, but none on which anything arrives while no
  * request is under way: such bytes belong to no request.
  */
 class GuardedAgent extends Agent {
-  constructor(private readonly limits: BackendSenderOptions) {
+  private readonly restLimit: RestLimit;
+  private readonly restingSinceMs = new WeakMap<Socket, number>();
+  /** How long a connection that is in use again had rested. */
+  private readonly lastRestMs = new WeakMap<Socket, number>();
+
+  constructor(limits: BackendSenderOptions) {
     super({
       keepAlive: true,
       maxFreeSockets: limits.maxIdlePerBackend,
       timeout: limits.idleMs,
       scheduling: 'lifo',
     });
+    this.restLimit = new RestLimit({ ...DEFAULT_REST_LIMIT_OPTIONS, maxMs: limits.idleMs });
+  }
+
+  /** A request on a connection that was used again got no answer but a reset. */
+  noteForgotten(socket: Socket): void {
+    const restedMs = this.lastRestMs.get(socket);
+    if (restedMs === undefined || restedMs < MIN_FORGOTTEN_REST_MS) {
+      return;
+    }
+    const nowMs = performance.now();
+    this.restLimit.noteForgotten(restedMs, nowMs);
+    const limitMs = this.restLimit.current(nowMs);
+    for (const resting of Object.values(this.freeSockets).flat()) {
+      const sinceMs = resting === undefined ? undefined : this.restingSinceMs.get(resting);
+      if (sinceMs !== undefined && nowMs - sinceMs > limitMs) {
+        resting!.destroy();
+      }
+    }
   }
 
   override keepSocketAlive(stream: Duplex): boolean {
@@ -54,13 +82,19 @@
     }
     const grantedMs =
       socket.timeout === undefined || socket.timeout === 0 ? Infinity : socket.timeout;
-    socket.setTimeout(Math.min(grantedMs * IDLE_SHARE, this.limits.idleMs));
+    const nowMs = performance.now();
+    socket.setTimeout(Math.min(grantedMs * IDLE_SHARE, this.restLimit.current(nowMs)));
     socket.on('data', destroySocket);
+    this.restingSinceMs.set(socket, nowMs);
     return true;
   }
 
   override reuseSocket(stream: Duplex, request: ClientRequest): void {
     stream.removeListener('data', destroySocket);
+    const sinceMs = this.restingSinceMs.get(stream as Socket);
+    if (sinceMs !== undefined) {
+      this.lastRestMs.set(stream as Socket, performance.now() - sinceMs);
+    }
     super.reuseSocket(stream, request);
   }
 }
@@ -91,6 +125,7 @@
 class HttpAttempt implements AttemptHandle {
   private readonly request: ClientRequest;
   private response: IncomingMessage | undefined;
+  private readonly startedAtMs = performance.now();
   private isConnected = false;
   private isOver = false;
   private connectTimer: NodeJS.Timeout | undefined;
@@ -98,7 +133,7 @@
   constructor(
     attempt: OutgoingAttempt,
     private readonly handlers: AttemptHandlers,
-    agent: Agent,
+    private readonly agent: GuardedAgent,
     connectTimeoutMs: number,
   ) {
     const { host, port } = splitAddress(attempt.backend.address);
@@ -201,12 +236,22 @@
     this.handlers.onEnd();
   }
 
+  /** A reset right after the send shows that the connection was gone before; later ones show a failed run. */
+  private noteIfForgotten(): void {
+    const { request, response, startedAtMs } = this;
+    const isAtOnce = performance.now() - startedAtMs <= FORGOTTEN_RESET_MS;
+    if (isAtOnce && request.reusedSocket && response === undefined && request.socket !== null) {
+      this.agent.noteForgotten(request.socket);
+    }
+  }
+
   private fail(detail: string): void {
     if (this.isOver) {
       return;
     }
     this.isOver = true;
     clearTimeout(this.connectTimer);
+    this.noteIfForgotten();
     this.request.destroy();
     const failure: AttemptFailure = { mayHaveRun: this.isConnected, detail };
     this.handlers.onFailure(failure);
--- a/test/backend-sender.test.ts
+++ b/test/backend-sender.test.ts
@@ -132,3 +132,28 @@
   sender.close();
   server.close();
 });
+
+test('connections that a back end forgets while they rest are rested for less', async (t) => {
+  const forgottenAfterMs = 60;
+  const lastUsedAtMs = new Map<Socket, number>();
+  let resets = 0;
+  const { server, address } = await startBackend((socket) => {
+    const usedAtMs = lastUsedAtMs.get(socket);
+    const nowMs = performance.now();
+    lastUsedAtMs.set(socket, nowMs);
+    if (usedAtMs !== undefined && nowMs - usedAtMs > forgottenAfterMs) {
+      resets += 1;
+      socket.resetAndDestroy();
+      return;
+    }
+    socket.write(`${FRAMED}a-01`);
+  });
+  const sender = new HttpBackendSender();
+  for (let round = 0; round < 4; round += 1) {
+    await sendTo(sender, address);
+    await new Promise((resolve) => setTimeout(resolve, 3 * forgottenAfterMs));
+  }
+  t.is(resets, 1);
+  sender.close();
+  server.close();
+});
