--- a/bench/soak/soak-faults.ts
+++ b/bench/soak/soak-faults.ts
@@ -7,6 +7,10 @@
 /** How long after a fault the processes it touched may still be behind, in milliseconds. */
 const AFTERMATH_MS = 3_500;
 const STOP_MS = 4_500;
+/** Time from the announcement of a leave to the next incarnation. */
+const DRAIN_MS = 4_000;
+/** Time after an outage until a back end announces itself again. */
+const REANNOUNCE_MS = 1_000;
 
 /** Does one fault; returns what it was. */
 type Fault = (fleet: SoakFleet, random: RandomSource) => string;
@@ -91,6 +95,22 @@
     fleet.replaceBackend(index);
     return `another back end at the address of ${index}`;
   },
+  function drainBackend(fleet, random) {
+    const index = randomInteger(random, 0, fleet.backends.length - 1);
+    fleet.drainBackend(index);
+    setTimeout(() => fleet.replaceBackend(index), DRAIN_MS);
+    return `back end ${index} leaves`;
+  },
+  function lapseInOutage(fleet, random) {
+    const index = randomInteger(random, 0, fleet.backends.length - 1);
+    const forMs = randomInteger(random, 600, 1_500);
+    disturb(fleet.gateways, forMs);
+    fleet.store.mood = 'refuses';
+    fleet.lapseBackend(index);
+    setTimeout(() => (fleet.store.mood = 'answers'), forMs);
+    setTimeout(() => fleet.announce(index, 'ready'), forMs + REANNOUNCE_MS);
+    return `back end ${index} lapses in an outage of the store of ${forMs} ms`;
+  },
   function changeConfiguration(fleet) {
     fleet.changeConfiguration();
     return 'change of the configuration';
--- a/bench/soak/soak-fleet.ts
+++ b/bench/soak/soak-fleet.ts
@@ -73,6 +73,8 @@
   readonly backendProxies: LoopbackProxy[] = [];
   readonly backends: SoakBackend[] = [];
   readonly folder = mkdtempSync(join(tmpdir(), 'weirvale-soak-'));
+  /** When back ends announced that they leave, by id. */
+  readonly drainedAtMs = new Map<string, number>();
   private version = 0;
 
   constructor(
@@ -150,6 +152,17 @@
     this.store.put(`servers/${id}`, { service: 'engines', address, slots: 6, state });
   }
 
+  /** A back end announces that it leaves; what was sent there later than the bound is a violation. */
+  drainBackend(index: number): void {
+    this.drainedAtMs.set(this.backends[index]!.id, performance.now());
+    this.announce(index, 'draining');
+  }
+
+  /** The announcement of a back end lapses though it lives. */
+  lapseBackend(index: number): void {
+    this.store.remove(`servers/${this.backends[index]!.id}`);
+  }
+
   /** Gives the back end at an address another incarnation. */
   replaceBackend(index: number): void {
     const backend = this.backends[index]!;
--- a/bench/soak/soak-run.ts
+++ b/bench/soak/soak-run.ts
@@ -47,6 +47,8 @@
 const CALM_MS = 1_500;
 const CALM_SHARE = 0.95;
 const LATE_MS = 700;
+/** Time after the announcement of a leave in which requests may still arrive, in milliseconds. */
+const DRAIN_BOUND_MS = 2_200;
 const PROMISE_STATUSES = new Set([408, 421, 429, 503]);
 
 /** Runs one soak. */
@@ -73,7 +75,13 @@
   await Promise.all(callers);
   fleet.stop();
   const calmFromMs = stopAtMs - CALM_MS;
-  const violations = [...late, ...findViolations(seen, runs, calmFromMs)];
+  const isCalmSince = (requestId: string, sinceMs: number) =>
+    fleet.gateways[gatewayOf(requestId, plan.sizes.gateways)]!.disturbedUntilMs < sinceMs;
+  const violations = [
+    ...late,
+    ...findViolations(seen, runs, calmFromMs),
+    ...findLateForLeaving(runs, fleet.drainedAtMs, isCalmSince),
+  ];
   const answered = seen.filter(({ status }) => status === 200).length;
   const { folder } = fleet;
   return { seed: plan.seed, requests: seen.length, answered, faults, violations, folder };
@@ -108,13 +116,7 @@
     const kind = kinds[(caller + number) % kinds.length]!;
     const one = await send(fleet, agent, `c${caller}-${number}`, kind, gateway);
     seen.push(one);
-    const heldMs = one.endedAtMs - one.sentAtMs;
-    const isTouched = fleet.gateways[gateway]!.disturbedUntilMs > one.sentAtMs;
-    if (heldMs > SOAK_TIMEOUT_MS + LATE_MS && !isTouched) {
-      late.push(
-        `${one.id} (${kind}) was held for ${Math.round(heldMs)} ms by an untouched gateway`,
-      );
-    }
+    late.push(...findHeld(one, fleet.gateways[gateway]!.disturbedUntilMs));
     await sleepMs(one.status === 0 ? 100 : 20);
   }
   agent.destroy();
@@ -162,6 +164,37 @@
   });
 }
 
+/** A request that a gateway, which no fault touched since it was sent, held beyond its time. */
+export function findHeld(one: SeenRequest, disturbedUntilMs: number): string[] {
+  const heldMs = one.endedAtMs - one.sentAtMs;
+  const isLate = heldMs > SOAK_TIMEOUT_MS + LATE_MS && disturbedUntilMs <= one.sentAtMs;
+  return isLate
+    ? [`${one.id} (${one.kind}) was held for ${Math.round(heldMs)} ms by an untouched gateway`]
+    : [];
+}
+
+/** The gateway that a caller presses, by the id of one of its requests. */
+function gatewayOf(requestId: string, gateways: number): number {
+  return Number(/^c(\d+)-/.exec(requestId)![1]) % gateways;
+}
+
+/** Requests that a back end was given later than the bound after it announced that it leaves. */
+export function findLateForLeaving(
+  runs: readonly BackendRun[],
+  drainedAtMs: ReadonlyMap<string, number>,
+  isCalmSince: (requestId: string, sinceMs: number) => boolean,
+): string[] {
+  return runs.flatMap(({ requestId, backendId, atMs }) => {
+    const drained = drainedAtMs.get(backendId);
+    const isLate = drained !== undefined && atMs > drained + DRAIN_BOUND_MS;
+    return isLate && isCalmSince(requestId, drained)
+      ? [
+          `${requestId} ran at ${backendId} ${Math.round(atMs - drained)} ms after it said it leaves`,
+        ]
+      : [];
+  });
+}
+
 /** The promises that were broken, from what callers and back ends saw. */
 export function findViolations(
   seen: readonly SeenRequest[],
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -1,6 +1,6 @@
 import { execFileSync } from 'node:child_process';
 import test from 'ava';
-import { findViolations, runSoak } from '../bench/soak/soak-run.js';
+import { findHeld, findLateForLeaving, findViolations, runSoak } from '../bench/soak/soak-run.js';
 import type { SeenRequest } from '../bench/soak/soak-run.js';
 
 const SEED = 7;
@@ -49,3 +49,20 @@
   t.regex(findViolations([{ ...CALM, status: 503 }], [], 50)[0]!, /only 0 of 1/);
   t.deepEqual(findViolations([CALM], [runOf('calm')], 50), []);
 });
+
+test('the check of leaving back ends sees what was sent too late, but not by a gateway that a fault touched', (t) => {
+  const run = (requestId: string, atMs: number) => ({ ...runOf(requestId), atMs });
+  const drained = new Map([['e', 1_000]]);
+  const isCalm = (requestId: string) => requestId !== 'touched';
+  const runs = [run('early', 3_000), run('late', 3_500), run('touched', 3_500)];
+  const violations = findLateForLeaving(runs, drained, isCalm);
+  t.is(violations.length, 1);
+  t.regex(violations[0]!, /^late ran at e 2500 ms/);
+});
+
+test('the check of held requests sees one that an untouched gateway held too long', (t) => {
+  const held: SeenRequest = { ...CALM, sentAtMs: 100, endedAtMs: 20_000 };
+  t.is(findHeld(held, 0).length, 1);
+  t.is(findHeld(held, 150).length, 0);
+  t.is(findHeld(CALM, 0).length, 0);
+});
