Agents tell their revision without a beat: only gateways have a share in the quotas

Ruled out: the pace of beats (every tick at four gateways, as before), subsets (all engines up to 16). Change: agents send their revision as a message of its own. Test: replica, an agent never sends a beat; seen failing before the change by the same measure (kinds heard).

--- a/src/cluster/peer-messages.ts
+++ b/src/cluster/peer-messages.ts
@@ -1,5 +1,5 @@
 /** What gateways say to each other. */
-import type { RecordsAnswer, RecordsFetch } from './record-exchange.js';
+import type { RecordsAnswer, RecordsFetch, RecordsRevision } from './record-exchange.js';
 
 /**
  * What a process is to the mesh: a gateway, or the holder of a replica of the
@@ -24,7 +24,7 @@
   readonly addresses: readonly string[];
 }
 
-/** Shows that the sender lives, what it let pass, and how far its replica of the store reaches. */
+/** A gateway shows that it lives, what it let pass, and how far its replica of the store reaches. */
 export interface PeerBeat {
   readonly kind: 'beat';
   /** Tokens that it let pass since it started, by tenant; tenants that are left out used no more. */
@@ -40,4 +40,10 @@
 
 /** Anything that a gateway says to another. */
 export type PeerMessage =
-  PeerHello | PeerAddresses | PeerBeat | RecordsFetch | RecordsAnswer | PeerLeaving;
+  | PeerHello
+  | PeerAddresses
+  | PeerBeat
+  | RecordsRevision
+  | RecordsFetch
+  | RecordsAnswer
+  | PeerLeaving;
--- a/src/cluster/record-exchange.ts
+++ b/src/cluster/record-exchange.ts
@@ -8,6 +8,13 @@
 import type { Clock } from '../clock.js';
 import type { RecordsUpdate, ReplicatedRecords, StoreRecord } from './replicated-records.js';
 
+/** Tells how far a replica reaches. */
+export interface RecordsRevision {
+  readonly kind: 'revision';
+  /** Revision of the store through which the replica is complete. */
+  readonly revision: number;
+}
+
 /** Asks another replica for what it holds beyond a revision. */
 export interface RecordsFetch {
   readonly kind: 'fetch';
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -334,6 +334,8 @@
     } else if (message.kind === 'beat') {
       this.quotas.hear(peer, new Map(Object.entries(message.used)), this.parts.clock.now());
       this.exchange.hearRevision(message.revision, reply);
+    } else if (message.kind === 'revision') {
+      this.exchange.hearRevision(message.revision, reply);
     }
   }
 
--- a/src/slot-agent/slot-agent-role.ts
+++ b/src/slot-agent/slot-agent-role.ts
@@ -86,7 +86,7 @@
             reply(this.exchange.answer(message));
           }
         },
-        onOpened: (send) => send({ kind: 'beat', used: {}, revision: this.records.completeTo }),
+        onOpened: (send) => send({ kind: 'revision', revision: this.records.completeTo }),
         onPeer: () => undefined,
       },
       clock,
--- a/src/slot-agent/slot-messages.ts
+++ b/src/slot-agent/slot-messages.ts
@@ -1,5 +1,5 @@
 /** What gateways and slot agents say to each other. */
-import type { RecordsAnswer, RecordsFetch } from '../cluster/record-exchange.js';
+import type { RecordsAnswer, RecordsFetch, RecordsRevision } from '../cluster/record-exchange.js';
 
 /** Order of a waiting request: a lower tier number first, then the longer wait. */
 export interface WaitingRank {
@@ -58,14 +58,8 @@
 /** Anything that a gateway says of slots. */
 export type SlotMessage = SlotHello | SlotDemand | SlotTaken | SlotReleased | SpeedLearned;
 
-/** How far the gateway's replica of the store reaches; the agent asks for what it lacks. */
-export interface ReplicaRevision {
-  readonly kind: 'revision';
-  readonly revision: number;
-}
-
 /** Anything that a gateway says. */
-export type GatewayToAgent = SlotMessage | ReplicaRevision | RecordsAnswer;
+export type GatewayToAgent = SlotMessage | RecordsRevision | RecordsAnswer;
 
 /** The agent grants one slot to the gateway. */
 export interface SlotGranted {
--- a/test/replica.test.ts
+++ b/test/replica.test.ts
@@ -32,8 +32,14 @@
   hello: PeerHello,
   seeds: string[],
   known: StoreRecord[] = [],
-): { mesh: PeerMesh; heard: Promise<readonly StoreRecord[]>; peers: string[] } {
+): {
+  mesh: PeerMesh;
+  heard: Promise<readonly StoreRecord[]>;
+  peers: string[];
+  kinds: ReadonlySet<string>;
+} {
   const peers: string[] = [];
+  const kinds = new Set<string>();
   const records = new ReplicatedRecords();
   records.applyListing(known, Math.max(0, ...known.map(({ revision }) => revision)));
   let mesh: PeerMesh | undefined;
@@ -46,10 +52,11 @@
     const beat = (): PeerMessage => ({ kind: 'beat', used: {}, revision: records.completeTo });
     const handlers: PeerMeshHandlers = {
       onMessage: (_peer, message, reply) => {
+        kinds.add(message.kind);
         if (message.kind === 'records') {
           exchange.receive(message);
           mesh!.broadcast(beat());
-        } else if (message.kind === 'beat') {
+        } else if (message.kind === 'beat' || message.kind === 'revision') {
           exchange.hearRevision(message.revision, reply);
         }
       },
@@ -65,7 +72,7 @@
     mesh.listen(HOST, Number(hello.address.split(':')[1]));
     mesh.start();
   });
-  return { mesh: mesh!, heard, peers };
+  return { mesh: mesh!, heard, peers, kinds };
 }
 
 test('gateways hand records to each other and learn of third ones', async (t) => {
@@ -137,6 +144,8 @@
   const started = startMesh(helloOf('g', gatewayPort), []);
   t.deepEqual(await started.heard, [RECORD]);
   t.deepEqual(started.peers, []);
+  // Whoever beats has a share in the quotas.
+  t.false(started.kinds.has('beat'));
   started.mesh.stop();
   agent.stop();
 });
