--- /dev/null
+++ b/src/gateway/gateway-peers.ts
@@ -0,0 +1,123 @@
+/** What a gateway and its peers tell each other: that they live, the quotas they used, how far their replicas reach. */
+import { PeerMesh } from '../cluster/peer-mesh.js';
+import type { SendToPeer } from '../cluster/peer-mesh.js';
+import type { PeerMessage } from '../cluster/peer-messages.js';
+import type { RecordExchange } from '../cluster/record-exchange.js';
+import type { ReplicatedRecords } from '../cluster/replicated-records.js';
+import type { Clock } from '../clock.js';
+import type { RandomSource } from '../random.js';
+import type { TokenQuotas } from './token-quota.js';
+
+/** What the peers of a gateway are made from. */
+export interface GatewayPeersParts {
+  readonly name: string;
+  /** Differs after each start of the process. */
+  readonly incarnation: string;
+  /** Address that peers reach this gateway at, IP:PORT; empty for none. */
+  readonly address: string;
+  readonly seeds: readonly string[];
+  readonly records: ReplicatedRecords;
+  readonly exchange: RecordExchange;
+  readonly quotas: TokenQuotas;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  /** A peer was heard for the first time, or is gone. */
+  onPeer(peer: string, isPresent: boolean): void;
+}
+
+/** Ticks without news after which a beat shows that this process lives. */
+const IDLE_BEAT_TICKS = 5;
+/** Gateways that beats may go to in each tick; where there are more, beats are rarer. */
+const PEERS_PER_BEAT_TICK = 8;
+
+/** A gateway's side of the mesh. */
+export class GatewayPeers {
+  private readonly mesh: PeerMesh;
+  private ticks = 0;
+  private lastBeatTick = 0;
+  private beatRevision = 0;
+
+  constructor(private readonly parts: GatewayPeersParts) {
+    const { name, incarnation, address, seeds, exchange, quotas, clock, random } = parts;
+    this.mesh = new PeerMesh(
+      { kind: 'hello', role: 'gateway', name, incarnation, address },
+      seeds,
+      {
+        onMessage: (peer, message, reply) => this.receive(peer, message, reply),
+        onReply: (message, reply) => {
+          if (message.kind === 'fetch') {
+            reply(exchange.answer(message));
+          }
+        },
+        onOpened: (send) => this.greet(send),
+        onPeer: (peer, isPresent) => {
+          if (!isPresent) {
+            quotas.forget(peer);
+          }
+          parts.onPeer(peer, isPresent);
+        },
+      },
+      clock,
+      random,
+    );
+  }
+
+  /** Gateways known, this one included. */
+  get size(): number {
+    return this.mesh.size;
+  }
+
+  /** Takes connections of peers at `host` and `port`. */
+  listen(host: string, port: number): void {
+    this.mesh.listen(host, port);
+  }
+
+  /** Connects to the seeds. */
+  start(): void {
+    this.mesh.start();
+  }
+
+  /** Says that this process leaves, and ends every connection. */
+  stop(): void {
+    this.mesh.broadcast({ kind: 'leaving' });
+    this.mesh.stop();
+  }
+
+  /** Sends what is due; to be called each tick. */
+  tick(): void {
+    this.ticks += 1;
+    if (this.ticks % Math.ceil(this.mesh.size / PEERS_PER_BEAT_TICK) === 0) {
+      this.beat();
+    }
+  }
+
+  private beat(): void {
+    const { quotas, records } = this.parts;
+    const news = quotas.takeNews();
+    const revision = records.completeTo;
+    const hasNews = news.size > 0 || revision !== this.beatRevision;
+    if (hasNews || this.ticks - this.lastBeatTick >= IDLE_BEAT_TICKS) {
+      this.lastBeatTick = this.ticks;
+      this.beatRevision = revision;
+      this.mesh.broadcast({ kind: 'beat', used: Object.fromEntries(news), revision });
+    }
+  }
+
+  private greet(send: SendToPeer): void {
+    const { quotas, records } = this.parts;
+    const used = Object.fromEntries(quotas.use());
+    send({ kind: 'beat', used, revision: records.completeTo });
+  }
+
+  private receive(peer: string, message: PeerMessage, reply: SendToPeer): void {
+    const { quotas, exchange, clock } = this.parts;
+    if (message.kind === 'records') {
+      exchange.receive(message);
+    } else if (message.kind === 'beat') {
+      quotas.hear(peer, new Map(Object.entries(message.used)), clock.now());
+      exchange.hearRevision(message.revision, reply);
+    } else if (message.kind === 'revision') {
+      exchange.hearRevision(message.revision, reply);
+    }
+  }
+}
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -1,8 +1,5 @@
 /** The gateway: joins the cluster's state, the dispatcher and the listeners. */
 import { createServer } from 'node:http';
-import { PeerMesh } from '../cluster/peer-mesh.js';
-import type { SendToPeer } from '../cluster/peer-mesh.js';
-import type { PeerMessage } from '../cluster/peer-messages.js';
 import { RecordExchange } from '../cluster/record-exchange.js';
 import { ReplicatedRecords } from '../cluster/replicated-records.js';
 import type { StoreRecord } from '../cluster/replicated-records.js';
@@ -23,6 +20,7 @@
 import type { GatewayAdapter } from './gateway-adapter.js';
 import { countBackends } from './gateway-snapshot.js';
 import type { GatewaySnapshot } from './gateway-snapshot.js';
+import { GatewayPeers } from './gateway-peers.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
 import type { GatewayRefusal } from './gateway-refusal.js';
 import type { GatewaySettings } from './gateway-settings.js';
@@ -49,9 +47,6 @@
 
 const MS_PER_S = 1_000;
 const TICK_MS = 100;
-const IDLE_BEAT_TICKS = 5;
-/** Gateways that beats may go to in each tick; where there are more, beats are rarer. */
-const PEERS_PER_BEAT_TICK = 8;
 /** Pause between two words to agents on how far the replica reaches, in ticks. */
 const AGENT_REVISION_TICKS = 3;
 const DROPPED_REPORT_TICKS = 50;
@@ -75,7 +70,7 @@
   private readonly dispatcher: Dispatcher;
   private readonly sender = new HttpBackendSender();
   private readonly listener: CallerListener;
-  private readonly mesh: PeerMesh;
+  private readonly peers: GatewayPeers;
   private readonly links: SlotAgentLinks;
   private readonly follower: StoreFollower;
   private readonly quotas: TokenQuotas;
@@ -93,8 +88,6 @@
   private hasEnded = false;
   private ticks = 0;
   private loopDelayMs = 0;
-  private lastBeatTick = 0;
-  private beatRevision = 0;
   private onStopped: (() => void) | undefined;
 
   constructor(private readonly parts: GatewayParts) {
@@ -140,24 +133,6 @@
       (head, reply) => this.take(head, reply),
       () => this.limits.maxBodyBytes,
     );
-    const address = settings.listen.peers;
-    const hello = { kind: 'hello', role: 'gateway', name, incarnation, address } as const;
-    this.mesh = new PeerMesh(
-      hello,
-      settings.cluster.seeds,
-      {
-        onMessage: (peer, message, reply) => this.hearPeer(peer, message, reply),
-        onReply: (message, reply) => {
-          if (message.kind === 'fetch') {
-            reply(this.exchange.answer(message));
-          }
-        },
-        onOpened: (send) => this.greetPeer(send),
-        onPeer: (peer, isPresent) => this.notePeer(peer, isPresent),
-      },
-      clock,
-      random,
-    );
     const { limits } = settings;
     this.quotas = new TokenQuotas(
       {
@@ -168,6 +143,19 @@
       },
       clock.now(),
     );
+    this.peers = new GatewayPeers({
+      name,
+      incarnation,
+      address: settings.listen.peers,
+      seeds: settings.cluster.seeds,
+      records: this.records,
+      exchange: this.exchange,
+      quotas: this.quotas,
+      clock,
+      random,
+      onPeer: (peer, isPresent) =>
+        parts.log.write(isPresent ? 'peer-heard' : 'peer-gone', 'state', { peer }),
+    });
     this.admission = new RequestAdmission(this.quotas, clock, random);
     this.budget = new RetryBudget({
       ratio: limits.retryRatio,
@@ -184,7 +172,7 @@
         onChanges: ({ records, revision }, since) =>
           this.takeRecords(this.records.applyChanges(records, since, revision)),
         onReachable: (isReachable, reason) => this.noteStore(isReachable, reason),
-        countFollowers: () => this.mesh.size,
+        countFollowers: () => this.peers.size,
         onCall: (call, result) =>
           parts.metrics.record(({ storeCalls }) => storeCalls.inc({ call, result })),
       },
@@ -219,9 +207,9 @@
     this.serveReadiness();
     if (settings.listen.peers !== '') {
       const peers = splitAddress(settings.listen.peers);
-      this.mesh.listen(peers.host, peers.port);
+      this.peers.listen(peers.host, peers.port);
     }
-    this.mesh.start();
+    this.peers.start();
     if (settings.listen.metricsPort > 0) {
       metrics.serve(settings.process.address, settings.listen.metricsPort);
     }
@@ -276,8 +264,7 @@
     this.readinessServer.close();
     this.sender.close();
     this.follower.stop();
-    this.mesh.broadcast({ kind: 'leaving' });
-    this.mesh.stop();
+    this.peers.stop();
     this.links.stop();
     this.parts.log.write('stopped', 'state', { active: this.active.size });
     this.parts.log.flush();
@@ -299,9 +286,7 @@
     this.ticks += 1;
     this.dispatcher.tick(this.parts.clock.now());
     this.links.maintain();
-    if (this.ticks % Math.ceil(this.mesh.size / PEERS_PER_BEAT_TICK) === 0) {
-      this.beat();
-    }
+    this.peers.tick();
     if (this.ticks % AGENT_REVISION_TICKS === 0) {
       this.links.tellRevision();
     }
@@ -311,41 +296,6 @@
     }
   }
 
-  /** Tells peers what was used and how far the replica reaches, and now and then that this process lives. */
-  private beat(): void {
-    const news = this.quotas.takeNews();
-    const revision = this.records.completeTo;
-    const hasNews = news.size > 0 || revision !== this.beatRevision;
-    if (hasNews || this.ticks - this.lastBeatTick >= IDLE_BEAT_TICKS) {
-      this.lastBeatTick = this.ticks;
-      this.beatRevision = revision;
-      this.mesh.broadcast({ kind: 'beat', used: Object.fromEntries(news), revision });
-    }
-  }
-
-  private greetPeer(send: SendToPeer): void {
-    const used = Object.fromEntries(this.quotas.use());
-    send({ kind: 'beat', used, revision: this.records.completeTo });
-  }
-
-  private hearPeer(peer: string, message: PeerMessage, reply: SendToPeer): void {
-    if (message.kind === 'records') {
-      this.exchange.receive(message);
-    } else if (message.kind === 'beat') {
-      this.quotas.hear(peer, new Map(Object.entries(message.used)), this.parts.clock.now());
-      this.exchange.hearRevision(message.revision, reply);
-    } else if (message.kind === 'revision') {
-      this.exchange.hearRevision(message.revision, reply);
-    }
-  }
-
-  private notePeer(peer: string, isPresent: boolean): void {
-    if (!isPresent) {
-      this.quotas.forget(peer);
-    }
-    this.parts.log.write(isPresent ? 'peer-heard' : 'peer-gone', 'state', { peer });
-  }
-
   private noteStore(isReachable: boolean, reason: string): void {
     this.parts.metrics.record(({ storeReachable }) => storeReachable.set(isReachable ? 1 : 0));
     this.parts.log.write(isReachable ? 'store-regained' : 'store-lost', 'state', { reason });
@@ -445,7 +395,7 @@
   }
 
   private takeRepeat(service: string): boolean {
-    const isAllowed = this.budget.takeRepeat(service, this.mesh.size, this.parts.clock.now());
+    const isAllowed = this.budget.takeRepeat(service, this.peers.size, this.parts.clock.now());
     if (!isAllowed) {
       this.parts.metrics.record(({ repeatsDenied }) => repeatsDenied.inc({ service }));
     }
@@ -480,7 +430,7 @@
       storeAgeMs: this.storeAgeMs(),
       configurationAgeMs: configuredAtMs === undefined ? undefined : nowMs - configuredAtMs,
       backends: countBackends(this.directory.list(), nowMs),
-      repeatsLeft: this.budget.repeatsLeft(this.mesh.size, nowMs),
+      repeatsLeft: this.budget.repeatsLeft(this.peers.size, nowMs),
       quotaUse: this.quotas.use(),
       waiting: this.dispatcher.waitingByService(),
       loopDelayMs,
