A replica that began with a listing hands over the whole to those behind it

Cause, found by reading the exchange of revisions again: a listing shows what exists, not what was removed before it. A gateway that starts lists the store and knows no removal from before; one that the store turns away fetched the changes after its own revision from it, took itself for complete and kept a back end that had left. Change: a replica knows from which revision on it has every change one by one; whoever is behind that gets the whole.

--- a/src/cluster/replicated-records.ts
+++ b/src/cluster/replicated-records.ts
@@ -33,8 +33,11 @@
 export class ReplicatedRecords {
   private readonly records = new Map<string, StoreRecord>();
   private completeRevision = 0;
-  /** Highest revision of a removal that was dropped to bound the memory. */
-  private forgottenTo = 0;
+  /**
+   * Every change after this revision is known one by one, removals included. A listing shows
+   * what exists, not what was removed before; old removals are dropped to bound the memory.
+   */
+  private historyFrom = 0;
 
   /** Revision through which every change is known; 0 before the first listing. */
   get completeTo(): number {
@@ -86,6 +89,7 @@
       }
     }
     this.completeRevision = Math.max(this.completeRevision, revision);
+    this.historyFrom = Math.max(this.historyFrom, revision);
     return news;
   }
 
@@ -103,7 +107,7 @@
 
   /** What a replica lacks that is complete through `since`. */
   updateSince(since: number): RecordsUpdate {
-    const isWhole = since < this.forgottenTo;
+    const isWhole = since < this.historyFrom;
     const all = this.snapshot();
     const records = isWhole
       ? all.filter(({ value }) => value !== undefined)
@@ -123,7 +127,7 @@
     for (const record of this.records.values()) {
       if (record.value === undefined) {
         this.records.delete(record.key);
-        this.forgottenTo = Math.max(this.forgottenTo, record.revision);
+        this.historyFrom = Math.max(this.historyFrom, record.revision);
         return;
       }
     }
--- a/test/replicated-records.test.ts
+++ b/test/replicated-records.test.ts
@@ -97,3 +97,63 @@
     [['removed', undefined]],
   );
 });
+
+test('a replica that began with a listing hands over removals that it never saw', (t) => {
+  const behind = new ReplicatedRecords();
+  behind.applyListing([recordOf('kept', 1), recordOf('removed', 2)], 5);
+  const started = new ReplicatedRecords();
+  started.applyListing([recordOf('kept', 1)], 9);
+  t.deepEqual(
+    behind
+      .applyUpdate(started.updateSince(behind.completeTo))
+      .map(({ key, value }) => [key, value]),
+    [['removed', undefined]],
+  );
+  t.is(behind.completeTo, 9);
+});
+
+test('whatever replicas learn from listings, watches and each other, those that are complete to one revision agree', (t) => {
+  const step = fc.record({
+    act: fc.constantFrom('put', 'remove', 'list', 'watch', 'fetch'),
+    key: fc.constantFrom('a', 'b', 'c'),
+    replica: fc.integer({ min: 0, max: 2 }),
+    other: fc.integer({ min: 0, max: 2 }),
+  });
+  fc.assert(
+    fc.property(fc.array(step, { minLength: 30, maxLength: 60 }), (steps) => {
+      const history: StoreRecord[] = [];
+      const replicas = [0, 1, 2].map(() => new ReplicatedRecords());
+      const existing = (revision: number) => {
+        const newest = new Map(history.slice(0, revision).map((record) => [record.key, record]));
+        return [...newest.values()].filter(({ value }) => value !== undefined);
+      };
+      for (const { act, key, replica, other } of steps) {
+        const records = replicas[replica]!;
+        const revision = history.length;
+        if (act === 'put' || act === 'remove') {
+          const value = act === 'put' ? `${revision}` : undefined;
+          history.push({ key, revision: revision + 1, value });
+        } else if (act === 'list') {
+          records.applyListing(existing(revision), revision);
+        } else if (act === 'watch') {
+          const since = records.completeTo;
+          records.applyChanges(history.slice(since), since, revision);
+        } else if (replicas[other]!.completeTo > records.completeTo) {
+          records.applyUpdate(replicas[other]!.updateSince(records.completeTo));
+        }
+      }
+      return replicas.every((records) => {
+        const live = records.snapshot().filter(({ value }) => value !== undefined);
+        const expected = existing(records.completeTo);
+        return (
+          live.length === expected.length &&
+          expected.every((record) =>
+            live.some(({ key, revision }) => key === record.key && revision === record.revision),
+          )
+        );
+      });
+    }),
+    { seed: 20_261_202, numRuns: 500 },
+  );
+  t.pass();
+});
