--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -5,7 +5,7 @@
  * recorded before then is kept.
  */
 import { createServer } from 'node:http';
-import type { ServerResponse } from 'node:http';
+import type { Server, ServerResponse } from 'node:http';
 import type { GatewaySnapshot } from './gateway-snapshot.js';
 import type { MetricInstruments } from './metric-instruments.js';
 import type { AcceptedRequest, RequestEnd } from './request-model.js';
@@ -19,6 +19,7 @@
 /** Counters and histograms of a gateway. */
 export class GatewayMetrics {
   private instruments: MetricInstruments | undefined;
+  private server: Server | undefined;
   private updatesBeforeLoad: MetricUpdate[] = [];
 
   /** Records something. */
@@ -47,9 +48,15 @@
 
   /** Serves the metrics on every path of `port`. */
   serve(host: string, port: number): void {
-    const server = createServer((_request, response) => void this.answer(response));
-    server.on('error', () => undefined);
-    server.listen(port, host);
+    this.server = createServer((_request, response) => void this.answer(response));
+    this.server.on('error', () => undefined);
+    this.server.listen(port, host);
+  }
+
+  /** Serves the metrics no longer. */
+  close(): void {
+    this.server?.close();
+    this.server?.closeAllConnections();
   }
 
   private async answer(response: ServerResponse): Promise<void> {
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -262,6 +262,7 @@
     this.onStopped = undefined;
     this.hasEnded = true;
     this.readinessServer.close();
+    this.parts.metrics.close();
     this.sender.close();
     this.follower.stop();
     this.peers.stop();
--- a/test/gateway-metrics.test.ts
+++ b/test/gateway-metrics.test.ts
@@ -52,6 +52,7 @@
   }
   t.regex(text, /weirvale_open_descriptors [1-9]/);
   t.regex(text, /weirvale_resident_bytes [1-9]/);
+  metrics.close();
 });
 
 test('back ends are counted by service and the state that they are believed to be in', (t) => {
