Reading the diff: one decision of a listing where three branches stood, and a handler named for what it hears

The follower's listing had three branches of which two did the same; the order of the cases is kept: a listing right after an outage, or before the one that counts is due, only adds. PeerMeshHandlers.onReply heard questions that come back on a connection of our own, so it is onQuestion. Tried and left: one function for the three places that answer a fetch; it needed a looser type and more lines than it saved.

--- a/src/cluster/peer-mesh.ts
+++ b/src/cluster/peer-mesh.ts
@@ -20,8 +20,8 @@
 export interface PeerMeshHandlers {
   /** A peer said something; `peer` names its incarnation, `reply` goes back to it. */
   onMessage(peer: string, message: PeerMessage, reply: SendToPeer): void;
-  /** A peer answered on a connection that this process opened. */
-  onReply(message: PeerMessage, reply: SendToPeer): void;
+  /** A peer asks back on a connection that this process opened. */
+  onQuestion(message: PeerMessage, reply: SendToPeer): void;
   /** A connection to a peer was opened by this process; what it must know is sent now. */
   onOpened(send: SendToPeer): void;
   /** A peer was heard for the first time, or is gone. */
@@ -163,7 +163,7 @@
     const socket = connect(Number(peer.address.slice(colon + 1)), peer.address.slice(0, colon));
     const timer = this.clock.setTimeout(() => socket.destroy(), this.options.connectTimeoutMs);
     const channel = new MessageChannel<PeerMessage, PeerMessage>(socket, {
-      onMessage: (message) => this.handlers.onReply(message, (answer) => channel.send(answer)),
+      onMessage: (message) => this.handlers.onQuestion(message, (answer) => channel.send(answer)),
       onClose: () => {
         this.clock.clearTimeout(timer);
         this.closeOutgoing(peer);
--- a/src/cluster/store-follower.ts
+++ b/src/cluster/store-follower.ts
@@ -154,12 +154,12 @@
     this.succeed();
     if (wasOut && !isFirst) {
       this.relistAtMs = nowMs + this.options.reannounceMs;
+    }
+    if (this.relistAtMs !== undefined && !this.isRelistDue()) {
       this.handlers.onListingAfterOutage(read.val);
-    } else if (this.relistAtMs === undefined || this.isRelistDue()) {
+    } else {
       this.relistAtMs = undefined;
       this.handlers.onListing(read.val);
-    } else {
-      this.handlers.onListingAfterOutage(read.val);
     }
     return read.val.revision;
   }
--- a/src/gateway/gateway-peers.ts
+++ b/src/gateway/gateway-peers.ts
@@ -44,7 +44,7 @@
       seeds,
       {
         onMessage: (peer, message, reply) => this.receive(peer, message, reply),
-        onReply: (message, reply) => {
+        onQuestion: (message, reply) => {
           if (message.kind === 'fetch') {
             reply(exchange.answer(message));
           }
--- a/src/slot-agent/slot-agent-role.ts
+++ b/src/slot-agent/slot-agent-role.ts
@@ -81,7 +81,7 @@
       seeds,
       {
         onMessage: () => undefined,
-        onReply: (message, reply) => {
+        onQuestion: (message, reply) => {
           if (message.kind === 'fetch') {
             reply(this.exchange.answer(message));
           }
--- a/test/replica.test.ts
+++ b/test/replica.test.ts
@@ -60,7 +60,7 @@
           exchange.hearRevision(message.revision, reply);
         }
       },
-      onReply: (message, reply) => {
+      onQuestion: (message, reply) => {
         if (message.kind === 'fetch') {
           reply(exchange.answer(message));
         }
@@ -90,7 +90,7 @@
   const a = startMesh(helloOf('a', portA), [], [RECORD]);
   const handlers = {
     onMessage: () => undefined,
-    onReply: () => undefined,
+    onQuestion: () => undefined,
     onPeer: () => undefined,
   };
   const opened = new Promise<void>((resolve) => {
