--- a/src/gateway/caller-protocol.ts
+++ b/src/gateway/caller-protocol.ts
@@ -14,6 +14,8 @@
   readonly tokens: { readonly prompt: number; readonly output: number } | undefined;
   /** Id of the last event that the caller has, where it continues a stream. */
   readonly lastEventId: string | undefined;
+  /** Names of headers that only a gateway may set; they are dropped. */
+  readonly reservedHeaders: readonly string[];
 }
 
 /** What a gateway adds to a request on its way to a back end. */
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -359,6 +359,9 @@
   private take(head: ReceivedHead, reply: CallerReply): PendingBody {
     const arrivedAtMs = this.parts.clock.now();
     const caller = this.parts.adapter.protocol.readRequest(head.headers);
+    for (const header of caller.reservedHeaders) {
+      this.parts.metrics.record(({ reservedHeaders }) => reservedHeaders.inc({ header }));
+    }
     let proxied: ProxiedRequest | undefined;
     return {
       onBody: (body) => {
--- a/src/gateway/metric-instruments.ts
+++ b/src/gateway/metric-instruments.ts
@@ -29,6 +29,12 @@
     labelNames: ['service'],
     registers: [this.registry],
   });
+  readonly reservedHeaders = new Counter({
+    name: 'weirvale_reserved_headers_total',
+    help: 'Headers that only a gateway may set and that callers sent; they were dropped',
+    labelNames: ['header'],
+    registers: [this.registry],
+  });
   readonly waitSeconds = new Histogram({
     name: 'weirvale_wait_seconds',
     help: 'Time from arrival to the first back end',
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -97,6 +97,7 @@
     apiKey: undefined,
     tokens: undefined,
     lastEventId: undefined,
+    reservedHeaders: [],
   }),
   attemptHeaders: (_received, attempt) => [
     'remaining',
