Continue a begun stream only by an answer of the same status and content type

Now such an answer is a failure of that back end: another engine, or a visible break. Ruled out: a check at the end of the answer only; a body would have been passed on. Both new tests fail without the change.

--- a/src/gateway/proxied-request.ts
+++ b/src/gateway/proxied-request.ts
@@ -38,7 +38,8 @@
   private readonly excluded = new Set<string>();
   private readonly tries: RequestTry[] = [];
   private head: AnswerHead | undefined;
-  private hasStartedReply = false;
+  /** The head that the caller was sent; undefined until its reply has begun. */
+  private repliedHead: AnswerHead | undefined;
   private buffered: Buffer[] = [];
   private bufferedBytes = 0;
   private splitter = new EventSplitter();
@@ -69,6 +70,10 @@
     return this.phase === 'done';
   }
 
+  private get hasStartedReply(): boolean {
+    return this.repliedHead !== undefined;
+  }
+
   /** Offers the request to the back ends. */
   begin(): void {
     this.waitForBackend();
@@ -228,9 +233,24 @@
       this.dropRefused(answer.isMisdirected);
       return;
     }
+    if (!this.fitsBegunReply(head)) {
+      this.attempt?.cancel();
+      this.fail({ mayHaveRun: true, detail: `status ${head.status} inside a stream` });
+      return;
+    }
     this.head = head;
   }
 
+  /** A reply that has begun is only continued by an answer that repeats its status and content type. */
+  private fitsBegunReply(head: AnswerHead): boolean {
+    const { repliedHead } = this;
+    return (
+      repliedHead === undefined ||
+      (head.status === repliedHead.status &&
+        head.headers['content-type'] === repliedHead.headers['content-type'])
+    );
+  }
+
   /** The back end declined: the connection may be kept, but its answer is of no use. */
   private dropRefused(isMisdirected: boolean): void {
     const backendId = this.backend!.id;
@@ -297,7 +317,7 @@
     if (this.hasStartedReply) {
       return;
     }
-    this.hasStartedReply = true;
+    this.repliedHead = this.head;
     this.firstByteAtMs = this.ports.clock.now();
     const dropped = this.request.route.kind === 'stream' ? FRAMING_HEADERS : NO_HEADERS;
     this.reply.start(this.head!.status, endToEndHeaders(this.head!.rawHeaders, dropped));
--- a/test/proxied-request.test.ts
+++ b/test/proxied-request.test.ts
@@ -141,6 +141,29 @@
   t.deepEqual(reply.headers, ['seal', 'first']);
 });
 
+test('an error in place of the rest of a stream never ends it as if it were whole', (t) => {
+  const world = twoBackends();
+  const { reply } = world.request({ route: RESUMABLE });
+  const { handlers } = world.attempts[0]!;
+  handlers.onHead({ status: 200, rawHeaders: [], headers: {} });
+  handlers.onData(Buffer.from(EVENT_1));
+  handlers.onFailure({ mayHaveRun: true, detail: 'reset' });
+  world.answer(1, 500, 'bad');
+  t.deepEqual([reply.body, reply.isEnded, reply.isAborted], [EVENT_1, false, true]);
+});
+
+test('a stream goes on at a third back end after an error of the second', (t) => {
+  const world = new GatewayWorld(backendOf('a'), backendOf('b'), backendOf('c'));
+  const { reply } = world.request({ route: { ...RESUMABLE, maxAttempts: 3 } });
+  const { handlers } = world.attempts[0]!;
+  handlers.onHead({ status: 200, rawHeaders: [], headers: {} });
+  handlers.onData(Buffer.from(EVENT_1));
+  handlers.onFailure({ mayHaveRun: true, detail: 'reset' });
+  world.answer(1, 500, 'bad');
+  world.answer(2, 200, EVENT_2);
+  t.deepEqual([reply.body, reply.isEnded], [EVENT_1 + EVENT_2, true]);
+});
+
 test('each try is handed what is left of the time', async (t) => {
   const world = twoBackends();
   world.request();
