Reckon lateness anew at each choice, and order slots by route rank and lateness at agents too

Requests that came back after a refusal wait up to three times their target, were marked late for ever at arrival, and were the oldest, so they drew the slots: agents ordered by tier and age only, and tenants of one tier are all alike there. Now one order stands in one place (waiting-order): tier, then those that can still be in time, then route rank, then age; lateness is reckoned when the order is asked for. A broken stream waits by its next event. Ruled out: late behind in time whatever the tier; a tier would be shed while a lower one is served.

--- a/src/gateway/backend-choice.ts
+++ b/src/gateway/backend-choice.ts
@@ -24,7 +24,7 @@
   const tokens = known.pendingPromptTokens + request.promptTokens;
   const firstMs = known.speed.expectedFirstMs(tokens, usual.prefillMsPerToken);
   const trialMs = known.speed.isKnown ? 0 : known.occupied * UNKNOWN_SPEED_COST_MS;
-  const isLate = !request.isLate && nowMs + firstMs > request.firstDueAtMs;
+  const isLate = nowMs + firstMs > request.firstDueAtMs;
   return firstMs + workMs * WORK_WEIGHT + trialMs + (isLate ? LATE_COST_MS : 0);
 }
 
--- a/src/gateway/dispatch-request.ts
+++ b/src/gateway/dispatch-request.ts
@@ -1,16 +1,10 @@
 /** What a dispatcher has to know of a request. */
 import type { Backend } from '../routing/backend.js';
+import type { WaitingPlace } from '../slot-agent/waiting-order.js';
 
 /** A request that wants a back end. */
-export interface DispatchRequest {
+export interface DispatchRequest extends WaitingPlace {
   readonly service: string;
-  /** Lower numbers go first. */
-  readonly tier: number;
-  /** Order inside a tier: lower numbers go first. */
-  readonly rankInTier: number;
-  /** Goes behind those of its rank that can still be answered in time. */
-  readonly isLate: boolean;
-  readonly arrivedAtMs: number;
   /** Size of the work, in any unit that is the same for the service. */
   readonly units: number;
   /** Tokens of the prompt; 0 for a plain service. */
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -13,6 +13,7 @@
 import { costOf, harmsOthers, usualSpeed } from './backend-choice.js';
 import type { DispatchRequest } from './dispatch-request.js';
 import type { KnownBackend } from './known-backend.js';
+import { WaitingQueue } from './waiting-queue.js';
 
 /** Options of a dispatcher. */
 export interface DispatcherOptions {
@@ -53,7 +54,7 @@
 
 /** Binds waiting requests to back ends. */
 export class Dispatcher {
-  private readonly waiting = new Map<string, DispatchRequest[]>();
+  private readonly waiting = new Map<string, WaitingQueue>();
   /** Time between two bindings of requests that had waited, by service. */
   private readonly bindIntervals = new Map<string, BindInterval>();
 
@@ -64,9 +65,9 @@
   ) {}
 
   /** Expected time until a waiting request is bound, in milliseconds. */
-  expectedWaitMs(request: DispatchRequest): number {
-    const ahead = this.waiting.get(request.service)?.indexOf(request) ?? 0;
-    return (Math.max(0, ahead) + 1) * (this.bindIntervals.get(request.service)?.meanMs ?? 0);
+  expectedWaitMs(request: DispatchRequest, nowMs: number): number {
+    const ahead = this.waiting.get(request.service)?.countBefore(request, nowMs) ?? 0;
+    return (ahead + 1) * (this.bindIntervals.get(request.service)?.meanMs ?? 0);
   }
 
   /** Requests that wait, by service. */
@@ -199,7 +200,7 @@
   }
 
   private useGrant(backendId: string, known: KnownBackend, nowMs: number): void {
-    const queue = this.waiting.get(known.backend.service) ?? [];
+    const queue = this.waitingInOrder(known.backend.service, nowMs);
     const isUsable = known.isReady && !known.health.isEjected(nowMs);
     const request = isUsable
       ? queue.find(
@@ -218,11 +219,11 @@
   }
 
   private serve(service: string, nowMs: number): void {
-    const queue = this.waiting.get(service);
-    if (queue === undefined || queue.length === 0) {
+    const queue = this.waitingInOrder(service, nowMs);
+    if (queue.length === 0) {
       return;
     }
-    for (const request of [...queue]) {
+    for (const request of queue) {
       if (!this.hasAnyRoom(service)) {
         break;
       }
@@ -328,32 +329,26 @@
   }
 
   private insert(request: DispatchRequest, nowMs: number): void {
-    const queue = this.waiting.get(request.service) ?? [];
+    const queue = this.waiting.get(request.service) ?? new WaitingQueue();
     this.waiting.set(request.service, queue);
     const interval = this.bindIntervals.get(request.service);
     if (queue.length === 0 && interval !== undefined) {
       // Time in which nobody waited says nothing of how fast slots are freed.
       interval.lastAtMs = nowMs;
     }
-    let index = queue.length;
-    while (index > 0 && compare(queue[index - 1]!, request) > 0) {
-      index -= 1;
-    }
-    queue.splice(index, 0, request);
+    queue.add(request);
   }
 
   private remove(request: DispatchRequest): boolean {
-    const queue = this.waiting.get(request.service);
-    const index = queue?.indexOf(request) ?? -1;
-    if (queue === undefined || index < 0) {
-      return false;
-    }
-    queue.splice(index, 1);
-    return true;
+    return this.waiting.get(request.service)?.remove(request) ?? false;
+  }
+
+  private waitingInOrder(service: string, nowMs: number): readonly DispatchRequest[] {
+    return this.waiting.get(service)?.inOrder(nowMs) ?? [];
   }
 
   private tellDemand(service: string, nowMs: number): void {
-    const queue = this.waiting.get(service) ?? [];
+    const queue = this.waitingInOrder(service, nowMs);
     for (const known of this.directory.ofService(service)) {
       const { agent } = known;
       if (agent === undefined || !known.isReady) {
@@ -365,9 +360,11 @@
         continue;
       }
       agent.lastDemand = signature;
-      const ranks: WaitingRank[] = first.map(({ tier, arrivedAtMs }) => ({
+      const ranks: WaitingRank[] = first.map(({ tier, rankInTier, arrivedAtMs, startByMs }) => ({
         tier,
+        rankInTier,
         waitedMs: nowMs - arrivedAtMs,
+        startInMs: startByMs - nowMs,
       }));
       this.sendToAgent(known.backend.id, known, {
         kind: 'demand',
@@ -399,13 +396,3 @@
     }
   }
 }
-
-/** Order of waiting requests: tier, then rank inside it, those in time before late ones, then age. */
-function compare(left: DispatchRequest, right: DispatchRequest): number {
-  return (
-    left.tier - right.tier ||
-    left.rankInTier - right.rankInTier ||
-    Number(left.isLate) - Number(right.isLate) ||
-    left.arrivedAtMs - right.arrivedAtMs
-  );
-}
--- a/src/gateway/proxied-request.ts
+++ b/src/gateway/proxied-request.ts
@@ -94,17 +94,19 @@
   private waitForBackend(): void {
     const { request, ports } = this;
     const nowMs = ports.clock.now();
+    const firstDueAtMs = this.nextEventDueAtMs();
     this.phase = 'waiting';
     this.head = undefined;
     this.placement = {
       service: request.service,
       tier: request.tier,
       rankInTier: request.rankInTier,
-      isLate: request.isLate,
       arrivedAtMs: request.arrivedAtMs,
+      startByMs:
+        firstDueAtMs - ports.directory.expectedFirstMs(request.service, request.promptTokens),
       units: request.units,
       promptTokens: request.promptTokens,
-      firstDueAtMs: request.arrivedAtMs + request.route.targetLatencyMs,
+      firstDueAtMs,
       maxPauseMs: request.route.maxPauseMs,
       excluded: this.excluded,
       onPlaced: (backend, placedAtMs) => this.send(backend, placedAtMs),
@@ -113,6 +115,15 @@
     ports.dispatcher.submit(this.placement, nowMs);
   }
 
+  /** When the caller must get the next part of its answer for the answer to be in time, in milliseconds. */
+  private nextEventDueAtMs(): number {
+    const { arrivedAtMs, route } = this.request;
+    const lastEventAtMs = this.progress?.lastEventAtMs;
+    return lastEventAtMs === undefined
+      ? arrivedAtMs + route.targetLatencyMs
+      : lastEventAtMs + route.maxPauseMs;
+  }
+
   /** Time until it is reckoned whether waiting is of use, in milliseconds. */
   private firstLookMs(): number {
     return this.request.route.targetLatencyMs * this.options.earlyRefusalShare;
@@ -123,26 +134,38 @@
     if (this.phase !== 'waiting' || this.placement === undefined) {
       return;
     }
-    const { dispatcher, clock } = this.ports;
-    const waitLeftMs = this.longestWaitMs(clock.now());
-    const isOfUse = dispatcher.expectedWaitMs(this.placement) < waitLeftMs;
-    if (waitLeftMs > 0 && (isOfUse || this.request.isReturning)) {
+    const nowMs = this.ports.clock.now();
+    const waitLeftMs = this.longestWaitMs(nowMs);
+    if (waitLeftMs > 0 && (this.mustNotBeRefusedEarly() || this.canStartInTime(nowMs))) {
       this.setStepTimer(waitLeftMs, () => this.giveUpWaiting());
       return;
     }
     this.giveUpWaiting();
   }
 
+  /** One that was refused before, or whose caller has a part of the answer, is not sent away again. */
+  private mustNotBeRefusedEarly(): boolean {
+    return this.request.isReturning || this.hasStartedReply;
+  }
+
+  private canStartInTime(nowMs: number): boolean {
+    const { placement, ports } = this;
+    return nowMs + ports.dispatcher.expectedWaitMs(placement!, nowMs) < placement!.startByMs;
+  }
+
   /** Longest time that it may still wait, in milliseconds. */
   private longestWaitMs(nowMs: number): number {
-    const { request, ports, options } = this;
-    const { route, service, promptTokens, arrivedAtMs, endsAtMs } = request;
-    const waitedMs = nowMs - arrivedAtMs;
-    if (request.isReturning) {
-      return Math.min(endsAtMs - nowMs, route.targetLatencyMs * options.lateWaitShare - waitedMs);
-    }
-    const firstMs = ports.directory.expectedFirstMs(service, promptTokens);
-    return Math.min(endsAtMs - nowMs, route.targetLatencyMs - firstMs - waitedMs);
+    return Math.min(this.request.endsAtMs, this.waitUntilMs()) - nowMs;
+  }
+
+  private waitUntilMs(): number {
+    const { request, options, placement, progress } = this;
+    if (progress?.lastEventAtMs !== undefined) {
+      return progress.lastEventAtMs + options.resumeWaitMs;
+    }
+    return request.isReturning
+      ? request.arrivedAtMs + request.route.targetLatencyMs * options.lateWaitShare
+      : placement!.startByMs;
   }
 
   private giveUpWaiting(): void {
--- a/src/gateway/request-admission.ts
+++ b/src/gateway/request-admission.ts
@@ -93,7 +93,6 @@
       tenant: tenant?.name,
       tier: tenant?.priority ?? route.priority,
       rankInTier: route.priority,
-      isLate: route.timeoutMs - longestMs > route.targetLatencyMs,
       isReturning: isReturning(route, caller),
       arrivedAtMs,
       endsAtMs: arrivedAtMs + longestMs,
--- a/src/gateway/request-model.ts
+++ b/src/gateway/request-model.ts
@@ -16,8 +16,6 @@
   readonly tenant: string | undefined;
   readonly tier: number;
   readonly rankInTier: number;
-  /** Whether its time left shows that it can no longer be answered within the target latency. */
-  readonly isLate: boolean;
   /** Whether its time left shows that the caller tried before. */
   readonly isReturning: boolean;
   readonly arrivedAtMs: number;
@@ -80,6 +78,8 @@
   readonly earlyRefusalShare: number;
   /** How often the target latency a request may wait that was refused before. Default 3. */
   readonly lateWaitShare: number;
+  /** Longest wait of a broken stream for another back end, in milliseconds; callers give up soon after. Default 1,500. */
+  readonly resumeWaitMs: number;
   /** Share of the target latency after which a safe request is tried elsewhere. Default 0.6. */
   readonly safeHeadShare: number;
   /** Silence after which a resumable stream is continued elsewhere, in milliseconds. Default 1,200. */
@@ -95,6 +95,7 @@
 export const DEFAULT_REQUEST_OPTIONS: RequestOptions = {
   earlyRefusalShare: 0.2,
   lateWaitShare: 3,
+  resumeWaitMs: 1_500,
   safeHeadShare: 0.6,
   streamSilenceMs: 1_200,
   retryAfterMs: 300,
--- a/src/slot-agent/slot-agent-role.ts
+++ b/src/slot-agent/slot-agent-role.ts
@@ -159,7 +159,7 @@
 
   private async look(): Promise<void> {
     const requestsAtEngine = await this.readReport();
-    this.ledger.reconcile(requestsAtEngine ?? 0);
+    this.ledger.reconcile(requestsAtEngine ?? 0, this.clock.now());
     this.isLooking = false;
     this.lookWhileNeeded();
   }
--- a/src/slot-agent/slot-ledger.ts
+++ b/src/slot-agent/slot-ledger.ts
@@ -7,14 +7,16 @@
  * report shows fewer requests.
  */
 import type { LearnedSpeed, SlotAnswer, SlotMessage, WaitingRank } from './slot-messages.js';
+import { compareWaiting } from './waiting-order.js';
+import type { WaitingPlace } from './waiting-order.js';
 
 interface GatewayAccount {
   readonly name: string;
   held: number;
   grantsIssued: number;
   messagesSeen: number;
-  /** Waiting requests: tier, and since when, on this process's clock. */
-  waiting: Array<{ tier: number; sinceMs: number }>;
+  /** Waiting requests in the gateway's order, on this process's clock. */
+  waiting: WaitingPlace[];
 }
 
 /** Sends a message to a connected gateway. */
@@ -61,7 +63,7 @@
     } else {
       this.receiveFromKnown(connection, message, nowMs);
     }
-    this.grant();
+    this.grant(nowMs);
     this.tellIfChanged();
   }
 
@@ -74,9 +76,9 @@
   }
 
   /** Takes in the back end's own count of requests that run or wait there. */
-  reconcile(requestsAtBackend: number): void {
+  reconcile(requestsAtBackend: number, nowMs: number): void {
     this.unaccounted = Math.min(this.unaccounted, Math.max(0, requestsAtBackend - this.held));
-    this.grant();
+    this.grant(nowMs);
     this.tellIfChanged();
   }
 
@@ -138,9 +140,9 @@
     }
   }
 
-  private grant(): void {
+  private grant(nowMs: number): void {
     while (this.occupied < this.slots) {
-      const next = this.findFirstWaiting();
+      const next = this.findFirstWaiting(nowMs);
       if (next === undefined) {
         return;
       }
@@ -152,7 +154,7 @@
     }
   }
 
-  private findFirstWaiting(): [number, GatewayAccount] | undefined {
+  private findFirstWaiting(nowMs: number): [number, GatewayAccount] | undefined {
     let best: [number, GatewayAccount] | undefined;
     for (const entry of this.accounts) {
       const head = entry[1].waiting[0];
@@ -160,11 +162,7 @@
       if (head === undefined) {
         continue;
       }
-      const isBefore =
-        bestHead === undefined ||
-        head.tier < bestHead.tier ||
-        (head.tier === bestHead.tier && head.sinceMs < bestHead.sinceMs);
-      if (isBefore) {
+      if (bestHead === undefined || compareWaiting(head, bestHead, nowMs) < 0) {
         best = entry;
       }
     }
@@ -194,8 +192,13 @@
   ranks: readonly WaitingRank[],
   grantsUnderWay: number,
   nowMs: number,
-): Array<{ tier: number; sinceMs: number }> {
+): WaitingPlace[] {
   return ranks
     .slice(Math.max(0, grantsUnderWay))
-    .map(({ tier, waitedMs }) => ({ tier, sinceMs: nowMs - waitedMs }));
+    .map(({ tier, rankInTier, waitedMs, startInMs }) => ({
+      tier,
+      rankInTier,
+      arrivedAtMs: nowMs - waitedMs,
+      startByMs: nowMs + startInMs,
+    }));
 }
--- a/src/slot-agent/slot-messages.ts
+++ b/src/slot-agent/slot-messages.ts
@@ -1,11 +1,14 @@
 /** What gateways and slot agents say to each other. */
 import type { RecordsAnswer, RecordsFetch, RecordsRevision } from '../cluster/record-exchange.js';
 
-/** Order of a waiting request: a lower tier number first, then the longer wait. */
+/** What gives a waiting request its place in the order; times are relative, since clocks differ. */
 export interface WaitingRank {
   readonly tier: number;
+  readonly rankInTier: number;
   /** How long the request has waited, in milliseconds. */
   readonly waitedMs: number;
+  /** How long it may still wait to be answered in time, in milliseconds; negative when it is late. */
+  readonly startInMs: number;
 }
 
 /** A gateway's first message on a connection. */
--- a/test/dispatcher.test.ts
+++ b/test/dispatcher.test.ts
@@ -194,8 +194,8 @@
     service: 's',
     tier: 2,
     rankInTier: 0,
-    isLate: false,
     arrivedAtMs: world.clock.now(),
+    startByMs: world.clock.now() + 1_000,
     units: 1,
     promptTokens: 0,
     firstDueAtMs: 0,
@@ -204,5 +204,5 @@
     onPlaced: () => undefined,
   };
   world.dispatcher.submit(waiting, world.clock.now());
-  t.true(world.dispatcher.expectedWaitMs(waiting) < 20);
+  t.true(world.dispatcher.expectedWaitMs(waiting, world.clock.now()) < 20);
 });
--- a/test/slot-ledger.test.ts
+++ b/test/slot-ledger.test.ts
@@ -21,7 +21,7 @@
   }
 
   demand(connection: number, tiers: number[], waitedMs = 0, grantsSeen = 0): void {
-    const ranks = tiers.map((tier) => ({ tier, waitedMs }));
+    const ranks = tiers.map((tier) => ({ tier, rankInTier: 0, waitedMs, startInMs: 1_000 }));
     this.hear(connection, { kind: 'demand', ranks, grantsSeen }, 1_000);
   }
 
@@ -68,7 +68,7 @@
   agent.demand(2, [0]);
   t.true(agent.ledger.needsReport);
   t.deepEqual(agent.grants(), []);
-  agent.ledger.reconcile(1);
+  agent.ledger.reconcile(1, 1_000);
   t.deepEqual(agent.grants(), [2]);
 });
 
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -166,7 +166,6 @@
       tenant: undefined,
       tier: route.priority,
       rankInTier: 0,
-      isLate: false,
       isReturning: false,
       arrivedAtMs,
       endsAtMs: arrivedAtMs + route.timeoutMs,
