A grant is a short lease; slots of silent gateways are found again by the engine's report

Now a gateway answers each grant (used or returned); a grant that is not answered in 120 ms, or 700 ms without a word from one that holds slots or waits, ends the connection. What it held stays occupied only as far as the engine's own report shows requests that no connected gateway accounts for, for 10 s also those that it goes on sending. A gateway at work shows itself after 150 ms without a message; agents speak each 300 ms and are given up after 1 s (before 600 and 1,800). A gateway that is refused connects again at once and names what it holds, which puts the count right. A message before the hello is answered with a typed refusal. A report that fails is no longer read as an idle engine. Slots lost per failure: at most those that the gone gateway held, until 120 ms after its next grant or 700 ms after its last word, plus one look (60 ms) and the time its requests really run. New tests fail without it.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -209,9 +209,10 @@
         )
       : undefined;
     if (request === undefined) {
-      this.sendToAgent(backendId, known, { kind: 'released' });
+      this.sendToAgent(backendId, known, { kind: 'grant-returned' });
       return;
     }
+    this.sendToAgent(backendId, known, { kind: 'grant-used' });
     this.remove(request);
     this.noteBindInterval(request.service, nowMs);
     this.bind(request, known, nowMs, true);
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -113,7 +113,8 @@
     const agentOptions = {
       port: settings.listen.slotAgentPort,
       peersAddress: settings.listen.peers,
-      silenceMs: 1_800,
+      silenceMs: 1_000,
+      aliveMs: 150,
       retryMinMs: 250,
       retryMaxMs: 4_000,
     };
@@ -124,8 +125,11 @@
       this.records,
       this.exchange,
       isEngine,
-      (backend, isConnected) =>
-        parts.log.write(isConnected ? 'agent-connected' : 'agent-lost', 'state', { backend }),
+      (backend, isConnected, reason) =>
+        parts.log.write(isConnected ? 'agent-connected' : 'agent-lost', 'state', {
+          backend,
+          reason,
+        }),
       clock,
       agentOptions,
     );
@@ -287,6 +291,7 @@
     this.ticks += 1;
     this.dispatcher.tick(this.parts.clock.now());
     this.links.maintain();
+    this.links.tellAlive();
     this.peers.tick();
     if (this.ticks % AGENT_REVISION_TICKS === 0) {
       this.links.tellRevision();
--- a/src/gateway/known-backend.ts
+++ b/src/gateway/known-backend.ts
@@ -52,6 +52,11 @@
     return this.isCurrent && this.backend.state === 'ready';
   }
 
+  /** Whether its agent was told that requests wait. */
+  get hasDemand(): boolean {
+    return this.agent !== undefined && this.agent.lastDemand !== '';
+  }
+
   /** Learned time for a unit of work, in milliseconds; undefined before the first answer. */
   get msPerUnit(): number | undefined {
     return this.learnedMsPerUnit;
--- a/src/gateway/slot-agent-links.ts
+++ b/src/gateway/slot-agent-links.ts
@@ -4,7 +4,7 @@
 import type { ReplicatedRecords } from '../cluster/replicated-records.js';
 import type { Clock } from '../clock.js';
 import { MessageChannel } from '../protocol/message-channel.js';
-import type { AgentToGateway, GatewayToAgent } from '../slot-agent/slot-messages.js';
+import type { AgentRefusal, AgentToGateway, GatewayToAgent } from '../slot-agent/slot-messages.js';
 import type { BackendDirectory } from './backend-directory.js';
 import type { Dispatcher } from './dispatcher.js';
 import { splitAddress } from './http-backend-sender.js';
@@ -16,8 +16,10 @@
   readonly port: number;
   /** Address that this gateway takes connections of peers at, IP:PORT. */
   readonly peersAddress: string;
-  /** Silence after which a connection is given up. Default 1,800. */
+  /** Silence after which a connection is given up; agents speak each 300 ms. Default 1,000. */
   readonly silenceMs: number;
+  /** Quiet time after which an agent is shown that this gateway lives. Default 150. */
+  readonly aliveMs: number;
   /** First and longest pause before connecting again. Defaults 250 and 4,000. */
   readonly retryMinMs: number;
   readonly retryMaxMs: number;
@@ -29,10 +31,16 @@
   channel: MessageChannel<GatewayToAgent, AgentToGateway> | undefined;
   isGreeted: boolean;
   heardAtMs: number;
+  spokeAtMs: number;
   retryAtMs: number;
   retryMs: number;
+  /** Why the agent ended the connection, where it said so. */
+  refusal: AgentRefusal['reason'] | undefined;
 }
 
+/** A connection to the agent beside a back end came up, or was lost; `reason` is what the agent said. */
+export type OnAgent = (backendId: string, isConnected: boolean, reason?: string) => void;
+
 /** A gateway's connections to agents. */
 export class SlotAgentLinks {
   private readonly links = new Map<string, Link>();
@@ -45,14 +53,31 @@
     private readonly records: ReplicatedRecords,
     private readonly exchange: RecordExchange,
     private readonly isEngine: (service: string) => boolean,
-    private readonly onAgent: (backendId: string, isConnected: boolean) => void,
+    private readonly onAgent: OnAgent,
     private readonly clock: Clock,
     private readonly options: SlotAgentLinkOptions,
   ) {}
 
   /** Sends a message to the agent beside a back end. */
   send(backendId: string, message: GatewayToAgent): void {
-    this.links.get(backendId)?.channel?.send(message);
+    const link = this.links.get(backendId);
+    if (link !== undefined) {
+      link.spokeAtMs = this.clock.now();
+      link.channel?.send(message);
+    }
+  }
+
+  /** Shows agents that hold or owe this gateway slots that it lives; to be called each tick. */
+  tellAlive(): void {
+    const nowMs = this.clock.now();
+    for (const link of this.links.values()) {
+      const isQuiet = nowMs - link.spokeAtMs >= this.options.aliveMs;
+      const known = this.directory.find(link.backendId);
+      const isAtWork = known !== undefined && (known.outstanding > 0 || known.hasDemand);
+      if (link.isGreeted && isQuiet && isAtWork) {
+        this.send(link.backendId, { kind: 'alive' });
+      }
+    }
   }
 
   /** Tells every agent how far the replica of the store reaches, if that changed. */
@@ -104,8 +129,10 @@
       channel: undefined,
       isGreeted: false,
       heardAtMs: nowMs,
+      spokeAtMs: nowMs,
       retryAtMs: nowMs,
       retryMs,
+      refusal: undefined,
     };
     this.links.set(backendId, link);
     if (link.channel === undefined) {
@@ -127,6 +154,11 @@
           channel.send(this.exchange.answer(message));
           return;
         }
+        if (message.kind === 'refused') {
+          link.refusal = message.reason;
+          channel.close();
+          return;
+        }
         this.dispatcher().receiveFromAgent(link.backendId, message, link.heardAtMs);
       },
       onClose: () => this.close(link, channel),
@@ -159,10 +191,12 @@
     link.channel = undefined;
     if (link.isGreeted) {
       link.isGreeted = false;
-      this.onAgent(link.backendId, false);
+      this.onAgent(link.backendId, false, link.refusal);
     }
     const nowMs = this.clock.now();
-    link.retryAtMs = nowMs + link.retryMs;
+    // An agent that closed a connection itself lives: the next one may be opened at once.
+    link.retryAtMs = link.refusal === undefined ? nowMs + link.retryMs : nowMs;
+    link.refusal = undefined;
     link.retryMs = Math.min(link.retryMs * 2, this.options.retryMaxMs);
     this.dispatcher().disconnectAgent(link.backendId, nowMs);
   }
--- /dev/null
+++ b/src/slot-agent/gateway-account.ts
@@ -0,0 +1,88 @@
+/** What an agent keeps of one connected gateway: its slots, what waits there, and when it was heard. */
+import type { WaitingRank } from './slot-messages.js';
+import type { WaitingPlace } from './waiting-order.js';
+
+/** How long a gateway may be silent, in milliseconds. */
+export interface GatewaySilenceOptions {
+  /**
+   * Time in which a grant must be answered. A gateway answers in its next turn of
+   * the loop, a few milliseconds later. Default 120.
+   */
+  readonly grantAnswerMs: number;
+  /**
+   * Silence of a gateway that holds slots or has requests waiting; gateways speak
+   * at least each 200 ms then. Default 700.
+   */
+  readonly silenceMs: number;
+}
+
+/** Defaults of the silence of gateways. */
+export const DEFAULT_GATEWAY_SILENCE_OPTIONS: GatewaySilenceOptions = {
+  grantAnswerMs: 120,
+  silenceMs: 700,
+};
+
+/** One connected gateway. */
+export class GatewayAccount {
+  /** Waiting requests in the gateway's order, on this process's clock. */
+  waiting: WaitingPlace[] = [];
+  /** Messages heard after the hello. */
+  messagesSeen = 0;
+  private grantsIssued = 0;
+  /** When each grant was issued that the gateway has not answered, oldest first. */
+  private readonly unansweredSinceMs: number[] = [];
+
+  constructor(
+    readonly name: string,
+    /** Slots that the gateway's requests occupy, and those granted to it. */
+    public held: number,
+    private heardAtMs: number,
+  ) {}
+
+  /** A message arrived. */
+  hear(nowMs: number): void {
+    this.messagesSeen += 1;
+    this.heardAtMs = nowMs;
+  }
+
+  /** Takes in what waits now; grants still on their way answer the first of the requests named. */
+  setWaiting(ranks: readonly WaitingRank[], grantsSeen: number, nowMs: number): void {
+    const grantsUnderWay = Math.max(0, this.grantsIssued - grantsSeen);
+    this.waiting = ranks.slice(grantsUnderWay).map(({ tier, rankInTier, waitedMs, startInMs }) => ({
+      tier,
+      rankInTier,
+      arrivedAtMs: nowMs - waitedMs,
+      startByMs: nowMs + startInMs,
+    }));
+  }
+
+  /** The first waiting request gets a slot. */
+  grant(nowMs: number): void {
+    this.waiting.shift();
+    this.held += 1;
+    this.grantsIssued += 1;
+    this.unansweredSinceMs.push(nowMs);
+  }
+
+  /** The gateway answered its oldest grant. */
+  noteGrantAnswered(): void {
+    this.unansweredSinceMs.shift();
+  }
+
+  /** A slot is given back. */
+  release(): void {
+    this.held = Math.max(0, this.held - 1);
+  }
+
+  /** Whether silence would tell anything: it holds slots, or waits for some. */
+  get isExpectedToSpeak(): boolean {
+    return this.held > 0 || this.waiting.length > 0;
+  }
+
+  /** Whether it left a grant unanswered, or should have spoken since. */
+  isSilent(nowMs: number, { grantAnswerMs, silenceMs }: GatewaySilenceOptions): boolean {
+    const grantedAtMs = this.unansweredSinceMs[0];
+    const hasLapsedGrant = grantedAtMs !== undefined && nowMs - grantedAtMs > grantAnswerMs;
+    return hasLapsedGrant || (this.isExpectedToSpeak && nowMs - this.heardAtMs > silenceMs);
+  }
+}
--- a/src/slot-agent/slot-agent-role.ts
+++ b/src/slot-agent/slot-agent-role.ts
@@ -13,7 +13,7 @@
 import { MessageChannel } from '../protocol/message-channel.js';
 import type { RandomSource } from '../random.js';
 import { SlotLedger } from './slot-ledger.js';
-import type { AgentToGateway, GatewayToAgent } from './slot-messages.js';
+import type { AgentRefusal, AgentToGateway, GatewayToAgent, SlotMessage } from './slot-messages.js';
 
 /** Reads how many requests run or wait at the engine; undefined when it does not answer. */
 export type EngineReport = () => Promise<number | undefined>;
@@ -22,8 +22,10 @@
 export interface SlotAgentOptions {
   /** Pause between two looks at the report while slots are unaccounted for. Default 60. */
   readonly reportMs: number;
-  /** Pause between two messages that show that the agent lives. Default 600. */
+  /** Pause between two messages that show that the agent lives. Default 300. */
   readonly beatMs: number;
+  /** Pause between two looks for silent gateways, while some hold slots or wait. Default 50. */
+  readonly silenceCheckMs: number;
 }
 
 /** Who an agent is. */
@@ -45,7 +47,11 @@
 };
 
 /** Defaults of an agent. */
-export const DEFAULT_SLOT_AGENT_OPTIONS: SlotAgentOptions = { reportMs: 60, beatMs: 600 };
+export const DEFAULT_SLOT_AGENT_OPTIONS: SlotAgentOptions = {
+  reportMs: 60,
+  beatMs: 300,
+  silenceCheckMs: 50,
+};
 
 /** The agent beside one engine. */
 export class SlotAgentRole {
@@ -57,6 +63,7 @@
   private readonly mesh: PeerMesh;
   private nextConnection = 1;
   private isLooking = false;
+  private isChecking = false;
   private isStopped = false;
 
   constructor(
@@ -119,7 +126,7 @@
       onMessage: (message) => this.receive(connection, message),
       onClose: () => {
         this.channels.delete(connection);
-        this.ledger.disconnect(connection);
+        this.ledger.disconnect(connection, this.clock.now());
         this.lookWhileNeeded();
       },
     });
@@ -134,11 +141,41 @@
         this.channels.get(connection)?.send(fetch),
       );
     } else {
-      if (message.kind === 'hello') {
-        this.mesh.learnAddresses([message.peersAddress]);
-      }
-      this.ledger.receive(connection, message, this.clock.now());
+      this.receiveOfSlots(connection, message);
+    }
+  }
+
+  private receiveOfSlots(connection: number, message: SlotMessage): void {
+    if (message.kind === 'hello') {
+      this.mesh.learnAddresses([message.peersAddress]);
+    } else if (!this.ledger.knows(connection)) {
+      this.refuse(connection, 'hello-missing');
+      return;
+    }
+    this.ledger.receive(connection, message, this.clock.now());
+    this.checkWhileNeeded();
+  }
+
+  /** Ends a connection; a gateway that still lives learns why. */
+  private refuse(connection: number, reason: AgentRefusal['reason']): void {
+    const channel = this.channels.get(connection);
+    channel?.send({ kind: 'refused', reason });
+    channel?.flush();
+    channel?.close();
+  }
+
+  private checkWhileNeeded(): void {
+    if (this.isChecking || !this.ledger.expectsGateways) {
+      return;
     }
+    this.isChecking = true;
+    this.clock.setTimeout(() => {
+      this.isChecking = false;
+      for (const connection of this.ledger.findSilent(this.clock.now())) {
+        this.refuse(connection, 'silent');
+      }
+      this.checkWhileNeeded();
+    }, this.options.silenceCheckMs);
   }
 
   private beat(): void {
@@ -150,7 +187,7 @@
   }
 
   private lookWhileNeeded(): void {
-    if (this.isLooking || !this.ledger.needsReport) {
+    if (this.isLooking || !this.ledger.needsReport(this.clock.now())) {
       return;
     }
     this.isLooking = true;
@@ -159,7 +196,10 @@
 
   private async look(): Promise<void> {
     const requestsAtEngine = await this.readReport();
-    this.ledger.reconcile(requestsAtEngine ?? 0, this.clock.now());
+    if (requestsAtEngine !== undefined) {
+      this.ledger.reconcile(requestsAtEngine, this.clock.now());
+      this.checkWhileNeeded();
+    }
     this.isLooking = false;
     this.lookWhileNeeded();
   }
--- a/src/slot-agent/slot-ledger.ts
+++ b/src/slot-agent/slot-ledger.ts
@@ -2,40 +2,67 @@
  * The slots of one back end, shared among gateways, without I/O.
  *
  * The ledger counts the slots that each connected gateway holds. When one is
- * free it grants it to the gateway whose waiting request comes first. Slots of
- * a gateway whose connection broke stay occupied until the back end's own
- * report shows fewer requests.
+ * free it grants it to the gateway whose waiting request comes first. A grant is
+ * a short lease: a gateway that does not answer it is taken for gone, and gets
+ * nothing more until it connects again. What a gone gateway held stays occupied
+ * only as long as the back end's own report shows requests that no connected
+ * gateway accounts for.
  */
-import type { LearnedSpeed, SlotAnswer, SlotMessage, WaitingRank } from './slot-messages.js';
+import { DEFAULT_GATEWAY_SILENCE_OPTIONS, GatewayAccount } from './gateway-account.js';
+import type { GatewaySilenceOptions } from './gateway-account.js';
+import type { LearnedSpeed, SlotAnswer, SlotHello, SlotMessage } from './slot-messages.js';
 import { compareWaiting } from './waiting-order.js';
-import type { WaitingPlace } from './waiting-order.js';
-
-interface GatewayAccount {
-  readonly name: string;
-  held: number;
-  grantsIssued: number;
-  messagesSeen: number;
-  /** Waiting requests in the gateway's order, on this process's clock. */
-  waiting: WaitingPlace[];
-}
 
 /** Sends a message to a connected gateway. */
 export type SendToGateway = (connection: number, message: SlotAnswer) => void;
 
+/**
+ * How long the requests of a gateway that is gone are looked for at the back end,
+ * in milliseconds: it may be cut off from this process alone and still send.
+ */
+const LOOK_FOR_GONE_MS = 10_000;
+
 /** The slots of one back end. */
 export class SlotLedger {
   private readonly accounts = new Map<number, GatewayAccount>();
+  /** Gateways that went without a word, by name: until when their requests are looked for. */
+  private readonly goneUntilMs = new Map<string, number>();
   private slots = 0;
-  /** Slots occupied by requests of gateways that are no longer connected. */
+  /** Slots occupied by requests of gateways that are not connected. */
   private unaccounted = 0;
   private lastToldOccupied = -1;
   private speed: LearnedSpeed = {};
 
-  constructor(private readonly send: SendToGateway) {}
+  constructor(
+    private readonly send: SendToGateway,
+    private readonly silence: GatewaySilenceOptions = DEFAULT_GATEWAY_SILENCE_OPTIONS,
+  ) {}
+
+  /** Whether the back end's report is needed to find out what runs there. */
+  needsReport(nowMs: number): boolean {
+    for (const [name, untilMs] of this.goneUntilMs) {
+      if (nowMs > untilMs) {
+        this.goneUntilMs.delete(name);
+      }
+    }
+    return this.unaccounted > 0 || this.goneUntilMs.size > 0;
+  }
+
+  /** Whether some gateway must be heard of soon. */
+  get expectsGateways(): boolean {
+    return [...this.accounts.values()].some((account) => account.isExpectedToSpeak);
+  }
+
+  /** Connections of gateways that are silent for too long. */
+  findSilent(nowMs: number): number[] {
+    return [...this.accounts]
+      .filter(([, account]) => account.isSilent(nowMs, this.silence))
+      .map(([connection]) => connection);
+  }
 
-  /** Whether the back end's report is needed to find out what still runs. */
-  get needsReport(): boolean {
-    return this.unaccounted > 0;
+  /** Whether a gateway said hello on the connection. */
+  knows(connection: number): boolean {
+    return this.accounts.has(connection);
   }
 
   /** Occupied slots. */
@@ -59,7 +86,7 @@
   /** Takes a message of the gateway on `connection`. */
   receive(connection: number, message: SlotMessage, nowMs: number): void {
     if (message.kind === 'hello') {
-      this.admit(connection, message.gateway, message.held, message.slots);
+      this.admit(connection, message, nowMs);
     } else {
       this.receiveFromKnown(connection, message, nowMs);
     }
@@ -68,35 +95,35 @@
   }
 
   /** A connection ended; what its gateway held may still run. */
-  disconnect(connection: number): void {
+  disconnect(connection: number, nowMs: number): void {
     const account = this.accounts.get(connection);
+    if (account === undefined) {
+      return;
+    }
     this.accounts.delete(connection);
-    this.unaccounted += account?.held ?? 0;
+    this.unaccounted += account.held;
+    this.goneUntilMs.set(account.name, nowMs + LOOK_FOR_GONE_MS);
     this.tellIfChanged();
   }
 
   /** Takes in the back end's own count of requests that run or wait there. */
   reconcile(requestsAtBackend: number, nowMs: number): void {
-    this.unaccounted = Math.min(this.unaccounted, Math.max(0, requestsAtBackend - this.held));
+    this.unaccounted = Math.max(0, requestsAtBackend - this.held);
     this.grant(nowMs);
     this.tellIfChanged();
   }
 
-  private admit(connection: number, name: string, held: number, slots: number): void {
+  private admit(connection: number, hello: SlotHello, nowMs: number): void {
+    const { gateway, held, slots } = hello;
     for (const [other, account] of this.accounts) {
-      if (account.name === name) {
-        this.disconnect(other);
+      if (account.name === gateway) {
+        this.disconnect(other, nowMs);
       }
     }
+    this.goneUntilMs.delete(gateway);
     this.slots = slots;
     this.unaccounted = Math.max(0, this.unaccounted - held);
-    this.accounts.set(connection, {
-      name,
-      held,
-      grantsIssued: 0,
-      messagesSeen: 0,
-      waiting: [],
-    });
+    this.accounts.set(connection, new GatewayAccount(gateway, held, nowMs));
     this.lastToldOccupied = -1;
   }
 
@@ -109,14 +136,10 @@
     if (account === undefined) {
       return;
     }
-    account.messagesSeen += 1;
+    account.hear(nowMs);
     switch (message.kind) {
       case 'demand':
-        account.waiting = readDemand(
-          message.ranks,
-          account.grantsIssued - message.grantsSeen,
-          nowMs,
-        );
+        account.setWaiting(message.ranks, message.grantsSeen, nowMs);
         break;
       case 'speed':
         this.learnSpeed(message.speed);
@@ -124,8 +147,17 @@
       case 'taken':
         account.held += 1;
         break;
+      case 'grant-used':
+        account.noteGrantAnswered();
+        break;
+      case 'grant-returned':
+        account.noteGrantAnswered();
+        account.release();
+        break;
       case 'released':
-        account.held = Math.max(0, account.held - 1);
+        account.release();
+        break;
+      case 'alive':
         break;
     }
   }
@@ -147,9 +179,7 @@
         return;
       }
       const [connection, account] = next;
-      account.waiting.shift();
-      account.held += 1;
-      account.grantsIssued += 1;
+      account.grant(nowMs);
       this.send(connection, { kind: 'granted' });
     }
   }
@@ -186,19 +216,3 @@
     }
   }
 }
-
-/** Grants still on their way answer the first of the requests named. */
-function readDemand(
-  ranks: readonly WaitingRank[],
-  grantsUnderWay: number,
-  nowMs: number,
-): WaitingPlace[] {
-  return ranks
-    .slice(Math.max(0, grantsUnderWay))
-    .map(({ tier, rankInTier, waitedMs, startInMs }) => ({
-      tier,
-      rankInTier,
-      arrivedAtMs: nowMs - waitedMs,
-      startByMs: nowMs + startInMs,
-    }));
-}
--- a/src/slot-agent/slot-messages.ts
+++ b/src/slot-agent/slot-messages.ts
@@ -37,11 +37,26 @@
   readonly kind: 'taken';
 }
 
-/** The gateway gives back a slot: a request ended, or a grant came too late. */
+/** The gateway gives back a slot, since a request ended. */
 export interface SlotReleased {
   readonly kind: 'released';
 }
 
+/** The gateway bound a request to the oldest grant that it had not answered. */
+export interface GrantUsed {
+  readonly kind: 'grant-used';
+}
+
+/** The gateway has no use for the oldest grant that it had not answered. */
+export interface GrantReturned {
+  readonly kind: 'grant-returned';
+}
+
+/** The gateway lives; sent while it holds slots or has requests waiting and nothing else was sent. */
+export interface GatewayAlive {
+  readonly kind: 'alive';
+}
+
 /** What gateways learned of an engine's speed; each value is missing until something was learned. */
 export interface LearnedSpeed {
   /** Time to read one token of a prompt, in milliseconds. */
@@ -59,7 +74,15 @@
 }
 
 /** Anything that a gateway says of slots. */
-export type SlotMessage = SlotHello | SlotDemand | SlotTaken | SlotReleased | SpeedLearned;
+export type SlotMessage =
+  | SlotHello
+  | SlotDemand
+  | SlotTaken
+  | SlotReleased
+  | GrantUsed
+  | GrantReturned
+  | GatewayAlive
+  | SpeedLearned;
 
 /** Anything that a gateway says. */
 export type GatewayToAgent = SlotMessage | RecordsRevision | RecordsAnswer;
@@ -82,5 +105,11 @@
 /** Anything that an agent says of slots. */
 export type SlotAnswer = SlotGranted | SlotState;
 
+/** The agent closes the connection. */
+export interface AgentRefusal {
+  readonly kind: 'refused';
+  readonly reason: 'hello-missing' | 'silent';
+}
+
 /** Anything that an agent says. */
-export type AgentToGateway = SlotAnswer | RecordsFetch;
+export type AgentToGateway = SlotAnswer | RecordsFetch | AgentRefusal;
--- a/test/dispatcher.test.ts
+++ b/test/dispatcher.test.ts
@@ -80,7 +80,7 @@
 test('a grant that nobody waits for any more is given back', (t) => {
   const world = worldWithFullEngine();
   world.dispatcher.receiveFromAgent('a', { kind: 'granted' }, 0);
-  t.deepEqual(world.toAgents.at(-1), ['a', { kind: 'released' }]);
+  t.deepEqual(world.toAgents.at(-1), ['a', { kind: 'grant-returned' }]);
 });
 
 test('slots taken since an older count was sent are not taken twice', (t) => {
--- a/test/slot-ledger.test.ts
+++ b/test/slot-ledger.test.ts
@@ -63,10 +63,10 @@
 test('slots of a gateway that is gone stay occupied until the engine reports less', (t) => {
   const agent = new Agent();
   agent.admit(1, 2);
-  agent.ledger.disconnect(1);
+  agent.ledger.disconnect(1, 0);
   agent.admit(2);
   agent.demand(2, [0]);
-  t.true(agent.ledger.needsReport);
+  t.true(agent.ledger.needsReport(0));
   t.deepEqual(agent.grants(), []);
   agent.ledger.reconcile(1, 1_000);
   t.deepEqual(agent.grants(), [2]);
@@ -75,10 +75,10 @@
 test('a gateway that connects again takes its slots over', (t) => {
   const agent = new Agent();
   agent.admit(1, 2);
-  agent.ledger.disconnect(1);
+  agent.ledger.disconnect(1, 0);
   agent.admit(1, 2);
   t.is(agent.ledger.occupied, 2);
-  t.false(agent.ledger.needsReport);
+  t.false(agent.ledger.needsReport(0));
 });
 
 test('gateways are told how many of their messages a count reflects', (t) => {
@@ -97,3 +97,76 @@
   t.is(to, 2);
   t.deepEqual(message.kind === 'state' ? message.speed : undefined, { prefillMsPerToken: 0.02 });
 });
+
+test('a grant that is not answered in time shows that its gateway is gone', (t) => {
+  const agent = new Agent();
+  agent.admit(1, 0, 1);
+  agent.demand(1, [0]);
+  t.deepEqual(agent.ledger.findSilent(1_100), []);
+  t.deepEqual(agent.ledger.findSilent(1_130), [1]);
+});
+
+test('a gateway that answers its grants and says that it lives is not taken for gone', (t) => {
+  const agent = new Agent();
+  agent.admit(1, 0, 1);
+  agent.demand(1, [0]);
+  agent.hear(1, { kind: 'grant-used' }, 1_010);
+  for (const nowMs of [1_500, 2_000, 2_500]) {
+    agent.hear(1, { kind: 'alive' }, nowMs);
+    t.deepEqual(agent.ledger.findSilent(nowMs + 400), []);
+  }
+  t.deepEqual(agent.ledger.findSilent(3_300), [1]);
+});
+
+test('a gateway that neither holds slots nor waits may be silent', (t) => {
+  const agent = new Agent();
+  agent.admit(1);
+  t.deepEqual(agent.ledger.findSilent(60_000), []);
+});
+
+test('a returned grant frees its slot for another gateway', (t) => {
+  const agent = new Agent();
+  agent.admit(1, 0, 1);
+  agent.admit(2, 0, 1);
+  agent.demand(1, [0], 900);
+  agent.demand(2, [0], 10);
+  agent.hear(1, { kind: 'grant-returned' }, 1_010);
+  t.deepEqual(agent.grants(), [1, 2]);
+});
+
+test('requests that a gone gateway still sends are found by the report of the engine', (t) => {
+  const agent = new Agent();
+  agent.admit(1, 1, 4);
+  agent.admit(2, 1, 4);
+  agent.ledger.disconnect(1, 0);
+  agent.ledger.reconcile(3, 100);
+  t.is(agent.ledger.occupied, 3);
+  agent.ledger.reconcile(1, 200);
+  t.is(agent.ledger.occupied, 1);
+  t.true(agent.ledger.needsReport(5_000));
+  t.false(agent.ledger.needsReport(11_000));
+});
+
+test('a slot goes to a request that can be in time before a more urgent one that is late', (t) => {
+  const agent = new Agent();
+  agent.admit(1, 1, 1);
+  agent.admit(2, 0, 1);
+  const late = { tier: 1, rankInTier: 0, waitedMs: 900, startInMs: -100 };
+  const inTime = { tier: 1, rankInTier: 2, waitedMs: 10, startInMs: 100 };
+  agent.hear(1, { kind: 'demand', ranks: [late], grantsSeen: 0 }, 1_000);
+  agent.hear(2, { kind: 'demand', ranks: [inTime], grantsSeen: 0 }, 1_000);
+  agent.hear(1, { kind: 'released' }, 1_000);
+  t.deepEqual(agent.grants(), [2]);
+});
+
+test('a lower tier never goes before a higher one, late or not', (t) => {
+  const agent = new Agent();
+  agent.admit(1, 1, 1);
+  agent.admit(2, 0, 1);
+  const late = { tier: 0, rankInTier: 0, waitedMs: 900, startInMs: -100 };
+  const inTime = { tier: 1, rankInTier: 0, waitedMs: 10, startInMs: 100 };
+  agent.hear(1, { kind: 'demand', ranks: [late], grantsSeen: 0 }, 1_000);
+  agent.hear(2, { kind: 'demand', ranks: [inTime], grantsSeen: 0 }, 1_000);
+  agent.hear(1, { kind: 'released' }, 1_000);
+  t.deepEqual(agent.grants(), [1]);
+});
