Give an engine without an agent an equal share from each gateway, a new one nothing at first

Now a new engine gets nothing until its agent is connected, refuses the connection, or 150 ms passed; without an agent the gateways together use 1.25 of its slots, each an equal part (before: half of the slots each). Ruled out: asking the engine's report from gateways; it lags and is priced.

--- a/src/gateway/backend-directory.ts
+++ b/src/gateway/backend-directory.ts
@@ -75,7 +75,7 @@
       }
       this.forgetOld(nowMs);
     } else if (known === undefined) {
-      this.backends.set(backendId, new KnownBackend(backend));
+      this.backends.set(backendId, new KnownBackend(backend, nowMs));
     } else {
       known.backend = backend;
       known.unlistedAtMs = undefined;
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -19,7 +19,10 @@
 export interface DispatcherOptions {
   /** Waiting requests that agents are told of. Default 8. */
   readonly demandLength: number;
-  /** Share of an engine's slots that a gateway uses while no agent tells. Default 0.5. */
+  /**
+   * What all gateways together use of an engine while no agent tells, as a share of its slots.
+   * Default 1.25: gateways are not equally busy.
+   */
   readonly shareWithoutAgent: number;
   /** How long a back end that left the list is used where no other is left, in milliseconds. Default 1,500. */
   readonly unlistedGraceMs: number;
@@ -28,7 +31,7 @@
 /** Defaults of a dispatcher. */
 export const DEFAULT_DISPATCHER_OPTIONS: DispatcherOptions = {
   demandLength: 8,
-  shareWithoutAgent: 0.5,
+  shareWithoutAgent: 1.25,
   unlistedGraceMs: 1_500,
 };
 
@@ -48,6 +51,8 @@
   onEjected(backendId: string): void;
   /** Whether a service's back ends are engines, which serve in batches. */
   isEngine(service: string): boolean;
+  /** Gateways that are known, this one included. */
+  countGateways(): number;
   /** Tokens that an engine of the service gathers in one event. */
   tokensPerEvent(service: string): number;
 }
@@ -170,6 +175,7 @@
     const known = this.directory.find(backendId);
     if (known !== undefined) {
       known.agent = undefined;
+      known.endAgentWait();
       this.serve(known.backend.service, nowMs);
     }
   }
@@ -225,7 +231,7 @@
       return;
     }
     for (const request of queue) {
-      if (!this.hasAnyRoom(service)) {
+      if (!this.hasAnyRoom(service, nowMs)) {
         break;
       }
       const chosen = this.choose(request, nowMs);
@@ -257,7 +263,7 @@
   private choose(request: DispatchRequest, nowMs: number): KnownBackend | undefined {
     const permitted = this.candidates(request, nowMs);
     const candidates = permitted.filter(
-      (known) => this.hasRoom(known) && !this.harms(request, known, known.occupied),
+      (known) => this.hasRoom(known, nowMs) && !this.harms(request, known, known.occupied),
     );
     const usual = usualSpeed(permitted);
     let best: KnownBackend | undefined;
@@ -277,8 +283,8 @@
     return harmsOthers(request, known.speed, others, tokensPerEvent);
   }
 
-  private hasAnyRoom(service: string): boolean {
-    return this.directory.ofService(service).some((known) => this.hasRoom(known));
+  private hasAnyRoom(service: string, nowMs: number): boolean {
+    return this.directory.ofService(service).some((known) => this.hasRoom(known, nowMs));
   }
 
   private noteBindInterval(service: string, nowMs: number): void {
@@ -319,14 +325,22 @@
     return isRecent && backend.state === 'ready' && !known.isReplaced;
   }
 
-  private hasRoom(known: KnownBackend): boolean {
+  private hasRoom(known: KnownBackend, nowMs: number): boolean {
     if (known.health.isProbing && known.outstanding > 0) {
       return false;
     }
-    const { slots } = known.backend;
-    const isShared = known.agent === undefined && this.ports.isEngine(known.backend.service);
-    const limit = isShared ? Math.ceil(slots * this.options.shareWithoutAgent) : slots;
-    return known.occupied < limit;
+    const isEngine = this.ports.isEngine(known.backend.service);
+    if (known.agent !== undefined || !isEngine) {
+      return known.occupied < known.backend.slots;
+    }
+    // Every gateway hears of a new engine at once: none rushes to it before its agent could be asked.
+    return !known.isAgentAwaited(nowMs) && known.occupied < this.limitWithoutAgent(known);
+  }
+
+  /** Requests that this gateway may have at an engine whose agent it does not hear. */
+  private limitWithoutAgent({ backend }: KnownBackend): number {
+    const shared = backend.slots * this.options.shareWithoutAgent;
+    return Math.ceil(shared / Math.max(1, this.ports.countGateways()));
   }
 
   private insert(request: DispatchRequest, nowMs: number): void {
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -108,6 +108,7 @@
       sendToAgent: (backendId, message) => this.links.send(backendId, message),
       onEjected: (backendId) => parts.log.write('backend-ejected', 'state', { backend: backendId }),
       isEngine,
+      countGateways: () => this.peers.size,
       tokensPerEvent: (service) => this.table?.findService(service)?.tokensPerEvent ?? 0,
     });
     const agentOptions = {
--- a/src/gateway/known-backend.ts
+++ b/src/gateway/known-backend.ts
@@ -5,6 +5,11 @@
 import { EngineSpeed } from './engine-speed.js';
 
 const SPEED_SMOOTHING = 0.15;
+/**
+ * Time in which the connection to the agent of a new engine comes up, in milliseconds: a machine
+ * without an agent refuses it in two, a busy gateway opens it within some tens.
+ */
+const AGENT_WAIT_MS = 150;
 
 /** The gateway's side of its connection to the agent beside a back end. */
 export interface SlotAgentLink {
@@ -40,7 +45,25 @@
   isReplaced = false;
   private learnedMsPerUnit: number | undefined;
 
-  constructor(public backend: Backend) {}
+  /** Until when its agent is given time to be connected, in milliseconds. */
+  private agentAwaitedUntilMs: number;
+
+  constructor(
+    public backend: Backend,
+    learnedAtMs: number,
+  ) {
+    this.agentAwaitedUntilMs = learnedAtMs + AGENT_WAIT_MS;
+  }
+
+  /** Whether a connection to its agent may still come up for the first time. */
+  isAgentAwaited(nowMs: number): boolean {
+    return nowMs < this.agentAwaitedUntilMs;
+  }
+
+  /** Its agent did not answer, or is gone. */
+  endAgentWait(): void {
+    this.agentAwaitedUntilMs = 0;
+  }
 
   /** Whether it is listed and still the incarnation at its address. */
   get isCurrent(): boolean {
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -124,6 +124,7 @@
   readonly dispatcher = new Dispatcher(this.directory, this);
   repeatsLeft = 10;
   engines = false;
+  gateways = 1;
 
   constructor(...backends: Backend[]) {
     for (const backend of backends) {
@@ -135,6 +136,10 @@
     return 3;
   }
 
+  countGateways(): number {
+    return this.gateways;
+  }
+
   isEngine(): boolean {
     return this.engines;
   }
