Bind no late requests while others that could be in time are refused

Now for 300 ms after a refusal for lack of slots late requests are left out of the order; the next one that can be in time is due within tens of milliseconds.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -106,6 +106,11 @@
     }
   }
 
+  /** A request that could have been in time is refused for lack of slots. */
+  noteShed(service: string, nowMs: number): void {
+    this.waiting.get(service)?.noteShed(nowMs);
+  }
+
   /** An attempt ended. */
   finish(backendId: string, outcome: AttemptOutcome, nowMs: number): void {
     const known = this.directory.find(backendId);
--- a/src/gateway/proxied-request.ts
+++ b/src/gateway/proxied-request.ts
@@ -163,16 +163,24 @@
     if (progress?.lastEventAtMs !== undefined) {
       return progress.lastEventAtMs + options.resumeWaitMs;
     }
-    return request.isReturning
-      ? request.arrivedAtMs + request.route.targetLatencyMs * options.lateWaitShare
-      : placement!.startByMs;
+    if (!request.isReturning) {
+      return placement!.startByMs;
+    }
+    const { arrivedAtMs, endsAtMs, route } = request;
+    const longestMs = (endsAtMs - arrivedAtMs) * options.waitTimeShare;
+    return arrivedAtMs + Math.min(route.targetLatencyMs * options.lateWaitShare, longestMs);
   }
 
   private giveUpWaiting(): void {
     if (this.phase !== 'waiting') {
       return;
     }
-    const hasBackends = this.ports.directory.countReady(this.request.service) > 0;
+    const { directory, dispatcher, clock } = this.ports;
+    const { service, isReturning } = this.request;
+    const hasBackends = directory.countReady(service) > 0;
+    if (hasBackends && !isReturning) {
+      dispatcher.noteShed(service, clock.now());
+    }
     this.answerFailure(hasBackends ? 'overloaded' : 'no-backend');
   }
 
--- a/src/gateway/request-model.ts
+++ b/src/gateway/request-model.ts
@@ -78,6 +78,11 @@
   readonly earlyRefusalShare: number;
   /** How often the target latency a request may wait that was refused before. Default 3. */
   readonly lateWaitShare: number;
+  /**
+   * Share of the time that it has which such a request may wait: one that is held for longer and then
+   * refused has little time left to go elsewhere. Default 0.4.
+   */
+  readonly waitTimeShare: number;
   /** Longest wait of a broken stream for another back end, in milliseconds; callers give up soon after. Default 1,500. */
   readonly resumeWaitMs: number;
   /** Share of the target latency after which a safe request is tried elsewhere. Default 0.6. */
@@ -95,6 +100,7 @@
 export const DEFAULT_REQUEST_OPTIONS: RequestOptions = {
   earlyRefusalShare: 0.2,
   lateWaitShare: 3,
+  waitTimeShare: 0.4,
   resumeWaitMs: 1_500,
   safeHeadShare: 0.6,
   streamSilenceMs: 1_200,
--- /dev/null
+++ b/test/waiting-queue.test.ts
@@ -0,0 +1,53 @@
+import test from 'ava';
+import type { DispatchRequest } from '../src/gateway/dispatch-request.js';
+import { WaitingQueue } from '../src/gateway/waiting-queue.js';
+
+function requestOf(changes: Partial<DispatchRequest>): DispatchRequest {
+  return {
+    service: 's',
+    tier: 1,
+    rankInTier: 0,
+    arrivedAtMs: 0,
+    startByMs: 100,
+    units: 1,
+    promptTokens: 0,
+    firstDueAtMs: 100,
+    maxPauseMs: 0,
+    excluded: new Set(),
+    onPlaced: () => undefined,
+    ...changes,
+  };
+}
+
+test('a request that became late goes behind those of its tier that did not', (t) => {
+  const queue = new WaitingQueue();
+  const early = requestOf({ startByMs: 50 });
+  const inTime = requestOf({ rankInTier: 2, arrivedAtMs: 20 });
+  const lowerTier = requestOf({ tier: 2, arrivedAtMs: 30 });
+  queue.add(lowerTier);
+  queue.add(inTime);
+  queue.add(early);
+  t.deepEqual(queue.inOrder(40), [early, inTime, lowerTier]);
+  t.deepEqual(queue.inOrder(60), [inTime, early, lowerTier]);
+});
+
+test('late requests get no slot while requests that could be in time are refused', (t) => {
+  const queue = new WaitingQueue();
+  const late = requestOf({ startByMs: 10 });
+  queue.add(late);
+  queue.noteShed(100);
+  t.deepEqual(queue.inOrder(150), []);
+  t.deepEqual(queue.inOrder(450), [late]);
+});
+
+test('only what goes before a request counts as before it', (t) => {
+  const queue = new WaitingQueue();
+  const first = requestOf({});
+  const second = requestOf({ arrivedAtMs: 1 });
+  const late = requestOf({ startByMs: -1 });
+  [first, second, late].forEach((request) => queue.add(request));
+  t.is(queue.countBefore(second, 5), 1);
+  t.true(queue.remove(first));
+  t.is(queue.countBefore(second, 5), 0);
+  t.false(queue.remove(first));
+});
