Slot agents log what they believe and serve metrics

Agents logged start and stop only. Now a line for each gateway that connects, is lost or refused and for slots found free by the engine's report; counters of grants, ended connections, reconciled slots and failed reports, gauges of slots.

--- a/src/slot-agent/slot-agent-role.ts
+++ b/src/slot-agent/slot-agent-role.ts
@@ -12,6 +12,8 @@
 import type { Clock } from '../clock.js';
 import { MessageChannel } from '../protocol/message-channel.js';
 import type { RandomSource } from '../random.js';
+import type { DecisionLog } from '../telemetry/decision-log.js';
+import type { SlotAgentMetrics } from './slot-agent-metrics.js';
 import { SlotLedger } from './slot-ledger.js';
 import type { AgentRefusal, AgentToGateway, GatewayToAgent, SlotMessage } from './slot-messages.js';
 
@@ -35,6 +37,28 @@
   readonly seeds: readonly string[];
 }
 
+/** What an agent is made from. */
+export interface SlotAgentParts {
+  readonly identity: SlotAgentIdentity;
+  readonly readReport: EngineReport;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: DecisionLog;
+  readonly metrics: SlotAgentMetrics;
+}
+
+/** Where an agent listens. */
+export interface SlotAgentListen {
+  readonly host: string;
+  /** Port for gateways. */
+  readonly port: number;
+  /** Port of the metrics; 0 for none. */
+  readonly metricsPort: number;
+}
+
+/** Time from the start until the library of the metrics is loaded, in milliseconds. */
+const METRICS_LOAD_MS = 5_000;
+
 /**
  * Gateways that were killed start within a second; the replica must not come
  * much later. A few gateways are enough, since they tell the others.
@@ -66,16 +90,19 @@
   private isChecking = false;
   private isStopped = false;
 
+  private readonly clock: Clock;
+
   constructor(
-    identity: SlotAgentIdentity,
-    private readonly readReport: EngineReport,
-    private readonly clock: Clock,
-    random: RandomSource,
+    private readonly parts: SlotAgentParts,
     private readonly options: SlotAgentOptions = DEFAULT_SLOT_AGENT_OPTIONS,
   ) {
-    this.ledger = new SlotLedger((connection, message) =>
-      this.channels.get(connection)?.send(message),
-    );
+    const { identity, clock, random, metrics } = parts;
+    this.clock = clock;
+    this.ledger = new SlotLedger({
+      send: (connection, message) => this.channels.get(connection)?.send(message),
+      onGranted: () => metrics.record(({ grants }) => grants.inc()),
+      onReconciled: (slots) => this.noteReconciled(slots),
+    });
     this.server = createServer((socket) => this.accept(socket));
     this.exchange = new RecordExchange(
       this.records,
@@ -103,10 +130,16 @@
   }
 
   /** Listens for gateways. */
-  start(host: string, port: number): void {
+  start({ host, port, metricsPort }: SlotAgentListen): void {
+    const { metrics, log } = this.parts;
     this.server.listen(port, host);
     this.mesh.start();
     this.beat();
+    if (metricsPort > 0) {
+      metrics.serve(host, metricsPort);
+      this.clock.setTimeout(() => void metrics.load(() => this.ledger.snapshot), METRICS_LOAD_MS);
+    }
+    log.write('started', 'state', { port, metricsPort });
   }
 
   /** Ends every connection. */
@@ -114,9 +147,12 @@
     this.isStopped = true;
     this.server.close();
     this.mesh.stop();
+    this.parts.metrics.close();
     for (const channel of this.channels.values()) {
       channel.close();
     }
+    this.parts.log.write('stopped', 'state');
+    this.parts.log.flush();
   }
 
   private accept(socket: Socket): void {
@@ -124,15 +160,23 @@
     this.nextConnection += 1;
     const channel = new MessageChannel<AgentToGateway, GatewayToAgent>(socket, {
       onMessage: (message) => this.receive(connection, message),
-      onClose: () => {
-        this.channels.delete(connection);
-        this.ledger.disconnect(connection, this.clock.now());
-        this.lookWhileNeeded();
-      },
+      onClose: () => this.forget(connection),
     });
     this.channels.set(connection, channel);
   }
 
+  private forget(connection: number): void {
+    this.parts.log.write('gateway-lost', 'state', this.ledger.describe(connection));
+    this.channels.delete(connection);
+    this.ledger.disconnect(connection, this.clock.now());
+    this.lookWhileNeeded();
+  }
+
+  private noteReconciled(slots: number): void {
+    this.parts.metrics.record(({ slotsReconciled }) => slotsReconciled.inc(slots));
+    this.parts.log.write('slots-reconciled', 'state', { freed: slots, ...this.ledger.snapshot });
+  }
+
   private receive(connection: number, message: GatewayToAgent): void {
     if (message.kind === 'records') {
       this.exchange.receive(message);
@@ -153,12 +197,18 @@
       return;
     }
     this.ledger.receive(connection, message, this.clock.now());
+    if (message.kind === 'hello') {
+      this.parts.log.write('gateway-connected', 'state', this.ledger.describe(connection));
+    }
     this.checkWhileNeeded();
   }
 
   /** Ends a connection; a gateway that still lives learns why. */
   private refuse(connection: number, reason: AgentRefusal['reason']): void {
     const channel = this.channels.get(connection);
+    const { log, metrics } = this.parts;
+    log.write('gateway-refused', 'state', { reason, ...this.ledger.describe(connection) });
+    metrics.record(({ gatewaysEnded }) => gatewaysEnded.inc({ reason }));
     channel?.send({ kind: 'refused', reason });
     channel?.flush();
     channel?.close();
@@ -195,8 +245,10 @@
   }
 
   private async look(): Promise<void> {
-    const requestsAtEngine = await this.readReport();
-    if (requestsAtEngine !== undefined) {
+    const requestsAtEngine = await this.parts.readReport();
+    if (requestsAtEngine === undefined) {
+      this.parts.metrics.record(({ reportsFailed }) => reportsFailed.inc());
+    } else {
       this.ledger.reconcile(requestsAtEngine, this.clock.now());
       this.checkWhileNeeded();
     }
--- a/src/slot-agent/slot-ledger.ts
+++ b/src/slot-agent/slot-ledger.ts
@@ -10,11 +10,19 @@
  */
 import { DEFAULT_GATEWAY_SILENCE_OPTIONS, GatewayAccount } from './gateway-account.js';
 import type { GatewaySilenceOptions } from './gateway-account.js';
+import type { SlotAgentSnapshot } from './slot-agent-instruments.js';
 import type { LearnedSpeed, SlotAnswer, SlotHello, SlotMessage } from './slot-messages.js';
 import { compareWaiting } from './waiting-order.js';
 
-/** Sends a message to a connected gateway. */
-export type SendToGateway = (connection: number, message: SlotAnswer) => void;
+/** What a ledger does to its surroundings. */
+export interface SlotLedgerPorts {
+  /** Sends a message to a connected gateway. */
+  send(connection: number, message: SlotAnswer): void;
+  /** A slot was granted. */
+  onGranted(): void;
+  /** Slots that were thought to be taken were found free by the report of the back end. */
+  onReconciled(slots: number): void;
+}
 
 /**
  * How long the requests of a gateway that is gone are looked for at the back end,
@@ -34,7 +42,7 @@
   private speed: LearnedSpeed = {};
 
   constructor(
-    private readonly send: SendToGateway,
+    private readonly ports: SlotLedgerPorts,
     private readonly silence: GatewaySilenceOptions = DEFAULT_GATEWAY_SILENCE_OPTIONS,
   ) {}
 
@@ -48,6 +56,20 @@
     return this.unaccounted > 0 || this.goneUntilMs.size > 0;
   }
 
+  /** What the metrics show. */
+  get snapshot(): SlotAgentSnapshot {
+    const { slots, occupied, unaccounted } = this;
+    return { slots, occupied, unaccounted, gateways: this.accounts.size };
+  }
+
+  /** The gateway on a connection, and what it holds; undefined before its hello. */
+  describe(connection: number): { gateway: string; held: number; waiting: number } | undefined {
+    const account = this.accounts.get(connection);
+    return account === undefined
+      ? undefined
+      : { gateway: account.name, held: account.held, waiting: account.waiting.length };
+  }
+
   /** Whether some gateway must be heard of soon. */
   get expectsGateways(): boolean {
     return [...this.accounts.values()].some((account) => account.isExpectedToSpeak);
@@ -108,7 +130,11 @@
 
   /** Takes in the back end's own count of requests that run or wait there. */
   reconcile(requestsAtBackend: number, nowMs: number): void {
+    const before = this.unaccounted;
     this.unaccounted = Math.max(0, requestsAtBackend - this.held);
+    if (this.unaccounted < before) {
+      this.ports.onReconciled(before - this.unaccounted);
+    }
     this.grant(nowMs);
     this.tellIfChanged();
   }
@@ -180,7 +206,8 @@
       }
       const [connection, account] = next;
       account.grant(nowMs);
-      this.send(connection, { kind: 'granted' });
+      this.ports.onGranted();
+      this.ports.send(connection, { kind: 'granted' });
     }
   }
 
@@ -212,7 +239,7 @@
     const { occupied } = this;
     this.lastToldOccupied = occupied;
     for (const [connection, { messagesSeen }] of this.accounts) {
-      this.send(connection, { kind: 'state', occupied, messagesSeen, speed: this.speed });
+      this.ports.send(connection, { kind: 'state', occupied, messagesSeen, speed: this.speed });
     }
   }
 }
--- a/test/replica.test.ts
+++ b/test/replica.test.ts
@@ -9,7 +9,9 @@
 import type { StoreRecord } from '../src/cluster/replicated-records.js';
 import { MessageChannel } from '../src/protocol/message-channel.js';
 import { SeededRandom } from '../src/random.js';
+import { SlotAgentMetrics } from '../src/slot-agent/slot-agent-metrics.js';
 import { SlotAgentRole } from '../src/slot-agent/slot-agent-role.js';
+import { DecisionLog } from '../src/telemetry/decision-log.js';
 import type { AgentToGateway, GatewayToAgent } from '../src/slot-agent/slot-messages.js';
 
 const HOST = '127.0.4.1';
@@ -133,13 +135,15 @@
 test('an agent hands the records of a gateway that died to one that starts', async (t) => {
   const [agentPort, gatewayPort] = [nextPort(), nextPort()];
   const seeds = [`${HOST}:${gatewayPort}`];
-  const agent = new SlotAgentRole(
-    { name: 'agent', seeds },
-    () => Promise.resolve(0),
-    SYSTEM_CLOCK,
-    new SeededRandom(2),
-  );
-  agent.start(HOST, agentPort);
+  const agent = new SlotAgentRole({
+    identity: { name: 'agent', seeds },
+    readReport: () => Promise.resolve(0),
+    clock: SYSTEM_CLOCK,
+    random: new SeededRandom(2),
+    log: new DecisionLog({ role: 'slot-agent', process: 'agent', zone: 'z' }, 0, SYSTEM_CLOCK),
+    metrics: new SlotAgentMetrics(),
+  });
+  agent.start({ host: HOST, port: agentPort, metricsPort: 0 });
   await handRecordsToAgent(agentPort);
   const started = startMesh(helloOf('g', gatewayPort), []);
   t.deepEqual(await started.heard, [RECORD]);
--- a/test/slot-ledger.test.ts
+++ b/test/slot-ledger.test.ts
@@ -4,7 +4,12 @@
 
 class Agent {
   readonly sent: Array<[number, AgentToGateway]> = [];
-  readonly ledger = new SlotLedger((connection, message) => this.sent.push([connection, message]));
+  reconciled = 0;
+  readonly ledger = new SlotLedger({
+    send: (connection, message) => this.sent.push([connection, message]),
+    onGranted: () => undefined,
+    onReconciled: (slots) => (this.reconciled += slots),
+  });
 
   admit(connection: number, held = 0, slots = 2): void {
     this.hear(connection, {
@@ -143,6 +148,7 @@
   t.is(agent.ledger.occupied, 3);
   agent.ledger.reconcile(1, 200);
   t.is(agent.ledger.occupied, 1);
+  t.is(agent.reconciled, 2);
   t.true(agent.ledger.needsReport(5_000));
   t.false(agent.ledger.needsReport(11_000));
 });
