--- a/src/gateway/backend-choice.ts
+++ b/src/gateway/backend-choice.ts
@@ -1,6 +1,7 @@
 /** Query: what it costs to bind a request to a back end, and whom that would hold up. */
 import type { DispatchRequest } from './dispatch-request.js';
 import type { EngineSpeed } from './engine-speed.js';
+import type { PrefillSpeed } from '../slot-agent/slot-messages.js';
 import type { KnownBackend } from './known-backend.js';
 
 /** Weight of the whole work against the time to the first event when a back end is chosen. */
@@ -22,7 +23,7 @@
     return (known.occupied + 1) * workMs;
   }
   const tokens = known.pendingPromptTokens + request.promptTokens;
-  const firstMs = known.speed.expectedFirstMs(tokens, usual.prefillMsPerToken);
+  const firstMs = known.speed.expectedFirstMs(tokens, usual.prefill);
   const trialMs = known.speed.isKnown ? 0 : known.occupied * UNKNOWN_SPEED_COST_MS;
   const isLate = nowMs + firstMs > request.firstDueAtMs;
   return firstMs + workMs * WORK_WEIGHT + trialMs + (isLate ? LATE_COST_MS : 0);
@@ -44,21 +45,24 @@
 /** What is assumed of a back end of which nothing was learned. */
 export interface UsualSpeed {
   readonly msPerUnit: number;
-  readonly prefillMsPerToken: number;
+  /** Undefined while nothing was learned of any. */
+  readonly prefill: PrefillSpeed | undefined;
 }
 
 /** The means of what was learned of `backends`. */
 export function usualSpeed(backends: readonly KnownBackend[]): UsualSpeed {
   const learned = backends.map((known) => known.learned);
+  const prefills = learned.flatMap(({ prefill }) => (prefill === undefined ? [] : [prefill]));
+  const baseMs = mean(prefills.map((prefill) => prefill.baseMs));
+  const msPerToken = mean(prefills.map((prefill) => prefill.msPerToken));
   return {
-    msPerUnit: mean(learned.map(({ msPerUnit }) => msPerUnit)) ?? 1,
-    prefillMsPerToken: mean(learned.map(({ prefillMsPerToken }) => prefillMsPerToken)) ?? 0,
+    msPerUnit: mean(learned.flatMap(({ msPerUnit }) => msPerUnit ?? [])) ?? 1,
+    prefill: baseMs === undefined || msPerToken === undefined ? undefined : { baseMs, msPerToken },
   };
 }
 
-function mean(values: ReadonlyArray<number | undefined>): number | undefined {
-  const known = values.filter((value) => value !== undefined);
-  return known.length === 0
+function mean(values: readonly number[]): number | undefined {
+  return values.length === 0
     ? undefined
-    : known.reduce((sum, value) => sum + value, 0) / known.length;
+    : values.reduce((sum, value) => sum + value, 0) / values.length;
 }
--- a/src/slot-agent/slot-ledger.ts
+++ b/src/slot-agent/slot-ledger.ts
@@ -190,8 +190,7 @@
 
   /** What is learned first is told at once; what changes later goes with the next count. */
   private learnSpeed(speed: LearnedSpeed): void {
-    const isNew =
-      this.speed.prefillMsPerToken === undefined && speed.prefillMsPerToken !== undefined;
+    const isNew = this.speed.prefill === undefined && speed.prefill !== undefined;
     this.speed = { ...this.speed, ...speed };
     if (isNew) {
       this.lastToldOccupied = -1;
--- a/src/slot-agent/slot-messages.ts
+++ b/src/slot-agent/slot-messages.ts
@@ -57,10 +57,15 @@
   readonly kind: 'alive';
 }
 
+/** Time from a send to the first event: `baseMs` and `msPerToken` for each token of the prompt, in milliseconds. */
+export interface PrefillSpeed {
+  readonly baseMs: number;
+  readonly msPerToken: number;
+}
+
 /** What gateways learned of an engine's speed; each value is missing until something was learned. */
 export interface LearnedSpeed {
-  /** Time to read one token of a prompt, in milliseconds. */
-  readonly prefillMsPerToken?: number;
+  readonly prefill?: PrefillSpeed;
   /** Pause between two events of a stream, in milliseconds. */
   readonly eventMs?: number;
   /** Time for one unit of work, in milliseconds. */
--- a/test/dispatcher.test.ts
+++ b/test/dispatcher.test.ts
@@ -166,12 +166,12 @@
 test('a prompt goes where others learned that it is read fast', (t) => {
   const world = new GatewayWorld(backendOf('slow'), backendOf('fast'));
   world.engines = true;
-  for (const [id, prefillMsPerToken] of [
+  for (const [id, msPerToken] of [
     ['slow', 0.09],
     ['fast', 0.02],
   ] as const) {
     world.dispatcher.connectAgent(id, 0);
-    const speed = { prefillMsPerToken };
+    const speed = { prefill: { baseMs: 6, msPerToken } };
     world.dispatcher.receiveFromAgent(
       id,
       { kind: 'state', occupied: 0, messagesSeen: 0, speed },
@@ -187,7 +187,7 @@
   world.engines = true;
   const route = routeOf({ kind: 'stream', targetLatencyMs: 900, maxPauseMs: 200 });
   world.dispatcher.connectAgent('a', 0);
-  const speed = { prefillMsPerToken: 0.09, eventMs: 50 };
+  const speed = { prefill: { baseMs: 6, msPerToken: 0.09 }, eventMs: 50 };
   world.dispatcher.receiveFromAgent('a', { kind: 'state', occupied: 1, messagesSeen: 0, speed }, 0);
   world.request({ route, promptTokens: 4_000, path: '/long' });
   world.request({ route, promptTokens: 500, path: '/short' });
--- a/test/slot-ledger.test.ts
+++ b/test/slot-ledger.test.ts
@@ -96,11 +96,13 @@
 test('a gateway that connects is told what others learned of the engine', (t) => {
   const agent = new Agent();
   agent.admit(1);
-  agent.hear(1, { kind: 'speed', speed: { prefillMsPerToken: 0.02 } });
+  agent.hear(1, { kind: 'speed', speed: { prefill: { baseMs: 5, msPerToken: 0.02 } } });
   agent.admit(2);
   const [to, message] = agent.sent.at(-1)!;
   t.is(to, 2);
-  t.deepEqual(message.kind === 'state' ? message.speed : undefined, { prefillMsPerToken: 0.02 });
+  t.deepEqual(message.kind === 'state' ? message.speed : undefined, {
+    prefill: { baseMs: 5, msPerToken: 0.02 },
+  });
 });
 
 test('a grant that is not answered in time shows that its gateway is gone', (t) => {
