Split the gateway into folders by job, and its two longest files

src/gateway was 31 flat files. Now admission, dispatch, attempt, links and metrics, with the role, its settings and the adapter's interface on top.

--- a/src/gateway/caller-listener.ts
+++ b/src/gateway/admission/caller-listener.ts
@@ -2,8 +2,8 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import type { CallerLimits } from '../routing/configuration.js';
-import type { CallerReply } from './attempt.js';
+import type { CallerLimits } from '../../routing/configuration.js';
+import type { CallerReply } from '../attempt/attempt.js';
 import type { RawHeaders } from './caller-protocol.js';
 
 /** A request whose head was read. */
--- a/src/gateway/request-admission.ts
+++ b/src/gateway/admission/request-admission.ts
@@ -1,16 +1,16 @@
 /** Decides whether a request is taken, and describes it: route, key, quota, and what is left of its time. */
-import type { Clock } from '../clock.js';
-import type { RandomSource } from '../random.js';
-import { err, ok } from '../result.js';
-import type { Result } from '../result.js';
-import type { Route, Tenant } from '../routing/configuration.js';
-import { pickService } from '../routing/routing-table.js';
-import type { RoutingTable } from '../routing/routing-table.js';
+import type { Clock } from '../../clock.js';
+import type { RandomSource } from '../../random.js';
+import { err, ok } from '../../result.js';
+import type { Result } from '../../result.js';
+import type { Route, Tenant } from '../../routing/configuration.js';
+import { pickService } from '../../routing/routing-table.js';
+import type { RoutingTable } from '../../routing/routing-table.js';
 import type { ReceivedHead } from './caller-listener.js';
 import type { CallerRequestHead } from './caller-protocol.js';
 import type { GatewayRefusal } from './gateway-refusal.js';
-import { DEFAULT_REQUEST_OPTIONS } from './request-model.js';
-import type { AcceptedRequest } from './request-model.js';
+import { DEFAULT_REQUEST_OPTIONS } from '../attempt/request-model.js';
+import type { AcceptedRequest } from '../attempt/request-model.js';
 import type { TokenQuotas } from './token-quota.js';
 import { WorkRanks } from './work-ranks.js';
 
--- a/src/gateway/send-refusal.ts
+++ b/src/gateway/admission/send-refusal.ts
@@ -1,5 +1,5 @@
 /** Sends an answer of the gateway's own. */
-import type { CallerReply } from './attempt.js';
+import type { CallerReply } from '../attempt/attempt.js';
 import type { CallerProtocol } from './caller-protocol.js';
 import { statusOfRefusal } from './gateway-refusal.js';
 import type { GatewayRefusal } from './gateway-refusal.js';
--- a/src/gateway/token-quota.ts
+++ b/src/gateway/admission/token-quota.ts
@@ -6,7 +6,7 @@
  * share of the rate, so that gateways that cannot hear each other stay within
  * the limit together.
  */
-import type { TenantQuota } from '../routing/configuration.js';
+import type { TenantQuota } from '../../routing/configuration.js';
 
 /** Bounds of the quotas. */
 export interface TokenQuotaOptions {
--- a/src/gateway/attempt-progress.ts
+++ b/src/gateway/attempt/attempt-progress.ts
@@ -1,5 +1,5 @@
 /** How far the answer to one attempt has come, and what that says of its back end. */
-import type { Dispatcher } from './dispatcher.js';
+import type { Dispatcher } from '../dispatch/dispatcher.js';
 
 /** Progress of one attempt. */
 export class AttemptProgress {
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt/attempt.ts
@@ -1,6 +1,6 @@
 /** One send of a request to one back end, as the gateway's core sees it. */
-import type { Backend } from '../routing/backend.js';
-import type { RawHeaders } from './caller-protocol.js';
+import type { Backend } from '../../routing/backend.js';
+import type { RawHeaders } from '../admission/caller-protocol.js';
 
 /** What is sent. */
 export interface OutgoingAttempt {
--- a/src/gateway/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -4,24 +4,23 @@
  * A request that was sent is never sent again unless it may be repeated or it
  * is certain that no back end ran it.
  */
-import type { TimerHandle } from '../clock.js';
-import type { Backend } from '../routing/backend.js';
+import type { TimerHandle } from '../../clock.js';
+import type { Backend } from '../../routing/backend.js';
 import type { AnswerHead, AttemptFailure, AttemptHandle, CallerReply } from './attempt.js';
-import type { AttemptOutcome } from './backend-health.js';
-import { endToEndHeaders } from './caller-protocol.js';
+import type { AttemptOutcome } from '../dispatch/backend-health.js';
+import { endToEndHeaders } from '../admission/caller-protocol.js';
 import { AttemptProgress } from './attempt-progress.js';
-import type { DispatchRequest } from './dispatch-request.js';
-import { EventSplitter } from './event-stream.js';
-import type { GatewayRefusal } from './gateway-refusal.js';
-import { sendRefusal } from './send-refusal.js';
+import type { DispatchRequest } from '../dispatch/dispatch-request.js';
+import type { GatewayRefusal } from '../admission/gateway-refusal.js';
+import { sendRefusal } from '../admission/send-refusal.js';
+import { AnswerRelay } from './answer-relay.js';
+import type { HeldAnswer } from './answer-relay.js';
+import { nextEventDueAtMs, retryAfterMs, waitUntilMs } from './wait-rules.js';
 import type { AcceptedRequest, RequestOptions, RequestPorts, RequestTry } from './request-model.js';
 
 const MAX_CONNECT_FAILURES = 4;
-const MAX_BUFFERED_ANSWER_BYTES = 256 * 1024;
 const MIN_TIME_FOR_ATTEMPT_MS = 5;
-const HTTP_ERROR = 400;
 const HTTP_SERVER_ERROR = 500;
-const FRAMING_HEADERS = new Set(['content-length']);
 const NO_HEADERS = new Set<string>();
 
 type Phase = 'waiting' | 'sent' | 'streaming' | 'done';
@@ -37,20 +36,14 @@
   private connectFailures = 0;
   private readonly excluded = new Set<string>();
   private readonly tries: RequestTry[] = [];
-  private head: AnswerHead | undefined;
-  /** The head that the caller was sent; undefined until its reply has begun. */
-  private repliedHead: AnswerHead | undefined;
-  private buffered: Buffer[] = [];
-  private bufferedBytes = 0;
-  private splitter = new EventSplitter();
-  private lastEventId: string | undefined;
+  private readonly relay: AnswerRelay;
   private firstPlacedAtMs: number | undefined;
   private firstByteAtMs: number | undefined;
   private longestPauseMs = 0;
   private progress: AttemptProgress | undefined;
   /** Whether some back end may have run the request. */
   private mayHaveRun = false;
-  private lastAnswer: { head: AnswerHead; body: Buffer } | undefined;
+  private lastAnswer: HeldAnswer | undefined;
   private readonly endTimer: TimerHandle;
   private stepTimer: TimerHandle | undefined;
 
@@ -60,7 +53,8 @@
     private readonly ports: RequestPorts,
     private readonly options: RequestOptions,
   ) {
-    this.lastEventId = request.lastEventId;
+    const { method, lastEventId, route } = request;
+    this.relay = new AnswerRelay(reply, { method, lastEventId, isStream: route.kind === 'stream' });
     const leftMs = Math.max(0, request.endsAtMs - ports.clock.now());
     this.endTimer = ports.clock.setTimeout(() => this.timeOut(), leftMs);
   }
@@ -70,10 +64,6 @@
     return this.phase === 'done';
   }
 
-  private get hasStartedReply(): boolean {
-    return this.repliedHead !== undefined;
-  }
-
   /** Offers the request to the back ends. */
   begin(): void {
     this.waitForBackend();
@@ -94,9 +84,8 @@
   private waitForBackend(): void {
     const { request, ports } = this;
     const nowMs = ports.clock.now();
-    const firstDueAtMs = this.nextEventDueAtMs();
+    const firstDueAtMs = nextEventDueAtMs(request, this.progress?.lastEventAtMs);
     this.phase = 'waiting';
-    this.head = undefined;
     this.placement = {
       service: request.service,
       tier: request.tier,
@@ -115,15 +104,6 @@
     ports.dispatcher.submit(this.placement, nowMs);
   }
 
-  /** When the caller must get the next part of its answer for the answer to be in time, in milliseconds. */
-  private nextEventDueAtMs(): number {
-    const { arrivedAtMs, route } = this.request;
-    const lastEventAtMs = this.progress?.lastEventAtMs;
-    return lastEventAtMs === undefined
-      ? arrivedAtMs + route.targetLatencyMs
-      : lastEventAtMs + route.maxPauseMs;
-  }
-
   /** Time until it is reckoned whether waiting is of use, in milliseconds. */
   private firstLookMs(): number {
     return this.request.route.targetLatencyMs * this.options.earlyRefusalShare;
@@ -145,7 +125,7 @@
 
   /** One that was refused before, or whose caller has a part of the answer, is not sent away again. */
   private mustNotBeRefusedEarly(): boolean {
-    return this.request.isReturning || this.hasStartedReply;
+    return this.request.isReturning || this.relay.hasStarted;
   }
 
   private canStartInTime(nowMs: number): boolean {
@@ -155,20 +135,9 @@
 
   /** Longest time that it may still wait, in milliseconds. */
   private longestWaitMs(nowMs: number): number {
-    return Math.min(this.request.endsAtMs, this.waitUntilMs()) - nowMs;
-  }
-
-  private waitUntilMs(): number {
-    const { request, options, placement, progress } = this;
-    if (progress?.lastEventAtMs !== undefined) {
-      return progress.lastEventAtMs + options.resumeWaitMs;
-    }
-    if (!request.isReturning) {
-      return placement!.startByMs;
-    }
-    const { arrivedAtMs, endsAtMs, route } = request;
-    const longestMs = (endsAtMs - arrivedAtMs) * options.waitTimeShare;
-    return arrivedAtMs + Math.min(route.targetLatencyMs * options.lateWaitShare, longestMs);
+    const lastEventAtMs = this.progress?.lastEventAtMs;
+    const { startByMs } = this.placement!;
+    return waitUntilMs(this.request, { lastEventAtMs, startByMs }, this.options) - nowMs;
   }
 
   private giveUpWaiting(): void {
@@ -200,9 +169,7 @@
     });
     this.attemptStartedAtMs = nowMs;
     this.firstPlacedAtMs ??= nowMs;
-    this.buffered = [];
-    this.bufferedBytes = 0;
-    this.splitter = new EventSplitter();
+    this.relay.beginAttempt();
     this.progress = new AttemptProgress(
       ports.dispatcher,
       backend.id,
@@ -215,7 +182,7 @@
       remainingMs: Math.max(1, Math.floor(request.endsAtMs - nowMs)),
       backendId: backend.id,
       tenant: request.tenant,
-      lastEventId: this.lastEventId,
+      lastEventId: this.relay.lastEventId,
     });
     const { method, path, body } = request;
     this.armSilenceTimer();
@@ -264,22 +231,10 @@
       this.dropRefused(answer.isMisdirected);
       return;
     }
-    if (!this.fitsBegunReply(head)) {
+    if (!this.relay.takeHead(head)) {
       this.attempt?.cancel();
       this.fail({ mayHaveRun: true, detail: `status ${head.status} inside a stream` });
-      return;
     }
-    this.head = head;
-  }
-
-  /** A reply that has begun is only continued by an answer that repeats its status and content type. */
-  private fitsBegunReply(head: AnswerHead): boolean {
-    const { repliedHead } = this;
-    return (
-      repliedHead === undefined ||
-      (head.status === repliedHead.status &&
-        head.headers['content-type'] === repliedHead.headers['content-type'])
-    );
   }
 
   /** The back end declined: the connection may be kept, but its answer is of no use. */
@@ -300,112 +255,55 @@
   }
 
   private receiveData(bytes: Buffer): void {
-    if (this.head === undefined) {
-      return;
-    }
-    if (this.isStreamAnswer()) {
-      this.receiveStreamData(bytes);
-      return;
-    }
-    if (this.hasStartedReply) {
-      this.forward(bytes);
-      return;
-    }
-    this.buffered.push(bytes);
-    this.bufferedBytes += bytes.length;
-    if (this.bufferedBytes > MAX_BUFFERED_ANSWER_BYTES) {
-      this.startReply();
-      this.forward(Buffer.concat(this.buffered));
-      this.buffered = [];
-    }
-  }
-
-  private isStreamAnswer(): boolean {
-    return this.request.route.kind === 'stream' && this.head!.status < HTTP_ERROR;
-  }
-
-  private receiveStreamData(bytes: Buffer): void {
-    const events = this.splitter.push(bytes);
-    if (this.splitter.isOverlong) {
+    const result = this.relay.takeData(bytes, this.attempt);
+    if (result === 'overlong-event') {
       this.attempt?.cancel();
       this.fail({ mayHaveRun: true, detail: 'an event is too long' });
       return;
     }
-    if (events.length === 0) {
+    if (result === 'held') {
       return;
     }
-    this.startReply();
-    this.phase = 'streaming';
-    this.progress!.noteEvents(events.length, this.ports.clock.now());
-    this.armSilenceTimer();
-    for (const { id } of events) {
-      this.lastEventId = id ?? this.lastEventId;
-    }
-    this.forward(Buffer.concat(events.map((event) => event.bytes)));
-  }
-
-  private startReply(): void {
-    if (this.hasStartedReply) {
-      return;
+    this.firstByteAtMs ??= this.ports.clock.now();
+    if (this.relay.completedEvents > 0) {
+      this.phase = 'streaming';
+      this.progress!.noteEvents(this.relay.completedEvents, this.ports.clock.now());
+      this.armSilenceTimer();
     }
-    this.repliedHead = this.head;
-    this.firstByteAtMs = this.ports.clock.now();
-    const dropped = this.request.route.kind === 'stream' ? FRAMING_HEADERS : NO_HEADERS;
-    this.reply.start(this.head!.status, endToEndHeaders(this.head!.rawHeaders, dropped));
-  }
-
-  private forward(bytes: Buffer): void {
-    if (this.reply.write(bytes)) {
-      return;
-    }
-    const { attempt } = this;
-    attempt?.pause();
-    this.reply.onceDrained(() => attempt?.resume());
   }
 
   private receiveEnd(): void {
-    const { head } = this;
-    if (head === undefined) {
+    const answer = this.relay.heldAnswer;
+    if (answer === undefined) {
       this.fail({ mayHaveRun: true, detail: 'no answer' });
       return;
     }
-    if (this.isStreamAnswer() && this.splitter.hasPartialEvent) {
+    if (this.relay.isInsideEvent) {
       this.fail({ mayHaveRun: true, detail: 'the stream ended inside an event' });
       return;
     }
     this.mayHaveRun = true;
-    const isServerError = head.status >= HTTP_SERVER_ERROR;
+    const { status } = answer.head;
+    const isServerError = status >= HTTP_SERVER_ERROR;
     const backendId = this.backend!.id;
     if (!isServerError) {
       const elapsedMs = this.ports.clock.now() - this.attemptStartedAtMs;
       this.ports.dispatcher.learnSpeed(backendId, this.request.units, elapsedMs);
       this.progress!.noteWhole(this.ports.clock.now());
     }
-    this.endAttempt(isServerError ? 'failed' : 'answered', `status ${head.status}`);
+    this.endAttempt(isServerError ? 'failed' : 'answered', `status ${status}`);
     if (isServerError && this.canRepeatElsewhere() && this.takeRepeat()) {
-      this.lastAnswer = { head, body: Buffer.concat(this.buffered) };
+      this.lastAnswer = answer;
       this.moveOn(backendId);
       return;
     }
-    this.endReply(head, Buffer.concat(this.buffered));
+    this.endReply(answer);
   }
 
-  private endReply(head: AnswerHead, body: Buffer): void {
-    if (this.hasStartedReply) {
-      this.reply.end();
-    } else {
-      this.firstByteAtMs = this.ports.clock.now();
-      this.reply.start(head.status, this.wholeAnswerHeaders(head, body));
-      this.reply.end(body);
-    }
-    this.finish(head.status, 'answered');
-  }
-
-  private wholeAnswerHeaders(head: AnswerHead, body: Buffer): string[] {
-    const kept = endToEndHeaders(head.rawHeaders, FRAMING_HEADERS);
-    const isHead = this.request.method === 'HEAD';
-    const length = isHead ? head.headers['content-length'] : `${body.length}`;
-    return typeof length === 'string' ? [...kept, 'Content-Length', length] : kept;
+  private endReply(answer: HeldAnswer): void {
+    this.firstByteAtMs ??= this.ports.clock.now();
+    this.relay.end(answer);
+    this.finish(answer.head.status, 'answered');
   }
 
   private fail(failure: AttemptFailure): void {
@@ -435,7 +333,7 @@
   private mayRepeat(): boolean {
     const { kind, isResumable } = this.request.route;
     if (kind === 'safe') {
-      return !this.hasStartedReply;
+      return !this.relay.hasStarted;
     }
     return kind === 'stream' && isResumable;
   }
@@ -475,30 +373,23 @@
 
   /** Ends the request with the last answer of a back end if there is one, else with the gateway's own. */
   private answerFailure(reason: GatewayRefusal['reason']): void {
-    if (this.hasStartedReply) {
-      this.reply.abort();
+    if (this.relay.hasStarted) {
+      this.relay.abort();
       this.finish(0, reason);
       return;
     }
     if (this.lastAnswer !== undefined) {
-      this.endReply(this.lastAnswer.head, this.lastAnswer.body);
+      this.endReply(this.lastAnswer);
       return;
     }
     if (!this.mayHaveRun) {
-      this.refuse({ reason, retryAfterMs: this.retryAfterMs(reason) });
+      const { options, ports } = this;
+      this.refuse({ reason, retryAfterMs: retryAfterMs(reason, options, ports.random) });
       return;
     }
     this.refuse({ reason: reason === 'timed-out' ? reason : 'backend-failed' });
   }
 
-  /** A burst passes in seconds; callers that come back at once meet it again, and together. */
-  private retryAfterMs(reason: GatewayRefusal['reason']): number {
-    const { retryAfterMs, overloadRetryMs, overloadRetrySpreadMs } = this.options;
-    return reason === 'overloaded'
-      ? overloadRetryMs + this.ports.random.next() * overloadRetrySpreadMs
-      : retryAfterMs;
-  }
-
   private refuse(refusal: GatewayRefusal): void {
     const { requestId } = this.request;
     const status = sendRefusal(this.reply, this.ports.protocol, requestId, refusal);
--- a/src/gateway/request-model.ts
+++ b/src/gateway/attempt/request-model.ts
@@ -1,12 +1,12 @@
 /** A request in a gateway: what it is, what it needs, and how it may end. */
-import type { Clock } from '../clock.js';
-import type { RandomSource } from '../random.js';
-import type { Route } from '../routing/configuration.js';
-import type { BackendDirectory } from './backend-directory.js';
+import type { Clock } from '../../clock.js';
+import type { RandomSource } from '../../random.js';
+import type { Route } from '../../routing/configuration.js';
+import type { BackendDirectory } from '../dispatch/backend-directory.js';
 import type { BackendSender } from './attempt.js';
-import type { AttemptOutcome } from './backend-health.js';
-import type { CallerProtocol, RawHeaders } from './caller-protocol.js';
-import type { Dispatcher } from './dispatcher.js';
+import type { AttemptOutcome } from '../dispatch/backend-health.js';
+import type { CallerProtocol, RawHeaders } from '../admission/caller-protocol.js';
+import type { Dispatcher } from '../dispatch/dispatcher.js';
 
 /** A request as the front of a gateway hands it over, its body read whole. */
 export interface AcceptedRequest {
--- a/src/gateway/backend-choice.ts
+++ b/src/gateway/dispatch/backend-choice.ts
@@ -1,7 +1,7 @@
 /** Query: what it costs to bind a request to a back end, and whom that would hold up. */
 import type { DispatchRequest } from './dispatch-request.js';
 import type { EngineSpeed } from './engine-speed.js';
-import type { PrefillSpeed } from '../slot-agent/slot-messages.js';
+import type { PrefillSpeed } from '../../slot-agent/slot-messages.js';
 import type { KnownBackend } from './known-backend.js';
 
 /** Weight of the whole work against the time to the first event when a back end is chosen. */
--- a/src/gateway/dispatch-request.ts
+++ b/src/gateway/dispatch/dispatch-request.ts
@@ -1,6 +1,6 @@
 /** What a dispatcher has to know of a request. */
-import type { Backend } from '../routing/backend.js';
-import type { WaitingPlace } from '../slot-agent/waiting-order.js';
+import type { Backend } from '../../routing/backend.js';
+import type { WaitingPlace } from '../../slot-agent/waiting-order.js';
 
 /** A request that wants a back end. */
 export interface DispatchRequest extends WaitingPlace {
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -7,12 +7,15 @@
  * gateway then binds whichever request comes first by that time.
  */
 import type { BackendDirectory } from './backend-directory.js';
-import type { Backend } from '../routing/backend.js';
-import type { SlotAnswer, SlotMessage, WaitingRank } from '../slot-agent/slot-messages.js';
+import type { Backend } from '../../routing/backend.js';
+import type { SlotAnswer, SlotMessage } from '../../slot-agent/slot-messages.js';
 import type { AttemptOutcome } from './backend-health.js';
 import { costOf, harmsOthers, usualSpeed } from './backend-choice.js';
 import type { DispatchRequest } from './dispatch-request.js';
 import type { KnownBackend } from './known-backend.js';
+import { BindIntervals } from './bind-intervals.js';
+import { nextDemand } from './slot-demand.js';
+import { hasRoom } from './slot-room.js';
 import { WaitingQueue } from './waiting-queue.js';
 
 /** Options of a dispatcher. */
@@ -35,14 +38,6 @@
   unlistedGraceMs: 1_500,
 };
 
-/** Learned time between two bindings. */
-interface BindInterval {
-  lastAtMs: number;
-  meanMs: number;
-}
-
-const BIND_INTERVAL_SMOOTHING = 0.1;
-const MAX_BIND_INTERVAL_MS = 500;
 /** What a dispatcher does to its surroundings. */
 export interface DispatcherPorts {
   /** Sends a message to the agent beside a back end. */
@@ -60,8 +55,7 @@
 /** Binds waiting requests to back ends. */
 export class Dispatcher {
   private readonly waiting = new Map<string, WaitingQueue>();
-  /** Time between two bindings of requests that had waited, by service. */
-  private readonly bindIntervals = new Map<string, BindInterval>();
+  private readonly bindIntervals = new BindIntervals();
 
   constructor(
     private readonly directory: BackendDirectory,
@@ -72,7 +66,7 @@
   /** Expected time until a waiting request is bound, in milliseconds. */
   expectedWaitMs(request: DispatchRequest, nowMs: number): number {
     const ahead = this.waiting.get(request.service)?.countBefore(request, nowMs) ?? 0;
-    return (ahead + 1) * (this.bindIntervals.get(request.service)?.meanMs ?? 0);
+    return (ahead + 1) * this.bindIntervals.meanMs(request.service);
   }
 
   /** Requests that wait, by service. */
@@ -225,7 +219,7 @@
     }
     this.sendToAgent(backendId, known, { kind: 'grant-used' });
     this.remove(request);
-    this.noteBindInterval(request.service, nowMs);
+    this.bindIntervals.noteBound(request.service, nowMs);
     this.bind(request, known, nowMs, true);
     this.tellDemand(known.backend.service, nowMs);
   }
@@ -242,7 +236,7 @@
       const chosen = this.choose(request, nowMs);
       if (chosen !== undefined && this.remove(request)) {
         if (request.arrivedAtMs < nowMs) {
-          this.noteBindInterval(service, nowMs);
+          this.bindIntervals.noteBound(service, nowMs);
         }
         this.bind(request, chosen, nowMs, false);
       }
@@ -292,17 +286,6 @@
     return this.directory.ofService(service).some((known) => this.hasRoom(known, nowMs));
   }
 
-  private noteBindInterval(service: string, nowMs: number): void {
-    const known = this.bindIntervals.get(service);
-    if (known === undefined) {
-      this.bindIntervals.set(service, { lastAtMs: nowMs, meanMs: 0 });
-      return;
-    }
-    const intervalMs = Math.min(MAX_BIND_INTERVAL_MS, nowMs - known.lastAtMs);
-    known.meanMs += BIND_INTERVAL_SMOOTHING * (intervalMs - known.meanMs);
-    known.lastAtMs = nowMs;
-  }
-
   /**
    * Back ends that the request may be bound to: healthy ones of those that this
    * gateway works with if there are any, then other healthy ones.
@@ -331,30 +314,19 @@
   }
 
   private hasRoom(known: KnownBackend, nowMs: number): boolean {
-    if (known.health.isProbing && known.outstanding > 0) {
-      return false;
-    }
-    const isEngine = this.ports.isEngine(known.backend.service);
-    if (known.agent !== undefined || !isEngine) {
-      return known.occupied < known.backend.slots;
-    }
-    // Every gateway hears of a new engine at once: none rushes to it before its agent could be asked.
-    return !known.isAgentAwaited(nowMs) && known.occupied < this.limitWithoutAgent(known);
-  }
-
-  /** Requests that this gateway may have at an engine whose agent it does not hear. */
-  private limitWithoutAgent({ backend }: KnownBackend): number {
-    const shared = backend.slots * this.options.shareWithoutAgent;
-    return Math.ceil(shared / Math.max(1, this.ports.countGateways()));
+    const inputs = {
+      isEngine: this.ports.isEngine(known.backend.service),
+      gateways: this.ports.countGateways(),
+      shareWithoutAgent: this.options.shareWithoutAgent,
+    };
+    return hasRoom(known, inputs, nowMs);
   }
 
   private insert(request: DispatchRequest, nowMs: number): void {
     const queue = this.waiting.get(request.service) ?? new WaitingQueue();
     this.waiting.set(request.service, queue);
-    const interval = this.bindIntervals.get(request.service);
-    if (queue.length === 0 && interval !== undefined) {
-      // Time in which nobody waited says nothing of how fast slots are freed.
-      interval.lastAtMs = nowMs;
+    if (queue.length === 0) {
+      this.bindIntervals.noteFirstWaiting(request.service, nowMs);
     }
     queue.add(request);
   }
@@ -368,45 +340,17 @@
   }
 
   private tellDemand(service: string, nowMs: number): void {
-    const queue = this.waitingInOrder(service, nowMs);
+    const inputs = {
+      waiting: this.waitingInOrder(service, nowMs),
+      tokensPerEvent: this.ports.tokensPerEvent(service),
+      maxLength: this.options.demandLength,
+    };
     for (const known of this.directory.ofService(service)) {
-      const { agent } = known;
-      if (agent === undefined || !known.isReady) {
-        continue;
-      }
-      const first = this.findDemand(queue, known);
-      const signature = first.map(({ tier, arrivedAtMs }) => `${tier}:${arrivedAtMs}`).join();
-      if (agent.lastDemand === signature) {
-        continue;
-      }
-      agent.lastDemand = signature;
-      const ranks: WaitingRank[] = first.map(({ tier, rankInTier, arrivedAtMs, startByMs }) => ({
-        tier,
-        rankInTier,
-        waitedMs: nowMs - arrivedAtMs,
-        startInMs: startByMs - nowMs,
-      }));
-      this.sendToAgent(known.backend.id, known, {
-        kind: 'demand',
-        ranks,
-        grantsSeen: agent.grantsSeen,
-      });
-    }
-  }
-
-  /** The first waiting requests that a back end would be right for once a slot is free. */
-  private findDemand(queue: readonly DispatchRequest[], known: KnownBackend): DispatchRequest[] {
-    const demand: DispatchRequest[] = [];
-    for (const request of queue) {
-      if (demand.length >= this.options.demandLength) {
-        break;
-      }
-      const isExcluded = request.excluded.has(known.backend.id);
-      if (!isExcluded && !this.harms(request, known, known.occupied - 1)) {
-        demand.push(request);
+      const demand = nextDemand(known, inputs, nowMs);
+      if (demand !== undefined) {
+        this.sendToAgent(known.backend.id, known, demand);
       }
     }
-    return demand;
   }
 
   private sendToAgent(backendId: string, known: KnownBackend, message: SlotMessage): void {
--- a/src/gateway/engine-speed.ts
+++ b/src/gateway/dispatch/engine-speed.ts
@@ -1,5 +1,5 @@
 /** Learned speed of one engine: how fast it reads prompts, and how far apart its events are. */
-import type { LearnedSpeed, PrefillSpeed } from '../slot-agent/slot-messages.js';
+import type { LearnedSpeed, PrefillSpeed } from '../../slot-agent/slot-messages.js';
 import { expectedFirstMs, PrefillEstimate } from './prefill-estimate.js';
 
 /** Weight of a mean pause below what is known; other work at the engine only adds to pauses. */
--- a/src/gateway/known-backend.ts
+++ b/src/gateway/dispatch/known-backend.ts
@@ -1,6 +1,6 @@
 /** What a gateway knows of one back end: its announcement, its health, its speed and its slots. */
-import type { Backend } from '../routing/backend.js';
-import type { LearnedSpeed } from '../slot-agent/slot-messages.js';
+import type { Backend } from '../../routing/backend.js';
+import type { LearnedSpeed } from '../../slot-agent/slot-messages.js';
 import { BackendHealth } from './backend-health.js';
 import { EngineSpeed } from './engine-speed.js';
 
--- a/src/gateway/prefill-estimate.ts
+++ b/src/gateway/dispatch/prefill-estimate.ts
@@ -5,7 +5,7 @@
  * Both parts are fitted to the samples by normalized least mean squares. Other work at the engine
  * only adds to a sample, so samples below the line move it further than those above.
  */
-import type { PrefillSpeed } from '../slot-agent/slot-messages.js';
+import type { PrefillSpeed } from '../../slot-agent/slot-messages.js';
 
 /** Step of the fit for a sample below the line. */
 const FASTER_STEP = 0.3;
--- a/src/gateway/waiting-queue.ts
+++ b/src/gateway/dispatch/waiting-queue.ts
@@ -1,5 +1,5 @@
 /** The requests of one service that wait for a back end. */
-import { compareWaiting, isLate } from '../slot-agent/waiting-order.js';
+import { compareWaiting, isLate } from '../../slot-agent/waiting-order.js';
 import type { DispatchRequest } from './dispatch-request.js';
 
 /**
--- a/src/gateway/gateway-adapter.ts
+++ b/src/gateway/gateway-adapter.ts
@@ -3,7 +3,7 @@
 import type { StoreRecord } from '../cluster/replicated-records.js';
 import type { Backend } from '../routing/backend.js';
 import type { RoutingConfiguration } from '../routing/configuration.js';
-import type { CallerProtocol } from './caller-protocol.js';
+import type { CallerProtocol } from './admission/caller-protocol.js';
 
 /** What a record of the store means. */
 export type DecodedRecord =
--- a/src/gateway/gateway-peers.ts
+++ b/src/gateway/links/gateway-peers.ts
@@ -1,12 +1,12 @@
 /** What a gateway and its peers tell each other: that they live, the quotas they used, how far their replicas reach. */
-import { PeerMesh } from '../cluster/peer-mesh.js';
-import type { SendToPeer } from '../cluster/peer-mesh.js';
-import type { PeerMessage } from '../cluster/peer-messages.js';
-import type { RecordExchange } from '../cluster/record-exchange.js';
-import type { ReplicatedRecords } from '../cluster/replicated-records.js';
-import type { Clock } from '../clock.js';
-import type { RandomSource } from '../random.js';
-import type { TokenQuotas } from './token-quota.js';
+import { PeerMesh } from '../../cluster/peer-mesh.js';
+import type { SendToPeer } from '../../cluster/peer-mesh.js';
+import type { PeerMessage } from '../../cluster/peer-messages.js';
+import type { RecordExchange } from '../../cluster/record-exchange.js';
+import type { ReplicatedRecords } from '../../cluster/replicated-records.js';
+import type { Clock } from '../../clock.js';
+import type { RandomSource } from '../../random.js';
+import type { TokenQuotas } from '../admission/token-quota.js';
 
 /** What the peers of a gateway are made from. */
 export interface GatewayPeersParts {
--- a/src/gateway/slot-agent-links.ts
+++ b/src/gateway/links/slot-agent-links.ts
@@ -1,14 +1,18 @@
 /** A gateway's connections to the agents beside engines. */
 import { connect } from 'node:net';
-import type { RecordExchange } from '../cluster/record-exchange.js';
-import type { ReplicatedRecords } from '../cluster/replicated-records.js';
-import type { Clock } from '../clock.js';
-import { MessageChannel } from '../protocol/message-channel.js';
-import type { AgentRefusal, AgentToGateway, GatewayToAgent } from '../slot-agent/slot-messages.js';
-import type { BackendDirectory } from './backend-directory.js';
-import type { Dispatcher } from './dispatcher.js';
-import { splitAddress } from './http-backend-sender.js';
-import type { KnownBackend } from './known-backend.js';
+import type { RecordExchange } from '../../cluster/record-exchange.js';
+import type { ReplicatedRecords } from '../../cluster/replicated-records.js';
+import type { Clock } from '../../clock.js';
+import { MessageChannel } from '../../protocol/message-channel.js';
+import type {
+  AgentRefusal,
+  AgentToGateway,
+  GatewayToAgent,
+} from '../../slot-agent/slot-messages.js';
+import type { BackendDirectory } from '../dispatch/backend-directory.js';
+import type { Dispatcher } from '../dispatch/dispatcher.js';
+import { splitAddress } from '../attempt/http-backend-sender.js';
+import type { KnownBackend } from '../dispatch/known-backend.js';
 
 /** Times of the connections, in milliseconds. */
 export interface SlotAgentLinkOptions {
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/metrics/gateway-metrics.ts
@@ -1,8 +1,8 @@
 /** Counters and histograms of a gateway, served as text. */
-import { MetricsEndpoint } from '../telemetry/metrics-endpoint.js';
+import { MetricsEndpoint } from '../../telemetry/metrics-endpoint.js';
 import type { GatewaySnapshot } from './gateway-snapshot.js';
 import type { MetricInstruments } from './metric-instruments.js';
-import type { AcceptedRequest, RequestEnd } from './request-model.js';
+import type { AcceptedRequest, RequestEnd } from '../attempt/request-model.js';
 
 /** Counters and histograms of a gateway. */
 export class GatewayMetrics extends MetricsEndpoint<MetricInstruments> {
--- a/src/gateway/gateway-snapshot.ts
+++ b/src/gateway/metrics/gateway-snapshot.ts
@@ -1,5 +1,5 @@
 /** What a gateway believes at the moment, as its metrics show it. */
-import type { KnownBackend } from './known-backend.js';
+import type { KnownBackend } from '../dispatch/known-backend.js';
 
 /** State that a back end is believed to be in; an ejected one is listed as ready but left alone. */
 export type BelievedState = 'ready' | 'draining' | 'ejected' | 'gone';
--- a/src/gateway/metric-instruments.ts
+++ b/src/gateway/metrics/metric-instruments.ts
@@ -3,7 +3,7 @@
 
 import { registerGauges } from './gateway-gauges.js';
 import type { GatewaySnapshot } from './gateway-snapshot.js';
-import type { AcceptedRequest, RequestEnd } from './request-model.js';
+import type { AcceptedRequest, RequestEnd } from '../attempt/request-model.js';
 
 const MS_PER_S = 1_000;
 const LATENCY_BUCKETS_S = [0.01, 0.03, 0.1, 0.2, 0.4, 0.6, 1, 2, 4, 8, 16];
--- a/test/backend-sender.test.ts
+++ b/test/backend-sender.test.ts
@@ -1,12 +1,12 @@
 import { createServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
 import test from 'ava';
-import type { AnswerHead, AttemptFailure } from '../src/gateway/attempt.js';
+import type { AnswerHead, AttemptFailure } from '../src/gateway/attempt/attempt.js';
 import { backendOf } from './support/gateway.js';
 import {
   DEFAULT_BACKEND_SENDER_OPTIONS,
   HttpBackendSender,
-} from '../src/gateway/http-backend-sender.js';
+} from '../src/gateway/attempt/http-backend-sender.js';
 
 interface Outcome {
   readonly head?: AnswerHead;
--- a/test/engine-subset.test.ts
+++ b/test/engine-subset.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
-import { chooseEngines } from '../src/gateway/engine-subset.js';
-import type { SubsetEngine } from '../src/gateway/engine-subset.js';
+import { chooseEngines } from '../src/gateway/dispatch/engine-subset.js';
+import type { SubsetEngine } from '../src/gateway/dispatch/engine-subset.js';
 import { GatewayWorld, backendOf } from './support/gateway.js';
 
 function enginesOf(zones: number, perZone: number): SubsetEngine[] {
--- a/test/event-stream.test.ts
+++ b/test/event-stream.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check';
 import test from 'ava';
-import { EventSplitter } from '../src/gateway/event-stream.js';
+import { EventSplitter } from '../src/gateway/attempt/event-stream.js';
 
 const STREAM = 'id: 1\ndata: a\n\nid: 2\ndata: b\n\ndata: no id\n\n';
 
--- a/test/gateway-metrics.test.ts
+++ b/test/gateway-metrics.test.ts
@@ -1,10 +1,10 @@
 import { once } from 'node:events';
 import { get } from 'node:http';
 import test from 'ava';
-import { GatewayMetrics } from '../src/gateway/gateway-metrics.js';
-import { countBackends } from '../src/gateway/gateway-snapshot.js';
-import type { GatewaySnapshot } from '../src/gateway/gateway-snapshot.js';
-import { KnownBackend } from '../src/gateway/known-backend.js';
+import { GatewayMetrics } from '../src/gateway/metrics/gateway-metrics.js';
+import { countBackends } from '../src/gateway/metrics/gateway-snapshot.js';
+import type { GatewaySnapshot } from '../src/gateway/metrics/gateway-snapshot.js';
+import { KnownBackend } from '../src/gateway/dispatch/known-backend.js';
 import { backendOf } from './support/gateway.js';
 
 const HOST = '127.0.4.9';
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -6,7 +6,7 @@
 import { decodeRecord } from '../platform/record-formats.js';
 import { PlatformStore } from '../platform/store-client.js';
 import { SYSTEM_CLOCK } from '../src/clock.js';
-import { GatewayMetrics } from '../src/gateway/gateway-metrics.js';
+import { GatewayMetrics } from '../src/gateway/metrics/gateway-metrics.js';
 import { GatewayRole } from '../src/gateway/gateway-role.js';
 import { parseGatewaySettings } from '../src/gateway/gateway-settings.js';
 import { SeededRandom } from '../src/random.js';
--- a/test/prefill-estimate.test.ts
+++ b/test/prefill-estimate.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { expectedFirstMs, PrefillEstimate } from '../src/gateway/prefill-estimate.js';
+import { expectedFirstMs, PrefillEstimate } from '../src/gateway/dispatch/prefill-estimate.js';
 import { SeededRandom } from '../src/random.js';
 
 /** Samples of prompts of 100 to 6,000 tokens; `queueMs` is the most that other work adds. */
--- a/test/rest-limit.test.ts
+++ b/test/rest-limit.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { RestLimit } from '../src/gateway/rest-limit.js';
+import { RestLimit } from '../src/gateway/attempt/rest-limit.js';
 
 test('the limit falls below a rest that proved too long, and rises again in time', (t) => {
   const limit = new RestLimit({ maxMs: 20_000, minMs: 100, recoverMs: 10_000 });
--- a/test/retry-budget.test.ts
+++ b/test/retry-budget.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { RetryBudget } from '../src/gateway/retry-budget.js';
+import { RetryBudget } from '../src/gateway/admission/retry-budget.js';
 
 const OPTIONS = { ratio: 0.2, windowMs: 10_000, slack: 50 };
 
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -4,14 +4,14 @@
   BackendSender,
   CallerReply,
   OutgoingAttempt,
-} from '../../src/gateway/attempt.js';
-import type { CallerProtocol } from '../../src/gateway/caller-protocol.js';
-import { BackendDirectory } from '../../src/gateway/backend-directory.js';
-import { Dispatcher } from '../../src/gateway/dispatcher.js';
-import type { DispatcherPorts } from '../../src/gateway/dispatcher.js';
-import { ProxiedRequest } from '../../src/gateway/proxied-request.js';
-import { DEFAULT_REQUEST_OPTIONS } from '../../src/gateway/request-model.js';
-import type { AcceptedRequest, RequestEnd } from '../../src/gateway/request-model.js';
+} from '../../src/gateway/attempt/attempt.js';
+import type { CallerProtocol } from '../../src/gateway/admission/caller-protocol.js';
+import { BackendDirectory } from '../../src/gateway/dispatch/backend-directory.js';
+import { Dispatcher } from '../../src/gateway/dispatch/dispatcher.js';
+import type { DispatcherPorts } from '../../src/gateway/dispatch/dispatcher.js';
+import { ProxiedRequest } from '../../src/gateway/attempt/proxied-request.js';
+import { DEFAULT_REQUEST_OPTIONS } from '../../src/gateway/attempt/request-model.js';
+import type { AcceptedRequest, RequestEnd } from '../../src/gateway/attempt/request-model.js';
 import { SeededRandom } from '../../src/random.js';
 import type { Backend } from '../../src/routing/backend.js';
 import type { Route } from '../../src/routing/configuration.js';
--- a/test/waiting-queue.test.ts
+++ b/test/waiting-queue.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
-import type { DispatchRequest } from '../src/gateway/dispatch-request.js';
-import { WaitingQueue } from '../src/gateway/waiting-queue.js';
+import type { DispatchRequest } from '../src/gateway/dispatch/dispatch-request.js';
+import { WaitingQueue } from '../src/gateway/dispatch/waiting-queue.js';
 
 function requestOf(changes: Partial<DispatchRequest>): DispatchRequest {
   return {
--- a/test/work-ranks.test.ts
+++ b/test/work-ranks.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { WorkRanks } from '../src/gateway/work-ranks.js';
+import { WorkRanks } from '../src/gateway/admission/work-ranks.js';
 
 test('a route with little work gains the rank of the next more urgent one, and no more', (t) => {
   const ranks = new WorkRanks();
