--- a/src/gateway/admission/request-admission.ts
+++ b/src/gateway/admission/request-admission.ts
@@ -12,7 +12,6 @@
 import { DEFAULT_REQUEST_OPTIONS } from '../attempt/request-model.js';
 import type { AcceptedRequest } from '../attempt/request-model.js';
 import type { TokenQuotas } from './token-quota.js';
-import { WorkRanks } from './work-ranks.js';
 
 /** A request whose body was read whole. */
 export interface ReceivedRequest {
@@ -31,8 +30,6 @@
 
 /** Decides whether requests are taken. */
 export class RequestAdmission {
-  private readonly workRanks = new WorkRanks();
-
   constructor(
     private readonly quotas: TokenQuotas,
     private readonly clock: Clock,
@@ -97,7 +94,7 @@
       service,
       tenant: tenant?.name,
       tier: tenant?.priority ?? route.priority,
-      rankInTier: this.workRanks.rankOf(service, route.priority, units),
+      rankInTier: route.priority,
       isReturning: isReturning(route, caller),
       arrivedAtMs,
       endsAtMs: arrivedAtMs + longestMs,
