--- a/src/agent/agent-core.ts
+++ b/src/agent/agent-core.ts
@@ -16,12 +16,8 @@
 import type { AgentState } from './agent-state.js';
 import { BidQueue } from './bid-queue.js';
 import { answerUrgentBids, callBids, expireCalls, holdBid } from './commands/call-bids.js';
-import {
-  noticePause,
-  receiveBind,
-  refuseBind,
-  reviewPendingBinds,
-} from './commands/start-request.js';
+import { noticePause, receiveBind, reviewPendingBinds } from './commands/start-request.js';
+import { refuseBind } from './commands/refuse-bind.js';
 import {
   acknowledgeAnswer,
   cancelRequest,
--- a/src/agent/commands/start-request.ts
+++ b/src/agent/commands/start-request.ts
@@ -1,11 +1,12 @@
 /** Commands: start a bound request on the engine, or certify that it is never started. */
 import { decideEligibility } from '../../policy/eligibility.js';
-import type { BindMessage, BindRefusalReason } from '../../protocol/messages.js';
+import type { BindMessage } from '../../protocol/messages.js';
 import type { AgentTurn, EngineRequest } from '../agent-state.js';
 import { countTakenSlots, findPreemptible } from '../queries/engine-load.js';
 import { isHigherTier } from '../../request/tier.js';
 import { hasRoomForPaused } from './call-bids.js';
 import { spendPermit } from './issue-permits.js';
+import { refuseBind } from './refuse-bind.js';
 import { failRequest } from './stream-answer.js';
 
 /** A gap between ticks that only a pause of the process explains. */
@@ -62,19 +63,6 @@
   }
 }
 
-/** Certifies that `id` was not started, and records it so that it never will be. */
-export function refuseBind(
-  turn: AgentTurn,
-  peer: string,
-  id: string,
-  reason: BindRefusalReason,
-): void {
-  turn.state.calls.delete(id);
-  turn.state.records.refuse(id, turn.nowMs);
-  turn.send(peer, { kind: 'bind-refused', id, reason });
-  turn.count('bind.refused', 1, { reason });
-}
-
 function startOrRefuse(turn: AgentTurn, peer: string, request: BindMessage): void {
   const { state } = turn;
   state.calls.delete(request.id);
--- a/src/agent/commands/stream-answer.ts
+++ b/src/agent/commands/stream-answer.ts
@@ -3,7 +3,7 @@
 import type { EngineEvent } from '../agent-events.js';
 import type { AgentTurn, EngineRequest } from '../agent-state.js';
 import { issuePermit } from './issue-permits.js';
-import { refuseBind } from './start-request.js';
+import { refuseBind } from './refuse-bind.js';
 
 /** Takes what the engine says of one request. */
 export function handleEngineEvent(turn: AgentTurn, event: EngineEvent): void {
--- a/src/entry/commands/bind-request.ts
+++ b/src/entry/commands/bind-request.ts
@@ -1,11 +1,10 @@
-/** Commands: answer an agent's call, and take back a request that the agent certainly did not start. */
-import type { BindMessage, BindRefusalReason } from '../../protocol/messages.js';
+/** Commands: answer an agent's call, bind a request, and move a bid that an agent will not call. */
+import type { BindMessage } from '../../protocol/messages.js';
 import type { RequestId } from '../../request/request-id.js';
 import type { AgentPeer, EntryTurn, HeldRequest } from '../entry-state.js';
 import { describeForAgent } from '../queries/describe-request.js';
 import { isCandidate, refusalKey } from '../queries/rank-agents.js';
 import { enterPhase, withdrawBids } from './finish-request.js';
-import { beginWaiting } from './accept-request.js';
 import { placeBids } from './place-bids.js';
 
 /** Binds the called request to the calling agent, once; or says that it is gone. */
@@ -21,26 +20,6 @@
   bindRequest(turn, held, agent, peer, 'call');
 }
 
-/** Takes back a request that `agent` certified it did not and will not start. */
-export function takeBackRequest(
-  turn: EntryTurn,
-  agent: string,
-  peer: AgentPeer,
-  id: RequestId,
-  reason: BindRefusalReason,
-): void {
-  const held = turn.state.requests.get(id);
-  if (held === undefined || held.phase !== 'bound' || held.binding?.agent !== agent) {
-    return;
-  }
-  peer.bound.delete(id);
-  held.binding = undefined;
-  held.refusedBy.add(refusalKey(agent, peer));
-  turn.count('bind.refused', 1, { reason });
-  turn.decide('take-back', held, `not started: ${reason}`, [agent]);
-  beginWaiting(turn, held);
-}
-
 /** Takes note that an agent will not call a bid, and offers the request elsewhere. */
 export function moveBid(turn: EntryTurn, agent: string, peer: AgentPeer, id: RequestId): void {
   const held = turn.state.requests.get(id);
--- a/src/entry/entry-core.ts
+++ b/src/entry/entry-core.ts
@@ -15,7 +15,8 @@
 import { mayHaveRun, notRun } from '../request/refusal.js';
 import type { RequestId } from '../request/request-id.js';
 import { acceptRequest, beginWaiting } from './commands/accept-request.js';
-import { answerCall, moveBid, takeBackRequest } from './commands/bind-request.js';
+import { answerCall, moveBid } from './commands/bind-request.js';
+import { takeBackRequest } from './commands/take-back-request.js';
 import {
   abandonRequest,
   deliverChunk,
--- a/src/sim/sim-operator.ts
+++ b/src/sim/sim-operator.ts
@@ -4,17 +4,26 @@
 import type { PolicyDocument, PolicyEntry } from '../policy/document.js';
 import { changePolicy, readStoredPolicy } from '../policy/store.js';
 import { SimKeyValueClient } from './sim-platform.js';
-import type { World } from './world.js';
+import type { Observations } from './observations.js';
+import type { SimPlatform } from './sim-platform.js';
+import type { VirtualClock } from './virtual-clock.js';
 
 const OPERATOR_TIMEOUT_MS = 1_000;
 
+/** What operators act in. */
+export interface OperatorWorld {
+  readonly clock: VirtualClock;
+  readonly observations: Observations;
+  readonly platform: SimPlatform;
+}
+
 /** Simulated operators. */
 export class SimOperator {
   private changeCount = 0;
   /** Identifiers of every change that was tried, with the entries it set. */
   readonly tried = new Map<string, readonly string[]>();
 
-  constructor(private readonly world: World) {}
+  constructor(private readonly world: OperatorWorld) {}
 
   /** Puts a whole policy in force while nothing else runs. */
   async putInForce(document: PolicyDocument, changeId: string): Promise<void> {
