--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -30,6 +30,7 @@
 import type { AcceptedRequest, RequestEnd, RequestPorts } from './attempt/request-model.js';
 import { RequestAdmission } from './admission/request-admission.js';
 import type { ReceivedRequest } from './admission/request-admission.js';
+import { PlannedStop } from './planned-stop.js';
 import { RetryBudget } from './admission/retry-budget.js';
 import { sendRefusal } from './admission/send-refusal.js';
 import { SlotAgentLinks } from './links/slot-agent-links.js';
@@ -50,10 +51,6 @@
 /** Pause between two words to agents on how far the replica reaches, in ticks. */
 const AGENT_REVISION_TICKS = 3;
 const DROPPED_REPORT_TICKS = 50;
-/** Time after the stop signal in which new requests are still served, in milliseconds. */
-const STOP_ACCEPT_MS = 3_000;
-/** Time left before the kill at which the process ends whatever runs, in milliseconds. */
-const STOP_MARGIN_MS = 350;
 /** Time from the start until the library of the metrics is loaded, in milliseconds. */
 const METRICS_LOAD_MS = 3_000;
 const READINESS_IDLE_MS = 30_000;
@@ -80,7 +77,6 @@
   private readonly active = new Set<AcceptedRequest>();
   private table: RoutingTable | undefined;
   private configuredAtMs: number | undefined;
-  private stopRequestedAtMs: number | undefined;
   private readonly readinessServer = createServer((_request, response) => {
     response.writeHead(this.isReady ? HTTP_OK : HTTP_UNAVAILABLE, { 'Content-Length': '0' });
     response.end();
@@ -88,6 +84,7 @@
   private hasEnded = false;
   private ticks = 0;
   private loopDelayMs = 0;
+  private readonly plannedStop: PlannedStop;
   private onStopped: (() => void) | undefined;
 
   constructor(private readonly parts: GatewayParts) {
@@ -161,6 +158,11 @@
       onPeer: (peer, isPresent) =>
         parts.log.write(isPresent ? 'peer-heard' : 'peer-gone', 'state', { peer }),
     });
+    this.plannedStop = new PlannedStop(clock, limits.stopGraceS * MS_PER_S, {
+      stopListening: () => this.listener.stopListening(),
+      countActive: () => this.active.size,
+      end: () => this.end(),
+    });
     this.admission = new RequestAdmission(this.quotas, clock, random);
     this.budget = new RetryBudget({
       ratio: limits.retryRatio,
@@ -201,14 +203,14 @@
   }
 
   private get isReady(): boolean {
-    return this.table !== undefined && this.stopRequestedAtMs === undefined;
+    return this.table !== undefined && !this.plannedStop.isRequested;
   }
 
   /** Starts the listeners and follows the store. */
   start(): void {
     const { settings, log, metrics } = this.parts;
     const callers = splitAddress(settings.listen.callers);
-    this.listener.server.listen(callers.port, callers.host);
+    this.listener.server.listen(callers);
     this.serveReadiness();
     if (settings.listen.peers !== '') {
       const peers = splitAddress(settings.listen.peers);
@@ -226,20 +228,13 @@
 
   /** Stops taking requests, ends those that run, then calls back. */
   stop(onStopped: () => void): void {
-    if (this.stopRequestedAtMs !== undefined) {
+    if (this.plannedStop.isRequested) {
       return;
     }
-    const { clock, log, settings } = this.parts;
-    this.stopRequestedAtMs = clock.now();
     this.onStopped = onStopped;
     this.listener.announceClose();
-    log.write('stopping', 'state', { active: this.active.size });
-    clock.setTimeout(() => {
-      this.listener.stopListening();
-      this.endIfIdle();
-    }, STOP_ACCEPT_MS);
-    const lastMs = Math.max(STOP_ACCEPT_MS, settings.limits.stopGraceS * MS_PER_S - STOP_MARGIN_MS);
-    clock.setTimeout(() => this.end(), lastMs);
+    this.parts.log.write('stopping', 'state', { active: this.active.size });
+    this.plannedStop.request();
   }
 
   private serveReadiness(): void {
@@ -249,22 +244,7 @@
     this.readinessServer.listen(port, host);
   }
 
-  private endIfIdle(): void {
-    const { stopRequestedAtMs } = this;
-    const isLate =
-      stopRequestedAtMs !== undefined &&
-      this.parts.clock.now() - stopRequestedAtMs >= STOP_ACCEPT_MS;
-    if (isLate && this.active.size === 0) {
-      this.end();
-    }
-  }
-
   private end(): void {
-    const { onStopped } = this;
-    if (onStopped === undefined) {
-      return;
-    }
-    this.onStopped = undefined;
     this.hasEnded = true;
     this.readinessServer.close();
     this.parts.metrics.close();
@@ -274,7 +254,7 @@
     this.links.stop();
     this.parts.log.write('stopped', 'state', { active: this.active.size });
     this.parts.log.flush();
-    onStopped();
+    this.onStopped?.();
   }
 
   private scheduleTick(): void {
@@ -381,7 +361,7 @@
   }
 
   private admit(received: ReceivedRequest, reply: CallerReply): ProxiedRequest | undefined {
-    const admitted = this.isLateInStop()
+    const admitted = this.plannedStop.isRefusing
       ? err<GatewayRefusal>({ reason: 'stopping', retryAfterMs: 0 })
       : this.admission.admit(received, this.table);
     if (!admitted.ok) {
@@ -396,14 +376,6 @@
     return proxied;
   }
 
-  private isLateInStop(): boolean {
-    const { stopRequestedAtMs } = this;
-    return (
-      stopRequestedAtMs !== undefined &&
-      this.parts.clock.now() - stopRequestedAtMs > STOP_ACCEPT_MS - TICK_MS
-    );
-  }
-
   private takeRepeat(service: string): boolean {
     const isAllowed = this.budget.takeRepeat(service, this.peers.size, this.parts.clock.now());
     if (!isAllowed) {
@@ -464,6 +436,6 @@
       storeAgeMs: this.storeAgeMs(),
       configuration: this.table?.configuration.version,
     });
-    this.endIfIdle();
+    this.plannedStop.noteRequestEnded();
   }
 }
