--- a/src/cluster/peer-mesh.ts
+++ b/src/cluster/peer-mesh.ts
@@ -7,6 +7,7 @@
  */
 import { connect, createServer } from 'node:net';
 import type { Server, Socket } from 'node:net';
+import { splitAddress } from '../address.js';
 import type { Clock } from '../clock.js';
 import { MessageChannel } from '../protocol/message-channel.js';
 import type { RandomSource } from '../random.js';
@@ -159,8 +160,8 @@
     if (this.isStopped) {
       return;
     }
-    const colon = peer.address.lastIndexOf(':');
-    const socket = connect(Number(peer.address.slice(colon + 1)), peer.address.slice(0, colon));
+    const { host, port } = splitAddress(peer.address);
+    const socket = connect(port, host);
     const timer = this.clock.setTimeout(() => socket.destroy(), this.options.connectTimeoutMs);
     const channel = new MessageChannel<PeerMessage, PeerMessage>(socket, {
       onMessage: (message) => this.handlers.onQuestion(message, (answer) => channel.send(answer)),
--- /dev/null
+++ b/src/gateway/attempt/guarded-agent.ts
@@ -0,0 +1,86 @@
+/** Connections to back ends between two requests. */
+import { Agent } from 'node:http';
+import type { ClientRequest } from 'node:http';
+import type { Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
+import { DEFAULT_REST_LIMIT_OPTIONS, RestLimit } from './rest-limit.js';
+
+/** Limits of resting connections. */
+export interface RestingConnectionLimits {
+  /** Longest rest of a connection, in milliseconds, where the back end names none. */
+  readonly idleMs: number;
+  /** Most resting connections to one back end. */
+  readonly maxIdlePerBackend: number;
+}
+
+/** Share of the rest that a back end grants which is used, so that it does not close first. */
+const IDLE_SHARE = 0.6;
+/** Shortest rest after which a reset says that connections are forgotten, in milliseconds. */
+const MIN_FORGOTTEN_REST_MS = 150;
+
+/**
+ * Keeps resting connections, but none on which anything arrives while no
+ * request is under way: such bytes belong to no request.
+ */
+export class GuardedAgent extends Agent {
+  private readonly restLimit: RestLimit;
+  private readonly restingSinceMs = new WeakMap<Socket, number>();
+  /** How long a connection that is in use again had rested. */
+  private readonly lastRestMs = new WeakMap<Socket, number>();
+
+  constructor(limits: RestingConnectionLimits) {
+    super({
+      keepAlive: true,
+      maxFreeSockets: limits.maxIdlePerBackend,
+      timeout: limits.idleMs,
+      scheduling: 'lifo',
+    });
+    this.restLimit = new RestLimit({ ...DEFAULT_REST_LIMIT_OPTIONS, maxMs: limits.idleMs });
+  }
+
+  /** A request on a connection that was used again got no answer but a reset. */
+  noteForgotten(socket: Socket): void {
+    const restedMs = this.lastRestMs.get(socket);
+    if (restedMs === undefined || restedMs < MIN_FORGOTTEN_REST_MS) {
+      return;
+    }
+    const nowMs = performance.now();
+    this.restLimit.noteForgotten(restedMs, nowMs);
+    const limitMs = this.restLimit.current(nowMs);
+    for (const resting of Object.values(this.freeSockets).flat()) {
+      const sinceMs = resting === undefined ? undefined : this.restingSinceMs.get(resting);
+      if (sinceMs !== undefined && nowMs - sinceMs > limitMs) {
+        resting!.destroy();
+      }
+    }
+  }
+
+  override keepSocketAlive(stream: Duplex): boolean {
+    const socket = stream as Socket;
+    // The typings leave out that the base class answers whether the socket may be kept.
+    const isKept = (super.keepSocketAlive as (kept: Duplex) => unknown)(stream) !== false;
+    if (!isKept || socket.readableLength > 0) {
+      return false;
+    }
+    const grantedMs =
+      socket.timeout === undefined || socket.timeout === 0 ? Infinity : socket.timeout;
+    const nowMs = performance.now();
+    socket.setTimeout(Math.min(grantedMs * IDLE_SHARE, this.restLimit.current(nowMs)));
+    socket.on('data', destroySocket);
+    this.restingSinceMs.set(socket, nowMs);
+    return true;
+  }
+
+  override reuseSocket(stream: Duplex, request: ClientRequest): void {
+    stream.removeListener('data', destroySocket);
+    const sinceMs = this.restingSinceMs.get(stream as Socket);
+    if (sinceMs !== undefined) {
+      this.lastRestMs.set(stream as Socket, performance.now() - sinceMs);
+    }
+    super.reuseSocket(stream, request);
+  }
+}
+
+function destroySocket(this: Socket): void {
+  this.destroy();
+}
--- a/src/gateway/attempt/http-backend-sender.ts
+++ b/src/gateway/attempt/http-backend-sender.ts
@@ -1,8 +1,7 @@
 /** Sends requests to back ends over HTTP and keeps their connections. */
-import { Agent, request as httpRequest } from 'node:http';
+import { request as httpRequest } from 'node:http';
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
-import type { Duplex } from 'node:stream';
 import type {
   AttemptFailure,
   AttemptHandle,
@@ -10,7 +9,8 @@
   BackendSender,
   OutgoingAttempt,
 } from './attempt.js';
-import { DEFAULT_REST_LIMIT_OPTIONS, RestLimit } from './rest-limit.js';
+import { splitAddress } from '../../address.js';
+import { GuardedAgent } from './guarded-agent.js';
 
 /** Limits of the connections to back ends. */
 export interface BackendSenderOptions {
@@ -29,79 +29,8 @@
   maxIdlePerBackend: 32,
 };
 
-/** Share of the rest that a back end grants which is used, so that it does not close first. */
-const IDLE_SHARE = 0.6;
 /** Longest time from a send to the reset by which a forgotten connection shows, in milliseconds. */
 const FORGOTTEN_RESET_MS = 25;
-/** Shortest rest after which a reset says that connections are forgotten, in milliseconds. */
-const MIN_FORGOTTEN_REST_MS = 150;
-
-/**
- * Keeps resting connections, but none on which anything arrives while no
- * request is under way: such bytes belong to no request.
- */
-class GuardedAgent extends Agent {
-  private readonly restLimit: RestLimit;
-  private readonly restingSinceMs = new WeakMap<Socket, number>();
-  /** How long a connection that is in use again had rested. */
-  private readonly lastRestMs = new WeakMap<Socket, number>();
-
-  constructor(limits: BackendSenderOptions) {
-    super({
-      keepAlive: true,
-      maxFreeSockets: limits.maxIdlePerBackend,
-      timeout: limits.idleMs,
-      scheduling: 'lifo',
-    });
-    this.restLimit = new RestLimit({ ...DEFAULT_REST_LIMIT_OPTIONS, maxMs: limits.idleMs });
-  }
-
-  /** A request on a connection that was used again got no answer but a reset. */
-  noteForgotten(socket: Socket): void {
-    const restedMs = this.lastRestMs.get(socket);
-    if (restedMs === undefined || restedMs < MIN_FORGOTTEN_REST_MS) {
-      return;
-    }
-    const nowMs = performance.now();
-    this.restLimit.noteForgotten(restedMs, nowMs);
-    const limitMs = this.restLimit.current(nowMs);
-    for (const resting of Object.values(this.freeSockets).flat()) {
-      const sinceMs = resting === undefined ? undefined : this.restingSinceMs.get(resting);
-      if (sinceMs !== undefined && nowMs - sinceMs > limitMs) {
-        resting!.destroy();
-      }
-    }
-  }
-
-  override keepSocketAlive(stream: Duplex): boolean {
-    const socket = stream as Socket;
-    // The typings leave out that the base class answers whether the socket may be kept.
-    const isKept = (super.keepSocketAlive as (kept: Duplex) => unknown)(stream) !== false;
-    if (!isKept || socket.readableLength > 0) {
-      return false;
-    }
-    const grantedMs =
-      socket.timeout === undefined || socket.timeout === 0 ? Infinity : socket.timeout;
-    const nowMs = performance.now();
-    socket.setTimeout(Math.min(grantedMs * IDLE_SHARE, this.restLimit.current(nowMs)));
-    socket.on('data', destroySocket);
-    this.restingSinceMs.set(socket, nowMs);
-    return true;
-  }
-
-  override reuseSocket(stream: Duplex, request: ClientRequest): void {
-    stream.removeListener('data', destroySocket);
-    const sinceMs = this.restingSinceMs.get(stream as Socket);
-    if (sinceMs !== undefined) {
-      this.lastRestMs.set(stream as Socket, performance.now() - sinceMs);
-    }
-    super.reuseSocket(stream, request);
-  }
-}
-
-function destroySocket(this: Socket): void {
-  this.destroy();
-}
 
 /** Sends requests to back ends over HTTP. */
 export class HttpBackendSender implements BackendSender {
@@ -258,12 +187,6 @@
   }
 }
 
-/** Splits `IP:PORT`. */
-export function splitAddress(address: string): { host: string; port: number } {
-  const colon = address.lastIndexOf(':');
-  return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
-}
-
 /** The body is sent whole, so its length is known whatever the caller's framing was. */
 function withLength(headers: readonly string[], method: string, body: Buffer): string[] {
   const kept: string[] = [];
--- a/src/gateway/links/slot-agent-links.ts
+++ b/src/gateway/links/slot-agent-links.ts
@@ -11,7 +11,7 @@
 } from '../../slot-agent/slot-messages.js';
 import type { BackendDirectory } from '../dispatch/backend-directory.js';
 import type { Dispatcher } from '../dispatch/dispatcher.js';
-import { splitAddress } from '../attempt/http-backend-sender.js';
+import { splitAddress } from '../../address.js';
 import type { KnownBackend } from '../dispatch/known-backend.js';
 
 /** Times of the connections, in milliseconds. */
