--- a/bench/soak/soak-faults.ts
+++ b/bench/soak/soak-faults.ts
@@ -47,6 +47,15 @@
     setTimeout(() => gateway.signal('SIGCONT'), forMs);
     return `pause ${gateway.name} for ${forMs} ms`;
   },
+  /** As a machine that loses power: its connections say nothing, then it starts anew. */
+  function loseGateway(fleet, random) {
+    const gateway = pick(random, fleet.gateways);
+    const forMs = randomInteger(random, 700, 2_000);
+    disturb([gateway], forMs);
+    gateway.signal('SIGSTOP');
+    setTimeout(() => gateway.signal('SIGKILL'), forMs);
+    return `lose ${gateway.name}, silent for ${forMs} ms`;
+  },
   function reloadGateway(fleet, random) {
     const gateway = pick(random, fleet.gateways);
     gateway.signal('SIGHUP');
