--- a/src/slot-agent/slot-agent-role.ts
+++ b/src/slot-agent/slot-agent-role.ts
@@ -79,6 +79,7 @@
 
 /** The agent beside one engine. */
 export class SlotAgentRole {
+  private readonly clock: Clock;
   private readonly server: Server;
   private readonly channels = new Map<number, MessageChannel<AgentToGateway, GatewayToAgent>>();
   private readonly ledger: SlotLedger;
@@ -90,8 +91,6 @@
   private isChecking = false;
   private isStopped = false;
 
-  private readonly clock: Clock;
-
   constructor(
     private readonly parts: SlotAgentParts,
     private readonly options: SlotAgentOptions = DEFAULT_SLOT_AGENT_OPTIONS,
@@ -166,7 +165,10 @@
   }
 
   private forget(connection: number): void {
-    this.parts.log.write('gateway-lost', 'state', this.ledger.describe(connection));
+    const gateway = this.ledger.describe(connection);
+    if (gateway !== undefined) {
+      this.parts.log.write('gateway-lost', 'state', gateway);
+    }
     this.channels.delete(connection);
     this.ledger.disconnect(connection, this.clock.now());
     this.lookWhileNeeded();
@@ -215,7 +217,7 @@
   }
 
   private checkWhileNeeded(): void {
-    if (this.isChecking || !this.ledger.expectsGateways) {
+    if (this.isStopped || this.isChecking || !this.ledger.expectsGateways) {
       return;
     }
     this.isChecking = true;
@@ -237,7 +239,8 @@
   }
 
   private lookWhileNeeded(): void {
-    if (this.isLooking || !this.ledger.needsReport(this.clock.now())) {
+    const isNeeded = this.ledger.needsReport(this.clock.now());
+    if (this.isStopped || this.isLooking || !isNeeded) {
       return;
     }
     this.isLooking = true;
