--- /dev/null
+++ b/src/gateway/configuration-in-force.ts
@@ -0,0 +1,53 @@
+/** The newest configuration that a gateway knows; versions never fall. */
+import type { Clock } from '../clock.js';
+import { DEFAULT_CALLER_LIMITS } from '../routing/configuration.js';
+import type { CallerLimits, RoutingConfiguration } from '../routing/configuration.js';
+import { RoutingTable } from '../routing/routing-table.js';
+
+/** The newest configuration that a gateway knows. */
+export class ConfigurationInForce {
+  private current: RoutingTable | undefined;
+  private installedAtMs: number | undefined;
+
+  constructor(private readonly clock: Clock) {}
+
+  /** Undefined before the first configuration. */
+  get table(): RoutingTable | undefined {
+    return this.current;
+  }
+
+  /** Version in force; undefined before the first. */
+  get version(): number | undefined {
+    return this.current?.configuration.version;
+  }
+
+  /** Limits of what callers may send. */
+  get limits(): CallerLimits {
+    return this.current?.configuration.limits ?? DEFAULT_CALLER_LIMITS;
+  }
+
+  /** How long the configuration has been in force, in milliseconds; undefined before the first. */
+  get ageMs(): number | undefined {
+    return this.installedAtMs === undefined ? undefined : this.clock.now() - this.installedAtMs;
+  }
+
+  /** Whether a service's back ends are engines, which serve in batches. */
+  isEngine(service: string): boolean {
+    return this.current?.findService(service)?.isEngine ?? false;
+  }
+
+  /** Tokens that an engine of the service gathers in one event. */
+  tokensPerEvent(service: string): number {
+    return this.current?.findService(service)?.tokensPerEvent ?? 0;
+  }
+
+  /** Puts a configuration in force; false if it is not newer than the one that is. */
+  install(configuration: RoutingConfiguration): boolean {
+    if (this.version !== undefined && configuration.version <= this.version) {
+      return false;
+    }
+    this.current = new RoutingTable(configuration);
+    this.installedAtMs = this.clock.now();
+    return true;
+  }
+}
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -7,9 +7,8 @@
 import type { Clock } from '../clock.js';
 import type { RandomSource } from '../random.js';
 import { err } from '../result.js';
-import { DEFAULT_CALLER_LIMITS } from '../routing/configuration.js';
 import type { RoutingConfiguration } from '../routing/configuration.js';
-import { RoutingTable } from '../routing/routing-table.js';
+import { ConfigurationInForce } from './configuration-in-force.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { CallerReply } from './attempt/attempt.js';
 import { CallerListener } from './admission/caller-listener.js';
@@ -76,8 +75,7 @@
   private readonly budget: RetryBudget;
   private readonly requestPorts: RequestPorts;
   private readonly active = new Set<AcceptedRequest>();
-  private table: RoutingTable | undefined;
-  private configuredAtMs: number | undefined;
+  private readonly configuration: ConfigurationInForce;
   private readonly readinessServer = createServer((_request, response) => {
     response.writeHead(this.isReady ? HTTP_OK : HTTP_UNAVAILABLE, { 'Content-Length': '0' });
     response.end();
@@ -92,7 +90,8 @@
     const { settings, adapter, clock, random } = parts;
     const { name } = settings.process;
     const incarnation = `${name}.${Math.floor(random.next() * 2 ** 32).toString(36)}`;
-    const isEngine = (service: string) => this.table?.findService(service)?.isEngine ?? false;
+    this.configuration = new ConfigurationInForce(clock);
+    const isEngine = (service: string) => this.configuration.isEngine(service);
     this.exchange = new RecordExchange(
       this.records,
       {
@@ -107,7 +106,7 @@
       onEjected: (backendId) => parts.log.write('backend-ejected', 'state', { backend: backendId }),
       isEngine,
       countGateways: () => this.peers.size,
-      tokensPerEvent: (service) => this.table?.findService(service)?.tokensPerEvent ?? 0,
+      tokensPerEvent: (service) => this.configuration.tokensPerEvent(service),
     });
     const agentOptions = {
       port: settings.listen.slotAgentPort,
@@ -134,7 +133,7 @@
     );
     this.listener = new CallerListener(
       (head, reply) => this.take(head, reply),
-      () => this.limits.maxBodyBytes,
+      () => this.configuration.limits.maxBodyBytes,
     );
     const { limits } = settings;
     this.quotas = new TokenQuotas(
@@ -199,12 +198,8 @@
     };
   }
 
-  private get limits() {
-    return this.table?.configuration.limits ?? DEFAULT_CALLER_LIMITS;
-  }
-
   private get isReady(): boolean {
-    return this.table !== undefined && !this.plannedStop.isRequested;
+    return this.configuration.table !== undefined && !this.plannedStop.isRequested;
   }
 
   /** Starts the listeners and follows the store. */
@@ -323,12 +318,9 @@
   }
 
   private install(configuration: RoutingConfiguration, revision: number): void {
-    const known = this.table?.configuration.version;
-    if (known !== undefined && configuration.version <= known) {
+    if (!this.configuration.install(configuration)) {
       return;
     }
-    this.table = new RoutingTable(configuration);
-    this.configuredAtMs = this.parts.clock.now();
     this.listener.applyLimits(configuration.limits);
     const { version } = configuration;
     for (const { name } of configuration.services) {
@@ -364,7 +356,7 @@
   private admit(received: ReceivedRequest, reply: CallerReply): ProxiedRequest | undefined {
     const admitted = this.plannedStop.isRefusing
       ? err<GatewayRefusal>({ reason: 'stopping', retryAfterMs: 0 })
-      : this.admission.admit(received, this.table);
+      : this.admission.admit(received, this.configuration.table);
     if (!admitted.ok) {
       this.refuse(received.caller, reply, admitted.val);
       return undefined;
@@ -394,7 +386,7 @@
       request: caller.requestId,
       ...refusal,
       status,
-      configuration: this.table?.configuration.version,
+      configuration: this.configuration.version,
     });
   }
 
@@ -407,11 +399,11 @@
   /** What the metrics show of the moment. */
   private snapshot(): GatewaySnapshot {
     const nowMs = this.parts.clock.now();
-    const { loopDelayMs, configuredAtMs } = this;
+    const { loopDelayMs } = this;
     this.loopDelayMs = 0;
     return {
       storeAgeMs: this.storeAgeMs(),
-      configurationAgeMs: configuredAtMs === undefined ? undefined : nowMs - configuredAtMs,
+      configurationAgeMs: this.configuration.ageMs,
       backends: countBackends(this.directory.list(), nowMs),
       repeatsLeft: this.budget.repeatsLeft(this.peers.size, nowMs),
       quotaUse: this.quotas.use(),
@@ -435,7 +427,7 @@
       ...end,
       waiting: this.dispatcher.countWaiting(request.service),
       storeAgeMs: this.storeAgeMs(),
-      configuration: this.table?.configuration.version,
+      configuration: this.configuration.version,
     });
     this.plannedStop.noteRequestEnded();
   }
