A lapsed grant costs no connection, and many gateways deal an engine without agent out

Now a gateway that leaves a grant unanswered for 120 ms gets no more until it answers, and is taken for gone only after 700 ms without a word; the parts of an engine without an agent are dealt out so that their sum is 1.25 of its slots. Ruled out: a longer time for the answer; a gateway that lost power would draw every slot for that long.

--- a/src/gateway/dispatch/backend-directory.ts
+++ b/src/gateway/dispatch/backend-directory.ts
@@ -1,6 +1,6 @@
 /** The back ends that a gateway knows, by service, and which of the engines it works with. */
 import type { Backend } from '../../routing/backend.js';
-import { chooseEngines, DEFAULT_ENGINE_SUBSET_OPTIONS } from './engine-subset.js';
+import { chooseEngines, DEFAULT_ENGINE_SUBSET_OPTIONS, pairShare } from './engine-subset.js';
 import type { EngineSubsetOptions, SubsetOwner } from './engine-subset.js';
 import { KnownBackend } from './known-backend.js';
 
@@ -51,6 +51,11 @@
     return this.backends.get(backendId);
   }
 
+  /** A number in [0, 1) by which gateways that share a back end without a word take unlike parts. */
+  shareDraw(backendId: string): number {
+    return pairShare(this.owner.name, backendId);
+  }
+
   /** Back ends of a service that are listed as taking requests, those in `excluded` left out. */
   countReady(service: string, excluded: ReadonlySet<string> = NOTHING): number {
     return this.ofService(service).filter(
--- a/src/gateway/dispatch/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -318,6 +318,7 @@
       isEngine: this.ports.isEngine(known.backend.service),
       gateways: this.ports.countGateways(),
       shareWithoutAgent: this.options.shareWithoutAgent,
+      draw: this.directory.shareDraw(known.backend.id),
     };
     return hasRoom(known, inputs, nowMs);
   }
--- a/src/gateway/dispatch/engine-subset.ts
+++ b/src/gateway/dispatch/engine-subset.ts
@@ -33,6 +33,8 @@
 
 const FNV_OFFSET = 0x811c9dc5;
 const FNV_PRIME = 0x01000193;
+/** How many numbers a weight can be. */
+const WEIGHTS = 2 ** 32;
 
 /** Who chooses. */
 export interface SubsetOwner {
@@ -72,7 +74,12 @@
   return chosen;
 }
 
-/** A number that is the same for a pair of names wherever it is computed (FNV-1a, mixed). */
+/** A number in [0, 1) that is the same for a pair of names wherever it is computed. */
+export function pairShare(owner: string, engine: string): number {
+  return weight(owner, engine) / WEIGHTS;
+}
+
+/** A 32-bit number that is the same for a pair of names wherever it is computed (FNV-1a, mixed). */
 function weight(owner: string, engine: string): number {
   let hash = FNV_OFFSET;
   for (const sign of `${owner} ${engine}`) {
--- a/src/gateway/dispatch/slot-room.ts
+++ b/src/gateway/dispatch/slot-room.ts
@@ -9,6 +9,8 @@
   readonly gateways: number;
   /** What all gateways together use of an engine while no agent tells, as a share of its slots. */
   readonly shareWithoutAgent: number;
+  /** This gateway's number in [0, 1) for the back end, by which the rest of a division is dealt out. */
+  readonly draw: number;
 }
 
 /** Whether `known` has room for another request of this gateway. */
@@ -23,7 +25,13 @@
   return !known.isAgentAwaited(nowMs) && known.occupied < limitWithoutAgent(known, inputs);
 }
 
-/** Requests that one gateway may have at an engine whose agent it does not hear. */
+/**
+ * Requests that one gateway may have at an engine whose agent it does not hear. Where there are more
+ * gateways than slots, most may have none: one each would be several times what the engine takes.
+ */
 function limitWithoutAgent({ backend }: KnownBackend, inputs: RoomInputs): number {
-  return Math.ceil((backend.slots * inputs.shareWithoutAgent) / Math.max(1, inputs.gateways));
+  const { shareWithoutAgent, gateways, draw } = inputs;
+  const part = (backend.slots * shareWithoutAgent) / Math.max(1, gateways);
+  const rest = part - Math.floor(part);
+  return Math.min(backend.slots, Math.floor(part) + (draw < rest ? 1 : 0));
 }
--- a/src/slot-agent/gateway-account.ts
+++ b/src/slot-agent/gateway-account.ts
@@ -5,8 +5,9 @@
 /** How long a gateway may be silent, in milliseconds. */
 export interface GatewaySilenceOptions {
   /**
-   * Time in which a grant must be answered. A gateway answers in its next turn of
-   * the loop, a few milliseconds later. Default 120.
+   * Time after which a gateway that has not answered a grant gets no more. A gateway
+   * answers in its next turn of the loop, a few milliseconds later unless it is
+   * overloaded itself. Default 120.
    */
   readonly grantAnswerMs: number;
   /**
@@ -79,10 +80,14 @@
     return this.held > 0 || this.waiting.length > 0;
   }
 
-  /** Whether it left a grant unanswered, or should have spoken since. */
-  isSilent(nowMs: number, { grantAnswerMs, silenceMs }: GatewaySilenceOptions): boolean {
+  /** Whether it left a grant unanswered for too long to be given another. */
+  hasLapsedGrant(nowMs: number, { grantAnswerMs }: GatewaySilenceOptions): boolean {
     const grantedAtMs = this.unansweredSinceMs[0];
-    const hasLapsedGrant = grantedAtMs !== undefined && nowMs - grantedAtMs > grantAnswerMs;
-    return hasLapsedGrant || (this.isExpectedToSpeak && nowMs - this.heardAtMs > silenceMs);
+    return grantedAtMs !== undefined && nowMs - grantedAtMs > grantAnswerMs;
+  }
+
+  /** Whether it should have spoken since and is taken for gone. */
+  isSilent(nowMs: number, { silenceMs }: GatewaySilenceOptions): boolean {
+    return this.isExpectedToSpeak && nowMs - this.heardAtMs > silenceMs;
   }
 }
--- a/src/slot-agent/slot-ledger.ts
+++ b/src/slot-agent/slot-ledger.ts
@@ -3,10 +3,10 @@
  *
  * The ledger counts the slots that each connected gateway holds. When one is
  * free it grants it to the gateway whose waiting request comes first. A grant is
- * a short lease: a gateway that does not answer it is taken for gone, and gets
- * nothing more until it connects again. What a gone gateway held stays occupied
- * only as long as the back end's own report shows requests that no connected
- * gateway accounts for.
+ * a short lease: a gateway that does not answer one gets no more until it does.
+ * A gateway that says nothing for longer is taken for gone until it connects again;
+ * what it held stays occupied only as long as the back end's own report shows
+ * requests that no connected gateway accounts for.
  */
 import { DEFAULT_GATEWAY_SILENCE_OPTIONS, GatewayAccount } from './gateway-account.js';
 import type { GatewaySilenceOptions } from './gateway-account.js';
@@ -215,7 +215,7 @@
     for (const entry of this.accounts) {
       const head = entry[1].waiting[0];
       const bestHead = best?.[1].waiting[0];
-      if (head === undefined) {
+      if (head === undefined || entry[1].hasLapsedGrant(nowMs, this.silence)) {
         continue;
       }
       if (bestHead === undefined || compareWaiting(head, bestHead, nowMs) < 0) {
