A model that runs the gateway's own code: weirvale experiment

Change: src/model plays gateways (admission, dispatcher, requests), the agents' ledger, batching engines and callers that come back, on the virtual clock, from an INI file that is checked; traffic and faults draw from sources of their own, so that two policies meet the same requests. The threads of the seed search became src/thread-pool.ts and are shared.

Without links that are cut, clocks, quotas or a limited processor, and without plots: left.

--- a/src/cli/context.ts
+++ b/src/cli/context.ts
@@ -118,3 +118,11 @@
   }
   return [pair.slice(0, equals), pair.slice(equals + 1)];
 }
+
+/** Shows on the terminal how many of all parts are done. */
+export function showProgress(done: number, all: number): void {
+  const WIDTH = 40;
+  const filled = Math.floor((done / all) * WIDTH);
+  const bar = '#'.repeat(filled).padEnd(WIDTH, '.');
+  process.stderr.write(`\r[${bar}] ${done}/${all}`);
+}
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -20,6 +20,8 @@
 } from './queries/show-policy.js';
 import type { ExplainOptions } from './queries/show-policy.js';
 import { checkSettings, showSettings, showSettingsReference } from './queries/show-settings.js';
+import { runExperimentFile } from './queries/run-experiment.js';
+import type { ExperimentArguments } from './queries/run-experiment.js';
 import { replaySimulation, runOne, search } from './queries/run-simulation.js';
 import type { SimulationArguments } from './queries/run-simulation.js';
 import { explainLogs } from './queries/explain-logs.js';
@@ -42,6 +44,7 @@
   addStatus(program);
   addLogs(program);
   addSimulation(program);
+  addExperiments(program);
   return program;
 }
 
@@ -198,3 +201,19 @@
     .description('run the schedule that a search wrote')
     .action((file: string) => replaySimulation(file, globals()));
 }
+
+function addExperiments(program: Command): void {
+  const experiment = program
+    .command('experiment')
+    .description("experiments with the gateway's policies, on its own code and a virtual clock");
+  experiment
+    .command('run <file>')
+    .description('play an experiment and print what it was worth to its callers')
+    .option('--seeds <count>', 'seeds 1 to COUNT', '20')
+    .option('--jobs <count>', 'seeds that are played at once', '4')
+    .option('--out <file>', 'write one JSON line for each seed to this file')
+    .addHelpText('after', '\nExample:\n  weirvale experiment run examples/experiments/burst.ini')
+    .action((file: string, options: ExperimentArguments) =>
+      runExperimentFile(file, { ...program.opts<GlobalOptions>(), ...options }),
+    );
+}
--- a/src/cli/queries/run-simulation.ts
+++ b/src/cli/queries/run-simulation.ts
@@ -6,7 +6,7 @@
 import type { Fault } from '../../sim/fault.js';
 import { runSchedule, scheduleOf, searchSeeds, shrinkSchedule } from '../../sim/search.js';
 import type { SeedResult, SeedRun } from '../../sim/search.js';
-import { CommandFailure, print, readInput } from '../context.js';
+import { CommandFailure, print, readInput, showProgress } from '../context.js';
 import type { GlobalOptions } from '../context.js';
 import { EXIT } from '../exit-codes.js';
 
@@ -136,13 +136,6 @@
   return [`${result.violations.length} violations`, ...shown].join('\n');
 }
 
-function showProgress(done: number, all: number): void {
-  const WIDTH = 40;
-  const filled = Math.floor((done / all) * WIDTH);
-  const bar = '#'.repeat(filled).padEnd(WIDTH, '.');
-  process.stderr.write(`\r[${bar}] ${done}/${all}`);
-}
-
 function readRun(options: SimulationArguments, seed: number): SeedRun {
   if (options.deployment !== 'factoring' && options.deployment !== 'guild') {
     throw new CommandFailure(EXIT.badInput, 'deployments are factoring and guild');
--- /dev/null
+++ b/src/model/model-agent.ts
@@ -0,0 +1,78 @@
+/** The agent beside a model engine: the ledger that agents run, with its timers, on the virtual clock. */
+import type { Clock } from '../clock.js';
+import { DEFAULT_SLOT_AGENT_OPTIONS } from '../slot-agent/slot-agent-role.js';
+import { SlotLedger } from '../slot-agent/slot-ledger.js';
+import type { SlotAnswer, SlotMessage } from '../slot-agent/slot-messages.js';
+import type { BatchEngine } from './batch-engine.js';
+
+/** A gateway's end of a connection to an agent. */
+export interface AgentPeer {
+  /** Takes a message of the agent. */
+  receive(message: SlotAnswer): void;
+  /** The agent ended the connection. */
+  close(): void;
+}
+
+/** The agent beside one engine. */
+export class ModelAgent {
+  private readonly peers = new Map<number, AgentPeer>();
+  private readonly ledger: SlotLedger;
+  private nextConnection = 1;
+
+  constructor(
+    private readonly engine: BatchEngine,
+    private readonly clock: Clock,
+    /** One way to a gateway, in milliseconds. */
+    private readonly linkMs: number,
+  ) {
+    this.ledger = new SlotLedger({
+      send: (connection, message) => this.send(connection, message),
+      onGranted: () => undefined,
+      onReconciled: () => undefined,
+    });
+    const { reportMs, beatMs, silenceCheckMs } = DEFAULT_SLOT_AGENT_OPTIONS;
+    this.repeat(silenceCheckMs, () => this.endSilent());
+    this.repeat(reportMs, () => this.lookAtEngine());
+    this.repeat(beatMs, () => this.ledger.tellAll());
+  }
+
+  /** A gateway opens a connection; returns what it sends messages by. */
+  connect(peer: AgentPeer): (message: SlotMessage) => void {
+    const connection = this.nextConnection;
+    this.nextConnection += 1;
+    this.peers.set(connection, peer);
+    return (message) =>
+      this.clock.setTimeout(() => {
+        if (this.peers.has(connection)) {
+          this.ledger.receive(connection, message, this.clock.now());
+        }
+      }, this.linkMs);
+  }
+
+  private send(connection: number, message: SlotAnswer): void {
+    this.clock.setTimeout(() => this.peers.get(connection)?.receive(message), this.linkMs);
+  }
+
+  private endSilent(): void {
+    for (const connection of this.ledger.findSilent(this.clock.now())) {
+      const peer = this.peers.get(connection);
+      this.peers.delete(connection);
+      this.ledger.disconnect(connection, this.clock.now());
+      peer?.close();
+    }
+  }
+
+  private lookAtEngine(): void {
+    const nowMs = this.clock.now();
+    if (this.ledger.needsReport(nowMs)) {
+      this.ledger.reconcile(this.engine.load, nowMs);
+    }
+  }
+
+  private repeat(periodMs: number, action: () => void): void {
+    this.clock.setTimeout(() => {
+      action();
+      this.repeat(periodMs, action);
+    }, periodMs);
+  }
+}
--- /dev/null
+++ b/src/model/model-fleet.ts
@@ -0,0 +1,47 @@
+/** The engines of an experiment and the agents beside them. */
+import type { Clock } from '../clock.js';
+import type { RandomSource } from '../random.js';
+import type { Backend } from '../routing/backend.js';
+import { BatchEngine } from './batch-engine.js';
+import type { Experiment } from './experiment.js';
+import { ModelAgent } from './model-agent.js';
+
+/** Name of the service that every engine belongs to. */
+export const ENGINE_SERVICE = 'engines';
+
+/** One engine, its announcement and its agent. */
+export interface ModelBackend {
+  readonly backend: Backend;
+  readonly engine: BatchEngine;
+  readonly agent: ModelAgent;
+}
+
+/** The zone of the nth of several processes. */
+export function zoneOf(index: number, zones: number): string {
+  return `zone-${index % zones}`;
+}
+
+/** Builds the engines; their speeds are drawn between the slowest and the fastest. */
+export function buildFleet(
+  { fleet }: Experiment,
+  clock: Clock,
+  random: RandomSource,
+): ReadonlyMap<string, ModelBackend> {
+  const backends = new Map<string, ModelBackend>();
+  for (let index = 0; index < fleet.engines; index += 1) {
+    const speed = fleet.slowest * (fleet.fastest / fleet.slowest) ** random.next();
+    const engine = new BatchEngine(clock, { ...fleet, speed });
+    const id = `engine-${index}`;
+    const backend: Backend = {
+      id,
+      service: ENGINE_SERVICE,
+      address: `10.0.${index >> 8}.${index & 255}:80`,
+      zone: zoneOf(index, fleet.zones),
+      slots: fleet.slots,
+      state: 'ready',
+      revision: 1,
+    };
+    backends.set(id, { backend, engine, agent: new ModelAgent(engine, clock, fleet.linkMs) });
+  }
+  return backends;
+}
--- a/src/sim/search.ts
+++ b/src/sim/search.ts
@@ -1,11 +1,10 @@
 /** Searches seeds for a run that breaks a promise, several at a time, and shrinks what it finds. */
-import { once } from 'node:events';
-import { Worker } from 'node:worker_threads';
 import * as fc from 'fast-check';
 import type { Violation } from './checks/violation.js';
 import type { DeploymentName } from './deployment.js';
 import { faultSchedules, FAULT_SETS } from './fault.js';
 import type { Fault } from './fault.js';
+import { runOnThreads } from '../thread-pool.js';
 import { createSchedule, simulate } from './simulate.js';
 
 /** What one seed is run with; everything of a run follows from it. */
@@ -71,33 +70,10 @@
 }
 
 /** Runs `runs` on `jobs` threads; `onResult` hears of each, and ends the search by returning false. */
-export async function searchSeeds(
+export function searchSeeds(
   runs: readonly SeedRun[],
   jobs: number,
   onResult: (result: SeedResult) => boolean,
 ): Promise<void> {
-  const waiting = [...runs];
-  const workers = Array.from({ length: Math.min(jobs, runs.length) }, () => createWorker());
-  await Promise.all(
-    workers.map(async (worker) => {
-      for (let run = waiting.shift(); run !== undefined; run = waiting.shift()) {
-        if (!onResult(await askWorker(worker, run))) {
-          waiting.length = 0;
-        }
-      }
-      await worker.terminate();
-    }),
-  );
-}
-
-function createWorker(): Worker {
-  return new Worker(new URL('./search-worker.js', import.meta.url));
-}
-
-/** Rejects if the thread fails. */
-async function askWorker(worker: Worker, run: SeedRun): Promise<SeedResult> {
-  const answer = once(worker, 'message');
-  worker.postMessage(run);
-  const [result] = (await answer) as [SeedResult];
-  return result;
+  return runOnThreads(new URL('./search-worker.js', import.meta.url), runs, jobs, onResult);
 }
