Admission by reckoning, counted from the caller's first try

Cause: whether to refuse followed from shares of the target latency (.2, 3, .4) and Retry-After from 1 to 2.5 s, whatever the queue was; a request that came back counted as in time by its new arrival and took slots from first tries; requests that were never served were held for about a second.

Change: SlotSupply learns how many slots a gateway gets while requests wait and how many more urgent requests come; from that follows the wait of a place. worthOfWaiting weighs the chance of an answer in time, and late, against the time held for nothing; below 0 the request is refused, mostly on arrival. Retry-After is when a late place is expected to be free, spread over as much again, at most a third of the time left. Returning requests are due by their first try and go behind those that can be in time.

--- a/src/gateway/admission/request-admission.ts
+++ b/src/gateway/admission/request-admission.ts
@@ -95,8 +95,8 @@
       tenant: tenant?.name,
       tier: tenant?.priority ?? route.priority,
       rankInTier: route.priority,
-      isReturning: isReturning(route, caller),
       arrivedAtMs,
+      firstTriedAtMs: arrivedAtMs - triedForMs(route, caller),
       endsAtMs: arrivedAtMs + longestMs,
       units,
       promptTokens: tokens?.prompt ?? 0,
@@ -109,9 +109,10 @@
   }
 }
 
-function isReturning(route: Route, caller: CallerRequestHead): boolean {
+/** How long ago the caller's first try was, which its time left shows; less than a moment is none. */
+function triedForMs(route: Route, caller: CallerRequestHead): number {
   const goneMs = route.timeoutMs - (caller.deadlineMs ?? route.timeoutMs);
-  return goneMs > route.timeoutMs * RETURNING_SHARE;
+  return goneMs > route.timeoutMs * RETURNING_SHARE ? goneMs : 0;
 }
 
 function headerBytes(rawHeaders: readonly string[]): number {
--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -10,12 +10,11 @@
 import type { AttemptOutcome } from '../dispatch/backend-health.js';
 import { endToEndHeaders } from '../admission/caller-protocol.js';
 import { AttemptProgress } from './attempt-progress.js';
-import type { DispatchRequest } from '../dispatch/dispatch-request.js';
 import type { GatewayRefusal } from '../admission/gateway-refusal.js';
 import { sendRefusal } from '../admission/send-refusal.js';
 import { AnswerRelay } from './answer-relay.js';
 import type { HeldAnswer } from './answer-relay.js';
-import { nextEventDueAtMs, retryAfterMs, waitUntilMs } from './wait-rules.js';
+import { RequestWait } from './request-wait.js';
 import type { AcceptedRequest, RequestOptions, RequestPorts, RequestTry } from './request-model.js';
 
 const MAX_CONNECT_FAILURES = 4;
@@ -28,7 +27,7 @@
 /** One request from its acceptance to its end. */
 export class ProxiedRequest {
   private phase: Phase = 'waiting';
-  private placement: DispatchRequest | undefined;
+  private wait: RequestWait | undefined;
   private backend: Backend | undefined;
   private attempt: AttemptHandle | undefined;
   private attemptStartedAtMs = 0;
@@ -82,80 +81,30 @@
   }
 
   private waitForBackend(): void {
-    const { request, ports } = this;
-    const nowMs = ports.clock.now();
-    const firstDueAtMs = nextEventDueAtMs(request, this.progress?.lastEventAtMs);
     this.phase = 'waiting';
-    this.placement = {
-      service: request.service,
-      tier: request.tier,
-      rankInTier: request.rankInTier,
-      arrivedAtMs: request.arrivedAtMs,
-      startByMs:
-        firstDueAtMs - ports.directory.expectedFirstMs(request.service, request.promptTokens),
-      units: request.units,
-      promptTokens: request.promptTokens,
-      firstDueAtMs,
-      maxPauseMs: request.route.maxPauseMs,
+    this.clearStepTimer();
+    this.wait = new RequestWait({
+      request: this.request,
+      ports: this.ports,
+      options: this.options,
+      answer: {
+        lastEventAtMs: this.progress?.lastEventAtMs,
+        hasStarted: this.relay.hasStarted,
+      },
       excluded: this.excluded,
       onPlaced: (backend, placedAtMs) => this.send(backend, placedAtMs),
-    };
-    this.setStepTimer(this.firstLookMs(), () => this.reviewWait());
-    ports.dispatcher.submit(this.placement, nowMs);
-  }
-
-  /** Time until it is reckoned whether waiting is of use, in milliseconds. */
-  private firstLookMs(): number {
-    return this.request.route.targetLatencyMs * this.options.earlyRefusalShare;
-  }
-
-  /** Refuses early what cannot be in time, so that the caller may come back when it can. */
-  private reviewWait(): void {
-    if (this.phase !== 'waiting' || this.placement === undefined) {
-      return;
-    }
-    const nowMs = this.ports.clock.now();
-    const waitLeftMs = this.longestWaitMs(nowMs);
-    if (waitLeftMs > 0 && (this.mustNotBeRefusedEarly() || this.canStartInTime(nowMs))) {
-      this.setStepTimer(waitLeftMs, () => this.giveUpWaiting());
-      return;
-    }
-    this.giveUpWaiting();
-  }
-
-  /** One that was refused before, or whose caller has a part of the answer, is not sent away again. */
-  private mustNotBeRefusedEarly(): boolean {
-    return this.request.isReturning || this.relay.hasStarted;
-  }
-
-  private canStartInTime(nowMs: number): boolean {
-    const { placement, ports } = this;
-    return nowMs + ports.dispatcher.expectedWaitMs(placement!, nowMs) < placement!.startByMs;
-  }
-
-  /** Longest time that it may still wait, in milliseconds. */
-  private longestWaitMs(nowMs: number): number {
-    const lastEventAtMs = this.progress?.lastEventAtMs;
-    const { startByMs } = this.placement!;
-    return waitUntilMs(this.request, { lastEventAtMs, startByMs }, this.options) - nowMs;
+      onGivenUp: () => this.giveUpWaiting(),
+    });
+    this.wait.begin();
   }
 
   private giveUpWaiting(): void {
-    if (this.phase !== 'waiting') {
-      return;
-    }
-    const { directory, dispatcher, clock } = this.ports;
-    const { service, isReturning } = this.request;
-    const hasBackends = directory.countReady(service) > 0;
-    if (hasBackends && !isReturning) {
-      dispatcher.noteShed(service, clock.now());
-    }
+    const hasBackends = this.ports.directory.countReady(this.request.service) > 0;
     this.answerFailure(hasBackends ? 'overloaded' : 'no-backend');
   }
 
   private send(backend: Backend, nowMs: number): void {
     const { request, ports } = this;
-    this.placement = undefined;
     this.phase = 'sent';
     this.backend = backend;
     this.attempts += 1;
@@ -383,8 +332,9 @@
       return;
     }
     if (!this.mayHaveRun) {
-      const { options, ports } = this;
-      this.refuse({ reason, retryAfterMs: retryAfterMs(reason, options, ports.random) });
+      const isOverloaded = reason === 'overloaded' && this.wait !== undefined;
+      const retryAfterMs = isOverloaded ? this.wait!.retryAfterMs() : this.options.retryAfterMs;
+      this.refuse({ reason, retryAfterMs });
       return;
     }
     this.refuse({ reason: reason === 'timed-out' ? reason : 'backend-failed' });
@@ -416,15 +366,13 @@
   }
 
   private finish(status: number, reason: string): void {
-    const { clock, dispatcher } = this.ports;
+    const { clock } = this.ports;
     const nowMs = clock.now();
     const { arrivedAtMs } = this.request;
     this.phase = 'done';
     clock.clearTimeout(this.endTimer);
     this.clearStepTimer();
-    if (this.placement !== undefined) {
-      dispatcher.withdraw(this.placement, nowMs);
-    }
+    this.wait?.cancel();
     this.ports.onEnd(this.request, {
       status,
       reason,
--- /dev/null
+++ b/src/gateway/attempt/request-wait.ts
@@ -0,0 +1,161 @@
+/**
+ * The wait of one request for a slot, without I/O: it is offered to the dispatcher, and its outlook is
+ * reckoned anew until a slot comes or waiting is worth nothing to its caller.
+ */
+import type { TimerHandle } from '../../clock.js';
+import type { DispatchRequest } from '../dispatch/dispatch-request.js';
+import type { AcceptedRequest, RequestOptions, RequestPorts } from './request-model.js';
+import { worthOfWaiting } from './waiting-worth.js';
+import type { WaitOutlook } from './waiting-worth.js';
+
+/** How far the answer has come when a wait begins. */
+export interface AnswerSoFar {
+  /** When the caller was sent its last event; undefined before the first. */
+  readonly lastEventAtMs: number | undefined;
+  /** Whether the caller has a part of its answer. */
+  readonly hasStarted: boolean;
+}
+
+/** What a wait is made from. */
+export interface RequestWaitParts {
+  readonly request: AcceptedRequest;
+  readonly ports: RequestPorts;
+  readonly options: RequestOptions;
+  readonly answer: AnswerSoFar;
+  /** Back ends that must not be used. */
+  readonly excluded: ReadonlySet<string>;
+  /** A slot came. */
+  onPlaced: DispatchRequest['onPlaced'];
+  /** Waiting on is worth nothing; the wait has ended. */
+  onGivenUp(): void;
+}
+
+/** One wait. */
+export class RequestWait {
+  private readonly place: DispatchRequest;
+  private isOver = false;
+  private timer: TimerHandle | undefined;
+
+  constructor(private readonly parts: RequestWaitParts) {
+    const { request, ports, excluded, answer, onPlaced } = parts;
+    const { service, promptTokens, route } = request;
+    const firstDueAtMs = dueAtMs(request, answer.lastEventAtMs);
+    this.place = {
+      service,
+      tier: request.tier,
+      rankInTier: request.rankInTier,
+      arrivedAtMs: request.arrivedAtMs,
+      startByMs: firstDueAtMs - ports.directory.expectedFirstMs(service, promptTokens),
+      units: request.units,
+      promptTokens,
+      firstDueAtMs,
+      maxPauseMs: route.maxPauseMs,
+      excluded,
+      onPlaced: (backend, nowMs) => {
+        this.end();
+        onPlaced(backend, nowMs);
+      },
+    };
+  }
+
+  /** Offers the request; it may be placed before this returns. */
+  begin(): void {
+    const { clock, dispatcher } = this.parts.ports;
+    dispatcher.submit(this.place, clock.now());
+    this.review();
+  }
+
+  /** Takes the request back. */
+  cancel(): void {
+    if (!this.isOver) {
+      const { clock, dispatcher } = this.parts.ports;
+      this.end();
+      dispatcher.withdraw(this.place, clock.now());
+    }
+  }
+
+  /** When the caller may usefully come back, in milliseconds from now. */
+  retryAfterMs(): number {
+    const { request, ports, options } = this.parts;
+    const { clock, dispatcher, random } = ports;
+    const nowMs = clock.now();
+    const placeFreeMs = dispatcher.expectedRecoveryMs(this.place, nowMs);
+    const earliestMs = Math.min(
+      options.overloadRetryMaxMs,
+      Math.max(options.overloadRetryMinMs, placeFreeMs),
+    );
+    // Callers that were refused together must not come back together.
+    const spreadMs = earliestMs * (1 + random.next());
+    return Math.min(spreadMs, (request.endsAtMs - nowMs) * options.maxRetryShare);
+  }
+
+  private end(): void {
+    this.isOver = true;
+    this.parts.ports.clock.clearTimeout(this.timer);
+  }
+
+  /** Goes on waiting while that is worth something, and looks again soon. */
+  private review(): void {
+    if (this.isOver) {
+      return;
+    }
+    const { ports, options, onGivenUp } = this.parts;
+    const nowMs = ports.clock.now();
+    if (!this.isWorthWaiting(nowMs)) {
+      this.cancel();
+      onGivenUp();
+      return;
+    }
+    this.timer = ports.clock.setTimeout(() => this.review(), options.waitReviewMs);
+  }
+
+  private isWorthWaiting(nowMs: number): boolean {
+    const { answer, options } = this.parts;
+    if (answer.lastEventAtMs !== undefined) {
+      return nowMs < answer.lastEventAtMs + options.resumeWaitMs;
+    }
+    if (answer.hasStarted) {
+      return true;
+    }
+    return worthOfWaiting(this.outlook(nowMs)) >= 0;
+  }
+
+  private outlook(nowMs: number): WaitOutlook {
+    const { request, ports } = this.parts;
+    const { startByMs, service } = this.place;
+    const wholeMs = ports.directory.expectedWholeMs(service, request.units);
+    const firstMs = ports.directory.expectedFirstMs(service, request.promptTokens);
+    const patientUntilMs = request.arrivedAtMs + this.patienceMs() - firstMs;
+    return {
+      inTimeLeftMs: startByMs - nowMs,
+      usefulLeftMs: Math.min(request.endsAtMs - wholeMs, patientUntilMs) - nowMs,
+      wholeTimeMs: request.endsAtMs - request.firstTriedAtMs,
+      waitMs: ports.dispatcher.expectedWaitMs(this.place, nowMs),
+      lateWaitMs: ports.dispatcher.expectedLateWaitMs(this.place, nowMs),
+    };
+  }
+
+  /** How long a caller waits for the first event of a stream before it gives it up. */
+  private patienceMs(): number {
+    const { request, options } = this.parts;
+    const { kind, targetLatencyMs, maxPauseMs } = request.route;
+    if (kind !== 'stream') {
+      return Infinity;
+    }
+    return Math.max(
+      options.streamPatienceMs,
+      targetLatencyMs * options.streamPatienceTargets,
+      maxPauseMs * options.streamPatiencePauses,
+    );
+  }
+}
+
+/** When the caller must get the next part of its answer for the answer to be in time, in milliseconds. */
+function dueAtMs(
+  { firstTriedAtMs, route }: AcceptedRequest,
+  lastEventAtMs: number | undefined,
+): number {
+  return lastEventAtMs === undefined
+    ? firstTriedAtMs + route.targetLatencyMs
+    : lastEventAtMs + route.maxPauseMs;
+}
--- a/src/gateway/dispatch/backend-directory.ts
+++ b/src/gateway/dispatch/backend-directory.ts
@@ -71,6 +71,15 @@
     return expected.length === 0 ? 0 : Math.min(...expected);
   }
 
+  /** Mean expected time of a whole answer among the ready back ends, in milliseconds. */
+  expectedWholeMs(service: string, units: number): number {
+    const learned = this.ofService(service).flatMap(({ isReady, msPerUnit }) =>
+      isReady && msPerUnit !== undefined ? [msPerUnit] : [],
+    );
+    const sum = learned.reduce((total, msPerUnit) => total + msPerUnit, 0);
+    return learned.length === 0 ? 0 : (sum / learned.length) * units;
+  }
+
   /** Takes in a back end's newest announcement; undefined when it left the list. */
   update(backendId: string, backend: Backend | undefined, nowMs: number): void {
     const known = this.backends.get(backendId);
--- a/src/gateway/dispatch/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -8,14 +8,16 @@
  */
 import type { BackendDirectory } from './backend-directory.js';
 import type { Backend } from '../../routing/backend.js';
+import { isLate } from '../../slot-agent/waiting-order.js';
+import type { WaitingPlace } from '../../slot-agent/waiting-order.js';
 import type { SlotAnswer, SlotMessage } from '../../slot-agent/slot-messages.js';
 import type { AttemptOutcome } from './backend-health.js';
 import { costOf, harmsOthers, usualSpeed } from './backend-choice.js';
 import type { DispatchRequest } from './dispatch-request.js';
 import type { KnownBackend } from './known-backend.js';
-import { BindIntervals } from './bind-intervals.js';
 import { nextDemand } from './slot-demand.js';
 import { hasRoom } from './slot-room.js';
+import { SlotSupply } from './slot-supply.js';
 import { WaitingQueue } from './waiting-queue.js';
 
 /** Options of a dispatcher. */
@@ -55,7 +57,7 @@
 /** Binds waiting requests to back ends. */
 export class Dispatcher {
   private readonly waiting = new Map<string, WaitingQueue>();
-  private readonly bindIntervals = new BindIntervals();
+  private readonly supplies = new Map<string, SlotSupply>();
 
   constructor(
     private readonly directory: BackendDirectory,
@@ -63,10 +65,23 @@
     private readonly options: DispatcherOptions = DEFAULT_DISPATCHER_OPTIONS,
   ) {}
 
-  /** Expected time until a waiting request is bound, in milliseconds. */
+  /** Expected time until a waiting request is bound, in milliseconds; Infinity if others take every slot. */
   expectedWaitMs(request: DispatchRequest, nowMs: number): number {
-    const ahead = this.waiting.get(request.service)?.countBefore(request, nowMs) ?? 0;
-    return (ahead + 1) * this.bindIntervals.meanMs(request.service);
+    return this.waitOf(request, request.service, nowMs);
+  }
+
+  /** The same for the time when it is late and stands behind those that are not. */
+  expectedLateWaitMs(request: DispatchRequest, nowMs: number): number {
+    return this.waitOf({ ...request, startByMs: -Infinity }, request.service, nowMs);
+  }
+
+  /**
+   * Expected time until the place that a refused request would get is free, in milliseconds. Where more
+   * urgent requests take every slot, the shortage is expected to last as long as it has lasted.
+   */
+  expectedRecoveryMs(request: DispatchRequest, nowMs: number): number {
+    const waitMs = this.expectedLateWaitMs(request, nowMs);
+    return Number.isFinite(waitMs) ? waitMs : this.supplyOf(request.service).busyForMs(nowMs);
   }
 
   /** Requests that wait, by service. */
@@ -89,22 +104,22 @@
 
   /** Binds the request now if a slot is free; otherwise it waits in order. */
   submit(request: DispatchRequest, nowMs: number): void {
-    this.insert(request, nowMs);
+    if (!isLate(request, nowMs)) {
+      this.supplyOf(request.service).noteArrival(request, nowMs);
+    }
+    this.queueOf(request.service).add(request);
     this.serve(request.service, nowMs);
+    this.noteWaiting(request.service, nowMs);
   }
 
   /** Takes a waiting request back. */
   withdraw(request: DispatchRequest, nowMs: number): void {
     if (this.remove(request)) {
+      this.noteWaiting(request.service, nowMs);
       this.tellDemand(request.service, nowMs);
     }
   }
 
-  /** A request that could have been in time is refused for lack of slots. */
-  noteShed(service: string, nowMs: number): void {
-    this.waiting.get(service)?.noteShed(nowMs);
-  }
-
   /** An attempt ended. */
   finish(backendId: string, outcome: AttemptOutcome, nowMs: number): void {
     const known = this.directory.find(backendId);
@@ -219,8 +234,8 @@
     }
     this.sendToAgent(backendId, known, { kind: 'grant-used' });
     this.remove(request);
-    this.bindIntervals.noteBound(request.service, nowMs);
     this.bind(request, known, nowMs, true);
+    this.noteWaiting(request.service, nowMs);
     this.tellDemand(known.backend.service, nowMs);
   }
 
@@ -235,12 +250,10 @@
       }
       const chosen = this.choose(request, nowMs);
       if (chosen !== undefined && this.remove(request)) {
-        if (request.arrivedAtMs < nowMs) {
-          this.bindIntervals.noteBound(service, nowMs);
-        }
         this.bind(request, chosen, nowMs, false);
       }
     }
+    this.noteWaiting(service, nowMs);
     this.tellDemand(service, nowMs);
   }
 
@@ -250,6 +263,7 @@
     nowMs: number,
     isGranted: boolean,
   ): void {
+    this.supplyOf(request.service).noteBound(nowMs);
     known.outstanding += 1;
     known.pendingPromptTokens += request.promptTokens;
     if (!isGranted && known.agent !== undefined) {
@@ -323,13 +337,25 @@
     return hasRoom(known, inputs, nowMs);
   }
 
-  private insert(request: DispatchRequest, nowMs: number): void {
-    const queue = this.waiting.get(request.service) ?? new WaitingQueue();
-    this.waiting.set(request.service, queue);
-    if (queue.length === 0) {
-      this.bindIntervals.noteFirstWaiting(request.service, nowMs);
-    }
-    queue.add(request);
+  private waitOf(place: WaitingPlace, service: string, nowMs: number): number {
+    const ahead = this.waiting.get(service)?.countBefore(place, nowMs) ?? 0;
+    return this.supplyOf(service).expectedWaitMs(place, ahead, isLate(place, nowMs), nowMs);
+  }
+
+  private noteWaiting(service: string, nowMs: number): void {
+    this.supplyOf(service).noteWaiting(this.countWaiting(service) > 0, nowMs);
+  }
+
+  private supplyOf(service: string): SlotSupply {
+    const known = this.supplies.get(service) ?? new SlotSupply();
+    this.supplies.set(service, known);
+    return known;
+  }
+
+  private queueOf(service: string): WaitingQueue {
+    const known = this.waiting.get(service) ?? new WaitingQueue();
+    this.waiting.set(service, known);
+    return known;
   }
 
   private remove(request: DispatchRequest): boolean {
--- /dev/null
+++ b/test/slot-supply.test.ts
@@ -0,0 +1,60 @@
+import test from 'ava';
+import { DecayedSum } from '../src/gateway/dispatch/decayed-sum.js';
+import { SlotSupply } from '../src/gateway/dispatch/slot-supply.js';
+
+const PLACE = { tier: 1, rankInTier: 1, arrivedAtMs: 0, startByMs: 1_000 };
+const URGENT = { ...PLACE, tier: 0 };
+
+/** A supply that gave a slot each `slotMs` while requests waited, with urgent arrivals each `urgentMs`. */
+function busySupply(slotMs: number, urgentMs: number): SlotSupply {
+  const supply = new SlotSupply();
+  supply.noteWaiting(true, 0);
+  for (let nowMs = 0; nowMs < 10_000; nowMs += 1) {
+    if (nowMs % slotMs === 0) {
+      supply.noteBound(nowMs);
+    }
+    if (nowMs % urgentMs === 0) {
+      supply.noteArrival(URGENT, nowMs);
+    }
+  }
+  return supply;
+}
+
+test('a sum forgets with time', (t) => {
+  const sum = new DecayedSum(1_000);
+  sum.add(1, 0);
+  t.true(Math.abs(sum.at(1_000) - Math.exp(-1)) < 1e-9);
+});
+
+test('nothing is expected of a service where nobody waited', (t) => {
+  t.is(new SlotSupply().expectedWaitMs(PLACE, 3, false, 100), 0);
+});
+
+test('a place waits for those ahead and for the more urgent ones that come meanwhile', (t) => {
+  const supply = busySupply(10, 20);
+  const urgentMs = supply.expectedWaitMs(URGENT, 1, false, 10_000);
+  const otherMs = supply.expectedWaitMs(PLACE, 1, false, 10_000);
+  t.true(urgentMs > 15 && urgentMs < 25, `${urgentMs}`);
+  t.true(otherMs > 35 && otherMs < 45, `${otherMs}`);
+});
+
+test('a place that more urgent ones keep out waits without end', (t) => {
+  t.is(busySupply(20, 10).expectedWaitMs(PLACE, 0, false, 10_000), Infinity);
+});
+
+test('a late place stands behind every arrival of its tier', (t) => {
+  const supply = busySupply(20, 10);
+  t.is(supply.expectedWaitMs(URGENT, 0, true, 10_000), Infinity);
+  t.true(Number.isFinite(supply.expectedWaitMs(URGENT, 0, false, 10_000)));
+});
+
+test('time in which nobody waits does not slow the supply down', (t) => {
+  const supply = new SlotSupply();
+  for (let round = 0; round < 5; round += 1) {
+    const nowMs = round * 1_000;
+    supply.noteWaiting(true, nowMs);
+    supply.noteBound(nowMs + 20);
+    supply.noteWaiting(false, nowMs + 20);
+  }
+  t.true(supply.expectedWaitMs(PLACE, 0, false, 4_100) < 40);
+});
