A few gateways read the store, and the others learn from them

Change: StoreReaders ranks gateways by a hash; one reads the store unless eight that rank before it said in their beats that they do and are answered. Nobody is elected: readers that die, are cut off or are turned away are missed after 1.5 s or three periods of beats, and the next in rank begin to read, from the revision that they know. One that begins while the store is silent takes it as out for long, so that a first listing afterwards removes nothing. Readers tell a new revision at the next tick, and gateways that do not read fetch at once. Silence after which a peer's share of the quotas is set aside follows the period of beats, which is .9 s among 68 gateways beside a limit of 1.2 s. The hand-made hash is imurmurhash now.

Tests, each red without its part: eight of 68 read; dead, turned-away and cut-off readers are made up for; a follower that rests calls nothing, watches from what others told, believes no first listing after an outage.

--- a/src/cluster/peer-mesh.ts
+++ b/src/cluster/peer-mesh.ts
@@ -40,6 +40,11 @@
   readonly maxFailures: number;
   /** Most connections that are opened; further addresses stand in for those that fail. Default: no limit. */
   readonly maxConnections: number;
+  /**
+   * Time in which new addresses are gathered before peers are told, in milliseconds. Default 50: when
+   * many start at once, each would otherwise tell each of each.
+   */
+  readonly gatherAddressesMs: number;
 }
 
 /** Defaults of the mesh. */
@@ -49,6 +54,7 @@
   connectTimeoutMs: 1_000,
   maxFailures: 8,
   maxConnections: Infinity,
+  gatherAddressesMs: 50,
 };
 
 const RETRY_SPREAD = 0.3;
@@ -69,6 +75,8 @@
   private readonly heard = new Map<string, string>();
   private readonly server: Server;
   private isStopped = false;
+  /** Addresses that peers have not been told of. */
+  private newAddresses: string[] = [];
 
   constructor(
     private readonly self: PeerHello,
@@ -129,11 +137,22 @@
         isOpen: false,
         failures: 0,
       });
-      this.broadcast({ kind: 'addresses', addresses: [address] });
+      this.passOn(address);
     }
     this.openWanted();
   }
 
+  /** Tells peers of a new address, together with those that come soon after. */
+  private passOn(address: string): void {
+    if (this.newAddresses.length === 0) {
+      this.clock.setTimeout(() => {
+        this.broadcast({ kind: 'addresses', addresses: this.newAddresses });
+        this.newAddresses = [];
+      }, this.options.gatherAddressesMs);
+    }
+    this.newAddresses.push(address);
+  }
+
   /** Opens connections up to the limit, first to the addresses that failed least. */
   private openWanted(): void {
     const peers = [...this.outgoing.values()];
--- a/src/cluster/peer-messages.ts
+++ b/src/cluster/peer-messages.ts
@@ -31,6 +31,8 @@
   readonly used: Readonly<Record<string, number>>;
   /** Revision of the store through which its records are complete. */
   readonly revision: number;
+  /** Whether it reads the store and is answered. */
+  readonly isReading: boolean;
 }
 
 /** The sender stops for good, or until it is started again. */
--- a/src/cluster/store-follower.ts
+++ b/src/cluster/store-follower.ts
@@ -55,6 +55,10 @@
   onReachable(isReachable: boolean, reason: string): void;
   /** How many processes follow the store and tell each other, this one included. */
   countFollowers(): number;
+  /** Whether this process must follow the store itself; others tell it otherwise. */
+  mustFollow(): boolean;
+  /** The revision through which the records are complete, from wherever they came; 0 for none. */
+  completeTo(): number;
   /** A call of the store ended. */
   onCall(call: StoreCall, result: StoreCallResult): void;
 }
@@ -82,6 +86,8 @@
    * users' pages say about two seconds.
    */
   readonly reannounceMs: number;
+  /** Pause between two looks at whether this process must follow, while others do. Default 100. */
+  readonly restMs: number;
 }
 
 /** Defaults of a follower. */
@@ -94,6 +100,7 @@
   retryMaxMs: 800,
   outageMs: 500,
   reannounceMs: 2_200,
+  restMs: 100,
 };
 
 const RETRY_SPREAD = 0.3;
@@ -110,6 +117,7 @@
   /** When the listing that counts is due after an outage. */
   private relistAtMs: number | undefined;
   private retryMs: number;
+  private isResting = false;
 
   constructor(
     private readonly store: ClusterStore,
@@ -125,6 +133,9 @@
   async run(): Promise<void> {
     let revision: number | undefined;
     while (!this.isStopped) {
+      if (!this.handlers.mustFollow()) {
+        revision = await this.rest();
+      }
       const isListing = revision === undefined || this.isRelistDue();
       revision = isListing ? await this.list() : await this.watch(revision!);
     }
@@ -140,6 +151,26 @@
     this.isStopped = true;
   }
 
+  /** Whether this process follows the store and was answered last. */
+  get isFollowing(): boolean {
+    return !this.isResting && this.reachable === true;
+  }
+
+  /**
+   * Waits until this process must follow; returns the revision to go on from. Others may be missed because
+   * the store is out, for how long is not known here: if it does not answer now, it counts as out for long.
+   */
+  private async rest(): Promise<number | undefined> {
+    this.isResting = true;
+    while (!this.isStopped && !this.handlers.mustFollow()) {
+      await sleep(this.clock, this.options.restMs);
+    }
+    this.isResting = false;
+    this.lostAtMs = this.clock.now() - this.options.outageMs;
+    const revision = this.handlers.completeTo();
+    return revision === 0 ? undefined : revision;
+  }
+
   private async list(): Promise<number | undefined> {
     const startedAtMs = this.clock.now();
     const read = await this.store.list();
@@ -150,7 +181,7 @@
     }
     const nowMs = this.clock.now();
     const wasOut = this.lostAtMs !== undefined && nowMs - this.lostAtMs >= this.options.outageMs;
-    const isFirst = this.lastAnsweredAtMs === undefined;
+    const isFirst = this.lastAnsweredAtMs === undefined && this.handlers.completeTo() === 0;
     this.succeed();
     if (wasOut && !isFirst) {
       this.relistAtMs = nowMs + this.options.reannounceMs;
--- a/src/gateway/admission/token-quota.ts
+++ b/src/gateway/admission/token-quota.ts
@@ -14,8 +14,8 @@
   readonly slackTokens: number;
   /** Share above a tenant's rate that the bound allows. */
   readonly overShare: number;
-  /** Silence after which a peer counts as not heard, in milliseconds. Default 600. */
-  readonly silenceMs: number;
+  /** Silence after which a peer counts as not heard, in milliseconds; some times the pause between its beats. */
+  silenceMs(): number;
   /** Silence after which a peer is forgotten, in milliseconds. Default 20,000. */
   readonly forgetMs: number;
 }
@@ -138,12 +138,13 @@
 
   /** Share of a tenant's rate that is not set aside for peers that fell silent. */
   private heardShare(nowMs: number): number {
+    const longestMs = this.options.silenceMs();
     let silent = 0;
     for (const [name, peer] of this.peers) {
       const silenceMs = nowMs - peer.heardAtMs;
       if (silenceMs > this.options.forgetMs) {
         this.peers.delete(name);
-      } else if (silenceMs > this.options.silenceMs) {
+      } else if (silenceMs > longestMs) {
         silent += 1;
       }
     }
--- a/src/gateway/dispatch/backend-directory.ts
+++ b/src/gateway/dispatch/backend-directory.ts
@@ -1,6 +1,7 @@
 /** The back ends that a gateway knows, by service, and which of the engines it works with. */
 import type { Backend } from '../../routing/backend.js';
-import { chooseEngines, DEFAULT_ENGINE_SUBSET_OPTIONS, pairShare } from './engine-subset.js';
+import { pairShare } from '../../pair-share.js';
+import { chooseEngines, DEFAULT_ENGINE_SUBSET_OPTIONS } from './engine-subset.js';
 import type { EngineSubsetOptions, SubsetOwner } from './engine-subset.js';
 import { KnownBackend } from './known-backend.js';
 
--- a/src/gateway/dispatch/engine-subset.ts
+++ b/src/gateway/dispatch/engine-subset.ts
@@ -7,6 +7,7 @@
  * gateways choose apart from each other, without a word between them, and one
  * engine that comes or goes changes one choice.
  */
+import { pairShare } from '../../pair-share.js';
 
 /** What the choice looks at. */
 export interface SubsetEngine {
@@ -31,11 +32,6 @@
   perOtherZone: 2,
 };
 
-const FNV_OFFSET = 0x811c9dc5;
-const FNV_PRIME = 0x01000193;
-/** How many numbers a weight can be. */
-const WEIGHTS = 2 ** 32;
-
 /** Who chooses. */
 export interface SubsetOwner {
   readonly name: string;
@@ -53,9 +49,9 @@
   options: EngineSubsetOptions = DEFAULT_ENGINE_SUBSET_OPTIONS,
 ): Set<string> {
   const { minEngines, maxInZone, perOtherZone } = options;
-  const ranked = [...engines].sort(
-    (left, right) => weight(owner.name, left.id) - weight(owner.name, right.id),
-  );
+  const ranked = engines
+    .map(({ id, zone }) => ({ id, zone, weight: pairShare(owner.name, id) }))
+    .sort((left, right) => left.weight - right.weight);
   const chosen = new Set<string>();
   const takenByZone = new Map<string, number>();
   for (const { id, zone } of ranked) {
@@ -73,18 +69,3 @@
   }
   return chosen;
 }
-
-/** A number in [0, 1) that is the same for a pair of names wherever it is computed. */
-export function pairShare(owner: string, engine: string): number {
-  return weight(owner, engine) / WEIGHTS;
-}
-
-/** A 32-bit number that is the same for a pair of names wherever it is computed (FNV-1a, mixed). */
-function weight(owner: string, engine: string): number {
-  let hash = FNV_OFFSET;
-  for (const sign of `${owner} ${engine}`) {
-    hash = Math.imul(hash ^ sign.charCodeAt(0), FNV_PRIME);
-  }
-  hash = Math.imul(hash ^ (hash >>> 16), 0x45d9f3b);
-  return (hash ^ (hash >>> 16)) >>> 0;
-}
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -4,6 +4,7 @@
 import { ReplicatedRecords } from '../cluster/replicated-records.js';
 import type { StoreRecord } from '../cluster/replicated-records.js';
 import { StoreFollower } from '../cluster/store-follower.js';
+import { DEFAULT_STORE_READERS_OPTIONS, StoreReaders } from '../cluster/store-readers.js';
 import type { Clock } from '../clock.js';
 import type { RandomSource } from '../random.js';
 import { err } from '../result.js';
@@ -19,7 +20,7 @@
 import type { GatewayAdapter } from './gateway-adapter.js';
 import { countBackends } from './metrics/gateway-snapshot.js';
 import type { GatewaySnapshot } from './metrics/gateway-snapshot.js';
-import { GatewayPeers } from './links/gateway-peers.js';
+import { GatewayPeers, PEER_TICK_MS } from './links/gateway-peers.js';
 import type { GatewayMetrics } from './metrics/gateway-metrics.js';
 import type { GatewayRefusal } from './admission/gateway-refusal.js';
 import type { GatewaySettings } from './gateway-settings.js';
@@ -47,7 +48,6 @@
 }
 
 const MS_PER_S = 1_000;
-const TICK_MS = 100;
 /** Pause between two words to agents on how far the replica reaches, in ticks. */
 const AGENT_REVISION_TICKS = 3;
 const DROPPED_REPORT_TICKS = 50;
@@ -56,7 +56,9 @@
 const READINESS_IDLE_MS = 30_000;
 const HTTP_OK = 200;
 const HTTP_UNAVAILABLE = 503;
+/** Silence after which a peer's share of the quotas is set aside: a time, and periods of its beats. */
 const QUOTA_SILENCE_MS = 1_200;
+const QUOTA_SILENCE_BEATS = 2.5;
 const QUOTA_FORGET_MS = 20_000;
 
 /** The gateway. */
@@ -80,6 +82,8 @@
     response.writeHead(this.isReady ? HTTP_OK : HTTP_UNAVAILABLE, { 'Content-Length': '0' });
     response.end();
   });
+  private readonly readers: StoreReaders;
+  private isStoreReader = true;
   private hasEnded = false;
   private ticks = 0;
   private loopDelayMs = 0;
@@ -95,7 +99,7 @@
     this.exchange = new RecordExchange(
       this.records,
       {
-        isStoreReachable: () => this.follower.isReachable ?? false,
+        isStoreReachable: () => this.follower.isFollowing,
         onNews: (news) => this.takeRecords(news),
       },
       clock,
@@ -140,11 +144,12 @@
       {
         slackTokens: limits.quotaSlack,
         overShare: limits.quotaOver,
-        silenceMs: QUOTA_SILENCE_MS,
+        silenceMs: () => Math.max(QUOTA_SILENCE_MS, this.peers.beatMs * QUOTA_SILENCE_BEATS),
         forgetMs: QUOTA_FORGET_MS,
       },
       clock.now(),
     );
+    this.readers = new StoreReaders(incarnation);
     this.peers = new GatewayPeers({
       name,
       incarnation,
@@ -153,6 +158,8 @@
       records: this.records,
       exchange: this.exchange,
       quotas: this.quotas,
+      readers: this.readers,
+      isReading: () => this.follower.isFollowing,
       clock,
       random,
       onPeer: (peer, isPresent) =>
@@ -179,7 +186,9 @@
         onChanges: ({ records, revision }, since) =>
           this.takeRecords(this.records.applyChanges(records, since, revision)),
         onReachable: (isReachable, reason) => this.noteStore(isReachable, reason),
-        countFollowers: () => this.peers.size,
+        countFollowers: () => Math.min(this.peers.size, DEFAULT_STORE_READERS_OPTIONS.readers),
+        mustFollow: () => this.mustReadStore(),
+        completeTo: () => this.records.completeTo,
         onCall: (call, result) =>
           parts.metrics.record(({ storeCalls }) => storeCalls.inc({ call, result })),
       },
@@ -254,14 +263,14 @@
   }
 
   private scheduleTick(): void {
-    const dueAtMs = this.parts.clock.now() + TICK_MS;
+    const dueAtMs = this.parts.clock.now() + PEER_TICK_MS;
     this.parts.clock.setTimeout(() => {
       this.loopDelayMs = Math.max(this.loopDelayMs, this.parts.clock.now() - dueAtMs);
       if (!this.hasEnded) {
         this.tick();
         this.scheduleTick();
       }
-    }, TICK_MS);
+    }, PEER_TICK_MS);
   }
 
   private tick(): void {
@@ -279,6 +288,18 @@
     }
   }
 
+  private mustReadStore(): boolean {
+    const mustRead = this.readers.mustRead(this.peers.beatMs, this.parts.clock.now());
+    if (mustRead !== this.isStoreReader) {
+      this.isStoreReader = mustRead;
+      this.parts.log.write(mustRead ? 'store-reader-on' : 'store-reader-off', 'state', {
+        gateways: this.peers.size,
+        revision: this.records.completeTo,
+      });
+    }
+    return mustRead;
+  }
+
   private noteStore(isReachable: boolean, reason: string): void {
     this.parts.metrics.record(({ storeReachable }) => storeReachable.set(isReachable ? 1 : 0));
     this.parts.log.write(isReachable ? 'store-regained' : 'store-lost', 'state', { reason });
@@ -390,10 +411,10 @@
     });
   }
 
-  /** How old the newest word of the store is, in milliseconds. */
+  /** How old the newest word of the store is, from itself or from a gateway that reads it, in milliseconds. */
   private storeAgeMs(): number | undefined {
-    const { lastAnsweredAtMs } = this.follower;
-    return lastAnsweredAtMs === undefined ? undefined : this.parts.clock.now() - lastAnsweredAtMs;
+    const heardAtMs = Math.max(this.follower.lastAnsweredAtMs ?? -Infinity, this.readers.heardAtMs);
+    return heardAtMs === -Infinity ? undefined : this.parts.clock.now() - heardAtMs;
   }
 
   /** What the metrics show of the moment. */
--- a/src/gateway/links/gateway-peers.ts
+++ b/src/gateway/links/gateway-peers.ts
@@ -3,6 +3,7 @@
 import type { SendToPeer } from '../../cluster/peer-mesh.js';
 import type { PeerMessage } from '../../cluster/peer-messages.js';
 import type { RecordExchange } from '../../cluster/record-exchange.js';
+import type { StoreReaders } from '../../cluster/store-readers.js';
 import type { ReplicatedRecords } from '../../cluster/replicated-records.js';
 import type { Clock } from '../../clock.js';
 import type { RandomSource } from '../../random.js';
@@ -19,12 +20,17 @@
   readonly records: ReplicatedRecords;
   readonly exchange: RecordExchange;
   readonly quotas: TokenQuotas;
+  readonly readers: StoreReaders;
+  /** Whether this gateway reads the store and is answered. */
+  isReading(): boolean;
   readonly clock: Clock;
   readonly random: RandomSource;
   /** A peer was heard for the first time, or is gone. */
   onPeer(peer: string, isPresent: boolean): void;
 }
 
+/** Time between two ticks, in milliseconds. */
+export const PEER_TICK_MS = 100;
 /** Ticks without news after which a beat shows that this process lives. */
 const IDLE_BEAT_TICKS = 5;
 /** Gateways that beats may go to in each tick; where there are more, beats are rarer. */
@@ -36,9 +42,10 @@
   private ticks = 0;
   private lastBeatTick = 0;
   private beatRevision = 0;
+  private toldRevision = 0;
 
   constructor(private readonly parts: GatewayPeersParts) {
-    const { name, incarnation, address, seeds, exchange, quotas, clock, random } = parts;
+    const { name, incarnation, address, seeds, exchange, quotas, readers, clock, random } = parts;
     this.mesh = new PeerMesh(
       { kind: 'hello', role: 'gateway', name, incarnation, address },
       seeds,
@@ -53,6 +60,7 @@
         onPeer: (peer, isPresent) => {
           if (!isPresent) {
             quotas.forget(peer);
+            readers.forget(peer);
           }
           parts.onPeer(peer, isPresent);
         },
@@ -67,6 +75,12 @@
     return this.mesh.size;
   }
 
+  /** Longest time between two beats of a gateway that is well, in milliseconds. */
+  get beatMs(): number {
+    const ticks = Math.ceil(IDLE_BEAT_TICKS / this.beatTicks) * this.beatTicks;
+    return ticks * PEER_TICK_MS;
+  }
+
   /** Takes connections of peers at `host` and `port`. */
   listen(host: string, port: number): void {
     this.mesh.listen(host, port);
@@ -86,8 +100,24 @@
   /** Sends what is due; to be called each tick. */
   tick(): void {
     this.ticks += 1;
-    if (this.ticks % Math.ceil(this.mesh.size / PEERS_PER_BEAT_TICK) === 0) {
+    if (this.ticks % this.beatTicks === 0) {
       this.beat();
+    } else {
+      this.tellRevision();
+    }
+  }
+
+  /** Ticks from one beat with news to the next. */
+  private get beatTicks(): number {
+    return Math.ceil(this.mesh.size / PEERS_PER_BEAT_TICK);
+  }
+
+  /** A reader of the store tells what it learned before its next beat, since others wait for it. */
+  private tellRevision(): void {
+    const revision = this.parts.records.completeTo;
+    if (revision > this.toldRevision && this.parts.isReading()) {
+      this.toldRevision = revision;
+      this.mesh.broadcast({ kind: 'revision', revision });
     }
   }
 
@@ -99,22 +129,25 @@
     if (hasNews || this.ticks - this.lastBeatTick >= IDLE_BEAT_TICKS) {
       this.lastBeatTick = this.ticks;
       this.beatRevision = revision;
-      this.mesh.broadcast({ kind: 'beat', used: Object.fromEntries(news), revision });
+      this.toldRevision = revision;
+      const isReading = this.parts.isReading();
+      this.mesh.broadcast({ kind: 'beat', used: Object.fromEntries(news), revision, isReading });
     }
   }
 
   private greet(send: SendToPeer): void {
     const { quotas, records } = this.parts;
     const used = Object.fromEntries(quotas.use());
-    send({ kind: 'beat', used, revision: records.completeTo });
+    send({ kind: 'beat', used, revision: records.completeTo, isReading: this.parts.isReading() });
   }
 
   private receive(peer: string, message: PeerMessage, reply: SendToPeer): void {
-    const { quotas, exchange, clock } = this.parts;
+    const { quotas, exchange, readers, clock } = this.parts;
     if (message.kind === 'records') {
       exchange.receive(message);
     } else if (message.kind === 'beat') {
       quotas.hear(peer, new Map(Object.entries(message.used)), clock.now());
+      readers.hear(peer, message.isReading, clock.now());
       exchange.hearRevision(message.revision, reply);
     } else if (message.kind === 'revision') {
       exchange.hearRevision(message.revision, reply);
--- a/src/model/model-agent.ts
+++ b/src/model/model-agent.ts
@@ -25,12 +25,13 @@
     /** One way to a gateway, in milliseconds. */
     private readonly linkMs: number,
   ) {
+    const { reportMs, beatMs, silenceCheckMs, tellMs } = DEFAULT_SLOT_AGENT_OPTIONS;
     this.ledger = new SlotLedger({
       send: (connection, message) => this.send(connection, message),
       onGranted: () => undefined,
+      onChangesToTell: () => clock.setTimeout(() => this.ledger.tellChanges(), tellMs),
       onReconciled: () => undefined,
     });
-    const { reportMs, beatMs, silenceCheckMs } = DEFAULT_SLOT_AGENT_OPTIONS;
     this.repeat(silenceCheckMs, () => this.endSilent());
     this.repeat(reportMs, () => this.lookAtEngine());
     this.repeat(beatMs, () => this.ledger.tellAll());
--- a/src/model/model-gateway.ts
+++ b/src/model/model-gateway.ts
@@ -36,7 +36,7 @@
 
 const TICK_MS = 100;
 /** Limits that no experiment reaches: quotas and retry budgets are not what it looks at. */
-const WIDE_QUOTA = { slackTokens: 1e12, overShare: 0, silenceMs: 1e9, forgetMs: 1e9 };
+const WIDE_QUOTA = { slackTokens: 1e12, overShare: 0, silenceMs: () => 1e9, forgetMs: 1e9 };
 const WIDE_BUDGET = { ratio: 1, windowMs: 10_000, slack: 1e6 };
 
 /** Names of no platform: sizes travel in headers of the model's own. */
--- a/src/slot-agent/gateway-account.ts
+++ b/src/slot-agent/gateway-account.ts
@@ -29,6 +29,8 @@
   waiting: WaitingPlace[] = [];
   /** Messages heard after the hello. */
   messagesSeen = 0;
+  /** Whether it took slots since it was told a count; it adds them to the count that it knows. */
+  hasUntoldTakes = false;
   private grantsIssued = 0;
   /** When each grant was issued that the gateway has not answered, oldest first. */
   private readonly unansweredSinceMs: number[] = [];
@@ -70,6 +72,12 @@
     this.unansweredSinceMs.shift();
   }
 
+  /** It took a free slot. */
+  take(): void {
+    this.held += 1;
+    this.hasUntoldTakes = true;
+  }
+
   /** A slot is given back. */
   release(): void {
     this.held = Math.max(0, this.held - 1);
--- a/src/slot-agent/slot-agent-role.ts
+++ b/src/slot-agent/slot-agent-role.ts
@@ -26,6 +26,8 @@
   readonly reportMs: number;
   /** Pause between two messages that show that the agent lives. Default 300. */
   readonly beatMs: number;
+  /** Time in which changes of the count are gathered while slots are free, in milliseconds. Default 50. */
+  readonly tellMs: number;
   /** Pause between two looks for silent gateways, while some hold slots or wait. Default 50. */
   readonly silenceCheckMs: number;
 }
@@ -74,6 +76,7 @@
 export const DEFAULT_SLOT_AGENT_OPTIONS: SlotAgentOptions = {
   reportMs: 60,
   beatMs: 300,
+  tellMs: 50,
   silenceCheckMs: 50,
 };
 
@@ -100,6 +103,7 @@
     this.ledger = new SlotLedger({
       send: (connection, message) => this.channels.get(connection)?.send(message),
       onGranted: () => metrics.record(({ grants }) => grants.inc()),
+      onChangesToTell: () => clock.setTimeout(() => this.ledger.tellChanges(), this.options.tellMs),
       onReconciled: (slots) => this.noteReconciled(slots),
     });
     this.server = createServer((socket) => this.accept(socket));
--- a/src/slot-agent/slot-ledger.ts
+++ b/src/slot-agent/slot-ledger.ts
@@ -20,6 +20,8 @@
   send(connection: number, message: SlotAnswer): void;
   /** A slot was granted. */
   onGranted(): void;
+  /** Gateways are to be told of changes soon, by `tellChanges`. */
+  onChangesToTell(): void;
   /** Slots that were thought to be taken were found free by the report of the back end. */
   onReconciled(slots: number): void;
 }
@@ -29,6 +31,8 @@
  * in milliseconds: it may be cut off from this process alone and still send.
  */
 const LOOK_FOR_GONE_MS = 10_000;
+/** Free slots up to which every change is told at once. */
+const NEAR_FULL_SLOTS = 1;
 
 /** The slots of one back end. */
 export class SlotLedger {
@@ -39,6 +43,7 @@
   /** Slots occupied by requests of gateways that are not connected. */
   private unaccounted = 0;
   private lastToldOccupied = -1;
+  private isTellingPlanned = false;
   private speed: LearnedSpeed = {};
 
   constructor(
@@ -171,7 +176,7 @@
         this.learnSpeed(message.speed);
         break;
       case 'taken':
-        account.held += 1;
+        account.take();
         break;
       case 'grant-used':
         account.noteGrantAnswered();
@@ -225,20 +230,57 @@
     return best;
   }
 
+  /**
+   * A count near the capacity is told at once, since gateways that believe in a free slot take it.
+   * Others can wait, and several changes are told as one.
+   */
   private tellIfChanged(): void {
     const { occupied } = this;
-    if (occupied === this.lastToldOccupied) {
+    const isNearFull = Math.max(occupied, this.lastToldOccupied) >= this.slots - NEAR_FULL_SLOTS;
+    if (this.lastToldOccupied < 0 || (isNearFull && occupied !== this.lastToldOccupied)) {
+      this.tellAll();
       return;
     }
-    this.tellAll();
+    const hasChanges = occupied !== this.lastToldOccupied || this.findUntold().length > 0;
+    if (hasChanges && !this.isTellingPlanned) {
+      this.isTellingPlanned = true;
+      this.ports.onChangesToTell();
+    }
+  }
+
+  /** Tells gateways what changed since they were told last. */
+  tellChanges(): void {
+    this.isTellingPlanned = false;
+    if (this.occupied !== this.lastToldOccupied) {
+      this.tellAll();
+      return;
+    }
+    for (const [connection, account] of this.findUntold()) {
+      this.tell(connection, account);
+    }
+  }
+
+  /** Gateways that took or returned slots of which the count that they know does not show. */
+  private findUntold(): Array<[number, GatewayAccount]> {
+    return [...this.accounts].filter(([, account]) => account.hasUntoldTakes);
   }
 
   /** Tells every gateway how many slots are occupied, which also shows that the agent lives. */
   tellAll(): void {
-    const { occupied } = this;
-    this.lastToldOccupied = occupied;
-    for (const [connection, { messagesSeen }] of this.accounts) {
-      this.ports.send(connection, { kind: 'state', occupied, messagesSeen, speed: this.speed });
+    this.lastToldOccupied = this.occupied;
+    for (const [connection, account] of this.accounts) {
+      this.tell(connection, account);
     }
   }
+
+  private tell(connection: number, account: GatewayAccount): void {
+    const { occupied, speed } = this;
+    account.hasUntoldTakes = false;
+    this.ports.send(connection, {
+      kind: 'state',
+      occupied,
+      messagesSeen: account.messagesSeen,
+      speed,
+    });
+  }
 }
--- a/src/telemetry/decision-log.ts
+++ b/src/telemetry/decision-log.ts
@@ -22,6 +22,8 @@
   'backend-ejected',
   'store-lost',
   'store-regained',
+  'store-reader-on',
+  'store-reader-off',
   'peer-heard',
   'peer-gone',
   'agent-connected',
--- a/test/dispatcher.test.ts
+++ b/test/dispatcher.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { pairShare } from '../src/gateway/dispatch/engine-subset.js';
+import { pairShare } from '../src/pair-share.js';
 import { KnownBackend } from '../src/gateway/dispatch/known-backend.js';
 import { hasRoom } from '../src/gateway/dispatch/slot-room.js';
 import { backendOf, GatewayWorld, routeOf } from './support/gateway.js';
--- a/test/replica.test.ts
+++ b/test/replica.test.ts
@@ -51,7 +51,12 @@
       { isStoreReachable: () => false, onNews: resolve },
       SYSTEM_CLOCK,
     );
-    const beat = (): PeerMessage => ({ kind: 'beat', used: {}, revision: records.completeTo });
+    const beat = (): PeerMessage => ({
+      kind: 'beat',
+      used: {},
+      isReading: false,
+      revision: records.completeTo,
+    });
     const handlers: PeerMeshHandlers = {
       onMessage: (_peer, message, reply) => {
         kinds.add(message.kind);
--- a/test/slot-ledger.test.ts
+++ b/test/slot-ledger.test.ts
@@ -5,9 +5,11 @@
 class Agent {
   readonly sent: Array<[number, AgentToGateway]> = [];
   reconciled = 0;
+  plannedTellings = 0;
   readonly ledger = new SlotLedger({
     send: (connection, message) => this.sent.push([connection, message]),
     onGranted: () => undefined,
+    onChangesToTell: () => (this.plannedTellings += 1),
     onReconciled: (slots) => (this.reconciled += slots),
   });
 
@@ -30,6 +32,12 @@
     this.hear(connection, { kind: 'demand', ranks, grantsSeen }, 1_000);
   }
 
+  counts(): Array<[number, number]> {
+    return this.sent.flatMap(([to, message]) =>
+      message.kind === 'state' ? [[to, message.occupied] as [number, number]] : [],
+    );
+  }
+
   grants(): number[] {
     return this.sent.flatMap(([to, message]) => (message.kind === 'granted' ? [to] : []));
   }
@@ -195,3 +203,42 @@
   agent.hear(1, { kind: 'released' }, 1_000);
   t.deepEqual(agent.grants(), [1]);
 });
+
+test('while many slots are free several changes are told as one', (t) => {
+  const agent = new Agent();
+  agent.admit(1, 0, 8);
+  agent.admit(2, 0, 8);
+  agent.sent.length = 0;
+  agent.hear(1, { kind: 'taken' });
+  agent.hear(1, { kind: 'taken' });
+  agent.hear(2, { kind: 'taken' });
+  t.deepEqual(agent.counts(), []);
+  t.is(agent.plannedTellings, 1);
+  agent.ledger.tellChanges();
+  t.deepEqual(agent.counts(), [
+    [1, 3],
+    [2, 3],
+  ]);
+});
+
+test('with one slot left every change is told at once', (t) => {
+  const agent = new Agent();
+  agent.admit(1, 0, 3);
+  agent.hear(1, { kind: 'taken' });
+  agent.sent.length = 0;
+  agent.hear(1, { kind: 'taken' });
+  t.deepEqual(agent.counts(), [[1, 2]]);
+  agent.hear(1, { kind: 'released' });
+  t.deepEqual(agent.counts().at(-1), [1, 1]);
+});
+
+test('a gateway that took a slot and gave it back is told the count that shows both', (t) => {
+  const agent = new Agent();
+  agent.admit(1, 0, 8);
+  agent.admit(2, 0, 8);
+  agent.sent.length = 0;
+  agent.hear(1, { kind: 'taken' });
+  agent.hear(1, { kind: 'released' });
+  agent.ledger.tellChanges();
+  t.deepEqual(agent.counts(), [[1, 0]]);
+});
--- a/test/store-follower.test.ts
+++ b/test/store-follower.test.ts
@@ -55,6 +55,8 @@
     onChanges: () => undefined,
     onReachable: (isReachable: boolean) => void reachable.push(isReachable),
     countFollowers: () => 1,
+    mustFollow: () => true,
+    completeTo: () => 0,
     onCall: () => undefined,
   };
   void new StoreFollower(store, handlers, clock, new SeededRandom(1)).run();
@@ -103,6 +105,8 @@
     onChanges: () => void seenAtMs.push(clock.now()),
     onReachable: () => undefined,
     countFollowers: () => followers,
+    mustFollow: () => true,
+    completeTo: () => 0,
     onCall: () => undefined,
   };
   void new StoreFollower(store, handlers, clock, new SeededRandom(1)).run();
@@ -139,3 +143,45 @@
   const { listings } = await callsOf([READ_AT_4, FAILED, READ_AT_4]);
   t.deepEqual(listings, ['whole', 'whole']);
 });
+
+/** A follower that others read the store for until `untilMs`; returns its calls and listings. */
+async function restingCallsOf(
+  script: Answer[],
+  untilMs: number,
+  completeTo: number,
+): Promise<{ calls: string[]; listings: string[] }> {
+  const clock = new VirtualClock();
+  const store = new ScriptedStore(clock, script);
+  const listings: string[] = [];
+  const handlers = {
+    onListing: () => void listings.push('whole'),
+    onListingAfterOutage: () => void listings.push('after an outage'),
+    onChanges: () => undefined,
+    onReachable: () => undefined,
+    countFollowers: () => 1,
+    mustFollow: () => clock.now() >= untilMs,
+    completeTo: () => completeTo,
+    onCall: () => undefined,
+  };
+  void new StoreFollower(store, handlers, clock, new SeededRandom(1)).run();
+  for (let turn = 1; turn <= 80; turn += 1) {
+    clock.notePromise();
+    await clock.runUntil(turn * 100);
+  }
+  return { calls: store.calls, listings };
+}
+
+test('while others follow the store it is not called, and then watched from what they told', async (t) => {
+  const { calls } = await restingCallsOf([NOTHING_AT_4], 5_000, 4);
+  t.deepEqual(calls, ['watch 4', 'watch 4']);
+  t.deepEqual((await restingCallsOf([NOTHING_AT_4], 50_000, 4)).calls, []);
+});
+
+test('one that others told nothing lists', async (t) => {
+  t.deepEqual((await restingCallsOf([READ_AT_4], 5_000, 0)).calls[0], 'list');
+});
+
+test('one that begins to follow in an outage does not believe what the first listing lacks', async (t) => {
+  const { listings } = await restingCallsOf([FAILED, READ_AT_4], 5_000, 4);
+  t.is(listings[0], 'after an outage');
+});
--- a/test/token-quota.test.ts
+++ b/test/token-quota.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import { TokenQuotas } from '../src/gateway/admission/token-quota.js';
 
-const OPTIONS = { slackTokens: 1_000, overShare: 0.1, silenceMs: 600, forgetMs: 20_000 };
+const OPTIONS = { slackTokens: 1_000, overShare: 0.1, silenceMs: () => 600, forgetMs: 20_000 };
 const QUOTA = { ratePerS: 1_000, burst: 500, unit: 'tokens' as const, plainTokens: 1 };
 const COST = 10;
 
