--- a/src/cluster/store-follower.ts
+++ b/src/cluster/store-follower.ts
@@ -166,6 +166,7 @@
       await sleep(this.clock, this.options.restMs);
     }
     this.isResting = false;
+    this.reachable = undefined;
     this.lostAtMs = this.clock.now() - this.options.outageMs;
     const revision = this.handlers.completeTo();
     return revision === 0 ? undefined : revision;
--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -15,7 +15,8 @@
 import { AnswerRelay } from './answer-relay.js';
 import type { HeldAnswer } from './answer-relay.js';
 import { RequestWait } from './request-wait.js';
-import type { AcceptedRequest, RequestOptions, RequestPorts, RequestTry } from './request-model.js';
+import type { AcceptedRequest, RequestOptions, RequestPorts } from './request-model.js';
+import { RequestRecord } from './request-record.js';
 
 const MAX_CONNECT_FAILURES = 4;
 const MIN_TIME_FOR_ATTEMPT_MS = 5;
@@ -34,11 +35,8 @@
   private attempts = 0;
   private connectFailures = 0;
   private readonly excluded = new Set<string>();
-  private readonly tries: RequestTry[] = [];
+  private readonly record: RequestRecord;
   private readonly relay: AnswerRelay;
-  private firstPlacedAtMs: number | undefined;
-  private firstByteAtMs: number | undefined;
-  private longestPauseMs = 0;
   private progress: AttemptProgress | undefined;
   /** Whether some back end may have run the request. */
   private mayHaveRun = false;
@@ -53,6 +51,7 @@
     private readonly options: RequestOptions,
   ) {
     const { method, lastEventId, route } = request;
+    this.record = new RequestRecord(request.arrivedAtMs);
     this.relay = new AnswerRelay(reply, { method, lastEventId, isStream: route.kind === 'stream' });
     const leftMs = Math.max(0, request.endsAtMs - ports.clock.now());
     this.endTimer = ports.clock.setTimeout(() => this.timeOut(), leftMs);
@@ -108,16 +107,9 @@
     this.phase = 'sent';
     this.backend = backend;
     this.attempts += 1;
-    this.tries.push({
-      backend: backend.id,
-      afterMs: nowMs - request.arrivedAtMs,
-      occupied: ports.directory.find(backend.id)?.occupied ?? 0,
-      slots: backend.slots,
-      outcome: 'under-way',
-      detail: '',
-    });
+    const occupied = ports.directory.find(backend.id)?.occupied ?? 0;
+    this.record.noteSent(backend, occupied, nowMs);
     this.attemptStartedAtMs = nowMs;
-    this.firstPlacedAtMs ??= nowMs;
     this.relay.beginAttempt();
     this.progress = new AttemptProgress(
       ports.dispatcher,
@@ -213,7 +205,7 @@
     if (result === 'held') {
       return;
     }
-    this.firstByteAtMs ??= this.ports.clock.now();
+    this.record.noteFirstByte(this.ports.clock.now());
     if (this.relay.completedEvents > 0) {
       this.phase = 'streaming';
       this.progress!.noteEvents(this.relay.completedEvents, this.ports.clock.now());
@@ -250,7 +242,7 @@
   }
 
   private endReply(answer: HeldAnswer): void {
-    this.firstByteAtMs ??= this.ports.clock.now();
+    this.record.noteFirstByte(this.ports.clock.now());
     this.relay.end(answer);
     this.finish(answer.head.status, 'answered');
   }
@@ -357,32 +349,19 @@
       return;
     }
     this.attempt = undefined;
-    const tried = this.tries.at(-1)!;
-    tried.outcome = outcome;
-    tried.detail = detail;
     this.progress?.noteOver();
-    this.longestPauseMs = Math.max(this.longestPauseMs, this.progress?.longestPauseMs ?? 0);
+    this.record.noteTryOver(outcome, detail, this.progress?.longestPauseMs ?? 0);
     this.ports.dispatcher.finish(this.backend.id, outcome, this.ports.clock.now());
   }
 
   private finish(status: number, reason: string): void {
     const { clock } = this.ports;
     const nowMs = clock.now();
-    const { arrivedAtMs } = this.request;
     this.phase = 'done';
     clock.clearTimeout(this.endTimer);
     this.clearStepTimer();
     this.wait?.cancel();
-    this.ports.onEnd(this.request, {
-      status,
-      reason,
-      attempts: this.attempts,
-      tries: this.tries,
-      waitedMs: (this.firstPlacedAtMs ?? nowMs) - arrivedAtMs,
-      firstByteMs: this.firstByteAtMs === undefined ? undefined : this.firstByteAtMs - arrivedAtMs,
-      totalMs: nowMs - arrivedAtMs,
-      longestPauseMs: this.longestPauseMs,
-    });
+    this.ports.onEnd(this.request, this.record.end(status, reason, this.attempts, nowMs));
   }
 
   private setStepTimer(delayMs: number, callback: () => void): void {
--- /dev/null
+++ b/src/gateway/attempt/request-record.ts
@@ -0,0 +1,55 @@
+/** What happened to one request, for counters and the log. */
+import type { Backend } from '../../routing/backend.js';
+import type { AttemptOutcome } from '../dispatch/backend-health.js';
+import type { RequestEnd, RequestTry } from './request-model.js';
+
+/** The record of one request. */
+export class RequestRecord {
+  private readonly tries: RequestTry[] = [];
+  private firstPlacedAtMs: number | undefined;
+  private firstByteAtMs: number | undefined;
+  private longestPauseMs = 0;
+
+  constructor(private readonly arrivedAtMs: number) {}
+
+  /** The request is sent to a back end, of whose slots `occupied` are believed to be taken. */
+  noteSent(backend: Backend, occupied: number, nowMs: number): void {
+    this.firstPlacedAtMs ??= nowMs;
+    this.tries.push({
+      backend: backend.id,
+      afterMs: nowMs - this.arrivedAtMs,
+      occupied,
+      slots: backend.slots,
+      outcome: 'under-way',
+      detail: '',
+    });
+  }
+
+  /** The first bytes for the caller came. */
+  noteFirstByte(nowMs: number): void {
+    this.firstByteAtMs ??= nowMs;
+  }
+
+  /** The last try is over. */
+  noteTryOver(outcome: AttemptOutcome, detail: string, longestPauseMs: number): void {
+    const tried = this.tries.at(-1)!;
+    tried.outcome = outcome;
+    tried.detail = detail;
+    this.longestPauseMs = Math.max(this.longestPauseMs, longestPauseMs);
+  }
+
+  /** How the request ended; `attempts` counts the back ends that may have run it. */
+  end(status: number, reason: string, attempts: number, nowMs: number): RequestEnd {
+    const { arrivedAtMs, firstByteAtMs, tries, longestPauseMs } = this;
+    return {
+      status,
+      reason,
+      attempts,
+      tries,
+      waitedMs: (this.firstPlacedAtMs ?? nowMs) - arrivedAtMs,
+      firstByteMs: firstByteAtMs === undefined ? undefined : firstByteAtMs - arrivedAtMs,
+      totalMs: nowMs - arrivedAtMs,
+      longestPauseMs,
+    };
+  }
+}
--- a/src/gateway/attempt/request-wait.ts
+++ b/src/gateway/attempt/request-wait.ts
@@ -79,7 +79,8 @@
     const { request, ports, options } = this.parts;
     const { clock, dispatcher, random } = ports;
     const nowMs = clock.now();
-    const placeFreeMs = dispatcher.expectedRecoveryMs(this.place, nowMs);
+    const forecast = dispatcher.forecastOf(this.place.service);
+    const placeFreeMs = forecast.expectedRecoveryMs(this.place, nowMs);
     const earliestMs = Math.min(
       options.overloadRetryMaxMs,
       Math.max(options.overloadRetryMinMs, placeFreeMs),
@@ -123,6 +124,7 @@
   private outlook(nowMs: number): WaitOutlook {
     const { request, ports } = this.parts;
     const { startByMs, service } = this.place;
+    const forecast = ports.dispatcher.forecastOf(service);
     const wholeMs = ports.directory.expectedWholeMs(service, request.units);
     const firstMs = ports.directory.expectedFirstMs(service, request.promptTokens);
     const patientUntilMs = request.arrivedAtMs + this.patienceMs() - firstMs;
@@ -130,8 +132,8 @@
       inTimeLeftMs: startByMs - nowMs,
       usefulLeftMs: Math.min(request.endsAtMs - wholeMs, patientUntilMs) - nowMs,
       wholeTimeMs: request.endsAtMs - request.firstTriedAtMs,
-      waitMs: ports.dispatcher.expectedWaitMs(this.place, nowMs),
-      lateWaitMs: ports.dispatcher.expectedLateWaitMs(this.place, nowMs),
+      waitMs: forecast.expectedWaitMs(this.place, nowMs),
+      lateWaitMs: forecast.expectedLateWaitMs(this.place, nowMs),
     };
   }
 
--- /dev/null
+++ b/src/gateway/dispatch/backend-chooser.ts
@@ -0,0 +1,108 @@
+/** Query: the back end that a request is bound to while one of those permitted has a free slot. */
+import type { BackendDirectory } from './backend-directory.js';
+import { costOf, harmsOthers, usualSpeed } from './backend-choice.js';
+import type { DispatchRequest } from './dispatch-request.js';
+import type { KnownBackend } from './known-backend.js';
+import { hasRoom } from './slot-room.js';
+
+/** What a choice asks of its surroundings. */
+export interface BackendChooserPorts {
+  /** Whether a service's back ends are engines, which serve in batches. */
+  isEngine(service: string): boolean;
+  /** Gateways that are known, this one included. */
+  countGateways(): number;
+  /** Tokens that an engine of the service gathers in one event. */
+  tokensPerEvent(service: string): number;
+}
+
+/** Bounds of a choice. */
+export interface BackendChooserOptions {
+  /**
+   * What all gateways together use of an engine while no agent tells, as a share of its slots.
+   * Default 1.25: gateways are not equally busy.
+   */
+  readonly shareWithoutAgent: number;
+  /** How long a back end that left the list is used where no other is left, in milliseconds. Default 1,500. */
+  readonly unlistedGraceMs: number;
+}
+
+/** Chooses among the back ends of a directory. */
+export class BackendChooser {
+  constructor(
+    private readonly directory: BackendDirectory,
+    private readonly ports: BackendChooserPorts,
+    private readonly options: BackendChooserOptions,
+  ) {}
+
+  /** The best back end with a free slot for the request; undefined if there is none. */
+  choose(request: DispatchRequest, nowMs: number): KnownBackend | undefined {
+    const permitted = this.candidates(request, nowMs);
+    const usual = usualSpeed(permitted);
+    let best: KnownBackend | undefined;
+    let bestCost = Infinity;
+    for (const known of permitted) {
+      if (!this.hasRoom(known, nowMs) || this.harms(request, known, known.occupied)) {
+        continue;
+      }
+      const cost = costOf(request, known, usual, nowMs);
+      if (cost < bestCost) {
+        best = known;
+        bestCost = cost;
+      }
+    }
+    return best;
+  }
+
+  /** Whether any back end of the service has a free slot. */
+  hasAnyRoom(service: string, nowMs: number): boolean {
+    return this.directory.ofService(service).some((known) => this.hasRoom(known, nowMs));
+  }
+
+  /** Whether a slot that was granted may be used for the request. */
+  fitsGrant(request: DispatchRequest, known: KnownBackend): boolean {
+    const isExcluded = request.excluded.has(known.backend.id);
+    return !isExcluded && !this.harms(request, known, known.occupied - 1);
+  }
+
+  private harms(request: DispatchRequest, known: KnownBackend, others: number): boolean {
+    const tokensPerEvent = this.ports.tokensPerEvent(request.service);
+    return harmsOthers(request, known.speed, others, tokensPerEvent);
+  }
+
+  /**
+   * Back ends that the request may be bound to: healthy ones of those that this
+   * gateway works with if there are any, then other healthy ones.
+   */
+  private candidates(request: DispatchRequest, nowMs: number): KnownBackend[] {
+    const permitted = this.directory
+      .ofService(request.service)
+      .filter((known) => !request.excluded.has(known.backend.id));
+    const ready = permitted.filter((known) => known.isReady);
+    if (ready.length === 0) {
+      return permitted.filter((known) => this.isUnlistedLately(known, nowMs));
+    }
+    const healthy = ready.filter((known) => !known.health.isEjected(nowMs));
+    const assigned = healthy.filter((known) => known.isAssigned);
+    if (assigned.length > 0) {
+      return assigned;
+    }
+    return healthy.length > 0 ? healthy : ready;
+  }
+
+  private isUnlistedLately(known: KnownBackend, nowMs: number): boolean {
+    const { unlistedAtMs, backend } = known;
+    const isRecent =
+      unlistedAtMs !== undefined && nowMs - unlistedAtMs < this.options.unlistedGraceMs;
+    return isRecent && backend.state === 'ready' && !known.isReplaced;
+  }
+
+  private hasRoom(known: KnownBackend, nowMs: number): boolean {
+    const inputs = {
+      isEngine: this.ports.isEngine(known.backend.service),
+      gateways: this.ports.countGateways(),
+      shareWithoutAgent: this.options.shareWithoutAgent,
+      draw: this.directory.shareDraw(known.backend.id),
+    };
+    return hasRoom(known, inputs, nowMs);
+  }
+}
--- a/src/gateway/dispatch/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -6,31 +6,21 @@
  * told what waits; an agent grants a slot the moment one is free, and the
  * gateway then binds whichever request comes first by that time.
  */
+import { BackendChooser } from './backend-chooser.js';
+import type { BackendChooserOptions, BackendChooserPorts } from './backend-chooser.js';
 import type { BackendDirectory } from './backend-directory.js';
 import type { Backend } from '../../routing/backend.js';
-import { isLate } from '../../slot-agent/waiting-order.js';
-import type { WaitingPlace } from '../../slot-agent/waiting-order.js';
 import type { SlotAnswer, SlotMessage } from '../../slot-agent/slot-messages.js';
 import type { AttemptOutcome } from './backend-health.js';
-import { costOf, harmsOthers, usualSpeed } from './backend-choice.js';
 import type { DispatchRequest } from './dispatch-request.js';
 import type { KnownBackend } from './known-backend.js';
 import { nextDemand } from './slot-demand.js';
-import { hasRoom } from './slot-room.js';
-import { SlotSupply } from './slot-supply.js';
-import { WaitingQueue } from './waiting-queue.js';
+import { ServiceQueue } from './service-queue.js';
 
 /** Options of a dispatcher. */
-export interface DispatcherOptions {
+export interface DispatcherOptions extends BackendChooserOptions {
   /** Waiting requests that agents are told of. Default 8. */
   readonly demandLength: number;
-  /**
-   * What all gateways together use of an engine while no agent tells, as a share of its slots.
-   * Default 1.25: gateways are not equally busy.
-   */
-  readonly shareWithoutAgent: number;
-  /** How long a back end that left the list is used where no other is left, in milliseconds. Default 1,500. */
-  readonly unlistedGraceMs: number;
 }
 
 /** Defaults of a dispatcher. */
@@ -41,47 +31,35 @@
 };
 
 /** What a dispatcher does to its surroundings. */
-export interface DispatcherPorts {
+export interface DispatcherPorts extends BackendChooserPorts {
   /** Sends a message to the agent beside a back end. */
   sendToAgent(backendId: string, message: SlotMessage): void;
   /** A back end was ejected for its failures. */
   onEjected(backendId: string): void;
-  /** Whether a service's back ends are engines, which serve in batches. */
-  isEngine(service: string): boolean;
-  /** Gateways that are known, this one included. */
-  countGateways(): number;
-  /** Tokens that an engine of the service gathers in one event. */
-  tokensPerEvent(service: string): number;
 }
 
+/** How long requests of a service are expected to wait. */
+export type WaitForecast = Pick<
+  ServiceQueue,
+  'expectedWaitMs' | 'expectedLateWaitMs' | 'expectedRecoveryMs'
+>;
+
 /** Binds waiting requests to back ends. */
 export class Dispatcher {
-  private readonly waiting = new Map<string, WaitingQueue>();
-  private readonly supplies = new Map<string, SlotSupply>();
+  private readonly waiting = new Map<string, ServiceQueue>();
+  private readonly chooser: BackendChooser;
 
   constructor(
     private readonly directory: BackendDirectory,
     private readonly ports: DispatcherPorts,
     private readonly options: DispatcherOptions = DEFAULT_DISPATCHER_OPTIONS,
-  ) {}
-
-  /** Expected time until a waiting request is bound, in milliseconds; Infinity if others take every slot. */
-  expectedWaitMs(request: DispatchRequest, nowMs: number): number {
-    return this.waitOf(request, request.service, nowMs);
-  }
-
-  /** The same for the time when it is late and stands behind those that are not. */
-  expectedLateWaitMs(request: DispatchRequest, nowMs: number): number {
-    return this.waitOf({ ...request, startByMs: -Infinity }, request.service, nowMs);
+  ) {
+    this.chooser = new BackendChooser(directory, ports, options);
   }
 
-  /**
-   * Expected time until the place that a refused request would get is free, in milliseconds. Where more
-   * urgent requests take every slot, the shortage is expected to last as long as it has lasted.
-   */
-  expectedRecoveryMs(request: DispatchRequest, nowMs: number): number {
-    const waitMs = this.expectedLateWaitMs(request, nowMs);
-    return Number.isFinite(waitMs) ? waitMs : this.supplyOf(request.service).busyForMs(nowMs);
+  /** The queue of a service, by which the wait of its requests is reckoned. */
+  forecastOf(service: string): WaitForecast {
+    return this.queueOf(service);
   }
 
   /** Requests that wait, by service. */
@@ -104,18 +82,14 @@
 
   /** Binds the request now if a slot is free; otherwise it waits in order. */
   submit(request: DispatchRequest, nowMs: number): void {
-    if (!isLate(request, nowMs)) {
-      this.supplyOf(request.service).noteArrival(request, nowMs);
-    }
-    this.queueOf(request.service).add(request);
+    this.queueOf(request.service).add(request, nowMs);
     this.serve(request.service, nowMs);
-    this.noteWaiting(request.service, nowMs);
   }
 
   /** Takes a waiting request back. */
   withdraw(request: DispatchRequest, nowMs: number): void {
     if (this.remove(request)) {
-      this.noteWaiting(request.service, nowMs);
+      this.queueOf(request.service).settle(nowMs);
       this.tellDemand(request.service, nowMs);
     }
   }
@@ -223,10 +197,7 @@
     const queue = this.waitingInOrder(known.backend.service, nowMs);
     const isUsable = known.isReady && !known.health.isEjected(nowMs);
     const request = isUsable
-      ? queue.find(
-          (candidate) =>
-            !candidate.excluded.has(backendId) && !this.harms(candidate, known, known.occupied - 1),
-        )
+      ? queue.find((candidate) => this.chooser.fitsGrant(candidate, known))
       : undefined;
     if (request === undefined) {
       this.sendToAgent(backendId, known, { kind: 'grant-returned' });
@@ -235,7 +206,7 @@
     this.sendToAgent(backendId, known, { kind: 'grant-used' });
     this.remove(request);
     this.bind(request, known, nowMs, true);
-    this.noteWaiting(request.service, nowMs);
+    this.queueOf(request.service).settle(nowMs);
     this.tellDemand(known.backend.service, nowMs);
   }
 
@@ -245,15 +216,15 @@
       return;
     }
     for (const request of queue) {
-      if (!this.hasAnyRoom(service, nowMs)) {
+      if (!this.chooser.hasAnyRoom(service, nowMs)) {
         break;
       }
-      const chosen = this.choose(request, nowMs);
+      const chosen = this.chooser.choose(request, nowMs);
       if (chosen !== undefined && this.remove(request)) {
         this.bind(request, chosen, nowMs, false);
       }
     }
-    this.noteWaiting(service, nowMs);
+    this.queueOf(service).settle(nowMs);
     this.tellDemand(service, nowMs);
   }
 
@@ -263,7 +234,7 @@
     nowMs: number,
     isGranted: boolean,
   ): void {
-    this.supplyOf(request.service).noteBound(nowMs);
+    this.queueOf(request.service).noteBound(nowMs);
     known.outstanding += 1;
     known.pendingPromptTokens += request.promptTokens;
     if (!isGranted && known.agent !== undefined) {
@@ -273,87 +244,8 @@
     request.onPlaced(known.backend, nowMs);
   }
 
-  private choose(request: DispatchRequest, nowMs: number): KnownBackend | undefined {
-    const permitted = this.candidates(request, nowMs);
-    const candidates = permitted.filter(
-      (known) => this.hasRoom(known, nowMs) && !this.harms(request, known, known.occupied),
-    );
-    const usual = usualSpeed(permitted);
-    let best: KnownBackend | undefined;
-    let bestCost = Infinity;
-    for (const known of candidates) {
-      const cost = costOf(request, known, usual, nowMs);
-      if (cost < bestCost) {
-        best = known;
-        bestCost = cost;
-      }
-    }
-    return best;
-  }
-
-  private harms(request: DispatchRequest, known: KnownBackend, others: number): boolean {
-    const tokensPerEvent = this.ports.tokensPerEvent(request.service);
-    return harmsOthers(request, known.speed, others, tokensPerEvent);
-  }
-
-  private hasAnyRoom(service: string, nowMs: number): boolean {
-    return this.directory.ofService(service).some((known) => this.hasRoom(known, nowMs));
-  }
-
-  /**
-   * Back ends that the request may be bound to: healthy ones of those that this
-   * gateway works with if there are any, then other healthy ones.
-   */
-  private candidates(request: DispatchRequest, nowMs: number): KnownBackend[] {
-    const permitted = this.directory
-      .ofService(request.service)
-      .filter((known) => !request.excluded.has(known.backend.id));
-    const ready = permitted.filter((known) => known.isReady);
-    if (ready.length === 0) {
-      return permitted.filter((known) => this.isUnlistedLately(known, nowMs));
-    }
-    const healthy = ready.filter((known) => !known.health.isEjected(nowMs));
-    const assigned = healthy.filter((known) => known.isAssigned);
-    if (assigned.length > 0) {
-      return assigned;
-    }
-    return healthy.length > 0 ? healthy : ready;
-  }
-
-  private isUnlistedLately(known: KnownBackend, nowMs: number): boolean {
-    const { unlistedAtMs, backend } = known;
-    const isRecent =
-      unlistedAtMs !== undefined && nowMs - unlistedAtMs < this.options.unlistedGraceMs;
-    return isRecent && backend.state === 'ready' && !known.isReplaced;
-  }
-
-  private hasRoom(known: KnownBackend, nowMs: number): boolean {
-    const inputs = {
-      isEngine: this.ports.isEngine(known.backend.service),
-      gateways: this.ports.countGateways(),
-      shareWithoutAgent: this.options.shareWithoutAgent,
-      draw: this.directory.shareDraw(known.backend.id),
-    };
-    return hasRoom(known, inputs, nowMs);
-  }
-
-  private waitOf(place: WaitingPlace, service: string, nowMs: number): number {
-    const ahead = this.waiting.get(service)?.countBefore(place, nowMs) ?? 0;
-    return this.supplyOf(service).expectedWaitMs(place, ahead, isLate(place, nowMs), nowMs);
-  }
-
-  private noteWaiting(service: string, nowMs: number): void {
-    this.supplyOf(service).noteWaiting(this.countWaiting(service) > 0, nowMs);
-  }
-
-  private supplyOf(service: string): SlotSupply {
-    const known = this.supplies.get(service) ?? new SlotSupply();
-    this.supplies.set(service, known);
-    return known;
-  }
-
-  private queueOf(service: string): WaitingQueue {
-    const known = this.waiting.get(service) ?? new WaitingQueue();
+  private queueOf(service: string): ServiceQueue {
+    const known = this.waiting.get(service) ?? new ServiceQueue();
     this.waiting.set(service, known);
     return known;
   }
--- /dev/null
+++ b/src/gateway/gateway-cluster.ts
@@ -0,0 +1,153 @@
+/**
+ * What a gateway knows of its cluster and how it learns it: the replica of the store's records, the
+ * follower of the store, the gateways that read it, and the peers.
+ */
+import { splitAddress } from '../address.js';
+import { RecordExchange } from '../cluster/record-exchange.js';
+import { ReplicatedRecords } from '../cluster/replicated-records.js';
+import type { StoreRecord } from '../cluster/replicated-records.js';
+import { StoreFollower } from '../cluster/store-follower.js';
+import type { ClusterStore } from '../cluster/store-follower.js';
+import { DEFAULT_STORE_READERS_OPTIONS, StoreReaders } from '../cluster/store-readers.js';
+import type { Clock } from '../clock.js';
+import type { RandomSource } from '../random.js';
+import type { DecisionLog } from '../telemetry/decision-log.js';
+import type { TokenQuotas } from './admission/token-quota.js';
+import type { GatewaySettings } from './gateway-settings.js';
+import { GatewayPeers } from './links/gateway-peers.js';
+import type { GatewayMetrics } from './metrics/gateway-metrics.js';
+
+/** What a gateway's part in the cluster is made from. */
+export interface GatewayClusterParts {
+  readonly settings: GatewaySettings;
+  /** Differs after each start of the process. */
+  readonly incarnation: string;
+  readonly store: ClusterStore;
+  readonly quotas: TokenQuotas;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: DecisionLog;
+  readonly metrics: GatewayMetrics;
+  /** Records that were not known, from the store or from peers. */
+  onRecords(records: readonly StoreRecord[]): void;
+}
+
+/** A gateway's part in the cluster. */
+export class GatewayCluster {
+  readonly records = new ReplicatedRecords();
+  readonly exchange: RecordExchange;
+  private readonly peers: GatewayPeers;
+  private readonly readers: StoreReaders;
+  private readonly follower: StoreFollower;
+  private isStoreReader = true;
+
+  constructor(private readonly parts: GatewayClusterParts) {
+    const { incarnation, clock, onRecords } = parts;
+    this.readers = new StoreReaders(incarnation);
+    this.exchange = new RecordExchange(
+      this.records,
+      { isStoreReachable: () => this.follower.isFollowing, onNews: onRecords },
+      clock,
+    );
+    this.peers = this.createPeers();
+    this.follower = this.createFollower();
+  }
+
+  /** Gateways that are known, this one included. */
+  get size(): number {
+    return this.peers.size;
+  }
+
+  /** Longest time between two beats of a peer that is well, in milliseconds. */
+  get beatMs(): number {
+    return this.peers.beatMs;
+  }
+
+  /** How old the newest word of the store is, from itself or from a gateway that reads it, in milliseconds. */
+  get storeAgeMs(): number | undefined {
+    const heardAtMs = Math.max(this.follower.lastAnsweredAtMs ?? -Infinity, this.readers.heardAtMs);
+    return heardAtMs === -Infinity ? undefined : this.parts.clock.now() - heardAtMs;
+  }
+
+  /** Takes connections of peers, connects to the seeds and follows the store. */
+  start(): void {
+    const { peers } = this.parts.settings.listen;
+    if (peers !== '') {
+      const { host, port } = splitAddress(peers);
+      this.peers.listen(host, port);
+    }
+    this.peers.start();
+    void this.follower.run();
+  }
+
+  /** Sends to peers what is due; to be called each tick. */
+  tick(): void {
+    this.peers.tick();
+  }
+
+  /** Leaves the cluster. */
+  stop(): void {
+    this.follower.stop();
+    this.peers.stop();
+  }
+
+  private createPeers(): GatewayPeers {
+    const { settings, incarnation, quotas, clock, random, log } = this.parts;
+    return new GatewayPeers({
+      name: settings.process.name,
+      incarnation,
+      address: settings.listen.peers,
+      seeds: settings.cluster.seeds,
+      records: this.records,
+      exchange: this.exchange,
+      quotas,
+      readers: this.readers,
+      isReading: () => this.follower.isFollowing,
+      clock,
+      random,
+      onPeer: (peer, isPresent) =>
+        log.write(isPresent ? 'peer-heard' : 'peer-gone', 'state', { peer }),
+    });
+  }
+
+  private createFollower(): StoreFollower {
+    const { store, clock, random, metrics, onRecords } = this.parts;
+    return new StoreFollower(
+      store,
+      {
+        onListing: ({ records, revision }) =>
+          onRecords(this.records.applyListing(records, revision)),
+        onListingAfterOutage: ({ records }) =>
+          onRecords(records.filter((record) => this.records.apply(record))),
+        onChanges: ({ records, revision }, since) =>
+          onRecords(this.records.applyChanges(records, since, revision)),
+        onReachable: (isReachable, reason) => this.noteStore(isReachable, reason),
+        countFollowers: () => Math.min(this.size, DEFAULT_STORE_READERS_OPTIONS.readers),
+        mustFollow: () => this.mustReadStore(),
+        completeTo: () => this.records.completeTo,
+        onCall: (call, result) =>
+          metrics.record(({ storeCalls }) => storeCalls.inc({ call, result })),
+      },
+      clock,
+      random,
+    );
+  }
+
+  private mustReadStore(): boolean {
+    const mustRead = this.readers.mustRead(this.beatMs, this.parts.clock.now());
+    if (mustRead !== this.isStoreReader) {
+      this.isStoreReader = mustRead;
+      this.parts.log.write(mustRead ? 'store-reader-on' : 'store-reader-off', 'state', {
+        gateways: this.size,
+        revision: this.records.completeTo,
+      });
+    }
+    return mustRead;
+  }
+
+  private noteStore(isReachable: boolean, reason: string): void {
+    const { metrics, log } = this.parts;
+    metrics.record(({ storeReachable }) => storeReachable.set(isReachable ? 1 : 0));
+    log.write(isReachable ? 'store-regained' : 'store-lost', 'state', { reason });
+  }
+}
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -1,10 +1,6 @@
 /** The gateway: joins the cluster's state, the dispatcher and the listeners. */
 import { createServer } from 'node:http';
-import { RecordExchange } from '../cluster/record-exchange.js';
-import { ReplicatedRecords } from '../cluster/replicated-records.js';
 import type { StoreRecord } from '../cluster/replicated-records.js';
-import { StoreFollower } from '../cluster/store-follower.js';
-import { DEFAULT_STORE_READERS_OPTIONS, StoreReaders } from '../cluster/store-readers.js';
 import type { Clock } from '../clock.js';
 import type { RandomSource } from '../random.js';
 import { err } from '../result.js';
@@ -18,9 +14,10 @@
 import { BackendDirectory } from './dispatch/backend-directory.js';
 import { Dispatcher } from './dispatch/dispatcher.js';
 import type { GatewayAdapter } from './gateway-adapter.js';
+import { GatewayCluster } from './gateway-cluster.js';
 import { countBackends } from './metrics/gateway-snapshot.js';
 import type { GatewaySnapshot } from './metrics/gateway-snapshot.js';
-import { GatewayPeers, PEER_TICK_MS } from './links/gateway-peers.js';
+import { PEER_TICK_MS } from './links/gateway-peers.js';
 import type { GatewayMetrics } from './metrics/gateway-metrics.js';
 import type { GatewayRefusal } from './admission/gateway-refusal.js';
 import type { GatewaySettings } from './gateway-settings.js';
@@ -63,15 +60,12 @@
 
 /** The gateway. */
 export class GatewayRole {
-  private readonly records = new ReplicatedRecords();
-  private readonly exchange: RecordExchange;
+  private readonly cluster: GatewayCluster;
   private readonly directory: BackendDirectory;
   private readonly dispatcher: Dispatcher;
   private readonly sender = new HttpBackendSender();
   private readonly listener: CallerListener;
-  private readonly peers: GatewayPeers;
   private readonly links: SlotAgentLinks;
-  private readonly follower: StoreFollower;
   private readonly quotas: TokenQuotas;
   private readonly admission: RequestAdmission;
   private readonly budget: RetryBudget;
@@ -82,8 +76,6 @@
     response.writeHead(this.isReady ? HTTP_OK : HTTP_UNAVAILABLE, { 'Content-Length': '0' });
     response.end();
   });
-  private readonly readers: StoreReaders;
-  private isStoreReader = true;
   private hasEnded = false;
   private ticks = 0;
   private loopDelayMs = 0;
@@ -96,22 +88,35 @@
     const incarnation = `${name}.${Math.floor(random.next() * 2 ** 32).toString(36)}`;
     this.configuration = new ConfigurationInForce(clock);
     const isEngine = (service: string) => this.configuration.isEngine(service);
-    this.exchange = new RecordExchange(
-      this.records,
-      {
-        isStoreReachable: () => this.follower.isFollowing,
-        onNews: (news) => this.takeRecords(news),
-      },
-      clock,
-    );
     this.directory = new BackendDirectory(settings.process, { isEngine });
     this.dispatcher = new Dispatcher(this.directory, {
       sendToAgent: (backendId, message) => this.links.send(backendId, message),
       onEjected: (backendId) => parts.log.write('backend-ejected', 'state', { backend: backendId }),
       isEngine,
-      countGateways: () => this.peers.size,
+      countGateways: () => this.cluster.size,
       tokensPerEvent: (service) => this.configuration.tokensPerEvent(service),
     });
+    this.listener = new CallerListener(
+      (head, reply) => this.take(head, reply),
+      () => this.configuration.limits.maxBodyBytes,
+    );
+    const { limits } = settings;
+    this.quotas = new TokenQuotas(
+      {
+        slackTokens: limits.quotaSlack,
+        overShare: limits.quotaOver,
+        silenceMs: () => Math.max(QUOTA_SILENCE_MS, this.cluster.beatMs * QUOTA_SILENCE_BEATS),
+        forgetMs: QUOTA_FORGET_MS,
+      },
+      clock.now(),
+    );
+    this.cluster = new GatewayCluster({
+      ...parts,
+      incarnation,
+      store: adapter.store,
+      quotas: this.quotas,
+      onRecords: (records) => this.takeRecords(records),
+    });
     const agentOptions = {
       port: settings.listen.slotAgentPort,
       peersAddress: settings.listen.peers,
@@ -124,8 +129,8 @@
       incarnation,
       this.directory,
       () => this.dispatcher,
-      this.records,
-      this.exchange,
+      this.cluster.records,
+      this.cluster.exchange,
       isEngine,
       (backend, isConnected, reason) =>
         parts.log.write(isConnected ? 'agent-connected' : 'agent-lost', 'state', {
@@ -135,36 +140,6 @@
       clock,
       agentOptions,
     );
-    this.listener = new CallerListener(
-      (head, reply) => this.take(head, reply),
-      () => this.configuration.limits.maxBodyBytes,
-    );
-    const { limits } = settings;
-    this.quotas = new TokenQuotas(
-      {
-        slackTokens: limits.quotaSlack,
-        overShare: limits.quotaOver,
-        silenceMs: () => Math.max(QUOTA_SILENCE_MS, this.peers.beatMs * QUOTA_SILENCE_BEATS),
-        forgetMs: QUOTA_FORGET_MS,
-      },
-      clock.now(),
-    );
-    this.readers = new StoreReaders(incarnation);
-    this.peers = new GatewayPeers({
-      name,
-      incarnation,
-      address: settings.listen.peers,
-      seeds: settings.cluster.seeds,
-      records: this.records,
-      exchange: this.exchange,
-      quotas: this.quotas,
-      readers: this.readers,
-      isReading: () => this.follower.isFollowing,
-      clock,
-      random,
-      onPeer: (peer, isPresent) =>
-        parts.log.write(isPresent ? 'peer-heard' : 'peer-gone', 'state', { peer }),
-    });
     this.plannedStop = new PlannedStop(clock, limits.stopGraceS * MS_PER_S, {
       stopListening: () => this.listener.stopListening(),
       countActive: () => this.active.size,
@@ -176,25 +151,6 @@
       windowMs: limits.retryWindowS * MS_PER_S,
       slack: limits.retrySlack,
     });
-    this.follower = new StoreFollower(
-      adapter.store,
-      {
-        onListing: ({ records, revision }) =>
-          this.takeRecords(this.records.applyListing(records, revision)),
-        onListingAfterOutage: ({ records }) =>
-          this.takeRecords(records.filter((record) => this.records.apply(record))),
-        onChanges: ({ records, revision }, since) =>
-          this.takeRecords(this.records.applyChanges(records, since, revision)),
-        onReachable: (isReachable, reason) => this.noteStore(isReachable, reason),
-        countFollowers: () => Math.min(this.peers.size, DEFAULT_STORE_READERS_OPTIONS.readers),
-        mustFollow: () => this.mustReadStore(),
-        completeTo: () => this.records.completeTo,
-        onCall: (call, result) =>
-          parts.metrics.record(({ storeCalls }) => storeCalls.inc({ call, result })),
-      },
-      clock,
-      random,
-    );
     this.requestPorts = {
       clock,
       random,
@@ -217,16 +173,11 @@
     const callers = splitAddress(settings.listen.callers);
     this.listener.server.listen(callers);
     this.serveReadiness();
-    if (settings.listen.peers !== '') {
-      const peers = splitAddress(settings.listen.peers);
-      this.peers.listen(peers.host, peers.port);
-    }
-    this.peers.start();
+    this.cluster.start();
     if (settings.listen.metricsPort > 0) {
       metrics.serve(settings.process.address, settings.listen.metricsPort);
     }
     this.parts.clock.setTimeout(() => void metrics.load(() => this.snapshot()), METRICS_LOAD_MS);
-    void this.follower.run();
     this.scheduleTick();
     log.write('started', 'state', { ...settings.listen });
   }
@@ -254,8 +205,7 @@
     this.readinessServer.close();
     this.parts.metrics.close();
     this.sender.close();
-    this.follower.stop();
-    this.peers.stop();
+    this.cluster.stop();
     this.links.stop();
     this.parts.log.write('stopped', 'state', { active: this.active.size });
     this.parts.log.flush();
@@ -278,7 +228,7 @@
     this.dispatcher.tick(this.parts.clock.now());
     this.links.maintain();
     this.links.tellAlive();
-    this.peers.tick();
+    this.cluster.tick();
     if (this.ticks % AGENT_REVISION_TICKS === 0) {
       this.links.tellRevision();
     }
@@ -288,23 +238,6 @@
     }
   }
 
-  private mustReadStore(): boolean {
-    const mustRead = this.readers.mustRead(this.peers.beatMs, this.parts.clock.now());
-    if (mustRead !== this.isStoreReader) {
-      this.isStoreReader = mustRead;
-      this.parts.log.write(mustRead ? 'store-reader-on' : 'store-reader-off', 'state', {
-        gateways: this.peers.size,
-        revision: this.records.completeTo,
-      });
-    }
-    return mustRead;
-  }
-
-  private noteStore(isReachable: boolean, reason: string): void {
-    this.parts.metrics.record(({ storeReachable }) => storeReachable.set(isReachable ? 1 : 0));
-    this.parts.log.write(isReachable ? 'store-regained' : 'store-lost', 'state', { reason });
-  }
-
   /** Takes in records that are news. */
   private takeRecords(news: readonly StoreRecord[]): void {
     if (news.length === 0) {
@@ -391,7 +324,7 @@
   }
 
   private takeRepeat(service: string): boolean {
-    const isAllowed = this.budget.takeRepeat(service, this.peers.size, this.parts.clock.now());
+    const isAllowed = this.budget.takeRepeat(service, this.cluster.size, this.parts.clock.now());
     if (!isAllowed) {
       this.parts.metrics.record(({ repeatsDenied }) => repeatsDenied.inc({ service }));
     }
@@ -411,22 +344,16 @@
     });
   }
 
-  /** How old the newest word of the store is, from itself or from a gateway that reads it, in milliseconds. */
-  private storeAgeMs(): number | undefined {
-    const heardAtMs = Math.max(this.follower.lastAnsweredAtMs ?? -Infinity, this.readers.heardAtMs);
-    return heardAtMs === -Infinity ? undefined : this.parts.clock.now() - heardAtMs;
-  }
-
   /** What the metrics show of the moment. */
   private snapshot(): GatewaySnapshot {
     const nowMs = this.parts.clock.now();
     const { loopDelayMs } = this;
     this.loopDelayMs = 0;
     return {
-      storeAgeMs: this.storeAgeMs(),
+      storeAgeMs: this.cluster.storeAgeMs,
       configurationAgeMs: this.configuration.ageMs,
       backends: countBackends(this.directory.list(), nowMs),
-      repeatsLeft: this.budget.repeatsLeft(this.peers.size, nowMs),
+      repeatsLeft: this.budget.repeatsLeft(this.cluster.size, nowMs),
       quotaUse: this.quotas.use(),
       waiting: this.dispatcher.waitingByService(),
       loopDelayMs,
@@ -447,7 +374,7 @@
       promptTokens: request.promptTokens,
       ...end,
       waiting: this.dispatcher.countWaiting(request.service),
-      storeAgeMs: this.storeAgeMs(),
+      storeAgeMs: this.cluster.storeAgeMs,
       configuration: this.configuration.version,
     });
     this.plannedStop.noteRequestEnded();
--- a/test/dispatcher.test.ts
+++ b/test/dispatcher.test.ts
@@ -236,5 +236,5 @@
     onPlaced: () => undefined,
   };
   world.dispatcher.submit(waiting, world.clock.now());
-  t.true(world.dispatcher.expectedWaitMs(waiting, world.clock.now()) < 20);
+  t.true(world.dispatcher.forecastOf('s').expectedWaitMs(waiting, world.clock.now()) < 20);
 });
