Agents tell gateways what share of an engine's requests fails, and requests go elsewhere

The cost of a back end grows with its share beyond .1, by what a failure loses against a late answer. A gateway's own share counts where no agent tells.

Ruled out: nothing else was tried.

--- a/src/gateway/dispatch/backend-choice.ts
+++ b/src/gateway/dispatch/backend-choice.ts
@@ -10,6 +10,13 @@
 const UNKNOWN_SPEED_COST_MS = 1_000;
 /** Added to the cost of a back end that would be late, or make others late. */
 const LATE_COST_MS = 100_000;
+/**
+ * Cost of a certain failure: a late answer loses about .7 of what one in time is worth, a failed request all
+ * of it.
+ */
+const FAILURE_COST_MS = LATE_COST_MS / 0.7;
+/** A share of failures up to this is as good as none: every engine loses an answer now and then. */
+const USUAL_FAILURE_SHARE = 0.1;
 
 /** Cost of binding `request` to a back end, in milliseconds; the lowest is chosen. */
 export function costOf(
@@ -19,14 +26,16 @@
   nowMs: number,
 ): number {
   const workMs = (known.msPerUnit ?? usual.msPerUnit) * request.units;
+  const unusualShare = Math.max(0, known.failureShare(nowMs) - USUAL_FAILURE_SHARE);
+  const failureMs = unusualShare * FAILURE_COST_MS;
   if (request.promptTokens === 0) {
-    return (known.occupied + 1) * workMs;
+    return (known.occupied + 1) * workMs + failureMs;
   }
   const tokens = known.pendingPromptTokens + request.promptTokens;
   const firstMs = known.speed.expectedFirstMs(tokens, usual.prefill);
   const trialMs = known.speed.isKnown ? 0 : known.occupied * UNKNOWN_SPEED_COST_MS;
   const isLate = nowMs + firstMs > request.firstDueAtMs;
-  return firstMs + workMs * WORK_WEIGHT + trialMs + (isLate ? LATE_COST_MS : 0);
+  return firstMs + workMs * WORK_WEIGHT + trialMs + failureMs + (isLate ? LATE_COST_MS : 0);
 }
 
 /** Whether reading the prompt there would make the streams of `others` requests pause too long. */
--- a/src/gateway/dispatch/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -104,7 +104,11 @@
     if (known.health.learn(outcome, nowMs)) {
       this.ports.onEjected(backendId);
     }
-    this.sendToAgent(backendId, known, { kind: 'released' });
+    const hasFailed = failureOf(outcome);
+    if (hasFailed !== undefined) {
+      known.noteOutcome(hasFailed, nowMs);
+    }
+    this.sendToAgent(backendId, known, { kind: 'released', hasFailed });
     if (outcome === 'answered') {
       this.sendToAgent(backendId, known, { kind: 'speed', speed: known.learned });
     }
@@ -154,6 +158,7 @@
       takenUnseen: [],
       grantsSeen: 0,
       lastDemand: '',
+      failureShare: 0,
     };
     this.tellDemand(known.backend.service, nowMs);
   }
@@ -176,6 +181,7 @@
     }
     if (message.kind === 'state') {
       known.agent.occupied = message.occupied;
+      known.agent.failureShare = message.failureShare;
       known.adopt(message.speed);
       const { messagesSeen } = message;
       known.agent.takenUnseen = known.agent.takenUnseen.filter((number) => number > messagesSeen);
@@ -279,3 +285,8 @@
     }
   }
 }
+
+/** Whether an attempt shows that its back end failed; undefined where its end says nothing of that. */
+function failureOf(outcome: AttemptOutcome): boolean | undefined {
+  return outcome === 'failed' || outcome === 'answered' ? outcome === 'failed' : undefined;
+}
--- a/src/gateway/dispatch/known-backend.ts
+++ b/src/gateway/dispatch/known-backend.ts
@@ -1,6 +1,7 @@
 /** What a gateway knows of one back end: its announcement, its health, its speed and its slots. */
 import type { Backend } from '../../routing/backend.js';
 import type { LearnedSpeed } from '../../slot-agent/slot-messages.js';
+import { FailureEstimate } from '../../slot-agent/failure-estimate.js';
 import { BackendHealth } from './backend-health.js';
 import { EngineSpeed } from './engine-speed.js';
 
@@ -23,6 +24,8 @@
   grantsSeen: number;
   /** The demand that was sent last, as text. */
   lastDemand: string;
+  /** Share of the requests of all gateways that failed there lately, as the agent told last. */
+  failureShare: number;
 }
 
 /** One back end as a gateway knows it. */
@@ -44,6 +47,7 @@
   /** Whether it has ended, or another incarnation announced itself at its address later. */
   isReplaced = false;
   private learnedMsPerUnit: number | undefined;
+  private readonly ownFailures = new FailureEstimate();
 
   /** Until when its agent is given time to be connected, in milliseconds. */
   private agentAwaitedUntilMs: number;
@@ -85,6 +89,16 @@
     return this.learnedMsPerUnit;
   }
 
+  /** A request of this gateway was answered there, or failed. */
+  noteOutcome(hasFailed: boolean, nowMs: number): void {
+    this.ownFailures.note(hasFailed, nowMs);
+  }
+
+  /** Share of requests that failed there lately, as this gateway and, where an agent tells, others saw it. */
+  failureShare(nowMs: number): number {
+    return Math.max(this.ownFailures.share(nowMs), this.agent?.failureShare ?? 0);
+  }
+
   /** Learns from a whole answer. */
   learnSpeed(units: number, elapsedMs: number): void {
     const sample = elapsedMs / Math.max(1, units);
--- a/src/gateway/dispatch/slot-supply.ts
+++ b/src/gateway/dispatch/slot-supply.ts
@@ -3,7 +3,7 @@
  * arrive; from both follows how long a place in the order has to wait.
  */
 import type { WaitingPlace } from '../../slot-agent/waiting-order.js';
-import { DecayedSum } from './decayed-sum.js';
+import { DecayedSum } from '../../decayed-sum.js';
 
 /**
  * Memory of the rates, in milliseconds: long enough for some ten requests of a small gateway, short
--- a/src/model/experiment.ts
+++ b/src/model/experiment.ts
@@ -13,7 +13,12 @@
 const FAULT_PREFIX = 'fault.';
 
 /** Kinds of faults. */
-export const MODEL_FAULT_KINDS = ['engine-crash', 'engine-slow', 'gateway-power'] as const;
+export const MODEL_FAULT_KINDS = [
+  'engine-crash',
+  'engine-slow',
+  'engine-failing',
+  'gateway-power',
+] as const;
 
 /** A number that is at least `least`. */
 function number(least: number) {
@@ -80,6 +85,8 @@
   count: number(1),
   /** How many times slower an engine turns. */
   factor: optional(1, 4),
+  /** Share of its requests that a failing engine breaks off. */
+  share: z.coerce.number().min(0).max(1).default(0.4),
 });
 
 /** Every option of requests may be varied by its own name. */
--- a/src/model/model-agent.ts
+++ b/src/model/model-agent.ts
@@ -32,14 +32,14 @@
       {
         send: (connection, message) => this.send(connection, message),
         onGranted: () => undefined,
-        onChangesToTell: () => clock.setTimeout(() => this.ledger.tellChanges(), tellMs),
+        onChangesToTell: () => clock.setTimeout(() => this.ledger.tellChanges(clock.now()), tellMs),
         onReconciled: () => undefined,
       },
       gatewaySilence,
     );
     this.repeat(silenceCheckMs, () => this.endSilent());
     this.repeat(reportMs, () => this.lookAtEngine());
-    this.repeat(beatMs, () => this.ledger.tellAll());
+    this.repeat(beatMs, () => this.ledger.tellAll(this.clock.now()));
   }
 
   /** A gateway opens a connection; returns what it sends messages by. */
--- a/src/model/model-fleet.ts
+++ b/src/model/model-fleet.ts
@@ -32,7 +32,7 @@
   const backends = new Map<string, ModelBackend>();
   for (let index = 0; index < fleet.engines; index += 1) {
     const speed = fleet.slowest * (fleet.fastest / fleet.slowest) ** random.next();
-    const engine = new BatchEngine(clock, { ...fleet, speed });
+    const engine = new BatchEngine(clock, { ...fleet, speed }, random);
     const id = `engine-${index}`;
     const backend: Backend = {
       id,
--- a/src/model/run-experiment.ts
+++ b/src/model/run-experiment.ts
@@ -188,13 +188,16 @@
     for (const { engine } of struck) {
       if (fault.kind === 'engine-crash') {
         engine.crash();
-      } else {
+      } else if (fault.kind === 'engine-slow') {
         engine.slowFactor = fault.factor;
+      } else {
+        engine.failureShare = fault.share;
       }
     }
     this.clock.setTimeout(() => {
       for (const { engine } of struck) {
         engine.slowFactor = 1;
+        engine.failureShare = 0;
         engine.restart();
       }
     }, fault.forS * MS_PER_S);
--- a/src/slot-agent/slot-agent-role.ts
+++ b/src/slot-agent/slot-agent-role.ts
@@ -103,7 +103,8 @@
     this.ledger = new SlotLedger({
       send: (connection, message) => this.channels.get(connection)?.send(message),
       onGranted: () => metrics.record(({ grants }) => grants.inc()),
-      onChangesToTell: () => clock.setTimeout(() => this.ledger.tellChanges(), this.options.tellMs),
+      onChangesToTell: () =>
+        clock.setTimeout(() => this.ledger.tellChanges(clock.now()), this.options.tellMs),
       onReconciled: (slots) => this.noteReconciled(slots),
     });
     this.server = createServer((socket) => this.accept(socket));
@@ -238,7 +239,7 @@
     if (this.isStopped) {
       return;
     }
-    this.ledger.tellAll();
+    this.ledger.tellAll(this.clock.now());
     this.clock.setTimeout(() => this.beat(), this.options.beatMs);
   }
 
--- a/src/slot-agent/slot-ledger.ts
+++ b/src/slot-agent/slot-ledger.ts
@@ -8,6 +8,7 @@
  * what it held stays occupied only as long as the back end's own report shows
  * requests that no connected gateway accounts for.
  */
+import { FailureEstimate } from './failure-estimate.js';
 import { DEFAULT_GATEWAY_SILENCE_OPTIONS, GatewayAccount } from './gateway-account.js';
 import type { GatewaySilenceOptions } from './gateway-account.js';
 import type { SlotAgentSnapshot } from './slot-agent-instruments.js';
@@ -45,6 +46,7 @@
   private lastToldOccupied = -1;
   private isTellingPlanned = false;
   private speed: LearnedSpeed = {};
+  private readonly failures = new FailureEstimate();
 
   constructor(
     private readonly ports: SlotLedgerPorts,
@@ -118,7 +120,7 @@
       this.receiveFromKnown(connection, message, nowMs);
     }
     this.grant(nowMs);
-    this.tellIfChanged();
+    this.tellIfChanged(nowMs);
   }
 
   /** A connection ended; what its gateway held may still run. */
@@ -130,7 +132,7 @@
     this.accounts.delete(connection);
     this.unaccounted += account.held;
     this.goneUntilMs.set(account.name, nowMs + LOOK_FOR_GONE_MS);
-    this.tellIfChanged();
+    this.tellIfChanged(nowMs);
   }
 
   /** Takes in the back end's own count of requests that run or wait there. */
@@ -141,7 +143,7 @@
       this.ports.onReconciled(before - this.unaccounted);
     }
     this.grant(nowMs);
-    this.tellIfChanged();
+    this.tellIfChanged(nowMs);
   }
 
   private admit(connection: number, hello: SlotHello, nowMs: number): void {
@@ -187,6 +189,9 @@
         break;
       case 'released':
         account.release();
+        if (message.hasFailed !== undefined) {
+          this.failures.note(message.hasFailed, nowMs);
+        }
         break;
       case 'alive':
         break;
@@ -234,11 +239,11 @@
    * A count near the capacity is told at once, since gateways that believe in a free slot take it.
    * Others can wait, and several changes are told as one.
    */
-  private tellIfChanged(): void {
+  private tellIfChanged(nowMs: number): void {
     const { occupied } = this;
     const isNearFull = Math.max(occupied, this.lastToldOccupied) >= this.slots - NEAR_FULL_SLOTS;
     if (this.lastToldOccupied < 0 || (isNearFull && occupied !== this.lastToldOccupied)) {
-      this.tellAll();
+      this.tellAll(nowMs);
       return;
     }
     const hasChanges = occupied !== this.lastToldOccupied || this.findUntold().length > 0;
@@ -249,14 +254,14 @@
   }
 
   /** Tells gateways what changed since they were told last. */
-  tellChanges(): void {
+  tellChanges(nowMs: number): void {
     this.isTellingPlanned = false;
     if (this.occupied !== this.lastToldOccupied) {
-      this.tellAll();
+      this.tellAll(nowMs);
       return;
     }
     for (const [connection, account] of this.findUntold()) {
-      this.tell(connection, account);
+      this.tell(connection, account, nowMs);
     }
   }
 
@@ -266,14 +271,14 @@
   }
 
   /** Tells every gateway how many slots are occupied, which also shows that the agent lives. */
-  tellAll(): void {
+  tellAll(nowMs: number): void {
     this.lastToldOccupied = this.occupied;
     for (const [connection, account] of this.accounts) {
-      this.tell(connection, account);
+      this.tell(connection, account, nowMs);
     }
   }
 
-  private tell(connection: number, account: GatewayAccount): void {
+  private tell(connection: number, account: GatewayAccount, nowMs: number): void {
     const { occupied, speed } = this;
     account.hasUntoldTakes = false;
     this.ports.send(connection, {
@@ -281,6 +286,7 @@
       occupied,
       messagesSeen: account.messagesSeen,
       speed,
+      failureShare: this.failures.share(nowMs),
     });
   }
 }
--- a/src/slot-agent/slot-messages.ts
+++ b/src/slot-agent/slot-messages.ts
@@ -40,6 +40,8 @@
 /** The gateway gives back a slot, since a request ended. */
 export interface SlotReleased {
   readonly kind: 'released';
+  /** Whether the back end failed the request or answered it; undefined where its end says neither. */
+  readonly hasFailed?: boolean;
 }
 
 /** The gateway bound a request to the oldest grant that it had not answered. */
@@ -105,6 +107,8 @@
   readonly messagesSeen: number;
   /** What gateways learned of the engine. */
   readonly speed: LearnedSpeed;
+  /** Share of the requests of all gateways that failed there lately, from 0 to 1. */
+  readonly failureShare: number;
 }
 
 /** Anything that an agent says of slots. */
--- a/test/slot-supply.test.ts
+++ b/test/slot-supply.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { DecayedSum } from '../src/gateway/dispatch/decayed-sum.js';
+import { DecayedSum } from '../src/decayed-sum.js';
 import { SlotSupply } from '../src/gateway/dispatch/slot-supply.js';
 
 const PLACE = { tier: 1, rankInTier: 1, arrivedAtMs: 0, startByMs: 1_000 };
