A peer that is heard again after a long silence does not count its whole life; logs tell the believed failure share

Found by reading the diff: a peer that was silent for 20 s is forgotten, and the use of one heard for the first time counted whole if it was younger; after a long cut its whole life would have stood against a tenant. It counts only if it started less than 20 s ago. Test red before.

--- a/src/gateway/admission/token-quota.ts
+++ b/src/gateway/admission/token-quota.ts
@@ -95,14 +95,15 @@
   }
 
   /**
-   * Takes in what a peer used since it started `ageMs` ago; tenants that are left out used no more. What one
-   * that is heard for the first time used before this process started is not this process's to count.
+   * Takes in what a peer used since it started `ageMs` ago; tenants that are left out used no more. Of one
+   * that is heard for the first time the use so far counts only if it started lately, and after this process:
+   * an older one may have been heard before, and was forgotten in a long silence.
    */
   hear(peer: string, used: ReadonlyMap<string, number>, ageMs: number, nowMs: number): void {
     const known = this.peers.get(peer);
     if (known === undefined) {
-      const isYounger = nowMs - ageMs >= this.startedAtMs;
-      if (isYounger) {
+      const isNew = ageMs < this.options.forgetMs && nowMs - ageMs >= this.startedAtMs;
+      if (isNew) {
         used.forEach((tokens, tenant) => this.drain(tenant, tokens, nowMs));
       }
       this.peers.set(peer, { heardAtMs: nowMs, usedByTenant: new Map(used) });
--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -107,8 +107,9 @@
     this.phase = 'sent';
     this.backend = backend;
     this.attempts += 1;
-    const occupied = ports.directory.find(backend.id)?.occupied ?? 0;
-    this.record.noteSent(backend, occupied, nowMs);
+    const known = ports.directory.find(backend.id);
+    const failureShare = known?.failureShare(nowMs) ?? 0;
+    this.record.noteSent(backend, { occupied: known?.occupied ?? 0, failureShare }, nowMs);
     this.attemptStartedAtMs = nowMs;
     this.relay.beginAttempt();
     this.progress = new AttemptProgress(
--- a/src/gateway/attempt/request-model.ts
+++ b/src/gateway/attempt/request-model.ts
@@ -40,6 +40,8 @@
   /** Slots that were believed to be occupied at the choice, and how many there are. */
   readonly occupied: number;
   readonly slots: number;
+  /** Share of requests that failed there lately, as it was believed at the choice. */
+  readonly failureShare: number;
   outcome: AttemptOutcome | 'under-way';
   detail: string;
 }
--- a/src/gateway/attempt/request-record.ts
+++ b/src/gateway/attempt/request-record.ts
@@ -3,6 +3,9 @@
 import type { AttemptOutcome } from '../dispatch/backend-health.js';
 import type { RequestEnd, RequestTry } from './request-model.js';
 
+/** What was believed of a back end when a request was sent there. */
+export type BackendBelief = Pick<RequestTry, 'occupied' | 'failureShare'>;
+
 /** The record of one request. */
 export class RequestRecord {
   private readonly tries: RequestTry[] = [];
@@ -12,13 +15,13 @@
 
   constructor(private readonly arrivedAtMs: number) {}
 
-  /** The request is sent to a back end, of whose slots `occupied` are believed to be taken. */
-  noteSent(backend: Backend, occupied: number, nowMs: number): void {
+  /** The request is sent to a back end; `believed` is what decided for it. */
+  noteSent(backend: Backend, believed: BackendBelief, nowMs: number): void {
     this.firstPlacedAtMs ??= nowMs;
     this.tries.push({
       backend: backend.id,
       afterMs: nowMs - this.arrivedAtMs,
-      occupied,
+      ...believed,
       slots: backend.slots,
       outcome: 'under-way',
       detail: '',
--- a/test/token-quota.test.ts
+++ b/test/token-quota.test.ts
@@ -70,6 +70,12 @@
   t.true(older.take('t', QUOTA, COST, 2_000));
 });
 
+test('a peer that is heard again after a long silence does not count its whole life', (t) => {
+  const quotas = new TokenQuotas(OPTIONS, 0);
+  quotas.hear('p', new Map([['t', 1_000_000]]), 60_000, 90_000);
+  t.true(quotas.take('t', QUOTA, COST, 90_000));
+});
+
 test('use that peers told long ago does not hold a tenant back for ever', (t) => {
   const quotas = new TokenQuotas(OPTIONS, 0);
   quotas.hear('p', new Map(), 1_000, 1_000);
