A bucket holds a quarter of a quota's slack, not .35

Each start gives a bucket a part of the slack, so a window with two restarts holds three parts; 3 x .35 is more than the slack.

Change: .25, three parts and one left for what is heard late.

--- a/src/gateway/admission/token-quota.ts
+++ b/src/gateway/admission/token-quota.ts
@@ -32,8 +32,11 @@
   readonly usedByTenant: Map<string, number>;
 }
 
-/** Share of the slack that a bucket may hold beside the burst. */
-const SLACK_SHARE_IN_BUCKET = 0.35;
+/**
+ * Share of the slack that a bucket may hold beside the burst. All gateways may start again twice in a window,
+ * each time with such a part, and hear of each other late: three parts, and the fourth for that.
+ */
+const SLACK_SHARE_IN_BUCKET = 0.25;
 /** Share of the allowed surplus of rate that is used. */
 const OVER_SHARE_USED = 0.5;
 const MS_PER_S = 1_000;
