--- a/src/cluster/store-readers.ts
+++ b/src/cluster/store-readers.ts
@@ -12,8 +12,8 @@
 /** Bounds of the readers. */
 export interface StoreReadersOptions {
   /**
-   * Gateways that read. Default 8: a third of them may lose the store, as users describe it, and the
-   * rest still read it through different connections. Where there are no more, all read.
+   * Gateways that read. Default 8, chosen and not measured: some may lose the store at once, and the rest
+   * still read it through other connections. Where there are no more, all read.
    */
   readonly readers: number;
   /** Silence after which a reader is missed where beats are not rarer, in milliseconds. Default 1,500. */
