Tell returning requests by the deadlines that first tries of their route carry

Cause: a request counted as tried before when it had 2 in 100 less time left than its route's time-out. Ruled out: prompts that would hold up others (requests of 409 tokens waited too), lapsed grants, gateways without links to agents (16 each). Change: the lowest and the longest deadline of first tries are learned by route. The log tells how long ago a request is believed to have been tried first.

--- a/src/gateway/admission/request-admission.ts
+++ b/src/gateway/admission/request-admission.ts
@@ -12,6 +12,7 @@
 import { DEFAULT_REQUEST_OPTIONS } from '../attempt/request-model.js';
 import type { AcceptedRequest } from '../attempt/request-model.js';
 import type { TokenQuotas } from './token-quota.js';
+import { UsualDeadlines } from './usual-deadline.js';
 
 /** A request whose body was read whole. */
 export interface ReceivedRequest {
@@ -23,13 +24,13 @@
 
 /** Work of one generated token, in prompt tokens: decoding is that much slower than prefill. */
 const OUTPUT_TOKEN_UNITS = 150;
-/** Share of the route's time-out that must be gone at arrival for a request to count as tried before. */
-const RETURNING_SHARE = 0.02;
 /** Bytes between a header's name and value, and behind it. */
 const HEADER_SEPARATOR_BYTES = 2;
 
 /** Decides whether requests are taken. */
 export class RequestAdmission {
+  private readonly deadlines = new UsualDeadlines();
+
   constructor(
     private readonly quotas: TokenQuotas,
     private readonly clock: Clock,
@@ -96,7 +97,7 @@
       tier: tenant?.priority ?? route.priority,
       rankInTier: route.priority,
       arrivedAtMs,
-      firstTriedAtMs: arrivedAtMs - triedForMs(route, caller),
+      firstTriedAtMs: arrivedAtMs - this.triedForMs(route, caller),
       endsAtMs: arrivedAtMs + longestMs,
       units,
       promptTokens: tokens?.prompt ?? 0,
@@ -107,12 +108,11 @@
       lastEventId: caller.lastEventId,
     };
   }
-}
 
-/** How long ago the caller's first try was, which its time left shows; less than a moment is none. */
-function triedForMs(route: Route, caller: CallerRequestHead): number {
-  const goneMs = route.timeoutMs - (caller.deadlineMs ?? route.timeoutMs);
-  return goneMs > route.timeoutMs * RETURNING_SHARE ? goneMs : 0;
+  /** How long ago the caller's first try was, which its time left shows. */
+  private triedForMs(route: Route, { deadlineMs }: CallerRequestHead): number {
+    return deadlineMs === undefined ? 0 : this.deadlines.triedForMs(route.name, deadlineMs);
+  }
 }
 
 function headerBytes(rawHeaders: readonly string[]): number {
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -372,6 +372,7 @@
       tenant: request.tenant,
       tier: request.tier,
       promptTokens: request.promptTokens,
+      triedForMs: request.arrivedAtMs - request.firstTriedAtMs,
       ...end,
       waiting: this.dispatcher.countWaiting(request.service),
       storeAgeMs: this.cluster.storeAgeMs,
