Pass closed ports over at once, and use no other resting connection after a reset

Change: a refused connection ejects the back end at once and does not count against the request; a reset without an answer ends the other resting connections to that address.

--- a/src/gateway/attempt/attempt.ts
+++ b/src/gateway/attempt/attempt.ts
@@ -16,6 +16,8 @@
 export interface AttemptFailure {
   /** False only when no byte can have reached the back end. */
   readonly mayHaveRun: boolean;
+  /** Whether the machine answered that nothing listens at the back end's address. */
+  readonly isPortClosed: boolean;
   readonly detail: string;
 }
 
--- a/src/gateway/attempt/guarded-agent.ts
+++ b/src/gateway/attempt/guarded-agent.ts
@@ -3,6 +3,7 @@
 import type { ClientRequest } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
+import type { HostAndPort } from '../../address.js';
 import { DEFAULT_REST_LIMIT_OPTIONS, RestLimit } from './rest-limit.js';
 
 /** Limits of resting connections. */
@@ -55,6 +56,13 @@
     }
   }
 
+  /** Ends the resting connections to one address. */
+  endResting({ host, port }: HostAndPort): void {
+    for (const resting of this.freeSockets[this.getName({ host, port })] ?? []) {
+      resting.destroy();
+    }
+  }
+
   override keepSocketAlive(stream: Duplex): boolean {
     const socket = stream as Socket;
     // The typings leave out that the base class answers whether the socket may be kept.
--- a/src/gateway/attempt/http-backend-sender.ts
+++ b/src/gateway/attempt/http-backend-sender.ts
@@ -10,6 +10,7 @@
   OutgoingAttempt,
 } from './attempt.js';
 import { splitAddress } from '../../address.js';
+import type { HostAndPort } from '../../address.js';
 import { GuardedAgent } from './guarded-agent.js';
 
 /** Limits of the connections to back ends. */
@@ -45,6 +46,11 @@
     this.agent.destroy();
   }
 
+  /** Ends the resting connections to a back end that is gone. */
+  endResting(address: string): void {
+    this.agent.endResting(splitAddress(address));
+  }
+
   send(attempt: OutgoingAttempt, handlers: AttemptHandlers): AttemptHandle {
     return new HttpAttempt(attempt, handlers, this.agent, this.options.connectTimeoutMs);
   }
@@ -58,6 +64,7 @@
   private isConnected = false;
   private isOver = false;
   private connectTimer: NodeJS.Timeout | undefined;
+  private readonly address: HostAndPort;
 
   constructor(
     attempt: OutgoingAttempt,
@@ -65,13 +72,14 @@
     private readonly agent: GuardedAgent,
     connectTimeoutMs: number,
   ) {
-    const { host, port } = splitAddress(attempt.backend.address);
+    this.address = splitAddress(attempt.backend.address);
+    const { host, port } = this.address;
     const { method, path, body } = attempt;
     const headers = withLength(attempt.headers, method, body);
     this.request = httpRequest({ host, port, method, path, headers, agent, setHost: false });
     this.request.on('socket', (socket) => this.onSocket(socket, connectTimeoutMs));
     this.request.on('response', (response) => this.onResponse(response));
-    this.request.on('error', (error) => this.fail(error.message));
+    this.request.on('error', (error) => this.fail(error.message, isRefused(error)));
     this.request.end(body.length > 0 ? body : undefined);
   }
 
@@ -165,28 +173,42 @@
     this.handlers.onEnd();
   }
 
-  /** A reset right after the send shows that the connection was gone before; later ones show a failed run. */
-  private noteIfForgotten(): void {
+  /**
+   * A connection that was used again brought no answer. The back end may be gone: what is sent on another
+   * resting connection could be lost too, and nobody could tell whether it ran, while a new connection is
+   * refused before anything is sent. A failure right after the send shows that the connection was gone
+   * before it; later ones show a failed run.
+   */
+  private noteUnanswered(): void {
     const { request, response, startedAtMs } = this;
+    if (!request.reusedSocket || response !== undefined) {
+      return;
+    }
+    this.agent.endResting(this.address);
     const isAtOnce = performance.now() - startedAtMs <= FORGOTTEN_RESET_MS;
-    if (isAtOnce && request.reusedSocket && response === undefined && request.socket !== null) {
+    if (isAtOnce && request.socket !== null) {
       this.agent.noteForgotten(request.socket);
     }
   }
 
-  private fail(detail: string): void {
+  private fail(detail: string, isPortClosed = false): void {
     if (this.isOver) {
       return;
     }
     this.isOver = true;
     clearTimeout(this.connectTimer);
-    this.noteIfForgotten();
+    this.noteUnanswered();
     this.request.destroy();
-    const failure: AttemptFailure = { mayHaveRun: this.isConnected, detail };
+    const failure: AttemptFailure = { mayHaveRun: this.isConnected, isPortClosed, detail };
     this.handlers.onFailure(failure);
   }
 }
 
+/** Whether the error says that nothing listens at the address. */
+function isRefused(error: NodeJS.ErrnoException): boolean {
+  return error.code === 'ECONNREFUSED';
+}
+
 /** The body is sent whole, so its length is known whatever the caller's framing was. */
 function withLength(headers: readonly string[], method: string, body: Buffer): string[] {
   const kept: string[] = [];
--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -18,6 +18,7 @@
 import type { AcceptedRequest, RequestOptions, RequestPorts } from './request-model.js';
 import { RequestRecord } from './request-record.js';
 
+/** Connections that do not come up in time, of one request; each takes its share of the caller's time. */
 const MAX_CONNECT_FAILURES = 4;
 const MIN_TIME_FOR_ATTEMPT_MS = 5;
 const HTTP_SERVER_ERROR = 500;
@@ -166,7 +167,7 @@
     const answer = this.ports.protocol.readAnswer(head.status, head.headers);
     if (answer.requestId !== undefined && answer.requestId !== this.request.requestId) {
       this.attempt?.cancel();
-      this.fail({ mayHaveRun: true, detail: 'the answer is for another request' });
+      this.failAfterSend('the answer is for another request');
       return;
     }
     if (answer.isNotExecuted || answer.isMisdirected) {
@@ -175,7 +176,7 @@
     }
     if (!this.relay.takeHead(head)) {
       this.attempt?.cancel();
-      this.fail({ mayHaveRun: true, detail: `status ${head.status} inside a stream` });
+      this.failAfterSend(`status ${head.status} inside a stream`);
     }
   }
 
@@ -200,7 +201,7 @@
     const result = this.relay.takeData(bytes, this.attempt);
     if (result === 'overlong-event') {
       this.attempt?.cancel();
-      this.fail({ mayHaveRun: true, detail: 'an event is too long' });
+      this.failAfterSend('an event is too long');
       return;
     }
     if (result === 'held') {
@@ -217,11 +218,11 @@
   private receiveEnd(): void {
     const answer = this.relay.heldAnswer;
     if (answer === undefined) {
-      this.fail({ mayHaveRun: true, detail: 'no answer' });
+      this.failAfterSend('no answer');
       return;
     }
     if (this.relay.isInsideEvent) {
-      this.fail({ mayHaveRun: true, detail: 'the stream ended inside an event' });
+      this.failAfterSend('the stream ended inside an event');
       return;
     }
     this.mayHaveRun = true;
@@ -253,10 +254,11 @@
       return;
     }
     const backendId = this.backend!.id;
-    this.endAttempt('failed', failure.detail);
+    this.endAttempt(failure.isPortClosed ? 'unreachable' : 'failed', failure.detail);
     if (!failure.mayHaveRun) {
       this.attempts -= 1;
-      this.connectFailures += 1;
+      // A closed port is known at once, and no other request is sent there for now.
+      this.connectFailures += failure.isPortClosed ? 0 : 1;
       if (this.connectFailures <= MAX_CONNECT_FAILURES && this.hasTime()) {
         this.moveOn(backendId);
         return;
@@ -272,6 +274,11 @@
     this.answerFailure('backend-failed');
   }
 
+  /** The answer is of no use; the request may have run. */
+  private failAfterSend(detail: string): void {
+    this.fail({ mayHaveRun: true, isPortClosed: false, detail });
+  }
+
   private mayRepeat(): boolean {
     const { kind, isResumable } = this.request.route;
     if (kind === 'safe') {
--- a/src/gateway/dispatch/backend-health.ts
+++ b/src/gateway/dispatch/backend-health.ts
@@ -8,6 +8,8 @@
   | 'refused'
   /** No connection, a broken answer, silence, or an error of its own. */
   | 'failed'
+  /** Nothing listens at its address: the request was not sent, and none can be for now. */
+  | 'unreachable'
   /** Ended for a reason that says nothing of the back end. */
   | 'unknown';
 
@@ -51,15 +53,23 @@
     return this.isOnTrial;
   }
 
+  /** Another process answers there than the one of which something was learned. */
+  forget(): void {
+    this.failureShare = 0;
+    this.ejectedUntilMs = 0;
+    this.ejectMs = this.options.ejectMinMs;
+    this.isOnTrial = false;
+  }
+
   /** Learns from an outcome; says whether it led to an ejection. */
   learn(outcome: AttemptOutcome, nowMs: number): boolean {
     if (outcome === 'unknown' || outcome === 'refused') {
       return false;
     }
     const { smoothing, ejectShare, ejectMinMs, ejectMaxMs } = this.options;
-    const sample = outcome === 'failed' ? 1 : 0;
-    this.failureShare += smoothing * (sample - this.failureShare);
-    if (sample === 0) {
+    const hasFailed = outcome !== 'answered';
+    this.failureShare += smoothing * (Number(hasFailed) - this.failureShare);
+    if (!hasFailed) {
       if (this.isOnTrial) {
         this.isOnTrial = false;
         this.ejectMs = ejectMinMs;
@@ -67,7 +77,8 @@
       }
       return false;
     }
-    if (!this.isOnTrial && this.failureShare < ejectShare) {
+    const isCertain = this.isOnTrial || outcome === 'unreachable';
+    if (!isCertain && this.failureShare < ejectShare) {
       return false;
     }
     if (nowMs < this.ejectedUntilMs) {
--- a/src/gateway/dispatch/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -288,5 +288,8 @@
 
 /** Whether an attempt shows that its back end failed; undefined where its end says nothing of that. */
 function failureOf(outcome: AttemptOutcome): boolean | undefined {
-  return outcome === 'failed' || outcome === 'answered' ? outcome === 'failed' : undefined;
+  if (outcome === 'answered') {
+    return false;
+  }
+  return outcome === 'failed' || outcome === 'unreachable' ? true : undefined;
 }
--- a/src/model/engine-sender.ts
+++ b/src/model/engine-sender.ts
@@ -1,7 +1,12 @@
 /** Sends the attempts of a gateway to model engines, in place of HTTP connections. */
 import type { Clock } from '../clock.js';
-import type { AttemptHandle, AttemptHandlers } from '../gateway/attempt/attempt.js';
-import type { BackendSender, OutgoingAttempt } from '../gateway/attempt/attempt.js';
+import type {
+  AttemptFailure,
+  AttemptHandle,
+  AttemptHandlers,
+  BackendSender,
+  OutgoingAttempt,
+} from '../gateway/attempt/attempt.js';
 import type { BatchJob } from './batch-engine.js';
 import type { ModelBackend } from './model-fleet.js';
 
@@ -67,14 +72,14 @@
       events: Number(readHeader(attempt.headers, SIZE_HEADERS.events)),
       onEvent: (number) => deliver(() => receiveEvent(handlers, number)),
       onEnd: () => end(() => handlers.onEnd()),
-      onBroken: () => end(() => handlers.onFailure({ mayHaveRun: true, detail: 'reset' })),
+      onBroken: () => end(() => handlers.onFailure(RESET)),
     };
     this.clock.setTimeout(() => {
       if (isCancelled) {
         return;
       }
       if (!engine.isUp) {
-        end(() => handlers.onFailure({ mayHaveRun: false, detail: 'refused' }));
+        end(() => handlers.onFailure(REFUSED));
       } else if (!engine.submit(job)) {
         end(() => receiveNotRun(handlers));
       }
@@ -83,6 +88,9 @@
   }
 }
 
+const RESET: AttemptFailure = { mayHaveRun: true, isPortClosed: false, detail: 'reset' };
+const REFUSED: AttemptFailure = { mayHaveRun: false, isPortClosed: true, detail: 'refused' };
+
 function receiveEvent(handlers: AttemptHandlers, number: number): void {
   if (number === 1) {
     handlers.onHead({ status: HTTP_OK, rawHeaders: [], headers: {} });
--- a/test/backend-sender.test.ts
+++ b/test/backend-sender.test.ts
@@ -97,6 +97,26 @@
   await new Promise((resolve) => server.close(resolve));
   const outcome = await sendTo(new HttpBackendSender(), address);
   t.false(outcome.failure?.mayHaveRun);
+  t.true(outcome.failure?.isPortClosed);
+});
+
+test('after a reset without an answer no other resting connection of the back end is used', async (t) => {
+  const used = new Set<Socket>();
+  const { server, address } = await startBackend((socket) => {
+    if (used.has(socket)) {
+      socket.resetAndDestroy();
+      return;
+    }
+    used.add(socket);
+    setTimeout(() => socket.write(`${FRAMED}a-01`), 20);
+  });
+  const sender = new HttpBackendSender();
+  await Promise.all([sendTo(sender, address), sendTo(sender, address), sendTo(sender, address)]);
+  t.is(used.size, 3);
+  t.true((await sendTo(sender, address)).failure?.mayHaveRun);
+  t.is((await sendTo(sender, address)).body, 'a-01');
+  sender.close();
+  server.close();
 });
 
 test('a second answer behind the first is never taken for the answer to the next request', async (t) => {
--- a/test/proxied-request.test.ts
+++ b/test/proxied-request.test.ts
@@ -4,6 +4,8 @@
 const UNSAFE = routeOf({ kind: 'unsafe' });
 const STREAM = routeOf({ kind: 'stream', targetLatencyMs: 500 });
 const RESUMABLE = routeOf({ kind: 'stream', isResumable: true, targetLatencyMs: 500 });
+const RESET = { mayHaveRun: true, isPortClosed: false, detail: 'reset' };
+const REFUSED = { mayHaveRun: false, isPortClosed: true, detail: 'refused' };
 const EVENT_1 = 'id: 1\ndata: a\n\n';
 const EVENT_2 = 'id: 2\ndata: b\n\n';
 
@@ -37,7 +39,7 @@
 test('a request that may not be repeated is not sent again after a broken answer', (t) => {
   const world = twoBackends();
   const { reply } = world.request({ route: UNSAFE });
-  world.attempts[0]!.handlers.onFailure({ mayHaveRun: true, detail: 'reset' });
+  world.attempts[0]!.handlers.onFailure(RESET);
   t.is(world.attempts.length, 1);
   t.is(reply.status, 502);
 });
@@ -45,10 +47,34 @@
 test('a request that may not be repeated is sent elsewhere when nothing was sent', (t) => {
   const world = twoBackends();
   world.request({ route: UNSAFE });
-  world.attempts[0]!.handlers.onFailure({ mayHaveRun: false, detail: 'refused' });
+  world.attempts[0]!.handlers.onFailure(REFUSED);
   t.not(world.attempts[1]!.backend.id, world.attempts[0]!.backend.id);
 });
 
+test('a request passes over any number of closed ports, and others do not go there', (t) => {
+  const ids = ['a', 'b', 'c', 'd', 'e', 'f', 'g'];
+  const world = new GatewayWorld(...ids.map((id) => backendOf(id)));
+  const { reply } = world.request({ route: UNSAFE });
+  for (let index = 0; index < 6; index += 1) {
+    world.attempts[index]!.handlers.onFailure(REFUSED);
+  }
+  world.answer(6, 200, 'served');
+  t.is(reply.body, 'served');
+  world.request({ route: UNSAFE });
+  t.is(world.attempts[7]!.backend.id, world.attempts[6]!.backend.id);
+});
+
+test('connections that do not come up in time are tried a few times', (t) => {
+  const ids = ['a', 'b', 'c', 'd', 'e', 'f', 'g'];
+  const world = new GatewayWorld(...ids.map((id) => backendOf(id)));
+  const { reply } = world.request({ route: UNSAFE });
+  for (let index = 0; index < 5; index += 1) {
+    world.attempts[index]!.handlers.onFailure({ ...REFUSED, isPortClosed: false });
+  }
+  t.is(world.attempts.length, 5);
+  t.is(reply.status, 503);
+});
+
 test('a back end that did not run the request is a promise, if no other is allowed', (t) => {
   const world = twoBackends();
   const { reply } = world.request({ route: routeOf({ kind: 'unsafe', maxAttempts: 1 }) });
@@ -114,7 +140,7 @@
   const { handlers } = world.attempts[0]!;
   handlers.onHead({ status: 200, rawHeaders: [], headers: {} });
   handlers.onData(Buffer.from(EVENT_1));
-  handlers.onFailure({ mayHaveRun: true, detail: 'reset' });
+  handlers.onFailure(RESET);
   t.true(reply.isAborted);
   t.false(reply.isEnded);
   t.is(world.attempts.length, 1);
@@ -134,7 +160,7 @@
   const { handlers } = world.attempts[0]!;
   handlers.onHead({ status: 200, rawHeaders: ['seal', 'first'], headers: {} });
   handlers.onData(Buffer.from(`${EVENT_1}id: 2\nda`));
-  handlers.onFailure({ mayHaveRun: true, detail: 'reset' });
+  handlers.onFailure(RESET);
   t.deepEqual(world.attempts[1]!.headers.slice(-2), ['last-event', '1']);
   world.answer(1, 200, EVENT_2);
   t.deepEqual([reply.body, reply.isEnded], [EVENT_1 + EVENT_2, true]);
@@ -147,7 +173,7 @@
   const { handlers } = world.attempts[0]!;
   handlers.onHead({ status: 200, rawHeaders: [], headers: {} });
   handlers.onData(Buffer.from(EVENT_1));
-  handlers.onFailure({ mayHaveRun: true, detail: 'reset' });
+  handlers.onFailure(RESET);
   world.answer(1, 500, 'bad');
   t.deepEqual([reply.body, reply.isEnded, reply.isAborted], [EVENT_1, false, true]);
 });
@@ -158,7 +184,7 @@
   const { handlers } = world.attempts[0]!;
   handlers.onHead({ status: 200, rawHeaders: [], headers: {} });
   handlers.onData(Buffer.from(EVENT_1));
-  handlers.onFailure({ mayHaveRun: true, detail: 'reset' });
+  handlers.onFailure(RESET);
   world.answer(1, 500, 'bad');
   world.answer(2, 200, EVENT_2);
   t.deepEqual([reply.body, reply.isEnded], [EVENT_1 + EVENT_2, true]);
