Agents tell gateways when their engine is gone, and let one that fails everything rest

Cause: an engine that crashed, or that breaks off whatever it is given, frees its slots at once and so is granted more requests than any other. Change: a failed request stops the grants of its engine until its agent has looked at the engine's report; a closed port, or two looks without an answer, closes the engine for all gateways at once, and they end their resting connections to it; eight failures in a row (whatever the report says) let it rest for 300 ms to 1 s, and then one request tries it, one that may be run again where there is one. While requests are at work an engine is looked at each 300 ms, since one that falls silent breaks no connection. A 421 says nothing of the process that is at the address.

--- a/src/cli/queries/explain-logs.ts
+++ b/src/cli/queries/explain-logs.ts
@@ -32,6 +32,7 @@
   'configuration-installed',
   'backend-gone',
   'backend-ejected',
+  'backend-availability',
   'agent-lost',
   'peer-gone',
 ]);
--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -184,7 +184,7 @@
   private dropRefused(isMisdirected: boolean): void {
     const backendId = this.backend!.id;
     const detail = isMisdirected ? 'another one is at its address' : 'it did not run the request';
-    this.dropAttempt(isMisdirected ? 'failed' : 'refused', detail);
+    this.dropAttempt('refused', detail);
     if (isMisdirected) {
       this.attempts -= 1;
       this.ports.directory.noteMisdirected(backendId);
--- a/src/gateway/attempt/request-wait.ts
+++ b/src/gateway/attempt/request-wait.ts
@@ -5,6 +5,7 @@
 import type { TimerHandle } from '../../clock.js';
 import type { DispatchRequest } from '../dispatch/dispatch-request.js';
 import type { AcceptedRequest, RequestOptions, RequestPorts } from './request-model.js';
+import { isRepeatable } from '../../routing/configuration.js';
 import { worthOfWaiting } from './waiting-worth.js';
 import type { WaitOutlook } from './waiting-worth.js';
 
@@ -50,6 +51,7 @@
       promptTokens,
       firstDueAtMs,
       maxPauseMs: route.maxPauseMs,
+      isRepeatable: isRepeatable(route),
       excluded,
       onPlaced: (backend, nowMs) => {
         this.end();
--- a/src/gateway/dispatch/backend-chooser.ts
+++ b/src/gateway/dispatch/backend-chooser.ts
@@ -38,12 +38,16 @@
   choose(request: DispatchRequest, nowMs: number): KnownBackend | undefined {
     const permitted = this.candidates(request, nowMs);
     const usual = usualSpeed(permitted);
+    const hasProven = permitted.some((known) => !known.isOnTrial);
     let best: KnownBackend | undefined;
     let bestCost = Infinity;
     for (const known of permitted) {
       if (!this.hasRoom(known, nowMs) || this.harms(request, known, known.occupied)) {
         continue;
       }
+      if (known.isOnTrial && !request.isRepeatable && hasProven) {
+        continue;
+      }
       const cost = costOf(request, known, usual, nowMs);
       if (cost < bestCost) {
         best = known;
@@ -58,8 +62,23 @@
     return this.directory.ofService(service).some((known) => this.hasRoom(known, nowMs));
   }
 
-  /** Whether a slot that was granted may be used for the request. */
-  fitsGrant(request: DispatchRequest, known: KnownBackend): boolean {
+  /**
+   * The request of those that wait, first in order first, for which a slot that was granted is used; undefined
+   * if there is none. A back end on trial gets one that may be run again elsewhere, or the last in order.
+   */
+  chooseForGrant(
+    queue: readonly DispatchRequest[],
+    known: KnownBackend,
+  ): DispatchRequest | undefined {
+    const fitting = (request: DispatchRequest) => this.fitsGrant(request, known);
+    if (!known.isOnTrial) {
+      return queue.find(fitting);
+    }
+    const repeatable = queue.find((request) => request.isRepeatable && fitting(request));
+    return repeatable ?? queue.filter(fitting).at(-1);
+  }
+
+  private fitsGrant(request: DispatchRequest, known: KnownBackend): boolean {
     const isExcluded = request.excluded.has(known.backend.id);
     return !isExcluded && !this.harms(request, known, known.occupied - 1);
   }
@@ -81,7 +100,9 @@
     if (ready.length === 0) {
       return permitted.filter((known) => this.isUnlistedLately(known, nowMs));
     }
-    const healthy = ready.filter((known) => !known.health.isEjected(nowMs));
+    const healthy = ready.filter(
+      (known) => known.availability !== 'closed' && !known.health.isEjected(nowMs),
+    );
     const assigned = healthy.filter((known) => known.isAssigned);
     if (assigned.length > 0) {
       return assigned;
--- a/src/gateway/dispatch/dispatch-request.ts
+++ b/src/gateway/dispatch/dispatch-request.ts
@@ -13,6 +13,8 @@
   readonly firstDueAtMs: number;
   /** Longest pause between events that is in time, in milliseconds; 0 for no bound. */
   readonly maxPauseMs: number;
+  /** Whether it may be run again elsewhere after a failure. */
+  readonly isRepeatable: boolean;
   /** Back ends that must not be used. */
   readonly excluded: ReadonlySet<string>;
   /** Called once, when a back end is bound. */
--- a/src/gateway/dispatch/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -11,9 +11,10 @@
 import type { BackendDirectory } from './backend-directory.js';
 import type { Backend } from '../../routing/backend.js';
 import type { SlotAnswer, SlotMessage } from '../../slot-agent/slot-messages.js';
+import type { EngineAvailability } from '../../slot-agent/engine-watch.js';
 import type { AttemptOutcome } from './backend-health.js';
 import type { DispatchRequest } from './dispatch-request.js';
-import type { KnownBackend } from './known-backend.js';
+import type { KnownBackend, SlotAgentLink } from './known-backend.js';
 import { nextDemand } from './slot-demand.js';
 import { ServiceQueue } from './service-queue.js';
 
@@ -36,6 +37,8 @@
   sendToAgent(backendId: string, message: SlotMessage): void;
   /** A back end was ejected for its failures. */
   onEjected(backendId: string): void;
+  /** The agent beside a back end says whether it may be used. */
+  onAvailability(backend: Backend, availability: EngineAvailability): void;
 }
 
 /** How long requests of a service are expected to wait. */
@@ -128,12 +131,15 @@
     this.directory.find(backendId)?.learnSpeed(units, elapsedMs);
   }
 
-  /** Learns how fast a back end reads prompts. */
+  /** The first event came; learns how fast a back end reads prompts. */
   learnFirst(backendId: string, promptTokens: number, firstMs: number): void {
     const known = this.directory.find(backendId);
     if (known === undefined) {
       return;
     }
+    if (known.availability === 'trial') {
+      this.sendToAgent(backendId, known, { kind: 'proven' });
+    }
     const wasKnown = known.speed.isKnown;
     known.speed.learnFirst(promptTokens, firstMs);
     if (!wasKnown && known.speed.isKnown) {
@@ -159,6 +165,7 @@
       grantsSeen: 0,
       lastDemand: '',
       failureShare: 0,
+      availability: 'open',
     };
     this.tellDemand(known.backend.service, nowMs);
   }
@@ -182,6 +189,7 @@
     if (message.kind === 'state') {
       known.agent.occupied = message.occupied;
       known.agent.failureShare = message.failureShare;
+      this.noteAvailability(known, known.agent, message.availability);
       known.adopt(message.speed);
       const { messagesSeen } = message;
       known.agent.takenUnseen = known.agent.takenUnseen.filter((number) => number > messagesSeen);
@@ -199,12 +207,26 @@
     }
   }
 
+  private noteAvailability(
+    known: KnownBackend,
+    agent: SlotAgentLink,
+    availability: EngineAvailability,
+  ): void {
+    if (agent.availability === availability) {
+      return;
+    }
+    agent.availability = availability;
+    if (availability === 'open') {
+      known.health.forget();
+    }
+    this.ports.onAvailability(known.backend, availability);
+  }
+
   private useGrant(backendId: string, known: KnownBackend, nowMs: number): void {
     const queue = this.waitingInOrder(known.backend.service, nowMs);
-    const isUsable = known.isReady && !known.health.isEjected(nowMs);
-    const request = isUsable
-      ? queue.find((candidate) => this.chooser.fitsGrant(candidate, known))
-      : undefined;
+    const isUsable =
+      known.isReady && known.availability !== 'closed' && !known.health.isEjected(nowMs);
+    const request = isUsable ? this.chooser.chooseForGrant(queue, known) : undefined;
     if (request === undefined) {
       this.sendToAgent(backendId, known, { kind: 'grant-returned' });
       return;
--- a/src/gateway/dispatch/known-backend.ts
+++ b/src/gateway/dispatch/known-backend.ts
@@ -1,5 +1,6 @@
 /** What a gateway knows of one back end: its announcement, its health, its speed and its slots. */
 import type { Backend } from '../../routing/backend.js';
+import type { EngineAvailability } from '../../slot-agent/engine-watch.js';
 import type { LearnedSpeed } from '../../slot-agent/slot-messages.js';
 import { FailureEstimate } from '../../slot-agent/failure-estimate.js';
 import { BackendHealth } from './backend-health.js';
@@ -26,6 +27,8 @@
   lastDemand: string;
   /** Share of the requests of all gateways that failed there lately, as the agent told last. */
   failureShare: number;
+  /** Whether the engine may be used, as the agent told last. */
+  availability: EngineAvailability;
 }
 
 /** One back end as a gateway knows it. */
@@ -79,6 +82,16 @@
     return this.isCurrent && this.backend.state === 'ready';
   }
 
+  /** Whether it may be used, as its agent says; open where none does. */
+  get availability(): EngineAvailability {
+    return this.agent?.availability ?? 'open';
+  }
+
+  /** Whether the next request there shows if it answers again: none that may run only once is risked. */
+  get isOnTrial(): boolean {
+    return this.availability === 'trial' || this.health.isProbing;
+  }
+
   /** Whether its agent was told that requests wait. */
   get hasDemand(): boolean {
     return this.agent !== undefined && this.agent.lastDemand !== '';
--- a/src/gateway/dispatch/slot-room.ts
+++ b/src/gateway/dispatch/slot-room.ts
@@ -15,7 +15,7 @@
 
 /** Whether `known` has room for another request of this gateway. */
 export function hasRoom(known: KnownBackend, inputs: RoomInputs, nowMs: number): boolean {
-  if (known.health.isProbing && known.outstanding > 0) {
+  if (known.availability === 'closed' || (known.isOnTrial && known.outstanding > 0)) {
     return false;
   }
   if (known.agent !== undefined || !inputs.isEngine) {
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -4,6 +4,8 @@
 import type { Clock } from '../clock.js';
 import type { RandomSource } from '../random.js';
 import { err } from '../result.js';
+import type { Backend } from '../routing/backend.js';
+import type { EngineAvailability } from '../slot-agent/engine-watch.js';
 import type { RoutingConfiguration } from '../routing/configuration.js';
 import { ConfigurationInForce } from './configuration-in-force.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
@@ -92,6 +94,7 @@
     this.dispatcher = new Dispatcher(this.directory, {
       sendToAgent: (backendId, message) => this.links.send(backendId, message),
       onEjected: (backendId) => parts.log.write('backend-ejected', 'state', { backend: backendId }),
+      onAvailability: (backend, availability) => this.noteAvailability(backend, availability),
       isEngine,
       countGateways: () => this.cluster.size,
       tokensPerEvent: (service) => this.configuration.tokensPerEvent(service),
@@ -271,6 +274,13 @@
     }
   }
 
+  private noteAvailability({ id, address }: Backend, availability: EngineAvailability): void {
+    this.parts.log.write('backend-availability', 'state', { backend: id, availability });
+    if (availability === 'closed') {
+      this.sender.endResting(address);
+    }
+  }
+
   private install(configuration: RoutingConfiguration, revision: number): void {
     if (!this.configuration.install(configuration)) {
       return;
--- a/src/model/model-agent.ts
+++ b/src/model/model-agent.ts
@@ -2,10 +2,14 @@
 import type { Clock } from '../clock.js';
 import { DEFAULT_SLOT_AGENT_OPTIONS } from '../slot-agent/slot-agent-role.js';
 import type { GatewaySilenceOptions } from '../slot-agent/gateway-account.js';
+import type { EngineReading } from '../slot-agent/engine-watch.js';
 import { SlotLedger } from '../slot-agent/slot-ledger.js';
 import type { SlotAnswer, SlotMessage } from '../slot-agent/slot-messages.js';
 import type { BatchEngine } from './batch-engine.js';
 
+/** Time of a look at the engine on the same machine, in milliseconds. */
+const LOOK_MS = 1;
+
 /** A gateway's end of a connection to an agent. */
 export interface AgentPeer {
   /** Takes a message of the agent. */
@@ -34,6 +38,8 @@
         onGranted: () => undefined,
         onChangesToTell: () => clock.setTimeout(() => this.ledger.tellChanges(clock.now()), tellMs),
         onReconciled: () => undefined,
+        onLookWanted: () => clock.setTimeout(() => this.lookAtEngine(), LOOK_MS),
+        onAvailability: () => undefined,
       },
       gatewaySilence,
     );
@@ -71,10 +77,14 @@
   private lookAtEngine(): void {
     const nowMs = this.clock.now();
     if (this.ledger.needsReport(nowMs)) {
-      this.ledger.reconcile(this.engine.load, nowMs);
+      this.ledger.takeReading(this.readEngine(), nowMs);
     }
   }
 
+  private readEngine(): EngineReading {
+    return this.engine.isUp ? { kind: 'load', requests: this.engine.load } : { kind: 'closed' };
+  }
+
   private repeat(periodMs: number, action: () => void): void {
     this.clock.setTimeout(() => {
       action();
--- a/src/model/model-gateway.ts
+++ b/src/model/model-gateway.ts
@@ -78,6 +78,7 @@
     this.dispatcher = new Dispatcher(this.directory, {
       sendToAgent: (backendId, message) => this.senders.get(backendId)?.(message),
       onEjected: () => undefined,
+      onAvailability: () => undefined,
       isEngine: () => true,
       countGateways: () => parts.countGateways(),
       tokensPerEvent: () => parts.tokensPerEvent,
--- a/src/routing/configuration.ts
+++ b/src/routing/configuration.ts
@@ -38,6 +38,11 @@
   readonly services: readonly WeightedService[];
 }
 
+/** Whether a request of the route may be run again at another back end after a failure. */
+export function isRepeatable({ kind, isResumable, maxAttempts }: Route): boolean {
+  return maxAttempts > 1 && (kind === 'safe' || (kind === 'stream' && isResumable));
+}
+
 /** A group of back ends that serve the same requests. */
 export interface Service {
   readonly name: string;
--- a/src/slot-agent/slot-agent-instruments.ts
+++ b/src/slot-agent/slot-agent-instruments.ts
@@ -34,6 +34,12 @@
     help: 'Reports that the engine did not give',
     registers: [this.registry],
   });
+  readonly engineChanges = new Counter({
+    name: 'weirvale_engine_changes_total',
+    help: 'Changes of whether gateways may use the engine, by what it was changed to',
+    labelNames: ['availability'],
+    registers: [this.registry],
+  });
 
   constructor(read: () => SlotAgentSnapshot) {
     this.gauge('weirvale_slots', 'Slots of the engine', () => read().slots);
--- a/src/slot-agent/slot-agent-role.ts
+++ b/src/slot-agent/slot-agent-role.ts
@@ -9,21 +9,27 @@
 import { DEFAULT_PEER_MESH_OPTIONS, PeerMesh } from '../cluster/peer-mesh.js';
 import { RecordExchange } from '../cluster/record-exchange.js';
 import { ReplicatedRecords } from '../cluster/replicated-records.js';
-import type { Clock } from '../clock.js';
+import type { Clock, TimerHandle } from '../clock.js';
 import { MessageChannel } from '../protocol/message-channel.js';
 import type { RandomSource } from '../random.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { SlotAgentMetrics } from './slot-agent-metrics.js';
+import type { EngineAvailability, EngineReading } from './engine-watch.js';
 import { SlotLedger } from './slot-ledger.js';
 import type { AgentRefusal, AgentToGateway, GatewayToAgent, SlotMessage } from './slot-messages.js';
 
-/** Reads how many requests run or wait at the engine; undefined when it does not answer. */
-export type EngineReport = () => Promise<number | undefined>;
+/** Looks at the engine's own report; ends soon, whatever the engine does. */
+export type EngineReport = () => Promise<EngineReading>;
 
 /** Times of an agent, in milliseconds. */
 export interface SlotAgentOptions {
-  /** Pause between two looks at the report while slots are unaccounted for. Default 60. */
+  /** Pause between two looks at the report while slots are unaccounted for, or the engine is gone. Default 60. */
   readonly reportMs: number;
+  /**
+   * Pause between two looks while requests are at work there or wait, in milliseconds: an engine that
+   * falls silent breaks no connection. Default 300.
+   */
+  readonly watchMs: number;
   /** Pause between two messages that show that the agent lives. Default 300. */
   readonly beatMs: number;
   /**
@@ -78,6 +84,7 @@
 /** Defaults of an agent. */
 export const DEFAULT_SLOT_AGENT_OPTIONS: SlotAgentOptions = {
   reportMs: 60,
+  watchMs: 300,
   beatMs: 300,
   tellMs: 250,
   silenceCheckMs: 50,
@@ -94,6 +101,8 @@
   private readonly mesh: PeerMesh;
   private nextConnection = 1;
   private isLooking = false;
+  private lookTimer: TimerHandle | undefined;
+  private lookDueAtMs = Infinity;
   private isChecking = false;
   private isStopped = false;
 
@@ -109,6 +118,8 @@
       onChangesToTell: () =>
         clock.setTimeout(() => this.ledger.tellChanges(clock.now()), this.options.tellMs),
       onReconciled: (slots) => this.noteReconciled(slots),
+      onLookWanted: () => this.lookIn(0),
+      onAvailability: (availability) => this.noteAvailability(availability),
     });
     this.server = createServer((socket) => this.accept(socket));
     this.exchange = new RecordExchange(
@@ -187,6 +198,14 @@
     this.parts.log.write('slots-reconciled', 'state', { freed: slots, ...this.ledger.snapshot });
   }
 
+  private noteAvailability(availability: EngineAvailability): void {
+    this.parts.metrics.record(({ engineChanges }) => engineChanges.inc({ availability }));
+    this.parts.log.write('engine-availability', 'state', {
+      availability,
+      ...this.ledger.snapshot,
+    });
+  }
+
   private receive(connection: number, message: GatewayToAgent): void {
     if (message.kind === 'records') {
       this.exchange.receive(message);
@@ -211,6 +230,7 @@
       this.parts.log.write('gateway-connected', 'state', this.ledger.describe(connection));
     }
     this.checkWhileNeeded();
+    this.lookWhileNeeded();
   }
 
   /** Ends a connection; a gateway that still lives learns why. */
@@ -246,24 +266,36 @@
     this.clock.setTimeout(() => this.beat(), this.options.beatMs);
   }
 
+  /** Goes on looking at the engine, often while something is to be found out, now and then while it works. */
   private lookWhileNeeded(): void {
-    const isNeeded = this.ledger.needsReport(this.clock.now());
-    if (this.isStopped || this.isLooking || !isNeeded) {
+    if (this.ledger.needsReport(this.clock.now())) {
+      this.lookIn(this.options.reportMs);
+    } else if (this.ledger.expectsGateways) {
+      this.lookIn(this.options.watchMs);
+    }
+  }
+
+  /** Looks at the engine after `delayMs`, or sooner where that is planned. */
+  private lookIn(delayMs: number): void {
+    const dueAtMs = this.clock.now() + delayMs;
+    if (this.isStopped || this.isLooking || this.lookDueAtMs <= dueAtMs) {
       return;
     }
-    this.isLooking = true;
-    this.clock.setTimeout(() => void this.look(), this.options.reportMs);
+    this.clock.clearTimeout(this.lookTimer);
+    this.lookDueAtMs = dueAtMs;
+    this.lookTimer = this.clock.setTimeout(() => void this.look(), delayMs);
   }
 
   private async look(): Promise<void> {
-    const requestsAtEngine = await this.parts.readReport();
-    if (requestsAtEngine === undefined) {
+    this.isLooking = true;
+    this.lookDueAtMs = Infinity;
+    const reading = await this.parts.readReport();
+    this.isLooking = false;
+    if (reading.kind !== 'load') {
       this.parts.metrics.record(({ reportsFailed }) => reportsFailed.inc());
-    } else {
-      this.ledger.reconcile(requestsAtEngine, this.clock.now());
-      this.checkWhileNeeded();
     }
-    this.isLooking = false;
+    this.ledger.takeReading(reading, this.clock.now());
+    this.checkWhileNeeded();
     this.lookWhileNeeded();
   }
 }
--- a/src/slot-agent/slot-ledger.ts
+++ b/src/slot-agent/slot-ledger.ts
@@ -8,6 +8,8 @@
  * what it held stays occupied only as long as the back end's own report shows
  * requests that no connected gateway accounts for.
  */
+import { EngineWatch } from './engine-watch.js';
+import type { EngineAvailability, EngineReading } from './engine-watch.js';
 import { FailureEstimate } from './failure-estimate.js';
 import { DEFAULT_GATEWAY_SILENCE_OPTIONS, GatewayAccount } from './gateway-account.js';
 import type { GatewaySilenceOptions } from './gateway-account.js';
@@ -25,6 +27,10 @@
   onChangesToTell(): void;
   /** Slots that were thought to be taken were found free by the report of the back end. */
   onReconciled(slots: number): void;
+  /** A request failed: the back end is to be looked at now. */
+  onLookWanted(): void;
+  /** Whether gateways may use the back end changed. */
+  onAvailability(availability: EngineAvailability): void;
 }
 
 /**
@@ -48,14 +54,20 @@
   private isTellingPlanned = false;
   private speed: LearnedSpeed = {};
   private readonly failures = new FailureEstimate();
+  private readonly engine = new EngineWatch();
 
   constructor(
     private readonly ports: SlotLedgerPorts,
     private readonly silence: GatewaySilenceOptions = DEFAULT_GATEWAY_SILENCE_OPTIONS,
   ) {}
 
-  /** Whether the back end's report is needed to find out what runs there. */
+  /** Whether the back end's report is needed to find out something that is not known. */
   needsReport(nowMs: number): boolean {
+    return this.engine.needsLook || this.needsReconciliation(nowMs);
+  }
+
+  /** Whether something may run there that no connected gateway accounts for. */
+  private needsReconciliation(nowMs: number): boolean {
     for (const [name, untilMs] of this.goneUntilMs) {
       if (nowMs > untilMs) {
         this.goneUntilMs.delete(name);
@@ -136,15 +148,25 @@
     this.tellIfChanged(nowMs);
   }
 
+  /** Takes in what a look at the back end brought. */
+  takeReading(reading: EngineReading, nowMs: number): void {
+    const before = this.engine.availability;
+    this.engine.noteReading(reading, nowMs);
+    this.tellAvailability(before, nowMs);
+    if (reading.kind === 'load' && this.needsReconciliation(nowMs)) {
+      this.reconcile(reading.requests);
+    }
+    this.grant(nowMs);
+    this.tellIfChanged(nowMs);
+  }
+
   /** Takes in the back end's own count of requests that run or wait there. */
-  reconcile(requestsAtBackend: number, nowMs: number): void {
+  private reconcile(requestsAtBackend: number): void {
     const before = this.unaccounted;
     this.unaccounted = Math.max(0, requestsAtBackend - this.held);
     if (this.unaccounted < before) {
       this.ports.onReconciled(before - this.unaccounted);
     }
-    this.grant(nowMs);
-    this.tellIfChanged(nowMs);
   }
 
   private admit(connection: number, hello: SlotHello, nowMs: number): void {
@@ -190,15 +212,46 @@
         break;
       case 'released':
         account.release();
-        if (message.hasFailed !== undefined) {
-          this.failures.note(message.hasFailed, nowMs);
-        }
+        this.noteOutcome(message.hasFailed, nowMs);
+        break;
+      case 'proven':
+        this.noteProven(nowMs);
         break;
       case 'alive':
         break;
     }
   }
 
+  private noteOutcome(hasFailed: boolean | undefined, nowMs: number): void {
+    if (hasFailed === undefined) {
+      return;
+    }
+    this.failures.note(hasFailed, nowMs);
+    if (!hasFailed) {
+      this.noteProven(nowMs);
+      return;
+    }
+    const before = this.engine.availability;
+    this.engine.noteFailure(nowMs);
+    this.ports.onLookWanted();
+    this.tellAvailability(before, nowMs);
+  }
+
+  private noteProven(nowMs: number): void {
+    const before = this.engine.availability;
+    this.engine.noteAnswer();
+    this.tellAvailability(before, nowMs);
+  }
+
+  /** Gateways learn at once whether they may use the back end. */
+  private tellAvailability(before: EngineAvailability, nowMs: number): void {
+    const { availability } = this.engine;
+    if (availability !== before) {
+      this.ports.onAvailability(availability);
+      this.tellAll(nowMs);
+    }
+  }
+
   /** What is learned first is told at once; what changes later goes with the next count. */
   private learnSpeed(speed: LearnedSpeed): void {
     const isNew = this.speed.prefill === undefined && speed.prefill !== undefined;
@@ -209,7 +262,7 @@
   }
 
   private grant(nowMs: number): void {
-    while (this.occupied < this.slots) {
+    while (this.occupied < this.grantableSlots) {
       const next = this.findFirstWaiting(nowMs);
       if (next === undefined) {
         return;
@@ -221,6 +274,15 @@
     }
   }
 
+  /** Slots that may be taken now; whatever is taken beyond runs on. */
+  private get grantableSlots(): number {
+    const { availability, isSuspect } = this.engine;
+    if (availability === 'closed' || isSuspect) {
+      return 0;
+    }
+    return availability === 'trial' ? 1 : this.slots;
+  }
+
   private findFirstWaiting(nowMs: number): [number, GatewayAccount] | undefined {
     let best: [number, GatewayAccount] | undefined;
     for (const entry of this.accounts) {
@@ -296,6 +358,7 @@
       messagesSeen: account.messagesSeen,
       speed,
       failureShare: this.failures.share(nowMs),
+      availability: this.engine.availability,
     });
   }
 }
--- a/src/slot-agent/slot-messages.ts
+++ b/src/slot-agent/slot-messages.ts
@@ -1,4 +1,5 @@
 /** What gateways and slot agents say to each other. */
+import type { EngineAvailability } from './engine-watch.js';
 import type { RecordsAnswer, RecordsFetch, RecordsRevision } from '../cluster/record-exchange.js';
 
 /** What gives a waiting request its place in the order; times are relative, since clocks differ. */
@@ -44,6 +45,11 @@
   readonly hasFailed?: boolean;
 }
 
+/** The engine on trial has begun to answer. */
+export interface EngineProven {
+  readonly kind: 'proven';
+}
+
 /** The gateway bound a request to the oldest grant that it had not answered. */
 export interface GrantUsed {
   readonly kind: 'grant-used';
@@ -86,6 +92,7 @@
   | SlotDemand
   | SlotTaken
   | SlotReleased
+  | EngineProven
   | GrantUsed
   | GrantReturned
   | GatewayAlive
@@ -109,6 +116,8 @@
   readonly speed: LearnedSpeed;
   /** Share of the requests of all gateways that failed there lately, from 0 to 1. */
   readonly failureShare: number;
+  /** Whether the engine may be used, as the agent beside it sees. */
+  readonly availability: EngineAvailability;
 }
 
 /** Anything that an agent says of slots. */
--- a/test/dispatcher.test.ts
+++ b/test/dispatcher.test.ts
@@ -18,7 +18,14 @@
   world.dispatcher.connectAgent('a', 0);
   world.dispatcher.receiveFromAgent(
     'a',
-    { kind: 'state', failureShare: 0, occupied: 2, messagesSeen: 0, speed: {} },
+    {
+      kind: 'state',
+      failureShare: 0,
+      availability: 'open',
+      occupied: 2,
+      messagesSeen: 0,
+      speed: {},
+    },
     0,
   );
   return world;
@@ -94,7 +101,14 @@
   world.request({ route: SECOND });
   world.dispatcher.receiveFromAgent(
     'a',
-    { kind: 'state', failureShare: 0, occupied: 1, messagesSeen: 1, speed: {} },
+    {
+      kind: 'state',
+      failureShare: 0,
+      availability: 'open',
+      occupied: 1,
+      messagesSeen: 1,
+      speed: {},
+    },
     0,
   );
   world.request({ route: SECOND });
@@ -187,7 +201,7 @@
     const speed = { prefill: { baseMs: 6, msPerToken } };
     world.dispatcher.receiveFromAgent(
       id,
-      { kind: 'state', failureShare: 0, occupied: 0, messagesSeen: 0, speed },
+      { kind: 'state', failureShare: 0, availability: 'open', occupied: 0, messagesSeen: 0, speed },
       0,
     );
   }
@@ -203,7 +217,7 @@
   const speed = { prefill: { baseMs: 6, msPerToken: 0.09 }, eventMs: 50 };
   world.dispatcher.receiveFromAgent(
     'a',
-    { kind: 'state', failureShare: 0, occupied: 1, messagesSeen: 0, speed },
+    { kind: 'state', failureShare: 0, availability: 'open', occupied: 1, messagesSeen: 0, speed },
     0,
   );
   world.request({ route, promptTokens: 4_000, path: '/long' });
@@ -236,6 +250,7 @@
     promptTokens: 0,
     firstDueAtMs: 0,
     maxPauseMs: 0,
+    isRepeatable: false,
     excluded: new Set<string>(),
     onPlaced: () => undefined,
   };
@@ -253,7 +268,7 @@
   const tell = (id: string, msPerToken: number, failureShare: number) =>
     world.dispatcher.receiveFromAgent(
       id,
-      { ...state, speed: speedOf(msPerToken), failureShare },
+      { ...state, speed: speedOf(msPerToken), failureShare, availability: 'open' },
       0,
     );
   const route = routeOf({ kind: 'stream', targetLatencyMs: 1_000 });
@@ -278,3 +293,56 @@
   await world.clock.runUntil(12_000);
   t.true(failing.failureShare(12_000) < 0.05);
 });
+
+test('an engine whose agent says that it is gone gets nothing until it is back', (t) => {
+  const world = new GatewayWorld(backendOf('a'));
+  world.engines = true;
+  world.dispatcher.connectAgent('a', 0);
+  const state = {
+    kind: 'state',
+    failureShare: 0,
+    occupied: 0,
+    messagesSeen: 0,
+    speed: {},
+  } as const;
+  world.dispatcher.receiveFromAgent('a', { ...state, availability: 'closed' }, 0);
+  world.request();
+  t.is(world.attempts.length, 0);
+  world.dispatcher.receiveFromAgent('a', { ...state, availability: 'open' }, 0);
+  t.is(world.attempts.length, 1);
+});
+
+test('an engine on trial is tried by a request that may be run again elsewhere', (t) => {
+  const world = new GatewayWorld(backendOf('failing'), backendOf('busy', { slots: 1 }));
+  world.engines = true;
+  const state = {
+    kind: 'state',
+    failureShare: 0,
+    occupied: 0,
+    messagesSeen: 0,
+    speed: {},
+  } as const;
+  for (const id of ['failing', 'busy']) {
+    world.dispatcher.connectAgent(id, 0);
+  }
+  world.dispatcher.receiveFromAgent('failing', { ...state, availability: 'trial' }, 0);
+  world.dispatcher.receiveFromAgent('busy', { ...state, occupied: 1, availability: 'open' }, 0);
+  world.request({ route: FIRST, path: '/once' });
+  t.is(world.attempts.length, 0);
+  world.request({ path: '/repeatable' });
+  t.deepEqual(usedBackends(world), ['failing']);
+  t.is(world.attempts[0]!.path, '/repeatable');
+});
+
+test('a grant of an engine on trial goes to a repeatable request, or to the last in order', (t) => {
+  const world = worldWithFullEngine();
+  const state = { kind: 'state', failureShare: 0, messagesSeen: 0, speed: {} } as const;
+  world.dispatcher.receiveFromAgent('a', { ...state, occupied: 2, availability: 'trial' }, 0);
+  world.request({ route: FIRST, path: '/first' });
+  world.request({ route: SECOND, path: '/second' });
+  world.dispatcher.receiveFromAgent('a', { kind: 'granted' }, 0);
+  t.is(world.attempts[0]!.path, '/second');
+  world.request({ path: '/repeatable' });
+  world.dispatcher.receiveFromAgent('a', { kind: 'granted' }, 0);
+  t.is(world.attempts[1]!.path, '/repeatable');
+});
--- a/test/proxied-request.test.ts
+++ b/test/proxied-request.test.ts
@@ -83,6 +83,15 @@
   t.true(reply.headers.includes('retry-after-ms'));
 });
 
+test('a request that found another process at the address says nothing of how that one is', (t) => {
+  const world = twoBackends();
+  world.engines = true;
+  world.dispatcher.connectAgent('a', 0);
+  world.request({ route: UNSAFE });
+  world.answer(0, 421, '', { 'not-run': '1' });
+  t.deepEqual(world.toAgents.at(-1), ['a', { kind: 'released', hasFailed: undefined }]);
+});
+
 test('an answer with the id of another request is never passed on', (t) => {
   const world = twoBackends();
   const { reply } = world.request({ route: UNSAFE });
--- a/test/replica.test.ts
+++ b/test/replica.test.ts
@@ -143,7 +143,7 @@
   const seeds = [`${HOST}:${gatewayPort}`];
   const agent = new SlotAgentRole({
     identity: { name: 'agent', seeds },
-    readReport: () => Promise.resolve(0),
+    readReport: () => Promise.resolve({ kind: 'load', requests: 0 }),
     clock: SYSTEM_CLOCK,
     random: new SeededRandom(2),
     log: new DecisionLog({ role: 'slot-agent', process: 'agent', zone: 'z' }, 0, SYSTEM_CLOCK),
--- a/test/slot-agent-role.test.ts
+++ b/test/slot-agent-role.test.ts
@@ -29,7 +29,7 @@
   const agent = new SlotAgentRole(
     {
       identity: { name: 'agent', seeds: [] },
-      readReport: () => Promise.resolve(requestsAtEngine()),
+      readReport: () => Promise.resolve({ kind: 'load', requests: requestsAtEngine() }),
       clock: SYSTEM_CLOCK,
       random: new SeededRandom(1),
       log: new DecisionLog({ role: 'slot-agent', process: 'agent', zone: 'z' }, 0, SYSTEM_CLOCK),
--- a/test/slot-ledger.test.ts
+++ b/test/slot-ledger.test.ts
@@ -5,12 +5,15 @@
 class Agent {
   readonly sent: Array<[number, AgentToGateway]> = [];
   reconciled = 0;
+  looksWanted = 0;
   plannedTellings = 0;
   readonly ledger = new SlotLedger({
     send: (connection, message) => this.sent.push([connection, message]),
     onGranted: () => undefined,
     onChangesToTell: () => (this.plannedTellings += 1),
     onReconciled: (slots) => (this.reconciled += slots),
+    onLookWanted: () => (this.looksWanted += 1),
+    onAvailability: () => undefined,
   });
 
   admit(connection: number, held = 0, slots = 2): void {
@@ -38,6 +41,14 @@
     );
   }
 
+  /** What gateways were told last of whether they may use the engine. */
+  toldAvailability(): string | undefined {
+    const told = this.sent.flatMap(([, message]) =>
+      message.kind === 'state' ? [message.availability] : [],
+    );
+    return told.at(-1);
+  }
+
   grants(): number[] {
     return this.sent.flatMap(([to, message]) => (message.kind === 'granted' ? [to] : []));
   }
@@ -81,7 +92,7 @@
   agent.demand(2, [0]);
   t.true(agent.ledger.needsReport(0));
   t.deepEqual(agent.grants(), []);
-  agent.ledger.reconcile(1, 1_000);
+  agent.ledger.takeReading({ kind: 'load', requests: 1 }, 1_000);
   t.deepEqual(agent.grants(), [2]);
 });
 
@@ -100,7 +111,14 @@
   agent.hear(1, { kind: 'taken' });
   t.deepEqual(agent.sent.at(-1), [
     1,
-    { kind: 'state', occupied: 1, messagesSeen: 1, speed: {}, failureShare: 0 },
+    {
+      kind: 'state',
+      occupied: 1,
+      messagesSeen: 1,
+      speed: {},
+      failureShare: 0,
+      availability: 'open',
+    },
   ]);
 });
 
@@ -174,9 +192,9 @@
   agent.admit(1, 1, 4);
   agent.admit(2, 1, 4);
   agent.ledger.disconnect(1, 0);
-  agent.ledger.reconcile(3, 100);
+  agent.ledger.takeReading({ kind: 'load', requests: 3 }, 100);
   t.is(agent.ledger.occupied, 3);
-  agent.ledger.reconcile(1, 200);
+  agent.ledger.takeReading({ kind: 'load', requests: 1 }, 200);
   t.is(agent.ledger.occupied, 1);
   t.is(agent.reconciled, 2);
   t.true(agent.ledger.needsReport(5_000));
@@ -260,3 +278,72 @@
   );
   t.is(shares.at(-1), 2 / 7);
 });
+
+test('a failed request stops the grants until a look shows that the engine is there', (t) => {
+  const agent = new Agent();
+  agent.admit(1, 1, 1);
+  agent.demand(1, [0]);
+  agent.hear(1, { kind: 'released', hasFailed: true });
+  t.is(agent.looksWanted, 1);
+  t.deepEqual(agent.grants(), []);
+  agent.ledger.takeReading({ kind: 'load', requests: 0 }, 10);
+  t.deepEqual(agent.grants(), [1]);
+});
+
+test('gateways are told at once that an engine crashed, and that it is back', (t) => {
+  const agent = new Agent();
+  agent.admit(1, 1, 1);
+  agent.demand(1, [0]);
+  agent.hear(1, { kind: 'released', hasFailed: true });
+  agent.ledger.takeReading({ kind: 'closed' }, 10);
+  t.is(agent.toldAvailability(), 'closed');
+  t.true(agent.ledger.needsReport(20));
+  t.deepEqual(agent.grants(), []);
+  agent.ledger.takeReading({ kind: 'load', requests: 0 }, 70);
+  t.is(agent.toldAvailability(), 'open');
+  t.deepEqual(agent.grants(), [1]);
+});
+
+test('one look without an answer says nothing, two say that the engine is gone', (t) => {
+  const agent = new Agent();
+  agent.admit(1, 1, 1);
+  agent.ledger.takeReading({ kind: 'silent' }, 10);
+  t.is(agent.toldAvailability(), 'open');
+  agent.ledger.takeReading({ kind: 'silent' }, 70);
+  t.is(agent.toldAvailability(), 'closed');
+});
+
+test('an engine that fails all it is given rests, whatever its report says, and is tried with one request', (t) => {
+  const agent = new Agent();
+  agent.admit(1, 8, 8);
+  agent.demand(1, [0, 0, 0]);
+  for (let index = 0; index < 8; index += 1) {
+    agent.hear(1, { kind: 'released', hasFailed: true }, 0);
+  }
+  agent.ledger.takeReading({ kind: 'load', requests: 0 }, 10);
+  t.deepEqual(agent.grants(), []);
+  t.is(agent.toldAvailability(), 'closed');
+  agent.ledger.takeReading({ kind: 'load', requests: 0 }, 310);
+  t.is(agent.toldAvailability(), 'trial');
+  t.deepEqual(agent.grants(), [1]);
+  agent.hear(1, { kind: 'grant-used' }, 320);
+  agent.hear(1, { kind: 'released', hasFailed: true }, 330);
+  t.is(agent.toldAvailability(), 'closed');
+  agent.ledger.takeReading({ kind: 'load', requests: 0 }, 900);
+  t.is(agent.toldAvailability(), 'closed');
+  agent.ledger.takeReading({ kind: 'load', requests: 0 }, 940);
+  agent.hear(1, { kind: 'grant-used' }, 950);
+  agent.hear(1, { kind: 'released', hasFailed: false }, 990);
+  t.is(agent.toldAvailability(), 'open');
+});
+
+test('an engine on trial is open again with the first event of an answer', (t) => {
+  const agent = new Agent();
+  agent.admit(1, 8, 8);
+  for (let index = 0; index < 8; index += 1) {
+    agent.hear(1, { kind: 'released', hasFailed: true }, 0);
+  }
+  agent.ledger.takeReading({ kind: 'load', requests: 0 }, 310);
+  agent.hear(1, { kind: 'proven' }, 330);
+  t.is(agent.toldAvailability(), 'open');
+});
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -152,6 +152,10 @@
     // Tests look at where requests go instead.
   }
 
+  onAvailability(): void {
+    // Tests look at where requests go instead.
+  }
+
   send(attempt: OutgoingAttempt, handlers: AttemptHandlers) {
     const seen: SeenAttempt = { ...attempt, handlers, isCancelled: false };
     this.attempts.push(seen);
--- a/test/waiting-queue.test.ts
+++ b/test/waiting-queue.test.ts
@@ -13,6 +13,7 @@
     promptTokens: 0,
     firstDueAtMs: 100,
     maxPauseMs: 0,
+    isRepeatable: false,
     excluded: new Set(),
     onPlaced: () => undefined,
     ...changes,
