A wait ends before its caller leaves, and counts as in time by a usual engine

And a request counted as in time by the fastest engine's time to the first event, so that it went before others and came late. Change: nothing to gain is -1; the median engine's time counts.

--- a/src/gateway/attempt/waiting-worth.ts
+++ b/src/gateway/attempt/waiting-worth.ts
@@ -13,6 +13,9 @@
 /** Share of the time that a request has; to wait for so long and not be served costs as much as an answer is worth. */
 const WHOLE_COST_SHARE = 0.75;
 
+/** Worth of waiting on when no answer can come of it: the caller is to be told before it leaves. */
+const WORTH_OF_NO_ANSWER = -1;
+
 /** A request that waits, and what is expected of its wait. All times are in milliseconds from now. */
 export interface WaitOutlook {
   /** Time left until it must be sent to be answered in time; negative when it is late. */
@@ -41,7 +44,7 @@
 
 function worthOfWaitingLate(outlook: WaitOutlook, leftMs: number): number {
   if (leftMs <= 0) {
-    return -costOfWaiting(outlook, leftMs);
+    return WORTH_OF_NO_ANSWER;
   }
   const served = chanceWithin(leftMs, outlook.lateWaitMs);
   return served * LATE_WORTH - (1 - served) * costOfWaiting(outlook, leftMs);
--- a/src/gateway/dispatch/backend-directory.ts
+++ b/src/gateway/dispatch/backend-directory.ts
@@ -64,12 +64,16 @@
     ).length;
   }
 
-  /** Shortest expected time to the first event among the ready back ends, in milliseconds. */
+  /**
+   * Expected time to the first event at a usual back end, in milliseconds: the median of the ready ones. By
+   * the fastest one requests counted as in time that any other back end answers late.
+   */
   expectedFirstMs(service: string, promptTokens: number): number {
     const expected = this.ofService(service)
       .filter(({ isReady, speed }) => isReady && speed.isKnown)
-      .map(({ speed }) => speed.expectedFirstMs(promptTokens));
-    return expected.length === 0 ? 0 : Math.min(...expected);
+      .map(({ speed }) => speed.expectedFirstMs(promptTokens))
+      .sort((left, right) => left - right);
+    return expected[Math.floor((expected.length - 1) / 2)] ?? 0;
   }
 
   /** Mean expected time of a whole answer among the ready back ends, in milliseconds. */
--- a/test/waiting-worth.test.ts
+++ b/test/waiting-worth.test.ts
@@ -30,6 +30,8 @@
 
 test('one whose caller is about to leave is refused', (t) => {
   t.true(worthOfWaiting(outlookOf({ usefulLeftMs: 1, inTimeLeftMs: -1 })) <= 0.01);
+  t.true(worthOfWaiting(outlookOf({ usefulLeftMs: 0, inTimeLeftMs: -1 })) < 0);
+  t.true(worthOfWaiting(outlookOf({ usefulLeftMs: -50, inTimeLeftMs: -1 })) < 0);
 });
 
 test('the longer the expected wait, the less waiting is worth', (t) => {
