Roll-outs: orders are followed, judged by all gateways, and told in the store

Change: back ends have a version. Each gateway takes the new version's share from its own requests, so that the bound holds without a word between them; outcomes are counted by route and version and summed over the gateways on beats that exist; a sequential test decides, over all and anew in each step of the share, so that a version that turns bad late is seen. A verdict that it is bad stops the traffic here and wherever it is heard. Late in the order's time all traffic moves, and 'completed' is written once no gateway has requests on old back ends. The state is written by compare-and-swap by the first gateway in rank, by the next if that is silent or turned away. The text of the store's names stays in platform/. Left: back ends that are bad under load only are loaded by sending the share to as few as bear it, but no test plays that; no command line for roll-outs; gateways that all restart begin the order's time anew.

--- a/src/cluster/peer-messages.ts
+++ b/src/cluster/peer-messages.ts
@@ -1,4 +1,5 @@
 /** What gateways say to each other. */
+import type { PeerRollouts } from '../rollout/rollouts.js';
 import type { RecordsAnswer, RecordsFetch, RecordsRevision } from './record-exchange.js';
 
 /**
@@ -35,6 +36,8 @@
   readonly revision: number;
   /** Whether it reads the store and is answered. */
   readonly isReading: boolean;
+  /** Its part in roll-outs that are under way; missing where there are none. */
+  readonly rollouts?: PeerRollouts | undefined;
 }
 
 /** The sender stops for good, or until it is started again. */
--- a/src/cluster/store-follower.ts
+++ b/src/cluster/store-follower.ts
@@ -17,6 +17,11 @@
   readonly code = 'store-history-gone';
 }
 
+/** A key was changed since the revision that a write was meant to follow. */
+export class StoreConflictError extends WeirvaleError {
+  readonly code = 'store-conflict';
+}
+
 /** Records and the store's revision that they were read at. */
 export interface StoreRead {
   readonly records: readonly StoreRecord[];
@@ -34,6 +39,21 @@
   ): Promise<Result<StoreRead, StoreUnavailableError | StoreHistoryGoneError>>;
 }
 
+/** The call of the store by which records are written. */
+export interface StoreWriter {
+  /**
+   * Writes `text` under `key` if that is at `expectedRevision` (0: does not exist). A write without an
+   * answer may have been done, or may be done later.
+   *
+   * @returns the store's revision of the write
+   */
+  put(
+    key: string,
+    text: string,
+    expectedRevision: number,
+  ): Promise<Result<number, StoreUnavailableError | StoreConflictError>>;
+}
+
 /** A kind of call of the store. */
 export type StoreCall = 'list' | 'watch';
 
--- a/src/gateway/attempt/attempt-progress.ts
+++ b/src/gateway/attempt/attempt-progress.ts
@@ -25,6 +25,11 @@
     return this.longestMs;
   }
 
+  /** Time from the send to the first event, in milliseconds; undefined before it. */
+  get firstEventMs(): number | undefined {
+    return this.events === 0 ? undefined : this.firstAtMs - this.startedAtMs;
+  }
+
   /** Whole events arrived. */
   noteEvents(count: number, nowMs: number): void {
     if (this.events === 0) {
--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -12,6 +12,7 @@
 import { AttemptProgress } from './attempt-progress.js';
 import type { GatewayRefusal } from '../admission/gateway-refusal.js';
 import { sendRefusal } from '../admission/send-refusal.js';
+import { isBadTry } from './try-verdict.js';
 import { AnswerRelay } from './answer-relay.js';
 import type { HeldAnswer } from './answer-relay.js';
 import { RequestWait } from './request-wait.js';
@@ -359,7 +360,14 @@
     this.attempt = undefined;
     this.progress?.noteOver();
     this.record.noteTryOver(outcome, detail, this.progress?.longestPauseMs ?? 0);
-    this.ports.dispatcher.finish(this.backend.id, outcome, this.ports.clock.now());
+    const nowMs = this.ports.clock.now();
+    const { route } = this.request;
+    const isBad = isBadTry(outcome, route, {
+      firstEventMs: this.progress?.firstEventMs ?? nowMs - this.attemptStartedAtMs,
+      longestPauseMs: this.progress?.longestPauseMs ?? 0,
+    });
+    this.ports.onTryOver({ backend: this.backend, route, isBad });
+    this.ports.dispatcher.finish(this.backend.id, outcome, nowMs);
   }
 
   private finish(status: number, reason: string): void {
--- a/src/gateway/attempt/request-model.ts
+++ b/src/gateway/attempt/request-model.ts
@@ -1,6 +1,7 @@
 /** A request in a gateway: what it is, what it needs, and how it may end. */
 import type { Clock } from '../../clock.js';
 import type { RandomSource } from '../../random.js';
+import type { Backend } from '../../routing/backend.js';
 import type { Route } from '../../routing/configuration.js';
 import type { BackendDirectory } from '../dispatch/backend-directory.js';
 import type { BackendSender } from './attempt.js';
@@ -60,6 +61,14 @@
   readonly longestPauseMs: number;
 }
 
+/** How one send of a request ended, for the judgement of its back end's version. */
+export interface TryOver {
+  readonly backend: Backend;
+  readonly route: Route;
+  /** Whether it failed or was late by the back end's doing; undefined where its end says nothing. */
+  readonly isBad: boolean | undefined;
+}
+
 /** What a request needs from its surroundings. */
 export interface RequestPorts {
   readonly clock: Clock;
@@ -70,6 +79,8 @@
   readonly random: RandomSource;
   /** Takes one repeat from the budget of a service. */
   takeRepeat(service: string): boolean;
+  /** Called once for each send. */
+  onTryOver(over: TryOver): void;
   /** Called once. */
   onEnd(request: AcceptedRequest, end: RequestEnd): void;
 }
--- /dev/null
+++ b/src/gateway/attempt/try-verdict.ts
@@ -0,0 +1,26 @@
+/** Query: whether one send of a request went badly by the doing of its back end. */
+import type { Route } from '../../routing/configuration.js';
+import type { AttemptOutcome } from '../dispatch/backend-health.js';
+
+/** Times of one send, in milliseconds. */
+export interface TryTimes {
+  /** From the send to the first event, or to the whole answer where there are no events. */
+  readonly firstEventMs: number;
+  readonly longestPauseMs: number;
+}
+
+/** Whether it failed or was late; undefined where its end says nothing of the back end. */
+export function isBadTry(
+  outcome: AttemptOutcome,
+  { targetLatencyMs, maxPauseMs }: Route,
+  { firstEventMs, longestPauseMs }: TryTimes,
+): boolean | undefined {
+  if (outcome === 'failed') {
+    return true;
+  }
+  if (outcome !== 'answered') {
+    return undefined;
+  }
+  const hasPaused = maxPauseMs > 0 && longestPauseMs > maxPauseMs;
+  return hasPaused || firstEventMs > targetLatencyMs;
+}
--- a/src/gateway/dispatch/backend-chooser.ts
+++ b/src/gateway/dispatch/backend-chooser.ts
@@ -1,6 +1,9 @@
 /** Query: the back end that a request is bound to while one of those permitted has a free slot. */
+import type { VersionUse } from '../../rollout/rollout-order.js';
+import type { Backend } from '../../routing/backend.js';
 import type { BackendDirectory } from './backend-directory.js';
 import { costOf, harmsOthers, usualSpeed } from './backend-choice.js';
+import type { UsualSpeed } from './backend-choice.js';
 import type { DispatchRequest } from './dispatch-request.js';
 import type { KnownBackend } from './known-backend.js';
 import { hasRoom } from './slot-room.js';
@@ -13,6 +16,8 @@
   countGateways(): number;
   /** Tokens that an engine of the service gathers in one event. */
   tokensPerEvent(service: string): number;
+  /** How a back end may be used, by its version. */
+  versionUse(backend: Backend): VersionUse;
 }
 
 /** Bounds of a choice. */
@@ -48,7 +53,7 @@
       if (known.isOnTrial && !request.isRepeatable && hasProven) {
         continue;
       }
-      const cost = costOf(request, known, usual, nowMs);
+      const cost = this.costOf(request, known, usual, nowMs);
       if (cost < bestCost) {
         best = known;
         bestCost = cost;
@@ -57,6 +62,21 @@
     return best;
   }
 
+  /**
+   * A version on a small share gets that share before others are asked, and at as few back ends as bear it,
+   * so that it is seen with its slots full.
+   */
+  private costOf(
+    request: DispatchRequest,
+    known: KnownBackend,
+    usual: UsualSpeed,
+    nowMs: number,
+  ): number {
+    return this.ports.versionUse(known.backend) === 'limited'
+      ? -known.occupied - 1
+      : costOf(request, known, usual, nowMs);
+  }
+
   /** Whether any back end of the service has a free slot. */
   hasAnyRoom(service: string, nowMs: number): boolean {
     return this.directory.ofService(service).some((known) => this.hasRoom(known, nowMs));
@@ -80,7 +100,8 @@
 
   private fitsGrant(request: DispatchRequest, known: KnownBackend): boolean {
     const isExcluded = request.excluded.has(known.backend.id);
-    return !isExcluded && !this.harms(request, known, known.occupied - 1);
+    const isOpen = this.ports.versionUse(known.backend) === 'open';
+    return isOpen && !isExcluded && !this.harms(request, known, known.occupied - 1);
   }
 
   private harms(request: DispatchRequest, known: KnownBackend, others: number): boolean {
@@ -95,7 +116,8 @@
   private candidates(request: DispatchRequest, nowMs: number): KnownBackend[] {
     const permitted = this.directory
       .ofService(request.service)
-      .filter((known) => !request.excluded.has(known.backend.id));
+      .filter(({ backend }) => !request.excluded.has(backend.id))
+      .filter(({ backend }) => this.ports.versionUse(backend) !== 'closed');
     const ready = permitted.filter((known) => known.isReady);
     if (ready.length === 0) {
       return permitted.filter((known) => this.isUnlistedLately(known, nowMs));
--- a/src/gateway/dispatch/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -35,6 +35,8 @@
 export interface DispatcherPorts extends BackendChooserPorts {
   /** Sends a message to the agent beside a back end. */
   sendToAgent(backendId: string, message: SlotMessage): void;
+  /** A request was bound to a back end and is sent there. */
+  onSent(backend: Backend): void;
   /** A back end was ejected for its failures. */
   onEjected(backendId: string): void;
   /** The agent beside a back end says whether it may be used. */
@@ -269,6 +271,7 @@
       this.sendToAgent(known.backend.id, known, { kind: 'taken' });
       known.agent.takenUnseen.push(known.agent.messagesSent);
     }
+    this.ports.onSent(known.backend);
     request.onPlaced(known.backend, nowMs);
   }
 
@@ -291,6 +294,7 @@
       waiting: this.waitingInOrder(service, nowMs),
       tokensPerEvent: this.ports.tokensPerEvent(service),
       maxLength: this.options.demandLength,
+      isOpen: ({ backend }: KnownBackend) => this.ports.versionUse(backend) === 'open',
     };
     for (const known of this.directory.ofService(service)) {
       const demand = nextDemand(known, inputs, nowMs);
--- a/src/gateway/dispatch/slot-demand.ts
+++ b/src/gateway/dispatch/slot-demand.ts
@@ -10,6 +10,8 @@
   readonly waiting: readonly DispatchRequest[];
   /** Tokens that an engine of the service gathers in one event. */
   readonly tokensPerEvent: number;
+  /** Whether a back end may be used freely: a version on a small share is not to be asked for slots. */
+  isOpen(known: KnownBackend): boolean;
   /** Most requests that a demand names. */
   readonly maxLength: number;
 }
@@ -21,7 +23,7 @@
   nowMs: number,
 ): SlotDemand | undefined {
   const { agent } = known;
-  if (agent === undefined || !known.isReady) {
+  if (agent === undefined || !known.isReady || !inputs.isOpen(known)) {
     return undefined;
   }
   const first = findDemand(known, inputs);
--- a/src/gateway/gateway-cluster.ts
+++ b/src/gateway/gateway-cluster.ts
@@ -11,6 +11,7 @@
 import { DEFAULT_STORE_READERS_OPTIONS, StoreReaders } from '../cluster/store-readers.js';
 import type { Clock } from '../clock.js';
 import type { RandomSource } from '../random.js';
+import type { Rollouts } from '../rollout/rollouts.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { TokenQuotas } from './admission/token-quota.js';
 import type { GatewaySettings } from './gateway-settings.js';
@@ -24,6 +25,7 @@
   readonly incarnation: string;
   readonly store: ClusterStore;
   readonly quotas: TokenQuotas;
+  readonly rollouts: Rollouts;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly log: DecisionLog;
@@ -92,7 +94,7 @@
   }
 
   private createPeers(): GatewayPeers {
-    const { settings, incarnation, quotas, clock, random, log } = this.parts;
+    const { settings, incarnation, quotas, rollouts, clock, random, log } = this.parts;
     return new GatewayPeers({
       name: settings.process.name,
       incarnation,
@@ -101,6 +103,7 @@
       records: this.records,
       exchange: this.exchange,
       quotas,
+      rollouts,
       readers: this.readers,
       isReading: () => this.follower.isFollowing,
       clock,
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -17,6 +17,7 @@
 import { Dispatcher } from './dispatch/dispatcher.js';
 import type { GatewayAdapter } from './gateway-adapter.js';
 import { GatewayCluster } from './gateway-cluster.js';
+import { GatewayRollouts } from './gateway-rollouts.js';
 import { countBackends } from './metrics/gateway-snapshot.js';
 import type { GatewaySnapshot } from './metrics/gateway-snapshot.js';
 import { PEER_TICK_MS } from './links/gateway-peers.js';
@@ -65,6 +66,7 @@
   private readonly cluster: GatewayCluster;
   private readonly directory: BackendDirectory;
   private readonly dispatcher: Dispatcher;
+  private readonly rollouts: GatewayRollouts;
   private readonly sender = new HttpBackendSender();
   private readonly listener: CallerListener;
   private readonly links: SlotAgentLinks;
@@ -98,6 +100,14 @@
       isEngine,
       countGateways: () => this.cluster.size,
       tokensPerEvent: (service) => this.configuration.tokensPerEvent(service),
+      versionUse: (backend) => this.rollouts.rollouts.useOf(backend),
+      onSent: (backend) => this.rollouts.rollouts.noteSent(backend),
+    });
+    this.rollouts = new GatewayRollouts({
+      ...parts,
+      incarnation,
+      directory: this.directory,
+      countGateways: () => this.cluster.size,
     });
     this.listener = new CallerListener(
       (head, reply) => this.take(head, reply),
@@ -118,6 +128,7 @@
       incarnation,
       store: adapter.store,
       quotas: this.quotas,
+      rollouts: this.rollouts.rollouts,
       onRecords: (records) => this.takeRecords(records),
     });
     const agentOptions = {
@@ -162,6 +173,8 @@
       sender: this.sender,
       protocol: adapter.protocol,
       takeRepeat: (service) => this.takeRepeat(service),
+      onTryOver: ({ backend, route, isBad }) =>
+        this.rollouts.rollouts.noteEnded(backend, route.name, isBad),
       onEnd: (request, end) => this.noteEnd(request, end),
     };
   }
@@ -232,6 +245,7 @@
     this.links.maintain();
     this.links.tellAlive();
     this.cluster.tick();
+    this.rollouts.rollouts.tick();
     if (this.ticks % AGENT_REVISION_TICKS === 0) {
       this.links.tellRevision();
     }
@@ -268,6 +282,10 @@
         revision: record.revision,
       });
       this.dispatcher.updateBackend(id, backend, clock.now());
+    } else if (decoded.kind === 'rollout-order') {
+      this.rollouts.takeOrder(decoded.order);
+    } else if (decoded.kind === 'rollout-status') {
+      this.rollouts.takeStatus(decoded.status);
     } else if (decoded.kind === 'invalid') {
       const { problem } = decoded;
       log.write('configuration-refused', 'state', { problem, revision: record.revision });
--- /dev/null
+++ b/src/gateway/gateway-rollouts.ts
@@ -0,0 +1,68 @@
+/** Joins the roll-outs to a gateway: its back ends, its cluster, the adapter and the log. */
+import type { Clock } from '../clock.js';
+import type { WeirvaleError } from '../request/errors.js';
+import type { RolloutOrder, RolloutState, RolloutStatus } from '../rollout/rollout-order.js';
+import { Rollouts } from '../rollout/rollouts.js';
+import type { ReadyVersions } from '../rollout/service-rollout.js';
+import type { DecisionLog } from '../telemetry/decision-log.js';
+import type { BackendDirectory } from './dispatch/backend-directory.js';
+import type { GatewayAdapter } from './gateway-adapter.js';
+
+/** What a gateway's roll-outs are made from. */
+export interface GatewayRolloutsParts {
+  /** Differs after each start of the process. */
+  readonly incarnation: string;
+  readonly directory: BackendDirectory;
+  readonly adapter: Pick<GatewayAdapter, 'writeRolloutState'>;
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+  countGateways(): number;
+}
+
+/** A gateway's roll-outs. */
+export class GatewayRollouts {
+  readonly rollouts: Rollouts;
+
+  constructor(private readonly parts: GatewayRolloutsParts) {
+    const { incarnation, adapter, clock } = parts;
+    this.rollouts = new Rollouts(
+      incarnation,
+      {
+        countReady: (service, targetVersion) => this.countReady(service, targetVersion),
+        countGateways: () => parts.countGateways(),
+        write: (order, state, revision) => adapter.writeRolloutState(order, state, revision),
+        onWritten: (order, state, failure) => this.noteWritten(order, state, failure),
+      },
+      clock,
+    );
+  }
+
+  /** Takes in an order of the operators. */
+  takeOrder(order: RolloutOrder): void {
+    if (this.rollouts.takeOrder(order)) {
+      this.parts.log.write('rollout-ordered', 'state', { ...order });
+    }
+  }
+
+  /** Takes in what the store tells of a roll-out. */
+  takeStatus(status: RolloutStatus): void {
+    this.rollouts.takeStatus(status);
+    this.parts.log.write('rollout-state', 'state', { ...status });
+  }
+
+  private countReady(service: string, targetVersion: string): ReadyVersions {
+    const ready = this.parts.directory.ofService(service).filter(({ isReady }) => isReady);
+    const target = ready.filter(({ backend }) => backend.version === targetVersion).length;
+    return { target, others: ready.length - target };
+  }
+
+  private noteWritten(
+    { service, targetVersion }: RolloutOrder,
+    state: RolloutState,
+    failure: WeirvaleError | undefined,
+  ): void {
+    const event = failure === undefined ? 'rollout-written' : 'rollout-not-written';
+    const reason = failure?.message;
+    this.parts.log.write(event, 'state', { service, targetVersion, state, reason });
+  }
+}
--- a/src/gateway/links/gateway-peers.ts
+++ b/src/gateway/links/gateway-peers.ts
@@ -7,6 +7,7 @@
 import type { ReplicatedRecords } from '../../cluster/replicated-records.js';
 import type { Clock } from '../../clock.js';
 import type { RandomSource } from '../../random.js';
+import type { Rollouts } from '../../rollout/rollouts.js';
 import type { TokenQuotas } from '../admission/token-quota.js';
 
 /** What the peers of a gateway are made from. */
@@ -20,6 +21,7 @@
   readonly records: ReplicatedRecords;
   readonly exchange: RecordExchange;
   readonly quotas: TokenQuotas;
+  readonly rollouts: Rollouts;
   readonly readers: StoreReaders;
   /** Whether this gateway reads the store and is answered. */
   isReading(): boolean;
@@ -127,7 +129,8 @@
     const { quotas, records } = this.parts;
     const news = quotas.takeNews();
     const revision = records.completeTo;
-    const hasNews = news.size > 0 || revision !== this.beatRevision;
+    const hasRollouts = this.parts.rollouts.tell() !== undefined;
+    const hasNews = news.size > 0 || revision !== this.beatRevision || hasRollouts;
     if (hasNews || this.ticks - this.lastBeatTick >= IDLE_BEAT_TICKS) {
       this.lastBeatTick = this.ticks;
       this.beatRevision = revision;
@@ -142,12 +145,14 @@
 
   private beatOf(used: ReadonlyMap<string, number>): PeerBeat {
     const { records, clock } = this.parts;
+    const rollouts = this.parts.rollouts.tell();
     return {
       kind: 'beat',
       used: Object.fromEntries(used),
       ageMs: clock.now() - this.startedAtMs,
       revision: records.completeTo,
       isReading: this.parts.isReading(),
+      ...(rollouts === undefined ? {} : { rollouts }),
     };
   }
 
@@ -158,6 +163,7 @@
     } else if (message.kind === 'beat') {
       quotas.hear(peer, new Map(Object.entries(message.used)), message.ageMs, clock.now());
       readers.hear(peer, message.isReading, clock.now());
+      this.parts.rollouts.hear(peer, message.rollouts ?? {});
       exchange.hearRevision(message.revision, reply);
     } else if (message.kind === 'revision') {
       exchange.hearRevision(message.revision, reply);
--- a/src/model/model-fleet.ts
+++ b/src/model/model-fleet.ts
@@ -46,6 +46,7 @@
       service: ENGINE_SERVICE,
       address: `10.0.${index >> 8}.${index & 255}:80`,
       zone: zoneOf(index, fleet.zones),
+      version: '',
       slots: fleet.slots,
       state: 'ready',
       revision: 1,
--- a/src/model/model-gateway.ts
+++ b/src/model/model-gateway.ts
@@ -79,6 +79,8 @@
       sendToAgent: (backendId, message) => this.senders.get(backendId)?.(message),
       onEjected: () => undefined,
       onAvailability: () => undefined,
+      versionUse: () => 'open',
+      onSent: () => undefined,
       isEngine: () => true,
       countGateways: () => parts.countGateways(),
       tokensPerEvent: () => parts.tokensPerEvent,
@@ -94,6 +96,7 @@
       sender: this.sender,
       protocol: MODEL_PROTOCOL,
       takeRepeat: (service) => budget.takeRepeat(service, parts.countGateways(), clock.now()),
+      onTryOver: () => undefined,
       onEnd: () => undefined,
     };
     this.start();
--- a/src/routing/backend.ts
+++ b/src/routing/backend.ts
@@ -11,6 +11,8 @@
   /** IPv4 address and port. */
   readonly address: string;
   readonly zone: string;
+  /** Version of its software; empty where it names none. */
+  readonly version: string;
   /** Requests that it works on at once. */
   readonly slots: number;
   readonly state: BackendState;
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -2,8 +2,7 @@
 import type { ServerResponse } from 'node:http';
 import test from 'ava';
 import { request } from 'undici';
-import { PLATFORM_PROTOCOL } from '../platform/header-names.js';
-import { decodeRecord } from '../platform/record-formats.js';
+import { createPlatformAdapter } from '../platform/adapter.js';
 import { PlatformStore } from '../platform/store-client.js';
 import { SYSTEM_CLOCK } from '../src/clock.js';
 import { GatewayMetrics } from '../src/gateway/metrics/gateway-metrics.js';
@@ -66,11 +65,7 @@
   const settings = parseGatewaySettings(text).unwrap();
   const gateway = new GatewayRole({
     settings,
-    adapter: {
-      protocol: PLATFORM_PROTOCOL,
-      store: new PlatformStore(storeAddress, settings.cluster.storeTimeoutMs),
-      decode: decodeRecord,
-    },
+    adapter: createPlatformAdapter(storeAddress, settings.cluster.storeTimeoutMs),
     clock: SYSTEM_CLOCK,
     random: new SeededRandom(peers),
     log: new DecisionLog({ role: 'gateway', process: name, zone: 'z' }, 0, SYSTEM_CLOCK),
@@ -306,6 +301,34 @@
   store.stop();
 });
 
+test('an ordered roll-out is told in the store, and the new version gets a small share', async (t) => {
+  const store = new StandinStore();
+  const [old, target] = [
+    new StandinWorker('w-1', answerWell),
+    new StandinWorker('w-2', answerWell),
+  ];
+  store.put('op/config', configuration(1));
+  store.put('servers/w-1', { service: 's', address: await old.start(), slots: 9, version: 'v1' });
+  store.put('op/rollout/s', { service: 's', targetVersion: 'v2', durationS: 60 });
+  store.put('servers/w-2', {
+    service: 's',
+    address: await target.start(),
+    slots: 9,
+    version: 'v2',
+  });
+  const gateway = await startGateway('g', await store.start());
+  await until(() => isReady(gateway));
+  for (let index = 0; index < 60; index += 1) {
+    t.is(await statusOf(gateway), 200);
+  }
+  await until(() => store.read('status/rollout/s') !== undefined);
+  t.deepEqual(store.read('status/rollout/s'), { state: 'in_progress', targetVersion: 'v2' });
+  t.true(target.received.length >= 1 && target.received.length <= 4, `${target.received.length}`);
+  gateway.gateway.stop(() => undefined);
+  [old, target].forEach((worker) => worker.stop());
+  store.stop();
+});
+
 test('records of the store are read in pages', async (t) => {
   const standin = new StandinStore();
   for (let index = 0; index < 8; index += 1) {
--- /dev/null
+++ b/test/rollout.test.ts
@@ -0,0 +1,133 @@
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+import { decodeRollout, encodeRolloutState } from '../platform/rollout-formats.js';
+import { judge } from '../src/rollout/sequential-test.js';
+import { ServiceRollout } from '../src/rollout/service-rollout.js';
+import { RolloutFleet } from './support/rollout-fleet.js';
+import type { FleetTroubles, RolloutRun, VersionBehaviour } from './support/rollout-fleet.js';
+
+const ORDER = { service: 's', targetVersion: 'v2', durationMs: 20_000, revision: 5 };
+const SEEDS = Array.from({ length: 50 }, (_unused, index) => index + 1);
+const EXPOSE_SHARE = 0.1;
+const EXPOSE_SLACK = 50;
+
+const GOOD: VersionBehaviour = { badShare: () => 0.02 };
+const BAD_AT_ONCE: VersionBehaviour = { badShare: () => 0.4 };
+const BAD_LATER: VersionBehaviour = { badShare: (part) => (part < 0.55 ? 0.02 : 0.5) };
+const BAD_ON_ONE_ROUTE: VersionBehaviour = {
+  badShare: (_part, route) => (route === 'second' ? 0.5 : 0.02),
+};
+const SLOW: VersionBehaviour = { badShare: () => 0.95 };
+
+async function runAll(behaviour: VersionBehaviour, troubles: FleetTroubles): Promise<RolloutRun[]> {
+  const runs: RolloutRun[] = [];
+  for (const seed of SEEDS) {
+    runs.push(await new RolloutFleet(seed, ORDER, behaviour, troubles).run());
+  }
+  return runs;
+}
+
+async function allEnd(
+  t: ExecutionContext,
+  state: 'completed' | 'rolled-back',
+  behaviour: VersionBehaviour,
+  troubles: FleetTroubles = {},
+): Promise<void> {
+  for (const run of await runAll(behaviour, troubles)) {
+    t.is(run.state, state);
+    t.true(run.endedAt < 1, `ended at ${run.endedAt}`);
+    t.deepEqual(run.written.slice(0, -1), ['in-progress']);
+    t.is(run.cutOff, 0);
+    if (state === 'rolled-back') {
+      t.true(run.exposed <= EXPOSE_SHARE * run.sent + EXPOSE_SLACK, `${run.exposed}/${run.sent}`);
+      t.is(run.sentLongAfterFifty, 0);
+    }
+  }
+}
+
+test('a good version takes the traffic over in time, and nothing is cut off', async (t) => {
+  await allEnd(t, 'completed', GOOD);
+});
+
+test('a version that is bad at once is rolled back', async (t) => {
+  await allEnd(t, 'rolled-back', BAD_AT_ONCE);
+});
+
+test('a version that turns bad later is rolled back within its exposure', async (t) => {
+  await allEnd(t, 'rolled-back', BAD_LATER);
+});
+
+test('a version that is bad on one route only is rolled back', async (t) => {
+  await allEnd(t, 'rolled-back', BAD_ON_ONE_ROUTE);
+});
+
+test('a version that is several times slower is rolled back', async (t) => {
+  await allEnd(t, 'rolled-back', SLOW);
+});
+
+test('gateways that the store turns away hold nothing up', async (t) => {
+  await allEnd(t, 'completed', GOOD, { turnedAway: 4 });
+  await allEnd(t, 'rolled-back', BAD_AT_ONCE, { turnedAway: 4 });
+});
+
+test('a store that is away for a third of the time is written to afterwards', async (t) => {
+  await allEnd(t, 'completed', GOOD, { storeAwayUntil: 0.33 });
+});
+
+test('while gateways restart a bad version stays within its exposure', async (t) => {
+  await allEnd(t, 'rolled-back', BAD_LATER, { restartAllAt: 0.4 });
+});
+
+test('a few failures of a good version do not condemn it, several without a success do', (t) => {
+  const inForce = { ended: 500, bad: 10 };
+  t.is(judge({ ended: 60, bad: 3 }, inForce), 'good');
+  t.is(judge({ ended: 10, bad: 1 }, inForce), 'open');
+  t.is(judge({ ended: 6, bad: 6 }, inForce), 'bad');
+});
+
+test('what fails at both versions says nothing against the new one', (t) => {
+  t.not(judge({ ended: 100, bad: 45 }, { ended: 1_000, bad: 450 }), 'bad');
+});
+
+test('a version that was rolled back gets nothing, one that was completed gets all', (t) => {
+  const rollout = new ServiceRollout(ORDER, 'g', 0);
+  rollout.takeStatus({ ...ORDER, state: 'rolled-back', revision: 6 });
+  t.deepEqual([rollout.useOf('v1'), rollout.useOf('v2')], ['open', 'closed']);
+  const other = new ServiceRollout(ORDER, 'g', 0);
+  other.takeStatus({ ...ORDER, state: 'completed', revision: 6 });
+  t.deepEqual([other.useOf('v1'), other.useOf('v2')], ['closed', 'open']);
+});
+
+test('the state of an earlier order says nothing of a later one', (t) => {
+  const rollout = new ServiceRollout(ORDER, 'g', 0);
+  rollout.takeStatus({ ...ORDER, state: 'completed', revision: 4 });
+  t.is(rollout.state, undefined);
+  rollout.takeStatus({ ...ORDER, targetVersion: 'v9', state: 'completed', revision: 8 });
+  t.is(rollout.state, undefined);
+});
+
+test('a bad word of one peer stops the traffic here at once', (t) => {
+  const rollout = new ServiceRollout(ORDER, 'g', 0);
+  for (let index = 0; index < 100; index += 1) {
+    rollout.noteSent('v1', 0);
+  }
+  t.is(rollout.useOf('v2'), 'limited');
+  const told = new ServiceRollout(ORDER, 'peer', 0).tell(100);
+  rollout.hear('peer', { ...told, isBad: true }, 100);
+  t.is(rollout.useOf('v2'), 'closed');
+});
+
+test('orders and states are read and written as the platform names them', (t) => {
+  const value = JSON.stringify({ service: 's', targetVersion: 'v2', durationS: 12 });
+  t.deepEqual(decodeRollout({ key: 'op/rollout/s', revision: 7, value }), {
+    kind: 'rollout-order',
+    order: { service: 's', targetVersion: 'v2', durationMs: 12_000, revision: 7 },
+  });
+  const { key, text } = encodeRolloutState(ORDER, 'rolled-back');
+  t.is(key, 'status/rollout/s');
+  t.deepEqual(decodeRollout({ key, revision: 9, value: text }), {
+    kind: 'rollout-status',
+    status: { service: 's', targetVersion: 'v2', state: 'rolled-back', revision: 9 },
+  });
+  t.throws(() => decodeRollout({ key: 'op/rollout/s', revision: 7, value: '{"durationS":-1}' }));
+});
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -11,8 +11,13 @@
 import type { DispatcherPorts } from '../../src/gateway/dispatch/dispatcher.js';
 import { ProxiedRequest } from '../../src/gateway/attempt/proxied-request.js';
 import { DEFAULT_REQUEST_OPTIONS } from '../../src/gateway/attempt/request-model.js';
-import type { AcceptedRequest, RequestEnd } from '../../src/gateway/attempt/request-model.js';
+import type {
+  AcceptedRequest,
+  RequestEnd,
+  TryOver,
+} from '../../src/gateway/attempt/request-model.js';
 import { SeededRandom } from '../../src/random.js';
+import type { VersionUse } from '../../src/rollout/rollout-order.js';
 import type { Backend } from '../../src/routing/backend.js';
 import type { Route } from '../../src/routing/configuration.js';
 import { VirtualClock } from '../../src/sim/virtual-clock.js';
@@ -25,6 +30,7 @@
     service: 's',
     address: `${id}:1`,
     zone: 'z',
+    version: 'v1',
     slots: 2,
     state: 'ready',
     revision: 1,
@@ -125,6 +131,9 @@
   repeatsLeft = 10;
   engines = false;
   gateways = 1;
+  /** Versions that may not be used freely. */
+  readonly versionUses = new Map<string, VersionUse>();
+  readonly triesOver: TryOver[] = [];
 
   constructor(...backends: Backend[]) {
     for (const backend of backends) {
@@ -152,6 +161,14 @@
     // Tests look at where requests go instead.
   }
 
+  versionUse(backend: Backend): VersionUse {
+    return this.versionUses.get(backend.version) ?? 'open';
+  }
+
+  onSent(): void {
+    // Tests look at the attempts instead.
+  }
+
   onAvailability(): void {
     // Tests look at where requests go instead.
   }
@@ -195,6 +212,7 @@
       sender: this,
       protocol: PLAIN_PROTOCOL,
       takeRepeat: () => this.repeatsLeft-- > 0,
+      onTryOver: (over: TryOver) => void this.triesOver.push(over),
       onEnd: (_request: AcceptedRequest, end: RequestEnd) => this.ends.push(end),
     };
     const request = new ProxiedRequest(accepted, reply, ports, DEFAULT_REQUEST_OPTIONS);
--- a/test/support/platform-standin.ts
+++ b/test/support/platform-standin.ts
@@ -9,6 +9,11 @@
   readonly gone?: boolean;
 }
 
+interface Transaction {
+  readonly expectedRevision: ReadonlyArray<{ key: string; revision: number }>;
+  readonly put: ReadonlyArray<{ key: string; value: string }>;
+}
+
 /** What the store does with calls. */
 export type StoreMood = 'answers' | 'refuses' | 'silent' | 'resets';
 
@@ -50,6 +55,12 @@
     this.record({ key, revision: this.revision, value: text });
   }
 
+  /** The value of a key, read as JSON; undefined where there is none. */
+  read(key: string): unknown {
+    const value = this.items.get(key)?.value;
+    return value === undefined ? undefined : JSON.parse(Buffer.from(value, 'base64').toString());
+  }
+
   remove(key: string): void {
     this.revision += 1;
     this.record({ key, revision: this.revision, gone: true });
@@ -98,6 +109,8 @@
       this.answerRange(url, response);
     } else if (url.pathname === '/-/kv-watch') {
       this.answerWatch(url, response);
+    } else if (url.pathname === '/-/kv-txn') {
+      void this.answerTransaction(request, response);
     } else {
       reply(response, 404, {});
     }
@@ -113,6 +126,29 @@
     reply(response, 200, { items, more: rest.length > PAGE_ITEMS, at: this.revision });
   }
 
+  private async answerTransaction(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const chunks: Buffer[] = [];
+    for await (const bytes of request) {
+      chunks.push(bytes as Buffer);
+    }
+    const transaction = JSON.parse(Buffer.concat(chunks).toString()) as Transaction;
+    const isAsExpected = transaction.expectedRevision.every(
+      ({ key, revision }) => (this.items.get(key)?.revision ?? 0) === revision,
+    );
+    if (!isAsExpected) {
+      reply(response, 412, {});
+      return;
+    }
+    this.revision += 1;
+    for (const { key, value } of transaction.put) {
+      this.record({ key, revision: this.revision, value });
+    }
+    reply(response, 200, { revision: this.revision });
+  }
+
   private answerWatch(url: URL, response: ServerResponse): void {
     const after = Number(url.searchParams.get('afterRevision'));
     if (after < this.oldestHistory) {
