--- a/platform/json-call.ts
+++ b/src/cluster/json-call.ts
@@ -1,9 +1,9 @@
 /** One call with a JSON answer and a bound on its whole duration. */
 import { request } from 'node:http';
 import type { Agent } from 'node:http';
-import { WeirvaleError } from '../src/request/errors.js';
-import { err, ok } from '../src/result.js';
-import type { Result } from '../src/result.js';
+import { WeirvaleError } from '../request/errors.js';
+import { err, ok } from '../result.js';
+import type { Result } from '../result.js';
 
 /** Why a call failed. */
 export type CallFailure =
--- /dev/null
+++ b/src/gateway/gateway-requests.ts
@@ -0,0 +1,166 @@
+/** The requests of a gateway's callers, from the first bytes of their heads to their ends. */
+import type { Clock } from '../clock.js';
+import type { RandomSource } from '../random.js';
+import { err } from '../result.js';
+import type { DecisionLog } from '../telemetry/decision-log.js';
+import type { BackendSender, CallerReply } from './attempt/attempt.js';
+import { ProxiedRequest } from './attempt/proxied-request.js';
+import { DEFAULT_REQUEST_OPTIONS } from './attempt/request-model.js';
+import type { AcceptedRequest, RequestEnd, RequestPorts } from './attempt/request-model.js';
+import type { PendingBody, ReceivedHead } from './admission/caller-listener.js';
+import type { CallerRequestHead } from './admission/caller-protocol.js';
+import type { GatewayRefusal } from './admission/gateway-refusal.js';
+import { RequestAdmission } from './admission/request-admission.js';
+import type { ReceivedRequest } from './admission/request-admission.js';
+import { RetryBudget } from './admission/retry-budget.js';
+import { sendRefusal } from './admission/send-refusal.js';
+import type { TokenQuotas } from './admission/token-quota.js';
+import type { ConfigurationInForce } from './configuration-in-force.js';
+import type { BackendDirectory } from './dispatch/backend-directory.js';
+import type { Dispatcher } from './dispatch/dispatcher.js';
+import type { GatewayAdapter } from './gateway-adapter.js';
+import type { GatewayCluster } from './gateway-cluster.js';
+import type { GatewaySettings } from './gateway-settings.js';
+import type { GatewayMetrics } from './metrics/gateway-metrics.js';
+
+/** What a gateway's requests are made from. */
+export interface GatewayRequestsParts {
+  readonly adapter: Pick<GatewayAdapter, 'protocol'>;
+  readonly limits: GatewaySettings['limits'];
+  readonly configuration: ConfigurationInForce;
+  readonly quotas: TokenQuotas;
+  readonly directory: BackendDirectory;
+  readonly dispatcher: Dispatcher;
+  readonly sender: BackendSender;
+  readonly cluster: Pick<GatewayCluster, 'size' | 'storeAgeMs'>;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: DecisionLog;
+  readonly metrics: GatewayMetrics;
+  /** Whether the gateway leaves and takes nothing more. */
+  isRefusing(): boolean;
+  /** See `RequestPorts`. */
+  readonly onTryOver: RequestPorts['onTryOver'];
+  /** A request ended. */
+  onEnd(): void;
+}
+
+const MS_PER_S = 1_000;
+const FIRST_ERROR_STATUS = 400;
+
+/** The requests of a gateway's callers. */
+export class GatewayRequests {
+  private readonly active = new Set<AcceptedRequest>();
+  private readonly admission: RequestAdmission;
+  private readonly budget: RetryBudget;
+  private readonly ports: RequestPorts;
+
+  constructor(private readonly parts: GatewayRequestsParts) {
+    const { adapter, limits, quotas, clock, random } = parts;
+    this.admission = new RequestAdmission(quotas, clock, random);
+    this.budget = new RetryBudget({
+      ratio: limits.retryRatio,
+      windowMs: limits.retryWindowS * MS_PER_S,
+      slack: limits.retrySlack,
+    });
+    this.ports = {
+      clock,
+      random,
+      directory: parts.directory,
+      dispatcher: parts.dispatcher,
+      sender: parts.sender,
+      protocol: adapter.protocol,
+      takeRepeat: (service) => this.takeRepeat(service),
+      onTryOver: parts.onTryOver,
+      onEnd: (request, end) => this.noteEnd(request, end),
+    };
+  }
+
+  /** Requests that wait or run. */
+  get countActive(): number {
+    return this.active.size;
+  }
+
+  /** Repeats that the budget still allows, by service. */
+  repeatsLeft(nowMs: number): ReturnType<RetryBudget['repeatsLeft']> {
+    return this.budget.repeatsLeft(this.parts.cluster.size, nowMs);
+  }
+
+  /** A caller sent the head of a request. */
+  take(head: ReceivedHead, reply: CallerReply): PendingBody {
+    const arrivedAtMs = this.parts.clock.now();
+    const caller = this.parts.adapter.protocol.readRequest(head.headers);
+    for (const header of caller.reservedHeaders) {
+      this.parts.metrics.record(({ reservedHeaders }) => reservedHeaders.inc({ header }));
+    }
+    let proxied: ProxiedRequest | undefined;
+    return {
+      onBody: (body) => {
+        proxied = this.admit({ head, caller, body, arrivedAtMs }, reply);
+      },
+      onTooLong: () => {
+        this.refuse(caller, reply, { reason: 'body-too-long' });
+      },
+      onCallerLeft: () => proxied?.callerLeft(),
+    };
+  }
+
+  private admit(received: ReceivedRequest, reply: CallerReply): ProxiedRequest | undefined {
+    const admitted = this.parts.isRefusing()
+      ? err<GatewayRefusal>({ reason: 'stopping', retryAfterMs: 0 })
+      : this.admission.admit(received, this.parts.configuration.table);
+    if (!admitted.ok) {
+      this.refuse(received.caller, reply, admitted.val);
+      return undefined;
+    }
+    const request = admitted.val;
+    this.budget.countRequest(request.service, this.parts.clock.now());
+    const proxied = new ProxiedRequest(request, reply, this.ports, DEFAULT_REQUEST_OPTIONS);
+    this.active.add(request);
+    proxied.begin();
+    return proxied;
+  }
+
+  private takeRepeat(service: string): boolean {
+    const { cluster, clock, metrics } = this.parts;
+    const isAllowed = this.budget.takeRepeat(service, cluster.size, clock.now());
+    if (!isAllowed) {
+      metrics.record(({ repeatsDenied }) => repeatsDenied.inc({ service }));
+    }
+    return isAllowed;
+  }
+
+  private refuse(caller: CallerRequestHead, reply: CallerReply, refusal: GatewayRefusal): void {
+    const { adapter, log, metrics, configuration } = this.parts;
+    const status = sendRefusal(reply, adapter.protocol, caller.requestId, refusal);
+    const labels = { route: '', status: `${status}`, reason: refusal.reason };
+    metrics.record(({ requests }) => requests.inc(labels));
+    log.write('request-refused', 'failure', {
+      request: caller.requestId,
+      ...refusal,
+      status,
+      configuration: configuration.version,
+    });
+  }
+
+  private noteEnd(request: AcceptedRequest, end: RequestEnd): void {
+    const { metrics, log, dispatcher, cluster, configuration } = this.parts;
+    this.active.delete(request);
+    metrics.recordEnd(request, end);
+    const isSuccess = end.reason === 'answered' && end.status < FIRST_ERROR_STATUS;
+    log.write('request-ended', isSuccess ? 'success' : 'failure', {
+      request: request.requestId,
+      route: request.route.name,
+      service: request.service,
+      tenant: request.tenant,
+      tier: request.tier,
+      promptTokens: request.promptTokens,
+      triedForMs: request.arrivedAtMs - request.firstTriedAtMs,
+      ...end,
+      waiting: dispatcher.countWaiting(request.service),
+      storeAgeMs: cluster.storeAgeMs,
+      configuration: configuration.version,
+    });
+    this.parts.onEnd();
+  }
+}
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -1,40 +1,29 @@
 /** The gateway: joins the cluster's state, the dispatcher and the listeners. */
-import { createServer } from 'node:http';
 import type { StoreRecord } from '../cluster/replicated-records.js';
 import type { Clock } from '../clock.js';
 import type { RandomSource } from '../random.js';
-import { err } from '../result.js';
 import type { Backend } from '../routing/backend.js';
 import type { EngineAvailability } from '../slot-agent/engine-watch.js';
 import type { RoutingConfiguration } from '../routing/configuration.js';
 import { ConfigurationInForce } from './configuration-in-force.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
-import type { CallerReply } from './attempt/attempt.js';
 import { CallerListener } from './admission/caller-listener.js';
-import type { PendingBody, ReceivedHead } from './admission/caller-listener.js';
-import type { CallerRequestHead } from './admission/caller-protocol.js';
 import { BackendDirectory } from './dispatch/backend-directory.js';
 import { Dispatcher } from './dispatch/dispatcher.js';
 import type { GatewayAdapter } from './gateway-adapter.js';
 import { GatewayCluster } from './gateway-cluster.js';
+import { GatewayRequests } from './gateway-requests.js';
 import { GatewayRollouts } from './gateway-rollouts.js';
 import { countBackends } from './metrics/gateway-snapshot.js';
 import type { GatewaySnapshot } from './metrics/gateway-snapshot.js';
 import { PEER_TICK_MS } from './links/gateway-peers.js';
 import type { GatewayMetrics } from './metrics/gateway-metrics.js';
-import type { GatewayRefusal } from './admission/gateway-refusal.js';
 import type { GatewaySettings } from './gateway-settings.js';
 import { splitAddress } from '../address.js';
 import { HttpBackendSender } from './attempt/http-backend-sender.js';
-import { ProxiedRequest } from './attempt/proxied-request.js';
-import { DEFAULT_REQUEST_OPTIONS } from './attempt/request-model.js';
-import type { AcceptedRequest, RequestEnd, RequestPorts } from './attempt/request-model.js';
-import { RequestAdmission } from './admission/request-admission.js';
-import type { ReceivedRequest } from './admission/request-admission.js';
 import { PlannedStop } from './planned-stop.js';
-import { RetryBudget } from './admission/retry-budget.js';
-import { sendRefusal } from './admission/send-refusal.js';
-import { SlotAgentLinks } from './links/slot-agent-links.js';
+import { ReadinessListener } from './readiness-listener.js';
+import { DEFAULT_SLOT_AGENT_LINK_OPTIONS, SlotAgentLinks } from './links/slot-agent-links.js';
 import { TokenQuotas } from './admission/token-quota.js';
 
 /** What a gateway is made from. */
@@ -53,9 +42,6 @@
 const DROPPED_REPORT_TICKS = 50;
 /** Time from the start until the library of the metrics is loaded, in milliseconds. */
 const METRICS_LOAD_MS = 3_000;
-const READINESS_IDLE_MS = 30_000;
-const HTTP_OK = 200;
-const HTTP_UNAVAILABLE = 503;
 /** Silence after which a peer's share of the quotas is set aside: a time, and periods of its beats. */
 const QUOTA_SILENCE_MS = 1_200;
 const QUOTA_SILENCE_BEATS = 2.5;
@@ -71,15 +57,9 @@
   private readonly listener: CallerListener;
   private readonly links: SlotAgentLinks;
   private readonly quotas: TokenQuotas;
-  private readonly admission: RequestAdmission;
-  private readonly budget: RetryBudget;
-  private readonly requestPorts: RequestPorts;
-  private readonly active = new Set<AcceptedRequest>();
+  private readonly requests: GatewayRequests;
   private readonly configuration: ConfigurationInForce;
-  private readonly readinessServer = createServer((_request, response) => {
-    response.writeHead(this.isReady ? HTTP_OK : HTTP_UNAVAILABLE, { 'Content-Length': '0' });
-    response.end();
-  });
+  private readonly readiness = new ReadinessListener(() => this.isReady);
   private hasEnded = false;
   private ticks = 0;
   private loopDelayMs = 0;
@@ -110,7 +90,7 @@
       countGateways: () => this.cluster.size,
     });
     this.listener = new CallerListener(
-      (head, reply) => this.take(head, reply),
+      (head, reply) => this.requests.take(head, reply),
       () => this.configuration.limits.maxBodyBytes,
     );
     const { limits } = settings;
@@ -131,14 +111,6 @@
       rollouts: this.rollouts.rollouts,
       onRecords: (records) => this.takeRecords(records),
     });
-    const agentOptions = {
-      port: settings.listen.slotAgentPort,
-      peersAddress: settings.listen.peers,
-      silenceMs: 1_000,
-      aliveMs: 150,
-      retryMinMs: 250,
-      retryMaxMs: 4_000,
-    };
     this.links = new SlotAgentLinks(
       incarnation,
       this.directory,
@@ -152,31 +124,31 @@
           reason,
         }),
       clock,
-      agentOptions,
+      {
+        ...DEFAULT_SLOT_AGENT_LINK_OPTIONS,
+        port: settings.listen.slotAgentPort,
+        peersAddress: settings.listen.peers,
+      },
     );
     this.plannedStop = new PlannedStop(clock, limits.stopGraceS * MS_PER_S, {
       stopListening: () => this.listener.stopListening(),
-      countActive: () => this.active.size,
+      countActive: () => this.requests.countActive,
       end: () => this.end(),
     });
-    this.admission = new RequestAdmission(this.quotas, clock, random);
-    this.budget = new RetryBudget({
-      ratio: limits.retryRatio,
-      windowMs: limits.retryWindowS * MS_PER_S,
-      slack: limits.retrySlack,
-    });
-    this.requestPorts = {
-      clock,
-      random,
+    this.requests = new GatewayRequests({
+      ...parts,
+      limits,
+      configuration: this.configuration,
+      quotas: this.quotas,
       directory: this.directory,
       dispatcher: this.dispatcher,
       sender: this.sender,
-      protocol: adapter.protocol,
-      takeRepeat: (service) => this.takeRepeat(service),
+      cluster: this.cluster,
+      isRefusing: () => this.plannedStop.isRefusing,
       onTryOver: ({ backend, route, isBad }) =>
         this.rollouts.rollouts.noteEnded(backend, route.name, isBad),
-      onEnd: (request, end) => this.noteEnd(request, end),
-    };
+      onEnd: () => this.plannedStop.noteRequestEnded(),
+    });
   }
 
   private get isReady(): boolean {
@@ -188,7 +160,7 @@
     const { settings, log, metrics } = this.parts;
     const callers = splitAddress(settings.listen.callers);
     this.listener.server.listen(callers);
-    this.serveReadiness();
+    this.readiness.listen(settings.listen.readiness);
     this.cluster.start();
     if (settings.listen.metricsPort > 0) {
       metrics.serve(settings.process.address, settings.listen.metricsPort);
@@ -205,25 +177,18 @@
     }
     this.onStopped = onStopped;
     this.listener.announceClose();
-    this.parts.log.write('stopping', 'state', { active: this.active.size });
+    this.parts.log.write('stopping', 'state', { active: this.requests.countActive });
     this.plannedStop.request();
   }
 
-  private serveReadiness(): void {
-    const { host, port } = splitAddress(this.parts.settings.listen.readiness);
-    this.readinessServer.keepAliveTimeout = READINESS_IDLE_MS;
-    this.readinessServer.on('error', () => undefined);
-    this.readinessServer.listen(port, host);
-  }
-
   private end(): void {
     this.hasEnded = true;
-    this.readinessServer.close();
+    this.readiness.close();
     this.parts.metrics.close();
     this.sender.close();
     this.cluster.stop();
     this.links.stop();
-    this.parts.log.write('stopped', 'state', { active: this.active.size });
+    this.parts.log.write('stopped', 'state', { active: this.requests.countActive });
     this.parts.log.flush();
     this.onStopped?.();
   }
@@ -317,61 +282,6 @@
     });
   }
 
-  private take(head: ReceivedHead, reply: CallerReply): PendingBody {
-    const arrivedAtMs = this.parts.clock.now();
-    const caller = this.parts.adapter.protocol.readRequest(head.headers);
-    for (const header of caller.reservedHeaders) {
-      this.parts.metrics.record(({ reservedHeaders }) => reservedHeaders.inc({ header }));
-    }
-    let proxied: ProxiedRequest | undefined;
-    return {
-      onBody: (body) => {
-        proxied = this.admit({ head, caller, body, arrivedAtMs }, reply);
-      },
-      onTooLong: () => {
-        this.refuse(caller, reply, { reason: 'body-too-long' });
-      },
-      onCallerLeft: () => proxied?.callerLeft(),
-    };
-  }
-
-  private admit(received: ReceivedRequest, reply: CallerReply): ProxiedRequest | undefined {
-    const admitted = this.plannedStop.isRefusing
-      ? err<GatewayRefusal>({ reason: 'stopping', retryAfterMs: 0 })
-      : this.admission.admit(received, this.configuration.table);
-    if (!admitted.ok) {
-      this.refuse(received.caller, reply, admitted.val);
-      return undefined;
-    }
-    const request = admitted.val;
-    this.budget.countRequest(request.service, this.parts.clock.now());
-    const proxied = new ProxiedRequest(request, reply, this.requestPorts, DEFAULT_REQUEST_OPTIONS);
-    this.active.add(request);
-    proxied.begin();
-    return proxied;
-  }
-
-  private takeRepeat(service: string): boolean {
-    const isAllowed = this.budget.takeRepeat(service, this.cluster.size, this.parts.clock.now());
-    if (!isAllowed) {
-      this.parts.metrics.record(({ repeatsDenied }) => repeatsDenied.inc({ service }));
-    }
-    return isAllowed;
-  }
-
-  private refuse(caller: CallerRequestHead, reply: CallerReply, refusal: GatewayRefusal): void {
-    const { adapter, log, metrics } = this.parts;
-    const status = sendRefusal(reply, adapter.protocol, caller.requestId, refusal);
-    const labels = { route: '', status: `${status}`, reason: refusal.reason };
-    metrics.record(({ requests }) => requests.inc(labels));
-    log.write('request-refused', 'failure', {
-      request: caller.requestId,
-      ...refusal,
-      status,
-      configuration: this.configuration.version,
-    });
-  }
-
   /** What the metrics show of the moment. */
   private snapshot(): GatewaySnapshot {
     const nowMs = this.parts.clock.now();
@@ -381,31 +291,10 @@
       storeAgeMs: this.cluster.storeAgeMs,
       configurationAgeMs: this.configuration.ageMs,
       backends: countBackends(this.directory.list(), nowMs),
-      repeatsLeft: this.budget.repeatsLeft(this.cluster.size, nowMs),
+      repeatsLeft: this.requests.repeatsLeft(nowMs),
       quotaUse: this.quotas.use(),
       waiting: this.dispatcher.waitingByService(),
       loopDelayMs,
     };
   }
-
-  private noteEnd(request: AcceptedRequest, end: RequestEnd): void {
-    const { metrics, log } = this.parts;
-    this.active.delete(request);
-    const { status, reason } = end;
-    metrics.recordEnd(request, end);
-    log.write('request-ended', reason === 'answered' && status < 400 ? 'success' : 'failure', {
-      request: request.requestId,
-      route: request.route.name,
-      service: request.service,
-      tenant: request.tenant,
-      tier: request.tier,
-      promptTokens: request.promptTokens,
-      triedForMs: request.arrivedAtMs - request.firstTriedAtMs,
-      ...end,
-      waiting: this.dispatcher.countWaiting(request.service),
-      storeAgeMs: this.cluster.storeAgeMs,
-      configuration: this.configuration.version,
-    });
-    this.plannedStop.noteRequestEnded();
-  }
 }
--- a/src/gateway/links/slot-agent-links.ts
+++ b/src/gateway/links/slot-agent-links.ts
@@ -29,6 +29,14 @@
   readonly retryMaxMs: number;
 }
 
+/** Defaults of the connections' times. */
+export const DEFAULT_SLOT_AGENT_LINK_OPTIONS = {
+  silenceMs: 1_000,
+  aliveMs: 150,
+  retryMinMs: 250,
+  retryMaxMs: 4_000,
+} as const;
+
 interface Link {
   readonly backendId: string;
   readonly host: string;
--- a/src/slot-agent/slot-ledger.ts
+++ b/src/slot-agent/slot-ledger.ts
@@ -15,6 +15,7 @@
 import type { GatewaySilenceOptions } from './gateway-account.js';
 import type { SlotAgentSnapshot } from './slot-agent-instruments.js';
 import type { LearnedSpeed, SlotAnswer, SlotHello, SlotMessage } from './slot-messages.js';
+import { SlotTeller } from './slot-teller.js';
 import { compareWaiting } from './waiting-order.js';
 
 /** What a ledger does to its surroundings. */
@@ -38,9 +39,6 @@
  * in milliseconds: it may be cut off from this process alone and still send.
  */
 const LOOK_FOR_GONE_MS = 10_000;
-/** Free slots up to which every change is told at once. */
-const NEAR_FULL_SLOTS = 1;
-
 /** The slots of one back end. */
 export class SlotLedger {
   private readonly accounts = new Map<number, GatewayAccount>();
@@ -49,17 +47,24 @@
   private slots = 0;
   /** Slots occupied by requests of gateways that are not connected. */
   private unaccounted = 0;
-  private lastToldOccupied = -1;
-  private toldAllAtMs = -Infinity;
-  private isTellingPlanned = false;
   private speed: LearnedSpeed = {};
   private readonly failures = new FailureEstimate();
   private readonly engine = new EngineWatch();
+  private readonly teller: SlotTeller;
 
   constructor(
     private readonly ports: SlotLedgerPorts,
     private readonly silence: GatewaySilenceOptions = DEFAULT_GATEWAY_SILENCE_OPTIONS,
-  ) {}
+  ) {
+    const counts = {
+      occupied: () => this.occupied,
+      capacity: () => this.slots,
+    };
+    this.teller = new SlotTeller(this.accounts, counts, {
+      tell: (connection, account, nowMs) => this.tell(connection, account, nowMs),
+      onChangesToTell: () => ports.onChangesToTell(),
+    });
+  }
 
   /** Whether the back end's report is needed to find out something that is not known. */
   needsReport(nowMs: number): boolean {
@@ -133,7 +138,7 @@
       this.receiveFromKnown(connection, message, nowMs);
     }
     this.grant(nowMs);
-    this.tellIfChanged(nowMs);
+    this.teller.tellIfChanged(nowMs);
   }
 
   /** A connection ended; what its gateway held may still run. */
@@ -145,7 +150,7 @@
     this.accounts.delete(connection);
     this.unaccounted += account.held;
     this.goneUntilMs.set(account.name, nowMs + LOOK_FOR_GONE_MS);
-    this.tellIfChanged(nowMs);
+    this.teller.tellIfChanged(nowMs);
   }
 
   /** Takes in what a look at the back end brought. */
@@ -157,7 +162,7 @@
       this.reconcile(reading.requests);
     }
     this.grant(nowMs);
-    this.tellIfChanged(nowMs);
+    this.teller.tellIfChanged(nowMs);
   }
 
   /** Takes in the back end's own count of requests that run or wait there. */
@@ -180,7 +185,7 @@
     this.slots = slots;
     this.unaccounted = Math.max(0, this.unaccounted - held);
     this.accounts.set(connection, new GatewayAccount(gateway, held, nowMs));
-    this.lastToldOccupied = -1;
+    this.teller.owe();
   }
 
   private receiveFromKnown(
@@ -248,7 +253,7 @@
     const { availability } = this.engine;
     if (availability !== before) {
       this.ports.onAvailability(availability);
-      this.tellAll(nowMs);
+      this.teller.tellAll(nowMs);
     }
   }
 
@@ -257,7 +262,7 @@
     const isNew = this.speed.prefill === undefined && speed.prefill !== undefined;
     this.speed = { ...this.speed, ...speed };
     if (isNew) {
-      this.lastToldOccupied = -1;
+      this.teller.owe();
     }
   }
 
@@ -298,60 +303,18 @@
     return best;
   }
 
-  /**
-   * A count near the capacity is told at once, since gateways that believe in a free slot take it.
-   * Others can wait, and several changes are told as one.
-   */
-  private tellIfChanged(nowMs: number): void {
-    const { occupied } = this;
-    const isNearFull = Math.max(occupied, this.lastToldOccupied) >= this.slots - NEAR_FULL_SLOTS;
-    if (this.lastToldOccupied < 0 || (isNearFull && occupied !== this.lastToldOccupied)) {
-      this.tellAll(nowMs);
-      return;
-    }
-    const hasChanges = occupied !== this.lastToldOccupied || this.findUntold().length > 0;
-    if (hasChanges && !this.isTellingPlanned) {
-      this.isTellingPlanned = true;
-      this.ports.onChangesToTell();
-    }
-  }
-
   /** Tells gateways what changed since they were told last. */
   tellChanges(nowMs: number): void {
-    this.isTellingPlanned = false;
-    if (this.occupied !== this.lastToldOccupied) {
-      this.tellAll(nowMs);
-      return;
-    }
-    for (const [connection, account] of this.findUntold()) {
-      this.tell(connection, account, nowMs);
-    }
-  }
-
-  /** Gateways that took or returned slots of which the count that they know does not show. */
-  private findUntold(): Array<[number, GatewayAccount]> {
-    return [...this.accounts].filter(([, account]) => account.hasUntoldTakes);
+    this.teller.tellChanges(nowMs);
   }
 
   /** Shows gateways that the agent lives, unless they were told something in the last `quietMs`. */
   beat(quietMs: number, nowMs: number): void {
-    if (nowMs - this.toldAllAtMs >= quietMs) {
-      this.tellAll(nowMs);
-    }
-  }
-
-  /** Tells every gateway how many slots are occupied. */
-  private tellAll(nowMs: number): void {
-    this.toldAllAtMs = nowMs;
-    this.lastToldOccupied = this.occupied;
-    for (const [connection, account] of this.accounts) {
-      this.tell(connection, account, nowMs);
-    }
+    this.teller.beat(quietMs, nowMs);
   }
 
   private tell(connection: number, account: GatewayAccount, nowMs: number): void {
     const { occupied, speed } = this;
-    account.hasUntoldTakes = false;
     this.ports.send(connection, {
       kind: 'state',
       occupied,
