A version that turns bad just before all traffic moves stays within its exposure

Requests of the test take 0.1 to 1.5 s now, and not all the same 0.3. Change: the steps are .04, .12 and .2, together .058 of the requests.

--- a/src/rollout/service-rollout.ts
+++ b/src/rollout/service-rollout.ts
@@ -43,12 +43,13 @@
 
 /**
  * Share of the requests that the target version gets up to each part of the order's time. Together they
- * are .085 of the requests of that time, below the tenth that users allow a version that turns bad last.
+ * are .058 of the requests of that time. Users allow a bad version a tenth: the rest is for one that turns
+ * bad just before all traffic moves, until that is seen.
  */
 const STEPS: ReadonlyArray<{ readonly until: number; readonly share: number }> = [
-  { until: 0.5, share: 0.05 },
-  { until: 0.65, share: 0.2 },
-  { until: 0.75, share: 0.3 },
+  { until: 0.5, share: 0.04 },
+  { until: 0.65, share: 0.12 },
+  { until: 0.75, share: 0.2 },
 ];
 /** Part of the order's time after which all traffic moves, and that after which an open verdict is settled. */
 const MOVE_AT = STEPS.at(-1)!.until;
--- a/test/proxied-request.test.ts
+++ b/test/proxied-request.test.ts
@@ -64,6 +64,19 @@
   t.is(world.attempts[7]!.backend.id, world.attempts[6]!.backend.id);
 });
 
+test('a closed port is not asked again for a while, however fast its back end was', (t) => {
+  const world = twoBackends();
+  world.dispatcher.learnSpeed('a', 1, 10);
+  world.dispatcher.learnSpeed('b', 1, 50);
+  world.request({ route: UNSAFE });
+  t.is(world.attempts[0]!.backend.id, 'a');
+  world.attempts[0]!.handlers.onFailure(REFUSED);
+  t.true(world.directory.find('a')!.health.isEjected(world.clock.now()));
+  world.answer(1, 200, 'served');
+  world.request({ route: UNSAFE });
+  t.is(world.attempts[2]!.backend.id, 'b');
+});
+
 test('connections that do not come up in time are tried a few times', (t) => {
   const ids = ['a', 'b', 'c', 'd', 'e', 'f', 'g'];
   const world = new GatewayWorld(...ids.map((id) => backendOf(id)));
--- a/test/rollout.test.ts
+++ b/test/rollout.test.ts
@@ -14,6 +14,7 @@
 const GOOD: VersionBehaviour = { badShare: () => 0.02 };
 const BAD_AT_ONCE: VersionBehaviour = { badShare: () => 0.4 };
 const BAD_LATER: VersionBehaviour = { badShare: (part) => (part < 0.55 ? 0.02 : 0.5) };
+const BAD_BEFORE_THE_MOVE: VersionBehaviour = { badShare: (part) => (part < 0.7 ? 0.02 : 0.5) };
 const BAD_ON_ONE_ROUTE: VersionBehaviour = {
   badShare: (_part, route) => (route === 'second' ? 0.5 : 0.02),
 };
@@ -57,6 +58,10 @@
   await allEnd(t, 'rolled-back', BAD_LATER);
 });
 
+test('a version that turns bad just before all traffic would move is rolled back', async (t) => {
+  await allEnd(t, 'rolled-back', BAD_BEFORE_THE_MOVE);
+});
+
 test('a version that is bad on one route only is rolled back', async (t) => {
   await allEnd(t, 'rolled-back', BAD_ON_ONE_ROUTE);
 });
--- a/test/support/rollout-fleet.ts
+++ b/test/support/rollout-fleet.ts
@@ -43,7 +43,9 @@
 const ROUTES = ['first', 'second', 'third'];
 const USUAL_BAD_SHARE = 0.02;
 const REQUESTS_PER_S = 200;
-const WORK_MS = 300;
+/** Shortest and longest time of a request at a back end. */
+const WORK_MIN_MS = 100;
+const WORK_MAX_MS = 1_500;
 const TICK_MS = 100;
 const BEAT_MS = 400;
 const STORE_MS = 10;
@@ -192,6 +194,7 @@
     }
     const badShare = isTarget ? this.behaviour.badShare(this.part, route) : USUAL_BAD_SHARE;
     const isBad = this.random.next() < badShare;
+    const workMs = WORK_MIN_MS + (WORK_MAX_MS - WORK_MIN_MS) * this.random.next() ** 2;
     this.clock.setTimeout(() => {
       this.atOld -= isTarget ? 0 : 1;
       if (isTarget && isBad) {
@@ -199,7 +202,7 @@
         this.fiftiethAtMs = this.badAnswers === 50 ? this.clock.now() : this.fiftiethAtMs;
       }
       gateway.noteEnded(backend, route, isBad);
-    }, WORK_MS);
+    }, workMs);
   }
 
   private prefersTarget(gateway: Rollouts): boolean {
