Connections that fall silent without a reset are found, to peers and to back ends

The mesh of gateways had no time-out at all: after such a fault each gateway read the store by itself and took its peers for silent until one of both was restarted. A back end's other resting connections were used after one had brought no answer. Change: a peer that was not heard for 2.5 s or four beats gets a further connection, which takes the place of the first once it stands, so that one that is only cut off keeps its own; a request that is given up after half a second without an answer on a connection used again ends the others at rest there. Shown by: tests over sockets for both. Left: a stream that may not be repeated still waits out its caller's patience on the silent connection.

--- a/src/cluster/peer-mesh.ts
+++ b/src/cluster/peer-mesh.ts
@@ -66,6 +66,8 @@
   isWanted: boolean;
   isOpen: boolean;
   failures: number;
+  /** When the connection came up, or its peer was heard on its own, in milliseconds. */
+  aliveAtMs: number;
 }
 
 /** Connections among gateways. */
@@ -114,6 +116,22 @@
     }
   }
 
+  /**
+   * Opens a further connection to each peer of which nothing was heard for `silenceMs`; once it stands it
+   * takes the place of the one before. Connections may fall silent for good without a reset, mostly both
+   * ways at once, and nothing comes back on the one that this process opened. A peer that is only cut off
+   * for a while keeps the one that it has.
+   */
+  reopenSilent(silenceMs: number): void {
+    const nowMs = this.clock.now();
+    for (const peer of this.outgoing.values()) {
+      if (peer.isOpen && nowMs - peer.aliveAtMs > silenceMs) {
+        peer.aliveAtMs = nowMs;
+        this.open(peer);
+      }
+    }
+  }
+
   /** Ends every connection. */
   stop(): void {
     this.isStopped = true;
@@ -136,6 +154,7 @@
         isWanted: false,
         isOpen: false,
         failures: 0,
+        aliveAtMs: -Infinity,
       });
       this.passOn(address);
     }
@@ -186,19 +205,34 @@
       onMessage: (message) => this.handlers.onQuestion(message, (answer) => channel.send(answer)),
       onClose: () => {
         this.clock.clearTimeout(timer);
-        this.closeOutgoing(peer);
+        if (peer.channel === channel) {
+          this.closeOutgoing(peer);
+        }
       },
     });
-    peer.channel = channel;
+    if (!peer.isOpen) {
+      peer.channel = channel;
+    }
     socket.once('connect', () => {
       this.clock.clearTimeout(timer);
-      this.greet(peer, channel);
+      this.use(peer, channel);
     });
   }
 
+  /** A connection stands: it takes the place of the one before, if there is one. */
+  private use(peer: OutgoingPeer, channel: MessageChannel<PeerMessage, PeerMessage>): void {
+    const earlier = peer.channel;
+    peer.channel = channel;
+    if (earlier !== channel) {
+      earlier?.close();
+    }
+    this.greet(peer, channel);
+  }
+
   private greet(peer: OutgoingPeer, channel: MessageChannel<PeerMessage, PeerMessage>): void {
     peer.isOpen = true;
     peer.failures = 0;
+    peer.aliveAtMs = this.clock.now();
     channel.send(this.self);
     channel.send({ kind: 'addresses', addresses: [this.self.address, ...this.outgoing.keys()] });
     this.handlers.onOpened((message) => channel.send(message));
@@ -243,6 +277,10 @@
   }
 
   private receive(hello: PeerHello, message: PeerMessage, reply: SendToPeer): void {
+    const peer = this.outgoing.get(hello.address);
+    if (peer !== undefined) {
+      peer.aliveAtMs = this.clock.now();
+    }
     if (message.kind === 'addresses') {
       this.learnAddresses(message.addresses);
       return;
--- a/src/gateway/attempt/http-backend-sender.ts
+++ b/src/gateway/attempt/http-backend-sender.ts
@@ -33,6 +33,12 @@
 /** Longest time from a send to the reset by which a forgotten connection shows, in milliseconds. */
 const FORGOTTEN_RESET_MS = 25;
 
+/**
+ * Time without an answer from which on a connection that was used again may have fallen silent for good, in
+ * milliseconds: longer than callers take that leave early, shorter than the patience of the others.
+ */
+const SILENT_MS = 500;
+
 /** Sends requests to back ends over HTTP. */
 export class HttpBackendSender implements BackendSender {
   private readonly agent: GuardedAgent;
@@ -86,6 +92,9 @@
   cancel(): void {
     this.isOver = true;
     clearTimeout(this.connectTimer);
+    if (this.isUnanswered && performance.now() - this.startedAtMs > SILENT_MS) {
+      this.agent.endResting(this.address);
+    }
     this.request.destroy();
   }
 
@@ -173,6 +182,11 @@
     this.handlers.onEnd();
   }
 
+  /** Whether nothing came back on a connection that was used again. */
+  private get isUnanswered(): boolean {
+    return this.request.reusedSocket && this.response === undefined;
+  }
+
   /**
    * A connection that was used again brought no answer. The back end may be gone: what is sent on another
    * resting connection could be lost too, and nobody could tell whether it ran, while a new connection is
@@ -180,8 +194,8 @@
    * before it; later ones show a failed run.
    */
   private noteUnanswered(): void {
-    const { request, response, startedAtMs } = this;
-    if (!request.reusedSocket || response !== undefined) {
+    const { request, startedAtMs } = this;
+    if (!this.isUnanswered) {
       return;
     }
     this.agent.endResting(this.address);
--- a/src/gateway/links/gateway-peers.ts
+++ b/src/gateway/links/gateway-peers.ts
@@ -35,6 +35,9 @@
 export const PEER_TICK_MS = 100;
 /** Ticks without news after which a beat shows that this process lives. */
 const IDLE_BEAT_TICKS = 5;
+/** Silence of a peer after which the connection to it is opened anew: a time, and periods of its beats. */
+const REOPEN_SILENCE_MS = 2_500;
+const REOPEN_SILENCE_BEATS = 4;
 /** Gateways that beats may go to in each tick; where there are more, beats are rarer. */
 const PEERS_PER_BEAT_TICK = 8;
 
@@ -104,6 +107,7 @@
   /** Sends what is due; to be called each tick. */
   tick(): void {
     this.ticks += 1;
+    this.mesh.reopenSilent(Math.max(REOPEN_SILENCE_MS, this.beatMs * REOPEN_SILENCE_BEATS));
     if (this.ticks % this.beatTicks === 0) {
       this.beat();
     } else {
--- a/test/backend-sender.test.ts
+++ b/test/backend-sender.test.ts
@@ -100,6 +100,30 @@
   t.true(outcome.failure?.isPortClosed);
 });
 
+test('after a connection fell silent no other resting one to that back end is used', async (t) => {
+  const used = new Set<Socket>();
+  const { server, address } = await startBackend((socket) => {
+    if (used.has(socket)) {
+      return;
+    }
+    used.add(socket);
+    setTimeout(() => socket.write(`${FRAMED}a-01`), 20);
+  });
+  const sender = new HttpBackendSender();
+  await Promise.all([sendTo(sender, address), sendTo(sender, address)]);
+  const backend = backendOf('b', { address });
+  const attempt = { backend, method: 'GET', path: '/', headers: [], body: Buffer.alloc(0) };
+  const ignore = () => undefined;
+  const handlers = { onHead: ignore, onData: ignore, onEnd: ignore, onFailure: ignore };
+  const silent = sender.send(attempt, handlers);
+  await new Promise((resolve) => setTimeout(resolve, 600));
+  silent.cancel();
+  t.is((await sendTo(sender, address)).body, 'a-01');
+  t.is(used.size, 3);
+  sender.close();
+  server.close();
+});
+
 test('after a reset without an answer no other resting connection of the back end is used', async (t) => {
   const used = new Set<Socket>();
   const { server, address } = await startBackend((socket) => {
--- a/test/replica.test.ts
+++ b/test/replica.test.ts
@@ -93,6 +93,28 @@
   [a, b, c].forEach(({ mesh }) => mesh.stop());
 });
 
+test('the connection to a peer that is not heard is opened anew, that to one that speaks is not', async (t) => {
+  const [portA, portB] = [nextPort(), nextPort()];
+  const a = startMesh(helloOf('a', portA), []);
+  const b = startMesh(helloOf('b', portB), [`${HOST}:${portA}`]);
+  const hellosOfB = () => a.peers.filter((peer) => peer === 'b.1').length;
+  const settle = () => new Promise((resolve) => setTimeout(resolve, 150));
+  await settle();
+  t.is(hellosOfB(), 1);
+  b.mesh.reopenSilent(10_000);
+  await settle();
+  t.is(hellosOfB(), 1);
+  b.mesh.reopenSilent(50);
+  await settle();
+  t.is(hellosOfB(), 2);
+  a.mesh.broadcast({ kind: 'beat', ageMs: 0, used: {}, isReading: false, revision: 0 });
+  await new Promise((resolve) => setTimeout(resolve, 20));
+  b.mesh.reopenSilent(100);
+  await settle();
+  t.is(hellosOfB(), 2);
+  [a, b].forEach(({ mesh }) => mesh.stop());
+});
+
 test('a mesh with a limit of connections takes another address when one fails', async (t) => {
   const [portA, portB, deadPort] = [nextPort(), nextPort(), nextPort()];
   const a = startMesh(helloOf('a', portA), [], [RECORD]);
