--- a/src/rollout/service-rollout.ts
+++ b/src/rollout/service-rollout.ts
@@ -64,6 +64,7 @@
 const PEER_SILENCE_MS = 3_000;
 /** Pause between the writers in rank, in milliseconds: a call of the store and the spread of its news. */
 const WRITER_PAUSE_MS = 500;
+/** The name that the ranks of writers are drawn for. */
 const WRITER_RANK = 'rollout-writer';
 
 /** One gateway's part in a roll-out. */
