--- a/test/rollout.test.ts
+++ b/test/rollout.test.ts
@@ -122,6 +122,20 @@
   t.is(rollout.useOf('v2'), 'closed');
 });
 
+test('what went well in one step does not hide that the version turned bad in the next', (t) => {
+  const rollout = new ServiceRollout(ORDER, 'g', 0);
+  const endAt = (nowMs: number, count: number, isBad: boolean) => {
+    for (let index = 0; index < count; index += 1) {
+      rollout.noteEnded('v1', 'r', false, nowMs);
+      rollout.noteEnded('v2', 'r', isBad, nowMs);
+    }
+  };
+  endAt(1_000, 400, false);
+  endAt(11_000, 20, true);
+  t.is(rollout.useOf('v2'), 'closed');
+  t.true(rollout.tell(11_000).isBad);
+});
+
 test('orders and states are read and written as the platform names them', (t) => {
   const value = JSON.stringify({ service: 's', targetVersion: 'v2', durationS: 12 });
   t.deepEqual(decodeRollout({ key: 'op/rollout/s', revision: 7, value }), {
