Places, evacuations, homes and one query of what operators permit: the interfaces of the new parts

Cause: nothing read regions, evacuation orders, cold starts or homes, and agents read nothing of their replica. The filters of the gateway's choice stood one by one. Now restrictionOf decides for gateways and, from its own replica, for the agent before it grants. Ruled out: a second query in the agent (two answers to one question). Not measured: no policy changed but that nothing goes to an evacuated zone or outside homes.

--- a/src/gateway/admission/request-admission.ts
+++ b/src/gateway/admission/request-admission.ts
@@ -3,6 +3,7 @@
 import type { RandomSource } from '../../random.js';
 import { err, ok } from '../../result.js';
 import type { Result } from '../../result.js';
+import { commonRegions } from '../../routing/backend-restriction.js';
 import type { Route, Tenant } from '../../routing/configuration.js';
 import { pickService } from '../../routing/routing-table.js';
 import type { RoutingTable } from '../../routing/routing-table.js';
@@ -96,6 +97,7 @@
       tenant: tenant?.name,
       tier: tenant?.priority ?? route.priority,
       rankInTier: route.priority,
+      allowedRegions: commonRegions(route.allowedRegions, tenant?.allowedRegions),
       arrivedAtMs,
       firstTriedAtMs: arrivedAtMs - this.triedForMs(route, caller),
       endsAtMs: arrivedAtMs + longestMs,
--- a/src/gateway/attempt/request-wait.ts
+++ b/src/gateway/attempt/request-wait.ts
@@ -43,6 +43,7 @@
     const firstDueAtMs = dueAtMs(request, answer.lastEventAtMs);
     this.place = {
       service,
+      allowedRegions: request.allowedRegions,
       tier: request.tier,
       rankInTier: request.rankInTier,
       arrivedAtMs: request.arrivedAtMs,
--- a/src/gateway/dispatch/backend-chooser.ts
+++ b/src/gateway/dispatch/backend-chooser.ts
@@ -1,5 +1,6 @@
 /** Query: the back end that a request is bound to while one of those permitted has a free slot. */
-import type { VersionUse } from '../../rollout/rollout-order.js';
+import { restrictionOf } from '../../routing/backend-restriction.js';
+import type { OperatorRules } from '../../routing/backend-restriction.js';
 import type { Backend } from '../../routing/backend.js';
 import type { BackendDirectory } from './backend-directory.js';
 import { costOf, harmsOthers, usualSpeed } from './backend-choice.js';
@@ -9,15 +10,13 @@
 import { hasRoom } from './slot-room.js';
 
 /** What a choice asks of its surroundings. */
-export interface BackendChooserPorts {
+export interface BackendChooserPorts extends OperatorRules {
   /** Whether a service's back ends are engines, which serve in batches. */
   isEngine(service: string): boolean;
   /** Gateways that are known, this one included. */
   countGateways(): number;
   /** Tokens that an engine of the service gathers in one event. */
   tokensPerEvent(service: string): number;
-  /** How a back end may be used, by its version. */
-  versionUse(backend: Backend): VersionUse;
 }
 
 /** Bounds of a choice. */
@@ -99,11 +98,16 @@
   }
 
   private fitsGrant(request: DispatchRequest, known: KnownBackend): boolean {
-    const isExcluded = request.excluded.has(known.backend.id);
-    const isOpen = this.ports.versionUse(known.backend) === 'open';
+    const { backend } = known;
+    const isExcluded = request.excluded.has(backend.id);
+    const isOpen = this.isPermitted(request, backend) && this.ports.versionUse(backend) === 'open';
     return isOpen && !isExcluded && !this.harms(request, known, known.occupied - 1);
   }
 
+  private isPermitted({ allowedRegions }: DispatchRequest, backend: Backend): boolean {
+    return restrictionOf(backend, allowedRegions, this.ports) === undefined;
+  }
+
   private harms(request: DispatchRequest, known: KnownBackend, others: number): boolean {
     const tokensPerEvent = this.ports.tokensPerEvent(request.service);
     return harmsOthers(request, known.speed, others, tokensPerEvent);
@@ -117,7 +121,7 @@
     const permitted = this.directory
       .ofService(request.service)
       .filter(({ backend }) => !request.excluded.has(backend.id))
-      .filter(({ backend }) => this.ports.versionUse(backend) !== 'closed');
+      .filter(({ backend }) => this.isPermitted(request, backend));
     const ready = permitted.filter((known) => known.isReady);
     if (ready.length === 0) {
       return permitted.filter((known) => this.isUnlistedLately(known, nowMs));
--- a/src/gateway/dispatch/slot-demand.ts
+++ b/src/gateway/dispatch/slot-demand.ts
@@ -37,8 +37,14 @@
 }
 
 function rankOf(request: DispatchRequest, nowMs: number): WaitingRank {
-  const { tier, rankInTier, arrivedAtMs, startByMs } = request;
-  return { tier, rankInTier, waitedMs: nowMs - arrivedAtMs, startInMs: startByMs - nowMs };
+  const { tier, rankInTier, arrivedAtMs, startByMs, allowedRegions } = request;
+  return {
+    tier,
+    rankInTier,
+    waitedMs: nowMs - arrivedAtMs,
+    startInMs: startByMs - nowMs,
+    ...(allowedRegions === undefined ? {} : { allowedRegions: [...allowedRegions] }),
+  };
 }
 
 /** The first waiting requests that the engine would be right for once a slot is free. */
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -4,6 +4,9 @@
 import type { RandomSource } from '../random.js';
 import type { Backend } from '../routing/backend.js';
 import type { EngineAvailability } from '../slot-agent/engine-watch.js';
+import { Places } from '../routing/places.js';
+import { ZoneEvacuations } from '../routing/zone-evacuations.js';
+import type { EvacuationChange } from '../routing/zone-evacuations.js';
 import type { RoutingConfiguration } from '../routing/configuration.js';
 import { ConfigurationInForce } from './configuration-in-force.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
@@ -51,6 +54,8 @@
 export class GatewayRole {
   private readonly cluster: GatewayCluster;
   private readonly directory: BackendDirectory;
+  private readonly evacuations = new ZoneEvacuations();
+  private readonly places: Places;
   private readonly dispatcher: Dispatcher;
   private readonly rollouts: GatewayRollouts;
   private readonly sender = new HttpBackendSender();
@@ -71,6 +76,7 @@
     const { name } = settings.process;
     const incarnation = `${name}.${Math.floor(random.next() * 2 ** 32).toString(36)}`;
     this.configuration = new ConfigurationInForce(clock);
+    this.places = new Places(settings.places.zones);
     const isEngine = (service: string) => this.configuration.isEngine(service);
     this.directory = new BackendDirectory(settings.process, { isEngine });
     this.dispatcher = new Dispatcher(this.directory, {
@@ -81,6 +87,8 @@
       countGateways: () => this.cluster.size,
       tokensPerEvent: (service) => this.configuration.tokensPerEvent(service),
       versionUse: (backend) => this.rollouts.rollouts.useOf(backend),
+      isEvacuated: (zone) => this.evacuations.isEvacuated(zone),
+      regionOf: (zone) => this.places.regionOf(zone),
       onSent: (backend) => this.rollouts.rollouts.noteSent(backend),
     });
     this.rollouts = new GatewayRollouts({
@@ -247,6 +255,8 @@
         revision: record.revision,
       });
       this.dispatcher.updateBackend(id, backend, clock.now());
+    } else if (decoded.kind === 'evacuation') {
+      this.takeEvacuation(decoded.change);
     } else if (decoded.kind === 'rollout-order') {
       this.rollouts.takeOrder(decoded.order);
     } else if (decoded.kind === 'rollout-status') {
@@ -257,6 +267,12 @@
     }
   }
 
+  private takeEvacuation(change: EvacuationChange): void {
+    if (this.evacuations.take(change, this.parts.clock.now())) {
+      this.parts.log.write('zone-evacuation', 'state', { ...change });
+    }
+  }
+
   private noteAvailability({ id, address }: Backend, availability: EngineAvailability): void {
     this.parts.log.write('backend-availability', 'state', { backend: id, availability });
     if (availability === 'closed') {
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -34,6 +34,23 @@
   return z.pipe(z._default(z.string(), ''), z.transform(split));
 }
 
+/** Zones with their regions, as `zone:region`, separated by commas. */
+function zoneRegions() {
+  const pairs = z._default(
+    z.string().check(z.regex(/^\s*([^:,\s]+:[^:,\s]+\s*(,\s*|$))*$/, 'must be ZONE:REGION, ...')),
+    '',
+  );
+  const split = (text: string): ReadonlyMap<string, string> =>
+    new Map(
+      text
+        .split(',')
+        .map((item) => item.trim())
+        .filter((item) => item !== '')
+        .map((item) => item.split(':') as [string, string]),
+    );
+  return z.pipe(pairs, z.transform(split));
+}
+
 const settingsSchema = z.object({
   process: z.object({
     /** What this process does. */
@@ -41,9 +58,18 @@
     /** Unique name of the process. */
     name: requiredText(),
     zone: requiredText(),
+    /** Region of the zone; empty where the deployment names none. */
+    region: z._default(z.string(), ''),
     /** IPv4 address that listeners bind to. */
     address: requiredText(),
   }),
+  places: z.prefault(
+    z.object({
+      /** Every zone with its region, as ZONE:REGION, separated by commas. */
+      zones: zoneRegions(),
+    }),
+    {},
+  ),
   listen: z.prefault(
     z.object({
       /** Callers' interface, IP:PORT (gateway). */
@@ -91,6 +117,13 @@
       quotaSlack: number(10_000),
       /** Time from the stop signal to the kill, in seconds. Default 8. */
       stopGraceS: number(8),
+      /**
+       * Times of the rate that a cold back end bears which all gateways together may send it in a second.
+       * Default 1: what its service names and no more.
+       */
+      coldOver: number(1),
+      /** Requests in a second beside that. Default 0. */
+      coldSlack: number(0),
     }),
     {},
   ),
--- a/src/model/model-agent.ts
+++ b/src/model/model-agent.ts
@@ -40,6 +40,7 @@
         onReconciled: () => undefined,
         onLookWanted: () => clock.setTimeout(() => this.lookAtEngine(), LOOK_MS),
         onAvailability: () => undefined,
+        restriction: () => undefined,
       },
       gatewaySilence,
     );
--- a/src/model/model-fleet.ts
+++ b/src/model/model-fleet.ts
@@ -49,6 +49,7 @@
       version: '',
       slots: fleet.slots,
       state: 'ready',
+      remainingColdMs: 0,
       revision: 1,
     };
     const agent = new ModelAgent(engine, clock, fleet.linkMs, gatewaySilence);
--- a/src/model/model-gateway.ts
+++ b/src/model/model-gateway.ts
@@ -80,6 +80,8 @@
       onEjected: () => undefined,
       onAvailability: () => undefined,
       versionUse: () => 'open',
+      isEvacuated: () => false,
+      regionOf: () => undefined,
       onSent: () => undefined,
       isEngine: () => true,
       countGateways: () => parts.countGateways(),
--- a/src/model/run-experiment.ts
+++ b/src/model/run-experiment.ts
@@ -223,7 +223,13 @@
   }
 }
 
-const ONE_TENANT: Tenant = { name: 'one', apiKeys: [MODEL_KEY], priority: 1, quota: undefined };
+const ONE_TENANT: Tenant = {
+  name: 'one',
+  apiKeys: [MODEL_KEY],
+  priority: 1,
+  quota: undefined,
+  allowedRegions: undefined,
+};
 
 function routingTable({ routes, fleet, hasOneTier }: Experiment): RoutingTable {
   return new RoutingTable({
@@ -235,6 +241,8 @@
         maxConnections: Infinity,
         isEngine: true,
         tokensPerEvent: fleet.tokensPerEvent,
+        coldStartMs: 0,
+        coldRequestsPerS: 0,
       },
     ],
     tenants: hasOneTier ? [ONE_TENANT] : [],
@@ -255,6 +263,7 @@
     maxAttempts: 1,
     priority,
     allowsAnonymous: true,
+    allowedRegions: undefined,
     services: [{ service: ENGINE_SERVICE, weight: 1 }],
   };
 }
--- a/src/routing/backend.ts
+++ b/src/routing/backend.ts
@@ -16,6 +16,8 @@
   /** Requests that it works on at once. */
   readonly slots: number;
   readonly state: BackendState;
+  /** How much longer it is slow from its start when it announced this, in milliseconds; 0 once it is warm. */
+  readonly remainingColdMs: number;
   /** The store's revision of the announcement: of two at one address the later one is in force. */
   readonly revision: number;
 }
--- a/src/routing/configuration.ts
+++ b/src/routing/configuration.ts
@@ -35,6 +35,8 @@
   /** Rank; 0 is the highest. */
   readonly priority: number;
   readonly allowsAnonymous: boolean;
+  /** Regions in which its requests may be served, and nowhere else; undefined for any. */
+  readonly allowedRegions: readonly string[] | undefined;
   readonly services: readonly WeightedService[];
 }
 
@@ -52,6 +54,10 @@
   readonly isEngine: boolean;
   /** Tokens that an engine gathers in one event of a stream; 0 for plain services. */
   readonly tokensPerEvent: number;
+  /** How long a back end is slow after its start, in milliseconds; 0 for a service without slow starts. */
+  readonly coldStartMs: number;
+  /** Requests a second that a back end bears while it is cold; 0 for no limit. */
+  readonly coldRequestsPerS: number;
 }
 
 /** Tokens (or requests) that a tenant may spend over all gateways together. */
@@ -71,6 +77,8 @@
   /** Takes precedence over the route's priority when it is set. */
   readonly priority: number | undefined;
   readonly quota: TenantQuota | undefined;
+  /** Regions in which its requests may be served; binds beside the route's. Undefined for any. */
+  readonly allowedRegions: readonly string[] | undefined;
 }
 
 /** What a caller may send. */
--- /dev/null
+++ b/src/routing/zone-evacuations.ts
@@ -0,0 +1,51 @@
+/**
+ * Standing orders of the operators to send nothing to the back ends of a zone.
+ *
+ * An order lasts until its record is removed. The store's revision decides which news is the newest, so
+ * that news may come in any order and more than once.
+ */
+
+/** What a record of the store says of one zone. */
+export interface EvacuationChange {
+  readonly zone: string;
+  /** Whether the zone is to get nothing; false once the order was removed. */
+  readonly isOrdered: boolean;
+  /** The store's revision of the order or of its removal. */
+  readonly revision: number;
+}
+
+/** The newest change of a zone, and when this process learned of it. */
+export interface KnownEvacuation extends EvacuationChange {
+  readonly learnedAtMs: number;
+}
+
+/** The evacuated zones as this process knows them. */
+export class ZoneEvacuations {
+  private readonly byZone = new Map<string, KnownEvacuation>();
+
+  /** Takes in a change; says whether it is news. */
+  take(change: EvacuationChange, nowMs: number): boolean {
+    const known = this.byZone.get(change.zone);
+    if (known !== undefined && known.revision >= change.revision) {
+      return false;
+    }
+    this.byZone.set(change.zone, { ...change, learnedAtMs: nowMs });
+    return true;
+  }
+
+  /** Whether nothing may be sent to the zone's back ends. */
+  isEvacuated(zone: string): boolean {
+    return this.byZone.get(zone)?.isOrdered ?? false;
+  }
+
+  /** When this process learned that the zone was taken back into use; undefined if it was not. */
+  returnedAtMs(zone: string): number | undefined {
+    const known = this.byZone.get(zone);
+    return known === undefined || known.isOrdered ? undefined : known.learnedAtMs;
+  }
+
+  /** Every zone of which an order is or was known. */
+  list(): KnownEvacuation[] {
+    return [...this.byZone.values()];
+  }
+}
--- /dev/null
+++ b/src/slot-agent/engine-knowledge.ts
@@ -0,0 +1,95 @@
+/**
+ * What an agent's own replica of the store says of the engine beside it: its announcement, its service,
+ * the operators' orders for its zone. By it the agent checks for itself what gateways may send there.
+ */
+import type { Backend } from '../routing/backend.js';
+import { restrictionOf } from '../routing/backend-restriction.js';
+import type { AllowedRegions, RestrictionReason } from '../routing/backend-restriction.js';
+import type { RoutingConfiguration, Service } from '../routing/configuration.js';
+import type { DecodedRecord } from '../routing/decoded-record.js';
+import type { Places } from '../routing/places.js';
+import { ZoneEvacuations } from '../routing/zone-evacuations.js';
+
+/** Where the engine is. */
+export interface EnginePlace {
+  /** IPv4 address and port of the engine. */
+  readonly address: string;
+  readonly zone: string;
+}
+
+/** What an agent knows of its engine. */
+export class EngineKnowledge {
+  readonly evacuations = new ZoneEvacuations();
+  private readonly announced = new Map<string, Backend>();
+  private configuration: RoutingConfiguration | undefined;
+
+  constructor(
+    private readonly place: EnginePlace,
+    private readonly places: Places,
+  ) {}
+
+  /** Takes in a record. */
+  take(decoded: DecodedRecord, nowMs: number): void {
+    if (decoded.kind === 'evacuation') {
+      this.evacuations.take(decoded.change, nowMs);
+    } else if (decoded.kind === 'backend') {
+      this.takeBackend(decoded.id, decoded.backend);
+    } else if (decoded.kind === 'configuration') {
+      const { configuration } = decoded;
+      if (configuration.version > (this.configuration?.version ?? -Infinity)) {
+        this.configuration = configuration;
+      }
+    }
+  }
+
+  /** The newest announcement at the engine's address; undefined while none is known. */
+  get backend(): Backend | undefined {
+    let newest: Backend | undefined;
+    for (const backend of this.announced.values()) {
+      if (newest === undefined || backend.revision > newest.revision) {
+        newest = backend;
+      }
+    }
+    return newest;
+  }
+
+  /** The engine's service; undefined while it is not known. */
+  get service(): Service | undefined {
+    const name = this.backend?.service;
+    return this.configuration?.services.find((service) => service.name === name);
+  }
+
+  /** Why a request must not be sent to the engine; undefined where it may, or where nothing is known. */
+  restriction(allowedRegions: AllowedRegions): RestrictionReason | undefined {
+    const { address, zone } = this.place;
+    const backend = this.backend ?? unannounced(address, zone);
+    return restrictionOf({ ...backend, zone }, allowedRegions, {
+      isEvacuated: (asked) => this.evacuations.isEvacuated(asked),
+      regionOf: (asked) => this.places.regionOf(asked),
+      // Only gateways know the shares of a roll-out.
+      versionUse: () => 'open',
+    });
+  }
+
+  private takeBackend(id: string, backend: Backend | undefined): void {
+    if (backend?.address === this.place.address) {
+      this.announced.set(id, backend);
+    } else {
+      this.announced.delete(id);
+    }
+  }
+}
+
+function unannounced(address: string, zone: string): Backend {
+  return {
+    id: '',
+    service: '',
+    address,
+    zone,
+    version: '',
+    slots: 0,
+    state: 'ready',
+    remainingColdMs: 0,
+    revision: 0,
+  };
+}
--- a/src/slot-agent/gateway-account.ts
+++ b/src/slot-agent/gateway-account.ts
@@ -1,5 +1,6 @@
 /** What an agent keeps of one connected gateway: its slots, what waits there, and when it was heard. */
 import type { WaitingRank } from './slot-messages.js';
+import type { AllowedRegions } from '../routing/backend-restriction.js';
 import type { WaitingPlace } from './waiting-order.js';
 
 /** How long a gateway may be silent, in milliseconds. */
@@ -23,10 +24,15 @@
   silenceMs: 700,
 };
 
+/** A request that waits in a gateway. */
+export interface WaitingRequest extends WaitingPlace {
+  readonly allowedRegions: AllowedRegions;
+}
+
 /** One connected gateway. */
 export class GatewayAccount {
   /** Waiting requests in the gateway's order, on this process's clock. */
-  waiting: WaitingPlace[] = [];
+  waiting: WaitingRequest[] = [];
   /** Messages heard after the hello. */
   messagesSeen = 0;
   /** Whether it took slots since it was told a count; it adds them to the count that it knows. */
@@ -51,17 +57,12 @@
   /** Takes in what waits now; grants still on their way answer the first of the requests named. */
   setWaiting(ranks: readonly WaitingRank[], grantsSeen: number, nowMs: number): void {
     const grantsUnderWay = Math.max(0, this.grantsIssued - grantsSeen);
-    this.waiting = ranks.slice(grantsUnderWay).map(({ tier, rankInTier, waitedMs, startInMs }) => ({
-      tier,
-      rankInTier,
-      arrivedAtMs: nowMs - waitedMs,
-      startByMs: nowMs + startInMs,
-    }));
+    this.waiting = ranks.slice(grantsUnderWay).map((rank) => placeOf(rank, nowMs));
   }
 
-  /** The first waiting request gets a slot. */
-  grant(nowMs: number): void {
-    this.waiting.shift();
+  /** A waiting request gets a slot. */
+  grant(request: WaitingRequest, nowMs: number): void {
+    this.waiting = this.waiting.filter((other) => other !== request);
     this.held += 1;
     this.grantsIssued += 1;
     this.unansweredSinceMs.push(nowMs);
@@ -99,3 +100,15 @@
     return this.isExpectedToSpeak && nowMs - this.heardAtMs > silenceMs;
   }
 }
+
+/** A rank on this process's clock. */
+function placeOf(rank: WaitingRank, nowMs: number): WaitingRequest {
+  const { tier, rankInTier, waitedMs, startInMs, allowedRegions } = rank;
+  return {
+    tier,
+    rankInTier,
+    arrivedAtMs: nowMs - waitedMs,
+    startByMs: nowMs + startInMs,
+    allowedRegions: allowedRegions === undefined ? undefined : new Set(allowedRegions),
+  };
+}
--- a/src/slot-agent/slot-agent-role.ts
+++ b/src/slot-agent/slot-agent-role.ts
@@ -9,12 +9,17 @@
 import { DEFAULT_PEER_MESH_OPTIONS, PeerMesh } from '../cluster/peer-mesh.js';
 import { RecordExchange } from '../cluster/record-exchange.js';
 import { ReplicatedRecords } from '../cluster/replicated-records.js';
+import type { StoreRecord } from '../cluster/replicated-records.js';
 import type { Clock, TimerHandle } from '../clock.js';
+import type { DecodeRecord } from '../routing/decoded-record.js';
+import type { Places } from '../routing/places.js';
 import { MessageChannel } from '../protocol/message-channel.js';
 import type { RandomSource } from '../random.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { SlotAgentMetrics } from './slot-agent-metrics.js';
 import type { EngineAvailability, EngineReading } from './engine-watch.js';
+import { EngineKnowledge } from './engine-knowledge.js';
+import type { EnginePlace } from './engine-knowledge.js';
 import { SlotLedger } from './slot-ledger.js';
 import type { AgentRefusal, AgentToGateway, GatewayToAgent, SlotMessage } from './slot-messages.js';
 
@@ -44,6 +49,8 @@
 /** Who an agent is. */
 export interface SlotAgentIdentity {
   readonly name: string;
+  /** The engine that it stands beside. */
+  readonly engine: EnginePlace;
   /** Addresses of gateways to begin with, IP:PORT. */
   readonly seeds: readonly string[];
 }
@@ -51,6 +58,9 @@
 /** What an agent is made from. */
 export interface SlotAgentParts {
   readonly identity: SlotAgentIdentity;
+  readonly places: Places;
+  /** Reads a record of the store. */
+  readonly decode: DecodeRecord;
   readonly readReport: EngineReport;
   readonly clock: Clock;
   readonly random: RandomSource;
@@ -96,6 +106,7 @@
   private readonly server: Server;
   private readonly channels = new Map<number, MessageChannel<AgentToGateway, GatewayToAgent>>();
   private readonly ledger: SlotLedger;
+  private readonly knowledge: EngineKnowledge;
   private readonly records = new ReplicatedRecords();
   private readonly exchange: RecordExchange;
   private readonly mesh: PeerMesh;
@@ -112,6 +123,7 @@
   ) {
     const { identity, clock, random, metrics } = parts;
     this.clock = clock;
+    this.knowledge = new EngineKnowledge(identity.engine, parts.places);
     this.ledger = new SlotLedger({
       send: (connection, message) => this.channels.get(connection)?.send(message),
       onGranted: () => metrics.record(({ grants }) => grants.inc()),
@@ -120,11 +132,12 @@
       onReconciled: (slots) => this.noteReconciled(slots),
       onLookWanted: () => this.lookIn(0),
       onAvailability: (availability) => this.noteAvailability(availability),
+      restriction: (allowedRegions) => this.knowledge.restriction(allowedRegions),
     });
     this.server = createServer((socket) => this.accept(socket));
     this.exchange = new RecordExchange(
       this.records,
-      { isStoreReachable: () => false, onNews: () => undefined },
+      { isStoreReachable: () => false, onNews: (records) => this.learn(records) },
       clock,
     );
     const { name, seeds } = identity;
@@ -173,6 +186,13 @@
     this.parts.log.flush();
   }
 
+  /** Takes in records of the store that are news. */
+  private learn(records: readonly StoreRecord[]): void {
+    for (const record of records) {
+      this.knowledge.take(this.parts.decode(record), this.clock.now());
+    }
+  }
+
   private accept(socket: Socket): void {
     const connection = this.nextConnection;
     this.nextConnection += 1;
--- a/src/slot-agent/slot-ledger.ts
+++ b/src/slot-agent/slot-ledger.ts
@@ -8,11 +8,12 @@
  * what it held stays occupied only as long as the back end's own report shows
  * requests that no connected gateway accounts for.
  */
+import type { AllowedRegions, RestrictionReason } from '../routing/backend-restriction.js';
 import { EngineWatch } from './engine-watch.js';
 import type { EngineAvailability, EngineReading } from './engine-watch.js';
 import { FailureEstimate } from './failure-estimate.js';
 import { DEFAULT_GATEWAY_SILENCE_OPTIONS, GatewayAccount } from './gateway-account.js';
-import type { GatewaySilenceOptions } from './gateway-account.js';
+import type { GatewaySilenceOptions, WaitingRequest } from './gateway-account.js';
 import type { SlotAgentSnapshot } from './slot-agent-instruments.js';
 import type { LearnedSpeed, SlotAnswer, SlotHello, SlotMessage } from './slot-messages.js';
 import { SlotTeller } from './slot-teller.js';
@@ -32,6 +33,8 @@
   onLookWanted(): void;
   /** Whether gateways may use the back end changed. */
   onAvailability(availability: EngineAvailability): void;
+  /** Why operators keep a request from the back end; undefined where they do not. */
+  restriction(allowedRegions: AllowedRegions): RestrictionReason | undefined;
 }
 
 /**
@@ -39,6 +42,13 @@
  * in milliseconds: it may be cut off from this process alone and still send.
  */
 const LOOK_FOR_GONE_MS = 10_000;
+/** The request that a slot is granted for. */
+interface NextGrant {
+  readonly connection: number;
+  readonly account: GatewayAccount;
+  readonly waiting: WaitingRequest;
+}
+
 /** The slots of one back end. */
 export class SlotLedger {
   private readonly accounts = new Map<number, GatewayAccount>();
@@ -272,8 +282,8 @@
       if (next === undefined) {
         return;
       }
-      const [connection, account] = next;
-      account.grant(nowMs);
+      const { connection, account, waiting } = next;
+      account.grant(waiting, nowMs);
       this.ports.onGranted();
       this.ports.send(connection, { kind: 'granted' });
     }
@@ -288,21 +298,25 @@
     return availability === 'trial' ? 1 : this.slots;
   }
 
-  private findFirstWaiting(nowMs: number): [number, GatewayAccount] | undefined {
-    let best: [number, GatewayAccount] | undefined;
-    for (const entry of this.accounts) {
-      const head = entry[1].waiting[0];
-      const bestHead = best?.[1].waiting[0];
-      if (head === undefined || entry[1].hasLapsedGrant(nowMs, this.silence)) {
+  private findFirstWaiting(nowMs: number): NextGrant | undefined {
+    let best: NextGrant | undefined;
+    for (const [connection, account] of this.accounts) {
+      const waiting = this.firstPermitted(account);
+      if (waiting === undefined || account.hasLapsedGrant(nowMs, this.silence)) {
         continue;
       }
-      if (bestHead === undefined || compareWaiting(head, bestHead, nowMs) < 0) {
-        best = entry;
+      if (best === undefined || compareWaiting(waiting, best.waiting, nowMs) < 0) {
+        best = { connection, account, waiting };
       }
     }
     return best;
   }
 
+  /** The gateway's first waiting request that operators permit here. */
+  private firstPermitted({ waiting }: GatewayAccount): WaitingRequest | undefined {
+    return waiting.find(({ allowedRegions }) => !this.ports.restriction(allowedRegions));
+  }
+
   /** Tells gateways what changed since they were told last. */
   tellChanges(nowMs: number): void {
     this.teller.tellChanges(nowMs);
--- a/src/slot-agent/slot-messages.ts
+++ b/src/slot-agent/slot-messages.ts
@@ -10,6 +10,8 @@
   readonly waitedMs: number;
   /** How long it may still wait to be answered in time, in milliseconds; negative when it is late. */
   readonly startInMs: number;
+  /** Regions in which the request may be served; missing for any. */
+  readonly allowedRegions?: readonly string[];
 }
 
 /** A gateway's first message on a connection. */
--- a/test/configuration-in-force.test.ts
+++ b/test/configuration-in-force.test.ts
@@ -5,7 +5,16 @@
 import { VirtualClock } from '../src/sim/virtual-clock.js';
 
 function configurationOf(version: number): RoutingConfiguration {
-  const services = [{ name: 's', maxConnections: 1, isEngine: true, tokensPerEvent: 6 }];
+  const services = [
+    {
+      name: 's',
+      maxConnections: 1,
+      isEngine: true,
+      tokensPerEvent: 6,
+      coldStartMs: 0,
+      coldRequestsPerS: 0,
+    },
+  ];
   return { version, routes: [], services, tenants: [], limits: DEFAULT_CALLER_LIMITS };
 }
 
--- a/test/dispatcher.test.ts
+++ b/test/dispatcher.test.ts
@@ -242,6 +242,7 @@
   world.request({ route: SECOND });
   const waiting = {
     service: 's',
+    allowedRegions: undefined,
     tier: 2,
     rankInTier: 0,
     arrivedAtMs: world.clock.now(),
--- a/test/gateway-settings.test.ts
+++ b/test/gateway-settings.test.ts
@@ -74,3 +74,16 @@
     .replaceAll(/\{\{[^}]*\}\}/g, '7');
   t.true(parseGatewaySettings(filled).ok);
 });
+
+test('zones are read with their regions; a zone without one is a fault', (t) => {
+  const settings = parseGatewaySettings(`${GOOD}[places]\nzones = z:r, y:r\n`).unwrap();
+  t.deepEqual(
+    [...settings.places.zones],
+    [
+      ['z', 'r'],
+      ['y', 'r'],
+    ],
+  );
+  const faulty = parseGatewaySettings(`${GOOD}[places]\nzones = z,y:r\n`);
+  t.deepEqual(faulty.ok ? [] : faulty.val.problems.map(({ key }) => key), ['zones']);
+});
--- a/test/replica.test.ts
+++ b/test/replica.test.ts
@@ -9,6 +9,7 @@
 import type { StoreRecord } from '../src/cluster/replicated-records.js';
 import { MessageChannel } from '../src/protocol/message-channel.js';
 import { SeededRandom } from '../src/random.js';
+import { Places } from '../src/routing/places.js';
 import { SlotAgentMetrics } from '../src/slot-agent/slot-agent-metrics.js';
 import { SlotAgentRole } from '../src/slot-agent/slot-agent-role.js';
 import { DecisionLog } from '../src/telemetry/decision-log.js';
@@ -164,7 +165,9 @@
   const [agentPort, gatewayPort] = [nextPort(), nextPort()];
   const seeds = [`${HOST}:${gatewayPort}`];
   const agent = new SlotAgentRole({
-    identity: { name: 'agent', seeds },
+    identity: { name: 'agent', engine: { address: `${HOST}:1`, zone: 'z' }, seeds },
+    places: new Places(new Map()),
+    decode: () => ({ kind: 'irrelevant' }),
     readReport: () => Promise.resolve({ kind: 'load', requests: 0 }),
     clock: SYSTEM_CLOCK,
     random: new SeededRandom(2),
--- a/test/routing-table.test.ts
+++ b/test/routing-table.test.ts
@@ -16,12 +16,19 @@
     maxAttempts: 2,
     priority: 0,
     allowsAnonymous: false,
+    allowedRegions: undefined,
     services: [{ service: 's', weight: 1 }],
   };
 }
 
 function tableOf(routes: Route[]): RoutingTable {
-  const tenant = { name: 't', apiKeys: ['k'], priority: undefined, quota: undefined };
+  const tenant = {
+    name: 't',
+    apiKeys: ['k'],
+    priority: undefined,
+    quota: undefined,
+    allowedRegions: undefined,
+  };
   return new RoutingTable({
     version: 1,
     routes,
--- a/test/slot-agent-role.test.ts
+++ b/test/slot-agent-role.test.ts
@@ -4,6 +4,7 @@
 import { SYSTEM_CLOCK } from '../src/clock.js';
 import { MessageChannel } from '../src/protocol/message-channel.js';
 import { SeededRandom } from '../src/random.js';
+import { Places } from '../src/routing/places.js';
 import { SlotAgentMetrics } from '../src/slot-agent/slot-agent-metrics.js';
 import { DEFAULT_SLOT_AGENT_OPTIONS, SlotAgentRole } from '../src/slot-agent/slot-agent-role.js';
 import type { AgentToGateway, GatewayToAgent } from '../src/slot-agent/slot-messages.js';
@@ -28,7 +29,9 @@
   const metrics = new SlotAgentMetrics();
   const agent = new SlotAgentRole(
     {
-      identity: { name: 'agent', seeds: [] },
+      identity: { name: 'agent', engine: { address: `${HOST}:1`, zone: 'z' }, seeds: [] },
+      places: new Places(new Map()),
+      decode: () => ({ kind: 'irrelevant' }),
       readReport: () => Promise.resolve({ kind: 'load', requests: requestsAtEngine() }),
       clock: SYSTEM_CLOCK,
       random: new SeededRandom(1),
--- a/test/slot-ledger.test.ts
+++ b/test/slot-ledger.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import { SlotLedger } from '../src/slot-agent/slot-ledger.js';
+import type { SlotLedgerPorts } from '../src/slot-agent/slot-ledger.js';
 import type { AgentToGateway, SlotMessage } from '../src/slot-agent/slot-messages.js';
 
 class Agent {
@@ -7,6 +8,7 @@
   reconciled = 0;
   looksWanted = 0;
   plannedTellings = 0;
+  restriction: SlotLedgerPorts['restriction'] = () => undefined;
   readonly ledger = new SlotLedger({
     send: (connection, message) => this.sent.push([connection, message]),
     onGranted: () => undefined,
@@ -14,6 +16,7 @@
     onReconciled: (slots) => (this.reconciled += slots),
     onLookWanted: () => (this.looksWanted += 1),
     onAvailability: () => undefined,
+    restriction: (allowedRegions) => this.restriction(allowedRegions),
   });
 
   admit(connection: number, held = 0, slots = 2): void {
@@ -364,3 +367,16 @@
   agent.hear(1, { kind: 'proven' }, 330);
   t.is(agent.toldAvailability(), 'open');
 });
+
+test('a slot is granted to the first request that operators permit at the back end', (t) => {
+  const agent = new Agent();
+  agent.restriction = (regions) =>
+    regions === undefined || regions.has('here') ? undefined : 'outside-home';
+  agent.admit(1);
+  agent.admit(2);
+  const rank = { tier: 0, rankInTier: 0, waitedMs: 0, startInMs: 1_000 };
+  agent.hear(1, { kind: 'demand', ranks: [{ ...rank, allowedRegions: ['there'] }], grantsSeen: 0 });
+  t.deepEqual(agent.grants(), []);
+  agent.hear(2, { kind: 'demand', ranks: [{ ...rank, tier: 1 }], grantsSeen: 0 });
+  t.deepEqual(agent.grants(), [2]);
+});
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -33,6 +33,7 @@
     version: 'v1',
     slots: 2,
     state: 'ready',
+    remainingColdMs: 0,
     revision: 1,
     ...changes,
   };
@@ -52,6 +53,7 @@
     maxAttempts: 2,
     priority: 1,
     allowsAnonymous: true,
+    allowedRegions: undefined,
     services: [{ service: 's', weight: 1 }],
     ...changes,
   };
@@ -133,6 +135,8 @@
   gateways = 1;
   /** Versions that may not be used freely. */
   readonly versionUses = new Map<string, VersionUse>();
+  readonly evacuatedZones = new Set<string>();
+  readonly regions = new Map<string, string>();
   readonly triesOver: TryOver[] = [];
 
   constructor(...backends: Backend[]) {
@@ -165,6 +169,14 @@
     return this.versionUses.get(backend.version) ?? 'open';
   }
 
+  isEvacuated(zone: string): boolean {
+    return this.evacuatedZones.has(zone);
+  }
+
+  regionOf(zone: string): string | undefined {
+    return this.regions.get(zone);
+  }
+
   onSent(): void {
     // Tests look at the attempts instead.
   }
@@ -192,6 +204,7 @@
       tenant: undefined,
       tier: route.priority,
       rankInTier: 0,
+      allowedRegions: undefined,
       arrivedAtMs,
       firstTriedAtMs: arrivedAtMs,
       endsAtMs: arrivedAtMs + route.timeoutMs,
--- a/test/waiting-queue.test.ts
+++ b/test/waiting-queue.test.ts
@@ -5,6 +5,7 @@
 function requestOf(changes: Partial<DispatchRequest>): DispatchRequest {
   return {
     service: 's',
+    allowedRegions: undefined,
     tier: 1,
     rankInTier: 0,
     arrivedAtMs: 0,
