--- a/src/gateway/dispatch/backend-choice.ts
+++ b/src/gateway/dispatch/backend-choice.ts
@@ -1,8 +1,8 @@
 /** Query: what it costs to bind a request to a back end, and whom that would hold up. */
 import type { DispatchRequest } from './dispatch-request.js';
 import type { EngineSpeed } from './engine-speed.js';
-import type { PrefillSpeed } from '../../slot-agent/slot-messages.js';
 import type { KnownBackend } from './known-backend.js';
+import type { UsualSpeed } from './usual-speed.js';
 
 /** Weight of the whole work against the time to the first event when a back end is chosen. */
 const WORK_WEIGHT = 0.5;
@@ -50,28 +50,3 @@
   }
   return speed.expectedPauseMs(request.promptTokens, tokensPerEvent) > request.maxPauseMs;
 }
-
-/** What is assumed of a back end of which nothing was learned. */
-export interface UsualSpeed {
-  readonly msPerUnit: number;
-  /** Undefined while nothing was learned of any. */
-  readonly prefill: PrefillSpeed | undefined;
-}
-
-/** The means of what was learned of `backends`. */
-export function usualSpeed(backends: readonly KnownBackend[]): UsualSpeed {
-  const learned = backends.map((known) => known.learned);
-  const prefills = learned.flatMap(({ prefill }) => (prefill === undefined ? [] : [prefill]));
-  const baseMs = mean(prefills.map((prefill) => prefill.baseMs));
-  const msPerToken = mean(prefills.map((prefill) => prefill.msPerToken));
-  return {
-    msPerUnit: mean(learned.flatMap(({ msPerUnit }) => msPerUnit ?? [])) ?? 1,
-    prefill: baseMs === undefined || msPerToken === undefined ? undefined : { baseMs, msPerToken },
-  };
-}
-
-function mean(values: readonly number[]): number | undefined {
-  return values.length === 0
-    ? undefined
-    : values.reduce((sum, value) => sum + value, 0) / values.length;
-}
--- a/src/gateway/dispatch/backend-chooser.ts
+++ b/src/gateway/dispatch/backend-chooser.ts
@@ -3,11 +3,12 @@
 import type { OperatorRules } from '../../routing/backend-restriction.js';
 import type { Backend } from '../../routing/backend.js';
 import type { BackendDirectory } from './backend-directory.js';
-import { costOf, harmsOthers, usualSpeed } from './backend-choice.js';
-import type { UsualSpeed } from './backend-choice.js';
+import { costOf, harmsOthers } from './backend-choice.js';
 import type { DispatchRequest } from './dispatch-request.js';
 import type { KnownBackend } from './known-backend.js';
 import { hasRoom } from './slot-room.js';
+import { UsualSpeeds } from './usual-speed.js';
+import type { UsualSpeed } from './usual-speed.js';
 
 /** What a choice asks of its surroundings. */
 export interface BackendChooserPorts extends OperatorRules {
@@ -32,6 +33,8 @@
 
 /** Chooses among the back ends of a directory. */
 export class BackendChooser {
+  private readonly usualSpeeds = new UsualSpeeds();
+
   constructor(
     private readonly directory: BackendDirectory,
     private readonly ports: BackendChooserPorts,
@@ -41,7 +44,7 @@
   /** The best back end with a free slot for the request; undefined if there is none. */
   choose(request: DispatchRequest, nowMs: number): KnownBackend | undefined {
     const permitted = this.candidates(request, nowMs);
-    const usual = usualSpeed(permitted);
+    const usual = this.usualSpeeds.of(request.service, permitted, nowMs);
     const hasProven = permitted.some((known) => !known.isOnTrial);
     let best: KnownBackend | undefined;
     let bestCost = Infinity;
--- a/src/gateway/dispatch/backend-directory.ts
+++ b/src/gateway/dispatch/backend-directory.ts
@@ -30,6 +30,8 @@
 export class BackendDirectory {
   private readonly backends = new Map<string, KnownBackend>();
   private byService = new Map<string, KnownBackend[]>();
+  /** Draws are asked for at each look at a back end, and hashing two names takes longer than the look. */
+  private readonly draws = new Map<string, number>();
 
   constructor(
     private readonly owner: SubsetOwner,
@@ -54,7 +56,13 @@
 
   /** A number in [0, 1) by which gateways that share a back end without a word take unlike parts. */
   shareDraw(backendId: string): number {
-    return pairShare(this.owner.name, backendId);
+    const known = this.draws.get(backendId);
+    if (known !== undefined) {
+      return known;
+    }
+    const draw = pairShare(this.owner.name, backendId);
+    this.draws.set(backendId, draw);
+    return draw;
   }
 
   /** Back ends of a service that are listed as taking requests, those in `excluded` left out. */
@@ -162,6 +170,7 @@
         known.unlistedAtMs !== undefined && nowMs - known.unlistedAtMs > this.options.rememberMs;
       if (isOld && known.outstanding === 0) {
         this.backends.delete(id);
+        this.draws.delete(id);
       }
     }
   }
--- a/src/gateway/dispatch/engine-speed.ts
+++ b/src/gateway/dispatch/engine-speed.ts
@@ -11,12 +11,12 @@
 
 /** Learned speed of one engine. */
 export class EngineSpeed {
-  private readonly prefill = new PrefillEstimate();
+  private readonly prefillEstimate = new PrefillEstimate();
   private eventMs: number | undefined;
 
   /** Learns from the time between a send and the first event. */
   learnFirst(promptTokens: number, firstMs: number): void {
-    this.prefill.learn(promptTokens, firstMs);
+    this.prefillEstimate.learn(promptTokens, firstMs);
   }
 
   /** Learns from the mean pause between the events of a stream. */
@@ -29,20 +29,25 @@
     this.eventMs += smoothing * (pauseMs - this.eventMs);
   }
 
+  /** Learned time to the first event; undefined while nothing was learned. */
+  get prefill(): PrefillSpeed | undefined {
+    return this.prefillEstimate.learned;
+  }
+
   /** What was learned so far. */
   get learned(): LearnedSpeed {
-    return { prefill: this.prefill.learned, eventMs: this.eventMs };
+    return { prefill: this.prefill, eventMs: this.eventMs };
   }
 
   /** Takes over what others learned, where nothing was learned here. */
   adopt(learned: LearnedSpeed): void {
-    this.prefill.adopt(learned.prefill);
+    this.prefillEstimate.adopt(learned.prefill);
     this.eventMs ??= learned.eventMs;
   }
 
   /** Whether anything was learned of how it reads prompts. */
   get isKnown(): boolean {
-    return this.prefill.learned !== undefined;
+    return this.prefill !== undefined;
   }
 
   /**
@@ -50,14 +55,14 @@
    * `usual` stands for what is not known yet.
    */
   expectedFirstMs(tokens: number, usual?: PrefillSpeed): number {
-    const line = this.prefill.learned ?? usual;
+    const line = this.prefill ?? usual;
     return line === undefined ? 0 : expectedFirstMs(line, tokens);
   }
 
   /** Longest pause that reading a prompt is expected to cause in the streams beside it, in milliseconds. */
   expectedPauseMs(promptTokens: number, tokensPerEvent: number): number {
     const tokensBetweenEvents = Math.min(promptTokens, CHUNK_TOKENS * tokensPerEvent);
-    const msPerToken = this.prefill.learned?.msPerToken ?? 0;
+    const msPerToken = this.prefill?.msPerToken ?? 0;
     return tokensBetweenEvents * msPerToken + (this.eventMs ?? 0);
   }
 }
