One rule says whether a label is accepted, for selectors and for homes

The region of a place is a label like any other. What the policy's selectors ask of places and what homes ask of back ends stood in two modules; both now ask routing/place-matching. A label that is missing satisfies no condition, in either.

Ruled out for now: homes as selectors of the policy document itself.

Tests: policy and backend-restriction, unchanged.

--- a/src/policy/eligibility.ts
+++ b/src/policy/eligibility.ts
@@ -3,6 +3,7 @@
 import type { Conditions, EngineEntry } from './document.js';
 import { NAME_CONDITION } from './validate.js';
 import type { Labels, RequestAttributes } from '../request/request.js';
+import { matchesLabels } from '../routing/place-matching.js';
 import { LOWEST_TIER } from '../request/tier.js';
 import type { Tier } from '../request/tier.js';
 
@@ -99,13 +100,7 @@
 }
 
 function matchesConditions(conditions: Conditions, name: string, labels: Labels): boolean {
-  for (const key in conditions) {
-    const actual = key === NAME_CONDITION ? name : labels[key];
-    if (actual === undefined || !conditions[key]!.includes(actual)) {
-      return false;
-    }
-  }
-  return true;
+  return matchesLabels(conditions, (key) => (key === NAME_CONDITION ? name : labels[key]));
 }
 
 /**
--- a/src/routing/backend-restriction.ts
+++ b/src/routing/backend-restriction.ts
@@ -7,6 +7,7 @@
  */
 import type { VersionUse } from '../rollout/rollout-order.js';
 import type { Backend } from './backend.js';
+import { isAccepted } from './place-matching.js';
 
 /** Why nothing may be sent to a back end. */
 export type RestrictionReason =
@@ -44,7 +45,7 @@
 }
 
 function isInside(region: string | undefined, allowedRegions: AllowedRegions): boolean {
-  return allowedRegions === undefined || (region !== undefined && allowedRegions.has(region));
+  return allowedRegions === undefined || isAccepted(region, allowedRegions);
 }
 
 /** The regions that two lists both allow; a list that is undefined allows all. */
