--- a/src/gateway/admission/gateway-refusal.ts
+++ b/src/gateway/admission/gateway-refusal.ts
@@ -1,7 +1,10 @@
 /** Answers of the gateway's own: why a request gets no back end's answer. */
 
+import type { HomeRefusalReason } from '../homes/home-refusal.js';
+
 /** Why the gateway itself answers. */
 export type GatewayRefusalReason =
+  | HomeRefusalReason
   | 'no-configuration'
   | 'no-route'
   | 'unknown-key'
@@ -38,6 +41,8 @@
   'quota-spent': 429,
   overloaded: 503,
   'no-backend': 503,
+  'no-common-home': 503,
+  'no-backend-at-home': 503,
   stopping: 503,
   'not-started-in-time': 503,
   'backend-refused': 503,
--- a/src/gateway/admission/request-admission.ts
+++ b/src/gateway/admission/request-admission.ts
@@ -3,8 +3,9 @@
 import type { RandomSource } from '../../random.js';
 import { err, ok } from '../../result.js';
 import type { Result } from '../../result.js';
+import type { AllowedRegions } from '../../routing/backend-restriction.js';
 import { commonRegions } from '../../routing/backend-restriction.js';
-import type { Route, Tenant } from '../../routing/configuration.js';
+import type { Route, Tenant, WeightedService } from '../../routing/configuration.js';
 import { pickService } from '../../routing/routing-table.js';
 import type { RoutingTable } from '../../routing/routing-table.js';
 import type { ReceivedHead } from './caller-listener.js';
@@ -28,6 +29,14 @@
 /** Bytes between a header's name and value, and behind it. */
 const HEADER_SEPARATOR_BYTES = 2;
 
+/** What is asked of the back ends before a service is picked for a request. */
+export interface ServicePlacement {
+  /** Whether a back end of the service may serve a request in these regions. */
+  canServe(service: string, allowedRegions: AllowedRegions): boolean;
+}
+
+const ANY_SERVICE: ServicePlacement = { canServe: () => true };
+
 /** Decides whether requests are taken. */
 export class RequestAdmission {
   private readonly deadlines = new UsualDeadlines();
@@ -36,6 +45,7 @@
     private readonly quotas: TokenQuotas,
     private readonly clock: Clock,
     private readonly random: RandomSource,
+    private readonly placement = ANY_SERVICE,
   ) {}
 
   /** Checks a request under the configuration in force; it has spent its quota when it is taken. */
@@ -87,7 +97,9 @@
   ): AcceptedRequest {
     const { head, caller, body, arrivedAtMs } = received;
     const { tokens } = caller;
-    const service = pickService(route.services, this.random.next()) ?? '';
+    const allowedRegions = commonRegions(route.allowedRegions, tenant?.allowedRegions);
+    const services = this.servicesAtHome(route, allowedRegions);
+    const service = pickService(services, this.random.next()) ?? '';
     const units = tokens === undefined ? 1 : tokens.prompt + tokens.output * OUTPUT_TOKEN_UNITS;
     const longestMs = Math.min(route.timeoutMs, caller.deadlineMs ?? route.timeoutMs);
     return {
@@ -97,7 +109,7 @@
       tenant: tenant?.name,
       tier: tenant?.priority ?? route.priority,
       rankInTier: route.priority,
-      allowedRegions: commonRegions(route.allowedRegions, tenant?.allowedRegions),
+      allowedRegions,
       arrivedAtMs,
       firstTriedAtMs: arrivedAtMs - this.triedForMs(route, caller),
       endsAtMs: arrivedAtMs + longestMs,
@@ -111,6 +123,20 @@
     };
   }
 
+  /** Of a route's services those that have a back end where the request has to stay; all if none has. */
+  private servicesAtHome(
+    { services }: Route,
+    allowedRegions: AllowedRegions,
+  ): readonly WeightedService[] {
+    if (allowedRegions === undefined || services.length === 1) {
+      return services;
+    }
+    const atHome = services.filter(
+      ({ service, weight }) => weight > 0 && this.placement.canServe(service, allowedRegions),
+    );
+    return atHome.length > 0 ? atHome : services;
+  }
+
   /** How long ago the caller's first try was, which its time left shows. */
   private triedForMs(route: Route, { deadlineMs }: CallerRequestHead): number {
     return deadlineMs === undefined ? 0 : this.deadlines.triedForMs(route.name, deadlineMs);
--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -11,6 +11,7 @@
 import { endToEndHeaders } from '../admission/caller-protocol.js';
 import { AttemptProgress } from './attempt-progress.js';
 import type { GatewayRefusal } from '../admission/gateway-refusal.js';
+import type { HomeRefusalReason } from '../homes/home-refusal.js';
 import { sendRefusal } from '../admission/send-refusal.js';
 import { isBadTry } from './try-verdict.js';
 import { AnswerRelay } from './answer-relay.js';
@@ -94,14 +95,14 @@
       },
       excluded: this.excluded,
       onPlaced: (backend, placedAtMs) => this.send(backend, placedAtMs),
-      onGivenUp: () => this.giveUpWaiting(),
+      onGivenUp: (reason) => this.giveUpWaiting(reason),
     });
     this.wait.begin();
   }
 
-  private giveUpWaiting(): void {
+  private giveUpWaiting(homeReason: HomeRefusalReason | undefined): void {
     const hasBackends = this.ports.directory.countReady(this.request.service) > 0;
-    this.answerFailure(hasBackends ? 'overloaded' : 'no-backend');
+    this.answerFailure(homeReason ?? (hasBackends ? 'overloaded' : 'no-backend'));
   }
 
   private send(backend: Backend, nowMs: number): void {
@@ -289,9 +290,9 @@
   }
 
   private canRepeatElsewhere(): boolean {
-    const { route, service } = this.request;
+    const { route } = this.request;
     const others = new Set([...this.excluded, this.backend!.id]);
-    const hasOther = this.ports.directory.countReady(service, others) > 0;
+    const hasOther = this.ports.dispatcher.hasReady(this.request, others);
     return hasOther && this.mayRepeat() && this.attempts < route.maxAttempts && this.hasTime();
   }
 
--- a/src/gateway/attempt/request-model.ts
+++ b/src/gateway/attempt/request-model.ts
@@ -3,6 +3,7 @@
 import type { RandomSource } from '../../random.js';
 import type { Backend } from '../../routing/backend.js';
 import type { AllowedRegions } from '../../routing/backend-restriction.js';
+import type { HomeOwner } from '../../routing/named-homes.js';
 import type { Route } from '../../routing/configuration.js';
 import type { BackendDirectory } from '../dispatch/backend-directory.js';
 import type { BackendSender } from './attempt.js';
@@ -18,8 +19,10 @@
   readonly tenant: string | undefined;
   readonly tier: number;
   readonly rankInTier: number;
-  /** Regions in which it may be served; undefined for any. */
+  /** Regions in which it may be served, as the configuration in force says when asked; undefined for any. */
   readonly allowedRegions: AllowedRegions;
+  /** Who may name these regions; told to agents. Missing while no configuration names any. */
+  readonly homeOwner?: HomeOwner | undefined;
   readonly arrivedAtMs: number;
   /** When the caller first tried, as far as its time left shows; `arrivedAtMs` for a first try. */
   readonly firstTriedAtMs: number;
--- a/src/gateway/attempt/request-wait.ts
+++ b/src/gateway/attempt/request-wait.ts
@@ -4,6 +4,7 @@
  */
 import type { TimerHandle } from '../../clock.js';
 import type { DispatchRequest } from '../dispatch/dispatch-request.js';
+import type { HomeRefusalReason } from '../homes/home-refusal.js';
 import type { AcceptedRequest, RequestOptions, RequestPorts } from './request-model.js';
 import { isRepeatable } from '../../routing/configuration.js';
 import { worthOfWaiting } from './waiting-worth.js';
@@ -27,8 +28,8 @@
   readonly excluded: ReadonlySet<string>;
   /** A slot came. */
   onPlaced: DispatchRequest['onPlaced'];
-  /** Waiting on is worth nothing; the wait has ended. */
-  onGivenUp(): void;
+  /** Waiting on is worth nothing, for its homes or since no slot is free in time; the wait has ended. */
+  onGivenUp(reason?: HomeRefusalReason): void;
 }
 
 /** One wait. */
@@ -43,7 +44,12 @@
     const firstDueAtMs = dueAtMs(request, answer.lastEventAtMs);
     this.place = {
       service,
-      allowedRegions: request.allowedRegions,
+      get allowedRegions() {
+        return request.allowedRegions;
+      },
+      get homeOwner() {
+        return request.homeOwner;
+      },
       tier: request.tier,
       rankInTier: request.rankInTier,
       arrivedAtMs: request.arrivedAtMs,
@@ -64,8 +70,10 @@
   /** Offers the request; it may be placed before this returns. */
   begin(): void {
     const { clock, dispatcher } = this.parts.ports;
-    dispatcher.submit(this.place, clock.now());
-    this.review();
+    if (!this.endForHomes(clock.now())) {
+      dispatcher.submit(this.place, clock.now());
+      this.review();
+    }
   }
 
   /** Takes the request back. */
@@ -105,6 +113,9 @@
     }
     const { ports, options, onGivenUp } = this.parts;
     const nowMs = ports.clock.now();
+    if (this.endForHomes(nowMs)) {
+      return;
+    }
     if (!this.isWorthWaiting(nowMs)) {
       this.cancel();
       onGivenUp();
@@ -113,6 +124,17 @@
     this.timer = ports.clock.setTimeout(() => this.review(), options.waitReviewMs);
   }
 
+  /** Ends the wait if no back end may serve the request where it has to stay; whether it did. */
+  private endForHomes(nowMs: number): boolean {
+    const reason = this.parts.ports.dispatcher.homeRefusal(this.place, nowMs);
+    if (reason === undefined) {
+      return false;
+    }
+    this.cancel();
+    this.parts.onGivenUp(reason);
+    return true;
+  }
+
   private isWorthWaiting(nowMs: number): boolean {
     const { answer, options } = this.parts;
     if (answer.lastEventAtMs !== undefined) {
--- a/src/gateway/configuration-in-force.ts
+++ b/src/gateway/configuration-in-force.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '../clock.js';
 import { DEFAULT_CALLER_LIMITS } from '../routing/configuration.js';
 import type { CallerLimits, RoutingConfiguration } from '../routing/configuration.js';
+import type { NamedHomes } from '../routing/named-homes.js';
 import { RoutingTable } from '../routing/routing-table.js';
 
 /** The newest configuration that a gateway knows. */
@@ -21,6 +22,11 @@
     return this.current?.configuration.version;
   }
 
+  /** Regions that its routes and tenants name; undefined before the first. */
+  get homes(): NamedHomes | undefined {
+    return this.current?.homes;
+  }
+
   /** Limits of what callers may send. */
   get limits(): CallerLimits {
     return this.current?.configuration.limits ?? DEFAULT_CALLER_LIMITS;
--- a/src/gateway/dispatch/backend-chooser.ts
+++ b/src/gateway/dispatch/backend-chooser.ts
@@ -1,8 +1,8 @@
 /** Query: the back end that a request is bound to while one of those permitted has a free slot. */
 import { restrictionOf } from '../../routing/backend-restriction.js';
 import type { OperatorRules } from '../../routing/backend-restriction.js';
-import type { Backend } from '../../routing/backend.js';
 import type { BackendDirectory } from './backend-directory.js';
+import { isAbroadByAgent, mustAskAgent } from './agent-homes.js';
 import { costOf, harmsOthers, usualSpeed } from './backend-choice.js';
 import type { UsualSpeed } from './backend-choice.js';
 import type { DispatchRequest } from './dispatch-request.js';
@@ -17,6 +17,8 @@
   countGateways(): number;
   /** Tokens that an engine of the service gathers in one event. */
   tokensPerEvent(service: string): number;
+  /** Version of the configuration in force; missing where there are no homes. */
+  configurationVersion?(): number | undefined;
 }
 
 /** Bounds of a choice. */
@@ -30,6 +32,9 @@
   readonly unlistedGraceMs: number;
 }
 
+/** What says where a request may be served at all. */
+export type ServedRequest = Pick<DispatchRequest, 'service' | 'allowedRegions'>;
+
 /** Chooses among the back ends of a directory. */
 export class BackendChooser {
   constructor(
@@ -81,6 +86,14 @@
     return this.directory.ofService(service).some((known) => this.hasRoom(known, nowMs));
   }
 
+  /** Whether operators permit any back end that is ready, or that left the list a moment ago. */
+  hasCandidates(request: ServedRequest, nowMs: number): boolean {
+    return this.directory
+      .ofService(request.service)
+      .filter((known) => known.isReady || this.isUnlistedLately(known, nowMs))
+      .some((known) => this.isPermitted(request, known));
+  }
+
   /**
    * The request of those that wait, first in order first, for which a slot that was granted is used; undefined
    * if there is none. A back end on trial gets one that may be run again elsewhere, or the last in order.
@@ -100,12 +113,14 @@
   private fitsGrant(request: DispatchRequest, known: KnownBackend): boolean {
     const { backend } = known;
     const isExcluded = request.excluded.has(backend.id);
-    const isOpen = this.isPermitted(request, backend) && this.ports.versionUse(backend) === 'open';
+    const isOpen = this.isPermitted(request, known) && this.ports.versionUse(backend) === 'open';
     return isOpen && !isExcluded && !this.harms(request, known, known.occupied - 1);
   }
 
-  private isPermitted({ allowedRegions }: DispatchRequest, backend: Backend): boolean {
-    return restrictionOf(backend, allowedRegions, this.ports) === undefined;
+  /** Whether operators permit that the request is sent to the back end. */
+  isPermitted({ allowedRegions }: ServedRequest, { backend, agent }: KnownBackend): boolean {
+    const isRestricted = restrictionOf(backend, allowedRegions, this.ports) !== undefined;
+    return !isRestricted && !isAbroadByAgent(agent?.homes, allowedRegions);
   }
 
   private harms(request: DispatchRequest, known: KnownBackend, others: number): boolean {
@@ -121,7 +136,7 @@
     const permitted = this.directory
       .ofService(request.service)
       .filter(({ backend }) => !request.excluded.has(backend.id))
-      .filter(({ backend }) => this.isPermitted(request, backend));
+      .filter((known) => this.isPermitted(request, known));
     const ready = permitted.filter((known) => known.isReady);
     if (ready.length === 0) {
       return permitted.filter((known) => this.isUnlistedLately(known, nowMs));
@@ -144,6 +159,9 @@
   }
 
   private hasRoom(known: KnownBackend, nowMs: number): boolean {
+    if (mustAskAgent(known.agent?.homes, this.ports.configurationVersion?.())) {
+      return false;
+    }
     const inputs = {
       isEngine: this.ports.isEngine(known.backend.service),
       gateways: this.ports.countGateways(),
--- a/src/gateway/dispatch/backend-directory.ts
+++ b/src/gateway/dispatch/backend-directory.ts
@@ -3,12 +3,16 @@
 import { pairShare } from '../../pair-share.js';
 import { chooseEngines, DEFAULT_ENGINE_SUBSET_OPTIONS } from './engine-subset.js';
 import type { EngineSubsetOptions, SubsetOwner } from './engine-subset.js';
+import { addHomeEngines } from './home-engines.js';
+import type { HomeRegions } from './home-engines.js';
 import { KnownBackend } from './known-backend.js';
 
 /** What a directory needs from its surroundings. */
 export interface BackendDirectoryPorts {
   /** Whether a service's back ends are engines, which serve in batches. */
   isEngine(service: string): boolean;
+  /** Regions that the gateway needs engines of; missing where none are known. */
+  homeRegions?(): HomeRegions;
 }
 
 /** Bounds of a directory. */
@@ -125,11 +129,12 @@
       return;
     }
     const ready = this.ofService(service).filter(({ isReady }) => isReady);
-    const chosen = chooseEngines(
-      ready.map(({ backend }) => backend),
-      this.owner,
-      this.options.subset,
-    );
+    const engines = ready.map(({ backend }) => backend);
+    const chosen = chooseEngines(engines, this.owner, this.options.subset);
+    const homes = this.ports.homeRegions?.();
+    if (homes !== undefined) {
+      addHomeEngines(chosen, engines, this.owner.name, homes);
+    }
     for (const known of ready) {
       known.isAssigned = chosen.has(known.backend.id);
     }
--- a/src/gateway/dispatch/dispatch-request.ts
+++ b/src/gateway/dispatch/dispatch-request.ts
@@ -1,13 +1,16 @@
 /** What a dispatcher has to know of a request. */
 import type { Backend } from '../../routing/backend.js';
 import type { AllowedRegions } from '../../routing/backend-restriction.js';
+import type { HomeOwner } from '../../routing/named-homes.js';
 import type { WaitingPlace } from '../../slot-agent/waiting-order.js';
 
 /** A request that wants a back end. */
 export interface DispatchRequest extends WaitingPlace {
   readonly service: string;
-  /** Regions in which it may be served; undefined for any. */
+  /** Regions in which it may be served, as the configuration in force says when asked; undefined for any. */
   readonly allowedRegions: AllowedRegions;
+  /** Who may name these regions; told to agents. Missing while no configuration names any. */
+  readonly homeOwner?: HomeOwner | undefined;
   /** Size of the work, in any unit that is the same for the service. */
   readonly units: number;
   /** Tokens of the prompt; 0 for a plain service. */
--- a/src/gateway/dispatch/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -7,15 +7,22 @@
  * gateway then binds whichever request comes first by that time.
  */
 import { BackendChooser } from './backend-chooser.js';
-import type { BackendChooserOptions, BackendChooserPorts } from './backend-chooser.js';
+import type {
+  BackendChooserOptions,
+  BackendChooserPorts,
+  ServedRequest,
+} from './backend-chooser.js';
 import type { BackendDirectory } from './backend-directory.js';
 import type { Backend } from '../../routing/backend.js';
 import type { SlotAnswer, SlotMessage } from '../../slot-agent/slot-messages.js';
 import type { EngineAvailability } from '../../slot-agent/engine-watch.js';
 import type { AttemptOutcome } from './backend-health.js';
+import { homeRefusalOf } from '../homes/home-refusal.js';
+import type { HomeRefusalReason } from '../homes/home-refusal.js';
 import type { DispatchRequest } from './dispatch-request.js';
 import type { KnownBackend, SlotAgentLink } from './known-backend.js';
 import { nextDemand } from './slot-demand.js';
+import { statedHomes } from './stated-homes.js';
 import { ServiceQueue } from './service-queue.js';
 
 /** Options of a dispatcher. */
@@ -77,6 +84,23 @@
     return this.waiting.get(service)?.length ?? 0;
   }
 
+  /** Why a request is refused for its homes; undefined where it is not. */
+  homeRefusal(request: ServedRequest, nowMs: number): HomeRefusalReason | undefined {
+    return homeRefusalOf(request.allowedRegions, () => this.chooser.hasCandidates(request, nowMs));
+  }
+
+  /** Whether operators permit a back end that is listed as taking requests, those in `excluded` left out. */
+  hasReady(request: ServedRequest, excluded: ReadonlySet<string>): boolean {
+    return this.directory
+      .ofService(request.service)
+      .some(
+        (known) =>
+          known.isReady &&
+          !excluded.has(known.backend.id) &&
+          this.chooser.isPermitted(request, known),
+      );
+  }
+
   /** Takes in a back end's newest announcement; undefined when it left the list. */
   updateBackend(backendId: string, backend: Backend | undefined, nowMs: number): void {
     this.directory.update(backendId, backend, nowMs);
@@ -191,6 +215,7 @@
     if (message.kind === 'state') {
       known.agent.occupied = message.occupied;
       known.agent.failureShare = message.failureShare;
+      known.agent.homes = message.homes;
       this.noteAvailability(known, known.agent, message.availability);
       known.adopt(message.speed);
       const { messagesSeen } = message;
@@ -268,7 +293,7 @@
     known.outstanding += 1;
     known.pendingPromptTokens += request.promptTokens;
     if (!isGranted && known.agent !== undefined) {
-      this.sendToAgent(known.backend.id, known, { kind: 'taken' });
+      this.sendToAgent(known.backend.id, known, { kind: 'taken', ...statedHomes(request) });
       known.agent.takenUnseen.push(known.agent.messagesSent);
     }
     this.ports.onSent(known.backend);
@@ -295,6 +320,8 @@
       tokensPerEvent: this.ports.tokensPerEvent(service),
       maxLength: this.options.demandLength,
       isOpen: ({ backend }: KnownBackend) => this.ports.versionUse(backend) === 'open',
+      isPermitted: (request: DispatchRequest, known: KnownBackend) =>
+        this.chooser.isPermitted(request, known),
     };
     for (const known of this.directory.ofService(service)) {
       const demand = nextDemand(known, inputs, nowMs);
--- a/src/gateway/dispatch/known-backend.ts
+++ b/src/gateway/dispatch/known-backend.ts
@@ -1,7 +1,7 @@
 /** What a gateway knows of one back end: its announcement, its health, its speed and its slots. */
 import type { Backend } from '../../routing/backend.js';
 import type { EngineAvailability } from '../../slot-agent/engine-watch.js';
-import type { LearnedSpeed } from '../../slot-agent/slot-messages.js';
+import type { AgentHomes, LearnedSpeed } from '../../slot-agent/slot-messages.js';
 import { FailureEstimate } from '../../slot-agent/failure-estimate.js';
 import { BackendHealth } from './backend-health.js';
 import { EngineSpeed } from './engine-speed.js';
@@ -29,6 +29,8 @@
   failureShare: number;
   /** Whether the engine may be used, as the agent told last. */
   availability: EngineAvailability;
+  /** What the agent knows of homes, as it told last; undefined while none are named. */
+  homes?: AgentHomes | undefined;
 }
 
 /** One back end as a gateway knows it. */
--- a/src/gateway/dispatch/slot-demand.ts
+++ b/src/gateway/dispatch/slot-demand.ts
@@ -1,6 +1,7 @@
 /** Tells agents which requests wait that their engine would be right for. */
 import type { SlotDemand, WaitingRank } from '../../slot-agent/slot-messages.js';
 import { harmsOthers } from './backend-choice.js';
+import { statedHomes } from './stated-homes.js';
 import type { DispatchRequest } from './dispatch-request.js';
 import type { KnownBackend } from './known-backend.js';
 
@@ -12,6 +13,8 @@
   readonly tokensPerEvent: number;
   /** Whether a back end may be used freely: a version on a small share is not to be asked for slots. */
   isOpen(known: KnownBackend): boolean;
+  /** Whether operators permit that the request is sent there. */
+  isPermitted(request: DispatchRequest, known: KnownBackend): boolean;
   /** Most requests that a demand names. */
   readonly maxLength: number;
 }
@@ -27,7 +30,7 @@
     return undefined;
   }
   const first = findDemand(known, inputs);
-  const signature = first.map(({ tier, arrivedAtMs }) => `${tier}:${arrivedAtMs}`).join();
+  const signature = first.map(signatureOf).join();
   if (agent.lastDemand === signature) {
     return undefined;
   }
@@ -36,28 +39,34 @@
   return { kind: 'demand', ranks, grantsSeen: agent.grantsSeen };
 }
 
+/** Changes with whatever an agent has to be told anew, narrowed homes among it. */
+function signatureOf({ tier, arrivedAtMs, allowedRegions }: DispatchRequest): string {
+  const homes = allowedRegions === undefined ? '' : `:${[...allowedRegions].join('+')}`;
+  return `${tier}:${arrivedAtMs}${homes}`;
+}
+
 function rankOf(request: DispatchRequest, nowMs: number): WaitingRank {
-  const { tier, rankInTier, arrivedAtMs, startByMs, allowedRegions } = request;
+  const { tier, rankInTier, arrivedAtMs, startByMs } = request;
   return {
     tier,
     rankInTier,
     waitedMs: nowMs - arrivedAtMs,
     startInMs: startByMs - nowMs,
-    ...(allowedRegions === undefined ? {} : { allowedRegions: [...allowedRegions] }),
+    ...statedHomes(request),
   };
 }
 
 /** The first waiting requests that the engine would be right for once a slot is free. */
 function findDemand(
   known: KnownBackend,
-  { waiting, tokensPerEvent, maxLength }: DemandInputs,
+  { waiting, tokensPerEvent, maxLength, isPermitted }: DemandInputs,
 ): DispatchRequest[] {
   const demand: DispatchRequest[] = [];
   for (const request of waiting) {
     if (demand.length >= maxLength) {
       break;
     }
-    const isExcluded = request.excluded.has(known.backend.id);
+    const isExcluded = request.excluded.has(known.backend.id) || !isPermitted(request, known);
     if (!isExcluded && !harmsOthers(request, known.speed, known.occupied - 1, tokensPerEvent)) {
       demand.push(request);
     }
--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -20,6 +20,7 @@
 import type { Dispatcher } from './dispatch/dispatcher.js';
 import type { GatewayAdapter } from './gateway-adapter.js';
 import type { GatewayCluster } from './gateway-cluster.js';
+import { followHomes, RequestHomes } from './homes/request-homes.js';
 import type { GatewaySettings } from './gateway-settings.js';
 import type { GatewayMetrics } from './metrics/gateway-metrics.js';
 
@@ -50,14 +51,17 @@
 
 /** The requests of a gateway's callers. */
 export class GatewayRequests {
-  private readonly active = new Set<AcceptedRequest>();
+  private readonly active = new Map<AcceptedRequest, RequestHomes>();
   private readonly admission: RequestAdmission;
   private readonly budget: RetryBudget;
   private readonly ports: RequestPorts;
 
   constructor(private readonly parts: GatewayRequestsParts) {
     const { adapter, limits, quotas, clock, random } = parts;
-    this.admission = new RequestAdmission(quotas, clock, random);
+    this.admission = new RequestAdmission(quotas, clock, random, {
+      canServe: (service, allowedRegions) =>
+        parts.dispatcher.hasReady({ service, allowedRegions }, new Set()),
+    });
     this.budget = new RetryBudget({
       ratio: limits.retryRatio,
       windowMs: limits.retryWindowS * MS_PER_S,
@@ -86,6 +90,13 @@
     return this.budget.repeatsLeft(this.parts.cluster.size, nowMs);
   }
 
+  /** A configuration came into force: what waits, is tried again or resumed keeps to its homes from now on. */
+  followConfiguration(): void {
+    for (const homes of this.active.values()) {
+      homes.refresh();
+    }
+  }
+
   /** A caller sent the head of a request. */
   take(head: ReceivedHead, reply: CallerReply): PendingBody {
     const arrivedAtMs = this.parts.clock.now();
@@ -113,10 +124,13 @@
       this.refuse(received.caller, reply, admitted.val);
       return undefined;
     }
-    const request = admitted.val;
+    const { tenant, route } = admitted.val;
+    const owner = { route: route.name, tenant };
+    const homes = new RequestHomes(owner, () => this.parts.configuration.homes);
+    const request = followHomes(admitted.val, homes);
     this.budget.countRequest(request.service, this.parts.clock.now());
     const proxied = new ProxiedRequest(request, reply, this.ports, DEFAULT_REQUEST_OPTIONS);
-    this.active.add(request);
+    this.active.set(request, homes);
     proxied.begin();
     return proxied;
   }
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -4,6 +4,8 @@
 import type { RandomSource } from '../random.js';
 import type { Backend } from '../routing/backend.js';
 import type { EngineAvailability } from '../slot-agent/engine-watch.js';
+import { findUnknownHome } from '../routing/home-regions.js';
+import type { InvalidHomesError } from '../routing/home-regions.js';
 import { Places } from '../routing/places.js';
 import { ZoneEvacuations } from '../routing/zone-evacuations.js';
 import type { EvacuationChange } from '../routing/zone-evacuations.js';
@@ -78,7 +80,11 @@
     this.configuration = new ConfigurationInForce(clock);
     this.places = new Places(settings.places.zones);
     const isEngine = (service: string) => this.configuration.isEngine(service);
-    this.directory = new BackendDirectory(settings.process, { isEngine });
+    const regionOf = (zone: string) => this.places.regionOf(zone);
+    this.directory = new BackendDirectory(settings.process, {
+      isEngine,
+      homeRegions: () => ({ named: this.configuration.homes?.regions ?? new Set(), regionOf }),
+    });
     this.dispatcher = new Dispatcher(this.directory, {
       sendToAgent: (backendId, message) => this.links.send(backendId, message),
       onEjected: (backendId) => parts.log.write('backend-ejected', 'state', { backend: backendId }),
@@ -88,7 +94,8 @@
       tokensPerEvent: (service) => this.configuration.tokensPerEvent(service),
       versionUse: (backend) => this.rollouts.rollouts.useOf(backend),
       isEvacuated: (zone) => this.evacuations.isEvacuated(zone),
-      regionOf: (zone) => this.places.regionOf(zone),
+      regionOf,
+      configurationVersion: () => this.configuration.version,
       onSent: (backend) => this.rollouts.rollouts.noteSent(backend),
     });
     this.rollouts = new GatewayRollouts({
@@ -281,23 +288,37 @@
   }
 
   private install(configuration: RoutingConfiguration, revision: number): void {
+    const problem = findUnknownHome(configuration, this.places);
+    if (problem !== undefined && this.configuration.version !== undefined) {
+      this.refuse(problem, revision);
+      return;
+    }
     if (!this.configuration.install(configuration)) {
       return;
     }
+    this.requests.followConfiguration();
     this.listener.applyLimits(configuration.limits);
     const { version } = configuration;
     for (const { name } of configuration.services) {
       // Which services are engines is known only from now on.
       this.directory.assign(name);
     }
+    // Agents are told anew where waiting requests may be served.
+    this.dispatcher.tick(this.parts.clock.now());
     this.parts.metrics.record(({ configurationVersion }) => configurationVersion.set(version));
     this.parts.log.write('configuration-installed', 'state', {
       version: configuration.version,
       revision,
       routes: configuration.routes.length,
+      problem: problem?.message,
     });
   }
 
+  private refuse({ message, key, found, allowed }: InvalidHomesError, revision: number): void {
+    const fields = { problem: message, key, found, allowed, revision };
+    this.parts.log.write('configuration-refused', 'state', fields);
+  }
+
   /** What the metrics show of the moment. */
   private snapshot(): GatewaySnapshot {
     const nowMs = this.parts.clock.now();
--- a/src/routing/routing-table.ts
+++ b/src/routing/routing-table.ts
@@ -1,4 +1,5 @@
 /** Query: which route and tenant a request has under one configuration. */
+import { NamedHomes } from './named-homes.js';
 import type {
   Route,
   RoutingConfiguration,
@@ -12,8 +13,11 @@
   private readonly routesByHost = new Map<string, Map<string, Route>>();
   private readonly tenantsByKey = new Map<string, Tenant>();
   private readonly servicesByName = new Map<string, Service>();
+  /** Regions that its routes and tenants name. */
+  readonly homes: NamedHomes;
 
   constructor(readonly configuration: RoutingConfiguration) {
+    this.homes = new NamedHomes(configuration);
     for (const route of configuration.routes) {
       const host = route.host.toLowerCase();
       const routes = this.routesByHost.get(host) ?? new Map<string, Route>();
--- a/src/slot-agent/engine-knowledge.ts
+++ b/src/slot-agent/engine-knowledge.ts
@@ -7,7 +7,11 @@
 import type { AllowedRegions, RestrictionReason } from '../routing/backend-restriction.js';
 import type { RoutingConfiguration, Service } from '../routing/configuration.js';
 import type { DecodedRecord } from '../routing/decoded-record.js';
+import { findUnknownHome } from '../routing/home-regions.js';
+import { NamedHomes, narrow } from '../routing/named-homes.js';
+import type { HomeOwner } from '../routing/named-homes.js';
 import type { Places } from '../routing/places.js';
+import type { AgentHomes } from './slot-messages.js';
 import { ZoneEvacuations } from '../routing/zone-evacuations.js';
 
 /** Where the engine is. */
@@ -22,6 +26,7 @@
   readonly evacuations = new ZoneEvacuations();
   private readonly announced = new Map<string, Backend>();
   private configuration: RoutingConfiguration | undefined;
+  private homes: NamedHomes | undefined;
 
   constructor(
     private readonly place: EnginePlace,
@@ -35,10 +40,18 @@
     } else if (decoded.kind === 'backend') {
       this.takeBackend(decoded.id, decoded.backend);
     } else if (decoded.kind === 'configuration') {
-      const { configuration } = decoded;
-      if (configuration.version > (this.configuration?.version ?? -Infinity)) {
-        this.configuration = configuration;
-      }
+      this.takeConfiguration(decoded.configuration);
+    }
+  }
+
+  /** As gateways do it: a newer one counts, unless it names an unknown home and another is in force. */
+  private takeConfiguration(configuration: RoutingConfiguration): void {
+    const { configuration: inForce } = this;
+    const isNewer = inForce === undefined || configuration.version > inForce.version;
+    const isRefused = inForce !== undefined && findUnknownHome(configuration, this.places);
+    if (isNewer && !isRefused) {
+      this.configuration = configuration;
+      this.homes = new NamedHomes(configuration);
     }
   }
 
@@ -59,11 +72,20 @@
     return this.configuration?.services.find((service) => service.name === name);
   }
 
-  /** Why a request must not be sent to the engine; undefined where it may, or where nothing is known. */
-  restriction(allowedRegions: AllowedRegions): RestrictionReason | undefined {
+  /**
+   * Why a request must not be sent to the engine; undefined where it may, or where nothing is known.
+   *
+   * @param allowedRegions - as the gateway states them
+   * @param homeOwner - whose regions the agent's own configuration is asked for beside these
+   */
+  restriction(
+    allowedRegions: AllowedRegions,
+    homeOwner?: HomeOwner,
+  ): RestrictionReason | undefined {
     const { address, zone } = this.place;
+    const known = homeOwner === undefined ? undefined : this.homes?.allowed(homeOwner);
     const backend = this.backend ?? unannounced(address, zone);
-    return restrictionOf({ ...backend, zone }, allowedRegions, {
+    return restrictionOf({ ...backend, zone }, narrow(allowedRegions, known), {
       isEvacuated: (asked) => this.evacuations.isEvacuated(asked),
       regionOf: (asked) => this.places.regionOf(asked),
       // Only gateways know the shares of a roll-out.
@@ -71,6 +93,16 @@
     });
   }
 
+  /** What gateways are told of homes; undefined while the configuration names none. */
+  get homesToTell(): AgentHomes | undefined {
+    const { configuration, homes } = this;
+    if (configuration === undefined || !homes?.hasAny) {
+      return undefined;
+    }
+    const region = this.places.regionOf(this.place.zone);
+    return { region, configuration: configuration.version };
+  }
+
   private takeBackend(id: string, backend: Backend | undefined): void {
     if (backend?.address === this.place.address) {
       this.announced.set(id, backend);
--- a/src/slot-agent/gateway-account.ts
+++ b/src/slot-agent/gateway-account.ts
@@ -1,5 +1,6 @@
 /** What an agent keeps of one connected gateway: its slots, what waits there, and when it was heard. */
-import type { WaitingRank } from './slot-messages.js';
+import type { StatedHomes, WaitingRank } from './slot-messages.js';
+import type { HomeOwner } from '../routing/named-homes.js';
 import type { AllowedRegions } from '../routing/backend-restriction.js';
 import type { WaitingPlace } from './waiting-order.js';
 
@@ -27,6 +28,7 @@
 /** A request that waits in a gateway. */
 export interface WaitingRequest extends WaitingPlace {
   readonly allowedRegions: AllowedRegions;
+  readonly homeOwner?: HomeOwner | undefined;
 }
 
 /** One connected gateway. */
@@ -101,14 +103,20 @@
   }
 }
 
+/** The regions that a message states. */
+export function regionsOf({ allowedRegions }: StatedHomes): AllowedRegions {
+  return allowedRegions === undefined ? undefined : new Set(allowedRegions);
+}
+
 /** A rank on this process's clock. */
 function placeOf(rank: WaitingRank, nowMs: number): WaitingRequest {
-  const { tier, rankInTier, waitedMs, startInMs, allowedRegions } = rank;
+  const { tier, rankInTier, waitedMs, startInMs, homeOwner } = rank;
   return {
     tier,
     rankInTier,
     arrivedAtMs: nowMs - waitedMs,
     startByMs: nowMs + startInMs,
-    allowedRegions: allowedRegions === undefined ? undefined : new Set(allowedRegions),
+    allowedRegions: regionsOf(rank),
+    homeOwner,
   };
 }
--- a/src/slot-agent/slot-agent-instruments.ts
+++ b/src/slot-agent/slot-agent-instruments.ts
@@ -41,6 +41,13 @@
     registers: [this.registry],
   });
 
+  readonly forbiddenTakes = new Counter({
+    name: 'weirvale_slots_taken_forbidden_total',
+    help: 'Slots that gateways took for requests that operators keep from the engine, by reason',
+    labelNames: ['reason'],
+    registers: [this.registry],
+  });
+
   constructor(read: () => SlotAgentSnapshot) {
     this.gauge('weirvale_slots', 'Slots of the engine', () => read().slots);
     this.gauge('weirvale_slots_occupied', 'Slots believed to be taken', () => read().occupied);
--- a/src/slot-agent/slot-agent-role.ts
+++ b/src/slot-agent/slot-agent-role.ts
@@ -20,6 +20,7 @@
 import type { EngineAvailability, EngineReading } from './engine-watch.js';
 import { EngineKnowledge } from './engine-knowledge.js';
 import type { EnginePlace } from './engine-knowledge.js';
+import type { ForbiddenTake } from './slot-ledger.js';
 import { SlotLedger } from './slot-ledger.js';
 import type { AgentRefusal, AgentToGateway, GatewayToAgent, SlotMessage } from './slot-messages.js';
 
@@ -132,7 +133,10 @@
       onReconciled: (slots) => this.noteReconciled(slots),
       onLookWanted: () => this.lookIn(0),
       onAvailability: (availability) => this.noteAvailability(availability),
-      restriction: (allowedRegions) => this.knowledge.restriction(allowedRegions),
+      restriction: (allowedRegions, homeOwner) =>
+        this.knowledge.restriction(allowedRegions, homeOwner),
+      homesToTell: () => this.knowledge.homesToTell,
+      onForbiddenTake: (take) => this.noteForbiddenTake(take),
     });
     this.server = createServer((socket) => this.accept(socket));
     this.exchange = new RecordExchange(
@@ -188,9 +192,13 @@
 
   /** Takes in records of the store that are news. */
   private learn(records: readonly StoreRecord[]): void {
+    const before = this.knowledge.homesToTell?.configuration;
     for (const record of records) {
       this.knowledge.take(this.parts.decode(record), this.clock.now());
     }
+    if (this.knowledge.homesToTell?.configuration !== before) {
+      this.ledger.followOrders(this.clock.now());
+    }
   }
 
   private accept(socket: Socket): void {
@@ -218,6 +226,12 @@
     this.parts.log.write('slots-reconciled', 'state', { freed: slots, ...this.ledger.snapshot });
   }
 
+  private noteForbiddenTake(take: ForbiddenTake): void {
+    const { reason } = take;
+    this.parts.metrics.record(({ forbiddenTakes }) => forbiddenTakes.inc({ reason }));
+    this.parts.log.write('slot-taken-forbidden', 'failure', { ...take });
+  }
+
   private noteAvailability(availability: EngineAvailability): void {
     this.parts.metrics.record(({ engineChanges }) => engineChanges.inc({ availability }));
     this.parts.log.write('engine-availability', 'state', {
--- a/src/slot-agent/slot-ledger.ts
+++ b/src/slot-agent/slot-ledger.ts
@@ -9,16 +9,31 @@
  * requests that no connected gateway accounts for.
  */
 import type { AllowedRegions, RestrictionReason } from '../routing/backend-restriction.js';
+import type { HomeOwner } from '../routing/named-homes.js';
 import { EngineWatch } from './engine-watch.js';
 import type { EngineAvailability, EngineReading } from './engine-watch.js';
 import { FailureEstimate } from './failure-estimate.js';
-import { DEFAULT_GATEWAY_SILENCE_OPTIONS, GatewayAccount } from './gateway-account.js';
+import { DEFAULT_GATEWAY_SILENCE_OPTIONS, GatewayAccount, regionsOf } from './gateway-account.js';
 import type { GatewaySilenceOptions, WaitingRequest } from './gateway-account.js';
 import type { SlotAgentSnapshot } from './slot-agent-instruments.js';
-import type { LearnedSpeed, SlotAnswer, SlotHello, SlotMessage } from './slot-messages.js';
+import type {
+  AgentHomes,
+  LearnedSpeed,
+  SlotAnswer,
+  SlotHello,
+  SlotMessage,
+  SlotTaken,
+  StatedHomes,
+} from './slot-messages.js';
 import { SlotTeller } from './slot-teller.js';
 import { compareWaiting } from './waiting-order.js';
 
+/** A slot that was taken for a request that operators keep from the back end, as the agent knows it. */
+export interface ForbiddenTake extends StatedHomes {
+  readonly gateway: string;
+  readonly reason: RestrictionReason;
+}
+
 /** What a ledger does to its surroundings. */
 export interface SlotLedgerPorts {
   /** Sends a message to a connected gateway. */
@@ -34,7 +49,11 @@
   /** Whether gateways may use the back end changed. */
   onAvailability(availability: EngineAvailability): void;
   /** Why operators keep a request from the back end; undefined where they do not. */
-  restriction(allowedRegions: AllowedRegions): RestrictionReason | undefined;
+  restriction(allowedRegions: AllowedRegions, homeOwner?: HomeOwner): RestrictionReason | undefined;
+  /** What gateways are told of homes; undefined while none are named. */
+  homesToTell(): AgentHomes | undefined;
+  /** A gateway took a free slot for a request that operators keep from the back end. */
+  onForbiddenTake(take: ForbiddenTake): void;
 }
 
 /**
@@ -217,6 +236,7 @@
         break;
       case 'taken':
         account.take();
+        this.checkTake(account, message);
         break;
       case 'grant-used':
         account.noteGrantAnswered();
@@ -237,6 +257,15 @@
     }
   }
 
+  /** It cannot be undone, since the request is on its way: it is told, and counted. */
+  private checkTake({ name: gateway }: GatewayAccount, taken: SlotTaken): void {
+    const { allowedRegions, homeOwner } = taken;
+    const reason = this.ports.restriction(regionsOf(taken), homeOwner);
+    if (reason !== undefined) {
+      this.ports.onForbiddenTake({ gateway, reason, allowedRegions, homeOwner });
+    }
+  }
+
   private noteOutcome(hasFailed: boolean | undefined, nowMs: number): void {
     if (hasFailed === undefined) {
       return;
@@ -314,7 +343,9 @@
 
   /** The gateway's first waiting request that operators permit here. */
   private firstPermitted({ waiting }: GatewayAccount): WaitingRequest | undefined {
-    return waiting.find(({ allowedRegions }) => !this.ports.restriction(allowedRegions));
+    return waiting.find(
+      ({ allowedRegions, homeOwner }) => !this.ports.restriction(allowedRegions, homeOwner),
+    );
   }
 
   /** Tells gateways what changed since they were told last. */
@@ -322,6 +353,12 @@
     this.teller.tellChanges(nowMs);
   }
 
+  /** Operators' orders changed: gateways are told at once, and what is permitted now is granted. */
+  followOrders(nowMs: number): void {
+    this.grant(nowMs);
+    this.teller.tellAll(nowMs);
+  }
+
   /** Shows gateways that the agent lives, unless they were told something in the last `quietMs`. */
   beat(quietMs: number, nowMs: number): void {
     this.teller.beat(quietMs, nowMs);
@@ -329,6 +366,7 @@
 
   private tell(connection: number, account: GatewayAccount, nowMs: number): void {
     const { occupied, speed } = this;
+    const homes = this.ports.homesToTell();
     this.ports.send(connection, {
       kind: 'state',
       occupied,
@@ -336,6 +374,7 @@
       speed,
       failureShare: this.failures.share(nowMs),
       availability: this.engine.availability,
+      ...(homes === undefined ? {} : { homes }),
     });
   }
 }
--- a/src/slot-agent/slot-messages.ts
+++ b/src/slot-agent/slot-messages.ts
@@ -1,17 +1,24 @@
 /** What gateways and slot agents say to each other. */
 import type { EngineAvailability } from './engine-watch.js';
+import type { HomeOwner } from '../routing/named-homes.js';
 import type { RecordsAnswer, RecordsFetch, RecordsRevision } from '../cluster/record-exchange.js';
 
+/** What a gateway says of where a request may be served. */
+export interface StatedHomes {
+  /** Regions in which the request may be served, as the gateway knows; missing for any. */
+  readonly allowedRegions?: readonly string[];
+  /** Who may name regions for it, by which the agent looks for itself; missing while none are named. */
+  readonly homeOwner?: HomeOwner;
+}
+
 /** What gives a waiting request its place in the order; times are relative, since clocks differ. */
-export interface WaitingRank {
+export interface WaitingRank extends StatedHomes {
   readonly tier: number;
   readonly rankInTier: number;
   /** How long the request has waited, in milliseconds. */
   readonly waitedMs: number;
   /** How long it may still wait to be answered in time, in milliseconds; negative when it is late. */
   readonly startInMs: number;
-  /** Regions in which the request may be served; missing for any. */
-  readonly allowedRegions?: readonly string[];
 }
 
 /** A gateway's first message on a connection. */
@@ -36,7 +43,7 @@
 }
 
 /** The gateway began a request on a slot that it took for free. */
-export interface SlotTaken {
+export interface SlotTaken extends StatedHomes {
   readonly kind: 'taken';
 }
 
@@ -108,6 +115,14 @@
   readonly kind: 'granted';
 }
 
+/** What an agent knows of homes; gateways check themselves by it. */
+export interface AgentHomes {
+  /** Region of the engine; undefined for a zone that the agent's settings do not hold. */
+  readonly region: string | undefined;
+  /** Version of the newest configuration that the agent knows. */
+  readonly configuration: number;
+}
+
 /** How many slots are occupied. */
 export interface SlotState {
   readonly kind: 'state';
@@ -120,6 +135,8 @@
   readonly failureShare: number;
   /** Whether the engine may be used, as the agent beside it sees. */
   readonly availability: EngineAvailability;
+  /** Missing while the configuration that the agent knows names no homes. */
+  readonly homes?: AgentHomes | undefined;
 }
 
 /** Anything that an agent says of slots. */
--- a/src/telemetry/decision-log.ts
+++ b/src/telemetry/decision-log.ts
@@ -34,6 +34,7 @@
   'gateway-lost',
   'gateway-refused',
   'slots-reconciled',
+  'slot-taken-forbidden',
   'engine-availability',
   'rollout-ordered',
   'rollout-state',
--- /dev/null
+++ b/test/homes-agent.test.ts
@@ -0,0 +1,238 @@
+import { readdirSync, readFileSync } from 'node:fs';
+import { join } from 'node:path';
+import test from 'ava';
+import { decodeRecord } from '../platform/record-formats.js';
+import type { RoutingConfiguration } from '../src/routing/configuration.js';
+import {
+  findUnknownHome,
+  InvalidHomesError,
+  readHomeRegions,
+} from '../src/routing/home-regions.js';
+import { NamedHomes } from '../src/routing/named-homes.js';
+import { Places } from '../src/routing/places.js';
+import { EngineKnowledge } from '../src/slot-agent/engine-knowledge.js';
+import { SlotLedger } from '../src/slot-agent/slot-ledger.js';
+import type { SlotMessage } from '../src/slot-agent/slot-messages.js';
+import type { ForbiddenTake } from '../src/slot-agent/slot-ledger.js';
+import { backendOf, GatewayWorld, routeOf } from './support/gateway.js';
+
+const PLACES = new Places(
+  new Map([
+    ['a1', 'a'],
+    ['b1', 'b'],
+  ]),
+);
+
+function configurationOf(version: number, ...lists: string[][]): RoutingConfiguration {
+  const record = {
+    key: 'op/config',
+    revision: version,
+    value: JSON.stringify({
+      version,
+      routes: lists.map((allowedRegions, index) => ({
+        name: index === 0 ? 'r' : `r${index}`,
+        host: 'h',
+        pathPrefix: `/${index}/`,
+        allowedRegions,
+      })),
+    }),
+  };
+  const decoded = decodeRecord(record);
+  if (decoded.kind !== 'configuration') {
+    throw new Error('the configuration cannot be read');
+  }
+  return decoded.configuration;
+}
+
+/** A gateway, and the agent beside the engine "far" in region b, joined without a wire. */
+class Pair {
+  readonly world = new GatewayWorld();
+  readonly engine = new EngineKnowledge({ address: 'far:1', zone: 'b1' }, PLACES);
+  readonly forbidden: ForbiddenTake[] = [];
+  private readonly ledger: SlotLedger;
+  grants = 0;
+  private toldCount = 0;
+
+  constructor(gateway: RoutingConfiguration, agent: RoutingConfiguration) {
+    this.ledger = new SlotLedger({
+      send: (_connection, message) => {
+        if (message.kind === 'granted' || message.kind === 'state') {
+          this.world.dispatcher.receiveFromAgent('far', message, this.world.clock.now());
+        }
+      },
+      onGranted: () => (this.grants += 1),
+      onChangesToTell: () => undefined,
+      onReconciled: () => undefined,
+      onLookWanted: () => undefined,
+      onAvailability: () => undefined,
+      restriction: (regions, owner) => this.engine.restriction(regions, owner),
+      homesToTell: () => this.engine.homesToTell,
+      onForbiddenTake: (take) => this.forbidden.push(take),
+    });
+    this.engine.take({ kind: 'configuration', configuration: agent }, 0);
+    this.world.engines = true;
+    this.world.version = gateway.version;
+    this.world.homes = new NamedHomes(gateway);
+    this.world.regions.set('a1', 'a').set('b1', 'b');
+    const far = backendOf('far', { zone: 'b1', slots: 1 });
+    this.world.dispatcher.updateBackend('far', far, 0);
+    const hello = { kind: 'hello', gateway: 'g', held: 0, peersAddress: '', slots: 1 } as const;
+    this.world.dispatcher.connectAgent('far', 0);
+    this.ledger.receive(1, hello, 0);
+  }
+
+  /** Says something to the agent that the gateway would not. */
+  say(message: SlotMessage): void {
+    this.ledger.receive(1, message, this.world.clock.now());
+  }
+
+  /** Hands the agent what the gateway said since. */
+  deliver(): void {
+    for (; this.toldCount < this.world.toAgents.length; this.toldCount += 1) {
+      this.ledger.receive(1, this.world.toAgents[this.toldCount]![1], this.world.clock.now());
+    }
+  }
+}
+
+test('an agent with a newer configuration withholds what a gateway asks for by an old one', (t) => {
+  const pair = new Pair(configurationOf(1, ['a', 'b'], []), configurationOf(2, ['a'], []));
+  pair.deliver();
+  pair.world.request();
+  pair.deliver();
+  t.deepEqual(pair.world.attempts, []);
+  // What has no homes is granted by the same agent.
+  pair.world.request({ route: routeOf({ name: 'r1' }) });
+  pair.deliver();
+  t.is(pair.world.attempts.length, 1);
+  t.deepEqual(pair.forbidden, []);
+});
+
+test('a configuration that comes into force at both lets the same request pass', (t) => {
+  const same = configurationOf(1, ['a', 'b'], []);
+  const pair = new Pair(same, same);
+  pair.deliver();
+  pair.world.request();
+  pair.deliver();
+  t.is(pair.world.attempts.length, 1);
+  t.deepEqual(pair.forbidden, []);
+});
+
+test('a gateway with a wrong table of regions sends nothing abroad to an engine whose agent knows better', (t) => {
+  const both = configurationOf(1, ['a']);
+  const pair = new Pair(both, both);
+  pair.world.regions.set('b1', 'a');
+  pair.deliver();
+  const { reply } = pair.world.request();
+  pair.deliver();
+  t.deepEqual(pair.world.attempts, []);
+  t.is(reply.status, 503);
+  t.is(pair.world.ends[0]?.reason, 'no-backend-at-home');
+});
+
+test('an agent withholds the grant although the gateway does not heed its word', (t) => {
+  const both = configurationOf(1, ['a']);
+  const pair = new Pair(both, both);
+  const rank = { tier: 0, rankInTier: 0, waitedMs: 0, startInMs: 1_000 };
+  const homeOwner = { route: 'r', tenant: undefined };
+  pair.say({ kind: 'demand', ranks: [{ ...rank, homeOwner }], grantsSeen: 0 });
+  t.is(pair.grants, 0);
+  pair.say({ kind: 'demand', ranks: [{ ...rank, allowedRegions: ['a'] }], grantsSeen: 0 });
+  t.is(pair.grants, 0);
+  pair.say({ kind: 'demand', ranks: [rank], grantsSeen: 0 });
+  t.is(pair.grants, 1);
+});
+
+test('a slot that was taken for a request from abroad is told with who may know why', (t) => {
+  const both = configurationOf(1, ['a'], []);
+  const pair = new Pair(both, both);
+  const homeOwner = { route: 'r', tenant: undefined };
+  pair.say({ kind: 'taken', allowedRegions: ['a', 'b'], homeOwner });
+  pair.say({ kind: 'taken', homeOwner: { route: 'r1', tenant: undefined } });
+  pair.say({ kind: 'taken' });
+  t.deepEqual(pair.forbidden, [
+    { gateway: 'g', reason: 'outside-home', allowedRegions: ['a', 'b'], homeOwner },
+  ]);
+});
+
+test('messages cost nothing more where no homes are named', (t) => {
+  const none = configurationOf(1, []);
+  const pair = new Pair(none, none);
+  pair.deliver();
+  pair.world.request();
+  const taken = pair.world.toAgents.find(([, { kind }]) => kind === 'taken');
+  t.deepEqual(taken?.[1], { kind: 'taken' });
+  t.is(pair.engine.homesToTell, undefined);
+});
+
+test('a list of regions is read, or refused with its key, what stands there and what may', (t) => {
+  t.deepEqual(readHomeRegions('k', ['a', 'b', 'a']), ['a', 'b']);
+  t.is(readHomeRegions('k', undefined), undefined);
+  t.is(readHomeRegions('k', []), undefined);
+  for (const bad of ['a', null, 7, { a: 1 }, ['a', 7], [''], ['a', null]]) {
+    const error = t.throws(() => readHomeRegions('k', bad), { instanceOf: InvalidHomesError });
+    t.is(error?.key, 'k');
+    t.is(error?.found, JSON.stringify(bad));
+    t.regex(error?.allowed ?? '', /list of names/);
+  }
+});
+
+test('a record whose homes are no list is not read, and says why', (t) => {
+  const value = JSON.stringify({ version: 2, routes: [{ name: 'r', allowedRegions: 'eu' }] });
+  const decoded = decodeRecord({ key: 'op/config', revision: 1, value });
+  t.is(decoded.kind, 'invalid');
+  t.regex(JSON.stringify(decoded), /routes\.r\.allowedRegions is .*eu.*; allowed is a list/);
+});
+
+test('a home without any zone is found, with its key and the regions that there are', (t) => {
+  t.is(findUnknownHome(configurationOf(1, ['a'], ['a', 'b'], []), PLACES), undefined);
+  const error = findUnknownHome(configurationOf(1, ['a'], ['a', 'c']), PLACES);
+  t.is(error?.key, 'routes.r1.allowedRegions');
+  t.is(error?.found, '"c"');
+  t.is(error?.allowed, 'a, b');
+  t.regex(
+    findUnknownHome(configurationOf(1, ['a']), new Places(new Map()))?.message ?? '',
+    /settings name no places/,
+  );
+});
+
+test('an agent keeps the configuration in force when a newer one names an unknown home', (t) => {
+  const engine = new EngineKnowledge({ address: 'far:1', zone: 'b1' }, PLACES);
+  engine.take({ kind: 'configuration', configuration: configurationOf(1, ['a']) }, 0);
+  engine.take({ kind: 'configuration', configuration: configurationOf(2, ['b', 'c']) }, 0);
+  t.is(engine.homesToTell?.configuration, 1);
+  t.is(engine.restriction(undefined, { route: 'r', tenant: undefined }), 'outside-home');
+});
+
+test('no message to an agent carries the body, the headers, the path or the key of a request', (t) => {
+  const both = configurationOf(1, ['a', 'b'], []);
+  const pair = new Pair(both, both);
+  pair.deliver();
+  const secret = 'never-leaves';
+  for (let count = 0; count < 3; count += 1) {
+    const headers = ['authorization', secret, 'x', secret];
+    pair.world.request({ body: Buffer.from(secret), headers, path: `/a/${secret}` });
+    pair.deliver();
+  }
+  t.true(pair.world.toAgents.some(([, { kind }]) => kind === 'demand'));
+  t.true(pair.world.toAgents.some(([, { kind }]) => kind === 'taken'));
+  t.false(JSON.stringify(pair.world.toAgents).includes(secret));
+});
+
+/** Modules that speak with other machines of the product. */
+const WIRE_FOLDERS = ['src/cluster', 'src/slot-agent', 'src/gateway/links'];
+/** Modules that hold what a caller sent: heads, bodies, accepted requests. */
+const REQUEST_MODULES = /gateway\/(attempt|homes)\/|admission\/(?!token-quota)|gateway-requests/;
+
+test('what speaks with other gateways and agents never has a request in hand', (t) => {
+  for (const folder of WIRE_FOLDERS) {
+    for (const name of readdirSync(folder)) {
+      const text = readFileSync(join(folder, name), 'utf8');
+      const imports = [...text.matchAll(/ from '([^']+)'/g)].map(([, path]) => path!);
+      t.deepEqual(
+        imports.filter((path) => REQUEST_MODULES.test(path)),
+        [],
+        `${folder}/${name}`,
+      );
+    }
+  }
+});
--- /dev/null
+++ b/test/homes.test.ts
@@ -0,0 +1,354 @@
+import test from 'ava';
+import * as fc from 'fast-check';
+import { RequestHomes } from '../src/gateway/homes/request-homes.js';
+import { RequestAdmission } from '../src/gateway/admission/request-admission.js';
+import { TokenQuotas } from '../src/gateway/admission/token-quota.js';
+import { addHomeEngines } from '../src/gateway/dispatch/home-engines.js';
+import { SeededRandom } from '../src/random.js';
+import { DEFAULT_CALLER_LIMITS } from '../src/routing/configuration.js';
+import type { Tenant } from '../src/routing/configuration.js';
+import { NamedHomes } from '../src/routing/named-homes.js';
+import { RoutingTable } from '../src/routing/routing-table.js';
+import { VirtualClock } from '../src/sim/virtual-clock.js';
+import { backendOf, GatewayWorld, routeOf } from './support/gateway.js';
+
+const REGIONS = new Map([
+  ['a1', 'a'],
+  ['a2', 'a'],
+  ['b1', 'b'],
+]);
+
+/** Homes by name of route and tenant; null for a name without any. */
+function homesOf(
+  routes: Record<string, readonly string[] | null>,
+  tenants: Record<string, readonly string[] | null> = {},
+): NamedHomes {
+  const entries = (lists: typeof routes) =>
+    Object.entries(lists).map(([name, regions]) => ({
+      name,
+      allowedRegions: regions ?? undefined,
+    }));
+  return new NamedHomes({
+    routes: entries(routes).map((entry) => routeOf(entry)),
+    tenants: entries(tenants).map((entry) => tenantOf(entry)),
+  });
+}
+
+function tenantOf(changes: Partial<Tenant>): Tenant {
+  const base = { name: 't', apiKeys: [], priority: undefined, quota: undefined };
+  return { ...base, allowedRegions: undefined, ...changes };
+}
+
+function worldOf(homes: NamedHomes, ...backends: Parameters<typeof backendOf>[]): GatewayWorld {
+  const world = new GatewayWorld();
+  REGIONS.forEach((region, zone) => world.regions.set(zone, region));
+  world.homes = homes;
+  for (const backend of backends) {
+    world.dispatcher.updateBackend(backend[0], backendOf(...backend), 0);
+  }
+  return world;
+}
+
+function placesAsked(world: GatewayWorld): string[] {
+  return world.attempts.map(({ backend }) => backend.id);
+}
+
+test('a request follows the configuration in force; what that no longer holds stays as narrow as it was', (t) => {
+  let homes = homesOf({ r: ['a', 'b'] }, { t: ['a', 'b', 'c'] });
+  const request = new RequestHomes({ route: 'r', tenant: 't' }, () => homes);
+  t.deepEqual(request.allowed, new Set(['a', 'b']));
+  homes = homesOf({ r: ['a', 'b'] }, { t: ['b'] });
+  t.deepEqual(request.allowed, new Set(['b']));
+  homes = homesOf({ r: null }, { t: ['b', 'c'] });
+  t.deepEqual(request.allowed, new Set(['b', 'c']));
+  homes = homesOf({}, {});
+  t.deepEqual(request.allowed, new Set(['b']));
+});
+
+test('a request without homes gets none when its route and tenant are dropped', (t) => {
+  let homes = homesOf({ r: null });
+  const request = new RequestHomes({ route: 'r', tenant: undefined }, () => homes);
+  homes = homesOf({ other: ['a'] });
+  t.is(request.allowed, undefined);
+});
+
+test('of routes that share a name each one binds', (t) => {
+  const routes = [
+    routeOf({ name: 'r', allowedRegions: ['a', 'b'] }),
+    routeOf({ name: 'r', pathPrefix: '/b/', allowedRegions: ['b', 'c'] }),
+  ];
+  const homes = new NamedHomes({ routes, tenants: [] });
+  t.deepEqual(homes.allowed({ route: 'r', tenant: undefined }), new Set(['b']));
+});
+
+test('a request that waits goes where a newer configuration lets it, and nowhere else', (t) => {
+  const world = worldOf(
+    homesOf({ r: ['a'] }),
+    ['near', { zone: 'a1', slots: 1 }],
+    ['far', { zone: 'b1', slots: 1 }],
+  );
+  world.request();
+  world.request();
+  t.deepEqual(placesAsked(world), ['near']);
+  world.homes = homesOf({ r: ['b'] });
+  world.answer(0, 200, 'done');
+  world.dispatcher.tick(world.clock.now());
+  t.deepEqual(placesAsked(world), ['near', 'far']);
+});
+
+test('a further try keeps to the homes that came into force after the first', (t) => {
+  const world = worldOf(
+    homesOf({ r: ['a'] }),
+    ['first', { zone: 'a1' }],
+    ['second', { zone: 'a2' }],
+    ['far', { zone: 'b1' }],
+  );
+  world.request();
+  world.homes = homesOf({ r: ['b'] });
+  world.attempts[0]!.handlers.onFailure({ mayHaveRun: false, isPortClosed: true, detail: '' });
+  t.is(placesAsked(world).length, 2);
+  t.is(placesAsked(world)[1], 'far');
+});
+
+test('a stream is resumed at home only', (t) => {
+  const route = routeOf({ kind: 'stream', isResumable: true, maxAttempts: 3, maxPauseMs: 500 });
+  const world = worldOf(homesOf({ r: ['a'] }), ['w', { zone: 'a1' }], ['far', { zone: 'b1' }]);
+  const { reply } = world.request({ route });
+  const [{ handlers }] = world.attempts as [(typeof world.attempts)[number]];
+  handlers.onHead({
+    status: 200,
+    rawHeaders: [],
+    headers: { 'content-type': 'text/event-stream' },
+  });
+  handlers.onData(Buffer.from('id: 1\ndata: x\n\n'));
+  handlers.onFailure({ mayHaveRun: true, isPortClosed: false, detail: 'reset' });
+  t.deepEqual(placesAsked(world), ['w']);
+  t.true(reply.isAborted);
+});
+
+test('a route and a tenant without a common region: refused at once, and not run', (t) => {
+  const world = worldOf(homesOf({ r: ['a'] }, { t: ['b'] }), ['w', { zone: 'a1' }]);
+  const { reply } = world.request({ tenant: 't' });
+  t.is(reply.status, 503);
+  t.is(world.ends[0]?.reason, 'no-common-home');
+  t.deepEqual(world.attempts, []);
+});
+
+test('a home without a back end that may be used: refused at once, never served elsewhere', (t) => {
+  const homes = homesOf({ r: ['a'] });
+  const worlds = [
+    worldOf(homes, ['far', { zone: 'b1' }]),
+    // Of a zone that the settings do not hold, and of none.
+    worldOf(homes, ['lost', { zone: 'x' }], ['bare', { zone: '' }]),
+    worldOf(homes, ['drained', { zone: 'a1', state: 'draining' }], ['far', { zone: 'b1' }]),
+    worldOf(homesOf({ r: ['unheard-of'] }), ['far', { zone: 'b1' }], ['lost', { zone: 'x' }]),
+  ];
+  for (const world of worlds) {
+    const { reply } = world.request();
+    t.is(reply.status, 503);
+    t.is(world.ends[0]?.reason, 'no-backend-at-home');
+    t.deepEqual(world.attempts, []);
+  }
+});
+
+test('a home whose zones are all evacuated refuses at once', (t) => {
+  const world = worldOf(homesOf({ r: ['a'] }), ['w', { zone: 'a1' }], ['far', { zone: 'b1' }]);
+  world.evacuatedZones.add('a1');
+  world.request();
+  t.is(world.ends[0]?.reason, 'no-backend-at-home');
+  t.deepEqual(world.attempts, []);
+});
+
+test('a request that waits is refused soon after its last back end left its home', async (t) => {
+  const world = worldOf(
+    homesOf({ r: ['a', 'b'] }),
+    ['w', { zone: 'a1', slots: 1 }],
+    ['far', { zone: 'b1', slots: 1 }],
+  );
+  world.request();
+  world.request();
+  world.request();
+  world.homes = homesOf({ r: ['c'] });
+  await world.clock.runUntil(world.clock.now() + 150);
+  t.is(world.ends[0]?.reason, 'no-backend-at-home');
+  t.is(world.attempts.length, 2);
+});
+
+test('each fallback stays at home: engines not assigned, ejected ones, ones that left the list', (t) => {
+  const homes = homesOf({ r: ['a'] });
+  const ejected = worldOf(homes, ['w', { zone: 'a1' }], ['far', { zone: 'b1' }]);
+  for (let count = 0; count < 20; count += 1) {
+    ejected.dispatcher.finish('w', 'failed', 0);
+  }
+  t.true(ejected.directory.find('w')!.health.isEjected(0));
+  ejected.request();
+  t.deepEqual(placesAsked(ejected), ['w']);
+  const unassigned = worldOf(homes, ['w', { zone: 'a1' }], ['far', { zone: 'b1' }]);
+  unassigned.directory.find('w')!.isAssigned = false;
+  unassigned.request();
+  t.deepEqual(placesAsked(unassigned), ['w']);
+  const unlisted = worldOf(homes, ['w', { zone: 'a1' }], ['far', { zone: 'b1' }]);
+  unlisted.dispatcher.updateBackend('far', undefined, 0);
+  unlisted.dispatcher.updateBackend('w', undefined, 0);
+  unlisted.request();
+  t.deepEqual(placesAsked(unlisted), ['w']);
+});
+
+test('a failure at the only back end at home is final: no repeat is spent on others', (t) => {
+  const world = worldOf(homesOf({ r: ['a'] }), ['w', { zone: 'a1' }], ['far', { zone: 'b1' }]);
+  const { reply } = world.request();
+  world.attempts[0]!.handlers.onFailure({ mayHaveRun: true, isPortClosed: false, detail: '' });
+  t.is(reply.status, 502);
+  t.is(world.repeatsLeft, 10);
+});
+
+test('agents hear anew of what waits when its homes change, and only those at home', (t) => {
+  const world = worldOf(
+    homesOf({ r: ['a', 'b'] }),
+    ['near', { zone: 'a1', slots: 1 }],
+    ['far', { zone: 'b1', slots: 1 }],
+  );
+  world.engines = true;
+  world.dispatcher.connectAgent('near', 0);
+  world.dispatcher.connectAgent('far', 0);
+  for (let count = 0; count < 3; count += 1) {
+    world.request();
+  }
+  world.toAgents.length = 0;
+  world.homes = homesOf({ r: ['a'] });
+  world.dispatcher.tick(world.clock.now());
+  const told = world.toAgents.flatMap(([to, message]) =>
+    message.kind === 'demand' ? [[to, message.ranks[0]?.allowedRegions]] : [],
+  );
+  t.deepEqual(told, [
+    ['near', ['a']],
+    ['far', undefined],
+  ]);
+});
+
+test('a gateway works with a few engines of each region that is named, whatever its own zone', (t) => {
+  const engines = Array.from({ length: 60 }, (_, index) => ({
+    id: `w${index}`,
+    zone: index < 40 ? 'b1' : 'a1',
+  }));
+  const regionOf = (zone: string) => REGIONS.get(zone);
+  const chosen = new Set(['w0', 'w41']);
+  addHomeEngines(chosen, engines, 'g', { named: new Set(['a', 'c']), regionOf });
+  const atHome = [...chosen].filter((id) => Number(id.slice(1)) >= 40);
+  t.is(atHome.length, 4);
+  t.true(atHome.includes('w41'));
+  t.is(chosen.size, 5);
+});
+
+test('the directory assigns engines of the regions that a configuration names', (t) => {
+  const world = worldOf(homesOf({ r: ['a'] }));
+  world.engines = true;
+  world.regions.set('z', 'b');
+  for (let index = 0; index < 60; index += 1) {
+    const id = `w${index}`;
+    world.dispatcher.updateBackend(id, backendOf(id, { zone: index < 40 ? 'z' : 'a1' }), 0);
+  }
+  const assigned = world.directory.list().filter(({ isAssigned }) => isAssigned);
+  t.is(assigned.filter(({ backend }) => backend.zone === 'a1').length, 4);
+});
+
+test('of several services one is picked that has a back end at home', (t) => {
+  const route = routeOf({
+    allowedRegions: ['a'],
+    services: [
+      { service: 'abroad', weight: 99 },
+      { service: 'home', weight: 1 },
+      { service: 'unused', weight: 0 },
+    ],
+  });
+  const limits = DEFAULT_CALLER_LIMITS;
+  const table = new RoutingTable({
+    version: 1,
+    routes: [route],
+    services: [],
+    tenants: [],
+    limits,
+  });
+  const wide = { slackTokens: 0, overShare: 0, silenceMs: () => 1, forgetMs: 1 };
+  const random = new SeededRandom(1);
+  const admission = new RequestAdmission(new TokenQuotas(wide, 0), new VirtualClock(), random, {
+    canServe: (service) => service !== 'abroad',
+  });
+  const head = { host: 'a.example', path: '/a/', method: 'GET', headers: {}, rawHeaders: [] };
+  const caller = {
+    requestId: 'q',
+    deadlineMs: undefined,
+    apiKey: undefined,
+    tokens: undefined,
+    lastEventId: undefined,
+    reservedHeaders: [],
+  };
+  const received = { head, caller, body: Buffer.alloc(0), arrivedAtMs: 0 };
+  t.is(admission.admit(received, table).unwrap().service, 'home');
+});
+
+/** One step of a random run. */
+const regions = fc.option(fc.subarray(['a', 'b', 'c'], { minLength: 1 }), { nil: null });
+const step = fc.oneof(
+  fc.record({ kind: fc.constant('request' as const), hasTenant: fc.boolean() }),
+  fc.record({ kind: fc.constant('configure' as const), route: regions, tenant: regions }),
+  fc.record({ kind: fc.constant('drop' as const) }),
+  fc.record({ kind: fc.constant('end' as const), index: fc.nat(9), isFailure: fc.boolean() }),
+  fc.record({ kind: fc.constant('list' as const), index: fc.nat(5), isListed: fc.boolean() }),
+  fc.record({ kind: fc.constant('wait' as const), forMs: fc.integer({ min: 1, max: 300 }) }),
+);
+/** Path of the requests that have a tenant, by which a send shows whose it is. */
+const OF_TENANT = '/a/tenant';
+const FLEET = ['a1', 'a1', 'a2', 'b1', 'b1', 'x'];
+
+test('whatever configurations, failures and back ends come and go, no send leaves the homes in force', async (t) => {
+  await fc.assert(
+    fc.asyncProperty(fc.array(step, { minLength: 10, maxLength: 60 }), async (steps) => {
+      const fleet = FLEET.map((zone, index) => backendOf(`w${index}`, { zone, slots: 1 }));
+      const world = worldOf(homesOf({ r: null }, { t: null }));
+      fleet.forEach((backend) => world.dispatcher.updateBackend(backend.id, backend, 0));
+      let checked = 0;
+      const check = () => {
+        for (; checked < world.attempts.length; checked += 1) {
+          const { backend, path } = world.attempts[checked]!;
+          const tenant = path === OF_TENANT ? 't' : undefined;
+          const allowed = world.homes!.allowed({ route: 'r', tenant });
+          const region = REGIONS.get(backend.zone) ?? 'nowhere';
+          if (allowed !== undefined && !allowed.has(region)) {
+            throw new Error(`sent to ${region}, allowed are ${[...allowed].join()}`);
+          }
+        }
+      };
+      for (const one of steps) {
+        if (one.kind === 'request') {
+          world.request(one.hasTenant ? { tenant: 't', path: OF_TENANT } : {});
+        } else if (one.kind === 'configure') {
+          world.homes = homesOf({ r: one.route }, { t: one.tenant });
+          world.dispatcher.tick(world.clock.now());
+        } else if (one.kind === 'drop') {
+          world.homes = homesOf({});
+        } else if (one.kind === 'end') {
+          const open = world.attempts.filter(({ isCancelled }) => !isCancelled);
+          const attempt = open[one.index % Math.max(1, open.length)];
+          if (attempt !== undefined) {
+            attempt.isCancelled = true;
+            attempt.handlers.onFailure({
+              mayHaveRun: one.isFailure,
+              isPortClosed: !one.isFailure,
+              detail: '',
+            });
+          }
+        } else if (one.kind === 'list') {
+          const backend = fleet[one.index]!;
+          const listed = one.isListed ? backend : undefined;
+          world.dispatcher.updateBackend(backend.id, listed, world.clock.now());
+        } else {
+          await world.clock.runUntil(world.clock.now() + one.forMs);
+        }
+        check();
+      }
+    }),
+    { numRuns: 200 },
+  );
+  t.pass();
+});
--- a/test/slot-ledger.test.ts
+++ b/test/slot-ledger.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import { SlotLedger } from '../src/slot-agent/slot-ledger.js';
-import type { SlotLedgerPorts } from '../src/slot-agent/slot-ledger.js';
+import type { ForbiddenTake, SlotLedgerPorts } from '../src/slot-agent/slot-ledger.js';
 import type { AgentToGateway, SlotMessage } from '../src/slot-agent/slot-messages.js';
 
 class Agent {
@@ -8,6 +8,7 @@
   reconciled = 0;
   looksWanted = 0;
   plannedTellings = 0;
+  readonly forbiddenTakes: ForbiddenTake[] = [];
   restriction: SlotLedgerPorts['restriction'] = () => undefined;
   readonly ledger = new SlotLedger({
     send: (connection, message) => this.sent.push([connection, message]),
@@ -16,7 +17,9 @@
     onReconciled: (slots) => (this.reconciled += slots),
     onLookWanted: () => (this.looksWanted += 1),
     onAvailability: () => undefined,
-    restriction: (allowedRegions) => this.restriction(allowedRegions),
+    restriction: (allowedRegions, homeOwner) => this.restriction(allowedRegions, homeOwner),
+    homesToTell: () => undefined,
+    onForbiddenTake: (take) => this.forbiddenTakes.push(take),
   });
 
   admit(connection: number, held = 0, slots = 2): void {
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -9,6 +9,8 @@
 import { BackendDirectory } from '../../src/gateway/dispatch/backend-directory.js';
 import { Dispatcher } from '../../src/gateway/dispatch/dispatcher.js';
 import type { DispatcherPorts } from '../../src/gateway/dispatch/dispatcher.js';
+import type { HomeRegions } from '../../src/gateway/dispatch/home-engines.js';
+import { followHomes, RequestHomes } from '../../src/gateway/homes/request-homes.js';
 import { ProxiedRequest } from '../../src/gateway/attempt/proxied-request.js';
 import { DEFAULT_REQUEST_OPTIONS } from '../../src/gateway/attempt/request-model.js';
 import type {
@@ -20,6 +22,7 @@
 import type { VersionUse } from '../../src/rollout/rollout-order.js';
 import type { Backend } from '../../src/routing/backend.js';
 import type { Route } from '../../src/routing/configuration.js';
+import type { NamedHomes } from '../../src/routing/named-homes.js';
 import { VirtualClock } from '../../src/sim/virtual-clock.js';
 import type { SlotMessage } from '../../src/slot-agent/slot-messages.js';
 
@@ -137,6 +140,9 @@
   readonly versionUses = new Map<string, VersionUse>();
   readonly evacuatedZones = new Set<string>();
   readonly regions = new Map<string, string>();
+  /** Homes of the configuration in force; while undefined requests keep the regions that they came with. */
+  homes: NamedHomes | undefined;
+  version = 1;
   readonly triesOver: TryOver[] = [];
 
   constructor(...backends: Backend[]) {
@@ -177,6 +183,14 @@
     return this.regions.get(zone);
   }
 
+  configurationVersion(): number {
+    return this.version;
+  }
+
+  homeRegions(): HomeRegions {
+    return { named: this.homes?.regions ?? new Set(), regionOf: (zone) => this.regionOf(zone) };
+  }
+
   onSent(): void {
     // Tests look at the attempts instead.
   }
@@ -228,7 +242,12 @@
       onTryOver: (over: TryOver) => void this.triesOver.push(over),
       onEnd: (_request: AcceptedRequest, end: RequestEnd) => this.ends.push(end),
     };
-    const request = new ProxiedRequest(accepted, reply, ports, DEFAULT_REQUEST_OPTIONS);
+    const owner = { route: route.name, tenant: accepted.tenant };
+    const followed =
+      this.homes === undefined
+        ? accepted
+        : followHomes(accepted, new RequestHomes(owner, () => this.homes));
+    const request = new ProxiedRequest(followed, reply, ports, DEFAULT_REQUEST_OPTIONS);
     request.begin();
     return { reply, request };
   }
