A request's line says which home kept it from which back end, and logs explain tells it

Cause: a request that was refused for its homes showed its reason alone; which list left out which back end, and whether the home's own ones were evacuated or draining, could not be told from the logs.

The line carries the route's and the tenant's regions; where the request failed or waited 100 ms or more also up to eight back ends with zone, region and reason, those at home first. Counted by route and reason in weirvale_requests_total, as every refusal: a counter of its own would say the same twice.

test/logs.test.ts: a check added to the test that stands (no word of homes without any).

--- a/src/cli/queries/explain-logs.ts
+++ b/src/cli/queries/explain-logs.ts
@@ -2,7 +2,9 @@
 import { readFileSync } from 'node:fs';
 import { CommandFailure, print } from '../context.js';
 import type { GlobalOptions } from '../context.js';
+import type { HomeReport } from '../../gateway/homes/home-report.js';
 import { EXIT } from '../exit-codes.js';
+import { explainHomes } from './explain-homes.js';
 
 /** A line of a log, as far as it matters here. */
 interface LogLine {
@@ -30,6 +32,7 @@
   'store-lost',
   'store-regained',
   'configuration-installed',
+  'configuration-refused',
   'backend-gone',
   'backend-ejected',
   'backend-availability',
@@ -48,6 +51,8 @@
   'quota-spent': 'the tenant had spent its quota',
   overloaded: 'no slot was free in time',
   'no-backend': 'no back end of the service was listed as ready, or none could be reached',
+  'no-common-home': 'its route and its tenant name no region in common',
+  'no-backend-at-home': 'no back end in the regions where it may be served could be given requests',
   stopping: 'the process was stopping',
   'not-started-in-time': 'its time was over before a back end was free',
   'backend-refused': 'the back end said that it did not run it, and no other try was allowed',
@@ -108,7 +113,8 @@
 }
 
 function describeBelief(line: LogLine): string {
-  const subject = line['backend'] ?? line['version'] ?? line['reason'] ?? line['peer'] ?? '';
+  const subject =
+    line['backend'] ?? line['version'] ?? line['problem'] ?? line['reason'] ?? line['peer'] ?? '';
   return `${line.time} ${line.process}: ${line.event} ${String(subject)}`.trimEnd();
 }
 
@@ -123,6 +129,7 @@
       `  waited ${line['waitedMs']} ms, first byte after ${line['firstByteMs'] ?? 'none'} ms, ended after ${line['totalMs']} ms, longest pause ${line['longestPauseMs']} ms`,
     );
   }
+  words.push(...explainHomes(line as HomeReport));
   for (const tried of triesOf(line)) {
     words.push(
       `  after ${Math.round(tried.afterMs)} ms to ${tried.backend} (${tried.occupied} of ${tried.slots} slots believed taken): ${tried.outcome}, ${tried.detail}`,
--- a/src/gateway/dispatch/backend-chooser.ts
+++ b/src/gateway/dispatch/backend-chooser.ts
@@ -1,6 +1,6 @@
 /** Query: the back end that a request is bound to while one of those permitted has a free slot. */
 import { restrictionOf } from '../../routing/backend-restriction.js';
-import type { OperatorRules } from '../../routing/backend-restriction.js';
+import type { OperatorRules, RestrictionReason } from '../../routing/backend-restriction.js';
 import type { BackendDirectory } from './backend-directory.js';
 import { isAbroadByAgent, mustAskAgent } from './agent-homes.js';
 import { costOf, harmsOthers, usualSpeed } from './backend-choice.js';
@@ -118,9 +118,17 @@
   }
 
   /** Whether operators permit that the request is sent to the back end. */
-  isPermitted({ allowedRegions }: ServedRequest, { backend, agent }: KnownBackend): boolean {
-    const isRestricted = restrictionOf(backend, allowedRegions, this.ports) !== undefined;
-    return !isRestricted && !isAbroadByAgent(agent?.homes, allowedRegions);
+  isPermitted(request: ServedRequest, known: KnownBackend): boolean {
+    return this.restriction(request, known) === undefined;
+  }
+
+  /** Why operators keep the request from the back end, as this gateway or the agent there knows it. */
+  restriction(
+    { allowedRegions }: ServedRequest,
+    { backend, agent }: KnownBackend,
+  ): RestrictionReason | undefined {
+    const reason = restrictionOf(backend, allowedRegions, this.ports);
+    return reason ?? (isAbroadByAgent(agent?.homes, allowedRegions) ? 'outside-home' : undefined);
   }
 
   private harms(request: DispatchRequest, known: KnownBackend, others: number): boolean {
--- a/src/gateway/dispatch/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -14,6 +14,7 @@
 } from './backend-chooser.js';
 import type { BackendDirectory } from './backend-directory.js';
 import type { Backend } from '../../routing/backend.js';
+import type { RestrictionReason } from '../../routing/backend-restriction.js';
 import type { SlotAnswer, SlotMessage } from '../../slot-agent/slot-messages.js';
 import type { EngineAvailability } from '../../slot-agent/engine-watch.js';
 import type { AttemptOutcome } from './backend-health.js';
@@ -89,6 +90,16 @@
     return homeRefusalOf(request.allowedRegions, () => this.chooser.hasCandidates(request, nowMs));
   }
 
+  /** Why operators keep a request from a back end; undefined where they do not. */
+  restriction(request: ServedRequest, known: KnownBackend): RestrictionReason | undefined {
+    return this.chooser.restriction(request, known);
+  }
+
+  /** The region of a zone; undefined for one that is not known. */
+  regionOf(zone: string): string | undefined {
+    return this.ports.regionOf(zone);
+  }
+
   /** Whether operators permit a back end that is listed as taking requests, those in `excluded` left out. */
   hasReady(request: ServedRequest, excluded: ReadonlySet<string>): boolean {
     return this.directory
--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -20,6 +20,8 @@
 import type { Dispatcher } from './dispatch/dispatcher.js';
 import type { GatewayAdapter } from './gateway-adapter.js';
 import type { GatewayCluster } from './gateway-cluster.js';
+import { reportHomes, reportKept } from './homes/home-report.js';
+import type { HomeReport } from './homes/home-report.js';
 import { followHomes, RequestHomes } from './homes/request-homes.js';
 import type { GatewaySettings } from './gateway-settings.js';
 import type { GatewayMetrics } from './metrics/gateway-metrics.js';
@@ -48,6 +50,8 @@
 
 const MS_PER_S = 1_000;
 const FIRST_ERROR_STATUS = 400;
+/** Wait from which a request's line says what it was kept from, in milliseconds: shorter ones trouble nobody. */
+const HELD_UP_MS = 100;
 
 /** The requests of a gateway's callers. */
 export class GatewayRequests {
@@ -159,6 +163,7 @@
 
   private noteEnd(request: AcceptedRequest, end: RequestEnd): void {
     const { metrics, log, dispatcher, cluster, configuration } = this.parts;
+    const homes = this.active.get(request);
     this.active.delete(request);
     metrics.recordEnd(request, end);
     const isSuccess = end.reason === 'answered' && end.status < FIRST_ERROR_STATUS;
@@ -174,7 +179,28 @@
       waiting: dispatcher.countWaiting(request.service),
       storeAgeMs: cluster.storeAgeMs,
       configuration: configuration.version,
+      ...(homes === undefined ? {} : this.reportHomes(request, homes, !isSuccess || isHeldUp(end))),
     });
     this.parts.onEnd();
   }
+
+  private reportHomes(
+    request: AcceptedRequest,
+    homes: RequestHomes,
+    isToExplain: boolean,
+  ): HomeReport {
+    const { directory, dispatcher } = this.parts;
+    if (!isToExplain) {
+      return reportHomes(homes);
+    }
+    return reportKept(homes, {
+      backends: directory.ofService(request.service),
+      regionOf: (zone) => dispatcher.regionOf(zone),
+      restriction: (known) => dispatcher.restriction(request, known),
+    });
+  }
+}
+
+function isHeldUp({ waitedMs }: RequestEnd): boolean {
+  return waitedMs >= HELD_UP_MS;
 }
--- a/test/homes.test.ts
+++ b/test/homes.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import * as fc from 'fast-check';
+import { reportHomes, reportKept } from '../src/gateway/homes/home-report.js';
 import { RequestHomes } from '../src/gateway/homes/request-homes.js';
 import { RequestAdmission } from '../src/gateway/admission/request-admission.js';
 import { TokenQuotas } from '../src/gateway/admission/token-quota.js';
@@ -352,3 +353,34 @@
   );
   t.pass();
 });
+
+test('the line of a request says what kept it from which back end, in bounds', (t) => {
+  const homes = homesOf({ r: ['a'] }, { t: ['a', 'b'] });
+  const world = worldOf(homes, ['gone', { zone: 'a1', state: 'draining' }]);
+  for (let index = 0; index < 20; index += 1) {
+    const id = `w${index}`;
+    world.dispatcher.updateBackend(id, backendOf(id, { zone: index === 0 ? 'x' : 'b1' }), 0);
+  }
+  const request = new RequestHomes({ route: 'r', tenant: 't' }, () => homes);
+  const report = reportKept(request, {
+    backends: world.directory.ofService('s'),
+    regionOf: (zone) => REGIONS.get(zone),
+    restriction: (known) =>
+      world.dispatcher.restriction({ service: 's', allowedRegions: request.allowed }, known),
+  });
+  t.deepEqual(report.homes, { route: ['a'], tenant: ['a', 'b'] });
+  t.deepEqual(report.kept?.slice(0, 3), [
+    { backend: 'gone', zone: 'a1', region: 'a', reason: 'not-ready', by: [] },
+    {
+      backend: 'w0',
+      zone: 'x',
+      region: undefined,
+      reason: 'outside-home',
+      by: ['route', 'tenant'],
+    },
+    { backend: 'w1', zone: 'b1', region: 'b', reason: 'outside-home', by: ['route'] },
+  ]);
+  t.is(report.kept?.length, 8);
+  t.is(report.keptMore, 13);
+  t.deepEqual(reportHomes(new RequestHomes({ route: 'q', tenant: undefined }, () => homes)), {});
+});
--- a/test/logs.test.ts
+++ b/test/logs.test.ts
@@ -74,5 +74,34 @@
   t.regex(text, /was answered 502: the back end failed/);
   t.regex(text, /to w-1 \(1 of 4 slots believed taken\): failed, reset/);
   t.regex(text, /configuration 7/);
+  t.false(text.includes('homes'));
   t.throws(() => execFileSync('node', [tool, 'logs', 'explain', 'other', file], { stdio: 'pipe' }));
 });
+
+test('logs explain tells which home kept a request from which back end', (t) => {
+  const refused = {
+    ...ENDED,
+    status: 503,
+    reason: 'no-backend-at-home',
+    tenant: 'acme',
+    tries: [],
+    homes: { route: ['eu', 'us'], tenant: ['eu'] },
+    kept: [
+      { backend: 'w-1', zone: 'eu-1', region: 'eu', reason: 'zone-evacuated', by: [] },
+      { backend: 'w-2', zone: 'us-1', region: 'us', reason: 'outside-home', by: ['tenant'] },
+      { backend: 'w-3', zone: '', reason: 'outside-home', by: ['route', 'tenant'] },
+    ],
+    keptMore: 4,
+  };
+  const file = join(mkdtempSync(join(tmpdir(), 'weirvale-logs-')), 'edge.log');
+  writeFileSync(file, JSON.stringify(refused));
+  const tool = 'dist/src/bin/weirvale.js';
+  const text = execFileSync('node', [tool, 'logs', 'explain', 'q-1', file], { encoding: 'utf8' });
+  t.regex(text, /503: no back end in the regions where it may be served/);
+  t.regex(text, /homes: route r names eu, us; tenant acme names eu\n/);
+  t.regex(text, /from w-1 \(zone eu-1, region eu\): its zone is evacuated\n/);
+  t.regex(text, /from w-2 \(zone us-1, region us\): its region is no home of the tenant\n/);
+  t.regex(text, /from w-3 \(zone none, region unknown\): .* of the route and the tenant\n/);
+  t.regex(text, /kept from 4 more/);
+  t.regex(text, /configuration 7/);
+});
