--- /dev/null
+++ b/test/homes-gateway.test.ts
@@ -0,0 +1,152 @@
+import test from 'ava';
+import { request } from 'undici';
+import { createPlatformAdapter } from '../platform/adapter.js';
+import { SYSTEM_CLOCK } from '../src/clock.js';
+import { GatewayMetrics } from '../src/gateway/metrics/gateway-metrics.js';
+import { GatewayRole } from '../src/gateway/gateway-role.js';
+import { parseGatewaySettings } from '../src/gateway/gateway-settings.js';
+import { SeededRandom } from '../src/random.js';
+import { DecisionLog } from '../src/telemetry/decision-log.js';
+import type { LogEvent, LogFields } from '../src/telemetry/decision-log.js';
+import { StandinStore, StandinWorker } from './support/platform-standin.js';
+
+const HOST = '127.0.3.9';
+/** An address of this file's own, with ports below those that the system hands out. */
+let lastPort = 28_000;
+
+function nextAddress(): string {
+  lastPort += 1;
+  return `${HOST}:${lastPort}`;
+}
+
+/** Keeps the lines instead of writing them. */
+class KeptLog extends DecisionLog {
+  readonly lines: Array<[LogEvent, LogFields]> = [];
+
+  constructor() {
+    super({ role: 'gateway', process: 'g', zone: 'b1' }, 0, SYSTEM_CLOCK);
+  }
+
+  override write(event: LogEvent, _priority: unknown, fields: LogFields = {}): void {
+    this.lines.push([event, fields]);
+  }
+
+  last(event: LogEvent): LogFields | undefined {
+    return this.lines.filter(([name]) => name === event).at(-1)?.[1];
+  }
+}
+
+/** A gateway in region b before a store, a back end in region a and one in b. */
+class Deployment {
+  readonly store = new StandinStore();
+  readonly log = new KeptLog();
+  readonly home = new StandinWorker('w-a', (_seen, response) => response.end('a'));
+  readonly abroad = new StandinWorker('w-b', (_seen, response) => response.end('b'));
+  private readonly callers = nextAddress();
+  private gateway: GatewayRole | undefined;
+
+  async start(configuration: object): Promise<void> {
+    const [homeAddress, abroadAddress] = [await this.home.start(), await this.abroad.start()];
+    this.store.put('servers/w-a', { service: 's', address: homeAddress, slots: 2, zone: 'a1' });
+    this.store.put('servers/w-b', { service: 's', address: abroadAddress, slots: 2, zone: 'b1' });
+    this.store.put('op/config', configuration);
+    const storeAddress = await this.store.start();
+    const settings = parseGatewaySettings(
+      [
+        '[process]\nrole = gateway\nname = g\nzone = b1\nregion = b',
+        `address = ${HOST}`,
+        '[places]\nzones = a1:a, b1:b',
+        `[listen]\ncallers = ${this.callers}`,
+        `readiness = ${nextAddress()}\npeers = ${nextAddress()}`,
+        `[cluster]\nstore = ${storeAddress}\nstoreTimeoutMs = 300`,
+      ].join('\n'),
+    ).unwrap();
+    this.gateway = new GatewayRole({
+      settings,
+      adapter: createPlatformAdapter(storeAddress, settings.cluster.storeTimeoutMs),
+      clock: SYSTEM_CLOCK,
+      random: new SeededRandom(1),
+      log: this.log,
+      metrics: new GatewayMetrics(),
+    });
+    this.gateway.start();
+    await this.until(() => this.log.last('backend-learned') !== undefined);
+    await this.until(() => this.log.last('configuration-installed') !== undefined);
+  }
+
+  stop(): void {
+    this.gateway?.stop(() => undefined);
+    this.home.stop();
+    this.abroad.stop();
+    this.store.stop();
+  }
+
+  /** Status and body of an answer. */
+  async call(): Promise<[number, string]> {
+    const answer = await request(`http://${this.callers}/a/`, { headers: { host: 'h' } });
+    return [answer.statusCode, await answer.body.text()];
+  }
+
+  async until(isTrue: () => boolean): Promise<void> {
+    const endAtMs = Date.now() + 8_000;
+    while (!isTrue()) {
+      if (Date.now() > endAtMs) {
+        throw new Error('did not come true in 8 s');
+      }
+      await new Promise((resolve) => setTimeout(resolve, 10));
+    }
+  }
+}
+
+function configurationOf(version: number, allowedRegions: unknown): object {
+  const route = { name: 'r', host: 'h', pathPrefix: '/a/', kind: 'safe', service: 's' };
+  return { version, routes: [{ ...route, allowedRegions }], services: [{ name: 's' }] };
+}
+
+test('a configuration of the store moves, widens and empties a home; one that is faulty changes nothing', async (t) => {
+  const system = new Deployment();
+  await system.start(configurationOf(1, ['a']));
+  for (let count = 0; count < 4; count += 1) {
+    t.deepEqual(await system.call(), [200, 'a']);
+  }
+  system.store.put('op/config', configurationOf(2, ['a', 'c']));
+  await system.until(() => system.log.last('configuration-refused') !== undefined);
+  t.deepEqual(system.log.last('configuration-refused'), {
+    problem: 'routes.r.allowedRegions is "c"; allowed is a, b',
+    key: 'routes.r.allowedRegions',
+    found: '"c"',
+    allowed: 'a, b',
+    revision: 4,
+  });
+  system.store.put('op/config', configurationOf(3, 'ab'));
+  await system.until(() => system.log.last('configuration-refused')?.['revision'] === 5);
+  t.deepEqual(await system.call(), [200, 'a']);
+  system.store.put('op/config', configurationOf(4, ['b']));
+  await system.until(() => system.log.last('configuration-installed')?.['version'] === 4);
+  t.deepEqual(await system.call(), [200, 'b']);
+  system.store.remove('servers/w-b');
+  system.store.put('op/evacuate/b1', {});
+  await system.until(() => system.log.last('zone-evacuation') !== undefined);
+  const startedAtMs = Date.now();
+  t.deepEqual(await system.call(), [503, '{"error":"no-backend-at-home"}']);
+  t.true(Date.now() - startedAtMs < 500);
+  const ended = system.log.last('request-ended');
+  t.like(ended, { reason: 'no-backend-at-home', configuration: 4, homes: { route: ['b'] } });
+  t.like(ended?.['kept'], {
+    0: { backend: 'w-b', region: 'b', reason: 'zone-evacuated' },
+    1: { backend: 'w-a', region: 'a', reason: 'outside-home', by: ['route'] },
+  });
+  system.store.put('op/config', configurationOf(5, []));
+  await system.until(() => system.log.last('configuration-installed')?.['version'] === 5);
+  t.deepEqual(await system.call(), [200, 'a']);
+  system.stop();
+});
+
+test('a gateway that knows no other configuration takes one with an unknown home, and keeps to it', async (t) => {
+  const system = new Deployment();
+  await system.start(configurationOf(1, ['c']));
+  t.regex(String(system.log.last('configuration-installed')?.['problem']), /allowed is a, b/);
+  t.deepEqual(await system.call(), [503, '{"error":"no-backend-at-home"}']);
+  t.deepEqual([system.home.received.length, system.abroad.received.length], [0, 0]);
+  system.stop();
+});
