--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -11,6 +11,7 @@
 import { endToEndHeaders } from '../admission/caller-protocol.js';
 import { AttemptProgress } from './attempt-progress.js';
 import type { GatewayRefusal } from '../admission/gateway-refusal.js';
+import { isHomeRefusal } from '../homes/home-refusal.js';
 import type { HomeRefusalReason } from '../homes/home-refusal.js';
 import { sendRefusal } from '../admission/send-refusal.js';
 import { isBadTry } from './try-verdict.js';
@@ -334,14 +335,25 @@
       return;
     }
     if (!this.mayHaveRun) {
-      const isOverloaded = reason === 'overloaded' && this.wait !== undefined;
-      const retryAfterMs = isOverloaded ? this.wait!.retryAfterMs() : this.options.retryAfterMs;
-      this.refuse({ reason, retryAfterMs });
+      this.refuse({ reason, retryAfterMs: this.retryAfterMs(reason) });
       return;
     }
     this.refuse({ reason: reason === 'timed-out' ? reason : 'backend-failed' });
   }
 
+  private retryAfterMs(reason: GatewayRefusal['reason']): number {
+    const { retryAfterMs, overloadRetryMaxMs, maxRetryShare } = this.options;
+    if (reason === 'overloaded' && this.wait !== undefined) {
+      return this.wait.retryAfterMs();
+    }
+    if (isHomeRefusal(reason)) {
+      // Only operators can help, which takes them longer than any pause that callers heed.
+      const leftMs = this.request.endsAtMs - this.ports.clock.now();
+      return Math.min(overloadRetryMaxMs, leftMs * maxRetryShare);
+    }
+    return retryAfterMs;
+  }
+
   private refuse(refusal: GatewayRefusal): void {
     const { requestId } = this.request;
     const status = sendRefusal(this.reply, this.ports.protocol, requestId, refusal);
--- a/test/homes.test.ts
+++ b/test/homes.test.ts
@@ -132,6 +132,8 @@
   const { reply } = world.request({ tenant: 't' });
   t.is(reply.status, 503);
   t.is(world.ends[0]?.reason, 'no-common-home');
+  // A third of the two seconds that its caller gives it.
+  t.is(Math.floor(Number(reply.headers[1])), 666);
   t.deepEqual(world.attempts, []);
 });
 
