A grant of an agent that knows a newer configuration serves the request that it is for

Cause: a test that looked at which request was sent, not only at how many, was red: the agent withheld the grant for a request outside its homes, granted for the next one, and the gateway with the older configuration gave that slot to the first in its own order. Such a grant now names the route and tenant; the gateway uses it for no other while the agent knows more. Names are stated to each agent that knows of homes, also by a gateway whose configuration names none, which no agent could check before.

Ruled out: grants that always name a request. Where both know the same, the first in order at the time of use is the better choice, and homes are checked there again.

--- a/src/gateway/attempt/request-model.ts
+++ b/src/gateway/attempt/request-model.ts
@@ -21,7 +21,7 @@
   readonly rankInTier: number;
   /** Regions in which it may be served, as the configuration in force says when asked; undefined for any. */
   readonly allowedRegions: AllowedRegions;
-  /** Who may name these regions; told to agents. Missing while no configuration names any. */
+  /** Who may name these regions; told to agents that know of homes. */
   readonly homeOwner?: HomeOwner | undefined;
   readonly arrivedAtMs: number;
   /** When the caller first tried, as far as its time left shows; `arrivedAtMs` for a first try. */
--- a/src/gateway/attempt/request-wait.ts
+++ b/src/gateway/attempt/request-wait.ts
@@ -47,9 +47,7 @@
       get allowedRegions() {
         return request.allowedRegions;
       },
-      get homeOwner() {
-        return request.homeOwner;
-      },
+      homeOwner: request.homeOwner,
       tier: request.tier,
       rankInTier: request.rankInTier,
       arrivedAtMs: request.arrivedAtMs,
--- a/src/gateway/dispatch/agent-homes.ts
+++ b/src/gateway/dispatch/agent-homes.ts
@@ -5,6 +5,7 @@
  * slot without asking, and what was sent cannot be taken back; so it looks at the agent's word first.
  */
 import type { AllowedRegions } from '../../routing/backend-restriction.js';
+import type { HomeOwner } from '../../routing/named-homes.js';
 import { isAccepted } from '../../routing/place-matching.js';
 import type { AgentHomes } from '../../slot-agent/slot-messages.js';
 
@@ -19,6 +20,11 @@
   return !isAccepted(agentHomes.region, allowedRegions);
 }
 
+/** Whether two requests have the same route and tenant, so that whatever names their homes is the same. */
+export function isSameOwner(left: HomeOwner | undefined, right: HomeOwner | undefined): boolean {
+  return left?.route === right?.route && left?.tenant === right?.tenant;
+}
+
 /**
  * Whether the agent knows a newer configuration than this gateway: its slots are then had by grants only,
  * which the agent gives by its own knowledge of the request's homes.
--- a/src/gateway/dispatch/backend-chooser.ts
+++ b/src/gateway/dispatch/backend-chooser.ts
@@ -2,7 +2,8 @@
 import { restrictionOf } from '../../routing/backend-restriction.js';
 import type { OperatorRules, RestrictionReason } from '../../routing/backend-restriction.js';
 import type { BackendDirectory } from './backend-directory.js';
-import { isAbroadByAgent, mustAskAgent } from './agent-homes.js';
+import type { HomeOwner } from '../../routing/named-homes.js';
+import { isAbroadByAgent, isSameOwner, mustAskAgent } from './agent-homes.js';
 import { costOf, harmsOthers, usualSpeed } from './backend-choice.js';
 import type { UsualSpeed } from './backend-choice.js';
 import type { DispatchRequest } from './dispatch-request.js';
@@ -97,12 +98,16 @@
   /**
    * The request of those that wait, first in order first, for which a slot that was granted is used; undefined
    * if there is none. A back end on trial gets one that may be run again elsewhere, or the last in order.
+   * An agent that knows a newer configuration granted for the homes of one route and tenant, and no others.
    */
   chooseForGrant(
     queue: readonly DispatchRequest[],
     known: KnownBackend,
+    grantedTo: HomeOwner | undefined,
   ): DispatchRequest | undefined {
-    const fitting = (request: DispatchRequest) => this.fitsGrant(request, known);
+    const isBound = this.mustAsk(known);
+    const fitting = (request: DispatchRequest) =>
+      this.fitsGrant(request, known) && (!isBound || isSameOwner(request.homeOwner, grantedTo));
     if (!known.isOnTrial) {
       return queue.find(fitting);
     }
@@ -166,8 +171,13 @@
     return isRecent && backend.state === 'ready' && !known.isReplaced;
   }
 
+  /** Whether its agent knows a newer configuration, so that its slots are had by grants only. */
+  private mustAsk({ agent }: KnownBackend): boolean {
+    return mustAskAgent(agent?.homes, this.ports.configurationVersion?.());
+  }
+
   private hasRoom(known: KnownBackend, nowMs: number): boolean {
-    if (mustAskAgent(known.agent?.homes, this.ports.configurationVersion?.())) {
+    if (this.mustAsk(known)) {
       return false;
     }
     const inputs = {
--- a/src/gateway/dispatch/dispatch-request.ts
+++ b/src/gateway/dispatch/dispatch-request.ts
@@ -9,7 +9,7 @@
   readonly service: string;
   /** Regions in which it may be served, as the configuration in force says when asked; undefined for any. */
   readonly allowedRegions: AllowedRegions;
-  /** Who may name these regions; told to agents. Missing while no configuration names any. */
+  /** Who may name these regions; told to agents that know of homes. */
   readonly homeOwner?: HomeOwner | undefined;
   /** Size of the work, in any unit that is the same for the service. */
   readonly units: number;
--- a/src/gateway/dispatch/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -15,7 +15,7 @@
 import type { BackendDirectory } from './backend-directory.js';
 import type { Backend } from '../../routing/backend.js';
 import type { RestrictionReason } from '../../routing/backend-restriction.js';
-import type { SlotAnswer, SlotMessage } from '../../slot-agent/slot-messages.js';
+import type { SlotAnswer, SlotGranted, SlotMessage } from '../../slot-agent/slot-messages.js';
 import type { EngineAvailability } from '../../slot-agent/engine-watch.js';
 import type { AttemptOutcome } from './backend-health.js';
 import { homeRefusalOf } from '../homes/home-refusal.js';
@@ -235,7 +235,7 @@
       return;
     }
     known.agent.grantsSeen += 1;
-    this.useGrant(backendId, known, nowMs);
+    this.useGrant(known, message, nowMs);
   }
 
   /** Serves what waits; to be called now and then, since ejections end with time alone. */
@@ -260,11 +260,14 @@
     this.ports.onAvailability(known.backend, availability);
   }
 
-  private useGrant(backendId: string, known: KnownBackend, nowMs: number): void {
+  private useGrant(known: KnownBackend, grant: SlotGranted, nowMs: number): void {
+    const backendId = known.backend.id;
     const queue = this.waitingInOrder(known.backend.service, nowMs);
     const isUsable =
       known.isReady && known.availability !== 'closed' && !known.health.isEjected(nowMs);
-    const request = isUsable ? this.chooser.chooseForGrant(queue, known) : undefined;
+    const request = isUsable
+      ? this.chooser.chooseForGrant(queue, known, grant.homeOwner)
+      : undefined;
     if (request === undefined) {
       this.sendToAgent(backendId, known, { kind: 'grant-returned' });
       return;
@@ -304,7 +307,8 @@
     known.outstanding += 1;
     known.pendingPromptTokens += request.promptTokens;
     if (!isGranted && known.agent !== undefined) {
-      this.sendToAgent(known.backend.id, known, { kind: 'taken', ...statedHomes(request) });
+      const stated = statedHomes(request, known.agent);
+      this.sendToAgent(known.backend.id, known, { kind: 'taken', ...stated });
       known.agent.takenUnseen.push(known.agent.messagesSent);
     }
     this.ports.onSent(known.backend);
--- a/src/gateway/dispatch/slot-demand.ts
+++ b/src/gateway/dispatch/slot-demand.ts
@@ -3,7 +3,7 @@
 import { harmsOthers } from './backend-choice.js';
 import { statedHomes } from './stated-homes.js';
 import type { DispatchRequest } from './dispatch-request.js';
-import type { KnownBackend } from './known-backend.js';
+import type { KnownBackend, SlotAgentLink } from './known-backend.js';
 
 /** What a demand is made from. */
 export interface DemandInputs {
@@ -30,29 +30,34 @@
     return undefined;
   }
   const first = findDemand(known, inputs);
-  const signature = first.map(signatureOf).join();
+  const signature = signatureOf(first, agent);
   if (agent.lastDemand === signature) {
     return undefined;
   }
   agent.lastDemand = signature;
-  const ranks = first.map((request) => rankOf(request, nowMs));
+  const ranks = first.map((request) => rankOf(request, agent, nowMs));
   return { kind: 'demand', ranks, grantsSeen: agent.grantsSeen };
 }
 
-/** Changes with whatever an agent has to be told anew, narrowed homes among it. */
-function signatureOf({ tier, arrivedAtMs, allowedRegions }: DispatchRequest): string {
-  const homes = allowedRegions === undefined ? '' : `:${[...allowedRegions].join('+')}`;
-  return `${tier}:${arrivedAtMs}${homes}`;
+/** Changes with whatever the agent has to be told anew, homes among it; empty where nothing waits. */
+function signatureOf(waiting: readonly DispatchRequest[], { homes }: SlotAgentLink): string {
+  const version = homes === undefined ? '' : `@${homes.configuration}`;
+  return waiting
+    .map(({ tier, arrivedAtMs, allowedRegions }) => {
+      const regions = allowedRegions === undefined ? '' : `:${[...allowedRegions].join('+')}`;
+      return `${tier}:${arrivedAtMs}${regions}${version}`;
+    })
+    .join();
 }
 
-function rankOf(request: DispatchRequest, nowMs: number): WaitingRank {
+function rankOf(request: DispatchRequest, agent: SlotAgentLink, nowMs: number): WaitingRank {
   const { tier, rankInTier, arrivedAtMs, startByMs } = request;
   return {
     tier,
     rankInTier,
     waitedMs: nowMs - arrivedAtMs,
     startInMs: startByMs - nowMs,
-    ...statedHomes(request),
+    ...statedHomes(request, agent),
   };
 }
 
--- a/src/gateway/homes/request-homes.ts
+++ b/src/gateway/homes/request-homes.ts
@@ -28,7 +28,8 @@
   private seen: NamedHomes | undefined;
 
   constructor(
-    private readonly owner: HomeOwner,
+    /** Who may name them. */
+    readonly owner: HomeOwner,
     /** The homes of the configuration in force. */
     private readonly inForce: () => NamedHomes | undefined,
   ) {
@@ -53,12 +54,6 @@
     return this.ofTenant.current;
   }
 
-  /** Whose homes agents look for beside these; undefined while the configuration names none at all. */
-  get ownerToTell(): HomeOwner | undefined {
-    this.refresh();
-    return this.seen?.hasAny ? this.owner : undefined;
-  }
-
   /** Takes in the configuration in force; to be called for each one, so that none is passed over. */
   refresh(): void {
     const homes = this.inForce();
@@ -80,9 +75,7 @@
     get allowedRegions() {
       return homes.allowed;
     },
-    get homeOwner() {
-      return homes.ownerToTell;
-    },
+    homeOwner: homes.owner,
   };
 }
 
--- a/src/slot-agent/slot-ledger.ts
+++ b/src/slot-agent/slot-ledger.ts
@@ -314,7 +314,11 @@
       const { connection, account, waiting } = next;
       account.grant(waiting, nowMs);
       this.ports.onGranted();
-      this.ports.send(connection, { kind: 'granted' });
+      const { homeOwner } = waiting;
+      this.ports.send(connection, {
+        kind: 'granted',
+        ...(homeOwner === undefined ? {} : { homeOwner }),
+      });
     }
   }
 
--- a/src/slot-agent/slot-messages.ts
+++ b/src/slot-agent/slot-messages.ts
@@ -7,7 +7,7 @@
 export interface StatedHomes {
   /** Regions in which the request may be served, as the gateway knows; missing for any. */
   readonly allowedRegions?: readonly string[];
-  /** Who may name regions for it, by which the agent looks for itself; missing while none are named. */
+  /** Who may name regions for it, by which the agent looks for itself; missing while it knows of none. */
   readonly homeOwner?: HomeOwner;
 }
 
@@ -113,6 +113,8 @@
 /** The agent grants one slot to the gateway. */
 export interface SlotGranted {
   readonly kind: 'granted';
+  /** Whose waiting request it is granted for, where the gateway stated that. */
+  readonly homeOwner?: HomeOwner;
 }
 
 /** What an agent knows of homes; gateways check themselves by it. */
--- a/test/homes-agent.test.ts
+++ b/test/homes-agent.test.ts
@@ -101,9 +101,27 @@
   pair.deliver();
   t.deepEqual(pair.world.attempts, []);
   // What has no homes is granted by the same agent.
-  pair.world.request({ route: routeOf({ name: 'r1' }) });
+  pair.world.request({ route: routeOf({ name: 'r1' }), path: '/other' });
   pair.deliver();
-  t.is(pair.world.attempts.length, 1);
+  t.deepEqual(
+    pair.world.attempts.map(({ path }) => path),
+    ['/other'],
+  );
+  t.deepEqual(pair.forbidden, []);
+});
+
+test('a gateway that knows of no homes at all is checked by an agent that does', (t) => {
+  const pair = new Pair(configurationOf(1, [], []), configurationOf(2, ['a'], []));
+  pair.deliver();
+  pair.world.request();
+  pair.deliver();
+  t.deepEqual(pair.world.attempts, []);
+  pair.world.request({ route: routeOf({ name: 'r1' }), path: '/other' });
+  pair.deliver();
+  t.deepEqual(
+    pair.world.attempts.map(({ path }) => path),
+    ['/other'],
+  );
   t.deepEqual(pair.forbidden, []);
 });
 
