The soak has two regions, a home that stays and one that moves, and checks where both ran

Cause: no run with the real programs named homes. Back ends and gateways now stand in two zones of two regions; a route that is at home in one region must run there whatever strikes, one whose home changes with each configuration follows within 2.2 s.

test/soak.test.ts: a test added for the check; the others are unchanged.

--- a/bench/soak/soak-fleet.ts
+++ b/bench/soak/soak-fleet.ts
@@ -9,6 +9,15 @@
 import { LoopbackProxy } from './loopback-proxy.js';
 import { SoakBackend } from './soak-backend.js';
 import type { BackendRun } from './soak-backend.js';
+import {
+  FIXED_HOME,
+  homesOfVersion,
+  MOVED_HOME,
+  SOAK_REGIONS,
+  SOAK_ZONES,
+  zoneOf,
+} from './soak-homes.js';
+import type { HomeChange } from './soak-homes.js';
 
 /** Sizes of a soak. */
 export interface SoakSizes {
@@ -75,6 +84,8 @@
   readonly folder = mkdtempSync(join(tmpdir(), 'weirvale-soak-'));
   /** When back ends announced that they leave, by id. */
   readonly drainedAtMs = new Map<string, number>();
+  /** The homes that were put in force, oldest first. */
+  readonly homeChanges: HomeChange[] = [];
   private version = 0;
 
   constructor(
@@ -133,12 +144,16 @@
       priority: 1,
       service: 'engines',
     });
+    const regions = homesOfVersion(this.version);
+    this.homeChanges.push({ atMs: performance.now(), regions });
     this.store.put('op/config', {
       version: this.version,
       routes: [
         route('safe', 'safe', false),
         route('unsafe', 'unsafe', false),
         route('stream', 'streaming', true),
+        { ...route(FIXED_HOME.name, 'safe', false), allowedRegions: FIXED_HOME.regions },
+        { ...route(MOVED_HOME, 'safe', false), allowedRegions: regions },
       ],
       services: [{ name: 'engines', maxConnections: 200, engine: { stride: 3 } }],
       tenants: [{ name: 'shop', apiKeys: [SOAK_KEY] }],
@@ -149,7 +164,8 @@
   announce(index: number, state: 'ready' | 'draining'): void {
     const address = `${backendHost(index)}:${this.basePort + PORTS.backend}`;
     const { id } = this.backends[index]!;
-    this.store.put(`servers/${id}`, { service: 'engines', address, slots: 6, state });
+    const zone = zoneOf(index);
+    this.store.put(`servers/${id}`, { service: 'engines', address, slots: 6, state, zone });
   }
 
   /** A back end announces that it leaves; what was sent there later than the bound is a violation. */
@@ -163,6 +179,11 @@
     this.store.remove(`servers/${this.backends[index]!.id}`);
   }
 
+  /** The region of a back end, also of an incarnation that is gone. */
+  regionOfBackend(id: string): string {
+    return SOAK_REGIONS[zoneOf(Number(/^e-(\d+)/.exec(id)![1]))]!;
+  }
+
   /** Gives the back end at an address another incarnation. */
   replaceBackend(index: number): void {
     const backend = this.backends[index]!;
@@ -193,7 +214,7 @@
   private gatewaySettings(index: number): string {
     const at = (port: number) => `${gatewayHost(index)}:${this.basePort + port}`;
     const lines = [
-      ...this.processSettings('gateway', `gateway-${index}`, gatewayHost(index)),
+      ...this.processSettings('gateway', index, gatewayHost(index)),
       '[listen]',
       `callers = ${at(PORTS.callers)}`,
       `readiness = ${at(PORTS.readiness)}`,
@@ -211,7 +232,7 @@
 
   private agentSettings(index: number): string {
     const lines = [
-      ...this.processSettings('slot-agent', `agent-${index}`, backendHost(index)),
+      ...this.processSettings('slot-agent', index, backendHost(index)),
       '[listen]',
       `slotAgentPort = ${this.basePort + PORTS.agent}`,
       '[cluster]',
@@ -222,8 +243,21 @@
     return lines.join('\n');
   }
 
-  private processSettings(role: string, name: string, address: string): string[] {
-    return ['[process]', `role = ${role}`, `name = ${name}`, 'zone = z', `address = ${address}`];
+  private processSettings(
+    role: 'gateway' | 'slot-agent',
+    index: number,
+    address: string,
+  ): string[] {
+    const name = role === 'gateway' ? `gateway-${index}` : `agent-${index}`;
+    return [
+      '[process]',
+      `role = ${role}`,
+      `name = ${name}`,
+      `zone = ${zoneOf(index)}`,
+      `address = ${address}`,
+      '[places]',
+      `zones = ${SOAK_ZONES.map((zone) => `${zone}:${SOAK_REGIONS[zone]}`).join(', ')}`,
+    ];
   }
 
   private seeds(): string {
--- a/bench/soak/soak-run.ts
+++ b/bench/soak/soak-run.ts
@@ -5,6 +5,7 @@
 import { expectedAnswer } from './soak-backend.js';
 import type { BackendRun } from './soak-backend.js';
 import { doFault } from './soak-faults.js';
+import { findOutsideHome } from './soak-homes.js';
 import { SOAK_KEY, SOAK_TIMEOUT_MS, SoakFleet } from './soak-fleet.js';
 import type { SoakSizes } from './soak-fleet.js';
 
@@ -29,7 +30,7 @@
   readonly folder: string;
 }
 
-type Kind = 'safe' | 'unsafe' | 'stream';
+type Kind = 'safe' | 'unsafe' | 'stream' | 'home' | 'moved';
 
 /** One request as its caller saw it. */
 export interface SeenRequest {
@@ -81,6 +82,7 @@
     ...late,
     ...findViolations(seen, runs, calmFromMs),
     ...findLateForLeaving(runs, fleet.drainedAtMs, isCalmSince),
+    ...findOutsideHome(runs, fleet.homeChanges, (id) => fleet.regionOfBackend(id), isCalmSince),
   ];
   const answered = seen.filter(({ status }) => status === 200).length;
   const { folder } = fleet;
@@ -110,7 +112,7 @@
   late: string[],
 ): Promise<void> {
   const agent = new Agent({ keepAlive: true, maxSockets: 1 });
-  const kinds: readonly Kind[] = ['safe', 'unsafe', 'stream'];
+  const kinds: readonly Kind[] = ['safe', 'unsafe', 'stream', 'home', 'moved'];
   const gateway = caller % gateways;
   for (let number = 0; performance.now() < stopAtMs; number += 1) {
     const kind = kinds[(caller + number) % kinds.length]!;
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -1,6 +1,7 @@
 import { execFileSync } from 'node:child_process';
 import test from 'ava';
 import { findHeld, findLateForLeaving, findViolations, runSoak } from '../bench/soak/soak-run.js';
+import { findOutsideHome } from '../bench/soak/soak-homes.js';
 import type { SeenRequest } from '../bench/soak/soak-run.js';
 
 const SEED = 7;
@@ -66,3 +67,32 @@
   t.is(findHeld(held, 150).length, 0);
   t.is(findHeld(CALM, 0).length, 0);
 });
+
+test('the check of homes sees what ran outside, but not within the bound nor by a gateway that a fault touched', (t) => {
+  const run = (requestId: string, backendId: string, atMs: number) => ({
+    ...runOf(requestId),
+    path: `/moved/${requestId}`,
+    backendId,
+    atMs,
+  });
+  const changes = [
+    { atMs: 0, regions: ['a', 'b'] },
+    { atMs: 5_000, regions: ['a'] },
+  ];
+  const isCalm = (requestId: string) => requestId !== 'touched';
+  const runs = [
+    run('before', 'b', 4_900),
+    run('soon', 'b', 7_000),
+    run('late', 'b', 7_500),
+    run('touched', 'b', 7_500),
+    run('home', 'a', 7_500),
+    { ...run('free', 'b', 7_500), path: '/safe/free' },
+    { ...run('touched', 'b', 10), path: '/home/touched' },
+    { ...run('fixed', 'a', 10), path: '/home/fixed' },
+  ];
+  const violations = findOutsideHome(runs, changes, (id) => id, isCalm);
+  t.deepEqual(violations, [
+    'late (/moved/late) ran at b in region b, which is no home of it',
+    'touched (/home/touched) ran at b in region b, which is no home of it',
+  ]);
+});
