--- /dev/null
+++ b/test/homes-agent-socket.test.ts
@@ -0,0 +1,92 @@
+import { connect } from 'node:net';
+import test from 'ava';
+import { decodeRecord } from '../platform/record-formats.js';
+import { SYSTEM_CLOCK } from '../src/clock.js';
+import { MessageChannel } from '../src/protocol/message-channel.js';
+import { SeededRandom } from '../src/random.js';
+import { Places } from '../src/routing/places.js';
+import { SlotAgentMetrics } from '../src/slot-agent/slot-agent-metrics.js';
+import { SlotAgentRole } from '../src/slot-agent/slot-agent-role.js';
+import type { AgentToGateway, GatewayToAgent } from '../src/slot-agent/slot-messages.js';
+import { DecisionLog } from '../src/telemetry/decision-log.js';
+
+const HOST = '127.0.3.10';
+/** A port below those that the system hands out, on an address of this file's own. */
+const PORT = 29_000;
+
+const CONFIGURATION = JSON.stringify({
+  version: 7,
+  routes: [
+    { name: 'bound', host: 'h', pathPrefix: '/a/', allowedRegions: ['a'] },
+    { name: 'free', host: 'h', pathPrefix: '/b/', allowedRegions: [] },
+  ],
+});
+
+async function until(isTrue: () => boolean): Promise<void> {
+  const endAtMs = Date.now() + 5_000;
+  while (!isTrue()) {
+    if (Date.now() > endAtMs) {
+      throw new Error('did not come true in 5 s');
+    }
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+}
+
+test('over a socket: an agent tells what it knows of homes, withholds, names whom it grants, and counts', async (t) => {
+  const metrics = new SlotAgentMetrics();
+  const agent = new SlotAgentRole({
+    identity: { name: 'agent', engine: { address: `${HOST}:1`, zone: 'b1' }, seeds: [] },
+    places: new Places(
+      new Map([
+        ['a1', 'a'],
+        ['b1', 'b'],
+      ]),
+    ),
+    decode: decodeRecord,
+    readReport: () => Promise.resolve({ kind: 'load', requests: 0 }),
+    clock: SYSTEM_CLOCK,
+    random: new SeededRandom(1),
+    log: new DecisionLog({ role: 'slot-agent', process: 'agent', zone: 'b1' }, 0, SYSTEM_CLOCK),
+    metrics,
+  });
+  agent.start({ host: HOST, port: PORT, metricsPort: 0 });
+  t.teardown(() => agent.stop());
+  const heard: AgentToGateway[] = [];
+  const gateway = new MessageChannel<GatewayToAgent, AgentToGateway>(connect(PORT, HOST), {
+    onMessage: (message) => {
+      heard.push(message);
+      if (message.kind === 'fetch') {
+        const record = { key: 'op/config', revision: 1, value: CONFIGURATION };
+        const { since } = message;
+        gateway.send({ kind: 'records', since, completeTo: 1, isWhole: true, records: [record] });
+      }
+    },
+    onClose: () => undefined,
+  });
+  t.teardown(() => gateway.close());
+  const states = () => heard.flatMap((message) => (message.kind === 'state' ? [message] : []));
+  gateway.send({ kind: 'hello', gateway: 'g', held: 0, peersAddress: '', slots: 1 });
+  await until(() => states().length > 0);
+  t.is(states()[0]?.homes, undefined);
+  gateway.send({ kind: 'revision', revision: 1 });
+  await until(() => states().at(-1)?.homes !== undefined);
+  t.deepEqual(states().at(-1)?.homes, { region: 'b', configuration: 7 });
+  const rank = { tier: 0, rankInTier: 0, waitedMs: 0, startInMs: 1_000 };
+  const ownerOf = (route: string) => ({ route, tenant: undefined });
+  const ranks = ['bound', 'free'].map((route) => ({ ...rank, homeOwner: ownerOf(route) }));
+  gateway.send({ kind: 'demand', ranks, grantsSeen: 0 });
+  await until(() => heard.some(({ kind }) => kind === 'granted'));
+  const granted = heard.filter(({ kind }) => kind === 'granted');
+  t.deepEqual(granted, [{ kind: 'granted', homeOwner: ownerOf('free') }]);
+  await metrics.load(() => ({ slots: 1, occupied: 1, unaccounted: 0, gateways: 1 }));
+  gateway.send({ kind: 'grant-used' });
+  gateway.send({ kind: 'taken', homeOwner: ownerOf('bound') });
+  let text = '';
+  const read = () =>
+    metrics.record(({ registry }) => void registry.metrics().then((all) => (text = all)));
+  await until(() => {
+    read();
+    return text.includes('weirvale_slots_taken_forbidden_total{reason="outside-home"} 1');
+  });
+  t.pass();
+});
