--- a/src/gateway/dispatch/backend-chooser.ts
+++ b/src/gateway/dispatch/backend-chooser.ts
@@ -1,8 +1,9 @@
 /** Query: the back end that a request is bound to while one of those permitted has a free slot. */
 import { restrictionOf } from '../../routing/backend-restriction.js';
-import type { OperatorRules } from '../../routing/backend-restriction.js';
-import type { Backend } from '../../routing/backend.js';
+import type { OperatorRules, RestrictionReason } from '../../routing/backend-restriction.js';
 import type { BackendDirectory } from './backend-directory.js';
+import type { HomeOwner } from '../../routing/named-homes.js';
+import { isAbroadByAgent, isSameOwner, mustAskAgent } from './agent-homes.js';
 import { costOf, harmsOthers } from './backend-choice.js';
 import type { DispatchRequest } from './dispatch-request.js';
 import type { KnownBackend } from './known-backend.js';
@@ -18,6 +19,8 @@
   countGateways(): number;
   /** Tokens that an engine of the service gathers in one event. */
   tokensPerEvent(service: string): number;
+  /** Version of the configuration in force; missing where there are no homes. */
+  configurationVersion?(): number | undefined;
 }
 
 /** Bounds of a choice. */
@@ -31,6 +34,9 @@
   readonly unlistedGraceMs: number;
 }
 
+/** What says where a request may be served at all. */
+export type ServedRequest = Pick<DispatchRequest, 'service' | 'allowedRegions'>;
+
 /** Chooses among the back ends of a directory. */
 export class BackendChooser {
   private readonly usualSpeeds = new UsualSpeeds();
@@ -84,15 +90,27 @@
     return this.directory.ofService(service).some((known) => this.hasRoom(known, nowMs));
   }
 
+  /** Whether operators permit any back end that is ready, or that left the list a moment ago. */
+  hasCandidates(request: ServedRequest, nowMs: number): boolean {
+    return this.directory
+      .ofService(request.service)
+      .filter((known) => known.isReady || this.isUnlistedLately(known, nowMs))
+      .some((known) => this.isPermitted(request, known));
+  }
+
   /**
    * The request of those that wait, first in order first, for which a slot that was granted is used; undefined
    * if there is none. A back end on trial gets one that may be run again elsewhere, or the last in order.
+   * An agent that knows a newer configuration granted for the homes of one route and tenant, and no others.
    */
   chooseForGrant(
     queue: readonly DispatchRequest[],
     known: KnownBackend,
+    grantedTo: HomeOwner | undefined,
   ): DispatchRequest | undefined {
-    const fitting = (request: DispatchRequest) => this.fitsGrant(request, known);
+    const isBound = this.mustAsk(known);
+    const fitting = (request: DispatchRequest) =>
+      this.fitsGrant(request, known) && (!isBound || isSameOwner(request.homeOwner, grantedTo));
     if (!known.isOnTrial) {
       return queue.find(fitting);
     }
@@ -103,12 +121,22 @@
   private fitsGrant(request: DispatchRequest, known: KnownBackend): boolean {
     const { backend } = known;
     const isExcluded = request.excluded.has(backend.id);
-    const isOpen = this.isPermitted(request, backend) && this.ports.versionUse(backend) === 'open';
+    const isOpen = this.isPermitted(request, known) && this.ports.versionUse(backend) === 'open';
     return isOpen && !isExcluded && !this.harms(request, known, known.occupied - 1);
   }
 
-  private isPermitted({ allowedRegions }: DispatchRequest, backend: Backend): boolean {
-    return restrictionOf(backend, allowedRegions, this.ports) === undefined;
+  /** Whether operators permit that the request is sent to the back end. */
+  isPermitted(request: ServedRequest, known: KnownBackend): boolean {
+    return this.restriction(request, known) === undefined;
+  }
+
+  /** Why operators keep the request from the back end, as this gateway or the agent there knows it. */
+  restriction(
+    { allowedRegions }: ServedRequest,
+    { backend, agent }: KnownBackend,
+  ): RestrictionReason | undefined {
+    const reason = restrictionOf(backend, allowedRegions, this.ports);
+    return reason ?? (isAbroadByAgent(agent?.homes, allowedRegions) ? 'outside-home' : undefined);
   }
 
   private harms(request: DispatchRequest, known: KnownBackend, others: number): boolean {
@@ -124,7 +152,7 @@
     const permitted = this.directory
       .ofService(request.service)
       .filter(({ backend }) => !request.excluded.has(backend.id))
-      .filter(({ backend }) => this.isPermitted(request, backend));
+      .filter((known) => this.isPermitted(request, known));
     const ready = permitted.filter((known) => known.isReady);
     if (ready.length === 0) {
       return permitted.filter((known) => this.isUnlistedLately(known, nowMs));
@@ -146,7 +174,15 @@
     return isRecent && backend.state === 'ready' && !known.isReplaced;
   }
 
+  /** Whether its agent knows a newer configuration, so that its slots are had by grants only. */
+  private mustAsk({ agent }: KnownBackend): boolean {
+    return mustAskAgent(agent?.homes, this.ports.configurationVersion?.());
+  }
+
   private hasRoom(known: KnownBackend, nowMs: number): boolean {
+    if (this.mustAsk(known)) {
+      return false;
+    }
     const inputs = {
       isEngine: this.ports.isEngine(known.backend.service),
       gateways: this.ports.countGateways(),
--- a/src/gateway/dispatch/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -7,15 +7,23 @@
  * gateway then binds whichever request comes first by that time.
  */
 import { BackendChooser } from './backend-chooser.js';
-import type { BackendChooserOptions, BackendChooserPorts } from './backend-chooser.js';
+import type {
+  BackendChooserOptions,
+  BackendChooserPorts,
+  ServedRequest,
+} from './backend-chooser.js';
 import type { BackendDirectory } from './backend-directory.js';
 import type { Backend } from '../../routing/backend.js';
-import type { SlotAnswer, SlotMessage } from '../../slot-agent/slot-messages.js';
+import type { RestrictionReason } from '../../routing/backend-restriction.js';
+import type { SlotAnswer, SlotGranted, SlotMessage } from '../../slot-agent/slot-messages.js';
 import type { EngineAvailability } from '../../slot-agent/engine-watch.js';
 import type { AttemptOutcome } from './backend-health.js';
+import { homeRefusalOf } from '../homes/home-refusal.js';
+import type { HomeRefusalReason } from '../homes/home-refusal.js';
 import type { DispatchRequest } from './dispatch-request.js';
 import type { KnownBackend, SlotAgentLink } from './known-backend.js';
 import { nextDemand } from './slot-demand.js';
+import { statedHomes } from './stated-homes.js';
 import { ServiceQueue } from './service-queue.js';
 
 /** Options of a dispatcher. */
@@ -77,6 +85,33 @@
     return this.waiting.get(service)?.length ?? 0;
   }
 
+  /** Why a request is refused for its homes; undefined where it is not. */
+  homeRefusal(request: ServedRequest, nowMs: number): HomeRefusalReason | undefined {
+    return homeRefusalOf(request.allowedRegions, () => this.chooser.hasCandidates(request, nowMs));
+  }
+
+  /** Why operators keep a request from a back end; undefined where they do not. */
+  restriction(request: ServedRequest, known: KnownBackend): RestrictionReason | undefined {
+    return this.chooser.restriction(request, known);
+  }
+
+  /** The region of a zone; undefined for one that is not known. */
+  regionOf(zone: string): string | undefined {
+    return this.ports.regionOf(zone);
+  }
+
+  /** Whether operators permit a back end that is listed as taking requests, those in `excluded` left out. */
+  hasReady(request: ServedRequest, excluded: ReadonlySet<string>): boolean {
+    return this.directory
+      .ofService(request.service)
+      .some(
+        (known) =>
+          known.isReady &&
+          !excluded.has(known.backend.id) &&
+          this.chooser.isPermitted(request, known),
+      );
+  }
+
   /** Takes in a back end's newest announcement; undefined when it left the list. */
   updateBackend(backendId: string, backend: Backend | undefined, nowMs: number): void {
     this.directory.update(backendId, backend, nowMs);
@@ -191,6 +226,7 @@
     if (message.kind === 'state') {
       known.agent.occupied = message.occupied;
       known.agent.failureShare = message.failureShare;
+      known.agent.homes = message.homes;
       this.noteAvailability(known, known.agent, message.availability);
       known.adopt(message.speed);
       const { messagesSeen } = message;
@@ -199,7 +235,7 @@
       return;
     }
     known.agent.grantsSeen += 1;
-    this.useGrant(backendId, known, nowMs);
+    this.useGrant(known, message, nowMs);
   }
 
   /** Serves what waits; to be called now and then, since ejections end with time alone. */
@@ -224,11 +260,14 @@
     this.ports.onAvailability(known.backend, availability);
   }
 
-  private useGrant(backendId: string, known: KnownBackend, nowMs: number): void {
+  private useGrant(known: KnownBackend, grant: SlotGranted, nowMs: number): void {
+    const backendId = known.backend.id;
     const queue = this.waitingInOrder(known.backend.service, nowMs);
     const isUsable =
       known.isReady && known.availability !== 'closed' && !known.health.isEjected(nowMs);
-    const request = isUsable ? this.chooser.chooseForGrant(queue, known) : undefined;
+    const request = isUsable
+      ? this.chooser.chooseForGrant(queue, known, grant.homeOwner)
+      : undefined;
     if (request === undefined) {
       this.sendToAgent(backendId, known, { kind: 'grant-returned' });
       return;
@@ -268,7 +307,8 @@
     known.outstanding += 1;
     known.pendingPromptTokens += request.promptTokens;
     if (!isGranted && known.agent !== undefined) {
-      this.sendToAgent(known.backend.id, known, { kind: 'taken' });
+      const stated = statedHomes(request, known.agent);
+      this.sendToAgent(known.backend.id, known, { kind: 'taken', ...stated });
       known.agent.takenUnseen.push(known.agent.messagesSent);
     }
     this.ports.onSent(known.backend);
@@ -295,6 +335,8 @@
       tokensPerEvent: this.ports.tokensPerEvent(service),
       maxLength: this.options.demandLength,
       isOpen: ({ backend }: KnownBackend) => this.ports.versionUse(backend) === 'open',
+      isPermitted: (request: DispatchRequest, known: KnownBackend) =>
+        this.chooser.isPermitted(request, known),
     };
     for (const known of this.directory.ofService(service)) {
       const demand = nextDemand(known, inputs, nowMs);
--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -20,6 +20,9 @@
 import type { Dispatcher } from './dispatch/dispatcher.js';
 import type { GatewayAdapter } from './gateway-adapter.js';
 import type { GatewayCluster } from './gateway-cluster.js';
+import { reportHomes, reportKept } from './homes/home-report.js';
+import type { HomeReport } from './homes/home-report.js';
+import { followHomes, RequestHomes } from './homes/request-homes.js';
 import type { GatewaySettings } from './gateway-settings.js';
 import type { GatewayMetrics } from './metrics/gateway-metrics.js';
 
@@ -47,17 +50,22 @@
 
 const MS_PER_S = 1_000;
 const FIRST_ERROR_STATUS = 400;
+/** Wait from which a request's line says what it was kept from, in milliseconds: shorter ones trouble nobody. */
+const HELD_UP_MS = 100;
 
 /** The requests of a gateway's callers. */
 export class GatewayRequests {
-  private readonly active = new Set<AcceptedRequest>();
+  private readonly active = new Map<AcceptedRequest, RequestHomes>();
   private readonly admission: RequestAdmission;
   private readonly budget: RetryBudget;
   private readonly ports: RequestPorts;
 
   constructor(private readonly parts: GatewayRequestsParts) {
     const { adapter, limits, quotas, clock, random } = parts;
-    this.admission = new RequestAdmission(quotas, clock, random);
+    this.admission = new RequestAdmission(quotas, clock, random, {
+      canServe: (service, allowedRegions) =>
+        parts.dispatcher.hasReady({ service, allowedRegions }, new Set()),
+    });
     this.budget = new RetryBudget({
       ratio: limits.retryRatio,
       windowMs: limits.retryWindowS * MS_PER_S,
@@ -86,6 +94,13 @@
     return this.budget.repeatsLeft(this.parts.cluster.size, nowMs);
   }
 
+  /** A configuration came into force: what waits, is tried again or resumed keeps to its homes from now on. */
+  followConfiguration(): void {
+    for (const homes of this.active.values()) {
+      homes.refresh();
+    }
+  }
+
   /** A caller sent the head of a request. */
   take(head: ReceivedHead, reply: CallerReply): PendingBody {
     const arrivedAtMs = this.parts.clock.now();
@@ -113,10 +128,13 @@
       this.refuse(received.caller, reply, admitted.val);
       return undefined;
     }
-    const request = admitted.val;
+    const { tenant, route } = admitted.val;
+    const owner = { route: route.name, tenant };
+    const homes = new RequestHomes(owner, () => this.parts.configuration.homes);
+    const request = followHomes(admitted.val, homes);
     this.budget.countRequest(request.service, this.parts.clock.now());
     const proxied = new ProxiedRequest(request, reply, this.ports, DEFAULT_REQUEST_OPTIONS);
-    this.active.add(request);
+    this.active.set(request, homes);
     proxied.begin();
     return proxied;
   }
@@ -145,6 +163,7 @@
 
   private noteEnd(request: AcceptedRequest, end: RequestEnd): void {
     const { metrics, log, dispatcher, cluster, configuration } = this.parts;
+    const homes = this.active.get(request);
     this.active.delete(request);
     metrics.recordEnd(request, end);
     const isSuccess = end.reason === 'answered' && end.status < FIRST_ERROR_STATUS;
@@ -160,7 +179,28 @@
       waiting: dispatcher.countWaiting(request.service),
       storeAgeMs: cluster.storeAgeMs,
       configuration: configuration.version,
+      ...(homes === undefined ? {} : this.reportHomes(request, homes, !isSuccess || isHeldUp(end))),
     });
     this.parts.onEnd();
   }
+
+  private reportHomes(
+    request: AcceptedRequest,
+    homes: RequestHomes,
+    isToExplain: boolean,
+  ): HomeReport {
+    const { directory, dispatcher } = this.parts;
+    if (!isToExplain) {
+      return reportHomes(homes);
+    }
+    return reportKept(homes, {
+      backends: directory.ofService(request.service),
+      regionOf: (zone) => dispatcher.regionOf(zone),
+      restriction: (known) => dispatcher.restriction(request, known),
+    });
+  }
+}
+
+function isHeldUp({ waitedMs }: RequestEnd): boolean {
+  return waitedMs >= HELD_UP_MS;
 }
