Evacuated zones: every way to a back end, admission and refusals ask the orders

Asked before only by the gateway's choice and by grants. Now also by: demand (agents of an evacuated zone are told that nothing waits; before, their last demand stood), the subset of engines (other zones' fill it), further tries, expected times, roll-outs' counts, requests bound whose connection is not up yet. An order scales the learned supply of slots by what is left, so refusals begin before the queue shows it. A service whose zones are all evacuated refuses at once: 503, reason zone-evacuated, with a time to come back.

Ruled out: closing the engines' links at the order (what runs there is still accounted for by them).

--- a/src/cli/queries/explain-logs.ts
+++ b/src/cli/queries/explain-logs.ts
@@ -33,6 +33,7 @@
   'backend-gone',
   'backend-ejected',
   'backend-availability',
+  'zone-evacuation',
   'agent-lost',
   'peer-gone',
 ]);
@@ -48,6 +49,7 @@
   'quota-spent': 'the tenant had spent its quota',
   overloaded: 'no slot was free in time',
   'no-backend': 'no back end of the service was listed as ready, or none could be reached',
+  'zone-evacuated': 'operators had evacuated every zone in which it could have been served',
   stopping: 'the process was stopping',
   'not-started-in-time': 'its time was over before a back end was free',
   'backend-refused': 'the back end said that it did not run it, and no other try was allowed',
--- a/src/decayed-sum.ts
+++ b/src/decayed-sum.ts
@@ -13,6 +13,11 @@
     return this.sum * Math.exp(-Math.max(0, nowMs - this.updatedAtMs) / this.memoryMs);
   }
 
+  /** Multiplies the sum. */
+  scale(factor: number): void {
+    this.sum *= factor;
+  }
+
   /** Adds `amount`. */
   add(amount: number, nowMs: number): void {
     this.sum = this.at(nowMs) + amount;
--- a/src/gateway/admission/gateway-refusal.ts
+++ b/src/gateway/admission/gateway-refusal.ts
@@ -10,6 +10,7 @@
   | 'quota-spent'
   | 'overloaded'
   | 'no-backend'
+  | 'zone-evacuated'
   | 'stopping'
   | 'not-started-in-time'
   | 'backend-refused'
@@ -38,6 +39,7 @@
   'quota-spent': 429,
   overloaded: 503,
   'no-backend': 503,
+  'zone-evacuated': 503,
   stopping: 503,
   'not-started-in-time': 503,
   'backend-refused': 503,
--- a/src/gateway/attempt/attempt.ts
+++ b/src/gateway/attempt/attempt.ts
@@ -41,6 +41,8 @@
 export interface AttemptHandle {
   /** Closes the connection; no handler is called any more. */
   cancel(): void;
+  /** The same if nothing was sent yet, for want of a connection; says whether. */
+  withdraw(): boolean;
   pause(): void;
   resume(): void;
 }
--- a/src/gateway/attempt/http-backend-sender.ts
+++ b/src/gateway/attempt/http-backend-sender.ts
@@ -98,6 +98,14 @@
     this.request.destroy();
   }
 
+  withdraw(): boolean {
+    if (this.isConnected || this.isOver) {
+      return false;
+    }
+    this.cancel();
+    return true;
+  }
+
   pause(): void {
     this.response?.pause();
   }
--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -81,6 +81,25 @@
     this.finish(0, 'caller-left');
   }
 
+  /** Goes elsewhere if operators permit its back end no more and nothing was sent there yet; says whether. */
+  withdrawUnsent(): boolean {
+    const { backend, attempt, phase } = this;
+    if (phase !== 'sent' || backend === undefined || attempt === undefined) {
+      return false;
+    }
+    const isPermitted = this.ports.directory.isPermitted(backend, this.request.allowedRegions);
+    if (isPermitted || !attempt.withdraw()) {
+      return false;
+    }
+    this.endAttempt(
+      'unknown',
+      'taken back before it was sent: operators permit the back end no more',
+    );
+    this.attempts -= 1;
+    this.moveOn(backend.id);
+    return true;
+  }
+
   private waitForBackend(): void {
     this.phase = 'waiting';
     this.clearStepTimer();
@@ -100,7 +119,12 @@
   }
 
   private giveUpWaiting(): void {
-    const hasBackends = this.ports.directory.countReady(this.request.service) > 0;
+    if (this.wait?.isEvacuated === true) {
+      this.answerFailure('zone-evacuated');
+      return;
+    }
+    const { service, allowedRegions } = this.request;
+    const hasBackends = this.ports.directory.countReady(service, allowedRegions) > 0;
     this.answerFailure(hasBackends ? 'overloaded' : 'no-backend');
   }
 
@@ -289,9 +313,9 @@
   }
 
   private canRepeatElsewhere(): boolean {
-    const { route, service } = this.request;
+    const { route, service, allowedRegions } = this.request;
     const others = new Set([...this.excluded, this.backend!.id]);
-    const hasOther = this.ports.directory.countReady(service, others) > 0;
+    const hasOther = this.ports.directory.countReady(service, allowedRegions, others) > 0;
     return hasOther && this.mayRepeat() && this.attempts < route.maxAttempts && this.hasTime();
   }
 
@@ -333,8 +357,11 @@
       return;
     }
     if (!this.mayHaveRun) {
-      const isOverloaded = reason === 'overloaded' && this.wait !== undefined;
-      const retryAfterMs = isOverloaded ? this.wait!.retryAfterMs() : this.options.retryAfterMs;
+      const isForWaitToTell = reason === 'overloaded' || reason === 'zone-evacuated';
+      const retryAfterMs =
+        isForWaitToTell && this.wait !== undefined
+          ? this.wait.retryAfterMs()
+          : this.options.retryAfterMs;
       this.refuse({ reason, retryAfterMs });
       return;
     }
--- a/src/gateway/attempt/request-wait.ts
+++ b/src/gateway/attempt/request-wait.ts
@@ -47,7 +47,9 @@
       tier: request.tier,
       rankInTier: request.rankInTier,
       arrivedAtMs: request.arrivedAtMs,
-      startByMs: firstDueAtMs - ports.directory.expectedFirstMs(service, promptTokens),
+      startByMs:
+        firstDueAtMs -
+        ports.directory.expectedFirstMs(service, promptTokens, request.allowedRegions),
       units: request.units,
       promptTokens,
       firstDueAtMs,
@@ -83,7 +85,9 @@
     const { clock, dispatcher, random } = ports;
     const nowMs = clock.now();
     const forecast = dispatcher.forecastOf(this.place.service);
-    const placeFreeMs = forecast.expectedRecoveryMs(this.place, nowMs);
+    const placeFreeMs = this.isEvacuated
+      ? Infinity
+      : forecast.expectedRecoveryMs(this.place, nowMs);
     const earliestMs = Math.min(
       options.overloadRetryMaxMs,
       Math.max(options.overloadRetryMinMs, placeFreeMs),
@@ -93,6 +97,12 @@
     return Math.min(spreadMs, (request.endsAtMs - nowMs) * options.maxRetryShare);
   }
 
+  /** Whether evacuations leave the request no back end: nobody knows for how long. */
+  get isEvacuated(): boolean {
+    const { service, allowedRegions } = this.place;
+    return this.parts.ports.directory.isEvacuated(service, allowedRegions);
+  }
+
   private end(): void {
     this.isOver = true;
     this.parts.ports.clock.clearTimeout(this.timer);
@@ -115,6 +125,9 @@
 
   private isWorthWaiting(nowMs: number): boolean {
     const { answer, options } = this.parts;
+    if (this.isEvacuated) {
+      return false;
+    }
     if (answer.lastEventAtMs !== undefined) {
       return nowMs < answer.lastEventAtMs + options.resumeWaitMs;
     }
@@ -126,10 +139,10 @@
 
   private outlook(nowMs: number): WaitOutlook {
     const { request, ports } = this.parts;
-    const { startByMs, service } = this.place;
+    const { startByMs, service, allowedRegions } = this.place;
     const forecast = ports.dispatcher.forecastOf(service);
-    const wholeMs = ports.directory.expectedWholeMs(service, request.units);
-    const firstMs = ports.directory.expectedFirstMs(service, request.promptTokens);
+    const wholeMs = ports.directory.expectedWholeMs(service, request.units, allowedRegions);
+    const firstMs = ports.directory.expectedFirstMs(service, request.promptTokens, allowedRegions);
     const patientUntilMs = request.arrivedAtMs + this.patienceMs() - firstMs;
     return {
       inTimeLeftMs: startByMs - nowMs,
--- a/src/gateway/dispatch/backend-chooser.ts
+++ b/src/gateway/dispatch/backend-chooser.ts
@@ -76,9 +76,21 @@
       : costOf(request, known, usual, nowMs);
   }
 
-  /** Whether any back end of the service has a free slot. */
+  /** Whether any back end of the service that operators permit has a free slot. */
   hasAnyRoom(service: string, nowMs: number): boolean {
-    return this.directory.ofService(service).some((known) => this.hasRoom(known, nowMs));
+    return this.directory
+      .ofService(service)
+      .some(
+        (known) =>
+          this.hasRoom(known, nowMs) &&
+          restrictionOf(known.backend, undefined, this.ports) === undefined,
+      );
+  }
+
+  /** Whether operators let the back end be used freely. */
+  isOpen({ backend }: KnownBackend): boolean {
+    const isPermitted = restrictionOf(backend, undefined, this.ports) === undefined;
+    return isPermitted && this.ports.versionUse(backend) === 'open';
   }
 
   /**
@@ -97,11 +109,12 @@
     return repeatable ?? queue.filter(fitting).at(-1);
   }
 
-  private fitsGrant(request: DispatchRequest, known: KnownBackend): boolean {
+  /** Whether the request could use a slot that the back end's agent grants. */
+  fitsGrant(request: DispatchRequest, known: KnownBackend): boolean {
     const { backend } = known;
     const isExcluded = request.excluded.has(backend.id);
-    const isOpen = this.isPermitted(request, backend) && this.ports.versionUse(backend) === 'open';
-    return isOpen && !isExcluded && !this.harms(request, known, known.occupied - 1);
+    const isPermitted = this.isOpen(known) && this.isPermitted(request, backend);
+    return isPermitted && !isExcluded && !this.harms(request, known, known.occupied - 1);
   }
 
   private isPermitted({ allowedRegions }: DispatchRequest, backend: Backend): boolean {
--- a/src/gateway/dispatch/backend-directory.ts
+++ b/src/gateway/dispatch/backend-directory.ts
@@ -1,4 +1,10 @@
 /** The back ends that a gateway knows, by service, and which of the engines it works with. */
+import { restrictionOf } from '../../routing/backend-restriction.js';
+import type {
+  AllowedRegions,
+  OperatorRules,
+  RestrictionReason,
+} from '../../routing/backend-restriction.js';
 import type { Backend } from '../../routing/backend.js';
 import { pairShare } from '../../pair-share.js';
 import { chooseEngines, DEFAULT_ENGINE_SUBSET_OPTIONS } from './engine-subset.js';
@@ -6,7 +12,7 @@
 import { KnownBackend } from './known-backend.js';
 
 /** What a directory needs from its surroundings. */
-export interface BackendDirectoryPorts {
+export interface BackendDirectoryPorts extends OperatorRules {
   /** Whether a service's back ends are engines, which serve in batches. */
   isEngine(service: string): boolean;
 }
@@ -57,29 +63,82 @@
     return pairShare(this.owner.name, backendId);
   }
 
-  /** Back ends of a service that are listed as taking requests, those in `excluded` left out. */
-  countReady(service: string, excluded: ReadonlySet<string> = NOTHING): number {
+  /** Back ends of a service that are listed as taking requests and that operators permit. */
+  permitted(service: string, allowedRegions: AllowedRegions): KnownBackend[] {
     return this.ofService(service).filter(
-      ({ backend, isReady }) => isReady && !excluded.has(backend.id),
+      ({ backend, isReady }) => isReady && this.isPermitted(backend, allowedRegions),
+    );
+  }
+
+  /** Whether operators permit a back end. */
+  isPermitted(backend: Backend, allowedRegions: AllowedRegions): boolean {
+    return restrictionOf(backend, allowedRegions, this.ports) === undefined;
+  }
+
+  /** Why operators keep requests from some of the back ends that are listed as taking requests. */
+  restrictions(service: string, allowedRegions: AllowedRegions): Set<RestrictionReason> {
+    const reasons = new Set<RestrictionReason>();
+    for (const { backend, isReady } of this.ofService(service)) {
+      const reason = isReady ? restrictionOf(backend, allowedRegions, this.ports) : undefined;
+      if (reason !== undefined) {
+        reasons.add(reason);
+      }
+    }
+    return reasons;
+  }
+
+  /** How many these are, those in `excluded` left out. */
+  countReady(
+    service: string,
+    allowedRegions: AllowedRegions,
+    excluded: ReadonlySet<string> = NOTHING,
+  ): number {
+    return this.permitted(service, allowedRegions).filter(
+      ({ backend }) => !excluded.has(backend.id),
     ).length;
   }
 
+  /** Slots of those back ends of a service. */
+  countSlots(service: string): number {
+    return this.permitted(service, undefined).reduce((sum, { backend }) => sum + backend.slots, 0);
+  }
+
+  /** Whether evacuations alone keep a request from every back end that is listed as taking requests. */
+  isEvacuated(service: string, allowedRegions: AllowedRegions): boolean {
+    const { ports } = this;
+    const withoutEvacuations: OperatorRules = {
+      isEvacuated: () => false,
+      regionOf: (zone) => ports.regionOf(zone),
+      versionUse: (backend) => ports.versionUse(backend),
+    };
+    const others = this.ofService(service).filter(
+      ({ backend, isReady }) =>
+        isReady && restrictionOf(backend, allowedRegions, withoutEvacuations) === undefined,
+    );
+    return others.length > 0 && others.every(({ backend }) => ports.isEvacuated(backend.zone));
+  }
+
+  /** Every service that back ends are known of. */
+  get services(): string[] {
+    return [...this.byService.keys()];
+  }
+
   /**
-   * Expected time to the first event at a usual back end, in milliseconds: the median of the ready ones. By
+   * Expected time to the first event at a usual back end, in milliseconds: the median of the permitted ones. By
    * the fastest one requests counted as in time that any other back end answers late.
    */
-  expectedFirstMs(service: string, promptTokens: number): number {
-    const expected = this.ofService(service)
-      .filter(({ isReady, speed }) => isReady && speed.isKnown)
+  expectedFirstMs(service: string, promptTokens: number, allowedRegions?: AllowedRegions): number {
+    const expected = this.permitted(service, allowedRegions)
+      .filter(({ speed }) => speed.isKnown)
       .map(({ speed }) => speed.expectedFirstMs(promptTokens))
       .sort((left, right) => left - right);
     return expected[Math.floor((expected.length - 1) / 2)] ?? 0;
   }
 
-  /** Mean expected time of a whole answer among the ready back ends, in milliseconds. */
-  expectedWholeMs(service: string, units: number): number {
-    const learned = this.ofService(service).flatMap(({ isReady, msPerUnit }) =>
-      isReady && msPerUnit !== undefined ? [msPerUnit] : [],
+  /** Mean expected time of a whole answer among the permitted back ends, in milliseconds. */
+  expectedWholeMs(service: string, units: number, allowedRegions?: AllowedRegions): number {
+    const learned = this.permitted(service, allowedRegions).flatMap(({ msPerUnit }) =>
+      msPerUnit === undefined ? [] : [msPerUnit],
     );
     const sum = learned.reduce((total, msPerUnit) => total + msPerUnit, 0);
     return learned.length === 0 ? 0 : (sum / learned.length) * units;
@@ -119,14 +178,17 @@
     }
   }
 
-  /** Chooses anew which engines of a service this gateway works with. */
+  /**
+   * Chooses anew which engines of a service this gateway works with. Those of an evacuated zone are left out,
+   * so that others take their places.
+   */
   assign(service: string): void {
     if (!this.ports.isEngine(service)) {
       return;
     }
     const ready = this.ofService(service).filter(({ isReady }) => isReady);
     const chosen = chooseEngines(
-      ready.map(({ backend }) => backend),
+      ready.map(({ backend }) => backend).filter(({ zone }) => !this.ports.isEvacuated(zone)),
       this.owner,
       this.options.subset,
     );
@@ -135,6 +197,17 @@
     }
   }
 
+  /** The same after an order of the operators: agents that are worked with again get time to be connected. */
+  assignAnew(service: string, nowMs: number): void {
+    const left = this.ofService(service).filter(({ isAssigned }) => !isAssigned);
+    this.assign(service);
+    for (const known of left) {
+      if (known.isAssigned && known.agent === undefined) {
+        known.awaitAgent(nowMs);
+      }
+    }
+  }
+
   /** Of several incarnations announced at one address only the latest can be there. */
   private markReplaced(address: string): void {
     const there = this.list().filter((known) => known.backend.address === address);
--- a/src/gateway/dispatch/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -10,6 +10,7 @@
 import type { BackendChooserOptions, BackendChooserPorts } from './backend-chooser.js';
 import type { BackendDirectory } from './backend-directory.js';
 import type { Backend } from '../../routing/backend.js';
+import type { RestrictionReason } from '../../routing/backend-restriction.js';
 import type { SlotAnswer, SlotMessage } from '../../slot-agent/slot-messages.js';
 import type { EngineAvailability } from '../../slot-agent/engine-watch.js';
 import type { AttemptOutcome } from './backend-health.js';
@@ -39,6 +40,8 @@
   onSent(backend: Backend): void;
   /** A back end was ejected for its failures. */
   onEjected(backendId: string): void;
+  /** A request was kept from back ends that operators do not permit; once for each reason. */
+  onKept(reason: RestrictionReason): void;
   /** The agent beside a back end says whether it may be used. */
   onAvailability(backend: Backend, availability: EngineAvailability): void;
 }
@@ -85,8 +88,28 @@
     }
   }
 
+  /**
+   * Takes in what operators ordered: `apply` changes what back ends are permitted. What is left of each
+   * service's slots is reckoned with at once, and what waits is served by whatever is permitted now.
+   */
+  changeOrders(apply: () => void, nowMs: number): void {
+    const { directory } = this;
+    const before = directory.services.map((service) => directory.countSlots(service));
+    apply();
+    for (const [index, service] of directory.services.entries()) {
+      directory.assignAnew(service, nowMs);
+      this.queueOf(service).scaleSupply(before[index]!, directory.countSlots(service));
+      this.serve(service, nowMs);
+      this.tellDemand(service, nowMs);
+    }
+  }
+
   /** Binds the request now if a slot is free; otherwise it waits in order. */
   submit(request: DispatchRequest, nowMs: number): void {
+    const { service, allowedRegions } = request;
+    for (const reason of this.directory.restrictions(service, allowedRegions)) {
+      this.ports.onKept(reason);
+    }
     this.queueOf(request.service).add(request, nowMs);
     this.serve(request.service, nowMs);
   }
@@ -292,9 +315,10 @@
   private tellDemand(service: string, nowMs: number): void {
     const inputs = {
       waiting: this.waitingInOrder(service, nowMs),
-      tokensPerEvent: this.ports.tokensPerEvent(service),
       maxLength: this.options.demandLength,
-      isOpen: ({ backend }: KnownBackend) => this.ports.versionUse(backend) === 'open',
+      isOpen: (known: KnownBackend) => this.chooser.isOpen(known),
+      fits: (request: DispatchRequest, known: KnownBackend) =>
+        this.chooser.fitsGrant(request, known),
     };
     for (const known of this.directory.ofService(service)) {
       const demand = nextDemand(known, inputs, nowMs);
--- a/src/gateway/dispatch/known-backend.ts
+++ b/src/gateway/dispatch/known-backend.ts
@@ -53,13 +53,13 @@
   private readonly ownFailures = new FailureEstimate();
 
   /** Until when its agent is given time to be connected, in milliseconds. */
-  private agentAwaitedUntilMs: number;
+  private agentAwaitedUntilMs = 0;
 
   constructor(
     public backend: Backend,
     learnedAtMs: number,
   ) {
-    this.agentAwaitedUntilMs = learnedAtMs + AGENT_WAIT_MS;
+    this.awaitAgent(learnedAtMs);
   }
 
   /** Whether a connection to its agent may still come up for the first time. */
@@ -67,6 +67,11 @@
     return nowMs < this.agentAwaitedUntilMs;
   }
 
+  /** Its agent is given time to be connected. */
+  awaitAgent(nowMs: number): void {
+    this.agentAwaitedUntilMs = nowMs + AGENT_WAIT_MS;
+  }
+
   /** Its agent did not answer, or is gone. */
   endAgentWait(): void {
     this.agentAwaitedUntilMs = 0;
--- a/src/gateway/dispatch/service-queue.ts
+++ b/src/gateway/dispatch/service-queue.ts
@@ -38,6 +38,14 @@
     this.supply.noteBound(nowMs);
   }
 
+  /** Of `before` slots of the service `after` are left, or came back. */
+  scaleSupply(before: number, after: number): void {
+    // Without any there is no supply to reckon by; what was learned before then is kept.
+    if (before > 0 && after > 0) {
+      this.supply.scale(after / before);
+    }
+  }
+
   /** What could be bound is bound; what is left waits. To be called after each change. */
   settle(nowMs: number): void {
     this.supply.noteWaiting(this.queue.length > 0, nowMs);
--- a/src/gateway/dispatch/slot-demand.ts
+++ b/src/gateway/dispatch/slot-demand.ts
@@ -1,6 +1,5 @@
 /** Tells agents which requests wait that their engine would be right for. */
 import type { SlotDemand, WaitingRank } from '../../slot-agent/slot-messages.js';
-import { harmsOthers } from './backend-choice.js';
 import type { DispatchRequest } from './dispatch-request.js';
 import type { KnownBackend } from './known-backend.js';
 
@@ -8,10 +7,10 @@
 export interface DemandInputs {
   /** Requests that wait, in order. */
   readonly waiting: readonly DispatchRequest[];
-  /** Tokens that an engine of the service gathers in one event. */
-  readonly tokensPerEvent: number;
-  /** Whether a back end may be used freely: a version on a small share is not to be asked for slots. */
+  /** Whether a back end may be asked for slots at all: not in an evacuated zone, nor of a version on a small share. */
   isOpen(known: KnownBackend): boolean;
+  /** Whether the request could use a slot of the back end. */
+  fits(request: DispatchRequest, known: KnownBackend): boolean;
   /** Most requests that a demand names. */
   readonly maxLength: number;
 }
@@ -23,10 +22,11 @@
   nowMs: number,
 ): SlotDemand | undefined {
   const { agent } = known;
-  if (agent === undefined || !known.isReady || !inputs.isOpen(known)) {
+  if (agent === undefined || !known.isReady) {
     return undefined;
   }
-  const first = findDemand(known, inputs);
+  // An agent that was told of requests before is told that none waits for it any more.
+  const first = inputs.isOpen(known) ? findDemand(known, inputs) : [];
   const signature = first.map(({ tier, arrivedAtMs }) => `${tier}:${arrivedAtMs}`).join();
   if (agent.lastDemand === signature) {
     return undefined;
@@ -50,15 +50,14 @@
 /** The first waiting requests that the engine would be right for once a slot is free. */
 function findDemand(
   known: KnownBackend,
-  { waiting, tokensPerEvent, maxLength }: DemandInputs,
+  { waiting, maxLength, fits }: DemandInputs,
 ): DispatchRequest[] {
   const demand: DispatchRequest[] = [];
   for (const request of waiting) {
     if (demand.length >= maxLength) {
       break;
     }
-    const isExcluded = request.excluded.has(known.backend.id);
-    if (!isExcluded && !harmsOthers(request, known.speed, known.occupied - 1, tokensPerEvent)) {
+    if (fits(request, known)) {
       demand.push(request);
     }
   }
--- a/src/gateway/dispatch/slot-supply.ts
+++ b/src/gateway/dispatch/slot-supply.ts
@@ -68,6 +68,12 @@
     }
   }
 
+  /** The service has `factor` times the slots that it had: what was learned of its rate is scaled at once. */
+  scale(factor: number): void {
+    this.allBound.scale(factor);
+    this.boundWhileBusy.scale(factor);
+  }
+
   /** For how long requests have been waiting without a break, in milliseconds. */
   busyForMs(nowMs: number): number {
     return this.busySinceMs === undefined ? 0 : nowMs - this.busySinceMs;
--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -50,7 +50,7 @@
 
 /** The requests of a gateway's callers. */
 export class GatewayRequests {
-  private readonly active = new Set<AcceptedRequest>();
+  private readonly active = new Map<AcceptedRequest, ProxiedRequest>();
   private readonly admission: RequestAdmission;
   private readonly budget: RetryBudget;
   private readonly ports: RequestPorts;
@@ -81,6 +81,11 @@
     return this.active.size;
   }
 
+  /** Requests whose back end is not permitted any more go elsewhere where nothing was sent; says how many. */
+  withdrawUnsent(): number {
+    return [...this.active.values()].filter((proxied) => proxied.withdrawUnsent()).length;
+  }
+
   /** Repeats that the budget still allows, by service. */
   repeatsLeft(nowMs: number): ReturnType<RetryBudget['repeatsLeft']> {
     return this.budget.repeatsLeft(this.parts.cluster.size, nowMs);
@@ -116,7 +121,7 @@
     const request = admitted.val;
     this.budget.countRequest(request.service, this.parts.clock.now());
     const proxied = new ProxiedRequest(request, reply, this.ports, DEFAULT_REQUEST_OPTIONS);
-    this.active.add(request);
+    this.active.set(request, proxied);
     proxied.begin();
     return proxied;
   }
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -4,9 +4,8 @@
 import type { RandomSource } from '../random.js';
 import type { Backend } from '../routing/backend.js';
 import type { EngineAvailability } from '../slot-agent/engine-watch.js';
+import type { OperatorRules } from '../routing/backend-restriction.js';
 import { Places } from '../routing/places.js';
-import { ZoneEvacuations } from '../routing/zone-evacuations.js';
-import type { EvacuationChange } from '../routing/zone-evacuations.js';
 import type { RoutingConfiguration } from '../routing/configuration.js';
 import { ConfigurationInForce } from './configuration-in-force.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
@@ -15,6 +14,7 @@
 import { Dispatcher } from './dispatch/dispatcher.js';
 import type { GatewayAdapter } from './gateway-adapter.js';
 import { GatewayCluster } from './gateway-cluster.js';
+import { GatewayEvacuations } from './gateway-evacuations.js';
 import { GatewayRequests } from './gateway-requests.js';
 import { GatewayRollouts } from './gateway-rollouts.js';
 import { countBackends } from './metrics/gateway-snapshot.js';
@@ -54,7 +54,7 @@
 export class GatewayRole {
   private readonly cluster: GatewayCluster;
   private readonly directory: BackendDirectory;
-  private readonly evacuations = new ZoneEvacuations();
+  private readonly evacuations: GatewayEvacuations;
   private readonly places: Places;
   private readonly dispatcher: Dispatcher;
   private readonly rollouts: GatewayRollouts;
@@ -78,7 +78,12 @@
     this.configuration = new ConfigurationInForce(clock);
     this.places = new Places(settings.places.zones);
     const isEngine = (service: string) => this.configuration.isEngine(service);
-    this.directory = new BackendDirectory(settings.process, { isEngine });
+    const orders: OperatorRules = {
+      versionUse: (backend) => this.rollouts.rollouts.useOf(backend),
+      isEvacuated: (zone) => this.evacuations.zones.isEvacuated(zone),
+      regionOf: (zone) => this.places.regionOf(zone),
+    };
+    this.directory = new BackendDirectory(settings.process, { isEngine, ...orders });
     this.dispatcher = new Dispatcher(this.directory, {
       sendToAgent: (backendId, message) => this.links.send(backendId, message),
       onEjected: (backendId) => parts.log.write('backend-ejected', 'state', { backend: backendId }),
@@ -86,16 +91,24 @@
       isEngine,
       countGateways: () => this.cluster.size,
       tokensPerEvent: (service) => this.configuration.tokensPerEvent(service),
-      versionUse: (backend) => this.rollouts.rollouts.useOf(backend),
-      isEvacuated: (zone) => this.evacuations.isEvacuated(zone),
-      regionOf: (zone) => this.places.regionOf(zone),
+      ...orders,
+      onKept: (reason) => parts.metrics.record(({ requestsKept }) => requestsKept.inc({ reason })),
       onSent: (backend) => this.rollouts.rollouts.noteSent(backend),
     });
+    this.evacuations = new GatewayEvacuations({
+      ...parts,
+      directory: this.directory,
+      dispatcher: this.dispatcher,
+      places: this.places,
+      storeAgeMs: () => this.cluster.storeAgeMs,
+      withdrawUnsent: () => this.requests.withdrawUnsent(),
+    });
     this.rollouts = new GatewayRollouts({
       ...parts,
       incarnation,
       directory: this.directory,
       countGateways: () => this.cluster.size,
+      isEvacuated: orders.isEvacuated,
     });
     this.listener = new CallerListener(
       (head, reply) => this.requests.take(head, reply),
@@ -218,6 +231,7 @@
     this.links.maintain();
     this.links.tellAlive();
     this.cluster.tick();
+    this.evacuations.tick();
     this.rollouts.rollouts.tick();
     if (this.ticks % AGENT_REVISION_TICKS === 0) {
       this.links.tellRevision();
@@ -256,7 +270,7 @@
       });
       this.dispatcher.updateBackend(id, backend, clock.now());
     } else if (decoded.kind === 'evacuation') {
-      this.takeEvacuation(decoded.change);
+      this.evacuations.take(decoded.change);
     } else if (decoded.kind === 'rollout-order') {
       this.rollouts.takeOrder(decoded.order);
     } else if (decoded.kind === 'rollout-status') {
@@ -267,12 +281,6 @@
     }
   }
 
-  private takeEvacuation(change: EvacuationChange): void {
-    if (this.evacuations.take(change, this.parts.clock.now())) {
-      this.parts.log.write('zone-evacuation', 'state', { ...change });
-    }
-  }
-
   private noteAvailability({ id, address }: Backend, availability: EngineAvailability): void {
     this.parts.log.write('backend-availability', 'state', { backend: id, availability });
     if (availability === 'closed') {
@@ -307,6 +315,7 @@
       storeAgeMs: this.cluster.storeAgeMs,
       configurationAgeMs: this.configuration.ageMs,
       backends: countBackends(this.directory.list(), nowMs),
+      evacuatedZones: this.evacuations.zones.count,
       repeatsLeft: this.requests.repeatsLeft(nowMs),
       quotaUse: this.quotas.use(),
       waiting: this.dispatcher.waitingByService(),
--- a/src/gateway/gateway-rollouts.ts
+++ b/src/gateway/gateway-rollouts.ts
@@ -17,6 +17,7 @@
   readonly clock: Clock;
   readonly log: DecisionLog;
   countGateways(): number;
+  isEvacuated(zone: string): boolean;
 }
 
 /** A gateway's roll-outs. */
@@ -50,8 +51,12 @@
     this.parts.log.write('rollout-state', 'state', { ...status });
   }
 
+  /** Back ends of evacuated zones bear nothing, of whatever version. */
   private countReady(service: string, targetVersion: string): ReadyVersions {
-    const ready = this.parts.directory.ofService(service).filter(({ isReady }) => isReady);
+    const { directory, isEvacuated } = this.parts;
+    const ready = directory
+      .ofService(service)
+      .filter(({ backend, isReady }) => isReady && !isEvacuated(backend.zone));
     const target = ready.filter(({ backend }) => backend.version === targetVersion).length;
     return { target, others: ready.length - target };
   }
--- a/src/gateway/metrics/gateway-snapshot.ts
+++ b/src/gateway/metrics/gateway-snapshot.ts
@@ -16,6 +16,8 @@
   readonly storeAgeMs: number | undefined;
   readonly configurationAgeMs: number | undefined;
   readonly backends: readonly BackendCount[];
+  /** Zones that operators evacuated. */
+  readonly evacuatedZones: number;
   /** Repeats that the retry budget still allows, by service. */
   readonly repeatsLeft: ReadonlyMap<string, number>;
   /** Tokens of quotas that this gateway let pass since it started, by tenant. */
--- a/src/gateway/metrics/metric-instruments.ts
+++ b/src/gateway/metrics/metric-instruments.ts
@@ -29,6 +29,12 @@
     labelNames: ['service'],
     registers: [this.registry],
   });
+  readonly requestsKept = new Counter({
+    name: 'weirvale_requests_kept_total',
+    help: 'Requests that operators kept from some back ends of their service, by reason',
+    labelNames: ['reason'],
+    registers: [this.registry],
+  });
   readonly reservedHeaders = new Counter({
     name: 'weirvale_reserved_headers_total',
     help: 'Headers that only a gateway may set and that callers sent; they were dropped',
--- a/src/model/engine-sender.ts
+++ b/src/model/engine-sender.ts
@@ -52,6 +52,7 @@
         this.handles.delete(handle);
         this.clock.setTimeout(() => engine.cancel(job), this.linkMs);
       },
+      withdraw: () => false,
       pause: () => undefined,
       resume: () => undefined,
     };
--- a/src/model/model-gateway.ts
+++ b/src/model/model-gateway.ts
@@ -15,6 +15,7 @@
 import { BackendDirectory } from '../gateway/dispatch/backend-directory.js';
 import { Dispatcher } from '../gateway/dispatch/dispatcher.js';
 import type { RandomSource } from '../random.js';
+import type { OperatorRules } from '../routing/backend-restriction.js';
 import type { RoutingTable } from '../routing/routing-table.js';
 import type { SlotAnswer, SlotMessage } from '../slot-agent/slot-messages.js';
 import { EngineSender, NOT_RUN_HEADER } from './engine-sender.js';
@@ -62,6 +63,13 @@
 /** Header of an answer that tells when to come back, in milliseconds. */
 export const RETRY_AFTER_HEADER = 'retry-after-ms';
 
+/** Operators order nothing in a model. */
+const NO_ORDERS: OperatorRules = {
+  isEvacuated: () => false,
+  regionOf: () => undefined,
+  versionUse: () => 'open',
+};
+
 /** One life of a gateway process. */
 export class ModelGateway {
   private readonly directory: BackendDirectory;
@@ -74,14 +82,13 @@
 
   constructor(private readonly parts: ModelGatewayParts) {
     const { name, zone, clock, random, backends, linkMs } = parts;
-    this.directory = new BackendDirectory({ name, zone }, { isEngine: () => true });
+    this.directory = new BackendDirectory({ name, zone }, { isEngine: () => true, ...NO_ORDERS });
     this.dispatcher = new Dispatcher(this.directory, {
       sendToAgent: (backendId, message) => this.senders.get(backendId)?.(message),
       onEjected: () => undefined,
+      onKept: () => undefined,
       onAvailability: () => undefined,
-      versionUse: () => 'open',
-      isEvacuated: () => false,
-      regionOf: () => undefined,
+      ...NO_ORDERS,
       onSent: () => undefined,
       isEngine: () => true,
       countGateways: () => parts.countGateways(),
--- a/src/routing/zone-evacuations.ts
+++ b/src/routing/zone-evacuations.ts
@@ -38,6 +38,16 @@
     return this.byZone.get(zone)?.isOrdered ?? false;
   }
 
+  /** The newest change of a zone that is known. */
+  find(zone: string): KnownEvacuation | undefined {
+    return this.byZone.get(zone);
+  }
+
+  /** How many zones are evacuated. */
+  get count(): number {
+    return this.list().filter(({ isOrdered }) => isOrdered).length;
+  }
+
   /** When this process learned that the zone was taken back into use; undefined if it was not. */
   returnedAtMs(zone: string): number | undefined {
     const known = this.byZone.get(zone);
--- a/src/telemetry/decision-log.ts
+++ b/src/telemetry/decision-log.ts
@@ -22,6 +22,7 @@
   'backend-ejected',
   'backend-availability',
   'zone-evacuation',
+  'zone-cleared',
   'store-lost',
   'store-regained',
   'store-reader-on',
--- a/test/gateway-metrics.test.ts
+++ b/test/gateway-metrics.test.ts
@@ -12,6 +12,7 @@
 
 const SNAPSHOT: GatewaySnapshot = {
   storeAgeMs: 1_500,
+  evacuatedZones: 1,
   configurationAgeMs: undefined,
   backends: [{ service: 's', state: 'ejected', count: 2 }],
   repeatsLeft: new Map([['s', 7]]),
@@ -42,6 +43,7 @@
     'weirvale_store_age_seconds 1.5',
     'weirvale_configuration_age_seconds Nan',
     'weirvale_backends{service="s",state="ejected"} 2',
+    'weirvale_evacuated_zones 1',
     'weirvale_repeats_left{service="s"} 7',
     'weirvale_quota_used_tokens{tenant="tenant"} 1200',
     'weirvale_waiting_requests{service="s"} 3',
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -18,6 +18,7 @@
 } from '../../src/gateway/attempt/request-model.js';
 import { SeededRandom } from '../../src/random.js';
 import type { VersionUse } from '../../src/rollout/rollout-order.js';
+import type { RestrictionReason } from '../../src/routing/backend-restriction.js';
 import type { Backend } from '../../src/routing/backend.js';
 import type { Route } from '../../src/routing/configuration.js';
 import { VirtualClock } from '../../src/sim/virtual-clock.js';
@@ -137,7 +138,11 @@
   readonly versionUses = new Map<string, VersionUse>();
   readonly evacuatedZones = new Set<string>();
   readonly regions = new Map<string, string>();
+  /** Why requests were kept from back ends, in order. */
+  readonly kept: RestrictionReason[] = [];
   readonly triesOver: TryOver[] = [];
+  /** Back ends to which connections do not come up for now. */
+  readonly connecting = new Set<string>();
 
   constructor(...backends: Backend[]) {
     for (const backend of backends) {
@@ -181,6 +186,17 @@
     // Tests look at the attempts instead.
   }
 
+  onKept(reason: RestrictionReason): void {
+    this.kept.push(reason);
+  }
+
+  /** Operators evacuate a zone, or take it back. */
+  order(zone: string, isOrdered: boolean): void {
+    const apply = () =>
+      isOrdered ? this.evacuatedZones.add(zone) : this.evacuatedZones.delete(zone);
+    this.dispatcher.changeOrders(apply, this.clock.now());
+  }
+
   onAvailability(): void {
     // Tests look at where requests go instead.
   }
@@ -189,7 +205,12 @@
     const seen: SeenAttempt = { ...attempt, handlers, isCancelled: false };
     this.attempts.push(seen);
     const ignore = () => undefined;
-    return { cancel: () => void (seen.isCancelled = true), pause: ignore, resume: ignore };
+    const cancel = () => void (seen.isCancelled = true);
+    const withdraw = () => {
+      seen.isCancelled ||= this.connecting.has(attempt.backend.id);
+      return seen.isCancelled;
+    };
+    return { cancel, withdraw, pause: ignore, resume: ignore };
   }
 
   /** Hands a request to the gateway. */
