Evacuations and removed roll-out orders: through store, peers, agents; typed refusals of records

A record that cannot be read was logged as a configuration; an order without a zone was taken for one of the zone ''. An order's value is not looked at: its key alone says what is ordered. A roll-out's order that is removed ended nothing: now a version that was not taken over gets nothing while others are there, no state is written. The old version is used where every back end of the new one is evacuated, also before 'completed'. Tests over sockets: orders reach gateways that the store turns away and ones that start, before they are ready; two removals lost in a compaction; an unknown zone; an order given anew at once. An agent refuses a gateway that does not know the order.

--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -273,11 +273,14 @@
       this.evacuations.take(decoded.change);
     } else if (decoded.kind === 'rollout-order') {
       this.rollouts.takeOrder(decoded.order);
+    } else if (decoded.kind === 'rollout-removed') {
+      this.rollouts.takeRemoval(decoded.service, decoded.revision);
     } else if (decoded.kind === 'rollout-status') {
       this.rollouts.takeStatus(decoded.status);
     } else if (decoded.kind === 'invalid') {
-      const { problem } = decoded;
-      log.write('configuration-refused', 'state', { problem, revision: record.revision });
+      const { problem, isConfiguration } = decoded;
+      const event = isConfiguration ? 'configuration-refused' : 'record-refused';
+      log.write(event, 'state', { problem, revision: record.revision });
     }
   }
 
--- a/src/gateway/gateway-rollouts.ts
+++ b/src/gateway/gateway-rollouts.ts
@@ -45,6 +45,13 @@
     }
   }
 
+  /** An order was removed: its roll-out ends. */
+  takeRemoval(service: string, revision: number): void {
+    if (this.rollouts.takeRemoval(service, revision)) {
+      this.parts.log.write('rollout-order-removed', 'state', { service, revision });
+    }
+  }
+
   /** Takes in what the store tells of a roll-out. */
   takeStatus(status: RolloutStatus): void {
     this.rollouts.takeStatus(status);
--- a/src/rollout/rollouts.ts
+++ b/src/rollout/rollouts.ts
@@ -57,6 +57,20 @@
     return true;
   }
 
+  /** An order was removed at `revision`; says whether that ended a roll-out that was known. */
+  takeRemoval(service: string, revision: number): boolean {
+    const known = this.rollouts.get(service);
+    if (known === undefined || known.order.revision >= revision) {
+      return false;
+    }
+    if (known.state === 'completed') {
+      this.rollouts.delete(service);
+    } else {
+      known.remove();
+    }
+    return true;
+  }
+
   /** Takes in what the store tells of a roll-out. */
   takeStatus(status: RolloutStatus): void {
     this.statuses.set(status.service, status);
@@ -70,11 +84,19 @@
       return 'open';
     }
     const use = rollout.useOf(version);
-    const { targetVersion } = rollout.order;
-    const isReplaced = use === 'closed' && rollout.state === 'completed';
-    // After a roll-out a service may be given yet other versions; better those than none.
-    const hasTarget = () => this.ports.countReady(service, targetVersion).target > 0;
-    return isReplaced && !hasTarget() ? 'open' : use;
+    return use === 'closed' && this.isTheOnlyOne(rollout, version) ? 'open' : use;
+  }
+
+  /**
+   * Whether a version that is closed is better than none. The target's back ends may all be in evacuated zones,
+   * and a service may be given yet other versions after a roll-out; one without an order has no other judge.
+   */
+  private isTheOnlyOne({ order, isRemoved }: ServiceRollout, version: string): boolean {
+    const { service, targetVersion } = order;
+    if (version !== targetVersion) {
+      return this.ports.countReady(service, targetVersion).target === 0;
+    }
+    return isRemoved && this.ports.countReady(service, targetVersion).others === 0;
   }
 
   /** A request is sent to a back end. */
--- a/src/rollout/service-rollout.ts
+++ b/src/rollout/service-rollout.ts
@@ -79,6 +79,7 @@
   private oldAtWork = 0;
   private isBad = false;
   private hasMoved = false;
+  private isOrderRemoved = false;
   private status: RolloutStatus | undefined;
   private startedAtMs: number;
   private wanted: { readonly state: RolloutState; readonly sinceMs: number } | undefined;
@@ -96,9 +97,9 @@
     return this.status?.state;
   }
 
-  /** Whether the store tells that it ended. */
+  /** Whether it ended: the store tells so, or its order was removed. */
   get isOver(): boolean {
-    return this.state === 'completed' || this.state === 'rolled-back';
+    return this.isOrderRemoved || this.state === 'completed' || this.state === 'rolled-back';
   }
 
   /** Revision of the state that the store tells; 0 before the first. */
@@ -106,13 +107,23 @@
     return this.status?.revision ?? 0;
   }
 
+  /** Whether its order was removed. */
+  get isRemoved(): boolean {
+    return this.isOrderRemoved;
+  }
+
+  /** The order was removed: nobody vouches for a version that was not yet taken over, and no state is written. */
+  remove(): void {
+    this.isOrderRemoved = true;
+  }
+
   /** How back ends of a version may be used. */
   useOf(version: string): VersionUse {
     const isTarget = version === this.order.targetVersion;
     if (this.state === 'completed') {
       return isTarget ? 'open' : 'closed';
     }
-    if (this.isBad || this.state === 'rolled-back') {
+    if (this.isBad || this.isOrderRemoved || this.state === 'rolled-back') {
       return isTarget ? 'closed' : 'open';
     }
     if (this.hasMoved) {
--- a/src/routing/decoded-record.ts
+++ b/src/routing/decoded-record.ts
@@ -13,7 +13,9 @@
   | { readonly kind: 'evacuation'; readonly change: EvacuationChange }
   | { readonly kind: 'rollout-order'; readonly order: RolloutOrder }
   | { readonly kind: 'rollout-status'; readonly status: RolloutStatus }
-  | { readonly kind: 'invalid'; readonly problem: string }
+  /** `revision` is that of the removal. */
+  | { readonly kind: 'rollout-removed'; readonly service: string; readonly revision: number }
+  | { readonly kind: 'invalid'; readonly isConfiguration: boolean; readonly problem: string }
   | { readonly kind: 'irrelevant' };
 
 /** Reads a record of the store; never throws. */
--- a/src/slot-agent/slot-agent-role.ts
+++ b/src/slot-agent/slot-agent-role.ts
@@ -188,8 +188,13 @@
 
   /** Takes in records of the store that are news. */
   private learn(records: readonly StoreRecord[]): void {
+    const { decode, identity, log } = this.parts;
     for (const record of records) {
-      this.knowledge.take(this.parts.decode(record), this.clock.now());
+      const decoded = decode(record);
+      this.knowledge.take(decoded, this.clock.now());
+      if (decoded.kind === 'evacuation' && decoded.change.zone === identity.engine.zone) {
+        log.write('zone-evacuation', 'state', { ...decoded.change, ...this.ledger.snapshot });
+      }
     }
   }
 
--- a/test/backend-restriction.test.ts
+++ b/test/backend-restriction.test.ts
@@ -74,6 +74,14 @@
   });
 });
 
+test('an order whose value cannot be read is one all the same; one without a zone is refused, not as a configuration', (t) => {
+  const order = { revision: 4, value: 'not { JSON' };
+  t.is(decodeRecord({ key: 'op/evacuate/a1', ...order }).kind, 'evacuation');
+  const refused = decodeRecord({ key: 'op/evacuate/', ...order });
+  t.like(refused, { kind: 'invalid', isConfiguration: false });
+  t.like(decodeRecord({ key: 'op/config', ...order }), { kind: 'invalid', isConfiguration: true });
+});
+
 test('a gateway sends nothing to an evacuated zone, nor outside the regions that a request allows', (t) => {
   const world = new GatewayWorld(
     backendOf('far', { zone: 'b1' }),
--- a/test/backend-sender.test.ts
+++ b/test/backend-sender.test.ts
@@ -49,6 +49,28 @@
   });
 }
 
+test('an attempt is taken back only as long as nothing was sent', async (t) => {
+  let received = 0;
+  const { server, address } = await startBackend((socket) => {
+    received += 1;
+    socket.end('HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n');
+  });
+  const sender = new HttpBackendSender();
+  const backend = backendOf('b', { address });
+  const attempt = { backend, method: 'POST', path: '/', headers: [], body: Buffer.from('body') };
+  const ignore = () => undefined;
+  const silent = { onHead: ignore, onData: ignore, onEnd: ignore, onFailure: ignore };
+  t.true(sender.send(attempt, silent).withdraw());
+  const ended = new Promise<boolean>((resolve) => {
+    const sent = sender.send(attempt, { ...silent, onHead: () => resolve(sent.withdraw()) });
+  });
+  t.false(await ended);
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  t.is(received, 1);
+  sender.close();
+  server.close();
+});
+
 async function outcomeOf(act: (socket: Socket) => void): Promise<Outcome> {
   const { server, address } = await startBackend(act);
   const sender = new HttpBackendSender();
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -233,6 +233,67 @@
   [store, darkStore].forEach((each) => each.stop());
 });
 
+test('an evacuation reaches every gateway, also one that the store turns away or that starts, and ends with its record', async (t) => {
+  const [store, darkStore] = [new StandinStore(), new StandinStore()];
+  darkStore.mood = 'refuses';
+  const [inside, outside] = [
+    new StandinWorker('w-1', answerWell),
+    new StandinWorker('w-2', answerWell),
+  ];
+  store.put('op/config', configuration(1));
+  const worker = async (each: StandinWorker, zone: string) =>
+    store.put(`servers/${each.id}`, { service: 's', address: await each.start(), slots: 9, zone });
+  await worker(inside, 'za');
+  await worker(outside, 'zb');
+  const [address, darkAddress] = [await store.start(), await darkStore.start()];
+  const informed = await startGateway('g-1', address);
+  const dark = await startGateway('g-2', darkAddress, [informed.peers]);
+  await until(async () => (await isReady(dark)) && (await isReady(informed)));
+  const sentInside = async (...gateways: RunningGateway[]) => {
+    const before = inside.received.length;
+    for (let index = 0; index < 20; index += 1) {
+      for (const gateway of gateways) {
+        t.is(await statusOf(gateway), 200);
+      }
+    }
+    return inside.received.length - before;
+  };
+  t.true((await sentInside(informed, dark)) > 0);
+  // Neither a zone that nobody knows, nor an order without a zone, nor one taken back at once, does any harm.
+  store.put('op/evacuate/nowhere', {});
+  store.put('op/evacuate/', {});
+  store.put('op/evacuate/zb', {});
+  store.remove('op/evacuate/zb');
+  store.put('op/evacuate/za', {});
+  store.remove('op/evacuate/za');
+  store.put('op/evacuate/za', {});
+  await until(async () => (await sentInside(informed, dark)) === 0);
+  const late = await startGateway('g-3', address);
+  const lateAndDark = await startGateway('g-4', darkAddress, [informed.peers]);
+  await until(() => isReady(late));
+  t.is(await sentInside(late), 0);
+  await until(() => isReady(lateAndDark));
+  t.is(await sentInside(lateAndDark), 0);
+  store.put('op/evacuate/zb', {});
+  const all = [informed, dark, late, lateAndDark];
+  await until(async () =>
+    (await Promise.all(all.map((each) => statusOf(each)))).every((status) => status === 503),
+  );
+  // The removals are lost with the history: a listing takes their place.
+  store.mood = 'silent';
+  store.remove('op/evacuate/za');
+  store.remove('op/evacuate/zb');
+  store.forgetHistory();
+  store.mood = 'answers';
+  for (const gateway of all) {
+    await until(async () => (await statusOf(gateway)) === 200);
+    await until(async () => (await sentInside(gateway)) > 0);
+  }
+  all.forEach(({ gateway }) => gateway.stop(() => undefined));
+  [inside, outside].forEach((each) => each.stop());
+  [store, darkStore].forEach((each) => each.stop());
+});
+
 test('a worker found to be another one is not asked for the same again, and the request goes on', async (t) => {
   const store = new StandinStore();
   const worker = new StandinWorker('w-new', answerWell);
--- a/test/rollout.test.ts
+++ b/test/rollout.test.ts
@@ -1,8 +1,14 @@
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
 import { decodeRollout, encodeRolloutState } from '../platform/rollout-formats.js';
+import { GatewayRollouts } from '../src/gateway/gateway-rollouts.js';
+import { ok } from '../src/result.js';
+import { Rollouts } from '../src/rollout/rollouts.js';
 import { judge } from '../src/rollout/sequential-test.js';
 import { ServiceRollout } from '../src/rollout/service-rollout.js';
+import { VirtualClock } from '../src/sim/virtual-clock.js';
+import type { DecisionLog } from '../src/telemetry/decision-log.js';
+import { backendOf, GatewayWorld } from './support/gateway.js';
 import { RolloutFleet } from './support/rollout-fleet.js';
 import type { FleetTroubles, RolloutRun, VersionBehaviour } from './support/rollout-fleet.js';
 
@@ -136,6 +142,85 @@
   t.true(rollout.tell(11_000).isBad);
 });
 
+/** Roll-outs of one gateway whose service has the given ready back ends. */
+function rolloutsWith(ready: { target: number; others: number }): Rollouts {
+  const clock = new VirtualClock();
+  const rollouts = new Rollouts(
+    'g',
+    {
+      countReady: () => ready,
+      countGateways: () => 1,
+      write: () => Promise.resolve(ok(1)),
+      onWritten: () => undefined,
+    },
+    clock,
+  );
+  rollouts.takeOrder(ORDER);
+  return rollouts;
+}
+
+const OLD = backendOf('old', { version: 'v1' });
+const NEW = backendOf('new', { version: 'v2' });
+
+test('an order that is removed ends its roll-out: the version gets nothing while there are others', (t) => {
+  const ready = { target: 1, others: 1 };
+  const rollouts = rolloutsWith(ready);
+  for (let index = 0; index < 100; index += 1) {
+    rollouts.noteSent(OLD);
+  }
+  t.is(rollouts.useOf(NEW), 'limited');
+  t.false(rollouts.takeRemoval('s', ORDER.revision - 1));
+  t.true(rollouts.takeRemoval('s', ORDER.revision + 1));
+  t.deepEqual([rollouts.useOf(OLD), rollouts.useOf(NEW)], ['open', 'closed']);
+  t.is(rollouts.tell(), undefined);
+  ready.others = 0;
+  t.is(rollouts.useOf(NEW), 'open');
+  rollouts.takeOrder({ ...ORDER, revision: ORDER.revision + 2 });
+  t.not(rollouts.tell(), undefined);
+});
+
+test('a completed roll-out whose order is removed leaves every version open', (t) => {
+  const rollouts = rolloutsWith({ target: 1, others: 1 });
+  rollouts.takeStatus({ ...ORDER, state: 'completed', revision: 6 });
+  t.deepEqual([rollouts.useOf(OLD), rollouts.useOf(NEW)], ['closed', 'open']);
+  rollouts.takeRemoval('s', 7);
+  t.deepEqual([rollouts.useOf(OLD), rollouts.useOf(NEW)], ['open', 'open']);
+});
+
+test('the old version is used where every back end of the new one is in an evacuated zone', (t) => {
+  const ready = { target: 0, others: 1 };
+  const rollouts = rolloutsWith(ready);
+  rollouts.takeStatus({ ...ORDER, state: 'completed', revision: 6 });
+  t.is(rollouts.useOf(OLD), 'open');
+  ready.target = 1;
+  t.is(rollouts.useOf(OLD), 'closed');
+});
+
+test('back ends of evacuated zones do not count as those of a version', (t) => {
+  const world = new GatewayWorld(
+    backendOf('a', { zone: 'za', version: 'v2' }),
+    backendOf('b', { zone: 'zb', version: 'v2' }),
+    backendOf('c', { zone: 'zb', version: 'v1' }),
+  );
+  const log = { write: () => undefined } as unknown as DecisionLog;
+  const { rollouts } = new GatewayRollouts({
+    incarnation: 'g',
+    directory: world.directory,
+    adapter: { writeRolloutState: () => Promise.resolve(ok(1)) },
+    clock: world.clock,
+    log,
+    countGateways: () => 1,
+    isEvacuated: (zone) => world.isEvacuated(zone),
+  });
+  rollouts.takeOrder(ORDER);
+  rollouts.takeStatus({ ...ORDER, state: 'completed', revision: 6 });
+  t.is(rollouts.useOf(OLD), 'closed');
+  world.order('zb', true);
+  t.is(rollouts.useOf(OLD), 'closed');
+  world.order('za', true);
+  t.is(rollouts.useOf(OLD), 'open');
+});
+
 test('orders and states are read and written as the platform names them', (t) => {
   const value = JSON.stringify({ service: 's', targetVersion: 'v2', durationS: 12 });
   t.deepEqual(decodeRollout({ key: 'op/rollout/s', revision: 7, value }), {
@@ -148,5 +233,10 @@
     kind: 'rollout-status',
     status: { service: 's', targetVersion: 'v2', state: 'rolled-back', revision: 9 },
   });
+  t.deepEqual(decodeRollout({ key: 'op/rollout/s', revision: 8, value: undefined }), {
+    kind: 'rollout-removed',
+    service: 's',
+    revision: 8,
+  });
   t.throws(() => decodeRollout({ key: 'op/rollout/s', revision: 7, value: '{"durationS":-1}' }));
 });
--- a/test/slot-agent-role.test.ts
+++ b/test/slot-agent-role.test.ts
@@ -31,7 +31,10 @@
     {
       identity: { name: 'agent', engine: { address: `${HOST}:1`, zone: 'z' }, seeds: [] },
       places: new Places(new Map()),
-      decode: () => ({ kind: 'irrelevant' }),
+      decode: ({ key, revision, value }) => ({
+        kind: 'evacuation',
+        change: { zone: key, isOrdered: value !== undefined, revision },
+      }),
       readReport: () => Promise.resolve({ kind: 'load', requests: requestsAtEngine() }),
       clock: SYSTEM_CLOCK,
       random: new SeededRandom(1),
@@ -126,6 +129,29 @@
   other.close();
 });
 
+test('an agent grants nothing in an evacuated zone, whatever a gateway asks that does not know of it', async (t) => {
+  const { port, stop } = startAgent(() => 0);
+  const tell = (revision: number, value: string | undefined) => ({
+    kind: 'records' as const,
+    since: 0,
+    completeTo: revision,
+    isWhole: false,
+    records: [{ key: 'z', revision, value }],
+  });
+  const [informed, uninformed] = [new PlayedGateway(port), new PlayedGateway(port)];
+  informed.hello('informed');
+  informed.say(tell(7, ''), tell(6, undefined));
+  await informed.hears('state');
+  uninformed.hello('uninformed');
+  uninformed.waitForSlot();
+  await new Promise((resolve) => setTimeout(resolve, 400));
+  t.false(uninformed.heard.some(({ kind }) => kind === 'granted'));
+  informed.say(tell(8, undefined));
+  t.is((await uninformed.hears('granted')).kind, 'granted');
+  [informed, uninformed].forEach((gateway) => gateway.close());
+  stop();
+});
+
 test('a message before the hello is answered with the reason, and the connection ends', async (t) => {
   const { port, stop } = startAgent(() => 0);
   t.teardown(stop);
