--- a/src/cli/queries/explain-logs.ts
+++ b/src/cli/queries/explain-logs.ts
@@ -36,6 +36,7 @@
   'backend-gone',
   'backend-ejected',
   'backend-availability',
+  'zone-evacuation',
   'agent-lost',
   'peer-gone',
 ]);
@@ -53,6 +54,7 @@
   'no-backend': 'no back end of the service was listed as ready, or none could be reached',
   'no-common-home': 'its route and its tenant name no region in common',
   'no-backend-at-home': 'no back end in the regions where it may be served could be given requests',
+  'zone-evacuated': 'operators had evacuated every zone in which it could have been served',
   stopping: 'the process was stopping',
   'not-started-in-time': 'its time was over before a back end was free',
   'backend-refused': 'the back end said that it did not run it, and no other try was allowed',
--- a/src/gateway/admission/gateway-refusal.ts
+++ b/src/gateway/admission/gateway-refusal.ts
@@ -13,6 +13,7 @@
   | 'quota-spent'
   | 'overloaded'
   | 'no-backend'
+  | 'zone-evacuated'
   | 'stopping'
   | 'not-started-in-time'
   | 'backend-refused'
@@ -43,6 +44,7 @@
   'no-backend': 503,
   'no-common-home': 503,
   'no-backend-at-home': 503,
+  'zone-evacuated': 503,
   stopping: 503,
   'not-started-in-time': 503,
   'backend-refused': 503,
--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -83,6 +83,25 @@
     this.finish(0, 'caller-left');
   }
 
+  /** Goes elsewhere if operators permit its back end no more and nothing was sent there yet; says whether. */
+  withdrawUnsent(): boolean {
+    const { backend, attempt, phase } = this;
+    if (phase !== 'sent' || backend === undefined || attempt === undefined) {
+      return false;
+    }
+    const isPermitted = this.ports.directory.isPermitted(backend, this.request.allowedRegions);
+    if (isPermitted || !attempt.withdraw()) {
+      return false;
+    }
+    this.endAttempt(
+      'unknown',
+      'taken back before it was sent: operators permit the back end no more',
+    );
+    this.attempts -= 1;
+    this.moveOn(backend.id);
+    return true;
+  }
+
   private waitForBackend(): void {
     this.phase = 'waiting';
     this.clearStepTimer();
@@ -102,7 +121,12 @@
   }
 
   private giveUpWaiting(homeReason: HomeRefusalReason | undefined): void {
-    const hasBackends = this.ports.directory.countReady(this.request.service) > 0;
+    if (homeReason === undefined && this.wait?.isEvacuated === true) {
+      this.answerFailure('zone-evacuated');
+      return;
+    }
+    const { service, allowedRegions } = this.request;
+    const hasBackends = this.ports.directory.countReady(service, allowedRegions) > 0;
     this.answerFailure(homeReason ?? (hasBackends ? 'overloaded' : 'no-backend'));
   }
 
--- a/src/gateway/dispatch/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -47,6 +47,8 @@
   onSent(backend: Backend): void;
   /** A back end was ejected for its failures. */
   onEjected(backendId: string): void;
+  /** A request was kept from back ends that operators do not permit; once for each reason. */
+  onKept(reason: RestrictionReason): void;
   /** The agent beside a back end says whether it may be used. */
   onAvailability(backend: Backend, availability: EngineAvailability): void;
 }
@@ -120,8 +122,28 @@
     }
   }
 
+  /**
+   * Takes in what operators ordered: `apply` changes what back ends are permitted. What is left of each
+   * service's slots is reckoned with at once, and what waits is served by whatever is permitted now.
+   */
+  changeOrders(apply: () => void, nowMs: number): void {
+    const { directory } = this;
+    const before = directory.services.map((service) => directory.countSlots(service));
+    apply();
+    for (const [index, service] of directory.services.entries()) {
+      directory.assignAnew(service, nowMs);
+      this.queueOf(service).scaleSupply(before[index]!, directory.countSlots(service));
+      this.serve(service, nowMs);
+      this.tellDemand(service, nowMs);
+    }
+  }
+
   /** Binds the request now if a slot is free; otherwise it waits in order. */
   submit(request: DispatchRequest, nowMs: number): void {
+    const { service, allowedRegions } = request;
+    for (const reason of this.directory.restrictions(service, allowedRegions)) {
+      this.ports.onKept(reason);
+    }
     this.queueOf(request.service).add(request, nowMs);
     this.serve(request.service, nowMs);
   }
@@ -332,11 +354,10 @@
   private tellDemand(service: string, nowMs: number): void {
     const inputs = {
       waiting: this.waitingInOrder(service, nowMs),
-      tokensPerEvent: this.ports.tokensPerEvent(service),
       maxLength: this.options.demandLength,
-      isOpen: ({ backend }: KnownBackend) => this.ports.versionUse(backend) === 'open',
-      isPermitted: (request: DispatchRequest, known: KnownBackend) =>
-        this.chooser.isPermitted(request, known),
+      isOpen: (known: KnownBackend) => this.chooser.isOpen(known),
+      fits: (request: DispatchRequest, known: KnownBackend) =>
+        this.chooser.fitsGrant(request, known),
     };
     for (const known of this.directory.ofService(service)) {
       const demand = nextDemand(known, inputs, nowMs);
--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -53,9 +53,15 @@
 /** Wait from which a request's line says what it was kept from, in milliseconds: shorter ones trouble nobody. */
 const HELD_UP_MS = 100;
 
+/** A request that waits or runs. */
+interface ActiveRequest {
+  readonly homes: RequestHomes;
+  readonly proxied: ProxiedRequest;
+}
+
 /** The requests of a gateway's callers. */
 export class GatewayRequests {
-  private readonly active = new Map<AcceptedRequest, RequestHomes>();
+  private readonly active = new Map<AcceptedRequest, ActiveRequest>();
   private readonly admission: RequestAdmission;
   private readonly budget: RetryBudget;
   private readonly ports: RequestPorts;
@@ -89,6 +95,11 @@
     return this.active.size;
   }
 
+  /** Requests whose back end is not permitted any more go elsewhere where nothing was sent; says how many. */
+  withdrawUnsent(): number {
+    return [...this.active.values()].filter(({ proxied }) => proxied.withdrawUnsent()).length;
+  }
+
   /** Repeats that the budget still allows, by service. */
   repeatsLeft(nowMs: number): ReturnType<RetryBudget['repeatsLeft']> {
     return this.budget.repeatsLeft(this.parts.cluster.size, nowMs);
@@ -96,7 +107,7 @@
 
   /** A configuration came into force: what waits, is tried again or resumed keeps to its homes from now on. */
   followConfiguration(): void {
-    for (const homes of this.active.values()) {
+    for (const { homes } of this.active.values()) {
       homes.refresh();
     }
   }
@@ -134,7 +145,7 @@
     const request = followHomes(admitted.val, homes);
     this.budget.countRequest(request.service, this.parts.clock.now());
     const proxied = new ProxiedRequest(request, reply, this.ports, DEFAULT_REQUEST_OPTIONS);
-    this.active.set(request, homes);
+    this.active.set(request, { homes, proxied });
     proxied.begin();
     return proxied;
   }
@@ -163,7 +174,7 @@
 
   private noteEnd(request: AcceptedRequest, end: RequestEnd): void {
     const { metrics, log, dispatcher, cluster, configuration } = this.parts;
-    const homes = this.active.get(request);
+    const homes = this.active.get(request)?.homes;
     this.active.delete(request);
     metrics.recordEnd(request, end);
     const isSuccess = end.reason === 'answered' && end.status < FIRST_ERROR_STATUS;
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -6,9 +6,8 @@
 import type { EngineAvailability } from '../slot-agent/engine-watch.js';
 import { findUnknownHome } from '../routing/home-regions.js';
 import type { InvalidHomesError } from '../routing/home-regions.js';
+import type { OperatorRules } from '../routing/backend-restriction.js';
 import { Places } from '../routing/places.js';
-import { ZoneEvacuations } from '../routing/zone-evacuations.js';
-import type { EvacuationChange } from '../routing/zone-evacuations.js';
 import type { RoutingConfiguration } from '../routing/configuration.js';
 import { ConfigurationInForce } from './configuration-in-force.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
@@ -17,6 +16,7 @@
 import { Dispatcher } from './dispatch/dispatcher.js';
 import type { GatewayAdapter } from './gateway-adapter.js';
 import { GatewayCluster } from './gateway-cluster.js';
+import { GatewayEvacuations } from './gateway-evacuations.js';
 import { GatewayRequests } from './gateway-requests.js';
 import { GatewayRollouts } from './gateway-rollouts.js';
 import { countBackends } from './metrics/gateway-snapshot.js';
@@ -56,7 +56,7 @@
 export class GatewayRole {
   private readonly cluster: GatewayCluster;
   private readonly directory: BackendDirectory;
-  private readonly evacuations = new ZoneEvacuations();
+  private readonly evacuations: GatewayEvacuations;
   private readonly places: Places;
   private readonly dispatcher: Dispatcher;
   private readonly rollouts: GatewayRollouts;
@@ -80,10 +80,18 @@
     this.configuration = new ConfigurationInForce(clock);
     this.places = new Places(settings.places.zones);
     const isEngine = (service: string) => this.configuration.isEngine(service);
-    const regionOf = (zone: string) => this.places.regionOf(zone);
+    const orders: OperatorRules = {
+      versionUse: (backend) => this.rollouts.rollouts.useOf(backend),
+      isEvacuated: (zone) => this.evacuations.zones.isEvacuated(zone),
+      regionOf: (zone) => this.places.regionOf(zone),
+    };
     this.directory = new BackendDirectory(settings.process, {
       isEngine,
-      homeRegions: () => ({ named: this.configuration.homes?.regions ?? new Set(), regionOf }),
+      homeRegions: () => ({
+        named: this.configuration.homes?.regions ?? new Set(),
+        regionOf: orders.regionOf,
+      }),
+      ...orders,
     });
     this.dispatcher = new Dispatcher(this.directory, {
       sendToAgent: (backendId, message) => this.links.send(backendId, message),
@@ -92,17 +100,25 @@
       isEngine,
       countGateways: () => this.cluster.size,
       tokensPerEvent: (service) => this.configuration.tokensPerEvent(service),
-      versionUse: (backend) => this.rollouts.rollouts.useOf(backend),
-      isEvacuated: (zone) => this.evacuations.isEvacuated(zone),
-      regionOf,
+      ...orders,
       configurationVersion: () => this.configuration.version,
+      onKept: (reason) => parts.metrics.record(({ requestsKept }) => requestsKept.inc({ reason })),
       onSent: (backend) => this.rollouts.rollouts.noteSent(backend),
     });
+    this.evacuations = new GatewayEvacuations({
+      ...parts,
+      directory: this.directory,
+      dispatcher: this.dispatcher,
+      places: this.places,
+      storeAgeMs: () => this.cluster.storeAgeMs,
+      withdrawUnsent: () => this.requests.withdrawUnsent(),
+    });
     this.rollouts = new GatewayRollouts({
       ...parts,
       incarnation,
       directory: this.directory,
       countGateways: () => this.cluster.size,
+      isEvacuated: orders.isEvacuated,
     });
     this.listener = new CallerListener(
       (head, reply) => this.requests.take(head, reply),
@@ -225,6 +241,7 @@
     this.links.maintain();
     this.links.tellAlive();
     this.cluster.tick();
+    this.evacuations.tick();
     this.rollouts.rollouts.tick();
     if (this.ticks % AGENT_REVISION_TICKS === 0) {
       this.links.tellRevision();
@@ -263,20 +280,17 @@
       });
       this.dispatcher.updateBackend(id, backend, clock.now());
     } else if (decoded.kind === 'evacuation') {
-      this.takeEvacuation(decoded.change);
+      this.evacuations.take(decoded.change);
     } else if (decoded.kind === 'rollout-order') {
       this.rollouts.takeOrder(decoded.order);
+    } else if (decoded.kind === 'rollout-removed') {
+      this.rollouts.takeRemoval(decoded.service, decoded.revision);
     } else if (decoded.kind === 'rollout-status') {
       this.rollouts.takeStatus(decoded.status);
     } else if (decoded.kind === 'invalid') {
-      const { problem } = decoded;
-      log.write('configuration-refused', 'state', { problem, revision: record.revision });
-    }
-  }
-
-  private takeEvacuation(change: EvacuationChange): void {
-    if (this.evacuations.take(change, this.parts.clock.now())) {
-      this.parts.log.write('zone-evacuation', 'state', { ...change });
+      const { problem, isConfiguration } = decoded;
+      const event = isConfiguration ? 'configuration-refused' : 'record-refused';
+      log.write(event, 'state', { problem, revision: record.revision });
     }
   }
 
@@ -328,6 +342,7 @@
       storeAgeMs: this.cluster.storeAgeMs,
       configurationAgeMs: this.configuration.ageMs,
       backends: countBackends(this.directory.list(), nowMs),
+      evacuatedZones: this.evacuations.zones.count,
       repeatsLeft: this.requests.repeatsLeft(nowMs),
       quotaUse: this.quotas.use(),
       waiting: this.dispatcher.waitingByService(),
--- a/src/slot-agent/slot-agent-role.ts
+++ b/src/slot-agent/slot-agent-role.ts
@@ -193,8 +193,13 @@
   /** Takes in records of the store that are news. */
   private learn(records: readonly StoreRecord[]): void {
     const before = this.knowledge.homesToTell?.configuration;
+    const { decode, identity, log } = this.parts;
     for (const record of records) {
-      this.knowledge.take(this.parts.decode(record), this.clock.now());
+      const decoded = decode(record);
+      this.knowledge.take(decoded, this.clock.now());
+      if (decoded.kind === 'evacuation' && decoded.change.zone === identity.engine.zone) {
+        log.write('zone-evacuation', 'state', { ...decoded.change, ...this.ledger.snapshot });
+      }
     }
     if (this.knowledge.homesToTell?.configuration !== before) {
       this.ledger.followOrders(this.clock.now());
