--- a/bench/soak/soak-faults.ts
+++ b/bench/soak/soak-faults.ts
@@ -9,6 +9,9 @@
 const STOP_MS = 4_500;
 /** Time from the announcement of a leave to the next incarnation. */
 const DRAIN_MS = 4_000;
+/** How long evacuations stand: short enough to end with the faults' recovery, long enough to be seen broken. */
+const EVACUATION_MIN_MS = 500;
+const EVACUATION_MAX_MS = 4_000;
 /** Time after an outage until a back end announces itself again. */
 const REANNOUNCE_MS = 1_000;
 
@@ -120,6 +123,13 @@
     setTimeout(() => fleet.announce(index, 'ready'), forMs + REANNOUNCE_MS);
     return `back end ${index} lapses in an outage of the store of ${forMs} ms`;
   },
+  function evacuateZone(fleet, random) {
+    const index = randomInteger(random, 0, fleet.backends.length - 1);
+    const forMs = randomInteger(random, EVACUATION_MIN_MS, EVACUATION_MAX_MS);
+    const evacuation = fleet.evacuate(index);
+    setTimeout(() => fleet.takeBack(evacuation), forMs);
+    return `the zone of back end ${index} is evacuated for ${forMs} ms`;
+  },
   function changeConfiguration(fleet) {
     fleet.changeConfiguration();
     return 'change of the configuration';
--- a/bench/soak/soak-fleet.ts
+++ b/bench/soak/soak-fleet.ts
@@ -64,6 +64,15 @@
   }
 }
 
+/** A standing order to send nothing to a back end's zone. */
+export interface SoakEvacuation {
+  /** Index of the one back end in the zone. */
+  readonly index: number;
+  readonly fromMs: number;
+  /** Infinity until it is taken back. */
+  untilMs: number;
+}
+
 /** Everything that a soak starts. */
 export class SoakFleet {
   readonly store = new StandinStore();
@@ -75,6 +84,7 @@
   readonly folder = mkdtempSync(join(tmpdir(), 'weirvale-soak-'));
   /** When back ends announced that they leave, by id. */
   readonly drainedAtMs = new Map<string, number>();
+  readonly evacuations: SoakEvacuation[] = [];
   private version = 0;
 
   constructor(
@@ -149,7 +159,13 @@
   announce(index: number, state: 'ready' | 'draining'): void {
     const address = `${backendHost(index)}:${this.basePort + PORTS.backend}`;
     const { id } = this.backends[index]!;
-    this.store.put(`servers/${id}`, { service: 'engines', address, slots: 6, state });
+    this.store.put(`servers/${id}`, {
+      service: 'engines',
+      address,
+      slots: 6,
+      state,
+      zone: zoneOf(index),
+    });
   }
 
   /** A back end announces that it leaves; what was sent there later than the bound is a violation. */
@@ -158,6 +174,23 @@
     this.announce(index, 'draining');
   }
 
+  /** Operators evacuate a back end's zone; what is sent there later than the bound is a violation. */
+  evacuate(index: number): SoakEvacuation {
+    const evacuation = { index, fromMs: performance.now(), untilMs: Infinity };
+    this.evacuations.push(evacuation);
+    this.store.put(`op/evacuate/${zoneOf(index)}`, {});
+    return evacuation;
+  }
+
+  /** Operators take the zone back, unless another order for it stands. */
+  takeBack(evacuation: SoakEvacuation): void {
+    evacuation.untilMs = performance.now();
+    const { index } = evacuation;
+    if (!this.evacuations.some((other) => other.index === index && other.untilMs === Infinity)) {
+      this.store.remove(`op/evacuate/${zoneOf(index)}`);
+    }
+  }
+
   /** The announcement of a back end lapses though it lives. */
   lapseBackend(index: number): void {
     this.store.remove(`servers/${this.backends[index]!.id}`);
@@ -193,7 +226,7 @@
   private gatewaySettings(index: number): string {
     const at = (port: number) => `${gatewayHost(index)}:${this.basePort + port}`;
     const lines = [
-      ...this.processSettings('gateway', `gateway-${index}`, gatewayHost(index)),
+      ...this.processSettings('gateway', `gateway-${index}`, gatewayHost(index), 'z'),
       '[listen]',
       `callers = ${at(PORTS.callers)}`,
       `readiness = ${at(PORTS.readiness)}`,
@@ -211,7 +244,7 @@
 
   private agentSettings(index: number): string {
     const lines = [
-      ...this.processSettings('slot-agent', `agent-${index}`, backendHost(index)),
+      ...this.processSettings('slot-agent', `agent-${index}`, backendHost(index), zoneOf(index)),
       '[listen]',
       `slotAgentPort = ${this.basePort + PORTS.agent}`,
       '[cluster]',
@@ -222,8 +255,14 @@
     return lines.join('\n');
   }
 
-  private processSettings(role: string, name: string, address: string): string[] {
-    return ['[process]', `role = ${role}`, `name = ${name}`, 'zone = z', `address = ${address}`];
+  private processSettings(role: string, name: string, address: string, zone: string): string[] {
+    return [
+      '[process]',
+      `role = ${role}`,
+      `name = ${name}`,
+      `zone = ${zone}`,
+      `address = ${address}`,
+    ];
   }
 
   private seeds(): string {
@@ -231,6 +270,11 @@
   }
 }
 
+/** Each back end has a zone of its own. */
+function zoneOf(backendIndex: number): string {
+  return `zone-${backendIndex}`;
+}
+
 function gatewayHost(index: number): string {
   return `127.0.1.${10 + index}`;
 }
--- a/bench/soak/soak-run.ts
+++ b/bench/soak/soak-run.ts
@@ -6,7 +6,7 @@
 import type { BackendRun } from './soak-backend.js';
 import { doFault } from './soak-faults.js';
 import { SOAK_KEY, SOAK_TIMEOUT_MS, SoakFleet } from './soak-fleet.js';
-import type { SoakSizes } from './soak-fleet.js';
+import type { SoakEvacuation, SoakSizes } from './soak-fleet.js';
 
 /** What a soak is to do. */
 export interface SoakPlan {
@@ -49,6 +49,8 @@
 const LATE_MS = 700;
 /** Time after the announcement of a leave in which requests may still arrive, in milliseconds. */
 const DRAIN_BOUND_MS = 2_200;
+/** Time after an evacuation in which requests may still arrive, in milliseconds. */
+const EVACUATION_BOUND_MS = 2_200;
 const PROMISE_STATUSES = new Set([408, 421, 429, 503]);
 
 /** Runs one soak. */
@@ -81,6 +83,7 @@
     ...late,
     ...findViolations(seen, runs, calmFromMs),
     ...findLateForLeaving(runs, fleet.drainedAtMs, isCalmSince),
+    ...findInEvacuated(runs, fleet.evacuations, isCalmSince),
   ];
   const answered = seen.filter(({ status }) => status === 200).length;
   const { folder } = fleet;
@@ -195,6 +198,25 @@
   });
 }
 
+/** Requests that a back end was given later than the bound after its zone was evacuated. */
+export function findInEvacuated(
+  runs: readonly BackendRun[],
+  evacuations: readonly SoakEvacuation[],
+  isCalmSince: (requestId: string, sinceMs: number) => boolean,
+): string[] {
+  return evacuations.flatMap(({ index, fromMs, untilMs }) => {
+    // Incarnations at one address have longer and longer ids.
+    const isThere = ({ backendId }: BackendRun) => backendId.replaceAll('x', '') === `e-${index}`;
+    const isLate = ({ atMs }: BackendRun) => atMs > fromMs + EVACUATION_BOUND_MS && atMs < untilMs;
+    return runs
+      .filter((run) => isThere(run) && isLate(run) && isCalmSince(run.requestId, fromMs))
+      .map(
+        ({ requestId, backendId, atMs }) =>
+          `${requestId} ran at ${backendId} ${Math.round(atMs - fromMs)} ms after its zone was evacuated`,
+      );
+  });
+}
+
 /** The promises that were broken, from what callers and back ends saw. */
 export function findViolations(
   seen: readonly SeenRequest[],
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -1,6 +1,12 @@
 import { execFileSync } from 'node:child_process';
 import test from 'ava';
-import { findHeld, findLateForLeaving, findViolations, runSoak } from '../bench/soak/soak-run.js';
+import {
+  findHeld,
+  findInEvacuated,
+  findLateForLeaving,
+  findViolations,
+  runSoak,
+} from '../bench/soak/soak-run.js';
 import type { SeenRequest } from '../bench/soak/soak-run.js';
 
 const SEED = 7;
@@ -66,3 +72,22 @@
   t.is(findHeld(held, 150).length, 0);
   t.is(findHeld(CALM, 0).length, 0);
 });
+
+test('the check of evacuations sees what was sent too late to a zone, until it was taken back', (t) => {
+  const run = (requestId: string, atMs: number, backendId = 'e-1xx') => ({
+    ...runOf(requestId),
+    backendId,
+    atMs,
+  });
+  const evacuations = [{ index: 1, fromMs: 1_000, untilMs: 6_000 }];
+  const isCalm = (requestId: string) => requestId !== 'touched';
+  const runs = [
+    run('early', 3_000),
+    run('late', 3_500),
+    run('touched', 3_500),
+    run('elsewhere', 3_500, 'e-11'),
+    run('afterwards', 6_001),
+  ];
+  const violations = findInEvacuated(runs, evacuations, isCalm);
+  t.deepEqual(violations, ['late ran at e-1xx 2500 ms after its zone was evacuated']);
+});
