--- a/test/zone-evacuation.test.ts
+++ b/test/zone-evacuation.test.ts
@@ -2,6 +2,8 @@
 import test from 'ava';
 import { BackendDirectory } from '../src/gateway/dispatch/backend-directory.js';
 import { SlotSupply } from '../src/gateway/dispatch/slot-supply.js';
+import { GatewayEvacuations } from '../src/gateway/gateway-evacuations.js';
+import { Places } from '../src/routing/places.js';
 import type { SlotAnswer, SlotDemand } from '../src/slot-agent/slot-messages.js';
 import { backendOf, GatewayWorld, routeOf } from './support/gateway.js';
 
@@ -326,3 +328,73 @@
   directory.update('a', backendOf('a'), 0);
   t.is(directory.permitted('s', undefined).length, 1);
 });
+
+/** A gateway's evacuations before the world's back ends, and the lines that they write. */
+function evacuationsOf(world: GatewayWorld) {
+  const lines: Array<Readonly<Record<string, unknown>>> = [];
+  const evacuations = new GatewayEvacuations({
+    directory: world.directory,
+    dispatcher: world.dispatcher,
+    places: new Places(new Map([['za', 'east']])),
+    clock: world.clock,
+    log: { write: (event, _priority, fields) => void lines.push({ event, ...fields }) },
+    storeAgeMs: () => 40,
+    withdrawUnsent: () => 0,
+  });
+  world.isEvacuated = (zone) => evacuations.zones.isEvacuated(zone);
+  return { evacuations, lines };
+}
+
+test('each order is told once: when it is acted on, when nothing runs there any more, and its end', async (t) => {
+  const world = new GatewayWorld(backendOf('a', { zone: 'za' }));
+  const { evacuations, lines } = evacuationsOf(world);
+  world.request();
+  evacuations.take({ zone: 'za', isOrdered: true, revision: 5 });
+  evacuations.take({ zone: 'za', isOrdered: true, revision: 5 });
+  evacuations.take({ zone: 'za', isOrdered: false, revision: 4 });
+  t.is(lines.length, 1);
+  t.like(lines[0], {
+    event: 'zone-evacuation',
+    isOrdered: true,
+    revision: 5,
+    isKnownZone: true,
+    backends: 1,
+    running: 1,
+    storeAgeMs: 40,
+  });
+  evacuations.tick();
+  t.is(lines.length, 1);
+  await world.clock.runUntil(30);
+  world.answer(0, 200, '');
+  evacuations.tick();
+  evacuations.tick();
+  t.deepEqual(lines.slice(1), [{ event: 'zone-cleared', zone: 'za', revision: 5, afterMs: 30 }]);
+  evacuations.take({ zone: 'za', isOrdered: false, revision: 6 });
+  t.like(lines[2], { event: 'zone-evacuation', isOrdered: false, revision: 6, stoodForMs: 30 });
+  world.request();
+  t.is(world.attempts.length, 2);
+});
+
+test('an order that is taken back and given anew at once stands', (t) => {
+  const world = new GatewayWorld(backendOf('a', { zone: 'za' }));
+  const { evacuations } = evacuationsOf(world);
+  evacuations.take({ zone: 'za', isOrdered: true, revision: 5 });
+  evacuations.take({ zone: 'za', isOrdered: true, revision: 7 });
+  evacuations.take({ zone: 'za', isOrdered: false, revision: 6 });
+  world.request();
+  t.is(world.attempts.length, 0);
+});
+
+test('an order for a zone that nobody knows says so once and changes nothing', (t) => {
+  const world = new GatewayWorld(backendOf('a', { zone: 'za' }));
+  const { evacuations, lines } = evacuationsOf(world);
+  evacuations.take({ zone: 'nowhere', isOrdered: true, revision: 5 });
+  evacuations.tick();
+  evacuations.take({ zone: 'nowhere', isOrdered: true, revision: 5 });
+  t.deepEqual(
+    lines.filter(({ event }) => event === 'zone-evacuation').map(({ isKnownZone }) => isKnownZone),
+    [false],
+  );
+  world.request();
+  t.is(world.attempts.length, 1);
+});
