--- a/src/gateway/gateway-evacuations.ts
+++ b/src/gateway/gateway-evacuations.ts
@@ -44,14 +44,21 @@
 
   /** Notices when nothing of this gateway runs in an evacuated zone any more; to be called each tick. */
   tick(): void {
+    const { clock, log, places } = this.parts;
     for (const zone of this.clearing) {
-      if (countRunning(this.backendsOf(zone)) > 0) {
+      const backends = this.backendsOf(zone);
+      if (countRunning(backends) > 0) {
         continue;
       }
       this.clearing.delete(zone);
       const { revision, learnedAtMs } = this.zones.find(zone)!;
-      const afterMs = this.parts.clock.now() - learnedAtMs;
-      this.parts.log.write('zone-cleared', 'state', { evacuatedZone: zone, revision, afterMs });
+      log.write('zone-cleared', 'state', {
+        evacuatedZone: zone,
+        revision,
+        afterMs: clock.now() - learnedAtMs,
+        // Said here, not with the order: a listing names orders before the back ends of their zones.
+        isKnownZone: places.isKnown(zone) || backends.length > 0,
+      });
     }
   }
 
@@ -60,7 +67,7 @@
     before: KnownEvacuation | undefined,
     withdrawn: number,
   ): void {
-    const { places, log, clock, storeAgeMs } = this.parts;
+    const { log, clock, storeAgeMs } = this.parts;
     const { zone, isOrdered, revision } = change;
     const backends = this.backendsOf(zone);
     if (isOrdered) {
@@ -72,7 +79,6 @@
       evacuatedZone: zone,
       isOrdered,
       revision,
-      isKnownZone: places.isKnown(zone) || backends.length > 0,
       backends: backends.length,
       running: countRunning(backends),
       withdrawn,
