--- a/bench/soak/soak-fleet.ts
+++ b/bench/soak/soak-fleet.ts
@@ -73,6 +73,15 @@
   }
 }
 
+/** A standing order to send nothing to a back end's zone. */
+export interface SoakEvacuation {
+  /** Index of the one back end in the zone. */
+  readonly index: number;
+  readonly fromMs: number;
+  /** Infinity until it is taken back. */
+  untilMs: number;
+}
+
 /** Everything that a soak starts. */
 export class SoakFleet {
   readonly store = new StandinStore();
@@ -86,6 +95,7 @@
   readonly drainedAtMs = new Map<string, number>();
   /** The homes that were put in force, oldest first. */
   readonly homeChanges: HomeChange[] = [];
+  readonly evacuations: SoakEvacuation[] = [];
   private version = 0;
 
   constructor(
@@ -174,6 +184,24 @@
     this.announce(index, 'draining');
   }
 
+  /** Operators evacuate a back end's zone; what is sent there later than the bound is a violation. */
+  evacuate(index: number): SoakEvacuation {
+    const evacuation = { index, fromMs: performance.now(), untilMs: Infinity };
+    this.evacuations.push(evacuation);
+    this.store.put(`op/evacuate/${zoneOf(index)}`, {});
+    return evacuation;
+  }
+
+  /** Operators take the zone back, unless another order for it stands. */
+  takeBack(evacuation: SoakEvacuation): void {
+    evacuation.untilMs = performance.now();
+    const zone = zoneOf(evacuation.index);
+    const isOfZone = ({ index }: SoakEvacuation) => zoneOf(index) === zone;
+    if (!this.evacuations.some((other) => isOfZone(other) && other.untilMs === Infinity)) {
+      this.store.remove(`op/evacuate/${zone}`);
+    }
+  }
+
   /** The announcement of a back end lapses though it lives. */
   lapseBackend(index: number): void {
     this.store.remove(`servers/${this.backends[index]!.id}`);
@@ -265,6 +293,11 @@
   }
 }
 
+/** Each back end has a zone of its own. */
+function zoneOf(backendIndex: number): string {
+  return `zone-${backendIndex}`;
+}
+
 function gatewayHost(index: number): string {
   return `127.0.1.${10 + index}`;
 }
--- a/bench/soak/soak-run.ts
+++ b/bench/soak/soak-run.ts
@@ -7,7 +7,7 @@
 import { doFault } from './soak-faults.js';
 import { findOutsideHome } from './soak-homes.js';
 import { SOAK_KEY, SOAK_TIMEOUT_MS, SoakFleet } from './soak-fleet.js';
-import type { SoakSizes } from './soak-fleet.js';
+import type { SoakEvacuation, SoakSizes } from './soak-fleet.js';
 
 /** What a soak is to do. */
 export interface SoakPlan {
@@ -50,6 +50,8 @@
 const LATE_MS = 700;
 /** Time after the announcement of a leave in which requests may still arrive, in milliseconds. */
 const DRAIN_BOUND_MS = 2_200;
+/** Time after an evacuation in which requests may still arrive, in milliseconds. */
+const EVACUATION_BOUND_MS = 2_200;
 const PROMISE_STATUSES = new Set([408, 421, 429, 503]);
 
 /** Runs one soak. */
@@ -59,9 +61,11 @@
   const seen: SeenRequest[] = [];
   const late: string[] = [];
   const faults: string[] = [];
-  const fleet = new SoakFleet(plan.sizes, plan.basePort, new SeededRandom(plan.seed + 1), (run) =>
-    runs.push(run),
-  );
+  const fleet = new SoakFleet(plan.sizes, plan.basePort, new SeededRandom(plan.seed + 1), (run) => {
+    runs.push(run);
+    const gateway = fleet.gateways[gatewayOf(run.requestId, plan.sizes.gateways)]!;
+    late.push(...findInEvacuated(run, fleet.evacuations, gateway.disturbedUntilMs));
+  });
   await fleet.start();
   await waitUntilReady(fleet, plan.sizes.gateways);
   const stopAtMs = performance.now() + plan.faultsMs + RECOVERY_MS + CALM_MS;
@@ -197,6 +201,28 @@
   });
 }
 
+/**
+ * A run in a zone later than the bound after its evacuation. Looked for while the soak runs: what a fault
+ * did to the gateway before has to be over by then, and later faults say nothing of it.
+ */
+export function findInEvacuated(
+  { requestId, backendId, atMs }: BackendRun,
+  evacuations: readonly SoakEvacuation[],
+  disturbedUntilMs: number,
+): string[] {
+  return evacuations
+    .filter(({ index, fromMs, untilMs }) => {
+      // Incarnations at one address have longer and longer ids.
+      const isThere = backendId.replaceAll('x', '') === `e-${index}`;
+      const sinceMs = Math.max(fromMs + EVACUATION_BOUND_MS, disturbedUntilMs);
+      return isThere && atMs > sinceMs && atMs < untilMs;
+    })
+    .map(
+      ({ fromMs }) =>
+        `${requestId} ran at ${backendId} ${Math.round(atMs - fromMs)} ms after its zone was evacuated`,
+    );
+}
+
 /** The promises that were broken, from what callers and back ends saw. */
 export function findViolations(
   seen: readonly SeenRequest[],
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -1,6 +1,12 @@
 import { execFileSync } from 'node:child_process';
 import test from 'ava';
-import { findHeld, findLateForLeaving, findViolations, runSoak } from '../bench/soak/soak-run.js';
+import {
+  findHeld,
+  findInEvacuated,
+  findLateForLeaving,
+  findViolations,
+  runSoak,
+} from '../bench/soak/soak-run.js';
 import { findOutsideHome } from '../bench/soak/soak-homes.js';
 import type { SeenRequest } from '../bench/soak/soak-run.js';
 
@@ -96,3 +102,15 @@
     'touched (/home/touched) ran at b in region b, which is no home of it',
   ]);
 });
+
+test('the check of evacuations sees what was sent too late to a zone, until it was taken back', (t) => {
+  const evacuations = [{ index: 1, fromMs: 1_000, untilMs: 6_000 }];
+  const find = (atMs: number, backendId = 'e-1xx', disturbedUntilMs = 0) =>
+    findInEvacuated({ ...runOf('q'), backendId, atMs }, evacuations, disturbedUntilMs);
+  t.deepEqual(find(3_500), ['q ran at e-1xx 2500 ms after its zone was evacuated']);
+  t.is(find(3_500, 'e-1xx', 3_400).length, 1);
+  t.deepEqual(find(3_000), []);
+  t.deepEqual(find(3_500, 'e-11'), []);
+  t.deepEqual(find(3_500, 'e-1xx', 3_600), []);
+  t.deepEqual(find(6_001), []);
+});
