--- a/src/bin/run-process.ts
+++ b/src/bin/run-process.ts
@@ -67,7 +67,7 @@
 }
 
 function startSlotAgent(settings: GatewaySettings, parts: ProcessParts, log: DecisionLog): void {
-  const { process: self, places, cluster, engine, listen } = settings;
+  const { process: self, places, cluster, engine, listen, limits } = settings;
   const { decode } = parts.createAdapter(cluster.store, cluster.storeTimeoutMs);
   const agent = new SlotAgentRole({
     identity: {
@@ -76,6 +76,7 @@
       seeds: cluster.seeds,
     },
     places: new Places(places.zones),
+    limits,
     decode,
     readReport: parts.createEngineReport(engine.address),
     clock: SYSTEM_CLOCK,
--- a/src/cluster/peer-mesh.ts
+++ b/src/cluster/peer-mesh.ts
@@ -75,6 +75,9 @@
   private readonly outgoing = new Map<string, OutgoingPeer>();
   /** Incarnations heard on open incoming connections, by name. */
   private readonly heard = new Map<string, string>();
+  /** Every address that was ever learned. */
+  private readonly everKnown = new Set<string>();
+  private hasHeard = false;
   private readonly server: Server;
   private isStopped = false;
   /** Addresses that peers have not been told of. */
@@ -97,6 +100,16 @@
     return Math.max(this.outgoing.size, this.heard.size) + 1;
   }
 
+  /** Addresses of all gateways that were ever known, those that are gone included. */
+  get addressesEverKnown(): ReadonlySet<string> {
+    return this.everKnown;
+  }
+
+  /** Whether some gateway was ever heard. */
+  get hasHeardPeers(): boolean {
+    return this.hasHeard;
+  }
+
   /** Takes connections of others. */
   listen(host: string, port: number): void {
     this.server.listen(port, host);
@@ -148,6 +161,7 @@
       if (address === '' || address === this.self.address || this.outgoing.has(address)) {
         continue;
       }
+      this.everKnown.add(address);
       this.outgoing.set(address, {
         address,
         channel: undefined,
@@ -271,6 +285,7 @@
     if (earlier !== undefined && earlier !== hello.incarnation) {
       this.handlers.onPeer(earlier, false);
     }
+    this.hasHeard = true;
     this.heard.set(hello.name, hello.incarnation);
     this.handlers.onPeer(hello.incarnation, true);
     this.learnAddresses([hello.address]);
--- a/src/gateway/attempt/attempt-progress.ts
+++ b/src/gateway/attempt/attempt-progress.ts
@@ -18,6 +18,8 @@
     private readonly promptTokens: number,
     private readonly startedAtMs: number,
     public lastEventAtMs: number | undefined,
+    /** Whether the back end was cold when the request was sent: its times say nothing of it warm. */
+    readonly isColdStart: boolean,
   ) {}
 
   /** Longest pause between two events of the stream, in milliseconds. */
@@ -35,7 +37,8 @@
     if (this.events === 0) {
       this.firstAtMs = nowMs;
       this.notePromptRead();
-      this.dispatcher.learnFirst(this.backendId, this.promptTokens, nowMs - this.startedAtMs);
+      this.dispatcher.noteFirst(this.backendId);
+      this.learnFirst(nowMs);
     }
     this.events += count;
     this.longestMs = Math.max(this.longestMs, nowMs - (this.lastEventAtMs ?? nowMs));
@@ -45,7 +48,7 @@
   /** The answer is whole. */
   noteWhole(nowMs: number): void {
     const pauses = this.events - 1;
-    if (pauses > 0) {
+    if (pauses > 0 && !this.isColdStart) {
       this.dispatcher.learnPause(this.backendId, (nowMs - this.firstAtMs) / pauses);
     }
   }
@@ -55,6 +58,12 @@
     this.notePromptRead();
   }
 
+  private learnFirst(nowMs: number): void {
+    if (!this.isColdStart) {
+      this.dispatcher.learnFirst(this.backendId, this.promptTokens, nowMs - this.startedAtMs);
+    }
+  }
+
   private notePromptRead(): void {
     if (!this.isPromptRead) {
       this.isPromptRead = true;
--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -120,6 +120,7 @@
       request.promptTokens,
       nowMs,
       this.progress?.lastEventAtMs,
+      ports.dispatcher.isCold(backend.id, nowMs),
     );
     const headers = ports.protocol.attemptHeaders(endToEndHeaders(request.headers, NO_HEADERS), {
       requestId: request.requestId,
@@ -231,8 +232,7 @@
     const isServerError = status >= HTTP_SERVER_ERROR;
     const backendId = this.backend!.id;
     if (!isServerError) {
-      const elapsedMs = this.ports.clock.now() - this.attemptStartedAtMs;
-      this.ports.dispatcher.learnSpeed(backendId, this.request.units, elapsedMs);
+      this.learnSpeed(backendId);
       this.progress!.noteWhole(this.ports.clock.now());
     }
     this.endAttempt(isServerError ? 'failed' : 'answered', `status ${status}`);
@@ -244,6 +244,14 @@
     this.endReply(answer);
   }
 
+  private learnSpeed(backendId: string): void {
+    if (this.progress!.isColdStart) {
+      return;
+    }
+    const elapsedMs = this.ports.clock.now() - this.attemptStartedAtMs;
+    this.ports.dispatcher.learnSpeed(backendId, this.request.units, elapsedMs);
+  }
+
   private endReply(answer: HeldAnswer): void {
     this.record.noteFirstByte(this.ports.clock.now());
     this.relay.end(answer);
@@ -347,9 +355,11 @@
     this.finish(status, refusal.reason);
   }
 
+  /** The gateway ends the try for its slowness, or its caller did; a cold back end is slow without fault. */
   private dropAttempt(outcome: AttemptOutcome, detail: string): void {
     this.attempt?.cancel();
-    this.endAttempt(outcome, detail);
+    const isSlowStart = outcome === 'failed' && this.progress?.isColdStart === true;
+    this.endAttempt(isSlowStart ? 'unknown' : outcome, detail);
   }
 
   private endAttempt(outcome: AttemptOutcome, detail: string): void {
@@ -365,6 +375,7 @@
     const isBad = isBadTry(outcome, route, {
       firstEventMs: this.progress?.firstEventMs ?? nowMs - this.attemptStartedAtMs,
       longestPauseMs: this.progress?.longestPauseMs ?? 0,
+      isColdStart: this.progress?.isColdStart ?? false,
     });
     this.ports.onTryOver({ backend: this.backend, route, isBad });
     this.ports.dispatcher.finish(this.backend.id, outcome, nowMs);
--- a/src/gateway/attempt/try-verdict.ts
+++ b/src/gateway/attempt/try-verdict.ts
@@ -7,18 +7,20 @@
   /** From the send to the first event, or to the whole answer where there are no events. */
   readonly firstEventMs: number;
   readonly longestPauseMs: number;
+  /** Whether the back end was cold when it was sent: it is slow then, whatever its version. */
+  readonly isColdStart: boolean;
 }
 
 /** Whether it failed or was late; undefined where its end says nothing of the back end. */
 export function isBadTry(
   outcome: AttemptOutcome,
   { targetLatencyMs, maxPauseMs }: Route,
-  { firstEventMs, longestPauseMs }: TryTimes,
+  { firstEventMs, longestPauseMs, isColdStart }: TryTimes,
 ): boolean | undefined {
   if (outcome === 'failed') {
     return true;
   }
-  if (outcome !== 'answered') {
+  if (outcome !== 'answered' || isColdStart) {
     return undefined;
   }
   const hasPaused = maxPauseMs > 0 && longestPauseMs > maxPauseMs;
--- a/src/gateway/configuration-in-force.ts
+++ b/src/gateway/configuration-in-force.ts
@@ -1,7 +1,8 @@
 /** The newest configuration that a gateway knows; versions never fall. */
 import type { Clock } from '../clock.js';
 import { DEFAULT_CALLER_LIMITS } from '../routing/configuration.js';
-import type { CallerLimits, RoutingConfiguration } from '../routing/configuration.js';
+import type { CallerLimits, RoutingConfiguration, Service } from '../routing/configuration.js';
+import type { ColdStartHello } from '../slot-agent/slot-messages.js';
 import { RoutingTable } from '../routing/routing-table.js';
 
 /** The newest configuration that a gateway knows. */
@@ -36,6 +37,22 @@
     return this.current?.findService(service)?.isEngine ?? false;
   }
 
+  /** What a service says of slow starts; undefined where its back ends bear any rate from their start. */
+  coldStartOf(service: string): Service | undefined {
+    const found = this.current?.findService(service);
+    return found === undefined || found.coldRequestsPerS <= 0 ? undefined : found;
+  }
+
+  /** The same for the agents of its back ends. */
+  coldStartHello(service: string): ColdStartHello | undefined {
+    const coldStart = this.coldStartOf(service);
+    if (coldStart === undefined) {
+      return undefined;
+    }
+    const { coldStartMs, coldRequestsPerS } = coldStart;
+    return { coldStartMs, coldRequestsPerS };
+  }
+
   /** Tokens that an engine of the service gathers in one event. */
   tokensPerEvent(service: string): number {
     return this.current?.findService(service)?.tokensPerEvent ?? 0;
--- a/src/gateway/dispatch/backend-chooser.ts
+++ b/src/gateway/dispatch/backend-chooser.ts
@@ -5,6 +5,7 @@
 import type { BackendDirectory } from './backend-directory.js';
 import { costOf, harmsOthers, usualSpeed } from './backend-choice.js';
 import type { UsualSpeed } from './backend-choice.js';
+import type { ColdStarts } from './cold-starts.js';
 import type { DispatchRequest } from './dispatch-request.js';
 import type { KnownBackend } from './known-backend.js';
 import { hasRoom } from './slot-room.js';
@@ -17,6 +18,8 @@
   countGateways(): number;
   /** Tokens that an engine of the service gathers in one event. */
   tokensPerEvent(service: string): number;
+  /** What may begin at back ends that start slowly. */
+  readonly coldStarts: ColdStarts;
 }
 
 /** Bounds of a choice. */
@@ -30,6 +33,9 @@
   readonly unlistedGraceMs: number;
 }
 
+/** Added to the cost of a cold back end, in milliseconds: above any other, so that warm ones are used first. */
+const AFTER_WARM_COST_MS = 1_000_000_000;
+
 /** Chooses among the back ends of a directory. */
 export class BackendChooser {
   constructor(
@@ -52,7 +58,7 @@
       if (known.isOnTrial && !request.isRepeatable && hasProven) {
         continue;
       }
-      const cost = this.costOf(request, known, usual, nowMs);
+      const cost = this.costOf(request, known, usual, nowMs) + this.coldCost(known, nowMs);
       if (cost < bestCost) {
         best = known;
         bestCost = cost;
@@ -76,6 +82,10 @@
       : costOf(request, known, usual, nowMs);
   }
 
+  private coldCost(known: KnownBackend, nowMs: number): number {
+    return this.ports.coldStarts.isCold(known, nowMs) ? AFTER_WARM_COST_MS : 0;
+  }
+
   /** Whether any back end of the service has a free slot. */
   hasAnyRoom(service: string, nowMs: number): boolean {
     return this.directory.ofService(service).some((known) => this.hasRoom(known, nowMs));
@@ -150,6 +160,6 @@
       shareWithoutAgent: this.options.shareWithoutAgent,
       draw: this.directory.shareDraw(known.backend.id),
     };
-    return hasRoom(known, inputs, nowMs);
+    return hasRoom(known, inputs, nowMs) && this.ports.coldStarts.mayStart(known, nowMs);
   }
 }
--- a/src/gateway/dispatch/backend-directory.ts
+++ b/src/gateway/dispatch/backend-directory.ts
@@ -30,6 +30,7 @@
 export class BackendDirectory {
   private readonly backends = new Map<string, KnownBackend>();
   private byService = new Map<string, KnownBackend[]>();
+  private hasListing = false;
 
   constructor(
     private readonly owner: SubsetOwner,
@@ -85,6 +86,14 @@
     return learned.length === 0 ? 0 : (sum / learned.length) * units;
   }
 
+  /**
+   * Everything that was announced before this process started is known. Back ends that come later have just
+   * started; of the earlier ones their own word is believed, since most of them started long ago.
+   */
+  noteListed(): void {
+    this.hasListing = true;
+  }
+
   /** Takes in a back end's newest announcement; undefined when it left the list. */
   update(backendId: string, backend: Backend | undefined, nowMs: number): void {
     const known = this.backends.get(backendId);
@@ -94,8 +103,17 @@
       }
       this.forgetOld(nowMs);
     } else if (known === undefined) {
-      this.backends.set(backendId, new KnownBackend(backend, nowMs));
+      const created = new KnownBackend(backend, nowMs);
+      this.backends.set(backendId, created);
+      if (this.hasListing) {
+        created.cold.noteIncarnation(nowMs);
+      }
+      created.cold.noteAnnounced(backend.remainingColdMs, nowMs);
     } else {
+      if (known.unlistedAtMs !== undefined) {
+        known.cold.suspect('was-gone', nowMs);
+      }
+      known.cold.noteAnnounced(backend.remainingColdMs, nowMs);
       known.backend = backend;
       known.unlistedAtMs = undefined;
     }
--- a/src/gateway/dispatch/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -106,6 +106,9 @@
       return;
     }
     known.outstanding = Math.max(0, known.outstanding - 1);
+    if (outcome === 'unreachable') {
+      known.cold.suspect('was-gone', nowMs);
+    }
     if (known.health.learn(outcome, nowMs)) {
       this.ports.onEjected(backendId);
     }
@@ -133,15 +136,26 @@
     this.directory.find(backendId)?.learnSpeed(units, elapsedMs);
   }
 
-  /** The first event came; learns how fast a back end reads prompts. */
+  /** Whether a request that is sent to the back end now meets it cold. */
+  isCold(backendId: string, nowMs: number): boolean {
+    const known = this.directory.find(backendId);
+    return known !== undefined && this.ports.coldStarts.isCold(known, nowMs);
+  }
+
+  /** The first event came: the back end answers. */
+  noteFirst(backendId: string): void {
+    const known = this.directory.find(backendId);
+    if (known?.availability === 'trial') {
+      this.sendToAgent(backendId, known, { kind: 'proven' });
+    }
+  }
+
+  /** Learns from the time to the first event how fast a back end reads prompts. */
   learnFirst(backendId: string, promptTokens: number, firstMs: number): void {
     const known = this.directory.find(backendId);
     if (known === undefined) {
       return;
     }
-    if (known.availability === 'trial') {
-      this.sendToAgent(backendId, known, { kind: 'proven' });
-    }
     const wasKnown = known.speed.isKnown;
     known.speed.learnFirst(promptTokens, firstMs);
     if (!wasKnown && known.speed.isKnown) {
@@ -168,6 +182,8 @@
       lastDemand: '',
       failureShare: 0,
       availability: 'open',
+      // Until the agent's first word nothing is known of the engine.
+      grantsOnly: 'cold',
     };
     this.tellDemand(known.backend.service, nowMs);
   }
@@ -176,6 +192,9 @@
   disconnectAgent(backendId: string, nowMs: number): void {
     const known = this.directory.find(backendId);
     if (known !== undefined) {
+      if (known.agent?.grantsOnly === 'cold') {
+        known.cold.suspect('agent-lost', nowMs);
+      }
       known.agent = undefined;
       known.endAgentWait();
       this.serve(known.backend.service, nowMs);
@@ -191,7 +210,8 @@
     if (message.kind === 'state') {
       known.agent.occupied = message.occupied;
       known.agent.failureShare = message.failureShare;
-      this.noteAvailability(known, known.agent, message.availability);
+      known.agent.grantsOnly = message.grantsOnly;
+      this.noteAvailability(known, known.agent, message.availability, nowMs);
       known.adopt(message.speed);
       const { messagesSeen } = message;
       known.agent.takenUnseen = known.agent.takenUnseen.filter((number) => number > messagesSeen);
@@ -199,11 +219,12 @@
       return;
     }
     known.agent.grantsSeen += 1;
-    this.useGrant(backendId, known, nowMs);
+    this.useGrant(backendId, known, message.heardAtMs, nowMs);
   }
 
   /** Serves what waits; to be called now and then, since ejections end with time alone. */
   tick(nowMs: number): void {
+    this.ports.coldStarts.review(this.directory.list(), nowMs);
     for (const service of this.waiting.keys()) {
       this.serve(service, nowMs);
     }
@@ -213,10 +234,14 @@
     known: KnownBackend,
     agent: SlotAgentLink,
     availability: EngineAvailability,
+    nowMs: number,
   ): void {
     if (agent.availability === availability) {
       return;
     }
+    if (agent.availability === 'closed') {
+      known.cold.suspect('was-gone', nowMs);
+    }
     agent.availability = availability;
     if (availability === 'open') {
       known.health.forget();
@@ -224,10 +249,18 @@
     this.ports.onAvailability(known.backend, availability);
   }
 
-  private useGrant(backendId: string, known: KnownBackend, nowMs: number): void {
+  private useGrant(
+    backendId: string,
+    known: KnownBackend,
+    heardAtMs: number | undefined,
+    nowMs: number,
+  ): void {
     const queue = this.waitingInOrder(known.backend.service, nowMs);
     const isUsable =
-      known.isReady && known.availability !== 'closed' && !known.health.isEjected(nowMs);
+      !this.ports.coldStarts.isStale(heardAtMs, nowMs) &&
+      known.isReady &&
+      known.availability !== 'closed' &&
+      !known.health.isEjected(nowMs);
     const request = isUsable ? this.chooser.chooseForGrant(queue, known) : undefined;
     if (request === undefined) {
       this.sendToAgent(backendId, known, { kind: 'grant-returned' });
@@ -271,6 +304,9 @@
       this.sendToAgent(known.backend.id, known, { kind: 'taken' });
       known.agent.takenUnseen.push(known.agent.messagesSent);
     }
+    if (!isGranted) {
+      this.ports.coldStarts.noteStart(known, nowMs);
+    }
     this.ports.onSent(known.backend);
     request.onPlaced(known.backend, nowMs);
   }
@@ -299,7 +335,8 @@
     for (const known of this.directory.ofService(service)) {
       const demand = nextDemand(known, inputs, nowMs);
       if (demand !== undefined) {
-        this.sendToAgent(known.backend.id, known, demand);
+        const note = this.ports.coldStarts.noteFor(known, nowMs);
+        this.sendToAgent(known.backend.id, known, { ...demand, ...note });
       }
     }
   }
--- a/src/gateway/dispatch/known-backend.ts
+++ b/src/gateway/dispatch/known-backend.ts
@@ -1,6 +1,8 @@
 /** What a gateway knows of one back end: its announcement, its health, its speed and its slots. */
 import type { Backend } from '../../routing/backend.js';
 import type { EngineAvailability } from '../../slot-agent/engine-watch.js';
+import type { GrantsOnly } from '../../slot-agent/start-limiter.js';
+import { ColdPeriod } from '../../routing/cold-start.js';
 import type { LearnedSpeed } from '../../slot-agent/slot-messages.js';
 import { FailureEstimate } from '../../slot-agent/failure-estimate.js';
 import { BackendHealth } from './backend-health.js';
@@ -29,12 +31,17 @@
   failureShare: number;
   /** Whether the engine may be used, as the agent told last. */
   availability: EngineAvailability;
+  /** Why free slots are only granted, as the agent told last; undefined while they may be taken. Without meaning
+   * where the rate of starts has no bound. */
+  grantsOnly: GrantsOnly | undefined;
 }
 
 /** One back end as a gateway knows it. */
 export class KnownBackend {
   readonly health = new BackendHealth();
   readonly speed = new EngineSpeed();
+  /** What is known of its last start. */
+  readonly cold = new ColdPeriod();
   /** Tokens of prompts that this gateway sent and whose first event is due. */
   pendingPromptTokens = 0;
   /** Requests of this gateway that are there now. */
--- a/src/gateway/gateway-cluster.ts
+++ b/src/gateway/gateway-cluster.ts
@@ -15,6 +15,7 @@
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { TokenQuotas } from './admission/token-quota.js';
 import type { GatewaySettings } from './gateway-settings.js';
+import type { GatewayView } from './dispatch/cold-share.js';
 import { GatewayPeers } from './links/gateway-peers.js';
 import type { GatewayMetrics } from './metrics/gateway-metrics.js';
 
@@ -60,6 +61,11 @@
     return this.peers.size;
   }
 
+  /** What this gateway knows of the others. */
+  get view(): GatewayView {
+    return this.peers.view;
+  }
+
   /** Longest time between two beats of a peer that is well, in milliseconds. */
   get beatMs(): number {
     return this.peers.beatMs;
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -15,6 +15,7 @@
 import { Dispatcher } from './dispatch/dispatcher.js';
 import type { GatewayAdapter } from './gateway-adapter.js';
 import { GatewayCluster } from './gateway-cluster.js';
+import { createColdStarts } from './gateway-cold-starts.js';
 import { GatewayRequests } from './gateway-requests.js';
 import { GatewayRollouts } from './gateway-rollouts.js';
 import { countBackends } from './metrics/gateway-snapshot.js';
@@ -90,6 +91,13 @@
       isEvacuated: (zone) => this.evacuations.isEvacuated(zone),
       regionOf: (zone) => this.places.regionOf(zone),
       onSent: (backend) => this.rollouts.rollouts.noteSent(backend),
+      coldStarts: createColdStarts({
+        ...parts,
+        limits: settings.limits,
+        configuration: this.configuration,
+        evacuations: this.evacuations,
+        view: () => this.cluster.view,
+      }),
     });
     this.rollouts = new GatewayRollouts({
       ...parts,
@@ -126,6 +134,7 @@
       this.cluster.records,
       this.cluster.exchange,
       isEngine,
+      (service) => this.configuration.coldStartHello(service),
       (backend, isConnected, reason) =>
         parts.log.write(isConnected ? 'agent-connected' : 'agent-lost', 'state', {
           backend,
@@ -236,6 +245,9 @@
     for (const record of news) {
       this.takeRecord(record);
     }
+    if (this.configuration.table !== undefined) {
+      this.directory.noteListed();
+    }
     this.links.maintain();
   }
 
--- a/src/gateway/links/gateway-peers.ts
+++ b/src/gateway/links/gateway-peers.ts
@@ -8,6 +8,7 @@
 import type { Clock } from '../../clock.js';
 import type { RandomSource } from '../../random.js';
 import type { Rollouts } from '../../rollout/rollouts.js';
+import type { GatewayView } from '../dispatch/cold-share.js';
 import type { TokenQuotas } from '../admission/token-quota.js';
 
 /** What the peers of a gateway are made from. */
@@ -82,6 +83,18 @@
     return this.mesh.size;
   }
 
+  /** What this gateway knows of the others, for parts that are dealt out without a word. */
+  get view(): GatewayView {
+    const { address, seeds } = this.parts;
+    const isAlone = seeds.every((seed) => seed === address);
+    return {
+      self: address,
+      others: this.mesh.addressesEverKnown,
+      hasHeardPeers: this.mesh.hasHeardPeers || isAlone,
+      startedAtMs: this.startedAtMs,
+    };
+  }
+
   /** Longest time between two beats of a gateway that is well, in milliseconds. */
   get beatMs(): number {
     const ticks = Math.ceil(IDLE_BEAT_TICKS / this.beatTicks) * this.beatTicks;
--- a/src/gateway/links/slot-agent-links.ts
+++ b/src/gateway/links/slot-agent-links.ts
@@ -7,6 +7,7 @@
 import type {
   AgentRefusal,
   AgentToGateway,
+  ColdStartHello,
   GatewayToAgent,
 } from '../../slot-agent/slot-messages.js';
 import type { BackendDirectory } from '../dispatch/backend-directory.js';
@@ -65,6 +66,7 @@
     private readonly records: ReplicatedRecords,
     private readonly exchange: RecordExchange,
     private readonly isEngine: (service: string) => boolean,
+    private readonly coldStartOf: (service: string) => ColdStartHello | undefined,
     private readonly onAgent: OnAgent,
     private readonly clock: Clock,
     private readonly options: SlotAgentLinkOptions,
@@ -87,7 +89,7 @@
       const known = this.directory.find(link.backendId);
       const isAtWork = known !== undefined && (known.outstanding > 0 || known.hasDemand);
       if (link.isGreeted && isQuiet && isAtWork) {
-        this.send(link.backendId, { kind: 'alive' });
+        this.send(link.backendId, { kind: 'alive', atMs: nowMs });
       }
     }
   }
@@ -189,7 +191,9 @@
     const { outstanding: held, backend } = known;
     const { peersAddress } = this.options;
     const { slots } = backend;
-    channel.send({ kind: 'hello', gateway: this.gatewayName, peersAddress, held, slots });
+    const hello = { kind: 'hello', gateway: this.gatewayName, peersAddress, held, slots } as const;
+    const coldStart = this.coldStartOf(backend.service);
+    channel.send(coldStart === undefined ? hello : { ...hello, coldStart });
     channel.send({ kind: 'revision', revision: this.records.completeTo });
     link.isGreeted = true;
     this.onAgent(link.backendId, true);
--- a/src/gateway/metrics/metric-instruments.ts
+++ b/src/gateway/metrics/metric-instruments.ts
@@ -29,6 +29,12 @@
     labelNames: ['service'],
     registers: [this.registry],
   });
+  readonly startsHeld = new Counter({
+    name: 'weirvale_starts_held_back_total',
+    help: 'Choices that passed over a back end with a free slot for the rate of its starts, by service',
+    labelNames: ['service'],
+    registers: [this.registry],
+  });
   readonly reservedHeaders = new Counter({
     name: 'weirvale_reserved_headers_total',
     help: 'Headers that only a gateway may set and that callers sent; they were dropped',
--- a/src/model/model-agent.ts
+++ b/src/model/model-agent.ts
@@ -41,6 +41,8 @@
         onLookWanted: () => clock.setTimeout(() => this.lookAtEngine(), LOOK_MS),
         onAvailability: () => undefined,
         restriction: () => undefined,
+        startRules: () => undefined,
+        onStartsHeld: () => undefined,
       },
       gatewaySilence,
     );
--- a/src/model/model-gateway.ts
+++ b/src/model/model-gateway.ts
@@ -13,6 +13,7 @@
 import { sendRefusal } from '../gateway/admission/send-refusal.js';
 import { TokenQuotas } from '../gateway/admission/token-quota.js';
 import { BackendDirectory } from '../gateway/dispatch/backend-directory.js';
+import { ColdStarts } from '../gateway/dispatch/cold-starts.js';
 import { Dispatcher } from '../gateway/dispatch/dispatcher.js';
 import type { RandomSource } from '../random.js';
 import type { RoutingTable } from '../routing/routing-table.js';
@@ -83,6 +84,7 @@
       isEvacuated: () => false,
       regionOf: () => undefined,
       onSent: () => undefined,
+      coldStarts: new ColdStarts(),
       isEngine: () => true,
       countGateways: () => parts.countGateways(),
       tokensPerEvent: () => parts.tokensPerEvent,
--- a/src/slot-agent/gateway-account.ts
+++ b/src/slot-agent/gateway-account.ts
@@ -37,6 +37,8 @@
   messagesSeen = 0;
   /** Whether it took slots since it was told a count; it adds them to the count that it knows. */
   hasUntoldTakes = false;
+  /** The latest time of its own clock that it told, in milliseconds. */
+  clockMs: number | undefined;
   private grantsIssued = 0;
   /** When each grant was issued that the gateway has not answered, oldest first. */
   private readonly unansweredSinceMs: number[] = [];
--- a/src/slot-agent/slot-agent-instruments.ts
+++ b/src/slot-agent/slot-agent-instruments.ts
@@ -18,6 +18,11 @@
     help: 'Slots granted to gateways',
     registers: [this.registry],
   });
+  readonly grantsHeld = new Counter({
+    name: 'weirvale_grants_held_back_total',
+    help: 'Times that a request waited beside a free slot for the rate at which requests may begin',
+    registers: [this.registry],
+  });
   readonly gatewaysEnded = new Counter({
     name: 'weirvale_slot_gateways_ended_total',
     help: 'Connections of gateways that the agent ended, by reason',
--- a/src/slot-agent/slot-agent-role.ts
+++ b/src/slot-agent/slot-agent-role.ts
@@ -12,12 +12,14 @@
 import type { StoreRecord } from '../cluster/replicated-records.js';
 import type { Clock, TimerHandle } from '../clock.js';
 import type { DecodeRecord } from '../routing/decoded-record.js';
+import type { ColdStartLimits } from '../routing/cold-start.js';
 import type { Places } from '../routing/places.js';
 import { MessageChannel } from '../protocol/message-channel.js';
 import type { RandomSource } from '../random.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { SlotAgentMetrics } from './slot-agent-metrics.js';
 import type { EngineAvailability, EngineReading } from './engine-watch.js';
+import { EngineColdness } from './engine-coldness.js';
 import { EngineKnowledge } from './engine-knowledge.js';
 import type { EnginePlace } from './engine-knowledge.js';
 import { SlotLedger } from './slot-ledger.js';
@@ -59,6 +61,7 @@
 export interface SlotAgentParts {
   readonly identity: SlotAgentIdentity;
   readonly places: Places;
+  readonly limits: ColdStartLimits;
   /** Reads a record of the store. */
   readonly decode: DecodeRecord;
   readonly readReport: EngineReport;
@@ -107,6 +110,9 @@
   private readonly channels = new Map<number, MessageChannel<AgentToGateway, GatewayToAgent>>();
   private readonly ledger: SlotLedger;
   private readonly knowledge: EngineKnowledge;
+  private readonly coldness: EngineColdness;
+  private wasCold = false;
+  private resumeTimer: TimerHandle | undefined;
   private readonly records = new ReplicatedRecords();
   private readonly exchange: RecordExchange;
   private readonly mesh: PeerMesh;
@@ -124,6 +130,7 @@
     const { identity, clock, random, metrics } = parts;
     this.clock = clock;
     this.knowledge = new EngineKnowledge(identity.engine, parts.places);
+    this.coldness = new EngineColdness(() => this.engineRecords(), parts.limits, clock.now());
     this.ledger = new SlotLedger({
       send: (connection, message) => this.channels.get(connection)?.send(message),
       onGranted: () => metrics.record(({ grants }) => grants.inc()),
@@ -133,6 +140,8 @@
       onLookWanted: () => this.lookIn(0),
       onAvailability: (availability) => this.noteAvailability(availability),
       restriction: (allowedRegions) => this.knowledge.restriction(allowedRegions),
+      startRules: (nowMs) => this.coldness.rules(nowMs),
+      onStartsHeld: (resumeInMs) => this.resumeIn(resumeInMs),
     });
     this.server = createServer((socket) => this.accept(socket));
     this.exchange = new RecordExchange(
@@ -191,6 +200,8 @@
     for (const record of records) {
       this.knowledge.take(this.parts.decode(record), this.clock.now());
     }
+    this.coldness.noteRecords(this.clock.now());
+    this.reviewColdness();
   }
 
   private accept(socket: Socket): void {
@@ -218,7 +229,47 @@
     this.parts.log.write('slots-reconciled', 'state', { freed: slots, ...this.ledger.snapshot });
   }
 
+  private engineRecords() {
+    const { knowledge } = this;
+    const { zone } = this.parts.identity.engine;
+    return {
+      service: knowledge.service,
+      backend: knowledge.backend,
+      zoneReturnedAtMs: knowledge.evacuations.returnedAtMs(zone),
+    };
+  }
+
+  /** Requests wait for starts that were too many: the ledger is asked again when there is room. */
+  private resumeIn(delayMs: number): void {
+    if (this.isStopped || this.resumeTimer !== undefined || !Number.isFinite(delayMs)) {
+      return;
+    }
+    this.parts.metrics.record(({ grantsHeld }) => grantsHeld.inc());
+    this.resumeTimer = this.clock.setTimeout(() => {
+      this.resumeTimer = undefined;
+      this.ledger.resume(this.clock.now());
+    }, delayMs);
+  }
+
+  /** Says so when the engine is taken for cold, or no longer. */
+  private reviewColdness(): void {
+    const nowMs = this.clock.now();
+    const coldness = this.coldness.coldness(nowMs);
+    if ((coldness !== undefined) === this.wasCold) {
+      return;
+    }
+    this.wasCold = coldness !== undefined;
+    const event = this.wasCold ? 'cold-limit-entered' : 'cold-limit-left';
+    this.parts.log.write(event, 'state', {
+      reason: coldness?.reason,
+      ageMs: coldness && nowMs - coldness.sinceMs,
+      leftMs: coldness && coldness.untilMs - nowMs,
+      revision: this.coldness.revision,
+    });
+  }
+
   private noteAvailability(availability: EngineAvailability): void {
+    this.coldness.noteAvailability(availability, this.clock.now());
     this.parts.metrics.record(({ engineChanges }) => engineChanges.inc({ availability }));
     this.parts.log.write('engine-availability', 'state', {
       availability,
@@ -241,10 +292,14 @@
   private receiveOfSlots(connection: number, message: SlotMessage): void {
     if (message.kind === 'hello') {
       this.mesh.learnAddresses([message.peersAddress]);
+      this.coldness.noteService(message.coldStart);
     } else if (!this.ledger.knows(connection)) {
       this.refuse(connection, 'hello-missing');
       return;
     }
+    if (message.kind === 'demand') {
+      this.coldness.noteTold(message.coldMs, this.clock.now());
+    }
     this.ledger.receive(connection, message, this.clock.now());
     if (message.kind === 'hello') {
       this.parts.log.write('gateway-connected', 'state', this.ledger.describe(connection));
@@ -282,6 +337,7 @@
     if (this.isStopped) {
       return;
     }
+    this.reviewColdness();
     this.ledger.beat(this.options.beatMs, this.clock.now());
     this.clock.setTimeout(() => this.beat(), this.options.beatMs);
   }
--- a/src/slot-agent/slot-ledger.ts
+++ b/src/slot-agent/slot-ledger.ts
@@ -17,6 +17,8 @@
 import type { SlotAgentSnapshot } from './slot-agent-instruments.js';
 import type { LearnedSpeed, SlotAnswer, SlotHello, SlotMessage } from './slot-messages.js';
 import { SlotTeller } from './slot-teller.js';
+import { StartLimiter } from './start-limiter.js';
+import type { GrantsOnly, StartRules } from './start-limiter.js';
 import { compareWaiting } from './waiting-order.js';
 
 /** What a ledger does to its surroundings. */
@@ -35,6 +37,10 @@
   onAvailability(availability: EngineAvailability): void;
   /** Why operators keep a request from the back end; undefined where they do not. */
   restriction(allowedRegions: AllowedRegions): RestrictionReason | undefined;
+  /** How fast requests may begin at the back end; undefined where any rate will do. */
+  startRules(nowMs: number): StartRules | undefined;
+  /** A request waits and a slot is free, but too many began lately: `resume` is to be called then. */
+  onStartsHeld(resumeInMs: number): void;
 }
 
 /**
@@ -61,6 +67,8 @@
   private readonly failures = new FailureEstimate();
   private readonly engine = new EngineWatch();
   private readonly teller: SlotTeller;
+  private readonly starts = new StartLimiter();
+  private toldGrantsOnly: GrantsOnly | undefined;
 
   constructor(
     private readonly ports: SlotLedgerPorts,
@@ -147,8 +155,25 @@
     } else {
       this.receiveFromKnown(connection, message, nowMs);
     }
+    this.settle(nowMs);
+  }
+
+  /** Time alone may have made room for further starts. */
+  resume(nowMs: number): void {
+    this.settle(nowMs);
+  }
+
+  private settle(nowMs: number): void {
     this.grant(nowMs);
-    this.teller.tellIfChanged(nowMs);
+    if (this.grantsOnly(nowMs) === this.toldGrantsOnly) {
+      this.teller.tellIfChanged(nowMs);
+    } else {
+      this.teller.tellAll(nowMs);
+    }
+  }
+
+  private grantsOnly(nowMs: number): GrantsOnly | undefined {
+    return this.starts.grantsOnly(this.ports.startRules(nowMs), nowMs);
   }
 
   /** A connection ended; what its gateway held may still run. */
@@ -158,6 +183,7 @@
       return;
     }
     this.accounts.delete(connection);
+    this.starts.forget(connection);
     this.unaccounted += account.held;
     this.goneUntilMs.set(account.name, nowMs + LOOK_FOR_GONE_MS);
     this.teller.tellIfChanged(nowMs);
@@ -171,8 +197,7 @@
     if (reading.kind === 'load' && this.needsReconciliation(nowMs)) {
       this.reconcile(reading.requests);
     }
-    this.grant(nowMs);
-    this.teller.tellIfChanged(nowMs);
+    this.settle(nowMs);
   }
 
   /** Takes in the back end's own count of requests that run or wait there. */
@@ -191,6 +216,7 @@
         this.disconnect(other, nowMs);
       }
     }
+    this.starts.begin(nowMs);
     this.goneUntilMs.delete(gateway);
     this.slots = slots;
     this.unaccounted = Math.max(0, this.unaccounted - held);
@@ -210,6 +236,7 @@
     account.hear(nowMs);
     switch (message.kind) {
       case 'demand':
+        account.clockMs = message.atMs ?? account.clockMs;
         account.setWaiting(message.ranks, message.grantsSeen, nowMs);
         break;
       case 'speed':
@@ -217,12 +244,15 @@
         break;
       case 'taken':
         account.take();
+        this.starts.noteTaken(nowMs);
         break;
       case 'grant-used':
         account.noteGrantAnswered();
+        this.starts.noteUsed(connection, nowMs);
         break;
       case 'grant-returned':
         account.noteGrantAnswered();
+        this.starts.noteReturned(connection);
         account.release();
         break;
       case 'released':
@@ -233,6 +263,7 @@
         this.noteProven(nowMs);
         break;
       case 'alive':
+        account.clockMs = message.atMs ?? account.clockMs;
         break;
     }
   }
@@ -282,10 +313,16 @@
       if (next === undefined) {
         return;
       }
+      const heldMs = this.starts.msUntilGrant(this.ports.startRules(nowMs), nowMs);
+      if (heldMs > 0) {
+        this.ports.onStartsHeld(heldMs);
+        return;
+      }
       const { connection, account, waiting } = next;
       account.grant(waiting, nowMs);
+      this.starts.noteGranted(connection, nowMs);
       this.ports.onGranted();
-      this.ports.send(connection, { kind: 'granted' });
+      this.ports.send(connection, grantFor(account));
     }
   }
 
@@ -324,11 +361,16 @@
 
   /** Shows gateways that the agent lives, unless they were told something in the last `quietMs`. */
   beat(quietMs: number, nowMs: number): void {
+    if (this.ports.startRules(nowMs) !== undefined) {
+      this.settle(nowMs);
+    }
     this.teller.beat(quietMs, nowMs);
   }
 
   private tell(connection: number, account: GatewayAccount, nowMs: number): void {
     const { occupied, speed } = this;
+    const grantsOnly = this.grantsOnly(nowMs);
+    this.toldGrantsOnly = grantsOnly;
     this.ports.send(connection, {
       kind: 'state',
       occupied,
@@ -336,6 +378,11 @@
       speed,
       failureShare: this.failures.share(nowMs),
       availability: this.engine.availability,
+      ...(grantsOnly && { grantsOnly }),
     });
   }
 }
+
+function grantFor({ clockMs }: GatewayAccount): SlotAnswer {
+  return clockMs === undefined ? { kind: 'granted' } : { kind: 'granted', heardAtMs: clockMs };
+}
--- a/src/slot-agent/slot-messages.ts
+++ b/src/slot-agent/slot-messages.ts
@@ -1,5 +1,7 @@
 /** What gateways and slot agents say to each other. */
+import type { Service } from '../routing/configuration.js';
 import type { EngineAvailability } from './engine-watch.js';
+import type { GrantsOnly } from './start-limiter.js';
 import type { RecordsAnswer, RecordsFetch, RecordsRevision } from '../cluster/record-exchange.js';
 
 /** What gives a waiting request its place in the order; times are relative, since clocks differ. */
@@ -14,6 +16,9 @@
   readonly allowedRegions?: readonly string[];
 }
 
+/** What the back end's service says of slow starts. */
+export type ColdStartHello = Pick<Service, 'coldStartMs' | 'coldRequestsPerS'>;
+
 /** A gateway's first message on a connection. */
 export interface SlotHello {
   readonly kind: 'hello';
@@ -24,6 +29,8 @@
   readonly peersAddress: string;
   /** Slots of the back end, as it announced them. */
   readonly slots: number;
+  /** Missing where back ends of the service bear any rate from their start. */
+  readonly coldStart?: ColdStartHello;
 }
 
 /** The requests that wait in a gateway; replaces what it said before. */
@@ -33,6 +40,10 @@
   readonly ranks: readonly WaitingRank[];
   /** Grants that the gateway had received when it said so. */
   readonly grantsSeen: number;
+  /** The gateway's clock, in milliseconds; missing where the rate of starts has no bound. */
+  readonly atMs?: number;
+  /** How much longer the gateway takes the back end for cold, in milliseconds; missing where it does not. */
+  readonly coldMs?: number;
 }
 
 /** The gateway began a request on a slot that it took for free. */
@@ -65,6 +76,8 @@
 /** The gateway lives; sent while it holds slots or has requests waiting and nothing else was sent. */
 export interface GatewayAlive {
   readonly kind: 'alive';
+  /** The gateway's clock, in milliseconds. */
+  readonly atMs?: number;
 }
 
 /** Time from a send to the first event: `baseMs` and `msPerToken` for each token of the prompt, in milliseconds. */
@@ -106,6 +119,8 @@
 /** The agent grants one slot to the gateway. */
 export interface SlotGranted {
   readonly kind: 'granted';
+  /** The latest time of its own clock that the gateway had told; missing where it told none. */
+  readonly heardAtMs?: number;
 }
 
 /** How many slots are occupied. */
@@ -120,6 +135,8 @@
   readonly failureShare: number;
   /** Whether the engine may be used, as the agent beside it sees. */
   readonly availability: EngineAvailability;
+  /** Why free slots are only granted; missing while gateways may take them. */
+  readonly grantsOnly?: GrantsOnly;
 }
 
 /** Anything that an agent says of slots. */
--- a/src/telemetry/decision-log.ts
+++ b/src/telemetry/decision-log.ts
@@ -22,6 +22,8 @@
   'backend-ejected',
   'backend-availability',
   'zone-evacuation',
+  'cold-limit-entered',
+  'cold-limit-left',
   'store-lost',
   'store-regained',
   'store-reader-on',
--- a/test/replica.test.ts
+++ b/test/replica.test.ts
@@ -165,6 +165,7 @@
   const [agentPort, gatewayPort] = [nextPort(), nextPort()];
   const seeds = [`${HOST}:${gatewayPort}`];
   const agent = new SlotAgentRole({
+    limits: { coldOver: 1, coldSlack: 0 },
     identity: { name: 'agent', engine: { address: `${HOST}:1`, zone: 'z' }, seeds },
     places: new Places(new Map()),
     decode: () => ({ kind: 'irrelevant' }),
--- a/test/slot-agent-role.test.ts
+++ b/test/slot-agent-role.test.ts
@@ -29,6 +29,7 @@
   const metrics = new SlotAgentMetrics();
   const agent = new SlotAgentRole(
     {
+      limits: { coldOver: 1, coldSlack: 0 },
       identity: { name: 'agent', engine: { address: `${HOST}:1`, zone: 'z' }, seeds: [] },
       places: new Places(new Map()),
       decode: () => ({ kind: 'irrelevant' }),
--- a/test/slot-ledger.test.ts
+++ b/test/slot-ledger.test.ts
@@ -1,6 +1,8 @@
 import test from 'ava';
+import { coldStartBound } from '../src/routing/cold-start.js';
 import { SlotLedger } from '../src/slot-agent/slot-ledger.js';
 import type { SlotLedgerPorts } from '../src/slot-agent/slot-ledger.js';
+import type { StartRules } from '../src/slot-agent/start-limiter.js';
 import type { AgentToGateway, SlotMessage } from '../src/slot-agent/slot-messages.js';
 
 class Agent {
@@ -8,6 +10,8 @@
   reconciled = 0;
   looksWanted = 0;
   plannedTellings = 0;
+  rules: StartRules | undefined;
+  heldMs = 0;
   restriction: SlotLedgerPorts['restriction'] = () => undefined;
   readonly ledger = new SlotLedger({
     send: (connection, message) => this.sent.push([connection, message]),
@@ -17,6 +21,8 @@
     onLookWanted: () => (this.looksWanted += 1),
     onAvailability: () => undefined,
     restriction: (allowedRegions) => this.restriction(allowedRegions),
+    startRules: () => this.rules,
+    onStartsHeld: (resumeInMs) => (this.heldMs = resumeInMs),
   });
 
   admit(connection: number, held = 0, slots = 2): void {
@@ -380,3 +386,81 @@
   agent.hear(2, { kind: 'demand', ranks: [{ ...rank, tier: 1 }], grantsSeen: 0 });
   t.deepEqual(agent.grants(), [2]);
 });
+
+const BOUND = coldStartBound(
+  { coldStartMs: 3_000, coldRequestsPerS: 3, isEngine: true },
+  { coldOver: 1.5, coldSlack: 5 },
+)!;
+
+/** An agent whose memory of the last second is complete. */
+function boundedAgent(isCold: boolean): Agent {
+  const agent = new Agent();
+  agent.rules = { bound: BOUND, isCold };
+  agent.admit(1, 0, 20);
+  return agent;
+}
+
+function want(agent: Agent, count: number, nowMs: number): void {
+  const rank = { tier: 0, rankInTier: 0, waitedMs: 0, startInMs: 1_000 };
+  const ranks = Array.from({ length: count }, () => rank);
+  const grantsSeen = agent.grants().length;
+  agent.hear(1, { kind: 'demand', ranks, grantsSeen, atMs: nowMs }, nowMs);
+}
+
+test('an agent that has just started grants nothing until what went before has left the last second', (t) => {
+  const agent = boundedAgent(true);
+  want(agent, 5, 100);
+  t.deepEqual(agent.grants(), []);
+  agent.ledger.resume(100 + agent.heldMs);
+  t.is(agent.grants().length, BOUND.granted);
+});
+
+test('a cold engine is granted its part in each second; unanswered grants count on', (t) => {
+  const agent = boundedAgent(true);
+  want(agent, 8, 2_000);
+  t.is(agent.grants().length, 3);
+  agent.hear(1, { kind: 'grant-used' }, 2_010);
+  agent.hear(1, { kind: 'grant-returned' }, 2_020);
+  t.is(agent.grants().length, 4, 'a returned grant began nothing');
+  for (let index = 0; index < 2; index += 1) {
+    agent.hear(1, { kind: 'grant-used' }, 2_500);
+  }
+  agent.ledger.resume(3_025);
+  t.is(agent.grants().length, 4);
+  agent.ledger.resume(3_031);
+  t.is(agent.grants().length, 5, 'the first was used at 2,010');
+  agent.hear(1, { kind: 'grant-used' }, 3_040);
+  agent.ledger.resume(3_515);
+  t.is(agent.grants().length, 5, 'two were granted at 2,000 and used at 2,500');
+  agent.ledger.resume(3_525);
+  t.is(agent.grants().length, 7);
+});
+
+test('gateways are told at once that the engine is cold, and that it no longer is', (t) => {
+  const agent = boundedAgent(true);
+  const toldLast = () =>
+    agent.sent.flatMap(([, message]) => (message.kind === 'state' ? [message.grantsOnly] : []));
+  t.is(toldLast().at(-1), 'cold');
+  agent.rules = { bound: BOUND, isCold: false };
+  agent.ledger.resume(2_000);
+  t.is(toldLast().at(-1), undefined);
+  for (let index = 0; index < BOUND.taken; index += 1) {
+    agent.hear(1, { kind: 'taken' }, 2_000);
+  }
+  t.is(toldLast().at(-1), 'busy');
+  want(agent, 8, 2_000);
+  t.is(agent.grants().length, BOUND.warm - BOUND.taken);
+  agent.ledger.beat(300, 4_000);
+  t.is(toldLast().at(-1), undefined);
+});
+
+test('a grant names the latest word of the gateway that it rests on', (t) => {
+  const agent = boundedAgent(false);
+  want(agent, 1, 2_000);
+  t.deepEqual(agent.sent.at(-1), [1, { kind: 'granted', heardAtMs: 2_000 }]);
+  agent.hear(1, { kind: 'grant-used' }, 2_010);
+  want(agent, 30, 2_020);
+  agent.hear(1, { kind: 'alive', atMs: 2_100 }, 2_101);
+  agent.hear(1, { kind: 'grant-returned' }, 2_102);
+  t.deepEqual(agent.sent.at(-1), [1, { kind: 'granted', heardAtMs: 2_100 }]);
+});
--- /dev/null
+++ b/test/support/cold-fleet.ts
@@ -0,0 +1,420 @@
+/** Gateways and an agent around one cold engine on the virtual clock, with links that are slow, stall and break. */
+import { BackendDirectory } from '../../src/gateway/dispatch/backend-directory.js';
+import { coldShare } from '../../src/gateway/dispatch/cold-share.js';
+import { ColdStarts } from '../../src/gateway/dispatch/cold-starts.js';
+import { Dispatcher } from '../../src/gateway/dispatch/dispatcher.js';
+import type { DispatchRequest } from '../../src/gateway/dispatch/dispatch-request.js';
+import { randomInteger, SeededRandom } from '../../src/random.js';
+import { coldStartBound } from '../../src/routing/cold-start.js';
+import { VirtualClock } from '../../src/sim/virtual-clock.js';
+import { EngineColdness } from '../../src/slot-agent/engine-coldness.js';
+import { SlotLedger } from '../../src/slot-agent/slot-ledger.js';
+import type { SlotAnswer, SlotMessage } from '../../src/slot-agent/slot-messages.js';
+import { backendOf } from './gateway.js';
+
+/** Faults put into the limits, which the check has to find. */
+export interface ColdFleetFault {
+  /** Gateways take free slots of an engine that they know to be cold. */
+  readonly takesFreely?: boolean;
+  /** Gateways use grants however old they are. */
+  readonly usesOldGrants?: boolean;
+  /** Each gateway without a link uses the whole part of all of them. */
+  readonly ignoresOthers?: boolean;
+}
+
+const SERVICE = { coldStartMs: 30_000, coldRequestsPerS: 14, isEngine: true };
+const LIMITS = { coldOver: 1.5, coldSlack: 5 };
+const ENGINE = backendOf('e', { slots: 60, remainingColdMs: 20_000 });
+const TICK_MS = 100;
+const SILENCE_MS = 1_000;
+/** What the engine may be sent in any one second. */
+export const COLD_BOUND = coldStartBound(SERVICE, LIMITS)!;
+
+/** A connection; each way keeps its order, and what is under way when it is closed still arrives. */
+class Link {
+  isOpen = true;
+  heardAtMs: number;
+  private readonly lastArrivalMs = { agent: 0, gateway: 0 };
+  private stalledUntilMs = 0;
+
+  constructor(
+    readonly number: number,
+    readonly gateway: FleetGateway,
+    private readonly fleet: ColdFleet,
+  ) {
+    this.heardAtMs = fleet.clock.now();
+  }
+
+  /** Nothing arrives for a while, either way. */
+  stall(forMs: number): void {
+    this.stalledUntilMs = this.fleet.clock.now() + forMs;
+  }
+
+  deliver(to: 'agent' | 'gateway', action: () => void): void {
+    const { clock, random } = this.fleet;
+    const nowMs = clock.now();
+    const atMs = Math.max(
+      this.lastArrivalMs[to],
+      this.stalledUntilMs,
+      nowMs + randomInteger(random, 1, 12),
+      to === 'gateway' ? this.gateway.stalledUntilMs : 0,
+    );
+    this.lastArrivalMs[to] = atMs;
+    clock.setTimeout(action, atMs - nowMs);
+  }
+}
+
+class FleetGateway {
+  link: Link | undefined;
+  stalledUntilMs = 0;
+  isOff = false;
+  private readonly directory: BackendDirectory;
+  private readonly dispatcher: Dispatcher;
+  private lastSpokeAtMs = 0;
+
+  constructor(
+    readonly name: string,
+    private readonly others: ReadonlySet<string>,
+    private readonly startedAtMs: number,
+    private readonly fleet: ColdFleet,
+    knowsRecord: boolean,
+  ) {
+    const { clock } = fleet;
+    this.directory = new BackendDirectory({ name, zone: 'z' }, { isEngine: () => true });
+    this.dispatcher = new Dispatcher(this.directory, {
+      sendToAgent: (_id, message) => this.say(message),
+      onEjected: () => undefined,
+      onAvailability: () => undefined,
+      versionUse: () => 'open',
+      isEvacuated: () => false,
+      regionOf: () => undefined,
+      onSent: () => undefined,
+      isEngine: () => true,
+      countGateways: () => 1,
+      tokensPerEvent: () => 1,
+      coldStarts: this.createLimits(),
+    });
+    const backend = knowsRecord ? ENGINE : { ...ENGINE, remainingColdMs: 0 };
+    this.dispatcher.updateBackend('e', backend, clock.now());
+    this.directory.find('e')!.endAgentWait();
+  }
+
+  /** Callers begin. */
+  begin(): void {
+    this.tick();
+    this.press();
+  }
+
+  connect(): void {
+    if (this.link !== undefined || this.isOff) {
+      return;
+    }
+    const link = this.fleet.openLink(this);
+    this.link = link;
+    const { outstanding: held } = this.directory.find('e')!;
+    const { coldStartMs, coldRequestsPerS } = SERVICE;
+    const coldStart = { coldStartMs, coldRequestsPerS };
+    const hello = { kind: 'hello', gateway: this.name, peersAddress: '', held } as const;
+    this.say({ ...hello, slots: ENGINE.slots, coldStart });
+    this.dispatcher.connectAgent('e', this.fleet.clock.now());
+  }
+
+  disconnect(): void {
+    const { link } = this;
+    if (link !== undefined) {
+      this.link = undefined;
+      this.fleet.closeFromGateway(link);
+    }
+    if (link !== undefined && !this.isOff) {
+      this.dispatcher.disconnectAgent('e', this.fleet.clock.now());
+    }
+  }
+
+  hear(link: Link, message: SlotAnswer): void {
+    if (link === this.link && !this.isOff) {
+      link.heardAtMs = this.fleet.clock.now();
+      this.dispatcher.receiveFromAgent('e', message, link.heardAtMs);
+    }
+  }
+
+  private createLimits(): ColdStarts {
+    const { fault } = this.fleet;
+    const limits = new ColdStarts({
+      boundOf: () => COLD_BOUND,
+      returnedAtMs: () => undefined,
+      share: (id, total, nowMs) => (fault.ignoresOthers ? total : this.share(id, total, nowMs)),
+      onHeld: () => undefined,
+      onChange: () => undefined,
+    });
+    if (fault.takesFreely) {
+      limits.mayStart = () => this.link !== undefined;
+    }
+    if (fault.usesOldGrants) {
+      limits.isStale = () => false;
+    }
+    return limits;
+  }
+
+  private share(backendId: string, total: number, nowMs: number): number {
+    const { name: self, others, startedAtMs } = this;
+    return coldShare({ self, others, startedAtMs, hasHeardPeers: true }, backendId, total, nowMs);
+  }
+
+  private say(message: SlotMessage): void {
+    const { link } = this;
+    if (link !== undefined) {
+      this.lastSpokeAtMs = this.fleet.clock.now();
+      link.deliver('agent', () => this.fleet.hear(link, message));
+    }
+  }
+
+  /** As the gateway's role does each tick; a process that stalls does nothing. */
+  private tick(): void {
+    const { clock } = this.fleet;
+    const nowMs = clock.now();
+    if (this.isOff) {
+      return;
+    }
+    if (nowMs >= this.stalledUntilMs) {
+      this.dispatcher.tick(nowMs);
+      if (this.link !== undefined && nowMs - this.link.heardAtMs > SILENCE_MS) {
+        this.disconnect();
+      }
+      if (nowMs - this.lastSpokeAtMs >= 150) {
+        this.say({ kind: 'alive', atMs: nowMs });
+      }
+    }
+    clock.setTimeout(() => this.tick(), TICK_MS);
+  }
+
+  /** Callers send more than the engine may get. */
+  private press(): void {
+    const { clock, random } = this.fleet;
+    const nowMs = clock.now();
+    if (this.isOff) {
+      return;
+    }
+    if (nowMs >= this.stalledUntilMs) {
+      const request = this.requestAt(nowMs);
+      this.dispatcher.submit(request, nowMs);
+      clock.setTimeout(() => this.dispatcher.withdraw(request, clock.now()), 300);
+    }
+    clock.setTimeout(() => this.press(), randomInteger(random, 20, 400));
+  }
+
+  private requestAt(nowMs: number): DispatchRequest {
+    return {
+      service: 's',
+      allowedRegions: undefined,
+      tier: 0,
+      rankInTier: 0,
+      arrivedAtMs: nowMs,
+      startByMs: nowMs + 5_000,
+      units: 1,
+      promptTokens: 0,
+      firstDueAtMs: nowMs + 5_000,
+      maxPauseMs: 0,
+      isRepeatable: true,
+      excluded: new Set(),
+      onPlaced: () => this.noteStart(),
+    };
+  }
+
+  private noteStart(): void {
+    const { clock, random, starts } = this.fleet;
+    if (this.isOff) {
+      return;
+    }
+    starts.push({ atMs: clock.now(), isLinked: this.link !== undefined });
+    clock.setTimeout(
+      () => this.dispatcher.finish('e', 'answered', clock.now()),
+      randomInteger(random, 20, 300),
+    );
+  }
+}
+
+/** The fleet. */
+export class ColdFleet {
+  readonly clock = new VirtualClock();
+  readonly random: SeededRandom;
+  /** When each request was sent to the engine, in milliseconds, and whether by a gateway with a link to the agent. */
+  readonly starts: Array<{ readonly atMs: number; readonly isLinked: boolean }> = [];
+  private readonly gateways: FleetGateway[] = [];
+  private readonly names: readonly string[];
+  private readonly links = new Map<number, Link>();
+  private ledger!: SlotLedger;
+  private coldness!: EngineColdness;
+  private nextLink = 1;
+
+  constructor(
+    seed: number,
+    readonly fault: ColdFleetFault = {},
+  ) {
+    this.random = new SeededRandom(seed);
+    const { random } = this;
+    const size = randomInteger(random, 1, 14);
+    this.names = Array.from({ length: size }, (_none, index) => `g${index}`);
+    this.startAgent();
+    this.names.forEach((name, index) => (this.gateways[index] = this.create(name, -10_000)));
+    this.repeat(300, () => this.ledger.beat(300, this.clock.now()));
+    this.repeat(50, () => this.endSilent());
+    this.repeat(250, () => this.strike());
+  }
+
+  openLink(gateway: FleetGateway): Link {
+    const link = new Link(this.nextLink, gateway, this);
+    this.nextLink += 1;
+    this.links.set(link.number, link);
+    return link;
+  }
+
+  hear(link: Link, message: SlotMessage): void {
+    if (!this.links.has(link.number)) {
+      return;
+    }
+    const nowMs = this.clock.now();
+    if (message.kind === 'hello') {
+      this.coldness.noteService(message.coldStart);
+    } else if (message.kind === 'demand') {
+      this.coldness.noteTold(message.coldMs, nowMs);
+    }
+    this.ledger.receive(link.number, message, nowMs);
+  }
+
+  closeFromGateway(link: Link): void {
+    link.deliver('agent', () => this.drop(link));
+  }
+
+  /** Most requests that were sent within any one second. */
+  get most(): { readonly all: number; readonly linked: number; readonly unlinked: number } {
+    const times = (kind: (isLinked: boolean) => boolean) =>
+      mostInASecond(this.starts.filter(({ isLinked }) => kind(isLinked)).map(({ atMs }) => atMs));
+    return {
+      all: times(() => true),
+      linked: times((isLinked) => isLinked),
+      unlinked: times((isLinked) => !isLinked),
+    };
+  }
+
+  private drop(link: Link): void {
+    if (this.links.delete(link.number)) {
+      this.ledger.disconnect(link.number, this.clock.now());
+    }
+  }
+
+  private startAgent(): void {
+    const { clock } = this;
+    this.coldness = new EngineColdness(
+      () => ({ service: undefined, backend: undefined, zoneReturnedAtMs: undefined }),
+      LIMITS,
+      clock.now(),
+    );
+    const { coldness } = this;
+    const ledger: SlotLedger = new SlotLedger({
+      send: (connection, message) => this.send(connection, message),
+      onGranted: () => undefined,
+      onChangesToTell: () => clock.setTimeout(() => ledger.tellChanges(clock.now()), 250),
+      onReconciled: () => undefined,
+      onLookWanted: () => undefined,
+      onAvailability: () => undefined,
+      restriction: () => undefined,
+      startRules: (nowMs) => coldness.rules(nowMs),
+      onStartsHeld: (inMs) => {
+        if (Number.isFinite(inMs)) {
+          clock.setTimeout(() => ledger.resume(clock.now()), inMs);
+        }
+      },
+    });
+    this.ledger = ledger;
+  }
+
+  private send(connection: number, message: SlotAnswer): void {
+    const link = this.links.get(connection);
+    link?.deliver('gateway', () => link.gateway.hear(link, message));
+  }
+
+  private endSilent(): void {
+    for (const number of this.ledger.findSilent(this.clock.now())) {
+      this.endFromAgent(this.links.get(number)!);
+    }
+  }
+
+  private endFromAgent(link: Link): void {
+    this.drop(link);
+    link.deliver('gateway', () => link === link.gateway.link && link.gateway.disconnect());
+  }
+
+  /**
+   * Each gateway's view holds all others, and some that are gone. One that has not read that the engine is
+   * cold hears its agent first.
+   */
+  private create(name: string, startedAtMs: number): FleetGateway {
+    const gone = Array.from({ length: randomInteger(this.random, 0, 4) }, (_none, i) => `x${i}`);
+    const others = new Set([...this.names.filter((other) => other !== name), ...gone]);
+    const isLinked = this.random.next() < 0.6;
+    const knows = !isLinked || this.random.next() < 0.7;
+    const gateway = new FleetGateway(name, others, startedAtMs, this, knows);
+    if (isLinked) {
+      gateway.connect();
+    }
+    gateway.begin();
+    return gateway;
+  }
+
+  /** One thing goes wrong, or is mended. */
+  private strike(): void {
+    const { random, clock } = this;
+    const index = randomInteger(random, 0, this.names.length - 1);
+    const gateway = this.gateways[index]!;
+    const forMs = randomInteger(random, 100, 2_500);
+    switch (randomInteger(random, 0, 6)) {
+      case 0:
+        gateway.link?.stall(forMs);
+        break;
+      case 1:
+        gateway.stalledUntilMs = clock.now() + forMs;
+        break;
+      case 2:
+        gateway.disconnect();
+        break;
+      case 3:
+        gateway.isOff = true;
+        gateway.disconnect();
+        this.gateways[index] = this.create(gateway.name, clock.now());
+        break;
+      case 4:
+        if (random.next() < 0.3) {
+          this.restartAgent();
+        }
+        break;
+      default:
+        this.gateways.forEach((one) => one.connect());
+    }
+  }
+
+  private restartAgent(): void {
+    for (const link of [...this.links.values()]) {
+      this.endFromAgent(link);
+    }
+    this.startAgent();
+  }
+
+  private repeat(periodMs: number, action: () => void): void {
+    this.clock.setTimeout(() => {
+      action();
+      this.repeat(periodMs, action);
+    }, periodMs);
+  }
+}
+
+function mostInASecond(timesMs: readonly number[]): number {
+  let from = 0;
+  let most = 0;
+  timesMs.forEach((atMs, index) => {
+    while (timesMs[from]! < atMs - 1_000) {
+      from += 1;
+    }
+    most = Math.max(most, index - from + 1);
+  });
+  return most;
+}
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -7,6 +7,7 @@
 } from '../../src/gateway/attempt/attempt.js';
 import type { CallerProtocol } from '../../src/gateway/admission/caller-protocol.js';
 import { BackendDirectory } from '../../src/gateway/dispatch/backend-directory.js';
+import { ColdStarts } from '../../src/gateway/dispatch/cold-starts.js';
 import { Dispatcher } from '../../src/gateway/dispatch/dispatcher.js';
 import type { DispatcherPorts } from '../../src/gateway/dispatch/dispatcher.js';
 import { ProxiedRequest } from '../../src/gateway/attempt/proxied-request.js';
@@ -138,6 +139,7 @@
   readonly evacuatedZones = new Set<string>();
   readonly regions = new Map<string, string>();
   readonly triesOver: TryOver[] = [];
+  coldStarts = new ColdStarts();
 
   constructor(...backends: Backend[]) {
     for (const backend of backends) {
