Cold rates are part of the supply that admission reckons with; the soak has cold back ends

While every back end of a service is cold, the forecast keeps to what agents grant at the cold rate instead of what was seen warm, so that requests beyond it are refused at once. The soak's back ends are cold for 2 s after they are replaced and say when they were sent more than the bound in a second. Test changed: runOf of test/soak.test.ts names the new field.

--- a/bench/soak/soak-backend.ts
+++ b/bench/soak/soak-backend.ts
@@ -10,6 +10,8 @@
   readonly path: string;
   readonly tenant: string | undefined;
   readonly atMs: number;
+  /** Whether the back end is cold, and its link passes on what is sent without delay. */
+  readonly countsAsColdStart: boolean;
 }
 
 /** Shares of requests that a back end treats badly. */
@@ -41,12 +43,15 @@
 export class SoakBackend {
   readonly faults: BackendFaults = { refuses: 0, loses: 0, breaks: 0 };
   private readonly server: Server;
+  /** Until when it is cold, in milliseconds. */
+  coldUntilMs = 0;
   private running = 0;
 
   constructor(
     public id: string,
     private readonly random: RandomSource,
     private readonly onRun: (run: BackendRun) => void,
+    private readonly isLinkWell: () => boolean,
   ) {
     this.server = createServer((request, response) => this.receive(request, response));
     this.server.keepAliveTimeout = 10_000;
@@ -95,6 +100,7 @@
       path: request.url ?? '',
       tenant: Array.isArray(tenant) ? tenant[0] : tenant,
       atMs: performance.now(),
+      countsAsColdStart: performance.now() < this.coldUntilMs && this.isLinkWell(),
     });
     this.running += 1;
     response.on('close', () => (this.running -= 1));
--- a/bench/soak/soak-fleet.ts
+++ b/bench/soak/soak-fleet.ts
@@ -21,6 +21,14 @@
 /** Key of the one tenant. */
 export const SOAK_KEY = 'soak-key';
 
+/** How long a back end is cold after its start, in milliseconds, and what it bears in a second meanwhile. */
+const COLD_MS = 2_000;
+const COLD_PER_S = 14;
+const COLD_OVER = 1.5;
+const COLD_SLACK = 5;
+/** Most requests in one second, over all gateways, at a cold back end. */
+export const SOAK_COLD_BOUND = COLD_PER_S * COLD_OVER + COLD_SLACK;
+
 const PROGRAM = 'target/weirvale.cjs';
 const GRACE_S = 4;
 const PORTS = { callers: 1, readiness: 2, peers: 3, storeProxy: 4, agent: 5, backend: 6, real: 7 };
@@ -140,7 +148,15 @@
         route('unsafe', 'unsafe', false),
         route('stream', 'streaming', true),
       ],
-      services: [{ name: 'engines', maxConnections: 200, engine: { stride: 3 } }],
+      services: [
+        {
+          name: 'engines',
+          maxConnections: 200,
+          engine: { stride: 3 },
+          coldStartS: COLD_MS / 1_000,
+          coldPerS: COLD_PER_S,
+        },
+      ],
       tenants: [{ name: 'shop', apiKeys: [SOAK_KEY] }],
     });
   }
@@ -148,8 +164,10 @@
   /** Announces a back end. */
   announce(index: number, state: 'ready' | 'draining'): void {
     const address = `${backendHost(index)}:${this.basePort + PORTS.backend}`;
-    const { id } = this.backends[index]!;
-    this.store.put(`servers/${id}`, { service: 'engines', address, slots: 6, state });
+    const { id, coldUntilMs } = this.backends[index]!;
+    const coldRemainingMs = Math.max(0, Math.round(coldUntilMs - performance.now()));
+    const announced = { service: 'engines', address, slots: 6, state, coldRemainingMs };
+    this.store.put(`servers/${id}`, announced);
   }
 
   /** A back end announces that it leaves; what was sent there later than the bound is a violation. */
@@ -168,11 +186,13 @@
     const backend = this.backends[index]!;
     this.store.remove(`servers/${backend.id}`);
     backend.id = `${backend.id}x`;
+    backend.coldUntilMs = performance.now() + COLD_MS;
     this.announce(index, 'ready');
   }
 
   private async startBackend(index: number): Promise<void> {
-    const backend = new SoakBackend(`e-${index}`, this.random, this.onRun);
+    const isLinkWell = () => this.backendProxies[index]?.mood === 'passes';
+    const backend = new SoakBackend(`e-${index}`, this.random, this.onRun, isLinkWell);
     await backend.start(backendHost(index), this.basePort + PORTS.real);
     const proxy = new LoopbackProxy(backendHost(index), this.basePort + PORTS.real);
     await proxy.start(backendHost(index), this.basePort + PORTS.backend);
@@ -203,7 +223,7 @@
       `seeds = ${this.seeds()}`,
       `store = ${at(PORTS.storeProxy)}`,
       'storeTimeoutMs = 700',
-      '[limits]',
+      ...coldLimits(),
       `stopGraceS = ${GRACE_S}`,
     ];
     return lines.join('\n');
@@ -218,6 +238,7 @@
       `seeds = ${this.seeds()}`,
       '[engine]',
       `address = ${backendHost(index)}:${this.basePort + PORTS.real}`,
+      ...coldLimits(),
     ];
     return lines.join('\n');
   }
@@ -231,6 +252,10 @@
   }
 }
 
+function coldLimits(): string[] {
+  return ['[limits]', `coldOver = ${COLD_OVER}`, `coldSlack = ${COLD_SLACK}`];
+}
+
 function gatewayHost(index: number): string {
   return `127.0.1.${10 + index}`;
 }
--- a/bench/soak/soak-run.ts
+++ b/bench/soak/soak-run.ts
@@ -5,7 +5,7 @@
 import { expectedAnswer } from './soak-backend.js';
 import type { BackendRun } from './soak-backend.js';
 import { doFault } from './soak-faults.js';
-import { SOAK_KEY, SOAK_TIMEOUT_MS, SoakFleet } from './soak-fleet.js';
+import { SOAK_COLD_BOUND, SOAK_KEY, SOAK_TIMEOUT_MS, SoakFleet } from './soak-fleet.js';
 import type { SoakSizes } from './soak-fleet.js';
 
 /** What a soak is to do. */
@@ -49,6 +49,8 @@
 const LATE_MS = 700;
 /** Time after the announcement of a leave in which requests may still arrive, in milliseconds. */
 const DRAIN_BOUND_MS = 2_200;
+/** A second, less what this process may be late to see a request in, in milliseconds. */
+const COLD_WINDOW_MS = 950;
 const PROMISE_STATUSES = new Set([408, 421, 429, 503]);
 
 /** Runs one soak. */
@@ -81,6 +83,7 @@
     ...late,
     ...findViolations(seen, runs, calmFromMs),
     ...findLateForLeaving(runs, fleet.drainedAtMs, isCalmSince),
+    ...findRushes(runs),
   ];
   const answered = seen.filter(({ status }) => status === 200).length;
   const { folder } = fleet;
@@ -195,6 +198,26 @@
   });
 }
 
+/** Cold back ends that were sent more than the bound in one second. */
+export function findRushes(runs: readonly BackendRun[]): string[] {
+  const byBackend = new Map<string, number[]>();
+  for (const { backendId, atMs, countsAsColdStart } of runs) {
+    if (countsAsColdStart) {
+      byBackend.set(backendId, [...(byBackend.get(backendId) ?? []), atMs]);
+    }
+  }
+  return [...byBackend].flatMap(([backendId, times]) => {
+    const most = Math.max(...times.map((atMs) => countFrom(times, atMs)));
+    return most > SOAK_COLD_BOUND
+      ? [`${backendId} got ${most} requests in a second while cold`]
+      : [];
+  });
+}
+
+function countFrom(times: readonly number[], fromMs: number): number {
+  return times.filter((atMs) => atMs >= fromMs && atMs < fromMs + COLD_WINDOW_MS).length;
+}
+
 /** The promises that were broken, from what callers and back ends saw. */
 export function findViolations(
   seen: readonly SeenRequest[],
--- a/src/gateway/dispatch/cold-starts.ts
+++ b/src/gateway/dispatch/cold-starts.ts
@@ -38,6 +38,10 @@
  */
 export const GRANT_LIFE_MS = 500;
 
+/** What a busy gateway gets of an agent's grants, in equal shares: gateways are not equally busy. Chosen. */
+const BUSY_GATEWAY_SHARE = 1.25;
+const MS_PER_S = 1_000;
+
 const NO_PORTS: ColdStartPorts = {
   boundOf: () => undefined,
   returnedAtMs: () => undefined,
@@ -122,6 +126,33 @@
     return { atMs: nowMs, ...(coldness && { coldMs: coldness.untilMs - nowMs }) };
   }
 
+  /**
+   * Requests in a millisecond that this gateway may expect to begin while every back end is cold, where
+   * `gateways` share them; undefined while some is warm.
+   */
+  supplyPerMs(
+    backends: readonly KnownBackend[],
+    gateways: number,
+    nowMs: number,
+  ): number | undefined {
+    const usable = backends.filter(
+      ({ isReady, availability }) => isReady && availability !== 'closed',
+    );
+    if (usable.length === 0 || !usable.every((known) => this.isCold(known, nowMs))) {
+      return undefined;
+    }
+    const perS = usable.map((known) => this.startsPerS(known, gateways, nowMs));
+    return perS.reduce((sum, starts) => sum + starts, 0) / MS_PER_S;
+  }
+
+  private startsPerS(known: KnownBackend, gateways: number, nowMs: number): number {
+    const { backend, agent } = known;
+    const { granted, ungranted } = this.ports.boundOf(backend.service)!;
+    return agent === undefined
+      ? this.ports.share(backend.id, ungranted, nowMs)
+      : (granted * BUSY_GATEWAY_SHARE) / Math.max(1, gateways);
+  }
+
   /** Tells of back ends that are taken for cold since the last call, or no longer; to be called now and then. */
   review(backends: readonly KnownBackend[], nowMs: number): void {
     const isListed = new Set(backends);
--- a/src/gateway/dispatch/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -225,7 +225,10 @@
   /** Serves what waits; to be called now and then, since ejections end with time alone. */
   tick(nowMs: number): void {
     this.ports.coldStarts.review(this.directory.list(), nowMs);
-    for (const service of this.waiting.keys()) {
+    for (const [service, queue] of this.waiting) {
+      const backends = this.directory.ofService(service);
+      const gateways = this.ports.countGateways();
+      queue.limitSupply(this.ports.coldStarts.supplyPerMs(backends, gateways, nowMs));
       this.serve(service, nowMs);
     }
   }
--- a/src/gateway/dispatch/service-queue.ts
+++ b/src/gateway/dispatch/service-queue.ts
@@ -33,6 +33,11 @@
     return this.queue.remove(request);
   }
 
+  /** No more slots than these can be had for now; undefined for no limit. */
+  limitSupply(slotsPerMs: number | undefined): void {
+    this.supply.limitTo(slotsPerMs);
+  }
+
   /** A request of the service got a slot. */
   noteBound(nowMs: number): void {
     this.supply.noteBound(nowMs);
--- a/src/gateway/dispatch/slot-supply.ts
+++ b/src/gateway/dispatch/slot-supply.ts
@@ -37,6 +37,7 @@
   private readonly arrivals: RankArrivals[] = [];
   private busySinceMs: number | undefined;
   private countedToMs = 0;
+  private mostPerMs: number | undefined;
 
   /** A request that can be in time arrives. */
   noteArrival({ tier, rankInTier }: WaitingPlace, nowMs: number): void {
@@ -48,6 +49,11 @@
     rank.count.add(1, nowMs);
   }
 
+  /** No more can be had for now, whatever was seen before; undefined for no limit. */
+  limitTo(slotsPerMs: number | undefined): void {
+    this.mostPerMs = slotsPerMs;
+  }
+
   /** Requests begin to wait, or none does any more. */
   noteWaiting(isWaiting: boolean, nowMs: number): void {
     this.countBusyTime(nowMs);
@@ -78,6 +84,11 @@
    * were seen is assumed, so that a short wait without any says little, and never less than was used of late.
    */
   slotsPerMs(nowMs: number): number | undefined {
+    const learned = this.learnedPerMs(nowMs);
+    return this.mostPerMs === undefined ? learned : Math.min(learned ?? Infinity, this.mostPerMs);
+  }
+
+  private learnedPerMs(nowMs: number): number | undefined {
     this.countBusyTime(nowMs);
     const busyMs = this.busyMs.at(nowMs);
     if (busyMs < MIN_BUSY_MS) {
--- a/test/cold-start.test.ts
+++ b/test/cold-start.test.ts
@@ -243,3 +243,24 @@
   t.is(world.attempts.length, 1);
   t.false(world.dispatcher.isCold('cold', 0));
 });
+
+test('while every back end is cold, what waits beyond their rate is refused at once', async (t) => {
+  const world = coldWorld(0, 'cold');
+  world.gateways = 10;
+  world.dispatcher.connectAgent('cold', 0);
+  hear(world, 'cold', { ...OPEN, occupied: 0, availability: 'open', grantsOnly: 'cold' });
+  const first = world.request({ route: routeOf({ targetLatencyMs: 700 }) });
+  world.dispatcher.tick(0);
+  t.false(first.request.isDone, 'the first may expect one of 14 x 1.25 / 10 in a second');
+  const others: Array<ReturnType<GatewayWorld['request']>> = [];
+  for (let index = 1; index <= 5; index += 1) {
+    await world.clock.runUntil(index);
+    others.push(world.request());
+  }
+  t.is(others.at(-1)!.reply.status, 503, 'the sixth would wait for longer than its caller does');
+  world.dispatcher.updateBackend('warm', backendOf('warm'), 0);
+  world.dispatcher.tick(0);
+  t.is(world.dispatcher.forecastOf('s').expectedWaitMs(PLACE, 0), 0);
+});
+
+const PLACE = { tier: 1, rankInTier: 0, arrivedAtMs: 0, startByMs: 1_000 };
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -1,6 +1,12 @@
 import { execFileSync } from 'node:child_process';
 import test from 'ava';
-import { findHeld, findLateForLeaving, findViolations, runSoak } from '../bench/soak/soak-run.js';
+import {
+  findHeld,
+  findLateForLeaving,
+  findRushes,
+  findViolations,
+  runSoak,
+} from '../bench/soak/soak-run.js';
 import type { SeenRequest } from '../bench/soak/soak-run.js';
 
 const SEED = 7;
@@ -30,7 +36,7 @@
 };
 
 function runOf(requestId: string, tenant = 'shop') {
-  return { requestId, backendId: 'e', path: '/', tenant, atMs: 0 };
+  return { requestId, backendId: 'e', path: '/', tenant, atMs: 0, countsAsColdStart: false };
 }
 
 test('the checks of a soak see each kind of broken promise', (t) => {
@@ -66,3 +72,16 @@
   t.is(findHeld(held, 150).length, 0);
   t.is(findHeld(CALM, 0).length, 0);
 });
+
+test('the check of cold back ends sees one that was sent more than the bound in a second', (t) => {
+  const runs = (count: number, everyMs: number, countsAsColdStart = true) =>
+    Array.from({ length: count }, (_none, index) => ({
+      ...runOf(`${index}`),
+      atMs: index * everyMs,
+      countsAsColdStart,
+    }));
+  t.deepEqual(findRushes(runs(26, 1)), []);
+  t.deepEqual(findRushes(runs(100, 40)), []);
+  t.deepEqual(findRushes(runs(40, 1, false)), []);
+  t.deepEqual(findRushes(runs(27, 1)), ['e got 27 requests in a second while cold']);
+});
