--- a/src/gateway/gateway-cold-starts.ts
+++ b/src/gateway/gateway-cold-starts.ts
@@ -26,8 +26,9 @@
 /** Creates the limits of one gateway. */
 export function createColdStarts(parts: GatewayColdStartsParts): ColdStarts {
   const { evacuations, metrics } = parts;
+  const bounds = new ServiceBounds(parts);
   return new ColdStarts({
-    boundOf: (service) => boundOf(service, parts),
+    boundOf: (service) => bounds.find(service),
     returnedAtMs: (zone) => evacuations.returnedAtMs(zone),
     share: (backendId, total, nowMs) => coldShare(parts.view(), backendId, total, nowMs),
     onHeld: ({ backend: { service } }) =>
@@ -36,12 +37,25 @@
   });
 }
 
-function boundOf(
-  service: string,
-  { configuration, limits }: GatewayColdStartsParts,
-): ColdStartBound | undefined {
-  const coldStart = configuration.coldStartOf(service);
-  return coldStart && coldStartBound(coldStart, limits);
+/** The bounds of the configuration in force, reckoned once for each version: each choice of a back end asks. */
+class ServiceBounds {
+  private readonly bounds = new Map<string, ColdStartBound | undefined>();
+  private version: number | undefined;
+
+  constructor(private readonly parts: Pick<GatewayColdStartsParts, 'configuration' | 'limits'>) {}
+
+  find(service: string): ColdStartBound | undefined {
+    const { configuration, limits } = this.parts;
+    if (configuration.version !== this.version) {
+      this.version = configuration.version;
+      this.bounds.clear();
+    }
+    if (!this.bounds.has(service)) {
+      const coldStart = configuration.coldStartOf(service);
+      this.bounds.set(service, coldStart && coldStartBound(coldStart, limits));
+    }
+    return this.bounds.get(service);
+  }
 }
 
 function noteChange(
--- a/src/routing/cold-start.ts
+++ b/src/routing/cold-start.ts
@@ -142,16 +142,23 @@
     zoneReturnedAtMs: number | undefined,
     nowMs: number,
   ): Coldness | undefined {
-    const { suspected } = this;
-    const reasons: Array<Coldness | undefined> = [
+    const candidates = [
       this.announced,
-      suspected && { ...suspected, untilMs: suspected.sinceMs + coldStartMs },
+      this.sinceSuspicion(coldStartMs),
       this.sinceReturn(coldStartMs, zoneReturnedAtMs),
     ];
-    return reasons
-      .filter((reason) => reason !== undefined)
-      .filter(({ untilMs }) => untilMs > nowMs)
-      .sort((left, right) => right.untilMs - left.untilMs)[0];
+    let latest: Coldness | undefined;
+    for (const candidate of candidates) {
+      if (candidate !== undefined && candidate.untilMs > (latest?.untilMs ?? nowMs)) {
+        latest = candidate;
+      }
+    }
+    return latest;
+  }
+
+  private sinceSuspicion(coldStartMs: number): Coldness | undefined {
+    const { suspected } = this;
+    return suspected && { ...suspected, untilMs: suspected.sinceMs + coldStartMs };
   }
 
   private sinceReturn(coldStartMs: number, sinceMs: number | undefined): Coldness | undefined {
