--- a/src/slot-agent/start-limiter.ts
+++ b/src/slot-agent/start-limiter.ts
@@ -7,6 +7,7 @@
 import type { ColdStartBound } from '../routing/cold-start.js';
 import { START_WINDOW_MS, StartWindow } from './start-window.js';
 import type { Start } from './start-window.js';
+import { WarmCeiling } from './warm-ceiling.js';
 
 /** How the engine may be given requests now. */
 export interface StartRules {
@@ -35,6 +36,7 @@
   private readonly starts = new StartWindow();
   private readonly unanswered = new Map<number, Start[]>();
   private spentUntilMs: number | undefined;
+  private readonly ceiling = new WarmCeiling();
   private isBusy = false;
 
   /** A gateway is connected: what other processes granted until now is not known. */
@@ -82,7 +84,12 @@
     }
     const { bound, isCold } = rules;
     const spentMs = (this.spentUntilMs ?? nowMs) - nowMs;
-    return Math.max(spentMs, this.starts.msUntilBelow(isCold ? bound.granted : bound.warm, nowMs));
+    return Math.max(
+      spentMs,
+      isCold
+        ? this.starts.msUntilBelow(bound.granted, nowMs)
+        : this.ceiling.msUntilGrant(this.starts.msUntilBelow(bound.warm, nowMs), nowMs),
+    );
   }
 
   /** Why free slots are only granted; undefined while gateways may take them. */
@@ -93,6 +100,9 @@
     if (rules.isCold) {
       return 'cold';
     }
+    if (this.ceiling.isLifted(nowMs)) {
+      return undefined;
+    }
     const { taken } = rules.bound;
     this.isBusy = this.starts.count(nowMs) >= (this.isBusy ? taken * CALM_SHARE : taken);
     return this.isBusy ? 'busy' : undefined;
--- a/test/slot-ledger.test.ts
+++ b/test/slot-ledger.test.ts
@@ -58,6 +58,14 @@
     return told.at(-1);
   }
 
+  /** Why gateways were told last not to take free slots. */
+  toldGrantsOnly(): string | undefined {
+    const told = this.sent.flatMap(([, message]) =>
+      message.kind === 'state' ? [message.grantsOnly] : [],
+    );
+    return told.at(-1);
+  }
+
   grants(): number[] {
     return this.sent.flatMap(([to, message]) => (message.kind === 'granted' ? [to] : []));
   }
@@ -438,20 +446,18 @@
 
 test('gateways are told at once that the engine is cold, and that it no longer is', (t) => {
   const agent = boundedAgent(true);
-  const toldLast = () =>
-    agent.sent.flatMap(([, message]) => (message.kind === 'state' ? [message.grantsOnly] : []));
-  t.is(toldLast().at(-1), 'cold');
+  t.is(agent.toldGrantsOnly(), 'cold');
   agent.rules = { bound: BOUND, isCold: false };
   agent.ledger.resume(2_000);
-  t.is(toldLast().at(-1), undefined);
+  t.is(agent.toldGrantsOnly(), undefined);
   for (let index = 0; index < BOUND.taken; index += 1) {
     agent.hear(1, { kind: 'taken' }, 2_000);
   }
-  t.is(toldLast().at(-1), 'busy');
+  t.is(agent.toldGrantsOnly(), 'busy');
   want(agent, 8, 2_000);
   t.is(agent.grants().length, BOUND.warm - BOUND.taken);
   agent.ledger.beat(300, 4_000);
-  t.is(toldLast().at(-1), undefined);
+  t.is(agent.toldGrantsOnly(), undefined);
 });
 
 test('a grant names the latest word of the gateway that it rests on', (t) => {
@@ -464,3 +470,28 @@
   agent.hear(1, { kind: 'grant-returned' }, 2_102);
   t.deepEqual(agent.sent.at(-1), [1, { kind: 'granted', heardAtMs: 2_100 }]);
 });
+
+test('the ceiling of a warm engine is lifted while it is needed for more, and holds again later', (t) => {
+  const agent = boundedAgent(false);
+  const serve = (count: number, nowMs: number) => {
+    want(agent, count, nowMs);
+    while (agent.ledger.describe(1)!.held > 0) {
+      agent.hear(1, { kind: 'grant-used' }, nowMs);
+      agent.hear(1, { kind: 'released' }, nowMs);
+    }
+  };
+  serve(20, 2_000);
+  t.is(agent.grants().length, BOUND.warm);
+  agent.ledger.resume(2_900);
+  t.is(agent.grants().length, BOUND.warm);
+  serve(20, 3_010);
+  t.is(agent.grants().length, BOUND.warm + 20, 'requests waited for a second');
+  agent.ledger.beat(300, 3_300);
+  t.is(agent.toldGrantsOnly(), undefined);
+  serve(20, 20_000);
+  t.is(agent.grants().length, 2 * BOUND.warm + 20);
+  t.is(agent.toldGrantsOnly(), 'busy');
+  agent.rules = { bound: BOUND, isCold: true };
+  agent.ledger.resume(20_100);
+  t.is(agent.toldGrantsOnly(), 'cold');
+});
