--- a/test/cold-start.test.ts
+++ b/test/cold-start.test.ts
@@ -144,6 +144,37 @@
   t.is(world.attempts.length, 1);
 });
 
+test('a gateway that has just connected takes nothing before the first word of the agent', (t) => {
+  const world = coldWorld(9, 'warm');
+  world.dispatcher.connectAgent('warm', 0);
+  world.request();
+  t.is(world.attempts.length, 0);
+  hear(world, 'warm', { ...OPEN, occupied: 0, availability: 'open' });
+  t.is(world.attempts.length, 1);
+});
+
+test('a back end whose zone is in use again is taken for cold, and each change is told once', (t) => {
+  const world = coldWorld(0, 'warm');
+  const told: Array<[string, string | undefined]> = [];
+  const zone: { returnedAtMs?: number } = {};
+  world.coldStarts = new ColdStarts({
+    boundOf: () => BOUND,
+    returnedAtMs: () => zone.returnedAtMs,
+    share: () => 0,
+    onHeld: () => undefined,
+    onChange: ({ backend }, coldness) => told.push([backend.id, coldness?.reason]),
+  });
+  world.dispatcher.tick(0);
+  zone.returnedAtMs = 100;
+  world.dispatcher.tick(200);
+  world.dispatcher.tick(300);
+  world.dispatcher.tick(100 + COLD_MS);
+  t.deepEqual(told, [
+    ['warm', 'zone-returned'],
+    ['warm', undefined],
+  ]);
+});
+
 test('a grant that was held up on the way is given back', async (t) => {
   const world = coldWorld(0, 'cold');
   world.dispatcher.connectAgent('cold', 0);
