--- a/src/gateway/dispatch/cold-starts.ts
+++ b/src/gateway/dispatch/cold-starts.ts
@@ -5,6 +5,7 @@
  * them. Where none is, all gateways together keep to the part of the bound that agents leave, each to its
  * share of it.
  */
+import { GRANT_LIFE_MS } from '../../slot-agent/start-limiter.js';
 import { StartWindow } from '../../slot-agent/start-window.js';
 import type { ColdStartBound, Coldness } from '../../routing/cold-start.js';
 import type { KnownBackend } from './known-backend.js';
@@ -31,13 +32,6 @@
   readonly coldMs?: number;
 }
 
-/**
- * Oldest word of this gateway that a grant may rest on, in milliseconds. A gateway that waits speaks each
- * 250 ms or sooner. An older grant was held up on the way or by this process, and is given back: the agent
- * no longer counts it.
- */
-export const GRANT_LIFE_MS = 500;
-
 /** What a busy gateway gets of an agent's grants, in equal shares: gateways are not equally busy. Chosen. */
 const BUSY_GATEWAY_SHARE = 1.25;
 const MS_PER_S = 1_000;
--- a/src/slot-agent/start-limiter.ts
+++ b/src/slot-agent/start-limiter.ts
@@ -24,10 +24,11 @@
   | 'busy';
 
 /**
- * Longest time from a grant to its use, in milliseconds: gateways give back grants that rest on a word of
- * theirs which is older. See `GRANT_LIFE_MS` of the gateway, which is the same.
+ * Longest time from a grant to its use, in milliseconds: gateways give back a grant that rests on a word of
+ * theirs which is older, since it was held up on the way or by the gateway itself. A gateway that waits speaks
+ * each 250 ms or sooner.
  */
-const GRANT_LIFE_MS = 500;
+export const GRANT_LIFE_MS = 500;
 /** Share of the starts at which taking stops below which it is allowed again. */
 const CALM_SHARE = 0.6;
 
