--- a/bench/soak/soak-fleet.ts
+++ b/bench/soak/soak-fleet.ts
@@ -30,6 +30,14 @@
 /** Key of the one tenant. */
 export const SOAK_KEY = 'soak-key';
 
+/** How long a back end is cold after its start, in milliseconds, and what it bears in a second meanwhile. */
+const COLD_MS = 2_000;
+const COLD_PER_S = 14;
+const COLD_OVER = 1.5;
+const COLD_SLACK = 5;
+/** Most requests in one second, over all gateways, at a cold back end. */
+export const SOAK_COLD_BOUND = COLD_PER_S * COLD_OVER + COLD_SLACK;
+
 const PROGRAM = 'target/weirvale.cjs';
 const GRACE_S = 4;
 const PORTS = { callers: 1, readiness: 2, peers: 3, storeProxy: 4, agent: 5, backend: 6, real: 7 };
@@ -165,7 +173,15 @@
         { ...route(FIXED_HOME.name, 'safe', false), allowedRegions: FIXED_HOME.regions },
         { ...route(MOVED_HOME, 'safe', false), allowedRegions: regions },
       ],
-      services: [{ name: 'engines', maxConnections: 200, engine: { stride: 3 } }],
+      services: [
+        {
+          name: 'engines',
+          maxConnections: 200,
+          engine: { stride: 3 },
+          coldStartS: COLD_MS / 1_000,
+          coldPerS: COLD_PER_S,
+        },
+      ],
       tenants: [{ name: 'shop', apiKeys: [SOAK_KEY] }],
     });
   }
@@ -173,9 +189,11 @@
   /** Announces a back end. */
   announce(index: number, state: 'ready' | 'draining'): void {
     const address = `${backendHost(index)}:${this.basePort + PORTS.backend}`;
-    const { id } = this.backends[index]!;
+    const { id, coldUntilMs } = this.backends[index]!;
+    const coldRemainingMs = Math.max(0, Math.round(coldUntilMs - performance.now()));
     const zone = zoneOf(index);
-    this.store.put(`servers/${id}`, { service: 'engines', address, slots: 6, state, zone });
+    const announced = { service: 'engines', address, slots: 6, state, zone, coldRemainingMs };
+    this.store.put(`servers/${id}`, announced);
   }
 
   /** A back end announces that it leaves; what was sent there later than the bound is a violation. */
@@ -217,11 +235,13 @@
     const backend = this.backends[index]!;
     this.store.remove(`servers/${backend.id}`);
     backend.id = `${backend.id}x`;
+    backend.coldUntilMs = performance.now() + COLD_MS;
     this.announce(index, 'ready');
   }
 
   private async startBackend(index: number): Promise<void> {
-    const backend = new SoakBackend(`e-${index}`, this.random, this.onRun);
+    const isLinkWell = () => this.backendProxies[index]?.mood === 'passes';
+    const backend = new SoakBackend(`e-${index}`, this.random, this.onRun, isLinkWell);
     await backend.start(backendHost(index), this.basePort + PORTS.real);
     const proxy = new LoopbackProxy(backendHost(index), this.basePort + PORTS.real);
     await proxy.start(backendHost(index), this.basePort + PORTS.backend);
@@ -252,7 +272,7 @@
       `seeds = ${this.seeds()}`,
       `store = ${at(PORTS.storeProxy)}`,
       'storeTimeoutMs = 700',
-      '[limits]',
+      ...coldLimits(),
       `stopGraceS = ${GRACE_S}`,
     ];
     return lines.join('\n');
@@ -267,6 +287,7 @@
       `seeds = ${this.seeds()}`,
       '[engine]',
       `address = ${backendHost(index)}:${this.basePort + PORTS.real}`,
+      ...coldLimits(),
     ];
     return lines.join('\n');
   }
@@ -293,9 +314,8 @@
   }
 }
 
-/** Each back end has a zone of its own. */
-function zoneOf(backendIndex: number): string {
-  return `zone-${backendIndex}`;
+function coldLimits(): string[] {
+  return ['[limits]', `coldOver = ${COLD_OVER}`, `coldSlack = ${COLD_SLACK}`];
 }
 
 function gatewayHost(index: number): string {
--- a/bench/soak/soak-run.ts
+++ b/bench/soak/soak-run.ts
@@ -6,7 +6,7 @@
 import type { BackendRun } from './soak-backend.js';
 import { doFault } from './soak-faults.js';
 import { findOutsideHome } from './soak-homes.js';
-import { SOAK_KEY, SOAK_TIMEOUT_MS, SoakFleet } from './soak-fleet.js';
+import { SOAK_COLD_BOUND, SOAK_KEY, SOAK_TIMEOUT_MS, SoakFleet } from './soak-fleet.js';
 import type { SoakEvacuation, SoakSizes } from './soak-fleet.js';
 
 /** What a soak is to do. */
@@ -52,6 +52,8 @@
 const DRAIN_BOUND_MS = 2_200;
 /** Time after an evacuation in which requests may still arrive, in milliseconds. */
 const EVACUATION_BOUND_MS = 2_200;
+/** A second, less what this process may be late to see a request in, in milliseconds. */
+const COLD_WINDOW_MS = 950;
 const PROMISE_STATUSES = new Set([408, 421, 429, 503]);
 
 /** Runs one soak. */
@@ -87,6 +89,7 @@
     ...findViolations(seen, runs, calmFromMs),
     ...findLateForLeaving(runs, fleet.drainedAtMs, isCalmSince),
     ...findOutsideHome(runs, fleet.homeChanges, (id) => fleet.regionOfBackend(id), isCalmSince),
+    ...findRushes(runs),
   ];
   const answered = seen.filter(({ status }) => status === 200).length;
   const { folder } = fleet;
@@ -223,6 +226,26 @@
     );
 }
 
+/** Cold back ends that were sent more than the bound in one second. */
+export function findRushes(runs: readonly BackendRun[]): string[] {
+  const byBackend = new Map<string, number[]>();
+  for (const { backendId, atMs, countsAsColdStart } of runs) {
+    if (countsAsColdStart) {
+      byBackend.set(backendId, [...(byBackend.get(backendId) ?? []), atMs]);
+    }
+  }
+  return [...byBackend].flatMap(([backendId, times]) => {
+    const most = Math.max(...times.map((atMs) => countFrom(times, atMs)));
+    return most > SOAK_COLD_BOUND
+      ? [`${backendId} got ${most} requests in a second while cold`]
+      : [];
+  });
+}
+
+function countFrom(times: readonly number[], fromMs: number): number {
+  return times.filter((atMs) => atMs >= fromMs && atMs < fromMs + COLD_WINDOW_MS).length;
+}
+
 /** The promises that were broken, from what callers and back ends saw. */
 export function findViolations(
   seen: readonly SeenRequest[],
--- a/src/gateway/dispatch/backend-chooser.ts
+++ b/src/gateway/dispatch/backend-chooser.ts
@@ -5,6 +5,7 @@
 import type { HomeOwner } from '../../routing/named-homes.js';
 import { isAbroadByAgent, isSameOwner, mustAskAgent } from './agent-homes.js';
 import { costOf, harmsOthers } from './backend-choice.js';
+import type { ColdStarts } from './cold-starts.js';
 import type { DispatchRequest } from './dispatch-request.js';
 import type { KnownBackend } from './known-backend.js';
 import { hasRoom } from './slot-room.js';
@@ -21,6 +22,8 @@
   tokensPerEvent(service: string): number;
   /** Version of the configuration in force; missing where there are no homes. */
   configurationVersion?(): number | undefined;
+  /** What may begin at back ends that start slowly. */
+  readonly coldStarts: ColdStarts;
 }
 
 /** Bounds of a choice. */
@@ -37,6 +40,9 @@
 /** What says where a request may be served at all. */
 export type ServedRequest = Pick<DispatchRequest, 'service' | 'allowedRegions'>;
 
+/** Added to the cost of a cold back end, in milliseconds: above any other, so that warm ones are used first. */
+const AFTER_WARM_COST_MS = 1_000_000_000;
+
 /** Chooses among the back ends of a directory. */
 export class BackendChooser {
   private readonly usualSpeeds = new UsualSpeeds();
@@ -61,7 +67,7 @@
       if (known.isOnTrial && !request.isRepeatable && hasProven) {
         continue;
       }
-      const cost = this.costOf(request, known, usual, nowMs);
+      const cost = this.costOf(request, known, usual, nowMs) + this.coldCost(known, nowMs);
       if (cost < bestCost) {
         best = known;
         bestCost = cost;
@@ -85,6 +91,10 @@
       : costOf(request, known, usual, nowMs);
   }
 
+  private coldCost(known: KnownBackend, nowMs: number): number {
+    return this.ports.coldStarts.isCold(known, nowMs) ? AFTER_WARM_COST_MS : 0;
+  }
+
   /** Whether any back end of the service that operators permit has a free slot. */
   hasAnyRoom(service: string, nowMs: number): boolean {
     return this.directory
@@ -202,6 +212,6 @@
       shareWithoutAgent: this.options.shareWithoutAgent,
       draw: this.directory.shareDraw(known.backend.id),
     };
-    return hasRoom(known, inputs, nowMs);
+    return hasRoom(known, inputs, nowMs) && this.ports.coldStarts.mayStart(known, nowMs);
   }
 }
--- a/src/gateway/dispatch/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -163,6 +163,9 @@
       return;
     }
     known.outstanding = Math.max(0, known.outstanding - 1);
+    if (outcome === 'unreachable') {
+      known.cold.suspect('was-gone', nowMs);
+    }
     if (known.health.learn(outcome, nowMs)) {
       this.ports.onEjected(backendId);
     }
@@ -190,15 +193,26 @@
     this.directory.find(backendId)?.learnSpeed(units, elapsedMs);
   }
 
-  /** The first event came; learns how fast a back end reads prompts. */
+  /** Whether a request that is sent to the back end now meets it cold. */
+  isCold(backendId: string, nowMs: number): boolean {
+    const known = this.directory.find(backendId);
+    return known !== undefined && this.ports.coldStarts.isCold(known, nowMs);
+  }
+
+  /** The first event came: the back end answers. */
+  noteFirst(backendId: string): void {
+    const known = this.directory.find(backendId);
+    if (known?.availability === 'trial') {
+      this.sendToAgent(backendId, known, { kind: 'proven' });
+    }
+  }
+
+  /** Learns from the time to the first event how fast a back end reads prompts. */
   learnFirst(backendId: string, promptTokens: number, firstMs: number): void {
     const known = this.directory.find(backendId);
     if (known === undefined) {
       return;
     }
-    if (known.availability === 'trial') {
-      this.sendToAgent(backendId, known, { kind: 'proven' });
-    }
     const wasKnown = known.speed.isKnown;
     known.speed.learnFirst(promptTokens, firstMs);
     if (!wasKnown && known.speed.isKnown) {
@@ -225,6 +239,8 @@
       lastDemand: '',
       failureShare: 0,
       availability: 'open',
+      // Until the agent's first word nothing is known of the engine.
+      grantsOnly: 'cold',
     };
     this.tellDemand(known.backend.service, nowMs);
   }
@@ -233,6 +249,9 @@
   disconnectAgent(backendId: string, nowMs: number): void {
     const known = this.directory.find(backendId);
     if (known !== undefined) {
+      if (known.agent?.grantsOnly === 'cold') {
+        known.cold.suspect('agent-lost', nowMs);
+      }
       known.agent = undefined;
       known.endAgentWait();
       this.serve(known.backend.service, nowMs);
@@ -249,7 +268,8 @@
       known.agent.occupied = message.occupied;
       known.agent.failureShare = message.failureShare;
       known.agent.homes = message.homes;
-      this.noteAvailability(known, known.agent, message.availability);
+      known.agent.grantsOnly = message.grantsOnly;
+      this.noteAvailability(known, known.agent, message.availability, nowMs);
       known.adopt(message.speed);
       const { messagesSeen } = message;
       known.agent.takenUnseen = known.agent.takenUnseen.filter((number) => number > messagesSeen);
@@ -262,7 +282,11 @@
 
   /** Serves what waits; to be called now and then, since ejections end with time alone. */
   tick(nowMs: number): void {
-    for (const service of this.waiting.keys()) {
+    this.ports.coldStarts.review(this.directory.list(), nowMs);
+    for (const [service, queue] of this.waiting) {
+      const backends = this.directory.ofService(service);
+      const gateways = this.ports.countGateways();
+      queue.limitSupply(this.ports.coldStarts.supplyPerMs(backends, gateways, nowMs));
       this.serve(service, nowMs);
     }
   }
@@ -271,10 +295,14 @@
     known: KnownBackend,
     agent: SlotAgentLink,
     availability: EngineAvailability,
+    nowMs: number,
   ): void {
     if (agent.availability === availability) {
       return;
     }
+    if (agent.availability === 'closed') {
+      known.cold.suspect('was-gone', nowMs);
+    }
     agent.availability = availability;
     if (availability === 'open') {
       known.health.forget();
@@ -286,7 +314,10 @@
     const backendId = known.backend.id;
     const queue = this.waitingInOrder(known.backend.service, nowMs);
     const isUsable =
-      known.isReady && known.availability !== 'closed' && !known.health.isEjected(nowMs);
+      !this.ports.coldStarts.isStale(grant.heardAtMs, nowMs) &&
+      known.isReady &&
+      known.availability !== 'closed' &&
+      !known.health.isEjected(nowMs);
     const request = isUsable
       ? this.chooser.chooseForGrant(queue, known, grant.homeOwner)
       : undefined;
@@ -333,6 +364,9 @@
       this.sendToAgent(known.backend.id, known, { kind: 'taken', ...stated });
       known.agent.takenUnseen.push(known.agent.messagesSent);
     }
+    if (!isGranted) {
+      this.ports.coldStarts.noteStart(known, nowMs);
+    }
     this.ports.onSent(known.backend);
     request.onPlaced(known.backend, nowMs);
   }
@@ -362,7 +396,8 @@
     for (const known of this.directory.ofService(service)) {
       const demand = nextDemand(known, inputs, nowMs);
       if (demand !== undefined) {
-        this.sendToAgent(known.backend.id, known, demand);
+        const note = this.ports.coldStarts.noteFor(known, nowMs);
+        this.sendToAgent(known.backend.id, known, { ...demand, ...note });
       }
     }
   }
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -17,6 +17,7 @@
 import type { GatewayAdapter } from './gateway-adapter.js';
 import { GatewayCluster } from './gateway-cluster.js';
 import { GatewayEvacuations } from './gateway-evacuations.js';
+import { createColdStarts } from './gateway-cold-starts.js';
 import { GatewayRequests } from './gateway-requests.js';
 import { GatewayRollouts } from './gateway-rollouts.js';
 import { countBackends } from './metrics/gateway-snapshot.js';
@@ -104,6 +105,13 @@
       configurationVersion: () => this.configuration.version,
       onKept: (reason) => parts.metrics.record(({ requestsKept }) => requestsKept.inc({ reason })),
       onSent: (backend) => this.rollouts.rollouts.noteSent(backend),
+      coldStarts: createColdStarts({
+        ...parts,
+        limits: settings.limits,
+        configuration: this.configuration,
+        returnedAtMs: (zone) => this.evacuations.zones.returnedAtMs(zone),
+        view: () => this.cluster.view,
+      }),
     });
     this.evacuations = new GatewayEvacuations({
       ...parts,
@@ -149,6 +157,7 @@
       this.cluster.records,
       this.cluster.exchange,
       isEngine,
+      (service) => this.configuration.coldStartHello(service),
       (backend, isConnected, reason) =>
         parts.log.write(isConnected ? 'agent-connected' : 'agent-lost', 'state', {
           backend,
@@ -260,6 +269,9 @@
     for (const record of news) {
       this.takeRecord(record);
     }
+    if (this.configuration.table !== undefined) {
+      this.directory.noteListed();
+    }
     this.links.maintain();
   }
 
--- a/src/model/model-agent.ts
+++ b/src/model/model-agent.ts
@@ -43,6 +43,8 @@
         restriction: () => undefined,
         homesToTell: () => undefined,
         onForbiddenTake: () => undefined,
+        startRules: () => undefined,
+        onStartsHeld: () => undefined,
       },
       gatewaySilence,
     );
--- a/src/slot-agent/slot-ledger.ts
+++ b/src/slot-agent/slot-ledger.ts
@@ -26,6 +26,8 @@
   StatedHomes,
 } from './slot-messages.js';
 import { SlotTeller } from './slot-teller.js';
+import { StartLimiter } from './start-limiter.js';
+import type { GrantsOnly, StartRules } from './start-limiter.js';
 import { compareWaiting } from './waiting-order.js';
 
 /** A slot that was taken for a request that operators keep from the back end, as the agent knows it. */
@@ -54,6 +56,10 @@
   homesToTell(): AgentHomes | undefined;
   /** A gateway took a free slot for a request that operators keep from the back end. */
   onForbiddenTake(take: ForbiddenTake): void;
+  /** How fast requests may begin at the back end; undefined where any rate will do. */
+  startRules(nowMs: number): StartRules | undefined;
+  /** A request waits and a slot is free, but too many began lately: `resume` is to be called then. */
+  onStartsHeld(resumeInMs: number): void;
 }
 
 /**
@@ -80,6 +86,8 @@
   private readonly failures = new FailureEstimate();
   private readonly engine = new EngineWatch();
   private readonly teller: SlotTeller;
+  private readonly starts = new StartLimiter();
+  private toldGrantsOnly: GrantsOnly | undefined;
 
   constructor(
     private readonly ports: SlotLedgerPorts,
@@ -166,8 +174,25 @@
     } else {
       this.receiveFromKnown(connection, message, nowMs);
     }
+    this.settle(nowMs);
+  }
+
+  /** Time alone may have made room for further starts. */
+  resume(nowMs: number): void {
+    this.settle(nowMs);
+  }
+
+  private settle(nowMs: number): void {
     this.grant(nowMs);
-    this.teller.tellIfChanged(nowMs);
+    if (this.grantsOnly(nowMs) === this.toldGrantsOnly) {
+      this.teller.tellIfChanged(nowMs);
+    } else {
+      this.teller.tellAll(nowMs);
+    }
+  }
+
+  private grantsOnly(nowMs: number): GrantsOnly | undefined {
+    return this.starts.grantsOnly(this.ports.startRules(nowMs), nowMs);
   }
 
   /** A connection ended; what its gateway held may still run. */
@@ -177,6 +202,7 @@
       return;
     }
     this.accounts.delete(connection);
+    this.starts.forget(connection);
     this.unaccounted += account.held;
     this.goneUntilMs.set(account.name, nowMs + LOOK_FOR_GONE_MS);
     this.teller.tellIfChanged(nowMs);
@@ -190,8 +216,7 @@
     if (reading.kind === 'load' && this.needsReconciliation(nowMs)) {
       this.reconcile(reading.requests);
     }
-    this.grant(nowMs);
-    this.teller.tellIfChanged(nowMs);
+    this.settle(nowMs);
   }
 
   /** Takes in the back end's own count of requests that run or wait there. */
@@ -210,6 +235,7 @@
         this.disconnect(other, nowMs);
       }
     }
+    this.starts.begin(nowMs);
     this.goneUntilMs.delete(gateway);
     this.slots = slots;
     this.unaccounted = Math.max(0, this.unaccounted - held);
@@ -229,6 +255,7 @@
     account.hear(nowMs);
     switch (message.kind) {
       case 'demand':
+        account.clockMs = message.atMs ?? account.clockMs;
         account.setWaiting(message.ranks, message.grantsSeen, nowMs);
         break;
       case 'speed':
@@ -237,12 +264,15 @@
       case 'taken':
         account.take();
         this.checkTake(account, message);
+        this.starts.noteTaken(nowMs);
         break;
       case 'grant-used':
         account.noteGrantAnswered();
+        this.starts.noteUsed(connection, nowMs);
         break;
       case 'grant-returned':
         account.noteGrantAnswered();
+        this.starts.noteReturned(connection);
         account.release();
         break;
       case 'released':
@@ -253,6 +283,7 @@
         this.noteProven(nowMs);
         break;
       case 'alive':
+        account.clockMs = message.atMs ?? account.clockMs;
         break;
     }
   }
@@ -311,14 +342,16 @@
       if (next === undefined) {
         return;
       }
+      const heldMs = this.starts.msUntilGrant(this.ports.startRules(nowMs), nowMs);
+      if (heldMs > 0) {
+        this.ports.onStartsHeld(heldMs);
+        return;
+      }
       const { connection, account, waiting } = next;
       account.grant(waiting, nowMs);
+      this.starts.noteGranted(connection, nowMs);
       this.ports.onGranted();
-      const { homeOwner } = waiting;
-      this.ports.send(connection, {
-        kind: 'granted',
-        ...(homeOwner === undefined ? {} : { homeOwner }),
-      });
+      this.ports.send(connection, grantFor(account, waiting));
     }
   }
 
@@ -365,12 +398,17 @@
 
   /** Shows gateways that the agent lives, unless they were told something in the last `quietMs`. */
   beat(quietMs: number, nowMs: number): void {
+    if (this.ports.startRules(nowMs) !== undefined) {
+      this.settle(nowMs);
+    }
     this.teller.beat(quietMs, nowMs);
   }
 
   private tell(connection: number, account: GatewayAccount, nowMs: number): void {
     const { occupied, speed } = this;
     const homes = this.ports.homesToTell();
+    const grantsOnly = this.grantsOnly(nowMs);
+    this.toldGrantsOnly = grantsOnly;
     this.ports.send(connection, {
       kind: 'state',
       occupied,
@@ -379,6 +417,15 @@
       failureShare: this.failures.share(nowMs),
       availability: this.engine.availability,
       ...(homes === undefined ? {} : { homes }),
+      ...(grantsOnly && { grantsOnly }),
     });
   }
 }
+
+function grantFor({ clockMs }: GatewayAccount, { homeOwner }: WaitingRequest): SlotAnswer {
+  return {
+    kind: 'granted',
+    ...(clockMs === undefined ? {} : { heardAtMs: clockMs }),
+    ...(homeOwner === undefined ? {} : { homeOwner }),
+  };
+}
--- a/src/telemetry/decision-log.ts
+++ b/src/telemetry/decision-log.ts
@@ -24,6 +24,8 @@
   'backend-availability',
   'zone-evacuation',
   'zone-cleared',
+  'cold-limit-entered',
+  'cold-limit-left',
   'store-lost',
   'store-regained',
   'store-reader-on',
--- a/test/homes-agent-socket.test.ts
+++ b/test/homes-agent-socket.test.ts
@@ -42,6 +42,7 @@
         ['b1', 'b'],
       ]),
     ),
+    limits: { coldOver: 1, coldSlack: 0 },
     decode: decodeRecord,
     readReport: () => Promise.resolve({ kind: 'load', requests: 0 }),
     clock: SYSTEM_CLOCK,
--- a/test/homes-agent.test.ts
+++ b/test/homes-agent.test.ts
@@ -67,6 +67,8 @@
       onLookWanted: () => undefined,
       onAvailability: () => undefined,
       restriction: (regions, owner) => this.engine.restriction(regions, owner),
+      startRules: () => undefined,
+      onStartsHeld: () => undefined,
       homesToTell: () => this.engine.homesToTell,
       onForbiddenTake: (take) => this.forbidden.push(take),
     });
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -4,6 +4,7 @@
   findHeld,
   findInEvacuated,
   findLateForLeaving,
+  findRushes,
   findViolations,
   runSoak,
 } from '../bench/soak/soak-run.js';
@@ -37,7 +38,7 @@
 };
 
 function runOf(requestId: string, tenant = 'shop') {
-  return { requestId, backendId: 'e', path: '/', tenant, atMs: 0 };
+  return { requestId, backendId: 'e', path: '/', tenant, atMs: 0, countsAsColdStart: false };
 }
 
 test('the checks of a soak see each kind of broken promise', (t) => {
@@ -114,3 +115,16 @@
   t.deepEqual(find(3_500, 'e-1xx', 3_600), []);
   t.deepEqual(find(6_001), []);
 });
+
+test('the check of cold back ends sees one that was sent more than the bound in a second', (t) => {
+  const runs = (count: number, everyMs: number, countsAsColdStart = true) =>
+    Array.from({ length: count }, (_none, index) => ({
+      ...runOf(`${index}`),
+      atMs: index * everyMs,
+      countsAsColdStart,
+    }));
+  t.deepEqual(findRushes(runs(26, 1)), []);
+  t.deepEqual(findRushes(runs(100, 40)), []);
+  t.deepEqual(findRushes(runs(40, 1, false)), []);
+  t.deepEqual(findRushes(runs(27, 1)), ['e got 27 requests in a second while cold']);
+});
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -7,6 +7,7 @@
 } from '../../src/gateway/attempt/attempt.js';
 import type { CallerProtocol } from '../../src/gateway/admission/caller-protocol.js';
 import { BackendDirectory } from '../../src/gateway/dispatch/backend-directory.js';
+import { ColdStarts } from '../../src/gateway/dispatch/cold-starts.js';
 import { Dispatcher } from '../../src/gateway/dispatch/dispatcher.js';
 import type { DispatcherPorts } from '../../src/gateway/dispatch/dispatcher.js';
 import type { HomeRegions } from '../../src/gateway/dispatch/home-engines.js';
@@ -149,6 +150,7 @@
   readonly triesOver: TryOver[] = [];
   /** Back ends to which connections do not come up for now. */
   readonly connecting = new Set<string>();
+  coldStarts = new ColdStarts();
 
   constructor(...backends: Backend[]) {
     for (const backend of backends) {
