--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -375,7 +375,8 @@
 
   private retryAfterMs(reason: GatewayRefusal['reason']): number {
     const { retryAfterMs, overloadRetryMaxMs, maxRetryShare } = this.options;
-    if (reason === 'overloaded' && this.wait !== undefined) {
+    const isForWaitToTell = reason === 'overloaded' || reason === 'zone-evacuated';
+    if (isForWaitToTell && this.wait !== undefined) {
       return this.wait.retryAfterMs();
     }
     if (isHomeRefusal(reason)) {
