Silence on a path is told apart from an engine's own failure

A gateway whose path to an engine was cut reported each silent request as a failure; the agent then stopped its grants for all until a look, raised the failure share that others saw, and after eight in a row let the engine rest for gateways that reached it.

Attempts end as 'silent' where nothing was heard; 'released' says so, and the agent counts silence against its engine only where two gateways meet it with no answer to anyone between, or on a trial. One gateway's silence asks for a look and stops nothing. Ruled out: resets and closed ports as path failures (the machine did answer).

--- a/src/gateway/attempt/attempt.ts
+++ b/src/gateway/attempt/attempt.ts
@@ -18,6 +18,8 @@
   readonly mayHaveRun: boolean;
   /** Whether the machine answered that nothing listens at the back end's address. */
   readonly isPortClosed: boolean;
+  /** Whether the network said nothing: no connection came up in time, or one was given up for its silence. */
+  readonly isSilent?: boolean;
   readonly detail: string;
 }
 
--- a/src/gateway/attempt/http-backend-sender.ts
+++ b/src/gateway/attempt/http-backend-sender.ts
@@ -39,6 +39,9 @@
  */
 const SILENT_MS = 500;
 
+/** Errors by which the system says that nothing comes back on the way to the back end. */
+const SILENCE_CODES: ReadonlySet<string> = new Set(['ETIMEDOUT', 'EHOSTUNREACH', 'ENETUNREACH']);
+
 /** Sends requests to back ends over HTTP. */
 export class HttpBackendSender implements BackendSender {
   private readonly agent: GuardedAgent;
@@ -68,6 +71,7 @@
   private response: IncomingMessage | undefined;
   private readonly startedAtMs = performance.now();
   private isConnected = false;
+  private hasTimedOut = false;
   private isOver = false;
   private connectTimer: NodeJS.Timeout | undefined;
   private readonly address: HostAndPort;
@@ -85,7 +89,7 @@
     this.request = httpRequest({ host, port, method, path, headers, agent, setHost: false });
     this.request.on('socket', (socket) => this.onSocket(socket, connectTimeoutMs));
     this.request.on('response', (response) => this.onResponse(response));
-    this.request.on('error', (error) => this.fail(error.message, isRefused(error)));
+    this.request.on('error', (error) => this.fail(error.message, error));
     this.request.end(body.length > 0 ? body : undefined);
   }
 
@@ -126,6 +130,7 @@
   private endLateConnection(socket: Socket): void {
     setImmediate(() => {
       if (socket.connecting) {
+        this.hasTimedOut = true;
         this.request.destroy();
       }
     });
@@ -205,7 +210,7 @@
     }
   }
 
-  private fail(detail: string, isPortClosed = false): void {
+  private fail(detail: string, error?: NodeJS.ErrnoException): void {
     if (this.isOver) {
       return;
     }
@@ -213,16 +218,16 @@
     clearTimeout(this.connectTimer);
     this.noteUnanswered();
     this.request.destroy();
-    const failure: AttemptFailure = { mayHaveRun: this.isConnected, isPortClosed, detail };
+    const failure: AttemptFailure = {
+      mayHaveRun: this.isConnected,
+      isPortClosed: error?.code === 'ECONNREFUSED',
+      isSilent: this.hasTimedOut || SILENCE_CODES.has(error?.code ?? ''),
+      detail: this.hasTimedOut ? 'no connection in time' : detail,
+    };
     this.handlers.onFailure(failure);
   }
 }
 
-/** Whether the error says that nothing listens at the address. */
-function isRefused(error: NodeJS.ErrnoException): boolean {
-  return error.code === 'ECONNREFUSED';
-}
-
 /** The body is sent whole, so its length is known whatever the caller's framing was. */
 function withLength(headers: readonly string[], method: string, body: Buffer): string[] {
   const kept: string[] = [];
--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -77,7 +77,7 @@
     const waitedForHeadMs = this.ports.clock.now() - this.attemptStartedAtMs;
     const isBackendSilent =
       this.phase === 'sent' && waitedForHeadMs > this.request.route.targetLatencyMs * 2;
-    this.dropAttempt(isBackendSilent ? 'failed' : 'unknown', 'the caller left');
+    this.dropAttempt(isBackendSilent ? 'silent' : 'unknown', 'the caller left');
     this.finish(0, 'caller-left');
   }
 
@@ -160,7 +160,7 @@
     }
     const failedId = this.backend!.id;
     this.mayHaveRun = true;
-    this.dropAttempt('failed', 'silent');
+    this.dropAttempt('silent', 'silent');
     this.moveOn(failedId);
   }
 
@@ -255,7 +255,7 @@
       return;
     }
     const backendId = this.backend!.id;
-    this.endAttempt(failure.isPortClosed ? 'unreachable' : 'failed', failure.detail);
+    this.endAttempt(outcomeOf(failure), failure.detail);
     if (!failure.mayHaveRun) {
       this.attempts -= 1;
       // A closed port is known at once, and no other request is sent there for now.
@@ -317,7 +317,7 @@
       return;
     }
     this.mayHaveRun = true;
-    this.dropAttempt(this.phase === 'sent' ? 'failed' : 'unknown', 'the time was over');
+    this.dropAttempt(this.phase === 'sent' ? 'silent' : 'unknown', 'the time was over');
     this.answerFailure('timed-out');
   }
 
@@ -392,3 +392,10 @@
     }
   }
 }
+
+function outcomeOf({ isPortClosed, isSilent }: AttemptFailure): AttemptOutcome {
+  if (isPortClosed) {
+    return 'unreachable';
+  }
+  return isSilent === true ? 'silent' : 'failed';
+}
--- a/src/gateway/attempt/try-verdict.ts
+++ b/src/gateway/attempt/try-verdict.ts
@@ -15,7 +15,7 @@
   { targetLatencyMs, maxPauseMs }: Route,
   { firstEventMs, longestPauseMs }: TryTimes,
 ): boolean | undefined {
-  if (outcome === 'failed') {
+  if (outcome === 'failed' || outcome === 'silent') {
     return true;
   }
   if (outcome !== 'answered') {
--- a/src/gateway/dispatch/backend-health.ts
+++ b/src/gateway/dispatch/backend-health.ts
@@ -6,8 +6,12 @@
   | 'answered'
   /** The back end said that it did not run the request. */
   | 'refused'
-  /** No connection, a broken answer, silence, or an error of its own. */
+  /** A reset, a broken answer, or an error of its own. */
   | 'failed'
+  /** Nothing was heard of it: it may hang, or the path from here be cut. */
+  | 'silent'
+  /** It was left for another back end, since the path to it is believed to be lost. */
+  | 'path-lost'
   /** Nothing listens at its address: the request was not sent, and none can be for now. */
   | 'unreachable'
   /** Ended for a reason that says nothing of the back end. */
@@ -63,7 +67,7 @@
 
   /** Learns from an outcome; says whether it led to an ejection. */
   learn(outcome: AttemptOutcome, nowMs: number): boolean {
-    if (outcome === 'unknown' || outcome === 'refused') {
+    if (outcome === 'unknown' || outcome === 'refused' || outcome === 'path-lost') {
       return false;
     }
     const { smoothing, ejectShare, ejectMinMs, ejectMaxMs } = this.options;
--- a/src/gateway/dispatch/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -10,7 +10,7 @@
 import type { BackendChooserOptions, BackendChooserPorts } from './backend-chooser.js';
 import type { BackendDirectory } from './backend-directory.js';
 import type { Backend } from '../../routing/backend.js';
-import type { SlotAnswer, SlotMessage } from '../../slot-agent/slot-messages.js';
+import type { SlotAnswer, SlotMessage, SlotReleased } from '../../slot-agent/slot-messages.js';
 import type { EngineAvailability } from '../../slot-agent/engine-watch.js';
 import type { AttemptOutcome } from './backend-health.js';
 import type { DispatchRequest } from './dispatch-request.js';
@@ -113,7 +113,12 @@
     if (hasFailed !== undefined) {
       known.noteOutcome(hasFailed, nowMs);
     }
-    this.sendToAgent(backendId, known, { kind: 'released', hasFailed });
+    const isSilent = outcome === 'silent';
+    // Others may reach what is silent here: the agent is told so, not that the back end failed.
+    const released: SlotReleased = isSilent
+      ? { kind: 'released', isSilent }
+      : { kind: 'released', hasFailed };
+    this.sendToAgent(backendId, known, released);
     if (outcome === 'answered') {
       this.sendToAgent(backendId, known, { kind: 'speed', speed: known.learned });
     }
@@ -317,5 +322,6 @@
   if (outcome === 'answered') {
     return false;
   }
-  return outcome === 'failed' || outcome === 'unreachable' ? true : undefined;
+  const isFailure = outcome === 'failed' || outcome === 'silent' || outcome === 'unreachable';
+  return isFailure ? true : undefined;
 }
--- a/src/slot-agent/engine-watch.ts
+++ b/src/slot-agent/engine-watch.ts
@@ -69,6 +69,8 @@
 export class EngineWatch {
   private state: EngineState = 'serving';
   private silentLooks = 0;
+  /** Whether a gateway heard nothing of it since it was looked at last; grants go on meanwhile. */
+  private isDoubted = false;
   private failuresInRow = 0;
   private restUntilMs = 0;
   private restMs: number;
@@ -92,7 +94,7 @@
 
   /** Whether looks are needed to find out how it is. */
   get needsLook(): boolean {
-    return this.state !== 'serving';
+    return this.state !== 'serving' || this.isDoubted;
   }
 
   /** A request was answered there, or its answer began while the engine was on trial. */
@@ -103,6 +105,11 @@
     }
   }
 
+  /** A gateway heard nothing of a request, which may be the doing of its path: the next look decides. */
+  noteDoubt(): void {
+    this.isDoubted = true;
+  }
+
   /** A request failed there. */
   noteFailure(nowMs: number): void {
     this.failuresInRow += 1;
@@ -120,6 +127,7 @@
       return;
     }
     this.silentLooks = 0;
+    this.isDoubted = false;
     if (this.state === 'suspect' || this.state === 'gone') {
       this.serve();
     } else if (this.state === 'resting' && nowMs >= this.restUntilMs) {
--- a/src/slot-agent/slot-ledger.ts
+++ b/src/slot-agent/slot-ledger.ts
@@ -15,6 +15,7 @@
 import { DEFAULT_GATEWAY_SILENCE_OPTIONS, GatewayAccount } from './gateway-account.js';
 import type { GatewaySilenceOptions, WaitingRequest } from './gateway-account.js';
 import type { SlotAgentSnapshot } from './slot-agent-instruments.js';
+import { SilenceReports } from './silence-reports.js';
 import type { LearnedSpeed, SlotAnswer, SlotHello, SlotMessage } from './slot-messages.js';
 import { SlotTeller } from './slot-teller.js';
 import { compareWaiting } from './waiting-order.js';
@@ -59,6 +60,7 @@
   private unaccounted = 0;
   private speed: LearnedSpeed = {};
   private readonly failures = new FailureEstimate();
+  private readonly silences = new SilenceReports();
   private readonly engine = new EngineWatch();
   private readonly teller: SlotTeller;
 
@@ -227,7 +229,11 @@
         break;
       case 'released':
         account.release();
-        this.noteOutcome(message.hasFailed, nowMs);
+        if (message.isSilent === true) {
+          this.noteSilence(account.name, nowMs);
+        } else {
+          this.noteOutcome(message.hasFailed, nowMs);
+        }
         break;
       case 'proven':
         this.noteProven(nowMs);
@@ -252,7 +258,19 @@
     this.tellAvailability(before, nowMs);
   }
 
+  private noteSilence(gateway: string, nowMs: number): void {
+    const isEnginesOwn = this.silences.noteSilence(gateway, nowMs);
+    // The one request that tries an engine which failed before must be answered, or it rests on.
+    if (isEnginesOwn || this.engine.availability === 'trial') {
+      this.noteOutcome(true, nowMs);
+      return;
+    }
+    this.engine.noteDoubt();
+    this.ports.onLookWanted();
+  }
+
   private noteProven(nowMs: number): void {
+    this.silences.noteAnswer();
     const before = this.engine.availability;
     this.engine.noteAnswer();
     this.tellAvailability(before, nowMs);
--- a/src/slot-agent/slot-messages.ts
+++ b/src/slot-agent/slot-messages.ts
@@ -45,6 +45,8 @@
   readonly kind: 'released';
   /** Whether the back end failed the request or answered it; undefined where its end says neither. */
   readonly hasFailed?: boolean;
+  /** Whether nothing was heard of the request: the back end may hang, or the gateway's path to it be cut. */
+  readonly isSilent?: boolean;
 }
 
 /** The engine on trial has begun to answer. */
--- a/test/backend-sender.test.ts
+++ b/test/backend-sender.test.ts
@@ -1,5 +1,7 @@
-import { createServer } from 'node:net';
+import { once } from 'node:events';
+import { connect, createServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
+import { Worker } from 'node:worker_threads';
 import test from 'ava';
 import type { AnswerHead, AttemptFailure } from '../src/gateway/attempt/attempt.js';
 import { backendOf } from './support/gateway.js';
@@ -30,6 +32,27 @@
   return { server, address: `127.0.0.1:${(server.address() as AddressInfo).port}` };
 }
 
+/** A listener whose thread stands still and whose queue is full: further connections hang. */
+async function startListenerThatTakesNothing() {
+  const code = `
+    const { parentPort } = require('node:worker_threads');
+    const server = require('node:net').createServer();
+    server.listen({ port: 0, host: '127.0.0.1', backlog: 1 }, () => {
+      parentPort.postMessage(server.address().port);
+      setImmediate(() => Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0));
+    });`;
+  const listener = new Worker(code, { eval: true });
+  const [port] = (await once(listener, 'message')) as [number];
+  const waiting = Array.from({ length: 8 }, () => connect(port, '127.0.0.1'));
+  waiting.forEach((socket) => socket.on('error', () => undefined));
+  await once(waiting[0]!, 'connect');
+  const close = async () => {
+    waiting.forEach((socket) => socket.destroy());
+    await listener.terminate();
+  };
+  return { address: `127.0.0.1:${port}`, close };
+}
+
 function sendTo(sender: HttpBackendSender, address: string): Promise<Outcome> {
   const backend = backendOf('b', { address });
   const attempt = { backend, method: 'GET', path: '/', headers: [], body: Buffer.alloc(0) };
@@ -100,6 +123,15 @@
   t.true(outcome.failure?.isPortClosed);
 });
 
+test('a connection that does not come up in time is silence, and the request has not run', async (t) => {
+  const { address, close } = await startListenerThatTakesNothing();
+  const sender = new HttpBackendSender({ ...DEFAULT_BACKEND_SENDER_OPTIONS, connectTimeoutMs: 50 });
+  const outcome = await sendTo(sender, address);
+  await close();
+  t.false(outcome.failure?.mayHaveRun);
+  t.true(outcome.failure?.isSilent);
+});
+
 test('after a connection fell silent no other resting one to that back end is used', async (t) => {
   const used = new Set<Socket>();
   const { server, address } = await startBackend((socket) => {
--- a/test/proxied-request.test.ts
+++ b/test/proxied-request.test.ts
@@ -105,6 +105,26 @@
   t.deepEqual(world.toAgents.at(-1), ['a', { kind: 'released', hasFailed: undefined }]);
 });
 
+test('a connection that does not come up is told to the agent as silence, not as a failure of its engine', (t) => {
+  const world = twoBackends();
+  world.engines = true;
+  world.dispatcher.connectAgent('a', 0);
+  world.dispatcher.connectAgent('b', 0);
+  world.request({ route: UNSAFE });
+  const failure = {
+    mayHaveRun: false,
+    isPortClosed: false,
+    isSilent: true,
+    detail: 'no connection',
+  };
+  world.attempts[0]!.handlers.onFailure(failure);
+  t.deepEqual(
+    world.toAgents.find(([, { kind }]) => kind === 'released'),
+    ['a', { kind: 'released', isSilent: true }],
+  );
+  t.is(world.attempts[1]!.backend.id, 'b');
+});
+
 test('an answer with the id of another request is never passed on', (t) => {
   const world = twoBackends();
   const { reply } = world.request({ route: UNSAFE });
