Paths to engines that say nothing are found lost, and left, by each gateway alone

A path that is cut resets nothing: requests hung there until their own silence limits, one by one, and the engine's share without an agent went on being used.

An agent speaks each 300 ms. Each gateway now suspects the path to one that it hears no more for 1,000 ms while others are heard (an agent that ended or refused its connection was heard: its engine is used as before); sooner where a connection for a request hangs as well; engines of the same zone of which nothing was heard go with the first, those without a link once all with one are lost. A suspect path gets one repeatable request at growing pauses and nothing else while a trusted one is left; any word, answer or connection ends it. Engines beyond the subset fill in meanwhile. Repeatable requests at work there go on at once within the retry budget; others wait for their truthful end.

Ruled out: suspecting at the first hung connection alone (one dead machine is the old case, own health serves it); counting while nobody is heard (the gateway itself stood still). Test order showed that all lost paths must be marked before any request moves, or it moves to the next lost one.

--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -40,6 +40,7 @@
   private readonly record: RequestRecord;
   private readonly relay: AnswerRelay;
   private progress: AttemptProgress | undefined;
+  private stopWatchingPath: (() => void) | undefined;
   /** Whether some back end may have run the request. */
   private mayHaveRun = false;
   private lastAnswer: HeldAnswer | undefined;
@@ -113,6 +114,7 @@
     const failureShare = known?.failureShare(nowMs) ?? 0;
     this.record.noteSent(backend, { occupied: known?.occupied ?? 0, failureShare }, nowMs);
     this.attemptStartedAtMs = nowMs;
+    this.stopWatchingPath = known?.path.watch(() => this.leaveLostPath());
     this.relay.beginAttempt();
     this.progress = new AttemptProgress(
       ports.dispatcher,
@@ -164,7 +166,32 @@
     this.moveOn(failedId);
   }
 
+  /** A request that may be repeated does not wait for the silence that shows it what is known by now. */
+  private leaveLostPath(): void {
+    if (!this.canRepeatElsewhere() || !this.hasReachableOther() || !this.takeRepeat()) {
+      return;
+    }
+    const lostId = this.backend!.id;
+    this.mayHaveRun = true;
+    this.dropAttempt('path-lost', 'the path to it is lost');
+    this.moveOn(lostId);
+  }
+
+  private hasReachableOther(): boolean {
+    return this.ports.directory
+      .ofService(this.request.service)
+      .some(
+        ({ backend, isReady, path }) =>
+          isReady && !path.isSuspect && backend !== this.backend && !this.excluded.has(backend.id),
+      );
+  }
+
+  private noteHeard(): void {
+    this.ports.directory.find(this.backend!.id)?.path.noteHeard(this.ports.clock.now());
+  }
+
   private receiveHead(head: AnswerHead): void {
+    this.noteHeard();
     const answer = this.ports.protocol.readAnswer(head.status, head.headers);
     if (answer.requestId !== undefined && answer.requestId !== this.request.requestId) {
       this.attempt?.cancel();
@@ -199,6 +226,7 @@
   }
 
   private receiveData(bytes: Buffer): void {
+    this.noteHeard();
     const result = this.relay.takeData(bytes, this.attempt);
     if (result === 'overlong-event') {
       this.attempt?.cancel();
@@ -260,6 +288,9 @@
       this.attempts -= 1;
       // A closed port is known at once, and no other request is sent there for now.
       this.connectFailures += failure.isPortClosed ? 0 : 1;
+      if (failure.isSilent === true) {
+        this.ports.directory.find(backendId)?.path.noteHungConnection();
+      }
       if (this.connectFailures <= MAX_CONNECT_FAILURES && this.hasTime()) {
         this.moveOn(backendId);
         return;
@@ -354,6 +385,7 @@
 
   private endAttempt(outcome: AttemptOutcome, detail: string): void {
     this.clearStepTimer();
+    this.stopWatchingPath?.();
     if (this.attempt === undefined || this.backend === undefined) {
       return;
     }
--- a/src/gateway/dispatch/backend-chooser.ts
+++ b/src/gateway/dispatch/backend-chooser.ts
@@ -7,6 +7,7 @@
 import type { UsualSpeed } from './backend-choice.js';
 import type { DispatchRequest } from './dispatch-request.js';
 import type { KnownBackend } from './known-backend.js';
+import { reachableOf } from './path-choice.js';
 import { hasRoom } from './slot-room.js';
 
 /** What a choice asks of its surroundings. */
@@ -129,11 +130,12 @@
     const healthy = ready.filter(
       (known) => known.availability !== 'closed' && !known.health.isEjected(nowMs),
     );
-    const assigned = healthy.filter((known) => known.isAssigned);
+    const reachable = reachableOf(healthy, request.isRepeatable, nowMs);
+    const assigned = reachable.filter((known) => known.isAssigned);
     if (assigned.length > 0) {
       return assigned;
     }
-    return healthy.length > 0 ? healthy : ready;
+    return reachable.length > 0 ? [...reachable] : ready;
   }
 
   private isUnlistedLately(known: KnownBackend, nowMs: number): boolean {
--- a/src/gateway/dispatch/backend-directory.ts
+++ b/src/gateway/dispatch/backend-directory.ts
@@ -124,7 +124,10 @@
     if (!this.ports.isEngine(service)) {
       return;
     }
-    const ready = this.ofService(service).filter(({ isReady }) => isReady);
+    const listed = this.ofService(service).filter(({ isReady }) => isReady);
+    const reachable = listed.filter(({ path }) => !path.isSuspect);
+    // Those that are out of reach keep their place and are looked for; others fill in for them meanwhile.
+    const ready = reachable.length > 0 ? reachable : listed;
     const chosen = chooseEngines(
       ready.map(({ backend }) => backend),
       this.owner,
--- a/src/gateway/dispatch/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -271,6 +271,7 @@
   ): void {
     this.queueOf(request.service).noteBound(nowMs);
     known.outstanding += 1;
+    known.path.noteSent(nowMs);
     known.pendingPromptTokens += request.promptTokens;
     if (!isGranted && known.agent !== undefined) {
       this.sendToAgent(known.backend.id, known, { kind: 'taken' });
--- a/src/gateway/dispatch/known-backend.ts
+++ b/src/gateway/dispatch/known-backend.ts
@@ -5,6 +5,7 @@
 import { FailureEstimate } from '../../slot-agent/failure-estimate.js';
 import { BackendHealth } from './backend-health.js';
 import { EngineSpeed } from './engine-speed.js';
+import { PathState } from './path-state.js';
 
 const SPEED_SMOOTHING = 0.15;
 /**
@@ -35,6 +36,7 @@
 export class KnownBackend {
   readonly health = new BackendHealth();
   readonly speed = new EngineSpeed();
+  readonly path = new PathState();
   /** Tokens of prompts that this gateway sent and whose first event is due. */
   pendingPromptTokens = 0;
   /** Requests of this gateway that are there now. */
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -22,6 +22,8 @@
 import { PEER_TICK_MS } from './links/gateway-peers.js';
 import type { GatewayMetrics } from './metrics/gateway-metrics.js';
 import type { GatewaySettings } from './gateway-settings.js';
+import { PathWatch } from './dispatch/path-watch.js';
+import type { SuspicionCause } from './dispatch/path-state.js';
 import { splitAddress } from '../address.js';
 import { HttpBackendSender } from './attempt/http-backend-sender.js';
 import { PlannedStop } from './planned-stop.js';
@@ -57,6 +59,7 @@
   private readonly evacuations = new ZoneEvacuations();
   private readonly places: Places;
   private readonly dispatcher: Dispatcher;
+  private readonly paths: PathWatch;
   private readonly rollouts: GatewayRollouts;
   private readonly sender = new HttpBackendSender();
   private readonly listener: CallerListener;
@@ -91,6 +94,11 @@
       regionOf: (zone) => this.places.regionOf(zone),
       onSent: (backend) => this.rollouts.rollouts.noteSent(backend),
     });
+    this.paths = new PathWatch(this.directory, {
+      onSuspected: ({ backend }, cause, silentMs) => this.noteLostPath(backend, cause, silentMs),
+      onRegained: ({ backend: { id, zone } }, ended) =>
+        parts.log.write('path-regained', 'state', { backend: id, zone, ...ended }),
+    });
     this.rollouts = new GatewayRollouts({
       ...parts,
       incarnation,
@@ -214,6 +222,7 @@
 
   private tick(): void {
     this.ticks += 1;
+    this.paths.review(this.parts.clock.now());
     this.dispatcher.tick(this.parts.clock.now());
     this.links.maintain();
     this.links.tellAlive();
@@ -273,6 +282,13 @@
     }
   }
 
+  private noteLostPath(backend: Backend, cause: SuspicionCause, silentMs: number): void {
+    const { id, zone, address } = backend;
+    this.parts.log.write('path-suspected', 'state', { backend: id, zone, cause, silentMs });
+    // What is sent on a resting connection now could arrive after its caller has left.
+    this.sender.endResting(address);
+  }
+
   private noteAvailability({ id, address }: Backend, availability: EngineAvailability): void {
     this.parts.log.write('backend-availability', 'state', { backend: id, availability });
     if (availability === 'closed') {
@@ -311,6 +327,7 @@
       quotaUse: this.quotas.use(),
       waiting: this.dispatcher.waitingByService(),
       loopDelayMs,
+      suspectPaths: this.paths.countSuspect(),
     };
   }
 }
--- a/src/gateway/links/slot-agent-links.ts
+++ b/src/gateway/links/slot-agent-links.ts
@@ -13,6 +13,7 @@
 import type { Dispatcher } from '../dispatch/dispatcher.js';
 import { splitAddress } from '../../address.js';
 import type { KnownBackend } from '../dispatch/known-backend.js';
+import type { PathState } from '../dispatch/path-state.js';
 
 /** Times of the connections, in milliseconds. */
 export interface SlotAgentLinkOptions {
@@ -22,19 +23,29 @@
   readonly peersAddress: string;
   /** Silence after which a connection is given up; agents speak each 300 ms. Default 1,000. */
   readonly silenceMs: number;
+  /**
+   * Shortest time in which a connection that does not come up is given up, in milliseconds; it grows with the
+   * pause before the next one. Default 300: many round trips, and below the second after which the system
+   * asks again, so that a path that is back is found by the next connection.
+   */
+  readonly connectMinMs: number;
   /** Quiet time after which an agent is shown that this gateway lives. Default 150. */
   readonly aliveMs: number;
   /** First and longest pause before connecting again. Defaults 250 and 4,000. */
   readonly retryMinMs: number;
   readonly retryMaxMs: number;
+  /** Longest such pause while the path is suspect: its return is to be found soon. Default 1,000. */
+  readonly suspectRetryMaxMs: number;
 }
 
 /** Defaults of the connections' times. */
 export const DEFAULT_SLOT_AGENT_LINK_OPTIONS = {
   silenceMs: 1_000,
+  connectMinMs: 300,
   aliveMs: 150,
   retryMinMs: 250,
   retryMaxMs: 4_000,
+  suspectRetryMaxMs: 1_000,
 } as const;
 
 interface Link {
@@ -48,8 +59,24 @@
   retryMs: number;
   /** Why the agent ended the connection, where it said so. */
   refusal: AgentRefusal['reason'] | undefined;
+  /** What the connection that ended last says of the path. */
+  lastEnd: LinkEnd;
+  /** Whether the agent ended the last connection since it had heard nothing of this gateway. */
+  isUnheard: boolean;
 }
 
+/** What the end of a connection says of the path. */
+type LinkEnd =
+  /** The other machine ended or refused it: the path stands, though no agent may be there. */
+  | 'answered'
+  /** Nothing was heard for too long. */
+  | 'silent'
+  /** Nothing. */
+  | 'unknown';
+
+/** Errors by which the other machine answered. */
+const ANSWER_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'ECONNRESET', 'EPIPE']);
+
 /** A connection to the agent beside a back end came up, or was lost; `reason` is what the agent said. */
 export type OnAgent = (backendId: string, isConnected: boolean, reason?: string) => void;
 
@@ -145,23 +172,37 @@
       retryAtMs: nowMs,
       retryMs,
       refusal: undefined,
+      lastEnd: 'unknown',
+      isUnheard: false,
     };
     this.links.set(backendId, link);
     if (link.channel === undefined) {
       if (nowMs >= link.retryAtMs) {
         this.open(link);
       }
-    } else if (nowMs - link.heardAtMs > this.options.silenceMs) {
+    } else if (nowMs - link.heardAtMs > this.silenceLimitMs(link)) {
+      link.lastEnd = 'silent';
       link.channel.close();
     }
   }
 
+  private silenceLimitMs({ isGreeted, retryMs }: Link): number {
+    const { silenceMs, connectMinMs } = this.options;
+    return isGreeted ? silenceMs : Math.min(silenceMs, Math.max(connectMinMs, retryMs));
+  }
+
   private open(link: Link): void {
     const socket = connect(this.options.port, link.host);
     link.heardAtMs = this.clock.now();
+    link.lastEnd = 'unknown';
+    socket.once('end', () => (link.lastEnd = 'answered'));
+    socket.once('error', ({ code }: NodeJS.ErrnoException) => {
+      link.lastEnd = ANSWER_CODES.has(code ?? '') ? 'answered' : 'silent';
+    });
     const channel = new MessageChannel<GatewayToAgent, AgentToGateway>(socket, {
       onMessage: (message) => {
         link.heardAtMs = this.clock.now();
+        this.pathOf(link)?.noteHeard(link.heardAtMs);
         if (message.kind === 'fetch') {
           channel.send(this.exchange.answer(message));
           return;
@@ -186,6 +227,8 @@
       return;
     }
     link.retryMs = this.options.retryMinMs;
+    link.isUnheard = false;
+    known.path.noteHeard(this.clock.now());
     const { outstanding: held, backend } = known;
     const { peersAddress } = this.options;
     const { slots } = backend;
@@ -201,6 +244,7 @@
       return;
     }
     link.channel = undefined;
+    this.notePath(link);
     if (link.isGreeted) {
       link.isGreeted = false;
       this.onAgent(link.backendId, false, link.refusal);
@@ -208,13 +252,45 @@
     const nowMs = this.clock.now();
     // An agent that closed a connection itself lives: the next one may be opened at once.
     link.retryAtMs = link.refusal === undefined ? nowMs + link.retryMs : nowMs;
+    link.isUnheard ||= link.refusal === 'silent';
     link.refusal = undefined;
-    link.retryMs = Math.min(link.retryMs * 2, this.options.retryMaxMs);
+    link.retryMs = Math.min(link.retryMs * 2, this.longestRetryMs(link));
     this.dispatcher().disconnectAgent(link.backendId, nowMs);
   }
+
+  /**
+   * A connection that stood and fell silent speaks against the path. One that does not come up does so only
+   * after the agent has complained of silence: otherwise there may be no machine at all.
+   */
+  private notePath(link: Link): void {
+    if (this.links.get(link.backendId) !== link) {
+      return;
+    }
+    if (link.lastEnd === 'answered') {
+      this.pathOf(link)?.noteHeard(this.clock.now());
+    } else if (link.lastEnd === 'silent' && (link.isGreeted || link.isUnheard)) {
+      this.pathOf(link)?.noteAgentSilent();
+    }
+  }
+
+  private longestRetryMs(link: Link): number {
+    const { retryMaxMs, suspectRetryMaxMs } = this.options;
+    const path = this.pathOf(link);
+    return path?.isAgentSilent === true || path?.isSuspect === true
+      ? suspectRetryMaxMs
+      : retryMaxMs;
+  }
+
+  private pathOf({ backendId }: Link): PathState | undefined {
+    return this.directory.find(backendId)?.path;
+  }
 }
 
-/** Requests that still run at an engine are accounted for also after it is no longer assigned. */
+/**
+ * Requests that still run at an engine are accounted for also after it is no longer assigned, and one that
+ * fell silent is looked for.
+ */
 function isWorkedWith(known: KnownBackend): boolean {
-  return known.isCurrent && (known.isAssigned || known.outstanding > 0);
+  const { isCurrent, isAssigned, outstanding, path } = known;
+  return isCurrent && (isAssigned || outstanding > 0 || path.isAgentSilent);
 }
--- a/src/gateway/metrics/gateway-gauges.ts
+++ b/src/gateway/metrics/gateway-gauges.ts
@@ -57,6 +57,11 @@
     'Longest delay of the event loop since the last reading',
     () => inSeconds(current().loopDelayMs),
   );
+  plain(
+    'weirvale_suspect_paths',
+    'Back ends whose paths from here are believed to be cut',
+    () => current().suspectPaths,
+  );
   plain('weirvale_resident_bytes', 'Memory of the process', () => process.memoryUsage.rss());
   plain('weirvale_open_descriptors', 'Descriptors open in the process', countDescriptors);
   byName(
--- a/src/gateway/metrics/gateway-snapshot.ts
+++ b/src/gateway/metrics/gateway-snapshot.ts
@@ -24,6 +24,8 @@
   readonly waiting: ReadonlyMap<string, number>;
   /** Longest delay of the event loop since this was asked last. */
   readonly loopDelayMs: number;
+  /** Back ends whose paths from here are believed to be cut. */
+  readonly suspectPaths: number;
 }
 
 /** Counts back ends by service and believed state. */
--- a/src/gateway/metrics/metric-instruments.ts
+++ b/src/gateway/metrics/metric-instruments.ts
@@ -23,6 +23,12 @@
     labelNames: ['service'],
     registers: [this.registry],
   });
+  readonly requestsMoved = new Counter({
+    name: 'weirvale_requests_moved_total',
+    help: 'Requests that left a back end whose path was found lost, by service',
+    labelNames: ['service'],
+    registers: [this.registry],
+  });
   readonly repeatsDenied = new Counter({
     name: 'weirvale_repeats_denied_total',
     help: 'Repeats that the retry budget did not allow, by service',
@@ -84,6 +90,10 @@
     const { status, reason, attempts } = end;
     this.requests.inc({ route: request.route.name, status: `${status}`, reason });
     this.attempts.inc({ service: request.service }, attempts);
+    const moved = end.tries.filter(({ outcome }) => outcome === 'path-lost').length;
+    if (moved > 0) {
+      this.requestsMoved.inc({ service: request.service }, moved);
+    }
     this.waitSeconds.observe(end.waitedMs / MS_PER_S);
     if (end.firstByteMs !== undefined) {
       this.firstByteSeconds.observe(end.firstByteMs / MS_PER_S);
--- a/src/telemetry/decision-log.ts
+++ b/src/telemetry/decision-log.ts
@@ -22,6 +22,8 @@
   'backend-ejected',
   'backend-availability',
   'zone-evacuation',
+  'path-suspected',
+  'path-regained',
   'store-lost',
   'store-regained',
   'store-reader-on',
--- a/test/gateway-metrics.test.ts
+++ b/test/gateway-metrics.test.ts
@@ -18,6 +18,7 @@
   quotaUse: new Map([['tenant', 1_200]]),
   waiting: new Map([['s', 3]]),
   loopDelayMs: 20,
+  suspectPaths: 4,
 };
 
 async function readMetrics(): Promise<string> {
@@ -46,6 +47,7 @@
     'weirvale_quota_used_tokens{tenant="tenant"} 1200',
     'weirvale_waiting_requests{service="s"} 3',
     'weirvale_loop_delay_seconds 0.02',
+    'weirvale_suspect_paths 4',
   ];
   for (const line of lines) {
     t.true(text.includes(line), line);
