A caller's leaving is seen at once, and nothing it left reaches a back end late

Found, each with a test that was red before: - a caller that ends its side without reading its answer: the connection closed only once the answer was read, so its work went on. The end itself now counts (Node ends the connection then anyhow: no answer could follow). - a second request behind the first on one connection: the close of its answer is never told while it is queued, so it ran or waited on. Ruled out: a connection that is still coming up (destroyed unsent), a body still being read (never handed over, held by a test), retries and grants after the leaving (the request is done, its place withdrawn), kept connections on cancel (destroyed, never put back), paused answers (the close is seen). With the reset left out the back end got 409,667 bytes of a 409,600 byte body in the test.

--- a/src/gateway/admission/caller-listener.ts
+++ b/src/gateway/admission/caller-listener.ts
@@ -4,6 +4,7 @@
 import type { Socket } from 'node:net';
 import type { CallerLimits } from '../../routing/configuration.js';
 import type { CallerReply } from '../attempt/attempt.js';
+import { CallerDeparture } from './caller-departure.js';
 import type { RawHeaders } from './caller-protocol.js';
 
 /** A request whose head was read. */
@@ -36,7 +37,7 @@
 /** The listener for callers. */
 export class CallerListener {
   readonly server: Server;
-  private readonly sockets = new Set<Socket>();
+  private readonly sockets = new Map<Socket, CallerDeparture>();
   private isClosing = false;
 
   constructor(
@@ -53,7 +54,7 @@
     );
     this.server.requestTimeout = 0;
     this.server.on('connection', (socket: Socket) => {
-      this.sockets.add(socket);
+      this.sockets.set(socket, new CallerDeparture(socket));
       socket.on('close', () => this.sockets.delete(socket));
     });
   }
@@ -90,15 +91,36 @@
       headers: request.headers,
     };
     const pending = this.take(head, reply);
-    response.on('close', () => {
+    let hasLeft = false;
+    const leave = () => {
+      hasLeft = true;
       if (!response.writableFinished) {
         pending.onCallerLeft();
       }
+      if (!response.writableEnded) {
+        response.destroy();
+      }
+    };
+    const stopWatching = this.sockets.get(request.socket)?.onLeave(leave);
+    response.on('finish', () => stopWatching?.());
+    response.on('close', () => {
+      stopWatching?.();
+      leave();
+    });
+    this.readBody(request, {
+      onTooLong: () => pending.onTooLong(),
+      onBody: (body) => {
+        if (!hasLeft) {
+          pending.onBody(body);
+        }
+      },
     });
-    this.readBody(request, pending);
   }
 
-  private readBody(request: IncomingMessage, pending: PendingBody): void {
+  private readBody(
+    request: IncomingMessage,
+    pending: Pick<PendingBody, 'onBody' | 'onTooLong'>,
+  ): void {
     const chunks: Buffer[] = [];
     let length = 0;
     let isTooLong = false;
--- a/src/gateway/attempt/http-backend-sender.ts
+++ b/src/gateway/attempt/http-backend-sender.ts
@@ -11,7 +11,9 @@
 } from './attempt.js';
 import { splitAddress } from '../../address.js';
 import type { HostAndPort } from '../../address.js';
+import { SYSTEM_CLOCK } from '../../clock.js';
 import { GuardedAgent } from './guarded-agent.js';
+import { StandstillWatch } from './standstill-watch.js';
 
 /** Limits of the connections to back ends. */
 export interface BackendSenderOptions {
@@ -45,6 +47,7 @@
 /** Sends requests to back ends over HTTP. */
 export class HttpBackendSender implements BackendSender {
   private readonly agent: GuardedAgent;
+  private readonly standstill = new StandstillWatch(SYSTEM_CLOCK);
 
   constructor(private readonly options = DEFAULT_BACKEND_SENDER_OPTIONS) {
     this.agent = new GuardedAgent(options);
@@ -52,6 +55,7 @@
 
   /** Closes resting connections. */
   close(): void {
+    this.standstill.close();
     this.agent.destroy();
   }
 
@@ -61,13 +65,16 @@
   }
 
   send(attempt: OutgoingAttempt, handlers: AttemptHandlers): AttemptHandle {
-    return new HttpAttempt(attempt, handlers, this.agent, this.options.connectTimeoutMs);
+    const begun = new HttpAttempt(attempt, handlers, this.agent, this.options.connectTimeoutMs);
+    this.standstill.whenCaughtUp(() => begun.begin());
+    return begun;
   }
 }
 
 /** One request under way. */
 class HttpAttempt implements AttemptHandle {
-  private readonly request: ClientRequest;
+  /** Undefined until it is sent. */
+  private request: ClientRequest | undefined;
   private response: IncomingMessage | undefined;
   private readonly startedAtMs = performance.now();
   private isConnected = false;
@@ -77,20 +84,28 @@
   private readonly address: HostAndPort;
 
   constructor(
-    attempt: OutgoingAttempt,
+    private readonly attempt: OutgoingAttempt,
     private readonly handlers: AttemptHandlers,
     private readonly agent: GuardedAgent,
-    connectTimeoutMs: number,
+    private readonly connectTimeoutMs: number,
   ) {
     this.address = splitAddress(attempt.backend.address);
-    const { host, port } = this.address;
-    const { method, path, body } = attempt;
-    const headers = withLength(attempt.headers, method, body);
-    this.request = httpRequest({ host, port, method, path, headers, agent, setHost: false });
-    this.request.on('socket', (socket) => this.onSocket(socket, connectTimeoutMs));
-    this.request.on('response', (response) => this.onResponse(response));
-    this.request.on('error', (error) => this.fail(error.message, error));
-    this.request.end(body.length > 0 ? body : undefined);
+  }
+
+  /** Sends the request, unless it was cancelled before. */
+  begin(): void {
+    if (this.isOver) {
+      return;
+    }
+    const { address, agent, connectTimeoutMs } = this;
+    const { method, path, body } = this.attempt;
+    const headers = withLength(this.attempt.headers, method, body);
+    const request = httpRequest({ ...address, method, path, headers, agent, setHost: false });
+    request.on('socket', (socket) => this.onSocket(socket, connectTimeoutMs));
+    request.on('response', (response) => this.onResponse(response));
+    request.on('error', (error) => this.fail(error.message, error));
+    request.end(body.length > 0 ? body : undefined);
+    this.request = request;
   }
 
   cancel(): void {
@@ -99,7 +114,24 @@
     if (this.isUnanswered && performance.now() - this.startedAtMs > SILENT_MS) {
       this.agent.endResting(this.address);
     }
-    this.request.destroy();
+    this.breakOff();
+  }
+
+  /**
+   * What was sent and has not arrived yet must not arrive any more: the system would go on sending it after
+   * an ordinary close, also once a path that was cut is back. An answer that has begun shows that all arrived.
+   */
+  private breakOff(): void {
+    const socket = this.request?.socket;
+    const isUnderWay =
+      this.response === undefined && this.isConnected && socket?.destroyed === false;
+    // A request of which this process itself still holds a part is not whole at the back end either way.
+    if (isUnderWay && socket.writableLength === 0) {
+      socket.on('error', () => undefined);
+      socket.resetAndDestroy();
+    } else {
+      this.request?.destroy();
+    }
   }
 
   pause(): void {
@@ -131,7 +163,7 @@
     setImmediate(() => {
       if (socket.connecting) {
         this.hasTimedOut = true;
-        this.request.destroy();
+        this.request?.destroy();
       }
     });
   }
@@ -180,7 +212,7 @@
       return;
     }
     this.isOver = true;
-    if (!this.request.writableFinished) {
+    if (this.request?.writableFinished === false) {
       // The back end answered before it had read the whole body: its connection is of no more use.
       this.request.destroy();
     }
@@ -189,7 +221,7 @@
 
   /** Whether nothing came back on a connection that was used again. */
   private get isUnanswered(): boolean {
-    return this.request.reusedSocket && this.response === undefined;
+    return this.request?.reusedSocket === true && this.response === undefined;
   }
 
   /**
@@ -205,7 +237,7 @@
     }
     this.agent.endResting(this.address);
     const isAtOnce = performance.now() - startedAtMs <= FORGOTTEN_RESET_MS;
-    if (isAtOnce && request.socket !== null) {
+    if (isAtOnce && request?.socket) {
       this.agent.noteForgotten(request.socket);
     }
   }
@@ -217,7 +249,7 @@
     this.isOver = true;
     clearTimeout(this.connectTimer);
     this.noteUnanswered();
-    this.request.destroy();
+    this.request?.destroy();
     const failure: AttemptFailure = {
       mayHaveRun: this.isConnected,
       isPortClosed: error?.code === 'ECONNREFUSED',
--- a/test/backend-sender.test.ts
+++ b/test/backend-sender.test.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo, Server, Socket } from 'node:net';
 import { Worker } from 'node:worker_threads';
 import test from 'ava';
+import { SYSTEM_CLOCK, sleep } from '../src/clock.js';
 import type { AnswerHead, AttemptFailure } from '../src/gateway/attempt/attempt.js';
 import { backendOf } from './support/gateway.js';
 import {
@@ -132,6 +133,60 @@
   t.true(outcome.failure?.isSilent);
 });
 
+test('what a cancelled request had sent and did not arrive yet never arrives', async (t) => {
+  const body = Buffer.alloc(400 * 1024);
+  const accepted: Socket[] = [];
+  const server = createServer({ pauseOnConnect: true }, (socket) => accepted.push(socket));
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  const sender = new HttpBackendSender();
+  const backend = backendOf('b', { address: `127.0.0.1:${port}` });
+  const ignore = () => undefined;
+  const handlers = { onHead: ignore, onData: ignore, onEnd: ignore, onFailure: ignore };
+  const attempt = { backend, method: 'POST', path: '/', headers: [], body };
+  const handle = sender.send(attempt, handlers);
+  await sleep(SYSTEM_CLOCK, 100);
+  handle.cancel();
+  await sleep(SYSTEM_CLOCK, 50);
+  let arrived = 0;
+  const socket = accepted[0]!;
+  socket.on('error', ignore);
+  socket.on('data', (bytes: Buffer) => (arrived += bytes.length));
+  socket.resume();
+  await sleep(SYSTEM_CLOCK, 100);
+  t.true(arrived < body.length, `${arrived}`);
+  socket.destroy();
+  sender.close();
+  server.close();
+});
+
+test.serial(
+  'after a standstill nothing is sent for a caller whose leaving is read only then',
+  async (t) => {
+    let requests = 0;
+    const { server, address } = await startBackend(() => (requests += 1));
+    const sender = new HttpBackendSender();
+    await new Promise((resolve) => setTimeout(resolve, 60));
+    const standsStillUntilMs = performance.now() + 300;
+    while (performance.now() < standsStillUntilMs) {
+      // The process does nothing else meanwhile.
+    }
+    const backend = backendOf('b', { address });
+    const attempt = { backend, method: 'GET', path: '/', headers: [], body: Buffer.alloc(0) };
+    const ignore = () => undefined;
+    const handlers = { onHead: ignore, onData: ignore, onEnd: ignore, onFailure: ignore };
+    const handle = sender.send(attempt, handlers);
+    setImmediate(() => handle.cancel());
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    t.is(requests, 0);
+    sender.send(attempt, handlers);
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    t.is(requests, 1);
+    sender.close();
+    server.close();
+  },
+);
+
 test('after a connection fell silent no other resting one to that back end is used', async (t) => {
   const used = new Set<Socket>();
   const { server, address } = await startBackend((socket) => {
