--- a/src/cli/queries/explain-logs.ts
+++ b/src/cli/queries/explain-logs.ts
@@ -33,6 +33,8 @@
   'backend-gone',
   'backend-ejected',
   'backend-availability',
+  'path-suspected',
+  'path-regained',
   'agent-lost',
   'peer-gone',
 ]);
--- a/test/logs.test.ts
+++ b/test/logs.test.ts
@@ -64,6 +64,38 @@
   time: '2026-01-01T00:00:01.000Z',
 };
 
+test('logs explain tells that a request was moved on from a lost path, and what was believed of it', (t) => {
+  const file = join(mkdtempSync(join(tmpdir(), 'weirvale-logs-')), 'edge.log');
+  const moved = {
+    ...ENDED,
+    status: 200,
+    reason: 'answered',
+    tries: [
+      { ...ENDED.tries[0], outcome: 'path-lost', detail: 'the path to it is lost' },
+      {
+        ...ENDED.tries[0],
+        backend: 'w-2',
+        afterMs: 650,
+        outcome: 'answered',
+        detail: 'status 200',
+      },
+    ],
+  };
+  const suspected = {
+    ...EJECTED,
+    event: 'path-suspected',
+    zone: 'east',
+    cause: 'zone-silent',
+    silentMs: 690,
+  };
+  writeFileSync(file, [moved, suspected].map((line) => JSON.stringify(line)).join('\n'));
+  const tool = 'dist/src/bin/weirvale.js';
+  const text = execFileSync('node', [tool, 'logs', 'explain', 'q-1', file], { encoding: 'utf8' });
+  t.regex(text, /path-suspected w-1/);
+  t.regex(text, /to w-1 \(1 of 4 slots believed taken\): path-lost, the path to it is lost/);
+  t.regex(text, /after 650 ms to w-2/);
+});
+
 test('logs explain tells the cause, the tries and the beliefs before them', (t) => {
   const file = join(mkdtempSync(join(tmpdir(), 'weirvale-logs-')), 'edge.log');
   const lines = [`  1.0 edge-1 ${JSON.stringify(ENDED)}`, 'no line', JSON.stringify(EJECTED)];
