Bounds of silence allow the pause between two words of a sound agent

An agent that spoke just before its look says nothing at that look, so up to 600 ms pass: 650 for a zone's other engines and 450 beside a hung connection were within that. Test: words that far apart make nothing suspect.

--- a/src/gateway/dispatch/path-watch.ts
+++ b/src/gateway/dispatch/path-watch.ts
@@ -16,27 +16,30 @@
   onRegained(known: KnownBackend, ended: EndedSuspicion): void;
 }
 
-/** Bounds of silence, in milliseconds; agents speak each 300. */
+/**
+ * Bounds of silence, in milliseconds. Agents look each 300 whether they have said anything in the last 300, so
+ * that 600 may pass between two words on a sound path.
+ */
 export interface PathWatchOptions {
-  /** Silence after which the path to an agent that fell silent is suspect. Default 1,000: three beats missed. */
+  /** Silence after which the path to an agent that fell silent is suspect. Default 1,000: a word missed for certain. */
   readonly silenceMs: number;
   /**
-   * Silence that is enough where an engine of the same zone has become suspect. Default 650: two beats
-   * missed, and one tick.
+   * Silence that is enough where an engine of the same zone has become suspect. Default 800: the longest
+   * pause on a sound path, and two ticks.
    */
   readonly zoneSilenceMs: number;
-  /** Silence that is enough where a connection hung as well. Default 450: one beat missed, and a tick. */
+  /** Silence that is enough where a connection hung as well. Default 650: that pause, and its way. */
   readonly hungSilenceMs: number;
-  /** Others count as heard up to this age of their last word. Default 450, as above. */
+  /** Others count as heard up to this age of their last word. Default 650, as above. */
   readonly othersHeardMs: number;
 }
 
 /** Defaults of silence. */
 export const DEFAULT_PATH_WATCH_OPTIONS: PathWatchOptions = {
   silenceMs: 1_000,
-  zoneSilenceMs: 650,
-  hungSilenceMs: 450,
-  othersHeardMs: 450,
+  zoneSilenceMs: 800,
+  hungSilenceMs: 650,
+  othersHeardMs: 650,
 };
 
 /** Fewest engines of a zone whose silence speaks for the zone: a single one may be alone in its fault. */
