A path counts as heard by a word of its agent, not by a connection that came up

Something between may take connections for an agent that is out of reach. Test through the soak's proxy, cut one way; red with the connection counted as a word.

--- a/src/gateway/links/slot-agent-links.ts
+++ b/src/gateway/links/slot-agent-links.ts
@@ -228,7 +228,6 @@
     }
     link.retryMs = this.options.retryMinMs;
     link.isUnheard = false;
-    known.path.noteHeard(this.clock.now());
     const { outstanding: held, backend } = known;
     const { peersAddress } = this.options;
     const { slots } = backend;
