--- a/test/lost-paths.test.ts
+++ b/test/lost-paths.test.ts
@@ -281,3 +281,38 @@
   await world.beatUntil(1_600);
   t.false(world.pathOf('far3').isSuspect);
 });
+
+test('an unsafe request whose connections hang is sent elsewhere each time, and counts none as an attempt', async (t) => {
+  const world = await heardWorld();
+  const { reply } = world.request({ route: { ...UNSAFE, maxAttempts: 1 } });
+  const hung = {
+    mayHaveRun: false,
+    isPortClosed: false,
+    isSilent: true,
+    detail: 'no connection in time',
+  };
+  for (let index = 0; index < 3; index += 1) {
+    world.attempts[index]!.handlers.onFailure(hung);
+  }
+  t.is(new Set(world.usedSince(0)).size, 4);
+  world.answer(3, 200, 'whole');
+  t.is(reply.status, 200);
+  t.is(world.ends[0]!.attempts, 1);
+});
+
+test('a request that left a lost path shows it, and speaks neither against an engine nor its version', async (t) => {
+  const world = await heardWorld();
+  const index = world.requestAt('far1', SAFE);
+  world.lose('y', ['far1', 'far2']);
+  await world.beatUntil(1_300);
+  t.true(world.attempts[index]!.isCancelled);
+  for (let next = 0; next < world.attempts.length; next += 1) {
+    if (!world.attempts[next]!.isCancelled) {
+      world.answer(next, 200, 'whole');
+    }
+  }
+  const outcomes = world.ends.flatMap(({ tries }) => tries.map(({ outcome }) => outcome));
+  t.true(outcomes.includes('path-lost'));
+  t.false(outcomes.includes('failed'));
+  t.true(world.triesOver.some(({ isBad }) => isBad === undefined));
+});
