--- a/bench/soak/soak-faults.ts
+++ b/bench/soak/soak-faults.ts
@@ -92,6 +92,26 @@
   function troubleBackendLink(fleet, random) {
     return troubleProxy(random, pick(random, fleet.backendProxies), fleet.gateways);
   },
+  /** As a zone that is cut off: its agents are not heard, and requests to its engines hang one way. */
+  function cutZone(fleet, random) {
+    const zone = randomInteger(random, 0, 1);
+    const mood = pick(random, ['cut-towards-target', 'cut-from-target'] as const);
+    const forMs = randomInteger(random, 1_200, 3_000);
+    const isInZone = (_each: unknown, index: number) => index % 2 === zone;
+    const agents = fleet.agents.filter(isInZone);
+    const proxies = fleet.backendProxies.filter(isInZone);
+    disturb(fleet.gateways, forMs);
+    agents.forEach((agent) => agent.signal('SIGSTOP'));
+    proxies.forEach((proxy) => (proxy.mood = mood));
+    setTimeout(() => {
+      agents.forEach((agent) => agent.signal('SIGCONT'));
+      proxies.forEach((proxy) => {
+        proxy.mood = 'passes';
+        proxy.resetAll();
+      });
+    }, forMs);
+    return `half of the engines ${mood} for ${forMs} ms, their agents unheard`;
+  },
   function failBackend(fleet, random) {
     const backend = pick(random, fleet.backends);
     const forMs = randomInteger(random, 500, 2_000);
