--- a/src/cli/queries/explain-logs.ts
+++ b/src/cli/queries/explain-logs.ts
@@ -38,6 +38,8 @@
   'backend-ejected',
   'backend-availability',
   EVACUATION_EVENT,
+  'path-suspected',
+  'path-regained',
   'agent-lost',
   'peer-gone',
 ]);
--- a/src/gateway/attempt/http-backend-sender.ts
+++ b/src/gateway/attempt/http-backend-sender.ts
@@ -11,7 +11,9 @@
 } from './attempt.js';
 import { splitAddress } from '../../address.js';
 import type { HostAndPort } from '../../address.js';
+import { SYSTEM_CLOCK } from '../../clock.js';
 import { GuardedAgent } from './guarded-agent.js';
+import { StandstillWatch } from './standstill-watch.js';
 
 /** Limits of the connections to back ends. */
 export interface BackendSenderOptions {
@@ -39,9 +41,13 @@
  */
 const SILENT_MS = 500;
 
+/** Errors by which the system says that nothing comes back on the way to the back end. */
+const SILENCE_CODES: ReadonlySet<string> = new Set(['ETIMEDOUT', 'EHOSTUNREACH', 'ENETUNREACH']);
+
 /** Sends requests to back ends over HTTP. */
 export class HttpBackendSender implements BackendSender {
   private readonly agent: GuardedAgent;
+  private readonly standstill = new StandstillWatch(SYSTEM_CLOCK);
 
   constructor(private readonly options = DEFAULT_BACKEND_SENDER_OPTIONS) {
     this.agent = new GuardedAgent(options);
@@ -49,6 +55,7 @@
 
   /** Closes resting connections. */
   close(): void {
+    this.standstill.close();
     this.agent.destroy();
   }
 
@@ -58,35 +65,47 @@
   }
 
   send(attempt: OutgoingAttempt, handlers: AttemptHandlers): AttemptHandle {
-    return new HttpAttempt(attempt, handlers, this.agent, this.options.connectTimeoutMs);
+    const begun = new HttpAttempt(attempt, handlers, this.agent, this.options.connectTimeoutMs);
+    this.standstill.whenCaughtUp(() => begun.begin());
+    return begun;
   }
 }
 
 /** One request under way. */
 class HttpAttempt implements AttemptHandle {
-  private readonly request: ClientRequest;
+  /** Undefined until it is sent. */
+  private request: ClientRequest | undefined;
   private response: IncomingMessage | undefined;
   private readonly startedAtMs = performance.now();
   private isConnected = false;
+  private hasTimedOut = false;
   private isOver = false;
   private connectTimer: NodeJS.Timeout | undefined;
   private readonly address: HostAndPort;
 
   constructor(
-    attempt: OutgoingAttempt,
+    private readonly attempt: OutgoingAttempt,
     private readonly handlers: AttemptHandlers,
     private readonly agent: GuardedAgent,
-    connectTimeoutMs: number,
+    private readonly connectTimeoutMs: number,
   ) {
     this.address = splitAddress(attempt.backend.address);
-    const { host, port } = this.address;
-    const { method, path, body } = attempt;
-    const headers = withLength(attempt.headers, method, body);
-    this.request = httpRequest({ host, port, method, path, headers, agent, setHost: false });
-    this.request.on('socket', (socket) => this.onSocket(socket, connectTimeoutMs));
-    this.request.on('response', (response) => this.onResponse(response));
-    this.request.on('error', (error) => this.fail(error.message, isRefused(error)));
-    this.request.end(body.length > 0 ? body : undefined);
+  }
+
+  /** Sends the request, unless it was cancelled before. */
+  begin(): void {
+    if (this.isOver) {
+      return;
+    }
+    const { address, agent, connectTimeoutMs } = this;
+    const { method, path, body } = this.attempt;
+    const headers = withLength(this.attempt.headers, method, body);
+    const request = httpRequest({ ...address, method, path, headers, agent, setHost: false });
+    request.on('socket', (socket) => this.onSocket(socket, connectTimeoutMs));
+    request.on('response', (response) => this.onResponse(response));
+    request.on('error', (error) => this.fail(error.message, error));
+    request.end(body.length > 0 ? body : undefined);
+    this.request = request;
   }
 
   cancel(): void {
@@ -95,7 +114,24 @@
     if (this.isUnanswered && performance.now() - this.startedAtMs > SILENT_MS) {
       this.agent.endResting(this.address);
     }
-    this.request.destroy();
+    this.breakOff();
+  }
+
+  /**
+   * What was sent and has not arrived yet must not arrive any more: the system would go on sending it after
+   * an ordinary close, also once a path that was cut is back. An answer that has begun shows that all arrived.
+   */
+  private breakOff(): void {
+    const socket = this.request?.socket;
+    const isUnderWay =
+      this.response === undefined && this.isConnected && socket?.destroyed === false;
+    // A request of which this process itself still holds a part is not whole at the back end either way.
+    if (isUnderWay && socket.writableLength === 0) {
+      socket.on('error', () => undefined);
+      socket.resetAndDestroy();
+    } else {
+      this.request?.destroy();
+    }
   }
 
   withdraw(): boolean {
@@ -134,7 +170,8 @@
   private endLateConnection(socket: Socket): void {
     setImmediate(() => {
       if (socket.connecting) {
-        this.request.destroy();
+        this.hasTimedOut = true;
+        this.request?.destroy();
       }
     });
   }
@@ -183,7 +220,7 @@
       return;
     }
     this.isOver = true;
-    if (!this.request.writableFinished) {
+    if (this.request?.writableFinished === false) {
       // The back end answered before it had read the whole body: its connection is of no more use.
       this.request.destroy();
     }
@@ -192,7 +229,7 @@
 
   /** Whether nothing came back on a connection that was used again. */
   private get isUnanswered(): boolean {
-    return this.request.reusedSocket && this.response === undefined;
+    return this.request?.reusedSocket === true && this.response === undefined;
   }
 
   /**
@@ -208,29 +245,29 @@
     }
     this.agent.endResting(this.address);
     const isAtOnce = performance.now() - startedAtMs <= FORGOTTEN_RESET_MS;
-    if (isAtOnce && request.socket !== null) {
+    if (isAtOnce && request?.socket) {
       this.agent.noteForgotten(request.socket);
     }
   }
 
-  private fail(detail: string, isPortClosed = false): void {
+  private fail(detail: string, error?: NodeJS.ErrnoException): void {
     if (this.isOver) {
       return;
     }
     this.isOver = true;
     clearTimeout(this.connectTimer);
     this.noteUnanswered();
-    this.request.destroy();
-    const failure: AttemptFailure = { mayHaveRun: this.isConnected, isPortClosed, detail };
+    this.request?.destroy();
+    const failure: AttemptFailure = {
+      mayHaveRun: this.isConnected,
+      isPortClosed: error?.code === 'ECONNREFUSED',
+      isSilent: this.hasTimedOut || SILENCE_CODES.has(error?.code ?? ''),
+      detail: this.hasTimedOut ? 'no connection in time' : detail,
+    };
     this.handlers.onFailure(failure);
   }
 }
 
-/** Whether the error says that nothing listens at the address. */
-function isRefused(error: NodeJS.ErrnoException): boolean {
-  return error.code === 'ECONNREFUSED';
-}
-
 /** The body is sent whole, so its length is known whatever the caller's framing was. */
 function withLength(headers: readonly string[], method: string, body: Buffer): string[] {
   const kept: string[] = [];
--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -42,6 +42,7 @@
   private readonly record: RequestRecord;
   private readonly relay: AnswerRelay;
   private progress: AttemptProgress | undefined;
+  private stopWatchingPath: (() => void) | undefined;
   /** Whether some back end may have run the request. */
   private mayHaveRun = false;
   private lastAnswer: HeldAnswer | undefined;
@@ -79,7 +80,7 @@
     const waitedForHeadMs = this.ports.clock.now() - this.attemptStartedAtMs;
     const isBackendSilent =
       this.phase === 'sent' && waitedForHeadMs > this.request.route.targetLatencyMs * 2;
-    this.dropAttempt(isBackendSilent ? 'failed' : 'unknown', 'the caller left');
+    this.dropAttempt(isBackendSilent ? 'silent' : 'unknown', 'the caller left');
     this.finish(0, 'caller-left');
   }
 
@@ -139,6 +140,7 @@
     const failureShare = known?.failureShare(nowMs) ?? 0;
     this.record.noteSent(backend, { occupied: known?.occupied ?? 0, failureShare }, nowMs);
     this.attemptStartedAtMs = nowMs;
+    this.stopWatchingPath = known?.path.watch(() => this.leaveLostPath());
     this.relay.beginAttempt();
     this.progress = new AttemptProgress(
       ports.dispatcher,
@@ -187,11 +189,36 @@
     }
     const failedId = this.backend!.id;
     this.mayHaveRun = true;
-    this.dropAttempt('failed', 'silent');
+    this.dropAttempt('silent', 'silent');
     this.moveOn(failedId);
   }
 
+  /** A request that may be repeated does not wait for the silence that shows it what is known by now. */
+  private leaveLostPath(): void {
+    if (!this.canRepeatElsewhere() || !this.hasReachableOther() || !this.takeRepeat()) {
+      return;
+    }
+    const lostId = this.backend!.id;
+    this.mayHaveRun = true;
+    this.dropAttempt('path-lost', 'the path to it is lost');
+    this.moveOn(lostId);
+  }
+
+  private hasReachableOther(): boolean {
+    return this.ports.directory
+      .ofService(this.request.service)
+      .some(
+        ({ backend, isReady, path }) =>
+          isReady && !path.isSuspect && backend !== this.backend && !this.excluded.has(backend.id),
+      );
+  }
+
+  private noteHeard(): void {
+    this.ports.directory.find(this.backend!.id)?.path.noteHeard(this.ports.clock.now());
+  }
+
   private receiveHead(head: AnswerHead): void {
+    this.noteHeard();
     const answer = this.ports.protocol.readAnswer(head.status, head.headers);
     if (answer.requestId !== undefined && answer.requestId !== this.request.requestId) {
       this.attempt?.cancel();
@@ -226,6 +253,7 @@
   }
 
   private receiveData(bytes: Buffer): void {
+    this.noteHeard();
     const result = this.relay.takeData(bytes, this.attempt);
     if (result === 'overlong-event') {
       this.attempt?.cancel();
@@ -289,11 +317,14 @@
       return;
     }
     const backendId = this.backend!.id;
-    this.endAttempt(failure.isPortClosed ? 'unreachable' : 'failed', failure.detail);
+    this.endAttempt(outcomeOf(failure), failure.detail);
     if (!failure.mayHaveRun) {
       this.attempts -= 1;
       // A closed port is known at once, and no other request is sent there for now.
       this.connectFailures += failure.isPortClosed ? 0 : 1;
+      if (failure.isSilent === true) {
+        this.ports.directory.find(backendId)?.path.noteHungConnection();
+      }
       if (this.connectFailures <= MAX_CONNECT_FAILURES && this.hasTime()) {
         this.moveOn(backendId);
         return;
@@ -351,7 +382,7 @@
       return;
     }
     this.mayHaveRun = true;
-    this.dropAttempt(this.phase === 'sent' ? 'failed' : 'unknown', 'the time was over');
+    this.dropAttempt(this.phase === 'sent' ? 'silent' : 'unknown', 'the time was over');
     this.answerFailure('timed-out');
   }
 
@@ -402,6 +433,7 @@
 
   private endAttempt(outcome: AttemptOutcome, detail: string): void {
     this.clearStepTimer();
+    this.stopWatchingPath?.();
     if (this.attempt === undefined || this.backend === undefined) {
       return;
     }
@@ -441,3 +473,10 @@
     }
   }
 }
+
+function outcomeOf({ isPortClosed, isSilent }: AttemptFailure): AttemptOutcome {
+  if (isPortClosed) {
+    return 'unreachable';
+  }
+  return isSilent === true ? 'silent' : 'failed';
+}
--- a/src/gateway/attempt/try-verdict.ts
+++ b/src/gateway/attempt/try-verdict.ts
@@ -17,7 +17,7 @@
   { targetLatencyMs, maxPauseMs }: Route,
   { firstEventMs, longestPauseMs, isColdStart }: TryTimes,
 ): boolean | undefined {
-  if (outcome === 'failed') {
+  if (outcome === 'failed' || outcome === 'silent') {
     return true;
   }
   if (outcome !== 'answered' || isColdStart) {
--- a/src/gateway/dispatch/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -15,7 +15,12 @@
 import type { BackendDirectory } from './backend-directory.js';
 import type { Backend } from '../../routing/backend.js';
 import type { RestrictionReason } from '../../routing/backend-restriction.js';
-import type { SlotAnswer, SlotGranted, SlotMessage } from '../../slot-agent/slot-messages.js';
+import type {
+  SlotAnswer,
+  SlotGranted,
+  SlotMessage,
+  SlotReleased,
+} from '../../slot-agent/slot-messages.js';
 import type { EngineAvailability } from '../../slot-agent/engine-watch.js';
 import type { AttemptOutcome } from './backend-health.js';
 import { homeRefusalOf } from '../homes/home-refusal.js';
@@ -173,7 +178,12 @@
     if (hasFailed !== undefined) {
       known.noteOutcome(hasFailed, nowMs);
     }
-    this.sendToAgent(backendId, known, { kind: 'released', hasFailed });
+    const isSilent = outcome === 'silent';
+    // Others may reach what is silent here: the agent is told so, not that the back end failed.
+    const released: SlotReleased = isSilent
+      ? { kind: 'released', isSilent }
+      : { kind: 'released', hasFailed };
+    this.sendToAgent(backendId, known, released);
     if (outcome === 'answered') {
       this.sendToAgent(backendId, known, { kind: 'speed', speed: known.learned });
     }
@@ -358,6 +368,7 @@
   ): void {
     this.queueOf(request.service).noteBound(nowMs);
     known.outstanding += 1;
+    known.path.noteSent(nowMs);
     known.pendingPromptTokens += request.promptTokens;
     if (!isGranted && known.agent !== undefined) {
       const stated = statedHomes(request, known.agent);
@@ -415,5 +426,6 @@
   if (outcome === 'answered') {
     return false;
   }
-  return outcome === 'failed' || outcome === 'unreachable' ? true : undefined;
+  const isFailure = outcome === 'failed' || outcome === 'silent' || outcome === 'unreachable';
+  return isFailure ? true : undefined;
 }
--- a/src/gateway/dispatch/known-backend.ts
+++ b/src/gateway/dispatch/known-backend.ts
@@ -7,6 +7,7 @@
 import { FailureEstimate } from '../../slot-agent/failure-estimate.js';
 import { BackendHealth } from './backend-health.js';
 import { EngineSpeed } from './engine-speed.js';
+import { PathState } from './path-state.js';
 
 const SPEED_SMOOTHING = 0.15;
 /**
@@ -44,6 +45,7 @@
   readonly speed = new EngineSpeed();
   /** What is known of its last start. */
   readonly cold = new ColdPeriod();
+  readonly path = new PathState();
   /** Tokens of prompts that this gateway sent and whose first event is due. */
   pendingPromptTokens = 0;
   /** Requests of this gateway that are there now. */
--- a/src/slot-agent/slot-ledger.ts
+++ b/src/slot-agent/slot-ledger.ts
@@ -25,6 +25,7 @@
   SlotTaken,
   StatedHomes,
 } from './slot-messages.js';
+import { SilenceReports } from './silence-reports.js';
 import { SlotTeller } from './slot-teller.js';
 import { StartLimiter } from './start-limiter.js';
 import type { GrantsOnly, StartRules } from './start-limiter.js';
@@ -84,6 +85,7 @@
   private unaccounted = 0;
   private speed: LearnedSpeed = {};
   private readonly failures = new FailureEstimate();
+  private readonly silences = new SilenceReports();
   private readonly engine = new EngineWatch();
   private readonly teller: SlotTeller;
   private readonly starts = new StartLimiter();
@@ -277,7 +279,11 @@
         break;
       case 'released':
         account.release();
-        this.noteOutcome(message.hasFailed, nowMs);
+        if (message.isSilent === true) {
+          this.noteSilence(account.name, nowMs);
+        } else {
+          this.noteOutcome(message.hasFailed, nowMs);
+        }
         break;
       case 'proven':
         this.noteProven(nowMs);
@@ -312,7 +318,19 @@
     this.tellAvailability(before, nowMs);
   }
 
+  private noteSilence(gateway: string, nowMs: number): void {
+    const isEnginesOwn = this.silences.noteSilence(gateway, nowMs);
+    // The one request that tries an engine which failed before must be answered, or it rests on.
+    if (isEnginesOwn || this.engine.availability === 'trial') {
+      this.noteOutcome(true, nowMs);
+      return;
+    }
+    this.engine.noteDoubt();
+    this.ports.onLookWanted();
+  }
+
   private noteProven(nowMs: number): void {
+    this.silences.noteAnswer();
     const before = this.engine.availability;
     this.engine.noteAnswer();
     this.tellAvailability(before, nowMs);
--- a/src/telemetry/decision-log.ts
+++ b/src/telemetry/decision-log.ts
@@ -26,6 +26,8 @@
   'zone-cleared',
   'cold-limit-entered',
   'cold-limit-left',
+  'path-suspected',
+  'path-regained',
   'store-lost',
   'store-regained',
   'store-reader-on',
