Over several regions a gateway works with its own one and a few engines of each other

The subset counted a zone in another region like one next door: with six zones of six engines a gateway worked with 6 engines near by and 10 elsewhere, 8 of these in other regions. It now takes its zone, up to 16 of the rest of its region, and 2 of each other region. Where all zones are of one region, or regions are not named, the choice is by zones and hash alone as before; a test holds that against the old rule.

--- a/src/gateway/dispatch/backend-directory.ts
+++ b/src/gateway/dispatch/backend-directory.ts
@@ -2,7 +2,8 @@
 import type { Backend } from '../../routing/backend.js';
 import { pairShare } from '../../pair-share.js';
 import { chooseEngines, DEFAULT_ENGINE_SUBSET_OPTIONS } from './engine-subset.js';
-import type { EngineSubsetOptions, SubsetOwner } from './engine-subset.js';
+import type { EngineSubsetOptions } from './engine-subset.js';
+import type { SubsetOwner } from './gateway-place.js';
 import { KnownBackend } from './known-backend.js';
 
 /** What a directory needs from its surroundings. */
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -78,7 +78,10 @@
     this.configuration = new ConfigurationInForce(clock);
     this.places = new Places(settings.places.zones);
     const isEngine = (service: string) => this.configuration.isEngine(service);
-    this.directory = new BackendDirectory(settings.process, { isEngine });
+    this.directory = new BackendDirectory(
+      { ...settings.process, places: this.places },
+      { isEngine },
+    );
     this.dispatcher = new Dispatcher(this.directory, {
       sendToAgent: (backendId, message) => this.links.send(backendId, message),
       onEjected: (backendId) => parts.log.write('backend-ejected', 'state', { backend: backendId }),
--- a/test/engine-subset.test.ts
+++ b/test/engine-subset.test.ts
@@ -1,6 +1,8 @@
 import test from 'ava';
 import { chooseEngines } from '../src/gateway/dispatch/engine-subset.js';
 import type { SubsetEngine } from '../src/gateway/dispatch/engine-subset.js';
+import { pairShare } from '../src/pair-share.js';
+import { Places } from '../src/routing/places.js';
 import { GatewayWorld, backendOf } from './support/gateway.js';
 
 function enginesOf(zones: number, perZone: number): SubsetEngine[] {
@@ -74,3 +76,76 @@
   world.request();
   t.false(assigned.has(world.attempts.at(-1)!.backend.id));
 });
+
+/** Six zones in three regions, as z0 and z3 in one, z1 and z4, z2 and z5. */
+const REGIONS = new Places(
+  new Map(Array.from({ length: 6 }, (_unused, zone) => [`z${zone}`, `r${zone % 3}`])),
+);
+
+function distancesOf(chosen: ReadonlySet<string>, engines: readonly SubsetEngine[], zone: string) {
+  return engines
+    .filter(({ id }) => chosen.has(id))
+    .map((engine) => REGIONS.distance(zone, engine.zone));
+}
+
+test('over several regions a gateway works with its own one, and a few of each other one', (t) => {
+  const engines = enginesOf(6, 6);
+  const distances = distancesOf(
+    chooseEngines(engines, { ...OWNER, places: REGIONS }),
+    engines,
+    OWNER.zone,
+  );
+  t.is(distances.filter((distance) => distance === 'same-zone').length, 6);
+  t.is(distances.filter((distance) => distance === 'same-region').length, 6);
+  t.is(distances.filter((distance) => distance === 'other-region').length, 4);
+});
+
+test('over several regions each engine is worked with by enough gateways', (t) => {
+  const engines = enginesOf(6, 6);
+  const near = new Map<string, number>();
+  const far = new Map<string, number>();
+  for (let index = 0; index < 29; index += 1) {
+    const zone = `z${index % 6}`;
+    const chosen = chooseEngines(engines, { name: `g${index}`, zone, places: REGIONS });
+    for (const engine of engines.filter(({ id }) => chosen.has(id))) {
+      const isFar = REGIONS.distance(zone, engine.zone) === 'other-region';
+      const counts = isFar ? far : near;
+      counts.set(engine.id, (counts.get(engine.id) ?? 0) + 1);
+    }
+  }
+  t.true(engines.every(({ id }) => (near.get(id) ?? 0) >= 9));
+  t.true(engines.filter(({ id }) => far.has(id)).length >= 30);
+});
+
+test('a gateway whose region has no engine works with enough of the others', (t) => {
+  const engines = enginesOf(6, 6).filter(({ zone }) => REGIONS.regionOf(zone) !== 'r0');
+  t.is(chooseEngines(engines, { ...OWNER, places: REGIONS }).size, 16);
+});
+
+test('where all zones are of one region, or regions are not named, the choice is by zones and hash alone', (t) => {
+  const engines = enginesOf(5, 20);
+  const oneRegion = new Places(new Map(engines.map(({ zone }) => [zone, 'r'])));
+  for (const places of [undefined, new Places(new Map()), oneRegion]) {
+    for (let index = 0; index < 20; index += 1) {
+      const owner = { name: `g${index}`, zone: `z${index % 6}` };
+      const taken = new Map<string, number>();
+      const expected = engines
+        .map((engine) => ({ ...engine, weight: pairShare(owner.name, engine.id) }))
+        .sort((left, right) => left.weight - right.weight);
+      const chosen = expected.filter(({ zone }) => {
+        const count = taken.get(zone) ?? 0;
+        taken.set(zone, count + 1);
+        return count < (zone === owner.zone ? 32 : 2);
+      });
+      const filled = [
+        ...chosen,
+        ...expected.filter((engine) => !chosen.includes(engine)).slice(0, 16 - chosen.length),
+      ];
+      const wanted = chosen.length < 16 ? filled : chosen;
+      t.deepEqual(
+        new Set(wanted.map(({ id }) => id)),
+        chooseEngines(engines, { ...owner, places }),
+      );
+    }
+  }
+});
