The way to an engine is part of its cost, and engines near by have the first chance

The cost of a back end knew no distance, and a request that found the engines near by full for a moment crossed to another region at once; all agents were asked for a slot at once, so that a slot granted over 8 ms lay idle for 16.

Learned speeds are the engine's own: the way is taken off each sample before it is learned and shared, so that what others learned elsewhere fits here too. A request goes to another region, or is told to agents there, when nothing near by may take it or once it has waited as long as the way and the bytes are worth (delay scheduling). Where every engine of the region is lost or evacuated there is no pause, and more of the other regions are worked with.

Ruled out: weighing the expected wait at home from the supply of slots; it is known only after some 50 ms of shortage, twice the pause. Broken variants that the tests caught by hand: no pause, a way that costs nothing, samples that keep the way.

--- a/src/gateway/attempt/request-wait.ts
+++ b/src/gateway/attempt/request-wait.ts
@@ -36,6 +36,7 @@
   private readonly place: DispatchRequest;
   private isOver = false;
   private timer: TimerHandle | undefined;
+  private farTimer: TimerHandle | undefined;
 
   constructor(private readonly parts: RequestWaitParts) {
     const { request, ports, excluded, answer, onPlaced } = parts;
@@ -66,6 +67,7 @@
     const { clock, dispatcher } = this.parts.ports;
     dispatcher.submit(this.place, clock.now());
     this.review();
+    this.lookFartherLater();
   }
 
   /** Takes the request back. */
@@ -96,6 +98,17 @@
   private end(): void {
     this.isOver = true;
     this.parts.ports.clock.clearTimeout(this.timer);
+    this.parts.ports.clock.clearTimeout(this.farTimer);
+  }
+
+  /** A request that found no room near by is offered to other regions as soon as it has waited enough for it. */
+  private lookFartherLater(): void {
+    const { clock, dispatcher } = this.parts.ports;
+    const { service, arrivedAtMs } = this.place;
+    const leftMs = arrivedAtMs + dispatcher.farPatienceMs(service) - clock.now();
+    if (!this.isOver && leftMs > 0) {
+      this.farTimer = clock.setTimeout(() => dispatcher.review(service, clock.now()), leftMs);
+    }
   }
 
   /** Goes on waiting while that is worth something, and looks again soon. */
--- a/src/gateway/dispatch/backend-chooser.ts
+++ b/src/gateway/dispatch/backend-chooser.ts
@@ -7,6 +7,7 @@
 import type { UsualSpeed } from './backend-choice.js';
 import type { DispatchRequest } from './dispatch-request.js';
 import type { KnownBackend } from './known-backend.js';
+import { hasWaitedForNear, isFar, isWorthWaitingFor } from './near-first.js';
 import { hasRoom } from './slot-room.js';
 
 /** What a choice asks of its surroundings. */
@@ -45,6 +46,7 @@
     const hasProven = permitted.some((known) => !known.isOnTrial);
     let best: KnownBackend | undefined;
     let bestCost = Infinity;
+    let hasNearRoom = false;
     for (const known of permitted) {
       if (!this.hasRoom(known, nowMs) || this.harms(request, known, known.occupied)) {
         continue;
@@ -52,13 +54,25 @@
       if (known.isOnTrial && !request.isRepeatable && hasProven) {
         continue;
       }
+      hasNearRoom ||= !isFar(known);
       const cost = this.costOf(request, known, usual, nowMs);
       if (cost < bestCost) {
         best = known;
         bestCost = cost;
       }
     }
-    return best;
+    const mayCross = hasNearRoom || this.mayCross(request, permitted, nowMs);
+    return best !== undefined && isFar(best) && !mayCross ? undefined : best;
+  }
+
+  /** Whether a request for which there is no room near by goes to another region now. */
+  private mayCross(
+    request: DispatchRequest,
+    permitted: readonly KnownBackend[],
+    nowMs: number,
+  ): boolean {
+    const reach = this.directory.reachOf(request.service);
+    return hasWaitedForNear(request, reach, nowMs) || !permitted.some(isWorthWaitingFor);
   }
 
   /**
--- a/src/gateway/dispatch/backend-directory.ts
+++ b/src/gateway/dispatch/backend-directory.ts
@@ -3,13 +3,18 @@
 import { pairShare } from '../../pair-share.js';
 import { chooseEngines, DEFAULT_ENGINE_SUBSET_OPTIONS } from './engine-subset.js';
 import type { EngineSubsetOptions } from './engine-subset.js';
+import { distanceFrom, regionNameOf } from './gateway-place.js';
 import type { SubsetOwner } from './gateway-place.js';
 import { KnownBackend } from './known-backend.js';
+import { isFar, reachOf, UNKNOWN_REACH } from './near-first.js';
+import type { ServiceReach } from './near-first.js';
 
 /** What a directory needs from its surroundings. */
 export interface BackendDirectoryPorts {
   /** Whether a service's back ends are engines, which serve in batches. */
   isEngine(service: string): boolean;
+  /** Whether operators ordered that a zone gets nothing; missing where no orders are known. */
+  isEvacuated?(zone: string): boolean;
 }
 
 /** Bounds of a directory. */
@@ -31,6 +36,7 @@
 export class BackendDirectory {
   private readonly backends = new Map<string, KnownBackend>();
   private byService = new Map<string, KnownBackend[]>();
+  private readonly reaches = new Map<string, ServiceReach>();
 
   constructor(
     private readonly owner: SubsetOwner,
@@ -53,6 +59,29 @@
     return this.backends.get(backendId);
   }
 
+  /** The region that this gateway stands in. */
+  get region(): string {
+    return regionNameOf(this.owner, this.owner.zone);
+  }
+
+  /** How the back ends of a service lie to this gateway. */
+  reachOf(service: string): ServiceReach {
+    return this.reaches.get(service) ?? UNKNOWN_REACH;
+  }
+
+  /** Looks anew at how they lie; where all of the own region are lost, more of the others are worked with. */
+  reviewReach(service: string): void {
+    const before = this.reachOf(service);
+    const usable = this.ofService(service).filter(
+      ({ backend }) => this.ports.isEvacuated?.(backend.zone) !== true,
+    );
+    const reach = reachOf(usable);
+    this.reaches.set(service, reach);
+    if (reach.isNearLost !== before.isNearLost) {
+      this.assign(service);
+    }
+  }
+
   /** A number in [0, 1) by which gateways that share a back end without a word take unlike parts. */
   shareDraw(backendId: string): number {
     return pairShare(this.owner.name, backendId);
@@ -72,7 +101,7 @@
   expectedFirstMs(service: string, promptTokens: number): number {
     const expected = this.ofService(service)
       .filter(({ isReady, speed }) => isReady && speed.isKnown)
-      .map(({ speed }) => speed.expectedFirstMs(promptTokens))
+      .map(({ speed, roundTrip }) => speed.expectedFirstMs(promptTokens) + roundTrip.ms)
       .sort((left, right) => left - right);
     return expected[Math.floor((expected.length - 1) / 2)] ?? 0;
   }
@@ -95,7 +124,8 @@
       }
       this.forgetOld(nowMs);
     } else if (known === undefined) {
-      this.backends.set(backendId, new KnownBackend(backend, nowMs));
+      const distance = distanceFrom(this.owner, backend.zone);
+      this.backends.set(backendId, new KnownBackend(backend, nowMs, distance));
     } else {
       known.backend = backend;
       known.unlistedAtMs = undefined;
@@ -107,6 +137,7 @@
     const service = backend?.service ?? known?.backend.service;
     if (service !== undefined) {
       this.assign(service);
+      this.reviewReach(service);
     }
   }
 
@@ -126,13 +157,17 @@
       return;
     }
     const ready = this.ofService(service).filter(({ isReady }) => isReady);
+    // Those of the own region are worked with also while they are lost, so that their return is heard.
+    const { isNearLost } = this.reachOf(service);
+    const eligible = isNearLost ? ready.filter(isFar) : ready;
     const chosen = chooseEngines(
-      ready.map(({ backend }) => backend),
+      eligible.map(({ backend }) => backend),
       this.owner,
       this.options.subset,
     );
     for (const known of ready) {
-      known.isAssigned = chosen.has(known.backend.id);
+      const isKeptNear = isNearLost && !isFar(known);
+      known.isAssigned = isKeptNear || chosen.has(known.backend.id);
     }
   }
 
--- a/src/gateway/dispatch/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -15,6 +15,7 @@
 import type { AttemptOutcome } from './backend-health.js';
 import type { DispatchRequest } from './dispatch-request.js';
 import type { KnownBackend, SlotAgentLink } from './known-backend.js';
+import { hasWaitedForNear } from './near-first.js';
 import { nextDemand } from './slot-demand.js';
 import { ServiceQueue } from './service-queue.js';
 
@@ -91,6 +92,16 @@
     this.serve(request.service, nowMs);
   }
 
+  /** How long a request of the service waits before engines of other regions are used, in milliseconds. */
+  farPatienceMs(service: string): number {
+    return this.directory.reachOf(service).farPatienceMs;
+  }
+
+  /** Serves what waits for a service; some of it may have waited long enough to go farther. */
+  review(service: string, nowMs: number): void {
+    this.serve(service, nowMs);
+  }
+
   /** Takes a waiting request back. */
   withdraw(request: DispatchRequest, nowMs: number): void {
     if (this.remove(request)) {
@@ -108,6 +119,7 @@
     known.outstanding = Math.max(0, known.outstanding - 1);
     if (known.health.learn(outcome, nowMs)) {
       this.ports.onEjected(backendId);
+      this.directory.reviewReach(known.backend.service);
     }
     const hasFailed = failureOf(outcome);
     if (hasFailed !== undefined) {
@@ -143,7 +155,7 @@
       this.sendToAgent(backendId, known, { kind: 'proven' });
     }
     const wasKnown = known.speed.isKnown;
-    known.speed.learnFirst(promptTokens, firstMs);
+    known.speed.learnFirst(promptTokens, known.withoutWay(firstMs));
     if (!wasKnown && known.speed.isKnown) {
       this.sendToAgent(backendId, known, { kind: 'speed', speed: known.learned });
     }
@@ -205,6 +217,7 @@
   /** Serves what waits; to be called now and then, since ejections end with time alone. */
   tick(nowMs: number): void {
     for (const service of this.waiting.keys()) {
+      this.directory.reviewReach(service);
       this.serve(service, nowMs);
     }
   }
@@ -221,6 +234,7 @@
     if (availability === 'open') {
       known.health.forget();
     }
+    this.directory.reviewReach(known.backend.service);
     this.ports.onAvailability(known.backend, availability);
   }
 
@@ -289,8 +303,15 @@
     return this.waiting.get(service)?.inOrder(nowMs) ?? [];
   }
 
+  private mayCross(request: DispatchRequest, nowMs: number): boolean {
+    const { service, allowedRegions } = request;
+    const isFromElsewhere = allowedRegions?.has(this.directory.region) === false;
+    return isFromElsewhere || hasWaitedForNear(request, this.directory.reachOf(service), nowMs);
+  }
+
   private tellDemand(service: string, nowMs: number): void {
     const inputs = {
+      mayCross: (request: DispatchRequest) => this.mayCross(request, nowMs),
       waiting: this.waitingInOrder(service, nowMs),
       tokensPerEvent: this.ports.tokensPerEvent(service),
       maxLength: this.options.demandLength,
--- a/src/gateway/dispatch/known-backend.ts
+++ b/src/gateway/dispatch/known-backend.ts
@@ -1,6 +1,8 @@
 /** What a gateway knows of one back end: its announcement, its health, its speed and its slots. */
 import type { Backend } from '../../routing/backend.js';
 import type { EngineAvailability } from '../../slot-agent/engine-watch.js';
+import type { Distance } from '../../routing/places.js';
+import { RoundTrip } from '../../round-trip.js';
 import type { LearnedSpeed } from '../../slot-agent/slot-messages.js';
 import { FailureEstimate } from '../../slot-agent/failure-estimate.js';
 import { BackendHealth } from './backend-health.js';
@@ -9,9 +11,12 @@
 const SPEED_SMOOTHING = 0.15;
 /**
  * Time in which the connection to the agent of a new engine comes up, in milliseconds: a machine
- * without an agent refuses it in two, a busy gateway opens it within some tens.
+ * without an agent refuses it in two, a busy gateway opens it within some tens. The time of its messages
+ * on the way comes on top.
  */
 const AGENT_WAIT_MS = 150;
+/** Times there and back until the agent has told how things stand: its connection, and the hello. */
+const AGENT_ROUND_TRIPS = 2;
 
 /** The gateway's side of its connection to the agent beside a back end. */
 export interface SlotAgentLink {
@@ -35,6 +40,8 @@
 export class KnownBackend {
   readonly health = new BackendHealth();
   readonly speed = new EngineSpeed();
+  /** The way there and back, as it was measured. */
+  readonly roundTrip: RoundTrip;
   /** Tokens of prompts that this gateway sent and whose first event is due. */
   pendingPromptTokens = 0;
   /** Requests of this gateway that are there now. */
@@ -58,8 +65,11 @@
   constructor(
     public backend: Backend,
     learnedAtMs: number,
+    /** How far it is from this gateway. */
+    readonly distance: Distance = 'same-zone',
   ) {
-    this.agentAwaitedUntilMs = learnedAtMs + AGENT_WAIT_MS;
+    this.roundTrip = new RoundTrip(distance);
+    this.agentAwaitedUntilMs = learnedAtMs + AGENT_WAIT_MS + this.roundTrip.ms * AGENT_ROUND_TRIPS;
   }
 
   /** Whether a connection to its agent may still come up for the first time. */
@@ -112,9 +122,14 @@
     return Math.max(this.ownFailures.share(nowMs), this.agent?.failureShare ?? 0);
   }
 
-  /** Learns from a whole answer. */
+  /** The part of a time between a send and something of its answer that is the back end's own. */
+  withoutWay(elapsedMs: number): number {
+    return Math.max(0, elapsedMs - this.roundTrip.ms);
+  }
+
+  /** Learns from a whole answer; the speed is the back end's own, whoever asks from wherever. */
   learnSpeed(units: number, elapsedMs: number): void {
-    const sample = elapsedMs / Math.max(1, units);
+    const sample = this.withoutWay(elapsedMs) / Math.max(1, units);
     const known = this.learnedMsPerUnit ?? sample;
     this.learnedMsPerUnit = known + SPEED_SMOOTHING * (sample - known);
   }
--- a/src/gateway/dispatch/slot-demand.ts
+++ b/src/gateway/dispatch/slot-demand.ts
@@ -3,6 +3,7 @@
 import { harmsOthers } from './backend-choice.js';
 import type { DispatchRequest } from './dispatch-request.js';
 import type { KnownBackend } from './known-backend.js';
+import { isFar } from './near-first.js';
 
 /** What a demand is made from. */
 export interface DemandInputs {
@@ -12,6 +13,8 @@
   readonly tokensPerEvent: number;
   /** Whether a back end may be used freely: a version on a small share is not to be asked for slots. */
   isOpen(known: KnownBackend): boolean;
+  /** Whether agents in other regions are told of a request; those near by have the first chance. */
+  mayCross(request: DispatchRequest): boolean;
   /** Most requests that a demand names. */
   readonly maxLength: number;
 }
@@ -50,14 +53,15 @@
 /** The first waiting requests that the engine would be right for once a slot is free. */
 function findDemand(
   known: KnownBackend,
-  { waiting, tokensPerEvent, maxLength }: DemandInputs,
+  { waiting, tokensPerEvent, maxLength, mayCross }: DemandInputs,
 ): DispatchRequest[] {
   const demand: DispatchRequest[] = [];
   for (const request of waiting) {
     if (demand.length >= maxLength) {
       break;
     }
-    const isExcluded = request.excluded.has(known.backend.id);
+    const isExcluded =
+      request.excluded.has(known.backend.id) || (isFar(known) && !mayCross(request));
     if (!isExcluded && !harmsOthers(request, known.speed, known.occupied - 1, tokensPerEvent)) {
       demand.push(request);
     }
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -80,7 +80,7 @@
     const isEngine = (service: string) => this.configuration.isEngine(service);
     this.directory = new BackendDirectory(
       { ...settings.process, places: this.places },
-      { isEngine },
+      { isEngine, isEvacuated: (zone) => this.evacuations.isEvacuated(zone) },
     );
     this.dispatcher = new Dispatcher(this.directory, {
       sendToAgent: (backendId, message) => this.links.send(backendId, message),
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -20,6 +20,7 @@
 import type { VersionUse } from '../../src/rollout/rollout-order.js';
 import type { Backend } from '../../src/routing/backend.js';
 import type { Route } from '../../src/routing/configuration.js';
+import { Places } from '../../src/routing/places.js';
 import { VirtualClock } from '../../src/sim/virtual-clock.js';
 import type { SlotMessage } from '../../src/slot-agent/slot-messages.js';
 
@@ -128,7 +129,11 @@
   readonly attempts: SeenAttempt[] = [];
   readonly toAgents: Array<[string, SlotMessage]> = [];
   readonly ends: RequestEnd[] = [];
-  readonly directory = new BackendDirectory({ name: 'g', zone: 'z' }, this);
+  readonly regions = new Map<string, string>();
+  readonly directory = new BackendDirectory(
+    { name: 'g', zone: 'z', places: new Places(this.regions) },
+    this,
+  );
   readonly dispatcher = new Dispatcher(this.directory, this);
   repeatsLeft = 10;
   engines = false;
@@ -136,7 +141,6 @@
   /** Versions that may not be used freely. */
   readonly versionUses = new Map<string, VersionUse>();
   readonly evacuatedZones = new Set<string>();
-  readonly regions = new Map<string, string>();
   readonly triesOver: TryOver[] = [];
 
   constructor(...backends: Backend[]) {
