Agents give slots to gateways near by first among equals, and measure the way to each

A slot that is granted over 8 ms lies idle for 16. Gateways tell their zone in the hello; a waiting request counts as later by the way there and back (and 10 ms for bytes between regions), inside its tier and rank only, so that those near by are first for no longer than that. The way is assumed by distance, then learned from the answers to grants and told to the gateway, which also learns it from the time that the connection took to come up. The time in which a gateway must answer a grant holds the way on top.

--- a/src/gateway/dispatch/backend-choice.ts
+++ b/src/gateway/dispatch/backend-choice.ts
@@ -3,7 +3,6 @@
 import type { EngineSpeed } from './engine-speed.js';
 import type { PrefillSpeed } from '../../slot-agent/slot-messages.js';
 import type { KnownBackend } from './known-backend.js';
-import { wayCostMs } from './near-first.js';
 
 /** Weight of the whole work against the time to the first event when a back end is chosen. */
 const WORK_WEIGHT = 0.5;
@@ -30,14 +29,14 @@
   const unusualShare = Math.max(0, known.failureShare(nowMs) - USUAL_FAILURE_SHARE);
   const failureMs = unusualShare * FAILURE_COST_MS;
   if (request.promptTokens === 0) {
-    return (known.occupied + 1) * workMs + wayCostMs(known) + failureMs;
+    return (known.occupied + 1) * workMs + known.roundTrip.costMs + failureMs;
   }
   const tokens = known.pendingPromptTokens + request.promptTokens;
   const firstMs = known.speed.expectedFirstMs(tokens, usual.prefill);
   const trialMs = known.speed.isKnown ? 0 : known.occupied * UNKNOWN_SPEED_COST_MS;
   const isLate = nowMs + firstMs + known.roundTrip.ms > request.firstDueAtMs;
   const lateMs = isLate ? LATE_COST_MS : 0;
-  return firstMs + wayCostMs(known) + workMs * WORK_WEIGHT + trialMs + failureMs + lateMs;
+  return firstMs + known.roundTrip.costMs + workMs * WORK_WEIGHT + trialMs + failureMs + lateMs;
 }
 
 /** Whether reading the prompt there would make the streams of `others` requests pause too long. */
--- a/src/gateway/dispatch/backend-directory.ts
+++ b/src/gateway/dispatch/backend-directory.ts
@@ -1,10 +1,9 @@
 /** The back ends that a gateway knows, by service, and which of the engines it works with. */
 import type { Backend } from '../../routing/backend.js';
 import { pairShare } from '../../pair-share.js';
+import { distanceFrom, regionNameOf } from '../../routing/standpoint.js';
 import { chooseEngines, DEFAULT_ENGINE_SUBSET_OPTIONS } from './engine-subset.js';
-import type { EngineSubsetOptions } from './engine-subset.js';
-import { distanceFrom, regionNameOf } from './gateway-place.js';
-import type { SubsetOwner } from './gateway-place.js';
+import type { EngineSubsetOptions, SubsetOwner } from './engine-subset.js';
 import { KnownBackend } from './known-backend.js';
 import { isFar, reachOf, UNKNOWN_REACH } from './near-first.js';
 import type { ServiceReach } from './near-first.js';
--- a/src/gateway/dispatch/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -205,6 +205,7 @@
       known.agent.failureShare = message.failureShare;
       this.noteAvailability(known, known.agent, message.availability);
       known.adopt(message.speed);
+      known.roundTrip.adopt(message.roundTripMs ?? known.roundTrip.ms);
       const { messagesSeen } = message;
       known.agent.takenUnseen = known.agent.takenUnseen.filter((number) => number > messagesSeen);
       this.serve(known.backend.service, nowMs);
--- a/src/gateway/dispatch/engine-subset.ts
+++ b/src/gateway/dispatch/engine-subset.ts
@@ -11,8 +11,8 @@
  */
 import { pairShare } from '../../pair-share.js';
 import type { Distance } from '../../routing/places.js';
-import { distanceFrom, regionNameOf } from './gateway-place.js';
-import type { SubsetOwner } from './gateway-place.js';
+import { distanceFrom, regionNameOf } from '../../routing/standpoint.js';
+import type { Standpoint } from '../../routing/standpoint.js';
 
 /** What the choice looks at. */
 export interface SubsetEngine {
@@ -49,6 +49,11 @@
   perOtherRegion: 2,
 };
 
+/** Who chooses, and from where. */
+export interface SubsetOwner extends Standpoint {
+  readonly name: string;
+}
+
 interface RankedEngine {
   readonly id: string;
   /** Engines of one group share a limit. */
--- a/src/gateway/dispatch/near-first.ts
+++ b/src/gateway/dispatch/near-first.ts
@@ -8,14 +8,6 @@
 import type { DispatchRequest } from './dispatch-request.js';
 import type { KnownBackend } from './known-backend.js';
 
-/**
- * What the bytes of one request to another region are worth in time, in milliseconds. Bytes between regions
- * take one to two in a hundred of what the requests that cross are worth, and an answer that is late loses
- * most of its worth: that many requests are late by as much at targets of some hundred milliseconds. Chosen,
- * not measured.
- */
-export const OTHER_REGION_BYTES_MS = 10;
-
 /** How the engines of a service lie to a gateway. */
 export interface ServiceReach {
   /** Whether its own region has none that may be waited for, while others have some. */
@@ -37,15 +29,10 @@
   return !isFar(known) && known.isReady && known.availability !== 'closed' && !known.isOnTrial;
 }
 
-/** What the way to a back end costs a request, in milliseconds. */
-export function wayCostMs(known: KnownBackend): number {
-  return known.roundTrip.ms + (isFar(known) ? OTHER_REGION_BYTES_MS : 0);
-}
-
 /** Works out how the back ends of one service lie. */
 export function reachOf(backends: readonly KnownBackend[]): ServiceReach {
   const ready = backends.filter(({ isReady }) => isReady);
-  const ways = ready.filter(isFar).map(wayCostMs);
+  const ways = ready.filter(isFar).map(({ roundTrip }) => roundTrip.costMs);
   if (ways.length === 0) {
     return UNKNOWN_REACH;
   }
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -139,6 +139,7 @@
         ...DEFAULT_SLOT_AGENT_LINK_OPTIONS,
         port: settings.listen.slotAgentPort,
         peersAddress: settings.listen.peers,
+        zone: settings.process.zone,
       },
     );
     this.plannedStop = new PlannedStop(clock, limits.stopGraceS * MS_PER_S, {
--- a/src/gateway/links/slot-agent-links.ts
+++ b/src/gateway/links/slot-agent-links.ts
@@ -20,6 +20,8 @@
   readonly port: number;
   /** Address that this gateway takes connections of peers at, IP:PORT. */
   readonly peersAddress: string;
+  /** Zone of this gateway. */
+  readonly zone: string;
   /** Silence after which a connection is given up; agents speak each 300 ms. Default 1,000. */
   readonly silenceMs: number;
   /** Quiet time after which an agent is shown that this gateway lives. Default 150. */
@@ -158,7 +160,8 @@
 
   private open(link: Link): void {
     const socket = connect(this.options.port, link.host);
-    link.heardAtMs = this.clock.now();
+    const openedAtMs = this.clock.now();
+    link.heardAtMs = openedAtMs;
     const channel = new MessageChannel<GatewayToAgent, AgentToGateway>(socket, {
       onMessage: (message) => {
         link.heardAtMs = this.clock.now();
@@ -176,7 +179,10 @@
       onClose: () => this.close(link, channel),
     });
     link.channel = channel;
-    socket.once('connect', () => this.greet(link, channel));
+    socket.once('connect', () => {
+      this.directory.find(link.backendId)?.roundTrip.learn(this.clock.now() - openedAtMs);
+      this.greet(link, channel);
+    });
   }
 
   private greet(link: Link, channel: MessageChannel<GatewayToAgent, AgentToGateway>): void {
@@ -187,9 +193,9 @@
     }
     link.retryMs = this.options.retryMinMs;
     const { outstanding: held, backend } = known;
-    const { peersAddress } = this.options;
+    const { peersAddress, zone } = this.options;
     const { slots } = backend;
-    channel.send({ kind: 'hello', gateway: this.gatewayName, peersAddress, held, slots });
+    channel.send({ kind: 'hello', gateway: this.gatewayName, zone, peersAddress, held, slots });
     channel.send({ kind: 'revision', revision: this.records.completeTo });
     link.isGreeted = true;
     this.onAgent(link.backendId, true);
--- a/src/slot-agent/gateway-account.ts
+++ b/src/slot-agent/gateway-account.ts
@@ -1,6 +1,8 @@
 /** What an agent keeps of one connected gateway: its slots, what waits there, and when it was heard. */
 import type { WaitingRank } from './slot-messages.js';
 import type { AllowedRegions } from '../routing/backend-restriction.js';
+import type { Distance } from '../routing/places.js';
+import { RoundTrip } from '../round-trip.js';
 import type { WaitingPlace } from './waiting-order.js';
 
 /** How long a gateway may be silent, in milliseconds. */
@@ -8,7 +10,7 @@
   /**
    * Time after which a gateway that has not answered a grant gets no more. A gateway
    * answers in its next turn of the loop, a few milliseconds later unless it is
-   * overloaded itself. Default 120.
+   * overloaded itself. The way there and back comes on top. Default 120.
    */
   readonly grantAnswerMs: number;
   /**
@@ -29,6 +31,9 @@
   readonly allowedRegions: AllowedRegions;
 }
 
+/** Least change of a round trip that is told to the gateway, in milliseconds. */
+const ROUND_TRIP_NEWS_MS = 1;
+
 /** One connected gateway. */
 export class GatewayAccount {
   /** Waiting requests in the gateway's order, on this process's clock. */
@@ -37,6 +42,8 @@
   messagesSeen = 0;
   /** Whether it took slots since it was told a count; it adds them to the count that it knows. */
   hasUntoldTakes = false;
+  private readonly roundTrip: RoundTrip;
+  private toldRoundTripMs: number | undefined;
   private grantsIssued = 0;
   /** When each grant was issued that the gateway has not answered, oldest first. */
   private readonly unansweredSinceMs: number[] = [];
@@ -46,7 +53,10 @@
     /** Slots that the gateway's requests occupy, and those granted to it. */
     public held: number,
     private heardAtMs: number,
-  ) {}
+    distance: Distance = 'same-zone',
+  ) {
+    this.roundTrip = new RoundTrip(distance);
+  }
 
   /** A message arrived. */
   hear(nowMs: number): void {
@@ -54,10 +64,17 @@
     this.heardAtMs = nowMs;
   }
 
-  /** Takes in what waits now; grants still on their way answer the first of the requests named. */
+  /**
+   * Takes in what waits now; grants still on their way answer the first of the requests named. A slot that is
+   * granted over a long way lies idle for the way there and back, so a request counts as later by that: among
+   * equals gateways near by are first, for no longer than this.
+   */
   setWaiting(ranks: readonly WaitingRank[], grantsSeen: number, nowMs: number): void {
     const grantsUnderWay = Math.max(0, this.grantsIssued - grantsSeen);
-    this.waiting = ranks.slice(grantsUnderWay).map((rank) => placeOf(rank, nowMs));
+    const countsFromMs = nowMs + this.roundTrip.costMs;
+    this.waiting = ranks
+      .slice(grantsUnderWay)
+      .map((rank) => ({ ...placeOf(rank, nowMs), arrivedAtMs: countsFromMs - rank.waitedMs }));
   }
 
   /** A waiting request gets a slot. */
@@ -69,8 +86,22 @@
   }
 
   /** The gateway answered its oldest grant. */
-  noteGrantAnswered(): void {
-    this.unansweredSinceMs.shift();
+  noteGrantAnswered(nowMs: number): void {
+    const grantedAtMs = this.unansweredSinceMs.shift();
+    if (grantedAtMs !== undefined) {
+      this.roundTrip.learn(nowMs - grantedAtMs);
+    }
+  }
+
+  /** The time of a message there and back, where it changed since this was asked last. */
+  takeRoundTripNews(): number | undefined {
+    const { ms, isMeasured } = this.roundTrip;
+    const isNews = Math.abs(ms - (this.toldRoundTripMs ?? -Infinity)) >= ROUND_TRIP_NEWS_MS;
+    if (!isMeasured || !isNews) {
+      return undefined;
+    }
+    this.toldRoundTripMs = ms;
+    return ms;
   }
 
   /** It took a free slot. */
@@ -92,7 +123,7 @@
   /** Whether it left a grant unanswered for too long to be given another. */
   hasLapsedGrant(nowMs: number, { grantAnswerMs }: GatewaySilenceOptions): boolean {
     const grantedAtMs = this.unansweredSinceMs[0];
-    return grantedAtMs !== undefined && nowMs - grantedAtMs > grantAnswerMs;
+    return grantedAtMs !== undefined && nowMs - grantedAtMs > grantAnswerMs + this.roundTrip.ms;
   }
 
   /** Whether it should have spoken since and is taken for gone. */
--- a/src/slot-agent/slot-agent-role.ts
+++ b/src/slot-agent/slot-agent-role.ts
@@ -13,6 +13,7 @@
 import type { Clock, TimerHandle } from '../clock.js';
 import type { DecodeRecord } from '../routing/decoded-record.js';
 import type { Places } from '../routing/places.js';
+import { distanceFrom } from '../routing/standpoint.js';
 import { MessageChannel } from '../protocol/message-channel.js';
 import type { RandomSource } from '../random.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
@@ -132,6 +133,8 @@
       onReconciled: (slots) => this.noteReconciled(slots),
       onLookWanted: () => this.lookIn(0),
       onAvailability: (availability) => this.noteAvailability(availability),
+      distanceTo: (zone) =>
+        distanceFrom({ zone: identity.engine.zone, places: parts.places }, zone),
       restriction: (allowedRegions) => this.knowledge.restriction(allowedRegions),
     });
     this.server = createServer((socket) => this.accept(socket));
--- a/src/slot-agent/slot-ledger.ts
+++ b/src/slot-agent/slot-ledger.ts
@@ -9,6 +9,7 @@
  * requests that no connected gateway accounts for.
  */
 import type { AllowedRegions, RestrictionReason } from '../routing/backend-restriction.js';
+import type { Distance } from '../routing/places.js';
 import { EngineWatch } from './engine-watch.js';
 import type { EngineAvailability, EngineReading } from './engine-watch.js';
 import { FailureEstimate } from './failure-estimate.js';
@@ -33,6 +34,8 @@
   onLookWanted(): void;
   /** Whether gateways may use the back end changed. */
   onAvailability(availability: EngineAvailability): void;
+  /** How far a zone is from the back end; missing where that is not known. */
+  distanceTo?(zone: string): Distance;
   /** Why operators keep a request from the back end; undefined where they do not. */
   restriction(allowedRegions: AllowedRegions): RestrictionReason | undefined;
 }
@@ -185,16 +188,17 @@
   }
 
   private admit(connection: number, hello: SlotHello, nowMs: number): void {
-    const { gateway, held, slots } = hello;
+    const { gateway, held, slots, zone } = hello;
     for (const [other, account] of this.accounts) {
       if (account.name === gateway) {
         this.disconnect(other, nowMs);
       }
     }
+    const distance = zone === undefined ? undefined : this.ports.distanceTo?.(zone);
     this.goneUntilMs.delete(gateway);
     this.slots = slots;
     this.unaccounted = Math.max(0, this.unaccounted - held);
-    this.accounts.set(connection, new GatewayAccount(gateway, held, nowMs));
+    this.accounts.set(connection, new GatewayAccount(gateway, held, nowMs, distance));
     this.teller.owe();
   }
 
@@ -219,10 +223,10 @@
         account.take();
         break;
       case 'grant-used':
-        account.noteGrantAnswered();
+        account.noteGrantAnswered(nowMs);
         break;
       case 'grant-returned':
-        account.noteGrantAnswered();
+        account.noteGrantAnswered(nowMs);
         account.release();
         break;
       case 'released':
@@ -329,11 +333,13 @@
 
   private tell(connection: number, account: GatewayAccount, nowMs: number): void {
     const { occupied, speed } = this;
+    const roundTripMs = account.takeRoundTripNews();
     this.ports.send(connection, {
       kind: 'state',
       occupied,
       messagesSeen: account.messagesSeen,
       speed,
+      ...(roundTripMs === undefined ? {} : { roundTripMs }),
       failureShare: this.failures.share(nowMs),
       availability: this.engine.availability,
     });
--- a/src/slot-agent/slot-messages.ts
+++ b/src/slot-agent/slot-messages.ts
@@ -18,6 +18,8 @@
 export interface SlotHello {
   readonly kind: 'hello';
   readonly gateway: string;
+  /** Zone of the gateway; missing where it is not told: it is taken to be the engine's. */
+  readonly zone?: string;
   /** Slots that the gateway's requests occupy at this back end. */
   readonly held: number;
   /** Address that the gateway takes connections of peers at, IP:PORT; may be empty. */
@@ -118,6 +120,8 @@
   readonly speed: LearnedSpeed;
   /** Share of the requests of all gateways that failed there lately, from 0 to 1. */
   readonly failureShare: number;
+  /** Time of a message there and back, as the answers to grants showed; missing where it is no news. */
+  readonly roundTripMs?: number;
   /** Whether the engine may be used, as the agent beside it sees. */
   readonly availability: EngineAvailability;
 }
--- a/test/slot-ledger.test.ts
+++ b/test/slot-ledger.test.ts
@@ -16,6 +16,7 @@
     onReconciled: (slots) => (this.reconciled += slots),
     onLookWanted: () => (this.looksWanted += 1),
     onAvailability: () => undefined,
+    distanceTo: (zone) => (zone === 'far' ? 'other-region' : 'same-zone'),
     restriction: (allowedRegions) => this.restriction(allowedRegions),
   });
 
@@ -29,6 +30,11 @@
     });
   }
 
+  admitFrom(connection: number, zone: string, slots: number): void {
+    const gateway = `g${connection}`;
+    this.hear(connection, { kind: 'hello', gateway, zone, peersAddress: '', held: 0, slots });
+  }
+
   hear(connection: number, message: SlotMessage, nowMs = 0): void {
     this.ledger.receive(connection, message, nowMs);
   }
@@ -380,3 +386,97 @@
   agent.hear(2, { kind: 'demand', ranks: [{ ...rank, tier: 1 }], grantsSeen: 0 });
   t.deepEqual(agent.grants(), [2]);
 });
+
+/** An agent whose only slot is taken, with one gateway near by and one in another region. */
+function agentOverRegions(): Agent {
+  const agent = new Agent();
+  agent.admitFrom(1, 'far', 1);
+  agent.admitFrom(2, 'near', 1);
+  agent.hear(2, { kind: 'taken' });
+  return agent;
+}
+
+test('among equals a gateway near by gets the slot before one in another region', (t) => {
+  const agent = agentOverRegions();
+  agent.demand(1, [1], 20);
+  agent.demand(2, [1], 0);
+  agent.hear(2, { kind: 'released' }, 1_000);
+  t.deepEqual(agent.grants(), [2]);
+});
+
+test('a request of another region that has waited longer by more than the way goes first', (t) => {
+  const agent = agentOverRegions();
+  agent.demand(1, [1], 30);
+  agent.demand(2, [1], 0);
+  agent.hear(2, { kind: 'released' }, 1_000);
+  t.deepEqual(agent.grants(), [1]);
+});
+
+test('a request of a higher tier goes first from wherever it comes', (t) => {
+  const agent = agentOverRegions();
+  agent.demand(1, [0], 0);
+  agent.demand(2, [1], 500);
+  agent.hear(2, { kind: 'released' }, 1_000);
+  t.deepEqual(agent.grants(), [1]);
+});
+
+test('gateways near by do not starve one in another region, though all have requests waiting', (t) => {
+  const agent = agentOverRegions();
+  const arrivedAtMs = new Map<number, number[]>([
+    [1, []],
+    [2, []],
+  ]);
+  const served = new Map([
+    [1, 0],
+    [2, 0],
+  ]);
+  let holder = 2;
+  // Each gateway gets a request every 10 ms, and one slot is free every 10 ms.
+  for (let nowMs = 1_000; nowMs < 2_000; nowMs += 10) {
+    for (const [connection, queue] of arrivedAtMs) {
+      queue.push(nowMs);
+      const ranks = queue.slice(0, 8).map((arrived) => {
+        return { tier: 1, rankInTier: 0, waitedMs: nowMs - arrived, startInMs: 1_000 };
+      });
+      const demand = { kind: 'demand', ranks, grantsSeen: served.get(connection)! } as const;
+      agent.hear(connection, demand, nowMs);
+    }
+    agent.hear(holder, { kind: 'released' }, nowMs);
+    holder = agent.grants().at(-1)!;
+    arrivedAtMs.get(holder)!.shift();
+    served.set(holder, served.get(holder)! + 1);
+    agent.hear(holder, { kind: 'grant-used' }, nowMs);
+  }
+  t.true(served.get(1)! >= 45, `${served.get(1)} of 100`);
+  t.true(served.get(2)! >= 45);
+});
+
+test('a gateway in another region has the way on top of the time to answer a grant', (t) => {
+  for (const [connection, zone] of [
+    [1, 'far'],
+    [2, 'near'],
+  ] as const) {
+    const agent = new Agent();
+    agent.admitFrom(connection, zone, 2);
+    agent.demand(connection, [1]);
+    agent.demand(connection, [1], 0, 1);
+    const before = agent.grants().length;
+    agent.hear(connection, { kind: 'demand', ranks: [], grantsSeen: before }, 1_130);
+    const ranks = [{ tier: 1, rankInTier: 0, waitedMs: 0, startInMs: 1_000 }];
+    agent.hear(connection, { kind: 'released' }, 1_130);
+    agent.hear(connection, { kind: 'demand', ranks, grantsSeen: before }, 1_130);
+    t.is(agent.grants().length - before, zone === 'far' ? 1 : 0);
+  }
+});
+
+test('a gateway is told the round trip that its answers to grants showed', (t) => {
+  const agent = new Agent();
+  agent.admitFrom(1, 'far', 2);
+  agent.demand(1, [1]);
+  agent.hear(1, { kind: 'grant-used' }, 1_010);
+  agent.ledger.beat(0, 1_010);
+  const told = agent.sent.flatMap(([, message]) =>
+    message.kind === 'state' && message.roundTripMs !== undefined ? [message.roundTripMs] : [],
+  );
+  t.deepEqual(told, [13]);
+});
