Connections to back ends are counted by why they are opened

New connections are dear, and nothing said what opened them: the first to a back end, none idle, a rest that was over, a back end that closed, a reset, or a request broken off here. A gateway names them as it stops.

--- /dev/null
+++ b/src/gateway/attempt/connection-causes.ts
@@ -0,0 +1,68 @@
+/**
+ * Tells why connections to back ends are opened: each new one makes up for one that was lost, or is one more
+ * than there were.
+ */
+import type { Socket } from 'node:net';
+
+/** Why a connection to a back end was lost. */
+export type ConnectionLoss =
+  /** It had rested for as long as it may. */
+  | 'rest-over'
+  /** The back end ended it, or said that it would. */
+  | 'closed-by-back-end'
+  /** It ended in a fault, or could not be trusted any more. */
+  | 'reset'
+  /** The request on it was broken off here. */
+  | 'broken-off';
+
+/** Why a connection to a back end is opened. */
+export type ConnectionReason =
+  | ConnectionLoss
+  /** The first one to that back end. */
+  | 'first'
+  /** All others are in use. */
+  | 'none-idle';
+
+/** Most lost connections that are remembered of one back end. */
+const MAX_REMEMBERED = 64;
+
+/** Connections to back ends, by what they were opened for. */
+export class ConnectionCauses {
+  private readonly losses = new Map<string, ConnectionLoss[]>();
+  private readonly lossOf = new WeakMap<Socket, ConnectionLoss>();
+  private readonly counts = new Map<ConnectionReason, number>();
+
+  /** How many were opened, by reason. */
+  get opened(): ReadonlyMap<ConnectionReason, number> {
+    return this.counts;
+  }
+
+  /** A connection to `address` is opened; says why. */
+  noteOpened(address: string, socket: Socket): ConnectionReason {
+    const lost = this.losses.get(address);
+    const reason = lost === undefined ? 'first' : (lost.shift() ?? 'none-idle');
+    this.losses.set(address, lost ?? []);
+    this.counts.set(reason, (this.counts.get(reason) ?? 0) + 1);
+    socket.once('close', () => this.noteLost(address, this.lossOf.get(socket) ?? 'reset'));
+    return reason;
+  }
+
+  /** Says why a connection ends; the first word counts. */
+  noteEnding(socket: Socket, loss: ConnectionLoss): void {
+    if (!this.lossOf.has(socket)) {
+      this.lossOf.set(socket, loss);
+    }
+  }
+
+  /** A back end is gone for good. */
+  forget(address: string): void {
+    this.losses.delete(address);
+  }
+
+  private noteLost(address: string, loss: ConnectionLoss): void {
+    const lost = this.losses.get(address);
+    if (lost !== undefined && lost.length < MAX_REMEMBERED) {
+      lost.push(loss);
+    }
+  }
+}
--- a/src/gateway/attempt/guarded-agent.ts
+++ b/src/gateway/attempt/guarded-agent.ts
@@ -4,6 +4,7 @@
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 import type { HostAndPort } from '../../address.js';
+import { ConnectionCauses } from './connection-causes.js';
 import { DEFAULT_REST_LIMIT_OPTIONS, RestLimit } from './rest-limit.js';
 
 /** Limits of resting connections. */
@@ -24,8 +25,10 @@
  * request is under way: such bytes belong to no request.
  */
 export class GuardedAgent extends Agent {
+  readonly causes = new ConnectionCauses();
   private readonly restLimit: RestLimit;
   private readonly restingSinceMs = new WeakMap<Socket, number>();
+  private readonly watched = new WeakSet<Socket>();
   /** How long a connection that is in use again had rested. */
   private readonly lastRestMs = new WeakMap<Socket, number>();
 
@@ -75,10 +78,21 @@
     const nowMs = performance.now();
     socket.setTimeout(Math.min(grantedMs * IDLE_SHARE, this.restLimit.current(nowMs)));
     socket.on('data', destroySocket);
+    this.watchResting(socket);
     this.restingSinceMs.set(socket, nowMs);
     return true;
   }
 
+  /** Learns why the connection ends, if it does while it rests. */
+  private watchResting(socket: Socket): void {
+    if (this.watched.has(socket)) {
+      return;
+    }
+    this.watched.add(socket);
+    socket.on('timeout', () => this.causes.noteEnding(socket, 'rest-over'));
+    socket.on('end', () => this.causes.noteEnding(socket, 'closed-by-back-end'));
+  }
+
   override reuseSocket(stream: Duplex, request: ClientRequest): void {
     stream.removeListener('data', destroySocket);
     const sinceMs = this.restingSinceMs.get(stream as Socket);
--- a/src/gateway/attempt/http-backend-sender.ts
+++ b/src/gateway/attempt/http-backend-sender.ts
@@ -11,6 +11,7 @@
 } from './attempt.js';
 import { splitAddress } from '../../address.js';
 import type { HostAndPort } from '../../address.js';
+import type { ConnectionLoss, ConnectionReason } from './connection-causes.js';
 import { GuardedAgent } from './guarded-agent.js';
 
 /** Limits of the connections to back ends. */
@@ -57,6 +58,11 @@
     this.agent.endResting(splitAddress(address));
   }
 
+  /** Connections that were opened, by reason. */
+  get connectionsOpened(): ReadonlyMap<ConnectionReason, number> {
+    return this.agent.causes.opened;
+  }
+
   send(attempt: OutgoingAttempt, handlers: AttemptHandlers): AttemptHandle {
     return new HttpAttempt(attempt, handlers, this.agent, this.options.connectTimeoutMs);
   }
@@ -95,6 +101,7 @@
     if (this.isUnanswered && performance.now() - this.startedAtMs > SILENT_MS) {
       this.agent.endResting(this.address);
     }
+    this.noteEnding('broken-off');
     this.request.destroy();
   }
 
@@ -112,6 +119,8 @@
       this.isConnected = true;
       return;
     }
+    const { host, port } = this.address;
+    this.agent.causes.noteOpened(`${host}:${port}`, socket);
     this.connectTimer = setTimeout(() => this.endLateConnection(socket), connectTimeoutMs);
     socket.once('connect', () => {
       this.isConnected = true;
@@ -134,6 +143,9 @@
   private onResponse(response: IncomingMessage): void {
     this.response = response;
     const { socket, headers } = response;
+    if (headers.connection?.toLowerCase() === 'close') {
+      this.agent.causes.noteEnding(socket, 'closed-by-back-end');
+    }
     const isFramed = headers['content-length'] ?? headers['transfer-encoding'];
     if (isFramed === undefined) {
       socket.prependOnceListener('end', () => this.checkReset(socket));
@@ -182,6 +194,13 @@
     this.handlers.onEnd();
   }
 
+  private noteEnding(loss: ConnectionLoss): void {
+    const { socket } = this.request;
+    if (socket !== null) {
+      this.agent.causes.noteEnding(socket, loss);
+    }
+  }
+
   /** Whether nothing came back on a connection that was used again. */
   private get isUnanswered(): boolean {
     return this.request.reusedSocket && this.response === undefined;
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -200,7 +200,8 @@
     this.sender.close();
     this.cluster.stop();
     this.links.stop();
-    this.parts.log.write('stopped', 'state', { active: this.requests.countActive });
+    const connections = Object.fromEntries(this.sender.connectionsOpened);
+    this.parts.log.write('stopped', 'state', { active: this.requests.countActive, connections });
     this.parts.log.flush();
     this.onStopped?.();
   }
--- a/test/backend-sender.test.ts
+++ b/test/backend-sender.test.ts
@@ -201,3 +201,45 @@
   sender.close();
   server.close();
 });
+
+/** Sends one request after another, `pauseMs` apart; returns why connections were opened. */
+async function reasonsFor(
+  act: (socket: Socket) => void,
+  { rounds, pauseMs }: { rounds: number; pauseMs: number },
+): Promise<Record<string, number>> {
+  const { server, address } = await startBackend(act);
+  const sender = new HttpBackendSender({ ...DEFAULT_BACKEND_SENDER_OPTIONS, idleMs: 80 });
+  for (let round = 0; round < rounds; round += 1) {
+    await sendTo(sender, address);
+    await new Promise((resolve) => setTimeout(resolve, pauseMs));
+  }
+  const reasons = Object.fromEntries(sender.connectionsOpened);
+  sender.close();
+  server.close();
+  return reasons;
+}
+
+test('connections are counted by why they were opened', async (t) => {
+  const answer = (socket: Socket) => void socket.write(`${FRAMED}a-01`);
+  t.deepEqual(await reasonsFor(answer, { rounds: 3, pauseMs: 5 }), { first: 1 });
+  t.deepEqual(await reasonsFor(answer, { rounds: 3, pauseMs: 150 }), { first: 1, 'rest-over': 2 });
+  const close = (socket: Socket) => void socket.end(`${UNFRAMED}a-01`);
+  t.deepEqual(await reasonsFor(close, { rounds: 3, pauseMs: 20 }), {
+    first: 1,
+    'closed-by-back-end': 2,
+  });
+  const reset = (socket: Socket) => void socket.resetAndDestroy();
+  t.deepEqual(await reasonsFor(reset, { rounds: 3, pauseMs: 20 }), { first: 1, reset: 2 });
+});
+
+test('a connection beside others that are in use is counted as such', async (t) => {
+  const { server, address } = await startBackend((socket) => {
+    setTimeout(() => socket.write(`${FRAMED}a-01`), 20);
+  });
+  const sender = new HttpBackendSender();
+  await Promise.all([sendTo(sender, address), sendTo(sender, address)]);
+  await Promise.all([sendTo(sender, address), sendTo(sender, address)]);
+  t.deepEqual(Object.fromEntries(sender.connectionsOpened), { first: 1, 'none-idle': 1 });
+  sender.close();
+  server.close();
+});
