Times of a connection follow the way to its back end

A connection that a back end has forgotten shows by a reset within 25 ms of the send; over a way of 16 ms there and back and a busy loop it shows later, was taken for a failed run, and its rest was not shortened. That bound and the time for a connection to come up now hold the measured way on top.

--- a/src/gateway/attempt/attempt.ts
+++ b/src/gateway/attempt/attempt.ts
@@ -5,6 +5,8 @@
 /** What is sent. */
 export interface OutgoingAttempt {
   readonly backend: Backend;
+  /** Time of a message there and back, in milliseconds; missing where it is next to nothing. */
+  readonly roundTripMs?: number;
   readonly method: string;
   /** Path and query, unchanged. */
   readonly path: string;
--- a/src/gateway/attempt/http-backend-sender.ts
+++ b/src/gateway/attempt/http-backend-sender.ts
@@ -16,7 +16,7 @@
 
 /** Limits of the connections to back ends. */
 export interface BackendSenderOptions {
-  /** Longest time for a connection to come up, in milliseconds. Default 200. */
+  /** Longest time for a connection to come up beside the way there and back, in milliseconds. Default 200. */
   readonly connectTimeoutMs: number;
   /** Longest rest of a connection, in milliseconds, where the back end names none. Default 20,000. */
   readonly idleMs: number;
@@ -31,7 +31,7 @@
   maxIdlePerBackend: 32,
 };
 
-/** Longest time from a send to the reset by which a forgotten connection shows, in milliseconds. */
+/** Longest time from a send to the reset by which a forgotten connection shows, beside the way, in milliseconds. */
 const FORGOTTEN_RESET_MS = 25;
 
 /**
@@ -77,6 +77,7 @@
   private isOver = false;
   private connectTimer: NodeJS.Timeout | undefined;
   private readonly address: HostAndPort;
+  private readonly roundTripMs: number;
 
   constructor(
     attempt: OutgoingAttempt,
@@ -85,6 +86,7 @@
     connectTimeoutMs: number,
   ) {
     this.address = splitAddress(attempt.backend.address);
+    this.roundTripMs = attempt.roundTripMs ?? 0;
     const { host, port } = this.address;
     const { method, path, body } = attempt;
     const headers = withLength(attempt.headers, method, body);
@@ -121,7 +123,10 @@
     }
     const { host, port } = this.address;
     this.agent.causes.noteOpened(`${host}:${port}`, socket);
-    this.connectTimer = setTimeout(() => this.endLateConnection(socket), connectTimeoutMs);
+    this.connectTimer = setTimeout(
+      () => this.endLateConnection(socket),
+      connectTimeoutMs + this.roundTripMs,
+    );
     socket.once('connect', () => {
       this.isConnected = true;
       clearTimeout(this.connectTimer);
@@ -218,7 +223,7 @@
       return;
     }
     this.agent.endResting(this.address);
-    const isAtOnce = performance.now() - startedAtMs <= FORGOTTEN_RESET_MS;
+    const isAtOnce = performance.now() - startedAtMs <= FORGOTTEN_RESET_MS + this.roundTripMs;
     if (isAtOnce && request.socket !== null) {
       this.agent.noteForgotten(request.socket);
     }
--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -131,7 +131,7 @@
     const { method, path, body } = request;
     this.armSilenceTimer();
     this.attempt = ports.sender.send(
-      { backend, method, path, headers, body },
+      { backend, roundTripMs: known?.roundTrip.ms ?? 0, method, path, headers, body },
       {
         onHead: (head) => this.receiveHead(head),
         onData: (bytes) => this.receiveData(bytes),
