Each region has readers of the store of its own

Eight gateways read, ranked by hash over all regions, so that a region could have none: cut off from the others it missed its readers only after 1.5 s. Two more read in a region that has none of the first eight; 29 gateways in three regions have at most 10 readers in the test. The pace of their calls is shared by as many as are heard to read.

--- a/src/cluster/peer-messages.ts
+++ b/src/cluster/peer-messages.ts
@@ -36,6 +36,8 @@
   readonly revision: number;
   /** Whether it reads the store and is answered. */
   readonly isReading: boolean;
+  /** Region that it stands in; missing where the deployment names none. */
+  readonly region?: string | undefined;
   /** Its part in roll-outs that are under way; missing where there are none. */
   readonly rollouts?: PeerRollouts | undefined;
 }
--- a/src/cluster/store-readers.ts
+++ b/src/cluster/store-readers.ts
@@ -6,6 +6,9 @@
  * cut off or loses the store is missed after `silenceMs`, and the next in rank begin to read. Gateways
  * that hear no one read themselves, so each partition has its readers. The others learn of changes from
  * readers, by revisions.
+ *
+ * In a deployment of several regions each has readers of its own: one that is cut off from the others, but
+ * not from the store, goes on without a pause.
  */
 import { pairShare } from '../pair-share.js';
 
@@ -16,6 +19,11 @@
    * still read it through other connections. Where there are no more, all read.
    */
   readonly readers: number;
+  /**
+   * Gateways that read in each region where regions are named. Default 2: one of them may be lost. It adds two
+   * readers to a region at the most, and mostly none, since the first by rank are spread over the regions.
+   */
+  readonly readersInRegion: number;
   /** Silence after which a reader is missed where beats are not rarer, in milliseconds. Default 1,500. */
   readonly minSilenceMs: number;
   /** The same in periods of beats, for many gateways. Default 3. */
@@ -25,6 +33,7 @@
 /** Defaults of the readers. */
 export const DEFAULT_STORE_READERS_OPTIONS: StoreReadersOptions = {
   readers: 8,
+  readersInRegion: 2,
   minSilenceMs: 1_500,
   silenceBeats: 3,
 };
@@ -32,48 +41,64 @@
 /** The name that the ranks of gateways are drawn for. */
 const RANK_NAME = 'store-readers';
 
+interface HeardReader {
+  readonly heardAtMs: number;
+  readonly region: string | undefined;
+}
+
 /** Which of the gateways that this one hears read the store. */
 export class StoreReaders {
   private readonly rank: number;
-  /** When each gateway said last that it reads, by incarnation. */
-  private readonly readingAtMs = new Map<string, number>();
+  /** Gateways that said lately that they read, by incarnation. */
+  private readonly reading = new Map<string, HeardReader>();
   /** When a reader was heard last, in milliseconds; -Infinity before the first. */
   heardAtMs = -Infinity;
 
   constructor(
     incarnation: string,
     private readonly options: StoreReadersOptions = DEFAULT_STORE_READERS_OPTIONS,
+    /** Region of this gateway; undefined where none are named. */
+    private readonly region?: string,
   ) {
     this.rank = rankOf(incarnation);
   }
 
   /** A peer said whether it reads the store and is answered. */
-  hear(peer: string, isReading: boolean, nowMs: number): void {
+  hear(peer: string, isReading: boolean, nowMs: number, region?: string): void {
     if (isReading) {
-      this.readingAtMs.set(peer, nowMs);
+      this.reading.set(peer, { heardAtMs: nowMs, region });
       this.heardAtMs = nowMs;
     } else {
-      this.readingAtMs.delete(peer);
+      this.reading.delete(peer);
     }
   }
 
+  /** Gateways that share the calls of the store: those heard to read, and this one, or as many as usually do. */
+  get sharing(): number {
+    return Math.max(this.options.readers, this.reading.size + 1);
+  }
+
   /** A peer is gone. */
   forget(peer: string): void {
-    this.readingAtMs.delete(peer);
+    this.reading.delete(peer);
   }
 
   /** Whether this gateway must read; beats of peers come every `beatMs`. */
   mustRead(beatMs: number, nowMs: number): boolean {
     const silenceMs = Math.max(this.options.minSilenceMs, beatMs * this.options.silenceBeats);
     let before = 0;
-    for (const [peer, heardAtMs] of this.readingAtMs) {
+    let beforeInRegion = 0;
+    for (const [peer, { heardAtMs, region }] of this.reading) {
       if (nowMs - heardAtMs > silenceMs) {
-        this.readingAtMs.delete(peer);
+        this.reading.delete(peer);
       } else if (rankOf(peer) < this.rank) {
         before += 1;
+        beforeInRegion += region === this.region ? 1 : 0;
       }
     }
-    return before < this.options.readers;
+    const { readers, readersInRegion } = this.options;
+    const isMissedInRegion = this.region !== undefined && beforeInRegion < readersInRegion;
+    return before < readers || isMissedInRegion;
   }
 }
 
--- a/src/gateway/gateway-cluster.ts
+++ b/src/gateway/gateway-cluster.ts
@@ -45,7 +45,7 @@
 
   constructor(private readonly parts: GatewayClusterParts) {
     const { incarnation, clock, onRecords } = parts;
-    this.readers = new StoreReaders(incarnation);
+    this.readers = new StoreReaders(incarnation, DEFAULT_STORE_READERS_OPTIONS, this.region);
     this.exchange = new RecordExchange(
       this.records,
       { isStoreReachable: () => this.follower.isFollowing, onNews: onRecords },
@@ -55,6 +55,11 @@
     this.follower = this.createFollower();
   }
 
+  private get region(): string | undefined {
+    const { process, places } = this.parts.settings;
+    return places.zones.get(process.zone);
+  }
+
   /** Gateways that are known, this one included. */
   get size(): number {
     return this.peers.size;
@@ -98,6 +103,7 @@
     return new GatewayPeers({
       name: settings.process.name,
       incarnation,
+      region: this.region,
       address: settings.listen.peers,
       seeds: settings.cluster.seeds,
       records: this.records,
@@ -125,7 +131,7 @@
         onChanges: ({ records, revision }, since) =>
           onRecords(this.records.applyChanges(records, since, revision)),
         onReachable: (isReachable, reason) => this.noteStore(isReachable, reason),
-        countFollowers: () => Math.min(this.size, DEFAULT_STORE_READERS_OPTIONS.readers),
+        countFollowers: () => Math.min(this.size, this.readers.sharing),
         mustFollow: () => this.mustReadStore(),
         completeTo: () => this.records.completeTo,
         onCall: (call, result) =>
--- a/src/gateway/links/gateway-peers.ts
+++ b/src/gateway/links/gateway-peers.ts
@@ -15,6 +15,8 @@
   readonly name: string;
   /** Differs after each start of the process. */
   readonly incarnation: string;
+  /** Region that it stands in; undefined where the deployment names none. */
+  readonly region: string | undefined;
   /** Address that peers reach this gateway at, IP:PORT; empty for none. */
   readonly address: string;
   readonly seeds: readonly string[];
@@ -156,6 +158,7 @@
       ageMs: clock.now() - this.startedAtMs,
       revision: records.completeTo,
       isReading: this.parts.isReading(),
+      ...(this.parts.region === undefined ? {} : { region: this.parts.region }),
       ...(rollouts === undefined ? {} : { rollouts }),
     };
   }
@@ -166,7 +169,7 @@
       exchange.receive(message);
     } else if (message.kind === 'beat') {
       quotas.hear(peer, new Map(Object.entries(message.used)), message.ageMs, clock.now());
-      readers.hear(peer, message.isReading, clock.now());
+      readers.hear(peer, message.isReading, clock.now(), message.region);
       this.parts.rollouts.hear(peer, message.rollouts ?? {});
       exchange.hearRevision(message.revision, reply);
     } else if (message.kind === 'revision') {
--- a/test/store-readers.test.ts
+++ b/test/store-readers.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { StoreReaders } from '../src/cluster/store-readers.js';
+import { DEFAULT_STORE_READERS_OPTIONS, StoreReaders } from '../src/cluster/store-readers.js';
 
 const BEAT_MS = 500;
 
@@ -13,9 +13,14 @@
   /** Whether two gateways hear each other. */
   hears: (from: string, to: string) => boolean = () => true;
 
-  constructor(count: number) {
+  constructor(
+    count: number,
+    private readonly regionOf: (name: string) => string | undefined = () => undefined,
+  ) {
     for (let index = 0; index < count; index += 1) {
-      this.readers.set(`g${index}`, new StoreReaders(`g${index}`));
+      const name = `g${index}`;
+      const readers = new StoreReaders(name, DEFAULT_STORE_READERS_OPTIONS, regionOf(name));
+      this.readers.set(name, readers);
     }
   }
 
@@ -34,7 +39,7 @@
       this.nowMs += BEAT_MS;
       for (const from of this.alive) {
         for (const to of this.alive.filter((name) => name !== from && this.hears(from, name))) {
-          this.readers.get(to)!.hear(from, reading.has(from), this.nowMs);
+          this.readers.get(to)!.hear(from, reading.has(from), this.nowMs, this.regionOf(from));
         }
       }
     }
@@ -83,3 +88,34 @@
   t.true(world.reading.filter(side).length >= 8);
   t.true(world.reading.filter((name) => !side(name)).length >= 8);
 });
+
+/** Sixty gateways in twenty regions of three. */
+const regionOf = (name: string) => `r${Number(name.slice(1)) % 20}`;
+
+test('each region has readers of its own before it is cut off, also a small one', (t) => {
+  const world = new ReadersWorld(60, regionOf);
+  world.beats(3);
+  const perRegion = new Map<string, number>();
+  for (const name of world.reading) {
+    perRegion.set(regionOf(name), (perRegion.get(regionOf(name)) ?? 0) + 1);
+  }
+  t.is(perRegion.size, 20);
+  t.true([...perRegion.values()].every((count) => count >= 2));
+});
+
+test('in a region that is cut off readers that die are missed by its own gateways', (t) => {
+  const world = new ReadersWorld(60, (name) => `r${Number(name.slice(1)) % 3}`);
+  const isCutOff = (name: string) => Number(name.slice(1)) % 3 === 0;
+  world.beats(3);
+  world.hears = (from, to) => isCutOff(from) === isCutOff(to);
+  t.true(world.reading.filter(isCutOff).length >= 2);
+  world.reading.filter(isCutOff).forEach((name) => world.dead.add(name));
+  world.beats(4);
+  t.true(world.reading.filter(isCutOff).length >= 2);
+});
+
+test('regions cost few readers more than the store has without them', (t) => {
+  const world = new ReadersWorld(29, (name) => `r${Number(name.slice(1)) % 3}`);
+  world.beats(3);
+  t.true(world.reading.length <= 10, `${world.reading.length}`);
+});
