Sends, bytes and connections are counted by distance and reason; a zone that is not known is logged

Nothing told what crosses regions. Each try names its distance and its bytes, logs explain says where a back end of another region was asked, and a back end whose zone the settings do not name is told once.

--- a/src/cli/queries/explain-logs.ts
+++ b/src/cli/queries/explain-logs.ts
@@ -19,6 +19,8 @@
   readonly afterMs: number;
   readonly occupied: number;
   readonly slots: number;
+  /** Missing in lines of older releases. */
+  readonly distance?: string;
   readonly outcome: string;
   readonly detail: string;
 }
@@ -125,7 +127,7 @@
   }
   for (const tried of triesOf(line)) {
     words.push(
-      `  after ${Math.round(tried.afterMs)} ms to ${tried.backend} (${tried.occupied} of ${tried.slots} slots believed taken): ${tried.outcome}, ${tried.detail}`,
+      `  after ${Math.round(tried.afterMs)} ms to ${tried.backend}${placeOf(tried)} (${tried.occupied} of ${tried.slots} slots believed taken): ${tried.outcome}, ${tried.detail}`,
     );
   }
   if (line['retryAfterMs'] !== undefined) {
@@ -136,3 +138,8 @@
   );
   return words;
 }
+
+/** Where a back end of another region is; those near by need no word. */
+function placeOf({ distance }: LoggedTry): string {
+  return distance === 'other-region' ? ' in another region' : '';
+}
--- a/src/gateway/attempt/connection-causes.ts
+++ b/src/gateway/attempt/connection-causes.ts
@@ -32,19 +32,21 @@
   private readonly lossOf = new WeakMap<Socket, ConnectionLoss>();
   private readonly counts = new Map<ConnectionReason, number>();
 
+  constructor(private readonly onOpened: (reason: ConnectionReason) => void) {}
+
   /** How many were opened, by reason. */
   get opened(): ReadonlyMap<ConnectionReason, number> {
     return this.counts;
   }
 
-  /** A connection to `address` is opened; says why. */
-  noteOpened(address: string, socket: Socket): ConnectionReason {
+  /** A connection to `address` is opened. */
+  noteOpened(address: string, socket: Socket): void {
     const lost = this.losses.get(address);
     const reason = lost === undefined ? 'first' : (lost.shift() ?? 'none-idle');
     this.losses.set(address, lost ?? []);
     this.counts.set(reason, (this.counts.get(reason) ?? 0) + 1);
+    this.onOpened(reason);
     socket.once('close', () => this.noteLost(address, this.lossOf.get(socket) ?? 'reset'));
-    return reason;
   }
 
   /** Says why a connection ends; the first word counts. */
@@ -54,11 +56,6 @@
     }
   }
 
-  /** A back end is gone for good. */
-  forget(address: string): void {
-    this.losses.delete(address);
-  }
-
   private noteLost(address: string, loss: ConnectionLoss): void {
     const lost = this.losses.get(address);
     if (lost !== undefined && lost.length < MAX_REMEMBERED) {
--- a/src/gateway/attempt/guarded-agent.ts
+++ b/src/gateway/attempt/guarded-agent.ts
@@ -5,6 +5,7 @@
 import type { Duplex } from 'node:stream';
 import type { HostAndPort } from '../../address.js';
 import { ConnectionCauses } from './connection-causes.js';
+import type { ConnectionReason } from './connection-causes.js';
 import { DEFAULT_REST_LIMIT_OPTIONS, RestLimit } from './rest-limit.js';
 
 /** Limits of resting connections. */
@@ -25,20 +26,21 @@
  * request is under way: such bytes belong to no request.
  */
 export class GuardedAgent extends Agent {
-  readonly causes = new ConnectionCauses();
+  readonly causes: ConnectionCauses;
   private readonly restLimit: RestLimit;
   private readonly restingSinceMs = new WeakMap<Socket, number>();
   private readonly watched = new WeakSet<Socket>();
   /** How long a connection that is in use again had rested. */
   private readonly lastRestMs = new WeakMap<Socket, number>();
 
-  constructor(limits: RestingConnectionLimits) {
+  constructor(limits: RestingConnectionLimits, onOpened: (reason: ConnectionReason) => void) {
     super({
       keepAlive: true,
       maxFreeSockets: limits.maxIdlePerBackend,
       timeout: limits.idleMs,
       scheduling: 'lifo',
     });
+    this.causes = new ConnectionCauses(onOpened);
     this.restLimit = new RestLimit({ ...DEFAULT_REST_LIMIT_OPTIONS, maxMs: limits.idleMs });
   }
 
--- a/src/gateway/attempt/http-backend-sender.ts
+++ b/src/gateway/attempt/http-backend-sender.ts
@@ -44,8 +44,12 @@
 export class HttpBackendSender implements BackendSender {
   private readonly agent: GuardedAgent;
 
-  constructor(private readonly options = DEFAULT_BACKEND_SENDER_OPTIONS) {
-    this.agent = new GuardedAgent(options);
+  constructor(
+    private readonly options = DEFAULT_BACKEND_SENDER_OPTIONS,
+    /** A connection is opened. */
+    onConnection: (reason: ConnectionReason) => void = () => undefined,
+  ) {
+    this.agent = new GuardedAgent(options, onConnection);
   }
 
   /** Closes resting connections. */
--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -111,7 +111,9 @@
     this.attempts += 1;
     const known = ports.directory.find(backend.id);
     const failureShare = known?.failureShare(nowMs) ?? 0;
-    this.record.noteSent(backend, { occupied: known?.occupied ?? 0, failureShare }, nowMs);
+    const { occupied = 0, distance = 'same-zone' } = known ?? {};
+    const believed = { occupied, failureShare, distance } as const;
+    this.record.noteSent(backend, believed, request.body.length, nowMs);
     this.attemptStartedAtMs = nowMs;
     this.relay.beginAttempt();
     this.progress = new AttemptProgress(
@@ -199,6 +201,7 @@
   }
 
   private receiveData(bytes: Buffer): void {
+    this.record.noteBytes(bytes.length);
     const result = this.relay.takeData(bytes, this.attempt);
     if (result === 'overlong-event') {
       this.attempt?.cancel();
--- a/src/gateway/attempt/request-model.ts
+++ b/src/gateway/attempt/request-model.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '../../clock.js';
 import type { RandomSource } from '../../random.js';
 import type { Backend } from '../../routing/backend.js';
+import type { Distance } from '../../routing/places.js';
 import type { AllowedRegions } from '../../routing/backend-restriction.js';
 import type { Route } from '../../routing/configuration.js';
 import type { BackendDirectory } from '../dispatch/backend-directory.js';
@@ -46,6 +47,10 @@
   readonly slots: number;
   /** Share of requests that failed there lately, as it was believed at the choice. */
   readonly failureShare: number;
+  /** How far the back end is. */
+  readonly distance: Distance;
+  /** Bytes of the request's body and of the answer's that passed, in either way. */
+  bytes: number;
   outcome: AttemptOutcome | 'under-way';
   detail: string;
 }
--- a/src/gateway/attempt/request-record.ts
+++ b/src/gateway/attempt/request-record.ts
@@ -4,7 +4,7 @@
 import type { RequestEnd, RequestTry } from './request-model.js';
 
 /** What was believed of a back end when a request was sent there. */
-export type BackendBelief = Pick<RequestTry, 'occupied' | 'failureShare'>;
+export type BackendBelief = Pick<RequestTry, 'occupied' | 'failureShare' | 'distance'>;
 
 /** The record of one request. */
 export class RequestRecord {
@@ -16,18 +16,24 @@
   constructor(private readonly arrivedAtMs: number) {}
 
   /** The request is sent to a back end; `believed` is what decided for it. */
-  noteSent(backend: Backend, believed: BackendBelief, nowMs: number): void {
+  noteSent(backend: Backend, believed: BackendBelief, bodyBytes: number, nowMs: number): void {
     this.firstPlacedAtMs ??= nowMs;
     this.tries.push({
       backend: backend.id,
       afterMs: nowMs - this.arrivedAtMs,
       ...believed,
       slots: backend.slots,
+      bytes: bodyBytes,
       outcome: 'under-way',
       detail: '',
     });
   }
 
+  /** A part of the answer came. */
+  noteBytes(count: number): void {
+    this.tries.at(-1)!.bytes += count;
+  }
+
   /** The first bytes for the caller came. */
   noteFirstByte(nowMs: number): void {
     this.firstByteAtMs ??= nowMs;
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -5,6 +5,7 @@
 import type { Backend } from '../routing/backend.js';
 import type { EngineAvailability } from '../slot-agent/engine-watch.js';
 import { Places } from '../routing/places.js';
+import { UnknownZones } from '../routing/unknown-zones.js';
 import { ZoneEvacuations } from '../routing/zone-evacuations.js';
 import type { EvacuationChange } from '../routing/zone-evacuations.js';
 import type { RoutingConfiguration } from '../routing/configuration.js';
@@ -23,7 +24,10 @@
 import type { GatewayMetrics } from './metrics/gateway-metrics.js';
 import type { GatewaySettings } from './gateway-settings.js';
 import { splitAddress } from '../address.js';
-import { HttpBackendSender } from './attempt/http-backend-sender.js';
+import {
+  DEFAULT_BACKEND_SENDER_OPTIONS,
+  HttpBackendSender,
+} from './attempt/http-backend-sender.js';
 import { PlannedStop } from './planned-stop.js';
 import { ReadinessListener } from './readiness-listener.js';
 import { DEFAULT_SLOT_AGENT_LINK_OPTIONS, SlotAgentLinks } from './links/slot-agent-links.js';
@@ -56,9 +60,12 @@
   private readonly directory: BackendDirectory;
   private readonly evacuations = new ZoneEvacuations();
   private readonly places: Places;
+  private readonly unknownZones: UnknownZones;
   private readonly dispatcher: Dispatcher;
   private readonly rollouts: GatewayRollouts;
-  private readonly sender = new HttpBackendSender();
+  private readonly sender = new HttpBackendSender(DEFAULT_BACKEND_SENDER_OPTIONS, (reason) =>
+    this.parts.metrics.record(({ connections }) => connections.inc({ reason })),
+  );
   private readonly listener: CallerListener;
   private readonly links: SlotAgentLinks;
   private readonly quotas: TokenQuotas;
@@ -77,6 +84,7 @@
     const incarnation = `${name}.${Math.floor(random.next() * 2 ** 32).toString(36)}`;
     this.configuration = new ConfigurationInForce(clock);
     this.places = new Places(settings.places.zones);
+    this.unknownZones = new UnknownZones(this.places);
     const isEngine = (service: string) => this.configuration.isEngine(service);
     this.directory = new BackendDirectory(
       { ...settings.process, places: this.places },
@@ -259,6 +267,9 @@
         address: backend?.address,
         revision: record.revision,
       });
+      if (backend !== undefined && this.unknownZones.isNews(backend.zone)) {
+        log.write('zone-unknown', 'state', { zone: backend.zone, backend: id });
+      }
       this.dispatcher.updateBackend(id, backend, clock.now());
     } else if (decoded.kind === 'evacuation') {
       this.takeEvacuation(decoded.change);
--- a/src/gateway/metrics/metric-instruments.ts
+++ b/src/gateway/metrics/metric-instruments.ts
@@ -23,6 +23,24 @@
     labelNames: ['service'],
     registers: [this.registry],
   });
+  readonly sends = new Counter({
+    name: 'weirvale_sends_by_distance_total',
+    help: 'Sends to back ends, by how far they are',
+    labelNames: ['distance'],
+    registers: [this.registry],
+  });
+  readonly bytes = new Counter({
+    name: 'weirvale_body_bytes_by_distance_total',
+    help: 'Bytes of bodies to and from back ends, by how far they are',
+    labelNames: ['distance'],
+    registers: [this.registry],
+  });
+  readonly connections = new Counter({
+    name: 'weirvale_backend_connections_total',
+    help: 'Connections to back ends that were opened, by reason',
+    labelNames: ['reason'],
+    registers: [this.registry],
+  });
   readonly repeatsDenied = new Counter({
     name: 'weirvale_repeats_denied_total',
     help: 'Repeats that the retry budget did not allow, by service',
@@ -84,6 +102,10 @@
     const { status, reason, attempts } = end;
     this.requests.inc({ route: request.route.name, status: `${status}`, reason });
     this.attempts.inc({ service: request.service }, attempts);
+    for (const { distance, bytes } of end.tries) {
+      this.sends.inc({ distance });
+      this.bytes.inc({ distance }, bytes);
+    }
     this.waitSeconds.observe(end.waitedMs / MS_PER_S);
     if (end.firstByteMs !== undefined) {
       this.firstByteSeconds.observe(end.firstByteMs / MS_PER_S);
--- a/src/telemetry/decision-log.ts
+++ b/src/telemetry/decision-log.ts
@@ -21,6 +21,7 @@
   'backend-gone',
   'backend-ejected',
   'backend-availability',
+  'zone-unknown',
   'zone-evacuation',
   'store-lost',
   'store-regained',
--- a/test/gateway-metrics.test.ts
+++ b/test/gateway-metrics.test.ts
@@ -5,7 +5,7 @@
 import { countBackends } from '../src/gateway/metrics/gateway-snapshot.js';
 import type { GatewaySnapshot } from '../src/gateway/metrics/gateway-snapshot.js';
 import { KnownBackend } from '../src/gateway/dispatch/known-backend.js';
-import { backendOf } from './support/gateway.js';
+import { backendOf, GatewayWorld } from './support/gateway.js';
 
 const HOST = '127.0.4.9';
 const PORT = 28_900;
@@ -55,6 +55,23 @@
   metrics.close();
 });
 
+test('sends and bytes are counted by how far their back ends are', async (t) => {
+  const world = new GatewayWorld();
+  world.regions.set('z', 'north').set('far', 'south');
+  world.dispatcher.updateBackend('far', backendOf('far', { zone: 'far' }), 0);
+  world.request({ body: Buffer.alloc(100) });
+  world.answer(0, 200, 'answer');
+  const { MetricInstruments } = await import('../src/gateway/metrics/metric-instruments.js');
+  const instruments = new MetricInstruments(() => SNAPSHOT);
+  const [request, end] = world.ended[0]!;
+  instruments.recordEnd(request, end);
+  instruments.connections.inc({ reason: 'first' });
+  const text = await instruments.registry.metrics();
+  t.true(text.includes('weirvale_sends_by_distance_total{distance="other-region"} 1'));
+  t.true(text.includes('weirvale_body_bytes_by_distance_total{distance="other-region"} 106'));
+  t.true(text.includes('weirvale_backend_connections_total{reason="first"} 1'));
+});
+
 test('back ends are counted by service and the state that they are believed to be in', (t) => {
   const ejected = new KnownBackend(backendOf('a'), 0);
   while (!ejected.health.learn('failed', 10)) {
--- a/test/regions.test.ts
+++ b/test/regions.test.ts
@@ -1,5 +1,7 @@
 import test from 'ava';
 import { RoundTrip } from '../src/round-trip.js';
+import { Places } from '../src/routing/places.js';
+import { UnknownZones } from '../src/routing/unknown-zones.js';
 import type { EngineAvailability } from '../src/slot-agent/engine-watch.js';
 import { backendOf, GatewayWorld, routeOf } from './support/gateway.js';
 
@@ -169,3 +171,11 @@
   way.learn(Number.NaN);
   t.true(way.ms > 19);
 });
+
+test('a zone that the settings do not name is news once, and none is where they name no zones', (t) => {
+  const zones = new UnknownZones(new Places(new Map([['z', 'north']])));
+  t.false(zones.isNews('z'));
+  t.true(zones.isNews('elsewhere'));
+  t.false(zones.isNews('elsewhere'));
+  t.false(new UnknownZones(new Places(new Map())).isNews('elsewhere'));
+});
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -129,6 +129,7 @@
   readonly attempts: SeenAttempt[] = [];
   readonly toAgents: Array<[string, SlotMessage]> = [];
   readonly ends: RequestEnd[] = [];
+  readonly ended: Array<[AcceptedRequest, RequestEnd]> = [];
   readonly regions = new Map<string, string>();
   readonly directory = new BackendDirectory(
     { name: 'g', zone: 'z', places: new Places(this.regions) },
@@ -230,7 +231,10 @@
       protocol: PLAIN_PROTOCOL,
       takeRepeat: () => this.repeatsLeft-- > 0,
       onTryOver: (over: TryOver) => void this.triesOver.push(over),
-      onEnd: (_request: AcceptedRequest, end: RequestEnd) => this.ends.push(end),
+      onEnd: (ended: AcceptedRequest, end: RequestEnd) => {
+        this.ends.push(end);
+        this.ended.push([ended, end]);
+      },
     };
     const request = new ProxiedRequest(accepted, reply, ports, DEFAULT_REQUEST_OPTIONS);
     request.begin();
