Connections to back ends that grant a rest of one second are used again

Node's agent takes a second off the whole seconds that a back end grants and keeps no connection where nothing is left; what was left was then used by .6. With Keep-Alive: timeout=1 every request opened a connection (3 for 3 in the test, now 1), with timeout=2 connections rested for .6 s. The grant is read from the answer itself: a second less for what the back end may have rounded, and half of it at the least. Where connections prove forgotten sooner the limit that is learned still holds.

--- a/src/gateway/attempt/guarded-agent.ts
+++ b/src/gateway/attempt/guarded-agent.ts
@@ -16,8 +16,6 @@
   readonly maxIdlePerBackend: number;
 }
 
-/** Share of the rest that a back end grants which is used, so that it does not close first. */
-const IDLE_SHARE = 0.6;
 /** Shortest rest after which a reset says that connections are forgotten, in milliseconds. */
 const MIN_FORGOTTEN_REST_MS = 150;
 
@@ -30,6 +28,8 @@
   private readonly restLimit: RestLimit;
   private readonly restingSinceMs = new WeakMap<Socket, number>();
   private readonly watched = new WeakSet<Socket>();
+  /** How long each connection may rest, as its back end granted last. */
+  private readonly grantedMs = new WeakMap<Socket, number>();
   /** How long a connection that is in use again had rested. */
   private readonly lastRestMs = new WeakMap<Socket, number>();
 
@@ -44,6 +44,11 @@
     this.restLimit = new RestLimit({ ...DEFAULT_REST_LIMIT_OPTIONS, maxMs: limits.idleMs });
   }
 
+  /** The back end said how long the connection may rest after the answer that begins. */
+  noteGranted(socket: Socket, restMs: number): void {
+    this.grantedMs.set(socket, restMs);
+  }
+
   /** A request on a connection that was used again got no answer but a reset. */
   noteForgotten(socket: Socket): void {
     const restedMs = this.lastRestMs.get(socket);
@@ -70,15 +75,14 @@
 
   override keepSocketAlive(stream: Duplex): boolean {
     const socket = stream as Socket;
-    // The typings leave out that the base class answers whether the socket may be kept.
-    const isKept = (super.keepSocketAlive as (kept: Duplex) => unknown)(stream) !== false;
-    if (!isKept || socket.readableLength > 0) {
+    const restMs = this.grantedMs.get(socket) ?? Infinity;
+    if (restMs <= 0 || socket.readableLength > 0) {
       return false;
     }
-    const grantedMs =
-      socket.timeout === undefined || socket.timeout === 0 ? Infinity : socket.timeout;
+    // The base class keeps no connection for which a whole second is granted; its answer is left aside.
+    super.keepSocketAlive(stream);
     const nowMs = performance.now();
-    socket.setTimeout(Math.min(grantedMs * IDLE_SHARE, this.restLimit.current(nowMs)));
+    socket.setTimeout(Math.min(restMs, this.restLimit.current(nowMs)));
     socket.on('data', destroySocket);
     this.watchResting(socket);
     this.restingSinceMs.set(socket, nowMs);
--- a/src/gateway/attempt/http-backend-sender.ts
+++ b/src/gateway/attempt/http-backend-sender.ts
@@ -12,6 +12,7 @@
 import { splitAddress } from '../../address.js';
 import type { HostAndPort } from '../../address.js';
 import type { ConnectionLoss, ConnectionReason } from './connection-causes.js';
+import { grantedRestMs } from './granted-rest.js';
 import { GuardedAgent } from './guarded-agent.js';
 
 /** Limits of the connections to back ends. */
@@ -152,6 +153,7 @@
   private onResponse(response: IncomingMessage): void {
     this.response = response;
     const { socket, headers } = response;
+    this.agent.noteGranted(socket, grantedRestMs(headers['keep-alive']?.toString()));
     if (headers.connection?.toLowerCase() === 'close') {
       this.agent.causes.noteEnding(socket, 'closed-by-back-end');
     }
--- a/test/backend-sender.test.ts
+++ b/test/backend-sender.test.ts
@@ -276,3 +276,28 @@
   t.is(await resets(100), 1);
   t.is(await resets(0), 2);
 });
+
+/** Connections that `count` requests open, `pauseMs` apart, to a back end that grants a rest of so many seconds. */
+async function connectionsFor(grantedS: number, count: number, pauseMs: number): Promise<number> {
+  const used = new Set<Socket>();
+  const { server, address } = await startBackend((socket) => {
+    used.add(socket);
+    const head = `HTTP/1.1 200 OK\r\nKeep-Alive: timeout=${grantedS}\r\nContent-Length: 4`;
+    socket.write(`${head}\r\n\r\na-01`);
+  });
+  const sender = new HttpBackendSender();
+  for (let round = 0; round < count; round += 1) {
+    await sendTo(sender, address);
+    await new Promise((resolve) => setTimeout(resolve, pauseMs));
+  }
+  sender.close();
+  server.close();
+  return used.size;
+}
+
+test('a connection rests for nearly as long as its back end grants, and no longer', async (t) => {
+  t.is(await connectionsFor(1, 3, 100), 1);
+  t.is(await connectionsFor(1, 2, 700), 2);
+  t.is(await connectionsFor(2, 2, 800), 1);
+  t.is(await connectionsFor(0, 2, 20), 2);
+});
