Requests at work at an engine lengthen its expected time to the first event

With the way in the cost the nearest of like engines was filled up first: its cost did not know what other gateways had there.

--- a/src/gateway/attempt/http-backend-sender.ts
+++ b/src/gateway/attempt/http-backend-sender.ts
@@ -12,6 +12,7 @@
 import { splitAddress } from '../../address.js';
 import type { HostAndPort } from '../../address.js';
 import type { ConnectionLoss, ConnectionReason } from './connection-causes.js';
+import { withLength } from './body-length.js';
 import { grantedRestMs } from './granted-rest.js';
 import { GuardedAgent } from './guarded-agent.js';
 
@@ -252,15 +253,3 @@
 function isRefused(error: NodeJS.ErrnoException): boolean {
   return error.code === 'ECONNREFUSED';
 }
-
-/** The body is sent whole, so its length is known whatever the caller's framing was. */
-function withLength(headers: readonly string[], method: string, body: Buffer): string[] {
-  const kept: string[] = [];
-  for (let index = 0; index + 1 < headers.length; index += 2) {
-    if (headers[index]!.toLowerCase() !== 'content-length') {
-      kept.push(headers[index]!, headers[index + 1]!);
-    }
-  }
-  const isBodyless = body.length === 0 && (method === 'GET' || method === 'HEAD');
-  return isBodyless ? kept : [...kept, 'Content-Length', `${body.length}`];
-}
--- a/src/gateway/dispatch/backend-choice.ts
+++ b/src/gateway/dispatch/backend-choice.ts
@@ -6,6 +6,12 @@
 
 /** Weight of the whole work against the time to the first event when a back end is chosen. */
 const WORK_WEIGHT = 0.5;
+/**
+ * Share by which each request at work there lengthens the time to the first event; without it the nearest of
+ * like engines would be filled first. Measured at engines of 13 slots: short prompts took 43 ms in the mean
+ * beside one other request and 61 beside twelve.
+ */
+const OTHERS_SHARE = 0.03;
 /** Cost for each request at a back end of unknown speed: it is tried with one at a time. */
 const UNKNOWN_SPEED_COST_MS = 1_000;
 /** Added to the cost of a back end that would be late, or make others late. */
@@ -32,7 +38,8 @@
     return (known.occupied + 1) * workMs + known.roundTrip.costMs + failureMs;
   }
   const tokens = known.pendingPromptTokens + request.promptTokens;
-  const firstMs = known.speed.expectedFirstMs(tokens, usual.prefill);
+  const aloneMs = known.speed.expectedFirstMs(tokens, usual.prefill);
+  const firstMs = aloneMs * (1 + known.occupied * OTHERS_SHARE);
   const trialMs = known.speed.isKnown ? 0 : known.occupied * UNKNOWN_SPEED_COST_MS;
   const isLate = nowMs + firstMs + known.roundTrip.ms > request.firstDueAtMs;
   const lateMs = isLate ? LATE_COST_MS : 0;
--- a/test/regions.test.ts
+++ b/test/regions.test.ts
@@ -70,6 +70,20 @@
   }
 });
 
+test('of engines near by that are alike the nearest is not filled before the others are used', (t) => {
+  const world = worldOf(['near'], [], 13);
+  world.regions.set('next', 'north');
+  world.dispatcher.updateBackend('next', backendOf('next', { zone: 'next', slots: 13 }), 0);
+  world.dispatcher.connectAgent('next', 0);
+  for (const id of ['near', 'next']) {
+    world.directory.find(id)!.adopt({ prefill: { baseMs: 50, msPerToken: 0.01 }, msPerUnit: 1 });
+  }
+  tell(world, 'near', 9);
+  tell(world, 'next', 1);
+  world.request({ route: PATIENT, promptTokens: TOKENS });
+  t.deepEqual(usedBackends(world), ['next']);
+});
+
 test('what is learned and shared of an engine does not hold the way there', (t) => {
   const world = worldOf([], ['far']);
   world.dispatcher.learnFirst('far', TOKENS, 116);
