--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -20,7 +20,7 @@
 import { GatewayRollouts } from './gateway-rollouts.js';
 import { countBackends } from './metrics/gateway-snapshot.js';
 import type { GatewaySnapshot } from './metrics/gateway-snapshot.js';
-import { PEER_TICK_MS } from './links/gateway-peers.js';
+import { PEER_TICK_MS, quotaSilenceMs } from './links/beat-times.js';
 import type { GatewayMetrics } from './metrics/gateway-metrics.js';
 import type { GatewaySettings } from './gateway-settings.js';
 import { splitAddress } from '../address.js';
@@ -49,9 +49,7 @@
 const DROPPED_REPORT_TICKS = 50;
 /** Time from the start until the library of the metrics is loaded, in milliseconds. */
 const METRICS_LOAD_MS = 3_000;
-/** Silence after which a peer's share of the quotas is set aside: a time, and periods of its beats. */
-const QUOTA_SILENCE_MS = 1_200;
-const QUOTA_SILENCE_BEATS = 2.5;
+/** Silence after which a peer's use of the quotas is forgotten, in milliseconds. */
 const QUOTA_FORGET_MS = 20_000;
 
 /** The gateway. */
@@ -117,7 +115,7 @@
       {
         slackTokens: limits.quotaSlack,
         overShare: limits.quotaOver,
-        silenceMs: () => Math.max(QUOTA_SILENCE_MS, this.cluster.beatMs * QUOTA_SILENCE_BEATS),
+        silenceMs: () => quotaSilenceMs(this.cluster.beatMs),
         forgetMs: QUOTA_FORGET_MS,
       },
       clock.now(),
--- a/src/gateway/links/gateway-peers.ts
+++ b/src/gateway/links/gateway-peers.ts
@@ -9,6 +9,7 @@
 import type { RandomSource } from '../../random.js';
 import type { Rollouts } from '../../rollout/rollouts.js';
 import type { TokenQuotas } from '../admission/token-quota.js';
+import { beatTicks, IDLE_BEAT_TICKS, longestBeatMs } from './beat-times.js';
 
 /** What the peers of a gateway are made from. */
 export interface GatewayPeersParts {
@@ -33,15 +34,9 @@
   onPeer(peer: string, isPresent: boolean): void;
 }
 
-/** Time between two ticks, in milliseconds. */
-export const PEER_TICK_MS = 100;
-/** Ticks without news after which a beat shows that this process lives. */
-const IDLE_BEAT_TICKS = 5;
 /** Silence of a peer after which the connection to it is opened anew: a time, and periods of its beats. */
 const REOPEN_SILENCE_MS = 2_500;
 const REOPEN_SILENCE_BEATS = 4;
-/** Gateways that beats may go to in each tick; where there are more, beats are rarer. */
-const PEERS_PER_BEAT_TICK = 8;
 
 /** A gateway's side of the mesh. */
 export class GatewayPeers {
@@ -86,8 +81,7 @@
 
   /** Longest time between two beats of a gateway that is well, in milliseconds. */
   get beatMs(): number {
-    const ticks = Math.ceil(IDLE_BEAT_TICKS / this.beatTicks) * this.beatTicks;
-    return ticks * PEER_TICK_MS;
+    return longestBeatMs(this.mesh.size);
   }
 
   /** Takes connections of peers at `host` and `port`. */
@@ -119,7 +113,7 @@
 
   /** Ticks from one beat with news to the next. */
   private get beatTicks(): number {
-    return Math.ceil(this.mesh.size / PEERS_PER_BEAT_TICK);
+    return beatTicks(this.mesh.size);
   }
 
   /** A reader of the store tells what it learned before its next beat, since others wait for it. */
--- a/test/region-cut.test.ts
+++ b/test/region-cut.test.ts
@@ -1,14 +1,20 @@
 import test from 'ava';
 import { RetryBudget } from '../src/gateway/admission/retry-budget.js';
 import { TokenQuotas } from '../src/gateway/admission/token-quota.js';
+import {
+  beatTicks,
+  longestBeatMs,
+  PEER_TICK_MS,
+  quotaSilenceMs,
+} from '../src/gateway/links/beat-times.js';
 import { SeededRandom } from '../src/random.js';
 
 const SEEDS = 200;
 const REGIONS = 3;
-const GATEWAYS = 12;
+const GATEWAYS = 29;
 const RUN_MS = 16_000;
-const STEP_MS = 20;
-const BEAT_MS = 400;
+const STEP_MS = 10;
+const BEAT_MS = beatTicks(GATEWAYS) * PEER_TICK_MS;
 const QUOTA = { ratePerS: 600_000, burst: 600_000, unit: 'tokens' as const, plainTokens: 1 };
 const COST = 4_000;
 const OVER = 0.1;
@@ -78,7 +84,9 @@
 const BOUND = (QUOTA.ratePerS * (WINDOW_MS / 1_000) + QUOTA.burst) * (1 + OVER) + SLACK;
 
 test('a tenant stays within its quota while a region is cut off, whenever and for however long', (t) => {
-  const uses = Array.from({ length: SEEDS }, (_unused, seed) => worstUse(seed, 1_200));
+  const uses = Array.from({ length: SEEDS }, (_unused, seed) =>
+    worstUse(seed, quotaSilenceMs(longestBeatMs(GATEWAYS))),
+  );
   t.true(Math.max(...uses) <= BOUND, `${Math.max(...uses)} of ${BOUND}`);
 });
 
