--- a/test/backend-sender.test.ts
+++ b/test/backend-sender.test.ts
@@ -245,7 +245,10 @@
   });
   const sender = new HttpBackendSender();
   await Promise.all([sendTo(sender, address), sendTo(sender, address)]);
-  await Promise.all([sendTo(sender, address), sendTo(sender, address)]);
+  t.true(sender.isConnectionResting({ address }));
+  const both = [sendTo(sender, address), sendTo(sender, address)];
+  t.false(sender.isConnectionResting({ address }));
+  await Promise.all(both);
   t.deepEqual(Object.fromEntries(sender.connectionsOpened), { first: 1, 'none-idle': 1 });
   sender.close();
   server.close();
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -141,6 +141,8 @@
   gateways = 1;
   /** Versions that may not be used freely. */
   readonly versionUses = new Map<string, VersionUse>();
+  /** Back ends to which no connection rests. */
+  readonly unconnected = new Set<string>();
   readonly evacuatedZones = new Set<string>();
   readonly triesOver: TryOver[] = [];
 
@@ -166,6 +168,10 @@
     this.toAgents.push([backendId, message]);
   }
 
+  isConnectionResting({ id }: Backend): boolean {
+    return !this.unconnected.has(id);
+  }
+
   onEjected(): void {
     // Tests look at where requests go instead.
   }
