--- a/src/cli/queries/explain-logs.ts
+++ b/src/cli/queries/explain-logs.ts
@@ -35,6 +35,7 @@
   'backend-gone',
   'backend-ejected',
   'backend-availability',
+  'region-reach',
   'agent-lost',
   'peer-gone',
 ]);
--- a/src/gateway/dispatch/backend-directory.ts
+++ b/src/gateway/dispatch/backend-directory.ts
@@ -14,6 +14,8 @@
   isEngine(service: string): boolean;
   /** Whether operators ordered that a zone gets nothing; missing where no orders are known. */
   isEvacuated?(zone: string): boolean;
+  /** Whether the gateway's region has back ends of a service that may be waited for changed. */
+  onReach?(service: string, hasNear: boolean): void;
 }
 
 /** Bounds of a directory. */
@@ -77,6 +79,7 @@
     const reach = reachOf(usable);
     this.reaches.set(service, reach);
     if (reach.isNearLost !== before.isNearLost) {
+      this.ports.onReach?.(service, !reach.isNearLost);
       this.assign(service);
     }
   }
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -86,7 +86,11 @@
     const isEngine = (service: string) => this.configuration.isEngine(service);
     this.directory = new BackendDirectory(
       { ...settings.process, places: this.places },
-      { isEngine, isEvacuated: (zone) => this.evacuations.isEvacuated(zone) },
+      {
+        isEngine,
+        isEvacuated: (zone) => this.evacuations.isEvacuated(zone),
+        onReach: (service, hasNear) => this.noteReach(service, hasNear),
+      },
     );
     this.dispatcher = new Dispatcher(this.directory, {
       sendToAgent: (backendId, message) => this.links.send(backendId, message),
@@ -288,6 +292,11 @@
     }
   }
 
+  private noteReach(service: string, hasNear: boolean): void {
+    const { region } = this.directory;
+    this.parts.log.write('region-reach', 'state', { service, region, hasNear });
+  }
+
   private noteAvailability({ id, address }: Backend, availability: EngineAvailability): void {
     this.parts.log.write('backend-availability', 'state', { backend: id, availability });
     if (availability === 'closed') {
--- a/src/telemetry/decision-log.ts
+++ b/src/telemetry/decision-log.ts
@@ -22,6 +22,7 @@
   'backend-ejected',
   'backend-availability',
   'zone-unknown',
+  'region-reach',
   'zone-evacuation',
   'store-lost',
   'store-regained',
--- a/test/regions.test.ts
+++ b/test/regions.test.ts
@@ -172,10 +172,12 @@
   const before = countAssigned(far);
   near.forEach((id) => tell(world, id, 0, 'closed'));
   t.is(countAssigned(far), 16);
+  t.is(world.reaches.at(-1), false);
   t.is(countAssigned(near), 2);
   t.true(before < 16);
   tell(world, 'n1', 0);
   t.is(countAssigned(far), before);
+  t.deepEqual(world.reaches, [false, true]);
 });
 
 test('a new engine in another region is given the way there and back until its agent is heard', async (t) => {
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -143,6 +143,8 @@
   readonly versionUses = new Map<string, VersionUse>();
   /** Back ends to which no connection rests. */
   readonly unconnected = new Set<string>();
+  /** Each change of whether the gateway's region has usable back ends. */
+  readonly reaches: boolean[] = [];
   readonly evacuatedZones = new Set<string>();
   readonly triesOver: TryOver[] = [];
 
@@ -188,6 +190,10 @@
     return this.regions.get(zone);
   }
 
+  onReach(_service: string, hasNear: boolean): void {
+    this.reaches.push(hasNear);
+  }
+
   onSent(): void {
     // Tests look at the attempts instead.
   }
