--- a/src/gateway/attempt/attempt.ts
+++ b/src/gateway/attempt/attempt.ts
@@ -32,6 +32,8 @@
 
 /** Who hears of an attempt; after `onEnd` or `onFailure` nothing follows. */
 export interface AttemptHandlers {
+  /** A new connection came up, after so many milliseconds. */
+  onConnected?(elapsedMs: number): void;
   onHead(head: AnswerHead): void;
   onData(bytes: Buffer): void;
   /** The answer is whole. */
--- a/src/gateway/attempt/http-backend-sender.ts
+++ b/src/gateway/attempt/http-backend-sender.ts
@@ -142,6 +142,7 @@
     socket.once('connect', () => {
       this.isConnected = true;
       clearTimeout(this.connectTimer);
+      this.handlers.onConnected?.(performance.now() - this.startedAtMs);
     });
   }
 
--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -135,6 +135,7 @@
     this.attempt = ports.sender.send(
       { backend, roundTripMs: known?.roundTrip.ms ?? 0, method, path, headers, body },
       {
+        onConnected: (elapsedMs) => known?.roundTrip.learn(elapsedMs),
         onHead: (head) => this.receiveHead(head),
         onData: (bytes) => this.receiveData(bytes),
         onEnd: () => this.receiveEnd(),
--- a/test/backend-sender.test.ts
+++ b/test/backend-sender.test.ts
@@ -239,6 +239,32 @@
   t.deepEqual(await reasonsFor(reset, { rounds: 3, pauseMs: 20 }), { first: 1, reset: 2 });
 });
 
+test('the time in which a connection came up is told once, for the request that opened it', async (t) => {
+  const { server, address } = await startBackend((socket) => socket.write(`${FRAMED}a-01`));
+  const sender = new HttpBackendSender();
+  const backend = backendOf('b', { address });
+  const attempt = { backend, method: 'GET', path: '/', headers: [], body: Buffer.alloc(0) };
+  const told: number[] = [];
+  for (let round = 0; round < 2; round += 1) {
+    await new Promise<void>((resolve) => {
+      const ignore = () => undefined;
+      const onConnected = (elapsedMs: number) => void told.push(elapsedMs);
+      const onEnd = () => resolve();
+      sender.send(attempt, {
+        onConnected,
+        onHead: ignore,
+        onData: ignore,
+        onEnd,
+        onFailure: ignore,
+      });
+    });
+  }
+  t.is(told.length, 1);
+  t.true(told[0]! >= 0);
+  sender.close();
+  server.close();
+});
+
 test('a connection beside others that are in use is counted as such', async (t) => {
   const { server, address } = await startBackend((socket) => {
     setTimeout(() => socket.write(`${FRAMED}a-01`), 20);
--- a/test/regions.test.ts
+++ b/test/regions.test.ts
@@ -188,6 +188,14 @@
   t.false(world.directory.find('far')!.isAgentAwaited(183));
 });
 
+test('the way to a back end without an agent is learned from the connections to it', (t) => {
+  const world = worldOf([], ['far']);
+  world.request({ route: PATIENT });
+  t.is(world.attempts[0]!.roundTripMs, 16);
+  world.attempts[0]!.handlers.onConnected!(10);
+  t.is(world.directory.find('far')!.roundTrip.ms, 13);
+});
+
 test('a round trip follows the shortest samples at once and a longer way in time', (t) => {
   const way = new RoundTrip('same-region');
   t.false(way.isMeasured);
