A request crosses to another region in time though its timer fires early or the way proves longer

The timer was set once: Node cuts the part of a millisecond off and reckons from the start of the loop's turn, so it fired before the patience was over, and a way that was measured longer meanwhile made it early too. The request then waited for the next tick, 100 ms at the most. It is now set again while some wait is left. Both tests were red before.

--- a/src/gateway/attempt/request-wait.ts
+++ b/src/gateway/attempt/request-wait.ts
@@ -101,14 +101,22 @@
     this.parts.ports.clock.clearTimeout(this.farTimer);
   }
 
-  /** A request that found no room near by is offered to other regions as soon as it has waited enough for it. */
+  /**
+   * A request that found no room near by is offered to other regions as soon as it has waited enough for it.
+   * Timers may fire early, and the way may prove longer meanwhile: then it looks again.
+   */
   private lookFartherLater(): void {
     const { clock, dispatcher } = this.parts.ports;
     const { service, arrivedAtMs } = this.place;
-    const leftMs = arrivedAtMs + dispatcher.farPatienceMs(service) - clock.now();
-    if (!this.isOver && leftMs > 0) {
-      this.farTimer = clock.setTimeout(() => dispatcher.review(service, clock.now()), leftMs);
+    const leftMs = dispatcher.farPatienceMs(service) - (clock.now() - arrivedAtMs);
+    if (this.isOver || leftMs <= 0) {
+      return;
     }
+    const look = () => {
+      dispatcher.review(service, clock.now());
+      this.lookFartherLater();
+    };
+    this.farTimer = clock.setTimeout(look, Math.ceil(leftMs));
   }
 
   /** Goes on waiting while that is worth something, and looks again soon. */
--- a/test/regions.test.ts
+++ b/test/regions.test.ts
@@ -120,6 +120,29 @@
   t.deepEqual(usedBackends(world), ['far']);
 });
 
+test('a request crosses as soon as it has waited for a way that proved longer meanwhile', async (t) => {
+  const world = worldOf(['near'], ['far']);
+  tell(world, 'near', 1);
+  world.request({ route: PATIENT });
+  world.directory.find('far')!.roundTrip.adopt(30);
+  world.directory.reviewReach('s');
+  await world.clock.runUntil(39);
+  t.deepEqual(usedBackends(world), []);
+  await world.clock.runUntil(40);
+  t.deepEqual(usedBackends(world), ['far']);
+});
+
+test('a request crosses in time though timers fire early', async (t) => {
+  const world = worldOf(['near'], ['far']);
+  tell(world, 'near', 1);
+  const setTimer = world.clock.setTimeout.bind(world.clock);
+  world.clock.setTimeout = (callback, delayMs) => setTimer(callback, Math.max(1, delayMs - 1));
+  world.request({ route: PATIENT });
+  world.clock.setTimeout = setTimer;
+  await world.clock.runUntil(FAR_PATIENCE_MS + 1);
+  t.deepEqual(usedBackends(world), ['far']);
+});
+
 test('agents near by are asked for a slot first, those in other regions after a while', async (t) => {
   const world = worldOf(['near'], ['far']);
   tell(world, 'near', 1);
