--- a/src/gateway/attempt/connection-causes.ts
+++ b/src/gateway/attempt/connection-causes.ts
@@ -25,6 +25,11 @@
 
 /** Most lost connections that are remembered of one back end. */
 const MAX_REMEMBERED = 64;
+/**
+ * Most back ends whose lost connections are remembered; beyond, the one whose last connection was opened longest
+ * ago is taken for new again. Some times what one gateway works with: addresses change over months.
+ */
+const MAX_ADDRESSES = 1_024;
 
 /** Connections to back ends, by what they were opened for. */
 export class ConnectionCauses {
@@ -43,7 +48,7 @@
   noteOpened(address: string, socket: Socket): void {
     const lost = this.losses.get(address);
     const reason = lost === undefined ? 'first' : (lost.shift() ?? 'none-idle');
-    this.losses.set(address, lost ?? []);
+    this.remember(address, lost ?? []);
     this.counts.set(reason, (this.counts.get(reason) ?? 0) + 1);
     this.onOpened(reason);
     socket.once('close', () => this.noteLost(address, this.lossOf.get(socket) ?? 'reset'));
@@ -56,6 +61,15 @@
     }
   }
 
+  private remember(address: string, lost: ConnectionLoss[]): void {
+    this.losses.delete(address);
+    this.losses.set(address, lost);
+    const [oldest] = this.losses.keys();
+    if (this.losses.size > MAX_ADDRESSES && oldest !== undefined) {
+      this.losses.delete(oldest);
+    }
+  }
+
   private noteLost(address: string, loss: ConnectionLoss): void {
     const lost = this.losses.get(address);
     if (lost !== undefined && lost.length < MAX_REMEMBERED) {
--- a/src/gateway/attempt/guarded-agent.ts
+++ b/src/gateway/attempt/guarded-agent.ts
@@ -16,6 +16,8 @@
   readonly maxIdlePerBackend: number;
 }
 
+/** Share of the longest rest that is used, so that a back end that names none does not close first. */
+const IDLE_SHARE = 0.6;
 /** Shortest rest after which a reset says that connections are forgotten, in milliseconds. */
 const MIN_FORGOTTEN_REST_MS = 150;
 
@@ -25,6 +27,7 @@
  */
 export class GuardedAgent extends Agent {
   readonly causes: ConnectionCauses;
+  private readonly longestRestMs: number;
   private readonly restLimit: RestLimit;
   private readonly restingSinceMs = new WeakMap<Socket, number>();
   private readonly watched = new WeakSet<Socket>();
@@ -40,6 +43,7 @@
       timeout: limits.idleMs,
       scheduling: 'lifo',
     });
+    this.longestRestMs = limits.idleMs * IDLE_SHARE;
     this.causes = new ConnectionCauses(onOpened);
     this.restLimit = new RestLimit({ ...DEFAULT_REST_LIMIT_OPTIONS, maxMs: limits.idleMs });
   }
@@ -87,7 +91,7 @@
     // The base class keeps no connection for which a whole second is granted; its answer is left aside.
     super.keepSocketAlive(stream);
     const nowMs = performance.now();
-    socket.setTimeout(Math.min(restMs, this.restLimit.current(nowMs)));
+    socket.setTimeout(Math.min(restMs, this.longestRestMs, this.restLimit.current(nowMs)));
     socket.on('data', destroySocket);
     this.watchResting(socket);
     this.restingSinceMs.set(socket, nowMs);
--- a/test/backend-sender.test.ts
+++ b/test/backend-sender.test.ts
@@ -1,7 +1,9 @@
-import { createServer } from 'node:net';
-import type { AddressInfo, Server, Socket } from 'node:net';
+import { createServer, Socket } from 'node:net';
+import type { AddressInfo, Server } from 'node:net';
 import test from 'ava';
 import type { AnswerHead, AttemptFailure } from '../src/gateway/attempt/attempt.js';
+import { ConnectionCauses } from '../src/gateway/attempt/connection-causes.js';
+import type { ConnectionReason } from '../src/gateway/attempt/connection-causes.js';
 import { backendOf } from './support/gateway.js';
 import {
   DEFAULT_BACKEND_SENDER_OPTIONS,
@@ -239,6 +241,31 @@
   t.deepEqual(await reasonsFor(reset, { rounds: 3, pauseMs: 20 }), { first: 1, reset: 2 });
 });
 
+test('a connection for which no rest is granted is closed well before the longest rest is over', async (t) => {
+  const { server, address } = await startBackend((socket) => socket.write(`${FRAMED}a-01`));
+  const sender = new HttpBackendSender({ ...DEFAULT_BACKEND_SENDER_OPTIONS, idleMs: 1_000 });
+  await sendTo(sender, address);
+  await new Promise((resolve) => setTimeout(resolve, 800));
+  t.false(sender.isConnectionResting({ address }));
+  sender.close();
+  server.close();
+});
+
+test('back ends whose connections are remembered are bounded; the longest unused is new again', (t) => {
+  const reasons: ConnectionReason[] = [];
+  const causes = new ConnectionCauses((reason) => reasons.push(reason));
+  const open = (index: number) => causes.noteOpened(`10.0.0.1:${index}`, new Socket());
+  open(0);
+  for (let index = 1; index < 1_024; index += 1) {
+    open(index);
+  }
+  open(0);
+  open(1_024);
+  open(1);
+  open(0);
+  t.deepEqual(reasons.slice(-4), ['none-idle', 'first', 'first', 'none-idle']);
+});
+
 test('the time in which a connection came up is told once, for the request that opened it', async (t) => {
   const { server, address } = await startBackend((socket) => socket.write(`${FRAMED}a-01`));
   const sender = new HttpBackendSender();
