--- a/src/gateway/dispatch/prefill-estimate.ts
+++ b/src/gateway/dispatch/prefill-estimate.ts
@@ -13,7 +13,7 @@
 const SLOWER_STEP = 0.05;
 /** Tokens by which prompts are scaled, so that both parts are fitted at a like pace. */
 const SCALE_TOKENS = 1_000;
-/** Least share of the first sample that is taken to be independent of the prompt; of a short prompt's it is nearly all. */
+/** Share of the first sample that is taken to be independent of the prompt. */
 const FIRST_BASE_SHARE = 0.5;
 
 /** Time to the first event of one engine. */
@@ -30,13 +30,12 @@
     if (promptTokens <= 0) {
       return;
     }
-    const scaled = promptTokens / SCALE_TOKENS;
     if (this.line === undefined) {
-      const share = Math.max(FIRST_BASE_SHARE, 1 / (1 + scaled * scaled));
-      const baseMs = firstMs * share;
+      const baseMs = firstMs * FIRST_BASE_SHARE;
       this.line = { baseMs, msPerToken: (firstMs - baseMs) / promptTokens };
       return;
     }
+    const scaled = promptTokens / SCALE_TOKENS;
     const error = firstMs - expectedFirstMs(this.line, promptTokens);
     const step = (error < 0 ? FASTER_STEP : SLOWER_STEP) / (1 + scaled * scaled);
     this.line = {
