--- a/src/gateway/attempt/guarded-agent.ts
+++ b/src/gateway/attempt/guarded-agent.ts
@@ -70,11 +70,6 @@
     }
   }
 
-  /** Whether a connection to one address rests. */
-  isOneResting({ host, port }: HostAndPort): boolean {
-    return (this.freeSockets[this.getName({ host, port })]?.length ?? 0) > 0;
-  }
-
   /** Ends the resting connections to one address. */
   endResting({ host, port }: HostAndPort): void {
     for (const resting of this.freeSockets[this.getName({ host, port })] ?? []) {
--- a/src/gateway/attempt/http-backend-sender.ts
+++ b/src/gateway/attempt/http-backend-sender.ts
@@ -9,7 +9,6 @@
   BackendSender,
   OutgoingAttempt,
 } from './attempt.js';
-import type { Backend } from '../../routing/backend.js';
 import { splitAddress } from '../../address.js';
 import type { HostAndPort } from '../../address.js';
 import type { ConnectionLoss, ConnectionReason } from './connection-causes.js';
@@ -65,11 +64,6 @@
     this.agent.endResting(splitAddress(address));
   }
 
-  /** Whether a connection to a back end rests. */
-  isConnectionResting({ address }: Pick<Backend, 'address'>): boolean {
-    return this.agent.isOneResting(splitAddress(address));
-  }
-
   /** Connections that were opened, by reason. */
   get connectionsOpened(): ReadonlyMap<ConnectionReason, number> {
     return this.agent.causes.opened;
--- a/src/gateway/dispatch/backend-chooser.ts
+++ b/src/gateway/dispatch/backend-chooser.ts
@@ -5,7 +5,6 @@
 import type { BackendDirectory } from './backend-directory.js';
 import { costOf, harmsOthers, usualSpeed } from './backend-choice.js';
 import type { UsualSpeed } from './backend-choice.js';
-import { connectionCostMs } from './connection-cost.js';
 import type { DispatchRequest } from './dispatch-request.js';
 import type { KnownBackend } from './known-backend.js';
 import { hasWaitedForNear, isFar, isWorthWaitingFor } from './near-first.js';
@@ -15,8 +14,6 @@
 export interface BackendChooserPorts extends OperatorRules {
   /** Whether a service's back ends are engines, which serve in batches. */
   isEngine(service: string): boolean;
-  /** Whether a connection to a back end rests; missing where connections cost nothing. */
-  isConnectionResting?(backend: Backend): boolean;
   /** Gateways that are known, this one included. */
   countGateways(): number;
   /** Tokens that an engine of the service gathers in one event. */
@@ -88,11 +85,9 @@
     usual: UsualSpeed,
     nowMs: number,
   ): number {
-    if (this.ports.versionUse(known.backend) === 'limited') {
-      return -known.occupied - 1;
-    }
-    const isOneResting = this.ports.isConnectionResting?.(known.backend) ?? true;
-    return costOf(request, known, usual, nowMs) + connectionCostMs(known, isOneResting);
+    return this.ports.versionUse(known.backend) === 'limited'
+      ? -known.occupied - 1
+      : costOf(request, known, usual, nowMs);
   }
 
   /** Whether any back end of the service has a free slot. */
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -97,7 +97,6 @@
       onEjected: (backendId) => parts.log.write('backend-ejected', 'state', { backend: backendId }),
       onAvailability: (backend, availability) => this.noteAvailability(backend, availability),
       isEngine,
-      isConnectionResting: (backend) => this.sender.isConnectionResting(backend),
       countGateways: () => this.cluster.size,
       tokensPerEvent: (service) => this.configuration.tokensPerEvent(service),
       versionUse: (backend) => this.rollouts.rollouts.useOf(backend),
