The soak counts as owed only what orders and homes leave a zone for; late answers of cold back ends and ways in the expected wait

The check now leaves out just these (isOwed, with a test of its own). A cold back end's late answer ends as silent since paths are watched, and is still no fault of it. Learned whole times hold no way any more, so the expected whole time adds it.

--- a/bench/soak/soak-run.ts
+++ b/bench/soak/soak-run.ts
@@ -6,6 +6,7 @@
 import type { BackendRun } from './soak-backend.js';
 import { doFault } from './soak-faults.js';
 import { findOutsideHome } from './soak-homes.js';
+import { isOwed } from './soak-owed.js';
 import { SOAK_COLD_BOUND, SOAK_KEY, SOAK_TIMEOUT_MS, SoakFleet } from './soak-fleet.js';
 import type { SoakEvacuation, SoakSizes } from './soak-fleet.js';
 
@@ -86,7 +87,9 @@
     fleet.gateways[gatewayOf(requestId, plan.sizes.gateways)]!.disturbedUntilMs < sinceMs;
   const violations = [
     ...late,
-    ...findViolations(seen, runs, calmFromMs),
+    ...findViolations(seen, runs, calmFromMs, (one) =>
+      isOwed(one, fleet.homeChanges, fleet.evacuations),
+    ),
     ...findLateForLeaving(runs, fleet.drainedAtMs, isCalmSince),
     ...findOutsideHome(runs, fleet.homeChanges, (id) => fleet.regionOfBackend(id), isCalmSince),
     ...findRushes(runs),
@@ -251,6 +254,7 @@
   seen: readonly SeenRequest[],
   runs: readonly BackendRun[],
   calmFromMs: number,
+  mayBeServed: (request: SeenRequest) => boolean = () => true,
 ): string[] {
   const runsById = new Map<string, BackendRun[]>();
   for (const run of runs) {
@@ -260,7 +264,7 @@
   for (const one of seen) {
     violations.push(...checkRequest(one, runsById.get(one.id) ?? []));
   }
-  const calm = seen.filter(({ sentAtMs }) => sentAtMs >= calmFromMs);
+  const calm = seen.filter((one) => one.sentAtMs >= calmFromMs && mayBeServed(one));
   const well = calm.filter(({ status }) => status === 200).length;
   if (calm.length === 0 || well / calm.length < CALM_SHARE) {
     violations.push(`after the faults only ${well} of ${calm.length} requests were served`);
--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -431,7 +431,8 @@
   /** The gateway ends the try for its slowness, or its caller did; a cold back end is slow without fault. */
   private dropAttempt(outcome: AttemptOutcome, detail: string): void {
     this.attempt?.cancel();
-    const isSlowStart = outcome === 'failed' && this.progress?.isColdStart === true;
+    const isUnanswered = outcome === 'failed' || outcome === 'silent';
+    const isSlowStart = isUnanswered && this.progress?.isColdStart === true;
     this.endAttempt(isSlowStart ? 'unknown' : outcome, detail);
   }
 
--- a/src/gateway/dispatch/backend-directory.ts
+++ b/src/gateway/dispatch/backend-directory.ts
@@ -180,11 +180,11 @@
 
   /** Mean expected time of a whole answer among the permitted back ends, in milliseconds. */
   expectedWholeMs(service: string, units: number, allowedRegions?: AllowedRegions): number {
-    const learned = this.permitted(service, allowedRegions).flatMap(({ msPerUnit }) =>
-      msPerUnit === undefined ? [] : [msPerUnit],
+    const expected = this.permitted(service, allowedRegions).flatMap(({ msPerUnit, roundTrip }) =>
+      msPerUnit === undefined ? [] : [msPerUnit * units + roundTrip.ms],
     );
-    const sum = learned.reduce((total, msPerUnit) => total + msPerUnit, 0);
-    return learned.length === 0 ? 0 : (sum / learned.length) * units;
+    const sum = expected.reduce((total, wholeMs) => total + wholeMs, 0);
+    return expected.length === 0 ? 0 : sum / expected.length;
   }
 
   /**
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -9,6 +9,7 @@
   runSoak,
 } from '../bench/soak/soak-run.js';
 import { findOutsideHome } from '../bench/soak/soak-homes.js';
+import { isOwed } from '../bench/soak/soak-owed.js';
 import type { SeenRequest } from '../bench/soak/soak-run.js';
 
 const SEED = 7;
@@ -128,3 +129,19 @@
   t.deepEqual(findRushes(runs(40, 1, false)), []);
   t.deepEqual(findRushes(runs(27, 1)), ['e got 27 requests in a second while cold']);
 });
+
+test('a request is owed where operators leave it a zone, and not where an order empties its home', (t) => {
+  const changes = [{ atMs: 0, regions: ['a', 'b'] }];
+  const moved = [...changes, { atMs: 9_000, regions: ['b'] }];
+  const one = (kind: string) => ({ kind, sentAtMs: 10_000, endedAtMs: 10_100 });
+  const inA = [{ index: 0, fromMs: 5_000, untilMs: Infinity }];
+  t.true(isOwed(one('home'), changes, []));
+  t.false(isOwed(one('home'), changes, inA));
+  t.true(isOwed(one('safe'), changes, inA));
+  t.true(isOwed(one('moved'), changes, inA));
+  const inB = [{ index: 1, fromMs: 5_000, untilMs: 9_500 }];
+  t.false(isOwed(one('moved'), moved, inB));
+  t.true(isOwed(one('home'), moved, inB));
+  t.false(isOwed(one('safe'), changes, [...inA, ...inB]));
+  t.true(isOwed(one('home'), changes, [{ index: 0, fromMs: 1_000, untilMs: 7_000 }]));
+});
