A gateway whose grant was held up tells the agent anew what waits

The agent strikes a request off when it grants a slot for it. A gateway that gave the grant back as too old had its demand unchanged, so it never told the request again: with a cold engine, which is used by grants alone, it waited beside free slots until the queue changed. It now repeats its demand, with its clock, before it gives the slot back, so that the next grant rests on a new word. The test failed first (only grant-returned was sent).

--- a/src/gateway/dispatch/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -28,7 +28,7 @@
 import type { DispatchRequest } from './dispatch-request.js';
 import type { KnownBackend, SlotAgentLink } from './known-backend.js';
 import { hasWaitedForNear } from './near-first.js';
-import { nextDemand } from './slot-demand.js';
+import { nextDemand, UNTOLD_DEMAND } from './slot-demand.js';
 import { statedHomes } from './stated-homes.js';
 import { ServiceQueue } from './service-queue.js';
 
@@ -338,8 +338,9 @@
   private useGrant(known: KnownBackend, grant: SlotGranted, nowMs: number): void {
     const backendId = known.backend.id;
     const queue = this.waitingInOrder(known.backend.service, nowMs);
+    const isStale = this.ports.coldStarts.isStale(grant.heardAtMs, nowMs);
     const isUsable =
-      !this.ports.coldStarts.isStale(grant.heardAtMs, nowMs) &&
+      !isStale &&
       known.isReady &&
       known.availability !== 'closed' &&
       !known.health.isEjected(nowMs);
@@ -347,6 +348,9 @@
       ? this.chooser.chooseForGrant(queue, known, grant.homeOwner)
       : undefined;
     if (request === undefined) {
+      if (isStale) {
+        this.tellDemandAnew(known, nowMs);
+      }
       this.sendToAgent(backendId, known, { kind: 'grant-returned' });
       return;
     }
@@ -435,6 +439,17 @@
     }
   }
 
+  /**
+   * The agent took the request for served that it granted a slot for, and nothing changed here: it is told again,
+   * before the slot is given back, so that it grants that on a word that is new.
+   */
+  private tellDemandAnew(known: KnownBackend, nowMs: number): void {
+    if (known.agent !== undefined) {
+      known.agent.lastDemand = UNTOLD_DEMAND;
+      this.tellDemand(known.backend.service, nowMs);
+    }
+  }
+
   private sendToAgent(backendId: string, known: KnownBackend, message: SlotMessage): void {
     if (known.agent !== undefined) {
       known.agent.messagesSent += 1;
--- a/src/gateway/dispatch/slot-demand.ts
+++ b/src/gateway/dispatch/slot-demand.ts
@@ -19,6 +19,9 @@
   readonly maxLength: number;
 }
 
+/** Stands for a demand that the agent has to be told whatever it is; no demand's text is the same. */
+export const UNTOLD_DEMAND = '?';
+
 /** The demand to tell the agent of `known`; undefined if it was told the same before. */
 export function nextDemand(
   known: KnownBackend,
--- a/test/cold-start.test.ts
+++ b/test/cold-start.test.ts
@@ -185,6 +185,23 @@
   t.deepEqual(world.toAgents.at(-1), ['cold', { kind: 'grant-returned' }]);
 });
 
+test('an agent whose grant was held up is told anew what waits, with the time of that word', async (t) => {
+  const world = coldWorld(0, 'cold');
+  world.dispatcher.connectAgent('cold', 0);
+  world.request({ route: routeOf({ kind: 'stream', timeoutMs: 9_000, targetLatencyMs: 5_000 }) });
+  await world.clock.runUntil(600);
+  world.toAgents.length = 0;
+  hear(world, 'cold', { kind: 'granted', heardAtMs: 0 });
+  t.deepEqual(
+    world.toAgents.map(([, { kind }]) => kind),
+    ['demand', 'grant-returned'],
+    'the agent has the word that its next grant rests on before the slot is free again',
+  );
+  t.like(world.toAgents[0]![1], { ranks: [{ waitedMs: 600 }], grantsSeen: 1, atMs: 600 });
+  hear(world, 'cold', { kind: 'granted', heardAtMs: 600 });
+  t.is(world.attempts.length, 1);
+});
+
 test('warm back ends are used first, then cold ones up to the share of this gateway', (t) => {
   const world = coldWorld(2, 'cold', 'warm');
   for (let index = 0; index < 9; index += 1) {
