--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -207,13 +207,14 @@
     this.moveOn(lostId);
   }
 
+  /** Whether a back end that may serve the request stands on a path that is trusted. */
   private hasReachableOther(): boolean {
-    return this.ports.directory
+    const suspects = this.ports.directory
       .ofService(this.request.service)
-      .some(
-        ({ backend, isReady, path }) =>
-          isReady && !path.isSuspect && backend !== this.backend && !this.excluded.has(backend.id),
-      );
+      .filter(({ path, availability }) => path.isSuspect || availability === 'closed')
+      .map(({ backend }) => backend.id);
+    const left = new Set([...this.excluded, this.backend!.id, ...suspects]);
+    return this.ports.dispatcher.hasReady(this.request, left);
   }
 
   private noteHeard(): void {
--- a/src/gateway/attempt/request-wait.ts
+++ b/src/gateway/attempt/request-wait.ts
@@ -59,7 +59,8 @@
       promptTokens,
       firstDueAtMs,
       maxPauseMs: route.maxPauseMs,
-      isRepeatable: isRepeatable(route),
+      // One that moved already is not risked on a path that may be lost as well.
+      isRepeatable: isRepeatable(route) && excluded.size === 0,
       excluded,
       onPlaced: (backend, nowMs) => {
         this.end();
--- a/src/gateway/dispatch/cold-starts.ts
+++ b/src/gateway/dispatch/cold-starts.ts
@@ -117,7 +117,9 @@
       return {};
     }
     const coldness = this.coldness(known, nowMs);
-    return { atMs: nowMs, ...(coldness && { coldMs: coldness.untilMs - nowMs }) };
+    // What rests on the agent's own word, or on its silence, is no news to it: told back, it would never end.
+    const isNews = coldness !== undefined && coldness.reason !== 'agent-lost';
+    return { atMs: nowMs, ...(isNews && { coldMs: coldness.untilMs - nowMs }) };
   }
 
   /**
@@ -136,7 +138,9 @@
       return undefined;
     }
     const perS = usable.map((known) => this.startsPerS(known, gateways, nowMs));
-    return perS.reduce((sum, starts) => sum + starts, 0) / MS_PER_S;
+    const sum = perS.reduce((total, starts) => total + starts, 0);
+    // A gateway that has just started has no part yet, but agents that will grant within a moment.
+    return sum === 0 ? undefined : sum / MS_PER_S;
   }
 
   private startsPerS(known: KnownBackend, gateways: number, nowMs: number): number {
--- a/src/gateway/dispatch/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -263,6 +263,7 @@
       availability: 'open',
       // Until the agent's first word nothing is known of the engine.
       grantsOnly: 'cold',
+      hasSpoken: false,
     };
     this.tellDemand(known.backend.service, nowMs);
   }
@@ -271,7 +272,7 @@
   disconnectAgent(backendId: string, nowMs: number): void {
     const known = this.directory.find(backendId);
     if (known !== undefined) {
-      if (known.agent?.grantsOnly === 'cold') {
+      if (known.agent?.grantsOnly === 'cold' && known.agent.hasSpoken) {
         known.cold.suspect('agent-lost', nowMs);
       }
       known.agent = undefined;
@@ -287,6 +288,7 @@
       return;
     }
     if (message.kind === 'state') {
+      known.agent.hasSpoken = true;
       known.agent.occupied = message.occupied;
       known.agent.failureShare = message.failureShare;
       known.agent.homes = message.homes;
--- a/src/gateway/dispatch/known-backend.ts
+++ b/src/gateway/dispatch/known-backend.ts
@@ -25,6 +25,8 @@
 export interface SlotAgentLink {
   /** Occupied slots as the agent told last. */
   occupied: number;
+  /** Whether the agent said anything on this connection. */
+  hasSpoken: boolean;
   /** Messages sent to the agent after the hello. */
   messagesSent: number;
   /** Numbers of the messages by which free slots were taken and that `occupied` does not reflect. */
--- a/src/gateway/links/slot-agent-links.ts
+++ b/src/gateway/links/slot-agent-links.ts
@@ -118,6 +118,10 @@
       const known = this.directory.find(link.backendId);
       const isAtWork = known !== undefined && (known.outstanding > 0 || known.hasDemand);
       if (link.isGreeted && isQuiet && isAtWork) {
+        // The agent counts it as any other message.
+        if (known.agent !== undefined) {
+          known.agent.messagesSent += 1;
+        }
         this.send(link.backendId, { kind: 'alive', atMs: nowMs });
       }
     }
--- a/src/slot-agent/slot-agent-role.ts
+++ b/src/slot-agent/slot-agent-role.ts
@@ -24,6 +24,7 @@
 import { EngineKnowledge } from './engine-knowledge.js';
 import type { EnginePlace } from './engine-knowledge.js';
 import type { ForbiddenTake } from './slot-ledger.js';
+import { DEFAULT_GATEWAY_SILENCE_OPTIONS } from './gateway-account.js';
 import { SlotLedger } from './slot-ledger.js';
 import type { AgentRefusal, AgentToGateway, GatewayToAgent, SlotMessage } from './slot-messages.js';
 
@@ -133,23 +134,27 @@
     this.clock = clock;
     this.knowledge = new EngineKnowledge(identity.engine, parts.places);
     this.coldness = new EngineColdness(() => this.engineRecords(), parts.limits, clock.now());
-    this.ledger = new SlotLedger({
-      send: (connection, message) => this.channels.get(connection)?.send(message),
-      onGranted: () => metrics.record(({ grants }) => grants.inc()),
-      onChangesToTell: () =>
-        clock.setTimeout(() => this.ledger.tellChanges(clock.now()), this.options.tellMs),
-      onReconciled: (slots) => this.noteReconciled(slots),
-      onLookWanted: () => this.lookIn(0),
-      onAvailability: (availability, isGone) => this.noteAvailability(availability, isGone),
-      distanceTo: (zone) =>
-        distanceFrom({ zone: identity.engine.zone, places: parts.places }, zone),
-      restriction: (allowedRegions, homeOwner) =>
-        this.knowledge.restriction(allowedRegions, homeOwner),
-      homesToTell: () => this.knowledge.homesToTell,
-      onForbiddenTake: (take) => this.noteForbiddenTake(take),
-      startRules: (nowMs) => this.coldness.rules(nowMs),
-      onStartsHeld: (resumeInMs) => this.resumeIn(resumeInMs),
-    });
+    this.ledger = new SlotLedger(
+      {
+        send: (connection, message) => this.channels.get(connection)?.send(message),
+        onGranted: () => metrics.record(({ grants }) => grants.inc()),
+        onChangesToTell: () =>
+          clock.setTimeout(() => this.ledger.tellChanges(clock.now()), this.options.tellMs),
+        onReconciled: (slots) => this.noteReconciled(slots),
+        onLookWanted: () => this.lookIn(0),
+        onAvailability: (availability, isGone) => this.noteAvailability(availability, isGone),
+        distanceTo: (zone) =>
+          distanceFrom({ zone: identity.engine.zone, places: parts.places }, zone),
+        restriction: (allowedRegions, homeOwner) =>
+          this.knowledge.restriction(allowedRegions, homeOwner),
+        homesToTell: () => this.knowledge.homesToTell,
+        onForbiddenTake: (take) => this.noteForbiddenTake(take),
+        startRules: (nowMs) => this.coldness.rules(nowMs),
+        onStartsHeld: (resumeInMs) => this.resumeIn(resumeInMs),
+      },
+      DEFAULT_GATEWAY_SILENCE_OPTIONS,
+      clock.now(),
+    );
     this.server = createServer((socket) => this.accept(socket));
     this.exchange = new RecordExchange(
       this.records,
--- a/src/slot-agent/slot-ledger.ts
+++ b/src/slot-agent/slot-ledger.ts
@@ -91,13 +91,15 @@
   private readonly silences = new SilenceReports();
   private readonly engine = new EngineWatch();
   private readonly teller: SlotTeller;
-  private readonly starts = new StartLimiter();
+  private readonly starts: StartLimiter;
   private toldGrantsOnly: GrantsOnly | undefined;
 
   constructor(
     private readonly ports: SlotLedgerPorts,
     private readonly silence: GatewaySilenceOptions = DEFAULT_GATEWAY_SILENCE_OPTIONS,
+    startedAtMs = 0,
   ) {
+    this.starts = new StartLimiter(startedAtMs);
     const counts = {
       occupied: () => this.occupied,
       capacity: () => this.slots,
@@ -240,7 +242,6 @@
         this.disconnect(other, nowMs);
       }
     }
-    this.starts.begin(nowMs);
     const distance = zone === undefined ? undefined : this.ports.distanceTo?.(zone);
     this.goneUntilMs.delete(gateway);
     this.slots = slots;
--- a/src/slot-agent/start-limiter.ts
+++ b/src/slot-agent/start-limiter.ts
@@ -37,13 +37,13 @@
 export class StartLimiter {
   private readonly starts = new StartWindow();
   private readonly unanswered = new Map<number, Start[]>();
-  private spentUntilMs: number | undefined;
+  private readonly spentUntilMs: number;
   private readonly ceiling = new WarmCeiling();
   private isBusy = false;
 
-  /** A gateway is connected: what other processes granted until now is not known. */
-  begin(nowMs: number): void {
-    this.spentUntilMs ??= nowMs + START_WINDOW_MS + GRANT_LIFE_MS;
+  /** @param startedAtMs - when this process started: what another one granted before is not known */
+  constructor(startedAtMs: number) {
+    this.spentUntilMs = startedAtMs + START_WINDOW_MS + GRANT_LIFE_MS;
   }
 
   /** A slot was granted to the gateway on a connection. */
@@ -88,7 +88,7 @@
     if (!isCold) {
       return this.ceiling.msUntilGrant(this.starts.msUntilBelow(bound.warm, nowMs), nowMs);
     }
-    const spentMs = (this.spentUntilMs ?? nowMs) - nowMs;
+    const spentMs = this.spentUntilMs - nowMs;
     return Math.max(spentMs, this.starts.msUntilBelow(bound.granted, nowMs));
   }
 
--- a/test/cold-start.test.ts
+++ b/test/cold-start.test.ts
@@ -312,3 +312,28 @@
 });
 
 const PLACE = { tier: 1, rankInTier: 0, arrivedAtMs: 0, startByMs: 1_000 };
+
+test('a gateway that has just started into a cold fleet waits for its agents and refuses nothing yet', async (t) => {
+  const world = coldWorld(0, 'cold');
+  world.dispatcher.tick(0);
+  const { reply } = world.request();
+  t.is(reply.status, 0);
+  await world.clock.runUntil(150);
+  world.dispatcher.tick(150);
+  t.is(reply.status, 0);
+});
+
+test('a link that is lost before its agent spoke says nothing of the engine, and silence is not told back as cold', (t) => {
+  const world = coldWorld(9, 'warm');
+  const known = world.directory.find('warm')!;
+  const coldness = () => world.coldStarts.coldness(known, 0)?.reason;
+  const before = coldness();
+  world.dispatcher.connectAgent('warm', 0);
+  world.dispatcher.disconnectAgent('warm', 0);
+  t.is(coldness(), before);
+  world.dispatcher.connectAgent('warm', 0);
+  hear(world, 'warm', { ...OPEN, occupied: 0, availability: 'open', grantsOnly: 'cold' });
+  world.dispatcher.disconnectAgent('warm', 0);
+  t.is(coldness(), 'agent-lost');
+  t.is(world.coldStarts.noteFor(known, 0).coldMs, undefined);
+});
--- a/test/slot-agent-links.test.ts
+++ b/test/slot-agent-links.test.ts
@@ -25,12 +25,16 @@
   private readonly beats: NodeJS.Timeout;
   private channel: MessageChannel<AgentToGateway, GatewayToAgent> | undefined;
   isSilent = false;
+  /** Messages heard that an agent counts: all about slots after the hello. */
+  messagesSeen = 0;
 
   constructor(port: number) {
     this.server = createServer((socket) => {
       this.sockets.add(socket);
       this.channel = new MessageChannel(socket, {
-        onMessage: () => undefined,
+        onMessage: ({ kind }) => {
+          this.messagesSeen += kind === 'hello' || kind === 'revision' ? 0 : 1;
+        },
         onClose: () => undefined,
       });
     });
@@ -90,11 +94,15 @@
       peersAddress: '',
       zone: 'z',
       silenceMs: SILENCE_MS,
+      aliveMs: 20,
       retryMinMs: 20,
     },
   );
-  const tick = () => onceArrivalsRead(SYSTEM_CLOCK, (readUpToMs) => links.maintain(readUpToMs));
-  const ticks = setInterval(tick, 10);
+  const maintain = (readUpToMs: number) => {
+    links.maintain(readUpToMs);
+    links.tellAlive();
+  };
+  const ticks = setInterval(() => onceArrivalsRead(SYSTEM_CLOCK, maintain), 10);
   const stop = () => {
     clearInterval(ticks);
     links.stop();
@@ -111,6 +119,19 @@
   return condition();
 }
 
+test('words that a gateway lives are counted like any other, so that no count seems to hold what was taken later', async (t) => {
+  const agent = new FakeAgent(28_957);
+  const { known, stop } = startLinks(28_957);
+  t.teardown(() => {
+    stop();
+    agent.die();
+  });
+  t.true(await holdsSoon(() => known.agent !== undefined));
+  known.outstanding = 1;
+  t.true(await holdsSoon(() => agent.messagesSeen >= 3));
+  t.true(known.agent!.messagesSent >= agent.messagesSeen);
+});
+
 test('an agent that falls silent makes its path doubtful, and its next word ends that', async (t) => {
   const agent = new FakeAgent(28_951);
   const { known, stop } = startLinks(28_951);
--- a/test/support/cold-fleet.ts
+++ b/test/support/cold-fleet.ts
@@ -314,23 +314,27 @@
       clock.now(),
     );
     const { coldness } = this;
-    const ledger: SlotLedger = new SlotLedger({
-      send: (connection, message) => this.send(connection, message),
-      onGranted: () => undefined,
-      onChangesToTell: () => clock.setTimeout(() => ledger.tellChanges(clock.now()), 250),
-      onReconciled: () => undefined,
-      onLookWanted: () => undefined,
-      onAvailability: () => undefined,
-      restriction: () => undefined,
-      homesToTell: () => undefined,
-      onForbiddenTake: () => undefined,
-      startRules: (nowMs) => coldness.rules(nowMs),
-      onStartsHeld: (inMs) => {
-        if (Number.isFinite(inMs)) {
-          clock.setTimeout(() => ledger.resume(clock.now()), inMs);
-        }
+    const ledger: SlotLedger = new SlotLedger(
+      {
+        send: (connection, message) => this.send(connection, message),
+        onGranted: () => undefined,
+        onChangesToTell: () => clock.setTimeout(() => ledger.tellChanges(clock.now()), 250),
+        onReconciled: () => undefined,
+        onLookWanted: () => undefined,
+        onAvailability: () => undefined,
+        restriction: () => undefined,
+        homesToTell: () => undefined,
+        onForbiddenTake: () => undefined,
+        startRules: (nowMs) => coldness.rules(nowMs),
+        onStartsHeld: (inMs) => {
+          if (Number.isFinite(inMs)) {
+            clock.setTimeout(() => ledger.resume(clock.now()), inMs);
+          }
+        },
       },
-    });
+      undefined,
+      clock.now(),
+    );
     this.ledger = ledger;
   }
 
