Unsent requests follow a home that moves; lost paths are left only for permitted back ends; orders come before back ends

Cause, by review: a request whose connection was not up when its home moved was sent abroad once it came up, since only evacuations took unsent requests back. A request on a lost path at home was given up for a reachable back end abroad that it may not use. An order took back what was bound within a roll-out's share that is used up. News that came together could serve what waits by a new back end before the order beside it was read.

--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -26,6 +26,7 @@
 const MIN_TIME_FOR_ATTEMPT_MS = 5;
 const HTTP_SERVER_ERROR = 500;
 const NO_HEADERS = new Set<string>();
+const NONE: ReadonlySet<string> = new Set();
 
 type Phase = 'waiting' | 'sent' | 'streaming' | 'done';
 
@@ -90,8 +91,7 @@
     if (phase !== 'sent' || backend === undefined || attempt === undefined) {
       return false;
     }
-    const isPermitted = this.ports.directory.isPermitted(backend, this.request.allowedRegions);
-    if (isPermitted || !attempt.withdraw()) {
+    if (!this.isForbidden(backend) || !attempt.withdraw()) {
       return false;
     }
     this.endAttempt(
@@ -103,6 +103,13 @@
     return true;
   }
 
+  /** Whether it must not go there any more. A share of a roll-out that is used up says nothing of those in it. */
+  private isForbidden(backend: Backend): boolean {
+    const known = this.ports.directory.find(backend.id);
+    const reason = known && this.ports.dispatcher.restriction(this.request, known);
+    return reason !== undefined && reason !== 'version-closed';
+  }
+
   private waitForBackend(): void {
     this.phase = 'waiting';
     this.clearStepTimer();
@@ -126,8 +133,7 @@
       this.answerFailure('zone-evacuated');
       return;
     }
-    const { service, allowedRegions } = this.request;
-    const hasBackends = this.ports.directory.countReady(service, allowedRegions) > 0;
+    const hasBackends = this.ports.dispatcher.hasReady(this.request, NONE);
     this.answerFailure(homeReason ?? (hasBackends ? 'overloaded' : 'no-backend'));
   }
 
@@ -208,12 +214,12 @@
   }
 
   private hasReachableOther(): boolean {
-    return this.ports.directory
+    const lost = this.ports.directory
       .ofService(this.request.service)
-      .some(
-        ({ backend, isReady, path }) =>
-          isReady && !path.isSuspect && backend !== this.backend && !this.excluded.has(backend.id),
-      );
+      .filter(({ path }) => path.isSuspect)
+      .map(({ backend }) => backend.id);
+    const others = new Set([...lost, ...this.excluded, this.backend!.id]);
+    return this.ports.dispatcher.hasReady(this.request, others);
   }
 
   private noteHeard(): void {
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -7,6 +7,7 @@
 import { findUnknownHome } from '../routing/home-regions.js';
 import type { InvalidHomesError } from '../routing/home-regions.js';
 import type { OperatorRules } from '../routing/backend-restriction.js';
+import type { DecodedRecord } from '../routing/decoded-record.js';
 import { Places } from '../routing/places.js';
 import { UnknownZones } from '../routing/unknown-zones.js';
 import type { RoutingConfiguration } from '../routing/configuration.js';
@@ -33,6 +34,7 @@
   DEFAULT_BACKEND_SENDER_OPTIONS,
   HttpBackendSender,
 } from './attempt/http-backend-sender.js';
+import { inOrderOfEffect } from './news-order.js';
 import { PlannedStop } from './planned-stop.js';
 import { ReadinessListener } from './readiness-listener.js';
 import { DEFAULT_SLOT_AGENT_LINK_OPTIONS, SlotAgentLinks } from './links/slot-agent-links.js';
@@ -287,8 +289,10 @@
     if (news.length === 0) {
       return;
     }
-    for (const record of news) {
-      this.takeRecord(record);
+    const { adapter } = this.parts;
+    const decoded = news.map((record) => ({ record, decoded: adapter.decode(record) }));
+    for (const each of inOrderOfEffect(decoded)) {
+      this.takeRecord(each.record, each.decoded);
     }
     if (this.configuration.table !== undefined) {
       this.directory.noteListed();
@@ -296,9 +300,8 @@
     this.links.maintain();
   }
 
-  private takeRecord(record: StoreRecord): void {
-    const { adapter, log, clock } = this.parts;
-    const decoded = adapter.decode(record);
+  private takeRecord(record: StoreRecord, decoded: DecodedRecord): void {
+    const { log, clock } = this.parts;
     if (decoded.kind === 'configuration') {
       this.install(decoded.configuration, record.revision);
     } else if (decoded.kind === 'backend') {
@@ -367,6 +370,7 @@
     }
     // Agents are told anew where waiting requests may be served.
     this.dispatcher.tick(this.parts.clock.now());
+    this.requests.withdrawUnsent();
     this.parts.metrics.record(({ configurationVersion }) => configurationVersion.set(version));
     this.parts.log.write('configuration-installed', 'state', {
       version: configuration.version,
--- a/test/homes-gateway.test.ts
+++ b/test/homes-gateway.test.ts
@@ -2,6 +2,7 @@
 import { request } from 'undici';
 import { createPlatformAdapter } from '../platform/adapter.js';
 import { SYSTEM_CLOCK } from '../src/clock.js';
+import type { BackendSender } from '../src/gateway/attempt/attempt.js';
 import { GatewayMetrics } from '../src/gateway/metrics/gateway-metrics.js';
 import { GatewayRole } from '../src/gateway/gateway-role.js';
 import { parseGatewaySettings } from '../src/gateway/gateway-settings.js';
@@ -74,6 +75,11 @@
     await this.until(() => this.log.last('configuration-installed') !== undefined);
   }
 
+  /** What the gateway sends with. */
+  get sender(): BackendSender {
+    return this.gateway!['sender'];
+  }
+
   stop(): void {
     this.gateway?.stop(() => undefined);
     this.home.stop();
@@ -142,6 +148,29 @@
   system.stop();
 });
 
+test('a request whose connection is not up goes elsewhere, unsent, when its home moves', async (t) => {
+  const system = new Deployment();
+  await system.start(configurationOf(1, ['a']));
+  const sender = system.sender;
+  const send = sender.send.bind(sender);
+  const ignore = () => undefined;
+  const seen = { waiting: 0, withdrawn: 0 };
+  sender.send = (attempt, handlers) => {
+    if (attempt.backend.id !== 'w-a') {
+      return send(attempt, handlers);
+    }
+    seen.waiting += 1;
+    const withdraw = () => (seen.withdrawn += 1) > 0;
+    return { cancel: ignore, withdraw, pause: ignore, resume: ignore };
+  };
+  const answer = system.call();
+  await system.until(() => seen.waiting === 1);
+  system.store.put('op/config', configurationOf(2, ['b']));
+  t.deepEqual(await answer, [200, 'b']);
+  t.deepEqual(seen, { waiting: 1, withdrawn: 1 });
+  system.stop();
+});
+
 test('a gateway that knows no other configuration takes one with an unknown home, and keeps to it', async (t) => {
   const system = new Deployment();
   await system.start(configurationOf(1, ['c']));
--- a/test/homes.test.ts
+++ b/test/homes.test.ts
@@ -111,6 +111,18 @@
   t.is(placesAsked(world)[1], 'far');
 });
 
+test('a lost path at home is not left for a back end abroad', (t) => {
+  const world = worldOf(homesOf({ r: ['a'] }), ['w', { zone: 'a1' }], ['far', { zone: 'b1' }]);
+  world.dispatcher.updateBackend('other', backendOf('other', { zone: 'a2' }), 0);
+  world.request();
+  const used = world.attempts[0]!.backend.id;
+  const paths = world.directory.list().filter(({ backend }) => backend.id !== 'far');
+  paths.forEach(({ path }) => path.suspect('agent-silent', world.clock.now()));
+  world.directory.find(used)!.path.tellLost();
+  t.false(world.attempts[0]!.isCancelled);
+  t.deepEqual(placesAsked(world), [used]);
+});
+
 test('a stream is resumed at home only', (t) => {
   const route = routeOf({ kind: 'stream', isResumable: true, maxAttempts: 3, maxPauseMs: 500 });
   const world = worldOf(homesOf({ r: ['a'] }), ['w', { zone: 'a1' }], ['far', { zone: 'b1' }]);
--- a/test/zone-evacuation.test.ts
+++ b/test/zone-evacuation.test.ts
@@ -1,5 +1,7 @@
 import fc from 'fast-check';
 import test from 'ava';
+import { inOrderOfEffect } from '../src/gateway/news-order.js';
+import type { DecodedNews } from '../src/gateway/news-order.js';
 import { BackendDirectory } from '../src/gateway/dispatch/backend-directory.js';
 import { SlotSupply } from '../src/gateway/dispatch/slot-supply.js';
 import { GatewayEvacuations } from '../src/gateway/gateway-evacuations.js';
@@ -92,6 +94,28 @@
   t.deepEqual(usedBackends(world), ['a', 'b']);
 });
 
+test('an order leaves alone what waits for a connection within the share of a roll-out that is used up', (t) => {
+  const world = new GatewayWorld(backendOf('a', { zone: 'za' }));
+  world.connecting.add('a');
+  const { request } = world.request({ route: UNSAFE });
+  world.versionUses.set('v1', 'closed');
+  world.order('zb', true);
+  t.false(request.withdrawUnsent());
+  t.false(world.attempts[0]!.isCancelled);
+});
+
+test('news that came together: evacuations first, back ends last', (t) => {
+  const news = ['backend', 'rollout-order', 'evacuation', 'configuration', 'backend', 'evacuation'];
+  const numbered = news.map((kind, index) => ({
+    index,
+    decoded: { kind } as DecodedNews['decoded'],
+  }));
+  t.deepEqual(
+    inOrderOfEffect(numbered).map(({ index }) => index),
+    [2, 5, 1, 3, 0, 4],
+  );
+});
+
 test('a request that was sent to an evacuated zone is not sent a second time', (t) => {
   const world = new GatewayWorld(backendOf('a', { zone: 'za' }), backendOf('b', { zone: 'zb' }));
   const { request } = world.request({ route: UNSAFE });
@@ -190,10 +214,10 @@
   const world = new GatewayWorld(backendOf('a', { zone: 'za' }), backendOf('b', { zone: 'zb' }));
   world.dispatcher.learnSpeed('a', 1, 10);
   world.dispatcher.learnSpeed('b', 1, 50);
-  t.is(world.directory.countReady('s', undefined), 2);
+  t.is(world.directory.permitted('s', undefined).length, 2);
   t.is(world.directory.expectedWholeMs('s', 1), 30);
   world.order('za', true);
-  t.is(world.directory.countReady('s', undefined), 1);
+  t.is(world.directory.permitted('s', undefined).length, 1);
   t.is(world.directory.expectedWholeMs('s', 1), 50);
   t.is(world.directory.countSlots('s'), 2);
 });
