What operators permit is asked once for each grant, and without lists

Demand asked for each pair of request and engine twice, and looked up a region where no homes are named.

--- a/src/gateway/dispatch/backend-chooser.ts
+++ b/src/gateway/dispatch/backend-chooser.ts
@@ -131,8 +131,11 @@
   hasCandidates(request: ServedRequest, nowMs: number): boolean {
     return this.directory
       .ofService(request.service)
-      .filter((known) => known.isReady || this.isUnlistedLately(known, nowMs))
-      .some((known) => this.isPermitted(request, known));
+      .some(
+        (known) =>
+          (known.isReady || this.isUnlistedLately(known, nowMs)) &&
+          this.isPermitted(request, known),
+      );
   }
 
   /**
@@ -147,7 +150,10 @@
   ): DispatchRequest | undefined {
     const isBound = this.mustAsk(known);
     const fitting = (request: DispatchRequest) =>
-      this.fitsGrant(request, known) && (!isBound || isSameOwner(request.homeOwner, grantedTo));
+      this.fits(request, known) && (!isBound || isSameOwner(request.homeOwner, grantedTo));
+    if (!this.isOpen(known)) {
+      return undefined;
+    }
     if (!known.isOnTrial) {
       return queue.find(fitting);
     }
@@ -155,12 +161,11 @@
     return repeatable ?? queue.filter(fitting).at(-1);
   }
 
-  /** Whether the request could use a slot that the back end's agent grants. */
-  fitsGrant(request: DispatchRequest, known: KnownBackend): boolean {
-    const { backend } = known;
-    const isExcluded = request.excluded.has(backend.id);
-    const isPermitted = this.isOpen(known) && this.isPermitted(request, known);
-    return isPermitted && !isExcluded && !this.harms(request, known, known.occupied - 1);
+  /** Whether the request could use a slot that the agent of a back end that is open grants. */
+  fits(request: DispatchRequest, known: KnownBackend): boolean {
+    const isExcluded = request.excluded.has(known.backend.id);
+    const isHome = request.allowedRegions === undefined || this.isPermitted(request, known);
+    return isHome && !isExcluded && !this.harms(request, known, known.occupied - 1);
   }
 
   /** Whether operators permit that the request is sent to the back end. */
@@ -187,10 +192,11 @@
    * gateway works with if there are any, then other healthy ones.
    */
   private candidates(request: DispatchRequest, nowMs: number): KnownBackend[] {
+    const { service, allowedRegions, excluded } = request;
+    const served = { service, allowedRegions };
     const permitted = this.directory
-      .ofService(request.service)
-      .filter(({ backend }) => !request.excluded.has(backend.id))
-      .filter((known) => this.isPermitted(request, known));
+      .ofService(service)
+      .filter((known) => !excluded.has(known.backend.id) && this.isPermitted(served, known));
     const ready = permitted.filter((known) => known.isReady);
     if (ready.length === 0) {
       return permitted.filter((known) => this.isUnlistedLately(known, nowMs));
--- a/src/gateway/dispatch/backend-directory.ts
+++ b/src/gateway/dispatch/backend-directory.ts
@@ -39,8 +39,6 @@
   subset: DEFAULT_ENGINE_SUBSET_OPTIONS,
 };
 
-const NOTHING: ReadonlySet<string> = new Set();
-
 /** The back ends that a gateway knows. */
 export class BackendDirectory {
   private readonly backends = new Map<string, KnownBackend>();
@@ -109,15 +107,11 @@
   /** Back ends of a service that are listed as taking requests and that operators permit. */
   permitted(service: string, allowedRegions: AllowedRegions): KnownBackend[] {
     return this.ofService(service).filter(
-      ({ backend, isReady }) => isReady && this.isPermitted(backend, allowedRegions),
+      ({ backend, isReady }) =>
+        isReady && restrictionOf(backend, allowedRegions, this.ports) === undefined,
     );
   }
 
-  /** Whether operators permit a back end. */
-  isPermitted(backend: Backend, allowedRegions: AllowedRegions): boolean {
-    return restrictionOf(backend, allowedRegions, this.ports) === undefined;
-  }
-
   /** Why operators keep requests from some of the back ends that are listed as taking requests. */
   restrictions(service: string, allowedRegions: AllowedRegions): Set<RestrictionReason> {
     const reasons = new Set<RestrictionReason>();
@@ -130,17 +124,6 @@
     return reasons;
   }
 
-  /** How many these are, those in `excluded` left out. */
-  countReady(
-    service: string,
-    allowedRegions: AllowedRegions,
-    excluded: ReadonlySet<string> = NOTHING,
-  ): number {
-    return this.permitted(service, allowedRegions).filter(
-      ({ backend }) => !excluded.has(backend.id),
-    ).length;
-  }
-
   /** Slots of those back ends of a service. */
   countSlots(service: string): number {
     return this.permitted(service, undefined).reduce((sum, { backend }) => sum + backend.slots, 0);
@@ -154,11 +137,17 @@
       regionOf: (zone) => ports.regionOf(zone),
       versionUse: (backend) => ports.versionUse(backend),
     };
-    const others = this.ofService(service).filter(
-      ({ backend, isReady }) =>
-        isReady && restrictionOf(backend, allowedRegions, withoutEvacuations) === undefined,
-    );
-    return others.length > 0 && others.every(({ backend }) => ports.isEvacuated(backend.zone));
+    let isAnyEvacuated = false;
+    for (const { backend, isReady } of this.ofService(service)) {
+      if (!isReady || restrictionOf(backend, allowedRegions, withoutEvacuations) !== undefined) {
+        continue;
+      }
+      if (!ports.isEvacuated(backend.zone)) {
+        return false;
+      }
+      isAnyEvacuated = true;
+    }
+    return isAnyEvacuated;
   }
 
   /** Every service that back ends are known of. */
--- a/src/gateway/dispatch/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -423,8 +423,7 @@
       waiting: this.waitingInOrder(service, nowMs),
       maxLength: this.options.demandLength,
       isOpen: (known: KnownBackend) => this.chooser.isOpen(known),
-      fits: (request: DispatchRequest, known: KnownBackend) =>
-        this.chooser.fitsGrant(request, known),
+      fits: (request: DispatchRequest, known: KnownBackend) => this.chooser.fits(request, known),
     };
     for (const known of this.directory.ofService(service)) {
       const demand = nextDemand(known, inputs, nowMs);
--- a/src/gateway/dispatch/slot-demand.ts
+++ b/src/gateway/dispatch/slot-demand.ts
@@ -11,7 +11,7 @@
   readonly waiting: readonly DispatchRequest[];
   /** Whether a back end may be asked for slots at all: not in an evacuated zone, nor of a version on a small share. */
   isOpen(known: KnownBackend): boolean;
-  /** Whether the request could use a slot of the back end. */
+  /** Whether the request could use a slot of the back end, which is open. */
   fits(request: DispatchRequest, known: KnownBackend): boolean;
   /** Whether agents in other regions are told of a request; those near by have the first chance. */
   mayCross(request: DispatchRequest): boolean;
--- a/src/routing/backend-restriction.ts
+++ b/src/routing/backend-restriction.ts
@@ -38,16 +38,12 @@
   if (rules.isEvacuated(backend.zone)) {
     return 'zone-evacuated';
   }
-  if (!isInside(rules.regionOf(backend.zone), allowedRegions)) {
+  if (allowedRegions !== undefined && !isAccepted(rules.regionOf(backend.zone), allowedRegions)) {
     return 'outside-home';
   }
   return rules.versionUse(backend) === 'closed' ? 'version-closed' : undefined;
 }
 
-function isInside(region: string | undefined, allowedRegions: AllowedRegions): boolean {
-  return allowedRegions === undefined || isAccepted(region, allowedRegions);
-}
-
 /** The regions that two lists both allow; a list that is undefined allows all. */
 export function commonRegions(
   left: readonly string[] | undefined,
