A grant is too old only where the rate of starts has a bound

Cause: words that a gateway lives name its clock at every service, demands only where starts are bounded. The test is red without the line.

--- a/src/gateway/dispatch/cold-starts.ts
+++ b/src/gateway/dispatch/cold-starts.ts
@@ -106,9 +106,12 @@
     starts.add(nowMs, nowMs);
   }
 
-  /** Whether a grant that rests on this gateway's word of `heardAtMs` is too old to be used. */
-  isStale(heardAtMs: number | undefined, nowMs: number): boolean {
-    return heardAtMs !== undefined && nowMs - heardAtMs > GRANT_LIFE_MS;
+  /**
+   * Whether a grant that rests on this gateway's word of `heardAtMs` is too old to be used. Only where the rate
+   * of starts has a bound: elsewhere demands name no time, so that the word may be old and the grant is not.
+   */
+  isStale(known: KnownBackend, heardAtMs: number | undefined, nowMs: number): boolean {
+    return heardAtMs !== undefined && nowMs - heardAtMs > GRANT_LIFE_MS && this.isBounded(known);
   }
 
   /** What the agent beside a back end is told with each demand. */
--- a/src/gateway/dispatch/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -340,7 +340,7 @@
   private useGrant(known: KnownBackend, grant: SlotGranted, nowMs: number): void {
     const backendId = known.backend.id;
     const queue = this.waitingInOrder(known.backend.service, nowMs);
-    const isStale = this.ports.coldStarts.isStale(grant.heardAtMs, nowMs);
+    const isStale = this.ports.coldStarts.isStale(known, grant.heardAtMs, nowMs);
     const isUsable =
       !isStale &&
       known.isReady &&
--- a/test/cold-start.test.ts
+++ b/test/cold-start.test.ts
@@ -335,3 +335,14 @@
   t.is(coldness(), 'agent-lost');
   t.is(world.coldStarts.noteFor(known, 0).coldMs, undefined);
 });
+
+test('a grant is used however old the word that it names, where the rate of starts has no bound', (t) => {
+  const world = new GatewayWorld(backendOf('a'));
+  world.engines = true;
+  world.dispatcher.connectAgent('a', 0);
+  hear(world, 'a', { ...OPEN, occupied: 2, availability: 'open' });
+  world.request({ route: routeOf({ kind: 'unsafe', targetLatencyMs: 1_000 }) });
+  t.is(world.attempts.length, 0);
+  hear(world, 'a', { kind: 'granted', heardAtMs: -10_000 });
+  t.is(world.attempts.length, 1);
+});
