Logs tell that a request came again, and why an agent takes its engine for closed

Cause: after the incident nobody could tell from the lines whether failed tries at several gateways were one request (their ids differ; size and tenant may agree by chance), nor whether an engine had ended or only broken off answers. A failed request's line has a fingerprint of its caller, method, host, path and body; an agent's closed engine has a cause. No decision changed. Tests: request-fingerprint (3 new).

--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -19,6 +19,7 @@
 import type { BackendDirectory } from './dispatch/backend-directory.js';
 import type { Dispatcher } from './dispatch/dispatcher.js';
 import type { GatewayAdapter } from './gateway-adapter.js';
+import { fingerprintOf } from './crashes/request-fingerprint.js';
 import type { GatewayCluster } from './gateway-cluster.js';
 import { reportHomes, reportKept } from './homes/home-report.js';
 import type { HomeReport } from './homes/home-report.js';
@@ -187,6 +188,8 @@
       promptTokens: request.promptTokens,
       triedForMs: request.arrivedAtMs - request.firstTriedAtMs,
       ...end,
+      // Each time that a request is sent it has another id: what is the same tells that it came again.
+      fingerprint: hasFailedAtBackend(end) ? fingerprintOf(request) : undefined,
       waiting: dispatcher.countWaiting(request.service),
       storeAgeMs: cluster.storeAgeMs,
       configuration: configuration.version,
@@ -212,6 +215,10 @@
   }
 }
 
+function hasFailedAtBackend({ tries }: RequestEnd): boolean {
+  return tries.some(({ outcome }) => outcome === 'failed');
+}
+
 function isHeldUp({ waitedMs }: RequestEnd): boolean {
   return waitedMs >= HELD_UP_MS;
 }
--- a/src/slot-agent/engine-watch.ts
+++ b/src/slot-agent/engine-watch.ts
@@ -25,6 +25,9 @@
   /** Nothing is to be sent there. */
   | 'closed';
 
+/** Why an engine is closed: it ended, answers nobody, or rests after failures in a row. */
+export type ClosedCause = 'port-closed' | 'silent' | 'failing';
+
 /** What is believed of an engine. */
 type EngineState =
   | 'serving'
@@ -69,6 +72,8 @@
 export class EngineWatch {
   private state: EngineState = 'serving';
   private silentLooks = 0;
+  /** Whether the last look found nothing listening at its address. */
+  private isPortClosed = false;
   /** Whether a gateway heard nothing of it since it was looked at last; grants go on meanwhile. */
   private isDoubted = false;
   private failuresInRow = 0;
@@ -87,9 +92,15 @@
     return this.state === 'gone' || this.state === 'resting' ? 'closed' : 'open';
   }
 
-  /** Whether it crashed, or answers nobody; one that rests is there. */
-  get isGone(): boolean {
-    return this.state === 'gone';
+  /** Why it is closed; undefined while it is not. */
+  get closedCause(): ClosedCause | undefined {
+    if (this.state === 'resting') {
+      return 'failing';
+    }
+    if (this.state !== 'gone') {
+      return undefined;
+    }
+    return this.isPortClosed ? 'port-closed' : 'silent';
   }
 
   /** Whether a look is owed before anything is granted. */
@@ -127,6 +138,7 @@
 
   /** Takes in what a look brought. */
   noteReading(reading: EngineReading, nowMs: number): void {
+    this.isPortClosed = reading.kind === 'closed';
     if (reading.kind !== 'load') {
       this.noteUnanswered(reading.kind === 'closed');
       return;
--- a/src/slot-agent/slot-agent-role.ts
+++ b/src/slot-agent/slot-agent-role.ts
@@ -19,7 +19,7 @@
 import type { RandomSource } from '../random.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { SlotAgentMetrics } from './slot-agent-metrics.js';
-import type { EngineAvailability, EngineReading } from './engine-watch.js';
+import type { ClosedCause, EngineAvailability, EngineReading } from './engine-watch.js';
 import { EngineColdness } from './engine-coldness.js';
 import { EngineKnowledge } from './engine-knowledge.js';
 import type { EnginePlace } from './engine-knowledge.js';
@@ -142,7 +142,7 @@
           clock.setTimeout(() => this.ledger.tellChanges(clock.now()), this.options.tellMs),
         onReconciled: (slots) => this.noteReconciled(slots),
         onLookWanted: () => this.lookIn(0),
-        onAvailability: (availability, isGone) => this.noteAvailability(availability, isGone),
+        onAvailability: (availability, cause) => this.noteAvailability(availability, cause),
         distanceTo: (zone) =>
           distanceFrom({ zone: identity.engine.zone, places: parts.places }, zone),
         restriction: (allowedRegions, homeOwner) =>
@@ -298,11 +298,13 @@
     });
   }
 
-  private noteAvailability(availability: EngineAvailability, isGone: boolean): void {
+  private noteAvailability(availability: EngineAvailability, cause: ClosedCause | undefined): void {
+    const isGone = cause === 'port-closed' || cause === 'silent';
     this.coldness.noteGone(isGone, this.clock.now());
     this.parts.metrics.record(({ engineChanges }) => engineChanges.inc({ availability }));
     this.parts.log.write('engine-availability', 'state', {
       availability,
+      cause,
       ...this.ledger.snapshot,
     });
   }
--- a/src/slot-agent/slot-ledger.ts
+++ b/src/slot-agent/slot-ledger.ts
@@ -12,7 +12,7 @@
 import type { HomeOwner } from '../routing/named-homes.js';
 import type { Distance } from '../routing/places.js';
 import { EngineWatch } from './engine-watch.js';
-import type { EngineAvailability, EngineReading } from './engine-watch.js';
+import type { ClosedCause, EngineAvailability, EngineReading } from './engine-watch.js';
 import { FailureEstimate } from './failure-estimate.js';
 import { DEFAULT_GATEWAY_SILENCE_OPTIONS, GatewayAccount, regionsOf } from './gateway-account.js';
 import type { GatewaySilenceOptions, WaitingRequest } from './gateway-account.js';
@@ -51,7 +51,7 @@
   /** A request failed: the back end is to be looked at now. */
   onLookWanted(): void;
   /** Whether gateways may use the back end changed. */
-  onAvailability(availability: EngineAvailability, isGone: boolean): void;
+  onAvailability(availability: EngineAvailability, closedCause: ClosedCause | undefined): void;
   /** How far a zone is from the back end; missing where that is not known. */
   distanceTo?(zone: string): Distance;
   /** Why operators keep a request from the back end; undefined where they do not. */
@@ -345,7 +345,7 @@
   private tellAvailability(before: EngineAvailability, nowMs: number): void {
     const { availability } = this.engine;
     if (availability !== before) {
-      this.ports.onAvailability(availability, this.engine.isGone);
+      this.ports.onAvailability(availability, this.engine.closedCause);
       this.teller.tellAll(nowMs);
     }
   }
--- /dev/null
+++ b/test/request-fingerprint.test.ts
@@ -0,0 +1,49 @@
+import test from 'ava';
+import { fingerprintOf } from '../src/gateway/crashes/request-fingerprint.js';
+import type { FingerprintedRequest } from '../src/gateway/crashes/request-fingerprint.js';
+import { DEFAULT_ENGINE_WATCH_OPTIONS, EngineWatch } from '../src/slot-agent/engine-watch.js';
+import { routeOf } from './support/gateway.js';
+
+const REQUEST: FingerprintedRequest = {
+  tenant: 'shop',
+  method: 'POST',
+  route: routeOf(),
+  path: '/a/x?y=1',
+  body: Buffer.from('the body'),
+};
+
+test('a request that comes again has the fingerprint that it had', (t) => {
+  const again = { ...REQUEST, body: Buffer.from('the body'), route: routeOf({ timeoutMs: 7 }) };
+  t.is(fingerprintOf(again), fingerprintOf(REQUEST));
+});
+
+test('another caller, method, host, path or body has another fingerprint', (t) => {
+  const others: FingerprintedRequest[] = [
+    REQUEST,
+    { ...REQUEST, tenant: 'other' },
+    { ...REQUEST, tenant: undefined },
+    { ...REQUEST, method: 'PUT' },
+    { ...REQUEST, route: routeOf({ host: 'b.example' }) },
+    { ...REQUEST, path: '/a/x' },
+    { ...REQUEST, body: Buffer.from('the bodY') },
+    { ...REQUEST, path: '/a/x?y=1\nthe body', body: Buffer.alloc(0) },
+  ];
+  t.is(new Set(others.map(fingerprintOf)).size, others.length);
+});
+
+test('an agent tells why its engine is closed: it ended, answers nobody, or fails all', (t) => {
+  const ended = new EngineWatch();
+  ended.noteReading({ kind: 'closed' }, 0);
+  t.is(ended.closedCause, 'port-closed');
+  ended.noteReading({ kind: 'load', requests: 0 }, 10);
+  t.is(ended.closedCause, undefined);
+  const silent = new EngineWatch();
+  silent.noteReading({ kind: 'silent' }, 0);
+  silent.noteReading({ kind: 'silent' }, 10);
+  t.is(silent.closedCause, 'silent');
+  const failing = new EngineWatch();
+  for (let failure = 0; failure < DEFAULT_ENGINE_WATCH_OPTIONS.failuresInRow; failure += 1) {
+    failing.noteFailure(0);
+  }
+  t.is(failing.closedCause, 'failing');
+});
