--- /dev/null
+++ b/test/crashing-request.test.ts
@@ -0,0 +1,174 @@
+/**
+ * A request that crashes every back end that runs it.
+ *
+ * What users saw: engine after engine ended, each taking with it what others had asked of it, for as long as one
+ * caller sent one request again. What happened, in order: the request reaches an engine, which ends a moment
+ * later; its caller gets a failure and sends it again, under another id and through another gateway; that one
+ * sends it to the next engine. The cause: a failure was held against the back end alone. Nothing was remembered of
+ * the request, and nothing of it was told to other gateways.
+ *
+ * The evidence: in the lines of all gateways the tries in question had one tenant, route and size, one attempt each
+ * (so no repeat of a gateway's own), and beside each stood the agent's word that nothing listens at the engine's
+ * address any more; of the others that broke off there none stood beside two engines.
+ */
+import type { ServerResponse } from 'node:http';
+import test from 'ava';
+import { request } from 'undici';
+import { StandinStore, StandinWorker } from './support/platform-standin.js';
+import type { WorkerRequest } from './support/platform-standin.js';
+import { platformGateways } from './support/platform-gateway.js';
+import type { RunningGateway } from './support/platform-gateway.js';
+
+const gateways = platformGateways('127.0.3.2', 28_000);
+const CRASHING = 'what crashes';
+const HARMLESS = 'what is harmless';
+/** Times from the arrival of a request: until the back end ends, and until a harmless one is answered. */
+const CRASH_AFTER_MS = 20;
+const ANSWER_AFTER_MS = 30;
+/** How long a back end that ended is away, and the pause between two sends of one caller. */
+const AWAY_MS = 250;
+const PAUSE_MS = 120;
+const SENDS = 20;
+/** Users bear that many crashes before anything must be known of a request, and as many sends after them. */
+const BORNE_CRASHES = 3;
+const BORNE_SENDS_LATER = 3;
+
+/** Back ends at fixed addresses that end when they run a request that crashes them, and start again. */
+class CrashingFleet {
+  readonly crashes: string[] = [];
+  arrivals = 0;
+  private lives = 0;
+  private readonly workers = new Set<StandinWorker>();
+  private isOver = false;
+
+  constructor(private readonly store: StandinStore) {}
+
+  async start(address?: string): Promise<void> {
+    this.lives += 1;
+    const id = `life-${this.lives}`;
+    const worker: StandinWorker = new StandinWorker(id, (seen, response) =>
+      this.run(worker, seen, response),
+    );
+    this.workers.add(worker);
+    const listening = await worker.start(address);
+    this.store.put(`servers/${id}`, { service: 's', address: listening, slots: 4 });
+  }
+
+  stop(): void {
+    this.isOver = true;
+    this.workers.forEach((worker) => worker.stop());
+  }
+
+  private run(worker: StandinWorker, { body }: WorkerRequest, response: ServerResponse): void {
+    if (body !== CRASHING) {
+      setTimeout(() => {
+        response.writeHead(200, { 'X-Weirvale-Server-Seal': 'seal' });
+        response.end('id: 1\ndata: good\n\n');
+      }, ANSWER_AFTER_MS);
+      return;
+    }
+    this.arrivals += 1;
+    setTimeout(() => this.crash(worker), CRASH_AFTER_MS);
+  }
+
+  private crash(worker: StandinWorker): void {
+    if (!this.workers.delete(worker)) {
+      return;
+    }
+    this.crashes.push(worker.id);
+    const { address } = worker;
+    worker.crash();
+    setTimeout(() => {
+      this.store.remove(`servers/${worker.id}`);
+      if (!this.isOver) {
+        void this.start(address);
+      }
+    }, AWAY_MS);
+  }
+}
+
+function configuration(kind: string): object {
+  return {
+    version: 1,
+    routes: [
+      {
+        name: 'r',
+        host: 'a.example',
+        pathPrefix: '/a/',
+        kind,
+        timeoutMs: 2_000,
+        targetLatencyMs: 500,
+        maxAttempts: 2,
+        service: 's',
+      },
+    ],
+    services: [{ name: 's', maxConnections: 99 }],
+  };
+}
+
+let lastId = 0;
+
+async function send({ callers }: RunningGateway, body: string): Promise<number> {
+  lastId += 1;
+  const answer = await request(`${callers}/a/x`, {
+    method: 'POST',
+    body,
+    headers: {
+      host: 'a.example',
+      'x-weirvale-attempt-id': `id-${lastId}`,
+      'x-weirvale-deadline-ms': '1500',
+    },
+  });
+  await answer.body.dump();
+  return answer.statusCode;
+}
+
+function sleep(delayMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, delayMs));
+}
+
+/** Sends again and again, through all gateways in turn, from several callers. */
+async function sendAll(
+  all: readonly RunningGateway[],
+  body: string,
+  count: number,
+): Promise<number[]> {
+  const statuses: number[] = [];
+  for (let index = 0; index < count; index += 1) {
+    statuses.push(await send(all[index % all.length]!, body));
+    await sleep(PAUSE_MS);
+  }
+  return statuses;
+}
+
+for (const kind of ['unsafe', 'safe', 'streaming']) {
+  test(`a request that crashes each back end is kept from them after the third crash, ${kind}`, async (t) => {
+    const store = new StandinStore();
+    const fleet = new CrashingFleet(store);
+    store.put('op/config', configuration(kind));
+    for (let index = 0; index < 6; index += 1) {
+      await fleet.start();
+    }
+    const address = await store.start();
+    const first = await gateways.start('g-1', address);
+    const all = [first, await gateways.start('g-2', address, [first.peers])];
+    t.teardown(() => {
+      all.forEach(({ gateway }) => gateway.stop(() => undefined));
+      fleet.stop();
+      store.stop();
+    });
+    await gateways.untilReady(all);
+    const [crashing, harmless] = await Promise.all([
+      sendAll(all, CRASHING, SENDS),
+      sendAll(all, HARMLESS, SENDS),
+    ]);
+    const served = harmless.filter((status) => status === 200).length;
+    t.log(`arrivals ${fleet.arrivals}, back ends ended ${fleet.crashes.length}, served ${served}`);
+    t.true(fleet.arrivals >= BORNE_CRASHES);
+    t.true(fleet.arrivals <= BORNE_CRASHES + BORNE_SENDS_LATER);
+    // What is not run is told so.
+    t.is(crashing.at(-1), 503);
+    t.true(served >= SENDS - BORNE_CRASHES);
+    t.is(await send(all[0]!, HARMLESS), 200);
+  });
+}
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -2,26 +2,16 @@
 import type { ServerResponse } from 'node:http';
 import test from 'ava';
 import { request } from 'undici';
-import { createPlatformAdapter } from '../platform/adapter.js';
 import { PlatformStore } from '../platform/store-client.js';
-import { SYSTEM_CLOCK } from '../src/clock.js';
-import { GatewayMetrics } from '../src/gateway/metrics/gateway-metrics.js';
-import { GatewayRole } from '../src/gateway/gateway-role.js';
-import { parseGatewaySettings } from '../src/gateway/gateway-settings.js';
-import { SeededRandom } from '../src/random.js';
-import { DecisionLog } from '../src/telemetry/decision-log.js';
+import { platformGateways } from './support/platform-gateway.js';
+import type { RunningGateway } from './support/platform-gateway.js';
 import { StandinStore, StandinWorker } from './support/platform-standin.js';
 
 const HOST = '127.0.3.1';
 /** Ports below those that the system hands out, on an address of this file's own: nobody else takes them. */
-let lastPort = 28_000;
+const { start: startGateway, isReady } = platformGateways(HOST, 28_000);
 const KEY = 'secret-key';
 
-function nextPort(): number {
-  lastPort += 1;
-  return lastPort;
-}
-
 async function until(isTrue: () => Promise<boolean> | boolean): Promise<void> {
   const endAt = Date.now() + 8_000;
   while (!(await isTrue())) {
@@ -32,54 +22,6 @@
   }
 }
 
-interface RunningGateway {
-  readonly gateway: GatewayRole;
-  readonly callers: string;
-  readonly readiness: string;
-  readonly peers: string;
-}
-
-async function startGateway(
-  name: string,
-  storeAddress: string,
-  seeds: string[] = [],
-): Promise<RunningGateway> {
-  const [callers, readiness, peers] = [nextPort(), nextPort(), nextPort()];
-  const text = [
-    '[process]',
-    'role = gateway',
-    `name = ${name}`,
-    'zone = z',
-    `address = ${HOST}`,
-    '[listen]',
-    `callers = ${HOST}:${callers}`,
-    `readiness = ${HOST}:${readiness}`,
-    `peers = ${HOST}:${peers}`,
-    '[cluster]',
-    `seeds = ${seeds.join(',')}`,
-    `store = ${storeAddress}`,
-    'storeTimeoutMs = 300',
-    '[log]',
-    'linesPerS = 0',
-  ].join('\n');
-  const settings = parseGatewaySettings(text).unwrap();
-  const gateway = new GatewayRole({
-    settings,
-    adapter: createPlatformAdapter(storeAddress, settings.cluster.storeTimeoutMs),
-    clock: SYSTEM_CLOCK,
-    random: new SeededRandom(peers),
-    log: new DecisionLog({ role: 'gateway', process: name, zone: 'z' }, 0, SYSTEM_CLOCK),
-    metrics: new GatewayMetrics(),
-  });
-  gateway.start();
-  return {
-    gateway,
-    callers: `http://${HOST}:${callers}`,
-    readiness: `http://${HOST}:${readiness}/-/ready`,
-    peers: `${HOST}:${peers}`,
-  };
-}
-
 function configuration(version: number, changes: object = {}): object {
   return {
     version,
@@ -123,12 +65,6 @@
   return answer.statusCode;
 }
 
-async function isReady({ readiness }: RunningGateway): Promise<boolean> {
-  const answer = await request(readiness);
-  await answer.body.dump();
-  return answer.statusCode === 200;
-}
-
 function answerWell(_seen: unknown, response: ServerResponse): void {
   response.writeHead(200, { 'X-Weirvale-Server-Seal': 'seal' });
   response.end('good');
--- /dev/null
+++ b/test/support/platform-gateway.ts
@@ -0,0 +1,85 @@
+import { request } from 'undici';
+import { createPlatformAdapter } from '../../platform/adapter.js';
+import { SYSTEM_CLOCK } from '../../src/clock.js';
+import { GatewayRole } from '../../src/gateway/gateway-role.js';
+import { parseGatewaySettings } from '../../src/gateway/gateway-settings.js';
+import { GatewayMetrics } from '../../src/gateway/metrics/gateway-metrics.js';
+import { SeededRandom } from '../../src/random.js';
+import { DecisionLog } from '../../src/telemetry/decision-log.js';
+
+/** A gateway over real sockets, in the test's own process. */
+export interface RunningGateway {
+  readonly gateway: GatewayRole;
+  readonly callers: string;
+  readonly readiness: string;
+  readonly peers: string;
+}
+
+const READY_LIMIT_MS = 8_000;
+const LOOK_MS = 20;
+
+/** Starts gateways at `host`, on ports above `lastPort`; a test file takes an address of its own. */
+export function platformGateways(host: string, lastPort: number) {
+  let port = lastPort;
+  const nextPort = () => (port += 1);
+
+  async function start(
+    name: string,
+    storeAddress: string,
+    seeds: readonly string[] = [],
+  ): Promise<RunningGateway> {
+    const [callers, readiness, peers] = [nextPort(), nextPort(), nextPort()];
+    const text = [
+      '[process]',
+      'role = gateway',
+      `name = ${name}`,
+      'zone = z',
+      `address = ${host}`,
+      '[listen]',
+      `callers = ${host}:${callers}`,
+      `readiness = ${host}:${readiness}`,
+      `peers = ${host}:${peers}`,
+      '[cluster]',
+      `seeds = ${seeds.join(',')}`,
+      `store = ${storeAddress}`,
+      'storeTimeoutMs = 300',
+      '[log]',
+      'linesPerS = 0',
+    ].join('\n');
+    const settings = parseGatewaySettings(text).unwrap();
+    const gateway = new GatewayRole({
+      settings,
+      adapter: createPlatformAdapter(storeAddress, settings.cluster.storeTimeoutMs),
+      clock: SYSTEM_CLOCK,
+      random: new SeededRandom(peers!),
+      log: new DecisionLog({ role: 'gateway', process: name, zone: 'z' }, 0, SYSTEM_CLOCK),
+      metrics: new GatewayMetrics(),
+    });
+    gateway.start();
+    return {
+      gateway,
+      callers: `http://${host}:${callers}`,
+      readiness: `http://${host}:${readiness}/-/ready`,
+      peers: `${host}:${peers}`,
+    };
+  }
+
+  async function isReady({ readiness }: RunningGateway): Promise<boolean> {
+    const answer = await request(readiness);
+    await answer.body.dump();
+    return answer.statusCode === 200;
+  }
+
+  /** Waits until all are ready. */
+  async function untilReady(all: readonly RunningGateway[]): Promise<void> {
+    const endAt = Date.now() + READY_LIMIT_MS;
+    while (!(await Promise.all(all.map(isReady))).every(Boolean)) {
+      if (Date.now() > endAt) {
+        throw new Error('the gateways are not ready');
+      }
+      await new Promise((resolve) => setTimeout(resolve, LOOK_MS));
+    }
+  }
+
+  return { start, isReady, untilReady };
+}
--- a/test/support/platform-standin.ts
+++ b/test/support/platform-standin.ts
@@ -197,6 +197,9 @@
 /** A stand-in worker: answers as its handler says and keeps what it received. */
 export class StandinWorker {
   readonly received: WorkerRequest[] = [];
+  /** Where it listens, IP:PORT; empty before its start. */
+  address = '';
+  private readonly sockets = new Set<Socket>();
   readonly server: Server;
 
   constructor(
@@ -222,11 +225,24 @@
         handler(seen, response);
       });
     });
+    this.server.on('connection', (socket) => {
+      this.sockets.add(socket);
+      socket.on('close', () => this.sockets.delete(socket));
+    });
   }
 
-  async start(): Promise<string> {
-    await new Promise<void>((resolve) => this.server.listen(0, '127.0.0.1', resolve));
-    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+  /** Listens at `address`, or at a port that the system chooses. */
+  async start(address = '127.0.0.1:0'): Promise<string> {
+    const [host, port] = address.split(':');
+    await new Promise<void>((resolve) => this.server.listen(Number(port), host, resolve));
+    this.address = `${host}:${(this.server.address() as AddressInfo).port}`;
+    return this.address;
+  }
+
+  /** Ends at once: every connection is reset, and nothing listens any more. */
+  crash(): void {
+    this.server.close();
+    this.sockets.forEach((socket) => socket.resetAndDestroy());
   }
 
   stop(): void {
