A request that crashes back ends is known again, at every gateway, and kept from them after the third crash

Cause: a failure was held against the back end alone; nothing was remembered of the request, which comes again under another id and at another gateway. Class: a fault's cause attributed to where it shows, not to what carries it on.

A run that breaks off is a crash once its back end is found to have ended (its agent, a closed port, another process at its address; where no agent stands beside it, a connection looks). It is held against every request that was at work there; a run adds to a request's row only if it began after the crash before it was known, so that what ends many back ends at once counts as one, and a whole answer clears it. The tally merges in any order: peers hear it at once, and from the second crash on the store keeps it, for gateways that start and for those that peers do not reach. Refused with 503 at admission (before the quota), in the queue and before a repeat; told to stay away for ten minutes.

AcceptedRequest has a module of its own, since the crashes' core needs it without the rest (import-cycles).

--- a/src/cli/queries/explain-logs.ts
+++ b/src/cli/queries/explain-logs.ts
@@ -4,6 +4,7 @@
 import type { GlobalOptions } from '../context.js';
 import type { HomeReport } from '../../gateway/homes/home-report.js';
 import { EXIT } from '../exit-codes.js';
+import { explainCrashes } from './explain-crashes.js';
 import { explainHomes } from './explain-homes.js';
 
 /** A line of a log, as far as it matters here. */
@@ -56,6 +57,7 @@
   'no-route': 'no route of the configuration matches host and path',
   'unknown-key': 'no tenant of the configuration holds the key',
   'quota-spent': 'the tenant had spent its quota',
+  'crashes-back-ends': 'earlier runs of the same request had ended the back ends that ran them',
   overloaded: 'no slot was free in time',
   'no-backend': 'no back end of the service was listed as ready, or none could be reached',
   'no-common-home': 'its route and its tenant name no region in common',
@@ -77,7 +79,10 @@
     throw new CommandFailure(EXIT.failed, `no line of these files names the request ${id}`);
   }
   const beliefs = own.flatMap((line) => findBeliefs(lines, line));
-  const text = [...beliefs.map(describeBelief), ...own.flatMap(describeRequest)].join('\n');
+  const text = [
+    ...beliefs.map(describeBelief),
+    ...own.flatMap((line) => [...describeRequest(line), ...explainCrashes(line, lines)]),
+  ].join('\n');
   print(options, { request: own, beliefs }, text);
 }
 
--- a/src/cluster/peer-messages.ts
+++ b/src/cluster/peer-messages.ts
@@ -1,4 +1,5 @@
 /** What gateways say to each other. */
+import type { RequestCrashes } from '../gateway/crashes/crash-tally.js';
 import type { PeerRollouts } from '../rollout/rollouts.js';
 import type { RecordsAnswer, RecordsFetch, RecordsRevision } from './record-exchange.js';
 
@@ -42,6 +43,12 @@
   readonly rollouts?: PeerRollouts | undefined;
 }
 
+/** What the sender knows of requests that crash back ends, where it has learned more of them. */
+export interface PeerCrashes {
+  readonly kind: 'crashes';
+  readonly requests: readonly RequestCrashes[];
+}
+
 /** The sender stops for good, or until it is started again. */
 export interface PeerLeaving {
   readonly kind: 'leaving';
@@ -55,4 +62,5 @@
   | RecordsRevision
   | RecordsFetch
   | RecordsAnswer
+  | PeerCrashes
   | PeerLeaving;
--- a/src/gateway/admission/gateway-refusal.ts
+++ b/src/gateway/admission/gateway-refusal.ts
@@ -1,5 +1,6 @@
 /** Answers of the gateway's own: why a request gets no back end's answer. */
 
+import type { RequestFingerprint } from '../crashes/crash-tally.js';
 import type { HomeRefusalReason } from '../homes/home-refusal.js';
 
 /** Why the gateway itself answers. */
@@ -11,6 +12,7 @@
   | 'body-too-long'
   | 'header-too-long'
   | 'quota-spent'
+  | 'crashes-back-ends'
   | 'overloaded'
   | 'no-backend'
   | 'zone-evacuated'
@@ -25,6 +27,8 @@
   readonly reason: GatewayRefusalReason;
   /** When the caller may usefully try again, in milliseconds. */
   readonly retryAfterMs?: number;
+  /** What the request is known by, where it is refused for what it did before. */
+  readonly fingerprint?: RequestFingerprint;
 }
 
 /**
@@ -40,6 +44,7 @@
   'body-too-long': 413,
   'header-too-long': 431,
   'quota-spent': 429,
+  'crashes-back-ends': 503,
   overloaded: 503,
   'no-backend': 503,
   'no-common-home': 503,
--- a/src/gateway/admission/request-admission.ts
+++ b/src/gateway/admission/request-admission.ts
@@ -12,7 +12,8 @@
 import type { CallerRequestHead } from './caller-protocol.js';
 import type { GatewayRefusal } from './gateway-refusal.js';
 import { DEFAULT_REQUEST_OPTIONS } from '../attempt/request-model.js';
-import type { AcceptedRequest } from '../attempt/request-model.js';
+import type { AcceptedRequest } from '../attempt/accepted-request.js';
+import type { FingerprintedRequest } from '../crashes/request-fingerprint.js';
 import type { TokenQuotas } from './token-quota.js';
 import { UsualDeadlines } from './usual-deadline.js';
 
@@ -37,6 +38,14 @@
 
 const ANY_SERVICE: ServicePlacement = { canServe: () => true };
 
+/** What is asked before a request is charged to its tenant. */
+export interface CrashRefusals {
+  /** The refusal of a request that is to be kept from back ends, since it crashes them. */
+  refusalOf(request: FingerprintedRequest): GatewayRefusal | undefined;
+}
+
+const NO_REFUSALS: CrashRefusals = { refusalOf: () => undefined };
+
 /** Decides whether requests are taken. */
 export class RequestAdmission {
   private readonly deadlines = new UsualDeadlines();
@@ -46,6 +55,7 @@
     private readonly clock: Clock,
     private readonly random: RandomSource,
     private readonly placement = ANY_SERVICE,
+    private readonly crashes = NO_REFUSALS,
   ) {}
 
   /** Checks a request under the configuration in force; it has spent its quota when it is taken. */
@@ -69,8 +79,11 @@
     if (table.needsKey && !route.allowsAnonymous && tenant === undefined) {
       return err({ reason: 'unknown-key' });
     }
-    const spent = this.spendQuota(tenant, caller);
-    return spent === undefined ? ok(this.describe(received, route, tenant)) : err(spent);
+    const { method, path } = head;
+    const { body } = received;
+    const request = { tenant: tenant?.name, method, route, path, body };
+    const refusal = this.crashes.refusalOf(request) ?? this.spendQuota(tenant, caller);
+    return refusal === undefined ? ok(this.describe(received, route, tenant)) : err(refusal);
   }
 
   private spendQuota(
--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -10,6 +10,7 @@
 import type { AttemptOutcome } from '../dispatch/backend-health.js';
 import { endToEndHeaders } from '../admission/caller-protocol.js';
 import { AttemptProgress } from './attempt-progress.js';
+import type { RequestRun } from '../crashes/crashing-requests.js';
 import type { GatewayRefusal } from '../admission/gateway-refusal.js';
 import { isHomeRefusal } from '../homes/home-refusal.js';
 import type { HomeRefusalReason } from '../homes/home-refusal.js';
@@ -18,7 +19,8 @@
 import { AnswerRelay } from './answer-relay.js';
 import type { HeldAnswer } from './answer-relay.js';
 import { RequestWait } from './request-wait.js';
-import type { AcceptedRequest, RequestOptions, RequestPorts } from './request-model.js';
+import type { AcceptedRequest } from './accepted-request.js';
+import type { RequestOptions, RequestPorts } from './request-model.js';
 import { RequestRecord } from './request-record.js';
 
 /** Connections that do not come up in time, of one request; each takes its share of the caller's time. */
@@ -37,6 +39,8 @@
   private backend: Backend | undefined;
   private attempt: AttemptHandle | undefined;
   private attemptStartedAtMs = 0;
+  /** The attempt as far as crashes are concerned. */
+  private run: RequestRun | undefined;
   private attempts = 0;
   private connectFailures = 0;
   private readonly excluded = new Set<string>();
@@ -110,9 +114,21 @@
     return reason !== undefined && reason !== 'version-closed';
   }
 
+  /** What waits is answered, if it was found to crash the back ends that run it. */
+  refuseCrashing(): void {
+    const refusal = this.phase === 'waiting' && this.ports.crashes.refusalOf(this.request);
+    if (refusal) {
+      this.answerFailure(refusal.reason, refusal.retryAfterMs);
+    }
+  }
+
   private waitForBackend(): void {
     this.phase = 'waiting';
     this.clearStepTimer();
+    this.refuseCrashing();
+    if (this.isDone) {
+      return;
+    }
     this.wait = new RequestWait({
       request: this.request,
       ports: this.ports,
@@ -148,6 +164,7 @@
     const believed = { occupied, failureShare, distance } as const;
     this.record.noteSent(backend, believed, request.body.length, nowMs);
     this.attemptStartedAtMs = nowMs;
+    this.run = ports.crashes.begin(request, backend, this.run);
     this.stopWatchingPath = known?.path.watch(() => this.leaveLostPath());
     this.relay.beginAttempt();
     this.progress = new AttemptProgress(
@@ -299,6 +316,7 @@
     if (!isServerError) {
       this.learnSpeed(backendId);
       this.progress!.noteWhole(this.ports.clock.now());
+      this.ports.crashes.noteServed(this.request);
     }
     this.endAttempt(isServerError ? 'failed' : 'answered', `status ${status}`);
     if (isServerError && this.canRepeatElsewhere() && this.takeRepeat()) {
@@ -329,6 +347,7 @@
     }
     const backendId = this.backend!.id;
     this.endAttempt(outcomeOf(failure), failure.detail);
+    this.noteBroken(failure);
     if (!failure.mayHaveRun) {
       this.attempts -= 1;
       // A closed port is known at once, and no other request is sent there for now.
@@ -351,6 +370,16 @@
     this.answerFailure('backend-failed');
   }
 
+  /** The back end may have ended, by this request or together with it. */
+  private noteBroken({ isPortClosed, mayHaveRun, isSilent }: AttemptFailure): void {
+    const { crashes } = this.ports;
+    if (isPortClosed) {
+      crashes.noteEnded(this.backend!.id, 'port-closed');
+    } else if (mayHaveRun && isSilent !== true) {
+      crashes.noteBroken(this.run!, false);
+    }
+  }
+
   /** The answer is of no use; the request may have run. */
   private failAfterSend(detail: string): void {
     this.fail({ mayHaveRun: true, isPortClosed: false, detail });
@@ -398,7 +427,7 @@
   }
 
   /** Ends the request with the last answer of a back end if there is one, else with the gateway's own. */
-  private answerFailure(reason: GatewayRefusal['reason']): void {
+  private answerFailure(reason: GatewayRefusal['reason'], retryAfterMs?: number): void {
     if (this.relay.hasStarted) {
       this.relay.abort();
       this.finish(0, reason);
@@ -409,7 +438,7 @@
       return;
     }
     if (!this.mayHaveRun) {
-      this.refuse({ reason, retryAfterMs: this.retryAfterMs(reason) });
+      this.refuse({ reason, retryAfterMs: retryAfterMs ?? this.retryAfterMs(reason) });
       return;
     }
     this.refuse({ reason: reason === 'timed-out' ? reason : 'backend-failed' });
@@ -437,6 +466,10 @@
 
   /** The gateway ends the try for its slowness, or its caller did; a cold back end is slow without fault. */
   private dropAttempt(outcome: AttemptOutcome, detail: string): void {
+    if (this.attempt !== undefined && outcome !== 'refused') {
+      // What was broken off may go on there for a moment, and end the back end.
+      this.ports.crashes.noteBroken(this.run!, true);
+    }
     this.attempt?.cancel();
     const isUnanswered = outcome === 'failed' || outcome === 'silent';
     const isSlowStart = isUnanswered && this.progress?.isColdStart === true;
--- a/src/gateway/attempt/request-model.ts
+++ b/src/gateway/attempt/request-model.ts
@@ -3,43 +3,15 @@
 import type { RandomSource } from '../../random.js';
 import type { Backend } from '../../routing/backend.js';
 import type { Distance } from '../../routing/places.js';
-import type { AllowedRegions } from '../../routing/backend-restriction.js';
-import type { HomeOwner } from '../../routing/named-homes.js';
 import type { Route } from '../../routing/configuration.js';
 import type { BackendDirectory } from '../dispatch/backend-directory.js';
+import type { RunCrashes } from '../crashes/crashing-requests.js';
+import type { AcceptedRequest } from './accepted-request.js';
 import type { BackendSender } from './attempt.js';
 import type { AttemptOutcome } from '../dispatch/backend-health.js';
-import type { CallerProtocol, RawHeaders } from '../admission/caller-protocol.js';
+import type { CallerProtocol } from '../admission/caller-protocol.js';
 import type { Dispatcher } from '../dispatch/dispatcher.js';
 
-/** A request as the front of a gateway hands it over, its body read whole. */
-export interface AcceptedRequest {
-  readonly requestId: string;
-  readonly route: Route;
-  readonly service: string;
-  readonly tenant: string | undefined;
-  readonly tier: number;
-  readonly rankInTier: number;
-  /** Regions in which it may be served, as the configuration in force says when asked; undefined for any. */
-  readonly allowedRegions: AllowedRegions;
-  /** Who may name these regions; told to agents that know of homes. */
-  readonly homeOwner?: HomeOwner | undefined;
-  readonly arrivedAtMs: number;
-  /** When the caller first tried, as far as its time left shows; `arrivedAtMs` for a first try. */
-  readonly firstTriedAtMs: number;
-  /** When the caller's deadline or the route's time-out ends it, whichever comes first. */
-  readonly endsAtMs: number;
-  readonly units: number;
-  /** Tokens of the prompt; 0 for a request that names none. */
-  readonly promptTokens: number;
-  readonly method: string;
-  readonly path: string;
-  readonly headers: RawHeaders;
-  readonly body: Buffer;
-  /** Id of the last event that the caller has, where it continues a stream. */
-  readonly lastEventId: string | undefined;
-}
-
 /** One back end that was asked, for the log. */
 export interface RequestTry {
   readonly backend: string;
@@ -88,6 +60,7 @@
   readonly sender: BackendSender;
   readonly protocol: CallerProtocol;
   readonly random: RandomSource;
+  readonly crashes: RunCrashes;
   /** Takes one repeat from the budget of a service. */
   takeRepeat(service: string): boolean;
   /** Called once for each send. */
--- a/src/gateway/attempt/request-wait.ts
+++ b/src/gateway/attempt/request-wait.ts
@@ -5,7 +5,8 @@
 import type { TimerHandle } from '../../clock.js';
 import type { DispatchRequest } from '../dispatch/dispatch-request.js';
 import type { HomeRefusalReason } from '../homes/home-refusal.js';
-import type { AcceptedRequest, RequestOptions, RequestPorts } from './request-model.js';
+import type { AcceptedRequest } from './accepted-request.js';
+import type { RequestOptions, RequestPorts } from './request-model.js';
 import { isRepeatable } from '../../routing/configuration.js';
 import { worthOfWaiting } from './waiting-worth.js';
 import type { WaitOutlook } from './waiting-worth.js';
--- a/src/gateway/crashes/request-fingerprint.ts
+++ b/src/gateway/crashes/request-fingerprint.ts
@@ -1,9 +1,7 @@
 /** Tells whether two requests are the same one that a caller sends again, whatever gateway it arrives at. */
 import { createHash } from 'node:crypto';
-import type { AcceptedRequest } from '../attempt/request-model.js';
-
-/** Same for the requests of one caller with the same method, host, path and body; base64url text. */
-export type RequestFingerprint = string;
+import type { AcceptedRequest } from '../attempt/accepted-request.js';
+import type { RequestFingerprint } from './crash-tally.js';
 
 /** What makes a request the same as another; its id and its other headers differ each time it is sent. */
 export type FingerprintedRequest = Pick<
--- a/src/gateway/dispatch/backend-directory.ts
+++ b/src/gateway/dispatch/backend-directory.ts
@@ -24,6 +24,8 @@
   homeRegions?(): HomeRegions;
   /** Whether the gateway's region has back ends of a service that may be waited for changed. */
   onReach?(service: string, hasNear: boolean): void;
+  /** Another process is at the address of a back end, which therefore has ended. */
+  onReplaced?(backendId: string): void;
 }
 
 /** Bounds of a directory. */
@@ -276,7 +278,11 @@
       ...there.filter((known) => !known.hasEnded).map((known) => known.backend.revision),
     );
     for (const known of there) {
+      const wasReplaced = known.isReplaced;
       known.isReplaced = known.hasEnded || known.backend.revision < latest;
+      if (known.isReplaced && !wasReplaced) {
+        this.ports.onReplaced?.(known.backend.id);
+      }
     }
   }
 
--- a/src/gateway/dispatch/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -57,6 +57,8 @@
   onKept(reason: RestrictionReason): void;
   /** The agent beside a back end says whether it may be used. */
   onAvailability(backend: Backend, availability: EngineAvailability): void;
+  /** The agent beside a back end finds that nothing listens at its address. */
+  onEnded?(backendId: string): void;
 }
 
 /** How long requests of a service are expected to wait. */
@@ -293,6 +295,9 @@
       known.agent.failureShare = message.failureShare;
       known.agent.homes = message.homes;
       known.agent.grantsOnly = message.grantsOnly;
+      if (message.hasEnded === true) {
+        this.ports.onEnded?.(backendId);
+      }
       this.noteAvailability(known, known.agent, message.availability, nowMs);
       known.adopt(message.speed);
       known.roundTrip.adopt(message.roundTripMs ?? known.roundTrip.ms);
--- a/src/gateway/gateway-adapter.ts
+++ b/src/gateway/gateway-adapter.ts
@@ -7,6 +7,7 @@
 import type { Result } from '../result.js';
 import type { RolloutOrder, RolloutState } from '../rollout/rollout-order.js';
 import type { DecodeRecord } from '../routing/decoded-record.js';
+import type { StoredCrashes } from './crashes/crash-record.js';
 import type { CallerProtocol } from './admission/caller-protocol.js';
 
 /** What an adapter supplies to a gateway. */
@@ -15,6 +16,15 @@
   readonly store: ClusterStore;
   /** Reads a record of the store. */
   readonly decode: DecodeRecord;
+  /**
+   * Writes the record of requests that crash back ends.
+   *
+   * @param expectedRevision - the store's revision of the record that it follows; 0 for the first
+   */
+  writeCrashRecord(
+    requests: readonly StoredCrashes[],
+    expectedRevision: number,
+  ): Promise<Result<number, StoreUnavailableError | StoreConflictError>>;
   /**
    * Writes how far a roll-out has come.
    *
--- a/src/gateway/gateway-cluster.ts
+++ b/src/gateway/gateway-cluster.ts
@@ -16,7 +16,9 @@
 import type { TokenQuotas } from './admission/token-quota.js';
 import type { GatewaySettings } from './gateway-settings.js';
 import type { GatewayView } from './dispatch/cold-share.js';
+import type { RequestCrashes } from './crashes/crash-tally.js';
 import { GatewayPeers } from './links/gateway-peers.js';
+import type { PeerCrashTallies } from './links/gateway-peers.js';
 import type { GatewayMetrics } from './metrics/gateway-metrics.js';
 
 /** What a gateway's part in the cluster is made from. */
@@ -27,6 +29,7 @@
   readonly store: ClusterStore;
   readonly quotas: TokenQuotas;
   readonly rollouts: Rollouts;
+  readonly crashes: PeerCrashTallies;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly log: DecisionLog;
@@ -98,6 +101,11 @@
     this.peers.tick();
   }
 
+  /** Tells peers at once what was learned of requests that crash back ends. */
+  tellCrashes(requests: readonly RequestCrashes[]): void {
+    this.peers.tellCrashes(requests);
+  }
+
   /** Leaves the cluster. */
   stop(): void {
     this.follower.stop();
@@ -105,7 +113,7 @@
   }
 
   private createPeers(): GatewayPeers {
-    const { settings, incarnation, quotas, rollouts, clock, random, log } = this.parts;
+    const { settings, incarnation, quotas, rollouts, crashes, clock, random, log } = this.parts;
     return new GatewayPeers({
       name: settings.process.name,
       incarnation,
@@ -117,6 +125,7 @@
       quotas,
       rollouts,
       readers: this.readers,
+      crashes,
       isReading: () => this.follower.isFollowing,
       clock,
       random,
--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -6,7 +6,8 @@
 import type { BackendSender, CallerReply } from './attempt/attempt.js';
 import { ProxiedRequest } from './attempt/proxied-request.js';
 import { DEFAULT_REQUEST_OPTIONS } from './attempt/request-model.js';
-import type { AcceptedRequest, RequestEnd, RequestPorts } from './attempt/request-model.js';
+import type { AcceptedRequest } from './attempt/accepted-request.js';
+import type { RequestEnd, RequestPorts } from './attempt/request-model.js';
 import type { PendingBody, ReceivedHead } from './admission/caller-listener.js';
 import type { CallerRequestHead } from './admission/caller-protocol.js';
 import type { GatewayRefusal } from './admission/gateway-refusal.js';
@@ -19,7 +20,7 @@
 import type { BackendDirectory } from './dispatch/backend-directory.js';
 import type { Dispatcher } from './dispatch/dispatcher.js';
 import type { GatewayAdapter } from './gateway-adapter.js';
-import { fingerprintOf } from './crashes/request-fingerprint.js';
+import type { CrashingRequests } from './crashes/crashing-requests.js';
 import type { GatewayCluster } from './gateway-cluster.js';
 import { reportHomes, reportKept } from './homes/home-report.js';
 import type { HomeReport } from './homes/home-report.js';
@@ -36,6 +37,7 @@
   readonly directory: BackendDirectory;
   readonly dispatcher: Dispatcher;
   readonly sender: BackendSender;
+  readonly crashes: CrashingRequests;
   readonly cluster: Pick<GatewayCluster, 'size' | 'storeAgeMs'>;
   readonly clock: Clock;
   readonly random: RandomSource;
@@ -69,10 +71,16 @@
 
   constructor(private readonly parts: GatewayRequestsParts) {
     const { adapter, limits, quotas, clock, random } = parts;
-    this.admission = new RequestAdmission(quotas, clock, random, {
-      canServe: (service, allowedRegions) =>
-        parts.dispatcher.hasReady({ service, allowedRegions }, new Set()),
-    });
+    this.admission = new RequestAdmission(
+      quotas,
+      clock,
+      random,
+      {
+        canServe: (service, allowedRegions) =>
+          parts.dispatcher.hasReady({ service, allowedRegions }, new Set()),
+      },
+      parts.crashes,
+    );
     this.budget = new RetryBudget({
       ratio: limits.retryRatio,
       windowMs: limits.retryWindowS * MS_PER_S,
@@ -84,6 +92,7 @@
       directory: parts.directory,
       dispatcher: parts.dispatcher,
       sender: parts.sender,
+      crashes: parts.crashes,
       protocol: adapter.protocol,
       takeRepeat: (service) => this.takeRepeat(service),
       onTryOver: parts.onTryOver,
@@ -101,6 +110,13 @@
     return [...this.active.values()].filter(({ proxied }) => proxied.withdrawUnsent()).length;
   }
 
+  /** Answers what waits of requests that are found to crash back ends. */
+  refuseCrashing(): void {
+    for (const { proxied } of [...this.active.values()]) {
+      proxied.refuseCrashing();
+    }
+  }
+
   /** Repeats that the budget still allows, by service. */
   repeatsLeft(nowMs: number): ReturnType<RetryBudget['repeatsLeft']> {
     return this.budget.repeatsLeft(this.parts.cluster.size, nowMs);
@@ -189,7 +205,7 @@
       triedForMs: request.arrivedAtMs - request.firstTriedAtMs,
       ...end,
       // Each time that a request is sent it has another id: what is the same tells that it came again.
-      fingerprint: hasFailedAtBackend(end) ? fingerprintOf(request) : undefined,
+      fingerprint: hasFailedAtBackend(end) ? this.parts.crashes.fingerprintOf(request) : undefined,
       waiting: dispatcher.countWaiting(request.service),
       storeAgeMs: cluster.storeAgeMs,
       configuration: configuration.version,
@@ -215,8 +231,9 @@
   }
 }
 
-function hasFailedAtBackend({ tries }: RequestEnd): boolean {
-  return tries.some(({ outcome }) => outcome === 'failed');
+function hasFailedAtBackend({ reason, tries }: RequestEnd): boolean {
+  const isRefusedForCrashes = reason === 'crashes-back-ends';
+  return isRefusedForCrashes || tries.some(({ outcome }) => outcome === 'failed');
 }
 
 function isHeldUp({ waitedMs }: RequestEnd): boolean {
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -18,6 +18,7 @@
 import { Dispatcher } from './dispatch/dispatcher.js';
 import type { GatewayAdapter } from './gateway-adapter.js';
 import { GatewayCluster } from './gateway-cluster.js';
+import { GatewayCrashes } from './gateway-crashes.js';
 import { GatewayEvacuations } from './gateway-evacuations.js';
 import { createColdStarts } from './gateway-cold-starts.js';
 import { GatewayPaths } from './gateway-paths.js';
@@ -52,7 +53,8 @@
 const MS_PER_S = 1_000;
 /** Pause between two words to agents on how far the replica reaches, in ticks. */
 const AGENT_REVISION_TICKS = 3;
-const DROPPED_REPORT_TICKS = 50;
+/** Pause between two looks at what is to be told or forgotten, in ticks. */
+const UPKEEP_TICKS = 50;
 /** Time from the start until the library of the metrics is loaded, in milliseconds. */
 const METRICS_LOAD_MS = 3_000;
 /** Silence after which a peer's use of the quotas is forgotten, in milliseconds. */
@@ -68,6 +70,7 @@
   private readonly dispatcher: Dispatcher;
   private readonly paths: GatewayPaths;
   private readonly rollouts: GatewayRollouts;
+  private readonly crashes: GatewayCrashes;
   private readonly sender = new HttpBackendSender(DEFAULT_BACKEND_SENDER_OPTIONS, (reason) =>
     this.parts.metrics.record(({ connections }) => connections.inc({ reason })),
   );
@@ -106,12 +109,14 @@
         }),
         ...orders,
         onReach: (service, hasNear) => this.noteReach(service, hasNear),
+        onReplaced: (backendId) => this.crashes.requests.noteEnded(backendId, 'replaced'),
       },
     );
     this.dispatcher = new Dispatcher(this.directory, {
       sendToAgent: (backendId, message) => this.links.send(backendId, message),
       onEjected: (backendId) => parts.log.write('backend-ejected', 'state', { backend: backendId }),
       onAvailability: (backend, availability) => this.noteAvailability(backend, availability),
+      onEnded: (backendId) => this.crashes.requests.noteEnded(backendId, 'agent'),
       isEngine,
       countGateways: () => this.cluster.size,
       tokensPerEvent: (service) => this.configuration.tokensPerEvent(service),
@@ -148,6 +153,12 @@
       countGateways: () => this.cluster.size,
       isEvacuated: orders.isEvacuated,
     });
+    this.crashes = new GatewayCrashes({
+      ...parts,
+      directory: this.directory,
+      tellPeers: (news) => this.cluster.tellCrashes(news),
+      refuseWaiting: () => this.requests.refuseCrashing(),
+    });
     this.listener = new CallerListener(
       (head, reply) => this.requests.take(head, reply),
       () => this.configuration.limits.maxBodyBytes,
@@ -168,6 +179,10 @@
       store: adapter.store,
       quotas: this.quotas,
       rollouts: this.rollouts.rollouts,
+      crashes: {
+        tell: () => this.crashes.requests.tell(),
+        hear: (told) => this.crashes.hear(told),
+      },
       onRecords: (records) => this.takeRecords(records),
     });
     this.links = new SlotAgentLinks(
@@ -204,6 +219,7 @@
       directory: this.directory,
       dispatcher: this.dispatcher,
       sender: this.sender,
+      crashes: this.crashes.requests,
       cluster: this.cluster,
       isRefusing: () => this.plannedStop.isRefusing,
       onTryOver: ({ backend, route, isBad }) =>
@@ -278,7 +294,8 @@
     if (this.ticks % AGENT_REVISION_TICKS === 0) {
       this.links.tellRevision();
     }
-    if (this.ticks % DROPPED_REPORT_TICKS === 0) {
+    if (this.ticks % UPKEEP_TICKS === 0) {
+      this.crashes.requests.forgetOld();
       const dropped = this.parts.log.reportDropped();
       this.parts.metrics.record(({ linesDropped }) => linesDropped.inc(dropped));
     }
@@ -326,6 +343,8 @@
       this.rollouts.takeRemoval(decoded.service, decoded.revision);
     } else if (decoded.kind === 'rollout-status') {
       this.rollouts.takeStatus(decoded.status);
+    } else if (decoded.kind === 'crash-record') {
+      this.crashes.takeRecord(decoded.record);
     } else if (decoded.kind === 'invalid') {
       const { problem, isConfiguration } = decoded;
       const event = isConfiguration ? 'configuration-refused' : 'record-refused';
@@ -393,6 +412,7 @@
       waiting: this.dispatcher.waitingByService(),
       loopDelayMs,
       suspectPaths: this.paths.countSuspect(),
+      crashingRequests: this.crashes.requests.count(),
     };
   }
 }
--- a/src/gateway/homes/request-homes.ts
+++ b/src/gateway/homes/request-homes.ts
@@ -5,7 +5,7 @@
  * further tries and on streams that are resumed. A route or tenant that it no longer holds keeps the regions
  * that every configuration since the request was taken allowed.
  */
-import type { AcceptedRequest } from '../attempt/request-model.js';
+import type { AcceptedRequest } from '../attempt/accepted-request.js';
 import type { AllowedRegions } from '../../routing/backend-restriction.js';
 import { narrow } from '../../routing/named-homes.js';
 import type { HomeOwner, NamedHome, NamedHomes } from '../../routing/named-homes.js';
--- a/src/gateway/links/gateway-peers.ts
+++ b/src/gateway/links/gateway-peers.ts
@@ -10,8 +10,17 @@
 import type { Rollouts } from '../../rollout/rollouts.js';
 import type { GatewayView } from '../dispatch/cold-share.js';
 import type { TokenQuotas } from '../admission/token-quota.js';
+import type { RequestCrashes } from '../crashes/crash-tally.js';
 import { beatTicks, IDLE_BEAT_TICKS, longestBeatMs } from './beat-times.js';
 
+/** What gateways tell each other of requests that crash back ends. */
+export interface PeerCrashTallies {
+  /** What a gateway that connects is told. */
+  tell(): readonly RequestCrashes[];
+  /** Takes in what a peer tells; returns what that lacks. */
+  hear(told: readonly RequestCrashes[]): readonly RequestCrashes[];
+}
+
 /** What the peers of a gateway are made from. */
 export interface GatewayPeersParts {
   readonly name: string;
@@ -27,6 +36,7 @@
   readonly quotas: TokenQuotas;
   readonly rollouts: Rollouts;
   readonly readers: StoreReaders;
+  readonly crashes: PeerCrashTallies;
   /** Whether this gateway reads the store and is answered. */
   isReading(): boolean;
   readonly clock: Clock;
@@ -59,6 +69,8 @@
         onQuestion: (message, reply) => {
           if (message.kind === 'fetch') {
             reply(exchange.answer(message));
+          } else if (message.kind === 'crashes') {
+            this.hearCrashes(message.requests, reply);
           }
         },
         onOpened: (send) => this.greet(send),
@@ -124,6 +136,18 @@
     }
   }
 
+  /** Tells every peer at once: until it knows, it sends a request on that crashes back ends. */
+  tellCrashes(requests: readonly RequestCrashes[]): void {
+    this.mesh.broadcast({ kind: 'crashes', requests });
+  }
+
+  private hearCrashes(told: readonly RequestCrashes[], reply: SendToPeer): void {
+    const lacking = this.parts.crashes.hear(told);
+    if (lacking.length > 0) {
+      reply({ kind: 'crashes', requests: lacking });
+    }
+  }
+
   /** Ticks from one beat with news to the next. */
   private get beatTicks(): number {
     return beatTicks(this.mesh.size);
@@ -154,6 +178,10 @@
 
   private greet(send: SendToPeer): void {
     send(this.beatOf(this.parts.quotas.use()));
+    const requests = this.parts.crashes.tell();
+    if (requests.length > 0) {
+      send({ kind: 'crashes', requests });
+    }
   }
 
   private beatOf(used: ReadonlyMap<string, number>): PeerBeat {
@@ -174,6 +202,8 @@
     const { quotas, exchange, readers, clock } = this.parts;
     if (message.kind === 'records') {
       exchange.receive(message);
+    } else if (message.kind === 'crashes') {
+      this.hearCrashes(message.requests, reply);
     } else if (message.kind === 'beat') {
       quotas.hear(peer, new Map(Object.entries(message.used)), message.ageMs, clock.now());
       readers.hear(peer, message.isReading, clock.now(), message.region);
--- a/src/gateway/metrics/gateway-gauges.ts
+++ b/src/gateway/metrics/gateway-gauges.ts
@@ -67,6 +67,12 @@
     'Back ends whose paths from here are believed to be cut',
     () => current().suspectPaths,
   );
+  byName(
+    'weirvale_crashing_requests',
+    'Requests that have crashed back ends: refused, or only suspected so far',
+    'state',
+    () => new Map(Object.entries(current().crashingRequests)),
+  );
   plain('weirvale_resident_bytes', 'Memory of the process', () => process.memoryUsage.rss());
   plain('weirvale_open_descriptors', 'Descriptors open in the process', countDescriptors);
   byName(
--- a/src/gateway/metrics/gateway-metrics.ts
+++ b/src/gateway/metrics/gateway-metrics.ts
@@ -2,7 +2,8 @@
 import { MetricsEndpoint } from '../../telemetry/metrics-endpoint.js';
 import type { GatewaySnapshot } from './gateway-snapshot.js';
 import type { MetricInstruments } from './metric-instruments.js';
-import type { AcceptedRequest, RequestEnd } from '../attempt/request-model.js';
+import type { AcceptedRequest } from '../attempt/accepted-request.js';
+import type { RequestEnd } from '../attempt/request-model.js';
 
 /** Counters and histograms of a gateway. */
 export class GatewayMetrics extends MetricsEndpoint<MetricInstruments> {
--- a/src/gateway/metrics/gateway-snapshot.ts
+++ b/src/gateway/metrics/gateway-snapshot.ts
@@ -28,6 +28,8 @@
   readonly loopDelayMs: number;
   /** Back ends whose paths from here are believed to be cut. */
   readonly suspectPaths: number;
+  /** Requests that are refused since they crash back ends, and those that have done so less often. */
+  readonly crashingRequests: { readonly refused: number; readonly suspected: number };
 }
 
 /** Counts back ends by service and believed state. */
--- a/src/gateway/metrics/metric-instruments.ts
+++ b/src/gateway/metrics/metric-instruments.ts
@@ -3,7 +3,8 @@
 
 import { registerGauges } from './gateway-gauges.js';
 import type { GatewaySnapshot } from './gateway-snapshot.js';
-import type { AcceptedRequest, RequestEnd } from '../attempt/request-model.js';
+import type { AcceptedRequest } from '../attempt/accepted-request.js';
+import type { RequestEnd } from '../attempt/request-model.js';
 
 const MS_PER_S = 1_000;
 const LATENCY_BUCKETS_S = [0.01, 0.03, 0.1, 0.2, 0.4, 0.6, 1, 2, 4, 8, 16];
@@ -59,6 +60,12 @@
     labelNames: ['reason'],
     registers: [this.registry],
   });
+  readonly crashes = new Counter({
+    name: 'weirvale_backend_crashes_total',
+    help: 'Runs of this gateway that were at work when their back end ended, by what showed that',
+    labelNames: ['evidence'],
+    registers: [this.registry],
+  });
   readonly startsHeld = new Counter({
     name: 'weirvale_starts_held_back_total',
     help: 'Choices that passed over a back end with a free slot for the rate of its starts, by service',
--- a/src/model/model-gateway.ts
+++ b/src/model/model-gateway.ts
@@ -4,6 +4,8 @@
  */
 import type { Clock } from '../clock.js';
 import type { CallerReply } from '../gateway/attempt/attempt.js';
+import { NO_CRASHES } from '../gateway/crashes/crash-tally.js';
+import type { RunCrashes } from '../gateway/crashes/crashing-requests.js';
 import { ProxiedRequest } from '../gateway/attempt/proxied-request.js';
 import type { RequestOptions, RequestPorts } from '../gateway/attempt/request-model.js';
 import type { CallerProtocol } from '../gateway/admission/caller-protocol.js';
@@ -64,6 +66,23 @@
 /** Header of an answer that tells when to come back, in milliseconds. */
 export const RETRY_AFTER_HEADER = 'retry-after-ms';
 
+/** The requests of a model are all alike and crash nothing: engines that crash there do so by themselves. */
+const NO_CRASHING_REQUESTS: RunCrashes = {
+  refusalOf: () => undefined,
+  begin: (request, backend) => ({
+    request,
+    backend,
+    backendId: backend.id,
+    sentAtMs: 0,
+    known: NO_CRASHES,
+    previous: undefined,
+    crashes: 0,
+  }),
+  noteBroken: () => undefined,
+  noteServed: () => undefined,
+  noteEnded: () => undefined,
+};
+
 /** Operators order nothing in a model. */
 const NO_ORDERS: OperatorRules = {
   isEvacuated: () => false,
@@ -106,6 +125,7 @@
       dispatcher: this.dispatcher,
       sender: this.sender,
       protocol: MODEL_PROTOCOL,
+      crashes: NO_CRASHING_REQUESTS,
       takeRepeat: (service) => budget.takeRepeat(service, parts.countGateways(), clock.now()),
       onTryOver: () => undefined,
       onEnd: () => undefined,
--- a/src/routing/decoded-record.ts
+++ b/src/routing/decoded-record.ts
@@ -1,4 +1,5 @@
 /** What a record of the cluster's store means to a gateway or slot agent. */
+import type { CrashRecord } from '../gateway/crashes/crash-record.js';
 import type { RolloutOrder, RolloutStatus } from '../rollout/rollout-order.js';
 import type { StoreRecord } from '../cluster/replicated-records.js';
 import type { Backend } from './backend.js';
@@ -15,6 +16,7 @@
   | { readonly kind: 'rollout-status'; readonly status: RolloutStatus }
   /** `revision` is that of the removal. */
   | { readonly kind: 'rollout-removed'; readonly service: string; readonly revision: number }
+  | { readonly kind: 'crash-record'; readonly record: CrashRecord }
   | { readonly kind: 'invalid'; readonly isConfiguration: boolean; readonly problem: string }
   | { readonly kind: 'irrelevant' };
 
--- a/src/slot-agent/slot-ledger.ts
+++ b/src/slot-agent/slot-ledger.ts
@@ -71,6 +71,9 @@
  * in milliseconds: it may be cut off from this process alone and still send.
  */
 const LOOK_FOR_GONE_MS = 10_000;
+/** What is told of the engine as soon as it changes. */
+type EngineCondition = Pick<EngineWatch, 'availability' | 'closedCause'>;
+
 /** The request that a slot is granted for. */
 interface NextGrant {
   readonly connection: number;
@@ -217,7 +220,7 @@
 
   /** Takes in what a look at the back end brought. */
   takeReading(reading: EngineReading, nowMs: number): void {
-    const before = this.engine.availability;
+    const before = this.condition;
     this.engine.noteReading(reading, nowMs);
     this.tellAvailability(before, nowMs);
     if (reading.kind === 'load' && this.needsReconciliation(nowMs)) {
@@ -317,7 +320,7 @@
       this.noteProven(nowMs);
       return;
     }
-    const before = this.engine.availability;
+    const before = this.condition;
     this.engine.noteFailure(nowMs);
     this.ports.onLookWanted();
     this.tellAvailability(before, nowMs);
@@ -336,20 +339,25 @@
 
   private noteProven(nowMs: number): void {
     this.silences.noteAnswer();
-    const before = this.engine.availability;
+    const before = this.condition;
     this.engine.noteAnswer();
     this.tellAvailability(before, nowMs);
   }
 
-  /** Gateways learn at once whether they may use the back end. */
-  private tellAvailability(before: EngineAvailability, nowMs: number): void {
-    const { availability } = this.engine;
-    if (availability !== before) {
-      this.ports.onAvailability(availability, this.engine.closedCause);
+  /** Gateways learn at once whether they may use the back end, and that it has ended. */
+  private tellAvailability(before: EngineCondition, nowMs: number): void {
+    const { availability, closedCause } = this.engine;
+    if (availability !== before.availability || closedCause !== before.closedCause) {
+      this.ports.onAvailability(availability, closedCause);
       this.teller.tellAll(nowMs);
     }
   }
 
+  private get condition(): EngineCondition {
+    const { availability, closedCause } = this.engine;
+    return { availability, closedCause };
+  }
+
   /** What is learned first is told at once; what changes later goes with the next count. */
   private learnSpeed(speed: LearnedSpeed): void {
     const isNew = this.speed.prefill === undefined && speed.prefill !== undefined;
@@ -441,6 +449,7 @@
       ...(roundTripMs === undefined ? {} : { roundTripMs }),
       failureShare: this.failures.share(nowMs),
       availability: this.engine.availability,
+      ...(this.engine.closedCause === 'port-closed' && { hasEnded: true }),
       ...(homes === undefined ? {} : { homes }),
       ...(grantsOnly && { grantsOnly }),
     });
--- a/src/slot-agent/slot-messages.ts
+++ b/src/slot-agent/slot-messages.ts
@@ -158,6 +158,8 @@
   readonly roundTripMs?: number;
   /** Whether the engine may be used, as the agent beside it sees. */
   readonly availability: EngineAvailability;
+  /** Whether the agent finds that nothing listens at the engine's address; missing for no. */
+  readonly hasEnded?: boolean;
   /** Missing while the configuration that the agent knows names no homes. */
   readonly homes?: AgentHomes | undefined;
   /** Why free slots are only granted; missing while gateways may take them. */
--- a/test/gateway-metrics.test.ts
+++ b/test/gateway-metrics.test.ts
@@ -19,6 +19,7 @@
   quotaUse: new Map([['tenant', 1_200]]),
   waiting: new Map([['s', 3]]),
   loopDelayMs: 20,
+  crashingRequests: { refused: 1, suspected: 2 },
   suspectPaths: 4,
 };
 
--- a/test/logs.test.ts
+++ b/test/logs.test.ts
@@ -64,6 +64,42 @@
   time: '2026-01-01T00:00:01.000Z',
 };
 
+test('logs explain tells for which crashes, at whatever gateway, a request was refused', (t) => {
+  const file = join(mkdtempSync(join(tmpdir(), 'weirvale-logs-')), 'edge.log');
+  const crash = (second: number, fields: object) => ({
+    name: 'weirvaled',
+    process: `edge-${second}`,
+    event: 'backend-crashed',
+    backend: `w-${second}`,
+    evidence: 'agent',
+    request: `earlier-${second}`,
+    fingerprint: 'f-1',
+    crashes: second,
+    afterMs: 130,
+    time: `2026-01-01T00:00:0${second}.000Z`,
+    ...fields,
+  });
+  const refused = {
+    name: 'weirvaled',
+    process: 'edge-1',
+    event: 'request-refused',
+    request: 'q-1',
+    reason: 'crashes-back-ends',
+    status: 503,
+    fingerprint: 'f-1',
+    time: '2026-01-01T00:00:05.000Z',
+  };
+  const lines = [1, 2, 3].map((second) => crash(second, {}));
+  lines.push(crash(4, { fingerprint: 'f-2' }));
+  writeFileSync(file, [...lines, refused].map((line) => JSON.stringify(line)).join('\n'));
+  const words = execFileSync('node', ['dist/src/bin/weirvale.js', 'logs', 'explain', 'q-1', file], {
+    encoding: 'utf8',
+  });
+  t.regex(words, /earlier runs of the same request had ended the back ends/);
+  t.regex(words, /edge-3: crash 3, request earlier-3 ended w-3 after 130 ms \(agent\)/);
+  t.is([...words.matchAll(/: crash \d/g)].length, 3);
+});
+
 test('logs explain tells that a request was moved on from a lost path, and what was believed of it', (t) => {
   const file = join(mkdtempSync(join(tmpdir(), 'weirvale-logs-')), 'edge.log');
   const moved = {
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -7,6 +7,9 @@
 } from '../../src/gateway/attempt/attempt.js';
 import type { CallerProtocol } from '../../src/gateway/admission/caller-protocol.js';
 import { BackendDirectory } from '../../src/gateway/dispatch/backend-directory.js';
+import type { RequestCrashes } from '../../src/gateway/crashes/crash-tally.js';
+import { CrashingRequests } from '../../src/gateway/crashes/crashing-requests.js';
+import type { CountedCrash } from '../../src/gateway/crashes/crashing-requests.js';
 import { ColdStarts } from '../../src/gateway/dispatch/cold-starts.js';
 import { Dispatcher } from '../../src/gateway/dispatch/dispatcher.js';
 import type { DispatcherPorts } from '../../src/gateway/dispatch/dispatcher.js';
@@ -14,11 +17,8 @@
 import { followHomes, RequestHomes } from '../../src/gateway/homes/request-homes.js';
 import { ProxiedRequest } from '../../src/gateway/attempt/proxied-request.js';
 import { DEFAULT_REQUEST_OPTIONS } from '../../src/gateway/attempt/request-model.js';
-import type {
-  AcceptedRequest,
-  RequestEnd,
-  TryOver,
-} from '../../src/gateway/attempt/request-model.js';
+import type { AcceptedRequest } from '../../src/gateway/attempt/accepted-request.js';
+import type { RequestEnd, TryOver } from '../../src/gateway/attempt/request-model.js';
 import { SeededRandom } from '../../src/random.js';
 import type { VersionUse } from '../../src/rollout/rollout-order.js';
 import type { RestrictionReason } from '../../src/routing/backend-restriction.js';
@@ -158,6 +158,21 @@
   /** Back ends to which connections do not come up for now. */
   readonly connecting = new Set<string>();
   coldStarts = new ColdStarts();
+  /** Back ends that were to be looked at, in order. */
+  readonly looks: string[] = [];
+  readonly crashes: CountedCrash[] = [];
+  readonly crashNews: RequestCrashes[] = [];
+  private readonly proxied: ProxiedRequest[] = [];
+  readonly crashing = new CrashingRequests(
+    {
+      isLeaving: (backendId) => this.directory.find(backendId)?.backend.state === 'draining',
+      look: ({ id }) => void this.looks.push(id),
+      onCrash: (crash) => void this.crashes.push(crash),
+      onNews: (news) => void this.crashNews.push(...news),
+      onRefused: () => this.proxied.forEach((request) => request.refuseCrashing()),
+    },
+    this.clock,
+  );
 
   constructor(...backends: Backend[]) {
     for (const backend of backends) {
@@ -224,6 +239,14 @@
     this.dispatcher.changeOrders(apply, this.clock.now());
   }
 
+  onEnded(backendId: string): void {
+    this.crashing.noteEnded(backendId, 'agent');
+  }
+
+  onReplaced(backendId: string): void {
+    this.crashing.noteEnded(backendId, 'replaced');
+  }
+
   onAvailability(): void {
     // Tests look at where requests go instead.
   }
@@ -272,6 +295,7 @@
       dispatcher: this.dispatcher,
       sender: this,
       protocol: PLAIN_PROTOCOL,
+      crashes: this.crashing,
       takeRepeat: () => this.repeatsLeft-- > 0,
       onTryOver: (over: TryOver) => void this.triesOver.push(over),
       onEnd: (ended: AcceptedRequest, end: RequestEnd) => {
@@ -285,6 +309,7 @@
         ? accepted
         : followHomes(accepted, new RequestHomes(owner, () => this.homes));
     const request = new ProxiedRequest(followed, reply, ports, DEFAULT_REQUEST_OPTIONS);
+    this.proxied.push(request);
     request.begin();
     return { reply, request };
   }
