Answers of the past clear a request of crashes by chance; a gateway that stops writes nothing more; fleet proof

Also found by its test: a gateway that had stopped went on trying to write the record to a store that was down, and its process did not end.

--- a/src/gateway/crashes/crash-record.ts
+++ b/src/gateway/crashes/crash-record.ts
@@ -113,6 +113,11 @@
     this.writeIfNeeded();
   }
 
+  /** Nothing is written any more. */
+  stop(): void {
+    this.unwritten.clear();
+  }
+
   private isNews(request: RequestCrashes): boolean {
     return saysMore(request, this.stored.get(request.fingerprint) ?? NO_CRASHES);
   }
--- a/src/gateway/crashes/crashing-requests.ts
+++ b/src/gateway/crashes/crashing-requests.ts
@@ -16,6 +16,7 @@
 import type { CrashTally, RequestCrashes, RequestFingerprint } from './crash-tally.js';
 import { fingerprintOf } from './request-fingerprint.js';
 import type { FingerprintedRequest } from './request-fingerprint.js';
+import { ServedRequests } from './served-requests.js';
 
 /** One run of a request, from its send on. */
 export interface RequestRun extends BackendRun {
@@ -72,6 +73,7 @@
 /** Keeps requests that crash back ends from further ones. */
 export class CrashingRequests implements RunCrashes {
   private readonly broken = new BrokenRuns<RequestRun>();
+  private readonly served = new ServedRequests();
   private readonly fingerprints = new WeakMap<FingerprintedRequest, RequestFingerprint>();
 
   constructor(
@@ -127,13 +129,11 @@
   }
 
   noteServed(request: AcceptedRequest): void {
-    if (this.table.isEmpty) {
-      return;
-    }
     const fingerprint = this.fingerprintOf(request);
-    const { crashes, clearances } = this.table.tallyOf(fingerprint);
-    if (crashes > 0) {
-      this.take([{ fingerprint, crashes: 0, clearances: clearances + 1 }], 'own');
+    if (this.table.tallyOf(fingerprint).crashes > 0) {
+      this.clear([fingerprint]);
+    } else {
+      this.served.note(fingerprint);
     }
   }
 
@@ -191,6 +191,21 @@
     if (news.length > 0) {
       this.ports.onNews(news, source);
     }
+    const suspected = news.filter(({ crashes }) => crashes > 0);
+    this.clear(
+      suspected.map(({ fingerprint }) => fingerprint).filter((each) => this.served.takeOut(each)),
+    );
+  }
+
+  /** Back ends have answered these requests: the crashes were not their doing. */
+  private clear(fingerprints: readonly RequestFingerprint[]): void {
+    const cleared = fingerprints.map((fingerprint): RequestCrashes => {
+      const { clearances } = this.table.tallyOf(fingerprint);
+      return { fingerprint, crashes: 0, clearances: clearances + 1 };
+    });
+    if (cleared.length > 0) {
+      this.take(cleared, 'own');
+    }
   }
 
   private takeOne(told: RequestCrashes, nowMs: number): boolean {
--- a/src/gateway/gateway-crashes.ts
+++ b/src/gateway/gateway-crashes.ts
@@ -79,6 +79,11 @@
     this.record.add(this.requests.hear(recent, 'store'));
   }
 
+  /** Nothing is written any more. */
+  stop(): void {
+    this.record.stop();
+  }
+
   private noteCrash({ fingerprint, crashes, run, evidence }: CountedCrash): void {
     const { request, backendId, sentAtMs } = run;
     this.parts.metrics.record(({ crashes: counted }) => counted.inc({ evidence }));
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -264,6 +264,7 @@
     this.parts.metrics.close();
     this.sender.close();
     this.cluster.stop();
+    this.crashes.stop();
     this.paths.stop();
     this.links.stop();
     const connections = Object.fromEntries(this.sender.connectionsOpened);
--- a/test/crashing-request.test.ts
+++ b/test/crashing-request.test.ts
@@ -141,14 +141,20 @@
   return statuses;
 }
 
+/** A store with a configuration and six back ends. */
+async function startFleet(kind: string): Promise<{ store: StandinStore; fleet: CrashingFleet }> {
+  const store = new StandinStore();
+  const fleet = new CrashingFleet(store);
+  store.put('op/config', configuration(kind));
+  for (let index = 0; index < 6; index += 1) {
+    await fleet.start();
+  }
+  return { store, fleet };
+}
+
 for (const kind of ['unsafe', 'safe', 'streaming']) {
   test(`a request that crashes each back end is kept from them after the third crash, ${kind}`, async (t) => {
-    const store = new StandinStore();
-    const fleet = new CrashingFleet(store);
-    store.put('op/config', configuration(kind));
-    for (let index = 0; index < 6; index += 1) {
-      await fleet.start();
-    }
+    const { store, fleet } = await startFleet(kind);
     const address = await store.start();
     const first = await gateways.start('g-1', address);
     const all = [first, await gateways.start('g-2', address, [first.peers])];
@@ -172,3 +178,46 @@
     t.is(await send(all[0]!, HARMLESS), 200);
   });
 }
+
+test('gateways that do not hear of each other learn of a crashing request from the store, also after all of them are gone', async (t) => {
+  const { store, fleet } = await startFleet('unsafe');
+  const address = await store.start();
+  const alone = [await gateways.start('g-1', address), await gateways.start('g-2', address)];
+  t.teardown(() => {
+    fleet.stop();
+    store.stop();
+  });
+  await gateways.untilReady(alone);
+  const statuses = await sendAll(alone.slice(0, 1), CRASHING, 4);
+  t.deepEqual(statuses, [502, 502, 502, 503]);
+  t.deepEqual(await sendAll(alone.slice(1), CRASHING, 1), [503]);
+  alone.forEach(({ gateway }) => gateway.stop(() => undefined));
+  const next = await gateways.start('g-3', address);
+  t.teardown(() => next.gateway.stop(() => undefined));
+  await gateways.untilReady([next]);
+  t.is(await send(next, CRASHING), 503);
+  t.is(await send(next, HARMLESS), 200);
+  t.is(fleet.arrivals, 3);
+  store.remove('weirvale/crashing-requests');
+  await sleep(PAUSE_MS);
+  t.is(await send(next, CRASHING), 502, 'operators took back what was known');
+});
+
+test('a gateway that the store turns away, or that starts in the middle, learns of crashes from its peers', async (t) => {
+  const { store, fleet } = await startFleet('unsafe');
+  const darkStore = new StandinStore();
+  darkStore.mood = 'refuses';
+  const first = await gateways.start('g-1', await store.start());
+  t.teardown(() => {
+    fleet.stop();
+    [store, darkStore].forEach((each) => each.stop());
+  });
+  await gateways.untilReady([first]);
+  t.deepEqual(await sendAll([first], CRASHING, 1), [502]);
+  const dark = await gateways.start('g-2', await darkStore.start(), [first.peers]);
+  t.teardown(() => [first, dark].forEach(({ gateway }) => gateway.stop(() => undefined)));
+  await gateways.untilReady([dark]);
+  t.deepEqual(await sendAll([dark], CRASHING, 3), [502, 502, 503]);
+  t.is(await send(first, CRASHING), 503);
+  t.is(fleet.arrivals, 3);
+});
--- a/test/crashing-requests.test.ts
+++ b/test/crashing-requests.test.ts
@@ -114,6 +114,21 @@
   t.is(world.attempts.length, 6);
 });
 
+test('a request that was served before is cleared by that once, at whatever gateway it was', (t) => {
+  const [left, right] = [fleet(), fleet()];
+  right.request(HARMLESS);
+  right.answer(0, 200, 'good');
+  crash(left, HARMLESS);
+  right.crashing.hear(left.crashing.tell(), 'peer');
+  t.like(right.crashNews.at(-1)!, { crashes: 0, clearances: 1 });
+  left.crashing.hear(right.crashing.tell(), 'peer');
+  for (let index = 0; index < 3; index += 1) {
+    crash(left, HARMLESS);
+    right.crashing.hear(left.crashing.tell(), 'peer');
+  }
+  t.is(right.crashing.count().refused, 1);
+});
+
 test('a run that began before a request was cleared does not bring its earlier crashes back', (t) => {
   const world = fleet();
   crash(world, HARMLESS);
