Lives of a back end are told apart by its start; entries of other writers name none to use

Cause: nothing read born. A back end that started again under its name was taken for the one before: its health, speed, slots at work and paths went on, and a late end of the former freed a slot of the next. An entry with wrong fields went through (a missing service as undefined, any state as ready, slots of any type), and one that could not be read left the former entry in use. Each life has an id of its own (name and start); a schema checks every entry, and one that is none withdraws its back end until the next good one. Bytes that are no text are no value. An engine that started between two looks is told to have ended; requests at work at a life that is over get 300 ms and are then lost, as behind a cut they were waited for until their time was over. Entries without born are taken, since today's back ends tell none. The soak's back ends tell their starts, and every other replacement keeps its name.

--- a/bench/soak/soak-backend.ts
+++ b/bench/soak/soak-backend.ts
@@ -45,6 +45,8 @@
   private readonly server: Server;
   /** Until when it is cold, in milliseconds. */
   coldUntilMs = 0;
+  /** Start of its present life, as it announces it, in Unix milliseconds. */
+  bornAtMs = Date.now();
   private running = 0;
 
   constructor(
--- a/bench/soak/soak-fleet.ts
+++ b/bench/soak/soak-fleet.ts
@@ -105,6 +105,8 @@
   readonly homeChanges: HomeChange[] = [];
   readonly evacuations: SoakEvacuation[] = [];
   private version = 0;
+  /** Back ends that were given another life so far. */
+  private replaced = 0;
 
   constructor(
     private readonly sizes: SoakSizes,
@@ -189,11 +191,11 @@
   /** Announces a back end. */
   announce(index: number, state: 'ready' | 'draining'): void {
     const address = `${backendHost(index)}:${this.basePort + PORTS.backend}`;
-    const { id, coldUntilMs } = this.backends[index]!;
+    const { id, bornAtMs, coldUntilMs } = this.backends[index]!;
     const coldRemainingMs = Math.max(0, Math.round(coldUntilMs - performance.now()));
     const zone = zoneOf(index);
-    const announced = { service: 'engines', address, slots: 6, state, zone, coldRemainingMs };
-    this.store.put(`servers/${id}`, announced);
+    const fields = { service: 'engines', slots: 6, state, zone, coldRemainingMs };
+    this.store.announce(id, { address, ...fields, born: bornAtMs });
   }
 
   /** A back end announces that it leaves; what was sent there later than the bound is a violation. */
@@ -230,11 +232,17 @@
     return SOAK_REGIONS[zoneOf(Number(/^e-(\d+)/.exec(id)![1]))]!;
   }
 
-  /** Gives the back end at an address another incarnation. */
+  /** Gives the back end at an address another life, every other time under the name that it has. */
   replaceBackend(index: number): void {
     const backend = this.backends[index]!;
-    this.store.remove(`servers/${backend.id}`);
-    backend.id = `${backend.id}x`;
+    backend.bornAtMs = Date.now();
+    this.replaced += 1;
+    // Whoever left under that name is another life.
+    this.drainedAtMs.delete(backend.id);
+    if (this.replaced % 2 === 0) {
+      this.store.remove(`servers/${backend.id}`);
+      backend.id = `${backend.id}x`;
+    }
     backend.coldUntilMs = performance.now() + COLD_MS;
     this.announce(index, 'ready');
   }
--- a/src/gateway/admission/caller-protocol.ts
+++ b/src/gateway/admission/caller-protocol.ts
@@ -22,7 +22,7 @@
 export interface AttemptHead {
   readonly requestId: string;
   readonly remainingMs: number;
-  readonly backendId: string;
+  readonly backendName: string;
   readonly tenant: string | undefined;
   /** Id of the last event that the caller has, where a stream is continued. */
   readonly lastEventId: string | undefined;
--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -27,6 +27,11 @@
 const MAX_CONNECT_FAILURES = 4;
 const MIN_TIME_FOR_ATTEMPT_MS = 5;
 const HTTP_SERVER_ERROR = 500;
+/**
+ * Time for what a back end had sent before it ended to arrive, in milliseconds: some ways between zones. Without
+ * it an answer that was ready would be dropped for the word of its back end's end that overtook it.
+ */
+const ENDED_GRACE_MS = 300;
 const NO_HEADERS = new Set<string>();
 const NONE: ReadonlySet<string> = new Set();
 
@@ -53,6 +58,7 @@
   private lastAnswer: HeldAnswer | undefined;
   private readonly endTimer: TimerHandle;
   private stepTimer: TimerHandle | undefined;
+  private endedTimer: TimerHandle | undefined;
 
   constructor(
     private readonly request: AcceptedRequest,
@@ -114,6 +120,22 @@
     return reason !== undefined && reason !== 'version-closed';
   }
 
+  /**
+   * A back end is known to have ended. Mostly its connections are reset, but behind a cut they say nothing, and the
+   * request would wait until its time was over for an answer that cannot come.
+   */
+  noteBackendEnded(backendId: string): void {
+    if (this.attempt === undefined || this.backend?.id !== backendId) {
+      return;
+    }
+    this.endedTimer ??= this.ports.clock.setTimeout(() => this.loseEnded(), ENDED_GRACE_MS);
+  }
+
+  private loseEnded(): void {
+    this.attempt?.cancel();
+    this.failAfterSend('its back end has ended');
+  }
+
   /** What waits is answered, if it was found to crash the back ends that run it. */
   refuseCrashing(): void {
     const refusal = this.phase === 'waiting' && this.ports.crashes.refusalOf(this.request);
@@ -178,7 +200,7 @@
     const headers = ports.protocol.attemptHeaders(endToEndHeaders(request.headers, NO_HEADERS), {
       requestId: request.requestId,
       remainingMs: Math.max(1, Math.floor(request.endsAtMs - nowMs)),
-      backendId: backend.id,
+      backendName: backend.name,
       tenant: request.tenant,
       lastEventId: this.relay.lastEventId,
     });
@@ -478,6 +500,7 @@
 
   private endAttempt(outcome: AttemptOutcome, detail: string): void {
     this.clearStepTimer();
+    this.clearEndedTimer();
     this.stopWatchingPath?.();
     if (this.attempt === undefined || this.backend === undefined) {
       return;
@@ -511,6 +534,13 @@
     this.stepTimer = this.ports.clock.setTimeout(callback, Math.max(0, delayMs));
   }
 
+  private clearEndedTimer(): void {
+    if (this.endedTimer !== undefined) {
+      this.ports.clock.clearTimeout(this.endedTimer);
+      this.endedTimer = undefined;
+    }
+  }
+
   private clearStepTimer(): void {
     if (this.stepTimer !== undefined) {
       this.ports.clock.clearTimeout(this.stepTimer);
--- a/src/gateway/configuration-in-force.ts
+++ b/src/gateway/configuration-in-force.ts
@@ -38,6 +38,11 @@
     return this.installedAtMs === undefined ? undefined : this.clock.now() - this.installedAtMs;
   }
 
+  /** Whether a service is named; any may be before the first configuration. */
+  isNamed(service: string): boolean {
+    return this.current === undefined || this.current.findService(service) !== undefined;
+  }
+
   /** Whether a service's back ends are engines, which serve in batches. */
   isEngine(service: string): boolean {
     return this.current?.findService(service)?.isEngine ?? false;
--- a/src/gateway/crashes/request-fingerprint.ts
+++ b/src/gateway/crashes/request-fingerprint.ts
@@ -1,13 +1,16 @@
 /** Tells whether two requests are the same one that a caller sends again, whatever gateway it arrives at. */
 import { createHash } from 'node:crypto';
+import type { Route } from '../../routing/configuration.js';
 import type { AcceptedRequest } from '../attempt/accepted-request.js';
 import type { RequestFingerprint } from './crash-tally.js';
 
 /** What makes a request the same as another; its id and its other headers differ each time it is sent. */
-export type FingerprintedRequest = Pick<
+export interface FingerprintedRequest extends Pick<
   AcceptedRequest,
-  'tenant' | 'method' | 'route' | 'path' | 'body'
->;
+  'tenant' | 'method' | 'path' | 'body'
+> {
+  readonly route: Pick<Route, 'host'>;
+}
 
 /**
  * Bytes of the hash that are kept. Sixteen: among a thousand million requests two that differ agree with a
--- a/src/gateway/dispatch/backend-chooser.ts
+++ b/src/gateway/dispatch/backend-chooser.ts
@@ -216,7 +216,7 @@
     const { unlistedAtMs, backend } = known;
     const isRecent =
       unlistedAtMs !== undefined && nowMs - unlistedAtMs < this.options.unlistedGraceMs;
-    return isRecent && backend.state === 'ready' && !known.isReplaced;
+    return isRecent && backend.state === 'ready' && !known.isReplaced && !known.isWithdrawn;
   }
 
   /** Whether its agent knows a newer configuration, so that its slots are had by grants only. */
--- a/src/gateway/dispatch/backend-directory.ts
+++ b/src/gateway/dispatch/backend-directory.ts
@@ -24,6 +24,8 @@
   homeRegions?(): HomeRegions;
   /** Whether the gateway's region has back ends of a service that may be waited for changed. */
   onReach?(service: string, hasNear: boolean): void;
+  /** Whether the configuration in force names a service; missing where any is. */
+  isNamed?(service: string): boolean;
   /** Another process is at the address of a back end, which therefore has ended. */
   onReplaced?(backendId: string): void;
 }
@@ -186,11 +188,21 @@
     this.hasListing = true;
   }
 
-  /** Takes in a back end's newest announcement; undefined when it left the list. */
-  update(backendId: string, backend: Backend | undefined, nowMs: number): void {
+  /**
+   * Takes in a back end's newest announcement; undefined when it left the list.
+   *
+   * @param isWithdrawn - whether its record is there and names no back end that can be used
+   */
+  update(
+    backendId: string,
+    backend: Backend | undefined,
+    nowMs: number,
+    isWithdrawn = false,
+  ): void {
     const known = this.backends.get(backendId);
     if (backend === undefined) {
       if (known !== undefined) {
+        known.isWithdrawn = isWithdrawn;
         known.unlistedAtMs ??= nowMs;
       }
       this.forgetOld(nowMs);
@@ -208,6 +220,7 @@
       }
       known.cold.noteAnnounced(backend.remainingColdMs, nowMs);
       known.backend = backend;
+      known.isWithdrawn = false;
       known.unlistedAtMs = undefined;
     }
     if (backend !== undefined) {
@@ -271,9 +284,21 @@
     }
   }
 
-  /** Of several incarnations announced at one address only the latest can be there. */
+  /** The services that the configuration names changed. */
+  reviewReplaced(): void {
+    const addresses = new Set(this.list().map(({ backend }) => backend.address));
+    addresses.forEach((address) => this.markReplaced(address));
+  }
+
+  /**
+   * Of several lives announced at one address only the latest can be there. An announcement of a service that
+   * nobody has configured says nothing of the others.
+   */
   private markReplaced(address: string): void {
-    const there = this.list().filter((known) => known.backend.address === address);
+    const there = this.list().filter(
+      ({ backend }) =>
+        backend.address === address && this.ports.isNamed?.(backend.service) !== false,
+    );
     const latest = Math.max(
       ...there.filter((known) => !known.hasEnded).map((known) => known.backend.revision),
     );
--- a/src/gateway/dispatch/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -122,9 +122,14 @@
       );
   }
 
-  /** Takes in a back end's newest announcement; undefined when it left the list. */
-  updateBackend(backendId: string, backend: Backend | undefined, nowMs: number): void {
-    this.directory.update(backendId, backend, nowMs);
+  /** Takes in a back end's newest announcement; see `BackendDirectory.update`. */
+  updateBackend(
+    backendId: string,
+    backend: Backend | undefined,
+    nowMs: number,
+    isWithdrawn = false,
+  ): void {
+    this.directory.update(backendId, backend, nowMs, isWithdrawn);
     if (backend !== undefined) {
       this.serve(backend.service, nowMs);
     }
--- a/src/gateway/dispatch/known-backend.ts
+++ b/src/gateway/dispatch/known-backend.ts
@@ -65,6 +65,8 @@
   agent: SlotAgentLink | undefined;
   /** When it left the list; undefined while it is listed. */
   unlistedAtMs: number | undefined;
+  /** Whether its record names no back end any more, so that it must not be used where none is left either. */
+  isWithdrawn = false;
   /** Whether another incarnation was found at its address. */
   hasEnded = false;
   /** Whether it has ended, or another incarnation announced itself at its address later. */
--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -110,6 +110,13 @@
     return [...this.active.values()].filter(({ proxied }) => proxied.withdrawUnsent()).length;
   }
 
+  /** A back end is known to have ended: what is at work there is lost. */
+  noteBackendEnded(backendId: string): void {
+    for (const { proxied } of [...this.active.values()]) {
+      proxied.noteBackendEnded(backendId);
+    }
+  }
+
   /** Answers what waits of requests that are found to crash back ends. */
   refuseCrashing(): void {
     for (const { proxied } of [...this.active.values()]) {
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -14,9 +14,11 @@
 import { ConfigurationInForce } from './configuration-in-force.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import { CallerListener } from './admission/caller-listener.js';
+import type { EndingEvidence } from './crashes/broken-runs.js';
 import { BackendDirectory } from './dispatch/backend-directory.js';
 import { Dispatcher } from './dispatch/dispatcher.js';
 import type { GatewayAdapter } from './gateway-adapter.js';
+import { GatewayBackends } from './gateway-backends.js';
 import { GatewayCluster } from './gateway-cluster.js';
 import { GatewayCrashes } from './gateway-crashes.js';
 import { GatewayEvacuations } from './gateway-evacuations.js';
@@ -66,7 +68,7 @@
   private readonly directory: BackendDirectory;
   private readonly evacuations: GatewayEvacuations;
   private readonly places: Places;
-  private readonly unknownZones: UnknownZones;
+  private readonly backends: GatewayBackends;
   private readonly dispatcher: Dispatcher;
   private readonly paths: GatewayPaths;
   private readonly rollouts: GatewayRollouts;
@@ -92,7 +94,6 @@
     const incarnation = `${name}.${Math.floor(random.next() * 2 ** 32).toString(36)}`;
     this.configuration = new ConfigurationInForce(clock);
     this.places = new Places(settings.places.zones);
-    this.unknownZones = new UnknownZones(this.places);
     const isEngine = (service: string) => this.configuration.isEngine(service);
     const orders: OperatorRules = {
       versionUse: (backend) => this.rollouts.rollouts.useOf(backend),
@@ -109,6 +110,7 @@
         }),
         ...orders,
         onReach: (service, hasNear) => this.noteReach(service, hasNear),
+        isNamed: (service) => this.configuration.isNamed(service),
         onReplaced: (backendId) => this.crashes.requests.noteEnded(backendId, 'replaced'),
       },
     );
@@ -116,7 +118,7 @@
       sendToAgent: (backendId, message) => this.links.send(backendId, message),
       onEjected: (backendId) => parts.log.write('backend-ejected', 'state', { backend: backendId }),
       onAvailability: (backend, availability) => this.noteAvailability(backend, availability),
-      onEnded: (backendId) => this.crashes.requests.noteEnded(backendId, 'agent'),
+      onEnded: (backendId) => this.noteEnded(backendId, 'agent'),
       isEngine,
       countGateways: () => this.cluster.size,
       tokensPerEvent: (service) => this.configuration.tokensPerEvent(service),
@@ -132,6 +134,12 @@
         view: () => this.cluster.view,
       }),
     });
+    this.backends = new GatewayBackends({
+      ...parts,
+      dispatcher: this.dispatcher,
+      unknownZones: new UnknownZones(this.places),
+      onLifeOver: (backendId) => this.noteEnded(backendId, 'replaced'),
+    });
     this.evacuations = new GatewayEvacuations({
       ...parts,
       directory: this.directory,
@@ -319,23 +327,11 @@
   }
 
   private takeRecord(record: StoreRecord, decoded: DecodedRecord): void {
-    const { log, clock } = this.parts;
+    const { log } = this.parts;
     if (decoded.kind === 'configuration') {
       this.install(decoded.configuration, record.revision);
     } else if (decoded.kind === 'backend') {
-      const { id, backend } = decoded;
-      const event = backend === undefined ? 'backend-gone' : 'backend-learned';
-      log.write(event, 'state', {
-        backend: id,
-        state: backend?.state,
-        service: backend?.service,
-        address: backend?.address,
-        revision: record.revision,
-      });
-      if (backend !== undefined && this.unknownZones.isNews(backend.zone)) {
-        log.write('zone-unknown', 'state', { backendZone: backend.zone, backend: id });
-      }
-      this.dispatcher.updateBackend(id, backend, clock.now());
+      this.backends.take(decoded, record.revision);
     } else if (decoded.kind === 'evacuation') {
       this.evacuations.take(decoded.change);
     } else if (decoded.kind === 'rollout-order') {
@@ -353,6 +349,11 @@
     }
   }
 
+  private noteEnded(backendId: string, evidence: EndingEvidence): void {
+    this.crashes.requests.noteEnded(backendId, evidence);
+    this.requests.noteBackendEnded(backendId);
+  }
+
   private noteReach(service: string, hasNear: boolean): void {
     const { region } = this.directory;
     this.parts.log.write('region-reach', 'state', { service, region, hasNear });
@@ -381,6 +382,7 @@
       // Which services are engines is known only from now on.
       this.directory.assign(name);
     }
+    this.directory.reviewReplaced();
     // Agents are told anew where waiting requests may be served.
     this.dispatcher.tick(this.parts.clock.now());
     this.requests.withdrawUnsent();
--- a/src/gateway/metrics/metric-instruments.ts
+++ b/src/gateway/metrics/metric-instruments.ts
@@ -112,6 +112,11 @@
     labelNames: ['call', 'result'],
     registers: [this.registry],
   });
+  readonly recordsRefused = new Counter({
+    name: 'weirvale_backend_records_refused_total',
+    help: 'Records under the names of back ends that name none to use',
+    registers: [this.registry],
+  });
   readonly linesDropped = new Counter({
     name: 'weirvale_log_lines_dropped_total',
     help: 'Log lines that were dropped to bound their volume',
--- a/src/model/model-fleet.ts
+++ b/src/model/model-fleet.ts
@@ -43,6 +43,8 @@
     const id = `engine-${index}`;
     const backend: Backend = {
       id,
+      name: id,
+      bornAtMs: undefined,
       service: ENGINE_SERVICE,
       address: `10.0.${index >> 8}.${index & 255}:80`,
       zone: zoneOf(index, fleet.zones),
--- a/src/routing/backend.ts
+++ b/src/routing/backend.ts
@@ -3,10 +3,14 @@
 /** Whether a back end takes new requests. */
 export type BackendState = 'ready' | 'draining';
 
-/** One incarnation of a back end. */
+/** One life of a back end: a process from its start to its end. */
 export interface Backend {
-  /** Names this incarnation; a restart has another. */
+  /** Names this life; what is learned of it is kept by this. */
   readonly id: string;
+  /** Name that it announces itself under and answers to; another life may have it too. */
+  readonly name: string;
+  /** Its start by its own clock, in Unix milliseconds; undefined where the announcement tells none. */
+  readonly bornAtMs: number | undefined;
   readonly service: string;
   /** IPv4 address and port. */
   readonly address: string;
--- a/src/routing/decoded-record.ts
+++ b/src/routing/decoded-record.ts
@@ -2,15 +2,24 @@
 import type { CrashRecord } from '../gateway/crashes/crash-record.js';
 import type { RolloutOrder, RolloutStatus } from '../rollout/rollout-order.js';
 import type { StoreRecord } from '../cluster/replicated-records.js';
-import type { Backend } from './backend.js';
+import type { Announcement } from './backend-lives.js';
 import type { RoutingConfiguration } from './configuration.js';
 import type { EvacuationChange } from './zone-evacuations.js';
 
+/** The record under a back end's name. */
+export interface DecodedBackend {
+  readonly kind: 'backend';
+  readonly name: string;
+  /** Undefined once it left, and where the record names no back end that can be used. */
+  readonly announcement: Announcement | undefined;
+  /** Why the record cannot be used; missing where it can, or is gone. */
+  readonly problem?: string;
+}
+
 /** What a record of the store means. */
 export type DecodedRecord =
   | { readonly kind: 'configuration'; readonly configuration: RoutingConfiguration }
-  /** `backend` is undefined once it left. */
-  | { readonly kind: 'backend'; readonly id: string; readonly backend: Backend | undefined }
+  | DecodedBackend
   | { readonly kind: 'evacuation'; readonly change: EvacuationChange }
   | { readonly kind: 'rollout-order'; readonly order: RolloutOrder }
   | { readonly kind: 'rollout-status'; readonly status: RolloutStatus }
--- a/src/slot-agent/engine-knowledge.ts
+++ b/src/slot-agent/engine-knowledge.ts
@@ -2,6 +2,7 @@
  * What an agent's own replica of the store says of the engine beside it: its announcement, its service,
  * the operators' orders for its zone. By it the agent checks for itself what gateways may send there.
  */
+import { BackendLives } from '../routing/backend-lives.js';
 import type { Backend } from '../routing/backend.js';
 import { restrictionOf } from '../routing/backend-restriction.js';
 import type { AllowedRegions, RestrictionReason } from '../routing/backend-restriction.js';
@@ -24,6 +25,7 @@
 /** What an agent knows of its engine. */
 export class EngineKnowledge {
   readonly evacuations = new ZoneEvacuations();
+  private readonly lives = new BackendLives();
   private readonly announced = new Map<string, Backend>();
   private configuration: RoutingConfiguration | undefined;
   private homes: NamedHomes | undefined;
@@ -38,7 +40,9 @@
     if (decoded.kind === 'evacuation') {
       this.evacuations.take(decoded.change, nowMs);
     } else if (decoded.kind === 'backend') {
-      this.takeBackend(decoded.id, decoded.backend);
+      for (const { id, backend } of this.lives.take(decoded.name, decoded.announcement).changes) {
+        this.takeBackend(id, backend);
+      }
     } else if (decoded.kind === 'configuration') {
       this.takeConfiguration(decoded.configuration);
     }
@@ -115,6 +119,8 @@
 function unannounced(address: string, zone: string): Backend {
   return {
     id: '',
+    name: '',
+    bornAtMs: undefined,
     service: '',
     address,
     zone,
--- a/src/slot-agent/engine-watch.ts
+++ b/src/slot-agent/engine-watch.ts
@@ -10,8 +10,8 @@
 
 /** What a look at the engine brought. */
 export type EngineReading =
-  /** Requests that run or wait there. */
-  | { readonly kind: 'load'; readonly requests: number }
+  /** Requests that run or wait there, and the engine's start by its own clock, where it tells. */
+  | { readonly kind: 'load'; readonly requests: number; readonly bornAtMs?: number | undefined }
   /** Nothing listens at its address. */
   | { readonly kind: 'closed' }
   /** No answer in time, or a broken one. */
--- a/src/slot-agent/slot-ledger.ts
+++ b/src/slot-agent/slot-ledger.ts
@@ -96,6 +96,8 @@
   private readonly teller: SlotTeller;
   private readonly starts: StartLimiter;
   private toldGrantsOnly: GrantsOnly | undefined;
+  /** The start that the engine told last, in Unix milliseconds of its own clock. */
+  private bornAtMs: number | undefined;
 
   constructor(
     private readonly ports: SlotLedgerPorts,
@@ -220,6 +222,10 @@
 
   /** Takes in what a look at the back end brought. */
   takeReading(reading: EngineReading, nowMs: number): void {
+    if (this.isOfAnotherLife(reading)) {
+      // It ended and started again between two looks: gateways hear of both.
+      this.takeReading({ kind: 'closed' }, nowMs);
+    }
     const before = this.condition;
     this.engine.noteReading(reading, nowMs);
     this.tellAvailability(before, nowMs);
@@ -229,6 +235,15 @@
     this.settle(nowMs);
   }
 
+  private isOfAnotherLife(reading: EngineReading): boolean {
+    const told = reading.kind === 'load' ? reading.bornAtMs : undefined;
+    // Anything may answer there: what is no time tells nothing.
+    const bornAtMs = Number.isSafeInteger(told) ? told : undefined;
+    const isAnother = bornAtMs !== undefined && (this.bornAtMs ?? bornAtMs) !== bornAtMs;
+    this.bornAtMs = bornAtMs ?? this.bornAtMs;
+    return isAnother;
+  }
+
   /** Takes in the back end's own count of requests that run or wait there. */
   private reconcile(requestsAtBackend: number): void {
     const before = this.unaccounted;
--- /dev/null
+++ b/test/backend-lives.test.ts
@@ -0,0 +1,258 @@
+import fc from 'fast-check';
+import test from 'ava';
+import { decodeRecord } from '../platform/record-formats.js';
+import { BackendLives } from '../src/routing/backend-lives.js';
+import type { Announcement } from '../src/routing/backend-lives.js';
+import { EngineKnowledge } from '../src/slot-agent/engine-knowledge.js';
+import { Places } from '../src/routing/places.js';
+import { SlotLedger } from '../src/slot-agent/slot-ledger.js';
+import type { SlotLedgerPorts } from '../src/slot-agent/slot-ledger.js';
+import { backendOf, GatewayWorld, routeOf } from './support/gateway.js';
+
+const LEDGER_PORTS: SlotLedgerPorts = {
+  send: () => undefined,
+  onGranted: () => undefined,
+  onChangesToTell: () => undefined,
+  onReconciled: () => undefined,
+  onLookWanted: () => undefined,
+  onAvailability: () => undefined,
+  restriction: () => undefined,
+  homesToTell: () => undefined,
+  onForbiddenTake: () => undefined,
+  startRules: () => undefined,
+  onStartsHeld: () => undefined,
+};
+const RESET = { mayHaveRun: true, isPortClosed: false, detail: 'reset' };
+const ENTRY = {
+  service: 's',
+  address: '10.0.0.1:80',
+  zone: 'z',
+  version: 'v1',
+  slots: 4,
+  state: 'ready',
+  coldRemainingMs: 0,
+  sequence: 1,
+  born: 1_000,
+};
+
+function without<Value extends object, Field extends keyof Value>(value: Value, field: Field) {
+  const rest: Partial<Value> = { ...value };
+  delete rest[field];
+  return rest as Omit<Value, Field>;
+}
+
+function announced(bornAtMs: number | undefined, changes: Partial<Announcement> = {}) {
+  return without(backendOf('w', { bornAtMs, ...changes }), 'id');
+}
+
+function decode(value: unknown, key = 'servers/w') {
+  const text = typeof value === 'string' ? value : JSON.stringify(value);
+  return decodeRecord({ key, revision: 7, value: text });
+}
+
+/** Takes an announcement into a gateway as it does with its records. */
+function update(world: GatewayWorld, lives: BackendLives, announcement: Announcement | undefined) {
+  const { changes } = lives.take('w', announcement);
+  changes.forEach(({ id, backend }) => world.dispatcher.updateBackend(id, backend, 0));
+  return changes.map(({ id }) => id);
+}
+
+test('a back end that starts again under its name is another one; what was learned of the former ends', (t) => {
+  const world = new GatewayWorld();
+  const lives = new BackendLives();
+  update(world, lives, announced(1_000, { revision: 1 }));
+  world.request({ route: routeOf({ kind: 'unsafe' }) });
+  world.attempts[0]!.handlers.onFailure({ ...RESET, mayHaveRun: false, isPortClosed: true });
+  world.dispatcher.learnSpeed('w@1000', 1, 50);
+  t.true(world.directory.find('w@1000')!.health.isEjected(0));
+  t.deepEqual(update(world, lives, announced(2_000, { revision: 2 })), ['w@2000', 'w@1000']);
+  const next = world.directory.find('w@2000')!;
+  t.deepEqual([next.health.isEjected(0), next.msPerUnit], [false, undefined]);
+  t.false(world.directory.find('w@1000')!.isCurrent);
+  // What waited goes to the new life, which answers to the name.
+  t.like(world.attempts.at(-1)!.backend, { id: 'w@2000', name: 'w' });
+});
+
+test('a run of the former life that ends late frees no slot of the next one', (t) => {
+  const world = new GatewayWorld();
+  const lives = new BackendLives();
+  update(world, lives, announced(1_000, { revision: 1, slots: 1 }));
+  world.request({ route: routeOf({ kind: 'unsafe' }) });
+  update(world, lives, announced(2_000, { revision: 2, slots: 1 }));
+  world.request({ route: routeOf({ kind: 'unsafe' }) });
+  t.is(world.attempts[1]!.backend.id, 'w@2000');
+  world.attempts[0]!.handlers.onFailure(RESET);
+  t.is(world.directory.find('w@2000')!.outstanding, 1);
+  t.is(world.crashes.length, 1, 'its back end had ended');
+});
+
+test('a request that may be repeated goes on to the next life of the back end that it was lost with', (t) => {
+  const world = new GatewayWorld();
+  const lives = new BackendLives();
+  update(world, lives, announced(1_000, { revision: 1 }));
+  const { reply } = world.request({ route: routeOf({ kind: 'safe', maxAttempts: 3 }) });
+  update(world, lives, announced(2_000, { revision: 2 }));
+  world.attempts[0]!.handlers.onFailure(RESET);
+  world.answer(1, 200, 'good');
+  t.is(reply.body, 'good');
+});
+
+test('a request whose back end is known to have ended is not waited for, but what was under way is delivered', async (t) => {
+  const world = new GatewayWorld(backendOf('a'));
+  const lost = world.request({ route: routeOf({ kind: 'unsafe' }) });
+  const ready = world.request({ route: routeOf({ kind: 'unsafe' }) });
+  [lost, ready].forEach(({ request }) => request.noteBackendEnded('other'));
+  await world.clock.runUntil(400);
+  t.deepEqual([lost.reply.status, ready.reply.status], [0, 0]);
+  [lost, ready].forEach(({ request }) => request.noteBackendEnded('a'));
+  await world.clock.runUntil(500);
+  world.answer(1, 200, 'good');
+  await world.clock.runUntil(800);
+  t.deepEqual([lost.reply.status, ready.reply.body], [502, 'good']);
+  t.true(world.attempts[0]!.isCancelled);
+});
+
+test('an engine that ended and started again between two looks is told to have ended', (t) => {
+  const told: Array<boolean | undefined> = [];
+  const ledger = new SlotLedger({
+    ...LEDGER_PORTS,
+    send: (_connection, message) => {
+      if (message.kind === 'state') {
+        told.push(message.hasEnded);
+      }
+    },
+  });
+  ledger.receive(1, { kind: 'hello', gateway: 'g', peersAddress: '', held: 0, slots: 2 }, 0);
+  ledger.takeReading({ kind: 'load', requests: 0, bornAtMs: 1 }, 10);
+  ledger.takeReading({ kind: 'load', requests: 0, bornAtMs: 1 }, 20);
+  t.false(told.includes(true));
+  ledger.takeReading({ kind: 'load', requests: 0, bornAtMs: 2 }, 30);
+  t.deepEqual(told.slice(-2), [true, undefined]);
+});
+
+test('a late word of an earlier life changes nothing of the newer one, whatever its revision', (t) => {
+  const world = new GatewayWorld();
+  const lives = new BackendLives();
+  update(world, lives, announced(2_000, { revision: 2 }));
+  t.deepEqual(update(world, lives, announced(1_000, { revision: 3, state: 'draining' })), []);
+  t.true(world.directory.find('w@2000')!.isReady);
+  t.regex(lives.take('w', announced(1_000)).problem!, /earlier start/);
+});
+
+test('a life that is announced again after its record lapsed is the one that it was', (t) => {
+  const world = new GatewayWorld();
+  const lives = new BackendLives();
+  update(world, lives, announced(1_000, { revision: 1 }));
+  world.dispatcher.learnSpeed('w@1000', 1, 50);
+  update(world, lives, undefined);
+  t.false(world.directory.find('w@1000')!.isReady);
+  update(world, lives, announced(1_000, { revision: 3 }));
+  t.true(world.directory.find('w@1000')!.isReady);
+  t.not(world.directory.find('w@1000')!.msPerUnit, undefined);
+});
+
+test('an agent knows its engine by the newest life at its address', (t) => {
+  const knowledge = new EngineKnowledge(
+    { address: '10.0.0.1:80', zone: 'z' },
+    new Places(new Map()),
+  );
+  const take = (entry: unknown, revision: number) =>
+    knowledge.take(
+      decodeRecord({ key: 'servers/w', revision, value: JSON.stringify(entry) }),
+      revision,
+    );
+  take(ENTRY, 1);
+  t.is(knowledge.backend!.id, 'w@1000');
+  take({ ...ENTRY, born: 2_000 }, 2);
+  t.is(knowledge.backend!.id, 'w@2000');
+  take({ ...ENTRY, born: 1_000 }, 3);
+  t.is(knowledge.backend!.id, 'w@2000');
+  take({ ...ENTRY, slots: 'many' }, 4);
+  t.is(knowledge.backend, undefined);
+  take({ ...ENTRY, born: 2_000 }, 5);
+  t.is(knowledge.backend!.id, 'w@2000');
+});
+
+test('an entry of another writer names no back end, and says which of its fields are none', (t) => {
+  const good = decode(ENTRY);
+  t.like(good, { kind: 'backend', name: 'w', announcement: { bornAtMs: 1_000, slots: 4 } });
+  t.like(decode({ ...ENTRY, unknown: 'field' }), { announcement: { slots: 4 } });
+  t.like(decode(without(ENTRY, 'born')), { announcement: { bornAtMs: undefined } });
+  const bad: unknown[] = ['', 'x', '{', '[]', 'null', '7', '"text"'];
+  for (const field of Object.keys(ENTRY)) {
+    bad.push(...(field === 'born' ? [] : [without(ENTRY, field as 'zone')]));
+    bad.push(
+      ...[null, {}, [], true, 'x'.repeat(300)].map((value) => ({ ...ENTRY, [field]: value })),
+    );
+  }
+  for (const slots of [0, -1, 1.5, '4', 1e9]) {
+    bad.push({ ...ENTRY, slots });
+  }
+  for (const address of ['10.0.0.1', '10.0.0.256:80', 'host:80', '10.0.0.1:0', '10.0.0.1:65536']) {
+    bad.push({ ...ENTRY, address });
+  }
+  bad.push({ ...ENTRY, state: 'resting' }, { ...ENTRY, born: -1 }, { ...ENTRY, born: 0.5 });
+  for (const value of bad) {
+    const read = decode(value);
+    t.like(read, { kind: 'backend', announcement: undefined }, JSON.stringify(value));
+    t.truthy(read.kind === 'backend' && read.problem, JSON.stringify(value));
+  }
+  t.like(decode({ ...ENTRY, slots: 0, zone: '' }), { problem: 'not as expected: zone, slots' });
+});
+
+test('whatever is written under a back end’s key, nothing is thrown and no field is out of range', (t) => {
+  const values = fc.oneof(
+    fc.string(),
+    fc.json(),
+    fc.record(
+      {
+        service: fc.anything(),
+        address: fc.oneof(fc.string(), fc.constant(ENTRY.address)),
+        zone: fc.oneof(fc.string(), fc.constant('z')),
+        version: fc.oneof(fc.string(), fc.constant('v1')),
+        slots: fc.oneof(fc.integer(), fc.double(), fc.constant(4)),
+        state: fc.oneof(fc.constant('ready'), fc.string()),
+        coldRemainingMs: fc.oneof(fc.double(), fc.constant(0)),
+        sequence: fc.oneof(fc.integer(), fc.constant(1)),
+        born: fc.oneof(fc.integer(), fc.constant(1_000), fc.anything()),
+      },
+      { requiredKeys: [] },
+    ),
+    fc
+      .record({ field: fc.constantFrom(...Object.keys(ENTRY)), value: fc.anything() })
+      .map(({ field, value }) => ({ ...ENTRY, [field]: value })),
+  );
+  const world = new GatewayWorld();
+  const lives = new BackendLives();
+  fc.assert(
+    fc.property(values, (value) => {
+      let text: string | undefined;
+      try {
+        text = typeof value === 'string' ? value : JSON.stringify(value);
+      } catch {
+        return;
+      }
+      const read = decodeRecord({ key: 'servers/w', revision: 1, value: text ?? '' });
+      const announcement = read.kind === 'backend' ? read.announcement : undefined;
+      update(world, lives, announcement);
+      if (announcement !== undefined) {
+        t.true(announcement.slots >= 1 && Number.isInteger(announcement.slots));
+        t.true(announcement.remainingColdMs >= 0 && announcement.service.length > 0);
+        t.true(announcement.bornAtMs === undefined || announcement.bornAtMs >= 0);
+      }
+    }),
+    { seed: 7, numRuns: Number(process.env['FUZZ_RUNS'] ?? 2_000) },
+  );
+});
+
+test('an announcement of a service that nobody configured ends no other at its address', (t) => {
+  const world = new GatewayWorld();
+  world.namedServices = new Set(['s']);
+  world.dispatcher.updateBackend('w', backendOf('w', { address: 'a:1' }), 0);
+  const foreign = backendOf('other', { address: 'a:1', service: 'foreign', revision: 2 });
+  world.dispatcher.updateBackend('other', foreign, 0);
+  t.true(world.directory.find('w')!.isReady);
+  world.namedServices = new Set(['s', 'foreign']);
+  world.directory.reviewReplaced();
+  t.false(world.directory.find('w')!.isReady);
+});
--- a/test/crashing-request.test.ts
+++ b/test/crashing-request.test.ts
@@ -14,6 +14,7 @@
 import type { ServerResponse } from 'node:http';
 import test from 'ava';
 import { request } from 'undici';
+import { fingerprintOf } from '../src/gateway/crashes/request-fingerprint.js';
 import { StandinStore, StandinWorker } from './support/platform-standin.js';
 import type { WorkerRequest } from './support/platform-standin.js';
 import { platformGateways } from './support/platform-gateway.js';
@@ -29,6 +30,8 @@
 const AWAY_MS = 250;
 const PAUSE_MS = 120;
 const SENDS = 20;
+/** Time in which a gateway has read what changed in the store, in which it gathers changes for a while. */
+const SPREAD_MS = 500;
 /** Users bear that many crashes before anything must be known of a request, and as many sends after them. */
 const BORNE_CRASHES = 3;
 const BORNE_SENDS_LATER = 3;
@@ -51,7 +54,12 @@
     );
     this.workers.add(worker);
     const listening = await worker.start(address);
-    this.store.put(`servers/${id}`, { service: 's', address: listening, slots: 4 });
+    this.store.announce(id, { service: 's', address: listening, slots: 4 });
+  }
+
+  /** The back ends that are there now. */
+  entries(): Array<{ id: string; address: string }> {
+    return [...this.workers].map(({ id, address }) => ({ id, address }));
   }
 
   stop(): void {
@@ -221,3 +229,60 @@
   t.is(await send(first, CRASHING), 503);
   t.is(fleet.arrivals, 3);
 });
+
+test('a request that waits when it becomes known is answered at once', async (t) => {
+  const store = new StandinStore();
+  store.put('op/config', configuration('unsafe'));
+  const gateway = await gateways.start('g-1', await store.start());
+  t.teardown(() => {
+    gateway.gateway.stop(() => undefined);
+    store.stop();
+  });
+  await gateways.untilReady([gateway]);
+  const startedAt = Date.now();
+  const waiting = send(gateway, CRASHING);
+  await sleep(PAUSE_MS);
+  const body = Buffer.from(CRASHING);
+  const same = {
+    tenant: undefined,
+    method: 'POST',
+    route: { host: 'a.example' },
+    path: '/a/x',
+    body,
+  };
+  const fingerprint = fingerprintOf(same);
+  const known = { fingerprint, crashes: 3, clearances: 0, changedAtMs: Date.now() };
+  store.put('weirvale/crashing-requests', { requests: [known] });
+  t.is(await waiting, 503);
+  t.true(Date.now() - startedAt < 1_000, 'its own time is over after 1.5 s');
+});
+
+test('entries of other writers disturb nobody, and a back end that starts again under its id is used', async (t) => {
+  const { store, fleet } = await startFleet('unsafe');
+  const foreign: unknown[] = [7, null, [], {}, { service: 's', address: 'x', slots: 'many' }];
+  foreign.forEach((value, index) =>
+    store.put(`servers/${'amz'[index % 3]}-foreign-${index}`, value),
+  );
+  store.putBytes('servers/not-text', Buffer.from([0xff, 0xfe, 0x00]));
+  const gateway = await gateways.start('g-1', await store.start());
+  t.teardown(() => {
+    gateway.gateway.stop(() => undefined);
+    fleet.stop();
+    store.stop();
+  });
+  await gateways.untilReady([gateway]);
+  t.deepEqual(await sendAll([gateway], HARMLESS, 2), [200, 200]);
+  foreign.forEach((value, index) => store.put(`servers/${'amz'[index % 3]}-later-${index}`, value));
+  t.deepEqual(await sendAll([gateway], HARMLESS, 2), [200, 200]);
+  // Every back end's own entry is overwritten, and back with its next heartbeat, now with a start.
+  const entries = fleet.entries();
+  entries.forEach(({ id }) => store.put(`servers/${id}`, { service: 7 }));
+  // Sooner than back ends that have left are given up where no other is there: 1.5 s.
+  await sleep(SPREAD_MS);
+  t.is(await send(gateway, HARMLESS), 503);
+  for (const born of [1_000, 2_000]) {
+    entries.forEach(({ id, address }) => store.announce(id, { address, slots: 4, born }));
+    await sleep(SPREAD_MS);
+    t.deepEqual(await sendAll([gateway], HARMLESS, 2), [200, 200]);
+  }
+});
--- a/test/crashing-requests.test.ts
+++ b/test/crashing-requests.test.ts
@@ -1,10 +1,15 @@
 import test from 'ava';
+import { RequestAdmission } from '../src/gateway/admission/request-admission.js';
+import type { TokenQuotas } from '../src/gateway/admission/token-quota.js';
 import type { AcceptedRequest } from '../src/gateway/attempt/accepted-request.js';
 import { BrokenRuns } from '../src/gateway/crashes/broken-runs.js';
 import { CrashLooks } from '../src/gateway/crashes/crash-looks.js';
 import { CrashTable, DEFAULT_CRASH_TABLE_OPTIONS } from '../src/gateway/crashes/crash-table.js';
+import { SeededRandom } from '../src/random.js';
+import { DEFAULT_CALLER_LIMITS } from '../src/routing/configuration.js';
+import { RoutingTable } from '../src/routing/routing-table.js';
 import { VirtualClock } from '../src/sim/virtual-clock.js';
-import { backendOf, GatewayWorld, routeOf } from './support/gateway.js';
+import { backendOf, GatewayWorld, PLAIN_PROTOCOL, routeOf } from './support/gateway.js';
 
 const RESET = { mayHaveRun: true, isPortClosed: false, detail: 'reset' };
 const REFUSED = { mayHaveRun: false, isPortClosed: true, detail: 'refused' };
@@ -157,6 +162,72 @@
   t.is(world.crashes[0]!.evidence, isSame ? 'port-closed' : 'replaced');
 });
 
+test('the word of the agent beside a back end shows that it ended', (t) => {
+  const world = fleet();
+  world.engines = true;
+  world.dispatcher.connectAgent('a', 0);
+  world.request(CRASHING);
+  const { backend, handlers } = world.attempts[0]!;
+  world.dispatcher.connectAgent(backend.id, 0);
+  handlers.onFailure(RESET);
+  const state = {
+    kind: 'state',
+    occupied: 0,
+    messagesSeen: 0,
+    speed: {},
+    failureShare: 0,
+  } as const;
+  world.dispatcher.receiveFromAgent(backend.id, { ...state, availability: 'closed' }, 1);
+  t.is(world.crashes.length, 0, 'it may rest, or answer nobody');
+  const ended = { ...state, availability: 'closed', hasEnded: true } as const;
+  world.dispatcher.receiveFromAgent(backend.id, ended, 2);
+  t.is(world.crashes[0]!.evidence, 'agent');
+});
+
+test('a refused request is not charged to its tenant', (t) => {
+  const quota = { ratePerS: 1, burst: 1, unit: 'requests', plainTokens: 1 } as const;
+  const tenants = [
+    { name: 'shop', apiKeys: ['k'], priority: undefined, allowedRegions: undefined, quota },
+  ];
+  const table = new RoutingTable({
+    version: 1,
+    routes: [routeOf()],
+    services: [],
+    tenants,
+    limits: DEFAULT_CALLER_LIMITS,
+  });
+  let charged = 0;
+  const quotas = { take: () => (charged += 1) > 0, waitMs: () => 0 };
+  const refused = new Set(['crashing']);
+  const admission = new RequestAdmission(
+    quotas as unknown as TokenQuotas,
+    new VirtualClock(),
+    new SeededRandom(1),
+    { canServe: () => true },
+    {
+      refusalOf: ({ body }) =>
+        refused.has(body.toString()) ? { reason: 'crashes-back-ends' } : undefined,
+    },
+  );
+  const admit = (body: string) =>
+    admission.admit(
+      {
+        head: { method: 'GET', path: '/a/', host: 'a.example', rawHeaders: [], headers: {} },
+        caller: { ...PLAIN_PROTOCOL.readRequest({}), apiKey: 'k' },
+        body: Buffer.from(body),
+        arrivedAtMs: 0,
+      },
+      table,
+    );
+  for (let index = 0; index < 5; index += 1) {
+    const refusal = admit('crashing');
+    t.is(!refusal.ok && refusal.val.reason, 'crashes-back-ends');
+  }
+  t.is(charged, 0);
+  t.true(admit('harmless').ok);
+  t.is(charged, 1);
+});
+
 test('an end that was known before a request was sent there is not its doing', (t) => {
   const runs = new BrokenRuns();
   runs.takeEnded('a', 'agent', 0);
--- a/test/homes-gateway.test.ts
+++ b/test/homes-gateway.test.ts
@@ -48,8 +48,8 @@
 
   async start(configuration: object): Promise<void> {
     const [homeAddress, abroadAddress] = [await this.home.start(), await this.abroad.start()];
-    this.store.put('servers/w-a', { service: 's', address: homeAddress, slots: 2, zone: 'a1' });
-    this.store.put('servers/w-b', { service: 's', address: abroadAddress, slots: 2, zone: 'b1' });
+    this.store.announce('w-a', { service: 's', address: homeAddress, slots: 2, zone: 'a1' });
+    this.store.announce('w-b', { service: 's', address: abroadAddress, slots: 2, zone: 'b1' });
     this.store.put('op/config', configuration);
     const storeAddress = await this.store.start();
     const settings = parseGatewaySettings(
--- a/test/platform-headers.test.ts
+++ b/test/platform-headers.test.ts
@@ -15,7 +15,7 @@
 const ATTEMPT = {
   requestId: 'r1',
   remainingMs: 100,
-  backendId: 'i-1',
+  backendName: 'i-1',
   tenant: undefined,
   lastEventId: undefined,
 };
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -74,7 +74,7 @@
   const store = new StandinStore();
   const worker = new StandinWorker('w-1', answerWell);
   store.put('op/config', configuration(1));
-  store.put('servers/w-1', { service: 's', address: await worker.start(), slots: 2 });
+  store.announce('w-1', { service: 's', address: await worker.start(), slots: 2 });
   const gateway = await startGateway('g', await store.start());
   await until(() => isReady(gateway));
   const answer = await call(gateway);
@@ -146,20 +146,20 @@
   ];
   const leavingAddress = await leaving.start();
   store.put('op/config', configuration(1));
-  store.put('servers/w-1', { service: 's', address: leavingAddress, slots: 2 });
+  store.announce('w-1', { service: 's', address: leavingAddress, slots: 2 });
   const informed = await startGateway('g-1', await store.start());
   const dark = await startGateway('g-2', await darkStore.start(), [informed.peers]);
   await until(() => isReady(dark));
   t.is(await statusOf(dark), 200);
   const stayingAddress = await staying.start();
-  store.put('servers/w-1', {
+  store.announce('w-1', {
     service: 's',
     address: leavingAddress,
     slots: 2,
     state: 'draining',
   });
   // Whoever knows this change knows the drain, which has the lower revision.
-  store.put('servers/w-2', { service: 's', address: stayingAddress, slots: 2 });
+  store.announce('w-2', { service: 's', address: stayingAddress, slots: 2 });
   await until(async () => (await statusOf(dark)) === 200 && staying.received.length > 0);
   const before = leaving.received.length;
   for (let index = 0; index < 5; index += 1) {
@@ -180,7 +180,7 @@
   ];
   store.put('op/config', configuration(1));
   const worker = async (each: StandinWorker, zone: string) =>
-    store.put(`servers/${each.id}`, { service: 's', address: await each.start(), slots: 9, zone });
+    store.announce(each.id, { service: 's', address: await each.start(), slots: 9, zone });
   await worker(inside, 'za');
   await worker(outside, 'zb');
   const [address, darkAddress] = [await store.start(), await darkStore.start()];
@@ -237,8 +237,8 @@
   const worker = new StandinWorker('w-new', answerWell);
   const address = await worker.start();
   store.put('op/config', configuration(1));
-  store.put('servers/w-new', { service: 's', address, slots: 2 });
-  store.put('servers/w-old', { service: 's', address, slots: 2 });
+  store.announce('w-new', { service: 's', address, slots: 2 });
+  store.announce('w-old', { service: 's', address, slots: 2 });
   const gateway = await startGateway('g', await store.start());
   await until(() => isReady(gateway));
   t.is(await statusOf(gateway), 200);
@@ -255,7 +255,7 @@
     setTimeout(() => answerWell(undefined, response), 300);
   });
   store.put('op/config', configuration(1));
-  store.put('servers/w-1', { service: 's', address: await worker.start(), slots: 2 });
+  store.announce('w-1', { service: 's', address: await worker.start(), slots: 2 });
   const gateway = await startGateway('g', await store.start());
   await until(() => isReady(gateway));
   const running = statusOf(gateway);
@@ -277,7 +277,7 @@
   const store = new StandinStore();
   const worker = new StandinWorker('w-1', answerWell);
   store.put('op/config', configuration(1));
-  store.put('servers/w-1', { service: 's', address: await worker.start(), slots: 2 });
+  store.announce('w-1', { service: 's', address: await worker.start(), slots: 2 });
   const gateway = await startGateway('g', await store.start());
   await until(() => isReady(gateway));
   const [, , authority] = gateway.callers.split('/');
@@ -307,9 +307,9 @@
     new StandinWorker('w-2', answerWell),
   ];
   store.put('op/config', configuration(1));
-  store.put('servers/w-1', { service: 's', address: await old.start(), slots: 9, version: 'v1' });
+  store.announce('w-1', { service: 's', address: await old.start(), slots: 9, version: 'v1' });
   store.put('op/rollout/s', { service: 's', targetVersion: 'v2', durationS: 60 });
-  store.put('servers/w-2', {
+  store.announce('w-2', {
     service: 's',
     address: await target.start(),
     slots: 9,
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -33,6 +33,8 @@
 export function backendOf(id: string, changes: Partial<Backend> = {}): Backend {
   return {
     id,
+    name: id,
+    bornAtMs: undefined,
     service: 's',
     address: `${id}:1`,
     zone: 'z',
@@ -158,6 +160,8 @@
   /** Back ends to which connections do not come up for now. */
   readonly connecting = new Set<string>();
   coldStarts = new ColdStarts();
+  /** Services that are configured; undefined for any. */
+  namedServices: ReadonlySet<string> | undefined;
   /** Back ends that were to be looked at, in order. */
   readonly looks: string[] = [];
   readonly crashes: CountedCrash[] = [];
@@ -239,6 +243,10 @@
     this.dispatcher.changeOrders(apply, this.clock.now());
   }
 
+  isNamed(service: string): boolean {
+    return this.namedServices?.has(service) ?? true;
+  }
+
   onEnded(backendId: string): void {
     this.crashing.noteEnded(backendId, 'agent');
   }
--- a/test/support/platform-standin.ts
+++ b/test/support/platform-standin.ts
@@ -49,10 +49,31 @@
     this.server.close();
   }
 
-  put(key: string, value: object): void {
+  put(key: string, value: unknown): void {
+    this.putBytes(key, Buffer.from(JSON.stringify(value)));
+  }
+
+  /** Anything that anybody may write. */
+  putBytes(key: string, bytes: Buffer): void {
     this.revision += 1;
-    const text = Buffer.from(JSON.stringify(value)).toString('base64');
-    this.record({ key, revision: this.revision, value: text });
+    this.record({ key, revision: this.revision, value: bytes.toString('base64') });
+  }
+
+  /** A back end announces itself; what `fields` leaves out is as usual. */
+  announce(
+    id: string,
+    fields: { readonly address: string; readonly [field: string]: unknown },
+  ): void {
+    this.put(`servers/${id}`, {
+      service: 's',
+      zone: 'z',
+      version: 'v1',
+      slots: 2,
+      state: 'ready',
+      coldRemainingMs: 0,
+      sequence: 1,
+      ...fields,
+    });
   }
 
   /** The value of a key, read as JSON; undefined where there is none. */
