--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -4,20 +4,20 @@
  * A request that was sent is never sent again unless it may be repeated or it
  * is certain that no back end ran it.
  */
-import type { TimerHandle } from '../../clock.js';
 import type { Backend } from '../../routing/backend.js';
 import type { AnswerHead, AttemptFailure, AttemptHandle, CallerReply } from './attempt.js';
 import type { AttemptOutcome } from '../dispatch/backend-health.js';
-import { endToEndHeaders } from '../admission/caller-protocol.js';
 import { AttemptProgress } from './attempt-progress.js';
 import type { RequestRun } from '../crashes/crashing-requests.js';
 import type { GatewayRefusal } from '../admission/gateway-refusal.js';
-import { isHomeRefusal } from '../homes/home-refusal.js';
 import type { HomeRefusalReason } from '../homes/home-refusal.js';
 import { sendRefusal } from '../admission/send-refusal.js';
 import { isBadTry } from './try-verdict.js';
 import { AnswerRelay } from './answer-relay.js';
 import type { HeldAnswer } from './answer-relay.js';
+import { OneShotTimer } from './one-shot-timer.js';
+import { outgoingRequest } from './outgoing-request.js';
+import { refusalPauseMs } from './refusal-pause.js';
 import { RequestWait } from './request-wait.js';
 import type { AcceptedRequest } from './accepted-request.js';
 import type { RequestOptions, RequestPorts } from './request-model.js';
@@ -32,7 +32,6 @@
  * it an answer that was ready would be dropped for the word of its back end's end that overtook it.
  */
 const ENDED_GRACE_MS = 300;
-const NO_HEADERS = new Set<string>();
 const NONE: ReadonlySet<string> = new Set();
 
 type Phase = 'waiting' | 'sent' | 'streaming' | 'done';
@@ -56,9 +55,11 @@
   /** Whether some back end may have run the request. */
   private mayHaveRun = false;
   private lastAnswer: HeldAnswer | undefined;
-  private readonly endTimer: TimerHandle;
-  private stepTimer: TimerHandle | undefined;
-  private endedTimer: TimerHandle | undefined;
+  private readonly endTimer: OneShotTimer;
+  /** For the silence of the back end. */
+  private readonly stepTimer: OneShotTimer;
+  /** For what its back end had sent before it ended. */
+  private readonly endedTimer: OneShotTimer;
 
   constructor(
     private readonly request: AcceptedRequest,
@@ -70,7 +71,10 @@
     this.record = new RequestRecord(request.arrivedAtMs);
     this.relay = new AnswerRelay(reply, { method, lastEventId, isStream: route.kind === 'stream' });
     const leftMs = Math.max(0, request.endsAtMs - ports.clock.now());
-    this.endTimer = ports.clock.setTimeout(() => this.timeOut(), leftMs);
+    this.endTimer = new OneShotTimer(ports.clock);
+    this.stepTimer = new OneShotTimer(ports.clock);
+    this.endedTimer = new OneShotTimer(ports.clock);
+    this.endTimer.start(leftMs, () => this.timeOut());
   }
 
   /** Whether its end has come. */
@@ -125,10 +129,10 @@
    * request would wait until its time was over for an answer that cannot come.
    */
   noteBackendEnded(backendId: string): void {
-    if (this.attempt === undefined || this.backend?.id !== backendId) {
-      return;
+    const isThere = this.attempt !== undefined && this.backend?.id === backendId;
+    if (isThere && !this.endedTimer.isRunning) {
+      this.endedTimer.start(ENDED_GRACE_MS, () => this.loseEnded());
     }
-    this.endedTimer ??= this.ports.clock.setTimeout(() => this.loseEnded(), ENDED_GRACE_MS);
   }
 
   private loseEnded(): void {
@@ -146,7 +150,7 @@
 
   private waitForBackend(): void {
     this.phase = 'waiting';
-    this.clearStepTimer();
+    this.stepTimer.clear();
     this.refuseCrashing();
     if (this.isDone) {
       return;
@@ -197,17 +201,11 @@
       this.progress?.lastEventAtMs,
       ports.dispatcher.isCold(backend.id, nowMs),
     );
-    const headers = ports.protocol.attemptHeaders(endToEndHeaders(request.headers, NO_HEADERS), {
-      requestId: request.requestId,
-      remainingMs: Math.max(1, Math.floor(request.endsAtMs - nowMs)),
-      backendName: backend.name,
-      tenant: request.tenant,
-      lastEventId: this.relay.lastEventId,
-    });
-    const { method, path, body } = request;
+    const { lastEventId } = this.relay;
+    const roundTripMs = known?.roundTrip.ms ?? 0;
     this.armSilenceTimer();
     this.attempt = ports.sender.send(
-      { backend, roundTripMs: known?.roundTrip.ms ?? 0, method, path, headers, body },
+      outgoingRequest(request, { backend, roundTripMs, lastEventId, nowMs }, ports.protocol),
       {
         onConnected: (elapsedMs) => known?.roundTrip.learn(elapsedMs),
         onHead: (head) => this.receiveHead(head),
@@ -221,14 +219,14 @@
   /** A request that may be tried elsewhere does not wait for a silent back end until its end. */
   private armSilenceTimer(): void {
     const { route } = this.request;
-    this.clearStepTimer();
+    this.stepTimer.clear();
     if (!this.mayRepeat() || this.attempts >= route.maxAttempts) {
       return;
     }
     const { safeHeadShare, streamSilenceMs } = this.options;
     const silenceMs =
       route.kind === 'safe' ? route.targetLatencyMs * safeHeadShare : streamSilenceMs;
-    this.setStepTimer(silenceMs, () => this.giveUpSilentBackend());
+    this.stepTimer.start(silenceMs, () => this.giveUpSilentBackend());
   }
 
   private giveUpSilentBackend(): void {
@@ -467,17 +465,10 @@
   }
 
   private retryAfterMs(reason: GatewayRefusal['reason']): number {
-    const { retryAfterMs, overloadRetryMaxMs, maxRetryShare } = this.options;
-    const isForWaitToTell = reason === 'overloaded' || reason === 'zone-evacuated';
-    if (isForWaitToTell && this.wait !== undefined) {
-      return this.wait.retryAfterMs();
-    }
-    if (isHomeRefusal(reason)) {
-      // Only operators can help, which takes them longer than any pause that callers heed.
-      const leftMs = this.request.endsAtMs - this.ports.clock.now();
-      return Math.min(overloadRetryMaxMs, leftMs * maxRetryShare);
-    }
-    return retryAfterMs;
+    const { wait, options } = this;
+    const leftMs = this.request.endsAtMs - this.ports.clock.now();
+    const queuePauseMs = wait && (() => wait.retryAfterMs());
+    return refusalPauseMs(reason, { options, queuePauseMs, leftMs });
   }
 
   private refuse(refusal: GatewayRefusal): void {
@@ -499,8 +490,8 @@
   }
 
   private endAttempt(outcome: AttemptOutcome, detail: string): void {
-    this.clearStepTimer();
-    this.clearEndedTimer();
+    this.stepTimer.clear();
+    this.endedTimer.clear();
     this.stopWatchingPath?.();
     if (this.attempt === undefined || this.backend === undefined) {
       return;
@@ -523,30 +514,11 @@
     const { clock } = this.ports;
     const nowMs = clock.now();
     this.phase = 'done';
-    clock.clearTimeout(this.endTimer);
-    this.clearStepTimer();
+    this.endTimer.clear();
+    this.stepTimer.clear();
     this.wait?.cancel();
     this.ports.onEnd(this.request, this.record.end(status, reason, this.attempts, nowMs));
   }
-
-  private setStepTimer(delayMs: number, callback: () => void): void {
-    this.clearStepTimer();
-    this.stepTimer = this.ports.clock.setTimeout(callback, Math.max(0, delayMs));
-  }
-
-  private clearEndedTimer(): void {
-    if (this.endedTimer !== undefined) {
-      this.ports.clock.clearTimeout(this.endedTimer);
-      this.endedTimer = undefined;
-    }
-  }
-
-  private clearStepTimer(): void {
-    if (this.stepTimer !== undefined) {
-      this.ports.clock.clearTimeout(this.stepTimer);
-      this.stepTimer = undefined;
-    }
-  }
 }
 
 function outcomeOf({ isPortClosed, isSilent }: AttemptFailure): AttemptOutcome {
--- a/test/backend-lives.test.ts
+++ b/test/backend-lives.test.ts
@@ -5,23 +5,9 @@
 import type { Announcement } from '../src/routing/backend-lives.js';
 import { EngineKnowledge } from '../src/slot-agent/engine-knowledge.js';
 import { Places } from '../src/routing/places.js';
-import { SlotLedger } from '../src/slot-agent/slot-ledger.js';
-import type { SlotLedgerPorts } from '../src/slot-agent/slot-ledger.js';
 import { backendOf, GatewayWorld, routeOf } from './support/gateway.js';
+import { Agent } from './support/played-agent.js';
 
-const LEDGER_PORTS: SlotLedgerPorts = {
-  send: () => undefined,
-  onGranted: () => undefined,
-  onChangesToTell: () => undefined,
-  onReconciled: () => undefined,
-  onLookWanted: () => undefined,
-  onAvailability: () => undefined,
-  restriction: () => undefined,
-  homesToTell: () => undefined,
-  onForbiddenTake: () => undefined,
-  startRules: () => undefined,
-  onStartsHeld: () => undefined,
-};
 const RESET = { mayHaveRun: true, isPortClosed: false, detail: 'reset' };
 const ENTRY = {
   service: 's',
@@ -113,21 +99,15 @@
 });
 
 test('an engine that ended and started again between two looks is told to have ended', (t) => {
-  const told: Array<boolean | undefined> = [];
-  const ledger = new SlotLedger({
-    ...LEDGER_PORTS,
-    send: (_connection, message) => {
-      if (message.kind === 'state') {
-        told.push(message.hasEnded);
-      }
-    },
-  });
-  ledger.receive(1, { kind: 'hello', gateway: 'g', peersAddress: '', held: 0, slots: 2 }, 0);
-  ledger.takeReading({ kind: 'load', requests: 0, bornAtMs: 1 }, 10);
-  ledger.takeReading({ kind: 'load', requests: 0, bornAtMs: 1 }, 20);
-  t.false(told.includes(true));
-  ledger.takeReading({ kind: 'load', requests: 0, bornAtMs: 2 }, 30);
-  t.deepEqual(told.slice(-2), [true, undefined]);
+  const agent = new Agent();
+  const told = () =>
+    agent.sent.flatMap(([, message]) => (message.kind === 'state' ? [message.hasEnded] : []));
+  agent.admit(1);
+  agent.ledger.takeReading({ kind: 'load', requests: 0, bornAtMs: 1 }, 10);
+  agent.ledger.takeReading({ kind: 'load', requests: 0, bornAtMs: 1 }, 20);
+  t.false(told().includes(true));
+  agent.ledger.takeReading({ kind: 'load', requests: 0, bornAtMs: 2 }, 30);
+  t.deepEqual(told().slice(-2), [true, undefined]);
 });
 
 test('a late word of an earlier life changes nothing of the newer one, whatever its revision', (t) => {
