--- a/bench/soak/loopback-proxy.ts
+++ b/bench/soak/loopback-proxy.ts
@@ -31,6 +31,15 @@
     this.server.close();
   }
 
+  /** Takes no connections for a time, as if what stands behind it had ended; its connections are reset. */
+  async closeFor(pauseMs: number, host: string, port: number): Promise<void> {
+    const closed = new Promise((resolve) => this.server.close(resolve));
+    this.resetAll();
+    await closed;
+    await new Promise((resolve) => setTimeout(resolve, pauseMs));
+    await this.start(host, port);
+  }
+
   /** Resets every connection. */
   resetAll(): void {
     for (const socket of this.sockets) {
--- a/bench/soak/soak-backend.ts
+++ b/bench/soak/soak-backend.ts
@@ -71,7 +71,7 @@
 
   private receive(request: IncomingMessage, response: ServerResponse): void {
     if (request.url === '/-/report') {
-      response.end(JSON.stringify({ waiting: 0, running: this.running }));
+      response.end(JSON.stringify({ waiting: 0, running: this.running, born: this.bornAtMs }));
       return;
     }
     request.resume();
--- a/bench/soak/soak-fleet.ts
+++ b/bench/soak/soak-fleet.ts
@@ -81,6 +81,9 @@
   }
 }
 
+/** How long a back end that starts again under its name is away, in milliseconds. */
+const REBORN_AWAY_MS = 700;
+
 /** A standing order to send nothing to a back end's zone. */
 export interface SoakEvacuation {
   /** Index of the one back end in the zone. */
@@ -232,17 +235,29 @@
     return SOAK_REGIONS[zoneOf(Number(/^e-(\d+)/.exec(id)![1]))]!;
   }
 
-  /** Gives the back end at an address another life, every other time under the name that it has. */
+  /**
+   * Gives the back end at an address another life, every other time under the name that it has. That one's process
+   * is another, so its port is closed for a while first; the others answer that they are not meant.
+   */
   replaceBackend(index: number): void {
     const backend = this.backends[index]!;
-    backend.bornAtMs = Date.now();
     this.replaced += 1;
-    // Whoever left under that name is another life.
-    this.drainedAtMs.delete(backend.id);
     if (this.replaced % 2 === 0) {
       this.store.remove(`servers/${backend.id}`);
       backend.id = `${backend.id}x`;
+      this.beginLife(index);
+      return;
     }
+    const port = this.basePort + PORTS.backend;
+    void this.backendProxies[index]!.closeFor(REBORN_AWAY_MS, backendHost(index), port);
+    setTimeout(() => this.beginLife(index), REBORN_AWAY_MS).unref();
+  }
+
+  private beginLife(index: number): void {
+    const backend = this.backends[index]!;
+    backend.bornAtMs = Date.now();
+    // Whoever left under that name is another life.
+    this.drainedAtMs.delete(backend.id);
     backend.coldUntilMs = performance.now() + COLD_MS;
     this.announce(index, 'ready');
   }
