--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -136,8 +136,15 @@
   }
 
   private loseEnded(): void {
-    this.attempt?.cancel();
-    this.failAfterSend('its back end has ended');
+    const isUnsent = this.attempt?.withdraw() === true;
+    if (!isUnsent) {
+      this.attempt?.cancel();
+    }
+    this.fail({
+      mayHaveRun: !isUnsent,
+      isPortClosed: false,
+      detail: 'its back end has ended',
+    });
   }
 
   /** What waits is answered, if it was found to crash the back ends that run it. */
--- a/test/backend-lives.test.ts
+++ b/test/backend-lives.test.ts
@@ -98,6 +98,19 @@
   t.true(world.attempts[0]!.isCancelled);
 });
 
+test('a request whose connection had not come up when its back end ended goes on elsewhere', async (t) => {
+  const world = new GatewayWorld(backendOf('a'), backendOf('b'));
+  const { request, reply } = world.request({ route: routeOf({ kind: 'unsafe' }) });
+  const { backend } = world.attempts[0]!;
+  world.connecting.add(backend.id);
+  request.noteBackendEnded(backend.id);
+  await world.clock.runUntil(301);
+  t.not(world.attempts[1]!.backend.id, backend.id);
+  world.answer(1, 200, 'good');
+  t.is(reply.body, 'good');
+  t.is(world.crashes.length, 0);
+});
+
 test('an engine that ended and started again between two looks is told to have ended', (t) => {
   const agent = new Agent();
   const told = () =>
