--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -185,7 +185,15 @@
   await worker(outside, 'zb');
   const [address, darkAddress] = [await store.start(), await darkStore.start()];
   const informed = await startGateway('g-1', address);
+  const started = [informed];
+  // Also after a failure: what goes on running would keep the process from ending.
+  t.teardown(() => {
+    started.forEach(({ gateway }) => gateway.stop(() => undefined));
+    [inside, outside].forEach((each) => each.stop());
+    [store, darkStore].forEach((each) => each.stop());
+  });
   const dark = await startGateway('g-2', darkAddress, [informed.peers]);
+  started.push(dark);
   await until(async () => (await isReady(dark)) && (await isReady(informed)));
   const sentInside = async (...gateways: RunningGateway[]) => {
     const before = inside.received.length;
@@ -208,6 +216,7 @@
   await until(async () => (await sentInside(informed, dark)) === 0);
   const late = await startGateway('g-3', address);
   const lateAndDark = await startGateway('g-4', darkAddress, [informed.peers]);
+  started.push(late, lateAndDark);
   await until(() => isReady(late));
   t.is(await sentInside(late), 0);
   await until(() => isReady(lateAndDark));
@@ -227,9 +236,6 @@
     await until(async () => (await statusOf(gateway)) === 200);
     t.is(await sentInside(gateway), 20);
   }
-  all.forEach(({ gateway }) => gateway.stop(() => undefined));
-  [inside, outside].forEach((each) => each.stop());
-  [store, darkStore].forEach((each) => each.stop());
 });
 
 test('a worker found to be another one is not asked for the same again, and the request goes on', async (t) => {
