--- a/src/gateway/crashes/crashing-requests.ts
+++ b/src/gateway/crashes/crashing-requests.ts
@@ -146,8 +146,8 @@
     this.take(told, source);
     return told.flatMap(({ fingerprint, crashes, clearances }) => {
       const known = this.table.tallyOf(fingerprint);
-      const isLess = known.crashes !== crashes || known.clearances !== clearances;
-      return isLess ? [{ fingerprint, ...known }] : [];
+      const isBehind = known.crashes !== crashes || known.clearances !== clearances;
+      return isBehind ? [{ fingerprint, ...known }] : [];
     });
   }
 
