Lines tell what a request took of its tenant's quota, and what was left when one was refused

A refusal as over its quota named neither the tenant nor what the gateway believed to be left, and no line told what a request was charged, so that neither what a gateway let pass in a second nor why could be read from the logs.

--- a/src/gateway/admission/gateway-refusal.ts
+++ b/src/gateway/admission/gateway-refusal.ts
@@ -29,6 +29,17 @@
   readonly retryAfterMs?: number;
   /** What the request is known by, where it is refused for what it did before. */
   readonly fingerprint?: RequestFingerprint;
+  /** What decided, where a tenant's quota is spent. */
+  readonly quota?: SpentQuota;
+}
+
+/** Why a tenant's quota did not suffice for a request. */
+export interface SpentQuota {
+  readonly tenant: string;
+  /** What the request would have cost: tokens, or one. */
+  readonly cost: number;
+  /** What this gateway believed to be left. */
+  readonly left: number;
 }
 
 /**
--- a/src/gateway/admission/request-admission.ts
+++ b/src/gateway/admission/request-admission.ts
@@ -5,7 +5,7 @@
 import type { Result } from '../../result.js';
 import type { AllowedRegions } from '../../routing/backend-restriction.js';
 import { commonRegions } from '../../routing/backend-restriction.js';
-import type { Route, Tenant, WeightedService } from '../../routing/configuration.js';
+import type { Route, Tenant, TenantQuota, WeightedService } from '../../routing/configuration.js';
 import { pickService } from '../../routing/routing-table.js';
 import type { RoutingTable } from '../../routing/routing-table.js';
 import type { ReceivedHead } from './caller-listener.js';
@@ -94,13 +94,15 @@
       return undefined;
     }
     const { quota, name } = tenant;
-    const { tokens } = caller;
-    const tokenCost = tokens === undefined ? quota.plainTokens : tokens.prompt + tokens.output;
-    const cost = quota.unit === 'tokens' ? tokenCost : 1;
+    const cost = costOf(caller, quota);
     if (this.quotas.take(name, quota, cost, this.clock.now())) {
       return undefined;
     }
-    return { reason: 'quota-spent', retryAfterMs: this.quotas.waitMs(name, quota) };
+    return {
+      reason: 'quota-spent',
+      retryAfterMs: this.quotas.waitMs(name, quota),
+      quota: { tenant: name, cost, left: this.quotas.left(name) },
+    };
   }
 
   private describe(
@@ -128,6 +130,7 @@
       endsAtMs: arrivedAtMs + longestMs,
       units,
       promptTokens: tokens?.prompt ?? 0,
+      quotaCost: tenant?.quota === undefined ? 0 : costOf(caller, tenant.quota),
       method: head.method,
       path: head.path,
       headers: head.rawHeaders,
@@ -156,6 +159,14 @@
   }
 }
 
+/** What a request takes of its tenant's quota. */
+function costOf({ tokens }: CallerRequestHead, quota: TenantQuota): number {
+  if (quota.unit === 'requests') {
+    return 1;
+  }
+  return tokens === undefined ? quota.plainTokens : tokens.prompt + tokens.output;
+}
+
 function headerBytes(rawHeaders: readonly string[]): number {
   return rawHeaders.reduce((sum, text) => sum + text.length + HEADER_SEPARATOR_BYTES, 0);
 }
--- a/src/gateway/admission/token-quota.ts
+++ b/src/gateway/admission/token-quota.ts
@@ -83,6 +83,11 @@
     return quota.ratePerS <= 0 ? MS_PER_S : Math.max(0, (-level / quota.ratePerS) * MS_PER_S);
   }
 
+  /** What is believed to be left to a tenant. */
+  left(tenant: string): number {
+    return this.buckets.get(tenant)?.level ?? 0;
+  }
+
   /** Tokens used here since the start, by tenant; what peers are told. */
   use(): ReadonlyMap<string, number> {
     return this.ownUse;
--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -209,6 +209,7 @@
       tenant: request.tenant,
       tier: request.tier,
       promptTokens: request.promptTokens,
+      quotaCost: request.quotaCost,
       triedForMs: request.arrivedAtMs - request.firstTriedAtMs,
       ...end,
       // Each time that a request is sent it has another id: what is the same tells that it came again.
--- a/test/crashing-requests-fleet.test.ts
+++ b/test/crashing-requests-fleet.test.ts
@@ -56,6 +56,7 @@
     endsAtMs: 0,
     units: 1,
     promptTokens: 0,
+    quotaCost: 0,
     method: 'POST',
     path: '/a/',
     headers: [],
--- a/test/crashing-requests.test.ts
+++ b/test/crashing-requests.test.ts
@@ -197,7 +197,7 @@
     limits: DEFAULT_CALLER_LIMITS,
   });
   let charged = 0;
-  const quotas = { take: () => (charged += 1) > 0, waitMs: () => 0 };
+  const quotas = { take: () => (charged += 1) > 0, waitMs: () => 0, left: () => 0 };
   const refused = new Set(['crashing']);
   const admission = new RequestAdmission(
     quotas as unknown as TokenQuotas,
--- a/test/logs.test.ts
+++ b/test/logs.test.ts
@@ -64,6 +64,21 @@
   time: '2026-01-01T00:00:01.000Z',
 };
 
+test('logs explain tells what a request would have taken of a spent quota, and what was left', (t) => {
+  const file = join(mkdtempSync(join(tmpdir(), 'weirvale-logs-')), 'edge.log');
+  const refused = {
+    ...EJECTED,
+    event: 'request-refused',
+    request: 'q-1',
+    reason: 'quota-spent',
+    status: 429,
+    quota: { tenant: 'shop', cost: 700, left: 30 },
+  };
+  writeFileSync(file, JSON.stringify(refused));
+  const told = execFileSync('node', ['dist/src/bin/weirvale.js', 'logs', 'explain', 'q-1', file]);
+  t.regex(told.toString(), /tenant shop: it would have cost 700, 30 were left/);
+});
+
 test('logs explain tells for which crashes, at whatever gateway, a request was refused', (t) => {
   const file = join(mkdtempSync(join(tmpdir(), 'weirvale-logs-')), 'edge.log');
   const crash = (second: number, fields: object) => ({
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -289,6 +289,7 @@
       endsAtMs: arrivedAtMs + route.timeoutMs,
       units: 1,
       promptTokens: 0,
+    quotaCost: 0,
       method: 'GET',
       path: '/a/',
       headers: [],
