--- a/src/gateway/quotas/quota-pools.ts
+++ b/src/gateway/quotas/quota-pools.ts
@@ -66,8 +66,8 @@
 const UNKNOWN_PAUSE_MS = 100;
 /**
  * Bounds of the pause named to a caller, in milliseconds. One that returns late displaces another that would be in time:
- * with pauses up to 5 s, as long as what had been refused would take, a tenant over its limit got 97 of 273 answers in
- * time where it got 161 with the time until the pool grants again.
+ * of a tenant over its limit 97 and 138 requests were in time in two spans of 2 s with pauses of up to 5 s, as long as
+ * what had been refused would take, and 109 and 164 with at most 1 s.
  */
 const MIN_RETRY_AFTER_MS = 50;
 const MAX_RETRY_AFTER_MS = 1_000;
