--- a/src/gateway/gateway-quotas.ts
+++ b/src/gateway/gateway-quotas.ts
@@ -149,7 +149,7 @@
     }
     const { members, settled, revision, credits, isLost } = this.rights.record;
     this.parts.learnPeers((members ?? []).map(({ address }) => address));
-    this.noteTouch();
+    this.noteContact();
     this.parts.log.write('quota-members', 'state', {
       members: members?.length,
       settled: settled.length,
@@ -185,10 +185,10 @@
     this.pools.giveBack(tenant, grantName(incarnation, id), this.parts.clock.now());
   }
 
-  /** Looks at who is in touch and at what is to be written; to be called each tick. */
+  /** Looks at who is in contact and at what is to be written; to be called each tick. */
   tick(): void {
     this.ticks += 1;
-    this.noteTouch();
+    this.noteContact();
     if (this.ticks % LOOK_TICKS === 0) {
       this.writer.tick();
     }
@@ -199,10 +199,10 @@
     this.writer.stop();
   }
 
-  private noteTouch(): void {
+  private noteContact(): void {
     const nowMs = this.parts.clock.now();
     const storeAgeMs = this.parts.storeAgeMs() ?? Infinity;
-    this.rights.noteTouch(Math.max(nowMs - storeAgeMs, this.mostHeardAtMs(nowMs)), nowMs);
+    this.rights.noteContact(Math.max(nowMs - storeAgeMs, this.mostHeardAtMs(nowMs)), nowMs);
     const hasRights = !this.rights.hasLapsed(nowMs);
     if (hasRights !== this.hadRights) {
       this.hadRights = hasRights;
--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -200,13 +200,21 @@
         isOver = true;
         this.charging.delete(accepted);
         charge?.cancel();
-        this.parts.onEnd();
+        this.noteLeftEarly(accepted);
       }
       proxied?.callerLeft();
     };
     return { callerLeft: leave };
   }
 
+  /** The caller closed its connection before its request was charged. */
+  private noteLeftEarly({ requestId, route, tenant }: AcceptedRequest): void {
+    const reason = 'caller-left';
+    const fields = { request: requestId, route: route.name, tenant, status: 0, reason, tries: [] };
+    this.parts.log.write('request-ended', 'failure', fields);
+    this.parts.onEnd();
+  }
+
   private charge(
     { tenant, quotaCost }: AcceptedRequest,
     onResult: (result: ChargeResult) => void,
--- a/src/gateway/quotas/quota-pools.ts
+++ b/src/gateway/quotas/quota-pools.ts
@@ -87,7 +87,7 @@
    * Whether waiting is of use: where much was refused lately more is asked than flows in, and a queue before the pool
    * would make all that is granted late and serve no more.
    */
-  mayLend({ perMs }: BucketTerms, nowMs: number): boolean {
+  isWaitingUseful({ perMs }: BucketTerms, nowMs: number): boolean {
     return this.refused.at(nowMs) <= perMs * MAX_AHEAD_MS;
   }
 
@@ -129,7 +129,7 @@
     const lacking = pool.threshold(asked, terms, nowMs) - level;
     this.noteDry(tenant, pool, lacking > 0, level, terms);
     const afterMs = Math.max(0, lacking / terms.perMs);
-    const isInTime = afterMs <= (mayWait && pool.mayLend(terms, nowMs) ? MAX_AHEAD_MS : 0);
+    const isInTime = afterMs <= (mayWait && pool.isWaitingUseful(terms, nowMs) ? MAX_AHEAD_MS : 0);
     if (isInTime && pool.bucket.take(grant, cost, terms, nowMs, afterMs)) {
       return { isGranted: true, afterMs };
     }
--- a/src/gateway/quotas/quota-rights.ts
+++ b/src/gateway/quotas/quota-rights.ts
@@ -1,4 +1,4 @@
-/** Which rights to tenants' quotas this gateway holds now: by the newest record of members, while it is in touch. */
+/** Which rights to tenants' quotas this gateway holds now: by the newest record of members, while it is in contact. */
 import { haveSameRights, NO_QUOTA_MEMBERS, QuotaHolders } from './quota-members.js';
 import { MAX_AHEAD_MS } from './quota-pools.js';
 import type { QuotaMembersRecord } from './quota-members.js';
@@ -12,7 +12,7 @@
 /** The rights of one gateway. */
 export class QuotaRights {
   private holders = new QuotaHolders(NO_QUOTA_MEMBERS);
-  private touchedAtMs = -Infinity;
+  private contactAtMs = -Infinity;
   private changedAtMs = Infinity;
 
   /** `onChange`: rights may have come or gone. */
@@ -58,9 +58,9 @@
   }
 
   /** Word of the store, or of most members, came at `atMs`. */
-  noteTouch(atMs: number, nowMs: number): void {
+  noteContact(atMs: number, nowMs: number): void {
     const hasLapsed = this.hasLapsed(nowMs);
-    this.touchedAtMs = Math.max(this.touchedAtMs, atMs);
+    this.contactAtMs = Math.max(this.contactAtMs, atMs);
     if (hasLapsed) {
       // Others may have held these rights meanwhile.
       this.changedAtMs = nowMs;
@@ -68,9 +68,9 @@
     }
   }
 
-  /** Whether rights rest, since this gateway was out of touch for too long or has only started. */
+  /** Whether rights rest, since this gateway was out of contact for too long or has only started. */
   hasLapsed(nowMs: number): boolean {
-    return nowMs - this.touchedAtMs > RIGHTS_HOLD_MS;
+    return nowMs - this.contactAtMs > RIGHTS_HOLD_MS;
   }
 
   /** Names of the gateways that hold a tenant's pools. */
