--- a/test/quota-fleet.test.ts
+++ b/test/quota-fleet.test.ts
@@ -54,6 +54,7 @@
   'what is used before it is granted': { usesUnanswered: true },
   'a share taken from others that hold it still': { takesOthersShare: true },
   'further runs that are not charged': { ignoresFurtherRuns: true },
+  'credits that come too close': { creditsEachTime: true },
 };
 for (const [name, fault] of Object.entries(BROKEN)) {
   test(`the check finds ${name}`, async (t) => {
--- a/test/support/quota-fleet.ts
+++ b/test/support/quota-fleet.ts
@@ -24,6 +24,10 @@
   readonly usesUnanswered?: boolean;
   /** Each pool takes the share of one of two. */
   readonly takesOthersShare?: boolean;
+  /** A gateway takes the rights of a new record before the others follow it. */
+  readonly ignoresSettled?: boolean;
+  /** A fleet is given a credit each time that it starts again. */
+  readonly creditsEachTime?: boolean;
   /** Further runs of a request are not charged. */
   readonly ignoresFurtherRuns?: boolean;
 }
@@ -95,6 +99,8 @@
   }
 }
 
+type TakeRecord = [record: QuotaMembersRecord, nowMs: number];
+
 /** One process of a gateway. */
 class FleetProcess {
   isAlive = true;
@@ -131,7 +137,7 @@
       learnPeers: () => undefined,
       storeAgeMs: () => this.storeAgeMs,
       tenants: () => [...fleet.quotas.keys()],
-      timeOfDayMs: () => fleet.clock.now() + fleet.timeOfDayMs,
+      timeOfDayMs: () => fleet.tellTimeOfDay(),
     });
     this.breakBy(fleet.fault);
   }
@@ -189,9 +195,10 @@
   }
 
   /** Breaks what a fault names, inside the quotas. */
-  private breakBy({ startsFull, usesUnanswered, takesOthersShare }: QuotaFleetFault): void {
+  private breakBy(fault: QuotaFleetFault): void {
+    const { startsFull, usesUnanswered, takesOthersShare, ignoresSettled } = fault;
     const inside = this.quotas as unknown as {
-      rights: { freeSinceMs: number; pools: number };
+      rights: { freeSinceMs: number; pools: number; take(...told: TakeRecord): boolean };
       charges: { timeOut(id: number): void; receive(id: number, grant: object): void };
     };
     if (startsFull === true) {
@@ -200,6 +207,11 @@
     if (takesOthersShare === true) {
       Object.defineProperty(inside.rights, 'pools', { get: () => 2 });
     }
+    if (ignoresSettled === true) {
+      const take = inside.rights.take.bind(inside.rights);
+      inside.rights.take = (record, nowMs) =>
+        take({ ...record, settled: record.members ?? record.settled }, nowMs);
+    }
     if (usesUnanswered === true) {
       inside.charges.timeOut = (id) => inside.charges.receive(id, { isGranted: true, afterMs: 0 });
     }
@@ -279,6 +291,13 @@
     this.every(TICK_MS, () => this.tick());
   }
 
+  /** The time of day as every gateway has it, in milliseconds. */
+  tellTimeOfDay(): number {
+    // A day between two looks: no two credits are ever too close.
+    this.timeOfDayMs += this.fault.creditsEachTime === true ? 86_400_000 : 0;
+    return this.clock.now() + this.timeOfDayMs;
+  }
+
   /** The store's record of members. */
   get members(): QuotaMembersRecord {
     return this.record;
