--- a/test/quota-fleet.test.ts
+++ b/test/quota-fleet.test.ts
@@ -42,8 +42,10 @@
 test('whatever starts, dies, stands still or is cut off, no tenant gets more than its bound', async (t) => {
   let worst = 0;
   for (let seed = 0; seed < SEEDS; seed += 1) {
-    const share = (await playSeed(seed)).worstShare();
+    const fleet = await playSeed(seed);
+    const share = fleet.worstShare();
     t.true(share <= 1, `seed ${seed}: ${share} of the bound`);
+    t.true(fleet.mostHeld <= 1 + 1e-9, `seed ${seed}: ${fleet.mostHeld} of the pools were held`);
     worst = Math.max(worst, share);
   }
   t.log(`worst of ${SEEDS} seeds: ${worst} of the bound`);
@@ -159,3 +161,23 @@
   await fleet.run(8_000);
   t.true(fleet.ranSince(fromMs) <= (4_000 * 8 + 4_000) * 1.1 + 14_000);
 });
+
+test('no pool is held by two, and the check finds rights that are taken before others follow', async (t) => {
+  const playJoin = async (fault: QuotaFleetFault) => {
+    const fleet = new QuotaFleet({ seed: 12, gateways: 10, fault });
+    await fleet.run(SETTLE_MS);
+    // Those that are cut off know nothing of the ones that are added.
+    fleet.gateways.slice(0, 5).forEach((gateway) => (gateway.isCut = true));
+    for (let index = 0; index < 10; index += 1) {
+      fleet.add();
+    }
+    await fleet.run(10_000);
+    fleet.gateways.forEach((gateway) => (gateway.isCut = false));
+    await fleet.run(10_000);
+    return fleet;
+  };
+  const fleet = await playJoin({});
+  t.is(fleet.members.settled.length, 20);
+  t.true(fleet.mostHeld <= 1 + 1e-9);
+  t.true((await playJoin({ ignoresSettled: true })).mostHeld > 1);
+});
--- a/test/support/quota-fleet.ts
+++ b/test/support/quota-fleet.ts
@@ -8,6 +8,7 @@
 import type { QuotaMembersRecord } from '../../src/gateway/quotas/quota-members.js';
 import { decodeQuotaMembers } from '../../src/gateway/quotas/quota-members-format.js';
 import { NO_QUOTA_MEMBERS } from '../../src/gateway/quotas/quota-members.js';
+import type { QuotaRights } from '../../src/gateway/quotas/quota-rights.js';
 import { windowBound } from '../../src/gateway/quotas/quota-terms.js';
 import { err, ok } from '../../src/result.js';
 import type { RandomSource } from '../../src/random.js';
@@ -99,6 +100,13 @@
   }
 }
 
+const NO_RIGHTS: { readonly rights?: QuotaRights } = {};
+
+/** The rights inside a gateway's quotas. */
+function rightsOf(quotas: GatewayQuotas): { readonly rights?: QuotaRights } {
+  return quotas as unknown as { readonly rights: QuotaRights };
+}
+
 type TakeRecord = [record: QuotaMembersRecord, nowMs: number];
 
 /** One process of a gateway. */
@@ -275,6 +283,8 @@
   lossShare = 0;
   readonly asked = { greedy: 0, calm: 0 };
   readonly refused = { greedy: 0, calm: 0 };
+  /** Most of a tenant's pools that were held at one moment, as a share of all that there may be. */
+  mostHeld = 0;
   private readonly ran: Array<{ readonly atMs: number; readonly cost: number }> = [];
   private record: QuotaMembersRecord = NO_QUOTA_MEMBERS;
   private revision = 0;
@@ -397,7 +407,17 @@
     this.record = { ...NO_QUOTA_MEMBERS, revision: this.revision };
   }
 
+  private noteHeld(): void {
+    const nowMs = this.clock.now();
+    const held = this.gateways.reduce((sum, { process }) => {
+      const { rights } = process === undefined ? NO_RIGHTS : rightsOf(process.quotas);
+      return sum + (rights?.heldSinceMs('greedy', nowMs) === undefined ? 0 : 1 / rights.pools);
+    }, 0);
+    this.mostHeld = Math.max(this.mostHeld, held);
+  }
+
   private tick(): void {
+    this.noteHeld();
     const isBeat = Math.round(this.clock.now() / TICK_MS) % BEAT_TICKS === 0;
     for (const gateway of this.gateways) {
       const { process } = gateway;
