What a back end says of itself in an answer stands in lines and counters

Three fields of an answer's head are read into one typed statement; a request's line names what each try's answer said, and a line tells when a belief about a life of a back end begins, changes or ends. Nothing decides by it yet. A value that is no plain number within bounds says nothing and is counted.

--- a/src/gateway/admission/caller-protocol.ts
+++ b/src/gateway/admission/caller-protocol.ts
@@ -1,4 +1,5 @@
 /** How callers and back ends name the things that a gateway needs; an adapter supplies the names. */
+import type { BackendStatement } from '../statements/backend-statement.js';
 
 /** Header names and values in turn, in the case and order they were received in. */
 export type RawHeaders = readonly string[];
@@ -35,6 +36,8 @@
   readonly isNotExecuted: boolean;
   /** Another back end than the one named was found at the address. */
   readonly isMisdirected: boolean;
+  /** What it says of itself; of no meaning where another back end was found. */
+  readonly statement: BackendStatement;
 }
 
 /** The names of one platform. */
--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -9,6 +9,7 @@
 import type { AttemptOutcome } from '../dispatch/backend-health.js';
 import { AttemptProgress } from './attempt-progress.js';
 import type { RequestRun } from '../crashes/crashing-requests.js';
+import type { BackendAnswerHead } from '../admission/caller-protocol.js';
 import type { GatewayRefusal } from '../admission/gateway-refusal.js';
 import type { HomeRefusalReason } from '../homes/home-refusal.js';
 import { sendRefusal } from '../admission/send-refusal.js';
@@ -279,6 +280,9 @@
       this.failAfterSend('the answer is for another request');
       return;
     }
+    if (!answer.isMisdirected) {
+      this.hearStatement(answer);
+    }
     if (answer.isNotExecuted || answer.isMisdirected) {
       this.dropRefused(answer.isMisdirected);
       return;
@@ -289,6 +293,17 @@
     }
   }
 
+  private hearStatement({ statement, isNotExecuted }: BackendAnswerHead): void {
+    this.record.noteStatement(statement);
+    this.ports.onStatement({
+      backend: this.backend!,
+      requestId: this.request.requestId,
+      statement,
+      sentAtMs: this.attemptStartedAtMs,
+      isTurnedAway: isNotExecuted,
+    });
+  }
+
   /** The back end declined: the connection may be kept, but its answer is of no use. */
   private dropRefused(isMisdirected: boolean): void {
     const backendId = this.backend!.id;
--- a/src/gateway/attempt/request-model.ts
+++ b/src/gateway/attempt/request-model.ts
@@ -11,6 +11,8 @@
 import type { AttemptOutcome } from '../dispatch/backend-health.js';
 import type { CallerProtocol } from '../admission/caller-protocol.js';
 import type { Dispatcher } from '../dispatch/dispatcher.js';
+import type { HeardStatement } from '../statements/backend-condition.js';
+import type { BackendStatement } from '../statements/backend-statement.js';
 
 /** One back end that was asked, for the log. */
 export interface RequestTry {
@@ -28,6 +30,8 @@
   bytes: number;
   outcome: AttemptOutcome | 'under-way';
   detail: string;
+  /** What the back end said of itself in the head of its answer; missing where that is nothing. */
+  stated?: Pick<BackendStatement, 'limitPerS' | 'isLeaving' | 'restMs'>;
 }
 
 /** How a request ended, for counters and the log. */
@@ -52,6 +56,12 @@
   readonly isBad: boolean | undefined;
 }
 
+/** The head of an answer came from a back end. */
+export interface HeardAnswer extends HeardStatement {
+  readonly backend: Backend;
+  readonly requestId: string;
+}
+
 /** What a request needs from its surroundings. */
 export interface RequestPorts {
   readonly clock: Clock;
@@ -65,6 +75,8 @@
   takeRepeat(service: string): boolean;
   /** Charges a request that may have run once more to its tenant; `onResult` may be called before this returns. */
   chargeAgain(request: AcceptedRequest, onResult: (isGranted: boolean) => void): void;
+  /** Called with each head of an answer that is the back end's own. */
+  onStatement(heard: HeardAnswer): void;
   /** Called once for each send. */
   onTryOver(over: TryOver): void;
   /** Called once. */
--- a/src/gateway/attempt/request-record.ts
+++ b/src/gateway/attempt/request-record.ts
@@ -1,6 +1,8 @@
 /** What happened to one request, for counters and the log. */
 import type { Backend } from '../../routing/backend.js';
 import type { AttemptOutcome } from '../dispatch/backend-health.js';
+import { NO_STATEMENT } from '../statements/backend-statement.js';
+import type { BackendStatement } from '../statements/backend-statement.js';
 import type { RequestEnd, RequestTry } from './request-model.js';
 
 /** What was believed of a back end when a request was sent there. */
@@ -29,6 +31,14 @@
     });
   }
 
+  /** The back end said something of itself. */
+  noteStatement(statement: BackendStatement): void {
+    if (statement !== NO_STATEMENT) {
+      const { limitPerS, isLeaving, restMs } = statement;
+      this.tries.at(-1)!.stated = { limitPerS, isLeaving, restMs };
+    }
+  }
+
   /** A part of the answer came. */
   noteBytes(count: number): void {
     this.tries.at(-1)!.bytes += count;
--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -47,6 +47,8 @@
   /** Whether the gateway leaves and takes nothing more. */
   isRefusing(): boolean;
   /** See `RequestPorts`. */
+  readonly onStatement: RequestPorts['onStatement'];
+  /** See `RequestPorts`. */
   readonly onTryOver: RequestPorts['onTryOver'];
   /** A request ended. */
   onEnd(): void;
@@ -105,6 +107,7 @@
       takeRepeat: (service) => this.takeRepeat(service),
       chargeAgain: (request, onResult) =>
         this.charge(request, ({ isGranted }) => onResult(isGranted)),
+      onStatement: parts.onStatement,
       onTryOver: parts.onTryOver,
       onEnd: (request, end) => this.noteEnd(request, end),
     };
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -27,6 +27,7 @@
 import { GatewayPaths } from './gateway-paths.js';
 import { GatewayRequests } from './gateway-requests.js';
 import { GatewayRollouts } from './gateway-rollouts.js';
+import { GatewayStatements } from './gateway-statements.js';
 import { countBackends } from './metrics/gateway-snapshot.js';
 import type { GatewaySnapshot } from './metrics/gateway-snapshot.js';
 import { PEER_TICK_MS } from './links/beat-times.js';
@@ -71,6 +72,7 @@
   private readonly paths: GatewayPaths;
   private readonly rollouts: GatewayRollouts;
   private readonly crashes: GatewayCrashes;
+  private readonly statements: GatewayStatements;
   private readonly sender = new HttpBackendSender(DEFAULT_BACKEND_SENDER_OPTIONS, (reason) =>
     this.parts.metrics.record(({ connections }) => connections.inc({ reason })),
   );
@@ -91,6 +93,7 @@
     const { name } = settings.process;
     const incarnation = `${name}.${Math.floor(random.next() * 2 ** 32).toString(36)}`;
     this.configuration = new ConfigurationInForce(clock);
+    this.statements = new GatewayStatements(parts);
     this.places = new Places(settings.places.zones);
     const isEngine = (service: string) => this.configuration.isEngine(service);
     const orders: OperatorRules = {
@@ -231,6 +234,7 @@
       crashes: this.crashes.requests,
       cluster: this.cluster,
       isRefusing: () => this.plannedStop.isRefusing,
+      onStatement: (heard) => this.statements.hear(heard),
       onTryOver: ({ backend, route, isBad }) =>
         this.rollouts.rollouts.noteEnded(backend, route.name, isBad),
       onEnd: () => this.plannedStop.noteRequestEnded(),
--- a/src/gateway/metrics/metric-instruments.ts
+++ b/src/gateway/metrics/metric-instruments.ts
@@ -117,6 +117,12 @@
     help: 'Records under the names of back ends that name none to use',
     registers: [this.registry],
   });
+  readonly statementsUnreadable = new Counter({
+    name: 'weirvale_statements_unreadable_total',
+    help: 'Fields of answers by which back ends speak of themselves and that could not be read',
+    labelNames: ['field'],
+    registers: [this.registry],
+  });
   readonly linesDropped = new Counter({
     name: 'weirvale_log_lines_dropped_total',
     help: 'Log lines that were dropped to bound their volume',
--- /dev/null
+++ b/src/gateway/statements/backend-condition.ts
@@ -0,0 +1,144 @@
+/**
+ * What is believed of one life of a back end by its own word: the limit that it names, whether it leaves, whether it rests.
+ *
+ * Words come with every answer, from several gateways and late, so each belief has the moment of the word that it
+ * comes from, and an older word never takes the place of a newer one.
+ */
+import type { BackendStatement } from './backend-statement.js';
+
+/** A belief of a gateway as it tells it to others; times are ages, since clocks differ. */
+export interface ToldCondition {
+  /** The life of the back end. */
+  readonly backendId: string;
+  /** Requests a second that it takes; missing where the newest word names no limit. */
+  readonly limitPerS?: number;
+  /** Time since that word, in milliseconds; missing where there was none. */
+  readonly limitAgeMs?: number;
+  readonly isLeaving: boolean;
+  /** How much longer it rests, in milliseconds; negative since its rest is over; missing where it never rested. */
+  readonly restLeftMs?: number;
+  /** Time since it was last seen to serve a request, in milliseconds; missing where it does not matter. */
+  readonly servedAgeMs?: number;
+}
+
+/** An answer's word, and what is known of its moment. */
+export interface HeardStatement {
+  readonly statement: BackendStatement;
+  /** When the request was sent that was answered, in milliseconds. */
+  readonly sentAtMs: number;
+  /** Whether the back end turned the request away. */
+  readonly isTurnedAway: boolean;
+}
+
+/** What one life of a back end said of itself. */
+export class BackendCondition {
+  private limit: number | undefined;
+  private limitAtMs = -Infinity;
+  private hasLeft = false;
+  private restEndMs = -Infinity;
+  private servedAtMs = -Infinity;
+
+  /** Requests a second that it takes from all gateways together; undefined while it names no limit. */
+  get limitPerS(): number | undefined {
+    return this.limit;
+  }
+
+  /** Whether it leaves; a life that leaves does not come back. */
+  get isLeaving(): boolean {
+    return this.hasLeft;
+  }
+
+  /** When its rest ends or ended, in milliseconds; -Infinity where it never rested. */
+  get restUntilMs(): number {
+    return this.restEndMs;
+  }
+
+  /** Whether it wants nothing now. */
+  isResting(nowMs: number): boolean {
+    return nowMs < this.restEndMs;
+  }
+
+  /** Whether it has not served a request since its rest. */
+  get isReturning(): boolean {
+    return this.restEndMs > this.servedAtMs;
+  }
+
+  /** Takes in the head of an answer; says whether a belief changed. */
+  hear({ statement, sentAtMs, isTurnedAway }: HeardStatement, nowMs: number): boolean {
+    const hasLimitNews = this.hearLimit(statement.limitPerS, sentAtMs, nowMs);
+    const hasLeavingNews = this.hearLeaving(statement.isLeaving);
+    const hasRestNews = this.hearRest(nowMs + (statement.restMs ?? -Infinity));
+    const hasServedNews = !isTurnedAway && this.hearServed(nowMs);
+    return hasLimitNews || hasLeavingNews || hasRestNews || hasServedNews;
+  }
+
+  /** It rests until then, as it asked or as was concluded from its refusals; says whether that is news. */
+  hearRest(untilMs: number): boolean {
+    if (untilMs <= this.restEndMs) {
+      return false;
+    }
+    this.restEndMs = untilMs;
+    return true;
+  }
+
+  /** Takes in what another gateway believes; says whether a belief changed. */
+  merge(told: ToldCondition, nowMs: number): boolean {
+    const limitAtMs = nowMs - (told.limitAgeMs ?? Infinity);
+    const isNewer = limitAtMs > this.limitAtMs;
+    const hasLimitNews = isNewer && told.limitPerS !== this.limit;
+    if (isNewer) {
+      this.limitAtMs = limitAtMs;
+      this.limit = told.limitPerS;
+    }
+    const hasLeavingNews = this.hearLeaving(told.isLeaving);
+    const hasRestNews = this.hearRest(nowMs + (told.restLeftMs ?? -Infinity));
+    const hasServedNews = this.hearServed(nowMs - (told.servedAgeMs ?? Infinity));
+    return hasLimitNews || hasLeavingNews || hasRestNews || hasServedNews;
+  }
+
+  /** What others are told; undefined where it never said anything. */
+  tell(backendId: string, nowMs: number): ToldCondition | undefined {
+    const { limit, limitAtMs, restEndMs, servedAtMs, hasLeft } = this;
+    const hasRested = restEndMs !== -Infinity;
+    if (limitAtMs === -Infinity && !hasLeft && !hasRested) {
+      return undefined;
+    }
+    return {
+      backendId,
+      isLeaving: hasLeft,
+      ...(limit === undefined ? {} : { limitPerS: limit }),
+      ...(limitAtMs === -Infinity ? {} : { limitAgeMs: nowMs - limitAtMs }),
+      ...(hasRested ? { restLeftMs: restEndMs - nowMs } : {}),
+      ...(hasRested && servedAtMs !== -Infinity ? { servedAgeMs: nowMs - servedAtMs } : {}),
+    };
+  }
+
+  /**
+   * An answer without a limit lifts it only if its request was sent after the limit was named: others may have been
+   * answered before that and arrive later.
+   */
+  private hearLimit(limitPerS: number | undefined, sentAtMs: number, nowMs: number): boolean {
+    const isOlder = limitPerS === undefined && sentAtMs <= this.limitAtMs;
+    const isNothing = limitPerS === undefined && this.limit === undefined;
+    if (isOlder || isNothing) {
+      return false;
+    }
+    const isNews = limitPerS !== this.limit;
+    this.limit = limitPerS;
+    this.limitAtMs = nowMs;
+    return isNews;
+  }
+
+  private hearLeaving(isLeaving: boolean): boolean {
+    const isNews = isLeaving && !this.hasLeft;
+    this.hasLeft ||= isLeaving;
+    return isNews;
+  }
+
+  /** Only the first answer after a rest is news. */
+  private hearServed(atMs: number): boolean {
+    const wasReturning = this.isReturning;
+    this.servedAtMs = Math.max(this.servedAtMs, atMs);
+    return wasReturning && !this.isReturning;
+  }
+}
--- a/src/model/model-gateway.ts
+++ b/src/model/model-gateway.ts
@@ -13,6 +13,7 @@
 import type { ReceivedRequest } from '../gateway/admission/request-admission.js';
 import { RetryBudget } from '../gateway/admission/retry-budget.js';
 import { sendRefusal } from '../gateway/admission/send-refusal.js';
+import { NO_STATEMENT } from '../gateway/statements/backend-statement.js';
 import { BackendDirectory } from '../gateway/dispatch/backend-directory.js';
 import { ColdStarts } from '../gateway/dispatch/cold-starts.js';
 import { Dispatcher } from '../gateway/dispatch/dispatcher.js';
@@ -56,6 +57,7 @@
     requestId: undefined,
     isNotExecuted: headers[NOT_RUN_HEADER] !== undefined,
     isMisdirected: false,
+    statement: NO_STATEMENT,
   }),
   ownAnswerHeaders: (_requestId, retryAfterMs) =>
     retryAfterMs === undefined ? [] : [RETRY_AFTER_HEADER, `${retryAfterMs}`],
@@ -126,6 +128,7 @@
       crashes: NO_CRASHING_REQUESTS,
       chargeAgain: (_request, onResult) => onResult(true),
       takeRepeat: (service) => budget.takeRepeat(service, parts.countGateways(), clock.now()),
+      onStatement: () => undefined,
       onTryOver: () => undefined,
       onEnd: () => undefined,
     };
--- a/src/telemetry/decision-log.ts
+++ b/src/telemetry/decision-log.ts
@@ -22,6 +22,8 @@
   'backend-gone',
   'backend-ejected',
   'backend-availability',
+  'backend-condition',
+  'backend-asks-rest',
   'zone-unknown',
   'region-reach',
   'zone-evacuation',
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -19,6 +19,8 @@
 import { DEFAULT_REQUEST_OPTIONS } from '../../src/gateway/attempt/request-model.js';
 import type { AcceptedRequest } from '../../src/gateway/attempt/accepted-request.js';
 import type { RequestEnd, TryOver } from '../../src/gateway/attempt/request-model.js';
+import { NO_STATEMENT } from '../../src/gateway/statements/backend-statement.js';
+import type { BackendStatement } from '../../src/gateway/statements/backend-statement.js';
 import { SeededRandom } from '../../src/random.js';
 import type { VersionUse } from '../../src/rollout/rollout-order.js';
 import type { RestrictionReason } from '../../src/routing/backend-restriction.js';
@@ -125,6 +127,7 @@
     requestId: headers['request'] as string | undefined,
     isNotExecuted: headers['not-run'] !== undefined,
     isMisdirected: status === 421,
+    statement: (headers['statement'] as unknown as BackendStatement | undefined) ?? NO_STATEMENT,
   }),
   ownAnswerHeaders: (_requestId, retryAfterMs) =>
     retryAfterMs === undefined ? [] : ['retry-after-ms', `${retryAfterMs}`],
@@ -314,6 +317,7 @@
         onResult(this.hasQuota);
       },
       takeRepeat: () => this.repeatsLeft-- > 0,
+      onStatement: () => undefined,
       onTryOver: (over: TryOver) => void this.triesOver.push(over),
       onEnd: (ended: AcceptedRequest, end: RequestEnd) => {
         this.ends.push(end);
