A back end whose answers say that it leaves gets nothing new

What callers saw: requests sent to a back end that was leaving failed while others were well. Cause: who leaves was known from entries of the store alone, which stand still while the store is away; the word in answers reached nothing that decides. Ruled out: a newer entry that says ready (the store was silent), a way past the choice (first tries went there too).

It holds since one statement of it (`isLeaving` of a known back end) answers every way out: first choice, further tries, the queue, grants that came before, the last one left, a back end whose entry lapsed.

--- a/src/gateway/dispatch/backend-chooser.ts
+++ b/src/gateway/dispatch/backend-chooser.ts
@@ -233,10 +233,10 @@
   }
 
   private isUnlistedLately(known: KnownBackend, nowMs: number): boolean {
-    const { unlistedAtMs, backend } = known;
+    const { unlistedAtMs } = known;
     const isRecent =
       unlistedAtMs !== undefined && nowMs - unlistedAtMs < this.options.unlistedGraceMs;
-    return isRecent && backend.state === 'ready' && !known.isReplaced && !known.isWithdrawn;
+    return isRecent && !known.isLeaving && !known.isReplaced && !known.isWithdrawn;
   }
 
   /** Whether its agent knows a newer configuration, so that its slots are had by grants only. */
--- a/src/gateway/dispatch/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -171,6 +171,13 @@
     this.serve(service, nowMs);
   }
 
+  /** A back end said something of itself: others take its place if it leaves, and what waits may be served now. */
+  followCondition({ backend }: KnownBackend, nowMs: number): void {
+    this.directory.assign(backend.service);
+    this.directory.reviewReach(backend.service);
+    this.serve(backend.service, nowMs);
+  }
+
   /** Takes a waiting request back. */
   withdraw(request: DispatchRequest, nowMs: number): void {
     if (this.remove(request)) {
--- a/src/gateway/dispatch/known-backend.ts
+++ b/src/gateway/dispatch/known-backend.ts
@@ -110,9 +110,17 @@
     return this.unlistedAtMs === undefined && !this.isReplaced;
   }
 
+  /**
+   * Whether it takes no new requests any more, by its announcement or by an answer: announcements stand still while
+   * the store is away.
+   */
+  get isLeaving(): boolean {
+    return this.backend.state === 'draining' || this.condition.isLeaving;
+  }
+
   /** Whether it is listed as taking new requests. */
   get isReady(): boolean {
-    return this.isCurrent && this.backend.state === 'ready';
+    return this.isCurrent && !this.isLeaving;
   }
 
   /** Whether it may be used, as its agent says; open where none does. */
--- a/src/gateway/gateway-crashes.ts
+++ b/src/gateway/gateway-crashes.ts
@@ -37,7 +37,7 @@
     const { directory, adapter, clock } = parts;
     this.requests = new CrashingRequests(
       {
-        isLeaving: (backendId) => directory.find(backendId)?.backend.state === 'draining',
+        isLeaving: (backendId) => directory.find(backendId)?.isLeaving === true,
         look: (backend) => this.looks.begin(backend),
         onCrash: (crash) => this.noteCrash(crash),
         onNews: (news, source) => this.noteNews(news, source),
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -379,7 +379,7 @@
   private followCondition(backendId: string): void {
     const known = this.directory.find(backendId);
     if (known !== undefined) {
-      this.dispatcher.review(known.backend.service, this.parts.clock.now());
+      this.dispatcher.followCondition(known, this.parts.clock.now());
     }
   }
 
--- a/src/gateway/metrics/gateway-snapshot.ts
+++ b/src/gateway/metrics/gateway-snapshot.ts
@@ -50,7 +50,7 @@
   if (!known.isCurrent) {
     return 'gone';
   }
-  if (known.backend.state === 'draining') {
+  if (known.isLeaving) {
     return 'draining';
   }
   return known.health.isEjected(nowMs) ? 'ejected' : 'ready';
--- a/test/leaving-and-rest.test.ts
+++ b/test/leaving-and-rest.test.ts
@@ -9,7 +9,8 @@
 
 /*
  * A back end of a plain service said in its answers that it leaves. Its entry in the store did not, since the store was
- * away, and gateways sent requests to it for twelve seconds more; some failed there.
+ * away, and gateways sent requests to it for twelve seconds more; some failed there. Cause: who leaves was known from
+ * entries alone; what the answers of the same back end said reached nothing that decides.
  *
  * Evidence: in the record the store acknowledges the entry twelve seconds after the first answer that says so, and no line
  * of a gateway names it before. On the code as it was, 87 requests that callers sent two seconds and more after such an
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -18,7 +18,8 @@
 import { ProxiedRequest } from '../../src/gateway/attempt/proxied-request.js';
 import { DEFAULT_REQUEST_OPTIONS } from '../../src/gateway/attempt/request-model.js';
 import type { AcceptedRequest } from '../../src/gateway/attempt/accepted-request.js';
-import type { RequestEnd, TryOver } from '../../src/gateway/attempt/request-model.js';
+import type { HeardAnswer, RequestEnd, TryOver } from '../../src/gateway/attempt/request-model.js';
+import { sendLimitPerS } from '../../src/gateway/statements/send-limit.js';
 import { NO_STATEMENT } from '../../src/gateway/statements/backend-statement.js';
 import type { BackendStatement } from '../../src/gateway/statements/backend-statement.js';
 import { SeededRandom } from '../../src/random.js';
@@ -187,6 +188,26 @@
     }
   }
 
+  /** Back ends for which a right to send is held; rights that were asked for, by back end. */
+  readonly heldRights = new Set<string>();
+  readonly wantedRights: string[] = [];
+  readonly sendRights = {
+    mayBegin: (backendId: string) => !this.isLimited(backendId) || this.heldRights.has(backendId),
+    want: (backendId: string) => void this.wantedRights.push(backendId),
+    use: (backendId: string) => void this.heldRights.delete(backendId),
+  };
+
+  private isLimited(backendId: string): boolean {
+    return sendLimitPerS(this.directory.find(backendId)!.condition) !== undefined;
+  }
+
+  private hear({ backend, ...heard }: HeardAnswer): void {
+    const known = this.directory.find(backend.id);
+    if (known?.condition.hear(heard, this.clock.now()) === true) {
+      this.dispatcher.followCondition(known, this.clock.now());
+    }
+  }
+
   tokensPerEvent(): number {
     return 3;
   }
@@ -317,7 +338,7 @@
         onResult(this.hasQuota);
       },
       takeRepeat: () => this.repeatsLeft-- > 0,
-      onStatement: () => undefined,
+      onStatement: (heard: HeardAnswer) => this.hear(heard),
       onTryOver: (over: TryOver) => void this.triesOver.push(over),
       onEnd: (ended: AcceptedRequest, end: RequestEnd) => {
         this.ends.push(end);
