Back ends that refuse fast draw no traffic

What callers saw: 503 by the half while other back ends had room for more than twice the load. Cause: a refusal says nothing of health, so nothing kept the next request from whoever had refused the last, and a refusal in a millisecond leaves all slots free, which the choice and the agent beside it take for idle.

Mend: each refusal of a request that was sent after the last one was known lets the back end pause, 10 ms and twice as long each time up to a second; an answer between begins anew. From the fourth in a row it rests for every gateway and comes back by rights to send. It holds since a full back end serves within some tens of ms and is asked again then, while one that refuses all gets a few tries a second over the fleet.

--- a/src/gateway/dispatch/backend-chooser.ts
+++ b/src/gateway/dispatch/backend-chooser.ts
@@ -137,8 +137,8 @@
   }
 
   /** Whether its agent may be asked for slots: of one that names a limit they are had with a right alone. */
-  mayBeGranted(known: KnownBackend): boolean {
-    return this.isOpen(known) && this.isUnlimited(known);
+  mayBeGranted(known: KnownBackend, nowMs: number): boolean {
+    return this.isOpen(known) && this.isUnlimited(known) && !known.condition.isResting(nowMs);
   }
 
   /** Whether operators let the back end be used freely. */
@@ -167,11 +167,12 @@
     queue: readonly DispatchRequest[],
     known: KnownBackend,
     grantedTo: HomeOwner | undefined,
+    nowMs: number,
   ): DispatchRequest | undefined {
     const isBound = this.mustAsk(known);
     const fitting = (request: DispatchRequest) =>
       this.fits(request, known) && (!isBound || isSameOwner(request.homeOwner, grantedTo));
-    if (!this.mayBeGranted(known)) {
+    if (!this.mayBeGranted(known, nowMs)) {
       return undefined;
     }
     if (!known.isOnTrial) {
--- a/src/gateway/dispatch/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -374,15 +374,14 @@
       !isStale &&
       known.isReady &&
       known.availability !== 'closed' &&
-      this.chooser.mayBegin(known, nowMs) &&
       !known.health.isEjected(nowMs);
     const request = isUsable
-      ? this.chooser.chooseForGrant(queue, known, grant.homeOwner)
+      ? this.chooser.chooseForGrant(queue, known, grant.homeOwner, nowMs)
       : undefined;
     if (request === undefined) {
       if (isStale) {
         this.tellDemandAnew(known, nowMs);
-      } else if (!this.chooser.mayBeGranted(known)) {
+      } else if (!this.chooser.mayBeGranted(known, nowMs)) {
         // The agent would grant the same again until it is told that nothing waits for it any more.
         this.tellDemand(known.backend.service, nowMs);
       }
@@ -463,7 +462,7 @@
       mayCross: (request: DispatchRequest) => this.mayCross(request, nowMs),
       waiting: this.waitingInOrder(service, nowMs),
       maxLength: this.options.demandLength,
-      isOpen: (known: KnownBackend) => this.chooser.mayBeGranted(known),
+      isOpen: (known: KnownBackend) => this.chooser.mayBeGranted(known, nowMs),
       fits: (request: DispatchRequest, known: KnownBackend) => this.chooser.fits(request, known),
     };
     for (const known of this.directory.ofService(service)) {
--- a/src/gateway/statements/backend-condition.ts
+++ b/src/gateway/statements/backend-condition.ts
@@ -30,6 +30,15 @@
   readonly isTurnedAway: boolean;
 }
 
+/**
+ * Pause after a refusal, in milliseconds; it doubles with each further one up to the longest. A full back end has a slot
+ * again within some tens; one that refuses all would otherwise look free and draw the traffic of every gateway.
+ */
+const REFUSED_PAUSE_MS = 10;
+const MAX_REFUSED_PAUSE_MS = 1_000;
+/** Pause from which a back end that refuses counts as resting for every gateway, in milliseconds: the fourth in a row. */
+const SHARED_PAUSE_MS = 80;
+
 /** What one life of a back end said of itself. */
 export class BackendCondition {
   private limit: number | undefined;
@@ -37,6 +46,10 @@
   private hasLeft = false;
   private restEndMs = -Infinity;
   private servedAtMs = -Infinity;
+  /** Refusals one after the other: each of a request that was sent after the one before was known. */
+  private refusalsInRow = 0;
+  private refusedAtMs = -Infinity;
+  private pausedUntilMs = -Infinity;
 
   /** Requests a second that it takes from all gateways together; undefined while it names no limit. */
   get limitPerS(): number | undefined {
@@ -55,12 +68,12 @@
 
   /** When its rest ends or ended, in milliseconds; -Infinity where it never rested. */
   get restUntilMs(): number {
-    return this.restEndMs;
+    return Math.max(this.restEndMs, this.pausedUntilMs);
   }
 
-  /** Whether it wants nothing now. */
+  /** Whether it wants nothing now, by its word or by its refusals. */
   isResting(nowMs: number): boolean {
-    return nowMs < this.restEndMs;
+    return nowMs < Math.max(this.restEndMs, this.pausedUntilMs);
   }
 
   /** Whether it has not served a request since its rest. */
@@ -73,12 +86,12 @@
     const hasLimitNews = this.hearLimit(statement.limitPerS, sentAtMs, nowMs);
     const hasLeavingNews = this.hearLeaving(statement.isLeaving);
     const hasRestNews = this.hearRest(nowMs + (statement.restMs ?? -Infinity));
-    const hasServedNews = !isTurnedAway && this.hearServed(nowMs);
-    return hasLimitNews || hasLeavingNews || hasRestNews || hasServedNews;
+    const hasTurnNews = isTurnedAway ? this.hearRefusal(sentAtMs, nowMs) : this.hearAnswer(nowMs);
+    return hasLimitNews || hasLeavingNews || hasRestNews || hasTurnNews;
   }
 
-  /** It rests until then, as it asked or as was concluded from its refusals; says whether that is news. */
-  hearRest(untilMs: number): boolean {
+  /** It rests until then, as it asked or as follows from its refusals; says whether that is news. */
+  private hearRest(untilMs: number): boolean {
     if (untilMs <= this.restEndMs) {
       return false;
     }
@@ -140,6 +153,23 @@
     return isNews;
   }
 
+  /** Others that were on their way when one was refused say no more than that one. */
+  private hearRefusal(sentAtMs: number, nowMs: number): boolean {
+    if (sentAtMs < this.refusedAtMs) {
+      return false;
+    }
+    const pauseMs = Math.min(REFUSED_PAUSE_MS * 2 ** this.refusalsInRow, MAX_REFUSED_PAUSE_MS);
+    this.refusalsInRow += 1;
+    this.refusedAtMs = nowMs;
+    this.pausedUntilMs = nowMs + pauseMs;
+    return pauseMs >= SHARED_PAUSE_MS && this.hearRest(this.pausedUntilMs);
+  }
+
+  private hearAnswer(nowMs: number): boolean {
+    this.refusalsInRow = 0;
+    return this.hearServed(nowMs);
+  }
+
   /** Only the first answer after a rest is news. */
   private hearServed(atMs: number): boolean {
     const wasReturning = this.isReturning;
--- a/test/backend-condition.test.ts
+++ b/test/backend-condition.test.ts
@@ -67,3 +67,27 @@
   condition.hear(heard({}, 0), 10);
   t.is(condition.tell('w', 20), undefined);
 });
+
+test('refusals one after the other make the pause longer, and the fourth is told to others', (t) => {
+  const condition = new BackendCondition();
+  const news = [0, 100, 200, 300].map((atMs) => condition.hear(heard({}, atMs, true), atMs + 1));
+  t.deepEqual(news, [false, false, false, true]);
+  t.true(condition.isResting(380));
+  t.false(condition.isResting(381));
+  t.true(condition.isReturning);
+});
+
+test('requests that were on their way when one was refused do not make the pause longer', (t) => {
+  const condition = new BackendCondition();
+  const news = [5, 6, 7, 8, 9].map((atMs) => condition.hear(heard({}, 0, true), atMs));
+  t.false(news.includes(true));
+  t.false(condition.isResting(16));
+});
+
+test('an answer between two refusals begins the pauses anew', (t) => {
+  const condition = new BackendCondition();
+  [0, 100, 200].forEach((atMs) => condition.hear(heard({}, atMs, true), atMs + 1));
+  condition.hear(heard({}, 250), 260);
+  t.false(condition.hear(heard({}, 300, true), 301));
+  t.false(condition.isResting(312));
+});
--- a/test/leaving-and-rest.test.ts
+++ b/test/leaving-and-rest.test.ts
@@ -61,7 +61,8 @@
  * others had room for more than twice the load.
  *
  * Evidence: the agents beside those engines and the gateways count free slots, and a refusal frees its slot within a
- * millisecond; the three got most first tries and most further ones, until the budget of further tries was spent. On the
+ * millisecond; the three got most first tries and most further ones, until the budget of further tries was spent. Cause: a
+ * refusal said nothing of a back end's health, and its free slots said that it had nothing to do. On the
  * code as it was .52 of the callers were served, with 24 gateways .21.
  */
 test('back ends that refuse fast draw no traffic, and callers are served by the others', async (t) => {
