What is open at a back end that leaves is served to its end

What callers saw: streams that broke off while their back end was being stopped by plan. Cause: a closed port was taken for the end of the process, and bytes that arrive not for its life; the .3 s were meant for answers that their back end's end overtook. Ruled out: the entry that goes (it went .2 s after the cut), the caller's or the route's time.

Mend: that a back end takes no new connections is no end while it is known to leave; its connections show when it ends. And a run that brings bytes is not given up: the time begins anew with each. A crash behind a cut still shows after .3 s of silence. It holds since the two conclusions are drawn where the attempt is, whoever reports the port.

--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -8,6 +8,7 @@
 import type { AnswerHead, AttemptFailure, AttemptHandle, CallerReply } from './attempt.js';
 import type { AttemptOutcome } from '../dispatch/backend-health.js';
 import { AttemptProgress } from './attempt-progress.js';
+import type { EndingEvidence } from '../crashes/broken-runs.js';
 import type { RequestRun } from '../crashes/crashing-requests.js';
 import type { BackendAnswerHead } from '../admission/caller-protocol.js';
 import type { GatewayRefusal } from '../admission/gateway-refusal.js';
@@ -44,6 +45,8 @@
   private backend: Backend | undefined;
   private attempt: AttemptHandle | undefined;
   private attemptStartedAtMs = 0;
+  /** When the back end of the attempt was heard last, in milliseconds. */
+  private heardAtMs = -Infinity;
   /** The attempt as far as crashes are concerned. */
   private run: RequestRun | undefined;
   private attempts = 0;
@@ -129,14 +132,23 @@
    * A back end is known to have ended. Mostly its connections are reset, but behind a cut they say nothing, and the
    * request would wait until its time was over for an answer that cannot come.
    */
-  noteBackendEnded(backendId: string): void {
+  noteBackendEnded(backendId: string, evidence: EndingEvidence): void {
     const isThere = this.attempt !== undefined && this.backend?.id === backendId;
-    if (isThere && !this.endedTimer.isRunning) {
+    // One that leaves closes its port first and serves on what it has; its connections show when it ends.
+    const isServingOn =
+      evidence !== 'replaced' && this.ports.directory.find(backendId)?.isLeaving === true;
+    if (isThere && !isServingOn && !this.endedTimer.isRunning) {
       this.endedTimer.start(ENDED_GRACE_MS, () => this.loseEnded());
     }
   }
 
   private loseEnded(): void {
+    // Bytes that arrive show that it lives, whatever was concluded from its port.
+    const quietMs = this.ports.clock.now() - this.heardAtMs;
+    if (quietMs < ENDED_GRACE_MS) {
+      this.endedTimer.start(ENDED_GRACE_MS - quietMs, () => this.loseEnded());
+      return;
+    }
     const isUnsent = this.attempt?.withdraw() === true;
     if (!isUnsent) {
       this.attempt?.cancel();
@@ -198,6 +210,7 @@
     const believed = { occupied, failureShare, distance } as const;
     this.record.noteSent(backend, believed, request.body.length, nowMs);
     this.attemptStartedAtMs = nowMs;
+    this.heardAtMs = -Infinity;
     this.run = ports.crashes.begin(request, backend, this.run);
     this.stopWatchingPath = known?.path.watch(() => this.leaveLostPath());
     this.relay.beginAttempt();
@@ -269,7 +282,8 @@
   }
 
   private noteHeard(): void {
-    this.ports.directory.find(this.backend!.id)?.path.noteHeard(this.ports.clock.now());
+    this.heardAtMs = this.ports.clock.now();
+    this.ports.directory.find(this.backend!.id)?.path.noteHeard(this.heardAtMs);
   }
 
   private receiveHead(head: AnswerHead): void {
--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -21,6 +21,7 @@
 import type { BackendDirectory } from './dispatch/backend-directory.js';
 import type { Dispatcher } from './dispatch/dispatcher.js';
 import type { GatewayAdapter } from './gateway-adapter.js';
+import type { EndingEvidence } from './crashes/broken-runs.js';
 import type { CrashingRequests } from './crashes/crashing-requests.js';
 import type { GatewayCluster } from './gateway-cluster.js';
 import { reportHomes, reportKept } from './homes/home-report.js';
@@ -124,9 +125,9 @@
   }
 
   /** A back end is known to have ended: what is at work there is lost. */
-  noteBackendEnded(backendId: string): void {
+  noteBackendEnded(backendId: string, evidence: EndingEvidence): void {
     for (const { proxied } of [...this.active.values()]) {
-      proxied.noteBackendEnded(backendId);
+      proxied.noteBackendEnded(backendId, evidence);
     }
   }
 
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -372,7 +372,7 @@
 
   private noteEnded(backendId: string, evidence: EndingEvidence): void {
     this.crashes.requests.noteEnded(backendId, evidence);
-    this.requests.noteBackendEnded(backendId);
+    this.requests.noteBackendEnded(backendId, evidence);
   }
 
   /** A back end said something of itself that changes what may be sent there. */
--- a/test/backend-lives.test.ts
+++ b/test/backend-lives.test.ts
@@ -87,10 +87,10 @@
   const world = new GatewayWorld(backendOf('a'));
   const lost = world.request({ route: routeOf({ kind: 'unsafe' }) });
   const ready = world.request({ route: routeOf({ kind: 'unsafe' }) });
-  [lost, ready].forEach(({ request }) => request.noteBackendEnded('other'));
+  [lost, ready].forEach(({ request }) => request.noteBackendEnded('other', 'agent'));
   await world.clock.runUntil(400);
   t.deepEqual([lost.reply.status, ready.reply.status], [0, 0]);
-  [lost, ready].forEach(({ request }) => request.noteBackendEnded('a'));
+  [lost, ready].forEach(({ request }) => request.noteBackendEnded('a', 'agent'));
   await world.clock.runUntil(500);
   world.answer(1, 200, 'good');
   await world.clock.runUntil(800);
@@ -103,7 +103,7 @@
   const { request, reply } = world.request({ route: routeOf({ kind: 'unsafe' }) });
   const { backend } = world.attempts[0]!;
   world.connecting.add(backend.id);
-  request.noteBackendEnded(backend.id);
+  request.noteBackendEnded(backend.id, 'agent');
   await world.clock.runUntil(301);
   t.not(world.attempts[1]!.backend.id, backend.id);
   world.answer(1, 200, 'good');
