--- a/src/cli/queries/explain-logs.ts
+++ b/src/cli/queries/explain-logs.ts
@@ -27,9 +27,20 @@
   readonly distance?: string;
   readonly outcome: string;
   readonly detail: string;
+  /** What the back end said of itself in its answer. */
+  readonly stated?: Statement;
+}
+
+/** What a back end says of itself, as lines have it. */
+interface Statement {
+  readonly limitPerS?: number;
+  readonly isLeaving?: boolean;
+  readonly restMs?: number;
+  readonly restLeftMs?: number;
 }
 
 const EVACUATION_EVENT = 'zone-evacuation';
+const CONDITION_EVENT = 'backend-condition';
 /** Changes of belief that say why a request went as it did. */
 const BELIEF_EVENTS = new Set([
   'started',
@@ -41,6 +52,7 @@
   'backend-gone',
   'backend-ejected',
   'backend-availability',
+  CONDITION_EVENT,
   EVACUATION_EVENT,
   'path-suspected',
   'path-regained',
@@ -137,7 +149,8 @@
     const zone = String(line['evacuatedZone']);
     return `${line.time} ${line.process}: ${line.event} ${zone} ${word} (revision ${line['revision']})`;
   }
-  return `${line.time} ${line.process}: ${line.event} ${String(subject)}`.trimEnd();
+  const said = line.event === CONDITION_EVENT ? `: ${describeStatement(line as Statement)}` : '';
+  return `${line.time} ${line.process}: ${line.event} ${String(subject)}${said}`.trimEnd();
 }
 
 function describeRequest(line: LogLine): string[] {
@@ -162,6 +175,9 @@
     words.push(
       `  after ${Math.round(tried.afterMs)} ms to ${tried.backend}${placeOf(tried)} (${tried.occupied} of ${tried.slots} slots believed taken): ${tried.outcome}, ${tried.detail}`,
     );
+    if (tried.stated !== undefined) {
+      words.push(`    it said: ${describeStatement(tried.stated)}`);
+    }
   }
   if (line['retryAfterMs'] !== undefined) {
     words.push(`  told to come back after ${line['retryAfterMs']} ms`);
@@ -172,6 +188,16 @@
   return words;
 }
 
+function describeStatement({ limitPerS, isLeaving, restMs, restLeftMs }: Statement): string {
+  const rests = restMs ?? restLeftMs;
+  const words = [
+    limitPerS === undefined ? '' : `takes ${limitPerS} requests a second from all gateways`,
+    isLeaving === true ? 'leaves' : '',
+    rests === undefined ? '' : `rests for ${rests} ms`,
+  ].filter((word) => word !== '');
+  return words.length === 0 ? 'no limit any more' : words.join(', ');
+}
+
 /** Where a back end of another region is; those near by need no word. */
 function placeOf({ distance }: LoggedTry): string {
   return distance === 'other-region' ? ' in another region' : '';
--- a/src/gateway/metrics/gateway-gauges.ts
+++ b/src/gateway/metrics/gateway-gauges.ts
@@ -99,6 +99,18 @@
     'service',
     () => current().waiting,
   );
+  new Gauge({
+    name: 'weirvale_backend_conditions',
+    help: 'What back ends said of themselves and still holds: a limit in requests a second, a rest in seconds, leaving',
+    labelNames: ['backend', 'condition'],
+    registers: [registry],
+    collect() {
+      this.reset();
+      for (const { backend, condition, value } of current().words) {
+        this.set({ backend, condition }, value);
+      }
+    },
+  });
   new Gauge({
     name: 'weirvale_backends',
     help: 'Back ends by the state that they are believed to be in',
--- a/src/gateway/metrics/gateway-snapshot.ts
+++ b/src/gateway/metrics/gateway-snapshot.ts
@@ -1,6 +1,8 @@
 /** What a gateway believes at the moment, as its metrics show it. */
 import type { KnownBackend } from '../dispatch/known-backend.js';
 
+const MS_PER_S = 1_000;
+
 /** State that a back end is believed to be in; an ejected one is listed as ready but left alone. */
 export type BelievedState = 'ready' | 'draining' | 'ejected' | 'gone';
 
@@ -11,11 +13,20 @@
   readonly count: number;
 }
 
+/** What a back end said of itself: a limit in requests a second, a rest in seconds that are left, or that it leaves (1). */
+export interface BackendWord {
+  readonly backend: string;
+  readonly condition: 'limited' | 'leaving' | 'resting';
+  readonly value: number;
+}
+
 /** What a gateway believes at the moment; times in milliseconds, undefined where nothing is known. */
 export interface GatewaySnapshot {
   readonly storeAgeMs: number | undefined;
   readonly configurationAgeMs: number | undefined;
   readonly backends: readonly BackendCount[];
+  /** What back ends said of themselves and still holds. */
+  readonly words: readonly BackendWord[];
   /** Zones that operators evacuated. */
   readonly evacuatedZones: number;
   /** Repeats that the retry budget still allows, by service. */
@@ -46,6 +57,21 @@
   return [...counts.values()];
 }
 
+/** What back ends said of themselves and still holds. */
+export function listWords(backends: readonly KnownBackend[], nowMs: number): BackendWord[] {
+  return backends.flatMap(({ backend: { id: backend }, condition }): BackendWord[] => {
+    const { limitPerS, isLeaving, restUntilMs } = condition;
+    const restLeftS = Math.max(0, restUntilMs - nowMs) / MS_PER_S;
+    return [
+      ...(limitPerS === undefined
+        ? []
+        : [{ backend, condition: 'limited', value: limitPerS } as const]),
+      ...(isLeaving ? [{ backend, condition: 'leaving', value: 1 } as const] : []),
+      ...(restLeftS > 0 ? [{ backend, condition: 'resting', value: restLeftS } as const] : []),
+    ];
+  });
+}
+
 function believedState(known: KnownBackend, nowMs: number): BelievedState {
   if (!known.isCurrent) {
     return 'gone';
--- a/test/logs.test.ts
+++ b/test/logs.test.ts
@@ -161,6 +161,25 @@
   t.throws(() => execFileSync('node', [tool, 'logs', 'explain', 'other', file], { stdio: 'pipe' }));
 });
 
+test('logs explain tells what a back end said of itself, and when it began to', (t) => {
+  const file = join(mkdtempSync(join(tmpdir(), 'weirvale-logs-')), 'edge.log');
+  const said = { restMs: 3_000, isLeaving: false };
+  const refused = {
+    ...ENDED,
+    status: 503,
+    reason: 'backend-refused',
+    tries: [
+      { ...ENDED.tries[0], outcome: 'refused', detail: 'it did not run the request', stated: said },
+    ],
+  };
+  const began = { ...EJECTED, event: 'backend-condition', source: 'peer', limitPerS: 2.4 };
+  writeFileSync(file, [refused, began].map((line) => JSON.stringify(line)).join('\n'));
+  const tool = 'dist/src/bin/weirvale.js';
+  const text = execFileSync('node', [tool, 'logs', 'explain', 'q-1', file], { encoding: 'utf8' });
+  t.regex(text, /backend-condition w-1: takes 2.4 requests a second from all gateways\n/);
+  t.regex(text, /it said: rests for 3000 ms\n/);
+});
+
 test('logs explain tells which home kept a request from which back end', (t) => {
   const refused = {
     ...ENDED,
