--- a/bench/soak/soak-backend.ts
+++ b/bench/soak/soak-backend.ts
@@ -2,6 +2,7 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { RandomSource } from '../../src/random.js';
+import type { SoakWord, WordRecord } from './soak-words.js';
 
 /** One run of a request. */
 export interface BackendRun {
@@ -47,6 +48,10 @@
   coldUntilMs = 0;
   /** Start of its present life, as it announces it, in Unix milliseconds. */
   bornAtMs = Date.now();
+  /** What its answers say of itself. */
+  word: SoakWord | undefined;
+  /** What each life said and received, by its name and start. */
+  readonly wordRecords = new Map<string, WordRecord>();
   private running = 0;
 
   constructor(
@@ -86,6 +91,10 @@
       response.end();
       return;
     }
+    this.wordRecord.arrivals.push({ requestId, atMs: performance.now() });
+    if (this.say(response, requestId)) {
+      return;
+    }
     if (this.random.next() < this.faults.refuses) {
       response.writeHead(503, { 'X-Weirvale-Not-Executed': '1' });
       response.end();
@@ -94,6 +103,39 @@
     this.run(request, response, requestId);
   }
 
+  private get wordRecord(): WordRecord {
+    const life = `${this.id}@${this.bornAtMs}`;
+    const known = this.wordRecords.get(life) ?? { arrivals: [], told: [] };
+    this.wordRecords.set(life, known);
+    return known;
+  }
+
+  /** Says its word in the answer, and says whether that is the whole answer. */
+  private say(response: ServerResponse, requestId: string): boolean {
+    const { word, wordRecord } = this;
+    if (word === undefined) {
+      return false;
+    }
+    const note = () => wordRecord.told.push({ requestId, atMs: performance.now(), word });
+    if (word.kind === 'rest') {
+      const leftMs = Math.max(1, word.untilMs - performance.now());
+      note();
+      response.writeHead(503, {
+        'X-Weirvale-Not-Executed': '1',
+        'Retry-After': (leftMs / 1_000).toFixed(3),
+      });
+      response.end();
+      return true;
+    }
+    if (word.kind === 'limit') {
+      response.setHeader('Server-Limit', `${word.perS}`);
+    } else {
+      response.setHeader('Server-Leaving', '1');
+    }
+    response.on('finish', note);
+    return false;
+  }
+
   private run(request: IncomingMessage, response: ServerResponse, requestId: string): void {
     const tenant = request.headers['x-weirvale-tenant'];
     this.onRun({
--- a/bench/soak/soak-run.ts
+++ b/bench/soak/soak-run.ts
@@ -7,6 +7,7 @@
 import { doFault } from './soak-faults.js';
 import { findOutsideHome } from './soak-homes.js';
 import { isOwed } from './soak-owed.js';
+import { findUnheeded, sayWord } from './soak-words.js';
 import { SOAK_COLD_BOUND, SOAK_KEY, SOAK_TIMEOUT_MS, SoakFleet } from './soak-fleet.js';
 import type { SoakEvacuation, SoakSizes } from './soak-fleet.js';
 
@@ -18,6 +19,8 @@
   /** Time with faults, in milliseconds. */
   readonly faultsMs: number;
   readonly basePort: number;
+  /** Whether back ends say something of themselves. Default true. */
+  readonly hasWords?: boolean;
 }
 
 /** How a soak ended. */
@@ -45,6 +48,8 @@
   body: string;
 }
 
+/** Pause between two words of back ends, in milliseconds. */
+const WORD_PAUSE_MS = 2_500;
 const RECOVERY_MS = 4_500;
 const CALM_MS = 1_500;
 const CALM_SHARE = 0.95;
@@ -76,10 +81,12 @@
     press(fleet, index, plan.sizes.gateways, stopAtMs, seen, late),
   );
   const faultsEndAtMs = performance.now() + plan.faultsMs;
+  const words = plan.hasWords === false ? undefined : sayWords(fleet, plan.seed, faults);
   while (performance.now() < faultsEndAtMs) {
     await sleepMs(randomInteger(random, 100, 700));
     faults.push(doFault(fleet, random));
   }
+  clearInterval(words);
   await Promise.all(callers);
   fleet.stop();
   const calmFromMs = stopAtMs - CALM_MS;
@@ -93,12 +100,36 @@
     ...findLateForLeaving(runs, fleet.drainedAtMs, isCalmSince),
     ...findOutsideHome(runs, fleet.homeChanges, (id) => fleet.regionOfBackend(id), isCalmSince),
     ...findRushes(runs),
+    ...findUnheededWords(fleet, seen, plan.sizes.gateways, isCalmSince),
   ];
   const answered = seen.filter(({ status }) => status === 200).length;
   const { folder } = fleet;
   return { seed: plan.seed, requests: seen.length, answered, faults, violations, folder };
 }
 
+/** Words come by a draw of their own, so that the faults of a seed stay the same. */
+function sayWords(fleet: SoakFleet, seed: number, faults: string[]): NodeJS.Timeout {
+  const random = new SeededRandom(seed + 2);
+  return setInterval(() => faults.push(sayWord(fleet, random)), WORD_PAUSE_MS);
+}
+
+function findUnheededWords(
+  fleet: SoakFleet,
+  seen: readonly SeenRequest[],
+  gateways: number,
+  isCalmSince: (requestId: string, sinceMs: number) => boolean,
+): string[] {
+  const sentAtMs = new Map(seen.map((one) => [one.id, one.sentAtMs]));
+  const ports = {
+    gatewayOf: (requestId: string) => gatewayOf(requestId, gateways),
+    sentAtMs: (requestId: string) => sentAtMs.get(requestId) ?? -Infinity,
+    isCalmSince,
+  };
+  return fleet.backends.flatMap(({ wordRecords }) =>
+    [...wordRecords].flatMap(([life, record]) => findUnheeded(life, record, ports)),
+  );
+}
+
 async function waitUntilReady(fleet: SoakFleet, gateways: number): Promise<void> {
   for (let index = 0; index < gateways; index += 1) {
     for (;;) {
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -10,6 +10,8 @@
 } from '../bench/soak/soak-run.js';
 import { findOutsideHome } from '../bench/soak/soak-homes.js';
 import { isOwed } from '../bench/soak/soak-owed.js';
+import { findUnheeded } from '../bench/soak/soak-words.js';
+import type { SoakWord } from '../bench/soak/soak-words.js';
 import type { SeenRequest } from '../bench/soak/soak-run.js';
 
 const SEED = 7;
@@ -130,6 +132,48 @@
   t.deepEqual(findRushes(runs(27, 1)), ['e got 27 requests in a second while cold']);
 });
 
+test('the check of what back ends say of themselves sees each word that was not heeded', (t) => {
+  const ports = {
+    gatewayOf: (requestId: string) => Number(requestId[0]),
+    sentAtMs: (requestId: string) => Number(requestId.split('-')[1]),
+    isCalmSince: (requestId: string) => requestId[0] !== '9',
+  };
+  const find = (word: SoakWord, arrivals: ReadonlyArray<readonly [string, number]>) =>
+    findUnheeded(
+      'e',
+      {
+        told: ['1', '9'].flatMap((gateway) =>
+          [0, 8_000].map((atMs) => ({ requestId: `${gateway}-0`, atMs, word })),
+        ),
+        arrivals: arrivals.map(([requestId, atMs]) => ({ requestId, atMs })),
+      },
+      ports,
+    );
+  const every = (gateway: string, count: number, fromMs: number, stepMs: number) =>
+    Array.from(
+      { length: count },
+      (_none, index) => [`${gateway}-0`, fromMs + index * stepMs] as const,
+    );
+  t.deepEqual(
+    find({ kind: 'leaving' }, [
+      ['1-2100', 2_300],
+      ['2-5000', 5_001],
+      ['9-5000', 5_001],
+    ]),
+    [],
+  );
+  t.regex(find({ kind: 'leaving' }, [['1-2300', 2_301]])[0]!, /2300 ms after its answer said/);
+  t.deepEqual(find({ kind: 'rest', untilMs: 1_500 }, every('1', 2, 600, 10)), []);
+  t.regex(find({ kind: 'rest', untilMs: 1_500 }, every('1', 3, 600, 10))[0]!, /got 3 requests/);
+  t.deepEqual(find({ kind: 'rest', untilMs: 1_500 }, every('9', 3, 600, 10)), []);
+  t.deepEqual(find({ kind: 'limit', perS: 1 }, every('1', 11, 3_100, 10)), []);
+  t.regex(
+    find({ kind: 'limit', perS: 1 }, every('1', 12, 3_100, 10))[0]!,
+    /got 12 requests in 4 s/,
+  );
+  t.deepEqual(find({ kind: 'limit', perS: 1 }, every('2', 50, 3_100, 10)), []);
+});
+
 test('a request is owed where operators leave it a zone, and not where an order empties its home', (t) => {
   const changes = [{ atMs: 0, regions: ['a', 'b'] }];
   const moved = [...changes, { atMs: 9_000, regions: ['b'] }];
