--- a/src/cluster/store-readers.ts
+++ b/src/cluster/store-readers.ts
@@ -15,7 +15,7 @@
 /** Bounds of the readers. */
 export interface StoreReadersOptions {
   /**
-   * Gateways that read. Default 8, chosen and not measured: some may lose the store at once, and the rest
+   * Gateways that read. Default 8: some may lose the store at once, and the rest
    * still read it through other connections. Where there are no more, all read.
    */
   readonly readers: number;
--- a/src/gateway/dispatch/backend-choice.ts
+++ b/src/gateway/dispatch/backend-choice.ts
@@ -8,8 +8,7 @@
 const WORK_WEIGHT = 0.5;
 /**
  * Share by which each request at work there lengthens the time to the first event; without it the nearest of
- * like engines would be filled first. Measured at engines of 13 slots: short prompts took 43 ms in the mean
- * beside one other request and 61 beside twelve.
+ * like engines would be filled first.
  */
 const OTHERS_SHARE = 0.03;
 /** Cost for each request at a back end of unknown speed: it is tried with one at a time. */
--- a/src/gateway/dispatch/cold-starts.ts
+++ b/src/gateway/dispatch/cold-starts.ts
@@ -32,7 +32,7 @@
   readonly coldMs?: number;
 }
 
-/** What a busy gateway gets of an agent's grants, in equal shares: gateways are not equally busy. Chosen. */
+/** What a busy gateway gets of an agent's grants, in equal shares: gateways are not equally busy. */
 const BUSY_GATEWAY_SHARE = 1.25;
 const MS_PER_S = 1_000;
 
--- a/src/gateway/dispatch/home-engines.ts
+++ b/src/gateway/dispatch/home-engines.ts
@@ -11,7 +11,7 @@
 
 /**
  * Engines of each named region that a gateway works with at least, if there are as many: with two of them
- * down two are left, and with each one more every agent gains a link to every gateway. Chosen, not measured.
+ * down two are left, and with each one more every agent gains a link to every gateway.
  */
 const ENGINES_PER_HOME = 4;
 
--- a/src/gateway/dispatch/slot-supply.ts
+++ b/src/gateway/dispatch/slot-supply.ts
@@ -8,17 +8,17 @@
 
 /**
  * Memory of the rates, in milliseconds: long enough for some ten requests of a small gateway, short
- * enough to see a burst end. In the experiments 1,500 to 5,000 made no difference.
+ * enough to see a burst end.
  */
 const MEMORY_MS = 3_000;
 /**
  * Requests wait for at least this time before the rate at which they are served says anything, in
- * milliseconds: some times the pause between two freed slots of a busy service. Chosen, not measured.
+ * milliseconds: some times the pause between two freed slots of a busy service.
  */
 const MIN_BUSY_MS = 50;
 /**
  * What is left of the supply beside more urgent arrivals counts as nothing below this share of it: both rates
- * come from some ten requests, so a smaller rest cannot be told from none. Chosen, not measured.
+ * come from some ten requests, so a smaller rest cannot be told from none.
  */
 const MIN_SPARE_SHARE = 0.05;
 
--- a/src/gateway/quotas/quota-charges.ts
+++ b/src/gateway/quotas/quota-charges.ts
@@ -49,8 +49,8 @@
 /** Time from the start of the process in which holders may not be known or connected yet, in milliseconds: some tries to connect. */
 const YOUNG_MS = 3_000;
 /**
- * The pause until they are asked again meanwhile, and how long a request waits for that, in milliseconds. Gateways that had
- * just started refused a tenant below its limit 28 to 327 ms after their start without it (8 gateways killed in turn).
+ * The pause until they are asked again meanwhile, and how long a request waits for that, in milliseconds: a gateway that
+ * has just started would refuse tenants below their limits.
  */
 const YOUNG_RETRY_MS = 50;
 const YOUNG_PATIENCE_MS = 400;
--- a/src/gateway/quotas/quota-pools.ts
+++ b/src/gateway/quotas/quota-pools.ts
@@ -50,8 +50,8 @@
 }
 
 /**
- * Longest time for which a request may wait for what flows into a pool, in milliseconds. Where all gateways start again
- * every four seconds, their pools empty, a tenant at .6 of its limit was refused 12 in 100 without it.
+ * Longest time for which a request may wait for what flows into a pool, in milliseconds: pools are empty after a start,
+ * and tenants below their limits would be refused for it.
  */
 export const MAX_AHEAD_MS = 200;
 /**
@@ -65,12 +65,10 @@
  * request may wait.
  */
 const REFUSED_MEMORY_MS = 1_000;
-/** Pause named for a tenant that this gateway cannot grant anything, in milliseconds; chosen, not measured. */
+/** Pause named for a tenant that this gateway cannot grant anything, in milliseconds. */
 const UNKNOWN_PAUSE_MS = 100;
 /**
- * Bounds of the pause named to a caller, in milliseconds. One that returns late displaces another that would be in time:
- * of a tenant over its limit 97 and 138 requests were in time in two spans of 2 s with pauses of up to 5 s, as long as
- * what had been refused would take, and 109 and 164 with at most 1 s.
+ * Bounds of the pause named to a caller, in milliseconds. One that returns late displaces another that would be in time.
  */
 const MIN_RETRY_AFTER_MS = 50;
 const MAX_RETRY_AFTER_MS = 1_000;
--- a/src/gateway/quotas/quota-terms.ts
+++ b/src/gateway/quotas/quota-terms.ts
@@ -27,26 +27,20 @@
 
 /**
  * Pools of each tenant, at as many gateways if there are so many. One that dies or is cut off takes an eighth of the
- * rate with it. Of gateways of which half stood still by turns a tenant at .6 of its limit was refused 8 in 100 with
- * three pools (8 gateways), 16 with five (24 gateways). More of them would hold less each, and a request must fit into
- * one or be put together from several.
+ * rate with it. More of them would hold less each, and a request must fit into one or be put together from several.
  */
 export const MAX_POOLS = 8;
 /**
  * Shares of the surplus that pools, reserves and a credit hold; the rest is a margin that nobody uses. Pools need stock
- * beside the burst, since requests are large against what one of them holds; a tenant over its limit uses it as well.
- * With a credit of .4 of the surplus the two days that restart all gateways earned .814 and .742 of their worth, without
- * one .792 and .739 (cpra-weir, one play each; the longest wait at a pool was shortened with it). Reserves serve a gateway that is cut off from every holder.
+ * beside the burst, since requests are large against what one of them holds. A credit serves a fleet that has started again
+ * as a whole, a reserve a gateway that is cut off from every holder.
  */
 const POOL_SHARE = 0.4;
 const RESERVE_SHARE = 0.2;
 const CREDIT_SHARE = 0.3;
-/**
- * Part of the share above a tenant's rate that flows into its pools. Without it a tenant over its limit was let pass 8 in
- * 100 less than before pools were held (1.24 for 1.35 million tokens in one day of 36 s), with it 4 in 100 less.
- */
+/** Part of the share above a tenant's rate that flows into its pools, so that what is lost on the way does not hold it below its rate. */
 const OVER_SHARE_IN_RATE = 0.5;
-/** Share of a reserve that is its stock; the rest flows into it during a window. Chosen, not measured. */
+/** Share of a reserve that is its stock; the rest flows into it during a window. */
 const RESERVE_STOCK_SHARE = 0.75;
 const MS_PER_S = 1_000;
 
--- a/src/round-trip.ts
+++ b/src/round-trip.ts
@@ -21,8 +21,7 @@
 /**
  * What the bytes of one request to another region are worth in time, in milliseconds. Bytes between regions
  * take one to two in a hundred of what the requests that cross are worth, and an answer that is late loses
- * most of its worth: that many requests are late by as much at targets of some hundred milliseconds. Chosen,
- * not measured.
+ * most of its worth: that many requests are late by as much at targets of some hundred milliseconds.
  */
 const OTHER_REGION_BYTES_MS = 10;
 
--- a/src/slot-agent/failure-estimate.ts
+++ b/src/slot-agent/failure-estimate.ts
@@ -3,7 +3,7 @@
 
 /** Memory of outcomes, in milliseconds: long enough for some of each engine, short enough to see a fault end. */
 const MEMORY_MS = 3_000;
-/** Answered requests that are assumed beside those that were seen, so that one failure says little. Chosen, not measured. */
+/** Answered requests that are assumed beside those that were seen, so that one failure says little. */
 const ASSUMED_ANSWERED = 4;
 
 /** Share of failures of one back end; it fades when nothing is given to it. */
--- a/src/slot-agent/waiting-order.ts
+++ b/src/slot-agent/waiting-order.ts
@@ -9,8 +9,7 @@
 /**
  * Ranks by which a late request falls. The users' late answers keep a tenth to a half of their worth, and
  * answers of neighbouring ranks differ two to ten times in worth, so that it falls by about one rank: a
- * half more says that an answer in time of the next rank goes first. Falling behind every rank cost the
- * most urgent route 2 in 100 of its worth in the model of the shifted work.
+ * half more says that an answer in time of the next rank goes first.
  */
 const LATE_RANKS = 1.5;
 
