--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -10,10 +10,12 @@
   .option('--engines <count>', 'engines, each with its agent', '4')
   .option('--callers <count>', 'callers', '12')
   .option('--seconds <count>', 'time with faults, of each seed', '10')
-  .option('--no-words', 'back ends say nothing of themselves')
+  .option('--no-statements', 'back ends say nothing of themselves')
   .option('--port <base>', 'first port', '21000');
 program.parse();
-const { words: hasWords, ...options } = program.opts<Record<string, string> & { words: boolean }>();
+const { statements: hasStatements, ...options } = program.opts<
+  Record<string, string> & { statements: boolean }
+>();
 process.once('SIGTERM', () => process.exit(1));
 process.once('SIGINT', () => process.exit(1));
 let failed = 0;
@@ -22,7 +24,7 @@
     seed: Number(options['from']) + offset,
     sizes: { gateways: Number(options['gateways']), engines: Number(options['engines']) },
     callers: Number(options['callers']),
-    hasWords,
+    hasStatements,
     faultsMs: Number(options['seconds']) * 1_000,
     basePort: Number(options['port']) + (offset % 50) * 10,
   });
--- a/bench/soak/loopback-proxy.ts
+++ b/bench/soak/loopback-proxy.ts
@@ -12,6 +12,7 @@
   mood: ProxyMood = 'passes';
   private readonly server: Server;
   private readonly sockets = new Set<Socket>();
+  private isClosed = false;
 
   constructor(
     private readonly targetHost: string,
@@ -33,11 +34,17 @@
 
   /** Takes no connections for a time, as if what stands behind it had ended; its connections are reset. */
   async closeFor(pauseMs: number, host: string, port: number): Promise<void> {
+    if (this.isClosed) {
+      // It is away for another reason and comes back by that.
+      return;
+    }
+    this.isClosed = true;
     const closed = new Promise((resolve) => this.server.close(resolve));
     this.resetAll();
     await closed;
     await new Promise((resolve) => setTimeout(resolve, pauseMs));
     await this.start(host, port);
+    this.isClosed = false;
   }
 
   /** Resets every connection. */
--- a/bench/soak/soak-backend.ts
+++ b/bench/soak/soak-backend.ts
@@ -2,7 +2,7 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { RandomSource } from '../../src/random.js';
-import type { SoakWord, WordRecord } from './soak-words.js';
+import type { SoakStatement, StatementRecord } from './soak-statements.js';
 
 /** One run of a request. */
 export interface BackendRun {
@@ -49,9 +49,9 @@
   /** Start of its present life, as it announces it, in Unix milliseconds. */
   bornAtMs = Date.now();
   /** What its answers say of itself. */
-  word: SoakWord | undefined;
+  statement: SoakStatement | undefined;
   /** What each life said and received, by its name and start. */
-  readonly wordRecords = new Map<string, WordRecord>();
+  readonly statementRecords = new Map<string, StatementRecord>();
   private running = 0;
 
   constructor(
@@ -91,8 +91,8 @@
       response.end();
       return;
     }
-    this.wordRecord.arrivals.push({ requestId, atMs: performance.now() });
-    if (this.say(response, requestId)) {
+    this.statementRecord.arrivals.push({ requestId, atMs: performance.now() });
+    if (this.makeStatement(response, requestId)) {
       return;
     }
     if (this.random.next() < this.faults.refuses) {
@@ -103,22 +103,22 @@
     this.run(request, response, requestId);
   }
 
-  private get wordRecord(): WordRecord {
+  private get statementRecord(): StatementRecord {
     const life = `${this.id}@${this.bornAtMs}`;
-    const known = this.wordRecords.get(life) ?? { arrivals: [], told: [] };
-    this.wordRecords.set(life, known);
+    const known = this.statementRecords.get(life) ?? { arrivals: [], told: [] };
+    this.statementRecords.set(life, known);
     return known;
   }
 
-  /** Says its word in the answer, and says whether that is the whole answer. */
-  private say(response: ServerResponse, requestId: string): boolean {
-    const { word, wordRecord } = this;
-    if (word === undefined) {
+  /** Makes its statement in the answer, and says whether that is the whole answer. */
+  private makeStatement(response: ServerResponse, requestId: string): boolean {
+    const { statement, statementRecord } = this;
+    if (statement === undefined) {
       return false;
     }
-    const note = () => wordRecord.told.push({ requestId, atMs: performance.now(), word });
-    if (word.kind === 'rest') {
-      const leftMs = Math.max(1, word.untilMs - performance.now());
+    const note = () => statementRecord.told.push({ requestId, atMs: performance.now(), statement });
+    if (statement.kind === 'rest') {
+      const leftMs = Math.max(1, statement.untilMs - performance.now());
       note();
       response.writeHead(503, {
         'X-Weirvale-Not-Executed': '1',
@@ -127,8 +127,8 @@
       response.end();
       return true;
     }
-    if (word.kind === 'limit') {
-      response.setHeader('Server-Limit', `${word.perS}`);
+    if (statement.kind === 'limit') {
+      response.setHeader('Server-Limit', `${statement.perS}`);
     } else {
       response.setHeader('Server-Leaving', '1');
     }
--- a/bench/soak/soak-run.ts
+++ b/bench/soak/soak-run.ts
@@ -7,7 +7,7 @@
 import { doFault } from './soak-faults.js';
 import { findOutsideHome } from './soak-homes.js';
 import { isOwed } from './soak-owed.js';
-import { findUnheeded, sayWord } from './soak-words.js';
+import { findUnheeded, makeStatement } from './soak-statements.js';
 import { SOAK_COLD_BOUND, SOAK_KEY, SOAK_TIMEOUT_MS, SoakFleet } from './soak-fleet.js';
 import type { SoakEvacuation, SoakSizes } from './soak-fleet.js';
 
@@ -20,7 +20,7 @@
   readonly faultsMs: number;
   readonly basePort: number;
   /** Whether back ends say something of themselves. Default true. */
-  readonly hasWords?: boolean;
+  readonly hasStatements?: boolean;
 }
 
 /** How a soak ended. */
@@ -48,8 +48,8 @@
   body: string;
 }
 
-/** Pause between two words of back ends, in milliseconds. */
-const WORD_PAUSE_MS = 2_500;
+/** Pause between two statements of back ends, in milliseconds. */
+const STATEMENT_PAUSE_MS = 2_500;
 const RECOVERY_MS = 4_500;
 const CALM_MS = 1_500;
 const CALM_SHARE = 0.95;
@@ -81,12 +81,13 @@
     press(fleet, index, plan.sizes.gateways, stopAtMs, seen, late),
   );
   const faultsEndAtMs = performance.now() + plan.faultsMs;
-  const words = plan.hasWords === false ? undefined : sayWords(fleet, plan.seed, faults);
+  const statements =
+    plan.hasStatements === false ? undefined : makeStatements(fleet, plan.seed, faults);
   while (performance.now() < faultsEndAtMs) {
     await sleepMs(randomInteger(random, 100, 700));
     faults.push(doFault(fleet, random));
   }
-  clearInterval(words);
+  clearInterval(statements);
   await Promise.all(callers);
   fleet.stop();
   const calmFromMs = stopAtMs - CALM_MS;
@@ -100,20 +101,20 @@
     ...findLateForLeaving(runs, fleet.drainedAtMs, isCalmSince),
     ...findOutsideHome(runs, fleet.homeChanges, (id) => fleet.regionOfBackend(id), isCalmSince),
     ...findRushes(runs),
-    ...findUnheededWords(fleet, seen, plan.sizes.gateways, isCalmSince),
+    ...findUnheededStatements(fleet, seen, plan.sizes.gateways, isCalmSince),
   ];
   const answered = seen.filter(({ status }) => status === 200).length;
   const { folder } = fleet;
   return { seed: plan.seed, requests: seen.length, answered, faults, violations, folder };
 }
 
-/** Words come by a draw of their own, so that the faults of a seed stay the same. */
-function sayWords(fleet: SoakFleet, seed: number, faults: string[]): NodeJS.Timeout {
+/** Statements come by a draw of their own, so that the faults of a seed stay the same. */
+function makeStatements(fleet: SoakFleet, seed: number, faults: string[]): NodeJS.Timeout {
   const random = new SeededRandom(seed + 2);
-  return setInterval(() => faults.push(sayWord(fleet, random)), WORD_PAUSE_MS);
+  return setInterval(() => faults.push(makeStatement(fleet, random)), STATEMENT_PAUSE_MS);
 }
 
-function findUnheededWords(
+function findUnheededStatements(
   fleet: SoakFleet,
   seen: readonly SeenRequest[],
   gateways: number,
@@ -125,8 +126,8 @@
     sentAtMs: (requestId: string) => sentAtMs.get(requestId) ?? -Infinity,
     isCalmSince,
   };
-  return fleet.backends.flatMap(({ wordRecords }) =>
-    [...wordRecords].flatMap(([life, record]) => findUnheeded(life, record, ports)),
+  return fleet.backends.flatMap(({ statementRecords }) =>
+    [...statementRecords].flatMap(([life, record]) => findUnheeded(life, record, ports)),
   );
 }
 
--- a/bench/soak/soak-words.ts
+++ b/bench/soak/soak-statements.ts
@@ -4,7 +4,7 @@
 import type { SoakFleet } from './soak-fleet.js';
 
 /** What the answers of a back end say. */
-export type SoakWord =
+export type SoakStatement =
   | { readonly kind: 'limit'; readonly perS: number }
   | { readonly kind: 'leaving' }
   | { readonly kind: 'rest'; readonly untilMs: number };
@@ -15,19 +15,19 @@
   readonly atMs: number;
 }
 
-/** A word that an answer to a request carried. */
+/** A statement that an answer to a request carried. */
 export interface SoakTold extends SoakArrival {
-  readonly word: SoakWord;
+  readonly statement: SoakStatement;
 }
 
 /** What one life of a back end said and received. */
-export interface WordRecord {
+export interface StatementRecord {
   readonly arrivals: SoakArrival[];
   readonly told: SoakTold[];
 }
 
 /** What a check asks of the soak. */
-export interface WordCheckPorts {
+export interface StatementCheckPorts {
   /** The gateway that a request was sent to. */
   gatewayOf(requestId: string): number;
   /** When its caller sent it, in milliseconds. */
@@ -50,26 +50,26 @@
 const MOST_IN_REST = 2;
 
 /** Lets one back end say something of itself for a while; returns what. */
-export function sayWord(fleet: SoakFleet, random: RandomSource): string {
+export function makeStatement(fleet: SoakFleet, random: RandomSource): string {
   const index = randomInteger(random, 0, fleet.backends.length - 1);
   const backend = fleet.backends[index]!;
   const kind = (['limit', 'leaving', 'rest'] as const)[randomInteger(random, 0, 2)]!;
-  if (backend.word !== undefined) {
-    return `back end ${index} goes on with its word`;
+  if (backend.statement !== undefined) {
+    return `back end ${index} goes on with its statement`;
   }
-  const end = () => (backend.word = undefined);
+  const end = () => (backend.statement = undefined);
   if (kind === 'limit') {
     const perS = LIMITS[randomInteger(random, 0, LIMITS.length - 1)]!;
-    backend.word = { kind, perS };
+    backend.statement = { kind, perS };
     setTimeout(end, LIMIT_MS).unref();
     return `back end ${index} names a limit of ${perS}`;
   }
   if (kind === 'rest') {
-    backend.word = { kind, untilMs: performance.now() + REST_MS };
+    backend.statement = { kind, untilMs: performance.now() + REST_MS };
     setTimeout(end, REST_MS).unref();
     return `back end ${index} asks for a rest`;
   }
-  backend.word = { kind };
+  backend.statement = { kind };
   const leave = () => {
     end();
     fleet.replaceBackend(index);
@@ -78,11 +78,11 @@
   return `back end ${index} leaves by its answers alone`;
 }
 
-/** Words that were not heeded, of one life of a back end. */
+/** Statements that were not heeded, of one life of a back end. */
 export function findUnheeded(
   backendId: string,
-  record: WordRecord,
-  ports: WordCheckPorts,
+  record: StatementRecord,
+  ports: StatementCheckPorts,
 ): string[] {
   return [
     ...findLate(backendId, record, ports),
@@ -94,10 +94,10 @@
 /** Requests that were sent too late to a back end whose answer had told their gateway that it leaves. */
 function findLate(
   backendId: string,
-  { arrivals, told }: WordRecord,
-  ports: WordCheckPorts,
+  { arrivals, told }: StatementRecord,
+  ports: StatementCheckPorts,
 ): string[] {
-  const leaving = told.filter(({ word }) => word.kind === 'leaving');
+  const leaving = told.filter(({ statement }) => statement.kind === 'leaving');
   return arrivals.flatMap(({ requestId }) => {
     const first = firstTo(leaving, requestId, ports);
     const lateMs = ports.sentAtMs(requestId) - (first ?? Infinity);
@@ -111,18 +111,18 @@
 
 function findInRest(
   backendId: string,
-  { arrivals, told }: WordRecord,
-  ports: WordCheckPorts,
+  { arrivals, told }: StatementRecord,
+  ports: StatementCheckPorts,
 ): string[] {
-  return told.flatMap(({ requestId, atMs, word }) => {
-    if (word.kind !== 'rest' || !ports.isCalmSince(requestId, atMs)) {
+  return told.flatMap(({ requestId, atMs, statement }) => {
+    if (statement.kind !== 'rest' || !ports.isCalmSince(requestId, atMs)) {
       return [];
     }
     const within = arrivals.filter(
       (arrival) =>
         ports.gatewayOf(arrival.requestId) === ports.gatewayOf(requestId) &&
         arrival.atMs > atMs + HEED_MS &&
-        arrival.atMs < word.untilMs,
+        arrival.atMs < statement.untilMs,
     );
     return within.length > MOST_IN_REST
       ? [`${backendId} got ${within.length} requests of a gateway that it had asked for a rest`]
@@ -132,11 +132,11 @@
 
 function findOverLimit(
   backendId: string,
-  { arrivals, told }: WordRecord,
-  ports: WordCheckPorts,
+  { arrivals, told }: StatementRecord,
+  ports: StatementCheckPorts,
 ): string[] {
-  const limits = told.flatMap(({ word, ...rest }) =>
-    word.kind === 'limit' ? [{ ...rest, perS: word.perS }] : [],
+  const limits = told.flatMap(({ statement, ...rest }) =>
+    statement.kind === 'limit' ? [{ ...rest, perS: statement.perS }] : [],
   );
   const [first] = limits;
   const last = limits.at(-1);
@@ -165,7 +165,7 @@
 function firstTo(
   told: readonly SoakArrival[],
   requestId: string,
-  { gatewayOf }: WordCheckPorts,
+  { gatewayOf }: StatementCheckPorts,
 ): number | undefined {
   return told.find((one) => gatewayOf(one.requestId) === gatewayOf(requestId))?.atMs;
 }
--- a/bench/soak/statement-run.ts
+++ b/bench/soak/statement-run.ts
@@ -13,7 +13,7 @@
 import { SoakProcess } from './soak-fleet.js';
 
 /** What the back ends in trouble do with requests. */
-export type BackendWord =
+export type BackendTrouble =
   /** They serve them and name a limit. */
   | 'limit'
   /** They serve them and say that they leave; their announcements do not. */
@@ -29,7 +29,7 @@
 
 /** One run of a fleet. */
 export interface StatementRunOptions {
-  readonly word: BackendWord;
+  readonly trouble: BackendTrouble;
   readonly gateways: number;
   /** Whether an agent stands beside each back end, which is an engine then. */
   readonly hasAgents: boolean;
@@ -72,14 +72,14 @@
 const SLOTS = 8;
 const WORK_MS = 90;
 const REST_S = 3;
-/** From the first word to the moment from which a limit binds, in milliseconds. */
+/** From the first answer that names a limit to the moment from which a limit binds, in milliseconds. */
 const LIMIT_BINDS_MS = 3_000;
 const LIMIT_WINDOW_MS = 4_000;
 const LIMIT_OVER = 1.5;
 const LIMIT_SLACK = 5;
 /** Time until a gateway heeds that a back end leaves, in milliseconds. */
 const LEAVING_HEED_MS = 2_000;
-/** Time until a gateway heeds a word, in milliseconds. */
+/** Time until a gateway heeds what it was told, in milliseconds. */
 const HEED_MS = 500;
 const SETTLE_MS = 4_000;
 const READY_LIMIT_MS = 20_000;
@@ -112,13 +112,13 @@
 
 class TroubledBackend {
   readonly arrivals: Arrival[] = [];
-  firstWordAtMs = Infinity;
+  firstSaidAtMs = Infinity;
   /** When each gateway was told first, and each time. */
   readonly toldAtMs = new Map<number, number>();
   readonly restsAsked: Array<{ readonly gateway: number; readonly atMs: number }> = [];
 
   noteTold(gateway: number, nowMs: number): void {
-    this.firstWordAtMs = Math.min(this.firstWordAtMs, nowMs);
+    this.firstSaidAtMs = Math.min(this.firstSaidAtMs, nowMs);
     if (!this.toldAtMs.has(gateway)) {
       this.toldAtMs.set(gateway, nowMs);
     }
@@ -204,7 +204,7 @@
   private configure(): void {
     const route = (name: string, kind: string, maxAttempts: number) => ({
       name,
-      host: 'words.example',
+      host: 'statements.example',
       pathPrefix: `/${name}/`,
       kind,
       timeoutMs: 2_500,
@@ -279,20 +279,20 @@
     response: ServerResponse,
   ): void {
     const nowMs = performance.now();
-    const { word, limitPerS = 2.4 } = this.options;
-    if (word === 'limit') {
+    const { trouble, limitPerS = 2.4 } = this.options;
+    if (trouble === 'limit') {
       response.setHeader('Server-Limit', `${limitPerS}`);
       this.serve(index, response, () => troubled.noteTold(gateway, performance.now()));
-    } else if (word === 'leaving') {
+    } else if (trouble === 'leaving') {
       response.setHeader('Server-Leaving', '1');
       this.serve(index, response, () => troubled.noteTold(gateway, performance.now()));
-    } else if (word === 'error') {
+    } else if (trouble === 'error') {
       response.writeHead(500);
       response.end();
-    } else if (word === 'reset') {
+    } else if (trouble === 'reset') {
       request.socket.resetAndDestroy();
     } else {
-      if (word === 'rest') {
+      if (trouble === 'rest') {
         troubled.restsAsked.push({ gateway, atMs: nowMs });
         response.setHeader('Retry-After', `${REST_S}`);
       }
@@ -395,7 +395,7 @@
         path: `/${route}/${id}`,
         agent: this.agent,
         headers: {
-          Host: 'words.example',
+          Host: 'statements.example',
           'X-Weirvale-Attempt-Id': id,
           'X-Weirvale-Deadline-Ms': '2000',
         },
@@ -436,7 +436,7 @@
 
 /** Most arrivals in a window at a back end with a limit, of gateways that it had told. */
 function worstOfLimit(troubled: TroubledBackend, untilMs: number): number {
-  const bindsFromMs = troubled.firstWordAtMs + LIMIT_BINDS_MS;
+  const bindsFromMs = troubled.firstSaidAtMs + LIMIT_BINDS_MS;
   const counted = troubled.arrivals
     .filter((arrival) => arrival.atMs >= bindsFromMs && arrival.atMs < untilMs)
     .filter((arrival) => troubled.wasTold(arrival, HEED_MS))
@@ -448,8 +448,8 @@
 }
 
 /** Arrivals a second once the limit binds. */
-function useOf({ arrivals, firstWordAtMs }: TroubledBackend, untilMs: number): number {
-  const fromMs = firstWordAtMs + LIMIT_BINDS_MS;
+function useOf({ arrivals, firstSaidAtMs }: TroubledBackend, untilMs: number): number {
+  const fromMs = firstSaidAtMs + LIMIT_BINDS_MS;
   const counted = arrivals.filter(({ atMs }) => atMs >= fromMs && atMs <= untilMs);
   return (counted.length / (untilMs - fromMs)) * MS_PER_S;
 }
--- a/bench/statements.ts
+++ b/bench/statements.ts
@@ -1,13 +1,13 @@
-/** Runs fleets before back ends that speak of themselves: `node dist/bench/statements.js --words limit`; stops by itself. */
+/** Runs fleets before back ends that speak of themselves: `node dist/bench/statements.js --troubles limit`; stops by itself. */
 import { Command } from 'commander';
 import { runStatements } from './soak/statement-run.js';
-import type { BackendWord } from './soak/statement-run.js';
+import type { BackendTrouble } from './soak/statement-run.js';
 
-const ALL: readonly BackendWord[] = ['limit', 'leaving', 'rest', 'shed', 'error', 'reset'];
+const ALL: readonly BackendTrouble[] = ['limit', 'leaving', 'rest', 'shed', 'error', 'reset'];
 
 const program = new Command('statements')
   .description('what back ends say of themselves, over real gateways on loopback')
-  .option('--words <list>', `of ${ALL.join(', ')}`, ALL.join(','))
+  .option('--troubles <list>', `of ${ALL.join(', ')}`, ALL.join(','))
   .option('--gateways <count>', 'gateways', '3')
   .option('--agents', 'an agent beside each back end')
   .option('--troubled <count>', 'back ends in trouble, of six', '1')
@@ -21,10 +21,10 @@
   .option('--port <base>', 'first port', '27000');
 program.parse();
 const options = program.opts<Record<string, string | boolean>>();
-for (const word of String(options['words']).split(',') as BackendWord[]) {
+for (const trouble of String(options['troubles']).split(',') as BackendTrouble[]) {
   for (let run = 0; run < Number(options['runs']); run += 1) {
     const report = await runStatements({
-      word,
+      trouble,
       gateways: Number(options['gateways']),
       hasAgents: options['agents'] === true,
       inTrouble: Number(options['troubled']),
@@ -36,7 +36,7 @@
       lengthMs: Number(options['seconds']) * 1_000,
       basePort: Number(options['port']) + (run % 10) * 10,
     });
-    console.log(word, JSON.stringify(report));
+    console.log(trouble, JSON.stringify(report));
   }
 }
 process.exit(0);
--- a/src/gateway/dispatch/backend-chooser.ts
+++ b/src/gateway/dispatch/backend-chooser.ts
@@ -50,7 +50,7 @@
 const AFTER_WARM_COST_MS = 1_000_000_000;
 
 /** Time after which a back end that named a limit is asked whether it still does, in milliseconds. */
-const LIMIT_WORD_MS = 1_000;
+const LIMIT_STALE_MS = 1_000;
 
 /** Chooses among the back ends of a directory. */
 export class BackendChooser {
@@ -109,7 +109,7 @@
     nowMs: number,
   ): number {
     const isFirst =
-      this.isWordDue(known, nowMs) || this.ports.versionUse(known.backend) === 'limited';
+      this.isLimitStale(known, nowMs) || this.ports.versionUse(known.backend) === 'limited';
     return isFirst ? -known.occupied - 1 : costOf(request, known, usual, nowMs);
   }
 
@@ -117,8 +117,8 @@
    * A back end that named a limit and was not heard for a while gets the next request for which there is a right:
    * nothing else would show that it names none any more.
    */
-  private isWordDue({ condition }: KnownBackend, nowMs: number): boolean {
-    return condition.limitPerS !== undefined && condition.limitAgeMs(nowMs) > LIMIT_WORD_MS;
+  private isLimitStale({ condition }: KnownBackend, nowMs: number): boolean {
+    return condition.limitPerS !== undefined && condition.limitAgeMs(nowMs) > LIMIT_STALE_MS;
   }
 
   private coldCost(known: KnownBackend, nowMs: number): number {
@@ -263,8 +263,8 @@
   }
 
   /**
-   * Whether its own word keeps no request from the back end now. Every way out asks this: what a free slot allows, and
-   * what an agent granted before the word was heard.
+   * Whether what it says of itself keeps no request from the back end now. Every way out asks this: what a free slot allows, and
+   * what an agent granted before that was heard.
    */
   mayBegin(known: KnownBackend, nowMs: number): boolean {
     const hasRight = this.ports.sendRights?.mayBegin(known.backend.id) ?? true;
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -28,7 +28,7 @@
 import { GatewayRequests } from './gateway-requests.js';
 import { GatewayRollouts } from './gateway-rollouts.js';
 import { GatewayStatements } from './gateway-statements.js';
-import { countBackends, listWords } from './metrics/gateway-snapshot.js';
+import { countBackends, listConditions } from './metrics/gateway-snapshot.js';
 import type { GatewaySnapshot } from './metrics/gateway-snapshot.js';
 import { PEER_TICK_MS } from './links/beat-times.js';
 import type { GatewayMetrics } from './metrics/gateway-metrics.js';
@@ -438,7 +438,7 @@
       storeAgeMs: this.cluster.storeAgeMs,
       configurationAgeMs: this.configuration.ageMs,
       backends: countBackends(this.directory.list(), nowMs),
-      words: listWords(this.directory.list(), nowMs),
+      conditions: listConditions(this.directory.list(), nowMs),
       evacuatedZones: this.evacuations.zones.count,
       repeatsLeft: this.requests.repeatsLeft(nowMs),
       quotaUse: this.quotas.use,
--- a/src/gateway/metrics/gateway-gauges.ts
+++ b/src/gateway/metrics/gateway-gauges.ts
@@ -106,7 +106,7 @@
     registers: [registry],
     collect() {
       this.reset();
-      for (const { backend, condition, value } of current().words) {
+      for (const { backend, condition, value } of current().conditions) {
         this.set({ backend, condition }, value);
       }
     },
--- a/src/gateway/metrics/gateway-snapshot.ts
+++ b/src/gateway/metrics/gateway-snapshot.ts
@@ -14,7 +14,7 @@
 }
 
 /** What a back end said of itself: a limit in requests a second, a rest in seconds that are left, or that it leaves (1). */
-export interface BackendWord {
+export interface StatedCondition {
   readonly backend: string;
   readonly condition: 'limited' | 'leaving' | 'resting';
   readonly value: number;
@@ -26,7 +26,7 @@
   readonly configurationAgeMs: number | undefined;
   readonly backends: readonly BackendCount[];
   /** What back ends said of themselves and still holds. */
-  readonly words: readonly BackendWord[];
+  readonly conditions: readonly StatedCondition[];
   /** Zones that operators evacuated. */
   readonly evacuatedZones: number;
   /** Repeats that the retry budget still allows, by service. */
@@ -58,8 +58,11 @@
 }
 
 /** What back ends said of themselves and still holds. */
-export function listWords(backends: readonly KnownBackend[], nowMs: number): BackendWord[] {
-  return backends.flatMap(({ backend: { id: backend }, condition }): BackendWord[] => {
+export function listConditions(
+  backends: readonly KnownBackend[],
+  nowMs: number,
+): StatedCondition[] {
+  return backends.flatMap(({ backend: { id: backend }, condition }): StatedCondition[] => {
     const { limitPerS, isLeaving, restUntilMs } = condition;
     const restLeftS = Math.max(0, restUntilMs - nowMs) / MS_PER_S;
     return [
--- a/src/gateway/statements/backend-condition.ts
+++ b/src/gateway/statements/backend-condition.ts
@@ -1,8 +1,8 @@
 /**
- * What is believed of one life of a back end by its own word: the limit that it names, whether it leaves, whether it rests.
+ * What is believed of one life of a back end by what it says of itself: the limit that it names, whether it leaves, whether it rests.
  *
- * Words come with every answer, from several gateways and late, so each belief has the moment of the word that it
- * comes from, and an older word never takes the place of a newer one.
+ * Statements come with every answer, from several gateways and late, so each belief has the moment of the statement that it
+ * comes from, and an older one never takes the place of a newer one.
  */
 import type { BackendStatement } from './backend-statement.js';
 
@@ -10,9 +10,9 @@
 export interface ToldCondition {
   /** The life of the back end. */
   readonly backendId: string;
-  /** Requests a second that it takes; missing where the newest word names no limit. */
+  /** Requests a second that it takes; missing where the newest statement names no limit. */
   readonly limitPerS?: number;
-  /** Time since that word, in milliseconds; missing where there was none. */
+  /** Time since that statement, in milliseconds; missing where there was none. */
   readonly limitAgeMs?: number;
   readonly isLeaving: boolean;
   /** How much longer it rests, in milliseconds; negative since its rest is over; missing where it never rested. */
@@ -21,7 +21,7 @@
   readonly servedAgeMs?: number;
 }
 
-/** An answer's word, and what is known of its moment. */
+/** The statement of an answer, and what is known of its moment. */
 export interface HeardStatement {
   readonly statement: BackendStatement;
   /** When the request was sent that was answered, in milliseconds. */
@@ -56,7 +56,7 @@
     return this.limit;
   }
 
-  /** Time since the newest word on its limit, of any gateway, in milliseconds; Infinity where there was none. */
+  /** Time since the newest statement on its limit, of any gateway, in milliseconds; Infinity where there was none. */
   limitAgeMs(nowMs: number): number {
     return nowMs - this.limitAtMs;
   }
@@ -71,7 +71,7 @@
     return Math.max(this.restEndMs, this.pausedUntilMs);
   }
 
-  /** Whether it wants nothing now, by its word or by its refusals. */
+  /** Whether it wants nothing now, as it said or as follows from its refusals. */
   isResting(nowMs: number): boolean {
     return nowMs < Math.max(this.restEndMs, this.pausedUntilMs);
   }
--- a/src/gateway/statements/backend-conditions.ts
+++ b/src/gateway/statements/backend-conditions.ts
@@ -1,4 +1,4 @@
-/** What is believed of all back ends by their own word. */
+/** What is believed of all back ends by what they say of themselves. */
 import { BackendCondition } from './backend-condition.js';
 import type { HeardStatement, ToldCondition } from './backend-condition.js';
 
--- a/src/gateway/statements/backend-statement.ts
+++ b/src/gateway/statements/backend-statement.ts
@@ -1,6 +1,6 @@
 /** What a back end says of itself in the head of an answer, beside the answer. */
 
-/** One answer's word on the back end that gave it. */
+/** What one answer says of the back end that gave it. */
 export interface BackendStatement {
   /** Requests a second that it takes from all gateways together; undefined where it names no limit. */
   readonly limitPerS?: number | undefined;
--- a/src/gateway/statements/send-limit.ts
+++ b/src/gateway/statements/send-limit.ts
@@ -1,4 +1,4 @@
-/** Query: how many requests a second all gateways together may send to a back end, by its own word. */
+/** Query: how many requests a second all gateways together may send to a back end, by what it says of itself. */
 import type { BackendCondition } from './backend-condition.js';
 
 /**
--- a/test/backend-limits.test.ts
+++ b/test/backend-limits.test.ts
@@ -19,7 +19,7 @@
  */
 test('a back end that names a limit gets no more than that, with a tolerance, from all gateways together', async (t) => {
   const { limitWorst, limitAllowed, served, folder } = await runStatements({
-    word: 'limit',
+    trouble: 'limit',
     gateways: 3,
     hasAgents: false,
     inTrouble: 1,
@@ -34,7 +34,7 @@
 
 test('the same with an agent beside it that grants its slots', async (t) => {
   const { limitWorst, limitAllowed, served, folder } = await runStatements({
-    word: 'limit',
+    trouble: 'limit',
     gateways: 3,
     hasAgents: true,
     inTrouble: 1,
--- a/test/gateway-metrics.test.ts
+++ b/test/gateway-metrics.test.ts
@@ -15,7 +15,7 @@
   evacuatedZones: 1,
   configurationAgeMs: undefined,
   backends: [{ service: 's', state: 'ejected', count: 2 }],
-  words: [{ backend: 'w-1', condition: 'limited', value: 2.4 }],
+  conditions: [{ backend: 'w-1', condition: 'limited', value: 2.4 }],
   repeatsLeft: new Map([['s', 7]]),
   quotaUse: new Map([['tenant', 1_200]]),
   quotaLevels: new Map([['tenant', 300]]),
--- a/test/leaving-and-rest.test.ts
+++ b/test/leaving-and-rest.test.ts
@@ -18,7 +18,7 @@
  */
 test('a back end whose answers say that it leaves gets nothing new, whatever its entry says', async (t) => {
   const { lateToLeaving, served, folder } = await runStatements({
-    word: 'leaving',
+    trouble: 'leaving',
     gateways: 3,
     hasAgents: false,
     inTrouble: 1,
@@ -43,7 +43,7 @@
  */
 test('a back end that asks for a rest gets it, and its callers are served elsewhere', async (t) => {
   const { restWorst, served, folder } = await runStatements({
-    word: 'rest',
+    trouble: 'rest',
     gateways: 3,
     hasAgents: true,
     inTrouble: 1,
@@ -67,7 +67,7 @@
  */
 test('back ends that refuse fast draw no traffic, and callers are served by the others', async (t) => {
   const { served, folder } = await runStatements({
-    word: 'shed',
+    trouble: 'shed',
     gateways: 3,
     hasAgents: true,
     inTrouble: 3,
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -10,8 +10,8 @@
 } from '../bench/soak/soak-run.js';
 import { findOutsideHome } from '../bench/soak/soak-homes.js';
 import { isOwed } from '../bench/soak/soak-owed.js';
-import { findUnheeded } from '../bench/soak/soak-words.js';
-import type { SoakWord } from '../bench/soak/soak-words.js';
+import { findUnheeded } from '../bench/soak/soak-statements.js';
+import type { SoakStatement } from '../bench/soak/soak-statements.js';
 import type { SeenRequest } from '../bench/soak/soak-run.js';
 
 const SEED = 7;
@@ -132,18 +132,18 @@
   t.deepEqual(findRushes(runs(27, 1)), ['e got 27 requests in a second while cold']);
 });
 
-test('the check of what back ends say of themselves sees each word that was not heeded', (t) => {
+test('the check of what back ends say of themselves sees each statement that was not heeded', (t) => {
   const ports = {
     gatewayOf: (requestId: string) => Number(requestId[0]),
     sentAtMs: (requestId: string) => Number(requestId.split('-')[1]),
     isCalmSince: (requestId: string) => requestId[0] !== '9',
   };
-  const find = (word: SoakWord, arrivals: ReadonlyArray<readonly [string, number]>) =>
+  const find = (statement: SoakStatement, arrivals: ReadonlyArray<readonly [string, number]>) =>
     findUnheeded(
       'e',
       {
         told: ['1', '9'].flatMap((gateway) =>
-          [0, 8_000].map((atMs) => ({ requestId: `${gateway}-0`, atMs, word })),
+          [0, 8_000].map((atMs) => ({ requestId: `${gateway}-0`, atMs, statement })),
         ),
         arrivals: arrivals.map(([requestId, atMs]) => ({ requestId, atMs })),
       },
--- a/test/own-word.test.ts
+++ b/test/statement-choices.test.ts
@@ -5,7 +5,7 @@
 
 /*
  * What a back end says of itself in an answer is asked on each way on which a request goes out: the first choice, a further
- * try, what waits in the queue, a slot that an agent granted before the word was heard, the last back end that is left.
+ * try, what waits in the queue, a slot that an agent granted before that was heard, the last back end that is left.
  */
 
 const UNSAFE = routeOf({ kind: 'unsafe', maxAttempts: 1 });
@@ -19,7 +19,7 @@
   return world.attempts.map(({ backend }) => backend.id);
 }
 
-/** A world in which `a` has answered one request with this word. */
+/** A world in which `a` has answered one request that says this. */
 function worldAfter(statement: Partial<BackendStatement>, ...others: string[]): GatewayWorld {
   const world = new GatewayWorld(...['a', ...others].map((id) => backendOf(id)));
   world.dispatcher.learnSpeed('a', 1, 5);
@@ -46,7 +46,7 @@
   t.false(usedBackends(world).slice(1).includes('a'));
 });
 
-test('leaving: the word holds against an entry that says ready, and after that entry is gone', (t) => {
+test('leaving: the statement holds against an entry that says ready, and after that entry is gone', (t) => {
   const world = worldAfter({ isLeaving: true });
   world.dispatcher.updateBackend('a', backendOf('a', { revision: 2 }), 10);
   world.dispatcher.updateBackend('a', undefined, 20);
@@ -98,7 +98,7 @@
   t.is(world.attempts.length, 2);
 });
 
-test('limit: a slot that the agent had granted before the word is given back, and no demand is told any more', (t) => {
+test('limit: a slot that the agent had granted before is given back, and no demand is told any more', (t) => {
   const world = new GatewayWorld(backendOf('a', { slots: 1 }));
   world.engines = true;
   world.dispatcher.connectAgent('a', 0);
@@ -119,7 +119,7 @@
   t.is(world.attempts.length, 1);
 });
 
-test('a life that starts again under the same address begins without the word', (t) => {
+test('a life that starts again under the same address begins without the statement', (t) => {
   const world = worldAfter({ isLeaving: true, limitPerS: 0 });
   world.dispatcher.updateBackend('a@2', backendOf('a@2', { address: 'a:1', revision: 5 }), 10);
   world.request({ route: UNSAFE });
--- a/test/support/limited-backend.ts
+++ b/test/support/limited-backend.ts
@@ -41,7 +41,7 @@
   limitPerS: number | undefined;
   readonly arrivals: Arrival[] = [];
   sent = 0;
-  private firstWordAtMs = Infinity;
+  private firstSaidAtMs = Infinity;
   private readonly toldAtMs = new WeakMap<FleetProcess, number>();
   private readonly waiting = new WeakMap<FleetProcess, WaitingSend[]>();
 
@@ -66,7 +66,7 @@
   /** Worst window as a share of what a limit of `limitPerS` allows. */
   worstShare(limitPerS: number): number {
     const bound = (WINDOW_MS / 1_000) * limitPerS * OVER + SLACK;
-    const fromMs = this.firstWordAtMs + BINDS_AFTER_MS;
+    const fromMs = this.firstSaidAtMs + BINDS_AFTER_MS;
     const counted = this.arrivals.filter(({ atMs, isTold }) => isTold && atMs >= fromMs);
     let first = 0;
     return (
@@ -134,7 +134,7 @@
     const { limitPerS } = this;
     if (limitPerS !== undefined) {
       const nowMs = this.fleet.clock.now();
-      this.firstWordAtMs = Math.min(this.firstWordAtMs, nowMs);
+      this.firstSaidAtMs = Math.min(this.firstSaidAtMs, nowMs);
       if (!this.toldAtMs.has(process)) {
         this.toldAtMs.set(process, nowMs);
       }
