Callers that are refused in a short pause of all back ends come back no sooner than a full queue asks for

What callers would have seen: Retry-After of some milliseconds while every back end pauses after a refusal, and refused again. Cause: the moment when the first is back took the place of the queue's forecast, also where it comes sooner. Found by reading the diff; the test fails without the mend.

--- a/src/gateway/attempt/request-wait.ts
+++ b/src/gateway/attempt/request-wait.ts
@@ -94,11 +94,6 @@
     const { request, ports, options } = this.parts;
     const { clock, dispatcher, random } = ports;
     const nowMs = clock.now();
-    const restLeftMs = this.restLeftMs(nowMs);
-    if (restLeftMs > 0) {
-      // Sooner there is certainly no back end for it, however little time its caller has left.
-      return restLeftMs + options.overloadRetryMinMs * random.next();
-    }
     const forecast = dispatcher.forecastOf(this.place.service);
     const placeFreeMs = this.isEvacuated
       ? Infinity
@@ -107,6 +102,11 @@
       options.overloadRetryMaxMs,
       Math.max(options.overloadRetryMinMs, placeFreeMs),
     );
+    const restLeftMs = this.restLeftMs(nowMs);
+    if (restLeftMs > earliestMs) {
+      // Sooner there is certainly no back end for it, however little time its caller has left.
+      return restLeftMs + options.overloadRetryMinMs * random.next();
+    }
     // Callers that were refused together must not come back together.
     const spreadMs = earliestMs * (1 + random.next());
     return Math.min(spreadMs, (request.endsAtMs - nowMs) * options.maxRetryShare);
--- a/test/statement-choices.test.ts
+++ b/test/statement-choices.test.ts
@@ -1,6 +1,8 @@
 import test from 'ava';
 import type { BackendStatement } from '../src/gateway/statements/backend-statement.js';
 import { NO_STATEMENT } from '../src/gateway/statements/backend-statement.js';
+import { DEFAULT_REQUEST_OPTIONS } from '../src/gateway/attempt/request-model.js';
+import { RequestWait } from '../src/gateway/attempt/request-wait.js';
 import { backendOf, GatewayWorld, routeOf } from './support/gateway.js';
 
 /*
@@ -169,3 +171,29 @@
   const waiting = short.request({ route: UNSAFE });
   t.is(waiting.reply.status, 0);
 });
+
+test('rest: callers come back when the first is back, but no sooner than a full queue asks for', (t) => {
+  const pauseWith = (restLeftMs: number) => {
+    const world = new GatewayWorld(backendOf('a'));
+    world.directory.restLeftMs = () => restLeftMs;
+    world.dispatcher.forecastOf = () => ({
+      expectedWaitMs: () => 800,
+      expectedLateWaitMs: () => 800,
+      expectedRecoveryMs: () => 800,
+    });
+    const wait = new RequestWait({
+      request: world.accept({ endsAtMs: 60_000 }),
+      ports: world.requestPorts,
+      options: DEFAULT_REQUEST_OPTIONS,
+      answer: { lastEventAtMs: undefined, hasStarted: false },
+      excluded: new Set(),
+      onPlaced: () => undefined,
+      onGivenUp: () => undefined,
+    });
+    return wait.retryAfterMs();
+  };
+  const afterPauseMs = pauseWith(5);
+  t.true(afterPauseMs >= 800 && afterPauseMs <= 1_600);
+  const afterRestMs = pauseWith(10_000);
+  t.true(afterRestMs >= 10_000 && afterRestMs <= 10_300);
+});
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -18,7 +18,12 @@
 import { ProxiedRequest } from '../../src/gateway/attempt/proxied-request.js';
 import { DEFAULT_REQUEST_OPTIONS } from '../../src/gateway/attempt/request-model.js';
 import type { AcceptedRequest } from '../../src/gateway/attempt/accepted-request.js';
-import type { HeardAnswer, RequestEnd, TryOver } from '../../src/gateway/attempt/request-model.js';
+import type {
+  HeardAnswer,
+  RequestEnd,
+  RequestPorts,
+  TryOver,
+} from '../../src/gateway/attempt/request-model.js';
 import { sendLimitPerS } from '../../src/gateway/statements/send-limit.js';
 import { NO_STATEMENT } from '../../src/gateway/statements/backend-statement.js';
 import type { BackendStatement } from '../../src/gateway/statements/backend-statement.js';
@@ -299,12 +304,11 @@
     return { cancel, withdraw, pause: ignore, resume: ignore };
   }
 
-  /** Hands a request to the gateway. */
-  request(changes: Partial<AcceptedRequest> = {}): { reply: SeenReply; request: ProxiedRequest } {
-    const reply = new SeenReply();
+  /** A request that was let in, with defaults. */
+  accept(changes: Partial<AcceptedRequest> = {}): AcceptedRequest {
     const route = changes.route ?? routeOf();
     const arrivedAtMs = this.clock.now();
-    const accepted: AcceptedRequest = {
+    return {
       requestId: 'q',
       route,
       service: 's',
@@ -325,7 +329,11 @@
       lastEventId: undefined,
       ...changes,
     };
-    const ports = {
+  }
+
+  /** What requests of this world are made from. */
+  get requestPorts(): RequestPorts {
+    return {
       clock: this.clock,
       random: new SeededRandom(1),
       directory: this.directory,
@@ -345,12 +353,18 @@
         this.ended.push([ended, end]);
       },
     };
-    const owner = { route: route.name, tenant: accepted.tenant };
+  }
+
+  /** Hands a request to the gateway. */
+  request(changes: Partial<AcceptedRequest> = {}): { reply: SeenReply; request: ProxiedRequest } {
+    const reply = new SeenReply();
+    const accepted = this.accept(changes);
+    const owner = { route: accepted.route.name, tenant: accepted.tenant };
     const followed =
       this.homes === undefined
         ? accepted
         : followHomes(accepted, new RequestHomes(owner, () => this.homes));
-    const request = new ProxiedRequest(followed, reply, ports, DEFAULT_REQUEST_OPTIONS);
+    const request = new ProxiedRequest(followed, reply, this.requestPorts, DEFAULT_REQUEST_OPTIONS);
     this.proxied.push(request);
     request.begin();
     return { reply, request };
