A test that a rest is kept by itself: a variant without the question tripped no check

A rest also makes a back end come back by rights, which hid that nothing proved the question itself; with it left out one test is red now, none before.

--- a/test/statement-choices.test.ts
+++ b/test/statement-choices.test.ts
@@ -197,3 +197,20 @@
   const afterRestMs = pauseWith(10_000);
   t.true(afterRestMs >= 10_000 && afterRestMs <= 10_300);
 });
+
+test('rest: a right that is held does not shorten it, and a pause after a refusal is kept as well', async (t) => {
+  const world = new GatewayWorld(backendOf('a'));
+  world.request({ route: UNSAFE });
+  world.answer(0, 503, '', { ...saying({ restMs: 500 }), 'not-run': '1' });
+  world.heldRights.add('a');
+  world.request({ route: UNSAFE });
+  t.is(world.attempts.length, 1);
+  const refused = new GatewayWorld(backendOf('a'));
+  refused.request({ route: UNSAFE });
+  refused.answer(0, 503, '', { 'not-run': '1' });
+  refused.request({ route: UNSAFE });
+  t.is(refused.attempts.length, 1);
+  await refused.clock.runUntil(20);
+  refused.dispatcher.review('s', 20);
+  t.is(refused.attempts.length, 2);
+});
