--- a/src/routing/cold-start.ts
+++ b/src/routing/cold-start.ts
@@ -31,7 +31,7 @@
   readonly taken: number;
 }
 
-/** Share of the bound that agents grant, at most; less where back ends bear less. Chosen: a little over half. */
+/** Share of the bound that agents grant, at most; less where back ends bear less. */
 const GRANTED_SHARE = 0.55;
 /** Requests that are kept from both parts, for a gateway that others never heard of. */
 const MARGIN = 2;
--- a/src/slot-agent/warm-ceiling.ts
+++ b/src/slot-agent/warm-ceiling.ts
@@ -10,7 +10,7 @@
 const HELD_MS = 1_000;
 /** Pause without a wait after which another one counts anew, in milliseconds: some windows of a second. */
 const CALM_MS = 3_000;
-/** Time without need after which it holds again, in milliseconds. Chosen: some bursts. */
+/** Time without need after which it holds again, in milliseconds: some bursts. */
 const LIFTED_MS = 10_000;
 
 /** The ceiling of one engine. */
