Lines tell how a configuration came, how old the word of the store was at a refusal, and how long a call was under way

Cause: the record of a configuration that came late cannot tell its hypotheses apart. Added: source and storeAgeMs of configuration-installed; revision and storeAgeMs of request-refused; heldMs of store-lost and store-regained; store-changes-missing where a watch's answer names a revision beyond its changes. No logic changed.

--- a/src/cluster/store-follower.ts
+++ b/src/cluster/store-follower.ts
@@ -54,6 +54,15 @@
   ): Promise<Result<number, StoreUnavailableError | StoreConflictError>>;
 }
 
+/** How records came to a process. */
+export type RecordsSource =
+  | 'watch'
+  | 'listing'
+  /** A listing right after an outage, which adds and removes nothing. */
+  | 'listing-after-outage'
+  /** Another process's replica. */
+  | 'peer';
+
 /** A kind of call of the store. */
 export type StoreCall = 'list' | 'watch';
 
@@ -71,8 +80,11 @@
   onListingAfterOutage(read: StoreRead): void;
   /** All changes after revision `since` were seen. */
   onChanges(read: StoreRead, since: number): void;
-  /** The store answers again, or no longer. */
-  onReachable(isReachable: boolean, reason: string): void;
+  /**
+   * The store answers again, or no longer; `heldMs` is how long the call was under way that told so, in
+   * milliseconds.
+   */
+  onReachable(isReachable: boolean, reason: string, heldMs: number): void;
   /** How many processes follow the store and tell each other, this one included. */
   countFollowers(): number;
   /** Whether this process must follow the store itself; others tell it otherwise. */
@@ -197,13 +209,13 @@
     const read = await this.store.list();
     this.handlers.onCall('list', read.ok ? 'answered' : 'failed');
     if (!read.ok) {
-      await this.pause(read.val, startedAtMs);
+      await this.pause(read.val, startedAtMs, startedAtMs);
       return undefined;
     }
     const nowMs = this.clock.now();
     const wasOut = this.lostAtMs !== undefined && nowMs - this.lostAtMs >= this.options.outageMs;
     const isFirst = this.lastAnsweredAtMs === undefined && this.handlers.completeTo() === 0;
-    this.succeed();
+    this.succeed(startedAtMs);
     if (wasOut && !isFirst) {
       this.relistAtMs = nowMs + this.options.reannounceMs;
     }
@@ -227,7 +239,7 @@
     const read = await this.store.watch(revision, waitMs);
     this.handlers.onCall('watch', watchResult(read));
     if (read.ok) {
-      this.succeed();
+      this.succeed(startedAtMs);
       this.handlers.onChanges(read.val, revision);
       if (read.val.records.length > 0) {
         await sleep(this.clock, this.gatherPauseMs());
@@ -238,7 +250,7 @@
       return undefined;
     }
     // A watch that was cut may have missed changes whose history is gone since: read afresh.
-    await this.pause(read.val, startedAtMs + waitMs);
+    await this.pause(read.val, startedAtMs, startedAtMs + waitMs);
     return undefined;
   }
 
@@ -250,25 +262,25 @@
     return groups === 1 ? pauseMs : withJitter(this.random, pauseMs, GATHER_SPREAD);
   }
 
-  private succeed(): void {
+  private succeed(startedAtMs: number): void {
     this.retryMs = this.options.retryMinMs;
     this.lastAnsweredAtMs = this.clock.now();
     this.lostAtMs = undefined;
-    this.tell(true, 'answered');
+    this.tell(true, 'answered', startedAtMs);
   }
 
   /** `dueAtMs` is when an answer was due at the latest. */
-  private async pause(error: WeirvaleError, dueAtMs: number): Promise<void> {
+  private async pause(error: WeirvaleError, startedAtMs: number, dueAtMs: number): Promise<void> {
     this.lostAtMs ??= Math.min(dueAtMs, this.clock.now());
-    this.tell(false, error.message);
+    this.tell(false, error.message, startedAtMs);
     await sleep(this.clock, withJitter(this.random, this.retryMs, RETRY_SPREAD));
     this.retryMs = Math.min(this.retryMs * 2, this.options.retryMaxMs);
   }
 
-  private tell(isReachable: boolean, reason: string): void {
+  private tell(isReachable: boolean, reason: string, startedAtMs: number): void {
     if (this.reachable !== isReachable) {
       this.reachable = isReachable;
-      this.handlers.onReachable(isReachable, reason);
+      this.handlers.onReachable(isReachable, reason, this.clock.now() - startedAtMs);
     }
   }
 }
--- a/src/gateway/gateway-cluster.ts
+++ b/src/gateway/gateway-cluster.ts
@@ -7,7 +7,7 @@
 import { ReplicatedRecords } from '../cluster/replicated-records.js';
 import type { StoreRecord } from '../cluster/replicated-records.js';
 import { StoreFollower } from '../cluster/store-follower.js';
-import type { ClusterStore } from '../cluster/store-follower.js';
+import type { ClusterStore, RecordsSource, StoreRead } from '../cluster/store-follower.js';
 import { DEFAULT_STORE_READERS_OPTIONS, StoreReaders } from '../cluster/store-readers.js';
 import type { Clock } from '../clock.js';
 import type { RandomSource } from '../random.js';
@@ -38,7 +38,7 @@
   readonly log: DecisionLog;
   readonly metrics: GatewayMetrics;
   /** Records that were not known, from the store or from peers. */
-  onRecords(records: readonly StoreRecord[]): void;
+  onRecords(records: readonly StoreRecord[], source: RecordsSource): void;
 }
 
 /** A gateway's part in the cluster. */
@@ -55,7 +55,10 @@
     this.readers = new StoreReaders(incarnation, DEFAULT_STORE_READERS_OPTIONS, this.region);
     this.exchange = new RecordExchange(
       this.records,
-      { isStoreReachable: () => this.follower.isFollowing, onNews: onRecords },
+      {
+        isStoreReachable: () => this.follower.isFollowing,
+        onNews: (records) => onRecords(records, 'peer'),
+      },
       clock,
     );
     this.peers = this.createPeers();
@@ -88,6 +91,11 @@
     return heardAtMs === -Infinity ? undefined : this.parts.clock.now() - heardAtMs;
   }
 
+  /** Revision of the store through which every change is known; 0 before the first listing. */
+  get revision(): number {
+    return this.records.completeTo;
+  }
+
   /** Takes connections of peers, connects to the seeds and follows the store. */
   start(): void {
     const { peers } = this.parts.settings.listen;
@@ -161,12 +169,14 @@
       store,
       {
         onListing: ({ records, revision }) =>
-          onRecords(this.records.applyListing(records, revision)),
+          onRecords(this.records.applyListing(records, revision), 'listing'),
         onListingAfterOutage: ({ records }) =>
-          onRecords(records.filter((record) => this.records.apply(record))),
-        onChanges: ({ records, revision }, since) =>
-          onRecords(this.records.applyChanges(records, since, revision)),
-        onReachable: (isReachable, reason) => this.noteStore(isReachable, reason),
+          onRecords(
+            records.filter((record) => this.records.apply(record)),
+            'listing-after-outage',
+          ),
+        onChanges: (read, since) => this.takeChanges(read, since),
+        onReachable: (isReachable, reason, heldMs) => this.noteStore(isReachable, reason, heldMs),
         countFollowers: () => Math.min(this.size, this.readers.sharing),
         mustFollow: () => this.mustReadStore(),
         completeTo: () => this.records.completeTo,
@@ -190,9 +200,18 @@
     return mustRead;
   }
 
-  private noteStore(isReachable: boolean, reason: string): void {
+  private takeChanges({ records, revision }: StoreRead, since: number): void {
+    const lastRevision = records.at(-1)?.revision ?? since;
+    if (lastRevision < revision) {
+      const fields = { since, lastRevision, revision, changes: records.length };
+      this.parts.log.write('store-changes-missing', 'state', fields);
+    }
+    this.parts.onRecords(this.records.applyChanges(records, since, revision), 'watch');
+  }
+
+  private noteStore(isReachable: boolean, reason: string, heldMs: number): void {
     const { metrics, log } = this.parts;
     metrics.record(({ storeReachable }) => storeReachable.set(isReachable ? 1 : 0));
-    log.write(isReachable ? 'store-regained' : 'store-lost', 'state', { reason });
+    log.write(isReachable ? 'store-regained' : 'store-lost', 'state', { reason, heldMs });
   }
 }
--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -40,7 +40,7 @@
   readonly dispatcher: Dispatcher;
   readonly sender: BackendSender;
   readonly crashes: CrashingRequests;
-  readonly cluster: Pick<GatewayCluster, 'size' | 'storeAgeMs'>;
+  readonly cluster: Pick<GatewayCluster, 'size' | 'storeAgeMs' | 'revision'>;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly log: DecisionLog;
@@ -256,7 +256,7 @@
   }
 
   private refuse(caller: CallerRequestHead, reply: CallerReply, refusal: GatewayRefusal): void {
-    const { adapter, log, metrics, configuration } = this.parts;
+    const { adapter, log, metrics, configuration, cluster } = this.parts;
     const status = sendRefusal(reply, adapter.protocol, caller.requestId, refusal);
     const labels = { route: '', status: `${status}`, reason: refusal.reason };
     metrics.record(({ requests }) => requests.inc(labels));
@@ -265,6 +265,8 @@
       ...refusal,
       status,
       configuration: configuration.version,
+      revision: cluster.revision,
+      storeAgeMs: cluster.storeAgeMs,
     });
   }
 
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -1,5 +1,6 @@
 /** The gateway: joins the cluster's state, the dispatcher and the listeners. */
 import type { StoreRecord } from '../cluster/replicated-records.js';
+import type { RecordsSource } from '../cluster/store-follower.js';
 import type { Clock } from '../clock.js';
 import type { RandomSource } from '../random.js';
 import type { Backend } from '../routing/backend.js';
@@ -205,7 +206,7 @@
         hear: (told) => this.crashes.hear(told),
       },
       statements: this.statements,
-      onRecords: (records) => this.takeRecords(records),
+      onRecords: (records, source) => this.takeRecords(records, source),
     });
     this.links = new SlotAgentLinks(
       incarnation,
@@ -330,14 +331,14 @@
   }
 
   /** Takes in records that are news. */
-  private takeRecords(news: readonly StoreRecord[]): void {
+  private takeRecords(news: readonly StoreRecord[], source: RecordsSource): void {
     if (news.length === 0) {
       return;
     }
     const { adapter } = this.parts;
     const decoded = news.map((record) => ({ record, decoded: adapter.decode(record) }));
     for (const each of inOrderOfEffect(decoded)) {
-      this.takeRecord(each.record, each.decoded);
+      this.takeRecord(each.record, each.decoded, source);
     }
     if (this.configuration.table !== undefined) {
       this.directory.noteListed();
@@ -345,10 +346,10 @@
     this.paths.followBackends();
   }
 
-  private takeRecord(record: StoreRecord, decoded: DecodedRecord): void {
+  private takeRecord(record: StoreRecord, decoded: DecodedRecord, source: RecordsSource): void {
     const { log } = this.parts;
     if (decoded.kind === 'configuration') {
-      this.install(decoded.configuration, record.revision);
+      this.install(decoded.configuration, record.revision, source);
     } else if (decoded.kind === 'backend') {
       this.backends.take(decoded, record.revision);
     } else if (decoded.kind === 'evacuation') {
@@ -395,7 +396,11 @@
     }
   }
 
-  private install(configuration: RoutingConfiguration, revision: number): void {
+  private install(
+    configuration: RoutingConfiguration,
+    revision: number,
+    source: RecordsSource,
+  ): void {
     const problem = findUnknownHome(configuration, this.places);
     if (problem !== undefined && this.configuration.version !== undefined) {
       this.refuse(problem, revision);
@@ -420,6 +425,8 @@
       version: configuration.version,
       revision,
       routes: configuration.routes.length,
+      source,
+      storeAgeMs: this.cluster.storeAgeMs,
       problem: problem?.message,
     });
   }
--- a/src/telemetry/decision-log.ts
+++ b/src/telemetry/decision-log.ts
@@ -34,6 +34,7 @@
   'path-regained',
   'store-lost',
   'store-regained',
+  'store-changes-missing',
   'store-reader-on',
   'store-reader-off',
   'peer-heard',
