Failing tests: changes that reach gateways late after a short silence of the store, and from a gateway that does not hear

What callers saw: a route that a confirmed change had added was refused by one or two gateways, later than the bound.

--- a/src/cluster/peer-mesh.ts
+++ b/src/cluster/peer-mesh.ts
@@ -5,14 +5,15 @@
  *
  * Addresses come from the settings' seeds and from what peers pass on.
  */
-import { connect, createServer } from 'node:net';
-import type { Server, Socket } from 'node:net';
 import { splitAddress } from '../address.js';
 import type { Clock } from '../clock.js';
 import { MessageChannel } from '../protocol/message-channel.js';
 import type { RandomSource } from '../random.js';
 import { withJitter } from '../random.js';
+import type { MessageSocket } from '../protocol/message-channel.js';
 import type { PeerHello, PeerMessage } from './peer-messages.js';
+import { TCP_PEER_NETWORK } from './peer-network.js';
+import type { PeerListener, PeerNetwork } from './peer-network.js';
 
 /** Sends a message to one peer. */
 export type SendToPeer = (message: PeerMessage) => void;
@@ -78,7 +79,7 @@
   /** Every address that was ever learned. */
   private readonly everKnown = new Set<string>();
   private hasHeard = false;
-  private readonly server: Server;
+  private readonly listener: PeerListener;
   private isStopped = false;
   /** Addresses that peers have not been told of. */
   private newAddresses: string[] = [];
@@ -90,9 +91,9 @@
     private readonly clock: Clock,
     private readonly random: RandomSource,
     private readonly options: PeerMeshOptions = DEFAULT_PEER_MESH_OPTIONS,
+    private readonly network: PeerNetwork = TCP_PEER_NETWORK,
   ) {
-    this.server = createServer((socket) => this.accept(socket));
-    this.server.on('error', () => undefined);
+    this.listener = network.createListener((socket) => this.accept(socket));
   }
 
   /** Gateways known, this one included. */
@@ -112,7 +113,7 @@
 
   /** Takes connections of others. */
   listen(host: string, port: number): void {
-    this.server.listen(port, host);
+    this.listener.listen(port, host);
   }
 
   /** Connects to the seeds. */
@@ -158,7 +159,7 @@
   /** Ends every connection. */
   stop(): void {
     this.isStopped = true;
-    this.server.close();
+    this.listener.close();
     for (const { channel } of this.outgoing.values()) {
       channel?.flush();
       channel?.close();
@@ -223,7 +224,7 @@
       return;
     }
     const { host, port } = splitAddress(peer.address);
-    const socket = connect(port, host);
+    const socket = this.network.connect(port, host);
     const timer = this.clock.setTimeout(() => socket.destroy(), this.options.connectTimeoutMs);
     const channel = new MessageChannel<PeerMessage, PeerMessage>(socket, {
       onMessage: (message) => this.handlers.onQuestion(message, (answer) => channel.send(answer)),
@@ -272,7 +273,7 @@
     this.openWanted();
   }
 
-  private accept(socket: Socket): void {
+  private accept(socket: MessageSocket): void {
     let hello: PeerHello | undefined;
     const channel = new MessageChannel<PeerMessage, PeerMessage>(socket, {
       onMessage: (message) => {
--- a/src/gateway/gateway-cluster.ts
+++ b/src/gateway/gateway-cluster.ts
@@ -7,6 +7,7 @@
 import { ReplicatedRecords } from '../cluster/replicated-records.js';
 import type { StoreRecord } from '../cluster/replicated-records.js';
 import { StoreFollower } from '../cluster/store-follower.js';
+import type { PeerNetwork } from '../cluster/peer-network.js';
 import type { ClusterStore, RecordsSource, StoreRead } from '../cluster/store-follower.js';
 import { DEFAULT_STORE_READERS_OPTIONS, StoreReaders } from '../cluster/store-readers.js';
 import type { Clock } from '../clock.js';
@@ -37,6 +38,8 @@
   readonly random: RandomSource;
   readonly log: DecisionLog;
   readonly metrics: GatewayMetrics;
+  /** Connections among gateways. Default: TCP. */
+  readonly network?: PeerNetwork;
   /** Records that were not known, from the store or from peers. */
   onRecords(records: readonly StoreRecord[], source: RecordsSource): void;
 }
@@ -158,6 +161,7 @@
       isReading: () => this.follower.isFollowing,
       clock,
       random,
+      network: this.parts.network,
       onPeer: (peer, isPresent) =>
         log.write(isPresent ? 'peer-heard' : 'peer-gone', 'state', { peer }),
     });
--- a/src/gateway/links/gateway-peers.ts
+++ b/src/gateway/links/gateway-peers.ts
@@ -1,7 +1,8 @@
 /** What a gateway and its peers tell each other: that they live, charges to quotas, how far their replicas reach. */
-import { PeerMesh } from '../../cluster/peer-mesh.js';
+import { DEFAULT_PEER_MESH_OPTIONS, PeerMesh } from '../../cluster/peer-mesh.js';
 import type { SendToPeer } from '../../cluster/peer-mesh.js';
 import type { PeerBeat, PeerHello, PeerMessage } from '../../cluster/peer-messages.js';
+import type { PeerNetwork } from '../../cluster/peer-network.js';
 import type { RecordExchange } from '../../cluster/record-exchange.js';
 import type { StoreReaders } from '../../cluster/store-readers.js';
 import type { ReplicatedRecords } from '../../cluster/replicated-records.js';
@@ -51,6 +52,8 @@
   isReading(): boolean;
   readonly clock: Clock;
   readonly random: RandomSource;
+  /** Default: TCP. */
+  readonly network?: PeerNetwork | undefined;
   /** A peer was heard for the first time, or is gone. */
   onPeer(peer: string, isPresent: boolean): void;
 }
@@ -97,6 +100,8 @@
       },
       parts.clock,
       parts.random,
+      DEFAULT_PEER_MESH_OPTIONS,
+      parts.network,
     );
   }
 
--- a/src/protocol/message-channel.ts
+++ b/src/protocol/message-channel.ts
@@ -1,5 +1,4 @@
 /** Typed messages over one TCP connection; all that is sent in one turn of the loop goes out in one write. */
-import type { Socket } from 'node:net';
 import { err, ok } from '../result.js';
 import type { Result } from '../result.js';
 import { CborFrameDecoder, CborFrameEncoder } from './cbor-frames.js';
@@ -10,6 +9,18 @@
   readonly kind: string;
 }
 
+/** The part of a TCP connection that a channel uses. */
+export interface MessageSocket {
+  /** Bytes that wait to be sent. */
+  readonly writableLength: number;
+  setNoDelay(noDelay: boolean): unknown;
+  write(bytes: Buffer): boolean;
+  destroy(): unknown;
+  on(event: 'data', listener: (bytes: Buffer) => void): unknown;
+  on(event: 'end' | 'close', listener: () => void): unknown;
+  on(event: 'error', listener: (error: Error) => void): unknown;
+}
+
 /** Who hears of a channel. */
 export interface MessageChannelHandlers<Incoming> {
   /** A message arrived, in order. */
@@ -29,7 +40,7 @@
   private isClosed = false;
 
   constructor(
-    private readonly socket: Socket,
+    private readonly socket: MessageSocket,
     private readonly handlers: MessageChannelHandlers<Incoming>,
   ) {
     socket.setNoDelay(true);
--- /dev/null
+++ b/test/late-configuration.test.ts
@@ -0,0 +1,53 @@
+/**
+ * Users saw one or two gateways refuse requests on a route that a confirmed change had added, later than the change
+ * had to be in force; other gateways served it. Nothing was done to the late ones for seconds.
+ */
+import test from 'ava';
+import { randomInteger } from '../src/random.js';
+import { scenarioRandom, StoreFleet } from './support/store-fleet.js';
+
+/** Time without trouble after which a gateway, or the store, counts as well, in milliseconds. */
+const CONTACT_MS = 4_000;
+/** Time in which a change has to be in force, in milliseconds. */
+const CHANGE_BOUND_MS = 3_000;
+const SETTLE_MS = 8_000;
+const SEEDS = 40;
+const MIN_SILENCE_MS = 200;
+const MAX_SILENCE_MS = 6_000;
+
+/** A settled fleet in which gateways that are well are late as users count it. */
+async function startFleet(seed: number, gateways: number): Promise<StoreFleet> {
+  const fleet = new StoreFleet({ seed, gateways, needsAcknowledgement: false });
+  await fleet.run(SETTLE_MS);
+  fleet.isLate = (machine, change, nowMs) =>
+    nowMs - change.atMs > CHANGE_BOUND_MS &&
+    nowMs - machine.disturbedUntilMs >= CONTACT_MS &&
+    !fleet.wasStoreTroubled(nowMs - CONTACT_MS);
+  return fleet;
+}
+
+test('a change beside a short silence of the store is in force in time', async (t) => {
+  for (const gateways of [3, 12, 27]) {
+    for (let seed = 0; seed < SEEDS; seed += 1) {
+      const random = scenarioRandom(seed);
+      const fleet = await startFleet(seed, gateways);
+      const silentMs = MIN_SILENCE_MS * (MAX_SILENCE_MS / MIN_SILENCE_MS) ** random.next();
+      const fromMs = fleet.clock.now() + randomInteger(random, 0, 5_000);
+      fleet.at(fromMs, () => fleet.troubleStore('silent', silentMs));
+      fleet.at(fromMs + random.next() * silentMs, () => fleet.change());
+      await fleet.run(silentMs + 15_000);
+      t.deepEqual(fleet.late, [], `seed ${seed}, ${gateways} gateways, silent for ${silentMs} ms`);
+    }
+  }
+});
+
+test('a change is in force in time while a gateway tells others of it and does not hear them', async (t) => {
+  for (let seed = 0; seed < SEEDS; seed += 1) {
+    const fleet = await startFleet(seed, 9);
+    const fromMs = fleet.clock.now();
+    fleet.machines[seed % 9]!.cut('peers', 'in', 5_500);
+    fleet.at(fromMs + 700, () => fleet.change());
+    await fleet.run(9_000);
+    t.deepEqual(fleet.late, [], `seed ${seed}`);
+  }
+});
--- a/test/support/quota-fleet.ts
+++ b/test/support/quota-fleet.ts
@@ -1,6 +1,5 @@
 /** Gateways' quotas on a virtual clock: processes that die, stand still and are cut off, and a store that may be away. */
-import { Heap } from 'heap-js';
-import type { Clock, TimerHandle } from '../../src/clock.js';
+import type { Clock } from '../../src/clock.js';
 import type { PeerHello, PeerMessage } from '../../src/cluster/peer-messages.js';
 import { StoreConflictError, StoreUnavailableError } from '../../src/cluster/store-follower.js';
 import { GatewayQuotas } from '../../src/gateway/gateway-quotas.js';
@@ -18,6 +17,7 @@
 import type { TenantQuota } from '../../src/routing/configuration.js';
 import { Places } from '../../src/routing/places.js';
 import type { DecisionLog } from '../../src/telemetry/decision-log.js';
+import { HeapClock } from './heap-clock.js';
 
 /** Faults put into the quotas, which the check has to find. */
 export interface QuotaFleetFault {
@@ -61,49 +61,6 @@
 };
 const SIZES = [500, 2_500];
 
-interface Timer {
-  readonly atMs: number;
-  readonly number: number;
-  callback: (() => void) | undefined;
-}
-
-/** Time that passes from one timer to the next. */
-class HeapClock implements Clock {
-  private readonly timers = new Heap<Timer>(
-    (left, right) => left.atMs - right.atMs || left.number - right.number,
-  );
-  private nowMs = 0;
-  private count = 0;
-
-  now(): number {
-    return this.nowMs;
-  }
-
-  setTimeout(callback: () => void, delayMs: number): TimerHandle {
-    this.count += 1;
-    const timer = { atMs: this.nowMs + Math.max(0, delayMs), number: this.count, callback };
-    this.timers.push(timer);
-    return timer;
-  }
-
-  clearTimeout(handle: TimerHandle): void {
-    (handle as Timer).callback = undefined;
-  }
-
-  /** Runs the next timer up to `untilMs`; false if there is none. */
-  step(untilMs: number): boolean {
-    const next = this.timers.peek();
-    if (next === undefined || next.atMs > untilMs) {
-      this.nowMs = untilMs;
-      return false;
-    }
-    this.timers.pop();
-    this.nowMs = next.atMs;
-    next.callback?.();
-    return true;
-  }
-}
-
 const NO_RIGHTS: { readonly rights?: QuotaRights } = {};
 
 /** The rights inside a gateway's quotas. */
--- /dev/null
+++ b/test/support/store-fleet.ts
@@ -0,0 +1,376 @@
+/**
+ * Gateways that learn the store's records, on a virtual clock: the real follower, readers, exchange and mesh over a
+ * virtual network, with troubles of the store, of paths and of processes; whether changes are in force in time is
+ * looked at all the while.
+ */
+import type { StoreRecord } from '../../src/cluster/replicated-records.js';
+import type { RecordsSource } from '../../src/cluster/store-follower.js';
+import type { Clock } from '../../src/clock.js';
+import { GatewayCluster } from '../../src/gateway/gateway-cluster.js';
+import type { GatewayClusterParts } from '../../src/gateway/gateway-cluster.js';
+import { PEER_TICK_MS } from '../../src/gateway/links/beat-times.js';
+import { SeededRandom } from '../../src/random.js';
+import type { RandomSource } from '../../src/random.js';
+import { HeapClock } from './heap-clock.js';
+import type { NetworkHost } from './virtual-network.js';
+import { VirtualNetwork } from './virtual-network.js';
+import { STORE_ADDRESS, VirtualStore } from './virtual-store.js';
+import type { StoreTreatment } from './virtual-store.js';
+
+/** Sizes of a fleet. */
+export interface StoreFleetOptions {
+  readonly seed: number;
+  readonly gateways: number;
+  /** See `VirtualNetwork`. Default true. */
+  readonly needsAcknowledgement?: boolean;
+  /** Breaks the parts of each process that starts. */
+  readonly breakProcess?: (cluster: GatewayCluster) => void;
+}
+
+/** What a path of a machine is cut to. */
+export type CutScope = 'all' | 'store' | 'peers';
+/** Which way it is cut, seen from the machine. */
+export type CutWay = 'both' | 'out' | 'in';
+
+/** A change that the store acknowledged. */
+export interface FleetChange {
+  readonly version: number;
+  readonly atMs: number;
+}
+
+/** A gateway that did not know a change when it had to. */
+export interface LateGateway {
+  readonly gateway: string;
+  readonly change: FleetChange;
+  readonly atMs: number;
+}
+
+/** Trouble of the store, in milliseconds. */
+interface StoreTrouble {
+  readonly fromMs: number;
+  untilMs: number;
+  /** Whether the store is down, slow or loses answers, for all. */
+  readonly isWhole: boolean;
+}
+
+const STORE_TIMEOUT_MS = 1_500;
+const LOOK_MS = 50;
+const PEERS_PORT = 1;
+/** The key that changes are written under. */
+const KEY = 'op/config';
+
+/** A machine and the gateway that runs on it, start after start. */
+export class FleetMachine implements NetworkHost {
+  cluster: GatewayCluster | undefined;
+  /** Version that the gateway has in force; 0 for none. */
+  version = 0;
+  /** How it came, and when. */
+  learned: { readonly source: RecordsSource; readonly atMs: number } | undefined;
+  /** Until when it was killed, paused or cut, in milliseconds. */
+  disturbedUntilMs = 0;
+  private readonly cuts = new Set<{ readonly scope: CutScope; readonly way: CutWay }>();
+  private starts = 0;
+  private pausedUntilMs = 0;
+
+  constructor(
+    readonly index: number,
+    private readonly fleet: StoreFleet,
+  ) {}
+
+  get address(): string {
+    return `m${this.index}`;
+  }
+
+  act(action: () => void): void {
+    this.actIn(this.starts, action);
+  }
+
+  /** Runs something in one start of the process. */
+  private actIn(start: number, action: () => void): void {
+    const waitMs = this.pausedUntilMs - this.fleet.clock.now();
+    if (start !== this.starts) {
+      return;
+    }
+    if (waitMs > 0) {
+      this.fleet.clock.setTimeout(() => this.actIn(start, action), waitMs);
+    } else {
+      action();
+    }
+  }
+
+  start(): void {
+    this.starts += 1;
+    const start = this.starts;
+    this.version = 0;
+    this.learned = undefined;
+    const host: NetworkHost = {
+      address: this.address,
+      act: (action) => this.actIn(start, action),
+    };
+    const cluster = new GatewayCluster(this.fleet.partsOf(this, host, start));
+    this.cluster = cluster;
+    this.fleet.breakProcess?.(cluster);
+    cluster.start();
+    const tick = () => {
+      cluster.tick();
+      this.fleet.clock.setTimeout(() => this.actIn(start, tick), PEER_TICK_MS);
+    };
+    this.fleet.clock.setTimeout(() => this.actIn(start, tick), this.index % PEER_TICK_MS);
+  }
+
+  /** The process is killed and starts anew after a while. */
+  kill(awayMs: number): void {
+    const nowMs = this.fleet.clock.now();
+    if (this.cluster === undefined) {
+      return;
+    }
+    this.disturb(nowMs + awayMs);
+    // Its system ends the connections.
+    this.cluster.stop();
+    this.cluster = undefined;
+    this.starts += 1;
+    this.fleet.clock.setTimeout(() => this.start(), awayMs);
+  }
+
+  /** The process stands still. */
+  pause(forMs: number): void {
+    this.pausedUntilMs = this.fleet.clock.now() + forMs;
+    this.disturb(this.pausedUntilMs);
+  }
+
+  /** Paths of the machine are cut. */
+  cut(scope: CutScope, way: CutWay, forMs: number): void {
+    const cut = { scope, way };
+    this.cuts.add(cut);
+    this.disturb(this.fleet.clock.now() + forMs);
+    this.fleet.clock.setTimeout(() => this.cuts.delete(cut), forMs);
+  }
+
+  /** Whether a cut of this machine is in the way to or from `other`. */
+  isCut(other: string, way: 'out' | 'in'): boolean {
+    return [...this.cuts].some(({ scope, way: cutWay }) => {
+      const isConcerned = scope === 'all' || (scope === 'store') === (other === STORE_ADDRESS);
+      return isConcerned && (cutWay === 'both' || cutWay === way);
+    });
+  }
+
+  take(records: readonly StoreRecord[], source: RecordsSource): void {
+    for (const { key, value } of records) {
+      if (key === KEY && value !== undefined && Number(value) > this.version) {
+        this.version = Number(value);
+        this.learned = { source, atMs: this.fleet.clock.now() };
+      }
+    }
+  }
+
+  private disturb(untilMs: number): void {
+    this.disturbedUntilMs = Math.max(this.disturbedUntilMs, untilMs);
+  }
+}
+
+/** A fleet of gateways before a store. */
+export class StoreFleet {
+  readonly clock = new HeapClock();
+  readonly network = new VirtualNetwork(this.clock);
+  readonly random: RandomSource;
+  readonly store: VirtualStore;
+  readonly machines: readonly FleetMachine[];
+  readonly changes: FleetChange[] = [];
+  /** Gateways that were late, each once for each change. */
+  readonly late: LateGateway[] = [];
+  readonly breakProcess: StoreFleetOptions['breakProcess'];
+  /** When a gateway that does not know a change is late; undefined for never. */
+  isLate: (machine: FleetMachine, change: FleetChange, nowMs: number) => boolean = () => false;
+  /** A gateway writes a line of its log. */
+  onLine: ((machine: FleetMachine, event: string, fields: object) => void) | undefined;
+  private readonly storeTroubles: StoreTrouble[] = [];
+  private readonly noted = new Set<string>();
+
+  constructor(options: StoreFleetOptions) {
+    this.random = scenarioRandom(options.seed);
+    this.breakProcess = options.breakProcess;
+    this.network.needsAcknowledgement = options.needsAcknowledgement ?? true;
+    this.store = new VirtualStore(this.clock, this.network, this.random);
+    this.machines = Array.from(
+      { length: options.gateways },
+      (_none, index) => new FleetMachine(index, this),
+    );
+    this.network.isOpen = (from, to) => !this.isCut(from, to);
+    this.change();
+    this.machines.forEach((machine) => machine.start());
+    this.every(LOOK_MS, () => this.look());
+  }
+
+  /** Lets time pass. */
+  async run(forMs: number): Promise<void> {
+    const untilMs = this.clock.now() + forMs;
+    while (this.clock.step(untilMs)) {
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+  }
+
+  /** Calls `act` again and again. */
+  every(periodMs: number, act: () => void): void {
+    this.clock.setTimeout(() => {
+      act();
+      this.every(periodMs, act);
+    }, periodMs);
+  }
+
+  /** Calls `act` at a moment. */
+  at(atMs: number, act: () => void): void {
+    this.clock.setTimeout(act, atMs - this.clock.now());
+  }
+
+  /** The store acknowledges a new version. */
+  change(): FleetChange {
+    const change = { version: this.changes.length + 1, atMs: this.clock.now() };
+    this.store.put(KEY, String(change.version));
+    this.changes.push(change);
+    return change;
+  }
+
+  /** The store is in trouble for all. */
+  troubleStore(treatment: StoreTreatment, forMs: number): void {
+    this.noteStoreTrouble(forMs, true);
+    this.store.treatment = treatment;
+    this.clock.setTimeout(() => (this.store.treatment = 'answers'), forMs);
+  }
+
+  /** The store answers late. */
+  slowStore(slowMs: number, forMs: number): void {
+    this.noteStoreTrouble(forMs, true);
+    this.store.slowMs = slowMs;
+    this.clock.setTimeout(() => (this.store.slowMs = 0), forMs);
+  }
+
+  /** Answers of the store are lost. */
+  loseAnswers(share: number, forMs: number): void {
+    this.noteStoreTrouble(forMs, true);
+    this.store.lossShare = share;
+    this.clock.setTimeout(() => (this.store.lossShare = 0), forMs);
+  }
+
+  /** The store turns some machines away. */
+  turnAway(machines: readonly FleetMachine[], treatment: StoreTreatment, forMs: number): void {
+    this.noteStoreTrouble(forMs, false);
+    for (const { address } of machines) {
+      this.store.turnedAway.set(address, treatment);
+      this.clock.setTimeout(() => this.store.turnedAway.delete(address), forMs);
+    }
+  }
+
+  /** Watches hear nothing for a while, then the history is dropped and they are cut. */
+  forgetHistory(afterMs: number): void {
+    this.noteStoreTrouble(afterMs, false);
+    this.store.isWithholding = true;
+    this.clock.setTimeout(() => {
+      this.store.isWithholding = false;
+      this.store.forgetHistory();
+    }, afterMs);
+  }
+
+  /** Whether the store was in trouble at some moment since `sinceMs`; only trouble for all if `isWhole`. */
+  wasStoreTroubled(sinceMs: number, isWhole = false): boolean {
+    return this.storeTroubles.some(
+      (trouble) => trouble.untilMs >= sinceMs && (trouble.isWhole || !isWhole),
+    );
+  }
+
+  /** When the last trouble of the store ends or ended that is over by `nowMs`, or goes on, in milliseconds. */
+  storeTroubledUntilMs(isWhole: boolean): number {
+    const ends = this.storeTroubles
+      .filter((trouble) => trouble.isWhole === isWhole)
+      .map(({ untilMs }) => untilMs);
+    return Math.max(-Infinity, ...ends);
+  }
+
+  /** What a process is made from. */
+  partsOf(machine: FleetMachine, host: NetworkHost, start: number): GatewayClusterParts {
+    const { address } = machine;
+    const peers = `${address}:${PEERS_PORT}`;
+    const parts = {
+      settings: {
+        process: { name: address, zone: 'z' },
+        places: { zones: new Map() },
+        listen: { peers },
+        cluster: { seeds: [0, 1, 2].map((index) => `m${index}:${PEERS_PORT}`) },
+      },
+      incarnation: `${address}.${start}`,
+      store: this.store.of(host, STORE_TIMEOUT_MS),
+      quotas: { ageMs: 0, revision: 0, hearBeat: () => undefined },
+      rollouts: { tell: () => undefined, hear: () => undefined },
+      crashes: { tell: () => [], hear: () => [] },
+      statements: { tell: () => [], hearPeer: () => undefined },
+      clock: this.clockOf(host),
+      random: this.random,
+      network: this.network.of(host),
+      log: {
+        write: (event: string, _priority: string, fields: object) =>
+          this.onLine?.(machine, event, fields),
+      },
+      metrics: { record: () => undefined },
+      onRecords: (records: readonly StoreRecord[], source: RecordsSource) =>
+        machine.take(records, source),
+    };
+    return parts as unknown as GatewayClusterParts;
+  }
+
+  private clockOf(host: NetworkHost): Clock {
+    return {
+      now: () => this.clock.now(),
+      setTimeout: (callback, delayMs) => {
+        const handle = { isCleared: false };
+        this.clock.setTimeout(() => host.act(() => handle.isCleared || callback()), delayMs);
+        return handle;
+      },
+      clearTimeout: (handle) => {
+        if (handle !== undefined) {
+          (handle as { isCleared: boolean }).isCleared = true;
+        }
+      },
+    };
+  }
+
+  private isCut(from: string, to: string): boolean {
+    const [sender, receiver] = [this.machineAt(from), this.machineAt(to)];
+    return sender?.isCut(to, 'out') === true || receiver?.isCut(from, 'in') === true;
+  }
+
+  private machineAt(address: string): FleetMachine | undefined {
+    return address === STORE_ADDRESS ? undefined : this.machines[Number(address.slice(1))];
+  }
+
+  private noteStoreTrouble(forMs: number, isWhole: boolean): void {
+    const fromMs = this.clock.now();
+    this.storeTroubles.push({ fromMs, untilMs: fromMs + forMs, isWhole });
+  }
+
+  private look(): void {
+    const nowMs = this.clock.now();
+    for (const machine of this.machines) {
+      const change = this.changes.find(({ version }) => version > machine.version);
+      const name = `${machine.index}/${change?.version}`;
+      if (
+        change !== undefined &&
+        machine.cluster !== undefined &&
+        !this.noted.has(name) &&
+        this.isLate(machine, change, nowMs)
+      ) {
+        this.noted.add(name);
+        this.late.push({ gateway: machine.address, change, atMs: nowMs });
+      }
+    }
+  }
+}
+
+const DISCARDED_DRAWS = 20;
+
+/** Draws for a scenario; the first of neighbouring seeds are much alike and are left out. */
+export function scenarioRandom(seed: number): RandomSource {
+  const random = new SeededRandom(seed);
+  for (let draw = 0; draw < DISCARDED_DRAWS; draw += 1) {
+    random.next();
+  }
+  return random;
+}
