A listing that may remove is put off by outages in a row for 4.4 s at the longest

What callers saw: with a store that is away for .6 s every 2 s, back ends that are gone would be tried for as long as that lasts. Read in the code, shown by the test: each outage put the listing that counts off by another 2.2 s. Why this holds: the moment of the first one that was due bounds all later ones. Test: store-follower, red with an unbounded putting off.

--- a/src/cluster/store-follower.ts
+++ b/src/cluster/store-follower.ts
@@ -128,6 +128,8 @@
    * users' pages say about two seconds.
    */
   readonly reannounceMs: number;
+  /** Longest time by which outages in a row put off the listing that counts. Default 4,400. */
+  readonly putOffMs: number;
   /** Pause between two looks at whether this process must follow, while others do. Default 100. */
   readonly restMs: number;
 }
@@ -145,6 +147,7 @@
   retryMaxMs: 400,
   outageMs: 500,
   reannounceMs: 2_200,
+  putOffMs: 4_400,
   restMs: 100,
 };
 
@@ -180,6 +183,8 @@
   private lostAtMs: number | undefined;
   /** When the listing that counts is due after an outage. */
   private relistAtMs: number | undefined;
+  /** When such a listing was due first, of several outages in a row. */
+  private firstRelistAtMs: number | undefined;
   private retryMs: number;
   private isResting = false;
   private openCalls = 0;
@@ -261,16 +266,25 @@
     const isFirst = this.lastAnsweredAtMs === undefined && this.handlers.completeTo() === 0;
     this.succeed(startedAtMs);
     if (wasOut && !isFirst) {
-      this.relistAtMs = nowMs + this.options.reannounceMs;
+      this.putOffRelist(nowMs);
     }
     if (this.relistAtMs !== undefined && !this.isRelistDue()) {
       this.handlers.onListingAfterOutage(read);
     } else {
       this.relistAtMs = undefined;
+      this.firstRelistAtMs = undefined;
       this.handlers.onListing(read);
     }
   }
 
+  /** Owners are given time to announce themselves, but not for ever where one outage follows the other. */
+  private putOffRelist(nowMs: number): void {
+    const { reannounceMs, putOffMs } = this.options;
+    const relistAtMs = nowMs + reannounceMs;
+    this.firstRelistAtMs ??= relistAtMs;
+    this.relistAtMs = Math.min(relistAtMs, this.firstRelistAtMs + putOffMs);
+  }
+
   private isRelistDue(): boolean {
     return this.relistAtMs !== undefined && this.clock.now() >= this.relistAtMs;
   }
--- a/test/store-follower.test.ts
+++ b/test/store-follower.test.ts
@@ -50,6 +50,7 @@
 
 async function callsOf(
   script: Answer[],
+  forMs = 8_000,
 ): Promise<{ calls: string[]; reachable: boolean[]; listings: string[] }> {
   const clock = new VirtualClock();
   const store = new ScriptedStore(clock, script);
@@ -71,7 +72,7 @@
   };
   void new StoreFollower(store, handlers, clock, new SeededRandom(1)).run();
   clock.notePromise();
-  for (let turn = 1; turn <= 80; turn += 1) {
+  for (let turn = 1; turn * 100 <= forMs; turn += 1) {
     clock.notePromise();
     await clock.runUntil(turn * 100);
   }
@@ -149,6 +150,14 @@
   t.deepEqual(listings, ['whole', 'after an outage', 'whole']);
 });
 
+test('the listing that counts is not put off for ever by outages in a row', async (t) => {
+  const outage = [...Array.from({ length: 4 }, () => FAILED), READ_AT_4, NOTHING_AT_4];
+  const outages = Array.from({ length: 40 }, () => outage).flat();
+  const { listings } = await callsOf([READ_AT_4, ...outages], 14_000);
+  t.true(listings.slice(1).includes('whole'), listings.join(', '));
+  t.true(listings.includes('after an outage'));
+});
+
 test('a watch that is cut while the store answers is no outage', async (t) => {
   const { listings } = await callsOf([READ_AT_4, FAILED, READ_AT_4]);
   t.deepEqual(listings, ['whole', 'whole']);
