A watch that names a revision without its changes completes nothing; a listing follows

Cause, read in the code and shown by tests: a watch's answer was taken for complete through the revision that it names, whatever changes it brought. While a store holds changes back (its history is about to be dropped) a watch whose wait ends may be answered empty at the present revision; this gateway then told all others that it is complete through a change that nobody had seen, and none of them asked for it again. Why this holds: a replica reaches as far as the changes that it saw; the answer is followed by a listing at once.

--- a/src/cluster/store-follower.ts
+++ b/src/cluster/store-follower.ts
@@ -80,6 +80,8 @@
   onListingAfterOutage(read: StoreRead): void;
   /** All changes after revision `since` were seen. */
   onChanges(read: StoreRead, since: number): void;
+  /** A watch was answered at `revision` and brought the changes through `seenTo` only. */
+  onChangesMissing(seenTo: number, revision: number): void;
   /**
    * The store answers again, or no longer; `heldMs` is how long the call was under way that told so, in
    * milliseconds.
@@ -293,17 +295,27 @@
     const startedAtMs = this.clock.now();
     const waitMs = this.watchWaitMs(startedAtMs);
     let hasChanges = false;
+    let isWhole = true;
     const outcome = await this.ask({
       call: 'watch',
       waitMs,
       send: () => this.store.watch(revision, waitMs),
       take: (read) => {
+        const seenTo = Math.max(revision, ...read.records.map((record) => record.revision));
         hasChanges = read.records.length > 0;
+        isWhole = seenTo >= read.revision;
         this.succeed(startedAtMs);
-        this.handlers.onChanges(read, revision);
+        this.handlers.onChanges({ ...read, revision: seenTo }, revision);
+        if (!isWhole) {
+          this.handlers.onChangesMissing(seenTo, read.revision);
+        }
       },
     });
     if (outcome.kind === 'answered') {
+      if (!isWhole) {
+        // Each revision is a change of some key: without it, this process does not know all through that one.
+        return undefined;
+      }
       if (hasChanges) {
         await sleep(this.clock, this.gatherPauseMs());
       }
--- a/src/gateway/gateway-cluster.ts
+++ b/src/gateway/gateway-cluster.ts
@@ -8,7 +8,7 @@
 import type { StoreRecord } from '../cluster/replicated-records.js';
 import { StoreFollower } from '../cluster/store-follower.js';
 import type { PeerNetwork } from '../cluster/peer-network.js';
-import type { ClusterStore, RecordsSource, StoreRead } from '../cluster/store-follower.js';
+import type { ClusterStore, RecordsSource } from '../cluster/store-follower.js';
 import { DEFAULT_STORE_READERS_OPTIONS, StoreReaders } from '../cluster/store-readers.js';
 import type { Clock } from '../clock.js';
 import type { RandomSource } from '../random.js';
@@ -184,7 +184,10 @@
           onRecords(this.records.applyListing(records, revision), 'listing'),
         onListingAfterOutage: ({ records, revision }) =>
           onRecords(this.records.addListing(records, revision), 'listing-after-outage'),
-        onChanges: (read, since) => this.takeChanges(read, since),
+        onChanges: ({ records, revision }, since) =>
+          onRecords(this.records.applyChanges(records, since, revision), 'watch'),
+        onChangesMissing: (seenTo, revision) =>
+          this.parts.log.write('store-changes-missing', 'state', { seenTo, revision }),
         onReachable: (isReachable, reason, heldMs) => this.noteStore(isReachable, reason, heldMs),
         countFollowers: () => Math.min(this.size, this.readers.sharing),
         mustFollow: () => this.mustReadStore(),
@@ -211,15 +214,6 @@
     return mustRead;
   }
 
-  private takeChanges({ records, revision }: StoreRead, since: number): void {
-    const lastRevision = records.at(-1)?.revision ?? since;
-    if (lastRevision < revision) {
-      const fields = { since, lastRevision, revision, changes: records.length };
-      this.parts.log.write('store-changes-missing', 'state', fields);
-    }
-    this.parts.onRecords(this.records.applyChanges(records, since, revision), 'watch');
-  }
-
   private noteStore(isReachable: boolean, reason: string, heldMs: number): void {
     const { metrics, log } = this.parts;
     metrics.record(({ storeReachable }) => storeReachable.set(isReachable ? 1 : 0));
--- a/test/late-configuration.test.ts
+++ b/test/late-configuration.test.ts
@@ -25,6 +25,8 @@
 const CHANGE_BOUND_MS = 3_000;
 /** Time after the end of a silence of the store in which every gateway has its changes in force, in milliseconds. */
 const SILENCE_BOUND_MS = 2_000;
+/** Time in which watches hear nothing before the history is dropped, in milliseconds. */
+const WITHHELD_MS = 1_000;
 const SETTLE_MS = 8_000;
 const SEEDS = 40;
 const MIN_SILENCE_MS = 200;
@@ -97,3 +99,17 @@
     t.deepEqual(fleet.late, [], `seed ${seed}`);
   }
 });
+
+test('changes that a watch passes over are in force soon, whoever learned of their revision first', async (t) => {
+  for (let seed = 0; seed < SEEDS; seed += 1) {
+    const random = scenarioRandom(seed);
+    const fleet = await startFleet(seed, 27);
+    const fromMs = fleet.clock.now() + randomInteger(random, 0, 5_000);
+    fleet.store.skipsWithheld = true;
+    fleet.isLate = (_machine, _change, nowMs) => nowMs - fromMs > WITHHELD_MS + SILENCE_BOUND_MS;
+    fleet.at(fromMs, () => fleet.forgetHistory(WITHHELD_MS));
+    fleet.at(fromMs + random.next() * WITHHELD_MS, () => fleet.change());
+    await fleet.run(15_000);
+    t.deepEqual(fleet.late, [], `seed ${seed}`);
+  }
+});
--- a/test/store-follower.test.ts
+++ b/test/store-follower.test.ts
@@ -60,6 +60,7 @@
     onListing: () => void listings.push('whole'),
     onListingAfterOutage: () => void listings.push('after an outage'),
     onChanges: () => undefined,
+    onChangesMissing: () => undefined,
     onReachable: (isReachable: boolean) => {
       if (!store.hasEnded) {
         reachable.push(isReachable);
@@ -90,6 +91,12 @@
   t.deepEqual(reachable, [true, false, true]);
 });
 
+test('a watch that names a revision without its changes is followed by a listing', async (t) => {
+  const skipping = ok({ records: [], revision: 7 });
+  const { calls } = await callsOf([READ_AT_4, skipping, READ_AT_4]);
+  t.deepEqual(calls, ['list', 'watch 4', 'list', 'watch 4']);
+});
+
 test('history that is gone is followed by a listing at once', async (t) => {
   const { calls, reachable } = await callsOf([READ_AT_4, FORGOTTEN, READ_AT_4]);
   t.deepEqual(calls, ['list', 'watch 4', 'list', 'watch 4']);
@@ -114,6 +121,7 @@
     onListing: () => undefined,
     onListingAfterOutage: () => undefined,
     onChanges: () => void seenAtMs.push(clock.now()),
+    onChangesMissing: () => undefined,
     onReachable: () => undefined,
     countFollowers: () => followers,
     mustFollow: () => true,
@@ -176,6 +184,7 @@
     onListing: () => void listings.push('whole'),
     onListingAfterOutage: () => void listings.push('after an outage'),
     onChanges: () => undefined,
+    onChangesMissing: () => undefined,
     onReachable: () => undefined,
     countFollowers: () => 1,
     mustFollow: () => clock.now() >= untilMs,
@@ -198,6 +207,7 @@
     onListing: () => undefined,
     onListingAfterOutage: () => undefined,
     onChanges: () => undefined,
+    onChangesMissing: () => undefined,
     onReachable: (isReachable: boolean) => void reachable.push(isReachable),
     countFollowers: () => 1,
     mustFollow: () => true,
@@ -234,6 +244,7 @@
     onListing: () => void (seen.listed += 1),
     onListingAfterOutage: () => void (seen.listed += 1),
     onChanges: () => undefined,
+    onChangesMissing: () => undefined,
     onReachable: (isReachable: boolean) => void (seen.lost += isReachable ? 0 : 1),
     countFollowers: () => 1,
     mustFollow: () => true,
--- a/test/support/virtual-store.ts
+++ b/test/support/virtual-store.ts
@@ -36,6 +36,8 @@
   lossShare = 0;
   /** Whether changes wake no watch, as while history is dropped. */
   isWithholding = false;
+  /** Whether a watch whose wait ends meanwhile is told the store's revision all the same. */
+  skipsWithheld = false;
   /** Calls that arrived. */
   calls = 0;
   private revision = 0;
@@ -129,7 +131,9 @@
     const watch = { since, answer: reply };
     this.watches.add(watch);
     this.clock.setTimeout(() => {
-      if (!this.isWithholding && this.watches.delete(watch)) {
+      if (this.isWithholding && this.skipsWithheld && this.watches.delete(watch)) {
+        reply(ok({ records: [], revision: this.revision }));
+      } else if (!this.isWithholding && this.watches.delete(watch)) {
         reply(ok(this.changesSince(since)));
       }
     }, waitMs);
