A gateway that hears nothing of another asks it, by its greeting, to open its connection anew

What callers saw, if anything: a gateway that stays deaf to others for seconds after a path is back, cut one way. Cause: words come only on the connection that their sender opened. A connection that carries nothing one way waits for its system to send again, at intervals that double with the length of the cut; the side that hears nothing opened its own connection anew, which does not help it, and the sender hears well and opens none. And a gateway that started again was spoken to only when the others' pause between two tries was over, up to 3.9 s. Why this holds: the greeting on the new connection says that nothing is heard; whoever is greeted so, or has no connection to the greeter, opens one at once. Tests, on a virtual network with the real mesh, red before: one way cut for 7 s: not heard 3 s after its end; a gateway that was away for .7 s: not spoken to within .2 s. The virtual network ends connections of killed processes.

--- a/src/cluster/peer-mesh.ts
+++ b/src/cluster/peer-mesh.ts
@@ -6,7 +6,7 @@
  * Addresses come from the settings' seeds and from what peers pass on.
  */
 import { splitAddress } from '../address.js';
-import type { Clock } from '../clock.js';
+import type { Clock, TimerHandle } from '../clock.js';
 import { MessageChannel } from '../protocol/message-channel.js';
 import type { RandomSource } from '../random.js';
 import { withJitter } from '../random.js';
@@ -59,6 +59,8 @@
 };
 
 const RETRY_SPREAD = 0.3;
+/** Time for which a connection stands at least before it is opened anew because its peer hears nothing. */
+const MIN_STANDING_MS = 500;
 
 interface OutgoingPeer {
   readonly address: string;
@@ -69,6 +71,12 @@
   failures: number;
   /** When the connection came up, or its peer was heard on its own, in milliseconds. */
   aliveAtMs: number;
+  /** When the connection came up, in milliseconds. */
+  openedAtMs: number;
+  /** When its peer was heard last, or its address was learned, in milliseconds. */
+  heardAtMs: number;
+  /** Opens the next connection; undefined while one stands or comes up. */
+  retryTimer: TimerHandle | undefined;
 }
 
 /** Connections among gateways. */
@@ -81,6 +89,8 @@
   private hasHeard = false;
   private readonly listener: PeerListener;
   private isStopped = false;
+  /** Silence after which a peer counts as not heard, in milliseconds. */
+  private silenceMs = Infinity;
   /** Addresses that peers have not been told of. */
   private newAddresses: string[] = [];
 
@@ -142,11 +152,12 @@
 
   /**
    * Opens a further connection to each peer of which nothing was heard for `silenceMs`; once it stands it
-   * takes the place of the one before. Connections may fall silent for good without a reset, mostly both
-   * ways at once, and nothing comes back on the one that this process opened. A peer that is only cut off
-   * for a while keeps the one that it has.
+   * takes the place of the one before. Connections may fall silent for good without a reset, and nothing comes
+   * back on the one that this process opened: its greeting asks the peer to open its own anew. A peer that is
+   * only cut off for a while keeps the one that it has.
    */
   reopenSilent(silenceMs: number): void {
+    this.silenceMs = silenceMs;
     const nowMs = this.clock.now();
     for (const peer of this.outgoing.values()) {
       if (peer.isOpen && nowMs - peer.aliveAtMs > silenceMs) {
@@ -180,6 +191,9 @@
         isOpen: false,
         failures: 0,
         aliveAtMs: -Infinity,
+        openedAtMs: -Infinity,
+        heardAtMs: this.clock.now(),
+        retryTimer: undefined,
       });
       this.passOn(address);
     }
@@ -216,10 +230,26 @@
     }
     const { retryMinMs, retryMaxMs } = this.options;
     const delayMs = Math.min(retryMaxMs, retryMinMs * 2 ** (peer.failures - 1));
-    this.clock.setTimeout(() => this.open(peer), withJitter(this.random, delayMs, RETRY_SPREAD));
+    const jitteredMs = withJitter(this.random, delayMs, RETRY_SPREAD);
+    peer.retryTimer = this.clock.setTimeout(() => this.open(peer), jitteredMs);
+  }
+
+  /** A peer is there and greets: the connection to it is opened now where it is down, or carries nothing. */
+  private openToGreeter({ address, hearsNothing }: PeerHello): void {
+    const peer = this.outgoing.get(address);
+    if (peer === undefined) {
+      return;
+    }
+    const nowMs = this.clock.now();
+    const isDead = hearsNothing === true && nowMs - peer.openedAtMs >= MIN_STANDING_MS;
+    if (peer.retryTimer !== undefined || (peer.isOpen && isDead)) {
+      this.clock.clearTimeout(peer.retryTimer);
+      this.open(peer);
+    }
   }
 
   private open(peer: OutgoingPeer): void {
+    peer.retryTimer = undefined;
     if (this.isStopped) {
       return;
     }
@@ -255,10 +285,13 @@
   }
 
   private greet(peer: OutgoingPeer, channel: MessageChannel<PeerMessage, PeerMessage>): void {
+    const nowMs = this.clock.now();
     peer.isOpen = true;
     peer.failures = 0;
-    peer.aliveAtMs = this.clock.now();
-    channel.send(this.self);
+    peer.aliveAtMs = nowMs;
+    peer.openedAtMs = nowMs;
+    const hearsNothing = nowMs - peer.heardAtMs > this.silenceMs;
+    channel.send(hearsNothing ? { ...this.self, hearsNothing } : this.self);
     channel.send({ kind: 'addresses', addresses: [this.self.address, ...this.outgoing.keys()] });
     this.handlers.onOpened((message) => channel.send(message));
   }
@@ -300,12 +333,14 @@
     this.heard.set(hello.name, hello.incarnation);
     this.handlers.onPeer(hello.incarnation, true);
     this.learnAddresses([hello.address]);
+    this.openToGreeter(hello);
   }
 
   private receive(hello: PeerHello, message: PeerMessage, reply: SendToPeer): void {
     const peer = this.outgoing.get(hello.address);
     if (peer !== undefined) {
       peer.aliveAtMs = this.clock.now();
+      peer.heardAtMs = peer.aliveAtMs;
     }
     if (message.kind === 'addresses') {
       this.learnAddresses(message.addresses);
--- a/src/cluster/peer-messages.ts
+++ b/src/cluster/peer-messages.ts
@@ -25,6 +25,8 @@
   readonly address: string;
   /** Zone that it stands in; missing for one that is no gateway. */
   readonly zone?: string;
+  /** Whether it has long heard nothing of the process that this is said to, on whose own connection words come. */
+  readonly hearsNothing?: boolean;
 }
 
 /** Addresses of other gateways that the sender knows. */
--- a/test/late-configuration.test.ts
+++ b/test/late-configuration.test.ts
@@ -27,7 +27,7 @@
 const SILENCE_BOUND_MS = 2_000;
 /** Time in which watches hear nothing before the history is dropped, in milliseconds. */
 const WITHHELD_MS = 1_000;
-const SETTLE_MS = 8_000;
+const SETTLE_MS = 5_000;
 const SEEDS = 40;
 const MIN_SILENCE_MS = 200;
 const MAX_SILENCE_MS = 6_000;
@@ -43,33 +43,20 @@
   return fleet;
 }
 
-test('a change beside a short silence of the store is in force in time', async (t) => {
+test('a change beside a short silence of the store is in force in time, and soon after it everywhere', async (t) => {
   for (const gateways of [3, 12, 27]) {
     for (let seed = 0; seed < SEEDS; seed += 1) {
       const random = scenarioRandom(seed);
       const fleet = await startFleet(seed, gateways);
       const silentMs = MIN_SILENCE_MS * (MAX_SILENCE_MS / MIN_SILENCE_MS) ** random.next();
       const fromMs = fleet.clock.now() + randomInteger(random, 0, 5_000);
+      const isLateForUsers = fleet.isLate;
+      fleet.isLate = (machine, change, nowMs) =>
+        isLateForUsers(machine, change, nowMs) ||
+        (nowMs > fromMs && nowMs - fromMs - silentMs > SILENCE_BOUND_MS);
       fleet.at(fromMs, () => fleet.troubleStore('silent', silentMs));
       fleet.at(fromMs + random.next() * silentMs, () => fleet.change());
-      await fleet.run(silentMs + 15_000);
-      t.deepEqual(fleet.late, [], `seed ${seed}, ${gateways} gateways, silent for ${silentMs} ms`);
-    }
-  }
-});
-
-test('every gateway has a change in force soon after a silence of the store', async (t) => {
-  for (const gateways of [3, 12, 27]) {
-    for (let seed = 0; seed < SEEDS; seed += 1) {
-      const random = scenarioRandom(seed);
-      const fleet = await startFleet(seed, gateways);
-      const silentMs = MIN_SILENCE_MS * (MAX_SILENCE_MS / MIN_SILENCE_MS) ** random.next();
-      const fromMs = fleet.clock.now() + randomInteger(random, 0, 5_000);
-      fleet.isLate = (_machine, _change, nowMs) =>
-        nowMs - fromMs - silentMs > SILENCE_BOUND_MS && nowMs > fromMs;
-      fleet.at(fromMs, () => fleet.troubleStore('silent', silentMs));
-      fleet.at(fromMs + random.next() * silentMs, () => fleet.change());
-      await fleet.run(silentMs + 10_000);
+      await fleet.run(silentMs + 12_000);
       t.deepEqual(fleet.late, [], `seed ${seed}, ${gateways} gateways, silent for ${silentMs} ms`);
     }
   }
--- a/test/support/store-fleet.ts
+++ b/test/support/store-fleet.ts
@@ -71,6 +71,7 @@
   private readonly cuts = new Set<{ readonly scope: CutScope; readonly way: CutWay }>();
   private starts = 0;
   private pausedUntilMs = 0;
+  private host: NetworkHost | undefined;
 
   constructor(
     readonly index: number,
@@ -109,6 +110,7 @@
     };
     const cluster = new GatewayCluster(this.fleet.partsOf(this, host, start));
     this.cluster = cluster;
+    this.host = host;
     this.fleet.breakProcess?.(cluster);
     cluster.start();
     const tick = () => {
@@ -125,8 +127,7 @@
       return;
     }
     this.disturb(nowMs + awayMs);
-    // Its system ends the connections.
-    this.cluster.stop();
+    this.fleet.network.endProcess(this.host!);
     this.cluster = undefined;
     this.starts += 1;
     this.fleet.clock.setTimeout(() => this.start(), awayMs);
--- a/test/support/virtual-network.ts
+++ b/test/support/virtual-network.ts
@@ -39,6 +39,7 @@
    */
   needsAcknowledgement = true;
   private readonly listeners = new Map<string, VirtualListener>();
+  private readonly sockets = new Map<NetworkHost, Set<VirtualSocket>>();
 
   constructor(readonly clock: HeapClock) {}
 
@@ -50,6 +51,25 @@
     };
   }
 
+  /** The process of `host` ended: its system ends its connections, and nothing listens there any more. */
+  endProcess(host: NetworkHost): void {
+    this.sockets.get(host)?.forEach((socket) => socket.end());
+    this.sockets.delete(host);
+    for (const [address, listener] of this.listeners) {
+      if (listener.host === host) {
+        this.listeners.delete(address);
+      }
+    }
+  }
+
+  /** A socket of the process of `host`. */
+  private createSocket(host: NetworkHost): VirtualSocket {
+    const socket = new VirtualSocket(this, host);
+    const sockets = this.sockets.get(host) ?? new Set();
+    this.sockets.set(host, sockets.add(socket));
+    return socket;
+  }
+
   /** Whether bytes that are sent now arrive and are acknowledged. */
   passes(from: string, to: string): boolean {
     return this.isOpen(from, to) && (!this.needsAcknowledgement || this.isOpen(to, from));
@@ -67,7 +87,7 @@
   }
 
   private connect(host: NetworkHost, address: string): OpenedSocket {
-    const socket = new VirtualSocket(this, host);
+    const socket = this.createSocket(host);
     this.askForConnection(socket, address, CONNECT_RESEND_MS);
     return socket;
   }
@@ -95,7 +115,7 @@
       this.clock.setTimeout(() => socket.fail(), DELAY_MS);
       return;
     }
-    const accepted = new VirtualSocket(this, listener.host);
+    const accepted = this.createSocket(listener.host);
     accepted.join(socket);
     socket.join(accepted);
     listener.host.act(() => listener.onConnection(accepted));
@@ -248,9 +268,12 @@
     }
   }
 
-  /** The machine lost its power, or its process was killed: nothing is told before somebody writes. */
-  vanish(): void {
-    this.isClosed = true;
+  /** The process is gone: nothing of it hears of this any more. */
+  end(): void {
+    if (!this.isClosed) {
+      this.isClosed = true;
+      this.send({ bytes: undefined });
+    }
   }
 }
 
