Each gateway knows as of when its records are confirmed, and reads the store itself when that is long ago

Cause, by design rather than by a case seen: who reads the store followed from how the last call ended and from claims of others. Now a gateway knows as of when the store's records were as it knows them: by an answer to itself (as of the moment it was asked, or of the end of a watch that waited without a change), or by a beat of one that reaches no further than itself, with that one's own age in it. Older than 2.5 s, it reads the store whatever it hears. storeAgeMs in lines and the gauge tell this age.

--- a/src/cluster/peer-messages.ts
+++ b/src/cluster/peer-messages.ts
@@ -39,6 +39,8 @@
 export interface PeerBeat {
   readonly kind: 'beat';
   readonly reach: ReplicaReach;
+  /** How long ago the store's records were as it knows them, in milliseconds; missing if it knows none. */
+  readonly knowledgeAgeMs?: number | undefined;
   /** Time since the sender started, in milliseconds. */
   readonly ageMs: number;
   /** Revision of the record of quota members that it follows; 0 for none. */
--- a/src/cluster/store-follower.ts
+++ b/src/cluster/store-follower.ts
@@ -93,6 +93,8 @@
   mustFollow(): boolean;
   /** The revision through which the records are complete, from wherever they came; 0 for none. */
   completeTo(): number;
+  /** All records were known as the store had them at `atMs`. */
+  onConfirmed(atMs: number): void;
   /** A call of the store ended. */
   onCall(call: StoreCall, result: StoreCallResult): void;
 }
@@ -178,8 +180,7 @@
 /** Follows the store until it is stopped. */
 export class StoreFollower {
   private isStopped = false;
-  /** When the store answered last; undefined before its first answer. */
-  lastAnsweredAtMs: number | undefined;
+  private hasBeenAnswered = false;
   private reachable: boolean | undefined;
   /** Since when the store owes an answer; undefined while it answers. */
   private lostAtMs: number | undefined;
@@ -265,7 +266,7 @@
   private takeListing(read: StoreRead, startedAtMs: number): void {
     const nowMs = this.clock.now();
     const wasOut = this.lostAtMs !== undefined && nowMs - this.lostAtMs >= this.options.outageMs;
-    const isFirst = this.lastAnsweredAtMs === undefined && this.handlers.completeTo() === 0;
+    const isFirst = !this.hasBeenAnswered && this.handlers.completeTo() === 0;
     this.succeed(startedAtMs);
     if (wasOut && !isFirst) {
       this.putOffRelist(nowMs);
@@ -277,6 +278,7 @@
       this.firstRelistAtMs = undefined;
       this.handlers.onListing(read);
     }
+    this.handlers.onConfirmed(startedAtMs);
   }
 
   /** Owners are given time to announce themselves, but not for ever where one outage follows the other. */
@@ -306,7 +308,9 @@
         isWhole = seenTo >= read.revision;
         this.succeed(startedAtMs);
         this.handlers.onChanges({ ...read, revision: seenTo }, revision);
-        if (!isWhole) {
+        if (isWhole) {
+          this.confirmWatch(startedAtMs, waitMs, read);
+        } else {
           this.handlers.onChangesMissing(seenTo, read.revision);
         }
       },
@@ -332,6 +336,13 @@
     return undefined;
   }
 
+  /** A watch that waited to its end without a change says that there was none by then. */
+  private confirmWatch(startedAtMs: number, waitMs: number, { records }: StoreRead): void {
+    const endMs = startedAtMs + waitMs;
+    const hasWaited = records.length === 0 && this.clock.now() >= endMs;
+    this.handlers.onConfirmed(hasWaited ? endMs : startedAtMs);
+  }
+
   private watchWaitMs(nowMs: number): number {
     const untilRelistMs = (this.relistAtMs ?? Infinity) - nowMs;
     const waitMs = (this.options.watchMs * (1 + this.random.next())) / 2;
@@ -395,7 +406,7 @@
 
   private succeed(startedAtMs: number): void {
     this.retryMs = this.options.retryMinMs;
-    this.lastAnsweredAtMs = this.clock.now();
+    this.hasBeenAnswered = true;
     this.lostAtMs = undefined;
     this.tell(true, 'answered', startedAtMs);
   }
--- a/src/cluster/store-readers.ts
+++ b/src/cluster/store-readers.ts
@@ -51,8 +51,6 @@
   private readonly rank: number;
   /** Gateways that said lately that they read, by incarnation. */
   private readonly reading = new Map<string, HeardReader>();
-  /** When a reader was heard last, in milliseconds; -Infinity before the first. */
-  heardAtMs = -Infinity;
 
   constructor(
     incarnation: string,
@@ -67,7 +65,6 @@
   hear(peer: string, isReading: boolean, nowMs: number, region?: string): void {
     if (isReading) {
       this.reading.set(peer, { heardAtMs: nowMs, region });
-      this.heardAtMs = nowMs;
     } else {
       this.reading.delete(peer);
     }
--- a/src/gateway/gateway-cluster.ts
+++ b/src/gateway/gateway-cluster.ts
@@ -3,9 +3,10 @@
  * follower of the store, the gateways that read it, and the peers.
  */
 import { splitAddress } from '../address.js';
+import { KnowledgeAge } from '../cluster/knowledge-age.js';
 import { RecordExchange } from '../cluster/record-exchange.js';
 import { ReplicatedRecords } from '../cluster/replicated-records.js';
-import type { StoreRecord } from '../cluster/replicated-records.js';
+import type { ReplicaReach, StoreRecord } from '../cluster/replicated-records.js';
 import { StoreFollower } from '../cluster/store-follower.js';
 import type { PeerNetwork } from '../cluster/peer-network.js';
 import type { ClusterStore, RecordsSource } from '../cluster/store-follower.js';
@@ -27,6 +28,12 @@
 /** Time behind other gateways after which one reads the store itself, whoever else does, in milliseconds. */
 const BEHIND_LIMIT_MS = 1_000;
 
+/**
+ * Age from which on what a gateway knows of the store counts as old, in milliseconds: then it reads the store itself,
+ * and claims nothing of the newest configuration. In calm the word of some reader is much younger.
+ */
+const OLD_KNOWLEDGE_MS = 2_500;
+
 /** What a gateway's part in the cluster is made from. */
 export interface GatewayClusterParts {
   readonly settings: GatewaySettings;
@@ -54,6 +61,7 @@
   private readonly peers: GatewayPeers;
   private readonly readers: StoreReaders;
   private readonly follower: StoreFollower;
+  private readonly knowledge = new KnowledgeAge();
   private isStoreReader = true;
 
   constructor(private readonly parts: GatewayClusterParts) {
@@ -91,10 +99,17 @@
     return this.peers.beatMs;
   }
 
-  /** How old the newest word of the store is, from itself or from a gateway that reads it, in milliseconds. */
+  /**
+   * How long ago the store's records were as this gateway knows them, by an answer of the store or by the word of
+   * another gateway, in milliseconds; undefined before the first.
+   */
   get storeAgeMs(): number | undefined {
-    const heardAtMs = Math.max(this.follower.lastAnsweredAtMs ?? -Infinity, this.readers.heardAtMs);
-    return heardAtMs === -Infinity ? undefined : this.parts.clock.now() - heardAtMs;
+    return this.knowledge.ageMs(this.parts.clock.now());
+  }
+
+  /** Whether there may be changes that this gateway should know by now, and does not. */
+  get isKnowledgeOld(): boolean {
+    return (this.storeAgeMs ?? Infinity) > OLD_KNOWLEDGE_MS;
   }
 
   /** Whether this gateway reads the store itself; it learns from others otherwise. */
@@ -167,6 +182,8 @@
       crashes,
       statements,
       isReading: () => this.follower.isFollowing,
+      knowledgeAgeMs: () => this.storeAgeMs,
+      onKnowledge: (reach, ageMs) => this.hearKnowledge(reach, ageMs),
       clock,
       random,
       network: this.parts.network,
@@ -186,6 +203,7 @@
           onRecords(this.records.addListing(records, revision), 'listing-after-outage'),
         onChanges: ({ records, revision }, since) =>
           onRecords(this.records.applyChanges(records, since, revision), 'watch'),
+        onConfirmed: (atMs) => this.knowledge.confirm(atMs),
         onChangesMissing: (seenTo, revision) =>
           this.parts.log.write('store-changes-missing', 'state', { seenTo, revision }),
         onReachable: (isReachable, reason, heldMs) => this.noteStore(isReachable, reason, heldMs),
@@ -200,10 +218,18 @@
     );
   }
 
+  /** Another gateway, which reaches so far, knows the store's records as they were `ageMs` ago. */
+  private hearKnowledge(reach: ReplicaReach, ageMs: number): void {
+    if (!this.records.isBehind(reach)) {
+      this.knowledge.confirm(this.parts.clock.now() - ageMs);
+    }
+  }
+
   private mustReadStore(): boolean {
     // Those that are heard to read the store may not hear this gateway's questions.
     const isBehind = this.exchange.behindMs > BEHIND_LIMIT_MS;
-    const mustRead = this.readers.mustRead(this.beatMs, this.parts.clock.now()) || isBehind;
+    const mustCatchUp = isBehind || this.isKnowledgeOld;
+    const mustRead = this.readers.mustRead(this.beatMs, this.parts.clock.now()) || mustCatchUp;
     if (mustRead !== this.isStoreReader) {
       this.isStoreReader = mustRead;
       this.parts.log.write(mustRead ? 'store-reader-on' : 'store-reader-off', 'state', {
--- a/src/gateway/links/gateway-peers.ts
+++ b/src/gateway/links/gateway-peers.ts
@@ -6,7 +6,7 @@
 import type { RecordExchange } from '../../cluster/record-exchange.js';
 import type { StoreReaders } from '../../cluster/store-readers.js';
 import { isFurther, NO_REACH } from '../../cluster/replicated-records.js';
-import type { ReplicatedRecords } from '../../cluster/replicated-records.js';
+import type { ReplicaReach, ReplicatedRecords } from '../../cluster/replicated-records.js';
 import type { Clock } from '../../clock.js';
 import type { RandomSource } from '../../random.js';
 import type { Rollouts } from '../../rollout/rollouts.js';
@@ -51,6 +51,10 @@
   readonly statements: PeerStatements;
   /** Whether this gateway reads the store and is answered. */
   isReading(): boolean;
+  /** How long ago the store's records were as this gateway knows them, in milliseconds. */
+  knowledgeAgeMs(): number | undefined;
+  /** A peer that reaches so far knows the records as they were `ageMs` ago. */
+  onKnowledge(reach: ReplicaReach, ageMs: number): void;
   readonly clock: Clock;
   readonly random: RandomSource;
   /** Default: TCP. */
@@ -231,6 +235,7 @@
     return {
       kind: 'beat',
       reach: records.reach,
+      knowledgeAgeMs: this.parts.knowledgeAgeMs(),
       ageMs: quotas.ageMs,
       quotaRevision: quotas.revision,
       isReading: this.parts.isReading(),
@@ -257,6 +262,9 @@
       readers.hear(peer, message.isReading, clock.now(), message.region);
       this.parts.rollouts.hear(peer, message.rollouts ?? {});
       exchange.hearReach(peer, message.reach, reply);
+      if (message.knowledgeAgeMs !== undefined) {
+        this.parts.onKnowledge(message.reach, message.knowledgeAgeMs);
+      }
     } else if (message.kind === 'quota-ask') {
       reply(quotas.answer(hello, message));
     } else if (message.kind === 'quota-return') {
--- a/test/late-configuration.test.ts
+++ b/test/late-configuration.test.ts
@@ -16,6 +16,7 @@
  * listing that may remove what is missing. Evidence: the 2.2 s between the two groups above.
  */
 import test from 'ava';
+import type { GatewayCluster } from '../src/gateway/gateway-cluster.js';
 import { randomInteger } from '../src/random.js';
 import { scenarioRandom, StoreFleet } from './support/store-fleet.js';
 
@@ -33,8 +34,13 @@
 const MAX_SILENCE_MS = 6_000;
 
 /** A settled fleet in which gateways that are well are late as users count it. */
-async function startFleet(seed: number, gateways: number): Promise<StoreFleet> {
-  const fleet = new StoreFleet({ seed, gateways, needsAcknowledgement: false });
+async function startFleet(
+  seed: number,
+  gateways: number,
+  breakProcess?: (cluster: GatewayCluster) => void,
+): Promise<StoreFleet> {
+  const options = { seed, gateways, needsAcknowledgement: false };
+  const fleet = new StoreFleet(breakProcess === undefined ? options : { ...options, breakProcess });
   await fleet.run(SETTLE_MS);
   fleet.isLate = (machine, change, nowMs) =>
     nowMs - change.atMs > CHANGE_BOUND_MS &&
@@ -73,20 +79,34 @@
   }
 });
 
+/** A fleet of nine in which eight are heard by the last, which does not read the store, and do not hear it. */
+async function playUnheard(seed: number, breakProcess?: (cluster: GatewayCluster) => void) {
+  const fleet = await startFleet(seed, 9, breakProcess);
+  const fromMs = fleet.clock.now();
+  const last = fleet.machines.find(({ cluster }) => cluster?.isReadingStore === false)!;
+  fleet.machines
+    .filter((machine) => machine !== last)
+    .forEach((machine) => machine.cut('peers', 'in', 6_000));
+  fleet.at(fromMs + 400, () => fleet.change());
+  await fleet.run(9_000);
+  return fleet.late;
+}
+
 test('a gateway whose questions reach nobody reads the store itself', async (t) => {
   for (let seed = 0; seed < SEEDS; seed += 1) {
-    const fleet = await startFleet(seed, 9);
-    const fromMs = fleet.clock.now();
-    const last = fleet.machines.find(({ cluster }) => cluster?.isReadingStore === false)!;
-    fleet.machines
-      .filter((machine) => machine !== last)
-      .forEach((machine) => machine.cut('peers', 'in', 6_000));
-    fleet.at(fromMs + 400, () => fleet.change());
-    await fleet.run(9_000);
-    t.deepEqual(fleet.late, [], `seed ${seed}`);
+    t.deepEqual(await playUnheard(seed), [], `seed ${seed}`);
   }
 });
 
+test('the check finds a gateway that never reads the store while it hears those that do', async (t) => {
+  const late = await playUnheard(0, (cluster) => {
+    const { exchange } = cluster;
+    Object.defineProperty(exchange, 'behindMs', { get: () => 0 });
+    Object.defineProperty(cluster, 'isKnowledgeOld', { get: () => false });
+  });
+  t.not(late.length, 0);
+});
+
 test('changes that a watch passes over are in force soon, whoever learned of their revision first', async (t) => {
   for (let seed = 0; seed < SEEDS; seed += 1) {
     const random = scenarioRandom(seed);
--- a/test/store-follower.test.ts
+++ b/test/store-follower.test.ts
@@ -61,6 +61,7 @@
     onListingAfterOutage: () => void listings.push('after an outage'),
     onChanges: () => undefined,
     onChangesMissing: () => undefined,
+    onConfirmed: () => undefined,
     onReachable: (isReachable: boolean) => {
       if (!store.hasEnded) {
         reachable.push(isReachable);
@@ -122,6 +123,7 @@
     onListingAfterOutage: () => undefined,
     onChanges: () => void seenAtMs.push(clock.now()),
     onChangesMissing: () => undefined,
+    onConfirmed: () => undefined,
     onReachable: () => undefined,
     countFollowers: () => followers,
     mustFollow: () => true,
@@ -185,6 +187,7 @@
     onListingAfterOutage: () => void listings.push('after an outage'),
     onChanges: () => undefined,
     onChangesMissing: () => undefined,
+    onConfirmed: () => undefined,
     onReachable: () => undefined,
     countFollowers: () => 1,
     mustFollow: () => clock.now() >= untilMs,
@@ -208,6 +211,7 @@
     onListingAfterOutage: () => undefined,
     onChanges: () => undefined,
     onChangesMissing: () => undefined,
+    onConfirmed: () => undefined,
     onReachable: (isReachable: boolean) => void reachable.push(isReachable),
     countFollowers: () => 1,
     mustFollow: () => true,
@@ -245,6 +249,7 @@
     onListingAfterOutage: () => void (seen.listed += 1),
     onChanges: () => undefined,
     onChangesMissing: () => undefined,
+    onConfirmed: () => undefined,
     onReachable: (isReachable: boolean) => void (seen.lost += isReachable ? 0 : 1),
     countFollowers: () => 1,
     mustFollow: () => true,
--- a/test/support/store-fleet.ts
+++ b/test/support/store-fleet.ts
@@ -66,8 +66,11 @@
   version = 0;
   /** How it came, and when. */
   learned: { readonly source: RecordsSource; readonly atMs: number } | undefined;
-  /** Until when it was killed, paused or cut, in milliseconds. */
+  /** Until when it was killed, paused or cut off from all, in milliseconds. */
   disturbedUntilMs = 0;
+  /** Until when it has no path to the store, or is turned away, and to other gateways. */
+  storeGoneUntilMs = 0;
+  private peersGoneUntilMs = 0;
   private readonly cuts = new Set<{ readonly scope: CutScope; readonly way: CutWay }>();
   private starts = 0;
   private pausedUntilMs = 0;
@@ -82,6 +85,11 @@
     return `m${this.index}`;
   }
 
+  /** Until when it can learn from nobody, in milliseconds. */
+  get isolatedUntilMs(): number {
+    return Math.min(this.storeGoneUntilMs, this.peersGoneUntilMs);
+  }
+
   act(action: () => void): void {
     this.actIn(this.starts, action);
   }
@@ -143,7 +151,15 @@
   cut(scope: CutScope, way: CutWay, forMs: number): void {
     const cut = { scope, way };
     this.cuts.add(cut);
-    this.disturb(this.fleet.clock.now() + forMs);
+    const untilMs = this.fleet.clock.now() + forMs;
+    this.fleet.noteTrouble(untilMs);
+    if (scope === 'all') {
+      this.disturb(untilMs);
+    } else if (scope === 'store') {
+      this.storeGoneUntilMs = Math.max(this.storeGoneUntilMs, untilMs);
+    } else {
+      this.peersGoneUntilMs = Math.max(this.peersGoneUntilMs, untilMs);
+    }
     this.fleet.clock.setTimeout(() => this.cuts.delete(cut), forMs);
   }
 
@@ -165,6 +181,7 @@
   }
 
   private disturb(untilMs: number): void {
+    this.fleet.noteTrouble(untilMs);
     this.disturbedUntilMs = Math.max(this.disturbedUntilMs, untilMs);
   }
 }
@@ -186,6 +203,7 @@
   onLine: ((machine: FleetMachine, event: string, fields: object) => void) | undefined;
   private readonly storeTroubles: StoreTrouble[] = [];
   private readonly noted = new Set<string>();
+  private troubledUntilMs = -Infinity;
 
   constructor(options: StoreFleetOptions) {
     this.random = scenarioRandom(options.seed);
@@ -255,7 +273,10 @@
   /** The store turns some machines away. */
   turnAway(machines: readonly FleetMachine[], treatment: StoreTreatment, forMs: number): void {
     this.noteStoreTrouble(forMs, false);
-    for (const { address } of machines) {
+    for (const machine of machines) {
+      const { address } = machine;
+      const untilMs = this.clock.now() + forMs;
+      machine.storeGoneUntilMs = Math.max(machine.storeGoneUntilMs, untilMs);
       this.store.turnedAway.set(address, treatment);
       this.clock.setTimeout(() => this.store.turnedAway.delete(address), forMs);
     }
@@ -271,6 +292,24 @@
     }, afterMs);
   }
 
+  /** When the first gateway has, or had, a path to the store after the last trouble of its own, in milliseconds. */
+  get storePathSinceMs(): number {
+    const sinceMs = this.machines.map(({ storeGoneUntilMs, disturbedUntilMs }) =>
+      Math.max(storeGoneUntilMs, disturbedUntilMs),
+    );
+    return Math.min(...sinceMs);
+  }
+
+  /** Something in the fleet is in trouble until a moment. */
+  noteTrouble(untilMs: number): void {
+    this.troubledUntilMs = Math.max(this.troubledUntilMs, untilMs);
+  }
+
+  /** Whether anything was in trouble at some moment since `sinceMs`. */
+  wasTroubled(sinceMs: number): boolean {
+    return this.troubledUntilMs >= sinceMs;
+  }
+
   /** Whether the store was in trouble at some moment since `sinceMs`; only trouble for all if `isWhole`. */
   wasStoreTroubled(sinceMs: number, isWhole = false): boolean {
     return this.storeTroubles.some(
@@ -345,6 +384,7 @@
   private noteStoreTrouble(forMs: number, isWhole: boolean): void {
     const fromMs = this.clock.now();
     this.storeTroubles.push({ fromMs, untilMs: fromMs + forMs, isWhole });
+    this.noteTrouble(fromMs + forMs);
   }
 
   private look(): void {
