A gateway whose knowledge is old claims neither that a route does not exist nor that a key is unknown

What callers saw: 404 on a route that a confirmed change had added, from a gateway that had not learned of it. Cause: 404 and 401 are claims on the newest configuration, and were made whatever this gateway knew of it. Why this holds: while the store's records are known only as they were more than 2.5 s ago, such a request waits up to .5 s for a confirmation (its follower is at it anyway: no call is made for it) and is admitted under what is known then, or refused with 503 and Retry-After, which is true: nothing ran. What is known to exist is served as before. Weighed: a question to the store for each such request (calls for routes that never existed); 404 at once (false while the store is away). Tests: unconfirmed-refusals, platform (404 and 401 in calm without a call more, 503 with a silent store, served once it is back).

--- a/src/cli/queries/explain-logs.ts
+++ b/src/cli/queries/explain-logs.ts
@@ -68,6 +68,8 @@
   'caller-left': 'the caller closed its connection first',
   'no-configuration': 'this process had learned no configuration yet',
   'no-route': 'no route of the configuration matches host and path',
+  'configuration-unconfirmed':
+    'no route or key fits it, and this process could not know whether there is a newer configuration',
   'unknown-key': 'no tenant of the configuration holds the key',
   'quota-spent': 'the tenant had spent its quota',
   'crashes-back-ends': 'earlier runs of the same request had ended the back ends that ran them',
--- a/src/gateway/admission/gateway-refusal.ts
+++ b/src/gateway/admission/gateway-refusal.ts
@@ -9,6 +9,7 @@
   | 'no-configuration'
   | 'no-route'
   | 'unknown-key'
+  | 'configuration-unconfirmed'
   | 'body-too-long'
   | 'header-too-long'
   | 'quota-spent'
@@ -55,6 +56,8 @@
   'no-configuration': 503,
   'no-route': 404,
   'unknown-key': 401,
+  // That there is no such route or key is known only by the newest configuration.
+  'configuration-unconfirmed': 503,
   'body-too-long': 413,
   'header-too-long': 431,
   'quota-spent': 429,
--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -15,6 +15,7 @@
 import type { ReceivedRequest } from './admission/request-admission.js';
 import { RetryBudget } from './admission/retry-budget.js';
 import { sendRefusal } from './admission/send-refusal.js';
+import { UnconfirmedRefusals } from './admission/unconfirmed-refusals.js';
 import type { GatewayQuotas } from './gateway-quotas.js';
 import type { Charge, ChargeResult } from './quotas/open-charge.js';
 import type { ConfigurationInForce } from './configuration-in-force.js';
@@ -40,7 +41,7 @@
   readonly dispatcher: Dispatcher;
   readonly sender: BackendSender;
   readonly crashes: CrashingRequests;
-  readonly cluster: Pick<GatewayCluster, 'size' | 'storeAgeMs' | 'revision'>;
+  readonly cluster: Pick<GatewayCluster, 'size' | 'storeAgeMs' | 'revision' | 'isKnowledgeOld'>;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly log: DecisionLog;
@@ -60,6 +61,11 @@
 /** Wait from which a request's line says what it was kept from, in milliseconds: shorter ones trouble nobody. */
 const HELD_UP_MS = 100;
 
+const UNCONFIRMED: GatewayRefusal = {
+  reason: 'configuration-unconfirmed',
+  retryAfterMs: DEFAULT_REQUEST_OPTIONS.retryAfterMs,
+};
+
 /** A request that waits or runs. */
 interface ActiveRequest {
   readonly homes: RequestHomes;
@@ -79,6 +85,7 @@
   /** Requests that are being charged to their tenants. */
   private readonly charging = new Set<AcceptedRequest>();
   private readonly admission: RequestAdmission;
+  private readonly unconfirmed: UnconfirmedRefusals;
   private readonly budget: RetryBudget;
   private readonly ports: RequestPorts;
 
@@ -92,6 +99,10 @@
       },
       parts.crashes,
     );
+    this.unconfirmed = new UnconfirmedRefusals(
+      { isKnowledgeOld: () => parts.cluster.isKnowledgeOld },
+      clock,
+    );
     this.budget = new RetryBudget({
       ratio: limits.retryRatio,
       windowMs: limits.retryWindowS * MS_PER_S,
@@ -114,9 +125,9 @@
     };
   }
 
-  /** Requests that are being charged, wait or run. */
+  /** Requests that wait for a confirmed configuration, are being charged, wait for a back end or run. */
   get countActive(): number {
-    return this.charging.size + this.active.size;
+    return this.unconfirmed.count + this.charging.size + this.active.size;
   }
 
   /** Requests whose back end is not permitted any more go elsewhere where nothing was sent; says how many. */
@@ -173,11 +184,36 @@
     const admitted = this.parts.isRefusing()
       ? err<GatewayRefusal>({ reason: 'stopping', retryAfterMs: 0 })
       : this.admission.admit(received, this.parts.configuration.table);
-    if (!admitted.ok) {
-      this.refuse(received.caller, reply, admitted.val);
-      return undefined;
+    if (admitted.ok) {
+      return this.chargeAndBegin(admitted.val, received.caller, reply);
     }
-    return this.chargeAndBegin(admitted.val, received.caller, reply);
+    if (isClaimOnNewest(admitted.val) && this.parts.cluster.isKnowledgeOld) {
+      return this.awaitConfirmation(received, reply);
+    }
+    this.refuse(received.caller, reply, admitted.val);
+    return undefined;
+  }
+
+  /** Admits a request once it is known that the configuration in force is the newest, or refuses it soon. */
+  private awaitConfirmation(received: ReceivedRequest, reply: CallerReply): TakenRequest {
+    let taken: TakenRequest | undefined;
+    const giveUp = this.unconfirmed.wait((isConfirmed) => {
+      const admitted = this.admission.admit(received, this.parts.configuration.table);
+      if (admitted.ok) {
+        taken = this.chargeAndBegin(admitted.val, received.caller, reply);
+        return;
+      }
+      const isUnknown = isClaimOnNewest(admitted.val) && !isConfirmed;
+      this.refuse(received.caller, reply, isUnknown ? UNCONFIRMED : admitted.val);
+      this.parts.onEnd();
+    });
+    return {
+      callerLeft: () => {
+        giveUp();
+        taken?.callerLeft();
+        this.parts.onEnd();
+      },
+    };
   }
 
   /** Begins a request once it is charged to its tenant. */
@@ -317,6 +353,11 @@
   }
 }
 
+/** Whether a refusal says that the newest configuration lacks something. */
+function isClaimOnNewest({ reason }: GatewayRefusal): boolean {
+  return reason === 'no-route' || reason === 'unknown-key';
+}
+
 function quotaRefusal(
   { tenant = '', quotaCost }: AcceptedRequest,
   result: Exclude<ChargeResult, { readonly isGranted: true }>,
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -137,6 +137,40 @@
   store.stop();
 });
 
+test('a gateway that cannot know whether a route or a key exists claims nothing of them', async (t) => {
+  const store = new StandinStore();
+  const worker = new StandinWorker('w-1', answerWell);
+  store.put('op/config', configuration(1));
+  store.announce('w-1', { service: 's', address: await worker.start(), slots: 2 });
+  const gateway = await startGateway('g', await store.start());
+  await until(() => isReady(gateway));
+  const callsBefore = store.calls.length;
+  const started = Date.now();
+  while (Date.now() - started < 1_000) {
+    t.is(await statusOf(gateway, { host: 'other.example' }), 404);
+    t.is(await statusOf(gateway, { authorization: 'Bearer other' }), 401);
+  }
+  t.true(store.calls.length - callsBefore <= 3, 'requests for what never existed cause no calls');
+  store.mood = 'silent';
+  await new Promise((resolve) => setTimeout(resolve, 3_600));
+  t.is(await statusOf(gateway), 200);
+  const unknown = await call(gateway, { host: 'other.example' });
+  t.is(unknown.statusCode, 503);
+  t.true(Number(unknown.headers['retry-after']) > 0);
+  t.deepEqual(await unknown.body.json(), { error: 'configuration-unconfirmed' });
+  t.is(await statusOf(gateway, { authorization: 'Bearer other' }), 503);
+  store.put(
+    'op/config',
+    configuration(2, { tenants: [{ name: 'shop', apiKeys: [KEY, 'other'] }] }),
+  );
+  store.mood = 'answers';
+  await until(async () => (await statusOf(gateway, { authorization: 'Bearer other' })) === 200);
+  t.is(await statusOf(gateway, { host: 'other.example' }), 404);
+  gateway.gateway.stop(() => undefined);
+  worker.stop();
+  store.stop();
+});
+
 test('a gateway that the store turns away learns of drains and configurations from its peers', async (t) => {
   const [store, darkStore] = [new StandinStore(), new StandinStore()];
   darkStore.mood = 'refuses';
