Of peers that have a newer policy, those that were not asked are asked before one that did not answer

A peer that is heard and does not hear was asked each time; the poll that is left comes after 30 s, the promise is 19 s. Test: policy-exchange, red before (the deaf peer was asked each time).

--- a/src/agent/agent-core.ts
+++ b/src/agent/agent-core.ts
@@ -154,7 +154,8 @@
       return;
     }
     peer.lastReceivedAtMs = turn.nowMs;
-    const request = this.state.exchange.onPeerGeneration(event.frame.generation, turn.nowMs);
+    const { generation } = event.frame;
+    const request = this.state.exchange.onPeerGeneration(event.peer, generation, turn.nowMs);
     if (request !== undefined) {
       turn.send(event.peer, request);
     }
