--- /dev/null
+++ b/bench/soak/change-run.ts
@@ -0,0 +1,168 @@
+/**
+ * Real gateways on loopback before a store in trouble, while the configuration changes: how long it takes until each
+ * gateway serves the route that was added and no longer the one that was dropped.
+ */
+import { mkdtempSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { request } from 'undici';
+import { StandinStore } from '../../test/support/platform-standin.js';
+import type { StoreMood } from '../../test/support/platform-standin.js';
+import { SoakProcess } from './soak-fleet.js';
+
+/** One run of a fleet. */
+export interface ChangeRunOptions {
+  readonly gateways: number;
+  readonly mood: StoreMood;
+  /** How long the store is in trouble, and when within it the configuration changes, in milliseconds. */
+  readonly forMs: number;
+  readonly changeAfterMs: number;
+  /** Time from the last change before to the trouble, in milliseconds. */
+  readonly quietMs: number;
+  readonly basePort: number;
+}
+
+/** What was seen. */
+export interface ChangeRunReport {
+  /** Time from the end of the trouble until the change was in force, by gateway, in milliseconds, ascending. */
+  readonly inForceMs: readonly number[];
+  /** Gateways where it was not in force by the end of the run. */
+  readonly never: number;
+}
+
+const READY_LIMIT_MS = 30_000;
+const SETTLE_MS = 4_000;
+const LIMIT_MS = 14_000;
+const LOOK_MS = 100;
+const NOT_FOUND = 404;
+
+/** Plays one run. */
+export async function runChange(options: ChangeRunOptions): Promise<ChangeRunReport> {
+  const run = new ChangeRun(options);
+  try {
+    return await run.play();
+  } finally {
+    run.stop();
+  }
+}
+
+class ChangeRun {
+  private readonly store = new StandinStore();
+  private readonly folder = mkdtempSync(join(tmpdir(), 'weirvale-changes-'));
+  private readonly gateways: SoakProcess[] = [];
+  private version = 0;
+
+  constructor(private readonly options: ChangeRunOptions) {}
+
+  async play(): Promise<ChangeRunReport> {
+    const { gateways, mood, forMs, changeAfterMs, quietMs } = this.options;
+    process.once('exit', () => this.stop());
+    const address = await this.store.start();
+    this.change();
+    for (let index = 0; index < gateways; index += 1) {
+      this.startGateway(index, address);
+    }
+    await this.untilAll(READY_LIMIT_MS);
+    await sleepMs(SETTLE_MS);
+    this.change();
+    await sleepMs(quietMs);
+    const endMs = performance.now() + forMs;
+    this.store.mood = mood;
+    await sleepMs(changeAfterMs);
+    this.change();
+    setTimeout(() => (this.store.mood = 'answers'), endMs - performance.now());
+    const seen = await this.untilAll(endMs - performance.now() + LIMIT_MS);
+    const inForceMs = seen.map((atMs) => atMs - endMs).sort((left, right) => left - right);
+    return { inForceMs, never: gateways - seen.length };
+  }
+
+  stop(): void {
+    this.gateways.forEach((gateway) => gateway.stop());
+    this.store.stop();
+  }
+
+  /** Adds a route and drops the one before. */
+  private change(): void {
+    this.version += 1;
+    this.store.put('op/config', {
+      version: this.version,
+      routes: [
+        {
+          name: `r-${this.version}`,
+          host: 'changes.example',
+          pathPrefix: `/v${this.version}/`,
+          kind: 'safe',
+          timeoutMs: 50,
+          targetLatencyMs: 50,
+          maxAttempts: 1,
+          service: 'none',
+        },
+      ],
+      services: [{ name: 'none', maxConnections: 1 }],
+    });
+  }
+
+  /** Waits until the newest configuration is in force everywhere; when it was, by gateway that has it. */
+  private async untilAll(limitMs: number): Promise<number[]> {
+    const endMs = performance.now() + limitMs;
+    const seen = await Promise.all(
+      this.gateways.map((_gateway, index) => this.until(index, endMs)),
+    );
+    return seen.filter((atMs) => atMs !== undefined);
+  }
+
+  private async until(index: number, endMs: number): Promise<number | undefined> {
+    while (performance.now() < endMs) {
+      const [added, dropped] = await Promise.all([
+        this.status(index, this.version),
+        this.status(index, this.version - 1),
+      ]);
+      if (added !== NOT_FOUND && added !== 0 && dropped === NOT_FOUND) {
+        return performance.now();
+      }
+      await sleepMs(LOOK_MS);
+    }
+    return undefined;
+  }
+
+  private async status(index: number, version: number): Promise<number> {
+    const url = `http://${hostOf(index)}:${this.options.basePort + 1}/v${version}/x`;
+    const headers = { host: 'changes.example' };
+    const answer = await request(url, { headers }).catch(() => undefined);
+    await answer?.body.dump();
+    return answer?.statusCode ?? 0;
+  }
+
+  private startGateway(index: number, store: string): void {
+    const at = (port: number) => `${hostOf(index)}:${this.options.basePort + port}`;
+    const seeds = [0, 1, 2].map((seed) => `${hostOf(seed)}:${this.options.basePort + 3}`);
+    const name = `gateway-${index}`;
+    const path = join(this.folder, `${name}.ini`);
+    const lines = [
+      '[process]',
+      'role = gateway',
+      `name = ${name}`,
+      `zone = z${index % 3}`,
+      `address = ${hostOf(index)}`,
+      '[listen]',
+      `callers = ${at(1)}`,
+      `readiness = ${at(2)}`,
+      `peers = ${at(3)}`,
+      '[cluster]',
+      `seeds = ${seeds.join(',')}`,
+      `store = ${store}`,
+    ];
+    writeFileSync(path, lines.join('\n'));
+    const gateway = new SoakProcess(name, path, join(this.folder, `${name}.log`));
+    gateway.start();
+    this.gateways.push(gateway);
+  }
+}
+
+function hostOf(index: number): string {
+  return `127.0.5.${10 + index}`;
+}
+
+function sleepMs(delayMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, delayMs));
+}
--- a/test/support/platform-standin.ts
+++ b/test/support/platform-standin.ts
@@ -177,6 +177,10 @@
       return;
     }
     const end = () => {
+      if (this.mood === 'silent') {
+        // What a silent store would have answered is lost.
+        return;
+      }
       const events = this.history.filter(({ revision }) => revision > after);
       if (events.length > 0 || !this.watches.has(end)) {
         this.watches.delete(end);
