The soak changes routes all the while and asks each gateway for the newest and the one before

A gateway that nothing touched has to know the route that was added, and no longer the one that was dropped, 2.2 s after the change. The stand-in of the store loses what it would answer while it is silent, as a watch's answer is lost.

--- a/bench/soak/soak-fleet.ts
+++ b/bench/soak/soak-fleet.ts
@@ -18,6 +18,8 @@
   zoneOf,
 } from './soak-homes.js';
 import type { HomeChange } from './soak-homes.js';
+import { routePrefix } from './soak-routes.js';
+import type { RouteChange } from './soak-routes.js';
 
 /** Sizes of a soak. */
 export interface SoakSizes {
@@ -107,7 +109,9 @@
   /** The homes that were put in force, oldest first. */
   readonly homeChanges: HomeChange[] = [];
   readonly evacuations: SoakEvacuation[] = [];
-  private version = 0;
+  /** The configurations that were put in force, oldest first. */
+  readonly routeChanges: RouteChange[] = [];
+  private homesVersion = 0;
   /** Back ends that were given another life so far. */
   private replaced = 0;
 
@@ -153,7 +157,18 @@
 
   /** Puts a new version of the configuration in force. */
   changeConfiguration(): void {
-    this.version += 1;
+    this.homesVersion += 1;
+    this.homeChanges.push({
+      atMs: performance.now(),
+      regions: homesOfVersion(this.homesVersion),
+    });
+    this.changeRoutes();
+  }
+
+  /** Puts a configuration in force that has another route and the same homes. */
+  changeRoutes(): void {
+    const version = this.routeChanges.length + 1;
+    this.routeChanges.push({ version, atMs: performance.now() });
     const route = (name: string, kind: string, resumable: boolean) => ({
       name,
       host: 'soak.example',
@@ -167,18 +182,25 @@
       priority: 1,
       service: 'engines',
     });
-    const regions = homesOfVersion(this.version);
-    this.homeChanges.push({ atMs: performance.now(), regions });
+    const regions = homesOfVersion(this.homesVersion);
     this.store.put('op/config', {
-      version: this.version,
+      version,
       routes: [
         route('safe', 'safe', false),
         route('unsafe', 'unsafe', false),
         route('stream', 'streaming', true),
         { ...route(FIXED_HOME.name, 'safe', false), allowedRegions: FIXED_HOME.regions },
         { ...route(MOVED_HOME, 'safe', false), allowedRegions: regions },
+        // Nobody serves it: an answer tells that the route is known, and no back end is troubled.
+        {
+          ...route('asked', 'safe', false),
+          pathPrefix: routePrefix(version),
+          service: 'nobody',
+          allowAnonymous: true,
+        },
       ],
       services: [
+        { name: 'nobody', maxConnections: 1 },
         {
           name: 'engines',
           maxConnections: 200,
--- a/bench/soak/soak-run.ts
+++ b/bench/soak/soak-run.ts
@@ -7,6 +7,7 @@
 import { doFault } from './soak-faults.js';
 import { findOutsideHome } from './soak-homes.js';
 import { isOwed } from './soak-owed.js';
+import { changeRoutes } from './soak-routes.js';
 import { findUnheeded, makeStatement } from './soak-statements.js';
 import { SOAK_COLD_BOUND, SOAK_KEY, SOAK_TIMEOUT_MS, SoakFleet } from './soak-fleet.js';
 import type { SoakEvacuation, SoakSizes } from './soak-fleet.js';
@@ -80,6 +81,7 @@
   const callers = Array.from({ length: plan.callers }, (_none, index) =>
     press(fleet, index, plan.sizes.gateways, stopAtMs, seen, late),
   );
+  const endRoutes = changeRoutes(fleet, (violations) => late.push(...violations));
   const faultsEndAtMs = performance.now() + plan.faultsMs;
   const statements =
     plan.hasStatements === false ? undefined : makeStatements(fleet, plan.seed, faults);
@@ -89,6 +91,7 @@
   }
   clearInterval(statements);
   await Promise.all(callers);
+  endRoutes();
   fleet.stop();
   const calmFromMs = stopAtMs - CALM_MS;
   const isCalmSince = (requestId: string, sinceMs: number) =>
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -9,6 +9,7 @@
   runSoak,
 } from '../bench/soak/soak-run.js';
 import { findOutsideHome } from '../bench/soak/soak-homes.js';
+import { findLateRoute } from '../bench/soak/soak-routes.js';
 import { isOwed } from '../bench/soak/soak-owed.js';
 import { findUnheeded } from '../bench/soak/soak-statements.js';
 import type { SoakStatement } from '../bench/soak/soak-statements.js';
@@ -189,3 +190,17 @@
   t.false(isOwed(one('safe'), changes, [...inA, ...inB]));
   t.true(isOwed(one('home'), changes, [{ index: 0, fromMs: 1_000, untilMs: 7_000 }]));
 });
+
+test('a gateway that does not follow a change of routes is seen, unless something excuses it', (t) => {
+  const change = { version: 4, atMs: 1_000 };
+  const known = { status: 503, reason: 'no-backend' };
+  const unknown = { status: 404, reason: 'no-route' };
+  const unconfirmed = { status: 503, reason: 'configuration-unconfirmed' };
+  const answer = { gateway: 'g', change, askedAtMs: 4_000, added: known, dropped: unknown };
+  t.deepEqual(findLateRoute(answer, 0), []);
+  t.is(findLateRoute({ ...answer, added: unknown }, 0).length, 1);
+  t.is(findLateRoute({ ...answer, dropped: known }, 0).length, 1);
+  t.deepEqual(findLateRoute({ ...answer, dropped: unconfirmed }, 0), []);
+  t.deepEqual(findLateRoute({ ...answer, added: unknown }, 4_500), []);
+  t.deepEqual(findLateRoute({ ...answer, added: unknown, askedAtMs: 3_000 }, 0), []);
+});
--- a/test/support/platform-standin.ts
+++ b/test/support/platform-standin.ts
@@ -179,6 +179,8 @@
     const end = () => {
       if (this.mood === 'silent') {
         // What a silent store would have answered is lost.
+        this.watches.delete(end);
+        clearTimeout(timer);
         return;
       }
       const events = this.history.filter(({ revision }) => revision > after);
