--- a/bench/soak/change-run.ts
+++ b/bench/soak/change-run.ts
@@ -51,12 +51,13 @@
   private readonly folder = mkdtempSync(join(tmpdir(), 'weirvale-changes-'));
   private readonly gateways: SoakProcess[] = [];
   private version = 0;
+  private readonly stopAtExit = () => this.stop();
 
   constructor(private readonly options: ChangeRunOptions) {}
 
   async play(): Promise<ChangeRunReport> {
     const { gateways, mood, forMs, changeAfterMs, quietMs } = this.options;
-    process.once('exit', () => this.stop());
+    process.once('exit', this.stopAtExit);
     const address = await this.store.start();
     this.change();
     for (let index = 0; index < gateways; index += 1) {
@@ -77,6 +78,7 @@
   }
 
   stop(): void {
+    process.off('exit', this.stopAtExit);
     this.gateways.forEach((gateway) => gateway.stop());
     this.store.stop();
   }
--- a/src/cluster/store-follower.ts
+++ b/src/cluster/store-follower.ts
@@ -3,71 +3,17 @@
 import { sleep } from '../clock.js';
 import type { RandomSource } from '../random.js';
 import { withJitter } from '../random.js';
-import type { Result } from '../result.js';
-import { WeirvaleError } from '../request/errors.js';
-import type { StoreRecord } from './replicated-records.js';
-
-/** The store refused, was silent, or gave an answer that is none. */
-export class StoreUnavailableError extends WeirvaleError {
-  readonly code = 'store-unavailable';
-}
-
-/** The store no longer keeps the history that a watch needs. */
-export class StoreHistoryGoneError extends WeirvaleError {
-  readonly code = 'store-history-gone';
-}
-
-/** A key was changed since the revision that a write was meant to follow. */
-export class StoreConflictError extends WeirvaleError {
-  readonly code = 'store-conflict';
-}
-
-/** Records and the store's revision that they were read at. */
-export interface StoreRead {
-  readonly records: readonly StoreRecord[];
-  readonly revision: number;
-}
-
-/** The calls of the store that a follower makes. */
-export interface ClusterStore {
-  /** Reads every record. */
-  list(): Promise<Result<StoreRead, StoreUnavailableError>>;
-  /** Waits up to `waitMs` for changes after `revision`. */
-  watch(
-    revision: number,
-    waitMs: number,
-  ): Promise<Result<StoreRead, StoreUnavailableError | StoreHistoryGoneError>>;
-}
-
-/** The call of the store by which records are written. */
-export interface StoreWriter {
-  /**
-   * Writes `text` under `key` if that is at `expectedRevision` (0: does not exist). A write without an
-   * answer may have been done, or may be done later.
-   *
-   * @returns the store's revision of the write
-   */
-  put(
-    key: string,
-    text: string,
-    expectedRevision: number,
-  ): Promise<Result<number, StoreUnavailableError | StoreConflictError>>;
-}
-
-/** How records came to a process. */
-export type RecordsSource =
-  | 'watch'
-  | 'listing'
-  /** A listing right after an outage, which adds and removes nothing. */
-  | 'listing-after-outage'
-  /** Another process's replica. */
-  | 'peer';
-
-/** A kind of call of the store. */
-export type StoreCall = 'list' | 'watch';
-
-/** How a call of the store ended. */
-export type StoreCallResult = 'answered' | 'history-gone' | 'failed';
+import type { WeirvaleError } from '../request/errors.js';
+import { StoreHistoryGoneError } from './cluster-store.js';
+import type { ClusterStore, StoreRead } from './cluster-store.js';
+import { StoreCalls } from './store-calls.js';
+import type {
+  CallOutcome,
+  PlannedCall,
+  StoreCall,
+  StoreCallResult,
+  StoreCallsOptions,
+} from './store-calls.js';
 
 /** Who hears of what the follower learned. */
 export interface StoreFollowerHandlers {
@@ -100,19 +46,13 @@
 }
 
 /** Times of a follower, in milliseconds. */
-export interface StoreFollowerOptions {
+export interface StoreFollowerOptions extends StoreCallsOptions {
   /**
    * Longest wait of one watch; each waits for a random time from the half of it up, so that those of several
    * followers end at different moments. Default 1,500: with the time until a call is overdue, the longest that a
    * store which is back, or a path, is not noticed.
    */
   readonly watchMs: number;
-  /** Time beyond its wait after which a call is overdue, while answers do not take longer. Default 300. */
-  readonly overdueMs: number;
-  /** Longest such time. Default 1,500. */
-  readonly overdueMaxMs: number;
-  /** Calls that may be under way at once, overdue ones included. Default 4. */
-  readonly openCalls: number;
   /** Pause after a watch that saw changes, in which further ones gather, for a few followers. Default 150. */
   readonly gatherMs: number;
   /**
@@ -157,25 +97,6 @@
 
 const RETRY_SPREAD = 0.3;
 const GATHER_SPREAD = 0.6;
-/** Times of the usual answer after which a call is overdue. */
-const OVERDUE_TIMES_USUAL = 2;
-/** Weight of a quicker answer in the usual time; a slower one counts at once. */
-const QUICKER_WEIGHT = 0.3;
-
-/** What came of a call by the time it was overdue. */
-type CallOutcome =
-  | { readonly kind: 'answered'; readonly revision: number }
-  | { readonly kind: 'failed'; readonly error: WeirvaleError }
-  | { readonly kind: 'overdue' };
-
-/** A call of the store that is to be made. */
-interface PlannedCall<Failure extends WeirvaleError> {
-  readonly call: StoreCall;
-  /** How long the store may hold it back, in milliseconds. */
-  readonly waitMs: number;
-  send(): Promise<Result<StoreRead, Failure>>;
-  take(read: StoreRead): void;
-}
 
 /** Follows the store until it is stopped. */
 export class StoreFollower {
@@ -190,9 +111,7 @@
   private firstRelistAtMs: number | undefined;
   private retryMs: number;
   private isResting = false;
-  private openCalls = 0;
-  /** Time that the store takes to answer beside the wait, in milliseconds. */
-  private usualAnswerMs = 0;
+  private readonly calls: StoreCalls;
 
   constructor(
     private readonly store: ClusterStore,
@@ -202,6 +121,7 @@
     private readonly options: StoreFollowerOptions = DEFAULT_STORE_FOLLOWER_OPTIONS,
   ) {
     this.retryMs = options.retryMinMs;
+    this.calls = new StoreCalls(clock, options, (call, result) => handlers.onCall(call, result));
   }
 
   /** Runs until `stop` is called. */
@@ -349,51 +269,13 @@
     return Math.round(Math.max(1, Math.min(waitMs, untilRelistMs)));
   }
 
-  /**
-   * Makes a call and waits until it is answered or overdue. An answer that never comes says nothing, so it is not
-   * waited for to the end of its time: the process would count as one that follows the store, for itself and
-   * for others. An overdue answer is taken in when it comes.
-   */
-  private async ask<Failure extends WeirvaleError>({
-    call,
-    waitMs,
-    send,
-    take,
-  }: PlannedCall<Failure>): Promise<CallOutcome> {
-    while (this.openCalls >= this.options.openCalls) {
+  private async ask<Failure extends WeirvaleError>(
+    call: PlannedCall<Failure>,
+  ): Promise<CallOutcome> {
+    while (this.calls.isFull) {
       await this.pause();
     }
-    const startedAtMs = this.clock.now();
-    this.openCalls += 1;
-    const answer = send().then((read): CallOutcome => {
-      this.openCalls -= 1;
-      this.handlers.onCall(call, callResult(read));
-      if (!read.ok) {
-        return { kind: 'failed', error: read.val };
-      }
-      this.noteAnswer(startedAtMs, waitMs, read.val);
-      take(read.val);
-      return { kind: 'answered', revision: read.val.revision };
-    });
-    const limitMs = waitMs + this.overdueMs;
-    const overdue = sleep(this.clock, limitMs).then((): CallOutcome => ({ kind: 'overdue' }));
-    return Promise.race([answer, overdue]);
-  }
-
-  /** Time beyond its wait after which a call is overdue, in milliseconds. */
-  private get overdueMs(): number {
-    const { overdueMs, overdueMaxMs } = this.options;
-    return Math.min(overdueMaxMs, Math.max(overdueMs, this.usualAnswerMs * OVERDUE_TIMES_USUAL));
-  }
-
-  /** Learns how long answers take; one with changes may come at any moment of its wait. */
-  private noteAnswer(startedAtMs: number, waitMs: number, { records }: StoreRead): void {
-    const tookMs = this.clock.now() - startedAtMs - waitMs;
-    const isQuicker = tookMs < this.usualAnswerMs;
-    if (waitMs === 0 || records.length === 0) {
-      const weight = isQuicker ? QUICKER_WEIGHT : 1;
-      this.usualAnswerMs += weight * (Math.max(0, tookMs) - this.usualAnswerMs);
-    }
+    return this.calls.ask(call);
   }
 
   /** Spread at random, so that of many followers some ask at any moment. */
@@ -437,10 +319,3 @@
     }
   }
 }
-
-function callResult(read: Result<StoreRead, WeirvaleError>): StoreCallResult {
-  if (read.ok) {
-    return 'answered';
-  }
-  return read.val instanceof StoreHistoryGoneError ? 'history-gone' : 'failed';
-}
--- a/src/gateway/gateway-adapter.ts
+++ b/src/gateway/gateway-adapter.ts
@@ -3,7 +3,7 @@
   ClusterStore,
   StoreConflictError,
   StoreUnavailableError,
-} from '../cluster/store-follower.js';
+} from '../cluster/cluster-store.js';
 import type { Result } from '../result.js';
 import type { RolloutOrder, RolloutState } from '../rollout/rollout-order.js';
 import type { DecodeRecord } from '../routing/decoded-record.js';
--- a/src/gateway/gateway-cluster.ts
+++ b/src/gateway/gateway-cluster.ts
@@ -9,7 +9,7 @@
 import type { ReplicaReach, StoreRecord } from '../cluster/replicated-records.js';
 import { StoreFollower } from '../cluster/store-follower.js';
 import type { PeerNetwork } from '../cluster/peer-network.js';
-import type { ClusterStore, RecordsSource } from '../cluster/store-follower.js';
+import type { ClusterStore, RecordsSource } from '../cluster/cluster-store.js';
 import { DEFAULT_STORE_READERS_OPTIONS, StoreReaders } from '../cluster/store-readers.js';
 import type { Clock } from '../clock.js';
 import type { RandomSource } from '../random.js';
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -1,6 +1,6 @@
 /** The gateway: joins the cluster's state, the dispatcher and the listeners. */
 import type { StoreRecord } from '../cluster/replicated-records.js';
-import type { RecordsSource } from '../cluster/store-follower.js';
+import type { RecordsSource } from '../cluster/cluster-store.js';
 import type { Clock } from '../clock.js';
 import type { RandomSource } from '../random.js';
 import type { Backend } from '../routing/backend.js';
--- a/test/crash-record.test.ts
+++ b/test/crash-record.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { StoreConflictError, StoreUnavailableError } from '../src/cluster/store-follower.js';
+import { StoreConflictError, StoreUnavailableError } from '../src/cluster/cluster-store.js';
 import {
   CrashRecordWriter,
   DEFAULT_CRASH_RECORD_OPTIONS,
--- a/test/crashing-requests-fleet.test.ts
+++ b/test/crashing-requests-fleet.test.ts
@@ -5,7 +5,7 @@
 import test from 'ava';
 import { CrashRecordWriter } from '../src/gateway/crashes/crash-record.js';
 import type { StoredCrashes } from '../src/gateway/crashes/crash-record.js';
-import { StoreConflictError } from '../src/cluster/store-follower.js';
+import { StoreConflictError } from '../src/cluster/cluster-store.js';
 import { CrashingRequests } from '../src/gateway/crashes/crashing-requests.js';
 import type { RequestRun } from '../src/gateway/crashes/crashing-requests.js';
 import type { RequestCrashes } from '../src/gateway/crashes/crash-tally.js';
--- a/test/store-follower.test.ts
+++ b/test/store-follower.test.ts
@@ -1,10 +1,7 @@
 import test from 'ava';
-import {
-  StoreFollower,
-  StoreHistoryGoneError,
-  StoreUnavailableError,
-} from '../src/cluster/store-follower.js';
-import type { ClusterStore, StoreRead } from '../src/cluster/store-follower.js';
+import { StoreHistoryGoneError, StoreUnavailableError } from '../src/cluster/cluster-store.js';
+import { StoreFollower } from '../src/cluster/store-follower.js';
+import type { ClusterStore, StoreRead } from '../src/cluster/cluster-store.js';
 import { sleep } from '../src/clock.js';
 import { SeededRandom } from '../src/random.js';
 import { err, ok } from '../src/result.js';
--- a/test/store-troubles.test.ts
+++ b/test/store-troubles.test.ts
@@ -35,6 +35,7 @@
 /** The parts of a process that a variant breaks. */
 interface Inside {
   readonly follower: {
+    readonly calls: object;
     readonly options: object;
   };
   readonly records: object;
@@ -52,7 +53,7 @@
     name: 'a call is waited for to its end',
     seed: 23,
     breakInside: ({ follower }) => {
-      Object.defineProperty(follower, 'overdueMs', { get: () => 5_000 });
+      Object.defineProperty(follower.calls, 'overdueMs', { get: () => 5_000 });
       Object.assign(follower, { options: { ...follower.options, watchMs: 5_000 } });
     },
   },
--- a/test/support/quota-fleet.ts
+++ b/test/support/quota-fleet.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '../../src/clock.js';
 import type { PeerHello, PeerMessage } from '../../src/cluster/peer-messages.js';
 import { NO_REACH } from '../../src/cluster/replicated-records.js';
-import { StoreConflictError, StoreUnavailableError } from '../../src/cluster/store-follower.js';
+import { StoreConflictError, StoreUnavailableError } from '../../src/cluster/cluster-store.js';
 import { GatewayQuotas } from '../../src/gateway/gateway-quotas.js';
 import { GatewayStatements } from '../../src/gateway/gateway-statements.js';
 import type { GatewayMetrics } from '../../src/gateway/metrics/gateway-metrics.js';
--- a/test/support/rollout-fleet.ts
+++ b/test/support/rollout-fleet.ts
@@ -1,5 +1,5 @@
 import { err, ok } from '../../src/result.js';
-import { StoreConflictError, StoreUnavailableError } from '../../src/cluster/store-follower.js';
+import { StoreConflictError, StoreUnavailableError } from '../../src/cluster/cluster-store.js';
 import { SeededRandom } from '../../src/random.js';
 import type { Backend } from '../../src/routing/backend.js';
 import { Rollouts } from '../../src/rollout/rollouts.js';
--- a/test/support/store-fleet.ts
+++ b/test/support/store-fleet.ts
@@ -4,7 +4,7 @@
  * looked at all the while.
  */
 import type { StoreRecord } from '../../src/cluster/replicated-records.js';
-import type { RecordsSource } from '../../src/cluster/store-follower.js';
+import type { RecordsSource } from '../../src/cluster/cluster-store.js';
 import type { Clock } from '../../src/clock.js';
 import { GatewayCluster } from '../../src/gateway/gateway-cluster.js';
 import type { GatewayClusterParts } from '../../src/gateway/gateway-cluster.js';
--- a/test/support/virtual-store.ts
+++ b/test/support/virtual-store.ts
@@ -1,8 +1,8 @@
 /** A store on a virtual clock, before machines that it may turn away and paths that may be cut. */
 import type { Result } from '../../src/result.js';
 import { err, ok } from '../../src/result.js';
-import { StoreHistoryGoneError, StoreUnavailableError } from '../../src/cluster/store-follower.js';
-import type { ClusterStore, StoreRead } from '../../src/cluster/store-follower.js';
+import { StoreHistoryGoneError, StoreUnavailableError } from '../../src/cluster/cluster-store.js';
+import type { ClusterStore, StoreRead } from '../../src/cluster/cluster-store.js';
 import type { StoreRecord } from '../../src/cluster/replicated-records.js';
 import type { RandomSource } from '../../src/random.js';
 import type { HeapClock } from './heap-clock.js';
