--- a/src/cli/queries/explain-logs.ts
+++ b/src/cli/queries/explain-logs.ts
@@ -47,6 +47,8 @@
   'stopping',
   'store-lost',
   'store-regained',
+  'knowledge-old',
+  'knowledge-confirmed',
   'configuration-installed',
   'configuration-refused',
   'backend-gone',
--- a/src/cluster/peer-network.ts
+++ b/src/cluster/peer-network.ts
@@ -20,7 +20,7 @@
 export interface PeerNetwork {
   /** Opens a connection. */
   connect(port: number, host: string): OpenedSocket;
-  /** Prepares to take connections; errors of the listener itself are left to its owner's health checks. */
+  /** Prepares to take connections. A listener that cannot listen is silent: its process is not found by others. */
   createListener(onConnection: (socket: MessageSocket) => void): PeerListener;
 }
 
--- a/src/cluster/record-exchange.ts
+++ b/src/cluster/record-exchange.ts
@@ -73,7 +73,7 @@
   /** The replica that was asked last. */
   private asked: string | undefined;
   private timer: TimerHandle | undefined;
-  private behindSince: number | undefined;
+  private behindSinceMs: number | undefined;
 
   constructor(
     private readonly records: ReplicatedRecords,
@@ -84,8 +84,8 @@
 
   /** For how long some replica has been ahead of this one, in milliseconds; 0 if none is. */
   get behindMs(): number {
-    this.forgetLevel();
-    return this.behindSince === undefined ? 0 : this.clock.now() - this.behindSince;
+    const isBehind = [...this.ahead.values()].some(({ reach }) => this.records.isBehind(reach));
+    return isBehind && this.behindSinceMs !== undefined ? this.clock.now() - this.behindSinceMs : 0;
   }
 
   /** The replica `name` told how far it reaches. */
@@ -93,9 +93,10 @@
     if (!this.records.isBehind(reach)) {
       return;
     }
+    this.forgetLevel();
     const lastFetch = this.ahead.get(name)?.lastFetch ?? 0;
     this.ahead.set(name, { reach, sendFetch, lastFetch, isAsked: false });
-    this.behindSince ??= this.clock.now();
+    this.behindSinceMs ??= this.clock.now();
     if (this.timer !== undefined) {
       return;
     }
@@ -160,7 +161,7 @@
       }
     }
     if (this.ahead.size === 0) {
-      this.behindSince = undefined;
+      this.behindSinceMs = undefined;
     }
   }
 }
--- a/src/gateway/gateway-cluster.ts
+++ b/src/gateway/gateway-cluster.ts
@@ -63,6 +63,7 @@
   private readonly follower: StoreFollower;
   private readonly knowledge = new KnowledgeAge();
   private isStoreReader = true;
+  private wasKnowledgeOld = true;
 
   constructor(private readonly parts: GatewayClusterParts) {
     const { incarnation, clock, onRecords } = parts;
@@ -136,6 +137,7 @@
   /** Sends to peers what is due; to be called each tick. */
   tick(): void {
     this.peers.tick();
+    this.noteKnowledge();
   }
 
   /** Says `message` to the gateway at `address`; false if no connection to it stands. */
@@ -240,6 +242,20 @@
     return mustRead;
   }
 
+  private noteKnowledge(): void {
+    const isOld = this.isKnowledgeOld;
+    if (isOld === this.wasKnowledgeOld) {
+      return;
+    }
+    this.wasKnowledgeOld = isOld;
+    this.parts.log.write(isOld ? 'knowledge-old' : 'knowledge-confirmed', 'state', {
+      storeAgeMs: this.storeAgeMs,
+      ...this.records.reach,
+      behindMs: this.exchange.behindMs,
+      isReading: this.follower.isFollowing,
+    });
+  }
+
   private noteStore(isReachable: boolean, reason: string, heldMs: number): void {
     const { metrics, log } = this.parts;
     metrics.record(({ storeReachable }) => storeReachable.set(isReachable ? 1 : 0));
--- a/src/gateway/links/gateway-peers.ts
+++ b/src/gateway/links/gateway-peers.ts
@@ -153,7 +153,7 @@
   tick(): void {
     this.ticks += 1;
     this.mesh.reopenSilent(Math.max(REOPEN_SILENCE_MS, this.beatMs * REOPEN_SILENCE_BEATS));
-    if (this.ticks % this.beatTicks === 0 || this.parts.isReading() !== this.toldReading) {
+    if (this.ticks % this.beatTicks === 0 || this.hasReadingChanged) {
       this.beat();
     } else {
       this.tellReach();
@@ -201,13 +201,16 @@
     }
   }
 
+  /** Others read the store in the place of one that no longer does, so they are told at once. */
+  private get hasReadingChanged(): boolean {
+    return this.parts.isReading() !== this.toldReading;
+  }
+
   private beat(): void {
     const { records } = this.parts;
     const { reach } = records;
     const hasRollouts = this.parts.rollouts.tell() !== undefined;
-    // Others read the store in the place of one that no longer does, so they are told at once.
-    const hasReadingChanged = this.parts.isReading() !== this.toldReading;
-    const hasNews = isFurther(reach, this.beatReach) || hasRollouts || hasReadingChanged;
+    const hasNews = isFurther(reach, this.beatReach) || hasRollouts || this.hasReadingChanged;
     if (hasNews || this.ticks - this.lastBeatTick >= IDLE_BEAT_TICKS) {
       this.lastBeatTick = this.ticks;
       this.beatReach = reach;
--- a/src/telemetry/decision-log.ts
+++ b/src/telemetry/decision-log.ts
@@ -35,6 +35,8 @@
   'store-lost',
   'store-regained',
   'store-changes-missing',
+  'knowledge-old',
+  'knowledge-confirmed',
   'store-reader-on',
   'store-reader-off',
   'peer-heard',
--- a/test/late-configuration.test.ts
+++ b/test/late-configuration.test.ts
@@ -120,3 +120,18 @@
     t.deepEqual(fleet.late, [], `seed ${seed}`);
   }
 });
+
+test('lines tell when the knowledge of a gateway is old, and when it is confirmed again', async (t) => {
+  const fleet = await startFleet(1, 3);
+  const lines: Array<readonly [string, string]> = [];
+  fleet.onLine = ({ address }, event) => lines.push([address, event]);
+  fleet.troubleStore('silent', 4_000);
+  await fleet.run(9_000);
+  for (const { address } of fleet.machines) {
+    const told = lines.filter(([from, event]) => from === address && event.startsWith('knowledge'));
+    t.deepEqual(
+      told.map(([, event]) => event),
+      ['knowledge-old', 'knowledge-confirmed'],
+    );
+  }
+});
