--- a/test/support/store-fleet.ts
+++ b/test/support/store-fleet.ts
@@ -4,7 +4,6 @@
  * looked at all the while.
  */
 import type { StoreRecord } from '../../src/cluster/replicated-records.js';
-import type { RecordsSource } from '../../src/cluster/cluster-store.js';
 import type { Clock } from '../../src/clock.js';
 import { GatewayCluster } from '../../src/gateway/gateway-cluster.js';
 import type { GatewayClusterParts } from '../../src/gateway/gateway-cluster.js';
@@ -54,8 +53,7 @@
 
 /** Trouble of the store, in milliseconds. */
 interface StoreTrouble {
-  readonly fromMs: number;
-  untilMs: number;
+  readonly untilMs: number;
   /** Whether the store is down, slow or loses answers, for all. */
   readonly isWhole: boolean;
 }
@@ -74,8 +72,6 @@
   version = 0;
   /** Whether it knows the zone as evacuated. */
   isEvacuated = false;
-  /** How it came, and when. */
-  learned: { readonly source: RecordsSource; readonly atMs: number } | undefined;
   /** Until when it was killed, paused or cut off from all, in milliseconds. */
   disturbedUntilMs = 0;
   /** Until when it has no path to the store, or is turned away, and to other gateways. */
@@ -122,7 +118,6 @@
     const start = this.starts;
     this.version = 0;
     this.isEvacuated = false;
-    this.learned = undefined;
     const host: NetworkHost = {
       address: this.address,
       act: (action) => this.actIn(start, action),
@@ -182,14 +177,13 @@
     });
   }
 
-  take(records: readonly StoreRecord[], source: RecordsSource): void {
+  take(records: readonly StoreRecord[]): void {
     for (const { key, value } of records) {
       if (key === ORDER_KEY) {
         this.isEvacuated = value !== undefined;
       }
       if (key === KEY && value !== undefined && Number(value) > this.version) {
         this.version = Number(value);
-        this.learned = { source, atMs: this.fleet.clock.now() };
       }
     }
   }
@@ -341,14 +335,12 @@
     return this.troubledUntilMs >= sinceMs;
   }
 
-  /** Whether the store was in trouble at some moment since `sinceMs`; only trouble for all if `isWhole`. */
-  wasStoreTroubled(sinceMs: number, isWhole = false): boolean {
-    return this.storeTroubles.some(
-      (trouble) => trouble.untilMs >= sinceMs && (trouble.isWhole || !isWhole),
-    );
+  /** Whether the store was in trouble at some moment since `sinceMs`. */
+  wasStoreTroubled(sinceMs: number): boolean {
+    return this.storeTroubles.some(({ untilMs }) => untilMs >= sinceMs);
   }
 
-  /** When the last trouble of the store ends or ended that is over by `nowMs`, or goes on, in milliseconds. */
+  /** When the last trouble of the store ends or ended, for all gateways or for some, in milliseconds. */
   storeTroubledUntilMs(isWhole: boolean): number {
     const ends = this.storeTroubles
       .filter((trouble) => trouble.isWhole === isWhole)
@@ -381,8 +373,7 @@
           this.onLine?.(machine, event, fields),
       },
       metrics: { record: () => undefined },
-      onRecords: (records: readonly StoreRecord[], source: RecordsSource) =>
-        machine.take(records, source),
+      onRecords: (records: readonly StoreRecord[]) => machine.take(records),
     };
     return parts as unknown as GatewayClusterParts;
   }
@@ -413,9 +404,9 @@
   }
 
   private noteStoreTrouble(forMs: number, isWhole: boolean): void {
-    const fromMs = this.clock.now();
-    this.storeTroubles.push({ fromMs, untilMs: fromMs + forMs, isWhole });
-    this.noteTrouble(fromMs + forMs);
+    const untilMs = this.clock.now() + forMs;
+    this.storeTroubles.push({ untilMs, isWhole });
+    this.noteTrouble(untilMs);
   }
 
   private look(): void {
