Lines tell which epoch the store's answers name, and what of them is older than known

The incident's hypotheses could not be told apart: no line said at which revision, and in which of the store's epochs, it answered after its return, or that a record of an answer was passed over.

--- a/src/cluster/cluster-store.ts
+++ b/src/cluster/cluster-store.ts
@@ -22,6 +22,8 @@
 export interface StoreRead {
   readonly records: readonly StoreRecord[];
   readonly revision: number;
+  /** Rises when the store comes back from a copy of an earlier state; undefined where the store does not say. */
+  readonly epoch?: number | undefined;
 }
 
 /** The calls of the store that a follower makes. */
--- a/src/cluster/json-call.ts
+++ b/src/cluster/json-call.ts
@@ -1,6 +1,6 @@
 /** One call with a JSON answer and a bound on its whole duration. */
 import { request } from 'node:http';
-import type { Agent } from 'node:http';
+import type { Agent, IncomingHttpHeaders } from 'node:http';
 import { WeirvaleError } from '../request/errors.js';
 import { err, ok } from '../result.js';
 import type { Result } from '../result.js';
@@ -29,6 +29,7 @@
 /** A JSON answer. */
 export interface JsonAnswer {
   readonly status: number;
+  readonly headers: IncomingHttpHeaders;
   readonly body: unknown;
 }
 
@@ -70,16 +71,21 @@
       response.on('close', () => fail(new Error('the connection closed')));
       response.on('end', () => {
         clearTimeout(timer);
-        resolve(parse(response.statusCode ?? 0, Buffer.concat(chunks).toString('utf8')));
+        const text = Buffer.concat(chunks).toString('utf8');
+        resolve(parse(response.statusCode ?? 0, response.headers, text));
       });
     });
     call.end(body === undefined ? undefined : JSON.stringify(body));
   });
 }
 
-function parse(status: number, text: string): Result<JsonAnswer, CallFailedError> {
+function parse(
+  status: number,
+  headers: IncomingHttpHeaders,
+  text: string,
+): Result<JsonAnswer, CallFailedError> {
   try {
-    return ok({ status, body: text === '' ? undefined : JSON.parse(text) });
+    return ok({ status, headers, body: text === '' ? undefined : JSON.parse(text) });
   } catch {
     return err(new CallFailedError(`status ${status} without JSON`, 'broken'));
   }
--- a/src/cluster/replicated-records.ts
+++ b/src/cluster/replicated-records.ts
@@ -72,6 +72,14 @@
     return isFurther(reach, this.reach);
   }
 
+  /** Known records that are newer than those of `read` with the same keys. */
+  findNewerThan(read: readonly StoreRecord[]): StoreRecord[] {
+    return read.flatMap(({ key, revision }) => {
+      const known = this.records.get(key);
+      return known !== undefined && known.revision > revision ? [known] : [];
+    });
+  }
+
   /** Takes a record in; says whether it was news. */
   apply(record: StoreRecord): boolean {
     const known = this.records.get(record.key);
--- a/src/gateway/gateway-cluster.ts
+++ b/src/gateway/gateway-cluster.ts
@@ -9,7 +9,7 @@
 import type { ReplicaReach, StoreRecord } from '../cluster/replicated-records.js';
 import { StoreFollower } from '../cluster/store-follower.js';
 import type { PeerNetwork } from '../cluster/peer-network.js';
-import type { ClusterStore, RecordsSource } from '../cluster/cluster-store.js';
+import type { ClusterStore, RecordsSource, StoreRead } from '../cluster/cluster-store.js';
 import { DEFAULT_STORE_READERS_OPTIONS, StoreReaders } from '../cluster/store-readers.js';
 import type { Clock } from '../clock.js';
 import type { RandomSource } from '../random.js';
@@ -64,6 +64,7 @@
   private readonly knowledge = new KnowledgeAge();
   private isStoreReader = true;
   private wasKnowledgeOld = true;
+  private storeEpoch: number | undefined;
 
   constructor(private readonly parts: GatewayClusterParts) {
     const { incarnation, clock, onRecords } = parts;
@@ -199,12 +200,18 @@
     return new StoreFollower(
       store,
       {
-        onListing: ({ records, revision }) =>
-          onRecords(this.records.applyListing(records, revision), 'listing'),
-        onListingAfterOutage: ({ records, revision }) =>
-          onRecords(this.records.addListing(records, revision), 'listing-after-outage'),
-        onChanges: ({ records, revision }, since) =>
-          onRecords(this.records.applyChanges(records, since, revision), 'watch'),
+        onListing: (read) => {
+          this.noteRead(read, 'listing');
+          onRecords(this.records.applyListing(read.records, read.revision), 'listing');
+        },
+        onListingAfterOutage: (read) => {
+          this.noteRead(read, 'listing-after-outage');
+          onRecords(this.records.addListing(read.records, read.revision), 'listing-after-outage');
+        },
+        onChanges: (read, since) => {
+          this.noteRead(read, 'watch');
+          onRecords(this.records.applyChanges(read.records, since, read.revision), 'watch');
+        },
         onConfirmed: (atMs) => this.knowledge.confirm(atMs),
         onChangesMissing: (seenTo, revision) =>
           this.parts.log.write('store-changes-missing', 'state', { seenTo, revision }),
@@ -256,6 +263,26 @@
     });
   }
 
+  /** Tells where the store, or a record of it, is older than what is known: the known one stays. */
+  private noteRead({ records, revision, epoch }: StoreRead, source: RecordsSource): void {
+    const { log } = this.parts;
+    const { completeTo, currentTo } = this.records.reach;
+    if (epoch !== this.storeEpoch) {
+      log.write('store-epoch', 'state', { epoch, before: this.storeEpoch, revision, currentTo });
+      this.storeEpoch = epoch;
+    }
+    if (revision < currentTo) {
+      log.write('store-read-older', 'state', { source, epoch, revision, completeTo, currentTo });
+    }
+    const passedOver = this.records.findNewerThan(records);
+    const [first] = passedOver;
+    if (first !== undefined) {
+      const { key, revision: known } = first;
+      const fields = { source, epoch, revision, key, known, records: passedOver.length };
+      log.write('records-passed-over', 'state', fields);
+    }
+  }
+
   private noteStore(isReachable: boolean, reason: string, heldMs: number): void {
     const { metrics, log } = this.parts;
     metrics.record(({ storeReachable }) => storeReachable.set(isReachable ? 1 : 0));
