Failing tests: what is written after the store came back from a copy is not taken in

What callers saw: requests handled by a configuration older than one confirmed 2 s before, and requests sent to a back end 3 s after its word that it leaves.

On the virtual clock, real followers, readers, exchange and mesh; the store is away for .1 to 3 s and comes back as it was .2 to 20 s before it went, what was lost is written again within .5 s, then two changes and two back ends that leave.

--- a/test/support/store-fleet.ts
+++ b/test/support/store-fleet.ts
@@ -44,6 +44,12 @@
   readonly atMs: number;
 }
 
+/** A back end that said it leaves. */
+export interface FleetLeave {
+  readonly backend: string;
+  readonly atMs: number;
+}
+
 /** A gateway that did not know a change when it had to. */
 export interface LateGateway {
   readonly gateway: string;
@@ -64,6 +70,16 @@
 /** The key that changes are written under, and one that comes and goes. */
 const KEY = 'op/config';
 const ORDER_KEY = 'op/evacuate/z';
+/** Keys that back ends announce themselves under. */
+const BACKEND_PREFIX = 'servers/';
+/** Longest time until owners write again what a copy of the store lacks. */
+const REWRITE_MS = 500;
+
+/** What a back end says of itself. */
+interface BackendEntry {
+  readonly sequence: number;
+  readonly state: 'ready' | 'draining';
+}
 
 /** A machine and the gateway that runs on it, start after start. */
 export class FleetMachine implements NetworkHost {
@@ -72,6 +88,8 @@
   version = 0;
   /** Whether it knows the zone as evacuated. */
   isEvacuated = false;
+  /** Whether back ends that it knows leave, by id. */
+  readonly leaving = new Map<string, boolean>();
   /** Until when it was killed, paused or cut off from all, in milliseconds. */
   disturbedUntilMs = 0;
   /** Until when it has no path to the store, or is turned away, and to other gateways. */
@@ -118,6 +136,7 @@
     const start = this.starts;
     this.version = 0;
     this.isEvacuated = false;
+    this.leaving.clear();
     const host: NetworkHost = {
       address: this.address,
       act: (action) => this.actIn(start, action),
@@ -182,12 +201,23 @@
       if (key === ORDER_KEY) {
         this.isEvacuated = value !== undefined;
       }
+      if (key.startsWith(BACKEND_PREFIX)) {
+        this.takeBackend(key.slice(BACKEND_PREFIX.length), value);
+      }
       if (key === KEY && value !== undefined && Number(value) > this.version) {
         this.version = Number(value);
       }
     }
   }
 
+  private takeBackend(id: string, value: string | undefined): void {
+    if (value === undefined) {
+      this.leaving.delete(id);
+    } else {
+      this.leaving.set(id, (JSON.parse(value) as BackendEntry).state === 'draining');
+    }
+  }
+
   private disturb(untilMs: number): void {
     this.fleet.noteTrouble(untilMs);
     this.disturbedUntilMs = Math.max(this.disturbedUntilMs, untilMs);
@@ -203,6 +233,13 @@
   readonly machines: readonly FleetMachine[];
   readonly changes: FleetChange[] = [];
   readonly orders: FleetOrder[] = [];
+  readonly leaves: FleetLeave[] = [];
+  private readonly backends = new Map<string, BackendEntry>();
+  /** Gateways that took a back end for ready that leaves, each once for each. */
+  readonly lateForLeaves: string[] = [];
+  /** When a gateway that does not know that a back end leaves is late. */
+  isLateForLeave: (machine: FleetMachine, leave: FleetLeave, nowMs: number) => boolean = () =>
+    false;
   /** Gateways that were late for an order, or for its end. */
   readonly lateForOrders: string[] = [];
   /** When a gateway that does not know whether the zone is evacuated is late. */
@@ -267,6 +304,10 @@
   order(isOrdered: boolean): void {
     const number = this.orders.length + 1;
     this.orders.push({ number, isOrdered, atMs: this.clock.now() });
+    this.writeOrder(isOrdered);
+  }
+
+  private writeOrder(isOrdered: boolean): void {
     if (isOrdered) {
       this.store.put(ORDER_KEY, '{}');
     } else {
@@ -274,6 +315,53 @@
     }
   }
 
+  /** A back end announces itself. */
+  announce(backend: string): void {
+    this.writeBackend(backend, { sequence: 1, state: 'ready' });
+  }
+
+  /** A back end says that it leaves. */
+  leave(backend: string): void {
+    const sequence = (this.backends.get(backend)?.sequence ?? 0) + 1;
+    this.writeBackend(backend, { sequence, state: 'draining' });
+    this.leaves.push({ backend, atMs: this.clock.now() });
+  }
+
+  private writeBackend(backend: string, entry: BackendEntry): void {
+    this.backends.set(backend, entry);
+    this.store.put(`${BACKEND_PREFIX}${backend}`, JSON.stringify(entry));
+  }
+
+  /**
+   * The store is away and comes back with its state of `copyAgeMs` before it went; the owners of what is gone write it
+   * again soon after.
+   */
+  restoreStore(awayMs: number, copyAgeMs: number, treatment: StoreTreatment = 'resets'): void {
+    const copyAtMs = this.clock.now() - copyAgeMs;
+    this.troubleStore(treatment, awayMs);
+    this.at(this.clock.now() + awayMs, () => {
+      this.store.restore(copyAtMs);
+      this.at(this.clock.now() + this.random.next() * REWRITE_MS, () => this.rewrite());
+    });
+  }
+
+  private rewrite(): void {
+    const newest = String(this.changes.length);
+    if (this.store.read(KEY) !== newest) {
+      this.store.put(KEY, newest);
+    }
+    const isOrdered = this.orders.at(-1)?.isOrdered === true;
+    if (isOrdered !== (this.store.read(ORDER_KEY) !== undefined)) {
+      this.writeOrder(isOrdered);
+    }
+    for (const [backend, entry] of this.backends) {
+      const key = `${BACKEND_PREFIX}${backend}`;
+      if (this.store.read(key) !== JSON.stringify(entry)) {
+        this.store.put(key, JSON.stringify(entry));
+      }
+    }
+  }
+
   /** The store is in trouble for all. */
   troubleStore(treatment: StoreTreatment, forMs: number): void {
     this.noteStoreTrouble(forMs, true);
@@ -424,6 +512,20 @@
         this.late.push({ gateway: machine.address, change, atMs: nowMs });
       }
       this.lookForOrder(machine, nowMs);
+      this.leaves.forEach((leave) => this.lookForLeave(machine, leave, nowMs));
+    }
+  }
+
+  private lookForLeave(machine: FleetMachine, leave: FleetLeave, nowMs: number): void {
+    const name = `${machine.index}/leave ${leave.backend}`;
+    if (
+      machine.cluster !== undefined &&
+      machine.leaving.get(leave.backend) === false &&
+      !this.noted.has(name) &&
+      this.isLateForLeave(machine, leave, nowMs)
+    ) {
+      this.noted.add(name);
+      this.lateForLeaves.push(`${machine.address}: ${leave.backend} left at ${leave.atMs}`);
     }
   }
 
--- a/test/support/virtual-store.ts
+++ b/test/support/virtual-store.ts
@@ -20,6 +20,11 @@
 
 type Read = Result<StoreRead, StoreUnavailableError | StoreHistoryGoneError>;
 
+interface Write {
+  readonly change: StoreRecord;
+  readonly atMs: number;
+}
+
 interface Watch {
   readonly since: number;
   answer(read: Read): void;
@@ -40,8 +45,11 @@
   skipsWithheld = false;
   /** Calls that arrived. */
   calls = 0;
+  /** Rises when the store comes back from a copy. */
+  epoch = 1;
   private revision = 0;
   private oldestHistory = 0;
+  private writes: Write[] = [];
   private readonly items = new Map<string, StoreRecord>();
   private history: StoreRecord[] = [];
   private readonly watches = new Set<Watch>();
@@ -62,10 +70,32 @@
     return this.record(key, undefined);
   }
 
+  /** The value of a key; undefined where there is none. */
+  read(key: string): string | undefined {
+    return this.items.get(key)?.value;
+  }
+
   /** Drops the history and cuts every watch. */
   forgetHistory(): void {
     this.history = [];
     this.oldestHistory = this.revision;
+    this.cutWatches();
+  }
+
+  /** Goes back to the state at `copyAtMs`: what was written since is gone, and its revisions are given out again. */
+  restore(copyAtMs: number): void {
+    this.writes = this.writes.filter(({ atMs }) => atMs <= copyAtMs);
+    this.items.clear();
+    this.revision = 0;
+    for (const { change } of this.writes) {
+      this.keep(change);
+    }
+    this.history = this.history.filter(({ revision }) => revision <= this.revision);
+    this.epoch += 1;
+    this.cutWatches();
+  }
+
+  private cutWatches(): void {
     for (const watch of [...this.watches]) {
       this.watches.delete(watch);
       watch.answer(err(new StoreUnavailableError('the watch was cut')));
@@ -85,20 +115,25 @@
   }
 
   private record(key: string, value: string | undefined): number {
-    this.revision += 1;
-    const change = { key, revision: this.revision, value };
+    const change = { key, revision: this.revision + 1, value };
+    this.writes.push({ change, atMs: this.clock.now() });
     this.history.push(change);
-    if (value === undefined) {
-      this.items.delete(key);
-    } else {
-      this.items.set(key, change);
-    }
+    this.keep(change);
     if (!this.isWithholding) {
       this.wake();
     }
     return this.revision;
   }
 
+  private keep(change: StoreRecord): void {
+    this.revision = change.revision;
+    if (change.value === undefined) {
+      this.items.delete(change.key);
+    } else {
+      this.items.set(change.key, change);
+    }
+  }
+
   private wake(): void {
     for (const watch of [...this.watches]) {
       this.watches.delete(watch);
@@ -107,18 +142,18 @@
   }
 
   private list(): StoreRead {
-    return { records: [...this.items.values()], revision: this.revision };
+    return { records: [...this.items.values()], revision: this.revision, epoch: this.epoch };
   }
 
   private changesSince(since: number): StoreRead {
     const records = this.history.filter(({ revision }) => revision > since);
-    return { records, revision: this.revision };
+    return { records, revision: this.revision, epoch: this.epoch };
   }
 
   private watch(since: number, waitMs: number, reply: (read: Read) => void): void {
     if (this.isWithholding) {
       this.watches.add({ since, answer: reply });
-    } else if (since < this.oldestHistory) {
+    } else if (since < this.oldestHistory || since > this.revision) {
       reply(err(new StoreHistoryGoneError('gone')));
     } else if (since < this.revision) {
       reply(ok(this.changesSince(since)));
@@ -132,7 +167,7 @@
     this.watches.add(watch);
     this.clock.setTimeout(() => {
       if (this.isWithholding && this.skipsWithheld && this.watches.delete(watch)) {
-        reply(ok({ records: [], revision: this.revision }));
+        reply(ok({ records: [], revision: this.revision, epoch: this.epoch }));
       } else if (!this.isWithholding && this.watches.delete(watch)) {
         reply(ok(this.changesSince(since)));
       }
