--- a/eslint.config.js
+++ b/eslint.config.js
@@ -15,6 +15,15 @@
   ],
 };
 
+/** A revision alone says nothing of the order: the store gives it out again when it comes back from a copy. */
+const BARE_REVISIONS = [
+  'Identifier[name=/[rR]evision$/]',
+  'MemberExpression[property.name=/[rR]evision$/]',
+].map((operand) => ({
+  selector: `BinaryExpression[operator=/^([<>]=?|[!=]==)$/] > ${operand}`,
+  message: 'Compare positions of the store (cluster/store-position.ts), not revisions.',
+}));
+
 export default tseslint.config(
   { ignores: ['dist/**', 'target/**', 'journal/**', 'node_modules/**', 'coverage/**'] },
   ...tseslint.configs.recommended,
@@ -26,6 +35,16 @@
       'jsdoc/require-file-overview': 'off',
     },
   },
+  {
+    files: [
+      'platform/**/*.ts',
+      ...['cluster', 'gateway', 'rollout', 'routing', 'slot-agent'].map(
+        (dir) => `src/${dir}/**/*.ts`,
+      ),
+    ],
+    ignores: ['src/cluster/store-position.ts'],
+    rules: { 'no-restricted-syntax': ['error', ...BARE_REVISIONS] },
+  },
   {
     rules: {
       eqeqeq: 'error',
--- a/src/cluster/cluster-store.ts
+++ b/src/cluster/cluster-store.ts
@@ -2,6 +2,7 @@
 import type { Result } from '../result.js';
 import { WeirvaleError } from '../request/errors.js';
 import type { StoreRecord } from './replicated-records.js';
+import type { StorePosition } from './store-position.js';
 
 /** The store refused, was silent, or gave an answer that is none. */
 export class StoreUnavailableError extends WeirvaleError {
@@ -18,40 +19,44 @@
   readonly code = 'store-conflict';
 }
 
-/** Records and the store's revision that they were read at. */
-export interface StoreRead {
+/** The store came back from a copy of an earlier state: what was asked of it before says nothing of it now. */
+export class StoreRestoredError extends WeirvaleError {
+  readonly code = 'store-restored';
+}
+
+/** Records and the store's position that they were read at. */
+export interface StoreRead extends StorePosition {
   readonly records: readonly StoreRecord[];
-  readonly revision: number;
-  /** Rises when the store comes back from a copy of an earlier state; undefined where the store does not say. */
-  readonly epoch?: number | undefined;
 }
 
+/** Why records could not be read. */
+export type StoreReadError = StoreUnavailableError | StoreHistoryGoneError | StoreRestoredError;
+
 /** The calls of the store that a follower makes. */
 export interface ClusterStore {
   /** Reads every record. */
-  list(): Promise<Result<StoreRead, StoreUnavailableError>>;
-  /** Waits up to `waitMs` for changes after `revision`. */
-  watch(
-    revision: number,
-    waitMs: number,
-  ): Promise<Result<StoreRead, StoreUnavailableError | StoreHistoryGoneError>>;
+  list(): Promise<Result<StoreRead, StoreReadError>>;
+  /** Waits up to `waitMs` for changes after `since`; the answer may be of a later epoch, where it says nothing of them. */
+  watch(since: StorePosition, waitMs: number): Promise<Result<StoreRead, StoreReadError>>;
 }
 
 /** The call of the store by which records are written. */
 export interface StoreWriter {
   /**
-   * Writes `text` under `key` if that is at `expectedRevision` (0: does not exist). A write without an
-   * answer may have been done, or may be done later.
+   * Writes `text` under `key` if that is at `expected` (revision 0: does not exist in that epoch). A write without an
+   * answer may have been done, or may be done later. Nothing is sent where the store is known to be in a later epoch.
    *
-   * @returns the store's revision of the write
+   * @returns the store's position of the write
    */
-  put(
-    key: string,
-    text: string,
-    expectedRevision: number,
-  ): Promise<Result<number, StoreUnavailableError | StoreConflictError>>;
+  put(key: string, text: string, expected: StorePosition): Promise<StoreWriteResult>;
 }
 
+/** What came of a write. */
+export type StoreWriteResult = Result<
+  StorePosition,
+  StoreUnavailableError | StoreConflictError | StoreRestoredError
+>;
+
 /** How records came to a process. */
 export type RecordsSource =
   | 'watch'
--- a/src/cluster/peer-messages.ts
+++ b/src/cluster/peer-messages.ts
@@ -6,6 +6,7 @@
 import type { QuotaGrant } from '../gateway/quotas/quota-pools.js';
 import type { PeerRollouts } from '../rollout/rollouts.js';
 import type { ReplicaReach } from './replicated-records.js';
+import type { StorePosition } from './store-position.js';
 import type { RecordsAnswer, RecordsFetch, RecordsReach } from './record-exchange.js';
 
 /**
@@ -43,8 +44,8 @@
   readonly knowledgeAgeMs?: number | undefined;
   /** Time since the sender started, in milliseconds. */
   readonly ageMs: number;
-  /** Revision of the record of quota members that it follows; 0 for none. */
-  readonly quotaRevision: number;
+  /** Position of the record of quota members that it follows; `NO_POSITION` for none. */
+  readonly quotaPosition: StorePosition;
   /** Whether it reads the store and is answered. */
   readonly isReading: boolean;
   /** Region that it stands in; missing where the deployment names none. */
--- a/src/cluster/record-exchange.ts
+++ b/src/cluster/record-exchange.ts
@@ -5,11 +5,12 @@
  * this process it waits a little first, since the same changes are about to come from there.
  */
 import type { Clock, TimerHandle } from '../clock.js';
+import type { StorePosition } from './store-position.js';
 import type {
+  RecordNews,
   RecordsUpdate,
   ReplicaReach,
   ReplicatedRecords,
-  StoreRecord,
 } from './replicated-records.js';
 
 /** Tells how far a replica reaches. */
@@ -21,8 +22,8 @@
 /** Asks another replica for what it holds beyond a revision. */
 export interface RecordsFetch {
   readonly kind: 'fetch';
-  /** The revision through which the asking replica is complete. */
-  readonly since: number;
+  /** The position through which the asking replica is complete. */
+  readonly since: StorePosition;
 }
 
 /** The answer to a fetch. */
@@ -38,7 +39,7 @@
   /** Whether the store answers this process. */
   isStoreReachable(): boolean;
   /** Records that were not known. */
-  onNews(records: readonly StoreRecord[]): void;
+  onNews(records: readonly RecordNews[]): void;
 }
 
 /** Times of an exchange, in milliseconds. */
--- a/src/cluster/store-calls.ts
+++ b/src/cluster/store-calls.ts
@@ -14,7 +14,7 @@
 
 /** What came of a call by the time it was overdue. */
 export type CallOutcome =
-  | { readonly kind: 'answered'; readonly revision: number }
+  | { readonly kind: 'answered'; readonly read: StoreRead }
   | { readonly kind: 'failed'; readonly error: WeirvaleError }
   | { readonly kind: 'overdue' };
 
@@ -82,7 +82,7 @@
       }
       this.noteAnswer(startedAtMs, waitMs, read.val);
       take(read.val);
-      return { kind: 'answered', revision: read.val.revision };
+      return { kind: 'answered', read: read.val };
     });
     const limitMs = waitMs + this.overdueMs;
     const overdue = sleep(this.clock, limitMs).then((): CallOutcome => ({ kind: 'overdue' }));
--- a/src/cluster/store-follower.ts
+++ b/src/cluster/store-follower.ts
@@ -6,7 +6,10 @@
 import type { WeirvaleError } from '../request/errors.js';
 import { StoreHistoryGoneError } from './cluster-store.js';
 import type { ClusterStore, StoreRead } from './cluster-store.js';
+import { isLater, isNoPosition, laterOf, NO_EPOCH } from './store-position.js';
+import type { StorePosition } from './store-position.js';
 import { StoreCalls } from './store-calls.js';
+import type { KnownEpoch } from './store-epochs.js';
 import type {
   CallOutcome,
   PlannedCall,
@@ -20,14 +23,16 @@
   /** A whole listing was read. */
   onListing(read: StoreRead): void;
   /**
-   * A whole listing was read right after an outage. What it lacks may have lapsed only because
-   * its owner could not reach the store; a listing that counts follows.
+   * A whole listing was read right after an outage, or soon after the store came back from a copy. What it lacks may
+   * have lapsed, or be gone, only until its owner writes it again; a listing that counts follows.
    */
   onListingAfterOutage(read: StoreRead): void;
-  /** All changes after revision `since` were seen. */
-  onChanges(read: StoreRead, since: number): void;
-  /** A watch was answered at `revision` and brought the changes through `seenTo` only. */
-  onChangesMissing(seenTo: number, revision: number): void;
+  /** All changes after `since` were seen. */
+  onChanges(read: StoreRead, since: StorePosition): void;
+  /** A watch was answered at `read` and brought the changes through `seenTo` only. */
+  onChangesMissing(seenTo: StorePosition, read: StorePosition): void;
+  /** What was asked in epoch `asked` was answered in another one, and is not taken in. */
+  onOtherEpoch(call: StoreCall, asked: number, read: StorePosition): void;
   /**
    * The store answers again, or no longer; `heldMs` is how long the call was under way that told so, in
    * milliseconds.
@@ -37,8 +42,10 @@
   countFollowers(): number;
   /** Whether this process must follow the store itself; others tell it otherwise. */
   mustFollow(): boolean;
-  /** The revision through which the records are complete, from wherever they came; 0 for none. */
-  completeTo(): number;
+  /** The position through which the records are complete, from wherever they came; `NO_POSITION` for none. */
+  completeTo(): StorePosition;
+  /** The newest epoch that is known, from wherever it was heard. */
+  knownEpoch(): KnownEpoch;
   /** All records were known as the store had them at `atMs`. */
   onConfirmed(atMs: number): void;
   /** A call of the store ended. */
@@ -57,7 +64,7 @@
   readonly gatherMs: number;
   /**
    * Followers from which on the pause grows with their number: what one of them saw reaches
-   * the others by revisions, so that each need not ask for each change. Default 4.
+   * the others by positions, so that each need not ask for each change. Default 4.
    */
   readonly gatherFollowers: number;
   /** Longest pause. Default 1,200. */
@@ -68,8 +75,8 @@
   /** Time without an answer from which on the store counts as having been out. Default 500. */
   readonly outageMs: number;
   /**
-   * Time after an outage in which owners that live announce themselves again. Default 2,200:
-   * users' pages say about two seconds.
+   * Time after an outage, or after the store came back from a copy, in which owners that live write again what is
+   * gone. Default 2,200: users' pages say about two seconds.
    */
   readonly reannounceMs: number;
   /** Longest time by which outages in a row put off the listing that counts. Default 4,400. */
@@ -126,13 +133,14 @@
 
   /** Runs until `stop` is called. */
   async run(): Promise<void> {
-    let revision: number | undefined;
+    let position: StorePosition | undefined;
     while (!this.isStopped) {
       if (!this.handlers.mustFollow()) {
-        revision = await this.rest();
+        position = await this.rest();
       }
-      const isListing = revision === undefined || this.isRelistDue();
-      revision = isListing ? await this.list() : await this.watch(revision!);
+      // Of another epoch the same revision is another change, and a watch from there may pass changes over.
+      const isToList = position?.epoch !== this.handlers.knownEpoch().epoch || this.isRelistDue();
+      position = isToList ? await this.list() : await this.watch(position!);
     }
   }
 
@@ -152,10 +160,10 @@
   }
 
   /**
-   * Waits until this process must follow; returns the revision to go on from. Others may be missed because
+   * Waits until this process must follow; returns the position to go on from. Others may be missed because
    * the store is out, for how long is not known here: if it does not answer now, it counts as out for long.
    */
-  private async rest(): Promise<number | undefined> {
+  private async rest(): Promise<StorePosition | undefined> {
     this.isResting = true;
     while (!this.isStopped && !this.handlers.mustFollow()) {
       await sleep(this.clock, this.options.restMs);
@@ -163,11 +171,11 @@
     this.isResting = false;
     this.reachable = undefined;
     this.lostAtMs = this.clock.now() - this.options.outageMs;
-    const revision = this.handlers.completeTo();
-    return revision === 0 ? undefined : revision;
+    const position = this.handlers.completeTo();
+    return isNoPosition(position) ? undefined : position;
   }
 
-  private async list(): Promise<number | undefined> {
+  private async list(): Promise<StorePosition | undefined> {
     const startedAtMs = this.clock.now();
     const outcome = await this.ask({
       call: 'list',
@@ -176,21 +184,26 @@
       take: (read) => this.takeListing(read, startedAtMs),
     });
     if (outcome.kind === 'answered') {
-      return outcome.revision;
+      return this.isOutdated(outcome.read) ? this.pause() : outcome.read;
     }
     this.noteLoss(outcome, startedAtMs);
-    await this.pause();
-    return undefined;
+    return this.pause();
   }
 
   private takeListing(read: StoreRead, startedAtMs: number): void {
     const nowMs = this.clock.now();
+    const known = this.handlers.knownEpoch();
+    if (this.isOutdated(read)) {
+      this.handlers.onOtherEpoch('list', known.epoch, read);
+      return;
+    }
     const wasOut = this.lostAtMs !== undefined && nowMs - this.lostAtMs >= this.options.outageMs;
-    const isFirst = !this.hasBeenAnswered && this.handlers.completeTo() === 0;
+    const isFirst = !this.hasBeenAnswered && isNoPosition(this.handlers.completeTo());
     this.succeed(startedAtMs);
     if (wasOut && !isFirst) {
       this.putOffRelist(nowMs);
     }
+    this.awaitOwners(read.epoch > known.epoch ? nowMs : known.sinceMs, read);
     if (this.relistAtMs !== undefined && !this.isRelistDue()) {
       this.handlers.onListingAfterOutage(read);
     } else {
@@ -209,11 +222,24 @@
     this.relistAtMs = Math.min(relistAtMs, this.firstRelistAtMs + putOffMs);
   }
 
+  /** A listing counts only once the owners have had their time since the epoch of the store began. */
+  private awaitOwners(epochSinceMs: number, { epoch }: StorePosition): void {
+    const settlesAtMs = epochSinceMs + this.options.reannounceMs;
+    if (epoch !== NO_EPOCH && this.clock.now() < settlesAtMs) {
+      this.relistAtMs = Math.max(this.relistAtMs ?? 0, settlesAtMs);
+    }
+  }
+
+  /** Whether an answer is of an epoch that is over. */
+  private isOutdated({ epoch }: StorePosition): boolean {
+    return epoch < this.handlers.knownEpoch().epoch;
+  }
+
   private isRelistDue(): boolean {
     return this.relistAtMs !== undefined && this.clock.now() >= this.relistAtMs;
   }
 
-  private async watch(revision: number): Promise<number | undefined> {
+  private async watch(since: StorePosition): Promise<StorePosition | undefined> {
     const startedAtMs = this.clock.now();
     const waitMs = this.watchWaitMs(startedAtMs);
     let hasChanges = false;
@@ -221,17 +247,22 @@
     const outcome = await this.ask({
       call: 'watch',
       waitMs,
-      send: () => this.store.watch(revision, waitMs),
+      send: () => this.store.watch(since, waitMs),
       take: (read) => {
-        const seenTo = Math.max(revision, ...read.records.map((record) => record.revision));
+        if (read.epoch !== since.epoch || this.isOutdated(read)) {
+          this.handlers.onOtherEpoch('watch', since.epoch, read);
+          isWhole = false;
+          return;
+        }
+        const seenTo = read.records.reduce<StorePosition>(laterOf, since);
         hasChanges = read.records.length > 0;
-        isWhole = seenTo >= read.revision;
+        isWhole = !isLater(read, seenTo);
         this.succeed(startedAtMs);
-        this.handlers.onChanges({ ...read, revision: seenTo }, revision);
+        this.handlers.onChanges({ ...read, ...seenTo }, since);
         if (isWhole) {
           this.confirmWatch(startedAtMs, waitMs, read);
         } else {
-          this.handlers.onChangesMissing(seenTo, read.revision);
+          this.handlers.onChangesMissing(seenTo, read);
         }
       },
     });
@@ -243,7 +274,7 @@
       if (hasChanges) {
         await sleep(this.clock, this.gatherPauseMs());
       }
-      return outcome.revision;
+      return outcome.read;
     }
     if (outcome.kind === 'failed' && outcome.error instanceof StoreHistoryGoneError) {
       return undefined;
@@ -307,9 +338,10 @@
     }
   }
 
-  private async pause(): Promise<void> {
+  private async pause(): Promise<undefined> {
     await sleep(this.clock, withJitter(this.random, this.retryMs, RETRY_SPREAD));
     this.retryMs = Math.min(this.retryMs * 2, this.options.retryMaxMs);
+    return undefined;
   }
 
   private tell(isReachable: boolean, reason: string, startedAtMs: number): void {
--- a/src/gateway/crashes/crash-record-format.ts
+++ b/src/gateway/crashes/crash-record-format.ts
@@ -1,4 +1,5 @@
 /** The record of crashing requests as text: the product's own format, wherever the text is kept. */
+import type { StorePosition } from '../../cluster/store-position.js';
 import type { CrashRecord, StoredCrashes } from './crash-record.js';
 
 /**
@@ -6,15 +7,18 @@
  *
  * @throws SyntaxError or TypeError if the text is no such record
  */
-export function decodeCrashRecord(text: string | undefined, revision: number): CrashRecord {
+export function decodeCrashRecord(
+  text: string | undefined,
+  { epoch, revision }: StorePosition,
+): CrashRecord {
   if (text === undefined) {
-    return { requests: undefined, revision };
+    return { requests: undefined, epoch, revision };
   }
   const { requests } = JSON.parse(text) as { requests?: unknown };
   if (!Array.isArray(requests)) {
     throw new TypeError('the record of crashing requests has no list');
   }
-  return { requests: requests.flatMap(readRequest), revision };
+  return { requests: requests.flatMap(readRequest), epoch, revision };
 }
 
 /** The text of the record. */
--- a/src/gateway/crashes/crash-record.ts
+++ b/src/gateway/crashes/crash-record.ts
@@ -6,6 +6,8 @@
  * records, from the store or from each other.
  */
 import type { Clock } from '../../clock.js';
+import { isLater, NO_POSITION } from '../../cluster/store-position.js';
+import type { StorePosition } from '../../cluster/store-position.js';
 import type { WeirvaleError } from '../../request/errors.js';
 import type { Result } from '../../result.js';
 import { NO_CRASHES, saysMore } from './crash-tally.js';
@@ -17,21 +19,19 @@
   readonly changedAtMs: number;
 }
 
-/** The store's record of crashing requests. */
-export interface CrashRecord {
+/** The store's record of crashing requests, at its position. */
+export interface CrashRecord extends StorePosition {
   /** Undefined once operators removed it. */
   readonly requests: readonly StoredCrashes[] | undefined;
-  /** The store's revision of it. */
-  readonly revision: number;
 }
 
 /** What a writer needs from its surroundings. */
 export interface CrashRecordPorts {
-  /** Writes the record where the last one has `expectedRevision` (0: there is none). */
+  /** Writes the record where the last one is at `expected` (revision 0: there is none). */
   write(
     requests: readonly StoredCrashes[],
-    expectedRevision: number,
-  ): Promise<Result<number, WeirvaleError>>;
+    expected: StorePosition,
+  ): Promise<Result<StorePosition, WeirvaleError>>;
   /** The record was written, or the store did not take it. */
   onWritten(requests: number, failure: WeirvaleError | undefined): void;
   /** The time of day, in milliseconds. */
@@ -67,10 +67,10 @@
 /** Keeps what is known of crashing requests in the cluster's store. */
 export class CrashRecordWriter {
   private stored = new Map<RequestFingerprint, StoredCrashes>();
-  /** The store's revision of the record; 0 where there is none. */
-  private revision = 0;
-  /** The newest revision that was taken in, that of a removal included. */
-  private seenRevision = 0;
+  /** The store's position of the record; revision 0 where there is none. */
+  private position = NO_POSITION;
+  /** The newest position that was taken in, that of a removal included. */
+  private seen = NO_POSITION;
   private readonly unwritten = new Map<RequestFingerprint, StoredCrashes>();
   private isWriting = false;
   private retryMs: number;
@@ -84,12 +84,13 @@
   }
 
   /** Takes in the store's newest record; returns the requests that are not too old. */
-  take({ requests, revision }: CrashRecord): readonly StoredCrashes[] {
-    if (revision < this.seenRevision) {
+  take({ requests, epoch, revision }: CrashRecord): readonly StoredCrashes[] {
+    const position = { epoch, revision };
+    if (isLater(this.seen, position)) {
       return [];
     }
-    this.seenRevision = revision;
-    this.revision = requests === undefined ? 0 : revision;
+    this.seen = position;
+    this.position = requests === undefined ? { epoch, revision: 0 } : position;
     const recent = (requests ?? []).filter((request) => this.isRecent(request));
     this.stored = new Map(recent.map((request) => [request.fingerprint, request]));
     for (const [fingerprint, request] of this.unwritten) {
@@ -139,12 +140,11 @@
       .filter((request) => this.isRecent(request))
       .sort((left, right) => left.changedAtMs - right.changedAtMs)
       .slice(-this.options.maxRequests);
-    const expectedRevision = this.revision;
-    const written = await this.ports.write(requests, expectedRevision);
+    const written = await this.ports.write(requests, this.position);
     this.ports.onWritten(requests.length, written.ok ? undefined : written.val);
     if (written.ok) {
       this.retryMs = this.options.retryMinMs;
-      this.take({ requests, revision: written.val });
+      this.take({ requests, ...written.val });
       this.isWriting = false;
       this.writeIfNeeded();
       return;
--- a/src/gateway/dispatch/backend-directory.ts
+++ b/src/gateway/dispatch/backend-directory.ts
@@ -1,4 +1,6 @@
 /** The back ends that a gateway knows, by service, and which of the engines it works with. */
+import { isLater, laterOf, NO_POSITION } from '../../cluster/store-position.js';
+import type { StorePosition } from '../../cluster/store-position.js';
 import { restrictionOf } from '../../routing/backend-restriction.js';
 import type {
   AllowedRegions,
@@ -311,12 +313,12 @@
       ({ backend }) =>
         backend.address === address && this.ports.isNamed?.(backend.service) !== false,
     );
-    const latest = Math.max(
-      ...there.filter((known) => !known.hasEnded).map((known) => known.backend.revision),
-    );
+    const latest = there
+      .filter((known) => !known.hasEnded)
+      .reduce<StorePosition>((position, { backend }) => laterOf(position, backend), NO_POSITION);
     for (const known of there) {
       const wasReplaced = known.isReplaced;
-      known.isReplaced = known.hasEnded || known.backend.revision < latest;
+      known.isReplaced = known.hasEnded || isLater(latest, known.backend);
       if (known.isReplaced && !wasReplaced) {
         this.ports.onReplaced?.(known.backend.id);
       }
--- a/src/gateway/gateway-adapter.ts
+++ b/src/gateway/gateway-adapter.ts
@@ -1,10 +1,6 @@
 /** What an adapter to a platform supplies: its store, its names and its formats. */
-import type {
-  ClusterStore,
-  StoreConflictError,
-  StoreUnavailableError,
-} from '../cluster/cluster-store.js';
-import type { Result } from '../result.js';
+import type { ClusterStore, StoreWriteResult } from '../cluster/cluster-store.js';
+import type { StorePosition } from '../cluster/store-position.js';
 import type { RolloutOrder, RolloutState } from '../rollout/rollout-order.js';
 import type { DecodeRecord } from '../routing/decoded-record.js';
 import type { OwnRecordName } from './own-records.js';
@@ -19,21 +15,21 @@
   /**
    * Writes a record that gateways keep for themselves.
    *
-   * @param expectedRevision - the store's revision of the record that it follows; 0 for the first
+   * @param expected - the store's position of the record that it follows; revision 0 for the first
    */
   writeOwnRecord(
     name: OwnRecordName,
     text: string,
-    expectedRevision: number,
-  ): Promise<Result<number, StoreUnavailableError | StoreConflictError>>;
+    expected: StorePosition,
+  ): Promise<StoreWriteResult>;
   /**
    * Writes how far a roll-out has come.
    *
-   * @param statusRevision - the store's revision of the state that it follows; 0 for the first
+   * @param follows - the store's position of the state that it follows; revision 0 for the first
    */
   writeRolloutState(
     order: RolloutOrder,
     state: RolloutState,
-    statusRevision: number,
-  ): Promise<Result<number, StoreUnavailableError | StoreConflictError>>;
+    follows: StorePosition,
+  ): Promise<StoreWriteResult>;
 }
--- a/src/gateway/gateway-backends.ts
+++ b/src/gateway/gateway-backends.ts
@@ -1,5 +1,6 @@
 /** Takes the announcements of back ends in: tells their lives apart, leaves out what is none, and logs both. */
 import type { Clock } from '../clock.js';
+import type { StorePosition } from '../cluster/store-position.js';
 import { BackendLives } from '../routing/backend-lives.js';
 import type { Backend } from '../routing/backend.js';
 import type { DecodedBackend } from '../routing/decoded-record.js';
@@ -28,11 +29,11 @@
   constructor(private readonly parts: GatewayBackendsParts) {}
 
   /** Takes in the record under a back end's name. */
-  take({ name, announcement, problem: unreadable }: DecodedBackend, revision: number): void {
+  take({ name, announcement, problem: unreadable }: DecodedBackend, position: StorePosition): void {
     const { changes, formerId, problem: passedOver } = this.lives.take(name, announcement);
-    this.noteProblem(name, unreadable ?? passedOver, revision);
+    this.noteProblem(name, unreadable ?? passedOver, position);
     for (const { id, backend } of changes) {
-      this.logChange(id, backend, revision);
+      this.logChange(id, backend, position);
       const isWithdrawn = unreadable !== undefined;
       this.parts.dispatcher.updateBackend(id, backend, this.parts.clock.now(), isWithdrawn);
     }
@@ -42,7 +43,11 @@
   }
 
   /** A line for each new problem of a back end: a record that is bad may be written with each heartbeat. */
-  private noteProblem(name: string, problem: string | undefined, revision: number): void {
+  private noteProblem(
+    name: string,
+    problem: string | undefined,
+    { epoch, revision }: StorePosition,
+  ): void {
     if (problem === undefined) {
       this.problems.delete(name);
       return;
@@ -50,17 +55,23 @@
     this.parts.metrics.record(({ recordsRefused }) => recordsRefused.inc());
     if (this.problems.get(name) !== problem) {
       this.problems.set(name, problem);
-      this.parts.log.write('record-refused', 'state', { backend: name, problem, revision });
+      const fields = { backend: name, problem, epoch, revision };
+      this.parts.log.write('record-refused', 'state', fields);
     }
   }
 
-  private logChange(id: string, backend: Backend | undefined, revision: number): void {
+  private logChange(
+    id: string,
+    backend: Backend | undefined,
+    { epoch, revision }: StorePosition,
+  ): void {
     const { log, unknownZones } = this.parts;
     log.write(backend === undefined ? 'backend-gone' : 'backend-learned', 'state', {
       backend: id,
       state: backend?.state,
       service: backend?.service,
       address: backend?.address,
+      epoch,
       revision,
     });
     if (backend !== undefined && unknownZones.isNews(backend.zone)) {
--- a/src/gateway/gateway-cluster.ts
+++ b/src/gateway/gateway-cluster.ts
@@ -6,7 +6,10 @@
 import { KnowledgeAge } from '../cluster/knowledge-age.js';
 import { RecordExchange } from '../cluster/record-exchange.js';
 import { ReplicatedRecords } from '../cluster/replicated-records.js';
-import type { ReplicaReach, StoreRecord } from '../cluster/replicated-records.js';
+import type { CompareByOwner, RecordNews, ReplicaReach } from '../cluster/replicated-records.js';
+import { isLater } from '../cluster/store-position.js';
+import { StoreEpochs } from '../cluster/store-epochs.js';
+import type { StorePosition } from '../cluster/store-position.js';
 import { StoreFollower } from '../cluster/store-follower.js';
 import type { PeerNetwork } from '../cluster/peer-network.js';
 import type { ClusterStore, RecordsSource, StoreRead } from '../cluster/cluster-store.js';
@@ -50,13 +53,15 @@
   readonly metrics: GatewayMetrics;
   /** Connections among gateways. Default: TCP. */
   readonly network?: PeerNetwork;
+  /** Compares records by their owners' counts; see `CompareByOwner`. */
+  readonly compareByOwner: CompareByOwner;
   /** Records that were not known, from the store or from peers. */
-  onRecords(records: readonly StoreRecord[], source: RecordsSource): void;
+  onRecords(records: readonly RecordNews[], source: RecordsSource): void;
 }
 
 /** A gateway's part in the cluster. */
 export class GatewayCluster {
-  readonly records = new ReplicatedRecords();
+  readonly records: ReplicatedRecords;
   readonly exchange: RecordExchange;
   private readonly peers: GatewayPeers;
   private readonly readers: StoreReaders;
@@ -64,16 +69,18 @@
   private readonly knowledge = new KnowledgeAge();
   private isStoreReader = true;
   private wasKnowledgeOld = true;
-  private storeEpoch: number | undefined;
+  private readonly epochs: StoreEpochs;
 
   constructor(private readonly parts: GatewayClusterParts) {
-    const { incarnation, clock, onRecords } = parts;
+    const { incarnation, clock, compareByOwner } = parts;
+    this.records = new ReplicatedRecords(compareByOwner);
+    this.epochs = new StoreEpochs(this.records, clock);
     this.readers = new StoreReaders(incarnation, DEFAULT_STORE_READERS_OPTIONS, this.region);
     this.exchange = new RecordExchange(
       this.records,
       {
         isStoreReachable: () => this.follower.isFollowing,
-        onNews: (records) => onRecords(records, 'peer'),
+        onNews: (records) => this.learn(records, 'peer'),
       },
       clock,
     );
@@ -119,9 +126,9 @@
     return this.isStoreReader;
   }
 
-  /** Revision of the store through which every change is known; 0 before the first listing. */
-  get revision(): number {
-    return this.records.completeTo;
+  /** Position of the store through which every value is known; `NO_POSITION` before the first listing. */
+  get position(): StorePosition {
+    return this.records.currentTo;
   }
 
   /** Takes connections of peers, connects to the seeds and follows the store. */
@@ -196,29 +203,36 @@
   }
 
   private createFollower(): StoreFollower {
-    const { store, clock, random, metrics, onRecords } = this.parts;
+    const { store, clock, random, metrics } = this.parts;
     return new StoreFollower(
       store,
       {
         onListing: (read) => {
           this.noteRead(read, 'listing');
-          onRecords(this.records.applyListing(read.records, read.revision), 'listing');
+          this.learn(this.records.applyListing(read.records, read), 'listing');
         },
         onListingAfterOutage: (read) => {
           this.noteRead(read, 'listing-after-outage');
-          onRecords(this.records.addListing(read.records, read.revision), 'listing-after-outage');
+          this.learn(this.records.addListing(read.records, read), 'listing-after-outage');
         },
         onChanges: (read, since) => {
           this.noteRead(read, 'watch');
-          onRecords(this.records.applyChanges(read.records, since, read.revision), 'watch');
+          this.learn(this.records.applyChanges(read.records, since, read), 'watch');
         },
         onConfirmed: (atMs) => this.knowledge.confirm(atMs),
-        onChangesMissing: (seenTo, revision) =>
-          this.parts.log.write('store-changes-missing', 'state', { seenTo, revision }),
+        onChangesMissing: (seenTo, { epoch, revision }) =>
+          this.parts.log.write('store-changes-missing', 'state', {
+            epoch,
+            seenTo: seenTo.revision,
+            revision,
+          }),
+        onOtherEpoch: (call, asked, { epoch, revision }) =>
+          this.parts.log.write('store-answer-dropped', 'state', { call, asked, epoch, revision }),
         onReachable: (isReachable, reason, heldMs) => this.noteStore(isReachable, reason, heldMs),
         countFollowers: () => Math.min(this.size, this.readers.sharing),
         mustFollow: () => this.mustReadStore(),
         completeTo: () => this.records.completeTo,
+        knownEpoch: () => this.epochs.newest,
         onCall: (call, result) =>
           metrics.record(({ storeCalls }) => storeCalls.inc({ call, result })),
       },
@@ -243,7 +257,7 @@
       this.isStoreReader = mustRead;
       this.parts.log.write(mustRead ? 'store-reader-on' : 'store-reader-off', 'state', {
         gateways: this.size,
-        revision: this.records.completeTo,
+        ...this.records.completeTo,
       });
     }
     return mustRead;
@@ -263,21 +277,28 @@
     });
   }
 
-  /** Tells where the store, or a record of it, is older than what is known: the known one stays. */
-  private noteRead({ records, revision, epoch }: StoreRead, source: RecordsSource): void {
+  private learn(records: readonly RecordNews[], source: RecordsSource): void {
+    const { log, onRecords } = this.parts;
+    const change = this.epochs.look();
+    if (change !== undefined) {
+      log.write(change.event, 'state', { source, ...change.fields });
+    }
+    onRecords(records, source);
+  }
+
+  /** Tells of an answer that is older than what is known, and of records that are: the known ones stay. */
+  private noteRead(read: StoreRead, source: RecordsSource): void {
     const { log } = this.parts;
+    const { epoch, revision } = read;
     const { completeTo, currentTo } = this.records.reach;
-    if (epoch !== this.storeEpoch) {
-      log.write('store-epoch', 'state', { epoch, before: this.storeEpoch, revision, currentTo });
-      this.storeEpoch = epoch;
-    }
-    if (revision < currentTo) {
+    if (isLater(currentTo, read)) {
       log.write('store-read-older', 'state', { source, epoch, revision, completeTo, currentTo });
     }
-    const passedOver = this.records.findNewerThan(records);
+    const passedOver = this.records.findLaterThan(read.records);
     const [first] = passedOver;
     if (first !== undefined) {
-      const { key, revision: known } = first;
+      const { key, epoch: knownEpoch, revision: knownRevision } = first;
+      const known = { epoch: knownEpoch, revision: knownRevision };
       const fields = { source, epoch, revision, key, known, records: passedOver.length };
       log.write('records-passed-over', 'state', fields);
     }
--- a/src/gateway/gateway-crashes.ts
+++ b/src/gateway/gateway-crashes.ts
@@ -55,8 +55,8 @@
     );
     this.record = new CrashRecordWriter(
       {
-        write: (requests, revision) =>
-          adapter.writeOwnRecord('crashing-requests', encodeCrashRecord(requests), revision),
+        write: (requests, expected) =>
+          adapter.writeOwnRecord('crashing-requests', encodeCrashRecord(requests), expected),
         onWritten: (requests, failure) => this.noteWritten(requests, failure),
         timeOfDayMs: () => Date.now(),
       },
@@ -71,9 +71,13 @@
 
   /** Takes in the store's record. */
   takeRecord(record: CrashRecord): void {
-    const { requests, revision } = record;
+    const { requests, epoch, revision } = record;
     const recent = this.record.take(record);
-    this.parts.log.write('crash-record', 'state', { requests: requests?.length, revision });
+    this.parts.log.write('crash-record', 'state', {
+      requests: requests?.length,
+      epoch,
+      revision,
+    });
     if (requests === undefined) {
       // Operators removed it.
       this.requests.forgetAll();
--- a/src/gateway/gateway-evacuations.ts
+++ b/src/gateway/gateway-evacuations.ts
@@ -1,5 +1,6 @@
 /** Joins the operators' evacuations to a gateway: what is sent, what is reckoned with, the log. */
 import type { Clock } from '../clock.js';
+import { isLater } from '../cluster/store-position.js';
 import type { Places } from '../routing/places.js';
 import { ZoneEvacuations } from '../routing/zone-evacuations.js';
 import type { EvacuationChange, KnownEvacuation } from '../routing/zone-evacuations.js';
@@ -34,7 +35,7 @@
     const { dispatcher, clock } = this.parts;
     const nowMs = clock.now();
     const before = this.zones.find(change.zone);
-    if (before !== undefined && before.revision >= change.revision) {
+    if (before !== undefined && !isLater(change, before)) {
       return;
     }
     dispatcher.changeOrders(() => this.zones.take(change, nowMs), nowMs);
@@ -51,9 +52,10 @@
         continue;
       }
       this.clearing.delete(zone);
-      const { revision, learnedAtMs } = this.zones.find(zone)!;
+      const { epoch, revision, learnedAtMs } = this.zones.find(zone)!;
       log.write('zone-cleared', 'state', {
         evacuatedZone: zone,
+        epoch,
         revision,
         afterMs: clock.now() - learnedAtMs,
         // Said here, not with the order: a listing names orders before the back ends of their zones.
@@ -68,7 +70,7 @@
     withdrawn: number,
   ): void {
     const { log, clock, storeAgeMs } = this.parts;
-    const { zone, isOrdered, revision } = change;
+    const { zone, isOrdered, epoch, revision } = change;
     const backends = this.backendsOf(zone);
     if (isOrdered) {
       this.clearing.add(zone);
@@ -78,6 +80,7 @@
     log.write('zone-evacuation', 'state', {
       evacuatedZone: zone,
       isOrdered,
+      epoch,
       revision,
       backends: backends.length,
       running: countRunning(backends),
--- a/src/gateway/gateway-quotas.ts
+++ b/src/gateway/gateway-quotas.ts
@@ -8,6 +8,7 @@
   PeerQuotaAsk,
   PeerQuotaReturn,
 } from '../cluster/peer-messages.js';
+import type { StorePosition } from '../cluster/store-position.js';
 import type { RandomSource } from '../random.js';
 import type { WeirvaleError } from '../request/errors.js';
 import type { TenantQuota } from '../routing/configuration.js';
@@ -105,8 +106,8 @@
     this.writer = new QuotaMembersWriter(
       { name, zone, region: places.regionOf(zone) ?? '', address: settings.listen.peers },
       {
-        write: (change, revision) =>
-          parts.adapter.writeOwnRecord('quota-members', encodeQuotaMembers(change), revision),
+        write: (change, expected) =>
+          parts.adapter.writeOwnRecord('quota-members', encodeQuotaMembers(change), expected),
         onWritten: (record, failure) => this.noteWritten(record, failure),
         heard: () => [...this.heard.values()],
         record: () => this.rights.record,
@@ -117,9 +118,10 @@
     );
   }
 
-  /** The store's revision of the record that this gateway follows; 0 for none. */
-  get revision(): number {
-    return this.rights.record.revision;
+  /** The store's position of the record that this gateway follows; revision 0 for none. */
+  get position(): StorePosition {
+    const { epoch, revision } = this.rights.record;
+    return { epoch, revision };
   }
 
   /** Time since this process was started, in milliseconds. */
@@ -157,25 +159,27 @@
     if (!this.rights.take(record, this.parts.clock.now())) {
       return;
     }
-    const { members, settled, revision, credits, isLost } = this.rights.record;
+    const { members, settled, epoch, revision, sequence, credits, isLost } = this.rights.record;
     this.parts.learnPeers((members ?? []).map(({ address }) => address));
     this.noteContact();
     this.parts.log.write('quota-members', 'state', {
       members: members?.length,
       settled: settled.length,
+      epoch,
       revision,
+      sequence,
       credits,
       isLost,
     });
   }
 
   /** A peer shows that it lives, and which record it follows. */
-  hearBeat({ name, address, zone = '' }: PeerHello, { quotaRevision, ageMs }: PeerBeat): void {
+  hearBeat({ name, address, zone = '' }: PeerHello, { quotaPosition, ageMs }: PeerBeat): void {
     const region = this.parts.places.regionOf(zone) ?? '';
     const heardAtMs = this.parts.clock.now();
     const startedAtMs = heardAtMs - ageMs;
-    const revision = quotaRevision;
-    this.heard.set(name, { name, zone, region, address, heardAtMs, startedAtMs, revision });
+    const follows = quotaPosition;
+    this.heard.set(name, { name, zone, region, address, heardAtMs, startedAtMs, follows });
   }
 
   /** Answers a peer that asks for a charge. */
@@ -218,7 +222,7 @@
       this.hadRights = hasRights;
       this.review();
       this.parts.log.write(hasRights ? 'quota-rights-held' : 'quota-rights-lapsed', 'state', {
-        revision: this.revision,
+        ...this.position,
         storeAgeMs: Number.isFinite(storeAgeMs) ? storeAgeMs : undefined,
       });
     }
@@ -268,7 +272,9 @@
     this.parts.log.write(event, 'state', {
       members: record.members?.length,
       settled: record.settled.length,
+      epoch: record.epoch,
       revision: record.revision,
+      sequence: record.sequence,
       reason: failure?.message,
     });
     if (failure === undefined) {
--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -41,7 +41,7 @@
   readonly dispatcher: Dispatcher;
   readonly sender: BackendSender;
   readonly crashes: CrashingRequests;
-  readonly cluster: Pick<GatewayCluster, 'size' | 'storeAgeMs' | 'revision' | 'isKnowledgeOld'>;
+  readonly cluster: Pick<GatewayCluster, 'size' | 'storeAgeMs' | 'position' | 'isKnowledgeOld'>;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly log: DecisionLog;
@@ -301,7 +301,8 @@
       ...refusal,
       status,
       configuration: configuration.version,
-      revision: cluster.revision,
+      epoch: cluster.position.epoch,
+      revision: cluster.position.revision,
       storeAgeMs: cluster.storeAgeMs,
     });
   }
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -1,5 +1,6 @@
 /** The gateway: joins the cluster's state, the dispatcher and the listeners. */
-import type { StoreRecord } from '../cluster/replicated-records.js';
+import type { RecordNews } from '../cluster/replicated-records.js';
+import type { StorePosition } from '../cluster/store-position.js';
 import type { RecordsSource } from '../cluster/cluster-store.js';
 import type { Clock } from '../clock.js';
 import type { RandomSource } from '../random.js';
@@ -9,6 +10,7 @@
 import type { InvalidHomesError } from '../routing/home-regions.js';
 import type { OperatorRules } from '../routing/backend-restriction.js';
 import type { DecodedRecord } from '../routing/decoded-record.js';
+import { createCompareByOwner } from '../routing/owner-counts.js';
 import { Places } from '../routing/places.js';
 import { UnknownZones } from '../routing/unknown-zones.js';
 import type { RoutingConfiguration } from '../routing/configuration.js';
@@ -44,6 +46,14 @@
 import { ReadinessListener } from './readiness-listener.js';
 import { DEFAULT_SLOT_AGENT_LINK_OPTIONS, SlotAgentLinks } from './links/slot-agent-links.js';
 
+/** Records that gateways write, and the orders that states of roll-outs belong to. */
+const OWN_RECORD_KINDS: ReadonlySet<DecodedRecord['kind']> = new Set([
+  'crash-record',
+  'quota-members',
+  'rollout-order',
+  'rollout-status',
+]);
+
 /** What a gateway is made from. */
 export interface GatewayParts {
   readonly settings: GatewaySettings;
@@ -199,6 +209,7 @@
       ...parts,
       incarnation,
       store: adapter.store,
+      compareByOwner: createCompareByOwner(adapter.decode),
       quotas: this.quotas,
       rollouts: this.rollouts.rollouts,
       crashes: {
@@ -331,12 +342,14 @@
   }
 
   /** Takes in records that are news. */
-  private takeRecords(news: readonly StoreRecord[], source: RecordsSource): void {
+  private takeRecords(news: readonly RecordNews[], source: RecordsSource): void {
     if (news.length === 0) {
       return;
     }
     const { adapter } = this.parts;
-    const decoded = news.map((record) => ({ record, decoded: adapter.decode(record) }));
+    const decoded = news
+      .map((record) => ({ record, decoded: adapter.decode(record) }))
+      .filter(({ record, decoded: { kind } }) => record.isUnchanged !== true || isOwnRecord(kind));
     for (const each of inOrderOfEffect(decoded)) {
       this.takeRecord(each.record, each.decoded, source);
     }
@@ -346,18 +359,20 @@
     this.paths.followBackends();
   }
 
-  private takeRecord(record: StoreRecord, decoded: DecodedRecord, source: RecordsSource): void {
+  private takeRecord(record: RecordNews, decoded: DecodedRecord, source: RecordsSource): void {
     const { log } = this.parts;
     if (decoded.kind === 'configuration') {
-      this.install(decoded.configuration, record.revision, source);
+      this.install(decoded.configuration, record, source);
     } else if (decoded.kind === 'backend') {
-      this.backends.take(decoded, record.revision);
+      this.backends.take(decoded, record);
     } else if (decoded.kind === 'evacuation') {
       this.evacuations.take(decoded.change);
     } else if (decoded.kind === 'rollout-order') {
       this.rollouts.takeOrder(decoded.order);
     } else if (decoded.kind === 'rollout-removed') {
-      this.rollouts.takeRemoval(decoded.service, decoded.revision);
+      this.rollouts.takeRemoval(decoded.service, decoded.position);
+    } else if (decoded.kind === 'rollout-status-removed') {
+      this.rollouts.takeStatusRemoval(decoded.service, decoded.position);
     } else if (decoded.kind === 'rollout-status') {
       this.rollouts.takeStatus(decoded.status);
     } else if (decoded.kind === 'quota-members') {
@@ -367,7 +382,8 @@
     } else if (decoded.kind === 'invalid') {
       const { problem, isConfiguration } = decoded;
       const event = isConfiguration ? 'configuration-refused' : 'record-refused';
-      log.write(event, 'state', { problem, revision: record.revision });
+      const { epoch, revision } = record;
+      log.write(event, 'state', { problem, epoch, revision });
     }
   }
 
@@ -398,12 +414,12 @@
 
   private install(
     configuration: RoutingConfiguration,
-    revision: number,
+    { epoch, revision }: StorePosition,
     source: RecordsSource,
   ): void {
     const problem = findUnknownHome(configuration, this.places);
     if (problem !== undefined && this.configuration.version !== undefined) {
-      this.refuse(problem, revision);
+      this.refuse(problem, { epoch, revision });
       return;
     }
     if (!this.configuration.install(configuration)) {
@@ -423,6 +439,7 @@
     this.parts.metrics.record(({ configurationVersion }) => configurationVersion.set(version));
     this.parts.log.write('configuration-installed', 'state', {
       version: configuration.version,
+      epoch,
       revision,
       routes: configuration.routes.length,
       source,
@@ -431,8 +448,11 @@
     });
   }
 
-  private refuse({ message, key, found, allowed }: InvalidHomesError, revision: number): void {
-    const fields = { problem: message, key, found, allowed, revision };
+  private refuse(
+    { message, key, found, allowed }: InvalidHomesError,
+    { epoch, revision }: StorePosition,
+  ): void {
+    const fields = { problem: message, key, found, allowed, epoch, revision };
     this.parts.log.write('configuration-refused', 'state', fields);
   }
 
@@ -457,3 +477,8 @@
     };
   }
 }
+
+/** Whether gateways write such a record themselves: the position that a write is to follow must be of the store's epoch. */
+function isOwnRecord(kind: DecodedRecord['kind']): boolean {
+  return OWN_RECORD_KINDS.has(kind);
+}
--- a/src/gateway/gateway-rollouts.ts
+++ b/src/gateway/gateway-rollouts.ts
@@ -1,4 +1,5 @@
 /** Joins the roll-outs to a gateway: its back ends, its cluster, the adapter and the log. */
+import type { StorePosition } from '../cluster/store-position.js';
 import type { Clock } from '../clock.js';
 import type { WeirvaleError } from '../request/errors.js';
 import type { RolloutOrder, RolloutState, RolloutStatus } from '../rollout/rollout-order.js';
@@ -31,7 +32,7 @@
       {
         countReady: (service, targetVersion) => this.countReady(service, targetVersion),
         countGateways: () => parts.countGateways(),
-        write: (order, state, revision) => adapter.writeRolloutState(order, state, revision),
+        write: (order, state, follows) => adapter.writeRolloutState(order, state, follows),
         onWritten: (order, state, failure) => this.noteWritten(order, state, failure),
       },
       clock,
@@ -46,12 +47,17 @@
   }
 
   /** An order was removed: its roll-out ends. */
-  takeRemoval(service: string, revision: number): void {
-    if (this.rollouts.takeRemoval(service, revision)) {
-      this.parts.log.write('rollout-order-removed', 'state', { service, revision });
+  takeRemoval(service: string, position: StorePosition): void {
+    if (this.rollouts.takeRemoval(service, position)) {
+      this.parts.log.write('rollout-order-removed', 'state', { service, ...position });
     }
   }
 
+  /** The store holds no state of a roll-out. */
+  takeStatusRemoval(service: string, position: StorePosition): void {
+    this.rollouts.takeStatusRemoval(service, position);
+  }
+
   /** Takes in what the store tells of a roll-out. */
   takeStatus(status: RolloutStatus): void {
     this.rollouts.takeStatus(status);
--- a/src/gateway/links/gateway-peers.ts
+++ b/src/gateway/links/gateway-peers.ts
@@ -240,7 +240,7 @@
       reach: records.reach,
       knowledgeAgeMs: this.parts.knowledgeAgeMs(),
       ageMs: quotas.ageMs,
-      quotaRevision: quotas.revision,
+      quotaPosition: quotas.position,
       isReading: this.parts.isReading(),
       ...(this.parts.region === undefined ? {} : { region: this.parts.region }),
       ...(rollouts === undefined ? {} : { rollouts }),
--- a/src/gateway/own-records.ts
+++ b/src/gateway/own-records.ts
@@ -1,4 +1,5 @@
 /** Records that gateways keep in the cluster's store for themselves, in the product's own formats. */
+import type { StorePosition } from '../cluster/store-position.js';
 import type { DecodedRecord } from '../routing/decoded-record.js';
 import { decodeCrashRecord } from './crashes/crash-record-format.js';
 import { decodeQuotaMembers } from './quotas/quota-members-format.js';
@@ -14,13 +15,13 @@
 export function decodeOwnRecord(
   name: string,
   text: string | undefined,
-  revision: number,
+  position: StorePosition,
 ): DecodedRecord {
   if (name === 'crashing-requests') {
-    return { kind: 'crash-record', record: decodeCrashRecord(text, revision) };
+    return { kind: 'crash-record', record: decodeCrashRecord(text, position) };
   }
   if (name === 'quota-members') {
-    return { kind: 'quota-members', record: decodeQuotaMembers(text, revision) };
+    return { kind: 'quota-members', record: decodeQuotaMembers(text, position) };
   }
   return { kind: 'irrelevant' };
 }
--- a/src/gateway/quotas/quota-members-writer.ts
+++ b/src/gateway/quotas/quota-members-writer.ts
@@ -4,6 +4,8 @@
  * it does not. Each write holds only if nobody wrote meanwhile.
  */
 import type { Clock } from '../../clock.js';
+import { isLater, NO_POSITION } from '../../cluster/store-position.js';
+import type { StorePosition } from '../../cluster/store-position.js';
 import type { WeirvaleError } from '../../request/errors.js';
 import type { Result } from '../../result.js';
 import { isSettled } from './quota-members.js';
@@ -16,17 +18,17 @@
   readonly heardAtMs: number;
   /** When its process was started, in milliseconds. */
   readonly startedAtMs: number;
-  /** Revision of the record that it follows. */
-  readonly revision: number;
+  /** Position of the record that it follows. */
+  readonly follows: StorePosition;
 }
 
 /** What the writer needs from its surroundings. */
 export interface QuotaMembersPorts {
-  /** Writes the record where the last one has `expectedRevision` (0: there is none). */
+  /** Writes the record where the last one is at `expected` (revision 0: there is none). */
   write(
     change: QuotaMembersChange,
-    expectedRevision: number,
-  ): Promise<Result<number, WeirvaleError>>;
+    expected: StorePosition,
+  ): Promise<Result<StorePosition, WeirvaleError>>;
   /** The record was written, or the store did not take it. */
   onWritten(record: QuotaMembersRecord, failure: WeirvaleError | undefined): void;
   /** Every other gateway that was ever heard. */
@@ -176,12 +178,12 @@
   }
 
   /** Whether all who may have had rights before the record follow it, or have none any more. */
-  private haveFollowed({ settled, revision }: QuotaMembersRecord, nowMs: number): boolean {
+  private haveFollowed(record: QuotaMembersRecord, nowMs: number): boolean {
     const heard = new Map(this.ports.heard().map((peer) => [peer.name, peer]));
-    return settled.every(
+    return record.settled.every(
       ({ name }) =>
         name === this.self.name ||
-        (heard.get(name)?.revision ?? 0) >= revision ||
+        !isLater(record, heard.get(name)?.follows ?? NO_POSITION) ||
         this.isGone(name, nowMs),
     );
   }
@@ -202,11 +204,12 @@
   }
 
   private async write(change: DueChange): Promise<void> {
-    const { revision } = this.ports.record();
+    const { epoch, revision } = this.ports.record();
+    const expected = { epoch, revision };
     const { members, settled, credits, creditedAtMs } = change;
-    const next = { members, settled, credits, creditedAtMs };
-    const written = await this.ports.write(next, revision);
-    const record = { ...next, revision: written.ok ? written.val : revision };
+    const next = { members, settled, sequence: change.sequence + 1, credits, creditedAtMs };
+    const written = await this.ports.write(next, expected);
+    const record = { ...next, ...(written.ok ? written.val : expected) };
     this.ports.onWritten(record, written.ok ? undefined : written.val);
     // What somebody else wrote comes with the store's news meanwhile.
     this.clock.setTimeout(() => (this.isWriting = false), written.ok ? 0 : RETRY_MS);
--- a/src/gateway/quotas/quota-members.ts
+++ b/src/gateway/quotas/quota-members.ts
@@ -4,6 +4,8 @@
  * The record names the members and those that it named when all had last followed it (`settled`). While the two
  * differ, a gateway has only the rights that it has under both: who loses a pool has stopped before another begins.
  */
+import { NO_POSITION } from '../../cluster/store-position.js';
+import type { StorePosition } from '../../cluster/store-position.js';
 import { pickByRendezvous } from '../../membership/rendezvous.js';
 import { MAX_POOLS } from './quota-terms.js';
 
@@ -18,32 +20,36 @@
   readonly address: string;
 }
 
-/** The store's record of members. */
-export interface QuotaMembersRecord {
+/** The store's record of members. Its position has revision 0 where there is none. */
+export interface QuotaMembersRecord extends StorePosition {
   /** Undefined where there is none that can be read. */
   readonly members: readonly QuotaMember[] | undefined;
   /** The members when all of them had last followed the record. */
   readonly settled: readonly QuotaMember[];
-  /** The store's revision of it; 0 where there is none. */
-  readonly revision: number;
+  /** Rises by one with each write, also where the store lost the one before: a lower one is the older record. */
+  readonly sequence: number;
   /** Credits that were given to a fleet that had started again as a whole, since the first record. */
   readonly credits: number;
   /** Time of day of the last of them, in milliseconds; 0 before the first. */
   readonly creditedAtMs: number;
-  /** Whether the store holds it no more, or holds something that cannot be read; what was last known stands here. */
+  /**
+   * Whether the store holds it no more, or holds an older one or something that cannot be read; what was last known
+   * stands here, at the position of what the store holds.
+   */
   readonly isLost?: boolean;
 }
 
 /** What is written as the next record. */
 export type QuotaMembersChange = Required<
-  Pick<QuotaMembersRecord, 'settled' | 'credits' | 'creditedAtMs'>
+  Pick<QuotaMembersRecord, 'settled' | 'sequence' | 'credits' | 'creditedAtMs'>
 > & { readonly members: readonly QuotaMember[] };
 
 /** No record was seen. */
 export const NO_QUOTA_MEMBERS: QuotaMembersRecord = {
   members: undefined,
   settled: [],
-  revision: 0,
+  ...NO_POSITION,
+  sequence: 0,
   credits: 0,
   creditedAtMs: 0,
 };
--- a/src/gateway/quotas/quota-rights.ts
+++ b/src/gateway/quotas/quota-rights.ts
@@ -1,4 +1,5 @@
 /** Which rights to tenants' quotas this gateway holds now: by the newest record of members, while it is in contact. */
+import { isLater, isNoPosition } from '../../cluster/store-position.js';
 import { haveSameRights, NO_QUOTA_MEMBERS, QuotaHolders } from './quota-members.js';
 import { MAX_AHEAD_MS } from './quota-pools.js';
 import type { QuotaMembersRecord } from './quota-members.js';
@@ -30,21 +31,18 @@
 
   /** Takes in a record of the store; says whether it is news. */
   take(record: QuotaMembersRecord, nowMs: number): boolean {
-    if (record.revision !== 0 && record.revision <= this.record.revision) {
+    if (!isNoPosition(record) && !isLater(record, this.record)) {
       return false;
     }
-    if (
-      record.members === undefined &&
-      record.revision === 0 &&
-      this.record.members === undefined
-    ) {
+    if (record.members === undefined && isNoPosition(record) && this.record.members === undefined) {
       return false;
     }
-    // A record that is gone or cannot be read takes no rights: members keep to the last until one is written anew.
-    const { revision } = record;
+    // A record that is gone, is older or cannot be read takes no rights: members keep to the last one until it is
+    // written anew.
+    const { epoch, revision } = record;
     const former = this.record;
-    const known =
-      record.members === undefined ? { ...this.record, revision, isLost: true } : record;
+    const isLost = record.members === undefined || record.sequence < former.sequence;
+    const known = isLost ? { ...former, epoch, revision, isLost } : record;
     this.holders = new QuotaHolders(known);
     if (!haveSameRights(known, former)) {
       this.changedAtMs = nowMs;
--- a/src/model/model-fleet.ts
+++ b/src/model/model-fleet.ts
@@ -1,4 +1,5 @@
 /** The engines of an experiment and the agents beside them. */
+import { NO_EPOCH } from '../cluster/store-position.js';
 import type { Clock } from '../clock.js';
 import type { RandomSource } from '../random.js';
 import type { GatewaySilenceOptions } from '../slot-agent/gateway-account.js';
@@ -29,6 +30,9 @@
   return slowest * (fastest / slowest) ** draw;
 }
 
+/** Where announcements of the model's engines stand in a store. */
+const MODEL_POSITION = { epoch: NO_EPOCH, revision: 1 };
+
 /** Builds the engines; their speeds are drawn between the slowest and the fastest. */
 export function buildFleet(
   { fleet }: Experiment,
@@ -51,8 +55,9 @@
       version: '',
       slots: fleet.slots,
       state: 'ready',
+      sequence: 1,
       remainingColdMs: 0,
-      revision: 1,
+      ...MODEL_POSITION,
     };
     const agent = new ModelAgent(engine, clock, fleet.linkMs, gatewaySilence);
     backends.set(id, { backend, engine, agent });
--- a/src/rollout/rollout-order.ts
+++ b/src/rollout/rollout-order.ts
@@ -1,25 +1,25 @@
 /** What operators order of a roll-out, and what is told of it. */
+import type { StorePosition } from '../cluster/store-position.js';
 
-/** An order to move the traffic of a service to back ends of one version. */
-export interface RolloutOrder {
+/**
+ * An order to move the traffic of a service to back ends of one version. Its position in the store is that of its last
+ * write: a later order replaces it.
+ */
+export interface RolloutOrder extends StorePosition {
   readonly service: string;
   readonly targetVersion: string;
   /** Time from the order to its deadline, in milliseconds. */
   readonly durationMs: number;
-  /** The store's revision of the order: a later one replaces it. */
-  readonly revision: number;
 }
 
 /** How far a roll-out has come. */
 export type RolloutState = 'in-progress' | 'completed' | 'rolled-back';
 
-/** What the store tells of a roll-out. */
-export interface RolloutStatus {
+/** What the store tells of a roll-out, and the position at which it was written. */
+export interface RolloutStatus extends StorePosition {
   readonly service: string;
   readonly targetVersion: string;
   readonly state: RolloutState;
-  /** The store's revision of this state. */
-  readonly revision: number;
 }
 
 /** How back ends of one version may be used. */
--- a/src/rollout/rollouts.ts
+++ b/src/rollout/rollouts.ts
@@ -1,5 +1,7 @@
 /** The roll-outs that a gateway knows of: which versions it may use, what it tells, what it writes. */
 import type { Clock } from '../clock.js';
+import { isLater } from '../cluster/store-position.js';
+import type { StorePosition } from '../cluster/store-position.js';
 import type { Result } from '../result.js';
 import type { WeirvaleError } from '../request/errors.js';
 import type { Backend } from '../routing/backend.js';
@@ -16,11 +18,11 @@
   countReady(service: string, targetVersion: string): ReadyVersions;
   /** Gateways that are known, this one included. */
   countGateways(): number;
-  /** Writes a state where the last one has `statusRevision` (0: there is none). */
+  /** Writes a state where the last one is at `follows` (revision 0: there is none). */
   write(
     order: RolloutOrder,
     state: RolloutState,
-    statusRevision: number,
+    follows: StorePosition,
   ): Promise<Result<unknown, WeirvaleError>>;
   /** A state was written, or the store did not take it. */
   onWritten(order: RolloutOrder, state: RolloutState, failure: WeirvaleError | undefined): void;
@@ -45,7 +47,11 @@
   /** Takes in an order; says whether it is news. */
   takeOrder(order: RolloutOrder): boolean {
     const known = this.rollouts.get(order.service);
-    if (known !== undefined && known.order.revision >= order.revision) {
+    if (known !== undefined && !isLater(order, known.order)) {
+      return false;
+    }
+    if (known !== undefined && !known.isRemoved && isWrittenAgain(order, known.order)) {
+      known.follow(order);
       return false;
     }
     const rollout = new ServiceRollout(order, this.gateway, this.clock.now());
@@ -57,10 +63,10 @@
     return true;
   }
 
-  /** An order was removed at `revision`; says whether that ended a roll-out that was known. */
-  takeRemoval(service: string, revision: number): boolean {
+  /** An order was removed at `position`; says whether that ended a roll-out that was known. */
+  takeRemoval(service: string, position: StorePosition): boolean {
     const known = this.rollouts.get(service);
-    if (known === undefined || known.order.revision >= revision) {
+    if (known === undefined || !isLater(position, known.order)) {
       return false;
     }
     if (known.state === 'completed') {
@@ -77,6 +83,15 @@
     this.rollouts.get(status.service)?.takeStatus(status);
   }
 
+  /** The store holds no state of a roll-out at `position`. */
+  takeStatusRemoval(service: string, position: StorePosition): void {
+    const status = this.statuses.get(service);
+    if (status !== undefined && position.epoch > status.epoch) {
+      this.statuses.delete(service);
+      this.rollouts.get(service)?.loseStatus();
+    }
+  }
+
   /** How a back end may be used. */
   useOf({ service, version }: Backend): VersionUse {
     const rollout = this.rollouts.get(service);
@@ -143,10 +158,17 @@
   }
 
   private async write(rollout: ServiceRollout, state: RolloutState): Promise<void> {
-    const { order, statusRevision } = rollout;
+    const { order, storedAt } = rollout;
     this.writeAfterMs.set(order.service, Infinity);
-    const written = await this.ports.write(order, state, statusRevision);
+    const written = await this.ports.write(order, state, storedAt);
     this.writeAfterMs.set(order.service, this.clock.now() + WRITE_RETRY_MS);
     this.ports.onWritten(order, state, written.ok ? undefined : written.val);
   }
 }
+
+/** Whether an order is one that was known before the store came back from a copy. */
+function isWrittenAgain(order: RolloutOrder, known: RolloutOrder): boolean {
+  const isSame =
+    order.targetVersion === known.targetVersion && order.durationMs === known.durationMs;
+  return order.epoch > known.epoch && isSame;
+}
--- a/src/rollout/service-rollout.ts
+++ b/src/rollout/service-rollout.ts
@@ -7,6 +7,8 @@
  * on the old back ends ends, and only then is the roll-out said to be completed. A verdict that it is
  * bad stops the traffic at once, here and wherever it is heard, and never changes.
  */
+import { isLater, isSamePosition } from '../cluster/store-position.js';
+import type { StorePosition } from '../cluster/store-position.js';
 import { pairShare } from '../pair-share.js';
 import { RolloutEvidence } from './rollout-evidence.js';
 import type { OutcomesByRoute } from './rollout-evidence.js';
@@ -14,8 +16,8 @@
 
 /** What a gateway tells its peers of a roll-out that is not over. */
 export interface PeerRollout {
-  /** The store's revision of the order. */
-  readonly revision: number;
+  /** The store's position of the order. */
+  readonly position: StorePosition;
   /** Time since the order, as far as the sender knows, in milliseconds. */
   readonly elapsedMs: number;
   readonly isBad: boolean;
@@ -81,17 +83,29 @@
   private hasMoved = false;
   private isOrderRemoved = false;
   private status: RolloutStatus | undefined;
+  /** The state that the store holds; an earlier one than `status` where it came back from a copy. */
+  private stored: RolloutStatus | undefined;
   private startedAtMs: number;
   private wanted: { readonly state: RolloutState; readonly sinceMs: number } | undefined;
 
   constructor(
-    readonly order: RolloutOrder,
+    private current: RolloutOrder,
     private readonly gateway: string,
     nowMs: number,
   ) {
     this.startedAtMs = nowMs;
   }
 
+  /** The order, at the position of its last write. */
+  get order(): RolloutOrder {
+    return this.current;
+  }
+
+  /** The same order was written again, or is held in a later epoch of the store: what was learned stays. */
+  follow(order: RolloutOrder): void {
+    this.current = order;
+  }
+
   /** The state that the store tells; undefined before the first. */
   get state(): RolloutState | undefined {
     return this.status?.state;
@@ -102,9 +116,9 @@
     return this.isOrderRemoved || this.state === 'completed' || this.state === 'rolled-back';
   }
 
-  /** Revision of the state that the store tells; 0 before the first. */
-  get statusRevision(): number {
-    return this.status?.revision ?? 0;
+  /** Position of the state that the store holds; revision 0 where it holds none. */
+  get storedAt(): StorePosition {
+    return this.stored ?? { epoch: this.order.epoch, revision: 0 };
   }
 
   /** Whether its order was removed. */
@@ -161,14 +175,23 @@
   /** Takes in what the store tells; a state that ended never changes. */
   takeStatus(status: RolloutStatus): void {
     const isOfOrder = status.targetVersion === this.order.targetVersion;
-    if (isOfOrder && status.revision > this.order.revision && !this.isOver) {
+    if (!isOfOrder || !isLater(status, this.order)) {
+      return;
+    }
+    this.stored = status;
+    if (!this.isOver) {
       this.status = status;
     }
   }
 
+  /** The store came back without the state that it held. */
+  loseStatus(): void {
+    this.stored = undefined;
+  }
+
   /** A peer told of its part. */
   hear(peer: string, told: PeerRollout, nowMs: number): void {
-    if (told.revision !== this.order.revision) {
+    if (!isSamePosition(told.position, this.order)) {
       return;
     }
     this.peers.set(peer, { ...told, heardAtMs: nowMs });
@@ -182,7 +205,7 @@
   tell(nowMs: number): PeerRollout {
     const { isBad, hasMoved, oldAtWork, evidence, stepEvidence } = this;
     return {
-      revision: this.order.revision,
+      position: { epoch: this.order.epoch, revision: this.order.revision },
       elapsedMs: nowMs - this.startedAtMs,
       isBad,
       hasMoved,
@@ -198,7 +221,7 @@
    */
   stateToWrite(surroundings: RolloutSurroundings, nowMs: number): RolloutState | undefined {
     const wanted = this.decide(surroundings, nowMs);
-    if (wanted === undefined || wanted === this.state) {
+    if (wanted === undefined || wanted === this.stored?.state) {
       this.wanted = undefined;
       return undefined;
     }
@@ -211,7 +234,8 @@
 
   private decide(surroundings: RolloutSurroundings, nowMs: number): RolloutState | undefined {
     if (this.isOver) {
-      return undefined;
+      // Written again where the store holds it no more.
+      return this.isOrderRemoved ? undefined : this.state;
     }
     if (this.isBad) {
       return 'rolled-back';
--- a/src/routing/decoded-record.ts
+++ b/src/routing/decoded-record.ts
@@ -3,6 +3,7 @@
 import type { CrashRecord } from '../gateway/crashes/crash-record.js';
 import type { RolloutOrder, RolloutStatus } from '../rollout/rollout-order.js';
 import type { StoreRecord } from '../cluster/replicated-records.js';
+import type { StorePosition } from '../cluster/store-position.js';
 import type { Announcement } from './backend-lives.js';
 import type { RoutingConfiguration } from './configuration.js';
 import type { EvacuationChange } from './zone-evacuations.js';
@@ -24,8 +25,13 @@
   | { readonly kind: 'evacuation'; readonly change: EvacuationChange }
   | { readonly kind: 'rollout-order'; readonly order: RolloutOrder }
   | { readonly kind: 'rollout-status'; readonly status: RolloutStatus }
-  /** `revision` is that of the removal. */
-  | { readonly kind: 'rollout-removed'; readonly service: string; readonly revision: number }
+  /** `position` is that of the removal. */
+  | { readonly kind: 'rollout-removed'; readonly service: string; readonly position: StorePosition }
+  | {
+      readonly kind: 'rollout-status-removed';
+      readonly service: string;
+      readonly position: StorePosition;
+    }
   | { readonly kind: 'crash-record'; readonly record: CrashRecord }
   | { readonly kind: 'quota-members'; readonly record: QuotaMembersRecord }
   | { readonly kind: 'invalid'; readonly isConfiguration: boolean; readonly problem: string }
--- a/src/routing/zone-evacuations.ts
+++ b/src/routing/zone-evacuations.ts
@@ -1,17 +1,17 @@
 /**
  * Standing orders of the operators to send nothing to the back ends of a zone.
  *
- * An order lasts until its record is removed. The store's revision decides which news is the newest, so
+ * An order lasts until its record is removed. Its position in the store decides which news is the newest, so
  * that news may come in any order and more than once.
  */
+import { isLater } from '../cluster/store-position.js';
+import type { StorePosition } from '../cluster/store-position.js';
 
-/** What a record of the store says of one zone. */
-export interface EvacuationChange {
+/** What a record of the store says of one zone; the position is that of the order or of its removal. */
+export interface EvacuationChange extends StorePosition {
   readonly zone: string;
   /** Whether the zone is to get nothing; false once the order was removed. */
   readonly isOrdered: boolean;
-  /** The store's revision of the order or of its removal. */
-  readonly revision: number;
 }
 
 /** The newest change of a zone, and when this process learned of it. */
@@ -26,7 +26,7 @@
   /** Takes in a change; says whether it is news. */
   take(change: EvacuationChange, nowMs: number): boolean {
     const known = this.byZone.get(change.zone);
-    if (known !== undefined && known.revision >= change.revision) {
+    if (known !== undefined && !isLater(change, known)) {
       return false;
     }
     this.byZone.set(change.zone, { ...change, learnedAtMs: nowMs });
--- a/src/slot-agent/engine-coldness.ts
+++ b/src/slot-agent/engine-coldness.ts
@@ -1,6 +1,8 @@
 /** Whether the engine beside an agent is, or may be, cold, and the bound of its service. */
 import { ColdPeriod, coldStartBound } from '../routing/cold-start.js';
 import type { ColdStartBound, ColdStartLimits, Coldness } from '../routing/cold-start.js';
+import { isSamePosition } from '../cluster/store-position.js';
+import type { StorePosition } from '../cluster/store-position.js';
 import type { Backend } from '../routing/backend.js';
 import type { Service } from '../routing/configuration.js';
 import type { ColdStartHello } from './slot-messages.js';
@@ -33,7 +35,7 @@
   /** The replica has news. */
   noteRecords(nowMs: number): void {
     const { backend } = this.records();
-    if (backend === undefined || backend.revision === this.announcement?.revision) {
+    if (backend === undefined || this.isAnnounced(backend)) {
       return;
     }
     const earlier = this.announcement;
@@ -48,6 +50,10 @@
     this.period.noteAnnounced(backend.remainingColdMs, nowMs);
   }
 
+  private isAnnounced(backend: Backend): boolean {
+    return this.announcement !== undefined && isSamePosition(backend, this.announcement);
+  }
+
   /** Looks at the engine found it gone, or there: one that was gone may have been started anew. */
   noteGone(isGone: boolean, nowMs: number): void {
     if (this.isGone && !isGone) {
@@ -88,8 +94,8 @@
     return bound && this.period.coldness(bound.coldStartMs, this.records().zoneReturnedAtMs, nowMs);
   }
 
-  /** The store's revision of the announcement that the engine is known by; undefined while none is. */
-  get revision(): number | undefined {
-    return this.announcement?.revision;
+  /** Position in the store of the announcement that the engine is known by; undefined while none is. */
+  get position(): StorePosition | undefined {
+    return this.announcement;
   }
 }
--- a/src/slot-agent/engine-knowledge.ts
+++ b/src/slot-agent/engine-knowledge.ts
@@ -2,6 +2,7 @@
  * What an agent's own replica of the store says of the engine beside it: its announcement, its service,
  * the operators' orders for its zone. By it the agent checks for itself what gateways may send there.
  */
+import { isLater, NO_POSITION } from '../cluster/store-position.js';
 import { BackendLives } from '../routing/backend-lives.js';
 import type { Backend } from '../routing/backend.js';
 import { restrictionOf } from '../routing/backend-restriction.js';
@@ -63,7 +64,7 @@
   get backend(): Backend | undefined {
     let newest: Backend | undefined;
     for (const backend of this.announced.values()) {
-      if (newest === undefined || backend.revision > newest.revision) {
+      if (newest === undefined || isLater(backend, newest)) {
         newest = backend;
       }
     }
@@ -127,7 +128,8 @@
     version: '',
     slots: 0,
     state: 'ready',
+    sequence: 0,
     remainingColdMs: 0,
-    revision: 0,
+    ...NO_POSITION,
   };
 }
--- a/src/slot-agent/slot-agent-role.ts
+++ b/src/slot-agent/slot-agent-role.ts
@@ -9,10 +9,11 @@
 import { DEFAULT_PEER_MESH_OPTIONS, PeerMesh } from '../cluster/peer-mesh.js';
 import { RecordExchange } from '../cluster/record-exchange.js';
 import { ReplicatedRecords } from '../cluster/replicated-records.js';
-import type { StoreRecord } from '../cluster/replicated-records.js';
+import type { RecordNews } from '../cluster/replicated-records.js';
 import type { Clock, TimerHandle } from '../clock.js';
 import type { DecodeRecord } from '../routing/decoded-record.js';
 import type { ColdStartLimits } from '../routing/cold-start.js';
+import { createCompareByOwner } from '../routing/owner-counts.js';
 import type { Places } from '../routing/places.js';
 import { distanceFrom } from '../routing/standpoint.js';
 import { MessageChannel } from '../protocol/message-channel.js';
@@ -116,7 +117,7 @@
   private readonly coldness: EngineColdness;
   private wasCold = false;
   private resumeTimer: TimerHandle | undefined;
-  private readonly records = new ReplicatedRecords();
+  private readonly records: ReplicatedRecords;
   private readonly exchange: RecordExchange;
   private readonly mesh: PeerMesh;
   private nextConnection = 1;
@@ -155,6 +156,7 @@
       DEFAULT_GATEWAY_SILENCE_OPTIONS,
       clock.now(),
     );
+    this.records = new ReplicatedRecords(createCompareByOwner(parts.decode));
     this.server = createServer((socket) => this.accept(socket));
     this.exchange = new RecordExchange(
       this.records,
@@ -208,16 +210,17 @@
   }
 
   /** Takes in records of the store that are news. */
-  private learn(records: readonly StoreRecord[]): void {
+  private learn(news: readonly RecordNews[]): void {
     const before = this.knowledge.homesToTell?.configuration;
     const { decode, identity, log } = this.parts;
-    for (const record of records) {
+    for (const record of news.filter(({ isUnchanged }) => isUnchanged !== true)) {
       const decoded = decode(record);
       this.knowledge.take(decoded, this.clock.now());
       if (decoded.kind === 'evacuation' && decoded.change.zone === identity.engine.zone) {
-        const { zone: evacuatedZone, isOrdered, revision } = decoded.change;
+        const { zone: evacuatedZone, isOrdered, epoch, revision } = decoded.change;
         const { snapshot } = this.ledger;
-        log.write('zone-evacuation', 'state', { evacuatedZone, isOrdered, revision, ...snapshot });
+        const order = { evacuatedZone, isOrdered, epoch, revision };
+        log.write('zone-evacuation', 'state', { ...order, ...snapshot });
       }
     }
     if (this.knowledge.homesToTell?.configuration !== before) {
@@ -294,7 +297,8 @@
       reason: coldness?.reason,
       ageMs: coldness && nowMs - coldness.sinceMs,
       leftMs: coldness && coldness.untilMs - nowMs,
-      revision: this.coldness.revision,
+      epoch: this.coldness.position?.epoch,
+      revision: this.coldness.position?.revision,
     });
   }
 
--- a/src/telemetry/decision-log.ts
+++ b/src/telemetry/decision-log.ts
@@ -36,6 +36,8 @@
   'store-regained',
   'store-changes-missing',
   'store-epoch',
+  'store-epoch-settled',
+  'store-answer-dropped',
   'store-read-older',
   'records-passed-over',
   'knowledge-old',
--- a/test/backend-lives.test.ts
+++ b/test/backend-lives.test.ts
@@ -7,6 +7,7 @@
 import { Places } from '../src/routing/places.js';
 import { backendOf, GatewayWorld, routeOf } from './support/gateway.js';
 import { Agent } from './support/played-agent.js';
+import { at } from './support/positions.js';
 
 const RESET = { mayHaveRun: true, isPortClosed: false, detail: 'reset' };
 const ENTRY = {
@@ -33,7 +34,7 @@
 
 function decode(value: unknown, key = 'servers/w') {
   const text = typeof value === 'string' ? value : JSON.stringify(value);
-  return decodeRecord({ key, revision: 7, value: text });
+  return decodeRecord({ key, ...at(7), value: text });
 }
 
 /** Takes an announcement into a gateway as it does with its records. */
@@ -151,7 +152,7 @@
   );
   const take = (entry: unknown, revision: number) =>
     knowledge.take(
-      decodeRecord({ key: 'servers/w', revision, value: JSON.stringify(entry) }),
+      decodeRecord({ key: 'servers/w', ...at(revision), value: JSON.stringify(entry) }),
       revision,
     );
   take(ENTRY, 1);
@@ -225,7 +226,7 @@
       } catch {
         return;
       }
-      const read = decodeRecord({ key: 'servers/w', revision: 1, value: text ?? '' });
+      const read = decodeRecord({ key: 'servers/w', ...at(1), value: text ?? '' });
       const announcement = read.kind === 'backend' ? read.announcement : undefined;
       update(world, lives, announcement);
       if (announcement !== undefined) {
--- a/test/backend-restriction.test.ts
+++ b/test/backend-restriction.test.ts
@@ -6,6 +6,7 @@
 import { ZoneEvacuations } from '../src/routing/zone-evacuations.js';
 import { EngineKnowledge } from '../src/slot-agent/engine-knowledge.js';
 import { backendOf, GatewayWorld } from './support/gateway.js';
+import { at } from './support/positions.js';
 
 const PLACES = new Places(
   new Map([
@@ -53,7 +54,7 @@
     fc.property(news, (changes) => {
       const evacuations = new ZoneEvacuations();
       for (const { revision } of changes) {
-        evacuations.take({ zone: 'z', isOrdered: revision % 2 === 1, revision }, 0);
+        evacuations.take({ zone: 'z', isOrdered: revision % 2 === 1, ...at(revision) }, 0);
       }
       const newest = Math.max(...changes.map(({ revision }) => revision));
       return evacuations.isEvacuated('z') === (newest % 2 === 1);
@@ -64,18 +65,18 @@
 
 test('an order and its removal are read from the store', (t) => {
   const key = 'op/evacuate/a1';
-  t.deepEqual(decodeRecord({ key, revision: 4, value: '{}' }), {
+  t.deepEqual(decodeRecord({ key, ...at(4), value: '{}' }), {
     kind: 'evacuation',
-    change: { zone: 'a1', isOrdered: true, revision: 4 },
+    change: { zone: 'a1', isOrdered: true, ...at(4) },
   });
-  t.deepEqual(decodeRecord({ key, revision: 5, value: undefined }), {
+  t.deepEqual(decodeRecord({ key, ...at(5), value: undefined }), {
     kind: 'evacuation',
-    change: { zone: 'a1', isOrdered: false, revision: 5 },
+    change: { zone: 'a1', isOrdered: false, ...at(5) },
   });
 });
 
 test('an order whose value cannot be read is one all the same; one without a zone is refused, not as a configuration', (t) => {
-  const order = { revision: 4, value: 'not { JSON' };
+  const order = { ...at(4), value: 'not { JSON' };
   t.is(decodeRecord({ key: 'op/evacuate/a1', ...order }).kind, 'evacuation');
   const refused = decodeRecord({ key: 'op/evacuate/', ...order });
   t.like(refused, { kind: 'invalid', isConfiguration: false });
@@ -103,9 +104,9 @@
   const engine = new EngineKnowledge({ address: '1.2.3.4:5', zone: 'a1' }, PLACES);
   t.is(engine.restriction(undefined), undefined);
   t.is(engine.restriction(new Set(['b'])), 'outside-home');
-  engine.take({ kind: 'evacuation', change: { zone: 'a1', isOrdered: true, revision: 3 } }, 0);
-  engine.take({ kind: 'evacuation', change: { zone: 'a1', isOrdered: false, revision: 2 } }, 0);
+  engine.take({ kind: 'evacuation', change: { zone: 'a1', isOrdered: true, ...at(3) } }, 0);
+  engine.take({ kind: 'evacuation', change: { zone: 'a1', isOrdered: false, ...at(2) } }, 0);
   t.is(engine.restriction(undefined), 'zone-evacuated');
-  engine.take({ kind: 'evacuation', change: { zone: 'a1', isOrdered: false, revision: 4 } }, 0);
+  engine.take({ kind: 'evacuation', change: { zone: 'a1', isOrdered: false, ...at(4) } }, 0);
   t.is(engine.restriction(undefined), undefined);
 });
--- a/test/crash-record.test.ts
+++ b/test/crash-record.test.ts
@@ -11,6 +11,8 @@
 } from '../src/gateway/crashes/crash-record-format.js';
 import { err, ok } from '../src/result.js';
 import { VirtualClock } from '../src/sim/virtual-clock.js';
+import { at } from './support/positions.js';
+import type { StorePosition } from '../src/cluster/store-position.js';
 
 const { maxAgeMs, maxRequests } = DEFAULT_CRASH_RECORD_OPTIONS;
 
@@ -43,11 +45,11 @@
 
   /** Every gateway hears of the record. */
   spread(): void {
-    this.writers.forEach((writer) => writer.take(decodeCrashRecord(this.text, this.revision)));
+    this.writers.forEach((writer) => writer.take(decodeCrashRecord(this.text, at(this.revision))));
   }
 
   stored(): StoredCrashes[] {
-    return [...(decodeCrashRecord(this.text, this.revision).requests ?? [])];
+    return [...(decodeCrashRecord(this.text, at(this.revision)).requests ?? [])];
   }
 
   async settle(): Promise<void> {
@@ -57,18 +59,18 @@
     }
   }
 
-  private write(requests: readonly StoredCrashes[], expected: number) {
+  private write(requests: readonly StoredCrashes[], expected: StorePosition) {
     this.writes += 1;
     if (this.isDown) {
       return err(new StoreUnavailableError('down'));
     }
     const current = this.text === undefined ? 0 : this.revision;
-    if (expected !== current) {
+    if (expected.revision !== current) {
       return err(new StoreConflictError('changed'));
     }
     this.revision += 1;
     this.text = encodeCrashRecord(requests);
-    return this.losesAnswers ? err(new StoreUnavailableError('no answer')) : ok(this.revision);
+    return this.losesAnswers ? err(new StoreUnavailableError('no answer')) : ok(at(this.revision));
   }
 }
 
@@ -130,7 +132,7 @@
   world.writers[0]!.add(many);
   await world.settle();
   const later = world.createWriter();
-  const learned = later.take(decodeCrashRecord(world.text, world.revision));
+  const learned = later.take(decodeCrashRecord(world.text, at(world.revision)));
   t.is(learned.length, maxRequests);
   t.false(learned.some(({ fingerprint }) => fingerprint === 'old'));
   t.true(world.text!.length < 40_000);
@@ -150,7 +152,7 @@
 
 test('a record that is none is refused whole, an entry that is none alone', (t) => {
   for (const text of ['', 'x', '[]', 'null', '{"requests":7}']) {
-    t.throws(() => decodeCrashRecord(text, 1), undefined, text);
+    t.throws(() => decodeCrashRecord(text, at(1)), undefined, text);
   }
   const good = { ...tally('a', 2), changedAtMs: 5 };
   const bad = [
@@ -161,5 +163,7 @@
     { ...good, crashes: -1 },
     { ...good, clearances: 0.5 },
   ];
-  t.deepEqual(decodeCrashRecord(JSON.stringify({ requests: [...bad, good] }), 1).requests, [good]);
+  t.deepEqual(decodeCrashRecord(JSON.stringify({ requests: [...bad, good] }), at(1)).requests, [
+    good,
+  ]);
 });
--- a/test/crashing-requests-fleet.test.ts
+++ b/test/crashing-requests-fleet.test.ts
@@ -14,6 +14,9 @@
 import { err, ok } from '../src/result.js';
 import { VirtualClock } from '../src/sim/virtual-clock.js';
 import { backendOf, routeOf } from './support/gateway.js';
+import { at } from './support/positions.js';
+import type { StorePosition } from '../src/cluster/store-position.js';
+import type { CrashRecord } from '../src/gateway/crashes/crash-record.js';
 
 const SEEDS = 200;
 const GATEWAYS = 5;
@@ -74,7 +77,7 @@
   private readonly runs = new Map<string, Array<{ gateway: FleetGateway; run: RequestRun }>>();
   private readonly awayUntilMs = new Map<string, number>();
   private thirdCrashAtMs = Infinity;
-  private record: { requests: readonly StoredCrashes[]; revision: number } | undefined;
+  private record: CrashRecord | undefined;
   /** A gateway that its peers do not reach, and until when. */
   private cutOff: { index: number; untilMs: number } = { index: -1, untilMs: 0 };
 
@@ -108,20 +111,20 @@
     }
   }
 
-  write(requests: readonly StoredCrashes[], expectedRevision: number) {
+  write(requests: readonly StoredCrashes[], { revision }: StorePosition) {
     this.clock.notePromise();
     if (this.variant.keepsNothing === true) {
-      return Promise.resolve(ok(expectedRevision + 1));
+      return Promise.resolve(ok(at(revision + 1)));
     }
-    if ((this.record?.revision ?? 0) !== expectedRevision) {
+    if ((this.record?.revision ?? 0) !== revision) {
       return Promise.resolve(err(new StoreConflictError('changed')));
     }
-    const record = { requests, revision: expectedRevision + 1 };
+    const record = { requests, ...at(revision + 1) };
     this.record = record;
     for (const gateway of this.gateways) {
       this.clock.setTimeout(() => gateway.read(record), 20 + this.below(300));
     }
-    return Promise.resolve(ok(record.revision));
+    return Promise.resolve(ok(at(record.revision)));
   }
 
   private every(meanMs: number, act: () => void): void {
@@ -270,7 +273,7 @@
     );
     this.record = new CrashRecordWriter(
       {
-        write: (requests, revision) => fleet.write(requests, revision),
+        write: (requests, expected) => fleet.write(requests, expected),
         onWritten: () => undefined,
         timeOfDayMs: () => clock.now(),
       },
@@ -282,7 +285,7 @@
     this.crashing.hear(requests, 'peer');
   }
 
-  read(record: { requests: readonly StoredCrashes[]; revision: number }): void {
+  read(record: CrashRecord): void {
     this.crashing.hear(this.record.take(record), 'store');
   }
 
--- a/test/engine-coldness.test.ts
+++ b/test/engine-coldness.test.ts
@@ -54,7 +54,7 @@
   coldness.noteRecords(20_000);
   coldness.noteRecords(20_500);
   t.is(coldness.coldness(22_999)?.reason, 'new-incarnation');
-  t.is(coldness.revision, 6);
+  t.is(coldness.position?.revision, 6);
   records.backend = backendOf('second', { revision: 7 });
   coldness.noteRecords(21_000);
   t.is(coldness.coldness(21_000), undefined);
--- a/test/homes-agent-socket.test.ts
+++ b/test/homes-agent-socket.test.ts
@@ -9,6 +9,7 @@
 import { SlotAgentRole } from '../src/slot-agent/slot-agent-role.js';
 import type { AgentToGateway, GatewayToAgent } from '../src/slot-agent/slot-messages.js';
 import { DecisionLog } from '../src/telemetry/decision-log.js';
+import { at } from './support/positions.js';
 
 const HOST = '127.0.3.10';
 /** A port below those that the system hands out, on an address of this file's own. */
@@ -57,10 +58,11 @@
     onMessage: (message) => {
       heard.push(message);
       if (message.kind === 'fetch') {
-        const record = { key: 'op/config', revision: 1, value: CONFIGURATION };
+        const record = { key: 'op/config', ...at(1), value: CONFIGURATION };
         const { since } = message;
-        const reach = { completeTo: 1, currentTo: 1 };
-        gateway.send({ kind: 'records', since, ...reach, isWhole: true, records: [record] });
+        const reach = { completeTo: at(1), currentTo: at(1) };
+        const answer = { isWhole: true, records: [record], epochStart: at(0) };
+        gateway.send({ kind: 'records', since, ...reach, ...answer });
       }
     },
     onClose: () => undefined,
@@ -70,7 +72,7 @@
   gateway.send({ kind: 'hello', gateway: 'g', held: 0, peersAddress: '', slots: 1 });
   await until(() => states().length > 0);
   t.is(states()[0]?.homes, undefined);
-  gateway.send({ kind: 'reach', reach: { completeTo: 1, currentTo: 1 } });
+  gateway.send({ kind: 'reach', reach: { completeTo: at(1), currentTo: at(1) } });
   await until(() => states().at(-1)?.homes !== undefined);
   t.deepEqual(states().at(-1)?.homes, { region: 'b', configuration: 7 });
   const rank = { tier: 0, rankInTier: 0, waitedMs: 0, startInMs: 1_000 };
--- a/test/homes-agent.test.ts
+++ b/test/homes-agent.test.ts
@@ -16,6 +16,7 @@
 import type { SlotMessage } from '../src/slot-agent/slot-messages.js';
 import type { ForbiddenTake } from '../src/slot-agent/slot-ledger.js';
 import { backendOf, GatewayWorld, routeOf } from './support/gateway.js';
+import { at } from './support/positions.js';
 
 const PLACES = new Places(
   new Map([
@@ -27,7 +28,7 @@
 function configurationOf(version: number, ...lists: string[][]): RoutingConfiguration {
   const record = {
     key: 'op/config',
-    revision: version,
+    ...at(version),
     value: JSON.stringify({
       version,
       routes: lists.map((allowedRegions, index) => ({
@@ -278,7 +279,7 @@
 
 test('a record whose homes are no list is not read, and says why', (t) => {
   const value = JSON.stringify({ version: 2, routes: [{ name: 'r', allowedRegions: 'eu' }] });
-  const decoded = decodeRecord({ key: 'op/config', revision: 1, value });
+  const decoded = decodeRecord({ key: 'op/config', ...at(1), value });
   t.is(decoded.kind, 'invalid');
   t.regex(JSON.stringify(decoded), /routes\.r\.allowedRegions is .*eu.*; allowed is a list/);
 });
--- a/test/homes-gateway.test.ts
+++ b/test/homes-gateway.test.ts
@@ -122,6 +122,7 @@
     key: 'routes.r.allowedRegions',
     found: '"c"',
     allowed: 'a, b',
+    epoch: 0,
     revision: 4,
   });
   system.store.put('op/config', configurationOf(3, 'ab'));
--- a/test/peer-mesh-paths.test.ts
+++ b/test/peer-mesh-paths.test.ts
@@ -11,6 +11,7 @@
 import { scenarioRandom } from './support/store-fleet.js';
 import { VirtualNetwork } from './support/virtual-network.js';
 import type { NetworkHost } from './support/virtual-network.js';
+import { NO_POSITION } from '../src/cluster/store-position.js';
 
 const PORT = 1;
 const BEAT_MS = 500;
@@ -20,7 +21,7 @@
   kind: 'beat',
   reach: NO_REACH,
   ageMs: 0,
-  quotaRevision: 0,
+  quotaPosition: NO_POSITION,
   isReading: false,
 } as const;
 
--- a/test/quota-members-writer.test.ts
+++ b/test/quota-members-writer.test.ts
@@ -20,17 +20,15 @@
   const writer = new QuotaMembersWriter(
     SELF,
     {
-      write: (_change, expectedRevision) => {
+      write: (_change, { epoch, revision }) => {
         clock.notePromise();
-        return Promise.resolve(ok(expectedRevision + 1));
+        return Promise.resolve(ok({ epoch, revision: revision + 1 }));
       },
       onWritten: (next) => {
         record = next;
         written.push({ ...(next as QuotaMembersChange), atMs: clock.now() });
       },
-      heard: () => [
-        { ...JOINER, heardAtMs: clock.now(), startedAtMs: -1e6, revision: record.revision },
-      ],
+      heard: () => [{ ...JOINER, heardAtMs: clock.now(), startedAtMs: -1e6, follows: record }],
       record: () => record,
       storeAgeMs: () => 0,
       timeOfDayMs: () => clock.now(),
--- a/test/quota-pools.test.ts
+++ b/test/quota-pools.test.ts
@@ -13,6 +13,7 @@
   reserveTerms,
   windowBound,
 } from '../src/gateway/quotas/quota-terms.js';
+import { at } from './support/positions.js';
 
 const TOLERANCE = { overShare: 0.1, slack: 1_000, windowMs: 8_000 };
 const QUOTA = { ratePerS: 1_000, burst: 500, unit: 'tokens', plainTokens: 1 } as const;
@@ -133,10 +134,10 @@
 });
 
 test('the record of members is read as it was written, and anything else names nobody', (t) => {
-  const change = { members: [member('a')], settled: [], credits: 2, creditedAtMs: 5 };
-  t.deepEqual(decodeQuotaMembers(encodeQuotaMembers(change), 7), { ...change, revision: 7 });
+  const change = { members: [member('a')], settled: [], sequence: 3, credits: 2, creditedAtMs: 5 };
+  t.deepEqual(decodeQuotaMembers(encodeQuotaMembers(change), at(7)), { ...change, ...at(7) });
   for (const text of ['', '{', '[]', '{"members":[{"name":1}]}', '{"members":[],"settled":{}}']) {
-    t.deepEqual(decodeQuotaMembers(text, 7), { ...NO_QUOTA_MEMBERS, revision: 7 }, text);
+    t.deepEqual(decodeQuotaMembers(text, at(7)), { ...NO_QUOTA_MEMBERS, ...at(7) }, text);
   }
-  t.deepEqual(decodeQuotaMembers(undefined, 7), NO_QUOTA_MEMBERS);
+  t.deepEqual(decodeQuotaMembers(undefined, at(7)), NO_QUOTA_MEMBERS);
 });
--- a/test/record-exchange.test.ts
+++ b/test/record-exchange.test.ts
@@ -3,6 +3,7 @@
 import type { RecordsFetch } from '../src/cluster/record-exchange.js';
 import { ReplicatedRecords } from '../src/cluster/replicated-records.js';
 import { VirtualClock } from '../src/sim/virtual-clock.js';
+import { at } from './support/positions.js';
 
 function startExchange(isStoreReachable: boolean) {
   const clock = new VirtualClock();
@@ -19,7 +20,7 @@
   );
   const asked: string[] = [];
   const hear = (revision: number, name = 'a') =>
-    exchange.hearReach(name, { completeTo: revision, currentTo: revision }, (fetch) => {
+    exchange.hearReach(name, { completeTo: at(revision), currentTo: at(revision) }, (fetch) => {
       fetches.push(fetch);
       asked.push(name);
     });
@@ -28,23 +29,23 @@
 
 test('a replica whose store is dark asks at once, and only one that is ahead', (t) => {
   const { fetches, hear, records } = startExchange(false);
-  records.applyListing([], 5);
+  records.applyListing([], at(5));
   hear(5);
   t.deepEqual(fetches, []);
   hear(6);
-  t.deepEqual(fetches, [{ kind: 'fetch', since: 5 }]);
+  t.deepEqual(fetches, [{ kind: 'fetch', since: at(5) }]);
 });
 
 test('while the store answers, changes are given time to come from there', async (t) => {
   const { clock, fetches, hear, records } = startExchange(true);
   hear(6);
   await clock.runUntil(100);
-  records.applyListing([], 6);
+  records.applyListing([], at(6));
   await clock.runUntil(1_000);
   t.deepEqual(fetches, []);
   hear(7);
   await clock.runUntil(2_000);
-  t.deepEqual(fetches, [{ kind: 'fetch', since: 6 }]);
+  t.deepEqual(fetches, [{ kind: 'fetch', since: at(6) }]);
 });
 
 test('one fetch is under way at a time, and another replica is asked when it is not answered', async (t) => {
@@ -69,10 +70,11 @@
   t.is(exchange.behindMs, 900);
   exchange.receive({
     kind: 'records',
-    since: 0,
-    completeTo: 7,
-    currentTo: 7,
+    since: at(0),
+    completeTo: at(7),
+    currentTo: at(7),
     isWhole: true,
+    epochStart: at(0),
     records: [],
   });
   await clock.runUntil(3_000);
@@ -82,13 +84,19 @@
 
 test('values that are known without their removals are asked for as well', (t) => {
   const { fetches, exchange, records } = startExchange(false);
-  records.applyListing([], 5);
-  exchange.hearReach('a', { completeTo: 5, currentTo: 7 }, (fetch) => fetches.push(fetch));
-  t.deepEqual(fetches, [{ kind: 'fetch', since: 5 }]);
-  const added = { key: 'a', revision: 7, value: 'v' };
-  const answer = { kind: 'records', since: 5, isWhole: false, records: [added] } as const;
-  exchange.receive({ ...answer, completeTo: 5, currentTo: 7 });
-  t.deepEqual(records.reach, { completeTo: 5, currentTo: 7 });
+  records.applyListing([], at(5));
+  exchange.hearReach('a', { completeTo: at(5), currentTo: at(7) }, (fetch) => fetches.push(fetch));
+  t.deepEqual(fetches, [{ kind: 'fetch', since: at(5) }]);
+  const added = { key: 'a', ...at(7), value: 'v' };
+  const answer = {
+    kind: 'records',
+    since: at(5),
+    isWhole: false,
+    records: [added],
+    epochStart: at(0),
+  } as const;
+  exchange.receive({ ...answer, completeTo: at(5), currentTo: at(7) });
+  t.deepEqual(records.reach, { completeTo: at(5), currentTo: at(7) });
   t.is(exchange.behindMs, 0);
 });
 
@@ -97,10 +105,11 @@
   hear(6);
   exchange.receive({
     kind: 'records',
-    since: 0,
-    completeTo: 5,
-    currentTo: 5,
+    since: at(0),
+    completeTo: at(5),
+    currentTo: at(5),
     isWhole: true,
+    epochStart: at(0),
     records: [],
   });
   await clock.runUntil(2_000);
@@ -119,17 +128,18 @@
 
 test('what was fetched is taken in, and answers what others ask', (t) => {
   const { exchange, news, records } = startExchange(false);
-  const record = { key: 'a', revision: 4, value: 'v' };
+  const record = { key: 'a', ...at(4), value: 'v' };
   exchange.receive({
     kind: 'records',
-    since: 0,
-    completeTo: 4,
-    currentTo: 4,
+    since: at(0),
+    completeTo: at(4),
+    currentTo: at(4),
     isWhole: false,
+    epochStart: at(0),
     records: [record],
   });
   t.deepEqual(news, ['a']);
-  t.is(records.completeTo, 4);
-  t.deepEqual(exchange.answer({ kind: 'fetch', since: 3 }).records, [record]);
-  t.deepEqual(exchange.answer({ kind: 'fetch', since: 4 }).records, []);
+  t.deepEqual(records.completeTo, at(4));
+  t.deepEqual(exchange.answer({ kind: 'fetch', since: at(3) }).records, [record]);
+  t.deepEqual(exchange.answer({ kind: 'fetch', since: at(4) }).records, []);
 });
--- a/test/replica.test.ts
+++ b/test/replica.test.ts
@@ -14,11 +14,14 @@
 import { SlotAgentRole } from '../src/slot-agent/slot-agent-role.js';
 import { DecisionLog } from '../src/telemetry/decision-log.js';
 import type { AgentToGateway, GatewayToAgent } from '../src/slot-agent/slot-messages.js';
+import { at } from './support/positions.js';
+import { laterOf, NO_POSITION } from '../src/cluster/store-position.js';
+import type { StorePosition } from '../src/cluster/store-position.js';
 
 const HOST = '127.0.4.1';
 /** Ports below those that the system hands out, on an address of this file's own: nobody else takes them. */
 let lastPort = 28_500;
-const RECORD: StoreRecord = { key: 'k', revision: 3, value: 'v' };
+const RECORD: StoreRecord = { key: 'k', ...at(3), value: 'v' };
 
 function nextPort(): number {
   lastPort += 1;
@@ -44,7 +47,7 @@
   const peers: string[] = [];
   const kinds = new Set<string>();
   const records = new ReplicatedRecords();
-  records.applyListing(known, Math.max(0, ...known.map(({ revision }) => revision)));
+  records.applyListing(known, known.reduce<StorePosition>(laterOf, NO_POSITION));
   let mesh: PeerMesh | undefined;
   const heard = new Promise<readonly StoreRecord[]>((resolve) => {
     const exchange = new RecordExchange(
@@ -55,7 +58,7 @@
     const beat = (): PeerMessage => ({
       kind: 'beat',
       ageMs: 0,
-      quotaRevision: 0,
+      quotaPosition: NO_POSITION,
       isReading: false,
       reach: records.reach,
     });
@@ -108,7 +111,13 @@
   b.mesh.reopenSilent(50);
   await settle();
   t.is(hellosOfB(), 2);
-  a.mesh.broadcast({ kind: 'beat', ageMs: 0, quotaRevision: 0, isReading: false, reach: NO_REACH });
+  a.mesh.broadcast({
+    kind: 'beat',
+    ageMs: 0,
+    quotaPosition: NO_POSITION,
+    isReading: false,
+    reach: NO_REACH,
+  });
   await new Promise((resolve) => setTimeout(resolve, 20));
   b.mesh.reopenSilent(100);
   await settle();
@@ -147,8 +156,9 @@
       onMessage: (message) => {
         if (message.kind === 'fetch') {
           const { since } = message;
-          const answer = { since, completeTo: 3, currentTo: 3, isWhole: false, records: [RECORD] };
-          channel.send({ kind: 'records', ...answer });
+          const reach = { completeTo: at(3), currentTo: at(3) };
+          const answer = { since, isWhole: false, records: [RECORD], epochStart: at(0) };
+          channel.send({ kind: 'records', ...reach, ...answer });
           // Messages are taken in order: the answer to this one shows that the records arrived.
           channel.send({ kind: 'hello', gateway: 'dead', peersAddress: '', held: 0, slots: 1 });
         } else {
@@ -157,7 +167,7 @@
       },
       onClose: resolve,
     });
-    channel.send({ kind: 'reach', reach: { completeTo: 3, currentTo: 3 } });
+    channel.send({ kind: 'reach', reach: { completeTo: at(3), currentTo: at(3) } });
   });
 }
 
--- a/test/restored-store.test.ts
+++ b/test/restored-store.test.ts
@@ -18,7 +18,7 @@
 /** A fleet whose store comes back from a copy some seconds old, before a change and a back end that leaves. */
 async function playDrill({ gateways, seed }: Drill): Promise<StoreFleet> {
   const random = scenarioRandom(seed);
-  const fleet = new StoreFleet({ seed, gateways });
+  const fleet = new StoreFleet({ seed, gateways, countsEpochs: true });
   fleet.announce('b1');
   fleet.announce('b2');
   await fleet.run(SETTLE_MS);
--- a/test/rollout.test.ts
+++ b/test/rollout.test.ts
@@ -11,8 +11,9 @@
 import { backendOf, GatewayWorld } from './support/gateway.js';
 import { RolloutFleet } from './support/rollout-fleet.js';
 import type { FleetTroubles, RolloutRun, VersionBehaviour } from './support/rollout-fleet.js';
+import { at } from './support/positions.js';
 
-const ORDER = { service: 's', targetVersion: 'v2', durationMs: 20_000, revision: 5 };
+const ORDER = { service: 's', targetVersion: 'v2', durationMs: 20_000, ...at(5) };
 const SEEDS = Array.from({ length: 50 }, (_unused, index) => index + 1);
 const EXPOSE_SHARE = 0.1;
 const EXPOSE_SLACK = 50;
@@ -102,18 +103,18 @@
 
 test('a version that was rolled back gets nothing, one that was completed gets all', (t) => {
   const rollout = new ServiceRollout(ORDER, 'g', 0);
-  rollout.takeStatus({ ...ORDER, state: 'rolled-back', revision: 6 });
+  rollout.takeStatus({ ...ORDER, state: 'rolled-back', ...at(6) });
   t.deepEqual([rollout.useOf('v1'), rollout.useOf('v2')], ['open', 'closed']);
   const other = new ServiceRollout(ORDER, 'g', 0);
-  other.takeStatus({ ...ORDER, state: 'completed', revision: 6 });
+  other.takeStatus({ ...ORDER, state: 'completed', ...at(6) });
   t.deepEqual([other.useOf('v1'), other.useOf('v2')], ['closed', 'open']);
 });
 
 test('the state of an earlier order says nothing of a later one', (t) => {
   const rollout = new ServiceRollout(ORDER, 'g', 0);
-  rollout.takeStatus({ ...ORDER, state: 'completed', revision: 4 });
+  rollout.takeStatus({ ...ORDER, state: 'completed', ...at(4) });
   t.is(rollout.state, undefined);
-  rollout.takeStatus({ ...ORDER, targetVersion: 'v9', state: 'completed', revision: 8 });
+  rollout.takeStatus({ ...ORDER, targetVersion: 'v9', state: 'completed', ...at(8) });
   t.is(rollout.state, undefined);
 });
 
@@ -150,7 +151,7 @@
     {
       countReady: () => ready,
       countGateways: () => 1,
-      write: () => Promise.resolve(ok(1)),
+      write: () => Promise.resolve(ok(at(1))),
       onWritten: () => undefined,
     },
     clock,
@@ -169,28 +170,28 @@
     rollouts.noteSent(OLD);
   }
   t.is(rollouts.useOf(NEW), 'limited');
-  t.false(rollouts.takeRemoval('s', ORDER.revision - 1));
-  t.true(rollouts.takeRemoval('s', ORDER.revision + 1));
+  t.false(rollouts.takeRemoval('s', at(ORDER.revision - 1)));
+  t.true(rollouts.takeRemoval('s', at(ORDER.revision + 1)));
   t.deepEqual([rollouts.useOf(OLD), rollouts.useOf(NEW)], ['open', 'closed']);
   t.is(rollouts.tell(), undefined);
   ready.others = 0;
   t.is(rollouts.useOf(NEW), 'open');
-  rollouts.takeOrder({ ...ORDER, revision: ORDER.revision + 2 });
+  rollouts.takeOrder({ ...ORDER, ...at(ORDER.revision + 2) });
   t.not(rollouts.tell(), undefined);
 });
 
 test('a completed roll-out whose order is removed leaves every version open', (t) => {
   const rollouts = rolloutsWith({ target: 1, others: 1 });
-  rollouts.takeStatus({ ...ORDER, state: 'completed', revision: 6 });
+  rollouts.takeStatus({ ...ORDER, state: 'completed', ...at(6) });
   t.deepEqual([rollouts.useOf(OLD), rollouts.useOf(NEW)], ['closed', 'open']);
-  rollouts.takeRemoval('s', 7);
+  rollouts.takeRemoval('s', at(7));
   t.deepEqual([rollouts.useOf(OLD), rollouts.useOf(NEW)], ['open', 'open']);
 });
 
 test('the old version is used where every back end of the new one is in an evacuated zone', (t) => {
   const ready = { target: 0, others: 1 };
   const rollouts = rolloutsWith(ready);
-  rollouts.takeStatus({ ...ORDER, state: 'completed', revision: 6 });
+  rollouts.takeStatus({ ...ORDER, state: 'completed', ...at(6) });
   t.is(rollouts.useOf(OLD), 'open');
   ready.target = 1;
   t.is(rollouts.useOf(OLD), 'closed');
@@ -206,14 +207,14 @@
   const { rollouts } = new GatewayRollouts({
     incarnation: 'g',
     directory: world.directory,
-    adapter: { writeRolloutState: () => Promise.resolve(ok(1)) },
+    adapter: { writeRolloutState: () => Promise.resolve(ok(at(1))) },
     clock: world.clock,
     log,
     countGateways: () => 1,
     isEvacuated: (zone) => world.isEvacuated(zone),
   });
   rollouts.takeOrder(ORDER);
-  rollouts.takeStatus({ ...ORDER, state: 'completed', revision: 6 });
+  rollouts.takeStatus({ ...ORDER, state: 'completed', ...at(6) });
   t.is(rollouts.useOf(OLD), 'closed');
   world.order('zb', true);
   t.is(rollouts.useOf(OLD), 'closed');
@@ -223,20 +224,20 @@
 
 test('orders and states are read and written as the platform names them', (t) => {
   const value = JSON.stringify({ service: 's', targetVersion: 'v2', durationS: 12 });
-  t.deepEqual(decodeRollout({ key: 'op/rollout/s', revision: 7, value }), {
+  t.deepEqual(decodeRollout({ key: 'op/rollout/s', ...at(7), value }), {
     kind: 'rollout-order',
-    order: { service: 's', targetVersion: 'v2', durationMs: 12_000, revision: 7 },
+    order: { service: 's', targetVersion: 'v2', durationMs: 12_000, ...at(7) },
   });
   const { key, text } = encodeRolloutState(ORDER, 'rolled-back');
   t.is(key, 'status/rollout/s');
-  t.deepEqual(decodeRollout({ key, revision: 9, value: text }), {
+  t.deepEqual(decodeRollout({ key, ...at(9), value: text }), {
     kind: 'rollout-status',
-    status: { service: 's', targetVersion: 'v2', state: 'rolled-back', revision: 9 },
+    status: { service: 's', targetVersion: 'v2', state: 'rolled-back', ...at(9) },
   });
-  t.deepEqual(decodeRollout({ key: 'op/rollout/s', revision: 8, value: undefined }), {
+  t.deepEqual(decodeRollout({ key: 'op/rollout/s', ...at(8), value: undefined }), {
     kind: 'rollout-removed',
     service: 's',
-    revision: 8,
+    position: at(8),
   });
-  t.throws(() => decodeRollout({ key: 'op/rollout/s', revision: 7, value: '{"durationS":-1}' }));
+  t.throws(() => decodeRollout({ key: 'op/rollout/s', ...at(7), value: '{"durationS":-1}' }));
 });
--- a/test/slot-agent-role.test.ts
+++ b/test/slot-agent-role.test.ts
@@ -9,6 +9,7 @@
 import { DEFAULT_SLOT_AGENT_OPTIONS, SlotAgentRole } from '../src/slot-agent/slot-agent-role.js';
 import type { AgentToGateway, GatewayToAgent } from '../src/slot-agent/slot-messages.js';
 import { DecisionLog } from '../src/telemetry/decision-log.js';
+import { at } from './support/positions.js';
 
 const HOST = '127.0.3.4';
 /** Ports below those that the system hands out, on an address of this file's own. */
@@ -32,9 +33,9 @@
       limits: { coldOver: 1, coldSlack: 0 },
       identity: { name: 'agent', engine: { address: `${HOST}:1`, zone: 'z' }, seeds: [] },
       places: new Places(new Map()),
-      decode: ({ key, revision, value }) => ({
+      decode: ({ key, epoch, revision, value }) => ({
         kind: 'evacuation',
-        change: { zone: key, isOrdered: value !== undefined, revision },
+        change: { zone: key, isOrdered: value !== undefined, epoch, revision },
       }),
       readReport: () => Promise.resolve({ kind: 'load', requests: requestsAtEngine() }),
       clock: SYSTEM_CLOCK,
@@ -134,11 +135,12 @@
   const { port, stop } = startAgent(() => 0);
   const tell = (revision: number, value: string | undefined) => ({
     kind: 'records' as const,
-    since: 0,
-    completeTo: revision,
-    currentTo: revision,
+    since: at(0),
+    completeTo: at(revision),
+    currentTo: at(revision),
     isWhole: false,
-    records: [{ key: 'z', revision, value }],
+    records: [{ key: 'z', ...at(revision), value }],
+    epochStart: at(0),
   });
   const [informed, uninformed] = [new PlayedGateway(port), new PlayedGateway(port)];
   informed.hello('informed');
--- a/test/store-follower.test.ts
+++ b/test/store-follower.test.ts
@@ -7,6 +7,9 @@
 import { err, ok } from '../src/result.js';
 import type { Result } from '../src/result.js';
 import { VirtualClock } from '../src/sim/virtual-clock.js';
+import { at } from './support/positions.js';
+import { NO_EPOCH } from '../src/cluster/store-position.js';
+import type { StorePosition } from '../src/cluster/store-position.js';
 
 type Answer = Result<StoreRead, StoreUnavailableError | StoreHistoryGoneError> | 'never';
 
@@ -25,7 +28,7 @@
     return (await this.next('list')) as Result<StoreRead, StoreUnavailableError>;
   }
 
-  watch(revision: number): Promise<Result<StoreRead, StoreUnavailableError>> {
+  watch({ revision }: StorePosition): Promise<Result<StoreRead, StoreUnavailableError>> {
     return this.next(`watch ${revision}`) as Promise<Result<StoreRead, StoreUnavailableError>>;
   }
 
@@ -40,11 +43,17 @@
   }
 }
 
-const READ_AT_4 = ok({ records: [{ key: 'k', revision: 4, value: 'v' }], revision: 4 });
-const NOTHING_AT_4 = ok({ records: [], revision: 4 });
+const READ_AT_4 = ok({ records: [{ key: 'k', ...at(4), value: 'v' }], ...at(4) });
+const NOTHING_AT_4 = ok({ records: [], ...at(4) });
 const FAILED = err(new StoreUnavailableError('cut'));
 const FORGOTTEN = err(new StoreHistoryGoneError('gone'));
 
+/** What a follower hears of epochs of a store that counts none. */
+const ONE_EPOCH = {
+  knownEpoch: () => ({ epoch: NO_EPOCH, sinceMs: -Infinity }),
+  onOtherEpoch: () => undefined,
+};
+
 async function callsOf(
   script: Answer[],
   forMs = 8_000,
@@ -66,7 +75,8 @@
     },
     countFollowers: () => 1,
     mustFollow: () => true,
-    completeTo: () => 0,
+    completeTo: () => at(0),
+    ...ONE_EPOCH,
     onCall: () => undefined,
   };
   void new StoreFollower(store, handlers, clock, new SeededRandom(1)).run();
@@ -90,7 +100,7 @@
 });
 
 test('a watch that names a revision without its changes is followed by a listing', async (t) => {
-  const skipping = ok({ records: [], revision: 7 });
+  const skipping = ok({ records: [], ...at(7) });
   const { calls } = await callsOf([READ_AT_4, skipping, READ_AT_4]);
   t.deepEqual(calls, ['list', 'watch 4', 'list', 'watch 4']);
 });
@@ -111,7 +121,7 @@
   followers: number,
 ): Promise<{ calls: string[]; seenAtMs: number[] }> {
   const change = (revision: number) =>
-    ok({ records: [{ key: 'k', revision, value: 'v' }], revision });
+    ok({ records: [{ key: 'k', ...at(revision), value: 'v' }], ...at(revision) });
   const clock = new VirtualClock();
   const store = new ScriptedStore(clock, [READ_AT_4, change(5), change(9)]);
   const seenAtMs: number[] = [];
@@ -124,7 +134,8 @@
     onReachable: () => undefined,
     countFollowers: () => followers,
     mustFollow: () => true,
-    completeTo: () => 0,
+    completeTo: () => at(0),
+    ...ONE_EPOCH,
     onCall: () => undefined,
   };
   void new StoreFollower(store, handlers, clock, new SeededRandom(1)).run();
@@ -188,7 +199,8 @@
     onReachable: () => undefined,
     countFollowers: () => 1,
     mustFollow: () => clock.now() >= untilMs,
-    completeTo: () => completeTo,
+    completeTo: () => at(completeTo),
+    ...ONE_EPOCH,
     onCall: () => undefined,
   };
   void new StoreFollower(store, handlers, clock, new SeededRandom(1)).run();
@@ -212,7 +224,8 @@
     onReachable: (isReachable: boolean) => void reachable.push(isReachable),
     countFollowers: () => 1,
     mustFollow: () => true,
-    completeTo: () => 0,
+    completeTo: () => at(0),
+    ...ONE_EPOCH,
     onCall: () => undefined,
   };
   const follower = new StoreFollower(store, handlers, clock, new SeededRandom(1));
@@ -238,7 +251,7 @@
   };
   const store = {
     list: () => answer(READ_AT_4),
-    watch: (_revision: number, waitMs: number) =>
+    watch: (_since: StorePosition, waitMs: number) =>
       sleep(clock, waitMs).then(() => answer(NOTHING_AT_4)),
   } as unknown as ClusterStore;
   const handlers = {
@@ -250,7 +263,8 @@
     onReachable: (isReachable: boolean) => void (seen.lost += isReachable ? 0 : 1),
     countFollowers: () => 1,
     mustFollow: () => true,
-    completeTo: () => 4,
+    completeTo: () => at(4),
+    ...ONE_EPOCH,
     onCall: () => undefined,
   };
   void new StoreFollower(store, handlers, clock, new SeededRandom(1)).run();
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -36,6 +36,7 @@
 import { Places } from '../../src/routing/places.js';
 import { VirtualClock } from '../../src/sim/virtual-clock.js';
 import type { SlotMessage } from '../../src/slot-agent/slot-messages.js';
+import { at } from './positions.js';
 
 /** A back end with defaults. */
 export function backendOf(id: string, changes: Partial<Backend> = {}): Backend {
@@ -49,8 +50,9 @@
     version: 'v1',
     slots: 2,
     state: 'ready',
+    sequence: 1,
     remainingColdMs: 0,
-    revision: 1,
+    ...at(1),
     ...changes,
   };
 }
--- a/test/support/quota-fleet.ts
+++ b/test/support/quota-fleet.ts
@@ -19,6 +19,9 @@
 import { Places } from '../../src/routing/places.js';
 import type { DecisionLog } from '../../src/telemetry/decision-log.js';
 import { HeapClock } from './heap-clock.js';
+import { at } from './positions.js';
+import { isSamePosition } from '../../src/cluster/store-position.js';
+import type { StorePosition } from '../../src/cluster/store-position.js';
 
 /** Faults put into the quotas, which the check has to find. */
 export interface QuotaFleetFault {
@@ -99,7 +102,7 @@
       incarnation: this.hello.incarnation,
       startedAtMs,
       places: fleet.places,
-      adapter: { writeOwnRecord: (_name, text, revision) => fleet.write(this, text, revision) },
+      adapter: { writeOwnRecord: (_name, text, expected) => fleet.write(this, text, expected) },
       clock: this.clock(),
       random: fleet.random,
       log: { write: () => undefined } as unknown as DecisionLog,
@@ -396,23 +399,23 @@
   }
 
   /** A gateway writes the record of members. */
-  write(writer: FleetProcess, text: string, expectedRevision: number) {
+  write(writer: FleetProcess, text: string, expected: StorePosition) {
     this.hasPromises = true;
     if (!this.isStoreUp || writer.gateway.isCut) {
       return Promise.resolve(err(new StoreUnavailableError('down')));
     }
-    if (expectedRevision !== this.record.revision) {
+    if (!isSamePosition(expected, this.record)) {
       return Promise.resolve(err(new StoreConflictError('changed')));
     }
     this.revision += 1;
-    this.record = decodeQuotaMembers(text, this.revision);
-    return Promise.resolve(ok(this.revision));
+    this.record = decodeQuotaMembers(text, at(this.revision));
+    return Promise.resolve(ok(at(this.revision)));
   }
 
   /** Somebody removes the record, or writes what is none. */
   spoilRecord(): void {
     this.revision += 1;
-    this.record = { ...NO_QUOTA_MEMBERS, revision: this.revision };
+    this.record = { ...NO_QUOTA_MEMBERS, ...at(this.revision) };
   }
 
   private noteHeld(): void {
@@ -446,10 +449,10 @@
 
   private beat(process: FleetProcess): void {
     const beat = { kind: 'beat', reach: NO_REACH, isReading: true } as const;
-    const { revision: quotaRevision, ageMs } = process.quotas;
+    const { position: quotaPosition, ageMs } = process.quotas;
     for (const other of this.gateways) {
       if (other !== process.gateway) {
-        const heard = { ...beat, quotaRevision, ageMs };
+        const heard = { ...beat, quotaPosition, ageMs };
         this.deliver(process, other, (peer) => peer.quotas.hearBeat(process.hello, heard));
       }
     }
--- a/test/support/rollout-fleet.ts
+++ b/test/support/rollout-fleet.ts
@@ -6,6 +6,8 @@
 import type { RolloutOrder, RolloutState, RolloutStatus } from '../../src/rollout/rollout-order.js';
 import { VirtualClock } from '../../src/sim/virtual-clock.js';
 import { backendOf } from './gateway.js';
+import { at } from './positions.js';
+import type { StorePosition } from '../../src/cluster/store-position.js';
 
 /** How the target version behaves. */
 export interface VersionBehaviour {
@@ -115,7 +117,7 @@
       {
         countReady: () => ({ target: 3, others: 3 }),
         countGateways: () => GATEWAYS,
-        write: (_order, state, revision) => this.write(index, state, revision),
+        write: (_order, state, follows) => this.write(index, state, follows),
         onWritten: () => undefined,
       },
       this.clock,
@@ -131,17 +133,17 @@
     this.gateways.forEach((_old, index) => (this.gateways[index] = this.start(index)));
   }
 
-  private write(index: number, state: RolloutState, statusRevision: number) {
+  private write(index: number, state: RolloutState, follows: StorePosition) {
     this.clock.notePromise();
     const isAway = this.part < (this.troubles.storeAwayUntil ?? 0);
     if (isAway || index < (this.troubles.turnedAway ?? 0)) {
       return Promise.resolve(err(new StoreUnavailableError('turned away')));
     }
-    if ((this.status?.revision ?? 0) !== statusRevision) {
+    if ((this.status?.revision ?? 0) !== follows.revision) {
       return Promise.resolve(err(new StoreConflictError('changed')));
     }
     this.revision += 1;
-    this.status = { ...this.order, state, revision: this.revision };
+    this.status = { ...this.order, state, ...at(this.revision) };
     this.written.push(state);
     this.endedAtMs = this.clock.now();
     if (state === 'completed') {
@@ -151,7 +153,7 @@
     this.clock.setTimeout(() => {
       this.gateways.forEach((gateway) => gateway.takeStatus(status));
     }, STORE_MS);
-    return Promise.resolve(ok(this.revision));
+    return Promise.resolve(ok(at(this.revision)));
   }
 
   private tick(): void {
--- a/test/support/store-fleet.ts
+++ b/test/support/store-fleet.ts
@@ -4,6 +4,7 @@
  * looked at all the while.
  */
 import type { StoreRecord } from '../../src/cluster/replicated-records.js';
+import { NO_EPOCH, NO_POSITION } from '../../src/cluster/store-position.js';
 import type { Clock } from '../../src/clock.js';
 import { GatewayCluster } from '../../src/gateway/gateway-cluster.js';
 import type { GatewayClusterParts } from '../../src/gateway/gateway-cluster.js';
@@ -20,6 +21,8 @@
 export interface StoreFleetOptions {
   readonly seed: number;
   readonly gateways: number;
+  /** Whether the store counts its epochs. Default false. */
+  readonly countsEpochs?: boolean;
   /** See `VirtualNetwork`. Default true. */
   readonly needsAcknowledgement?: boolean;
   /** Breaks the parts of each process that starts. */
@@ -81,6 +84,22 @@
   readonly state: 'ready' | 'draining';
 }
 
+/** The version of a change, the sequence of a back end's word; undefined where nothing is counted. */
+function countOf({ key, value }: StoreRecord): number | undefined {
+  if (value === undefined) {
+    return undefined;
+  }
+  if (key === KEY) {
+    return Number(value);
+  }
+  return key.startsWith(BACKEND_PREFIX) ? (JSON.parse(value) as BackendEntry).sequence : undefined;
+}
+
+function compareByOwner(left: StoreRecord, right: StoreRecord): number | undefined {
+  const [leftCount, rightCount] = [countOf(left), countOf(right)];
+  return leftCount === undefined || rightCount === undefined ? undefined : leftCount - rightCount;
+}
+
 /** A machine and the gateway that runs on it, start after start. */
 export class FleetMachine implements NetworkHost {
   cluster: GatewayCluster | undefined;
@@ -261,6 +280,7 @@
     this.breakProcess = options.breakProcess;
     this.network.needsAcknowledgement = options.needsAcknowledgement ?? true;
     this.store = new VirtualStore(this.clock, this.network, this.random);
+    this.store.epoch = options.countsEpochs === true ? 1 : NO_EPOCH;
     this.machines = Array.from(
       { length: options.gateways },
       (_none, index) => new FleetMachine(index, this),
@@ -449,7 +469,7 @@
       },
       incarnation: `${address}.${start}`,
       store: this.store.of(host, STORE_TIMEOUT_MS),
-      quotas: { ageMs: 0, revision: 0, hearBeat: () => undefined },
+      quotas: { ageMs: 0, position: NO_POSITION, hearBeat: () => undefined },
       rollouts: { tell: () => undefined, hear: () => undefined },
       crashes: { tell: () => [], hear: () => [] },
       statements: { tell: () => [], hearPeer: () => undefined },
@@ -461,6 +481,7 @@
           this.onLine?.(machine, event, fields),
       },
       metrics: { record: () => undefined },
+      compareByOwner,
       onRecords: (records: readonly StoreRecord[]) => machine.take(records),
     };
     return parts as unknown as GatewayClusterParts;
--- a/test/support/virtual-store.ts
+++ b/test/support/virtual-store.ts
@@ -3,6 +3,7 @@
 import { err, ok } from '../../src/result.js';
 import { StoreHistoryGoneError, StoreUnavailableError } from '../../src/cluster/cluster-store.js';
 import type { ClusterStore, StoreRead } from '../../src/cluster/cluster-store.js';
+import { NO_EPOCH } from '../../src/cluster/store-position.js';
 import type { StoreRecord } from '../../src/cluster/replicated-records.js';
 import type { RandomSource } from '../../src/random.js';
 import type { HeapClock } from './heap-clock.js';
@@ -45,8 +46,8 @@
   skipsWithheld = false;
   /** Calls that arrived. */
   calls = 0;
-  /** Rises when the store comes back from a copy. */
-  epoch = 1;
+  /** Rises when the store comes back from a copy; `NO_EPOCH` while it counts none. */
+  epoch = NO_EPOCH;
   private revision = 0;
   private oldestHistory = 0;
   private writes: Write[] = [];
@@ -109,13 +110,13 @@
         this.call(host, timeoutMs, (reply) => reply(ok(this.list()))) as Promise<
           Result<StoreRead, StoreUnavailableError>
         >,
-      watch: (since, waitMs) =>
-        this.call(host, waitMs + timeoutMs, (reply) => this.watch(since, waitMs, reply)),
+      watch: ({ revision }, waitMs) =>
+        this.call(host, waitMs + timeoutMs, (reply) => this.watch(revision, waitMs, reply)),
     };
   }
 
   private record(key: string, value: string | undefined): number {
-    const change = { key, revision: this.revision + 1, value };
+    const change = { key, epoch: this.epoch, revision: this.revision + 1, value };
     this.writes.push({ change, atMs: this.clock.now() });
     this.history.push(change);
     this.keep(change);
@@ -142,12 +143,18 @@
   }
 
   private list(): StoreRead {
-    return { records: [...this.items.values()], revision: this.revision, epoch: this.epoch };
+    return this.readOf([...this.items.values()]);
   }
 
   private changesSince(since: number): StoreRead {
     const records = this.history.filter(({ revision }) => revision > since);
-    return { records, revision: this.revision, epoch: this.epoch };
+    return this.readOf(records);
+  }
+
+  /** An answer names the epoch that it is given in, whenever its records were written. */
+  private readOf(records: readonly StoreRecord[]): StoreRead {
+    const { epoch, revision } = this;
+    return { records: records.map((record) => ({ ...record, epoch })), epoch, revision };
   }
 
   private watch(since: number, waitMs: number, reply: (read: Read) => void): void {
@@ -167,7 +174,7 @@
     this.watches.add(watch);
     this.clock.setTimeout(() => {
       if (this.isWithholding && this.skipsWithheld && this.watches.delete(watch)) {
-        reply(ok({ records: [], revision: this.revision, epoch: this.epoch }));
+        reply(ok(this.readOf([])));
       } else if (!this.isWithholding && this.watches.delete(watch)) {
         reply(ok(this.changesSince(since)));
       }
--- a/test/zone-evacuation.test.ts
+++ b/test/zone-evacuation.test.ts
@@ -8,6 +8,7 @@
 import { Places } from '../src/routing/places.js';
 import type { SlotAnswer, SlotDemand } from '../src/slot-agent/slot-messages.js';
 import { backendOf, GatewayWorld, routeOf } from './support/gateway.js';
+import { at } from './support/positions.js';
 
 const UNSAFE = routeOf({ kind: 'unsafe', targetLatencyMs: 1_000 });
 const STREAM = routeOf({ kind: 'stream', isResumable: true });
@@ -373,9 +374,9 @@
   const world = new GatewayWorld(backendOf('a', { zone: 'za' }));
   const { evacuations, lines } = evacuationsOf(world);
   world.request();
-  evacuations.take({ zone: 'za', isOrdered: true, revision: 5 });
-  evacuations.take({ zone: 'za', isOrdered: true, revision: 5 });
-  evacuations.take({ zone: 'za', isOrdered: false, revision: 4 });
+  evacuations.take({ zone: 'za', isOrdered: true, ...at(5) });
+  evacuations.take({ zone: 'za', isOrdered: true, ...at(5) });
+  evacuations.take({ zone: 'za', isOrdered: false, ...at(4) });
   t.is(lines.length, 1);
   t.like(lines[0], {
     event: 'zone-evacuation',
@@ -396,12 +397,13 @@
     {
       event: 'zone-cleared',
       evacuatedZone: 'za',
+      epoch: 0,
       revision: 5,
       afterMs: 30,
       isKnownZone: true,
     },
   ]);
-  evacuations.take({ zone: 'za', isOrdered: false, revision: 6 });
+  evacuations.take({ zone: 'za', isOrdered: false, ...at(6) });
   t.like(lines[2], { event: 'zone-evacuation', isOrdered: false, revision: 6, stoodForMs: 30 });
   world.request();
   t.is(world.attempts.length, 2);
@@ -410,9 +412,9 @@
 test('an order that is taken back and given anew at once stands', (t) => {
   const world = new GatewayWorld(backendOf('a', { zone: 'za' }));
   const { evacuations } = evacuationsOf(world);
-  evacuations.take({ zone: 'za', isOrdered: true, revision: 5 });
-  evacuations.take({ zone: 'za', isOrdered: true, revision: 7 });
-  evacuations.take({ zone: 'za', isOrdered: false, revision: 6 });
+  evacuations.take({ zone: 'za', isOrdered: true, ...at(5) });
+  evacuations.take({ zone: 'za', isOrdered: true, ...at(7) });
+  evacuations.take({ zone: 'za', isOrdered: false, ...at(6) });
   world.request();
   t.is(world.attempts.length, 0);
 });
@@ -420,9 +422,9 @@
 test('an order for a zone that nobody knows says so once and changes nothing', (t) => {
   const world = new GatewayWorld(backendOf('a', { zone: 'za' }));
   const { evacuations, lines } = evacuationsOf(world);
-  evacuations.take({ zone: 'nowhere', isOrdered: true, revision: 5 });
+  evacuations.take({ zone: 'nowhere', isOrdered: true, ...at(5) });
   evacuations.tick();
-  evacuations.take({ zone: 'nowhere', isOrdered: true, revision: 5 });
+  evacuations.take({ zone: 'nowhere', isOrdered: true, ...at(5) });
   t.deepEqual(
     lines.map(({ event, isKnownZone }) => [event, isKnownZone]),
     [
@@ -437,7 +439,7 @@
 test('an order that a listing names before the back ends of its zone is not taken for one of an unknown zone', (t) => {
   const world = new GatewayWorld();
   const { evacuations, lines } = evacuationsOf(world);
-  evacuations.take({ zone: 'zb', isOrdered: true, revision: 5 });
+  evacuations.take({ zone: 'zb', isOrdered: true, ...at(5) });
   world.dispatcher.updateBackend('b', backendOf('b', { zone: 'zb' }), 0);
   evacuations.tick();
   t.like(lines[1], { event: 'zone-cleared', isKnownZone: true });
