--- a/src/routing/owner-counts.ts
+++ b/src/routing/owner-counts.ts
@@ -26,6 +26,10 @@
     const { bornAtMs, sequence } = decoded.announcement;
     return [bornAtMs ?? 0, sequence];
   }
+  if (decoded.kind === 'evacuation') {
+    // Where it is not known which word is the newer one, nothing is sent to the zone.
+    return [decoded.change.isOrdered ? 1 : 0];
+  }
   if (decoded.kind === 'quota-members' && decoded.record.members !== undefined) {
     return [decoded.record.sequence];
   }
--- a/test/quota-fleet.test.ts
+++ b/test/quota-fleet.test.ts
@@ -181,3 +181,50 @@
   t.true(fleet.mostHeld <= 1 + 1e-9);
   t.true((await playJoin({ ignoresSettled: true })).mostHeld > 1);
 });
+
+/** Gateways that start, die and stand still before a store that comes back from copies again and again. */
+async function playCopies(seed: number, fault?: QuotaFleetFault): Promise<QuotaFleet> {
+  const random = new SeededRandom(seed * 11 + 3);
+  const gateways = randomInteger(random, 1, 24);
+  const fleet = new QuotaFleet({ seed, gateways, ...(fault === undefined ? {} : { fault }) });
+  await fleet.run(SETTLE_MS);
+  fleet.beginDemand();
+  const one = () => fleet.gateways[randomInteger(random, 0, fleet.gateways.length - 1)]!;
+  fleet.every(randomInteger(random, 400, 4_000), () =>
+    fleet.restoreStore(randomInteger(random, 200, 20_000)),
+  );
+  const kinds = [
+    () => one().kill(randomInteger(random, 200, 600)),
+    () => fleet.gateways.length < 30 && fleet.add(),
+    () => one().pause(randomInteger(random, 50, 2_500)),
+    () => undefined,
+  ];
+  fleet.every(randomInteger(random, 500, 4_000), () =>
+    kinds[randomInteger(random, 0, kinds.length - 1)]!(),
+  );
+  await fleet.run(14_000);
+  return fleet;
+}
+
+test('no tenant gets more than its bound, and no pool is held by two, while the store comes back from copies', async (t) => {
+  let worst = 0;
+  for (let seed = 0; seed < SEEDS; seed += 1) {
+    const fleet = await playCopies(seed);
+    const share = fleet.worstShare();
+    t.true(share <= 1, `seed ${seed}: ${share} of the bound`);
+    t.true(fleet.mostHeld <= 1 + 1e-9, `seed ${seed}: ${fleet.mostHeld} of the pools were held`);
+    worst = Math.max(worst, share);
+  }
+  t.log(`worst of ${SEEDS} seeds: ${worst} of the bound`);
+});
+
+test('the check finds an older record of members that is followed', async (t) => {
+  for (let seed = 0; seed < SEEDS; seed += 1) {
+    if ((await playCopies(seed, { ignoresSequence: true })).mostHeld > 1 + 1e-9) {
+      t.log(`seed ${seed}`);
+      t.pass();
+      return;
+    }
+  }
+  t.fail('no pool was held by two');
+});
--- a/test/support/fleet-troubles.ts
+++ b/test/support/fleet-troubles.ts
@@ -25,6 +25,9 @@
 export interface TroubledRun {
   readonly late: readonly LateGateway[];
   readonly lateForOrders: readonly string[];
+  readonly lateForLeaves: readonly string[];
+  /** Gateways that took a back end for ready that they had known to leave. */
+  readonly readyAgain: readonly string[];
   /** What happened, in order. */
   readonly story: readonly string[];
 }
@@ -62,9 +65,11 @@
     const extraMs = !order.isOrdered && isTroubled ? REMOVAL_MS : 0;
     return isTooLate(fleet, machine, order, nowMs - extraMs);
   };
+  fleet.isLateForLeave = (machine, leave, nowMs) => isTooLate(fleet, machine, leave, nowMs);
+  const troubles = options.countsEpochs === true ? TROUBLES_AND_COPIES : TROUBLES;
   const endMs = fleet.clock.now() + options.lengthMs;
   for (let atMs = fleet.clock.now(); atMs < endMs; atMs += randomInteger(random, 300, 5_000)) {
-    const trouble = pick(random, TROUBLES);
+    const trouble = pick(random, troubles);
     fleet.at(atMs, () => tell(trouble(fleet, random)));
   }
   for (let atMs = fleet.clock.now(); atMs < endMs; atMs += randomInteger(random, 100, 6_000)) {
@@ -77,8 +82,31 @@
       tell(isOrdered ? 'the zone is evacuated' : 'the zone is taken back');
     });
   }
+  if (options.countsEpochs === true) {
+    planBackends(fleet, scenarioRandom(options.seed + 3), endMs, tell);
+  }
   await fleet.run(options.lengthMs + TROUBLE_BOUND_MS);
-  return { late: fleet.late, lateForOrders: fleet.lateForOrders, story };
+  const { late, lateForOrders, lateForLeaves, readyAgain } = fleet;
+  return { late, lateForOrders, lateForLeaves, readyAgain, story };
+}
+
+/** Back ends announce themselves, and say some time later that they leave. */
+function planBackends(
+  fleet: StoreFleet,
+  random: RandomSource,
+  endMs: number,
+  tell: (words: string) => void,
+): void {
+  let number = 0;
+  for (let atMs = fleet.clock.now(); atMs < endMs; atMs += randomInteger(random, 500, 4_000)) {
+    number += 1;
+    const backend = `b${number}`;
+    fleet.at(atMs, () => fleet.announce(backend));
+    fleet.at(atMs + randomInteger(random, 200, 12_000), () => {
+      fleet.leave(backend);
+      tell(`${backend} leaves`);
+    });
+  }
 }
 
 /** Brings a trouble about; returns what it was. */
@@ -149,6 +177,32 @@
   },
 ];
 
+/** The same, and a store that comes back from a copy, alone or again within seconds. */
+const TROUBLES_AND_COPIES: readonly Trouble[] = [
+  ...TROUBLES,
+  function restore(fleet, random) {
+    return restoreTimes(fleet, random, 1);
+  },
+  function restoreAgain(fleet, random) {
+    return restoreTimes(fleet, random, randomInteger(random, 2, 4));
+  },
+];
+
+function restoreTimes(fleet: StoreFleet, random: RandomSource, times: number): string {
+  const words: string[] = [];
+  for (let time = 0; time < times; time += 1) {
+    const awayMs = randomInteger(random, 0, 5) * randomInteger(random, 0, 2_000);
+    const copyAgeMs = duration(random, 200, 20_000);
+    const mood = pick(random, MOODS);
+    const atMs = fleet.clock.now() + time * randomInteger(random, 300, 4_000);
+    fleet.at(atMs, () => fleet.restoreStore(awayMs, copyAgeMs, mood));
+    words.push(
+      `at ${Math.round(atMs)} the store ${mood} for ${awayMs} ms, then ${copyAgeMs} ms older`,
+    );
+  }
+  return words.join('; ');
+}
+
 function pick<Item>(random: RandomSource, items: readonly Item[]): Item {
   return items[randomInteger(random, 0, items.length - 1)]!;
 }
--- a/test/support/quota-fleet.ts
+++ b/test/support/quota-fleet.ts
@@ -20,7 +20,7 @@
 import type { DecisionLog } from '../../src/telemetry/decision-log.js';
 import { HeapClock } from './heap-clock.js';
 import { at } from './positions.js';
-import { isSamePosition } from '../../src/cluster/store-position.js';
+import { isNoPosition, isSamePosition } from '../../src/cluster/store-position.js';
 import type { StorePosition } from '../../src/cluster/store-position.js';
 
 /** Faults put into the quotas, which the check has to find. */
@@ -35,6 +35,8 @@
   readonly ignoresSettled?: boolean;
   /** A fleet is given a credit each time that it starts again. */
   readonly creditsEachTime?: boolean;
+  /** An older record, which the store shows after a return from a copy, is followed. */
+  readonly ignoresSequence?: boolean;
   /** Further runs of a request are not charged. */
   readonly ignoresFurtherRuns?: boolean;
 }
@@ -299,6 +301,9 @@
   private readonly ran: Array<{ readonly atMs: number; readonly cost: number }> = [];
   private record: QuotaMembersRecord = NO_QUOTA_MEMBERS;
   private revision = 0;
+  private epoch = 1;
+  /** Every record that the store ever held, and since when. */
+  private readonly held: Array<{ readonly record: QuotaMembersRecord; readonly atMs: number }> = [];
   private hasPromises = false;
 
   constructor({ seed, gateways, fault = {} }: QuotaFleetOptions) {
@@ -404,18 +409,41 @@
     if (!this.isStoreUp || writer.gateway.isCut) {
       return Promise.resolve(err(new StoreUnavailableError('down')));
     }
-    if (!isSamePosition(expected, this.record)) {
+    const isFirst = isNoPosition(expected) && isNoPosition(this.record);
+    if (!isFirst && !isSamePosition(expected, this.record)) {
       return Promise.resolve(err(new StoreConflictError('changed')));
     }
     this.revision += 1;
-    this.record = decodeQuotaMembers(text, at(this.revision));
-    return Promise.resolve(ok(at(this.revision)));
+    const position = at(this.revision, this.epoch);
+    this.hold(decodeQuotaMembers(text, position));
+    return Promise.resolve(ok(position));
+  }
+
+  /** The store comes back as it was `copyAgeMs` ago. */
+  restoreStore(copyAgeMs: number): void {
+    const copyAtMs = this.clock.now() - copyAgeMs;
+    const { record } = this.held.filter(({ atMs }) => atMs <= copyAtMs).at(-1) ?? {
+      record: NO_QUOTA_MEMBERS,
+    };
+    this.epoch += 1;
+    this.revision = record.revision;
+    this.hold({ ...record, epoch: this.epoch });
+  }
+
+  private get shownRecord(): QuotaMembersRecord {
+    const sequence = Number.MAX_SAFE_INTEGER;
+    return this.fault.ignoresSequence === true ? { ...this.record, sequence } : this.record;
+  }
+
+  private hold(record: QuotaMembersRecord): void {
+    this.record = record;
+    this.held.push({ record, atMs: this.clock.now() });
   }
 
   /** Somebody removes the record, or writes what is none. */
   spoilRecord(): void {
     this.revision += 1;
-    this.record = { ...NO_QUOTA_MEMBERS, ...at(this.revision) };
+    this.hold({ ...NO_QUOTA_MEMBERS, ...at(this.revision, this.epoch) });
   }
 
   private noteHeld(): void {
@@ -437,7 +465,7 @@
       }
       if (this.isStoreUp && !gateway.isCut) {
         gateway.storeWordAtMs = this.clock.now();
-        process.act(() => this.revision > 0 && process.quotas.takeRecord(this.record));
+        process.act(() => this.held.length > 0 && process.quotas.takeRecord(this.shownRecord));
       }
       process.act(() => process.quotas.tick());
       process.act(() => process.statements.tick());
--- a/test/support/store-fleet.ts
+++ b/test/support/store-fleet.ts
@@ -84,8 +84,11 @@
   readonly state: 'ready' | 'draining';
 }
 
-/** The version of a change, the sequence of a back end's word; undefined where nothing is counted. */
+/** The version of a change, the sequence of a back end's word; an order counts more than its end. */
 function countOf({ key, value }: StoreRecord): number | undefined {
+  if (key === ORDER_KEY) {
+    return value === undefined ? 0 : 1;
+  }
   if (value === undefined) {
     return undefined;
   }
@@ -233,7 +236,11 @@
     if (value === undefined) {
       this.leaving.delete(id);
     } else {
-      this.leaving.set(id, (JSON.parse(value) as BackendEntry).state === 'draining');
+      const isLeaving = (JSON.parse(value) as BackendEntry).state === 'draining';
+      if (!isLeaving && this.leaving.get(id) === true) {
+        this.fleet.readyAgain.push(`${this.address}: ${id} at ${this.fleet.clock.now()}`);
+      }
+      this.leaving.set(id, isLeaving);
     }
   }
 
@@ -256,6 +263,8 @@
   private readonly backends = new Map<string, BackendEntry>();
   /** Gateways that took a back end for ready that leaves, each once for each. */
   readonly lateForLeaves: string[] = [];
+  /** Gateways that took a back end for ready that they had known to leave. */
+  readonly readyAgain: string[] = [];
   /** When a gateway that does not know that a back end leaves is late. */
   isLateForLeave: (machine: FleetMachine, leave: FleetLeave, nowMs: number) => boolean = () =>
     false;
