--- a/test/store-follower.test.ts
+++ b/test/store-follower.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import { StoreHistoryGoneError, StoreUnavailableError } from '../src/cluster/cluster-store.js';
-import { StoreFollower } from '../src/cluster/store-follower.js';
+import { DEFAULT_STORE_FOLLOWER_OPTIONS, StoreFollower } from '../src/cluster/store-follower.js';
 import type { ClusterStore, StoreRead } from '../src/cluster/cluster-store.js';
 import { sleep } from '../src/clock.js';
 import { SeededRandom } from '../src/random.js';
@@ -8,7 +8,7 @@
 import type { Result } from '../src/result.js';
 import { VirtualClock } from '../src/sim/virtual-clock.js';
 import { at } from './support/positions.js';
-import { NO_EPOCH } from '../src/cluster/store-position.js';
+import { NO_EPOCH, NO_POSITION } from '../src/cluster/store-position.js';
 import type { StorePosition } from '../src/cluster/store-position.js';
 
 type Answer = Result<StoreRead, StoreUnavailableError | StoreHistoryGoneError> | 'never';
@@ -297,3 +297,86 @@
   const { listings } = await restingCallsOf([FAILED, READ_AT_4], 5_000, 4);
   t.is(listings[0], 'after an outage');
 });
+
+/** What a follower does whose process hears of epochs by its own reads, and of `heardEpoch` by others at a moment. */
+async function playEpochs(
+  script: Answer[],
+  heard: { readonly epoch: number; readonly atMs: number } = { epoch: 0, atMs: 0 },
+  forMs = 6_000,
+  clock = new VirtualClock(),
+  store = new ScriptedStore(clock, script),
+) {
+  const taken: string[] = [];
+  let known = { epoch: NO_EPOCH, sinceMs: -Infinity };
+  const learn = (epoch: number) => {
+    known = epoch > known.epoch ? { epoch, sinceMs: clock.now() } : known;
+  };
+  const take = (what: string) => (read: StoreRead) => {
+    taken.push(`${what} ${read.epoch}/${read.revision}`);
+    learn(read.epoch);
+  };
+  const handlers = {
+    onListing: take('whole'),
+    onListingAfterOutage: take('listing'),
+    onChanges: take('changes'),
+    onChangesMissing: () => undefined,
+    onConfirmed: () => undefined,
+    onReachable: () => undefined,
+    countFollowers: () => 1,
+    mustFollow: () => true,
+    completeTo: () => NO_POSITION,
+    knownEpoch: () => known,
+    onOtherEpoch: (call: string, asked: number, read: StorePosition) =>
+      void taken.push(`${call} of ${asked} dropped ${read.epoch}/${read.revision}`),
+    onCall: () => undefined,
+  };
+  void new StoreFollower(store, handlers, clock, new SeededRandom(1)).run();
+  for (let turn = 1; turn * 100 <= forMs; turn += 1) {
+    clock.notePromise();
+    await clock.runUntil(turn * 100);
+    if (turn * 100 === heard.atMs) {
+      learn(heard.epoch);
+    }
+  }
+  return { calls: store.calls, taken };
+}
+
+const readAt = (revision: number, epoch: number) =>
+  ok({ records: [{ key: 'k', ...at(revision, epoch), value: 'v' }], ...at(revision, epoch) });
+
+test('a watch that is answered in another epoch brings nothing, and a listing follows', async (t) => {
+  const { calls, taken } = await playEpochs([readAt(9, 1), readAt(4, 2), readAt(4, 2)]);
+  t.deepEqual(calls, ['list', 'watch 9', 'list', 'watch 4']);
+  t.deepEqual(taken, ['listing 1/9', 'watch of 1 dropped 2/4', 'listing 2/4']);
+});
+
+test('an answer of an epoch that is over is dropped', async (t) => {
+  const { calls, taken } = await playEpochs([readAt(4, 2), FORGOTTEN, readAt(9, 1), readAt(5, 2)]);
+  t.deepEqual(calls, ['list', 'watch 4', 'list', 'list', 'watch 5']);
+  t.deepEqual(taken, ['listing 2/4', 'list of 2 dropped 1/9', 'listing 2/5']);
+});
+
+test('one that hears of an epoch from others lists, and goes on with no watch of the former one', async (t) => {
+  const nothing = ok({ records: [], ...at(9, 1) });
+  const script = [readAt(9, 1), nothing, ...Array.from({ length: 9 }, () => readAt(4, 2))];
+  const clock = new VirtualClock();
+  const waiting = sleep(clock, 1_000);
+  const store = new ScriptedStore(clock, script);
+  const watch = store.watch.bind(store);
+  store.watch = (since) => {
+    const answer = watch(since);
+    return store.calls.length === 2 ? waiting.then(() => answer) : answer;
+  };
+  const { calls, taken } = await playEpochs(script, { epoch: 2, atMs: 500 }, 3_000, clock, store);
+  t.deepEqual(calls.slice(0, 4), ['list', 'watch 9', 'list', 'watch 4']);
+  t.deepEqual(taken.slice(0, 3), ['listing 1/9', 'watch of 1 dropped 1/9', 'listing 2/4']);
+});
+
+test('the first listing of an epoch that counts comes once the owners had their time', async (t) => {
+  const { reannounceMs } = DEFAULT_STORE_FOLLOWER_OPTIONS;
+  const answers = [readAt(9, 1), ...Array.from({ length: 40 }, () => readAt(9, 1))];
+  const before = await playEpochs(answers, undefined, reannounceMs - 100);
+  t.false(before.taken.some((word) => word.startsWith('whole')));
+  const after = await playEpochs(answers, undefined, reannounceMs + 1_000);
+  t.true(after.taken.includes('whole 1/9'));
+});
