--- /dev/null
+++ b/test/restored-store-gateways.test.ts
@@ -0,0 +1,89 @@
+/** Real gateways before a store that comes back from a copy. */
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+import { request } from 'undici';
+import { platformGateways } from './support/platform-gateway.js';
+import type { RunningGateway } from './support/platform-gateway.js';
+import { StandinStore, StandinWorker } from './support/platform-standin.js';
+
+const HOST = '127.0.3.31';
+const { start, untilReady } = platformGateways(HOST, 28_000);
+/** Time from a change of the store until it is in force, and from a back end's word until nothing is sent there. */
+const BOUND_MS = 1_000;
+const FIRST_KEY = 'first';
+
+function configuration(version: number, key = FIRST_KEY): object {
+  const route = { name: 'r', host: 'h', pathPrefix: '/a/', kind: 'safe', service: 's' };
+  return {
+    version,
+    routes: [{ ...route, timeoutMs: 500, targetLatencyMs: 100, maxAttempts: 1 }],
+    services: [{ name: 's', maxConnections: 9 }],
+    tenants: [{ name: 'shop', apiKeys: [key] }],
+  };
+}
+
+async function callOf({ callers }: RunningGateway, key: string): Promise<number> {
+  const headers = { host: 'h', authorization: `Bearer ${key}`, 'x-weirvale-attempt-id': 'id' };
+  const answer = await request(`${callers}/a/x`, { headers });
+  await answer.body.dump();
+  return answer.statusCode;
+}
+
+function sleepMs(delayMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, delayMs));
+}
+
+/** Three gateways, two back ends and a store whose newest changes a copy lacks. */
+async function startFleet(t: ExecutionContext) {
+  const store = new StandinStore();
+  store.epoch = 1;
+  const workers = ['w-1', 'w-2'].map(
+    (id) => new StandinWorker(id, (_seen, response) => response.writeHead(200).end('good')),
+  );
+  for (const worker of workers) {
+    store.announce(worker.id, { address: await worker.start() });
+  }
+  store.put('op/config', configuration(1));
+  const address = await store.start();
+  const gateways: RunningGateway[] = [];
+  for (const name of ['a', 'b', 'c']) {
+    gateways.push(await start(name, address, gateways[0] ? [gateways[0].peers] : []));
+  }
+  t.teardown(() => {
+    gateways.forEach(({ gateway }) => gateway.stop(() => undefined));
+    workers.forEach((worker) => worker.stop());
+    store.stop();
+  });
+  await untilReady(gateways);
+  return { store, workers, gateways };
+}
+
+test('a fleet takes in what is written after the store came back from a copy, and falls back to nothing older', async (t) => {
+  const { store, workers, gateways } = await startFleet(t);
+  const beforeMs = performance.now();
+  await sleepMs(300);
+  for (let version = 2; version <= 30; version += 1) {
+    store.put('op/config', configuration(version, 'second'));
+  }
+  await sleepMs(600);
+  t.deepEqual(await Promise.all(gateways.map((each) => callOf(each, FIRST_KEY))), [401, 401, 401]);
+  store.mood = 'resets';
+  await sleepMs(400);
+  store.restore(performance.now() - beforeMs - 100);
+  store.mood = 'answers';
+  await sleepMs(500);
+  t.deepEqual(await Promise.all(gateways.map((each) => callOf(each, FIRST_KEY))), [401, 401, 401]);
+  store.put('op/config', configuration(30, 'second'));
+  await sleepMs(500);
+  store.put('op/config', configuration(31, 'third'));
+  const [leaving] = workers;
+  store.announce(leaving!.id, { address: leaving!.address, state: 'draining', sequence: 2 });
+  await sleepMs(BOUND_MS);
+  const received = leaving!.received.length;
+  for (let round = 0; round < 5; round += 1) {
+    const statuses = await Promise.all(gateways.map((each) => callOf(each, 'third')));
+    t.deepEqual(statuses, [200, 200, 200]);
+  }
+  t.deepEqual(await Promise.all(gateways.map((each) => callOf(each, 'second'))), [401, 401, 401]);
+  t.is(leaving!.received.length, received);
+});
