What a return of the store from a copy left behind is told: gauges, logs explain; roll-outs and agents beside epochs

Gauges of the epoch and of the records that are kept though the store lacks them; logs explain names a change of epoch before a request. Tests: a roll-out goes on where its order is written again, a state that the store lost is written again, an agent heeds an order of a later epoch with a lower revision.

--- a/src/cli/queries/explain-logs.ts
+++ b/src/cli/queries/explain-logs.ts
@@ -41,12 +41,16 @@
 
 const EVACUATION_EVENT = 'zone-evacuation';
 const CONDITION_EVENT = 'backend-condition';
+/** The store came back from a copy, and its owners had their time since. */
+const EPOCH_EVENTS: readonly string[] = ['store-epoch', 'store-epoch-settled'];
+
 /** Changes of belief that say why a request went as it did. */
-const BELIEF_EVENTS = new Set([
+const BELIEF_EVENTS: ReadonlySet<string> = new Set([
   'started',
   'stopping',
   'store-lost',
   'store-regained',
+  ...EPOCH_EVENTS,
   'knowledge-old',
   'knowledge-confirmed',
   'configuration-installed',
@@ -153,6 +157,10 @@
     const zone = String(line['evacuatedZone']);
     return `${line.time} ${line.process}: ${line.event} ${zone} ${word} (revision ${line['revision']})`;
   }
+  if (EPOCH_EVENTS.includes(line.event ?? '')) {
+    const kept = line['kept'] === undefined ? '' : `, ${line['kept']} records kept that it lacks`;
+    return `${line.time} ${line.process}: ${line.event} ${line['epoch']} (revision ${line['revision']}${kept})`;
+  }
   const said = line.event === CONDITION_EVENT ? `: ${describeStatement(line as Statement)}` : '';
   return `${line.time} ${line.process}: ${line.event} ${String(subject)}${said}`.trimEnd();
 }
--- a/src/cluster/paged-listing.ts
+++ b/src/cluster/paged-listing.ts
@@ -4,6 +4,7 @@
 import { StoreRestoredError } from './cluster-store.js';
 import type { StoreRead } from './cluster-store.js';
 import type { StoreRecord } from './replicated-records.js';
+import { positionOf } from './store-position.js';
 import type { StorePosition } from './store-position.js';
 
 /** One page of a listing. */
@@ -35,7 +36,7 @@
     }
     records.push(...page.val.records);
     if (!page.val.hasMore || page.val.records.length === 0) {
-      return ok({ records, epoch: first.epoch, revision: first.revision });
+      return ok({ records, ...positionOf(first) });
     }
   }
 }
--- a/src/cluster/replicated-records.ts
+++ b/src/cluster/replicated-records.ts
@@ -15,6 +15,7 @@
   isLater,
   laterOf,
   NO_POSITION,
+  positionOf,
 } from './store-position.js';
 import type { StorePosition } from './store-position.js';
 
@@ -272,8 +273,7 @@
   private noteEpochStart(position: StorePosition): void {
     const isEarlier = position.epoch === this.start.epoch && isLater(this.start, position);
     if (position.epoch > this.start.epoch || this.start === NO_POSITION || isEarlier) {
-      const { epoch, revision } = position;
-      this.start = { epoch, revision };
+      this.start = positionOf(position);
     }
   }
 
--- a/src/cluster/store-epochs.ts
+++ b/src/cluster/store-epochs.ts
@@ -49,7 +49,7 @@
   look(): EpochChange | undefined {
     const before = this.reached;
     const { epoch, revision } = this.records.currentTo;
-    this.reached = { epoch, revision };
+    this.reached = this.records.currentTo;
     if (epoch > this.known.epoch) {
       this.known = { epoch, sinceMs: this.clock.now() };
       this.wasSettled = this.records.isSettled;
--- a/src/cluster/store-position.ts
+++ b/src/cluster/store-position.ts
@@ -19,6 +19,11 @@
 /** Before every change. */
 export const NO_POSITION: StorePosition = { epoch: NO_EPOCH, revision: 0 };
 
+/** The position alone of something that has one. */
+export function positionOf({ epoch, revision }: StorePosition): StorePosition {
+  return { epoch, revision };
+}
+
 /** Negative where `left` is the earlier one, 0 where they are the same, positive otherwise. */
 export function comparePositions(left: StorePosition, right: StorePosition): number {
   return left.epoch - right.epoch || left.revision - right.revision;
@@ -36,8 +41,7 @@
 
 /** The later one of two. */
 export function laterOf(left: StorePosition, right: StorePosition): StorePosition {
-  const { epoch, revision } = isLater(right, left) ? right : left;
-  return { epoch, revision };
+  return positionOf(isLater(right, left) ? right : left);
 }
 
 /**
--- a/src/gateway/gateway-quotas.ts
+++ b/src/gateway/gateway-quotas.ts
@@ -8,6 +8,7 @@
   PeerQuotaAsk,
   PeerQuotaReturn,
 } from '../cluster/peer-messages.js';
+import { positionOf } from '../cluster/store-position.js';
 import type { StorePosition } from '../cluster/store-position.js';
 import type { RandomSource } from '../random.js';
 import type { WeirvaleError } from '../request/errors.js';
@@ -120,8 +121,7 @@
 
   /** The store's position of the record that this gateway follows; revision 0 for none. */
   get position(): StorePosition {
-    const { epoch, revision } = this.rights.record;
-    return { epoch, revision };
+    return positionOf(this.rights.record);
   }
 
   /** Time since this process was started, in milliseconds. */
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -463,6 +463,8 @@
     this.loopDelayMs = 0;
     return {
       storeAgeMs: this.cluster.storeAgeMs,
+      storeEpoch: this.cluster.records.epoch,
+      recordsKept: this.cluster.records.countKept(),
       configurationAgeMs: this.configuration.ageMs,
       backends: countBackends(this.directory.list(), nowMs),
       conditions: listConditions(this.directory.list(), nowMs),
--- a/src/gateway/metrics/gateway-gauges.ts
+++ b/src/gateway/metrics/gateway-gauges.ts
@@ -49,6 +49,12 @@
   plain('weirvale_store_age_seconds', 'Time since the store answered last', () =>
     inSeconds(current().storeAgeMs),
   );
+  plain('weirvale_store_epoch', 'Epoch of the store', () => current().storeEpoch);
+  plain(
+    'weirvale_store_records_kept',
+    'Records that the store came back without and that are kept for now',
+    () => current().recordsKept,
+  );
   plain('weirvale_configuration_age_seconds', 'Time since the configuration came into force', () =>
     inSeconds(current().configurationAgeMs),
   );
--- a/src/gateway/metrics/gateway-snapshot.ts
+++ b/src/gateway/metrics/gateway-snapshot.ts
@@ -23,6 +23,10 @@
 /** What a gateway believes at the moment; times in milliseconds, undefined where nothing is known. */
 export interface GatewaySnapshot {
   readonly storeAgeMs: number | undefined;
+  /** The newest epoch of the store that is known; `NO_EPOCH` where it counts none. */
+  readonly storeEpoch: number;
+  /** Records that the store, back from a copy, does not show as they are known, and that are kept for now. */
+  readonly recordsKept: number;
   readonly configurationAgeMs: number | undefined;
   readonly backends: readonly BackendCount[];
   /** What back ends said of themselves and still holds. */
--- a/src/gateway/quotas/quota-members-writer.ts
+++ b/src/gateway/quotas/quota-members-writer.ts
@@ -4,7 +4,7 @@
  * it does not. Each write holds only if nobody wrote meanwhile.
  */
 import type { Clock } from '../../clock.js';
-import { isLater, NO_POSITION } from '../../cluster/store-position.js';
+import { isLater, NO_POSITION, positionOf } from '../../cluster/store-position.js';
 import type { StorePosition } from '../../cluster/store-position.js';
 import type { WeirvaleError } from '../../request/errors.js';
 import type { Result } from '../../result.js';
@@ -204,8 +204,7 @@
   }
 
   private async write(change: DueChange): Promise<void> {
-    const { epoch, revision } = this.ports.record();
-    const expected = { epoch, revision };
+    const expected = positionOf(this.ports.record());
     const { members, settled, credits, creditedAtMs } = change;
     const next = { members, settled, sequence: change.sequence + 1, credits, creditedAtMs };
     const written = await this.ports.write(next, expected);
--- a/src/rollout/service-rollout.ts
+++ b/src/rollout/service-rollout.ts
@@ -7,7 +7,7 @@
  * on the old back ends ends, and only then is the roll-out said to be completed. A verdict that it is
  * bad stops the traffic at once, here and wherever it is heard, and never changes.
  */
-import { isLater, isSamePosition } from '../cluster/store-position.js';
+import { isLater, isSamePosition, positionOf } from '../cluster/store-position.js';
 import type { StorePosition } from '../cluster/store-position.js';
 import { pairShare } from '../pair-share.js';
 import { RolloutEvidence } from './rollout-evidence.js';
@@ -118,7 +118,9 @@
 
   /** Position of the state that the store holds; revision 0 where it holds none. */
   get storedAt(): StorePosition {
-    return this.stored ?? { epoch: this.order.epoch, revision: 0 };
+    return this.stored === undefined
+      ? { epoch: this.order.epoch, revision: 0 }
+      : positionOf(this.stored);
   }
 
   /** Whether its order was removed. */
@@ -205,7 +207,7 @@
   tell(nowMs: number): PeerRollout {
     const { isBad, hasMoved, oldAtWork, evidence, stepEvidence } = this;
     return {
-      position: { epoch: this.order.epoch, revision: this.order.revision },
+      position: positionOf(this.order),
       elapsedMs: nowMs - this.startedAtMs,
       isBad,
       hasMoved,
--- a/test/gateway-metrics.test.ts
+++ b/test/gateway-metrics.test.ts
@@ -12,6 +12,8 @@
 
 const SNAPSHOT: GatewaySnapshot = {
   storeAgeMs: 1_500,
+  storeEpoch: 3,
+  recordsKept: 2,
   evacuatedZones: 1,
   configurationAgeMs: undefined,
   backends: [{ service: 's', state: 'ejected', count: 2 }],
@@ -45,6 +47,8 @@
   const lines = [
     'weirvale_store_calls_total{call="watch",result="failed"} 1',
     'weirvale_store_age_seconds 1.5',
+    'weirvale_store_epoch 3',
+    'weirvale_store_records_kept 2',
     'weirvale_configuration_age_seconds Nan',
     'weirvale_backends{service="s",state="ejected"} 2',
     'weirvale_backend_conditions{backend="w-1",condition="limited"} 2.4',
--- a/test/logs.test.ts
+++ b/test/logs.test.ts
@@ -161,6 +161,22 @@
   t.throws(() => execFileSync('node', [tool, 'logs', 'explain', 'other', file], { stdio: 'pipe' }));
 });
 
+test('logs explain tells that the store came back from a copy before the request', (t) => {
+  const file = join(mkdtempSync(join(tmpdir(), 'weirvale-logs-')), 'edge.log');
+  const epoch = {
+    ...EJECTED,
+    event: 'store-epoch',
+    backend: undefined,
+    epoch: 2,
+    revision: 36,
+    kept: 4,
+  };
+  writeFileSync(file, [ENDED, epoch].map((line) => JSON.stringify(line)).join('\n'));
+  const tool = 'dist/src/bin/weirvale.js';
+  const text = execFileSync('node', [tool, 'logs', 'explain', 'q-1', file], { encoding: 'utf8' });
+  t.regex(text, /store-epoch 2 \(revision 36, 4 records kept that it lacks\)/);
+});
+
 test('logs explain tells what a back end said of itself, and when it began to', (t) => {
   const file = join(mkdtempSync(join(tmpdir(), 'weirvale-logs-')), 'edge.log');
   const said = { restMs: 3_000, isLeaving: false };
--- a/test/rollout.test.ts
+++ b/test/rollout.test.ts
@@ -12,6 +12,8 @@
 import { RolloutFleet } from './support/rollout-fleet.js';
 import type { FleetTroubles, RolloutRun, VersionBehaviour } from './support/rollout-fleet.js';
 import { at } from './support/positions.js';
+import type { StorePosition } from '../src/cluster/store-position.js';
+import type { RolloutState } from '../src/rollout/rollout-order.js';
 
 const ORDER = { service: 's', targetVersion: 'v2', durationMs: 20_000, ...at(5) };
 const SEEDS = Array.from({ length: 50 }, (_unused, index) => index + 1);
@@ -144,19 +146,26 @@
 });
 
 /** Roll-outs of one gateway whose service has the given ready back ends. */
-function rolloutsWith(ready: { target: number; others: number }): Rollouts {
-  const clock = new VirtualClock();
+function rolloutsWith(
+  ready: { target: number; others: number },
+  order = ORDER,
+  onWrite: (state: RolloutState, follows: StorePosition) => void = () => undefined,
+  clock = new VirtualClock(),
+): Rollouts {
   const rollouts = new Rollouts(
     'g',
     {
       countReady: () => ready,
       countGateways: () => 1,
-      write: () => Promise.resolve(ok(at(1))),
+      write: (_order, state, follows) => {
+        onWrite(state, follows);
+        return Promise.resolve(ok(at(1)));
+      },
       onWritten: () => undefined,
     },
     clock,
   );
-  rollouts.takeOrder(ORDER);
+  rollouts.takeOrder(order);
   return rollouts;
 }
 
@@ -241,3 +250,36 @@
   });
   t.throws(() => decodeRollout({ key: 'op/rollout/s', ...at(7), value: '{"durationS":-1}' }));
 });
+
+test('a roll-out goes on where its order is written again after the store came back from a copy', (t) => {
+  const order = { ...ORDER, ...at(5, 1) };
+  const rollouts = rolloutsWith({ target: 1, others: 1 }, order);
+  rollouts.takeStatus({ ...order, state: 'rolled-back', ...at(7, 1) });
+  t.false(rollouts.takeOrder({ ...order, ...at(4, 2) }));
+  t.is(rollouts.useOf(NEW), 'closed');
+  t.true(rollouts.takeOrder({ ...order, targetVersion: 'v3', ...at(6, 2) }));
+});
+
+test('a state that the store lost is written again, after what the store holds', async (t) => {
+  const order = { ...ORDER, ...at(5, 1) };
+  const written: Array<readonly [RolloutState, StorePosition]> = [];
+  const write = (state: RolloutState, follows: StorePosition) => written.push([state, follows]);
+  const clock = new VirtualClock();
+  const rollouts = rolloutsWith({ target: 1, others: 1 }, order, write, clock);
+  rollouts.takeStatus({ ...order, state: 'completed', ...at(9, 1) });
+  rollouts.tick();
+  t.deepEqual(written, []);
+  rollouts.takeOrder({ ...order, ...at(5, 2) });
+  rollouts.takeStatus({ ...order, state: 'in-progress', ...at(6, 2) });
+  rollouts.tick();
+  t.deepEqual(written, [['completed', at(6, 2)]]);
+  t.is(rollouts.useOf(OLD), 'closed');
+  rollouts.takeStatus({ ...order, state: 'completed', ...at(8, 2) });
+  rollouts.takeStatusRemoval('s', at(8, 2));
+  await clock.runUntil(2_000);
+  rollouts.tick();
+  t.is(written.length, 1);
+  rollouts.takeStatusRemoval('s', at(4, 3));
+  rollouts.tick();
+  t.deepEqual(written.at(-1), ['completed', at(0, 2)]);
+});
--- a/test/slot-agent-role.test.ts
+++ b/test/slot-agent-role.test.ts
@@ -9,6 +9,7 @@
 import { DEFAULT_SLOT_AGENT_OPTIONS, SlotAgentRole } from '../src/slot-agent/slot-agent-role.js';
 import type { AgentToGateway, GatewayToAgent } from '../src/slot-agent/slot-messages.js';
 import { DecisionLog } from '../src/telemetry/decision-log.js';
+import type { StorePosition } from '../src/cluster/store-position.js';
 import { at } from './support/positions.js';
 
 const HOST = '127.0.3.4';
@@ -156,6 +157,30 @@
   stop();
 });
 
+test('an agent heeds an order that a gateway tells of after the store came back from a copy', async (t) => {
+  const { port, stop } = startAgent(() => 0);
+  const tell = (position: StorePosition, value: string | undefined) => ({
+    kind: 'records' as const,
+    since: at(0),
+    completeTo: position,
+    currentTo: position,
+    isWhole: false,
+    records: [{ key: 'z', ...position, value }],
+    epochStart: at(1, position.epoch),
+  });
+  const gateway = new PlayedGateway(port);
+  gateway.hello('g');
+  gateway.say(tell(at(9, 1), undefined), tell(at(4, 2), ''));
+  await gateway.hears('state');
+  gateway.waitForSlot();
+  await new Promise((resolve) => setTimeout(resolve, 400));
+  t.false(gateway.heard.some(({ kind }) => kind === 'granted'));
+  gateway.say(tell(at(5, 2), undefined));
+  t.is((await gateway.hears('granted')).kind, 'granted');
+  gateway.close();
+  stop();
+});
+
 test('a message before the hello is answered with the reason, and the connection ends', async (t) => {
   const { port, stop } = startAgent(() => 0);
   t.teardown(stop);
