--- a/test/rollout.test.ts
+++ b/test/rollout.test.ts
@@ -263,8 +263,8 @@
 test('a state that the store lost is written again, after what the store holds', async (t) => {
   const order = { ...ORDER, ...at(5, 1) };
   const written: Array<readonly [RolloutState, StorePosition]> = [];
-  const write = (state: RolloutState, follows: StorePosition) => written.push([state, follows]);
   const clock = new VirtualClock();
+  const write = (state: RolloutState, follows: StorePosition) => written.push([state, follows]);
   const rollouts = rolloutsWith({ target: 1, others: 1 }, order, write, clock);
   rollouts.takeStatus({ ...order, state: 'completed', ...at(9, 1) });
   rollouts.tick();
@@ -273,6 +273,7 @@
   rollouts.takeStatus({ ...order, state: 'in-progress', ...at(6, 2) });
   rollouts.tick();
   t.deepEqual(written, [['completed', at(6, 2)]]);
+  await new Promise((resolve) => setImmediate(resolve));
   t.is(rollouts.useOf(OLD), 'closed');
   rollouts.takeStatus({ ...order, state: 'completed', ...at(8, 2) });
   rollouts.takeStatusRemoval('s', at(8, 2));
