A back end that is silent is left for one that has a free slot, and not before

Cause: who cut first was the gateway. A resumable stream whose back end says nothing for 1.2 s was broken off and then waited for a slot elsewhere for what is left of 1.5 s since its last event; with all slots taken it was given up after .3 s. Evidence: the lines of both requests that are shown, one try each with outcome silent after 1.2 s, then overloaded .3 s later, 5 and 3 others waiting. The configuration had no part in it; the path, the agent and the back end were well.

Now a silent back end is left only once another one has a free slot and nothing waits for it; until then it may go on. The test fails on the code before (cancelled and aborted at 1.6 s). What is spent on a repeat is taken after that. proxied-request: how a try ended and how long silence is borne moved to the modules of verdicts and options.

--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -14,7 +14,7 @@
 import type { GatewayRefusal } from '../admission/gateway-refusal.js';
 import type { HomeRefusalReason } from '../homes/home-refusal.js';
 import { sendRefusal } from '../admission/send-refusal.js';
-import { isBadTry } from './try-verdict.js';
+import { isBadTry, outcomeOf } from './try-verdict.js';
 import { AnswerRelay } from './answer-relay.js';
 import type { HeldAnswer } from './answer-relay.js';
 import { OneShotTimer } from './one-shot-timer.js';
@@ -22,6 +22,7 @@
 import { refusalPauseMs } from './refusal-pause.js';
 import { RequestWait } from './request-wait.js';
 import type { AcceptedRequest } from './accepted-request.js';
+import { silencePatienceMs } from './request-model.js';
 import type { RequestOptions, RequestPorts } from './request-model.js';
 import { RequestRecord } from './request-record.js';
 
@@ -34,6 +35,8 @@
  * it an answer that was ready would be dropped for the word of its back end's end that overtook it.
  */
 const ENDED_GRACE_MS = 300;
+/** Pause between two looks for a free slot elsewhere while a back end is silent, in milliseconds. */
+const SILENCE_REVIEW_MS = 100;
 const NONE: ReadonlySet<string> = new Set();
 
 type Phase = 'waiting' | 'sent' | 'streaming' | 'done';
@@ -244,17 +247,23 @@
     if (!this.mayRepeat() || this.attempts >= route.maxAttempts) {
       return;
     }
-    const { safeHeadShare, streamSilenceMs } = this.options;
-    const silenceMs =
-      route.kind === 'safe' ? route.targetLatencyMs * safeHeadShare : streamSilenceMs;
-    this.stepTimer.start(silenceMs, () => this.giveUpSilentBackend());
+    const patienceMs = silencePatienceMs(route, this.options);
+    this.stepTimer.start(patienceMs, () => this.giveUpSilentBackend());
   }
 
   private giveUpSilentBackend(): void {
-    if (!this.canRepeatElsewhere() || !this.takeRepeat()) {
+    if (!this.canRepeatElsewhere()) {
       return;
     }
     const failedId = this.backend!.id;
+    if (!this.hasRoomElsewhere(failedId)) {
+      // Silence alone is no reason to break it off: it may go on here sooner than a slot is free elsewhere.
+      this.stepTimer.start(SILENCE_REVIEW_MS, () => this.giveUpSilentBackend());
+      return;
+    }
+    if (!this.takeRepeat()) {
+      return;
+    }
     this.mayHaveRun = true;
     this.dropAttempt('silent', 'silent');
     this.runAgain(failedId);
@@ -281,6 +290,11 @@
     return this.ports.dispatcher.hasAwake(this.request, left, this.ports.clock.now());
   }
 
+  private hasRoomElsewhere(backendId: string): boolean {
+    const { dispatcher, clock } = this.ports;
+    return dispatcher.hasRoom(this.request, new Set([...this.excluded, backendId]), clock.now());
+  }
+
   private noteHeard(): void {
     this.heardAtMs = this.ports.clock.now();
     this.ports.directory.find(this.backend!.id)?.path.noteHeard(this.heardAtMs);
@@ -443,10 +457,7 @@
 
   private mayRepeat(): boolean {
     const { kind, isResumable } = this.request.route;
-    if (kind === 'safe') {
-      return !this.relay.hasStarted;
-    }
-    return kind === 'stream' && isResumable;
+    return kind === 'safe' ? !this.relay.hasStarted : kind === 'stream' && isResumable;
   }
 
   private canRepeatElsewhere(): boolean {
@@ -571,10 +582,3 @@
     this.ports.onEnd(this.request, this.record.end(status, reason, this.attempts, nowMs));
   }
 }
-
-function outcomeOf({ isPortClosed, isSilent }: AttemptFailure): AttemptOutcome {
-  if (isPortClosed) {
-    return 'unreachable';
-  }
-  return isSilent === true ? 'silent' : 'failed';
-}
--- a/src/gateway/attempt/request-model.ts
+++ b/src/gateway/attempt/request-model.ts
@@ -98,7 +98,7 @@
   readonly resumeWaitMs: number;
   /** Share of the target latency after which a safe request is tried elsewhere. Default 0.6. */
   readonly safeHeadShare: number;
-  /** Silence after which a resumable stream is continued elsewhere, in milliseconds. Default 1,200. */
+  /** Silence after which a resumable stream is continued elsewhere, if a slot is free, in milliseconds. Default 1,200. */
   readonly streamSilenceMs: number;
   /** Retry-After of refusals, in milliseconds. Default 300. */
   readonly retryAfterMs: number;
@@ -126,3 +126,11 @@
   overloadRetryMaxMs: 2_500,
   maxRetryShare: 1 / 3,
 };
+
+/** How long a back end that serves a request which may be repeated may be silent, in milliseconds. */
+export function silencePatienceMs(
+  { kind, targetLatencyMs }: Route,
+  { safeHeadShare, streamSilenceMs }: RequestOptions,
+): number {
+  return kind === 'safe' ? targetLatencyMs * safeHeadShare : streamSilenceMs;
+}
--- a/src/gateway/attempt/try-verdict.ts
+++ b/src/gateway/attempt/try-verdict.ts
@@ -1,5 +1,6 @@
-/** Query: whether one send of a request went badly by the doing of its back end. */
+/** Queries: how one send of a request ended, and whether it went badly by the doing of its back end. */
 import type { Route } from '../../routing/configuration.js';
+import type { AttemptFailure } from './attempt.js';
 import type { AttemptOutcome } from '../dispatch/backend-health.js';
 
 /** Times of one send, in milliseconds. */
@@ -26,3 +27,11 @@
   const hasPaused = maxPauseMs > 0 && longestPauseMs > maxPauseMs;
   return hasPaused || firstEventMs > targetLatencyMs;
 }
+
+/** How a try ended that failed. */
+export function outcomeOf({ isPortClosed, isSilent }: AttemptFailure): AttemptOutcome {
+  if (isPortClosed) {
+    return 'unreachable';
+  }
+  return isSilent === true ? 'silent' : 'failed';
+}
--- a/src/gateway/dispatch/backend-chooser.ts
+++ b/src/gateway/dispatch/backend-chooser.ts
@@ -136,6 +136,22 @@
       );
   }
 
+  /** Whether a healthy back end that may serve the request, and is not in `excluded`, has a free slot. */
+  hasRoomFor(request: ServedRequest, excluded: ReadonlySet<string>, nowMs: number): boolean {
+    return this.directory
+      .ofService(request.service)
+      .some(
+        (known) =>
+          !excluded.has(known.backend.id) &&
+          known.isReady &&
+          known.availability === 'open' &&
+          !known.path.isSuspect &&
+          !known.health.isEjected(nowMs) &&
+          this.isPermitted(request, known) &&
+          this.hasRoom(known, nowMs),
+      );
+  }
+
   /** Whether its agent may be asked for slots: of one that names a limit they are had with a right alone. */
   mayBeGranted(known: KnownBackend, nowMs: number): boolean {
     return this.isOpen(known) && this.isUnlimited(known) && !known.condition.isResting(nowMs);
--- a/src/gateway/dispatch/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -134,6 +134,12 @@
     );
   }
 
+  /** Whether a slot of a back end that is not in `excluded` could be had now, before anything that waits. */
+  hasRoom(request: ServedRequest, excluded: ReadonlySet<string>, nowMs: number): boolean {
+    const isFirst = this.countWaiting(request.service) === 0;
+    return isFirst && this.chooser.hasRoomFor(request, excluded, nowMs);
+  }
+
   /** Takes in a back end's newest announcement; see `BackendDirectory.update`. */
   updateBackend(
     backendId: string,
--- a/test/proxied-request.test.ts
+++ b/test/proxied-request.test.ts
@@ -209,6 +209,36 @@
   t.deepEqual(reply.headers, ['seal', 'first']);
 });
 
+test('a stream that stands still is not broken off while no other back end has a free slot', async (t) => {
+  const world = new GatewayWorld(backendOf('a', { slots: 1 }), backendOf('b', { slots: 1 }));
+  const { reply } = world.request({ route: RESUMABLE });
+  world.request({ route: UNSAFE });
+  t.not(world.attempts[0]!.backend.id, world.attempts[1]!.backend.id);
+  const { handlers } = world.attempts[0]!;
+  handlers.onHead({ status: 200, rawHeaders: [], headers: {} });
+  handlers.onData(Buffer.from(EVENT_1));
+  await world.clock.runUntil(1_600);
+  t.deepEqual([world.attempts[0]!.isCancelled, reply.isAborted], [false, false]);
+  handlers.onData(Buffer.from(EVENT_2));
+  handlers.onEnd();
+  t.deepEqual([reply.body, reply.isEnded], [EVENT_1 + EVENT_2, true]);
+});
+
+test('a stream that stands still goes on elsewhere once another back end has a free slot', async (t) => {
+  const world = new GatewayWorld(backendOf('a', { slots: 1 }), backendOf('b', { slots: 1 }));
+  const { reply } = world.request({ route: RESUMABLE });
+  world.request({ route: UNSAFE });
+  const { handlers } = world.attempts[0]!;
+  handlers.onHead({ status: 200, rawHeaders: [], headers: {} });
+  handlers.onData(Buffer.from(EVENT_1));
+  await world.clock.runUntil(1_400);
+  world.answer(1, 200, 'done');
+  await world.clock.runUntil(1_700);
+  t.true(world.attempts[0]!.isCancelled);
+  world.answer(2, 200, EVENT_2);
+  t.deepEqual([reply.body, reply.isEnded], [EVENT_1 + EVENT_2, true]);
+});
+
 test('an error in place of the rest of a stream never ends it as if it were whole', (t) => {
   const world = twoBackends();
   const { reply } = world.request({ route: RESUMABLE });
