--- a/bench/soak/change-run.ts
+++ b/bench/soak/change-run.ts
@@ -2,13 +2,10 @@
  * Real gateways on loopback before a store in trouble, while the configuration changes: how long it takes until each
  * gateway serves the route that was added and no longer the one that was dropped.
  */
-import { mkdtempSync, writeFileSync } from 'node:fs';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
 import { request } from 'undici';
 import { StandinStore } from '../../test/support/platform-standin.js';
 import type { StoreMood } from '../../test/support/platform-standin.js';
-import { SoakProcess } from './soak-fleet.js';
+import { GatewayProcesses } from './gateway-processes.js';
 
 /** One run of a fleet. */
 export interface ChangeRunOptions {
@@ -57,12 +54,14 @@
 
 class ChangeRun {
   private readonly store = new StandinStore();
-  private readonly folder = mkdtempSync(join(tmpdir(), 'weirvale-changes-'));
-  private readonly gateways: SoakProcess[] = [];
+  private readonly processes: GatewayProcesses;
   private version = 0;
   private readonly stopAtExit = () => this.stop();
 
-  constructor(private readonly options: ChangeRunOptions) {}
+  constructor(private readonly options: ChangeRunOptions) {
+    const { basePort } = options;
+    this.processes = new GatewayProcesses({ network: '127.0.5', basePort, folderName: 'changes' });
+  }
 
   async play(): Promise<ChangeRunReport> {
     const { gateways, mood, forMs, changeAfterMs, quietMs, copyAgeMs } = this.options;
@@ -71,7 +70,7 @@
     const address = await this.store.start();
     this.change();
     for (let index = 0; index < gateways; index += 1) {
-      this.startGateway(index, address);
+      this.processes.startGateway(address);
     }
     await this.untilAll(READY_LIMIT_MS);
     await sleepMs(SETTLE_MS);
@@ -102,7 +101,7 @@
 
   stop(): void {
     process.off('exit', this.stopAtExit);
-    this.gateways.forEach((gateway) => gateway.stop());
+    this.processes.stop();
     this.store.stop();
   }
 
@@ -139,7 +138,7 @@
   private async untilAll(limitMs: number): Promise<number[]> {
     const endMs = performance.now() + limitMs;
     const seen = await Promise.all(
-      this.gateways.map((_gateway, index) => this.until(index, endMs)),
+      this.processes.gateways.map((_gateway, index) => this.until(index, endMs)),
     );
     return seen.filter((atMs) => atMs !== undefined);
   }
@@ -159,41 +158,12 @@
   }
 
   private async status(index: number, version: number): Promise<number> {
-    const url = `http://${hostOf(index)}:${this.options.basePort + 1}/v${version}/x`;
+    const url = `http://${this.processes.hostOf(index)}:${this.processes.callersPort()}/v${version}/x`;
     const headers = { host: 'changes.example' };
     const answer = await request(url, { headers }).catch(() => undefined);
     await answer?.body.dump();
     return answer?.statusCode ?? 0;
   }
-
-  private startGateway(index: number, store: string): void {
-    const at = (port: number) => `${hostOf(index)}:${this.options.basePort + port}`;
-    const seeds = [0, 1, 2].map((seed) => `${hostOf(seed)}:${this.options.basePort + 3}`);
-    const name = `gateway-${index}`;
-    const path = join(this.folder, `${name}.ini`);
-    const lines = [
-      '[process]',
-      'role = gateway',
-      `name = ${name}`,
-      `zone = z${index % 3}`,
-      `address = ${hostOf(index)}`,
-      '[listen]',
-      `callers = ${at(1)}`,
-      `readiness = ${at(2)}`,
-      `peers = ${at(3)}`,
-      '[cluster]',
-      `seeds = ${seeds.join(',')}`,
-      `store = ${store}`,
-    ];
-    writeFileSync(path, lines.join('\n'));
-    const gateway = new SoakProcess(name, path, join(this.folder, `${name}.log`));
-    gateway.start();
-    this.gateways.push(gateway);
-  }
-}
-
-function hostOf(index: number): string {
-  return `127.0.5.${10 + index}`;
 }
 
 function sleepMs(delayMs: number): Promise<void> {
--- a/bench/soak/quota-run.ts
+++ b/bench/soak/quota-run.ts
@@ -4,13 +4,10 @@
  */
 import { createServer, request as httpRequest, Agent } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import { mkdtempSync, writeFileSync } from 'node:fs';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
 import type { RandomSource } from '../../src/random.js';
 import { SeededRandom } from '../../src/random.js';
 import { StandinStore } from '../../test/support/platform-standin.js';
-import { SoakProcess } from './soak-fleet.js';
+import { GatewayProcesses } from './gateway-processes.js';
 
 /** What happens while the tenants ask. */
 export type QuotaFault =
@@ -60,6 +57,13 @@
 const WINDOW_MS = 8_000;
 /** Most of one tenant that may be run in a window. */
 const BOUND = ((RATE_PER_S * WINDOW_MS) / 1_000 + BURST) * (1 + OVER) + SLACK;
+/** The tolerance of the bound, as gateways' settings name it. */
+const LIMITS = [
+  '[limits]',
+  `quotaOver = ${OVER}`,
+  `quotaSlack = ${SLACK}`,
+  `quotaWindowS = ${WINDOW_MS / 1_000}`,
+];
 const SIZES = [500, 2_500];
 const GREEDY = { name: 'greedy', key: 'greedy-key', timesRate: 5 };
 const CALM = { name: 'calm', key: 'calm-key', timesRate: 0.6 };
@@ -68,7 +72,6 @@
 const LOST_SHARE = 0.35;
 /** Time for the gateways to become ready and to know each other, in milliseconds. */
 const SETTLE_MS = 5_000;
-const READY_LIMIT_MS = 20_000;
 const TURN_MS = 500;
 const ONCE_TURN_MS = 700;
 const KILL_ALL_MS = 4_000;
@@ -102,9 +105,8 @@
 class QuotaRun {
   private readonly random: RandomSource;
   private readonly store = new StandinStore();
-  private readonly gateways: SoakProcess[] = [];
+  private readonly processes: GatewayProcesses;
   private readonly servers: Server[] = [];
-  private readonly folder = mkdtempSync(join(tmpdir(), 'weirvale-quota-'));
   private readonly asked = new Map<string, Asked>();
   private readonly runs: Run[] = [];
   private readonly agent = new Agent({ keepAlive: true, maxSockets: 64 });
@@ -112,6 +114,8 @@
 
   constructor(private readonly options: QuotaRunOptions) {
     this.random = new SeededRandom(options.seed);
+    const { basePort } = options;
+    this.processes = new GatewayProcesses({ network: '127.0.3', basePort, folderName: 'quota' });
   }
 
   async play(): Promise<QuotaRunReport> {
@@ -122,9 +126,12 @@
       await this.startBackend(index);
     }
     for (let index = 0; index < this.options.gateways; index += 1) {
-      this.startGateway(index, store);
+      this.processes.startGateway(store, {
+        isApart: this.options.fault === 'apart',
+        lines: LIMITS,
+      });
     }
-    await this.untilReady();
+    await this.processes.untilReady();
     await delay(SETTLE_MS);
     const fromMs = performance.now();
     this.every(ASK_STEP_MS, () => this.askDue(ASK_STEP_MS));
@@ -138,7 +145,7 @@
 
   stop(): void {
     this.stopTimers();
-    this.gateways.forEach((gateway) => gateway.stop());
+    this.processes.stop();
     this.servers.forEach((server) => {
       server.closeAllConnections();
       server.close();
@@ -207,58 +214,6 @@
     }, WORK_MS);
   }
 
-  private startGateway(index: number, store: string): void {
-    const at = (port: number) => `${gatewayHost(index)}:${this.options.basePort + port}`;
-    const seeds = [0, 1, 2].map((seed) => `${gatewayHost(seed)}:${this.options.basePort + 3}`);
-    // Nothing listens at the last address.
-    const isApart = this.options.fault === 'apart';
-    const known = isApart ? [`127.0.4.250:${this.options.basePort + 3}`] : seeds;
-    const name = `gateway-${index}`;
-    const path = join(this.folder, `${name}.ini`);
-    const lines = [
-      '[process]',
-      'role = gateway',
-      `name = ${name}`,
-      `zone = z${index % 3}`,
-      `address = ${gatewayHost(index)}`,
-      '[listen]',
-      `callers = ${at(1)}`,
-      `readiness = ${at(2)}`,
-      // One without an address is not found through the store either.
-      isApart ? 'peers =' : `peers = ${at(3)}`,
-      '[cluster]',
-      `seeds = ${known.join(',')}`,
-      `store = ${store}`,
-      'storeTimeoutMs = 700',
-      '[limits]',
-      `quotaOver = ${OVER}`,
-      `quotaSlack = ${SLACK}`,
-      `quotaWindowS = ${WINDOW_MS / MS_PER_S}`,
-    ];
-    writeFileSync(path, lines.join('\n'));
-    const gateway = new SoakProcess(name, path, join(this.folder, `${name}.log`));
-    gateway.start();
-    this.gateways.push(gateway);
-  }
-
-  private async untilReady(): Promise<void> {
-    const endAtMs = performance.now() + READY_LIMIT_MS;
-    const isReady = (index: number) =>
-      fetch(`http://${gatewayHost(index)}:${this.options.basePort + 2}/-/ready`)
-        .then(({ status }) => status === 200)
-        .catch(() => false);
-    for (;;) {
-      const ready = await Promise.all(this.gateways.map((_gateway, index) => isReady(index)));
-      if (ready.every(Boolean)) {
-        return;
-      }
-      if (performance.now() > endAtMs) {
-        throw new Error(`the gateways are not ready; logs in ${this.folder}`);
-      }
-      await delay(100);
-    }
-  }
-
   private askDue(elapsedMs: number): void {
     const meanTokens = SIZES.reduce((sum, size) => sum + size, 0) / SIZES.length;
     for (const tenant of [GREEDY, CALM]) {
@@ -279,7 +234,7 @@
     this.asked.set(id, asked);
     const sent = httpRequest(
       {
-        host: gatewayHost(index),
+        host: this.processes.hostOf(index),
         port: this.options.basePort + 1,
         path: `/read/${id}`,
         agent: this.agent,
@@ -303,21 +258,23 @@
 
   private beginFault(): void {
     const { fault, gateways } = this.options;
-    const kill = (index: number) => this.gateways[index % gateways]!.signal('SIGKILL');
+    const kill = (index: number) => this.processes.gateways[index % gateways]!.signal('SIGKILL');
     let turn = 0;
     if (fault === 'kill-in-turn') {
       this.every(TURN_MS, () => kill(turn++));
     } else if (fault === 'kill-each-once') {
       this.every(ONCE_TURN_MS, () => turn < gateways && kill(turn++));
     } else if (fault === 'kill-all') {
-      this.every(KILL_ALL_MS, () => this.gateways.forEach((_gateway, index) => kill(index)));
+      this.every(KILL_ALL_MS, () =>
+        this.processes.gateways.forEach((_gateway, index) => kill(index)),
+      );
     } else if (fault === 'pauses') {
       this.every(PAUSE_MS, () => this.pauseHalf(turn++));
     }
   }
 
   private pauseHalf(turn: number): void {
-    this.gateways.forEach((gateway, index) =>
+    this.processes.gateways.forEach((gateway, index) =>
       gateway.signal(index % 2 === turn % 2 ? 'SIGSTOP' : 'SIGCONT'),
     );
   }
@@ -337,7 +294,7 @@
       rateShare: total / seconds / RATE_PER_S,
       calmRefused: calm.filter(({ status }) => status === 429).length / calm.length,
       furtherTries: this.runs.length - new Set(this.runs.map(({ id }) => id)).size,
-      folder: this.folder,
+      folder: this.processes.folder,
     };
   }
 }
@@ -355,10 +312,6 @@
   }, 0);
 }
 
-function gatewayHost(index: number): string {
-  return `127.0.3.${10 + index}`;
-}
-
 function delay(timeMs: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, timeMs));
 }
--- a/bench/soak/statement-run.ts
+++ b/bench/soak/statement-run.ts
@@ -4,13 +4,10 @@
  */
 import { createServer, request as httpRequest, Agent } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import { mkdtempSync, writeFileSync } from 'node:fs';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
 import { SeededRandom } from '../../src/random.js';
 import type { RandomSource } from '../../src/random.js';
 import { StandinStore } from '../../test/support/platform-standin.js';
-import { SoakProcess } from './soak-fleet.js';
+import { GatewayProcesses } from './gateway-processes.js';
 
 /** What the back ends in trouble do with requests. */
 export type BackendTrouble =
@@ -82,7 +79,6 @@
 /** Time until a gateway heeds what it was told, in milliseconds. */
 const HEED_MS = 500;
 const SETTLE_MS = 4_000;
-const READY_LIMIT_MS = 20_000;
 const KILL_TURN_MS = 500;
 const ASK_STEP_MS = 5;
 const MS_PER_S = 1_000;
@@ -133,9 +129,8 @@
 class StatementRun {
   private readonly random: RandomSource;
   private readonly store = new StandinStore();
-  private readonly processes: SoakProcess[] = [];
+  private readonly processes: GatewayProcesses;
   private readonly servers: Server[] = [];
-  private readonly folder = mkdtempSync(join(tmpdir(), 'weirvale-statements-'));
   private readonly asked = new Map<string, Asked>();
   private readonly troubled = new Map<number, TroubledBackend>();
   private readonly running = new Map<number, number>();
@@ -145,6 +140,12 @@
 
   constructor(private readonly options: StatementRunOptions) {
     this.random = new SeededRandom(options.seed);
+    const { basePort } = options;
+    this.processes = new GatewayProcesses({
+      network: '127.0.5',
+      basePort,
+      folderName: 'statements',
+    });
     for (let index = 0; index < options.inTrouble; index += 1) {
       this.troubled.set(index, new TroubledBackend());
     }
@@ -158,9 +159,9 @@
       await this.startBackend(index);
     }
     for (let index = 0; index < this.options.gateways; index += 1) {
-      this.startProcess(`gateway-${index}`, this.gatewaySettings(index, store));
+      this.processes.startGateway(store, { lines: this.agentPortLines });
     }
-    await this.untilReady();
+    await this.processes.untilReady();
     await delay(SETTLE_MS);
     this.every(ASK_STEP_MS, () => this.askDue());
     await delay(MS_PER_S);
@@ -175,7 +176,7 @@
 
   stop(): void {
     this.stopTimers();
-    this.processes.forEach((each) => each.stop());
+    this.processes.stop();
     this.servers.forEach((server) => {
       server.closeAllConnections();
       server.close();
@@ -187,7 +188,7 @@
   private beginKills(): void {
     let turn = 0;
     if (this.options.killsGateways === true) {
-      const gateways = this.processes.slice(-this.options.gateways);
+      const { gateways } = this.processes;
       this.every(KILL_TURN_MS, () => gateways[turn++ % gateways.length]!.signal('SIGKILL'));
     }
   }
@@ -240,7 +241,7 @@
     const address = `${backendHost(index)}:${port}`;
     this.store.announce(`w-${index}`, { address, service: 'workers', slots: SLOTS, zone: 'z0' });
     if (this.options.hasAgents) {
-      this.startProcess(`agent-${index}`, this.agentSettings(index, address));
+      this.processes.startOther(`agent-${index}`, this.agentSettings(index, address));
     }
   }
 
@@ -310,24 +311,9 @@
     }, WORK_MS);
   }
 
-  private gatewaySettings(index: number, store: string): string[] {
-    const at = (port: number) => `${gatewayHost(index)}:${this.options.basePort + port}`;
-    return [
-      '[process]',
-      'role = gateway',
-      `name = gateway-${index}`,
-      `zone = z${index % 3}`,
-      `address = ${gatewayHost(index)}`,
-      '[listen]',
-      `callers = ${at(1)}`,
-      `readiness = ${at(2)}`,
-      `peers = ${at(3)}`,
-      `slotAgentPort = ${this.options.basePort + 5}`,
-      '[cluster]',
-      `seeds = ${this.seeds}`,
-      `store = ${store}`,
-      'storeTimeoutMs = 700',
-    ];
+  /** Where gateways reach the agents beside back ends. */
+  private get agentPortLines(): readonly string[] {
+    return ['[listen]', `slotAgentPort = ${this.options.basePort + 5}`];
   }
 
   private agentSettings(index: number, engine: string): string[] {
@@ -340,39 +326,12 @@
       '[listen]',
       `slotAgentPort = ${this.options.basePort + 5}`,
       '[cluster]',
-      `seeds = ${this.seeds}`,
+      `seeds = ${this.processes.seeds}`,
       '[engine]',
       `address = ${engine}`,
     ];
   }
 
-  private get seeds(): string {
-    return [0, 1, 2].map((seed) => `${gatewayHost(seed)}:${this.options.basePort + 3}`).join(',');
-  }
-
-  private startProcess(name: string, settings: readonly string[]): void {
-    const path = join(this.folder, `${name}.ini`);
-    writeFileSync(path, settings.join('\n'));
-    const started = new SoakProcess(name, path, join(this.folder, `${name}.log`));
-    started.start();
-    this.processes.push(started);
-  }
-
-  private async untilReady(): Promise<void> {
-    const endAtMs = performance.now() + READY_LIMIT_MS;
-    const isReady = (index: number) =>
-      fetch(`http://${gatewayHost(index)}:${this.options.basePort + 2}/-/ready`)
-        .then(({ status }) => status === 200)
-        .catch(() => false);
-    const all = Array.from({ length: this.options.gateways }, (_none, index) => index);
-    while (!(await Promise.all(all.map(isReady))).every(Boolean)) {
-      if (performance.now() > endAtMs) {
-        throw new Error(`the gateways are not ready; logs in ${this.folder}`);
-      }
-      await delay(100);
-    }
-  }
-
   private askDue(): void {
     const { requestsPerS = 100 } = this.options;
     for (let due = (requestsPerS * ASK_STEP_MS) / MS_PER_S; due > 0; due -= 1) {
@@ -390,7 +349,7 @@
     this.asked.set(id, asked);
     const sent = httpRequest(
       {
-        host: gatewayHost(gateway),
+        host: this.processes.hostOf(gateway),
         port: this.options.basePort + 1,
         path: `/${route}/${id}`,
         agent: this.agent,
@@ -429,7 +388,7 @@
       restWorst: Math.max(0, ...troubled.map(worstOfRests)),
       served: all.filter(({ status }) => status === 200).length / all.length,
       wellPerS: (well.length / (untilMs - wellFromMs)) * MS_PER_S,
-      folder: this.folder,
+      folder: this.processes.folder,
     };
   }
 }
@@ -473,10 +432,6 @@
   }, 0);
 }
 
-function gatewayHost(index: number): string {
-  return `127.0.5.${10 + index}`;
-}
-
 function backendHost(index: number): string {
   return `127.0.6.${10 + index}`;
 }
