--- a/test/store-follower.test.ts
+++ b/test/store-follower.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import { StoreHistoryGoneError, StoreUnavailableError } from '../src/cluster/cluster-store.js';
 import { DEFAULT_STORE_FOLLOWER_OPTIONS, StoreFollower } from '../src/cluster/store-follower.js';
+import type { StoreFollowerHandlers } from '../src/cluster/store-follower.js';
 import type { ClusterStore, StoreRead } from '../src/cluster/cluster-store.js';
 import { sleep } from '../src/clock.js';
 import { SeededRandom } from '../src/random.js';
@@ -48,10 +49,20 @@
 const FAILED = err(new StoreUnavailableError('cut'));
 const FORGOTTEN = err(new StoreHistoryGoneError('gone'));
 
-/** What a follower hears of epochs of a store that counts none. */
-const ONE_EPOCH = {
-  knownEpoch: () => ({ epoch: NO_EPOCH, sinceMs: -Infinity }),
+/** Handlers of a follower that is alone and knows nothing, before a store that counts no epochs. */
+const HANDLERS: StoreFollowerHandlers = {
+  onListing: () => undefined,
+  onListingAfterOutage: () => undefined,
+  onChanges: () => undefined,
+  onChangesMissing: () => undefined,
   onOtherEpoch: () => undefined,
+  onConfirmed: () => undefined,
+  onReachable: () => undefined,
+  countFollowers: () => 1,
+  mustFollow: () => true,
+  completeTo: () => NO_POSITION,
+  knownEpoch: () => ({ epoch: NO_EPOCH, sinceMs: -Infinity }),
+  onCall: () => undefined,
 };
 
 async function callsOf(
@@ -62,22 +73,15 @@
   const store = new ScriptedStore(clock, script);
   const reachable: boolean[] = [];
   const listings: string[] = [];
-  const handlers = {
+  const handlers: StoreFollowerHandlers = {
+    ...HANDLERS,
     onListing: () => void listings.push('whole'),
     onListingAfterOutage: () => void listings.push('after an outage'),
-    onChanges: () => undefined,
-    onChangesMissing: () => undefined,
-    onConfirmed: () => undefined,
     onReachable: (isReachable: boolean) => {
       if (!store.hasEnded) {
         reachable.push(isReachable);
       }
     },
-    countFollowers: () => 1,
-    mustFollow: () => true,
-    completeTo: () => at(0),
-    ...ONE_EPOCH,
-    onCall: () => undefined,
   };
   void new StoreFollower(store, handlers, clock, new SeededRandom(1)).run();
   clock.notePromise();
@@ -125,18 +129,10 @@
   const clock = new VirtualClock();
   const store = new ScriptedStore(clock, [READ_AT_4, change(5), change(9)]);
   const seenAtMs: number[] = [];
-  const handlers = {
-    onListing: () => undefined,
-    onListingAfterOutage: () => undefined,
+  const handlers: StoreFollowerHandlers = {
+    ...HANDLERS,
     onChanges: () => void seenAtMs.push(clock.now()),
-    onChangesMissing: () => undefined,
-    onConfirmed: () => undefined,
-    onReachable: () => undefined,
     countFollowers: () => followers,
-    mustFollow: () => true,
-    completeTo: () => at(0),
-    ...ONE_EPOCH,
-    onCall: () => undefined,
   };
   void new StoreFollower(store, handlers, clock, new SeededRandom(1)).run();
   for (let turn = 1; turn <= 30; turn += 1) {
@@ -190,18 +186,12 @@
   const clock = new VirtualClock();
   const store = new ScriptedStore(clock, script);
   const listings: string[] = [];
-  const handlers = {
+  const handlers: StoreFollowerHandlers = {
+    ...HANDLERS,
     onListing: () => void listings.push('whole'),
     onListingAfterOutage: () => void listings.push('after an outage'),
-    onChanges: () => undefined,
-    onChangesMissing: () => undefined,
-    onConfirmed: () => undefined,
-    onReachable: () => undefined,
-    countFollowers: () => 1,
     mustFollow: () => clock.now() >= untilMs,
     completeTo: () => at(completeTo),
-    ...ONE_EPOCH,
-    onCall: () => undefined,
   };
   void new StoreFollower(store, handlers, clock, new SeededRandom(1)).run();
   for (let turn = 1; turn <= 80; turn += 1) {
@@ -215,18 +205,9 @@
   const clock = new VirtualClock();
   const store = new ScriptedStore(clock, [READ_AT_4, 'never', READ_AT_4, NOTHING_AT_4]);
   const reachable: boolean[] = [];
-  const handlers = {
-    onListing: () => undefined,
-    onListingAfterOutage: () => undefined,
-    onChanges: () => undefined,
-    onChangesMissing: () => undefined,
-    onConfirmed: () => undefined,
+  const handlers: StoreFollowerHandlers = {
+    ...HANDLERS,
     onReachable: (isReachable: boolean) => void reachable.push(isReachable),
-    countFollowers: () => 1,
-    mustFollow: () => true,
-    completeTo: () => at(0),
-    ...ONE_EPOCH,
-    onCall: () => undefined,
   };
   const follower = new StoreFollower(store, handlers, clock, new SeededRandom(1));
   void follower.run();
@@ -254,18 +235,12 @@
     watch: (_since: StorePosition, waitMs: number) =>
       sleep(clock, waitMs).then(() => answer(NOTHING_AT_4)),
   } as unknown as ClusterStore;
-  const handlers = {
+  const handlers: StoreFollowerHandlers = {
+    ...HANDLERS,
     onListing: () => void (seen.listed += 1),
     onListingAfterOutage: () => void (seen.listed += 1),
-    onChanges: () => undefined,
-    onChangesMissing: () => undefined,
-    onConfirmed: () => undefined,
     onReachable: (isReachable: boolean) => void (seen.lost += isReachable ? 0 : 1),
-    countFollowers: () => 1,
-    mustFollow: () => true,
     completeTo: () => at(4),
-    ...ONE_EPOCH,
-    onCall: () => undefined,
   };
   void new StoreFollower(store, handlers, clock, new SeededRandom(1)).run();
   for (let turn = 1; turn <= 200; turn += 1) {
@@ -315,20 +290,14 @@
     taken.push(`${what} ${read.epoch}/${read.revision}`);
     learn(read.epoch);
   };
-  const handlers = {
+  const handlers: StoreFollowerHandlers = {
+    ...HANDLERS,
     onListing: take('whole'),
     onListingAfterOutage: take('listing'),
     onChanges: take('changes'),
-    onChangesMissing: () => undefined,
-    onConfirmed: () => undefined,
-    onReachable: () => undefined,
-    countFollowers: () => 1,
-    mustFollow: () => true,
-    completeTo: () => NO_POSITION,
     knownEpoch: () => known,
     onOtherEpoch: (call: string, asked: number, read: StorePosition) =>
       void taken.push(`${call} of ${asked} dropped ${read.epoch}/${read.revision}`),
-    onCall: () => undefined,
   };
   void new StoreFollower(store, handlers, clock, new SeededRandom(1)).run();
   for (let turn = 1; turn * 100 <= forMs; turn += 1) {
