A silent back end, or one on a lost path, is left only once a further run is granted

Found by reading on from the mend before: the try was broken off first and the further run charged to its tenant after that; where the tenant had nothing left, the begun answer was closed in the middle. The test fails on the code before (cancelled and aborted at 1.8 s).

Now the further run is charged while the first goes on, and the first is left only if that is granted and nothing was heard of it meanwhile.

--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -255,18 +255,14 @@
     if (!this.canRepeatElsewhere()) {
       return;
     }
-    const failedId = this.backend!.id;
-    if (!this.hasRoomElsewhere(failedId)) {
+    if (!this.hasRoomElsewhere(this.backend!.id)) {
       // Silence alone is no reason to break it off: it may go on here sooner than a slot is free elsewhere.
       this.stepTimer.start(SILENCE_REVIEW_MS, () => this.giveUpSilentBackend());
       return;
     }
-    if (!this.takeRepeat()) {
-      return;
+    if (this.takeRepeat()) {
+      this.leaveWhenCharged('silent', 'silent');
     }
-    this.mayHaveRun = true;
-    this.dropAttempt('silent', 'silent');
-    this.runAgain(failedId);
   }
 
   /** A request that may be repeated does not wait for the silence that shows it what is known by now. */
@@ -274,20 +270,28 @@
     if (!this.canRepeatElsewhere() || !this.hasReachableOther() || !this.takeRepeat()) {
       return;
     }
-    const lostId = this.backend!.id;
-    this.mayHaveRun = true;
-    this.dropAttempt('path-lost', 'the path to it is lost');
-    this.runAgain(lostId);
+    this.leaveWhenCharged('path-lost', 'the path to it is lost');
+  }
+
+  /** Leaves a back end that has the request still. It may go on there unless a further run is granted. */
+  private leaveWhenCharged(outcome: AttemptOutcome, detail: string): void {
+    const { attempt, heardAtMs } = this;
+    const backendId = this.backend!.id;
+    this.ports.chargeAgain(this.request, (isGranted) => {
+      const hasMoved = this.attempt !== attempt || this.heardAtMs !== heardAtMs;
+      if (!isGranted || hasMoved || this.isDone) {
+        return;
+      }
+      this.mayHaveRun = true;
+      this.dropAttempt(outcome, detail);
+      this.moveOn(backendId);
+    });
   }
 
   /** Whether a back end that may serve the request stands on a path that is trusted. */
   private hasReachableOther(): boolean {
-    const suspects = this.ports.directory
-      .ofService(this.request.service)
-      .filter(({ path, availability }) => path.isSuspect || availability === 'closed')
-      .map(({ backend }) => backend.id);
-    const left = new Set([...this.excluded, this.backend!.id, ...suspects]);
-    return this.ports.dispatcher.hasAwake(this.request, left, this.ports.clock.now());
+    const left = new Set([...this.excluded, this.backend!.id]);
+    return this.ports.dispatcher.hasReachable(this.request, left, this.ports.clock.now());
   }
 
   private hasRoomElsewhere(backendId: string): boolean {
--- a/src/gateway/dispatch/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -134,6 +134,15 @@
     );
   }
 
+  /** The same for one on a path that is trusted. */
+  hasReachable(request: ServedRequest, excluded: ReadonlySet<string>, nowMs: number): boolean {
+    const suspects = this.directory
+      .ofService(request.service)
+      .filter(({ path, availability }) => path.isSuspect || availability === 'closed')
+      .map(({ backend }) => backend.id);
+    return this.hasAwake(request, new Set([...excluded, ...suspects]), nowMs);
+  }
+
   /** Whether a slot of a back end that is not in `excluded` could be had now, before anything that waits. */
   hasRoom(request: ServedRequest, excluded: ReadonlySet<string>, nowMs: number): boolean {
     const isFirst = this.countWaiting(request.service) === 0;
--- a/test/proxied-request.test.ts
+++ b/test/proxied-request.test.ts
@@ -239,6 +239,21 @@
   t.deepEqual([reply.body, reply.isEnded], [EVENT_1 + EVENT_2, true]);
 });
 
+test('a stream that stands still is not broken off where its tenant has no quota for a further run', async (t) => {
+  const world = twoBackends();
+  world.hasQuota = false;
+  const { reply } = world.request({ route: RESUMABLE });
+  const { handlers } = world.attempts[0]!;
+  handlers.onHead({ status: 200, rawHeaders: [], headers: {} });
+  handlers.onData(Buffer.from(EVENT_1));
+  await world.clock.runUntil(1_800);
+  t.deepEqual([world.attempts[0]!.isCancelled, reply.isAborted], [false, false]);
+  handlers.onData(Buffer.from(EVENT_2));
+  handlers.onEnd();
+  t.deepEqual([reply.body, reply.isEnded], [EVENT_1 + EVENT_2, true]);
+  t.is(world.chargedAgain, 1);
+});
+
 test('an error in place of the rest of a stream never ends it as if it were whole', (t) => {
   const world = twoBackends();
   const { reply } = world.request({ route: RESUMABLE });
