Logs name the software version of each attempt and what a caller resumes

An attempt's record names its backend but not its version, nor the event after which a stream went on; a request that takes a stream up looked like any other.

Fields: version and afterEvent in each of tries, resumes and afterEvent in request-ended, version in backend-learned; logs explain prints them. No change of logic.

--- a/src/cli/queries/explain-logs.ts
+++ b/src/cli/queries/explain-logs.ts
@@ -27,6 +27,9 @@
   readonly distance?: string;
   readonly outcome: string;
   readonly detail: string;
+  readonly version?: string;
+  /** Id of the event after which the attempt resumed the stream; missing for a new stream. */
+  readonly afterEvent?: string;
   /** Statement of the backend in its response headers. */
   readonly stated?: LoggedStatement;
 }
@@ -188,10 +191,10 @@
       `  waited ${line['waitedMs']} ms, first byte after ${line['firstByteMs'] ?? 'none'} ms, ended after ${line['totalMs']} ms, longest pause ${line['longestPauseMs']} ms`,
     );
   }
-  text.push(...explainRegions(line as RegionReport));
+  text.push(...describeResumption(line), ...explainRegions(line as RegionReport));
   for (const attempt of attemptsOf(line)) {
     text.push(
-      `  after ${Math.round(attempt.afterMs)} ms to ${attempt.backend}${describeDistance(attempt)} (estimated ${attempt.occupied} of ${attempt.slots} slots occupied): ${attempt.outcome}, ${attempt.detail}`,
+      `  after ${Math.round(attempt.afterMs)} ms to ${attempt.backend}${describeSoftware(attempt)}${describeDistance(attempt)} (estimated ${attempt.occupied} of ${attempt.slots} slots occupied): ${attempt.outcome}, ${attempt.detail}`,
     );
     if (attempt.stated !== undefined) {
       text.push(`    its response stated: ${describeStatement(attempt.stated)}`);
@@ -220,3 +223,19 @@
 function describeDistance({ distance }: LoggedAttempt): string {
   return distance === 'other-region' ? ' in another region' : '';
 }
+
+/** Describes the stream that the caller resumed, if it did. */
+function describeResumption(line: LogLine): string[] {
+  const { resumes, afterEvent } = line;
+  if (resumes === undefined && afterEvent === undefined) {
+    return [];
+  }
+  return [
+    `  resumes the stream of request ${resumes ?? 'not named'} after event ${afterEvent ?? 'not named'}`,
+  ];
+}
+
+function describeSoftware({ version, afterEvent }: LoggedAttempt): string {
+  const resumed = afterEvent === undefined ? '' : `, after event ${afterEvent}`;
+  return version === undefined ? '' : ` of version ${version}${resumed}`;
+}
--- a/src/experiment/simulated-caller.ts
+++ b/src/experiment/simulated-caller.ts
@@ -112,6 +112,7 @@
           apiKey: CALLER_API_KEY,
           tokens: { prompt: this.parameters.promptTokens, output: this.parameters.events },
           lastEventId: undefined,
+          resumedRequestId: undefined,
           reservedHeaders: [],
         },
         body: Buffer.alloc(0),
--- a/src/experiment/simulated-gateway.ts
+++ b/src/experiment/simulated-gateway.ts
@@ -50,6 +50,7 @@
     apiKey: undefined,
     tokens: undefined,
     lastEventId: undefined,
+    resumedRequestId: undefined,
     reservedHeaders: [],
   }),
   attemptHeaders: (received) => [...received],
--- a/src/gateway/admission/caller-protocol.ts
+++ b/src/gateway/admission/caller-protocol.ts
@@ -18,6 +18,8 @@
   readonly tokens: { readonly prompt: number; readonly output: number } | undefined;
   /** Id of the last event that the caller received, if it resumes a stream. */
   readonly lastEventId: string | undefined;
+  /** Id of the caller's request that received the first event of the stream that it resumes. */
+  readonly resumedRequestId: string | undefined;
   /** Names of received headers that only a gateway may set; they are removed. */
   readonly reservedHeaders: readonly string[];
 }
--- a/src/gateway/admission/request-admission.ts
+++ b/src/gateway/admission/request-admission.ts
@@ -121,6 +121,7 @@
       headers: head.rawHeaders,
       body,
       lastEventId: caller.lastEventId,
+      resumedRequestId: caller.resumedRequestId,
     };
   }
 
--- a/src/gateway/attempt/accepted-request.ts
+++ b/src/gateway/attempt/accepted-request.ts
@@ -40,4 +40,6 @@
   readonly body: Buffer;
   /** Id of the last event that the caller received, if it resumes a stream. */
   readonly lastEventId: string | undefined;
+  /** Id of the caller's request that received the first event of the stream that it resumes. */
+  readonly resumedRequestId: string | undefined;
 }
--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -217,20 +217,21 @@
   }
 
   private send(backend: Backend, nowMs: number): void {
-    const { request, ports } = this;
+    const { request, ports, relay } = this;
+    const { lastEventId } = relay;
     this.phase = 'sent';
     this.backend = backend;
     this.attempts += 1;
     const entry = ports.directory.find(backend.id);
-    const failureShare = entry?.failureShare(nowMs) ?? 0;
     const { occupied = 0, distance = 'same-zone' } = entry ?? {};
-    const estimate = { occupied, failureShare, distance } as const;
-    this.record.addAttempt(backend, estimate, request.body.length, nowMs);
+    const estimate = { occupied, failureShare: entry?.failureShare(nowMs) ?? 0, distance } as const;
+    const content = { bodyBytes: request.body.length, lastEventId };
+    this.record.addAttempt(backend, estimate, content, nowMs);
     this.attemptStartedAtMs = nowMs;
     this.lastReceiptAtMs = -Infinity;
     this.currentRun = ports.crashes.beginRun(request, backend, this.currentRun);
     this.stopWatchingPath = entry?.path.subscribeLost(() => this.leaveLostPath());
-    this.relay.beginAttempt();
+    relay.beginAttempt();
     this.progress = new AttemptProgress(
       ports.dispatcher,
       backend.id,
@@ -239,7 +240,6 @@
       this.progress?.lastEventAtMs,
       ports.dispatcher.isCold(backend.id, nowMs),
     );
-    const { lastEventId } = this.relay;
     const roundTripMs = entry?.roundTrip.ms ?? 0;
     this.armSilenceTimer();
     this.attempt = ports.sender.send(
--- a/src/gateway/attempt/request-model.ts
+++ b/src/gateway/attempt/request-model.ts
@@ -17,6 +17,10 @@
 /** Log record of one attempt; the field names are part of the log format. */
 export interface AttemptRecord {
   readonly backend: string;
+  /** Announced software version of the backend. */
+  readonly version: string;
+  /** Id of the event after which the attempt resumes the stream; omitted for a new stream. */
+  readonly afterEvent?: string;
   /** Time from the request's arrival to the send, in milliseconds. */
   readonly afterMs: number;
   /**
--- a/src/gateway/attempt/request-record.ts
+++ b/src/gateway/attempt/request-record.ts
@@ -8,6 +8,13 @@
 /** Estimated state of a backend when a request was sent to it. */
 export type BackendEstimate = Pick<AttemptRecord, 'occupied' | 'failureShare' | 'distance'>;
 
+/** What an attempt sends. */
+export interface AttemptContent {
+  readonly bodyBytes: number;
+  /** Id of the event after which the attempt resumes the stream; undefined for a new stream. */
+  readonly lastEventId: string | undefined;
+}
+
 /** Attempts and times of one request. */
 export class RequestRecord {
   private readonly tries: AttemptRecord[] = [];
@@ -18,10 +25,17 @@
   constructor(private readonly arrivedAtMs: number) {}
 
   /** Adds an attempt; `estimate` is the state on which the backend was chosen. */
-  addAttempt(backend: Backend, estimate: BackendEstimate, bodyBytes: number, nowMs: number): void {
+  addAttempt(
+    backend: Backend,
+    estimate: BackendEstimate,
+    { bodyBytes, lastEventId }: AttemptContent,
+    nowMs: number,
+  ): void {
     this.firstSentAtMs ??= nowMs;
     this.tries.push({
       backend: backend.id,
+      version: backend.version,
+      ...(lastEventId === undefined ? {} : { afterEvent: lastEventId }),
       afterMs: nowMs - this.arrivedAtMs,
       ...estimate,
       slots: backend.slots,
--- a/src/gateway/gateway-backends.ts
+++ b/src/gateway/gateway-backends.ts
@@ -78,6 +78,7 @@
       backend: id,
       state: backend?.state,
       service: backend?.service,
+      version: backend?.version,
       address: backend?.address,
       epoch,
       revision,
--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -336,6 +336,8 @@
       promptTokens: request.promptTokens,
       quotaCost: request.quotaCost,
       triedForMs: request.arrivedAtMs - request.firstAttemptAtMs,
+      resumes: request.resumedRequestId,
+      afterEvent: request.lastEventId,
       ...end,
       // A resent request has a new id; the fingerprint identifies it as the same request.
       fingerprint: hasFailedAtBackend(end)
--- a/test/allowed-regions.test.ts
+++ b/test/allowed-regions.test.ts
@@ -296,6 +296,7 @@
     apiKey: undefined,
     tokens: undefined,
     lastEventId: undefined,
+    resumedRequestId: undefined,
     reservedHeaders: [],
   };
   const received = { head, caller, body: Buffer.alloc(0), arrivedAtMs: 0 };
--- a/test/crashing-requests-fleet.test.ts
+++ b/test/crashing-requests-fleet.test.ts
@@ -66,6 +66,7 @@
     headers: [],
     body: Buffer.from(body),
     lastEventId: undefined,
+    resumedRequestId: undefined,
   };
 }
 
--- a/test/support/gateway-harness.ts
+++ b/test/support/gateway-harness.ts
@@ -123,6 +123,7 @@
     apiKey: undefined,
     tokens: undefined,
     lastEventId: undefined,
+    resumedRequestId: undefined,
     reservedHeaders: [],
   }),
   attemptHeaders: (_received, attempt) => [
@@ -343,6 +344,7 @@
       headers: [],
       body: Buffer.alloc(0),
       lastEventId: undefined,
+      resumedRequestId: undefined,
       ...changes,
     };
   }
