A stream continues only at the software version that began it, within an answer

Cause: the choice of the next backend did not know that a stream had begun. What a request may be sent to was its service and its regions; ProxiedRequest excluded the backends that it had used and took any other.

The mend: PlacementConstraints has a required field for the version, which the request itself lacks, so that no question about backends can be asked without it: picking, slots granted by agents, whether another backend is ready, free or reachable, expected times, evacuations, backoff. A stream is bound before its first event is passed on; before that a retry is free. A version that a rollout closed still continues its streams. With no backend of the version left, the answer ends at once. A backend that announces no version counts as one of its own; one incarnation keeps its version, and where no start time is announced another version shows a restart.

--- a/src/cli/queries/explain-logs.ts
+++ b/src/cli/queries/explain-logs.ts
@@ -89,6 +89,7 @@
   'no-backend': 'no backend of the service was listed as ready, or none was reachable',
   'no-common-home': 'its route and its tenant have no allowed region in common',
   'no-backend-at-home': 'no backend was available in its allowed regions',
+  'stream-unavailable': 'no backend of the version that began its stream was left',
   'zone-evacuated': 'operators had evacuated every zone in which it could have been served',
   stopping: 'the process was shutting down',
   'not-started-in-time': 'its deadline passed before a backend was free',
--- a/src/cli/queries/explain-regions.ts
+++ b/src/cli/queries/explain-regions.ts
@@ -5,6 +5,7 @@
   'outside-home': 'its region is not allowed',
   'zone-evacuated': 'its zone is evacuated',
   'version-closed': 'a rollout has closed its version to requests',
+  'other-version': 'another software version began the stream that it continues',
   'not-ready': 'it was not listed as ready',
 };
 
--- a/src/gateway/admission/gateway-refusal.ts
+++ b/src/gateway/admission/gateway-refusal.ts
@@ -1,11 +1,11 @@
 /** Refusals: responses that the gateway generates itself. */
 
 import type { RequestFingerprint } from '../crashes/crash-tally.js';
-import type { RegionRefusalReason } from '../regions/region-refusal.js';
+import type { PlacementRefusalReason } from '../dispatch/placement-refusal.js';
 
 /** Why the gateway refuses a request. */
 export type GatewayRefusalReason =
-  | RegionRefusalReason
+  | PlacementRefusalReason
   | 'no-configuration'
   | 'no-route'
   | 'unknown-key'
@@ -69,6 +69,7 @@
   'no-backend': 503,
   'no-common-home': 503,
   'no-backend-at-home': 503,
+  'stream-unavailable': 503,
   'zone-evacuated': 503,
   stopping: 503,
   'not-started-in-time': 503,
--- a/src/gateway/admission/request-admission.ts
+++ b/src/gateway/admission/request-admission.ts
@@ -122,6 +122,7 @@
       body,
       lastEventId: caller.lastEventId,
       resumedRequestId: caller.resumedRequestId,
+      resumedVersion: undefined,
     };
   }
 
--- a/src/gateway/attempt/accepted-request.ts
+++ b/src/gateway/attempt/accepted-request.ts
@@ -2,6 +2,7 @@
 import type { AllowedRegions } from '../../routing/backend-restriction.js';
 import type { Route } from '../../routing/configuration.js';
 import type { RouteAndTenant } from '../../routing/region-restrictions.js';
+import type { SoftwareVersion } from '../../routing/software-version.js';
 import type { RawHeaders } from '../admission/caller-protocol.js';
 
 /** A request that passed admission, with its complete body. */
@@ -42,4 +43,9 @@
   readonly lastEventId: string | undefined;
   /** Id of the caller's request that received the first event of the stream that it resumes. */
   readonly resumedRequestId: string | undefined;
+  /**
+   * Software version that began the stream that the caller resumes; undefined for any, if the
+   * request begins a stream.
+   */
+  readonly resumedVersion: SoftwareVersion | undefined;
 }
--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -7,12 +7,14 @@
 import type { Backend } from '../../routing/backend.js';
 import type { ResponseHead, AttemptFailure, AttemptHandle, CallerReply } from './attempt.js';
 import type { AttemptOutcome } from '../dispatch/backend-health.js';
+import { AlternativeBackends } from './alternative-backends.js';
 import { AttemptProgress } from './attempt-progress.js';
 import type { ExitEvidence } from '../crashes/interrupted-runs.js';
 import type { RequestRun } from '../crashes/crashing-requests.js';
 import type { BackendResponseInfo } from '../admission/caller-protocol.js';
 import type { GatewayRefusal } from '../admission/gateway-refusal.js';
-import type { RegionRefusalReason } from '../regions/region-refusal.js';
+import type { PlacementConstraints } from '../dispatch/dispatch-request.js';
+import type { PlacementRefusalReason } from '../dispatch/placement-refusal.js';
 import { sendRefusal } from '../admission/send-refusal.js';
 import { isBadAttempt, outcomeOfFailure } from './attempt-outcome.js';
 import { ResponseRelay } from './response-relay.js';
@@ -25,6 +27,7 @@
 import { silenceTimeoutMs } from './request-model.js';
 import type { RequestOptions, RequestPorts } from './request-model.js';
 import { RequestRecord } from './request-record.js';
+import { StreamBinding } from './stream-binding.js';
 
 /**
  * Maximum failed connects after which a request is still sent elsewhere; each uses up a part of the
@@ -43,7 +46,6 @@
  * Interval of the checks for a free slot elsewhere while a backend sends nothing, in milliseconds.
  */
 const SILENCE_RECHECK_MS = 100;
-const NO_BACKENDS: ReadonlySet<string> = new Set();
 
 type Phase = 'waiting' | 'sent' | 'streaming' | 'done';
 
@@ -60,7 +62,8 @@
   private currentRun: RequestRun | undefined;
   private attempts = 0;
   private connectFailures = 0;
-  private readonly excludedIds = new Set<string>();
+  private readonly alternatives: AlternativeBackends;
+  private readonly binding: StreamBinding;
   private readonly record: RequestRecord;
   private readonly relay: ResponseRelay;
   private progress: AttemptProgress | undefined;
@@ -81,12 +84,11 @@
     private readonly options: RequestOptions,
   ) {
     const { method, lastEventId, route } = request;
+    this.binding = new StreamBinding(request);
+    this.alternatives = new AlternativeBackends(this.binding, ports);
     this.record = new RequestRecord(request.arrivedAtMs);
-    this.relay = new ResponseRelay(reply, {
-      method,
-      lastEventId,
-      isStream: route.kind === 'stream',
-    });
+    const relayed = { method, lastEventId, isStream: route.kind === 'stream' };
+    this.relay = new ResponseRelay(reply, relayed, () => this.bindStream());
     const remainingMs = Math.max(0, request.deadlineAtMs - ports.clock.now());
     this.deadlineTimer = new OneShotTimer(ports.clock);
     this.silenceTimer = new OneShotTimer(ports.clock);
@@ -99,6 +101,11 @@
     return this.phase === 'done';
   }
 
+  /** Which backends may serve the request now. */
+  get constraints(): PlacementConstraints {
+    return this.binding;
+  }
+
   /** Starts the wait for a backend. */
   begin(): void {
     this.waitForBackend();
@@ -124,7 +131,7 @@
     if (phase !== 'sent' || backend === undefined || attempt === undefined) {
       return false;
     }
-    if (!this.isBackendForbidden(backend) || !attempt.withdraw()) {
+    if (!this.alternatives.isForbidden(backend.id) || !attempt.withdraw()) {
       return false;
     }
     this.endAttempt('unknown', 'withdrawn before the send: operators no longer permit the backend');
@@ -133,16 +140,6 @@
     return true;
   }
 
-  /**
-   * Whether the backend is no longer permitted. A version that a rollout has closed, for example
-   * because its share of the requests is used up, keeps the requests already assigned to it.
-   */
-  private isBackendForbidden(backend: Backend): boolean {
-    const entry = this.ports.directory.find(backend.id);
-    const reason = entry && this.ports.dispatcher.restriction(this.request, entry);
-    return reason !== undefined && reason !== 'version-closed';
-  }
-
   /**
    * Handles the report that a backend has ended. Usually its connections are reset, but behind a
    * network partition they are not, and the request would wait until its deadline for a response
@@ -194,26 +191,32 @@
     }
     this.wait = new RequestWait({
       request: this.request,
+      constraints: this.binding,
       ports: this.ports,
       options: this.options,
       answer: {
         lastEventAtMs: this.progress?.lastEventAtMs,
         hasStarted: this.relay.hasStarted,
       },
-      excluded: this.excludedIds,
+      excluded: this.alternatives.excluded,
       onPlaced: (backend, placedAtMs) => this.send(backend, placedAtMs),
       onAbandoned: (reason) => this.failWait(reason),
     });
     this.wait.begin();
   }
 
-  private failWait(regionReason: RegionRefusalReason | undefined): void {
-    if (regionReason === undefined && this.wait?.isEvacuated === true) {
+  private failWait(refusal: PlacementRefusalReason | undefined): void {
+    if (refusal === undefined && this.wait?.isEvacuated === true) {
       this.replyWithFailure('zone-evacuated');
       return;
     }
-    const hasBackends = this.ports.dispatcher.hasReady(this.request, NO_BACKENDS);
-    this.replyWithFailure(regionReason ?? (hasBackends ? 'overloaded' : 'no-backend'));
+    const { hasAnyReady } = this.alternatives;
+    this.replyWithFailure(refusal ?? (hasAnyReady ? 'overloaded' : 'no-backend'));
+  }
+
+  /** Called before the first event is sent to the caller. */
+  private bindStream(): void {
+    this.binding.bindTo(this.backend!);
   }
 
   private send(backend: Backend, nowMs: number): void {
@@ -269,7 +272,7 @@
     if (!this.canRetryElsewhere()) {
       return;
     }
-    if (!this.hasFreeSlotElsewhere(this.backend!.id)) {
+    if (!this.alternatives.hasFreeSlot(this.backend!.id)) {
       // Silence alone does not justify a cancel: the response may continue before a slot is free
       // elsewhere.
       this.silenceTimer.start(SILENCE_RECHECK_MS, () => this.leaveSilentBackend());
@@ -285,7 +288,8 @@
    * silence timeout.
    */
   private leaveLostPath(): void {
-    if (!this.canRetryElsewhere() || !this.hasReachableAlternative() || !this.takeRetry()) {
+    const isReachableElsewhere = this.alternatives.isReachable(this.backend!.id);
+    if (!this.canRetryElsewhere() || !isReachableElsewhere || !this.takeRetry()) {
       return;
     }
     this.leaveOnceCharged('path-lost', 'the path to it is lost');
@@ -309,17 +313,6 @@
     });
   }
 
-  /** Whether another eligible backend is reachable over a path that is not suspected. */
-  private hasReachableAlternative(): boolean {
-    const used = new Set([...this.excludedIds, this.backend!.id]);
-    return this.ports.dispatcher.hasReachable(this.request, used, this.ports.clock.now());
-  }
-
-  private hasFreeSlotElsewhere(id: string): boolean {
-    const { dispatcher, clock } = this.ports;
-    return dispatcher.hasCapacity(this.request, new Set([...this.excludedIds, id]), clock.now());
-  }
-
   private recordReceipt(): void {
     this.lastReceiptAtMs = this.ports.clock.now();
     this.ports.directory.find(this.backend!.id)?.path.noteActivity(this.lastReceiptAtMs);
@@ -493,8 +486,7 @@
 
   private canRetryElsewhere(): boolean {
     const { route } = this.request;
-    const used = new Set([...this.excludedIds, this.backend!.id]);
-    const canMove = this.ports.dispatcher.hasAvailable(this.request, used, this.ports.clock.now());
+    const canMove = this.alternatives.isAvailable(this.backend!.id);
     return canMove && this.mayRetry() && this.attempts < route.maxAttempts && this.hasTimeLeft();
   }
 
@@ -525,7 +517,7 @@
   }
 
   private retryElsewhere(fromBackendId: string): void {
-    this.excludedIds.add(fromBackendId);
+    this.alternatives.exclude(fromBackendId);
     this.waitForBackend();
   }
 
--- a/src/gateway/attempt/refusal-retry-after.ts
+++ b/src/gateway/attempt/refusal-retry-after.ts
@@ -24,6 +24,10 @@
   if (dependsOnQueue && queueRetryAfterMs !== undefined) {
     return queueRetryAfterMs();
   }
+  if (reason === 'stream-unavailable') {
+    // The caller can begin the stream anew at any other version at once.
+    return 0;
+  }
   if (isRegionRefusal(reason)) {
     // Only operators can resolve this, which takes longer than any Retry-After that callers honor.
     return Math.min(options.overloadRetryMaxMs, remainingMs * options.maxRetryShare);
--- a/src/gateway/attempt/request-wait.ts
+++ b/src/gateway/attempt/request-wait.ts
@@ -4,8 +4,8 @@
  * the caller.
  */
 import type { TimerHandle } from '../../clock.js';
-import type { DispatchRequest } from '../dispatch/dispatch-request.js';
-import type { RegionRefusalReason } from '../regions/region-refusal.js';
+import type { DispatchRequest, PlacementConstraints } from '../dispatch/dispatch-request.js';
+import type { PlacementRefusalReason } from '../dispatch/placement-refusal.js';
 import type { AcceptedRequest } from './accepted-request.js';
 import type { RequestOptions, RequestPorts } from './request-model.js';
 import { isRepeatable } from '../../routing/configuration.js';
@@ -25,6 +25,7 @@
   readonly request: AcceptedRequest;
   readonly ports: RequestPorts;
   readonly options: RequestOptions;
+  readonly constraints: PlacementConstraints;
   /** Response sent to the caller so far. */
   readonly answer: ResponseProgress;
   /** Ids of backends that must not be used. */
@@ -32,10 +33,10 @@
   /** Called when a slot is assigned. */
   onPlaced: DispatchRequest['onPlaced'];
   /**
-   * Called after the wait ended without a slot; `reason` is set if no backend in the allowed
-   * regions can serve the request, and undefined if further waiting is not useful.
+   * Called after the wait ended without a slot; `reason` is set if the constraints leave no backend,
+   * and undefined if further waiting is not useful.
    */
-  onAbandoned(reason?: RegionRefusalReason): void;
+  onAbandoned(reason?: PlacementRefusalReason): void;
 }
 
 /** One wait for a slot. */
@@ -46,21 +47,20 @@
   private otherRegionsTimer: TimerHandle | undefined;
 
   constructor(private readonly context: RequestWaitContext) {
-    const { request, ports, excluded, answer, onPlaced } = context;
-    const { service, promptTokens, route } = request;
+    const { request, constraints, ports, excluded, answer, onPlaced } = context;
+    const { promptTokens, route } = request;
     const firstDueAtMs = dueAtMs(request, answer.lastEventAtMs);
     this.dispatchRequest = {
-      service,
+      service: constraints.service,
+      requiredVersion: constraints.requiredVersion,
       get allowedRegions() {
-        return request.allowedRegions;
+        return constraints.allowedRegions;
       },
       homeOwner: request.homeOwner,
       tier: request.tier,
       rankInTier: request.rankInTier,
       arrivedAtMs: request.arrivedAtMs,
-      startByMs:
-        firstDueAtMs -
-        ports.directory.expectedFirstEventMs(service, promptTokens, request.allowedRegions),
+      startByMs: firstDueAtMs - ports.directory.expectedFirstEventMs(constraints, promptTokens),
       units: request.workUnits,
       promptTokens,
       firstDueAtMs,
@@ -78,7 +78,7 @@
   /** Submits the request; a slot may be assigned before this returns. */
   begin(): void {
     const { clock, dispatcher } = this.context.ports;
-    if (!this.endIfRegionsRefused(clock.now())) {
+    if (!this.endIfUnplaceable(clock.now())) {
       dispatcher.submit(this.dispatchRequest, clock.now());
       this.review();
       this.scheduleOtherRegions();
@@ -119,8 +119,7 @@
 
   /** Whether zone evacuations leave no backend for the request, for an unknown time. */
   get isEvacuated(): boolean {
-    const { service, allowedRegions } = this.dispatchRequest;
-    return this.context.ports.directory.isEvacuated(service, allowedRegions);
+    return this.context.ports.directory.isEvacuated(this.dispatchRequest);
   }
 
   /**
@@ -128,8 +127,7 @@
    * milliseconds; 0 if one is not in backoff.
    */
   private restLeftMs(nowMs: number): number {
-    const { service, allowedRegions } = this.dispatchRequest;
-    return this.context.ports.directory.restLeftMs(service, allowedRegions, nowMs);
+    return this.context.ports.directory.restLeftMs(this.dispatchRequest, nowMs);
   }
 
   private end(): void {
@@ -163,7 +161,7 @@
     }
     const { ports, options, onAbandoned } = this.context;
     const nowMs = ports.clock.now();
-    if (this.endIfRegionsRefused(nowMs)) {
+    if (this.endIfUnplaceable(nowMs)) {
       return;
     }
     if (!this.shouldKeepWaiting(nowMs)) {
@@ -175,11 +173,10 @@
   }
 
   /**
-   * Ends the wait if no backend in the allowed regions can serve the request; returns whether
-   * it did.
+   * Ends the wait if the constraints of the request leave no backend; returns whether it did.
    */
-  private endIfRegionsRefused(nowMs: number): boolean {
-    const reason = this.context.ports.dispatcher.regionRefusal(this.dispatchRequest, nowMs);
+  private endIfUnplaceable(nowMs: number): boolean {
+    const reason = this.context.ports.dispatcher.placementRefusal(this.dispatchRequest, nowMs);
     if (reason === undefined) {
       return false;
     }
@@ -204,17 +201,14 @@
 
   private estimateWait(nowMs: number): WaitEstimate {
     const { request, ports } = this.context;
-    const { startByMs, service, allowedRegions } = this.dispatchRequest;
-    const forecast = ports.dispatcher.forecastOf(service);
-    const expectedResponseMs = ports.directory.expectedAnswerMs(
-      service,
-      request.workUnits,
-      allowedRegions,
-    );
-    const expectedFirstEventMs = ports.directory.expectedFirstEventMs(
-      service,
+    const { dispatchRequest } = this;
+    const { startByMs, service } = dispatchRequest;
+    const { dispatcher, directory } = ports;
+    const forecast = dispatcher.forecastOf(service);
+    const expectedResponseMs = directory.expectedAnswerMs(dispatchRequest, request.workUnits);
+    const expectedFirstEventMs = directory.expectedFirstEventMs(
+      dispatchRequest,
       request.promptTokens,
-      allowedRegions,
     );
     // The request certainly waits until then, so the remaining times count from there.
     const earliestStartMs = nowMs + this.restLeftMs(nowMs);
--- a/src/gateway/attempt/response-relay.ts
+++ b/src/gateway/attempt/response-relay.ts
@@ -48,6 +48,8 @@
   constructor(
     private readonly reply: CallerReply,
     private readonly request: RelayedRequest,
+    /** Called before the first event of a stream is sent to the caller. */
+    private readonly beforeFirstEvent: () => void,
   ) {
     this.lastId = request.lastEventId;
   }
@@ -157,6 +159,9 @@
     if (events.length === 0) {
       return 'held';
     }
+    if (!this.hasStarted) {
+      this.beforeFirstEvent();
+    }
     this.start();
     for (const { id } of events) {
       this.lastId = id ?? this.lastId;
--- a/src/gateway/dispatch/backend-directory.ts
+++ b/src/gateway/dispatch/backend-directory.ts
@@ -15,7 +15,10 @@
 import type { EngineSubsetOptions, SubsetOwner } from './engine-subset.js';
 import { addEnginesOfNamedRegions } from './named-region-engines.js';
 import type { NamedRegions } from './named-region-engines.js';
+import { unconstrained } from './dispatch-request.js';
+import type { PlacementConstraints } from './dispatch-request.js';
 import { KnownBackend } from './known-backend.js';
+import { restrictionForRequest } from './request-restriction.js';
 import {
   isRemoteRegion,
   regionAvailabilityOf,
@@ -135,11 +138,11 @@
     return hash;
   }
 
-  /** Returns the service's backends that are ready and permitted by operators. */
-  permitted(service: string, allowedRegions: AllowedRegions): KnownBackend[] {
-    return this.ofService(service).filter(
+  /** Returns the backends that are ready and permitted for the request. */
+  permitted(request: PlacementConstraints): KnownBackend[] {
+    return this.ofService(request.service).filter(
       ({ backend, isReady }) =>
-        isReady && restrictionOf(backend, allowedRegions, this.ports) === undefined,
+        isReady && restrictionForRequest(backend, request, this.ports) === undefined,
     );
   }
 
@@ -159,8 +162,8 @@
    * Returns the time until the backoff of the first permitted backend ends, in milliseconds; 0
    * where at least one is not in backoff.
    */
-  restLeftMs(service: string, allowedRegions: AllowedRegions, nowMs: number): number {
-    const backoffsLeftMs = this.permitted(service, allowedRegions).map(({ condition }) =>
+  restLeftMs(request: PlacementConstraints, nowMs: number): number {
+    const backoffsLeftMs = this.permitted(request).map(({ condition }) =>
       Math.max(0, condition.backoffUntilMs - nowMs),
     );
     return backoffsLeftMs.length === 0 ? 0 : Math.min(...backoffsLeftMs);
@@ -168,14 +171,15 @@
 
   /** Returns the total number of slots of the service's permitted backends. */
   countSlots(service: string): number {
-    return this.permitted(service, undefined).reduce((sum, { backend }) => sum + backend.slots, 0);
+    const permitted = this.permitted(unconstrained(service));
+    return permitted.reduce((sum, { backend }) => sum + backend.slots, 0);
   }
 
   /**
    * Whether every ready backend that the request could otherwise use is excluded by zone
    * evacuations alone.
    */
-  isEvacuated(service: string, allowedRegions: AllowedRegions): boolean {
+  isEvacuated(request: PlacementConstraints): boolean {
     const { ports } = this;
     const withoutEvacuations: OperatorRules = {
       isEvacuated: () => false,
@@ -183,8 +187,8 @@
       versionUse: (backend) => ports.versionUse(backend),
     };
     let isAnyEvacuated = false;
-    for (const { backend, isReady } of this.ofService(service)) {
-      if (!isReady || restrictionOf(backend, allowedRegions, withoutEvacuations) !== undefined) {
+    for (const { backend, isReady } of this.ofService(request.service)) {
+      if (!isReady || restrictionForRequest(backend, request, withoutEvacuations) !== undefined) {
         continue;
       }
       if (!ports.isEvacuated(backend.zone)) {
@@ -205,12 +209,8 @@
    * over the permitted ones. With the time of the fastest one, requests would count as in time to
    * which most other backends respond late.
    */
-  expectedFirstEventMs(
-    service: string,
-    promptTokens: number,
-    allowedRegions?: AllowedRegions,
-  ): number {
-    const expected = this.permitted(service, allowedRegions)
+  expectedFirstEventMs(request: PlacementConstraints, promptTokens: number): number {
+    const expected = this.permitted(request)
       .filter(({ speed }) => speed.isKnown)
       .map(({ speed, roundTrip }) => speed.expectedFirstEventMs(promptTokens) + roundTrip.ms)
       .sort((left, right) => left - right);
@@ -221,8 +221,8 @@
    * Returns the mean expected time for a whole response over the permitted backends, in
    * milliseconds.
    */
-  expectedAnswerMs(service: string, units: number, allowedRegions?: AllowedRegions): number {
-    const expected = this.permitted(service, allowedRegions).flatMap(({ msPerUnit, roundTrip }) =>
+  expectedAnswerMs(request: PlacementConstraints, units: number): number {
+    const expected = this.permitted(request).flatMap(({ msPerUnit, roundTrip }) =>
       msPerUnit === undefined ? [] : [msPerUnit * units + roundTrip.ms],
     );
     const sum = expected.reduce((total, wholeMs) => total + wholeMs, 0);
--- a/src/gateway/dispatch/backend-picker.ts
+++ b/src/gateway/dispatch/backend-picker.ts
@@ -1,6 +1,6 @@
 /** Selects the backend for a request among the permitted ones with a free slot. */
 import { restrictionOf } from '../../routing/backend-restriction.js';
-import type { OperatorRules, RestrictionReason } from '../../routing/backend-restriction.js';
+import type { OperatorRules } from '../../routing/backend-restriction.js';
 import type { BackendDirectory } from './backend-directory.js';
 import type { RouteAndTenant } from '../../routing/region-restrictions.js';
 import {
@@ -10,12 +10,14 @@
 } from './agent-region-check.js';
 import { bindingCostMs, stallsOtherStreams } from './backend-cost.js';
 import type { ColdStartLimiter } from './cold-start-limiter.js';
-import type { DispatchRequest } from './dispatch-request.js';
+import type { DispatchRequest, PlacementConstraints } from './dispatch-request.js';
 import { sendLimitPerS } from '../statements/send-limit.js';
 import type { SendRights } from '../statements/send-rights.js';
 import type { KnownBackend } from './known-backend.js';
 import { hasWaitedForLocalRegion, isRemoteRegion, isUsableLocally } from './region-fallback.js';
 import { selectReachable } from './path-filter.js';
+import { restrictionForRequest } from './request-restriction.js';
+import type { RequestRestrictionReason } from './request-restriction.js';
 import { hasFreeCapacity } from './slot-capacity.js';
 import { MeanSpeedCache } from './mean-speed.js';
 import type { MeanSpeed } from './mean-speed.js';
@@ -50,9 +52,6 @@
   readonly unlistedGraceMs: number;
 }
 
-/** The fields of a request that determine where it may be served. */
-export type PlacementConstraints = Pick<DispatchRequest, 'service' | 'allowedRegions'>;
-
 /**
  * Cost added to a cold backend, in milliseconds. Exceeds any other cost, so that warm backends are
  * used first.
@@ -145,15 +144,16 @@
     return this.ports.coldStarts.isCold(known, nowMs) ? COLD_BACKEND_COST_MS : 0;
   }
 
-  /** Whether any backend of the service that operators permit has a free slot. */
+  /**
+   * Whether any backend of the service that operators permit for some request has a free slot; a
+   * closed version still serves the streams that it began.
+   */
   hasAnyCapacity(service: string, nowMs: number): boolean {
-    return this.directory
-      .ofService(service)
-      .some(
-        (known) =>
-          this.hasCapacity(known, nowMs) &&
-          restrictionOf(known.backend, undefined, this.ports) === undefined,
-      );
+    return this.directory.ofService(service).some((known) => {
+      const reason = restrictionOf(known.backend, undefined, this.ports);
+      const isUsable = reason === undefined || reason === 'version-closed';
+      return isUsable && this.hasCapacity(known, nowMs);
+    });
   }
 
   /**
@@ -235,10 +235,10 @@
   /** Whether the request could use a slot granted by the agent of an unrestricted backend. */
   canUseGrant(request: DispatchRequest, known: KnownBackend): boolean {
     const isExcluded = request.excluded.has(known.backend.id);
-    const isInAllowedRegion =
-      request.allowedRegions === undefined || this.isPermitted(request, known);
+    const isUnconstrained =
+      request.allowedRegions === undefined && request.requiredVersion === undefined;
     return (
-      isInAllowedRegion &&
+      (isUnconstrained || this.isPermitted(request, known)) &&
       !isExcluded &&
       !this.stallsOtherStreams(request, known, known.occupied - 1)
     );
@@ -254,13 +254,12 @@
    * backend's agent.
    */
   restriction(
-    { allowedRegions }: PlacementConstraints,
+    request: PlacementConstraints,
     { backend, agent }: KnownBackend,
-  ): RestrictionReason | undefined {
-    const reason = restrictionOf(backend, allowedRegions, this.ports);
-    return (
-      reason ?? (isOutsideAllowedRegions(agent?.homes, allowedRegions) ? 'outside-home' : undefined)
-    );
+  ): RequestRestrictionReason | undefined {
+    const reason = restrictionForRequest(backend, request, this.ports);
+    const isOutside = isOutsideAllowedRegions(agent?.homes, request.allowedRegions);
+    return reason ?? (isOutside ? 'outside-home' : undefined);
   }
 
   private stallsOtherStreams(
@@ -278,8 +277,9 @@
    * none is ready, recently unlisted ones.
    */
   private candidates(request: DispatchRequest, nowMs: number): KnownBackend[] {
-    const { service, allowedRegions, excluded } = request;
-    const constraints = { service, allowedRegions };
+    const { service, allowedRegions, requiredVersion, excluded } = request;
+    // Reads the regions once: they are computed at each access.
+    const constraints = { service, allowedRegions, requiredVersion };
     const permitted = this.directory
       .ofService(service)
       .filter((known) => !excluded.has(known.backend.id) && this.isPermitted(constraints, known));
--- a/src/gateway/dispatch/dispatch-request.ts
+++ b/src/gateway/dispatch/dispatch-request.ts
@@ -2,16 +2,26 @@
 import type { Backend } from '../../routing/backend.js';
 import type { AllowedRegions } from '../../routing/backend-restriction.js';
 import type { RouteAndTenant } from '../../routing/region-restrictions.js';
+import type { SoftwareVersion } from '../../routing/software-version.js';
 import type { WaitingPriority } from '../../slot-agent/waiting-priority.js';
 
-/** A request that needs a backend. */
-export interface DispatchRequest extends WaitingPriority {
+/** The fields of a request that determine which backends may serve it. */
+export interface PlacementConstraints {
   readonly service: string;
   /**
    * Regions in which the request may be served, by the configuration in force at each access;
    * undefined for any.
    */
   readonly allowedRegions: AllowedRegions;
+  /**
+   * Software version that began the stream that the request continues; undefined for any, before
+   * the caller has received an event.
+   */
+  readonly requiredVersion: SoftwareVersion | undefined;
+}
+
+/** A request that needs a backend. */
+export interface DispatchRequest extends PlacementConstraints, WaitingPriority {
   /** Route and tenant that determine the allowed regions; sent to agents that report `homes`. */
   readonly homeOwner?: RouteAndTenant | undefined;
   /** Amount of work, in a unit that is uniform within the service. */
@@ -29,3 +39,8 @@
   /** Called once, when a backend is bound. */
   onPlaced(backend: Backend, nowMs: number): void;
 }
+
+/** Returns the constraints of a request that any backend of the service may serve. */
+export function unconstrained(service: string): PlacementConstraints {
+  return { service, allowedRegions: undefined, requiredVersion: undefined };
+}
--- a/src/gateway/dispatch/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -7,11 +7,7 @@
  * is first in the queue at that time.
  */
 import { BackendPicker } from './backend-picker.js';
-import type {
-  BackendPickerOptions,
-  BackendPickerPorts,
-  PlacementConstraints,
-} from './backend-picker.js';
+import type { BackendPickerOptions, BackendPickerPorts } from './backend-picker.js';
 import type { BackendDirectory } from './backend-directory.js';
 import type { Backend } from '../../routing/backend.js';
 import type { RestrictionReason } from '../../routing/backend-restriction.js';
@@ -23,13 +19,14 @@
 } from '../../slot-agent/slot-messages.js';
 import type { EngineAvailability } from '../../slot-agent/engine-health.js';
 import type { AttemptOutcome } from './backend-health.js';
-import { regionRefusalOf } from '../regions/region-refusal.js';
-import type { RegionRefusalReason } from '../regions/region-refusal.js';
-import type { DispatchRequest } from './dispatch-request.js';
+import { placementRefusalOf } from './placement-refusal.js';
+import type { PlacementRefusalReason } from './placement-refusal.js';
+import type { DispatchRequest, PlacementConstraints } from './dispatch-request.js';
 import type { KnownBackend, SlotAgentLink } from './known-backend.js';
 import { hasWaitedForLocalRegion } from './region-fallback.js';
 import { nextDemand, UNSENT_DEMAND } from './slot-demand.js';
 import { regionConstraintsOf } from './region-constraint-fields.js';
+import type { RequestRestrictionReason } from './request-restriction.js';
 import { ServiceQueue } from './service-queue.js';
 
 /** Options of a dispatcher. */
@@ -95,13 +92,21 @@
     return this.waiting.get(service)?.length ?? 0;
   }
 
-  /** Returns why the request is refused because of its allowed regions; undefined if not. */
-  regionRefusal(request: PlacementConstraints, nowMs: number): RegionRefusalReason | undefined {
-    return regionRefusalOf(request.allowedRegions, () => this.picker.hasCandidates(request, nowMs));
+  /**
+   * Returns why no backend can serve the request, whatever it waits for; undefined if one can.
+   */
+  placementRefusal(
+    request: PlacementConstraints,
+    nowMs: number,
+  ): PlacementRefusalReason | undefined {
+    return placementRefusalOf(request, () => this.picker.hasCandidates(request, nowMs));
   }
 
-  /** Returns why operators exclude a backend for the request; undefined where they do not. */
-  restriction(request: PlacementConstraints, known: KnownBackend): RestrictionReason | undefined {
+  /** Returns why a backend is excluded for the request; undefined where it is not. */
+  restriction(
+    request: PlacementConstraints,
+    known: KnownBackend,
+  ): RequestRestrictionReason | undefined {
     return this.picker.restriction(request, known);
   }
 
--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -21,6 +21,7 @@
 import type { ActiveConfiguration } from './active-configuration.js';
 import type { BackendDirectory } from './dispatch/backend-directory.js';
 import type { Dispatcher } from './dispatch/dispatcher.js';
+import { unconstrained } from './dispatch/dispatch-request.js';
 import type { GatewayAdapter } from './gateway-adapter.js';
 import type { ExitEvidence } from './crashes/interrupted-runs.js';
 import type { CrashingRequests } from './crashes/crashing-requests.js';
@@ -98,7 +99,10 @@
       random,
       {
         canServe: (service, allowedRegions) =>
-          dependencies.dispatcher.hasReady({ service, allowedRegions }, new Set()),
+          dependencies.dispatcher.hasReady(
+            { ...unconstrained(service), allowedRegions },
+            new Set(),
+          ),
       },
       dependencies.crashes,
     );
@@ -324,7 +328,6 @@
     if (end.attempts === 0) {
       active?.refund();
     }
-    const regions = active?.regions;
     metrics.recordEnd(request, end);
     const isSuccess = end.reason === 'answered' && end.status < FIRST_ERROR_STATUS;
     log.write('request-ended', isSuccess ? 'success' : 'failure', {
@@ -346,26 +349,26 @@
       waiting: dispatcher.countWaiting(request.service),
       storeAgeMs: cluster.storeAgeMs,
       configuration: configuration.version,
-      ...(regions === undefined
+      ...(active === undefined
         ? {}
-        : this.regionReportOf(request, regions, !isSuccess || hasWaitedLong(end))),
+        : this.regionReportOf(active, !isSuccess || hasWaitedLong(end))),
     });
     this.dependencies.onEnd();
   }
 
   private regionReportOf(
-    request: AcceptedRequest,
-    regions: RequestRegions,
+    { regions, proxied }: ActiveRequest,
     includesExcluded: boolean,
   ): RegionReport {
     const { directory, dispatcher } = this.dependencies;
+    const { constraints } = proxied;
     if (!includesExcluded) {
       return reportRegions(regions);
     }
     return reportExcluded(regions, {
-      backends: directory.ofService(request.service),
+      backends: directory.ofService(constraints.service),
       regionOf: (zone) => dispatcher.regionOf(zone),
-      restriction: (known) => dispatcher.restriction(request, known),
+      restriction: (known) => dispatcher.restriction(constraints, known),
     });
   }
 }
--- a/src/gateway/regions/region-report.ts
+++ b/src/gateway/regions/region-report.ts
@@ -2,8 +2,8 @@
  * Builds the log fields with a request's allowed regions and the backends that were excluded for
  * it.
  */
-import type { RestrictionReason } from '../../routing/backend-restriction.js';
 import type { KnownBackend } from '../dispatch/known-backend.js';
+import type { RequestRestrictionReason } from '../dispatch/request-restriction.js';
 import type { RequestRegions } from './request-regions.js';
 
 /** The configuration entry that restricts the regions of a request. */
@@ -15,7 +15,7 @@
   readonly zone: string;
   /** Region of the zone; undefined if the settings do not name the zone. */
   readonly region: string | undefined;
-  readonly reason: RestrictionReason | 'not-ready';
+  readonly reason: RequestRestrictionReason | 'not-ready';
   /** Entries whose allowed regions exclude it; empty if the reason is another one. */
   readonly by: readonly RegionSource[];
 }
@@ -36,7 +36,7 @@
   readonly backends: readonly KnownBackend[];
   regionOf(zone: string): string | undefined;
   /** Why the request may not be sent to a backend; undefined if it may. */
-  restriction(known: KnownBackend): RestrictionReason | undefined;
+  restriction(known: KnownBackend): RequestRestrictionReason | undefined;
 }
 
 /**
--- a/src/routing/backend-incarnations.ts
+++ b/src/routing/backend-incarnations.ts
@@ -3,7 +3,8 @@
  *
  * A backend may keep its name when it restarts, but its process is a new one, and statistics
  * collected for the previous process do not apply to it. Each incarnation has its own id, made of
- * the name and the announced start time, so that state indexed by id ends with its incarnation.
+ * the name and the announced start time, so that state indexed by id ends with its incarnation. An
+ * incarnation runs one software version from its start to its end.
  */
 import type { Backend } from './backend.js';
 
@@ -46,7 +47,11 @@
       // A delayed write of the previous incarnation, to which the store gave the newest revision.
       return { changes: [], problem: 'announces an earlier start than the known incarnation' };
     }
-    const backend: Backend = { ...announcement, id: idOf(name, announcement) };
+    if (isContradictory(announcement, known)) {
+      // A process cannot change its software; its streams were begun by the version that is known.
+      return { changes: [], problem: 'announces another version for the start that is known' };
+    }
+    const backend: Backend = { ...announcement, id: idOf(name, announcement, known) };
     this.latest.set(name, backend);
     const isNewIncarnation = known !== undefined && known.id !== backend.id;
     const previous: IncarnationChange[] = isNewIncarnation
@@ -66,6 +71,27 @@
   return bornAtMs !== undefined && known?.bornAtMs !== undefined && bornAtMs < known.bornAtMs;
 }
 
-function idOf(name: string, { bornAtMs }: Announcement): string {
-  return bornAtMs === undefined ? name : `${name}@${bornAtMs}`;
+/** Whether the announcement names another version for the known incarnation. */
+function isContradictory(announcement: Announcement, known: Backend | undefined): boolean {
+  const isSameStart =
+    announcement.bornAtMs !== undefined && announcement.bornAtMs === known?.bornAtMs;
+  return isSameStart && announcement.version !== known?.version;
+}
+
+/**
+ * Returns the id of the announced incarnation. Where no start time is announced, only another
+ * version shows that the backend has started again.
+ */
+function idOf(
+  name: string,
+  { bornAtMs, version }: Announcement,
+  known: Backend | undefined,
+): string {
+  if (bornAtMs !== undefined) {
+    return `${name}@${bornAtMs}`;
+  }
+  if (known === undefined || known.bornAtMs !== undefined) {
+    return name;
+  }
+  return known.version === version ? known.id : `${name}@${version}`;
 }
--- a/test/allowed-regions.test.ts
+++ b/test/allowed-regions.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import { unconstrained } from '../src/gateway/dispatch/dispatch-request.js';
 import * as fc from 'fast-check';
 import { reportRegions, reportExcluded } from '../src/gateway/regions/region-report.js';
 import { RequestRegions } from '../src/gateway/regions/request-regions.js';
@@ -381,7 +382,10 @@
     backends: world.directory.ofService('s'),
     regionOf: (zone) => REGIONS.get(zone),
     restriction: (known) =>
-      world.dispatcher.restriction({ service: 's', allowedRegions: request.allowed }, known),
+      world.dispatcher.restriction(
+        { ...unconstrained('s'), allowedRegions: request.allowed },
+        known,
+      ),
   });
   t.deepEqual(report.homes, { route: ['a'], tenant: ['a', 'b'] });
   t.deepEqual(report.kept?.slice(0, 3), [
--- a/test/backend-incarnations.test.ts
+++ b/test/backend-incarnations.test.ts
@@ -260,3 +260,35 @@
   world.directory.recheckReplaced();
   t.false(world.directory.find('w')!.isReady);
 });
+
+test('a record cannot change the software version of an incarnation', (t) => {
+  const incarnations = new BackendIncarnations();
+  incarnations.apply('w', announcementOf(1_000, { version: 'v1', revision: 1 }));
+  const update = incarnations.apply('w', announcementOf(1_000, { version: 'v2', revision: 2 }));
+  t.deepEqual(update, {
+    changes: [],
+    problem: 'announces another version for the start that is known',
+  });
+  const { changes } = incarnations.apply('w', announcementOf(2_000, { version: 'v2' }));
+  t.deepEqual(
+    changes.map(({ id, backend }) => [id, backend?.version]),
+    [
+      ['w@2000', 'v2'],
+      ['w@1000', undefined],
+    ],
+  );
+});
+
+test('another version shows a restart of a backend that announces no start time', (t) => {
+  const incarnations = new BackendIncarnations();
+  incarnations.apply('w', announcementOf(undefined, { version: 'v1' }));
+  const { changes, previousId } = incarnations.apply(
+    'w',
+    announcementOf(undefined, { version: 'v2' }),
+  );
+  t.deepEqual([changes[0]?.id, changes[1]?.backend, previousId], ['w@v2', undefined, 'w']);
+  t.is(
+    incarnations.apply('w', announcementOf(undefined, { version: 'v2' })).changes[0]?.id,
+    'w@v2',
+  );
+});
--- a/test/crashing-requests-fleet.test.ts
+++ b/test/crashing-requests-fleet.test.ts
@@ -67,6 +67,7 @@
     body: Buffer.from(body),
     lastEventId: undefined,
     resumedRequestId: undefined,
+    resumedVersion: undefined,
   };
 }
 
--- a/test/dispatcher.test.ts
+++ b/test/dispatcher.test.ts
@@ -243,6 +243,7 @@
   const waiting = {
     service: 's',
     allowedRegions: undefined,
+    requiredVersion: undefined,
     tier: 2,
     rankInTier: 0,
     arrivedAtMs: world.clock.now(),
--- a/test/regions.test.ts
+++ b/test/regions.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import { unconstrained } from '../src/gateway/dispatch/dispatch-request.js';
 import { RoundTripEstimate } from '../src/round-trip.js';
 import { ZoneTopology } from '../src/routing/zone-topology.js';
 import { UnknownZones } from '../src/routing/unknown-zones.js';
@@ -95,7 +96,7 @@
   const { prefill, msPerUnit } = world.directory.find('far')!.learned;
   t.is(prefill!.baseMs + prefill!.msPerToken * TOKENS, 100);
   t.is(msPerUnit, 200);
-  t.is(world.directory.expectedFirstEventMs('s', TOKENS), 116);
+  t.is(world.directory.expectedFirstEventMs(unconstrained('s'), TOKENS), 116);
 });
 
 test('a request waits for full engines in its region before it is sent to another region', async (t) => {
--- a/test/statement-choices.test.ts
+++ b/test/statement-choices.test.ts
@@ -2,6 +2,7 @@
 import type { BackendStatement } from '../src/gateway/statements/backend-statement.js';
 import { NO_STATEMENT } from '../src/gateway/statements/backend-statement.js';
 import { DEFAULT_REQUEST_OPTIONS } from '../src/gateway/attempt/request-model.js';
+import { StreamBinding } from '../src/gateway/attempt/stream-binding.js';
 import { RequestWait } from '../src/gateway/attempt/request-wait.js';
 import { backendOf, GatewayHarness, routeOf } from './support/gateway-harness.js';
 
@@ -182,8 +183,10 @@
       expectedLateWaitMs: () => 800,
       expectedRecoveryMs: () => 800,
     });
+    const request = world.accept({ deadlineAtMs: 60_000 });
     const wait = new RequestWait({
-      request: world.accept({ deadlineAtMs: 60_000 }),
+      request,
+      constraints: new StreamBinding(request),
       ports: world.requestPorts,
       options: DEFAULT_REQUEST_OPTIONS,
       answer: { lastEventAtMs: undefined, hasStarted: false },
--- a/test/stream-versions.test.ts
+++ b/test/stream-versions.test.ts
@@ -1,4 +1,6 @@
 import test from 'ava';
+import type { Backend } from '../src/routing/backend.js';
+import { softwareVersionOf } from '../src/routing/software-version.js';
 import { backendOf, GatewayHarness, routeOf } from './support/gateway-harness.js';
 
 const RESUMABLE = routeOf({
@@ -10,6 +12,7 @@
 const HEAD = { status: 200, rawHeaders: [], headers: {} };
 const RESET_FAILURE = { mayHaveRun: true, isPortClosed: false, detail: 'reset' };
 const EVENT_1 = 'id: 1\ndata: a\n\n';
+const EVENT_2 = 'id: 2\ndata: b\n\n';
 
 test('a stream that sent an event is not resumed at a backend of another version', (t) => {
   const world = new GatewayHarness(
@@ -29,3 +32,147 @@
   );
   t.true(reply.isAborted);
 });
+
+test('a stream that sent an event resumes at another backend of its version', (t) => {
+  const world = new GatewayHarness(
+    backendOf('old-1', { version: 'v1' }),
+    backendOf('old-2', { version: 'v1' }),
+    ...['a', 'b', 'c', 'd', 'e', 'f'].map((id) => backendOf(id, { version: 'v2' })),
+  );
+  world.dispatcher.learnSpeed('old-1', 1, 1);
+  world.dispatcher.learnSpeed('old-2', 1, 50);
+  world.dispatcher.learnSpeed('a', 1, 2);
+  const { reply } = world.request({ route: RESUMABLE });
+  const { backend, handlers } = world.attempts[0]!;
+  t.is(backend.id, 'old-1');
+  handlers.onHead(HEAD);
+  handlers.onData(Buffer.from(EVENT_1));
+  handlers.onFailure(RESET_FAILURE);
+  t.is(world.attempts[1]?.backend.id, 'old-2');
+  world.answer(1, 200, EVENT_2);
+  t.deepEqual([reply.body, reply.isEnded], [EVENT_1 + EVENT_2, true]);
+});
+
+/** Starts a stream that has sent one event at backend `a` of version v1. */
+function streamAt(...backends: Backend[]) {
+  const world = new GatewayHarness(backendOf('a', { version: 'v1' }), ...backends);
+  world.dispatcher.learnSpeed('a', 1, 1);
+  backends.forEach(({ id }) => world.dispatcher.learnSpeed(id, 1, 50));
+  const { reply } = world.request({ route: RESUMABLE });
+  const { handlers } = world.attempts[0]!;
+  handlers.onHead(HEAD);
+  handlers.onData(Buffer.from(EVENT_1));
+  return { world, reply, handlers };
+}
+
+function backendIds(world: GatewayHarness): string[] {
+  return world.attempts.map(({ backend }) => backend.id);
+}
+
+test('a stream that sent no event yet is retried at any version', (t) => {
+  const world = new GatewayHarness(backendOf('a'), backendOf('b', { version: 'v2' }));
+  const { reply } = world.request({ route: RESUMABLE });
+  const { handlers } = world.attempts[0]!;
+  handlers.onHead(HEAD);
+  handlers.onData(Buffer.from('id: 1\nda'));
+  handlers.onFailure(RESET_FAILURE);
+  world.answer(1, 200, EVENT_1);
+  t.deepEqual([reply.body, reply.isEnded], [EVENT_1, true]);
+});
+
+test('a stalled stream is not cancelled for a free slot of another version', async (t) => {
+  const { world, reply, handlers } = streamAt(backendOf('b', { version: 'v2' }));
+  await world.clock.runUntil(1_600);
+  t.false(world.attempts[0]!.isCancelled);
+  handlers.onData(Buffer.from(EVENT_2));
+  handlers.onEnd();
+  t.deepEqual([reply.body, reply.isEnded], [EVENT_1 + EVENT_2, true]);
+});
+
+test('a stream that waits for a slot of its version does not use a granted slot of another one', (t) => {
+  const { world, handlers } = streamAt(
+    backendOf('b', { version: 'v1', slots: 1 }),
+    backendOf('c', { version: 'v2' }),
+  );
+  world.engines = true;
+  world.dispatcher.connectAgent('c', 0);
+  world.dispatcher.finish('b', 'unknown', 0);
+  world.directory.find('b')!.outstanding = 1;
+  handlers.onFailure(RESET_FAILURE);
+  t.is(world.dispatcher.countWaiting('s'), 1);
+  t.false(
+    world.agentMessages.some(
+      ([, message]) => message.kind === 'demand' && message.ranks.length > 0,
+    ),
+  );
+  world.dispatcher.receiveFromAgent('c', { kind: 'granted' }, 0);
+  t.deepEqual(world.agentMessages.at(-1), ['c', { kind: 'grant-returned' }]);
+  t.deepEqual(backendIds(world), ['a']);
+});
+
+test('a stream ends at once when the last backend of its version goes while it waits', async (t) => {
+  const { world, reply, handlers } = streamAt(
+    backendOf('b', { version: 'v1', slots: 1 }),
+    backendOf('c', { version: 'v2' }),
+  );
+  world.directory.find('b')!.outstanding = 1;
+  handlers.onFailure(RESET_FAILURE);
+  const draining = (id: string) => backendOf(id, { version: 'v1', state: 'draining', revision: 2 });
+  world.dispatcher.updateBackend('a', draining('a'), 0);
+  world.dispatcher.updateBackend('b', draining('b'), 0);
+  await world.clock.runUntil(110);
+  t.true(reply.isAborted);
+  t.is(world.requestEnds[0]?.reason, 'stream-unavailable');
+  t.deepEqual(backendIds(world), ['a']);
+});
+
+test('a version that a rollout closed to new requests continues the streams that it began', (t) => {
+  const { world, reply, handlers } = streamAt(
+    backendOf('b', { version: 'v1' }),
+    backendOf('c', { version: 'v2' }),
+  );
+  world.versionUses.set('v1', 'closed');
+  handlers.onFailure(RESET_FAILURE);
+  t.deepEqual(backendIds(world), ['a', 'b']);
+  world.answer(1, 200, EVENT_2);
+  t.deepEqual([reply.body, reply.isEnded], [EVENT_1 + EVENT_2, true]);
+  world.request({ route: RESUMABLE });
+  t.is(world.attempts[2]!.backend.id, 'c');
+});
+
+test('a backend that announces no version continues no stream of another backend', (t) => {
+  const world = new GatewayHarness(
+    backendOf('a', { version: '' }),
+    backendOf('b', { version: '' }),
+  );
+  const { reply } = world.request({ route: RESUMABLE });
+  const { handlers } = world.attempts[0]!;
+  handlers.onHead(HEAD);
+  handlers.onData(Buffer.from(EVENT_1));
+  handlers.onFailure(RESET_FAILURE);
+  t.is(world.attempts.length, 1);
+  t.true(reply.isAborted);
+});
+
+test('a stream that its caller resumes runs only at the version that began it', (t) => {
+  const world = new GatewayHarness(
+    backendOf('a', { version: 'v1' }),
+    backendOf('b', { version: 'v2' }),
+  );
+  world.dispatcher.learnSpeed('a', 1, 1);
+  world.dispatcher.learnSpeed('b', 1, 50);
+  const resumedVersion = softwareVersionOf({ id: 'b', version: 'v2' });
+  const { reply } = world.request({ route: RESUMABLE, lastEventId: '1', resumedVersion });
+  t.deepEqual(backendIds(world), ['b']);
+  world.answer(0, 200, EVENT_2);
+  t.is(reply.body, EVENT_2);
+});
+
+test('a stream that its caller resumes is refused at once as not executed if its version is gone', (t) => {
+  const world = new GatewayHarness(backendOf('a', { version: 'v1' }));
+  const resumedVersion = softwareVersionOf({ id: 'b', version: 'v2' });
+  const { reply } = world.request({ route: RESUMABLE, lastEventId: '1', resumedVersion });
+  t.deepEqual([reply.status, world.attempts.length], [503, 0]);
+  t.deepEqual(reply.headers.slice(0, 2), ['retry-after-ms', '0']);
+  t.is(world.requestEnds[0]?.reason, 'stream-unavailable');
+});
--- a/test/support/cold-fleet.ts
+++ b/test/support/cold-fleet.ts
@@ -224,6 +224,7 @@
     return {
       service: 's',
       allowedRegions: undefined,
+      requiredVersion: undefined,
       tier: 0,
       rankInTier: 0,
       arrivedAtMs: nowMs,
--- a/test/support/gateway-harness.ts
+++ b/test/support/gateway-harness.ts
@@ -345,6 +345,7 @@
       body: Buffer.alloc(0),
       lastEventId: undefined,
       resumedRequestId: undefined,
+      resumedVersion: undefined,
       ...changes,
     };
   }
--- a/test/waiting-queue.test.ts
+++ b/test/waiting-queue.test.ts
@@ -6,6 +6,7 @@
   return {
     service: 's',
     allowedRegions: undefined,
+    requiredVersion: undefined,
     tier: 1,
     rankInTier: 0,
     arrivedAtMs: 0,
--- a/test/zone-evacuation.test.ts
+++ b/test/zone-evacuation.test.ts
@@ -1,5 +1,6 @@
 import fc from 'fast-check';
 import test from 'ava';
+import { unconstrained } from '../src/gateway/dispatch/dispatch-request.js';
 import { sortByApplyOrder } from '../src/gateway/apply-order.js';
 import type { DecodedUpdate } from '../src/gateway/apply-order.js';
 import { BackendDirectory } from '../src/gateway/dispatch/backend-directory.js';
@@ -222,11 +223,11 @@
   const world = new GatewayHarness(backendOf('a', { zone: 'za' }), backendOf('b', { zone: 'zb' }));
   world.dispatcher.learnSpeed('a', 1, 10);
   world.dispatcher.learnSpeed('b', 1, 50);
-  t.is(world.directory.permitted('s', undefined).length, 2);
-  t.is(world.directory.expectedAnswerMs('s', 1), 30);
+  t.is(world.directory.permitted(unconstrained('s')).length, 2);
+  t.is(world.directory.expectedAnswerMs(unconstrained('s'), 1), 30);
   world.order('za', true);
-  t.is(world.directory.permitted('s', undefined).length, 1);
-  t.is(world.directory.expectedAnswerMs('s', 1), 50);
+  t.is(world.directory.permitted(unconstrained('s')).length, 1);
+  t.is(world.directory.expectedAnswerMs(unconstrained('s'), 1), 50);
   t.is(world.directory.countSlots('s'), 2);
 });
 
@@ -259,16 +260,20 @@
 test('a service without backends does not count as evacuated', (t) => {
   const world = new GatewayHarness();
   world.order('za', true);
-  t.false(world.directory.isEvacuated('s', undefined));
+  t.false(world.directory.isEvacuated(unconstrained('s')));
 });
 
 test('evacuations outside the allowed regions of a request do not make its service evacuated', (t) => {
   const world = new GatewayHarness(backendOf('a', { zone: 'za' }), backendOf('b', { zone: 'zb' }));
   world.regions.set('za', 'east').set('zb', 'west');
   world.order('zb', true);
-  t.true(world.directory.isEvacuated('s', new Set(['west'])));
-  t.false(world.directory.isEvacuated('s', new Set(['east'])));
-  t.false(world.directory.isEvacuated('s', new Set(['north'])));
+  t.true(world.directory.isEvacuated({ ...unconstrained('s'), allowedRegions: new Set(['west']) }));
+  t.false(
+    world.directory.isEvacuated({ ...unconstrained('s'), allowedRegions: new Set(['east']) }),
+  );
+  t.false(
+    world.directory.isEvacuated({ ...unconstrained('s'), allowedRegions: new Set(['north']) }),
+  );
 });
 
 test('the slot-supply estimate is scaled when an order removes slots and when they return', (t) => {
@@ -358,7 +363,7 @@
     },
   );
   directory.update('a', backendOf('a'), 0);
-  t.is(directory.permitted('s', undefined).length, 1);
+  t.is(directory.permitted(unconstrained('s')).length, 1);
 });
 
 /** Evacuations that act on the backends of `world`, and the log lines that they write. */
