A stream that its caller resumes continues at the version that began it, at any gateway

Cause: no process kept where a stream began, the gateway did not read Resumes, and the service of a split route was drawn again.

The mend: before the first event of a resumable stream is passed on, its origin (service and version, under a hash of tenant, host, path and request id) goes to two gateways in other zones, chosen by rendezvous hashing, and to one slot agent. A gateway that does not hold the origin of a resumed stream asks those, then, ten times a second at most, all others. Without an origin the version is taken only if the service had one version for as long as the stream can exist, according to this gateway and all that answered; else the request is refused as not executed (stream-unknown). No write to the store.

--- a/src/cli/queries/explain-logs.ts
+++ b/src/cli/queries/explain-logs.ts
@@ -90,6 +90,8 @@
   'no-common-home': 'its route and its tenant have no allowed region in common',
   'no-backend-at-home': 'no backend was available in its allowed regions',
   'stream-unavailable': 'no backend of the version that began its stream was left',
+  'stream-unknown': 'no process could tell which version began the stream that it resumes',
+  'malformed-resumption': 'the request that it says it resumes cannot be the id of one',
   'zone-evacuated': 'operators had evacuated every zone in which it could have been served',
   stopping: 'the process was shutting down',
   'not-started-in-time': 'its deadline passed before a backend was free',
--- a/src/cluster/peer-mesh.ts
+++ b/src/cluster/peer-mesh.ts
@@ -68,8 +68,16 @@
 /** Minimum age of a connection before it is replaced because its peer receives nothing on it. */
 const MIN_CONNECTION_AGE_MS = 500;
 
+/** A gateway to which a connection is open. */
+export interface OpenPeer {
+  readonly address: string;
+  /** Its zone; undefined until it sent a hello. */
+  readonly zone: string | undefined;
+}
+
 interface OutgoingPeer {
   readonly address: string;
+  zone: string | undefined;
   channel: MessageChannel<PeerMessage, PeerMessage> | undefined;
   /** Whether a connection is open, being opened or scheduled; counts towards `maxConnections`. */
   isSelected: boolean;
@@ -96,6 +104,7 @@
   /** Every address ever added, including dropped ones. */
   private readonly allAddresses = new Set<string>();
   private hasReceivedHello = false;
+  private openPeersGeneration = 0;
   private readonly listener: PeerListener;
   private isStopped = false;
   /** Time without messages after which a peer counts as silent, in milliseconds. */
@@ -130,6 +139,24 @@
     return this.hasReceivedHello;
   }
 
+  /** Increases whenever `openPeers` changes. */
+  get generation(): number {
+    return this.openPeersGeneration;
+  }
+
+  /** The gateways to which a connection is open. */
+  get openPeers(): OpenPeer[] {
+    return [...this.outgoing.values()]
+      .filter(({ isOpen }) => isOpen)
+      .map(({ address, zone }) => ({ address, zone }));
+  }
+
+  /** Whether a message of the gateway at `address` arrived within `windowMs`. */
+  hasHeardFrom(address: string, windowMs: number): boolean {
+    const peer = this.outgoing.get(address);
+    return peer !== undefined && this.clock.now() - peer.lastReceivedAtMs <= windowMs;
+  }
+
   /** Starts to accept connections. */
   listen(host: string, port: number): void {
     this.listener.listen(port, host);
@@ -196,6 +223,7 @@
       this.allAddresses.add(address);
       this.outgoing.set(address, {
         address,
+        zone: undefined,
         channel: undefined,
         isSelected: false,
         isOpen: false,
@@ -301,6 +329,7 @@
   private sendHello(peer: OutgoingPeer, channel: MessageChannel<PeerMessage, PeerMessage>): void {
     const nowMs = this.clock.now();
     peer.isOpen = true;
+    this.openPeersGeneration += 1;
     peer.failures = 0;
     peer.lastActiveAtMs = nowMs;
     peer.openedAtMs = nowMs;
@@ -312,6 +341,7 @@
 
   private closeOutgoing(peer: OutgoingPeer): void {
     peer.isOpen = false;
+    this.openPeersGeneration += 1;
     peer.isSelected = false;
     peer.failures += 1;
     if (peer.failures > this.options.maxFailures && !this.seeds.includes(peer.address)) {
@@ -347,9 +377,18 @@
     this.incarnations.set(hello.name, hello.incarnation);
     this.handlers.onPeerChange(hello.incarnation, true);
     this.addAddresses([hello.address]);
+    this.noteZone(hello);
     this.reopenAfterHello(hello);
   }
 
+  private noteZone({ address, zone }: PeerHello): void {
+    const peer = this.outgoing.get(address);
+    if (peer !== undefined && peer.zone !== zone) {
+      peer.zone = zone;
+      this.openPeersGeneration += 1;
+    }
+  }
+
   private handleMessage(hello: PeerHello, message: PeerMessage, reply: SendToPeer): void {
     const peer = this.outgoing.get(hello.address);
     if (peer !== undefined) {
--- a/src/cluster/peer-messages.ts
+++ b/src/cluster/peer-messages.ts
@@ -5,6 +5,11 @@
 import type { QuotaRequest } from '../gateway/quotas/quota-charges.js';
 import type { QuotaDecision } from '../gateway/quotas/quota-pools.js';
 import type { PeerRolloutReports } from '../rollout/rollouts.js';
+import type {
+  HoldStreamOrigin,
+  StreamOriginAnswer,
+  StreamOriginQuery,
+} from '../streams/stream-origin.js';
 import type { ReplicaProgress } from './replicated-records.js';
 import type { StorePosition } from './store-position.js';
 import type { RecordsResponse, RecordsFetch, ReplicaProgressReport } from './record-exchange.js';
@@ -133,4 +138,7 @@
   | PeerQuotaRequest
   | PeerQuotaResponse
   | PeerQuotaReturn
+  | HoldStreamOrigin
+  | StreamOriginQuery
+  | StreamOriginAnswer
   | PeerLeaving;
--- a/src/experiment/simulated-gateway.ts
+++ b/src/experiment/simulated-gateway.ts
@@ -133,6 +133,7 @@
       chargeRetry: (_request, onResult) => onResult(true),
       takeRetry: (service) => budget.takeRetry(service, dependencies.countGateways(), clock.now()),
       onStatement: () => undefined,
+      onStreamBegun: () => undefined,
       onTryOver: () => undefined,
       onEnd: () => undefined,
     };
--- a/src/gateway/admission/caller-protocol.ts
+++ b/src/gateway/admission/caller-protocol.ts
@@ -24,6 +24,14 @@
   readonly reservedHeaders: readonly string[];
 }
 
+/**
+ * Whether a caller resumes a stream: it has received an event. One that names a request but no
+ * event has received none, so its stream begins anew.
+ */
+export function isResumption({ lastEventId }: Pick<CallerRequestHead, 'lastEventId'>): boolean {
+  return lastEventId !== undefined && lastEventId !== '';
+}
+
 /** Values that a gateway adds to the headers of an attempt. */
 export interface AttemptHeaderValues {
   readonly requestId: string;
--- a/src/gateway/admission/gateway-refusal.ts
+++ b/src/gateway/admission/gateway-refusal.ts
@@ -14,6 +14,8 @@
   | 'header-too-long'
   | 'quota-spent'
   | 'crashes-back-ends'
+  | 'stream-unknown'
+  | 'malformed-resumption'
   | 'overloaded'
   | 'no-backend'
   | 'zone-evacuated'
@@ -70,6 +72,8 @@
   'no-common-home': 503,
   'no-backend-at-home': 503,
   'stream-unavailable': 503,
+  'stream-unknown': 503,
+  'malformed-resumption': 400,
   'zone-evacuated': 503,
   stopping: 503,
   'not-started-in-time': 503,
--- a/src/gateway/admission/request-admission.ts
+++ b/src/gateway/admission/request-admission.ts
@@ -7,7 +7,11 @@
 import type { Route, Tenant, TenantQuota, WeightedService } from '../../routing/configuration.js';
 import { pickService } from '../../routing/routing-table.js';
 import type { RoutingTable } from '../../routing/routing-table.js';
+import { streamKeyOf } from '../../streams/stream-key.js';
+import type { StreamKey } from '../../streams/stream-key.js';
+import { resumableForMs } from '../streams/stream-lifetime.js';
 import type { ReceivedHead } from './caller-listener.js';
+import { isResumption } from './caller-protocol.js';
 import type { CallerRequestHead } from './caller-protocol.js';
 import type { GatewayRefusal } from './gateway-refusal.js';
 import { DEFAULT_REQUEST_OPTIONS } from '../attempt/request-model.js';
@@ -122,6 +126,8 @@
       body,
       lastEventId: caller.lastEventId,
       resumedRequestId: caller.resumedRequestId,
+      streamKey: streamKey(received, route, tenant),
+      resumableForMs: resumableForMs(route, caller.deadlineMs),
       resumedVersion: undefined,
     };
   }
@@ -151,6 +157,19 @@
   }
 }
 
+/** Returns the key of the stream that a request begins or resumes. */
+function streamKey(
+  { head, caller }: ReceivedRequest,
+  { kind, isResumable, host }: Route,
+  tenant: Tenant | undefined,
+): StreamKey | undefined {
+  const requestId = isResumption(caller) ? caller.resumedRequestId : caller.requestId;
+  if (kind !== 'stream' || !isResumable || !requestId) {
+    return undefined;
+  }
+  return streamKeyOf({ tenant: tenant?.name, host, path: head.path, requestId });
+}
+
 /** Returns the quota cost of a request. */
 function quotaCostOf({ tokens }: CallerRequestHead, quota: TenantQuota): number {
   if (quota.unit === 'requests') {
--- a/src/gateway/attempt/accepted-request.ts
+++ b/src/gateway/attempt/accepted-request.ts
@@ -2,7 +2,8 @@
 import type { AllowedRegions } from '../../routing/backend-restriction.js';
 import type { Route } from '../../routing/configuration.js';
 import type { RouteAndTenant } from '../../routing/region-restrictions.js';
-import type { SoftwareVersion } from '../../routing/software-version.js';
+import type { StreamKey } from '../../streams/stream-key.js';
+import type { SoftwareVersion } from '../../streams/software-version.js';
 import type { RawHeaders } from '../admission/caller-protocol.js';
 
 /** A request that passed admission, with its complete body. */
@@ -43,6 +44,13 @@
   readonly lastEventId: string | undefined;
   /** Id of the caller's request that received the first event of the stream that it resumes. */
   readonly resumedRequestId: string | undefined;
+  /**
+   * Identifies the stream that the request begins or resumes; undefined if its route has no
+   * resumable streams or the caller sent no id.
+   */
+  readonly streamKey: StreamKey | undefined;
+  /** How long the caller may still resume the stream, in milliseconds. */
+  readonly resumableForMs: number;
   /**
    * Software version that began the stream that the caller resumes; undefined for any, if the
    * request begins a stream.
--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -216,7 +216,9 @@
 
   /** Called before the first event is sent to the caller. */
   private bindStream(): void {
-    this.binding.bindTo(this.backend!);
+    if (this.binding.bindTo(this.backend!)) {
+      this.ports.onStreamBegun(this.request, this.backend!);
+    }
   }
 
   private send(backend: Backend, nowMs: number): void {
--- a/src/gateway/attempt/request-model.ts
+++ b/src/gateway/attempt/request-model.ts
@@ -93,6 +93,11 @@
   chargeRetry(request: AcceptedRequest, onResult: (isGranted: boolean) => void): void;
   /** Called with the statement in each response head that is from the intended backend. */
   onStatement(statement: ResponseStatement): void;
+  /**
+   * Called before the first event of a stream that its caller does not resume is sent to the
+   * caller.
+   */
+  onStreamBegun(request: AcceptedRequest, backend: Backend): void;
   /** Called once at the end of each attempt. */
   onTryOver(attempt: EndedAttempt): void;
   /** Called once at the end of the request. */
--- a/src/gateway/attempt/stream-binding.ts
+++ b/src/gateway/attempt/stream-binding.ts
@@ -1,7 +1,7 @@
 /** Binds a stream to the software version that began it, without I/O. */
 import type { Backend } from '../../routing/backend.js';
-import { softwareVersionOf } from '../../routing/software-version.js';
-import type { SoftwareVersion } from '../../routing/software-version.js';
+import { softwareVersionOf } from '../../streams/software-version.js';
+import type { SoftwareVersion } from '../../streams/software-version.js';
 import type { PlacementConstraints } from '../dispatch/dispatch-request.js';
 import type { AcceptedRequest } from './accepted-request.js';
 
--- a/src/gateway/dispatch/dispatch-request.ts
+++ b/src/gateway/dispatch/dispatch-request.ts
@@ -2,7 +2,7 @@
 import type { Backend } from '../../routing/backend.js';
 import type { AllowedRegions } from '../../routing/backend-restriction.js';
 import type { RouteAndTenant } from '../../routing/region-restrictions.js';
-import type { SoftwareVersion } from '../../routing/software-version.js';
+import type { SoftwareVersion } from '../../streams/software-version.js';
 import type { WaitingPriority } from '../../slot-agent/waiting-priority.js';
 
 /** The fields of a request that determine which backends may serve it. */
--- a/src/gateway/dispatch/request-restriction.ts
+++ b/src/gateway/dispatch/request-restriction.ts
@@ -2,7 +2,7 @@
 import { restrictionOf } from '../../routing/backend-restriction.js';
 import type { OperatorRules, RestrictionReason } from '../../routing/backend-restriction.js';
 import type { Backend } from '../../routing/backend.js';
-import { softwareVersionOf } from '../../routing/software-version.js';
+import { softwareVersionOf } from '../../streams/software-version.js';
 import type { PlacementConstraints } from './dispatch-request.js';
 
 /** Why a request may not be sent to a backend. */
--- a/src/gateway/gateway-cluster.ts
+++ b/src/gateway/gateway-cluster.ts
@@ -15,6 +15,7 @@
 import { ReplicaEpochTracker } from '../cluster/replica-epoch-tracker.js';
 import type { StorePosition } from '../cluster/store-position.js';
 import { StoreFollower } from '../cluster/store-follower.js';
+import type { OpenPeer } from '../cluster/peer-mesh.js';
 import type { PeerNetwork } from '../cluster/peer-network.js';
 import type { ClusterStore, RecordsSource, StoreRead } from '../cluster/cluster-store.js';
 import {
@@ -32,7 +33,11 @@
 import type { ConditionSnapshot } from './statements/backend-condition.js';
 import type { RequestCrashes } from './crashes/crash-tally.js';
 import { GatewayPeers } from './links/gateway-peers.js';
-import type { CrashReportExchange, ConditionExchange } from './links/gateway-peers.js';
+import type {
+  CrashReportExchange,
+  ConditionExchange,
+  StreamOriginExchange,
+} from './links/gateway-peers.js';
 import type { GatewayMetrics } from './metrics/gateway-metrics.js';
 
 /**
@@ -58,6 +63,7 @@
   readonly rollouts: Rollouts;
   readonly crashes: CrashReportExchange;
   readonly statements: ConditionExchange;
+  readonly streams: StreamOriginExchange;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly log: DecisionLog;
@@ -174,6 +180,21 @@
     return this.peers.sendTo(address, message);
   }
 
+  /** Increases whenever `openPeers` changes. */
+  get peerGeneration(): number {
+    return this.peers.generation;
+  }
+
+  /** The gateways to which a connection is open. */
+  get openPeers(): readonly OpenPeer[] {
+    return this.peers.openPeers;
+  }
+
+  /** Whether the gateway at `address` sent its last heartbeat in time. */
+  isPeerHeard(address: string): boolean {
+    return this.peers.isHeard(address);
+  }
+
   /** Connects to the gateways among `addresses` that are not known yet. */
   addPeers(addresses: readonly string[]): void {
     this.peers.learnAddresses(addresses);
@@ -197,7 +218,7 @@
 
   private createPeers(): GatewayPeers {
     const { settings, incarnation, quotas, rollouts, clock, random, log } = this.dependencies;
-    const { crashes, statements } = this.dependencies;
+    const { crashes, statements, streams } = this.dependencies;
     return new GatewayPeers({
       name: settings.process.name,
       incarnation,
@@ -212,6 +233,7 @@
       readers: this.readers,
       crashes,
       statements,
+      streams,
       isReading: () => this.follower.isFollowing,
       knowledgeAgeMs: () => this.storeAgeMs,
       onReplicaAge: (progress, ageMs) => this.applyPeerViewAge(progress, ageMs),
--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -13,6 +13,8 @@
 import type { GatewayRefusal } from './admission/gateway-refusal.js';
 import { RequestAdmission } from './admission/request-admission.js';
 import type { ReceivedRequest } from './admission/request-admission.js';
+import { isResumption } from './admission/caller-protocol.js';
+import { refusalRetryAfterMs } from './attempt/refusal-retry-after.js';
 import { RetryBudget } from './admission/retry-budget.js';
 import { sendRefusal } from './admission/send-refusal.js';
 import { ConfigurationConfirmationQueue } from './admission/configuration-confirmation-queue.js';
@@ -30,6 +32,7 @@
 import type { RegionReport } from './regions/region-report.js';
 import { withActiveRegions, RequestRegions } from './regions/request-regions.js';
 import type { GatewaySettings } from './gateway-settings.js';
+import type { GatewayStreams, ResumptionDecision } from './gateway-streams.js';
 import type { GatewayMetrics } from './metrics/gateway-metrics.js';
 
 /** Dependencies of `GatewayRequests`. */
@@ -47,6 +50,7 @@
   readonly random: RandomSource;
   readonly log: DecisionLog;
   readonly metrics: GatewayMetrics;
+  readonly streams: Pick<GatewayStreams, 'resume' | 'recordBegin'>;
   /** Whether the gateway is shutting down and refuses new requests. */
   isRefusing(): boolean;
   /** See `RequestPorts`. */
@@ -88,6 +92,8 @@
   private readonly active = new Map<AcceptedRequest, ActiveRequest>();
   /** Requests whose quota charge is pending. */
   private readonly charging = new Set<AcceptedRequest>();
+  /** Requests that resume a stream whose origin is being looked up. */
+  private readonly resuming = new Set<AcceptedRequest>();
   private readonly admission: RequestAdmission;
   private readonly confirmationQueue: ConfigurationConfirmationQueue;
   private readonly retryBudget: RetryBudget;
@@ -127,16 +133,19 @@
       chargeRetry: (request, onResult) =>
         this.charge(request, ({ isGranted }) => onResult(isGranted)),
       onStatement: dependencies.onStatement,
+      onStreamBegun: (request, backend) => dependencies.streams.recordBegin(request, backend),
       onTryOver: dependencies.onTryOver,
       onEnd: (request, end) => this.handleEnd(request, end),
     };
   }
 
   /**
-   * Number of requests that wait for a confirmed configuration, a quota charge or a backend, or run.
+   * Number of requests that wait for a confirmed configuration, the origin of their stream, a quota
+   * charge or a backend, or run.
    */
   get activeCount(): number {
-    return this.confirmationQueue.count + this.charging.size + this.active.size;
+    const beforeStart = this.confirmationQueue.count + this.charging.size + this.resuming.size;
+    return beforeStart + this.active.size;
   }
 
   /** Redirects unsent requests whose backend is no longer permitted; returns their number. */
@@ -197,7 +206,7 @@
       ? err<GatewayRefusal>({ reason: 'stopping', retryAfterMs: 0 })
       : this.admission.admit(received, this.dependencies.configuration.table);
     if (admitted.ok) {
-      return this.chargeAndBegin(admitted.val, received.caller, reply);
+      return this.beginOrResume(admitted.val, received.caller, reply);
     }
     if (mayBeOutdated(admitted.val) && this.dependencies.cluster.isKnowledgeOld) {
       return this.awaitConfirmation(received, reply);
@@ -215,7 +224,7 @@
     const stopWaiting = this.confirmationQueue.wait((isConfirmed) => {
       const admitted = this.admission.admit(received, this.dependencies.configuration.table);
       if (admitted.ok) {
-        request = this.chargeAndBegin(admitted.val, received.caller, reply);
+        request = this.beginOrResume(admitted.val, received.caller, reply);
         return;
       }
       const isUnknown = mayBeOutdated(admitted.val) && !isConfirmed;
@@ -231,6 +240,54 @@
     };
   }
 
+  /** Starts a request, one that resumes a stream once it is known where the stream began. */
+  private beginOrResume(
+    accepted: AcceptedRequest,
+    caller: CallerRequestHead,
+    reply: CallerReply,
+  ): AdmittedRequest {
+    if (accepted.route.kind !== 'stream' || !isResumption(caller)) {
+      return this.chargeAndBegin(accepted, caller, reply);
+    }
+    let request: AdmittedRequest | undefined;
+    let hasLeft = false;
+    this.resuming.add(accepted);
+    this.dependencies.streams.resume(accepted, (decision) => {
+      this.resuming.delete(accepted);
+      if (!hasLeft) {
+        request = this.applyResumption(decision, caller, reply);
+      }
+      if (request === undefined) {
+        this.dependencies.onEnd();
+      }
+    });
+    const handleCallerDisconnect = () => {
+      if (request !== undefined) {
+        request.handleCallerDisconnect();
+      } else if (!hasLeft) {
+        hasLeft = true;
+        this.logCallerLeft(accepted);
+      }
+    };
+    return { handleCallerDisconnect };
+  }
+
+  private applyResumption(
+    decision: ResumptionDecision,
+    caller: CallerRequestHead,
+    reply: CallerReply,
+  ): AdmittedRequest | undefined {
+    if (decision.kind === 'continue') {
+      return this.chargeAndBegin(decision.request, caller, reply);
+    }
+    const { reason } = decision;
+    const remainingMs = caller.deadlineMs ?? Infinity;
+    const options = DEFAULT_REQUEST_OPTIONS;
+    const inputs = { options, queueRetryAfterMs: undefined, remainingMs };
+    this.refuse(caller, reply, { reason, retryAfterMs: refusalRetryAfterMs(reason, inputs) });
+    return undefined;
+  }
+
   /** Starts a request once its cost is charged to its tenant. */
   private chargeAndBegin(
     accepted: AcceptedRequest,
@@ -263,11 +320,16 @@
   }
 
   /** Ends a request whose caller disconnected before it was charged. */
-  private endBeforeCharge({ requestId, route, tenant }: AcceptedRequest): void {
+  private endBeforeCharge(request: AcceptedRequest): void {
+    this.logCallerLeft(request);
+    this.dependencies.onEnd();
+  }
+
+  /** Logs that the caller disconnected before the request was offered to backends. */
+  private logCallerLeft({ requestId, route, tenant }: AcceptedRequest): void {
     const reason = 'caller-left';
     const fields = { request: requestId, route: route.name, tenant, status: 0, reason, tries: [] };
     this.dependencies.log.write('request-ended', 'failure', fields);
-    this.dependencies.onEnd();
   }
 
   private charge(
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -31,6 +31,7 @@
 import { GatewayRequests } from './gateway-requests.js';
 import { GatewayRollouts } from './gateway-rollouts.js';
 import { GatewayConditions } from './gateway-conditions.js';
+import { GatewayStreams } from './gateway-streams.js';
 import { countBackends, listConditions } from './metrics/gateway-snapshot.js';
 import type { GatewaySnapshot } from './metrics/gateway-snapshot.js';
 import { PEER_TICK_MS } from './links/heartbeat-intervals.js';
@@ -84,6 +85,7 @@
   private readonly rollouts: GatewayRollouts;
   private readonly crashes: GatewayCrashes;
   private readonly conditions: GatewayConditions;
+  private readonly streams: GatewayStreams;
   private readonly sender = new HttpBackendSender(DEFAULT_BACKEND_SENDER_OPTIONS, (reason) =>
     this.dependencies.metrics.record(({ connections }) => connections.inc({ reason })),
   );
@@ -207,6 +209,13 @@
       tenants: () => this.configuration.table?.configuration.tenants.map(({ name }) => name) ?? [],
       timeOfDayMs: () => Date.now(),
     });
+    this.streams = new GatewayStreams({
+      ...dependencies,
+      zone: settings.process.zone,
+      directory: this.directory,
+      peers: () => this.cluster,
+      agents: () => this.links,
+    });
     this.cluster = new GatewayCluster({
       ...dependencies,
       incarnation,
@@ -219,6 +228,7 @@
         merge: (tallies) => this.crashes.mergePeerTallies(tallies),
       },
       statements: this.conditions,
+      streams: this.streams,
       onRecords: (records, source) => this.applyRecords(records, source),
     });
     this.links = new SlotAgentLinks(
@@ -234,6 +244,7 @@
           backend,
           reason,
         }),
+      (answer) => this.streams.receiveAnswer(answer),
       clock,
       {
         ...DEFAULT_SLOT_AGENT_LINK_OPTIONS,
@@ -257,6 +268,7 @@
       sender: this.sender,
       crashes: this.crashes.requests,
       cluster: this.cluster,
+      streams: this.streams,
       isRefusing: () => this.shutdown.isRefusing,
       onStatement: (head) => this.conditions.receiveResponseHead(head),
       onTryOver: ({ backend, route, isBad }) =>
@@ -338,12 +350,16 @@
     this.conditions.tick();
     this.evacuations.tick();
     this.rollouts.rollouts.tick();
+    if (this.configuration.table !== undefined) {
+      this.streams.observeVersions();
+    }
     if (this.ticks % AGENT_REACH_TICKS === 0) {
       this.links.broadcastReach();
     }
     if (this.ticks % MAINTENANCE_TICKS === 0) {
       this.crashes.requests.evictExpired();
       this.conditions.removeStale();
+      this.streams.removeExpired();
       const dropped = this.dependencies.log.logDroppedLines();
       this.dependencies.metrics.record(({ linesDropped }) => linesDropped.inc(dropped));
     }
@@ -490,6 +506,7 @@
       loopDelayMs,
       suspectedPaths: this.paths.countSuspected(),
       crashingRequests: this.crashes.requests.count(),
+      streamOrigins: this.streams.heldOrigins,
     };
   }
 }
--- a/src/gateway/links/gateway-peers.ts
+++ b/src/gateway/links/gateway-peers.ts
@@ -10,6 +10,7 @@
 import type { StoreReaderSelector } from '../../cluster/store-reader-selector.js';
 import { isAheadOf, NO_PROGRESS } from '../../cluster/replicated-records.js';
 import type { ReplicaProgress, ReplicatedRecords } from '../../cluster/replicated-records.js';
+import type { OpenPeer } from '../../cluster/peer-mesh.js';
 import type { Clock } from '../../clock.js';
 import type { RandomSource } from '../../random.js';
 import type { Rollouts } from '../../rollout/rollouts.js';
@@ -17,6 +18,11 @@
 import type { GatewayQuotas } from '../gateway-quotas.js';
 import type { GatewayConditions } from '../gateway-conditions.js';
 import type { ConditionSnapshot } from '../statements/backend-condition.js';
+import type {
+  StreamOriginAnswer,
+  StreamOriginQuery,
+  StreamOriginReport,
+} from '../../streams/stream-origin.js';
 import type { RequestCrashes } from '../crashes/crash-tally.js';
 import {
   heartbeatTicks,
@@ -41,6 +47,16 @@
   'tell' | 'hearPeer' | 'answerPeer' | 'receiveAnswer' | 'takeBack'
 >;
 
+/** Exchange of the origins of streams. */
+export interface StreamOriginExchange {
+  /** Holds an origin for another gateway. */
+  hold(origin: StreamOriginReport): void;
+  /** Answers the query of another gateway. */
+  answer(query: StreamOriginQuery): StreamOriginAnswer;
+  /** Processes the answer to a query of this gateway. */
+  receiveAnswer(answer: StreamOriginAnswer): void;
+}
+
 /** Configuration and dependencies of `GatewayPeers`. */
 export interface GatewayPeersParts {
   readonly name: string;
@@ -59,6 +75,7 @@
   readonly readers: StoreReaderSelector;
   readonly crashes: CrashReportExchange;
   readonly statements: ConditionExchange;
+  readonly streams: StreamOriginExchange;
   /** Whether this gateway reads the store and gets responses. */
   isReading(): boolean;
   /**
@@ -85,6 +102,8 @@
  */
 const REOPEN_SILENCE_MS = 2_500;
 const REOPEN_SILENCE_HEARTBEATS = 4;
+/** Heartbeat intervals without a message after which a peer no longer counts as heard. */
+const HEARD_HEARTBEATS = 1.5;
 
 /** A gateway's end of the peer mesh. */
 export class GatewayPeers {
@@ -113,6 +132,8 @@
             quotas.receiveAnswer(message);
           } else if (message.kind === 'send-right-answer') {
             parts.statements.receiveAnswer(message);
+          } else if (message.kind === 'stream-answer') {
+            parts.streams.receiveAnswer(message);
           }
         },
         onOpened: (send) => this.sendInitialState(send),
@@ -189,6 +210,21 @@
     return this.mesh.sendTo(address, message);
   }
 
+  /** Increases whenever `openPeers` changes. */
+  get generation(): number {
+    return this.mesh.generation;
+  }
+
+  /** The gateways to which a connection is open. */
+  get openPeers(): readonly OpenPeer[] {
+    return this.mesh.openPeers;
+  }
+
+  /** Whether the gateway at `address` sent its last heartbeat in time. */
+  isHeard(address: string): boolean {
+    return this.mesh.hasHeardFrom(address, this.maxHeartbeatIntervalMs * HEARD_HEARTBEATS);
+  }
+
   /** Connects to gateways that were unknown so far. */
   learnAddresses(addresses: readonly string[]): void {
     this.mesh.addAddresses(addresses);
@@ -282,7 +318,7 @@
   }
 
   private handleMessage(hello: PeerHello, message: PeerMessage, reply: SendToPeer): void {
-    const { quotas, exchange, readers, statements, clock } = this.parts;
+    const { quotas, exchange, readers, statements, streams, clock } = this.parts;
     if (message.kind === 'records') {
       exchange.handleResponse(message);
     } else if (message.kind === 'crashes') {
@@ -308,6 +344,10 @@
       quotas.takeBack(hello, message);
     } else if (message.kind === 'reach') {
       exchange.handleProgress(hello.incarnation, message.reach, reply);
+    } else if (message.kind === 'stream-began') {
+      streams.hold(message.origin);
+    } else if (message.kind === 'stream-ask') {
+      reply(streams.answer(message));
     }
   }
 }
--- a/src/gateway/links/slot-agent-links.ts
+++ b/src/gateway/links/slot-agent-links.ts
@@ -13,6 +13,11 @@
 } from '../../slot-agent/slot-messages.js';
 import type { BackendDirectory } from '../dispatch/backend-directory.js';
 import type { Dispatcher } from '../dispatch/dispatcher.js';
+import type {
+  HoldStreamOrigin,
+  StreamOriginAnswer,
+  StreamOriginQuery,
+} from '../../streams/stream-origin.js';
 import { splitAddress } from '../../address.js';
 import type { KnownBackend } from '../dispatch/known-backend.js';
 import type { PathState } from '../dispatch/path-state.js';
@@ -90,10 +95,18 @@
  */
 export type OnAgentConnection = (backendId: string, isConnected: boolean, reason?: string) => void;
 
+/** An agent that is connected. */
+export interface ConnectedAgent {
+  readonly host: string;
+  /** Zone of its engine; undefined if the engine is no longer known. */
+  readonly zone: string | undefined;
+}
+
 /** Maintains a gateway's connections to slot agents. */
 export class SlotAgentLinks {
   private readonly links = new Map<string, Link>();
   private lastSentProgress = NO_PROGRESS;
+  private connectedGeneration = 0;
 
   constructor(
     private readonly gatewayName: string,
@@ -104,6 +117,7 @@
     private readonly isEngine: (service: string) => boolean,
     private readonly coldStartOf: (service: string) => ColdStartSettings | undefined,
     private readonly onAgent: OnAgentConnection,
+    private readonly onStreamAnswer: (answer: StreamOriginAnswer) => void,
     private readonly clock: Clock,
     private readonly options: SlotAgentLinkOptions,
   ) {}
@@ -117,6 +131,36 @@
     }
   }
 
+  /** Increases whenever `connectedAgents` changes. */
+  get generation(): number {
+    return this.connectedGeneration;
+  }
+
+  /** The agents that are connected, by host; a machine whose engine restarted appears once. */
+  get connectedAgents(): ConnectedAgent[] {
+    const agents = new Map<string, ConnectedAgent>();
+    for (const { backendId, host, isEstablished } of this.links.values()) {
+      if (isEstablished) {
+        agents.set(host, { host, zone: this.directory.find(backendId)?.backend.zone });
+      }
+    }
+    return [...agents.values()];
+  }
+
+  /**
+   * Sends a message that does not concern slots to the agent on `host`; returns false if it is not
+   * connected.
+   */
+  sendToHost(host: string, message: HoldStreamOrigin | StreamOriginQuery): boolean {
+    for (const link of this.links.values()) {
+      if (link.host === host && link.isEstablished) {
+        link.channel?.send(message);
+        return true;
+      }
+    }
+    return false;
+  }
+
   /**
    * Sends keepalives on idle connections to agents at which this gateway has outstanding or waiting
    * requests; to be called each tick.
@@ -169,6 +213,7 @@
     for (const [backendId, link] of this.links) {
       if (!wanted.has(backendId)) {
         this.links.delete(backendId);
+        this.connectedGeneration += 1;
         link.channel?.close();
       }
     }
@@ -230,6 +275,10 @@
           channel.send(this.exchange.handleFetch(message));
           return;
         }
+        if (message.kind === 'stream-answer') {
+          this.onStreamAnswer(message);
+          return;
+        }
         if (message.kind === 'refused') {
           link.refusal = message.reason;
           channel.close();
@@ -269,6 +318,7 @@
     channel.send(coldStart === undefined ? hello : { ...hello, coldStart });
     channel.send({ kind: 'reach', reach: this.records.progress });
     link.isEstablished = true;
+    this.connectedGeneration += 1;
     this.onAgent(link.backendId, true);
     this.dispatcher().connectAgent(link.backendId, this.clock.now());
   }
@@ -280,6 +330,7 @@
     link.channel = undefined;
     this.updatePath(link);
     if (link.isEstablished) {
+      this.connectedGeneration += 1;
       link.isEstablished = false;
       this.onAgent(link.backendId, false, link.refusal);
     }
--- a/src/gateway/metrics/gateway-gauges.ts
+++ b/src/gateway/metrics/gateway-gauges.ts
@@ -77,6 +77,11 @@
     'Back ends whose paths from here are believed to be cut',
     () => current().suspectedPaths,
   );
+  addGauge(
+    'weirvale_stream_origins',
+    'Origins of streams held here, for this gateway and for others',
+    () => current().streamOrigins,
+  );
   addLabeledGauge(
     'weirvale_crashing_requests',
     'Requests that have crashed back ends: refused, or only suspected so far',
--- a/src/gateway/metrics/gateway-snapshot.ts
+++ b/src/gateway/metrics/gateway-snapshot.ts
@@ -48,6 +48,8 @@
   readonly quotaLevels: ReadonlyMap<string, number>;
   /** Quota tokens that this gateway has charged since its start, by tenant. */
   readonly quotaUse: ReadonlyMap<string, number>;
+  /** Number of origins of streams that this gateway holds. */
+  readonly streamOrigins: number;
   /** Number of requests that wait for a backend, by service. */
   readonly waiting: ReadonlyMap<string, number>;
   /** Longest delay of a tick, and so of the event loop, since the last snapshot. */
--- a/src/gateway/metrics/metric-instruments.ts
+++ b/src/gateway/metrics/metric-instruments.ts
@@ -7,6 +7,7 @@
 import type { RequestEnd } from '../attempt/request-model.js';
 
 const MS_PER_S = 1_000;
+const LOOKUP_BUCKETS_S = [0.001, 0.003, 0.01, 0.03, 0.1, 0.3];
 const LATENCY_BUCKETS_S = [0.01, 0.03, 0.1, 0.2, 0.4, 0.6, 1, 2, 4, 8, 16];
 
 /** The metrics registry of a gateway and its instruments. */
@@ -130,6 +131,18 @@
     labelNames: ['field'],
     registers: [this.registry],
   });
+  readonly streamResumptions = new Counter({
+    name: 'weirvale_stream_resumptions_total',
+    help: 'Streams that callers resumed, by how their version became known, or why they were refused',
+    labelNames: ['outcome'],
+    registers: [this.registry],
+  });
+  readonly streamLookupSeconds = new Histogram({
+    name: 'weirvale_stream_lookup_seconds',
+    help: 'Time until the version of a resumed stream was known or given up',
+    buckets: LOOKUP_BUCKETS_S,
+    registers: [this.registry],
+  });
   readonly linesDropped = new Counter({
     name: 'weirvale_log_lines_dropped_total',
     help: 'Log lines that were dropped to bound their volume',
--- a/src/slot-agent/slot-agent-role.ts
+++ b/src/slot-agent/slot-agent-role.ts
@@ -28,6 +28,8 @@
 import type { ForbiddenTake } from './slot-allocator.js';
 import { DEFAULT_GATEWAY_TIMEOUT_OPTIONS } from './gateway-session.js';
 import { SlotAllocator } from './slot-allocator.js';
+import { StreamOriginTable } from '../streams/stream-origin-table.js';
+import type { StreamOriginQuery } from '../streams/stream-origin.js';
 import type {
   AgentRefusal,
   AgentToGateway,
@@ -134,6 +136,8 @@
   private resumeTimer: TimerHandle | undefined;
   private readonly records: ReplicatedRecords;
   private readonly exchange: RecordExchange;
+  /** Held for gateways: agents outlive a crash of all gateways. */
+  private readonly streamOrigins = new StreamOriginTable();
   private readonly mesh: PeerMesh;
   private nextConnection = 1;
   private isProbing = false;
@@ -346,6 +350,10 @@
   private receive(connection: number, message: GatewayToAgent): void {
     if (message.kind === 'records') {
       this.exchange.handleResponse(message);
+    } else if (message.kind === 'stream-began') {
+      this.streamOrigins.hold(message.origin, this.clock.now());
+    } else if (message.kind === 'stream-ask') {
+      this.answerStreamQuery(connection, message);
     } else if (message.kind === 'reach') {
       this.exchange.handleProgress(`${connection}`, message.reach, (fetch) =>
         this.channels.get(connection)?.send(fetch),
@@ -355,6 +363,11 @@
     }
   }
 
+  private answerStreamQuery(connection: number, { id, key }: StreamOriginQuery): void {
+    const origin = key && this.streamOrigins.report(key, this.clock.now());
+    this.channels.get(connection)?.send({ kind: 'stream-answer', id, origin });
+  }
+
   private receiveSlotMessage(connection: number, message: GatewaySlotMessage): void {
     if (message.kind === 'hello') {
       this.mesh.addAddresses([message.peersAddress]);
@@ -412,6 +425,7 @@
       return;
     }
     this.logColdStateChange();
+    this.streamOrigins.evictExpired(this.clock.now());
     this.allocator.sendHeartbeat(this.options.heartbeatIntervalMs, this.clock.now());
     this.clock.setTimeout(() => this.sendHeartbeats(), this.options.heartbeatIntervalMs);
   }
--- a/src/slot-agent/slot-messages.ts
+++ b/src/slot-agent/slot-messages.ts
@@ -2,6 +2,11 @@
 import type { Service } from '../routing/configuration.js';
 import type { EngineAvailability } from './engine-health.js';
 import type { RouteAndTenant } from '../routing/region-restrictions.js';
+import type {
+  HoldStreamOrigin,
+  StreamOriginAnswer,
+  StreamOriginQuery,
+} from '../streams/stream-origin.js';
 import type { GrantsOnlyReason } from './start-limiter.js';
 import type {
   RecordsResponse,
@@ -145,7 +150,12 @@
   | SpeedUpdate;
 
 /** All messages from a gateway to an agent. */
-export type GatewayToAgent = GatewaySlotMessage | ReplicaProgressReport | RecordsResponse;
+export type GatewayToAgent =
+  | GatewaySlotMessage
+  | ReplicaProgressReport
+  | RecordsResponse
+  | HoldStreamOrigin
+  | StreamOriginQuery;
 
 /** Grants one slot to the gateway. */
 export interface SlotGranted {
@@ -199,4 +209,4 @@
 }
 
 /** All messages from an agent to a gateway. */
-export type AgentToGateway = AgentSlotMessage | RecordsFetch | AgentRefusal;
+export type AgentToGateway = AgentSlotMessage | RecordsFetch | AgentRefusal | StreamOriginAnswer;
--- a/src/routing/software-version.ts
+++ b/src/streams/software-version.ts
@@ -2,7 +2,7 @@
  * Identifies the software that a backend runs. What two versions write does not fit together, so a
  * stream may continue only at a backend of the version that began it.
  */
-import type { Backend } from './backend.js';
+import type { Backend } from '../routing/backend.js';
 
 declare const brand: unique symbol;
 
--- a/src/telemetry/decision-log.ts
+++ b/src/telemetry/decision-log.ts
@@ -61,6 +61,7 @@
   'rollout-not-written',
   'backend-crashed',
   'crashing-request',
+  'stream-resumed',
   'crash-record',
   'crash-record-written',
   'crash-record-not-written',
--- a/test/crashing-requests-fleet.test.ts
+++ b/test/crashing-requests-fleet.test.ts
@@ -67,6 +67,8 @@
     body: Buffer.from(body),
     lastEventId: undefined,
     resumedRequestId: undefined,
+    streamKey: undefined,
+    resumableForMs: 0,
     resumedVersion: undefined,
   };
 }
--- a/test/gateway-metrics.test.ts
+++ b/test/gateway-metrics.test.ts
@@ -25,6 +25,7 @@
   loopDelayMs: 20,
   crashingRequests: { refused: 1, suspected: 2 },
   suspectedPaths: 4,
+  streamOrigins: 5,
 };
 
 async function readMetrics(): Promise<string> {
--- a/test/slot-agent-links.test.ts
+++ b/test/slot-agent-links.test.ts
@@ -87,6 +87,7 @@
     () => true,
     () => undefined,
     () => undefined,
+    () => undefined,
     SYSTEM_CLOCK,
     {
       ...DEFAULT_SLOT_AGENT_LINK_OPTIONS,
--- a/test/stream-versions.test.ts
+++ b/test/stream-versions.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import type { Backend } from '../src/routing/backend.js';
-import { softwareVersionOf } from '../src/routing/software-version.js';
+import { softwareVersionOf } from '../src/streams/software-version.js';
 import { backendOf, GatewayHarness, routeOf } from './support/gateway-harness.js';
 
 const RESUMABLE = routeOf({
--- a/test/support/gateway-harness.ts
+++ b/test/support/gateway-harness.ts
@@ -177,6 +177,8 @@
   /** Reasons for which requests were not sent to backends, in order. */
   readonly restrictedReasons: RestrictionReason[] = [];
   readonly endedAttempts: EndedAttempt[] = [];
+  /** Requests whose streams began, with the ids of their backends. */
+  readonly begunStreams: Array<[string, string]> = [];
   /** Backends to which connections are not established for now. */
   readonly unconnectableBackendIds = new Set<string>();
   coldStarts = new ColdStartLimiter();
@@ -345,6 +347,8 @@
       body: Buffer.alloc(0),
       lastEventId: undefined,
       resumedRequestId: undefined,
+      streamKey: undefined,
+      resumableForMs: 0,
       resumedVersion: undefined,
       ...changes,
     };
@@ -366,6 +370,8 @@
       },
       takeRetry: () => this.repeatsLeft-- > 0,
       onStatement: (statement: ResponseStatement) => this.recordStatement(statement),
+      onStreamBegun: ({ requestId }: AcceptedRequest, backend: Backend) =>
+        void this.begunStreams.push([requestId, backend.id]),
       onTryOver: (attempt: EndedAttempt) => void this.endedAttempts.push(attempt),
       onEnd: (ended: AcceptedRequest, end: RequestEnd) => {
         this.requestEnds.push(end);
