--- /dev/null
+++ b/bench/soak/stream-run.ts
@@ -0,0 +1,320 @@
+/**
+ * Runs gateway and slot agent processes on loopback with backends of two software versions, while
+ * callers resume streams that break off, and checks what each caller holds.
+ */
+import { SeededRandom, randomInteger } from '../../src/random.js';
+import type { RandomSource } from '../../src/random.js';
+import { FakeStore } from '../../test/support/fake-platform.js';
+import { GatewayProcesses } from './gateway-processes.js';
+import { StreamBackend } from './stream-backend.js';
+import { StreamCaller } from './stream-caller.js';
+import type { StreamResult } from './stream-caller.js';
+
+/** One kind of fault, applied throughout a run. */
+export type StreamFault =
+  /** Backends crash in turn and restart under a new id at their version. */
+  | 'crash'
+  /** All backends of the older version drain and end soon after, streams under way. */
+  | 'leave'
+  /** Callers cut a third of their connections. */
+  | 'cut'
+  /** Gateways are killed in turn. */
+  | 'kill'
+  /** All gateways are killed at once. */
+  | 'kill-all'
+  /** Gateways are stopped in turn and finish their requests. */
+  | 'stop'
+  /** Gateways are paused in turn. */
+  | 'pause'
+  /** The store does not respond for most of the run. */
+  | 'outage';
+
+/** Options of a run. */
+export interface StreamRunOptions {
+  readonly faults: ReadonlySet<StreamFault>;
+  readonly gateways: number;
+  /** Whether each backend is an engine with a slot agent. */
+  readonly hasAgents: boolean;
+  readonly seed: number;
+  readonly lengthMs: number;
+  /** First port; each host uses several. */
+  readonly basePort: number;
+}
+
+/** Results of a run. */
+export interface StreamRunReport {
+  readonly streams: number;
+  /** Share of new streams that began. */
+  readonly begun: number;
+  /** Requests that resume a stream and reached a gateway, and how many brought further events. */
+  readonly resumed: number;
+  readonly continued: number;
+  /** Resumptions that gateways refused as not executed. */
+  readonly refused: number;
+  /** Callers that hold events of two versions, and of those within one response. */
+  readonly mixed: number;
+  readonly mixedInResponse: number;
+  /** Callers with a missing or repeated event. */
+  readonly gaps: number;
+  readonly folder: string;
+}
+
+const VERSIONS = ['v1', 'v1.2'] as const;
+const BACKENDS_PER_VERSION = 4;
+const SLOTS = 10;
+const STREAMS_PER_S = 45;
+const KILL_INTERVAL_MS = 2_600;
+const CRASH_INTERVAL_MS = 900;
+const CRASH_DOWNTIME_MS = 600;
+const PAUSE_MS = 1_500;
+const LEAVE_AFTER_MS = 2_000;
+const DRAIN_MS = 600;
+const OUTAGE_MS = 9_000;
+const SETTLE_MS = 3_000;
+const DRAIN_CALLERS_MS = 5_500;
+const MS_PER_S = 1_000;
+const CUT_SHARE = 1 / 3;
+const MAX_CUT_EVENTS = 10;
+
+/** Runs one scenario and returns its results. */
+export async function runStreams(options: StreamRunOptions): Promise<StreamRunReport> {
+  const run = new StreamRun(options);
+  try {
+    return await run.run();
+  } finally {
+    run.stop();
+  }
+}
+
+class StreamRun {
+  private readonly random: RandomSource;
+  private readonly store = new FakeStore();
+  private readonly processes: GatewayProcesses;
+  private readonly backends: StreamBackend[] = [];
+  private readonly results: Array<Promise<StreamResult>> = [];
+  private readonly timers = new Set<NodeJS.Timeout>();
+  private lives = 0;
+
+  constructor(private readonly options: StreamRunOptions) {
+    this.random = new SeededRandom(options.seed);
+    this.processes = new GatewayProcesses({
+      network: '127.0.7',
+      basePort: options.basePort,
+      folderName: 'streams',
+    });
+  }
+
+  async run(): Promise<StreamRunReport> {
+    process.once('exit', () => this.stop());
+    const store = await this.store.start();
+    this.configure();
+    for (let index = 0; index < VERSIONS.length * BACKENDS_PER_VERSION; index += 1) {
+      await this.startBackend(index);
+      if (this.options.hasAgents) {
+        this.processes.startOtherProcess(`agent-${index}`, this.agentSettings(index));
+      }
+    }
+    for (let index = 0; index < this.options.gateways; index += 1) {
+      this.processes.startGateway(store, {
+        settingsLines: ['[listen]', `slotAgentPort = ${this.options.basePort + 5}`],
+      });
+    }
+    await this.processes.waitUntilReady();
+    await delay(SETTLE_MS);
+    this.runEvery(MS_PER_S / STREAMS_PER_S, () => this.startCaller());
+    await delay(MS_PER_S);
+    this.startFaults();
+    await delay(this.options.lengthMs);
+    this.stopTimers();
+    await delay(DRAIN_CALLERS_MS);
+    return this.report(await Promise.all(this.results));
+  }
+
+  stop(): void {
+    this.stopTimers();
+    this.processes.stop();
+    this.backends.forEach((backend) => backend.crash());
+    this.store.stop();
+  }
+
+  private startFaults(): void {
+    const { gateways } = this.processes;
+    const actions: Readonly<Record<StreamFault, () => void>> = {
+      crash: () => this.runEvery(CRASH_INTERVAL_MS, () => void this.crashOne()),
+      leave: () => this.runOnce(LEAVE_AFTER_MS, () => this.endOldVersion()),
+      cut: () => undefined,
+      kill: () => this.inTurn(KILL_INTERVAL_MS, (index) => gateways[index]!.signal('SIGKILL')),
+      'kill-all': () =>
+        this.runEvery(this.options.lengthMs / 3, () =>
+          gateways.forEach((gateway) => gateway.signal('SIGKILL')),
+        ),
+      stop: () => this.inTurn(KILL_INTERVAL_MS, (index) => gateways[index]!.signal('SIGTERM')),
+      pause: () =>
+        this.inTurn(KILL_INTERVAL_MS, (index) => {
+          gateways[index]!.signal('SIGSTOP');
+          setTimeout(() => gateways[index]!.signal('SIGCONT'), PAUSE_MS);
+        }),
+      outage: () => {
+        this.store.behavior = 'silent';
+        this.runOnce(OUTAGE_MS, () => (this.store.behavior = 'answers'));
+      },
+    };
+    this.options.faults.forEach((fault) => actions[fault]());
+  }
+
+  private inTurn(intervalMs: number, action: (index: number) => void): void {
+    let next = 0;
+    this.runEvery(intervalMs, () => {
+      action(next % this.options.gateways);
+      next += 1;
+    });
+  }
+
+  private async crashOne(): Promise<void> {
+    const index = randomInteger(this.random, 0, this.backends.length - 1);
+    const crashed = this.backends[index]!;
+    crashed.crash();
+    await delay(CRASH_DOWNTIME_MS);
+    this.store.remove(`servers/${crashed.id}`);
+    await this.startBackend(index);
+  }
+
+  private endOldVersion(): void {
+    const old = this.backends.filter(({ version }) => version === VERSIONS[0]);
+    old.forEach((backend) => this.announce(backend, 'draining'));
+    this.runOnce(DRAIN_MS, () => {
+      for (const backend of old) {
+        backend.crash();
+        this.store.remove(`servers/${backend.id}`);
+      }
+    });
+  }
+
+  private async startBackend(index: number): Promise<void> {
+    this.lives += 1;
+    const version = VERSIONS[Math.floor(index / BACKENDS_PER_VERSION)]!;
+    const backend = new StreamBackend(`w-${index}-${this.lives}`, version, Date.now());
+    await backend.start(backendHost(index), this.options.basePort + 6);
+    this.backends[index] = backend;
+    this.announce(backend, 'ready');
+  }
+
+  private announce(backend: StreamBackend, state: string): void {
+    const index = this.backends.indexOf(backend);
+    const { id, version, bornAtMs } = backend;
+    this.store.announce(id, {
+      address: `${backendHost(index)}:${this.options.basePort + 6}`,
+      service: 'writers',
+      slots: SLOTS,
+      zone: `z${index % 3}`,
+      version,
+      state,
+      born: bornAtMs,
+    });
+  }
+
+  private configure(): void {
+    this.store.put('op/config', {
+      version: 1,
+      routes: [
+        {
+          name: 'stream',
+          host: 'streams.example',
+          pathPrefix: '/stream/',
+          kind: 'streaming',
+          resumable: true,
+          timeoutMs: 5_000,
+          targetLatencyMs: 500,
+          gapAimMs: 250,
+          maxAttempts: 2,
+          priority: 1,
+          service: 'writers',
+        },
+      ],
+      services: [
+        {
+          name: 'writers',
+          maxConnections: 400,
+          ...(this.options.hasAgents ? { engine: { stride: 3 } } : {}),
+        },
+      ],
+      tenants: [{ name: 'shop', apiKeys: ['stream-key'] }],
+    });
+  }
+
+  private agentSettings(index: number): string[] {
+    return [
+      '[process]',
+      'role = slot-agent',
+      `name = agent-${index}`,
+      `zone = z${index % 3}`,
+      `address = ${backendHost(index)}`,
+      '[listen]',
+      `slotAgentPort = ${this.options.basePort + 5}`,
+      '[cluster]',
+      `seeds = ${this.processes.seeds}`,
+      '[engine]',
+      `address = ${backendHost(index)}:${this.options.basePort + 6}`,
+    ];
+  }
+
+  private startCaller(): void {
+    const isCut = this.options.faults.has('cut') && this.random.next() < CUT_SHARE;
+    let gateway = randomInteger(this.random, 0, this.options.gateways - 1);
+    const caller = new StreamCaller({
+      id: `c${this.results.length}`,
+      path: `/stream/c${this.results.length}`,
+      headers: {
+        Host: 'streams.example',
+        Authorization: 'Bearer stream-key',
+        'X-Weirvale-Token-Counts': '100,42',
+      },
+      nextGateway: () => {
+        gateway = (gateway + 1) % this.options.gateways;
+        const host = this.processes.hostOf(gateway);
+        return { index: gateway, host, port: this.processes.callersPort() };
+      },
+      cutAfterEvents: isCut ? randomInteger(this.random, 1, MAX_CUT_EVENTS) : undefined,
+    });
+    this.results.push(caller.run());
+  }
+
+  private report(results: readonly StreamResult[]): StreamRunReport {
+    const attempts = results.flatMap((result) => result.attempts);
+    const resumptions = attempts.filter(({ isResumption, status }) => isResumption && status > 0);
+    const mixed = results.filter(({ versions }) => versions.size > 1);
+    const begun = results.filter(({ versions }) => versions.size > 0).length;
+    return {
+      streams: results.length,
+      begun: begun / results.length,
+      resumed: resumptions.length,
+      continued: resumptions.filter(({ events }) => events > 0).length,
+      refused: resumptions.filter(({ isRefused }) => isRefused).length,
+      mixed: mixed.length,
+      mixedInResponse: mixed.filter(({ isMixedInResponse }) => isMixedInResponse).length,
+      gaps: results.filter(({ hasGap }) => hasGap).length,
+      folder: this.processes.folder,
+    };
+  }
+
+  private runEvery(periodMs: number, action: () => void): void {
+    this.timers.add(setInterval(action, periodMs));
+  }
+
+  private runOnce(delayMs: number, action: () => void): void {
+    this.timers.add(setTimeout(action, delayMs));
+  }
+
+  private stopTimers(): void {
+    this.timers.forEach((timer) => clearTimeout(timer));
+    this.timers.clear();
+  }
+}
+
+function backendHost(index: number): string {
+  return `127.0.8.${10 + index}`;
+}
+
+function delay(timeMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, timeMs));
+}
