--- a/src/gateway/attempt/request-wait.ts
+++ b/src/gateway/attempt/request-wait.ts
@@ -246,10 +246,14 @@
  * milliseconds.
  */
 function dueAtMs(
-  { firstAttemptAtMs, route }: AcceptedRequest,
+  { arrivedAtMs, firstAttemptAtMs, resumedVersion, route }: AcceptedRequest,
   lastEventAtMs: number | undefined,
 ): number {
-  return lastEventAtMs === undefined
+  if (lastEventAtMs !== undefined) {
+    return lastEventAtMs + route.maxPauseMs;
+  }
+  // A caller that resumes has received the first event; the next one ends its pause.
+  return resumedVersion === undefined
     ? firstAttemptAtMs + route.targetLatencyMs
-    : lastEventAtMs + route.maxPauseMs;
+    : arrivedAtMs + route.maxPauseMs;
 }
--- a/src/gateway/streams/stream-resumption.ts
+++ b/src/gateway/streams/stream-resumption.ts
@@ -100,9 +100,12 @@
       return;
     }
     // Both holders may have restarted while the gateway that began the stream still runs.
-    const question = { key: stream.key, service: undefined };
-    this.ports.queries.ask(question, this.ports.otherGateways(stream.key), (fleetResult) => {
-      onResult(this.evaluate(stream, fleetResult));
+    const question = { key: stream.key, service: onlyServiceOf(stream) };
+    this.ports.queries.ask(question, this.ports.otherGateways(stream.key), (others) => {
+      const soleVersions = [...result.soleVersions, ...others.soleVersions];
+      const answered = result.answered + others.answered;
+      const asked = result.asked + others.asked;
+      onResult(this.evaluate(stream, { origin: others.origin, soleVersions, answered, asked }));
     });
   }
 
