A backend that was seen to end continues no stream until it is announced again

A backend may start again under its name; until a gateway hears of the new start (as long as the store is away) it took the process for the announced version, whatever that runs. Nothing in an answer tells the version. Now a closed port, or the word of its agent that it ended (which also finds a restart between two probes), makes what follows there a version of its own: no stream of the announced version goes on there, and none that begins there goes on elsewhere. New requests go there as before. What is left: a request sent before anything of that was seen.

--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -7,6 +7,7 @@
 import type { Backend } from '../../routing/backend.js';
 import type { ResponseHead, AttemptFailure, AttemptHandle, CallerReply } from './attempt.js';
 import type { AttemptOutcome } from '../dispatch/backend-health.js';
+import type { SoftwareVersion } from '../../streams/software-version.js';
 import { AlternativeBackends } from './alternative-backends.js';
 import { AttemptProgress } from './attempt-progress.js';
 import type { ExitEvidence } from '../crashes/interrupted-runs.js';
@@ -199,7 +200,7 @@
         hasStarted: this.relay.hasStarted,
       },
       excluded: this.alternatives.excluded,
-      onPlaced: (backend, placedAtMs) => this.send(backend, placedAtMs),
+      onPlaced: (backend, placedAtMs, version) => this.send(backend, placedAtMs, version),
       onAbandoned: (reason) => this.failWait(reason),
     });
     this.wait.begin();
@@ -210,22 +211,23 @@
       this.replyWithFailure('zone-evacuated');
       return;
     }
-    const { hasAnyReady } = this.alternatives;
-    this.replyWithFailure(refusal ?? (hasAnyReady ? 'overloaded' : 'no-backend'));
+    this.replyWithFailure(refusal ?? (this.alternatives.hasAnyReady ? 'overloaded' : 'no-backend'));
   }
 
   /** Called before the first event is sent to the caller. */
   private bindStream(): void {
-    if (this.binding.bindTo(this.backend!)) {
-      this.ports.onStreamBegun(this.request, this.backend!);
+    const version = this.binding.bind();
+    if (version !== undefined) {
+      this.ports.onStreamBegun(this.request, this.backend!, version);
     }
   }
 
-  private send(backend: Backend, nowMs: number): void {
+  private send(backend: Backend, nowMs: number, version: SoftwareVersion): void {
     const { request, ports, relay } = this;
     const { lastEventId } = relay;
     this.phase = 'sent';
     this.backend = backend;
+    this.binding.noteSent(version);
     this.attempts += 1;
     const entry = ports.directory.find(backend.id);
     const { occupied = 0, distance = 'same-zone' } = entry ?? {};
--- a/src/gateway/attempt/request-model.ts
+++ b/src/gateway/attempt/request-model.ts
@@ -4,6 +4,7 @@
 import type { Backend } from '../../routing/backend.js';
 import type { Distance } from '../../routing/zone-topology.js';
 import type { Route } from '../../routing/configuration.js';
+import type { SoftwareVersion } from '../../streams/software-version.js';
 import type { BackendDirectory } from '../dispatch/backend-directory.js';
 import type { RunCrashTracker } from '../crashes/crashing-requests.js';
 import type { AcceptedRequest } from './accepted-request.js';
@@ -97,7 +98,7 @@
    * Called before the first event of a stream that its caller does not resume is sent to the
    * caller.
    */
-  onStreamBegun(request: AcceptedRequest, backend: Backend): void;
+  onStreamBegun(request: AcceptedRequest, backend: Backend, version: SoftwareVersion): void;
   /** Called once at the end of each attempt. */
   onTryOver(attempt: EndedAttempt): void;
   /** Called once at the end of the request. */
--- a/src/gateway/attempt/request-wait.ts
+++ b/src/gateway/attempt/request-wait.ts
@@ -68,9 +68,9 @@
       // After a move to another backend the request is not risked on a path that may also be lost.
       isRepeatable: isRepeatable(route) && excluded.size === 0,
       excluded,
-      onPlaced: (backend, nowMs) => {
+      onPlaced: (backend, nowMs, version) => {
         this.end();
-        onPlaced(backend, nowMs);
+        onPlaced(backend, nowMs, version);
       },
     };
   }
--- a/src/gateway/attempt/stream-binding.ts
+++ b/src/gateway/attempt/stream-binding.ts
@@ -1,6 +1,4 @@
 /** Binds a stream to the software version that began it, without I/O. */
-import type { Backend } from '../../routing/backend.js';
-import { softwareVersionOf } from '../../streams/software-version.js';
 import type { SoftwareVersion } from '../../streams/software-version.js';
 import type { PlacementConstraints } from '../dispatch/dispatch-request.js';
 import type { AcceptedRequest } from './accepted-request.js';
@@ -8,6 +6,7 @@
 /** The placement constraints of one request over all of its attempts. */
 export class StreamBinding implements PlacementConstraints {
   private version: SoftwareVersion | undefined;
+  private sentTo: SoftwareVersion | undefined;
 
   constructor(private readonly request: AcceptedRequest) {
     this.version = request.resumedVersion;
@@ -25,17 +24,22 @@
     return this.version;
   }
 
+  /** Records the version that the backend runs to which the request is sent. */
+  noteSent(version: SoftwareVersion): void {
+    this.sentTo = version;
+  }
+
   /**
-   * Binds the stream to the backend's version. Must be called before an event of the backend is
-   * sent to the caller; has no effect on a stream that is already bound.
+   * Binds the stream to the version that the last attempt was sent to. Must be called before an
+   * event of that attempt is sent to the caller; has no effect on a stream that is already bound.
    *
-   * @returns whether this call bound it
+   * @returns the version if this call bound it
    */
-  bindTo(backend: Backend): boolean {
+  bind(): SoftwareVersion | undefined {
     if (this.version !== undefined) {
-      return false;
+      return undefined;
     }
-    this.version = softwareVersionOf(backend);
-    return true;
+    this.version = this.sentTo;
+    return this.version;
   }
 }
--- a/src/gateway/dispatch/backend-directory.ts
+++ b/src/gateway/dispatch/backend-directory.ts
@@ -141,8 +141,7 @@
   /** Returns the backends that are ready and permitted for the request. */
   permitted(request: PlacementConstraints): KnownBackend[] {
     return this.ofService(request.service).filter(
-      ({ backend, isReady }) =>
-        isReady && restrictionForRequest(backend, request, this.ports) === undefined,
+      (known) => known.isReady && restrictionForRequest(known, request, this.ports) === undefined,
     );
   }
 
@@ -187,11 +186,12 @@
       versionUse: (backend) => ports.versionUse(backend),
     };
     let isAnyEvacuated = false;
-    for (const { backend, isReady } of this.ofService(request.service)) {
-      if (!isReady || restrictionForRequest(backend, request, withoutEvacuations) !== undefined) {
+    for (const known of this.ofService(request.service)) {
+      const reason = restrictionForRequest(known, request, withoutEvacuations);
+      if (!known.isReady || reason !== undefined) {
         continue;
       }
-      if (!ports.isEvacuated(backend.zone)) {
+      if (!ports.isEvacuated(known.backend.zone)) {
         return false;
       }
       isAnyEvacuated = true;
@@ -270,7 +270,7 @@
         known.cold.assumeCold('was-gone', nowMs);
       }
       known.cold.noteAnnouncement(backend.remainingColdMs, nowMs);
-      known.backend = backend;
+      known.applyAnnouncement(backend);
       known.isWithdrawn = false;
       known.unlistedAtMs = undefined;
     }
--- a/src/gateway/dispatch/backend-picker.ts
+++ b/src/gateway/dispatch/backend-picker.ts
@@ -255,10 +255,10 @@
    */
   restriction(
     request: PlacementConstraints,
-    { backend, agent }: KnownBackend,
+    known: KnownBackend,
   ): RequestRestrictionReason | undefined {
-    const reason = restrictionForRequest(backend, request, this.ports);
-    const isOutside = isOutsideAllowedRegions(agent?.homes, request.allowedRegions);
+    const reason = restrictionForRequest(known, request, this.ports);
+    const isOutside = isOutsideAllowedRegions(known.agent?.homes, request.allowedRegions);
     return reason ?? (isOutside ? 'outside-home' : undefined);
   }
 
--- a/src/gateway/dispatch/dispatch-request.ts
+++ b/src/gateway/dispatch/dispatch-request.ts
@@ -36,8 +36,8 @@
   readonly isRepeatable: boolean;
   /** Ids of backends that must not be used. */
   readonly excluded: ReadonlySet<string>;
-  /** Called once, when a backend is bound. */
-  onPlaced(backend: Backend, nowMs: number): void;
+  /** Called once, when a backend is bound, with the software version that it runs now. */
+  onPlaced(backend: Backend, nowMs: number, version: SoftwareVersion): void;
 }
 
 /** Returns the constraints of a request that any backend of the service may serve. */
--- a/src/gateway/dispatch/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -254,6 +254,7 @@
     }
     known.outstanding = Math.max(0, known.outstanding - 1);
     if (outcome === 'unreachable') {
+      known.noteProcessEnded();
       known.cold.assumeCold('was-gone', nowMs);
     }
     if (known.health.noteOutcome(outcome, nowMs)) {
@@ -373,6 +374,7 @@
       known.agent.homes = message.homes;
       known.agent.grantsOnly = message.grantsOnly;
       if (message.hasEnded === true) {
+        known.noteProcessEnded();
         this.ports.onEnded?.(backendId);
       }
       this.noteAvailability(known, known.agent, message.availability, nowMs);
@@ -492,7 +494,7 @@
       this.ports.coldStarts.noteStart(known, nowMs);
     }
     this.ports.onSent(known.backend);
-    request.onPlaced(known.backend, nowMs);
+    request.onPlaced(known.backend, nowMs, known.softwareVersion);
   }
 
   private queueOf(service: string): ServiceQueue {
--- a/src/gateway/dispatch/known-backend.ts
+++ b/src/gateway/dispatch/known-backend.ts
@@ -7,6 +7,8 @@
 import { RoundTripEstimate } from '../../round-trip.js';
 import type { AgentRegionInfo, SpeedEstimates } from '../../slot-agent/slot-messages.js';
 import { FailureEstimate } from '../../slot-agent/failure-estimate.js';
+import { softwareVersionOf } from '../../streams/software-version.js';
+import type { SoftwareVersion } from '../../streams/software-version.js';
 import { BackendCondition } from '../statements/backend-condition.js';
 import { BackendHealth } from './backend-health.js';
 import { EngineSpeed } from './engine-speed.js';
@@ -83,6 +85,8 @@
   hasEnded = false;
   /** Whether it has ended, or a later incarnation was announced at its address. */
   isReplaced = false;
+  /** How often its process was seen to end since its announcement. */
+  private restarts = 0;
   private learnedMsPerUnit: number | undefined;
   private readonly ownFailureRate = new FailureEstimate();
 
@@ -116,6 +120,27 @@
     this.agentAwaitedUntilMs = 0;
   }
 
+  /** Version of the software that the process at its address runs, as far as it is known. */
+  get softwareVersion(): SoftwareVersion {
+    return softwareVersionOf(this.backend, this.restarts);
+  }
+
+  /**
+   * Records that its process has ended. If it responds again without a new announcement, it may run
+   * other software.
+   */
+  noteProcessEnded(): void {
+    this.restarts += 1;
+  }
+
+  /** Applies a new announcement. */
+  applyAnnouncement(backend: Backend): void {
+    this.backend = backend;
+    if (backend.bornAtMs === undefined) {
+      this.restarts = 0;
+    }
+  }
+
   /** Whether it is listed and the latest incarnation at its address. */
   get isCurrent(): boolean {
     return this.unlistedAtMs === undefined && !this.isReplaced;
--- a/src/gateway/dispatch/request-restriction.ts
+++ b/src/gateway/dispatch/request-restriction.ts
@@ -1,9 +1,8 @@
 /** Decides whether a request may be sent to a backend, by operator rules and by its stream. */
 import { restrictionOf } from '../../routing/backend-restriction.js';
 import type { OperatorRules, RestrictionReason } from '../../routing/backend-restriction.js';
-import type { Backend } from '../../routing/backend.js';
-import { softwareVersionOf } from '../../streams/software-version.js';
 import type { PlacementConstraints } from './dispatch-request.js';
+import type { KnownBackend } from './known-backend.js';
 
 /** Why a request may not be sent to a backend. */
 export type RequestRestrictionReason =
@@ -12,15 +11,15 @@
   | 'other-version';
 
 /**
- * Returns why the request may not be sent to `backend`; undefined where it may. A version that a
+ * Returns why the request may not be sent to a backend; undefined where it may. A version that a
  * rollout has closed to new requests still continues the streams that it began.
  */
 export function restrictionForRequest(
-  backend: Backend,
+  { backend, softwareVersion }: Pick<KnownBackend, 'backend' | 'softwareVersion'>,
   { allowedRegions, requiredVersion }: PlacementConstraints,
   rules: OperatorRules,
 ): RequestRestrictionReason | undefined {
-  const isStreamVersion = requiredVersion === softwareVersionOf(backend);
+  const isStreamVersion = requiredVersion === softwareVersion;
   if (requiredVersion !== undefined && !isStreamVersion) {
     return 'other-version';
   }
--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -133,7 +133,8 @@
       chargeRetry: (request, onResult) =>
         this.charge(request, ({ isGranted }) => onResult(isGranted)),
       onStatement: dependencies.onStatement,
-      onStreamBegun: (request, backend) => dependencies.streams.recordBegin(request, backend),
+      onStreamBegun: (request, backend, version) =>
+        dependencies.streams.recordBegin(request, backend, version),
       onTryOver: dependencies.onTryOver,
       onEnd: (request, end) => this.handleEnd(request, end),
     };
--- a/src/gateway/gateway-streams.ts
+++ b/src/gateway/gateway-streams.ts
@@ -10,8 +10,10 @@
 import type { PeerMessage } from '../cluster/peer-messages.js';
 import type { Backend } from '../routing/backend.js';
 import { softwareVersionOf } from '../streams/software-version.js';
+import type { SoftwareVersion } from '../streams/software-version.js';
 import type {
   HoldStreamOrigin,
+  StreamOrigin,
   StreamOriginAnswer,
   StreamOriginQuery,
   StreamOriginReport,
@@ -127,11 +129,11 @@
   /** Observes which versions exist; to be called on each tick once the records are known. */
   observeVersions(): void {
     const nowMs = this.dependencies.clock.now();
-    const backends = this.dependencies.directory
+    const existing = this.dependencies.directory
       .list()
       .filter(({ unlistedAtMs }) => nowMs - (unlistedAtMs ?? nowMs) <= UNLISTED_LIFE_MS)
-      .map(({ backend }) => backend);
-    this.history.observe(backends, nowMs);
+      .map(({ backend }) => ({ service: backend.service, version: softwareVersionOf(backend) }));
+    this.history.observe(existing, nowMs);
   }
 
   /** Drops expired origins; to be called periodically. */
@@ -140,14 +142,19 @@
   }
 
   /** Records that a stream begins at a backend; called before its first event is sent. */
-  recordBegin({ streamKey, resumableForMs }: AcceptedRequest, backend: Backend): void {
+  recordBegin(
+    { streamKey, resumableForMs }: AcceptedRequest,
+    { service, address }: Backend,
+    version: SoftwareVersion,
+  ): void {
     if (streamKey === undefined) {
       return;
     }
-    const origin = { service: backend.service, version: softwareVersionOf(backend) };
-    const report = { key: streamKey, ...origin, ageMs: 0, expiresInMs: resumableForMs };
+    const report = { key: streamKey, service, version, ageMs: 0, expiresInMs: resumableForMs };
     this.hold(report);
-    this.copyToHolders(report, splitAddress(backend.address).host);
+    // A process that restarted unannounced has a version that `observeVersions` does not list.
+    this.history.observe([report], this.dependencies.clock.now());
+    this.copyToHolders(report, splitAddress(address).host);
   }
 
   /**
@@ -219,7 +226,7 @@
   /** Extends the time for which the origin is held, since the caller may return once more. */
   private keepOrigin(
     { streamKey, resumedRequestId, resumableForMs }: AcceptedRequest,
-    { service, version }: { service: string; version: StreamOriginReport['version'] },
+    { service, version }: StreamOrigin,
     ageMs: number,
   ): void {
     if (streamKey === undefined || resumedRequestId === undefined) {
--- a/src/gateway/streams/version-history.ts
+++ b/src/gateway/streams/version-history.ts
@@ -4,10 +4,8 @@
  * If a service had one version for the whole time in which a stream can have begun, the stream's
  * version is known even if its origin is held by no process.
  */
-import type { Backend } from '../../routing/backend.js';
-import { softwareVersionOf } from '../../streams/software-version.js';
 import type { SoftwareVersion } from '../../streams/software-version.js';
-import type { SoleVersion } from '../../streams/stream-origin.js';
+import type { SoleVersion, StreamOrigin } from '../../streams/stream-origin.js';
 
 /** How long a version is remembered after its last backend was seen, in milliseconds. */
 const RETENTION_MS = 600_000;
@@ -24,11 +22,11 @@
   private readonly services = new Map<string, ServiceHistory>();
   private observingSinceMs: number | undefined;
 
-  /** Records the backends that exist now; to be called periodically once the records are known. */
-  observe(backends: readonly Backend[], nowMs: number): void {
+  /** Records the versions that exist now; to be called periodically once the records are known. */
+  observe(existing: readonly StreamOrigin[], nowMs: number): void {
     this.observingSinceMs ??= nowMs;
-    for (const backend of backends) {
-      this.historyOf(backend.service).lastSeenAtMs.set(softwareVersionOf(backend), nowMs);
+    for (const { service, version } of existing) {
+      this.historyOf(service).lastSeenAtMs.set(version, nowMs);
     }
     for (const { lastSeenAtMs } of this.services.values()) {
       for (const [version, atMs] of lastSeenAtMs) {
--- a/src/streams/software-version.ts
+++ b/src/streams/software-version.ts
@@ -15,11 +15,17 @@
 /**
  * Returns the software version of a backend. One that announces none counts as a version of its
  * own, since nothing shows that another backend runs the same software.
+ *
+ * @param restarts - how often its process was seen to end since its announcement; each process that
+ *   follows without an announcement counts as a version of its own too
  */
-export function softwareVersionOf({
-  id,
-  version,
-}: Pick<Backend, 'id' | 'version'>): SoftwareVersion {
-  const text = version === '' ? `${UNANNOUNCED_PREFIX}${id}` : `${ANNOUNCED_PREFIX}${version}`;
+export function softwareVersionOf(
+  { id, version }: Pick<Backend, 'id' | 'version'>,
+  restarts = 0,
+): SoftwareVersion {
+  const isAnnounced = version !== '' && restarts === 0;
+  const text = isAnnounced
+    ? `${ANNOUNCED_PREFIX}${version}`
+    : `${UNANNOUNCED_PREFIX}${id}#${restarts}`;
   return text as SoftwareVersion;
 }
--- a/test/stream-faults.test.ts
+++ b/test/stream-faults.test.ts
@@ -157,9 +157,9 @@
     seed: 8,
     inject: ({ streams, directory }) => {
       const recordBegin = streams.recordBegin.bind(streams);
-      streams.recordBegin = (request, backend) => {
+      streams.recordBegin = (request, backend, version) => {
         ADDRESSES.set(request.streamKey!, backend.address);
-        recordBegin(request, backend);
+        recordBegin(request, backend, version);
       };
       const resume = streams.resume.bind(streams);
       streams.resume = (request, onDecision) =>
--- a/test/stream-resumption.test.ts
+++ b/test/stream-resumption.test.ts
@@ -88,7 +88,7 @@
   t.deepEqual(world.begunStreams, []);
   handlers.onData(Buffer.from(EVENT_1));
   t.deepEqual(begun, ['q']);
-  streams.recordBegin(resumptionOf(world), world.attempts[0]!.backend);
+  streams.recordBegin(resumptionOf(world), world.attempts[0]!.backend, V1);
   const zones = sent.map(([address]) => (address === 'p1' ? 'z1' : 'z2')).sort();
   t.deepEqual(zones, ['z1', 'z2']);
   t.false(sent.some(([address]) => address === 'p0'));
--- a/test/stream-versions.test.ts
+++ b/test/stream-versions.test.ts
@@ -176,3 +176,39 @@
   t.deepEqual(reply.headers.slice(0, 2), ['retry-after-ms', '0']);
   t.is(world.requestEnds[0]?.reason, 'stream-unavailable');
 });
+
+test('a backend that was seen to end continues no stream until it is announced again', (t) => {
+  const { world, reply, handlers } = streamAt(backendOf('b', { version: 'v1', bornAtMs: 1 }));
+  world.dispatcher.finish('b', 'unreachable', 0);
+  handlers.onFailure(RESET_FAILURE);
+  t.deepEqual(backendIds(world), ['a']);
+  t.true(reply.isAborted);
+});
+
+test('a stream of a process that restarted unannounced is not taken for one of the announced version', (t) => {
+  const world = new GatewayHarness(backendOf('a', { version: 'v1', bornAtMs: 1 }));
+  world.engines = true;
+  world.dispatcher.connectAgent('a', 0);
+  const state = {
+    kind: 'state',
+    occupied: 0,
+    messagesSeen: 0,
+    speed: {},
+    failureShare: 0,
+  } as const;
+  const receive = (availability: 'closed' | 'open', hasEnded: boolean) =>
+    world.dispatcher.receiveFromAgent('a', { ...state, availability, hasEnded }, 0);
+  receive('closed', true);
+  receive('open', false);
+  world.dispatcher.updateBackend('b', backendOf('b', { version: 'v1' }), 0);
+  world.directory.find('b')!.outstanding = 2;
+  const { reply } = world.request({ route: RESUMABLE });
+  const { backend, handlers } = world.attempts[0]!;
+  t.is(backend.id, 'a');
+  world.directory.find('b')!.outstanding = 0;
+  handlers.onHead(HEAD);
+  handlers.onData(Buffer.from(EVENT_1));
+  handlers.onFailure(RESET_FAILURE);
+  t.is(world.attempts.length, 1);
+  t.true(reply.isAborted);
+});
