--- a/bench/soak/soak-fleet.ts
+++ b/bench/soak/soak-fleet.ts
@@ -86,6 +86,9 @@
   }
 }
 
+/** Software versions that serve side by side. */
+const SOAK_VERSIONS = ['v1', 'v2'] as const;
+
 /** Downtime of a backend that restarts under its name, in milliseconds. */
 const RESTART_DOWNTIME_MS = 700;
 
@@ -222,10 +225,10 @@
   /** Writes the announcement of a backend to the store. */
   announce(index: number, state: 'ready' | 'draining'): void {
     const address = `${backendHost(index)}:${this.basePort + PORTS.backend}`;
-    const { id, bornAtMs, coldUntilMs } = this.backends[index]!;
+    const { id, bornAtMs, coldUntilMs, version } = this.backends[index]!;
     const coldRemainingMs = Math.max(0, Math.round(coldUntilMs - performance.now()));
     const zone = zoneOf(index);
-    const fields = { service: 'engines', slots: 6, state, zone, coldRemainingMs };
+    const fields = { service: 'engines', version, slots: 6, state, zone, coldRemainingMs };
     this.store.announce(id, { address, ...fields, born: bornAtMs });
   }
 
@@ -274,6 +277,7 @@
     if (this.replacementCount % 2 === 0) {
       this.store.remove(`servers/${backend.id}`);
       backend.id = `${backend.id}x`;
+      backend.version = SOAK_VERSIONS.find((version) => version !== backend.version)!;
       this.startIncarnation(index);
       return;
     }
@@ -294,6 +298,7 @@
   private async startBackend(index: number): Promise<void> {
     const isLinkHealthy = () => this.backendProxies[index]?.behavior === 'passes';
     const backend = new SoakBackend(`e-${index}`, this.random, this.onExecution, isLinkHealthy);
+    backend.version = SOAK_VERSIONS[index % SOAK_VERSIONS.length]!;
     await backend.start(backendHost(index), this.basePort + PORTS.real);
     const proxy = new LoopbackProxy(backendHost(index), this.basePort + PORTS.real);
     await proxy.start(backendHost(index), this.basePort + PORTS.backend);
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -11,6 +11,7 @@
 import { findOutsideRegions } from '../bench/soak/soak-regions.js';
 import { findLateRoute } from '../bench/soak/soak-routes.js';
 import { isServable } from '../bench/soak/soak-servable.js';
+import { findBrokenStreams } from '../bench/soak/soak-streams.js';
 import { findIgnoredStatements } from '../bench/soak/soak-statements.js';
 import type { SoakStatement } from '../bench/soak/soak-statements.js';
 import type { ObservedRequest } from '../bench/soak/soak-run.js';
@@ -228,3 +229,31 @@
   t.deepEqual(findLateRoute({ ...check, added: unknown }, 4_500), []);
   t.deepEqual(findLateRoute({ ...check, added: unknown, sentAtMs: 3_000 }, 0), []);
 });
+
+function streamOf(id: string, body: string, changes: Partial<ObservedRequest> = {}) {
+  return { ...SERVED_REQUEST, id, kind: 'stream', body, ...changes } as ObservedRequest;
+}
+
+function eventsOf(stream: string, from: number, to: number, version: string): string {
+  return Array.from(
+    { length: to - from + 1 },
+    (_none, index) => `id: ${from + index}\ndata: ${stream} ${version}\n\n`,
+  ).join('');
+}
+
+test('the check of streams detects joined versions, gaps, streams of others and early ends', (t) => {
+  const broken = streamOf('c', eventsOf('c', 1, 4, 'v1'), { status: 0 });
+  const resumes = { firstId: 'c', afterEvent: 4 };
+  const resumed = (body: string) => streamOf('r', body, { resumes });
+  t.deepEqual(findBrokenStreams([broken, resumed(eventsOf('c', 5, 8, 'v1'))]), []);
+  const cases: Array<[ObservedRequest[], RegExp]> = [
+    [[broken, resumed(eventsOf('c', 5, 8, 'v2'))], /events of versions v1 and v2/],
+    [[streamOf('c', eventsOf('c', 1, 4, 'v1') + eventsOf('c', 5, 8, 'v2'))], /v1 and v2/],
+    [[broken, resumed(eventsOf('c', 4, 8, 'v1'))], /holds events 1,2,3,4,4/],
+    [[streamOf('c', eventsOf('o', 1, 8, 'v1'))], /not its own/],
+    [[streamOf('c', eventsOf('c', 1, 7, 'v1'))], /ended after 7/],
+  ];
+  for (const [observed, expected] of cases) {
+    t.regex(findBrokenStreams(observed)[0]!, expected);
+  }
+});
