Soak: a running stream keeps the version of its process; versions are compared only where needed

A run keeps its version now. A run of bench/streams whose predecessor was ended by a signal met its processes on the same ports; the program ends them now.

From reading the diff: a candidate's version was built for each choice of a backend, also where no stream is bound; it is read only there. Versions are observed every third tick. stream-resumed is a line of success where the stream goes on.

--- a/bench/soak/soak-backend.ts
+++ b/bench/soak/soak-backend.ts
@@ -35,6 +35,15 @@
   return `answer to ${requestId}`;
 }
 
+/** One run of a stream at a backend. */
+interface StreamRun {
+  readonly stream: string;
+  /** Version of the process that runs it. */
+  readonly version: string;
+  /** Whether the connection is reset in the middle of the response. */
+  readonly isCut: boolean;
+}
+
 /** A simulated backend. */
 export class SoakBackend {
   readonly faults: BackendFaults = { refuses: 0, loses: 0, breaks: 0 };
@@ -156,7 +165,9 @@
       const from = Number(request.headers['last-event-id'] ?? 0);
       response.writeHead(200, { 'Content-Type': 'text/event-stream' });
       const stream = (request.url ?? '').split('/').at(-1)!;
-      this.stream(response, stream, from + 1, isCut);
+      // A process that replaces this one has no connections of it.
+      const run = { stream, version: this.version, isCut };
+      this.stream(response, run, from + 1);
       return;
     }
     setTimeout(() => {
@@ -170,7 +181,7 @@
     }, SERVICE_MS);
   }
 
-  private stream(response: ServerResponse, stream: string, number: number, isCut: boolean): void {
+  private stream(response: ServerResponse, run: StreamRun, number: number): void {
     if (response.destroyed) {
       return;
     }
@@ -178,12 +189,12 @@
       response.end();
       return;
     }
-    const event = `id: ${number}\ndata: ${stream} ${this.version}\n\n`;
-    if (isCut && number === STREAM_EVENTS / 2) {
+    const event = `id: ${number}\ndata: ${run.stream} ${run.version}\n\n`;
+    if (run.isCut && number === STREAM_EVENTS / 2) {
       response.write(event.slice(0, 6), () => response.socket?.resetAndDestroy());
       return;
     }
     response.write(event);
-    setTimeout(() => this.stream(response, stream, number + 1, isCut), EVENT_INTERVAL_MS);
+    setTimeout(() => this.stream(response, run, number + 1), EVENT_INTERVAL_MS);
   }
 }
--- a/bench/streams.ts
+++ b/bench/streams.ts
@@ -20,6 +20,9 @@
   .option('--port <base>', 'first port', '25000');
 program.parse();
 const options = program.opts<Record<string, string | boolean>>();
+// The processes that a run started are ended when this one exits.
+process.once('SIGTERM', () => process.exit(1));
+process.once('SIGINT', () => process.exit(1));
 let failed = 0;
 for (const row of String(options['rows']).split(',')) {
   for (let run = 0; run < Number(options['runs']); run += 1) {
--- a/src/gateway/dispatch/request-restriction.ts
+++ b/src/gateway/dispatch/request-restriction.ts
@@ -15,14 +15,14 @@
  * rollout has closed to new requests still continues the streams that it began.
  */
 export function restrictionForRequest(
-  { backend, softwareVersion }: Pick<KnownBackend, 'backend' | 'softwareVersion'>,
+  known: Pick<KnownBackend, 'backend' | 'softwareVersion'>,
   { allowedRegions, requiredVersion }: PlacementConstraints,
   rules: OperatorRules,
 ): RequestRestrictionReason | undefined {
-  const isStreamVersion = requiredVersion === softwareVersion;
-  if (requiredVersion !== undefined && !isStreamVersion) {
+  if (requiredVersion !== undefined && requiredVersion !== known.softwareVersion) {
     return 'other-version';
   }
-  const reason = restrictionOf(backend, allowedRegions, rules);
-  return reason === 'version-closed' && isStreamVersion ? undefined : reason;
+  const reason = restrictionOf(known.backend, allowedRegions, rules);
+  const continuesStream = requiredVersion !== undefined;
+  return reason === 'version-closed' && continuesStream ? undefined : reason;
 }
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -66,7 +66,10 @@
 }
 
 const MS_PER_S = 1_000;
-/** Interval at which the replica's progress is sent to agents, in ticks. */
+/**
+ * Interval at which the replica's progress is sent to agents and software versions are observed, in
+ * ticks.
+ */
 const AGENT_REACH_TICKS = 3;
 /** Interval at which expired state is removed and dropped log lines are reported, in ticks. */
 const MAINTENANCE_TICKS = 50;
@@ -350,11 +353,9 @@
     this.conditions.tick();
     this.evacuations.tick();
     this.rollouts.rollouts.tick();
-    if (this.configuration.table !== undefined) {
-      this.streams.observeVersions();
-    }
     if (this.ticks % AGENT_REACH_TICKS === 0) {
       this.links.broadcastReach();
+      this.observeVersions();
     }
     if (this.ticks % MAINTENANCE_TICKS === 0) {
       this.crashes.requests.evictExpired();
@@ -365,6 +366,12 @@
     }
   }
 
+  private observeVersions(): void {
+    if (this.configuration.table !== undefined) {
+      this.streams.observeVersions();
+    }
+  }
+
   /** Applies records in the order of `sortByApplyOrder`. */
   private applyRecords(records: readonly AppliedRecord[], source: RecordsSource): void {
     if (records.length === 0) {
--- a/src/gateway/gateway-streams.ts
+++ b/src/gateway/gateway-streams.ts
@@ -69,6 +69,15 @@
       readonly reason: 'stream-unknown' | 'stream-unavailable' | 'malformed-resumption';
     };
 
+/** Outcome of a resumption in the log and the metrics. */
+type ResumptionOutcome = OriginSource | 'unknown' | 'malformed' | 'service-left';
+
+const REFUSED_OUTCOMES: ReadonlySet<ResumptionOutcome> = new Set([
+  'unknown',
+  'malformed',
+  'service-left',
+]);
+const MS_PER_S = 1_000;
 /** Gateways in other zones that hold an origin besides the one that began the stream. */
 const GATEWAY_COPIES = 2;
 /** Slot agents that hold an origin, and those that do where too few gateways are connected. */
@@ -81,6 +90,7 @@
 const MAX_REQUEST_ID_LENGTH = 128;
 /** Visible ASCII without separators of header lists. */
 const REQUEST_ID = /^[!-+\--:<-~]+$/;
+/** Selects the processes that are asked if the caller named no stream. */
 const ANY_HOLDERS = '' as StreamKey;
 
 /** Records and finds the origins of streams. */
@@ -126,7 +136,7 @@
     return this.table.size;
   }
 
-  /** Observes which versions exist; to be called on each tick once the records are known. */
+  /** Observes which versions exist; to be called periodically once the records are known. */
   observeVersions(): void {
     const nowMs = this.dependencies.clock.now();
     const existing = this.dependencies.directory
@@ -294,16 +304,16 @@
 
   private report(
     { requestId, resumedRequestId, lastEventId, route, tenant }: AcceptedRequest,
-    outcome: OriginSource | 'unknown' | 'malformed' | 'service-left',
+    outcome: ResumptionOutcome,
     fields: Readonly<Record<string, unknown>> = {},
   ): void {
     const { log, metrics } = this.dependencies;
     metrics.record(({ streamResumptions }) => streamResumptions.inc({ outcome }));
     const { lookupMs } = fields;
     if (typeof lookupMs === 'number') {
-      metrics.record(({ streamLookupSeconds }) => streamLookupSeconds.observe(lookupMs / 1_000));
+      metrics.record(({ streamLookupSeconds }) => streamLookupSeconds.observe(lookupMs / MS_PER_S));
     }
-    log.write('stream-resumed', 'failure', {
+    log.write('stream-resumed', REFUSED_OUTCOMES.has(outcome) ? 'failure' : 'success', {
       request: requestId,
       resumes: resumedRequestId,
       afterEvent: lastEventId,
