--- a/test/stream-faults.test.ts
+++ b/test/stream-faults.test.ts
@@ -19,13 +19,13 @@
   return runStreamFaults({ backends: BACKENDS, lengthMs: LENGTH_MS, ...options });
 }
 
-for (const [gateways, to] of [
-  [3, 8],
-  [12, 4],
-  [27, 1],
+for (const [gateways, seeds] of [
+  [3, [1, 2, 3, 4, 5, 6, 7, 8, 56, 437]],
+  [12, [1, 2, 3, 4]],
+  [27, [1]],
 ] as const) {
   test(`no stream of ${gateways} gateways holds events of two versions during consecutive and overlapping faults`, async (t) => {
-    for (let seed = 1; seed <= to; seed += 1) {
+    for (const seed of seeds) {
       const { mixed, gaps } = await run({ seed, gateways });
       t.deepEqual([mixed, gaps], [[], []], `seed ${seed}`);
     }
--- a/test/support/stream-gateway.ts
+++ b/test/support/stream-gateway.ts
@@ -286,6 +286,8 @@
     }
     this.fleet.network.endProcess(this.host!);
     this.process = undefined;
+    this.pausedUntilMs = 0;
+    this.deferred = [];
     this.starts += 1;
     this.replies.forEach((reply) => reply.breakOff());
     this.replies.clear();
@@ -323,7 +325,8 @@
     if (start !== this.starts) {
       return;
     }
-    if (this.fleet.clock.now() < this.pausedUntilMs) {
+    // What arrives before the process has caught up after a pause is handled after the rest.
+    if (this.fleet.clock.now() < this.pausedUntilMs || this.deferred.length > 0) {
       this.deferred.push(() => this.runInStart(start, action));
     } else {
       action();
