Read as a newcomer: holders of origins have a module of their own

gateway-streams recorded origins, resumed streams, and also ranked holders, copied to them and built the senders of questions, three times the same closure. Ranking, copies and senders are origin-replication now; the other two stay. A field that nothing read (resumableForMs of ResumedStream) is gone. No behaviour changes; assertions stay, the variant of the zones reaches the rankings under their new owner.

--- a/src/gateway/gateway-streams.ts
+++ b/src/gateway/gateway-streams.ts
@@ -6,58 +6,35 @@
  */
 import { splitAddress } from '../address.js';
 import type { Clock } from '../clock.js';
-import type { OpenPeer } from '../cluster/peer-mesh.js';
-import type { PeerMessage } from '../cluster/peer-messages.js';
 import type { Backend } from '../routing/backend.js';
 import { softwareVersionOf } from '../streams/software-version.js';
 import type { SoftwareVersion } from '../streams/software-version.js';
 import type {
-  HoldStreamOrigin,
   StreamOrigin,
   StreamOriginAnswer,
   StreamOriginQuery,
   StreamOriginReport,
 } from '../streams/stream-origin.js';
 import { StreamOriginTable } from '../streams/stream-origin-table.js';
-import type { StreamKey } from '../streams/stream-key.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { AcceptedRequest } from './attempt/accepted-request.js';
 import type { BackendDirectory } from './dispatch/backend-directory.js';
 import type { StreamOriginExchange } from './links/gateway-peers.js';
-import type { SlotAgentLinks } from './links/slot-agent-links.js';
 import type { GatewayMetrics } from './metrics/gateway-metrics.js';
-import { OriginHolderRanking } from './streams/origin-holders.js';
-import type { OriginHolder } from './streams/origin-holders.js';
 import { OriginQueries } from './streams/origin-queries.js';
-import type { SendQuery } from './streams/origin-queries.js';
+import { OriginReplication } from './streams/origin-replication.js';
+import type { OriginReplicationPorts } from './streams/origin-replication.js';
 import { maxStreamAgeMs } from './streams/stream-lifetime.js';
 import { StreamResumptions } from './streams/stream-resumption.js';
 import type { OriginSource, Resolution } from './streams/stream-resumption.js';
 import { VersionHistory } from './streams/version-history.js';
 
-/** The other gateways, as far as `GatewayStreams` needs them. */
-export interface StreamPeers {
-  /** Increases whenever `openPeers` changes. */
-  readonly peerGeneration: number;
-  readonly openPeers: readonly OpenPeer[];
-  /** Number of known gateways, including this one. */
-  readonly size: number;
-  /** Whether the view of the store is stale. */
-  readonly isKnowledgeOld: boolean;
-  isPeerHeard(address: string): boolean;
-  sendTo(address: string, message: PeerMessage): boolean;
-}
-
 /** Dependencies of `GatewayStreams`. */
-export interface GatewayStreamsDependencies {
-  /** Zone of this gateway. */
-  readonly zone: string;
+export interface GatewayStreamsDependencies extends OriginReplicationPorts {
   readonly directory: Pick<BackendDirectory, 'list'>;
   readonly clock: Clock;
   readonly log: DecisionLog;
   readonly metrics: GatewayMetrics;
-  peers(): StreamPeers;
-  agents(): Pick<SlotAgentLinks, 'generation' | 'connectedAgents' | 'sendToHost'>;
 }
 
 /** How a stream that its caller resumes is handled. */
@@ -78,20 +55,11 @@
   'service-left',
 ]);
 const MS_PER_S = 1_000;
-/** Gateways in other zones that hold an origin besides the one that began the stream. */
-const GATEWAY_COPIES = 2;
-/** Slot agents that hold an origin, and those that do where too few gateways are connected. */
-const AGENT_COPIES = 1;
-const AGENT_COPIES_WITHOUT_GATEWAYS = 2;
-/** Processes of each kind that are asked for an origin, from the first of their ranking. */
-const HOLDERS_ASKED = 4;
 /** Time for which a backend that is no longer listed may still serve, in milliseconds. */
 const UNLISTED_LIFE_MS = 30_000;
 const MAX_REQUEST_ID_LENGTH = 128;
 /** Visible ASCII without separators of header lists. */
 const REQUEST_ID = /^[!-+\--:<-~]+$/;
-/** Selects the processes that are asked if the caller named no stream. */
-const ANY_HOLDERS = '' as StreamKey;
 
 /** Records and finds the origins of streams. */
 export class GatewayStreams implements StreamOriginExchange {
@@ -99,31 +67,19 @@
   private readonly history = new VersionHistory();
   private readonly queries: OriginQueries;
   private readonly resumptions: StreamResumptions;
-  private readonly gatewayRanking: OriginHolderRanking;
-  private readonly agentRanking: OriginHolderRanking;
+  private readonly replication: OriginReplication;
 
   constructor(private readonly dependencies: GatewayStreamsDependencies) {
-    const { clock, peers, agents } = dependencies;
+    const { clock, peers } = dependencies;
     this.queries = new OriginQueries(clock);
-    this.gatewayRanking = new OriginHolderRanking({
-      get generation() {
-        return peers().peerGeneration;
-      },
-      list: () => peers().openPeers,
-    });
-    this.agentRanking = new OriginHolderRanking({
-      get generation() {
-        return agents().generation;
-      },
-      list: () => agents().connectedAgents.map(({ host, zone }) => ({ address: host, zone })),
-    });
+    this.replication = new OriginReplication(dependencies);
     this.resumptions = new StreamResumptions(
       {
         table: this.table,
         history: this.history,
         queries: this.queries,
-        holdersOf: (key) => this.sendersToHolders(key ?? ANY_HOLDERS),
-        otherGateways: (key) => this.sendersToOtherGateways(key),
+        holdersOf: (key) => this.replication.sendersToHolders(key),
+        otherGateways: (key) => this.replication.sendersToOtherGateways(key),
         countGateways: () => peers().size,
         isKnowledgeOld: () => peers().isKnowledgeOld,
       },
@@ -164,7 +120,7 @@
     this.hold(report);
     // A process that restarted unannounced has a version that `observeVersions` does not list.
     this.history.observe([report], this.dependencies.clock.now());
-    this.copyToHolders(report, splitAddress(address).host);
+    this.replication.replicate(report, splitAddress(address).host);
   }
 
   /**
@@ -184,7 +140,6 @@
       key: resumedRequestId === undefined ? undefined : request.streamKey,
       services: services.map(({ service }) => service),
       maxAgeMs: maxStreamAgeMs(route),
-      resumableForMs: request.resumableForMs,
     };
     this.resumptions.resolve(stream, (resolution) => {
       const lookupMs = this.dependencies.clock.now() - startedAtMs;
@@ -244,62 +199,7 @@
     }
     const report = { key: streamKey, service, version, ageMs, expiresInMs: resumableForMs };
     this.hold(report);
-    this.copyToHolders(report, '');
-  }
-
-  private copyToHolders(origin: StreamOriginReport, servingHost: string): void {
-    const { zone, peers, agents } = this.dependencies;
-    const message: HoldStreamOrigin = { kind: 'stream-began', origin };
-    const gateways = this.gatewayRanking
-      .rank(origin.key)
-      .filter(({ address }) => peers().isPeerHeard(address));
-    const inOtherZones = gateways.filter((gateway) => gateway.zone !== zone);
-    const gatewayCopies = sendCopies(
-      [...inOtherZones, ...gateways.filter((gateway) => gateway.zone === zone)],
-      GATEWAY_COPIES,
-      ({ address }) => peers().sendTo(address, message),
-    );
-    // The machine that serves the stream may be lost together with this gateway.
-    const elsewhere = this.agentRanking
-      .rank(origin.key)
-      .filter(({ address }) => address !== servingHost);
-    sendCopies(
-      elsewhere,
-      gatewayCopies < GATEWAY_COPIES ? AGENT_COPIES_WITHOUT_GATEWAYS : AGENT_COPIES,
-      ({ address }) => agents().sendToHost(address, message),
-    );
-  }
-
-  private sendersToHolders(key: StreamKey): SendQuery[] {
-    const { peers, agents } = this.dependencies;
-    const gateways = this.gatewayRanking.rank(key).slice(0, HOLDERS_ASKED);
-    const slotAgents = this.agentRanking.rank(key).slice(0, HOLDERS_ASKED);
-    return [
-      ...gateways.map(
-        ({ address }): SendQuery =>
-          (query) =>
-            peers().sendTo(address, query),
-      ),
-      ...slotAgents.map(
-        ({ address }): SendQuery =>
-          (query) =>
-            agents().sendToHost(address, query),
-      ),
-    ];
-  }
-
-  /** Returns senders to the gateways that `sendersToHolders` leaves out. */
-  private sendersToOtherGateways(key: StreamKey): SendQuery[] {
-    const { peers } = this.dependencies;
-    const asked = this.gatewayRanking.rank(key).slice(0, HOLDERS_ASKED);
-    const askedAddresses = new Set(asked.map(({ address }) => address));
-    return peers()
-      .openPeers.filter(({ address }) => !askedAddresses.has(address))
-      .map(
-        ({ address }): SendQuery =>
-          (query) =>
-            peers().sendTo(address, query),
-      );
+    this.replication.replicate(report, undefined);
   }
 
   private report(
@@ -325,22 +225,6 @@
   }
 }
 
-/** Sends to holders in order until `count` of them are connected; returns how many were. */
-function sendCopies(
-  holders: readonly OriginHolder[],
-  count: number,
-  send: (holder: OriginHolder) => boolean,
-): number {
-  let sent = 0;
-  for (const holder of holders) {
-    if (sent >= count) {
-      break;
-    }
-    sent += send(holder) ? 1 : 0;
-  }
-  return sent;
-}
-
 function isRequestId(text: string): boolean {
   return text.length <= MAX_REQUEST_ID_LENGTH && REQUEST_ID.test(text);
 }
--- a/src/gateway/streams/stream-resumption.ts
+++ b/src/gateway/streams/stream-resumption.ts
@@ -24,8 +24,6 @@
   readonly services: readonly string[];
   /** Longest time since the stream began, in milliseconds. */
   readonly maxAgeMs: number;
-  /** How long the caller may still resume it, in milliseconds. */
-  readonly resumableForMs: number;
 }
 
 /** Result of a resolution; `unknown` if the origin cannot be determined. */
--- a/test/stream-faults.test.ts
+++ b/test/stream-faults.test.ts
@@ -48,6 +48,12 @@
 const SHARE_CASES: readonly ShareCase[] = [
   { name: 'without faults', options: { faults: [] }, share: 0.99 },
   { name: 'while the store is away', options: { faults: ['stopStore'] }, share: 0.99 },
+  { name: 'while gateways are paused', options: { faults: ['pauseGateway'] }, share: 0.9 },
+  {
+    name: 'while gateways are cut off from each other',
+    options: { faults: ['cutGateway'] },
+    share: 0.9,
+  },
   {
     name: 'while one of twelve gateways is killed at a time',
     options: { faults: ['killGateway'], faultGapMs: [300, 900], cutShare: 0 },
@@ -104,8 +110,10 @@
 /** Private members of a gateway process that select the holders of origins. */
 interface HolderInternals {
   readonly streams: {
-    readonly gatewayRanking: Pick<OriginHolderRanking, 'rank'>;
-    readonly agentRanking: Pick<OriginHolderRanking, 'rank'>;
+    readonly replication: {
+      readonly gatewayRanking: Pick<OriginHolderRanking, 'rank'>;
+      readonly agentRanking: Pick<OriginHolderRanking, 'rank'>;
+    };
   };
 }
 
@@ -210,11 +218,12 @@
 
 test('the check detects the fault: origins are held only in the zone of their gateway', async (t) => {
   const { resumed, continued } = await runShareCase(ZONE_KILLS, (process) => {
-    const { streams } = process as unknown as HolderInternals;
-    const rank = streams.gatewayRanking.rank.bind(streams.gatewayRanking);
+    const { gatewayRanking, agentRanking } = (process as unknown as HolderInternals).streams
+      .replication;
+    const rank = gatewayRanking.rank.bind(gatewayRanking);
     const { zone } = process.machine;
-    streams.gatewayRanking.rank = (key) => rank(key).filter((holder) => holder.zone === zone);
-    streams.agentRanking.rank = () => [];
+    gatewayRanking.rank = (key) => rank(key).filter((holder) => holder.zone === zone);
+    agentRanking.rank = () => [];
   });
   t.true(continued < resumed * 0.9, `${continued} of ${resumed}`);
 });
--- a/test/support/stream-gateway.ts
+++ b/test/support/stream-gateway.ts
@@ -13,7 +13,7 @@
 import { Dispatcher } from '../../src/gateway/dispatch/dispatcher.js';
 import { GatewayRequests } from '../../src/gateway/gateway-requests.js';
 import { GatewayStreams } from '../../src/gateway/gateway-streams.js';
-import type { StreamPeers } from '../../src/gateway/gateway-streams.js';
+import type { StreamPeers } from '../../src/gateway/streams/origin-replication.js';
 import type { GatewayMetrics } from '../../src/gateway/metrics/gateway-metrics.js';
 import { NO_STATEMENT } from '../../src/gateway/statements/backend-statement.js';
 import type { OperatorRules } from '../../src/routing/backend-restriction.js';
