Constants of the streams: each trips a check when it is broken

By reading: nothing was claimed to be forgotten after ten minutes, so a route with a longer time-out could have taken a forgotten version for never seen. The time covered ends there now (its test failed before).

--- a/src/gateway/streams/version-history.ts
+++ b/src/gateway/streams/version-history.ts
@@ -7,7 +7,10 @@
 import type { SoftwareVersion } from '../../streams/software-version.js';
 import type { SoleVersion, StreamOrigin } from '../../streams/stream-origin.js';
 
-/** How long a version is remembered after its last backend was seen, in milliseconds. */
+/**
+ * How long a version is remembered after its last backend was seen, in milliseconds; nothing is
+ * claimed of any earlier time.
+ */
 const RETENTION_MS = 600_000;
 
 interface ServiceHistory {
@@ -52,7 +55,7 @@
     const soleSinceMs = Math.max(knownSinceMs, previous?.[1] ?? -Infinity);
     return {
       version: newest[0],
-      coveredMs: nowMs - soleSinceMs,
+      coveredMs: Math.min(nowMs - soleSinceMs, RETENTION_MS),
       otherVersionAgeMs: previous && nowMs - previous[1],
     };
   }
--- a/test/stream-resumption.test.ts
+++ b/test/stream-resumption.test.ts
@@ -2,6 +2,7 @@
 import { isResumption } from '../src/gateway/admission/caller-protocol.js';
 import { GatewayStreams } from '../src/gateway/gateway-streams.js';
 import type { ResumptionDecision } from '../src/gateway/gateway-streams.js';
+import { VersionHistory } from '../src/gateway/streams/version-history.js';
 import { resumableForMs } from '../src/gateway/streams/stream-lifetime.js';
 import type { PeerMessage } from '../src/cluster/peer-messages.js';
 import type { DecisionLog } from '../src/telemetry/decision-log.js';
@@ -202,6 +203,16 @@
   t.is(table.size, 1);
   ['c', 'd', 'e'].forEach((id) => hold(id, 1_000));
   t.deepEqual([table.size, table.find(keyOf('b'), 0)], [3, undefined]);
+  hold('stated far too long', 1e9);
+  t.is(table.find(keyOf('stated far too long'), 300_000), undefined);
+});
+
+test('no claim is made about versions of a time that is no longer remembered', (t) => {
+  const history = new VersionHistory();
+  const existing = [{ service: 's', version: V1 }];
+  history.observe(existing, 0);
+  history.observe(existing, 3_600_000);
+  t.is(history.soleVersion('s', 3_600_000)?.coveredMs, 600_000);
 });
 
 test('an origin is held as long as its caller waits, and at most four timeouts of its route', (t) => {
@@ -229,3 +240,35 @@
   t.true(reply.isEnded);
   t.false(other.isEnded);
 });
+
+test('a version whose last backend was just removed from the list keeps a stream of unknown origin from continuing', async (t) => {
+  const world = new GatewayHarness(backendOf('a'), backendOf('b', { version: 'v2' }));
+  const { streams } = streamsOf(world, []);
+  await observe(world, streams, 6_000);
+  world.dispatcher.updateBackend('b', undefined, world.clock.now());
+  // Longer than a stream can exist: the backend may still serve for a while.
+  await observe(world, streams, 5_000);
+  const early: ResumptionDecision[] = [];
+  streams.resume(resumptionOf(world), (one) => early.push(one));
+  t.is(early[0]?.kind, 'refuse');
+  await observe(world, streams, 27_000);
+  const soonAfterItsEnd: ResumptionDecision[] = [];
+  streams.resume(resumptionOf(world), (one) => soonAfterItsEnd.push(one));
+  t.is(soonAfterItsEnd[0]?.kind, 'refuse');
+  await observe(world, streams, 3_000);
+  const later: ResumptionDecision[] = [];
+  streams.resume(resumptionOf(world), (one) => later.push(one));
+  t.is(later[0]?.kind, 'continue');
+});
+
+test('a stream of unknown origin is refused at once while too many queries are in progress', async (t) => {
+  const world = new GatewayHarness(backendOf('a'), backendOf('b', { version: 'v2' }));
+  const { streams, sent } = streamsOf(world, [{ address: 'p1', zone: 'z1' }]);
+  await observe(world, streams, 100);
+  let refused = 0;
+  for (let index = 0; index < 300; index += 1) {
+    const named = { resumedRequestId: `r${index}`, streamKey: keyOf(`r${index}`) };
+    streams.resume(resumptionOf(world, named), () => (refused += 1));
+  }
+  t.deepEqual([refused, sent.length], [44, 256]);
+});
