--- a/review/lib/losses.mjs
+++ b/review/lib/losses.mjs
@@ -11,13 +11,13 @@
   answers = [];
   workersById = new Map();
 
-  constructor(record, faultyWorker) {
-    Object.assign(this, { record, faultyWorker });
+  constructor(record, faultyWorkers) {
+    Object.assign(this, { record, faultyWorkers });
   }
 
   /** Records that a request began to run. */
-  noteRun({ id, worker }) {
-    this.record.add('run', { id, worker });
+  noteRun({ id, worker, from }) {
+    this.record.add('run', { id, worker, after: from });
     this.workersById.set(id, [...(this.workersById.get(id) ?? []), worker]);
   }
 
@@ -28,33 +28,40 @@
     this.answers.push(answer);
   }
 
-  /** Number of lost requests by machine. */
-  byMachine() {
-    const counts = new Map();
-    for (const { id, gateway, status, isKept, error } of this.answers) {
+  /** Requests that were lost. */
+  lost() {
+    return this.answers.filter(({ id, status, isKept, error }) => {
       const workers = this.workersById.get(id) ?? [];
-      const wasPassedOn = workers.length > 0 && !workers.includes(this.faultyWorker);
-      const wasClosed = status === 0 && error !== undefined;
-      if (isKept && wasPassedOn && wasClosed) {
-        this.record.add('lost', { id, gateway, workers, error });
-        counts.set(gateway, (counts.get(gateway) ?? 0) + 1);
-      }
-    }
-    return counts;
+      const isSound = !workers.some((worker) => this.faultyWorkers.includes(worker));
+      return isKept && status === 0 && error !== undefined && workers.length > 0 && isSound;
+    });
   }
 
-  /** Whether the rule is broken, and the figures. */
-  judge(fleet) {
-    const counts = this.byMachine();
+  /**
+   * Whether the rule is broken, and the figures, apart for the parts before and after
+   * `changedAtMs`.
+   */
+  judge(fleet, changedAtMs) {
+    const counts = new Map();
+    const lost = this.lost();
+    for (const { id, gateway, error } of lost) {
+      this.record.add('lost', { id, gateway, workers: this.workersById.get(id), error });
+      counts.set(gateway, (counts.get(gateway) ?? 0) + 1);
+    }
+    for (const { name, code, signal } of fleet.ownEnds) {
+      this.record.add('ended by itself', { name, code, signal });
+    }
     const worst = Math.max(0, ...counts.values());
-    const ends = fleet.ownEnds;
-    ends.forEach(({ name, code, signal }) =>
-      this.record.add('ended by itself', { name, code, signal }),
-    );
-    const lost = [...counts.values()].reduce((sum, count) => sum + count, 0);
+    const parts = (times) => {
+      const before = times.filter((atMs) => atMs < changedAtMs).length;
+      return `${before} + ${times.length - before}`;
+    };
+    const ends = parts(fleet.ownEnds.map(({ atMs }) => atMs));
+    const losses = parts(lost.map(({ endedAtMs }) => endedAtMs));
     const summary =
-      `${this.answers.length} requests, ${lost} lost by machines that served sound workers ` +
-      `(most at one machine: ${worst}, allowed: ${ALLOWED}), processes ended by themselves ${ends.length} times`;
+      `${this.answers.length} requests; in the two parts processes ended by themselves ` +
+      `${ends} times, and ${losses} requests at sound workers were lost; most at one ` +
+      `machine: ${worst} (allowed: ${ALLOWED})`;
     return { isBroken: worst > ALLOWED, summary };
   }
 }
--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -3,6 +3,8 @@
 
 const HEAD_END = '\r\n\r\n';
 const KEEP_ALIVE_S = 30;
+/** Requests that wait at a worker whose slots are taken. */
+const QUEUE_LENGTH = 24;
 
 /** Reads requests one after the other from a connection. */
 class RequestReader {
@@ -62,7 +64,10 @@
  */
 export class Worker {
   sockets = new Set();
+  queue = [];
   running = 0;
+  /** Number of its lives that have ended. */
+  life = 0;
   born = 0;
   seals = 0;
   isUp = false;
@@ -82,8 +87,10 @@
   /** Ends its life at once: its connections are reset, and its port is closed. */
   async crash() {
     this.isUp = false;
+    this.life += 1;
     const closed = new Promise((resolve) => this.server.close(resolve));
     this.sockets.forEach((socket) => socket.resetAndDestroy());
+    this.queue = [];
     this.running = 0;
     await closed;
   }
@@ -113,8 +120,13 @@
     const { headers, path } = request;
     const id = headers['x-weirvale-attempt-id'] ?? '';
     if (path === '/-/report') {
-      const report = { stage: 'unified', models: [], busy: false, sequence: 0, waiting: 0 };
-      const body = JSON.stringify({ ...report, running: this.running, born: this.born });
+      const report = { stage: 'unified', models: [], busy: false, sequence: 0 };
+      const body = JSON.stringify({
+        ...report,
+        waiting: this.queue.length,
+        running: this.running,
+        born: this.born,
+      });
       this.reply(socket, 200, { 'Content-Type': 'application/json' }, body);
       return;
     }
@@ -127,17 +139,29 @@
       this.reply(socket, 421, { 'X-Weirvale-Attempt-Id': id }, '');
       return;
     }
-    if (this.running >= this.slots) {
+    if (this.running < this.slots) {
+      this.run(request, id, socket);
+    } else if (this.queue.length < QUEUE_LENGTH) {
+      this.queue.push({ request, id, socket });
+    } else {
       const refusal = { 'X-Weirvale-Attempt-Id': id, 'X-Weirvale-Not-Executed': '1' };
       this.reply(socket, 503, refusal, '');
-      return;
     }
-    this.run(request, id, socket);
+  }
+
+  /** Begins work on requests that wait, as slots are free. */
+  serveQueue() {
+    while (this.running < this.slots && this.queue.length > 0) {
+      const { request, id, socket } = this.queue.shift();
+      if (!socket.destroyed) {
+        this.run(request, id, socket);
+      }
+    }
   }
 
   run(request, id, socket) {
     const { id: worker, version, born } = this;
-    const life = this.server;
+    const { life } = this;
     this.running += 1;
     const run = { id, worker, version, born, path: request.path, atMs: performance.now() };
     run.from = request.headers['last-event-id'];
@@ -145,12 +169,16 @@
     this.onRun?.(run);
     let isOver = false;
     const end = () => {
-      if (!isOver && this.server === life) {
-        this.running -= 1;
+      if (isOver) {
+        return;
       }
       isOver = true;
       socket.answered = (socket.answered ?? 0) + 1;
       socket.off('close', end);
+      if (this.life === life) {
+        this.running -= 1;
+        this.serveQueue();
+      }
     };
     socket.once('close', end);
     setTimeout(() => {
