A response with a status that is not final ends its attempt, not the gateway

When a backend answered with status 000, the gateway's process ended with status 1. Every request that it had at sound backends lost its connection without an answer, unsafe ones that had run among them; after the restart the next such answer ended it again.

Cause: the status of a response went from the HTTP parser through the relay into ServerResponse.writeHead, which throws for a status below 100. The parser accepts any three digits, and no step between them checked the value.

Ruled out: memory (no such exit), signals (exit status 1, none sent), lost requests at processes that ran on (each loss falls on an end).

Mend: the head of a response is validated where it comes from the parser (parse-response-head.ts). Only 200 to 599 is the status of a final response; any other ends the attempt as one that may have run: 502, or a retry where one is allowed. So no status reaches a caller that was not checked, and the same check ends a 101 at once, which was passed on to callers before.

Test: test/malformed-responses.test.ts. Without the mend the first test ended its process (RangeError from writeHead), and 799 and 101 were passed on.

--- a/src/gateway/attempt/http-backend-sender.ts
+++ b/src/gateway/attempt/http-backend-sender.ts
@@ -16,6 +16,7 @@
 import { withContentLength } from './content-length.js';
 import { keepAliveTimeoutMs } from './keep-alive-timeout.js';
 import { KeepAliveAgent } from './keep-alive-agent.js';
+import { parseResponseHead } from './parse-response-head.js';
 import { StallDetector } from './stall-detector.js';
 
 /** Limits of the connections to backends. */
@@ -219,6 +220,11 @@
 
   private onResponse(response: IncomingMessage): void {
     this.response = response;
+    const head = parseResponseHead(response);
+    if (!head.ok) {
+      this.fail(head.val.message);
+      return;
+    }
     const { socket, headers } = response;
     this.agent.setAdvertisedTimeout(socket, keepAliveTimeoutMs(headers['keep-alive']?.toString()));
     if (headers.connection?.toLowerCase() === 'close') {
@@ -237,11 +243,7 @@
     response.on('error', (error) => this.fail(error.message));
     response.on('close', () => this.fail('connection closed before the response was complete'));
     if (!this.isOver) {
-      this.handlers.onHead({
-        status: response.statusCode ?? 0,
-        rawHeaders: response.rawHeaders,
-        headers: response.headers,
-      });
+      this.handlers.onHead(head.val);
     }
   }
 
--- /dev/null
+++ b/test/malformed-responses.test.ts
@@ -0,0 +1,116 @@
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+import { request } from 'undici';
+import { FakeStore } from './support/fake-platform.js';
+import { platformGateways } from './support/platform-gateway.js';
+import type { RunningGateway } from './support/platform-gateway.js';
+import { RawBackend, wholeResponse } from './support/raw-backend.js';
+import type { Respond } from './support/raw-backend.js';
+
+const HOST = '127.0.3.51';
+/** Ports below the ephemeral range, on an address that only this file uses, to avoid conflicts. */
+const { start: startGateway, untilReady } = platformGateways(HOST, 28_000);
+const DEADLINE_MS = 1_500;
+
+const ROUTE = {
+  host: 'a.example',
+  timeoutMs: 4_000,
+  targetLatencyMs: 500,
+  maxAttempts: 2,
+};
+const CONFIGURATION = {
+  version: 1,
+  routes: [
+    { ...ROUTE, name: 'faulty', pathPrefix: '/faulty/', kind: 'unsafe', service: 'faulty' },
+    { ...ROUTE, name: 'sound', pathPrefix: '/sound/', kind: 'unsafe', service: 'sound' },
+  ],
+  services: ['faulty', 'sound'].map((name) => ({ name, maxConnections: 50 })),
+};
+
+let lastId = 0;
+
+interface Answer {
+  readonly id: string;
+  readonly status: number;
+  readonly body: string;
+  readonly tookMs: number;
+}
+
+async function call({ callers }: RunningGateway, path: string): Promise<Answer> {
+  lastId += 1;
+  const id = `id-${lastId}`;
+  const startedAtMs = performance.now();
+  const response = await request(`${callers}${path}`, {
+    method: 'POST',
+    body: 'the body',
+    headers: {
+      host: 'a.example',
+      'x-weirvale-attempt-id': id,
+      'x-weirvale-deadline-ms': `${DEADLINE_MS}`,
+    },
+  });
+  const body = await response.body.text().catch(() => '(broken off)');
+  return { id, status: response.statusCode, body, tookMs: performance.now() - startedAtMs };
+}
+
+function serve(body: string): Respond {
+  return ({ id }, socket) => void socket.write(wholeResponse(id, body));
+}
+
+/** Starts a gateway in front of a sound service, a faulty backend and a mix of both. */
+async function startWith(t: ExecutionContext, respond: Respond) {
+  const store = new FakeStore();
+  const faulty = new RawBackend(respond);
+  const sound = new RawBackend(serve('good'));
+  const [faultyAddress, soundAddress] = [await faulty.start(), await sound.start()];
+  store.put('op/config', CONFIGURATION);
+  const announce = (service: string, id: string, address: string) =>
+    store.announce(id, { service, address, slots: 20 });
+  announce('faulty', 'w-faulty', faultyAddress);
+  announce('sound', 'w-sound', soundAddress);
+  const gateway = await startGateway('g', await store.start());
+  await untilReady([gateway]);
+  t.teardown(() => {
+    gateway.gateway.stop(() => undefined);
+    [faulty, sound].forEach((backend) => backend.stop());
+    store.stop();
+  });
+  return { gateway, faulty, sound, store, announce };
+}
+
+test('a status below 100 ends the request that got it, and not the gateway', async (t) => {
+  const { gateway } = await startWith(t, ({ id }, socket) => {
+    socket.write(wholeResponse(id, 'bad', '000 OK'));
+  });
+  const sound = [call(gateway, '/sound/'), call(gateway, '/sound/')];
+  t.is((await call(gateway, '/faulty/')).status, 502);
+  t.deepEqual(
+    (await Promise.all(sound)).map(({ status }) => status),
+    [200, 200],
+  );
+  t.is((await call(gateway, '/sound/')).body, 'good');
+});
+
+test('a status that HTTP does not define is not passed on', async (t) => {
+  const { gateway } = await startWith(t, ({ id }, socket) => {
+    socket.write(wholeResponse(id, 'bad', '799 Odd'));
+  });
+  t.is((await call(gateway, '/faulty/')).status, 502);
+});
+
+test('a 101 ends the attempt at once and is not passed on', async (t) => {
+  const { gateway } = await startWith(t, ({ id }, socket) => {
+    socket.write(`HTTP/1.1 101 Switching Protocols\r\nX-Weirvale-Attempt-Id: ${id}\r\n\r\n`);
+  });
+  const { status, tookMs } = await call(gateway, '/faulty/');
+  t.is(status, 502);
+  t.true(tookMs < DEADLINE_MS / 2);
+});
+
+test('an interim response does not replace the final one', async (t) => {
+  const { gateway } = await startWith(t, ({ id }, socket) => {
+    socket.write(`HTTP/1.1 103 Early Hints\r\n\r\n${wholeResponse(id, 'whole')}`);
+  });
+  const { status, body } = await call(gateway, '/faulty/');
+  t.deepEqual([status, body], [200, 'whole']);
+});
