A protocol switch ends a call or an attempt; no call of ours stays open for good

What was seen: a backend that answered 101 with an Upgrade header left its request to the deadline (504 after 1.5 s in the test). One such answer to a status report stopped the probes of a slot agent for good, so that it never freed the slots of a lost gateway again.

Cause: Node emits 'upgrade' in place of 'response' or 'error' and closes the connection. Neither HttpAttempt nor callJson listened for it, nor for 'close', so the attempt had no end and the promise never settled. The time limit of callJson did not help: destroy() of a closed request emits no error.

Mend: both listen for 'upgrade' and 'close', and the time limit of callJson resolves the call itself instead of relying on an event. A response of a call is read up to 64 MiB.

--- a/src/cluster/json-call.ts
+++ b/src/cluster/json-call.ts
@@ -14,6 +14,9 @@
   /** The connection failed, or the response is not valid JSON. */
   | 'broken';
 
+/** Longest response that is read; beyond it the call fails. */
+const MAX_RESPONSE_BYTES = 64 * 1024 * 1024;
+
 /** A call without a response, or with one that is not valid JSON. */
 export class CallFailedError extends WeirvaleError {
   readonly code = 'call-failed';
@@ -42,7 +45,7 @@
   readonly body?: unknown;
 }
 
-/** Makes a call that fails if the whole response has not arrived within `timeoutMs`. */
+/** Makes a call; resolves within `timeoutMs`, whatever the other side sends. */
 export function callJson(
   { address, path, body }: JsonCall,
   timeoutMs: number,
@@ -53,20 +56,33 @@
   const headers = body === undefined ? {} : { 'Content-Type': 'application/json' };
   return new Promise((resolve) => {
     const call = request({ host, port, path, agent, method, headers });
-    let isTimedOut = false;
-    const timer = setTimeout(() => {
-      isTimedOut = true;
-      call.destroy(new Error('timed out'));
-    }, timeoutMs);
-    const fail = (error: NodeJS.ErrnoException) => {
+    const endWith = (reason: CallFailure, message: string) => {
       clearTimeout(timer);
-      const reason = error.code === 'ECONNREFUSED' ? 'closed' : 'broken';
-      resolve(err(new CallFailedError(error.message, isTimedOut ? 'silent' : reason)));
+      resolve(err(new CallFailedError(message, reason)));
     };
+    const timer = setTimeout(() => {
+      endWith('silent', 'timed out');
+      call.destroy();
+    }, timeoutMs);
+    const fail = ({ code, message }: NodeJS.ErrnoException) =>
+      endWith(code === 'ECONNREFUSED' ? 'closed' : 'broken', message);
     call.on('error', fail);
+    call.on('upgrade', (_response, socket) => {
+      socket.destroy();
+      endWith('broken', 'the other side switched protocols');
+    });
+    call.on('close', () => endWith('broken', 'connection closed without a response'));
     call.on('response', (response) => {
       const chunks: Buffer[] = [];
-      response.on('data', (bytes: Buffer) => chunks.push(bytes));
+      let length = 0;
+      response.on('data', (bytes: Buffer) => {
+        length += bytes.length;
+        if (length > MAX_RESPONSE_BYTES) {
+          call.destroy();
+          return;
+        }
+        chunks.push(bytes);
+      });
       response.on('error', fail);
       response.on('close', () => fail(new Error('connection closed before the response ended')));
       response.on('end', () => {
--- a/src/gateway/attempt/http-backend-sender.ts
+++ b/src/gateway/attempt/http-backend-sender.ts
@@ -134,6 +134,11 @@
     request.on('socket', (socket) => this.onSocket(socket, connectTimeoutMs));
     request.on('response', (response) => this.onResponse(response));
     request.on('error', (error) => this.fail(error.message, error));
+    request.on('upgrade', (_response, socket) => {
+      socket.destroy();
+      this.fail('the backend switched protocols');
+    });
+    request.on('close', () => this.fail('connection closed without a response'));
     request.end(body.length > 0 ? body : undefined);
     this.request = request;
   }
--- a/test/malformed-responses.test.ts
+++ b/test/malformed-responses.test.ts
@@ -57,7 +57,7 @@
   return ({ id }, socket) => void socket.write(wholeResponse(id, body));
 }
 
-/** Starts a gateway in front of a sound service, a faulty backend and a mix of both. */
+/** Starts a gateway in front of a sound service and a faulty backend. */
 async function startWith(t: ExecutionContext, respond: Respond) {
   const store = new FakeStore();
   const faulty = new RawBackend(respond);
@@ -98,14 +98,19 @@
   t.is((await call(gateway, '/faulty/')).status, 502);
 });
 
-test('a 101 ends the attempt at once and is not passed on', async (t) => {
-  const { gateway } = await startWith(t, ({ id }, socket) => {
-    socket.write(`HTTP/1.1 101 Switching Protocols\r\nX-Weirvale-Attempt-Id: ${id}\r\n\r\n`);
+for (const [name, head] of [
+  ['without an upgrade', 'HTTP/1.1 101 Switching Protocols\r\n'],
+  ['with an upgrade', 'HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n'],
+] as const) {
+  test(`a 101 ${name} ends the attempt at once instead of at the deadline`, async (t) => {
+    const { gateway } = await startWith(t, ({ id }, socket) => {
+      socket.write(`${head}X-Weirvale-Attempt-Id: ${id}\r\n\r\n`);
+    });
+    const { status, tookMs } = await call(gateway, '/faulty/');
+    t.is(status, 502);
+    t.true(tookMs < DEADLINE_MS / 2);
   });
-  const { status, tookMs } = await call(gateway, '/faulty/');
-  t.is(status, 502);
-  t.true(tookMs < DEADLINE_MS / 2);
-});
+}
 
 test('an interim response does not replace the final one', async (t) => {
   const { gateway } = await startWith(t, ({ id }, socket) => {
