An event id that no header can carry ends its attempt, not the gateway

A backend spoilt the id of an event and broke the stream off; the gateway that resumed the stream elsewhere ended with status 1, and its other requests lost their connections.

Cause: ResponseRelay kept whatever text followed "id:" and put it into Last-Event-Id of the next attempt; ClientRequest throws for a control character there, and outgoing headers were plain strings that nothing had checked.

Mend: EventStreamParser validates the id of each event. Text that may become a header value has a type of its own (HeaderValue), created only by src/http/header-value.ts, which the ids of requests and events now need.

Test: malformed-responses (control character, 10,000 characters, empty). Before, the first ended its process with ERR_INVALID_CHAR.

--- a/src/gateway/admission/request-admission.ts
+++ b/src/gateway/admission/request-admission.ts
@@ -1,4 +1,5 @@
 /** Admits or refuses requests and determines their route, tenant, cost and deadline. */
+import { EMPTY_HEADER_VALUE } from '../../http/header-value.js';
 import type { RandomSource } from '../../random.js';
 import { err, ok } from '../../result.js';
 import type { Result } from '../../result.js';
@@ -103,7 +104,7 @@
       tokens === undefined ? 1 : tokens.prompt + tokens.output * WORK_UNITS_PER_OUTPUT_TOKEN;
     const timeLimitMs = Math.min(route.timeoutMs, caller.deadlineMs ?? route.timeoutMs);
     return {
-      requestId: caller.requestId ?? '',
+      requestId: caller.requestId ?? EMPTY_HEADER_VALUE,
       route,
       service,
       tenant: tenant?.name,
--- a/src/gateway/attempt/accepted-request.ts
+++ b/src/gateway/attempt/accepted-request.ts
@@ -1,4 +1,5 @@
 /** The request model after admission. */
+import type { HeaderValue } from '../../http/header-value.js';
 import type { AllowedRegions } from '../../routing/backend-restriction.js';
 import type { Route } from '../../routing/configuration.js';
 import type { RouteAndTenant } from '../../routing/region-restrictions.js';
@@ -8,7 +9,7 @@
 
 /** A request that passed admission, with its complete body. */
 export interface AcceptedRequest {
-  readonly requestId: string;
+  readonly requestId: HeaderValue;
   readonly route: Route;
   readonly service: string;
   readonly tenant: string | undefined;
@@ -43,7 +44,7 @@
   readonly headers: RawHeaders;
   readonly body: Buffer;
   /** Id of the last event that the caller received, if it resumes a stream. */
-  readonly lastEventId: string | undefined;
+  readonly lastEventId: HeaderValue | undefined;
   /** Id of the caller's request that received the first event of the stream that it resumes. */
   readonly resumedRequestId: string | undefined;
   /**
--- a/src/gateway/attempt/outgoing-request.ts
+++ b/src/gateway/attempt/outgoing-request.ts
@@ -1,4 +1,5 @@
 /** Builds the request that is sent to a backend. */
+import type { HeaderValue } from '../../http/header-value.js';
 import { endToEndHeaders } from '../admission/caller-protocol.js';
 import type { CallerProtocol } from '../admission/caller-protocol.js';
 import type { Backend } from '../../routing/backend.js';
@@ -11,7 +12,7 @@
   /** Round-trip time to the backend, in milliseconds. */
   readonly roundTripMs: number;
   /** Id of the last event sent to the caller, if the attempt resumes a stream. */
-  readonly lastEventId: string | undefined;
+  readonly lastEventId: HeaderValue | undefined;
   readonly nowMs: number;
 }
 
--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -379,15 +379,18 @@
   private receiveData(bytes: Buffer): void {
     this.recordReceipt();
     this.record.addBytes(bytes.length);
-    const result = this.relay.acceptData(bytes, this.attempt);
-    if (result === 'overlong-event') {
-      this.attempt?.cancel();
-      this.failResponse('event exceeds the size limit');
-      return;
+    const { isForwarded, problem } = this.relay.acceptData(bytes, this.attempt);
+    if (isForwarded) {
+      this.recordForwarded();
     }
-    if (result === 'held') {
-      return;
+    if (problem !== undefined) {
+      this.attempt?.cancel();
+      this.failResponse(problem);
     }
+  }
+
+  /** Records that bytes of the current attempt were forwarded to the caller. */
+  private recordForwarded(): void {
     this.record.setFirstByteTime(this.ports.clock.now());
     if (this.relay.completedEvents > 0) {
       this.phase = 'streaming';
--- a/src/gateway/attempt/response-relay.ts
+++ b/src/gateway/attempt/response-relay.ts
@@ -5,9 +5,11 @@
  * an event stream only complete events are forwarded, so that another attempt can resume after the
  * last one.
  */
+import type { HeaderValue } from '../../http/header-value.js';
 import { endToEndHeaders } from '../admission/caller-protocol.js';
 import type { ResponseHead, AttemptHandle, CallerReply } from './attempt.js';
 import { EventStreamParser } from './event-stream-parser.js';
+import type { EventStreamProblem } from './event-stream-parser.js';
 
 const MAX_BUFFERED_RESPONSE_BYTES = 256 * 1024;
 const MIN_HTTP_ERROR_STATUS = 400;
@@ -25,14 +27,19 @@
   readonly method: string;
   readonly isStream: boolean;
   /** Id of the last event that the caller received before this request. */
-  readonly lastEventId: string | undefined;
+  readonly lastEventId: HeaderValue | undefined;
 }
 
-/**
- * Result of received bytes: `held` if they were only buffered, `passed-on` if bytes were forwarded,
- * `overlong-event` if an event exceeds the size limit.
- */
-export type RelayResult = 'held' | 'passed-on' | 'overlong-event';
+/** Result of received bytes. */
+export interface RelayResult {
+  /** Whether bytes were forwarded to the caller. */
+  readonly isForwarded: boolean;
+  /** Why the rest of the response is unusable; undefined while it is usable. */
+  readonly problem?: EventStreamProblem | undefined;
+}
+
+const HELD: RelayResult = { isForwarded: false };
+const FORWARDED: RelayResult = { isForwarded: true };
 
 /** Builds the caller's response from the responses of successive attempts. */
 export class ResponseRelay {
@@ -42,7 +49,7 @@
   private bufferedChunks: Buffer[] = [];
   private bufferedBytes = 0;
   private parser = new EventStreamParser();
-  private lastId: string | undefined;
+  private lastId: HeaderValue | undefined;
   private lastCompletedEvents = 0;
 
   constructor(
@@ -60,7 +67,7 @@
   }
 
   /** Id of the last event sent to the caller. */
-  get lastEventId(): string | undefined {
+  get lastEventId(): HeaderValue | undefined {
     return this.lastId;
   }
 
@@ -113,24 +120,24 @@
   /** Accepts body bytes; pauses `attempt` while the caller applies backpressure. */
   acceptData(bytes: Buffer, attempt: AttemptHandle | undefined): RelayResult {
     if (this.responseHead === undefined) {
-      return 'held';
+      return HELD;
     }
     if (this.isEventStream) {
       return this.acceptStreamData(bytes, attempt);
     }
     if (this.hasStarted) {
       this.forward(bytes, attempt);
-      return 'passed-on';
+      return FORWARDED;
     }
     this.bufferedChunks.push(bytes);
     this.bufferedBytes += bytes.length;
     if (this.bufferedBytes <= MAX_BUFFERED_RESPONSE_BYTES) {
-      return 'held';
+      return HELD;
     }
     this.start();
     this.forward(Buffer.concat(this.bufferedChunks), attempt);
     this.bufferedChunks = [];
-    return 'passed-on';
+    return FORWARDED;
   }
 
   /** Completes the caller's response. */
@@ -152,12 +159,10 @@
 
   private acceptStreamData(bytes: Buffer, attempt: AttemptHandle | undefined): RelayResult {
     const events = this.parser.push(bytes);
+    const { problem } = this.parser;
     this.lastCompletedEvents = events.length;
-    if (this.parser.hasOversizedEvent) {
-      return 'overlong-event';
-    }
     if (events.length === 0) {
-      return 'held';
+      return { isForwarded: false, problem };
     }
     if (!this.hasStarted) {
       this.beforeFirstEvent();
@@ -167,7 +172,7 @@
       this.lastId = id ?? this.lastId;
     }
     this.forward(Buffer.concat(events.map((event) => event.bytes)), attempt);
-    return 'passed-on';
+    return { isForwarded: true, problem };
   }
 
   private start(): void {
--- a/test/allowed-regions.test.ts
+++ b/test/allowed-regions.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import { unconstrained } from '../src/gateway/dispatch/dispatch-request.js';
 import * as fc from 'fast-check';
+import { headerValue } from '../src/http/header-value.js';
 import { reportRegions, reportExcluded } from '../src/gateway/regions/region-report.js';
 import { RequestRegions } from '../src/gateway/regions/request-regions.js';
 import { RequestAdmission } from '../src/gateway/admission/request-admission.js';
@@ -292,7 +293,7 @@
   });
   const head = { host: 'a.example', path: '/a/', method: 'GET', headers: {}, rawHeaders: [] };
   const caller = {
-    requestId: 'q',
+    requestId: headerValue('q'),
     deadlineMs: undefined,
     apiKey: undefined,
     tokens: undefined,
--- a/test/crashing-requests-fleet.test.ts
+++ b/test/crashing-requests-fleet.test.ts
@@ -4,6 +4,7 @@
  * unrelated reasons.
  */
 import test from 'ava';
+import { headerValue } from '../src/http/header-value.js';
 import type { StoredCrashes } from '../src/gateway/crashes/crash-record.js';
 import { StoreConflictError } from '../src/cluster/cluster-store.js';
 import type { RequestRun } from '../src/gateway/crashes/request-run.js';
@@ -47,7 +48,7 @@
 
 function requestOf(body: string): AcceptedRequest {
   return {
-    requestId: '',
+    requestId: headerValue(''),
     route: ROUTE,
     service: 's',
     tenant: 't',
--- a/test/dispatcher.test.ts
+++ b/test/dispatcher.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import { headerValue } from '../src/http/header-value.js';
 import { pairHash } from '../src/pair-hash.js';
 import { KnownBackend } from '../src/gateway/dispatch/known-backend.js';
 import { hasFreeCapacity } from '../src/gateway/dispatch/slot-capacity.js';
@@ -68,7 +69,7 @@
 
 test('a freed slot goes to the waiting request of the highest tier', (t) => {
   const world = new GatewayHarness(backendOf('a', { slots: 1 }));
-  world.request({ requestId: 'running' });
+  world.request({ requestId: headerValue('running') });
   world.request({ route: SECOND, path: '/second' });
   world.request({ route: FIRST, path: '/first' });
   world.answer(0, 200, '');
--- a/test/malformed-responses.test.ts
+++ b/test/malformed-responses.test.ts
@@ -4,13 +4,16 @@
 import { FakeStore } from './support/fake-platform.js';
 import { platformGateways } from './support/platform-gateway.js';
 import type { RunningGateway } from './support/platform-gateway.js';
-import { RawBackend, wholeResponse } from './support/raw-backend.js';
+import { chunk, RawBackend, streamHead, wholeResponse } from './support/raw-backend.js';
 import type { Respond } from './support/raw-backend.js';
 
 const HOST = '127.0.3.51';
 /** Ports below the ephemeral range, on an address that only this file uses, to avoid conflicts. */
 const { start: startGateway, untilReady } = platformGateways(HOST, 28_000);
 const DEADLINE_MS = 1_500;
+/** Requests within which one is sent to the faulty backend first. */
+const CALLS_UNTIL_RESUMED = 20;
+const EVENTS = ['id: 1\ndata: a\n\n', 'id: 2\ndata: b\n\n', 'id: 3\ndata: c\n\n'];
 
 const ROUTE = {
   host: 'a.example',
@@ -21,8 +24,29 @@
 const CONFIGURATION = {
   version: 1,
   routes: [
-    { ...ROUTE, name: 'faulty', pathPrefix: '/faulty/', kind: 'unsafe', service: 'faulty' },
-    { ...ROUTE, name: 'sound', pathPrefix: '/sound/', kind: 'unsafe', service: 'sound' },
+    {
+      ...ROUTE,
+      name: 'faulty',
+      pathPrefix: '/faulty/',
+      kind: 'unsafe',
+      service: 'faulty',
+    },
+    {
+      ...ROUTE,
+      name: 'sound',
+      pathPrefix: '/sound/',
+      kind: 'unsafe',
+      service: 'sound',
+    },
+    {
+      ...ROUTE,
+      name: 'stream',
+      pathPrefix: '/stream/',
+      kind: 'streaming',
+      resumable: true,
+      maxAttempts: 4,
+      service: 'faulty',
+    },
   ],
   services: ['faulty', 'sound'].map((name) => ({ name, maxConnections: 50 })),
 };
@@ -50,7 +74,12 @@
     },
   });
   const body = await response.body.text().catch(() => '(broken off)');
-  return { id, status: response.statusCode, body, tookMs: performance.now() - startedAtMs };
+  return {
+    id,
+    status: response.statusCode,
+    body,
+    tookMs: performance.now() - startedAtMs,
+  };
 }
 
 function serve(body: string): Respond {
@@ -119,3 +148,36 @@
   const { status, body } = await call(gateway, '/faulty/');
   t.deepEqual([status, body], [200, 'whole']);
 });
+
+for (const [name, spoiltId] of [
+  ['with a control character', '\x12'],
+  ['of excessive length', '2'.repeat(10_000)],
+  ['that is empty', ''],
+] as const) {
+  test(`an event id ${name} ends the attempt, and the stream resumes after the last sound event`, async (t) => {
+    const resumedAfter: Array<string | undefined> = [];
+    const { gateway, announce, sound } = await startWith(t, ({ id }, socket) => {
+      socket.write(streamHead(id));
+      socket.write(chunk(EVENTS[0]!));
+      socket.write(chunk(`id: ${spoiltId}\ndata: spoilt\n\n`));
+      setTimeout(() => socket.destroy(), 20);
+    });
+    const continuing = new RawBackend(({ id, lastEventId }, socket) => {
+      resumedAfter.push(lastEventId);
+      socket.write(streamHead(id));
+      EVENTS.slice(Number(lastEventId ?? 0)).forEach((event) => socket.write(chunk(event)));
+      socket.write(chunk(''));
+    });
+    t.teardown(() => continuing.stop());
+    announce('faulty', 'w-continuing', await continuing.start());
+    const answers = [];
+    for (let count = 0; count < CALLS_UNTIL_RESUMED && !resumedAfter.includes('1'); count += 1) {
+      answers.push(await call(gateway, '/stream/'));
+    }
+    t.is(resumedAfter.at(-1), '1');
+    t.deepEqual([answers.at(-1)!.status, answers.at(-1)!.body], [200, EVENTS.join('')]);
+    t.true(answers.every(({ body }) => !body.includes('spoilt')));
+    t.is((await call(gateway, '/sound/')).status, 200);
+    t.is(sound.receivedIds.length, 1);
+  });
+}
--- a/test/platform-headers.test.ts
+++ b/test/platform-headers.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import { headerValue } from '../src/http/header-value.js';
 import { PLATFORM_PROTOCOL } from '../platform/caller-protocol.js';
 
 const FORGED = [
@@ -13,7 +14,7 @@
 ];
 
 const ATTEMPT = {
-  requestId: 'r1',
+  requestId: headerValue('r1'),
   remainingMs: 100,
   backendName: 'i-1',
   tenant: undefined,
@@ -33,7 +34,7 @@
 test('reserved headers of a caller are reported, and the request is still read', (t) => {
   const headers = Object.fromEntries(FORGED.map((name) => [name.toLowerCase(), 'forged']));
   const read = PLATFORM_PROTOCOL.readRequest({ ...headers, 'x-weirvale-attempt-id': 'r1' });
-  t.is(read.requestId, 'r1');
+  t.is(read.requestId, headerValue('r1'));
   t.deepEqual([...read.reservedHeaders].sort(), FORGED.map((name) => name.toLowerCase()).sort());
 });
 
--- a/test/stream-resumption.test.ts
+++ b/test/stream-resumption.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import { headerValue } from '../src/http/header-value.js';
 import { isResumption } from '../src/gateway/admission/caller-protocol.js';
 import { GatewayStreams } from '../src/gateway/gateway-streams.js';
 import type { ResumptionDecision } from '../src/gateway/gateway-streams.js';
@@ -54,7 +55,7 @@
 function resumptionOf(world: GatewayHarness, changes: Partial<AcceptedRequest> = {}) {
   return world.accept({
     route: RESUMABLE,
-    lastEventId: '1',
+    lastEventId: headerValue('1'),
     resumedRequestId: 'first',
     streamKey: keyOf('first'),
     ...changes,
@@ -103,8 +104,8 @@
 
 test('a caller that names a request but has received no event begins anew', (t) => {
   t.false(isResumption({ lastEventId: undefined }));
-  t.false(isResumption({ lastEventId: '' }));
-  t.true(isResumption({ lastEventId: '0' }));
+  t.false(isResumption({ lastEventId: headerValue('') }));
+  t.true(isResumption({ lastEventId: headerValue('0') }));
 });
 
 test('a malformed name of a stream is refused without asking other processes', (t) => {
@@ -229,8 +230,8 @@
   const { reply: other } = world.request({ route: RESUMABLE, ...late });
   const { reply } = world.request({
     route: RESUMABLE,
-    requestId: 'resumed',
-    lastEventId: '1',
+    requestId: headerValue('resumed'),
+    lastEventId: headerValue('1'),
     resumedVersion: V1,
     ...late,
   });
--- a/test/stream-versions.test.ts
+++ b/test/stream-versions.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import { headerValue } from '../src/http/header-value.js';
 import type { Backend } from '../src/routing/backend.js';
 import { softwareVersionOf } from '../src/streams/software-version.js';
 import { backendOf, GatewayHarness, routeOf } from './support/gateway-harness.js';
@@ -162,7 +163,11 @@
   world.dispatcher.learnSpeed('a', 1, 1);
   world.dispatcher.learnSpeed('b', 1, 50);
   const resumedVersion = softwareVersionOf({ id: 'b', version: 'v2' });
-  const { reply } = world.request({ route: RESUMABLE, lastEventId: '1', resumedVersion });
+  const { reply } = world.request({
+    route: RESUMABLE,
+    lastEventId: headerValue('1'),
+    resumedVersion,
+  });
   t.deepEqual(backendIds(world), ['b']);
   world.answer(0, 200, EVENT_2);
   t.is(reply.body, EVENT_2);
@@ -171,7 +176,11 @@
 test('a stream that its caller resumes is refused at once as not executed if its version is gone', (t) => {
   const world = new GatewayHarness(backendOf('a', { version: 'v1' }));
   const resumedVersion = softwareVersionOf({ id: 'b', version: 'v2' });
-  const { reply } = world.request({ route: RESUMABLE, lastEventId: '1', resumedVersion });
+  const { reply } = world.request({
+    route: RESUMABLE,
+    lastEventId: headerValue('1'),
+    resumedVersion,
+  });
   t.deepEqual([reply.status, world.attempts.length], [503, 0]);
   t.deepEqual(reply.headers.slice(0, 2), ['retry-after-ms', '0']);
   t.is(world.requestEnds[0]?.reason, 'stream-unavailable');
--- a/test/support/gateway-harness.ts
+++ b/test/support/gateway-harness.ts
@@ -5,6 +5,7 @@
   CallerReply,
   OutgoingAttempt,
 } from '../../src/gateway/attempt/attempt.js';
+import { headerValue } from '../../src/http/header-value.js';
 import type { CallerProtocol } from '../../src/gateway/admission/caller-protocol.js';
 import { BackendDirectory } from '../../src/gateway/dispatch/backend-directory.js';
 import type { FingerprintCrashes } from '../../src/gateway/crashes/crash-tally.js';
@@ -332,7 +333,7 @@
     const route = changes.route ?? routeOf();
     const arrivedAtMs = this.clock.now();
     return {
-      requestId: 'q',
+      requestId: headerValue('q'),
       route,
       service: 's',
       tenant: undefined,
--- a/test/support/stream-gateway.ts
+++ b/test/support/stream-gateway.ts
@@ -4,6 +4,7 @@
 import { NO_PROGRESS } from '../../src/cluster/replicated-records.js';
 import { NO_POSITION } from '../../src/cluster/store-position.js';
 import type { Clock } from '../../src/clock.js';
+import { headerValue } from '../../src/http/header-value.js';
 import { ActiveConfiguration } from '../../src/gateway/active-configuration.js';
 import type { CallerProtocol } from '../../src/gateway/admission/caller-protocol.js';
 import type { CallerReply } from '../../src/gateway/attempt/attempt.js';
@@ -41,12 +42,15 @@
 /** Headers of the simulated callers and backends. */
 const PROTOCOL: CallerProtocol = {
   readRequest: (headers) => ({
-    requestId: headers['id'] as string,
+    requestId: headerValue(headers['id'] as string),
     deadlineMs: Number(headers['deadline']),
     apiKey: undefined,
     tokens: undefined,
     sharedPromptParts: [],
-    lastEventId: headers['last-event'] as string | undefined,
+    lastEventId:
+      headers['last-event'] === undefined
+        ? undefined
+        : headerValue(headers['last-event'] as string),
     resumedRequestId: headers['resumes'] as string | undefined,
     reservedHeaders: [],
   }),
