--- a/src/slot-agent/engine-probe.ts
+++ b/src/slot-agent/engine-probe.ts
@@ -2,6 +2,7 @@
 import { Agent } from 'node:http';
 import { callJson } from '../cluster/json-call.js';
 import type { JsonCall } from '../cluster/json-call.js';
+import { SurplusGuardAgent } from '../http/surplus-guard-agent.js';
 import type { EngineProbeResult } from './engine-health.js';
 import type { EngineProbe } from './slot-agent-role.js';
 
@@ -19,7 +20,7 @@
   call: JsonCall,
   decodeBody: (body: unknown) => EngineProbeResult,
 ): EngineProbe {
-  const keepAliveAgent = new Agent({ keepAlive: true });
+  const keepAliveAgent = new SurplusGuardAgent({ keepAlive: true });
   return async () => {
     const response = await callJson(call, PROBE_TIMEOUT_MS, keepAliveAgent);
     if (response.ok) {
