A record that names no usable backend or tenant ends no gateway

A configuration with fields of another type was installed in part, or refused with the text of a TypeError.

Cause: the name of a record was put into a header as it was; only the fields of backend records were validated, those of the configuration were cast.

Mend: names of backends and tenants are header values by type. A backend name is 1 to 200 visible ASCII characters; a record with any other name is no backend and is refused, logged once a problem and counted each time (RefusedRecords). Times beyond what a timer holds are capped, and a rollout of infinite duration is refused.

--- a/src/experiment/run-experiment.ts
+++ b/src/experiment/run-experiment.ts
@@ -1,4 +1,5 @@
 /** Runs an experiment with one seed on the virtual clock. */
+import { headerValue } from '../http/header-value.js';
 import { createHash } from 'node:crypto';
 import { SeededRandom } from '../random.js';
 import type { RandomSource } from '../random.js';
@@ -233,7 +234,7 @@
 }
 
 const SINGLE_TENANT: Tenant = {
-  name: 'one',
+  name: headerValue('one'),
   apiKeys: [CALLER_API_KEY],
   priority: 1,
   quota: undefined,
--- a/src/experiment/simulated-fleet.ts
+++ b/src/experiment/simulated-fleet.ts
@@ -1,4 +1,5 @@
 /** Builds the simulated engines of an experiment and their slot agents. */
+import { headerValue } from '../http/header-value.js';
 import { NO_EPOCH } from '../cluster/store-position.js';
 import type { Clock } from '../clock.js';
 import type { RandomSource } from '../random.js';
@@ -48,7 +49,7 @@
     const id = `engine-${index}`;
     const backend: Backend = {
       id,
-      name: id,
+      name: headerValue(id),
       bornAtMs: undefined,
       service: ENGINE_SERVICE,
       address: `10.0.${index >> 8}.${index & 255}:80`,
--- a/src/gateway/admission/caller-protocol.ts
+++ b/src/gateway/admission/caller-protocol.ts
@@ -43,8 +43,8 @@
 export interface AttemptHeaderValues {
   readonly requestId: HeaderValue;
   readonly remainingMs: number;
-  readonly backendName: string;
-  readonly tenant: string | undefined;
+  readonly backendName: HeaderValue;
+  readonly tenant: HeaderValue | undefined;
   /** Id of the last event sent to the caller, if the attempt resumes a stream. */
   readonly lastEventId: HeaderValue | undefined;
 }
--- a/src/gateway/attempt/accepted-request.ts
+++ b/src/gateway/attempt/accepted-request.ts
@@ -12,7 +12,7 @@
   readonly requestId: HeaderValue;
   readonly route: Route;
   readonly service: string;
-  readonly tenant: string | undefined;
+  readonly tenant: HeaderValue | undefined;
   readonly tier: number;
   readonly rankInTier: number;
   /**
--- a/src/gateway/gateway-backends.ts
+++ b/src/gateway/gateway-backends.ts
@@ -7,7 +7,7 @@
 import type { UnknownZones } from '../routing/unknown-zones.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { Dispatcher } from './dispatch/dispatcher.js';
-import type { GatewayMetrics } from './metrics/gateway-metrics.js';
+import type { RefusedRecords } from './refused-records.js';
 
 /** Dependencies of `GatewayBackends`. */
 export interface GatewayBackendsDependencies {
@@ -15,7 +15,7 @@
   readonly unknownZones: UnknownZones;
   readonly clock: Clock;
   readonly log: DecisionLog;
-  readonly metrics: GatewayMetrics;
+  readonly refused: RefusedRecords;
   /** Called when a newer announcement shows that the incarnation `backendId` has ended. */
   onIncarnationEnded(backendId: string): void;
 }
@@ -23,8 +23,6 @@
 /** The backends that are announced in the store. */
 export class GatewayBackends {
   private readonly incarnations = new BackendIncarnations();
-  /** The last logged problem of each backend's record, by name. */
-  private readonly loggedProblems = new Map<string, string>();
 
   constructor(private readonly dependencies: GatewayBackendsDependencies) {}
 
@@ -50,21 +48,12 @@
     }
   }
 
-  /** Logs a backend's problem once: an invalid record may be written again with each heartbeat. */
-  private reportProblem(
-    name: string,
-    problem: string | undefined,
-    { epoch, revision }: StorePosition,
-  ): void {
+  private reportProblem(name: string, problem: string | undefined, position: StorePosition): void {
+    const { refused } = this.dependencies;
     if (problem === undefined) {
-      this.loggedProblems.delete(name);
-      return;
-    }
-    this.dependencies.metrics.record(({ recordsRefused }) => recordsRefused.inc());
-    if (this.loggedProblems.get(name) !== problem) {
-      this.loggedProblems.set(name, problem);
-      const fields = { backend: name, problem, epoch, revision };
-      this.dependencies.log.write('record-refused', 'state', fields);
+      refused.clear(name);
+    } else {
+      refused.report(name, problem, position, { backend: name });
     }
   }
 
--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -442,11 +442,11 @@
 }
 
 function quotaRefusal(
-  { tenant = '', quotaCost }: AcceptedRequest,
+  { tenant, quotaCost }: AcceptedRequest,
   result: Exclude<ChargeResult, { readonly isGranted: true }>,
 ): GatewayRefusal {
   const { retryAfterMs, left, refused, unanswered } = result;
-  const quota = { tenant, cost: quotaCost, left, refused, unanswered };
+  const quota = { tenant: tenant ?? '', cost: quotaCost, left, refused, unanswered };
   return { reason: 'quota-spent', retryAfterMs, quota };
 }
 
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -44,6 +44,7 @@
 } from './attempt/http-backend-sender.js';
 import { sortByApplyOrder } from './apply-order.js';
 import { GracefulShutdown } from './graceful-shutdown.js';
+import { RefusedRecords } from './refused-records.js';
 import { ReadinessListener } from './readiness-listener.js';
 import { DEFAULT_SLOT_AGENT_LINK_OPTIONS, SlotAgentLinks } from './links/slot-agent-links.js';
 
@@ -83,6 +84,7 @@
   private readonly evacuations: GatewayEvacuations;
   private readonly places: ZoneTopology;
   private readonly backends: GatewayBackends;
+  private readonly refusedRecords: RefusedRecords;
   private readonly dispatcher: Dispatcher;
   private readonly paths: GatewayPaths;
   private readonly rollouts: GatewayRollouts;
@@ -162,8 +164,10 @@
         view: () => this.cluster.view,
       }),
     });
+    this.refusedRecords = new RefusedRecords(dependencies);
     this.backends = new GatewayBackends({
       ...dependencies,
+      refused: this.refusedRecords,
       dispatcher: this.dispatcher,
       unknownZones: new UnknownZones(this.places),
       onIncarnationEnded: (backendId) => this.handleBackendEnded(backendId, 'replaced'),
@@ -412,11 +416,11 @@
       this.quotas.applyRecord(decoded.record);
     } else if (decoded.kind === 'crash-record') {
       this.crashes.applyRecord(decoded.record);
-    } else if (decoded.kind === 'invalid') {
-      const { problem, isConfiguration } = decoded;
-      const event = isConfiguration ? 'configuration-refused' : 'record-refused';
+    } else if (decoded.kind === 'invalid' && decoded.isConfiguration) {
       const { epoch, revision } = record;
-      log.write(event, 'state', { problem, epoch, revision });
+      log.write('configuration-refused', 'state', { problem: decoded.problem, epoch, revision });
+    } else if (decoded.kind === 'invalid') {
+      this.refusedRecords.report(record.key, decoded.problem, record);
     }
   }
 
--- a/src/routing/backend.ts
+++ b/src/routing/backend.ts
@@ -1,4 +1,5 @@
 /** The announcement of a backend in the cluster's store. */
+import type { HeaderValue } from '../http/header-value.js';
 import type { StorePosition } from '../cluster/store-position.js';
 
 /** Whether a backend takes new requests. */
@@ -12,7 +13,7 @@
   /** Identifies this incarnation; statistics are indexed by it. */
   readonly id: string;
   /** Announced name, by which the process is addressed; several incarnations may share it. */
-  readonly name: string;
+  readonly name: HeaderValue;
   /** Start time by its own clock, in Unix milliseconds; undefined where not announced. */
   readonly bornAtMs: number | undefined;
   readonly service: string;
--- a/src/routing/configuration.ts
+++ b/src/routing/configuration.ts
@@ -1,4 +1,5 @@
 /** Routing configuration of a gateway: routes, services, tenants and limits, under one version. */
+import type { HeaderValue } from '../http/header-value.js';
 
 /** Whether a request may run more than once, and whether its response is a stream. */
 export type RouteKind =
@@ -75,7 +76,8 @@
 
 /** A tenant with its API keys and limits. */
 export interface Tenant {
-  readonly name: string;
+  /** Sent to backends in a header. */
+  readonly name: HeaderValue;
   readonly apiKeys: readonly string[];
   /** Overrides the route's priority when set. */
   readonly priority: number | undefined;
@@ -107,6 +109,17 @@
   readonly limits: CallerLimits;
 }
 
+/** Longest time that a timer of the runtime can wait, in milliseconds. */
+export const MAX_TIMER_MS = 2 ** 31 - 1;
+
+/** Values of settings that a configuration leaves out; times in milliseconds. */
+export const CONFIGURATION_DEFAULTS = {
+  timeoutMs: 30_000,
+  targetLatencyMs: 1_000,
+  maxConnections: 64,
+  plainTokens: 1,
+} as const;
+
 /** Limits that apply until a configuration is installed. */
 export const DEFAULT_CALLER_LIMITS: CallerLimits = {
   maxHeaderBytes: 16_384,
--- a/src/routing/decoded-record.ts
+++ b/src/routing/decoded-record.ts
@@ -1,4 +1,5 @@
 /** Decoded form of the records in the cluster's store. */
+import type { HeaderValue } from '../http/header-value.js';
 import type { QuotaMembersRecord } from '../gateway/quotas/quota-members.js';
 import type { CrashRecord } from '../gateway/crashes/crash-record.js';
 import type { RolloutOrder, RolloutStatus } from '../rollout/rollout-order.js';
@@ -11,13 +12,20 @@
 /** A backend's record. */
 export interface DecodedBackend {
   readonly kind: 'backend';
-  readonly name: string;
+  readonly name: HeaderValue;
   /** Undefined once the record was removed, and where it is unusable. */
   readonly announcement: Announcement | undefined;
   /** Why the record is unusable; missing where it is usable or was removed. */
   readonly problem?: string;
 }
 
+/** A record that is not used. */
+export interface InvalidRecord {
+  readonly kind: 'invalid';
+  readonly isConfiguration: boolean;
+  readonly problem: string;
+}
+
 /** A record of the store, decoded by kind. */
 export type DecodedRecord =
   | { readonly kind: 'configuration'; readonly configuration: RoutingConfiguration }
@@ -34,7 +42,7 @@
     }
   | { readonly kind: 'crash-record'; readonly record: CrashRecord }
   | { readonly kind: 'quota-members'; readonly record: QuotaMembersRecord }
-  | { readonly kind: 'invalid'; readonly isConfiguration: boolean; readonly problem: string }
+  | InvalidRecord
   | { readonly kind: 'irrelevant' };
 
 /** Decodes a record of the store; never throws. */
--- a/src/slot-agent/engine-replica-view.ts
+++ b/src/slot-agent/engine-replica-view.ts
@@ -3,6 +3,7 @@
  * service and the evacuation orders for its zone. The agent uses it to check independently which
  * requests gateways may send to the engine.
  */
+import { EMPTY_HEADER_VALUE } from '../http/header-value.js';
 import { isLater, NO_POSITION } from '../cluster/store-position.js';
 import { BackendIncarnations } from '../routing/backend-incarnations.js';
 import type { Backend } from '../routing/backend.js';
@@ -135,7 +136,7 @@
 function placeholderBackend(address: string, zone: string): Backend {
   return {
     id: '',
-    name: '',
+    name: EMPTY_HEADER_VALUE,
     bornAtMs: undefined,
     service: '',
     address,
--- a/test/allowed-regions.test.ts
+++ b/test/allowed-regions.test.ts
@@ -26,7 +26,7 @@
 ): RegionRestrictions {
   const entries = (lists: typeof routes) =>
     Object.entries(lists).map(([name, regions]) => ({
-      name,
+      name: headerValue(name),
       allowedRegions: regions ?? undefined,
     }));
   return new RegionRestrictions({
@@ -36,7 +36,7 @@
 }
 
 function tenantOf(changes: Partial<Tenant>): Tenant {
-  const base = { name: 't', apiKeys: [], priority: undefined, quota: undefined };
+  const base = { name: headerValue('t'), apiKeys: [], priority: undefined, quota: undefined };
   return { ...base, allowedRegions: undefined, ...changes };
 }
 
@@ -144,7 +144,7 @@
 
 test('a request whose route and tenant have no common region is refused at once and not sent', (t) => {
   const world = worldOf(regionsOf({ r: ['a'] }, { t: ['b'] }), ['w', { zone: 'a1' }]);
-  const { reply } = world.request({ tenant: 't' });
+  const { reply } = world.request({ tenant: headerValue('t') });
   t.is(reply.status, 503);
   t.is(world.requestEnds[0]?.reason, 'no-common-home');
   // One third of the caller's deadline of two seconds.
@@ -340,7 +340,7 @@
       };
       for (const action of steps) {
         if (action.kind === 'request') {
-          world.request(action.hasTenant ? { tenant: 't', path: TENANT_PATH } : {});
+          world.request(action.hasTenant ? { tenant: headerValue('t'), path: TENANT_PATH } : {});
         } else if (action.kind === 'configure') {
           world.restrictions = regionsOf({ r: action.route }, { t: action.tenant });
           world.dispatcher.tick(world.clock.now());
--- a/test/backend-incarnations-random.test.ts
+++ b/test/backend-incarnations-random.test.ts
@@ -3,6 +3,7 @@
  * incarnations.
  */
 import test from 'ava';
+import { headerValue } from '../src/http/header-value.js';
 import { SeededRandom } from '../src/random.js';
 import { BackendIncarnations } from '../src/routing/backend-incarnations.js';
 import type { Announcement } from '../src/routing/backend-incarnations.js';
@@ -92,7 +93,7 @@
     const announcedStartMs = this.ignoresStartTimes ? undefined : bornAtMs;
     this.applyRecord(name, {
       ...announcement,
-      name,
+      name: headerValue(name),
       bornAtMs: announcedStartMs,
       revision: this.revision,
     });
--- a/test/crashing-requests-fleet.test.ts
+++ b/test/crashing-requests-fleet.test.ts
@@ -51,7 +51,7 @@
     requestId: headerValue(''),
     route: ROUTE,
     service: 's',
-    tenant: 't',
+    tenant: headerValue('t'),
     tier: 0,
     rankInTier: 0,
     allowedRegions: undefined,
--- a/test/crashing-requests.test.ts
+++ b/test/crashing-requests.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import { headerValue } from '../src/http/header-value.js';
 import { RequestAdmission } from '../src/gateway/admission/request-admission.js';
 import type { AcceptedRequest } from '../src/gateway/attempt/accepted-request.js';
 import { InterruptedRuns } from '../src/gateway/crashes/interrupted-runs.js';
@@ -63,7 +64,11 @@
   for (let index = 0; index < 3; index += 1) {
     crash(world, CRASHING);
   }
-  for (const changes of [HARMLESS, { ...CRASHING, tenant: 'other' }, { ...CRASHING, path: '/b' }]) {
+  for (const changes of [
+    HARMLESS,
+    { ...CRASHING, tenant: headerValue('other') },
+    { ...CRASHING, path: '/b' },
+  ]) {
     world.request(changes);
     world.answer(world.attempts.length - 1, 200, 'good');
     t.is(lastStatus(world), 200);
@@ -198,7 +203,13 @@
 test('a refused request is not charged to its tenant', (t) => {
   const quota = { ratePerS: 1, burst: 1, unit: 'requests', plainTokens: 1 } as const;
   const tenants = [
-    { name: 'shop', apiKeys: ['k'], priority: undefined, allowedRegions: undefined, quota },
+    {
+      name: headerValue('shop'),
+      apiKeys: ['k'],
+      priority: undefined,
+      allowedRegions: undefined,
+      quota,
+    },
   ];
   const table = new RoutingTable({
     version: 1,
--- a/test/platform-headers.test.ts
+++ b/test/platform-headers.test.ts
@@ -16,7 +16,7 @@
 const ATTEMPT = {
   requestId: headerValue('r1'),
   remainingMs: 100,
-  backendName: 'i-1',
+  backendName: headerValue('i-1'),
   tenant: undefined,
   lastEventId: undefined,
 };
--- a/test/request-fingerprint.test.ts
+++ b/test/request-fingerprint.test.ts
@@ -1,11 +1,12 @@
 import test from 'ava';
+import { headerValue } from '../src/http/header-value.js';
 import { fingerprintOf } from '../src/gateway/crashes/request-fingerprint.js';
 import type { FingerprintedRequest } from '../src/gateway/crashes/request-fingerprint.js';
 import { DEFAULT_ENGINE_HEALTH_OPTIONS, EngineHealth } from '../src/slot-agent/engine-health.js';
 import { routeOf } from './support/gateway-harness.js';
 
 const REQUEST: FingerprintedRequest = {
-  tenant: 'shop',
+  tenant: headerValue('shop'),
   method: 'POST',
   route: routeOf(),
   path: '/a/x?y=1',
@@ -20,7 +21,7 @@
 test('a different caller, method, host, path or body changes the fingerprint', (t) => {
   const others: FingerprintedRequest[] = [
     REQUEST,
-    { ...REQUEST, tenant: 'other' },
+    { ...REQUEST, tenant: headerValue('other') },
     { ...REQUEST, tenant: undefined },
     { ...REQUEST, method: 'PUT' },
     { ...REQUEST, route: routeOf({ host: 'b.example' }) },
--- a/test/routing-table.test.ts
+++ b/test/routing-table.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import { headerValue } from '../src/http/header-value.js';
 import { DEFAULT_CALLER_LIMITS } from '../src/routing/configuration.js';
 import type { Route } from '../src/routing/configuration.js';
 import { pickService, RoutingTable } from '../src/routing/routing-table.js';
@@ -23,7 +24,7 @@
 
 function tableOf(routes: Route[]): RoutingTable {
   const tenant = {
-    name: 't',
+    name: headerValue('t'),
     apiKeys: ['k'],
     priority: undefined,
     quota: undefined,
@@ -61,7 +62,7 @@
 });
 
 test('an API key identifies its tenant', (t) => {
-  t.is(tableOf([]).findTenantByKey('k')?.name, 't');
+  t.is(tableOf([]).findTenantByKey('k')?.name, headerValue('t'));
   t.is(tableOf([]).findTenantByKey('other'), undefined);
 });
 
--- a/test/support/gateway-harness.ts
+++ b/test/support/gateway-harness.ts
@@ -43,7 +43,7 @@
 export function backendOf(id: string, changes: Partial<Backend> = {}): Backend {
   return {
     id,
-    name: id,
+    name: headerValue(id),
     bornAtMs: undefined,
     service: 's',
     address: `${id}:1`,
--- a/test/support/stream-fleet.ts
+++ b/test/support/stream-fleet.ts
@@ -3,6 +3,7 @@
  * clock. It runs the real request handling, stream origins and peer mesh over a virtual network;
  * callers resume streams that break off at other gateways.
  */
+import { headerValue } from '../../src/http/header-value.js';
 import type { Clock } from '../../src/clock.js';
 import type {
   AttemptHandle,
@@ -136,7 +137,7 @@
       onCrash: new Set(),
       backend: {
         id,
-        name: id,
+        name: headerValue(id),
         bornAtMs: undefined,
         service,
         address: `${host}:9`,
