A peer address that is none ends no process

What was seen: net.connect throws for a port out of range, and an address from the quota record or from a message of another process went there as it came.

Mend: PeerMesh skips addresses that are not IPv4 with a port in range, wherever they come from.

Test: malformed-records, 'a peer address that is none is not connected to'.

--- a/src/cluster/peer-mesh.ts
+++ b/src/cluster/peer-mesh.ts
@@ -214,10 +214,11 @@
     }
   }
 
-  /** Adds addresses that are new and connects to them. */
+  /** Adds addresses that are new and connects to them; skips malformed ones. */
   addAddresses(addresses: readonly string[]): void {
     for (const address of addresses) {
-      if (address === '' || address === this.self.address || this.outgoing.has(address)) {
+      const isNew = address !== this.self.address && !this.outgoing.has(address);
+      if (!isNew || !this.network.isAddress(address)) {
         continue;
       }
       this.allAddresses.add(address);
--- a/src/cluster/peer-network.ts
+++ b/src/cluster/peer-network.ts
@@ -3,6 +3,7 @@
  */
 import { connect, createServer } from 'node:net';
 import type { Socket } from 'node:net';
+import { isAddress } from '../address.js';
 import type { MessageSocket } from '../protocol/message-channel.js';
 
 /** Accepts connections from other processes. */
@@ -19,6 +20,8 @@
 
 /** Opens and accepts connections. */
 export interface PeerNetwork {
+  /** Whether a text names an address of this network, IP:PORT. */
+  isAddress(text: unknown): text is string;
   connect(port: number, host: string): OutgoingSocket;
   /**
    * Creates a listener. If listening fails, no error is raised: peers just cannot connect to this
@@ -29,6 +32,7 @@
 
 /** The operating system's TCP. */
 export const TCP_PEER_NETWORK: PeerNetwork = {
+  isAddress: (text): text is string => typeof text === 'string' && isAddress(text),
   connect: (port, host) => connect(port, host),
   createListener: (onConnection) => {
     const server = createServer((socket: Socket) => onConnection(socket));
--- a/test/malformed-records.test.ts
+++ b/test/malformed-records.test.ts
@@ -1,6 +1,10 @@
 import test from 'ava';
 import { request } from 'undici';
 import { decodeRecord } from '../platform/record-formats.js';
+import { PeerMesh } from '../src/cluster/peer-mesh.js';
+import type { PeerHello } from '../src/cluster/peer-messages.js';
+import { SYSTEM_CLOCK } from '../src/clock.js';
+import { SeededRandom } from '../src/random.js';
 import { FakeStore } from './support/fake-platform.js';
 import { platformGateways } from './support/platform-gateway.js';
 import { RawBackend, wholeResponse } from './support/raw-backend.js';
@@ -94,3 +98,30 @@
   const endless = '{"targetVersion":"v2","durationS":1e999}';
   t.is(decodeRecord({ key: 'op/rollout/s', ...positionAt(1), value: endless }).kind, 'invalid');
 });
+
+test('a peer address that is none is not connected to and ends no process', async (t) => {
+  const self: PeerHello = {
+    kind: 'hello',
+    role: 'gateway',
+    name: 'g',
+    incarnation: 'g.1',
+    address: '',
+    zone: 'z',
+  };
+  const mesh = new PeerMesh(
+    self,
+    [],
+    {
+      onMessage: () => undefined,
+      onReply: () => undefined,
+      onOpened: () => undefined,
+      onPeerChange: () => undefined,
+    },
+    SYSTEM_CLOCK,
+    new SeededRandom(1),
+  );
+  t.teardown(() => mesh.stop());
+  const malformed = ['', 'nowhere', '127.0.0.1:0', '127.0.0.1:99999', 'a.example:80', 7, null];
+  t.notThrows(() => mesh.addAddresses(malformed as string[]));
+  t.is(mesh.size, 1);
+});
--- a/test/support/virtual-network.ts
+++ b/test/support/virtual-network.ts
@@ -52,6 +52,7 @@
   /** Returns the network as the process of `host` uses it. */
   createPeerNetwork(host: NetworkHost): PeerNetwork {
     return {
+      isAddress: (text): text is string => text !== '',
       connect: (port, address) => this.connect(host, `${address}:${port}`),
       createListener: (onConnection) => new VirtualListener(this, host, onConnection),
     };
