A response that does not name its request is not the response to it

A backend sent more bytes after a whole response; they arrived as the next request on that connection was sent, and were read as its response.

Cause: ProxiedRequest.receiveHead refused a response that names another request but accepted one that names none, and trusted its status and its statement that the request had not run.

Mend: a response counts only if it names the request that is under way. Any other ends the attempt as one that may have run: no second run of an unsafe request, nothing passed on, no statement read. The backend is remembered for a minute (SurplusSenders): its idle connections are closed, and requests that may run only once go there on connections of their own. Data on an idle connection closes it, as before, and now counts as the same evidence. One line a backend says so (backend-surplus).

Tests: malformed-responses, with a surplus 421, 503 and 200. Test backends that name no request in their responses now do, as backends of the platform must.

--- a/src/experiment/simulated-backend-sender.ts
+++ b/src/experiment/simulated-backend-sender.ts
@@ -52,6 +52,7 @@
         this.handles.delete(handle);
         this.clock.setTimeout(() => engine.cancel(job), this.linkMs);
       },
+      discardForeignResponse: () => handle.cancel(),
       withdraw: () => false,
       pause: () => undefined,
       resume: () => undefined,
--- a/src/gateway/attempt/attempt.ts
+++ b/src/gateway/attempt/attempt.ts
@@ -13,6 +13,8 @@
   readonly method: string;
   /** Path and query, unchanged. */
   readonly path: string;
+  /** Whether the request may run more than once. */
+  readonly isRepeatable: boolean;
   readonly headers: RawHeaders;
   readonly body: Buffer;
 }
@@ -53,6 +55,12 @@
 export interface AttemptHandle {
   /** Closes the connection; no handler is called afterwards. */
   cancel(): void;
+  /**
+   * Like `cancel`, for a response that does not belong to the request. Its backend may have sent
+   * such bytes on other connections too, so none of those is used for a request that may run only
+   * once.
+   */
+  discardForeignResponse(): void;
   /**
    * Cancels the attempt if nothing was sent yet because no connection is established; returns
    * whether it did.
--- a/src/gateway/attempt/http-backend-sender.ts
+++ b/src/gateway/attempt/http-backend-sender.ts
@@ -18,6 +18,7 @@
 import { KeepAliveAgent } from './keep-alive-agent.js';
 import { parseResponseHead } from './parse-response-head.js';
 import { StallDetector } from './stall-detector.js';
+import { SurplusSenders } from './surplus-senders.js';
 
 /** Limits of the connections to backends. */
 export interface BackendSenderOptions {
@@ -62,13 +63,16 @@
 export class HttpBackendSender implements BackendSender {
   private readonly agent: KeepAliveAgent;
   private readonly stallDetector = new StallDetector(SYSTEM_CLOCK);
+  private readonly surplusSenders = new SurplusSenders(SYSTEM_CLOCK);
 
   constructor(
     private readonly options = DEFAULT_BACKEND_SENDER_OPTIONS,
     /** Called when a connection is opened. */
     onConnection: (reason: ConnectionOpenReason) => void = () => undefined,
+    /** Called when a backend begins to send bytes that belong to no request. */
+    private readonly onSurplus: (address: string) => void = () => undefined,
   ) {
-    this.agent = new KeepAliveAgent(options, onConnection);
+    this.agent = new KeepAliveAgent(options, onConnection, (address) => this.noteSurplus(address));
   }
 
   /** Closes idle connections and stops the stall detector. */
@@ -82,23 +86,40 @@
     this.agent.closeIdleConnections(splitAddress(address));
   }
 
+  private noteSurplus(address: string): void {
+    if (this.surplusSenders.note(address)) {
+      this.onSurplus(address);
+    }
+    this.endResting(address);
+  }
+
   /** Number of connections opened, by reason. */
   get connectionsOpened(): ReadonlyMap<ConnectionOpenReason, number> {
     return this.agent.connectionReasons.opened;
   }
 
   send(attempt: OutgoingAttempt, handlers: AttemptHandlers): AttemptHandle {
-    const httpAttempt = new HttpAttempt(
-      attempt,
-      handlers,
-      this.agent,
-      this.options.connectTimeoutMs,
-    );
+    const { address } = attempt.backend;
+    const httpAttempt = new HttpAttempt(attempt, handlers, this.agent, {
+      connectTimeoutMs: this.options.connectTimeoutMs,
+      usesNewConnection: !attempt.isRepeatable && this.surplusSenders.has(address),
+      onForeignResponse: () => this.noteSurplus(address),
+    });
     this.stallDetector.afterPendingInput(() => httpAttempt.begin());
     return httpAttempt;
   }
 }
 
+/** How an attempt uses connections. */
+interface ConnectionUse {
+  /** Connect timeout in addition to the round-trip time, in milliseconds. */
+  readonly connectTimeoutMs: number;
+  /** Whether the request is sent on a connection of its own. */
+  readonly usesNewConnection: boolean;
+  /** Called if the response does not belong to the request. */
+  onForeignResponse(): void;
+}
+
 /** One HTTP request in progress. */
 class HttpAttempt implements AttemptHandle {
   /** Undefined until the request is sent. */
@@ -116,7 +137,7 @@
     private readonly attempt: OutgoingAttempt,
     private readonly handlers: AttemptHandlers,
     private readonly agent: KeepAliveAgent,
-    private readonly connectTimeoutMs: number,
+    private readonly use: ConnectionUse,
   ) {
     this.address = splitAddress(attempt.backend.address);
     this.roundTripMs = attempt.roundTripMs ?? 0;
@@ -127,8 +148,10 @@
     if (this.isOver) {
       return;
     }
-    const { address, agent, connectTimeoutMs } = this;
+    const { address } = this;
+    const { connectTimeoutMs, usesNewConnection } = this.use;
     const { method, path, body } = this.attempt;
+    const agent = usesNewConnection ? false : this.agent;
     const headers = withContentLength(this.attempt.headers, method, body);
     const request = httpRequest({ ...address, method, path, headers, agent, setHost: false });
     request.on('socket', (socket) => this.onSocket(socket, connectTimeoutMs));
@@ -143,6 +166,11 @@
     this.request = request;
   }
 
+  discardForeignResponse(): void {
+    this.cancel();
+    this.use.onForeignResponse();
+  }
+
   cancel(): void {
     this.isOver = true;
     clearTimeout(this.connectTimer);
--- a/src/gateway/attempt/keep-alive-agent.ts
+++ b/src/gateway/attempt/keep-alive-agent.ts
@@ -1,9 +1,9 @@
 /** HTTP agent that manages idle keep-alive connections to backends. */
-import { Agent } from 'node:http';
 import type { ClientRequest } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 import type { HostAndPort } from '../../address.js';
+import { SurplusGuardAgent } from '../../http/surplus-guard-agent.js';
 import { ConnectionReasonTracker } from './connection-reasons.js';
 import type { ConnectionOpenReason } from './connection-reasons.js';
 import {
@@ -30,11 +30,8 @@
 /** Minimum idle time after which a reset counts as a sign of stale connections, in milliseconds. */
 const MIN_STALE_IDLE_MS = 150;
 
-/**
- * Reuses idle connections, but closes one on which data arrives while no request is in progress:
- * such bytes belong to no request.
- */
-export class KeepAliveAgent extends Agent {
+/** Reuses idle connections for as long as their backends keep them open. */
+export class KeepAliveAgent extends SurplusGuardAgent {
   readonly connectionReasons: ConnectionReasonTracker;
   private readonly maxIdleMs: number;
   private readonly adaptiveTimeout: AdaptiveIdleTimeout;
@@ -45,7 +42,12 @@
   /** How long each reused connection had been idle. */
   private readonly lastIdleMs = new WeakMap<Socket, number>();
 
-  constructor(limits: IdleConnectionLimits, onOpened: (reason: ConnectionOpenReason) => void) {
+  constructor(
+    limits: IdleConnectionLimits,
+    onOpened: (reason: ConnectionOpenReason) => void,
+    /** Called with the address of a backend that sent data on an idle connection. */
+    private readonly onSurplusFrom: (address: string) => void = () => undefined,
+  ) {
     super({
       keepAlive: true,
       maxFreeSockets: limits.maxIdlePerBackend,
@@ -95,15 +97,18 @@
   override keepSocketAlive(stream: Duplex): boolean {
     const socket = stream as Socket;
     const timeoutMs = this.advertisedTimeoutMs.get(socket) ?? Infinity;
-    if (timeoutMs <= 0 || socket.readableLength > 0) {
+    if (timeoutMs <= 0) {
       return false;
     }
-    // The result is ignored: the base class rejects connections with an advertised timeout of one
+    const hasSurplus = socket.readableLength > 0;
+    // Otherwise the result is ignored: Node rejects connections with an advertised timeout of one
     // second.
     super.keepSocketAlive(stream);
+    if (hasSurplus) {
+      return false;
+    }
     const nowMs = performance.now();
     socket.setTimeout(Math.min(timeoutMs, this.maxIdleMs, this.adaptiveTimeout.current(nowMs)));
-    socket.on('data', destroySocket);
     this.observeIdleClose(socket);
     this.idleSinceMs.set(socket, nowMs);
     return true;
@@ -120,15 +125,14 @@
   }
 
   override reuseSocket(stream: Duplex, request: ClientRequest): void {
-    stream.removeListener('data', destroySocket);
     const idleSinceMs = this.idleSinceMs.get(stream as Socket);
     if (idleSinceMs !== undefined) {
       this.lastIdleMs.set(stream as Socket, performance.now() - idleSinceMs);
     }
     super.reuseSocket(stream, request);
   }
-}
 
-function destroySocket(this: Socket): void {
-  this.destroy();
+  protected override onSurplus({ remoteAddress, remotePort }: Socket): void {
+    this.onSurplusFrom(`${remoteAddress}:${remotePort}`);
+  }
 }
--- a/src/gateway/attempt/outgoing-request.ts
+++ b/src/gateway/attempt/outgoing-request.ts
@@ -3,6 +3,7 @@
 import { endToEndHeaders } from '../admission/caller-protocol.js';
 import type { CallerProtocol } from '../admission/caller-protocol.js';
 import type { Backend } from '../../routing/backend.js';
+import { mayRunAgain } from '../../routing/configuration.js';
 import type { AcceptedRequest } from './accepted-request.js';
 import type { OutgoingAttempt } from './attempt.js';
 
@@ -28,7 +29,7 @@
   { backend, roundTripMs, lastEventId, nowMs }: AttemptContext,
   protocol: CallerProtocol,
 ): OutgoingAttempt {
-  const { requestId, tenant, method, path, body } = request;
+  const { requestId, tenant, method, path, body, route } = request;
   const headers = protocol.attemptHeaders(endToEndHeaders(request.headers, NO_HEADERS), {
     requestId,
     remainingMs: Math.max(MIN_REMAINING_MS, Math.floor(request.deadlineAtMs - nowMs)),
@@ -36,5 +37,13 @@
     tenant,
     lastEventId,
   });
-  return { backend, roundTripMs, method, path, headers, body };
+  return {
+    backend,
+    roundTripMs,
+    method,
+    path,
+    headers,
+    body,
+    isRepeatable: mayRunAgain(route),
+  };
 }
--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -4,6 +4,7 @@
  * A request that was sent is sent again only if it is retryable or if it is certain that no backend
  * executed it.
  */
+import { EMPTY_HEADER_VALUE } from '../../http/header-value.js';
 import type { Backend } from '../../routing/backend.js';
 import type { ResponseHead, AttemptFailure, AttemptHandle, CallerReply } from './attempt.js';
 import type { AttemptOutcome } from '../dispatch/backend-health.js';
@@ -327,9 +328,9 @@
   private receiveHead(head: ResponseHead): void {
     this.recordReceipt();
     const response = this.ports.protocol.readAnswer(head.status, head.headers);
-    if (response.requestId !== undefined && response.requestId !== this.request.requestId) {
-      this.attempt?.cancel();
-      this.failResponse('response belongs to another request');
+    if ((response.requestId ?? EMPTY_HEADER_VALUE) !== this.request.requestId) {
+      this.attempt?.discardForeignResponse();
+      this.failResponse('response does not name the request');
       return;
     }
     if (!response.isMisdirected) {
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -91,8 +91,10 @@
   private readonly crashes: GatewayCrashes;
   private readonly conditions: GatewayConditions;
   private readonly streams: GatewayStreams;
-  private readonly sender = new HttpBackendSender(DEFAULT_BACKEND_SENDER_OPTIONS, (reason) =>
-    this.dependencies.metrics.record(({ connections }) => connections.inc({ reason })),
+  private readonly sender = new HttpBackendSender(
+    DEFAULT_BACKEND_SENDER_OPTIONS,
+    (reason) => this.dependencies.metrics.record(({ connections }) => connections.inc({ reason })),
+    (address) => this.dependencies.log.write('backend-surplus', 'state', { address }),
   );
   private readonly listener: CallerListener;
   private readonly links: SlotAgentLinks;
--- a/src/http/surplus-guard-agent.ts
+++ b/src/http/surplus-guard-agent.ts
@@ -1,6 +1,6 @@
 /** HTTP agent that closes idle connections on which data arrives. */
 import { Agent } from 'node:http';
-import type { AgentOptions, ClientRequest } from 'node:http';
+import type { ClientRequest } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 
@@ -11,14 +11,6 @@
 export class SurplusGuardAgent extends Agent {
   private readonly guards = new WeakMap<Duplex, () => void>();
 
-  constructor(
-    options: AgentOptions,
-    /** Called before the connection is closed. */
-    private readonly onSurplus: (socket: Socket) => void = () => undefined,
-  ) {
-    super(options);
-  }
-
   /** Returns whether the connection may be reused. */
   override keepSocketAlive(stream: Duplex): boolean {
     if (stream.readableLength > 0) {
@@ -43,4 +35,9 @@
     }
     super.reuseSocket(stream, request);
   }
+
+  /** Called with an idle connection on which data arrived, before it is closed. */
+  protected onSurplus(_socket: Socket): void {
+    // For subclasses.
+  }
 }
--- a/src/routing/configuration.ts
+++ b/src/routing/configuration.ts
@@ -44,9 +44,14 @@
   readonly services: readonly WeightedService[];
 }
 
+/** Whether a request of the route may run more than once. */
+export function mayRunAgain({ kind, isResumable }: Route): boolean {
+  return kind === 'safe' || (kind === 'stream' && isResumable);
+}
+
 /** Whether a request of the route may be retried at another backend after a failure. */
-export function isRepeatable({ kind, isResumable, maxAttempts }: Route): boolean {
-  return maxAttempts > 1 && (kind === 'safe' || (kind === 'stream' && isResumable));
+export function isRepeatable(route: Route): boolean {
+  return route.maxAttempts > 1 && mayRunAgain(route);
 }
 
 /** A group of backends that serve the same requests. */
--- a/src/telemetry/decision-log.ts
+++ b/src/telemetry/decision-log.ts
@@ -24,6 +24,7 @@
   'backend-availability',
   'backend-condition',
   'backend-asks-rest',
+  'backend-surplus',
   'zone-unknown',
   'region-reach',
   'zone-evacuation',
--- a/test/allowed-regions-gateway.test.ts
+++ b/test/allowed-regions-gateway.test.ts
@@ -162,7 +162,8 @@
     }
     counts.waiting += 1;
     const withdraw = () => (counts.withdrawn += 1) > 0;
-    return { cancel: ignore, withdraw, pause: ignore, resume: ignore };
+    const discardForeignResponse = ignore;
+    return { cancel: ignore, discardForeignResponse, withdraw, pause: ignore, resume: ignore };
   };
   const response = system.call();
   await system.waitUntil(() => counts.waiting === 1);
--- a/test/backend-sender.test.ts
+++ b/test/backend-sender.test.ts
@@ -67,6 +67,7 @@
     method: 'GET',
     path: '/',
     headers: [],
+    isRepeatable: true,
     body: Buffer.alloc(0),
   };
   return new Promise((resolve) => {
@@ -93,7 +94,14 @@
   });
   const sender = new HttpBackendSender();
   const backend = backendOf('b', { address });
-  const attempt = { backend, method: 'POST', path: '/', headers: [], body: Buffer.from('body') };
+  const attempt = {
+    backend,
+    method: 'POST',
+    path: '/',
+    headers: [],
+    isRepeatable: true,
+    body: Buffer.from('body'),
+  };
   const ignore = () => undefined;
   const handlers = { onHead: ignore, onData: ignore, onEnd: ignore, onFailure: ignore };
   t.true(sender.send(attempt, handlers).withdraw());
@@ -177,7 +185,7 @@
   const backend = backendOf('b', { address: `127.0.0.1:${port}` });
   const ignore = () => undefined;
   const handlers = { onHead: ignore, onData: ignore, onEnd: ignore, onFailure: ignore };
-  const attempt = { backend, method: 'POST', path: '/', headers: [], body };
+  const attempt = { backend, method: 'POST', path: '/', headers: [], isRepeatable: true, body };
   const handle = sender.send(attempt, handlers);
   await sleep(SYSTEM_CLOCK, 100);
   handle.cancel();
@@ -206,7 +214,14 @@
       // Blocks the event loop.
     }
     const backend = backendOf('b', { address });
-    const attempt = { backend, method: 'GET', path: '/', headers: [], body: Buffer.alloc(0) };
+    const attempt = {
+      backend,
+      method: 'GET',
+      path: '/',
+      headers: [],
+      isRepeatable: true,
+      body: Buffer.alloc(0),
+    };
     const ignore = () => undefined;
     const handlers = { onHead: ignore, onData: ignore, onEnd: ignore, onFailure: ignore };
     const handle = sender.send(attempt, handlers);
@@ -233,7 +248,14 @@
   const sender = new HttpBackendSender();
   await Promise.all([sendTo(sender, address), sendTo(sender, address)]);
   const backend = backendOf('b', { address });
-  const attempt = { backend, method: 'GET', path: '/', headers: [], body: Buffer.alloc(0) };
+  const attempt = {
+    backend,
+    method: 'GET',
+    path: '/',
+    headers: [],
+    isRepeatable: true,
+    body: Buffer.alloc(0),
+  };
   const ignore = () => undefined;
   const handlers = { onHead: ignore, onData: ignore, onEnd: ignore, onFailure: ignore };
   const silent = sender.send(attempt, handlers);
@@ -389,7 +411,14 @@
   const { server, address } = await startBackend((socket) => socket.write(`${FRAMED}a-01`));
   const sender = new HttpBackendSender();
   const backend = backendOf('b', { address });
-  const attempt = { backend, method: 'GET', path: '/', headers: [], body: Buffer.alloc(0) };
+  const attempt = {
+    backend,
+    method: 'GET',
+    path: '/',
+    headers: [],
+    isRepeatable: true,
+    body: Buffer.alloc(0),
+  };
   const reportedMs: number[] = [];
   for (let round = 0; round < 2; round += 1) {
     await new Promise<void>((resolve) => {
--- a/test/malformed-responses.test.ts
+++ b/test/malformed-responses.test.ts
@@ -31,6 +31,7 @@
       kind: 'unsafe',
       service: 'faulty',
     },
+    { ...ROUTE, name: 'pair', pathPrefix: '/pair/', kind: 'unsafe', service: 'pair' },
     {
       ...ROUTE,
       name: 'sound',
@@ -48,7 +49,7 @@
       service: 'faulty',
     },
   ],
-  services: ['faulty', 'sound'].map((name) => ({ name, maxConnections: 50 })),
+  services: ['faulty', 'pair', 'sound'].map((name) => ({ name, maxConnections: 50 })),
 };
 
 let lastId = 0;
@@ -181,3 +182,91 @@
     t.is(sound.receivedIds.length, 1);
   });
 }
+
+const ANSWER_DELAY_MS = 15;
+const PAIR_CALLS = 40;
+/** Pairs of requests within which the gateway knows both backends. */
+const CALLS_UNTIL_KNOWN = 100;
+
+/**
+ * Starts two backends of one service; on each reused connection one of them sends `surplus` as the
+ * next request arrives, up to `times` times, and its response after that.
+ */
+async function startPair(t: ExecutionContext, surplus: string, times = Infinity) {
+  const world = await startWith(t, serve('unused'));
+  let sent = 0;
+  let newConnections = 0;
+  const spoilt = new RawBackend(({ id, earlierOnConnection }, socket) => {
+    newConnections += earlierOnConnection === 0 ? 1 : 0;
+    if (earlierOnConnection > 0 && sent < times) {
+      sent += 1;
+      socket.write(surplus);
+    }
+    setTimeout(() => socket.write(wholeResponse(id, `answer to ${id}`)), ANSWER_DELAY_MS);
+  });
+  const other = new RawBackend(({ id }, socket) => {
+    setTimeout(() => socket.write(wholeResponse(id, `answer to ${id}`)), ANSWER_DELAY_MS);
+  });
+  t.teardown(() => [spoilt, other].forEach((backend) => backend.stop()));
+  world.announce('pair', 'w-spoilt', await spoilt.start());
+  world.announce('pair', 'w-other', await other.start());
+  for (let count = 0; count < CALLS_UNTIL_KNOWN; count += 1) {
+    await Promise.all([call(world.gateway, '/pair/'), call(world.gateway, '/pair/')]);
+    if (spoilt.receivedIds.length > 0 && other.receivedIds.length > 0) {
+      break;
+    }
+    await new Promise((resolve) => setTimeout(resolve, ANSWER_DELAY_MS));
+  }
+  return { ...world, spoilt, other, surplusSent: () => sent, newConnections: () => newConnections };
+}
+
+async function callOften(gateway: RunningGateway, path: string, count: number): Promise<Answer[]> {
+  const answers: Answer[] = [];
+  while (answers.length < count) {
+    answers.push(...(await Promise.all([call(gateway, path), call(gateway, path)])));
+  }
+  return answers;
+}
+
+for (const [name, surplus] of [
+  ['421', 'HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n'],
+  [
+    '503 that claims not to have run',
+    'HTTP/1.1 503 Busy\r\nX-Weirvale-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n',
+  ],
+  ['200', 'HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nforeign'],
+] as const) {
+  test(`a surplus ${name} without an id makes no unsafe request run twice and is not passed on`, async (t) => {
+    const { gateway, spoilt, other, surplusSent } = await startPair(t, surplus);
+    const answers = await callOften(gateway, '/pair/', PAIR_CALLS);
+    t.true(surplusSent() > 0);
+    const ran = [...spoilt.receivedIds, ...other.receivedIds];
+    t.is(new Set(ran).size, ran.length);
+    for (const { id, status, body } of answers) {
+      t.true(status === 502 || (status === 200 && body === `answer to ${id}`), `${status} ${body}`);
+    }
+  });
+}
+
+test('after surplus bytes, requests that may run once go to that backend on new connections', async (t) => {
+  const surplus = 'HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nforeign';
+  const { gateway, spoilt, surplusSent, newConnections } = await startPair(t, surplus);
+  await callOften(gateway, '/pair/', PAIR_CALLS);
+  const [sentBefore, receivedBefore] = [surplusSent(), spoilt.receivedIds.length];
+  const connectionsBefore = newConnections();
+  const answers = await callOften(gateway, '/pair/', PAIR_CALLS);
+  t.deepEqual([...new Set(answers.map(({ status }) => status))], [200]);
+  t.is(surplusSent(), sentBefore);
+  t.is(newConnections() - connectionsBefore, spoilt.receivedIds.length - receivedBefore);
+});
+
+test('bytes on an idle connection close it, and the next unsafe request does not read them', async (t) => {
+  const { gateway, spoilt, other } = await startPair(t, '', 0);
+  await callOften(gateway, '/pair/', 10);
+  spoilt.writeToAll('HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nforeign');
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  t.is(spoilt.connections, 0);
+  const answers = await callOften(gateway, '/pair/', 10);
+  t.true(answers.every(({ id, status, body }) => status === 200 && body === `answer to ${id}`));
+  t.true(other.receivedIds.length > 0);
+});
--- a/test/support/gateway-harness.ts
+++ b/test/support/gateway-harness.ts
@@ -131,6 +131,8 @@
   attemptHeaders: (_received, attempt) => [
     'remaining',
     `${attempt.remainingMs}`,
+    'request',
+    attempt.requestId,
     'last-event',
     attempt.lastEventId ?? '',
   ],
@@ -144,6 +146,12 @@
     retryAfterMs === undefined ? [] : ['retry-after-ms', `${retryAfterMs}`],
 };
 
+/** Names the request in a response, as backends do, unless the test states the name itself. */
+function withRequestId(head: ResponseHead, attempt: OutgoingAttempt): ResponseHead {
+  const request = attempt.headers[attempt.headers.indexOf('request') + 1];
+  return { ...head, headers: { request, ...head.headers } };
+}
+
 /**
  * Test harness: the gateway core on a virtual clock, with backends and agents simulated by the
  * test.
@@ -154,6 +162,8 @@
   readonly agentMessages: Array<[string, GatewaySlotMessage]> = [];
   readonly requestEnds: RequestEnd[] = [];
   readonly endedRequests: Array<[AcceptedRequest, RequestEnd]> = [];
+  /** Backends whose responses were discarded as not belonging to the request. */
+  readonly foreignResponses: string[] = [];
   readonly regions = new Map<string, string>();
   readonly directory = new BackendDirectory(
     { name: 'g', zone: 'z', places: new ZoneTopology(this.regions) },
@@ -317,7 +327,11 @@
   }
 
   send(attempt: OutgoingAttempt, handlers: AttemptHandlers) {
-    const recorded: RecordedAttempt = { ...attempt, handlers, isCancelled: false };
+    const recorded: RecordedAttempt = {
+      ...attempt,
+      handlers: { ...handlers, onHead: (head) => handlers.onHead(withRequestId(head, attempt)) },
+      isCancelled: false,
+    };
     this.attempts.push(recorded);
     const ignore = () => undefined;
     const cancel = () => void (recorded.isCancelled = true);
@@ -325,7 +339,11 @@
       recorded.isCancelled ||= this.unconnectableBackendIds.has(attempt.backend.id);
       return recorded.isCancelled;
     };
-    return { cancel, withdraw, pause: ignore, resume: ignore };
+    const discardForeignResponse = () => {
+      this.foreignResponses.push(attempt.backend.id);
+      cancel();
+    };
+    return { cancel, discardForeignResponse, withdraw, pause: ignore, resume: ignore };
   }
 
   /** Returns an accepted request with default values. */
--- a/test/support/stream-fleet.ts
+++ b/test/support/stream-fleet.ts
@@ -249,7 +249,8 @@
         () => host.runWhenActive(() => void (isCancelled || action())),
         LINK_MS,
       );
-    const [name, lastEventId] = attempt.headers;
+    const [name, lastEventId, requestId] = attempt.headers;
+    const headers = { 'request-id': requestId };
     this.clock.setTimeout(() => {
       const life = this.lives.find(
         ({ host: machine }) => `${machine}:9` === attempt.backend.address,
@@ -261,7 +262,7 @@
         return;
       }
       if (life.backend.name !== name) {
-        notify(() => handlers.onHead({ status: 421, rawHeaders: [], headers: {} }));
+        notify(() => handlers.onHead({ status: 421, rawHeaders: [], headers }));
         return;
       }
       const onCrash = () =>
@@ -269,7 +270,7 @@
           handlers.onFailure({ mayHaveRun: true, isPortClosed: false, detail: 'crashed' }),
         );
       life.onCrash.add(onCrash);
-      notify(() => handlers.onHead({ status: 200, rawHeaders: [], headers: {} }));
+      notify(() => handlers.onHead({ status: 200, rawHeaders: [], headers }));
       const makeEvent = (number: number) => {
         if (isCancelled || !life.isRunning) {
           return;
@@ -289,6 +290,7 @@
     }, LINK_MS);
     return {
       cancel: () => void (isCancelled = true),
+      discardForeignResponse: () => void (isCancelled = true),
       withdraw: () => false,
       pause: () => undefined,
       resume: () => undefined,
--- a/test/support/stream-gateway.ts
+++ b/test/support/stream-gateway.ts
@@ -54,9 +54,13 @@
     resumedRequestId: headers['resumes'] as string | undefined,
     reservedHeaders: [],
   }),
-  attemptHeaders: (_received, { lastEventId, backendName }) => [backendName, lastEventId ?? '0'],
-  readAnswer: (status) => ({
-    requestId: undefined,
+  attemptHeaders: (_received, { lastEventId, backendName, requestId }) => [
+    backendName,
+    lastEventId ?? '0',
+    requestId,
+  ],
+  readAnswer: (status, headers) => ({
+    requestId: headers['request-id'] as string,
     isNotExecuted: false,
     isMisdirected: status === 421,
     statement: NO_STATEMENT,
