A stream's version is that of the process which writes it

Idle engines crashed while the store was away and started again under their ids with other software.

Cause: an agent looked at its engine only while requests ran there, and then 300 ms after the first one. A gateway bound a stream to the version that it knew at the send, and nothing corrected that once the agent had spoken. A gateway that connected after the restart heard nothing of it at all.

Mend: an agent probes its idle engine once a second, and at once when the first request after an idle time arrives, so that its word is there before the first event. Each state names the start time of the process that answered (bornAtMs). A gateway that hears of a later start than the announced one counts the process as a version of its own, corrects the streams that run there and the origins that others hold of them, and leaves an attempt whose earlier events are of another version.

Tests: stream-versions (late word before the first event, and before the failure; a resumed stream; words of an earlier or the announced process), slot-agent-role (an idle engine that restarts). The fixture of a configuration with a bad list of regions gained the fields that a route must have.

--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -160,6 +160,34 @@
     }
   }
 
+  /**
+   * Handles the report that a backend's process is a later one than was announced, with `version`.
+   * It runs the current attempt, since the connection to the earlier process ended with it.
+   */
+  handleUnannouncedProcess(id: string, version: SoftwareVersion): void {
+    if (this.attempt === undefined || this.backend?.id !== id) {
+      return;
+    }
+    if (!this.binding.correctSent(version)) {
+      this.leaveOtherVersion();
+    } else if (this.phase === 'streaming') {
+      this.ports.onStreamBegun(this.request, this.backend, version);
+    }
+  }
+
+  /** Ends an attempt whose events would follow those of another version. */
+  private leaveOtherVersion(): void {
+    const hasMixed = this.phase === 'streaming';
+    const backendId = this.backend!.id;
+    this.mayHaveRun = true;
+    this.abortAttempt('unknown', 'another process than the announced one');
+    if (hasMixed || !this.takeRetry()) {
+      this.replyWithFailure('stream-unavailable');
+    } else {
+      this.retryOnceCharged(backendId);
+    }
+  }
+
   private failEndedBackend(): void {
     const isUnsent = this.attempt?.withdraw() === true;
     if (!isUnsent) {
--- a/src/gateway/attempt/stream-binding.ts
+++ b/src/gateway/attempt/stream-binding.ts
@@ -7,6 +7,7 @@
 export class StreamBinding implements PlacementConstraints {
   private version: SoftwareVersion | undefined;
   private sentTo: SoftwareVersion | undefined;
+  private isBoundByLastAttempt = false;
 
   constructor(private readonly request: AcceptedRequest) {
     this.version = request.resumedVersion;
@@ -27,6 +28,21 @@
   /** Records the version that the backend runs to which the request is sent. */
   noteSent(version: SoftwareVersion): void {
     this.sentTo = version;
+    this.isBoundByLastAttempt = false;
+  }
+
+  /**
+   * Records that the process that runs the last attempt is not the one that was known when it was
+   * sent, and has `version`.
+   *
+   * @returns whether the attempt may go on: false if earlier events are of another version
+   */
+  correctSent(version: SoftwareVersion): boolean {
+    this.sentTo = version;
+    if (this.isBoundByLastAttempt) {
+      this.version = version;
+    }
+    return this.version === undefined || this.version === version;
   }
 
   /**
@@ -40,6 +56,7 @@
       return undefined;
     }
     this.version = this.sentTo;
+    this.isBoundByLastAttempt = true;
     return this.version;
   }
 }
--- a/src/gateway/dispatch/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -56,6 +56,11 @@
   onAvailability(backend: Backend, availability: EngineAvailability): void;
   /** Called when the agent of a backend reports that nothing listens at its address. */
   onEnded?(backendId: string): void;
+  /**
+   * Called when the agent of a backend reports a process that started after the announced one, so
+   * that it may run other software.
+   */
+  onUnannouncedProcess?(known: KnownBackend): void;
 }
 
 /** Wait estimates for the requests of a service. */
@@ -377,6 +382,10 @@
         known.noteProcessEnded();
         this.ports.onEnded?.(backendId);
       }
+      if (message.bornAtMs !== undefined && known.noteRunningProcess(message.bornAtMs)) {
+        known.cold.assumeCold('was-gone', nowMs);
+        this.ports.onUnannouncedProcess?.(known);
+      }
       this.noteAvailability(known, known.agent, message.availability, nowMs);
       known.adoptLearned(message.speed);
       known.roundTrip.replaceEstimate(message.roundTripMs ?? known.roundTrip.ms);
--- a/src/gateway/dispatch/known-backend.ts
+++ b/src/gateway/dispatch/known-backend.ts
@@ -85,8 +85,10 @@
   hasEnded = false;
   /** Whether it has ended, or a later incarnation was announced at its address. */
   isReplaced = false;
-  /** How often its process was seen to end since its announcement. */
+  /** How often its process was seen to end, or another one in its place, since its announcement. */
   private restarts = 0;
+  /** Start time of the latest process seen that started after the announced one. */
+  private laterBornAtMs = -Infinity;
   private learnedMsPerUnit: number | undefined;
   private readonly ownFailureRate = new FailureEstimate();
 
@@ -133,6 +135,21 @@
     this.restarts += 1;
   }
 
+  /**
+   * Records the start time of the process that answered at its address, on that machine's clock;
+   * returns whether this shows for the first time that it is a later process than the announced
+   * one.
+   */
+  noteRunningProcess(bornAtMs: number): boolean {
+    const { bornAtMs: announcedBornAtMs = Infinity } = this.backend;
+    if (bornAtMs <= Math.max(announcedBornAtMs, this.laterBornAtMs)) {
+      return false;
+    }
+    this.laterBornAtMs = bornAtMs;
+    this.restarts += 1;
+    return true;
+  }
+
   /**
    * Whether it started before `timeMs` on its own clock, as far as is known: reports about earlier
    * processes at its address may arrive after its announcement.
--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -34,6 +34,7 @@
 import type { GatewaySettings } from './gateway-settings.js';
 import type { GatewayStreams, ResumptionDecision } from './gateway-streams.js';
 import type { GatewayMetrics } from './metrics/gateway-metrics.js';
+import type { SoftwareVersion } from '../streams/software-version.js';
 
 /** Dependencies of `GatewayRequests`. */
 export interface GatewayRequestsDependencies {
@@ -161,6 +162,13 @@
     }
   }
 
+  /** Treats the attempts that run on a backend as run by a later process than was announced. */
+  handleUnannouncedProcess(backendId: string, version: SoftwareVersion): void {
+    for (const { proxied } of [...this.active.values()]) {
+      proxied.handleUnannouncedProcess(backendId, version);
+    }
+  }
+
   /** Refuses waiting requests that have been found to crash backends. */
   refuseCrashing(): void {
     for (const { proxied } of [...this.active.values()]) {
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -20,6 +20,7 @@
 import type { ExitEvidence } from './crashes/interrupted-runs.js';
 import { BackendDirectory } from './dispatch/backend-directory.js';
 import { Dispatcher } from './dispatch/dispatcher.js';
+import type { KnownBackend } from './dispatch/known-backend.js';
 import type { GatewayAdapter } from './gateway-adapter.js';
 import { GatewayBackends } from './gateway-backends.js';
 import { GatewayCluster } from './gateway-cluster.js';
@@ -149,6 +150,7 @@
         dependencies.log.write('backend-ejected', 'state', { backend: backendId }),
       onAvailability: (backend, availability) => this.handleAvailability(backend, availability),
       onEnded: (backendId) => this.handleBackendEnded(backendId, 'agent'),
+      onUnannouncedProcess: (known) => this.handleUnannouncedProcess(known),
       isEngine,
       countGateways: () => this.cluster.size,
       tokensPerEvent: (service) => this.configuration.tokensPerEvent(service),
@@ -431,6 +433,11 @@
     this.requests.handleBackendEnded(backendId, evidence);
   }
 
+  private handleUnannouncedProcess({ backend: { id }, softwareVersion }: KnownBackend): void {
+    this.dependencies.log.write('backend-unannounced', 'state', { backend: id, softwareVersion });
+    this.requests.handleUnannouncedProcess(id, softwareVersion);
+  }
+
   /** Applies a change of a backend's condition that affects what may be sent there. */
   private applyCondition(backendId: string): void {
     const known = this.directory.find(backendId);
--- a/src/slot-agent/slot-agent-role.ts
+++ b/src/slot-agent/slot-agent-role.ts
@@ -55,6 +55,11 @@
    * closes no connection. Default 300.
    */
   readonly probeIntervalMs: number;
+  /**
+   * Interval between probes of an idle engine, in milliseconds. They show a restart before the next
+   * request, since a process that restarted may run other software. Default 1,000.
+   */
+  readonly idleProbeIntervalMs: number;
   /** Interval between heartbeats to gateways. Default 300. */
   readonly heartbeatIntervalMs: number;
   /**
@@ -119,6 +124,7 @@
 export const DEFAULT_SLOT_AGENT_OPTIONS: SlotAgentOptions = {
   fastProbeIntervalMs: 60,
   probeIntervalMs: 300,
+  idleProbeIntervalMs: 1_000,
   heartbeatIntervalMs: 300,
   stateBatchDelayMs: 250,
   keepaliveCheckIntervalMs: 50,
@@ -143,6 +149,7 @@
   private isProbing = false;
   private probeTimer: TimerHandle | undefined;
   private probeDueAtMs = Infinity;
+  private lastProbeAtMs = -Infinity;
   private isKeepaliveCheckScheduled = false;
   private isStopped = false;
 
@@ -215,6 +222,7 @@
     this.server.listen(port, host);
     this.mesh.start();
     this.sendHeartbeats();
+    this.scheduleNextProbe();
     if (metricsPort > 0) {
       metrics.serve(host, metricsPort);
       this.clock.setTimeout(
@@ -431,15 +439,20 @@
   }
 
   /**
-   * Schedules the next probe: soon while the engine's state is uncertain, at the longer interval
-   * while requests run.
+   * Schedules the next probe: soon while the engine's state is uncertain, less often while requests
+   * run, and rarely while it is idle. The first request after an idle time causes a probe at once,
+   * so that gateways know the process that runs it before its first event.
    */
   private scheduleNextProbe(): void {
+    const { fastProbeIntervalMs, probeIntervalMs, idleProbeIntervalMs } = this.options;
     if (this.allocator.needsProbe(this.clock.now())) {
-      this.scheduleProbe(this.options.fastProbeIntervalMs);
-    } else if (this.allocator.isAnyKeepaliveExpected) {
-      this.scheduleProbe(this.options.probeIntervalMs);
+      this.scheduleProbe(fastProbeIntervalMs);
+      return;
     }
+    const isIdle = !this.allocator.isAnyKeepaliveExpected;
+    const intervalMs = isIdle ? idleProbeIntervalMs : probeIntervalMs;
+    const sinceProbeMs = this.clock.now() - this.lastProbeAtMs;
+    this.scheduleProbe(Math.max(0, intervalMs - sinceProbeMs));
   }
 
   /** Probes the engine after `delayMs`, unless an earlier probe is scheduled. */
@@ -456,6 +469,7 @@
   private async probe(): Promise<void> {
     this.isProbing = true;
     this.probeDueAtMs = Infinity;
+    this.lastProbeAtMs = this.clock.now();
     const result = await this.dependencies.probeEngine();
     this.isProbing = false;
     if (result.kind !== 'load') {
--- a/src/slot-agent/slot-allocator.ts
+++ b/src/slot-agent/slot-allocator.ts
@@ -261,10 +261,14 @@
   }
 
   private noteStartTime(startedAtMs: number | undefined): void {
-    if (startedAtMs !== undefined) {
-      this.engineStartedAtMs = startedAtMs;
-      this.endedBornBeforeMs = startedAtMs + 1;
+    if (startedAtMs === undefined) {
+      return;
+    }
+    if (startedAtMs !== this.engineStartedAtMs) {
+      this.publisher.forceNextUpdate();
     }
+    this.engineStartedAtMs = startedAtMs;
+    this.endedBornBeforeMs = startedAtMs + 1;
   }
 
   /**
@@ -502,6 +506,7 @@
         hasEnded: true,
         endedBornBeforeMs: this.endedBornBeforeMs,
       }),
+      ...(this.engineStartedAtMs !== undefined && { bornAtMs: this.engineStartedAtMs }),
       ...(homes === undefined ? {} : { homes }),
       ...(grantsOnly && { grantsOnly }),
     });
--- a/src/slot-agent/slot-messages.ts
+++ b/src/slot-agent/slot-messages.ts
@@ -198,6 +198,11 @@
    * clock in Unix milliseconds, has ended; omitted if the agent has seen none.
    */
   readonly endedBornBeforeMs?: number | undefined;
+  /**
+   * Start time of the process that answered at the engine's address last, on the engine's clock in
+   * Unix milliseconds; omitted if it reports none.
+   */
+  readonly bornAtMs?: number | undefined;
   /** Omitted while the agent's configuration restricts no request to regions. */
   readonly homes?: AgentRegionInfo | undefined;
   /** Why slots are available by grant only; omitted while gateways may take free slots. */
--- a/src/telemetry/decision-log.ts
+++ b/src/telemetry/decision-log.ts
@@ -25,6 +25,7 @@
   'backend-condition',
   'backend-asks-rest',
   'backend-surplus',
+  'backend-unannounced',
   'zone-unknown',
   'region-reach',
   'zone-evacuation',
--- a/test/homes-agent.test.ts
+++ b/test/homes-agent.test.ts
@@ -291,7 +291,8 @@
 });
 
 test('a record whose allowedRegions is no list is rejected with the reason', (t) => {
-  const value = JSON.stringify({ version: 2, routes: [{ name: 'r', allowedRegions: 'eu' }] });
+  const place = { name: 'r', host: 'a.example', pathPrefix: '/a/' };
+  const value = JSON.stringify({ version: 2, routes: [{ ...place, allowedRegions: 'eu' }] });
   const decoded = decodeRecord({ key: 'op/config', ...positionAt(1), value });
   t.is(decoded.kind, 'invalid');
   t.regex(JSON.stringify(decoded), /routes\.r\.allowedRegions is .*eu.*; allowed is a list/);
--- a/test/slot-agent-role.test.ts
+++ b/test/slot-agent-role.test.ts
@@ -21,7 +21,10 @@
   return lastPort;
 }
 
-function startAgent(requestsAtEngine: () => number): {
+function startAgent(
+  requestsAtEngine: () => number,
+  bornAtMs: () => number | undefined = () => undefined,
+): {
   port: number;
   metrics: SlotAgentMetrics;
   stop: () => void;
@@ -38,7 +41,8 @@
         kind: 'evacuation',
         change: { zone: key, isOrdered: value !== undefined, epoch, revision },
       }),
-      probeEngine: () => Promise.resolve({ kind: 'load', requests: requestsAtEngine() }),
+      probeEngine: () =>
+        Promise.resolve({ kind: 'load', requests: requestsAtEngine(), bornAtMs: bornAtMs() }),
       clock: SYSTEM_CLOCK,
       random: new SeededRandom(1),
       log: new DecisionLog({ role: 'slot-agent', process: 'agent', zone: 'z' }, 0, SYSTEM_CLOCK),
@@ -203,3 +207,26 @@
   t.regex(text, /weirvale_slot_gateways_ended_total\{reason="silent"\} 1/);
   t.regex(text, /weirvale_slots_occupied 1/);
 });
+
+test('an idle engine is probed, so that its restart is known before the next request', async (t) => {
+  let bornAtMs = 1;
+  const { port, stop } = startAgent(
+    () => 0,
+    () => bornAtMs,
+  );
+  t.teardown(stop);
+  const gateway = new FakeGateway(port);
+  t.teardown(() => gateway.close());
+  gateway.sendHello('g');
+  const reported = () =>
+    gateway.received.flatMap((message) => (message.kind === 'state' ? [message.bornAtMs] : []));
+  const untilReported = async (expected: number) => {
+    for (let waitedMs = 0; waitedMs < 5_000 && !reported().includes(expected); waitedMs += 5) {
+      await new Promise((resolve) => setTimeout(resolve, 5));
+    }
+    t.true(reported().includes(expected));
+  };
+  await untilReported(1);
+  bornAtMs = 2;
+  await untilReported(2);
+});
--- a/test/stream-versions.test.ts
+++ b/test/stream-versions.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import { headerValue } from '../src/http/header-value.js';
+import { KnownBackend } from '../src/gateway/dispatch/known-backend.js';
 import type { Backend } from '../src/routing/backend.js';
 import { softwareVersionOf } from '../src/streams/software-version.js';
 import { backendOf, GatewayHarness, routeOf } from './support/gateway-harness.js';
@@ -221,3 +222,79 @@
   t.is(world.attempts.length, 1);
   t.true(reply.isAborted);
 });
+
+/** The state that an agent sends of an engine whose process started at `bornAtMs`. */
+function stateOf(bornAtMs: number) {
+  return {
+    kind: 'state',
+    occupied: 0,
+    messagesSeen: 0,
+    speed: {},
+    failureShare: 0,
+    availability: 'open',
+    bornAtMs,
+  } as const;
+}
+
+/** Starts a stream at `a`, whose agent then reports a process that was not announced. */
+function streamAtUnannounced(reportBefore: 'event' | 'failure') {
+  const world = new GatewayHarness(
+    backendOf('a', { version: 'v1', bornAtMs: 1 }),
+    backendOf('b', { version: 'v1', bornAtMs: 1 }),
+  );
+  world.engines = true;
+  world.dispatcher.learnSpeed('a', 1, 1);
+  world.dispatcher.learnSpeed('b', 1, 50);
+  world.dispatcher.connectAgent('a', 0);
+  const { reply } = world.request({ route: RESUMABLE });
+  const { backend, handlers } = world.attempts[0]!;
+  const report = () => world.dispatcher.receiveFromAgent('a', stateOf(2), 0);
+  handlers.onHead(HEAD);
+  if (reportBefore === 'event') {
+    report();
+  }
+  handlers.onData(Buffer.from(EVENT_1));
+  if (reportBefore === 'failure') {
+    report();
+  }
+  handlers.onFailure(RESET_FAILURE);
+  return { world, reply, backend };
+}
+
+for (const reportBefore of ['event', 'failure'] as const) {
+  test(`a stream of an unannounced process, reported before its ${reportBefore}, continues at no announced version`, (t) => {
+    const { world, reply, backend } = streamAtUnannounced(reportBefore);
+    t.is(backend.id, 'a');
+    t.is(world.attempts.length, 1);
+    t.true(reply.isAborted);
+    t.is(world.begunStreams.length, reportBefore === 'event' ? 1 : 2);
+  });
+}
+
+test('a stream that resumes at a process found to be unannounced leaves it before its first event', (t) => {
+  const { world, reply, handlers } = streamAt(
+    backendOf('b', { version: 'v1', bornAtMs: 1 }),
+    backendOf('c', { version: 'v1' }),
+  );
+  world.dispatcher.learnSpeed('b', 1, 1);
+  world.dispatcher.connectAgent('b', 0);
+  handlers.onFailure(RESET_FAILURE);
+  const resumed = world.attempts.at(-1)!;
+  if (resumed.backend.id === 'b') {
+    world.dispatcher.receiveFromAgent('b', stateOf(2), 0);
+    t.true(resumed.isCancelled);
+  }
+  t.is(world.attempts.at(-1)!.backend.id, 'c');
+  world.answer(world.attempts.length - 1, 200, EVENT_2);
+  t.deepEqual([reply.body, reply.isEnded], [EVENT_1 + EVENT_2, true]);
+});
+
+test("an agent's report of the announced process, or of an earlier one, changes no version", (t) => {
+  const known = new KnownBackend(backendOf('a', { version: 'v1', bornAtMs: 5 }), 0);
+  t.false(known.noteRunningProcess(5));
+  t.false(known.noteRunningProcess(4));
+  t.is(known.softwareVersion, softwareVersionOf({ id: 'a', version: 'v1' }));
+  t.true(known.noteRunningProcess(6));
+  t.false(known.noteRunningProcess(6));
+  t.not(known.softwareVersion, softwareVersionOf({ id: 'a', version: 'v1' }));
+});
--- a/test/support/gateway-harness.ts
+++ b/test/support/gateway-harness.ts
@@ -11,6 +11,7 @@
 import type { FingerprintCrashes } from '../../src/gateway/crashes/crash-tally.js';
 import { CrashingRequests } from '../../src/gateway/crashes/crashing-requests.js';
 import type { ObservedCrash } from '../../src/gateway/crashes/crashing-requests.js';
+import type { KnownBackend } from '../../src/gateway/dispatch/known-backend.js';
 import { ColdStartLimiter } from '../../src/gateway/dispatch/cold-start-limiter.js';
 import { Dispatcher } from '../../src/gateway/dispatch/dispatcher.js';
 import type { DispatcherPorts } from '../../src/gateway/dispatch/dispatcher.js';
@@ -318,6 +319,12 @@
     this.crashingRequests.recordBackendExit(backendId, 'agent');
   }
 
+  onUnannouncedProcess({ backend, softwareVersion }: KnownBackend): void {
+    this.proxiedRequests.forEach((request) =>
+      request.handleUnannouncedProcess(backend.id, softwareVersion),
+    );
+  }
+
   onReplaced(backendId: string): void {
     this.crashingRequests.recordBackendExit(backendId, 'replaced');
   }
