An exception in the processing of a request ends that request alone

Cause: requests shared one boundary, that of the process.

Mend: ConfinedRequest runs every step of a request, and every callback that it passes to its ports and timers, inside a boundary. After an exception the request gives back its slot, its timers, its connection and, if it was not sent, its charge, and gets a true answer: 502 once a backend may have run it, else 503 internal-error. It is logged with its id and stack (request-fault) and counted. The steps before a request is offered to backends are confined as well. What is left, outside of requests, still ends the process, now with one last line (process-failed) that is written before the exit.

ProxiedRequest gave three parts to modules of their own to make room: AttemptDeparture, RetryRules, FailureReply.

--- a/src/bin/run-process.ts
+++ b/src/bin/run-process.ts
@@ -26,6 +26,7 @@
   createEngineProbe(address: string): EngineProbe;
 }
 
+const EXIT_FAILED = 1;
 const EXIT_BAD_SETTINGS = 2;
 const SEED_RANGE = 2 ** 31;
 
@@ -43,6 +44,7 @@
     settings.val.log.linesPerS,
     SYSTEM_CLOCK,
   );
+  process.on('uncaughtException', (error, origin) => endAfterError(error, origin, log));
   process.on('SIGHUP', () => checkChangedSettings(settingsPath, log));
   if (role === 'gateway') {
     startGateway(settings.val, dependencies, log);
@@ -51,6 +53,16 @@
   }
 }
 
+/**
+ * Ends the process after an exception outside the processing of a request: shared state may be half
+ * changed, and the platform starts the process again.
+ */
+function endAfterError(error: Error, origin: string, log: DecisionLog): void {
+  const { message, stack } = error;
+  log.writeLast('process-failed', { reason: message, origin, stack });
+  process.exit(EXIT_FAILED);
+}
+
 function startGateway(
   settings: GatewaySettings,
   dependencies: ProcessDependencies,
--- a/src/experiment/simulated-gateway.ts
+++ b/src/experiment/simulated-gateway.ts
@@ -123,6 +123,7 @@
     this.admission = new RequestAdmission(random);
     const budget = new RetryBudget(UNLIMITED_RETRY_BUDGET);
     this.ports = {
+      confine: (callback) => callback,
       clock,
       random,
       directory: this.directory,
--- a/src/gateway/attempt/attempt-outcome.ts
+++ b/src/gateway/attempt/attempt-outcome.ts
@@ -1,6 +1,7 @@
 /** Classifies how an attempt ended and whether its backend is at fault. */
 import type { Route } from '../../routing/configuration.js';
 import type { AttemptFailure } from './attempt.js';
+import type { AttemptProgress } from './attempt-progress.js';
 import type { AttemptOutcome } from '../dispatch/backend-health.js';
 
 /** Latencies of one attempt, in milliseconds. */
@@ -30,6 +31,15 @@
   return hasPaused || firstEventMs > targetLatencyMs;
 }
 
+/** Returns the latencies of an attempt that ended `sinceSendMs` after it was sent. */
+export function timesOf(progress: AttemptProgress | undefined, sinceSendMs: number): AttemptTimes {
+  return {
+    firstEventMs: progress?.firstEventMs ?? sinceSendMs,
+    longestPauseMs: progress?.longestPauseMs ?? 0,
+    isColdStart: progress?.isColdStart ?? false,
+  };
+}
+
 /** Returns the outcome of a failed attempt. */
 export function outcomeOfFailure({ isPortClosed, isSilent }: AttemptFailure): AttemptOutcome {
   if (isPortClosed) {
--- a/src/gateway/attempt/attempt-progress.ts
+++ b/src/gateway/attempt/attempt-progress.ts
@@ -45,10 +45,14 @@
     this.lastEventAtMs = nowMs;
   }
 
-  /** Records that the response is complete. */
-  recordCompletion(nowMs: number): void {
+  /** Records that the response to a request of `workUnits` is complete. */
+  recordCompletion(nowMs: number, workUnits: number): void {
+    if (this.isColdStart) {
+      return;
+    }
+    this.dispatcher.learnSpeed(this.backendId, workUnits, nowMs - this.startedAtMs);
     const intervals = this.eventCount - 1;
-    if (intervals > 0 && !this.isColdStart) {
+    if (intervals > 0) {
       this.dispatcher.learnEventInterval(this.backendId, (nowMs - this.firstEventAtMs) / intervals);
     }
   }
--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -10,24 +10,26 @@
 import type { AttemptOutcome } from '../dispatch/backend-health.js';
 import type { SoftwareVersion } from '../../streams/software-version.js';
 import { AlternativeBackends } from './alternative-backends.js';
+import { AttemptDeparture } from './attempt-departure.js';
+import type { CurrentAttempt } from './attempt-departure.js';
 import { AttemptProgress } from './attempt-progress.js';
+import { FailureReply } from './failure-reply.js';
+import { FaultBoundary } from './fault-boundary.js';
 import type { ExitEvidence } from '../crashes/interrupted-runs.js';
 import type { RequestRun } from '../crashes/request-run.js';
 import type { BackendResponseInfo } from '../admission/caller-protocol.js';
 import type { GatewayRefusal } from '../admission/gateway-refusal.js';
 import type { PlacementConstraints } from '../dispatch/dispatch-request.js';
 import type { PlacementRefusalReason } from '../dispatch/placement-refusal.js';
-import { sendRefusal } from '../admission/send-refusal.js';
-import { isBadAttempt, outcomeOfFailure } from './attempt-outcome.js';
+import { isBadAttempt, outcomeOfFailure, timesOf } from './attempt-outcome.js';
 import { ResponseRelay } from './response-relay.js';
 import type { BufferedResponse } from './response-relay.js';
 import { EndedBackendTimer } from './ended-backend-timer.js';
 import { OneShotTimer } from './one-shot-timer.js';
 import { outgoingRequest } from './outgoing-request.js';
-import { refusalRetryAfterMs } from './refusal-retry-after.js';
 import { RequestWait } from './request-wait.js';
+import { RetryRules } from './retry-rules.js';
 import type { AcceptedRequest } from './accepted-request.js';
-import { silenceTimeoutMs } from './request-model.js';
 import type { RequestOptions, RequestPorts } from './request-model.js';
 import { RequestRecord } from './request-record.js';
 import { StreamBinding } from './stream-binding.js';
@@ -37,13 +39,7 @@
  * caller's time. Closed ports are not counted.
  */
 const MAX_CONNECT_FAILURES = 4;
-const MIN_TIME_FOR_ATTEMPT_MS = 5;
 const HTTP_SERVER_ERROR = 500;
-/**
- * Interval of the checks for a free slot elsewhere while a backend sends nothing, in milliseconds.
- */
-const SILENCE_RECHECK_MS = 100;
-
 type Phase = 'waiting' | 'sent' | 'streaming' | 'done';
 
 /** Processes one accepted request until it ends. */
@@ -52,6 +48,8 @@
   private wait: RequestWait | undefined;
   private backend: Backend | undefined;
   private attempt: AttemptHandle | undefined;
+  /** Whether the dispatcher counts the request at `backend`. */
+  private holdsSlot = false;
   private attemptStartedAtMs = 0;
   /** Time of the last data received from the current backend, in milliseconds. */
   private lastReceiptAtMs = -Infinity;
@@ -60,6 +58,8 @@
   private attempts = 0;
   private connectFailures = 0;
   private readonly alternatives: AlternativeBackends;
+  private readonly retries: RetryRules;
+  private readonly failureReply: FailureReply;
   private readonly binding: StreamBinding;
   private readonly record: RequestRecord;
   private readonly relay: ResponseRelay;
@@ -69,13 +69,12 @@
   private mayHaveRun = false;
   private lastResponse: BufferedResponse | undefined;
   private readonly deadlineTimer: OneShotTimer;
-  /** Runs while the backend sends nothing. */
-  private readonly silenceTimer: OneShotTimer;
+  private readonly departure: AttemptDeparture;
   private readonly endedTimer: EndedBackendTimer;
 
   constructor(
     private readonly request: AcceptedRequest,
-    private readonly reply: CallerReply,
+    reply: CallerReply,
     private readonly ports: RequestPorts,
     private readonly options: RequestOptions,
   ) {
@@ -85,9 +84,21 @@
     this.record = new RequestRecord(request.arrivedAtMs);
     const relayed = { method, lastEventId, isStream: route.kind === 'stream' };
     this.relay = new ResponseRelay(reply, relayed, () => this.bindStream());
+    this.retries = new RetryRules(request, this.relay, this.alternatives, ports);
+    this.departure = new AttemptDeparture(
+      request,
+      options,
+      ports,
+      this.alternatives,
+      this.retries,
+      {
+        current: () => this.currentAttempt,
+        leave: (outcome, detail) => this.leave(outcome, detail),
+      },
+    );
+    this.failureReply = new FailureReply(request, reply, ports.protocol, options);
     const remainingMs = Math.max(0, request.deadlineAtMs - ports.clock.now());
     this.deadlineTimer = new OneShotTimer(ports.clock);
-    this.silenceTimer = new OneShotTimer(ports.clock);
     this.endedTimer = new EndedBackendTimer(ports.clock);
     this.deadlineTimer.start(remainingMs, () => this.timeOut());
   }
@@ -102,6 +113,11 @@
     return this.binding;
   }
 
+  private get currentAttempt(): CurrentAttempt {
+    const { attempt: handle, attempts, lastReceiptAtMs } = this;
+    return { handle, backendId: this.backend!.id, attempts, lastReceiptAtMs };
+  }
+
   /** Starts the wait for a backend. */
   begin(): void {
     this.waitForBackend();
@@ -181,7 +197,7 @@
     const backendId = this.backend!.id;
     this.mayHaveRun = true;
     this.abortAttempt('unknown', 'another process than the announced one');
-    if (hasMixed || !this.takeRetry()) {
+    if (hasMixed || !this.retries.take()) {
       this.replyWithFailure('stream-unavailable');
     } else {
       this.retryOnceCharged(backendId);
@@ -216,7 +232,7 @@
 
   private waitForBackend(): void {
     this.phase = 'waiting';
-    this.silenceTimer.clear();
+    this.departure.clear();
     this.refuseIfCrashing();
     if (this.isDone) {
       return;
@@ -231,7 +247,9 @@
         hasStarted: this.relay.hasStarted,
       },
       excluded: this.alternatives.excluded,
-      onPlaced: (backend, placedAtMs, version) => this.send(backend, placedAtMs, version),
+      onPlaced: this.ports.confine((backend, placedAtMs, version) =>
+        this.send(backend, placedAtMs, version),
+      ),
       onAbandoned: (reason) => this.failWait(reason),
     });
     this.wait.begin();
@@ -258,6 +276,7 @@
     const { lastEventId } = relay;
     this.phase = 'sent';
     this.backend = backend;
+    this.holdsSlot = true;
     this.binding.noteSent(version);
     this.attempts += 1;
     const entry = ports.directory.find(backend.id);
@@ -268,7 +287,9 @@
     this.attemptStartedAtMs = nowMs;
     this.lastReceiptAtMs = -Infinity;
     this.currentRun = ports.crashes.beginRun(request, backend, this.currentRun);
-    this.stopWatchingPath = entry?.path.subscribeLost(() => this.leaveLostPath());
+    this.stopWatchingPath = entry?.path.subscribeLost(
+      this.ports.confine(() => this.departure.leaveLostPath()),
+    );
     relay.beginAttempt();
     this.progress = new AttemptProgress(
       ports.dispatcher,
@@ -279,7 +300,7 @@
       ports.dispatcher.isCold(backend.id, nowMs),
     );
     const roundTripMs = entry?.roundTrip.ms ?? 0;
-    this.armSilenceTimer();
+    this.departure.armSilenceTimer();
     this.attempt = ports.sender.send(
       outgoingRequest(request, { backend, roundTripMs, lastEventId, nowMs }, ports.protocol),
       {
@@ -292,60 +313,12 @@
     );
   }
 
-  /** Limits how long a retryable request waits for a backend that sends nothing. */
-  private armSilenceTimer(): void {
-    const { route } = this.request;
-    this.silenceTimer.clear();
-    if (!this.mayRetry() || this.attempts >= route.maxAttempts) {
-      return;
-    }
-    const timeoutMs = silenceTimeoutMs(route, this.options);
-    this.silenceTimer.start(timeoutMs, () => this.leaveSilentBackend());
-  }
-
-  private leaveSilentBackend(): void {
-    if (!this.canRetryElsewhere()) {
-      return;
-    }
-    if (!this.alternatives.hasFreeSlot(this.backend!.id)) {
-      // Silence alone does not justify a cancel: the response may continue before a slot is free
-      // elsewhere.
-      this.silenceTimer.start(SILENCE_RECHECK_MS, () => this.leaveSilentBackend());
-      return;
-    }
-    if (this.takeRetry()) {
-      this.leaveOnceCharged('silent', 'silent');
-    }
-  }
-
-  /**
-   * Retries elsewhere as soon as the path is known to be lost, without waiting for the
-   * silence timeout.
-   */
-  private leaveLostPath(): void {
-    const isReachableElsewhere = this.alternatives.isReachable(this.backend!.id);
-    if (!this.canRetryElsewhere() || !isReachableElsewhere || !this.takeRetry()) {
-      return;
-    }
-    this.leaveOnceCharged('path-lost', 'the path to it is lost');
-  }
-
-  /**
-   * Leaves a backend that still has the request, once a retry is charged; otherwise the attempt
-   * continues.
-   */
-  private leaveOnceCharged(outcome: AttemptOutcome, detail: string): void {
-    const { attempt, lastReceiptAtMs } = this;
+  /** Leaves a backend that still has the request. */
+  private leave(outcome: AttemptOutcome, detail: string): void {
     const backendId = this.backend!.id;
-    this.ports.chargeRetry(this.request, (isGranted) => {
-      const hasMoved = this.attempt !== attempt || this.lastReceiptAtMs !== lastReceiptAtMs;
-      if (!isGranted || hasMoved || this.isDone) {
-        return;
-      }
-      this.mayHaveRun = true;
-      this.abortAttempt(outcome, detail);
-      this.retryElsewhere(backendId);
-    });
+    this.mayHaveRun = true;
+    this.abortAttempt(outcome, detail);
+    this.retryElsewhere(backendId);
   }
 
   private recordReceipt(): void {
@@ -397,8 +370,8 @@
       this.attempts -= 1;
       this.ports.directory.noteMisdirected(backendId);
     }
-    const canRetry = this.attempts < this.request.route.maxAttempts && this.hasTimeLeft();
-    if (canRetry && this.ports.takeRetry(this.request.service)) {
+    const canRetry = this.attempts < this.request.route.maxAttempts && this.retries.hasTimeLeft;
+    if (canRetry && this.retries.take()) {
       this.retryElsewhere(backendId);
       return;
     }
@@ -410,7 +383,12 @@
     this.record.addBytes(bytes.length);
     const { isForwarded, problem } = this.relay.acceptData(bytes, this.attempt);
     if (isForwarded) {
-      this.recordForwarded();
+      this.record.setFirstByteTime(this.ports.clock.now());
+    }
+    if (isForwarded && this.relay.completedEvents > 0) {
+      this.phase = 'streaming';
+      this.progress!.recordEvents(this.relay.completedEvents, this.ports.clock.now());
+      this.departure.armSilenceTimer();
     }
     if (problem !== undefined) {
       this.attempt?.cancel();
@@ -418,16 +396,6 @@
     }
   }
 
-  /** Records that bytes of the current attempt were forwarded to the caller. */
-  private recordForwarded(): void {
-    this.record.setFirstByteTime(this.ports.clock.now());
-    if (this.relay.completedEvents > 0) {
-      this.phase = 'streaming';
-      this.progress!.recordEvents(this.relay.completedEvents, this.ports.clock.now());
-      this.armSilenceTimer();
-    }
-  }
-
   private receiveEnd(): void {
     const response = this.relay.bufferedResponse;
     if (response === undefined) {
@@ -443,12 +411,11 @@
     const isServerError = status >= HTTP_SERVER_ERROR;
     const backendId = this.backend!.id;
     if (!isServerError) {
-      this.reportSpeed(backendId);
-      this.progress!.recordCompletion(this.ports.clock.now());
+      this.progress!.recordCompletion(this.ports.clock.now(), this.request.workUnits);
       this.ports.crashes.recordServed(this.request, status);
     }
     this.endAttempt(isServerError ? 'failed' : 'answered', `status ${status}`);
-    if (isServerError && this.canRetryElsewhere() && this.takeRetry()) {
+    if (isServerError && this.canRetryElsewhere() && this.retries.take()) {
       this.lastResponse = response;
       this.retryOnceCharged(backendId);
       return;
@@ -456,14 +423,6 @@
     this.completeReply(response);
   }
 
-  private reportSpeed(backendId: string): void {
-    if (this.progress!.isColdStart) {
-      return;
-    }
-    const elapsedMs = this.ports.clock.now() - this.attemptStartedAtMs;
-    this.ports.dispatcher.learnSpeed(backendId, this.request.workUnits, elapsedMs);
-  }
-
   private completeReply(response: BufferedResponse): void {
     this.record.setFirstByteTime(this.ports.clock.now());
     this.relay.end(response);
@@ -484,7 +443,7 @@
       if (failure.isSilent === true) {
         this.ports.directory.find(backendId)?.path.noteHungConnection();
       }
-      if (this.connectFailures <= MAX_CONNECT_FAILURES && this.hasTimeLeft()) {
+      if (this.connectFailures <= MAX_CONNECT_FAILURES && this.retries.hasTimeLeft) {
         this.retryElsewhere(backendId);
         return;
       }
@@ -492,7 +451,7 @@
       return;
     }
     this.mayHaveRun = true;
-    if (this.canRetryElsewhere() && this.takeRetry()) {
+    if (this.canRetryElsewhere() && this.retries.take()) {
       this.retryOnceCharged(backendId);
       return;
     }
@@ -504,23 +463,8 @@
     this.failAttempt({ mayHaveRun: true, isPortClosed: false, detail });
   }
 
-  private mayRetry(): boolean {
-    const { kind, isResumable } = this.request.route;
-    return kind === 'safe' ? !this.relay.hasStarted : kind === 'stream' && isResumable;
-  }
-
   private canRetryElsewhere(): boolean {
-    const { route } = this.request;
-    const canMove = this.alternatives.isAvailable(this.backend!.id);
-    return canMove && this.mayRetry() && this.attempts < route.maxAttempts && this.hasTimeLeft();
-  }
-
-  private hasTimeLeft(): boolean {
-    return this.request.deadlineAtMs - this.ports.clock.now() > MIN_TIME_FOR_ATTEMPT_MS;
-  }
-
-  private takeRetry(): boolean {
-    return this.ports.takeRetry(this.request.service);
+    return this.retries.canLeave(this.backend!.id, this.attempts);
   }
 
   /**
@@ -573,24 +517,10 @@
       this.completeReply(this.lastResponse);
       return;
     }
-    if (!this.mayHaveRun) {
-      this.refuseWith({ reason, retryAfterMs: retryAfterMs ?? this.retryAfterMs(reason) });
-      return;
-    }
-    this.refuseWith({ reason: reason === 'timed-out' ? reason : 'backend-failed' });
-  }
-
-  private retryAfterMs(reason: GatewayRefusal['reason']): number {
-    const { wait, options } = this;
-    const remainingMs = this.request.deadlineAtMs - this.ports.clock.now();
-    const queueRetryAfterMs = wait && (() => wait.retryAfterMs());
-    return refusalRetryAfterMs(reason, { options, queueRetryAfterMs, remainingMs });
-  }
-
-  private refuseWith(refusal: GatewayRefusal): void {
-    const { requestId } = this.request;
-    const status = sendRefusal(this.reply, this.ports.protocol, requestId, refusal);
-    this.finish(status, refusal.reason);
+    const { mayHaveRun, wait } = this;
+    const nowMs = this.ports.clock.now();
+    const outcome = this.failureReply.send(reason, { mayHaveRun, wait, nowMs, retryAfterMs });
+    this.finish(outcome.status, outcome.reason);
   }
 
   /**
@@ -609,7 +539,7 @@
   }
 
   private endAttempt(outcome: AttemptOutcome, detail: string): void {
-    this.silenceTimer.clear();
+    this.departure.clear();
     this.endedTimer.clear();
     this.stopWatchingPath?.();
     if (this.attempt === undefined || this.backend === undefined) {
@@ -618,15 +548,46 @@
     this.attempt = undefined;
     this.progress?.recordEnd();
     this.record.endAttempt(outcome, detail, this.progress?.longestPauseMs ?? 0);
-    const nowMs = this.ports.clock.now();
     const { route } = this.request;
-    const isBad = isBadAttempt(outcome, route, {
-      firstEventMs: this.progress?.firstEventMs ?? nowMs - this.attemptStartedAtMs,
-      longestPauseMs: this.progress?.longestPauseMs ?? 0,
-      isColdStart: this.progress?.isColdStart ?? false,
-    });
+    const sinceSendMs = this.ports.clock.now() - this.attemptStartedAtMs;
+    const isBad = isBadAttempt(outcome, route, timesOf(this.progress, sinceSendMs));
     this.ports.onTryOver({ backend: this.backend, route, isBad });
-    this.ports.dispatcher.finish(this.backend.id, outcome, nowMs);
+    this.releaseSlot(outcome);
+  }
+
+  private releaseSlot(outcome: AttemptOutcome): void {
+    if (this.holdsSlot) {
+      this.holdsSlot = false;
+      this.ports.dispatcher.finish(this.backend!.id, outcome, this.ports.clock.now());
+    }
+  }
+
+  /**
+   * Ends the request after an exception in its processing: it gives back what it holds and gets a
+   * final answer. A step that fails as well is reported to `onFault` and does not stop the others.
+   */
+  endAfterFault(onFault: (cause: unknown) => void): void {
+    if (this.phase === 'done') {
+      return;
+    }
+    const { attempt } = this;
+    // The outcome of an attempt may not be recorded yet.
+    this.mayHaveRun ||= this.attempts > 0;
+    this.attempt = undefined;
+    const steps = [
+      () => this.endedTimer.clear(),
+      () => this.stopWatchingPath?.(),
+      () => attempt?.cancel(),
+      () => this.progress?.recordEnd(),
+      () => this.releaseSlot('unknown'),
+      () => this.replyWithFailure('internal-error'),
+    ];
+    const boundary = new FaultBoundary(onFault);
+    steps.forEach((step) => boundary.run(step));
+    if (!this.isDone) {
+      boundary.run(() => this.relay.abort());
+      boundary.run(() => this.finish(0, 'internal-error'));
+    }
   }
 
   private finish(status: number, reason: string): void {
@@ -634,7 +595,7 @@
     const nowMs = clock.now();
     this.phase = 'done';
     this.deadlineTimer.clear();
-    this.silenceTimer.clear();
+    this.departure.clear();
     this.wait?.cancel();
     this.ports.onEnd(this.request, this.record.end(status, reason, this.attempts, nowMs));
   }
--- a/src/gateway/attempt/request-model.ts
+++ b/src/gateway/attempt/request-model.ts
@@ -9,6 +9,7 @@
 import type { RunCrashTracker } from '../crashes/crashing-requests.js';
 import type { AcceptedRequest } from './accepted-request.js';
 import type { BackendSender } from './attempt.js';
+import type { ConfineCallback } from './fault-boundary.js';
 import type { AttemptOutcome } from '../dispatch/backend-health.js';
 import type { CallerProtocol } from '../admission/caller-protocol.js';
 import type { Dispatcher } from '../dispatch/dispatcher.js';
@@ -78,6 +79,8 @@
 
 /** Dependencies of a request. */
 export interface RequestPorts {
+  /** Wraps the callbacks of the request that other objects call. */
+  readonly confine: ConfineCallback;
   readonly clock: Clock;
   readonly directory: BackendDirectory;
   readonly dispatcher: Dispatcher;
--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -4,7 +4,9 @@
 import { err } from '../result.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { BackendSender, CallerReply } from './attempt/attempt.js';
-import { ProxiedRequest } from './attempt/proxied-request.js';
+import type { ConfineCallback } from './attempt/fault-boundary.js';
+import { ConfinedRequest } from './attempt/confined-request.js';
+import { FaultBoundary } from './attempt/fault-boundary.js';
 import { DEFAULT_REQUEST_OPTIONS } from './attempt/request-model.js';
 import type { AcceptedRequest } from './attempt/accepted-request.js';
 import type { RequestEnd, RequestPorts } from './attempt/request-model.js';
@@ -70,6 +72,10 @@
  */
 const LONG_WAIT_MS = 100;
 
+const INTERNAL_ERROR: GatewayRefusal = {
+  reason: 'internal-error',
+  retryAfterMs: DEFAULT_REQUEST_OPTIONS.retryAfterMs,
+};
 const UNCONFIRMED_REFUSAL: GatewayRefusal = {
   reason: 'configuration-unconfirmed',
   retryAfterMs: DEFAULT_REQUEST_OPTIONS.retryAfterMs,
@@ -78,11 +84,16 @@
 /** A request that waits for a backend or runs. */
 interface ActiveRequest {
   readonly regions: RequestRegions;
-  readonly proxied: ProxiedRequest;
+  readonly proxied: ConfinedRequest;
   /** Refunds the initial charge to the tenant's quota. */
   refund(): void;
 }
 
+/** A received request with the boundary of the steps before it is offered to backends. */
+interface ConfinedAdmission extends ReceivedRequest {
+  readonly confine: ConfineCallback;
+}
+
 /** The caller-side handle of an admitted request. */
 interface AdmittedRequest {
   handleCallerDisconnect(): void;
@@ -123,6 +134,7 @@
       slack: limits.retrySlack,
     });
     this.ports = {
+      confine: (callback) => callback,
       clock,
       random,
       directory: dependencies.directory,
@@ -199,23 +211,43 @@
       this.dependencies.metrics.record(({ reservedHeaders }) => reservedHeaders.inc({ header }));
     }
     let request: AdmittedRequest | undefined;
+    const { run, confine } = this.admissionBoundary(caller, reply);
     return {
-      onBody: (body) => {
-        request = this.admit({ head, caller, body, arrivedAtMs }, reply);
-      },
-      onTooLong: () => {
-        this.refuse(caller, reply, { reason: 'body-too-long' });
-      },
-      onCallerDisconnected: () => request?.handleCallerDisconnect(),
+      onBody: (body) =>
+        run(() => {
+          request = this.admit({ head, caller, body, arrivedAtMs, confine }, reply);
+        }),
+      onTooLong: () => this.refuse(caller, reply, { reason: 'body-too-long' }),
+      onCallerDisconnected: () => run(() => request?.handleCallerDisconnect()),
     };
   }
 
-  private admit(received: ReceivedRequest, reply: CallerReply): AdmittedRequest | undefined {
+  /**
+   * Returns the boundary of the steps before a request is offered to backends: after an exception
+   * the request is refused as not run.
+   */
+  private admissionBoundary(caller: CallerRequestHead, reply: CallerReply) {
+    const boundary = new FaultBoundary((cause) => {
+      this.reportFault(caller.requestId, cause);
+      this.refuse(caller, reply, INTERNAL_ERROR);
+      this.dependencies.onEnd();
+    });
+    return { run: (step: () => void) => boundary.run(step), confine: boundary.confine };
+  }
+
+  private reportFault(request: string | undefined, cause: unknown): void {
+    const { log, metrics } = this.dependencies;
+    const stack = cause instanceof Error ? cause.stack : String(cause);
+    metrics.record(({ requestFaults }) => requestFaults.inc());
+    log.write('request-fault', 'failure', { request, stack });
+  }
+
+  private admit(received: ConfinedAdmission, reply: CallerReply): AdmittedRequest | undefined {
     const admitted = this.dependencies.isRefusing()
       ? err<GatewayRefusal>({ reason: 'stopping', retryAfterMs: 0 })
       : this.admission.admit(received, this.dependencies.configuration.table);
     if (admitted.ok) {
-      return this.beginOrResume(admitted.val, received.caller, reply);
+      return this.beginOrResume(admitted.val, received, reply);
     }
     if (mayBeOutdated(admitted.val) && this.dependencies.cluster.isKnowledgeOld) {
       return this.awaitConfirmation(received, reply);
@@ -228,18 +260,20 @@
    * Admits or refuses a request once the active configuration is confirmed to be the newest, or
    * after a timeout.
    */
-  private awaitConfirmation(received: ReceivedRequest, reply: CallerReply): AdmittedRequest {
+  private awaitConfirmation(received: ConfinedAdmission, reply: CallerReply): AdmittedRequest {
     let request: AdmittedRequest | undefined;
-    const stopWaiting = this.confirmationQueue.wait((isConfirmed) => {
-      const admitted = this.admission.admit(received, this.dependencies.configuration.table);
-      if (admitted.ok) {
-        request = this.beginOrResume(admitted.val, received.caller, reply);
-        return;
-      }
-      const isUnknown = mayBeOutdated(admitted.val) && !isConfirmed;
-      this.refuse(received.caller, reply, isUnknown ? UNCONFIRMED_REFUSAL : admitted.val);
-      this.dependencies.onEnd();
-    });
+    const stopWaiting = this.confirmationQueue.wait(
+      received.confine((isConfirmed: boolean) => {
+        const admitted = this.admission.admit(received, this.dependencies.configuration.table);
+        if (admitted.ok) {
+          request = this.beginOrResume(admitted.val, received, reply);
+          return;
+        }
+        const isUnknown = mayBeOutdated(admitted.val) && !isConfirmed;
+        this.refuse(received.caller, reply, isUnknown ? UNCONFIRMED_REFUSAL : admitted.val);
+        this.dependencies.onEnd();
+      }),
+    );
     return {
       handleCallerDisconnect: () => {
         stopWaiting();
@@ -252,24 +286,25 @@
   /** Starts a request, one that resumes a stream once it is known where the stream began. */
   private beginOrResume(
     accepted: AcceptedRequest,
-    caller: CallerRequestHead,
+    received: ConfinedAdmission,
     reply: CallerReply,
   ): AdmittedRequest {
-    if (accepted.route.kind !== 'stream' || !isResumption(caller)) {
-      return this.chargeAndBegin(accepted, caller, reply);
+    if (accepted.route.kind !== 'stream' || !isResumption(received.caller)) {
+      return this.chargeAndBegin(accepted, received, reply);
     }
     let request: AdmittedRequest | undefined;
     let hasLeft = false;
     this.resuming.add(accepted);
-    this.dependencies.streams.resume(accepted, (decision) => {
+    const continueWith = received.confine((decision: ResumptionDecision) => {
       this.resuming.delete(accepted);
       if (!hasLeft) {
-        request = this.applyResumption(decision, caller, reply);
+        request = this.applyResumption(decision, received, reply);
       }
       if (request === undefined) {
         this.dependencies.onEnd();
       }
     });
+    this.dependencies.streams.resume(accepted, continueWith);
     const handleCallerDisconnect = () => {
       if (request !== undefined) {
         request.handleCallerDisconnect();
@@ -283,12 +318,13 @@
 
   private applyResumption(
     decision: ResumptionDecision,
-    caller: CallerRequestHead,
+    received: ConfinedAdmission,
     reply: CallerReply,
   ): AdmittedRequest | undefined {
     if (decision.kind === 'continue') {
-      return this.chargeAndBegin(decision.request, caller, reply);
+      return this.chargeAndBegin(decision.request, received, reply);
     }
+    const { caller } = received;
     const { reason } = decision;
     const remainingMs = caller.deadlineMs ?? Infinity;
     const options = DEFAULT_REQUEST_OPTIONS;
@@ -300,13 +336,13 @@
   /** Starts a request once its cost is charged to its tenant. */
   private chargeAndBegin(
     accepted: AcceptedRequest,
-    caller: CallerRequestHead,
+    { caller, confine }: ConfinedAdmission,
     reply: CallerReply,
   ): AdmittedRequest {
-    let proxied: ProxiedRequest | undefined;
+    let proxied: ConfinedRequest | undefined;
     let isSettled = false;
     this.charging.add(accepted);
-    const charge = this.charge(accepted, (result) => {
+    const settle = confine((result: ChargeResult) => {
       isSettled = true;
       this.charging.delete(accepted);
       if (result.isGranted) {
@@ -316,6 +352,7 @@
         this.dependencies.onEnd();
       }
     });
+    const charge = this.charge(accepted, settle);
     const handleCallerDisconnect = () => {
       if (!isSettled) {
         isSettled = true;
@@ -352,7 +389,11 @@
     return this.dependencies.quotas.charge(tenant, quotaCost, onResult);
   }
 
-  private begin(accepted: AcceptedRequest, reply: CallerReply, refund: () => void): ProxiedRequest {
+  private begin(
+    accepted: AcceptedRequest,
+    reply: CallerReply,
+    refund: () => void,
+  ): ConfinedRequest {
     const { tenant, route } = accepted;
     const owner = { route: route.name, tenant };
     const regions = new RequestRegions(
@@ -361,7 +402,13 @@
     );
     const request = withActiveRegions(accepted, regions);
     this.retryBudget.countRequest(request.service, this.dependencies.clock.now());
-    const proxied = new ProxiedRequest(request, reply, this.ports, DEFAULT_REQUEST_OPTIONS);
+    const proxied = new ConfinedRequest(
+      request,
+      reply,
+      this.ports,
+      DEFAULT_REQUEST_OPTIONS,
+      (cause) => this.reportFault(request.requestId, cause),
+    );
     this.active.set(request, { regions, proxied, refund });
     proxied.begin();
     return proxied;
--- a/src/gateway/metrics/metric-instruments.ts
+++ b/src/gateway/metrics/metric-instruments.ts
@@ -143,6 +143,12 @@
     buckets: LOOKUP_BUCKETS_S,
     registers: [this.registry],
   });
+  /** Exceptions in the processing of single requests. */
+  readonly requestFaults = new Counter({
+    name: 'weirvale_request_faults_total',
+    help: 'Exceptions that ended the processing of a request',
+    registers: [this.registry],
+  });
   readonly linesDropped = new Counter({
     name: 'weirvale_log_lines_dropped_total',
     help: 'Log lines that were dropped to bound their volume',
--- a/src/http/surplus-guard-agent.ts
+++ b/src/http/surplus-guard-agent.ts
@@ -37,7 +37,7 @@
   }
 
   /** Called with an idle connection on which data arrived, before it is closed. */
-  protected onSurplus(_socket: Socket): void {
-    // For subclasses.
+  protected onSurplus(socket: Socket): void {
+    socket.pause();
   }
 }
--- a/src/telemetry/bounded-output.ts
+++ b/src/telemetry/bounded-output.ts
@@ -1,5 +1,5 @@
 /** Non-blocking log output: drops lines if the reader stalls, so requests are never delayed. */
-import { fstatSync, write } from 'node:fs';
+import { fstatSync, write, writeSync } from 'node:fs';
 import { Socket } from 'node:net';
 
 /** Options of `BoundedOutput`. */
@@ -65,6 +65,21 @@
     });
   }
 
+  /**
+   * Writes the buffered lines before it returns; what the reader does not take at once is lost, as
+   * the process is about to end.
+   */
+  flushNow(): void {
+    const text = this.pending.join('');
+    this.pending = [];
+    this.pendingBytes -= text.length;
+    try {
+      writeSync(this.options.descriptor, text);
+    } catch {
+      this.onDropped();
+    }
+  }
+
   /** Delays the flush so that several lines are written at once. */
   private scheduleFlush(): void {
     if (this.isFlushScheduled || this.isWriting) {
--- a/src/telemetry/decision-log.ts
+++ b/src/telemetry/decision-log.ts
@@ -76,6 +76,8 @@
   'quota-pool-refilled',
   'request-refused',
   'request-ended',
+  'request-fault',
+  'process-failed',
   'lines-dropped',
 ] as const;
 
@@ -132,6 +134,12 @@
   flush(): void {
     this.output.flush();
   }
+
+  /** Writes a last line, whatever the rate limit, before the process ends. */
+  writeLast(event: LogEvent, fields: LogFields): void {
+    this.logger.error({ event, ...fields }, event);
+    this.output.flushNow();
+  }
 }
 
 /** Rounds numbers to one decimal: times to a tenth of a millisecond. */
--- a/test/support/gateway-harness.ts
+++ b/test/support/gateway-harness.ts
@@ -388,6 +388,7 @@
   /** Dependencies of the requests of this harness. */
   get requestPorts(): RequestPorts {
     return {
+      confine: (callback) => callback,
       clock: this.clock,
       random: new SeededRandom(1),
       directory: this.directory,
