The retry budget drops what has left its window with each request

What was seen: a service whose requests are never retried kept an entry of 68 bytes for each of them until the next retry or the next read of the metrics. Mend: counting a request drops the entries that have left the window. Test: retry-budget, 'keeps no more entries than its window holds'; it held 100,000 entries without the mend, by the code.

--- a/src/gateway/admission/retry-budget.ts
+++ b/src/gateway/admission/retry-budget.ts
@@ -30,6 +30,10 @@
   private requests = 0;
   private retries = 0;
 
+  get size(): number {
+    return this.entries.length;
+  }
+
   add(entry: BudgetEntry): void {
     this.entries.push(entry);
     this.requests += entry.isRetry ? 0 : 1;
@@ -62,7 +66,15 @@
 
   /** Counts the first attempt of a request. */
   countRequest(service: string, nowMs: number): void {
-    this.budgetOf(service).add({ atMs: nowMs, isRetry: false });
+    const budget = this.budgetOf(service);
+    // Drops what has left the window, which bounds the entries of a service without retries.
+    budget.count(nowMs - this.options.windowMs);
+    budget.add({ atMs: nowMs, isRetry: false });
+  }
+
+  /** Number of entries held for all services. */
+  get size(): number {
+    return [...this.services.values()].reduce((sum, { size }) => sum + size, 0);
   }
 
   /** Returns the retries left by service, if `gateways` gateways share the budget. */
--- a/test/retry-budget.test.ts
+++ b/test/retry-budget.test.ts
@@ -40,3 +40,11 @@
   t.false(budget.takeRetry('s', 1, 9_999));
   t.is(takeAllRetries(budget, 1, 10_001), first);
 });
+
+test('a service whose requests are never retried keeps no more entries than its window holds', (t) => {
+  const budget = new RetryBudget({ ratio: 0.2, windowMs: 1_000, slack: 5 });
+  for (let atMs = 0; atMs < 100_000; atMs += 1) {
+    budget.countRequest('s', atMs);
+  }
+  t.true(budget.size <= 1_000 + 1_001 + 1, `${budget.size}`);
+});
