Soak: malformed input beside the other faults, and no process may end by itself

Each run of the soak and of the fleet benchmarks reports a process that ended although the run had not ended it.

--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -11,14 +11,18 @@
   .option('--callers <count>', 'callers', '12')
   .option('--seconds <count>', 'duration of the faults, for each seed', '10')
   .option('--no-statements', 'backends send no statements (limits, draining, backoff)')
+  .option('--malformed', 'backends and the store send malformed input')
   .option('--copies', 'restore the store from backups of earlier states')
   .option('--port <base>', 'first port', '21000');
 program.parse();
 const {
   statements: sendsStatements,
   copies: restoresBackups = false,
+  malformed: sendsMalformed = false,
   ...options
-} = program.opts<Record<string, string> & { statements: boolean; copies?: boolean }>();
+} = program.opts<
+  Record<string, string> & { statements: boolean; copies?: boolean; malformed?: boolean }
+>();
 process.once('SIGTERM', () => process.exit(1));
 process.once('SIGINT', () => process.exit(1));
 let failed = 0;
@@ -29,6 +33,7 @@
     callers: Number(options['callers']),
     sendsStatements,
     restoresBackups,
+    sendsMalformed,
     faultsMs: Number(options['seconds']) * 1_000,
     basePort: Number(options['port']) + (offset % 50) * 10,
   });
--- a/bench/soak/gateway-processes.ts
+++ b/bench/soak/gateway-processes.ts
@@ -107,8 +107,13 @@
     }
   }
 
-  /** Kills all processes. */
+  /** Kills all processes; reports those that ended by themselves and makes this process fail. */
   stop(): void {
+    const processes = [...this.gateways, ...this.otherProcesses];
+    for (const end of processes.flatMap(({ ownEnds }) => ownEnds)) {
+      console.error(`VIOLATION ${end}; logs in ${this.folder}`);
+      process.exitCode = 1;
+    }
     [...this.gateways, ...this.otherProcesses].forEach((child) => child.stop());
   }
 
--- a/bench/soak/soak-backend.ts
+++ b/bench/soak/soak-backend.ts
@@ -1,7 +1,10 @@
 /** A simulated backend for soak tests, with random faults, that records each execution. */
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import { randomInteger } from '../../src/random.js';
 import type { RandomSource } from '../../src/random.js';
+import { flipBits } from './soak-malformed.js';
 import type { SoakStatement, StatementLog } from './soak-statements.js';
 
 /** One execution of a request at a backend. */
@@ -23,8 +26,21 @@
   loses: number;
   /** Executes the request and resets the connection in the middle of the response. */
   breaks: number;
+  /** Executes the request, responds with some bits flipped and closes the connection. */
+  spoils: number;
+  /** Sends a response that names no request some time after a whole response. */
+  surplus: number;
 }
 
+/** Longest time between a response and the surplus bytes after it, in milliseconds. */
+const MAX_SURPLUS_DELAY_MS = 60;
+/** Time in which the gateway may read a spoilt response, in milliseconds. */
+const SPOILT_CLOSE_MS = 20;
+const SURPLUS_RESPONSES = [
+  'HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n',
+  'HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nforeign',
+];
+
 const SERVICE_MS = 20;
 /** Number of events of a stream. */
 export const STREAM_EVENTS = 8;
@@ -46,7 +62,9 @@
 
 /** A simulated backend. */
 export class SoakBackend {
-  readonly faults: BackendFaults = { refuses: 0, loses: 0, breaks: 0 };
+  readonly faults: BackendFaults = { refuses: 0, loses: 0, breaks: 0, spoils: 0, surplus: 0 };
+  /** Requests whose responses were spoilt; their bodies may differ. */
+  readonly spoiltRequests = new Set<string>();
   private readonly server: Server;
   /** End of its cold period, by `performance.now()`, in milliseconds. */
   coldUntilMs = 0;
@@ -160,6 +178,13 @@
       return;
     }
     const isStream = (request.url ?? '').startsWith('/stream/');
+    if (this.faults.spoils > 0 && this.random.next() < this.faults.spoils) {
+      this.sendSpoilt(request.socket, requestId, isStream);
+      return;
+    }
+    if (this.faults.surplus > 0 && this.random.next() < this.faults.surplus) {
+      response.on('finish', () => this.sendSurplus(request.socket));
+    }
     const isCut = this.random.next() < this.faults.breaks;
     if (isStream) {
       const from = Number(request.headers['last-event-id'] ?? 0);
@@ -181,6 +206,24 @@
     }, SERVICE_MS);
   }
 
+  /** Of a stream only the head is sent: spoilt events would reach the caller as they are. */
+  private sendSpoilt(socket: Socket, requestId: string, isStream: boolean): void {
+    this.spoiltRequests.add(requestId);
+    const body = expectedResponse(requestId);
+    const framing = isStream
+      ? 'Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n'
+      : `Content-Length: ${body.length}\r\n\r\n${body}`;
+    const head = `HTTP/1.1 200 OK\r\nX-Weirvale-Attempt-Id: ${requestId}\r\n`;
+    socket.write(flipBits(Buffer.from(head + framing), this.random));
+    setTimeout(() => socket.destroy(), SPOILT_CLOSE_MS);
+  }
+
+  private sendSurplus(socket: Socket): void {
+    const text = SURPLUS_RESPONSES[randomInteger(this.random, 0, SURPLUS_RESPONSES.length - 1)]!;
+    const delayMs = randomInteger(this.random, 0, MAX_SURPLUS_DELAY_MS);
+    setTimeout(() => socket.destroyed || socket.write(text), delayMs).unref();
+  }
+
   private stream(response: ServerResponse, run: StreamRun, number: number): void {
     if (response.destroyed) {
       return;
--- a/bench/soak/soak-fleet.ts
+++ b/bench/soak/soak-fleet.ts
@@ -51,8 +51,11 @@
 export class SoakProcess {
   /** End of the period in which its requests may fail because of a fault, in milliseconds. */
   disruptedUntilMs = 0;
+  /** How it ended when this test had not ended it. */
+  readonly ownEnds: string[] = [];
   private child: ChildProcess | undefined;
   private shouldRestart = true;
+  private isEndExpected = false;
 
   constructor(
     readonly name: string,
@@ -67,7 +70,11 @@
       stdio: ['ignore', log, log],
     });
     this.child = child;
-    child.on('exit', () => {
+    child.on('exit', (code, signal) => {
+      if (!this.isEndExpected && this.shouldRestart) {
+        this.ownEnds.push(`${this.name} ended by itself (${code ?? signal})`);
+      }
+      this.isEndExpected = false;
       if (this.shouldRestart && this.child === child) {
         setTimeout(() => this.shouldRestart && this.start(), 150);
       }
@@ -76,6 +83,7 @@
 
   /** Sends a signal to the process that this object started. */
   signal(name: NodeJS.Signals): void {
+    this.isEndExpected ||= name === 'SIGKILL' || name === 'SIGTERM';
     this.child?.kill(name);
   }
 
@@ -161,6 +169,11 @@
     this.store.stop();
   }
 
+  /** Processes that ended although this test had not ended them. */
+  get ownEnds(): string[] {
+    return [...this.gateways, ...this.agents].flatMap(({ ownEnds }) => ownEnds);
+  }
+
   /** Writes a configuration with other allowed regions and another route. */
   changeConfiguration(): void {
     this.regionsVersion += 1;
--- a/bench/soak/soak-run.ts
+++ b/bench/soak/soak-run.ts
@@ -7,6 +7,7 @@
 import { SeededRandom, randomInteger } from '../../src/random.js';
 import { expectedResponse } from './soak-backend.js';
 import type { Execution } from './soak-backend.js';
+import { injectMalformedInput } from './soak-malformed.js';
 import { injectFault, restoreStoreFromBackup } from './soak-faults.js';
 import { findOutsideRegions } from './soak-regions.js';
 import { isServable } from './soak-servable.js';
@@ -29,6 +30,8 @@
   readonly sendsStatements?: boolean;
   /** Whether the store is restored from backups. Default false. */
   readonly restoresBackups?: boolean;
+  /** Whether backends and the store send malformed input. Default false. */
+  readonly sendsMalformed?: boolean;
 }
 
 /** Results of a soak test. */
@@ -62,6 +65,8 @@
 const STATEMENT_INTERVAL_MS = 2_500;
 /** Interval between restores of the store, in milliseconds. */
 const RESTORE_INTERVAL_MS = 3_500;
+/** Interval between injections of malformed input, in milliseconds. */
+const MALFORMED_INTERVAL_MS = 700;
 const RECOVERY_MS = 4_500;
 const FAULT_FREE_MS = 1_500;
 const MIN_FAULT_FREE_SUCCESS = 0.95;
@@ -82,6 +87,13 @@
   return setInterval(() => faults.push(restoreStoreFromBackup(fleet, random)), RESTORE_INTERVAL_MS);
 }
 
+/** Sends malformed input in parallel to the faults. */
+function startMalformedInput(fleet: SoakFleet, seed: number, faults: string[]) {
+  const random = new SeededRandom(seed + 7);
+  const inject = () => faults.push(injectMalformedInput(fleet, random));
+  return setInterval(inject, MALFORMED_INTERVAL_MS);
+}
+
 /** Runs one soak test. */
 export async function runSoak(options: SoakOptions): Promise<SoakReport> {
   const random = new SeededRandom(options.seed);
@@ -116,21 +128,26 @@
     options.sendsStatements === false ? undefined : startStatements(fleet, options.seed, faults);
   const restoreTimer =
     options.restoresBackups === true ? startRestores(fleet, options.seed, faults) : undefined;
+  const malformedTimer =
+    options.sendsMalformed === true ? startMalformedInput(fleet, options.seed, faults) : undefined;
   while (performance.now() < faultsEndAtMs) {
     await sleepMs(randomInteger(random, 100, 700));
     faults.push(injectFault(fleet, random));
   }
   clearInterval(statementTimer);
   clearInterval(restoreTimer);
+  clearInterval(malformedTimer);
   await Promise.all(callers);
   stopRouteChanges();
   fleet.stop();
   const faultFreeFromMs = stopAtMs - FAULT_FREE_MS;
   const isUndisruptedSince = (requestId: string, sinceMs: number) =>
     fleet.gateways[gatewayOf(requestId, options.sizes.gateways)]!.disruptedUntilMs < sinceMs;
+  const spoilt = new Set(fleet.backends.flatMap((backend) => [...backend.spoiltRequests]));
   const violations = [
     ...lateViolations,
-    ...findViolations(observed, executions, faultFreeFromMs, (sent) =>
+    ...fleet.ownEnds,
+    ...findViolations(withoutSpoilt(observed, spoilt), executions, faultFreeFromMs, (sent) =>
       isServable(sent, fleet.regionChanges, fleet.evacuations),
     ),
     ...findSentToDraining(executions, fleet.drainingSinceMs, isUndisruptedSince),
@@ -148,6 +165,17 @@
   return { seed: options.seed, requests: observed.length, answered, faults, violations, folder };
 }
 
+/**
+ * Omits the successful responses to requests whose response a backend spoilt: the gateway cannot
+ * tell a changed letter of a body from the right one.
+ */
+function withoutSpoilt(
+  observed: readonly ObservedRequest[],
+  spoilt: ReadonlySet<string>,
+): ObservedRequest[] {
+  return observed.filter(({ id, status }) => status !== 200 || !spoilt.has(id));
+}
+
 /** Uses a random source of its own, so that statements don't change the faults of a seed. */
 function startStatements(fleet: SoakFleet, seed: number, faults: string[]): NodeJS.Timeout {
   const random = new SeededRandom(seed + 2);
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -46,6 +46,20 @@
   t.true(report.faults.some((fault) => fault.includes('then as')));
 });
 
+test.serial('a short soak test with malformed input violates no guarantee', async (t) => {
+  execFileSync('node', ['platform/build.mjs']);
+  const report = await runSoak({
+    seed: SEED,
+    sizes: { gateways: 2, engines: 3 },
+    callers: 6,
+    faultsMs: 6_000,
+    sendsMalformed: true,
+    basePort: BASE_PORT + 2_000,
+  });
+  t.deepEqual(report.violations, []);
+  t.true(report.faults.some((fault) => fault.includes('spoils')));
+});
+
 const SERVED_REQUEST: ObservedRequest = {
   id: 'calm',
   kind: 'safe',
