Reading the diff: attempts that leave an unannounced process stay within their route

A stream that leaves a process which was found to be unannounced could go to one backend more than its route allows. An idle engine that has not answered its agent yet may still be starting and is not reported as ended, so that it does not count as cold once it is up. Both have a test, which came with the change and was not run without it.

--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -40,6 +40,7 @@
  */
 const MAX_CONNECT_FAILURES = 4;
 const HTTP_SERVER_ERROR = 500;
+
 type Phase = 'waiting' | 'sent' | 'streaming' | 'done';
 
 /** Processes one accepted request until it ends. */
@@ -193,14 +194,14 @@
 
   /** Ends an attempt whose events would follow those of another version. */
   private leaveOtherVersion(): void {
-    const hasMixed = this.phase === 'streaming';
+    const mayMove = this.phase === 'sent' && this.canRetryElsewhere() && this.retries.take();
     const backendId = this.backend!.id;
     this.mayHaveRun = true;
     this.abortAttempt('unknown', 'another process than the announced one');
-    if (hasMixed || !this.retries.take()) {
-      this.replyWithFailure('stream-unavailable');
-    } else {
+    if (mayMove) {
       this.retryOnceCharged(backendId);
+    } else {
+      this.replyWithFailure('stream-unavailable');
     }
   }
 
--- a/src/http/surplus-guard-agent.ts
+++ b/src/http/surplus-guard-agent.ts
@@ -14,13 +14,13 @@
   /** Returns whether the connection may be reused. */
   override keepSocketAlive(stream: Duplex): boolean {
     if (stream.readableLength > 0) {
-      this.onSurplus(stream as Socket);
+      this.onSurplus?.(stream as Socket);
       return false;
     }
     // The declared type lacks the result, by which the base class rejects a connection.
     const isKept = super.keepSocketAlive(stream) as unknown as boolean;
     const closeOnData = () => {
-      this.onSurplus(stream as Socket);
+      this.onSurplus?.(stream as Socket);
       stream.destroy();
     };
     this.guards.set(stream, closeOnData);
@@ -37,7 +37,5 @@
   }
 
   /** Called with an idle connection on which data arrived, before it is closed. */
-  protected onSurplus(socket: Socket): void {
-    socket.pause();
-  }
+  protected onSurplus?(socket: Socket): void;
 }
--- a/src/slot-agent/slot-agent-role.ts
+++ b/src/slot-agent/slot-agent-role.ts
@@ -150,6 +150,8 @@
   private probeTimer: TimerHandle | undefined;
   private probeDueAtMs = Infinity;
   private lastProbeAtMs = -Infinity;
+  /** Whether the engine has ever answered a probe. */
+  private hasEngineAnswered = false;
   private isKeepaliveCheckScheduled = false;
   private isStopped = false;
 
@@ -475,7 +477,11 @@
     if (result.kind !== 'load') {
       this.dependencies.metrics.record(({ reportsFailed }) => reportsFailed.inc());
     }
-    this.allocator.applyProbeResult(result, this.clock.now());
+    this.hasEngineAnswered ||= result.kind === 'load';
+    // An idle engine that has not answered yet may still be starting: it has not ended.
+    if (this.hasEngineAnswered || this.allocator.isAnyKeepaliveExpected) {
+      this.allocator.applyProbeResult(result, this.clock.now());
+    }
     this.scheduleKeepaliveCheck();
     this.scheduleNextProbe();
   }
--- a/test/slot-agent-role.test.ts
+++ b/test/slot-agent-role.test.ts
@@ -24,6 +24,7 @@
 function startAgent(
   requestsAtEngine: () => number,
   bornAtMs: () => number | undefined = () => undefined,
+  isUp: () => boolean = () => true,
 ): {
   port: number;
   metrics: SlotAgentMetrics;
@@ -42,7 +43,11 @@
         change: { zone: key, isOrdered: value !== undefined, epoch, revision },
       }),
       probeEngine: () =>
-        Promise.resolve({ kind: 'load', requests: requestsAtEngine(), bornAtMs: bornAtMs() }),
+        Promise.resolve(
+          isUp()
+            ? { kind: 'load', requests: requestsAtEngine(), bornAtMs: bornAtMs() }
+            : { kind: 'closed' },
+        ),
       clock: SYSTEM_CLOCK,
       random: new SeededRandom(1),
       log: new DecisionLog({ role: 'slot-agent', process: 'agent', zone: 'z' }, 0, SYSTEM_CLOCK),
@@ -230,3 +235,27 @@
   bornAtMs = 2;
   await untilReported(2);
 });
+
+test('an idle engine that has not answered yet is not reported as ended', async (t) => {
+  let isUp = false;
+  const { port, stop } = startAgent(
+    () => 0,
+    () => 1,
+    () => isUp,
+  );
+  t.teardown(stop);
+  const gateway = new FakeGateway(port);
+  t.teardown(() => gateway.close());
+  gateway.sendHello('g');
+  await new Promise((resolve) => setTimeout(resolve, 1_500));
+  const states = () =>
+    gateway.received.flatMap((message) => (message.kind === 'state' ? [message.availability] : []));
+  t.deepEqual([...new Set(states())], ['open']);
+  isUp = true;
+  await new Promise((resolve) => setTimeout(resolve, 1_300));
+  isUp = false;
+  for (let waitedMs = 0; waitedMs < 5_000 && !states().includes('closed'); waitedMs += 5) {
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+  t.true(states().includes('closed'));
+});
--- a/test/stream-versions.test.ts
+++ b/test/stream-versions.test.ts
@@ -298,3 +298,26 @@
   t.false(known.noteRunningProcess(6));
   t.not(known.softwareVersion, softwareVersionOf({ id: 'a', version: 'v1' }));
 });
+
+test('a stream found at an unannounced process is sent to no more backends than its route allows', (t) => {
+  const world = new GatewayHarness(
+    backendOf('a', { version: 'v1', bornAtMs: 1 }),
+    backendOf('b', { version: 'v1', bornAtMs: 1 }),
+    backendOf('c', { version: 'v1', bornAtMs: 1 }),
+  );
+  world.dispatcher.learnSpeed('a', 1, 1);
+  world.dispatcher.learnSpeed('b', 1, 2);
+  world.dispatcher.learnSpeed('c', 1, 50);
+  world.dispatcher.connectAgent('b', 0);
+  const { reply } = world.request({ route: { ...RESUMABLE, maxAttempts: 2 } });
+  const { handlers } = world.attempts[0]!;
+  handlers.onHead(HEAD);
+  handlers.onData(Buffer.from(EVENT_1));
+  handlers.onFailure(RESET_FAILURE);
+  t.is(world.attempts.length, 2);
+  const { id } = world.attempts[1]!.backend;
+  world.dispatcher.connectAgent(id, 0);
+  world.dispatcher.receiveFromAgent(id, stateOf(2), 0);
+  t.is(world.attempts.length, 2);
+  t.true(reply.isAborted);
+});
