--- a/test/outside-input-fuzz.test.ts
+++ b/test/outside-input-fuzz.test.ts
@@ -15,7 +15,7 @@
 import { chunk, RawBackend, streamHead, wholeResponse } from './support/raw-backend.js';
 import { positionAt } from './support/store-positions.js';
 
-const RUNS = Number(process.env['FUZZ_RUNS'] ?? 400);
+const RUNS = Number(process.env['FUZZ_RUNS'] ?? 2_000);
 const SEED = Number(process.env['FUZZ_SEED'] ?? 71);
 const SETTINGS = { seed: SEED, numRuns: RUNS };
 const MAX_FLIPS = 4;
@@ -118,6 +118,9 @@
   const input = fc.oneof(
     fc.uint8Array({ maxLength: 60 }).map((bytes) => Buffer.from(bytes)),
     flips.map((places) => flip(stream, places)),
+    fc
+      .string({ unit: 'binary-ascii', maxLength: 4 })
+      .map((id) => Buffer.from(`id: 1\ndata: a\n\nid: ${id}\ndata: b\n\n`, 'latin1')),
   );
   fc.assert(
     fc.property(input, fc.integer({ min: 1, max: 9 }), (bytes, size) => {
@@ -225,6 +228,10 @@
     fc.tuple(fc.constantFrom(...sound), flips).map(([text, places]) => flip(text, places)),
     fc.tuple(fc.constantFrom(...sound), fc.nat(200)).map(([text, end]) => text.subarray(0, end)),
     fc.uint8Array({ maxLength: 80 }).map((bytes) => Buffer.from(bytes)),
+    fc
+      .nat(999)
+      .map((status) => wholeResponse('id', 'body', `${String(status).padStart(3, '0')} Any`))
+      .map((text) => Buffer.from(text)),
   );
   await fc.assert(
     fc.asyncProperty(input, async (bytes) => {
