--- a/test/support/raw-backend.ts
+++ b/test/support/raw-backend.ts
@@ -68,10 +68,10 @@
     this.sockets.forEach((socket) => socket.write(bytes));
   }
 
-  /** Resets every connection and stops listening. */
+  /** Closes every connection and stops listening. */
   stop(): void {
     this.server.close();
-    this.sockets.forEach((socket) => socket.resetAndDestroy());
+    this.sockets.forEach((socket) => socket.destroy());
   }
 
   private accept(socket: Socket): void {
