Log agents that cannot be reached and processes that replace an engine's

Three hypotheses, to be told apart by logs:

The agents' reports of restarted engines reach the gateways too late, because machines have few cores or are busy. 2. No agent's report reaches a gateway at all: agents absent, ended, or connected and silent. 3. Agents report in time, and gateways do not act on it.

A gateway logged connections to agents only once they had been established, so an agent that was never there left no line; an agent did not log that its engine's process had been replaced, so it could not be seen when it knew.

Added: `agent-unreachable` (gateway; once per backend, until it is connected) with how the attempt ended, and `engine-process` (agent) with both start times.

--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -252,11 +252,8 @@
       this.cluster.exchange,
       isEngine,
       (service) => this.configuration.coldStartHello(service),
-      (backend, isConnected, reason) =>
-        dependencies.log.write(isConnected ? 'agent-connected' : 'agent-lost', 'state', {
-          backend,
-          reason,
-        }),
+      (backend, state, reason) =>
+        dependencies.log.write(`agent-${state}`, 'state', { backend, reason }),
       (answer) => this.streams.receiveAnswer(answer),
       clock,
       {
--- a/src/gateway/links/slot-agent-links.ts
+++ b/src/gateway/links/slot-agent-links.ts
@@ -75,6 +75,8 @@
   lastEnd: PathEvidence;
   /** Whether, since the last hello, the agent closed a connection because it received nothing. */
   wasReportedSilent: boolean;
+  /** State that was reported last. */
+  reported: AgentConnectionState | undefined;
 }
 
 /** Evidence about the path from the end of a connection. */
@@ -89,11 +91,22 @@
 /** Errors that prove a response of the remote host. */
 const PEER_RESPONSE_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'ECONNRESET', 'EPIPE']);
 
+/** State of the connection to a backend's agent. */
+export type AgentConnectionState =
+  | 'connected'
+  | 'lost'
+  /** It could not be established. */
+  | 'unreachable';
+
 /**
- * Called when the connection to a backend's agent is established or lost; `reason` is the agent's,
- * if any.
+ * Called when the connection to a backend's agent changes its state. `reason` is the one that the
+ * agent sent, or how an attempt to connect ended.
  */
-export type OnAgentConnection = (backendId: string, isConnected: boolean, reason?: string) => void;
+export type OnAgentConnection = (
+  backendId: string,
+  state: AgentConnectionState,
+  reason?: string,
+) => void;
 
 /** An agent that is connected. */
 export interface ConnectedAgent {
@@ -241,6 +254,7 @@
       refusal: undefined,
       lastEnd: 'unknown',
       wasReportedSilent: false,
+      reported: undefined,
     };
     this.links.set(backendId, link);
     if (link.channel === undefined) {
@@ -319,7 +333,7 @@
     channel.send({ kind: 'reach', reach: this.records.progress });
     link.isEstablished = true;
     this.connectedGeneration += 1;
-    this.onAgent(link.backendId, true);
+    this.report(link, 'connected');
     this.dispatcher().connectAgent(link.backendId, this.clock.now());
   }
 
@@ -332,7 +346,9 @@
     if (link.isEstablished) {
       this.connectedGeneration += 1;
       link.isEstablished = false;
-      this.onAgent(link.backendId, false, link.refusal);
+      this.report(link, 'lost', link.refusal);
+    } else if (link.reported === undefined) {
+      this.report(link, 'unreachable', link.lastEnd);
     }
     const nowMs = this.clock.now();
     // An agent that closed the connection with a reason is alive: reconnect at once.
@@ -359,6 +375,11 @@
     }
   }
 
+  private report(link: Link, state: AgentConnectionState, reason?: string): void {
+    link.reported = state;
+    this.onAgent(link.backendId, state, reason);
+  }
+
   private maxRetryMs(link: Link): number {
     const { retryMaxMs, suspectRetryMaxMs } = this.options;
     const path = this.pathOf(link);
--- a/src/slot-agent/slot-agent-role.ts
+++ b/src/slot-agent/slot-agent-role.ts
@@ -150,6 +150,8 @@
   private probeTimer: TimerHandle | undefined;
   private probeDueAtMs = Infinity;
   private lastProbeAtMs = -Infinity;
+  /** Start time in the last report of the engine, in Unix milliseconds of its clock. */
+  private engineBornAtMs: number | undefined;
   /** Whether the engine has ever answered a probe. */
   private hasEngineAnswered = false;
   private isKeepaliveCheckScheduled = false;
@@ -373,6 +375,17 @@
     }
   }
 
+  /** Logs when another process answers at the engine's address than before. */
+  private noteEngineProcess(result: EngineProbeResult): void {
+    const { engineBornAtMs: previousBornAtMs } = this;
+    if (result.kind !== 'load' || result.bornAtMs === previousBornAtMs) {
+      return;
+    }
+    this.engineBornAtMs = result.bornAtMs;
+    const { bornAtMs } = result;
+    this.dependencies.log.write('engine-process', 'state', { bornAtMs, previousBornAtMs });
+  }
+
   private answerStreamQuery(connection: number, { id, key }: StreamOriginQuery): void {
     const origin = key && this.streamOrigins.report(key, this.clock.now());
     this.channels.get(connection)?.send({ kind: 'stream-answer', id, origin });
@@ -474,6 +487,7 @@
     this.lastProbeAtMs = this.clock.now();
     const result = await this.dependencies.probeEngine();
     this.isProbing = false;
+    this.noteEngineProcess(result);
     if (result.kind !== 'load') {
       this.dependencies.metrics.record(({ reportsFailed }) => reportsFailed.inc());
     }
--- a/test/slot-agent-links.test.ts
+++ b/test/slot-agent-links.test.ts
@@ -8,6 +8,7 @@
   DEFAULT_SLOT_AGENT_LINK_OPTIONS,
   SlotAgentLinks,
 } from '../src/gateway/links/slot-agent-links.js';
+import type { AgentConnectionState } from '../src/gateway/links/slot-agent-links.js';
 import { afterPendingReads } from '../src/gateway/links/pending-reads.js';
 import { MessageChannel } from '../src/protocol/message-channel.js';
 import type { AgentToGateway, GatewayToAgent } from '../src/slot-agent/slot-messages.js';
@@ -74,6 +75,7 @@
   const world = new GatewayHarness(backendOf('a', { address: `${host}:9` }));
   world.engines = true;
   const records = new ReplicatedRecords();
+  const states: AgentConnectionState[] = [];
   const links = new SlotAgentLinks(
     'g',
     world.directory,
@@ -86,7 +88,7 @@
     ),
     () => true,
     () => undefined,
-    () => undefined,
+    (_backendId, state) => void states.push(state),
     () => undefined,
     SYSTEM_CLOCK,
     {
@@ -108,7 +110,7 @@
     clearInterval(ticks);
     links.stop();
   };
-  return { known: world.directory.find('a')!, stop };
+  return { known: world.directory.find('a')!, states, stop };
 }
 
 /** Polls until `condition` holds, with a timeout for a busy machine; returns whether it holds. */
@@ -198,3 +200,15 @@
     agent.crash();
   },
 );
+
+test('an agent that cannot be reached is reported once, until it is connected', async (t) => {
+  const { states, stop } = startLinks(28_958);
+  t.teardown(stop);
+  t.true(await waitFor(() => states.length > 0));
+  await sleep(SYSTEM_CLOCK, 150);
+  t.deepEqual(states, ['unreachable']);
+  const agent = new FakeAgent(28_958);
+  t.teardown(() => agent.crash());
+  t.true(await waitFor(() => states.length > 1));
+  t.deepEqual(states, ['unreachable', 'connected']);
+});
