--- a/src/bin/run-process.ts
+++ b/src/bin/run-process.ts
@@ -72,6 +72,7 @@
   const gateway = new GatewayRole({
     settings,
     adapter: dependencies.createAdapter(store, storeTimeoutMs),
+    createEngineProbe: dependencies.createEngineProbe,
     clock: SYSTEM_CLOCK,
     random: createRandom(),
     log,
--- a/src/gateway/attempt/attempt.ts
+++ b/src/gateway/attempt/attempt.ts
@@ -4,6 +4,7 @@
  */
 import type { Backend } from '../../routing/backend.js';
 import type { RawHeaders } from '../admission/caller-protocol.js';
+import type { IdentifiedProcess } from '../processes/process-identifier.js';
 
 /** An attempt to be sent. */
 export interface OutgoingAttempt {
@@ -15,6 +16,8 @@
   readonly path: string;
   /** Whether the request may run more than once. */
   readonly isRepeatable: boolean;
+  /** Whether `AttemptHandlers.onProcess` is called; omitted for false. */
+  readonly needsProcess?: boolean;
   readonly headers: RawHeaders;
   readonly body: Buffer;
 }
@@ -44,6 +47,12 @@
 export interface AttemptHandlers {
   /** A new connection was established after `elapsedMs`. */
   onConnected?(elapsedMs: number): void;
+  /**
+   * Called once, if the attempt asks for it, with the process at the other end of the connection;
+   * undefined if it could not be found out. May be called after data was received, and not at all if
+   * the attempt ends first.
+   */
+  onProcess?(process: IdentifiedProcess | undefined): void;
   onHead(head: ResponseHead): void;
   onData(bytes: Buffer): void;
   /** The response is complete. */
--- a/src/gateway/attempt/confine-ports.ts
+++ b/src/gateway/attempt/confine-ports.ts
@@ -28,6 +28,7 @@
 function confineHandlers(handlers: AttemptHandlers, confine: ConfineCallback): AttemptHandlers {
   return {
     onConnected: confine((elapsedMs: number) => handlers.onConnected?.(elapsedMs)),
+    onProcess: confine((process) => handlers.onProcess?.(process)),
     onHead: confine((head) => handlers.onHead(head)),
     onData: confine((bytes) => handlers.onData(bytes)),
     onEnd: confine(() => handlers.onEnd()),
--- a/src/gateway/attempt/confined-request.ts
+++ b/src/gateway/attempt/confined-request.ts
@@ -1,5 +1,4 @@
 /** A request whose processing cannot end the process: an exception ends that request alone. */
-import type { SoftwareVersion } from '../../streams/software-version.js';
 import type { ExitEvidence } from '../crashes/interrupted-runs.js';
 import type { PlacementConstraints } from '../dispatch/dispatch-request.js';
 import type { AcceptedRequest } from './accepted-request.js';
@@ -56,11 +55,6 @@
     this.boundary.run(() => this.request.handleBackendEnded(id, evidence));
   }
 
-  /** See `ProxiedRequest`. */
-  handleUnannouncedProcess(id: string, version: SoftwareVersion): void {
-    this.boundary.run(() => this.request.handleUnannouncedProcess(id, version));
-  }
-
   /** See `ProxiedRequest`. */
   refuseIfCrashing(): void {
     this.boundary.run(() => this.request.refuseIfCrashing());
--- a/src/gateway/attempt/http-backend-sender.ts
+++ b/src/gateway/attempt/http-backend-sender.ts
@@ -13,6 +13,8 @@
 import type { HostAndPort } from '../../address.js';
 import { SYSTEM_CLOCK } from '../../clock.js';
 import type { ConnectionCloseReason, ConnectionOpenReason } from './connection-reasons.js';
+import type { Backend } from '../../routing/backend.js';
+import type { IdentifiedProcess } from '../processes/process-identifier.js';
 import { withContentLength } from './content-length.js';
 import { keepAliveTimeoutMs } from './keep-alive-timeout.js';
 import { KeepAliveAgent } from './keep-alive-agent.js';
@@ -59,11 +61,19 @@
   'ENETUNREACH',
 ]);
 
+/**
+ * Finds out which process listens at a backend's address, by a query that begins after the call;
+ * never rejects.
+ */
+export type IdentifyProcess = (backend: Backend) => Promise<IdentifiedProcess | undefined>;
+
 /** Sends requests to backends over HTTP. */
 export class HttpBackendSender implements BackendSender {
   private readonly agent: KeepAliveAgent;
   private readonly stallDetector = new StallDetector(SYSTEM_CLOCK);
   private readonly surplusSenders = new SurplusSenders(SYSTEM_CLOCK);
+  /** The process at the other end of each connection for which it is known. */
+  private readonly processes = new WeakMap<Socket, IdentifiedProcess>();
 
   constructor(
     private readonly options = DEFAULT_BACKEND_SENDER_OPTIONS,
@@ -71,6 +81,7 @@
     onConnection: (reason: ConnectionOpenReason) => void = () => undefined,
     /** Called when a backend begins to send bytes that belong to no request. */
     private readonly onSurplus: (address: string) => void = () => undefined,
+    private readonly identify: IdentifyProcess = () => Promise.resolve(undefined),
   ) {
     this.agent = new KeepAliveAgent(options, onConnection, (address) => this.noteSurplus(address));
   }
@@ -104,10 +115,32 @@
       connectTimeoutMs: this.options.connectTimeoutMs,
       usesNewConnection: !attempt.isRepeatable && this.surplusSenders.has(address),
       onForeignResponse: () => this.noteSurplus(address),
+      identifyProcess: (socket) => this.identifyProcess(attempt.backend, socket),
     });
     this.stallDetector.afterPendingInput(() => httpAttempt.begin());
     return httpAttempt;
   }
+
+  /**
+   * Returns the process at the other end of an established connection. A connection ends with its
+   * process, so the result holds for as long as the connection is open; it is undefined if the
+   * connection closes first.
+   */
+  private async identifyProcess(
+    backend: Backend,
+    socket: Socket,
+  ): Promise<IdentifiedProcess | undefined> {
+    const known = this.processes.get(socket);
+    if (known !== undefined) {
+      return known;
+    }
+    const process = await this.identify(backend);
+    if (process === undefined || socket.destroyed) {
+      return undefined;
+    }
+    this.processes.set(socket, process);
+    return process;
+  }
 }
 
 /** How an attempt uses connections. */
@@ -118,6 +151,8 @@
   readonly usesNewConnection: boolean;
   /** Called if the response does not belong to the request. */
   onForeignResponse(): void;
+  /** Returns the process at the other end of an established connection, if it can be found out. */
+  identifyProcess(socket: Socket): Promise<IdentifiedProcess | undefined>;
 }
 
 /** One HTTP request in progress. */
@@ -222,6 +257,7 @@
     socket.setNoDelay(true);
     if (!socket.connecting) {
       this.isConnected = true;
+      this.reportProcess(socket);
       return;
     }
     const { host, port } = this.address;
@@ -234,6 +270,18 @@
       this.isConnected = true;
       clearTimeout(this.connectTimer);
       this.handlers.onConnected?.(performance.now() - this.startedAtMs);
+      this.reportProcess(socket);
+    });
+  }
+
+  private reportProcess(socket: Socket): void {
+    if (this.attempt.needsProcess !== true) {
+      return;
+    }
+    void this.use.identifyProcess(socket).then((process) => {
+      if (!this.isOver) {
+        this.handlers.onProcess?.(process);
+      }
     });
   }
 
--- a/src/gateway/attempt/outgoing-request.ts
+++ b/src/gateway/attempt/outgoing-request.ts
@@ -14,6 +14,8 @@
   readonly roundTripMs: number;
   /** Id of the last event sent to the caller, if the attempt resumes a stream. */
   readonly lastEventId: HeaderValue | undefined;
+  /** Whether the process that runs the attempt must be identified. */
+  readonly needsProcess: boolean;
   readonly nowMs: number;
 }
 
@@ -26,7 +28,7 @@
 /** Returns the outgoing request with the gateway's headers added. */
 export function outgoingRequest(
   request: AcceptedRequest,
-  { backend, roundTripMs, lastEventId, nowMs }: AttemptContext,
+  { backend, roundTripMs, lastEventId, needsProcess, nowMs }: AttemptContext,
   protocol: CallerProtocol,
 ): OutgoingAttempt {
   const { requestId, tenant, method, path, body, route } = request;
@@ -45,5 +47,6 @@
     headers,
     body,
     isRepeatable: mayRunAgain(route),
+    needsProcess,
   };
 }
--- /dev/null
+++ b/src/gateway/attempt/process-check.ts
@@ -0,0 +1,127 @@
+/**
+ * Checks that the events of a request's attempts come from one software version, without I/O.
+ *
+ * What a backend announces does not show which process runs an attempt, so the process at the other
+ * end of the connection is identified. Events of a resumed stream are held back until then.
+ */
+import { softwareVersionOfProcess } from '../../streams/software-version.js';
+import type { SoftwareVersion } from '../../streams/software-version.js';
+import type { Backend } from '../../routing/backend.js';
+import type { IdentifiedProcess } from '../processes/process-identifier.js';
+import type { AcceptedRequest } from './accepted-request.js';
+import type { AttemptHandle } from './attempt.js';
+import { HeldResponse } from './held-response.js';
+import type { RequestPorts } from './request-model.js';
+import type { RequestRecord } from './request-record.js';
+import type { StreamBinding } from './stream-binding.js';
+
+/** The request whose attempts are checked. */
+export interface CheckedRequest {
+  /** Forwards data that was held back. */
+  relayData(bytes: Buffer): void;
+  /** Completes an attempt whose end was held back. */
+  receiveEnd(): void;
+  /** Ends the current attempt, whose events must not follow those that were sent to the caller. */
+  leaveProcess(detail: string): void;
+}
+
+/** Checks the processes that run the attempts of one request. */
+export class ProcessCheck {
+  private backend: Backend | undefined;
+  private attempt: AttemptHandle | undefined;
+  private readonly held = new HeldResponse();
+
+  constructor(
+    private readonly request: AcceptedRequest,
+    private readonly binding: StreamBinding,
+    private readonly record: RequestRecord,
+    private readonly ports: RequestPorts,
+    private readonly checked: CheckedRequest,
+  ) {}
+
+  /**
+   * Starts the check of an attempt.
+   *
+   * @param version - software version that the backend is known to run
+   * @returns whether the attempt must report its process
+   */
+  begin(backend: Backend, version: SoftwareVersion): boolean {
+    const { kind, isResumable } = this.request.route;
+    const needsProcess =
+      kind === 'stream' && isResumable && this.ports.isProcessIdentifiable(backend);
+    this.backend = backend;
+    this.held.clear();
+    this.binding.noteSent(needsProcess ? undefined : version);
+    return needsProcess;
+  }
+
+  /** Binds the stream; must be called before its first event is sent to the caller. */
+  bindStream(): void {
+    const version = this.binding.bind();
+    if (version !== undefined) {
+      this.ports.onStreamBegun(this.request, this.backend!, version);
+    }
+  }
+
+  /** Drops what is held of an attempt that has ended. */
+  end(): void {
+    this.held.clear();
+  }
+
+  /** Holds data back if the process must be identified first; returns whether it does. */
+  holdData(bytes: Buffer, attempt: AttemptHandle | undefined): boolean {
+    if (!this.binding.mustHoldEvents) {
+      return false;
+    }
+    this.held.add(bytes);
+    this.attempt = attempt;
+    attempt?.pause();
+    return true;
+  }
+
+  /** Holds the end of the response back in the same way; returns whether it does. */
+  holdEnd(): boolean {
+    if (!this.binding.mustHoldEvents) {
+      return false;
+    }
+    this.held.addEnd();
+    return true;
+  }
+
+  /** Handles the process that runs the attempt; undefined if it could not be found out. */
+  receiveProcess(process: IdentifiedProcess | undefined): void {
+    if (process !== undefined) {
+      this.applyProcess(process);
+    } else if (this.binding.mustHoldEvents) {
+      this.checked.leaveProcess('its process is not known');
+    }
+  }
+
+  private applyProcess(process: IdentifiedProcess): void {
+    const { binding, ports, request } = this;
+    const backend = this.backend!;
+    this.record.addProcess(process);
+    ports.dispatcher.noteProcess(backend.id, process.bornAtMs, ports.clock.now());
+    const version = softwareVersionOfProcess(backend, process.bornAtMs);
+    if (!binding.identifySent(version)) {
+      this.checked.leaveProcess('another process than the announced one');
+      return;
+    }
+    if (binding.isBoundByLastAttempt) {
+      ports.onStreamBegun(request, backend, version);
+    }
+    this.release();
+  }
+
+  private release(): void {
+    if (this.held.isEmpty) {
+      return;
+    }
+    // Before the data: the caller's backpressure may pause the attempt again.
+    this.attempt?.resume();
+    this.held.release(
+      (bytes) => this.checked.relayData(bytes),
+      () => this.checked.receiveEnd(),
+    );
+  }
+}
--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -25,6 +25,7 @@
 import { ResponseRelay } from './response-relay.js';
 import type { BufferedResponse } from './response-relay.js';
 import { EndedBackendTimer } from './ended-backend-timer.js';
+import { ProcessCheck } from './process-check.js';
 import { OneShotTimer } from './one-shot-timer.js';
 import { outgoingRequest } from './outgoing-request.js';
 import { RequestWait } from './request-wait.js';
@@ -64,6 +65,7 @@
   private readonly binding: StreamBinding;
   private readonly record: RequestRecord;
   private readonly relay: ResponseRelay;
+  private readonly processCheck: ProcessCheck;
   private progress: AttemptProgress | undefined;
   private stopWatchingPath: (() => void) | undefined;
   /** Whether a backend may have executed the request. */
@@ -83,8 +85,13 @@
     this.binding = new StreamBinding(request);
     this.alternatives = new AlternativeBackends(this.binding, ports);
     this.record = new RequestRecord(request.arrivedAtMs);
+    this.processCheck = new ProcessCheck(request, this.binding, this.record, ports, {
+      relayData: (bytes) => this.relayData(bytes),
+      receiveEnd: () => this.receiveEnd(),
+      leaveProcess: (detail) => this.leaveProcess(detail),
+    });
     const relayed = { method, lastEventId, isStream: route.kind === 'stream' };
-    this.relay = new ResponseRelay(reply, relayed, () => this.bindStream());
+    this.relay = new ResponseRelay(reply, relayed, () => this.processCheck.bindStream());
     this.retries = new RetryRules(request, this.relay, this.alternatives, ports);
     this.departure = new AttemptDeparture(
       request,
@@ -177,27 +184,12 @@
     }
   }
 
-  /**
-   * Handles the report that a backend's process is a later one than was announced, with `version`.
-   * It runs the current attempt, since the connection to the earlier process ended with it.
-   */
-  handleUnannouncedProcess(id: string, version: SoftwareVersion): void {
-    if (this.attempt === undefined || this.backend?.id !== id) {
-      return;
-    }
-    if (!this.binding.correctSent(version)) {
-      this.leaveOtherVersion();
-    } else if (this.phase === 'streaming') {
-      this.ports.onStreamBegun(this.request, this.backend, version);
-    }
-  }
-
-  /** Ends an attempt whose events would follow those of another version. */
-  private leaveOtherVersion(): void {
+  /** Ends an attempt whose events must not follow those that were sent to the caller. */
+  private leaveProcess(detail: string): void {
     const mayMove = this.phase === 'sent' && this.canRetryElsewhere() && this.retries.take();
     const backendId = this.backend!.id;
     this.mayHaveRun = true;
-    this.abortAttempt('unknown', 'another process than the announced one');
+    this.abortAttempt('unknown', detail);
     if (mayMove) {
       this.retryOnceCharged(backendId);
     } else {
@@ -264,21 +256,13 @@
     this.replyWithFailure(refusal ?? (this.alternatives.hasAnyReady ? 'overloaded' : 'no-backend'));
   }
 
-  /** Called before the first event is sent to the caller. */
-  private bindStream(): void {
-    const version = this.binding.bind();
-    if (version !== undefined) {
-      this.ports.onStreamBegun(this.request, this.backend!, version);
-    }
-  }
-
   private send(backend: Backend, nowMs: number, version: SoftwareVersion): void {
     const { request, ports, relay } = this;
     const { lastEventId } = relay;
     this.phase = 'sent';
     this.backend = backend;
     this.holdsSlot = true;
-    this.binding.noteSent(version);
+    const needsProcess = this.processCheck.begin(backend, version);
     this.attempts += 1;
     const entry = ports.directory.find(backend.id);
     const { occupied = 0, distance = 'same-zone' } = entry ?? {};
@@ -302,16 +286,15 @@
     );
     const roundTripMs = entry?.roundTrip.ms ?? 0;
     this.departure.armSilenceTimer();
-    this.attempt = ports.sender.send(
-      outgoingRequest(request, { backend, roundTripMs, lastEventId, nowMs }, ports.protocol),
-      {
-        onConnected: (elapsedMs) => entry?.roundTrip.addSample(elapsedMs),
-        onHead: (head) => this.receiveHead(head),
-        onData: (bytes) => this.receiveData(bytes),
-        onEnd: () => this.receiveEnd(),
-        onFailure: (failure) => this.failAttempt(failure),
-      },
-    );
+    const context = { backend, roundTripMs, lastEventId, needsProcess, nowMs };
+    this.attempt = ports.sender.send(outgoingRequest(request, context, ports.protocol), {
+      onConnected: (elapsedMs) => entry?.roundTrip.addSample(elapsedMs),
+      onProcess: (process) => this.processCheck.receiveProcess(process),
+      onHead: (head) => this.receiveHead(head),
+      onData: (bytes) => this.receiveData(bytes),
+      onEnd: () => this.receiveEnd(),
+      onFailure: (failure) => this.failAttempt(failure),
+    });
   }
 
   /** Leaves a backend that still has the request. */
@@ -382,6 +365,12 @@
   private receiveData(bytes: Buffer): void {
     this.recordReceipt();
     this.record.addBytes(bytes.length);
+    if (!this.processCheck.holdData(bytes, this.attempt)) {
+      this.relayData(bytes);
+    }
+  }
+
+  private relayData(bytes: Buffer): void {
     const { isForwarded, problem } = this.relay.acceptData(bytes, this.attempt);
     if (isForwarded) {
       this.record.setFirstByteTime(this.ports.clock.now());
@@ -398,6 +387,9 @@
   }
 
   private receiveEnd(): void {
+    if (this.processCheck.holdEnd()) {
+      return;
+    }
     const response = this.relay.bufferedResponse;
     if (response === undefined) {
       this.failResponse('no response');
@@ -542,6 +534,7 @@
   private endAttempt(outcome: AttemptOutcome, detail: string): void {
     this.departure.clear();
     this.endedTimer.clear();
+    this.processCheck.end();
     this.stopWatchingPath?.();
     if (this.attempt === undefined || this.backend === undefined) {
       return;
--- a/src/gateway/attempt/request-model.ts
+++ b/src/gateway/attempt/request-model.ts
@@ -14,6 +14,7 @@
 import type { CallerProtocol } from '../admission/caller-protocol.js';
 import type { Dispatcher } from '../dispatch/dispatcher.js';
 import type { ReceivedStatement } from '../statements/backend-condition.js';
+import type { IdentifiedProcess } from '../processes/process-identifier.js';
 import type { BackendStatement } from '../statements/backend-statement.js';
 
 /** Log record of one attempt; the field names are part of the log format. */
@@ -21,6 +22,8 @@
   readonly backend: string;
   /** Announced software version of the backend. */
   readonly version: string;
+  /** The process that ran the attempt; omitted if it was not identified. */
+  process?: IdentifiedProcess;
   /** Id of the event after which the attempt resumes the stream; omitted for a new stream. */
   readonly afterEvent?: string;
   /** Time from the request's arrival to the send, in milliseconds. */
@@ -88,6 +91,8 @@
   readonly protocol: CallerProtocol;
   readonly random: RandomSource;
   readonly crashes: RunCrashTracker;
+  /** Whether the process at a backend's address can be identified. */
+  isProcessIdentifiable(backend: Backend): boolean;
   /** Takes one retry from the budget of a service; returns false if none is left. */
   takeRetry(service: string): boolean;
   /**
--- a/src/gateway/attempt/request-record.ts
+++ b/src/gateway/attempt/request-record.ts
@@ -3,6 +3,7 @@
 import type { AttemptOutcome } from '../dispatch/backend-health.js';
 import { NO_STATEMENT } from '../statements/backend-statement.js';
 import type { BackendStatement } from '../statements/backend-statement.js';
+import type { IdentifiedProcess } from '../processes/process-identifier.js';
 import type { RequestEnd, AttemptRecord } from './request-model.js';
 
 /** Estimated state of a backend when a request was sent to it. */
@@ -53,6 +54,11 @@
     }
   }
 
+  /** Adds the process that runs the current attempt. */
+  addProcess(process: IdentifiedProcess): void {
+    this.tries.at(-1)!.process = process;
+  }
+
   /** Adds received bytes to the current attempt. */
   addBytes(count: number): void {
     this.tries.at(-1)!.bytes += count;
--- a/src/gateway/attempt/stream-binding.ts
+++ b/src/gateway/attempt/stream-binding.ts
@@ -1,4 +1,5 @@
 /** Binds a stream to the software version that began it, without I/O. */
+import { UNIDENTIFIED_VERSION } from '../../streams/software-version.js';
 import type { SoftwareVersion } from '../../streams/software-version.js';
 import type { PlacementConstraints } from '../dispatch/dispatch-request.js';
 import type { AcceptedRequest } from './accepted-request.js';
@@ -6,8 +7,8 @@
 /** The placement constraints of one request over all of its attempts. */
 export class StreamBinding implements PlacementConstraints {
   private version: SoftwareVersion | undefined;
-  private sentTo: SoftwareVersion | undefined;
-  private isBoundByLastAttempt = false;
+  private sentTo: SoftwareVersion = UNIDENTIFIED_VERSION;
+  private isBoundByLast = false;
 
   constructor(private readonly request: AcceptedRequest) {
     this.version = request.resumedVersion;
@@ -25,29 +26,45 @@
     return this.version;
   }
 
-  /** Records the version that the backend runs to which the request is sent. */
-  noteSent(version: SoftwareVersion): void {
-    this.sentTo = version;
-    this.isBoundByLastAttempt = false;
+  /** Whether the last attempt began the stream. */
+  get isBoundByLastAttempt(): boolean {
+    return this.isBoundByLast;
+  }
+
+  /**
+   * Whether the events of the last attempt must be held back: they would follow those of an earlier
+   * process, and it is not known that both run the same version.
+   */
+  get mustHoldEvents(): boolean {
+    const isBoundEarlier = this.version !== undefined && !this.isBoundByLast;
+    return isBoundEarlier && this.sentTo === UNIDENTIFIED_VERSION;
+  }
+
+  /**
+   * Records the version that runs the attempt that is sent now; undefined until its process is
+   * identified.
+   */
+  noteSent(version: SoftwareVersion | undefined): void {
+    this.sentTo = version ?? UNIDENTIFIED_VERSION;
+    this.isBoundByLast = false;
   }
 
   /**
-   * Records that the process that runs the last attempt is not the one that was known when it was
-   * sent, and has `version`.
+   * Records the version of the process that runs the last attempt, once it is identified.
    *
    * @returns whether the attempt may go on: false if earlier events are of another version
    */
-  correctSent(version: SoftwareVersion): boolean {
+  identifySent(version: SoftwareVersion): boolean {
     this.sentTo = version;
-    if (this.isBoundByLastAttempt) {
+    if (this.isBoundByLast) {
       this.version = version;
     }
     return this.version === undefined || this.version === version;
   }
 
   /**
-   * Binds the stream to the version that the last attempt was sent to. Must be called before an
-   * event of that attempt is sent to the caller; has no effect on a stream that is already bound.
+   * Binds the stream to the version that runs the last attempt. Must be called before an event of
+   * that attempt is sent to the caller; has no effect on a stream that is already bound.
    *
    * @returns the version if this call bound it
    */
@@ -56,7 +73,7 @@
       return undefined;
     }
     this.version = this.sentTo;
-    this.isBoundByLastAttempt = true;
+    this.isBoundByLast = true;
     return this.version;
   }
 }
--- a/src/gateway/dispatch/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -57,8 +57,8 @@
   /** Called when the agent of a backend reports that nothing listens at its address. */
   onEnded?(backendId: string): void;
   /**
-   * Called when the agent of a backend reports a process that started after the announced one, so
-   * that it may run other software.
+   * Called when a process was found at the address of a backend that started after the announced
+   * one, so that it may run other software.
    */
   onUnannouncedProcess?(known: KnownBackend): void;
 }
@@ -378,14 +378,12 @@
       known.agent.failureShare = message.failureShare;
       known.agent.homes = message.homes;
       known.agent.grantsOnly = message.grantsOnly;
-      if (message.hasEnded === true && known.isBornBefore(message.endedBornBeforeMs)) {
+      if (message.hasEnded !== true && message.bornAtMs !== undefined) {
+        this.noteRunningProcess(known, message.bornAtMs, nowMs);
+      } else if (message.hasEnded === true && known.isBornBefore(message.endedBornBeforeMs)) {
         known.noteProcessEnded();
         this.ports.onEnded?.(backendId);
       }
-      if (message.bornAtMs !== undefined && known.noteRunningProcess(message.bornAtMs)) {
-        known.cold.assumeCold('was-gone', nowMs);
-        this.ports.onUnannouncedProcess?.(known);
-      }
       this.noteAvailability(known, known.agent, message.availability, nowMs);
       known.adoptLearned(message.speed);
       known.roundTrip.replaceEstimate(message.roundTripMs ?? known.roundTrip.ms);
@@ -415,6 +413,21 @@
     }
   }
 
+  /** Records the start time of the process that was found to answer at a backend's address. */
+  noteProcess(backendId: string, bornAtMs: number, nowMs: number): void {
+    const known = this.directory.find(backendId);
+    if (known !== undefined) {
+      this.noteRunningProcess(known, bornAtMs, nowMs);
+    }
+  }
+
+  private noteRunningProcess(known: KnownBackend, bornAtMs: number, nowMs: number): void {
+    if (known.noteRunningProcess(bornAtMs)) {
+      known.cold.assumeCold('was-gone', nowMs);
+      this.ports.onUnannouncedProcess?.(known);
+    }
+  }
+
   private noteAvailability(
     known: KnownBackend,
     agent: SlotAgentLink,
--- a/src/gateway/dispatch/known-backend.ts
+++ b/src/gateway/dispatch/known-backend.ts
@@ -7,7 +7,11 @@
 import { RoundTripEstimate } from '../../round-trip.js';
 import type { AgentRegionInfo, SpeedEstimates } from '../../slot-agent/slot-messages.js';
 import { FailureEstimate } from '../../slot-agent/failure-estimate.js';
-import { softwareVersionOf } from '../../streams/software-version.js';
+import {
+  softwareVersionOf,
+  softwareVersionOfProcess,
+  UNIDENTIFIED_VERSION,
+} from '../../streams/software-version.js';
 import type { SoftwareVersion } from '../../streams/software-version.js';
 import { BackendCondition } from '../statements/backend-condition.js';
 import { BackendHealth } from './backend-health.js';
@@ -85,10 +89,12 @@
   hasEnded = false;
   /** Whether it has ended, or a later incarnation was announced at its address. */
   isReplaced = false;
-  /** How often its process was seen to end, or another one in its place, since its announcement. */
+  /** How often its process was seen to end since its announcement. */
   private restarts = 0;
+  /** Whether the latest process that is known has ended, and none was seen in its place. */
+  private hasProcessEnded = false;
   /** Start time of the latest process seen that started after the announced one. */
-  private laterBornAtMs = -Infinity;
+  private laterBornAtMs: number | undefined;
   private learnedMsPerUnit: number | undefined;
   private readonly ownFailureRate = new FailureEstimate();
 
@@ -124,7 +130,13 @@
 
   /** Version of the software that the process at its address runs, as far as it is known. */
   get softwareVersion(): SoftwareVersion {
-    return softwareVersionOf(this.backend, this.restarts);
+    const { backend, laterBornAtMs } = this;
+    if (backend.bornAtMs === undefined) {
+      return softwareVersionOf(backend, this.restarts);
+    }
+    return this.hasProcessEnded
+      ? UNIDENTIFIED_VERSION
+      : softwareVersionOfProcess(backend, laterBornAtMs ?? backend.bornAtMs);
   }
 
   /**
@@ -133,6 +145,7 @@
    */
   noteProcessEnded(): void {
     this.restarts += 1;
+    this.hasProcessEnded = true;
   }
 
   /**
@@ -142,11 +155,14 @@
    */
   noteRunningProcess(bornAtMs: number): boolean {
     const { bornAtMs: announcedBornAtMs = Infinity } = this.backend;
-    if (bornAtMs <= Math.max(announcedBornAtMs, this.laterBornAtMs)) {
+    const latestBornAtMs = this.laterBornAtMs ?? announcedBornAtMs;
+    if (bornAtMs >= latestBornAtMs) {
+      this.hasProcessEnded = false;
+    }
+    if (bornAtMs <= latestBornAtMs) {
       return false;
     }
     this.laterBornAtMs = bornAtMs;
-    this.restarts += 1;
     return true;
   }
 
--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -36,7 +36,6 @@
 import type { GatewaySettings } from './gateway-settings.js';
 import type { GatewayStreams, ResumptionDecision } from './gateway-streams.js';
 import type { GatewayMetrics } from './metrics/gateway-metrics.js';
-import type { SoftwareVersion } from '../streams/software-version.js';
 
 /** Dependencies of `GatewayRequests`. */
 export interface GatewayRequestsDependencies {
@@ -142,6 +141,8 @@
       sender: dependencies.sender,
       crashes: dependencies.crashes,
       protocol: adapter.protocol,
+      isProcessIdentifiable: ({ service, bornAtMs }) =>
+        bornAtMs !== undefined && dependencies.configuration.isEngine(service),
       takeRetry: (service) => this.takeRetry(service),
       chargeRetry: (request, onResult) =>
         this.charge(request, ({ isGranted }) => onResult(isGranted)),
@@ -174,13 +175,6 @@
     }
   }
 
-  /** Treats the attempts that run on a backend as run by a later process than was announced. */
-  handleUnannouncedProcess(backendId: string, version: SoftwareVersion): void {
-    for (const { proxied } of [...this.active.values()]) {
-      proxied.handleUnannouncedProcess(backendId, version);
-    }
-  }
-
   /** Refuses waiting requests that have been found to crash backends. */
   refuseCrashing(): void {
     for (const { proxied } of [...this.active.values()]) {
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -6,6 +6,7 @@
 import type { RandomSource } from '../random.js';
 import type { Backend } from '../routing/backend.js';
 import type { EngineAvailability } from '../slot-agent/engine-health.js';
+import type { EngineProbe } from '../slot-agent/slot-agent-role.js';
 import { findUnknownRegion } from '../routing/region-lists.js';
 import type { InvalidRegionsError } from '../routing/region-lists.js';
 import type { OperatorRules } from '../routing/backend-restriction.js';
@@ -20,7 +21,6 @@
 import type { ExitEvidence } from './crashes/interrupted-runs.js';
 import { BackendDirectory } from './dispatch/backend-directory.js';
 import { Dispatcher } from './dispatch/dispatcher.js';
-import type { KnownBackend } from './dispatch/known-backend.js';
 import type { GatewayAdapter } from './gateway-adapter.js';
 import { GatewayBackends } from './gateway-backends.js';
 import { GatewayCluster } from './gateway-cluster.js';
@@ -29,6 +29,7 @@
 import { createColdStarts } from './gateway-cold-starts.js';
 import { GatewayQuotas } from './gateway-quotas.js';
 import { GatewayPaths } from './gateway-paths.js';
+import { GatewayProcesses } from './gateway-processes.js';
 import { GatewayRequests } from './gateway-requests.js';
 import { GatewayRollouts } from './gateway-rollouts.js';
 import { GatewayConditions } from './gateway-conditions.js';
@@ -61,6 +62,8 @@
 export interface GatewayDependencies {
   readonly settings: GatewaySettings;
   readonly adapter: GatewayAdapter;
+  /** Creates the probe of the engine at an address (IP:PORT). */
+  readonly createEngineProbe: (address: string) => EngineProbe;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly log: DecisionLog;
@@ -96,7 +99,9 @@
     DEFAULT_BACKEND_SENDER_OPTIONS,
     (reason) => this.dependencies.metrics.record(({ connections }) => connections.inc({ reason })),
     (address) => this.dependencies.log.write('backend-surplus', 'state', { address }),
+    (backend) => this.processes.identify(backend),
   );
+  private readonly processes: GatewayProcesses;
   private readonly listener: CallerListener;
   private readonly links: SlotAgentLinks;
   private readonly quotas: GatewayQuotas;
@@ -150,7 +155,7 @@
         dependencies.log.write('backend-ejected', 'state', { backend: backendId }),
       onAvailability: (backend, availability) => this.handleAvailability(backend, availability),
       onEnded: (backendId) => this.handleBackendEnded(backendId, 'agent'),
-      onUnannouncedProcess: (known) => this.handleUnannouncedProcess(known),
+      onUnannouncedProcess: (known) => this.processes.logUnannounced(known),
       isEngine,
       countGateways: () => this.cluster.size,
       tokensPerEvent: (service) => this.configuration.tokensPerEvent(service),
@@ -263,6 +268,10 @@
         zone: settings.process.zone,
       },
     );
+    this.processes = new GatewayProcesses({
+      ...dependencies,
+      askAgent: (backendId, onAnswer) => this.links.askProcess(backendId, onAnswer),
+    });
     this.shutdown = new GracefulShutdown(clock, limits.stopGraceS * MS_PER_S, {
       stopListening: () => this.listener.stopListening(),
       countActive: () => this.requests.activeCount,
@@ -430,11 +439,6 @@
     this.requests.handleBackendEnded(backendId, evidence);
   }
 
-  private handleUnannouncedProcess({ backend: { id }, softwareVersion }: KnownBackend): void {
-    this.dependencies.log.write('backend-unannounced', 'state', { backend: id, softwareVersion });
-    this.requests.handleUnannouncedProcess(id, softwareVersion);
-  }
-
   /** Applies a change of a backend's condition that affects what may be sent there. */
   private applyCondition(backendId: string): void {
     const known = this.directory.find(backendId);
--- a/src/gateway/links/slot-agent-links.ts
+++ b/src/gateway/links/slot-agent-links.ts
@@ -19,6 +19,7 @@
   StreamOriginQuery,
 } from '../../streams/stream-origin.js';
 import { splitAddress } from '../../address.js';
+import type { ProcessAnswer } from '../../processes/process-query.js';
 import type { KnownBackend } from '../dispatch/known-backend.js';
 import type { PathState } from '../dispatch/path-state.js';
 
@@ -77,6 +78,8 @@
   wasReportedSilent: boolean;
   /** State that was reported last. */
   reported: AgentConnectionState | undefined;
+  /** Queries on this connection that the agent has not answered, by id. */
+  readonly processQueries: Map<number, (answer: ProcessAnswer) => void>;
 }
 
 /** Evidence about the path from the end of a connection. */
@@ -120,6 +123,7 @@
   private readonly links = new Map<string, Link>();
   private lastSentProgress = NO_PROGRESS;
   private connectedGeneration = 0;
+  private nextQueryId = 1;
 
   constructor(
     private readonly gatewayName: string,
@@ -174,6 +178,22 @@
     return false;
   }
 
+  /**
+   * Asks the agent of a backend which process listens at its engine's address; returns false if the
+   * agent is not connected. `onAnswer` is not called if the connection ends first.
+   */
+  askProcess(backendId: string, onAnswer: (answer: ProcessAnswer) => void): boolean {
+    const link = this.links.get(backendId);
+    if (link?.isEstablished !== true) {
+      return false;
+    }
+    const id = this.nextQueryId;
+    this.nextQueryId += 1;
+    link.processQueries.set(id, onAnswer);
+    link.channel?.send({ kind: 'process-ask', id });
+    return true;
+  }
+
   /**
    * Sends keepalives on idle connections to agents at which this gateway has outstanding or waiting
    * requests; to be called each tick.
@@ -255,6 +275,7 @@
       lastEnd: 'unknown',
       wasReportedSilent: false,
       reported: undefined,
+      processQueries: new Map(),
     };
     this.links.set(backendId, link);
     if (link.channel === undefined) {
@@ -293,6 +314,11 @@
           this.onStreamAnswer(message);
           return;
         }
+        if (message.kind === 'process-answer') {
+          link.processQueries.get(message.id)?.(message);
+          link.processQueries.delete(message.id);
+          return;
+        }
         if (message.kind === 'refused') {
           link.refusal = message.reason;
           channel.close();
@@ -342,6 +368,7 @@
       return;
     }
     link.channel = undefined;
+    link.processQueries.clear();
     this.updatePath(link);
     if (link.isEstablished) {
       this.connectedGeneration += 1;
--- a/src/gateway/metrics/metric-instruments.ts
+++ b/src/gateway/metrics/metric-instruments.ts
@@ -131,6 +131,12 @@
     labelNames: ['field'],
     registers: [this.registry],
   });
+  readonly processIdentifications = new Counter({
+    name: 'weirvale_process_identifications_total',
+    help: 'Queries for the process at the address of an engine, by who answered (agent, engine, none)',
+    labelNames: ['source'],
+    registers: [this.registry],
+  });
   readonly streamResumptions = new Counter({
     name: 'weirvale_stream_resumptions_total',
     help: 'Streams that callers resumed, by how their version became known, or why they were refused',
--- a/src/slot-agent/slot-agent-role.ts
+++ b/src/slot-agent/slot-agent-role.ts
@@ -30,6 +30,8 @@
 import { SlotAllocator } from './slot-allocator.js';
 import { StreamOriginTable } from '../streams/stream-origin-table.js';
 import type { StreamOriginQuery } from '../streams/stream-origin.js';
+import { ProcessQueryQueue } from './process-query-queue.js';
+import type { PendingProcessQuery } from './process-query-queue.js';
 import type {
   AgentRefusal,
   AgentToGateway,
@@ -144,6 +146,8 @@
   private readonly exchange: RecordExchange;
   /** Held for gateways: agents outlive a crash of all gateways. */
   private readonly streamOrigins = new StreamOriginTable();
+  /** Queries of gateways that the next probe answers. */
+  private readonly processQueries = new ProcessQueryQueue();
   private readonly mesh: PeerMesh;
   private nextConnection = 1;
   private isProbing = false;
@@ -366,6 +370,9 @@
       this.streamOrigins.hold(message.origin, this.clock.now());
     } else if (message.kind === 'stream-ask') {
       this.answerStreamQuery(connection, message);
+    } else if (message.kind === 'process-ask') {
+      this.processQueries.add({ connection, id: message.id });
+      this.scheduleProbe(0);
     } else if (message.kind === 'reach') {
       this.exchange.handleProgress(`${connection}`, message.reach, (fetch) =>
         this.channels.get(connection)?.send(fetch),
@@ -375,6 +382,11 @@
     }
   }
 
+  private answerStreamQuery(connection: number, { id, key }: StreamOriginQuery): void {
+    const origin = key && this.streamOrigins.report(key, this.clock.now());
+    this.channels.get(connection)?.send({ kind: 'stream-answer', id, origin });
+  }
+
   /** Logs when another process answers at the engine's address than before. */
   private noteEngineProcess(result: EngineProbeResult): void {
     const { engineBornAtMs: previousBornAtMs } = this;
@@ -386,9 +398,15 @@
     this.dependencies.log.write('engine-process', 'state', { bornAtMs, previousBornAtMs });
   }
 
-  private answerStreamQuery(connection: number, { id, key }: StreamOriginQuery): void {
-    const origin = key && this.streamOrigins.report(key, this.clock.now());
-    this.channels.get(connection)?.send({ kind: 'stream-answer', id, origin });
+  private answerProcessQueries(
+    queries: readonly PendingProcessQuery[],
+    result: EngineProbeResult,
+  ): void {
+    const { address } = this.dependencies.identity.engine;
+    const bornAtMs = result.kind === 'load' ? result.bornAtMs : undefined;
+    for (const { connection, id } of queries) {
+      this.channels.get(connection)?.send({ kind: 'process-answer', id, address, bornAtMs });
+    }
   }
 
   private receiveSlotMessage(connection: number, message: GatewaySlotMessage): void {
@@ -460,6 +478,10 @@
    */
   private scheduleNextProbe(): void {
     const { fastProbeIntervalMs, probeIntervalMs, idleProbeIntervalMs } = this.options;
+    if (!this.processQueries.isEmpty) {
+      this.scheduleProbe(0);
+      return;
+    }
     if (this.allocator.needsProbe(this.clock.now())) {
       this.scheduleProbe(fastProbeIntervalMs);
       return;
@@ -485,8 +507,10 @@
     this.isProbing = true;
     this.probeDueAtMs = Infinity;
     this.lastProbeAtMs = this.clock.now();
+    const queries = this.processQueries.take();
     const result = await this.dependencies.probeEngine();
     this.isProbing = false;
+    this.answerProcessQueries(queries, result);
     this.noteEngineProcess(result);
     if (result.kind !== 'load') {
       this.dependencies.metrics.record(({ reportsFailed }) => reportsFailed.inc());
--- a/src/slot-agent/slot-messages.ts
+++ b/src/slot-agent/slot-messages.ts
@@ -1,6 +1,7 @@
 /** Messages between gateways and slot agents. */
 import type { Service } from '../routing/configuration.js';
 import type { EngineAvailability } from './engine-health.js';
+import type { ProcessAnswer, ProcessQuery } from '../processes/process-query.js';
 import type { RouteAndTenant } from '../routing/region-restrictions.js';
 import type {
   HoldStreamOrigin,
@@ -155,7 +156,8 @@
   | ReplicaProgressReport
   | RecordsResponse
   | HoldStreamOrigin
-  | StreamOriginQuery;
+  | StreamOriginQuery
+  | ProcessQuery;
 
 /** Grants one slot to the gateway. */
 export interface SlotGranted {
@@ -219,4 +221,5 @@
 }
 
 /** All messages from an agent to a gateway. */
-export type AgentToGateway = AgentSlotMessage | RecordsFetch | AgentRefusal | StreamOriginAnswer;
+export type AgentToGateway =
+  AgentSlotMessage | RecordsFetch | AgentRefusal | StreamOriginAnswer | ProcessAnswer;
--- a/src/streams/software-version.ts
+++ b/src/streams/software-version.ts
@@ -11,6 +11,13 @@
 
 const ANNOUNCED_PREFIX = 'version:';
 const UNANNOUNCED_PREFIX = 'backend:';
+const PROCESS_PREFIX = 'process:';
+
+/**
+ * Version of a stream whose process is not known. No backend has it, so such a stream continues
+ * nowhere.
+ */
+export const UNIDENTIFIED_VERSION = 'unidentified' as SoftwareVersion;
 
 /**
  * Returns the software version of a backend. One that announces none counts as a version of its
@@ -29,3 +36,17 @@
     : `${UNANNOUNCED_PREFIX}${id}#${restarts}`;
   return text as SoftwareVersion;
 }
+
+/**
+ * Returns the software version of the process that started at `bornAtMs` at the address of a
+ * backend. One that is not the announced process counts as a version of its own, since it may run
+ * other software; every gateway derives the same version for it.
+ */
+export function softwareVersionOfProcess(
+  backend: Pick<Backend, 'id' | 'name' | 'version' | 'bornAtMs'>,
+  bornAtMs: number,
+): SoftwareVersion {
+  return bornAtMs === backend.bornAtMs
+    ? softwareVersionOf(backend)
+    : (`${PROCESS_PREFIX}${backend.name}@${bornAtMs}` as SoftwareVersion);
+}
--- a/src/telemetry/decision-log.ts
+++ b/src/telemetry/decision-log.ts
@@ -26,6 +26,7 @@
   'backend-asks-rest',
   'backend-surplus',
   'backend-unannounced',
+  'process-unidentified',
   'zone-unknown',
   'region-reach',
   'zone-evacuation',
--- a/test/allowed-regions-gateway.test.ts
+++ b/test/allowed-regions-gateway.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import { request } from 'undici';
 import { createPlatformAdapter } from '../platform/adapter.js';
+import { createEngineProbe } from '../platform/engine-probe.js';
 import { SYSTEM_CLOCK } from '../src/clock.js';
 import type { BackendSender } from '../src/gateway/attempt/attempt.js';
 import { GatewayMetrics } from '../src/gateway/metrics/gateway-metrics.js';
@@ -65,6 +66,7 @@
     this.gateway = new GatewayRole({
       settings,
       adapter: createPlatformAdapter(storeAddress, settings.cluster.storeTimeoutMs),
+      createEngineProbe,
       clock: SYSTEM_CLOCK,
       random: new SeededRandom(1),
       log: this.log,
--- a/test/slot-agent-role.test.ts
+++ b/test/slot-agent-role.test.ts
@@ -25,6 +25,7 @@
   requestsAtEngine: () => number,
   bornAtMs: () => number | undefined = () => undefined,
   isUp: () => boolean = () => true,
+  beforeProbeAnswer: () => Promise<void> = () => Promise.resolve(),
 ): {
   port: number;
   metrics: SlotAgentMetrics;
@@ -42,12 +43,13 @@
         kind: 'evacuation',
         change: { zone: key, isOrdered: value !== undefined, epoch, revision },
       }),
-      probeEngine: () =>
-        Promise.resolve(
-          isUp()
-            ? { kind: 'load', requests: requestsAtEngine(), bornAtMs: bornAtMs() }
-            : { kind: 'closed' },
-        ),
+      probeEngine: async () => {
+        const result = isUp()
+          ? ({ kind: 'load', requests: requestsAtEngine(), bornAtMs: bornAtMs() } as const)
+          : ({ kind: 'closed' } as const);
+        await beforeProbeAnswer();
+        return result;
+      },
       clock: SYSTEM_CLOCK,
       random: new SeededRandom(1),
       log: new DecisionLog({ role: 'slot-agent', process: 'agent', zone: 'z' }, 0, SYSTEM_CLOCK),
@@ -259,3 +261,45 @@
   }
   t.true(states().includes('closed'));
 });
+
+test('a query for the process is answered by a probe that begins after it, not by one in progress', async (t) => {
+  let bornAtMs = 1;
+  let answerProbe: () => void = () => undefined;
+  const { port, stop } = startAgent(
+    () => 0,
+    () => bornAtMs,
+    () => true,
+    () => new Promise((resolve) => (answerProbe = resolve)),
+  );
+  t.teardown(stop);
+  const gateway = new FakeGateway(port);
+  gateway.sendHello('g');
+  await gateway.waitFor('state');
+  // The probe in progress has read the start time of the process that ends now.
+  bornAtMs = 2;
+  gateway.send({ kind: 'process-ask', id: 7 });
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  const answering = setInterval(() => answerProbe(), 5);
+  t.teardown(() => clearInterval(answering));
+  t.deepEqual(await gateway.waitFor('process-answer'), {
+    kind: 'process-answer',
+    id: 7,
+    address: `${HOST}:1`,
+    bornAtMs: 2,
+  });
+  gateway.close();
+});
+
+test('a query for the process of an engine that does not answer names no start time', async (t) => {
+  const { port, stop } = startAgent(
+    () => 0,
+    () => 1,
+    () => false,
+  );
+  t.teardown(stop);
+  const gateway = new FakeGateway(port);
+  gateway.send({ kind: 'process-ask', id: 8 });
+  const answer = await gateway.waitFor('process-answer');
+  t.is(answer.kind === 'process-answer' ? answer.bornAtMs : 0, undefined);
+  gateway.close();
+});
--- a/test/stream-versions.test.ts
+++ b/test/stream-versions.test.ts
@@ -198,6 +198,8 @@
 test('a stream of a process that restarted unannounced is not taken for one of the announced version', (t) => {
   const world = new GatewayHarness(backendOf('a', { version: 'v1', bornAtMs: 1 }));
   world.engines = true;
+  // The process that follows reports no start time.
+  world.unreportedBackendIds.add('a');
   world.dispatcher.connectAgent('a', 0);
   const state = {
     kind: 'state',
@@ -223,32 +225,20 @@
   t.true(reply.isAborted);
 });
 
-/** The state that an agent sends of an engine whose process started at `bornAtMs`. */
-function stateOf(bornAtMs: number) {
-  return {
-    kind: 'state',
-    occupied: 0,
-    messagesSeen: 0,
-    speed: {},
-    failureShare: 0,
-    availability: 'open',
-    bornAtMs,
-  } as const;
-}
+const UNANNOUNCED_PROCESS = { bornAtMs: 2, source: 'agent' } as const;
 
-/** Starts a stream at `a`, whose agent then reports a process that was not announced. */
+/** Starts a stream at `a`, whose process is found to be one that was not announced. */
 function streamAtUnannounced(reportBefore: 'event' | 'failure') {
   const world = new GatewayHarness(
     backendOf('a', { version: 'v1', bornAtMs: 1 }),
     backendOf('b', { version: 'v1', bornAtMs: 1 }),
   );
-  world.engines = true;
+  world.unreportedBackendIds.add('a');
   world.dispatcher.learnSpeed('a', 1, 1);
   world.dispatcher.learnSpeed('b', 1, 50);
-  world.dispatcher.connectAgent('a', 0);
   const { reply } = world.request({ route: RESUMABLE });
   const { backend, handlers } = world.attempts[0]!;
-  const report = () => world.dispatcher.receiveFromAgent('a', stateOf(2), 0);
+  const report = () => handlers.onProcess!(UNANNOUNCED_PROCESS);
   handlers.onHead(HEAD);
   if (reportBefore === 'event') {
     report();
@@ -276,14 +266,15 @@
     backendOf('b', { version: 'v1', bornAtMs: 1 }),
     backendOf('c', { version: 'v1' }),
   );
+  world.unreportedBackendIds.add('b');
   world.dispatcher.learnSpeed('b', 1, 1);
-  world.dispatcher.connectAgent('b', 0);
   handlers.onFailure(RESET_FAILURE);
   const resumed = world.attempts.at(-1)!;
-  if (resumed.backend.id === 'b') {
-    world.dispatcher.receiveFromAgent('b', stateOf(2), 0);
-    t.true(resumed.isCancelled);
-  }
+  t.is(resumed.backend.id, 'b');
+  resumed.handlers.onHead(HEAD);
+  resumed.handlers.onData(Buffer.from(EVENT_2));
+  resumed.handlers.onProcess!(UNANNOUNCED_PROCESS);
+  t.true(resumed.isCancelled);
   t.is(world.attempts.at(-1)!.backend.id, 'c');
   world.answer(world.attempts.length - 1, 200, EVENT_2);
   t.deepEqual([reply.body, reply.isEnded], [EVENT_1 + EVENT_2, true]);
@@ -308,16 +299,130 @@
   world.dispatcher.learnSpeed('a', 1, 1);
   world.dispatcher.learnSpeed('b', 1, 2);
   world.dispatcher.learnSpeed('c', 1, 50);
-  world.dispatcher.connectAgent('b', 0);
+  world.unreportedBackendIds.add('b');
+  world.unreportedBackendIds.add('c');
   const { reply } = world.request({ route: { ...RESUMABLE, maxAttempts: 2 } });
   const { handlers } = world.attempts[0]!;
   handlers.onHead(HEAD);
   handlers.onData(Buffer.from(EVENT_1));
   handlers.onFailure(RESET_FAILURE);
   t.is(world.attempts.length, 2);
-  const { id } = world.attempts[1]!.backend;
-  world.dispatcher.connectAgent(id, 0);
-  world.dispatcher.receiveFromAgent(id, stateOf(2), 0);
+  world.attempts[1]!.handlers.onProcess!(UNANNOUNCED_PROCESS);
   t.is(world.attempts.length, 2);
   t.true(reply.isAborted);
 });
+
+/** Starts a stream at `a`, whose process has not been identified; `b` announces the same version. */
+function streamAtUnidentified() {
+  const world = new GatewayHarness(
+    backendOf('a', { version: 'v1', bornAtMs: 1 }),
+    backendOf('b', { version: 'v1', bornAtMs: 1 }),
+  );
+  world.unreportedBackendIds.add('a');
+  world.dispatcher.learnSpeed('a', 1, 1);
+  world.dispatcher.learnSpeed('b', 1, 50);
+  const { reply } = world.request({ route: RESUMABLE });
+  const { handlers } = world.attempts[0]!;
+  handlers.onHead(HEAD);
+  handlers.onData(Buffer.from(EVENT_1));
+  return { world, reply, handlers };
+}
+
+test('a stream whose process nobody identified is not continued, whatever its backend announces', (t) => {
+  const { world, reply, handlers } = streamAtUnidentified();
+  handlers.onProcess!(undefined);
+  t.is(reply.body, EVENT_1);
+  handlers.onFailure(RESET_FAILURE);
+  t.deepEqual([world.attempts.length, reply.isAborted], [1, true]);
+  t.is(world.requestEnds[0]?.reason, 'backend-failed');
+});
+
+test('a stream whose process is identified as the announced one after its first event continues elsewhere', (t) => {
+  const { world, reply, handlers } = streamAtUnidentified();
+  handlers.onProcess!({ bornAtMs: 1, source: 'engine' });
+  handlers.onFailure(RESET_FAILURE);
+  t.deepEqual(backendIds(world), ['a', 'b']);
+  world.answer(1, 200, EVENT_2);
+  t.deepEqual([reply.body, reply.isEnded], [EVENT_1 + EVENT_2, true]);
+});
+
+/** A stream that sent one event at `a` and goes on at `b`, whose process is not identified yet. */
+function streamResumedAtUnidentified() {
+  const { world, reply, handlers } = streamAt(backendOf('b', { version: 'v1', bornAtMs: 1 }));
+  world.unreportedBackendIds.add('b');
+  handlers.onFailure(RESET_FAILURE);
+  const resumed = world.attempts[1]!;
+  resumed.handlers.onHead(HEAD);
+  resumed.handlers.onData(Buffer.from(EVENT_2));
+  return { world, reply, resumed };
+}
+
+test('events of a resumed stream are held until their process is identified', (t) => {
+  const { reply, resumed } = streamResumedAtUnidentified();
+  resumed.handlers.onEnd();
+  t.deepEqual([reply.body, reply.isEnded], [EVENT_1, false]);
+  resumed.handlers.onProcess!({ bornAtMs: 1, source: 'agent' });
+  t.deepEqual([reply.body, reply.isEnded], [EVENT_1 + EVENT_2, true]);
+});
+
+test('held events of a process that nobody can identify are not sent to the caller', (t) => {
+  const { world, reply, resumed } = streamResumedAtUnidentified();
+  resumed.handlers.onProcess!(undefined);
+  t.deepEqual([reply.body, reply.isAborted, resumed.isCancelled], [EVENT_1, true, true]);
+  t.is(world.requestEnds[0]?.reason, 'stream-unavailable');
+});
+
+test('held events of an attempt that fails are dropped, and the next one continues after the last sent', (t) => {
+  const { world, reply, handlers } = streamAt(
+    backendOf('b', { version: 'v1', bornAtMs: 1 }),
+    backendOf('c', { version: 'v1', bornAtMs: 1 }),
+  );
+  world.unreportedBackendIds.add('b');
+  world.dispatcher.learnSpeed('b', 1, 1);
+  handlers.onFailure(RESET_FAILURE);
+  const resumed = world.attempts[1]!;
+  t.is(resumed.backend.id, 'b');
+  resumed.handlers.onHead(HEAD);
+  resumed.handlers.onData(Buffer.from(EVENT_2));
+  resumed.handlers.onFailure(RESET_FAILURE);
+  t.is(reply.body, EVENT_1);
+  world.answer(2, 200, EVENT_2);
+  t.deepEqual([reply.body, reply.isEnded], [EVENT_1 + EVENT_2, true]);
+});
+
+test('a stream that its caller resumes is held until the process is identified, and refused if it cannot be', (t) => {
+  const world = new GatewayHarness(backendOf('a', { version: 'v1', bornAtMs: 1 }));
+  world.unreportedBackendIds.add('a');
+  const { reply } = world.request({
+    route: RESUMABLE,
+    lastEventId: headerValue('1'),
+    resumedVersion: softwareVersionOf({ id: 'b', version: 'v1' }),
+  });
+  const { handlers } = world.attempts[0]!;
+  handlers.onHead(HEAD);
+  handlers.onData(Buffer.from(EVENT_2));
+  t.is(reply.body, '');
+  handlers.onProcess!(undefined);
+  t.deepEqual([reply.status, world.attempts.length], [502, 1]);
+});
+
+test('an unannounced process has the same version at every gateway, whatever it saw end before', (t) => {
+  const backend = backendOf('a', { version: 'v1', bornAtMs: 5 });
+  const [one, other] = [new KnownBackend(backend, 0), new KnownBackend(backend, 0)];
+  one.noteProcessEnded();
+  one.noteProcessEnded();
+  one.noteRunningProcess(6);
+  other.noteRunningProcess(6);
+  t.is(one.softwareVersion, other.softwareVersion);
+  other.noteRunningProcess(7);
+  t.not(one.softwareVersion, other.softwareVersion);
+});
+
+test('a process that was seen to end continues no stream before another answer of its address', (t) => {
+  const known = new KnownBackend(backendOf('a', { version: 'v1', bornAtMs: 5 }), 0);
+  const announced = known.softwareVersion;
+  known.noteProcessEnded();
+  t.not(known.softwareVersion, announced);
+  t.false(known.noteRunningProcess(5));
+  t.is(known.softwareVersion, announced);
+});
--- a/test/support/gateway-harness.ts
+++ b/test/support/gateway-harness.ts
@@ -11,7 +11,6 @@
 import type { FingerprintCrashes } from '../../src/gateway/crashes/crash-tally.js';
 import { CrashingRequests } from '../../src/gateway/crashes/crashing-requests.js';
 import type { ObservedCrash } from '../../src/gateway/crashes/crashing-requests.js';
-import type { KnownBackend } from '../../src/gateway/dispatch/known-backend.js';
 import { ColdStartLimiter } from '../../src/gateway/dispatch/cold-start-limiter.js';
 import { Dispatcher } from '../../src/gateway/dispatch/dispatcher.js';
 import type { DispatcherPorts } from '../../src/gateway/dispatch/dispatcher.js';
@@ -190,6 +189,11 @@
   /** Reasons for which requests were not sent to backends, in order. */
   readonly restrictedReasons: RestrictionReason[] = [];
   readonly endedAttempts: EndedAttempt[] = [];
+  /**
+   * Backends whose processes the test itself reports; the attempts of all others are reported at the
+   * send to run at the announced process.
+   */
+  readonly unreportedBackendIds = new Set<string>();
   /** Requests whose streams began, with the ids of their backends. */
   readonly begunStreams: Array<[string, string]> = [];
   /** Backends to which connections are not established for now. */
@@ -319,12 +323,6 @@
     this.crashingRequests.recordBackendExit(backendId, 'agent');
   }
 
-  onUnannouncedProcess({ backend, softwareVersion }: KnownBackend): void {
-    this.proxiedRequests.forEach((request) =>
-      request.handleUnannouncedProcess(backend.id, softwareVersion),
-    );
-  }
-
   onReplaced(backendId: string): void {
     this.crashingRequests.recordBackendExit(backendId, 'replaced');
   }
@@ -340,6 +338,7 @@
       isCancelled: false,
     };
     this.attempts.push(recorded);
+    this.reportAnnouncedProcess(attempt, handlers);
     const ignore = () => undefined;
     const cancel = () => void (recorded.isCancelled = true);
     const withdraw = () => {
@@ -353,6 +352,16 @@
     return { cancel, discardForeignResponse, withdraw, pause: ignore, resume: ignore };
   }
 
+  private reportAnnouncedProcess(
+    { backend: { id, bornAtMs }, needsProcess }: OutgoingAttempt,
+    handlers: AttemptHandlers,
+  ): void {
+    const isReported = needsProcess === true && !this.unreportedBackendIds.has(id);
+    if (isReported && bornAtMs !== undefined) {
+      handlers.onProcess?.({ bornAtMs, source: 'agent' });
+    }
+  }
+
   /** Returns an accepted request with default values. */
   accept(changes: Partial<AcceptedRequest> = {}): AcceptedRequest {
     const route = changes.route ?? routeOf();
@@ -396,6 +405,7 @@
       sender: this,
       protocol: PLAIN_PROTOCOL,
       crashes: this.crashingRequests,
+      isProcessIdentifiable: ({ bornAtMs }: Backend) => bornAtMs !== undefined,
       chargeRetry: (_request: AcceptedRequest, onResult: (isGranted: boolean) => void) => {
         this.chargedRetries += 1;
         onResult(this.hasQuota);
--- a/test/support/platform-gateway.ts
+++ b/test/support/platform-gateway.ts
@@ -1,5 +1,6 @@
 import { request } from 'undici';
 import { createPlatformAdapter } from '../../platform/adapter.js';
+import { createEngineProbe } from '../../platform/engine-probe.js';
 import { SYSTEM_CLOCK } from '../../src/clock.js';
 import { GatewayRole } from '../../src/gateway/gateway-role.js';
 import { parseGatewaySettings } from '../../src/gateway/gateway-settings.js';
@@ -53,6 +54,7 @@
     const gateway = new GatewayRole({
       settings,
       adapter: createPlatformAdapter(storeAddress, settings.cluster.storeTimeoutMs),
+      createEngineProbe,
       clock: SYSTEM_CLOCK,
       random: new SeededRandom(peers!),
       log: new DecisionLog({ role: 'gateway', process: name, zone: 'z' }, 0, SYSTEM_CLOCK),
