An agent's state names no start time that its engine no longer reports

An engine that starts again with software that reports no start time was still stated with the start time of its former process, so a gateway took it for the announced process again after it had seen it end.

Cause: the allocator kept the last start time that was reported, whatever later reports said. Now a report without one clears it.

The test fails on the commit before (states the time 5).

--- a/src/slot-agent/slot-allocator.ts
+++ b/src/slot-agent/slot-allocator.ts
@@ -245,7 +245,9 @@
       this.endedBornBeforeMs = Math.max(startedAtMs!, this.engineStartedAtMs! + 1);
       this.applyProbeResult({ kind: 'closed' }, nowMs);
     }
-    this.noteStartTime(startedAtMs);
+    if (result.kind === 'load') {
+      this.noteStartTime(startedAtMs);
+    }
     const before = this.availabilityAndCause;
     this.engineHealth.applyProbeResult(result, nowMs);
     this.publishAvailabilityChange(before, nowMs);
@@ -260,15 +262,15 @@
     return startedAtMs !== undefined && known !== undefined && startedAtMs !== known;
   }
 
+  /** Records the start time that the engine reports now; undefined if it reports none. */
   private noteStartTime(startedAtMs: number | undefined): void {
-    if (startedAtMs === undefined) {
-      return;
-    }
     if (startedAtMs !== this.engineStartedAtMs) {
       this.publisher.forceNextUpdate();
     }
     this.engineStartedAtMs = startedAtMs;
-    this.endedBornBeforeMs = startedAtMs + 1;
+    if (startedAtMs !== undefined) {
+      this.endedBornBeforeMs = startedAtMs + 1;
+    }
   }
 
   /**
--- a/test/slot-allocator-paths.test.ts
+++ b/test/slot-allocator-paths.test.ts
@@ -59,3 +59,14 @@
   agent.receive(1, { kind: 'released', isSilent: true }, 330);
   t.is(agent.lastAvailability(), 'closed');
 });
+
+test('a process that reports no start time is not given that of the process before it', (t) => {
+  const agent = new SlotAllocatorHarness();
+  agent.admit(1);
+  agent.allocator.applyProbeResult({ kind: 'load', requests: 0, bornAtMs: 5 }, 10);
+  agent.allocator.applyProbeResult({ kind: 'closed' }, 20);
+  agent.allocator.applyProbeResult({ kind: 'load', requests: 0 }, 30);
+  const states = agent.sent.flatMap(([, message]) => (message.kind === 'state' ? [message] : []));
+  t.true(states.some(({ bornAtMs }) => bornAtMs === 5));
+  t.deepEqual([states.at(-1)!.availability, states.at(-1)!.bornAtMs], ['open', undefined]);
+});
