Virtual clock: backends that restart unannounced, and the identification of processes

Two broken variants are found (the announced version taken for every process; events of a resumed stream that do not wait for their process). With queries answered within 10 ms and the store away, at least .99 of the streams that callers resume go on, as without identification.

--- a/test/stream-faults.test.ts
+++ b/test/stream-faults.test.ts
@@ -3,6 +3,7 @@
  * of the streams that callers resume must go on.
  */
 import test from 'ava';
+import type { BackendSender } from '../src/gateway/attempt/attempt.js';
 import type { GatewayStreams } from '../src/gateway/gateway-streams.js';
 import type { OriginHolderRanking } from '../src/gateway/streams/origin-holders.js';
 import type { VersionHistory } from '../src/gateway/streams/version-history.js';
@@ -32,9 +33,73 @@
   });
 }
 
+const RESTARTS: Pick<StreamRunOptions, 'faults' | 'identification' | 'faultGapMs'> = {
+  identification: { maxMs: 120, unansweredShare: 0.1 },
+  faults: [
+    'restartUnannounced',
+    'restartUnannounced',
+    'restartUnannounced',
+    'crashBackend',
+    'killGateway',
+    'pauseGateway',
+    'cutGateway',
+    'stopStore',
+  ],
+  faultGapMs: [50, 500],
+};
+
+for (const [gateways, seeds] of [
+  [3, [1, 2, 3, 4, 5, 6]],
+  [12, [1, 2]],
+] as const) {
+  test(`no stream of ${gateways} gateways holds events of two versions while backends restart unannounced`, async (t) => {
+    for (const seed of seeds) {
+      const { mixed, gaps } = await run({ seed, gateways, ...RESTARTS });
+      t.deepEqual([mixed, gaps], [[], []], `seed ${seed}`);
+    }
+  });
+}
+
+/** Members of a gateway process that identify the processes of streams. */
+interface ProcessInternals {
+  readonly requests: {
+    readonly ports: {
+      isProcessIdentifiable(): boolean;
+      readonly sender: BackendSender;
+    };
+  };
+}
+
+test('the check detects the fault: the announced version is taken for that of every process', async (t) => {
+  const injectFault = (process: GatewayProcess) => {
+    const { ports } = (process as unknown as ProcessInternals).requests;
+    ports.isProcessIdentifiable = () => false;
+  };
+  const { mixed } = await run({ seed: 1, gateways: 3, ...RESTARTS, injectFault });
+  t.not(mixed.length, 0);
+});
+
+test('the check detects the fault: events of a resumed stream do not wait for their process', async (t) => {
+  const injectFault = (process: GatewayProcess) => {
+    const { ports } = (process as unknown as ProcessInternals).requests;
+    const { sender } = ports;
+    const send = sender.send.bind(sender);
+    sender.send = (attempt, handlers) => {
+      const { bornAtMs } = attempt.backend;
+      const handle = send(attempt, handlers);
+      if (attempt.needsProcess === true && bornAtMs !== undefined) {
+        handlers.onProcess?.({ bornAtMs, source: 'agent' });
+      }
+      return handle;
+    };
+  };
+  const { mixed } = await run({ seed: 1, gateways: 3, ...RESTARTS, injectFault });
+  t.not(mixed.length, 0);
+});
+
 interface ShareCase {
   readonly name: string;
-  readonly options: Pick<StreamRunOptions, 'faults' | 'faultGapMs' | 'cutShare'>;
+  readonly options: Pick<StreamRunOptions, 'faults' | 'faultGapMs' | 'cutShare' | 'identification'>;
   /** Least share of the resumed streams that go on. */
   readonly share: number;
 }
@@ -48,6 +113,11 @@
 const SHARE_CASES: readonly ShareCase[] = [
   { name: 'without faults', options: { faults: [] }, share: 0.99 },
   { name: 'while the store is away', options: { faults: ['stopStore'] }, share: 0.99 },
+  {
+    name: 'while the store is away and processes are identified',
+    options: { faults: ['stopStore'], identification: { maxMs: 10, unansweredShare: 0 } },
+    share: 0.99,
+  },
   { name: 'while gateways are paused', options: { faults: ['pauseGateway'] }, share: 0.9 },
   {
     name: 'while gateways are cut off from each other',
--- a/test/support/stream-faults.ts
+++ b/test/support/stream-faults.ts
@@ -10,7 +10,7 @@
 export interface StreamRunOptions extends StreamFleetOptions {
   /** Time during which faults occur, in milliseconds. */
   readonly lengthMs: number;
-  /** Faults to draw from; all if omitted. */
+  /** Faults to draw from; if omitted, all but those that must be named. */
   readonly faults?: readonly StreamFaultName[];
   /** Share of callers that cut their first connection. Default a third. */
   readonly cutShare?: number;
@@ -138,8 +138,24 @@
   },
 } satisfies Readonly<Record<string, Fault>>;
 
+/** Faults that are drawn only where they are named. */
+const NAMED_FAULTS = {
+  restartUnannounced(fleet, random) {
+    const life = pick(random, fleet.lives);
+    const version = pick(random, ['v1', 'v2', 'v3']);
+    const downMs = randomInteger(random, 50, 600);
+    fleet.restartUnannounced(life, version, {
+      downMs,
+      announceMs: randomInteger(random, 0, 4_000),
+    });
+    return `restart ${life.backend.id} unannounced with ${version}`;
+  },
+} satisfies Readonly<Record<string, Fault>>;
+
+const ALL_FAULTS = { ...FAULTS, ...NAMED_FAULTS };
+
 /** Name of a fault. */
-export type StreamFaultName = keyof typeof FAULTS;
+export type StreamFaultName = keyof typeof ALL_FAULTS;
 
 /** Runs a fleet with callers and faults. */
 export async function runStreamFaults(options: StreamRunOptions): Promise<StreamFaultRun> {
@@ -164,7 +180,7 @@
     if (names.length === 0) {
       continue;
     }
-    const fault = FAULTS[pick(faultRandom, names)] as Fault;
+    const fault = ALL_FAULTS[pick(faultRandom, names)] as Fault;
     story.push(`${Math.round(fleet.clock.now())} ${fault(fleet, faultRandom)}`);
   }
   await fleet.advance(DEADLINE_MS);
--- a/test/support/stream-fleet.ts
+++ b/test/support/stream-fleet.ts
@@ -10,6 +10,7 @@
   AttemptHandlers,
   OutgoingAttempt,
 } from '../../src/gateway/attempt/attempt.js';
+import type { IdentifiedProcess } from '../../src/gateway/processes/process-identifier.js';
 import { randomInteger, SeededRandom } from '../../src/random.js';
 import type { RandomSource } from '../../src/random.js';
 import type { Backend } from '../../src/routing/backend.js';
@@ -25,11 +26,24 @@
 import { VirtualNetwork } from './virtual-network.js';
 import type { NetworkHost } from './virtual-network.js';
 
+/** How the processes of streams are identified. */
+export interface IdentificationOptions {
+  /** Longest time until a query is answered, in milliseconds. */
+  readonly maxMs: number;
+  /** Share of the queries that nobody answers. */
+  readonly unansweredShare: number;
+}
+
 /** Options of a fleet. */
 export interface StreamFleetOptions {
   readonly seed: number;
   readonly gateways: number;
   readonly backends: number;
+  /**
+   * How gateways identify the processes that run streams; omitted for backends that neither announce
+   * nor report when they started.
+   */
+  readonly identification?: IdentificationOptions;
   /** Injects a fault into each gateway process when it starts. */
   readonly injectFault?: (process: GatewayProcess) => void;
 }
@@ -41,11 +55,23 @@
 const SLOTS = 8;
 const STORE_LAG_MS = 40;
 const TIMEOUT_MS = 4_000;
+/** Share of the attempts that find an idle connection of an earlier one. */
+const REUSE_SHARE = 0.8;
+const ENGINE_SETTINGS = {
+  maxConnections: 100,
+  isEngine: true,
+  tokensPerEvent: 0,
+  coldStartMs: 0,
+  coldRequestsPerS: 0,
+};
 
 /** One life of a backend. */
 interface BackendLife {
   readonly backend: Backend;
   readonly host: string;
+  /** Version that the process runs; it is not announced after an unannounced restart. */
+  readonly runningVersion: string;
+  readonly bornAtMs: number;
   isRunning: boolean;
   readonly onCrash: Set<() => void>;
 }
@@ -62,6 +88,10 @@
   readonly clock = new HeapClock();
   readonly network = new VirtualNetwork(this.clock);
   readonly random: RandomSource;
+  private readonly processRandom: RandomSource;
+  private readonly identification: IdentificationOptions | undefined;
+  /** Processes that each gateway process has identified on its connections. */
+  private readonly identifiedLives = new WeakMap<NetworkHost, WeakSet<BackendLife>>();
   readonly machines: readonly GatewayMachine[];
   readonly lives: BackendLife[] = [];
   readonly injectFault: StreamFleetOptions['injectFault'];
@@ -71,11 +101,14 @@
   isStoreDown = false;
   private readonly agents = new Map<string, SimulatedAgent>();
   private agentGeneration = 0;
-  private configuration = configurationOf(1, [{ service: 's', weight: 1 }]);
+  private configuration: RoutingConfiguration;
   private revision = 0;
 
   constructor(options: StreamFleetOptions) {
     this.random = new SeededRandom(options.seed);
+    this.processRandom = new SeededRandom(options.seed + 3_000);
+    this.identification = options.identification;
+    this.configuration = this.configurationOf(1, [{ service: 's', weight: 1 }]);
     this.injectFault = options.injectFault;
     this.network.isOpen = (from, to) => !this.cuts.has(`${from}>${to}`);
     this.machines = Array.from(
@@ -125,7 +158,10 @@
   startBackend(host: string, version: string, service = 's'): BackendLife {
     this.revision += 1;
     const index = Number(host.slice(1));
-    const id = `${host}-${this.revision}`;
+    const name = `${host}-${this.revision}`;
+    const bornAtMs = this.clock.now();
+    const reportsStartTime = this.identification !== undefined;
+    const id = reportsStartTime ? `${name}@${bornAtMs}` : name;
     const zone = ZONES[index % ZONES.length]!;
     if (!this.agents.has(host)) {
       this.agents.set(host, { host, zone, table: new StreamOriginTable() });
@@ -133,12 +169,14 @@
     }
     const life: BackendLife = {
       host,
+      runningVersion: version,
+      bornAtMs,
       isRunning: true,
       onCrash: new Set(),
       backend: {
         id,
-        name: headerValue(id),
-        bornAtMs: undefined,
+        name: headerValue(name),
+        bornAtMs: reportsStartTime ? bornAtMs : undefined,
         service,
         address: `${host}:9`,
         zone,
@@ -172,6 +210,44 @@
     }, lapseMs);
   }
 
+  /**
+   * Ends a backend's process and starts another one with `version` under its name, which announces
+   * itself after `announceMs` only.
+   */
+  restartUnannounced(
+    life: BackendLife,
+    version: string,
+    { downMs, announceMs }: { readonly downMs: number; readonly announceMs: number },
+  ): void {
+    life.isRunning = false;
+    life.onCrash.forEach((onCrash) => onCrash());
+    this.lives.splice(this.lives.indexOf(life), 1);
+    this.clock.setTimeout(() => {
+      const bornAtMs = this.clock.now();
+      const next = { ...life, runningVersion: version, bornAtMs, isRunning: true };
+      this.lives.push({ ...next, onCrash: new Set() });
+      this.clock.setTimeout(() => this.announceRestart(life, version, bornAtMs), announceMs);
+    }, downMs);
+  }
+
+  private announceRestart({ backend }: BackendLife, version: string, bornAtMs: number): void {
+    const index = this.lives.findIndex(
+      (life) => life.backend.id === backend.id && life.bornAtMs === bornAtMs,
+    );
+    if (index < 0) {
+      return;
+    }
+    this.revision += 1;
+    const id = `${backend.name}@${bornAtMs}`;
+    const announced = { ...backend, id, bornAtMs, version, ...positionAt(this.revision) };
+    const life = this.lives[index]!;
+    this.lives[index] = Object.assign(life, { backend: announced });
+    this.tellGateways((process) => {
+      process.applyBackend(id, announced);
+      process.applyBackend(backend.id, undefined);
+    });
+  }
+
   /** Loses the slot agent of a machine with all that it holds. */
   loseAgent(host: string): void {
     const agent = this.agents.get(host)!;
@@ -179,7 +255,7 @@
   }
 
   changeRoute(services: RoutingConfiguration['routes'][number]['services']): void {
-    this.configuration = configurationOf(this.configuration.version + 1, services);
+    this.configuration = this.configurationOf(this.configuration.version + 1, services);
     this.tellGateways((process) => process.applyConfiguration(this.configuration));
   }
 
@@ -270,6 +346,9 @@
           handlers.onFailure({ mayHaveRun: true, isPortClosed: false, detail: 'crashed' }),
         );
       life.onCrash.add(onCrash);
+      if (attempt.needsProcess === true) {
+        this.identify(host, life, (process) => notify(() => handlers.onProcess?.(process)));
+      }
       notify(() => handlers.onHead({ status: 200, rawHeaders: [], headers }));
       const makeEvent = (number: number) => {
         if (isCancelled || !life.isRunning) {
@@ -280,10 +359,9 @@
           notify(() => handlers.onEnd());
           return;
         }
-        const { service, version } = life.backend;
-        notify(() =>
-          handlers.onData(Buffer.from(`id: ${number}\ndata: ${service}/${version}\n\n`)),
-        );
+        const { service } = life.backend;
+        const data = `${service}/${life.runningVersion}`;
+        notify(() => handlers.onData(Buffer.from(`id: ${number}\ndata: ${data}\n\n`)));
         this.clock.setTimeout(() => makeEvent(number + 1), EVENT_INTERVAL_MS);
       };
       this.clock.setTimeout(() => makeEvent(Number(lastEventId) + 1), EVENT_INTERVAL_MS / 2);
@@ -297,6 +375,37 @@
     };
   }
 
+  /**
+   * Identifies the process of a connection, unless the connection ends first; at once for one that
+   * an earlier attempt identified.
+   */
+  private identify(
+    host: NetworkHost,
+    life: BackendLife,
+    onResult: (process: IdentifiedProcess | undefined) => void,
+  ): void {
+    const { maxMs, unansweredShare } = this.identification!;
+    const identified = this.identifiedLives.get(host) ?? new WeakSet();
+    this.identifiedLives.set(host, identified);
+    const process = { bornAtMs: life.bornAtMs, source: 'agent' } as const;
+    if (identified.has(life) && this.processRandom.next() < REUSE_SHARE) {
+      onResult(process);
+      return;
+    }
+    const isAnswered = this.processRandom.next() >= unansweredShare;
+    this.clock.setTimeout(
+      () => {
+        if (life.isRunning && isAnswered) {
+          identified.add(life);
+        }
+        if (life.isRunning) {
+          onResult(isAnswered ? process : undefined);
+        }
+      },
+      randomInteger(this.processRandom, 1, maxMs),
+    );
+  }
+
   private tellGateways(tell: (process: GatewayProcess) => void): void {
     const lagMs = () => randomInteger(this.random, 2, STORE_LAG_MS);
     for (const machine of this.machines) {
@@ -329,6 +438,15 @@
       }
     }
   }
+
+  private configurationOf(
+    version: number,
+    services: RoutingConfiguration['routes'][number]['services'],
+  ): RoutingConfiguration {
+    const names = this.identification === undefined ? [] : ['s', 't'];
+    const engines = names.map((name) => ({ name, ...ENGINE_SETTINGS }));
+    return { ...configurationOf(version, services), services: engines };
+  }
 }
 
 function configurationOf(
