A plain service's announcement is doubted while the store is not heard

Change: while the gateway's knowledge of the store is old, such a backend is asked too; one that reports nothing gets no stream that goes on, and its own go on nowhere. While announcements arrive they are trusted: asking always would end the resumption of services that report nothing.

--- a/src/experiment/simulated-gateway.ts
+++ b/src/experiment/simulated-gateway.ts
@@ -130,7 +130,7 @@
       dispatcher: this.dispatcher,
       sender: this.sender,
       protocol: EXPERIMENT_PROTOCOL,
-      isProcessIdentifiable: () => false,
+      mustIdentifyProcess: () => false,
       crashes: NO_CRASH_TRACKING,
       chargeRetry: (_request, onResult) => onResult(true),
       takeRetry: (service) => budget.takeRetry(service, dependencies.countGateways(), clock.now()),
--- a/src/gateway/attempt/process-check.ts
+++ b/src/gateway/attempt/process-check.ts
@@ -48,7 +48,7 @@
   begin(backend: Backend, version: SoftwareVersion): boolean {
     const { kind, isResumable } = this.request.route;
     const needsProcess =
-      kind === 'stream' && isResumable && this.ports.isProcessIdentifiable(backend);
+      kind === 'stream' && isResumable && this.ports.mustIdentifyProcess(backend);
     this.backend = backend;
     this.held.clear();
     this.binding.noteSent(needsProcess ? undefined : version);
--- a/src/gateway/attempt/request-model.ts
+++ b/src/gateway/attempt/request-model.ts
@@ -91,8 +91,11 @@
   readonly protocol: CallerProtocol;
   readonly random: RandomSource;
   readonly crashes: RunCrashTracker;
-  /** Whether the process at a backend's address can be identified. */
-  isProcessIdentifiable(backend: Backend): boolean;
+  /**
+   * Whether the process that runs a stream at a backend must be identified, since its announcement
+   * may be that of an earlier one.
+   */
+  mustIdentifyProcess(backend: Backend): boolean;
   /** Takes one retry from the budget of a service; returns false if none is left. */
   takeRetry(service: string): boolean;
   /**
--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '../clock.js';
 import type { RandomSource } from '../random.js';
 import { err } from '../result.js';
+import type { Backend } from '../routing/backend.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { BackendSender, CallerReply } from './attempt/attempt.js';
 import type { ConfineCallback } from './attempt/fault-boundary.js';
@@ -141,8 +142,7 @@
       sender: dependencies.sender,
       crashes: dependencies.crashes,
       protocol: adapter.protocol,
-      isProcessIdentifiable: ({ service, bornAtMs }) =>
-        bornAtMs !== undefined && dependencies.configuration.isEngine(service),
+      mustIdentifyProcess: (backend) => this.mustIdentifyProcess(backend),
       takeRetry: (service) => this.takeRetry(service),
       chargeRetry: (request, onResult) =>
         this.charge(request, ({ isGranted }) => onResult(isGranted)),
@@ -408,6 +408,17 @@
     return proxied;
   }
 
+  /**
+   * A backend that announces no start time has a new name at each start, which its attempts state.
+   * Services without engines need not report when they started, so their announcements are trusted
+   * for as long as they arrive.
+   */
+  private mustIdentifyProcess({ service, bornAtMs }: Backend): boolean {
+    const { configuration, cluster } = this.dependencies;
+    const isReporting = configuration.isEngine(service);
+    return bornAtMs !== undefined && (isReporting || cluster.isKnowledgeOld);
+  }
+
   private takeRetry(service: string): boolean {
     const { cluster, clock, metrics } = this.dependencies;
     const isAllowed = this.retryBudget.takeRetry(service, cluster.size, clock.now());
--- a/test/stream-faults.test.ts
+++ b/test/stream-faults.test.ts
@@ -64,7 +64,7 @@
 interface ProcessInternals {
   readonly requests: {
     readonly ports: {
-      isProcessIdentifiable(): boolean;
+      mustIdentifyProcess(): boolean;
       readonly sender: BackendSender;
     };
   };
@@ -73,7 +73,7 @@
 test('the check detects the fault: the announced version is taken for that of every process', async (t) => {
   const injectFault = (process: GatewayProcess) => {
     const { ports } = (process as unknown as ProcessInternals).requests;
-    ports.isProcessIdentifiable = () => false;
+    ports.mustIdentifyProcess = () => false;
   };
   const { mixed } = await run({ seed: 1, gateways: 3, ...RESTARTS, injectFault });
   t.not(mixed.length, 0);
--- a/test/support/gateway-harness.ts
+++ b/test/support/gateway-harness.ts
@@ -405,7 +405,7 @@
       sender: this,
       protocol: PLAIN_PROTOCOL,
       crashes: this.crashingRequests,
-      isProcessIdentifiable: ({ bornAtMs }: Backend) => bornAtMs !== undefined,
+      mustIdentifyProcess: ({ bornAtMs }: Backend) => bornAtMs !== undefined,
       chargeRetry: (_request: AcceptedRequest, onResult: (isGranted: boolean) => void) => {
         this.chargedRetries += 1;
         onResult(this.hasQuota);
--- a/test/unannounced-restart.test.ts
+++ b/test/unannounced-restart.test.ts
@@ -15,6 +15,8 @@
 const { start, untilReady } = platformGateways(HOST, 28_300);
 let lastEnginePort = 28_400;
 const STREAMS = 12;
+/** Longer than the view of the store may be old before announcements are doubted. */
+const LONG_OUTAGE_MS = 3_500;
 const ROUTE = {
   name: 'r',
   host: 'h',
@@ -54,7 +56,11 @@
 }
 
 /** Starts a gateway and four engines of one version at `host`. */
-async function startFleet(t: ExecutionContext, host: string): Promise<Fleet> {
+async function startFleet(
+  t: ExecutionContext,
+  host: string,
+  service: object = { engine: { stride: 1 } },
+): Promise<Fleet> {
   const store = new FakeStore();
   const engines: StreamingEngine[] = [];
   for (const name of ['a', 'b', 'c', 'd']) {
@@ -68,7 +74,7 @@
   store.put('op/config', {
     version: 1,
     routes: [ROUTE],
-    services: [{ name: 's', maxConnections: 90, engine: { stride: 1 } }],
+    services: [{ name: 's', maxConnections: 90, ...service }],
     tenants: [{ name: 'shop', apiKeys: ['key'] }],
   });
   const gateway = await start(`gateway-${host}`, await store.start());
@@ -111,11 +117,15 @@
   );
 }
 
-/** Plays the restart; returns the streams that ran when the restarted engines ended. */
-async function playRestart(fleet: Fleet): Promise<ReceivedStream[]> {
+/**
+ * Plays the restart `outageMs` after the start of an outage of the store; returns the streams that
+ * ran when the restarted engines ended.
+ */
+async function playRestart(fleet: Fleet, outageMs = 0): Promise<ReceivedStream[]> {
   const { store, engines, gateway } = fleet;
   await Promise.all(beginStreams(gateway, 'before').map(({ ended }) => ended));
   store.behavior = 'silent';
+  await sleep(outageMs);
   const restarting = engines.slice(0, 2);
   await Promise.all(restarting.map((engine) => engine.end()));
   await sleep(50);
@@ -158,3 +168,8 @@
   const fleet = await startFleet(t, '127.0.3.49');
   checkVersions(t, await playRestart(fleet));
 });
+
+test('a stream of a service without engines, restarted during a long outage, does not go on at another version', async (t) => {
+  const fleet = await startFleet(t, '127.0.3.50', {});
+  checkVersions(t, await playRestart(fleet, LONG_OUTAGE_MS));
+});
