bench/streams: restarts that nobody announces, paused agents, engines without agents

New faults: `restart` (under the same id with the other version, announced a second later or once the store responds) and `pause-agents`; `--engines` runs engines without agents.

--- a/bench/soak/gateway-processes.ts
+++ b/bench/soak/gateway-processes.ts
@@ -88,8 +88,10 @@
   }
 
   /** Starts a process that is not a gateway. */
-  startOtherProcess(name: string, settings: readonly string[]): void {
-    this.otherProcesses.push(this.launch(name, settings));
+  startOtherProcess(name: string, settings: readonly string[]): SoakProcess {
+    const started = this.launch(name, settings);
+    this.otherProcesses.push(started);
+    return started;
   }
 
   /** Waits until the readiness endpoints of all gateways return 200. */
--- a/bench/soak/stream-run.ts
+++ b/bench/soak/stream-run.ts
@@ -6,6 +6,7 @@
 import type { RandomSource } from '../../src/random.js';
 import { FakeStore } from '../../test/support/fake-platform.js';
 import { GatewayProcesses } from './gateway-processes.js';
+import type { SoakProcess } from './soak-fleet.js';
 import { StreamBackend } from './stream-backend.js';
 import { StreamCaller } from './stream-caller.js';
 import type { StreamResult } from './stream-caller.js';
@@ -14,6 +15,11 @@
 export type StreamFault =
   /** Backends crash in turn and restart under a new id at their version. */
   | 'crash'
+  /**
+   * Backends end in turn and restart under their ids with the other version; the new process is
+   * announced later, once the store responds.
+   */
+  | 'restart'
   /** All backends of the older version drain and end soon after, streams under way. */
   | 'leave'
   /** Callers cut a third of their connections. */
@@ -26,6 +32,8 @@
   | 'stop'
   /** Gateways are paused in turn. */
   | 'pause'
+  /** All slot agents are paused for most of the run. */
+  | 'pause-agents'
   /** The store does not respond for most of the run. */
   | 'outage';
 
@@ -35,6 +43,8 @@
   readonly gateways: number;
   /** Whether each backend is an engine with a slot agent. */
   readonly hasAgents: boolean;
+  /** Whether the backends are engines; with slot agents they always are. */
+  readonly hasEngines: boolean;
   readonly seed: number;
   readonly lengthMs: number;
   /** First port; each host uses several. */
@@ -66,6 +76,9 @@
 const KILL_INTERVAL_MS = 2_600;
 const CRASH_INTERVAL_MS = 900;
 const CRASH_DOWNTIME_MS = 600;
+const RESTART_INTERVAL_MS = 500;
+const RESTART_DOWNTIME_MS = 250;
+const ANNOUNCE_DELAY_MS = 1_000;
 const PAUSE_MS = 1_500;
 const LEAVE_AFTER_MS = 2_000;
 const DRAIN_MS = 600;
@@ -91,6 +104,9 @@
   private readonly store = new FakeStore();
   private readonly processes: GatewayProcesses;
   private readonly backends: StreamBackend[] = [];
+  /** Indexes of backends that are down. */
+  private readonly ended = new Set<number>();
+  private readonly agents: SoakProcess[] = [];
   private readonly results: Array<Promise<StreamResult>> = [];
   private readonly timers = new Set<NodeJS.Timeout>();
   private lives = 0;
@@ -111,7 +127,8 @@
     for (let index = 0; index < VERSIONS.length * BACKENDS_PER_VERSION; index += 1) {
       await this.startBackend(index);
       if (this.options.hasAgents) {
-        this.processes.startOtherProcess(`agent-${index}`, this.agentSettings(index));
+        const settings = this.agentSettings(index);
+        this.agents.push(this.processes.startOtherProcess(`agent-${index}`, settings));
       }
     }
     for (let index = 0; index < this.options.gateways; index += 1) {
@@ -141,6 +158,7 @@
     const { gateways } = this.processes;
     const actions: Readonly<Record<StreamFault, () => void>> = {
       crash: () => this.runEvery(CRASH_INTERVAL_MS, () => void this.crashOne()),
+      restart: () => this.runEvery(RESTART_INTERVAL_MS, () => void this.restartOne()),
       leave: () => this.runOnce(LEAVE_AFTER_MS, () => this.endOldVersion()),
       cut: () => undefined,
       kill: () => this.inTurn(KILL_INTERVAL_MS, (index) => gateways[index]!.signal('SIGKILL')),
@@ -154,6 +172,10 @@
           gateways[index]!.signal('SIGSTOP');
           setTimeout(() => gateways[index]!.signal('SIGCONT'), PAUSE_MS);
         }),
+      'pause-agents': () => {
+        this.agents.forEach((agent) => agent.signal('SIGSTOP'));
+        this.runOnce(OUTAGE_MS, () => this.agents.forEach((agent) => agent.signal('SIGCONT')));
+      },
       outage: () => {
         this.store.behavior = 'silent';
         this.runOnce(OUTAGE_MS, () => (this.store.behavior = 'answers'));
@@ -179,6 +201,36 @@
     await this.startBackend(index);
   }
 
+  private async restartOne(): Promise<void> {
+    const index = randomInteger(this.random, 0, this.backends.length - 1);
+    if (this.ended.has(index)) {
+      return;
+    }
+    this.ended.add(index);
+    const { id, version } = this.backends[index]!;
+    this.backends[index]!.crash();
+    await delay(RESTART_DOWNTIME_MS);
+    const nextVersion = VERSIONS.find((other) => other !== version)!;
+    const restarted = new StreamBackend(id, nextVersion, Date.now());
+    await restarted.start(backendHost(index), this.options.basePort + 6);
+    this.backends[index] = restarted;
+    this.ended.delete(index);
+    this.announceOnceReachable(restarted);
+  }
+
+  private announceOnceReachable(backend: StreamBackend): void {
+    this.runOnce(ANNOUNCE_DELAY_MS, () => {
+      if (!this.backends.includes(backend)) {
+        return;
+      }
+      if (this.store.behavior === 'answers') {
+        this.announce(backend, 'ready');
+      } else {
+        this.announceOnceReachable(backend);
+      }
+    });
+  }
+
   private endOldVersion(): void {
     const old = this.backends.filter(({ version }) => version === VERSIONS[0]);
     old.forEach((backend) => this.announce(backend, 'draining'));
@@ -235,7 +287,7 @@
         {
           name: 'writers',
           maxConnections: 400,
-          ...(this.options.hasAgents ? { engine: { stride: 3 } } : {}),
+          ...(this.options.hasEngines ? { engine: { stride: 3 } } : {}),
         },
       ],
       tenants: [{ name: 'shop', apiKeys: ['stream-key'] }],
--- a/bench/streams.ts
+++ b/bench/streams.ts
@@ -7,13 +7,14 @@
 import type { StreamFault } from './soak/stream-run.js';
 
 const ALL_ROWS =
-  'none,stop,crash,leave,cut,kill,kill-all,pause+cut,crash+kill+cut,crash+cut+outage';
+  'none,stop,crash,restart,leave,cut,kill,kill-all,pause+cut,crash+kill+cut,crash+cut+outage,restart+cut+outage';
 
 const program = new Command('streams')
   .description('checks streams at gateway processes on loopback, with backends of two versions')
   .option('--rows <list>', 'comma-separated rows, each of faults joined by +', ALL_ROWS)
   .option('--gateways <count>', 'gateways', '6')
   .option('--agents', 'run a slot agent next to each backend')
+  .option('--engines', 'backends are engines also without slot agents')
   .option('--runs <count>', 'runs of each row', '1')
   .option('--from <seed>', 'first seed', '1')
   .option('--seconds <count>', 'duration of the faults', '12')
@@ -31,6 +32,7 @@
       faults: new Set(faults),
       gateways: Number(options['gateways']),
       hasAgents: options['agents'] === true,
+      hasEngines: options['agents'] === true || options['engines'] === true,
       seed: Number(options['from']) + run,
       lengthMs: Number(options['seconds']) * 1_000,
       basePort: Number(options['port']) + (run % 10) * 10,
