A reload signal while a process starts does not end it

Its log has no line of the process that ended; the one after it started 150 ms later, as the soak starts processes that ended.

Cause: SIGHUP ends a process by default, and the handler was registered after all modules were loaded and the settings were read.

--- a/test/process-failure.test.ts
+++ b/test/process-failure.test.ts
@@ -1,6 +1,7 @@
-import { spawn } from 'node:child_process';
+import { execFileSync, spawn } from 'node:child_process';
 import { once } from 'node:events';
-import { mkdtempSync, writeFileSync } from 'node:fs';
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import test from 'ava';
@@ -53,3 +54,39 @@
   t.regex(last['stack']!, /Error: injected/);
   t.true(lines.some((line) => line.includes('"event":"started"')));
 });
+
+/** Whether the process handles SIGHUP, by the mask of caught signals that the system shows. */
+function handlesHangup(pid: number): boolean {
+  const status = readFileSync(`/proc/${pid}/status`, 'utf8');
+  const mask = /^SigCgt:\s*([0-9a-f]+)$/m.exec(status)![1]!;
+  return (BigInt(`0x${mask}`) & 1n) === 1n;
+}
+
+async function waitUntil(condition: () => boolean): Promise<boolean> {
+  const endAtMs = Date.now() + 8_000;
+  while (!condition() && Date.now() < endAtMs) {
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+  return condition();
+}
+
+test('a reload signal does not end a process that has not read its settings yet', async (t) => {
+  const settingsPath = join(mkdtempSync(join(tmpdir(), 'weirvale-')), 'settings.fifo');
+  execFileSync('mkfifo', [settingsPath]);
+  const child = spawn(process.execPath, ['dist/platform/main.js'], {
+    env: { PATH: process.env['PATH'], WEIRVALE_SETTINGS: settingsPath },
+    stdio: ['ignore', 'pipe', 'inherit'],
+  });
+  t.teardown(() => child.kill('SIGKILL'));
+  let output = '';
+  child.stdout.on('data', (bytes: Buffer) => (output += bytes.toString()));
+  // The process cannot read its settings before the test writes them.
+  t.true(await waitUntil(() => handlesHangup(child.pid!)));
+  await writeFile(settingsPath, SETTINGS.replaceAll('280', '281'));
+  t.true(await waitUntil(() => output.includes('"event":"started"')));
+  rmSync(settingsPath);
+  writeFileSync(settingsPath, SETTINGS);
+  child.kill('SIGHUP');
+  t.true(await waitUntil(() => output.includes('"event":"settings-re')));
+  t.deepEqual([child.exitCode, child.signalCode], [null, null]);
+});
