A stream of an unidentified process matches no backend, not even an unidentified one

Found while the diff was read again: a backend whose process was seen to end counts as `unidentified` until another one answers, as does a stream whose process nobody identified, so the stream could be sent there. It would have been left again before an event reached its caller, as events wait for their process, but a stream that its caller resumes would have been answered 502 instead of a true `stream-unavailable`, and an attempt spent.

Now this version matches nothing. The test fails on the commit before (two attempts in place of one).

--- a/src/gateway/attempt/http-backend-sender.ts
+++ b/src/gateway/attempt/http-backend-sender.ts
@@ -12,9 +12,9 @@
 import { splitAddress } from '../../address.js';
 import type { HostAndPort } from '../../address.js';
 import { SYSTEM_CLOCK } from '../../clock.js';
-import type { ConnectionCloseReason, ConnectionOpenReason } from './connection-reasons.js';
 import type { Backend } from '../../routing/backend.js';
 import type { IdentifiedProcess } from '../processes/process-identifier.js';
+import type { ConnectionCloseReason, ConnectionOpenReason } from './connection-reasons.js';
 import { withContentLength } from './content-length.js';
 import { keepAliveTimeoutMs } from './keep-alive-timeout.js';
 import { KeepAliveAgent } from './keep-alive-agent.js';
@@ -81,6 +81,7 @@
     onConnection: (reason: ConnectionOpenReason) => void = () => undefined,
     /** Called when a backend begins to send bytes that belong to no request. */
     private readonly onSurplus: (address: string) => void = () => undefined,
+    /** Called for each connection whose process an attempt needs and that is not known yet. */
     private readonly identify: IdentifyProcess = () => Promise.resolve(undefined),
   ) {
     this.agent = new KeepAliveAgent(options, onConnection, (address) => this.noteSurplus(address));
--- a/src/gateway/dispatch/request-restriction.ts
+++ b/src/gateway/dispatch/request-restriction.ts
@@ -1,6 +1,8 @@
 /** Decides whether a request may be sent to a backend, by operator rules and by its stream. */
 import { restrictionOf } from '../../routing/backend-restriction.js';
 import type { OperatorRules, RestrictionReason } from '../../routing/backend-restriction.js';
+import { UNIDENTIFIED_VERSION } from '../../streams/software-version.js';
+import type { SoftwareVersion } from '../../streams/software-version.js';
 import type { PlacementConstraints } from './dispatch-request.js';
 import type { KnownBackend } from './known-backend.js';
 
@@ -19,10 +21,15 @@
   { allowedRegions, requiredVersion }: PlacementConstraints,
   rules: OperatorRules,
 ): RequestRestrictionReason | undefined {
-  if (requiredVersion !== undefined && requiredVersion !== known.softwareVersion) {
+  if (requiredVersion !== undefined && !isKnownToMatch(requiredVersion, known.softwareVersion)) {
     return 'other-version';
   }
   const reason = restrictionOf(known.backend, allowedRegions, rules);
   const continuesStream = requiredVersion !== undefined;
   return reason === 'version-closed' && continuesStream ? undefined : reason;
 }
+
+/** Whether both versions are known and the same. */
+function isKnownToMatch(required: SoftwareVersion, running: SoftwareVersion): boolean {
+  return required === running && running !== UNIDENTIFIED_VERSION;
+}
--- a/src/streams/software-version.ts
+++ b/src/streams/software-version.ts
@@ -14,8 +14,8 @@
 const PROCESS_PREFIX = 'process:';
 
 /**
- * Version of a stream whose process is not known. No backend has it, so such a stream continues
- * nowhere.
+ * Version of a stream or of a backend whose process is not known. It matches no other version, nor
+ * itself, so such a stream continues nowhere.
  */
 export const UNIDENTIFIED_VERSION = 'unidentified' as SoftwareVersion;
 
--- a/test/stream-versions.test.ts
+++ b/test/stream-versions.test.ts
@@ -337,6 +337,13 @@
   t.is(world.requestEnds[0]?.reason, 'backend-failed');
 });
 
+test('a stream whose process nobody identified is not sent to a backend whose process is not known either', (t) => {
+  const { world, reply, handlers } = streamAtUnidentified();
+  world.dispatcher.finish('b', 'unreachable', 0);
+  handlers.onFailure(RESET_FAILURE);
+  t.deepEqual([world.attempts.length, reply.isAborted], [1, true]);
+});
+
 test('a stream whose process is identified as the announced one after its first event continues elsewhere', (t) => {
   const { world, reply, handlers } = streamAtUnidentified();
   handlers.onProcess!({ bornAtMs: 1, source: 'engine' });
