A process that was seen to end is not known again by its start time

Start times tell lives apart only as far as the clock of their machine moves on between them.

Now evidence of an end stands until a later start is seen: the backend's version is not known, its streams continue nowhere, and none continues there. Both tests fail on the commit before (announced version; two attempts in place of one).

--- a/src/gateway/attempt/process-check.ts
+++ b/src/gateway/attempt/process-check.ts
@@ -102,7 +102,9 @@
     const backend = this.backend!;
     this.record.addProcess(process);
     ports.dispatcher.noteProcess(backend.id, process.bornAtMs, ports.clock.now());
-    const version = softwareVersionOfProcess(backend, process.bornAtMs);
+    const version =
+      ports.directory.find(backend.id)?.versionOfProcess(process.bornAtMs) ??
+      softwareVersionOfProcess(backend, process.bornAtMs);
     if (!binding.identifySent(version)) {
       this.checked.leaveProcess('another process than the announced one');
       return;
--- a/src/gateway/dispatch/known-backend.ts
+++ b/src/gateway/dispatch/known-backend.ts
@@ -130,13 +130,25 @@
 
   /** Version of the software that the process at its address runs, as far as it is known. */
   get softwareVersion(): SoftwareVersion {
-    const { backend, laterBornAtMs } = this;
-    if (backend.bornAtMs === undefined) {
-      return softwareVersionOf(backend, this.restarts);
-    }
-    return this.hasProcessEnded
-      ? UNIDENTIFIED_VERSION
-      : softwareVersionOfProcess(backend, laterBornAtMs ?? backend.bornAtMs);
+    const { backend, latestBornAtMs } = this;
+    return latestBornAtMs === undefined
+      ? softwareVersionOf(backend, this.restarts)
+      : this.versionOfProcess(latestBornAtMs);
+  }
+
+  /**
+   * Version of the software that the process runs which reports `bornAtMs` as its start time. It is
+   * not known for a process that was seen to end: another one with the same start time answers.
+   */
+  versionOfProcess(bornAtMs: number): SoftwareVersion {
+    const { latestBornAtMs = -Infinity } = this;
+    const wasSeenToEnd = this.hasProcessEnded && bornAtMs <= latestBornAtMs;
+    return wasSeenToEnd ? UNIDENTIFIED_VERSION : softwareVersionOfProcess(this.backend, bornAtMs);
+  }
+
+  /** Start time of the latest process that is known; undefined where none is announced. */
+  private get latestBornAtMs(): number | undefined {
+    return this.laterBornAtMs ?? this.backend.bornAtMs;
   }
 
   /**
@@ -154,15 +166,12 @@
    * one.
    */
   noteRunningProcess(bornAtMs: number): boolean {
-    const { bornAtMs: announcedBornAtMs = Infinity } = this.backend;
-    const latestBornAtMs = this.laterBornAtMs ?? announcedBornAtMs;
-    if (bornAtMs >= latestBornAtMs) {
-      this.hasProcessEnded = false;
-    }
+    const { latestBornAtMs = Infinity } = this;
     if (bornAtMs <= latestBornAtMs) {
       return false;
     }
     this.laterBornAtMs = bornAtMs;
+    this.hasProcessEnded = false;
     return true;
   }
 
--- a/test/stream-versions.test.ts
+++ b/test/stream-versions.test.ts
@@ -425,11 +425,31 @@
   t.not(one.softwareVersion, other.softwareVersion);
 });
 
-test('a process that was seen to end continues no stream before another answer of its address', (t) => {
+test('a process that was seen to end is not known again by its start time', (t) => {
   const known = new KnownBackend(backendOf('a', { version: 'v1', bornAtMs: 5 }), 0);
   const announced = known.softwareVersion;
+  t.is(known.versionOfProcess(5), announced);
   known.noteProcessEnded();
-  t.not(known.softwareVersion, announced);
   t.false(known.noteRunningProcess(5));
-  t.is(known.softwareVersion, announced);
+  t.not(known.softwareVersion, announced);
+  t.not(known.versionOfProcess(5), announced);
+  t.true(known.noteRunningProcess(6));
+  t.is(known.softwareVersion, known.versionOfProcess(6));
+});
+
+test('a stream of a process that follows one that was seen to end, with the same start time, is not continued', (t) => {
+  const world = new GatewayHarness(
+    backendOf('a', { version: 'v1', bornAtMs: 1 }),
+    backendOf('b', { version: 'v1', bornAtMs: 1 }),
+  );
+  world.dispatcher.learnSpeed('a', 1, 1);
+  world.dispatcher.learnSpeed('b', 1, 50);
+  world.directory.find('a')!.noteProcessEnded();
+  const { reply } = world.request({ route: RESUMABLE });
+  const { backend, handlers } = world.attempts[0]!;
+  t.is(backend.id, 'a');
+  handlers.onHead(HEAD);
+  handlers.onData(Buffer.from(EVENT_1));
+  handlers.onFailure(RESET_FAILURE);
+  t.deepEqual([world.attempts.length, reply.isAborted], [1, true]);
 });
