An agent's answer counts only with a start time that is a whole number

An answer with another value would have named a process that cannot exist and ended the streams there. Now the agent is passed over and the engine is asked. The test fails without the check.

--- a/src/gateway/processes/process-identifier.ts
+++ b/src/gateway/processes/process-identifier.ts
@@ -115,9 +115,8 @@
         resolve(process);
       };
       const isAsked = this.ports.askAgent(id, (answer) => {
-        const { bornAtMs } = answer;
-        const isKnown = bornAtMs !== undefined && answer.address === address;
-        finish(isKnown ? { bornAtMs, source: 'agent' } : undefined);
+        const bornAtMs = answer.address === address ? answer.bornAtMs : undefined;
+        finish(isStartTime(bornAtMs) ? { bornAtMs, source: 'agent' } : undefined);
       });
       if (!isAsked) {
         finish(undefined);
@@ -130,3 +129,8 @@
     return bornAtMs === undefined ? undefined : { bornAtMs, source: 'engine' };
   }
 }
+
+/** Whether a value that another process sent is a start time. */
+function isStartTime(value: unknown): value is number {
+  return Number.isSafeInteger(value);
+}
--- a/test/process-identifier.test.ts
+++ b/test/process-identifier.test.ts
@@ -63,6 +63,7 @@
 for (const [reason, bornAtMs, address] of [
   ['knows no process', undefined, ADDRESS],
   ['probes an engine at another address', 5, '10.0.0.1:10'],
+  ['sends a start time that is none', 'x' as unknown as number, ADDRESS],
 ] as const) {
   test(`an agent that ${reason} is passed over`, async (t) => {
     const scene = new Scene();
