--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -409,14 +409,14 @@
   }
 
   /**
-   * A backend that announces no start time has a new name at each start, which its attempts state.
-   * Services without engines need not report when they started, so their announcements are trusted
-   * for as long as they arrive.
+   * Whether the process that runs a stream at a backend must be identified. Backends that announce
+   * no start time have a new name at each start, which attempts state. Services without engines need
+   * not report one, so their announcements are trusted for as long as they arrive.
    */
   private mustIdentifyProcess({ service, bornAtMs }: Backend): boolean {
     const { configuration, cluster } = this.dependencies;
-    const isReporting = configuration.isEngine(service);
-    return bornAtMs !== undefined && (isReporting || cluster.isKnowledgeOld);
+    const reportsStartTime = configuration.isEngine(service);
+    return bornAtMs !== undefined && (reportsStartTime || cluster.isKnowledgeOld);
   }
 
   private takeRetry(service: string): boolean {
