Accept backlogs of callers are measured and logged

A gateway could not tell how long a connection had waited before it was accepted: Node.js accepts one in each iteration of the event loop, so that a gateway of short iterations, which weirvale_loop_delay_seconds shows as well, can be seconds behind its callers. accept-backlog (a line from 200 ms on) and weirvale_accept_backlog_seconds show it, and 'logs explain' prints it beside a request.

The three hypotheses of the incident can now be told apart: the time from the read to the send and to the close stand in request-ended (tries, totalMs), the time before the read in accept-backlog.

--- a/src/cli/queries/explain-logs.ts
+++ b/src/cli/queries/explain-logs.ts
@@ -65,6 +65,7 @@
   EVACUATION_EVENT,
   'path-suspected',
   'path-regained',
+  'accept-backlog',
   'region-reach',
   'agent-lost',
   'peer-gone',
--- a/src/gateway/admission/caller-listener.ts
+++ b/src/gateway/admission/caller-listener.ts
@@ -4,6 +4,9 @@
 import type { Socket } from 'node:net';
 import type { CallerLimits } from '../../routing/configuration.js';
 import type { CallerReply } from '../attempt/attempt.js';
+import { SYSTEM_CLOCK } from '../../clock.js';
+import { AcceptBacklogMonitor } from './accept-backlog-monitor.js';
+import type { AcceptBacklog } from './accept-backlog-monitor.js';
 import { CallerDisconnectWatcher } from './caller-disconnect-watcher.js';
 import type { RawHeaders } from './caller-protocol.js';
 
@@ -44,7 +47,10 @@
   constructor(
     private readonly handleRequest: RequestHandler,
     private readonly maxBodyBytes: () => number,
+    /** Called after each period in which connections waited to be accepted. */
+    onAcceptBacklog: (backlog: AcceptBacklog) => void = () => undefined,
   ) {
+    const acceptBacklog = new AcceptBacklogMonitor(SYSTEM_CLOCK, onAcceptBacklog);
     this.server = createServer(
       {
         maxHeaderSize: PARSER_HEADER_BYTES,
@@ -55,6 +61,7 @@
     );
     this.server.requestTimeout = 0;
     this.server.on('connection', (socket: Socket) => {
+      acceptBacklog.recordAccept();
       this.disconnectWatchers.set(socket, new CallerDisconnectWatcher(socket));
       socket.on('close', () => this.disconnectWatchers.delete(socket));
     });
--- /dev/null
+++ b/src/gateway/gateway-caller-listener.ts
@@ -0,0 +1,37 @@
+/** Creates the listener for callers of a gateway and reports its accept backlogs. */
+import type { DecisionLog } from '../telemetry/decision-log.js';
+import type { AcceptBacklog } from './admission/accept-backlog-monitor.js';
+import { CallerListener } from './admission/caller-listener.js';
+import type { RequestHandler } from './admission/caller-listener.js';
+import type { GatewayMetrics } from './metrics/gateway-metrics.js';
+
+/** Dependencies of the listener. */
+export interface CallerListenerDependencies {
+  readonly log: DecisionLog;
+  readonly metrics: GatewayMetrics;
+  /** Handles a request head and returns the callbacks for its body. */
+  readonly receive: RequestHandler;
+  readonly maxBodyBytes: () => number;
+}
+
+const MS_PER_S = 1_000;
+/** Duration of an accept backlog from which it is logged, in milliseconds. */
+const LOGGED_BACKLOG_MS = 200;
+
+/** Returns a listener that does not listen yet. */
+export function createCallerListener(dependencies: CallerListenerDependencies): CallerListener {
+  const { receive, maxBodyBytes } = dependencies;
+  return new CallerListener(receive, maxBodyBytes, (backlog) =>
+    reportAcceptBacklog(dependencies, backlog),
+  );
+}
+
+function reportAcceptBacklog(
+  { log, metrics }: CallerListenerDependencies,
+  { connections, durationMs }: AcceptBacklog,
+): void {
+  metrics.record(({ acceptBacklogSeconds }) => acceptBacklogSeconds.observe(durationMs / MS_PER_S));
+  if (durationMs >= LOGGED_BACKLOG_MS) {
+    log.write('accept-backlog', 'state', { connections, durationMs });
+  }
+}
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -17,12 +17,13 @@
 import type { RoutingConfiguration } from '../routing/configuration.js';
 import { ActiveConfiguration } from './active-configuration.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
-import { CallerListener } from './admission/caller-listener.js';
+import type { CallerListener } from './admission/caller-listener.js';
 import type { ExitEvidence } from './crashes/interrupted-runs.js';
 import { BackendDirectory } from './dispatch/backend-directory.js';
 import { Dispatcher } from './dispatch/dispatcher.js';
 import type { GatewayAdapter } from './gateway-adapter.js';
 import { GatewayBackends } from './gateway-backends.js';
+import { createCallerListener } from './gateway-caller-listener.js';
 import { GatewayCluster } from './gateway-cluster.js';
 import { GatewayCrashes } from './gateway-crashes.js';
 import { GatewayEvacuations } from './gateway-evacuations.js';
@@ -210,10 +211,11 @@
       broadcastToPeers: (tallies) => this.cluster.broadcastCrashes(tallies),
       refuseWaiting: () => this.requests.refuseCrashing(),
     });
-    this.listener = new CallerListener(
-      (head, reply) => this.requests.receive(head, reply),
-      () => this.configuration.limits.maxBodyBytes,
-    );
+    this.listener = createCallerListener({
+      ...dependencies,
+      receive: (head, reply) => this.requests.receive(head, reply),
+      maxBodyBytes: () => this.configuration.limits.maxBodyBytes,
+    });
     const { limits } = settings;
     this.quotas = new GatewayQuotas({
       ...dependencies,
--- a/src/gateway/metrics/metric-instruments.ts
+++ b/src/gateway/metrics/metric-instruments.ts
@@ -96,6 +96,12 @@
     buckets: LATENCY_BUCKETS_S,
     registers: [this.registry],
   });
+  readonly acceptBacklogSeconds = new Histogram({
+    name: 'weirvale_accept_backlog_seconds',
+    help: 'Periods in which connections of callers waited to be accepted',
+    buckets: LATENCY_BUCKETS_S,
+    registers: [this.registry],
+  });
   readonly totalSeconds = new Histogram({
     name: 'weirvale_total_seconds',
     help: 'Time from arrival to the end of the answer',
--- a/src/telemetry/decision-log.ts
+++ b/src/telemetry/decision-log.ts
@@ -28,6 +28,7 @@
   'backend-unannounced',
   'process-unidentified',
   'zone-unknown',
+  'accept-backlog',
   'region-reach',
   'zone-evacuation',
   'zone-cleared',
--- a/test/caller-listener.test.ts
+++ b/test/caller-listener.test.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo, Socket } from 'node:net';
 import test from 'ava';
 import { CallerListener } from '../src/gateway/admission/caller-listener.js';
+import type { AcceptBacklog } from '../src/gateway/admission/accept-backlog-monitor.js';
 import type { CallerReply } from '../src/gateway/attempt/attempt.js';
 import { SYSTEM_CLOCK, sleep } from '../src/clock.js';
 
@@ -103,3 +104,28 @@
   listener.server.closeAllConnections();
   listener.server.close();
 });
+
+test('connections that wait to be accepted are reported with their number', async (t) => {
+  const backlogs: AcceptBacklog[] = [];
+  const listener = new CallerListener(
+    () => ({
+      onBody: () => undefined,
+      onTooLong: () => undefined,
+      onCallerDisconnected: () => undefined,
+    }),
+    () => 1_000_000,
+    (backlog) => backlogs.push(backlog),
+  );
+  listener.server.listen(0, '127.0.0.1');
+  await once(listener.server, 'listening');
+  const { port } = listener.server.address() as AddressInfo;
+  const callers = await Promise.all(Array.from({ length: 20 }, () => connectTo(port)));
+  await sleep(SYSTEM_CLOCK, 50);
+  t.is(
+    backlogs.reduce((sum, { connections }) => sum + connections, 0),
+    20,
+  );
+  t.true(backlogs.some(({ connections }) => connections > 1));
+  callers.forEach((caller) => caller.destroy());
+  listener.stopListening();
+});
