A request is worked on only after a poll that would have shown that its caller has left

Cause: a gateway sent a request on in the step that read it. A connection's last bytes and its end are read in separate polls, so the close of a caller that had left before was always read too late. How late the request is read has no bound: Node.js accepts one connection in each iteration of the event loop, and an iteration held the whole work of the requests that it read. StallDetector waited two iterations only after an iteration of 200 ms; a queue of connections grows in short ones.

Ruled out: a close noticed late in a wait (second hypothesis), a long way to the backend (third).

Change: AfterPollQueue. A request goes to admission after a poll that began after it was read; a send that does not follow from that in the same slice waits for the poll in progress; slices end after 10 ms, so that the work of one iteration no longer delays what it would have read. Also: such requests count for a planned stop; a request whose deadline passed meanwhile is refused, not sent; callers that left before admission are logged and counted. StallDetector is gone.

Why it holds: at the time of a send, all that had arrived when the last poll began has been read, and that poll began at most one slice and the other events of the poll ago.

--- a/src/gateway/admission/caller-listener.ts
+++ b/src/gateway/admission/caller-listener.ts
@@ -4,6 +4,7 @@
 import type { Socket } from 'node:net';
 import type { CallerLimits } from '../../routing/configuration.js';
 import type { CallerReply } from '../attempt/attempt.js';
+import type { AfterPollQueue } from '../../after-poll-queue.js';
 import { SYSTEM_CLOCK } from '../../clock.js';
 import { AcceptBacklogMonitor } from './accept-backlog-monitor.js';
 import type { AcceptBacklog } from './accept-backlog-monitor.js';
@@ -21,7 +22,7 @@
 
 /** Callbacks for a request whose body is being read. */
 export interface RequestBodyHandlers {
-  /** The body is complete. */
+  /** The body is complete, and the caller is still connected. */
   onBody(body: Buffer): void;
   /** The body is longer than allowed. */
   onTooLong(): void;
@@ -42,11 +43,14 @@
 export class CallerListener {
   readonly server: Server;
   private readonly disconnectWatchers = new Map<Socket, CallerDisconnectWatcher>();
+  /** Requests that were read whole and wait for a poll that may show that their callers left. */
+  private readonly unprocessed = new Set<IncomingMessage>();
   private isClosing = false;
 
   constructor(
     private readonly handleRequest: RequestHandler,
     private readonly maxBodyBytes: () => number,
+    private readonly afterPolls: AfterPollQueue,
     /** Called after each period in which connections waited to be accepted. */
     onAcceptBacklog: (backlog: AcceptBacklog) => void = () => undefined,
   ) {
@@ -78,6 +82,11 @@
     return this.disconnectWatchers.size;
   }
 
+  /** Number of requests that were read whole and not passed on yet. */
+  get unprocessedCount(): number {
+    return this.unprocessed.size;
+  }
+
   /** Adds `Connection: close` to every response from now on. */
   closeConnectionsAfterResponse(): void {
     this.isClosing = true;
@@ -102,6 +111,7 @@
     let hasDisconnected = false;
     const handleDisconnect = () => {
       hasDisconnected = true;
+      this.unprocessed.delete(request);
       if (!response.writableFinished) {
         handlers.onCallerDisconnected();
       }
@@ -121,12 +131,20 @@
       onTooLong: () => handlers.onTooLong(),
       onBody: (body) => {
         if (!hasDisconnected) {
-          handlers.onBody(body);
+          this.unprocessed.add(request);
+          this.afterPolls.afterNextPoll(() => this.process(request, body, handlers));
         }
       },
     });
   }
 
+  /** Passes on a request unless its caller has disconnected. */
+  private process(request: IncomingMessage, body: Buffer, handlers: RequestBodyHandlers): void {
+    if (this.unprocessed.delete(request)) {
+      handlers.onBody(body);
+    }
+  }
+
   private readBody(
     request: IncomingMessage,
     handlers: Pick<RequestBodyHandlers, 'onBody' | 'onTooLong'>,
--- a/src/gateway/attempt/http-backend-sender.ts
+++ b/src/gateway/attempt/http-backend-sender.ts
@@ -10,6 +10,7 @@
   OutgoingAttempt,
 } from './attempt.js';
 import { splitAddress } from '../../address.js';
+import { AfterPollQueue } from '../../after-poll-queue.js';
 import type { HostAndPort } from '../../address.js';
 import { SYSTEM_CLOCK } from '../../clock.js';
 import type { Backend } from '../../routing/backend.js';
@@ -19,7 +20,6 @@
 import { keepAliveTimeoutMs } from './keep-alive-timeout.js';
 import { KeepAliveAgent } from './keep-alive-agent.js';
 import { parseResponseHead } from './parse-response-head.js';
-import { StallDetector } from './stall-detector.js';
 import { SurplusSenders } from './surplus-senders.js';
 
 /** Limits of the connections to backends. */
@@ -70,7 +70,6 @@
 /** Sends requests to backends over HTTP. */
 export class HttpBackendSender implements BackendSender {
   private readonly agent: KeepAliveAgent;
-  private readonly stallDetector = new StallDetector(SYSTEM_CLOCK);
   private readonly surplusSenders = new SurplusSenders(SYSTEM_CLOCK);
   /** The process at the other end of each connection for which it is known. */
   private readonly processes = new WeakMap<Socket, IdentifiedProcess>();
@@ -83,13 +82,14 @@
     private readonly onSurplus: (address: string) => void = () => undefined,
     /** Called for each connection whose process an attempt needs and that is not known yet. */
     private readonly identify: IdentifyProcess = () => Promise.resolve(undefined),
+    /** Requests are sent after a poll, which may show that their callers have left. */
+    private readonly afterPolls = new AfterPollQueue(SYSTEM_CLOCK),
   ) {
     this.agent = new KeepAliveAgent(options, onConnection, (address) => this.noteSurplus(address));
   }
 
-  /** Closes idle connections and stops the stall detector. */
+  /** Closes idle connections. */
   close(): void {
-    this.stallDetector.close();
     this.agent.destroy();
   }
 
@@ -118,7 +118,7 @@
       onForeignResponse: () => this.noteSurplus(address),
       identifyProcess: (socket) => this.identifyProcess(attempt.backend, socket),
     });
-    this.stallDetector.afterPendingInput(() => httpAttempt.begin());
+    this.afterPolls.afterPoll(() => httpAttempt.begin());
     return httpAttempt;
   }
 
--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -105,10 +105,9 @@
       },
     );
     this.failureReply = new FailureReply(request, reply, ports.protocol, options);
-    const remainingMs = Math.max(0, request.deadlineAtMs - ports.clock.now());
     this.deadlineTimer = new OneShotTimer(ports.clock);
     this.endedTimer = new EndedBackendTimer(ports.clock);
-    this.deadlineTimer.start(remainingMs, () => this.timeOut());
+    this.deadlineTimer.start(request.deadlineAtMs - ports.clock.now(), () => this.timeOut());
   }
 
   /** Whether the request has ended. */
@@ -128,7 +127,8 @@
 
   /** Starts the wait for a backend. */
   begin(): void {
-    this.waitForBackend();
+    const isLate = this.ports.clock.now() >= this.request.deadlineAtMs;
+    return isLate ? this.timeOut() : this.waitForBackend();
   }
 
   /** Handles the disconnect of the caller. */
--- a/src/gateway/gateway-caller-listener.ts
+++ b/src/gateway/gateway-caller-listener.ts
@@ -1,4 +1,5 @@
 /** Creates the listener for callers of a gateway and reports its accept backlogs. */
+import type { AfterPollQueue } from '../after-poll-queue.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { AcceptBacklog } from './admission/accept-backlog-monitor.js';
 import { CallerListener } from './admission/caller-listener.js';
@@ -12,6 +13,7 @@
   /** Handles a request head and returns the callbacks for its body. */
   readonly receive: RequestHandler;
   readonly maxBodyBytes: () => number;
+  readonly afterPolls: AfterPollQueue;
 }
 
 const MS_PER_S = 1_000;
@@ -20,8 +22,8 @@
 
 /** Returns a listener that does not listen yet. */
 export function createCallerListener(dependencies: CallerListenerDependencies): CallerListener {
-  const { receive, maxBodyBytes } = dependencies;
-  return new CallerListener(receive, maxBodyBytes, (backlog) =>
+  const { receive, maxBodyBytes, afterPolls } = dependencies;
+  return new CallerListener(receive, maxBodyBytes, afterPolls, (backlog) =>
     reportAcceptBacklog(dependencies, backlog),
   );
 }
--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -11,6 +11,7 @@
 import { DEFAULT_REQUEST_OPTIONS } from './attempt/request-model.js';
 import type { AcceptedRequest } from './attempt/accepted-request.js';
 import type { RequestEnd, RequestPorts } from './attempt/request-model.js';
+import { DepartedCallers } from './admission/departed-callers.js';
 import type { RequestBodyHandlers, ReceivedHead } from './admission/caller-listener.js';
 import type { CallerRequestHead } from './admission/caller-protocol.js';
 import type { GatewayRefusal } from './admission/gateway-refusal.js';
@@ -108,6 +109,7 @@
   private readonly resuming = new Set<AcceptedRequest>();
   private readonly admission: RequestAdmission;
   private readonly confirmationQueue: ConfigurationConfirmationQueue;
+  private readonly departedCallers: DepartedCallers;
   private readonly retryBudget: RetryBudget;
   private readonly ports: RequestPorts;
 
@@ -124,6 +126,7 @@
       },
       dependencies.crashes,
     );
+    this.departedCallers = new DepartedCallers(dependencies);
     this.confirmationQueue = new ConfigurationConfirmationQueue(
       { isKnowledgeOld: () => dependencies.cluster.isKnowledgeOld },
       clock,
@@ -206,13 +209,26 @@
     }
     let request: AdmittedRequest | undefined;
     const { run, confine } = this.admissionBoundary(caller, reply);
+    let isAdmitted = false;
     return {
       onBody: (body) =>
         run(() => {
+          isAdmitted = true;
           request = this.admit({ head, caller, body, arrivedAtMs, confine }, reply);
         }),
-      onTooLong: () => this.refuse(caller, reply, { reason: 'body-too-long' }),
-      onCallerDisconnected: () => run(() => request?.handleCallerDisconnect()),
+      onTooLong: () => {
+        isAdmitted = true;
+        this.refuse(caller, reply, { reason: 'body-too-long' });
+      },
+      onCallerDisconnected: () =>
+        run(() => {
+          if (isAdmitted) {
+            request?.handleCallerDisconnect();
+          } else {
+            this.departedCallers.reportUnadmitted(caller, arrivedAtMs);
+            this.dependencies.onEnd();
+          }
+        }),
     };
   }
 
@@ -304,7 +320,7 @@
         request.handleCallerDisconnect();
       } else if (!hasLeft) {
         hasLeft = true;
-        this.logCallerLeft(accepted);
+        this.departedCallers.reportAdmitted(accepted);
       }
     };
     return { handleCallerDisconnect };
@@ -361,17 +377,10 @@
 
   /** Ends a request whose caller disconnected before it was charged. */
   private endBeforeCharge(request: AcceptedRequest): void {
-    this.logCallerLeft(request);
+    this.departedCallers.reportAdmitted(request);
     this.dependencies.onEnd();
   }
 
-  /** Logs that the caller disconnected before the request was offered to backends. */
-  private logCallerLeft({ requestId, route, tenant }: AcceptedRequest): void {
-    const reason = 'caller-left';
-    const fields = { request: requestId, route: route.name, tenant, status: 0, reason, tries: [] };
-    this.dependencies.log.write('request-ended', 'failure', fields);
-  }
-
   private charge(
     { tenant, quotaCost }: AcceptedRequest,
     onResult: (result: ChargeResult) => void,
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -2,6 +2,8 @@
 import type { AppliedRecord } from '../cluster/replicated-records.js';
 import type { StorePosition } from '../cluster/store-position.js';
 import type { RecordsSource } from '../cluster/cluster-store.js';
+import { AfterPollQueue } from '../after-poll-queue.js';
+import { SYSTEM_CLOCK } from '../clock.js';
 import type { Clock } from '../clock.js';
 import type { RandomSource } from '../random.js';
 import type { Backend } from '../routing/backend.js';
@@ -46,19 +48,12 @@
   HttpBackendSender,
 } from './attempt/http-backend-sender.js';
 import { sortByApplyOrder } from './apply-order.js';
+import { isOwnRecord } from './own-records.js';
 import { GracefulShutdown } from './graceful-shutdown.js';
 import { RefusedRecords } from './refused-records.js';
 import { ReadinessListener } from './readiness-listener.js';
 import { DEFAULT_SLOT_AGENT_LINK_OPTIONS, SlotAgentLinks } from './links/slot-agent-links.js';
 
-/** Records that gateways write themselves, and the orders whose rollout states they write. */
-const OWN_RECORD_KINDS: ReadonlySet<DecodedRecord['kind']> = new Set([
-  'crash-record',
-  'quota-members',
-  'rollout-order',
-  'rollout-status',
-]);
-
 /** Dependencies of `GatewayRole`. */
 export interface GatewayDependencies {
   readonly settings: GatewaySettings;
@@ -96,11 +91,13 @@
   private readonly crashes: GatewayCrashes;
   private readonly conditions: GatewayConditions;
   private readonly streams: GatewayStreams;
+  private readonly afterPolls = new AfterPollQueue(SYSTEM_CLOCK);
   private readonly sender = new HttpBackendSender(
     DEFAULT_BACKEND_SENDER_OPTIONS,
     (reason) => this.dependencies.metrics.record(({ connections }) => connections.inc({ reason })),
     (address) => this.dependencies.log.write('backend-surplus', 'state', { address }),
     (backend) => this.processes.identify(backend),
+    this.afterPolls,
   );
   private readonly processes: GatewayProcesses;
   private readonly listener: CallerListener;
@@ -215,6 +212,7 @@
       ...dependencies,
       receive: (head, reply) => this.requests.receive(head, reply),
       maxBodyBytes: () => this.configuration.limits.maxBodyBytes,
+      afterPolls: this.afterPolls,
     });
     const { limits } = settings;
     this.quotas = new GatewayQuotas({
@@ -276,7 +274,7 @@
     });
     this.shutdown = new GracefulShutdown(clock, limits.stopGraceS * MS_PER_S, {
       stopListening: () => this.listener.stopListening(),
-      countActive: () => this.requests.activeCount,
+      countActive: () => this.requests.activeCount + this.listener.unprocessedCount,
       end: () => this.finishStop(),
     });
     this.requests = new GatewayRequests({
@@ -535,11 +533,3 @@
     };
   }
 }
-
-/**
- * Whether records of this kind are also applied if only their position changed: the writes that
- * gateways base on them must name a position in the store's current epoch.
- */
-function isOwnRecord(kind: DecodedRecord['kind']): boolean {
-  return OWN_RECORD_KINDS.has(kind);
-}
--- a/src/gateway/own-records.ts
+++ b/src/gateway/own-records.ts
@@ -10,6 +10,14 @@
 /** Names of own records; the adapter maps them to store keys. */
 export type OwnRecordName = 'crashing-requests' | 'quota-members';
 
+/** Records that gateways write themselves, and the orders whose rollout states they write. */
+const OWN_RECORD_KINDS: ReadonlySet<DecodedRecord['kind']> = new Set([
+  'crash-record',
+  'quota-members',
+  'rollout-order',
+  'rollout-status',
+]);
+
 /**
  * Decodes an own record; `text` is undefined if it was removed.
  *
@@ -28,3 +36,11 @@
   }
   return { kind: 'irrelevant' };
 }
+
+/**
+ * Whether records of this kind are also applied if only their position changed: the writes that
+ * gateways base on them must name a position in the store's current epoch.
+ */
+export function isOwnRecord(kind: DecodedRecord['kind']): boolean {
+  return OWN_RECORD_KINDS.has(kind);
+}
--- a/test/caller-listener.test.ts
+++ b/test/caller-listener.test.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo, Socket } from 'node:net';
 import test from 'ava';
 import { CallerListener } from '../src/gateway/admission/caller-listener.js';
+import { AfterPollQueue } from '../src/after-poll-queue.js';
 import type { AcceptBacklog } from '../src/gateway/admission/accept-backlog-monitor.js';
 import type { CallerReply } from '../src/gateway/attempt/attempt.js';
 import { SYSTEM_CLOCK, sleep } from '../src/clock.js';
@@ -34,6 +35,7 @@
       };
     },
     () => 1_000_000,
+    new AfterPollQueue(SYSTEM_CLOCK),
   );
   listener.server.listen(0, '127.0.0.1');
   await once(listener.server, 'listening');
@@ -114,6 +116,7 @@
       onCallerDisconnected: () => undefined,
     }),
     () => 1_000_000,
+    new AfterPollQueue(SYSTEM_CLOCK),
     (backlog) => backlogs.push(backlog),
   );
   listener.server.listen(0, '127.0.0.1');
@@ -129,3 +132,36 @@
   callers.forEach((caller) => caller.destroy());
   listener.stopListening();
 });
+
+test('a request whose caller closed its connection before it was read is not passed on', async (t) => {
+  const { listener, received, connectCaller } = await startListener();
+  const callers = await Promise.all(Array.from({ length: 20 }, () => connectCaller()));
+  callers.forEach((caller) => caller.write(REQUEST));
+  callers.forEach((caller) => caller.destroy());
+  await sleep(SYSTEM_CLOCK, DISCONNECT_WITHIN_MS);
+  t.is(received.length, 20);
+  t.is(received.filter(({ hasDisconnected }) => hasDisconnected).length, 20);
+  t.is(received.filter(({ hasBody }) => hasBody).length, 0);
+  t.is(listener.unprocessedCount, 0);
+  listener.stopListening();
+});
+
+test('a request that was read counts as unprocessed until it is passed on', async (t) => {
+  const { listener, connectCaller } = await startListener(({ reply }) => {
+    countWhenPassedOn = listener.unprocessedCount;
+    reply.start(200, []);
+    reply.end();
+  });
+  let countWhenPassedOn: number | undefined;
+  let countAfterRead: number | undefined;
+  listener.server.on('request', () =>
+    setImmediate(() => (countAfterRead = listener.unprocessedCount)),
+  );
+  const caller = await connectCaller();
+  caller.write(REQUEST);
+  await sleep(SYSTEM_CLOCK, DISCONNECT_WITHIN_MS);
+  caller.destroy();
+  listener.stopListening();
+  t.is(countAfterRead, 1);
+  t.is(countWhenPassedOn, 0);
+});
--- a/test/proxied-request.test.ts
+++ b/test/proxied-request.test.ts
@@ -28,6 +28,13 @@
   t.true(world.attempts[0]!.isCancelled);
 });
 
+test('a request whose deadline passed before it was admitted is refused and not sent', (t) => {
+  const world = twoBackends();
+  const { reply } = world.request({ deadlineAtMs: world.clock.now() });
+  t.is(world.attempts.length, 0);
+  t.is(reply.status, 503);
+});
+
 test('a request that was never sent is refused with a Retry-After', async (t) => {
   const world = new GatewayHarness();
   const { reply } = world.request({ route: UNSAFE });
