Timers run after the input that arrived before them is read

What callers saw: after a stall of a process, calls that had been answered counted as silent, deadlines passed with the answer in the socket, and an agent that got no processor time for .8 s refused every gateway whose keepalives it had not read yet (they then connect again, and their slots count as lost meanwhile).

Timers of Node.js run before the poll of the same iteration. Links and quotas guarded themselves; calls of the store and of engines' reports, agents, deadlines and silence timers of requests did not.

Change: the system's clock runs a due call after the next poll. The guard of late connects, which did the same by hand, is gone. Raw timers of calls and connects use the clock.

--- a/src/clock.ts
+++ b/src/clock.ts
@@ -13,11 +13,32 @@
   clearTimeout(handle: TimerHandle): void;
 }
 
-/** The system's monotonic clock. */
+/** A pending call of the system's clock. */
+class SystemTimer {
+  private readonly timeout: NodeJS.Timeout;
+  private immediate: NodeJS.Immediate | undefined;
+
+  constructor(callback: () => void, delayMs: number) {
+    this.timeout = setTimeout(() => (this.immediate = setImmediate(callback)), delayMs);
+  }
+
+  clear(): void {
+    clearTimeout(this.timeout);
+    clearImmediate(this.immediate);
+  }
+}
+
+/**
+ * The system's monotonic clock.
+ *
+ * Calls that are due run after the next poll of the event loop: after a stall, timers would
+ * otherwise run before the input that arrived meanwhile is read, and a neighbour whose messages are
+ * unread would count as silent.
+ */
 export const SYSTEM_CLOCK: Clock = {
   now: () => performance.now(),
-  setTimeout: (callback, delayMs) => setTimeout(callback, delayMs),
-  clearTimeout: (handle) => clearTimeout(handle as NodeJS.Timeout),
+  setTimeout: (callback, delayMs) => new SystemTimer(callback, delayMs),
+  clearTimeout: (handle) => (handle as SystemTimer | undefined)?.clear(),
 };
 
 /** Resolves after `delayMs`. */
--- a/src/cluster/json-call.ts
+++ b/src/cluster/json-call.ts
@@ -1,6 +1,7 @@
 /** HTTP calls with a JSON response and a timeout for the whole call. */
 import { request } from 'node:http';
 import type { Agent, IncomingHttpHeaders } from 'node:http';
+import { SYSTEM_CLOCK } from '../clock.js';
 import { WeirvaleError } from '../request/errors.js';
 import { err, ok } from '../result.js';
 import type { Result } from '../result.js';
@@ -57,10 +58,10 @@
   return new Promise((resolve) => {
     const call = request({ host, port, path, agent, method, headers });
     const endWith = (reason: CallFailure, message: string) => {
-      clearTimeout(timer);
+      SYSTEM_CLOCK.clearTimeout(timer);
       resolve(err(new CallFailedError(message, reason)));
     };
-    const timer = setTimeout(() => {
+    const timer = SYSTEM_CLOCK.setTimeout(() => {
       endWith('silent', 'timed out');
       call.destroy();
     }, timeoutMs);
@@ -86,7 +87,7 @@
       response.on('error', fail);
       response.on('close', () => fail(new Error('connection closed before the response ended')));
       response.on('end', () => {
-        clearTimeout(timer);
+        SYSTEM_CLOCK.clearTimeout(timer);
         const text = Buffer.concat(chunks).toString('utf8');
         resolve(parseResponse(response.statusCode ?? 0, response.headers, text));
       });
--- a/src/gateway/attempt/http-backend-sender.ts
+++ b/src/gateway/attempt/http-backend-sender.ts
@@ -13,6 +13,7 @@
 import { AfterPollQueue } from '../../after-poll-queue.js';
 import type { HostAndPort } from '../../address.js';
 import { SYSTEM_CLOCK } from '../../clock.js';
+import type { TimerHandle } from '../../clock.js';
 import type { Backend } from '../../routing/backend.js';
 import type { IdentifiedProcess } from '../processes/process-identifier.js';
 import type { ConnectionCloseReason, ConnectionOpenReason } from './connection-reasons.js';
@@ -165,7 +166,7 @@
   private isConnected = false;
   private hasTimedOut = false;
   private isOver = false;
-  private connectTimer: NodeJS.Timeout | undefined;
+  private connectTimer: TimerHandle | undefined;
   private readonly address: HostAndPort;
   private readonly roundTripMs: number;
 
@@ -209,7 +210,7 @@
 
   cancel(): void {
     this.isOver = true;
-    clearTimeout(this.connectTimer);
+    SYSTEM_CLOCK.clearTimeout(this.connectTimer);
     if (
       this.isReusedWithoutResponse &&
       performance.now() - this.startedAtMs > SILENT_CONNECTION_MS
@@ -263,13 +264,13 @@
     }
     const { host, port } = this.address;
     this.agent.connectionReasons.recordOpened(`${host}:${port}`, socket);
-    this.connectTimer = setTimeout(
+    this.connectTimer = SYSTEM_CLOCK.setTimeout(
       () => this.abortLateConnection(socket),
       connectTimeoutMs + this.roundTripMs,
     );
     socket.once('connect', () => {
       this.isConnected = true;
-      clearTimeout(this.connectTimer);
+      SYSTEM_CLOCK.clearTimeout(this.connectTimer);
       this.handlers.onConnected?.(performance.now() - this.startedAtMs);
       this.reportProcess(socket);
     });
@@ -286,18 +287,11 @@
     });
   }
 
-  /**
-   * Aborts a connect that timed out. After a blocked event loop, timers run before the connections
-   * that were established meanwhile are reported, so the check waits for the rest of the loop
-   * iteration.
-   */
   private abortLateConnection(socket: Socket): void {
-    setImmediate(() => {
-      if (socket.connecting) {
-        this.hasTimedOut = true;
-        this.request?.destroy();
-      }
-    });
+    if (socket.connecting) {
+      this.hasTimedOut = true;
+      this.request?.destroy();
+    }
   }
 
   private onResponse(response: IncomingMessage): void {
@@ -392,7 +386,7 @@
       return;
     }
     this.isOver = true;
-    clearTimeout(this.connectTimer);
+    SYSTEM_CLOCK.clearTimeout(this.connectTimer);
     this.closeIdleAfterNoResponse();
     this.request?.destroy();
     const failure: AttemptFailure = {
--- a/test/json-call.test.ts
+++ b/test/json-call.test.ts
@@ -2,6 +2,7 @@
 import test from 'ava';
 import { callJson } from '../src/cluster/json-call.js';
 import { createHttpEngineProbe } from '../src/slot-agent/engine-probe.js';
+import { blockLoop } from './support/block-loop.js';
 import { RawBackend } from './support/raw-backend.js';
 
 const TIMEOUT_MS = 300;
@@ -48,3 +49,17 @@
   t.is((await settles(probe())).kind, 'load');
   t.is(answers, 2);
 });
+
+test.serial(
+  'a response that arrived while the process was stalled is not taken for silence',
+  async (t) => {
+    const server = new RawBackend((_request, socket) => {
+      socket.write(REPORT);
+      blockLoop(TIMEOUT_MS * 2);
+    });
+    t.teardown(() => server.stop());
+    const call = { address: await server.start(), path: PATH };
+    const result = await settles(callJson(call, TIMEOUT_MS, new Agent()));
+    t.true(result.ok);
+  },
+);
--- a/test/slot-agent-role.test.ts
+++ b/test/slot-agent-role.test.ts
@@ -6,10 +6,12 @@
 import { SeededRandom } from '../src/random.js';
 import { ZoneTopology } from '../src/routing/zone-topology.js';
 import { SlotAgentMetrics } from '../src/slot-agent/slot-agent-metrics.js';
+import { DEFAULT_GATEWAY_TIMEOUT_OPTIONS } from '../src/slot-agent/gateway-session.js';
 import { DEFAULT_SLOT_AGENT_OPTIONS, SlotAgentRole } from '../src/slot-agent/slot-agent-role.js';
 import type { AgentToGateway, GatewayToAgent } from '../src/slot-agent/slot-messages.js';
 import { DecisionLog } from '../src/telemetry/decision-log.js';
 import type { StorePosition } from '../src/cluster/store-position.js';
+import { blockLoop } from './support/block-loop.js';
 import { positionAt } from './support/store-positions.js';
 
 const HOST = '127.0.3.4';
@@ -125,6 +127,29 @@
   other.close();
 });
 
+test.serial(
+  'an agent that stalled does not refuse a gateway whose keepalive it has not read',
+  async (t) => {
+    const { port, stop } = startAgent(() => 1);
+    t.teardown(stop);
+    const gateway = new FakeGateway(port);
+    gateway.sendHello('gateway');
+    gateway.requestSlot();
+    await gateway.waitFor('granted');
+    gateway.send({ kind: 'alive' });
+    // The channel writes the keepalive in an immediate, and the loop is blocked right after that.
+    await new Promise<void>((resolve) =>
+      setImmediate(() => {
+        blockLoop(DEFAULT_GATEWAY_TIMEOUT_OPTIONS.silenceMs + 100);
+        resolve();
+      }),
+    );
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    t.false(gateway.received.some(({ kind }) => kind === 'refused'));
+    gateway.close();
+  },
+);
+
 test('a slot whose request still runs at the engine is not granted again', async (t) => {
   let requestsAtEngine = 1;
   const { port, stop } = startAgent(() => requestsAtEngine);
