--- a/test/after-poll-queue.test.ts
+++ b/test/after-poll-queue.test.ts
@@ -1,24 +1,7 @@
-import { once } from 'node:events';
-import { connect, createServer } from 'node:net';
-import type { AddressInfo, Socket } from 'node:net';
 import test from 'ava';
 import { AfterPollQueue } from '../src/after-poll-queue.js';
 import { SYSTEM_CLOCK } from '../src/clock.js';
-
-/** Returns both ends of a connection. */
-async function connectPair(): Promise<{ near: Socket; far: Socket; close: () => void }> {
-  const server = createServer();
-  server.listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const far = connect((server.address() as AddressInfo).port, '127.0.0.1');
-  const [near] = (await once(server, 'connection')) as [Socket];
-  const close = () => {
-    near.destroy();
-    far.destroy();
-    server.close();
-  };
-  return { near, far, close };
-}
+import { connectPair } from './support/socket-pair.js';
 
 /** A clock that the tasks of a test advance. */
 function manualClock() {
--- a/test/clock.test.ts
+++ b/test/clock.test.ts
@@ -1,18 +1,12 @@
-import { once } from 'node:events';
-import { connect, createServer } from 'node:net';
-import type { AddressInfo, Socket } from 'node:net';
 import test from 'ava';
 import { SYSTEM_CLOCK, sleep } from '../src/clock.js';
 import { blockLoop } from './support/block-loop.js';
+import { connectPair } from './support/socket-pair.js';
 
 test.serial(
   'a timer that is due after a stall runs after the input that arrived meanwhile',
   async (t) => {
-    const server = createServer();
-    server.listen(0, '127.0.0.1');
-    await once(server, 'listening');
-    const far = connect((server.address() as AddressInfo).port, '127.0.0.1');
-    const [near] = (await once(server, 'connection')) as [Socket];
+    const { near, far, close } = await connectPair();
     const order: string[] = [];
     near.on('data', () => order.push('input'));
     SYSTEM_CLOCK.setTimeout(() => order.push('timer'), 20);
