Slices after a poll last up to 100 ms

Cause: with slices of 10 ms a gateway that gets an eighth of a core ran one or two requests between two polls and read all others meanwhile: these waited in the queue until their deadlines, where callers had gone to other gateways or been refused before.

--- a/src/after-poll-queue.ts
+++ b/src/after-poll-queue.ts
@@ -10,12 +10,16 @@
 
 /** Limits of the time between two polls, in milliseconds. */
 export interface AfterPollQueueOptions {
-  /** Time after which the tasks that are left wait for the next poll. Default 10. */
+  /**
+   * Time after which the tasks that are left wait for the next poll. Default 100: callers that leave
+   * must be noticed within half a second, and shorter slices spend more of a slow machine's time on
+   * polls.
+   */
   readonly sliceMs: number;
 }
 
 /** Default limits of the time between two polls. */
-export const DEFAULT_AFTER_POLL_QUEUE_OPTIONS: AfterPollQueueOptions = { sliceMs: 10 };
+export const DEFAULT_AFTER_POLL_QUEUE_OPTIONS: AfterPollQueueOptions = { sliceMs: 100 };
 
 /** A task and the first slice in which it may run. */
 interface QueuedTask {
