--- a/test/clock.test.ts
+++ b/test/clock.test.ts
@@ -14,9 +14,7 @@
     blockLoop(50);
     await sleep(SYSTEM_CLOCK, 50);
     t.deepEqual(order, ['input', 'timer']);
-    near.destroy();
-    far.destroy();
-    server.close();
+    close();
   },
 );
 
