A response in endless tiny pieces costs only its own request

Cause: what was bounded of a response is its bytes (256 KiB buffered, 1 MiB an event). Each piece costs the same, whatever its size, and an interim response has no size that counts.

Change: ResponsePieceLimiter, for backends, engines' reports, the store and peers that are called: 16 interim responses; pieces and events below 64 bytes at 1,000 a second and 2,000 beside (an engine generates some tens of tokens a second for one request). What exceeds it fails the attempt as one that may have run, so that it counts toward leaving the backend out and what may be repeated goes elsewhere.

--- a/src/cluster/json-call.ts
+++ b/src/cluster/json-call.ts
@@ -2,6 +2,8 @@
 import { request } from 'node:http';
 import type { Agent, IncomingHttpHeaders } from 'node:http';
 import { SYSTEM_CLOCK } from '../clock.js';
+import { ResponsePieceLimiter } from '../http/response-piece-limiter.js';
+import type { TooManyPiecesError } from '../http/response-piece-limiter.js';
 import { WeirvaleError } from '../request/errors.js';
 import { err, ok } from '../result.js';
 import type { Result } from '../result.js';
@@ -65,9 +67,17 @@
       endWith('silent', 'timed out');
       call.destroy();
     }, timeoutMs);
+    const pieces = new ResponsePieceLimiter(() => SYSTEM_CLOCK.now());
+    const breakOffIf = (error: TooManyPiecesError | undefined) => {
+      if (error !== undefined) {
+        endWith('broken', error.message);
+        call.destroy();
+      }
+    };
     const fail = ({ code, message }: NodeJS.ErrnoException) =>
       endWith(code === 'ECONNREFUSED' ? 'closed' : 'broken', message);
     call.on('error', fail);
+    call.on('information', () => breakOffIf(pieces.countInterim()));
     call.on('upgrade', (_response, socket) => {
       socket.destroy();
       endWith('broken', 'the other side switched protocols');
@@ -78,6 +88,7 @@
       let length = 0;
       response.on('data', (bytes: Buffer) => {
         length += bytes.length;
+        breakOffIf(pieces.countPiece(bytes.length));
         if (length > MAX_RESPONSE_BYTES) {
           call.destroy();
           return;
--- a/src/gateway/attempt/event-stream-parser.ts
+++ b/src/gateway/attempt/event-stream-parser.ts
@@ -2,8 +2,10 @@
  * Splits a server-sent event stream into complete events, so that no event is forwarded in part, and
  * validates their ids.
  */
+import type { Clock } from '../../clock.js';
 import { parseHeaderValue } from '../../http/header-value.js';
 import type { HeaderValue } from '../../http/header-value.js';
+import { ResponsePieceLimiter } from '../../http/response-piece-limiter.js';
 
 const EVENT_END = '\n\n';
 const ID_LINE = /^id:(.*)$/m;
@@ -21,12 +23,19 @@
 export type EventStreamProblem =
   | 'event exceeds the size limit'
   /** The id could not be sent as the position from which another backend continues. */
-  | 'event has an invalid id';
+  | 'event has an invalid id'
+  | 'too many small events';
 
 /** Parses the body of one response. */
 export class EventStreamParser {
   private pending: Buffer = Buffer.alloc(0);
   private hasInvalidId = false;
+  private hasTooManyEvents = false;
+  private readonly pieces: ResponsePieceLimiter;
+
+  constructor(clock: Pick<Clock, 'now'>) {
+    this.pieces = new ResponsePieceLimiter(() => clock.now());
+  }
 
   /** Whether the received bytes end inside an event. */
   get hasPartialEvent(): boolean {
@@ -38,12 +47,15 @@
     if (this.hasInvalidId) {
       return 'event has an invalid id';
     }
+    if (this.hasTooManyEvents) {
+      return 'too many small events';
+    }
     return this.pending.length > MAX_EVENT_BYTES ? 'event exceeds the size limit' : undefined;
   }
 
   /** Appends received bytes and returns the events they complete, up to the first invalid one. */
   push(bytes: Buffer): CompleteEvent[] {
-    if (this.hasInvalidId) {
+    if (this.hasInvalidId || this.hasTooManyEvents) {
       return [];
     }
     this.pending = this.pending.length === 0 ? bytes : Buffer.concat([this.pending, bytes]);
@@ -57,6 +69,10 @@
         this.hasInvalidId = true;
         return events;
       }
+      if (this.pieces.countPiece(event.length) !== undefined) {
+        this.hasTooManyEvents = true;
+        return events;
+      }
       this.pending = this.pending.subarray(end + EVENT_END.length);
       events.push({ bytes: event, id });
       end = this.pending.indexOf(EVENT_END);
--- a/src/gateway/attempt/http-backend-sender.ts
+++ b/src/gateway/attempt/http-backend-sender.ts
@@ -14,6 +14,8 @@
 import type { HostAndPort } from '../../address.js';
 import { SYSTEM_CLOCK } from '../../clock.js';
 import type { TimerHandle } from '../../clock.js';
+import { ResponsePieceLimiter } from '../../http/response-piece-limiter.js';
+import type { TooManyPiecesError } from '../../http/response-piece-limiter.js';
 import type { Backend } from '../../routing/backend.js';
 import type { IdentifiedProcess } from '../processes/process-identifier.js';
 import type { ConnectionCloseReason, ConnectionOpenReason } from './connection-reasons.js';
@@ -167,6 +169,7 @@
   private hasTimedOut = false;
   private isOver = false;
   private connectTimer: TimerHandle | undefined;
+  private readonly pieces = new ResponsePieceLimiter(() => performance.now());
   private readonly address: HostAndPort;
   private readonly roundTripMs: number;
 
@@ -193,6 +196,7 @@
     const request = httpRequest({ ...address, method, path, headers, agent, setHost: false });
     request.on('socket', (socket) => this.onSocket(socket, connectTimeoutMs));
     request.on('response', (response) => this.onResponse(response));
+    request.on('information', () => this.failIf(this.pieces.countInterim()));
     request.on('error', (error) => this.fail(error.message, error));
     request.on('upgrade', (_response, socket) => {
       socket.destroy();
@@ -311,6 +315,9 @@
       socket.prependOnceListener('end', () => this.detectReset(socket));
     }
     response.on('data', (bytes: Buffer) => {
+      if (!this.isOver) {
+        this.failIf(this.pieces.countPiece(bytes.length));
+      }
       if (!this.isOver) {
         this.handlers.onData(bytes);
       }
@@ -381,6 +388,12 @@
     }
   }
 
+  private failIf(error: TooManyPiecesError | undefined): void {
+    if (error !== undefined) {
+      this.fail(error.message);
+    }
+  }
+
   private fail(detail: string, error?: NodeJS.ErrnoException): void {
     if (this.isOver) {
       return;
--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -81,6 +81,7 @@
     private readonly ports: RequestPorts,
     private readonly options: RequestOptions,
   ) {
+    const { clock } = ports;
     const { method, lastEventId, route } = request;
     this.binding = new StreamBinding(request);
     this.alternatives = new AlternativeBackends(this.binding, ports);
@@ -90,7 +91,7 @@
       receiveEnd: () => this.receiveEnd(),
       leaveProcess: (detail) => this.leaveProcess(detail),
     });
-    const relayed = { method, lastEventId, isStream: route.kind === 'stream' };
+    const relayed = { method, lastEventId, isStream: route.kind === 'stream', clock };
     this.relay = new ResponseRelay(reply, relayed, () => this.processCheck.bindStream());
     this.retries = new RetryRules(request, this.relay, this.alternatives, ports);
     this.departure = new AttemptDeparture(
@@ -105,9 +106,9 @@
       },
     );
     this.failureReply = new FailureReply(request, reply, ports.protocol, options);
-    this.deadlineTimer = new OneShotTimer(ports.clock);
-    this.endedTimer = new EndedBackendTimer(ports.clock);
-    this.deadlineTimer.start(request.deadlineAtMs - ports.clock.now(), () => this.timeOut());
+    this.deadlineTimer = new OneShotTimer(clock);
+    this.endedTimer = new EndedBackendTimer(clock);
+    this.deadlineTimer.start(request.deadlineAtMs - clock.now(), () => this.timeOut());
   }
 
   /** Whether the request has ended. */
--- a/src/gateway/attempt/response-relay.ts
+++ b/src/gateway/attempt/response-relay.ts
@@ -5,6 +5,7 @@
  * an event stream only complete events are forwarded, so that another attempt can resume after the
  * last one.
  */
+import type { Clock } from '../../clock.js';
 import type { HeaderValue } from '../../http/header-value.js';
 import { endToEndHeaders } from '../admission/caller-protocol.js';
 import type { ResponseHead, AttemptHandle, CallerReply } from './attempt.js';
@@ -22,12 +23,13 @@
   readonly body: Buffer;
 }
 
-/** The properties of a request that determine how its response is forwarded. */
+/** What determines how the response to a request is forwarded. */
 export interface RelayedRequest {
   readonly method: string;
   readonly isStream: boolean;
   /** Id of the last event that the caller received before this request. */
   readonly lastEventId: HeaderValue | undefined;
+  readonly clock: Pick<Clock, 'now'>;
 }
 
 /** Result of received bytes. */
@@ -48,7 +50,7 @@
   private sentHead: ResponseHead | undefined;
   private bufferedChunks: Buffer[] = [];
   private bufferedBytes = 0;
-  private parser = new EventStreamParser();
+  private parser: EventStreamParser;
   private lastId: HeaderValue | undefined;
   private lastCompletedEvents = 0;
 
@@ -59,6 +61,7 @@
     private readonly beforeFirstEvent: () => void,
   ) {
     this.lastId = request.lastEventId;
+    this.parser = new EventStreamParser(request.clock);
   }
 
   /** Whether a part of the response was sent to the caller. */
@@ -101,7 +104,7 @@
     this.responseHead = undefined;
     this.bufferedChunks = [];
     this.bufferedBytes = 0;
-    this.parser = new EventStreamParser();
+    this.parser = new EventStreamParser(this.request.clock);
   }
 
   /** Accepts a response head; returns false if it cannot continue the response already started. */
--- a/test/outside-input-fuzz.test.ts
+++ b/test/outside-input-fuzz.test.ts
@@ -7,6 +7,7 @@
 import { isAddress } from '../src/address.js';
 import type { AttemptFailure, ResponseHead } from '../src/gateway/attempt/attempt.js';
 import { EventStreamParser } from '../src/gateway/attempt/event-stream-parser.js';
+import { SYSTEM_CLOCK } from '../src/clock.js';
 import { HttpBackendSender } from '../src/gateway/attempt/http-backend-sender.js';
 import { parseHeaderValue } from '../src/http/header-value.js';
 import { CborFrameDecoder, CborFrameEncoder } from '../src/protocol/cbor-frames.js';
@@ -124,9 +125,9 @@
   );
   fc.assert(
     fc.property(input, fc.integer({ min: 1, max: 9 }), (bytes, size) => {
-      const whole = new EventStreamParser();
+      const whole = new EventStreamParser(SYSTEM_CLOCK);
       const expected = whole.push(bytes);
-      const parser = new EventStreamParser();
+      const parser = new EventStreamParser(SYSTEM_CLOCK);
       const events = [];
       for (let from = 0; from < bytes.length; from += size) {
         events.push(...parser.push(bytes.subarray(from, from + size)));
--- a/test/proxied-request.test.ts
+++ b/test/proxied-request.test.ts
@@ -369,3 +369,13 @@
   t.is(world.attempts.length, 2);
   t.is(world.chargedRetries, 0);
 });
+
+test('a stream of small events without end is broken off before its deadline', (t) => {
+  const world = twoBackends();
+  const { reply } = world.request({ route: STREAM });
+  const { handlers } = world.attempts[0]!;
+  handlers.onHead({ status: 200, rawHeaders: [], headers: {} });
+  handlers.onData(Buffer.from('data: x\n\n'.repeat(10_000)));
+  t.true(reply.isAborted);
+  t.true(world.attempts[0]!.isCancelled);
+});
