--- a/bench/soak/soak-fleet.ts
+++ b/bench/soak/soak-fleet.ts
@@ -81,6 +81,11 @@
     });
   }
 
+  /** Process id of the current process; undefined before the first start. */
+  get pid(): number | undefined {
+    return this.child?.pid;
+  }
+
   /** Sends a signal to the process that this object started. */
   signal(name: NodeJS.Signals): void {
     this.isEndExpected ||= name === 'SIGKILL' || name === 'SIGTERM';
--- a/src/after-poll-queue.ts
+++ b/src/after-poll-queue.ts
@@ -11,7 +11,7 @@
 /** Limits of the time between two polls, in milliseconds. */
 export interface AfterPollQueueOptions {
   /**
-   * Time after which the tasks that are left wait for the next poll. Default 100: callers that leave
+   * Time after which the tasks that are left wait for the next poll. Default 50: callers that leave
    * must be noticed within half a second, and shorter slices spend more of a slow machine's time on
    * polls.
    */
@@ -19,7 +19,7 @@
 }
 
 /** Default limits of the time between two polls. */
-export const DEFAULT_AFTER_POLL_QUEUE_OPTIONS: AfterPollQueueOptions = { sliceMs: 100 };
+export const DEFAULT_AFTER_POLL_QUEUE_OPTIONS: AfterPollQueueOptions = { sliceMs: 50 };
 
 /** A task and the first slice in which it may run. */
 interface QueuedTask {
