--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -215,6 +215,9 @@
         run(() => {
           isAdmitted = true;
           request = this.admit({ head, caller, body, arrivedAtMs, confine }, reply);
+          if (request === undefined) {
+            this.dependencies.onEnd();
+          }
         }),
       onTooLong: () => {
         isAdmitted = true;
