--- a/src/gateway/admission/caller-listener.ts
+++ b/src/gateway/admission/caller-listener.ts
@@ -2,6 +2,7 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { BodyBuffer } from '../../http/body-buffer.js';
 import type { CallerLimits } from '../../routing/configuration.js';
 import type { CallerReply } from '../attempt/attempt.js';
 import type { AfterPollQueue } from '../../after-poll-queue.js';
@@ -149,25 +150,23 @@
     request: IncomingMessage,
     handlers: Pick<RequestBodyHandlers, 'onBody' | 'onTooLong'>,
   ): void {
-    const chunks: Buffer[] = [];
-    let length = 0;
+    const body = new BodyBuffer();
     let isTooLong = false;
     request.on('data', (bytes: Buffer) => {
-      length += bytes.length;
       if (isTooLong) {
         return;
       }
-      if (length > this.maxBodyBytes()) {
+      if (body.length + bytes.length > this.maxBodyBytes()) {
         isTooLong = true;
-        chunks.length = 0;
+        body.clear();
         handlers.onTooLong();
         return;
       }
-      chunks.push(bytes);
+      body.append(bytes);
     });
     request.on('end', () => {
       if (!isTooLong) {
-        handlers.onBody(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks));
+        handlers.onBody(body.toBuffer());
       }
     });
     request.on('error', () => undefined);
