--- a/src/gateway/attempt/http-backend-sender.ts
+++ b/src/gateway/attempt/http-backend-sender.ts
@@ -164,7 +164,8 @@
   /** Undefined until the request is sent. */
   private request: ClientRequest | undefined;
   private response: IncomingMessage | undefined;
-  private readonly startedAtMs = performance.now();
+  /** When the request was sent or its connection began to be set up, in milliseconds. */
+  private startedAtMs = performance.now();
   private isConnected = false;
   private hasTimedOut = false;
   private isOver = false;
@@ -188,6 +189,7 @@
     if (this.isOver) {
       return;
     }
+    this.startedAtMs = performance.now();
     const { address } = this;
     const { connectTimeoutMs, usesNewConnection } = this.use;
     const { method, path, body } = this.attempt;
--- a/test/backend-sender.test.ts
+++ b/test/backend-sender.test.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo, Server } from 'node:net';
 import { Worker } from 'node:worker_threads';
 import test from 'ava';
+import type { AfterPollQueue } from '../src/after-poll-queue.js';
 import { SYSTEM_CLOCK, sleep } from '../src/clock.js';
 import type { ResponseHead, AttemptFailure } from '../src/gateway/attempt/attempt.js';
 import { ConnectionReasonTracker } from '../src/gateway/attempt/connection-reasons.js';
@@ -509,3 +510,30 @@
   t.is(await connectionsFor(2, 2, 800), 1);
   t.is(await connectionsFor(0, 2, 20), 2);
 });
+
+test('the wait for a poll does not count toward the time to connect', async (t) => {
+  const { server, address } = await startBackend((socket) => {
+    socket.end('HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n');
+  });
+  const waitMs = 200;
+  const slowQueue = {
+    afterPoll: (task: () => void) => void setTimeout(task, waitMs),
+  } as unknown as AfterPollQueue;
+  const sender = new HttpBackendSender(undefined, undefined, undefined, undefined, slowQueue);
+  const attempt = {
+    backend: backendOf('b', { address }),
+    method: 'GET',
+    path: '/',
+    headers: [],
+    isRepeatable: true,
+    body: Buffer.alloc(0),
+  };
+  const ignore = () => undefined;
+  const connectMs = await new Promise<number>((resolve) => {
+    const handlers = { onHead: ignore, onData: ignore, onEnd: ignore, onFailure: ignore };
+    sender.send(attempt, { ...handlers, onConnected: resolve });
+  });
+  t.true(connectMs < waitMs);
+  sender.close();
+  server.close();
+});
