--- a/bench/soak/departure-run.ts
+++ b/bench/soak/departure-run.ts
@@ -159,7 +159,7 @@
         {
           name: 'work',
           host: 'departure.example',
-          pathPrefix: '/work/',
+          pathPrefix: '/task/',
           kind: this.options.kind,
           timeoutMs: DEADLINE_MS,
           targetLatencyMs: 500,
@@ -255,7 +255,7 @@
   private requestText(id: string): string {
     const { bodyBytes } = this.options;
     return (
-      `POST /work/${id} HTTP/1.1\r\nHost: departure.example\r\nX-Weirvale-Attempt-Id: ${id}\r\n` +
+      `POST /task/${id} HTTP/1.1\r\nHost: departure.example\r\nX-Weirvale-Attempt-Id: ${id}\r\n` +
       `X-Weirvale-Deadline-Ms: ${DEADLINE_MS}\r\nContent-Length: ${bodyBytes}\r\n\r\n` +
       'x'.repeat(bodyBytes)
     );
