--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -58,7 +58,7 @@
     .replace(/\{\{([\w.]+)\}\}/g, (_all, name) => asText(lookUp(name)));
 }
 
-/** The fields that are the same in all settings: figures of kerg-weirvale. */
+/** The fields that are the same in all settings: figures of cpra-weir. */
 export const BOUNDS = {
   contactMs: 3000,
   drainMs: 2000,
@@ -67,7 +67,7 @@
   configMs: 2000,
   retryBudgetRatio: 0.2,
   budgetWindowS: 10,
-  budgetSlack: 54,
+  budgetSlack: 52,
   quotaWindowS: 8,
   quotaOver: 0.1,
   quotaSlack: 190000,
