Tests that fail: responses broken off at backends that are silent for a while

A stream that has begun, or a safe request, is taken away from a backend that sent nothing for 1.2 s (or .6 of the target latency) before another backend has a slot for it. Six tests on the virtual clock, which fail on the code as it is: the free slot does not suit the request, it is taken while the retry is charged, the next backend refuses or cannot be reached, or the path is presumed lost while all others are full. In each the first backend goes on.

--- /dev/null
+++ b/test/silent-backends.test.ts
@@ -0,0 +1,131 @@
+/** Responses in progress at sound backends that send nothing for a while and then go on. */
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+import { backendOf, GatewayHarness, routeOf } from './support/gateway-harness.js';
+import type { RecordedReply } from './support/gateway-harness.js';
+
+const STREAM = routeOf({
+  kind: 'stream',
+  isResumable: true,
+  targetLatencyMs: 500,
+  maxPauseMs: 200,
+  timeoutMs: 8_000,
+});
+const UNSAFE = routeOf({ kind: 'unsafe', timeoutMs: 8_000 });
+const EVENT_1 = 'id: 1\ndata: a\n\n';
+const EVENT_2 = 'id: 2\ndata: b\n\n';
+const SILENCE_MS = 1_900;
+const PROMPT_TOKENS = 40_000;
+const OK_HEAD = { status: 200, rawHeaders: [], headers: {} };
+
+/** Starts a stream at `a` that has sent its first event. */
+function beginStream(world: GatewayHarness): RecordedReply {
+  const { reply } = world.request({ route: STREAM, promptTokens: PROMPT_TOKENS });
+  const { handlers, backend } = world.attempts[0]!;
+  if (backend.id !== 'a') {
+    throw new Error(`the stream began at ${backend.id}`);
+  }
+  handlers.onHead(OK_HEAD);
+  handlers.onData(Buffer.from(EVENT_1));
+  return reply;
+}
+
+/** Lets the backend of the newest attempt send the rest of the stream. */
+function endStream(t: ExecutionContext, world: GatewayHarness, reply: RecordedReply): void {
+  t.false(reply.isAborted);
+  const attempt = world.attempts.at(-1)!;
+  t.false(attempt.isCancelled);
+  attempt.handlers.onHead(OK_HEAD);
+  attempt.handlers.onData(Buffer.from(EVENT_2));
+  attempt.handlers.onEnd();
+  t.deepEqual([reply.body, reply.isEnded, reply.isAborted], [EVENT_1 + EVENT_2, true, false]);
+}
+
+/** Occupies one of two slots of `b` and makes `b` too slow to take a long prompt beside it. */
+function occupyWithSlowPrompts(world: GatewayHarness): void {
+  const { speed } = world.directory.find('b')!;
+  speed.learnFirstEventTime(1_000, 1_000);
+  speed.learnFirstEventTime(2_000, 2_000);
+  world.directory.find('b')!.outstanding = 1;
+}
+
+test('a stream is not broken off because the only free slot elsewhere does not suit it', async (t) => {
+  const world = new GatewayHarness(backendOf('a', { slots: 4 }), backendOf('b', { slots: 2 }));
+  occupyWithSlowPrompts(world);
+  const reply = beginStream(world);
+  await world.clock.runUntil(SILENCE_MS);
+  t.deepEqual([world.attempts.length, world.attempts[0]!.isCancelled], [1, false]);
+  endStream(t, world, reply);
+});
+
+test('a stream is not broken off because a slot elsewhere was taken while its retry was charged', async (t) => {
+  const world = new GatewayHarness(backendOf('a', { slots: 1 }), backendOf('b', { slots: 1 }));
+  let completeCharge: (() => void) | undefined;
+  world.charge = (onResult) => (completeCharge = () => onResult(true));
+  const reply = beginStream(world);
+  await world.clock.runUntil(1_250);
+  world.request({ route: UNSAFE });
+  completeCharge!();
+  await world.clock.runUntil(SILENCE_MS);
+  t.deepEqual([world.attempts.length, world.attempts[0]!.isCancelled], [2, false]);
+  world.answer(1, 200, 'done');
+  t.false(reply.isAborted);
+  world.attempts[0]!.handlers.onData(Buffer.from(EVENT_2));
+  world.attempts[0]!.handlers.onEnd();
+  t.deepEqual([reply.body, reply.isEnded], [EVENT_1 + EVENT_2, true]);
+});
+
+test('a stream that left a silent backend is not broken off because the next one refuses it', async (t) => {
+  const world = new GatewayHarness(backendOf('a', { slots: 1 }), backendOf('b', { slots: 1 }));
+  const reply = beginStream(world);
+  await world.clock.runUntil(1_300);
+  t.is(world.attempts.length, 2);
+  world.attempts[1]!.handlers.onHead({ status: 503, rawHeaders: [], headers: { 'not-run': '1' } });
+  await world.clock.runUntil(SILENCE_MS);
+  t.is(world.attempts.at(-1)!.backend.id, 'a');
+  endStream(t, world, reply);
+});
+
+test('a stream that left a silent backend is not broken off because the next one is unreachable', async (t) => {
+  const world = new GatewayHarness(backendOf('a', { slots: 1 }), backendOf('b', { slots: 1 }));
+  const reply = beginStream(world);
+  await world.clock.runUntil(1_300);
+  t.is(world.attempts.length, 2);
+  world.attempts[1]!.handlers.onFailure({
+    mayHaveRun: false,
+    isPortClosed: true,
+    detail: 'refused',
+  });
+  await world.clock.runUntil(SILENCE_MS);
+  t.is(world.attempts.at(-1)!.backend.id, 'a');
+  endStream(t, world, reply);
+});
+
+test('a stream on a path that is presumed lost is not broken off while no other backend has a slot', async (t) => {
+  const world = new GatewayHarness(backendOf('a', { slots: 1 }), backendOf('b', { slots: 1 }));
+  const reply = beginStream(world);
+  world.request({ route: UNSAFE });
+  const { path } = world.directory.find('a')!;
+  path.suspect('connection-hung', world.clock.now());
+  path.notifyLost();
+  await world.clock.runUntil(SILENCE_MS);
+  t.deepEqual([world.attempts.length, world.attempts[0]!.isCancelled], [2, false]);
+  t.false(reply.isAborted);
+  world.attempts[0]!.handlers.onData(Buffer.from(EVENT_2));
+  world.attempts[0]!.handlers.onEnd();
+  t.deepEqual([reply.body, reply.isEnded], [EVENT_1 + EVENT_2, true]);
+});
+
+test('a safe request is not refused at a silent backend because the only free slot does not suit it', async (t) => {
+  const world = new GatewayHarness(backendOf('a', { slots: 4 }), backendOf('b', { slots: 2 }));
+  occupyWithSlowPrompts(world);
+  const route = routeOf({ kind: 'safe', maxPauseMs: 200, timeoutMs: 8_000 });
+  const { reply } = world.request({ route, promptTokens: PROMPT_TOKENS });
+  await world.clock.runUntil(SILENCE_MS);
+  t.deepEqual(
+    [world.attempts.length, world.attempts[0]!.isCancelled, reply.isEnded],
+    [1, false, false],
+  );
+  world.answer(0, 200, 'late');
+  t.deepEqual([reply.status, reply.body], [200, 'late']);
+});
--- a/test/support/gateway-harness.ts
+++ b/test/support/gateway-harness.ts
@@ -307,6 +307,8 @@
   /** Number of retries charged to a tenant; `hasQuota` sets whether its quota suffices. */
   chargedRetries = 0;
   hasQuota = true;
+  /** Charges a retry; by default at once. */
+  charge = (onResult: (isGranted: boolean) => void): void => onResult(this.hasQuota);
 
   /** Evacuates a zone, or ends its evacuation. */
   order(zone: string, isOrdered: boolean): void {
@@ -408,7 +410,7 @@
       mustIdentifyProcess: ({ bornAtMs }: Backend) => bornAtMs !== undefined,
       chargeRetry: (_request: AcceptedRequest, onResult: (isGranted: boolean) => void) => {
         this.chargedRetries += 1;
-        onResult(this.hasQuota);
+        this.charge(onResult);
       },
       takeRetry: () => this.repeatsLeft-- > 0,
       onStatement: (statement: ResponseStatement) => this.recordStatement(statement),
