A silent backend keeps its request until another has a slot for it

Callers saw streams break off that their backend would have continued: after 1.2 s without data (or once the path to the backend was presumed lost) the attempt was cancelled first, and a slot elsewhere was sought afterwards. The check before was only that some backend had a free slot, not that the request may use it: a long prompt that would stall the streams there, a slot that was taken while the retry was charged, or a refusal of the next backend left the stream without any. It then waited until 1.5 s after its last event, 300 ms after it had left, and was broken off. Beside a planned change nothing excuses that, and a backend that is silent for a second or so is sound.

Now the attempt ends in the step that gives the request its next slot, and goes on where there is none. If the next backend did not execute the request, it may return to the one that it left; it reaches no more backends than before. The wait of an interrupted stream is counted from the interruption.

--- a/src/gateway/attempt/alternative-backends.ts
+++ b/src/gateway/attempt/alternative-backends.ts
@@ -7,6 +7,8 @@
 /** The backends that one request may still move to. */
 export class AlternativeBackends {
   private readonly usedIds = new Set<string>();
+  /** Used backends that were left although they may go on. */
+  private readonly silentIds = new Set<string>();
 
   constructor(
     private readonly constraints: PlacementConstraints,
@@ -23,6 +25,30 @@
     this.usedIds.add(backendId);
   }
 
+  /** Records that the request left a backend that sent nothing and may be sound. */
+  leaveSilent(backendId: string): void {
+    this.exclude(backendId);
+    this.silentIds.add(backendId);
+  }
+
+  /** Whether the request has left a backend that may be sound. */
+  get hasLeftSilent(): boolean {
+    return this.silentIds.size > 0;
+  }
+
+  /** Lets the request return once to each backend that it left as silent. */
+  readmitSilent(): void {
+    this.silentIds.forEach((id) => this.usedIds.delete(id));
+    this.silentIds.clear();
+  }
+
+  /** Excludes all backends but those left as silent, so that no further backend is tried. */
+  keepOnlySilent(): void {
+    for (const { backend } of this.ports.directory.ofService(this.constraints.service)) {
+      this.exclude(backend.id);
+    }
+  }
+
   /**
    * Whether the backend is no longer permitted. A version that a rollout has closed, for example
    * because its share of the requests is used up, keeps the requests already assigned to it.
@@ -57,7 +83,8 @@
     return this.ports.dispatcher.hasCapacity(this.constraints, excluded, this.ports.clock.now());
   }
 
-  private excludedWith(currentId: string): ReadonlySet<string> {
+  /** Ids of the backends that the request has left, and `currentId`. */
+  excludedWith(currentId: string): ReadonlySet<string> {
     return new Set([...this.usedIds, currentId]);
   }
 }
--- a/src/gateway/attempt/attempt-departure.ts
+++ b/src/gateway/attempt/attempt-departure.ts
@@ -23,17 +23,40 @@
   readonly lastReceiptAtMs: number;
 }
 
+/** Why a request leaves its backend. */
+export interface DepartureCause {
+  /** Outcome of the attempt that is left. */
+  readonly outcome: AttemptOutcome;
+  readonly detail: string;
+}
+
 /** The request whose attempts are left. */
 export interface DepartingRequest {
   current(): CurrentAttempt;
+  /** Whether a part of the response was sent to the caller. */
+  hasStarted(): boolean;
   /** Ends the current attempt and sends the request elsewhere. */
-  leave(outcome: AttemptOutcome, detail: string): void;
+  leave(cause: DepartureCause): void;
+  /** Sends the request elsewhere if a slot is free there now; returns whether it was. */
+  moveNow(cause: DepartureCause): boolean;
+  /** Sends the request elsewhere once a slot is free there; the attempt continues until then. */
+  moveOncePlaced(cause: DepartureCause): void;
 }
 
-/** Leaves silent backends and lost paths for other backends. */
+const SILENT: DepartureCause = { outcome: 'silent', detail: 'silent' };
+const PATH_LOST: DepartureCause = { outcome: 'path-lost', detail: 'the path to it is lost' };
+
+/**
+ * Leaves silent backends and lost paths for other backends.
+ *
+ * A silent backend may be sound and go on, so its attempt ends only when another backend has a slot
+ * for the request.
+ */
 export class AttemptDeparture {
   /** Runs while the backend sends nothing. */
   private readonly silenceTimer: OneShotTimer;
+  /** The attempt whose successor is paid for already. */
+  private chargedFor: AttemptHandle | undefined;
 
   constructor(
     private readonly request: AcceptedRequest,
@@ -63,13 +86,21 @@
 
   /**
    * Retries elsewhere as soon as the path is known to be lost, without waiting for the silence
-   * timeout.
+   * timeout. A response that has started is not broken off while no other backend can continue it.
    */
   leaveLostPath(): void {
     const isReachableElsewhere = this.alternatives.isReachable(this.departing.current().backendId);
-    if (this.canLeave && isReachableElsewhere && this.retries.take()) {
-      this.leaveOnceCharged('path-lost', 'the path to it is lost');
+    if (!this.canLeave || !isReachableElsewhere || !this.retries.take()) {
+      return;
     }
+    this.onceCharged(() => {
+      if (this.departing.hasStarted()) {
+        this.clear();
+        this.departing.moveOncePlaced(PATH_LOST);
+      } else {
+        this.departing.leave(PATH_LOST);
+      }
+    });
   }
 
   private get canLeave(): boolean {
@@ -78,28 +109,38 @@
   }
 
   private leaveSilentBackend(): void {
+    const { backendId, handle } = this.departing.current();
     if (!this.canLeave) {
       return;
     }
-    if (!this.alternatives.hasFreeSlot(this.departing.current().backendId)) {
-      // Silence alone does not justify a cancel: the response may continue before a slot is free
-      // elsewhere.
-      this.silenceTimer.start(SILENCE_RECHECK_MS, () => this.leaveSilentBackend());
-      return;
+    if (!this.alternatives.hasFreeSlot(backendId)) {
+      this.recheckLater();
+    } else if (this.chargedFor === handle) {
+      this.moveNow();
+    } else if (this.retries.take()) {
+      this.onceCharged(() => this.moveNow());
     }
-    if (this.retries.take()) {
-      this.leaveOnceCharged('silent', 'silent');
+  }
+
+  private moveNow(): void {
+    this.chargedFor = this.departing.current().handle;
+    if (!this.departing.moveNow(SILENT)) {
+      this.recheckLater();
     }
   }
 
-  /** Leaves the attempt once a retry is charged; otherwise it continues. */
-  private leaveOnceCharged(outcome: AttemptOutcome, detail: string): void {
+  private recheckLater(): void {
+    this.silenceTimer.start(SILENCE_RECHECK_MS, () => this.leaveSilentBackend());
+  }
+
+  /** Calls `leave` once a retry is charged, unless the attempt has ended or sent data meanwhile. */
+  private onceCharged(leave: () => void): void {
     const { handle, lastReceiptAtMs } = this.departing.current();
     this.ports.chargeRetry(this.request, (isGranted) => {
       const current = this.departing.current();
       const hasMoved = current.handle !== handle || current.lastReceiptAtMs !== lastReceiptAtMs;
       if (isGranted && !hasMoved && handle !== undefined) {
-        this.departing.leave(outcome, detail);
+        leave();
       }
     });
   }
--- a/src/gateway/attempt/attempt-outcome.ts
+++ b/src/gateway/attempt/attempt-outcome.ts
@@ -4,6 +4,13 @@
 import type { AttemptProgress } from './attempt-progress.js';
 import type { AttemptOutcome } from '../dispatch/backend-health.js';
 
+const FIRST_SERVER_ERROR_STATUS = 500;
+
+/** Whether the status states that the backend failed. */
+export function isServerError(status: number): boolean {
+  return status >= FIRST_SERVER_ERROR_STATUS;
+}
+
 /** Latencies of one attempt, in milliseconds. */
 export interface AttemptTimes {
   /** Time from the send to the first event, or to the complete response if there are no events. */
--- a/src/gateway/attempt/ended-backend-timer.ts
+++ b/src/gateway/attempt/ended-backend-timer.ts
@@ -1,5 +1,7 @@
 /** Decides when an attempt on a backend that is reported to have ended is lost. */
 import type { Clock } from '../../clock.js';
+import type { ExitEvidence } from '../crashes/interrupted-runs.js';
+import type { KnownBackend } from '../dispatch/known-backend.js';
 import { OneShotTimer } from './one-shot-timer.js';
 
 /**
@@ -9,6 +11,17 @@
  */
 const ENDED_GRACE_MS = 300;
 
+/**
+ * Whether a backend that is reported to have ended may still complete its requests: one that is
+ * draining closes its port first, and its connections show when it ends.
+ */
+export function isCompletingRequests(
+  known: KnownBackend | undefined,
+  evidence: ExitEvidence,
+): boolean {
+  return evidence !== 'replaced' && known?.isDraining === true;
+}
+
 /** Runs from the report of a backend's end until no data has arrived for the grace period. */
 export class EndedBackendTimer {
   private readonly timer: OneShotTimer;
--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -11,7 +11,8 @@
 import type { SoftwareVersion } from '../../streams/software-version.js';
 import { AlternativeBackends } from './alternative-backends.js';
 import { AttemptDeparture } from './attempt-departure.js';
-import type { CurrentAttempt } from './attempt-departure.js';
+import type { CurrentAttempt, DepartureCause } from './attempt-departure.js';
+import { BackendMove } from './backend-move.js';
 import { AttemptProgress } from './attempt-progress.js';
 import { FailureReply } from './failure-reply.js';
 import { FaultBoundary } from './fault-boundary.js';
@@ -21,27 +22,21 @@
 import type { GatewayRefusal } from '../admission/gateway-refusal.js';
 import type { PlacementConstraints } from '../dispatch/dispatch-request.js';
 import type { PlacementRefusalReason } from '../dispatch/placement-refusal.js';
-import { isBadAttempt, outcomeOfFailure, timesOf } from './attempt-outcome.js';
+import { isBadAttempt, isServerError, outcomeOfFailure, timesOf } from './attempt-outcome.js';
 import { ResponseRelay } from './response-relay.js';
 import type { BufferedResponse } from './response-relay.js';
-import { EndedBackendTimer } from './ended-backend-timer.js';
+import { EndedBackendTimer, isCompletingRequests } from './ended-backend-timer.js';
 import { ProcessCheck } from './process-check.js';
 import { OneShotTimer } from './one-shot-timer.js';
 import { outgoingRequest } from './outgoing-request.js';
-import { RequestWait } from './request-wait.js';
+import type { RequestWait } from './request-wait.js';
+import { RequestWaits } from './request-waits.js';
 import { RetryRules } from './retry-rules.js';
 import type { AcceptedRequest } from './accepted-request.js';
 import type { RequestOptions, RequestPorts } from './request-model.js';
-import { RequestRecord } from './request-record.js';
+import { estimateOf, RequestRecord } from './request-record.js';
 import { StreamBinding } from './stream-binding.js';
 
-/**
- * Maximum failed connects after which a request is still sent elsewhere; each uses up a part of the
- * caller's time. Closed ports are not counted.
- */
-const MAX_CONNECT_FAILURES = 4;
-const HTTP_SERVER_ERROR = 500;
-
 type Phase = 'waiting' | 'sent' | 'streaming' | 'done';
 
 /** Processes one accepted request until it ends. */
@@ -58,7 +53,6 @@
   /** The current attempt as tracked for crash attribution. */
   private currentRun: RequestRun | undefined;
   private attempts = 0;
-  private connectFailures = 0;
   private readonly alternatives: AlternativeBackends;
   private readonly retries: RetryRules;
   private readonly failureReply: FailureReply;
@@ -73,13 +67,15 @@
   private lastResponse: BufferedResponse | undefined;
   private readonly deadlineTimer: OneShotTimer;
   private readonly departure: AttemptDeparture;
+  private readonly waits: RequestWaits;
+  private readonly move: BackendMove;
   private readonly endedTimer: EndedBackendTimer;
 
   constructor(
     private readonly request: AcceptedRequest,
     reply: CallerReply,
     private readonly ports: RequestPorts,
-    private readonly options: RequestOptions,
+    options: RequestOptions,
   ) {
     const { clock } = ports;
     const { method, lastEventId, route } = request;
@@ -102,9 +98,24 @@
       this.retries,
       {
         current: () => this.currentAttempt,
-        leave: (outcome, detail) => this.leave(outcome, detail),
+        hasStarted: () => this.relay.hasStarted,
+        leave: (cause) => this.leave(cause),
+        moveNow: (cause) => this.move.tryNow(cause),
+        moveOncePlaced: (cause) => this.move.begin(cause),
       },
     );
+    this.waits = new RequestWaits(request, this.binding, ports, options, () => ({
+      lastEventAtMs: this.progress?.lastEventAtMs,
+      hasStarted: this.relay.hasStarted,
+    }));
+    this.move = new BackendMove(this.alternatives, this.waits, {
+      currentBackendId: () => this.backend!.id,
+      moveTo: (backend, placedAtMs, version, cause) => {
+        this.abandonAttempt(cause);
+        this.send(backend, placedAtMs, version);
+      },
+      onAbandoned: () => this.departure.armSilenceTimer(),
+    });
     this.failureReply = new FailureReply(request, reply, ports.protocol, options);
     this.deadlineTimer = new OneShotTimer(clock);
     this.endedTimer = new EndedBackendTimer(clock);
@@ -173,11 +184,7 @@
    */
   handleBackendEnded(id: string, evidence: ExitEvidence): void {
     const isAssigned = this.attempt !== undefined && this.backend?.id === id;
-    // A draining backend closes its port first and completes its requests; its connections show
-    // when it ends.
-    const isDraining =
-      evidence !== 'replaced' && this.ports.directory.find(id)?.isDraining === true;
-    if (isAssigned && !isDraining) {
+    if (isAssigned && !isCompletingRequests(this.ports.directory.find(id), evidence)) {
       this.endedTimer.start(
         () => this.lastReceiptAtMs,
         () => this.failEndedBackend(),
@@ -189,8 +196,7 @@
   private leaveProcess(detail: string): void {
     const mayMove = this.phase === 'sent' && this.canRetryElsewhere() && this.retries.take();
     const backendId = this.backend!.id;
-    this.mayHaveRun = true;
-    this.abortAttempt('unknown', detail);
+    this.abandonAttempt({ outcome: 'unknown', detail });
     if (mayMove) {
       this.retryOnceCharged(backendId);
     } else {
@@ -212,10 +218,8 @@
 
   /** Refuses an unsent request that was found to crash the backends that execute it. */
   refuseIfCrashing(): void {
-    if (this.phase !== 'waiting' && this.phase !== 'sent') {
-      return;
-    }
-    const refusal = this.ports.crashes.refusalOf(this.request);
+    const isUnanswered = this.phase === 'waiting' || this.phase === 'sent';
+    const refusal = isUnanswered ? this.ports.crashes.refusalOf(this.request) : undefined;
     if (refusal === undefined) {
       return;
     }
@@ -231,19 +235,8 @@
     if (this.isDone) {
       return;
     }
-    this.wait = new RequestWait({
-      request: this.request,
-      constraints: this.binding,
-      ports: this.ports,
-      options: this.options,
-      answer: {
-        lastEventAtMs: this.progress?.lastEventAtMs,
-        hasStarted: this.relay.hasStarted,
-      },
-      excluded: this.alternatives.excluded,
-      onPlaced: this.ports.confine((backend, placedAtMs, version) =>
-        this.send(backend, placedAtMs, version),
-      ),
+    this.wait = this.waits.create(this.alternatives.excluded, {
+      onPlaced: (backend, placedAtMs, version) => this.send(backend, placedAtMs, version),
       onAbandoned: (reason) => this.failWait(reason),
     });
     this.wait.begin();
@@ -266,10 +259,8 @@
     const needsProcess = this.processCheck.begin(backend, version);
     this.attempts += 1;
     const entry = ports.directory.find(backend.id);
-    const { occupied = 0, distance = 'same-zone' } = entry ?? {};
-    const estimate = { occupied, failureShare: entry?.failureShare(nowMs) ?? 0, distance } as const;
     const content = { bodyBytes: request.body.length, lastEventId };
-    this.record.addAttempt(backend, estimate, content, nowMs);
+    this.record.addAttempt(backend, estimateOf(entry, nowMs), content, nowMs);
     this.attemptStartedAtMs = nowMs;
     this.lastReceiptAtMs = -Infinity;
     this.currentRun = ports.crashes.beginRun(request, backend, this.currentRun);
@@ -299,14 +290,18 @@
   }
 
   /** Leaves a backend that still has the request. */
-  private leave(outcome: AttemptOutcome, detail: string): void {
-    const backendId = this.backend!.id;
+  private leave(cause: DepartureCause): void {
+    this.abandonAttempt(cause);
+    this.retryElsewhere(this.backend!.id);
+  }
+
+  private abandonAttempt({ outcome, detail }: DepartureCause): void {
     this.mayHaveRun = true;
     this.abortAttempt(outcome, detail);
-    this.retryElsewhere(backendId);
   }
 
   private recordReceipt(): void {
+    this.move.cancel();
     this.lastReceiptAtMs = this.ports.clock.now();
     this.ports.directory.find(this.backend!.id)?.path.noteActivity(this.lastReceiptAtMs);
   }
@@ -355,12 +350,11 @@
       this.attempts -= 1;
       this.ports.directory.noteMisdirected(backendId);
     }
-    const canRetry = this.attempts < this.request.route.maxAttempts && this.retries.hasTimeLeft;
-    if (canRetry && this.retries.take()) {
-      this.retryElsewhere(backendId);
-      return;
+    if (this.retries.takeAfterRefusal(this.attempts)) {
+      this.retryUnexecuted(backendId);
+    } else {
+      this.replyWithFailure('backend-refused');
     }
-    this.replyWithFailure('backend-refused');
   }
 
   private receiveData(bytes: Buffer): void {
@@ -392,24 +386,20 @@
       return;
     }
     const response = this.relay.bufferedResponse;
-    if (response === undefined) {
-      this.failResponse('no response');
-      return;
-    }
-    if (this.relay.isInsideEvent) {
-      this.failResponse('stream ended inside an event');
+    if (response === undefined || this.relay.isInsideEvent) {
+      this.failResponse(response === undefined ? 'no response' : 'stream ended inside an event');
       return;
     }
     this.mayHaveRun = true;
     const { status } = response.head;
-    const isServerError = status >= HTTP_SERVER_ERROR;
+    const hasFailed = isServerError(status);
     const backendId = this.backend!.id;
-    if (!isServerError) {
+    if (!hasFailed) {
       this.progress!.recordCompletion(this.ports.clock.now(), this.request.workUnits);
       this.ports.crashes.recordServed(this.request, status);
     }
-    this.endAttempt(isServerError ? 'failed' : 'answered', `status ${status}`);
-    if (isServerError && this.canRetryElsewhere() && this.retries.take()) {
+    this.endAttempt(hasFailed ? 'failed' : 'answered', `status ${status}`);
+    if (hasFailed && this.canRetryElsewhere() && this.retries.take()) {
       this.lastResponse = response;
       this.retryOnceCharged(backendId);
       return;
@@ -432,13 +422,11 @@
     this.ports.crashes.recordFailure(this.currentRun!, failure);
     if (!failure.mayHaveRun) {
       this.attempts -= 1;
-      // A closed port is detected at once, and no other request is sent there for now.
-      this.connectFailures += failure.isPortClosed ? 0 : 1;
       if (failure.isSilent === true) {
         this.ports.directory.find(backendId)?.path.noteHungConnection();
       }
-      if (this.connectFailures <= MAX_CONNECT_FAILURES && this.retries.hasTimeLeft) {
-        this.retryElsewhere(backendId);
+      if (this.retries.mayRetryUnsent(failure)) {
+        this.retryUnexecuted(backendId);
         return;
       }
       this.replyWithFailure('no-backend');
@@ -479,6 +467,12 @@
     });
   }
 
+  /** Retries after an attempt that no backend executed; a backend left as silent may go on. */
+  private retryUnexecuted(fromBackendId: string): void {
+    this.alternatives.readmitSilent();
+    this.retryElsewhere(fromBackendId);
+  }
+
   private retryElsewhere(fromBackendId: string): void {
     this.alternatives.exclude(fromBackendId);
     this.waitForBackend();
@@ -492,8 +486,8 @@
       this.replyWithFailure(this.mayHaveRun ? 'timed-out' : 'not-started-in-time');
       return;
     }
-    this.mayHaveRun = true;
-    this.abortAttempt(this.phase === 'sent' ? 'silent' : 'unknown', 'deadline exceeded');
+    const outcome = this.phase === 'sent' ? 'silent' : 'unknown';
+    this.abandonAttempt({ outcome, detail: 'deadline exceeded' });
     this.replyWithFailure('timed-out');
   }
 
@@ -534,6 +528,7 @@
 
   private endAttempt(outcome: AttemptOutcome, detail: string): void {
     this.departure.clear();
+    this.move.cancel();
     this.endedTimer.clear();
     this.processCheck.end();
     this.stopWatchingPath?.();
@@ -543,10 +538,9 @@
     this.attempt = undefined;
     this.progress?.recordEnd();
     this.record.endAttempt(outcome, detail, this.progress?.longestPauseMs ?? 0);
-    const { route } = this.request;
     const sinceSendMs = this.ports.clock.now() - this.attemptStartedAtMs;
-    const isBad = isBadAttempt(outcome, route, timesOf(this.progress, sinceSendMs));
-    this.ports.onTryOver({ backend: this.backend, route, isBad });
+    const isBad = isBadAttempt(outcome, this.request.route, timesOf(this.progress, sinceSendMs));
+    this.ports.onTryOver({ backend: this.backend, route: this.request.route, isBad });
     this.releaseSlot(outcome);
   }
 
@@ -592,6 +586,7 @@
     this.deadlineTimer.clear();
     this.departure.clear();
     this.wait?.cancel();
+    this.move.cancel();
     this.ports.onEnd(this.request, this.record.end(status, reason, this.attempts, nowMs));
   }
 }
--- a/src/gateway/attempt/request-record.ts
+++ b/src/gateway/attempt/request-record.ts
@@ -1,6 +1,7 @@
 /** Collects the attempts and times of one request for metrics and the log. */
 import type { Backend } from '../../routing/backend.js';
 import type { AttemptOutcome } from '../dispatch/backend-health.js';
+import type { KnownBackend } from '../dispatch/known-backend.js';
 import { NO_STATEMENT } from '../statements/backend-statement.js';
 import type { BackendStatement } from '../statements/backend-statement.js';
 import type { IdentifiedProcess } from '../processes/process-identifier.js';
@@ -9,6 +10,12 @@
 /** Estimated state of a backend when a request was sent to it. */
 export type BackendEstimate = Pick<AttemptRecord, 'occupied' | 'failureShare' | 'distance'>;
 
+/** Returns the estimated state of a backend; `known` is undefined if it is not listed any more. */
+export function estimateOf(known: KnownBackend | undefined, nowMs: number): BackendEstimate {
+  const { occupied = 0, distance = 'same-zone' } = known ?? {};
+  return { occupied, failureShare: known?.failureShare(nowMs) ?? 0, distance };
+}
+
 /** What an attempt sends. */
 export interface AttemptContent {
   readonly bodyBytes: number;
--- a/src/gateway/attempt/request-wait.ts
+++ b/src/gateway/attempt/request-wait.ts
@@ -43,6 +43,7 @@
 export class RequestWait {
   private readonly dispatchRequest: DispatchRequest;
   private isOver = false;
+  private beganAtMs = 0;
   private reviewTimer: TimerHandle | undefined;
   private otherRegionsTimer: TimerHandle | undefined;
 
@@ -78,6 +79,7 @@
   /** Submits the request; a slot may be assigned before this returns. */
   begin(): void {
     const { clock, dispatcher } = this.context.ports;
+    this.beganAtMs = clock.now();
     if (!this.endIfUnplaceable(clock.now())) {
       dispatcher.submit(this.dispatchRequest, clock.now());
       this.review();
@@ -191,7 +193,7 @@
       return false;
     }
     if (answer.lastEventAtMs !== undefined) {
-      return nowMs < answer.lastEventAtMs + options.resumeWaitMs;
+      return nowMs < this.beganAtMs + options.resumeWaitMs;
     }
     if (answer.hasStarted) {
       return true;
