A removed record does not return to a replica that has read a listing without it

Callers were refused because a zone counted as evacuated at one gateway long after the order was withdrawn, or a backend counted as ready that was gone: the record came back, and the replica passed it on to others.

Cause: a process that starts asks its peers for records and reads the store at the same time. If the answer of a peer that has not seen a removal came after the listing, the removed record was taken in: the replica knew no record of that key, and only the epoch was compared. Being complete through a later position, it then claimed the record in that position's name, so that replicas behind it kept it as well, until the next full listing.

Now a replica that is complete through a position accepts an unknown key only with a later record. A listing that is not older than the replica stays authoritative for every key.

The new test of replicated-records failed before: the update of a replica complete through 18 brought the key back to one complete through 25.

--- a/src/cluster/replicated-records.ts
+++ b/src/cluster/replicated-records.ts
@@ -132,7 +132,7 @@
     return read.flatMap((record) => {
       const known = this.records.get(record.key);
       return known !== undefined &&
-        !this.supersedes(record, known, this.complete.epoch) &&
+        !this.supersedes(record, known, this.complete) &&
         known.value !== record.value
         ? [known]
         : [];
@@ -140,9 +140,9 @@
   }
 
   /** Applies a record; returns it if it changed the replica. */
-  apply(record: StoreRecord, settledEpoch = this.complete.epoch): AppliedRecord | undefined {
+  apply(record: StoreRecord, settledTo = this.complete): AppliedRecord | undefined {
     const known = this.records.get(record.key);
-    if (!this.supersedes(record, known, settledEpoch)) {
+    if (!this.supersedes(record, known, settledTo)) {
       return undefined;
     }
     this.records.delete(record.key);
@@ -193,16 +193,17 @@
    */
   applyListing(listed: readonly StoreRecord[], position: StorePosition): AppliedRecord[] {
     this.updateEpochStart(position);
-    const settledEpoch = Math.max(position.epoch, this.complete.epoch);
-    const applied = this.applyAll(listed, settledEpoch);
-    const keys = new Set(listed.map(({ key }) => key));
     const { epoch, revision } = position;
+    const isOutdated = isLater(this.complete, position);
+    const settledTo = isOutdated ? this.complete : { epoch, revision: 0 };
+    const applied = this.applyAll(listed, settledTo);
+    const keys = new Set(listed.map(({ key }) => key));
     for (const known of [...this.records.values()]) {
       if (known.value === undefined || keys.has(known.key) || isLater(known, position)) {
         continue;
       }
       const removal = { key: known.key, epoch, revision, value: undefined };
-      applied.push(...this.applyAll([removal], settledEpoch));
+      applied.push(...this.applyAll([removal], settledTo));
     }
     this.complete = laterPosition(this.complete, position);
     this.current = laterPosition(this.current, position);
@@ -247,22 +248,22 @@
     return [...this.records.values()];
   }
 
-  private applyAll(records: readonly StoreRecord[], settledEpoch?: number): AppliedRecord[] {
-    return records.flatMap((record) => this.apply(record, settledEpoch) ?? []);
+  private applyAll(records: readonly StoreRecord[], settledTo?: StorePosition): AppliedRecord[] {
+    return records.flatMap((record) => this.apply(record, settledTo) ?? []);
   }
 
   private supersedes(
     record: StoreRecord,
     known: StoreRecord | undefined,
-    settledEpoch: number,
+    settledTo: StorePosition,
   ): boolean {
     if (known === undefined) {
-      // A settled replica has every existing record: an older one is merely retained by an
-      // unsettled replica.
-      return record.epoch >= settledEpoch;
+      // A settled replica has every existing record: an older one was removed, and is merely
+      // retained by a replica that is behind or unsettled.
+      return isLater(record, settledTo);
     }
     const newest = Math.max(record.epoch, known.epoch);
-    if (record.epoch === known.epoch || newest <= settledEpoch) {
+    if (record.epoch === known.epoch || newest <= settledTo.epoch) {
       return isLater(record, known);
     }
     return record.epoch > known.epoch
--- a/test/replicated-records.test.ts
+++ b/test/replicated-records.test.ts
@@ -116,6 +116,20 @@
   t.deepEqual(older.completeTo, positionAt(9));
 });
 
+test('a removed key does not return to a replica that has read a listing without it', (t) => {
+  const lagging = new ReplicatedRecords();
+  lagging.applyListing([recordOf('here', 4), recordOf('removed', 14)], positionAt(18));
+  const started = new ReplicatedRecords();
+  const fetch = started.completeTo;
+  started.applyListing([recordOf('here', 4)], positionAt(25));
+  t.deepEqual(started.applyUpdate(lagging.updateSince(fetch)), []);
+  t.is(started.apply(recordOf('removed', 14)), undefined);
+  t.deepEqual(
+    started.snapshot().map(({ key }) => key),
+    ['here'],
+  );
+});
+
 test('replicas complete to the same revision agree, whatever mix of listings, watches and fetches they applied', (t) => {
   const step = fc.record({
     act: fc.constantFrom('put', 'remove', 'list', 'watch', 'fetch'),
