Soak: sound backends that fall silent, and an answer for each request

Each request has to get an answer or a refusal, unless its time was up, the process that had it was killed, no process accepted its connection, or a backend broke off a response whose head had arrived. Before the head, a gateway can answer for a backend that broke off. A process that is stopped answers what it has; a request that comes later may meet a closed connection. A statement of a silent backend counts from when it is sent.

--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -11,17 +11,24 @@
   .option('--callers <count>', 'callers', '12')
   .option('--seconds <count>', 'duration of the faults, for each seed', '10')
   .option('--no-statements', 'backends send no statements (limits, draining, backoff)')
+  .option('--no-silences', 'no sound backends fall silent')
   .option('--malformed', 'backends and the store send malformed input')
   .option('--copies', 'restore the store from backups of earlier states')
   .option('--port <base>', 'first port', '21000');
 program.parse();
 const {
   statements: sendsStatements,
+  silences: silencesBackends,
   copies: restoresBackups = false,
   malformed: sendsMalformed = false,
   ...options
 } = program.opts<
-  Record<string, string> & { statements: boolean; copies?: boolean; malformed?: boolean }
+  Record<string, string> & {
+    statements: boolean;
+    silences: boolean;
+    copies?: boolean;
+    malformed?: boolean;
+  }
 >();
 process.once('SIGTERM', () => process.exit(1));
 process.once('SIGINT', () => process.exit(1));
@@ -32,6 +39,7 @@
     sizes: { gateways: Number(options['gateways']), engines: Number(options['engines']) },
     callers: Number(options['callers']),
     sendsStatements,
+    silencesBackends,
     restoresBackups,
     sendsMalformed,
     faultsMs: Number(options['seconds']) * 1_000,
--- a/bench/soak/soak-backend.ts
+++ b/bench/soak/soak-backend.ts
@@ -65,6 +65,8 @@
   readonly faults: BackendFaults = { refuses: 0, loses: 0, breaks: 0, spoils: 0, surplus: 0 };
   /** Requests whose responses were spoilt; their bodies may differ. */
   readonly spoiltRequests = new Set<string>();
+  /** Requests whose responses were lost or broken off. */
+  readonly brokenRequests = new Set<string>();
   private readonly server: Server;
   /** End of its cold period, by `performance.now()`, in milliseconds. */
   coldUntilMs = 0;
@@ -77,6 +79,8 @@
   /** Statements and arrivals of each incarnation, by name and start time. */
   readonly statementLogs = new Map<string, StatementLog>();
   private runningCount = 0;
+  private readonly sockets = new Set<Socket>();
+  private silentUntilMs = 0;
 
   constructor(
     public id: string,
@@ -86,6 +90,13 @@
   ) {
     this.server = createServer((request, response) => this.receive(request, response));
     this.server.keepAliveTimeout = 10_000;
+    this.server.on('connection', (socket) => {
+      this.sockets.add(socket);
+      socket.on('close', () => this.sockets.delete(socket));
+      if (performance.now() < this.silentUntilMs) {
+        this.holdOutput(socket, this.silentUntilMs - performance.now());
+      }
+    });
   }
 
   /** Starts to listen; resolves once the port is bound. */
@@ -93,6 +104,17 @@
     await new Promise<void>((resolve) => this.server.listen(port, host, resolve));
   }
 
+  /** Sends nothing for `durationMs`, then all that it held back. */
+  fallSilent(durationMs: number): void {
+    this.silentUntilMs = Math.max(this.silentUntilMs, performance.now() + durationMs);
+    this.sockets.forEach((socket) => this.holdOutput(socket, durationMs));
+  }
+
+  private holdOutput(socket: Socket, durationMs: number): void {
+    socket.cork();
+    setTimeout(() => socket.uncork(), durationMs).unref();
+  }
+
   stop(): void {
     this.server.closeAllConnections();
     this.server.close();
@@ -141,7 +163,12 @@
       return false;
     }
     const record = () =>
-      statementLog.statements.push({ requestId, atMs: performance.now(), statement });
+      statementLog.statements.push({
+        requestId,
+        // A silent backend sends it later.
+        atMs: Math.max(performance.now(), this.silentUntilMs),
+        statement,
+      });
     if (statement.kind === 'rest') {
       const leftMs = Math.max(1, statement.untilMs - performance.now());
       record();
@@ -174,6 +201,7 @@
     this.runningCount += 1;
     response.on('close', () => (this.runningCount -= 1));
     if (this.random.next() < this.faults.loses) {
+      this.brokenRequests.add(requestId);
       request.socket.resetAndDestroy();
       return;
     }
@@ -186,6 +214,9 @@
       response.on('finish', () => this.sendSurplus(request.socket));
     }
     const isCut = this.random.next() < this.faults.breaks;
+    if (isCut) {
+      this.brokenRequests.add(requestId);
+    }
     if (isStream) {
       const from = Number(request.headers['last-event-id'] ?? 0);
       response.writeHead(200, { 'Content-Type': 'text/event-stream' });
@@ -209,6 +240,7 @@
   /** Of a stream only the head is sent: spoilt events would reach the caller as they are. */
   private sendSpoilt(socket: Socket, requestId: string, isStream: boolean): void {
     this.spoiltRequests.add(requestId);
+    this.brokenRequests.add(requestId);
     const body = expectedResponse(requestId);
     const framing = isStream
       ? 'Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n'
--- a/bench/soak/soak-faults.ts
+++ b/bench/soak/soak-faults.ts
@@ -98,7 +98,9 @@
     return injectLinkFault(random, fleet.storeProxies[index]!, [fleet.gateways[index]!]);
   },
   function failBackendLink(fleet, random) {
-    return injectLinkFault(random, pick(random, fleet.backendProxies), fleet.gateways);
+    const index = randomInteger(random, 0, fleet.backendProxies.length - 1);
+    const onBreak = (durationMs: number) => fleet.noteBreak(index, durationMs);
+    return injectLinkFault(random, fleet.backendProxies[index]!, fleet.gateways, onBreak);
   },
   /**
    * Simulates a partitioned zone: its agents are silent and its engines are cut off in one
@@ -113,7 +115,10 @@
     const proxies = fleet.backendProxies.filter(isInZone);
     markDisrupted(fleet.gateways, durationMs);
     agents.forEach((agent) => agent.signal('SIGSTOP'));
-    proxies.forEach((proxy) => (proxy.behavior = behavior));
+    proxies.forEach((proxy) => {
+      proxy.behavior = behavior;
+      fleet.noteBreak(fleet.backendProxies.indexOf(proxy), durationMs);
+    });
     setTimeout(() => {
       agents.forEach((agent) => agent.signal('SIGCONT'));
       proxies.forEach((proxy) => {
@@ -171,6 +176,7 @@
   random: RandomSource,
   proxy: SoakFleet['storeProxies'][number],
   affected: readonly SoakProcess[],
+  onBreak?: (durationMs: number) => void,
 ): string {
   const behaviors: readonly ProxyBehavior[] = [
     'delays',
@@ -181,6 +187,7 @@
   const behavior = pick(random, behaviors);
   const durationMs = randomInteger(random, 300, 1_500);
   markDisrupted(affected, durationMs);
+  onBreak?.(durationMs);
   proxy.behavior = behavior;
   if (behavior === 'resets') {
     proxy.resetAll();
--- a/bench/soak/soak-fleet.ts
+++ b/bench/soak/soak-fleet.ts
@@ -47,12 +47,28 @@
 /** Port offsets; `backend` is the proxy that forwards to `real`, the backend's own port. */
 const PORTS = { callers: 1, readiness: 2, peers: 3, storeProxy: 4, agent: 5, backend: 6, real: 7 };
 
+/** An end of a process that this test ordered; times in milliseconds. */
+export interface ProcessEnd {
+  readonly signal: 'SIGKILL' | 'SIGTERM';
+  readonly atMs: number;
+  /** Start of the next process; Infinity before. */
+  restartedAtMs: number;
+}
+
+/** A break of the connections to a backend, by its link or by its end; times in milliseconds. */
+export interface BackendBreak {
+  readonly index: number;
+  readonly fromMs: number;
+  readonly untilMs: number;
+}
+
 /** A process that can be signalled and restarts after it exits. */
 export class SoakProcess {
   /** End of the period in which its requests may fail because of a fault, in milliseconds. */
   disruptedUntilMs = 0;
   /** How it ended when this test had not ended it. */
   readonly ownEnds: string[] = [];
+  readonly ends: ProcessEnd[] = [];
   private child: ChildProcess | undefined;
   private shouldRestart = true;
   private isEndExpected = false;
@@ -70,6 +86,9 @@
       stdio: ['ignore', log, log],
     });
     this.child = child;
+    for (const end of this.ends) {
+      end.restartedAtMs = Math.min(end.restartedAtMs, performance.now());
+    }
     child.on('exit', (code, signal) => {
       if (!this.isEndExpected && this.shouldRestart) {
         this.ownEnds.push(`${this.name} ended by itself (${code ?? signal})`);
@@ -88,7 +107,10 @@
 
   /** Sends a signal to the process that this object started. */
   signal(name: NodeJS.Signals): void {
-    this.isEndExpected ||= name === 'SIGKILL' || name === 'SIGTERM';
+    if (name === 'SIGKILL' || name === 'SIGTERM') {
+      this.isEndExpected = true;
+      this.ends.push({ signal: name, atMs: performance.now(), restartedAtMs: Infinity });
+    }
     this.child?.kill(name);
   }
 
@@ -128,6 +150,7 @@
   /** Changes of the allowed regions of `CHANGING_REGION_ROUTE`, oldest first. */
   readonly regionChanges: RegionChange[] = [];
   readonly evacuations: SoakEvacuation[] = [];
+  readonly breaks: BackendBreak[] = [];
   /** Configurations that were written, oldest first. */
   readonly routeChanges: RouteChange[] = [];
   private regionsVersion = 0;
@@ -284,6 +307,12 @@
     return SOAK_REGIONS[zoneOf(Number(/^e-(\d+)/.exec(id)![1]))]!;
   }
 
+  /** Records that connections to a backend may break from now until `durationMs` later. */
+  noteBreak(index: number, durationMs: number): void {
+    const fromMs = performance.now();
+    this.breaks.push({ index, fromMs, untilMs: fromMs + durationMs });
+  }
+
   /**
    * Starts another incarnation at a backend's address, every other time under the same name. With
    * the same name it simulates a restart, so the port is closed for a while first; with another
@@ -292,6 +321,7 @@
   replaceBackend(index: number): void {
     const backend = this.backends[index]!;
     this.replacementCount += 1;
+    this.noteBreak(index, 0);
     if (this.replacementCount % 2 === 0) {
       this.store.remove(`servers/${backend.id}`);
       backend.id = `${backend.id}x`;
--- a/bench/soak/soak-run.ts
+++ b/bench/soak/soak-run.ts
@@ -9,6 +9,8 @@
 import type { Execution } from './soak-backend.js';
 import { injectMalformedInput } from './soak-malformed.js';
 import { injectFault, restoreStoreFromBackup } from './soak-faults.js';
+import { findUnanswered } from './soak-answers.js';
+import { startSilences } from './soak-silences.js';
 import { findOutsideRegions } from './soak-regions.js';
 import { isServable } from './soak-servable.js';
 import { startRouteChanges } from './soak-routes.js';
@@ -28,6 +30,8 @@
   readonly basePort: number;
   /** Whether backends send statements (limits, draining, backoff). Default true. */
   readonly sendsStatements?: boolean;
+  /** Whether sound backends fall silent for a while. Default true. */
+  readonly silencesBackends?: boolean;
   /** Whether the store is restored from backups. Default false. */
   readonly restoresBackups?: boolean;
   /** Whether backends and the store send malformed input. Default false. */
@@ -57,6 +61,10 @@
   /** HTTP status; 0 without a complete response. */
   status: number;
   body: string;
+  /** Whether the head of a response arrived. */
+  hasHead?: boolean;
+  /** Whether the gateway's host refused the connection, so that no process received the request. */
+  isConnectionRefused?: boolean;
   /** The stream that it resumes; missing for a new request. */
   readonly resumes?: ResumedStream;
 }
@@ -130,10 +138,15 @@
     options.restoresBackups === true ? startRestores(fleet, options.seed, faults) : undefined;
   const malformedTimer =
     options.sendsMalformed === true ? startMalformedInput(fleet, options.seed, faults) : undefined;
+  const stopSilences =
+    options.silencesBackends === false
+      ? () => undefined
+      : startSilences(fleet, options.seed, faults);
   while (performance.now() < faultsEndAtMs) {
     await sleepMs(randomInteger(random, 100, 700));
     faults.push(injectFault(fleet, random));
   }
+  stopSilences();
   clearInterval(statementTimer);
   clearInterval(restoreTimer);
   clearInterval(malformedTimer);
@@ -158,6 +171,7 @@
       isUndisruptedSince,
     ),
     ...findColdOverloads(executions),
+    ...findUnansweredInFleet(fleet, observed, executions),
     ...findIgnoredInFleet(fleet, observed, options.sizes.gateways, isUndisruptedSince),
   ];
   const answered = observed.filter(({ status }) => status === 200).length;
@@ -182,6 +196,19 @@
   return setInterval(() => faults.push(startStatement(fleet, random)), STATEMENT_INTERVAL_MS);
 }
 
+function findUnansweredInFleet(
+  fleet: SoakFleet,
+  observed: readonly ObservedRequest[],
+  executions: readonly Execution[],
+): string[] {
+  return findUnanswered(observed, {
+    executionsOf: (id) => executions.filter(({ requestId }) => requestId === id),
+    endsOf: (gateway) => fleet.gateways[gateway]!.ends,
+    breaks: fleet.breaks,
+    brokenOff: new Set(fleet.backends.flatMap((backend) => [...backend.brokenRequests])),
+  });
+}
+
 function findIgnoredInFleet(
   fleet: SoakFleet,
   observed: readonly ObservedRequest[],
@@ -302,8 +329,12 @@
       },
     });
     clientRequest.setTimeout(SOAK_TIMEOUT_MS * 2, () => clientRequest.destroy());
-    clientRequest.on('error', () => end(0));
+    clientRequest.on('error', (error: NodeJS.ErrnoException) => {
+      sent.isConnectionRefused = error.code === 'ECONNREFUSED';
+      end(0);
+    });
     clientRequest.on('response', (response) => {
+      sent.hasHead = true;
       response.on('data', (bytes: Buffer) => (sent.body += bytes.toString()));
       response.on('end', () => end(response.complete ? (response.statusCode ?? 0) : 0));
       response.on('error', () => end(0));
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -8,11 +8,13 @@
   findViolations,
   runSoak,
 } from '../bench/soak/soak-run.js';
+import { findUnanswered } from '../bench/soak/soak-answers.js';
 import { findOutsideRegions } from '../bench/soak/soak-regions.js';
 import { findLateRoute } from '../bench/soak/soak-routes.js';
 import { isServable } from '../bench/soak/soak-servable.js';
 import { findBrokenStreams } from '../bench/soak/soak-streams.js';
 import { findIgnoredStatements } from '../bench/soak/soak-statements.js';
+import type { AnswerContext } from '../bench/soak/soak-answers.js';
 import type { SoakStatement } from '../bench/soak/soak-statements.js';
 import type { ObservedRequest } from '../bench/soak/soak-run.js';
 
@@ -97,6 +99,48 @@
   t.deepEqual(findViolations([SERVED_REQUEST], [executionOf('calm')], 50), []);
 });
 
+test('the check of answers detects a request without one, except after an end, a break or a time-out', (t) => {
+  const stream: ObservedRequest = {
+    ...SERVED_REQUEST,
+    id: 'c1-1',
+    kind: 'stream',
+    sentAtMs: 1_000,
+    endedAtMs: 2_500,
+    status: 0,
+    hasHead: true,
+  };
+  const unanswered = { ...stream, hasHead: false };
+  const kill = { signal: 'SIGKILL', atMs: 2_000, restartedAtMs: 2_200 } as const;
+  const stop = { ...kill, signal: 'SIGTERM' } as const;
+  const linkBreak = { index: 3, fromMs: 1_500, untilMs: 1_600 };
+  const context = {
+    executionsOf: (id: string) => [{ ...executionOf(id), backendId: 'e-3x', atMs: 1_010 }],
+    endsOf: () => [],
+    breaks: [],
+    brokenOff: new Set<string>(),
+  };
+  const find = (sent: ObservedRequest, causes: Partial<AnswerContext> = {}) =>
+    findUnanswered([sent, SERVED_REQUEST], { ...context, ...causes });
+  t.deepEqual(find(stream), [
+    'c1-1 (stream) was not answered: its response broke off after 1500 ms',
+  ]);
+  t.deepEqual(find(unanswered), [
+    'c1-1 (stream) was not answered: it got no response after 1500 ms',
+  ]);
+  t.is(find(unanswered, { brokenOff: new Set(['c1-1']), breaks: [linkBreak] }).length, 1);
+  t.is(find(stream, { endsOf: () => [stop] }).length, 1);
+  t.is(find(stream, { endsOf: () => [{ ...kill, atMs: 2_501, restartedAtMs: 2_700 }] }).length, 1);
+  t.is(find(stream, { endsOf: () => [{ ...kill, atMs: 800, restartedAtMs: 999 }] }).length, 1);
+  t.is(find(stream, { breaks: [{ ...linkBreak, index: 2 }] }).length, 1);
+  t.is(find(stream, { breaks: [{ ...linkBreak, fromMs: 900, untilMs: 1_000 }] }).length, 1);
+  t.deepEqual(find(stream, { brokenOff: new Set(['c1-1']) }), []);
+  t.deepEqual(find(stream, { breaks: [linkBreak] }), []);
+  t.deepEqual(find(unanswered, { endsOf: () => [kill] }), []);
+  t.deepEqual(find({ ...unanswered, sentAtMs: 2_050 }, { endsOf: () => [stop] }), []);
+  t.deepEqual(find({ ...unanswered, isConnectionRefused: true }), []);
+  t.deepEqual(find({ ...unanswered, endedAtMs: 3_460 }), []);
+});
+
 test('the check of draining backends detects requests sent too late, except by a gateway with a fault', (t) => {
   const execution = (requestId: string, atMs: number) => ({ ...executionOf(requestId), atMs });
   const drained = new Map([['e', 1_000]]);
