Soak: the check of routes looks at the newest configuration that is due

Now it looks at the newest one that is older than 2.2 s.

Where a newer one was written before the gateway's response, it may have dropped the added route already. The dropped route is checked in either case.

--- a/bench/soak/soak-routes.ts
+++ b/bench/soak/soak-routes.ts
@@ -12,11 +12,13 @@
   readonly atMs: number;
 }
 
-/** A gateway's responses to requests for the routes of the two newest configurations. */
+/** A gateway's responses to requests for the routes of a configuration and of the one before. */
 export interface RouteCheck {
   readonly gateway: string;
   readonly change: RouteChange;
   readonly sentAtMs: number;
+  /** Whether a newer configuration, without the added route, was written before the response. */
+  readonly isSuperseded: boolean;
   readonly added: GatewayResponse;
   readonly dropped: GatewayResponse;
 }
@@ -44,9 +46,9 @@
 
 /** Reports a gateway that applies a change too late; faults excuse it until `disruptedUntilMs`. */
 export function findLateRoute(check: RouteCheck, disruptedUntilMs: number): string[] {
-  const { gateway, change, sentAtMs, added, dropped } = check;
+  const { gateway, change, sentAtMs, isSuperseded, added, dropped } = check;
   const isDue = sentAtMs > change.atMs + ROUTE_CHANGE_BOUND_MS && sentAtMs > disruptedUntilMs;
-  const isUnknown = added.status === NOT_FOUND;
+  const isUnknown = added.status === NOT_FOUND && !isSuperseded;
   const isStillKnown = dropped.reason === KNOWN_ROUTE_REASON;
   return isDue && (isUnknown || isStillKnown)
     ? [
@@ -63,7 +65,10 @@
   const reported = new Set<string>();
   const changeTimer = setInterval(() => fleet.changeRoutes(), CHANGE_INTERVAL_MS);
   const checkTimer = setInterval(() => {
-    const change = fleet.routeChanges.at(-1)!;
+    const change = newestDueChange(fleet);
+    if (change === undefined) {
+      return;
+    }
     fleet.gateways.forEach((gateway, index) => {
       void checkRoutes(fleet, index, change).then((check) => {
         const lateViolations = findLateRoute(check, gateway.disruptedUntilMs);
@@ -81,6 +86,12 @@
   };
 }
 
+/** Returns the newest configuration that each gateway has to have applied; undefined if none. */
+function newestDueChange(fleet: SoakFleet): RouteChange | undefined {
+  const dueBeforeMs = performance.now() - ROUTE_CHANGE_BOUND_MS;
+  return fleet.routeChanges.filter(({ atMs }) => atMs < dueBeforeMs).at(-1);
+}
+
 async function checkRoutes(
   fleet: SoakFleet,
   index: number,
@@ -91,7 +102,8 @@
     requestRoute(fleet, index, change.version),
     requestRoute(fleet, index, change.version - 1),
   ]);
-  return { gateway: `gateway-${index}`, change, sentAtMs, added, dropped };
+  const isSuperseded = fleet.routeChanges.at(-1) !== change;
+  return { gateway: `gateway-${index}`, change, sentAtMs, isSuperseded, added, dropped };
 }
 
 async function requestRoute(
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -279,10 +279,13 @@
   const known = { status: 503, reason: 'no-backend' };
   const unknown = { status: 404, reason: 'no-route' };
   const unconfirmed = { status: 503, reason: 'configuration-unconfirmed' };
-  const check = { gateway: 'g', change, sentAtMs: 4_000, added: known, dropped: unknown };
+  const times = { sentAtMs: 4_000, isSuperseded: false };
+  const check = { gateway: 'g', change, ...times, added: known, dropped: unknown };
   t.deepEqual(findLateRoute(check, 0), []);
   t.is(findLateRoute({ ...check, added: unknown }, 0).length, 1);
   t.is(findLateRoute({ ...check, dropped: known }, 0).length, 1);
+  t.is(findLateRoute({ ...check, dropped: known, isSuperseded: true }, 0).length, 1);
+  t.deepEqual(findLateRoute({ ...check, added: unknown, isSuperseded: true }, 0), []);
   t.deepEqual(findLateRoute({ ...check, dropped: unconfirmed }, 0), []);
   t.deepEqual(findLateRoute({ ...check, added: unknown }, 4_500), []);
   t.deepEqual(findLateRoute({ ...check, added: unknown, sentAtMs: 3_000 }, 0), []);
