A retry at a silent backend is charged only if a free slot suits the request

A tenant paid for a second attempt, and the service's retry budget for a retry, that were never made: whether to leave a silent backend was decided by any free slot, not by one that this request may use, such as one beside streams that its prompt would stall. The check is now the placement itself, without binding.

--- a/src/gateway/attempt/attempt-departure.ts
+++ b/src/gateway/attempt/attempt-departure.ts
@@ -37,8 +37,8 @@
   hasStarted(): boolean;
   /** Ends the current attempt and sends the request elsewhere. */
   leave(cause: DepartureCause): void;
-  /** Sends the request elsewhere if a slot is free there now; returns whether it was. */
-  moveNow(cause: DepartureCause): boolean;
+  /** Whether a slot that suits the request is free elsewhere. */
+  canMove(): boolean;
   /** Sends the request elsewhere once a slot is free there; the attempt continues until then. */
   moveOncePlaced(cause: DepartureCause): void;
 }
@@ -113,20 +113,19 @@
     if (!this.canLeave) {
       return;
     }
-    if (!this.alternatives.hasFreeSlot(backendId)) {
+    if (!this.alternatives.hasFreeSlot(backendId) || !this.departing.canMove()) {
       this.recheckLater();
     } else if (this.chargedFor === handle) {
-      this.moveNow();
+      this.departing.moveOncePlaced(SILENT);
     } else if (this.retries.take()) {
-      this.onceCharged(() => this.moveNow());
+      this.onceCharged(() => this.leaveOnceCharged(handle));
     }
   }
 
-  private moveNow(): void {
-    this.chargedFor = this.departing.current().handle;
-    if (!this.departing.moveNow(SILENT)) {
-      this.recheckLater();
-    }
+  /** Leaves the backend, or checks again later if the slot was taken while the retry was charged. */
+  private leaveOnceCharged(handle: AttemptHandle | undefined): void {
+    this.chargedFor = handle;
+    this.leaveSilentBackend();
   }
 
   private recheckLater(): void {
--- a/src/gateway/attempt/backend-move.ts
+++ b/src/gateway/attempt/backend-move.ts
@@ -31,12 +31,11 @@
     private readonly moving: MovingRequest,
   ) {}
 
-  /** Moves the request if a slot is free elsewhere now; returns whether it was moved. */
-  tryNow(cause: DepartureCause): boolean {
-    const backendId = this.moving.currentBackendId();
-    this.begin(cause);
-    this.cancel();
-    return this.moving.currentBackendId() !== backendId;
+  /** Whether a slot that suits the request is free elsewhere. */
+  get isPossible(): boolean {
+    const excluded = this.alternatives.excludedWith(this.moving.currentBackendId());
+    const ignore = () => undefined;
+    return this.waits.create(excluded, { onPlaced: ignore, onAbandoned: ignore }).isPlaceable;
   }
 
   /** Moves the request once a slot is free elsewhere. */
--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -100,7 +100,7 @@
         current: () => this.currentAttempt,
         hasStarted: () => this.relay.hasStarted,
         leave: (cause) => this.leave(cause),
-        moveNow: (cause) => this.move.tryNow(cause),
+        canMove: () => this.move.isPossible,
         moveOncePlaced: (cause) => this.move.begin(cause),
       },
     );
--- a/src/gateway/attempt/request-wait.ts
+++ b/src/gateway/attempt/request-wait.ts
@@ -76,6 +76,12 @@
     };
   }
 
+  /** Whether a slot would be assigned at once. */
+  get isPlaceable(): boolean {
+    const { clock, dispatcher } = this.context.ports;
+    return dispatcher.canPlace(this.dispatchRequest, clock.now());
+  }
+
   /** Submits the request; a slot may be assigned before this returns. */
   begin(): void {
     const { clock, dispatcher } = this.context.ports;
--- a/src/gateway/dispatch/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -177,6 +177,12 @@
     return isQueueEmpty && this.picker.hasCapacityFor(request, excluded, nowMs);
   }
 
+  /** Whether the request, which does not wait yet, would be bound at once if it were submitted. */
+  canPlace(request: DispatchRequest, nowMs: number): boolean {
+    const isQueueEmpty = this.countWaiting(request.service) === 0;
+    return isQueueEmpty && this.picker.pick(request, nowMs) !== undefined;
+  }
+
   /** Applies a backend's newest announcement; see `BackendDirectory.update`. */
   updateBackend(
     backendId: string,
--- a/test/silent-backends.test.ts
+++ b/test/silent-backends.test.ts
@@ -58,6 +58,14 @@
   endStream(t, world, reply);
 });
 
+test('a retry is not charged while no free slot elsewhere suits the request', async (t) => {
+  const world = new GatewayHarness(backendOf('a', { slots: 4 }), backendOf('b', { slots: 2 }));
+  occupyWithSlowPrompts(world);
+  beginStream(world);
+  await world.clock.runUntil(SILENCE_MS);
+  t.deepEqual([world.chargedRetries, world.repeatsLeft], [0, 10]);
+});
+
 test('a stream is not broken off because a slot elsewhere was taken while its retry was charged', async (t) => {
   const world = new GatewayHarness(backendOf('a', { slots: 1 }), backendOf('b', { slots: 1 }));
   let completeCharge: (() => void) | undefined;
