--- a/src/gateway/attempt/attempt-departure.ts
+++ b/src/gateway/attempt/attempt-departure.ts
@@ -55,7 +55,7 @@
 export class AttemptDeparture {
   /** Runs while the backend sends nothing. */
   private readonly silenceTimer: OneShotTimer;
-  /** The attempt whose successor is paid for already. */
+  /** The attempt whose retry is already taken from the budget and charged. */
   private chargedFor: AttemptHandle | undefined;
 
   constructor(
@@ -118,16 +118,11 @@
     } else if (this.chargedFor === handle) {
       this.departing.moveOncePlaced(SILENT);
     } else if (this.retries.take()) {
-      this.onceCharged(() => this.leaveOnceCharged(handle));
+      // The slot may be taken while the retry is charged.
+      this.onceCharged(() => this.leaveSilentBackend());
     }
   }
 
-  /** Leaves the backend, or checks again later if the slot was taken while the retry was charged. */
-  private leaveOnceCharged(handle: AttemptHandle | undefined): void {
-    this.chargedFor = handle;
-    this.leaveSilentBackend();
-  }
-
   private recheckLater(): void {
     this.silenceTimer.start(SILENCE_RECHECK_MS, () => this.leaveSilentBackend());
   }
@@ -139,6 +134,7 @@
       const current = this.departing.current();
       const hasMoved = current.handle !== handle || current.lastReceiptAtMs !== lastReceiptAtMs;
       if (isGranted && !hasMoved && handle !== undefined) {
+        this.chargedFor = handle;
         leave();
       }
     });
