Log and count each request that ends without an answer, by cause and stage

No line told at which stage a request without an answer had ended, nor by whom: a caller that left while the configuration was confirmed was not logged at all, one that left while a complete response was not yet handed to the network neither, nor what was open at the end of a process.

OpenRequests holds the requests that were read whole and have no response yet. `request-ended` with status 0 gains `stage`, `endedBy` and `configurationAgeMs` (where the configuration changed within 10 s), a new line `response-unfinished` tells of responses that callers did not wait for, and `weirvale_requests_unanswered_total` counts all of them by cause and stage. `weirvale logs explain` names stage, ender and configuration. A caller whose socket ended and then closed was reported twice; it is reported once.

--- a/src/cli/queries/explain-logs.ts
+++ b/src/cli/queries/explain-logs.ts
@@ -42,6 +42,7 @@
   readonly restLeftMs?: number;
 }
 
+const UNFINISHED_EVENT = 'response-unfinished';
 const EVACUATION_EVENT = 'zone-evacuation';
 const CONDITION_EVENT = 'backend-condition';
 /** Logged when the store was restored from a backup, and when its owners had time to rewrite. */
@@ -79,6 +80,7 @@
 const REASONS: Readonly<Record<string, string>> = {
   answered: 'a backend responded',
   'caller-left': 'the caller disconnected before the response was complete',
+  'process-end': 'this process ended before the response was complete',
   'no-configuration': 'this process had not received a configuration yet',
   'no-route': 'no route of the configuration matches host and path',
   'configuration-unconfirmed':
@@ -180,6 +182,10 @@
 }
 
 function describeRequest(line: LogLine): string[] {
+  if (line.event === UNFINISHED_EVENT) {
+    const text = `${line.time} ${line.process}: the caller disconnected ${line['ageMs']} ms after its request arrived, before it had the whole response`;
+    return [text, ...describeUnanswered(line)];
+  }
   const reason = String(line['reason']);
   const status = Number(line['status']);
   const ended = status === 0 ? 'ended without a complete response' : `response ${status}`;
@@ -196,7 +202,8 @@
       `  waited ${line['waitedMs']} ms, first byte after ${line['firstByteMs'] ?? 'none'} ms, ended after ${line['totalMs']} ms, longest pause ${line['longestPauseMs']} ms`,
     );
   }
-  text.push(...describeResumption(line), ...explainRegions(line as RegionReport));
+  text.push(...describeUnanswered(line), ...describeResumption(line));
+  text.push(...explainRegions(line as RegionReport));
   for (const attempt of attemptsOf(line)) {
     text.push(
       `  after ${Math.round(attempt.afterMs)} ms to ${attempt.backend}${describeSoftware(attempt)}${describeDistance(attempt)} (estimated ${attempt.occupied} of ${attempt.slots} slots occupied): ${attempt.outcome}, ${attempt.detail}`,
@@ -224,6 +231,16 @@
   return conditions.length === 0 ? 'no limit, not draining, no backoff' : conditions.join(', ');
 }
 
+/** Describes at which stage a request without a complete response ended, and by whom. */
+function describeUnanswered({ stage, endedBy, configurationAgeMs }: LogLine): string[] {
+  if (stage === undefined) {
+    return [];
+  }
+  const change =
+    configurationAgeMs === undefined ? '' : `, ${configurationAgeMs} ms after a configuration`;
+  return [`  ended by the ${endedBy} at the stage ${stage}${change}`];
+}
+
 /** Mentions the distance only if the backend is in another region. */
 function describeDistance({ distance }: LoggedAttempt): string {
   return distance === 'other-region' ? ' in another region' : '';
--- a/src/gateway/attempt/confined-request.ts
+++ b/src/gateway/attempt/confined-request.ts
@@ -6,7 +6,7 @@
 import { confinePorts } from './confine-ports.js';
 import { FaultBoundary } from './fault-boundary.js';
 import { ProxiedRequest } from './proxied-request.js';
-import type { RequestOptions, RequestPorts } from './request-model.js';
+import type { AttemptStage, RequestOptions, RequestPorts } from './request-model.js';
 
 /** Processes one accepted request until it ends; no method throws. */
 export class ConfinedRequest {
@@ -33,6 +33,11 @@
     return this.request.constraints;
   }
 
+  /** See `ProxiedRequest`. */
+  get stage(): AttemptStage {
+    return this.request.stage;
+  }
+
   /** See `ProxiedRequest`. */
   begin(): void {
     this.boundary.run(() => this.request.begin());
--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -33,15 +33,13 @@
 import { RequestWaits } from './request-waits.js';
 import { RetryRules } from './retry-rules.js';
 import type { AcceptedRequest } from './accepted-request.js';
-import type { RequestOptions, RequestPorts } from './request-model.js';
+import type { AttemptStage, RequestOptions, RequestPorts } from './request-model.js';
 import { estimateOf, RequestRecord } from './request-record.js';
 import { StreamBinding } from './stream-binding.js';
 
-type Phase = 'waiting' | 'sent' | 'streaming' | 'done';
-
 /** Processes one accepted request until it ends. */
 export class ProxiedRequest {
-  private phase: Phase = 'waiting';
+  private phase: AttemptStage | 'done' = 'waiting';
   private wait: RequestWait | undefined;
   private backend: Backend | undefined;
   private attempt: AttemptHandle | undefined;
@@ -127,6 +125,11 @@
     return this.phase === 'done';
   }
 
+  /** What the request waits for. */
+  get stage(): AttemptStage {
+    return this.phase === 'done' ? 'waiting' : this.phase;
+  }
+
   /** Which backends may serve the request now. */
   get constraints(): PlacementConstraints {
     return this.binding;
@@ -425,12 +428,9 @@
       if (failure.isSilent === true) {
         this.ports.directory.find(backendId)?.path.noteHungConnection();
       }
-      if (this.retries.mayRetryUnsent(failure)) {
-        this.retryUnexecuted(backendId);
-        return;
-      }
-      this.replyWithFailure('no-backend');
-      return;
+      return this.retries.mayRetryUnsent(failure)
+        ? this.retryUnexecuted(backendId)
+        : this.replyWithFailure('no-backend');
     }
     this.mayHaveRun = true;
     if (this.canRetryElsewhere() && this.retries.take()) {
@@ -580,13 +580,13 @@
   }
 
   private finish(status: number, reason: string): void {
-    const { clock } = this.ports;
-    const nowMs = clock.now();
+    const { attempts, stage } = this;
+    const end = this.record.end({ status, reason, stage, attempts }, this.ports.clock.now());
     this.phase = 'done';
     this.deadlineTimer.clear();
     this.departure.clear();
     this.wait?.cancel();
     this.move.cancel();
-    this.ports.onEnd(this.request, this.record.end(status, reason, this.attempts, nowMs));
+    this.ports.onEnd(this.request, end);
   }
 }
--- a/src/gateway/attempt/request-model.ts
+++ b/src/gateway/attempt/request-model.ts
@@ -45,6 +45,15 @@
   stated?: Pick<BackendStatement, 'limitPerS' | 'isLeaving' | 'restMs'>;
 }
 
+/** What a request that was offered to backends waits for; part of the log format. */
+export type AttemptStage =
+  /** A slot, or the charge of a retry to its tenant. */
+  | 'waiting'
+  /** The first event of a stream, or the response of a backend. */
+  | 'sent'
+  /** The rest of a stream. */
+  | 'streaming';
+
 /** How a request ended, for metrics and the log. */
 export interface RequestEnd {
   /**
@@ -53,6 +62,8 @@
    */
   readonly status: number;
   readonly reason: string;
+  /** What it waited for at its end. */
+  readonly stage: AttemptStage;
   /** Number of attempts that may have reached their backend. */
   readonly attempts: number;
   readonly tries: readonly AttemptRecord[];
--- a/src/gateway/attempt/request-record.ts
+++ b/src/gateway/attempt/request-record.ts
@@ -5,7 +5,7 @@
 import { NO_STATEMENT } from '../statements/backend-statement.js';
 import type { BackendStatement } from '../statements/backend-statement.js';
 import type { IdentifiedProcess } from '../processes/process-identifier.js';
-import type { RequestEnd, AttemptRecord } from './request-model.js';
+import type { AttemptRecord, RequestEnd } from './request-model.js';
 
 /** Estimated state of a backend when a request was sent to it. */
 export type BackendEstimate = Pick<AttemptRecord, 'occupied' | 'failureShare' | 'distance'>;
@@ -23,6 +23,9 @@
   readonly lastEventId: string | undefined;
 }
 
+/** What the end of a request adds to its record. */
+export type RecordedEnd = Pick<RequestEnd, 'status' | 'reason' | 'stage' | 'attempts'>;
+
 /** Attempts and times of one request. */
 export class RequestRecord {
   private readonly tries: AttemptRecord[] = [];
@@ -84,16 +87,11 @@
     this.longestPauseMs = Math.max(this.longestPauseMs, longestPauseMs);
   }
 
-  /**
-   * Returns the final record; `attempts` counts only the attempts that may have reached their
-   * backend.
-   */
-  end(status: number, reason: string, attempts: number, nowMs: number): RequestEnd {
+  /** Returns the final record. */
+  end(end: RecordedEnd, nowMs: number): RequestEnd {
     const { arrivedAtMs, firstByteAtMs, tries, longestPauseMs } = this;
     return {
-      status,
-      reason,
-      attempts,
+      ...end,
       tries,
       waitedMs: (this.firstSentAtMs ?? nowMs) - arrivedAtMs,
       firstByteMs: firstByteAtMs === undefined ? undefined : firstByteAtMs - arrivedAtMs,
--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -11,7 +11,8 @@
 import { DEFAULT_REQUEST_OPTIONS } from './attempt/request-model.js';
 import type { AcceptedRequest } from './attempt/accepted-request.js';
 import type { RequestEnd, RequestPorts } from './attempt/request-model.js';
-import { DepartedCallers } from './admission/departed-callers.js';
+import { NO_STATUS, OpenRequests } from './admission/open-requests.js';
+import type { OpenRequest } from './admission/open-requests.js';
 import type { RequestBodyHandlers, ReceivedHead } from './admission/caller-listener.js';
 import type { CallerRequestHead } from './admission/caller-protocol.js';
 import type { GatewayRefusal } from './admission/gateway-refusal.js';
@@ -86,6 +87,7 @@
 interface ActiveRequest {
   readonly regions: RequestRegions;
   readonly proxied: ConfinedRequest;
+  readonly open: OpenRequest;
   /** Refunds the initial charge to the tenant's quota. */
   refund(): void;
 }
@@ -93,6 +95,7 @@
 /** A received request with the boundary of the steps before it is offered to backends. */
 interface ConfinedAdmission extends ReceivedRequest {
   readonly confine: ConfineCallback;
+  readonly open: OpenRequest;
 }
 
 /** The caller-side handle of an admitted request. */
@@ -109,7 +112,7 @@
   private readonly resuming = new Set<AcceptedRequest>();
   private readonly admission: RequestAdmission;
   private readonly confirmationQueue: ConfigurationConfirmationQueue;
-  private readonly departedCallers: DepartedCallers;
+  private readonly openRequests: OpenRequests;
   private readonly retryBudget: RetryBudget;
   private readonly ports: RequestPorts;
 
@@ -126,7 +129,7 @@
       },
       dependencies.crashes,
     );
-    this.departedCallers = new DepartedCallers(dependencies);
+    this.openRequests = new OpenRequests(dependencies);
     this.confirmationQueue = new ConfigurationConfirmationQueue(
       { isKnowledgeOld: () => dependencies.cluster.isKnowledgeOld },
       clock,
@@ -200,13 +203,20 @@
     }
   }
 
+  /** Reports the requests that end without a response since the process ends. */
+  reportProcessEnd(): void {
+    this.openRequests.reportProcessEnd();
+  }
+
   /** Processes a received request head; returns the handlers of its body. */
-  receive(head: ReceivedHead, reply: CallerReply): RequestBodyHandlers {
+  receive(head: ReceivedHead, callerReply: CallerReply): RequestBodyHandlers {
     const arrivedAtMs = this.dependencies.clock.now();
     const caller = this.dependencies.adapter.protocol.readRequest(head.headers);
     for (const header of caller.reservedHeaders) {
       this.dependencies.metrics.record(({ reservedHeaders }) => reservedHeaders.inc({ header }));
     }
+    const open = this.openRequests.create(caller.requestId);
+    const reply = open.track(callerReply);
     let request: AdmittedRequest | undefined;
     const { run, confine } = this.admissionBoundary(caller, reply);
     let isAdmitted = false;
@@ -214,7 +224,8 @@
       onBody: (body) =>
         run(() => {
           isAdmitted = true;
-          request = this.admit({ head, caller, body, arrivedAtMs, confine }, reply);
+          open.begin();
+          request = this.admit({ head, caller, body, arrivedAtMs, confine, open }, reply);
           if (request === undefined) {
             this.dependencies.onEnd();
           }
@@ -225,10 +236,9 @@
       },
       onCallerDisconnected: () =>
         run(() => {
-          if (isAdmitted) {
-            request?.handleCallerDisconnect();
-          } else {
-            this.departedCallers.reportUnadmitted(caller, arrivedAtMs);
+          request?.handleCallerDisconnect();
+          open.handleCallerDisconnect();
+          if (!isAdmitted) {
             this.dependencies.onEnd();
           }
         }),
@@ -275,6 +285,7 @@
    */
   private awaitConfirmation(received: ConfinedAdmission, reply: CallerReply): AdmittedRequest {
     let request: AdmittedRequest | undefined;
+    received.open.enter('confirming');
     const stopWaiting = this.confirmationQueue.wait(
       received.confine((isConfirmed: boolean) => {
         const admitted = this.admission.admit(received, this.dependencies.configuration.table);
@@ -308,6 +319,7 @@
     let request: AdmittedRequest | undefined;
     let hasLeft = false;
     this.resuming.add(accepted);
+    received.open.enter('resuming', accepted);
     const continueWith = received.confine((decision: ResumptionDecision) => {
       this.resuming.delete(accepted);
       if (!hasLeft) {
@@ -321,10 +333,8 @@
     const handleCallerDisconnect = () => {
       if (request !== undefined) {
         request.handleCallerDisconnect();
-      } else if (!hasLeft) {
-        hasLeft = true;
-        this.departedCallers.reportAdmitted(accepted);
       }
+      hasLeft = true;
     };
     return { handleCallerDisconnect };
   }
@@ -349,17 +359,18 @@
   /** Starts a request once its cost is charged to its tenant. */
   private chargeAndBegin(
     accepted: AcceptedRequest,
-    { caller, confine }: ConfinedAdmission,
+    { caller, confine, open }: ConfinedAdmission,
     reply: CallerReply,
   ): AdmittedRequest {
     let proxied: ConfinedRequest | undefined;
     let isSettled = false;
     this.charging.add(accepted);
+    open.enter('charging', accepted);
     const settle = confine((result: ChargeResult) => {
       isSettled = true;
       this.charging.delete(accepted);
       if (result.isGranted) {
-        proxied = this.begin(accepted, reply, () => result.giveBack());
+        proxied = this.begin(accepted, reply, open, () => result.giveBack());
       } else {
         this.refuse(caller, reply, quotaRefusal(accepted, result));
         this.dependencies.onEnd();
@@ -371,19 +382,13 @@
         isSettled = true;
         this.charging.delete(accepted);
         charge?.cancel();
-        this.endBeforeCharge(accepted);
+        this.dependencies.onEnd();
       }
       proxied?.handleCallerDisconnect();
     };
     return { handleCallerDisconnect };
   }
 
-  /** Ends a request whose caller disconnected before it was charged. */
-  private endBeforeCharge(request: AcceptedRequest): void {
-    this.departedCallers.reportAdmitted(request);
-    this.dependencies.onEnd();
-  }
-
   private charge(
     { tenant, quotaCost }: AcceptedRequest,
     onResult: (result: ChargeResult) => void,
@@ -398,6 +403,7 @@
   private begin(
     accepted: AcceptedRequest,
     reply: CallerReply,
+    open: OpenRequest,
     refund: () => void,
   ): ConfinedRequest {
     const { tenant, route } = accepted;
@@ -415,7 +421,8 @@
       DEFAULT_REQUEST_OPTIONS,
       (cause) => this.reportFault(request.requestId, cause),
     );
-    this.active.set(request, { regions, proxied, refund });
+    open.enter(() => proxied.stage, request);
+    this.active.set(request, { regions, proxied, open, refund });
     proxied.begin();
     return proxied;
   }
@@ -456,7 +463,7 @@
     });
   }
 
-  private handleEnd(request: AcceptedRequest, end: RequestEnd): void {
+  private handleEnd(request: AcceptedRequest, { stage, ...end }: RequestEnd): void {
     const { metrics, log, dispatcher, cluster, configuration, crashes } = this.dependencies;
     const active = this.active.get(request);
     this.active.delete(request);
@@ -464,6 +471,9 @@
       active?.refund();
     }
     metrics.recordEnd(request, end);
+    if (end.status === NO_STATUS) {
+      active?.open.close();
+    }
     const isSuccess = end.reason === 'answered' && end.status < FIRST_ERROR_STATUS;
     log.write('request-ended', isSuccess ? 'success' : 'failure', {
       request: request.requestId,
@@ -477,6 +487,7 @@
       resumes: request.resumedRequestId,
       afterEvent: request.lastEventId,
       ...end,
+      ...(end.status === NO_STATUS ? this.openRequests.count(stage, end.reason) : {}),
       // A resent request has a new id; the fingerprint identifies it as the same request.
       fingerprint: hasFailedAtBackend(end)
         ? (crashes.refusedFingerprintOf(request) ?? crashes.fingerprintOf(request))
@@ -522,11 +533,11 @@
   return { reason: 'quota-spent', retryAfterMs, quota };
 }
 
-function hasFailedAtBackend({ reason, tries }: RequestEnd): boolean {
+function hasFailedAtBackend({ reason, tries }: Pick<RequestEnd, 'reason' | 'tries'>): boolean {
   const isRefusedForCrashes = reason === 'crashes-back-ends';
   return isRefusedForCrashes || tries.some(({ outcome }) => outcome === 'failed');
 }
 
-function hasWaitedLong({ waitedMs }: RequestEnd): boolean {
+function hasWaitedLong({ waitedMs }: Pick<RequestEnd, 'waitedMs'>): boolean {
   return waitedMs >= LONG_WAIT_MS;
 }
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -331,6 +331,7 @@
 
   private finishStop(): void {
     this.hasEnded = true;
+    this.requests.reportProcessEnd();
     this.readiness.close();
     this.dependencies.metrics.close();
     this.sender.close();
--- a/src/gateway/metrics/gateway-metrics.ts
+++ b/src/gateway/metrics/gateway-metrics.ts
@@ -1,14 +1,13 @@
 /** Metrics endpoint of a gateway. */
 import { MetricsEndpoint } from '../../telemetry/metrics-endpoint.js';
 import type { GatewaySnapshot } from './gateway-snapshot.js';
-import type { MetricInstruments } from './metric-instruments.js';
+import type { EndForMetrics, MetricInstruments } from './metric-instruments.js';
 import type { AcceptedRequest } from '../attempt/accepted-request.js';
-import type { RequestEnd } from '../attempt/request-model.js';
 
 /** Records the metrics of a gateway and serves them as text. */
 export class GatewayMetrics extends MetricsEndpoint<MetricInstruments> {
   /** Records how a request ended. */
-  recordEnd(request: AcceptedRequest, end: RequestEnd): void {
+  recordEnd(request: AcceptedRequest, end: EndForMetrics): void {
     this.record((instruments) => instruments.recordEnd(request, end));
   }
 
--- a/src/gateway/metrics/metric-instruments.ts
+++ b/src/gateway/metrics/metric-instruments.ts
@@ -10,6 +10,9 @@
 const LOOKUP_BUCKETS_S = [0.001, 0.003, 0.01, 0.03, 0.1, 0.3];
 const LATENCY_BUCKETS_S = [0.01, 0.03, 0.1, 0.2, 0.4, 0.6, 1, 2, 4, 8, 16];
 
+/** What the metrics need of the end of a request. */
+export type EndForMetrics = Omit<RequestEnd, 'stage'>;
+
 /** The metrics registry of a gateway and its instruments. */
 export class MetricInstruments {
   readonly registry = new Registry();
@@ -19,6 +22,12 @@
     labelNames: ['route', 'status', 'reason'],
     registers: [this.registry],
   });
+  readonly requestsUnanswered = new Counter({
+    name: 'weirvale_requests_unanswered_total',
+    help: 'Requests that were read whole and ended without a complete response, by cause and stage',
+    labelNames: ['cause', 'stage'],
+    registers: [this.registry],
+  });
   readonly attempts = new Counter({
     name: 'weirvale_attempts_total',
     help: 'Sends to back ends, by service',
@@ -172,7 +181,7 @@
   }
 
   /** Records how a request ended. */
-  recordEnd(request: AcceptedRequest, end: RequestEnd): void {
+  recordEnd(request: AcceptedRequest, end: EndForMetrics): void {
     const { status, reason, attempts } = end;
     this.requests.inc({ route: request.route.name, status: `${status}`, reason });
     this.attempts.inc({ service: request.service }, attempts);
--- a/src/telemetry/decision-log.ts
+++ b/src/telemetry/decision-log.ts
@@ -80,6 +80,7 @@
   'quota-pool-refilled',
   'request-refused',
   'request-ended',
+  'response-unfinished',
   'request-fault',
   'process-failed',
   'lines-dropped',
