A backend record without a start time names none once its name has had one

Cause: such a record got an id of its own, the bare name, and counted as a new incarnation that is ready. What was known of the incarnation that lives did not apply to it, and that incarnation counted as ended: its requests failed early.

Now it withdraws the backend until the backend's own next record, as other invalid records do, and is reported as refused. The incarnation stays the latest one, so that its condition, slots and running requests are as before. Gateways and agents share the rule in BackendIncarnations. A name that was never announced with a start time stays usable: whole deployments announce none.

--- a/src/gateway/gateway-backends.ts
+++ b/src/gateway/gateway-backends.ts
@@ -32,10 +32,11 @@
     position: StorePosition,
   ): void {
     const { changes, previousId, problem: rejected } = this.incarnations.apply(name, announcement);
-    this.reportProblem(name, unreadable ?? rejected, position);
+    const problem = unreadable ?? rejected;
+    this.reportProblem(name, problem, position);
     for (const { id, backend } of changes) {
       this.logChange(id, backend, position);
-      const isWithdrawn = unreadable !== undefined;
+      const isWithdrawn = problem !== undefined;
       this.dependencies.dispatcher.updateBackend(
         id,
         backend,
--- a/src/routing/backend-incarnations.ts
+++ b/src/routing/backend-incarnations.ts
@@ -24,7 +24,7 @@
   readonly changes: readonly IncarnationChange[];
   /** Incarnation that the announcement shows to have ended; missing for none. */
   readonly previousId?: string;
-  /** Why the announcement was ignored; missing where it was applied. */
+  /** Why the announcement was rejected; missing where it was applied. */
   readonly problem?: string;
 }
 
@@ -38,10 +38,14 @@
    */
   apply(name: string, announcement: Announcement | undefined): IncarnationUpdate {
     const known = this.latest.get(name);
+    const withdrawal = { id: known?.id ?? name, backend: undefined };
     if (announcement === undefined) {
       // Keeps the incarnation: if it is announced again, its collected statistics still apply.
-      const id = known?.id ?? name;
-      return { changes: [{ id, backend: undefined }] };
+      return { changes: [withdrawal] };
+    }
+    const problem = findForeignWriter(announcement, known);
+    if (problem !== undefined) {
+      return { changes: [withdrawal], problem };
     }
     if (isEarlier(announcement, known)) {
       // A delayed write of the previous incarnation, to which the store gave the newest revision.
@@ -63,6 +67,16 @@
   }
 }
 
+/** Returns why the announcement cannot have been written by the backend itself. */
+function findForeignWriter(
+  { bornAtMs }: Announcement,
+  known: Backend | undefined,
+): string | undefined {
+  return bornAtMs === undefined && known?.bornAtMs !== undefined
+    ? 'announces no start time, unlike the known incarnation'
+    : undefined;
+}
+
 /**
  * Start times come from the backend's own clock, so they order only the incarnations of one
  * backend.
--- /dev/null
+++ b/test/foreign-backend-records.test.ts
@@ -0,0 +1,122 @@
+/** Backend records of other writers: incomplete or implausible ones, among those of the backend. */
+import test from 'ava';
+import { decodeRecord } from '../platform/record-formats.js';
+import { GatewayBackends } from '../src/gateway/gateway-backends.js';
+import type { GatewayBackendsDependencies } from '../src/gateway/gateway-backends.js';
+import { EngineReplicaView } from '../src/slot-agent/engine-replica-view.js';
+import { ZoneTopology } from '../src/routing/zone-topology.js';
+import { GatewayHarness, routeOf } from './support/gateway-harness.js';
+import { positionAt } from './support/store-positions.js';
+
+const RECORD = {
+  service: 's',
+  address: '10.0.0.1:80',
+  zone: 'z',
+  version: 'v1',
+  slots: 4,
+  state: 'ready',
+  coldRemainingMs: 0,
+  sequence: 1,
+  born: 1_000,
+};
+const WITHOUT_START = { ...RECORD, born: undefined };
+const LEAVING = {
+  statement: { isLeaving: true, unreadable: [] },
+  sentAtMs: 0,
+  isTurnedAway: false,
+};
+const STATES = ['ready', 'draining'] as const;
+
+/** A gateway and the backend's agent, which read records of the backend `w` from the store. */
+class RecordReaders {
+  readonly gateway = new GatewayHarness();
+  readonly ended: string[] = [];
+  readonly problems: string[] = [];
+  readonly agent = new EngineReplicaView(
+    { address: RECORD.address, zone: 'z' },
+    new ZoneTopology(new Map()),
+  );
+  private readonly backends: GatewayBackends;
+  private revision = 0;
+
+  constructor() {
+    const { dispatcher, clock } = this.gateway;
+    const dependencies = {
+      dispatcher,
+      clock,
+      unknownZones: { recordIfUnknown: () => false },
+      log: { write: () => undefined },
+      refused: {
+        clear: () => undefined,
+        report: (_name: string, problem: string) => this.problems.push(problem),
+      },
+      onIncarnationEnded: (backendId: string) => this.ended.push(backendId),
+    };
+    this.backends = new GatewayBackends(dependencies as unknown as GatewayBackendsDependencies);
+  }
+
+  read(record: object): void {
+    this.revision += 1;
+    const position = positionAt(this.revision);
+    const value = JSON.stringify(record);
+    const decoded = decodeRecord({ key: 'servers/w', ...position, value });
+    this.agent.apply(decoded, this.revision);
+    if (decoded.kind === 'backend') {
+      this.backends.applyRecord(decoded, position);
+    }
+  }
+
+  find(backendId: string) {
+    return this.gateway.directory.find(backendId);
+  }
+
+  readyIds(): string[] {
+    return this.gateway.directory
+      .list()
+      .filter(({ isReady }) => isReady)
+      .map(({ backend }) => backend.id);
+  }
+}
+
+for (const state of STATES) {
+  test(`records without a start time, ${state}, do not make a leaving backend usable again`, (t) => {
+    const readers = new RecordReaders();
+    readers.read(RECORD);
+    const { condition } = readers.find('w@1000')!;
+    condition.applyStatement(LEAVING, 1);
+    readers.read({ ...RECORD, state: 'draining', sequence: 2 });
+    for (const sequence of [3, 4, 9, 10]) {
+      readers.read({ ...WITHOUT_START, state, sequence });
+      t.deepEqual([readers.readyIds(), readers.agent.backend], [[], undefined]);
+    }
+    t.is(readers.find('w'), undefined);
+    t.deepEqual(readers.ended, []);
+    t.regex(readers.problems.at(-1)!, /no start time/);
+    readers.read({ ...RECORD, sequence: 3 });
+    t.true(readers.find('w@1000')!.isDraining);
+    t.is(readers.find('w@1000')!.condition, condition);
+  });
+}
+
+test('a record without a start time ends no request of the backend that lives', (t) => {
+  const readers = new RecordReaders();
+  const { gateway } = readers;
+  readers.read(RECORD);
+  const { reply } = gateway.request({ route: routeOf({ kind: 'unsafe' }) });
+  readers.read(WITHOUT_START);
+  readers.read({ ...RECORD, sequence: 2 });
+  t.deepEqual(readers.readyIds(), ['w@1000']);
+  t.is(readers.find('w@1000')!.outstanding, 1);
+  gateway.answer(0, 200, 'good');
+  t.is(reply.body, 'good');
+  t.deepEqual([readers.ended, gateway.crashes.length], [[], 0]);
+});
+
+test('a backend that never announced a start time stays usable', (t) => {
+  const readers = new RecordReaders();
+  for (const sequence of [1, 2, 3]) {
+    readers.read({ ...WITHOUT_START, sequence });
+    t.deepEqual([readers.readyIds(), readers.agent.backend?.id], [['w'], 'w']);
+  }
+  t.deepEqual(readers.problems, []);
+});
