A first start time does not end the backend that was announced without one

Callers saw: a gateway that starts and reads another writer's record, without a start time, before the backend's own sent requests by it; with the backend's own record these counted as lost after 300 ms, though they ran on (502 for those that may not be repeated).

Cause: any other id under a name counted as a restart. A start time where none was known says nothing of an end: connections that break say that, and another version without start times.

Test: 'a record without a start time that is read first does not count as an ended backend' failed before.

--- a/src/routing/backend-incarnations.ts
+++ b/src/routing/backend-incarnations.ts
@@ -63,7 +63,9 @@
       : [];
     // The new incarnation comes first: at the shared address it supersedes the previous one.
     const changes = [{ id: backend.id, backend }, ...previous];
-    return isNewIncarnation ? { changes, previousId: known.id } : { changes };
+    return isNewIncarnation && showsRestart(backend, known)
+      ? { changes, previousId: known.id }
+      : { changes };
   }
 }
 
@@ -77,6 +79,14 @@
     : undefined;
 }
 
+/**
+ * Whether the announcement shows that the known incarnation has ended. A first start time does not:
+ * the known announcement may be another writer's, and its requests run at the announced process.
+ */
+function showsRestart({ bornAtMs }: Announcement, known: Backend): boolean {
+  return bornAtMs === undefined || known.bornAtMs !== undefined;
+}
+
 /**
  * Start times come from the backend's own clock, so they order only the incarnations of one
  * backend.
--- a/test/foreign-backend-records.test.ts
+++ b/test/foreign-backend-records.test.ts
@@ -27,6 +27,7 @@
 };
 const STATES = ['ready', 'draining'] as const;
 
+
 /** A gateway and the backend's agent, which read records of the backend `w` from the store. */
 class RecordReaders {
   readonly gateway = new GatewayHarness();
@@ -112,6 +113,18 @@
   t.deepEqual([readers.ended, gateway.crashes.length], [[], 0]);
 });
 
+test('a record without a start time that is read first does not count as an ended backend', (t) => {
+  const readers = new RecordReaders();
+  const { gateway } = readers;
+  readers.read(WITHOUT_START);
+  const { reply } = gateway.request({ route: routeOf({ kind: 'unsafe' }) });
+  readers.read(RECORD);
+  t.deepEqual(readers.readyIds(), ['w@1000']);
+  t.deepEqual(readers.ended, []);
+  gateway.answer(0, 200, 'good');
+  t.is(reply.body, 'good');
+});
+
 test('a backend that never announced a start time stays usable', (t) => {
   const readers = new RecordReaders();
   for (const sequence of [1, 2, 3]) {
