A backend whose record another writer replaced is not cold afterwards

Callers saw fewer slots: an unusable record under a backend's name made a gateway take it for cold for the whole cold-start time once it wrote again, at a small share of its requests a second.

Cause: its return counted as the return of a backend that was gone. With the same start time it is the same process. Backends without one may have started again meanwhile and still count as cold.

Test: 'a backend whose record another writer replaced is not cold when it writes again' failed before, for a record without a start time and for one with unusable slots.

--- a/src/gateway/dispatch/known-backend.ts
+++ b/src/gateway/dispatch/known-backend.ts
@@ -184,6 +184,14 @@
     return timeMs === undefined || bornAtMs === undefined || bornAtMs < timeMs;
   }
 
+  /**
+   * Whether another writer replaced its record and its start time shows that it runs on: without
+   * one it may have restarted meanwhile.
+   */
+  get isSameProcessAfterWithdrawal(): boolean {
+    return this.isWithdrawn && this.backend.bornAtMs !== undefined;
+  }
+
   /** Applies a new announcement. */
   applyAnnouncement(backend: Backend): void {
     this.backend = backend;
--- a/test/foreign-backend-records.test.ts
+++ b/test/foreign-backend-records.test.ts
@@ -113,6 +113,20 @@
   t.deepEqual([readers.ended, gateway.crashes.length], [[], 0]);
 });
 
+test('a backend whose record another writer replaced is not cold when it writes again', async (t) => {
+  const readers = new RecordReaders();
+  readers.gateway.directory.endInitialListing();
+  readers.read(RECORD);
+  const { cold } = readers.find('w@1000')!;
+  const before = cold.currentPeriod(3_000, undefined, 0);
+  for (const record of [WITHOUT_START, { ...RECORD, slots: 'many' }]) {
+    readers.read(record);
+    await readers.gateway.clock.runUntil(readers.gateway.clock.now() + 1_000);
+    readers.read({ ...RECORD, sequence: 2 });
+    t.deepEqual(cold.currentPeriod(3_000, undefined, 0), before);
+  }
+});
+
 test('a record without a start time that is read first does not count as an ended backend', (t) => {
   const readers = new RecordReaders();
   const { gateway } = readers;
