A connection with an unflushed response is not closed as idle

Cause: `closeIdleConnections`, which `close` of the HTTP server calls as well, counts a connection as idle as soon as its response has ended, whether its bytes have left the process or not.

Responses that have ended and are not flushed are tracked. At a stop only the listening socket is closed; idle connections follow once no response is unflushed.

--- a/src/gateway/admission/caller-listener.ts
+++ b/src/gateway/admission/caller-listener.ts
@@ -1,6 +1,7 @@
 /** HTTP server for callers: reads complete requests and passes them to a handler. */
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { Server as NetServer } from 'node:net';
 import type { Socket } from 'node:net';
 import { BodyBuffer } from '../../http/body-buffer.js';
 import type { CallerLimits } from '../../routing/configuration.js';
@@ -11,6 +12,7 @@
 import type { AcceptBacklog } from './accept-backlog-monitor.js';
 import { CallerDisconnectWatcher } from './caller-disconnect-watcher.js';
 import type { RawHeaders } from './caller-protocol.js';
+import { UnflushedResponses } from './unflushed-responses.js';
 
 /** The head of a received request. */
 export interface ReceivedHead {
@@ -46,7 +48,9 @@
   private readonly disconnectWatchers = new Map<Socket, CallerDisconnectWatcher>();
   /** Requests that were read whole and wait for a poll that may show that their callers left. */
   private readonly unprocessed = new Set<IncomingMessage>();
+  private readonly unflushed = new UnflushedResponses(() => this.closeIdleConnections());
   private isClosing = false;
+  private hasStoppedListening = false;
 
   constructor(
     private readonly handleRequest: RequestHandler,
@@ -95,12 +99,24 @@
 
   /** Stops accepting connections and closes idle ones. */
   stopListening(): void {
-    this.server.close();
-    this.server.closeIdleConnections();
+    this.hasStoppedListening = true;
+    // The method of the HTTP server would also close connections with unflushed responses.
+    NetServer.prototype.close.call(this.server);
+    this.closeIdleConnections();
+  }
+
+  /**
+   * Closes idle connections once no response is unflushed: Node counts a connection as idle as soon
+   * as its response has ended.
+   */
+  private closeIdleConnections(): void {
+    if (this.hasStoppedListening && this.unflushed.count === 0) {
+      this.server.closeIdleConnections();
+    }
   }
 
   private receive(request: IncomingMessage, response: ServerResponse): void {
-    const reply = new HttpReply(request, response, () => this.isClosing);
+    const reply = new HttpReply(request, response, this.unflushed, () => this.isClosing);
     const head: ReceivedHead = {
       method: request.method ?? 'GET',
       path: request.url ?? '/',
@@ -178,6 +194,7 @@
   constructor(
     private readonly request: IncomingMessage,
     private readonly response: ServerResponse,
+    private readonly unflushed: UnflushedResponses,
     private readonly isClosing: () => boolean,
   ) {}
 
@@ -202,7 +219,8 @@
   }
 
   end(bytes?: Buffer): void {
-    if (!this.response.destroyed) {
+    if (!this.response.destroyed && !this.response.writableEnded) {
+      this.unflushed.add(this.response, this.request.socket);
       this.response.end(bytes);
     }
   }
