--- a/src/gateway/attempt/attempt-departure.ts
+++ b/src/gateway/attempt/attempt-departure.ts
@@ -37,8 +37,8 @@
   hasStarted(): boolean;
   /** Ends the current attempt and sends the request elsewhere. */
   leave(cause: DepartureCause): void;
-  /** Sends the request elsewhere if a slot is free there now; returns whether it was. */
-  moveNow(cause: DepartureCause): boolean;
+  /** Whether a slot that suits the request is free elsewhere. */
+  canMove(): boolean;
   /** Sends the request elsewhere once a slot is free there; the attempt continues until then. */
   moveOncePlaced(cause: DepartureCause): void;
 }
@@ -55,7 +55,7 @@
 export class AttemptDeparture {
   /** Runs while the backend sends nothing. */
   private readonly silenceTimer: OneShotTimer;
-  /** The attempt whose successor is paid for already. */
+  /** The attempt whose retry is already taken from the budget and charged. */
   private chargedFor: AttemptHandle | undefined;
 
   constructor(
@@ -113,19 +113,13 @@
     if (!this.canLeave) {
       return;
     }
-    if (!this.alternatives.hasFreeSlot(backendId)) {
+    if (!this.alternatives.hasFreeSlot(backendId) || !this.departing.canMove()) {
       this.recheckLater();
     } else if (this.chargedFor === handle) {
-      this.moveNow();
+      this.departing.moveOncePlaced(SILENT);
     } else if (this.retries.take()) {
-      this.onceCharged(() => this.moveNow());
-    }
-  }
-
-  private moveNow(): void {
-    this.chargedFor = this.departing.current().handle;
-    if (!this.departing.moveNow(SILENT)) {
-      this.recheckLater();
+      // The slot may be taken while the retry is charged.
+      this.onceCharged(() => this.leaveSilentBackend());
     }
   }
 
@@ -140,6 +134,7 @@
       const current = this.departing.current();
       const hasMoved = current.handle !== handle || current.lastReceiptAtMs !== lastReceiptAtMs;
       if (isGranted && !hasMoved && handle !== undefined) {
+        this.chargedFor = handle;
         leave();
       }
     });
