A start time far in the future names no backend; property test over faulty fields

Callers saw: one record of another writer whose start lies far ahead ended the backend that lives, and every later record of that backend counted as a held-up write: it was out of use at each gateway and agent until they started again.

Cause: start times order the incarnations of a name, and any whole number counted. Clocks are near true time; steps of seconds change nothing.

Tests: 'a start time far in the future does not end the backend that lives' failed before. The property test plays the backend's records in random order with records in which one field is missing, of another type, negative, not whole or out of range, at gateway and agent; it failed before at a far start time. For each of these faults a reader that accepts it is caught.

--- a/src/routing/backend-incarnations.ts
+++ b/src/routing/backend-incarnations.ts
@@ -28,10 +28,15 @@
   readonly problem?: string;
 }
 
+/** Difference between two machines' clocks beyond which a start time is not credible. */
+const MAX_CLOCK_DIFFERENCE_MS = 86_400_000;
+
 /** The latest incarnation of each backend, by record name. */
 export class BackendIncarnations {
   private readonly latest = new Map<string, Backend>();
 
+  constructor(private readonly timeOfDayMs: () => number = () => Date.now()) {}
+
   /**
    * Applies the newest record of a name; `announcement` is undefined once it was removed or is
    * unusable.
@@ -43,7 +48,7 @@
       // Keeps the incarnation: if it is announced again, its collected statistics still apply.
       return { changes: [withdrawal] };
     }
-    const problem = findForeignWriter(announcement, known);
+    const problem = this.findForeignWriter(announcement, known);
     if (problem !== undefined) {
       return { changes: [withdrawal], problem };
     }
@@ -67,16 +72,21 @@
       ? { changes, previousId: known.id }
       : { changes };
   }
-}
 
-/** Returns why the announcement cannot have been written by the backend itself. */
-function findForeignWriter(
-  { bornAtMs }: Announcement,
-  known: Backend | undefined,
-): string | undefined {
-  return bornAtMs === undefined && known?.bornAtMs !== undefined
-    ? 'announces no start time, unlike the known incarnation'
-    : undefined;
+  /** Returns why the announcement cannot have been written by the backend itself. */
+  private findForeignWriter(
+    { bornAtMs }: Announcement,
+    known: Backend | undefined,
+  ): string | undefined {
+    if (bornAtMs === undefined) {
+      return known?.bornAtMs === undefined
+        ? undefined
+        : 'announces no start time, unlike the known incarnation';
+    }
+    return bornAtMs > this.timeOfDayMs() + MAX_CLOCK_DIFFERENCE_MS
+      ? 'announces a start time in the future'
+      : undefined;
+  }
 }
 
 /**
--- a/test/foreign-backend-records.test.ts
+++ b/test/foreign-backend-records.test.ts
@@ -1,4 +1,5 @@
 /** Backend records of other writers: incomplete or implausible ones, among those of the backend. */
+import fc from 'fast-check';
 import test from 'ava';
 import { decodeRecord } from '../platform/record-formats.js';
 import { GatewayBackends } from '../src/gateway/gateway-backends.js';
@@ -20,13 +21,17 @@
   born: 1_000,
 };
 const WITHOUT_START = { ...RECORD, born: undefined };
+const DAY_MS = 86_400_000;
 const LEAVING = {
   statement: { isLeaving: true, unreadable: [] },
   sentAtMs: 0,
   isTurnedAway: false,
 };
+const FAR_FUTURE_MS = Date.UTC(2200, 0, 1);
 const STATES = ['ready', 'draining'] as const;
 
+type Repair = (record: object) => object;
+const AS_READ: Repair = (record) => record;
 
 /** A gateway and the backend's agent, which read records of the backend `w` from the store. */
 class RecordReaders {
@@ -40,7 +45,10 @@
   private readonly backends: GatewayBackends;
   private revision = 0;
 
-  constructor() {
+  constructor(
+    /** Fault: changes a record before it is decoded. */
+    private readonly repair = AS_READ,
+  ) {
     const { dispatcher, clock } = this.gateway;
     const dependencies = {
       dispatcher,
@@ -59,7 +67,7 @@
   read(record: object): void {
     this.revision += 1;
     const position = positionAt(this.revision);
-    const value = JSON.stringify(record);
+    const value = JSON.stringify(this.repair(record));
     const decoded = decodeRecord({ key: 'servers/w', ...position, value });
     this.agent.apply(decoded, this.revision);
     if (decoded.kind === 'backend') {
@@ -147,3 +155,126 @@
   }
   t.deepEqual(readers.problems, []);
 });
+
+test('a start time far in the future does not end the backend that lives', (t) => {
+  for (const born of [FAR_FUTURE_MS, Date.now() + 2 * DAY_MS, Number.MAX_SAFE_INTEGER]) {
+    const readers = new RecordReaders();
+    readers.read({ ...RECORD, born });
+    t.deepEqual([readers.readyIds(), readers.agent.backend], [[], undefined]);
+    readers.read(RECORD);
+    readers.read({ ...RECORD, born });
+    t.deepEqual([readers.readyIds(), readers.agent.backend], [[], undefined]);
+    readers.read({ ...RECORD, sequence: 2 });
+    t.deepEqual([readers.readyIds(), readers.agent.backend?.id], [['w@1000'], 'w@1000']);
+    t.deepEqual(readers.ended, []);
+  }
+});
+
+/** One faulty value of a field; undefined leaves the field out. */
+interface FieldFault {
+  readonly field: keyof typeof RECORD;
+  readonly value: unknown;
+}
+
+const FIELDS = Object.keys(RECORD) as Array<keyof typeof RECORD>;
+const FAULTS: readonly FieldFault[] = [
+  ...FIELDS.flatMap((field) =>
+    [undefined, null, {}, [], true].map((value) => ({ field, value: value as unknown })),
+  ),
+  ...(['service', 'address', 'zone', 'version', 'state'] as const).map((field) => ({
+    field,
+    value: 7,
+  })),
+  ...(['slots', 'sequence', 'born', 'coldRemainingMs'] as const).flatMap((field) => [
+    { field, value: '7' },
+    { field, value: -1 },
+    { field, value: 1e18 },
+  ]),
+  ...(['slots', 'sequence', 'born'] as const).map((field) => ({ field, value: 1.5 })),
+  { field: 'born', value: FAR_FUTURE_MS },
+  { field: 'state', value: 'resting' },
+  { field: 'service', value: '' },
+  { field: 'zone', value: '' },
+  { field: 'address', value: 'host:80' },
+];
+
+type Step =
+  | { readonly kind: 'write'; readonly isRestart: boolean; readonly state: 'ready' | 'draining' }
+  | { readonly kind: 'foreign'; readonly fault: FieldFault };
+
+function stepsWith(faults: readonly FieldFault[]) {
+  const write = fc.record({
+    kind: fc.constant('write' as const),
+    isRestart: fc.boolean(),
+    state: fc.constantFrom(...STATES),
+  });
+  const foreign = fc.record({
+    kind: fc.constant('foreign' as const),
+    fault: fc.constantFrom(...faults),
+  });
+  return fc.array(fc.oneof(write, foreign), { minLength: 1, maxLength: 15 });
+}
+
+/** Returns what the readers believe wrongly after the steps; undefined for nothing. */
+function findProblem(steps: readonly Step[], repair: Repair = AS_READ): string | undefined {
+  const readers = new RecordReaders(repair);
+  const ended: string[] = [];
+  let born = 1_000;
+  let hasWritten = false;
+  for (const [index, step] of steps.entries()) {
+    let usable: string | undefined;
+    let announced: string | undefined;
+    if (step.kind === 'write') {
+      if (step.isRestart && hasWritten) {
+        ended.push(`w@${born}`);
+        born += 1;
+      }
+      hasWritten = true;
+      readers.read({ ...RECORD, born, state: step.state, sequence: index + 1 });
+      announced = `w@${born}`;
+      usable = step.state === 'ready' ? announced : undefined;
+    } else {
+      const { field, value } = step.fault;
+      readers.read({ ...RECORD, born, sequence: index + 1, [field]: value });
+      const isUnknownName = !hasWritten && field === 'born' && value === undefined;
+      announced = usable = isUnknownName ? 'w' : undefined;
+    }
+    const actual = [readers.readyIds(), readers.agent.backend?.id, readers.ended];
+    const expected = [usable === undefined ? [] : [usable], announced, ended];
+    if (JSON.stringify(actual) !== JSON.stringify(expected)) {
+      return `step ${index}: ${JSON.stringify(actual)} instead of ${JSON.stringify(expected)}`;
+    }
+  }
+  return undefined;
+}
+
+const SEED = 11;
+
+test('faulty records among sound ones name no backend and end none', (t) => {
+  const numRuns = Number(process.env['FUZZ_RUNS'] ?? 1_000);
+  fc.assert(
+    fc.property(stepsWith(FAULTS), (steps) => {
+      const problem = findProblem(steps);
+      if (problem !== undefined) {
+        throw new Error(problem);
+      }
+    }),
+    { seed: SEED, numRuns },
+  );
+  t.pass();
+});
+
+for (const fault of FAULTS) {
+  const { field, value } = fault;
+  test(`a reader that accepts ${field} with the value ${JSON.stringify(value)} is detected`, (t) => {
+    const repair: Repair = (record) => {
+      const isFaulty = Object.is((record as Record<string, unknown>)[field], value);
+      return isFaulty ? { ...record, [field]: RECORD[field] } : record;
+    };
+    const property = fc.property(
+      stepsWith([fault]),
+      (steps) => findProblem(steps, repair) === undefined,
+    );
+    t.true(fc.check(property, { seed: SEED, numRuns: 200 }).failed);
+  });
+}
