A crash tally that the record has no room for is not written over and over

Nothing that callers saw was traced to this: a gateway whose tally was older than all of a full record, or had expired while the store was away, wrote the record again as soon as each write was done, without end.

Cause: such a tally is left out of what is written, so it still supersedes what is stored and stays pending. What a write leaves out is now no longer pending.

Test: 'a tally that the record has no room for, or that has expired, is not written over and over' fails without the added line (17 writes; the test stops the store after 10 more).

--- a/src/gateway/crashes/crash-record.ts
+++ b/src/gateway/crashes/crash-record.ts
@@ -162,11 +162,21 @@
     }
   }
 
+  /** Discards pending writes that the record has no room for, or that have expired. */
+  private retainPending(written: ReadonlySet<Fingerprint>): void {
+    for (const fingerprint of this.pendingWrites.keys()) {
+      if (!written.has(fingerprint)) {
+        this.pendingWrites.delete(fingerprint);
+      }
+    }
+  }
+
   private async write(): Promise<void> {
     const requests = this.mergedRequests()
       .filter((request) => this.isRecent(request))
       .sort((left, right) => left.changedAtMs - right.changedAtMs)
       .slice(-this.options.maxRequests);
+    this.retainPending(new Set(requests.map(({ fingerprint }) => fingerprint)));
     const result = await this.ports.write(requests, this.position);
     this.ports.onWritten(requests.length, result.ok ? undefined : result.val);
     if (result.ok) {
--- a/test/crash-record.test.ts
+++ b/test/crash-record.test.ts
@@ -24,6 +24,8 @@
   revision = 0;
   writes = 0;
   isDown = false;
+  /** Number of writes after which the store is down, so that endless writes end. */
+  maxWrites = Infinity;
   /** Whether writes succeed but their responses are lost. */
   losesResponses = false;
   timeOfDayMs = 1_000_000;
@@ -63,7 +65,7 @@
 
   private write(requests: readonly StoredCrashes[], expected: StorePosition) {
     this.writes += 1;
-    if (this.isDown) {
+    if (this.isDown || this.writes > this.maxWrites) {
       return err(new StoreUnavailableError('down'));
     }
     const current = this.text === undefined ? 0 : this.revision;
@@ -172,3 +174,26 @@
     [good],
   );
 });
+
+test('a tally that the record has no room for, or that has expired, is not written over and over', async (t) => {
+  for (const [laterMs, others] of [
+    [1, maxRequests],
+    [maxAgeMs + 1, 2],
+  ] as const) {
+    const world = new StoreHarness(2);
+    world.isDown = true;
+    world.writers[0]!.addTallies([tally('old', 3)]);
+    await world.clock.runUntil(50);
+    world.isDown = false;
+    world.timeOfDayMs += laterMs;
+    world.writers[1]!.addTallies(
+      Array.from({ length: others }, (_, index) => tally(`r${index}`, 2)),
+    );
+    await world.clock.runUntil(100);
+    world.deliverRecord();
+    world.maxWrites = world.writes + 10;
+    await world.runUntilSettled();
+    t.true(world.writes < world.maxWrites, `${world.writes} writes`);
+    t.is(world.stored().length, others);
+  }
+});
