Crash tallies stay when a restored store lacks their record

Prompt parts were cleared by the same code.

Cause: every gateway took the record's absence in the full listing 2.2 s after the return for an operator's removal and cleared all its tallies.

Now absence counts as a removal only in the epoch in which the record was last seen. In a later epoch it is lost: the tallies stay and what was stored is scheduled to be written again, also where the copy holds an older record that lacks some of it. Writes follow what the store holds, so one gateway's is taken and the others find theirs done. An operator's removal in one epoch clears as before. The log line crash-record says which it was.

--- a/src/gateway/crashes/crash-record.ts
+++ b/src/gateway/crashes/crash-record.ts
@@ -96,16 +96,31 @@
     this.retryMs = options.retryMinMs;
   }
 
+  /**
+   * Whether operators removed the record. One that is missing in a later epoch than that in which
+   * it was last seen was lost with the restored store.
+   */
+  isRemoval(record: CrashRecord): boolean {
+    const { lastSeenPosition } = this;
+    const isSameEpoch = record.epoch === lastSeenPosition.epoch;
+    return record.requests === undefined && isSameEpoch && isLater(record, lastSeenPosition);
+  }
+
   /** Applies the newest stored record; returns the requests that have not expired. */
   applyRecord({ requests, epoch, revision }: CrashRecord): readonly StoredCrashes[] {
     const position = { epoch, revision };
     if (isLater(this.lastSeenPosition, position)) {
       return [];
     }
+    const isRestored = epoch > this.lastSeenPosition.epoch;
+    const previous = this.stored;
     this.lastSeenPosition = position;
     this.position = requests === undefined ? { epoch, revision: 0 } : position;
     const recent = (requests ?? []).filter((request) => this.isRecent(request));
     this.stored = new Map(recent.map((request) => [request.fingerprint, request]));
+    if (isRestored) {
+      this.restoreLost(previous.values());
+    }
     for (const [fingerprint, request] of this.pendingWrites) {
       if (!this.supersedesStored(request)) {
         this.pendingWrites.delete(fingerprint);
@@ -132,6 +147,16 @@
     this.pendingWrites.clear();
   }
 
+  /** Schedules writes of the tallies that the restored store lacks. */
+  private restoreLost(previous: Iterable<StoredCrashes>): void {
+    for (const request of previous) {
+      if (this.isRecent(request) && this.supersedesStored(request)) {
+        this.addPendingWrite(request);
+      }
+    }
+    this.writeIfNeeded();
+  }
+
   private addPendingWrite(request: StoredCrashes): void {
     const pending = this.pendingWrites.get(request.fingerprint) ?? NO_CRASHES;
     this.pendingWrites.set(request.fingerprint, { ...request, ...mergeTallies(pending, request) });
--- a/src/gateway/gateway-crashes.ts
+++ b/src/gateway/gateway-crashes.ts
@@ -81,13 +81,15 @@
   /** Applies the crash record of the store. */
   applyRecord(record: CrashRecord): void {
     const { requests, epoch, revision } = record;
+    const isRemoval = this.recordWriter.isRemoval(record);
     const recent = this.recordWriter.applyRecord(record);
     this.dependencies.log.write('crash-record', 'state', {
       requests: requests?.length,
+      isRemoval,
       epoch,
       revision,
     });
-    if (requests === undefined) {
+    if (isRemoval) {
       // An operator removed the record to clear all tallies.
       this.requests.clear();
     }
