A planned stop waits until responses have left the process

Cause: a request counted as ended once its last bytes were handed to the response. With no other request active the process exited in the same turn, and what the response still held was dropped.

A stop now counts responses that have ended and are not flushed, and looks again after each that is flushed or whose caller is gone. The wait ends with the grace time, as for running requests; `stopped` says how many responses were `unflushed` then.

`a stopped gateway ends once callers that read slowly have their whole responses` (a real process, a caller that begins to read 4.5 s after the stop signal) failed on the code without the count. It failed once more, in one of four runs, on this code: requests that were still being read when the stop signal came lost their answers behind one that says `Connection: close`, a fault of its own.

--- a/src/gateway/admission/caller-listener.ts
+++ b/src/gateway/admission/caller-listener.ts
@@ -48,7 +48,10 @@
   private readonly disconnectWatchers = new Map<Socket, CallerDisconnectWatcher>();
   /** Requests that were read whole and wait for a poll that may show that their callers left. */
   private readonly unprocessed = new Set<IncomingMessage>();
-  private readonly unflushed = new UnflushedResponses(() => this.closeIdleConnections());
+  private readonly unflushed = new UnflushedResponses(() => {
+    this.closeIdleConnections();
+    this.onFlushed();
+  });
   private isClosing = false;
   private hasStoppedListening = false;
 
@@ -58,6 +61,8 @@
     private readonly afterPolls: AfterPollQueue,
     /** Called after each period in which connections waited to be accepted. */
     onAcceptBacklog: (backlog: AcceptBacklog) => void = () => undefined,
+    /** Called after each response that was flushed or whose caller disconnected. */
+    private readonly onFlushed: () => void = () => undefined,
   ) {
     const acceptBacklog = new AcceptBacklogMonitor(SYSTEM_CLOCK, onAcceptBacklog);
     this.server = createServer(
@@ -92,6 +97,11 @@
     return this.unprocessed.size;
   }
 
+  /** Number of responses that have ended and are not flushed. */
+  get unflushedCount(): number {
+    return this.unflushed.count;
+  }
+
   /** Adds `Connection: close` to every response from now on. */
   closeConnectionsAfterResponse(): void {
     this.isClosing = true;
--- a/src/gateway/admission/unflushed-responses.ts
+++ b/src/gateway/admission/unflushed-responses.ts
@@ -7,31 +7,40 @@
 
 /** Tracks the unflushed responses of all connections. */
 export class UnflushedResponses {
-  private readonly responses = new Set<ServerResponse>();
+  private readonly byConnection = new Map<Socket, Set<ServerResponse>>();
 
   /** @param onRemoved - called after each response that was flushed or whose caller disconnected */
   constructor(private readonly onRemoved: () => void = () => undefined) {}
 
   /** Number of unflushed responses. */
   get count(): number {
-    return this.responses.size;
+    return [...this.byConnection.values()].reduce((sum, { size }) => sum + size, 0);
   }
 
   /** Adds a response that is about to be ended; `socket` is the connection of its request. */
   add(response: ServerResponse, socket: Socket): void {
-    this.responses.add(response);
-    const remove = () => {
-      socket.off('close', remove);
-      this.remove(response);
-    };
-    response.once('finish', remove);
-    response.once('close', remove);
-    // A pipelined response emits no events if the connection closes before its turn.
-    socket.once('close', remove);
+    this.responsesOf(socket).add(response);
+    response.once('finish', () => this.remove(response, socket));
+    response.once('close', () => this.remove(response, socket));
   }
 
-  private remove(response: ServerResponse): void {
-    if (this.responses.delete(response)) {
+  private responsesOf(socket: Socket): Set<ServerResponse> {
+    const known = this.byConnection.get(socket);
+    if (known !== undefined) {
+      return known;
+    }
+    const responses = new Set<ServerResponse>();
+    this.byConnection.set(socket, responses);
+    // A pipelined response emits no event if the connection closes before its turn.
+    socket.once('close', () => {
+      [...responses].forEach((response) => this.remove(response, socket));
+      this.byConnection.delete(socket);
+    });
+    return responses;
+  }
+
+  private remove(response: ServerResponse, socket: Socket): void {
+    if (this.byConnection.get(socket)?.delete(response) === true) {
       this.onRemoved();
     }
   }
--- a/src/gateway/gateway-caller-listener.ts
+++ b/src/gateway/gateway-caller-listener.ts
@@ -14,6 +14,8 @@
   readonly receive: RequestHandler;
   readonly maxBodyBytes: () => number;
   readonly afterPolls: AfterPollQueue;
+  /** Called after each response that was flushed or whose caller disconnected. */
+  readonly onFlushed: () => void;
 }
 
 const MS_PER_S = 1_000;
@@ -22,10 +24,9 @@
 
 /** Returns a listener that does not listen yet. */
 export function createCallerListener(dependencies: CallerListenerDependencies): CallerListener {
-  const { receive, maxBodyBytes, afterPolls } = dependencies;
-  return new CallerListener(receive, maxBodyBytes, afterPolls, (backlog) =>
-    reportAcceptBacklog(dependencies, backlog),
-  );
+  const { receive, maxBodyBytes, afterPolls, onFlushed } = dependencies;
+  const onAcceptBacklog = (backlog: AcceptBacklog) => reportAcceptBacklog(dependencies, backlog);
+  return new CallerListener(receive, maxBodyBytes, afterPolls, onAcceptBacklog, onFlushed);
 }
 
 function reportAcceptBacklog(
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -213,6 +213,7 @@
       receive: (head, reply) => this.requests.receive(head, reply),
       maxBodyBytes: () => this.configuration.limits.maxBodyBytes,
       afterPolls: this.afterPolls,
+      onFlushed: () => this.shutdown.onRequestEnded(),
     });
     const { limits } = settings;
     this.quotas = new GatewayQuotas({
@@ -274,7 +275,7 @@
     });
     this.shutdown = new GracefulShutdown(clock, limits.stopGraceS * MS_PER_S, {
       stopListening: () => this.listener.stopListening(),
-      countActive: () => this.requests.activeCount + this.listener.unprocessedCount,
+      countActive: () => this.countUnanswered(),
       end: () => this.finishStop(),
     });
     this.requests = new GatewayRequests({
@@ -329,6 +330,12 @@
     this.shutdown.begin();
   }
 
+  /** Number of requests whose response has not left the process. */
+  private countUnanswered(): number {
+    const { unprocessedCount, unflushedCount } = this.listener;
+    return unprocessedCount + this.requests.activeCount + unflushedCount;
+  }
+
   private finishStop(): void {
     this.hasEnded = true;
     this.readiness.close();
@@ -342,6 +349,7 @@
     const connections = Object.fromEntries(this.sender.connectionsOpened);
     this.dependencies.log.write('stopped', 'state', {
       active: this.requests.activeCount,
+      unflushed: this.listener.unflushedCount,
       connections,
     });
     this.dependencies.log.flush();
--- a/src/gateway/graceful-shutdown.ts
+++ b/src/gateway/graceful-shutdown.ts
@@ -16,7 +16,7 @@
 export interface GracefulShutdownPorts {
   /** Stops accepting connections. */
   stopListening(): void;
-  /** Number of requests that have not ended. */
+  /** Number of requests whose response has not left the process. */
   countActive(): number;
   /** Ends the gateway; called once. */
   end(): void;
@@ -54,7 +54,7 @@
     this.clock.setTimeout(() => this.end(), lastMs);
   }
 
-  /** Ends the gateway if the last request has ended after the accept window. */
+  /** Ends the gateway if the last response has left the process after the accept window. */
   onRequestEnded(): void {
     if (this.elapsedMs() >= ACCEPT_WINDOW_MS && this.ports.countActive() === 0) {
       this.end();
