Requests that wait when the grace time of a stop ends are refused

Callers saw: the connection of a request that was never sent to a backend ends without an answer when the gateway ends, so that they cannot tell that it has not run.

Cause: the process exited with whatever still waited: for a confirmed configuration, the origin of a resumed stream, a quota charge or a backend.

Shortly before the process ends, early enough for the refusals to be sent, each of these gets a 503 `stopping`; one that may have run at an earlier backend gets its last response or a 502, as at its deadline. The same is done once more at the very end for attempts that failed meanwhile. The waits before a request is offered to backends are held in one place, `UnstartedRequests`. A resumption whose caller has left ends at once and not with the lookup.

`requests that still wait for a backend when the grace time ends are refused as not run` (a real process) failed without the refusals: `SocketError: other side closed`.

--- a/src/gateway/admission/caller-listener.ts
+++ b/src/gateway/admission/caller-listener.ts
@@ -102,6 +102,11 @@
     return this.unflushed.count;
   }
 
+  /** Number of requests that were not passed on yet, and of responses that are not flushed. */
+  get pendingCount(): number {
+    return this.unprocessedCount + this.unflushedCount;
+  }
+
   /** Adds `Connection: close` to every response from now on. */
   closeConnectionsAfterResponse(): void {
     this.isClosing = true;
--- a/src/gateway/attempt/confined-request.ts
+++ b/src/gateway/attempt/confined-request.ts
@@ -1,4 +1,5 @@
 /** A request whose processing cannot end the process: an exception ends that request alone. */
+import type { GatewayRefusal } from '../admission/gateway-refusal.js';
 import type { ExitEvidence } from '../crashes/interrupted-runs.js';
 import type { PlacementConstraints } from '../dispatch/dispatch-request.js';
 import type { AcceptedRequest } from './accepted-request.js';
@@ -55,6 +56,11 @@
     this.boundary.run(() => this.request.handleBackendEnded(id, evidence));
   }
 
+  /** See `ProxiedRequest`. */
+  refuseIfUnsent(refusal: GatewayRefusal, detail: string): void {
+    this.boundary.run(() => this.request.refuseIfUnsent(refusal, detail));
+  }
+
   /** See `ProxiedRequest`. */
   refuseIfCrashing(): void {
     this.boundary.run(() => this.request.refuseIfCrashing());
--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -220,11 +220,15 @@
   refuseIfCrashing(): void {
     const isUnanswered = this.phase === 'waiting' || this.phase === 'sent';
     const refusal = isUnanswered ? this.ports.crashes.refusalOf(this.request) : undefined;
-    if (refusal === undefined) {
-      return;
+    if (refusal !== undefined) {
+      this.refuseIfUnsent(refusal, 'it crashes backends');
     }
-    if (this.phase === 'waiting' || this.withdrawAttempt('it crashes backends')) {
-      this.replyWithFailure(refusal.reason, refusal.retryAfterMs);
+  }
+
+  /** Refuses a request that no backend has now; `detail` is logged for a withdrawn attempt. */
+  refuseIfUnsent({ reason, retryAfterMs }: GatewayRefusal, detail: string): void {
+    if (this.phase === 'waiting' || this.withdrawAttempt(detail)) {
+      this.replyWithFailure(reason, retryAfterMs);
     }
   }
 
@@ -243,11 +247,9 @@
   }
 
   private failWait(refusal: PlacementRefusalReason | undefined): void {
-    if (refusal === undefined && this.wait?.isEvacuated === true) {
-      this.replyWithFailure('zone-evacuated');
-      return;
-    }
-    this.replyWithFailure(refusal ?? (this.alternatives.hasAnyReady ? 'overloaded' : 'no-backend'));
+    const isEvacuated = this.wait?.isEvacuated === true;
+    const unplaced = this.alternatives.hasAnyReady ? 'overloaded' : 'no-backend';
+    this.replyWithFailure(refusal ?? (isEvacuated ? 'zone-evacuated' : unplaced));
   }
 
   private send(backend: Backend, nowMs: number, version: SoftwareVersion): void {
--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -21,6 +21,7 @@
 import { refusalRetryAfterMs } from './attempt/refusal-retry-after.js';
 import { RetryBudget } from './admission/retry-budget.js';
 import { sendRefusal } from './admission/send-refusal.js';
+import { UnstartedRequests } from './admission/unstarted-requests.js';
 import { ConfigurationConfirmationQueue } from './admission/configuration-confirmation-queue.js';
 import type { GatewayQuotas } from './gateway-quotas.js';
 import type { Charge, ChargeResult } from './quotas/pending-charge.js';
@@ -82,6 +83,8 @@
   retryAfterMs: DEFAULT_REQUEST_OPTIONS.retryAfterMs,
 };
 
+const STOPPING_REFUSAL: GatewayRefusal = { reason: 'stopping', retryAfterMs: 0 };
+
 /** A request that waits for a backend or runs. */
 interface ActiveRequest {
   readonly regions: RequestRegions;
@@ -103,10 +106,7 @@
 /** Admits, charges, dispatches and reports the requests of callers. */
 export class GatewayRequests {
   private readonly active = new Map<AcceptedRequest, ActiveRequest>();
-  /** Requests whose quota charge is pending. */
-  private readonly charging = new Set<AcceptedRequest>();
-  /** Requests that resume a stream whose origin is being looked up. */
-  private readonly resuming = new Set<AcceptedRequest>();
+  private readonly unstarted = new UnstartedRequests();
   private readonly admission: RequestAdmission;
   private readonly confirmationQueue: ConfigurationConfirmationQueue;
   private readonly departedCallers: DepartedCallers;
@@ -162,8 +162,7 @@
    * charge or a backend, or run.
    */
   get activeCount(): number {
-    const beforeStart = this.confirmationQueue.count + this.charging.size + this.resuming.size;
-    return beforeStart + this.active.size;
+    return this.unstarted.count + this.active.size;
   }
 
   /** Redirects unsent requests whose backend is no longer permitted; returns their number. */
@@ -185,6 +184,14 @@
     }
   }
 
+  /** Refuses the requests that no backend has, since the gateway is about to end. */
+  refuseWaiting(): void {
+    this.unstarted.refuseAll();
+    for (const { proxied } of [...this.active.values()]) {
+      proxied.refuseIfUnsent(STOPPING_REFUSAL, 'the gateway stops');
+    }
+  }
+
   /** Retries that the retry budget still allows, by service. */
   repeatsLeft(nowMs: number): ReturnType<RetryBudget['repeatsLeft']> {
     return this.retryBudget.repeatsLeft(this.dependencies.cluster.size, nowMs);
@@ -257,7 +264,7 @@
 
   private admit(received: ConfinedAdmission, reply: CallerReply): AdmittedRequest | undefined {
     const admitted = this.dependencies.isRefusing()
-      ? err<GatewayRefusal>({ reason: 'stopping', retryAfterMs: 0 })
+      ? err(STOPPING_REFUSAL)
       : this.admission.admit(received, this.dependencies.configuration.table);
     if (admitted.ok) {
       return this.beginOrResume(admitted.val, received, reply);
@@ -275,8 +282,15 @@
    */
   private awaitConfirmation(received: ConfinedAdmission, reply: CallerReply): AdmittedRequest {
     let request: AdmittedRequest | undefined;
+    const endWait = this.unstarted.add(
+      received.confine(() => {
+        stopWaiting();
+        this.refuseStopping(received.caller, reply);
+      }),
+    );
     const stopWaiting = this.confirmationQueue.wait(
       received.confine((isConfirmed: boolean) => {
+        endWait();
         const admitted = this.admission.admit(received, this.dependencies.configuration.table);
         if (admitted.ok) {
           request = this.beginOrResume(admitted.val, received, reply);
@@ -289,6 +303,7 @@
     );
     return {
       handleCallerDisconnect: () => {
+        endWait();
         stopWaiting();
         request?.handleCallerDisconnect();
         this.dependencies.onEnd();
@@ -306,25 +321,24 @@
       return this.chargeAndBegin(accepted, received, reply);
     }
     let request: AdmittedRequest | undefined;
-    let hasLeft = false;
-    this.resuming.add(accepted);
+    const endWait = this.unstarted.add(
+      received.confine(() => this.refuseStopping(received.caller, reply)),
+    );
     const continueWith = received.confine((decision: ResumptionDecision) => {
-      this.resuming.delete(accepted);
-      if (!hasLeft) {
-        request = this.applyResumption(decision, received, reply);
+      if (!endWait()) {
+        return;
       }
+      request = this.applyResumption(decision, received, reply);
       if (request === undefined) {
         this.dependencies.onEnd();
       }
     });
     this.dependencies.streams.resume(accepted, continueWith);
     const handleCallerDisconnect = () => {
-      if (request !== undefined) {
-        request.handleCallerDisconnect();
-      } else if (!hasLeft) {
-        hasLeft = true;
-        this.departedCallers.reportAdmitted(accepted);
+      if (endWait()) {
+        this.endBeforeStart(accepted);
       }
+      request?.handleCallerDisconnect();
     };
     return { handleCallerDisconnect };
   }
@@ -353,11 +367,14 @@
     reply: CallerReply,
   ): AdmittedRequest {
     let proxied: ConfinedRequest | undefined;
-    let isSettled = false;
-    this.charging.add(accepted);
+    const endWait = this.unstarted.add(
+      confine(() => {
+        charge?.cancel();
+        this.refuseStopping(caller, reply);
+      }),
+    );
     const settle = confine((result: ChargeResult) => {
-      isSettled = true;
-      this.charging.delete(accepted);
+      endWait();
       if (result.isGranted) {
         proxied = this.begin(accepted, reply, () => result.giveBack());
       } else {
@@ -367,19 +384,17 @@
     });
     const charge = this.charge(accepted, settle);
     const handleCallerDisconnect = () => {
-      if (!isSettled) {
-        isSettled = true;
-        this.charging.delete(accepted);
+      if (endWait()) {
         charge?.cancel();
-        this.endBeforeCharge(accepted);
+        this.endBeforeStart(accepted);
       }
       proxied?.handleCallerDisconnect();
     };
     return { handleCallerDisconnect };
   }
 
-  /** Ends a request whose caller disconnected before it was charged. */
-  private endBeforeCharge(request: AcceptedRequest): void {
+  /** Ends a request whose caller disconnected before it was offered to backends. */
+  private endBeforeStart(request: AcceptedRequest): void {
     this.departedCallers.reportAdmitted(request);
     this.dependencies.onEnd();
   }
@@ -440,6 +455,12 @@
     return isAllowed;
   }
 
+  /** Refuses a request that was not offered to backends, since the gateway is about to end. */
+  private refuseStopping(caller: CallerRequestHead, reply: CallerReply): void {
+    this.refuse(caller, reply, STOPPING_REFUSAL);
+    this.dependencies.onEnd();
+  }
+
   private refuse(caller: CallerRequestHead, reply: CallerReply, refusal: GatewayRefusal): void {
     const { adapter, log, metrics, configuration, cluster } = this.dependencies;
     const status = sendRefusal(reply, adapter.protocol, caller.requestId, refusal);
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -275,7 +275,8 @@
     });
     this.shutdown = new GracefulShutdown(clock, limits.stopGraceS * MS_PER_S, {
       stopListening: () => this.listener.stopListening(),
-      countActive: () => this.countUnanswered(),
+      countActive: () => this.requests.activeCount + this.listener.pendingCount,
+      refuseWaiting: () => this.requests.refuseWaiting(),
       end: () => this.finishStop(),
     });
     this.requests = new GatewayRequests({
@@ -330,12 +331,6 @@
     this.shutdown.begin();
   }
 
-  /** Number of requests whose response has not left the process. */
-  private countUnanswered(): number {
-    const { unprocessedCount, unflushedCount } = this.listener;
-    return unprocessedCount + this.requests.activeCount + unflushedCount;
-  }
-
   private finishStop(): void {
     this.hasEnded = true;
     this.readiness.close();
--- a/src/gateway/graceful-shutdown.ts
+++ b/src/gateway/graceful-shutdown.ts
@@ -11,6 +11,8 @@
 const REFUSAL_LEAD_MS = 100;
 /** Time before the kill at which the process ends even if requests still run, in milliseconds. */
 const KILL_MARGIN_MS = 350;
+/** Time before the end of the process at which waiting requests are refused, in milliseconds. */
+const REFUSAL_FLUSH_MS = 150;
 
 /** Operations of the gateway that a graceful shutdown uses. */
 export interface GracefulShutdownPorts {
@@ -18,6 +20,8 @@
   stopListening(): void;
   /** Number of requests whose response has not left the process. */
   countActive(): number;
+  /** Refuses the requests that no backend has. */
+  refuseWaiting(): void;
   /** Ends the gateway; called once. */
   end(): void;
 }
@@ -51,7 +55,8 @@
       this.onRequestEnded();
     }, ACCEPT_WINDOW_MS);
     const lastMs = Math.max(ACCEPT_WINDOW_MS, this.graceMs - KILL_MARGIN_MS);
-    this.clock.setTimeout(() => this.end(), lastMs);
+    this.clock.setTimeout(() => this.ports.refuseWaiting(), lastMs - REFUSAL_FLUSH_MS);
+    this.clock.setTimeout(() => this.endBeforeKill(), lastMs);
   }
 
   /** Ends the gateway if the last response has left the process after the accept window. */
@@ -65,6 +70,12 @@
     return this.begunAtMs === undefined ? -Infinity : this.clock.now() - this.begunAtMs;
   }
 
+  /** Ends the gateway; refuses requests whose attempts have failed since the last refusals. */
+  private endBeforeKill(): void {
+    this.ports.refuseWaiting();
+    this.end();
+  }
+
   private end(): void {
     if (!this.hasEnded) {
       this.hasEnded = true;
--- a/test/graceful-shutdown.test.ts
+++ b/test/graceful-shutdown.test.ts
@@ -4,10 +4,16 @@
 
 function world(active: number) {
   const clock = new VirtualClock();
-  const seen = { active, stoppedListeningAtMs: -1, endedAtMs: [] as number[] };
+  const seen = {
+    active,
+    stoppedListeningAtMs: -1,
+    endedAtMs: [] as number[],
+    refusedAtMs: [] as number[],
+  };
   const stop = new GracefulShutdown(clock, 8_000, {
     stopListening: () => (seen.stoppedListeningAtMs = clock.now()),
     countActive: () => seen.active,
+    refuseWaiting: () => seen.refusedAtMs.push(clock.now()),
     end: () => seen.endedAtMs.push(clock.now()),
   });
   return { clock, seen, stop };
@@ -44,3 +50,13 @@
   stop.onRequestEnded();
   t.deepEqual(seen.endedAtMs, [4_000]);
 });
+
+test('waiting requests are refused before the process ends, early enough for the refusals to be sent', async (t) => {
+  const { clock, seen, stop } = world(1);
+  stop.begin();
+  await clock.runUntil(7_400);
+  t.deepEqual(seen.refusedAtMs, []);
+  await clock.runUntil(20_000);
+  t.deepEqual(seen.refusedAtMs, [7_500, 7_650]);
+  t.deepEqual(seen.endedAtMs, [7_650]);
+});
--- a/test/slow-callers-at-stop.test.ts
+++ b/test/slow-callers-at-stop.test.ts
@@ -1,9 +1,11 @@
-/** A gateway process that is stopped while callers read their responses slowly. */
+/** Gateway processes that are stopped while callers wait for responses or read them slowly. */
 import { once } from 'node:events';
+import type { ServerResponse } from 'node:http';
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
+import { request } from 'undici';
 import { sleep, SYSTEM_CLOCK } from '../src/clock.js';
 import { FakeBackend, FakeStore } from './support/fake-platform.js';
 import { GatewayProcess } from './support/gateway-process.js';
@@ -19,21 +21,30 @@
   const route = { name: 'r', host: 'h', pathPrefix: '/a/', kind: 'safe', service: 's' };
   return {
     version: 1,
-    routes: [{ ...route, timeoutMs: 9_000, targetLatencyMs: 100, maxAttempts: 1 }],
+    routes: [{ ...route, timeoutMs: 40_000, targetLatencyMs: 30_000, maxAttempts: 1 }],
     services: [{ name: 's', maxConnections: 100 }],
     tenants: [{ name: 'shop', apiKeys: ['key'] }],
   };
 }
 
-/** Starts a store, a backend that answers each request with `RESPONSE_BYTES`, and a gateway. */
-async function startSystem(t: ExecutionContext, host: string): Promise<GatewayProcess> {
+type Handler = (request: { readonly path: string }, response: ServerResponse) => void;
+
+const answerAtOnce: Handler = (_request, response) => {
+  response.writeHead(200, { 'X-Weirvale-Server-Seal': 'seal' });
+  response.end(Buffer.alloc(RESPONSE_BYTES, 'x'));
+};
+
+/** Starts a store, a backend and a gateway. */
+async function startSystem(
+  t: ExecutionContext,
+  host: string,
+  handler: Handler = answerAtOnce,
+  slots = 100,
+): Promise<GatewayProcess> {
   const store = new FakeStore();
   store.epoch = 1;
-  const backend = new FakeBackend('w', (_seen, response) => {
-    response.writeHead(200, { 'X-Weirvale-Server-Seal': 'seal' });
-    response.end(Buffer.alloc(RESPONSE_BYTES, 'x'));
-  });
-  store.announce('w', { address: await backend.start(), slots: 100 });
+  const backend = new FakeBackend('w', handler);
+  store.announce('w', { address: await backend.start(), slots });
   store.put('op/config', configuration());
   const gateway = await GatewayProcess.start(host, await store.start());
   t.teardown(() => {
@@ -90,3 +101,26 @@
   t.deepEqual(await gateway.ended, [0, null]);
   t.true(Date.now() - stoppedAtMs < GRACE_MS - 1_000);
 });
+
+test('requests that still wait for a backend when the grace time ends are refused as not run', async (t) => {
+  const sent = new Set<string>();
+  const neverAnswer: Handler = ({ path }) => void sent.add(path);
+  const gateway = await startSystem(t, '127.0.3.62', neverAnswer, 1);
+  const { host, port } = gateway;
+  const paths = Array.from({ length: 8 }, (_, index) => `/a/${index}`);
+  const results = paths.map(async (path) => {
+    const headers = { host: 'h', authorization: 'Bearer key', 'x-weirvale-attempt-id': path };
+    const response = await request(`http://${host}:${port}${path}`, { headers });
+    return `${response.statusCode} ${await response.body.text()}`;
+  });
+  const ends = Promise.allSettled(results);
+  await sleep(SYSTEM_CLOCK, 500);
+  gateway.stop();
+  const answers = new Map((await ends).map((end, index) => [paths[index]!, end]));
+  const waited = paths.filter((path) => !sent.has(path));
+  t.true(waited.length > 0);
+  for (const path of waited) {
+    t.deepEqual(answers.get(path), { status: 'fulfilled', value: '503 {"error":"stopping"}' });
+  }
+  t.deepEqual(await gateway.ended, [0, null]);
+});
