Requests behind an answer that announces the close are answered

Callers saw: of requests that were sent together on one connection, those behind the first answer after the stop signal got none, though backends had run them.

Cause: each response of a gateway that stops says `Connection: close`, and Node closes the connection once the first such response is flushed; responses that stand behind it are dropped.

Only the newest response of a connection announces the close now. If a further request is read before that response is flushed, the connection stays open for the further response, which announces it again. Node keeps this decision in a field of the response without a method (`_last`); the tests fail where a version of Node doesn't heed it.

The three tests of `pipelined-requests-at-stop` failed before: only the first of three, and of two, answers came.

--- a/src/gateway/admission/caller-listener.ts
+++ b/src/gateway/admission/caller-listener.ts
@@ -12,6 +12,7 @@
 import type { AcceptBacklog } from './accept-backlog-monitor.js';
 import { CallerDisconnectWatcher } from './caller-disconnect-watcher.js';
 import type { RawHeaders } from './caller-protocol.js';
+import { ConnectionResponses } from './connection-responses.js';
 import { UnflushedResponses } from './unflushed-responses.js';
 
 /** The head of a received request. */
@@ -46,6 +47,7 @@
 export class CallerListener {
   readonly server: Server;
   private readonly disconnectWatchers = new Map<Socket, CallerDisconnectWatcher>();
+  private readonly responses = new WeakMap<Socket, ConnectionResponses>();
   /** Requests that were read whole and wait for a poll that may show that their callers left. */
   private readonly unprocessed = new Set<IncomingMessage>();
   private readonly unflushed = new UnflushedResponses(() => {
@@ -107,7 +109,10 @@
     return this.unprocessedCount + this.unflushedCount;
   }
 
-  /** Adds `Connection: close` to every response from now on. */
+  /**
+   * Closes each connection after the last of its responses, which says `Connection: close`, from now
+   * on.
+   */
   closeConnectionsAfterResponse(): void {
     this.isClosing = true;
   }
@@ -131,7 +136,11 @@
   }
 
   private receive(request: IncomingMessage, response: ServerResponse): void {
-    const reply = new HttpReply(request, response, this.unflushed, () => this.isClosing);
+    const connection = this.responsesOf(request.socket);
+    connection.add(response);
+    const reply = new HttpReply(request, response, this.unflushed, (isBodyUnread) =>
+      connection.announceClose(response, this.isClosing || isBodyUnread),
+    );
     const head: ReceivedHead = {
       method: request.method ?? 'GET',
       path: request.url ?? '/',
@@ -170,6 +179,12 @@
     });
   }
 
+  private responsesOf(socket: Socket): ConnectionResponses {
+    const responses = this.responses.get(socket) ?? new ConnectionResponses();
+    this.responses.set(socket, responses);
+    return responses;
+  }
+
   /** Passes on a request unless its caller has disconnected. */
   private process(request: IncomingMessage, body: Buffer, handlers: RequestBodyHandlers): void {
     if (this.unprocessed.delete(request)) {
@@ -210,7 +225,7 @@
     private readonly request: IncomingMessage,
     private readonly response: ServerResponse,
     private readonly unflushed: UnflushedResponses,
-    private readonly isClosing: () => boolean,
+    private readonly announceClose: (isBodyUnread: boolean) => boolean,
   ) {}
 
   start(status: number, headers: RawHeaders): void {
@@ -218,7 +233,7 @@
       return;
     }
     const isBodyUnread = !this.request.complete;
-    const closeHeader = this.isClosing() || isBodyUnread ? ['Connection', 'close'] : [];
+    const closeHeader = this.announceClose(isBodyUnread) ? ['Connection', 'close'] : [];
     this.response.writeHead(status, [...headers, ...closeHeader]);
   }
 
