A reload signal without a settings file does not end a process

Operators saw (in review, by reading): SIGHUP while the settings file is missing ends the gateway or agent and every request in it.

Cause: the file was read without catching the error, in a signal handler, so that the error ended the process as one that nothing handles.

A file that cannot be read is refused like one that is not valid: `settings-refused` with the problem. At the start it ends the process with the status of invalid settings.

`a reload signal while the settings file is missing does not end the process, and is logged` failed before: the process ended and logged no `settings-refused`.

--- a/src/bin/run-process.ts
+++ b/src/bin/run-process.ts
@@ -10,6 +10,8 @@
 import { parseGatewaySettings } from '../gateway/gateway-settings.js';
 import type { GatewaySettings } from '../gateway/gateway-settings.js';
 import { SeededRandom } from '../random.js';
+import { err } from '../result.js';
+import type { Result } from '../result.js';
 import { ZoneTopology } from '../routing/zone-topology.js';
 import { SlotAgentMetrics } from '../slot-agent/slot-agent-metrics.js';
 import { SlotAgentRole } from '../slot-agent/slot-agent-role.js';
@@ -33,7 +35,7 @@
 /** Runs the role that the settings select; exits with status 2 if the settings are invalid. */
 export function runProcess(dependencies: ProcessDependencies): void {
   const { settingsPath } = dependencies;
-  const settings = parseGatewaySettings(readFileSync(settingsPath, 'utf8'));
+  const settings = readSettings(settingsPath);
   if (!settings.ok) {
     process.stderr.write(`${settingsPath}:\n${settings.val.message}\n`);
     process.exit(EXIT_BAD_SETTINGS);
@@ -121,10 +123,21 @@
  * since addresses and ports are fixed for its lifetime.
  */
 function checkChangedSettings(path: string, log: DecisionLog): void {
-  const settings = parseGatewaySettings(readFileSync(path, 'utf8'));
+  const settings = readSettings(path);
   if (settings.ok) {
     log.write('settings-reloaded', 'state');
   } else {
     log.write('settings-refused', 'state', { problem: settings.val.message });
   }
 }
+
+/** Reads and validates the settings file; one that cannot be read is an error like an invalid one. */
+function readSettings(path: string): Result<GatewaySettings, { readonly message: string }> {
+  let text: string;
+  try {
+    text = readFileSync(path, 'utf8');
+  } catch (cause) {
+    return err({ message: cause instanceof Error ? cause.message : String(cause) });
+  }
+  return parseGatewaySettings(text);
+}
--- a/test/process-failure.test.ts
+++ b/test/process-failure.test.ts
@@ -90,3 +90,21 @@
   t.true(await waitUntil(() => output.includes('"event":"settings-re')));
   t.deepEqual([child.exitCode, child.signalCode], [null, null]);
 });
+
+test('a reload signal while the settings file is missing does not end the process, and is logged', async (t) => {
+  const settingsPath = join(mkdtempSync(join(tmpdir(), 'weirvale-')), 'settings.ini');
+  writeFileSync(settingsPath, SETTINGS.replaceAll('280', '282'));
+  const child = spawn(process.execPath, ['dist/platform/main.js'], {
+    env: { PATH: process.env['PATH'], WEIRVALE_SETTINGS: settingsPath },
+    stdio: ['ignore', 'pipe', 'inherit'],
+  });
+  t.teardown(() => child.kill('SIGKILL'));
+  let output = '';
+  child.stdout.on('data', (bytes: Buffer) => (output += bytes.toString()));
+  t.true(await waitUntil(() => output.includes('"event":"started"')));
+  rmSync(settingsPath);
+  child.kill('SIGHUP');
+  t.true(await waitUntil(() => output.includes('"event":"settings-refused"')));
+  t.regex(output, /ENOENT/);
+  t.deepEqual([child.exitCode, child.signalCode], [null, null]);
+});
