--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -22,6 +22,8 @@
 import { refusalRetryAfterMs } from './attempt/refusal-retry-after.js';
 import { RetryBudget } from './admission/retry-budget.js';
 import { sendRefusal } from './admission/send-refusal.js';
+import { UnstartedRequests } from './admission/unstarted-requests.js';
+import type { UnstartedRequest } from './admission/unstarted-requests.js';
 import { ConfigurationConfirmationQueue } from './admission/configuration-confirmation-queue.js';
 import type { GatewayQuotas } from './gateway-quotas.js';
 import type { Charge, ChargeResult } from './quotas/pending-charge.js';
@@ -83,6 +85,8 @@
   retryAfterMs: DEFAULT_REQUEST_OPTIONS.retryAfterMs,
 };
 
+const STOPPING_REFUSAL: GatewayRefusal = { reason: 'stopping', retryAfterMs: 0 };
+
 /** A request that waits for a backend or runs. */
 interface ActiveRequest {
   readonly regions: RequestRegions;
@@ -106,10 +110,7 @@
 /** Admits, charges, dispatches and reports the requests of callers. */
 export class GatewayRequests {
   private readonly active = new Map<AcceptedRequest, ActiveRequest>();
-  /** Requests whose quota charge is pending. */
-  private readonly charging = new Set<AcceptedRequest>();
-  /** Requests that resume a stream whose origin is being looked up. */
-  private readonly resuming = new Set<AcceptedRequest>();
+  private readonly unstarted: UnstartedRequests;
   private readonly admission: RequestAdmission;
   private readonly confirmationQueue: ConfigurationConfirmationQueue;
   private readonly openRequests: OpenRequests;
@@ -130,6 +131,7 @@
       dependencies.crashes,
     );
     this.openRequests = new OpenRequests(dependencies);
+    this.unstarted = new UnstartedRequests(clock);
     this.confirmationQueue = new ConfigurationConfirmationQueue(
       { isKnowledgeOld: () => dependencies.cluster.isKnowledgeOld },
       clock,
@@ -165,8 +167,7 @@
    * charge or a backend, or run.
    */
   get activeCount(): number {
-    const beforeStart = this.confirmationQueue.count + this.charging.size + this.resuming.size;
-    return beforeStart + this.active.size;
+    return this.unstarted.count + this.active.size;
   }
 
   /** Redirects unsent requests whose backend is no longer permitted; returns their number. */
@@ -188,6 +189,14 @@
     }
   }
 
+  /** Refuses the requests that no backend has, since the gateway is about to end. */
+  refuseWaiting(): void {
+    this.unstarted.refuseAll(STOPPING_REFUSAL);
+    for (const { proxied } of [...this.active.values()]) {
+      proxied.refuseIfUnsent(STOPPING_REFUSAL, 'the gateway stops');
+    }
+  }
+
   /** Retries that the retry budget still allows, by service. */
   repeatsLeft(nowMs: number): ReturnType<RetryBudget['repeatsLeft']> {
     return this.retryBudget.repeatsLeft(this.dependencies.cluster.size, nowMs);
@@ -267,7 +276,7 @@
 
   private admit(received: ConfinedAdmission, reply: CallerReply): AdmittedRequest | undefined {
     const admitted = this.dependencies.isRefusing()
-      ? err<GatewayRefusal>({ reason: 'stopping', retryAfterMs: 0 })
+      ? err(STOPPING_REFUSAL)
       : this.admission.admit(received, this.dependencies.configuration.table);
     if (admitted.ok) {
       return this.beginOrResume(admitted.val, received, reply);
@@ -286,8 +295,10 @@
   private awaitConfirmation(received: ConfinedAdmission, reply: CallerReply): AdmittedRequest {
     let request: AdmittedRequest | undefined;
     received.open.enter('confirming');
+    const wait = this.beginWait(received, reply, () => stopWaiting());
     const stopWaiting = this.confirmationQueue.wait(
       received.confine((isConfirmed: boolean) => {
+        wait.end();
         const admitted = this.admission.admit(received, this.dependencies.configuration.table);
         if (admitted.ok) {
           request = this.beginOrResume(admitted.val, received, reply);
@@ -300,6 +311,7 @@
     );
     return {
       handleCallerDisconnect: () => {
+        wait.end();
         stopWaiting();
         request?.handleCallerDisconnect();
         this.dependencies.onEnd();
@@ -317,24 +329,23 @@
       return this.chargeAndBegin(accepted, received, reply);
     }
     let request: AdmittedRequest | undefined;
-    let hasLeft = false;
-    this.resuming.add(accepted);
     received.open.enter('resuming', accepted);
+    const wait = this.beginWait(received, reply);
     const continueWith = received.confine((decision: ResumptionDecision) => {
-      this.resuming.delete(accepted);
-      if (!hasLeft) {
-        request = this.applyResumption(decision, received, reply);
+      if (!wait.end()) {
+        return;
       }
+      request = this.applyResumption(decision, received, reply);
       if (request === undefined) {
         this.dependencies.onEnd();
       }
     });
     this.dependencies.streams.resume(accepted, continueWith);
     const handleCallerDisconnect = () => {
-      if (request !== undefined) {
-        request.handleCallerDisconnect();
+      if (wait.end()) {
+        this.dependencies.onEnd();
       }
-      hasLeft = true;
+      request?.handleCallerDisconnect();
     };
     return { handleCallerDisconnect };
   }
@@ -359,16 +370,15 @@
   /** Starts a request once its cost is charged to its tenant. */
   private chargeAndBegin(
     accepted: AcceptedRequest,
-    { caller, confine, open }: ConfinedAdmission,
+    received: ConfinedAdmission,
     reply: CallerReply,
   ): AdmittedRequest {
+    const { caller, confine, open } = received;
     let proxied: ConfinedRequest | undefined;
-    let isSettled = false;
-    this.charging.add(accepted);
     open.enter('charging', accepted);
+    const wait = this.beginWait(received, reply, () => charge?.cancel());
     const settle = confine((result: ChargeResult) => {
-      isSettled = true;
-      this.charging.delete(accepted);
+      wait.end();
       if (result.isGranted) {
         proxied = this.begin(accepted, reply, open, () => result.giveBack());
       } else {
@@ -378,9 +388,7 @@
     });
     const charge = this.charge(accepted, settle);
     const handleCallerDisconnect = () => {
-      if (!isSettled) {
-        isSettled = true;
-        this.charging.delete(accepted);
+      if (wait.end()) {
         charge?.cancel();
         this.dependencies.onEnd();
       }
@@ -447,6 +455,23 @@
     return isAllowed;
   }
 
+  /**
+   * Begins a wait before a request is offered to backends; `cancel` is called if the request is
+   * refused meanwhile.
+   */
+  private beginWait(
+    { caller, confine }: ConfinedAdmission,
+    reply: CallerReply,
+    cancel: () => void = () => undefined,
+  ): UnstartedRequest {
+    const refuse = (refusal: GatewayRefusal) => {
+      cancel();
+      this.refuse(caller, reply, refusal);
+      this.dependencies.onEnd();
+    };
+    return this.unstarted.add(confine(refuse));
+  }
+
   private refuse(caller: CallerRequestHead, reply: CallerReply, refusal: GatewayRefusal): void {
     const { adapter, log, metrics, configuration, cluster } = this.dependencies;
     const status = sendRefusal(reply, adapter.protocol, caller.requestId, refusal);
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -213,6 +213,7 @@
       receive: (head, reply) => this.requests.receive(head, reply),
       maxBodyBytes: () => this.configuration.limits.maxBodyBytes,
       afterPolls: this.afterPolls,
+      onFlushed: () => this.shutdown.onRequestEnded(),
     });
     const { limits } = settings;
     this.quotas = new GatewayQuotas({
@@ -274,7 +275,8 @@
     });
     this.shutdown = new GracefulShutdown(clock, limits.stopGraceS * MS_PER_S, {
       stopListening: () => this.listener.stopListening(),
-      countActive: () => this.requests.activeCount + this.listener.unprocessedCount,
+      countActive: () => this.requests.activeCount + this.listener.pendingCount,
+      refuseWaiting: () => this.requests.refuseWaiting(),
       end: () => this.finishStop(),
     });
     this.requests = new GatewayRequests({
@@ -343,6 +345,7 @@
     const connections = Object.fromEntries(this.sender.connectionsOpened);
     this.dependencies.log.write('stopped', 'state', {
       active: this.requests.activeCount,
+      unflushed: this.listener.unflushedCount,
       connections,
     });
     this.dependencies.log.flush();
