Property test: changes of the configuration beside requests in each stage

GatewayRequests and ProxiedRequest on the virtual clock, backends that complete every request but are silent for 0.5 to 2 s now and then, charges that take up to 400 ms, and changes of services, routes (350 more), tenants, time-outs, attempts, allowed regions, engines and evacuations: each whole request has to be answered or refused by its deadline, and a stream that has begun is not broken off before it.

--- a/test/support/gateway-harness.ts
+++ b/test/support/gateway-harness.ts
@@ -1,5 +1,6 @@
 import type {
   ResponseHead,
+  AttemptHandle,
   AttemptHandlers,
   BackendSender,
   CallerReply,
@@ -333,7 +334,7 @@
     // Tests check which backend receives requests instead.
   }
 
-  send(attempt: OutgoingAttempt, handlers: AttemptHandlers) {
+  send(attempt: OutgoingAttempt, handlers: AttemptHandlers): AttemptHandle {
     const recorded: RecordedAttempt = {
       ...attempt,
       handlers: { ...handlers, onHead: (head) => handlers.onHead(withRequestId(head, attempt)) },
--- a/test/support/open-gateway.ts
+++ b/test/support/open-gateway.ts
@@ -1,4 +1,5 @@
 /** A gateway's requests on a virtual clock, from the received head, with a log of their ends. */
+import type { Clock } from '../../src/clock.js';
 import { ActiveConfiguration } from '../../src/gateway/active-configuration.js';
 import type {
   ReceivedHead,
@@ -69,9 +70,28 @@
   }
 }
 
+/** Records the response that a caller received, and when it ended. */
+export class TimedReply extends RecordedReply {
+  endedAtMs: number | undefined;
+
+  constructor(private readonly clock: Pick<Clock, 'now'>) {
+    super();
+  }
+
+  override end(bytes?: Buffer): void {
+    super.end(bytes);
+    this.endedAtMs ??= this.clock.now();
+  }
+
+  override abort(): void {
+    super.abort();
+    this.endedAtMs ??= this.clock.now();
+  }
+}
+
 /** A caller of the gateway. */
 export interface OpenCaller {
-  readonly reply: RecordedReply;
+  readonly reply: TimedReply;
   readonly handlers: RequestBodyHandlers;
   leave(): void;
 }
@@ -90,9 +110,9 @@
 
   constructor(backends: readonly Backend[], ...routes: Route[]) {
     super(...backends);
-    const installed = routes.length === 0 ? [routeOf()] : routes;
-    this.configuration.install(configurationOf(1, { routes: installed }));
     this.requests = new GatewayRequests(this.dependencies());
+    const installed = routes.length === 0 ? [routeOf()] : routes;
+    this.install(configurationOf(1, { routes: installed }));
   }
 
   /** Fields of the log lines of requests that ended without a response. */
@@ -100,9 +120,22 @@
     return this.log.fieldsOf('request-ended').filter(({ status }) => status === 0);
   }
 
+  /** Installs a configuration as a gateway does. */
+  install(configuration: RoutingConfiguration): void {
+    this.configuration.install(configuration);
+    this.restrictions = this.configuration.regionRestrictions;
+    this.configuredServices = new Set(configuration.services.map(({ name }) => name));
+    this.engines = configuration.services.some(({ isEngine }) => isEngine);
+    this.requests.applyConfiguration();
+    this.configuredServices.forEach((name) => this.directory.updateSubset(name));
+    this.directory.recheckReplaced();
+    this.dispatcher.tick(this.clock.now());
+    this.requests.withdrawUnsent();
+  }
+
   /** Receives the head of a request. */
   receiveHead(path = '/a/', headers: ReceivedHead['headers'] = {}): OpenCaller {
-    const reply = new RecordedReply();
+    const reply = new TimedReply(this.clock);
     const head = { method: 'GET', path, host: 'a.example', rawHeaders: [], headers };
     const handlers = this.requests.receive(head, reply);
     return { reply, handlers, leave: () => handlers.onCallerDisconnected() };
@@ -167,5 +200,6 @@
     ...PLAIN_PROTOCOL.readRequest(headers),
     requestId: headerValue('q'),
     apiKey: API_KEY,
+    deadlineMs: headers['deadline-ms'] === undefined ? undefined : Number(headers['deadline-ms']),
   }),
 };
