A request that waits to be offered is refused at its deadline

Callers saw nothing until their time was up where their request waited for the confirmation of the configuration, the origin of the stream that it resumes or the charge to its quota: the deadline of a request was only watched from its first offer to backends. A refusal came up to 500 ms (confirmation), 300 ms (two rounds of queries) or several rounds of 80 ms (silent pool holders) late, after the caller had gone; a wait whose result never came would not have been answered at all.

Each such wait now ends at the deadline with 503 `not-started-in-time`; its charge is cancelled, so nothing is sent later. The timer ends with the offer, an answer or the departure of the caller.

Evidence: three tests in test/unanswered-requests.test.ts failed before with a refusal at 500 ms instead of 200 ms, and with no answer at all by 300 ms (charge, origin). Not shown by a run of real processes.

--- a/src/gateway/admission/open-requests.ts
+++ b/src/gateway/admission/open-requests.ts
@@ -2,8 +2,9 @@
  * Knows the requests that were read whole and have no response yet, and reports each that ends
  * without one.
  */
-import type { Clock } from '../../clock.js';
+import type { Clock, TimerHandle } from '../../clock.js';
 import type { HeaderValue } from '../../http/header-value.js';
+import { MAX_TIMER_MS } from '../../routing/configuration.js';
 import type { DecisionLog } from '../../telemetry/decision-log.js';
 import type { AcceptedRequest } from '../attempt/accepted-request.js';
 import type { CallerReply } from '../attempt/attempt.js';
@@ -66,7 +67,8 @@
 
   /** Returns a request whose body is still to be read. */
   create(requestId: HeaderValue | undefined): OpenRequest {
-    return new OpenRequest(requestId, this.open, this.ports.clock.now(), this);
+    const { clock } = this.ports;
+    return new OpenRequest(requestId, clock.now(), this, this.open, clock);
   }
 
   /** Counts a request that ended without a response and returns the fields of its log line. */
@@ -139,12 +141,14 @@
   accepted: AcceptedRequest | undefined;
   private state: OpenState = 'unread';
   private currentStage: () => RequestStage = () => 'receiving';
+  private expiryTimer: TimerHandle | undefined;
 
   constructor(
     readonly requestId: HeaderValue | undefined,
-    private readonly open: Set<OpenRequest>,
     readonly arrivedAtMs: number,
     private readonly owner: OpenRequests,
+    private readonly open: Set<OpenRequest>,
+    private readonly clock: Clock,
   ) {}
 
   /** What the request waits for. */
@@ -159,15 +163,29 @@
   }
 
   /** Sets what the request waits for from now on. */
-  enter(stage: RequestStage | (() => RequestStage), accepted = this.accepted): void {
-    this.currentStage = typeof stage === 'function' ? stage : () => stage;
+  enter(stage: RequestStage, accepted = this.accepted): void {
+    this.currentStage = () => stage;
+    this.accepted = accepted;
+  }
+
+  /** Calls `onExpired` at the deadline if the request was not offered to backends by then. */
+  expireAt(deadlineAtMs: number, onExpired: () => void): void {
+    this.clock.clearTimeout(this.expiryTimer);
+    const remainingMs = Math.min(MAX_TIMER_MS, deadlineAtMs - this.clock.now());
+    this.expiryTimer = this.clock.setTimeout(onExpired, remainingMs);
+  }
+
+  /** Notes that the request is offered to backends, which limit its time from now on. */
+  offer(accepted: AcceptedRequest, stage: () => AttemptStage): void {
+    this.clock.clearTimeout(this.expiryTimer);
+    this.currentStage = stage;
     this.accepted = accepted;
   }
 
   /** Notes that the request ended without a response and was reported. */
   close(): void {
     this.state = 'closed';
-    this.open.delete(this);
+    this.end();
   }
 
   /** Returns a reply that notes when the response of this request is complete. */
@@ -191,9 +209,14 @@
   private noteResponse(): void {
     if (this.state !== 'closed') {
       this.state = 'responded';
-      this.open.delete(this);
+      this.end();
     }
   }
+
+  private end(): void {
+    this.clock.clearTimeout(this.expiryTimer);
+    this.open.delete(this);
+  }
 }
 
 /** Forwards a response and tells when it is complete. */
--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -78,6 +78,10 @@
   reason: 'internal-error',
   retryAfterMs: DEFAULT_REQUEST_OPTIONS.retryAfterMs,
 };
+const NOT_STARTED_REFUSAL: GatewayRefusal = {
+  reason: 'not-started-in-time',
+  retryAfterMs: DEFAULT_REQUEST_OPTIONS.retryAfterMs,
+};
 const UNCONFIRMED_REFUSAL: GatewayRefusal = {
   reason: 'configuration-unconfirmed',
   retryAfterMs: DEFAULT_REQUEST_OPTIONS.retryAfterMs,
@@ -100,6 +104,7 @@
 
 /** The caller-side handle of an admitted request. */
 interface AdmittedRequest {
+  /** Ends the request without a response, or the wait for which it was not offered to backends. */
   handleCallerDisconnect(): void;
 }
 
@@ -298,13 +303,33 @@
         this.dependencies.onEnd();
       }),
     );
-    return {
+    const admitted = {
       handleCallerDisconnect: () => {
         stopWaiting();
         request?.handleCallerDisconnect();
         this.dependencies.onEnd();
       },
     };
+    const { deadlineMs } = received.caller;
+    if (received.open.stage === 'confirming' && deadlineMs !== undefined) {
+      this.limitWait(received, reply, received.arrivedAtMs + deadlineMs, admitted);
+    }
+    return admitted;
+  }
+
+  /** Refuses a request at its deadline unless it was offered to backends by then. */
+  private limitWait(
+    { caller, open, confine }: ConfinedAdmission,
+    reply: CallerReply,
+    deadlineAtMs: number,
+    waiting: AdmittedRequest,
+  ): void {
+    const refuse = () => {
+      waiting.handleCallerDisconnect();
+      this.refuse(caller, reply, NOT_STARTED_REFUSAL);
+      this.dependencies.onEnd();
+    };
+    open.expireAt(deadlineAtMs, confine(refuse));
   }
 
   /** Starts a request, one that resumes a stream once it is known where the stream began. */
@@ -335,7 +360,11 @@
         request.handleCallerDisconnect();
       }
       hasLeft = true;
+      this.resuming.delete(accepted);
     };
+    if (this.resuming.has(accepted)) {
+      this.limitWait(received, reply, accepted.deadlineAtMs, { handleCallerDisconnect });
+    }
     return { handleCallerDisconnect };
   }
 
@@ -359,9 +388,10 @@
   /** Starts a request once its cost is charged to its tenant. */
   private chargeAndBegin(
     accepted: AcceptedRequest,
-    { caller, confine, open }: ConfinedAdmission,
+    received: ConfinedAdmission,
     reply: CallerReply,
   ): AdmittedRequest {
+    const { caller, confine, open } = received;
     let proxied: ConfinedRequest | undefined;
     let isSettled = false;
     this.charging.add(accepted);
@@ -386,6 +416,9 @@
       }
       proxied?.handleCallerDisconnect();
     };
+    if (this.charging.has(accepted)) {
+      this.limitWait(received, reply, accepted.deadlineAtMs, { handleCallerDisconnect });
+    }
     return { handleCallerDisconnect };
   }
 
@@ -421,7 +454,7 @@
       DEFAULT_REQUEST_OPTIONS,
       (cause) => this.reportFault(request.requestId, cause),
     );
-    open.enter(() => proxied.stage, request);
+    open.offer(request, () => proxied.stage);
     this.active.set(request, { regions, proxied, open, refund });
     proxied.begin();
     return proxied;
--- a/test/support/open-gateway.ts
+++ b/test/support/open-gateway.ts
@@ -161,8 +161,9 @@
     };
     const isKnowledgeOld = () => this.isKnowledgeOld;
     const charge = (_tenant: string, _cost: number, onResult: (result: ChargeResult) => void) => {
-      this.chargeOnce(onResult);
-      return { cancel: () => undefined } satisfies Charge;
+      let isCancelled = false;
+      this.chargeOnce((result) => !isCancelled && onResult(result));
+      return { cancel: () => void (isCancelled = true) } satisfies Charge;
     };
     return {
       adapter: { protocol: PROTOCOL },
@@ -200,6 +201,10 @@
     ...PLAIN_PROTOCOL.readRequest(headers),
     requestId: headerValue('q'),
     apiKey: API_KEY,
+    lastEventId:
+      headers['last-event'] === undefined
+        ? undefined
+        : headerValue(headers['last-event'] as string),
     deadlineMs: headers['deadline-ms'] === undefined ? undefined : Number(headers['deadline-ms']),
   }),
 };
--- a/test/unanswered-requests.test.ts
+++ b/test/unanswered-requests.test.ts
@@ -63,6 +63,34 @@
   t.deepEqual(gateway.counted, [{ cause: 'caller-left', stage: 'flushing' }]);
 });
 
+test('a request is refused at its deadline while the configuration is confirmed', async (t) => {
+  const gateway = new OpenGateway([backendOf('a')]);
+  gateway.isKnowledgeOld = true;
+  const { reply } = gateway.receive('/elsewhere/', { 'deadline-ms': '200' });
+  await gateway.clock.runUntil(1_000);
+  t.deepEqual([reply.status, reply.endedAtMs], [503, 200]);
+});
+
+test('a request is refused at its deadline while its quota is charged, and is not sent later', async (t) => {
+  const gateway = new OpenGateway([backendOf('a')]);
+  let grant: (() => void) | undefined;
+  gateway.chargeOnce = (onResult) =>
+    (grant = () => onResult({ isGranted: true, giveBack: () => undefined }));
+  const { reply } = gateway.receive('/a/', { 'deadline-ms': '200' });
+  await gateway.clock.runUntil(300);
+  t.deepEqual([reply.status, reply.endedAtMs], [503, 200]);
+  grant!();
+  t.is(gateway.attempts.length, 0);
+});
+
+test('a request is refused at its deadline while the origin of its stream is looked up', async (t) => {
+  const gateway = new OpenGateway([backendOf('a')], STREAM);
+  const { reply } = gateway.receive('/a/', { 'deadline-ms': '200', 'last-event': '1' });
+  await gateway.clock.runUntil(300);
+  t.deepEqual([reply.status, reply.endedAtMs], [503, 200]);
+  t.is(gateway.requests.activeCount, 0);
+});
+
 test('requests that are open at the end of the process are logged, each at its stage', (t) => {
   const gateway = new OpenGateway([backendOf('a', { slots: 1 })], routeOf({ kind: 'unsafe' }));
   gateway.receive();
