--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -104,6 +104,7 @@
 
 /** The caller-side handle of an admitted request. */
 interface AdmittedRequest {
+  /** Ends the request without a response, or the wait for which it was not offered to backends. */
   handleCallerDisconnect(): void;
 }
 
@@ -309,7 +310,7 @@
         this.dependencies.onEnd();
       }),
     );
-    return {
+    const admitted = {
       handleCallerDisconnect: () => {
         wait.end();
         stopWaiting();
@@ -317,6 +318,11 @@
         this.dependencies.onEnd();
       },
     };
+    const { deadlineMs } = received.caller;
+    if (deadlineMs !== undefined) {
+      wait.expireAt(received.arrivedAtMs + deadlineMs);
+    }
+    return admitted;
   }
 
   /** Starts a request, one that resumes a stream once it is known where the stream began. */
@@ -347,6 +353,7 @@
       }
       request?.handleCallerDisconnect();
     };
+    wait.expireAt(accepted.deadlineAtMs);
     return { handleCallerDisconnect };
   }
 
@@ -378,7 +385,9 @@
     open.enter('charging', accepted);
     const wait = this.beginWait(received, reply, () => charge?.cancel());
     const settle = confine((result: ChargeResult) => {
-      wait.end();
+      if (!wait.end()) {
+        return;
+      }
       if (result.isGranted) {
         proxied = this.begin(accepted, reply, open, () => result.giveBack());
       } else {
@@ -394,6 +403,7 @@
       }
       proxied?.handleCallerDisconnect();
     };
+    wait.expireAt(accepted.deadlineAtMs);
     return { handleCallerDisconnect };
   }
 
