The trial with kept connections counts apart what its own delays leave undecided

A request counts as unanswered only if the trial polled its connections later than 5 ms after the send and saw no close yet; the others are printed as undecided.

--- a/bench/soak/kept-connection-run.ts
+++ b/bench/soak/kept-connection-run.ts
@@ -43,6 +43,8 @@
   readonly crossings: number;
   /** Those of them that were sent after the close, before their callers noticed it. */
   readonly sentAfterClose: number;
+  /** Requests without a response that may have crossed the close: this process was late then. */
+  readonly undecided: number;
   /** Responses by status. */
   readonly statuses: Readonly<Record<string, number>>;
   /** Connections that closed before their next request was sent. */
@@ -67,6 +69,8 @@
 const NEXT_REQUEST_MS = { min: -150, max: 350 };
 /** Time before a close in which a request may cross it on the wire. */
 const CROSSING_MS = 5;
+/** Interval of the ticks that show when this process was late. */
+const TICK_MS = 1;
 const PERCENTILE = 0.95;
 
 /** Runs one scenario and returns its results. */
@@ -89,6 +93,8 @@
   private readonly callers: KeptConnectionCaller[] = [];
   private readonly timers = new Set<NodeJS.Timeout>();
   private version = 0;
+  /** Times of the last two ticks; a poll followed each. */
+  private ticksMs: readonly [previous: number, last: number] = [0, 0];
 
   constructor(private readonly options: KeptConnectionRunOptions) {
     this.random = new SeededRandom(options.seed);
@@ -111,6 +117,7 @@
     }
     await this.processes.waitUntilReady();
     await delay(SETTLE_MS);
+    this.timers.add(setInterval(() => this.tick(), TICK_MS));
     this.startCallers();
     this.startChanges();
     this.startPauses();
@@ -184,7 +191,10 @@
     const port = this.processes.callersPort();
     for (let index = 0; index < gateways * callersPerGateway; index += 1) {
       const address = { host: this.processes.hostOf(index % gateways), port };
-      const caller = new KeptConnectionCaller(`c-${index}`, address, () => this.nextIdleMs());
+      const caller = new KeptConnectionCaller(`c-${index}`, address, {
+        nextIdleMs: () => this.nextIdleMs(),
+        beforeLastPollMs: () => this.ticksMs[0],
+      });
       this.callers.push(caller);
       this.startTimer(() => caller.start(), this.random.next() * HOLD_MARGIN_MS);
     }
@@ -196,6 +206,10 @@
     return this.idleTimeoutMs + HOLD_MARGIN_MS + min + this.random.next() * (max - min);
   }
 
+  private tick(): void {
+    this.ticksMs = [this.ticksMs[1], performance.now()];
+  }
+
   private startChanges(): void {
     if (this.options.idleTimeoutsMs.length > 1) {
       this.timers.add(setInterval(() => this.configure(), this.options.changeIntervalMs));
@@ -236,7 +250,10 @@
     const isCrossing = (exchange: CallerExchange) =>
       exchange.isSentAfterClose || tookMs(exchange) <= CROSSING_MS;
     const lost = exchanges.filter(({ status }) => status === undefined);
-    const unanswered = lost.filter((exchange) => !isCrossing(exchange));
+    const isUndecided = ({ sentAtMs, openUntilMs }: CallerExchange) =>
+      openUntilMs !== undefined && openUntilMs - sentAtMs <= CROSSING_MS;
+    const beforeClose = lost.filter((exchange) => !isCrossing(exchange));
+    const unanswered = beforeClose.filter((exchange) => !isUndecided(exchange));
     const statuses: Record<string, number> = {};
     answered.forEach(({ status }) => (statuses[`${status}`] = (statuses[`${status}`] ?? 0) + 1));
     const answerTimesMs = answered.map(tookMs).sort((one, other) => one - other);
@@ -254,6 +271,7 @@
             },
       crossings: lost.filter(isCrossing).length,
       sentAfterClose: lost.filter(({ isSentAfterClose }) => isSentAfterClose).length,
+      undecided: beforeClose.filter(isUndecided).length,
       statuses,
       closedIdle: this.callers.reduce((sum, { closedIdle }) => sum + closedIdle, 0),
       answeredWithinMs: Math.round(answerTimesMs[Math.floor(answered.length * PERCENTILE)] ?? 0),
