A connection of a caller is closed as idle only after a poll that brought nothing

Callers saw kept connections closed under requests that had arrived: Node closes idle connections in the timers phase, before the poll that would read them, so that each stall of the event loop at the end of the idle timeout turned whole requests into resets. A lowered timeout also applied to connections whose response had named the longer one, and one below a second was named as 0.

IdleConnections takes the place of Node's timeout: one timer each 200 ms finds expired connections, without a timer per connection. UnusedConnectionCloser closes them after a poll that began later and brought nothing, and within 1 ms of the start of that poll; after a longer iteration it awaits the next poll. Keep-Alive is named by us, at least a second, and each connection is held a second longer than the larger of the timeout in force and the one that its last response named.

A stall between the last look and the close, some tens of microseconds, can still lose a request: Node has no call that tells whether input waits in the system.

--- a/src/gateway/admission/caller-listener.ts
+++ b/src/gateway/admission/caller-listener.ts
@@ -11,6 +11,8 @@
 import type { AcceptBacklog } from './accept-backlog-monitor.js';
 import { CallerDisconnectWatcher } from './caller-disconnect-watcher.js';
 import type { RawHeaders } from './caller-protocol.js';
+import { IdleConnections } from './idle-connections.js';
+import { UnusedConnectionCloser } from './unused-connection-closer.js';
 
 /** The head of a received request. */
 export interface ReceivedHead {
@@ -43,6 +45,7 @@
 /** HTTP server that accepts the connections of callers. */
 export class CallerListener {
   readonly server: Server;
+  private readonly idleConnections: IdleConnections;
   private readonly disconnectWatchers = new Map<Socket, CallerDisconnectWatcher>();
   /** Requests that were read whole and wait for a poll that may show that their callers left. */
   private readonly unprocessed = new Set<IncomingMessage>();
@@ -65,6 +68,8 @@
       (request, response) => this.receive(request, response),
     );
     this.server.requestTimeout = 0;
+    const closer = new UnusedConnectionCloser(SYSTEM_CLOCK);
+    this.idleConnections = new IdleConnections(this.server, SYSTEM_CLOCK, closer);
     this.server.on('connection', (socket: Socket) => {
       acceptBacklog.recordAccept();
       this.disconnectWatchers.set(socket, new CallerDisconnectWatcher(socket));
@@ -75,7 +80,7 @@
   /** Applies the configured limits to requests that arrive from now on. */
   applyLimits(limits: CallerLimits): void {
     this.server.headersTimeout = limits.headerTimeoutMs;
-    this.server.keepAliveTimeout = limits.idleTimeoutMs;
+    this.idleConnections.applyTimeouts(limits);
   }
 
   /** Number of open connections. */
@@ -100,7 +105,7 @@
   }
 
   private receive(request: IncomingMessage, response: ServerResponse): void {
-    const reply = new HttpReply(request, response, () => this.isClosing);
+    const reply = new HttpReply(request, response, this.idleConnections, () => this.isClosing);
     const head: ReceivedHead = {
       method: request.method ?? 'GET',
       path: request.url ?? '/',
@@ -178,6 +183,7 @@
   constructor(
     private readonly request: IncomingMessage,
     private readonly response: ServerResponse,
+    private readonly idleConnections: IdleConnections,
     private readonly isClosing: () => boolean,
   ) {}
 
@@ -186,8 +192,11 @@
       return;
     }
     const isBodyUnread = !this.request.complete;
-    const closeHeader = this.isClosing() || isBodyUnread ? ['Connection', 'close'] : [];
-    this.response.writeHead(status, [...headers, ...closeHeader]);
+    const connectionHeaders =
+      this.isClosing() || isBodyUnread
+        ? ['Connection', 'close']
+        : this.idleConnections.keepAliveHeader(this.response);
+    this.response.writeHead(status, [...headers, ...connectionHeaders]);
   }
 
   write(bytes: Buffer): boolean {
