A request head counts as late only after a poll that did not bring it

Callers saw 408 for whole requests that had arrived: Node checks the header timeout in the timers phase, before the poll that would read them, so a stall of the event loop made heads late that were there. A part of a head behind a whole request also ended that request with a 408, which promises that it has not run, while it did.

ClientErrors answers as the server does by default (400, 408, 413, 431), but a late head is refused only if a poll that began after its timeout brought no request, and no request before it is open.

Failed before with 408 in place of 200: "a request that arrived while the loop stood still over the end of the header timeout is served" and "a late head does not end the request before it on its connection". Passed before and after: a late head gets 408, input that is no request 400 or 431.

--- a/src/gateway/admission/caller-listener.ts
+++ b/src/gateway/admission/caller-listener.ts
@@ -11,6 +11,7 @@
 import type { AcceptBacklog } from './accept-backlog-monitor.js';
 import { CallerDisconnectWatcher } from './caller-disconnect-watcher.js';
 import type { RawHeaders } from './caller-protocol.js';
+import { ClientErrors } from './client-errors.js';
 import { IdleConnections } from './idle-connections.js';
 import { UnusedConnectionCloser } from './unused-connection-closer.js';
 
@@ -70,6 +71,7 @@
     this.server.requestTimeout = 0;
     const closer = new UnusedConnectionCloser(SYSTEM_CLOCK);
     this.idleConnections = new IdleConnections(this.server, SYSTEM_CLOCK, closer);
+    new ClientErrors(this.server, closer);
     this.server.on('connection', (socket: Socket) => {
       acceptBacklog.recordAccept();
       this.disconnectWatchers.set(socket, new CallerDisconnectWatcher(socket));
