--- a/src/gateway/admission/caller-listener.ts
+++ b/src/gateway/admission/caller-listener.ts
@@ -12,8 +12,11 @@
 import type { AcceptBacklog } from './accept-backlog-monitor.js';
 import { CallerDisconnectWatcher } from './caller-disconnect-watcher.js';
 import type { RawHeaders } from './caller-protocol.js';
+import { ClientErrors } from './client-errors.js';
 import { ConnectionResponses } from './connection-responses.js';
+import { IdleConnections } from './idle-connections.js';
 import { UnflushedResponses } from './unflushed-responses.js';
+import { UnusedConnectionCloser } from './unused-connection-closer.js';
 
 /** The head of a received request. */
 export interface ReceivedHead {
@@ -46,6 +49,7 @@
 /** HTTP server that accepts the connections of callers. */
 export class CallerListener {
   readonly server: Server;
+  private readonly idleConnections: IdleConnections;
   private readonly disconnectWatchers = new Map<Socket, CallerDisconnectWatcher>();
   private readonly responses = new WeakMap<Socket, ConnectionResponses>();
   /** Requests that were read whole and wait for a poll that may show that their callers left. */
@@ -76,6 +80,9 @@
       (request, response) => this.receive(request, response),
     );
     this.server.requestTimeout = 0;
+    const closer = new UnusedConnectionCloser(SYSTEM_CLOCK);
+    this.idleConnections = new IdleConnections(this.server, SYSTEM_CLOCK, closer);
+    new ClientErrors(this.server, closer);
     this.server.on('connection', (socket: Socket) => {
       acceptBacklog.recordAccept();
       this.disconnectWatchers.set(socket, new CallerDisconnectWatcher(socket));
@@ -86,7 +93,7 @@
   /** Applies the configured limits to requests that arrive from now on. */
   applyLimits(limits: CallerLimits): void {
     this.server.headersTimeout = limits.headerTimeoutMs;
-    this.server.keepAliveTimeout = limits.idleTimeoutMs;
+    this.idleConnections.applyTimeouts(limits);
   }
 
   /** Number of open connections. */
@@ -138,9 +145,11 @@
   private receive(request: IncomingMessage, response: ServerResponse): void {
     const connection = this.responsesOf(request.socket);
     connection.add(response);
-    const reply = new HttpReply(request, response, this.unflushed, (isBodyUnread) =>
-      connection.announceClose(response, this.isClosing || isBodyUnread),
-    );
+    const connectionHeaders = (isBodyUnread: boolean) =>
+      connection.announceClose(response, this.isClosing || isBodyUnread)
+        ? ['Connection', 'close']
+        : this.idleConnections.keepAliveHeader(response);
+    const reply = new HttpReply(request, response, this.unflushed, connectionHeaders);
     const head: ReceivedHead = {
       method: request.method ?? 'GET',
       path: request.url ?? '/',
@@ -225,7 +234,8 @@
     private readonly request: IncomingMessage,
     private readonly response: ServerResponse,
     private readonly unflushed: UnflushedResponses,
-    private readonly announceClose: (isBodyUnread: boolean) => boolean,
+    /** Returns the headers that state whether the connection is kept. */
+    private readonly connectionHeaders: (isBodyUnread: boolean) => RawHeaders,
   ) {}
 
   start(status: number, headers: RawHeaders): void {
@@ -233,8 +243,7 @@
       return;
     }
     const isBodyUnread = !this.request.complete;
-    const closeHeader = this.announceClose(isBodyUnread) ? ['Connection', 'close'] : [];
-    this.response.writeHead(status, [...headers, ...closeHeader]);
+    this.response.writeHead(status, [...headers, ...this.connectionHeaders(isBodyUnread)]);
   }
 
   write(bytes: Buffer): boolean {
