--- a/src/experiment/simulated-gateway.ts
+++ b/src/experiment/simulated-gateway.ts
@@ -134,6 +134,7 @@
       crashes: NO_CRASH_TRACKING,
       chargeRetry: (_request, onResult) => onResult(true),
       takeRetry: (service) => budget.takeRetry(service, dependencies.countGateways(), clock.now()),
+      returnRetry: (service) => budget.returnRetry(service),
       onStatement: () => undefined,
       onStreamBegun: () => undefined,
       onTryOver: () => undefined,
--- a/src/gateway/admission/retry-budget.ts
+++ b/src/gateway/admission/retry-budget.ts
@@ -40,6 +40,17 @@
     this.retries += entry.isRetry ? 1 : 0;
   }
 
+  /** Removes the newest retry, if there is one in the window. */
+  removeRetry(): void {
+    for (let index = this.entries.length - 1; index >= this.firstInWindow; index -= 1) {
+      if (this.entries[index]!.isRetry) {
+        this.entries.splice(index, 1);
+        this.retries -= 1;
+        return;
+      }
+    }
+  }
+
   count(sinceMs: number): { requests: number; retries: number } {
     while (
       this.firstInWindow < this.entries.length &&
@@ -101,6 +112,11 @@
     return true;
   }
 
+  /** Gives back a retry that was taken and not made. */
+  returnRetry(service: string): void {
+    this.budgetOf(service).removeRetry();
+  }
+
   private allowedRetries(requests: number, gateways: number): number {
     const { ratio, slack } = this.options;
     return (ratio * requests + slack / Math.max(1, gateways)) * SPENDABLE_SHARE;
--- a/src/gateway/attempt/alternative-backends.ts
+++ b/src/gateway/attempt/alternative-backends.ts
@@ -1,5 +1,5 @@
 /** Determines whether a request could move to a backend that it has not used yet, without I/O. */
-import type { PlacementConstraints } from '../dispatch/dispatch-request.js';
+import type { BackendExclusion, PlacementConstraints } from '../dispatch/dispatch-request.js';
 import type { RequestPorts } from './request-model.js';
 
 const NONE: ReadonlySet<string> = new Set();
@@ -8,45 +8,50 @@
 export class AlternativeBackends {
   private readonly usedIds = new Set<string>();
   /** Used backends that were left although they may go on. */
-  private readonly silentIds = new Set<string>();
+  private readonly resumableIds = new Set<string>();
+  private readonly readmittedIds = new Set<string>();
+  /** The only backends that are left; undefined if any that was not used is. */
+  private allowedIds: ReadonlySet<string> | undefined;
 
   constructor(
     private readonly constraints: PlacementConstraints,
     private readonly ports: Pick<RequestPorts, 'directory' | 'dispatcher' | 'clock'>,
   ) {}
 
-  /** Ids of the backends that the request has left. */
-  get excluded(): ReadonlySet<string> {
-    return this.usedIds;
+  /** The backends that must not be used. */
+  get excluded(): BackendExclusion {
+    const { allowedIds } = this;
+    return allowedIds === undefined ? this.usedIds : new AllExcept(allowedIds);
   }
 
-  /** Records that the request left a backend. */
+  /** Records that the request must not return to a backend. */
   exclude(backendId: string): void {
     this.usedIds.add(backendId);
+    this.readmittedIds.delete(backendId);
   }
 
-  /** Records that the request left a backend that sent nothing and may be sound. */
-  leaveSilent(backendId: string): void {
+  /** Records that the request left a backend that may be sound, and may return to it. */
+  recordLeft(backendId: string): void {
     this.exclude(backendId);
-    this.silentIds.add(backendId);
+    this.resumableIds.add(backendId);
   }
 
-  /** Whether the request has left a backend that may be sound. */
-  get hasLeftSilent(): boolean {
-    return this.silentIds.size > 0;
+  /** Whether the request has left a backend to which it may return. */
+  get canReturn(): boolean {
+    return this.resumableIds.size > 0;
   }
 
-  /** Lets the request return once to each backend that it left as silent. */
-  readmitSilent(): void {
-    this.silentIds.forEach((id) => this.usedIds.delete(id));
-    this.silentIds.clear();
+  /** Lets the request return once to each backend that it left as sound. */
+  readmitLeft(): void {
+    this.resumableIds.forEach((id) => this.readmittedIds.add(id));
+    this.resumableIds.forEach((id) => this.usedIds.delete(id));
+    this.resumableIds.clear();
   }
 
-  /** Excludes all backends but those left as silent, so that no further backend is tried. */
-  keepOnlySilent(): void {
-    for (const { backend } of this.ports.directory.ofService(this.constraints.service)) {
-      this.exclude(backend.id);
-    }
+  /** Lets the request only return to backends that it left as sound. */
+  returnOnly(): void {
+    this.readmitLeft();
+    this.allowedIds = this.readmittedIds;
   }
 
   /**
@@ -83,8 +88,19 @@
     return this.ports.dispatcher.hasCapacity(this.constraints, excluded, this.ports.clock.now());
   }
 
-  /** Ids of the backends that the request has left, and `currentId`. */
+  /** Ids of the backends that must not be used, and `currentId`. */
   excludedWith(currentId: string): ReadonlySet<string> {
     return new Set([...this.usedIds, currentId]);
   }
 }
+
+/** Excludes every backend but some. */
+class AllExcept implements BackendExclusion {
+  readonly size = Infinity;
+
+  constructor(private readonly allowedIds: ReadonlySet<string>) {}
+
+  has(backendId: string): boolean {
+    return !this.allowedIds.has(backendId);
+  }
+}
--- a/src/gateway/attempt/attempt-departure.ts
+++ b/src/gateway/attempt/attempt-departure.ts
@@ -33,10 +33,8 @@
 /** The request whose attempts are left. */
 export interface DepartingRequest {
   current(): CurrentAttempt;
-  /** Whether a part of the response was sent to the caller. */
-  hasStarted(): boolean;
-  /** Ends the current attempt and sends the request elsewhere. */
-  leave(cause: DepartureCause): void;
+  /** Whether its caller takes no data for now, so that none is read from the backend. */
+  isPaused(): boolean;
   /** Whether a slot that suits the request is free elsewhere. */
   canMove(): boolean;
   /** Sends the request elsewhere once a slot is free there; the attempt continues until then. */
@@ -84,23 +82,27 @@
     this.silenceTimer.clear();
   }
 
+  /** Whether a retry of the attempt is already taken from the budget and charged. */
+  isCharged(handle: AttemptHandle | undefined): boolean {
+    return handle !== undefined && this.chargedFor === handle;
+  }
+
   /**
-   * Retries elsewhere as soon as the path is known to be lost, without waiting for the silence
-   * timeout. A response that has started is not broken off while no other backend can continue it.
+   * Retries elsewhere as soon as the path is known to be lost and another backend has a slot,
+   * without waiting for the silence timeout.
    */
-  leaveLostPath(): void {
-    const isReachableElsewhere = this.alternatives.isReachable(this.departing.current().backendId);
-    if (!this.canLeave || !isReachableElsewhere || !this.retries.take()) {
+  leaveLostPath(lostId: string): void {
+    const { backendId, handle } = this.departing.current();
+    // Other requests that leave the path may have given this one a slot elsewhere meanwhile.
+    const isOnPath = handle !== undefined && backendId === lostId;
+    if (!isOnPath || !this.canLeave || !this.alternatives.isReachable(backendId)) {
       return;
     }
-    this.onceCharged(() => {
-      if (this.departing.hasStarted()) {
-        this.clear();
-        this.departing.moveOncePlaced(PATH_LOST);
-      } else {
-        this.departing.leave(PATH_LOST);
-      }
-    });
+    if (this.isCharged(handle)) {
+      this.beginMove(PATH_LOST);
+    } else if (this.retries.takeForMove()) {
+      this.onceCharged(() => this.beginMove(PATH_LOST));
+    }
   }
 
   private get canLeave(): boolean {
@@ -110,19 +112,29 @@
 
   private leaveSilentBackend(): void {
     const { backendId, handle } = this.departing.current();
-    if (!this.canLeave) {
-      return;
-    }
-    if (!this.alternatives.hasFreeSlot(backendId) || !this.departing.canMove()) {
+    if (this.departing.isPaused()) {
+      this.armSilenceTimer();
+    } else if (!this.canMoveFrom(backendId)) {
       this.recheckLater();
-    } else if (this.chargedFor === handle) {
-      this.departing.moveOncePlaced(SILENT);
-    } else if (this.retries.take()) {
+    } else if (this.isCharged(handle)) {
+      this.beginMove(SILENT);
+    } else if (this.retries.takeForMove()) {
       // The slot may be taken while the retry is charged.
       this.onceCharged(() => this.leaveSilentBackend());
+    } else {
+      this.recheckLater();
     }
   }
 
+  private canMoveFrom(backendId: string): boolean {
+    return this.canLeave && this.alternatives.hasFreeSlot(backendId) && this.departing.canMove();
+  }
+
+  private beginMove(cause: DepartureCause): void {
+    this.clear();
+    this.departing.moveOncePlaced(cause);
+  }
+
   private recheckLater(): void {
     this.silenceTimer.start(SILENCE_RECHECK_MS, () => this.leaveSilentBackend());
   }
@@ -133,9 +145,13 @@
     this.ports.chargeRetry(this.request, (isGranted) => {
       const current = this.departing.current();
       const hasMoved = current.handle !== handle || current.lastReceiptAtMs !== lastReceiptAtMs;
-      if (isGranted && !hasMoved && handle !== undefined) {
+      if (isGranted && handle !== undefined && current.handle === handle) {
         this.chargedFor = handle;
+      }
+      if (isGranted && !hasMoved && handle !== undefined) {
         leave();
+      } else if (current.handle === handle) {
+        this.armSilenceTimer();
       }
     });
   }
--- a/src/gateway/attempt/backend-move.ts
+++ b/src/gateway/attempt/backend-move.ts
@@ -1,8 +1,10 @@
 /** Moves a request to another backend once a slot is free there; its attempt continues until then. */
 import type { Backend } from '../../routing/backend.js';
 import type { SoftwareVersion } from '../../streams/software-version.js';
+import type { AcceptedRequest } from './accepted-request.js';
 import type { AlternativeBackends } from './alternative-backends.js';
 import type { DepartureCause } from './attempt-departure.js';
+import type { RequestPorts } from './request-model.js';
 import type { RequestWait } from './request-wait.js';
 import type { RequestWaits } from './request-waits.js';
 
@@ -10,13 +12,9 @@
 export interface MovingRequest {
   /** Id of the backend of the current attempt. */
   currentBackendId(): string;
-  /** Ends the current attempt and sends the request to `backend`. */
-  moveTo(
-    backend: Backend,
-    placedAtMs: number,
-    version: SoftwareVersion,
-    cause: DepartureCause,
-  ): void;
+  /** Ends the current attempt. */
+  abandonAttempt(cause: DepartureCause): void;
+  send(backend: Backend, placedAtMs: number, version: SoftwareVersion): void;
   /** Called when no slot became free in time; the attempt continues. */
   onAbandoned(): void;
 }
@@ -26,13 +24,18 @@
   private wait: RequestWait | undefined;
 
   constructor(
+    private readonly request: AcceptedRequest,
     private readonly alternatives: AlternativeBackends,
     private readonly waits: RequestWaits,
+    private readonly ports: Pick<RequestPorts, 'clock' | 'crashes' | 'dispatcher'>,
     private readonly moving: MovingRequest,
   ) {}
 
   /** Whether a slot that suits the request is free elsewhere. */
   get isPossible(): boolean {
+    if (this.isCrashing) {
+      return false;
+    }
     const excluded = this.alternatives.excludedWith(this.moving.currentBackendId());
     const ignore = () => undefined;
     return this.waits.create(excluded, { onPlaced: ignore, onAbandoned: ignore }).isPlaceable;
@@ -42,18 +45,48 @@
   begin(cause: DepartureCause): void {
     const leftId = this.moving.currentBackendId();
     this.cancel();
+    if (this.isCrashing) {
+      return;
+    }
     this.wait = this.waits.create(this.alternatives.excludedWith(leftId), {
       onPlaced: (backend, placedAtMs, version) => {
-        this.alternatives.leaveSilent(leftId);
-        this.moving.moveTo(backend, placedAtMs, version, cause);
+        if (this.isCrashing) {
+          this.release(backend);
+          return;
+        }
+        this.leave(leftId, backend, cause);
+        this.moving.send(backend, placedAtMs, version);
       },
       onAbandoned: () => this.moving.onAbandoned(),
     });
     this.wait.begin();
   }
 
-  /** Stops waiting for a slot. */
-  cancel(): void {
+  /** Stops waiting for a slot; returns whether a wait was in progress. */
+  cancel(): boolean {
+    const wasWaiting = this.wait?.isWaiting === true;
     this.wait?.cancel();
+    return wasWaiting;
+  }
+
+  /** Ends the current attempt, now that a slot of `next` is taken. */
+  private leave(leftId: string, next: Backend, cause: DepartureCause): void {
+    this.alternatives.recordLeft(leftId);
+    try {
+      this.moving.abandonAttempt(cause);
+    } catch (error) {
+      this.release(next);
+      throw error;
+    }
+  }
+
+  /** Releases a slot that was taken and is not used. */
+  private release({ id }: Backend): void {
+    this.ports.dispatcher.finish(id, 'unknown', this.ports.clock.now());
+  }
+
+  /** Whether the request was found to crash the backends that execute it. */
+  private get isCrashing(): boolean {
+    return this.ports.crashes.refusalOf(this.request) !== undefined;
   }
 }
--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -96,8 +96,7 @@
       this.retries,
       {
         current: () => this.currentAttempt,
-        hasStarted: () => this.relay.hasStarted,
-        leave: (cause) => this.leave(cause),
+        isPaused: () => this.relay.isPaused,
         canMove: () => this.move.isPossible,
         moveOncePlaced: (cause) => this.move.begin(cause),
       },
@@ -106,12 +105,10 @@
       lastEventAtMs: this.progress?.lastEventAtMs,
       hasStarted: this.relay.hasStarted,
     }));
-    this.move = new BackendMove(this.alternatives, this.waits, {
+    this.move = new BackendMove(request, this.alternatives, this.waits, ports, {
       currentBackendId: () => this.backend!.id,
-      moveTo: (backend, placedAtMs, version, cause) => {
-        this.abandonAttempt(cause);
-        this.send(backend, placedAtMs, version);
-      },
+      abandonAttempt: (cause) => this.abandonAttempt(cause),
+      send: (backend, placedAtMs, version) => this.send(backend, placedAtMs, version),
       onAbandoned: () => this.departure.armSilenceTimer(),
     });
     this.failureReply = new FailureReply(request, reply, ports.protocol, options);
@@ -166,7 +163,7 @@
     if (!isForbidden || !this.withdrawAttempt('operators no longer permit the backend')) {
       return false;
     }
-    this.retryElsewhere(this.backend!.id);
+    this.retryUnexecuted(this.backend!.id);
     return true;
   }
 
@@ -270,7 +267,7 @@
     this.lastReceiptAtMs = -Infinity;
     this.currentRun = ports.crashes.beginRun(request, backend, this.currentRun);
     this.stopWatchingPath = entry?.path.subscribeLost(
-      this.ports.confine(() => this.departure.leaveLostPath()),
+      this.ports.confine(() => this.departure.leaveLostPath(backend.id)),
     );
     relay.beginAttempt();
     this.progress = new AttemptProgress(
@@ -294,20 +291,17 @@
     });
   }
 
-  /** Leaves a backend that still has the request. */
-  private leave(cause: DepartureCause): void {
-    this.abandonAttempt(cause);
-    this.retryElsewhere(this.backend!.id);
-  }
-
+  /** Ends an attempt at a backend that still has the request. */
   private abandonAttempt({ outcome, detail }: DepartureCause): void {
     this.mayHaveRun = true;
     this.abortAttempt(outcome, detail);
   }
 
   private recordReceipt(): void {
-    this.move.cancel();
     this.lastReceiptAtMs = this.ports.clock.now();
+    if (this.move.cancel() || this.request.route.kind !== 'stream') {
+      this.departure.armSilenceTimer();
+    }
     this.ports.directory.find(this.backend!.id)?.path.noteActivity(this.lastReceiptAtMs);
   }
 
@@ -423,6 +417,7 @@
       return;
     }
     const backendId = this.backend!.id;
+    const isCharged = this.departure.isCharged(this.attempt);
     this.endAttempt(outcomeOfFailure(failure), failure.detail);
     this.ports.crashes.recordFailure(this.currentRun!, failure);
     if (!failure.mayHaveRun) {
@@ -435,11 +430,13 @@
         : this.replyWithFailure('no-backend');
     }
     this.mayHaveRun = true;
-    if (this.canRetryElsewhere() && this.retries.take()) {
+    if (!this.canRetryElsewhere() || (!isCharged && !this.retries.take())) {
+      this.replyWithFailure('backend-failed');
+    } else if (isCharged) {
+      this.retryElsewhere(backendId);
+    } else {
       this.retryOnceCharged(backendId);
-      return;
     }
-    this.replyWithFailure('backend-failed');
   }
 
   /** Fails an attempt with an unusable response; the request may have been executed. */
@@ -448,7 +445,7 @@
   }
 
   private canRetryElsewhere(): boolean {
-    return this.retries.canLeave(this.backend!.id, this.attempts);
+    return this.retries.canLeave(this.backend!.id, this.attempts) || this.retries.canReturn;
   }
 
   /**
@@ -469,14 +466,15 @@
     });
   }
 
-  /** Retries after an attempt that no backend executed; a backend left as silent may go on. */
+  /** Retries after an attempt that no backend executed; a backend left as sound may go on. */
   private retryUnexecuted(fromBackendId: string): void {
-    this.alternatives.readmitSilent();
+    this.alternatives.readmitLeft();
     this.retryElsewhere(fromBackendId);
   }
 
   private retryElsewhere(fromBackendId: string): void {
     this.alternatives.exclude(fromBackendId);
+    this.retries.limitToAttempts(this.attempts);
     this.waitForBackend();
   }
 
@@ -589,6 +587,7 @@
     this.departure.clear();
     this.wait?.cancel();
     this.move.cancel();
+    this.retries.end();
     this.ports.onEnd(this.request, end);
   }
 }
--- a/src/gateway/attempt/request-model.ts
+++ b/src/gateway/attempt/request-model.ts
@@ -109,6 +109,8 @@
   mustIdentifyProcess(backend: Backend): boolean;
   /** Takes one retry from the budget of a service; returns false if none is left. */
   takeRetry(service: string): boolean;
+  /** Gives back a retry that was taken and not made. */
+  returnRetry(service: string): void;
   /**
    * Charges a retry of a request that may have been executed to its tenant; `onResult` may be
    * called synchronously.
--- a/src/gateway/attempt/request-wait.ts
+++ b/src/gateway/attempt/request-wait.ts
@@ -4,7 +4,11 @@
  * the caller.
  */
 import type { TimerHandle } from '../../clock.js';
-import type { DispatchRequest, PlacementConstraints } from '../dispatch/dispatch-request.js';
+import type {
+  BackendExclusion,
+  DispatchRequest,
+  PlacementConstraints,
+} from '../dispatch/dispatch-request.js';
 import type { PlacementRefusalReason } from '../dispatch/placement-refusal.js';
 import type { AcceptedRequest } from './accepted-request.js';
 import type { RequestOptions, RequestPorts } from './request-model.js';
@@ -29,7 +33,7 @@
   /** Response sent to the caller so far. */
   readonly answer: ResponseProgress;
   /** Ids of backends that must not be used. */
-  readonly excluded: ReadonlySet<string>;
+  readonly excluded: BackendExclusion;
   /** Called when a slot is assigned. */
   onPlaced: DispatchRequest['onPlaced'];
   /**
@@ -76,6 +80,11 @@
     };
   }
 
+  /** Whether it has begun and not ended. */
+  get isWaiting(): boolean {
+    return !this.isOver;
+  }
+
   /** Whether a slot would be assigned at once. */
   get isPlaceable(): boolean {
     const { clock, dispatcher } = this.context.ports;
--- a/src/gateway/attempt/request-waits.ts
+++ b/src/gateway/attempt/request-waits.ts
@@ -1,5 +1,5 @@
 /** Creates the waits of one request for slots. */
-import type { PlacementConstraints } from '../dispatch/dispatch-request.js';
+import type { BackendExclusion, PlacementConstraints } from '../dispatch/dispatch-request.js';
 import type { AcceptedRequest } from './accepted-request.js';
 import type { RequestOptions, RequestPorts } from './request-model.js';
 import { RequestWait } from './request-wait.js';
@@ -19,7 +19,7 @@
   ) {}
 
   /** Returns a wait for a slot at a backend that is not in `excluded`. */
-  create(excluded: ReadonlySet<string>, { onPlaced, onAbandoned }: WaitCallbacks): RequestWait {
+  create(excluded: BackendExclusion, { onPlaced, onAbandoned }: WaitCallbacks): RequestWait {
     const { request, constraints, ports, options } = this;
     return new RequestWait({
       request,
--- a/src/gateway/attempt/response-relay.ts
+++ b/src/gateway/attempt/response-relay.ts
@@ -53,6 +53,7 @@
   private parser: EventStreamParser;
   private lastId: HeaderValue | undefined;
   private lastCompletedEvents = 0;
+  private hasBackpressure = false;
 
   constructor(
     private readonly reply: CallerReply,
@@ -69,6 +70,11 @@
     return this.sentHead !== undefined;
   }
 
+  /** Whether the caller takes no data for now, so that none is read from the backend. */
+  get isPaused(): boolean {
+    return this.hasBackpressure;
+  }
+
   /** Id of the last event sent to the caller. */
   get lastEventId(): HeaderValue | undefined {
     return this.lastId;
@@ -194,8 +200,12 @@
     if (this.reply.write(bytes)) {
       return;
     }
+    this.hasBackpressure = true;
     attempt?.pause();
-    this.reply.onceDrained(() => attempt?.resume());
+    this.reply.onceDrained(() => {
+      this.hasBackpressure = false;
+      attempt?.resume();
+    });
   }
 
   private completeResponseHeaders(head: ResponseHead, body: Buffer): string[] {
--- a/src/gateway/attempt/retry-rules.ts
+++ b/src/gateway/attempt/retry-rules.ts
@@ -16,12 +16,14 @@
 /** Retry rules of one request. */
 export class RetryRules {
   private connectFailures = 0;
+  /** Whether a retry is taken for the way back from a backend that refuses a moved response. */
+  private isReturnTaken = false;
 
   constructor(
     private readonly request: AcceptedRequest,
     private readonly relay: ResponseRelay,
     private readonly alternatives: AlternativeBackends,
-    private readonly ports: Pick<RequestPorts, 'clock' | 'takeRetry'>,
+    private readonly ports: Pick<RequestPorts, 'clock' | 'takeRetry' | 'returnRetry'>,
   ) {}
 
   /** Whether the request may run again, given what its caller has received. */
@@ -37,9 +39,8 @@
 
   /** Whether the request may leave the backend after `attempts` attempts. */
   canLeave(backendId: string, attempts: number): boolean {
-    const hasAttemptLeft = attempts < this.request.route.maxAttempts;
     const canMove = this.alternatives.isAvailable(backendId);
-    return canMove && this.isRepeatable && hasAttemptLeft && this.hasTimeLeft;
+    return canMove && this.isRepeatable && this.hasAttemptLeft(attempts) && this.hasTimeLeft;
   }
 
   /** Records a failed connect; returns whether the request may still be sent elsewhere. */
@@ -51,18 +52,54 @@
 
   /**
    * Takes a retry after the last of `attempts` was not executed; returns false if none is left. With
-   * no attempt left the request may only return to backends that it left as silent.
+   * no attempt left the request may only return to a backend that it left as sound.
    */
   takeAfterRefusal(attempts: number): boolean {
-    const hasAttemptLeft = attempts < this.request.route.maxAttempts;
-    const canRetry = hasAttemptLeft || this.alternatives.hasLeftSilent;
-    if (!canRetry || !this.hasTimeLeft || !this.take()) {
+    const canRetry = this.hasAttemptLeft(attempts) || this.alternatives.canReturn;
+    const isTaken = this.isReturnTaken || (canRetry && this.hasTimeLeft && this.take());
+    this.isReturnTaken = false;
+    return canRetry && this.hasTimeLeft && isTaken;
+  }
+
+  /**
+   * Takes a retry from the budget for a move to another backend, and one for the way back if a part
+   * of the response was sent to the caller: without it a refusal there would break off the response.
+   */
+  takeForMove(): boolean {
+    if (!this.take()) {
       return false;
     }
-    if (!hasAttemptLeft) {
-      this.alternatives.keepOnlySilent();
+    this.isReturnTaken ||= this.relay.hasStarted && this.take();
+    const isCovered = this.isReturnTaken || !this.relay.hasStarted;
+    if (!isCovered) {
+      this.ports.returnRetry(this.request.service);
+    }
+    return isCovered;
+  }
+
+  /** Gives back a retry that was taken for a way back and not made. */
+  end(): void {
+    if (this.isReturnTaken) {
+      this.isReturnTaken = false;
+      this.ports.returnRetry(this.request.service);
+    }
+  }
+
+  /** Whether the request may go on at a backend that it left as sound. */
+  get canReturn(): boolean {
+    return this.alternatives.canReturn && this.isRepeatable && this.hasTimeLeft;
+  }
+
+  /** Limits the request to backends that it left as sound if no attempt is left. */
+  limitToAttempts(attempts: number): void {
+    if (!this.hasAttemptLeft(attempts)) {
+      this.alternatives.returnOnly();
     }
-    return true;
+  }
+
+  /** Whether the request may reach one more backend after `attempts` attempts. */
+  private hasAttemptLeft(attempts: number): boolean {
+    return attempts < this.request.route.maxAttempts;
   }
 
   /** Takes a retry from the budget of the service; returns false if none is left. */
--- a/src/gateway/dispatch/dispatch-request.ts
+++ b/src/gateway/dispatch/dispatch-request.ts
@@ -20,6 +20,9 @@
   readonly requiredVersion: SoftwareVersion | undefined;
 }
 
+/** Ids of backends that must not be used. */
+export type BackendExclusion = Pick<ReadonlySet<string>, 'has' | 'size'>;
+
 /** A request that needs a backend. */
 export interface DispatchRequest extends PlacementConstraints, WaitingPriority {
   /** Route and tenant that determine the allowed regions; sent to agents that report `homes`. */
@@ -35,7 +38,7 @@
   /** Whether it may be retried on another backend after a failure. */
   readonly isRepeatable: boolean;
   /** Ids of backends that must not be used. */
-  readonly excluded: ReadonlySet<string>;
+  readonly excluded: BackendExclusion;
   /** Called once, when a backend is bound, with the software version that it runs now. */
   onPlaced(backend: Backend, nowMs: number, version: SoftwareVersion): void;
 }
--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -153,6 +153,7 @@
       protocol: adapter.protocol,
       mustIdentifyProcess: (backend) => this.mustIdentifyProcess(backend),
       takeRetry: (service) => this.takeRetry(service),
+      returnRetry: (service) => this.retryBudget.returnRetry(service),
       chargeRetry: (request, onResult) =>
         this.charge(request, ({ isGranted }) => onResult(isGranted)),
       onStatement: dependencies.onStatement,
--- a/test/silent-backends.test.ts
+++ b/test/silent-backends.test.ts
@@ -137,3 +137,17 @@
   world.answer(0, 200, 'late');
   t.deepEqual([reply.status, reply.body], [200, 'late']);
 });
+
+test('a stream whose caller reads slowly does not leave its backend as silent', async (t) => {
+  const world = new GatewayHarness(backendOf('a'), backendOf('b'));
+  const { reply } = world.request({ route: STREAM });
+  reply.hasBackpressure = true;
+  const { handlers } = world.attempts[0]!;
+  handlers.onHead(OK_HEAD);
+  handlers.onData(Buffer.from(EVENT_1));
+  await world.clock.runUntil(3_000);
+  t.deepEqual([world.attempts.length, world.attempts[0]!.isCancelled], [1, false]);
+  reply.drain();
+  await world.clock.runUntil(3_300);
+  endStream(t, world, reply);
+});
--- a/test/support/gateway-harness.ts
+++ b/test/support/gateway-harness.ts
@@ -92,6 +92,9 @@
   body = '';
   isEnded = false;
   isAborted = false;
+  /** Whether the caller takes no more data for now. */
+  hasBackpressure = false;
+  private onDrained: (() => void) | undefined;
 
   start(status: number, headers: readonly string[]): void {
     this.status = status;
@@ -100,7 +103,13 @@
 
   write(bytes: Buffer): boolean {
     this.body += bytes.toString();
-    return true;
+    return !this.hasBackpressure;
+  }
+
+  /** Lets the caller take data again. */
+  drain(): void {
+    this.hasBackpressure = false;
+    this.onDrained?.();
   }
 
   end(bytes?: Buffer): void {
@@ -112,8 +121,8 @@
     this.isAborted = true;
   }
 
-  onceDrained(): void {
-    // Simulated callers apply no backpressure.
+  onceDrained(callback: () => void): void {
+    this.onDrained = callback;
   }
 }
 
@@ -413,7 +422,12 @@
         this.chargedRetries += 1;
         this.charge(onResult);
       },
-      takeRetry: () => this.repeatsLeft-- > 0,
+      takeRetry: () => {
+        const isAllowed = this.repeatsLeft > 0;
+        this.repeatsLeft -= isAllowed ? 1 : 0;
+        return isAllowed;
+      },
+      returnRetry: () => void (this.repeatsLeft += 1),
       onStatement: (statement: ResponseStatement) => this.recordStatement(statement),
       onStreamBegun: ({ requestId }: AcceptedRequest, backend: Backend) =>
         void this.begunStreams.push([requestId, backend.id]),
