A resumed stream whose response is empty is answered once its process is known

A caller that resumes a stream got nothing until its deadline where the backend's response ended without data before the process that runs it was identified (within 1 ms, against some ms for the agent's answer), for instance because nothing follows the caller's last event, or with an error status without a body. The end is held until the process is known, but the sender reported the process only of attempts that had not ended, so the end was never released. The same held for a stream that moved to such a backend.

The sender now reports the process of a complete response as well, unless its attempt was cancelled. ProcessCheck ignores a process that is reported after its attempt has ended: it was taken for that of the next attempt, which was then cancelled.

--- a/src/gateway/attempt/attempt.ts
+++ b/src/gateway/attempt/attempt.ts
@@ -43,14 +43,14 @@
   readonly headers: Readonly<Record<string, string | string[] | undefined>>;
 }
 
-/** Callbacks of an attempt; none is called after `onEnd` or `onFailure`. */
+/** Callbacks of an attempt; none but `onProcess` is called after `onEnd`, none after `onFailure`. */
 export interface AttemptHandlers {
   /** A new connection was established after `elapsedMs`. */
   onConnected?(elapsedMs: number): void;
   /**
    * Called once, if the attempt asks for it, with the process at the other end of the connection;
-   * undefined if it could not be found out. May be called after data was received, and not at all if
-   * the attempt ends first.
+   * undefined if it could not be found out. May be called after data was received or the response
+   * was complete, and not at all if the attempt fails or is cancelled first.
    */
   onProcess?(process: IdentifiedProcess | undefined): void;
   onHead(head: ResponseHead): void;
--- a/src/gateway/attempt/http-backend-sender.ts
+++ b/src/gateway/attempt/http-backend-sender.ts
@@ -169,6 +169,8 @@
   private isConnected = false;
   private hasTimedOut = false;
   private isOver = false;
+  /** Whether the response is complete and the attempt was not cancelled since. */
+  private isComplete = false;
   private connectTimer: TimerHandle | undefined;
   private readonly pieces = new ResponsePieceLimiter(() => performance.now());
   private readonly address: HostAndPort;
@@ -216,6 +218,7 @@
 
   cancel(): void {
     this.isOver = true;
+    this.isComplete = false;
     SYSTEM_CLOCK.clearTimeout(this.connectTimer);
     if (
       this.isReusedWithoutResponse &&
@@ -287,7 +290,7 @@
       return;
     }
     void this.use.identifyProcess(socket).then((process) => {
-      if (!this.isOver) {
+      if (!this.isOver || this.isComplete) {
         this.handlers.onProcess?.(process);
       }
     });
@@ -352,6 +355,7 @@
       return;
     }
     this.isOver = true;
+    this.isComplete = true;
     if (this.request?.writableFinished === false) {
       // The backend responded before it had read the whole body: the connection cannot be reused.
       this.request.destroy();
--- a/src/gateway/attempt/process-check.ts
+++ b/src/gateway/attempt/process-check.ts
@@ -30,6 +30,8 @@
   private backend: Backend | undefined;
   private attempt: AttemptHandle | undefined;
   private readonly held = new HeldResponse();
+  /** Changes with each begin and end of an attempt. */
+  private generation = 0;
 
   constructor(
     private readonly request: AcceptedRequest,
@@ -49,6 +51,7 @@
     const { kind, isResumable } = this.request.route;
     const needsProcess =
       kind === 'stream' && isResumable && this.ports.mustIdentifyProcess(backend);
+    this.generation += 1;
     this.backend = backend;
     this.held.clear();
     this.binding.noteSent(needsProcess ? undefined : version);
@@ -65,6 +68,7 @@
 
   /** Drops what is held of an attempt that has ended. */
   end(): void {
+    this.generation += 1;
     this.held.clear();
   }
 
@@ -88,8 +92,20 @@
     return true;
   }
 
-  /** Handles the process that runs the attempt; undefined if it could not be found out. */
-  receiveProcess(process: IdentifiedProcess | undefined): void {
+  /**
+   * Returns the handler of the process that runs the current attempt, which is undefined if it could
+   * not be found out. The handler has no effect once the attempt has ended.
+   */
+  createReceiver(): (process: IdentifiedProcess | undefined) => void {
+    const { generation } = this;
+    return (process) => {
+      if (generation === this.generation) {
+        this.receiveProcess(process);
+      }
+    };
+  }
+
+  private receiveProcess(process: IdentifiedProcess | undefined): void {
     if (process !== undefined) {
       this.applyProcess(process);
     } else if (this.binding.mustHoldEvents) {
--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -284,7 +284,7 @@
     const context = { backend, roundTripMs, lastEventId, needsProcess, nowMs };
     this.attempt = ports.sender.send(outgoingRequest(request, context, ports.protocol), {
       onConnected: (elapsedMs) => entry?.roundTrip.addSample(elapsedMs),
-      onProcess: (process) => this.processCheck.receiveProcess(process),
+      onProcess: this.processCheck.createReceiver(),
       onHead: (head) => this.receiveHead(head),
       onData: (bytes) => this.receiveData(bytes),
       onEnd: () => this.receiveEnd(),
--- a/test/backend-sender-process.test.ts
+++ b/test/backend-sender-process.test.ts
@@ -102,3 +102,31 @@
   await sleep(SYSTEM_CLOCK, 20);
   t.deepEqual(reported, []);
 });
+
+test('the process of a response that ended before it was identified is still reported', async (t) => {
+  const { server, address } = await startBackend((socket) =>
+    socket.write('HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'),
+  );
+  const sender = new HttpBackendSender(undefined, undefined, undefined, async () => {
+    await sleep(SYSTEM_CLOCK, 50);
+    return { bornAtMs: 6, source: 'agent' };
+  });
+  t.teardown(() => {
+    sender.close();
+    server.close();
+  });
+  const reported: unknown[] = [];
+  const ignore = () => undefined;
+  await new Promise<void>((resolve, reject) => {
+    sender.send(attemptWithProcess(address), {
+      onProcess: (process) => reported.push(process),
+      onHead: ignore,
+      onData: ignore,
+      onEnd: resolve,
+      onFailure: ({ detail }) => reject(new Error(detail)),
+    });
+  });
+  t.deepEqual(reported, []);
+  await sleep(SYSTEM_CLOCK, 100);
+  t.deepEqual(reported, [{ bornAtMs: 6, source: 'agent' }]);
+});
--- a/test/stream-versions.test.ts
+++ b/test/stream-versions.test.ts
@@ -453,3 +453,21 @@
   handlers.onFailure(RESET_FAILURE);
   t.deepEqual([world.attempts.length, reply.isAborted], [1, true]);
 });
+
+test('a process that is reported after its attempt was replaced does not end the next one', (t) => {
+  const world = new GatewayHarness(
+    backendOf('a', { version: 'v1', bornAtMs: 1 }),
+    backendOf('b', { version: 'v1', bornAtMs: 1 }),
+  );
+  world.unreportedBackendIds.add('a').add('b');
+  const { reply } = world.request({
+    route: RESUMABLE,
+    lastEventId: headerValue('1'),
+    resumedVersion: softwareVersionOf({ id: 'a', version: 'v1' }),
+  });
+  const [first] = world.attempts;
+  first!.handlers.onFailure({ ...RESET_FAILURE, mayHaveRun: false });
+  first!.handlers.onProcess!(UNANNOUNCED_PROCESS);
+  t.deepEqual([world.attempts.length, reply.isEnded], [2, false]);
+  t.false(world.attempts[1]!.isCancelled);
+});
