A stream that left a silent backend may return to it when the next is forbidden

Beside a change of the configuration and an evacuation, a stream that had begun was broken off although its backend was sound: it had left the silent backend for another one, operators forbade that one before anything was sent there, and the wait after the withdrawal excluded the silent backend too.

The withdrawal now readmits backends that were left as silent, as a refusal or a failed connect of the next backend does.

--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -166,7 +166,7 @@
     if (!isForbidden || !this.withdrawAttempt('operators no longer permit the backend')) {
       return false;
     }
-    this.retryElsewhere(this.backend!.id);
+    this.retryUnexecuted(this.backend!.id);
     return true;
   }
 
--- a/test/configuration-changes.test.ts
+++ b/test/configuration-changes.test.ts
@@ -180,3 +180,27 @@
   });
   t.deepEqual(problems, []);
 });
+
+test('a stream that left a silent backend is not broken off because operators forbid the next one', async (t) => {
+  const change = {
+    atMs: 5_194,
+    kept: [],
+    service: 's',
+    timeoutMs: 600,
+    maxAttempts: 1,
+    regions: undefined,
+    isEngine: false,
+    hasTenant: false,
+    extraRoutes: 0,
+    evacuated: 'zb',
+  };
+  const problems = await play({
+    changes: [change],
+    arrivals: [
+      { atMs: 2_273, path: '/stream/', chargeMs: 400 },
+      { atMs: 0, path: '/safe/', chargeMs: 0 },
+    ],
+    silences: [{ backend: 'a', fromMs: 3_594, untilMs: 5_194 }],
+  });
+  t.deepEqual(problems, []);
+});
