--- a/src/gateway/admission/caller-listener.ts
+++ b/src/gateway/admission/caller-listener.ts
@@ -12,6 +12,7 @@
 import type { AcceptBacklog } from './accept-backlog-monitor.js';
 import { CallerDisconnectWatcher } from './caller-disconnect-watcher.js';
 import type { RawHeaders } from './caller-protocol.js';
+import { ConnectionResponses } from './connection-responses.js';
 import { UnflushedResponses } from './unflushed-responses.js';
 
 /** The head of a received request. */
@@ -46,9 +47,13 @@
 export class CallerListener {
   readonly server: Server;
   private readonly disconnectWatchers = new Map<Socket, CallerDisconnectWatcher>();
+  private readonly responses = new WeakMap<Socket, ConnectionResponses>();
   /** Requests that were read whole and wait for a poll that may show that their callers left. */
   private readonly unprocessed = new Set<IncomingMessage>();
-  private readonly unflushed = new UnflushedResponses(() => this.closeIdleConnections());
+  private readonly unflushed = new UnflushedResponses(() => {
+    this.closeIdleConnections();
+    this.onFlushed();
+  });
   private isClosing = false;
   private hasStoppedListening = false;
 
@@ -58,6 +63,8 @@
     private readonly afterPolls: AfterPollQueue,
     /** Called after each period in which connections waited to be accepted. */
     onAcceptBacklog: (backlog: AcceptBacklog) => void = () => undefined,
+    /** Called after each response that was flushed or whose caller disconnected. */
+    private readonly onFlushed: () => void = () => undefined,
   ) {
     const acceptBacklog = new AcceptBacklogMonitor(SYSTEM_CLOCK, onAcceptBacklog);
     this.server = createServer(
@@ -92,7 +99,20 @@
     return this.unprocessed.size;
   }
 
-  /** Adds `Connection: close` to every response from now on. */
+  /** Number of responses that have ended and are not flushed. */
+  get unflushedCount(): number {
+    return this.unflushed.count;
+  }
+
+  /** Number of requests that were not passed on yet, and of responses that are not flushed. */
+  get pendingCount(): number {
+    return this.unprocessedCount + this.unflushedCount;
+  }
+
+  /**
+   * Closes each connection after the last of its responses, which says `Connection: close`, from now
+   * on.
+   */
   closeConnectionsAfterResponse(): void {
     this.isClosing = true;
   }
@@ -116,7 +136,11 @@
   }
 
   private receive(request: IncomingMessage, response: ServerResponse): void {
-    const reply = new HttpReply(request, response, this.unflushed, () => this.isClosing);
+    const connection = this.responsesOf(request.socket);
+    connection.add(response);
+    const reply = new HttpReply(request, response, this.unflushed, (isBodyUnread) =>
+      connection.announceClose(response, this.isClosing || isBodyUnread),
+    );
     const head: ReceivedHead = {
       method: request.method ?? 'GET',
       path: request.url ?? '/',
@@ -155,6 +179,12 @@
     });
   }
 
+  private responsesOf(socket: Socket): ConnectionResponses {
+    const responses = this.responses.get(socket) ?? new ConnectionResponses();
+    this.responses.set(socket, responses);
+    return responses;
+  }
+
   /** Passes on a request unless its caller has disconnected. */
   private process(request: IncomingMessage, body: Buffer, handlers: RequestBodyHandlers): void {
     if (this.unprocessed.delete(request)) {
@@ -195,7 +225,7 @@
     private readonly request: IncomingMessage,
     private readonly response: ServerResponse,
     private readonly unflushed: UnflushedResponses,
-    private readonly isClosing: () => boolean,
+    private readonly announceClose: (isBodyUnread: boolean) => boolean,
   ) {}
 
   start(status: number, headers: RawHeaders): void {
@@ -203,7 +233,7 @@
       return;
     }
     const isBodyUnread = !this.request.complete;
-    const closeHeader = this.isClosing() || isBodyUnread ? ['Connection', 'close'] : [];
+    const closeHeader = this.announceClose(isBodyUnread) ? ['Connection', 'close'] : [];
     this.response.writeHead(status, [...headers, ...closeHeader]);
   }
 
