--- a/src/gateway/attempt/alternative-backends.ts
+++ b/src/gateway/attempt/alternative-backends.ts
@@ -9,6 +9,7 @@
   private readonly usedIds = new Set<string>();
   /** Used backends that were left although they may go on. */
   private readonly resumableIds = new Set<string>();
+  /** Backends to which the request may return. */
   private readonly readmittedIds = new Set<string>();
   /** The only backends that are left; undefined if any that was not used is. */
   private allowedIds: ReadonlySet<string> | undefined;
--- a/src/gateway/attempt/backend-move.ts
+++ b/src/gateway/attempt/backend-move.ts
@@ -14,6 +14,7 @@
   currentBackendId(): string;
   /** Ends the current attempt. */
   abandonAttempt(cause: DepartureCause): void;
+  /** Sends the request to `backend`, whose slot was assigned at `placedAtMs`. */
   send(backend: Backend, placedAtMs: number, version: SoftwareVersion): void;
   /** Called when no slot became free in time; the attempt continues. */
   onAbandoned(): void;
