--- a/src/gateway/admission/open-requests.ts
+++ b/src/gateway/admission/open-requests.ts
@@ -196,7 +196,7 @@
   }
 }
 
-/** Forwards a response and tells when it is complete. */
+/** Forwards a response and reports its completion. */
 class TrackedReply implements CallerReply {
   constructor(
     private readonly reply: CallerReply,
