--- a/test/malformed-responses.test.ts
+++ b/test/malformed-responses.test.ts
@@ -2,6 +2,7 @@
 import type { ExecutionContext } from 'ava';
 import { request } from 'undici';
 import { FakeStore } from './support/fake-platform.js';
+import { isDoneWithinTurns } from './support/loop-turns.js';
 import { platformGateways } from './support/platform-gateway.js';
 import type { RunningGateway } from './support/platform-gateway.js';
 import { chunk, RawBackend, streamHead, wholeResponse } from './support/raw-backend.js';
@@ -185,6 +186,8 @@
 
 const ANSWER_DELAY_MS = 15;
 const PAIR_CALLS = 40;
+/** Turns of the event loop of gateway and backend within which a spoilt connection is closed. */
+const TURNS_UNTIL_CLOSED = 50;
 /** Pairs of requests within which the gateway knows both backends. */
 const CALLS_UNTIL_KNOWN = 100;
 
@@ -273,8 +276,7 @@
   const { gateway, spoilt, other } = await startPair(t, '', 0);
   await callOften(gateway, '/pair/', 10);
   spoilt.writeToAll('HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nforeign');
-  await new Promise((resolve) => setTimeout(resolve, 50));
-  t.is(spoilt.connections, 0);
+  t.true(await isDoneWithinTurns(() => spoilt.connections === 0, TURNS_UNTIL_CLOSED));
   const answers = await callOften(gateway, '/pair/', 10);
   t.true(answers.every(({ id, status, body }) => status === 200 && body === `answer to ${id}`));
   t.true(other.receivedIds.length > 0);
