Move requests off silent backends past waiting ones that no slot suits

What callers saw: a stream at a backend that had fallen silent for good was held there until its deadline and then broken off, although a backend with a free slot could have gone on with it.

Cause: Dispatcher.canPlace and hasCapacity asked for an empty queue. One waiting request that no free slot suits (for example one that is confined to a region whose backends are full) kept every other request of its service from moving for as long as it waited.

Hypothesis: a move needs a free slot that suits the request and that no request ordered before it would take; other waiting requests do not matter.

Evidence: on the virtual clock, a stream at a silent backend, one free backend and one request waiting for another region: before, one attempt, broken off at 20 s; now it moves after 1.2 s and its response is complete. A request of a lower tier that waits kept it as well: 1 attempt before, 2 now.

Why it holds: serving the queue binds requests in their order, each to a slot that suits it. canPlace asks the same of the request and of those before it, so it is true exactly if a submitted request would be bound at once. A request ordered before it that could use a slot still goes first, and no retry is charged meanwhile (tested).

Ruled out: charging first and looking at the queue later, since the slot then goes to the other request and the charge is lost.

--- a/src/gateway/dispatch/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -164,23 +164,26 @@
     return this.hasAvailable(request, new Set([...excluded, ...suspectOrClosed]), nowMs);
   }
 
-  /**
-   * Whether the request could get a slot of a backend not in `excluded` now, ahead of all that
-   * wait.
-   */
+  /** Whether a healthy backend that is not in `excluded` has a free slot for the request. */
   hasCapacity(
     request: PlacementConstraints,
     excluded: ReadonlySet<string>,
     nowMs: number,
   ): boolean {
-    const isQueueEmpty = this.countWaiting(request.service) === 0;
-    return isQueueEmpty && this.picker.hasCapacityFor(request, excluded, nowMs);
+    return this.picker.hasCapacityFor(request, excluded, nowMs);
   }
 
-  /** Whether the request, which does not wait yet, would be bound at once if it were submitted. */
+  /**
+   * Whether the request, which does not wait yet, would be bound at once if it were submitted: a
+   * free slot suits it, and none suits those that are ordered before it.
+   */
   canPlace(request: DispatchRequest, nowMs: number): boolean {
-    const isQueueEmpty = this.countWaiting(request.service) === 0;
-    return isQueueEmpty && this.picker.pick(request, nowMs) !== undefined;
+    const isPlaceable = (candidate: DispatchRequest) =>
+      this.picker.pick(candidate, nowMs) !== undefined;
+    return (
+      isPlaceable(request) &&
+      !this.queueOf(request.service).before(request, nowMs).some(isPlaceable)
+    );
   }
 
   /** Applies a backend's newest announcement; see `BackendDirectory.update`. */
--- a/src/gateway/dispatch/service-queue.ts
+++ b/src/gateway/dispatch/service-queue.ts
@@ -19,6 +19,11 @@
     return this.queue.inOrder(nowMs);
   }
 
+  /** Returns the waiting requests that would be ordered before `request` if it were added. */
+  before(request: WaitingPriority, nowMs: number): readonly DispatchRequest[] {
+    return this.queue.before(request, nowMs);
+  }
+
   /** Adds a request, which may be bound at once. */
   add(request: DispatchRequest, nowMs: number): void {
     if (!isLate(request, nowMs)) {
--- a/src/gateway/dispatch/waiting-queue.ts
+++ b/src/gateway/dispatch/waiting-queue.ts
@@ -37,4 +37,9 @@
     return this.requests.filter((other) => compareWaitingPriority(other, priority, nowMs) < 0)
       .length;
   }
+
+  /** Returns the waiting requests that would be ordered before `request` if it were added. */
+  before(request: WaitingPriority, nowMs: number): readonly DispatchRequest[] {
+    return this.requests.filter((other) => compareWaitingPriority(other, request, nowMs) <= 0);
+  }
 }
--- a/test/moved-requests.test.ts
+++ b/test/moved-requests.test.ts
@@ -269,3 +269,42 @@
     [0, 0],
   );
 });
+
+test('a stream is not held at a silent backend by a waiting request that no free slot suits', async (t) => {
+  const world = twoBackends();
+  world.regions.set('z', 'ra').set('y', 'rb');
+  world.dispatcher.updateBackend('c', backendOf('c', { slots: 1, zone: 'y' }), 0);
+  const { reply } = beginStream(world);
+  const confined = { route: UNSAFE, allowedRegions: new Set(['rb']) };
+  world.request(confined);
+  world.request(confined);
+  t.is(world.dispatcher.countWaiting('s'), 1);
+  await world.clock.runUntil(MOVED_MS);
+  if (lastBackend(world) === 'b') {
+    world.answer(2, 200, 'id: 2\ndata: b\n\n');
+  }
+  await world.clock.runUntil(STREAM.timeoutMs);
+  t.deepEqual([reply.isEnded, reply.isAborted], [true, false]);
+});
+
+for (const { name, tier, used } of [
+  { name: 'is not moved ahead of a waiting request that could', tier: 0, used: ['a'] },
+  { name: 'is moved although a request of a lower tier could', tier: 2, used: ['a', 'b'] },
+]) {
+  test(`a stream ${name} use the slot`, async (t) => {
+    const world = twoBackends();
+    beginStream(world);
+    let isInBackoff = true;
+    world.directory.find('b')!.condition.isInBackoff = () => isInBackoff;
+    world.request({ route: UNSAFE, path: '/waiting', tier });
+    await world.clock.runUntil(1_150);
+    isInBackoff = false;
+    await world.clock.runUntil(MOVED_MS);
+    const attempts = world.attempts.filter(({ path }) => path !== '/waiting');
+    t.deepEqual(
+      attempts.map(({ backend }) => backend.id),
+      used,
+    );
+    t.is(world.chargedRetries, used.length - 1);
+  });
+}
