Move a request only where it can respond before its deadline

What callers saw: a long-prompt stream whose backend fell silent shortly before the deadline was moved to a backend that had to read the prompt again, and was broken off at the deadline, although the first backend went on in time. The same with a safe request whose response takes longer than the time left.

Cause: a move compared nothing but free slots. Only requests without an attempt are refused when they are too late (waitUtility); for a move the attempt that may still complete was cancelled.

Hypothesis: a move is of use only where the expected time of the next backend, as the choice of a backend computes it already (prompt tokens pending there, its learned speed, the requests beside, the round trip), fits the time left.

Evidence: three tests on the virtual clock failed before. Silent at 6.0 s of 8 s, 4 s for the prompt elsewhere: 2 attempts, the first one cancelled, now 1 and a complete response; the same where the path is presumed lost; a safe request with 1 s at the next backend and .8 s left.

Why it holds: the deadline is part of the request that is submitted for a move, so the check of the slot, the queue, grants of agents and send rights all skip such backends, and another one that is fast enough is still used. Requests without an attempt have nothing to lose and are placed as before.

Ruled out: the expected time of the whole stream, since how much of it is left is not known; a stream with time for its prompt is moved (tested, passes before). A backend without a speed of its own counts as fast enough.

--- a/src/gateway/attempt/backend-move.ts
+++ b/src/gateway/attempt/backend-move.ts
@@ -39,7 +39,8 @@
     }
     const excluded = this.alternatives.excludedWith(this.moving.currentBackendId());
     const ignore = () => undefined;
-    return this.waits.create(excluded, { onPlaced: ignore, onAbandoned: ignore }).isPlaceable;
+    return this.waits.createForMove(excluded, { onPlaced: ignore, onAbandoned: ignore })
+      .isPlaceable;
   }
 
   /** Moves the request once a slot is free elsewhere. */
@@ -49,7 +50,7 @@
     if (this.isCrashing) {
       return;
     }
-    this.wait = this.waits.create(this.alternatives.excludedWith(leftId), {
+    this.wait = this.waits.createForMove(this.alternatives.excludedWith(leftId), {
       onPlaced: (backend, placedAtMs, version) => {
         if (this.isCrashing) {
           this.release(backend);
--- a/src/gateway/attempt/request-wait.ts
+++ b/src/gateway/attempt/request-wait.ts
@@ -8,6 +8,7 @@
   BackendExclusion,
   DispatchRequest,
   PlacementConstraints,
+  ResponseDeadline,
 } from '../dispatch/dispatch-request.js';
 import type { PlacementRefusalReason } from '../dispatch/placement-refusal.js';
 import type { AcceptedRequest } from './accepted-request.js';
@@ -34,6 +35,8 @@
   readonly answer: ResponseProgress;
   /** Ids of backends that must not be used. */
   readonly excluded: BackendExclusion;
+  /** Excludes backends that are not expected to respond in time; undefined excludes none. */
+  readonly deadline?: ResponseDeadline | undefined;
   /** Called when a slot is assigned. */
   onPlaced: DispatchRequest['onPlaced'];
   /**
@@ -52,7 +55,7 @@
   private otherRegionsTimer: TimerHandle | undefined;
 
   constructor(private readonly context: RequestWaitContext) {
-    const { request, constraints, ports, excluded, answer, onPlaced } = context;
+    const { request, constraints, ports, excluded, deadline, answer, onPlaced } = context;
     const { promptTokens, route } = request;
     const firstDueAtMs = dueAtMs(request, answer.lastEventAtMs);
     this.dispatchRequest = {
@@ -70,6 +73,7 @@
       promptTokens,
       firstDueAtMs,
       maxPauseMs: route.maxPauseMs,
+      deadline,
       // After a move to another backend the request is not risked on a path that may also be lost.
       isRepeatable: isRepeatable(route) && excluded.size === 0,
       excluded,
--- a/src/gateway/attempt/request-waits.ts
+++ b/src/gateway/attempt/request-waits.ts
@@ -1,5 +1,9 @@
 /** Creates the waits of one request for slots. */
-import type { BackendExclusion, PlacementConstraints } from '../dispatch/dispatch-request.js';
+import type {
+  BackendExclusion,
+  PlacementConstraints,
+  ResponseDeadline,
+} from '../dispatch/dispatch-request.js';
 import type { AcceptedRequest } from './accepted-request.js';
 import type { RequestOptions, RequestPorts } from './request-model.js';
 import { RequestWait } from './request-wait.js';
@@ -19,7 +23,11 @@
   ) {}
 
   /** Returns a wait for a slot at a backend that is not in `excluded`. */
-  create(excluded: BackendExclusion, { onPlaced, onAbandoned }: WaitCallbacks): RequestWait {
+  create(
+    excluded: BackendExclusion,
+    { onPlaced, onAbandoned }: WaitCallbacks,
+    deadline?: ResponseDeadline,
+  ): RequestWait {
     const { request, constraints, ports, options } = this;
     return new RequestWait({
       request,
@@ -28,8 +36,20 @@
       options,
       answer: this.progress(),
       excluded,
+      deadline,
       onPlaced: ports.confine(onPlaced),
       onAbandoned,
     });
   }
+
+  /**
+   * Like `create`, for a request whose attempt goes on until a slot elsewhere is assigned. A slot
+   * where it cannot respond in time is of no use: the attempt may still complete.
+   */
+  createForMove(excluded: BackendExclusion, callbacks: WaitCallbacks): RequestWait {
+    const { deadlineAtMs, route } = this.request;
+    // How much of a stream is left is not known, only that its prompt must be read again.
+    const part = route.kind === 'stream' ? 'first-event' : 'whole-response';
+    return this.create(excluded, callbacks, { atMs: deadlineAtMs, part });
+  }
 }
--- a/src/gateway/dispatch/backend-cost.ts
+++ b/src/gateway/dispatch/backend-cost.ts
@@ -1,4 +1,5 @@
 /** Cost of binding a request to a backend, and whether doing so stalls other streams there. */
+import type { PrefillSpeed } from '../../slot-agent/slot-messages.js';
 import type { DispatchRequest } from './dispatch-request.js';
 import type { EngineSpeed } from './engine-speed.js';
 import type { KnownBackend } from './known-backend.js';
@@ -42,9 +43,7 @@
   if (request.promptTokens === 0) {
     return (known.occupied + 1) * workMs + known.roundTrip.costMs + failureMs;
   }
-  const tokens = known.pendingPromptTokens + request.promptTokens;
-  const unloadedMs = known.speed.expectedFirstEventMs(tokens, meanSpeed.prefill);
-  const firstMs = unloadedMs * (1 + known.occupied * CONCURRENCY_SLOWDOWN);
+  const firstMs = loadedFirstEventMs(request, known, meanSpeed.prefill);
   const unknownSpeedMs = known.speed.isKnown ? 0 : known.occupied * UNKNOWN_SPEED_COST_MS;
   const isLate = nowMs + firstMs + known.roundTrip.ms > request.firstDueAtMs;
   const lateMs = isLate ? LATE_COST_MS : 0;
@@ -58,6 +57,20 @@
   );
 }
 
+/**
+ * Returns the expected time to the first event at a backend beside its active requests, without the
+ * round trip, in milliseconds; `fallback` is used while its own speed is unknown.
+ */
+export function loadedFirstEventMs(
+  request: DispatchRequest,
+  known: KnownBackend,
+  fallback?: PrefillSpeed,
+): number {
+  const tokens = known.pendingPromptTokens + request.promptTokens;
+  const unloadedMs = known.speed.expectedFirstEventMs(tokens, fallback);
+  return unloadedMs * (1 + known.occupied * CONCURRENCY_SLOWDOWN);
+}
+
 /**
  * Whether processing the prompt would pause the streams of `otherRequests` requests for longer than
  * the request's own bound on pauses.
--- a/src/gateway/dispatch/backend-picker.ts
+++ b/src/gateway/dispatch/backend-picker.ts
@@ -16,6 +16,7 @@
 import type { KnownBackend } from './known-backend.js';
 import { hasWaitedForLocalRegion, isRemoteRegion, isUsableLocally } from './region-fallback.js';
 import { selectReachable } from './path-filter.js';
+import { isExpectedInTime } from './response-deadline.js';
 import { restrictionForRequest } from './request-restriction.js';
 import type { RequestRestrictionReason } from './request-restriction.js';
 import { hasFreeCapacity } from './slot-capacity.js';
@@ -85,6 +86,7 @@
     for (const known of permitted) {
       if (
         !this.hasCapacity(known, nowMs) ||
+        !isExpectedInTime(request, known, nowMs) ||
         this.stallsOtherStreams(request, known, known.occupied)
       ) {
         continue;
@@ -220,7 +222,7 @@
   ): DispatchRequest | undefined {
     const needsSameRouteAndTenant = this.requiresGrant(known);
     const isEligible = (request: DispatchRequest) =>
-      this.canUseGrant(request, known) &&
+      this.canUseGrant(request, known, nowMs) &&
       (!needsSameRouteAndTenant || isSameRouteAndTenant(request.homeOwner, grantedTo));
     if (!this.mayUseGrants(known, nowMs)) {
       return undefined;
@@ -233,13 +235,14 @@
   }
 
   /** Whether the request could use a slot granted by the agent of an unrestricted backend. */
-  canUseGrant(request: DispatchRequest, known: KnownBackend): boolean {
+  canUseGrant(request: DispatchRequest, known: KnownBackend, nowMs: number): boolean {
     const isExcluded = request.excluded.has(known.backend.id);
     const isUnconstrained =
       request.allowedRegions === undefined && request.requiredVersion === undefined;
     return (
       (isUnconstrained || this.isPermitted(request, known)) &&
       !isExcluded &&
+      isExpectedInTime(request, known, nowMs) &&
       !this.stallsOtherStreams(request, known, known.occupied - 1)
     );
   }
@@ -353,7 +356,7 @@
       if (this.isUnlimited(known) || !isUsable || !this.hasFreeSlot(known, nowMs)) {
         continue;
       }
-      const request = queue.find((one) => this.canUseGrant(one, known));
+      const request = queue.find((one) => this.canUseGrant(one, known, nowMs));
       if (request !== undefined) {
         this.ports.sendRights?.want(known.backend.id, request);
       }
--- a/src/gateway/dispatch/dispatch-request.ts
+++ b/src/gateway/dispatch/dispatch-request.ts
@@ -23,6 +23,12 @@
 /** Ids of backends that must not be used. */
 export type BackendExclusion = Pick<ReadonlySet<string>, 'has' | 'size'>;
 
+/** Time by which a part of the response must arrive for the request to be of use to its caller. */
+export interface ResponseDeadline {
+  readonly atMs: number;
+  readonly part: 'first-event' | 'whole-response';
+}
+
 /** A request that needs a backend. */
 export interface DispatchRequest extends PlacementConstraints, WaitingPriority {
   /** Route and tenant that determine the allowed regions; sent to agents that report `homes`. */
@@ -35,6 +41,8 @@
   readonly firstDueAtMs: number;
   /** Longest pause between events that counts as in time, in milliseconds; 0 for no bound. */
   readonly maxPauseMs: number;
+  /** Excludes backends that are not expected to respond in time; undefined excludes none. */
+  readonly deadline?: ResponseDeadline | undefined;
   /** Whether it may be retried on another backend after a failure. */
   readonly isRepeatable: boolean;
   /** Ids of backends that must not be used. */
--- a/src/gateway/dispatch/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -558,7 +558,7 @@
       maxLength: this.options.demandLength,
       mayUseGrants: (known: KnownBackend) => this.picker.mayUseGrants(known, nowMs),
       canUseGrant: (request: DispatchRequest, known: KnownBackend) =>
-        this.picker.canUseGrant(request, known),
+        this.picker.canUseGrant(request, known, nowMs),
     };
     for (const known of this.directory.ofService(service)) {
       const demand = nextDemand(known, inputs, nowMs);
--- a/test/silent-backends.test.ts
+++ b/test/silent-backends.test.ts
@@ -151,3 +151,63 @@
   await world.clock.runUntil(3_300);
   endStream(t, world, reply);
 });
+
+/** Makes `b` take `prefillMs` for the prompt of a stream. */
+function learnPrefill(world: GatewayHarness, prefillMs: number): void {
+  world.directory.find('b')!.speed.learnFirstEventTime(PROMPT_TOKENS, prefillMs);
+}
+
+/** Starts a stream at `a` that sends an event each second until `untilMs`; returns the events. */
+async function streamUntil(world: GatewayHarness, untilMs: number) {
+  const reply = beginStream(world);
+  let events = EVENT_1;
+  for (let ms = 1_000; ms <= untilMs; ms += 1_000) {
+    await world.clock.runUntil(ms);
+    const event = `id: ${ms}\ndata: x\n\n`;
+    world.attempts[0]!.handlers.onData(Buffer.from(event));
+    events += event;
+  }
+  return { reply, events };
+}
+
+for (const isPathLost of [false, true]) {
+  const place = isPathLost ? 'on a path that is presumed lost' : 'at a silent backend';
+  test(`a stream ${place} is not moved where its prompt cannot be read before its deadline`, async (t) => {
+    const world = new GatewayHarness(backendOf('a', { slots: 4 }), backendOf('b', { slots: 2 }));
+    learnPrefill(world, 4_000);
+    const { reply, events } = await streamUntil(world, 6_000);
+    if (isPathLost) {
+      const { path } = world.directory.find('a')!;
+      path.suspect('connection-hung', world.clock.now());
+      path.notifyLost();
+    }
+    await world.clock.runUntil(7_800);
+    t.false(reply.isAborted);
+    t.deepEqual([world.attempts.length, world.attempts[0]!.isCancelled], [1, false]);
+    world.attempts[0]!.handlers.onData(Buffer.from(EVENT_2));
+    world.attempts[0]!.handlers.onEnd();
+    t.deepEqual([reply.body, reply.isEnded], [events + EVENT_2, true]);
+  });
+}
+
+test('a stream at a silent backend is moved while its prompt can be read again before its deadline', async (t) => {
+  const world = new GatewayHarness(backendOf('a', { slots: 4 }), backendOf('b', { slots: 2 }));
+  learnPrefill(world, 4_000);
+  const { reply, events } = await streamUntil(world, 2_000);
+  await world.clock.runUntil(7_400);
+  t.is(world.attempts.length, 2);
+  world.answer(1, 200, EVENT_2);
+  t.deepEqual([reply.body, reply.isEnded], [events + EVENT_2, true]);
+});
+
+test('a safe request at a silent backend is not moved where its response cannot be complete in time', async (t) => {
+  const world = new GatewayHarness(backendOf('a'), backendOf('b'));
+  world.dispatcher.learnSpeed('a', 1, 100);
+  world.dispatcher.learnSpeed('b', 1, 1_000);
+  const route = routeOf({ kind: 'safe', targetLatencyMs: 2_000, timeoutMs: 2_000 });
+  const { reply } = world.request({ route });
+  await world.clock.runUntil(1_900);
+  t.deepEqual([world.attempts.length, world.attempts[0]!.isCancelled], [1, false]);
+  world.answer(0, 200, 'late');
+  t.deepEqual([reply.status, reply.body], [200, 'late']);
+});
