Planned stop: close connections and end only after a poll that brought nothing

Callers saw resets: requests that had arrived on kept connections, or on connections that waited to be accepted, went unread when a stopped gateway closed idle connections, closed its listener or ended, if its loop had stood still meanwhile. The timers of the stop run before the poll that reads.

Hypothesis: the close of idle connections, the close of the listener and the end of the process are steps of a timer or of the end of a response, without a poll between the arrival and the close; a poll that brought nothing, directly before each, leaves no arrived request unread.

The listener, idle connections and the process go through UnusedConnectionCloser, which acts within 1 ms after a poll. Connections are closed before the rest of the process ends. At the end of the grace time the wait for such a poll is bounded to 50 ms. In the test of GracefulShutdown its ports call back at once; what it asserts is unchanged.

Not covered: a request that is sent while the connection is being closed.

--- a/src/gateway/admission/caller-listener.ts
+++ b/src/gateway/admission/caller-listener.ts
@@ -54,12 +54,10 @@
   private readonly responses = new WeakMap<Socket, ConnectionResponses>();
   /** Requests that were read whole and wait for a poll that may show that their callers left. */
   private readonly unprocessed = new Set<IncomingMessage>();
-  private readonly unflushed = new UnflushedResponses(() => {
-    this.closeIdleConnections();
-    this.onFlushed();
-  });
+  private readonly unflushed = new UnflushedResponses(() => this.onFlushed());
+  private readonly closer = new UnusedConnectionCloser(SYSTEM_CLOCK);
+  private acceptedCount = 0;
   private isClosing = false;
-  private hasStoppedListening = false;
 
   constructor(
     private readonly handleRequest: RequestHandler,
@@ -80,11 +78,11 @@
       (request, response) => this.receive(request, response),
     );
     this.server.requestTimeout = 0;
-    const closer = new UnusedConnectionCloser(SYSTEM_CLOCK);
-    this.idleConnections = new IdleConnections(this.server, SYSTEM_CLOCK, closer);
-    new ClientErrors(this.server, closer);
+    this.idleConnections = new IdleConnections(this.server, SYSTEM_CLOCK, this.closer);
+    new ClientErrors(this.server, this.closer);
     this.server.on('connection', (socket: Socket) => {
       acceptBacklog.recordAccept();
+      this.acceptedCount += 1;
       this.disconnectWatchers.set(socket, new CallerDisconnectWatcher(socket));
       socket.on('close', () => this.disconnectWatchers.delete(socket));
     });
@@ -124,22 +122,49 @@
     this.isClosing = true;
   }
 
-  /** Stops accepting connections and closes idle ones. */
-  stopListening(): void {
-    this.hasStoppedListening = true;
-    // The method of the HTTP server would also close connections with unflushed responses.
-    NetServer.prototype.close.call(this.server);
-    this.closeIdleConnections();
+  /**
+   * Stops accepting connections, closes idle ones and those that become idle later, and calls
+   * `onStopped`; connections that wait to be accepted are accepted first.
+   */
+  stopListening(onStopped: () => void = () => undefined): void {
+    this.closer.closeUnlessUsed({
+      isUnused: () => true,
+      close: () => {
+        // The method of the HTTP server would also close connections with unflushed responses.
+        NetServer.prototype.close.call(this.server);
+        this.idleConnections.closeOnceIdle();
+        onStopped();
+      },
+    });
   }
 
   /**
-   * Closes idle connections once no response is unflushed: Node counts a connection as idle as soon
-   * as its response has ended.
+   * Calls `callback` right after a poll that brought no input from callers, once all requests that
+   * were read whole are passed on: until then a request that has arrived may be unread.
    */
-  private closeIdleConnections(): void {
-    if (this.hasStoppedListening && this.unflushed.count === 0) {
-      this.server.closeIdleConnections();
-    }
+  afterQuietPoll(callback: () => void): void {
+    const inputBefore = this.inputCount;
+    this.closer.closeUnlessUsed({
+      isUnused: () => {
+        const isQuiet = this.inputCount === inputBefore && this.unprocessed.size === 0;
+        if (!isQuiet) {
+          this.afterQuietPoll(callback);
+        }
+        return isQuiet;
+      },
+      close: callback,
+    });
+  }
+
+  /** Closes all connections, whatever runs on them. */
+  closeConnections(): void {
+    this.server.closeAllConnections();
+  }
+
+  /** Changes with each input from callers. */
+  private get inputCount(): number {
+    const sockets = [...this.disconnectWatchers.keys()];
+    return sockets.reduce((sum, { bytesRead }) => sum + bytesRead, this.acceptedCount);
   }
 
   private receive(request: IncomingMessage, response: ServerResponse): void {
--- a/src/gateway/admission/idle-connections.ts
+++ b/src/gateway/admission/idle-connections.ts
@@ -45,6 +45,7 @@
   private readonly connections = new Map<Socket, Connection>();
   private timeouts: IdleConnectionTimeouts = DEFAULT_CALLER_LIMITS;
   private isSweepPending = false;
+  private isClosing = false;
 
   /** Takes the place of the server's own idle timeout. */
   constructor(
@@ -65,6 +66,12 @@
     this.timeouts = timeouts;
   }
 
+  /** Closes each connection as soon as it is idle, unless input has arrived on it. */
+  closeOnceIdle(): void {
+    this.isClosing = true;
+    this.sweep();
+  }
+
   /** Returns the header that names the idle timeout; empty if the connection closes after the response. */
   keepAliveHeader({ req, shouldKeepAlive }: ServerResponse): RawHeaders {
     const { idleTimeoutMs } = this.timeouts;
@@ -106,6 +113,7 @@
     if (connection.openRequests === 0) {
       connection.idleSinceMs = this.clock.now();
       connection.bytesReadBeforeIdle = connection.socket.bytesRead;
+      this.closeIfExpired(connection);
     }
   }
 
@@ -122,18 +130,22 @@
   }
 
   private sweep(): void {
-    const nowMs = this.clock.now();
-    for (const connection of this.connections.values()) {
-      if (!connection.isExpired && nowMs >= this.expiryMs(connection)) {
-        this.closeUnlessUsed(connection);
-      }
+    [...this.connections.values()].forEach((connection) => this.closeIfExpired(connection));
+  }
+
+  private closeIfExpired(connection: Connection): void {
+    if (!connection.isExpired && this.clock.now() >= this.expiryMs(connection)) {
+      this.closeUnlessUsed(connection);
     }
   }
 
   /** Returns when the connection expires; Infinity while it is not idle. */
-  private expiryMs({ idleSinceMs, namedTimeoutMs }: Connection): number {
+  private expiryMs({ idleSinceMs = Infinity, namedTimeoutMs }: Connection): number {
     const { idleTimeoutMs } = this.timeouts;
-    if (idleSinceMs === undefined || idleTimeoutMs === 0) {
+    if (this.isClosing) {
+      return idleSinceMs;
+    }
+    if (idleTimeoutMs === 0) {
       return Infinity;
     }
     return idleSinceMs + Math.max(idleTimeoutMs, namedTimeoutMs) + HOLD_MARGIN_MS;
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -274,7 +274,8 @@
       askAgent: (backendId, onAnswer) => this.links.askProcess(backendId, onAnswer),
     });
     this.shutdown = new GracefulShutdown(clock, limits.stopGraceS * MS_PER_S, {
-      stopListening: () => this.listener.stopListening(),
+      stopListening: (onStopped) => this.listener.stopListening(onStopped),
+      afterQuietPoll: (callback) => this.listener.afterQuietPoll(callback),
       countActive: () => this.requests.activeCount + this.listener.pendingCount,
       refuseWaiting: () => this.requests.refuseWaiting(),
       end: () => this.finishStop(),
@@ -333,6 +334,7 @@
 
   private finishStop(): void {
     this.hasEnded = true;
+    this.listener.closeConnections();
     this.requests.reportProcessEnd();
     this.readiness.close();
     this.dependencies.metrics.close();
--- a/src/gateway/graceful-shutdown.ts
+++ b/src/gateway/graceful-shutdown.ts
@@ -13,11 +13,15 @@
 const KILL_MARGIN_MS = 350;
 /** Time before the end of the process at which waiting requests are refused, in milliseconds. */
 const REFUSAL_FLUSH_MS = 150;
+/** Maximum wait for a poll without input before the end of the process, in milliseconds. */
+const QUIET_POLL_LIMIT_MS = 50;
 
 /** Operations of the gateway that a graceful shutdown uses. */
 export interface GracefulShutdownPorts {
-  /** Stops accepting connections. */
-  stopListening(): void;
+  /** Stops accepting connections, then calls `onStopped`. */
+  stopListening(onStopped: () => void): void;
+  /** Calls `callback` right after a poll that brought no input from callers. */
+  afterQuietPoll(callback: () => void): void;
   /** Number of requests whose response has not left the process. */
   countActive(): number;
   /** Refuses the requests that no backend has. */
@@ -29,6 +33,8 @@
 /** State machine of a graceful shutdown. */
 export class GracefulShutdown {
   private begunAtMs: number | undefined;
+  private hasStoppedListening = false;
+  private isAwaitingQuietPoll = false;
   private hasEnded = false;
 
   constructor(
@@ -50,30 +56,57 @@
   /** Begins the shutdown on the stop signal. */
   begin(): void {
     this.begunAtMs = this.clock.now();
-    this.clock.setTimeout(() => {
-      this.ports.stopListening();
-      this.onRequestEnded();
-    }, ACCEPT_WINDOW_MS);
+    this.clock.setTimeout(
+      () => this.ports.stopListening(() => this.handleListenerClosed()),
+      ACCEPT_WINDOW_MS,
+    );
     const lastMs = Math.max(ACCEPT_WINDOW_MS, this.graceMs - KILL_MARGIN_MS);
     this.clock.setTimeout(() => this.ports.refuseWaiting(), lastMs - REFUSAL_FLUSH_MS);
     this.clock.setTimeout(() => this.endBeforeKill(), lastMs);
   }
 
-  /** Ends the gateway if the last response has left the process after the accept window. */
+  /**
+   * Ends the gateway if the last response has left the process after the accept window, unless a
+   * poll brings another request first.
+   */
   onRequestEnded(): void {
-    if (this.elapsedMs() >= ACCEPT_WINDOW_MS && this.ports.countActive() === 0) {
-      this.end();
+    if (!this.hasStoppedListening || this.isAwaitingQuietPoll || !this.isInactive) {
+      return;
     }
+    this.isAwaitingQuietPoll = true;
+    this.ports.afterQuietPoll(() => {
+      this.isAwaitingQuietPoll = false;
+      if (this.isInactive) {
+        this.end();
+      }
+    });
+  }
+
+  private get isInactive(): boolean {
+    return this.ports.countActive() === 0;
+  }
+
+  private handleListenerClosed(): void {
+    this.hasStoppedListening = true;
+    this.onRequestEnded();
   }
 
   private elapsedMs(): number {
     return this.begunAtMs === undefined ? -Infinity : this.clock.now() - this.begunAtMs;
   }
 
-  /** Ends the gateway; refuses requests whose attempts have failed since the last refusals. */
+  /** Ends the gateway once the requests that have arrived are read. */
   private endBeforeKill(): void {
-    this.ports.refuseWaiting();
-    this.end();
+    this.clock.setTimeout(() => this.refuseAndEnd(), QUIET_POLL_LIMIT_MS);
+    this.ports.afterQuietPoll(() => this.refuseAndEnd());
+  }
+
+  /** Ends the gateway; refuses requests whose attempts have failed since the last refusals. */
+  private refuseAndEnd(): void {
+    if (!this.hasEnded) {
+      this.ports.refuseWaiting();
+      this.end();
+    }
   }
 
   private end(): void {
--- a/test/graceful-shutdown.test.ts
+++ b/test/graceful-shutdown.test.ts
@@ -11,7 +11,11 @@
     refusedAtMs: [] as number[],
   };
   const stop = new GracefulShutdown(clock, 8_000, {
-    stopListening: () => (seen.stoppedListeningAtMs = clock.now()),
+    stopListening: (onStopped) => {
+      seen.stoppedListeningAtMs = clock.now();
+      onStopped();
+    },
+    afterQuietPoll: (callback) => callback(),
     countActive: () => seen.active,
     refuseWaiting: () => seen.refusedAtMs.push(clock.now()),
     end: () => seen.endedAtMs.push(clock.now()),
--- a/test/support/raw-caller.ts
+++ b/test/support/raw-caller.ts
@@ -57,8 +57,8 @@
     socket.on('close', () => (this.isClosed = true));
   }
 
-  static async connect(port: number): Promise<RawCaller> {
-    const socket = connect({ port, host: '127.0.0.1', noDelay: true });
+  static async connect(port: number, host = '127.0.0.1'): Promise<RawCaller> {
+    const socket = connect({ port, host, noDelay: true });
     const caller = new RawCaller(socket);
     await once(socket, 'connect');
     return caller;
