Planned stop: answer requests that still run when the grace time ends

Callers saw their connections closed without an answer if a backend still had their request when the process ended.

Hypothesis: the end refused only what no backend had; what ran was dropped with the process although nothing of its response had been sent, so an answer that promises nothing was possible.

Before: of three requests at a backend that never answers (one of them had sent the head and a part of the body, which the gateway holds back) 3 ended in 'other side closed'. After: 3 answers 502, as for other requests that may have run, 50 ms before the process ends. 503 is used only where nothing was sent. Requests whose responses have begun go on until the end.

--- a/src/gateway/attempt/confined-request.ts
+++ b/src/gateway/attempt/confined-request.ts
@@ -66,6 +66,11 @@
     this.boundary.run(() => this.request.refuseIfUnsent(refusal, detail));
   }
 
+  /** See `ProxiedRequest`. */
+  failIfUnanswered(refusal: GatewayRefusal, detail: string): void {
+    this.boundary.run(() => this.request.failIfUnanswered(refusal, detail));
+  }
+
   /** See `ProxiedRequest`. */
   refuseIfCrashing(): void {
     this.boundary.run(() => this.request.refuseIfCrashing());
--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -16,6 +16,7 @@
 import { AttemptProgress } from './attempt-progress.js';
 import { FailureReply } from './failure-reply.js';
 import { FaultBoundary } from './fault-boundary.js';
+import { HeldSlot } from './held-slot.js';
 import type { ExitEvidence } from '../crashes/interrupted-runs.js';
 import type { RequestRun } from '../crashes/request-run.js';
 import type { BackendResponseInfo } from '../admission/caller-protocol.js';
@@ -43,8 +44,6 @@
   private wait: RequestWait | undefined;
   private backend: Backend | undefined;
   private attempt: AttemptHandle | undefined;
-  /** Whether the dispatcher counts the request at `backend`. */
-  private holdsSlot = false;
   private attemptStartedAtMs = 0;
   /** Time of the last data received from the current backend, in milliseconds. */
   private lastReceiptAtMs = -Infinity;
@@ -68,6 +67,7 @@
   private readonly waits: RequestWaits;
   private readonly move: BackendMove;
   private readonly endedTimer: EndedBackendTimer;
+  private readonly slot: HeldSlot;
 
   constructor(
     private readonly request: AcceptedRequest,
@@ -114,6 +114,7 @@
     this.failureReply = new FailureReply(request, reply, ports.protocol, options);
     this.deadlineTimer = new OneShotTimer(clock);
     this.endedTimer = new EndedBackendTimer(clock);
+    this.slot = new HeldSlot(ports);
     this.deadlineTimer.start(request.deadlineAtMs - clock.now(), () => this.timeOut());
   }
 
@@ -209,11 +210,7 @@
     if (!isUnsent) {
       this.attempt?.cancel();
     }
-    this.failAttempt({
-      mayHaveRun: !isUnsent,
-      isPortClosed: false,
-      detail: 'backend ended',
-    });
+    this.failResponse('backend ended', !isUnsent);
   }
 
   /** Refuses an unsent request that was found to crash the backends that execute it. */
@@ -232,6 +229,15 @@
     }
   }
 
+  /** Refuses or fails a request, unless its response has begun; `detail` is logged. */
+  failIfUnanswered(refusal: GatewayRefusal, detail: string): void {
+    this.refuseIfUnsent(refusal, detail);
+    if (!this.isDone && !this.relay.hasStarted) {
+      this.abandonAttempt({ outcome: 'unknown', detail });
+      this.replyWithFailure(refusal.reason);
+    }
+  }
+
   private waitForBackend(): void {
     this.phase = 'waiting';
     this.departure.clear();
@@ -257,7 +263,7 @@
     const { lastEventId } = relay;
     this.phase = 'sent';
     this.backend = backend;
-    this.holdsSlot = true;
+    this.slot.hold(backend.id);
     const needsProcess = this.processCheck.begin(backend, version);
     this.attempts += 1;
     const entry = ports.directory.find(backend.id);
@@ -439,9 +445,9 @@
     }
   }
 
-  /** Fails an attempt with an unusable response; the request may have been executed. */
-  private failResponse(detail: string): void {
-    this.failAttempt({ mayHaveRun: true, isPortClosed: false, detail });
+  /** Fails an attempt without a usable response. */
+  private failResponse(detail: string, mayHaveRun = true): void {
+    this.failAttempt({ mayHaveRun, isPortClosed: false, detail });
   }
 
   private canRetryElsewhere(): boolean {
@@ -541,14 +547,7 @@
     const sinceSendMs = this.ports.clock.now() - this.attemptStartedAtMs;
     const isBad = isBadAttempt(outcome, this.request.route, timesOf(this.progress, sinceSendMs));
     this.ports.onTryOver({ backend: this.backend, route: this.request.route, isBad });
-    this.releaseSlot(outcome);
-  }
-
-  private releaseSlot(outcome: AttemptOutcome): void {
-    if (this.holdsSlot) {
-      this.holdsSlot = false;
-      this.ports.dispatcher.finish(this.backend!.id, outcome, this.ports.clock.now());
-    }
+    this.slot.release(outcome);
   }
 
   /**
@@ -568,7 +567,7 @@
       () => this.stopWatchingPath?.(),
       () => attempt?.cancel(),
       () => this.progress?.recordEnd(),
-      () => this.releaseSlot('unknown'),
+      () => this.slot.release('unknown'),
       () => this.replyWithFailure('internal-error'),
     ];
     const boundary = new FaultBoundary(onFault);
--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -199,6 +199,13 @@
     }
   }
 
+  /** Answers the requests whose responses have not begun, since the gateway ends. */
+  failUnanswered(): void {
+    for (const { proxied } of [...this.active.values()]) {
+      proxied.failIfUnanswered(STOPPING_REFUSAL, 'the gateway stops');
+    }
+  }
+
   /** Retries that the retry budget still allows, by service. */
   repeatsLeft(nowMs: number): ReturnType<RetryBudget['repeatsLeft']> {
     return this.retryBudget.repeatsLeft(this.dependencies.cluster.size, nowMs);
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -49,7 +49,8 @@
 } from './attempt/http-backend-sender.js';
 import { sortByApplyOrder } from './apply-order.js';
 import { isOwnRecord } from './own-records.js';
-import { GracefulShutdown } from './graceful-shutdown.js';
+import type { GracefulShutdown } from './graceful-shutdown.js';
+import { createShutdown } from './gateway-shutdown.js';
 import { RefusedRecords } from './refused-records.js';
 import { ReadinessListener } from './readiness-listener.js';
 import { DEFAULT_SLOT_AGENT_LINK_OPTIONS, SlotAgentLinks } from './links/slot-agent-links.js';
@@ -215,7 +216,6 @@
       afterPolls: this.afterPolls,
       onFlushed: () => this.shutdown.onRequestEnded(),
     });
-    const { limits } = settings;
     this.quotas = new GatewayQuotas({
       ...dependencies,
       incarnation,
@@ -273,16 +273,16 @@
       ...dependencies,
       askAgent: (backendId, onAnswer) => this.links.askProcess(backendId, onAnswer),
     });
-    this.shutdown = new GracefulShutdown(clock, limits.stopGraceS * MS_PER_S, {
-      stopListening: (onStopped) => this.listener.stopListening(onStopped),
-      afterQuietPoll: (callback) => this.listener.afterQuietPoll(callback),
-      countActive: () => this.requests.activeCount + this.listener.pendingCount,
-      refuseWaiting: () => this.requests.refuseWaiting(),
+    this.shutdown = createShutdown({
+      clock,
+      graceMs: settings.limits.stopGraceS * MS_PER_S,
+      listener: this.listener,
+      requests: () => this.requests,
       end: () => this.finishStop(),
     });
     this.requests = new GatewayRequests({
       ...dependencies,
-      limits,
+      limits: settings.limits,
       configuration: this.configuration,
       quotas: this.quotas,
       directory: this.directory,
--- a/src/gateway/graceful-shutdown.ts
+++ b/src/gateway/graceful-shutdown.ts
@@ -13,6 +13,11 @@
 const KILL_MARGIN_MS = 350;
 /** Time before the end of the process at which waiting requests are refused, in milliseconds. */
 const REFUSAL_FLUSH_MS = 150;
+/**
+ * Time before the end of the process at which running requests without a response are answered, in
+ * milliseconds.
+ */
+const ANSWER_FLUSH_MS = 50;
 /** Maximum wait for a poll without input before the end of the process, in milliseconds. */
 const QUIET_POLL_LIMIT_MS = 50;
 
@@ -26,6 +31,8 @@
   countActive(): number;
   /** Refuses the requests that no backend has. */
   refuseWaiting(): void;
+  /** Answers the requests whose responses have not begun. */
+  failUnanswered(): void;
   /** Ends the gateway; called once. */
   end(): void;
 }
@@ -62,6 +69,7 @@
     );
     const lastMs = Math.max(ACCEPT_WINDOW_MS, this.graceMs - KILL_MARGIN_MS);
     this.clock.setTimeout(() => this.ports.refuseWaiting(), lastMs - REFUSAL_FLUSH_MS);
+    this.clock.setTimeout(() => this.ports.failUnanswered(), lastMs - ANSWER_FLUSH_MS);
     this.clock.setTimeout(() => this.endBeforeKill(), lastMs);
   }
 
@@ -97,14 +105,15 @@
 
   /** Ends the gateway once the requests that have arrived are read. */
   private endBeforeKill(): void {
-    this.clock.setTimeout(() => this.refuseAndEnd(), QUIET_POLL_LIMIT_MS);
-    this.ports.afterQuietPoll(() => this.refuseAndEnd());
+    this.clock.setTimeout(() => this.answerAndEnd(), QUIET_POLL_LIMIT_MS);
+    this.ports.afterQuietPoll(() => this.answerAndEnd());
   }
 
-  /** Ends the gateway; refuses requests whose attempts have failed since the last refusals. */
-  private refuseAndEnd(): void {
+  /** Ends the gateway; answers the requests that were read or sent since the last answers. */
+  private answerAndEnd(): void {
     if (!this.hasEnded) {
       this.ports.refuseWaiting();
+      this.ports.failUnanswered();
       this.end();
     }
   }
--- a/test/graceful-shutdown.test.ts
+++ b/test/graceful-shutdown.test.ts
@@ -9,6 +9,7 @@
     stoppedListeningAtMs: -1,
     endedAtMs: [] as number[],
     refusedAtMs: [] as number[],
+    failedAtMs: [] as number[],
   };
   const stop = new GracefulShutdown(clock, 8_000, {
     stopListening: (onStopped) => {
@@ -18,6 +19,7 @@
     afterQuietPoll: (callback) => callback(),
     countActive: () => seen.active,
     refuseWaiting: () => seen.refusedAtMs.push(clock.now()),
+    failUnanswered: () => seen.failedAtMs.push(clock.now()),
     end: () => seen.endedAtMs.push(clock.now()),
   });
   return { clock, seen, stop };
@@ -62,5 +64,6 @@
   t.deepEqual(seen.refusedAtMs, []);
   await clock.runUntil(20_000);
   t.deepEqual(seen.refusedAtMs, [7_500, 7_650]);
+  t.deepEqual(seen.failedAtMs, [7_600, 7_650]);
   t.deepEqual(seen.endedAtMs, [7_650]);
 });
--- a/test/refused-at-end.test.ts
+++ b/test/refused-at-end.test.ts
@@ -109,3 +109,23 @@
   request.refuseIfUnsent({ reason: 'stopping', retryAfterMs: 0 }, 'the gateway stops');
   t.is(reply.status, 502);
 });
+
+test('a request that runs at a backend is failed when the gateway ends, and its slot is given back', (t) => {
+  const world = new GatewayHarness(backendOf('a', { slots: 1 }));
+  const { request, reply } = world.request();
+  request.failIfUnanswered({ reason: 'stopping', retryAfterMs: 0 }, 'the gateway stops');
+  t.deepEqual([reply.status, reply.body], [502, '{"error":"backend-failed"}']);
+  t.is(world.requestEnds[0]!.tries[0]!.detail, 'the gateway stops');
+  world.request();
+  t.is(world.attempts.length, 2);
+});
+
+test('a stream that has begun is not failed before the gateway ends', (t) => {
+  const world = new GatewayHarness(backendOf('a'));
+  const { request, reply } = world.request({ route: STREAM });
+  const { handlers } = world.attempts[0]!;
+  handlers.onHead({ status: 200, rawHeaders: [], headers: {} });
+  handlers.onData(Buffer.from('id: 1\ndata: a\n\n'));
+  request.failIfUnanswered({ reason: 'stopping', retryAfterMs: 0 }, 'the gateway stops');
+  t.deepEqual([reply.status, reply.isAborted], [200, false]);
+});
--- a/test/slow-callers-at-stop.test.ts
+++ b/test/slow-callers-at-stop.test.ts
@@ -124,3 +124,29 @@
   }
   t.deepEqual(await gateway.ended, [0, null]);
 });
+
+test('requests that still run at a backend when the grace time ends get a status that promises nothing', async (t) => {
+  const answerInPart: Handler = ({ path }, response) => {
+    if (path === '/a/part') {
+      response.writeHead(200, { 'X-Weirvale-Server-Seal': 'seal' });
+      response.write('part');
+    }
+  };
+  const gateway = await startSystem(t, '127.0.3.66', answerInPart);
+  const { host, port } = gateway;
+  const results = ['/a/part', '/a/none', '/a/none'].map(async (path, index) => {
+    const headers = {
+      host: 'h',
+      authorization: 'Bearer key',
+      'x-weirvale-attempt-id': `id-${index}`,
+    };
+    const response = await request(`http://${host}:${port}${path}`, { headers });
+    return `${response.statusCode} ${await response.body.text()}`;
+  });
+  const ends = Promise.allSettled(results);
+  await sleep(SYSTEM_CLOCK, 500);
+  gateway.stop();
+  const failed = { status: 'fulfilled', value: '502 {"error":"backend-failed"}' };
+  t.deepEqual(await ends, [failed, failed, failed]);
+  t.deepEqual(await gateway.ended, [0, null]);
+});
