--- a/test/graceful-shutdown.test.ts
+++ b/test/graceful-shutdown.test.ts
@@ -9,11 +9,17 @@
     stoppedListeningAtMs: -1,
     endedAtMs: [] as number[],
     refusedAtMs: [] as number[],
+    failedAtMs: [] as number[],
   };
   const stop = new GracefulShutdown(clock, 8_000, {
-    stopListening: () => (seen.stoppedListeningAtMs = clock.now()),
+    stopListening: (onStopped) => {
+      seen.stoppedListeningAtMs = clock.now();
+      onStopped();
+    },
+    afterQuietPoll: (callback) => callback(),
     countActive: () => seen.active,
     refuseWaiting: () => seen.refusedAtMs.push(clock.now()),
+    failUnanswered: () => seen.failedAtMs.push(clock.now()),
     end: () => seen.endedAtMs.push(clock.now()),
   });
   return { clock, seen, stop };
@@ -58,5 +64,6 @@
   t.deepEqual(seen.refusedAtMs, []);
   await clock.runUntil(20_000);
   t.deepEqual(seen.refusedAtMs, [7_500, 7_650]);
+  t.deepEqual(seen.failedAtMs, [7_600, 7_650]);
   t.deepEqual(seen.endedAtMs, [7_650]);
 });
