An announced cold start counts once, also when a gateway starts again

Cause: an announcement names the cold time that was left when it was written. A gateway that starts reads it again and counts from that moment, refuses what cold backends could not start in time, and tells each agent the time in its demand. The agent extended its own period by it, so that all gateways went back to the cold rate.

Hypothesis: if an agent counts each announcement once, by its store position, and tells gateways which is the latest that it has counted, a restart of a gateway makes no backend cold.

Why it holds: whoever reads an announcement first counts no shorter than the true time, so a later reading adds nothing. What a gateway found itself (new incarnation, refused connection, end of an evacuation) is still sent as `coldMs` and counts each time; a later announcement, or one of a later epoch of the store, counts anew. A gateway ends only the announced period by the agent's word, and only if the agent has counted that announcement or a later one.

Ruled out: comparing `born` with the own clock; clocks of machines differ and an early end would exceed the bound of cold starts.

Tests of the demand's field follow the new one: `announcedCold` in place of `coldMs` for an announced period, and `applyDemand` in place of `extendColdPeriod`, with the same values.

--- a/src/gateway/dispatch/cold-start-limiter.ts
+++ b/src/gateway/dispatch/cold-start-limiter.ts
@@ -6,7 +6,9 @@
  * agent counts. Without an agent, all gateways together stay within the part of the limit that
  * agents leave, each within its own share.
  */
+import { isLater, positionOf } from '../../cluster/store-position.js';
 import { GRANT_LIFETIME_MS } from '../../slot-agent/start-limiter.js';
+import type { AnnouncedColdTime, SlotState } from '../../slot-agent/slot-messages.js';
 import { StartWindow } from '../../slot-agent/start-window.js';
 import type { ColdStartBound, ColdPeriod } from '../../routing/cold-start.js';
 import type { KnownBackend } from './known-backend.js';
@@ -32,8 +34,9 @@
 export interface ColdStartInfo {
   /** Clock of the gateway, which the agent returns with each grant. */
   readonly atMs?: number;
-  /** Remaining time for which the gateway considers the backend cold, in milliseconds. */
+  /** Remaining time for which the backend is cold by the gateway's findings, in milliseconds. */
   readonly coldMs?: number;
+  readonly announcedCold?: AnnouncedColdTime;
 }
 
 /**
@@ -130,11 +133,31 @@
     if (!this.hasStartLimit(known)) {
       return {};
     }
-    const coldness = this.coldness(known, nowMs);
+    const { backend, cold } = known;
+    const { coldStartMs } = this.ports.startLimitOf(backend.service)!;
+    const finding = cold.currentFinding(coldStartMs, this.ports.returnedAtMs(backend.zone), nowMs);
     // A state that derives from the agent's own report or from losing its connection is not
     // reported back: the two sides would keep confirming each other and it would never end.
-    const isOwnFinding = coldness !== undefined && coldness.reason !== 'agent-lost';
-    return { atMs: nowMs, ...(isOwnFinding && { coldMs: coldness.untilMs - nowMs }) };
+    const isOwnFinding = finding !== undefined && finding.reason !== 'agent-lost';
+    const remainingMs = cold.announcedLeftMs(nowMs);
+    return {
+      atMs: nowMs,
+      ...(isOwnFinding && { coldMs: finding.untilMs - nowMs }),
+      ...(remainingMs > 0 && { announcedCold: { ...positionOf(backend), remainingMs } }),
+    };
+  }
+
+  /**
+   * Applies the cold-start fields of an agent's state. An agent that has counted the announcement
+   * of the backend, or a later one, may have read it long before this process started; the period
+   * that this process counts from its own reading ends with the agent's.
+   */
+  applyAgentState(known: KnownBackend, state: SlotState, nowMs: number): void {
+    const { countedAnnouncement, grantsOnly } = state;
+    const isWarm = countedAnnouncement !== undefined && grantsOnly !== 'cold';
+    if (isWarm && !isLater(known.backend, countedAnnouncement)) {
+      known.cold.endAnnounced(nowMs);
+    }
   }
 
   /**
--- a/src/gateway/dispatch/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -384,6 +384,7 @@
       known.agent.failureShare = message.failureShare;
       known.agent.homes = message.homes;
       known.agent.grantsOnly = message.grantsOnly;
+      this.ports.coldStarts.applyAgentState(known, message, nowMs);
       if (message.hasEnded !== true && message.bornAtMs !== undefined) {
         this.noteRunningProcess(known, message.bornAtMs, nowMs);
       } else if (message.hasEnded === true && known.isBornBefore(message.endedBornBeforeMs)) {
--- a/src/routing/cold-start.ts
+++ b/src/routing/cold-start.ts
@@ -141,6 +141,21 @@
     }
   }
 
+  /**
+   * Ends the announced period: whoever counted the remaining time since an earlier reading of the
+   * announcement considers the backend warm.
+   */
+  endAnnounced(nowMs: number): void {
+    if (this.announced !== undefined && this.announced.untilMs > nowMs) {
+      this.announced = { ...this.announced, untilMs: nowMs };
+    }
+  }
+
+  /** Returns the announced remaining time, in milliseconds; 0 if there is none. */
+  announcedLeftMs(nowMs: number): number {
+    return Math.max(0, (this.announced?.untilMs ?? nowMs) - nowMs);
+  }
+
   /** Handles a new incarnation: announcements of the previous one no longer apply. */
   noteNewIncarnation(nowMs: number): void {
     this.announced = undefined;
@@ -166,18 +181,18 @@
     zoneReturnedAtMs: number | undefined,
     nowMs: number,
   ): ColdPeriod | undefined {
-    const candidates = [
-      this.announced,
-      this.assumedPeriod(coldStartMs),
-      this.zoneReturnPeriod(coldStartMs, zoneReturnedAtMs),
-    ];
-    let latest: ColdPeriod | undefined;
-    for (const candidate of candidates) {
-      if (candidate !== undefined && candidate.untilMs > (latest?.untilMs ?? nowMs)) {
-        latest = candidate;
-      }
-    }
-    return latest;
+    const finding = this.currentFinding(coldStartMs, zoneReturnedAtMs, nowMs);
+    return latestOf([this.announced, finding], nowMs);
+  }
+
+  /** Like `currentPeriod`, but without what is only known from announcements and reports. */
+  currentFinding(
+    coldStartMs: number,
+    zoneReturnedAtMs: number | undefined,
+    nowMs: number,
+  ): ColdPeriod | undefined {
+    const assumed = this.assumedPeriod(coldStartMs);
+    return latestOf([assumed, this.zoneReturnPeriod(coldStartMs, zoneReturnedAtMs)], nowMs);
   }
 
   private assumedPeriod(coldStartMs: number): ColdPeriod | undefined {
@@ -195,6 +210,20 @@
   }
 }
 
+/** Returns the period that ends last; undefined if all have ended. */
+function latestOf(
+  periods: ReadonlyArray<ColdPeriod | undefined>,
+  nowMs: number,
+): ColdPeriod | undefined {
+  let latest: ColdPeriod | undefined;
+  for (const period of periods) {
+    if (period !== undefined && period.untilMs > (latest?.untilMs ?? nowMs)) {
+      latest = period;
+    }
+  }
+  return latest;
+}
+
 /**
  * Returns one gateway's share of a limit that gateways divide without coordination: they get one
  * each in rank order, round robin. A list with more gateways than there are only makes the share
--- a/src/slot-agent/engine-cold-start.ts
+++ b/src/slot-agent/engine-cold-start.ts
@@ -4,11 +4,11 @@
  */
 import { ColdStartTracker, coldStartBound } from '../routing/cold-start.js';
 import type { ColdStartBound, ColdStartLimits, ColdPeriod } from '../routing/cold-start.js';
-import { isSamePosition } from '../cluster/store-position.js';
+import { isLater, isSamePosition, positionOf } from '../cluster/store-position.js';
 import type { StorePosition } from '../cluster/store-position.js';
 import type { Backend } from '../routing/backend.js';
 import type { Service } from '../routing/configuration.js';
-import type { ColdStartSettings } from './slot-messages.js';
+import type { AnnouncedColdTime, ColdStartSettings, SlotDemand } from './slot-messages.js';
 import type { StartRules } from './start-limiter.js';
 
 /** Records about the engine in the agent's own replica of the store. */
@@ -26,6 +26,8 @@
 export class EngineColdStart {
   private readonly coldPeriod = new ColdStartTracker();
   private announcement: Backend | undefined;
+  /** Position of the latest announcement whose remaining cold time was counted. */
+  private countedAnnouncement: StorePosition | undefined;
   private isUnreachable = false;
   /** Bound from a gateway's hello; used while the agent's own replica does not hold the service. */
   private gatewayBound: ColdStartBound | undefined;
@@ -46,6 +48,7 @@
     }
     const earlier = this.announcement;
     this.announcement = backend;
+    this.noteCounted(backend);
     if (earlier === undefined) {
       this.coldPeriod.noteInitialAnnouncement(backend.remainingColdMs, nowMs);
       return;
@@ -71,14 +74,34 @@
     this.isUnreachable = isUnreachable;
   }
 
-  /**
-   * Extends the cold period to what a gateway reports; undefined if the gateway considers the
-   * engine warm.
-   */
-  extendColdPeriod(coldMs: number | undefined, nowMs: number): void {
+  /** Extends the cold period to what a gateway reports with its demand. */
+  applyDemand({ coldMs, announcedCold }: SlotDemand, nowMs: number): void {
     if (coldMs !== undefined) {
       this.coldPeriod.noteReportedCold(coldMs, nowMs);
     }
+    if (announcedCold !== undefined) {
+      this.countAnnouncement(announcedCold, nowMs);
+    }
+  }
+
+  /**
+   * Counts an announcement that a gateway has read. Each is counted once: a gateway that restarts
+   * reads an old one again and cannot tell its age.
+   */
+  private countAnnouncement(announced: AnnouncedColdTime, nowMs: number): void {
+    if (this.noteCounted(announced)) {
+      this.coldPeriod.noteReportedCold(announced.remainingMs, nowMs);
+    }
+  }
+
+  /** Returns whether the announcement is later than all that were counted before. */
+  private noteCounted(announcement: StorePosition): boolean {
+    const { countedAnnouncement: counted } = this;
+    if (counted !== undefined && !isLater(announcement, counted)) {
+      return false;
+    }
+    this.countedAnnouncement = positionOf(announcement);
+    return true;
   }
 
   /** Stores the cold-start settings of the service from a gateway's hello. */
@@ -97,7 +120,8 @@
   /** Limits on starting requests at the engine now; undefined if the rate is unlimited. */
   startRules(nowMs: number): StartRules | undefined {
     const { bound } = this;
-    return bound && { bound, isCold: this.coldState(nowMs) !== undefined };
+    const { countedAnnouncement } = this;
+    return bound && { bound, isCold: this.coldState(nowMs) !== undefined, countedAnnouncement };
   }
 
   /** Why and until when the engine is considered cold; undefined while it is warm. */
--- a/src/slot-agent/slot-agent-role.ts
+++ b/src/slot-agent/slot-agent-role.ts
@@ -418,7 +418,7 @@
       return;
     }
     if (message.kind === 'demand') {
-      this.coldStart.extendColdPeriod(message.coldMs, this.clock.now());
+      this.coldStart.applyDemand(message, this.clock.now());
     }
     this.allocator.receive(connection, message, this.clock.now());
     if (message.kind === 'hello') {
--- a/src/slot-agent/slot-allocator.ts
+++ b/src/slot-agent/slot-allocator.ts
@@ -495,6 +495,7 @@
     const homes = this.ports.regionInfo();
     const grantsOnly = this.grantsOnly(nowMs);
     this.sentGrantsOnly = grantsOnly;
+    const countedAnnouncement = this.ports.startRules(nowMs)?.countedAnnouncement;
     const roundTripMs = session.takeRoundTripUpdate();
     this.ports.send(connection, {
       kind: 'state',
@@ -511,6 +512,7 @@
       ...(this.engineStartedAtMs !== undefined && { bornAtMs: this.engineStartedAtMs }),
       ...(homes === undefined ? {} : { homes }),
       ...(grantsOnly && { grantsOnly }),
+      ...(countedAnnouncement && { countedAnnouncement }),
     });
   }
 }
--- a/src/slot-agent/slot-messages.ts
+++ b/src/slot-agent/slot-messages.ts
@@ -2,6 +2,7 @@
 import type { Service } from '../routing/configuration.js';
 import type { EngineAvailability } from './engine-health.js';
 import type { ProcessAnswer, ProcessQuery } from '../processes/process-query.js';
+import type { StorePosition } from '../cluster/store-position.js';
 import type { RouteAndTenant } from '../routing/region-restrictions.js';
 import type {
   HoldStreamOrigin,
@@ -58,6 +59,11 @@
   readonly coldStart?: ColdStartSettings;
 }
 
+/** Remaining cold time of an announcement, as counted since the gateway read it. */
+export interface AnnouncedColdTime extends StorePosition {
+  readonly remainingMs: number;
+}
+
 /** Requests that wait in a gateway; replaces its previous demand message. */
 export interface SlotDemand {
   readonly kind: 'demand';
@@ -68,9 +74,12 @@
   /** The gateway's clock, in milliseconds; omitted if the start rate is unlimited. */
   readonly atMs?: number;
   /**
-   * How much longer the gateway considers the backend cold, in milliseconds; omitted if it is warm.
+   * How much longer the backend is cold by the gateway's own findings, in milliseconds; omitted if
+   * there are none.
    */
   readonly coldMs?: number;
+  /** Omitted unless time is left of what the backend announced. */
+  readonly announcedCold?: AnnouncedColdTime;
 }
 
 /** The gateway sent a request to the engine on a free slot without a grant. */
@@ -209,6 +218,11 @@
   readonly homes?: AgentRegionInfo | undefined;
   /** Why slots are available by grant only; omitted while gateways may take free slots. */
   readonly grantsOnly?: GrantsOnlyReason;
+  /**
+   * Store position of the latest announcement of the engine whose remaining cold time the agent has
+   * counted; omitted if there is none or the start rate is unlimited.
+   */
+  readonly countedAnnouncement?: StorePosition;
 }
 
 /** Slot messages from an agent to a gateway. */
--- a/src/slot-agent/start-limiter.ts
+++ b/src/slot-agent/start-limiter.ts
@@ -5,6 +5,7 @@
  * lifetime. Grants that the agent issued before a restart are unknown, so at a cold engine a
  * restarted agent begins as if the limit were exhausted.
  */
+import type { StorePosition } from '../cluster/store-position.js';
 import type { ColdStartBound } from '../routing/cold-start.js';
 import { START_WINDOW_MS, StartWindow } from './start-window.js';
 import type { Start } from './start-window.js';
@@ -15,6 +16,8 @@
   readonly bound: ColdStartBound;
   /** Whether the engine is, or may be, cold. */
   readonly isCold: boolean;
+  /** Position of the latest announcement that `isCold` takes into account; undefined for none. */
+  readonly countedAnnouncement?: StorePosition | undefined;
 }
 
 /** Why slots are available by grant only. */
--- a/test/cold-start-limit.test.ts
+++ b/test/cold-start-limit.test.ts
@@ -4,6 +4,10 @@
 
 const SEEDS = 200;
 const RUN_MS = 5_000;
+/** When the simulated engine is warm for everybody, in milliseconds. */
+const ENGINE_WARM_MS = 35_000;
+/** Time for a gateway and the agent to exchange messages, in milliseconds. */
+const CONNECTED_MS = 1_000;
 
 /** Runs one fleet per seed. */
 async function run(
@@ -51,3 +55,14 @@
 test('the check detects gateways that use delayed grants', async (t) => {
   t.not(findViolations(await run(60, { usesStaleGrants: true })).length, 0);
 });
+
+test('a gateway that restarts does not make an engine cold again by its old announcement', async (t) => {
+  const fleet = new ColdFleet(1, {}, false);
+  await fleet.clock.runUntil(ENGINE_WARM_MS);
+  t.false(fleet.isColdForAgent);
+  const gateway = fleet.restartGateway(0);
+  t.true(gateway.isEngineCold, 'it has not heard the agent yet');
+  await fleet.clock.runUntil(ENGINE_WARM_MS + CONNECTED_MS);
+  t.false(fleet.isColdForAgent, 'the agent has counted the announced time once');
+  t.false(gateway.isEngineCold, 'the gateway takes over the count of the agent');
+});
--- a/test/cold-start.test.ts
+++ b/test/cold-start.test.ts
@@ -3,7 +3,7 @@
 import { ColdStartLimiter } from '../src/gateway/dispatch/cold-start-limiter.js';
 import { coldStartShare, PEER_VIEW_SETTLE_MS } from '../src/gateway/dispatch/cold-start-share.js';
 import { ColdStartTracker, coldStartBound } from '../src/routing/cold-start.js';
-import type { AgentSlotMessage } from '../src/slot-agent/slot-messages.js';
+import type { AgentSlotMessage, SlotState } from '../src/slot-agent/slot-messages.js';
 import { START_WINDOW_MS, StartWindow } from '../src/slot-agent/start-window.js';
 import { backendOf, GatewayHarness, routeOf } from './support/gateway-harness.js';
 
@@ -142,7 +142,12 @@
   world.request();
   t.is(world.attempts.length, 0);
   const [, demand] = world.agentMessages.filter(([, { kind }]) => kind === 'demand').at(-1)!;
-  t.like(demand, { kind: 'demand', coldMs: 2_000, atMs: 0 });
+  const { epoch, revision } = world.directory.find('cold')!.backend;
+  t.like(demand, {
+    kind: 'demand',
+    announcedCold: { epoch, revision, remainingMs: 2_000 },
+    atMs: 0,
+  });
   receive(world, 'cold', { kind: 'granted', heardAtMs: 0 });
   t.is(world.attempts.length, 1);
 });
@@ -339,6 +344,45 @@
   t.is(world.coldStarts.demandInfo(known, 0).coldMs, undefined);
 });
 
+test('the announced time ends with the count of an agent that has read the announcement', (t) => {
+  const warmAgent = { ...OPEN, occupied: 0, availability: 'open' } as const;
+  const isColdAfter = (state: Partial<SlotState>) => {
+    const world = createColdWorld(0, 'cold');
+    world.dispatcher.connectAgent('cold', 0);
+    receive(world, 'cold', { ...warmAgent, ...state });
+    return world.dispatcher.isCold('cold', 0);
+  };
+  const { epoch, revision } = backendOf('cold');
+  const countedAnnouncement = { epoch, revision };
+  t.false(isColdAfter({ countedAnnouncement }));
+  t.false(isColdAfter({ countedAnnouncement, grantsOnly: 'busy' }));
+  t.true(isColdAfter({ countedAnnouncement, grantsOnly: 'cold' }));
+  t.true(isColdAfter({}), 'the agent does not know the announcement');
+  t.true(isColdAfter({ countedAnnouncement: { epoch, revision: revision - 1 } }));
+});
+
+test('a warm announcement ends the assumed cold period also after the announced one was ended', (t) => {
+  const period = new ColdStartTracker();
+  period.noteNewIncarnation(0);
+  period.noteAnnouncement(2_500, 0);
+  period.endAnnounced(1_000);
+  t.is(period.currentPeriod(COLD_MS, undefined, 1_000)?.reason, 'new-incarnation');
+  period.noteAnnouncement(0, 1_100);
+  t.is(period.currentPeriod(COLD_MS, undefined, 1_100), undefined);
+});
+
+test('the count of an agent does not end what the gateway found itself', (t) => {
+  const world = createColdWorld(0, 'cold');
+  world.dispatcher.connectAgent('cold', 0);
+  const known = world.directory.find('cold')!;
+  known.cold.assumeCold('was-gone', 0);
+  const { epoch, revision } = known.backend;
+  const countedAnnouncement = { epoch, revision };
+  receive(world, 'cold', { ...OPEN, occupied: 0, availability: 'open', countedAnnouncement });
+  t.true(world.dispatcher.isCold('cold', 0));
+  t.deepEqual(world.coldStarts.demandInfo(known, 0), { atMs: 0, coldMs: COLD_MS });
+});
+
 test('without a start rate limit a grant is used regardless of its age', (t) => {
   const world = new GatewayHarness(backendOf('a'));
   world.engines = true;
--- a/test/engine-cold-start.test.ts
+++ b/test/engine-cold-start.test.ts
@@ -14,6 +14,8 @@
   coldRequestsPerS: 14,
 };
 
+const DEMAND = { kind: 'demand', ranks: [], grantsSeen: 0 } as const;
+
 class FakeRecords {
   service: Service | undefined = SERVICE;
   backend: Backend | undefined;
@@ -66,9 +68,9 @@
   t.is(coldStart.startRules(0), undefined);
   coldStart.applyHello({ coldStartMs: COLD_MS, coldRequestsPerS: 14 });
   t.is(coldStart.startRules(10_000)?.bound.total, 26);
-  coldStart.extendColdPeriod(undefined, 10_000);
+  coldStart.applyDemand(DEMAND, 10_000);
   t.false(coldStart.startRules(10_000)?.isCold);
-  coldStart.extendColdPeriod(700, 10_000);
+  coldStart.applyDemand({ ...DEMAND, coldMs: 700 }, 10_000);
   t.true(coldStart.startRules(10_699)?.isCold);
   t.false(coldStart.startRules(10_700)?.isCold);
 });
@@ -96,3 +98,25 @@
   gone.coldStart.updateFromRecords(100);
   t.is(gone.coldStart.coldState(3_079)?.reason, 'was-gone');
 });
+
+test('an agent counts each announcement once, from its own replica or the first gateway that read it', (t) => {
+  const { records, coldStart } = coldStartAt(0);
+  const report = (revision: number, nowMs: number, epoch = 1) => {
+    const announcedCold = { epoch, revision, remainingMs: 1_000 };
+    coldStart.applyDemand({ ...DEMAND, announcedCold }, nowMs);
+  };
+  report(5, 10_000);
+  t.deepEqual(coldStart.startRules(10_999)?.countedAnnouncement, { epoch: 1, revision: 5 });
+  t.true(coldStart.startRules(10_999)?.isCold);
+  report(5, 10_900);
+  report(4, 10_900);
+  t.false(coldStart.startRules(11_000)?.isCold);
+  report(6, 12_000);
+  t.true(coldStart.startRules(12_999)?.isCold, 'a later announcement counts');
+  records.backend = backendOf('a', { epoch: 1, revision: 8 });
+  coldStart.updateFromRecords(14_000);
+  report(7, 14_000);
+  t.false(coldStart.startRules(14_000)?.isCold, 'the own replica is ahead');
+  report(1, 15_000, 2);
+  t.true(coldStart.startRules(15_999)?.isCold, 'the store was restored and reuses revisions');
+});
--- a/test/support/cold-fleet.ts
+++ b/test/support/cold-fleet.ts
@@ -80,7 +80,7 @@
 
   constructor(
     readonly name: string,
-    private readonly others: ReadonlySet<string>,
+    readonly others: ReadonlySet<string>,
     private readonly startedAtMs: number,
     private readonly fleet: ColdFleet,
     hasRecord: boolean,
@@ -118,6 +118,11 @@
     this.generateLoad();
   }
 
+  /** Whether this gateway considers the engine cold, by itself or by the agent's word. */
+  get isEngineCold(): boolean {
+    return this.dispatcher.isCold('e', this.fleet.clock.now());
+  }
+
   connect(): void {
     if (this.link !== undefined || this.isStopped) {
       return;
@@ -268,9 +273,11 @@
   private coldStart!: EngineColdStart;
   private nextLink = 1;
 
+  /** @param hasFaults - whether connections and processes fail at random */
   constructor(
     seed: number,
     readonly fault: ColdFleetFault = {},
+    hasFaults = true,
   ) {
     this.random = new SeededRandom(seed);
     const { random } = this;
@@ -280,7 +287,27 @@
     this.names.forEach((name, index) => (this.gateways[index] = this.create(name, -10_000)));
     this.schedulePeriodically(300, () => this.allocator.sendHeartbeat(300, this.clock.now()));
     this.schedulePeriodically(50, () => this.closeTimedOut());
-    this.schedulePeriodically(250, () => this.injectFault());
+    if (hasFaults) {
+      this.schedulePeriodically(250, () => this.injectFault());
+    }
+  }
+
+  /** Whether the agent considers the engine cold. */
+  get isColdForAgent(): boolean {
+    return this.coldStart.coldState(this.clock.now()) !== undefined;
+  }
+
+  /** Restarts a gateway, which reads the engine's record again and connects to the agent. */
+  restartGateway(index: number): FleetGateway {
+    const previous = this.gateways[index]!;
+    previous.isStopped = true;
+    previous.disconnect();
+    const { name, others } = previous;
+    const restarted = new FleetGateway(name, others, this.clock.now(), this, true);
+    this.gateways[index] = restarted;
+    restarted.connect();
+    restarted.start();
+    return restarted;
   }
 
   openLink(gateway: FleetGateway): Link {
@@ -298,7 +325,7 @@
     if (message.kind === 'hello') {
       this.coldStart.applyHello(message.coldStart);
     } else if (message.kind === 'demand') {
-      this.coldStart.extendColdPeriod(message.coldMs, nowMs);
+      this.coldStart.applyDemand(message, nowMs);
     }
     this.allocator.receive(link.number, message, nowMs);
   }
