Broken variants of each wait of a request, an idle close and a stop

The tests of single waits did not show that a wait whose error is dropped would be noticed. For the confirmation of the configuration, the origin of a resumed stream, the charge to a quota, the grant of an agent and a retry a request is now brought into the wait on the virtual clock, what it waits for is refused or its next step throws, and the caller, who stays, must have a complete response well before the deadline, with no request left active. For each of the ten a variant that swallows the error must be detected; so must an idle close without a poll and a stop that ends before the last response is flushed.

All pass on the code as it is, so no logic changes.

--- a/test/support/open-gateway.ts
+++ b/test/support/open-gateway.ts
@@ -8,6 +8,7 @@
 import type { CallerProtocol } from '../../src/gateway/admission/caller-protocol.js';
 import { GatewayRequests } from '../../src/gateway/gateway-requests.js';
 import type { GatewayRequestsDependencies } from '../../src/gateway/gateway-requests.js';
+import type { ResumptionDecision } from '../../src/gateway/gateway-streams.js';
 import type { GatewayMetrics } from '../../src/gateway/metrics/gateway-metrics.js';
 import type { Charge, ChargeResult } from '../../src/gateway/quotas/pending-charge.js';
 import { headerValue } from '../../src/http/header-value.js';
@@ -107,6 +108,8 @@
   /** Charges a request; by default at once. */
   chargeOnce = (onResult: (result: ChargeResult) => void): void =>
     onResult({ isGranted: true, giveBack: () => undefined });
+  /** Looks up the origin of a resumed stream; by default without an outcome. */
+  resumeOnce: (onDecision: (decision: ResumptionDecision) => void) => void = () => undefined;
 
   constructor(backends: readonly Backend[], ...routes: Route[]) {
     super(...backends);
@@ -186,7 +189,10 @@
       random: new SeededRandom(1),
       log: this.log as unknown as DecisionLog,
       metrics: metrics as unknown as GatewayMetrics,
-      streams: { resume: () => undefined, recordBegin: () => undefined },
+      streams: {
+        resume: (_request, onDecision) => this.resumeOnce(onDecision),
+        recordBegin: () => undefined,
+      },
       isRefusing: () => false,
       onStatement: () => undefined,
       onTryOver: () => undefined,
