Planned stop: close a connection after its last answer by the rule of idle ones

Callers saw a whole request reset whose bytes had arrived before the gateway wrote the answer that says 'Connection: close' to the request before it.

Hypothesis: Node ends the connection in the step that flushes that answer, so what has arrived meanwhile is not read. A poll that brings nothing before the close, as for idle connections, leaves nothing unread; and a request that is read after the announcement was sent must not be processed, as the caller may send it again at once, so only a refusal as not run is true for it.

Requests that were read before the announcement was sent are served as before. An answer that is sent before its request was read whole closes as before.

Ruled out: to serve such requests, as a caller that heeds the announcement repeats them. A request that is sent while the close is on its way is left to the caller, as HTTP says.

--- a/src/gateway/admission/caller-listener.ts
+++ b/src/gateway/admission/caller-listener.ts
@@ -25,6 +25,11 @@
   readonly host: string;
   readonly rawHeaders: RawHeaders;
   readonly headers: IncomingMessage['headers'];
+  /**
+   * Whether it was read after a response had said that its connection is closed: the caller may
+   * send it again elsewhere, so it must not be processed. Omitted for false.
+   */
+  readonly followsClose?: boolean;
 }
 
 /** Callbacks for a request whose body is being read. */
@@ -169,11 +174,16 @@
 
   private receive(request: IncomingMessage, response: ServerResponse): void {
     const connection = this.responsesOf(request.socket);
-    connection.add(response);
-    const connectionHeaders = (isBodyUnread: boolean) =>
-      connection.announceClose(response, this.isClosing || isBodyUnread)
-        ? ['Connection', 'close']
-        : this.idleConnections.keepAliveHeader(response);
+    const followsClose = connection.add(response);
+    const connectionHeaders = (isBodyUnread: boolean) => {
+      if (!connection.announceClose(response, this.isClosing || isBodyUnread)) {
+        return this.idleConnections.keepAliveHeader(response);
+      }
+      if (!isBodyUnread) {
+        this.idleConnections.closeAfter(response);
+      }
+      return ['Connection', 'close'];
+    };
     const reply = new HttpReply(request, response, this.unflushed, connectionHeaders);
     const head: ReceivedHead = {
       method: request.method ?? 'GET',
@@ -181,6 +191,7 @@
       host: request.headers.host ?? '',
       rawHeaders: request.rawHeaders,
       headers: request.headers,
+      followsClose,
     };
     const handlers = this.handleRequest(head, reply);
     let hasDisconnected = false;
--- a/src/gateway/admission/connection-responses.ts
+++ b/src/gateway/admission/connection-responses.ts
@@ -11,6 +11,11 @@
   _last: boolean;
 }
 
+/** Keeps the server from closing the connection after `response`. */
+export function leaveOpenAfter(response: ServerResponse): void {
+  (response as unknown as ClosingResponse)._last = false;
+}
+
 /** Decides which response of a connection announces that the connection is closed. */
 export class ConnectionResponses {
   private newest: ServerResponse | undefined;
@@ -18,17 +23,24 @@
   private announcing: ServerResponse | undefined;
   /** Whether the last response must announce it, whatever else holds. */
   private mustClose = false;
+  /** Whether the caller may have been told that no further request is processed. */
+  private isOver = false;
 
   /**
    * Adds the response to a request that was just read. If the response before it has announced the
    * close already, the connection stays open until the new response is flushed.
+   *
+   * @returns whether the announcement was sent before the request was read, so that the caller takes
+   *   the request as not processed
    */
-  add(response: ServerResponse): void {
+  add(response: ServerResponse): boolean {
+    this.isOver ||= this.announcing?.writableFinished === true;
     if (this.announcing !== undefined) {
-      (this.announcing as unknown as ClosingResponse)._last = false;
+      leaveOpenAfter(this.announcing);
       this.announcing = undefined;
     }
     this.newest = response;
+    return this.isOver;
   }
 
   /**
--- a/src/gateway/admission/idle-connections.ts
+++ b/src/gateway/admission/idle-connections.ts
@@ -4,6 +4,7 @@
 import type { Clock } from '../../clock.js';
 import { DEFAULT_CALLER_LIMITS } from '../../routing/configuration.js';
 import type { RawHeaders } from './caller-protocol.js';
+import { leaveOpenAfter } from './connection-responses.js';
 import type { UnusedConnectionCloser } from './unused-connection-closer.js';
 
 /** Limits of connections, in milliseconds. */
@@ -36,6 +37,8 @@
   bytesReadBeforeIdle: number;
   /** Timeout that the last response named; 0 if it named none. */
   namedTimeoutMs: number;
+  /** Whether a response has announced that the connection is closed. */
+  isCloseAnnounced: boolean;
   /** Whether it is to be closed unless input has arrived. */
   isExpired: boolean;
 }
@@ -72,6 +75,19 @@
     this.sweep();
   }
 
+  /**
+   * Closes the connection after `response`, whose head announces it, unless input has arrived. The
+   * server would close it without a poll.
+   */
+  closeAfter(response: ServerResponse): void {
+    const connection = this.connections.get(response.req.socket);
+    if (connection !== undefined) {
+      connection.isCloseAnnounced = true;
+      // Earlier than the listener of the server.
+      response.prependOnceListener('finish', () => leaveOpenAfter(response));
+    }
+  }
+
   /** Returns the header that names the idle timeout; empty if the connection closes after the response. */
   keepAliveHeader({ req, shouldKeepAlive }: ServerResponse): RawHeaders {
     const { idleTimeoutMs } = this.timeouts;
@@ -91,6 +107,7 @@
       idleSinceMs: undefined,
       bytesReadBeforeIdle: 0,
       namedTimeoutMs: 0,
+      isCloseAnnounced: false,
       isExpired: false,
     });
     socket.on('close', () => this.connections.delete(socket));
@@ -140,9 +157,10 @@
   }
 
   /** Returns when the connection expires; Infinity while it is not idle. */
-  private expiryMs({ idleSinceMs = Infinity, namedTimeoutMs }: Connection): number {
+  private expiryMs(connection: Connection): number {
+    const { idleSinceMs = Infinity, namedTimeoutMs, isCloseAnnounced } = connection;
     const { idleTimeoutMs } = this.timeouts;
-    if (this.isClosing) {
+    if (this.isClosing || isCloseAnnounced) {
       return idleSinceMs;
     }
     if (idleTimeoutMs === 0) {
--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -284,7 +284,8 @@
   }
 
   private admit(received: ConfinedAdmission, reply: CallerReply): AdmittedRequest | undefined {
-    const admitted = this.dependencies.isRefusing()
+    const isRefused = this.dependencies.isRefusing() || received.head.followsClose === true;
+    const admitted = isRefused
       ? err(STOPPING_REFUSAL)
       : this.admission.admit(received, this.dependencies.configuration.table);
     if (admitted.ok) {
--- a/test/refused-while-stopping.test.ts
+++ b/test/refused-while-stopping.test.ts
@@ -5,7 +5,7 @@
 import { PLAIN_PROTOCOL, RecordedReply } from './support/gateway-harness.js';
 
 /** Returns the requests of a gateway that refuses all of them, and how often one was reported ended. */
-function stoppingGateway() {
+function stoppingGateway(isRefusing = true) {
   const ended = { count: 0, lines: [] as Array<Record<string, unknown>> };
   const dependencies = {
     adapter: { protocol: PLAIN_PROTOCOL },
@@ -18,7 +18,7 @@
         ended.lines.push(fields),
     },
     metrics: { record: () => undefined },
-    isRefusing: () => true,
+    isRefusing: () => isRefusing,
     onEnd: () => (ended.count += 1),
   } as unknown as GatewayRequestsDependencies;
   return { requests: new GatewayRequests(dependencies), ended };
@@ -34,6 +34,13 @@
   t.is(ended.count, 1);
 });
 
+test('a request that follows the announced close of its connection is refused as not run', (t) => {
+  const { requests } = stoppingGateway(false);
+  const reply = new RecordedReply();
+  requests.receive({ ...HEAD, followsClose: true }, reply).onBody(Buffer.alloc(0));
+  t.deepEqual([reply.status, reply.body], [503, '{"error":"stopping"}']);
+});
+
 test('a stop does not wait for a request whose caller left before it was admitted, which is logged', (t) => {
   const { requests, ended } = stoppingGateway();
   requests.receive(HEAD, new RecordedReply()).onCallerDisconnected();
--- a/test/requests-at-stop.test.ts
+++ b/test/requests-at-stop.test.ts
@@ -55,6 +55,24 @@
   t.true(caller.isClosed);
 });
 
+test('a request that arrived unread before an answer that closes its connection is passed on as following the close', async (t) => {
+  const followsClose: Array<boolean | undefined> = [];
+  const { listener, connectCaller } = await startCallerListener({}, (reply, head) => {
+    if (followsClose.push(head.followsClose) === 1) {
+      callers[0]!.socket.write(RAW_REQUEST);
+      blockLoop(50);
+    }
+    respondOk(reply);
+  });
+  t.teardown(() => listener.stopListening());
+  listener.closeConnectionsAfterResponse();
+  const callers = [await connectCaller()];
+  await callers[0]!.exchange();
+  t.deepEqual(callers[0]!.statuses, ['200', '200']);
+  t.deepEqual(followsClose, [false, true]);
+  t.true(callers[0]!.isClosed);
+});
+
 test('requests that arrived unread as a gateway process stops to listen or ends are answered', async (t) => {
   const store = new FakeStore();
   store.epoch = 1;
--- a/test/support/raw-caller.ts
+++ b/test/support/raw-caller.ts
@@ -4,6 +4,7 @@
 import { AfterPollQueue } from '../../src/after-poll-queue.js';
 import { SYSTEM_CLOCK, sleep } from '../../src/clock.js';
 import { CallerListener } from '../../src/gateway/admission/caller-listener.js';
+import type { ReceivedHead } from '../../src/gateway/admission/caller-listener.js';
 import type { CallerReply } from '../../src/gateway/attempt/attempt.js';
 import { DEFAULT_CALLER_LIMITS } from '../../src/routing/configuration.js';
 
@@ -21,11 +22,11 @@
 /** Starts a listener that answers with `respond`. */
 export async function startCallerListener(
   limits: CallerLimitOverrides,
-  respond: (reply: CallerReply) => void = respondOk,
+  respond: (reply: CallerReply, head: ReceivedHead) => void = respondOk,
 ) {
   const listener = new CallerListener(
-    (_head, reply) => ({
-      onBody: () => respond(reply),
+    (head, reply) => ({
+      onBody: () => respond(reply, head),
       onTooLong: () => undefined,
       onCallerDisconnected: () => undefined,
     }),
