Promises: sound backend records of other writers, with tests of what happens

Two kinds of records that a review saw.

Under a new name at the address of a living backend: requests at work go on, the first request of a gateway gets 421 under the other name, is sent again and served with one attempt allowed, and the other name stays unused, also when it is written again. The backend's own next record restores both gateway and agent. The agent takes its engine for cold after each of the two.

Under a known name with a later start: the known life ends, and the backend's own records count as late ones until it starts again.

--- a/test/engine-cold-start.test.ts
+++ b/test/engine-cold-start.test.ts
@@ -120,3 +120,19 @@
   report(1, 15_000, 2);
   t.true(coldStart.startRules(15_999)?.isCold, 'the store was restored and reuses revisions');
 });
+
+test('an engine is considered cold after a record under another name at its address, and after its own next one', (t) => {
+  const { records, coldStart } = coldStartAt(0);
+  const own = backendOf('w', { revision: 5 });
+  records.backend = own;
+  coldStart.updateFromRecords(10_000);
+  t.is(coldStart.coldState(10_000), undefined);
+  records.backend = backendOf('x', { revision: 6 });
+  coldStart.updateFromRecords(20_000);
+  t.is(coldStart.coldState(22_999)?.reason, 'new-incarnation');
+  t.is(coldStart.coldState(23_000), undefined);
+  records.backend = { ...own, revision: 7 };
+  coldStart.updateFromRecords(30_000);
+  t.is(coldStart.coldState(32_999)?.reason, 'new-incarnation');
+  t.is(coldStart.coldState(33_000), undefined);
+});
--- a/test/foreign-backend-records.test.ts
+++ b/test/foreign-backend-records.test.ts
@@ -64,11 +64,11 @@
     this.backends = new GatewayBackends(dependencies as unknown as GatewayBackendsDependencies);
   }
 
-  read(record: object): void {
+  read(record: object, name = 'w'): void {
     this.revision += 1;
     const position = positionAt(this.revision);
     const value = JSON.stringify(this.repair(record));
-    const decoded = decodeRecord({ key: 'servers/w', ...position, value });
+    const decoded = decodeRecord({ key: `servers/${name}`, ...position, value });
     this.agent.apply(decoded, this.revision);
     if (decoded.kind === 'backend') {
       this.backends.applyRecord(decoded, position);
@@ -156,6 +156,51 @@
   t.deepEqual(readers.problems, []);
 });
 
+test('a sound record under a new name at the address of a backend costs one attempt, not counted', (t) => {
+  const readers = new RecordReaders();
+  const { gateway } = readers;
+  const route = routeOf({ kind: 'unsafe', maxAttempts: 1 });
+  const other = { ...RECORD, born: 2_000 };
+  readers.read(RECORD);
+  const running = gateway.request({ route });
+  readers.read(other, 'x');
+  t.deepEqual([readers.readyIds(), readers.agent.backend?.id], [['x@2000'], 'x@2000']);
+  const next = gateway.request({ route });
+  t.is(gateway.attempts[1]!.backend.id, 'x@2000');
+  gateway.answer(1, 421, '');
+  t.deepEqual(readers.readyIds(), ['w@1000'], 'the process is not the announced one');
+  t.is(gateway.attempts[2]!.backend.id, 'w@1000');
+  readers.read({ ...other, sequence: 2 }, 'x');
+  t.deepEqual(readers.readyIds(), ['w@1000'], 'its next record does not make it usable');
+  gateway.answer(0, 200, 'first');
+  gateway.answer(2, 200, 'second');
+  t.deepEqual([running.reply.body, next.reply.body], ['first', 'second']);
+  t.deepEqual([readers.ended, gateway.crashes.length], [[], 0]);
+  readers.read({ ...RECORD, sequence: 2 });
+  t.deepEqual([readers.readyIds(), readers.agent.backend?.id], [['w@1000'], 'w@1000']);
+});
+
+test('a sound record under a new name at the address of a backend yields to its next one', (t) => {
+  const readers = new RecordReaders();
+  readers.read(RECORD);
+  readers.read({ ...RECORD, born: 2_000 }, 'x');
+  readers.read({ ...RECORD, sequence: 2 });
+  t.deepEqual([readers.readyIds(), readers.agent.backend?.id], [['w@1000'], 'w@1000']);
+  t.deepEqual(readers.ended, []);
+});
+
+test('a sound record with a later start counts as a restart, whoever wrote it', (t) => {
+  const readers = new RecordReaders();
+  readers.read(RECORD);
+  readers.read({ ...RECORD, born: 2_000, state: 'draining' });
+  t.deepEqual(readers.ended, ['w@1000']);
+  readers.read({ ...RECORD, sequence: 2 });
+  t.deepEqual([readers.readyIds(), readers.agent.backend?.id], [[], 'w@2000']);
+  t.regex(readers.problems.at(-1)!, /earlier start/);
+  readers.read({ ...RECORD, born: 3_000 });
+  t.deepEqual([readers.readyIds(), readers.agent.backend?.id], [['w@3000'], 'w@3000']);
+});
+
 test('a start time far in the future does not end the backend that lives', (t) => {
   for (const born of [FAR_FUTURE_MS, Date.now() + 2 * DAY_MS, Number.MAX_SAFE_INTEGER]) {
     const readers = new RecordReaders();
