A stop that ends before a response is flushed is logged and counted

What was seen: a planned stop whose grace time ends while a caller has not taken all of its complete response wrote only the number of such responses in `stopped`; neither the log nor weirvale_requests_unanswered_total named the requests, and `logs explain` knew nothing of them.

Cause: OpenRequests forgot a request as soon as its response had been ended, not when it had left the process. Hypothesis: kept until the listener reports that the operating system has taken the whole response, it can be reported with the rest at the end of the process. The listener now tells the handlers of a request that its response is flushed, and the end of the process writes `response-unfinished` (stage `flushing`, ended by the gateway), counts it, and `logs explain` names it.

Evidence: the new test fails before (no line, two expected), as does the part of the test of `logs explain`; both pass with the change. The listener is shown to report a response as flushed once all of it is taken, and not before.

The existing test that answered and refused requests are not counted ended the process while no caller had taken its response; it now says that they were flushed, which is what it meant by answered. The case without is the new test.

--- a/src/cli/queries/explain-logs.ts
+++ b/src/cli/queries/explain-logs.ts
@@ -183,8 +183,11 @@
 
 function describeRequest(line: LogLine): string[] {
   if (line.event === UNFINISHED_EVENT) {
-    const text = `${line.time} ${line.process}: the caller disconnected ${line['ageMs']} ms after its request arrived, before it had the whole response`;
-    return [text, ...describeUnanswered(line)];
+    const end =
+      line['endedBy'] === 'gateway'
+        ? `this process ended ${line['ageMs']} ms after the request arrived, before its caller had the whole response`
+        : `the caller disconnected ${line['ageMs']} ms after its request arrived, before it had the whole response`;
+    return [`${line.time} ${line.process}: ${end}`, ...describeUnanswered(line)];
   }
   const reason = String(line['reason']);
   const status = Number(line['status']);
--- a/src/gateway/admission/caller-listener.ts
+++ b/src/gateway/admission/caller-listener.ts
@@ -35,6 +35,8 @@
   onTooLong(): void;
   /** The caller disconnected, before or after the body was complete. */
   onCallerDisconnected(): void;
+  /** The operating system has taken the whole response. */
+  onFlushed?(): void;
 }
 
 /** Handles a request head and returns the callbacks for its body. */
@@ -172,7 +174,10 @@
     const stopWatching = this.disconnectWatchers
       .get(request.socket)
       ?.onDisconnect(handleDisconnect);
-    response.on('finish', () => stopWatching?.());
+    response.on('finish', () => {
+      stopWatching?.();
+      handlers.onFlushed?.();
+    });
     response.on('close', () => {
       stopWatching?.();
       handleDisconnect();
--- a/src/gateway/admission/open-requests.ts
+++ b/src/gateway/admission/open-requests.ts
@@ -1,6 +1,6 @@
 /**
- * Knows the requests that were read whole and have no response yet, and reports each that ends
- * without one.
+ * Knows the requests that were read whole and whose response has not left the process, and reports
+ * each that ends without a whole response.
  */
 import type { Clock } from '../../clock.js';
 import type { HeaderValue } from '../../http/header-value.js';
@@ -58,7 +58,7 @@
   'not-started-in-time': 'deadline',
 };
 
-/** The requests of a gateway whose bodies were read whole and that have no response yet. */
+/** The requests of a gateway whose bodies were read whole and whose response is not flushed yet. */
 export class OpenRequests {
   private readonly open = new Set<OpenRequest>();
 
@@ -92,20 +92,19 @@
     this.logEnd(request, reason, this.count(request.stage, reason));
   }
 
-  /** Reports a caller that disconnected before it had the whole of a complete response. */
-  reportUnfinished(request: OpenRequest): void {
+  /** Reports a complete response of which its caller did not get the whole. */
+  reportUnfinished(request: OpenRequest, reason: string): void {
     this.ports.log.write('response-unfinished', 'failure', {
       request: request.requestId,
       ageMs: this.ports.clock.now() - request.arrivedAtMs,
-      ...this.count('flushing', CALLER_LEFT),
+      ...this.count('flushing', reason),
     });
   }
 
-  /** Reports every request that is still open as ended with the process. */
+  /** Reports every request whose response is not flushed as ended with the process. */
   reportProcessEnd(): void {
     for (const request of [...this.open]) {
-      request.close();
-      this.report(request, PROCESS_END);
+      request.handleProcessEnd();
     }
   }
 
@@ -164,7 +163,7 @@
     this.accepted = accepted;
   }
 
-  /** Notes that the request ended without a response and was reported. */
+  /** Notes that nothing of the request is left to report. */
   close(): void {
     this.state = 'closed';
     this.open.delete(this);
@@ -175,23 +174,40 @@
     return new TrackedReply(reply, () => this.noteResponse());
   }
 
+  /** Notes that the operating system has taken the whole response. */
+  handleFlushed(): void {
+    this.close();
+  }
+
   /** Reports the disconnect of the caller, unless the request was reported before. */
   handleCallerDisconnect(): void {
     const { state } = this;
-    this.close();
     if (state === 'unread') {
+      this.close();
       this.owner.reportUnadmitted(this);
-    } else if (state === 'open') {
-      this.owner.report(this, CALLER_LEFT);
+    } else {
+      this.reportEnd(CALLER_LEFT);
+    }
+  }
+
+  /** Reports the end of the process, unless the request was reported before. */
+  handleProcessEnd(): void {
+    this.reportEnd(PROCESS_END);
+  }
+
+  private reportEnd(reason: string): void {
+    const { state } = this;
+    this.close();
+    if (state === 'open') {
+      this.owner.report(this, reason);
     } else if (state === 'responded') {
-      this.owner.reportUnfinished(this);
+      this.owner.reportUnfinished(this, reason);
     }
   }
 
   private noteResponse(): void {
     if (this.state !== 'closed') {
       this.state = 'responded';
-      this.open.delete(this);
     }
   }
 }
--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -214,7 +214,7 @@
     }
   }
 
-  /** Reports the requests that end without a response since the process ends. */
+  /** Reports the requests that end without a whole response since the process ends. */
   reportProcessEnd(): void {
     this.openRequests.reportProcessEnd();
   }
@@ -253,6 +253,7 @@
             this.dependencies.onEnd();
           }
         }),
+      onFlushed: () => open.handleFlushed(),
     };
   }
 
