Soak: fewer excuses for a request without an answer

The check excused more than may end a whole request: one that had no head after its time-out (a gateway answers at the deadline, so this hid a wait that never ends, beside any fault), a break of its backend although a complete response had begun (all but streams are complete before their head is sent), and everything that was sent after a stop signal, also in the window in which a gateway serves new requests.

Now a time-out and a break of the backend excuse only a stream that had begun, and a stop only what is sent once the window may be over or is still open when the grace time ends.

In the existing test the request that times out has a head now, and the one sent after a stop signal is sent after the window; the cases that they replace are violations and stand in the new test.

--- a/bench/soak/soak-fleet.ts
+++ b/bench/soak/soak-fleet.ts
@@ -44,6 +44,8 @@
 
 const PROGRAM = 'target/weirvale.cjs';
 const STOP_GRACE_S = 4;
+/** Time from the stop signal to the kill, in milliseconds. */
+export const STOP_GRACE_MS = STOP_GRACE_S * 1_000;
 /** Port offsets; `backend` is the proxy that forwards to `real`, the backend's own port. */
 const PORTS = { callers: 1, readiness: 2, peers: 3, storeProxy: 4, agent: 5, backend: 6, real: 7 };
 
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -136,9 +136,35 @@
   t.deepEqual(find(stream, { brokenOff: new Set(['c1-1']) }), []);
   t.deepEqual(find(stream, { breaks: [linkBreak] }), []);
   t.deepEqual(find(unanswered, { endsOf: () => [kill] }), []);
-  t.deepEqual(find({ ...unanswered, sentAtMs: 2_050 }, { endsOf: () => [stop] }), []);
+  const stopped = { ...stop, restartedAtMs: 6_000 };
+  const meetsClose = { ...unanswered, sentAtMs: 4_900, endedAtMs: 4_910 };
+  const outlastsGrace = { ...unanswered, sentAtMs: 4_000, endedAtMs: 5_650 };
+  t.deepEqual(find(meetsClose, { endsOf: () => [stopped] }), []);
+  t.deepEqual(find(outlastsGrace, { endsOf: () => [stopped] }), []);
   t.deepEqual(find({ ...unanswered, isConnectionRefused: true }), []);
-  t.deepEqual(find({ ...unanswered, endedAtMs: 3_460 }), []);
+  t.deepEqual(find({ ...stream, endedAtMs: 3_460 }), []);
+});
+
+test('the check of answers detects a gateway that swallows the error of a wait, or ends early', (t) => {
+  const sent: ObservedRequest = { ...SERVED_REQUEST, id: 'c1-1', sentAtMs: 1_000, status: 0 };
+  const stop = { signal: 'SIGTERM', atMs: 900, restartedAtMs: 6_000 } as const;
+  const context: AnswerContext = {
+    executionsOf: (id) => [{ ...executionOf(id), backendId: 'e-3', atMs: 1_010 }],
+    endsOf: () => [],
+    breaks: [{ index: 3, fromMs: 1_000, untilMs: 1_100 }],
+    brokenOff: new Set(['c1-1']),
+  };
+  const whole = { ...sent, hasHead: true };
+  const variants: Array<[string, ObservedRequest, Partial<AnswerContext>]> = [
+    ['holds it until its caller gives up', { ...sent, endedAtMs: 6_000 }, {}],
+    ['breaks off a response that was complete', { ...whole, endedAtMs: 1_200 }, {}],
+    ['breaks off a complete response late', { ...whole, endedAtMs: 3_600 }, {}],
+    ['ends at the stop signal', { ...sent, endedAtMs: 1_001 }, { endsOf: () => [stop] }],
+    ['ends before its grace time', { ...sent, endedAtMs: 4_400 }, { endsOf: () => [stop] }],
+  ];
+  for (const [variant, observed, causes] of variants) {
+    t.is(findUnanswered([observed], { ...context, ...causes }).length, 1, variant);
+  }
 });
 
 test('the check of draining backends detects requests sent too late, except by a gateway with a fault', (t) => {
