--- a/test/caller-listener.test.ts
+++ b/test/caller-listener.test.ts
@@ -7,9 +7,17 @@
 import type { AcceptBacklog } from '../src/gateway/admission/accept-backlog-monitor.js';
 import type { CallerReply } from '../src/gateway/attempt/attempt.js';
 import { SYSTEM_CLOCK, sleep } from '../src/clock.js';
+import { isDoneWithinTurns, turns } from './support/loop-turns.js';
 
 const REQUEST = 'GET /a HTTP/1.1\r\nHost: a\r\n\r\n';
 const DISCONNECT_WITHIN_MS = 300;
+/**
+ * Turns of the event loop within which the disconnects of all callers are reported. Node accepts
+ * one connection a turn.
+ */
+const TURNS_UNTIL_DISCONNECTED = 300;
+/** Turns in which a request that was read before its caller's disconnect would be passed on. */
+const TURNS_UNTIL_PASSED_ON = 20;
 
 interface ReceivedRequest {
   readonly path: string;
@@ -138,9 +146,11 @@
   const callers = await Promise.all(Array.from({ length: 20 }, () => connectCaller()));
   callers.forEach((caller) => caller.write(REQUEST));
   callers.forEach((caller) => caller.destroy());
-  await sleep(SYSTEM_CLOCK, DISCONNECT_WITHIN_MS);
+  const countDisconnected = () => received.filter((each) => each.hasDisconnected).length;
+  await isDoneWithinTurns(() => countDisconnected() === 20, TURNS_UNTIL_DISCONNECTED);
+  await turns(TURNS_UNTIL_PASSED_ON);
   t.is(received.length, 20);
-  t.is(received.filter(({ hasDisconnected }) => hasDisconnected).length, 20);
+  t.is(countDisconnected(), 20);
   t.is(received.filter(({ hasBody }) => hasBody).length, 0);
   t.is(listener.unprocessedCount, 0);
   listener.stopListening();
--- a/test/support/loop-turns.ts
+++ b/test/support/loop-turns.ts
@@ -12,3 +12,8 @@
   }
   return isDone();
 }
+
+/** Waits for `count` turns of the event loop. */
+export async function turns(count: number): Promise<void> {
+  await isDoneWithinTurns(() => false, count);
+}
