Planned stop: close the listener only after a poll that accepted nothing

Cause: a poll accepts one connection, and the listener was closed after the first poll that was short enough, whatever it had accepted; the system resets the others that wait.

--- a/src/gateway/admission/caller-listener.ts
+++ b/src/gateway/admission/caller-listener.ts
@@ -134,8 +134,16 @@
    * `onStopped`; connections that wait to be accepted are accepted first.
    */
   stopListening(onStopped: () => void = () => undefined): void {
+    const acceptedBefore = this.acceptedCount;
     this.closer.closeUnlessUsed({
-      isUnused: () => true,
+      isUnused: () => {
+        // A poll accepts one connection.
+        const isBacklogEmpty = this.acceptedCount === acceptedBefore;
+        if (!isBacklogEmpty) {
+          this.stopListening(onStopped);
+        }
+        return isBacklogEmpty;
+      },
       close: () => {
         // The method of the HTTP server would also close connections with unflushed responses.
         NetServer.prototype.close.call(this.server);
--- a/test/requests-at-stop.test.ts
+++ b/test/requests-at-stop.test.ts
@@ -34,6 +34,16 @@
   t.true(callers.every(({ isClosed }) => isClosed));
 });
 
+test('connections that wait to be accepted as the listener stops are served', async (t) => {
+  const { listener, connectCaller } = await startCallerListener({});
+  const connecting = Array.from({ length: CALLERS }, connectCaller);
+  blockLoop(50);
+  listener.stopListening();
+  const callers = await Promise.all(connecting);
+  await Promise.all(callers.map((caller) => caller.exchange()));
+  t.deepEqual(new Set(callers.map(({ statuses }) => statuses.join())), new Set(['200']));
+});
+
 test('a request that arrived unread on a connection that becomes idle later in the stop is answered', async (t) => {
   const replies: CallerReply[] = [];
   const { listener, connectCaller } = await startCallerListener({}, (reply) => {
