Test of early ends: let the listener's polls run before the caller reads

A listener that closes only after a poll needs turns of the event loop between the virtual times; the blocked connection counts the bytes that its peer has sent, as a socket does.

--- a/test/early-ends.test.ts
+++ b/test/early-ends.test.ts
@@ -92,6 +92,7 @@
   await settle();
   shutdown.begin();
   await clock.runUntil(READ_MS);
+  await settle();
   connection.unblock();
   await settle();
   return receivedAtEnd;
--- a/test/support/blocked-connection.ts
+++ b/test/support/blocked-connection.ts
@@ -4,6 +4,8 @@
 export class BlockedConnection extends Duplex {
   /** Bytes that the peer has received, as text. */
   received = '';
+  /** Number of bytes that the peer has sent. */
+  bytesRead = 0;
   private blockedWrite: (() => void) | undefined;
   private isBlocked = true;
 
@@ -29,6 +31,7 @@
 
   /** Delivers `text` from the peer. */
   send(text: string): void {
+    this.bytesRead += text.length;
     this.push(text);
   }
 
