--- a/test/support/blocked-connection.ts
+++ b/test/support/blocked-connection.ts
@@ -4,7 +4,7 @@
 export class BlockedConnection extends Duplex {
   /** Bytes that the peer has received, as text. */
   received = '';
-  /** Bytes that were sent to the server; named as on sockets. */
+  /** Number of bytes that the peer has sent. */
   bytesRead = 0;
   private blockedWrite: (() => void) | undefined;
   private isBlocked = true;
