Test of slices between polls: wait by turns of the event loop

'tasks that take longer than a slice leave the rest to the next poll' waited 50 ms for five tasks that run in three turns of the loop.

--- a/test/after-poll-queue.test.ts
+++ b/test/after-poll-queue.test.ts
@@ -1,8 +1,12 @@
 import test from 'ava';
 import { AfterPollQueue } from '../src/after-poll-queue.js';
 import { SYSTEM_CLOCK } from '../src/clock.js';
+import { isDoneWithinTurns } from './support/loop-turns.js';
 import { connectPair } from './support/socket-pair.js';
 
+/** Turns of the event loop within which all tasks have run. */
+const TURNS_UNTIL_RUN = 50;
+
 /** A clock that the tasks of a test advance. */
 function manualClock() {
   const clock = { ...SYSTEM_CLOCK, nowMs: 0, now: () => clock.nowMs };
@@ -79,7 +83,7 @@
       });
     }
   });
-  await new Promise((resolve) => setTimeout(resolve, 50));
+  await isDoneWithinTurns(() => ranAt.length === 5, TURNS_UNTIL_RUN);
   t.deepEqual(ranAt, [1, 1, 2, 2, 3]);
 });
 
