Test of processes that are identified late: identify once the response has ended

'the process of a response that ended before it was identified is still reported' let the identification take 50 ms and took the response to have ended by then.

--- a/test/backend-sender-process.test.ts
+++ b/test/backend-sender-process.test.ts
@@ -6,6 +6,10 @@
 import { HttpBackendSender } from '../src/gateway/attempt/http-backend-sender.js';
 import type { IdentifiedProcess } from '../src/gateway/processes/process-identifier.js';
 import { backendOf } from './support/gateway-harness.js';
+import { isDoneWithinTurns } from './support/loop-turns.js';
+
+/** Turns of the event loop within which an identified process is reported. */
+const TURNS_UNTIL_REPORTED = 50;
 
 /** Starts a backend that calls `act` with the socket for each received request. */
 async function startBackend(
@@ -107,10 +111,13 @@
   const { server, address } = await startBackend((socket) =>
     socket.write('HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'),
   );
-  const sender = new HttpBackendSender(undefined, undefined, undefined, async () => {
-    await sleep(SYSTEM_CLOCK, 50);
-    return { bornAtMs: 6, source: 'agent' };
-  });
+  let answer: (process: IdentifiedProcess) => void = () => undefined;
+  const sender = new HttpBackendSender(
+    undefined,
+    undefined,
+    undefined,
+    () => new Promise((resolve) => (answer = resolve)),
+  );
   t.teardown(() => {
     sender.close();
     server.close();
@@ -127,6 +134,7 @@
     });
   });
   t.deepEqual(reported, []);
-  await sleep(SYSTEM_CLOCK, 100);
+  answer({ bornAtMs: 6, source: 'agent' });
+  await isDoneWithinTurns(() => reported.length > 0, TURNS_UNTIL_REPORTED);
   t.deepEqual(reported, [{ bornAtMs: 6, source: 'agent' }]);
 });
