Test of writes after a restore: wait by turns of the event loop

'a write fails if the response has a later epoch than the expected position' waited 20 ms for the client to read the reset of its idle connection.

--- a/test/platform-store.test.ts
+++ b/test/platform-store.test.ts
@@ -4,9 +4,12 @@
 import { PlatformStore } from '../platform/store-client.js';
 import { StoreRestoredError, StoreUnavailableError } from '../src/cluster/cluster-store.js';
 import { FakeStore } from './support/fake-platform.js';
+import { turns } from './support/loop-turns.js';
 import { positionAt } from './support/store-positions.js';
 
 const TIMEOUT_MS = 1_000;
+/** Turns of the event loop within which the reset of an idle connection is read. */
+const TURNS_UNTIL_RESET_IS_READ = 20;
 
 async function startStore(t: ExecutionContext) {
   const fakeStore = new FakeStore();
@@ -77,7 +80,7 @@
   const first = (await store.put('own', '"first"', positionAt(0, 1))).unwrap();
   fakeStore.restore(60_000);
   fakeStore.put('own', 'somebody else');
-  await new Promise((resolve) => setTimeout(resolve, 20));
+  await turns(TURNS_UNTIL_RESET_IS_READ);
   const written = await store.put('own', '"second"', first);
   t.true(written.val instanceof StoreRestoredError);
 });
