Give back retries that are charged or taken and not made

What callers saw: a tenant paid for second attempts that never ran, and its service ran out of retries, so that other requests were refused theirs. A tenant without quota drained the budget of its whole service: each try to leave a silent backend took a retry that was not returned when the charge was refused.

Cause: a retry is taken and charged before it is made, and nothing held it meanwhile. A grant that came after the end of the request was dropped; a retry that found no slot, or whose backend went on, stayed charged; an attempt that failed while its retry was being charged was charged a second time.

Hypothesis: if one object holds the next retry until the send, each end of the request gives it back.

Why it holds: RetryReservation is the only place that takes and charges the retries of attempts. A send uses what is held; the end of the request, a refused charge and an attempt that was not executed give it back; the result of a charge that is no longer awaited is refunded when it arrives.

--- a/src/experiment/simulated-gateway.ts
+++ b/src/experiment/simulated-gateway.ts
@@ -132,7 +132,7 @@
       protocol: EXPERIMENT_PROTOCOL,
       mustIdentifyProcess: () => false,
       crashes: NO_CRASH_TRACKING,
-      chargeRetry: (_request, onResult) => onResult(true),
+      chargeRetry: (_request, onResult) => onResult({ isGranted: true, giveBack: () => undefined }),
       takeRetry: (service) => budget.takeRetry(service, dependencies.countGateways(), clock.now()),
       returnRetry: (service) => budget.returnRetry(service),
       onStatement: () => undefined,
--- a/src/gateway/attempt/attempt-departure.ts
+++ b/src/gateway/attempt/attempt-departure.ts
@@ -53,13 +53,11 @@
 export class AttemptDeparture {
   /** Runs while the backend sends nothing. */
   private readonly silenceTimer: OneShotTimer;
-  /** The attempt whose retry is already taken from the budget and charged. */
-  private chargedFor: AttemptHandle | undefined;
 
   constructor(
     private readonly request: AcceptedRequest,
     private readonly options: RequestOptions,
-    private readonly ports: RequestPorts,
+    ports: Pick<RequestPorts, 'clock'>,
     private readonly alternatives: AlternativeBackends,
     private readonly retries: RetryRules,
     private readonly departing: DepartingRequest,
@@ -82,11 +80,6 @@
     this.silenceTimer.clear();
   }
 
-  /** Whether a retry of the attempt is already taken from the budget and charged. */
-  isCharged(handle: AttemptHandle | undefined): boolean {
-    return handle !== undefined && this.chargedFor === handle;
-  }
-
   /**
    * Retries elsewhere as soon as the path is known to be lost and another backend has a slot,
    * without waiting for the silence timeout.
@@ -98,7 +91,7 @@
     if (!isOnPath || !this.canLeave || !this.alternatives.isReachable(backendId)) {
       return;
     }
-    if (this.isCharged(handle)) {
+    if (this.retries.isCharged) {
       this.beginMove(PATH_LOST);
     } else if (this.retries.takeForMove()) {
       this.onceCharged(() => this.beginMove(PATH_LOST));
@@ -112,11 +105,14 @@
 
   private leaveSilentBackend(): void {
     const { backendId, handle } = this.departing.current();
+    if (handle === undefined) {
+      return;
+    }
     if (this.departing.isPaused()) {
       this.armSilenceTimer();
     } else if (!this.canMoveFrom(backendId)) {
       this.recheckLater();
-    } else if (this.isCharged(handle)) {
+    } else if (this.retries.isCharged) {
       this.beginMove(SILENT);
     } else if (this.retries.takeForMove()) {
       // The slot may be taken while the retry is charged.
@@ -142,12 +138,9 @@
   /** Calls `leave` once a retry is charged, unless the attempt has ended or sent data meanwhile. */
   private onceCharged(leave: () => void): void {
     const { handle, lastReceiptAtMs } = this.departing.current();
-    this.ports.chargeRetry(this.request, (isGranted) => {
+    this.retries.charge((isGranted) => {
       const current = this.departing.current();
       const hasMoved = current.handle !== handle || current.lastReceiptAtMs !== lastReceiptAtMs;
-      if (isGranted && handle !== undefined && current.handle === handle) {
-        this.chargedFor = handle;
-      }
       if (isGranted && !hasMoved && handle !== undefined) {
         leave();
       } else if (current.handle === handle) {
--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -173,6 +173,7 @@
       return false;
     }
     this.endAttempt('unknown', `withdrawn before the send: ${reason}`);
+    this.retries.release();
     this.attempts -= 1;
     return true;
   }
@@ -258,6 +259,7 @@
     this.phase = 'sent';
     this.backend = backend;
     this.holdsSlot = true;
+    this.retries.use();
     const needsProcess = this.processCheck.begin(backend, version);
     this.attempts += 1;
     const entry = ports.directory.find(backend.id);
@@ -417,7 +419,6 @@
       return;
     }
     const backendId = this.backend!.id;
-    const isCharged = this.departure.isCharged(this.attempt);
     this.endAttempt(outcomeOfFailure(failure), failure.detail);
     this.ports.crashes.recordFailure(this.currentRun!, failure);
     if (!failure.mayHaveRun) {
@@ -430,12 +431,10 @@
         : this.replyWithFailure('no-backend');
     }
     this.mayHaveRun = true;
-    if (!this.canRetryElsewhere() || (!isCharged && !this.retries.take())) {
-      this.replyWithFailure('backend-failed');
-    } else if (isCharged) {
-      this.retryElsewhere(backendId);
-    } else {
+    if (this.canRetryElsewhere() && this.retries.take()) {
       this.retryOnceCharged(backendId);
+    } else {
+      this.replyWithFailure('backend-failed');
     }
   }
 
@@ -454,10 +453,7 @@
    */
   private retryOnceCharged(fromBackendId: string): void {
     this.phase = 'waiting';
-    this.ports.chargeRetry(this.request, (isGranted) => {
-      if (this.isDone) {
-        return;
-      }
+    this.retries.charge((isGranted) => {
       if (isGranted) {
         this.retryElsewhere(fromBackendId);
       } else {
--- a/src/gateway/attempt/request-model.ts
+++ b/src/gateway/attempt/request-model.ts
@@ -91,6 +91,13 @@
   readonly requestId: string;
 }
 
+/** Result of the charge of a retry. */
+export interface RetryCharge {
+  readonly isGranted: boolean;
+  /** Refunds the charge of a retry that is not made, where it is still refundable. */
+  giveBack(): void;
+}
+
 /** Dependencies of a request. */
 export interface RequestPorts {
   /** Wraps the callbacks of the request that other objects call. */
@@ -115,7 +122,7 @@
    * Charges a retry of a request that may have been executed to its tenant; `onResult` may be
    * called synchronously.
    */
-  chargeRetry(request: AcceptedRequest, onResult: (isGranted: boolean) => void): void;
+  chargeRetry(request: AcceptedRequest, onResult: (result: RetryCharge) => void): void;
   /** Called with the statement in each response head that is from the intended backend. */
   onStatement(statement: ResponseStatement): void;
   /**
--- a/src/gateway/attempt/retry-rules.ts
+++ b/src/gateway/attempt/retry-rules.ts
@@ -5,6 +5,7 @@
 import type { AlternativeBackends } from './alternative-backends.js';
 import type { RequestPorts } from './request-model.js';
 import type { ResponseRelay } from './response-relay.js';
+import { RetryReservation } from './retry-reservation.js';
 
 const MIN_TIME_FOR_ATTEMPT_MS = 5;
 /**
@@ -16,6 +17,7 @@
 /** Retry rules of one request. */
 export class RetryRules {
   private connectFailures = 0;
+  private readonly next: RetryReservation;
   /** Whether a retry is taken for the way back from a backend that refuses a moved response. */
   private isReturnTaken = false;
 
@@ -23,8 +25,13 @@
     private readonly request: AcceptedRequest,
     private readonly relay: ResponseRelay,
     private readonly alternatives: AlternativeBackends,
-    private readonly ports: Pick<RequestPorts, 'clock' | 'takeRetry' | 'returnRetry'>,
-  ) {}
+    private readonly ports: Pick<
+      RequestPorts,
+      'clock' | 'takeRetry' | 'returnRetry' | 'chargeRetry'
+    >,
+  ) {
+    this.next = new RetryReservation(request, ports);
+  }
 
   /** Whether the request may run again, given what its caller has received. */
   get isRepeatable(): boolean {
@@ -45,6 +52,7 @@
 
   /** Records a failed connect; returns whether the request may still be sent elsewhere. */
   mayRetryUnsent({ isPortClosed }: AttemptFailure): boolean {
+    this.next.release();
     // A closed port is detected at once, and no other request is sent there for now.
     this.connectFailures += isPortClosed ? 0 : 1;
     return this.connectFailures <= MAX_CONNECT_FAILURES && this.hasTimeLeft;
@@ -55,10 +63,16 @@
    * no attempt left the request may only return to a backend that it left as sound.
    */
   takeAfterRefusal(attempts: number): boolean {
+    this.next.refundCharge();
     const canRetry = this.hasAttemptLeft(attempts) || this.alternatives.canReturn;
-    const isTaken = this.isReturnTaken || (canRetry && this.hasTimeLeft && this.take());
-    this.isReturnTaken = false;
-    return canRetry && this.hasTimeLeft && isTaken;
+    if (!canRetry || !this.hasTimeLeft) {
+      return false;
+    }
+    if (this.isReturnTaken) {
+      this.isReturnTaken = false;
+      this.next.hold();
+    }
+    return this.take();
   }
 
   /**
@@ -69,16 +83,37 @@
     if (!this.take()) {
       return false;
     }
-    this.isReturnTaken ||= this.relay.hasStarted && this.take();
+    this.isReturnTaken ||= this.relay.hasStarted && this.ports.takeRetry(this.request.service);
     const isCovered = this.isReturnTaken || !this.relay.hasStarted;
     if (!isCovered) {
-      this.ports.returnRetry(this.request.service);
+      this.next.release();
     }
     return isCovered;
   }
 
-  /** Gives back a retry that was taken for a way back and not made. */
+  /** Whether the next retry is taken and charged. */
+  get isCharged(): boolean {
+    return this.next.isCharged;
+  }
+
+  /** Charges the retry that was taken to the tenant; see `RetryReservation.charge`. */
+  charge(onResult: (isGranted: boolean) => void): void {
+    this.next.charge(onResult);
+  }
+
+  /** Records that the retry that was taken is made. */
+  use(): void {
+    this.next.use();
+  }
+
+  /** Gives back the retry that was taken. */
+  release(): void {
+    this.next.release();
+  }
+
+  /** Gives back the retries that were taken and not made. */
   end(): void {
+    this.next.release();
     if (this.isReturnTaken) {
       this.isReturnTaken = false;
       this.ports.returnRetry(this.request.service);
@@ -102,8 +137,8 @@
     return attempts < this.request.route.maxAttempts;
   }
 
-  /** Takes a retry from the budget of the service; returns false if none is left. */
+  /** Takes the next retry from the budget of the service; returns false if none is left. */
   take(): boolean {
-    return this.ports.takeRetry(this.request.service);
+    return this.next.take();
   }
 }
--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -10,7 +10,7 @@
 import { FaultBoundary } from './attempt/fault-boundary.js';
 import { DEFAULT_REQUEST_OPTIONS } from './attempt/request-model.js';
 import type { AcceptedRequest } from './attempt/accepted-request.js';
-import type { RequestEnd, RequestPorts } from './attempt/request-model.js';
+import type { RequestEnd, RequestPorts, RetryCharge } from './attempt/request-model.js';
 import { NO_STATUS, OpenRequests } from './admission/open-requests.js';
 import type { OpenRequest } from './admission/open-requests.js';
 import type { RequestBodyHandlers, ReceivedHead } from './admission/caller-listener.js';
@@ -155,7 +155,7 @@
       takeRetry: (service) => this.takeRetry(service),
       returnRetry: (service) => this.retryBudget.returnRetry(service),
       chargeRetry: (request, onResult) =>
-        this.charge(request, ({ isGranted }) => onResult(isGranted)),
+        this.charge(request, (result) => onResult(retryChargeOf(result))),
       onStatement: dependencies.onStatement,
       onStreamBegun: (request, backend, version) =>
         dependencies.streams.recordBegin(request, backend, version),
@@ -577,3 +577,8 @@
 function hasWaitedLong({ waitedMs }: Pick<RequestEnd, 'waitedMs'>): boolean {
   return waitedMs >= LONG_WAIT_MS;
 }
+
+function retryChargeOf(result: ChargeResult): RetryCharge {
+  const giveBack = () => (result.isGranted ? result.giveBack() : undefined);
+  return { isGranted: result.isGranted, giveBack };
+}
--- a/test/support/gateway-harness.ts
+++ b/test/support/gateway-harness.ts
@@ -25,6 +25,7 @@
   RequestEnd,
   RequestPorts,
   EndedAttempt,
+  RetryCharge,
 } from '../../src/gateway/attempt/request-model.js';
 import { sendLimitPerS } from '../../src/gateway/statements/send-limit.js';
 import { NO_STATEMENT } from '../../src/gateway/statements/backend-statement.js';
@@ -316,6 +317,8 @@
 
   /** Number of retries charged to a tenant; `hasQuota` sets whether its quota suffices. */
   chargedRetries = 0;
+  /** Number of charges of retries that were given back. */
+  refundedRetries = 0;
   hasQuota = true;
   /** Charges a retry; by default at once. */
   charge = (onResult: (isGranted: boolean) => void): void => onResult(this.hasQuota);
@@ -418,9 +421,10 @@
       protocol: PLAIN_PROTOCOL,
       crashes: this.crashingRequests,
       mustIdentifyProcess: ({ bornAtMs }: Backend) => bornAtMs !== undefined,
-      chargeRetry: (_request: AcceptedRequest, onResult: (isGranted: boolean) => void) => {
+      chargeRetry: (_request: AcceptedRequest, onResult: (result: RetryCharge) => void) => {
         this.chargedRetries += 1;
-        this.charge(onResult);
+        const giveBack = () => void (this.refundedRetries += 1);
+        this.charge((isGranted) => onResult({ isGranted, giveBack }));
       },
       takeRetry: () => {
         const isAllowed = this.repeatsLeft > 0;
