--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -10,7 +10,7 @@
 import { FaultBoundary } from './attempt/fault-boundary.js';
 import { DEFAULT_REQUEST_OPTIONS } from './attempt/request-model.js';
 import type { AcceptedRequest } from './attempt/accepted-request.js';
-import type { RequestEnd, RequestPorts } from './attempt/request-model.js';
+import type { RequestEnd, RequestPorts, RetryCharge } from './attempt/request-model.js';
 import { NO_STATUS, OpenRequests } from './admission/open-requests.js';
 import type { OpenRequest } from './admission/open-requests.js';
 import type { RequestBodyHandlers, ReceivedHead } from './admission/caller-listener.js';
@@ -27,6 +27,7 @@
 import { ConfigurationConfirmationQueue } from './admission/configuration-confirmation-queue.js';
 import type { GatewayQuotas } from './gateway-quotas.js';
 import type { Charge, ChargeResult } from './quotas/pending-charge.js';
+import { quotaRefusal } from './quotas/quota-refusal.js';
 import type { ActiveConfiguration } from './active-configuration.js';
 import type { BackendDirectory } from './dispatch/backend-directory.js';
 import type { Dispatcher } from './dispatch/dispatcher.js';
@@ -155,7 +156,7 @@
       takeRetry: (service) => this.takeRetry(service),
       returnRetry: (service) => this.retryBudget.returnRetry(service),
       chargeRetry: (request, onResult) =>
-        this.charge(request, ({ isGranted }) => onResult(isGranted)),
+        this.charge(request, (result) => onResult(retryChargeOf(result))),
       onStatement: dependencies.onStatement,
       onStreamBegun: (request, backend, version) =>
         dependencies.streams.recordBegin(request, backend, version),
@@ -569,15 +570,6 @@
   return reason === 'no-route' || reason === 'unknown-key';
 }
 
-function quotaRefusal(
-  { tenant, quotaCost }: AcceptedRequest,
-  result: Exclude<ChargeResult, { readonly isGranted: true }>,
-): GatewayRefusal {
-  const { retryAfterMs, left, refused, unanswered } = result;
-  const quota = { tenant: tenant ?? '', cost: quotaCost, left, refused, unanswered };
-  return { reason: 'quota-spent', retryAfterMs, quota };
-}
-
 function hasFailedAtBackend({ reason, tries }: Pick<RequestEnd, 'reason' | 'tries'>): boolean {
   const isRefusedForCrashes = reason === 'crashes-back-ends';
   return isRefusedForCrashes || tries.some(({ outcome }) => outcome === 'failed');
@@ -586,3 +578,8 @@
 function hasWaitedLong({ waitedMs }: Pick<RequestEnd, 'waitedMs'>): boolean {
   return waitedMs >= LONG_WAIT_MS;
 }
+
+function retryChargeOf(result: ChargeResult): RetryCharge {
+  const giveBack = () => (result.isGranted ? result.giveBack() : undefined);
+  return { isGranted: result.isGranted, giveBack };
+}
