--- a/bench/soak/soak-fleet.ts
+++ b/bench/soak/soak-fleet.ts
@@ -8,6 +8,11 @@
 import { join } from 'node:path';
 import type { RandomSource } from '../../src/random.js';
 import { FakeStore } from '../../test/support/fake-platform.js';
+import {
+  HANGUP_HANDLER_LIMIT_MS,
+  handlesHangup,
+  processorTimeMs,
+} from '../../test/support/process-status.js';
 import { LoopbackProxy } from './loopback-proxy.js';
 import { SoakBackend } from './soak-backend.js';
 import type { Execution } from './soak-backend.js';
@@ -105,6 +110,26 @@
     return this.child?.pid;
   }
 
+  /**
+   * Sends SIGHUP if the process handles it already; no program under Node can before its first file
+   * runs. A process that has run for longer without a handler is reported like one that ended.
+   *
+   * @returns whether the signal was sent
+   */
+  reload(): boolean {
+    const { pid } = this;
+    if (pid === undefined || this.isEndExpected) {
+      return false;
+    }
+    const isHandled = handlesHangup(pid);
+    if (isHandled) {
+      this.signal('SIGHUP');
+    } else if (processorTimeMs(pid) > HANGUP_HANDLER_LIMIT_MS) {
+      this.ownEnds.push(`${this.name} handles SIGHUP later than it may`);
+    }
+    return isHandled;
+  }
+
   /** Sends a signal to the process that this object started. */
   signal(name: NodeJS.Signals): void {
     if (name === 'SIGKILL' || name === 'SIGTERM') {
