Tests: a store restored without the record of crashes, for requests and parts

If absence in a copy counted as an operator's removal, a restore of the store would let a request or prompt part that crashes backends through again. Until now single cases held this; the fleets had no restore.

`bench/crash-parts` has the row `copy`: real gateways, the store restored halfway. The bound on late sends is as before.

The stored record of both fleets is simulated in one place, with the same random draws as before. Crashing requests have no row at real gateways yet.

--- a/bench/crash-parts.ts
+++ b/bench/crash-parts.ts
@@ -6,8 +6,10 @@
 import { runCrashParts } from './soak/crash-part-run.js';
 import type { CrashPartFault } from './soak/crash-part-run.js';
 
-const ALL_ROWS = 'none,first,two,kill,kill-all,crash,renew,outage,sound+crash,crash+kill+two';
+const ALL_ROWS = 'none,first,two,kill,kill-all,crash,renew,outage,copy,sound+crash,crash+kill+two';
 const TOLERATED_LATE_SENDS = 3;
+/** Requests that were on their way as the store was restored. */
+const TOLERATED_AFTER_RESTORE = 1;
 
 const program = new Command('crash-parts')
   .description('checks crashing prompt parts at gateway processes on loopback')
@@ -35,9 +37,11 @@
       lengthMs: Number(options['seconds']) * 1_000,
       basePort: Number(options['port']) + (run % 10) * 10,
     });
-    failed += report.late.some((late) => late > TOLERATED_LATE_SENDS) ? 1 : 0;
+    const hasLateSends = report.late.some((late) => late > TOLERATED_LATE_SENDS);
+    const hasForgotten = report.afterRestore.some((sends) => sends > TOLERATED_AFTER_RESTORE);
+    failed += hasLateSends || hasForgotten ? 1 : 0;
     console.log(row, JSON.stringify(report));
   }
 }
-console.log(`${failed} runs with more than ${TOLERATED_LATE_SENDS} late sends`);
+console.log(`${failed} runs with too many late sends`);
 process.exit(failed === 0 ? 0 : 1);
--- a/bench/soak/crash-part-run.ts
+++ b/bench/soak/crash-part-run.ts
@@ -27,7 +27,9 @@
   /** The shared middle parts of sound prompts change each second. */
   | 'renew'
   /** The store does not respond for 8 s from the fifth crash on. */
-  | 'outage';
+  | 'outage'
+  /** The store is restored halfway, from a backup without the crash record. */
+  | 'copy';
 
 /** Options of a run. */
 export interface CrashPartRunOptions {
@@ -47,6 +49,8 @@
   readonly ended: readonly number[];
   /** Requests with each part that reached an engine later than the contact time allows. */
   readonly late: readonly number[];
+  /** Requests with each part that reached an engine after the store was restored. */
+  readonly afterRestore: readonly number[];
   /** Share of sound requests served at the first attempt, before the outbreak. */
   readonly soundBefore: number;
   /** The same from the first crash to the fifth, or to the last if there are fewer. */
@@ -80,6 +84,8 @@
 const KILL_INTERVAL_MS = 2_600;
 const OWN_CRASH_INTERVAL_MS = 1_000;
 const OUTAGE_MS = 8_000;
+/** Time after which owners write their records to a restored store again. */
+const REWRITE_MS = 300;
 const DEADLINE_MS = 4_000;
 const MS_PER_S = 1_000;
 const PARTS_PER_POSITION = 4;
@@ -108,6 +114,7 @@
   private lives = 0;
   private lastId = 0;
   private hasOutageBegun = false;
+  private restoredAtMs = Infinity;
 
   constructor(private readonly options: CrashPartRunOptions) {
     const { faults } = options;
@@ -127,6 +134,9 @@
 
   async run(): Promise<CrashPartRunReport> {
     process.once('exit', () => this.stop());
+    if (this.options.faults.has('copy')) {
+      this.store.epoch = 1;
+    }
     const store = await this.store.start();
     this.configure();
     for (let index = 0; index < ENGINES; index += 1) {
@@ -174,6 +184,9 @@
     if (faults.has('kill-all')) {
       this.runEvery(lengthMs / 3, () => gateways.forEach((gateway) => gateway.signal('SIGKILL')));
     }
+    if (faults.has('copy')) {
+      this.timers.add(setTimeout(() => this.restoreStore(), lengthMs / 2));
+    }
     if (faults.has('crash')) {
       this.runEvery(OWN_CRASH_INTERVAL_MS, () =>
         this.endEngine(randomInteger(this.random, 0, ENGINES - 1)),
@@ -260,6 +273,12 @@
     this.endEngine(index);
   }
 
+  private restoreStore(): void {
+    this.restoredAtMs = performance.now();
+    const reverted = this.store.restore(performance.now() - this.outbreakAtMs);
+    this.timers.add(setTimeout(() => this.store.rewriteReverted(reverted), REWRITE_MS));
+  }
+
   private endEngine(index: number): void {
     const engine = this.engines[index]!;
     if (!engine.end()) {
@@ -334,6 +353,9 @@
     return {
       ended: this.culprits.map(({ endedAtMs }) => endedAtMs.length),
       late: this.culprits.map(countLate),
+      afterRestore: this.culprits.map(
+        ({ arrivedAtMs }) => arrivedAtMs.filter((atMs) => atMs > this.restoredAtMs).length,
+      ),
       soundBefore: shareOf(-Infinity, this.outbreakAtMs - MS_PER_S),
       soundBetween: shareOf(firstCrashAtMs, decidedAtMs),
       soundAfter: shareOf(decidedAtMs + 2 * CONTACT_MS, Infinity),
--- a/test/crashing-parts-fleet.test.ts
+++ b/test/crashing-parts-fleet.test.ts
@@ -27,6 +27,11 @@
   'four culprits': { gateways: 12, culprits: 4 },
   'engines that end by themselves': { gateways: 12, culprits: 1, crashEveryMs: 350 },
   'a store outage': { gateways: 12, culprits: 1, hasStoreOutage: true },
+  'a store that is restored without the crash record': {
+    gateways: 12,
+    culprits: 1,
+    hasRestoredStore: true,
+  },
   'restarts and partitions': { gateways: 12, culprits: 1, ...FAULTS },
   'restarts, partitions, a store outage and two culprits': {
     gateways: 27,
@@ -71,6 +76,10 @@
     t.log(`late sends ${maximumOf(outcomes, ({ mostLate }) => mostLate)}`);
     t.log(`sound refused ${maximumOf(outcomes, refusedShare).toFixed(4)}`);
     t.true(maximumOf(outcomes, ({ mostLate }) => mostLate) <= TOLERATED_LATE_SENDS);
+    t.is(
+      maximumOf(outcomes, ({ mostAfterRestore }) => mostAfterRestore),
+      0,
+    );
     t.true(maximumOf(outcomes, refusedShareAfter) <= MAX_SOUND_REFUSED_SHARE);
     t.true(outcomes.every(({ mostEnded: ended }) => ended > 0));
     t.true(mostEnded <= TOLERATED_ENDS || scenario.culprits > 2);
@@ -90,6 +99,11 @@
     maximumOf(await runSeeds(scenario, variant), ({ mostLate }) => mostLate);
   t.true((await late(BASE, { blamesLastPart: true })) > TOLERATED_LATE_SENDS, 'last part');
   t.true((await late(BASE, { disablesSharing: true })) > TOLERATED_LATE_SENDS, 'not shared');
+  const restored = await runSeeds({ ...BASE, hasRestoredStore: true }, { clearsOnLoss: true });
+  t.true(
+    restored.every(({ mostAfterRestore }) => mostAfterRestore > 0),
+    'loss clears',
+  );
   t.true((await late(BASE, { clearsOnRefusal: true })) > TOLERATED_LATE_SENDS, 'refusal clears');
   const unaware = await runSeeds({ ...BASE, restartAllEveryMs: 4_000 }, { startsUnaware: true });
   t.true(maximumOf(unaware, ({ mostEnded }) => mostEnded) > TOLERATED_ENDS, 'starts unaware');
--- a/test/crashing-requests-fleet.test.ts
+++ b/test/crashing-requests-fleet.test.ts
@@ -6,18 +6,17 @@
 import test from 'ava';
 import { headerValue } from '../src/http/header-value.js';
 import type { StoredCrashes } from '../src/gateway/crashes/crash-record.js';
-import { StoreConflictError } from '../src/cluster/cluster-store.js';
 import type { RequestRun } from '../src/gateway/crashes/request-run.js';
 import type { FingerprintCrashes } from '../src/gateway/crashes/crash-tally.js';
 import type { AcceptedRequest } from '../src/gateway/attempt/accepted-request.js';
 import { SeededRandom } from '../src/random.js';
-import { err, ok } from '../src/result.js';
+import { ok } from '../src/result.js';
 import { VirtualClock } from '../src/sim/virtual-clock.js';
 import { backendOf, routeOf } from './support/gateway-harness.js';
 import { CrashGateway } from './support/crash-gateway.js';
+import { CrashRecordStore } from './support/crash-record-store.js';
 import { positionAt } from './support/store-positions.js';
 import type { StorePosition } from '../src/cluster/store-position.js';
-import type { CrashRecord } from '../src/gateway/crashes/crash-record.js';
 
 const SEEDS = 200;
 const GATEWAYS = 5;
@@ -38,6 +37,8 @@
   readonly disablesRecord?: boolean;
   /** Completed requests are not cleared. */
   readonly disablesClearance?: boolean;
+  /** A record that a restored store lacks counts as removed by operators. */
+  readonly clearsOnLoss?: boolean;
 }
 
 interface Outcome {
@@ -83,13 +84,19 @@
   private readonly runs = new Map<string, Array<{ gateway: CrashGateway; run: RequestRun }>>();
   private readonly downUntilMs = new Map<string, number>();
   private thirdCrashAtMs = Infinity;
-  private record: CrashRecord | undefined;
+  private readonly store = new CrashRecordStore((record) => {
+    for (const gateway of this.gateways) {
+      this.clock.setTimeout(() => gateway.applyRecord(record), 20 + this.randomBelow(300));
+    }
+  });
   /** Index of the gateway that is partitioned from its peers, and until when. */
   private partition: { index: number; untilMs: number } = { index: -1, untilMs: 0 };
 
   constructor(
     seed: number,
     readonly variant: Variant,
+    /** Whether the store is restored once late sends count, from a backup without the record. */
+    private readonly hasRestoredStore = false,
   ) {
     this.random = new SeededRandom(seed);
     this.gateways = Array.from({ length: GATEWAYS }, (_unused, index) => this.create(index));
@@ -121,20 +128,12 @@
     }
   }
 
-  write(requests: readonly StoredCrashes[], { revision }: StorePosition) {
+  write(requests: readonly StoredCrashes[], expected: StorePosition) {
     this.clock.markPromiseSettled();
     if (this.variant.disablesRecord === true) {
-      return Promise.resolve(ok(positionAt(revision + 1)));
+      return Promise.resolve(ok(positionAt(expected.revision + 1)));
     }
-    if ((this.record?.revision ?? 0) !== revision) {
-      return Promise.resolve(err(new StoreConflictError('changed')));
-    }
-    const record = { requests, ...positionAt(revision + 1) };
-    this.record = record;
-    for (const gateway of this.gateways) {
-      this.clock.setTimeout(() => gateway.applyRecord(record), 20 + this.randomBelow(300));
-    }
-    return Promise.resolve(ok(positionAt(record.revision)));
+    return Promise.resolve(this.store.write(requests, expected));
   }
 
   private every(meanMs: number, act: () => void): void {
@@ -148,8 +147,9 @@
   }
 
   private create(index: number): CrashGateway {
-    const gateway = new CrashGateway(this, index, this.variant.disablesSharing === true);
-    const record = this.record;
+    const { disablesSharing = false, clearsOnLoss = false } = this.variant;
+    const gateway = new CrashGateway(this, index, disablesSharing, clearsOnLoss);
+    const { record } = this.store;
     if (record !== undefined) {
       gateway.applyRecord(record);
     }
@@ -236,7 +236,10 @@
     this.runs.delete(backendId);
     if (running.some(({ run }) => run.request.body.toString() === 'crashing')) {
       this.outcome.crashes += 1;
-      this.thirdCrashAtMs = this.outcome.crashes === 3 ? nowMs : this.thirdCrashAtMs;
+      if (this.outcome.crashes === 3) {
+        this.thirdCrashAtMs = nowMs;
+        this.scheduleRestore();
+      }
     }
     // Where the agent is down, the crash is detected only when the backend restarts.
     const detectionDelayMs =
@@ -254,6 +257,12 @@
     }
   }
 
+  private scheduleRestore(): void {
+    if (this.hasRestoredStore) {
+      this.clock.setTimeout(() => this.store.restoreWithoutRecord(), PROPAGATION_GRACE_MS);
+    }
+  }
+
   private interrupt(gateway: CrashGateway, run: RequestRun): void {
     const counted =
       this.variant.countsOverlappingRuns === true
@@ -273,10 +282,10 @@
   }
 }
 
-async function runSeeds(variant: Variant): Promise<Outcome[]> {
+async function runSeeds(variant: Variant, hasRestoredStore = false): Promise<Outcome[]> {
   const outcomes: Outcome[] = [];
   for (let seed = 0; seed < SEEDS; seed += 1) {
-    outcomes.push(await new CrashFleet(seed, variant).run());
+    outcomes.push(await new CrashFleet(seed, variant, hasRestoredStore).run());
   }
   return outcomes;
 }
@@ -305,3 +314,18 @@
   const outcomes = await runSeeds({ countsOverlappingRuns: true, disablesClearance: true });
   t.true(maximumOf(outcomes, ({ refusedHarmless }) => refusedHarmless) > 0);
 });
+
+test('a crashing request stays refused when the store is restored without the crash record', async (t) => {
+  const outcomes = await runSeeds({}, true);
+  t.true(outcomes.every(({ crashes }) => crashes >= 3));
+  t.true(maximumOf(outcomes, ({ lateSends }) => lateSends) <= TOLERATED_LATE_SENDS);
+  t.is(
+    maximumOf(outcomes, ({ refusedHarmless }) => refusedHarmless),
+    0,
+  );
+});
+
+test('gateways that clear their tallies when a restored store lacks the record send the crashing request on', async (t) => {
+  const outcomes = await runSeeds({ clearsOnLoss: true }, true);
+  t.true(maximumOf(outcomes, ({ lateSends }) => lateSends) > TOLERATED_LATE_SENDS);
+});
--- a/test/support/crash-gateway.ts
+++ b/test/support/crash-gateway.ts
@@ -23,12 +23,14 @@
 /** Crash tracking of one simulated gateway process. */
 export class CrashGateway {
   readonly crashing: CrashingRequests;
-  private readonly record: CrashRecordWriter;
+  private record: CrashRecordWriter;
 
   constructor(
-    fleet: CrashGatewayFleet,
+    private readonly fleet: CrashGatewayFleet,
     readonly index: number,
     private readonly disablesSharing: boolean,
+    /** Fault: a missing record counts as removed by operators, whatever the store's epoch. */
+    private readonly clearsOnLoss = false,
   ) {
     const { clock } = fleet;
     this.crashing = new CrashingRequests(
@@ -47,14 +49,7 @@
       },
       clock,
     );
-    this.record = new CrashRecordWriter(
-      {
-        write: (requests, expected) => fleet.write(requests, expected),
-        onWritten: () => undefined,
-        timeOfDayMs: () => clock.now(),
-      },
-      clock,
-    );
+    this.record = this.createWriter();
   }
 
   /** Merges tallies of a peer; returns those in which the peer is behind. */
@@ -63,13 +58,35 @@
   }
 
   applyRecord(record: CrashRecord): void {
-    this.crashing.mergeTallies(this.record.applyRecord(record), 'store');
+    const isLost = this.clearsOnLoss && record.requests === undefined;
+    const isRemoval = isLost || this.record.isRemoval(record);
+    if (isLost) {
+      this.record.stop();
+      this.record = this.createWriter();
+    }
+    const recent = this.record.applyRecord(record);
+    if (isRemoval) {
+      this.crashing.clear();
+    }
+    this.record.addTallies(this.crashing.mergeTallies(recent, 'store'));
   }
 
   interruptRun(run: RequestRun): void {
     this.crashing.recordInterrupted(run, false);
   }
 
+  private createWriter(): CrashRecordWriter {
+    const { fleet } = this;
+    return new CrashRecordWriter(
+      {
+        write: (requests, expected) => fleet.write(requests, expected),
+        onWritten: () => undefined,
+        timeOfDayMs: () => fleet.clock.now(),
+      },
+      fleet.clock,
+    );
+  }
+
   /** Stops writing to the store. */
   stop(): void {
     this.record.stop();
--- a/test/support/crash-part-fleet.ts
+++ b/test/support/crash-part-fleet.ts
@@ -1,15 +1,15 @@
-import { StoreConflictError, StoreUnavailableError } from '../../src/cluster/cluster-store.js';
+import { StoreUnavailableError } from '../../src/cluster/cluster-store.js';
 import type { StorePosition } from '../../src/cluster/store-position.js';
-import type { CrashRecord, StoredCrashes } from '../../src/gateway/crashes/crash-record.js';
+import type { StoredCrashes } from '../../src/gateway/crashes/crash-record.js';
 import type { RequestRun } from '../../src/gateway/crashes/request-run.js';
 import type { FingerprintCrashes } from '../../src/gateway/crashes/crash-tally.js';
 import type { AcceptedRequest } from '../../src/gateway/attempt/accepted-request.js';
 import { SeededRandom } from '../../src/random.js';
-import { err, ok } from '../../src/result.js';
+import { err } from '../../src/result.js';
 import { VirtualClock } from '../../src/sim/virtual-clock.js';
 import { CrashGateway } from './crash-gateway.js';
+import { CrashRecordStore } from './crash-record-store.js';
 import { backendOf, GatewayHarness, routeOf } from './gateway-harness.js';
-import { positionAt } from './store-positions.js';
 
 /** Faults injected into the code under test. */
 export interface CrashPartVariant {
@@ -23,6 +23,8 @@
   readonly disablesClearance?: boolean;
   /** A gateway that starts receives nothing from its peers or the store. */
   readonly startsUnaware?: boolean;
+  /** A record that a restored store lacks counts as removed by operators. */
+  readonly clearsOnLoss?: boolean;
 }
 
 /** Size of a fleet, and the trouble it is in. */
@@ -42,6 +44,8 @@
   readonly crashEveryMs?: number;
   /** The store rejects writes for 8 s from the first crash on. */
   readonly hasStoreOutage?: boolean;
+  /** The store is restored 8 s after the outbreak, from a backup without the crash record. */
+  readonly hasRestoredStore?: boolean;
 }
 
 /** What a run of a fleet showed. */
@@ -50,6 +54,8 @@
   mostEnded: number;
   /** Late sends of the part with the most. */
   mostLate: number;
+  /** Sends, after the store was restored, of the part with the most. */
+  mostAfterRestore: number;
   /** Sound requests from twice the contact time after the fifth crash on, and those refused. */
   soundAfter: number;
   soundRefusedAfter: number;
@@ -65,6 +71,8 @@
 /** Crashes after which the promise on late sends begins. */
 const TOLERATED_CRASHES = 5;
 const STORE_OUTAGE_MS = 8_000;
+/** Time after which gateways have refused the crashing parts for seconds. */
+const RESTORE_AFTER_MS = 8_000;
 const SOUND_INTERVAL_MS = 14;
 const CRASHING_INTERVAL_MS = 200;
 const FIRST_PARTS = ['a0', 'a1', 'a2', 'a3'];
@@ -86,6 +94,7 @@
   readonly part: string;
   ended: number;
   late: number;
+  afterRestore: number;
   fifthCrashAtMs: number;
 }
 
@@ -100,8 +109,13 @@
   private readonly engines = new Map<number, { id: string; running: Running[]; upAtMs: number }>();
   private readonly culprits: Culprit[];
   private readonly counts = { soundAfter: 0, soundRefusedAfter: 0, sound: 0, soundRefused: 0 };
-  private record: CrashRecord | undefined;
+  private readonly store = new CrashRecordStore((record) => {
+    for (const gateway of this.gateways) {
+      this.clock.setTimeout(() => gateway.applyRecord(record), 20 + this.randomBelow(300));
+    }
+  });
   private storeDownUntilMs = 0;
+  private restoredAtMs = Infinity;
   private lives = 0;
   private bodies = 0;
 
@@ -115,6 +129,7 @@
       part: `${BAD_PART}${index}`,
       ended: 0,
       late: 0,
+      afterRestore: 0,
       fifthCrashAtMs: Infinity,
     }));
     for (let index = 0; index < ENGINES; index += 1) {
@@ -139,11 +154,15 @@
     this.every(scenario.restartAllEveryMs, () => this.restartAll());
     this.every(scenario.partitionEveryMs, () => this.cutOff());
     this.every(scenario.crashEveryMs, () => this.endEngine(this.randomBelow(ENGINES)));
+    if (scenario.hasRestoredStore === true) {
+      this.clock.setTimeout(() => this.restoreStore(), OUTBREAK_AT_MS + RESTORE_AFTER_MS);
+    }
     await this.clock.runUntil(RUN_MS);
     return {
       ...this.counts,
       mostEnded: Math.max(0, ...this.culprits.map(({ ended }) => ended)),
       mostLate: Math.max(0, ...this.culprits.map(({ late }) => late)),
+      mostAfterRestore: Math.max(0, ...this.culprits.map(({ afterRestore }) => afterRestore)),
     };
   }
 
@@ -155,20 +174,13 @@
     }
   }
 
-  write(requests: readonly StoredCrashes[], { revision }: StorePosition) {
+  write(requests: readonly StoredCrashes[], expected: StorePosition) {
     this.clock.markPromiseSettled();
-    if (this.clock.now() < this.storeDownUntilMs) {
-      return Promise.resolve(err(new StoreUnavailableError('down')));
-    }
-    if ((this.record?.revision ?? 0) !== revision) {
-      return Promise.resolve(err(new StoreConflictError('changed')));
-    }
-    const record = { requests, ...positionAt(revision + 1) };
-    this.record = record;
-    for (const gateway of this.gateways) {
-      this.clock.setTimeout(() => gateway.applyRecord(record), 20 + this.randomBelow(300));
-    }
-    return Promise.resolve(ok(positionAt(record.revision)));
+    const isDown = this.clock.now() < this.storeDownUntilMs;
+    const written = isDown
+      ? err(new StoreUnavailableError('down'))
+      : this.store.write(requests, expected);
+    return Promise.resolve(written);
   }
 
   private deliver(
@@ -182,6 +194,11 @@
     }
   }
 
+  private restoreStore(): void {
+    this.restoredAtMs = this.clock.now();
+    this.store.restoreWithoutRecord();
+  }
+
   private every(meanMs: number | undefined, act: () => void): void {
     if (meanMs === undefined) {
       return;
@@ -212,12 +229,13 @@
   }
 
   private startGateway(index: number): CrashGateway {
-    const gateway = new CrashGateway(this, index, this.variant.disablesSharing === true);
+    const { disablesSharing = false, clearsOnLoss = false } = this.variant;
+    const gateway = new CrashGateway(this, index, disablesSharing, clearsOnLoss);
     if (this.variant.startsUnaware === true) {
       return gateway;
     }
-    if (this.record !== undefined) {
-      gateway.applyRecord(this.record);
+    if (this.store.record !== undefined) {
+      gateway.applyRecord(this.store.record);
     }
     for (const other of this.gateways) {
       if (other.index !== index && this.isConnected(index, other.index)) {
@@ -343,6 +361,7 @@
       return 'sent';
     }
     const isInTouch = nowMs >= (this.outOfTouchUntilMs.get(gateway.index) ?? 0);
+    culprit.afterRestore += nowMs > this.restoredAtMs ? 1 : 0;
     culprit.late += isInTouch && nowMs > culprit.fifthCrashAtMs + CONTACT_MS ? 1 : 0;
     this.clock.setTimeout(
       () => this.endUnder(culprit, index, engine.id),
