Benchmarks: one module each to start backend servers and to stop a run

Five runs started and stopped their backend servers by the same lines, nine had a delay function of their own where Node has one, and each added a listener for the exit of the process that it never took away: with 11 runs in one process Node warned of a leak. BackendServers and runAndStop take their place.

--- a/bench/soak/change-run.ts
+++ b/bench/soak/change-run.ts
@@ -6,6 +6,7 @@
 import { FakeStore } from '../../test/support/fake-platform.js';
 import type { StoreBehavior } from '../../test/support/fake-platform.js';
 import { GatewayProcesses } from './gateway-processes.js';
+import { runAndStop } from './run-and-stop.js';
 
 /** Options of a run. */
 export interface ChangeRunOptions {
@@ -49,20 +50,14 @@
 const NOT_FOUND = 404;
 
 /** Runs one scenario. */
-export async function runChange(options: ChangeRunOptions): Promise<ChangeRunReport> {
-  const run = new ChangeRun(options);
-  try {
-    return await run.run();
-  } finally {
-    run.stop();
-  }
+export function runChange(options: ChangeRunOptions): Promise<ChangeRunReport> {
+  return runAndStop(new ChangeRun(options));
 }
 
 class ChangeRun {
   private readonly store = new FakeStore();
   private readonly processes: GatewayProcesses;
   private version = 0;
-  private readonly stopAtExit = () => this.stop();
 
   constructor(private readonly options: ChangeRunOptions) {
     const { basePort } = options;
@@ -71,7 +66,6 @@
 
   async run(): Promise<ChangeRunReport> {
     const { gateways, storeBehavior, faultMs, changeAfterMs, idleMs, backupAgeMs } = this.options;
-    process.once('exit', this.stopAtExit);
     this.store.epoch = backupAgeMs === undefined ? undefined : 1;
     const storeAddress = await this.store.start();
     this.changeConfiguration();
@@ -108,7 +102,6 @@
   }
 
   stop(): void {
-    process.off('exit', this.stopAtExit);
     this.processes.stop();
     this.store.stop();
   }
--- a/bench/soak/crash-part-run.ts
+++ b/bench/soak/crash-part-run.ts
@@ -3,12 +3,14 @@
  * engine that begins to answer it, and checks how many reach engines and whether sound requests are
  * served.
  */
+import { setTimeout as delay } from 'node:timers/promises';
 import { request } from 'undici';
 import { SeededRandom, randomInteger } from '../../src/random.js';
 import type { RandomSource } from '../../src/random.js';
 import { FakeStore } from '../../test/support/fake-platform.js';
 import { COMPLETE_RESPONSE_END, CrashPartEngine } from './crash-part-engine.js';
 import { GatewayProcesses } from './gateway-processes.js';
+import { runAndStop } from './run-and-stop.js';
 
 /** One kind of trouble, applied throughout a run. */
 export type CrashPartFault =
@@ -87,13 +89,8 @@
 const ENGINE_PORT = 6;
 
 /** Runs one scenario and returns its results. */
-export async function runCrashParts(options: CrashPartRunOptions): Promise<CrashPartRunReport> {
-  const run = new CrashPartRun(options);
-  try {
-    return await run.run();
-  } finally {
-    run.stop();
-  }
+export function runCrashParts(options: CrashPartRunOptions): Promise<CrashPartRunReport> {
+  return runAndStop(new CrashPartRun(options));
 }
 
 class CrashPartRun {
@@ -126,7 +123,6 @@
   }
 
   async run(): Promise<CrashPartRunReport> {
-    process.once('exit', () => this.stop());
     const store = await this.store.start();
     this.configure();
     for (let index = 0; index < ENGINES; index += 1) {
@@ -373,7 +369,3 @@
 function engineHost(index: number): string {
   return `127.0.8.${10 + index}`;
 }
-
-function delay(timeMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, timeMs));
-}
--- a/bench/soak/departure-run.ts
+++ b/bench/soak/departure-run.ts
@@ -2,14 +2,16 @@
  * Runs gateway processes on loopback that get little processor time, while callers arrive in bursts
  * and some of them leave before they are answered, and counts what backends receive afterwards.
  */
-import { createServer } from 'node:http';
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
+import { setTimeout as delay } from 'node:timers/promises';
 import { SeededRandom } from '../../src/random.js';
 import type { RandomSource } from '../../src/random.js';
 import { FakeStore } from '../../test/support/fake-platform.js';
+import { BackendServers } from './backend-servers.js';
 import { GatewayProcesses } from './gateway-processes.js';
+import { runAndStop } from './run-and-stop.js';
 
 /** Which connections the callers of a burst use. */
 export type CallerConnections = 'new' | 'kept';
@@ -91,20 +93,15 @@
 }
 
 /** Runs one scenario and returns its results. */
-export async function runDepartures(options: DepartureRunOptions): Promise<DepartureRunReport> {
-  const run = new DepartureRun(options);
-  try {
-    return await run.run();
-  } finally {
-    run.stop();
-  }
+export function runDepartures(options: DepartureRunOptions): Promise<DepartureRunReport> {
+  return runAndStop(new DepartureRun(options));
 }
 
 class DepartureRun {
   private readonly random: RandomSource;
   private readonly store = new FakeStore();
   private readonly processes: GatewayProcesses;
-  private readonly servers: Server[] = [];
+  private readonly servers = new BackendServers();
   private readonly callers = new Map<string, CallerRecord>();
   private readonly runs: BackendRun[] = [];
   private readonly timers = new Set<NodeJS.Timeout>();
@@ -121,7 +118,6 @@
   }
 
   async run(): Promise<DepartureRunReport> {
-    process.once('exit', () => this.stop());
     const store = await this.store.start();
     this.configure();
     for (let index = 0; index < BACKEND_COUNT; index += 1) {
@@ -145,10 +141,7 @@
   stop(): void {
     this.liftProcessorLimit();
     this.processes.stop();
-    this.servers.forEach((server) => {
-      server.closeAllConnections();
-      server.close();
-    });
+    this.servers.stop();
     this.store.stop();
   }
 
@@ -173,14 +166,13 @@
   }
 
   private async startBackend(index: number): Promise<void> {
-    const id = `b-${index}`;
-    const server = createServer((request, response) => this.handleRequest(request, response));
-    const host = `127.0.8.${10 + index}`;
-    const port = this.options.basePort + 6;
-    await new Promise<void>((resolve) => server.listen(port, host, 1_000, resolve));
-    this.servers.push(server);
-    const { slots } = this.options;
-    this.store.announce(id, { address: `${host}:${port}`, service: 'plain', slots });
+    const { basePort, slots } = this.options;
+    const { address } = await this.servers.start(
+      `127.0.8.${10 + index}`,
+      basePort + 6,
+      (request, response) => this.handleRequest(request, response),
+    );
+    this.store.announce(`b-${index}`, { address, service: 'plain', slots });
   }
 
   private handleRequest(request: IncomingMessage, response: ServerResponse): void {
@@ -313,7 +305,3 @@
     return this.callers.get(id)?.leftAtMs ?? Infinity;
   }
 }
-
-function delay(timeMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, timeMs));
-}
--- a/bench/soak/endless-run.ts
+++ b/bench/soak/endless-run.ts
@@ -3,12 +3,15 @@
  * end, and measures what callers of the sound ones get and how much memory the gateways take.
  */
 import { readFileSync } from 'node:fs';
-import { createServer, request as httpRequest, Agent } from 'node:http';
-import type { Server } from 'node:http';
+import { request as httpRequest, Agent } from 'node:http';
 import type { Socket } from 'node:net';
+import type { RequestListener } from 'node:http';
+import { setTimeout as delay } from 'node:timers/promises';
 import { FakeStore } from '../../test/support/fake-platform.js';
 import { RawBackend, chunk, streamHead } from '../../test/support/raw-backend.js';
+import { BackendServers } from './backend-servers.js';
 import { GatewayProcesses } from './gateway-processes.js';
+import { runAndStop } from './run-and-stop.js';
 
 /** What the faulty backend sends until the other side closes. */
 export type EndlessBytes =
@@ -62,19 +65,14 @@
 };
 
 /** Runs one scenario and returns its results. */
-export async function runEndless(options: EndlessRunOptions): Promise<EndlessRunReport> {
-  const run = new EndlessRun(options);
-  try {
-    return await run.run();
-  } finally {
-    run.stop();
-  }
+export function runEndless(options: EndlessRunOptions): Promise<EndlessRunReport> {
+  return runAndStop(new EndlessRun(options));
 }
 
 class EndlessRun {
   private readonly store = new FakeStore();
   private readonly processes: GatewayProcesses;
-  private readonly servers: Server[] = [];
+  private readonly servers = new BackendServers();
   private readonly faulty = new RawBackend(({ id }, socket) => this.flood(id, socket));
   private readonly agent = new Agent({ keepAlive: true, maxSockets: 64 });
   private readonly timers = new Set<NodeJS.Timeout>();
@@ -89,7 +87,6 @@
   }
 
   async run(): Promise<EndlessRunReport> {
-    process.once('exit', () => this.stop());
     const store = await this.store.start();
     this.configure();
     for (let index = 0; index < SOUND_BACKENDS; index += 1) {
@@ -126,10 +123,7 @@
     this.stopTimers();
     this.processes.stop();
     this.faulty.stop();
-    this.servers.forEach((server) => {
-      server.closeAllConnections();
-      server.close();
-    });
+    this.servers.stop();
     this.agent.destroy();
     this.store.stop();
   }
@@ -157,7 +151,7 @@
 
   private async startSoundBackend(index: number): Promise<void> {
     const isStream = KIND_OF[this.options.bytes] !== undefined;
-    const server = createServer((request, response) => {
+    const handleRequest: RequestListener = (request, response) => {
       request.resume();
       setTimeout(() => {
         response.writeHead(200, {
@@ -166,16 +160,11 @@
         });
         response.end(isStream ? 'id: 1\ndata: done\n\n' : 'done');
       }, SERVICE_MS);
-    });
+    };
     const host = `127.0.9.${200 + index}`;
     const port = this.options.basePort + 6;
-    await new Promise<void>((resolve) => server.listen(port, host, resolve));
-    this.servers.push(server);
-    this.store.announce(`sound-${index}`, {
-      address: `${host}:${port}`,
-      service: 'plain',
-      slots: 50,
-    });
+    const { address } = await this.servers.start(host, port, handleRequest);
+    this.store.announce(`sound-${index}`, { address, service: 'plain', slots: 50 });
   }
 
   private flood(id: string, socket: Socket): void {
@@ -261,7 +250,3 @@
   const status = pid === undefined ? '' : readFileSync(`/proc/${pid}/status`, 'utf8');
   return Number(/VmRSS:\s+(\d+)/.exec(status)?.[1] ?? 0) / KB_PER_MB;
 }
-
-function delay(timeMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, timeMs));
-}
--- a/bench/soak/kept-connection-run.ts
+++ b/bench/soak/kept-connection-run.ts
@@ -2,14 +2,16 @@
  * Runs gateway processes on loopback whose callers send the next request on a kept connection as its
  * idle timeout ends, and counts the whole requests that get no response.
  */
-import { createServer } from 'node:http';
-import type { Server } from 'node:http';
+import type { RequestListener } from 'node:http';
+import { setTimeout as delay } from 'node:timers/promises';
 import { SeededRandom } from '../../src/random.js';
 import type { RandomSource } from '../../src/random.js';
 import { FakeStore } from '../../test/support/fake-platform.js';
+import { BackendServers } from './backend-servers.js';
 import { GatewayProcesses } from './gateway-processes.js';
 import { KeptConnectionCaller } from './kept-connection-caller.js';
 import type { CallerExchange } from './kept-connection-caller.js';
+import { runAndStop } from './run-and-stop.js';
 
 /** Options of a run; times in milliseconds. */
 export interface KeptConnectionRunOptions {
@@ -74,22 +76,17 @@
 const PERCENTILE = 0.95;
 
 /** Runs one scenario and returns its results. */
-export async function runKeptConnections(
+export function runKeptConnections(
   options: KeptConnectionRunOptions,
 ): Promise<KeptConnectionRunReport> {
-  const run = new KeptConnectionRun(options);
-  try {
-    return await run.run();
-  } finally {
-    run.stop();
-  }
+  return runAndStop(new KeptConnectionRun(options));
 }
 
 class KeptConnectionRun {
   private readonly random: RandomSource;
   private readonly store = new FakeStore();
   private readonly processes: GatewayProcesses;
-  private readonly servers: Server[] = [];
+  private readonly servers = new BackendServers();
   private readonly callers: KeptConnectionCaller[] = [];
   private readonly timers = new Set<NodeJS.Timeout>();
   private version = 0;
@@ -106,7 +103,6 @@
   }
 
   async run(): Promise<KeptConnectionRunReport> {
-    process.once('exit', () => this.stop());
     const store = await this.store.start();
     this.configure();
     for (let index = 0; index < BACKEND_COUNT; index += 1) {
@@ -132,10 +128,7 @@
     this.endTrouble();
     this.callers.forEach((caller) => caller.stop());
     this.processes.stop();
-    this.servers.forEach((server) => {
-      server.closeAllConnections();
-      server.close();
-    });
+    this.servers.stop();
     this.store.stop();
   }
 
@@ -167,23 +160,18 @@
   }
 
   private async startBackend(index: number): Promise<void> {
-    const server = createServer((request, response) => {
+    const handleRequest: RequestListener = (request, response) => {
       const id = String(request.headers['x-weirvale-attempt-id']);
       request.resume();
       setTimeout(() => {
         response.writeHead(200, { 'X-Weirvale-Attempt-Id': id, 'Content-Length': 4 });
         response.end('done');
       }, WORK_MS);
-    });
+    };
     const host = `127.0.10.${10 + index}`;
     const port = this.options.basePort + 6;
-    await new Promise<void>((resolve) => server.listen(port, host, 1_000, resolve));
-    this.servers.push(server);
-    this.store.announce(`b-${index}`, {
-      address: `${host}:${port}`,
-      service: 'plain',
-      slots: BACKEND_SLOTS,
-    });
+    const { address } = await this.servers.start(host, port, handleRequest);
+    this.store.announce(`b-${index}`, { address, service: 'plain', slots: BACKEND_SLOTS });
   }
 
   private startCallers(): void {
@@ -285,7 +273,3 @@
 function tookMs({ sentAtMs, endedAtMs }: CallerExchange): number {
   return (endedAtMs ?? Infinity) - sentAtMs;
 }
-
-function delay(timeMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, timeMs));
-}
--- a/bench/soak/quota-run.ts
+++ b/bench/soak/quota-run.ts
@@ -2,12 +2,15 @@
  * Runs gateway processes on loopback under faults, while one tenant sends far more than its quota
  * and another less, and counts the requests that backends execute.
  */
-import { createServer, request as httpRequest, Agent } from 'node:http';
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { request as httpRequest, Agent } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { setTimeout as delay } from 'node:timers/promises';
 import type { RandomSource } from '../../src/random.js';
 import { SeededRandom } from '../../src/random.js';
 import { FakeStore } from '../../test/support/fake-platform.js';
+import { BackendServers } from './backend-servers.js';
 import { GatewayProcesses } from './gateway-processes.js';
+import { runAndStop } from './run-and-stop.js';
 
 /** The fault during the load. */
 export type QuotaFault =
@@ -94,20 +97,15 @@
 }
 
 /** Runs one scenario and returns its results. */
-export async function runQuotas(options: QuotaRunOptions): Promise<QuotaRunReport> {
-  const run = new QuotaRun(options);
-  try {
-    return await run.run();
-  } finally {
-    run.stop();
-  }
+export function runQuotas(options: QuotaRunOptions): Promise<QuotaRunReport> {
+  return runAndStop(new QuotaRun(options));
 }
 
 class QuotaRun {
   private readonly random: RandomSource;
   private readonly store = new FakeStore();
   private readonly processes: GatewayProcesses;
-  private readonly servers: Server[] = [];
+  private readonly servers = new BackendServers();
   private readonly requests = new Map<string, SentRequest>();
   private readonly executions: Execution[] = [];
   private readonly agent = new Agent({ keepAlive: true, maxSockets: 64 });
@@ -120,7 +118,6 @@
   }
 
   async run(): Promise<QuotaRunReport> {
-    process.once('exit', () => this.stop());
     const store = await this.store.start();
     this.configure();
     for (let index = 0; index < BACKEND_COUNT; index += 1) {
@@ -147,10 +144,7 @@
   stop(): void {
     this.stopTimers();
     this.processes.stop();
-    this.servers.forEach((server) => {
-      server.closeAllConnections();
-      server.close();
-    });
+    this.servers.stop();
     this.agent.destroy();
     this.store.stop();
   }
@@ -192,12 +186,12 @@
 
   private async startBackend(index: number): Promise<void> {
     const id = `p-${index}`;
-    const server = createServer((request, response) => this.handleRequest(id, request, response));
-    const host = `127.0.4.${10 + index}`;
-    const port = this.options.basePort + 6;
-    await new Promise<void>((resolve) => server.listen(port, host, resolve));
-    this.servers.push(server);
-    this.store.announce(id, { address: `${host}:${port}`, service: 'plain', slots: 100 });
+    const { address } = await this.servers.start(
+      `127.0.4.${10 + index}`,
+      this.options.basePort + 6,
+      (request, response) => this.handleRequest(id, request, response),
+    );
+    this.store.announce(id, { address, service: 'plain', slots: 100 });
   }
 
   private handleRequest(id: string, request: IncomingMessage, response: ServerResponse): void {
@@ -324,7 +318,3 @@
     return Math.max(max, sum);
   }, 0);
 }
-
-function delay(timeMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, timeMs));
-}
--- a/bench/soak/silence-run.ts
+++ b/bench/soak/silence-run.ts
@@ -2,10 +2,12 @@
  * Runs gateway and slot agent processes on loopback with sound backends that fall silent, while the
  * configuration changes, and counts the requests that end without a complete response.
  */
+import { setTimeout as delay } from 'node:timers/promises';
 import { SeededRandom, randomInteger } from '../../src/random.js';
 import type { RandomSource } from '../../src/random.js';
 import { FakeStore } from '../../test/support/fake-platform.js';
 import { GatewayProcesses } from './gateway-processes.js';
+import { runAndStop } from './run-and-stop.js';
 import { SilenceCaller } from './silence-caller.js';
 import type { ObservedEnding, RequestEnding, SilenceRequest } from './silence-caller.js';
 import {
@@ -77,13 +79,8 @@
 const LOST_ENDINGS = new Set<RequestEnding>(['unanswered', 'broken-off']);
 
 /** Runs one scenario and returns its results. */
-export async function runSilences(options: SilenceRunOptions): Promise<SilenceRunReport> {
-  const run = new SilenceRun(options);
-  try {
-    return await run.run();
-  } finally {
-    run.stop();
-  }
+export function runSilences(options: SilenceRunOptions): Promise<SilenceRunReport> {
+  return runAndStop(new SilenceRun(options));
 }
 
 class SilenceRun {
@@ -101,8 +98,6 @@
   private nextId = 0;
   private beganAtMs = 0;
   private endsAtMs = Infinity;
-  private isOver = false;
-  private readonly stopAtExit = () => this.stop();
 
   constructor(private readonly options: SilenceRunOptions) {
     this.random = new SeededRandom(options.seed);
@@ -116,7 +111,6 @@
   }
 
   async run(): Promise<SilenceRunReport> {
-    process.once('exit', this.stopAtExit);
     const store = await this.store.start();
     this.configure();
     await this.startBackends();
@@ -138,11 +132,6 @@
   }
 
   stop(): void {
-    if (this.isOver) {
-      return;
-    }
-    this.isOver = true;
-    process.off('exit', this.stopAtExit);
     this.endsAtMs = 0;
     this.callers.forEach((caller) => caller.stop());
     this.processes.stop();
@@ -328,7 +317,3 @@
 function backendHost(index: number): string {
   return `127.0.10.${10 + index}`;
 }
-
-function delay(timeMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, timeMs));
-}
--- a/bench/soak/silent-backend.ts
+++ b/bench/soak/silent-backend.ts
@@ -1,6 +1,7 @@
 /** A sound backend, plain or a model engine, that falls silent for a while and then goes on. */
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { setTimeout as delay } from 'node:timers/promises';
 
 /** What a backend serves: whole responses, or streams whose prompts take time to process. */
 export type SilentBackendKind = 'plain' | 'engine';
@@ -99,7 +100,3 @@
     }
   }
 }
-
-function delay(timeMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, timeMs));
-}
--- a/bench/soak/statement-run.ts
+++ b/bench/soak/statement-run.ts
@@ -3,12 +3,15 @@
  * limit, draining, a backoff) or fail every request, and counts what those backends
  * receive.
  */
-import { createServer, request as httpRequest, Agent } from 'node:http';
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { request as httpRequest, Agent } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { setTimeout as delay } from 'node:timers/promises';
 import { SeededRandom } from '../../src/random.js';
 import type { RandomSource } from '../../src/random.js';
 import { FakeStore } from '../../test/support/fake-platform.js';
+import { BackendServers } from './backend-servers.js';
 import { GatewayProcesses } from './gateway-processes.js';
+import { runAndStop } from './run-and-stop.js';
 
 /** How faulty backends respond to requests. */
 export type BackendFault =
@@ -104,13 +107,8 @@
 }
 
 /** Runs one scenario and returns its results. */
-export async function runStatements(options: StatementRunOptions): Promise<StatementRunReport> {
-  const run = new StatementRun(options);
-  try {
-    return await run.run();
-  } finally {
-    run.stop();
-  }
+export function runStatements(options: StatementRunOptions): Promise<StatementRunReport> {
+  return runAndStop(new StatementRun(options));
 }
 
 class FaultyBackend {
@@ -137,7 +135,7 @@
   private readonly random: RandomSource;
   private readonly store = new FakeStore();
   private readonly processes: GatewayProcesses;
-  private readonly servers: Server[] = [];
+  private readonly servers = new BackendServers();
   private readonly requests = new Map<string, SentRequest>();
   private readonly faultyBackends = new Map<number, FaultyBackend>();
   private readonly runningCounts = new Map<number, number>();
@@ -159,7 +157,6 @@
   }
 
   async run(): Promise<StatementRunReport> {
-    process.once('exit', () => this.stop());
     const store = await this.store.start();
     this.configure();
     for (let index = 0; index < BACKEND_COUNT; index += 1) {
@@ -184,10 +181,7 @@
   stop(): void {
     this.stopTimers();
     this.processes.stop();
-    this.servers.forEach((server) => {
-      server.closeAllConnections();
-      server.close();
-    });
+    this.servers.stop();
     this.agent.destroy();
     this.store.stop();
   }
@@ -242,14 +236,12 @@
   }
 
   private async startBackend(index: number): Promise<void> {
-    const server = createServer((request, response) =>
-      this.handleRequest(index, request, response),
+    const { server, address } = await this.servers.start(
+      backendHost(index),
+      this.options.basePort + 6,
+      (request, response) => this.handleRequest(index, request, response),
     );
     server.keepAliveTimeout = 10_000;
-    const port = this.options.basePort + 6;
-    await new Promise<void>((resolve) => server.listen(port, backendHost(index), resolve));
-    this.servers.push(server);
-    const address = `${backendHost(index)}:${port}`;
     this.store.announce(`w-${index}`, { address, service: 'workers', slots: SLOTS, zone: 'z0' });
     if (this.options.hasAgents) {
       this.processes.startOtherProcess(`agent-${index}`, this.agentSettings(index, address));
@@ -457,7 +449,3 @@
 function backendHost(index: number): string {
   return `127.0.6.${10 + index}`;
 }
-
-function delay(timeMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, timeMs));
-}
--- a/bench/soak/stream-run.ts
+++ b/bench/soak/stream-run.ts
@@ -2,10 +2,12 @@
  * Runs gateway and slot agent processes on loopback with backends of two software versions, while
  * callers resume streams that break off, and checks what each caller holds.
  */
+import { setTimeout as delay } from 'node:timers/promises';
 import { SeededRandom, randomInteger } from '../../src/random.js';
 import type { RandomSource } from '../../src/random.js';
 import { FakeStore } from '../../test/support/fake-platform.js';
 import { GatewayProcesses } from './gateway-processes.js';
+import { runAndStop } from './run-and-stop.js';
 import type { SoakProcess } from './soak-fleet.js';
 import { StreamBackend } from './stream-backend.js';
 import { StreamCaller } from './stream-caller.js';
@@ -90,13 +92,8 @@
 const MAX_CUT_EVENTS = 10;
 
 /** Runs one scenario and returns its results. */
-export async function runStreams(options: StreamRunOptions): Promise<StreamRunReport> {
-  const run = new StreamRun(options);
-  try {
-    return await run.run();
-  } finally {
-    run.stop();
-  }
+export function runStreams(options: StreamRunOptions): Promise<StreamRunReport> {
+  return runAndStop(new StreamRun(options));
 }
 
 class StreamRun {
@@ -121,7 +118,6 @@
   }
 
   async run(): Promise<StreamRunReport> {
-    process.once('exit', () => this.stop());
     const store = await this.store.start();
     this.configure();
     for (let index = 0; index < VERSIONS.length * BACKENDS_PER_VERSION; index += 1) {
@@ -366,7 +362,3 @@
 function backendHost(index: number): string {
   return `127.0.8.${10 + index}`;
 }
-
-function delay(timeMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, timeMs));
-}
