--- a/test/backend-sender.test.ts
+++ b/test/backend-sender.test.ts
@@ -9,6 +9,7 @@
 import { ConnectionReasonTracker } from '../src/gateway/attempt/connection-reasons.js';
 import type { ConnectionOpenReason } from '../src/gateway/attempt/connection-reasons.js';
 import { backendOf } from './support/gateway-harness.js';
+import { turns } from './support/loop-turns.js';
 import {
   DEFAULT_BACKEND_SENDER_OPTIONS,
   HttpBackendSender,
@@ -346,19 +347,17 @@
   server.close();
 });
 
-/**
- * Sends requests one after another, `pauseMs` apart; returns the counts of connections by open
- * reason.
- */
+/** Sends requests one after another; returns the counts of connections by open reason. */
 async function openReasonsFor(
   act: (socket: Socket) => void,
-  { rounds, pauseMs }: { rounds: number; pauseMs: number },
+  { rounds, pauseTurns, idleMs }: { rounds: number; pauseTurns: number; idleMs?: number },
 ): Promise<Record<string, number>> {
   const { server, address } = await startBackend(act);
-  const sender = new HttpBackendSender({ ...DEFAULT_BACKEND_SENDER_OPTIONS, idleMs: 80 });
+  const defaults = DEFAULT_BACKEND_SENDER_OPTIONS;
+  const sender = new HttpBackendSender({ ...defaults, idleMs: idleMs ?? defaults.idleMs });
   for (let round = 0; round < rounds; round += 1) {
     await sendTo(sender, address);
-    await new Promise((resolve) => setTimeout(resolve, pauseMs));
+    await turns(pauseTurns);
   }
   const reasons = Object.fromEntries(sender.connectionsOpened);
   sender.close();
@@ -368,18 +367,18 @@
 
 test('connections are counted by the reason they were opened', async (t) => {
   const respond = (socket: Socket) => void socket.write(`${FRAMED}a-01`);
-  t.deepEqual(await openReasonsFor(respond, { rounds: 3, pauseMs: 5 }), { first: 1 });
-  t.deepEqual(await openReasonsFor(respond, { rounds: 3, pauseMs: 150 }), {
+  t.deepEqual(await openReasonsFor(respond, { rounds: 3, pauseTurns: 5 }), { first: 1 });
+  t.deepEqual(await openReasonsFor(respond, { rounds: 3, pauseTurns: 150, idleMs: 80 }), {
     first: 1,
     'rest-over': 2,
   });
   const close = (socket: Socket) => void socket.end(`${UNFRAMED}a-01`);
-  t.deepEqual(await openReasonsFor(close, { rounds: 3, pauseMs: 20 }), {
+  t.deepEqual(await openReasonsFor(close, { rounds: 3, pauseTurns: 20 }), {
     first: 1,
     'closed-by-back-end': 2,
   });
   const reset = (socket: Socket) => void socket.resetAndDestroy();
-  t.deepEqual(await openReasonsFor(reset, { rounds: 3, pauseMs: 20 }), { first: 1, reset: 2 });
+  t.deepEqual(await openReasonsFor(reset, { rounds: 3, pauseTurns: 20 }), { first: 1, reset: 2 });
 });
 
 test('a connection without an advertised timeout is closed well before the configured idle timeout', async (t) => {
