Each attempt is an object of its own; its log record tells when it ended

What is held for an attempt (slot, path watch, crash run, progress, log record) moves from ProxiedRequest to RunningAttempt, without a change of behaviour.

--- a/src/cli/queries/explain-logs.ts
+++ b/src/cli/queries/explain-logs.ts
@@ -27,6 +27,9 @@
   readonly distance?: string;
   readonly outcome: string;
   readonly detail: string;
+  /** Missing in log lines of older releases. */
+  readonly lastedMs?: number;
+  readonly silentMs?: number;
   readonly version?: string;
   /** Id of the event after which the attempt resumed the stream; missing for a new stream. */
   readonly afterEvent?: string;
@@ -209,7 +212,7 @@
   text.push(...explainRegions(line as RegionReport));
   for (const attempt of attemptsOf(line)) {
     text.push(
-      `  after ${Math.round(attempt.afterMs)} ms to ${attempt.backend}${describeSoftware(attempt)}${describeDistance(attempt)} (estimated ${attempt.occupied} of ${attempt.slots} slots occupied): ${attempt.outcome}, ${attempt.detail}`,
+      `  after ${Math.round(attempt.afterMs)} ms to ${attempt.backend}${describeSoftware(attempt)}${describeDistance(attempt)} (estimated ${attempt.occupied} of ${attempt.slots} slots occupied): ${attempt.outcome}, ${attempt.detail}${describeEnd(attempt)}`,
     );
     if (attempt.stated !== undefined) {
       text.push(`    its response stated: ${describeStatement(attempt.stated)}`);
@@ -224,6 +227,12 @@
   return text;
 }
 
+function describeEnd({ lastedMs, silentMs }: LoggedAttempt): string {
+  return lastedMs === undefined || silentMs === undefined
+    ? ''
+    : `; ended after ${Math.round(lastedMs)} ms, ${Math.round(silentMs)} ms without data`;
+}
+
 function describeStatement({ limitPerS, isLeaving, restMs, restLeftMs }: LoggedStatement): string {
   const backoffMs = restMs ?? restLeftMs;
   const conditions = [
--- a/src/gateway/attempt/process-check.ts
+++ b/src/gateway/attempt/process-check.ts
@@ -9,10 +9,9 @@
 import type { Backend } from '../../routing/backend.js';
 import type { IdentifiedProcess } from '../processes/process-identifier.js';
 import type { AcceptedRequest } from './accepted-request.js';
-import type { AttemptHandle } from './attempt.js';
 import { HeldResponse } from './held-response.js';
 import type { RequestPorts } from './request-model.js';
-import type { RequestRecord } from './request-record.js';
+import type { RunningAttempt } from './running-attempt.js';
 import type { StreamBinding } from './stream-binding.js';
 
 /** The request whose attempts are checked. */
@@ -27,8 +26,7 @@
 
 /** Checks the processes that run the attempts of one request. */
 export class ProcessCheck {
-  private backend: Backend | undefined;
-  private attempt: AttemptHandle | undefined;
+  private attempt: RunningAttempt | undefined;
   private readonly held = new HeldResponse();
   /** Changes with each begin and end of an attempt. */
   private generation = 0;
@@ -36,7 +34,6 @@
   constructor(
     private readonly request: AcceptedRequest,
     private readonly binding: StreamBinding,
-    private readonly record: RequestRecord,
     private readonly ports: RequestPorts,
     private readonly checked: CheckedRequest,
   ) {}
@@ -47,22 +44,26 @@
    * @param version - software version that the backend is known to run
    * @returns whether the attempt must report its process
    */
-  begin(backend: Backend, version: SoftwareVersion): boolean {
-    const { kind, isResumable } = this.request.route;
-    const needsProcess =
-      kind === 'stream' && isResumable && this.ports.mustIdentifyProcess(backend);
+  begin(attempt: RunningAttempt, version: SoftwareVersion): boolean {
+    const needsProcess = this.needsProcess(attempt.backend);
     this.generation += 1;
-    this.backend = backend;
+    this.attempt = attempt;
     this.held.clear();
     this.binding.noteSent(needsProcess ? undefined : version);
     return needsProcess;
   }
 
+  /** Whether the process that runs an attempt at the backend must be identified. */
+  private needsProcess(backend: Backend): boolean {
+    const { kind, isResumable } = this.request.route;
+    return kind === 'stream' && isResumable && this.ports.mustIdentifyProcess(backend);
+  }
+
   /** Binds the stream; must be called before its first event is sent to the caller. */
   bindStream(): void {
     const version = this.binding.bind();
     if (version !== undefined) {
-      this.ports.onStreamBegun(this.request, this.backend!, version);
+      this.ports.onStreamBegun(this.request, this.attempt!.backend, version);
     }
   }
 
@@ -73,13 +74,12 @@
   }
 
   /** Holds data back if the process must be identified first; returns whether it does. */
-  holdData(bytes: Buffer, attempt: AttemptHandle | undefined): boolean {
+  holdData(bytes: Buffer): boolean {
     if (!this.binding.mustHoldEvents) {
       return false;
     }
     this.held.add(bytes);
-    this.attempt = attempt;
-    attempt?.pause();
+    this.attempt?.transfer?.pause();
     return true;
   }
 
@@ -115,8 +115,8 @@
 
   private applyProcess(process: IdentifiedProcess): void {
     const { binding, ports, request } = this;
-    const backend = this.backend!;
-    this.record.addProcess(process);
+    const { backend, log } = this.attempt!;
+    log!.process = process;
     ports.dispatcher.noteProcess(backend.id, process.bornAtMs, ports.clock.now());
     const version =
       ports.directory.find(backend.id)?.versionOfProcess(process.bornAtMs) ??
@@ -136,7 +136,7 @@
       return;
     }
     // Before the data: the caller's backpressure may pause the attempt again.
-    this.attempt?.resume();
+    this.attempt?.transfer?.resume();
     this.held.release(
       (bytes) => this.checked.relayData(bytes),
       () => this.checked.receiveEnd(),
--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -6,49 +6,41 @@
  */
 import { EMPTY_HEADER_VALUE } from '../../http/header-value.js';
 import type { Backend } from '../../routing/backend.js';
-import type { ResponseHead, AttemptFailure, AttemptHandle, CallerReply } from './attempt.js';
+import type { ResponseHead, AttemptFailure, CallerReply } from './attempt.js';
 import type { AttemptOutcome } from '../dispatch/backend-health.js';
 import type { SoftwareVersion } from '../../streams/software-version.js';
 import { AlternativeBackends } from './alternative-backends.js';
 import { AttemptDeparture } from './attempt-departure.js';
 import type { CurrentAttempt, DepartureCause } from './attempt-departure.js';
 import { BackendMove } from './backend-move.js';
-import { AttemptProgress } from './attempt-progress.js';
 import { FailureReply } from './failure-reply.js';
 import { FaultBoundary } from './fault-boundary.js';
-import { HeldSlot } from './held-slot.js';
 import type { ExitEvidence } from '../crashes/interrupted-runs.js';
-import type { RequestRun } from '../crashes/request-run.js';
 import type { BackendResponseInfo } from '../admission/caller-protocol.js';
 import type { GatewayRefusal } from '../admission/gateway-refusal.js';
 import type { PlacementConstraints } from '../dispatch/dispatch-request.js';
 import type { PlacementRefusalReason } from '../dispatch/placement-refusal.js';
-import { isBadAttempt, isServerError, outcomeOfFailure, timesOf } from './attempt-outcome.js';
+import { isServerError, outcomeOfFailure } from './attempt-outcome.js';
 import { ResponseRelay } from './response-relay.js';
 import type { BufferedResponse } from './response-relay.js';
 import { EndedBackendTimer, isCompletingRequests } from './ended-backend-timer.js';
 import { ProcessCheck } from './process-check.js';
 import { OneShotTimer } from './one-shot-timer.js';
-import { outgoingRequest } from './outgoing-request.js';
 import type { RequestWait } from './request-wait.js';
 import { RequestWaits } from './request-waits.js';
 import { RetryRules } from './retry-rules.js';
 import type { AcceptedRequest } from './accepted-request.js';
 import type { AttemptStage, RequestOptions, RequestPorts } from './request-model.js';
-import { estimateOf, RequestRecord } from './request-record.js';
+import { addStatement, RequestRecord } from './request-record.js';
+import { RunningAttempt } from './running-attempt.js';
 import { StreamBinding } from './stream-binding.js';
 
 /** Processes one accepted request until it ends. */
 export class ProxiedRequest {
   private phase: AttemptStage | 'done' = 'waiting';
   private wait: RequestWait | undefined;
-  private backend: Backend | undefined;
-  private attempt: AttemptHandle | undefined;
-  private attemptStartedAtMs = 0;
-  /** Time of the last data received from the current backend, in milliseconds. */
-  private lastReceiptAtMs = -Infinity;
-  /** The current attempt as tracked for crash attribution. */
-  private currentRun: RequestRun | undefined;
+  /** The current attempt, or the last one while none is active. */
+  private attempt: RunningAttempt | undefined;
   private attempts = 0;
   private readonly alternatives: AlternativeBackends;
   private readonly retries: RetryRules;
@@ -57,8 +49,6 @@
   private readonly record: RequestRecord;
   private readonly relay: ResponseRelay;
   private readonly processCheck: ProcessCheck;
-  private progress: AttemptProgress | undefined;
-  private stopWatchingPath: (() => void) | undefined;
   /** Whether a backend may have executed the request. */
   private mayHaveRun = false;
   private lastResponse: BufferedResponse | undefined;
@@ -67,7 +57,6 @@
   private readonly waits: RequestWaits;
   private readonly move: BackendMove;
   private readonly endedTimer: EndedBackendTimer;
-  private readonly slot: HeldSlot;
 
   constructor(
     private readonly request: AcceptedRequest,
@@ -80,7 +69,7 @@
     this.binding = new StreamBinding(request);
     this.alternatives = new AlternativeBackends(this.binding, ports);
     this.record = new RequestRecord(request.arrivedAtMs);
-    this.processCheck = new ProcessCheck(request, this.binding, this.record, ports, {
+    this.processCheck = new ProcessCheck(request, this.binding, ports, {
       relayData: (bytes) => this.relayData(bytes),
       receiveEnd: () => this.receiveEnd(),
       leaveProcess: (detail) => this.leaveProcess(detail),
@@ -102,11 +91,11 @@
       },
     );
     this.waits = new RequestWaits(request, this.binding, ports, options, () => ({
-      lastEventAtMs: this.progress?.lastEventAtMs,
+      lastEventAtMs: this.attempt?.progress?.lastEventAtMs,
       hasStarted: this.relay.hasStarted,
     }));
     this.move = new BackendMove(request, this.alternatives, this.waits, ports, {
-      currentBackendId: () => this.backend!.id,
+      currentBackendId: () => this.backendId,
       abandonAttempt: (cause) => this.abandonAttempt(cause),
       send: (backend, placedAtMs, version) => this.send(backend, placedAtMs, version),
       onAbandoned: () => this.departure.armSilenceTimer(),
@@ -114,7 +103,6 @@
     this.failureReply = new FailureReply(request, reply, ports.protocol, options);
     this.deadlineTimer = new OneShotTimer(clock);
     this.endedTimer = new EndedBackendTimer(clock);
-    this.slot = new HeldSlot(ports);
     this.deadlineTimer.start(request.deadlineAtMs - clock.now(), () => this.timeOut());
   }
 
@@ -134,8 +122,13 @@
   }
 
   private get currentAttempt(): CurrentAttempt {
-    const { attempt: handle, attempts, lastReceiptAtMs } = this;
-    return { handle, backendId: this.backend!.id, attempts, lastReceiptAtMs };
+    const { transfer: handle, lastReceiptAtMs } = this.attempt!;
+    return { handle, backendId: this.backendId, attempts: this.attempts, lastReceiptAtMs };
+  }
+
+  /** Id of the backend of the current attempt, or of the last one. */
+  private get backendId(): string {
+    return this.attempt!.backend.id;
   }
 
   /** Starts the wait for a backend. */
@@ -149,7 +142,7 @@
     if (this.phase === 'done') {
       return;
     }
-    const sinceSendMs = this.ports.clock.now() - this.attemptStartedAtMs;
+    const sinceSendMs = this.ports.clock.now() - (this.attempt?.sentAtMs ?? 0);
     const isSilent = this.phase === 'sent' && sinceSendMs > this.request.route.targetLatencyMs * 2;
     this.abortAttempt(isSilent ? 'silent' : 'unknown', 'caller disconnected');
     this.finish(0, 'caller-left');
@@ -160,11 +153,11 @@
    * did.
    */
   withdrawIfUnsent(): boolean {
-    const isForbidden = this.phase === 'sent' && this.alternatives.isForbidden(this.backend!.id);
+    const isForbidden = this.phase === 'sent' && this.alternatives.isForbidden(this.backendId);
     if (!isForbidden || !this.withdrawAttempt('operators no longer permit the backend')) {
       return false;
     }
-    this.retryUnexecuted(this.backend!.id);
+    this.retryUnexecuted(this.backendId);
     return true;
   }
 
@@ -185,10 +178,10 @@
    * that cannot arrive.
    */
   handleBackendEnded(id: string, evidence: ExitEvidence): void {
-    const isAssigned = this.attempt !== undefined && this.backend?.id === id;
+    const isAssigned = this.attempt?.isActive === true && this.backendId === id;
     if (isAssigned && !isCompletingRequests(this.ports.directory.find(id), evidence)) {
       this.endedTimer.start(
-        () => this.lastReceiptAtMs,
+        () => this.attempt!.lastReceiptAtMs,
         () => this.failEndedBackend(),
       );
     }
@@ -197,7 +190,7 @@
   /** Ends an attempt whose events must not follow those that were sent to the caller. */
   private leaveProcess(detail: string): void {
     const mayMove = this.phase === 'sent' && this.canRetryElsewhere() && this.retries.take();
-    const backendId = this.backend!.id;
+    const { backendId } = this;
     this.abandonAttempt({ outcome: 'unknown', detail });
     if (mayMove) {
       this.retryOnceCharged(backendId);
@@ -209,7 +202,7 @@
   private failEndedBackend(): void {
     const isUnsent = this.attempt?.withdraw() === true;
     if (!isUnsent) {
-      this.attempt?.cancel();
+      this.attempt?.transfer?.cancel();
     }
     this.failResponse('backend ended', !isUnsent);
   }
@@ -260,42 +253,27 @@
   }
 
   private send(backend: Backend, nowMs: number, version: SoftwareVersion): void {
-    const { request, ports, relay } = this;
-    const { lastEventId } = relay;
+    const { request, ports, relay, attempt: previous } = this;
+    const attempt = new RunningAttempt(request, backend, nowMs, this.record, ports);
     this.phase = 'sent';
-    this.backend = backend;
-    this.slot.hold(backend.id);
-    this.retries.use();
-    const needsProcess = this.processCheck.begin(backend, version);
+    this.attempt = attempt;
     this.attempts += 1;
-    const entry = ports.directory.find(backend.id);
-    const content = { bodyBytes: request.body.length, lastEventId };
-    this.record.addAttempt(backend, estimateOf(entry, nowMs), content, nowMs);
-    this.attemptStartedAtMs = nowMs;
-    this.lastReceiptAtMs = -Infinity;
-    this.currentRun = ports.crashes.beginRun(request, backend, this.currentRun);
-    this.stopWatchingPath = entry?.path.subscribeLost(
-      this.ports.confine(() => this.departure.leaveLostPath(backend.id)),
-    );
+    this.retries.use();
+    const needsProcess = this.processCheck.begin(attempt, version);
     relay.beginAttempt();
-    this.progress = new AttemptProgress(
-      ports.dispatcher,
-      backend.id,
-      request.promptTokens,
-      nowMs,
-      this.progress?.lastEventAtMs,
-      ports.dispatcher.isCold(backend.id, nowMs),
-    );
-    const roundTripMs = entry?.roundTrip.ms ?? 0;
     this.departure.armSilenceTimer();
-    const context = { backend, roundTripMs, lastEventId, needsProcess, nowMs };
-    this.attempt = ports.sender.send(outgoingRequest(request, context, ports.protocol), {
-      onConnected: (elapsedMs) => entry?.roundTrip.addSample(elapsedMs),
-      onProcess: this.processCheck.createReceiver(),
-      onHead: (head) => this.receiveHead(head),
-      onData: (bytes) => this.receiveData(bytes),
-      onEnd: () => this.receiveEnd(),
-      onFailure: (failure) => this.failAttempt(failure),
+    attempt.send({
+      previous,
+      lastEventId: relay.lastEventId,
+      needsProcess,
+      receiver: {
+        onProcess: this.processCheck.createReceiver(),
+        onHead: (head) => this.receiveHead(head),
+        onData: (bytes) => this.receiveData(bytes),
+        onEnd: () => this.receiveEnd(),
+        onFailure: (failure) => this.failAttempt(failure),
+      },
+      onPathLost: () => this.departure.leaveLostPath(backend.id),
     });
   }
 
@@ -306,18 +284,17 @@
   }
 
   private recordReceipt(): void {
-    this.lastReceiptAtMs = this.ports.clock.now();
+    this.attempt!.noteReceipt();
     if (this.move.cancel() || this.request.route.kind !== 'stream') {
       this.departure.armSilenceTimer();
     }
-    this.ports.directory.find(this.backend!.id)?.path.noteActivity(this.lastReceiptAtMs);
   }
 
   private receiveHead(head: ResponseHead): void {
     this.recordReceipt();
     const response = this.ports.protocol.readAnswer(head.status, head.headers);
     if ((response.requestId ?? EMPTY_HEADER_VALUE) !== this.request.requestId) {
-      this.attempt?.discardForeignResponse();
+      this.attempt?.transfer?.discardForeignResponse();
       this.failResponse('response does not name the request');
       return;
     }
@@ -329,18 +306,19 @@
       return;
     }
     if (!this.relay.acceptHead(head)) {
-      this.attempt?.cancel();
+      this.attempt?.transfer?.cancel();
       this.failResponse(`status ${head.status} inside a stream`);
     }
   }
 
   private reportStatement({ statement, isNotExecuted }: BackendResponseInfo): void {
-    this.record.addStatement(statement);
+    const { backend, sentAtMs, log } = this.attempt!;
+    addStatement(log!, statement);
     this.ports.onStatement({
-      backend: this.backend!,
+      backend,
       requestId: this.request.requestId,
       statement,
-      sentAtMs: this.attemptStartedAtMs,
+      sentAtMs,
       isTurnedAway: isNotExecuted,
     });
   }
@@ -350,7 +328,7 @@
    * intended one.
    */
   private handleNotExecuted(isMisdirected: boolean): void {
-    const backendId = this.backend!.id;
+    const { backendId } = this;
     const detail = isMisdirected ? 'another backend at its address' : 'it did not run the request';
     this.abortAttempt('refused', detail);
     if (isMisdirected) {
@@ -366,24 +344,24 @@
 
   private receiveData(bytes: Buffer): void {
     this.recordReceipt();
-    this.record.addBytes(bytes.length);
-    if (!this.processCheck.holdData(bytes, this.attempt)) {
+    this.attempt!.log!.bytes += bytes.length;
+    if (!this.processCheck.holdData(bytes)) {
       this.relayData(bytes);
     }
   }
 
   private relayData(bytes: Buffer): void {
-    const { isForwarded, problem } = this.relay.acceptData(bytes, this.attempt);
+    const { isForwarded, problem } = this.relay.acceptData(bytes, this.attempt?.transfer);
     if (isForwarded) {
       this.record.setFirstByteTime(this.ports.clock.now());
     }
     if (isForwarded && this.relay.completedEvents > 0) {
       this.phase = 'streaming';
-      this.progress!.recordEvents(this.relay.completedEvents, this.ports.clock.now());
+      this.attempt!.progress!.recordEvents(this.relay.completedEvents, this.ports.clock.now());
       this.departure.armSilenceTimer();
     }
     if (problem !== undefined) {
-      this.attempt?.cancel();
+      this.attempt?.transfer?.cancel();
       this.failResponse(problem);
     }
   }
@@ -400,9 +378,9 @@
     this.mayHaveRun = true;
     const { status } = response.head;
     const hasFailed = isServerError(status);
-    const backendId = this.backend!.id;
+    const { backendId } = this;
     if (!hasFailed) {
-      this.progress!.recordCompletion(this.ports.clock.now(), this.request.workUnits);
+      this.attempt!.progress!.recordCompletion(this.ports.clock.now(), this.request.workUnits);
       this.ports.crashes.recordServed(this.request, status);
     }
     this.endAttempt(hasFailed ? 'failed' : 'answered', `status ${status}`);
@@ -424,9 +402,9 @@
     if (this.phase === 'done' || this.phase === 'waiting') {
       return;
     }
-    const backendId = this.backend!.id;
+    const { backendId } = this;
     this.endAttempt(outcomeOfFailure(failure), failure.detail);
-    this.ports.crashes.recordFailure(this.currentRun!, failure);
+    this.attempt!.recordFailure(failure);
     if (!failure.mayHaveRun) {
       this.attempts -= 1;
       if (failure.isSilent === true) {
@@ -450,7 +428,7 @@
   }
 
   private canRetryElsewhere(): boolean {
-    return this.retries.canLeave(this.backend!.id, this.attempts) || this.retries.canReturn;
+    return this.retries.canLeave(this.backendId, this.attempts) || this.retries.canReturn;
   }
 
   /**
@@ -513,37 +491,23 @@
     this.finish(outcome.status, outcome.reason);
   }
 
-  /**
-   * Cancels the current attempt, if any, and ends it with `outcome`; silence of a backend that was
-   * cold at the send does not count as its failure.
-   */
+  /** Cancels the current attempt, if any; see `RunningAttempt.cancel`. */
   private abortAttempt(outcome: AttemptOutcome, detail: string): void {
-    if (this.attempt !== undefined && outcome !== 'refused') {
-      // A cancelled request may still run for a moment and crash the backend.
-      this.ports.crashes.recordInterrupted(this.currentRun!, true);
-    }
-    this.attempt?.cancel();
-    const isUnanswered = outcome === 'failed' || outcome === 'silent';
-    const isSlowStart = isUnanswered && this.progress?.isColdStart === true;
-    this.endAttempt(isSlowStart ? 'unknown' : outcome, detail);
+    this.clearAttempt();
+    this.attempt?.cancel(outcome, detail);
   }
 
   private endAttempt(outcome: AttemptOutcome, detail: string): void {
+    this.clearAttempt();
+    this.attempt?.end(outcome, detail);
+  }
+
+  /** Stops what waits for the current attempt. */
+  private clearAttempt(): void {
     this.departure.clear();
     this.move.cancel();
     this.endedTimer.clear();
     this.processCheck.end();
-    this.stopWatchingPath?.();
-    if (this.attempt === undefined || this.backend === undefined) {
-      return;
-    }
-    this.attempt = undefined;
-    this.progress?.recordEnd();
-    this.record.endAttempt(outcome, detail, this.progress?.longestPauseMs ?? 0);
-    const sinceSendMs = this.ports.clock.now() - this.attemptStartedAtMs;
-    const isBad = isBadAttempt(outcome, this.request.route, timesOf(this.progress, sinceSendMs));
-    this.ports.onTryOver({ backend: this.backend, route: this.request.route, isBad });
-    this.slot.release(outcome);
   }
 
   /**
@@ -554,16 +518,11 @@
     if (this.phase === 'done') {
       return;
     }
-    const { attempt } = this;
     // The outcome of an attempt may not be recorded yet.
     this.mayHaveRun ||= this.attempts > 0;
-    this.attempt = undefined;
     const steps = [
       () => this.endedTimer.clear(),
-      () => this.stopWatchingPath?.(),
-      () => attempt?.cancel(),
-      () => this.progress?.recordEnd(),
-      () => this.slot.release('unknown'),
+      ...(this.attempt?.releaseSteps() ?? []),
       () => this.replyWithFailure('internal-error'),
     ];
     const boundary = new FaultBoundary(onFault);
--- a/src/gateway/attempt/request-model.ts
+++ b/src/gateway/attempt/request-model.ts
@@ -41,6 +41,10 @@
   bytes: number;
   outcome: AttemptOutcome | 'under-way';
   detail: string;
+  /** Time from the send to the end, in milliseconds; omitted until the end. */
+  lastedMs?: number;
+  /** Time without data from the backend before the end, in milliseconds; omitted until the end. */
+  silentMs?: number;
   /** Statement of the backend in its response headers; omitted if it made none. */
   stated?: Pick<BackendStatement, 'limitPerS' | 'isLeaving' | 'restMs'>;
 }
--- a/src/gateway/attempt/request-record.ts
+++ b/src/gateway/attempt/request-record.ts
@@ -4,7 +4,6 @@
 import type { KnownBackend } from '../dispatch/known-backend.js';
 import { NO_STATEMENT } from '../statements/backend-statement.js';
 import type { BackendStatement } from '../statements/backend-statement.js';
-import type { IdentifiedProcess } from '../processes/process-identifier.js';
 import type { AttemptRecord, RequestEnd } from './request-model.js';
 
 /** Estimated state of a backend when a request was sent to it. */
@@ -23,9 +22,29 @@
   readonly lastEventId: string | undefined;
 }
 
+/** How an attempt ended. */
+export interface AttemptEnd {
+  readonly outcome: AttemptOutcome;
+  readonly detail: string;
+  /** Time from the send to the end, in milliseconds. */
+  readonly lastedMs: number;
+  /** Time without data before the end, in milliseconds. */
+  readonly silentMs: number;
+  /** Longest pause between two events of its stream, in milliseconds. */
+  readonly longestPauseMs: number;
+}
+
 /** What the end of a request adds to its record. */
 export type RecordedEnd = Pick<RequestEnd, 'status' | 'reason' | 'stage' | 'attempts'>;
 
+/** Adds a backend's statement to the record of an attempt. */
+export function addStatement(attempt: AttemptRecord, statement: BackendStatement): void {
+  if (statement !== NO_STATEMENT) {
+    const { limitPerS, isLeaving, restMs } = statement;
+    attempt.stated = { limitPerS, isLeaving, restMs };
+  }
+}
+
 /** Attempts and times of one request. */
 export class RequestRecord {
   private readonly tries: AttemptRecord[] = [];
@@ -35,15 +54,15 @@
 
   constructor(private readonly arrivedAtMs: number) {}
 
-  /** Adds an attempt; `estimate` is the state on which the backend was chosen. */
+  /** Adds and returns an attempt; `estimate` is the state on which the backend was chosen. */
   addAttempt(
     backend: Backend,
     estimate: BackendEstimate,
     { bodyBytes, lastEventId }: AttemptContent,
     nowMs: number,
-  ): void {
+  ): AttemptRecord {
     this.firstSentAtMs ??= nowMs;
-    this.tries.push({
+    const attempt: AttemptRecord = {
       backend: backend.id,
       version: backend.version,
       ...(lastEventId === undefined ? {} : { afterEvent: lastEventId }),
@@ -53,25 +72,9 @@
       bytes: bodyBytes,
       outcome: 'under-way',
       detail: '',
-    });
-  }
-
-  /** Adds the backend's statement to the current attempt. */
-  addStatement(statement: BackendStatement): void {
-    if (statement !== NO_STATEMENT) {
-      const { limitPerS, isLeaving, restMs } = statement;
-      this.tries.at(-1)!.stated = { limitPerS, isLeaving, restMs };
-    }
-  }
-
-  /** Adds the process that runs the current attempt. */
-  addProcess(process: IdentifiedProcess): void {
-    this.tries.at(-1)!.process = process;
-  }
-
-  /** Adds received bytes to the current attempt. */
-  addBytes(count: number): void {
-    this.tries.at(-1)!.bytes += count;
+    };
+    this.tries.push(attempt);
+    return attempt;
   }
 
   /** Sets the time of the first bytes sent to the caller, if not yet set. */
@@ -79,11 +82,9 @@
     this.firstByteAtMs ??= nowMs;
   }
 
-  /** Sets the outcome of the current attempt. */
-  endAttempt(outcome: AttemptOutcome, detail: string, longestPauseMs: number): void {
-    const attempt = this.tries.at(-1)!;
-    attempt.outcome = outcome;
-    attempt.detail = detail;
+  /** Sets the outcome of an attempt. */
+  endAttempt(attempt: AttemptRecord, { longestPauseMs, ...end }: AttemptEnd): void {
+    Object.assign(attempt, end);
     this.longestPauseMs = Math.max(this.longestPauseMs, longestPauseMs);
   }
 
--- a/test/logs.test.ts
+++ b/test/logs.test.ts
@@ -159,7 +159,13 @@
     status: 200,
     reason: 'answered',
     tries: [
-      { ...ENDED.tries[0], outcome: 'path-lost', detail: 'the path to it is lost' },
+      {
+        ...ENDED.tries[0],
+        outcome: 'path-lost',
+        detail: 'the path to it is lost',
+        lastedMs: 640,
+        silentMs: 600,
+      },
       {
         ...ENDED.tries[0],
         backend: 'w-2',
@@ -180,7 +186,10 @@
   const tool = 'dist/src/bin/weirvale.js';
   const text = execFileSync('node', [tool, 'logs', 'explain', 'q-1', file], { encoding: 'utf8' });
   t.regex(text, /path-suspected w-1/);
-  t.regex(text, /to w-1 \(estimated 1 of 4 slots occupied\): path-lost, the path to it is lost/);
+  t.regex(
+    text,
+    /to w-1 \(estimated 1 of 4 slots occupied\): path-lost, the path to it is lost; ended after 640 ms, 600 ms without data/,
+  );
   t.regex(text, /after 650 ms to w-2/);
 });
 
--- a/test/moved-requests.test.ts
+++ b/test/moved-requests.test.ts
@@ -45,6 +45,18 @@
   return [lastBackend(world), reply.isAborted];
 }
 
+test('the record of an attempt that is left tells how long it lasted and its backend was silent', async (t) => {
+  const world = twoBackends();
+  world.request({ route: STREAM });
+  await world.clock.runUntil(500);
+  world.attempts[0]!.handlers.onHead(OK_HEAD);
+  world.attempts[0]!.handlers.onData(Buffer.from(EVENT_1));
+  await world.clock.runUntil(2_000);
+  world.answer(1, 200, 'id: 2\ndata: b\n\n');
+  const [left] = world.requestEnds[0]!.tries;
+  t.deepEqual([left!.outcome, left!.lastedMs, left!.silentMs], ['silent', 1_700, 1_200]);
+});
+
 test('a moved stream is not broken off because operators withdraw its unsent attempt', async (t) => {
   const world = twoBackends();
   const { reply, request } = beginStream(world);
