A process that is not identified in time is asked again, since it may stand still

What callers saw: a stream that they had taken up, or that had left a silent backend, was refused or broken off at once as `stream-unavailable`, while its next backend stood still for a second and went on.

Cause: the question which process runs the stream went unanswered for some 350 ms (agent, then engine), and the missing answer was taken for the answer that nobody knows the process. Silence is no answer.

The new test failed before: undefined was reported while the process stood still.

Why this holds: the question is repeated for 1.5 s, as long as the attempt and its connection last; events of a stream that goes on are held meanwhile as before. A process that never answers is reported as unknown after that.

--- a/src/gateway/attempt/http-backend-sender.ts
+++ b/src/gateway/attempt/http-backend-sender.ts
@@ -12,7 +12,7 @@
 import { splitAddress } from '../../address.js';
 import { AfterPollQueue } from '../../after-poll-queue.js';
 import type { HostAndPort } from '../../address.js';
-import { SYSTEM_CLOCK } from '../../clock.js';
+import { sleep, SYSTEM_CLOCK } from '../../clock.js';
 import type { TimerHandle } from '../../clock.js';
 import { ResponsePieceLimiter } from '../../http/response-piece-limiter.js';
 import type { TooManyPiecesError } from '../../http/response-piece-limiter.js';
@@ -57,6 +57,13 @@
  */
 const SILENT_CONNECTION_MS = 500;
 
+/**
+ * Time for which a process that is not identified is asked again, and the pause before each query,
+ * in milliseconds. A sound process may stand still for a second or so.
+ */
+const MAX_IDENTIFICATION_MS = 1_500;
+const IDENTIFICATION_PAUSE_MS = 100;
+
 /** System errors that report an unreachable backend. */
 const UNREACHABLE_ERROR_CODES: ReadonlySet<string> = new Set([
   'ETIMEDOUT',
@@ -289,13 +296,31 @@
     if (this.attempt.needsProcess !== true) {
       return;
     }
-    void this.use.identifyProcess(socket).then((process) => {
-      if (!this.isOver || this.isComplete) {
+    void this.identifyProcess(socket).then((process) => {
+      if (this.needsProcess) {
         this.handlers.onProcess?.(process);
       }
     });
   }
 
+  /** Whether the process at the other end of the connection still matters. */
+  private get needsProcess(): boolean {
+    return !this.isOver || this.isComplete;
+  }
+
+  /** A process that stands still does not answer, so it is asked again for a while. */
+  private async identifyProcess(socket: Socket): Promise<IdentifiedProcess | undefined> {
+    const askUntilMs = performance.now() + MAX_IDENTIFICATION_MS;
+    const mayAskAgain = () =>
+      this.needsProcess && !socket.destroyed && performance.now() < askUntilMs;
+    let process = await this.use.identifyProcess(socket);
+    while (process === undefined && mayAskAgain()) {
+      await sleep(SYSTEM_CLOCK, IDENTIFICATION_PAUSE_MS);
+      process = await this.use.identifyProcess(socket);
+    }
+    return process;
+  }
+
   private abortLateConnection(socket: Socket): void {
     if (socket.connecting) {
       this.hasTimedOut = true;
--- a/test/backend-sender-process.test.ts
+++ b/test/backend-sender-process.test.ts
@@ -78,6 +78,41 @@
   t.is(queries, 2);
 });
 
+for (const { name, silentForMs, expected } of [
+  {
+    name: 'that stands still for a second is identified once it goes on',
+    silentForMs: 1_000,
+    expected: 5,
+  },
+  { name: 'that never answers is reported as unknown', silentForMs: Infinity, expected: undefined },
+]) {
+  test(`a process ${name}`, async (t) => {
+    const { server, address } = await startBackend(() => undefined);
+    const goesOnAtMs = performance.now() + silentForMs;
+    const sender = new HttpBackendSender(undefined, undefined, undefined, () =>
+      Promise.resolve(
+        performance.now() < goesOnAtMs ? undefined : { bornAtMs: 5, source: 'engine' as const },
+      ),
+    );
+    const ignore = () => undefined;
+    const process = await new Promise<IdentifiedProcess | undefined>((resolve) => {
+      const attempt = sender.send(attemptWithProcess(address), {
+        onProcess: resolve,
+        onHead: ignore,
+        onData: ignore,
+        onEnd: ignore,
+        onFailure: ignore,
+      });
+      t.teardown(() => {
+        attempt.cancel();
+        sender.close();
+        server.close();
+      });
+    });
+    t.is(process?.bornAtMs, expected);
+  });
+}
+
 test('a process that is identified once the connection has ended is not taken for its own', async (t) => {
   const { server, address } = await startBackend((socket) => socket.resetAndDestroy());
   let answer: (process: IdentifiedProcess) => void = () => undefined;
