A backend announced at another address does not end the requests at the former one

Callers got 502, or saw a stream break off, while their backend served on: a backend that is replaced under its name, the new process first, still drains at its former address. The announcement of the later start counted as the end of the former process, and each request there that got no data for 300 ms was cancelled. A sound backend may be silent for longer than that.

Cause: the report was taken for certain. A later start at the same address shows that the former process no longer listens there; one at another address shows nothing of it. The decision moves to a module of its own (backend-exits.ts): at another address the requests go on and their connections show the end.

Each such report has a line: `backend-ended` or `backend-end-presumed`, with the evidence, the age of the view of the store and the requests that run there.

--- a/src/cli/queries/explain-logs.ts
+++ b/src/cli/queries/explain-logs.ts
@@ -60,6 +60,7 @@
   'configuration-installed',
   'configuration-refused',
   'backend-gone',
+  'backend-ended',
   'backend-ejected',
   'backend-availability',
   CONDITION_EVENT,
--- a/src/gateway/gateway-backends.ts
+++ b/src/gateway/gateway-backends.ts
@@ -16,8 +16,8 @@
   readonly clock: Clock;
   readonly log: DecisionLog;
   readonly refused: RefusedRecords;
-  /** Called when a newer announcement shows that the incarnation `backendId` has ended. */
-  onIncarnationEnded(backendId: string): void;
+  /** Called when a later incarnation is announced under the name of the incarnation `backendId`. */
+  onIncarnationEnded(backendId: string, successor: Backend): void;
 }
 
 /** The backends that are announced in the store. */
@@ -44,8 +44,9 @@
         isWithdrawn,
       );
     }
-    if (previousId !== undefined) {
-      this.dependencies.onIncarnationEnded(previousId);
+    const successor = changes[0]?.backend;
+    if (previousId !== undefined && successor !== undefined) {
+      this.dependencies.onIncarnationEnded(previousId, successor);
     }
   }
 
--- a/src/gateway/gateway-crashes.ts
+++ b/src/gateway/gateway-crashes.ts
@@ -3,6 +3,8 @@
  * and log.
  */
 import type { Clock } from '../clock.js';
+import { BackendExits } from './backend-exits.js';
+import type { BackendExitsDependencies } from './backend-exits.js';
 import { pickByRendezvous } from '../membership/rendezvous.js';
 import type { WeirvaleError } from '../request/errors.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
@@ -33,11 +35,16 @@
   broadcastToPeers(tallies: readonly FingerprintCrashes[]): void;
   /** Refuses the waiting requests that have been found to crash backends. */
   refuseWaiting(): void;
+  /** See `BackendExitsDependencies`. */
+  storeAgeMs(): number | undefined;
+  /** The requests that the end of a backend may end. */
+  openRequests(): BackendExitsDependencies['requests'];
 }
 
-/** Tracks requests that crash backends. */
+/** Tracks backends that end and requests that crash them. */
 export class GatewayCrashes {
   readonly requests: CrashingRequests;
+  readonly exits: BackendExits;
   private readonly exitProber: ExitProber;
   private readonly recordWriter: CrashRecordWriter;
 
@@ -54,6 +61,14 @@
       },
       clock,
     );
+    this.exits = new BackendExits({
+      ...dependencies,
+      storeAgeMs: () => dependencies.storeAgeMs(),
+      crashes: this.requests,
+      get requests() {
+        return dependencies.openRequests();
+      },
+    });
     this.exitProber = new ExitProber(
       {
         hasAgent: (backendId) => directory.find(backendId)?.agent !== undefined,
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -20,7 +20,6 @@
 import { ActiveConfiguration } from './active-configuration.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { CallerListener } from './admission/caller-listener.js';
-import type { ExitEvidence } from './crashes/interrupted-runs.js';
 import { BackendDirectory } from './dispatch/backend-directory.js';
 import { Dispatcher } from './dispatch/dispatcher.js';
 import type { GatewayAdapter } from './gateway-adapter.js';
@@ -153,7 +152,7 @@
       onEjected: (backendId) =>
         dependencies.log.write('backend-ejected', 'state', { backend: backendId }),
       onAvailability: (backend, availability) => this.handleAvailability(backend, availability),
-      onEnded: (backendId) => this.handleBackendEnded(backendId, 'agent'),
+      onEnded: (backendId) => this.crashes.exits.handleClosedPort(backendId),
       onUnannouncedProcess: (known) => this.processes.logUnannounced(known),
       isEngine,
       countGateways: () => this.cluster.size,
@@ -178,7 +177,7 @@
       refused: this.refusedRecords,
       dispatcher: this.dispatcher,
       unknownZones: new UnknownZones(this.places),
-      onIncarnationEnded: (backendId) => this.handleBackendEnded(backendId, 'replaced'),
+      onIncarnationEnded: (...ids) => this.crashes.exits.handleSuccessor(...ids),
     });
     this.evacuations = new GatewayEvacuations({
       ...dependencies,
@@ -208,6 +207,8 @@
       peerAddresses: () => this.cluster.openPeers.map(({ address }) => address),
       broadcastToPeers: (tallies) => this.cluster.broadcastCrashes(tallies),
       refuseWaiting: () => this.requests.refuseCrashing(),
+      storeAgeMs: () => this.cluster.storeAgeMs,
+      openRequests: () => this.requests,
     });
     this.listener = createCallerListener({
       ...dependencies,
@@ -440,11 +441,6 @@
     }
   }
 
-  private handleBackendEnded(backendId: string, evidence: ExitEvidence): void {
-    this.crashes.requests.recordBackendExit(backendId, evidence);
-    this.requests.handleBackendEnded(backendId, evidence);
-  }
-
   /** Applies a change of a backend's condition that affects what may be sent there. */
   private applyCondition(backendId: string): void {
     const known = this.directory.find(backendId);
--- a/src/telemetry/decision-log.ts
+++ b/src/telemetry/decision-log.ts
@@ -20,6 +20,8 @@
   'record-refused',
   'backend-learned',
   'backend-gone',
+  'backend-end-presumed',
+  'backend-ended',
   'backend-ejected',
   'backend-availability',
   'backend-condition',
--- a/test/crash-record-restored-store.test.ts
+++ b/test/crash-record-restored-store.test.ts
@@ -114,6 +114,8 @@
       peerAddresses: () => [],
       broadcastToPeers: () => undefined,
       refuseWaiting: () => undefined,
+      storeAgeMs: () => 0,
+      openRequests: () => ({ handleBackendEnded: () => undefined }),
     };
     const directory = { find: () => undefined } as unknown as BackendDirectory;
     return new GatewayCrashes({ ...dependencies, directory } as GatewayCrashesDependencies);
