A closed port ends requests only once the backend is known not to be leaving

Callers got 502, or saw a stream break off, at a backend that served on. A backend that leaves closes its listener first and completes what it has. Its agent finds the port closed and reports that nothing listens; a gateway that had not heard `draining` cancelled each request there after 300 ms without data. That is so while the store is away or slow, and for backends that never say `draining` but remove their announcement. In the same way a draining backend whose address another process had taken was given up.

Cause: the rule that lets a draining backend complete its requests was asked once, when the report arrived, and only about what was known then. Now the report counts once it is still made, without a gap of a second, after a later view of the store shows the backend listed and not draining; a removed announcement counts as leaving. Then the backend has crashed, and its requests end as before, also behind a partition. Crash attribution takes each report at once, as before.

Price: where the reset of a crashed backend is lost and the store is away, or its announcement lapses before the view is confirmed, its requests wait for the move of a silent attempt or for their deadline.

--- a/src/gateway/attempt/ended-backend-timer.ts
+++ b/src/gateway/attempt/ended-backend-timer.ts
@@ -12,14 +12,15 @@
 const ENDED_GRACE_MS = 300;
 
 /**
- * Whether a backend that is reported to have ended may still complete its requests: one that is
- * draining closes its port first, and its connections show when it ends.
+ * Whether a backend that is reported to have ended may still complete its requests: one that leaves
+ * closes its port first, after which another process may use it, and its connections show when it
+ * ends. An announcement that was superseded does not show that its backend leaves.
  */
 export function isCompletingRequests(
   known: KnownBackend | undefined,
   evidence: ExitEvidence,
 ): boolean {
-  return evidence !== 'replaced' && known?.isDraining === true;
+  return (evidence === 'replaced' ? known?.isDraining : known?.mayBeLeaving) === true;
 }
 
 /** Runs from the report of a backend's end until no data has arrived for the grace period. */
--- a/src/gateway/backend-exits.ts
+++ b/src/gateway/backend-exits.ts
@@ -2,9 +2,11 @@
  * Decides which reports that a backend's process has exited end the requests that it has, and logs
  * them.
  *
- * A process at another address shows nothing of the one at the former address: until its exit is
- * certain, the connections of the requests show it.
+ * A closed port alone does not show an exit: a backend that leaves closes its port first, and this
+ * gateway may not know yet that it leaves. Another process at another address shows nothing of the
+ * one at the former address. Until an exit is certain, the connections of the requests show it.
  */
+import type { Clock } from '../clock.js';
 import type { Backend } from '../routing/backend.js';
 import type { DecisionLog, LogEvent, LogFields } from '../telemetry/decision-log.js';
 import type { CrashingRequests } from './crashes/crashing-requests.js';
@@ -15,6 +17,7 @@
 /** Dependencies of `BackendExits`. */
 export interface BackendExitsDependencies {
   readonly directory: Pick<BackendDirectory, 'find'>;
+  readonly clock: Pick<Clock, 'now'>;
   readonly log: Pick<DecisionLog, 'write'>;
   /** Age of the view of the store, in milliseconds; undefined before the first confirmation. */
   storeAgeMs(): number | undefined;
@@ -24,14 +27,45 @@
   readonly requests: Pick<GatewayRequests, 'handleBackendEnded'>;
 }
 
+/** Maximum time between two reports of a closed port that stayed closed, in milliseconds. */
+const MAX_REPORT_GAP_MS = 1_000;
+
+/** Consecutive reports that nothing listens at a backend's address. */
+interface ClosedPort {
+  readonly reportedAtMs: number;
+  lastReportAtMs: number;
+  hasEndedRequests: boolean;
+}
+
+/** What is known about the end of a backend, for its log line. */
+interface ExitReport {
+  readonly evidence: ExitEvidence;
+  /** Time since the first report, in milliseconds. */
+  readonly reportedForMs: number;
+}
+
 /** Reports that the processes of backends have exited. */
 export class BackendExits {
+  private readonly closedPorts = new Map<string, ClosedPort>();
+
   constructor(private readonly dependencies: BackendExitsDependencies) {}
 
-  /** Handles the report of an agent that nothing listens at its engine's address. */
+  /**
+   * Handles the report of an agent that nothing listens at its engine's address; agents repeat it
+   * with each of their messages. It ends requests once a later view of the store shows that the
+   * backend does not leave.
+   */
   handleClosedPort(backendId: string): void {
+    const nowMs = this.dependencies.clock.now();
     this.dependencies.crashes.recordBackendExit(backendId, 'agent');
-    this.dependencies.requests.handleBackendEnded(backendId, 'agent');
+    const port = this.closedPortOf(backendId, nowMs);
+    const reportedForMs = nowMs - port.reportedAtMs;
+    const isViewLater = (this.dependencies.storeAgeMs() ?? Infinity) < reportedForMs;
+    const isLeaving = this.dependencies.directory.find(backendId)?.mayBeLeaving !== false;
+    if (isViewLater && !isLeaving && !port.hasEndedRequests) {
+      port.hasEndedRequests = true;
+      this.end(backendId, { evidence: 'agent', reportedForMs });
+    }
   }
 
   /** Handles the announcement of a later incarnation under the name of a backend. */
@@ -42,14 +76,35 @@
       this.logPresumed(backendId, 'replaced');
       return;
     }
-    this.write('backend-ended', backendId, { evidence: 'replaced' });
-    this.dependencies.requests.handleBackendEnded(backendId, 'replaced');
+    this.end(backendId, { evidence: 'replaced', reportedForMs: 0 });
+  }
+
+  private closedPortOf(backendId: string, nowMs: number): ClosedPort {
+    for (const [id, { lastReportAtMs }] of this.closedPorts) {
+      if (nowMs - lastReportAtMs > MAX_REPORT_GAP_MS) {
+        this.closedPorts.delete(id);
+      }
+    }
+    const known = this.closedPorts.get(backendId);
+    if (known !== undefined) {
+      known.lastReportAtMs = nowMs;
+      return known;
+    }
+    const port = { reportedAtMs: nowMs, lastReportAtMs: nowMs, hasEndedRequests: false };
+    this.closedPorts.set(backendId, port);
+    this.logPresumed(backendId, 'agent');
+    return port;
   }
 
   private logPresumed(backendId: string, evidence: ExitEvidence): void {
     this.write('backend-end-presumed', backendId, { evidence });
   }
 
+  private end(backendId: string, { evidence, reportedForMs }: ExitReport): void {
+    this.write('backend-ended', backendId, { evidence, reportedForMs });
+    this.dependencies.requests.handleBackendEnded(backendId, evidence);
+  }
+
   private write(event: LogEvent, backendId: string, fields: LogFields): void {
     const { directory, log } = this.dependencies;
     const known = directory.find(backendId);
@@ -57,7 +112,7 @@
       backend: backendId,
       ...fields,
       running: known?.outstanding,
-      isDraining: known?.isDraining,
+      mayBeLeaving: known?.mayBeLeaving,
       storeAgeMs: this.dependencies.storeAgeMs(),
     });
   }
--- a/src/gateway/dispatch/known-backend.ts
+++ b/src/gateway/dispatch/known-backend.ts
@@ -213,6 +213,14 @@
     return this.backend.state === 'draining' || this.condition.isLeaving;
   }
 
+  /**
+   * Whether it may be about to end and still complete its requests: some backends only remove their
+   * announcement before they leave.
+   */
+  get mayBeLeaving(): boolean {
+    return this.isDraining || (this.unlistedAtMs !== undefined && !this.isWithdrawn);
+  }
+
   /** Whether it is listed as accepting new requests. */
   get isReady(): boolean {
     return this.isCurrent && !this.isDraining;
--- a/test/support/exit-harness.ts
+++ b/test/support/exit-harness.ts
@@ -40,6 +40,7 @@
         void this.logged.push([event, fields]),
     };
     this.exits = new BackendExits({
+      clock,
       directory,
       log,
       storeAgeMs: () => clock.now() - this.viewedAtMs,
