The end of a process ends no request that may run in the one after it

Callers got 502 for requests that their backend ran: a backend restarts under its name, and gateways send to the new process under the former announcement until they hear of the restart. That takes as long as the store is away, or up to the next probe of the agent.

Cause: the report names a process, and was applied to all attempts at its address. Now a report ends the attempts that were sent before the former process can have been followed: a second before an agent reports another start; a second before the last view of the store without the new announcement. An announcement of a process that was seen before ends nothing more. What was sent later is left to its connection.

--- a/src/gateway/backend-exits.ts
+++ b/src/gateway/backend-exits.ts
@@ -12,6 +12,7 @@
 import type { CrashingRequests } from './crashes/crashing-requests.js';
 import type { ExitEvidence } from './crashes/interrupted-runs.js';
 import type { BackendDirectory } from './dispatch/backend-directory.js';
+import type { KnownBackend } from './dispatch/known-backend.js';
 import type { GatewayRequests } from './gateway-requests.js';
 
 /** Dependencies of `BackendExits`. */
@@ -19,7 +20,10 @@
   readonly directory: Pick<BackendDirectory, 'find'>;
   readonly clock: Pick<Clock, 'now'>;
   readonly log: Pick<DecisionLog, 'write'>;
-  /** Age of the view of the store, in milliseconds; undefined before the first confirmation. */
+  /**
+   * Age of the view of the store, in milliseconds; undefined before the first confirmation. While a
+   * record is applied, it refers to the last view without that record.
+   */
   storeAgeMs(): number | undefined;
   /** Each report is evidence about runs whose responses were cut off. */
   readonly crashes: Pick<CrashingRequests, 'recordBackendExit'>;
@@ -29,6 +33,11 @@
 
 /** Maximum time between two reports of a closed port that stayed closed, in milliseconds. */
 const MAX_REPORT_GAP_MS = 1_000;
+/**
+ * Maximum time from the start of a process to its announcement, and to the report of an agent that
+ * it runs, in milliseconds.
+ */
+const NOTICE_MS = 1_000;
 
 /** Consecutive reports that nothing listens at a backend's address. */
 interface ClosedPort {
@@ -42,6 +51,8 @@
   readonly evidence: ExitEvidence;
   /** Time since the first report, in milliseconds. */
   readonly reportedForMs: number;
+  /** Time up to which requests that were sent to it run in the process that ended. */
+  readonly sentBeforeMs: number;
 }
 
 /** Reports that the processes of backends have exited. */
@@ -64,10 +75,19 @@
     const isLeaving = this.dependencies.directory.find(backendId)?.mayBeLeaving !== false;
     if (isViewLater && !isLeaving && !port.hasEndedRequests) {
       port.hasEndedRequests = true;
-      this.end(backendId, { evidence: 'agent', reportedForMs });
+      const sentBeforeMs = port.reportedAtMs;
+      this.end(backendId, { evidence: 'agent', reportedForMs, sentBeforeMs });
     }
   }
 
+  /** Handles the first report that a later process than the announced one listens at its address. */
+  handleLaterProcess({ backend: { id: backendId }, softwareVersion }: KnownBackend): void {
+    const { log } = this.dependencies;
+    log.write('backend-unannounced', 'state', { backend: backendId, softwareVersion });
+    const sentBeforeMs = this.dependencies.clock.now() - NOTICE_MS;
+    this.end(backendId, { evidence: 'replaced', reportedForMs: 0, sentBeforeMs });
+  }
+
   /** Handles the announcement of a later incarnation under the name of a backend. */
   handleSuccessor(backendId: string, successor: Backend): void {
     this.dependencies.crashes.recordBackendExit(backendId, 'replaced');
@@ -76,7 +96,14 @@
       this.logPresumed(backendId, 'replaced');
       return;
     }
-    this.end(backendId, { evidence: 'replaced', reportedForMs: 0 });
+    if (known?.hasSeenProcess(successor.bornAtMs) === true) {
+      // Its later requests run in the announced process, and the earlier ones have been ended.
+      return;
+    }
+    // The new process had not been announced when the last view was confirmed.
+    const unseenForMs = (this.dependencies.storeAgeMs() ?? Infinity) + NOTICE_MS;
+    const sentBeforeMs = this.dependencies.clock.now() - unseenForMs;
+    this.end(backendId, { evidence: 'replaced', reportedForMs: 0, sentBeforeMs });
   }
 
   private closedPortOf(backendId: string, nowMs: number): ClosedPort {
@@ -100,9 +127,10 @@
     this.write('backend-end-presumed', backendId, { evidence });
   }
 
-  private end(backendId: string, { evidence, reportedForMs }: ExitReport): void {
-    this.write('backend-ended', backendId, { evidence, reportedForMs });
-    this.dependencies.requests.handleBackendEnded(backendId, evidence);
+  private end(backendId: string, { evidence, reportedForMs, sentBeforeMs }: ExitReport): void {
+    const sentForMs = this.dependencies.clock.now() - sentBeforeMs;
+    this.write('backend-ended', backendId, { evidence, reportedForMs, sentForMs });
+    this.dependencies.requests.handleBackendEnded(backendId, evidence, sentBeforeMs);
   }
 
   private write(event: LogEvent, backendId: string, fields: LogFields): void {
--- a/src/gateway/dispatch/known-backend.ts
+++ b/src/gateway/dispatch/known-backend.ts
@@ -175,6 +175,12 @@
     return true;
   }
 
+  /** Whether the process that started at `bornAtMs`, or a later one, was seen at its address. */
+  hasSeenProcess(bornAtMs: number | undefined): boolean {
+    const { latestBornAtMs } = this;
+    return bornAtMs !== undefined && latestBornAtMs !== undefined && latestBornAtMs >= bornAtMs;
+  }
+
   /**
    * Whether it started before `timeMs` on its own clock, as far as is known: reports about earlier
    * processes at its address may arrive after its announcement.
--- a/src/gateway/gateway-processes.ts
+++ b/src/gateway/gateway-processes.ts
@@ -4,7 +4,6 @@
 import type { Backend } from '../routing/backend.js';
 import type { EngineProbe } from '../slot-agent/slot-agent-role.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
-import type { KnownBackend } from './dispatch/known-backend.js';
 import type { GatewayMetrics } from './metrics/gateway-metrics.js';
 import { ProcessIdentifier } from './processes/process-identifier.js';
 import type { IdentifiedProcess } from './processes/process-identifier.js';
@@ -40,11 +39,6 @@
     return this.identifier.identify(backend);
   }
 
-  /** Logs that a process was found that is not the announced one. */
-  logUnannounced({ backend: { id }, softwareVersion }: KnownBackend): void {
-    this.dependencies.log.write('backend-unannounced', 'state', { backend: id, softwareVersion });
-  }
-
   private report({ id }: Backend, process: IdentifiedProcess | undefined, elapsedMs: number): void {
     const { log, metrics } = this.dependencies;
     const source = process?.source ?? 'none';
--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -178,10 +178,16 @@
     return [...this.active.values()].filter(({ proxied }) => proxied.withdrawIfUnsent()).length;
   }
 
-  /** Treats the attempts that run on a backend as lost once its process has ended. */
-  handleBackendEnded(backendId: string, evidence: ExitEvidence): void {
-    for (const { proxied } of [...this.active.values()]) {
-      proxied.handleBackendEnded(backendId, evidence);
+  /**
+   * Treats the attempts that run on a backend as lost once its process has ended. Those that were
+   * sent at `sentBeforeMs` or later may run in the process that followed it.
+   */
+  handleBackendEnded(backendId: string, evidence: ExitEvidence, sentBeforeMs = Infinity): void {
+    for (const [request, { proxied }] of [...this.active]) {
+      const run = this.dependencies.crashes.latestRunOf(request);
+      if (run !== undefined && run.sentAtMs < sentBeforeMs) {
+        proxied.handleBackendEnded(backendId, evidence);
+      }
     }
   }
 
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -153,7 +153,7 @@
         dependencies.log.write('backend-ejected', 'state', { backend: backendId }),
       onAvailability: (backend, availability) => this.handleAvailability(backend, availability),
       onEnded: (backendId) => this.crashes.exits.handleClosedPort(backendId),
-      onUnannouncedProcess: (known) => this.processes.logUnannounced(known),
+      onUnannouncedProcess: (known) => this.crashes.exits.handleLaterProcess(known),
       isEngine,
       countGateways: () => this.cluster.size,
       tokensPerEvent: (service) => this.configuration.tokensPerEvent(service),
--- a/test/backend-exits.test.ts
+++ b/test/backend-exits.test.ts
@@ -94,6 +94,40 @@
   t.like(fields, { evidence: 'replaced', backend: 'w@1000', storeAgeMs: 500 });
 });
 
+test('a request that a restarted backend runs is not ended by its announcement after an outage of the store', async (t) => {
+  const world = new ExitHarness(UNSAFE);
+  world.announce('w', { bornAtMs: 1_000 });
+  const { clock } = world.gateway;
+  // The store is away until 9,000 ms; the backend restarts at 4,000.
+  await clock.runUntil(8_900);
+  const reply = world.request();
+  await clock.runUntil(9_000);
+  world.announce('w', { bornAtMs: 2_000 });
+  await clock.runUntil(9_000 + SILENCE_MS);
+  world.gateway.answer(0, 200, 'good');
+  t.is(reply.body, 'good');
+});
+
+test('a request to a restarted backend is not ended by the late report of the restart', async (t) => {
+  const world = new ExitHarness(UNSAFE);
+  world.gateway.engines = true;
+  world.announce('w', { bornAtMs: 1_000 });
+  world.connectAgent('w@1000');
+  world.receiveState('w@1000', { bornAtMs: 1_000 });
+  const { clock } = world.gateway;
+  const early = world.request();
+  await clock.runUntil(5_000);
+  const late = world.request();
+  await clock.runUntil(5_050);
+  // The agent publishes the end of the former process and the next one together.
+  world.receiveState('w@1000', { ...CLOSED, endedBornBeforeMs: 2_000 });
+  world.receiveState('w@1000', { bornAtMs: 2_000 });
+  await clock.runUntil(5_050 + SILENCE_MS);
+  t.deepEqual([early.status, isRunning(world.gateway, 0)], [502, false]);
+  world.gateway.answer(1, 200, 'good');
+  t.is(late.body, 'good');
+});
+
 test('a request is not ended by a closed port while the gateway cannot know whether its backend drains', async (t) => {
   const world = new ExitHarness(UNSAFE);
   world.gateway.engines = true;
--- a/test/support/exit-harness.ts
+++ b/test/support/exit-harness.ts
@@ -3,6 +3,7 @@
 import type { GatewayBackendsDependencies } from '../../src/gateway/gateway-backends.js';
 import { headerValue } from '../../src/http/header-value.js';
 import type { Announcement } from '../../src/routing/backend-incarnations.js';
+import type { KnownBackend } from '../../src/gateway/dispatch/known-backend.js';
 import type { Backend } from '../../src/routing/backend.js';
 import type { AgentSlotMessage } from '../../src/slot-agent/slot-messages.js';
 import type { Route } from '../../src/routing/configuration.js';
@@ -47,6 +48,7 @@
       crashes: gateway.crashingRequests,
       requests: gateway.requests,
     });
+    gateway.onUnannouncedProcess = (known) => this.exits.handleLaterProcess(known);
     const dependencies = {
       dispatcher,
       clock,
@@ -88,6 +90,8 @@
 
 /** Passes the reports of agents on. */
 class ExitGateway extends OpenGateway {
+  onUnannouncedProcess: (known: KnownBackend) => void = () => undefined;
+
   constructor(
     route: Route,
     private readonly onClosedPort: (backendId: string) => void,
