An engine that was silent does not count as cold if it is the same process

Callers waited, and were refused in the end, while slots of sound engines were free: a sound engine that is silent for a second misses two probes of its agent. When it answered again, agent and gateways took it for one that had restarted, and for `coldStartMs` sent it no more than the rate of a cold engine.

Cause: being reachable again was taken for a restart. The engine's report names the start of its process, which agents keep and send in their states; it was not compared. Now an engine that was silent, or ejected for failures, and reports the same start as before is as warm as it was. A closed port in between, another start, or none, counts as a restart as before.

Evidence: `a request is not refused slots at an engine that was silent to its agent and is the same process` (gateway) and `an engine that was silent and is the same process does not count as cold` (agent) failed on the code before; two more tests ask that a closed port in between still counts.

--- a/src/gateway/dispatch/dispatcher.ts
+++ b/src/gateway/dispatch/dispatcher.ts
@@ -16,6 +16,7 @@
   SlotGranted,
   GatewaySlotMessage,
   SlotReleased,
+  SlotState,
 } from '../../slot-agent/slot-messages.js';
 import type { EngineAvailability } from '../../slot-agent/engine-health.js';
 import type { AttemptOutcome } from './backend-health.js';
@@ -394,7 +395,7 @@
         known.noteProcessEnded();
         this.ports.onEnded?.(backendId);
       }
-      this.noteAvailability(known, known.agent, message.availability, nowMs);
+      this.noteAvailability(known, known.agent, message, nowMs);
       known.adoptLearned(message.speed);
       known.roundTrip.replaceEstimate(message.roundTripMs ?? known.roundTrip.ms);
       const { messagesSeen } = message;
@@ -441,13 +442,19 @@
   private noteAvailability(
     known: KnownBackend,
     agent: SlotAgentLink,
-    availability: EngineAvailability,
+    { availability, bornAtMs, hasEnded }: SlotState,
     nowMs: number,
   ): void {
+    const wasClosed = agent.availability === 'closed';
+    const runningBornAtMs = hasEnded === true ? undefined : bornAtMs;
+    const isSameProcess = runningBornAtMs !== undefined && runningBornAtMs === agent.closedBornAtMs;
+    if (availability === 'closed') {
+      agent.closedBornAtMs = !wasClosed || isSameProcess ? runningBornAtMs : undefined;
+    }
     if (agent.availability === availability) {
       return;
     }
-    if (agent.availability === 'closed') {
+    if (wasClosed && !isSameProcess) {
       known.cold.assumeCold('was-gone', nowMs);
     }
     agent.availability = availability;
--- a/src/gateway/dispatch/known-backend.ts
+++ b/src/gateway/dispatch/known-backend.ts
@@ -46,6 +46,11 @@
   failureShare: number;
   /** Whether the engine may be used, from the agent's last state message. */
   availability: EngineAvailability;
+  /**
+   * Start time of the process of an engine that its agent closed; undefined if another process may
+   * have followed it.
+   */
+  closedBornAtMs?: number | undefined;
   /**
    * Region and configuration version from the agent's last state message; undefined while its
    * configuration restricts no request to regions.
--- a/src/slot-agent/engine-cold-start.ts
+++ b/src/slot-agent/engine-cold-start.ts
@@ -29,6 +29,8 @@
   /** Position of the latest announcement whose remaining cold time was counted. */
   private countedAnnouncement: StorePosition | undefined;
   private isUnreachable = false;
+  /** Start time of the process that became unreachable; undefined if another may have followed. */
+  private unreachableStartMs: number | undefined;
   /** Bound from a gateway's hello; used while the agent's own replica does not hold the service. */
   private gatewayBound: ColdStartBound | undefined;
 
@@ -65,10 +67,18 @@
 
   /**
    * Records whether probes reach the engine; one that becomes reachable again may have been
-   * restarted.
+   * restarted, unless its process reports the same start time as before.
+   *
+   * @param processStartMs - start time that its process reported last; undefined if it reported
+   * none, or if nothing listens at its address
    */
-  setUnreachable(isUnreachable: boolean, nowMs: number): void {
-    if (this.isUnreachable && !isUnreachable) {
+  setUnreachable(isUnreachable: boolean, nowMs: number, processStartMs?: number): void {
+    const isSameProcess =
+      processStartMs !== undefined && processStartMs === this.unreachableStartMs;
+    if (isUnreachable) {
+      const isKnown = !this.isUnreachable || isSameProcess;
+      this.unreachableStartMs = isKnown ? processStartMs : undefined;
+    } else if (this.isUnreachable && !isSameProcess) {
       this.coldPeriod.assumeCold('was-gone', nowMs);
     }
     this.isUnreachable = isUnreachable;
--- a/src/slot-agent/slot-agent-role.ts
+++ b/src/slot-agent/slot-agent-role.ts
@@ -184,7 +184,7 @@
           ),
         onReconciled: (slots) => this.noteReconciled(slots),
         onProbeNeeded: () => this.scheduleProbe(0),
-        onAvailability: (availability, cause) => this.noteAvailability(availability, cause),
+        onAvailability: (...change) => this.noteAvailability(...change),
         distanceTo: (zone) =>
           distanceFrom({ zone: identity.engine.zone, places: dependencies.places }, zone),
         restriction: (allowedRegions, homeOwner) =>
@@ -350,9 +350,14 @@
     });
   }
 
-  private noteAvailability(availability: EngineAvailability, cause: ClosedCause | undefined): void {
+  private noteAvailability(
+    availability: EngineAvailability,
+    cause: ClosedCause | undefined,
+    startedAtMs: number | undefined,
+  ): void {
     const isUnreachable = cause === 'port-closed' || cause === 'silent';
-    this.coldStart.setUnreachable(isUnreachable, this.clock.now());
+    const processStartMs = cause === 'port-closed' ? undefined : startedAtMs;
+    this.coldStart.setUnreachable(isUnreachable, this.clock.now(), processStartMs);
     this.dependencies.metrics.record(({ availabilityChanges }) =>
       availabilityChanges.inc({ availability }),
     );
--- a/src/slot-agent/slot-allocator.ts
+++ b/src/slot-agent/slot-allocator.ts
@@ -56,8 +56,15 @@
    * Called when the backend must be probed now, after a failed request or one without a response.
    */
   onProbeNeeded(): void;
-  /** Called when the availability of the backend or the cause of its closure changed. */
-  onAvailability(availability: EngineAvailability, closedCause: ClosedCause | undefined): void;
+  /**
+   * Called when the availability of the backend or the cause of its closure changed; `startedAtMs`
+   * is the start time that its process reported last, on its own clock.
+   */
+  onAvailability(
+    availability: EngineAvailability,
+    closedCause: ClosedCause | undefined,
+    startedAtMs: number | undefined,
+  ): void;
   /** Network distance from a zone to the backend; omitted if distances are unknown. */
   distanceTo?(zone: string): Distance;
   /** Why operators' restrictions forbid a request at the backend; undefined if it is permitted. */
@@ -397,7 +404,7 @@
   private publishAvailabilityChange(before: AvailabilityAndCause, nowMs: number): void {
     const { availability, closedCause } = this.engineHealth;
     if (availability !== before.availability || closedCause !== before.closedCause) {
-      this.ports.onAvailability(availability, closedCause);
+      this.ports.onAvailability(availability, closedCause, this.engineStartedAtMs);
       this.publisher.broadcast(nowMs);
     }
   }
--- a/test/cold-start.test.ts
+++ b/test/cold-start.test.ts
@@ -239,6 +239,38 @@
   t.true(world.dispatcher.isCold('new', 5_001));
 });
 
+test('a request is not refused slots at an engine that was silent to its agent and is the same process', (t) => {
+  const world = createColdWorld(0, 'warm');
+  world.dispatcher.connectAgent('warm', 0);
+  const receiveState = (availability: 'open' | 'closed', bornAtMs?: number) =>
+    receive(world, 'warm', {
+      ...OPEN,
+      occupied: 0,
+      availability,
+      ...(bornAtMs !== undefined && { bornAtMs }),
+    });
+  receiveState('open', 5);
+  receiveState('closed', 5);
+  receiveState('open', 5);
+  world.request();
+  t.is(world.attempts.length, 1);
+  receiveState('closed', 5);
+  receiveState('open', 6);
+  t.true(world.dispatcher.isCold('warm', 0));
+});
+
+test('an engine whose port was closed counts as cold although its agent names the same start', (t) => {
+  const world = createColdWorld(0, 'warm');
+  world.dispatcher.connectAgent('warm', 0);
+  const state = { ...OPEN, occupied: 0, bornAtMs: 5 } as const;
+  receive(world, 'warm', { ...state, availability: 'open' });
+  receive(world, 'warm', { ...state, availability: 'closed' });
+  receive(world, 'warm', { ...state, availability: 'closed', hasEnded: true });
+  receive(world, 'warm', { ...state, availability: 'closed' });
+  receive(world, 'warm', { ...state, availability: 'open' });
+  t.true(world.dispatcher.isCold('warm', 0));
+});
+
 test('a cold state reported by an agent is retained when its connection is lost', (t) => {
   const world = createColdWorld(0, 'warm');
   world.dispatcher.connectAgent('warm', 0);
--- a/test/engine-cold-start.test.ts
+++ b/test/engine-cold-start.test.ts
@@ -136,3 +136,22 @@
   t.is(coldStart.coldState(32_999)?.reason, 'new-incarnation');
   t.is(coldStart.coldState(33_000), undefined);
 });
+
+test('an engine that was silent and is the same process does not count as cold', (t) => {
+  const { coldStart } = coldStartAt(0);
+  coldStart.setUnreachable(true, 10_000, 5);
+  coldStart.setUnreachable(false, 11_500, 5);
+  t.is(coldStart.coldState(11_501), undefined);
+  coldStart.setUnreachable(true, 12_000, 5);
+  coldStart.setUnreachable(false, 13_500, 6);
+  t.is(coldStart.coldState(13_501)?.reason, 'was-gone');
+});
+
+test('an engine whose port was closed while it was unreachable counts as cold', (t) => {
+  const { coldStart } = coldStartAt(0);
+  coldStart.setUnreachable(true, 10_000, 5);
+  coldStart.setUnreachable(true, 10_500);
+  coldStart.setUnreachable(true, 11_000, 5);
+  coldStart.setUnreachable(false, 11_500, 5);
+  t.is(coldStart.coldState(11_501)?.reason, 'was-gone');
+});
