A backend whose announcement lapsed with the store is not cold when it is back

After an outage of the store callers were refused while backends were idle: the announcements of sound backends lapse while the store is away and are written again after it is back, and each gateway then sent these backends no more than the rate of a cold one for `coldStartMs`.

Cause: being listed again was taken for a restart. The announcement names the start of the process, which is part of the backend's id, so one that is listed again under the same id is the same process. A backend that announces no start, or whose process was seen to end, counts as cold as before.

Evidence: `a backend whose announcement lapsed with the store is not cold when it announces the same start again` failed on the code before.

--- a/src/gateway/dispatch/backend-directory.ts
+++ b/src/gateway/dispatch/backend-directory.ts
@@ -266,7 +266,7 @@
       }
       created.cold.noteAnnouncement(backend.remainingColdMs, nowMs);
     } else {
-      if (known.unlistedAtMs !== undefined && !known.isSameProcessAfterWithdrawal) {
+      if (known.unlistedAtMs !== undefined && !known.isSameProcessWhenRelisted) {
         known.cold.assumeCold('was-gone', nowMs);
       }
       known.cold.noteAnnouncement(backend.remainingColdMs, nowMs);
--- a/src/gateway/dispatch/known-backend.ts
+++ b/src/gateway/dispatch/known-backend.ts
@@ -196,11 +196,12 @@
   }
 
   /**
-   * Whether another writer replaced its record and its start time shows that it runs on: without
-   * one it may have restarted meanwhile.
+   * Whether its start time shows, when it is announced again, that it has run on: without one it may
+   * have restarted while it was not announced.
    */
-  get isSameProcessAfterWithdrawal(): boolean {
-    return this.isWithdrawn && this.backend.bornAtMs !== undefined;
+  get isSameProcessWhenRelisted(): boolean {
+    const wasSeenToEnd = this.hasProcessEnded && !this.isWithdrawn;
+    return this.backend.bornAtMs !== undefined && !wasSeenToEnd;
   }
 
   /** Applies a new announcement. */
--- a/test/cold-start.test.ts
+++ b/test/cold-start.test.ts
@@ -3,6 +3,7 @@
 import { ColdStartLimiter } from '../src/gateway/dispatch/cold-start-limiter.js';
 import { coldStartShare, PEER_VIEW_SETTLE_MS } from '../src/gateway/dispatch/cold-start-share.js';
 import { ColdStartTracker, coldStartBound } from '../src/routing/cold-start.js';
+import type { Backend } from '../src/routing/backend.js';
 import type { AgentSlotMessage, SlotState } from '../src/slot-agent/slot-messages.js';
 import { START_WINDOW_MS, StartWindow } from '../src/slot-agent/start-window.js';
 import { backendOf, GatewayHarness, routeOf } from './support/gateway-harness.js';
@@ -259,6 +260,31 @@
   t.true(world.dispatcher.isCold('warm', 0));
 });
 
+test('a backend whose announcement lapsed with the store is not cold when it announces the same start again', (t) => {
+  const world = createColdWorld(0);
+  world.directory.endInitialListing();
+  const announce = (changes: Partial<Backend> | undefined, nowMs = 0) =>
+    world.dispatcher.updateBackend('w', changes && backendOf('w', changes), nowMs);
+  announce({ bornAtMs: 5, remainingColdMs: 1_000 });
+  announce({ bornAtMs: 5 });
+  t.false(world.dispatcher.isCold('w', 0));
+  announce(undefined);
+  announce({ bornAtMs: 5 });
+  t.false(world.dispatcher.isCold('w', 0));
+  announce(undefined);
+  world.dispatcher.finish('w', 'unreachable', 0);
+  announce({ bornAtMs: 5 }, 5_000);
+  t.true(world.dispatcher.isCold('w', 5_000), 'its port was closed');
+});
+
+test('a backend whose announcement lapsed is cold when it announces no start', (t) => {
+  const world = createColdWorld(0, 'warm');
+  world.directory.endInitialListing();
+  world.dispatcher.updateBackend('warm', undefined, 0);
+  world.dispatcher.updateBackend('warm', backendOf('warm'), 0);
+  t.true(world.dispatcher.isCold('warm', 0));
+});
+
 test('an engine whose port was closed counts as cold although its agent names the same start', (t) => {
   const world = createColdWorld(0, 'warm');
   world.dispatcher.connectAgent('warm', 0);
