--- a/src/gateway/attempt/attempt.ts
+++ b/src/gateway/attempt/attempt.ts
@@ -49,7 +49,8 @@
   onConnected?(elapsedMs: number): void;
   /**
    * Called once, if the attempt asks for it, with the process at the other end of the connection;
-   * undefined if it could not be found out. May be called after data was received or the response
+   * undefined if it could not be found out although it was asked for longer than a sound process
+   * stands still. May be called after data was received or the response
    * was complete, and not at all if the attempt fails or is cancelled first.
    */
   onProcess?(process: IdentifiedProcess | undefined): void;
--- a/src/gateway/dispatch/known-backend.ts
+++ b/src/gateway/dispatch/known-backend.ts
@@ -46,6 +46,11 @@
   failureShare: number;
   /** Whether the engine may be used, from the agent's last state message. */
   availability: EngineAvailability;
+  /**
+   * Start time of the process of an engine that its agent closed; undefined if another process may
+   * have followed it.
+   */
+  closedBornAtMs?: number | undefined;
   /**
    * Region and configuration version from the agent's last state message; undefined while its
    * configuration restricts no request to regions.
@@ -175,6 +180,12 @@
     return true;
   }
 
+  /** Whether the process that started at `bornAtMs`, or a later one, was seen at its address. */
+  hasSeenProcess(bornAtMs: number | undefined): boolean {
+    const { latestBornAtMs } = this;
+    return bornAtMs !== undefined && latestBornAtMs !== undefined && latestBornAtMs >= bornAtMs;
+  }
+
   /**
    * Whether it started before `timeMs` on its own clock, as far as is known: reports about earlier
    * processes at its address may arrive after its announcement.
@@ -185,11 +196,12 @@
   }
 
   /**
-   * Whether another writer replaced its record and its start time shows that it runs on: without
-   * one it may have restarted meanwhile.
+   * Whether its start time shows, when it is announced again, that it has run on: without one it may
+   * have restarted while it was not announced.
    */
-  get isSameProcessAfterWithdrawal(): boolean {
-    return this.isWithdrawn && this.backend.bornAtMs !== undefined;
+  get isSameProcessWhenRelisted(): boolean {
+    const wasSeenToEnd = this.hasProcessEnded && !this.isWithdrawn;
+    return this.backend.bornAtMs !== undefined && !wasSeenToEnd;
   }
 
   /** Applies a new announcement. */
@@ -213,6 +225,14 @@
     return this.backend.state === 'draining' || this.condition.isLeaving;
   }
 
+  /**
+   * Whether it may be about to end and still complete its requests: some backends only remove their
+   * announcement before they leave.
+   */
+  get mayBeLeaving(): boolean {
+    return this.isDraining || (this.unlistedAtMs !== undefined && !this.isWithdrawn);
+  }
+
   /** Whether it is listed as accepting new requests. */
   get isReady(): boolean {
     return this.isCurrent && !this.isDraining;
