--- a/test/support/exit-harness.ts
+++ b/test/support/exit-harness.ts
@@ -32,8 +32,8 @@
   private readonly exits: BackendExits;
   private revision = 0;
 
-  constructor(route: Route) {
-    const gateway = new ExitGateway(route, (backendId) => this.exits.handleClosedPort(backendId));
+  constructor(...routes: Route[]) {
+    const gateway = new ExitGateway(routes, (backendId) => this.exits.handleClosedPort(backendId));
     const { clock, directory, dispatcher } = gateway;
     this.gateway = gateway;
     const log = {
@@ -72,8 +72,8 @@
   }
 
   /** Starts a request; returns the response to its caller. */
-  request(): RecordedReply {
-    return this.gateway.receive().reply;
+  request(path?: string): RecordedReply {
+    return this.gateway.receive(path).reply;
   }
 
   /** Connects the agent of a backend. */
@@ -93,10 +93,10 @@
   onUnannouncedProcess: (known: KnownBackend) => void = () => undefined;
 
   constructor(
-    route: Route,
+    routes: readonly Route[],
     private readonly onClosedPort: (backendId: string) => void,
   ) {
-    super([], route);
+    super([], ...routes);
   }
 
   override onEnded(backendId: string): void {
