Slot agent: judge a gateway's silence only after a poll that began after the check

What callers saw: an agent refused a gateway as silent although its keepalive had arrived; the slots that it held were taken from it and its connection was closed.

Cause: the check runs after a poll, but compared the time after that poll with the last message. A stall of the process between the poll and the check (another callback of the same phase, or a pause) made every keepalive look overdue that had arrived meanwhile unread. The check now takes the time, waits for another poll and judges as of the time taken: what had arrived by then has been read, and a stall before the second step adds nothing.

A connection that is closed with unread input is reset, so the test looks at its end, not only at the refusal. The check of the tests' agent has an interval of its own, so that the stall meets no other timer.

--- a/src/slot-agent/slot-agent-role.ts
+++ b/src/slot-agent/slot-agent-role.ts
@@ -453,14 +453,25 @@
     }
     this.isKeepaliveCheckScheduled = true;
     this.clock.setTimeout(() => {
-      this.isKeepaliveCheckScheduled = false;
-      for (const connection of this.allocator.findTimedOut(this.clock.now())) {
-        this.refuse(connection, 'silent');
-      }
-      this.scheduleKeepaliveCheck();
+      const checkedAtMs = this.clock.now();
+      this.clock.setTimeout(() => {
+        this.isKeepaliveCheckScheduled = false;
+        this.refuseSilent(checkedAtMs);
+        this.scheduleKeepaliveCheck();
+      }, 0);
     }, this.options.keepaliveCheckIntervalMs);
   }
 
+  /**
+   * Refuses the gateways whose keepalives were overdue at `checkedAtMs`. The event loop must have
+   * polled since: after a stall, keepalives that had arrived by then may be unread.
+   */
+  private refuseSilent(checkedAtMs: number): void {
+    for (const connection of this.allocator.findTimedOut(checkedAtMs)) {
+      this.refuse(connection, 'silent');
+    }
+  }
+
   private sendHeartbeats(): void {
     if (this.isStopped) {
       return;
--- a/test/slot-agent-role.test.ts
+++ b/test/slot-agent-role.test.ts
@@ -2,6 +2,7 @@
 import test from 'ava';
 import { request } from 'undici';
 import { SYSTEM_CLOCK } from '../src/clock.js';
+import type { Clock } from '../src/clock.js';
 import { MessageChannel } from '../src/protocol/message-channel.js';
 import { SeededRandom } from '../src/random.js';
 import { ZoneTopology } from '../src/routing/zone-topology.js';
@@ -12,9 +13,14 @@
 import { DecisionLog } from '../src/telemetry/decision-log.js';
 import type { StorePosition } from '../src/cluster/store-position.js';
 import { blockLoop } from './support/block-loop.js';
+import { turns } from './support/loop-turns.js';
 import { positionAt } from './support/store-positions.js';
 
 const HOST = '127.0.3.4';
+/** Differs from the delay of every other timer of the agent. */
+const KEEPALIVE_CHECK_MS = 47;
+/** Turns of the event loop in which a refusal would arrive. */
+const TURNS_TO_REFUSE = 200;
 /** Ports below the ephemeral range, on an address that only this file uses. */
 let lastPort = 29_000;
 
@@ -28,6 +34,7 @@
   bornAtMs: () => number | undefined = () => undefined,
   isUp: () => boolean = () => true,
   beforeProbeAnswer: () => Promise<void> = () => Promise.resolve(),
+  clock: Clock = SYSTEM_CLOCK,
 ): {
   port: number;
   metrics: SlotAgentMetrics;
@@ -52,12 +59,16 @@
         await beforeProbeAnswer();
         return result;
       },
-      clock: SYSTEM_CLOCK,
+      clock,
       random: new SeededRandom(1),
       log: new DecisionLog({ role: 'slot-agent', process: 'agent', zone: 'z' }, 0, SYSTEM_CLOCK),
       metrics,
     },
-    { ...DEFAULT_SLOT_AGENT_OPTIONS, fastProbeIntervalMs: 10 },
+    {
+      ...DEFAULT_SLOT_AGENT_OPTIONS,
+      fastProbeIntervalMs: 10,
+      keepaliveCheckIntervalMs: KEEPALIVE_CHECK_MS,
+    },
   );
   agent.start({ host: HOST, port, metricsPort });
   return { port, metrics, metricsPort, stop: () => agent.stop() };
@@ -82,6 +93,12 @@
     messages.forEach((message) => this.channel.send(message));
   }
 
+  /** Sends without waiting for the end of the event loop's turn. */
+  sendNow(message: GatewayToAgent): void {
+    this.channel.send(message);
+    this.channel.flush();
+  }
+
   sendHello(gateway: string): void {
     this.send({ kind: 'hello', gateway, held: 0, peersAddress: '', slots: 1 });
   }
@@ -150,6 +167,42 @@
   },
 );
 
+test.serial(
+  'an agent that stalled between a poll and a check does not refuse a gateway whose keepalive it has not read',
+  async (t) => {
+    // Delays of the timers whose next call a stall precedes; 0 if the check waits for a poll.
+    const stalledDelays = new Set<number>();
+    const stallingClock: Clock = {
+      ...SYSTEM_CLOCK,
+      setTimeout: (callback, delayMs) =>
+        SYSTEM_CLOCK.setTimeout(() => {
+          if (stalledDelays.delete(delayMs)) {
+            gateway.sendNow({ kind: 'alive' });
+            blockLoop(DEFAULT_GATEWAY_TIMEOUT_OPTIONS.silenceMs + 100);
+          }
+          callback();
+        }, delayMs),
+    };
+    const { port, stop } = startAgent(() => 1, undefined, undefined, undefined, stallingClock);
+    t.teardown(stop);
+    const gateway = new FakeGateway(port);
+    gateway.sendHello('gateway');
+    gateway.requestSlot();
+    await gateway.waitFor('granted');
+    let isClosed = false;
+    void gateway.closed.then(() => (isClosed = true));
+    const alive = setInterval(() => gateway.sendNow({ kind: 'alive' }), 50);
+    t.teardown(() => clearInterval(alive));
+    [KEEPALIVE_CHECK_MS, 0].forEach((delayMs) => stalledDelays.add(delayMs));
+    await turns(TURNS_TO_REFUSE);
+    t.false(stalledDelays.has(KEEPALIVE_CHECK_MS));
+    // A connection that is closed with unread input is reset, so that the refusal may be lost.
+    t.false(isClosed);
+    t.false(gateway.received.some(({ kind }) => kind === 'refused'));
+    gateway.close();
+  },
+);
+
 test('a slot whose request still runs at the engine is not granted again', async (t) => {
   let requestsAtEngine = 1;
   const { port, stop } = startAgent(() => requestsAtEngine);
