Bench of streams: rollouts of newer versions, beside a kill of all gateways

Slot agents stay (the new backend takes over the address) or move (each on a machine of its own, ended with its backend); ids are kept or new; callers may leave out Resumes; the route's timeout can be set. The report counts streams that were resumed while two backends of their version were ready, those of them that went on, and the share of new streams that began.

--- a/bench/soak/soak-fleet.ts
+++ b/bench/soak/soak-fleet.ts
@@ -76,6 +76,8 @@
   /** How it ended when this test had not ended it. */
   readonly ownEnds: string[] = [];
   readonly ends: ProcessEnd[] = [];
+  /** Time from its end until it starts again, in milliseconds. */
+  restartDelayMs = 150;
   private child: ChildProcess | undefined;
   private shouldRestart = true;
   private isEndExpected = false;
@@ -102,7 +104,7 @@
       }
       this.isEndExpected = false;
       if (this.shouldRestart && this.child === child) {
-        setTimeout(() => this.shouldRestart && this.start(), 150);
+        setTimeout(() => this.shouldRestart && this.start(), this.restartDelayMs);
       }
     });
   }
--- a/bench/soak/stream-backend.ts
+++ b/bench/soak/stream-backend.ts
@@ -17,6 +17,7 @@
     readonly id: string,
     readonly version: string,
     readonly bornAtMs: number,
+    readonly host: string,
   ) {
     this.server = createServer((request, response) => this.handleRequest(request, response));
     this.server.keepAliveTimeout = 10_000;
@@ -27,8 +28,13 @@
   }
 
   /** Starts to listen; resolves once the port is bound. */
-  async start(host: string, port: number): Promise<void> {
-    await new Promise<void>((resolve) => this.server.listen(port, host, resolve));
+  async start(port: number): Promise<void> {
+    await new Promise<void>((resolve) => this.server.listen(port, this.host, resolve));
+  }
+
+  /** Stops listening; streams under way go on. */
+  stopListening(): void {
+    this.server.close();
   }
 
   /** Stops listening and resets every connection. */
--- a/bench/soak/stream-caller.ts
+++ b/bench/soak/stream-caller.ts
@@ -7,6 +7,8 @@
 export interface StreamAttempt {
   readonly gateway: number;
   readonly isResumption: boolean;
+  readonly startedAtMs: number;
+  endedAtMs: number;
   /** HTTP status; 0 if the gateway sent no response. */
   status: number;
   /** Number of events received. */
@@ -38,6 +40,10 @@
   nextGateway(): { readonly index: number; readonly host: string; readonly port: number };
   /** Number of events after which the caller cuts its first connection; undefined for never. */
   readonly cutAfterEvents: number | undefined;
+  /** Whether it names the request that brought the first event when it resumes. */
+  readonly namesStream: boolean;
+  /** Maximum number of requests that are answered. Default 4. */
+  readonly maxAttempts?: number;
 }
 
 const DEADLINE_MS = 5_000;
@@ -64,12 +70,14 @@
 
   async run(): Promise<StreamResult> {
     const deadlineAtMs = performance.now() + DEADLINE_MS;
-    while (!this.isComplete && this.answeredAttempts < MAX_ATTEMPTS) {
+    const { maxAttempts = MAX_ATTEMPTS } = this.options;
+    while (!this.isComplete && this.answeredAttempts < maxAttempts) {
       const leftMs = deadlineAtMs - performance.now();
       if (leftMs <= 0) {
         break;
       }
       const retryAfterMs = await this.send(Math.floor(leftMs));
+      this.attempts.at(-1)!.endedAtMs = performance.now();
       await new Promise((resolve) => setTimeout(resolve, Math.min(retryAfterMs, leftMs / 3)));
     }
     const { attempts, versions, isMixedInResponse, hasGap, isComplete } = this;
@@ -89,15 +97,18 @@
     const attempt = {
       gateway: index,
       isResumption,
+      startedAtMs: performance.now(),
+      endedAtMs: Infinity,
       status: 0,
       events: 0,
       isRefused: false,
       isComplete: false,
     };
     this.attempts.push(attempt);
-    const resumption = isResumption
-      ? { 'Last-Event-Id': `${this.lastEventId}`, Resumes: this.firstRequestId! }
-      : {};
+    const resumption = {
+      ...(isResumption ? { 'Last-Event-Id': `${this.lastEventId}` } : {}),
+      ...(isResumption && this.options.namesStream ? { Resumes: this.firstRequestId! } : {}),
+    };
     return new Promise((resolve) => {
       const clientRequest = httpRequest(
         {
--- a/bench/soak/stream-run.ts
+++ b/bench/soak/stream-run.ts
@@ -11,7 +11,8 @@
 import type { SoakProcess } from './soak-fleet.js';
 import { StreamBackend } from './stream-backend.js';
 import { StreamCaller } from './stream-caller.js';
-import type { StreamResult } from './stream-caller.js';
+import type { StreamAttempt, StreamResult } from './stream-caller.js';
+import { ServingVersions, StreamRollout } from './stream-rollout.js';
 
 /** One kind of fault, applied throughout a run. */
 export type StreamFault =
@@ -24,6 +25,11 @@
   | 'restart'
   /** All backends of the older version drain and end soon after, streams under way. */
   | 'leave'
+  /**
+   * All backends are replaced by those of a newer version, twice; with `kill-all` the gateways are
+   * killed around the end of the last old one.
+   */
+  | 'replace'
   /** Callers cut a third of their connections. */
   | 'cut'
   /** Gateways are killed in turn. */
@@ -39,18 +45,34 @@
   /** The store does not respond for most of the run. */
   | 'outage';
 
+/** Slot agents of a run. */
+export type AgentMode =
+  | 'none'
+  /** They stay when the backend beside them is replaced. */
+  | 'stay'
+  /** Each starts and ends with the backend beside it, on a machine of its own. */
+  | 'move';
+
 /** Options of a run. */
 export interface StreamRunOptions {
   readonly faults: ReadonlySet<StreamFault>;
   readonly gateways: number;
-  /** Whether each backend is an engine with a slot agent. */
-  readonly hasAgents: boolean;
+  /** Slot agents beside the backends, which are engines then. */
+  readonly agents: AgentMode;
   /** Whether the backends are engines; with slot agents they always are. */
   readonly hasEngines: boolean;
   readonly seed: number;
   readonly lengthMs: number;
   /** First port; each host uses several. */
   readonly basePort: number;
+  /** Time from the end of the last replaced backend to the kill of all gateways, in milliseconds. */
+  readonly killLagMs: number;
+  /** Whether a backend that replaces another one has its id. */
+  readonly keepsIds: boolean;
+  /** Whether callers name the stream that they resume. */
+  readonly namesStreams: boolean;
+  /** Timeout of the route, in milliseconds. */
+  readonly routeTimeoutMs: number;
 }
 
 /** Results of a run. */
@@ -68,6 +90,14 @@
   readonly mixedInResponse: number;
   /** Callers with a missing or repeated event. */
   readonly gaps: number;
+  /**
+   * Streams that were resumed while two backends of their version or more served, and those of them
+   * that went on.
+   */
+  readonly servable: number;
+  readonly servableContinued: number;
+  /** Share of the streams requested within some seconds after a kill of all gateways that began. */
+  readonly begunAfterKill: number | undefined;
   readonly folder: string;
 }
 
@@ -90,6 +120,13 @@
 const MS_PER_S = 1_000;
 const CUT_SHARE = 1 / 3;
 const MAX_CUT_EVENTS = 10;
+const FIRST_ROLLOUT_MS = 500;
+const ROLLOUTS = 2;
+const MIN_DOWNTIME_MS = 100;
+const MAX_DOWNTIME_MS = 1_500;
+const AFTER_KILL_MS = 4_000;
+const MAX_ATTEMPTS_AFTER_KILL = 12;
+const MIN_SERVING = 2;
 
 /** Runs one scenario and returns its results. */
 export function runStreams(options: StreamRunOptions): Promise<StreamRunReport> {
@@ -103,10 +140,13 @@
   private readonly backends: StreamBackend[] = [];
   /** Indexes of backends that are down. */
   private readonly ended = new Set<number>();
-  private readonly agents: SoakProcess[] = [];
+  private readonly agents = new Map<string, SoakProcess>();
+  private readonly serving = new ServingVersions();
+  private readonly killedAtMs: number[] = [];
   private readonly results: Array<Promise<StreamResult>> = [];
   private readonly timers = new Set<NodeJS.Timeout>();
   private lives = 0;
+  private agentStarts = 0;
 
   constructor(private readonly options: StreamRunOptions) {
     this.random = new SeededRandom(options.seed);
@@ -122,10 +162,7 @@
     this.configure();
     for (let index = 0; index < VERSIONS.length * BACKENDS_PER_VERSION; index += 1) {
       await this.startBackend(index);
-      if (this.options.hasAgents) {
-        const settings = this.agentSettings(index);
-        this.agents.push(this.processes.startOtherProcess(`agent-${index}`, settings));
-      }
+      this.startAgent(this.backends[index]!.host);
     }
     for (let index = 0; index < this.options.gateways; index += 1) {
       this.processes.startGateway(store, {
@@ -158,10 +195,14 @@
       leave: () => this.runOnce(LEAVE_AFTER_MS, () => this.endOldVersion()),
       cut: () => undefined,
       kill: () => this.inTurn(KILL_INTERVAL_MS, (index) => gateways[index]!.signal('SIGKILL')),
-      'kill-all': () =>
-        this.runEvery(this.options.lengthMs / 3, () =>
-          gateways.forEach((gateway) => gateway.signal('SIGKILL')),
-        ),
+      'kill-all': () => {
+        if (!this.options.faults.has('replace')) {
+          this.runEvery(this.options.lengthMs / 3, () =>
+            gateways.forEach((gateway) => gateway.signal('SIGKILL')),
+          );
+        }
+      },
+      replace: () => this.scheduleRollouts(),
       stop: () => this.inTurn(KILL_INTERVAL_MS, (index) => gateways[index]!.signal('SIGTERM')),
       pause: () =>
         this.inTurn(KILL_INTERVAL_MS, (index) => {
@@ -207,8 +248,8 @@
     this.backends[index]!.crash();
     await delay(RESTART_DOWNTIME_MS);
     const nextVersion = VERSIONS.find((other) => other !== version)!;
-    const restarted = new StreamBackend(id, nextVersion, Date.now());
-    await restarted.start(backendHost(index), this.options.basePort + 6);
+    const restarted = new StreamBackend(id, nextVersion, Date.now(), backendHost(index));
+    await restarted.start(this.options.basePort + 6);
     this.backends[index] = restarted;
     this.ended.delete(index);
     this.announceOnceReachable(restarted);
@@ -240,18 +281,80 @@
 
   private async startBackend(index: number): Promise<void> {
     this.lives += 1;
-    const version = VERSIONS[Math.floor(index / BACKENDS_PER_VERSION)]!;
-    const backend = new StreamBackend(`w-${index}-${this.lives}`, version, Date.now());
-    await backend.start(backendHost(index), this.options.basePort + 6);
+    const isReplaced = this.options.faults.has('replace');
+    const version = VERSIONS[isReplaced ? 0 : Math.floor(index / BACKENDS_PER_VERSION)]!;
+    const host = backendHost(index);
+    const backend = new StreamBackend(`w-${index}-${this.lives}`, version, Date.now(), host);
+    await backend.start(this.options.basePort + 6);
     this.backends[index] = backend;
     this.announce(backend, 'ready');
   }
 
+  private startAgent(host: string): void {
+    if (this.options.agents === 'none') {
+      return;
+    }
+    const name = `agent-${host.split('.').at(-1)}-${this.agentStarts}`;
+    this.agentStarts += 1;
+    this.agents.set(host, this.processes.startOtherProcess(name, this.agentSettings(name, host)));
+  }
+
+  private scheduleRollouts(): void {
+    const rollout = new StreamRollout({
+      backends: this.backends,
+      keepsIds: this.options.keepsIds,
+      hostFor: (index, generation) => this.hostInGeneration(index, generation),
+      port: this.options.basePort + 6,
+      announce: (backend, state) => this.announce(backend, state),
+      onStarted: ({ host }) => {
+        if (this.options.agents === 'move') {
+          this.startAgent(host);
+        }
+      },
+      onEnded: (backend) => this.removeReplaced(backend),
+      schedule: (delayMs, action) => this.runOnce(delayMs, action),
+    });
+    for (let generation = 1; generation <= ROLLOUTS; generation += 1) {
+      const startMs = FIRST_ROLLOUT_MS + ((generation - 1) * this.options.lengthMs) / ROLLOUTS;
+      this.runOnce(startMs, () => rollout.start(generation));
+      if (this.options.faults.has('kill-all')) {
+        const killAtMs = startMs + rollout.durationMs + this.options.killLagMs;
+        this.runOnce(killAtMs, () => this.killAllGateways());
+      }
+    }
+  }
+
+  /** Agents that stay serve the backend that takes over the address of the former one. */
+  private hostInGeneration(index: number, generation: number): string {
+    const isInPlace = this.options.agents === 'stay';
+    const count = VERSIONS.length * BACKENDS_PER_VERSION;
+    return backendHost(index + (isInPlace ? 0 : (generation % 2) * count));
+  }
+
+  private removeReplaced(backend: StreamBackend): void {
+    if (!this.options.keepsIds) {
+      this.store.remove(`servers/${backend.id}`);
+    }
+    if (this.options.agents === 'move') {
+      this.agents.get(backend.host)?.stop();
+      this.agents.delete(backend.host);
+    }
+  }
+
+  private killAllGateways(): void {
+    this.killedAtMs.push(performance.now());
+    for (const gateway of this.processes.gateways) {
+      gateway.restartDelayMs = randomInteger(this.random, MIN_DOWNTIME_MS, MAX_DOWNTIME_MS);
+      gateway.signal('SIGKILL');
+    }
+  }
+
   private announce(backend: StreamBackend, state: string): void {
-    const index = this.backends.indexOf(backend);
-    const { id, version, bornAtMs } = backend;
+    const index = Number(backend.id.split('-')[1]);
+    const { id, version, bornAtMs, host } = backend;
+    this.serving.update(backend, state);
     this.store.announce(id, {
-      address: `${backendHost(index)}:${this.options.basePort + 6}`,
+      address: `${host}:${this.options.basePort + 6}`,
       service: 'writers',
       slots: SLOTS,
       zone: `z${index % 3}`,
@@ -271,7 +374,7 @@
           pathPrefix: '/stream/',
           kind: 'streaming',
           resumable: true,
-          timeoutMs: 5_000,
+          timeoutMs: this.options.routeTimeoutMs,
           targetLatencyMs: 500,
           gapAimMs: 250,
           maxAttempts: 2,
@@ -290,19 +393,20 @@
     });
   }
 
-  private agentSettings(index: number): string[] {
+  private agentSettings(name: string, host: string): string[] {
+    const index = this.backends.find((backend) => backend.host === host)!.id.split('-')[1];
     return [
       '[process]',
       'role = slot-agent',
-      `name = agent-${index}`,
-      `zone = z${index % 3}`,
-      `address = ${backendHost(index)}`,
+      `name = ${name}`,
+      `zone = z${Number(index) % 3}`,
+      `address = ${host}`,
       '[listen]',
       `slotAgentPort = ${this.options.basePort + 5}`,
       '[cluster]',
       `seeds = ${this.processes.seeds}`,
       '[engine]',
-      `address = ${backendHost(index)}:${this.options.basePort + 6}`,
+      `address = ${host}:${this.options.basePort + 6}`,
     ];
   }
 
@@ -323,6 +427,8 @@
         return { index: gateway, host, port: this.processes.callersPort() };
       },
       cutAfterEvents: isCut ? randomInteger(this.random, 1, MAX_CUT_EVENTS) : undefined,
+      namesStream: this.options.namesStreams,
+      ...(this.options.faults.has('replace') ? { maxAttempts: MAX_ATTEMPTS_AFTER_KILL } : {}),
     });
     this.results.push(caller.run());
   }
@@ -332,19 +438,47 @@
     const resumptions = attempts.filter(({ isResumption, status }) => isResumption && status > 0);
     const mixed = results.filter(({ versions }) => versions.size > 1);
     const begun = results.filter(({ versions }) => versions.size > 0).length;
+    const servable = results.filter((result) => this.isServable(result));
     return {
       streams: results.length,
       begun: begun / results.length,
       resumed: resumptions.length,
-      continued: resumptions.filter(({ events, isComplete }) => events > 0 || isComplete).length,
+      continued: resumptions.filter(isContinuation).length,
       refused: resumptions.filter(({ isRefused }) => isRefused).length,
       mixed: mixed.length,
       mixedInResponse: mixed.filter(({ isMixedInResponse }) => isMixedInResponse).length,
       gaps: results.filter(({ hasGap }) => hasGap).length,
+      servable: servable.length,
+      servableContinued: servable.filter(({ attempts: own }) => own.some(isContinuation)).length,
+      begunAfterKill: this.shareBegunAfterKill(results),
       folder: this.processes.folder,
     };
   }
 
+  private isServable({ attempts, versions }: StreamResult): boolean {
+    const [version] = versions;
+    const resumptions = attempts.filter(({ isResumption, status }) => isResumption && status > 0);
+    return (
+      resumptions.length > 0 &&
+      resumptions.every(
+        ({ startedAtMs, endedAtMs }) =>
+          this.serving.count(version!, startedAtMs) >= MIN_SERVING &&
+          this.serving.count(version!, endedAtMs) >= MIN_SERVING,
+      )
+    );
+  }
+
+  private shareBegunAfterKill(results: readonly StreamResult[]): number | undefined {
+    const requested = results.filter(({ attempts }) => {
+      const startedAtMs = attempts[0]?.startedAtMs ?? 0;
+      return this.killedAtMs.some(
+        (atMs) => startedAtMs >= atMs && startedAtMs <= atMs + AFTER_KILL_MS,
+      );
+    });
+    const begun = requested.filter(({ versions }) => versions.size > 0);
+    return requested.length === 0 ? undefined : begun.length / requested.length;
+  }
+
   private runEvery(periodMs: number, action: () => void): void {
     this.timers.add(setInterval(action, periodMs));
   }
@@ -359,6 +493,10 @@
   }
 }
 
+function isContinuation({ isResumption, status, events, isComplete }: StreamAttempt): boolean {
+  return isResumption && status > 0 && (events > 0 || isComplete);
+}
+
 function backendHost(index: number): string {
   return `127.0.8.${10 + index}`;
 }
--- a/bench/streams.ts
+++ b/bench/streams.ts
@@ -4,16 +4,27 @@
  */
 import { Command } from 'commander';
 import { runStreams } from './soak/stream-run.js';
-import type { StreamFault } from './soak/stream-run.js';
+import type { AgentMode, StreamFault } from './soak/stream-run.js';
 
 const ALL_ROWS =
   'none,stop,crash,restart,leave,cut,kill,kill-all,pause+cut,crash+kill+cut,crash+cut+outage,restart+cut+outage';
 
+function agentModeOf(value: string | boolean | undefined): AgentMode {
+  if (value === undefined) {
+    return 'none';
+  }
+  return value === 'move' ? 'move' : 'stay';
+}
+
 const program = new Command('streams')
   .description('checks streams at gateway processes on loopback, with backends of two versions')
   .option('--rows <list>', 'comma-separated rows, each of faults joined by +', ALL_ROWS)
   .option('--gateways <count>', 'gateways', '6')
-  .option('--agents', 'run a slot agent next to each backend')
+  .option('--agents [mode]', 'slot agents next to the backends: stay, or move with replaced ones')
+  .option('--lag <ms>', 'replace+kill-all: from the end of the last old backend to the kill', '500')
+  .option('--same-ids', 'backends keep the ids of those that they replace')
+  .option('--unnamed', 'callers do not name the stream that they resume')
+  .option('--route-timeout <ms>', 'timeout of the route', '5000')
   .option('--engines', 'backends are engines also without slot agents')
   .option('--runs <count>', 'runs of each row', '1')
   .option('--from <seed>', 'first seed', '1')
@@ -31,8 +42,12 @@
     const report = await runStreams({
       faults: new Set(faults),
       gateways: Number(options['gateways']),
-      hasAgents: options['agents'] === true,
-      hasEngines: options['agents'] === true || options['engines'] === true,
+      agents: agentModeOf(options['agents']),
+      hasEngines: options['agents'] !== undefined || options['engines'] === true,
+      killLagMs: Number(options['lag']),
+      keepsIds: options['sameIds'] === true,
+      namesStreams: options['unnamed'] !== true,
+      routeTimeoutMs: Number(options['routeTimeout']),
       seed: Number(options['from']) + run,
       lengthMs: Number(options['seconds']) * 1_000,
       basePort: Number(options['port']) + (run % 10) * 10,
