--- a/bench/soak/stream-rollout.ts
+++ b/bench/soak/stream-rollout.ts
@@ -8,6 +8,8 @@
   /** Whether a backend keeps the id of the one that it replaces. */
   readonly keepsIds: boolean;
   readonly port: number;
+  /** Time for which a replaced backend drains before it ends, in milliseconds. */
+  readonly drainMs: number;
   /** Host of a backend; the same one as before if it takes over the address. */
   hostFor(index: number, generation: number): string;
   announce(backend: StreamBackend, state: string): void;
@@ -19,9 +21,8 @@
 const BACKENDS = 8;
 /** Time between two replacements, in milliseconds. */
 const INTERVAL_MS = 60;
-/** Time from the start of a backend until the one that it replaces drains, and until that one ends. */
+/** Time from the start of a backend until the one that it replaces drains, in milliseconds. */
 const DRAIN_DELAY_MS = 100;
-const END_DELAY_MS = 1_500;
 
 /** Rollouts of newer versions over all backends. */
 export class StreamRollout {
@@ -29,7 +30,7 @@
 
   /** Time from the start of a rollout until the last replaced backend has ended, in milliseconds. */
   get durationMs(): number {
-    return (BACKENDS - 1) * INTERVAL_MS + DRAIN_DELAY_MS + END_DELAY_MS;
+    return (BACKENDS - 1) * INTERVAL_MS + DRAIN_DELAY_MS + this.ports.drainMs;
   }
 
   /** Starts a rollout of the version of a generation, from 1. */
@@ -57,7 +58,7 @@
         ports.announce(old, 'draining');
       }
     });
-    ports.schedule(DRAIN_DELAY_MS + END_DELAY_MS, () => {
+    ports.schedule(DRAIN_DELAY_MS + ports.drainMs, () => {
       old.crash();
       ports.onEnded(old);
     });
--- a/bench/soak/stream-run.ts
+++ b/bench/soak/stream-run.ts
@@ -67,6 +67,8 @@
   readonly basePort: number;
   /** Time from the end of the last replaced backend to the kill of all gateways, in milliseconds. */
   readonly killLagMs: number;
+  /** Time for which a replaced backend drains before it ends, in milliseconds. */
+  readonly replacedDrainMs: number;
   /** Whether a backend that replaces another one has its id. */
   readonly keepsIds: boolean;
   /** Whether callers name the stream that they resume. */
@@ -305,6 +307,7 @@
       keepsIds: this.options.keepsIds,
       hostFor: (index, generation) => this.hostInGeneration(index, generation),
       port: this.options.basePort + 6,
+      drainMs: this.options.replacedDrainMs,
       announce: (backend, state) => this.announce(backend, state),
       onStarted: ({ host }) => {
         if (this.options.agents === 'move') {
--- a/bench/streams.ts
+++ b/bench/streams.ts
@@ -22,6 +22,7 @@
   .option('--gateways <count>', 'gateways', '6')
   .option('--agents [mode]', 'slot agents next to the backends: stay, or move with replaced ones')
   .option('--lag <ms>', 'replace+kill-all: from the end of the last old backend to the kill', '500')
+  .option('--drain <ms>', 'time for which a replaced backend drains before it ends', '1500')
   .option('--same-ids', 'backends keep the ids of those that they replace')
   .option('--unnamed', 'callers do not name the stream that they resume')
   .option('--route-timeout <ms>', 'timeout of the route', '5000')
@@ -45,6 +46,7 @@
       agents: agentModeOf(options['agents']),
       hasEngines: options['agents'] !== undefined || options['engines'] === true,
       killLagMs: Number(options['lag']),
+      replacedDrainMs: Number(options['drain']),
       keepsIds: options['sameIds'] === true,
       namesStreams: options['unnamed'] !== true,
       routeTimeoutMs: Number(options['routeTimeout']),
