A named stream of unknown origin goes on only after one version for 300 s

Cause: where nobody holds the origin of a stream, it goes on if its service had one version for as long as the stream can exist, and that was taken to be twice the timeout of the route. A caller may state a longer deadline or none, and the timeout may have been shortened since; gateways that started anew then came to the newer version while callers of the older one still tried.

Mend: the age of a named stream is bounded by the longest time for which any origin is held, whatever route and caller state. A stream that its caller does not name keeps the former bound.

The tests that held the former bound for named streams ask for 300 s now, and the former bound is tested with a caller that names none.

--- a/src/gateway/gateway-streams.ts
+++ b/src/gateway/gateway-streams.ts
@@ -139,7 +139,7 @@
     const stream = {
       key: resumedRequestId === undefined ? undefined : request.streamKey,
       services: services.map(({ service }) => service),
-      maxAgeMs: maxStreamAgeMs(route),
+      maxAgeMs: maxStreamAgeMs(route, resumedRequestId !== undefined),
     };
     this.resumptions.resolve(stream, (resolution) => {
       const lookupMs = this.dependencies.clock.now() - startedAtMs;
--- a/src/streams/stream-origin-table.ts
+++ b/src/streams/stream-origin-table.ts
@@ -11,7 +11,7 @@
 /** Maximum number of origins held; the oldest is dropped for a new one beyond it. */
 const MAX_ORIGINS = 20_000;
 /** Upper bound of the time for which an origin is held, in milliseconds. */
-const MAX_RETENTION_MS = 300_000;
+export const MAX_RETENTION_MS = 300_000;
 
 /** Origins by stream key. */
 export class StreamOriginTable {
--- a/test/stream-resumption.test.ts
+++ b/test/stream-resumption.test.ts
@@ -131,32 +131,41 @@
   t.like(logged.at(-1), { outcome: 'unknown', resumes: 'first', answered: 0 });
 });
 
-test('a stream of unknown origin continues if its service had one version for long enough', async (t) => {
-  const world = new GatewayHarness(backendOf('a'));
-  const { streams } = streamsOf(world, []);
-  await observe(world, streams, 3_900);
-  const early: ResumptionDecision[] = [];
-  streams.resume(resumptionOf(world), (one) => early.push(one));
-  t.is(early[0]?.kind, 'refuse');
-  await observe(world, streams, 200);
-  const later: ResumptionDecision[] = [];
-  streams.resume(resumptionOf(world), (one) => later.push(one));
-  t.like(later[0], { kind: 'continue', request: { service: 's', resumedVersion: V1 } });
-});
+/** A caller that does not name the stream that it resumes. */
+const UNNAMED: Partial<AcceptedRequest> = { resumedRequestId: undefined, streamKey: undefined };
+
+for (const { name, changes, longestAgeMs } of [
+  { name: 'a stream that its caller does not name', changes: UNNAMED, longestAgeMs: 4_000 },
+  { name: 'a named stream of unknown origin', changes: {}, longestAgeMs: 300_000 },
+]) {
+  test(`${name} continues if its service had one version for as long as it can exist`, async (t) => {
+    const world = new GatewayHarness(backendOf('a'));
+    const { streams } = streamsOf(world, []);
+    await observe(world, streams, longestAgeMs - 100);
+    const early: ResumptionDecision[] = [];
+    streams.resume(resumptionOf(world, changes), (one) => early.push(one));
+    t.is(early[0]?.kind, 'refuse');
+    await observe(world, streams, 200);
+    const later: ResumptionDecision[] = [];
+    streams.resume(resumptionOf(world, changes), (one) => later.push(one));
+    t.like(later[0], { kind: 'continue', request: { service: 's', resumedVersion: V1 } });
+  });
+}
 
 test('a version that another gateway has seen lately keeps a stream of unknown origin from continuing', async (t) => {
   const world = new GatewayHarness(backendOf('a'));
   const { streams, sent } = streamsOf(world, [{ address: 'p1', zone: 'z1' }]);
-  await observe(world, streams, 6_000);
+  await observe(world, streams, 302_000);
   for (const [otherVersionAgeMs, kind] of [
     [1_000, 'refuse'],
-    [5_000, 'continue'],
+    [299_000, 'refuse'],
+    [301_000, 'continue'],
   ] as const) {
     const decisions: ResumptionDecision[] = [];
     sent.length = 0;
     streams.resume(resumptionOf(world), (one) => decisions.push(one));
     const query = sent.map(([, message]) => message).find((one) => one.kind === 'stream-ask')!;
-    const soleVersion = { version: V1, coveredMs: 9_000, otherVersionAgeMs };
+    const soleVersion = { version: V1, coveredMs: 302_000, otherVersionAgeMs };
     streams.receiveAnswer({ kind: 'stream-answer', id: query.id, soleVersion });
     await world.clock.runUntil(world.clock.now() + 400);
     t.is(decisions[0]?.kind, kind);
@@ -250,15 +259,15 @@
   // Longer than a stream can exist: the backend may still serve for a while.
   await observe(world, streams, 5_000);
   const early: ResumptionDecision[] = [];
-  streams.resume(resumptionOf(world), (one) => early.push(one));
+  streams.resume(resumptionOf(world, UNNAMED), (one) => early.push(one));
   t.is(early[0]?.kind, 'refuse');
   await observe(world, streams, 27_000);
   const soonAfterItsEnd: ResumptionDecision[] = [];
-  streams.resume(resumptionOf(world), (one) => soonAfterItsEnd.push(one));
+  streams.resume(resumptionOf(world, UNNAMED), (one) => soonAfterItsEnd.push(one));
   t.is(soonAfterItsEnd[0]?.kind, 'refuse');
   await observe(world, streams, 3_000);
   const later: ResumptionDecision[] = [];
-  streams.resume(resumptionOf(world), (one) => later.push(one));
+  streams.resume(resumptionOf(world, UNNAMED), (one) => later.push(one));
   t.is(later[0]?.kind, 'continue');
 });
 
--- a/test/support/stream-faults.ts
+++ b/test/support/stream-faults.ts
@@ -2,7 +2,7 @@
 import { randomInteger, SeededRandom } from '../../src/random.js';
 import type { RandomSource } from '../../src/random.js';
 import { EVENTS, StreamFleet } from './stream-fleet.js';
-import type { StreamFleetOptions } from './stream-fleet.js';
+import type { BackendLife, StreamFleetOptions } from './stream-fleet.js';
 import { SimulatedReply, ZONES } from './stream-gateway.js';
 import type { GatewayMachine } from './stream-gateway.js';
 
@@ -16,6 +16,10 @@
   readonly cutShare?: number;
   /** Bounds of the time between two faults, in milliseconds. */
   readonly faultGapMs?: readonly [number, number];
+  /** Deadline of each caller, in milliseconds. Default 4,000, the timeout of the route. */
+  readonly deadlineMs?: number;
+  /** Maximum number of requests of a caller. Default 6. */
+  readonly maxAttempts?: number;
 }
 
 /** Result of a run. */
@@ -24,6 +28,12 @@
   /** Requests that resume a stream and got a response, and those that continued it. */
   readonly resumed: number;
   readonly continued: number;
+  /**
+   * Streams that were resumed while two backends of their version or more were ready, and those of
+   * them that went on.
+   */
+  readonly servable: number;
+  readonly servableContinued: number;
   /** Callers that hold events of several versions. */
   readonly mixed: readonly string[];
   /** Callers with a missing or repeated event. */
@@ -40,6 +50,10 @@
 const PATIENCE_MS = 2_000;
 const MIN_FAULT_GAP_MS = 100;
 const MAX_FAULT_GAP_MS = 900;
+const REPLACE_INTERVAL_MS = 60;
+const REPLACE_DRAIN_MS = 100;
+const REPLACE_END_MS = 1_600;
+const MIN_SERVING = 2;
 
 type Fault = (fleet: StreamFleet, random: RandomSource) => string;
 
@@ -150,6 +164,22 @@
     });
     return `restart ${life.backend.id} unannounced with ${version}`;
   },
+  replaceAllAndKill(fleet, random) {
+    return replaceAndKill(fleet, random, 1);
+  },
+  replaceAtOnceAndKill(fleet, random) {
+    const version = `v${Math.round(fleet.clock.now())}`;
+    fleet.machines.forEach((machine) => machine.kill(randomInteger(random, 100, 1_500)));
+    for (const life of [...fleet.lives]) {
+      startReplacement(fleet, life, version);
+      fleet.crashBackend(life, 0);
+      fleet.removeAgent(life.host);
+    }
+    return `kill all gateways and replace all backends by ${version}`;
+  },
+  replaceHalfAndKill(fleet, random) {
+    return replaceAndKill(fleet, random, 0.5);
+  },
 } satisfies Readonly<Record<string, Fault>>;
 
 const ALL_FAULTS = { ...FAULTS, ...NAMED_FAULTS };
@@ -157,18 +187,60 @@
 /** Name of a fault. */
 export type StreamFaultName = keyof typeof ALL_FAULTS;
 
+/**
+ * Replaces backends in turn by ones of a newer version on other machines, the new one first; their
+ * agents end with them. Kills all gateways around the end of the last old one.
+ */
+function replaceAndKill(fleet: StreamFleet, random: RandomSource, share: number): string {
+  const old = fleet.lives.slice(0, Math.ceil(fleet.lives.length * share));
+  const version = `v${Math.round(fleet.clock.now())}`;
+  old.forEach((life, index) =>
+    fleet.clock.setTimeout(() => replaceBackend(fleet, life, version), index * REPLACE_INTERVAL_MS),
+  );
+  const lagMs = randomInteger(random, -1_000, 500);
+  const lastEndMs = (old.length - 1) * REPLACE_INTERVAL_MS + REPLACE_END_MS;
+  fleet.clock.setTimeout(
+    () => fleet.machines.forEach((machine) => machine.kill(randomInteger(random, 100, 1_500))),
+    lastEndMs + lagMs,
+  );
+  return `replace ${old.length} by ${version}, kill all gateways ${lagMs} ms after the last`;
+}
+
+function replaceBackend(fleet: StreamFleet, life: BackendLife, version: string): void {
+  const { host } = life;
+  startReplacement(fleet, life, version);
+  fleet.clock.setTimeout(() => fleet.drainBackend(life), REPLACE_DRAIN_MS);
+  fleet.clock.setTimeout(() => {
+    if (fleet.lives.includes(life)) {
+      fleet.crashBackend(life, 0);
+      fleet.removeAgent(host);
+    }
+  }, REPLACE_END_MS);
+}
+
+/** Starts a backend of another version on a machine that had none. */
+function startReplacement(fleet: StreamFleet, { backend }: BackendLife, version: string): void {
+  const machines = fleet.lives.map(({ host }) => Number(host.slice(1)));
+  fleet.startBackend(`b${Math.max(...machines) + 1}`, version, backend.service);
+}
+
 /** Runs a fleet with callers and faults. */
 export async function runStreamFaults(options: StreamRunOptions): Promise<StreamFaultRun> {
   const fleet = new StreamFleet(options);
   const random = new SeededRandom(options.seed + 1_000);
   const faultRandom = new SeededRandom(options.seed + 2_000);
+  const { deadlineMs = DEADLINE_MS } = options;
   const callers: SimulatedCaller[] = [];
   const story: string[] = [];
   await fleet.advance(SETTLE_MS);
   const stopAtMs = fleet.clock.now() + options.lengthMs;
   fleet.scheduleEvery(STREAM_INTERVAL_MS, () => {
     if (fleet.clock.now() < stopAtMs) {
-      const caller = new SimulatedCaller(fleet, random, callers.length, options.cutShare ?? 1 / 3);
+      const caller = new SimulatedCaller(fleet, random, callers.length, {
+        cutShare: options.cutShare ?? 1 / 3,
+        deadlineMs,
+        maxAttempts: options.maxAttempts ?? MAX_ATTEMPTS,
+      });
       callers.push(caller);
       caller.send();
     }
@@ -183,23 +255,35 @@
     const fault = ALL_FAULTS[pick(faultRandom, names)] as Fault;
     story.push(`${Math.round(fleet.clock.now())} ${fault(fleet, faultRandom)}`);
   }
-  await fleet.advance(DEADLINE_MS);
+  await fleet.advance(deadlineMs);
+  const servable = callers.filter(({ isServable }) => isServable);
   return {
     streams: callers.length,
     resumed: callers.reduce((sum, { resumed }) => sum + resumed, 0),
     continued: callers.reduce((sum, { continued }) => sum + continued, 0),
+    servable: servable.length,
+    servableContinued: servable.filter(({ continued }) => continued > 0).length,
     mixed: callers.filter(({ versions }) => versions.size > 1).map((caller) => caller.describe()),
     gaps: callers.filter(({ hasGap }) => hasGap).map((caller) => caller.describe()),
     story,
   };
 }
 
+interface CallerOptions {
+  /** Share of callers that cut their first connection. */
+  readonly cutShare: number;
+  readonly deadlineMs: number;
+  readonly maxAttempts: number;
+}
+
 /** A caller that resumes its stream at other gateways until its deadline. */
 class SimulatedCaller {
   readonly versions = new Set<string>();
   hasGap = false;
   resumed = 0;
   continued = 0;
+  /** Whether too few backends of its version were ready during a request that resumes it. */
+  private wasUnservable = false;
   private readonly deadlineAtMs: number;
   private readonly cutAfter: number;
   private readonly history: string[] = [];
@@ -212,11 +296,17 @@
     private readonly fleet: StreamFleet,
     private readonly random: RandomSource,
     private readonly index: number,
-    cutShare: number,
+    private readonly options: CallerOptions,
   ) {
-    this.deadlineAtMs = fleet.clock.now() + DEADLINE_MS;
+    this.deadlineAtMs = fleet.clock.now() + options.deadlineMs;
     this.machine = pick(random, fleet.machines);
-    this.cutAfter = random.next() < cutShare ? randomInteger(random, 1, EVENTS - 1) : Infinity;
+    this.cutAfter =
+      random.next() < options.cutShare ? randomInteger(random, 1, EVENTS - 1) : Infinity;
+  }
+
+  /** Whether it resumed its stream, while two backends of its version or more were ready. */
+  get isServable(): boolean {
+    return this.resumed > 0 && !this.wasUnservable;
   }
 
   describe(): string {
@@ -226,11 +316,12 @@
   send(): void {
     const { fleet } = this;
     const leftMs = this.deadlineAtMs - fleet.clock.now();
-    if (leftMs <= 0 || this.attempts >= MAX_ATTEMPTS) {
+    if (leftMs <= 0 || this.attempts >= this.options.maxAttempts) {
       return;
     }
     const id = `c${this.index}-${this.attempts}`;
     const isResumption = this.lastEvent > 0;
+    const { couldServe } = this;
     let events = 0;
     const reply: SimulatedReply = new SimulatedReply(
       fleet.clock,
@@ -247,6 +338,7 @@
       (isComplete, retryAfterMs) => {
         this.note(id, reply.status, events);
         const hasAnswer = isResumption && reply.status > 0;
+        this.wasUnservable ||= hasAnswer && !(couldServe && this.couldServe);
         this.resumed += hasAnswer ? 1 : 0;
         // Nothing is left to send to a caller that missed only the end.
         this.continued += hasAnswer && (events > 0 || isComplete) ? 1 : 0;
@@ -270,6 +362,10 @@
     this.leaveIfSilent(reply, () => events);
   }
 
+  private get couldServe(): boolean {
+    return [...this.versions].some((version) => this.fleet.countReady(version) >= MIN_SERVING);
+  }
+
   private resend(delayMs: number): void {
     this.machine = pick(this.random, this.fleet.machines);
     this.fleet.clock.setTimeout(() => this.send(), delayMs);
--- a/test/support/stream-fleet.ts
+++ b/test/support/stream-fleet.ts
@@ -66,7 +66,7 @@
 };
 
 /** One life of a backend. */
-interface BackendLife {
+export interface BackendLife {
   readonly backend: Backend;
   readonly host: string;
   /** Version that the process runs; it is not announced after an unannounced restart. */
@@ -101,6 +101,7 @@
   isStoreDown = false;
   private readonly agents = new Map<string, SimulatedAgent>();
   private agentGeneration = 0;
+  private readonly drainingIds = new Set<string>();
   private configuration: RoutingConfiguration;
   private revision = 0;
 
@@ -196,10 +197,21 @@
   /** Marks a backend as draining; it serves on. */
   drainBackend({ backend }: BackendLife): void {
     this.revision += 1;
+    this.drainingIds.add(backend.id);
     const draining: Backend = { ...backend, state: 'draining', ...positionAt(this.revision) };
     this.tellGateways((process) => process.applyBackend(backend.id, draining));
   }
 
+  /** Number of running backends of a version, as `service/version`, that are not draining. */
+  countReady(version: string): number {
+    return this.lives.filter(
+      ({ backend, runningVersion, isRunning }) =>
+        isRunning &&
+        !this.drainingIds.has(backend.id) &&
+        `${backend.service}/${runningVersion}` === version,
+    ).length;
+  }
+
   /** Ends a backend; its record lapses later. */
   crashBackend(life: BackendLife, lapseMs: number): void {
     life.isRunning = false;
@@ -254,6 +266,12 @@
     this.agents.set(host, { ...agent, table: new StreamOriginTable() });
   }
 
+  /** Ends the slot agent of a machine for good. */
+  removeAgent(host: string): void {
+    this.agents.delete(host);
+    this.agentGeneration += 1;
+  }
+
   changeRoute(services: RoutingConfiguration['routes'][number]['services']): void {
     this.configuration = this.configurationOf(this.configuration.version + 1, services);
     this.tellGateways((process) => process.applyConfiguration(this.configuration));
