Origins of streams are held by agents beside backends of their version

What callers saw: streams taken up after a rollout and a kill of all gateways were refused with stream-unknown until the callers gave up, although backends of their version served (LOST).

Cause: once all gateways are gone, one slot agent holds an origin, and it was chosen by hash among all. Where agents go with the backends beside them, it was as likely as any to be one of those that leave.

Mend: a stream goes on only while its version serves, so its origin is held beside a backend of its version that is not draining. When agents come, begin to leave or are lost, the gateway that began or continues a stream sends its origin to the agent that is first now (stream-origins-moved). A look-up asks the first four agents of all and of each version of the service, sixteen at most.

Which agents are connected is told by the backends on their machines, so that an agent whose backend is replaced at its address counts for both.

The check of origins that are held in one zone only removes agents by the new names of the same two questions.

--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -390,7 +390,7 @@
 
   private observeVersions(): void {
     if (this.configuration.table !== undefined) {
-      this.streams.observeVersions();
+      this.streams.observeBackends();
     }
   }
 
--- a/src/gateway/gateway-streams.ts
+++ b/src/gateway/gateway-streams.ts
@@ -78,7 +78,7 @@
         table: this.table,
         history: this.history,
         queries: this.queries,
-        holdersOf: (key) => this.replication.sendersToHolders(key),
+        holdersOf: ({ key, services }) => this.replication.sendersToHolders(services, key),
         otherGateways: (key) => this.replication.sendersToOtherGateways(key),
         countGateways: () => peers().size,
         isKnowledgeOld: () => peers().isKnowledgeOld,
@@ -92,7 +92,23 @@
     return this.table.size;
   }
 
-  /** Observes which versions exist; to be called periodically once the records are known. */
+  /**
+   * Observes which versions exist and which slot agents can hold origins; to be called periodically
+   * once the records are known.
+   */
+  observeBackends(): void {
+    this.observeVersions();
+    const nowMs = this.dependencies.clock.now();
+    const moved = this.replication.replaceAgents((key) => this.table.report(key, nowMs));
+    if (moved > 0) {
+      this.dependencies.log.write('stream-origins-moved', 'state', {
+        moved,
+        held: this.table.size,
+      });
+    }
+  }
+
+  /** Observes which versions exist. */
   observeVersions(): void {
     const nowMs = this.dependencies.clock.now();
     const existing = this.dependencies.directory
@@ -104,7 +120,9 @@
 
   /** Drops expired origins; to be called periodically. */
   removeExpired(): void {
-    this.table.evictExpired(this.dependencies.clock.now());
+    const nowMs = this.dependencies.clock.now();
+    this.table.evictExpired(nowMs);
+    this.replication.removeExpired((key) => this.table.find(key, nowMs) !== undefined);
   }
 
   /** Records that a stream begins at a backend; called before its first event is sent. */
--- a/src/gateway/links/slot-agent-links.ts
+++ b/src/gateway/links/slot-agent-links.ts
@@ -18,6 +18,8 @@
   StreamOriginAnswer,
   StreamOriginQuery,
 } from '../../streams/stream-origin.js';
+import { softwareVersionOf } from '../../streams/software-version.js';
+import type { SoftwareVersion } from '../../streams/software-version.js';
 import { splitAddress } from '../../address.js';
 import type { ProcessAnswer } from '../../processes/process-query.js';
 import type { KnownBackend } from '../dispatch/known-backend.js';
@@ -114,8 +116,12 @@
 /** An agent that is connected. */
 export interface ConnectedAgent {
   readonly host: string;
-  /** Zone of its engine; undefined if the engine is no longer known. */
-  readonly zone: string | undefined;
+  /** Zone, service and version of a backend on its machine. */
+  readonly zone: string;
+  readonly service: string;
+  readonly version: SoftwareVersion;
+  /** Whether the backend accepts no new requests, so that the agent may soon end. */
+  readonly isLeaving: boolean;
 }
 
 /** Maintains a gateway's connections to slot agents. */
@@ -153,15 +159,21 @@
     return this.connectedGeneration;
   }
 
-  /** The agents that are connected, by host; a machine whose engine restarted appears once. */
+  /** The connected agents, once for each backend on their machines that is listed. */
   get connectedAgents(): ConnectedAgent[] {
-    const agents = new Map<string, ConnectedAgent>();
-    for (const { backendId, host, isEstablished } of this.links.values()) {
-      if (isEstablished) {
-        agents.set(host, { host, zone: this.directory.find(backendId)?.backend.zone });
-      }
-    }
-    return [...agents.values()];
+    const established = [...this.links.values()].filter(({ isEstablished }) => isEstablished);
+    const hosts = new Set(established.map(({ host }) => host));
+    return this.directory
+      .list()
+      .filter(({ isCurrent }) => isCurrent)
+      .map(({ backend, isReady }) => ({
+        host: splitAddress(backend.address).host,
+        zone: backend.zone,
+        service: backend.service,
+        version: softwareVersionOf(backend),
+        isLeaving: !isReady,
+      }))
+      .filter(({ host }) => hosts.has(host));
   }
 
   /**
--- a/src/gateway/streams/origin-replication.ts
+++ b/src/gateway/streams/origin-replication.ts
@@ -3,7 +3,9 @@
 import type { PeerMessage } from '../../cluster/peer-messages.js';
 import type { HoldStreamOrigin, StreamOriginReport } from '../../streams/stream-origin.js';
 import type { StreamKey } from '../../streams/stream-key.js';
-import type { SlotAgentLinks } from '../links/slot-agent-links.js';
+import type { SoftwareVersion } from '../../streams/software-version.js';
+import { AgentHolders } from './agent-holders.js';
+import type { StreamAgents } from './agent-holders.js';
 import { OriginHolderRanking } from './origin-holders.js';
 import type { OriginHolder } from './origin-holders.js';
 import type { SendQuery } from './origin-queries.js';
@@ -21,9 +23,6 @@
   sendTo(address: string, message: PeerMessage): boolean;
 }
 
-/** The slot agents, as far as origins need them. */
-export type StreamAgents = Pick<SlotAgentLinks, 'generation' | 'connectedAgents' | 'sendToHost'>;
-
 /** Dependencies of `OriginReplication`. */
 export interface OriginReplicationPorts {
   /** Zone of this gateway. */
@@ -37,15 +36,26 @@
 /** Slot agents that hold an origin, and those that do where too few gateways are connected. */
 const AGENT_COPIES = 1;
 const AGENT_COPIES_WITHOUT_GATEWAYS = 2;
-/** Processes of each kind that are asked for an origin, from the first of their ranking. */
-const HOLDERS_ASKED = 4;
+/** Gateways that are asked for an origin, from the first of their ranking. */
+const GATEWAYS_ASKED = 4;
 /** Selects the processes that are asked if the caller named no stream. */
 const ANY_HOLDERS = '' as StreamKey;
 
+/** Slot agents that an origin of this gateway was sent to. */
+interface AgentPlacement {
+  readonly service: string;
+  readonly version: SoftwareVersion;
+  readonly servingHost: string | undefined;
+  hosts: readonly string[];
+}
+
 /** Replicates origins to gateways and slot agents. */
 export class OriginReplication {
   private readonly gatewayRanking: OriginHolderRanking;
-  private readonly agentRanking: OriginHolderRanking;
+  private readonly agentHolders: AgentHolders;
+  /** Changes of the agents that `replaceAgents` has handled. */
+  private handledChanges = 0;
+  private readonly placements = new Map<StreamKey, AgentPlacement>();
 
   constructor(private readonly ports: OriginReplicationPorts) {
     const { peers, agents } = ports;
@@ -55,12 +65,7 @@
       },
       list: () => peers().openPeers,
     });
-    this.agentRanking = new OriginHolderRanking({
-      get generation() {
-        return agents().generation;
-      },
-      list: () => agents().connectedAgents.map(({ host, zone }) => ({ address: host, zone })),
-    });
+    this.agentHolders = new AgentHolders(agents);
   }
 
   /**
@@ -74,27 +79,71 @@
     const gatewayCopies = sendCopies(this.gatewaysFor(origin.key), GATEWAY_COPIES, (address) =>
       this.ports.peers().sendTo(address, message),
     );
-    const agents = this.agentRanking
-      .rank(origin.key)
-      .filter(({ address }) => address !== servingHost);
     const agentCopies =
       gatewayCopies < GATEWAY_COPIES ? AGENT_COPIES_WITHOUT_GATEWAYS : AGENT_COPIES;
-    sendCopies(agents, agentCopies, (address) => this.ports.agents().sendToHost(address, message));
+    const { service, version } = origin;
+    const hosts = this.agentHolders.holdersOf(origin, servingHost).slice(0, agentCopies);
+    const sent = hosts.filter((host) => this.ports.agents().sendToHost(host, message));
+    this.placements.set(origin.key, { service, version, servingHost, hosts: sent });
+  }
+
+  /**
+   * Sends origins to other agents where those that held them left or begin to leave, or where other
+   * agents are first in the ranking now; to be called periodically.
+   *
+   * @param reportOf - returns an origin that this gateway holds; undefined once it has expired
+   * @returns number of origins sent
+   */
+  replaceAgents(reportOf: (key: StreamKey) => StreamOriginReport | undefined): number {
+    this.agentHolders.refresh();
+    if (this.agentHolders.changes === this.handledChanges) {
+      return 0;
+    }
+    this.handledChanges = this.agentHolders.changes;
+    let moved = 0;
+    for (const [key, placement] of this.placements) {
+      const { service, version, servingHost } = placement;
+      const copies = Math.max(placement.hosts.length, AGENT_COPIES);
+      const hosts = this.agentHolders
+        .holdersOf({ key, service, version }, servingHost)
+        .slice(0, copies);
+      const added = hosts.filter((host) => !placement.hosts.includes(host));
+      const origin = added.length === 0 ? undefined : reportOf(key);
+      if (origin !== undefined) {
+        const message: HoldStreamOrigin = { kind: 'stream-began', origin };
+        added.forEach((host) => this.ports.agents().sendToHost(host, message));
+        placement.hosts = hosts;
+        moved += 1;
+      }
+    }
+    return moved;
   }
 
-  /** Returns senders to the processes that should hold an origin; without a key, to any. */
-  sendersToHolders(key: StreamKey = ANY_HOLDERS): SendQuery[] {
-    const gateways = this.gatewayRanking.rank(key).slice(0, HOLDERS_ASKED);
-    const agents = this.agentRanking.rank(key).slice(0, HOLDERS_ASKED);
+  /** Forgets where origins were sent that `isHeld` no longer holds. */
+  removeExpired(isHeld: (key: StreamKey) => boolean): void {
+    for (const key of this.placements.keys()) {
+      if (!isHeld(key)) {
+        this.placements.delete(key);
+      }
+    }
+  }
+
+  /**
+   * Returns senders to the processes that should hold an origin of one of these services; without a
+   * key, to any.
+   */
+  sendersToHolders(services: readonly string[], key: StreamKey = ANY_HOLDERS): SendQuery[] {
+    const gateways = this.gatewayRanking.rank(key).slice(0, GATEWAYS_ASKED);
+    const agents = this.agentHolders.askedFor(key, services);
     return [
       ...gateways.map((holder) => this.gatewaySender(holder)),
-      ...agents.map((holder) => this.agentSender(holder)),
+      ...agents.map((host) => this.agentSender(host)),
     ];
   }
 
   /** Returns senders to the gateways that `sendersToHolders` leaves out. */
   sendersToOtherGateways(key: StreamKey): SendQuery[] {
-    const asked = this.gatewayRanking.rank(key).slice(0, HOLDERS_ASKED);
+    const asked = this.gatewayRanking.rank(key).slice(0, GATEWAYS_ASKED);
     const askedAddresses = new Set(asked.map(({ address }) => address));
     return this.ports
       .peers()
@@ -118,8 +167,8 @@
     return (query) => this.ports.peers().sendTo(address, query);
   }
 
-  private agentSender({ address }: OriginHolder): SendQuery {
-    return (query) => this.ports.agents().sendToHost(address, query);
+  private agentSender(host: string): SendQuery {
+    return (query) => this.ports.agents().sendToHost(host, query);
   }
 }
 
--- a/src/gateway/streams/stream-resumption.ts
+++ b/src/gateway/streams/stream-resumption.ts
@@ -43,7 +43,7 @@
   readonly history: VersionHistory;
   readonly queries: OriginQueries;
   /** Senders to the processes that should hold the origin; without a key, to any processes. */
-  holdersOf(key: StreamKey | undefined): readonly SendQuery[];
+  holdersOf(stream: Pick<ResumedStream, 'key' | 'services'>): readonly SendQuery[];
   /** Senders to all other gateways. */
   otherGateways(key: StreamKey): readonly SendQuery[];
   /** Number of known gateways, including this one. */
@@ -82,7 +82,7 @@
       return;
     }
     const question = { key: stream.key, service: onlyServiceOf(stream) };
-    this.ports.queries.ask(question, this.ports.holdersOf(stream.key), (result) => {
+    this.ports.queries.ask(question, this.ports.holdersOf(stream), (result) => {
       this.evaluateHolders(stream, result, onResult);
     });
   }
--- a/src/telemetry/decision-log.ts
+++ b/src/telemetry/decision-log.ts
@@ -68,6 +68,7 @@
   'backend-crashed',
   'crashing-request',
   'stream-resumed',
+  'stream-origins-moved',
   'crash-record',
   'crash-record-written',
   'crash-record-not-written',
--- a/test/stream-faults.test.ts
+++ b/test/stream-faults.test.ts
@@ -5,6 +5,7 @@
 import test from 'ava';
 import type { BackendSender } from '../src/gateway/attempt/attempt.js';
 import type { GatewayStreams } from '../src/gateway/gateway-streams.js';
+import type { AgentHolders } from '../src/gateway/streams/agent-holders.js';
 import type { OriginHolderRanking } from '../src/gateway/streams/origin-holders.js';
 import type { VersionHistory } from '../src/gateway/streams/version-history.js';
 import { softwareVersionOf } from '../src/streams/software-version.js';
@@ -182,7 +183,7 @@
   readonly streams: {
     readonly replication: {
       readonly gatewayRanking: Pick<OriginHolderRanking, 'rank'>;
-      readonly agentRanking: Pick<OriginHolderRanking, 'rank'>;
+      readonly agentHolders: Pick<AgentHolders, 'holdersOf' | 'askedFor'>;
     };
   };
 }
@@ -288,12 +289,13 @@
 
 test('the check detects the fault: origins are held only in the zone of their gateway', async (t) => {
   const { resumed, continued } = await runShareCase(ZONE_KILLS, (process) => {
-    const { gatewayRanking, agentRanking } = (process as unknown as HolderInternals).streams
+    const { gatewayRanking, agentHolders } = (process as unknown as HolderInternals).streams
       .replication;
     const rank = gatewayRanking.rank.bind(gatewayRanking);
     const { zone } = process.machine;
     gatewayRanking.rank = (key) => rank(key).filter((holder) => holder.zone === zone);
-    agentRanking.rank = () => [];
+    agentHolders.holdersOf = () => [];
+    agentHolders.askedFor = () => [];
   });
   t.true(continued < resumed * 0.9, `${continued} of ${resumed}`);
 });
--- a/test/stream-resumption.test.ts
+++ b/test/stream-resumption.test.ts
@@ -9,7 +9,10 @@
 import type { DecisionLog } from '../src/telemetry/decision-log.js';
 import type { GatewayMetrics } from '../src/gateway/metrics/gateway-metrics.js';
 import type { AcceptedRequest } from '../src/gateway/attempt/accepted-request.js';
+import type { ConnectedAgent } from '../src/gateway/links/slot-agent-links.js';
 import { softwareVersionOf } from '../src/streams/software-version.js';
+import type { SoftwareVersion } from '../src/streams/software-version.js';
+import type { HoldStreamOrigin, StreamOriginQuery } from '../src/streams/stream-origin.js';
 import { StreamOriginTable } from '../src/streams/stream-origin-table.js';
 import { streamKeyOf } from '../src/streams/stream-key.js';
 import type { StreamKey } from '../src/streams/stream-key.js';
@@ -17,6 +20,7 @@
 
 const RESUMABLE = routeOf({ kind: 'stream', isResumable: true, timeoutMs: 2_000, maxPauseMs: 300 });
 const V1 = softwareVersionOf({ id: 'a', version: 'v1' });
+const V2 = softwareVersionOf({ id: 'a', version: 'v2' });
 const HEAD = { status: 200, rawHeaders: [], headers: {} };
 const EVENT_1 = 'id: 1\ndata: a\n\n';
 
@@ -25,7 +29,12 @@
 }
 
 /** A gateway's streams with peers that record what they are sent. */
-function streamsOf(world: GatewayHarness, peers: ReadonlyArray<{ address: string; zone: string }>) {
+function streamsOf(
+  world: GatewayHarness,
+  peers: ReadonlyArray<{ address: string; zone: string }>,
+  agents: () => readonly ConnectedAgent[] = () => [],
+) {
+  const sentToAgents: Array<[string, HoldStreamOrigin | StreamOriginQuery]> = [];
   const sent: Array<[string, PeerMessage]> = [];
   const logged: object[] = [];
   const streams = new GatewayStreams({
@@ -47,9 +56,16 @@
         return true;
       },
     }),
-    agents: () => ({ generation: 1, connectedAgents: [], sendToHost: () => false }),
+    agents: () => ({
+      generation: agents().length,
+      connectedAgents: [...agents()],
+      sendToHost: (host, message) => {
+        sentToAgents.push([host, message]);
+        return true;
+      },
+    }),
   });
-  return { streams, sent, logged };
+  return { streams, sent, sentToAgents, logged };
 }
 
 function resumptionOf(world: GatewayHarness, changes: Partial<AcceptedRequest> = {}) {
@@ -96,6 +112,66 @@
   t.false(sent.some(([address]) => address === 'p0'));
 });
 
+/** An agent beside a backend of service `s`. */
+function agentOf(host: string, version: SoftwareVersion, isLeaving = false): ConnectedAgent {
+  return { host, zone: 'z1', service: 's', version, isLeaving };
+}
+
+test('an agent beside another backend of its version that stays holds the origin of a stream', (t) => {
+  const world = new GatewayHarness(backendOf('a', { address: '10.0.0.1:9' }));
+  const agents = [
+    agentOf('10.0.0.1', V1),
+    agentOf('leaving', V1, true),
+    agentOf('staying', V1),
+    ...Array.from({ length: 20 }, (_none, index) => agentOf(`other-${index}`, V2)),
+  ];
+  const { streams, sentToAgents } = streamsOf(
+    world,
+    [
+      { address: 'p1', zone: 'z1' },
+      { address: 'p2', zone: 'z2' },
+    ],
+    () => agents,
+  );
+  const [backend] = world.directory.list();
+  streams.recordBegin(resumptionOf(world), backend!.backend, V1);
+  t.deepEqual(
+    sentToAgents.map(([host]) => host),
+    ['staying'],
+  );
+  sentToAgents.length = 0;
+  const unknown = { resumedRequestId: 'unknown', streamKey: keyOf('unknown') };
+  streams.resume(resumptionOf(world, unknown), () => undefined);
+  const asked = sentToAgents.map(([host]) => host);
+  t.true(['10.0.0.1', 'leaving', 'staying'].every((host) => asked.includes(host)));
+  t.true(asked.length <= 16);
+});
+
+test('the origin of a stream goes to another agent once the one that holds it leaves', (t) => {
+  const world = new GatewayHarness(backendOf('a', { address: '10.0.0.1:9' }));
+  let agents = [agentOf('10.0.0.1', V1), agentOf('x', V1), agentOf('y', V1), agentOf('z', V2)];
+  const peers = ['z1', 'z2'].map((zone) => ({ address: `p-${zone}`, zone }));
+  const { streams, sentToAgents } = streamsOf(world, peers, () => agents);
+  streams.observeBackends();
+  const [backend] = world.directory.list();
+  streams.recordBegin(resumptionOf(world, { resumableForMs: 5_000 }), backend!.backend, V1);
+  const [first] = sentToAgents[0]!;
+  const other = first === 'x' ? 'y' : 'x';
+  sentToAgents.length = 0;
+  streams.observeBackends();
+  t.deepEqual(sentToAgents, []);
+  agents = agents.map((agent) => ({ ...agent, isLeaving: agent.host === first }));
+  agents.push(agentOf('w', V2));
+  // A look-up reads the agents too.
+  streams.resume(resumptionOf(world, { streamKey: keyOf('unknown') }), () => undefined);
+  sentToAgents.length = 0;
+  streams.observeBackends();
+  t.deepEqual(
+    sentToAgents.map(([host, message]) => [host, message.kind]),
+    [[other, 'stream-began']],
+  );
+});
+
 test('a request that names a stream of another tenant or path finds none', (t) => {
   t.not(keyOf('first', 'other'), keyOf('first'));
   t.not(keyOf('first', 'shop', '/a/y'), keyOf('first'));
--- a/test/support/stream-fleet.ts
+++ b/test/support/stream-fleet.ts
@@ -3,6 +3,7 @@
  * clock. It runs the real request handling, stream origins and peer mesh over a virtual network;
  * callers resume streams that break off at other gateways.
  */
+import { splitAddress } from '../../src/address.js';
 import { headerValue } from '../../src/http/header-value.js';
 import type { Clock } from '../../src/clock.js';
 import type {
@@ -11,11 +12,13 @@
   OutgoingAttempt,
 } from '../../src/gateway/attempt/attempt.js';
 import type { IdentifiedProcess } from '../../src/gateway/processes/process-identifier.js';
+import { hashText } from '../../src/membership/rendezvous.js';
 import { randomInteger, SeededRandom } from '../../src/random.js';
 import type { RandomSource } from '../../src/random.js';
 import type { Backend } from '../../src/routing/backend.js';
 import { DEFAULT_CALLER_LIMITS } from '../../src/routing/configuration.js';
 import type { RoutingConfiguration } from '../../src/routing/configuration.js';
+import { softwareVersionOf } from '../../src/streams/software-version.js';
 import { StreamOriginTable } from '../../src/streams/stream-origin-table.js';
 import type { StreamOriginQuery, HoldStreamOrigin } from '../../src/streams/stream-origin.js';
 import { routeOf } from './gateway-harness.js';
@@ -306,15 +309,33 @@
   }
 
   agentsSeenBy(process: GatewayProcess, host: NetworkHost) {
-    const { agents, clock } = this;
+    const { agents, agentGeneration: generation, clock } = this;
     const passes = (from: string, to: string) => !this.cuts.has(`${from}>${to}`);
     return {
-      generation: this.agentGeneration,
-      connectedAgents: [...agents.values()].map(({ host: name, zone }) => ({ host: name, zone })),
+      get generation() {
+        const ids = process.directory.list().map(({ backend }) => backend.id);
+        return hashText([generation, ...ids].join());
+      },
+      get connectedAgents() {
+        return process.directory
+          .list()
+          .map((known) => ({ known, agent: agents.get(splitAddress(known.backend.address).host) }))
+          .filter(({ known, agent }) => known.isCurrent && agent !== undefined)
+          .map(({ known, agent }) => ({
+            host: agent!.host,
+            zone: agent!.zone,
+            service: known.backend.service,
+            version: softwareVersionOf(known.backend),
+            isLeaving: !known.isReady,
+          }));
+      },
       sendToHost: (name: string, message: HoldStreamOrigin | StreamOriginQuery) => {
         const agent = agents.get(name);
+        if (agent === undefined) {
+          return false;
+        }
         clock.setTimeout(() => {
-          if (agent === undefined || agents.get(name) !== agent || !passes(host.address, name)) {
+          if (agents.get(name) !== agent || !passes(host.address, name)) {
             return;
           }
           if (message.kind === 'stream-began') {
--- a/test/support/stream-gateway.ts
+++ b/test/support/stream-gateway.ts
@@ -228,7 +228,7 @@
   private tick(): void {
     this.dispatcher.tick(this.fleet.clock.now());
     if (this.configuration.table !== undefined) {
-      this.streams.observeVersions();
+      this.streams.observeBackends();
     }
     this.streams.removeExpired();
   }
