--- a/bench/soak/silence-caller.ts
+++ b/bench/soak/silence-caller.ts
@@ -2,7 +2,7 @@
 import { Agent, request } from 'node:http';
 import type { IncomingMessage } from 'node:http';
 import { SHORTEST_TIMEOUT_MS, SILENCE_API_KEY, SILENCE_HOST } from './silence-configuration.js';
-import { STREAM_EVENTS } from './silent-backend.js';
+import { EVENT_TOKENS } from './silent-backend.js';
 
 /** What a caller sends. */
 export interface SilenceRequest {
@@ -10,6 +10,8 @@
   readonly route: 'stream' | 'safe' | 'unsafe';
   /** Tokens of the prompt; 0 for requests without one. */
   readonly promptTokens: number;
+  /** Number of events of a stream. */
+  readonly events: number;
 }
 
 /** How a request ended, as its caller observed it. */
@@ -22,6 +24,8 @@
   | 'failed'
   /** No complete response when the time of the request was over. */
   | 'timed-out'
+  /** No response: the host refused the connection. */
+  | 'not-accepted'
   /** No response: the connection was closed before. */
   | 'unanswered'
   /** A response that broke off. */
@@ -32,6 +36,8 @@
   readonly ending: RequestEnding;
   /** HTTP status; 0 if the head of the response did not arrive. */
   readonly status: number;
+  /** Time at which it was sent, by `performance.now()`, in milliseconds. */
+  readonly sentAtMs: number;
   readonly tookMs: number;
   /** Time from the last byte received to the end, in milliseconds. */
   readonly silentMs: number;
@@ -42,7 +48,6 @@
 const PATIENCE_MS = 9_000;
 /** Difference between the clocks' readings of a time-out here and at a gateway, in milliseconds. */
 const TIMEOUT_TOLERANCE_MS = 50;
-const OUTPUT_TOKENS = 90;
 const REFUSAL_STATUSES = new Set([429, 503]);
 
 /** Sends requests one after another. */
@@ -65,6 +70,7 @@
     let lastByteAtMs = sentAtMs;
     let response: IncomingMessage | undefined;
     let body = '';
+    let isRefused = false;
     return new Promise((resolve) => {
       const finish = () => {
         const tookMs = performance.now() - sentAtMs;
@@ -73,10 +79,11 @@
         const silentMs = performance.now() - lastByteAtMs;
         resolve({
           ...sent,
+          sentAtMs,
           status,
           tookMs,
           silentMs,
-          ending: endingOf(status, isComplete, tookMs),
+          ending: isRefused ? 'not-accepted' : endingOf(status, isComplete, tookMs),
         });
       };
       const clientRequest = request({
@@ -88,7 +95,10 @@
         headers: headersOf(sent),
       });
       clientRequest.setTimeout(PATIENCE_MS, () => clientRequest.destroy());
-      clientRequest.on('error', finish);
+      clientRequest.on('error', (error: NodeJS.ErrnoException) => {
+        isRefused = error.code === 'ECONNREFUSED';
+        finish();
+      });
       clientRequest.on('response', (received) => {
         response = received;
         received.on('data', (bytes: Buffer) => {
@@ -104,24 +114,26 @@
   }
 }
 
-function headersOf({ id, promptTokens }: SilenceRequest): Record<string, string> {
+function headersOf({ id, promptTokens, events }: SilenceRequest): Record<string, string> {
   return {
     Host: SILENCE_HOST,
     Authorization: `Bearer ${SILENCE_API_KEY}`,
     'X-Weirvale-Attempt-Id': id,
     'X-Weirvale-Deadline-Ms': `${DEADLINE_MS}`,
-    ...(promptTokens > 0 && { 'X-Weirvale-Token-Counts': `${promptTokens},${OUTPUT_TOKENS}` }),
+    ...(promptTokens > 0 && {
+      'X-Weirvale-Token-Counts': `${promptTokens},${events * EVENT_TOKENS}`,
+    }),
   };
 }
 
 /** Whether the body of a success holds everything; a stream has no event twice and none missing. */
-function isWhole({ route }: SilenceRequest, status: number, body: string): boolean {
+function isWhole({ route, events }: SilenceRequest, status: number, body: string): boolean {
   if (status !== 200 || route !== 'stream') {
     return status !== 200 || body === 'done';
   }
   const numbers = [...body.matchAll(/id: (\d+)\n/g)].map(([, number]) => Number(number));
   const isInOrder = numbers.every((number, index) => number === index + 1);
-  return isInOrder && numbers.length === STREAM_EVENTS;
+  return isInOrder && numbers.length === events;
 }
 
 function endingOf(status: number, isComplete: boolean, tookMs: number): RequestEnding {
--- a/bench/soak/silence-run.ts
+++ b/bench/soak/silence-run.ts
@@ -72,6 +72,7 @@
 const SHORT_PROMPTS_UNTIL_MS = 4_000;
 const LONG_PROMPT_TOKENS = 8_000;
 const SHORT_PROMPT_TOKENS = 100;
+const EVENTS = 30;
 const LONG_PROMPT_CALLERS = 2;
 const SHORT_PROMPT_CALLERS = 8;
 const PLAIN_CALLERS = 4;
@@ -234,7 +235,7 @@
     promptTokens: number,
   ): Promise<void> {
     const id = `${route}-${this.nextId++}`;
-    this.observed.push(await caller.send({ id, route, promptTokens }));
+    this.observed.push(await caller.send({ id, route, promptTokens, events: EVENTS }));
   }
 
   private get timeInPeriodMs(): number {
--- a/bench/soak/silent-backend.ts
+++ b/bench/soak/silent-backend.ts
@@ -6,9 +6,10 @@
 /** What a backend serves: whole responses, or streams whose prompts take time to process. */
 export type SilentBackendKind = 'plain' | 'engine';
 
-/** Number of events of a stream. */
-export const STREAM_EVENTS = 30;
-const EVENT_INTERVAL_MS = 60;
+/** Number of output tokens in an event of a stream. */
+export const EVENT_TOKENS = 3;
+/** Time between two events of a stream, in milliseconds. */
+export const EVENT_INTERVAL_MS = 60;
 /** Time in which an engine processes one token of a prompt, in milliseconds. */
 const PROMPT_MS_PER_TOKEN = 0.1;
 /** Time that a plain backend works on a request, in milliseconds. */
@@ -20,15 +21,18 @@
   /** Number of times that each request ran here, by its id. */
   readonly runs = new Map<string, number>();
   private readonly server: Server;
-  private readonly bornAtMs = Date.now();
+  /** Start time, in Unix milliseconds. */
+  readonly bornAtMs = Date.now();
   private silentUntilMs = 0;
   private runningCount = 0;
   /** Ends when all prompts received so far are processed. */
   private prompts = Promise.resolve();
 
+  /** @param onRun - called with the id of each request that it executes */
   constructor(
     readonly id: string,
     readonly kind: SilentBackendKind,
+    private readonly onRun: (requestId: string) => void = () => undefined,
   ) {
     this.server = createServer((request, response) => {
       request.resume();
@@ -47,6 +51,11 @@
     this.silentUntilMs = performance.now() + durationMs;
   }
 
+  /** Whether it has requests that it has not completed. */
+  get isBusy(): boolean {
+    return this.runningCount > 0;
+  }
+
   stop(): void {
     this.server.closeAllConnections();
     this.server.close();
@@ -67,6 +76,7 @@
       return;
     }
     this.runs.set(requestId, (this.runs.get(requestId) ?? 0) + 1);
+    this.onRun(requestId);
     this.runningCount += 1;
     response.on('close', () => (this.runningCount -= 1));
     await (this.kind === 'plain' ? this.work(response) : this.stream(request, response));
@@ -79,14 +89,16 @@
   }
 
   private async stream(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const [promptTokens] = String(request.headers['x-weirvale-token-counts']).split(',');
-    const promptMs = Number(promptTokens) * PROMPT_MS_PER_TOKEN;
+    const counts = String(request.headers['x-weirvale-token-counts']).split(',');
+    const [promptTokens, outputTokens] = counts.map(Number);
+    const events = outputTokens! / EVENT_TOKENS;
+    const promptMs = promptTokens! * PROMPT_MS_PER_TOKEN;
     this.prompts = this.prompts.then(() => (response.destroyed ? undefined : delay(promptMs)));
     await this.prompts;
     await this.untilAudible();
     response.writeHead(200, { 'Content-Type': 'text/event-stream' });
     const first = Number(request.headers['last-event-id'] ?? 0) + 1;
-    for (let number = first; number <= STREAM_EVENTS && !response.destroyed; number += 1) {
+    for (let number = first; number <= events && !response.destroyed; number += 1) {
       response.write(`id: ${number}\ndata: e\n\n`);
       await delay(EVENT_INTERVAL_MS);
       await this.untilAudible();
