Soak: a connection that has lost bytes delivers none of those after them

Two faults of one link overlapped: the later one set another direction to be cut, so that a connection whose bytes had been dropped delivered the following ones. No TCP connection does that. The proxy keeps a direction cut once it has dropped bytes, and keeps the order where a delay ends before the bytes that it held back are sent.

--- a/bench/soak/loopback-proxy.ts
+++ b/bench/soak/loopback-proxy.ts
@@ -68,16 +68,23 @@
   private forward(from: Socket, to: Socket, dropBehavior: ProxyBehavior): void {
     this.sockets.add(from);
     from.setNoDelay(true);
+    let hasDropped = false;
+    let delayedCount = 0;
     from.on('data', (bytes: Buffer) => {
-      if (this.behavior === dropBehavior) {
+      // A connection that has lost bytes delivers none of those after them.
+      hasDropped ||= this.behavior === dropBehavior;
+      if (hasDropped) {
         return;
       }
-      const delayMs = this.behavior === 'delays' ? DELAY_MS : 0;
-      if (delayMs === 0) {
+      if (this.behavior !== 'delays' && delayedCount === 0) {
         to.write(bytes);
-      } else {
-        setTimeout(() => to.write(bytes), delayMs);
+        return;
       }
+      delayedCount += 1;
+      setTimeout(() => {
+        delayedCount -= 1;
+        to.write(bytes);
+      }, DELAY_MS);
     });
     from.on('end', () => to.end());
     from.on('error', () => to.destroy());
