Soak: long streams, and no excuse for a stream ended at a silent backend

Whole requests that got no answer beside silent backends were not found by the soak. Its streams last .12 s and may take 2.5 s, so that few are open as a backend falls silent, and the time in which a gateway leaves a silent backend and waits for another one is longer than that: what ended then counted as over its time. And any break of any backend that had ever run the request excused it: one that came after the gateway had left that backend, or one before a run elsewhere that the gateway ended because that backend was silent.

A sixth of the requests are streams of 1 s now that may take 6 s. Runs record when they were closed and when their backend or its link broke them. A break excuses an end only if it came while the run was open, and not if the run that ended last was sound, at a silent backend.

The test of the check fails with the excuse as it was.

--- a/bench/soak/soak-answers.ts
+++ b/bench/soak/soak-answers.ts
@@ -1,8 +1,9 @@
 /** Checks that each complete request of a soak test gets an answer or a refusal. */
 import type { Execution } from './soak-backend.js';
-import type { BackendBreak, ProcessEnd } from './soak-fleet.js';
-import { SOAK_TIMEOUT_MS, STOP_GRACE_MS } from './soak-fleet.js';
+import type { BackendPeriod, ProcessEnd } from './soak-fleet.js';
+import { STOP_GRACE_MS, soakTimeoutMs } from './soak-fleet.js';
 import type { ObservedRequest } from './soak-run.js';
+import { isStreamKind, parseEvents } from './soak-streams.js';
 
 /** Causes for which a request may end without an answer. */
 export interface AnswerContext {
@@ -11,9 +12,9 @@
   /** Ends of the processes of a gateway. */
   endsOf(gateway: number): readonly ProcessEnd[];
   /** Breaks of the connections to backends. */
-  readonly breaks: readonly BackendBreak[];
-  /** Requests whose response a backend broke off. */
-  readonly brokenOff: ReadonlySet<string>;
+  readonly breaks: readonly BackendPeriod[];
+  /** Times in which sound backends were silent. */
+  readonly silences: readonly BackendPeriod[];
 }
 
 /** Difference between the readings of a time-out here and at a gateway, in milliseconds. */
@@ -43,8 +44,9 @@
   const isEnded = context.endsOf(sent.gateway).some((end) => isEndedBy(sent, end));
   // Before the head of a response, a gateway can answer for a backend and at the deadline; all
   // responses but streams are complete here before their heads are sent.
-  const canBreakOff = sent.hasHead === true && sent.kind === 'stream';
-  const isOverTime = sent.endedAtMs - sent.sentAtMs >= SOAK_TIMEOUT_MS - TIMEOUT_TOLERANCE_MS;
+  const canBreakOff = sent.hasHead === true && isStreamKind(sent.kind);
+  const timeoutMs = soakTimeoutMs(sent.kind);
+  const isOverTime = sent.endedAtMs - sent.sentAtMs >= timeoutMs - TIMEOUT_TOLERANCE_MS;
   const isBroken = canBreakOff && (isOverTime || isBrokenOff(sent, context));
   return sent.isConnectionRefused === true || isEnded || isBroken;
 }
@@ -59,17 +61,56 @@
   const isAfterStop = sent.sentAtMs >= atMs && sent.sentAtMs <= restartedAtMs;
   const isAfterWindow = sent.sentAtMs >= atMs + ACCEPT_WINDOW_MS - SEND_TOLERANCE_MS;
   const isAfterGrace = sent.endedAtMs >= atMs + STOP_GRACE_MS - GRACE_MARGIN_MS;
-  return isAfterStop && (isAfterWindow || isAfterGrace) && sent.hasHead !== true;
+  // Its backend may still be at work on a stream when the grace time ends.
+  const isCutAtEnd = sent.kind === 'long' && sent.sentAtMs <= restartedAtMs && isAfterGrace;
+  const isUnanswered = isAfterStop && (isAfterWindow || isAfterGrace) && sent.hasHead !== true;
+  return isUnanswered || (isCutAtEnd && sent.endedAtMs <= restartedAtMs);
 }
 
+/** How and when a run of a request ended; `atMs` in milliseconds. */
+interface RunEnd {
+  readonly run: Execution;
+  readonly atMs: number;
+  /** Whether the backend or its link ended it, and not the gateway. */
+  readonly isBroken: boolean;
+}
+
+/**
+ * Whether the request ended because a backend or its link broke off a run of it. A run that the
+ * gateway had left before that explains nothing, nor does a break before a run that the gateway
+ * ended at a silent backend.
+ */
 function isBrokenOff(sent: ObservedRequest, context: AnswerContext): boolean {
-  const hasMet = ({ backendId, atMs }: Execution, { index, fromMs, untilMs }: BackendBreak) =>
-    // Each new name at an address appends an `x` to the previous id.
-    backendId.replaceAll('x', '') === `e-${index}` && atMs <= untilMs && sent.endedAtMs >= fromMs;
-  return (
-    context.brokenOff.has(sent.id) ||
-    context
-      .executionsOf(sent.id)
-      .some((execution) => context.breaks.some((broken) => hasMet(execution, broken)))
+  const [event] = parseEvents(sent.body);
+  const canContinue = ({ version }: Execution) => event === undefined || event.version === version;
+  const ends = context
+    .executionsOf(sent.id)
+    .filter((run) => run.atMs <= sent.endedAtMs && canContinue(run))
+    .map((run) => endOf(run, sent.endedAtMs, context.breaks))
+    .sort((one, other) => one.atMs - other.atMs);
+  const last = ends.at(-1);
+  const isLastExcused = last?.isBroken === true || !wasSilent(last, context.silences);
+  return ends.some(({ isBroken }) => isBroken) && isLastExcused;
+}
+
+function endOf(run: Execution, untilMs: number, breaks: readonly BackendPeriod[]): RunEnd {
+  const closedAtMs = Math.min(run.closedAtMs, untilMs);
+  const breakTimes = breaks
+    .filter((broken) => isAt(run, broken.index) && broken.untilMs >= run.atMs)
+    .map(({ fromMs }) => Math.max(fromMs, run.atMs));
+  const brokenAtMs = Math.min(run.brokenAtMs, ...breakTimes);
+  const isBroken = brokenAtMs <= closedAtMs;
+  return { run, atMs: isBroken ? brokenAtMs : closedAtMs, isBroken };
+}
+
+function wasSilent(end: RunEnd | undefined, silences: readonly BackendPeriod[]): boolean {
+  return silences.some(
+    ({ index, fromMs, untilMs }) =>
+      end !== undefined && isAt(end.run, index) && fromMs <= end.atMs && untilMs >= end.run.atMs,
   );
 }
+
+/** Each new name at an address appends an `x` to the previous id. */
+function isAt({ backendId }: Execution, index: number): boolean {
+  return backendId.replaceAll('x', '') === `e-${index}`;
+}
--- a/bench/soak/soak-backend.ts
+++ b/bench/soak/soak-backend.ts
@@ -16,6 +16,12 @@
   readonly atMs: number;
   /** Whether the backend is cold and its link forwards without delay. */
   readonly countsAsColdStart: boolean;
+  /** Software version of the process that executes it. */
+  readonly version: string;
+  /** Time at which its response was completed or closed, in milliseconds; Infinity before. */
+  closedAtMs: number;
+  /** Time at which the backend lost, broke off or spoilt the response; Infinity if it did not. */
+  brokenAtMs: number;
 }
 
 /** Probabilities, 0 to 1, of the faults of a backend. */
@@ -44,7 +50,8 @@
 const SERVICE_MS = 20;
 /** Number of events of a stream. */
 export const STREAM_EVENTS = 8;
-const EVENT_INTERVAL_MS = 15;
+/** Time between two events, by the first part of the path, in milliseconds. */
+const EVENT_INTERVALS_MS: Readonly<Record<string, number>> = { stream: 15, long: 120 };
 
 /** Returns the complete response body of a request without events, the same at every backend. */
 export function expectedResponse(requestId: string): string {
@@ -54,8 +61,8 @@
 /** One run of a stream at a backend. */
 interface StreamRun {
   readonly stream: string;
-  /** Version of the process that runs it. */
-  readonly version: string;
+  readonly execution: Execution;
+  readonly eventIntervalMs: number;
   /** Whether the connection is reset in the middle of the response. */
   readonly isCut: boolean;
 }
@@ -65,10 +72,8 @@
   readonly faults: BackendFaults = { refuses: 0, loses: 0, breaks: 0, spoils: 0, surplus: 0 };
   /** Requests whose responses were spoilt; their bodies may differ. */
   readonly spoiltRequests = new Set<string>();
-  /** Requests whose responses were lost, broken off, or mixed with surplus bytes. */
-  readonly brokenRequests = new Set<string>();
-  /** Ids of the requests that are being answered, by connection. */
-  private readonly activeRequests = new Map<Socket, string>();
+  /** Executions that are being answered, by connection. */
+  private readonly activeExecutions = new Map<Socket, Execution>();
   private readonly server: Server;
   /** End of its cold period, by `performance.now()`, in milliseconds. */
   coldUntilMs = 0;
@@ -83,6 +88,8 @@
   private runningCount = 0;
   private readonly sockets = new Set<Socket>();
   private silentUntilMs = 0;
+  /** Times in which it was silent, by `performance.now()`, in milliseconds. */
+  readonly silences: Array<{ readonly fromMs: number; readonly untilMs: number }> = [];
 
   constructor(
     public id: string,
@@ -108,7 +115,9 @@
 
   /** Sends nothing for `durationMs`, then all that it held back. */
   fallSilent(durationMs: number): void {
-    this.silentUntilMs = Math.max(this.silentUntilMs, performance.now() + durationMs);
+    const fromMs = performance.now();
+    this.silences.push({ fromMs, untilMs: fromMs + durationMs });
+    this.silentUntilMs = Math.max(this.silentUntilMs, fromMs + durationMs);
     this.sockets.forEach((socket) => this.holdOutput(socket, durationMs));
   }
 
@@ -192,52 +201,54 @@
 
   private execute(request: IncomingMessage, response: ServerResponse, requestId: string): void {
     const tenant = request.headers['x-weirvale-tenant'];
-    this.onExecution({
+    const execution: Execution = {
       requestId,
       backendId: this.id,
       path: request.url ?? '',
       tenant: Array.isArray(tenant) ? tenant[0] : tenant,
       atMs: performance.now(),
       countsAsColdStart: performance.now() < this.coldUntilMs && this.isLinkHealthy(),
-    });
+      version: this.version,
+      closedAtMs: Infinity,
+      brokenAtMs: Infinity,
+    };
+    this.onExecution(execution);
     this.runningCount += 1;
-    this.activeRequests.set(request.socket, requestId);
+    this.activeExecutions.set(request.socket, execution);
     response.on('close', () => {
       this.runningCount -= 1;
-      if (this.activeRequests.get(request.socket) === requestId) {
-        this.activeRequests.delete(request.socket);
+      execution.closedAtMs = performance.now();
+      if (this.activeExecutions.get(request.socket) === execution) {
+        this.activeExecutions.delete(request.socket);
       }
     });
     if (this.random.next() < this.faults.loses) {
-      this.brokenRequests.add(requestId);
+      markBroken(execution);
       request.socket.resetAndDestroy();
       return;
     }
-    const isStream = (request.url ?? '').startsWith('/stream/');
+    const [, routeName = '', stream = ''] = execution.path.split('/');
+    const eventIntervalMs = EVENT_INTERVALS_MS[routeName];
     if (this.faults.spoils > 0 && this.random.next() < this.faults.spoils) {
-      this.sendSpoilt(request.socket, requestId, isStream);
+      this.sendSpoilt(request.socket, execution, eventIntervalMs !== undefined);
       return;
     }
     if (this.faults.surplus > 0 && this.random.next() < this.faults.surplus) {
       response.on('finish', () => this.sendSurplus(request.socket));
     }
     const isCut = this.random.next() < this.faults.breaks;
-    if (isCut) {
-      this.brokenRequests.add(requestId);
-    }
-    if (isStream) {
+    if (eventIntervalMs !== undefined) {
       const from = Number(request.headers['last-event-id'] ?? 0);
       response.writeHead(200, { 'Content-Type': 'text/event-stream' });
-      const stream = (request.url ?? '').split('/').at(-1)!;
       // A process that replaces this one has no connections of it.
-      const run = { stream, version: this.version, isCut };
-      this.stream(response, run, from + 1);
+      this.stream(response, { stream, execution, eventIntervalMs, isCut }, from + 1);
       return;
     }
     setTimeout(() => {
       const body = expectedResponse(requestId);
       response.writeHead(200, { 'Content-Length': body.length });
       if (isCut) {
+        markBroken(execution);
         response.write(body.slice(0, 5), () => request.socket.resetAndDestroy());
       } else {
         response.end(body);
@@ -246,9 +257,10 @@
   }
 
   /** Of a stream only the head is sent: spoilt events would reach the caller as they are. */
-  private sendSpoilt(socket: Socket, requestId: string, isStream: boolean): void {
+  private sendSpoilt(socket: Socket, execution: Execution, isStream: boolean): void {
+    const { requestId } = execution;
     this.spoiltRequests.add(requestId);
-    this.brokenRequests.add(requestId);
+    markBroken(execution);
     const body = expectedResponse(requestId);
     const framing = isStream
       ? 'Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n'
@@ -262,9 +274,9 @@
     const text = SURPLUS_RESPONSES[randomInteger(this.random, 0, SURPLUS_RESPONSES.length - 1)]!;
     const delayMs = randomInteger(this.random, 0, MAX_SURPLUS_DELAY_MS);
     const send = () => {
-      const activeRequest = this.activeRequests.get(socket);
-      if (activeRequest !== undefined) {
-        this.brokenRequests.add(activeRequest);
+      const execution = this.activeExecutions.get(socket);
+      if (execution !== undefined) {
+        markBroken(execution);
       }
       socket.write(text);
     };
@@ -279,12 +291,17 @@
       response.end();
       return;
     }
-    const event = `id: ${number}\ndata: ${run.stream} ${run.version}\n\n`;
+    const event = `id: ${number}\ndata: ${run.stream} ${run.execution.version}\n\n`;
     if (run.isCut && number === STREAM_EVENTS / 2) {
+      markBroken(run.execution);
       response.write(event.slice(0, 6), () => response.socket?.resetAndDestroy());
       return;
     }
     response.write(event);
-    setTimeout(() => this.stream(response, run, number + 1), EVENT_INTERVAL_MS);
+    setTimeout(() => this.stream(response, run, number + 1), run.eventIntervalMs);
   }
 }
+
+function markBroken(execution: Execution): void {
+  execution.brokenAtMs = Math.min(execution.brokenAtMs, performance.now());
+}
--- a/bench/soak/soak-fleet.ts
+++ b/bench/soak/soak-fleet.ts
@@ -34,8 +34,15 @@
   readonly engines: number;
 }
 
-/** Deadline of each request, in milliseconds. */
-export const SOAK_TIMEOUT_MS = 2_500;
+const TIMEOUT_MS = 2_500;
+/** Long streams have time to wait for a silent backend and for another one. */
+const LONG_TIMEOUT_MS = 6_000;
+
+/** Returns the deadline of a request of a route, in milliseconds. */
+export function soakTimeoutMs(route: string): number {
+  return route === 'long' ? LONG_TIMEOUT_MS : TIMEOUT_MS;
+}
+
 /** API key of the only tenant. */
 export const SOAK_API_KEY = 'soak-key';
 
@@ -62,8 +69,8 @@
   restartedAtMs: number;
 }
 
-/** A break of the connections to a backend, by its link or by its end; times in milliseconds. */
-export interface BackendBreak {
+/** A time in which something was the case at a backend, by its index; in milliseconds. */
+export interface BackendPeriod {
   readonly index: number;
   readonly fromMs: number;
   readonly untilMs: number;
@@ -177,7 +184,8 @@
   /** Changes of the allowed regions of `CHANGING_REGION_ROUTE`, oldest first. */
   readonly regionChanges: RegionChange[] = [];
   readonly evacuations: SoakEvacuation[] = [];
-  readonly breaks: BackendBreak[] = [];
+  /** Breaks of the connections to backends, by their links or their ends. */
+  readonly breaks: BackendPeriod[] = [];
   /** Configurations that were written, oldest first. */
   readonly routeChanges: RouteChange[] = [];
   private regionsVersion = 0;
@@ -249,7 +257,7 @@
       pathPrefix: `/${name}/`,
       kind,
       resumable,
-      timeoutMs: SOAK_TIMEOUT_MS,
+      timeoutMs: soakTimeoutMs(name),
       targetLatencyMs: 800,
       gapAimMs: 500,
       maxAttempts: kind === 'unsafe' ? 1 : 2,
@@ -263,6 +271,7 @@
         route('safe', 'safe', false),
         route('unsafe', 'unsafe', false),
         route('stream', 'streaming', true),
+        route('long', 'streaming', true),
         {
           ...route(FIXED_REGION_ROUTE.name, 'safe', false),
           allowedRegions: FIXED_REGION_ROUTE.regions,
@@ -329,6 +338,13 @@
     this.store.remove(`servers/${this.backends[index]!.id}`);
   }
 
+  /** Times in which backends were silent. */
+  get silences(): BackendPeriod[] {
+    return this.backends.flatMap(({ silences }, index) =>
+      silences.map((silence) => ({ index, ...silence })),
+    );
+  }
+
   /** Returns the region of a backend, also for an earlier incarnation. */
   regionOfBackend(id: string): string {
     return SOAK_REGIONS[zoneOf(Number(/^e-(\d+)/.exec(id)![1]))]!;
--- a/bench/soak/soak-run.ts
+++ b/bench/soak/soak-run.ts
@@ -14,10 +14,10 @@
 import { findOutsideRegions } from './soak-regions.js';
 import { isServable } from './soak-servable.js';
 import { startRouteChanges } from './soak-routes.js';
-import { findBrokenStreams, resumptionOf } from './soak-streams.js';
+import { findBrokenStreams, isStreamKind, resumptionOf } from './soak-streams.js';
 import type { ResumedStream } from './soak-streams.js';
 import { findIgnoredStatements, startStatement } from './soak-statements.js';
-import { SOAK_MAX_COLD_STARTS, SOAK_API_KEY, SOAK_TIMEOUT_MS, SoakFleet } from './soak-fleet.js';
+import { SOAK_MAX_COLD_STARTS, SOAK_API_KEY, SoakFleet, soakTimeoutMs } from './soak-fleet.js';
 import type { SoakEvacuation, SoakSizes } from './soak-fleet.js';
 
 /** Options of a soak test. */
@@ -49,7 +49,7 @@
   readonly folder: string;
 }
 
-type RouteKind = 'safe' | 'unsafe' | 'stream' | 'home' | 'moved';
+type RouteKind = 'safe' | 'unsafe' | 'stream' | 'long' | 'home' | 'moved';
 
 /** A request and its response as the caller observed them. */
 export interface ObservedRequest {
@@ -205,7 +205,7 @@
     executionsOf: (id) => executions.filter(({ requestId }) => requestId === id),
     endsOf: (gateway) => fleet.gateways[gateway]!.ends,
     breaks: fleet.breaks,
-    brokenOff: new Set(fleet.backends.flatMap((backend) => [...backend.brokenRequests])),
+    silences: fleet.silences,
   });
 }
 
@@ -251,7 +251,7 @@
   violations: string[],
 ): Promise<void> {
   const agent = new Agent({ keepAlive: true, maxSockets: 1 });
-  const kinds: readonly RouteKind[] = ['safe', 'unsafe', 'stream', 'home', 'moved'];
+  const kinds: readonly RouteKind[] = ['safe', 'unsafe', 'stream', 'home', 'moved', 'long'];
   const gateway = caller % gateways;
   for (let number = 0; performance.now() < stopAtMs; number += 1) {
     const kind = kinds[(caller + number) % kinds.length]!;
@@ -280,7 +280,7 @@
     }
     const gateway = (broken.gateway + attempt) % gateways;
     const id = `c${gateway}-r${attempt}-${broken.id}`;
-    last = await send(fleet, agent, id, 'stream', gateway, resumes);
+    last = await send(fleet, agent, id, broken.kind, gateway, resumes);
     observed.push(last);
     await sleepMs(last.status === 0 ? 100 : 20);
   }
@@ -323,12 +323,12 @@
         Host: 'soak.example',
         Authorization: `Bearer ${SOAK_API_KEY}`,
         'X-Weirvale-Attempt-Id': id,
-        'X-Weirvale-Deadline-Ms': SOAK_TIMEOUT_MS,
+        'X-Weirvale-Deadline-Ms': soakTimeoutMs(kind),
         'X-Weirvale-Token-Counts': '100,24',
         ...(resumes && { 'Last-Event-Id': `${resumes.afterEvent}`, Resumes: resumes.firstId }),
       },
     });
-    clientRequest.setTimeout(SOAK_TIMEOUT_MS * 2, () => clientRequest.destroy());
+    clientRequest.setTimeout(soakTimeoutMs(kind) * 2, () => clientRequest.destroy());
     clientRequest.on('error', (error: NodeJS.ErrnoException) => {
       sent.isConnectionRefused = error.code === 'ECONNREFUSED';
       end(0);
@@ -348,7 +348,7 @@
 export function findOverdue(sent: ObservedRequest, disruptedUntilMs: number): string[] {
   const heldMs = sent.endedAtMs - sent.sentAtMs;
   const isLate =
-    heldMs > SOAK_TIMEOUT_MS + OVERDUE_TOLERANCE_MS && disruptedUntilMs <= sent.sentAtMs;
+    heldMs > soakTimeoutMs(sent.kind) + OVERDUE_TOLERANCE_MS && disruptedUntilMs <= sent.sentAtMs;
   return isLate
     ? [
         `${sent.id} (${sent.kind}) was held for ${Math.round(heldMs)} ms by a gateway without faults`,
@@ -458,7 +458,7 @@
   if (sent.kind === 'unsafe' && NOT_EXECUTED_STATUSES.has(sent.status) && executions.length > 0) {
     violations.push(`${sent.id} received ${sent.status} but ran`);
   }
-  const isWhole = sent.kind === 'stream' || sent.body === expectedResponse(sent.id);
+  const isWhole = isStreamKind(sent.kind) || sent.body === expectedResponse(sent.id);
   if (sent.status === 200 && !isWhole) {
     violations.push(`${sent.id} received a body that is not its own or not complete`);
   }
--- a/bench/soak/soak-streams.ts
+++ b/bench/soak/soak-streams.ts
@@ -16,6 +16,11 @@
   readonly version: string;
 }
 
+/** Whether requests of a route receive streams. */
+export function isStreamKind(kind: string): boolean {
+  return kind === 'stream' || kind === 'long';
+}
+
 /** Returns the complete events of a response body. */
 export function parseEvents(body: string): StreamEvent[] {
   return [...body.matchAll(/id: (\d+)\ndata: (\S+) (\S+)\n\n/g)].map(
@@ -30,7 +35,7 @@
 /** Returns what a caller that received `sent` names to resume its stream; undefined if it cannot. */
 export function resumptionOf(sent: ObservedRequest): ResumedStream | undefined {
   const last = parseEvents(sent.body).at(-1);
-  const isBroken = sent.status !== 200 && sent.kind === 'stream';
+  const isBroken = sent.status !== 200 && isStreamKind(sent.kind);
   const firstId = sent.resumes?.firstId ?? sent.id;
   const afterEvent = last?.number ?? sent.resumes?.afterEvent;
   return isBroken && afterEvent !== undefined ? { firstId, afterEvent } : undefined;
@@ -39,7 +44,7 @@
 /** Reports streams with events of several versions or of others, with gaps, or ended too early. */
 export function findBrokenStreams(observed: readonly ObservedRequest[]): string[] {
   const byStream = new Map<string, ObservedRequest[]>();
-  for (const sent of observed.filter(({ kind }) => kind === 'stream')) {
+  for (const sent of observed.filter(({ kind }) => isStreamKind(kind))) {
     const firstId = sent.resumes?.firstId ?? sent.id;
     byStream.set(firstId, [...(byStream.get(firstId) ?? []), sent]);
   }
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -14,6 +14,7 @@
 import { isServable } from '../bench/soak/soak-servable.js';
 import { findBrokenStreams } from '../bench/soak/soak-streams.js';
 import { findIgnoredStatements } from '../bench/soak/soak-statements.js';
+import type { Execution } from '../bench/soak/soak-backend.js';
 import type { AnswerContext } from '../bench/soak/soak-answers.js';
 import type { SoakStatement } from '../bench/soak/soak-statements.js';
 import type { ObservedRequest } from '../bench/soak/soak-run.js';
@@ -72,8 +73,18 @@
   body: 'answer to calm',
 };
 
-function executionOf(requestId: string, tenant = 'shop') {
-  return { requestId, backendId: 'e', path: '/', tenant, atMs: 0, countsAsColdStart: false };
+function executionOf(requestId: string, tenant = 'shop'): Execution {
+  return {
+    requestId,
+    backendId: 'e',
+    path: '/',
+    tenant,
+    atMs: 0,
+    countsAsColdStart: false,
+    version: 'v1',
+    closedAtMs: Infinity,
+    brokenAtMs: Infinity,
+  };
 }
 
 test('the checks of a soak test detect each kind of violation', (t) => {
@@ -117,8 +128,10 @@
     executionsOf: (id: string) => [{ ...executionOf(id), backendId: 'e-3x', atMs: 1_010 }],
     endsOf: () => [],
     breaks: [],
-    brokenOff: new Set<string>(),
+    silences: [],
   };
+  const brokenRun = { ...executionOf('c1-1'), atMs: 1_010, closedAtMs: 2_500, brokenAtMs: 2_490 };
+  const brokenOff = { executionsOf: () => [brokenRun] };
   const find = (sent: ObservedRequest, causes: Partial<AnswerContext> = {}) =>
     findUnanswered([sent, SERVED_REQUEST], { ...context, ...causes });
   t.deepEqual(find(stream), [
@@ -127,13 +140,13 @@
   t.deepEqual(find(unanswered), [
     'c1-1 (stream) was not answered: it got no response after 1500 ms',
   ]);
-  t.is(find(unanswered, { brokenOff: new Set(['c1-1']), breaks: [linkBreak] }).length, 1);
+  t.is(find(unanswered, { ...brokenOff, breaks: [linkBreak] }).length, 1);
   t.is(find(stream, { endsOf: () => [stop] }).length, 1);
   t.is(find(stream, { endsOf: () => [{ ...kill, atMs: 2_501, restartedAtMs: 2_700 }] }).length, 1);
   t.is(find(stream, { endsOf: () => [{ ...kill, atMs: 800, restartedAtMs: 999 }] }).length, 1);
   t.is(find(stream, { breaks: [{ ...linkBreak, index: 2 }] }).length, 1);
   t.is(find(stream, { breaks: [{ ...linkBreak, fromMs: 900, untilMs: 1_000 }] }).length, 1);
-  t.deepEqual(find(stream, { brokenOff: new Set(['c1-1']) }), []);
+  t.deepEqual(find(stream, brokenOff), []);
   t.deepEqual(find(stream, { breaks: [linkBreak] }), []);
   t.deepEqual(find(unanswered, { endsOf: () => [kill] }), []);
   const stopped = { ...stop, restartedAtMs: 6_000 };
@@ -149,10 +162,12 @@
   const sent: ObservedRequest = { ...SERVED_REQUEST, id: 'c1-1', sentAtMs: 1_000, status: 0 };
   const stop = { signal: 'SIGTERM', atMs: 900, restartedAtMs: 6_000 } as const;
   const context: AnswerContext = {
-    executionsOf: (id) => [{ ...executionOf(id), backendId: 'e-3', atMs: 1_010 }],
+    executionsOf: (id) => [
+      { ...executionOf(id), backendId: 'e-3', atMs: 1_010, brokenAtMs: 1_020 },
+    ],
     endsOf: () => [],
     breaks: [{ index: 3, fromMs: 1_000, untilMs: 1_100 }],
-    brokenOff: new Set(['c1-1']),
+    silences: [],
   };
   const whole = { ...sent, hasHead: true };
   const variants: Array<[string, ObservedRequest, Partial<AnswerContext>]> = [
@@ -167,6 +182,72 @@
   }
 });
 
+test('the check of answers detects a stream that its gateway ended at a silent backend, whatever broke before', (t) => {
+  const sent: ObservedRequest = {
+    ...SERVED_REQUEST,
+    id: 'c1-1',
+    kind: 'long',
+    sentAtMs: 1_000,
+    endedAtMs: 4_400,
+    status: 0,
+    hasHead: true,
+    body: eventsOf('c1-1', 1, 2, 'v1'),
+  };
+  const run = (index: number, atMs: number, changes: Partial<Execution> = {}): Execution => ({
+    ...executionOf('c1-1'),
+    backendId: `e-${index}`,
+    atMs,
+    ...changes,
+  });
+  const silence = { index: 1, fromMs: 2_000, untilMs: 3_400 };
+  const isReported = (
+    runs: readonly Execution[],
+    breaks: AnswerContext['breaks'] = [],
+    silences: AnswerContext['silences'] = [silence],
+  ) => {
+    const causes = { executionsOf: () => runs, endsOf: () => [], breaks, silences };
+    return findUnanswered([sent], causes).length === 1;
+  };
+  const left = run(0, 1_010, { closedAtMs: 2_500 });
+  const successor = run(1, 2_500, { closedAtMs: 2_850 });
+  const brokenBefore = { ...left, closedAtMs: 2_400, brokenAtMs: 2_400 };
+  const brokenAfter = [{ index: 0, fromMs: 3_000, untilMs: 3_500 }];
+  t.true(isReported([left, successor]));
+  t.true(isReported([left, successor], [], []));
+  t.true(isReported([left, successor], brokenAfter));
+  t.true(isReported([brokenBefore, successor]));
+  t.true(isReported([brokenBefore, { ...successor, closedAtMs: Infinity }]));
+  t.false(isReported([brokenBefore, successor], [], [{ ...silence, index: 2 }]));
+  t.false(isReported([brokenBefore, successor], [], [{ ...silence, untilMs: 2_499 }]));
+  t.false(isReported([left, { ...successor, brokenAtMs: 2_840 }]));
+  t.false(isReported([left, successor], [{ index: 1, fromMs: 2_800, untilMs: 2_900 }]));
+  t.false(isReported([brokenBefore, { ...successor, version: 'v2' }]));
+  t.false(isReported([{ ...left, closedAtMs: 4_400, brokenAtMs: 4_390 }, successor]));
+});
+
+test('the check of answers allows a stream that is still at work when the grace time of a stop ends', (t) => {
+  const sent: ObservedRequest = {
+    ...SERVED_REQUEST,
+    id: 'c1-1',
+    kind: 'long',
+    sentAtMs: 1_000,
+    endedAtMs: 4_700,
+    status: 0,
+    hasHead: true,
+  };
+  const stop = { signal: 'SIGTERM', atMs: 1_050, restartedAtMs: 5_000 } as const;
+  const find = (observed: ObservedRequest) =>
+    findUnanswered([observed], {
+      executionsOf: () => [],
+      endsOf: () => [stop],
+      breaks: [],
+      silences: [],
+    });
+  t.deepEqual(find(sent), []);
+  t.is(find({ ...sent, endedAtMs: 4_600 }).length, 1);
+  t.is(find({ ...sent, kind: 'stream', endedAtMs: 3_300 }).length, 1);
+});
+
 test('the check of draining backends detects requests sent too late, except by a gateway with a fault', (t) => {
   const execution = (requestId: string, atMs: number) => ({ ...executionOf(requestId), atMs });
   const drained = new Map([['e', 1_000]]);
