Soak: each seed draws pairs of faults, and a run prints which pairs met

A backend that was draining and silent at once was never drawn but by chance: the soak injects one fault each .1 to .7 s, and silences by a draw of their own. Each seed injects four pairs of kinds at once now, in half of them at machines of equal index, with a random source of its own; 50 seeds in a row draw each of the 190 pairs, silences and statements of backends among them. After several seeds a table says in how many of them two kinds were in effect together, and names the pairs that never were. Draws of single faults are as before; --no-pairs omits the pairs.

--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -1,5 +1,7 @@
 /** Runs soak tests, then exits: `node dist/bench/soak.js --seeds 50 --from 1`. */
 import { Command } from 'commander';
+import { FAULT_KINDS } from './soak/soak-faults.js';
+import { PairTable } from './soak/soak-pairs.js';
 import { runSoak } from './soak/soak-run.js';
 
 const program = new Command('soak')
@@ -12,6 +14,7 @@
   .option('--seconds <count>', 'duration of the faults, for each seed', '10')
   .option('--no-statements', 'backends send no statements (limits, draining, backoff)')
   .option('--no-silences', 'no sound backends fall silent')
+  .option('--no-pairs', 'no pairs of faults are injected at once')
   .option('--malformed', 'backends and the store send malformed input')
   .option('--copies', 'restore the store from backups of earlier states')
   .option('--port <base>', 'first port', '21000');
@@ -19,6 +22,7 @@
 const {
   statements: sendsStatements,
   silences: silencesBackends,
+  pairs: injectsPairs,
   copies: restoresBackups = false,
   malformed: sendsMalformed = false,
   ...options
@@ -26,6 +30,7 @@
   Record<string, string> & {
     statements: boolean;
     silences: boolean;
+    pairs: boolean;
     copies?: boolean;
     malformed?: boolean;
   }
@@ -33,6 +38,7 @@
 process.once('SIGTERM', () => process.exit(1));
 process.once('SIGINT', () => process.exit(1));
 let failed = 0;
+const pairs = new PairTable(FAULT_KINDS);
 for (let offset = 0; offset < Number(options['seeds']); offset += 1) {
   const report = await runSoak({
     seed: Number(options['from']) + offset,
@@ -40,6 +46,7 @@
     callers: Number(options['callers']),
     sendsStatements,
     silencesBackends,
+    injectsPairs,
     restoresBackups,
     sendsMalformed,
     faultsMs: Number(options['seconds']) * 1_000,
@@ -47,9 +54,12 @@
   });
   const { seed, requests, answered, faults, violations, folder } = report;
   console.log(`seed ${seed}: ${requests} requests, ${answered} served, ${faults.length} faults`);
+  pairs.addSeed(faults);
   if (violations.length > 0) {
     failed += 1;
-    console.log(`  logs in ${folder}\n  faults: ${faults.join('; ')}`);
+    console.log(
+      `  logs in ${folder}\n  faults: ${faults.map(({ description }) => description).join('; ')}`,
+    );
     console.log(
       violations
         .slice(0, 10)
@@ -58,5 +68,12 @@
     );
   }
 }
+if (Number(options['seeds']) > 1) {
+  const missing = pairs.missing.map((pair) => pair.join('+'));
+  console.log(`seeds in which two kinds of faults were in effect together\n${pairs.format()}`);
+  console.log(
+    `${missing.length} pairs in no seed${missing.length > 0 ? `: ${missing.join(', ')}` : ''}`,
+  );
+}
 console.log(`${options['seeds']} seeds, ${failed} with a violation`);
 process.exit(failed === 0 ? 0 : 1);
--- a/bench/soak/soak-faults.ts
+++ b/bench/soak/soak-faults.ts
@@ -3,6 +3,9 @@
 import { randomInteger } from '../../src/random.js';
 import type { ProxyBehavior } from './loopback-proxy.js';
 import type { SoakFleet, SoakProcess } from './soak-fleet.js';
+import type { FaultPair, InjectedFault } from './soak-pairs.js';
+import { SILENCE_MS } from './soak-silences.js';
+import { startStatement } from './soak-statements.js';
 
 /** Time after a fault in which the affected processes may still recover, in milliseconds. */
 const RECOVERY_MS = 3_500;
@@ -18,8 +21,18 @@
 /** Time from an outage to the renewed announcement of a backend, in milliseconds. */
 const REANNOUNCE_DELAY_MS = 1_000;
 
-/** Injects one fault; returns its description. */
-type Fault = (fleet: SoakFleet, random: RandomSource) => string;
+/** Time in which processes recover from a fault that has no duration, in milliseconds. */
+const EFFECT_MS = 1_000;
+
+/** What a fault does and for how long. */
+type Injection = Pick<InjectedFault, 'description' | 'durationMs'>;
+
+/** Injects one fault; its name is the kind of fault. */
+type Fault = (fleet: SoakFleet, random: RandomSource) => Injection;
+
+function injection(description: string, durationMs = EFFECT_MS): Injection {
+  return { description, durationMs };
+}
 
 function pick<Item>(random: RandomSource, items: readonly Item[]): Item {
   return items[randomInteger(random, 0, items.length - 1)]!;
@@ -37,13 +50,13 @@
     const gateway = pick(random, fleet.gateways);
     markDisrupted([gateway], 0);
     gateway.signal('SIGKILL');
-    return `kill ${gateway.name}`;
+    return injection(`kill ${gateway.name}`);
   },
   function stopGateway(fleet, random) {
     const gateway = pick(random, fleet.gateways);
     markDisrupted([gateway], SHUTDOWN_MS);
     gateway.signal('SIGTERM');
-    return `stop ${gateway.name}`;
+    return injection(`stop ${gateway.name}`);
   },
   function pauseGateway(fleet, random) {
     const gateway = pick(random, fleet.gateways);
@@ -51,7 +64,7 @@
     markDisrupted([gateway], durationMs);
     gateway.signal('SIGSTOP');
     setTimeout(() => gateway.signal('SIGCONT'), durationMs);
-    return `pause ${gateway.name} for ${durationMs} ms`;
+    return injection(`pause ${gateway.name} for ${durationMs} ms`, durationMs);
   },
   /**
    * Simulates a power loss: the connections go silent before the process is killed and restarts.
@@ -62,23 +75,25 @@
     markDisrupted([gateway], durationMs);
     gateway.signal('SIGSTOP');
     setTimeout(() => gateway.signal('SIGKILL'), durationMs);
-    return `power loss of ${gateway.name}, silent for ${durationMs} ms`;
+    return injection(`power loss of ${gateway.name}, silent for ${durationMs} ms`, durationMs);
   },
   function reloadGateway(fleet, random) {
     const gateway = pick(random, fleet.gateways);
-    return gateway.reload() ? `reload ${gateway.name}` : `no reload: ${gateway.name} starts`;
+    return injection(
+      gateway.reload() ? `reload ${gateway.name}` : `no reload: ${gateway.name} starts`,
+    );
   },
   function killAgent(fleet, random) {
     const agent = pick(random, fleet.agents);
     agent.signal('SIGKILL');
-    return `kill ${agent.name}`;
+    return injection(`kill ${agent.name}`);
   },
   function pauseAgent(fleet, random) {
     const agent = pick(random, fleet.agents);
     const durationMs = randomInteger(random, 300, 2_500);
     agent.signal('SIGSTOP');
     setTimeout(() => agent.signal('SIGCONT'), durationMs);
-    return `pause ${agent.name} for ${durationMs} ms`;
+    return injection(`pause ${agent.name} for ${durationMs} ms`, durationMs);
   },
   function failStore(fleet, random) {
     const behavior = pick(random, ['refuses', 'silent', 'resets'] as const);
@@ -86,11 +101,11 @@
     markDisrupted(fleet.gateways, durationMs);
     fleet.store.behavior = behavior;
     setTimeout(() => (fleet.store.behavior = 'answers'), durationMs);
-    return `store ${behavior} for ${durationMs} ms`;
+    return injection(`store ${behavior} for ${durationMs} ms`, durationMs);
   },
   function dropHistory(fleet) {
     fleet.store.dropHistory();
-    return 'store drops its change history';
+    return injection('store drops its change history');
   },
   function failStoreLink(fleet, random) {
     const index = randomInteger(random, 0, fleet.gateways.length - 1);
@@ -125,7 +140,10 @@
         proxy.resetAll();
       });
     }, durationMs);
-    return `engines of one zone ${behavior} for ${durationMs} ms, their agents paused`;
+    return injection(
+      `engines of one zone ${behavior} for ${durationMs} ms, their agents paused`,
+      durationMs,
+    );
   },
   function failBackend(fleet, random) {
     const backend = pick(random, fleet.backends);
@@ -135,18 +153,18 @@
       () => Object.assign(backend.faults, { refuses: 0, loses: 0, breaks: 0 }),
       durationMs,
     );
-    return `${backend.id} fails for ${durationMs} ms`;
+    return injection(`${backend.id} fails for ${durationMs} ms`, durationMs);
   },
   function replaceBackend(fleet, random) {
     const index = randomInteger(random, 0, fleet.backends.length - 1);
     fleet.replaceBackend(index);
-    return `backend ${index} is replaced at its address`;
+    return injection(`backend ${index} is replaced at its address`);
   },
   function drainBackend(fleet, random) {
     const index = randomInteger(random, 0, fleet.backends.length - 1);
     fleet.drainBackend(index);
     setTimeout(() => fleet.replaceBackend(index), DRAIN_MS);
-    return `backend ${index} is draining`;
+    return injection(`backend ${index} is draining`);
   },
   function expireDuringOutage(fleet, random) {
     const index = randomInteger(random, 0, fleet.backends.length - 1);
@@ -156,18 +174,30 @@
     fleet.expireAnnouncement(index);
     setTimeout(() => (fleet.store.behavior = 'answers'), durationMs);
     setTimeout(() => fleet.announce(index, 'ready'), durationMs + REANNOUNCE_DELAY_MS);
-    return `announcement of backend ${index} expires during a store outage of ${durationMs} ms`;
+    return injection(
+      `announcement of backend ${index} expires during a store outage of ${durationMs} ms`,
+      durationMs,
+    );
   },
   function evacuateZone(fleet, random) {
     const index = randomInteger(random, 0, fleet.backends.length - 1);
     const durationMs = randomInteger(random, EVACUATION_MIN_MS, EVACUATION_MAX_MS);
     const evacuation = fleet.evacuate(index);
     setTimeout(() => fleet.endEvacuation(evacuation), durationMs).unref();
-    return `zone of backend ${index} is evacuated for ${durationMs} ms`;
+    return injection(`zone of backend ${index} is evacuated for ${durationMs} ms`, durationMs);
+  },
+  function silenceBackend(fleet, random) {
+    const backend = pick(random, fleet.backends);
+    const durationMs = randomInteger(random, SILENCE_MS.min, SILENCE_MS.max);
+    backend.fallSilent(durationMs);
+    return injection(`${backend.id} silent for ${durationMs} ms`, durationMs);
+  },
+  function makeStatement(fleet, random) {
+    return injection(startStatement(fleet, random));
   },
   function changeConfiguration(fleet) {
     fleet.changeConfiguration();
-    return 'configuration change';
+    return injection('configuration change');
   },
 ];
 
@@ -176,7 +206,7 @@
   proxy: SoakFleet['storeProxies'][number],
   affected: readonly SoakProcess[],
   onBreak?: (durationMs: number) => void,
-): string {
+): Injection {
   const behaviors: readonly ProxyBehavior[] = [
     'delays',
     'resets',
@@ -195,19 +225,47 @@
     proxy.behavior = 'passes';
     proxy.resetAll();
   }, durationMs);
-  return `link ${behavior} for ${durationMs} ms`;
+  return injection(`link ${behavior} for ${durationMs} ms`, durationMs);
+}
+
+/** Kinds that other sources inject as well; not drawn here, so that they have rates of their own. */
+const PAIR_ONLY_KINDS = new Set(['silenceBackend', 'makeStatement']);
+const DRAWN_FAULTS = FAULTS.filter(({ name }) => !PAIR_ONLY_KINDS.has(name));
+
+/** Kinds of faults that may be injected in pairs. */
+export const FAULT_KINDS = FAULTS.map(({ name }) => name);
+
+/** Injects a fault drawn from `random`. */
+export function injectFault(fleet: SoakFleet, random: RandomSource): InjectedFault {
+  return inject(pick(random, DRAWN_FAULTS), fleet, random);
+}
+
+/**
+ * Injects two faults at once. With equal sources they affect machines of equal index, for example
+ * the same backend.
+ */
+export function injectPair(
+  fleet: SoakFleet,
+  [first, second]: FaultPair,
+  sources: readonly [RandomSource, RandomSource],
+): InjectedFault[] {
+  return [inject(faultOf(first), fleet, sources[0]), inject(faultOf(second), fleet, sources[1])];
+}
+
+function faultOf(kind: string): Fault {
+  return FAULTS.find(({ name }) => name === kind)!;
 }
 
-/** Injects a fault drawn from `random`; returns its description. */
-export function injectFault(fleet: SoakFleet, random: RandomSource): string {
-  return pick(random, FAULTS)(fleet, random);
+function inject(fault: Fault, fleet: SoakFleet, random: RandomSource): InjectedFault {
+  const atMs = performance.now();
+  return { kind: fault.name, atMs, ...fault(fleet, random) };
 }
 
 /**
  * Restores the store from a backup, after which operators and backends soon rewrite what the
- * backup lacks; returns a description.
+ * backup lacks.
  */
-export function restoreStoreFromBackup(fleet: SoakFleet, random: RandomSource): string {
+export function restoreStoreFromBackup(fleet: SoakFleet, random: RandomSource): InjectedFault {
   const behavior = pick(random, ['refuses', 'silent', 'resets'] as const);
   const outageMs = randomInteger(random, 0, 2_000);
   const backupAgeMs = randomInteger(random, 200, 10_000);
@@ -219,5 +277,10 @@
     fleet.store.behavior = 'answers';
     setTimeout(() => fleet.store.rewriteReverted(reverted), rewriteMs);
   }, outageMs);
-  return `store ${behavior} for ${outageMs} ms, then as it was ${backupAgeMs} ms before`;
+  return {
+    kind: 'restoreStore',
+    description: `store ${behavior} for ${outageMs} ms, then as it was ${backupAgeMs} ms before`,
+    atMs: performance.now(),
+    durationMs: outageMs + rewriteMs,
+  };
 }
--- a/bench/soak/soak-run.ts
+++ b/bench/soak/soak-run.ts
@@ -9,6 +9,8 @@
 import type { Execution } from './soak-backend.js';
 import { injectMalformedInput } from './soak-malformed.js';
 import { injectFault, restoreStoreFromBackup } from './soak-faults.js';
+import { startPairs } from './soak-pair-faults.js';
+import type { InjectedFault } from './soak-pairs.js';
 import { findUnanswered } from './soak-answers.js';
 import { startSilences } from './soak-silences.js';
 import { findOutsideRegions } from './soak-regions.js';
@@ -32,6 +34,8 @@
   readonly sendsStatements?: boolean;
   /** Whether sound backends fall silent for a while. Default true. */
   readonly silencesBackends?: boolean;
+  /** Whether pairs of faults are injected at once. Default true. */
+  readonly injectsPairs?: boolean;
   /** Whether the store is restored from backups. Default false. */
   readonly restoresBackups?: boolean;
   /** Whether backends and the store send malformed input. Default false. */
@@ -43,7 +47,7 @@
   readonly seed: number;
   readonly requests: number;
   readonly answered: number;
-  readonly faults: readonly string[];
+  readonly faults: readonly InjectedFault[];
   readonly violations: readonly string[];
   /** Folder that contains the processes' logs. */
   readonly folder: string;
@@ -90,15 +94,22 @@
 const NOT_EXECUTED_STATUSES = new Set([408, 421, 429, 503]);
 
 /** Restores the store from backups periodically, in parallel to the faults. */
-function startRestores(fleet: SoakFleet, seed: number, faults: string[]) {
+function startRestores(fleet: SoakFleet, seed: number, faults: InjectedFault[]) {
   const random = new SeededRandom(seed + 5);
-  return setInterval(() => faults.push(restoreStoreFromBackup(fleet, random)), RESTORE_INTERVAL_MS);
+  const restore = () => faults.push(restoreStoreFromBackup(fleet, random));
+  return setInterval(restore, RESTORE_INTERVAL_MS);
 }
 
 /** Sends malformed input in parallel to the faults. */
-function startMalformedInput(fleet: SoakFleet, seed: number, faults: string[]) {
+function startMalformedInput(fleet: SoakFleet, seed: number, faults: InjectedFault[]) {
   const random = new SeededRandom(seed + 7);
-  const inject = () => faults.push(injectMalformedInput(fleet, random));
+  const inject = () =>
+    faults.push({
+      kind: 'malformedInput',
+      description: injectMalformedInput(fleet, random),
+      atMs: performance.now(),
+      durationMs: MALFORMED_INTERVAL_MS,
+    });
   return setInterval(inject, MALFORMED_INTERVAL_MS);
 }
 
@@ -108,7 +119,7 @@
   const executions: Execution[] = [];
   const observed: ObservedRequest[] = [];
   const lateViolations: string[] = [];
-  const faults: string[] = [];
+  const faults: InjectedFault[] = [];
   const fleet = new SoakFleet(
     options.sizes,
     options.basePort,
@@ -142,11 +153,14 @@
     options.silencesBackends === false
       ? () => undefined
       : startSilences(fleet, options.seed, faults);
+  const stopPairs =
+    options.injectsPairs === false ? () => undefined : startPairs(fleet, options, faults);
   while (performance.now() < faultsEndAtMs) {
     await sleepMs(randomInteger(random, 100, 700));
     faults.push(injectFault(fleet, random));
   }
   stopSilences();
+  stopPairs();
   clearInterval(statementTimer);
   clearInterval(restoreTimer);
   clearInterval(malformedTimer);
@@ -191,9 +205,16 @@
 }
 
 /** Uses a random source of its own, so that statements don't change the faults of a seed. */
-function startStatements(fleet: SoakFleet, seed: number, faults: string[]): NodeJS.Timeout {
+function startStatements(fleet: SoakFleet, seed: number, faults: InjectedFault[]): NodeJS.Timeout {
   const random = new SeededRandom(seed + 2);
-  return setInterval(() => faults.push(startStatement(fleet, random)), STATEMENT_INTERVAL_MS);
+  const start = () =>
+    faults.push({
+      kind: 'makeStatement',
+      description: startStatement(fleet, random),
+      atMs: performance.now(),
+      durationMs: STATEMENT_INTERVAL_MS,
+    });
+  return setInterval(start, STATEMENT_INTERVAL_MS);
 }
 
 function findUnansweredInFleet(
--- a/bench/soak/soak-silences.ts
+++ b/bench/soak/soak-silences.ts
@@ -2,8 +2,10 @@
 import { SeededRandom, randomInteger } from '../../src/random.js';
 import type { RandomSource } from '../../src/random.js';
 import type { SoakFleet } from './soak-fleet.js';
+import type { InjectedFault } from './soak-pairs.js';
 
-const SILENCE_MS = { min: 700, max: 1_500 };
+/** Duration of a silence, in milliseconds. */
+export const SILENCE_MS = { min: 700, max: 1_500 };
 const PAUSE_MS = { min: 100, max: 1_500 };
 /** Fraction of the silences that affect several backends at once. */
 const SEVERAL_SHARE = 0.3;
@@ -28,12 +30,12 @@
  * Lets backends fall silent again and again; returns a function that stops this. Uses a random
  * source of its own, so that silences don't change the other faults of a seed.
  */
-export function startSilences(fleet: SoakFleet, seed: number, faults: string[]): () => void {
+export function startSilences(fleet: SoakFleet, seed: number, faults: InjectedFault[]): () => void {
   const random = new SeededRandom(seed + 9);
   let timer: NodeJS.Timeout | undefined;
   const silenceNext = () => {
     const { durationMs, description } = silenceBackends(fleet, random);
-    faults.push(description);
+    faults.push({ kind: 'silenceBackend', description, atMs: performance.now(), durationMs });
     const pauseMs = randomInteger(random, PAUSE_MS.min, PAUSE_MS.max);
     timer = setTimeout(silenceNext, durationMs + pauseMs);
   };
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -11,6 +11,8 @@
 import { findUnanswered } from '../bench/soak/soak-answers.js';
 import { findOutsideRegions } from '../bench/soak/soak-regions.js';
 import { findLateRoute } from '../bench/soak/soak-routes.js';
+import { FAULT_KINDS } from '../bench/soak/soak-faults.js';
+import { PairTable, pairKey, pairsOfSeed } from '../bench/soak/soak-pairs.js';
 import { isServable } from '../bench/soak/soak-servable.js';
 import { findBrokenStreams } from '../bench/soak/soak-streams.js';
 import { findIgnoredStatements } from '../bench/soak/soak-statements.js';
@@ -46,7 +48,7 @@
     basePort: BASE_PORT + 1_000,
   });
   t.deepEqual(report.violations, []);
-  t.true(report.faults.some((fault) => fault.includes('then as')));
+  t.true(report.faults.some(({ description }) => description.includes('then as')));
 });
 
 test.serial('a short soak test with malformed input violates no guarantee', async (t) => {
@@ -60,7 +62,7 @@
     basePort: BASE_PORT + 2_000,
   });
   t.deepEqual(report.violations, []);
-  t.true(report.faults.some((fault) => fault.includes('spoils')));
+  t.true(report.faults.some(({ description }) => description.includes('spoils')));
 });
 
 const SERVED_REQUEST: ObservedRequest = {
@@ -248,6 +250,27 @@
   t.is(find({ ...sent, kind: 'stream', endedAtMs: 3_300 }).length, 1);
 });
 
+test('50 seeds in a row draw each pair of kinds of faults, silence among them', (t) => {
+  const seeds = Array.from({ length: 50 }, (_none, offset) => 13_007 + offset);
+  const drawn = new Set(
+    seeds.flatMap((seed) => pairsOfSeed(seed, FAULT_KINDS).map((pair) => pairKey(...pair))),
+  );
+  t.is(drawn.size, (FAULT_KINDS.length * (FAULT_KINDS.length - 1)) / 2);
+  t.true(drawn.has('drainBackend+silenceBackend'));
+});
+
+test('the table of pairs counts the seeds in which two kinds were in effect together', (t) => {
+  const fault = (kind: string, atMs: number) => ({ kind, description: '', atMs, durationMs: 500 });
+  const table = new PairTable(['a', 'b', 'c']);
+  table.addSeed([fault('b', 0), fault('a', 400), fault('a', 450), fault('c', 1_000)]);
+  table.addSeed([fault('a', 0), fault('b', 500)]);
+  t.deepEqual(table.missing, [
+    ['a', 'c'],
+    ['b', 'c'],
+  ]);
+  t.is(table.format(), ['a   -', 'b   2  -', 'c   0  0  -'].join('\n'));
+});
+
 test('the check of draining backends detects requests sent too late, except by a gateway with a fault', (t) => {
   const execution = (requestId: string, atMs: number) => ({ ...executionOf(requestId), atMs });
   const drained = new Map([['e', 1_000]]);
