--- a/bench/soak/soak-fleet.ts
+++ b/bench/soak/soak-fleet.ts
@@ -108,13 +108,14 @@
         this.ownEnds.push(`${this.name} ended by itself (${code ?? signal})`);
       }
       this.isEndExpected = false;
-      if (this.shouldRestart && this.child === child) {
+      if (this.child === child) {
+        this.child = undefined;
         setTimeout(() => this.shouldRestart && this.start(), 150);
       }
     });
   }
 
-  /** Process id of the current process; undefined before the first start. */
+  /** Process id of the current process; undefined while there is none. */
   get pid(): number | undefined {
     return this.child?.pid;
   }
