--- a/src/gateway/attempt/process-check.ts
+++ b/src/gateway/attempt/process-check.ts
@@ -9,10 +9,9 @@
 import type { Backend } from '../../routing/backend.js';
 import type { IdentifiedProcess } from '../processes/process-identifier.js';
 import type { AcceptedRequest } from './accepted-request.js';
-import type { AttemptHandle } from './attempt.js';
 import { HeldResponse } from './held-response.js';
 import type { RequestPorts } from './request-model.js';
-import type { RequestRecord } from './request-record.js';
+import type { RunningAttempt } from './running-attempt.js';
 import type { StreamBinding } from './stream-binding.js';
 
 /** The request whose attempts are checked. */
@@ -27,8 +26,7 @@
 
 /** Checks the processes that run the attempts of one request. */
 export class ProcessCheck {
-  private backend: Backend | undefined;
-  private attempt: AttemptHandle | undefined;
+  private attempt: RunningAttempt | undefined;
   private readonly held = new HeldResponse();
   /** Changes with each begin and end of an attempt. */
   private generation = 0;
@@ -36,7 +34,6 @@
   constructor(
     private readonly request: AcceptedRequest,
     private readonly binding: StreamBinding,
-    private readonly record: RequestRecord,
     private readonly ports: RequestPorts,
     private readonly checked: CheckedRequest,
   ) {}
@@ -44,25 +41,39 @@
   /**
    * Starts the check of an attempt.
    *
-   * @param version - software version that the backend is known to run
-   * @returns whether the attempt must report its process
+   * @param version - software version that the backend is known to run; undefined if the attempt
+   *   reports its process
    */
-  begin(backend: Backend, version: SoftwareVersion): boolean {
-    const { kind, isResumable } = this.request.route;
-    const needsProcess =
-      kind === 'stream' && isResumable && this.ports.mustIdentifyProcess(backend);
+  begin(attempt: RunningAttempt, version: SoftwareVersion | undefined): void {
     this.generation += 1;
-    this.backend = backend;
+    this.attempt = attempt;
     this.held.clear();
-    this.binding.noteSent(needsProcess ? undefined : version);
-    return needsProcess;
+    this.binding.noteSent(version);
+  }
+
+  /** Whether the process that runs an attempt at the backend must be identified. */
+  isNeededAt(backend: Backend): boolean {
+    const { kind, isResumable } = this.request.route;
+    return kind === 'stream' && isResumable && this.ports.mustIdentifyProcess(backend);
+  }
+
+  /**
+   * Whether events of a process at the backend may follow those that were sent to the caller;
+   * `process` is undefined if it could not be found out.
+   */
+  mayFollow(backend: Backend, process: IdentifiedProcess | undefined): boolean {
+    const { requiredVersion } = this.binding;
+    if (requiredVersion === undefined || process === undefined) {
+      return requiredVersion === undefined;
+    }
+    return this.versionOf(backend, process) === requiredVersion;
   }
 
   /** Binds the stream; must be called before its first event is sent to the caller. */
   bindStream(): void {
     const version = this.binding.bind();
     if (version !== undefined) {
-      this.ports.onStreamBegun(this.request, this.backend!, version);
+      this.ports.onStreamBegun(this.request, this.attempt!.backend, version);
     }
   }
 
@@ -73,13 +84,12 @@
   }
 
   /** Holds data back if the process must be identified first; returns whether it does. */
-  holdData(bytes: Buffer, attempt: AttemptHandle | undefined): boolean {
+  holdData(bytes: Buffer): boolean {
     if (!this.binding.mustHoldEvents) {
       return false;
     }
     this.held.add(bytes);
-    this.attempt = attempt;
-    attempt?.pause();
+    this.attempt?.transfer?.pause();
     return true;
   }
 
@@ -115,12 +125,10 @@
 
   private applyProcess(process: IdentifiedProcess): void {
     const { binding, ports, request } = this;
-    const backend = this.backend!;
-    this.record.addProcess(process);
+    const { backend, log } = this.attempt!;
+    log!.process = process;
     ports.dispatcher.noteProcess(backend.id, process.bornAtMs, ports.clock.now());
-    const version =
-      ports.directory.find(backend.id)?.versionOfProcess(process.bornAtMs) ??
-      softwareVersionOfProcess(backend, process.bornAtMs);
+    const version = this.versionOf(backend, process);
     if (!binding.identifySent(version)) {
       this.checked.leaveProcess('another process than the announced one');
       return;
@@ -131,12 +139,19 @@
     this.release();
   }
 
+  private versionOf(backend: Backend, { bornAtMs }: IdentifiedProcess): SoftwareVersion {
+    return (
+      this.ports.directory.find(backend.id)?.versionOfProcess(bornAtMs) ??
+      softwareVersionOfProcess(backend, bornAtMs)
+    );
+  }
+
   private release(): void {
     if (this.held.isEmpty) {
       return;
     }
     // Before the data: the caller's backpressure may pause the attempt again.
-    this.attempt?.resume();
+    this.attempt?.transfer?.resume();
     this.held.release(
       (bytes) => this.checked.relayData(bytes),
       () => this.checked.receiveEnd(),
--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -4,70 +4,57 @@
  * A request that was sent is sent again only if it is retryable or if it is certain that no backend
  * executed it.
  */
-import { EMPTY_HEADER_VALUE } from '../../http/header-value.js';
 import type { Backend } from '../../routing/backend.js';
-import type { ResponseHead, AttemptFailure, AttemptHandle, CallerReply } from './attempt.js';
+import type { ResponseHead, AttemptFailure, CallerReply } from './attempt.js';
 import type { AttemptOutcome } from '../dispatch/backend-health.js';
 import type { SoftwareVersion } from '../../streams/software-version.js';
 import { AlternativeBackends } from './alternative-backends.js';
 import { AttemptDeparture } from './attempt-departure.js';
 import type { CurrentAttempt, DepartureCause } from './attempt-departure.js';
+import { AttemptSequence } from './attempt-sequence.js';
 import { BackendMove } from './backend-move.js';
-import { AttemptProgress } from './attempt-progress.js';
 import { FailureReply } from './failure-reply.js';
 import { FaultBoundary } from './fault-boundary.js';
-import { HeldSlot } from './held-slot.js';
 import type { ExitEvidence } from '../crashes/interrupted-runs.js';
-import type { RequestRun } from '../crashes/request-run.js';
-import type { BackendResponseInfo } from '../admission/caller-protocol.js';
 import type { GatewayRefusal } from '../admission/gateway-refusal.js';
 import type { PlacementConstraints } from '../dispatch/dispatch-request.js';
 import type { PlacementRefusalReason } from '../dispatch/placement-refusal.js';
-import { isBadAttempt, isServerError, outcomeOfFailure, timesOf } from './attempt-outcome.js';
+import { isServerError, outcomeOfFailure } from './attempt-outcome.js';
+import { ResponseHeadReader } from './response-head-reader.js';
 import { ResponseRelay } from './response-relay.js';
 import type { BufferedResponse } from './response-relay.js';
 import { EndedBackendTimer, isCompletingRequests } from './ended-backend-timer.js';
 import { ProcessCheck } from './process-check.js';
 import { OneShotTimer } from './one-shot-timer.js';
-import { outgoingRequest } from './outgoing-request.js';
 import type { RequestWait } from './request-wait.js';
 import { RequestWaits } from './request-waits.js';
 import { RetryRules } from './retry-rules.js';
 import type { AcceptedRequest } from './accepted-request.js';
 import type { AttemptStage, RequestOptions, RequestPorts } from './request-model.js';
-import { estimateOf, RequestRecord } from './request-record.js';
+import { RequestRecord } from './request-record.js';
+import type { AttemptReceiver, RunningAttempt } from './running-attempt.js';
 import { StreamBinding } from './stream-binding.js';
+import type { SuccessorAttempt } from './successor-attempt.js';
 
 /** Processes one accepted request until it ends. */
 export class ProxiedRequest {
   private phase: AttemptStage | 'done' = 'waiting';
   private wait: RequestWait | undefined;
-  private backend: Backend | undefined;
-  private attempt: AttemptHandle | undefined;
-  private attemptStartedAtMs = 0;
-  /** Time of the last data received from the current backend, in milliseconds. */
-  private lastReceiptAtMs = -Infinity;
-  /** The current attempt as tracked for crash attribution. */
-  private currentRun: RequestRun | undefined;
-  private attempts = 0;
+  private readonly attempts: AttemptSequence;
   private readonly alternatives: AlternativeBackends;
   private readonly retries: RetryRules;
   private readonly failureReply: FailureReply;
   private readonly binding: StreamBinding;
   private readonly record: RequestRecord;
+  private readonly heads: ResponseHeadReader;
   private readonly relay: ResponseRelay;
   private readonly processCheck: ProcessCheck;
-  private progress: AttemptProgress | undefined;
-  private stopWatchingPath: (() => void) | undefined;
-  /** Whether a backend may have executed the request. */
-  private mayHaveRun = false;
   private lastResponse: BufferedResponse | undefined;
   private readonly deadlineTimer: OneShotTimer;
   private readonly departure: AttemptDeparture;
   private readonly waits: RequestWaits;
   private readonly move: BackendMove;
   private readonly endedTimer: EndedBackendTimer;
-  private readonly slot: HeldSlot;
 
   constructor(
     private readonly request: AcceptedRequest,
@@ -80,7 +67,9 @@
     this.binding = new StreamBinding(request);
     this.alternatives = new AlternativeBackends(this.binding, ports);
     this.record = new RequestRecord(request.arrivedAtMs);
-    this.processCheck = new ProcessCheck(request, this.binding, this.record, ports, {
+    this.attempts = new AttemptSequence(request, this.record, ports);
+    this.heads = new ResponseHeadReader(request, ports);
+    this.processCheck = new ProcessCheck(request, this.binding, ports, {
       relayData: (bytes) => this.relayData(bytes),
       receiveEnd: () => this.receiveEnd(),
       leaveProcess: (detail) => this.leaveProcess(detail),
@@ -102,19 +91,23 @@
       },
     );
     this.waits = new RequestWaits(request, this.binding, ports, options, () => ({
-      lastEventAtMs: this.progress?.lastEventAtMs,
+      lastEventAtMs: this.attempt?.progress?.lastEventAtMs,
       hasStarted: this.relay.hasStarted,
     }));
-    this.move = new BackendMove(request, this.alternatives, this.waits, ports, {
-      currentBackendId: () => this.backend!.id,
-      abandonAttempt: (cause) => this.abandonAttempt(cause),
-      send: (backend, placedAtMs, version) => this.send(backend, placedAtMs, version),
-      onAbandoned: () => this.departure.armSilenceTimer(),
-    });
+    const { alternatives, attempts, heads, processCheck, relay, retries, waits } = this;
+    this.move = new BackendMove(
+      { request, attempts, alternatives, waits, retries, relay, processCheck, heads, ports },
+      {
+        leave: (cause) => this.abandonAttempt(cause),
+        continueWith: (successor) => this.continueWith(successor),
+        onPathLost: (backendId) => this.departure.leaveLostPath(backendId),
+        onFailed: () => this.departure.recheckSoon(),
+        onAbandoned: () => this.departure.armSilenceTimer(),
+      },
+    );
     this.failureReply = new FailureReply(request, reply, ports.protocol, options);
     this.deadlineTimer = new OneShotTimer(clock);
     this.endedTimer = new EndedBackendTimer(clock);
-    this.slot = new HeldSlot(ports);
     this.deadlineTimer.start(request.deadlineAtMs - clock.now(), () => this.timeOut());
   }
 
@@ -134,8 +127,14 @@
   }
 
   private get currentAttempt(): CurrentAttempt {
-    const { attempt: handle, attempts, lastReceiptAtMs } = this;
-    return { handle, backendId: this.backend!.id, attempts, lastReceiptAtMs };
+    const { transfer: handle, lastReceiptAtMs } = this.attempt!;
+    const { backendId, count } = this.attempts;
+    return { handle, backendId, attempts: count, lastReceiptAtMs };
+  }
+
+  /** The current attempt, or the last one while none is active. */
+  private get attempt(): RunningAttempt | undefined {
+    return this.attempts.current;
   }
 
   /** Starts the wait for a backend. */
@@ -149,8 +148,8 @@
     if (this.phase === 'done') {
       return;
     }
-    const sinceSendMs = this.ports.clock.now() - this.attemptStartedAtMs;
-    const isSilent = this.phase === 'sent' && sinceSendMs > this.request.route.targetLatencyMs * 2;
+    const lateMs = this.request.route.targetLatencyMs * 2;
+    const isSilent = this.phase === 'sent' && this.attempt!.sinceSendMs > lateMs;
     this.abortAttempt(isSilent ? 'silent' : 'unknown', 'caller disconnected');
     this.finish(0, 'caller-left');
   }
@@ -160,11 +159,16 @@
    * did.
    */
   withdrawIfUnsent(): boolean {
-    const isForbidden = this.phase === 'sent' && this.alternatives.isForbidden(this.backend!.id);
-    if (!isForbidden || !this.withdrawAttempt('operators no longer permit the backend')) {
-      return false;
+    const detail = 'operators no longer permit the backend';
+    const isSuccessorWithdrawn = this.move.withdrawForbidden(detail);
+    const isForbidden =
+      this.phase === 'sent' && this.alternatives.isForbidden(this.attempts.backendId);
+    if (!isForbidden || !this.withdrawAttempt(detail)) {
+      return isSuccessorWithdrawn;
+    }
+    if (!this.move.promote()) {
+      this.retryUnexecuted(this.attempts.backendId);
     }
-    this.retryUnexecuted(this.backend!.id);
     return true;
   }
 
@@ -174,8 +178,10 @@
       return false;
     }
     this.endAttempt('unknown', `withdrawn before the send: ${reason}`);
-    this.retries.release();
-    this.attempts -= 1;
+    if (!this.move.hasSuccessor) {
+      this.retries.release();
+    }
+    this.attempts.uncount();
     return true;
   }
 
@@ -185,10 +191,13 @@
    * that cannot arrive.
    */
   handleBackendEnded(id: string, evidence: ExitEvidence): void {
-    const isAssigned = this.attempt !== undefined && this.backend?.id === id;
-    if (isAssigned && !isCompletingRequests(this.ports.directory.find(id), evidence)) {
+    if (isCompletingRequests(this.ports.directory.find(id), evidence)) {
+      return;
+    }
+    this.move.handleBackendEnded(id);
+    if (this.attempt?.isActive === true && this.attempts.backendId === id) {
       this.endedTimer.start(
-        () => this.lastReceiptAtMs,
+        () => this.attempt!.lastReceiptAtMs,
         () => this.failEndedBackend(),
       );
     }
@@ -196,9 +205,14 @@
 
   /** Ends an attempt whose events must not follow those that were sent to the caller. */
   private leaveProcess(detail: string): void {
-    const mayMove = this.phase === 'sent' && this.canRetryElsewhere() && this.retries.take();
-    const backendId = this.backend!.id;
+    const isReplaced = this.move.hasSuccessor;
+    const mayRetry = this.phase === 'sent' && !isReplaced && this.canRetryElsewhere();
+    const mayMove = mayRetry && this.retries.take();
+    const { backendId } = this.attempts;
     this.abandonAttempt({ outcome: 'unknown', detail });
+    if (this.move.promote()) {
+      return;
+    }
     if (mayMove) {
       this.retryOnceCharged(backendId);
     } else {
@@ -207,11 +221,8 @@
   }
 
   private failEndedBackend(): void {
-    const isUnsent = this.attempt?.withdraw() === true;
-    if (!isUnsent) {
-      this.attempt?.cancel();
-    }
-    this.failResponse('backend ended', !isUnsent);
+    const wasUnsent = this.attempt!.close();
+    this.failResponse('backend ended', !wasUnsent);
   }
 
   /** Refuses an unsent request that was found to crash the backends that execute it. */
@@ -225,7 +236,8 @@
 
   /** Refuses a request that no backend has now; `detail` is logged for a withdrawn attempt. */
   refuseIfUnsent({ reason, retryAfterMs }: GatewayRefusal, detail: string): void {
-    if (this.phase === 'waiting' || this.withdrawAttempt(detail)) {
+    const isUnsent = !this.move.hasSuccessor && this.withdrawAttempt(detail);
+    if (this.phase === 'waiting' || isUnsent) {
       this.replyWithFailure(reason, retryAfterMs);
     }
   }
@@ -260,89 +272,86 @@
   }
 
   private send(backend: Backend, nowMs: number, version: SoftwareVersion): void {
-    const { request, ports, relay } = this;
-    const { lastEventId } = relay;
+    const { relay } = this;
+    const attempt = this.attempts.create(backend, nowMs);
+    const needsProcess = this.processCheck.isNeededAt(backend);
+    this.beginAttempt(attempt, needsProcess ? undefined : version);
+    attempt.send({
+      lastEventId: relay.lastEventId,
+      needsProcess,
+      receiver: this.createReceiver(),
+      onPathLost: () => this.departure.leaveLostPath(backend.id),
+    });
+  }
+
+  /** Makes an attempt the current one; `version` is undefined until its process is identified. */
+  private beginAttempt(attempt: RunningAttempt, version: SoftwareVersion | undefined): void {
     this.phase = 'sent';
-    this.backend = backend;
-    this.slot.hold(backend.id);
+    this.attempts.continueWith(attempt);
     this.retries.use();
-    const needsProcess = this.processCheck.begin(backend, version);
-    this.attempts += 1;
-    const entry = ports.directory.find(backend.id);
-    const content = { bodyBytes: request.body.length, lastEventId };
-    this.record.addAttempt(backend, estimateOf(entry, nowMs), content, nowMs);
-    this.attemptStartedAtMs = nowMs;
-    this.lastReceiptAtMs = -Infinity;
-    this.currentRun = ports.crashes.beginRun(request, backend, this.currentRun);
-    this.stopWatchingPath = entry?.path.subscribeLost(
-      this.ports.confine(() => this.departure.leaveLostPath(backend.id)),
-    );
-    relay.beginAttempt();
-    this.progress = new AttemptProgress(
-      ports.dispatcher,
-      backend.id,
-      request.promptTokens,
-      nowMs,
-      this.progress?.lastEventAtMs,
-      ports.dispatcher.isCold(backend.id, nowMs),
-    );
-    const roundTripMs = entry?.roundTrip.ms ?? 0;
+    this.processCheck.begin(attempt, version);
+    this.relay.beginAttempt();
     this.departure.armSilenceTimer();
-    const context = { backend, roundTripMs, lastEventId, needsProcess, nowMs };
-    this.attempt = ports.sender.send(outgoingRequest(request, context, ports.protocol), {
-      onConnected: (elapsedMs) => entry?.roundTrip.addSample(elapsedMs),
+  }
+
+  /** Returns the receiver of the current attempt's response. */
+  private createReceiver(): AttemptReceiver {
+    return {
       onProcess: this.processCheck.createReceiver(),
       onHead: (head) => this.receiveHead(head),
       onData: (bytes) => this.receiveData(bytes),
       onEnd: () => this.receiveEnd(),
       onFailure: (failure) => this.failAttempt(failure),
-    });
+    };
+  }
+
+  private continueWith(successor: SuccessorAttempt): void {
+    const { attempt, needsProcess, version } = successor.placement;
+    this.beginAttempt(attempt, needsProcess ? undefined : version);
+    successor.adopt(this.createReceiver());
   }
 
   /** Ends an attempt at a backend that still has the request. */
   private abandonAttempt({ outcome, detail }: DepartureCause): void {
-    this.mayHaveRun = true;
+    this.attempts.noteMayHaveRun();
     this.abortAttempt(outcome, detail);
   }
 
   private recordReceipt(): void {
-    this.lastReceiptAtMs = this.ports.clock.now();
-    if (this.move.cancel() || this.request.route.kind !== 'stream') {
+    this.attempt!.noteReceipt();
+    if (this.move.cancelWait() || this.request.route.kind !== 'stream') {
+      this.departure.armSilenceTimer();
+    }
+  }
+
+  /** Keeps the current attempt, whose backend goes on with a usable response. */
+  private endMove(): void {
+    if (this.move.cancel('the attempt before it went on')) {
       this.departure.armSilenceTimer();
     }
-    this.ports.directory.find(this.backend!.id)?.path.noteActivity(this.lastReceiptAtMs);
   }
 
   private receiveHead(head: ResponseHead): void {
     this.recordReceipt();
-    const response = this.ports.protocol.readAnswer(head.status, head.headers);
-    if ((response.requestId ?? EMPTY_HEADER_VALUE) !== this.request.requestId) {
-      this.attempt?.discardForeignResponse();
+    const response = this.heads.read(head);
+    if (response === undefined) {
+      this.attempt?.transfer?.discardForeignResponse();
       this.failResponse('response does not name the request');
       return;
     }
-    if (!response.isMisdirected) {
-      this.reportStatement(response);
-    }
+    this.heads.reportStatement(this.attempt!, response);
     if (response.isNotExecuted || response.isMisdirected) {
       this.handleNotExecuted(response.isMisdirected);
       return;
     }
     if (!this.relay.acceptHead(head)) {
-      this.attempt?.cancel();
+      this.attempt?.transfer?.cancel();
       this.failResponse(`status ${head.status} inside a stream`);
+      return;
+    }
+    if (!isServerError(head.status)) {
+      this.endMove();
     }
-  }
-
-  private reportStatement({ statement, isNotExecuted }: BackendResponseInfo): void {
-    this.record.addStatement(statement);
-    this.ports.onStatement({
-      backend: this.backend!,
-      requestId: this.request.requestId,
-      statement,
-      sentAtMs: this.attemptStartedAtMs,
-      isTurnedAway: isNotExecuted,
-    });
   }
 
   /**
@@ -350,14 +359,17 @@
    * intended one.
    */
   private handleNotExecuted(isMisdirected: boolean): void {
-    const backendId = this.backend!.id;
+    const { backendId } = this.attempts;
     const detail = isMisdirected ? 'another backend at its address' : 'it did not run the request';
     this.abortAttempt('refused', detail);
     if (isMisdirected) {
-      this.attempts -= 1;
+      this.attempts.uncount();
       this.ports.directory.noteMisdirected(backendId);
     }
-    if (this.retries.takeAfterRefusal(this.attempts)) {
+    if (this.move.promote()) {
+      return;
+    }
+    if (this.retries.takeAfterRefusal(this.attempts.count)) {
       this.retryUnexecuted(backendId);
     } else {
       this.replyWithFailure('backend-refused');
@@ -366,24 +378,27 @@
 
   private receiveData(bytes: Buffer): void {
     this.recordReceipt();
-    this.record.addBytes(bytes.length);
-    if (!this.processCheck.holdData(bytes, this.attempt)) {
+    this.attempt!.log!.bytes += bytes.length;
+    if (!this.relay.isServerFailure) {
+      this.endMove();
+    }
+    if (!this.processCheck.holdData(bytes)) {
       this.relayData(bytes);
     }
   }
 
   private relayData(bytes: Buffer): void {
-    const { isForwarded, problem } = this.relay.acceptData(bytes, this.attempt);
+    const { isForwarded, problem } = this.relay.acceptData(bytes, this.attempt?.transfer);
     if (isForwarded) {
       this.record.setFirstByteTime(this.ports.clock.now());
     }
     if (isForwarded && this.relay.completedEvents > 0) {
       this.phase = 'streaming';
-      this.progress!.recordEvents(this.relay.completedEvents, this.ports.clock.now());
+      this.attempt!.progress!.recordEvents(this.relay.completedEvents, this.ports.clock.now());
       this.departure.armSilenceTimer();
     }
     if (problem !== undefined) {
-      this.attempt?.cancel();
+      this.attempt?.transfer?.cancel();
       this.failResponse(problem);
     }
   }
@@ -397,15 +412,17 @@
       this.failResponse(response === undefined ? 'no response' : 'stream ended inside an event');
       return;
     }
-    this.mayHaveRun = true;
+    this.attempts.noteMayHaveRun();
     const { status } = response.head;
     const hasFailed = isServerError(status);
-    const backendId = this.backend!.id;
+    const { backendId } = this.attempts;
     if (!hasFailed) {
-      this.progress!.recordCompletion(this.ports.clock.now(), this.request.workUnits);
-      this.ports.crashes.recordServed(this.request, status);
+      this.attempt!.recordServed(status);
     }
     this.endAttempt(hasFailed ? 'failed' : 'answered', `status ${status}`);
+    if (hasFailed && this.move.promote()) {
+      return;
+    }
     if (hasFailed && this.canRetryElsewhere() && this.retries.take()) {
       this.lastResponse = response;
       this.retryOnceCharged(backendId);
@@ -424,19 +441,22 @@
     if (this.phase === 'done' || this.phase === 'waiting') {
       return;
     }
-    const backendId = this.backend!.id;
+    const { backendId } = this.attempts;
     this.endAttempt(outcomeOfFailure(failure), failure.detail);
-    this.ports.crashes.recordFailure(this.currentRun!, failure);
+    this.attempt!.recordFailure(failure);
+    if (failure.mayHaveRun) {
+      this.attempts.noteMayHaveRun();
+    } else {
+      this.attempts.recordUnsent(failure);
+    }
+    if (this.move.promote()) {
+      return;
+    }
     if (!failure.mayHaveRun) {
-      this.attempts -= 1;
-      if (failure.isSilent === true) {
-        this.ports.directory.find(backendId)?.path.noteHungConnection();
-      }
       return this.retries.mayRetryUnsent(failure)
         ? this.retryUnexecuted(backendId)
         : this.replyWithFailure('no-backend');
     }
-    this.mayHaveRun = true;
     if (this.canRetryElsewhere() && this.retries.take()) {
       this.retryOnceCharged(backendId);
     } else {
@@ -450,7 +470,9 @@
   }
 
   private canRetryElsewhere(): boolean {
-    return this.retries.canLeave(this.backend!.id, this.attempts) || this.retries.canReturn;
+    return (
+      this.retries.canLeave(this.attempts.backendId, this.attempts.count) || this.retries.canReturn
+    );
   }
 
   /**
@@ -476,7 +498,7 @@
 
   private retryElsewhere(fromBackendId: string): void {
     this.alternatives.exclude(fromBackendId);
-    this.retries.limitToAttempts(this.attempts);
+    this.retries.limitToAttempts(this.attempts.count);
     this.waitForBackend();
   }
 
@@ -485,7 +507,7 @@
       return;
     }
     if (this.phase === 'waiting') {
-      this.replyWithFailure(this.mayHaveRun ? 'timed-out' : 'not-started-in-time');
+      this.replyWithFailure(this.attempts.mayHaveRun ? 'timed-out' : 'not-started-in-time');
       return;
     }
     const outcome = this.phase === 'sent' ? 'silent' : 'unknown';
@@ -498,6 +520,8 @@
    * the gateway.
    */
   private replyWithFailure(reason: GatewayRefusal['reason'], retryAfterMs?: number): void {
+    // What may have run at a second backend decides what the refusal may promise.
+    this.move.cancel('the request ended');
     if (this.relay.hasStarted) {
       this.relay.abort();
       this.finish(0, reason);
@@ -507,43 +531,29 @@
       this.completeReply(this.lastResponse);
       return;
     }
-    const { mayHaveRun, wait } = this;
     const nowMs = this.ports.clock.now();
-    const outcome = this.failureReply.send(reason, { mayHaveRun, wait, nowMs, retryAfterMs });
+    const failed = { mayHaveRun: this.attempts.mayHaveRun, wait: this.wait, nowMs, retryAfterMs };
+    const outcome = this.failureReply.send(reason, failed);
     this.finish(outcome.status, outcome.reason);
   }
 
-  /**
-   * Cancels the current attempt, if any, and ends it with `outcome`; silence of a backend that was
-   * cold at the send does not count as its failure.
-   */
+  /** Cancels the current attempt, if any; see `RunningAttempt.cancel`. */
   private abortAttempt(outcome: AttemptOutcome, detail: string): void {
-    if (this.attempt !== undefined && outcome !== 'refused') {
-      // A cancelled request may still run for a moment and crash the backend.
-      this.ports.crashes.recordInterrupted(this.currentRun!, true);
-    }
-    this.attempt?.cancel();
-    const isUnanswered = outcome === 'failed' || outcome === 'silent';
-    const isSlowStart = isUnanswered && this.progress?.isColdStart === true;
-    this.endAttempt(isSlowStart ? 'unknown' : outcome, detail);
+    this.clearAttempt();
+    this.attempt?.cancel(outcome, detail);
   }
 
   private endAttempt(outcome: AttemptOutcome, detail: string): void {
+    this.clearAttempt();
+    this.attempt?.end(outcome, detail);
+  }
+
+  /** Stops what waits for the current attempt. */
+  private clearAttempt(): void {
     this.departure.clear();
-    this.move.cancel();
+    this.move.cancelWait();
     this.endedTimer.clear();
     this.processCheck.end();
-    this.stopWatchingPath?.();
-    if (this.attempt === undefined || this.backend === undefined) {
-      return;
-    }
-    this.attempt = undefined;
-    this.progress?.recordEnd();
-    this.record.endAttempt(outcome, detail, this.progress?.longestPauseMs ?? 0);
-    const sinceSendMs = this.ports.clock.now() - this.attemptStartedAtMs;
-    const isBad = isBadAttempt(outcome, this.request.route, timesOf(this.progress, sinceSendMs));
-    this.ports.onTryOver({ backend: this.backend, route: this.request.route, isBad });
-    this.slot.release(outcome);
   }
 
   /**
@@ -554,34 +564,28 @@
     if (this.phase === 'done') {
       return;
     }
-    const { attempt } = this;
-    // The outcome of an attempt may not be recorded yet.
-    this.mayHaveRun ||= this.attempts > 0;
-    this.attempt = undefined;
     const steps = [
       () => this.endedTimer.clear(),
-      () => this.stopWatchingPath?.(),
-      () => attempt?.cancel(),
-      () => this.progress?.recordEnd(),
-      () => this.slot.release('unknown'),
+      ...this.attempts.releaseSteps(),
+      ...this.move.releaseSteps(),
       () => this.replyWithFailure('internal-error'),
     ];
     const boundary = new FaultBoundary(onFault);
-    steps.forEach((step) => boundary.run(step));
+    boundary.runAll(steps);
     if (!this.isDone) {
-      boundary.run(() => this.relay.abort());
-      boundary.run(() => this.finish(0, 'internal-error'));
+      boundary.runAll([() => this.relay.abort(), () => this.finish(0, 'internal-error')]);
     }
   }
 
   private finish(status: number, reason: string): void {
-    const { attempts, stage } = this;
+    this.move.cancel('the request ended');
+    const { stage } = this;
+    const attempts = this.attempts.count;
     const end = this.record.end({ status, reason, stage, attempts }, this.ports.clock.now());
     this.phase = 'done';
     this.deadlineTimer.clear();
     this.departure.clear();
     this.wait?.cancel();
-    this.move.cancel();
     this.retries.end();
     this.ports.onEnd(this.request, end);
   }
