--- a/bench/soak/soak-run.ts
+++ b/bench/soak/soak-run.ts
@@ -9,15 +9,17 @@
 import type { Execution } from './soak-backend.js';
 import { injectMalformedInput } from './soak-malformed.js';
 import { injectFault, restoreStoreFromBackup } from './soak-faults.js';
+import { startPairs } from './soak-pair-faults.js';
+import type { InjectedFault } from './soak-pairs.js';
 import { findUnanswered } from './soak-answers.js';
 import { startSilences } from './soak-silences.js';
 import { findOutsideRegions } from './soak-regions.js';
 import { isServable } from './soak-servable.js';
 import { startRouteChanges } from './soak-routes.js';
-import { findBrokenStreams, resumptionOf } from './soak-streams.js';
+import { findBrokenStreams, isStreamKind, resumptionOf } from './soak-streams.js';
 import type { ResumedStream } from './soak-streams.js';
 import { findIgnoredStatements, startStatement } from './soak-statements.js';
-import { SOAK_MAX_COLD_STARTS, SOAK_API_KEY, SOAK_TIMEOUT_MS, SoakFleet } from './soak-fleet.js';
+import { SOAK_MAX_COLD_STARTS, SOAK_API_KEY, SoakFleet, soakTimeoutMs } from './soak-fleet.js';
 import type { SoakEvacuation, SoakSizes } from './soak-fleet.js';
 
 /** Options of a soak test. */
@@ -32,6 +34,8 @@
   readonly sendsStatements?: boolean;
   /** Whether sound backends fall silent for a while. Default true. */
   readonly silencesBackends?: boolean;
+  /** Whether pairs of faults are injected at once. Default true. */
+  readonly injectsPairs?: boolean;
   /** Whether the store is restored from backups. Default false. */
   readonly restoresBackups?: boolean;
   /** Whether backends and the store send malformed input. Default false. */
@@ -43,13 +47,13 @@
   readonly seed: number;
   readonly requests: number;
   readonly answered: number;
-  readonly faults: readonly string[];
+  readonly faults: readonly InjectedFault[];
   readonly violations: readonly string[];
   /** Folder that contains the processes' logs. */
   readonly folder: string;
 }
 
-type RouteKind = 'safe' | 'unsafe' | 'stream' | 'home' | 'moved';
+type RouteKind = 'safe' | 'unsafe' | 'stream' | 'long' | 'home' | 'moved';
 
 /** A request and its response as the caller observed them. */
 export interface ObservedRequest {
@@ -90,15 +94,22 @@
 const NOT_EXECUTED_STATUSES = new Set([408, 421, 429, 503]);
 
 /** Restores the store from backups periodically, in parallel to the faults. */
-function startRestores(fleet: SoakFleet, seed: number, faults: string[]) {
+function startRestores(fleet: SoakFleet, seed: number, faults: InjectedFault[]) {
   const random = new SeededRandom(seed + 5);
-  return setInterval(() => faults.push(restoreStoreFromBackup(fleet, random)), RESTORE_INTERVAL_MS);
+  const restore = () => faults.push(restoreStoreFromBackup(fleet, random));
+  return setInterval(restore, RESTORE_INTERVAL_MS);
 }
 
 /** Sends malformed input in parallel to the faults. */
-function startMalformedInput(fleet: SoakFleet, seed: number, faults: string[]) {
+function startMalformedInput(fleet: SoakFleet, seed: number, faults: InjectedFault[]) {
   const random = new SeededRandom(seed + 7);
-  const inject = () => faults.push(injectMalformedInput(fleet, random));
+  const inject = () =>
+    faults.push({
+      kind: 'malformedInput',
+      description: injectMalformedInput(fleet, random),
+      atMs: performance.now(),
+      durationMs: MALFORMED_INTERVAL_MS,
+    });
   return setInterval(inject, MALFORMED_INTERVAL_MS);
 }
 
@@ -108,7 +119,7 @@
   const executions: Execution[] = [];
   const observed: ObservedRequest[] = [];
   const lateViolations: string[] = [];
-  const faults: string[] = [];
+  const faults: InjectedFault[] = [];
   const fleet = new SoakFleet(
     options.sizes,
     options.basePort,
@@ -142,11 +153,14 @@
     options.silencesBackends === false
       ? () => undefined
       : startSilences(fleet, options.seed, faults);
+  const stopPairs =
+    options.injectsPairs === false ? () => undefined : startPairs(fleet, options, faults);
   while (performance.now() < faultsEndAtMs) {
     await sleepMs(randomInteger(random, 100, 700));
     faults.push(injectFault(fleet, random));
   }
   stopSilences();
+  stopPairs();
   clearInterval(statementTimer);
   clearInterval(restoreTimer);
   clearInterval(malformedTimer);
@@ -191,9 +205,16 @@
 }
 
 /** Uses a random source of its own, so that statements don't change the faults of a seed. */
-function startStatements(fleet: SoakFleet, seed: number, faults: string[]): NodeJS.Timeout {
+function startStatements(fleet: SoakFleet, seed: number, faults: InjectedFault[]): NodeJS.Timeout {
   const random = new SeededRandom(seed + 2);
-  return setInterval(() => faults.push(startStatement(fleet, random)), STATEMENT_INTERVAL_MS);
+  const start = () =>
+    faults.push({
+      kind: 'makeStatement',
+      description: startStatement(fleet, random),
+      atMs: performance.now(),
+      durationMs: STATEMENT_INTERVAL_MS,
+    });
+  return setInterval(start, STATEMENT_INTERVAL_MS);
 }
 
 function findUnansweredInFleet(
@@ -205,7 +226,7 @@
     executionsOf: (id) => executions.filter(({ requestId }) => requestId === id),
     endsOf: (gateway) => fleet.gateways[gateway]!.ends,
     breaks: fleet.breaks,
-    brokenOff: new Set(fleet.backends.flatMap((backend) => [...backend.brokenRequests])),
+    silences: fleet.silences,
   });
 }
 
@@ -251,7 +272,7 @@
   violations: string[],
 ): Promise<void> {
   const agent = new Agent({ keepAlive: true, maxSockets: 1 });
-  const kinds: readonly RouteKind[] = ['safe', 'unsafe', 'stream', 'home', 'moved'];
+  const kinds: readonly RouteKind[] = ['safe', 'unsafe', 'stream', 'home', 'moved', 'long'];
   const gateway = caller % gateways;
   for (let number = 0; performance.now() < stopAtMs; number += 1) {
     const kind = kinds[(caller + number) % kinds.length]!;
@@ -280,7 +301,7 @@
     }
     const gateway = (broken.gateway + attempt) % gateways;
     const id = `c${gateway}-r${attempt}-${broken.id}`;
-    last = await send(fleet, agent, id, 'stream', gateway, resumes);
+    last = await send(fleet, agent, id, broken.kind, gateway, resumes);
     observed.push(last);
     await sleepMs(last.status === 0 ? 100 : 20);
   }
@@ -323,12 +344,12 @@
         Host: 'soak.example',
         Authorization: `Bearer ${SOAK_API_KEY}`,
         'X-Weirvale-Attempt-Id': id,
-        'X-Weirvale-Deadline-Ms': SOAK_TIMEOUT_MS,
+        'X-Weirvale-Deadline-Ms': soakTimeoutMs(kind),
         'X-Weirvale-Token-Counts': '100,24',
         ...(resumes && { 'Last-Event-Id': `${resumes.afterEvent}`, Resumes: resumes.firstId }),
       },
     });
-    clientRequest.setTimeout(SOAK_TIMEOUT_MS * 2, () => clientRequest.destroy());
+    clientRequest.setTimeout(soakTimeoutMs(kind) * 2, () => clientRequest.destroy());
     clientRequest.on('error', (error: NodeJS.ErrnoException) => {
       sent.isConnectionRefused = error.code === 'ECONNREFUSED';
       end(0);
@@ -348,7 +369,7 @@
 export function findOverdue(sent: ObservedRequest, disruptedUntilMs: number): string[] {
   const heldMs = sent.endedAtMs - sent.sentAtMs;
   const isLate =
-    heldMs > SOAK_TIMEOUT_MS + OVERDUE_TOLERANCE_MS && disruptedUntilMs <= sent.sentAtMs;
+    heldMs > soakTimeoutMs(sent.kind) + OVERDUE_TOLERANCE_MS && disruptedUntilMs <= sent.sentAtMs;
   return isLate
     ? [
         `${sent.id} (${sent.kind}) was held for ${Math.round(heldMs)} ms by a gateway without faults`,
@@ -458,7 +479,7 @@
   if (sent.kind === 'unsafe' && NOT_EXECUTED_STATUSES.has(sent.status) && executions.length > 0) {
     violations.push(`${sent.id} received ${sent.status} but ran`);
   }
-  const isWhole = sent.kind === 'stream' || sent.body === expectedResponse(sent.id);
+  const isWhole = isStreamKind(sent.kind) || sent.body === expectedResponse(sent.id);
   if (sent.status === 200 && !isWhole) {
     violations.push(`${sent.id} received a body that is not its own or not complete`);
   }
