A next backend that rejects a stream with a 4xx status is answered for, not counted as failed

What callers saw: a stream whose backend was silent waited until its deadline, although a second backend had answered with a 4xx status meanwhile.

Cause: the body of such a response was read as events while it was held, so that it seemed to end inside one. The backend was recorded as failed as well.

Why this holds: whether a response consists of events is decided in one place, and another response proves with its head that the backend handled the request. The test failed before (the attempt was recorded as bad, no response arrived).

--- a/src/gateway/attempt/attempt-outcome.ts
+++ b/src/gateway/attempt/attempt-outcome.ts
@@ -4,6 +4,7 @@
 import type { AttemptProgress } from './attempt-progress.js';
 import type { AttemptOutcome } from '../dispatch/backend-health.js';
 
+const MIN_HTTP_ERROR_STATUS = 400;
 const FIRST_SERVER_ERROR_STATUS = 500;
 
 /** Whether the status states that the backend failed. */
@@ -11,6 +12,11 @@
   return status >= FIRST_SERVER_ERROR_STATUS;
 }
 
+/** Whether the response of a stream with this status consists of events. */
+export function isEventStreamStatus(status: number): boolean {
+  return status < MIN_HTTP_ERROR_STATUS;
+}
+
 /** Latencies of one attempt, in milliseconds. */
 export interface AttemptTimes {
   /** Time from the send to the first event, or to the complete response if there are no events. */
--- a/src/gateway/attempt/response-relay.ts
+++ b/src/gateway/attempt/response-relay.ts
@@ -9,12 +9,11 @@
 import type { HeaderValue } from '../../http/header-value.js';
 import { endToEndHeaders } from '../admission/caller-protocol.js';
 import type { ResponseHead, AttemptHandle, CallerReply } from './attempt.js';
-import { isServerError } from './attempt-outcome.js';
+import { isEventStreamStatus, isServerError } from './attempt-outcome.js';
 import { EventStreamParser } from './event-stream-parser.js';
 import type { EventStreamProblem } from './event-stream-parser.js';
 
 const MAX_BUFFERED_RESPONSE_BYTES = 256 * 1024;
-const MIN_HTTP_ERROR_STATUS = 400;
 const FRAMING_HEADERS = new Set(['content-length']);
 const NO_HEADERS = new Set<string>();
 
@@ -107,7 +106,7 @@
     return (
       this.request.isStream &&
       this.responseHead !== undefined &&
-      this.responseHead.status < MIN_HTTP_ERROR_STATUS
+      isEventStreamStatus(this.responseHead.status)
     );
   }
 
--- a/src/gateway/attempt/successor-attempt.ts
+++ b/src/gateway/attempt/successor-attempt.ts
@@ -10,7 +10,7 @@
 import type { AttemptOutcome } from '../dispatch/backend-health.js';
 import type { IdentifiedProcess } from '../processes/process-identifier.js';
 import type { AttemptFailure, ResponseHead } from './attempt.js';
-import { isServerError, outcomeOfFailure } from './attempt-outcome.js';
+import { isEventStreamStatus, isServerError, outcomeOfFailure } from './attempt-outcome.js';
 import { EndedBackendTimer } from './ended-backend-timer.js';
 import { EventStreamParser } from './event-stream-parser.js';
 import { HeldResponse } from './held-response.js';
@@ -210,7 +210,7 @@
       this.endUnexecuted(response);
     } else if (isServerError(head.status) || !this.request.relay.canContinueWith(head)) {
       this.fail(`status ${head.status}`);
-    } else if (isStream) {
+    } else if (isStream && isEventStreamStatus(head.status)) {
       this.headTimer.start(HEAD_PROOF_MS, () => this.recordProof());
     } else {
       this.recordProof();
--- a/test/successor-attempts.test.ts
+++ b/test/successor-attempts.test.ts
@@ -204,3 +204,12 @@
   t.true(stream.world.directory.find('b')!.condition.isLeaving);
   completeFirst(t, stream);
 });
+
+test('a response of the next backend that rejects a stream is not taken for a failure of that backend', async (t) => {
+  const world = new GatewayHarness(backendOf('a', { slots: 1 }), backendOf('b', { slots: 1 }));
+  const { reply } = world.request({ route: STREAM });
+  await world.clock.runUntil(MOVED_MS);
+  world.answer(1, 404, 'no such document');
+  t.deepEqual([reply.status, reply.body, reply.isEnded], [404, 'no such document', true]);
+  t.false(world.endedAttempts.some(({ backend, isBad }) => backend.id === 'b' && isBad === true));
+});
