A request learns that its next backend has ended although that was reported before it moved there

What callers saw: a request waited until its deadline for a backend that was known to have ended.

Cause: the report was kept by the attempt beside the silent one, and its timer was stopped when that attempt took the place of a failed one; nothing else asks again.

Why this holds: the request starts its own timer when it takes over such an attempt. The test failed before: neither was the attempt cancelled nor the response ended.

--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -196,13 +196,17 @@
     }
     this.move.handleBackendEnded(id);
     if (this.attempt?.isActive === true && this.attempts.backendId === id) {
-      this.endedTimer.start(
-        () => this.attempt!.lastReceiptAtMs,
-        () => this.failEndedBackend(),
-      );
+      this.startEndedTimer();
     }
   }
 
+  private startEndedTimer(): void {
+    this.endedTimer.start(
+      () => this.attempt!.lastReceiptAtMs,
+      () => this.failEndedBackend(),
+    );
+  }
+
   /** Ends an attempt whose events must not follow those that were sent to the caller. */
   private leaveProcess(detail: string): void {
     const isReplaced = this.move.hasSuccessor;
@@ -308,6 +312,9 @@
   private continueWith(successor: SuccessorAttempt): void {
     const { attempt, needsProcess, version } = successor.placement;
     this.beginAttempt(attempt, needsProcess ? undefined : version);
+    if (successor.isBackendEnded) {
+      this.startEndedTimer();
+    }
     successor.adopt(this.createReceiver());
   }
 
--- a/src/gateway/attempt/successor-attempt.ts
+++ b/src/gateway/attempt/successor-attempt.ts
@@ -87,6 +87,7 @@
   private isIdentified = false;
   private hasProof = false;
   private isOver = false;
+  private hasBackendEnded = false;
   /** Receives the response once the attempt has replaced the other one. */
   private receiver: AttemptReceiver | undefined;
   private readonly headTimer: OneShotTimer;
@@ -107,6 +108,11 @@
     return this.placement.attempt.backend.id;
   }
 
+  /** Whether its backend was reported to have ended. */
+  get isBackendEnded(): boolean {
+    return this.hasBackendEnded;
+  }
+
   /** Receives what the backend sends, before and after the attempt replaces the other one. */
   readonly handlers: AttemptReceiver = {
     onProcess: (process) => (this.receiver?.onProcess ?? this.receiveProcess)(process),
@@ -160,6 +166,7 @@
 
   /** Handles the report that its backend has ended. */
   handleBackendEnded(): void {
+    this.hasBackendEnded = true;
     this.endedTimer.start(
       () => this.placement.attempt.lastReceiptAtMs,
       () => {
--- a/test/successor-attempts.test.ts
+++ b/test/successor-attempts.test.ts
@@ -2,6 +2,7 @@
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
 import { backendOf, GatewayHarness, routeOf } from './support/gateway-harness.js';
+import type { ProxiedRequest } from '../src/gateway/attempt/proxied-request.js';
 import type { RecordedAttempt, RecordedReply } from './support/gateway-harness.js';
 
 const STREAM = routeOf({
@@ -26,6 +27,7 @@
 interface MovedStream {
   readonly world: GatewayHarness;
   readonly reply: RecordedReply;
+  readonly request: ProxiedRequest;
   readonly disconnect: () => void;
   readonly first: RecordedAttempt;
   readonly second: RecordedAttempt;
@@ -50,6 +52,7 @@
   return {
     world,
     reply,
+    request,
     disconnect: () => request.handleCallerDisconnect(),
     first: first!,
     second,
@@ -213,3 +216,11 @@
   t.deepEqual([reply.status, reply.body, reply.isEnded], [404, 'no such document', true]);
   t.false(world.endedAttempts.some(({ backend, isBad }) => backend.id === 'b' && isBad === true));
 });
+
+test('a request does not wait until its deadline for a next backend that ended before the silent one failed', async (t) => {
+  const { world, request, first, second, reply } = await moveStream();
+  request.handleBackendEnded('b', 'agent');
+  first.handlers.onFailure(RESET);
+  await world.clock.runUntil(MOVED_MS + 500);
+  t.deepEqual([second.isCancelled, reply.isAborted], [true, true]);
+});
