A next backend is not given up for events that may turn out unusable

What callers saw: a stream that was taken up was refused or broken off although a second backend of its version had it: the first one, not identified yet, sent bytes, the attempt at the second one was cancelled, and the first one turned out to run another version.

Cause: any byte of the first backend counted as a sign that it goes on with a usable response, also those that are held until its process is identified.

Why this holds: the attempt beside it is cancelled when an event of the first backend is passed on, not when one is held. If the next backend shows first that it runs the request, it is used. The test failed before: the second attempt was cancelled and the response aborted.

--- a/src/gateway/attempt/process-check.ts
+++ b/src/gateway/attempt/process-check.ts
@@ -83,9 +83,14 @@
     this.held.clear();
   }
 
+  /** Whether the process must be identified before what it sends can be used. */
+  get mustHoldEvents(): boolean {
+    return this.binding.mustHoldEvents;
+  }
+
   /** Holds data back if the process must be identified first; returns whether it does. */
   holdData(bytes: Buffer): boolean {
-    if (!this.binding.mustHoldEvents) {
+    if (!this.mustHoldEvents) {
       return false;
     }
     this.held.add(bytes);
@@ -95,7 +100,7 @@
 
   /** Holds the end of the response back in the same way; returns whether it does. */
   holdEnd(): boolean {
-    if (!this.binding.mustHoldEvents) {
+    if (!this.mustHoldEvents) {
       return false;
     }
     this.held.addEnd();
--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -356,7 +356,7 @@
       this.failResponse(`status ${head.status} inside a stream`);
       return;
     }
-    if (!isServerError(head.status)) {
+    if (!isServerError(head.status) && !this.processCheck.mustHoldEvents) {
       this.endMove();
     }
   }
@@ -386,15 +386,15 @@
   private receiveData(bytes: Buffer): void {
     this.recordReceipt();
     this.attempt!.log!.bytes += bytes.length;
-    if (!this.relay.isServerFailure) {
-      this.endMove();
-    }
     if (!this.processCheck.holdData(bytes)) {
       this.relayData(bytes);
     }
   }
 
   private relayData(bytes: Buffer): void {
+    if (!this.relay.isServerFailure) {
+      this.endMove();
+    }
     const { isForwarded, problem } = this.relay.acceptData(bytes, this.attempt?.transfer);
     if (isForwarded) {
       this.record.setFirstByteTime(this.ports.clock.now());
--- a/test/successor-attempts.test.ts
+++ b/test/successor-attempts.test.ts
@@ -1,6 +1,7 @@
 /** Attempts that run beside one at a silent backend, and which of the two is used. */
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
+import { softwareVersionOf } from '../src/streams/software-version.js';
 import { backendOf, GatewayHarness, routeOf } from './support/gateway-harness.js';
 import type { ProxiedRequest } from '../src/gateway/attempt/proxied-request.js';
 import type { RecordedAttempt, RecordedReply } from './support/gateway-harness.js';
@@ -12,6 +13,7 @@
   maxPauseMs: 200,
   timeoutMs: 20_000,
 });
+const VERSION = softwareVersionOf({ id: 'a', version: 'v1' });
 const SAFE = routeOf({ kind: 'safe', targetLatencyMs: 2_000, timeoutMs: 8_000 });
 const EVENT_1 = 'id: 1\ndata: a\n\n';
 const EVENT_2 = 'id: 2\ndata: b\n\n';
@@ -224,3 +226,34 @@
   await world.clock.runUntil(MOVED_MS + 500);
   t.deepEqual([second.isCancelled, reply.isAborted], [true, true]);
 });
+
+test('a next backend of the right version is not given up for held events of a process of another version', async (t) => {
+  const [a, b] = ['a', 'b'].map((id) => backendOf(id, { slots: 1, bornAtMs: 5 }));
+  const world = new GatewayHarness(a!, b!);
+  world.unreportedBackendIds.add('a');
+  const { reply } = world.request({ route: STREAM, resumedVersion: VERSION });
+  await world.clock.runUntil(MOVED_MS);
+  const [first, second] = world.attempts;
+  first!.handlers.onHead(OK_HEAD);
+  sendEvents(first!, EVENT_1);
+  first!.handlers.onProcess!({ bornAtMs: 9, source: 'agent' });
+  t.deepEqual([first!.isCancelled, second!.isCancelled, reply.isAborted], [true, false, false]);
+  second!.handlers.onHead(OK_HEAD);
+  sendEvents(second!, EVENT_1);
+  second!.handlers.onEnd();
+  t.deepEqual([reply.body, reply.isEnded], [EVENT_1, true]);
+});
+
+test('a stream goes on at its silent backend if that is identified while the next one has sent nothing', async (t) => {
+  const [a, b] = ['a', 'b'].map((id) => backendOf(id, { slots: 1, bornAtMs: 5 }));
+  const world = new GatewayHarness(a!, b!);
+  world.unreportedBackendIds.add('a');
+  const { reply } = world.request({ route: STREAM, resumedVersion: VERSION });
+  await world.clock.runUntil(MOVED_MS);
+  const [first, second] = world.attempts;
+  first!.handlers.onHead(OK_HEAD);
+  sendEvents(first!, EVENT_1);
+  t.is(reply.body, '');
+  first!.handlers.onProcess!({ bornAtMs: 5, source: 'agent' });
+  t.deepEqual([reply.body, second!.isCancelled], [EVENT_1, true]);
+});
