A request that reached only its next backend is not charged as a retry

What callers saw: a tenant was charged twice, and the budget of the service lost a retry, for a request that one backend ran: its first connection hung until after the request had moved, so that nothing of it was sent.

Cause: an attempt that takes the place of one that was never sent was counted as a retry.

Why this holds: the retry is given back before the next attempt takes over.

--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -178,9 +178,7 @@
       return false;
     }
     this.endAttempt('unknown', `withdrawn before the send: ${reason}`);
-    if (!this.move.hasSuccessor) {
-      this.retries.release();
-    }
+    this.retries.release();
     this.attempts.uncount();
     return true;
   }
@@ -456,6 +454,10 @@
     } else {
       this.attempts.recordUnsent(failure);
     }
+    if (!failure.mayHaveRun) {
+      // An attempt beside this one is the first to arrive, and no retry.
+      this.retries.release();
+    }
     if (this.move.promote()) {
       return;
     }
--- a/src/gateway/attempt/retry-rules.ts
+++ b/src/gateway/attempt/retry-rules.ts
@@ -58,7 +58,6 @@
 
   /** Records a failed connect; returns whether the request may still be sent elsewhere. */
   mayRetryUnsent({ isPortClosed }: AttemptFailure): boolean {
-    this.next.release();
     // A closed port is detected at once, and no other request is sent there for now.
     this.connectFailures += isPortClosed ? 0 : 1;
     return this.connectFailures <= MAX_CONNECT_FAILURES && this.hasTimeLeft;
--- a/test/successor-attempts.test.ts
+++ b/test/successor-attempts.test.ts
@@ -61,6 +61,15 @@
   };
 }
 
+/** Starts a safe request at `a` that is not answered, until it is sent to `b` as well. */
+async function moveUnanswered(): Promise<Pick<MovedStream, 'world' | 'first' | 'second'>> {
+  const world = new GatewayHarness(backendOf('a', { slots: 1 }), backendOf('b', { slots: 1 }));
+  world.request({ route: SAFE });
+  await world.clock.runUntil(MOVED_MS);
+  const [first, second] = world.attempts;
+  return { world, first: first!, second: second! };
+}
+
 function sendEvents(attempt: RecordedAttempt, ...events: string[]): void {
   attempt.handlers.onData(Buffer.from(events.join('')));
 }
@@ -257,3 +266,11 @@
   first!.handlers.onProcess!({ bornAtMs: 5, source: 'agent' });
   t.deepEqual([reply.body, second!.isCancelled], [EVENT_1, true]);
 });
+
+test('a request that reached only the next backend is not charged as a retry', async (t) => {
+  const { world, first, second } = await moveUnanswered();
+  first.handlers.onFailure({ mayHaveRun: false, isPortClosed: false, detail: 'no connection' });
+  second.handlers.onHead(OK_HEAD);
+  second.handlers.onEnd();
+  t.deepEqual([world.repeatsLeft, world.chargedRetries - world.refundedRetries], [10, 0]);
+});
