--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -453,8 +453,6 @@
       this.attempts.noteMayHaveRun();
     } else {
       this.attempts.recordUnsent(failure);
-    }
-    if (!failure.mayHaveRun) {
       // An attempt beside this one is the first to arrive, and no retry.
       this.retries.release();
     }
