--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -178,9 +178,7 @@
       return false;
     }
     this.endAttempt('unknown', `withdrawn before the send: ${reason}`);
-    if (!this.move.hasSuccessor) {
-      this.retries.release();
-    }
+    this.retries.release();
     this.attempts.uncount();
     return true;
   }
@@ -196,13 +194,17 @@
     }
     this.move.handleBackendEnded(id);
     if (this.attempt?.isActive === true && this.attempts.backendId === id) {
-      this.endedTimer.start(
-        () => this.attempt!.lastReceiptAtMs,
-        () => this.failEndedBackend(),
-      );
+      this.startEndedTimer();
     }
   }
 
+  private startEndedTimer(): void {
+    this.endedTimer.start(
+      () => this.attempt!.lastReceiptAtMs,
+      () => this.failEndedBackend(),
+    );
+  }
+
   /** Ends an attempt whose events must not follow those that were sent to the caller. */
   private leaveProcess(detail: string): void {
     const isReplaced = this.move.hasSuccessor;
@@ -308,6 +310,9 @@
   private continueWith(successor: SuccessorAttempt): void {
     const { attempt, needsProcess, version } = successor.placement;
     this.beginAttempt(attempt, needsProcess ? undefined : version);
+    if (successor.isBackendEnded) {
+      this.startEndedTimer();
+    }
     successor.adopt(this.createReceiver());
   }
 
@@ -349,7 +354,7 @@
       this.failResponse(`status ${head.status} inside a stream`);
       return;
     }
-    if (!isServerError(head.status)) {
+    if (!isServerError(head.status) && !this.processCheck.mustHoldEvents) {
       this.endMove();
     }
   }
@@ -379,15 +384,15 @@
   private receiveData(bytes: Buffer): void {
     this.recordReceipt();
     this.attempt!.log!.bytes += bytes.length;
-    if (!this.relay.isServerFailure) {
-      this.endMove();
-    }
     if (!this.processCheck.holdData(bytes)) {
       this.relayData(bytes);
     }
   }
 
   private relayData(bytes: Buffer): void {
+    if (!this.relay.isServerFailure) {
+      this.endMove();
+    }
     const { isForwarded, problem } = this.relay.acceptData(bytes, this.attempt?.transfer);
     if (isForwarded) {
       this.record.setFirstByteTime(this.ports.clock.now());
@@ -448,6 +453,8 @@
       this.attempts.noteMayHaveRun();
     } else {
       this.attempts.recordUnsent(failure);
+      // An attempt beside this one is the first to arrive, and no retry.
+      this.retries.release();
     }
     if (this.move.promote()) {
       return;
--- a/test/successor-attempts.test.ts
+++ b/test/successor-attempts.test.ts
@@ -1,7 +1,9 @@
 /** Attempts that run beside one at a silent backend, and which of the two is used. */
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
+import { softwareVersionOf } from '../src/streams/software-version.js';
 import { backendOf, GatewayHarness, routeOf } from './support/gateway-harness.js';
+import type { ProxiedRequest } from '../src/gateway/attempt/proxied-request.js';
 import type { RecordedAttempt, RecordedReply } from './support/gateway-harness.js';
 
 const STREAM = routeOf({
@@ -11,6 +13,7 @@
   maxPauseMs: 200,
   timeoutMs: 20_000,
 });
+const VERSION = softwareVersionOf({ id: 'a', version: 'v1' });
 const SAFE = routeOf({ kind: 'safe', targetLatencyMs: 2_000, timeoutMs: 8_000 });
 const EVENT_1 = 'id: 1\ndata: a\n\n';
 const EVENT_2 = 'id: 2\ndata: b\n\n';
@@ -26,6 +29,7 @@
 interface MovedStream {
   readonly world: GatewayHarness;
   readonly reply: RecordedReply;
+  readonly request: ProxiedRequest;
   readonly disconnect: () => void;
   readonly first: RecordedAttempt;
   readonly second: RecordedAttempt;
@@ -50,12 +54,22 @@
   return {
     world,
     reply,
+    request,
     disconnect: () => request.handleCallerDisconnect(),
     first: first!,
     second,
   };
 }
 
+/** Starts a safe request at `a` that is not answered, until it is sent to `b` as well. */
+async function moveUnanswered(): Promise<Pick<MovedStream, 'world' | 'first' | 'second'>> {
+  const world = new GatewayHarness(backendOf('a', { slots: 1 }), backendOf('b', { slots: 1 }));
+  world.request({ route: SAFE });
+  await world.clock.runUntil(MOVED_MS);
+  const [first, second] = world.attempts;
+  return { world, first: first!, second: second! };
+}
+
 function sendEvents(attempt: RecordedAttempt, ...events: string[]): void {
   attempt.handlers.onData(Buffer.from(events.join('')));
 }
@@ -204,3 +218,59 @@
   t.true(stream.world.directory.find('b')!.condition.isLeaving);
   completeFirst(t, stream);
 });
+
+test('a response of the next backend that rejects a stream is not taken for a failure of that backend', async (t) => {
+  const world = new GatewayHarness(backendOf('a', { slots: 1 }), backendOf('b', { slots: 1 }));
+  const { reply } = world.request({ route: STREAM });
+  await world.clock.runUntil(MOVED_MS);
+  world.answer(1, 404, 'no such document');
+  t.deepEqual([reply.status, reply.body, reply.isEnded], [404, 'no such document', true]);
+  t.false(world.endedAttempts.some(({ backend, isBad }) => backend.id === 'b' && isBad === true));
+});
+
+test('a request does not wait until its deadline for a next backend that ended before the silent one failed', async (t) => {
+  const { world, request, first, second, reply } = await moveStream();
+  request.handleBackendEnded('b', 'agent');
+  first.handlers.onFailure(RESET);
+  await world.clock.runUntil(MOVED_MS + 500);
+  t.deepEqual([second.isCancelled, reply.isAborted], [true, true]);
+});
+
+test('a next backend of the right version is not given up for held events of a process of another version', async (t) => {
+  const [a, b] = ['a', 'b'].map((id) => backendOf(id, { slots: 1, bornAtMs: 5 }));
+  const world = new GatewayHarness(a!, b!);
+  world.unreportedBackendIds.add('a');
+  const { reply } = world.request({ route: STREAM, resumedVersion: VERSION });
+  await world.clock.runUntil(MOVED_MS);
+  const [first, second] = world.attempts;
+  first!.handlers.onHead(OK_HEAD);
+  sendEvents(first!, EVENT_1);
+  first!.handlers.onProcess!({ bornAtMs: 9, source: 'agent' });
+  t.deepEqual([first!.isCancelled, second!.isCancelled, reply.isAborted], [true, false, false]);
+  second!.handlers.onHead(OK_HEAD);
+  sendEvents(second!, EVENT_1);
+  second!.handlers.onEnd();
+  t.deepEqual([reply.body, reply.isEnded], [EVENT_1, true]);
+});
+
+test('a stream goes on at its silent backend if that is identified while the next one has sent nothing', async (t) => {
+  const [a, b] = ['a', 'b'].map((id) => backendOf(id, { slots: 1, bornAtMs: 5 }));
+  const world = new GatewayHarness(a!, b!);
+  world.unreportedBackendIds.add('a');
+  const { reply } = world.request({ route: STREAM, resumedVersion: VERSION });
+  await world.clock.runUntil(MOVED_MS);
+  const [first, second] = world.attempts;
+  first!.handlers.onHead(OK_HEAD);
+  sendEvents(first!, EVENT_1);
+  t.is(reply.body, '');
+  first!.handlers.onProcess!({ bornAtMs: 5, source: 'agent' });
+  t.deepEqual([reply.body, second!.isCancelled], [EVENT_1, true]);
+});
+
+test('a request that reached only the next backend is not charged as a retry', async (t) => {
+  const { world, first, second } = await moveUnanswered();
+  first.handlers.onFailure({ mayHaveRun: false, isPortClosed: false, detail: 'no connection' });
+  second.handlers.onHead(OK_HEAD);
+  second.handlers.onEnd();
+  t.deepEqual([world.repeatsLeft, world.chargedRetries - world.refundedRetries], [10, 0]);
+});
