The response of a backend that failed is kept when the attempt beside it takes over

What callers saw: our 502 in place of the backend's own 5xx, where the first backend failed a request and the one beside it failed too.

Cause: the 5xx response was stored for the caller only where a new retry was taken, not where an attempt that ran already took over. The new test failed before with 502.

--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -425,15 +425,23 @@
       this.attempt!.recordServed(status);
     }
     this.endAttempt(hasFailed ? 'failed' : 'answered', `status ${status}`);
-    if (hasFailed && this.move.promote()) {
+    if (hasFailed && this.continueAfterFailure(response, backendId)) {
       return;
     }
-    if (hasFailed && this.canRetryElsewhere() && this.retries.take()) {
-      this.lastResponse = response;
+    this.completeReply(response);
+  }
+
+  /** Continues at another backend, if one may have the request; `response` is kept until then. */
+  private continueAfterFailure(response: BufferedResponse, backendId: string): boolean {
+    const isReplaced = this.move.hasSuccessor;
+    if (!isReplaced && !(this.canRetryElsewhere() && this.retries.take())) {
+      return false;
+    }
+    this.lastResponse = response;
+    if (!this.move.promote()) {
       this.retryOnceCharged(backendId);
-      return;
     }
-    this.completeReply(response);
+    return true;
   }
 
   private completeReply(response: BufferedResponse): void {
--- a/test/successor-attempts.test.ts
+++ b/test/successor-attempts.test.ts
@@ -190,6 +190,16 @@
   t.is(reply.status, 502);
 });
 
+test('the response of a backend that failed is not lost because the one beside it fails too', async (t) => {
+  const world = new GatewayHarness(backendOf('a', { slots: 1 }), backendOf('b', { slots: 1 }));
+  const { reply } = world.request({ route: SAFE });
+  await world.clock.runUntil(MOVED_MS);
+  t.is(world.attempts.length, 2);
+  world.answer(0, 500, 'bad');
+  world.attempts[1]!.handlers.onFailure(RESET);
+  t.deepEqual([reply.status, reply.body], [500, 'bad']);
+});
+
 test('a retry that did not reach the next backend is given back, and not charged again', async (t) => {
   const { world, second } = await moveStream();
   world.dispatcher.updateBackend('c', backendOf('c', { slots: 1 }), MOVED_MS);
