The timer of a backend that is reported to have ended belongs to the attempt

The request, the attempt beside it and the crash tracker each knew a part of when a report concerns an attempt. Now the attempt itself compares the time of its send with the report and waits for data that was on its way; whichever attempt is the current one then hears of the failure. No behaviour changes but one: with two attempts the time of each decides, not that of the later one.

--- a/src/gateway/attempt/attempt-sequence.ts
+++ b/src/gateway/attempt/attempt-sequence.ts
@@ -58,6 +58,15 @@
     this.countedAttempts -= 1;
   }
 
+  /** Handles the report that a backend has ended; see `RunningAttempt.handleBackendEnded`. */
+  handleBackendEnded(id: string, sentBeforeMs: number): void {
+    for (const attempt of new Set([this.attempt, this.newest])) {
+      if (attempt?.backend.id === id) {
+        attempt.handleBackendEnded(sentBeforeMs);
+      }
+    }
+  }
+
   /** Records that no byte of the current attempt reached its backend. */
   recordUnsent({ isSilent }: AttemptFailure): void {
     this.uncount();
--- a/src/gateway/attempt/backend-move.ts
+++ b/src/gateway/attempt/backend-move.ts
@@ -113,13 +113,6 @@
     return hasSuccessor;
   }
 
-  /** Handles the report that a backend has ended. */
-  handleBackendEnded(id: string): void {
-    if (this.successor?.backendId === id) {
-      this.successor.handleBackendEnded();
-    }
-  }
-
   /** Ends an unsent successor whose backend is no longer permitted; returns whether it did. */
   withdrawForbidden(detail: string): boolean {
     const { successor } = this;
--- a/src/gateway/attempt/confined-request.ts
+++ b/src/gateway/attempt/confined-request.ts
@@ -57,8 +57,8 @@
   }
 
   /** See `ProxiedRequest`. */
-  handleBackendEnded(id: string, evidence: ExitEvidence): void {
-    this.boundary.run(() => this.request.handleBackendEnded(id, evidence));
+  handleBackendEnded(id: string, evidence: ExitEvidence, sentBeforeMs: number): void {
+    this.boundary.run(() => this.request.handleBackendEnded(id, evidence, sentBeforeMs));
   }
 
   /** See `ProxiedRequest`. */
--- a/src/gateway/attempt/proxied-request.ts
+++ b/src/gateway/attempt/proxied-request.ts
@@ -23,7 +23,7 @@
 import { ResponseHeadReader } from './response-head-reader.js';
 import { ResponseRelay } from './response-relay.js';
 import type { BufferedResponse } from './response-relay.js';
-import { EndedBackendTimer, isCompletingRequests } from './ended-backend-timer.js';
+import { isCompletingRequests } from './ended-backend-timer.js';
 import { ProcessCheck } from './process-check.js';
 import { OneShotTimer } from './one-shot-timer.js';
 import type { RequestWait } from './request-wait.js';
@@ -54,7 +54,6 @@
   private readonly departure: AttemptDeparture;
   private readonly waits: RequestWaits;
   private readonly move: BackendMove;
-  private readonly endedTimer: EndedBackendTimer;
 
   constructor(
     private readonly request: AcceptedRequest,
@@ -107,7 +106,6 @@
     );
     this.failureReply = new FailureReply(request, reply, ports.protocol, options);
     this.deadlineTimer = new OneShotTimer(clock);
-    this.endedTimer = new EndedBackendTimer(clock);
     this.deadlineTimer.start(request.deadlineAtMs - clock.now(), () => this.timeOut());
   }
 
@@ -188,23 +186,12 @@
    * network partition they are not, and the request would wait until its deadline for a response
    * that cannot arrive.
    */
-  handleBackendEnded(id: string, evidence: ExitEvidence): void {
-    if (isCompletingRequests(this.ports.directory.find(id), evidence)) {
-      return;
-    }
-    this.move.handleBackendEnded(id);
-    if (this.attempt?.isActive === true && this.attempts.backendId === id) {
-      this.startEndedTimer();
+  handleBackendEnded(id: string, evidence: ExitEvidence, sentBeforeMs = Infinity): void {
+    if (!isCompletingRequests(this.ports.directory.find(id), evidence)) {
+      this.attempts.handleBackendEnded(id, sentBeforeMs);
     }
   }
 
-  private startEndedTimer(): void {
-    this.endedTimer.start(
-      () => this.attempt!.lastReceiptAtMs,
-      () => this.failEndedBackend(),
-    );
-  }
-
   /** Ends an attempt whose events must not follow those that were sent to the caller. */
   private leaveProcess(detail: string): void {
     const isReplaced = this.move.hasSuccessor;
@@ -222,11 +209,6 @@
     }
   }
 
-  private failEndedBackend(): void {
-    const wasUnsent = this.attempt!.close();
-    this.failResponse('backend ended', !wasUnsent);
-  }
-
   /** Refuses an unsent request that was found to crash the backends that execute it. */
   refuseIfCrashing(): void {
     const isUnanswered = this.phase === 'waiting' || this.phase === 'sent';
@@ -310,9 +292,6 @@
   private continueWith(successor: SuccessorAttempt): void {
     const { attempt, needsProcess, version } = successor.placement;
     this.beginAttempt(attempt, needsProcess ? undefined : version);
-    if (successor.isBackendEnded) {
-      this.startEndedTimer();
-    }
     successor.adopt(this.createReceiver());
   }
 
@@ -567,7 +546,6 @@
   private clearAttempt(): void {
     this.departure.clear();
     this.move.cancelWait();
-    this.endedTimer.clear();
     this.processCheck.end();
   }
 
@@ -580,7 +558,6 @@
       return;
     }
     const steps = [
-      () => this.endedTimer.clear(),
       ...this.attempts.releaseSteps(),
       ...this.move.releaseSteps(),
       () => this.replyWithFailure('internal-error'),
--- a/src/gateway/attempt/running-attempt.ts
+++ b/src/gateway/attempt/running-attempt.ts
@@ -7,6 +7,7 @@
 import type { AttemptFailure, AttemptHandle, AttemptHandlers } from './attempt.js';
 import { isBadAttempt, timesOf } from './attempt-outcome.js';
 import { AttemptProgress } from './attempt-progress.js';
+import { EndedBackendTimer } from './ended-backend-timer.js';
 import { HeldSlot } from './held-slot.js';
 import { outgoingRequest } from './outgoing-request.js';
 import type { AttemptRecord, RequestPorts } from './request-model.js';
@@ -46,6 +47,8 @@
   private crashRun: RequestRun | undefined;
   private responseProgress: AttemptProgress | undefined;
   private stopWatchingPath: (() => void) | undefined;
+  private receiver: AttemptReceiver | undefined;
+  private readonly endedTimer: EndedBackendTimer;
   private readonly slot: HeldSlot;
 
   /**
@@ -57,6 +60,7 @@
     readonly backend: Backend,
     readonly sentAtMs: number,
   ) {
+    this.endedTimer = new EndedBackendTimer(context.ports.clock);
     this.slot = new HeldSlot(context.ports);
     this.slot.hold(backend.id);
   }
@@ -98,6 +102,7 @@
   /** Sends the request. */
   send({ lastEventId, needsProcess, receiver, onPathLost }: AttemptStart): void {
     const { backend, sentAtMs: nowMs } = this;
+    this.receiver = receiver;
     const { previous, ports, record, request } = this.context;
     const entry = ports.directory.find(backend.id);
     const content = { bodyBytes: request.body.length, lastEventId };
@@ -131,13 +136,26 @@
     return this.transfer?.withdraw() === true;
   }
 
-  /** Cancels the transfer; returns whether nothing was sent yet. */
-  close(): boolean {
-    const wasUnsent = this.withdraw();
-    if (!wasUnsent) {
+  /**
+   * Handles the report that the process has ended to which requests were sent before `sentBeforeMs`.
+   * The attempt fails unless data that was on its way still arrives.
+   */
+  handleBackendEnded(sentBeforeMs: number): void {
+    if (this.isActive && this.sentAtMs < sentBeforeMs) {
+      this.endedTimer.start(
+        () => this.receivedAtMs,
+        () => this.failEnded(),
+      );
+    }
+  }
+
+  private failEnded(): void {
+    const isUnsent = this.withdraw();
+    if (!isUnsent) {
       this.transfer?.cancel();
     }
-    return wasUnsent;
+    const detail = 'backend ended';
+    this.receiver!.onFailure({ mayHaveRun: !isUnsent, isPortClosed: false, detail });
   }
 
   /**
@@ -169,6 +187,7 @@
 
   /** Ends the attempt and releases its slot; the transfer must be over. */
   end(outcome: AttemptOutcome, detail: string): void {
+    this.endedTimer.clear();
     this.stopWatchingPath?.();
     if (!this.isActive) {
       return;
@@ -197,6 +216,7 @@
     const { transfer } = this;
     this.isOver = true;
     return [
+      () => this.endedTimer.clear(),
       () => this.stopWatchingPath?.(),
       () => transfer?.cancel(),
       () => this.responseProgress?.recordEnd(),
--- a/src/gateway/attempt/successor-attempt.ts
+++ b/src/gateway/attempt/successor-attempt.ts
@@ -11,7 +11,6 @@
 import type { IdentifiedProcess } from '../processes/process-identifier.js';
 import type { AttemptFailure, ResponseHead } from './attempt.js';
 import { isEventStreamStatus, isServerError, outcomeOfFailure } from './attempt-outcome.js';
-import { EndedBackendTimer } from './ended-backend-timer.js';
 import { EventStreamParser } from './event-stream-parser.js';
 import { HeldResponse } from './held-response.js';
 import { OneShotTimer } from './one-shot-timer.js';
@@ -87,11 +86,9 @@
   private isIdentified = false;
   private hasProof = false;
   private isOver = false;
-  private hasBackendEnded = false;
   /** Receives the response once the attempt has replaced the other one. */
   private receiver: AttemptReceiver | undefined;
   private readonly headTimer: OneShotTimer;
-  private readonly endedTimer: EndedBackendTimer;
 
   constructor(
     readonly placement: SuccessorPlacement,
@@ -101,18 +98,12 @@
     const { clock } = request.ports;
     this.parser = new EventStreamParser(clock);
     this.headTimer = new OneShotTimer(clock);
-    this.endedTimer = new EndedBackendTimer(clock);
   }
 
   get backendId(): string {
     return this.placement.attempt.backend.id;
   }
 
-  /** Whether its backend was reported to have ended. */
-  get isBackendEnded(): boolean {
-    return this.hasBackendEnded;
-  }
-
   /** Receives what the backend sends, before and after the attempt replaces the other one. */
   readonly handlers: AttemptReceiver = {
     onProcess: (process) => (this.receiver?.onProcess ?? this.receiveProcess)(process),
@@ -164,26 +155,9 @@
     this.cancel({ outcome: 'path-lost', detail: 'the path to it is lost' });
   }
 
-  /** Handles the report that its backend has ended. */
-  handleBackendEnded(): void {
-    this.hasBackendEnded = true;
-    this.endedTimer.start(
-      () => this.placement.attempt.lastReceiptAtMs,
-      () => {
-        const wasUnsent = this.placement.attempt.close();
-        this.receiveFailure({
-          mayHaveRun: !wasUnsent,
-          isPortClosed: false,
-          detail: 'backend ended',
-        });
-      },
-    );
-  }
-
-  /** Stops its timers after an exception in the processing of the request. */
+  /** Stops its timer after an exception in the processing of the request. */
   stop(): void {
     this.headTimer.clear();
-    this.endedTimer.clear();
   }
 
   private get isRunning(): boolean {
--- a/src/gateway/crashes/crashing-requests.ts
+++ b/src/gateway/crashes/crashing-requests.ts
@@ -12,7 +12,7 @@
 import type { AttemptFailure } from '../attempt/attempt.js';
 import type { AcceptedRequest } from '../attempt/accepted-request.js';
 import { InterruptedRuns } from './interrupted-runs.js';
-import type { BackendRun, ExitEvidence } from './interrupted-runs.js';
+import type { ExitEvidence } from './interrupted-runs.js';
 import { countCrash, countPartCrashes } from './count-crashes.js';
 import { CrashTable } from './crash-table.js';
 import { NO_CRASHES, supersedes } from './crash-tally.js';
@@ -89,7 +89,6 @@
   private readonly reportedParts = new Set<Fingerprint>();
   private readonly partProbes: PartProbes;
   private readonly fingerprints = new WeakMap<FingerprintedRequest, Fingerprint>();
-  private readonly latestRuns = new WeakMap<AcceptedRequest, RequestRun>();
 
   constructor(
     private readonly ports: CrashingRequestsPorts,
@@ -149,7 +148,7 @@
   }
 
   beginRun(request: AcceptedRequest, backend: Backend, previous?: RequestRun): RequestRun {
-    const run: RequestRun = {
+    return {
       request,
       backend,
       backendId: backend.id,
@@ -158,13 +157,6 @@
       previous,
       crashes: new Map(),
     };
-    this.latestRuns.set(request, run);
-    return run;
-  }
-
-  /** Returns the latest run of a request, which may have ended; undefined before the first. */
-  latestRunOf(request: AcceptedRequest): BackendRun | undefined {
-    return this.latestRuns.get(request);
   }
 
   recordFailure(run: RequestRun, { isPortClosed, mayHaveRun, isSilent }: AttemptFailure): void {
--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -183,11 +183,8 @@
    * sent at `sentBeforeMs` or later may run in the process that followed it.
    */
   handleBackendEnded(backendId: string, evidence: ExitEvidence, sentBeforeMs = Infinity): void {
-    for (const [request, { proxied }] of [...this.active]) {
-      const run = this.dependencies.crashes.latestRunOf(request);
-      if (run !== undefined && run.sentAtMs < sentBeforeMs) {
-        proxied.handleBackendEnded(backendId, evidence);
-      }
+    for (const { proxied } of [...this.active.values()]) {
+      proxied.handleBackendEnded(backendId, evidence, sentBeforeMs);
     }
   }
 
