Every header line of a legal request is read and forwarded

What callers saw: a request within the limits that had more than a thousand header lines before its key got 401, and with its key first its backend received about a thousand lines.

Cause: the HTTP server was left at its default number of header lines and drops what comes after them without an error. The length of a head was counted with one byte too many for each line, so a head of the shortest lines would have been refused at three quarters of the limit.

Why it holds: the server takes as many lines as the longest head that its parser accepts can hold, so no line can be dropped; the length is counted as the least that the lines take on the wire, so no legal head is over it.

--- a/src/gateway/admission/caller-listener.ts
+++ b/src/gateway/admission/caller-listener.ts
@@ -4,6 +4,7 @@
 import { Server as NetServer } from 'node:net';
 import type { Socket } from 'node:net';
 import { BodyBuffer } from '../../http/body-buffer.js';
+import { maxHeaderLines } from '../../http/header-lines.js';
 import type { CallerLimits } from '../../routing/configuration.js';
 import type { CallerReply } from '../attempt/attempt.js';
 import type { AfterPollQueue } from '../../after-poll-queue.js';
@@ -85,6 +86,8 @@
       (request, response) => this.receive(request, response),
     );
     this.server.requestTimeout = 0;
+    // The default would drop header lines past it without a word.
+    this.server.maxHeadersCount = maxHeaderLines(PARSER_HEADER_BYTES);
     this.idleConnections = new IdleConnections(this.server, SYSTEM_CLOCK, this.closer);
     new ClientErrors(this.server, this.closer);
     this.server.on('connection', (socket: Socket) => {
--- a/src/gateway/admission/request-admission.ts
+++ b/src/gateway/admission/request-admission.ts
@@ -1,4 +1,5 @@
 /** Admits or refuses requests and determines their route, tenant, cost and deadline. */
+import { headerLineBytes } from '../../http/header-lines.js';
 import { EMPTY_HEADER_VALUE } from '../../http/header-value.js';
 import type { RandomSource } from '../../random.js';
 import { err, ok } from '../../result.js';
@@ -32,8 +33,6 @@
  * Work of one generated token, in prompt tokens: decoding is slower than prefill by this factor.
  */
 const WORK_UNITS_PER_OUTPUT_TOKEN = 150;
-/** Bytes that separate a header name from its value, and bytes of the line end after it. */
-const HEADER_SEPARATOR_BYTES = 2;
 
 /** Availability of services, checked before a service is picked for a request. */
 export interface ServiceAvailability {
@@ -74,7 +73,7 @@
       return err({ reason: 'no-configuration', retryAfterMs });
     }
     const { head, caller } = received;
-    if (headerBytes(head.rawHeaders) > table.configuration.limits.maxHeaderBytes) {
+    if (headerLineBytes(head.rawHeaders) > table.configuration.limits.maxHeaderBytes) {
       return err({ reason: 'header-too-long' });
     }
     const route = table.findRoute(head.host, head.path);
@@ -175,7 +174,3 @@
   }
   return tokens === undefined ? quota.plainTokens : tokens.prompt + tokens.output;
 }
-
-function headerBytes(rawHeaders: readonly string[]): number {
-  return rawHeaders.reduce((sum, text) => sum + text.length + HEADER_SEPARATOR_BYTES, 0);
-}
--- a/src/server/caller-server.ts
+++ b/src/server/caller-server.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { ResponseUsage, IncomingRequest } from '../entry/entry-events.js';
 import type { PolicyReplica } from '../policy/replica.js';
+import { maxHeaderLines } from '../http/header-lines.js';
 import { notExecutedRefusal } from '../request/refusal.js';
 import type { Refusal } from '../request/refusal.js';
 import { RequestIdGenerator } from '../request/request-id.js';
@@ -40,6 +41,8 @@
       (request, response) => this.receiveRequest(request, response),
     );
     this.server.maxConnections = listen.maxConnections;
+    // The default would drop header lines past it without a word.
+    this.server.maxHeadersCount = maxHeaderLines(listen.maxHeaderBytes);
   }
 
   /** Sends the header of a response; a JSON document gets its header when it is complete. */
