Requests sent ahead wait as bytes until earlier ones have ended

What callers saw: twenty clients that sent small complete requests one after the other ended the gateway within three seconds, and every other caller lost its connection.

Cause: one read of 64 KB holds thousands of short requests, and the HTTP parser turned all of them into requests, responses, timers and log fields, without a bound for a connection or the process.

Why it holds: the input of a connection reaches the parser in pieces that hold the end of one request at most, and none while 64 requests of the connection are open. The connection is read on meanwhile, since a disconnect is not noticed otherwise; one that sends more than a whole further request ahead is closed.

Two bounds stay as they were: a request is passed on after a poll, and a connection with unparsed input is not idle. The time after which the tests count a process as hung did not fire (a combined abort signal was lost); it is a plain timer now, with the same bound.

--- a/src/gateway/admission/caller-listener.ts
+++ b/src/gateway/admission/caller-listener.ts
@@ -4,6 +4,8 @@
 import { Server as NetServer } from 'node:net';
 import type { Socket } from 'node:net';
 import { BodyBuffer } from '../../http/body-buffer.js';
+import { ConnectionInput } from '../../http/connection-input.js';
+import { InputTurns } from '../../http/input-turns.js';
 import { maxHeaderLines } from '../../http/header-lines.js';
 import type { CallerLimits } from '../../routing/configuration.js';
 import type { CallerReply } from '../attempt/attempt.js';
@@ -16,6 +18,8 @@
 import { ClientErrors } from './client-errors.js';
 import { ConnectionResponses } from './connection-responses.js';
 import { IdleConnections } from './idle-connections.js';
+import { RejectedConnections } from './rejected-connections.js';
+import type { RejectionCause } from './rejected-connections.js';
 import { UnflushedResponses } from './unflushed-responses.js';
 import { UnusedConnectionCloser } from './unused-connection-closer.js';
 
@@ -51,6 +55,8 @@
 /** Limit at which the HTTP parser rejects headers; the configured limit is lower. */
 const PARSER_HEADER_BYTES = 128 * 1024;
 const CONNECTION_CHECK_MS = 500;
+/** Requests of one connection that may be open at the same time; further ones wait unparsed. */
+const MAX_OPEN_REQUESTS = 64;
 /** Unsent bytes of a response above which it is aborted. */
 const MAX_UNREAD_RESPONSE_BYTES = 4 * 1024 * 1024;
 
@@ -59,6 +65,9 @@
   readonly server: Server;
   private readonly idleConnections: IdleConnections;
   private readonly disconnectWatchers = new Map<Socket, CallerDisconnectWatcher>();
+  private readonly inputs = new Map<Socket, ConnectionInput>();
+  private readonly rejected: RejectedConnections;
+  private readonly turns = new InputTurns(SYSTEM_CLOCK);
   private readonly responses = new WeakMap<Socket, ConnectionResponses>();
   /** Requests that were read whole and wait for a poll that may show that their callers left. */
   private readonly unprocessed = new Set<IncomingMessage>();
@@ -75,7 +84,10 @@
     onAcceptBacklog: (backlog: AcceptBacklog) => void = () => undefined,
     /** Called after each response that was flushed or whose caller disconnected. */
     private readonly onFlushed: () => void = () => undefined,
+    /** Called with each connection that is closed for what it sent. */
+    onRejected: (cause: RejectionCause) => void = () => undefined,
   ) {
+    this.rejected = new RejectedConnections(onRejected);
     const acceptBacklog = new AcceptBacklogMonitor(SYSTEM_CLOCK, onAcceptBacklog);
     this.server = createServer(
       {
@@ -94,7 +106,11 @@
       acceptBacklog.recordAccept();
       this.acceptedCount += 1;
       this.disconnectWatchers.set(socket, new CallerDisconnectWatcher(socket));
-      socket.on('close', () => this.disconnectWatchers.delete(socket));
+      this.inputs.set(socket, this.readInput(socket));
+      socket.on('close', () => {
+        this.disconnectWatchers.delete(socket);
+        this.inputs.delete(socket);
+      });
     });
   }
 
@@ -109,9 +125,9 @@
     return this.disconnectWatchers.size;
   }
 
-  /** Number of requests that were read whole and not passed on yet. */
+  /** Number of requests that were read whole, or wait to be parsed, and were not passed on yet. */
   get unprocessedCount(): number {
-    return this.unprocessed.size;
+    return this.unprocessed.size + this.turns.count;
   }
 
   /** Number of responses that have ended and are not flushed. */
@@ -164,7 +180,7 @@
     const inputBefore = this.inputCount;
     this.closer.closeUnlessUsed({
       isUnused: () => {
-        const isQuiet = this.inputCount === inputBefore && this.unprocessed.size === 0;
+        const isQuiet = this.inputCount === inputBefore && this.unprocessedCount === 0;
         if (!isQuiet) {
           this.afterQuietPoll(callback);
         }
@@ -185,7 +201,18 @@
     return sockets.reduce((sum, { bytesRead }) => sum + bytesRead, this.acceptedCount);
   }
 
+  private readInput(socket: Socket): ConnectionInput {
+    const limits = {
+      maxOpenRequests: MAX_OPEN_REQUESTS,
+      maxBytesAhead: () => PARSER_HEADER_BYTES + this.maxBodyBytes(),
+    };
+    return new ConnectionInput(socket, this.turns, limits, {
+      onTooFarAhead: () => this.rejected.closeNow(socket, 'too-far-ahead'),
+    });
+  }
+
   private receive(request: IncomingMessage, response: ServerResponse): void {
+    this.inputs.get(request.socket)?.beginRequest(request, response);
     const connection = this.responsesOf(request.socket);
     const followsClose = connection.add(response);
     const connectionHeaders = (isBodyUnread: boolean) => {
--- a/src/gateway/gateway-caller-listener.ts
+++ b/src/gateway/gateway-caller-listener.ts
@@ -4,6 +4,7 @@
 import type { AcceptBacklog } from './admission/accept-backlog-monitor.js';
 import { CallerListener } from './admission/caller-listener.js';
 import type { RequestHandler } from './admission/caller-listener.js';
+import type { RejectionCause } from './admission/rejected-connections.js';
 import type { GatewayMetrics } from './metrics/gateway-metrics.js';
 
 /** Dependencies of the listener. */
@@ -26,7 +27,15 @@
 export function createCallerListener(dependencies: CallerListenerDependencies): CallerListener {
   const { receive, maxBodyBytes, afterPolls, onFlushed } = dependencies;
   const onAcceptBacklog = (backlog: AcceptBacklog) => reportAcceptBacklog(dependencies, backlog);
-  return new CallerListener(receive, maxBodyBytes, afterPolls, onAcceptBacklog, onFlushed);
+  const onRejected = (cause: RejectionCause) => reportRejection(dependencies, cause);
+  return new CallerListener(
+    receive,
+    maxBodyBytes,
+    afterPolls,
+    onAcceptBacklog,
+    onFlushed,
+    onRejected,
+  );
 }
 
 function reportAcceptBacklog(
@@ -38,3 +47,11 @@
     log.write('accept-backlog', 'state', { connections, durationMs });
   }
 }
+
+function reportRejection(
+  { log, metrics }: CallerListenerDependencies,
+  cause: RejectionCause,
+): void {
+  metrics.record(({ callerConnectionsClosed }) => callerConnectionsClosed.inc({ cause }));
+  log.write('caller-connection-closed', 'state', { cause });
+}
--- a/src/gateway/metrics/metric-instruments.ts
+++ b/src/gateway/metrics/metric-instruments.ts
@@ -93,6 +93,12 @@
     labelNames: ['header'],
     registers: [this.registry],
   });
+  readonly callerConnectionsClosed = new Counter({
+    name: 'weirvale_caller_connections_closed_total',
+    help: 'Connections of callers that were closed for what they sent, by cause',
+    labelNames: ['cause'],
+    registers: [this.registry],
+  });
   readonly waitSeconds = new Histogram({
     name: 'weirvale_wait_seconds',
     help: 'Time from arrival to the first back end',
--- a/src/telemetry/decision-log.ts
+++ b/src/telemetry/decision-log.ts
@@ -31,6 +31,7 @@
   'process-unidentified',
   'zone-unknown',
   'accept-backlog',
+  'caller-connection-closed',
   'region-reach',
   'zone-evacuation',
   'zone-cleared',
--- a/test/support/crowded-process.ts
+++ b/test/support/crowded-process.ts
@@ -29,6 +29,7 @@
 /** A process and the checks that hold whatever its clients send. */
 export class CrowdedProcess {
   private peakDescriptors = 0;
+  /** Aborted when the process has ended, or counts as hung. */
   private readonly ended = new AbortController();
 
   constructor(
@@ -84,13 +85,14 @@
 
   /** Sends an ordinary request, again while it is refused. */
   private async servesOrdinaryRequest(): Promise<boolean> {
-    const signal = AbortSignal.any([AbortSignal.timeout(HANG_MS), this.ended.signal]);
-    while (!signal.aborted) {
-      if (await this.sendOrdinaryRequest(signal).catch(() => false)) {
-        return true;
-      }
-      await sleep(SYSTEM_CLOCK, RETRY_MS);
+    const { signal } = this.ended;
+    const timer = setTimeout(() => this.ended.abort(), HANG_MS);
+    let isServed = false;
+    while (!isServed && !signal.aborted) {
+      isServed = await this.sendOrdinaryRequest(signal).catch(() => false);
+      await sleep(SYSTEM_CLOCK, isServed ? 0 : RETRY_MS);
     }
-    return false;
+    clearTimeout(timer);
+    return isServed;
   }
 }
