Runs that were cut off are remembered without headers and bodies

What callers saw: clients that sent large bodies and left made a gateway grow by hundreds of megabytes, which it kept after they had gone.

Cause: a run whose response was cut off is kept until its backend is found to have exited, up to 2,048 runs, and those whose time is over leave only when some backend exits. Each kept the whole request, its body included: up to 2,048 bodies of 4 MB.

Why it holds: what is kept is a copy without headers and body, its fingerprint computed before; nothing reads them from a run that has ended.

--- a/src/gateway/crashes/crashing-requests.ts
+++ b/src/gateway/crashes/crashing-requests.ts
@@ -78,6 +78,7 @@
 const HTTP_REDIRECT = 300;
 /** Maximum number of tallies sent to a newly connected gateway, about 16 kB. */
 const MAX_TALLIES_ON_CONNECT = 256;
+const NO_BODY = Buffer.alloc(0);
 const NO_TALLIES: ReadonlyMap<Fingerprint, CrashTally> = new Map();
 
 /** Tracks requests and prompt parts that crash backends and refuses them. */
@@ -172,7 +173,8 @@
       // A planned shutdown is not caused by a request.
       return;
     }
-    const evidence = this.interruptedRuns.add(run, isAbortedLocally, this.clock.now());
+    const kept = this.withoutPayload(run);
+    const evidence = this.interruptedRuns.add(kept, isAbortedLocally, this.clock.now());
     if (evidence !== undefined) {
       this.countCrashes([run], evidence);
     } else if (!isAbortedLocally) {
@@ -241,6 +243,17 @@
     return known;
   }
 
+  /**
+   * Returns the run without the headers and bodies of its request, which may be large: runs are kept
+   * longer than their requests. The crash counts stay those of the run itself.
+   */
+  private withoutPayload(run: RequestRun): RequestRun {
+    const request = { ...run.request, headers: [], body: NO_BODY };
+    this.fingerprints.set(request, this.fingerprintOf(run.request));
+    const previous = run.previous === undefined ? undefined : this.withoutPayload(run.previous);
+    return { ...run, request, previous };
+  }
+
   private talliesOf(request: TrackedRequest): ReadonlyMap<Fingerprint, CrashTally> {
     if (this.table.isEmpty) {
       return NO_TALLIES;
