Updates of metrics that wait for their library hold no bodies and are bounded

What callers saw: in its first seconds a gateway grew with each request that had ended, and by more the larger their bodies were.

Cause: the metrics library is loaded three seconds after the start. Until then updates are queued as closures, without a bound, and the one of an ended request held the request with its body.

Why it holds: an update of a request takes its route and service alone, and no more than 20,000 updates are queued.

--- a/src/gateway/metrics/metric-instruments.ts
+++ b/src/gateway/metrics/metric-instruments.ts
@@ -10,6 +10,11 @@
 const LOOKUP_BUCKETS_S = [0.001, 0.003, 0.01, 0.03, 0.1, 0.3];
 const LATENCY_BUCKETS_S = [0.01, 0.03, 0.1, 0.2, 0.4, 0.6, 1, 2, 4, 8, 16];
 
+/** What the metrics need of a request. */
+export interface MeasuredRequest extends Pick<AcceptedRequest, 'service'> {
+  readonly route: Pick<AcceptedRequest['route'], 'name'>;
+}
+
 /** What the metrics need of the end of a request. */
 export type EndForMetrics = Omit<RequestEnd, 'stage'>;
 
@@ -187,7 +192,7 @@
   }
 
   /** Records how a request ended. */
-  recordEnd(request: AcceptedRequest, end: EndForMetrics): void {
+  recordEnd(request: MeasuredRequest, end: EndForMetrics): void {
     const { status, reason, attempts } = end;
     this.requests.inc({ route: request.route.name, status: `${status}`, reason });
     this.attempts.inc({ service: request.service }, attempts);
--- a/src/telemetry/metrics-endpoint.ts
+++ b/src/telemetry/metrics-endpoint.ts
@@ -13,6 +13,8 @@
   readonly registry: Registry;
 }
 
+/** Updates that are queued until the library is loaded; further ones are dropped. */
+const MAX_PENDING_UPDATES = 20_000;
 const HTTP_OK = 200;
 const HTTP_UNAVAILABLE = 503;
 
@@ -24,10 +26,10 @@
 
   /** Applies an update to the metrics, or queues it until they are loaded. */
   record(update: (instruments: T) => void): void {
-    if (this.instruments === undefined) {
-      this.pendingUpdates.push(update);
-    } else {
+    if (this.instruments !== undefined) {
       update(this.instruments);
+    } else if (this.pendingUpdates.length < MAX_PENDING_UPDATES) {
+      this.pendingUpdates.push(update);
     }
   }
 
