The memory that callers hold together is bounded by that of the machine

What callers saw: clients that held bodies of legal length, sent many requests to a busy backend, or left large responses unread made a gateway exceed its machine's memory or end by its heap, each while keeping every limit for a single request.

Cause: each request was bounded, all of them together were not. And the runtime does not collect for the bytes of buffers: what was freed stayed, hundreds of megabytes beside a heap of 50 MB.

Why it holds: every connection's heads, bodies, unparsed input and unread response bytes are counted; when the sum passes the bound, the connection that holds most gives up what it holds, so an ordinary caller is never the one. Its request is refused as not run if it was not read whole, otherwise the connection is closed.

--- a/src/gateway/admission/caller-listener.ts
+++ b/src/gateway/admission/caller-listener.ts
@@ -4,6 +4,9 @@
 import { Server as NetServer } from 'node:net';
 import type { Socket } from 'node:net';
 import { BodyBuffer } from '../../http/body-buffer.js';
+import { BufferCollector } from '../../http/buffer-collector.js';
+import { ClientMemory, RequestMemory, requestHeadMemory } from '../../http/client-memory.js';
+import type { MemoryHolder } from '../../http/client-memory.js';
 import { ConnectionInput } from '../../http/connection-input.js';
 import { InputTurns } from '../../http/input-turns.js';
 import { maxHeaderLines } from '../../http/header-lines.js';
@@ -43,6 +46,8 @@
   onBody(body: Buffer): void;
   /** The body is longer than allowed. */
   onTooLong(): void;
+  /** The body is not read to its end, since callers hold too much memory. */
+  onMemoryExhausted(): void;
   /** The caller disconnected, before or after the body was complete. */
   onCallerDisconnected(): void;
   /** The operating system has taken the whole response. */
@@ -66,7 +71,11 @@
   private readonly idleConnections: IdleConnections;
   private readonly disconnectWatchers = new Map<Socket, CallerDisconnectWatcher>();
   private readonly inputs = new Map<Socket, ConnectionInput>();
+  private readonly holders = new Map<Socket, MemoryHolder>();
+  /** By connection, the request whose body is being read. */
+  private readonly receiving = new Map<Socket, ReceivingRequest>();
   private readonly rejected: RejectedConnections;
+  private readonly buffers: BufferCollector;
   private readonly turns = new InputTurns(SYSTEM_CLOCK);
   private readonly responses = new WeakMap<Socket, ConnectionResponses>();
   /** Requests that were read whole and wait for a poll that may show that their callers left. */
@@ -86,8 +95,11 @@
     private readonly onFlushed: () => void = () => undefined,
     /** Called with each connection that is closed for what it sent. */
     onRejected: (cause: RejectionCause) => void = () => undefined,
+    /** Bounds the memory that callers hold. */
+    private readonly memory = new ClientMemory(Infinity),
   ) {
     this.rejected = new RejectedConnections(onRejected);
+    this.buffers = new BufferCollector(() => memory.heldBytes);
     const acceptBacklog = new AcceptBacklogMonitor(SYSTEM_CLOCK, onAcceptBacklog);
     this.server = createServer(
       {
@@ -105,12 +117,7 @@
     this.server.on('connection', (socket: Socket) => {
       acceptBacklog.recordAccept();
       this.acceptedCount += 1;
-      this.disconnectWatchers.set(socket, new CallerDisconnectWatcher(socket));
-      this.inputs.set(socket, this.readInput(socket));
-      socket.on('close', () => {
-        this.disconnectWatchers.delete(socket);
-        this.inputs.delete(socket);
-      });
+      this.addConnection(socket);
     });
   }
 
@@ -201,16 +208,45 @@
     return sockets.reduce((sum, { bytesRead }) => sum + bytesRead, this.acceptedCount);
   }
 
-  private readInput(socket: Socket): ConnectionInput {
+  private addConnection(socket: Socket): void {
+    this.disconnectWatchers.set(socket, new CallerDisconnectWatcher(socket));
+    const holder = this.memory.addHolder(() => this.evict(socket));
+    this.holders.set(socket, holder);
+    this.inputs.set(socket, this.readInput(socket, holder));
+    socket.on('close', () => {
+      this.memory.remove(holder);
+      this.disconnectWatchers.delete(socket);
+      this.inputs.delete(socket);
+      this.holders.delete(socket);
+      this.receiving.delete(socket);
+    });
+  }
+
+  private readInput(socket: Socket, holder: MemoryHolder): ConnectionInput {
     const limits = {
       maxOpenRequests: MAX_OPEN_REQUESTS,
       maxBytesAhead: () => PARSER_HEADER_BYTES + this.maxBodyBytes(),
     };
     return new ConnectionInput(socket, this.turns, limits, {
+      onReceived: (bytes) => this.buffers.noteMoved(bytes),
+      onWaitingChange: (bytes) => holder.add(bytes),
       onTooFarAhead: () => this.rejected.closeNow(socket, 'too-far-ahead'),
     });
   }
 
+  /**
+   * Frees what a connection holds. Its only request is refused if it has not been read whole, since
+   * it has certainly not run then; otherwise the connection is closed.
+   */
+  private evict(socket: Socket): void {
+    const receiving = this.receiving.get(socket);
+    if (receiving !== undefined && this.inputs.get(socket)?.openCount === 1) {
+      receiving.refuse();
+    } else {
+      this.rejected.closeNow(socket, 'memory');
+    }
+  }
+
   private receive(request: IncomingMessage, response: ServerResponse): void {
     this.inputs.get(request.socket)?.beginRequest(request, response);
     const connection = this.responsesOf(request.socket);
@@ -224,7 +260,11 @@
       }
       return ['Connection', 'close'];
     };
-    const reply = new HttpReply(request, response, this.unflushed, connectionHeaders);
+    const memory = this.holdMemory(request, response);
+    const reply = new HttpReply(request, response, this.unflushed, connectionHeaders, (bytes) => {
+      memory.setResponse(response.destroyed ? 0 : response.writableLength);
+      this.buffers.noteMoved(bytes);
+    });
     const head: ReceivedHead = {
       method: request.method ?? 'GET',
       path: request.url ?? '/',
@@ -256,8 +296,9 @@
       stopWatching?.();
       handleDisconnect();
     });
-    this.readBody(request, {
+    this.readBody(request, memory, {
       onTooLong: () => handlers.onTooLong(),
+      onMemoryExhausted: () => handlers.onMemoryExhausted(),
       onBody: (body) => {
         if (!hasDisconnected) {
           this.unprocessed.add(request);
@@ -280,26 +321,44 @@
     }
   }
 
+  /** Accounts for a request until its response has left the process. */
+  private holdMemory(request: IncomingMessage, response: ServerResponse): RequestMemory {
+    const holder = this.holders.get(request.socket)!;
+    const memory = new RequestMemory(holder);
+    memory.add(requestHeadMemory(request.rawHeaders));
+    response.once('close', () => memory.release());
+    return memory;
+  }
+
   private readBody(
     request: IncomingMessage,
-    handlers: Pick<RequestBodyHandlers, 'onBody' | 'onTooLong'>,
+    memory: RequestMemory,
+    handlers: Pick<RequestBodyHandlers, 'onBody' | 'onTooLong' | 'onMemoryExhausted'>,
   ): void {
-    const body = new BodyBuffer();
-    let isTooLong = false;
+    const { socket } = request;
+    const body = new BodyBuffer(Number(request.headers['content-length'] ?? Infinity));
+    let isRefused = false;
+    const refuse = (answer: () => void) => {
+      isRefused = true;
+      this.receiving.delete(socket);
+      body.clear();
+      answer();
+    };
+    this.receiving.set(socket, { refuse: () => refuse(handlers.onMemoryExhausted) });
     request.on('data', (bytes: Buffer) => {
-      if (isTooLong) {
+      if (isRefused) {
         return;
       }
       if (body.length + bytes.length > this.maxBodyBytes()) {
-        isTooLong = true;
-        body.clear();
-        handlers.onTooLong();
+        refuse(handlers.onTooLong);
         return;
       }
       body.append(bytes);
+      memory.add(bytes.length);
     });
     request.on('end', () => {
-      if (!isTooLong) {
+      if (!isRefused) {
+        this.receiving.delete(socket);
         handlers.onBody(body.toBuffer());
       }
     });
@@ -307,6 +366,12 @@
   }
 }
 
+/** A request whose body is being read. */
+interface ReceivingRequest {
+  /** Refuses it and discards what was read. */
+  refuse(): void;
+}
+
 /** Writes the response to one request. */
 class HttpReply implements CallerReply {
   constructor(
@@ -315,6 +380,8 @@
     private readonly unflushed: UnflushedResponses,
     /** Returns the headers that state whether the connection is kept. */
     private readonly connectionHeaders: (isBodyUnread: boolean) => RawHeaders,
+    /** Called when bytes were written, or taken by the operating system. */
+    private readonly onMoved: (writtenBytes: number) => void,
   ) {}
 
   start(status: number, headers: RawHeaders): void {
@@ -330,6 +397,7 @@
       return true;
     }
     const hasNoBackpressure = this.response.write(bytes);
+    this.onMoved(bytes.length);
     if (this.response.writableLength > MAX_UNREAD_RESPONSE_BYTES) {
       this.abort();
     }
@@ -340,6 +408,7 @@
     if (!this.response.destroyed && !this.response.writableEnded) {
       this.unflushed.add(this.response, this.request.socket);
       this.response.end(bytes);
+      this.onMoved(bytes?.length ?? 0);
     }
   }
 
@@ -348,6 +417,9 @@
   }
 
   onceDrained(callback: () => void): void {
-    this.response.once('drain', callback);
+    this.response.once('drain', () => {
+      this.onMoved(0);
+      callback();
+    });
   }
 }
--- a/src/gateway/admission/gateway-refusal.ts
+++ b/src/gateway/admission/gateway-refusal.ts
@@ -12,6 +12,7 @@
   | 'configuration-unconfirmed'
   | 'body-too-long'
   | 'header-too-long'
+  | 'memory-exhausted'
   | 'quota-spent'
   | 'crashes-back-ends'
   | 'stream-unknown'
@@ -66,6 +67,7 @@
   'configuration-unconfirmed': 503,
   'body-too-long': 413,
   'header-too-long': 431,
+  'memory-exhausted': 503,
   'quota-spent': 429,
   'crashes-back-ends': 503,
   overloaded: 503,
--- a/src/gateway/admission/rejected-connections.ts
+++ b/src/gateway/admission/rejected-connections.ts
@@ -4,7 +4,9 @@
 /** Why the connection of a caller is closed; part of the log format. */
 export type RejectionCause =
   /** It sent more than a whole request while as many as allowed were open. */
-  'too-far-ahead';
+  | 'too-far-ahead'
+  /** All callers together held too much memory, and it held the most. */
+  | 'memory';
 
 /** Closes connections and reports why. */
 export class RejectedConnections {
--- a/src/gateway/gateway-caller-listener.ts
+++ b/src/gateway/gateway-caller-listener.ts
@@ -1,5 +1,6 @@
 /** Creates the listener for callers of a gateway and reports its accept backlogs. */
 import type { AfterPollQueue } from '../after-poll-queue.js';
+import { ClientMemory } from '../http/client-memory.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { AcceptBacklog } from './admission/accept-backlog-monitor.js';
 import { CallerListener } from './admission/caller-listener.js';
@@ -14,6 +15,8 @@
   /** Handles a request head and returns the callbacks for its body. */
   readonly receive: RequestHandler;
   readonly maxBodyBytes: () => number;
+  /** Memory that all callers may hold together, in bytes. */
+  readonly callerMemoryBytes: number;
   readonly afterPolls: AfterPollQueue;
   /** Called after each response that was flushed or whose caller disconnected. */
   readonly onFlushed: () => void;
@@ -35,6 +38,7 @@
     onAcceptBacklog,
     onFlushed,
     onRejected,
+    new ClientMemory(dependencies.callerMemoryBytes),
   );
 }
 
--- a/src/gateway/gateway-requests.ts
+++ b/src/gateway/gateway-requests.ts
@@ -86,6 +86,11 @@
   retryAfterMs: DEFAULT_REQUEST_OPTIONS.retryAfterMs,
 };
 
+const MEMORY_REFUSAL: GatewayRefusal = {
+  reason: 'memory-exhausted',
+  retryAfterMs: DEFAULT_REQUEST_OPTIONS.retryAfterMs,
+};
+
 const STOPPING_REFUSAL: GatewayRefusal = { reason: 'stopping', retryAfterMs: 0 };
 
 /** A request that waits for a backend or runs. */
@@ -242,6 +247,10 @@
     let request: AdmittedRequest | undefined;
     const { run, confine } = this.admissionBoundary(caller, reply);
     let isAdmitted = false;
+    const refuseUnread = (refusal: GatewayRefusal) => {
+      isAdmitted = true;
+      this.refuse(caller, reply, refusal);
+    };
     return {
       onBody: (body) =>
         run(() => {
@@ -252,10 +261,8 @@
             this.dependencies.onEnd();
           }
         }),
-      onTooLong: () => {
-        isAdmitted = true;
-        this.refuse(caller, reply, { reason: 'body-too-long' });
-      },
+      onTooLong: () => refuseUnread({ reason: 'body-too-long' }),
+      onMemoryExhausted: () => refuseUnread(MEMORY_REFUSAL),
       onCallerDisconnected: () =>
         run(() => {
           request?.handleCallerDisconnect();
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -41,6 +41,7 @@
 import { PEER_TICK_MS } from './links/heartbeat-intervals.js';
 import type { GatewayMetrics } from './metrics/gateway-metrics.js';
 import type { GatewaySettings } from './gateway-settings.js';
+import { callerMemoryBytes } from './caller-resources.js';
 import { splitAddress } from '../address.js';
 import {
   DEFAULT_BACKEND_SENDER_OPTIONS,
@@ -214,6 +215,7 @@
       ...dependencies,
       receive: (head, reply) => this.requests.receive(head, reply),
       maxBodyBytes: () => this.configuration.limits.maxBodyBytes,
+      callerMemoryBytes: callerMemoryBytes(settings.limits),
       afterPolls: this.afterPolls,
       onFlushed: () => this.shutdown.onRequestEnded(),
     });
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -127,6 +127,13 @@
       coldOver: number(1),
       /** Requests per second allowed in addition to that. Default 0. */
       coldSlack: number(0),
+      /** Memory of the machine, in MiB; 0 if unknown: that of the runtime's heap. Default 0. */
+      memoryMb: number(0),
+      /**
+       * Memory that the requests of all callers may take together, in MiB. Beyond it the caller that
+       * takes most is refused or disconnected. Default 0: 12 in 100 of the machine's memory.
+       */
+      callerMemoryMb: number(0),
     }),
     {},
   ),
--- a/src/http/body-buffer.ts
+++ b/src/http/body-buffer.ts
@@ -7,6 +7,9 @@
   private buffer: Buffer = Buffer.alloc(0);
   private used = 0;
 
+  /** @param expectedLength - length of the whole body, if known */
+  constructor(private readonly expectedLength = Infinity) {}
+
   /** Number of bytes. */
   get length(): number {
     return this.used;
@@ -39,7 +42,8 @@
     if (length <= this.buffer.length) {
       return;
     }
-    const grown = Buffer.allocUnsafe(Math.max(MIN_CAPACITY, length, this.buffer.length * 2));
+    const wanted = Math.max(MIN_CAPACITY, this.buffer.length * 2);
+    const grown = Buffer.allocUnsafe(Math.max(length, Math.min(wanted, this.expectedLength)));
     this.buffer.copy(grown, 0, 0, this.used);
     this.buffer = grown;
   }
--- a/src/http/connection-input.ts
+++ b/src/http/connection-input.ts
@@ -19,6 +19,9 @@
  */
 const TURN_BYTES = 8 * 1_024;
 
+/** Memory of a piece of input beside its bytes, roughly. */
+const PIECE_BYTES = 256;
+
 /** Limits of one connection. */
 export interface ConnectionInputLimits {
   /** Requests whose responses may be unfinished at the same time. */
@@ -27,8 +30,12 @@
   maxBytesAhead(): number;
 }
 
-/** Called when a connection sends more than allowed. */
+/** What a connection reports. */
 export interface ConnectionInputHandlers {
+  /** So many bytes were read. */
+  onReceived(bytes: number): void;
+  /** What waits takes so many more bytes of memory; fewer if negative. */
+  onWaitingChange(bytes: number): void;
   /** More bytes wait than `maxBytesAhead`. */
   onTooFarAhead(): void;
 }
@@ -40,6 +47,8 @@
   /** Bytes that are not parsed yet. */
   private waiting: Buffer[] = [];
   private waitingLength = 0;
+  /** Memory of the waiting bytes as last reported. */
+  private reportedMemory = 0;
   /** The newest request; undefined before the first one. */
   private newest: IncomingMessage | undefined;
   /** Bytes of its body that are not parsed yet, if it has a Content-Length. */
@@ -64,6 +73,11 @@
     return this.waitingLength;
   }
 
+  /** Number of requests whose responses have not ended. */
+  get openCount(): number {
+    return this.openRequests;
+  }
+
   /** Counts a request that the parser has found. */
   beginRequest(request: IncomingMessage, response: ServerResponse): void {
     this.newest = request;
@@ -93,11 +107,23 @@
   private receive(bytes: Buffer): void {
     this.waiting.push(bytes);
     this.waitingLength += bytes.length;
-    if (!this.hasTurnQueued) {
+    this.handlers.onReceived(bytes.length);
+    if (this.hasTurnQueued) {
+      this.reportWaiting();
+    } else {
       this.takeTurn();
     }
   }
 
+  private reportWaiting(): void {
+    const memory = this.waitingLength + this.waiting.length * PIECE_BYTES;
+    const change = memory - this.reportedMemory;
+    if (change !== 0) {
+      this.reportedMemory = memory;
+      this.handlers.onWaitingChange(change);
+    }
+  }
+
   /** Parses the bytes of one turn; the rest waits for another one. */
   private takeTurn(): void {
     this.bytesLeftInTurn = TURN_BYTES;
@@ -107,7 +133,8 @@
     if (this.mayParse) {
       this.queueTurn();
     }
-    const isTooFarAhead = this.isFull && this.waitingLength > this.limits.maxBytesAhead();
+    this.reportWaiting();
+    const isTooFarAhead = this.isFull && this.reportedMemory > this.limits.maxBytesAhead();
     if (isTooFarAhead && !this.socket.destroyed) {
       this.handlers.onTooFarAhead();
     }
--- a/test/caller-listener.test.ts
+++ b/test/caller-listener.test.ts
@@ -39,6 +39,7 @@
           onBody(request);
         },
         onTooLong: () => undefined,
+        onMemoryExhausted: () => undefined,
         onCallerDisconnected: () => (request.hasDisconnected = true),
       };
     },
@@ -121,6 +122,7 @@
     () => ({
       onBody: () => undefined,
       onTooLong: () => undefined,
+      onMemoryExhausted: () => undefined,
       onCallerDisconnected: () => undefined,
     }),
     () => 1_000_000,
--- a/test/connection-input.test.ts
+++ b/test/connection-input.test.ts
@@ -35,7 +35,12 @@
       closedAhead += 1;
       socket.destroy();
     };
-    inputs.set(socket, new ConnectionInput(socket, turns, limits, { onTooFarAhead }));
+    const handlers = {
+      onTooFarAhead,
+      onReceived: () => undefined,
+      onWaitingChange: () => undefined,
+    };
+    inputs.set(socket, new ConnectionInput(socket, turns, limits, handlers));
   });
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
--- a/test/early-ends.test.ts
+++ b/test/early-ends.test.ts
@@ -70,6 +70,7 @@
       reply.end(Buffer.from('ok'));
     },
     onTooLong: () => undefined,
+    onMemoryExhausted: () => undefined,
     onCallerDisconnected: () => undefined,
   });
   const connection = new BlockedConnection();
--- a/test/pipelined-requests-at-stop.test.ts
+++ b/test/pipelined-requests-at-stop.test.ts
@@ -21,6 +21,7 @@
     ({ path }, reply) => ({
       onBody: () => void replies.set(path, reply),
       onTooLong: () => undefined,
+      onMemoryExhausted: () => undefined,
       onCallerDisconnected: () => undefined,
     }),
     () => 1_000_000,
--- a/test/support/raw-caller.ts
+++ b/test/support/raw-caller.ts
@@ -28,6 +28,7 @@
     (head, reply) => ({
       onBody: () => respond(reply, head),
       onTooLong: () => undefined,
+      onMemoryExhausted: () => undefined,
       onCallerDisconnected: () => undefined,
     }),
     () => 1_000_000,
--- a/test/unflushed-responses.test.ts
+++ b/test/unflushed-responses.test.ts
@@ -17,6 +17,7 @@
         reply.end(Buffer.from('ok'));
       },
       onTooLong: () => undefined,
+      onMemoryExhausted: () => undefined,
       onCallerDisconnected: () => undefined,
       onFlushed,
     }),
