Heads are bounded by the bytes that were received

What callers saw: a connection could send a head without end that held no line, or blank lines before a request without end, and none was closed; a head of twice the legal length was served if its bytes were white space.

Cause: the parser counts names and values only. White space around values, line ends and blank lines before a request are not counted, so a head of them has no length.

Why it holds: the bytes are counted as they arrive, before the parser sees them. A head at the limit is served, whatever its lines are.

--- a/src/gateway/admission/caller-listener.ts
+++ b/src/gateway/admission/caller-listener.ts
@@ -7,9 +7,10 @@
 import { BufferCollector } from '../../http/buffer-collector.js';
 import { ClientMemory, RequestMemory, requestHeadMemory } from '../../http/client-memory.js';
 import type { MemoryHolder } from '../../http/client-memory.js';
-import { ConnectionInput } from '../../http/connection-input.js';
+import { ConnectionInput, MAX_HEAD_BYTES } from '../../http/connection-input.js';
 import { InputTurns } from '../../http/input-turns.js';
 import { maxHeaderLines } from '../../http/header-lines.js';
+import { DEFAULT_CALLER_LIMITS } from '../../routing/configuration.js';
 import type { CallerLimits } from '../../routing/configuration.js';
 import type { CallerReply } from '../attempt/attempt.js';
 import type { AfterPollQueue } from '../../after-poll-queue.js';
@@ -57,8 +58,6 @@
 /** Handles a request head and returns the callbacks for its body. */
 export type RequestHandler = (head: ReceivedHead, reply: CallerReply) => RequestBodyHandlers;
 
-/** Limit at which the HTTP parser rejects headers; the configured limit is lower. */
-const PARSER_HEADER_BYTES = 128 * 1024;
 const CONNECTION_CHECK_MS = 500;
 /** Requests of one connection that may be open at the same time; further ones wait unparsed. */
 const MAX_OPEN_REQUESTS = 64;
@@ -69,6 +68,7 @@
 export class CallerListener {
   readonly server: Server;
   private readonly idleConnections: IdleConnections;
+  private readonly clientErrors: ClientErrors;
   private readonly disconnectWatchers = new Map<Socket, CallerDisconnectWatcher>();
   private readonly inputs = new Map<Socket, ConnectionInput>();
   private readonly holders = new Map<Socket, MemoryHolder>();
@@ -82,6 +82,7 @@
   private readonly unprocessed = new Set<IncomingMessage>();
   private readonly unflushed = new UnflushedResponses(() => this.onFlushed());
   private readonly closer = new UnusedConnectionCloser(SYSTEM_CLOCK);
+  private maxHeaderBytes = DEFAULT_CALLER_LIMITS.maxHeaderBytes;
   private acceptedCount = 0;
   private isClosing = false;
 
@@ -98,12 +99,12 @@
     /** Bounds the memory that callers hold. */
     private readonly memory = new ClientMemory(Infinity),
   ) {
-    this.rejected = new RejectedConnections(onRejected);
+    this.rejected = new RejectedConnections(SYSTEM_CLOCK, onRejected);
     this.buffers = new BufferCollector(() => memory.heldBytes);
     const acceptBacklog = new AcceptBacklogMonitor(SYSTEM_CLOCK, onAcceptBacklog);
     this.server = createServer(
       {
-        maxHeaderSize: PARSER_HEADER_BYTES,
+        maxHeaderSize: MAX_HEAD_BYTES,
         connectionsCheckingInterval: CONNECTION_CHECK_MS,
         noDelay: true,
       },
@@ -111,9 +112,9 @@
     );
     this.server.requestTimeout = 0;
     // The default would drop header lines past it without a word.
-    this.server.maxHeadersCount = maxHeaderLines(PARSER_HEADER_BYTES);
+    this.server.maxHeadersCount = maxHeaderLines(MAX_HEAD_BYTES);
     this.idleConnections = new IdleConnections(this.server, SYSTEM_CLOCK, this.closer);
-    new ClientErrors(this.server, this.closer);
+    this.clientErrors = new ClientErrors(this.server, this.closer);
     this.server.on('connection', (socket: Socket) => {
       acceptBacklog.recordAccept();
       this.acceptedCount += 1;
@@ -124,6 +125,7 @@
   /** Applies the configured limits to requests that arrive from now on. */
   applyLimits(limits: CallerLimits): void {
     this.server.headersTimeout = limits.headerTimeoutMs;
+    this.maxHeaderBytes = limits.maxHeaderBytes;
     this.idleConnections.applyTimeouts(limits);
   }
 
@@ -225,13 +227,20 @@
   private readInput(socket: Socket, holder: MemoryHolder): ConnectionInput {
     const limits = {
       maxOpenRequests: MAX_OPEN_REQUESTS,
-      maxBytesAhead: () => PARSER_HEADER_BYTES + this.maxBodyBytes(),
+      maxHeaderBytes: () => this.maxHeaderBytes,
+      maxBytesAhead: () => MAX_HEAD_BYTES + this.maxBodyBytes(),
     };
-    return new ConnectionInput(socket, this.turns, limits, {
+    const input: ConnectionInput = new ConnectionInput(socket, this.turns, limits, {
       onReceived: (bytes) => this.buffers.noteMoved(bytes),
       onWaitingChange: (bytes) => holder.add(bytes),
+      onDiscarded: (bytes) => this.rejected.countDiscarded(socket, bytes),
+      onHeadTooLong: () => {
+        this.clientErrors.respondHeadTooLong(socket);
+        this.rejected.closeAfterResponse(socket, input);
+      },
       onTooFarAhead: () => this.rejected.closeNow(socket, 'too-far-ahead'),
     });
+    return input;
   }
 
   /**
--- a/src/gateway/admission/client-errors.ts
+++ b/src/gateway/admission/client-errors.ts
@@ -7,9 +7,10 @@
 /** Error code of a head that was not received within the header timeout. */
 const LATE_HEAD_CODE = 'ERR_HTTP_REQUEST_TIMEOUT';
 const BAD_REQUEST = 400;
+const HEAD_TOO_LONG = 431;
 /** Statuses of errors for which the general one is not precise enough. */
 const STATUS_BY_ERROR_CODE: ReadonlyMap<string | undefined, number> = new Map([
-  ['HPE_HEADER_OVERFLOW', 431],
+  ['HPE_HEADER_OVERFLOW', HEAD_TOO_LONG],
   ['HPE_CHUNK_EXTENSIONS_OVERFLOW', 413],
   [LATE_HEAD_CODE, 408],
 ]);
@@ -68,10 +69,16 @@
     });
   }
 
+  /** Responds to a head that is too long, unless an earlier request of the connection is open. */
+  respondHeadTooLong(socket: Socket): void {
+    if (socket.writable && !this.requests.get(socket)?.openResponses.size) {
+      respond(socket, HEAD_TOO_LONG);
+    }
+  }
+
   private refuse(error: NodeJS.ErrnoException, socket: Socket): void {
     if (socket.writable && !this.isResponding(socket)) {
-      const status = STATUS_BY_ERROR_CODE.get(error.code) ?? BAD_REQUEST;
-      socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`);
+      respond(socket, STATUS_BY_ERROR_CODE.get(error.code) ?? BAD_REQUEST);
     }
     socket.destroy(error);
   }
@@ -82,3 +89,7 @@
     return responses.some(({ headersSent }) => headersSent);
   }
 }
+
+function respond(socket: Socket, status: number): void {
+  socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`);
+}
--- a/src/http/connection-input.ts
+++ b/src/http/connection-input.ts
@@ -19,6 +19,11 @@
  */
 const TURN_BYTES = 8 * 1_024;
 
+/** Bytes of a head with its request line and the blank lines before it. */
+export const MAX_HEAD_BYTES = 128 * 1_024;
+/** Bytes of the blank line that ends a head. */
+const BLANK_LINE_BYTES = 2;
+
 /** Memory of a piece of input beside its bytes, roughly. */
 const PIECE_BYTES = 256;
 
@@ -26,6 +31,8 @@
 export interface ConnectionInputLimits {
   /** Requests whose responses may be unfinished at the same time. */
   readonly maxOpenRequests: number;
+  /** Bytes of the header lines of a request. */
+  maxHeaderBytes(): number;
   /** Bytes that may wait while as many requests as allowed are open. */
   maxBytesAhead(): number;
 }
@@ -34,8 +41,12 @@
 export interface ConnectionInputHandlers {
   /** So many bytes were read. */
   onReceived(bytes: number): void;
+  /** So many bytes were read after `discard`. */
+  onDiscarded(bytes: number): void;
   /** What waits takes so many more bytes of memory; fewer if negative. */
   onWaitingChange(bytes: number): void;
+  /** A head is too long, whatever its lines are; nothing of it is parsed any more. */
+  onHeadTooLong(): void;
   /** More bytes wait than `maxBytesAhead`. */
   onTooFarAhead(): void;
 }
@@ -54,6 +65,7 @@
   /** Bytes of its body that are not parsed yet, if it has a Content-Length. */
   private unreadBodyBytes = 0;
   private openRequests = 0;
+  private isDiscarding = false;
   private hasTurnQueued = false;
   private bytesLeftInTurn = 0;
 
@@ -78,6 +90,14 @@
     return this.openRequests;
   }
 
+  /** Drops what was not parsed and all that is read from now on. */
+  discard(): void {
+    this.isDiscarding = true;
+    this.waiting = [];
+    this.waitingLength = 0;
+    this.reportWaiting();
+  }
+
   /** Counts a request that the parser has found. */
   beginRequest(request: IncomingMessage, response: ServerResponse): void {
     this.newest = request;
@@ -89,6 +109,12 @@
     });
   }
 
+  private get isHeadTooLong(): boolean {
+    const { bytes, bytesAfterFirstLine } = this.scanner;
+    const maxHeaderBytes = this.limits.maxHeaderBytes() + BLANK_LINE_BYTES;
+    return bytes > MAX_HEAD_BYTES || bytesAfterFirstLine > maxHeaderBytes;
+  }
+
   private get isBetweenRequests(): boolean {
     return this.newest?.complete ?? true;
   }
@@ -105,6 +131,10 @@
   }
 
   private receive(bytes: Buffer): void {
+    if (this.isDiscarding) {
+      this.handlers.onDiscarded(bytes.length);
+      return;
+    }
     this.waiting.push(bytes);
     this.waitingLength += bytes.length;
     this.handlers.onReceived(bytes.length);
@@ -143,6 +173,9 @@
   private parseNext(): void {
     const bytes = this.waiting.shift()!;
     const end = this.endOfNext(bytes);
+    if (this.isDiscarding) {
+      return;
+    }
     this.waitingLength -= end;
     if (end === bytes.length) {
       this.parse(bytes);
@@ -160,6 +193,11 @@
       return end;
     }
     const end = this.scanner.findEnd(bytes);
+    if (this.isBetweenRequests && this.isHeadTooLong) {
+      this.discard();
+      this.handlers.onHeadTooLong();
+      return 0;
+    }
     if (end !== undefined) {
       this.scanner.reset();
     }
--- a/test/connection-ends.test.ts
+++ b/test/connection-ends.test.ts
@@ -18,7 +18,7 @@
     why: 'the only writer of responses to callers; it closes its listener and what is left at a stop',
   },
   'src/gateway/admission/rejected-connections.ts': {
-    ends: ['Duplex.destroy'],
+    ends: ['Duplex.destroy', 'Duplex.end'],
     why: 'closes connections of callers that send more than is allowed',
   },
   'src/gateway/admission/idle-connections.ts': {
--- a/test/connection-input.test.ts
+++ b/test/connection-input.test.ts
@@ -13,6 +13,7 @@
 import { MessageScanner } from '../src/http/message-scanner.js';
 
 const MAX_OPEN = 3;
+const MAX_HEADER_BYTES = 200;
 const REQUEST = 'GET / HTTP/1.1\r\nHost: h\r\n\r\n';
 
 /** A server that keeps every response open, and one connection to it. */
@@ -22,6 +23,7 @@
   const inputs = new Map<Socket, ConnectionInput>();
   const turns = new InputTurns(SYSTEM_CLOCK);
   let closedAhead = 0;
+  let tooLongHeads = 0;
   const server = createServer((request, response) => {
     inputs.get(request.socket)!.beginRequest(request, response);
     responses.push(response);
@@ -30,13 +32,22 @@
     request.on('end', () => bodies.push(Buffer.concat(chunks).toString()));
   });
   server.on('connection', (socket: Socket) => {
-    const limits = { maxOpenRequests: MAX_OPEN, maxBytesAhead: () => maxBytesAhead };
+    const limits = {
+      maxOpenRequests: MAX_OPEN,
+      maxHeaderBytes: () => MAX_HEADER_BYTES,
+      maxBytesAhead: () => maxBytesAhead,
+    };
+    const onHeadTooLong = () => {
+      tooLongHeads += 1;
+    };
     const onTooFarAhead = () => {
       closedAhead += 1;
       socket.destroy();
     };
     const handlers = {
       onTooFarAhead,
+      onHeadTooLong,
+      onDiscarded: () => undefined,
       onReceived: () => undefined,
       onWaitingChange: () => undefined,
     };
@@ -59,6 +70,7 @@
     responses,
     bodies,
     closedAhead: () => closedAhead,
+    tooLongHeads: () => tooLongHeads,
     received: () => received,
     input: () => [...inputs.values()][0],
   };
@@ -155,3 +167,25 @@
     t.is(scanner.findEnd(head.subarray(cut)), head.length - cut);
   }
 });
+
+test('header lines count with all their white space, however they are cut', async (t) => {
+  for (const [bytes, expected] of [
+    [MAX_HEADER_BYTES, 0],
+    [MAX_HEADER_BYTES + 1, 1],
+  ] as const) {
+    const { client, responses, tooLongHeads } = await startServer(t);
+    const lines = `Host: h\r\na:${' '.repeat(bytes - 13)}\r\n`;
+    t.is(lines.length, bytes);
+    for (const byte of `GET /${'p'.repeat(500)} HTTP/1.1\r\n${lines}\r\n`) {
+      client.write(byte);
+    }
+    t.true(await until(() => responses.length + tooLongHeads() > 0));
+    t.is(tooLongHeads(), expected);
+  }
+});
+
+test('blank lines before a request count as a part of its head', async (t) => {
+  const { client, tooLongHeads } = await startServer(t);
+  client.write('\r\n'.repeat(70_000));
+  t.true(await until(() => tooLongHeads() === 1));
+});
