A body that is announced as too long is refused at its head

What callers saw: a caller that announced a body over the limit and waited got no response; one that sent it had 4 MB or more of it read before it got 413, and the connection was then closed while its input was unread, which can drop the response.

Cause: the length was checked against the bytes that had arrived, never against the one that the head states.

Why it holds: the stated length is the length that the parser takes the body to have, so what is refused could not have become legal.

--- a/src/gateway/admission/caller-listener.ts
+++ b/src/gateway/admission/caller-listener.ts
@@ -20,7 +20,7 @@
 import { CallerDisconnectWatcher } from './caller-disconnect-watcher.js';
 import type { RawHeaders } from './caller-protocol.js';
 import { ClientErrors } from './client-errors.js';
-import { ConnectionResponses } from './connection-responses.js';
+import { ConnectionResponses, leaveOpenAfter } from './connection-responses.js';
 import { IdleConnections } from './idle-connections.js';
 import { RejectedConnections } from './rejected-connections.js';
 import type { RejectionCause } from './rejected-connections.js';
@@ -111,6 +111,12 @@
       (request, response) => this.receive(request, response),
     );
     this.server.requestTimeout = 0;
+    this.server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => {
+      if (announcedBodyBytes(request) <= this.maxBodyBytes()) {
+        response.writeContinue();
+      }
+      this.server.emit('request', request, response);
+    });
     // The default would drop header lines past it without a word.
     this.server.maxHeadersCount = maxHeaderLines(MAX_HEAD_BYTES);
     this.idleConnections = new IdleConnections(this.server, SYSTEM_CLOCK, this.closer);
@@ -264,7 +270,9 @@
       if (!connection.announceClose(response, this.isClosing || isBodyUnread)) {
         return this.idleConnections.keepAliveHeader(response);
       }
-      if (!isBodyUnread) {
+      if (isBodyUnread) {
+        this.closeBeforeBodyEnds(response);
+      } else {
         this.idleConnections.closeAfter(response);
       }
       return ['Connection', 'close'];
@@ -317,6 +325,16 @@
     });
   }
 
+  /** Closes the connection after `response` without waiting for the rest of the request's body. */
+  private closeBeforeBodyEnds(response: ServerResponse): void {
+    const { socket } = response.req;
+    // Earlier than the listener of the server, which would close it at once.
+    response.prependOnceListener('finish', () => {
+      leaveOpenAfter(response);
+      this.rejected.closeAfterResponse(socket, this.inputs.get(socket)!);
+    });
+  }
+
   private responsesOf(socket: Socket): ConnectionResponses {
     const responses = this.responses.get(socket) ?? new ConnectionResponses();
     this.responses.set(socket, responses);
@@ -345,7 +363,8 @@
     handlers: Pick<RequestBodyHandlers, 'onBody' | 'onTooLong' | 'onMemoryExhausted'>,
   ): void {
     const { socket } = request;
-    const body = new BodyBuffer(Number(request.headers['content-length'] ?? Infinity));
+    const announcedBytes = announcedBodyBytes(request);
+    const body = new BodyBuffer(announcedBytes > 0 ? announcedBytes : undefined);
     let isRefused = false;
     const refuse = (answer: () => void) => {
       isRefused = true;
@@ -353,6 +372,10 @@
       body.clear();
       answer();
     };
+    if (announcedBytes > this.maxBodyBytes()) {
+      refuse(handlers.onTooLong);
+      return;
+    }
     this.receiving.set(socket, { refuse: () => refuse(handlers.onMemoryExhausted) });
     request.on('data', (bytes: Buffer) => {
       if (isRefused) {
@@ -375,6 +398,11 @@
   }
 }
 
+/** Returns the length that the head of a request states for its body; 0 if it states none. */
+function announcedBodyBytes({ headers }: IncomingMessage): number {
+  return Number(headers['content-length'] ?? 0);
+}
+
 /** A request whose body is being read. */
 interface ReceivingRequest {
   /** Refuses it and discards what was read. */
--- a/test/caller-listener.test.ts
+++ b/test/caller-listener.test.ts
@@ -8,6 +8,7 @@
 import type { CallerReply } from '../src/gateway/attempt/attempt.js';
 import { SYSTEM_CLOCK, sleep } from '../src/clock.js';
 import { isDoneWithinTurns, turns } from './support/loop-turns.js';
+import { RawCaller } from './support/raw-caller.js';
 
 const REQUEST = 'GET /a HTTP/1.1\r\nHost: a\r\n\r\n';
 const DISCONNECT_WITHIN_MS = 300;
@@ -177,3 +178,31 @@
   t.is(countAfterRead, 1);
   t.is(countWhenPassedOn, 0);
 });
+
+test('a caller that asks before it sends a body that is too long gets 413 and no permission', async (t) => {
+  const listener = new CallerListener(
+    (_head, reply) => ({
+      onBody: () => undefined,
+      onTooLong: () => {
+        reply.start(413, ['Content-Length', '0']);
+        reply.end();
+      },
+      onMemoryExhausted: () => undefined,
+      onCallerDisconnected: () => undefined,
+    }),
+    () => 100,
+    new AfterPollQueue(SYSTEM_CLOCK),
+  );
+  listener.server.listen(0, '127.0.0.1');
+  await once(listener.server, 'listening');
+  const caller = await RawCaller.connect((listener.server.address() as AddressInfo).port);
+  t.teardown(() => {
+    caller.socket.destroy();
+    listener.closeConnections();
+    listener.server.close();
+  });
+  const head = 'POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 101\r\n\r\n';
+  caller.socket.write(head);
+  await once(caller.socket, 'end');
+  t.deepEqual(caller.statuses, ['413']);
+});
