A body in chunks is parsed 8 KB at a time, in turns with other connections

What callers saw: beside a hundred clients that sent bodies in chunks of one byte no ordinary request was answered, and none within a minute after they had left.

Cause: a read of 64 KB holds ten thousand such chunks, each an event of its own, and a connection may be read many times in one iteration of the event loop; what the clients had left in the buffers of the system was parsed before anybody else was served.

Evidence: client-crowds, "bodies without end in chunks of one byte": the ordinary request was not served within 60 s on the code before, at once now (the test takes 6.6 s). A body of legal length in such chunks is still served (legal-requests).

Why it holds: the parser gets 8 KB of such a body in a turn; the rest of the connection's input waits, unread, until the other connections have had theirs.

--- a/src/http/connection-input.ts
+++ b/src/http/connection-input.ts
@@ -172,7 +172,7 @@
 
   private parseNext(): void {
     const bytes = this.waiting.shift()!;
-    const end = this.endOfNext(bytes);
+    const end = this.endOfNext(this.unreadBodyBytes > 0 ? bytes : bytes.subarray(0, TURN_BYTES));
     if (this.isDiscarding) {
       return;
     }
