Connections of callers are bounded by the descriptors of the machine

What callers saw: with more connections than the machine has descriptors the gateway could open none to backends, peers and the store any more.

Cause: every connection was accepted.

Why it holds: callers get three quarters of the descriptors that are not kept for files. For a further connection the oldest without an open request is closed, so a caller that has just connected is served although others hold connections that they do not use.

--- a/src/gateway/admission/caller-listener.ts
+++ b/src/gateway/admission/caller-listener.ts
@@ -98,6 +98,8 @@
     onRejected: (cause: RejectionCause) => void = () => undefined,
     /** Bounds the memory that callers hold. */
     private readonly memory = new ClientMemory(Infinity),
+    /** Connections that may be open at the same time. */
+    private readonly maxConnections = Infinity,
   ) {
     this.rejected = new RejectedConnections(SYSTEM_CLOCK, onRejected);
     this.buffers = new BufferCollector(() => memory.heldBytes);
@@ -217,6 +219,9 @@
   }
 
   private addConnection(socket: Socket): void {
+    if (this.connections >= this.maxConnections) {
+      this.rejected.closeNow(this.findLeastUsed() ?? socket, 'too-many-connections');
+    }
     this.disconnectWatchers.set(socket, new CallerDisconnectWatcher(socket));
     const holder = this.memory.addHolder(() => this.evict(socket));
     this.holders.set(socket, holder);
@@ -230,6 +235,12 @@
     });
   }
 
+  /** Returns the oldest connection that has no open request. */
+  private findLeastUsed(): Socket | undefined {
+    const entries = [...this.inputs].filter(([socket]) => !socket.destroyed);
+    return entries.find(([, input]) => input.openCount === 0)?.[0];
+  }
+
   private readInput(socket: Socket, holder: MemoryHolder): ConnectionInput {
     const limits = {
       maxOpenRequests: MAX_OPEN_REQUESTS,
--- a/src/gateway/admission/rejected-connections.ts
+++ b/src/gateway/admission/rejected-connections.ts
@@ -8,7 +8,9 @@
   /** It sent more than a whole request while as many as allowed were open. */
   | 'too-far-ahead'
   /** All callers together held too much memory, and it held the most. */
-  | 'memory';
+  | 'memory'
+  /** As many connections as allowed were open, and it was the oldest without an open request. */
+  | 'too-many-connections';
 
 /** Time for which a connection is read on after its last response, in milliseconds. */
 const LINGER_MS = 1_000;
--- a/src/gateway/gateway-caller-listener.ts
+++ b/src/gateway/gateway-caller-listener.ts
@@ -17,6 +17,8 @@
   readonly maxBodyBytes: () => number;
   /** Memory that all callers may hold together, in bytes. */
   readonly callerMemoryBytes: number;
+  /** Connections of callers that may be open at the same time. */
+  readonly maxConnections: number;
   readonly afterPolls: AfterPollQueue;
   /** Called after each response that was flushed or whose caller disconnected. */
   readonly onFlushed: () => void;
@@ -39,6 +41,7 @@
     onFlushed,
     onRejected,
     new ClientMemory(dependencies.callerMemoryBytes),
+    dependencies.maxConnections,
   );
 }
 
--- a/src/gateway/gateway-role.ts
+++ b/src/gateway/gateway-role.ts
@@ -41,7 +41,7 @@
 import { PEER_TICK_MS } from './links/heartbeat-intervals.js';
 import type { GatewayMetrics } from './metrics/gateway-metrics.js';
 import type { GatewaySettings } from './gateway-settings.js';
-import { callerMemoryBytes } from './caller-resources.js';
+import { callerMemoryBytes, maxCallerConnections } from './caller-resources.js';
 import { splitAddress } from '../address.js';
 import {
   DEFAULT_BACKEND_SENDER_OPTIONS,
@@ -216,6 +216,7 @@
       receive: (head, reply) => this.requests.receive(head, reply),
       maxBodyBytes: () => this.configuration.limits.maxBodyBytes,
       callerMemoryBytes: callerMemoryBytes(settings.limits),
+      maxConnections: maxCallerConnections(settings.limits),
       afterPolls: this.afterPolls,
       onFlushed: () => this.shutdown.onRequestEnded(),
     });
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -134,6 +134,14 @@
        * takes most is refused or disconnected. Default 0: 12 in 100 of the machine's memory.
        */
       callerMemoryMb: number(0),
+      /** Descriptors that the process may have open; 0 if unknown. Default 0. */
+      maxFds: number(0),
+      /**
+       * Connections of callers that may be open at the same time. For a further one, the oldest
+       * without an open request is closed. Default 0: three quarters of `maxFds` less 200 for
+       * files, or no limit if that is not known.
+       */
+      maxCallerConnections: number(0),
     }),
     {},
   ),
